--- /dev/null
+++ b/lib/common/clock.c
@@ -0,0 +1,70 @@
+/* The clock interface: the system's clock and one for tests. */
+
+#include "common/common.h"
+
+static int64_t
+system_monotonic(void *ctx)
+{
+	return g_get_monotonic_time();
+}
+
+static int64_t
+system_wall(void *ctx)
+{
+	return g_get_real_time();
+}
+
+static const struct clk system_clock = {
+	.monotonic_us = system_monotonic,
+	.wall_us = system_wall,
+};
+
+const struct clk *
+clk_system(void)
+{
+	return &system_clock;
+}
+
+int64_t
+clk_now_us(const struct clk *clock)
+{
+	return clock->monotonic_us(clock->ctx);
+}
+
+int64_t
+clk_now_ms(const struct clk *clock)
+{
+	return clk_now_us(clock) / 1000;
+}
+
+int64_t
+clk_wall_us(const struct clk *clock)
+{
+	return clock->wall_us(clock->ctx);
+}
+
+static int64_t
+fake_now(void *ctx)
+{
+	const struct clk_fake *fake = ctx;
+
+	return fake->now_us;
+}
+
+void
+clk_fake_init(struct clk_fake *fake, int64_t now_us)
+{
+	fake->now_us = now_us;
+	fake->clock = (struct clk){
+		.monotonic_us = fake_now,
+		.wall_us = fake_now,
+		.ctx = fake,
+	};
+}
+
+void
+clk_fake_advance_ms(struct clk_fake *fake, int64_t ms)
+{
+	g_assert(ms >= 0);
+	fake->now_us += ms * 1000;
+}
--- /dev/null
+++ b/tests/common/test_conn.c
@@ -0,0 +1,316 @@
+/* Messages, connections and datagrams, with wrong keys and bad frames. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <gio/gio.h>
+#include <string.h>
+
+#include "common/common.h"
+
+struct note {
+	uint64_t number;
+	struct slice text;
+	struct digest digest;
+};
+
+static const struct msg_field note_fields[] = {
+	MSG_FIELD(struct note, number, MSG_U64, 1000),
+	MSG_FIELD(struct note, text, MSG_STR, 64),
+	MSG_FIELD(struct note, digest, MSG_DIGEST, 0),
+};
+static const struct msg_desc note_desc =
+    MSG_DESC(9, "note", struct note, note_fields);
+
+static const uint8_t good_key[] = "0123456789abcdef";
+static const uint8_t bad_key[] = "fedcba9876543210";
+
+struct end {
+	struct conn_node node;
+	struct conn *conn;
+	bool opened, closed;
+	struct err why;
+	int messages;
+	uint64_t last_number;
+};
+
+static void
+on_opened(struct conn *c, void *ctx)
+{
+	struct end *e = ctx;
+
+	e->opened = true;
+	e->conn = c;
+}
+
+static void
+on_message(struct conn *c, const struct msg *m, void *ctx)
+{
+	struct end *e = ctx;
+	struct note note;
+
+	assert_true(msg_read(m, &note_desc, &note, NULL));
+	e->messages++;
+	e->last_number = note.number;
+}
+
+static void
+on_closed(struct conn *c, const struct err *why, void *ctx)
+{
+	struct end *e = ctx;
+
+	e->closed = true;
+	e->conn = NULL;
+	e->why = *why;
+}
+
+static const struct conn_ops ops = {
+	.opened = on_opened,
+	.message = on_message,
+	.closed = on_closed,
+};
+
+static const struct conn_ops *
+accept_end(struct conn *c, void **ctx_out, void *ctx)
+{
+	*ctx_out = ctx;
+	return &ops;
+}
+
+static void
+init_end(struct end *e, const char *id, const uint8_t *key)
+{
+	memset(e, 0, sizeof(*e));
+	e->node = (struct conn_node){
+		.id = id,
+		.key = key,
+		.key_len = 16,
+		.clock = clk_system(),
+		.counters = ctr_set_new(),
+	};
+}
+
+static gboolean
+out_of_patience(gpointer data)
+{
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
+}
+
+/* Runs the loop until `*flag`; a hang ends the test after ten seconds. */
+static void
+run_until(const bool *flag)
+{
+	bool late = false;
+	guint timer = g_timeout_add(10000, out_of_patience, &late);
+
+	while (!*flag && !late)
+		g_main_context_iteration(NULL, TRUE);
+	assert_false(late);
+	g_source_remove(timer);
+}
+
+static struct conn_server *
+listen_at(struct end *e, char address[32])
+{
+	struct conn_server *s =
+	    conn_listen(&e->node, "127.0.0.1:0", accept_end, e, NULL);
+
+	assert_non_null(s);
+	g_snprintf(address, 32, "127.0.0.1:%u", conn_server_port(s));
+	return s;
+}
+
+static void
+close_end(struct end *e)
+{
+	if (e->conn != NULL) {
+		conn_close(e->conn);
+		run_until(&e->closed);
+	}
+	ctr_set_free(e->node.counters);
+}
+
+static void
+test_messages_arrive_in_order(void **state)
+{
+	struct end server, client;
+	struct note note = { .text = slice_str("hello") };
+	struct conn_server *s;
+	char address[32];
+
+	init_end(&server, "server", good_key);
+	init_end(&client, "client", good_key);
+	s = listen_at(&server, address);
+	conn_dial(&client.node, address, &ops, &client);
+	run_until(&client.opened);
+	assert_string_equal(conn_peer(client.conn), "server");
+	for (note.number = 1; note.number <= 1000; note.number++)
+		conn_send(client.conn, &note_desc, &note);
+	while (server.messages < 1000)
+		g_main_context_iteration(NULL, TRUE);
+	assert_int_equal(server.last_number, 1000);
+	conn_close(client.conn);
+	run_until(&server.closed);
+	run_until(&client.closed);
+	conn_server_free(s);
+	close_end(&server);
+	close_end(&client);
+}
+
+/*
+ * A stranger with another key dials a side. Neither end opens; the side counts
+ * the refusal and the stranger learns nothing but the close.
+ */
+static void
+test_wrong_key_is_refused(void **state)
+{
+	struct end server, client;
+	struct conn_server *s;
+	char address[32];
+
+	init_end(&server, "server", good_key);
+	init_end(&client, "client", bad_key);
+	s = listen_at(&server, address);
+	conn_dial(&client.node, address, &ops, &client);
+	run_until(&client.closed);
+	assert_false(client.opened);
+	assert_false(server.opened);
+	assert_int_equal(client.why.verdict, VERDICT_NOT_RUN);
+	while (ctr_read(server.node.counters, "conn_refused_keys") == 0 &&
+	    ctr_read(client.node.counters, "conn_refused_keys") == 0)
+		g_main_context_iteration(NULL, TRUE);
+	conn_server_free(s);
+	close_end(&server);
+	close_end(&client);
+}
+
+/* Raw bytes that are no frame: the connection is closed, nothing crashes. */
+static void
+send_raw(const char *address, const void *data, size_t len)
+{
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *c =
+	    g_socket_client_connect_to_host(client, address, 0, NULL, NULL);
+	char buffer[512];
+
+	assert_non_null(c);
+	g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(c)),
+	    data, len, NULL, NULL, NULL);
+	g_socket_set_timeout(g_socket_connection_get_socket(c), 1);
+	while (g_main_context_iteration(NULL, FALSE))
+		;
+	g_input_stream_read(g_io_stream_get_input_stream(G_IO_STREAM(c)),
+	    buffer, sizeof(buffer), NULL, NULL);
+	g_object_unref(c);
+	g_object_unref(client);
+}
+
+static void
+test_bad_frames_are_counted(void **state)
+{
+	static const uint8_t oversize[] = { 0x7f, 0xff, 0xff, 0xff };
+	static const uint8_t garbage[] = { 0, 0, 0, 3, 0xc1, 0xc1, 0xc1 };
+	struct end server;
+	struct conn_server *s;
+	char address[32];
+
+	init_end(&server, "server", good_key);
+	s = listen_at(&server, address);
+	send_raw(address, oversize, sizeof(oversize));
+	send_raw(address, garbage, sizeof(garbage));
+	while (ctr_read(server.node.counters, "conn_oversize_frames") == 0 ||
+	    ctr_read(server.node.counters, "conn_bad_frames") == 0)
+		g_main_context_iteration(NULL, TRUE);
+	while (g_main_context_iteration(NULL, FALSE))
+		;
+	conn_server_free(s);
+	close_end(&server);
+}
+
+static void
+test_codec_checks_bounds(void **state)
+{
+	struct note note = { .number = 1001, .text = slice_str("x") }, got;
+	GByteArray *bytes = g_byte_array_new();
+	struct err err = { 0 };
+	struct msg m = { 0 };
+
+	msg_pack(bytes, 5, &note_desc, &note);
+	assert_true(msg_open(&m, bytes->data, bytes->len, &err));
+	assert_int_equal(m.type, 9);
+	assert_int_equal(m.hlc, 5);
+	assert_false(msg_read(&m, &note_desc, &got, &err));
+	assert_int_equal(err.code, ERR_INVALID);
+	assert_int_equal(err.verdict, VERDICT_NOT_RUN);
+	msg_close(&m);
+	/* Cut short anywhere, it is refused, never read past its end. */
+	while (bytes->len > 0) {
+		g_byte_array_set_size(bytes, bytes->len - 1);
+		assert_false(msg_open(&m, bytes->data, bytes->len, &err));
+	}
+	g_byte_array_unref(bytes);
+}
+
+struct heard {
+	bool any;
+	uint64_t number;
+};
+
+static void
+on_datagram(const char *from, const struct msg *m, void *ctx)
+{
+	struct heard *heard = ctx;
+	struct note note;
+
+	assert_true(msg_read(m, &note_desc, &note, NULL));
+	heard->any = true;
+	heard->number = note.number;
+}
+
+static void
+test_datagrams(void **state)
+{
+	struct end a, b, stranger;
+	struct heard heard = { 0 }, none = { 0 };
+	struct note note = { .number = 7, .text = slice_str("x") };
+	struct dgram *da, *db, *ds;
+	char to[32];
+
+	init_end(&a, "a", good_key);
+	init_end(&b, "b", good_key);
+	init_end(&stranger, "s", bad_key);
+	da = dgram_open(&a.node, "127.0.0.1:0", on_datagram, &none, NULL);
+	db = dgram_open(&b.node, "127.0.0.1:0", on_datagram, &heard, NULL);
+	ds =
+	    dgram_open(&stranger.node, "127.0.0.1:0", on_datagram, &none, NULL);
+	g_snprintf(to, sizeof(to), "127.0.0.1:%u", dgram_port(db));
+	note.number = 666;
+	assert_true(dgram_send(ds, to, &note_desc, &note));
+	note.number = 7;
+	assert_true(dgram_send(da, to, &note_desc, &note));
+	run_until(&heard.any);
+	assert_int_equal(heard.number, 7);
+	assert_int_equal(ctr_read(b.node.counters, "dgram_refused"), 1);
+	dgram_free(da);
+	dgram_free(db);
+	dgram_free(ds);
+	close_end(&a);
+	close_end(&b);
+	close_end(&stranger);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_messages_arrive_in_order),
+		cmocka_unit_test(test_wrong_key_is_refused),
+		cmocka_unit_test(test_bad_frames_are_counted),
+		cmocka_unit_test(test_codec_checks_bounds),
+		cmocka_unit_test(test_datagrams),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
