--- /dev/null
+++ b/lib/weights/weights.h
@@ -0,0 +1,122 @@
+#ifndef WEIGHTS_H
+#define WEIGHTS_H
+
+/*
+ * weights: brings the bytes of a version to this host, whole and verified,
+ * from peers and (rarely) from the origin, holds them in memory and serves them to
+ * peers and to the engine beside. Chunks are keyed by their digest, so two
+ * versions can never mix and an unchanged chunk of the next version costs nothing.
+ *
+ * pick_* are decisions over (state, event, now); wts_* carries them out.
+ */
+
+#include "common/common.h"
+#include "platform/platform.h"
+
+/* ------------------------------------------------------------------ */
+/* Versions                                                            */
+/* ------------------------------------------------------------------ */
+
+#define WTS_NAME_MAX 200 /* of an object at the origin */
+#define WTS_CHUNK_MIN (4u << 10)
+#define WTS_CHUNK_MAX (64u << 20)
+
+struct wts_version {
+	struct digest root; /* docs/INTERFACES.md, "Root digest" */
+	uint64_t bytes;
+	uint64_t chunk_bytes; /* the last chunk may be shorter */
+	char weights[WTS_NAME_MAX + 1]; /* names at the origin */
+	char chunks[WTS_NAME_MAX + 1];
+};
+
+uint64_t wts_chunk_count(const struct wts_version *v);
+/* Root of a chunk list; `list` holds 32 raw bytes a chunk. */
+void wts_root(uint64_t bytes, uint64_t chunk_bytes, const uint8_t *list,
+    size_t list_len, struct digest *out);
+/* Computes list and root of a local file (operator command `model digest`). */
+bool wts_digest_file(const char *path, uint64_t chunk_bytes,
+    GByteArray *list_out, struct wts_version *version_out, struct err *err);
+
+/* ------------------------------------------------------------------ */
+/* The transfer                                                        */
+/* ------------------------------------------------------------------ */
+
+enum wts_policy {
+	WTS_TIME_FIRST, /* several origin copies allowed */
+	WTS_ORIGIN_FIRST, /* one origin copy in all */
+};
+
+enum wts_phase {
+	WTS_UNKNOWN, /* not wanted here */
+	WTS_LIST, /* fetching the chunk list */
+	WTS_FETCHING,
+	WTS_WHOLE, /* every chunk verified */
+	WTS_NO_ROOM, /* does not fit the memory budget */
+};
+
+struct wts_progress {
+	enum wts_phase phase;
+	uint64_t have, total; /* chunks */
+	char why[120]; /* what it waits for, "" when it moves on */
+};
+
+/* A host that takes part in the same rollout. */
+struct wts_peer {
+	const char *id;
+	const char *address;
+	const char *domain;
+};
+
+struct wts_conf {
+	const char *id;
+	const char *domain;
+	const char *origin; /* base URL */
+	uint64_t download_bytes_s; /* budget of this host's link */
+	uint64_t upload_bytes_s;
+	uint64_t memory_bytes;
+	uint64_t seed;
+	const struct conn_node *node; /* must outlive wts */
+	struct plat *plat;
+};
+
+struct wts_ops {
+	/* The phase of a wanted version changed. */
+	void (*phase)(const struct wts_version *version,
+	    const struct wts_progress *progress, void *ctx);
+};
+
+struct wts;
+struct wts *wts_new(
+    const struct wts_conf *conf, const struct wts_ops *ops, void *ctx);
+void wts_free(struct wts *wts);
+
+struct wts_want {
+	struct wts_version version;
+	enum wts_policy policy;
+	unsigned int origin_copies; /* over all hosts together */
+};
+/* Starts, or goes on with changed terms; idempotent. Chunks held for other versions are reused. */
+void wts_want(struct wts *wts, const struct wts_want *want);
+/* Stops and forgets; its chunks go unless another version has them. */
+void wts_drop(struct wts *wts, const struct digest *root);
+/* Who else takes part now (live or suspected members, not this host). Given
+ * again whenever it changes; peers gone are closed. */
+void wts_set_peers(struct wts *wts, const struct digest *root,
+    const struct wts_peer *peers, size_t n);
+void wts_progress(
+    struct wts *wts, const struct digest *root, struct wts_progress *out);
+/* Live traffic asks for the link: uploads and downloads shrink meanwhile. */
+void wts_live_bytes(struct wts *wts, uint64_t bytes);
+
+/* Connections accepted by the program: a peer's first message of type 40-59
+ * makes it ours (false: not a message of this package). The program tells when it closes. */
+bool wts_message(struct wts *wts, struct conn *c, const struct msg *m);
+void wts_drained(struct wts *wts, struct conn *c);
+void wts_closed(struct wts *wts, struct conn *c);
+
+/* For the engine beside: the chunk list and the chunks of a whole version.
+ * NULL unless the version is whole. */
+GBytes *wts_list(struct wts *wts, const struct digest *root);
+GBytes *wts_chunk(struct wts *wts, const struct digest *root, uint64_t index);
+
+#endif
