--- /dev/null
+++ b/lib/platform/fetch.c
@@ -0,0 +1,162 @@
+/* An exchange whose answer is gathered, up to a bound. */
+
+#include <string.h>
+
+#include "platform/platform_internal.h"
+
+struct fetch {
+	struct target_call *call;
+	fetch_cb *done;
+	void *ctx;
+	size_t max_bytes;
+	GByteArray *body;
+	struct fetch_answer answer;
+	bool too_large;
+};
+
+static void
+fetch_free(struct fetch *fetch)
+{
+	if (fetch->answer.headers != NULL)
+		soup_message_headers_unref(fetch->answer.headers);
+	if (fetch->body != NULL)
+		g_byte_array_unref(fetch->body);
+	g_free(fetch);
+}
+
+/* More than was asked for is of no use and could be without end. */
+static void
+refuse_size(struct fetch *fetch)
+{
+	fetch_cb *done = fetch->done;
+	void *ctx = fetch->ctx;
+	struct err err;
+
+	err_set(&err, ERR_TOO_LARGE, VERDICT_MAY_HAVE_RUN,
+	    "an answer is larger than %zu bytes", fetch->max_bytes);
+	fetch_cancel(fetch);
+	done(NULL, &err, ctx);
+}
+
+static void
+on_head(unsigned int status, SoupMessageHeaders *headers, void *ctx)
+{
+	struct fetch *fetch = ctx;
+	const char *not_run =
+	    soup_message_headers_get_one(headers, "X-Not-Run");
+	goffset length = 0;
+
+	fetch->answer.status = status;
+	fetch->answer.headers = soup_message_headers_ref(headers);
+	fetch->answer.not_run = status >= 400 && g_strcmp0(not_run, "1") == 0;
+	if (soup_message_headers_get_encoding(headers) ==
+	    SOUP_ENCODING_CONTENT_LENGTH)
+		length = soup_message_headers_get_content_length(headers);
+	if ((guint64)length > fetch->max_bytes) {
+		refuse_size(fetch);
+		return;
+	}
+	fetch->body = g_byte_array_sized_new((guint)length);
+}
+
+static void
+on_data(const uint8_t *bytes, size_t len, void *ctx)
+{
+	struct fetch *fetch = ctx;
+
+	if (len > fetch->max_bytes - fetch->body->len) {
+		refuse_size(fetch);
+		return;
+	}
+	g_byte_array_append(fetch->body, bytes, (guint)len);
+}
+
+static void
+on_ended(const struct err *err, void *ctx)
+{
+	struct fetch *fetch = ctx;
+	bool refused = fetch->answer.not_run && fetch->body != NULL;
+
+	fetch->call = NULL;
+	if (err_is(err) && !refused) {
+		fetch->done(NULL, err, fetch->ctx);
+		fetch_free(fetch);
+		return;
+	}
+	fetch->answer.retry_after_ms = err->retry_after_ms;
+	fetch->answer.body = g_byte_array_free_to_bytes(fetch->body);
+	fetch->body = NULL;
+	fetch->done(&fetch->answer, NULL, fetch->ctx);
+	g_bytes_unref(fetch->answer.body);
+	fetch_free(fetch);
+}
+
+static const struct target_ops fetch_ops = {
+	.head = on_head,
+	.data = on_data,
+	.ended = on_ended,
+};
+
+struct fetch *
+fetch_start(struct plat *plat, const struct fetch_request *request,
+    fetch_cb *done, void *ctx)
+{
+	struct fetch *fetch = g_new0(struct fetch, 1);
+	const char *headers[] = { "Range", request->range, NULL };
+
+	fetch->done = done;
+	fetch->ctx = ctx;
+	fetch->max_bytes = request->max_bytes;
+	fetch->call = target_call_start(plat,
+	    &(struct target_request){
+		.base = request->base,
+		.method = request->method,
+		.path = request->path,
+		.headers = request->range != NULL ? headers : NULL,
+		.body = request->json,
+		.deadline_ms = request->deadline_ms,
+		.stall_ms = request->stall_ms,
+	    },
+	    &fetch_ops, fetch);
+	return fetch;
+}
+
+void
+fetch_cancel(struct fetch *fetch)
+{
+	if (fetch == NULL)
+		return;
+	target_call_cancel(fetch->call);
+	fetch_free(fetch);
+}
+
+static enum err_code
+status_code(unsigned int status)
+{
+	switch (status) {
+	case SOUP_STATUS_UNAUTHORIZED:
+	case SOUP_STATUS_FORBIDDEN:
+		return ERR_UNAUTHORISED;
+	case SOUP_STATUS_NOT_FOUND:
+		return ERR_NOT_FOUND;
+	case SOUP_STATUS_CONFLICT:
+		return ERR_CONFLICT;
+	case SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE:
+		return ERR_TOO_LARGE;
+	case HTTP_TOO_MANY_REQUESTS:
+		return ERR_OVERLOADED;
+	default:
+		return status >= 400 && status < 500 ? ERR_INVALID
+						     : ERR_UNAVAILABLE;
+	}
+}
+
+bool
+fetch_refused(const struct fetch_answer *answer, struct err *err)
+{
+	err_set(err, status_code(answer->status),
+	    answer->not_run ? VERDICT_NOT_RUN : VERDICT_RAN,
+	    "answered with status %u", answer->status);
+	err->retry_after_ms = answer->retry_after_ms;
+	return false;
+}
--- /dev/null
+++ b/lib/platform/obj_put.c
@@ -0,0 +1,299 @@
+/* Writes to the object API: carries out what obj_retry.c decides. */
+
+#include <string.h>
+
+#include "platform/platform_internal.h"
+
+/* An object whose JSON is larger could not be read back. The margin is for
+ * the other members of an answer. */
+#define PUT_JSON_MAX (FETCH_JSON_MAX - 4096)
+
+struct put_call {
+	struct obj_call call; /* first member */
+	struct obj_write write;
+	char *key;
+	char *path;
+	GBytes *json;
+	obj_put_cb *done;
+	void *ctx;
+	struct err malformed; /* found before anything is sent */
+};
+
+static void
+put_free(struct put_call *put)
+{
+	obj_call_end(&put->call);
+	g_free(put->key);
+	g_free(put->path);
+	if (put->json != NULL)
+		g_bytes_unref(put->json);
+	g_free(put);
+}
+
+/* `now`, if there is one, borrows from an answer that outlives the call. */
+static void
+put_end(struct put_call *put, const struct obj_action *action,
+    const struct obj_object *now)
+{
+	struct obj *obj = put->call.obj;
+	struct put_call copy = *put;
+	const struct err *err = err_is(&action->err) ? &action->err : NULL;
+
+	if (action->settled)
+		ctr_add(obj->settled_writes, 1);
+	if (err != NULL && err->code == ERR_CONFLICT)
+		ctr_add(obj->refused_writes, 1);
+	else if (err != NULL && err->code != ERR_CANCELLED)
+		ctr_add(obj->errors, 1);
+	put->key = NULL;
+	put_free(put);
+	copy.done(action->version, now, err, copy.ctx);
+	g_free(copy.key);
+}
+
+static void
+put_fail(struct obj_call *call, const struct err *err)
+{
+	struct put_call *put = (struct put_call *)call;
+	struct obj_action action = { .step = OBJ_DO_END, .err = *err };
+	bool sending = call->fetch != NULL;
+
+	if (!put->write.in_doubt && !sending)
+		action.err.verdict = VERDICT_NOT_RUN;
+	put_end(put, &action, NULL);
+}
+
+static void put_step(struct put_call *put, const struct obj_event *event,
+    const struct obj_object *now);
+
+static gboolean
+put_waited(gpointer data)
+{
+	struct put_call *put = data;
+
+	put->call.timer = 0;
+	ctr_add(put->call.obj->retries, 1);
+	put_step(put, &(struct obj_event){ .kind = OBJ_WAITED }, NULL);
+	return G_SOURCE_REMOVE;
+}
+
+static bool
+is_transient(const struct fetch_answer *answer)
+{
+	return answer->status >= 500 ||
+	    answer->status == HTTP_TOO_MANY_REQUESTS;
+}
+
+/* An answer to the write that carries JSON. False: it does not as it should. */
+static bool
+parse_written(JsonObject *json, unsigned int status, const char *key,
+    struct obj_event *event, struct obj_object *now)
+{
+	if (status == SOUP_STATUS_OK) {
+		event->kind = OBJ_WRITTEN;
+		return reply_u64(json, "version", &event->version);
+	}
+	event->kind = OBJ_DIFFERS;
+	if (!reply_u64(json, "version", &event->version))
+		return false;
+	now->key = key;
+	now->version = event->version;
+	/* Nothing is there: neither an operation nor a value. */
+	if (event->version == 0)
+		return true;
+	if (!obj_parse(json, key, now))
+		return false;
+	event->op = now->op;
+	return true;
+}
+
+static void
+take_written(struct put_call *put, const struct fetch_answer *answer)
+{
+	struct obj_event event = { .kind = OBJ_LOST };
+	struct obj_object now = { .key = NULL };
+	JsonParser *parser = NULL;
+	JsonObject *json = reply_open(answer->body, &parser, NULL);
+
+	if (json == NULL ||
+	    !parse_written(json, answer->status, put->key, &event, &now))
+		event = (struct obj_event){ .kind = OBJ_LOST };
+	put_step(put, &event, now.key != NULL ? &now : NULL);
+	g_clear_object(&parser);
+}
+
+static void
+on_write_answer(
+    const struct fetch_answer *answer, const struct err *err, void *ctx)
+{
+	struct put_call *put = ctx;
+	struct obj_event event = { .kind = OBJ_LOST };
+	struct err why;
+
+	put->call.fetch = NULL;
+	if (err == NULL &&
+	    (answer->status == SOUP_STATUS_OK ||
+		answer->status == SOUP_STATUS_CONFLICT)) {
+		take_written(put, answer);
+		return;
+	}
+	if (err != NULL) {
+		if (err->verdict == VERDICT_NOT_RUN)
+			event.kind = OBJ_NOT_SENT;
+	} else if (answer->not_run ||
+	    answer->status == HTTP_TOO_MANY_REQUESTS) {
+		event.kind = OBJ_NOT_SENT;
+	} else if (!is_transient(answer)) {
+		fetch_refused(answer, &why);
+		event.kind = OBJ_REFUSED;
+		event.err = &why;
+	}
+	put_step(put, &event, NULL);
+}
+
+static void
+on_back_answer(
+    const struct fetch_answer *answer, const struct err *err, void *ctx)
+{
+	struct put_call *put = ctx;
+	struct obj_event event = { .kind = OBJ_READ_FAILED };
+	struct obj_object now = { .key = put->key };
+	JsonParser *parser = NULL;
+	JsonObject *json = NULL;
+
+	put->call.fetch = NULL;
+	if (err == NULL && answer->status == SOUP_STATUS_NOT_FOUND)
+		event.kind = OBJ_FOUND;
+	else if (err == NULL && answer->status == SOUP_STATUS_OK)
+		json = reply_open(answer->body, &parser, NULL);
+	if (json != NULL && obj_parse(json, put->key, &now)) {
+		event.kind = OBJ_FOUND;
+		event.version = now.version;
+		event.op = now.op;
+	}
+	put_step(put, &event, event.kind == OBJ_FOUND ? &now : NULL);
+	g_clear_object(&parser);
+}
+
+static void
+put_send(struct put_call *put, const struct obj_action *action)
+{
+	struct obj *obj = put->call.obj;
+	bool write = action->step == OBJ_DO_WRITE;
+
+	ctr_add(write ? obj->writes : obj->reads, 1);
+	put->call.fetch = fetch_start(obj->plat,
+	    &(struct fetch_request){
+		.base = obj->base,
+		.method = write ? "PUT" : "GET",
+		.path = put->path,
+		.json = write ? put->json : NULL,
+		.deadline_ms = action->ms,
+		.max_bytes = FETCH_JSON_MAX,
+	    },
+	    write ? on_write_answer : on_back_answer, put);
+}
+
+static void
+put_step(struct put_call *put, const struct obj_event *event,
+    const struct obj_object *now)
+{
+	struct obj *obj = put->call.obj;
+	struct obj_action action =
+	    obj_write_next(&put->write, event, obj_now_ms(obj), &obj->rng);
+
+	switch (action.step) {
+	case OBJ_DO_WRITE:
+	case OBJ_DO_READ:
+		put_send(put, &action);
+		break;
+	case OBJ_DO_WAIT:
+		obj_call_wait(&put->call, action.ms, put_waited);
+		break;
+	case OBJ_DO_END:
+		put_end(put, &action, now);
+		break;
+	}
+}
+
+static gboolean
+put_begin(gpointer data)
+{
+	struct put_call *put = data;
+
+	put->call.timer = 0;
+	if (err_is(&put->malformed))
+		put_fail(&put->call, &put->malformed);
+	else
+		put_step(put, &(struct obj_event){ .kind = OBJ_BEGIN }, NULL);
+	return G_SOURCE_REMOVE;
+}
+
+static GBytes *
+put_json(const struct obj_put *put)
+{
+	JsonBuilder *b = json_builder_new();
+
+	json_builder_begin_object(b);
+	json_builder_set_member_name(b, "op");
+	json_builder_add_string_value(b, put->op);
+	if (put->conditional) {
+		json_builder_set_member_name(b, "if_version");
+		json_builder_add_int_value(b, (gint64)put->if_version);
+	}
+	json_builder_set_member_name(b, "value");
+	json_builder_add_string_value(b, put->value);
+	json_builder_end_object(b);
+	return reply_close(b);
+}
+
+static bool
+check_put(const struct obj_put *put, struct err *err)
+{
+	size_t key_len = strlen(put->key);
+	size_t op_len = strlen(put->op);
+
+	if (key_len == 0 || key_len > OBJ_KEY_MAX)
+		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "the length of a key is out of bounds");
+	if (op_len == 0 || op_len >= OBJ_OP_MAX)
+		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "the length of an operation id is out of bounds");
+	if (!g_utf8_validate(put->value, -1, NULL))
+		return err_set(
+		    err, ERR_INVALID, VERDICT_NOT_RUN, "a value is not UTF-8");
+	if (strlen(put->value) > OBJ_VALUE_MAX)
+		return err_set(err, ERR_TOO_LARGE, VERDICT_NOT_RUN,
+		    "a value is larger than %u bytes", OBJ_VALUE_MAX);
+	return true;
+}
+
+static bool
+check_json(GBytes *json, struct err *err)
+{
+	if (g_bytes_get_size(json) > PUT_JSON_MAX)
+		return err_set(err, ERR_TOO_LARGE, VERDICT_NOT_RUN,
+		    "a value is larger than %u bytes in JSON", PUT_JSON_MAX);
+	return true;
+}
+
+void
+obj_put(struct obj *obj, const struct obj_put *put, obj_put_cb *done, void *ctx)
+{
+	struct put_call *call = g_new0(struct put_call, 1);
+
+	obj_call_init(&call->call, obj, put_fail);
+	call->done = done;
+	call->ctx = ctx;
+	call->key = g_strdup(put->key);
+	call->path = obj_key_path(put->key);
+	g_strlcpy(call->write.op, put->op, OBJ_OP_MAX);
+	call->write.conditional = put->conditional;
+	call->write.if_version = put->if_version;
+	call->write.budget.deadline_ms = obj_now_ms(obj) + put->deadline_ms;
+	if (check_put(put, &call->malformed)) {
+		call->json = put_json(put);
+		check_json(call->json, &call->malformed);
+	}
+	obj_call_wait(&call->call, 0, put_begin);
+}
--- /dev/null
+++ b/lib/platform/obj_retry.c
@@ -0,0 +1,171 @@
+/*
+ * Decisions of the object API's client: when to try again, and how a write whose answer was
+ * lost is settled. Pure functions of state, event and clock.
+ *
+ * A write's answer can be lost after the write took effect. Symptom without care: the caller repeats a
+ * conditional write, gets a conflict with its own write and believes that
+ * somebody else won. So each write carries an operation id and the object is read back:
+ *
+ *  - our id there: it took effect;
+ *  - still the version of the condition: no copy took effect so far, and it is safe to
+ *    send another, for a late earlier copy and the new one exclude one
+ *    another by the condition;
+ *  - the version after the condition's, by another id: the only version our
+ *    write could have made is taken, so it never takes effect;
+ *  - any other version: ours may have been applied and overwritten since.
+ */
+
+#include <string.h>
+
+#include "platform/platform_internal.h"
+
+unsigned int
+obj_backoff_ms(struct rng *rng, unsigned int failures)
+{
+	unsigned int limit = OBJ_BACKOFF_FIRST_MS;
+
+	for (; failures > 1 && limit < OBJ_BACKOFF_MAX_MS; failures--)
+		limit *= 2;
+	/* Full jitter: callers that failed together come back spread out. */
+	return (unsigned int)rng_below(rng, MIN(limit, OBJ_BACKOFF_MAX_MS) + 1);
+}
+
+unsigned int
+obj_attempt_ms(const struct obj_budget *budget, int64_t now_ms)
+{
+	int64_t left = budget->deadline_ms - now_ms;
+
+	if (left < OBJ_ATTEMPT_MIN_MS)
+		return 0;
+	return (unsigned int)CLAMP(
+	    left / 2, OBJ_ATTEMPT_MIN_MS, OBJ_ATTEMPT_MAX_MS);
+}
+
+bool
+obj_retry_wait(struct obj_budget *budget, int64_t now_ms, struct rng *rng,
+    unsigned int *wait_ms)
+{
+	int64_t left = budget->deadline_ms - now_ms;
+
+	if (left < OBJ_ATTEMPT_MIN_MS)
+		return false;
+	budget->failures++;
+	/* Never past the point where an attempt could still be answered. */
+	*wait_ms = MIN(obj_backoff_ms(rng, budget->failures),
+	    (unsigned int)MIN(left / 2, OBJ_BACKOFF_MAX_MS));
+	return true;
+}
+
+static struct obj_action
+succeed(uint64_t version, bool settled)
+{
+	return (struct obj_action){
+		.step = OBJ_DO_END,
+		.version = version,
+		.settled = settled,
+	};
+}
+
+static struct obj_action
+out_of_time(const struct obj_write *write)
+{
+	struct obj_action action = { .step = OBJ_DO_END };
+
+	err_set(&action.err, ERR_UNAVAILABLE,
+	    write->in_doubt ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN,
+	    write->in_doubt ? "the outcome of a write was not learned in time"
+			    : "a write could not be sent in time");
+	return action;
+}
+
+static struct obj_action
+attempt(const struct obj_write *write, enum obj_step step, int64_t now_ms)
+{
+	unsigned int ms = obj_attempt_ms(&write->budget, now_ms);
+
+	if (ms == 0)
+		return out_of_time(write);
+	return (struct obj_action){ .step = step, .ms = ms };
+}
+
+static struct obj_action
+wait_on(struct obj_write *write, int64_t now_ms, struct rng *rng)
+{
+	struct obj_action action = { .step = OBJ_DO_WAIT };
+
+	if (!obj_retry_wait(&write->budget, now_ms, rng, &action.ms))
+		return out_of_time(write);
+	return action;
+}
+
+/* The object has moved on from the condition's version, by another's write. */
+static struct obj_action
+lose(const struct obj_write *write, uint64_t version)
+{
+	struct obj_action action = { .step = OBJ_DO_END };
+	bool excluded = !write->in_doubt ||
+	    (write->conditional && version == write->if_version + 1);
+
+	err_set(&action.err, ERR_CONFLICT,
+	    excluded ? VERDICT_NOT_RUN : VERDICT_MAY_HAVE_RUN,
+	    "the object is at version %" G_GUINT64_FORMAT, version);
+	action.settled = write->in_doubt && excluded;
+	return action;
+}
+
+static bool
+is_ours(const struct obj_write *write, const struct obj_event *event)
+{
+	return event->version != 0 && g_strcmp0(event->op, write->op) == 0;
+}
+
+static struct obj_action
+read_back(
+    struct obj_write *write, const struct obj_event *event, int64_t now_ms)
+{
+	if (is_ours(write, event))
+		return succeed(event->version, true);
+	if (write->conditional && event->version != write->if_version)
+		return lose(write, event->version);
+	return attempt(write, OBJ_DO_WRITE, now_ms);
+}
+
+static struct obj_action
+refuse(const struct obj_write *write, const struct err *err)
+{
+	struct obj_action action = { .step = OBJ_DO_END, .err = *err };
+
+	action.err.verdict =
+	    write->in_doubt ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
+	return action;
+}
+
+struct obj_action
+obj_write_next(struct obj_write *write, const struct obj_event *event,
+    int64_t now_ms, struct rng *rng)
+{
+	switch (event->kind) {
+	case OBJ_BEGIN:
+		return attempt(write, OBJ_DO_WRITE, now_ms);
+	case OBJ_WRITTEN:
+		return succeed(event->version, false);
+	case OBJ_DIFFERS:
+		if (is_ours(write, event))
+			return succeed(event->version, true);
+		return lose(write, event->version);
+	case OBJ_LOST:
+		write->in_doubt = true;
+		return wait_on(write, now_ms, rng);
+	case OBJ_NOT_SENT:
+	case OBJ_READ_FAILED:
+		return wait_on(write, now_ms, rng);
+	case OBJ_WAITED:
+		return attempt(write,
+		    write->in_doubt ? OBJ_DO_READ : OBJ_DO_WRITE, now_ms);
+	case OBJ_FOUND:
+		return read_back(write, event, now_ms);
+	case OBJ_REFUSED:
+		return refuse(write, event->err);
+	}
+	g_assert_not_reached();
+}
--- /dev/null
+++ b/lib/platform/reply.c
@@ -0,0 +1,135 @@
+/* Reading JSON answers: every member is checked for its type. */
+
+#include <string.h>
+
+#include "platform/platform_internal.h"
+
+/* The parser calls itself for each level; without a bound, a long run of `[`
+ * overflows the stack and ends the process. Our answers have three levels. */
+#define DEPTH_MAX 32
+
+static bool
+depth_ok(const char *text, size_t len)
+{
+	unsigned int depth = 0;
+	bool in_string = false;
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (in_string) {
+			if (text[i] == '\\')
+				i++;
+			else if (text[i] == '"')
+				in_string = false;
+		} else if (text[i] == '"') {
+			in_string = true;
+		} else if (text[i] == '[' || text[i] == '{') {
+			if (++depth > DEPTH_MAX)
+				return false;
+		} else if ((text[i] == ']' || text[i] == '}') && depth > 0) {
+			depth--;
+		}
+	}
+	return true;
+}
+
+JsonObject *
+reply_open(GBytes *bytes, JsonParser **parser, struct err *err)
+{
+	gsize len;
+	const char *text = g_bytes_get_data(bytes, &len);
+	JsonNode *root = NULL;
+
+	*parser = json_parser_new();
+	if (text != NULL && depth_ok(text, len) &&
+	    g_utf8_validate(text, (gssize)len, NULL) &&
+	    json_parser_load_from_data(*parser, text, (gssize)len, NULL))
+		root = json_parser_get_root(*parser);
+	if (root != NULL && JSON_NODE_HOLDS_OBJECT(root))
+		return json_node_get_object(root);
+	g_clear_object(parser);
+	err_set(err, ERR_INVALID, VERDICT_MAY_HAVE_RUN,
+	    "an answer is not a JSON object");
+	return NULL;
+}
+
+static JsonNode *
+member_of(JsonObject *object, const char *name, GType type)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
+	    json_node_get_value_type(node) != type)
+		return NULL;
+	return node;
+}
+
+bool
+reply_u64(JsonObject *object, const char *name, uint64_t *out)
+{
+	JsonNode *node = member_of(object, name, G_TYPE_INT64);
+	int64_t value = node == NULL ? -1 : json_node_get_int(node);
+
+	if (value < 0)
+		return false;
+	*out = (uint64_t)value;
+	return true;
+}
+
+bool
+reply_str(JsonObject *object, const char *name, const char **out)
+{
+	JsonNode *node = member_of(object, name, G_TYPE_STRING);
+
+	if (node == NULL)
+		return false;
+	*out = json_node_get_string(node);
+	return true;
+}
+
+bool
+reply_bool(JsonObject *object, const char *name, bool *out)
+{
+	JsonNode *node = member_of(object, name, G_TYPE_BOOLEAN);
+
+	if (node == NULL)
+		return false;
+	*out = json_node_get_boolean(node);
+	return true;
+}
+
+bool
+reply_digest(JsonObject *object, const char *name, struct digest *out)
+{
+	const char *hex;
+
+	return reply_str(object, name, &hex) && digest_from_hex(hex, out);
+}
+
+JsonArray *
+reply_objects(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+	JsonArray *array;
+	guint i;
+
+	if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node))
+		return NULL;
+	array = json_node_get_array(node);
+	for (i = 0; i < json_array_get_length(array); i++) {
+		if (!JSON_NODE_HOLDS_OBJECT(json_array_get_element(array, i)))
+			return NULL;
+	}
+	return array;
+}
+
+GBytes *
+reply_close(JsonBuilder *builder)
+{
+	JsonNode *root = json_builder_get_root(builder);
+	char *text = json_to_string(root, FALSE);
+
+	json_node_unref(root);
+	g_object_unref(builder);
+	return g_bytes_new_take(text, strlen(text));
+}
--- /dev/null
+++ b/lib/platform/target.c
@@ -0,0 +1,501 @@
+/*
+ * One HTTP exchange with a target, handed over piece by piece.
+ *
+ * A call is in one of three conditions: an asynchronous operation of libsoup
+ * is under way (`busy`), it rests because it is paused, or it is over. What
+ * ends a call from outside (deadline, stall, cancel) cancels the operation
+ * under way and leaves the rest to its completion.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/platform_internal.h"
+
+/* Tokens come in pieces of some hundred bytes; weights in large ones. Held
+ * by each of some thousand open streams. */
+#define READ_BYTES (16u << 10)
+
+struct target_call {
+	TAILQ_ENTRY(target_call) link;
+	struct plat *plat;
+	struct target_ops ops;
+	void *ctx;
+	SoupMessage *message;
+	GInputStream *body;
+	GCancellable *cancel;
+	guint deadline_timer, stall_timer, idle;
+	unsigned int stall_ms;
+	int64_t last_byte_us;
+	bool busy; /* an operation or a callback is under way */
+	bool paused;
+	bool dropped; /* the owner cancelled; no more callbacks */
+	bool sent; /* libsoup began to write the request */
+	bool not_run; /* the target said so */
+	bool framed; /* the end of the answer can be told from a cut */
+	struct err why; /* why the call was given up, if it was */
+	uint8_t buffer[READ_BYTES];
+};
+
+/* Headers that belong to one connection, not to the request. */
+static const char *const hop_headers[] = { "Connection", "Keep-Alive",
+	"Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Host", "Expect", NULL };
+
+static bool
+is_hop_header(const char *name)
+{
+	size_t i;
+
+	for (i = 0; hop_headers[i] != NULL; i++) {
+		if (g_ascii_strcasecmp(name, hop_headers[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+stop_timer(guint *timer)
+{
+	if (*timer != 0)
+		g_source_remove(*timer);
+	*timer = 0;
+}
+
+/* Takes the call out of its owner's sight: no timers, not in the list. */
+static void
+detach(struct target_call *call)
+{
+	if (call->plat == NULL)
+		return;
+	stop_timer(&call->deadline_timer);
+	stop_timer(&call->stall_timer);
+	stop_timer(&call->idle);
+	TAILQ_REMOVE(&call->plat->calls, call, link);
+	call->plat = NULL;
+}
+
+/*
+ * A body stream that is closed or freed before its end first reads the rest of
+ * the answer, blocking the loop for as long as the target likes to send. With a
+ * cancelled cancellable it closes the connection instead.
+ */
+static void
+close_body(struct target_call *call)
+{
+	if (call->body == NULL)
+		return;
+	g_cancellable_cancel(call->cancel);
+	g_input_stream_close_async(
+	    call->body, G_PRIORITY_DEFAULT, call->cancel, NULL, NULL);
+	g_clear_object(&call->body);
+}
+
+static void
+call_free(struct target_call *call)
+{
+	detach(call);
+	close_body(call);
+	if (call->message != NULL) {
+		g_signal_handlers_disconnect_by_data(call->message, call);
+		g_object_unref(call->message);
+	}
+	g_object_unref(call->cancel);
+	g_free(call);
+}
+
+static void
+end(struct target_call *call, const struct err *err)
+{
+	struct target_ops ops = call->ops;
+	struct err copy = *err;
+	void *ctx = call->ctx;
+
+	call_free(call);
+	ops.ended(&copy, ctx);
+}
+
+/* Before the first byte of the request is written nothing can have run. */
+static enum verdict
+verdict_now(const struct target_call *call)
+{
+	if (call->not_run || !call->sent)
+		return VERDICT_NOT_RUN;
+	return VERDICT_MAY_HAVE_RUN;
+}
+
+static void
+end_failed(struct target_call *call, const GError *error)
+{
+	if (!err_is(&call->why)) {
+		err_set(&call->why, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN, "%s",
+		    error != NULL ? error->message : "no answer");
+	}
+	call->why.verdict = verdict_now(call);
+	end(call, &call->why);
+}
+
+static enum err_code
+refusal_code(unsigned int status)
+{
+	switch (status) {
+	case SOUP_STATUS_CONFLICT:
+		return ERR_WRONG_VERSION;
+	case HTTP_TOO_MANY_REQUESTS:
+		return ERR_OVERLOADED;
+	default:
+		return ERR_UNAVAILABLE;
+	}
+}
+
+static unsigned int
+retry_after_ms(SoupMessageHeaders *headers)
+{
+	const char *text = soup_message_headers_get_one(headers, "Retry-After");
+	guint64 seconds;
+
+	if (text == NULL ||
+	    !g_ascii_string_to_unsigned(text, 10, 0, 3600, &seconds, NULL))
+		return 0;
+	return (unsigned int)seconds * 1000;
+}
+
+static void
+end_whole(struct target_call *call)
+{
+	struct err err = { .code = ERR_NONE, .verdict = VERDICT_RAN };
+	unsigned int status = soup_message_get_status(call->message);
+
+	if (!call->framed) {
+		err_set(&err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN,
+		    "an answer without length ended");
+	}
+	if (call->not_run) {
+		err_set(&err, refusal_code(status), VERDICT_NOT_RUN,
+		    "the target refused with status %u", status);
+		err.retry_after_ms = retry_after_ms(
+		    soup_message_get_response_headers(call->message));
+	}
+	end(call, &err);
+}
+
+static void
+give_up(struct target_call *call, enum err_code code, const char *message)
+{
+	GCancellable *cancel;
+
+	if (err_is(&call->why))
+		return;
+	err_set(&call->why, code, VERDICT_MAY_HAVE_RUN, "%s", message);
+	if (!call->busy) {
+		end_failed(call, NULL);
+		return;
+	}
+	cancel = g_object_ref(call->cancel);
+	g_cancellable_cancel(cancel);
+	g_object_unref(cancel);
+}
+
+static gboolean
+on_deadline(gpointer data)
+{
+	struct target_call *call = data;
+
+	call->deadline_timer = 0;
+	give_up(call, ERR_DEADLINE, "the exchange's deadline passed");
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_stall(gpointer data);
+
+/* The timer is set anew only when it fires, not at each byte. */
+static void
+watch_stall(struct target_call *call)
+{
+	int64_t left_us = call->last_byte_us + call->stall_ms * (int64_t)1000 -
+	    clk_now_us(call->plat->clock);
+
+	call->stall_timer =
+	    g_timeout_add((guint)MAX(1, left_us / 1000 + 1), on_stall, call);
+}
+
+static gboolean
+on_stall(gpointer data)
+{
+	struct target_call *call = data;
+	int64_t now_us = clk_now_us(call->plat->clock);
+
+	call->stall_timer = 0;
+	if (call->paused)
+		call->last_byte_us = now_us;
+	if (now_us - call->last_byte_us < call->stall_ms * (int64_t)1000)
+		watch_stall(call);
+	else
+		give_up(call, ERR_UNAVAILABLE, "the target stalled");
+	return G_SOURCE_REMOVE;
+}
+
+static void on_read(GObject *source, GAsyncResult *result, gpointer data);
+
+static void
+read_next(struct target_call *call)
+{
+	if (call->paused || call->busy || call->body == NULL)
+		return;
+	call->busy = true;
+	g_input_stream_read_async(call->body, call->buffer,
+	    sizeof(call->buffer), G_PRIORITY_DEFAULT, call->cancel, on_read,
+	    call);
+}
+
+static void
+on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct target_call *call = data;
+	GError *error = NULL;
+	gssize n =
+	    g_input_stream_read_finish(G_INPUT_STREAM(source), result, &error);
+
+	if (call->dropped) {
+		call_free(call);
+	} else if (n < 0 || err_is(&call->why)) {
+		end_failed(call, error);
+	} else if (n == 0) {
+		end_whole(call);
+	} else {
+		call->last_byte_us = clk_now_us(call->plat->clock);
+		call->ops.data(call->buffer, (size_t)n, call->ctx);
+		call->busy = false;
+		if (call->dropped)
+			call_free(call);
+		else
+			read_next(call);
+	}
+	g_clear_error(&error);
+}
+
+/*
+ * An answer whose end is only the end of the connection looks the same when the target died
+ * half way: the caller would take a cut answer for a whole one.
+ */
+static bool
+is_framed(SoupMessage *message, SoupMessageHeaders *headers)
+{
+	unsigned int status = soup_message_get_status(message);
+
+	if (soup_message_get_method(message) == SOUP_METHOD_HEAD ||
+	    status == SOUP_STATUS_NO_CONTENT ||
+	    status == SOUP_STATUS_NOT_MODIFIED)
+		return true;
+	return soup_message_headers_get_encoding(headers) != SOUP_ENCODING_EOF;
+}
+
+static void
+take_head(struct target_call *call)
+{
+	SoupMessageHeaders *headers =
+	    soup_message_get_response_headers(call->message);
+	unsigned int status = soup_message_get_status(call->message);
+	const char *not_run =
+	    soup_message_headers_get_one(headers, "X-Not-Run");
+
+	call->last_byte_us = clk_now_us(call->plat->clock);
+	call->framed = is_framed(call->message, headers);
+	call->not_run = status >= 400 && g_strcmp0(not_run, "1") == 0;
+	call->ops.head(status, headers, call->ctx);
+	call->busy = false;
+	if (call->dropped)
+		call_free(call);
+	else
+		read_next(call);
+}
+
+static void
+on_answered(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct target_call *call = data;
+	GError *error = NULL;
+
+	call->body =
+	    soup_session_send_finish(SOUP_SESSION(source), result, &error);
+	if (call->dropped)
+		call_free(call);
+	else if (call->body == NULL || err_is(&call->why))
+		end_failed(call, error);
+	else
+		take_head(call);
+	g_clear_error(&error);
+}
+
+static void
+on_starting(SoupMessage *message, gpointer data)
+{
+	struct target_call *call = data;
+
+	call->sent = true;
+}
+
+/*
+ * libsoup by itself sends a GET, PUT, DELETE and the like a second time when a
+ * kept-alive connection closes before any byte of the answer. The target
+ * may have run the first: it would run twice on one attempt, and nobody
+ * would count it. It emits `restarted` before it asks for another connection, and a
+ * message that is cancelled by then is not sent again. (A POST always goes
+ * over a new connection and is never sent again.)
+ */
+static void
+on_restarted(SoupMessage *message, gpointer data)
+{
+	struct target_call *call = data;
+
+	if (call->dropped)
+		return;
+	give_up(call, ERR_UNAVAILABLE,
+	    "the connection was closed before an answer");
+}
+
+static void
+add_headers(struct target_call *call, const struct target_request *request)
+{
+	SoupMessageHeaders *headers =
+	    soup_message_get_request_headers(call->message);
+	const char *const *h;
+
+	for (h = request->headers; h != NULL && h[0] != NULL; h += 2) {
+		if (!is_hop_header(h[0]))
+			soup_message_headers_append(headers, h[0], h[1]);
+	}
+	/* A connection opened for a POST would stay idle in the pool, as
+	 * the next POST opens its own: hundreds a second would pile up. */
+	if (strcmp(request->method, "POST") == 0)
+		soup_message_headers_replace(headers, "Connection", "close");
+}
+
+static void
+add_body(struct target_call *call, const struct target_request *request)
+{
+	SoupMessageHeaders *headers =
+	    soup_message_get_request_headers(call->message);
+	char *type;
+
+	if (request->body == NULL)
+		return;
+	type = g_strdup(soup_message_headers_get_one(headers, "Content-Type"));
+	soup_message_set_request_body_from_bytes(call->message,
+	    type != NULL ? type : "application/json", request->body);
+	g_free(type);
+}
+
+static SoupMessage *
+new_message(const struct target_request *request)
+{
+	char *uri = g_strconcat(request->base, request->path, NULL);
+	SoupMessage *message = soup_message_new(request->method, uri);
+
+	g_free(uri);
+	if (message != NULL)
+		soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+	return message;
+}
+
+static gboolean
+on_malformed(gpointer data)
+{
+	struct target_call *call = data;
+
+	call->idle = 0;
+	give_up(call, ERR_INVALID, "malformed address of a target");
+	return G_SOURCE_REMOVE;
+}
+
+static void
+start_timers(struct target_call *call, const struct target_request *request)
+{
+	if (request->deadline_ms != 0) {
+		call->deadline_timer =
+		    g_timeout_add(request->deadline_ms, on_deadline, call);
+	}
+	call->stall_ms = request->stall_ms;
+	call->last_byte_us = clk_now_us(call->plat->clock);
+	if (call->stall_ms != 0)
+		watch_stall(call);
+}
+
+static void
+send_message(struct target_call *call, const struct target_request *request)
+{
+	add_headers(call, request);
+	add_body(call, request);
+	g_signal_connect(
+	    call->message, "starting", G_CALLBACK(on_starting), call);
+	g_signal_connect(
+	    call->message, "restarted", G_CALLBACK(on_restarted), call);
+	start_timers(call, request);
+	call->busy = true;
+	soup_session_send_async(call->plat->session, call->message,
+	    G_PRIORITY_DEFAULT, call->cancel, on_answered, call);
+}
+
+struct target_call *
+target_call_start(struct plat *plat, const struct target_request *request,
+    const struct target_ops *ops, void *ctx)
+{
+	struct target_call *call = g_new0(struct target_call, 1);
+
+	call->plat = plat;
+	call->ops = *ops;
+	call->ctx = ctx;
+	call->cancel = g_cancellable_new();
+	TAILQ_INSERT_TAIL(&plat->calls, call, link);
+	call->message = new_message(request);
+	if (call->message == NULL)
+		call->idle = g_idle_add(on_malformed, call);
+	else
+		send_message(call, request);
+	return call;
+}
+
+void
+target_call_pause(struct target_call *call, bool paused)
+{
+	if (call->paused == paused)
+		return;
+	call->paused = paused;
+	if (paused)
+		return;
+	call->last_byte_us = clk_now_us(call->plat->clock);
+	read_next(call);
+}
+
+void
+target_call_cancel(struct target_call *call)
+{
+	GCancellable *cancel;
+
+	detach(call);
+	call->dropped = true;
+	if (!call->busy) {
+		call_free(call);
+		return;
+	}
+	cancel = g_object_ref(call->cancel);
+	g_cancellable_cancel(cancel);
+	g_object_unref(cancel);
+}
+
+void
+target_cancel_all(struct plat *plat)
+{
+	struct target_call *call;
+	struct err err;
+
+	while ((call = TAILQ_FIRST(&plat->calls)) != NULL) {
+		struct target_ops ops = call->ops;
+		void *ctx = call->ctx;
+
+		err_set(&err, ERR_CANCELLED, verdict_now(call),
+		    "the session was closed");
+		target_call_cancel(call);
+		ops.ended(&err, ctx);
+	}
+}
