Common package: the checked settings tree

Cause: settings and charts are YAML that operators write; a fault in them must be refused with file, line and key before any of it is used, and a hostile document must not bring down the processes that read it. Change: cfg_parse builds a tree from libyaml's events and checks it whole against a schema; readers, edits and the printed table go over the tree. Anchors, aliases, tags, second documents, keys with other signs than letters, digits, _ and -, more than 16 levels, 65536 values or 1 MB are refused. Strings can be asked for a form (name, hex, address, URL); cfg_refuse gives later checks the same form of error.

--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -361,9 +361,14 @@
 /*
  * A YAML document as a tree whose nodes know their line. A schema is a table
  * of rules with paths such as `models.*.versions.*.bytes`; `*` stands for any
- * key, `[]` for each item of a list. A document is checked whole before any
+ * key, `[]` for each item of a list (`rules.[].weight`). A document is checked whole before any
  * of it is used: an unknown key, a wrong type, a value out of bounds or a
- * missing required key is refused with file, line, key and what is allowed.
+ * missing required key is refused with file, line, key and what is allowed:
+ *
+ *   node.yaml:3: key 'node.id': missing; allowed: a string of 1 to 64 bytes
+ *
+ * Only the plain core of YAML is taken: one document, no anchors, aliases or
+ * tags, no key twice. Keys are 1 to CFG_KEY_MAX letters, digits, `_` and `-`.
  */
 enum cfg_type {
 	CFG_MAP,
@@ -373,12 +378,22 @@
 	CFG_BOOL,
 };
 
+/* What a CFG_STRING must look like. */
+enum cfg_form {
+	CFG_TEXT, /* any text */
+	CFG_NAME, /* lower-case letters, digits and `-` */
+	CFG_HEX, /* an even number of lower-case hex digits */
+	CFG_ADDRESS, /* "ip:port" */
+	CFG_URL, /* "http://..." */
+};
+
 struct cfg_rule {
 	const char *path; /* "node.id"; a map or list has its own rule too */
 	enum cfg_type type;
 	bool required; /* within its parent, when the parent is there */
 	int64_t min, max; /* value of CFG_INT, length of CFG_STRING,
 			   * entries of CFG_MAP and CFG_LIST; both 0: any */
+	enum cfg_form form; /* CFG_STRING */
 	const char *choices; /* CFG_STRING: "a|b|c"; NULL: any */
 	const char *fallback; /* default as text; NULL: none */
 	const char *unit; /* for docs/SETTINGS.md: "ms", "bytes", ... */
@@ -391,18 +406,28 @@
 };
 
 #define CFG_DOCUMENT_MAX (1u << 20) /* the object API's largest value */
+#define CFG_KEY_MAX 64
+#define CFG_DEPTH_MAX 16 /* nested maps and lists; the charts need 7 */
+#define CFG_NODES_MAX (1u << 16) /* keeps a hostile document's tree small */
 
 struct cfg;
-/* `name` is the file or branch named in errors. ERR_INVALID on refusal. */
+/* `name` is the file or branch named in errors. ERR_INVALID on refusal. The
+ * schema must outlive the tree; NULL takes any tree, for chained cfg_edit. */
 struct cfg *cfg_parse(const char *name, const char *text, size_t len,
     const struct cfg_schema *schema, struct err *err);
 struct cfg *cfg_load(
     const char *path, const struct cfg_schema *schema, struct err *err);
 void cfg_free(struct cfg *cfg);
+/* For checks beyond a schema: an error in the same form about the key at
+ * `path` (its nearest parent's line when absent). Always returns false. */
+bool cfg_refuse(const struct cfg *cfg, const char *path, const char *allowed,
+    struct err *err, const char *format, ...) G_GNUC_PRINTF(5, 6);
 
 /* Readers take a path built by printf: cfg_int(c, "models.%s.place", name).
  * A key that is absent gives the rule's fallback (0, "", false without one).
- * Strings are borrowed from the tree. */
+ * Strings are borrowed from the tree. A name that comes from outside must be
+ * free of dots: cfg_key_valid. */
+bool cfg_key_valid(const char *key);
 bool cfg_has(const struct cfg *cfg, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
 const char *cfg_str(const struct cfg *cfg, const char *format, ...)
@@ -423,7 +448,10 @@
     G_GNUC_PRINTF(2, 3); /* 0 if absent */
 /* A copy of the document with one value set (the parents are made when
  * missing), as text that the caller frees; comments are lost. For operator
- * commands that edit a branch. `value` NULL removes the key. */
+ * commands that edit a branch. `value` is YAML, so that a whole map or list
+ * can be set in flow form; NULL removes the key, ERR_NOT_FOUND if absent. An
+ * index one past a list's end appends. The result is not checked against the
+ * schema: parse it after the last edit. */
 char *cfg_edit(const struct cfg *cfg, const char *path, const char *value,
     struct err *err);
 /* Markdown table of a schema: key, type, unit, default, bounds, meaning. */
--- /dev/null
+++ b/tests/common/test_cfg_fuzz.c
@@ -0,0 +1,182 @@
+/* Settings tree: no document, however damaged, does more than be refused. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "common/common.h"
+
+#define SEED 1
+#define ROUNDS 6000
+#define CUTS_MAX 4 /* mutations a document */
+
+static const struct cfg_rule rules[] = {
+	{ .path = "a", .type = CFG_MAP },
+	{ .path = "a.id", .type = CFG_STRING, .max = 20 },
+	{ .path = "a.n", .type = CFG_INT, .fallback = "3" },
+	{ .path = "a.on", .type = CFG_BOOL },
+	{ .path = "m", .type = CFG_MAP },
+	{ .path = "m.*", .type = CFG_MAP },
+	{ .path = "m.*.at", .type = CFG_STRING, .form = CFG_ADDRESS },
+	{ .path = "m.*.url", .type = CFG_STRING, .form = CFG_URL },
+	{ .path = "l", .type = CFG_LIST },
+	{ .path = "l.[]", .type = CFG_STRING },
+};
+static const struct cfg_schema schema = { rules, G_N_ELEMENTS(rules) };
+
+static const char *const documents[] = {
+	"a:\n  id: name # comment\n  n: -12\n  on: true\n"
+	"m:\n  x: {at: '127.0.0.1:80', url: \"http://h:1\"}\n  y: {}\n"
+	"l:\n  - one\n  - |\n    two\n    lines\n  - >-\n    folded\n",
+	"{a: {id: \"\\u00e9\\n\", n: 0}, l: [a, 'b''c', ~], m: {}}\n",
+};
+
+static const char *const scraps[] = {
+	"&a ",
+	"*a",
+	"---\n",
+	"...\n",
+	"[",
+	"]",
+	"{",
+	"}",
+	": ",
+	"- ",
+	"\t",
+	"\xff",
+	"\xc3",
+	"\n",
+	"\n  ",
+	"\"",
+	"'",
+	"|\n",
+	"!!int ",
+	"%YAML 1.1\n",
+	"? ",
+	"<<: ",
+	"a.b: 1\n",
+	"\\x00",
+	"\xef\xbb\xbf",
+	"#",
+	",",
+	"@",
+	"`",
+	"\\u0000",
+	"99999999999999999999",
+	"l: ",
+};
+
+static void
+mutate(GString *text, struct rng *rng)
+{
+	gsize at = rng_below(rng, text->len + 1);
+	gsize len = rng_below(rng, text->len - at + 1);
+	char *piece;
+
+	switch (rng_below(rng, 5)) {
+	case 0:
+		if (at < text->len)
+			text->str[at] = (char)rng_below(rng, 256);
+		break;
+	case 1:
+		g_string_insert(
+		    text, at, scraps[rng_below(rng, G_N_ELEMENTS(scraps))]);
+		break;
+	case 2:
+		g_string_erase(text, at, len);
+		break;
+	case 3:
+		piece = g_strndup(text->str + at, len);
+		g_string_insert(text, rng_below(rng, text->len + 1), piece);
+		g_free(piece);
+		break;
+	default:
+		g_string_truncate(text, at);
+		break;
+	}
+}
+
+/* What was accepted must be editable, and the edit accepted again. */
+static void
+check_accepted(const struct cfg *cfg)
+{
+	struct err err = { 0 };
+	struct cfg *again;
+	size_t i;
+	char *text;
+
+	for (i = 0; i < cfg_count(cfg, "m"); i++)
+		cfg_str(cfg, "m.%s.at", cfg_key(cfg, i, "m"));
+	for (i = 0; i < cfg_count(cfg, "l"); i++)
+		cfg_str(cfg, "l.%zu", i);
+	text = cfg_edit(cfg, "a.n", "5", &err);
+	assert_non_null(text);
+	again = cfg_parse("again", text, strlen(text), &schema, &err);
+	assert_string_equal(err.message, "");
+	assert_int_equal(cfg_int(again, "a.n"), 5);
+	assert_int_equal(cfg_count(again, "l"), cfg_count(cfg, "l"));
+	for (i = 0; i < cfg_count(cfg, "l"); i++)
+		assert_string_equal(
+		    cfg_str(cfg, "l.%zu", i), cfg_str(again, "l.%zu", i));
+	cfg_free(again);
+	g_free(text);
+}
+
+static bool
+try_document(const GString *text)
+{
+	struct err err = { 0 };
+	struct cfg *cfg = cfg_parse("f", text->str, text->len, &schema, &err);
+
+	if (cfg != NULL) {
+		assert_false(err_is(&err));
+		check_accepted(cfg);
+		cfg_free(cfg);
+		return true;
+	}
+	assert_int_equal(err.code, ERR_INVALID);
+	assert_int_equal(err.verdict, VERDICT_NOT_RUN);
+	assert_memory_equal(err.message, "f:", 2);
+	assert_non_null(strstr(err.message, ": key '"));
+	assert_true(g_utf8_validate(err.message, -1, NULL));
+	return false;
+}
+
+/*
+ * An operator, or someone with a stolen token, writes a branch that is not
+ * what the parser hopes for. Every process reads it, so a crash here would
+ * take the whole fleet down at once; all that may happen is a refusal.
+ */
+static void
+test_mutated_documents(void **state)
+{
+	unsigned int accepted = 0;
+	unsigned int round, cuts;
+	struct rng rng;
+	GString *text;
+
+	rng_seed(&rng, SEED);
+	for (round = 0; round < ROUNDS; round++) {
+		text = g_string_new(
+		    documents[rng_below(&rng, G_N_ELEMENTS(documents))]);
+		for (cuts = rng_below(&rng, CUTS_MAX + 1); cuts > 0; cuts--)
+			mutate(text, &rng);
+		accepted += try_document(text);
+		g_string_free(text, TRUE);
+	}
+	print_message("%u of %u accepted\n", accepted, ROUNDS);
+	/* Both outcomes must occur, or the mutations test nothing. */
+	assert_in_range(accepted, ROUNDS / 20, ROUNDS - ROUNDS / 20);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_mutated_documents),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
