--- /dev/null
+++ b/lib/agree/mem.c
@@ -0,0 +1,538 @@
+/* Membership: the table of members and the rules by which it changes. */
+
+#include <string.h>
+
+#include "agree/mem_internal.h"
+
+/* The dead are remembered, or gossip that is still under way would bring
+ * them back; and so that a region cut for hours is found again. */
+#define TOMBSTONE_US (INT64_C(6) * 3600 * G_USEC_PER_SEC)
+#define DIGEST_SENDS 5 /* direct probes tell the rest */
+#define NOTES_MAX 256 /* branches and roles; more than either user has */
+
+uint64_t
+mem_key(const char *id)
+{
+	uint64_t key = hash64(0, id, strlen(id));
+
+	return key == 0 ? 1 : key; /* 0 means nobody */
+}
+
+uint64_t
+mem_life(uint64_t incarnation)
+{
+	return incarnation >> MEM_REFUTES_BITS;
+}
+
+struct mem_entry *
+mem_entry(const struct mem *mem, uint64_t key)
+{
+	return g_hash_table_lookup(mem->by_key, &key);
+}
+
+unsigned int
+mem_log2(const struct mem *mem)
+{
+	return g_bit_storage(mem->alive + 1);
+}
+
+/* ------------------------------------------------------------------ */
+/* Order by id                                                         */
+/* ------------------------------------------------------------------ */
+
+static guint
+place_of(const struct mem *mem, const char *id)
+{
+	guint low = 0, high = mem->by_id->len, middle;
+	const struct mem_entry *e;
+
+	while (low < high) {
+		middle = (low + high) / 2;
+		e = g_ptr_array_index(mem->by_id, middle);
+		if (strcmp(e->member.node.id, id) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+/* ------------------------------------------------------------------ */
+/* Changes of one entry                                                */
+/* ------------------------------------------------------------------ */
+
+static uint64_t
+view_of(const struct mem_entry *e)
+{
+	uint64_t facts[2] = { e->member.node.incarnation,
+		e->member.state == MEM_LEAVING };
+
+	if (e->member.state == MEM_DEAD)
+		return 0;
+	return hash64(e->key, facts, sizeof(facts));
+}
+
+/* A refutation is urgent: it must overtake the suspicion, which has a start. */
+static enum mem_class
+class_of(enum mem_state before, enum mem_state state)
+{
+	switch (state) {
+	case MEM_LEAVING:
+		return MEM_CLASS_URGENT;
+	case MEM_SUSPECT:
+	case MEM_DEAD:
+		return MEM_CLASS_FAULT;
+	case MEM_ALIVE:
+		break;
+	}
+	return before == MEM_SUSPECT ? MEM_CLASS_URGENT : MEM_CLASS_ALIVE;
+}
+
+/* The update replaces an older one of the same member: latest wins. */
+static void
+announce(struct mem *mem, struct mem_entry *e, enum mem_class class)
+{
+	if (e->class != MEM_CLASSES)
+		TAILQ_REMOVE(&mem->updates[e->class], e, update_link);
+	e->class = class;
+	/* News of a new member may be late, a table sync fills the gaps. */
+	e->sends_left = e->class == MEM_CLASS_ALIVE ? 2 + mem_log2(mem) / 2
+						    : 3 + mem_log2(mem);
+	TAILQ_INSERT_HEAD(&mem->updates[e->class], e, update_link);
+	if (class == MEM_CLASS_URGENT)
+		mem->urgent = true;
+}
+
+static int64_t
+suspicion_us(const struct mem *mem)
+{
+	/* A refutation needs about log2(n) periods to come back. */
+	int64_t spread_ms = (int64_t)mem->conf.gossip_ms * mem_log2(mem) / 2;
+
+	return (mem->conf.suspect_ms + spread_ms) * 1000;
+}
+
+static void
+change(struct mem *mem, struct mem_entry *e, int64_t now_us,
+    uint64_t incarnation, enum mem_state state)
+{
+	enum mem_state before = e->member.state;
+
+	mem->view ^= view_of(e);
+	e->member.node.incarnation = incarnation;
+	e->member.state = state;
+	mem->view ^= view_of(e);
+	mem->alive += (before == MEM_DEAD) - (state == MEM_DEAD);
+	e->suspect_until_us =
+	    state == MEM_SUSPECT ? now_us + suspicion_us(mem) : 0;
+	announce(mem, e, class_of(before, state));
+	if (state == before)
+		return;
+	e->member.since_us = now_us;
+	mem->ops->changed(&e->member, mem->ctx);
+}
+
+/*
+ * Others think that we are suspect or dead (a stalled link, a pause, an old
+ * life): without an answer we would be dropped while we serve. A higher
+ * incarnation beats what they have heard.
+ */
+static void
+refute(struct mem *mem, int64_t now_us, uint64_t incarnation)
+{
+	struct mem_entry *self = mem->self;
+	uint64_t life = mem_life(self->member.node.incarnation);
+
+	if (mem_life(incarnation) > life) {
+		/* An earlier life with a faster clock than ours: the static
+		 * facts must be seen as newer too. */
+		incarnation = (mem_life(incarnation) + 1) << MEM_REFUTES_BITS;
+	} else {
+		incarnation++;
+	}
+	change(mem, self, now_us, incarnation, self->member.state);
+	announce(mem, self, MEM_CLASS_URGENT);
+}
+
+static bool
+is_newer(const struct mem_entry *e, uint64_t incarnation, enum mem_state state)
+{
+	uint64_t known = e->member.node.incarnation;
+
+	return incarnation > known ||
+	    (incarnation == known && state > e->member.state);
+}
+
+void
+mem_apply(struct mem *mem, int64_t now_us, uint64_t key, uint64_t incarnation,
+    enum mem_state state, const char *from)
+{
+	struct mem_entry *e = mem_entry(mem, key);
+	uint64_t *wanted;
+
+	if (e != NULL && !is_newer(e, incarnation, state))
+		return;
+	if (e != NULL && e == mem->self) {
+		refute(mem, now_us, incarnation);
+		return;
+	}
+	if (e != NULL &&
+	    (mem_life(incarnation) == mem_life(e->member.node.incarnation) ||
+		state == MEM_DEAD)) {
+		change(mem, e, now_us, incarnation, state);
+		return;
+	}
+	/* A member or life whose address we lack: ask who told us. */
+	if (state == MEM_DEAD || from == NULL)
+		return;
+	wanted = g_new(uint64_t, 1);
+	*wanted = key;
+	g_hash_table_replace(mem->wanted, wanted, g_strdup(from));
+}
+
+static struct mem_entry *
+add(struct mem *mem, const struct mem_node *node, int64_t now_us)
+{
+	struct mem_entry *e = g_new0(struct mem_entry, 1);
+
+	e->key = mem_key(node->id);
+	e->member.node = *node;
+	e->member.state = MEM_DEAD;
+	e->member.since_us = now_us;
+	e->class = MEM_CLASSES;
+	g_hash_table_insert(mem->by_key, &e->key, e);
+	g_ptr_array_insert(mem->by_id, (gint)place_of(mem, node->id), e);
+	return e;
+}
+
+void
+mem_apply_full(struct mem *mem, int64_t now_us, const struct mem_node *node,
+    enum mem_state state)
+{
+	uint64_t key = mem_key(node->id);
+	uint64_t incarnation = node->incarnation;
+	struct mem_entry *e = mem_entry(mem, key);
+	uint64_t known;
+
+	if (e == mem->self) {
+		mem_apply(mem, now_us, key, incarnation, state, NULL);
+		return;
+	}
+	if (e == NULL) {
+		if (state == MEM_DEAD)
+			return;
+		e = add(mem, node, now_us);
+		g_hash_table_remove(mem->wanted, &key);
+		change(mem, e, now_us, incarnation, state);
+		return;
+	}
+	known = e->member.node.incarnation;
+	if (mem_life(incarnation) > mem_life(known)) {
+		mem->view ^= view_of(e);
+		e->member.node = *node;
+		mem->view ^= view_of(e);
+		e->member.settings = 0;
+		g_hash_table_remove(mem->wanted, &key);
+		/* Another address is a change, whatever the state was. */
+		if (e->member.state == state && state != MEM_DEAD)
+			mem->ops->changed(&e->member, mem->ctx);
+		change(mem, e, now_us, incarnation, state);
+		return;
+	}
+	if (is_newer(e, incarnation, state))
+		change(mem, e, now_us, incarnation, state);
+}
+
+void
+mem_suspect(struct mem *mem, struct mem_entry *e, int64_t now_us)
+{
+	if (e->member.state == MEM_ALIVE) {
+		change(mem, e, now_us, e->member.node.incarnation, MEM_SUSPECT);
+	} else if (e->member.state == MEM_LEAVING && e->suspect_until_us == 0) {
+		/* It stays "leaving" for all until it is given up. */
+		e->suspect_until_us = now_us + suspicion_us(mem);
+	}
+}
+
+void
+mem_expire(struct mem *mem, int64_t now_us)
+{
+	struct mem_entry *e;
+	guint i;
+
+	for (i = mem->by_id->len; i > 0; i--) {
+		e = g_ptr_array_index(mem->by_id, i - 1);
+		if (e->suspect_until_us != 0 && now_us > e->suspect_until_us) {
+			change(mem, e, now_us, e->member.node.incarnation,
+			    MEM_DEAD);
+		}
+		if (e->member.state != MEM_DEAD || e == mem->self ||
+		    now_us - e->member.since_us < TOMBSTONE_US)
+			continue;
+		if (e->class != MEM_CLASSES)
+			TAILQ_REMOVE(&mem->updates[e->class], e, update_link);
+		if (e->digest_sends_left > 0)
+			TAILQ_REMOVE(&mem->digests, e, digest_link);
+		g_ptr_array_remove_index(mem->by_id, i - 1);
+		g_hash_table_remove(mem->by_key, &e->key);
+	}
+}
+
+/* A pause of ours must not count as silence of the others. */
+void
+mem_forgive(struct mem *mem, int64_t paused_us)
+{
+	struct mem_entry *e;
+	guint i;
+
+	for (i = 0; i < mem->by_id->len; i++) {
+		e = g_ptr_array_index(mem->by_id, i);
+		if (e->suspect_until_us != 0)
+			e->suspect_until_us += paused_us;
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Digests of settings, notes                                          */
+/* ------------------------------------------------------------------ */
+
+void
+mem_seen_settings(struct mem *mem, struct mem_entry *e, uint64_t settings)
+{
+	/* Digests grow with the versions, see inf_digest(); an older one
+	 * that comes late must not hide the newer. */
+	if (settings <= e->member.settings)
+		return;
+	e->member.settings = settings;
+	if (e->digest_sends_left > 0)
+		TAILQ_REMOVE(&mem->digests, e, digest_link);
+	e->digest_sends_left = DIGEST_SENDS;
+	TAILQ_INSERT_TAIL(&mem->digests, e, digest_link);
+}
+
+void
+mem_set_settings(struct mem *mem, uint64_t settings)
+{
+	mem_seen_settings(mem, mem->self, settings);
+}
+
+static struct mem_noted *
+noted(const struct mem *mem, enum mem_note_kind kind, const char *name)
+{
+	struct mem_noted *n;
+
+	LIST_FOREACH (n, &mem->notes, link) {
+		if (n->note.kind == kind && strcmp(n->note.name, name) == 0)
+			return n;
+	}
+	return NULL;
+}
+
+/* A giving-up of a role comes under the number of its holder. */
+static bool
+is_newer_note(const struct mem_note *note, const struct mem_note *known)
+{
+	return note->number > known->number ||
+	    (note->number == known->number && note->text[0] == '\0' &&
+		known->text[0] != '\0');
+}
+
+bool
+mem_note_merge(struct mem *mem, const struct mem_note *note)
+{
+	struct mem_noted *n = noted(mem, note->kind, note->name);
+	unsigned int known = 0;
+	const struct mem_noted *each;
+
+	if (n != NULL && !is_newer_note(note, &n->note))
+		return false;
+	if (n == NULL) {
+		LIST_FOREACH (each, &mem->notes, link)
+			known++;
+		if (known >= NOTES_MAX)
+			return false;
+		n = g_new0(struct mem_noted, 1);
+		LIST_INSERT_HEAD(&mem->notes, n, link);
+	}
+	if (note->kind == MEM_NOTE_ROLE)
+		mem->self->member.fence += note->number - n->note.number;
+	n->note = *note;
+	n->sends_left = 3 + mem_log2(mem);
+	n->urgent = true;
+	mem->urgent = true;
+	return true;
+}
+
+void
+mem_renote(struct mem *mem)
+{
+	struct mem_noted *n;
+
+	LIST_FOREACH (n, &mem->notes, link) {
+		if (n->note.kind == MEM_NOTE_ROLE && n->sends_left == 0)
+			n->sends_left = 1;
+	}
+}
+
+bool
+mem_note(struct mem *mem, int64_t now_us, const struct mem_note *note)
+{
+	bool newer = mem_note_merge(mem, note);
+
+	if (newer)
+		mem_flush(mem, now_us);
+	return newer;
+}
+
+const struct mem_note *
+mem_find_note(const struct mem *mem, enum mem_note_kind kind, const char *name)
+{
+	struct mem_noted *n = noted(mem, kind, name);
+
+	return n == NULL ? NULL : &n->note;
+}
+
+/* ------------------------------------------------------------------ */
+/* Life                                                                */
+/* ------------------------------------------------------------------ */
+
+struct mem *
+mem_new(const struct mem_conf *conf, const struct mem_ops *ops, void *ctx,
+    int64_t now_us)
+{
+	struct mem *mem = g_new0(struct mem, 1);
+	struct mem_node self = conf->self;
+	int i;
+
+	mem->conf = *conf;
+	mem->seeds = g_strdupv((char **)conf->seeds);
+	mem->ops = ops;
+	mem->ctx = ctx;
+	rng_seed(&mem->rng, conf->seed);
+	mem->by_key =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	mem->by_id = g_ptr_array_new();
+	mem->wanted =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	mem->order = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (i = 0; i < MEM_CLASSES; i++)
+		TAILQ_INIT(&mem->updates[i]);
+	TAILQ_INIT(&mem->digests);
+	LIST_INIT(&mem->notes);
+	LIST_INIT(&mem->relays);
+	self.incarnation <<= MEM_REFUTES_BITS;
+	mem->self = add(mem, &self, now_us);
+	mem->self->member.state = MEM_ALIVE;
+	mem->view = view_of(mem->self);
+	mem->alive = 1;
+	announce(mem, mem->self, MEM_CLASS_ALIVE);
+	mem->last_tick_us = now_us;
+	mem->bytes_us = now_us;
+	/* Nodes started together must not probe in the same instant. */
+	mem->period_us =
+	    now_us + (int64_t)rng_below(&mem->rng, conf->gossip_ms * 250 + 1);
+	return mem;
+}
+
+void
+mem_free(struct mem *mem)
+{
+	struct mem_noted *n;
+	struct mem_relay *r;
+
+	if (mem == NULL)
+		return;
+	while ((n = LIST_FIRST(&mem->notes)) != NULL) {
+		LIST_REMOVE(n, link);
+		g_free(n);
+	}
+	while ((r = LIST_FIRST(&mem->relays)) != NULL) {
+		LIST_REMOVE(r, link);
+		g_free(r);
+	}
+	g_hash_table_unref(mem->by_key);
+	g_hash_table_unref(mem->wanted);
+	g_ptr_array_unref(mem->by_id);
+	g_array_unref(mem->order);
+	g_strfreev(mem->seeds);
+	g_free(mem);
+}
+
+void
+mem_leave(struct mem *mem, int64_t now_us)
+{
+	struct mem_entry *self = mem->self;
+
+	if (self->member.state == MEM_LEAVING)
+		return;
+	change(mem, self, now_us, self->member.node.incarnation, MEM_LEAVING);
+	mem_flush(mem, now_us);
+}
+
+void
+mem_hint(struct mem *mem, const char *address)
+{
+	g_strlcpy(mem->hint, address, sizeof(mem->hint));
+}
+
+/* ------------------------------------------------------------------ */
+/* Readers                                                             */
+/* ------------------------------------------------------------------ */
+
+void
+mem_each(struct mem *mem, mem_each_cb *each, void *ctx)
+{
+	const struct mem_entry *e;
+	guint i;
+
+	for (i = 0; i < mem->by_id->len; i++) {
+		e = g_ptr_array_index(mem->by_id, i);
+		if (e->member.state != MEM_DEAD)
+			each(&e->member, ctx);
+	}
+}
+
+const struct mem_member *
+mem_find(const struct mem *mem, const char *id)
+{
+	const struct mem_entry *e = mem_entry(mem, mem_key(id));
+
+	if (e == NULL || e->member.state == MEM_DEAD)
+		return NULL;
+	return &e->member;
+}
+
+const struct mem_member *
+mem_self(const struct mem *mem)
+{
+	return &mem->self->member;
+}
+
+unsigned int
+mem_count(const struct mem *mem)
+{
+	return mem->alive;
+}
+
+uint64_t
+mem_view(const struct mem *mem)
+{
+	return mem->view;
+}
+
+const char *
+mem_random_address(struct mem *mem)
+{
+	guint start, i;
+	const struct mem_entry *e;
+
+	start = (guint)rng_below(&mem->rng, mem->by_id->len);
+	for (i = 0; i < mem->by_id->len; i++) {
+		e = g_ptr_array_index(
+		    mem->by_id, (start + i) % mem->by_id->len);
+		if (e != mem->self && e->member.state < MEM_DEAD &&
+		    e->member.state != MEM_SUSPECT)
+			return e->member.node.address;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/lib/agree/mem_internal.h
@@ -0,0 +1,236 @@
+#ifndef MEM_INTERNAL_H
+#define MEM_INTERNAL_H
+
+/*
+ * Membership decisions: a SWIM-like protocol without I/O. The owner passes
+ * in the time and received messages and sends what `ops->send` is given.
+ *
+ * Static facts (address, domain, info) travel once per member and receiver:
+ * gossip carries short records, a node that lacks the facts asks for them
+ * (`want`) or takes over a whole table (sync, by TCP). The datagrams of a
+ * node stay within MEM_BYTES_S whatever the number of members.
+ */
+
+#include "agree/agree.h"
+
+/* Datagram types; all carry a struct mem_msg. */
+enum mem_type {
+	MEM_PING = 60,
+	MEM_ACK = 61,
+	MEM_PING_REQ = 62, /* ping `target` for me and pass its ack on */
+	MEM_GOSSIP = 63, /* updates only, nothing is answered */
+	MEM_WANT = 64, /* `updates` holds keys whose full records I lack */
+};
+
+struct mem_msg {
+	uint64_t from; /* key of the sender */
+	uint64_t incarnation;
+	uint64_t seq;
+	uint64_t target; /* ping_req and relayed acks */
+	uint64_t settings;
+	uint64_t fence;
+	uint64_t view; /* digest of the sender's table, see mem_view() */
+	struct slice updates;
+};
+
+/* What a node passes on about objects, not members: the version of a branch
+ * or the fencing number of a role. Numbers only grow. */
+enum mem_note_kind {
+	MEM_NOTE_BRANCH,
+	MEM_NOTE_ROLE,
+	MEM_NOTE_KINDS,
+};
+
+struct mem_note {
+	enum mem_note_kind kind;
+	char name[INF_BRANCH_MAX + 1];
+	uint64_t number;
+	char text[MEM_ID_MAX + 1]; /* a role's holder, "" when given up */
+};
+
+struct mem_conf {
+	struct mem_node self;
+	unsigned int gossip_ms; /* one probe a period */
+	unsigned int suspect_ms; /* least silence between suspicion and death */
+	const char *const *seeds; /* NULL at the end; may be NULL */
+	uint64_t seed;
+};
+
+struct mem_ops {
+	void (*send)(const char *to, enum mem_type type,
+	    const struct mem_msg *message, void *ctx);
+	/* New, changed state, or (MEM_DEAD) gone. */
+	void (*changed)(const struct mem_member *member, void *ctx);
+	/* A note with a higher number than any before; `from` is where the
+	 * teller answers. */
+	void (*noted)(const struct mem_note *note, const char *from, void *ctx);
+	/* The peer has other settings than we have. */
+	void (*settings_differ)(
+	    const char *address, uint64_t settings, void *ctx);
+	/* The tables differ: take over what we lack from this address. */
+	void (*sync)(const char *address, void *ctx);
+};
+
+extern const struct msg_desc *mem_msg_desc(enum mem_type type);
+
+/* `ops` must outlive the result. */
+struct mem *mem_new(const struct mem_conf *conf, const struct mem_ops *ops,
+    void *ctx, int64_t now_us);
+void mem_free(struct mem *mem);
+#define MEM_TICK_MS 100
+void mem_tick(struct mem *mem, int64_t now_us); /* every MEM_TICK_MS */
+void mem_take(struct mem *mem, int64_t now_us, const char *from,
+    enum mem_type type, const struct mem_msg *message);
+void mem_leave(struct mem *mem, int64_t now_us);
+/* An address that may answer, from the host list. At most one is kept. */
+void mem_hint(struct mem *mem, const char *address);
+void mem_set_settings(struct mem *mem, uint64_t settings);
+/* Passes a note on to all members at once; false when it is not newer. */
+bool mem_note(struct mem *mem, int64_t now_us, const struct mem_note *note);
+const struct mem_note *mem_find_note(
+    const struct mem *mem, enum mem_note_kind kind, const char *name);
+void mem_each(struct mem *mem, mem_each_cb *each, void *ctx);
+const struct mem_member *mem_find(const struct mem *mem, const char *id);
+const struct mem_member *mem_self(const struct mem *mem);
+unsigned int mem_count(const struct mem *mem); /* without the dead */
+/* Address of a random live member other than this node, NULL if none. */
+const char *mem_random_address(struct mem *mem);
+uint64_t mem_view(const struct mem *mem);
+
+/*
+ * Taking over a table: the asking node sends its list, the answering node
+ * merges it, sends the records that the asker lacks in pages, and the keys
+ * that it lacks itself, which the asker answers by pages too.
+ */
+#define MEM_PAGE_BYTES (64u << 10)
+typedef void mem_page_cb(struct slice page, void *ctx);
+GByteArray *mem_sync_list(struct mem *mem);
+GByteArray *mem_sync_answer(struct mem *mem, int64_t now_us, const char *from,
+    struct slice list, mem_page_cb *page, void *ctx);
+void mem_sync_records(
+    struct mem *mem, struct slice keys, mem_page_cb *page, void *ctx);
+void mem_sync_page(
+    struct mem *mem, int64_t now_us, const char *from, struct slice page);
+
+/* ------------------------------------------------------------------ */
+/* Shared by the mem_*.c files only                                    */
+/* ------------------------------------------------------------------ */
+
+/* Order in which updates get the room of a datagram. */
+enum mem_class {
+	MEM_CLASS_URGENT, /* leaving, refuted */
+	MEM_CLASS_FAULT, /* suspect, dead */
+	MEM_CLASS_ALIVE,
+	MEM_CLASSES,
+};
+
+struct mem_entry {
+	struct mem_member member;
+	uint64_t key;
+	int64_t suspect_until_us; /* 0: not suspected */
+	/* The update waiting to be passed on; `class` is MEM_CLASSES if none. */
+	enum mem_class class;
+	unsigned int sends_left;
+	TAILQ_ENTRY(mem_entry) update_link;
+	unsigned int digest_sends_left; /* of the settings digest */
+	TAILQ_ENTRY(mem_entry) digest_link;
+};
+TAILQ_HEAD(mem_entry_list, mem_entry);
+
+struct mem_noted {
+	struct mem_note note;
+	unsigned int sends_left;
+	bool urgent;
+	LIST_ENTRY(mem_noted) link;
+};
+
+struct mem_relay { /* a ping sent for somebody else */
+	uint64_t seq;
+	uint64_t asker_seq;
+	char asker[MEM_ADDRESS_MAX + 1];
+	int64_t until_us;
+	LIST_ENTRY(mem_relay) link;
+};
+
+struct mem_probe {
+	uint64_t key; /* 0: no probe is running */
+	uint64_t seq;
+	int64_t indirect_us; /* when others are asked */
+	int64_t end_us;
+	bool asked;
+};
+
+struct mem {
+	struct mem_conf conf;
+	char **seeds;
+	const struct mem_ops *ops;
+	void *ctx;
+	struct rng rng;
+	struct mem_entry *self;
+	GHashTable *by_key;
+	GPtrArray *by_id; /* sorted; the dead are in it too */
+	unsigned int alive; /* entries that are not dead */
+	unsigned int next_dead; /* place in by_id, for probes of the dead */
+	uint64_t view;
+	struct mem_entry_list updates[MEM_CLASSES];
+	struct mem_entry_list digests;
+	LIST_HEAD(, mem_noted) notes;
+	bool urgent; /* an update waits for its fan-out */
+	GArray *order; /* keys of the round robin, shuffled */
+	unsigned int next;
+	struct mem_probe probe;
+	uint64_t seq;
+	int64_t period_us; /* when the next probe starts */
+	int64_t last_tick_us;
+	LIST_HEAD(, mem_relay) relays;
+	unsigned int nrelays;
+	GHashTable *wanted; /* key -> address of who told of it */
+	int64_t want_us; /* no earlier question than this */
+	char hint[MEM_ADDRESS_MAX + 1];
+	int64_t bytes; /* credit for datagrams */
+	int64_t bytes_us;
+	bool joined; /* has taken over a table */
+	int64_t sync_us; /* no earlier sync than this */
+	unsigned int differ; /* grows with each peer of another view */
+};
+
+/*
+ * An incarnation is the life's start (wall milliseconds) above a count of
+ * refutations, so that a short record shows whether the static facts known
+ * here are still those of this life.
+ */
+#define MEM_REFUTES_BITS 16
+uint64_t mem_life(uint64_t incarnation);
+
+/* mem.c: the table and its rules */
+uint64_t mem_key(const char *id);
+struct mem_entry *mem_entry(const struct mem *mem, uint64_t key);
+void mem_apply(struct mem *mem, int64_t now_us, uint64_t key,
+    uint64_t incarnation, enum mem_state state, const char *from);
+void mem_apply_full(struct mem *mem, int64_t now_us,
+    const struct mem_node *node, enum mem_state state);
+void mem_seen_settings(struct mem *mem, struct mem_entry *e, uint64_t settings);
+void mem_suspect(struct mem *mem, struct mem_entry *e, int64_t now_us);
+unsigned int mem_log2(const struct mem *mem);
+bool mem_note_merge(struct mem *mem, const struct mem_note *note);
+/* Passes the roles' notes on once more: a peer lacks some. */
+void mem_renote(struct mem *mem);
+
+void mem_expire(struct mem *mem, int64_t now_us); /* once a period */
+void mem_forgive(struct mem *mem, int64_t paused_us);
+
+/* mem_wire.c: blobs of updates */
+void mem_pack_state(GByteArray *out, const struct mem_entry *e);
+void mem_pack_full(GByteArray *out, const struct mem_entry *e);
+/* Fills a datagram's room; `about` (may be NULL) goes first. */
+void mem_pack_updates(struct mem *mem, GByteArray *out, size_t room,
+    struct mem_entry *about, bool urgent);
+void mem_take_updates(
+    struct mem *mem, int64_t now_us, const char *from, struct slice updates);
+
+/* mem_probe.c */
+void mem_flush(struct mem *mem, int64_t now_us); /* urgent news, now */
+void mem_send(struct mem *mem, const char *to, enum mem_type type, uint64_t seq,
+    uint64_t target, struct mem_entry *about);
+
+#endif
--- /dev/null
+++ b/lib/agree/mem_probe.c
@@ -0,0 +1,531 @@
+/* Membership: probes, answers and the fan-out of urgent news. */
+
+#include <string.h>
+
+#include "agree/mem_internal.h"
+
+/*
+ * Credit for datagrams: with the answers of others, sent and received
+ * together stay below 4 KB a second. Probes and acks are sent also without
+ * credit (they are few and small); only the room for updates shrinks.
+ */
+#define MEM_BYTES_S 1500
+#define MEM_BYTES_BURST 4500
+#define HEADER_BYTES 96 /* proof, type, stamp, numbers of a mem_msg */
+#define ROOM_MAX (DGRAM_MAX - HEADER_BYTES)
+#define ROOM_MIN 64 /* also without credit: the member it is about */
+
+#define INDIRECT_PROBES 3
+/* Each hearer passes urgent news to so many: e^-5 are left out, and those
+ * hear it by their own next probe. */
+#define URGENT_FANOUT 5
+#define URGENT_ROOM 400
+#define DEAD_PROBE_ONE_IN 5 /* periods */
+#define RELAYS_MAX 64
+#define WANTS_AT_ONCE 8 /* more are taken over by a sync */
+#define WANT_PAUSE_US (G_USEC_PER_SEC / 2)
+
+/* A view differs while news is under way; so many peers in a row that
+ * differ (less those that agree) mean that news was lost. */
+#define SYNC_DIFFER 8
+#define SYNC_PERIODS 5
+#define SYNC_BYTES_S 500 /* a list is sent no faster than this on average */
+
+static void
+refill(struct mem *mem, int64_t now_us)
+{
+	int64_t gained = (now_us - mem->bytes_us) * MEM_BYTES_S;
+
+	gained /= G_USEC_PER_SEC;
+	if (gained <= 0)
+		return;
+	mem->bytes = MIN(mem->bytes + gained, MEM_BYTES_BURST);
+	mem->bytes_us = now_us;
+}
+
+static void
+send_blob(struct mem *mem, const char *to, enum mem_type type, uint64_t seq,
+    uint64_t target, GByteArray *blob)
+{
+	const struct mem_member *self = &mem->self->member;
+	struct mem_msg message = {
+		.from = mem->self->key,
+		.incarnation = self->node.incarnation,
+		.seq = seq,
+		.target = target,
+		.settings = self->settings,
+		.fence = self->fence,
+		.view = mem->view,
+		.updates = { blob->data, blob->len },
+	};
+
+	mem->bytes -= HEADER_BYTES + blob->len;
+	mem->ops->send(to, type, &message, mem->ctx);
+}
+
+void
+mem_send(struct mem *mem, const char *to, enum mem_type type, uint64_t seq,
+    uint64_t target, struct mem_entry *about)
+{
+	GByteArray *blob = g_byte_array_new();
+	/* Half of the credit each time, so that the next one has room too. */
+	int64_t room = CLAMP(mem->bytes / 2, ROOM_MIN, ROOM_MAX);
+
+	mem_pack_updates(mem, blob, (size_t)room, about, false);
+	send_blob(mem, to, type, seq, target, blob);
+	g_byte_array_unref(blob);
+}
+
+static void
+send_gossip(struct mem *mem, const char *to, GByteArray *blob)
+{
+	send_blob(mem, to, MEM_GOSSIP, 0, 0, blob);
+}
+
+/*
+ * A leaving host gets new work until everybody knows. One hop a period would
+ * take log2(n) seconds; passed on at once it takes as many network delays.
+ * The credit bounds it when many leave together.
+ */
+void
+mem_flush(struct mem *mem, int64_t now_us)
+{
+	GByteArray *blob;
+	const char *to[URGENT_FANOUT];
+	unsigned int n = 0, i;
+
+	refill(mem, now_us);
+	if (!mem->urgent ||
+	    mem->bytes < URGENT_FANOUT * (HEADER_BYTES + URGENT_ROOM) / 2)
+		return;
+	while (n < URGENT_FANOUT && n + 1 < mem->alive) {
+		to[n] = mem_random_address(mem);
+		if (to[n] == NULL)
+			break;
+		for (i = 0; i < n && to[i] != to[n]; i++)
+			;
+		/* The same one again: enough of a small table is covered. */
+		if (i < n && mem->alive <= 2 * URGENT_FANOUT)
+			break;
+		n++;
+	}
+	mem->urgent = false;
+	blob = g_byte_array_new();
+	mem_pack_updates(mem, blob, URGENT_ROOM, NULL, true);
+	for (i = 0; i < n && blob->len > 0; i++)
+		send_gossip(mem, to[i], blob);
+	g_byte_array_unref(blob);
+}
+
+/* ------------------------------------------------------------------ */
+/* Probes                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+shuffle(struct mem *mem)
+{
+	struct mem_entry *e;
+	uint64_t *keys, swap;
+	guint i, j;
+
+	g_array_set_size(mem->order, 0);
+	mem->next = 0;
+	for (i = 0; i < mem->by_id->len; i++) {
+		e = g_ptr_array_index(mem->by_id, i);
+		if (e != mem->self && e->member.state != MEM_DEAD)
+			g_array_append_val(mem->order, e->key);
+	}
+	keys = (uint64_t *)(void *)mem->order->data;
+	for (i = mem->order->len; i > 1; i--) {
+		j = (guint)rng_below(&mem->rng, i);
+		swap = keys[j];
+		keys[j] = keys[i - 1];
+		keys[i - 1] = swap;
+	}
+}
+
+/* A shuffled round robin: every member is probed within n periods. */
+static struct mem_entry *
+next_probed(struct mem *mem)
+{
+	struct mem_entry *e;
+	int rounds;
+
+	for (rounds = 0; rounds < 2; rounds++) {
+		while (mem->next < mem->order->len) {
+			e = mem_entry(mem,
+			    g_array_index(mem->order, uint64_t, mem->next++));
+			if (e != NULL && e->member.state != MEM_DEAD)
+				return e;
+		}
+		shuffle(mem);
+	}
+	return NULL;
+}
+
+/* What a member must hear first: that it is suspected or given up. */
+static struct mem_entry *
+to_be_refuted(struct mem_entry *e)
+{
+	if (e->member.state == MEM_SUSPECT || e->member.state == MEM_DEAD)
+		return e;
+	return NULL;
+}
+
+static void
+start_probe(struct mem *mem, int64_t now_us)
+{
+	int64_t period_us = (int64_t)mem->conf.gossip_ms * 1000;
+	struct mem_entry *e = next_probed(mem);
+
+	mem->probe = (struct mem_probe){ 0 };
+	if (e == NULL)
+		return;
+	mem->probe = (struct mem_probe){
+		.key = e->key,
+		.seq = ++mem->seq,
+		.indirect_us = now_us + period_us * 3 / 10,
+		.end_us = now_us + period_us * 9 / 10,
+	};
+	mem_send(mem, e->member.node.address, MEM_PING, mem->probe.seq, 0,
+	    to_be_refuted(e));
+}
+
+/*
+ * A region that was cut is dead to us and we to it: without a probe of the
+ * dead now and then the two would never meet again. Each of the dead is
+ * probed about once a period by all nodes together, or an address that was
+ * given to another host would draw pings from everybody.
+ */
+static void
+probe_dead(struct mem *mem)
+{
+	struct mem_entry *e;
+	guint i, n = mem->by_id->len;
+	guint dead = n - mem->alive;
+
+	if (rng_below(&mem->rng, MAX(DEAD_PROBE_ONE_IN * dead, mem->alive)) >=
+	    dead)
+		return;
+	for (i = 0; i < n; i++) {
+		mem->next_dead = (mem->next_dead + 1) % n;
+		e = g_ptr_array_index(mem->by_id, mem->next_dead);
+		if (e->member.state != MEM_DEAD)
+			continue;
+		mem_send(
+		    mem, e->member.node.address, MEM_PING, ++mem->seq, 0, e);
+		return;
+	}
+}
+
+static void
+ping_address(struct mem *mem, const char *address)
+{
+	if (strcmp(address, mem->self->member.node.address) != 0)
+		mem_send(mem, address, MEM_PING, ++mem->seq, 0, NULL);
+}
+
+static bool
+is_member(const struct mem *mem, const char *address)
+{
+	const struct mem_entry *e;
+	guint i;
+
+	for (i = 0; i < mem->by_id->len; i++) {
+		e = g_ptr_array_index(mem->by_id, i);
+		if (e->member.state != MEM_DEAD &&
+		    strcmp(e->member.node.address, address) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Seeds matter when alone, and when everybody known was replaced. All nodes
+ * together ping the seeds that are no members about once a period.
+ */
+static void
+probe_seeds(struct mem *mem)
+{
+	guint n = mem->seeds == NULL ? 0 : g_strv_length(mem->seeds);
+	const char *seed;
+
+	if (mem->hint[0] != '\0') {
+		ping_address(mem, mem->hint);
+		mem->hint[0] = '\0';
+	}
+	if (n == 0 || rng_below(&mem->rng, mem->alive) > 0)
+		return;
+	seed = mem->seeds[rng_below(&mem->rng, n)];
+	if (!is_member(mem, seed))
+		ping_address(mem, seed);
+}
+
+static void
+ask_others(struct mem *mem)
+{
+	struct mem_entry *e = mem_entry(mem, mem->probe.key);
+	const char *to;
+	int i;
+
+	mem->probe.asked = true;
+	for (i = 0; i < INDIRECT_PROBES && e != NULL; i++) {
+		to = mem_random_address(mem);
+		if (to == NULL || strcmp(to, e->member.node.address) == 0)
+			continue;
+		mem_send(mem, to, MEM_PING_REQ, mem->probe.seq, mem->probe.key,
+		    NULL);
+	}
+}
+
+static void
+end_probe(struct mem *mem, int64_t now_us)
+{
+	struct mem_entry *e = mem_entry(mem, mem->probe.key);
+
+	mem->probe.key = 0;
+	if (e != NULL)
+		mem_suspect(mem, e, now_us);
+}
+
+static void
+drop_relays(struct mem *mem, int64_t now_us)
+{
+	struct mem_relay *r, *next;
+
+	for (r = LIST_FIRST(&mem->relays); r != NULL; r = next) {
+		next = LIST_NEXT(r, link);
+		if (now_us < r->until_us)
+			continue;
+		LIST_REMOVE(r, link);
+		g_free(r);
+		mem->nrelays--;
+	}
+}
+
+/* Asks one teller for the full records of the members it told of. */
+static void
+ask_wanted(struct mem *mem, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer key, from;
+	GByteArray *blob;
+	char *teller = NULL;
+	uint64_t be;
+
+	if (g_hash_table_size(mem->wanted) == 0 || now_us < mem->want_us)
+		return;
+	mem->want_us = now_us + WANT_PAUSE_US;
+	blob = g_byte_array_new();
+	g_hash_table_iter_init(&iter, mem->wanted);
+	while (g_hash_table_iter_next(&iter, &key, &from)) {
+		if (teller == NULL)
+			teller = g_strdup(from);
+		if (strcmp(teller, from) != 0)
+			continue;
+		be = GUINT64_TO_BE(*(uint64_t *)key);
+		g_byte_array_append(blob, (guint8 *)&be, sizeof(be));
+		g_hash_table_iter_remove(&iter);
+		if (blob->len >= WANTS_AT_ONCE * sizeof(be))
+			break;
+	}
+	send_blob(mem, teller, MEM_WANT, 0, 0, blob);
+	g_byte_array_unref(blob);
+	g_free(teller);
+}
+
+void
+mem_tick(struct mem *mem, int64_t now_us)
+{
+	int64_t period_us = (int64_t)mem->conf.gossip_ms * 1000;
+	int64_t gap_us = now_us - mem->last_tick_us;
+
+	refill(mem, now_us);
+	mem->last_tick_us = now_us;
+	if (gap_us > period_us) {
+		/* We were paused: answers lie unread, the others' silence is
+		 * ours. Blaming them would empty the table on waking. */
+		mem_forgive(mem, gap_us);
+		mem->probe.key = 0;
+		mem->period_us = now_us + period_us;
+		return;
+	}
+	drop_relays(mem, now_us);
+	if (mem->probe.key != 0 && now_us >= mem->probe.end_us)
+		end_probe(mem, now_us);
+	if (mem->probe.key != 0 && !mem->probe.asked &&
+	    now_us >= mem->probe.indirect_us)
+		ask_others(mem);
+	if (now_us >= mem->period_us) {
+		mem->period_us += period_us;
+		mem_expire(mem, now_us);
+		start_probe(mem, now_us);
+		probe_dead(mem);
+		probe_seeds(mem);
+	}
+	ask_wanted(mem, now_us);
+	mem_flush(mem, now_us);
+}
+
+/* ------------------------------------------------------------------ */
+/* Received datagrams                                                  */
+/* ------------------------------------------------------------------ */
+
+static void
+take_ping_req(
+    struct mem *mem, int64_t now_us, const char *from, const struct mem_msg *m)
+{
+	struct mem_entry *e = mem_entry(mem, m->target);
+	struct mem_relay *r;
+
+	if (e == NULL || mem->nrelays >= RELAYS_MAX)
+		return;
+	r = g_new0(struct mem_relay, 1);
+	r->seq = ++mem->seq;
+	r->asker_seq = m->seq;
+	r->until_us = now_us + (int64_t)mem->conf.gossip_ms * 1000;
+	g_strlcpy(r->asker, from, sizeof(r->asker));
+	LIST_INSERT_HEAD(&mem->relays, r, link);
+	mem->nrelays++;
+	mem_send(
+	    mem, e->member.node.address, MEM_PING, r->seq, 0, to_be_refuted(e));
+}
+
+static void
+take_ack(struct mem *mem, const struct mem_msg *m)
+{
+	struct mem_relay *r;
+
+	if (mem->probe.key != 0 && m->seq == mem->probe.seq) {
+		mem->probe.key = 0;
+		return;
+	}
+	LIST_FOREACH (r, &mem->relays, link) {
+		if (r->seq != m->seq)
+			continue;
+		mem_send(mem, r->asker, MEM_ACK, r->asker_seq, m->from, NULL);
+		LIST_REMOVE(r, link);
+		g_free(r);
+		mem->nrelays--;
+		return;
+	}
+}
+
+static void
+answer_want(struct mem *mem, const char *from, struct slice keys)
+{
+	GByteArray *blob = g_byte_array_new();
+	GByteArray *one = g_byte_array_new();
+	const struct mem_entry *e;
+	uint64_t key;
+	size_t i;
+
+	for (i = 0; i + sizeof(key) <= keys.len; i += sizeof(key)) {
+		memcpy(&key, keys.data + i, sizeof(key));
+		e = mem_entry(mem, GUINT64_FROM_BE(key));
+		if (e == NULL)
+			continue;
+		g_byte_array_set_size(one, 0);
+		mem_pack_full(one, e);
+		if (blob->len + one->len > ROOM_MAX)
+			break; /* the rest is asked for again */
+		g_byte_array_append(blob, one->data, one->len);
+	}
+	if (blob->len > 0)
+		send_gossip(mem, from, blob);
+	g_byte_array_unref(one);
+	g_byte_array_unref(blob);
+}
+
+static void
+ask_for_sync(struct mem *mem, const char *address, int64_t now_us)
+{
+	int64_t period_us = (int64_t)mem->conf.gossip_ms * 1000;
+	int64_t pause_us = SYNC_PERIODS * period_us;
+	int64_t list_us = (int64_t)mem->by_id->len * 20 * G_USEC_PER_SEC;
+
+	if (now_us < mem->sync_us)
+		return;
+	pause_us = MAX(pause_us, list_us / SYNC_BYTES_S);
+	if (!mem->joined)
+		pause_us = period_us;
+	pause_us += (int64_t)rng_below(&mem->rng, (uint64_t)pause_us / 2);
+	mem->sync_us = now_us + pause_us;
+	mem->differ = 0;
+	mem->ops->sync(address, mem->ctx);
+}
+
+static void
+compare_views(struct mem *mem, const struct mem_entry *e,
+    const struct mem_msg *m, int64_t now_us)
+{
+	if (m->view == mem->view) {
+		mem->differ -= mem->differ > 0;
+		return;
+	}
+	mem->differ++;
+	if (!mem->joined || mem->differ >= SYNC_DIFFER ||
+	    g_hash_table_size(mem->wanted) > WANTS_AT_ONCE)
+		ask_for_sync(mem, e->member.node.address, now_us);
+}
+
+/* Facts of the sender that every datagram carries. */
+static void
+take_header(struct mem *mem, struct mem_entry *e, const struct mem_msg *m,
+    int64_t now_us)
+{
+	const struct mem_member *self = &mem->self->member;
+
+	if (m->incarnation < e->member.node.incarnation)
+		return; /* sent in an earlier life or before a refutation */
+	mem_seen_settings(mem, e, m->settings);
+	e->member.fence = MAX(e->member.fence, m->fence);
+	if (m->fence < self->fence)
+		mem_renote(mem);
+	if (m->settings > self->settings) {
+		mem->ops->settings_differ(
+		    e->member.node.address, m->settings, mem->ctx);
+	}
+	compare_views(mem, e, m, now_us);
+}
+
+static void
+take_from_unknown(
+    struct mem *mem, const char *from, const struct mem_msg *m, int64_t now_us)
+{
+	uint64_t *wanted = g_new(uint64_t, 1);
+
+	*wanted = m->from;
+	g_hash_table_replace(mem->wanted, wanted, g_strdup(from));
+	if (!mem->joined)
+		ask_for_sync(mem, from, now_us);
+}
+
+void
+mem_take(struct mem *mem, int64_t now_us, const char *from, enum mem_type type,
+    const struct mem_msg *m)
+{
+	struct mem_entry *e = mem_entry(mem, m->from);
+
+	if (e == mem->self)
+		return; /* our own, by a seed or hint that names us */
+	refill(mem, now_us);
+	if (type == MEM_WANT)
+		answer_want(mem, from, m->updates);
+	else
+		mem_take_updates(mem, now_us, from, m->updates);
+	e = mem_entry(mem, m->from);
+	if (e == NULL ||
+	    mem_life(m->incarnation) > mem_life(e->member.node.incarnation))
+		take_from_unknown(mem, from, m, now_us);
+	else
+		take_header(mem, e, m, now_us);
+	if (type == MEM_PING)
+		mem_send(mem, from, MEM_ACK, m->seq, 0,
+		    e == NULL ? NULL : to_be_refuted(e));
+	else if (type == MEM_ACK)
+		take_ack(mem, m);
+	else if (type == MEM_PING_REQ)
+		take_ping_req(mem, now_us, from, m);
+	mem_flush(mem, now_us);
+}
--- /dev/null
+++ b/lib/agree/mem_wire.c
@@ -0,0 +1,467 @@
+/* Membership: updates as they travel in datagrams, and table syncs. */
+
+#include <msgpack.h>
+#include <string.h>
+
+#include "agree/mem_internal.h"
+
+/*
+ * A blob is a row of msgpack arrays, told apart by their length:
+ *   2  [settings digest, keys]: who has that digest (8 bytes a key)
+ *   3  [key, incarnation, state]
+ *   4  [note kind, name, number, text]
+ *   8  [incarnation, state, id, address, domain, region, kind, info]
+ */
+#define STATE_BYTES 20 /* largest encoding */
+#define NOTE_BYTES (2 + 9 + 2 + INF_BRANCH_MAX + 2 + MEM_ID_MAX)
+#define DIGEST_GROUP_BYTES (1 + 9 + 3)
+#define DIGEST_KEYS_MAX 50 /* per datagram, to leave room in its budget */
+
+static const struct msg_field mem_fields[] = {
+	MSG_FIELD(struct mem_msg, from, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, incarnation, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, seq, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, target, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, settings, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, fence, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, view, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, updates, MSG_BIN, DGRAM_MAX),
+};
+
+static const struct msg_desc mem_descs[] = {
+	MSG_DESC(MEM_PING, "mem_ping", struct mem_msg, mem_fields),
+	MSG_DESC(MEM_ACK, "mem_ack", struct mem_msg, mem_fields),
+	MSG_DESC(MEM_PING_REQ, "mem_ping_req", struct mem_msg, mem_fields),
+	MSG_DESC(MEM_GOSSIP, "mem_gossip", struct mem_msg, mem_fields),
+	MSG_DESC(MEM_WANT, "mem_want", struct mem_msg, mem_fields),
+};
+
+const struct msg_desc *
+mem_msg_desc(enum mem_type type)
+{
+	if (type < MEM_PING || type > MEM_WANT)
+		return NULL;
+	return &mem_descs[type - MEM_PING];
+}
+
+/* ------------------------------------------------------------------ */
+/* Writing                                                             */
+/* ------------------------------------------------------------------ */
+
+static int
+append(void *data, const char *bytes, size_t len)
+{
+	g_byte_array_append(data, (const guint8 *)bytes, (guint)len);
+	return 0;
+}
+
+static void
+pack_text(msgpack_packer *pk, const char *text)
+{
+	size_t len = strlen(text);
+
+	msgpack_pack_str(pk, len);
+	msgpack_pack_str_body(pk, text, len);
+}
+
+void
+mem_pack_state(GByteArray *out, const struct mem_entry *e)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, append);
+	msgpack_pack_array(&pk, 3);
+	msgpack_pack_uint64(&pk, e->key);
+	msgpack_pack_uint64(&pk, e->member.node.incarnation);
+	msgpack_pack_unsigned_int(&pk, e->member.state);
+}
+
+void
+mem_pack_full(GByteArray *out, const struct mem_entry *e)
+{
+	const struct mem_node *node = &e->member.node;
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, append);
+	msgpack_pack_array(&pk, 8);
+	msgpack_pack_uint64(&pk, node->incarnation);
+	msgpack_pack_unsigned_int(&pk, e->member.state);
+	pack_text(&pk, node->id);
+	pack_text(&pk, node->address);
+	pack_text(&pk, node->domain);
+	pack_text(&pk, node->region);
+	msgpack_pack_unsigned_int(&pk, node->kind);
+	pack_text(&pk, node->info);
+}
+
+static void
+pack_note(GByteArray *out, const struct mem_note *note)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, append);
+	msgpack_pack_array(&pk, 4);
+	msgpack_pack_unsigned_int(&pk, note->kind);
+	pack_text(&pk, note->name);
+	msgpack_pack_uint64(&pk, note->number);
+	pack_text(&pk, note->text);
+}
+
+/* One group: the members at the front of the queue with the same digest. */
+static void
+pack_digests(struct mem *mem, GByteArray *out, size_t room)
+{
+	struct mem_entry *e = TAILQ_FIRST(&mem->digests), *next;
+	uint64_t keys[DIGEST_KEYS_MAX];
+	uint64_t settings;
+	msgpack_packer pk;
+	size_t n = 0, max;
+
+	if (e == NULL || room < DIGEST_GROUP_BYTES + sizeof(keys[0]))
+		return;
+	max = MIN(
+	    G_N_ELEMENTS(keys), (room - DIGEST_GROUP_BYTES) / sizeof(keys[0]));
+	settings = e->member.settings;
+	for (; e != NULL && n < max; e = next) {
+		next = TAILQ_NEXT(e, digest_link);
+		if (e->member.settings != settings)
+			continue;
+		keys[n++] = GUINT64_TO_BE(e->key);
+		TAILQ_REMOVE(&mem->digests, e, digest_link);
+		e->digest_sends_left--;
+		/* Behind the others: fresher news has its turn first. */
+		if (e->digest_sends_left > 0)
+			TAILQ_INSERT_TAIL(&mem->digests, e, digest_link);
+		if (next == NULL)
+			break;
+	}
+	msgpack_packer_init(&pk, out, append);
+	msgpack_pack_array(&pk, 2);
+	msgpack_pack_uint64(&pk, settings);
+	msgpack_pack_bin(&pk, n * sizeof(keys[0]));
+	msgpack_pack_bin_body(&pk, keys, n * sizeof(keys[0]));
+}
+
+static void
+pack_class(struct mem *mem, GByteArray *out, size_t room, enum mem_class class)
+{
+	struct mem_entry_list *queue = &mem->updates[class];
+	struct mem_entry *e, *last = TAILQ_LAST(queue, mem_entry_list);
+
+	while ((e = TAILQ_FIRST(queue)) != NULL &&
+	    out->len + STATE_BYTES <= room) {
+		mem_pack_state(out, e);
+		TAILQ_REMOVE(queue, e, update_link);
+		if (--e->sends_left > 0)
+			TAILQ_INSERT_TAIL(queue, e, update_link);
+		else
+			e->class = MEM_CLASSES;
+		if (e == last)
+			break;
+	}
+}
+
+static void
+pack_notes(struct mem *mem, GByteArray *out, size_t room)
+{
+	struct mem_noted *n;
+
+	LIST_FOREACH (n, &mem->notes, link) {
+		if (n->sends_left == 0 || out->len + NOTE_BYTES > room)
+			continue;
+		pack_note(out, &n->note);
+		n->sends_left--;
+	}
+}
+
+void
+mem_pack_updates(struct mem *mem, GByteArray *out, size_t room,
+    struct mem_entry *about, bool urgent)
+{
+	if (about != NULL)
+		mem_pack_state(out, about);
+	pack_class(mem, out, room, MEM_CLASS_URGENT);
+	pack_notes(mem, out, room);
+	if (urgent)
+		return;
+	pack_class(mem, out, room, MEM_CLASS_FAULT);
+	pack_class(mem, out, room, MEM_CLASS_ALIVE);
+	if (out->len < room)
+		pack_digests(mem, out, room - out->len);
+}
+
+/* ------------------------------------------------------------------ */
+/* Reading                                                             */
+/* ------------------------------------------------------------------ */
+
+static bool
+get_number(const msgpack_object *o, uint64_t max, uint64_t *out)
+{
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
+		return false;
+	*out = o->via.u64;
+	return true;
+}
+
+/* `out` has `max` + 1 bytes. */
+static bool
+get_text(const msgpack_object *o, size_t max, char *out)
+{
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size > max ||
+	    memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL)
+		return false;
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+	return true;
+}
+
+static void
+take_state(struct mem *mem, int64_t now_us, const char *from,
+    const msgpack_object *field)
+{
+	uint64_t key, incarnation, state;
+
+	if (get_number(&field[0], UINT64_MAX, &key) &&
+	    get_number(&field[1], UINT64_MAX, &incarnation) &&
+	    get_number(&field[2], MEM_DEAD, &state))
+		mem_apply(mem, now_us, key, incarnation, state, from);
+}
+
+static void
+take_full(struct mem *mem, int64_t now_us, const msgpack_object *field)
+{
+	struct mem_node node = { 0 };
+	uint64_t state, kind;
+
+	if (!get_number(&field[0], UINT64_MAX, &node.incarnation) ||
+	    !get_number(&field[1], MEM_DEAD, &state) ||
+	    !get_text(&field[2], MEM_ID_MAX, node.id) ||
+	    !get_text(&field[3], MEM_ADDRESS_MAX, node.address) ||
+	    !get_text(&field[4], MEM_DOMAIN_MAX, node.domain) ||
+	    !get_text(&field[5], MEM_DOMAIN_MAX, node.region) ||
+	    !get_number(&field[6], MEM_SIDE, &kind) ||
+	    !get_text(&field[7], MEM_INFO_MAX, node.info))
+		return;
+	node.kind = (enum mem_kind)kind;
+	mem_apply_full(mem, now_us, &node, state);
+}
+
+static void
+take_digests(struct mem *mem, const msgpack_object *field)
+{
+	const msgpack_object_bin *keys = &field[1].via.bin;
+	uint64_t settings, key;
+	struct mem_entry *e;
+	size_t i;
+
+	if (!get_number(&field[0], UINT64_MAX, &settings) ||
+	    field[1].type != MSGPACK_OBJECT_BIN)
+		return;
+	for (i = 0; i + sizeof(key) <= keys->size; i += sizeof(key)) {
+		memcpy(&key, keys->ptr + i, sizeof(key));
+		e = mem_entry(mem, GUINT64_FROM_BE(key));
+		if (e != NULL && e != mem->self)
+			mem_seen_settings(mem, e, settings);
+	}
+}
+
+static void
+take_note(struct mem *mem, const char *from, const msgpack_object *field)
+{
+	struct mem_note note = { 0 };
+	uint64_t kind;
+
+	if (!get_number(&field[0], MEM_NOTE_KINDS - 1, &kind) ||
+	    !get_text(&field[1], INF_BRANCH_MAX, note.name) ||
+	    !get_number(&field[2], UINT64_MAX, &note.number) ||
+	    !get_text(&field[3], MEM_ID_MAX, note.text))
+		return;
+	note.kind = (enum mem_note_kind)kind;
+	if (mem_note_merge(mem, &note))
+		mem->ops->noted(&note, from, mem->ctx);
+}
+
+void
+mem_take_updates(
+    struct mem *mem, int64_t now_us, const char *from, struct slice updates)
+{
+	msgpack_unpacked got;
+	size_t at = 0;
+	const msgpack_object *o = &got.data;
+	const msgpack_object *field;
+
+	msgpack_unpacked_init(&got);
+	while (msgpack_unpack_next(&got, (const char *)updates.data,
+		   updates.len, &at) == MSGPACK_UNPACK_SUCCESS) {
+		if (o->type != MSGPACK_OBJECT_ARRAY)
+			break;
+		field = o->via.array.ptr;
+		switch (o->via.array.size) {
+		case 2:
+			take_digests(mem, field);
+			break;
+		case 3:
+			take_state(mem, now_us, from, field);
+			break;
+		case 4:
+			take_note(mem, from, field);
+			break;
+		case 8:
+			take_full(mem, now_us, field);
+			break;
+		default: /* from a newer release */
+			break;
+		}
+	}
+	msgpack_unpacked_destroy(&got);
+}
+
+/* ------------------------------------------------------------------ */
+/* Taking over a table                                                 */
+/* ------------------------------------------------------------------ */
+
+GByteArray *
+mem_sync_list(struct mem *mem)
+{
+	GByteArray *out = g_byte_array_new();
+	const struct mem_noted *n;
+	guint i;
+
+	for (i = 0; i < mem->by_id->len; i++)
+		mem_pack_state(out, g_ptr_array_index(mem->by_id, i));
+	LIST_FOREACH (n, &mem->notes, link)
+		pack_note(out, &n->note);
+	return out;
+}
+
+struct pages {
+	GByteArray *bytes;
+	mem_page_cb *page;
+	void *ctx;
+};
+
+static void
+end_page(struct pages *p)
+{
+	if (p->bytes->len > 0) {
+		p->page(
+		    (struct slice){ p->bytes->data, p->bytes->len }, p->ctx);
+	}
+	g_byte_array_set_size(p->bytes, 0);
+}
+
+static void
+page_record(struct pages *p, const struct mem_entry *e)
+{
+	mem_pack_full(p->bytes, e);
+	if (p->bytes->len >= MEM_PAGE_BYTES)
+		end_page(p);
+}
+
+/* Key -> incarnation of the states in a list. */
+static GHashTable *
+read_list(struct slice list)
+{
+	GHashTable *known =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	msgpack_unpacked got;
+	size_t at = 0;
+	const msgpack_object *field;
+	uint64_t key, incarnation;
+
+	msgpack_unpacked_init(&got);
+	while (msgpack_unpack_next(&got, (const char *)list.data, list.len,
+		   &at) == MSGPACK_UNPACK_SUCCESS) {
+		field = got.data.via.array.ptr;
+		if (got.data.type != MSGPACK_OBJECT_ARRAY ||
+		    got.data.via.array.size != 3 ||
+		    !get_number(&field[0], UINT64_MAX, &key) ||
+		    !get_number(&field[1], UINT64_MAX, &incarnation))
+			continue;
+		g_hash_table_replace(known, g_memdup2(&key, sizeof(key)),
+		    g_memdup2(&incarnation, sizeof(incarnation)));
+	}
+	msgpack_unpacked_destroy(&got);
+	return known;
+}
+
+static void
+page_missing(struct mem *mem, GHashTable *known, struct pages *p)
+{
+	const struct mem_noted *n;
+	const struct mem_entry *e;
+	const uint64_t *theirs;
+	guint i;
+
+	for (i = 0; i < mem->by_id->len; i++) {
+		e = g_ptr_array_index(mem->by_id, i);
+		theirs = g_hash_table_lookup(known, &e->key);
+		if (e->member.state == MEM_DEAD && theirs == NULL)
+			continue;
+		if (theirs == NULL ||
+		    mem_life(*theirs) < mem_life(e->member.node.incarnation))
+			page_record(p, e);
+		else
+			mem_pack_state(p->bytes, e);
+	}
+	LIST_FOREACH (n, &mem->notes, link)
+		pack_note(p->bytes, &n->note);
+}
+
+GByteArray *
+mem_sync_answer(struct mem *mem, int64_t now_us, const char *from,
+    struct slice list, mem_page_cb *page, void *ctx)
+{
+	GByteArray *lacking = g_byte_array_new();
+	GHashTable *known = read_list(list);
+	struct pages p = { g_byte_array_new(), page, ctx };
+	GHashTableIter iter;
+	gpointer key;
+	uint64_t be;
+
+	/* No teller: what we lack is asked for over this connection. */
+	mem_take_updates(mem, now_us, NULL, list);
+	page_missing(mem, known, &p);
+	end_page(&p);
+	g_hash_table_iter_init(&iter, known);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const uint64_t *theirs = g_hash_table_lookup(known, key);
+		const struct mem_entry *e = mem_entry(mem, *(uint64_t *)key);
+
+		if (e != NULL &&
+		    mem_life(*theirs) <= mem_life(e->member.node.incarnation))
+			continue;
+		be = GUINT64_TO_BE(*(uint64_t *)key);
+		g_byte_array_append(lacking, (guint8 *)&be, sizeof(be));
+	}
+	g_hash_table_unref(known);
+	g_byte_array_unref(p.bytes);
+	return lacking;
+}
+
+void
+mem_sync_records(
+    struct mem *mem, struct slice keys, mem_page_cb *page, void *ctx)
+{
+	struct pages p = { g_byte_array_new(), page, ctx };
+	const struct mem_entry *e;
+	uint64_t key;
+	size_t i;
+
+	for (i = 0; i + sizeof(key) <= keys.len; i += sizeof(key)) {
+		memcpy(&key, keys.data + i, sizeof(key));
+		e = mem_entry(mem, GUINT64_FROM_BE(key));
+		if (e != NULL && e->member.state != MEM_DEAD)
+			page_record(&p, e);
+	}
+	end_page(&p);
+	g_byte_array_unref(p.bytes);
+}
+
+void
+mem_sync_page(
+    struct mem *mem, int64_t now_us, const char *from, struct slice page)
+{
+	mem->joined = true;
+	mem_take_updates(mem, now_us, from, page);
+}
