--- /dev/null
+++ b/lib/agree/lse.c
@@ -0,0 +1,480 @@
+/* Lease decisions: guards and actions of charts/lease.yaml. */
+
+#include <string.h>
+
+#include "agree/lse_internal.h"
+
+/* Allows for the clocks' different speeds and for the way from the check of
+ * the deadline to the order on the wire. */
+#define MARGIN_MAX_MS 300
+#define POLL_MAX_MS 400 /* how late the first in rank sees a renewal */
+#define BACKUP_POLL_MS 1000
+/* The second in rank claims only what the first has left lying so long, or
+ * two writes would meet and one be refused. */
+#define BACKUP_WAIT_MS 1500
+/* Views differ while members come: no claim before the rank has lasted. */
+#define SETTLE_MS 1000
+#define RETRY_MS 200 /* after a renewal that failed */
+#define RELEASE_LIMIT_MS 2000
+#define CANDIDATES 2 /* ranks that read the object */
+#define NO_RANK UINT_MAX
+
+enum lse_event {
+	EVENT_TICK,
+	EVENT_WRITTEN,
+	EVENT_REFUSED,
+	EVENT_FAILED,
+	EVENT_LEAVE,
+	EVENTS,
+};
+static const char *const event_names[EVENTS] = {
+	[EVENT_TICK] = "tick",
+	[EVENT_WRITTEN] = "written",
+	[EVENT_REFUSED] = "refused",
+	[EVENT_FAILED] = "failed",
+	[EVENT_LEAVE] = "leave",
+};
+
+struct lse {
+	const struct chart *chart;
+	int state;
+	int events[EVENTS];
+	int held, renewing;
+	struct lse_conf conf;
+	const struct lse_ops *ops;
+	void *ctx;
+	int64_t now_us; /* of the event being handled */
+
+	unsigned int rank;
+	int64_t ranked_us; /* since when */
+
+	bool seen; /* the fields below are of a read or a write */
+	uint64_t version; /* 0: absent */
+	struct lse_value value;
+	int64_t seen_us; /* when this version was first seen */
+	int64_t seen_read_us; /* when the read that saw it began */
+	uint64_t highest; /* fence that anybody told of */
+	bool reading;
+	int64_t read_us; /* when the last read that succeeded began */
+	int64_t read_begun_us;
+	int64_t read_due_us;
+
+	int64_t sent_us; /* before the last write was sent */
+	struct lse_value written;
+	uint64_t fence; /* held, or 0 */
+	int64_t deadline_us;
+	int64_t renew_us;
+	unsigned int refused;
+};
+
+static int64_t
+margin_us(const struct lse *lse)
+{
+	return (int64_t)MIN(lse->conf.lease_ms / 10, MARGIN_MAX_MS) * 1000;
+}
+
+/* ------------------------------------------------------------------ */
+/* What is known of the object                                         */
+/* ------------------------------------------------------------------ */
+
+static bool
+is_mine(const struct lse *lse)
+{
+	return lse->value.life == lse->conf.life &&
+	    strcmp(lse->value.holder, lse->conf.self) == 0;
+}
+
+/* Since when the role is free as far as is known; INT64_MAX: it is held. */
+static int64_t
+free_since_us(const struct lse *lse)
+{
+	if (!lse->seen)
+		return INT64_MAX;
+	if (lse->version == 0 || lse->value.handed_over || is_mine(lse))
+		return lse->seen_read_us;
+	return lse->seen_us + (int64_t)lse->value.lease_ms * 1000 +
+	    margin_us(lse);
+}
+
+static void
+take_seen(struct lse *lse, uint64_t version, const char *text, int64_t read_us)
+{
+	if (lse->seen && version == lse->version)
+		return;
+	lse->seen = true;
+	lse->version = version;
+	lse->seen_us = lse->now_us;
+	lse->seen_read_us = read_us;
+	lse->value = (struct lse_value){ 0 };
+	if (version != 0 && !lse_value_read(text, &lse->value)) {
+		/* Not a lease: somebody else's text. Wait it out as a held
+		 * one, and go on above the version, which no fence passes. */
+		lse->value.lease_ms = lse->conf.lease_ms;
+		lse->value.fence = version;
+	}
+	lse->highest = MAX(lse->highest, lse->value.fence);
+}
+
+/* ------------------------------------------------------------------ */
+/* Guards                                                              */
+/* ------------------------------------------------------------------ */
+
+static bool
+may_claim(void *ctx, const void *event_data)
+{
+	const struct lse *lse = ctx;
+	int64_t free_us = free_since_us(lse);
+	int64_t wait_us = 0;
+
+	if (lse->rank >= CANDIDATES || lse->now_us < free_us)
+		return false;
+	if (lse->now_us - lse->ranked_us < SETTLE_MS * 1000)
+		return false;
+	if (lse->rank > 0)
+		wait_us = BACKUP_WAIT_MS * 1000;
+	/* Seen unchanged by a read begun after it became free: after a pause
+	 * or an outage what is remembered may be long out of date. */
+	return lse->now_us >= free_us + wait_us &&
+	    lse->read_us >= free_us + wait_us;
+}
+
+static bool
+read_due(void *ctx, const void *event_data)
+{
+	const struct lse *lse = ctx;
+	int64_t free_us = free_since_us(lse);
+
+	if (lse->rank >= CANDIDATES || lse->reading)
+		return false;
+	if (lse->now_us >= lse->read_due_us)
+		return true;
+	return lse->rank == 0 && lse->now_us >= free_us &&
+	    lse->read_us < free_us && lse->read_begun_us < free_us;
+}
+
+static bool
+in_time(void *ctx, const void *event_data)
+{
+	const struct lse *lse = ctx;
+
+	return lse->now_us <
+	    lse->sent_us + (int64_t)lse->conf.lease_ms * 1000 - margin_us(lse);
+}
+
+static bool
+lapsed(void *ctx, const void *event_data)
+{
+	const struct lse *lse = ctx;
+
+	return lse->now_us >= lse->deadline_us;
+}
+
+static bool
+renew_due(void *ctx, const void *event_data)
+{
+	const struct lse *lse = ctx;
+
+	return lse->now_us >= lse->renew_us;
+}
+
+/* ------------------------------------------------------------------ */
+/* Actions                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+do_read(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+	int64_t pause_ms = MIN(lse->conf.lease_ms / 6, POLL_MAX_MS);
+
+	if (lse->rank > 0)
+		pause_ms = BACKUP_POLL_MS;
+	lse->read_due_us = lse->now_us + pause_ms * 1000;
+	if (lse->reading)
+		return;
+	lse->reading = true;
+	lse->read_begun_us = lse->now_us;
+	lse->ops->read(lse->ctx);
+}
+
+static void
+write_value(struct lse *lse, uint64_t fence, bool handed_over)
+{
+	unsigned int limit_ms = handed_over
+	    ? RELEASE_LIMIT_MS
+	    : lse->conf.lease_ms - (unsigned int)(margin_us(lse) / 1000);
+	char *text;
+
+	lse->written = (struct lse_value){
+		.life = lse->conf.life,
+		.fence = fence,
+		.lease_ms = lse->conf.lease_ms,
+		.handed_over = handed_over,
+	};
+	g_strlcpy(
+	    lse->written.holder, lse->conf.self, sizeof(lse->written.holder));
+	/* The lease runs from before the sending: the write may have taken
+	 * effect at any time since, and candidates count from when they saw
+	 * it. Counting from the answer would add its delay to our time. */
+	lse->sent_us = lse->now_us;
+	text = lse_value_text(&lse->written);
+	lse->ops->write(text, lse->version, limit_ms, lse->ctx);
+	g_free(text);
+}
+
+static void
+do_claim(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+
+	/* Above what the members know too: an object that was lost and made
+	 * anew must not start again at a number that the sides have passed. */
+	write_value(lse, lse->highest + 1, false);
+}
+
+static void
+do_renew(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+
+	write_value(lse, lse->fence, false);
+}
+
+static void
+do_release(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+
+	write_value(lse, lse->value.fence, true);
+}
+
+static void
+do_extend(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+	int64_t lease_us = (int64_t)lse->conf.lease_ms * 1000;
+
+	lse->deadline_us = lse->sent_us + lease_us - margin_us(lse);
+	lse->renew_us = lse->sent_us + lease_us / 3;
+}
+
+static void
+do_gain(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+
+	lse->fence = lse->written.fence;
+	lse->highest = lse->fence;
+	do_extend(lse, NULL);
+	lse->ops->gained(lse->fence, lse->ctx);
+	lse->ops->tell(lse->fence, lse->conf.self, lse->ctx);
+}
+
+static void
+do_lose(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+
+	lse->fence = 0;
+	lse->ops->lost(lse->ctx);
+}
+
+static void
+do_retry_soon(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+
+	lse->renew_us = lse->now_us + RETRY_MS * 1000;
+}
+
+static void
+do_count_refused(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+
+	lse->refused++;
+}
+
+static void
+do_tell_free(void *ctx, const void *event_data)
+{
+	struct lse *lse = ctx;
+
+	lse->ops->tell(lse->written.fence, "", lse->ctx);
+}
+
+static const struct chart_guard guards[] = {
+	{ "may_claim", may_claim },
+	{ "read_due", read_due },
+	{ "in_time", in_time },
+	{ "lapsed", lapsed },
+	{ "renew_due", renew_due },
+	{ NULL, NULL },
+};
+
+static const struct chart_action actions[] = {
+	{ "read", do_read },
+	{ "claim", do_claim },
+	{ "renew", do_renew },
+	{ "release", do_release },
+	{ "extend", do_extend },
+	{ "gain", do_gain },
+	{ "lose", do_lose },
+	{ "retry_soon", do_retry_soon },
+	{ "count_refused", do_count_refused },
+	{ "tell_free", do_tell_free },
+	{ NULL, NULL },
+};
+
+static const struct chart_binding binding = { guards, actions };
+
+/* ------------------------------------------------------------------ */
+/* Events                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+step(struct lse *lse, int64_t now_us, enum lse_event event)
+{
+	if (chart_is_final(lse->chart, lse->state))
+		return;
+	lse->now_us = now_us;
+	lse->state =
+	    chart_step(lse->chart, lse->state, lse->events[event], lse, NULL);
+	if (chart_is_final(lse->chart, lse->state))
+		lse->ops->left(lse->ctx);
+}
+
+struct chart *
+lse_chart(const char *dir, struct err *err)
+{
+	return chart_load(dir, "lease", &binding, err);
+}
+
+struct lse *
+lse_new(const struct chart *chart, const struct lse_conf *conf,
+    const struct lse_ops *ops, void *ctx)
+{
+	struct lse *lse = g_new0(struct lse, 1);
+	int i;
+
+	lse->chart = chart;
+	lse->state = chart_start(chart);
+	for (i = 0; i < EVENTS; i++)
+		lse->events[i] = chart_event(chart, event_names[i]);
+	lse->held = chart_state(chart, "held");
+	lse->renewing = chart_state(chart, "renewing");
+	lse->conf = *conf;
+	lse->ops = ops;
+	lse->ctx = ctx;
+	lse->rank = NO_RANK;
+	lse->read_begun_us = INT64_MIN;
+	lse->read_us = INT64_MIN;
+	return lse;
+}
+
+void
+lse_free(struct lse *lse)
+{
+	g_free(lse);
+}
+
+void
+lse_tick(struct lse *lse, int64_t now_us)
+{
+	step(lse, now_us, EVENT_TICK);
+}
+
+void
+lse_set_rank(struct lse *lse, int64_t now_us, unsigned int rank)
+{
+	if (rank == lse->rank)
+		return;
+	if (rank >= CANDIDATES && lse->fence == 0)
+		lse->seen = false; /* nothing is read any more */
+	if (lse->rank >= CANDIDATES || rank >= CANDIDATES)
+		lse->read_due_us = now_us;
+	lse->rank = rank;
+	lse->ranked_us = now_us;
+}
+
+void
+lse_hint(struct lse *lse, int64_t now_us, uint64_t fence)
+{
+	lse->highest = MAX(lse->highest, fence);
+	if (!lse->seen || fence >= lse->value.fence)
+		lse->read_due_us = now_us;
+	lse_tick(lse, now_us);
+}
+
+void
+lse_read_done(struct lse *lse, int64_t now_us, bool ok, uint64_t version,
+    const char *value)
+{
+	bool idle;
+
+	lse->reading = false;
+	lse->now_us = now_us;
+	/* A write under way makes an answer that crossed it worthless. */
+	idle = lse->read_begun_us >= lse->sent_us;
+	if (ok && idle && lse->fence == 0) {
+		take_seen(lse, version, value, lse->read_begun_us);
+		lse->read_us = lse->read_begun_us;
+	}
+	lse_tick(lse, now_us);
+}
+
+void
+lse_write_done(struct lse *lse, int64_t now_us, enum lse_outcome outcome,
+    uint64_t version, const char *value)
+{
+	bool ours;
+
+	lse->now_us = now_us;
+	switch (outcome) {
+	case LSE_WRITTEN:
+		lse->seen = true;
+		lse->version = version;
+		lse->value = lse->written;
+		lse->seen_us = now_us;
+		step(lse, now_us, EVENT_WRITTEN);
+		break;
+	case LSE_REFUSED:
+		take_seen(lse, version, value, now_us);
+		/* An earlier renewal whose answer was lost did take effect. */
+		ours = is_mine(lse) && lse->fence != 0 &&
+		    lse->value.fence == lse->fence && !lse->value.handed_over;
+		step(lse, now_us, ours ? EVENT_FAILED : EVENT_REFUSED);
+		break;
+	case LSE_FAILED:
+		step(lse, now_us, EVENT_FAILED);
+		break;
+	}
+}
+
+void
+lse_leave(struct lse *lse, int64_t now_us)
+{
+	step(lse, now_us, EVENT_LEAVE);
+}
+
+uint64_t
+lse_fence(const struct lse *lse, int64_t now_us)
+{
+	if (lse->state != lse->held && lse->state != lse->renewing)
+		return 0;
+	/* Asked before every order: after a pause the loop may come here
+	 * before the tick that would have noticed the end of the lease. */
+	return now_us < lse->deadline_us ? lse->fence : 0;
+}
+
+const char *
+lse_state_name(const struct lse *lse)
+{
+	return chart_state_name(lse->chart, lse->state);
+}
+
+unsigned int
+lse_refused(const struct lse *lse)
+{
+	return lse->refused;
+}
--- /dev/null
+++ b/lib/agree/lse_internal.h
@@ -0,0 +1,74 @@
+#ifndef LSE_INTERNAL_H
+#define LSE_INTERNAL_H
+
+/*
+ * Decisions of one candidate for one leased role, without I/O. The role is
+ * the object `leases/ROLE`; what may happen when is in charts/lease.yaml.
+ *
+ * No host's clock is compared with another's: the holder counts from before
+ * it sent its renewal, a candidate from when it first saw that renewal, which
+ * is later. Each measures the lease on its own monotonic clock, so that the
+ * holder stops before a candidate begins whatever the delays were.
+ */
+
+#include "agree/agree.h"
+#include "chart/chart.h"
+
+#define LSE_KEY_PREFIX "leases/"
+
+struct lse_value {
+	char holder[MEM_ID_MAX + 1];
+	uint64_t life; /* the holder's, so that a restart is somebody else */
+	uint64_t fence;
+	uint64_t lease_ms;
+	bool handed_over;
+};
+char *lse_value_text(const struct lse_value *value); /* g_free */
+bool lse_value_read(const char *text, struct lse_value *out);
+
+struct lse_ops {
+	void (*read)(void *ctx);
+	void (*write)(const char *value, uint64_t if_version,
+	    unsigned int limit_ms, void *ctx);
+	void (*gained)(uint64_t fence, void *ctx);
+	void (*lost)(void *ctx);
+	/* To be told to the members; `holder` is "" when given up. */
+	void (*tell)(uint64_t fence, const char *holder, void *ctx);
+	void (*left)(void *ctx); /* last call */
+};
+
+struct lse_conf {
+	const char *self; /* id */
+	uint64_t life;
+	unsigned int lease_ms;
+};
+
+struct lse;
+/* The chart is shared by all roles of a process. */
+struct chart *lse_chart(const char *dir, struct err *err);
+struct lse *lse_new(const struct chart *chart, const struct lse_conf *conf,
+    const struct lse_ops *ops, void *ctx);
+void lse_free(struct lse *lse);
+void lse_tick(struct lse *lse, int64_t now_us);
+/* Place among the live entries other than the holder; 0 claims. */
+void lse_set_rank(struct lse *lse, int64_t now_us, unsigned int rank);
+/* The members say that the role changed hands or became free. */
+void lse_hint(struct lse *lse, int64_t now_us, uint64_t fence);
+/* `version` 0: the object is absent. `value` NULL: the read failed. */
+void lse_read_done(struct lse *lse, int64_t now_us, bool ok, uint64_t version,
+    const char *value);
+enum lse_outcome {
+	LSE_WRITTEN,
+	LSE_REFUSED,
+	LSE_FAILED,
+};
+/* On LSE_REFUSED `version` and `value` are what is there. */
+void lse_write_done(struct lse *lse, int64_t now_us, enum lse_outcome outcome,
+    uint64_t version, const char *value);
+void lse_leave(struct lse *lse, int64_t now_us);
+/* Fencing number while surely held, else 0. */
+uint64_t lse_fence(const struct lse *lse, int64_t now_us);
+const char *lse_state_name(const struct lse *lse);
+unsigned int lse_refused(const struct lse *lse);
+
+#endif
--- /dev/null
+++ b/tests/agree/test_lse.c
@@ -0,0 +1,432 @@
+/*
+ * Lease decisions of three candidates on a fake clock, against an object in
+ * memory whose calls take time, fail, or lose their answers.
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "agree/lse_internal.h"
+
+#define NODES 3
+#define LEASE_MS 3000
+#define STEP_MS 20
+
+struct call {
+	bool running;
+	bool is_write;
+	char *value;
+	uint64_t if_version;
+	int64_t apply_ms, answer_ms;
+	enum lse_outcome outcome;
+	bool read_ok;
+	uint64_t version;
+	char *found;
+};
+
+struct candidate {
+	struct world *world;
+	struct lse *lse;
+	char id[8];
+	struct call calls[2]; /* one read, one write at most */
+	int64_t paused_until_ms;
+	unsigned int gained, lost;
+	uint64_t last_fence;
+	bool left;
+};
+
+struct world {
+	struct chart *chart;
+	struct candidate nodes[NODES];
+	int64_t now_ms;
+	uint64_t version;
+	char *value;
+	bool down;
+	unsigned int lose_permille;
+	unsigned int delay_ms; /* largest */
+	struct rng rng;
+	uint64_t highest; /* fence ever given */
+	unsigned int reads, writes, refused;
+};
+
+static void
+begin(struct candidate *c, struct call *call)
+{
+	struct world *w = c->world;
+
+	assert_false(call->running);
+	call->running = true;
+	call->apply_ms = w->now_ms + (int64_t)rng_below(&w->rng, w->delay_ms);
+	call->answer_ms =
+	    call->apply_ms + 1 + (int64_t)rng_below(&w->rng, w->delay_ms);
+}
+
+static void
+on_read(void *ctx)
+{
+	struct candidate *c = ctx;
+
+	c->calls[0].is_write = false;
+	begin(c, &c->calls[0]);
+}
+
+static void
+on_write(
+    const char *value, uint64_t if_version, unsigned int limit_ms, void *ctx)
+{
+	struct candidate *c = ctx;
+	struct call *call = &c->calls[1];
+
+	call->is_write = true;
+	call->value = g_strdup(value);
+	call->if_version = if_version;
+	begin(c, call);
+}
+
+static void
+on_gained(uint64_t fence, void *ctx)
+{
+	struct candidate *c = ctx;
+
+	assert_true(fence > c->world->highest);
+	c->world->highest = fence;
+	c->last_fence = fence;
+	c->gained++;
+}
+
+static void
+on_lost(void *ctx)
+{
+	struct candidate *c = ctx;
+
+	c->lost++;
+}
+
+static void
+on_tell(uint64_t fence, const char *holder, void *ctx)
+{
+	struct candidate *c = ctx;
+	int i;
+
+	for (i = 0; i < NODES; i++) {
+		if (&c->world->nodes[i] != c)
+			lse_hint(c->world->nodes[i].lse,
+			    c->world->now_ms * 1000, fence);
+	}
+}
+
+static void
+on_left(void *ctx)
+{
+	struct candidate *c = ctx;
+
+	c->left = true;
+}
+
+static const struct lse_ops ops = {
+	.read = on_read,
+	.write = on_write,
+	.gained = on_gained,
+	.lost = on_lost,
+	.tell = on_tell,
+	.left = on_left,
+};
+
+static void
+apply(struct world *w, struct call *call)
+{
+	call->apply_ms = INT64_MAX;
+	call->read_ok = !w->down;
+	call->outcome = LSE_FAILED;
+	if (w->down)
+		return;
+	if (call->is_write && call->if_version == w->version) {
+		g_free(w->value);
+		w->value = g_strdup(call->value);
+		w->version++;
+		w->writes++;
+		call->outcome = LSE_WRITTEN;
+	} else if (call->is_write) {
+		w->refused++;
+		call->outcome = LSE_REFUSED;
+	} else {
+		w->reads++;
+	}
+	call->version = w->version;
+	call->found = g_strdup(w->value);
+	if (rng_below(&w->rng, 1000) < w->lose_permille) {
+		call->outcome = LSE_FAILED;
+		call->read_ok = false;
+	}
+}
+
+static void
+answer(struct candidate *c, struct call *call)
+{
+	int64_t now_us = c->world->now_ms * 1000;
+	char *found = call->found, *value = call->value;
+
+	call->running = false;
+	call->found = call->value = NULL;
+	if (call->is_write)
+		lse_write_done(
+		    c->lse, now_us, call->outcome, call->version, found);
+	else
+		lse_read_done(
+		    c->lse, now_us, call->read_ok, call->version, found);
+	g_free(found);
+	g_free(value);
+}
+
+static unsigned int
+holders(struct world *w)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < NODES; i++)
+		n += lse_fence(w->nodes[i].lse, w->now_ms * 1000) != 0;
+	return n;
+}
+
+static void
+run_ms(struct world *w, int64_t ms)
+{
+	int64_t end = w->now_ms + ms;
+	struct candidate *c;
+	int i, j;
+
+	for (; w->now_ms < end; w->now_ms += STEP_MS) {
+		for (i = 0; i < NODES; i++) {
+			c = &w->nodes[i];
+			for (j = 0; j < 2; j++) {
+				if (c->calls[j].running &&
+				    w->now_ms >= c->calls[j].apply_ms)
+					apply(w, &c->calls[j]);
+			}
+			if (w->now_ms < c->paused_until_ms)
+				continue;
+			for (j = 0; j < 2; j++) {
+				if (c->calls[j].running &&
+				    w->now_ms >= c->calls[j].answer_ms)
+					answer(c, &c->calls[j]);
+			}
+			lse_tick(c->lse, w->now_ms * 1000);
+		}
+		assert_true(holders(w) <= 1);
+	}
+}
+
+static struct world *
+world_new(uint64_t seed)
+{
+	struct world *w = g_new0(struct world, 1);
+	struct err err = { 0 };
+	struct lse_conf conf;
+	int i;
+
+	w->chart = lse_chart(SOURCE_DIR "/charts", &err);
+	if (w->chart == NULL)
+		fail_msg("%s", err.message);
+	w->delay_ms = 20;
+	w->now_ms = 100000;
+	rng_seed(&w->rng, seed);
+	for (i = 0; i < NODES; i++) {
+		w->nodes[i].world = w;
+		snprintf(w->nodes[i].id, sizeof(w->nodes[i].id), "e%d", i);
+		conf = (struct lse_conf){
+			.self = w->nodes[i].id,
+			.life = 7,
+			.lease_ms = LEASE_MS,
+		};
+		w->nodes[i].lse = lse_new(w->chart, &conf, &ops, &w->nodes[i]);
+		lse_set_rank(w->nodes[i].lse, w->now_ms * 1000, (unsigned)i);
+	}
+	return w;
+}
+
+static void
+world_free(struct world *w)
+{
+	int i, j;
+
+	for (i = 0; i < NODES; i++) {
+		for (j = 0; j < 2; j++) {
+			g_free(w->nodes[i].calls[j].found);
+			g_free(w->nodes[i].calls[j].value);
+		}
+		lse_free(w->nodes[i].lse);
+	}
+	chart_free(w->chart);
+	g_free(w->value);
+	g_free(w);
+}
+
+/* What the members' view does when the holder is `holder`. */
+static void
+rank_without(struct world *w, int holder)
+{
+	int i;
+	unsigned int rank = 0;
+
+	for (i = 0; i < NODES; i++) {
+		lse_set_rank(w->nodes[i].lse, w->now_ms * 1000,
+		    i == holder ? 0 : rank++);
+	}
+}
+
+/* First in rank claims, and no write is refused as long as nothing fails. */
+static void
+test_steady_state_refuses_nothing(void **state)
+{
+	struct world *w = world_new(1);
+
+	run_ms(w, 3000);
+	assert_int_equal(w->nodes[0].gained, 1);
+	rank_without(w, 0);
+	run_ms(w, 60000);
+	assert_int_equal(w->nodes[0].gained, 1);
+	assert_int_equal(w->nodes[0].lost, 0);
+	assert_int_equal(w->refused, 0);
+	print_message("steady 60 s: reads=%u writes=%u\n", w->reads, w->writes);
+	assert_true(w->writes < 70);
+	world_free(w);
+}
+
+/*
+ * The holder dies. Orders stop; the next in rank must wait until the holder
+ * surely knows that it has lapsed, and take over within a second of that.
+ */
+static void
+test_crash_costs_one_lease_and_a_second(void **state)
+{
+	struct world *w;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 50; seed++) {
+		w = world_new(seed);
+		run_ms(w, 3000);
+		rank_without(w, 0);
+		run_ms(w, 2000 + (int64_t)seed * 37);
+		w->nodes[0].paused_until_ms = INT64_MAX;
+		run_ms(w, LEASE_MS + 1000);
+		assert_int_equal(w->nodes[1].gained, 1);
+		assert_int_equal(w->refused, 0);
+		world_free(w);
+	}
+}
+
+/* The holder leaves: the next in rank has the role a moment later. */
+static void
+test_planned_handover_is_at_once(void **state)
+{
+	struct world *w = world_new(1);
+
+	run_ms(w, 3000);
+	rank_without(w, 0);
+	run_ms(w, 5000);
+	lse_leave(w->nodes[0].lse, w->now_ms * 1000);
+	assert_int_equal(lse_fence(w->nodes[0].lse, w->now_ms * 1000), 0);
+	run_ms(w, 300);
+	assert_true(w->nodes[0].left);
+	assert_int_equal(w->nodes[1].gained, 1);
+	assert_int_equal(w->refused, 0);
+	world_free(w);
+}
+
+/*
+ * The holder pauses past its lease and believes, on waking, that it leads.
+ * Asked before an order, it must say no, though nothing told it yet.
+ */
+static void
+test_paused_holder_finds_out_before_it_acts(void **state)
+{
+	struct world *w = world_new(1);
+	uint64_t fence;
+
+	run_ms(w, 3000);
+	rank_without(w, 0);
+	fence = lse_fence(w->nodes[0].lse, w->now_ms * 1000);
+	assert_int_equal(fence, 1);
+	w->nodes[0].paused_until_ms = w->now_ms + 10000;
+	run_ms(w, 9900);
+	assert_int_equal(lse_fence(w->nodes[0].lse, w->now_ms * 1000), 0);
+	assert_int_equal(w->nodes[1].last_fence, 2);
+	run_ms(w, 5000);
+	assert_int_equal(w->nodes[0].lost, 1);
+	assert_int_equal(w->nodes[0].gained, 1);
+	world_free(w);
+}
+
+/*
+ * The object API is away for longer than the lease. The holder stops in
+ * time, nobody takes over meanwhile, and one of them does when it is back.
+ */
+static void
+test_api_outage_lapses_and_recovers(void **state)
+{
+	struct world *w = world_new(1);
+
+	run_ms(w, 3000);
+	rank_without(w, 0);
+	w->down = true;
+	run_ms(w, 20000);
+	assert_int_equal(holders(w), 0);
+	w->down = false;
+	run_ms(w, 3000);
+	assert_int_equal(holders(w), 1);
+	assert_true(w->refused <= 1);
+	world_free(w);
+}
+
+/*
+ * Pauses, slow calls, lost answers, an API that comes and goes, changing
+ * ranks, all at random: never two holders (asserted at each step in run_ms)
+ * and never a fencing number given twice (asserted in on_gained).
+ */
+static void
+test_never_two_holders(void **state)
+{
+	struct world *w;
+	uint64_t seed;
+	int round, i;
+
+	for (seed = 1; seed <= 60; seed++) {
+		w = world_new(seed);
+		w->delay_ms = 1 + (unsigned)rng_below(&w->rng, 3000);
+		w->lose_permille = 200;
+		for (round = 0; round < 60; round++) {
+			i = (int)rng_below(&w->rng, NODES);
+			if (rng_below(&w->rng, 2) == 0)
+				w->nodes[i].paused_until_ms = w->now_ms +
+				    (int64_t)rng_below(&w->rng, 8000);
+			w->down = rng_below(&w->rng, 8) == 0;
+			rank_without(w, (int)rng_below(&w->rng, NODES));
+			run_ms(w, (int64_t)rng_below(&w->rng, 6000));
+		}
+		w->down = false;
+		w->lose_permille = 0;
+		w->delay_ms = 20;
+		run_ms(w, 30000);
+		assert_int_equal(holders(w), 1);
+		world_free(w);
+	}
+}
+
+int
+main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_steady_state_refuses_nothing),
+		cmocka_unit_test(test_crash_costs_one_lease_and_a_second),
+		cmocka_unit_test(test_planned_handover_is_at_once),
+		cmocka_unit_test(test_paused_holder_finds_out_before_it_acts),
+		cmocka_unit_test(test_api_outage_lapses_and_recovers),
+		cmocka_unit_test(test_never_two_holders),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
