Settings: schemas of the process file and the branches, their page and examples

Cause: programs need one place that says which settings exist, and operators a page that cannot drift from it. Change: cfg_node_schema, cfg_branch_schema and cfg_root_schema as tables; cfg_check_node and cfg_check_branch for what needs more than one key; docs/SETTINGS.md printed by build/tools/print_settings (make settings-page), compared by a test; three examples that the tests load.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 lint: install-deps
 	sh tools/lint.sh
 
+settings-page: build
+	$(BUILD)/tools/print_settings >docs/SETTINGS.md
+
 bench-weights: build
 	N="$(N)" SEED="$(SEED)" sh bench/weights.sh $(BUILD)
 
@@ -46,5 +49,5 @@
 clean:
 	rm -rf build build-asan out
 
-.PHONY: all install-deps build asan demo check model fmt lint bench-weights \
+.PHONY: all install-deps build asan demo check model fmt lint settings-page bench-weights \
 	bench-requests bench-control capacity clean
--- /dev/null
+++ b/lib/common/cfg_rules.c
@@ -0,0 +1,188 @@
+/* Settings: checks that need more than one key, and the printed page. */
+
+#include <string.h>
+
+#include "common/common.h"
+
+static bool
+check_target(const struct cfg *node, size_t i, struct err *err)
+{
+	char *path = g_strdup_printf("side.targets.%zu", i);
+	const char *name = cfg_str(node, "%s.name", path);
+	bool ok = true;
+	size_t j;
+
+	if (strcmp(cfg_str(node, "%s.kind", path), "service") == 0 &&
+	    !cfg_has(node, "%s.service", path))
+		ok = cfg_refuse(node, path, "a key `service`", err,
+		    "a service without its name");
+	for (j = 0; ok && j < i; j++) {
+		if (strcmp(cfg_str(node, "side.targets.%zu.name", j), name) ==
+		    0)
+			ok = cfg_refuse(node, path, "each name once", err,
+			    "target '%s' is given twice", name);
+	}
+	g_free(path);
+	return ok;
+}
+
+bool
+cfg_check_node(const struct cfg *node, struct err *err)
+{
+	int64_t gossip_ms = cfg_int(node, "timing.gossip_ms");
+	size_t i;
+
+	/* One lost datagram would make every peer a suspect. */
+	if (cfg_int(node, "timing.suspect_ms") < 2 * gossip_ms)
+		return cfg_refuse(node, "timing.suspect_ms",
+		    "at least twice timing.gossip_ms", err, "too short");
+	for (i = 0; i < cfg_count(node, "side.targets"); i++) {
+		if (!check_target(node, i, err))
+			return false;
+	}
+	return true;
+}
+
+static bool
+check_version(const struct cfg *branch, const char *model, const char *path,
+    struct err *err)
+{
+	const char *version = cfg_str(branch, "%s", path);
+
+	/* A dot would reach into the version's own keys. */
+	if (cfg_key_valid(version) &&
+	    cfg_has(branch, "models.%s.versions.%s", model, version))
+		return true;
+	return cfg_refuse(branch, path, "a key of the model's `versions`", err,
+	    "unknown version '%s'", version);
+}
+
+static bool
+check_rollout(const struct cfg *branch, const char *model, struct err *err)
+{
+	char *path = g_strdup_printf("models.%s.rollout.version", model);
+	bool ok = true;
+
+	if (cfg_has(branch, "%s", path))
+		ok = check_version(branch, model, path, err);
+	g_free(path);
+	return ok;
+}
+
+static bool
+check_shares(const struct cfg *branch, const char *model, struct err *err)
+{
+	size_t n = cfg_count(branch, "models.%s.rules", model);
+	int64_t sum = 0;
+	bool ok = true;
+	char *path;
+	size_t i;
+
+	for (i = 0; ok && i < n; i++) {
+		path = g_strdup_printf("models.%s.rules.%zu.version", model, i);
+		ok = check_version(branch, model, path, err);
+		sum += cfg_int(branch, "models.%s.rules.%zu.weight", model, i);
+		g_free(path);
+	}
+	if (!ok || n == 0 || sum > 0)
+		return ok;
+	path = g_strdup_printf("models.%s.rules", model);
+	cfg_refuse(
+	    branch, path, "a weight above 0", err, "no rule takes any request");
+	g_free(path);
+	return false;
+}
+
+static bool
+check_models(const struct cfg *branch, struct err *err)
+{
+	const char *model;
+	size_t i;
+
+	for (i = 0; (model = cfg_key(branch, i, "models")) != NULL; i++) {
+		if (!check_rollout(branch, model, err) ||
+		    !check_shares(branch, model, err))
+			return false;
+	}
+	return true;
+}
+
+static bool
+check_bound(const struct cfg *root, const struct cfg *branch, const char *what,
+    struct err *err)
+{
+	int64_t bound =
+	    cfg_int(root, "teams.%s.%s", cfg_str(branch, "team"), what);
+	char *path = g_strdup_printf("limits.%s", what);
+	char *allowed = g_strdup_printf("at most %" G_GINT64_FORMAT, bound);
+	bool ok = true;
+
+	if (cfg_int(branch, "%s", path) > bound)
+		ok = cfg_refuse(branch, path, allowed, err,
+		    "above the root branch's bound");
+	g_free(allowed);
+	g_free(path);
+	return ok;
+}
+
+static bool
+check_root_bounds(
+    const struct cfg *root, const struct cfg *branch, struct err *err)
+{
+	const char *team = cfg_str(branch, "team");
+
+	if (!cfg_has(root, "teams.%s", team))
+		return cfg_refuse(branch, "team",
+		    "a key of the root branch's `teams`", err,
+		    "unknown team '%s'", team);
+	return check_bound(root, branch, "requests_s", err) &&
+	    check_bound(root, branch, "queue", err);
+}
+
+bool
+cfg_check_branch(
+    const struct cfg *root, const struct cfg *branch, struct err *err)
+{
+	if (strcmp(cfg_str(branch, "team"), CFG_ROOT_TEAM) == 0)
+		return cfg_refuse(branch, "team", "a team's own name", err,
+		    "the root branch's name");
+	if (cfg_int(branch, "limits.default_deadline_ms") >
+	    cfg_int(branch, "limits.max_deadline_ms"))
+		return cfg_refuse(branch, "limits.default_deadline_ms",
+		    "at most limits.max_deadline_ms", err, "too long");
+	if (root != NULL && !check_root_bounds(root, branch, err))
+		return false;
+	return check_models(branch, err);
+}
+
+void
+cfg_print_settings(GString *out)
+{
+	g_string_append(out,
+	    "# Settings\n\n"
+	    "Printed from the schemas in `lib/common/cfg_schema*.c` by "
+	    "`make settings-page`; edit those.\n\n"
+	    "Settings are YAML: one document, without anchors, aliases or "
+	    "tags. Keys are 1 to 64 letters, digits, `_` and `-`.\n"
+	    "In the tables `*` stands for any key and `[]` for each item of a "
+	    "list. `required` means: within its parent, where the\nparent is "
+	    "given. A document is checked whole before any of it is used; a "
+	    "refusal reads\n"
+	    "`FILE:LINE: key 'a.b': what is wrong; allowed: ...`. Examples "
+	    "are in `docs/examples`.\n\n"
+	    "## A process's file\n\n"
+	    "Beyond the table: `timing.suspect_ms` is at least twice "
+	    "`timing.gossip_ms`, targets' names differ, and a target of\n"
+	    "kind `service` names its service.\n\n");
+	cfg_print_schema(&cfg_node_schema, out);
+	g_string_append(out,
+	    "\n## A team's branch\n\n"
+	    "Beyond the table: the team is one of the root branch's `teams` "
+	    "and its `limits` are within the bounds there, the\ndefault "
+	    "deadline is within the longest, each version named in `rollout` "
+	    "and `rules` is one of the model's `versions`,\nand rules, where "
+	    "given, have some weight above 0.\n\n");
+	cfg_print_schema(&cfg_branch_schema, out);
+	g_string_append(out, "\n## The root branch (`platform`)\n\n");
+	cfg_print_schema(&cfg_root_schema, out);
+}
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -457,4 +457,23 @@
 /* Markdown table of a schema: key, type, unit, default, bounds, meaning. */
 void cfg_print_schema(const struct cfg_schema *schema, GString *out);
 
+/* ------------------------------------------------------------------ */
+/* Settings of this system; docs/SETTINGS.md is printed from them       */
+/* ------------------------------------------------------------------ */
+
+#define CFG_ROOT_TEAM "platform" /* owns the root branch */
+
+extern const struct cfg_schema cfg_node_schema; /* one file a process */
+extern const struct cfg_schema cfg_branch_schema; /* a team's branch */
+extern const struct cfg_schema cfg_root_schema; /* the root branch */
+
+/* What a schema cannot say. The trees were parsed with the schemas above;
+ * errors are those of cfg_refuse. */
+bool cfg_check_node(const struct cfg *node, struct err *err);
+/* Also when the root changes, for every branch. `root` NULL leaves out the
+ * checks against the root branch. */
+bool cfg_check_branch(
+    const struct cfg *root, const struct cfg *branch, struct err *err);
+void cfg_print_settings(GString *out); /* the whole of docs/SETTINGS.md */
+
 #endif
