--- /dev/null
+++ b/lib/agree/agr_pull.c
@@ -0,0 +1,292 @@
+/*
+ * Take-overs by TCP: the table of members, or the branches of settings. The
+ * asking side dials; the answering side gets the question on one of the
+ * program's accepted connections.
+ */
+
+#include <string.h>
+
+#include "agree/agr_internal.h"
+
+#define PULL_LIMIT_MS 5000 /* a stalled peer is given up; others are there */
+
+enum pull_type {
+	TYPE_SYNC = 66, /* asker: what I know */
+	TYPE_PAGE = 67, /* records that the other lacks */
+	TYPE_LACKING = 68, /* answerer, after its pages: keys that I lack */
+	TYPE_SYNC_END = 69, /* asker, after its pages; echoed */
+	TYPE_ASK = 70, /* asker: versions that I know */
+	TYPE_BRANCH = 71,
+	TYPE_ASK_END = 72,
+};
+
+struct msg_blob {
+	struct slice blob;
+};
+static const struct msg_field blob_fields[] = {
+	MSG_FIELD(struct msg_blob, blob, MSG_BIN, 0),
+};
+static const struct msg_desc sync_desc =
+    MSG_DESC(TYPE_SYNC, "sync", struct msg_blob, blob_fields);
+static const struct msg_desc page_desc =
+    MSG_DESC(TYPE_PAGE, "page", struct msg_blob, blob_fields);
+static const struct msg_desc lacking_desc =
+    MSG_DESC(TYPE_LACKING, "lacking", struct msg_blob, blob_fields);
+static const struct msg_desc sync_end_desc =
+    MSG_DESC(TYPE_SYNC_END, "sync_end", struct msg_blob, blob_fields);
+static const struct msg_desc ask_desc =
+    MSG_DESC(TYPE_ASK, "ask", struct msg_blob, blob_fields);
+
+struct msg_branch {
+	struct slice name;
+	uint64_t version;
+	struct slice yaml;
+};
+static const struct msg_field branch_fields[] = {
+	MSG_FIELD(struct msg_branch, name, MSG_STR, INF_BRANCH_MAX),
+	MSG_FIELD(struct msg_branch, version, MSG_U64, 0),
+	MSG_FIELD(struct msg_branch, yaml, MSG_STR, OBJ_VALUE_MAX),
+};
+static const struct msg_desc branch_desc =
+    MSG_DESC(TYPE_BRANCH, "branch", struct msg_branch, branch_fields);
+
+struct msg_ask_end {
+	uint64_t ready; /* 0: the answering node has not begun itself */
+	struct slice roles; /* notes of the roles */
+};
+static const struct msg_field ask_end_fields[] = {
+	MSG_FIELD(struct msg_ask_end, ready, MSG_U64, 1),
+	MSG_FIELD(struct msg_ask_end, roles, MSG_BIN, 0),
+};
+static const struct msg_desc ask_end_desc =
+    MSG_DESC(TYPE_ASK_END, "ask_end", struct msg_ask_end, ask_end_fields);
+
+static void
+send_blob(struct conn *c, const struct msg_desc *desc, GByteArray *blob)
+{
+	struct msg_blob m = { .blob = { blob->data, blob->len } };
+
+	conn_send(c, desc, &m);
+	g_byte_array_unref(blob);
+}
+
+static void
+send_page(struct slice page, void *ctx)
+{
+	struct msg_blob m = { .blob = page };
+
+	conn_send(ctx, &page_desc, &m);
+}
+
+/* ------------------------------------------------------------------ */
+/* Answering                                                           */
+/* ------------------------------------------------------------------ */
+
+static void
+send_branch(const struct inf_branch *branch, void *ctx)
+{
+	struct msg_branch m = {
+		.name = slice_str(branch->name),
+		.version = branch->version,
+		.yaml = slice_str(branch->yaml),
+	};
+
+	conn_send(ctx, &branch_desc, &m);
+}
+
+static void
+answer_ask(struct agr *agr, struct conn *c, struct slice known)
+{
+	GByteArray *roles = mem_roles(agr->mem);
+	struct msg_ask_end end = {
+		.ready = agr->ready,
+		.roles = { roles->data, roles->len },
+	};
+
+	inf_each_newer(agr->inf, known, send_branch, c);
+	conn_send(c, &ask_end_desc, &end);
+	g_byte_array_unref(roles);
+}
+
+bool
+agr_message(struct agr *agr, struct conn *c, const struct msg *m)
+{
+	int64_t now_us = agr_now_us(agr);
+	struct msg_blob blob;
+
+	switch (m->type) {
+	case TYPE_SYNC:
+		if (!msg_read(m, &sync_desc, &blob, NULL))
+			break;
+		send_blob(c, &lacking_desc,
+		    mem_sync_answer(agr->mem, now_us, blob.blob, send_page, c));
+		return true;
+	case TYPE_PAGE:
+		if (!msg_read(m, &page_desc, &blob, NULL))
+			break;
+		mem_sync_page(agr->mem, now_us, blob.blob);
+		return true;
+	case TYPE_SYNC_END:
+		conn_send(c, &sync_end_desc, &(struct msg_blob){ 0 });
+		return true;
+	case TYPE_ASK:
+		if (!msg_read(m, &ask_desc, &blob, NULL))
+			break;
+		answer_ask(agr, c, blob.blob);
+		return true;
+	default:
+		return false;
+	}
+	conn_close(c); /* malformed */
+	return true;
+}
+
+/* ------------------------------------------------------------------ */
+/* Asking                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+on_opened(struct conn *c, void *ctx)
+{
+	struct pull *p = ctx;
+
+	if (p->agr == NULL)
+		return;
+	if (p->kind == PULL_MEMBERS)
+		send_blob(c, &sync_desc, mem_sync_list(p->agr->mem));
+	else
+		send_blob(c, &ask_desc, inf_known(p->agr->inf));
+}
+
+static void
+take_branch(struct pull *p, const struct msg *m)
+{
+	struct msg_branch branch;
+	char *name, *yaml;
+
+	if (!msg_read(m, &branch_desc, &branch, NULL))
+		return;
+	name = slice_dup(branch.name);
+	yaml = slice_dup(branch.yaml);
+	agr_adopt(p->agr, name, branch.version, yaml, p->address);
+	g_free(name);
+	g_free(yaml);
+}
+
+static void
+take_ask_end(struct pull *p, const struct msg *m)
+{
+	struct msg_ask_end end;
+
+	if (!msg_read(m, &ask_end_desc, &end, NULL))
+		return;
+	mem_sync_roles(p->agr->mem, agr_now_us(p->agr), end.roles);
+	agr_settings_told(p->agr, p->address, end.ready != 0);
+}
+
+static void
+on_message(struct conn *c, const struct msg *m, void *ctx)
+{
+	struct pull *p = ctx;
+	struct agr *agr = p->agr;
+	struct msg_blob blob;
+
+	if (agr == NULL)
+		return;
+	switch (m->type) {
+	case TYPE_PAGE:
+		if (msg_read(m, &page_desc, &blob, NULL))
+			mem_sync_page(agr->mem, agr_now_us(agr), blob.blob);
+		return;
+	case TYPE_LACKING:
+		if (!msg_read(m, &lacking_desc, &blob, NULL))
+			break;
+		mem_sync_records(agr->mem, blob.blob, send_page, c);
+		conn_send(c, &sync_end_desc, &(struct msg_blob){ 0 });
+		return;
+	case TYPE_BRANCH:
+		take_branch(p, m);
+		return;
+	case TYPE_ASK_END:
+		take_ask_end(p, m);
+		break;
+	default: /* TYPE_SYNC_END, or nothing that we asked for */
+		break;
+	}
+	conn_close(c);
+}
+
+static void
+on_closed(struct conn *c, const struct err *why, void *ctx)
+{
+	struct pull *p = ctx;
+	struct agr *agr = p->agr;
+	enum pull_kind kind = p->kind;
+
+	if (p->timer != 0)
+		g_source_remove(p->timer);
+	if (agr != NULL)
+		LIST_REMOVE(p, link);
+	g_free(p);
+	if (agr != NULL && kind == PULL_SETTINGS)
+		agr_settings_pulled(agr);
+}
+
+static const struct conn_ops pull_ops = {
+	.opened = on_opened,
+	.message = on_message,
+	.closed = on_closed,
+};
+
+static gboolean
+on_limit(gpointer data)
+{
+	struct pull *p = data;
+
+	p->timer = 0;
+	conn_close(p->conn);
+	return G_SOURCE_REMOVE;
+}
+
+void
+agr_pull(struct agr *agr, enum pull_kind kind, const char *address)
+{
+	struct pull *p;
+
+	LIST_FOREACH (p, &agr->pulls, link) {
+		if (p->kind == kind && strcmp(p->address, address) == 0)
+			return;
+	}
+	p = g_new0(struct pull, 1);
+	p->agr = agr;
+	p->kind = kind;
+	g_strlcpy(p->address, address, sizeof(p->address));
+	LIST_INSERT_HEAD(&agr->pulls, p, link);
+	ctr_add(kind == PULL_SETTINGS ? agr->pulls_count : agr->sync_count, 1);
+	p->timer = g_timeout_add(PULL_LIMIT_MS, on_limit, p);
+	p->conn = conn_dial(agr->conf.node, p->address, &pull_ops, p);
+}
+
+unsigned int
+agr_pulls(const struct agr *agr, enum pull_kind kind)
+{
+	const struct pull *p;
+	unsigned int n = 0;
+
+	LIST_FOREACH (p, &agr->pulls, link)
+		n += p->kind == kind;
+	return n;
+}
+
+/* The connections end by the loop, after the node is gone. */
+void
+agr_pulls_drop(struct agr *agr)
+{
+	struct pull *p;
+
+	while ((p = LIST_FIRST(&agr->pulls)) != NULL) {
+		LIST_REMOVE(p, link);
+		p->agr = NULL;
+		conn_close(p->conn);
+	}
+}
--- /dev/null
+++ b/lib/agree/agr_settings.c
@@ -0,0 +1,427 @@
+/*
+ * Settings: the few watchers' watch of the object API, the others' pulls
+ * from members, the start of a node, and writes.
+ */
+
+#include <string.h>
+
+#include "agree/agr_internal.h"
+
+#define LIST_DEADLINE_MS 3000
+#define LIST_PAUSE_US (2 * G_USEC_PER_SEC) /* after a failure */
+#define WRITE_DEADLINE_MS 5000
+#define PULLS_AT_ONCE 2 /* a third answer would bring the same */
+#define DIFFER_PAUSE_US (G_USEC_PER_SEC / 2)
+/* A side lets members tell it first: after a restart of all, a thousand
+ * lists and reads at once would be the API's next outage. */
+#define SIDE_LIST_WAIT_MS 1000
+
+/* ------------------------------------------------------------------ */
+/* Taking a branch                                                     */
+/* ------------------------------------------------------------------ */
+
+void
+agr_adopt(struct agr *agr, const char *name, uint64_t version, const char *yaml,
+    const char *source)
+{
+	struct mem_note note = {
+		.kind = MEM_NOTE_BRANCH,
+		.number = version,
+	};
+	struct err err = { 0 };
+
+	switch (inf_offer(agr->inf, name, version, yaml, &err)) {
+	case INF_OLD:
+		return;
+	case INF_REFUSED:
+		ctr_add(agr->refused_branches, 1);
+		log_warn("settings %s version %" G_GUINT64_FORMAT
+			 " from %s refused: %s",
+		    name, version, source, err.message);
+		return;
+	case INF_TAKEN:
+		break;
+	}
+	if (agr->conf.node->timeline != NULL) {
+		tl_add(agr->conf.node->timeline, "settings_in_force", name,
+		    "version=%" G_GUINT64_FORMAT " from=%s", version, source);
+	}
+	mem_set_settings(agr->mem, inf_digest(agr->inf));
+	g_strlcpy(note.name, name, sizeof(note.name));
+	mem_note(agr->mem, agr_now_us(agr), &note);
+	if (agr->ops->branch_changed != NULL)
+		agr->ops->branch_changed(inf_find(agr->inf, name), agr->ctx);
+}
+
+/* NULL for an object that is no branch. */
+static const char *
+branch_of(const char *key)
+{
+	if (!g_str_has_prefix(key, INF_KEY_PREFIX))
+		return NULL;
+	return key + strlen(INF_KEY_PREFIX);
+}
+
+/* ------------------------------------------------------------------ */
+/* Watching                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+on_watch_changed(
+    uint64_t revision, const struct obj_object *objects, size_t n, void *ctx)
+{
+	struct agr *agr = ctx;
+	const char *name;
+	size_t i;
+
+	agr->watch_works = true;
+	agr->revision = MAX(agr->revision, revision);
+	for (i = 0; i < n; i++) {
+		name = branch_of(objects[i].key);
+		if (name != NULL && objects[i].value != NULL)
+			agr_adopt(agr, name, objects[i].version,
+			    objects[i].value, "watch");
+	}
+}
+
+static void
+on_watch_lost(const struct err *err, void *ctx)
+{
+	struct agr *agr = ctx;
+
+	agr->watch_works = false;
+	log_warn("watch of the settings lost: %s", err->message);
+}
+
+static void
+on_watch_found(void *ctx)
+{
+	struct agr *agr = ctx;
+
+	agr->watch_works = true;
+	log_info("watch of the settings works again");
+}
+
+static const struct obj_watch_ops watch_ops = {
+	.changed = on_watch_changed,
+	.lost = on_watch_lost,
+	.found = on_watch_found,
+};
+
+static void
+stop_watch(struct agr *agr)
+{
+	if (agr->watch == NULL)
+		return;
+	obj_watch_stop(agr->watch);
+	agr->watch = NULL;
+	agr->watch_works = false;
+}
+
+void
+agr_settings_members(struct agr *agr)
+{
+	bool watcher = rank_is_watcher(agr->mem, agr->conf.self.id);
+
+	agr->start.peers_known = mem_count(agr->mem) - 1;
+	if (!watcher) {
+		stop_watch(agr);
+	} else if (agr->watch == NULL && agr->start.api_read) {
+		agr->watch = obj_watch_start(
+		    agr->obj, INF_KEY_PREFIX, agr->revision, &watch_ops, agr);
+		agr->watch_works = true; /* until it says otherwise */
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Members' news                                                       */
+/* ------------------------------------------------------------------ */
+
+void
+agr_settings_noted(
+    struct agr *agr, const struct mem_note *note, const char *from)
+{
+	if (from == NULL || !inf_is_news(agr->inf, note->name, note->number))
+		return;
+	if (agr_pulls(agr, PULL_SETTINGS) < PULLS_AT_ONCE) {
+		agr_pull(agr, PULL_SETTINGS, from);
+		return;
+	}
+	g_strlcpy(agr->later.address, from, sizeof(agr->later.address));
+	g_strlcpy(agr->later.branch, note->name, sizeof(agr->later.branch));
+	agr->later.version = note->number;
+}
+
+void
+agr_settings_pulled(struct agr *agr)
+{
+	if (agr->later.version == 0)
+		return;
+	if (inf_is_news(agr->inf, agr->later.branch, agr->later.version))
+		agr_pull(agr, PULL_SETTINGS, agr->later.address);
+	agr->later.version = 0;
+}
+
+/* Anti-entropy: the urgent note was lost, or we were away. */
+void
+agr_settings_differ(struct agr *agr, const char *from)
+{
+	int64_t now_us = agr_now_us(agr);
+
+	if (now_us < agr->differ_us ||
+	    agr_pulls(agr, PULL_SETTINGS) >= PULLS_AT_ONCE)
+		return;
+	agr->differ_us = now_us + DIFFER_PAUSE_US;
+	agr_pull(agr, PULL_SETTINGS, from);
+}
+
+/* ------------------------------------------------------------------ */
+/* Start                                                               */
+/* ------------------------------------------------------------------ */
+
+static void
+read_ended(struct agr *agr)
+{
+	if (agr->reading > 0)
+		return;
+	agr->listing = false;
+	agr->start.api_read = !agr->read_failed;
+	agr->start.api_failed = agr->read_failed;
+	agr->members_changed = true; /* a watch may begin */
+}
+
+static void
+on_read(const struct obj_object *object, const struct err *err, void *ctx)
+{
+	struct agr *agr = ctx;
+	const char *name;
+
+	if (agr->closing)
+		return;
+	agr->reading--;
+	if (err == NULL) {
+		name = branch_of(object->key);
+		agr_adopt(agr, name, object->version, object->value, "api");
+	} else if (err->code != ERR_NOT_FOUND) {
+		agr->read_failed = true;
+	}
+	read_ended(agr);
+}
+
+static void
+on_list(uint64_t revision, const struct obj_object *objects, size_t n,
+    const struct err *err, void *ctx)
+{
+	struct agr *agr = ctx;
+	const char *name;
+	size_t i;
+
+	if (agr->closing)
+		return;
+	agr->read_failed = err != NULL;
+	agr->list_us = agr_now_us(agr) + LIST_PAUSE_US;
+	if (err == NULL)
+		agr->revision = MAX(agr->revision, revision);
+	for (i = 0; i < n; i++) {
+		name = branch_of(objects[i].key);
+		if (name == NULL ||
+		    !inf_is_news(agr->inf, name, objects[i].version))
+			continue;
+		agr->reading++;
+		obj_get(
+		    agr->obj, objects[i].key, LIST_DEADLINE_MS, on_read, agr);
+	}
+	read_ended(agr);
+}
+
+static void
+list_when_due(struct agr *agr, int64_t now_us)
+{
+	if (agr->listing || agr->start.api_read || now_us < agr->list_us)
+		return;
+	if (agr->list_us == 0 && agr->conf.self.kind == MEM_SIDE) {
+		agr->list_us = agr->started_us +
+		    (int64_t)rng_below(&agr->rng, SIDE_LIST_WAIT_MS) * 1000;
+		return;
+	}
+	agr->listing = true;
+	obj_list(agr->obj, INF_KEY_PREFIX, LIST_DEADLINE_MS, on_list, agr);
+}
+
+void
+agr_settings_told(struct agr *agr, const char *address, bool ready)
+{
+	if (!ready)
+		return; /* may know less than was accepted */
+	g_hash_table_add(agr->told, g_strdup(address));
+	agr->start.peers_told = g_hash_table_size(agr->told);
+	agr_gates_told(agr);
+}
+
+/* Asks members until enough have told. */
+static void
+ask_members(struct agr *agr)
+{
+	const char *address;
+
+	if (inf_peers_told(&agr->start) || agr->start.peers_known == 0 ||
+	    agr_pulls(agr, PULL_SETTINGS) >= PULLS_AT_ONCE)
+		return;
+	address = mem_random_address(agr->mem);
+	if (address != NULL && !g_hash_table_contains(agr->told, address))
+		agr_pull(agr, PULL_SETTINGS, address);
+}
+
+void
+agr_settings_tick(struct agr *agr, int64_t now_us)
+{
+	list_when_due(agr, now_us);
+	ask_members(agr);
+	if (agr->ready)
+		return;
+	agr->start.waited_us = now_us - agr->started_us;
+	if (!inf_may_begin(&agr->start))
+		return;
+	agr->ready = true;
+	if (agr->conf.node->timeline != NULL) {
+		tl_add(agr->conf.node->timeline, "settings_ready",
+		    agr->conf.self.id, "branches=%u api=%s peers=%u",
+		    inf_count(agr->inf), agr->start.api_read ? "yes" : "no",
+		    agr->start.peers_told);
+	}
+	if (agr->ops->ready != NULL)
+		agr->ops->ready(agr->ctx);
+}
+
+void
+agr_settings_stop(struct agr *agr)
+{
+	stop_watch(agr);
+}
+
+/* ------------------------------------------------------------------ */
+/* Writing                                                             */
+/* ------------------------------------------------------------------ */
+
+struct write {
+	struct agr *agr;
+	char *name;
+	char *key;
+	char *yaml;
+	struct err refused;
+	agr_set_cb *done;
+	void *ctx;
+};
+
+static void
+write_free(struct write *w)
+{
+	g_free(w->name);
+	g_free(w->key);
+	g_free(w->yaml);
+	g_free(w);
+}
+
+static void
+on_written(uint64_t version, const struct obj_object *now,
+    const struct err *err, void *ctx)
+{
+	struct write *w = ctx;
+
+	/* In force here before the answer: who reads back what was just
+	 * accepted from this node must find it. */
+	if (err == NULL && !w->agr->closing)
+		agr_adopt(w->agr, w->name, version, w->yaml, "write");
+	w->done(version, now, err, w->ctx);
+	write_free(w);
+}
+
+static gboolean
+on_refused(gpointer data)
+{
+	struct write *w = data;
+
+	w->done(0, NULL, &w->refused, w->ctx);
+	write_free(w);
+	return G_SOURCE_REMOVE;
+}
+
+void
+agr_set_branch(struct agr *agr, const char *name, const char *yaml,
+    uint64_t if_version, const char *op, agr_set_cb *done, void *ctx)
+{
+	struct write *w = g_new0(struct write, 1);
+	struct obj_put put;
+
+	w->agr = agr;
+	w->name = g_strdup(name);
+	w->key = g_strconcat(INF_KEY_PREFIX, name, NULL);
+	w->yaml = g_strdup(yaml);
+	w->done = done;
+	w->ctx = ctx;
+	if (!inf_check_write(agr->inf, name, yaml, &w->refused)) {
+		g_idle_add(on_refused, w);
+		return;
+	}
+	put = (struct obj_put){
+		.key = w->key,
+		.op = op,
+		.value = w->yaml,
+		.conditional = true,
+		.if_version = if_version,
+		.deadline_ms = WRITE_DEADLINE_MS,
+	};
+	obj_put(agr->obj, &put, on_written, w);
+}
+
+/* ------------------------------------------------------------------ */
+/* Readers                                                             */
+/* ------------------------------------------------------------------ */
+
+const struct inf_branch *
+agr_branch(struct agr *agr, const char *name)
+{
+	return inf_find(agr->inf, name);
+}
+
+void
+agr_each_branch(struct agr *agr,
+    void (*each)(const struct inf_branch *branch, void *ctx), void *ctx)
+{
+	inf_each(agr->inf, each, ctx);
+}
+
+struct in_force {
+	uint64_t digest;
+	struct agr_in_force *out;
+	const char **overdue;
+	size_t max, n;
+};
+
+static void
+count_in_force(const struct mem_member *member, void *ctx)
+{
+	struct in_force *f = ctx;
+
+	f->out->nodes++;
+	if (member->settings >= f->digest)
+		f->out->in_force++;
+	else if (f->n < f->max)
+		f->overdue[f->n++] = member->node.id;
+}
+
+void
+agr_in_force(struct agr *agr, struct agr_in_force *out, const char **overdue,
+    size_t max, size_t *n_overdue)
+{
+	struct in_force f = {
+		.digest = inf_digest(agr->inf),
+		.out = out,
+		.overdue = overdue,
+		.max = max,
+	};
+
+	*out = (struct agr_in_force){ 0 };
+	mem_each(agr->mem, count_in_force, &f);
+	*n_overdue = f.n;
+}
--- a/lib/agree/agree.h
+++ b/lib/agree/agree.h
@@ -55,7 +55,8 @@
 	enum mem_state state;
 	/* Digest of the branch versions in force there; see inf_digest(). */
 	uint64_t settings;
-	/* Highest fencing number that node has seen on any order or lease. */
+	/* Sum over the roles of the highest fencing number known there; less
+	 * than ours means that news of a role has not arrived there. */
 	uint64_t fence;
 	int64_t since_us; /* when it came into this state, here */
 };
@@ -98,6 +99,7 @@
 	uint64_t seed;
 	const struct conn_node *node; /* must outlive agr */
 	struct plat *plat;
+	const char *charts; /* folder of lease.yaml; NULL: the source tree's */
 };
 
 struct agr_ops {
@@ -117,6 +119,12 @@
 /* Says "leaving" to the members; known everywhere within 2 s. */
 void agr_leave(struct agr *agr);
 bool agr_is_ready(const struct agr *agr);
+/*
+ * Time since this node knew, over any number of hops, of a working watch of
+ * the settings. A node that is cut off goes on serving what is in force and
+ * says so by this age.
+ */
+int64_t agr_settings_age_ms(const struct agr *agr);
 
 /* A message of type 60-79 on one of the process's connections; accepted
  * connections are the program's, so it hands these over. */
--- a/lib/agree/mem.c
+++ b/lib/agree/mem.c
@@ -316,6 +316,18 @@
 	mem_seen_settings(mem, mem->self, settings);
 }
 
+void
+mem_set_fresh(struct mem *mem, int64_t now_us)
+{
+	mem->fresh_us = MAX(mem->fresh_us, now_us);
+}
+
+int64_t
+mem_age_ms(const struct mem *mem, int64_t now_us)
+{
+	return MAX(now_us - mem->fresh_us, 0) / 1000;
+}
+
 static struct mem_noted *
 noted(const struct mem *mem, enum mem_note_kind kind, const char *name)
 {
@@ -428,6 +440,7 @@
 	announce(mem, mem->self, MEM_CLASS_ALIVE);
 	mem->last_tick_us = now_us;
 	mem->bytes_us = now_us;
+	mem->fresh_us = now_us;
 	/* Nodes started together must not probe in the same instant. */
 	mem->period_us =
 	    now_us + (int64_t)rng_below(&mem->rng, conf->gossip_ms * 250 + 1);
--- a/lib/agree/mem_internal.h
+++ b/lib/agree/mem_internal.h
@@ -30,6 +30,7 @@
 	uint64_t settings;
 	uint64_t fence;
 	uint64_t view; /* digest of the sender's table, see mem_view() */
+	uint64_t age_ms; /* since a watch of the settings was surely well */
 	struct slice updates;
 };
 
@@ -61,8 +62,8 @@
 	    const struct mem_msg *message, void *ctx);
 	/* New, changed state, or (MEM_DEAD) gone. */
 	void (*changed)(const struct mem_member *member, void *ctx);
-	/* A note with a higher number than any before; `from` is where the
-	 * teller answers. */
+	/* A note with a higher number than any before, or of a branch at
+	 * all; `from` is where the teller answers, NULL in a table sync. */
 	void (*noted)(const struct mem_note *note, const char *from, void *ctx);
 	/* The peer has other settings than we have. */
 	void (*settings_differ)(
@@ -85,7 +86,12 @@
 /* An address that may answer, from the host list. At most one is kept. */
 void mem_hint(struct mem *mem, const char *address);
 void mem_set_settings(struct mem *mem, uint64_t settings);
-/* Passes a note on to all members at once; false when it is not newer. */
+/* This node's watch of the settings works at this moment. */
+void mem_set_fresh(struct mem *mem, int64_t now_us);
+/* Time since a working watch was heard of, over any number of hops. */
+int64_t mem_age_ms(const struct mem *mem, int64_t now_us);
+/* Passes a note on to all members at once; false when it is not newer. Roles'
+ * notes are passed on by all who hear them, branches' only by this call. */
 bool mem_note(struct mem *mem, int64_t now_us, const struct mem_note *note);
 const struct mem_note *mem_find_note(
     const struct mem *mem, enum mem_note_kind kind, const char *name);
@@ -104,13 +110,15 @@
  */
 #define MEM_PAGE_BYTES (64u << 10)
 typedef void mem_page_cb(struct slice page, void *ctx);
+GByteArray *mem_roles(const struct mem *mem); /* notes */
 GByteArray *mem_sync_list(struct mem *mem);
-GByteArray *mem_sync_answer(struct mem *mem, int64_t now_us, const char *from,
-    struct slice list, mem_page_cb *page, void *ctx);
+GByteArray *mem_sync_answer(struct mem *mem, int64_t now_us, struct slice list,
+    mem_page_cb *page, void *ctx);
 void mem_sync_records(
     struct mem *mem, struct slice keys, mem_page_cb *page, void *ctx);
-void mem_sync_page(
-    struct mem *mem, int64_t now_us, const char *from, struct slice page);
+void mem_sync_page(struct mem *mem, int64_t now_us, struct slice page);
+/* The notes of mem_roles() only. */
+void mem_sync_roles(struct mem *mem, int64_t now_us, struct slice roles);
 
 /* ------------------------------------------------------------------ */
 /* Shared by the mem_*.c files only                                    */
@@ -175,6 +183,7 @@
 	struct mem_entry_list updates[MEM_CLASSES];
 	struct mem_entry_list digests;
 	LIST_HEAD(, mem_noted) notes;
+	int64_t fresh_us; /* when a watch was last known to work */
 	bool urgent; /* an update waits for its fan-out */
 	GArray *order; /* keys of the round robin, shuffled */
 	unsigned int next;
--- a/lib/agree/mem_probe.c
+++ b/lib/agree/mem_probe.c
@@ -37,6 +37,7 @@
 	int64_t gained = (now_us - mem->bytes_us) * MEM_BYTES_S;
 
 	gained /= G_USEC_PER_SEC;
+	/* Whole bytes only, or frequent calls would gain nothing. */
 	if (gained <= 0)
 		return;
 	mem->bytes = MIN(mem->bytes + gained, MEM_BYTES_BURST);
@@ -56,6 +57,7 @@
 		.settings = self->settings,
 		.fence = self->fence,
 		.view = mem->view,
+		.age_ms = (uint64_t)mem_age_ms(mem, mem->bytes_us),
 		.updates = { blob->data, blob->len },
 	};
 
@@ -479,6 +481,8 @@
 	if (m->incarnation < e->member.node.incarnation)
 		return; /* sent in an earlier life or before a refutation */
 	mem_seen_settings(mem, e, m->settings);
+	if (m->age_ms < INT32_MAX)
+		mem_set_fresh(mem, now_us - (int64_t)m->age_ms * 1000);
 	e->member.fence = MAX(e->member.fence, m->fence);
 	if (m->fence < self->fence)
 		mem_renote(mem);
--- a/lib/agree/mem_wire.c
+++ b/lib/agree/mem_wire.c
@@ -25,6 +25,7 @@
 	MSG_FIELD(struct mem_msg, settings, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, fence, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, view, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, age_ms, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, updates, MSG_BIN, DGRAM_MAX),
 };
 
@@ -277,7 +278,11 @@
 	    !get_text(&field[3], MEM_ID_MAX, note.text))
 		return;
 	note.kind = (enum mem_note_kind)kind;
-	if (mem_note_merge(mem, &note))
+	/* A branch is passed on once it is here, or those who hear of it from
+	 * us would ask us in vain. */
+	if (note.kind == MEM_NOTE_BRANCH)
+		mem->ops->noted(&note, from, mem->ctx);
+	else if (mem_note_merge(mem, &note))
 		mem->ops->noted(&note, from, mem->ctx);
 }
 
@@ -388,7 +393,6 @@
 static void
 page_missing(struct mem *mem, GHashTable *known, struct pages *p)
 {
-	const struct mem_noted *n;
 	const struct mem_entry *e;
 	const uint64_t *theirs;
 	guint i;
@@ -409,8 +413,8 @@
 }
 
 GByteArray *
-mem_sync_answer(struct mem *mem, int64_t now_us, const char *from,
-    struct slice list, mem_page_cb *page, void *ctx)
+mem_sync_answer(struct mem *mem, int64_t now_us, struct slice list,
+    mem_page_cb *page, void *ctx)
 {
 	GByteArray *lacking = g_byte_array_new();
 	GHashTable *known = read_list(list);
@@ -459,9 +463,14 @@
 }
 
 void
-mem_sync_page(
-    struct mem *mem, int64_t now_us, const char *from, struct slice page)
+mem_sync_page(struct mem *mem, int64_t now_us, struct slice page)
 {
 	mem->joined = true;
-	mem_take_updates(mem, now_us, from, page);
+	mem_take_updates(mem, now_us, NULL, page);
+}
+
+void
+mem_sync_roles(struct mem *mem, int64_t now_us, struct slice roles)
+{
+	mem_take_updates(mem, now_us, NULL, roles);
 }
--- /dev/null
+++ b/lib/agree/rank.c
@@ -0,0 +1,123 @@
+/*
+ * Places by rendezvous hash: nodes with the same view of the members compute
+ * the same order, so that only the first in rank writes and no conditional
+ * write is refused (the claim plan of docs/AGREEMENT.md). A different view
+ * costs a refused write, never two owners.
+ */
+
+#include <string.h>
+
+#include "agree/agr_internal.h"
+
+/* Watchers over all domains: with one domain each, three domains are needed
+ * for a paused watcher not to hold back news. */
+#define WATCHERS 3
+
+static uint64_t
+score(const char *role, const char *id)
+{
+	return hash64(hash64(0, role, strlen(role)), id, strlen(id));
+}
+
+struct role_rank {
+	const char *role;
+	const char *holder;
+	const char *self;
+	uint64_t own;
+	unsigned int better;
+};
+
+static void
+count_better(const struct mem_member *member, void *ctx)
+{
+	struct role_rank *r = ctx;
+	uint64_t theirs;
+
+	/* A suspect keeps its place: it may be a stalled link, and ranks that
+	 * change with each suspicion make writes meet. */
+	if (member->node.kind != MEM_ENTRY || member->state == MEM_LEAVING ||
+	    strcmp(member->node.id, r->holder) == 0 ||
+	    strcmp(member->node.id, r->self) == 0)
+		return;
+	theirs = score(r->role, member->node.id);
+	r->better += theirs > r->own;
+}
+
+unsigned int
+rank_for_role(
+    struct mem *mem, const char *role, const char *holder, const char *self)
+{
+	struct role_rank r = {
+		.role = role,
+		.holder = holder,
+		.self = self,
+		.own = score(role, self),
+	};
+
+	if (strcmp(holder, self) == 0)
+		return 0;
+	if (mem_self(mem)->state == MEM_LEAVING)
+		return UINT_MAX;
+	mem_each(mem, count_better, &r);
+	return r.better;
+}
+
+struct watch_rank {
+	const struct mem_member *self;
+	GHashTable *domains;
+	uint64_t own;
+	unsigned int better;
+	bool entries; /* an entry lives in our domain */
+};
+
+static bool
+is_candidate(const struct mem_member *member)
+{
+	return member->state == MEM_ALIVE || member->state == MEM_SUSPECT;
+}
+
+static void
+see_domain(const struct mem_member *member, void *ctx)
+{
+	struct watch_rank *w = ctx;
+
+	if (!is_candidate(member))
+		return;
+	g_hash_table_add(w->domains, (gpointer)member->node.domain);
+	if (member->node.kind == MEM_ENTRY &&
+	    strcmp(member->node.domain, w->self->node.domain) == 0)
+		w->entries = true;
+}
+
+static void
+count_better_watcher(const struct mem_member *member, void *ctx)
+{
+	struct watch_rank *w = ctx;
+
+	if (!is_candidate(member) ||
+	    strcmp(member->node.domain, w->self->node.domain) != 0 ||
+	    (w->entries && member->node.kind != MEM_ENTRY))
+		return;
+	w->better += score("settings", member->node.id) > w->own;
+}
+
+bool
+rank_is_watcher(struct mem *mem, const char *self)
+{
+	struct watch_rank w = {
+		.self = mem_self(mem),
+		.own = score("settings", self),
+	};
+	unsigned int domains;
+
+	if (!is_candidate(w.self))
+		return false;
+	w.domains = g_hash_table_new(g_str_hash, g_str_equal);
+	mem_each(mem, see_domain, &w);
+	domains = g_hash_table_size(w.domains);
+	g_hash_table_unref(w.domains);
+	if (w.entries && w.self->node.kind != MEM_ENTRY)
+		return false;
+	mem_each(mem, count_better_watcher, &w);
+	return w.better < MAX(1, (WATCHERS + domains - 1) / domains);
+}
--- a/tests/agree/test_mem.c
+++ b/tests/agree/test_mem.c
@@ -122,12 +122,10 @@
 give_page(struct slice page, void *ctx)
 {
 	struct page_to *p = ctx;
-	char from[32];
 
-	snprintf(from, sizeof(from), "10.0.0.1:%u", 1000 + p->from->number);
 	p->from->bytes += (int64_t)page.len;
 	p->to->bytes += (int64_t)page.len;
-	mem_sync_page(p->to->mem, now_us(p->to->net), from, page);
+	mem_sync_page(p->to->mem, now_us(p->to->net), page);
 }
 
 static void
@@ -144,7 +142,7 @@
 	list = mem_sync_list(node->mem);
 	node->bytes += list->len;
 	peer->bytes += list->len;
-	lacking = mem_sync_answer(peer->mem, now_us(net), "",
+	lacking = mem_sync_answer(peer->mem, now_us(net),
 	    (struct slice){ list->data, list->len }, give_page, &to_us);
 	mem_sync_records(node->mem,
 	    (struct slice){ lacking->data, lacking->len }, give_page, &to_peer);
