--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -7,8 +7,9 @@
  * under way and leaves the rest to its completion.
  */
 
-#include <stdlib.h>
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "platform/platform_internal.h"
 
@@ -23,6 +24,7 @@
 	void *ctx;
 	SoupMessage *message;
 	GInputStream *body;
+	GSocket *socket; /* of the exchange's own connection */
 	GCancellable *cancel;
 	guint deadline_timer, stall_timer, idle;
 	unsigned int stall_ms;
@@ -32,7 +34,7 @@
 	bool dropped; /* the owner cancelled; no more callbacks */
 	bool sent; /* libsoup began to write the request */
 	bool not_run; /* the target said so */
-	bool framed; /* the end of the answer can be told from a cut */
+	uint64_t received; /* bytes of the answer's body */
 	struct err why; /* why the call was given up, if it was */
 	uint8_t buffer[READ_BYTES];
 };
@@ -96,6 +98,12 @@
 {
 	detach(call);
 	close_body(call);
+	if (call->socket != NULL) {
+		/* Nobody would use it again; libsoup sees the end and
+		 * drops its side. */
+		g_socket_shutdown(call->socket, TRUE, TRUE, NULL);
+		g_object_unref(call->socket);
+	}
 	if (call->message != NULL) {
 		g_signal_handlers_disconnect_by_data(call->message, call);
 		g_object_unref(call->message);
@@ -160,15 +168,63 @@
 	return (unsigned int)seconds * 1000;
 }
 
+/*
+ * libsoup takes a chunked answer that was cut between two chunks for whole: a
+ * stream whose target dies between two tokens would end as if it were
+ * complete. What libsoup took for the end was then the end of the connection, which
+ * shows on the socket for good; after a whole answer the connection is
+ * still open, as we never ask for its end. A target that closes it all the same right
+ * after its last chunk cannot be told from one that died.
+ */
+static bool
+is_open(GSocket *socket)
+{
+	char byte;
+
+	if (socket == NULL || g_socket_is_closed(socket))
+		return false;
+	return recv(g_socket_get_fd(socket), &byte, 1,
+		   MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/*
+ * An answer that neither has a length nor comes in chunks looks the same when
+ * the target died half way; and libsoup takes one that is shorter than its
+ * Content-Length for whole when the target had announced that it
+ * closes the connection.
+ */
+static bool
+is_whole(const struct target_call *call)
+{
+	SoupMessageHeaders *headers =
+	    soup_message_get_response_headers(call->message);
+	unsigned int status = soup_message_get_status(call->message);
+
+	if (soup_message_get_method(call->message) == SOUP_METHOD_HEAD ||
+	    status == SOUP_STATUS_NO_CONTENT ||
+	    status == SOUP_STATUS_NOT_MODIFIED)
+		return true;
+	switch (soup_message_headers_get_encoding(headers)) {
+	case SOUP_ENCODING_CHUNKED:
+		return is_open(call->socket);
+	case SOUP_ENCODING_CONTENT_LENGTH:
+		return call->received ==
+		    (uint64_t)soup_message_headers_get_content_length(headers);
+	default:
+		return false;
+	}
+}
+
 static void
-end_whole(struct target_call *call)
+end_body(struct target_call *call)
 {
 	struct err err = { .code = ERR_NONE, .verdict = VERDICT_RAN };
 	unsigned int status = soup_message_get_status(call->message);
 
-	if (!call->framed) {
+	if (!is_whole(call)) {
 		err_set(&err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN,
-		    "an answer without length ended");
+		    "an answer was cut");
 	}
 	if (call->not_run) {
 		err_set(&err, refusal_code(status), VERDICT_NOT_RUN,
@@ -261,9 +317,10 @@
 	} else if (n < 0 || err_is(&call->why)) {
 		end_failed(call, error);
 	} else if (n == 0) {
-		end_whole(call);
+		end_body(call);
 	} else {
 		call->last_byte_us = clk_now_us(call->plat->clock);
+		call->received += (uint64_t)n;
 		call->ops.data(call->buffer, (size_t)n, call->ctx);
 		call->busy = false;
 		if (call->dropped)
@@ -274,22 +331,6 @@
 	g_clear_error(&error);
 }
 
-/*
- * An answer whose end is only the end of the connection looks the same when the target died
- * half way: the caller would take a cut answer for a whole one.
- */
-static bool
-is_framed(SoupMessage *message, SoupMessageHeaders *headers)
-{
-	unsigned int status = soup_message_get_status(message);
-
-	if (soup_message_get_method(message) == SOUP_METHOD_HEAD ||
-	    status == SOUP_STATUS_NO_CONTENT ||
-	    status == SOUP_STATUS_NOT_MODIFIED)
-		return true;
-	return soup_message_headers_get_encoding(headers) != SOUP_ENCODING_EOF;
-}
-
 static void
 take_head(struct target_call *call)
 {
@@ -300,7 +341,6 @@
 	    soup_message_headers_get_one(headers, "X-Not-Run");
 
 	call->last_byte_us = clk_now_us(call->plat->clock);
-	call->framed = is_framed(call->message, headers);
 	call->not_run = status >= 400 && g_strcmp0(not_run, "1") == 0;
 	call->ops.head(status, headers, call->ctx);
 	call->busy = false;
@@ -335,23 +375,16 @@
 	call->sent = true;
 }
 
-/*
- * libsoup by itself sends a GET, PUT, DELETE and the like a second time when a
- * kept-alive connection closes before any byte of the answer. The target
- * may have run the first: it would run twice on one attempt, and nobody
- * would count it. It emits `restarted` before it asks for another connection, and a
- * message that is cancelled by then is not sent again. (A POST always goes
- * over a new connection and is never sent again.)
- */
 static void
-on_restarted(SoupMessage *message, gpointer data)
+on_network_event(SoupMessage *message, GSocketClientEvent event,
+    GIOStream *stream, gpointer data)
 {
 	struct target_call *call = data;
 
-	if (call->dropped)
+	if (event != G_SOCKET_CLIENT_CONNECTED || call->socket != NULL)
 		return;
-	give_up(call, ERR_UNAVAILABLE,
-	    "the connection was closed before an answer");
+	call->socket = g_object_ref(
+	    g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream)));
 }
 
 static void
@@ -365,10 +398,6 @@
 		if (!is_hop_header(h[0]))
 			soup_message_headers_append(headers, h[0], h[1]);
 	}
-	/* A connection opened for a POST would stay idle in the pool, as
-	 * the next POST opens its own: hundreds a second would pile up. */
-	if (strcmp(request->method, "POST") == 0)
-		soup_message_headers_replace(headers, "Connection", "close");
 }
 
 static void
@@ -386,15 +415,25 @@
 	g_free(type);
 }
 
+/*
+ * Each exchange has a connection of its own. Over a kept one, libsoup by itself
+ * sends a GET, PUT, DELETE and the like a second time when the
+ * connection closes before any byte of the answer: the target would run it
+ * twice on one attempt, and nobody would count it. And a request written to
+ * a connection that is just being closed would be MAY_HAVE_RUN for
+ * nothing. A first exchange on a connection is never repeated.
+ */
 static SoupMessage *
 new_message(const struct target_request *request)
 {
 	char *uri = g_strconcat(request->base, request->path, NULL);
+	SoupMessageFlags flags =
+	    SOUP_MESSAGE_NEW_CONNECTION | SOUP_MESSAGE_NO_REDIRECT;
 	SoupMessage *message = soup_message_new(request->method, uri);
 
 	g_free(uri);
 	if (message != NULL)
-		soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+		soup_message_add_flags(message, flags);
 	return message;
 }
 
@@ -429,7 +468,7 @@
 	g_signal_connect(
 	    call->message, "starting", G_CALLBACK(on_starting), call);
 	g_signal_connect(
-	    call->message, "restarted", G_CALLBACK(on_restarted), call);
+	    call->message, "network-event", G_CALLBACK(on_network_event), call);
 	start_timers(call, request);
 	call->busy = true;
 	soup_session_send_async(call->plat->session, call->message,
--- /dev/null
+++ b/tests/platform/test_target.c
@@ -0,0 +1,460 @@
+/* Exchanges with a target: pieces, pause, limits, and the verdict of each end. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "server.h"
+
+struct fixture {
+	struct server server;
+	struct ctr_set *counters;
+	struct plat *plat;
+	struct target_call *call;
+	unsigned int status;
+	GString *data;
+	bool ended;
+	struct err err;
+	bool cancel_in_head;
+};
+
+static void
+on_head(unsigned int status, SoupMessageHeaders *headers, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	f->status = status;
+	if (f->cancel_in_head)
+		target_call_cancel(f->call);
+}
+
+static void
+on_data(const uint8_t *bytes, size_t len, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	g_string_append_len(f->data, (const char *)bytes, (gssize)len);
+}
+
+static void
+on_ended(const struct err *err, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	assert_false(f->ended);
+	f->ended = true;
+	f->err = *err;
+}
+
+static const struct target_ops ops = {
+	.head = on_head,
+	.data = on_data,
+	.ended = on_ended,
+};
+
+static void
+serve(struct peer *peer, void *ctx)
+{
+	const char *path = peer->path;
+
+	if (strcmp(path, "/close") == 0) {
+		peer_close(peer);
+	} else if (strcmp(path, "/chunks") == 0) {
+		peer_text(peer,
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n");
+	} else if (strcmp(path, "/stream") == 0) {
+		peer_text(peer,
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "3\r\none\r\n");
+	} else if (strcmp(path, "/cut") == 0) {
+		peer_text(
+		    peer, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+		peer_close(peer);
+	} else if (strcmp(path, "/cut-close") == 0) {
+		peer_text(peer,
+		    "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		    "Content-Length: 9\r\n\r\nhalf");
+		peer_close(peer);
+	} else if (strcmp(path, "/cut-chunk") == 0) {
+		peer_text(peer,
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "3\r\non");
+		peer_close(peer);
+	} else if (strcmp(path, "/cut-chunks") == 0) {
+		peer_text(peer,
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "3\r\none\r\n");
+		peer_close(peer);
+	} else if (strcmp(path, "/unframed") == 0) {
+		peer_text(peer, "HTTP/1.1 200 OK\r\n\r\nall or half");
+		peer_close(peer);
+	} else if (strcmp(path, "/refuse") == 0) {
+		peer_answer(
+		    peer, 503, "X-Not-Run: 1\r\nRetry-After: 2\r\n", "full");
+	} else if (strcmp(path, "/fail") == 0) {
+		peer_answer(peer, 503, "", "down");
+	} else if (strcmp(path, "/redirect") == 0) {
+		peer_answer(peer, 302, "Location: /ok\r\n", "");
+	} else if (strcmp(path, "/login") == 0) {
+		peer_answer(
+		    peer, 401, "WWW-Authenticate: Basic realm=\"x\"\r\n", "");
+	} else if (strcmp(path, "/zip") == 0) {
+		peer_answer(
+		    peer, 200, "Content-Encoding: gzip\r\n", "not gzip");
+	} else if (strcmp(path, "/hang") != 0) {
+		peer_answer(peer, 200, "", peer->body);
+	}
+}
+
+static int
+setup(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+
+	f->counters = ctr_set_new();
+	f->plat = plat_new(clk_system(), f->counters, NULL);
+	f->data = g_string_new(NULL);
+	server_start(&f->server, serve, f);
+	*state = f;
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	plat_free(f->plat);
+	run_for(10);
+	server_stop(&f->server);
+	ctr_set_free(f->counters);
+	g_string_free(f->data, TRUE);
+	g_free(f);
+	return 0;
+}
+
+static void
+start(struct fixture *f, struct target_request request)
+{
+	GBytes *body = g_bytes_new_static("hello", 5);
+
+	if (request.base == NULL)
+		request.base = f->server.base;
+	if (request.method == NULL)
+		request.method = "POST";
+	if (strcmp(request.method, "POST") == 0)
+		request.body = body;
+	f->ended = false;
+	g_string_truncate(f->data, 0);
+	f->call = target_call_start(f->plat, &request, &ops, f);
+	assert_false(f->ended);
+	g_bytes_unref(body);
+}
+
+static void
+exchange(struct fixture *f, const char *method, const char *path)
+{
+	start(f, (struct target_request){ .method = method, .path = path });
+	run_until(&f->ended);
+}
+
+static void
+assert_end(const struct fixture *f, enum err_code code, enum verdict verdict)
+{
+	assert_string_equal(err_code_name(f->err.code), err_code_name(code));
+	assert_string_equal(
+	    verdict_name(f->err.verdict), verdict_name(verdict));
+}
+
+static void
+test_whole_answers(void **state)
+{
+	struct fixture *f = *state;
+
+	exchange(f, "POST", "/echo");
+	assert_end(f, ERR_NONE, VERDICT_RAN);
+	assert_int_equal(f->status, 200);
+	assert_string_equal(f->data->str, "hello");
+	exchange(f, "GET", "/chunks");
+	assert_end(f, ERR_NONE, VERDICT_RAN);
+	assert_string_equal(f->data->str, "onetwo");
+}
+
+/* An answer of whatever status is handed on as it is: an error is an answer too. */
+static void
+test_answers_are_not_acted_on(void **state)
+{
+	static const struct {
+		const char *path;
+		unsigned int status;
+	} rows[] = { { "/fail", 503 }, { "/redirect", 302 }, { "/login", 401 },
+		{ "/zip", 200 } };
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		exchange(f, "GET", rows[i].path);
+		assert_end(f, ERR_NONE, VERDICT_RAN);
+		assert_int_equal(f->status, rows[i].status);
+		assert_int_equal(f->server.requests, i + 1);
+	}
+	assert_string_equal(f->data->str, "not gzip");
+}
+
+/*
+ * The caller is told NOT_RUN and repeats a booking elsewhere. Nobody listens
+ * at the address, so that no byte of the request went anywhere.
+ */
+static void
+test_connection_refused_is_not_run(void **state)
+{
+	struct fixture *f = *state;
+	char base[40];
+
+	closed_base(base);
+	start(f, (struct target_request){ .base = base, .path = "/" });
+	run_until(&f->ended);
+	assert_end(f, ERR_UNAVAILABLE, VERDICT_NOT_RUN);
+	start(f, (struct target_request){ .base = "nonsense", .path = "/" });
+	run_until(&f->ended);
+	assert_end(f, ERR_INVALID, VERDICT_NOT_RUN);
+}
+
+static void
+test_refusal_of_the_target_is_not_run(void **state)
+{
+	struct fixture *f = *state;
+
+	exchange(f, "POST", "/refuse");
+	assert_end(f, ERR_UNAVAILABLE, VERDICT_NOT_RUN);
+	assert_int_equal(f->err.retry_after_ms, 2000);
+	assert_int_equal(f->status, 503);
+	assert_string_equal(f->data->str, "full");
+}
+
+/*
+ * The caller sees an error, never a short answer that passes for whole. The
+ * target dies half way, or ends an answer in a way that does not tell a
+ * whole one from a cut one. libsoup alone takes `/cut-chunks`, a stream whose
+ * target dies between two tokens, and `/cut-close` for whole.
+ */
+static void
+test_cut_answers_may_have_run(void **state)
+{
+	static const char *const paths[] = { "/cut", "/cut-close",
+		"/cut-chunks", "/cut-chunk", "/unframed" };
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		exchange(f, "POST", paths[i]);
+		assert_end(f, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN);
+		exchange(f, "GET", paths[i]);
+		assert_end(f, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN);
+	}
+}
+
+/*
+ * A target that has answered before reads a request and dies before its answer.
+ * Over the connection kept from before, libsoup alone would send a GET,
+ * PUT or DELETE again by itself, and the target would run it twice on one
+ * attempt. The caller is told MAY_HAVE_RUN, and the target saw the request once.
+ */
+static void
+test_nothing_is_sent_twice(void **state)
+{
+	static const char *const methods[] = { "GET", "PUT", "DELETE", "HEAD",
+		"OPTIONS", "POST", "PATCH" };
+	struct fixture *f = *state;
+	unsigned int before;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(methods); i++) {
+		exchange(f, "GET", "/warm");
+		assert_end(f, ERR_NONE, VERDICT_RAN);
+		before = f->server.requests;
+		exchange(f, methods[i], "/close");
+		assert_end(f, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN);
+		run_for(20);
+		assert_int_equal(f->server.requests, before + 1);
+	}
+}
+
+/* Otherwise some hundred requests a second leave as many idle connections. */
+static void
+test_no_connection_is_left(void **state)
+{
+	struct fixture *f = *state;
+
+	exchange(f, "POST", "/echo");
+	exchange(f, "GET", "/echo");
+	run_for(20);
+	assert_int_equal(f->server.conns, 2);
+	assert_int_equal(f->server.hangups, 2);
+}
+
+static void
+test_deadline(void **state)
+{
+	struct fixture *f = *state;
+
+	start(f, (struct target_request){ .path = "/hang", .deadline_ms = 30 });
+	run_until(&f->ended);
+	assert_end(f, ERR_DEADLINE, VERDICT_MAY_HAVE_RUN);
+	start(
+	    f, (struct target_request){ .path = "/stream", .deadline_ms = 60 });
+	run_until(&f->ended);
+	assert_end(f, ERR_DEADLINE, VERDICT_MAY_HAVE_RUN);
+	assert_string_equal(f->data->str, "one");
+	run_for(20);
+	assert_int_equal(f->server.hangups, 2);
+}
+
+/*
+ * The link stalls without closing: the caller would wait for the whole
+ * deadline. Before the head and between two pieces alike the exchange ends soon, and
+ * the connection is closed.
+ */
+static void
+test_stall(void **state)
+{
+	static const char *const paths[] = { "/hang", "/stream" };
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		start(f,
+		    (struct target_request){ .path = paths[i],
+			.stall_ms = 40,
+			.deadline_ms = 60000 });
+		run_until(&f->ended);
+		assert_end(f, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN);
+	}
+	assert_string_equal(f->data->str, "one");
+	run_for(20);
+	assert_int_equal(f->server.hangups, 2);
+}
+
+/*
+ * A slow caller holds back its stream by a pause. The silence is ours and
+ * not the target's: no stall; the deadline counts on.
+ */
+static void
+test_pause_holds_back_without_stall(void **state)
+{
+	struct fixture *f = *state;
+
+	start(f, (struct target_request){ .path = "/chunks", .stall_ms = 20 });
+	target_call_pause(f->call, true);
+	run_for(100);
+	assert_false(f->ended);
+	assert_int_equal(f->status, 200);
+	assert_int_equal(f->data->len, 0);
+	target_call_pause(f->call, false);
+	run_until(&f->ended);
+	assert_end(f, ERR_NONE, VERDICT_RAN);
+	assert_string_equal(f->data->str, "onetwo");
+	start(
+	    f, (struct target_request){ .path = "/chunks", .deadline_ms = 40 });
+	target_call_pause(f->call, true);
+	run_until(&f->ended);
+	assert_end(f, ERR_DEADLINE, VERDICT_MAY_HAVE_RUN);
+}
+
+/*
+ * The caller hangs up. The target has to see the connection close, or its
+ * slot goes on working for nobody; libsoup alone would read on to the end.
+ */
+static void
+test_cancel_closes_the_connection(void **state)
+{
+	static const char *const paths[] = { "/hang", "/stream" };
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		start(f, (struct target_request){ .path = paths[i] });
+		run_for(50);
+		target_call_cancel(f->call);
+		run_for(50);
+		assert_false(f->ended);
+		assert_int_equal(f->server.hangups, i + 1);
+	}
+	start(f, (struct target_request){ .path = "/stream" });
+	target_call_pause(f->call, true);
+	run_for(50);
+	target_call_cancel(f->call);
+	run_for(50);
+	assert_int_equal(f->server.hangups, 3);
+	f->cancel_in_head = true;
+	start(f, (struct target_request){ .path = "/stream" });
+	run_for(50);
+	assert_int_equal(f->server.hangups, 4);
+	assert_false(f->ended);
+}
+
+/* Calls that run when the process stops end once, with a verdict. */
+static void
+test_session_closed(void **state)
+{
+	struct fixture *f = *state;
+
+	start(f, (struct target_request){ .path = "/hang" });
+	run_for(50);
+	plat_free(f->plat);
+	f->plat = NULL;
+	assert_true(f->ended);
+	assert_end(f, ERR_CANCELLED, VERDICT_MAY_HAVE_RUN);
+	run_for(50);
+	assert_int_equal(f->server.hangups, 1);
+}
+
+/* Headers of the caller's own connection would break the one to the target. */
+static void
+test_hop_headers_stay_behind(void **state)
+{
+	static const char *const headers[] = { "X-Request-Id", "r1",
+		"Content-Length", "999", "Transfer-Encoding", "chunked", NULL };
+	struct fixture *f = *state;
+
+	start(
+	    f, (struct target_request){ .path = "/echo", .headers = headers });
+	run_until(&f->ended);
+	assert_end(f, ERR_NONE, VERDICT_RAN);
+	assert_string_equal(f->data->str, "hello");
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_whole_answers, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_answers_are_not_acted_on, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_connection_refused_is_not_run, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_refusal_of_the_target_is_not_run, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_cut_answers_may_have_run, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_nothing_is_sent_twice, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_no_connection_is_left, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_deadline, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_stall, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_pause_holds_back_without_stall, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_cancel_closes_the_connection, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_session_closed, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_hop_headers_stay_behind, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
