--- a/lib/platform/fetch.c
+++ b/lib/platform/fetch.c
@@ -8,10 +8,10 @@
 	struct target_call *call;
 	fetch_cb *done;
 	void *ctx;
+	struct ctr *stalls;
 	size_t max_bytes;
 	GByteArray *body;
 	struct fetch_answer answer;
-	bool too_large;
 };
 
 static void
@@ -71,6 +71,15 @@
 	g_byte_array_append(fetch->body, bytes, (guint)len);
 }
 
+static void
+on_stalled(void *ctx)
+{
+	struct fetch *fetch = ctx;
+
+	if (fetch->stalls != NULL)
+		ctr_add(fetch->stalls, 1);
+}
+
 static void
 on_ended(const struct err *err, void *ctx)
 {
@@ -94,6 +103,7 @@
 static const struct target_ops fetch_ops = {
 	.head = on_head,
 	.data = on_data,
+	.stalled = on_stalled,
 	.ended = on_ended,
 };
 
@@ -106,6 +116,7 @@
 
 	fetch->done = done;
 	fetch->ctx = ctx;
+	fetch->stalls = request->stalls;
 	fetch->max_bytes = request->max_bytes;
 	fetch->call = target_call_start(plat,
 	    &(struct target_request){
@@ -157,6 +168,7 @@
 	err_set(err, status_code(answer->status),
 	    answer->not_run ? VERDICT_NOT_RUN : VERDICT_RAN,
 	    "answered with status %u", answer->status);
-	err->retry_after_ms = answer->retry_after_ms;
+	if (err != NULL)
+		err->retry_after_ms = answer->retry_after_ms;
 	return false;
 }
--- /dev/null
+++ b/lib/platform/hosts.c
@@ -0,0 +1,88 @@
+/* The platform's list of hosts. It lags: a hint, not the truth. */
+
+#include <string.h>
+
+#include "platform/platform_internal.h"
+
+struct hosts_call {
+	hosts_cb *done;
+	void *ctx;
+};
+
+static bool
+parse_host(JsonObject *item, struct hosts_entry *entry)
+{
+	const char *state;
+
+	if (!reply_str(item, "host", &entry->host) ||
+	    !reply_str(item, "address", &entry->address) ||
+	    !reply_str(item, "domain", &entry->domain) ||
+	    !reply_str(item, "state", &state))
+		return false;
+	/* A state we do not know is no reason to send new work there. */
+	entry->leaving = strcmp(state, "live") != 0;
+	return true;
+}
+
+static struct hosts_entry *
+parse_hosts(JsonObject *json, guint *n)
+{
+	JsonArray *array = reply_objects(json, "hosts");
+	struct hosts_entry *hosts;
+	guint i;
+
+	if (array == NULL)
+		return NULL;
+	*n = json_array_get_length(array);
+	hosts = g_new0(struct hosts_entry, *n + 1);
+	for (i = 0; i < *n; i++) {
+		JsonObject *item = json_array_get_object_element(array, i);
+
+		if (!parse_host(item, &hosts[i])) {
+			g_free(hosts);
+			return NULL;
+		}
+	}
+	return hosts;
+}
+
+static void
+on_hosts(const struct fetch_answer *answer, const struct err *err, void *ctx)
+{
+	struct hosts_call call = *(struct hosts_call *)ctx;
+	struct hosts_entry *hosts = NULL;
+	struct reply reply;
+	struct err why;
+	guint n = 0;
+
+	g_free(ctx);
+	if (!reply_take(&reply, answer, err, &why)) {
+		call.done(NULL, 0, &why, call.ctx);
+		return;
+	}
+	hosts = parse_hosts(reply.json, &n);
+	if (hosts == NULL)
+		reply_malformed(&why);
+	call.done(hosts, n, hosts == NULL ? &why : NULL, call.ctx);
+	g_free(hosts);
+	reply_close(&reply);
+}
+
+void
+hosts_get(struct plat *plat, const char *base, unsigned int deadline_ms,
+    hosts_cb *done, void *ctx)
+{
+	struct hosts_call *call = g_new0(struct hosts_call, 1);
+
+	call->done = done;
+	call->ctx = ctx;
+	fetch_start(plat,
+	    &(struct fetch_request){
+		.base = base,
+		.method = "GET",
+		.path = "/v1/hosts",
+		.deadline_ms = deadline_ms,
+		.max_bytes = FETCH_JSON_MAX,
+	    },
+	    on_hosts, call);
+}
--- a/lib/platform/obj.c
+++ b/lib/platform/obj.c
@@ -153,8 +153,7 @@
 	struct read_call copy = *read;
 
 	if (!obj_parse(json, read->key, &object)) {
-		err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
-		    "a malformed object");
+		reply_malformed(err);
 		return;
 	}
 	object.key = copy.key;
@@ -249,30 +248,21 @@
     const struct fetch_answer *answer, const struct err *err, void *ctx)
 {
 	struct read_call *read = ctx;
+	struct reply reply;
 	struct err why = { .code = ERR_NONE };
-	JsonParser *parser = NULL;
-	JsonObject *json;
 
 	read->call.fetch = NULL;
-	if (err != NULL) {
-		read_retry(read, err);
-		return;
-	}
-	if (answer->status != SOUP_STATUS_OK) {
-		fetch_refused(answer, &why);
+	if (!reply_take(&reply, answer, err, &why)) {
 		read_retry(read, &why);
 		return;
 	}
-	json = reply_open(answer->body, &parser, &why);
-	if (json == NULL)
-		why.code = ERR_UNAVAILABLE;
-	else if (read->got != NULL)
-		give_object(read, json, &why);
+	if (read->got != NULL)
+		give_object(read, reply.json, &why);
 	else
-		give_list(read, json, &why);
+		give_list(read, reply.json, &why);
 	if (err_is(&why))
 		read_retry(read, &why);
-	g_clear_object(&parser);
+	reply_close(&reply);
 }
 
 static void
--- a/lib/platform/obj_put.c
+++ b/lib/platform/obj_put.c
@@ -112,14 +112,16 @@
 {
 	struct obj_event event = { .kind = OBJ_LOST };
 	struct obj_object now = { .key = NULL };
-	JsonParser *parser = NULL;
-	JsonObject *json = reply_open(answer->body, &parser, NULL);
+	struct reply reply = { .json = NULL };
 
-	if (json == NULL ||
-	    !parse_written(json, answer->status, put->key, &event, &now))
+	if (!reply_open(&reply, answer->body, NULL) ||
+	    !parse_written(
+		reply.json, answer->status, put->key, &event, &now)) {
 		event = (struct obj_event){ .kind = OBJ_LOST };
+		now.key = NULL;
+	}
 	put_step(put, &event, now.key != NULL ? &now : NULL);
-	g_clear_object(&parser);
+	reply_close(&reply);
 }
 
 static void
@@ -158,21 +160,19 @@
 	struct put_call *put = ctx;
 	struct obj_event event = { .kind = OBJ_READ_FAILED };
 	struct obj_object now = { .key = put->key };
-	JsonParser *parser = NULL;
-	JsonObject *json = NULL;
+	struct reply reply = { .json = NULL };
 
 	put->call.fetch = NULL;
 	if (err == NULL && answer->status == SOUP_STATUS_NOT_FOUND)
 		event.kind = OBJ_FOUND;
-	else if (err == NULL && answer->status == SOUP_STATUS_OK)
-		json = reply_open(answer->body, &parser, NULL);
-	if (json != NULL && obj_parse(json, put->key, &now)) {
+	else if (reply_take(&reply, answer, err, NULL) &&
+	    obj_parse(reply.json, put->key, &now)) {
 		event.kind = OBJ_FOUND;
 		event.version = now.version;
 		event.op = now.op;
 	}
 	put_step(put, &event, event.kind == OBJ_FOUND ? &now : NULL);
-	g_clear_object(&parser);
+	reply_close(&reply);
 }
 
 static void
@@ -244,7 +244,7 @@
 	json_builder_set_member_name(b, "value");
 	json_builder_add_string_value(b, put->value);
 	json_builder_end_object(b);
-	return reply_close(b);
+	return json_text(b);
 }
 
 static bool
--- /dev/null
+++ b/lib/platform/obj_watch.c
@@ -0,0 +1,364 @@
+/*
+ * The watch of the object API: a long poll that goes on until stopped.
+ *
+ * A poll answers with what changed after the revision it names, so nothing is lost
+ * between two polls. Two things break that chain, and both are answered by
+ * listing afresh and reading every object, which reports it all as changed:
+ * an API that restarted with a lower revision, whose new writes would
+ * stay below ours for long and never be reported; and a set of changes that
+ * is too large for one bounded answer, which would fail at each try.
+ */
+
+#include <string.h>
+
+#include "platform/platform_internal.h"
+
+/* How long the API holds an idle poll. Each poll counts as a call, so it is
+ * long; a restarted API is noticed by its closed connection. */
+#define POLL_WAIT_MS 20000
+/* An answer later than this after the poll's end is not coming. */
+#define POLL_GRACE_MS 5000
+#define RELIST_DEADLINE_MS 10000
+/* Polls begin at least this far apart: a busy prefix, or an API that does
+ * not hold its answers, would otherwise be asked as fast as it answers. */
+#define POLL_SPACING_MS 100
+
+struct obj_watch {
+	struct obj *obj;
+	char *prefix; /* escaped for a query */
+	char *plain_prefix;
+	uint64_t since;
+	const struct obj_watch_ops *ops;
+	void *ctx;
+	struct fetch *poll;
+	guint timer;
+	unsigned int failures;
+	bool lost; /* reported as failing */
+	int64_t polled_ms; /* when the last poll began */
+	bool prompt; /* the next poll is not to wait */
+	/* A listing afresh: what is still to be read. */
+	GPtrArray *keys;
+	guint next_key;
+	uint64_t listed_revision;
+	unsigned int pending; /* gets and lists that will call back */
+	bool busy; /* a callback of the owner is running */
+	bool stopped;
+};
+
+static void watch_poll(struct obj_watch *watch);
+static void watch_next(struct obj_watch *watch);
+
+static void
+watch_free(struct obj_watch *watch)
+{
+	if (watch->keys != NULL)
+		g_ptr_array_unref(watch->keys);
+	g_free(watch->prefix);
+	g_free(watch->plain_prefix);
+	g_free(watch);
+}
+
+/* True when the watch was stopped meanwhile; it may then be gone. */
+static bool
+leave_if_stopped(struct obj_watch *watch)
+{
+	if (!watch->stopped)
+		return false;
+	if (watch->pending == 0 && !watch->busy)
+		watch_free(watch);
+	return true;
+}
+
+static bool
+tell_lost(struct obj_watch *watch, const struct err *err)
+{
+	if (watch->lost)
+		return true;
+	watch->lost = true;
+	if (watch->obj->plat->timeline != NULL) {
+		tl_add(watch->obj->plat->timeline, "obj_watch_lost",
+		    watch->plain_prefix, "%s", err->message);
+	}
+	if (watch->ops->lost == NULL)
+		return true;
+	watch->busy = true;
+	watch->ops->lost(err, watch->ctx);
+	watch->busy = false;
+	return !leave_if_stopped(watch);
+}
+
+static bool
+tell_found(struct obj_watch *watch)
+{
+	watch->failures = 0;
+	watch->prompt = false;
+	if (!watch->lost)
+		return true;
+	watch->lost = false;
+	if (watch->obj->plat->timeline != NULL) {
+		tl_add(watch->obj->plat->timeline, "obj_watch_found",
+		    watch->plain_prefix, "at revision %" G_GUINT64_FORMAT,
+		    watch->since);
+	}
+	if (watch->ops->found == NULL)
+		return true;
+	watch->busy = true;
+	watch->ops->found(watch->ctx);
+	watch->busy = false;
+	return !leave_if_stopped(watch);
+}
+
+static bool
+tell_changed(
+    struct obj_watch *watch, const struct obj_object *objects, size_t n)
+{
+	if (n == 0)
+		return true;
+	watch->busy = true;
+	watch->ops->changed(watch->since, objects, n, watch->ctx);
+	watch->busy = false;
+	return !leave_if_stopped(watch);
+}
+
+static gboolean
+watch_again(gpointer data)
+{
+	struct obj_watch *watch = data;
+
+	watch->timer = 0;
+	watch_poll(watch);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+watch_failed(struct obj_watch *watch, const struct err *err)
+{
+	watch->failures++;
+	/* What answers next may have restarted: learn its revision at once. */
+	watch->prompt = true;
+	ctr_add(watch->obj->retries, 1);
+	if (!tell_lost(watch, err))
+		return;
+	watch->timer =
+	    g_timeout_add(obj_backoff_ms(&watch->obj->rng, watch->failures),
+		watch_again, watch);
+}
+
+/* ------------------------------------------------------------------ */
+/* Listing afresh                                                      */
+/* ------------------------------------------------------------------ */
+
+static void relist_next(struct obj_watch *watch);
+
+static void
+relist_end(struct obj_watch *watch)
+{
+	g_ptr_array_unref(watch->keys);
+	watch->keys = NULL;
+	if (tell_found(watch))
+		watch_next(watch);
+}
+
+static void
+on_relist_object(
+    const struct obj_object *object, const struct err *err, void *ctx)
+{
+	struct obj_watch *watch = ctx;
+
+	watch->pending--;
+	if (leave_if_stopped(watch))
+		return;
+	if (err != NULL && err->code != ERR_NOT_FOUND) {
+		watch_failed(watch, err);
+		return;
+	}
+	if (err == NULL && !tell_changed(watch, object, 1))
+		return;
+	relist_next(watch);
+}
+
+static void
+relist_next(struct obj_watch *watch)
+{
+	const char *key;
+
+	if (watch->next_key == watch->keys->len) {
+		relist_end(watch);
+		return;
+	}
+	key = watch->keys->pdata[watch->next_key++];
+	watch->pending++;
+	obj_get(watch->obj, key, RELIST_DEADLINE_MS, on_relist_object, watch);
+}
+
+static void
+on_relisted(uint64_t revision, const struct obj_object *objects, size_t n,
+    const struct err *err, void *ctx)
+{
+	struct obj_watch *watch = ctx;
+	size_t i;
+
+	watch->pending--;
+	if (leave_if_stopped(watch))
+		return;
+	if (err != NULL) {
+		watch_failed(watch, err);
+		return;
+	}
+	/* What changes while the objects are read is polled for after. */
+	watch->since = revision;
+	for (i = 0; i < n; i++)
+		g_ptr_array_add(watch->keys, g_strdup(objects[i].key));
+	relist_next(watch);
+}
+
+static void
+relist(struct obj_watch *watch)
+{
+	if (watch->keys != NULL)
+		g_ptr_array_unref(watch->keys);
+	watch->keys = g_ptr_array_new_with_free_func(g_free);
+	watch->next_key = 0;
+	watch->pending++;
+	obj_list(watch->obj, watch->plain_prefix, RELIST_DEADLINE_MS,
+	    on_relisted, watch);
+}
+
+/* ------------------------------------------------------------------ */
+/* Polls                                                               */
+/* ------------------------------------------------------------------ */
+
+static struct obj_object *
+parse_changes(JsonObject *json, uint64_t *revision, guint *n)
+{
+	JsonArray *array = reply_objects(json, "objects");
+	struct obj_object *objects;
+	guint i;
+
+	if (array == NULL || !reply_u64(json, "revision", revision))
+		return NULL;
+	*n = json_array_get_length(array);
+	objects = g_new0(struct obj_object, *n + 1);
+	for (i = 0; i < *n; i++) {
+		JsonObject *item = json_array_get_object_element(array, i);
+
+		if (!obj_parse(item, NULL, &objects[i])) {
+			g_free(objects);
+			return NULL;
+		}
+	}
+	return objects;
+}
+
+static void
+take_changes(struct obj_watch *watch, JsonObject *json)
+{
+	struct obj_object *objects;
+	uint64_t revision;
+	struct err err;
+	guint n;
+
+	objects = parse_changes(json, &revision, &n);
+	if (objects == NULL) {
+		reply_malformed(&err);
+		watch_failed(watch, &err);
+		return;
+	}
+	if (revision < watch->since) {
+		relist(watch);
+	} else {
+		watch->since = revision;
+		if (tell_found(watch) && tell_changed(watch, objects, n))
+			watch_next(watch);
+	}
+	g_free(objects);
+}
+
+static void
+on_polled(const struct fetch_answer *answer, const struct err *err, void *ctx)
+{
+	struct obj_watch *watch = ctx;
+	struct reply reply;
+	struct err why;
+
+	watch->poll = NULL;
+	if (err != NULL && err->code == ERR_TOO_LARGE) {
+		relist(watch);
+	} else if (!reply_take(&reply, answer, err, &why)) {
+		watch_failed(watch, &why);
+	} else {
+		take_changes(watch, reply.json);
+		reply_close(&reply);
+	}
+}
+
+static void
+watch_next(struct obj_watch *watch)
+{
+	int64_t early_ms =
+	    watch->polled_ms + POLL_SPACING_MS - obj_now_ms(watch->obj);
+
+	watch->timer =
+	    g_timeout_add((guint)MAX(0, early_ms), watch_again, watch);
+}
+
+static void
+watch_poll(struct obj_watch *watch)
+{
+	unsigned int wait_ms = watch->prompt ? 0 : POLL_WAIT_MS;
+	char *path;
+
+	/* A listing that failed half way begins anew. */
+	if (watch->keys != NULL) {
+		relist(watch);
+		return;
+	}
+	path = g_strdup_printf("/v1/watch?prefix=%s&since=%" G_GUINT64_FORMAT
+			       "&wait_ms=%u",
+	    watch->prefix, watch->since, wait_ms);
+	ctr_add(watch->obj->watch_calls, 1);
+	watch->polled_ms = obj_now_ms(watch->obj);
+	watch->poll = fetch_start(watch->obj->plat,
+	    &(struct fetch_request){
+		.base = watch->obj->base,
+		.method = "GET",
+		.path = path,
+		.deadline_ms = wait_ms + POLL_GRACE_MS,
+		.max_bytes = FETCH_JSON_MAX,
+	    },
+	    on_polled, watch);
+	g_free(path);
+}
+
+struct obj_watch *
+obj_watch_start(struct obj *obj, const char *prefix, uint64_t since,
+    const struct obj_watch_ops *ops, void *ctx)
+{
+	struct obj_watch *watch = g_new0(struct obj_watch, 1);
+
+	watch->obj = obj;
+	watch->plain_prefix = g_strdup(prefix);
+	watch->prefix = g_uri_escape_string(prefix, NULL, FALSE);
+	watch->since = since;
+	watch->ops = ops;
+	watch->ctx = ctx;
+	/* The first poll does not wait: `since` may be of an earlier life
+	 * of the API. */
+	watch->prompt = true;
+	obj->watches++;
+	watch_poll(watch);
+	return watch;
+}
+
+void
+obj_watch_stop(struct obj_watch *watch)
+{
+	if (watch->timer != 0)
+		g_source_remove(watch->timer);
+	fetch_cancel(watch->poll);
+	watch->poll = NULL;
+	watch->timer = 0;
+	watch->obj->watches--;
+	watch->stopped = true;
+	leave_if_stopped(watch);
+}
--- /dev/null
+++ b/lib/platform/origin.c
@@ -0,0 +1,109 @@
+/* Reads of ranges at the origin of weights. */
+
+#include <string.h>
+
+#include "platform/platform_internal.h"
+
+struct origin_read {
+	struct plat *plat;
+	struct fetch *fetch;
+	uint64_t offset, len;
+	origin_read_cb *done;
+	void *ctx;
+};
+
+/* Bytes of another place pass no digest check, but the mistake would be blamed
+ * on corruption; so the answer has to name the range that was asked for. */
+static bool
+is_range(const struct origin_read *read, const struct fetch_answer *answer)
+{
+	goffset start, end;
+
+	if (g_bytes_get_size(answer->body) != read->len)
+		return false;
+	if (answer->status == SOUP_STATUS_OK)
+		return read->offset == 0;
+	return soup_message_headers_get_content_range(
+		   answer->headers, &start, &end, NULL) &&
+	    (uint64_t)start == read->offset &&
+	    (uint64_t)end == read->offset + read->len - 1;
+}
+
+static void
+end(struct origin_read *read, GBytes *bytes, const struct err *err)
+{
+	struct origin_read copy = *read;
+
+	if (err != NULL)
+		ctr_add(plat_counter(read->plat, "origin_errors"), 1);
+	g_free(read);
+	copy.done(bytes, err, copy.ctx);
+}
+
+static void
+on_fetched(const struct fetch_answer *answer, const struct err *err, void *ctx)
+{
+	struct origin_read *read = ctx;
+	struct err why;
+
+	if (err != NULL) {
+		end(read, NULL, err);
+		return;
+	}
+	ctr_add(plat_counter(read->plat, "origin_bytes"),
+	    (int64_t)g_bytes_get_size(answer->body));
+	if (answer->status != SOUP_STATUS_OK &&
+	    answer->status != SOUP_STATUS_PARTIAL_CONTENT) {
+		fetch_refused(answer, &why);
+		end(read, NULL, &why);
+	} else if (!is_range(read, answer)) {
+		err_set(&why, ERR_INVALID, VERDICT_RAN,
+		    "the origin answered with another range");
+		end(read, NULL, &why);
+	} else {
+		end(read, answer->body, NULL);
+	}
+}
+
+struct origin_read *
+origin_read_start(struct plat *plat, const char *base, const char *name,
+    uint64_t offset, uint64_t len, unsigned int stall_ms, origin_read_cb *done,
+    void *ctx)
+{
+	struct origin_read *read = g_new0(struct origin_read, 1);
+	char *escaped = g_uri_escape_string(name, "/", FALSE);
+	char *path = g_strconcat("/v1/weights/", escaped, NULL);
+	char range[64];
+
+	g_assert(len > 0);
+	g_snprintf(range, sizeof(range),
+	    "bytes=%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, offset,
+	    offset + len - 1);
+	read->plat = plat;
+	read->offset = offset;
+	read->len = len;
+	read->done = done;
+	read->ctx = ctx;
+	ctr_add(plat_counter(plat, "origin_reads"), 1);
+	read->fetch = fetch_start(plat,
+	    &(struct fetch_request){
+		.base = base,
+		.method = "GET",
+		.path = path,
+		.range = range,
+		.stall_ms = stall_ms,
+		.stalls = plat_counter(plat, "origin_stalls"),
+		.max_bytes = len,
+	    },
+	    on_fetched, read);
+	g_free(path);
+	g_free(escaped);
+	return read;
+}
+
+void
+origin_read_cancel(struct origin_read *read)
+{
+	fetch_cancel(read->fetch);
+	g_free(read);
+}
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -18,6 +18,8 @@
 
 /* One HTTP session shared by the adapters of a process. */
 struct plat;
+/* Exchanges that are running at plat_free end with ERR_CANCELLED from within
+ * it; a client of the object API is freed before. */
 struct plat *plat_new(
     const struct clk *clock, struct ctr_set *counters, struct tl *timeline);
 void plat_free(struct plat *plat);
@@ -59,7 +61,9 @@
 
 /* `base` is "http://ip:port". */
 struct obj *obj_new(struct plat *plat, const char *base);
-void obj_free(struct obj *obj); /* pending callbacks get ERR_CANCELLED */
+/* Pending callbacks get ERR_CANCELLED, from within the call; watches have
+ * been stopped before. */
+void obj_free(struct obj *obj);
 
 /* ERR_NOT_FOUND when absent. */
 void obj_get(struct obj *obj, const char *key, unsigned int deadline_ms,
@@ -83,7 +87,10 @@
 /*
  * A long-poll watch that goes on until stopped, with back-off while the API is
  * down. `changed` gets objects changed since the last call; `lost` (may be NULL) is called when the
- * watch begins to fail and `found` when it works again.
+ * watch begins to fail and `found` when it works again. When the API
+ * restarted with a lower revision, or changes do not fit into one answer, all objects under
+ * the prefix are read anew and given to `changed` one by one, with the revision of
+ * the list: a caller ignores versions that it has. `ops` outlives the watch.
  */
 struct obj_watch_ops {
 	void (*changed)(uint64_t revision, const struct obj_object *objects,
@@ -152,6 +159,9 @@
 	void (*head)(
 	    unsigned int status, SoupMessageHeaders *headers, void *ctx);
 	void (*data)(const uint8_t *bytes, size_t len, void *ctx);
+	/* No byte came for `stall_ms`; `ended` follows. For counting only:
+	 * it must not cancel the call. May be NULL. */
+	void (*stalled)(void *ctx);
 	/* Last call; `err` holds the verdict, ERR_NONE and RAN on success. */
 	void (*ended)(const struct err *err, void *ctx);
 };
--- a/lib/platform/platform_internal.h
+++ b/lib/platform/platform_internal.h
@@ -37,6 +37,7 @@
 	GBytes *json; /* request body; NULL: none */
 	unsigned int deadline_ms; /* 0: none */
 	unsigned int stall_ms; /* 0: none */
+	struct ctr *stalls; /* counts those ended by `stall_ms`; may be NULL */
 	size_t max_bytes; /* a larger answer is refused as ERR_TOO_LARGE */
 };
 
@@ -70,9 +71,18 @@
 /* JSON of answers                                                     */
 /* ------------------------------------------------------------------ */
 
-/* The object at the root, borrowed from `*parser` (g_object_unref). NULL
- * and ERR_INVALID when the bytes are not one JSON object. */
-JsonObject *reply_open(GBytes *bytes, JsonParser **parser, struct err *err);
+struct reply {
+	JsonObject *json; /* the root; borrowed from the parser */
+	JsonParser *parser;
+};
+/* Opens an answer's body. ERR_UNAVAILABLE when it is not one JSON object. */
+bool reply_open(struct reply *reply, GBytes *bytes, struct err *err);
+/* The same for what a fetch gave, whose error or status other than 200 is the error. */
+bool reply_take(struct reply *reply, const struct fetch_answer *answer,
+    const struct err *failure, struct err *err);
+void reply_close(struct reply *reply); /* nothing when it was not opened */
+/* For an answer that lacks what it should have; returns false. */
+bool reply_malformed(struct err *err);
 /* False when the member is missing or of another type; no error is set. */
 bool reply_u64(JsonObject *object, const char *name, uint64_t *out);
 bool reply_str(JsonObject *object, const char *name, const char **out);
@@ -81,7 +91,7 @@
 /* NULL when missing or not a list of objects only. */
 JsonArray *reply_objects(JsonObject *object, const char *name);
 /* Text of a builder's document; takes the builder. */
-GBytes *reply_close(JsonBuilder *builder);
+GBytes *json_text(JsonBuilder *builder);
 
 /* ------------------------------------------------------------------ */
 /* Object API: decisions                                               */
--- a/lib/platform/reply.c
+++ b/lib/platform/reply.c
@@ -33,24 +33,52 @@
 	return true;
 }
 
-JsonObject *
-reply_open(GBytes *bytes, JsonParser **parser, struct err *err)
+bool
+reply_malformed(struct err *err)
+{
+	return err_set(
+	    err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN, "a malformed answer");
+}
+
+bool
+reply_open(struct reply *reply, GBytes *bytes, struct err *err)
 {
 	gsize len;
 	const char *text = g_bytes_get_data(bytes, &len);
 	JsonNode *root = NULL;
 
-	*parser = json_parser_new();
+	reply->parser = json_parser_new();
 	if (text != NULL && depth_ok(text, len) &&
 	    g_utf8_validate(text, (gssize)len, NULL) &&
-	    json_parser_load_from_data(*parser, text, (gssize)len, NULL))
-		root = json_parser_get_root(*parser);
-	if (root != NULL && JSON_NODE_HOLDS_OBJECT(root))
-		return json_node_get_object(root);
-	g_clear_object(parser);
-	err_set(err, ERR_INVALID, VERDICT_MAY_HAVE_RUN,
-	    "an answer is not a JSON object");
-	return NULL;
+	    json_parser_load_from_data(reply->parser, text, (gssize)len, NULL))
+		root = json_parser_get_root(reply->parser);
+	if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+		reply_close(reply);
+		return reply_malformed(err);
+	}
+	reply->json = json_node_get_object(root);
+	return true;
+}
+
+bool
+reply_take(struct reply *reply, const struct fetch_answer *answer,
+    const struct err *failure, struct err *err)
+{
+	if (failure != NULL) {
+		if (err != NULL)
+			*err = *failure;
+		return false;
+	}
+	if (answer->status != SOUP_STATUS_OK)
+		return fetch_refused(answer, err);
+	return reply_open(reply, answer->body, err);
+}
+
+void
+reply_close(struct reply *reply)
+{
+	g_clear_object(&reply->parser);
+	reply->json = NULL;
 }
 
 static JsonNode *
@@ -124,7 +152,7 @@
 }
 
 GBytes *
-reply_close(JsonBuilder *builder)
+json_text(JsonBuilder *builder)
 {
 	JsonNode *root = json_builder_get_root(builder);
 	char *text = json_to_string(root, FALSE);
--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -80,7 +80,9 @@
 /*
  * A body stream that is closed or freed before its end first reads the rest of
  * the answer, blocking the loop for as long as the target likes to send. With a
- * cancelled cancellable it closes the connection instead.
+ * cancelled cancellable it closes the connection instead. That is right after
+ * a whole answer too: nobody would use the connection again, and some
+ * hundred exchanges a second would leave as many idle ones.
  */
 static void
 close_body(struct target_call *call)
@@ -98,12 +100,7 @@
 {
 	detach(call);
 	close_body(call);
-	if (call->socket != NULL) {
-		/* Nobody would use it again; libsoup sees the end and
-		 * drops its side. */
-		g_socket_shutdown(call->socket, TRUE, TRUE, NULL);
-		g_object_unref(call->socket);
-	}
+	g_clear_object(&call->socket);
 	if (call->message != NULL) {
 		g_signal_handlers_disconnect_by_data(call->message, call);
 		g_object_unref(call->message);
@@ -284,10 +281,13 @@
 	call->stall_timer = 0;
 	if (call->paused)
 		call->last_byte_us = now_us;
-	if (now_us - call->last_byte_us < call->stall_ms * (int64_t)1000)
+	if (now_us - call->last_byte_us < call->stall_ms * (int64_t)1000) {
 		watch_stall(call);
-	else
-		give_up(call, ERR_UNAVAILABLE, "the target stalled");
+		return G_SOURCE_REMOVE;
+	}
+	if (call->ops.stalled != NULL)
+		call->ops.stalled(call->ctx);
+	give_up(call, ERR_UNAVAILABLE, "the target stalled");
 	return G_SOURCE_REMOVE;
 }
 
