--- a/lib/agree/agr_settings.c
+++ b/lib/agree/agr_settings.c
@@ -7,8 +7,8 @@
 
 #include "agree/agr_internal.h"
 
-#define LIST_DEADLINE_MS 3000
-#define LIST_PAUSE_US (2 * G_USEC_PER_SEC) /* after a failure */
+#define LIST_DEADLINE_MS 1500
+#define LIST_PAUSE_US G_USEC_PER_SEC /* after a failure */
 #define WRITE_DEADLINE_MS 5000
 #define PULLS_AT_ONCE 2 /* a third answer would bring the same */
 #define DIFFER_PAUSE_US (G_USEC_PER_SEC / 2)
--- a/lib/agree/inf.c
+++ b/lib/agree/inf.c
@@ -20,7 +20,7 @@
 };
 
 struct inf {
-	LIST_HEAD(, branch) branches; /* by name */
+	LIST_HEAD(branch_list, branch) branches; /* by name */
 };
 
 static struct branch *
@@ -252,11 +252,10 @@
 	bool has = false;
 
 	msgpack_unpacked_init(&got);
-	while (!has &&
+	while (!has && msg_flat_len(known.data + at, known.len - at) > 0 &&
 	    msgpack_unpack_next(&got, (const char *)known.data, known.len,
 		&at) == MSGPACK_UNPACK_SUCCESS) {
-		if (got.data.type != MSGPACK_OBJECT_ARRAY ||
-		    got.data.via.array.size != 2)
+		if (got.data.via.array.size != 2)
 			break;
 		field = got.data.via.array.ptr;
 		has = field[0].type == MSGPACK_OBJECT_STR &&
--- a/lib/agree/mem_probe.c
+++ b/lib/agree/mem_probe.c
@@ -21,6 +21,7 @@
 #define URGENT_FANOUT 5
 #define URGENT_ROOM 400
 #define DEAD_PROBE_ONE_IN 5 /* periods */
+#define PAUSE_TICKS 5 /* a longer gap than by a busy host */
 #define RELAYS_MAX 64
 #define WANTS_AT_ONCE 8 /* more are taken over by a sync */
 #define WANT_PAUSE_US (G_USEC_PER_SEC / 2)
@@ -344,7 +345,7 @@
 
 	refill(mem, now_us);
 	mem->last_tick_us = now_us;
-	if (gap_us > period_us) {
+	if (gap_us > MAX(period_us, PAUSE_TICKS * MEM_TICK_MS * 1000)) {
 		/* We were paused: answers lie unread, the others' silence is
 		 * ours. Blaming them would empty the table on waking. */
 		mem_forgive(mem, gap_us);
--- a/lib/agree/mem_wire.c
+++ b/lib/agree/mem_wire.c
@@ -216,6 +216,16 @@
 	return true;
 }
 
+/* The next array of a blob; false at its end or at what is none. */
+static bool
+next_record(msgpack_unpacked *got, struct slice blob, size_t *at)
+{
+	if (msg_flat_len(blob.data + *at, blob.len - *at) == 0)
+		return false;
+	return msgpack_unpack_next(got, (const char *)blob.data, blob.len,
+		   at) == MSGPACK_UNPACK_SUCCESS;
+}
+
 static void
 take_state(struct mem *mem, int64_t now_us, const char *from,
     const msgpack_object *field)
@@ -296,10 +306,7 @@
 	const msgpack_object *field;
 
 	msgpack_unpacked_init(&got);
-	while (msgpack_unpack_next(&got, (const char *)updates.data,
-		   updates.len, &at) == MSGPACK_UNPACK_SUCCESS) {
-		if (o->type != MSGPACK_OBJECT_ARRAY)
-			break;
+	while (next_record(&got, updates, &at)) {
 		field = o->via.array.ptr;
 		switch (o->via.array.size) {
 		case 2:
@@ -325,17 +332,35 @@
 /* Taking over a table                                                 */
 /* ------------------------------------------------------------------ */
 
+static void
+pack_roles(const struct mem *mem, GByteArray *out)
+{
+	const struct mem_noted *n;
+
+	LIST_FOREACH (n, &mem->notes, link) {
+		if (n->note.kind == MEM_NOTE_ROLE)
+			pack_note(out, &n->note);
+	}
+}
+
+GByteArray *
+mem_roles(const struct mem *mem)
+{
+	GByteArray *out = g_byte_array_new();
+
+	pack_roles(mem, out);
+	return out;
+}
+
 GByteArray *
 mem_sync_list(struct mem *mem)
 {
 	GByteArray *out = g_byte_array_new();
-	const struct mem_noted *n;
 	guint i;
 
 	for (i = 0; i < mem->by_id->len; i++)
 		mem_pack_state(out, g_ptr_array_index(mem->by_id, i));
-	LIST_FOREACH (n, &mem->notes, link)
-		pack_note(out, &n->note);
+	pack_roles(mem, out);
 	return out;
 }
 
@@ -375,11 +400,9 @@
 	uint64_t key, incarnation;
 
 	msgpack_unpacked_init(&got);
-	while (msgpack_unpack_next(&got, (const char *)list.data, list.len,
-		   &at) == MSGPACK_UNPACK_SUCCESS) {
+	while (next_record(&got, list, &at)) {
 		field = got.data.via.array.ptr;
-		if (got.data.type != MSGPACK_OBJECT_ARRAY ||
-		    got.data.via.array.size != 3 ||
+		if (got.data.via.array.size != 3 ||
 		    !get_number(&field[0], UINT64_MAX, &key) ||
 		    !get_number(&field[1], UINT64_MAX, &incarnation))
 			continue;
@@ -408,8 +431,7 @@
 		else
 			mem_pack_state(p->bytes, e);
 	}
-	LIST_FOREACH (n, &mem->notes, link)
-		pack_note(p->bytes, &n->note);
+	pack_roles(mem, p->bytes);
 }
 
 GByteArray *
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -276,6 +276,9 @@
 bool msg_read(const struct msg *m, const struct msg_desc *desc, void *out,
     struct err *err);
 void msg_close(struct msg *m);
+/* Length of the msgpack array at the front of `data` when it is whole and
+ * holds neither arrays nor maps, else 0; to be checked before parsing. */
+size_t msg_flat_len(const void *data, size_t len);
 
 /* ------------------------------------------------------------------ */
 /* Connections between the system's processes (TCP)                    */
--- a/lib/common/msg.c
+++ b/lib/common/msg.c
@@ -73,6 +73,67 @@
 	}
 }
 
+/* Bytes of the value after its first byte `head`: `*len_bytes` of length,
+ * then `*body` bytes or as many as the length says. False when nested. */
+static bool
+flat_value(uint8_t head, unsigned int *len_bytes, size_t *body)
+{
+	static const uint8_t sizes[16] = { /* 0xc4 to 0xd3 */
+		0, 0, 0, 0, 0, 0, 4, 8, 1, 2, 4, 8, 1, 2, 4, 8
+	};
+
+	*len_bytes = 0;
+	*body = 0;
+	if (head < 0x80 || head >= 0xe0 || (head >= 0xc0 && head <= 0xc3))
+		return true; /* the value is the byte itself */
+	if (head >= 0xa0 && head <= 0xbf)
+		*body = head & 0x1f;
+	else if (head >= 0xc4 && head <= 0xc6)
+		*len_bytes = 1u << (head - 0xc4);
+	else if (head >= 0xca && head <= 0xd3)
+		*body = sizes[head - 0xc4];
+	else if (head >= 0xd9 && head <= 0xdb)
+		*len_bytes = 1u << (head - 0xd9);
+	else
+		return false;
+	return true;
+}
+
+/*
+ * The parser allocates for as many elements as an array claims to have, so
+ * that five bytes could ask for 100 GB, or nested ones exhaust the stack.
+ * Our messages are flat; everything else is refused before it is parsed.
+ */
+size_t
+msg_flat_len(const void *data, size_t len)
+{
+	const uint8_t *p = data;
+	size_t at = 1, n, body, i, j;
+	unsigned int len_bytes;
+
+	if (len == 0)
+		return 0;
+	n = p[0] & 0x0f;
+	if (p[0] == 0xdc && len >= 3) {
+		n = (size_t)p[1] << 8 | p[2];
+		at = 3;
+	} else if ((p[0] & 0xf0) != 0x90) {
+		return 0;
+	}
+	for (i = 0; i < n; i++) {
+		if (at >= len || !flat_value(p[at], &len_bytes, &body) ||
+		    len - at <= len_bytes)
+			return 0;
+		for (j = 1; j <= len_bytes; j++)
+			body = body << 8 | p[at + j];
+		at += 1 + len_bytes;
+		if (body > len - at)
+			return 0;
+		at += body;
+	}
+	return at;
+}
+
 /* The parsed form; strings and bins borrow from the input bytes. */
 struct parsed {
 	msgpack_unpacked unpacked;
@@ -87,7 +148,9 @@
 	msgpack_unpack_return got;
 
 	msgpack_unpacked_init(&p->unpacked);
-	got = msgpack_unpack_next(&p->unpacked, data, len, &at);
+	got = MSGPACK_UNPACK_PARSE_ERROR;
+	if (msg_flat_len(data, len) == len)
+		got = msgpack_unpack_next(&p->unpacked, data, len, &at);
 	m->priv = p;
 	if (got == MSGPACK_UNPACK_SUCCESS && at == len &&
 	    o->type == MSGPACK_OBJECT_ARRAY &&
--- a/tests/common/test_conn.c
+++ b/tests/common/test_conn.c
@@ -301,10 +301,33 @@
 	close_end(&stranger);
 }
 
+/*
+ * A few bytes claim to be a huge or deeply nested array. A parser that
+ * believed them would allocate gigabytes or use up its stack, before the
+ * peer has proved anything; they are refused unparsed.
+ */
+static void
+test_claimed_sizes_are_not_believed(void **state)
+{
+	static const uint8_t huge[] = { 0xdd, 0xff, 0xff, 0xff, 0xff, 1, 2 };
+	static const uint8_t nested[] = { 0x93, 1, 2, 0x91, 1 };
+	static const uint8_t cut[] = { 0x93, 1, 2, 0xc6, 0xff, 0xff, 0xff,
+		0xff };
+	static const uint8_t good[] = { 0x93, 1, 2, 0xc4, 1, 7 };
+	struct msg m = { 0 };
+
+	assert_false(msg_open(&m, huge, sizeof(huge), NULL));
+	assert_false(msg_open(&m, nested, sizeof(nested), NULL));
+	assert_false(msg_open(&m, cut, sizeof(cut), NULL));
+	assert_true(msg_open(&m, good, sizeof(good), NULL));
+	msg_close(&m);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_claimed_sizes_are_not_believed),
 		cmocka_unit_test(test_messages_arrive_in_order),
 		cmocka_unit_test(test_wrong_key_is_refused),
 		cmocka_unit_test(test_bad_frames_are_counted),
