--- a/lib/common/cfg_schema.c
+++ b/lib/common/cfg_schema.c
@@ -61,6 +61,13 @@
 	    .form = CFG_HEX,
 	    .about =
 		"Key shared by all processes; each proves that it holds it before it is heard." },
+	{ .path = "node.operator",
+	    .type = CFG_STRING,
+	    .min = 64,
+	    .max = 64,
+	    .form = CFG_HEX,
+	    .about =
+		"SHA-256 of the root operator's token; an entry needs it to take the first root branch." },
 	{ .path = "node.charts",
 	    .type = CFG_STRING,
 	    .min = 1,
--- /dev/null
+++ b/lib/route/catalogue.c
@@ -0,0 +1,303 @@
+/* A team's branch of the settings in typed form. */
+
+#include <string.h>
+
+#include "route/route.h"
+
+static void
+copy_name(char out[RT_NAME_MAX + 1], const char *from)
+{
+	g_strlcpy(out, from == NULL ? "" : from, RT_NAME_MAX + 1);
+}
+
+/* A NULL-terminated array of the strings of a list; strings are borrowed. */
+static const char **
+read_strings(const struct cfg *cfg, const char *path)
+{
+	size_t n = cfg_count(cfg, "%s", path), i;
+	const char **out = g_new0(const char *, n + 1);
+
+	for (i = 0; i < n; i++)
+		out[i] = cfg_str(cfg, "%s.%zu", path, i);
+	return out;
+}
+
+static unsigned int
+rule_weight(const struct cfg *cfg, const char *model, const char *version)
+{
+	size_t n = cfg_count(cfg, "models.%s.rules", model), i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(
+			cfg_str(cfg, "models.%s.rules.%zu.version", model, i),
+			version) == 0)
+			return (unsigned int)cfg_int(
+			    cfg, "models.%s.rules.%zu.weight", model, i);
+	}
+	return 0;
+}
+
+static void
+read_version(const struct cfg *cfg, const char *model, const char *name,
+    struct rt_version *out)
+{
+	char *at = g_strdup_printf("models.%s.versions.%s", model, name);
+
+	copy_name(out->name, name);
+	digest_from_hex(cfg_str(cfg, "%s.root", at), &out->root);
+	out->bytes = (uint64_t)cfg_int(cfg, "%s.bytes", at);
+	out->chunk_bytes = (uint64_t)cfg_int(cfg, "%s.chunk_bytes", at);
+	out->weights = cfg_str(cfg, "%s.weights", at);
+	out->chunks = cfg_str(cfg, "%s.chunks", at);
+	out->weight = rule_weight(cfg, model, name);
+	g_free(at);
+}
+
+static void
+read_rollout(const struct cfg *cfg, struct rt_model *out)
+{
+	char *at = g_strdup_printf("models.%s.rollout", out->name);
+	const char *wanted = cfg_str(cfg, "%s.version", at);
+	size_t i;
+
+	for (i = 0; i < out->nversions; i++) {
+		if (strcmp(out->versions[i].name, wanted) == 0)
+			out->rollout = &out->versions[i];
+	}
+	out->time_first =
+	    strcmp(cfg_str(cfg, "%s.policy", at), "time_first") == 0;
+	out->origin_copies = (unsigned int)cfg_int(cfg, "%s.origin_copies", at);
+	out->max_unavailable =
+	    (unsigned int)cfg_int(cfg, "%s.max_unavailable", at);
+	out->room_for_two = cfg_bool(cfg, "%s.room_for_two", at);
+	g_free(at);
+}
+
+static void
+read_model(const struct cfg *cfg, const char *name, struct rt_model *out)
+{
+	char *domains = g_strdup_printf("models.%s.place.domains", name);
+	size_t i;
+
+	copy_name(out->name, name);
+	copy_name(out->pool, cfg_str(cfg, "models.%s.place.pool", name));
+	out->domains = read_strings(cfg, domains);
+	out->hosts = (unsigned int)cfg_int(cfg, "models.%s.place.hosts", name);
+	out->nversions = cfg_count(cfg, "models.%s.versions", name);
+	out->versions = g_new0(struct rt_version, out->nversions);
+	for (i = 0; i < out->nversions; i++) {
+		read_version(cfg, name,
+		    cfg_key(cfg, i, "models.%s.versions", name),
+		    &out->versions[i]);
+	}
+	read_rollout(cfg, out);
+	g_free(domains);
+}
+
+static void
+read_service(const struct cfg *cfg, const char *name, struct rt_service *out)
+{
+	char *methods = g_strdup_printf("services.%s.idempotent_methods", name);
+
+	copy_name(out->name, name);
+	out->idempotent_methods = read_strings(cfg, methods);
+	out->stall_ms =
+	    (unsigned int)cfg_int(cfg, "services.%s.stall_ms", name);
+	g_free(methods);
+}
+
+static void
+read_limits(const struct cfg *cfg, struct rt_team *out)
+{
+	out->requests_s = (unsigned int)cfg_int(cfg, "limits.requests_s");
+	out->queue = (unsigned int)cfg_int(cfg, "limits.queue");
+	out->weight = (unsigned int)cfg_int(cfg, "limits.weight");
+	out->default_deadline_ms =
+	    (unsigned int)cfg_int(cfg, "limits.default_deadline_ms");
+	out->max_deadline_ms =
+	    (unsigned int)cfg_int(cfg, "limits.max_deadline_ms");
+	out->retry_budget_permille =
+	    (unsigned int)cfg_int(cfg, "limits.retry_budget_permille");
+}
+
+struct rt_team *
+rt_team_read(struct cfg *cfg, uint64_t version)
+{
+	struct rt_team *team = g_new0(struct rt_team, 1);
+	size_t i;
+
+	team->cfg = cfg;
+	team->version = version;
+	copy_name(team->name, cfg_str(cfg, "team"));
+	read_limits(cfg, team);
+	digest_from_hex(cfg_str(cfg, "tokens.caller"), &team->caller_token);
+	digest_from_hex(cfg_str(cfg, "tokens.operator"), &team->operator_token);
+	team->nmodels = cfg_count(cfg, "models");
+	team->models = g_new0(struct rt_model, team->nmodels);
+	for (i = 0; i < team->nmodels; i++)
+		read_model(cfg, cfg_key(cfg, i, "models"), &team->models[i]);
+	team->nservices = cfg_count(cfg, "services");
+	team->services = g_new0(struct rt_service, team->nservices);
+	for (i = 0; i < team->nservices; i++) {
+		read_service(
+		    cfg, cfg_key(cfg, i, "services"), &team->services[i]);
+	}
+	return team;
+}
+
+void
+rt_team_free(struct rt_team *team)
+{
+	size_t i;
+
+	if (team == NULL)
+		return;
+	for (i = 0; i < team->nmodels; i++) {
+		g_free(team->models[i].domains);
+		g_free(team->models[i].versions);
+	}
+	for (i = 0; i < team->nservices; i++)
+		g_free(team->services[i].idempotent_methods);
+	g_free(team->models);
+	g_free(team->services);
+	cfg_free(team->cfg);
+	g_free(team);
+}
+
+/* ------------------------------------------------------------------ */
+/* Look-ups                                                            */
+/* ------------------------------------------------------------------ */
+
+const struct rt_model *
+rt_team_model(const struct rt_team *team, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < team->nmodels; i++) {
+		if (strcmp(team->models[i].name, name) == 0)
+			return &team->models[i];
+	}
+	return NULL;
+}
+
+const struct rt_service *
+rt_team_service(const struct rt_team *team, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < team->nservices; i++) {
+		if (strcmp(team->services[i].name, name) == 0)
+			return &team->services[i];
+	}
+	return NULL;
+}
+
+static bool
+is_among(const char *const *list, const char *name)
+{
+	for (; *list != NULL; list++) {
+		if (strcmp(*list, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool
+rt_service_is_idempotent(const struct rt_service *service, const char *method)
+{
+	return is_among(service->idempotent_methods, method);
+}
+
+bool
+rt_model_placed(
+    const struct rt_model *model, const char *pool, const char *domain)
+{
+	if (strcmp(model->pool, pool) != 0)
+		return false;
+	return model->domains[0] == NULL || is_among(model->domains, domain);
+}
+
+const struct rt_version *
+rt_model_version(const struct rt_model *model, const struct digest *root)
+{
+	size_t i;
+
+	for (i = 0; i < model->nversions; i++) {
+		if (digest_equal(&model->versions[i].root, root))
+			return &model->versions[i];
+	}
+	return NULL;
+}
+
+size_t
+rt_model_roots(
+    const struct rt_model *model, uint64_t draw, struct digest *roots)
+{
+	uint64_t total = 0, at = 0;
+	size_t i, n = 0;
+
+	for (i = 0; i < model->nversions; i++)
+		total += model->versions[i].weight;
+	if (total == 0) {
+		for (i = 0; i < model->nversions; i++)
+			roots[n++] = model->versions[i].root;
+		return n;
+	}
+	draw %= total;
+	for (i = 0; i < model->nversions; i++) {
+		at += model->versions[i].weight;
+		if (draw < at) {
+			roots[0] = model->versions[i].root;
+			return 1;
+		}
+	}
+	g_assert_not_reached();
+}
+
+/* ------------------------------------------------------------------ */
+/* A side's targets as text                                            */
+/* ------------------------------------------------------------------ */
+
+#define INFO_PARTS 5
+
+void
+rt_info_append(GString *out, const struct rt_target_info *target)
+{
+	g_string_append_printf(out, "%s%s,%s,%s,%s,%s",
+	    out->len == 0 ? "" : ";", target->name,
+	    target->kind == RT_ENGINE ? "engine" : "service", target->team,
+	    target->pool, target->service);
+}
+
+static bool
+read_info(const char *text, struct rt_target_info *out)
+{
+	char **part = g_strsplit(text, ",", INFO_PARTS);
+	bool good = g_strv_length(part) == INFO_PARTS;
+
+	if (good) {
+		copy_name(out->name, part[0]);
+		out->kind =
+		    strcmp(part[1], "service") == 0 ? RT_SERVICE : RT_ENGINE;
+		copy_name(out->team, part[2]);
+		copy_name(out->pool, part[3]);
+		copy_name(out->service, part[4]);
+	}
+	g_strfreev(part);
+	return good;
+}
+
+void
+rt_info_each(const char *info,
+    void (*each)(const struct rt_target_info *target, void *ctx), void *ctx)
+{
+	char **targets = g_strsplit(info, ";", 0);
+	struct rt_target_info target;
+	size_t i;
+
+	for (i = 0; targets[i] != NULL; i++) {
+		if (read_info(targets[i], &target))
+			each(&target, ctx);
+	}
+	g_strfreev(targets);
+}
--- /dev/null
+++ b/programs/entry/caller.c
@@ -0,0 +1,433 @@
+/* HTTP for callers: models, plain services, health, counters, events. */
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#include "entry/entry.h"
+
+#define NOT_READY_RETRY_MS 1000
+#define PRIORITY_DEFAULT 100
+#define PRIORITY_MOST 1000
+#define SERVICES_PREFIX "/services/"
+
+/* ------------------------------------------------------------------ */
+/* Answers                                                             */
+/* ------------------------------------------------------------------ */
+
+void
+answer_json(SoupServerMessage *message, unsigned int status, JsonNode *node)
+{
+	char *text = json_to_string(node, FALSE);
+
+	soup_server_message_set_status(message, status, NULL);
+	soup_server_message_set_response(
+	    message, "application/json", SOUP_MEMORY_TAKE, text, strlen(text));
+	json_node_unref(node);
+}
+
+void
+answer_error(SoupServerMessage *message, const struct err *err)
+{
+	SoupMessageHeaders *headers =
+	    soup_server_message_get_response_headers(message);
+	JsonBuilder *b = json_builder_new();
+	char seconds[16];
+
+	soup_message_headers_replace(
+	    headers, "X-Verdict", verdict_name(err->verdict));
+	if (err->retry_after_ms > 0) {
+		g_snprintf(seconds, sizeof(seconds), "%u",
+		    (err->retry_after_ms + 999) / 1000);
+		soup_message_headers_replace(headers, "Retry-After", seconds);
+	}
+	json_builder_begin_object(b);
+	json_builder_set_member_name(b, "error");
+	json_builder_begin_object(b);
+	json_builder_set_member_name(b, "code");
+	json_builder_add_string_value(b, err_code_name(err->code));
+	json_builder_set_member_name(b, "message");
+	json_builder_add_string_value(b, err->message);
+	json_builder_set_member_name(b, "verdict");
+	json_builder_add_string_value(b, verdict_name(err->verdict));
+	json_builder_end_object(b);
+	json_builder_end_object(b);
+	answer_json(message, err_http_status(err), json_builder_get_root(b));
+	g_object_unref(b);
+}
+
+bool
+bearer_is(SoupServerMessage *message, const struct digest *want)
+{
+	const char *text = soup_message_headers_get_one(
+	    soup_server_message_get_request_headers(message), "Authorization");
+	struct digest got;
+
+	if (text == NULL || !g_str_has_prefix(text, "Bearer "))
+		return false;
+	digest_of(text + 7, strlen(text + 7), &got);
+	return digest_equal_secret(&got, want);
+}
+
+/* Every refusal before a request is begun: counted, NOT_RUN. */
+static void
+refuse(struct entry *entry, SoupServerMessage *message, const struct err *err)
+{
+	ctr_add(ctr_get(entry->proc.counters, "caller_refused"), 1);
+	answer_error(message, err);
+}
+
+/* ------------------------------------------------------------------ */
+/* Reading a request                                                   */
+/* ------------------------------------------------------------------ */
+
+static const char *
+header(SoupServerMessage *message, const char *name)
+{
+	return soup_message_headers_get_one(
+	    soup_server_message_get_request_headers(message), name);
+}
+
+static bool
+read_number(SoupServerMessage *message, const char *name, guint64 least,
+    guint64 most, unsigned int *out, struct err *err)
+{
+	const char *text = header(message, name);
+	guint64 value;
+
+	if (text == NULL)
+		return true;
+	if (!g_ascii_string_to_unsigned(text, 10, least, most, &value, NULL)) {
+		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "header %s: a number from %" G_GUINT64_FORMAT
+		    " to %" G_GUINT64_FORMAT " is needed",
+		    name, least, most);
+	}
+	*out = (unsigned int)value;
+	return true;
+}
+
+/* Deadline, priority, key, body: alike for models and services. */
+static bool
+read_common(
+    SoupServerMessage *message, struct request_ask *ask, struct err *err)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(message);
+
+	ask->deadline_ms = ask->team->default_deadline_ms;
+	ask->priority = PRIORITY_DEFAULT;
+	ask->key = header(message, "Idempotency-Key");
+	if (!read_number(message, "X-Deadline-Ms", 1,
+		ask->team->max_deadline_ms, &ask->deadline_ms, err) ||
+	    !read_number(
+		message, "X-Priority", 0, PRIORITY_MOST, &ask->priority, err))
+		return false;
+	if (ask->key != NULL && strlen(ask->key) > RT_NAME_MAX) {
+		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "header Idempotency-Key: at most %d bytes", RT_NAME_MAX);
+	}
+	if (g_object_get_data(G_OBJECT(message), "too-large") != NULL) {
+		return err_set(err, ERR_TOO_LARGE, VERDICT_NOT_RUN,
+		    "body above %u bytes", RT_BODY_MAX);
+	}
+	ask->body = soup_message_body_flatten(body);
+	return true;
+}
+
+static const struct rt_team *
+find_team(struct entry *entry, SoupServerMessage *message, const char *name,
+    struct err *err)
+{
+	const struct rt_team *team = entry_team(entry, name);
+
+	if (!entry_takes_work(entry)) {
+		err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
+		    "no settings are in force here yet");
+		err->retry_after_ms = NOT_READY_RETRY_MS;
+		return NULL;
+	}
+	if (team == NULL) {
+		err_set(err, ERR_NOT_FOUND, VERDICT_NOT_RUN,
+		    "unknown team '%.40s'", name);
+		return NULL;
+	}
+	/* A team without a caller's token lets nobody in. */
+	if (digest_is_none(&team->caller_token) ||
+	    !bearer_is(message, &team->caller_token)) {
+		ctr_add(ctr_get(entry->proc.counters, "caller_wrong_token"), 1);
+		err_set(err, ERR_UNAUTHORISED, VERDICT_NOT_RUN,
+		    "a caller's token of team '%.40s' is needed", name);
+		return NULL;
+	}
+	return team;
+}
+
+/* ------------------------------------------------------------------ */
+/* Models                                                              */
+/* ------------------------------------------------------------------ */
+
+/* "TEAM/MODEL" and whether to stream, out of the JSON body. */
+static bool
+read_chat(SoupMessageBody *body, char **team, char **model, bool *streamed,
+    struct err *err)
+{
+	JsonParser *parser = json_parser_new();
+	GBytes *bytes = soup_message_body_flatten(body);
+	gsize len;
+	const char *text = g_bytes_get_data(bytes, &len);
+	JsonObject *o = NULL;
+	const char *name = NULL, *slash;
+
+	if (len > 0 &&
+	    json_parser_load_from_data(parser, text, (gssize)len, NULL) &&
+	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
+		o = json_node_get_object(json_parser_get_root(parser));
+	if (o != NULL)
+		name =
+		    json_object_get_string_member_with_default(o, "model", "");
+	slash = name == NULL ? NULL : strchr(name, '/');
+	if (o == NULL)
+		err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "the body is not a JSON object");
+	else if (slash == NULL)
+		err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "'model' must be TEAM/MODEL");
+	else {
+		*team = g_strndup(name, (gsize)(slash - name));
+		*model = g_strdup(slash + 1);
+		*streamed = json_object_get_boolean_member_with_default(
+		    o, "stream", FALSE);
+	}
+	g_bytes_unref(bytes);
+	g_object_unref(parser);
+	return !err_is(err);
+}
+
+static void
+start_chat(struct entry *entry, SoupServerMessage *message, const char *team,
+    const char *model, bool streamed, struct err *err)
+{
+	struct request_ask ask = {
+		.message = message,
+		.team = find_team(entry, message, team, err),
+		.method = "POST",
+		.path = "/v1/chat/completions",
+		.streamed = streamed,
+	};
+
+	if (ask.team == NULL)
+		return;
+	ask.model = rt_team_model(ask.team, model);
+	if (ask.model == NULL) {
+		err_set(err, ERR_NOT_FOUND, VERDICT_NOT_RUN,
+		    "unknown model '%.40s' of team '%.40s'", model, team);
+		return;
+	}
+	if (!read_common(message, &ask, err))
+		return;
+	/* Drawing an answer twice harms nobody, unless the caller says by a
+	 * key that it must happen once. */
+	ask.idempotent = ask.key == NULL;
+	request_start(entry, &ask);
+	g_bytes_unref(ask.body);
+}
+
+static void
+on_chat(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct entry *entry = data;
+	struct err err = { 0 };
+	char *team = NULL, *model = NULL;
+	bool streamed = false;
+
+	if (strcmp(soup_server_message_get_method(message), "POST") != 0)
+		err_set(&err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "POST is the method here");
+	else if (read_chat(soup_server_message_get_request_body(message), &team,
+		     &model, &streamed, &err))
+		start_chat(entry, message, team, model, streamed, &err);
+	if (err_is(&err))
+		refuse(entry, message, &err);
+	g_free(team);
+	g_free(model);
+}
+
+/* ------------------------------------------------------------------ */
+/* Plain services                                                      */
+/* ------------------------------------------------------------------ */
+
+static void
+start_service(struct entry *entry, SoupServerMessage *message, const char *team,
+    const char *service, const char *rest, struct err *err)
+{
+	const char *query =
+	    g_uri_get_query(soup_server_message_get_uri(message));
+	char *path = g_strdup_printf("/%s%s%s", rest, query == NULL ? "" : "?",
+	    query == NULL ? "" : query);
+	struct request_ask ask = {
+		.message = message,
+		.team = find_team(entry, message, team, err),
+		.method = soup_server_message_get_method(message),
+		.path = path,
+	};
+
+	if (ask.team != NULL)
+		ask.service = rt_team_service(ask.team, service);
+	if (ask.team != NULL && ask.service == NULL)
+		err_set(err, ERR_NOT_FOUND, VERDICT_NOT_RUN,
+		    "unknown service '%.40s' of team '%.40s'", service, team);
+	if (strlen(path) > RT_PATH_MAX)
+		err_set(err, ERR_TOO_LARGE, VERDICT_NOT_RUN,
+		    "path above %d bytes", RT_PATH_MAX);
+	if (!err_is(err) && read_common(message, &ask, err)) {
+		ask.idempotent =
+		    rt_service_is_idempotent(ask.service, ask.method);
+		request_start(entry, &ask);
+		g_bytes_unref(ask.body);
+	}
+	g_free(path);
+}
+
+static void
+on_service(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct entry *entry = data;
+	char **part = g_strsplit(path + strlen(SERVICES_PREFIX), "/", 3);
+	guint n = g_strv_length(part);
+	struct err err = { 0 };
+
+	if (n < 2)
+		err_set(&err, ERR_NOT_FOUND, VERDICT_NOT_RUN,
+		    "/services/TEAM/SERVICE/... is the form");
+	else
+		start_service(entry, message, part[0], part[1],
+		    n == 3 ? part[2] : "", &err);
+	if (err_is(&err))
+		refuse(entry, message, &err);
+	g_strfreev(part);
+}
+
+/* ------------------------------------------------------------------ */
+/* Bodies too large                                                    */
+/* ------------------------------------------------------------------ */
+
+static void
+on_chunk(SoupServerMessage *message, GBytes *chunk, gpointer data)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(message);
+
+	if (body->length <= RT_BODY_MAX)
+		return;
+	/* Without a length in its head a body is cut off here; what came is
+	 * dropped, so that one caller cannot fill our memory. */
+	soup_message_body_truncate(body);
+	soup_message_body_set_accumulate(body, FALSE);
+	g_object_set_data(G_OBJECT(message), "too-large", message);
+}
+
+static void
+on_early(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	SoupMessageHeaders *headers =
+	    soup_server_message_get_request_headers(message);
+	struct err err = { 0 };
+
+	if (soup_message_headers_get_encoding(headers) ==
+		SOUP_ENCODING_CONTENT_LENGTH &&
+	    soup_message_headers_get_content_length(headers) > RT_BODY_MAX) {
+		err_set(&err, ERR_TOO_LARGE, VERDICT_NOT_RUN,
+		    "body above %u bytes", RT_BODY_MAX);
+		refuse(data, message, &err);
+		return;
+	}
+	g_signal_connect(message, "got-chunk", G_CALLBACK(on_chunk), NULL);
+}
+
+/* ------------------------------------------------------------------ */
+/* Health, counters, events                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+answer_text(SoupServerMessage *message, unsigned int status, const char *type,
+    const char *text)
+{
+	soup_server_message_set_status(message, status, NULL);
+	soup_server_message_set_response(
+	    message, type, SOUP_MEMORY_COPY, text, strlen(text));
+}
+
+static void
+on_health(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct entry *entry = data;
+
+	if (entry->leaving || entry->draining)
+		answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+		    "application/json", "{\"state\":\"draining\"}\n");
+	else if (!entry_takes_work(entry))
+		answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+		    "application/json", "{\"state\":\"starting\"}\n");
+	else
+		answer_text(message, SOUP_STATUS_OK, "application/json",
+		    "{\"state\":\"ready\"}\n");
+}
+
+static void
+on_metrics(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct entry *entry = data;
+	GString *text = g_string_new(NULL);
+
+	ctr_put(ctr_get(entry->proc.counters, "entry_open_requests"),
+	    entry->open_requests);
+	ctr_print(entry->proc.counters, text);
+	answer_text(message, SOUP_STATUS_OK, "text/plain", text->str);
+	g_string_free(text, TRUE);
+}
+
+static void
+on_events(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct entry *entry = data;
+	const char *text =
+	    query == NULL ? NULL : g_hash_table_lookup(query, "since");
+	uint64_t next;
+	char *events = proc_events_json(entry->proc.timeline,
+	    text == NULL ? 0 : g_ascii_strtoull(text, NULL, 10), &next);
+	char *json = g_strdup_printf(
+	    "{\"next\":%" G_GUINT64_FORMAT ",\"events\":%s}\n", next, events);
+
+	answer_text(message, SOUP_STATUS_OK, "application/json", json);
+	g_free(json);
+	g_free(events);
+}
+
+static void
+on_other(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct err err = { 0 };
+
+	err_set(&err, ERR_NOT_FOUND, VERDICT_NOT_RUN, "no such path");
+	refuse(data, message, &err);
+}
+
+void
+caller_open(struct entry *entry)
+{
+	SoupServer *http = entry->http;
+
+	soup_server_add_early_handler(http, NULL, on_early, entry, NULL);
+	soup_server_add_handler(http, NULL, on_other, entry, NULL);
+	soup_server_add_handler(
+	    http, "/v1/chat/completions", on_chat, entry, NULL);
+	soup_server_add_handler(http, "/services", on_service, entry, NULL);
+	soup_server_add_handler(http, "/healthz", on_health, entry, NULL);
+	soup_server_add_handler(http, "/metrics", on_metrics, entry, NULL);
+	soup_server_add_handler(http, "/events", on_events, entry, NULL);
+}
--- /dev/null
+++ b/programs/entry/entry.h
@@ -0,0 +1,128 @@
+#ifndef ENTRY_H
+#define ENTRY_H
+
+/*
+ * The entry process: takes callers' HTTP, chooses a target, forwards through
+ * the target's side process and keeps the verdict; answers operators; holds
+ * leased roles.
+ */
+
+#include <json-glib/json-glib.h>
+
+#include "agree/agree.h"
+#include "route/route.h"
+#include "shared/proc.h"
+#include "weights/weights.h"
+
+struct entry;
+struct lead;
+struct request;
+
+/* A side process as this entry knows it. */
+struct entry_side {
+	TAILQ_ENTRY(entry_side) link;
+	struct entry *entry;
+	char id[RT_NAME_MAX + 1];
+	char address[MEM_ADDRESS_MAX + 1];
+	char domain[RT_NAME_MAX + 1];
+	char info[MEM_INFO_MAX + 1];
+	struct conn *conn; /* NULL between tries */
+	bool open;
+	bool leaving; /* said so by membership */
+	guint retry_timer;
+	unsigned int retry_ms;
+	GHashTable *streams; /* stream number -> struct request */
+	GHashTable *statuses; /* struct digest -> struct side_status */
+};
+
+/* How far a version has come at a side, as it last said. */
+struct side_status {
+	struct digest root;
+	enum wts_phase phase;
+	uint64_t have, total;
+	char why[120];
+};
+
+TAILQ_HEAD(entry_sides, entry_side);
+
+struct entry {
+	struct proc proc;
+	SoupServer *http;
+	struct conn_server *server;
+	struct att_chart *attempts;
+	struct entry_sides sides;
+	struct rt_targets targets;
+	GHashTable *teams; /* branch name -> struct rt_team */
+	struct cfg *root; /* the root branch; NULL before it is in force */
+	struct rng rng;
+	uint64_t next_stream;
+	uint64_t next_request;
+	uint32_t run_id; /* so that ids differ from those before a restart */
+	unsigned int open_requests;
+	GHashTable *leads; /* team name -> struct lead */
+	guint lead_idle;
+	bool leaving; /* told to stop */
+	bool draining; /* the settings drain this entry */
+	guint stop_timer;
+};
+
+/* serve.c */
+int serve_main(const char *settings);
+bool entry_takes_work(const struct entry *entry);
+const struct rt_team *entry_team(const struct entry *entry, const char *name);
+
+/* sides.c: connections to the sides and what they say. */
+void sides_member(struct entry *entry, const struct mem_member *member);
+struct entry_side *sides_find(struct entry *entry, const char *id);
+/* The drain settings changed. */
+void sides_apply_drain(struct entry *entry);
+
+/* request.c: one caller's request over its attempts. */
+struct request_ask { /* borrowed; copied by request_start */
+	SoupServerMessage *message;
+	const struct rt_team *team;
+	const struct rt_model *model; /* or */
+	const struct rt_service *service;
+	const char *method;
+	const char *path;
+	const char *key; /* Idempotency-Key; NULL: none */
+	GBytes *body;
+	bool streamed; /* server-sent events, passed on piece by piece */
+	bool idempotent;
+	unsigned int deadline_ms;
+	unsigned int priority;
+};
+void request_start(struct entry *entry, const struct request_ask *ask);
+void request_head(struct request *r, const struct rt_head *head);
+void request_data(struct request *r, const uint8_t *bytes, size_t len);
+void request_end(struct request *r, const struct err *err);
+
+/* caller.c: HTTP for callers, health, counters, events. */
+void caller_open(struct entry *entry);
+/* Answers with an error object, its verdict and Retry-After. */
+void answer_error(SoupServerMessage *message, const struct err *err);
+void answer_json(
+    SoupServerMessage *message, unsigned int status, JsonNode *node);
+/* True when the request's bearer token has the digest `want`. */
+bool bearer_is(SoupServerMessage *message, const struct digest *want);
+
+/* ops.c: HTTP for operators. */
+void ops_open(struct entry *entry);
+
+/* lead.c: the leased role that gives a team's load orders. */
+void lead_teams_changed(struct entry *entry);
+void lead_wake(struct entry *entry);
+void lead_order_done(struct entry *entry, struct entry_side *side,
+    const struct rt_order_done *done);
+/* Planned stop: gives the role up at once. */
+void lead_hand_over(struct lead *lead);
+/* Whether this entry holds the role of a team. */
+bool lead_holds(const struct entry *entry, const char *team);
+
+/* timeline.c: the events of all processes in one order. */
+void timeline_collect(struct entry *entry, SoupServerMessage *message);
+
+/* cli.c: operators' commands over HTTP to any entry. */
+int cli_main(int argc, const char **argv);
+
+#endif
--- /dev/null
+++ b/programs/entry/lead.c
@@ -0,0 +1,376 @@
+/*
+ * The leased role of a team's rollouts: its holder gives the load orders,
+ * fenced by the lease's generation. Sides fetch by themselves; the lead only
+ * says when a version that is whole may be loaded.
+ */
+
+#include <string.h>
+
+#include "entry/entry.h"
+
+#define LEAD_TICK_MS 250
+#define ORDER_RETRY_MS 2000 /* after a load that failed, per target */
+
+/* An order sent and not answered. */
+struct lead_order {
+	char id[RT_NAME_MAX];
+	struct rt_target *target;
+	struct digest root;
+};
+
+struct lead {
+	struct entry *entry;
+	char team[RT_NAME_MAX + 1];
+	char role_name[RT_NAME_MAX + 1];
+	struct agr_role *role;
+	guint timer; /* runs while the role is held */
+	uint64_t next_order;
+	GHashTable *orders; /* order id -> struct lead_order */
+	GHashTable *resting; /* target -> time (us) before which it rests */
+	GHashTable *done; /* model name -> root last reported as done */
+};
+
+/* ------------------------------------------------------------------ */
+/* Orders                                                              */
+/* ------------------------------------------------------------------ */
+
+static bool
+has_order(const struct lead *lead, const struct rt_target *target)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, lead->orders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct lead_order *)value)->target == target)
+			return true;
+	}
+	return false;
+}
+
+static bool
+rests(const struct lead *lead, const struct rt_target *target, int64_t now_us)
+{
+	const int64_t *until = g_hash_table_lookup(lead->resting, target);
+
+	return until != NULL && *until > now_us;
+}
+
+static void
+order_load(
+    struct lead *lead, struct rt_target *target, const struct rt_model *model)
+{
+	const struct rt_version *v = model->rollout;
+	struct entry_side *side = target->owner;
+	/* Asked at the last moment: a pause may have ended the lease. */
+	uint64_t fence = agr_role_fence(lead->role);
+	struct lead_order *order;
+	struct rt_order message;
+
+	if (fence == 0)
+		return;
+	order = g_new0(struct lead_order, 1);
+	g_snprintf(order->id, sizeof(order->id),
+	    "%.20s-%08x-%" G_GUINT64_FORMAT, lead->entry->proc.node.id,
+	    lead->entry->run_id, ++lead->next_order);
+	order->target = target;
+	order->root = v->root;
+	g_hash_table_insert(lead->orders, order->id, order);
+	message = (struct rt_order){
+		.role = slice_str(lead->role_name),
+		.fence = fence,
+		.order_id = slice_str(order->id),
+		.kind = RT_ORDER_LOAD,
+		.target = slice_str(target->name),
+		.model = slice_str(model->name),
+		.version = slice_str(v->name),
+		.root = v->root,
+		.bytes = v->bytes,
+		.chunk_bytes = v->chunk_bytes,
+	};
+	conn_send(side->conn, &rt_order_desc, &message);
+	ctr_add(ctr_get(lead->entry->proc.counters, "lead_orders"), 1);
+	tl_add(lead->entry->proc.timeline, "order_sent", target->name,
+	    "load %s, fence %" G_GUINT64_FORMAT, v->name, fence);
+}
+
+static gboolean
+is_of_side(gpointer key, gpointer value, gpointer side)
+{
+	return ((struct lead_order *)value)->target->owner == side;
+}
+
+/* The link is gone and with it the answers to what was asked over it; the
+ * orders are idempotent and are given again. */
+static void
+forget_lost_orders(struct lead *lead)
+{
+	struct entry_side *side;
+
+	TAILQ_FOREACH (side, &lead->entry->sides, link) {
+		if (!side->open)
+			g_hash_table_foreach_remove(
+			    lead->orders, is_of_side, side);
+	}
+}
+
+void
+lead_order_done(struct entry *entry, struct entry_side *side,
+    const struct rt_order_done *done)
+{
+	char *id = slice_dup(done->order_id);
+	GHashTableIter iter;
+	gpointer value;
+	struct lead_order *order;
+	int64_t *until;
+
+	g_hash_table_iter_init(&iter, entry->leads);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lead *lead = value;
+
+		order = g_hash_table_lookup(lead->orders, id);
+		if (order == NULL)
+			continue;
+		if (done->code != ERR_NONE) {
+			ctr_add(
+			    ctr_get(entry->proc.counters, "lead_orders_failed"),
+			    1);
+			until = g_new(int64_t, 1);
+			*until =
+			    clk_now_us(clk_system()) + ORDER_RETRY_MS * 1000LL;
+			g_hash_table_replace(
+			    lead->resting, order->target, until);
+		}
+		g_hash_table_remove(lead->orders, id);
+	}
+	g_free(id);
+	lead_wake(entry);
+}
+
+/* ------------------------------------------------------------------ */
+/* One pass over a model                                               */
+/* ------------------------------------------------------------------ */
+
+static bool
+is_place(const struct rt_target *t, const struct lead *lead,
+    const struct rt_model *model, const GArray *hosts)
+{
+	return t->kind == RT_ENGINE && strcmp(t->team, lead->team) == 0 &&
+	    rt_model_placed(model, t->pool, t->domain) &&
+	    rt_place_has(hosts, t->side);
+}
+
+static void
+ask_status(struct entry_side *side, const struct digest *root)
+{
+	struct rt_status_get get = { .root = *root };
+
+	if (side->open)
+		conn_send(side->conn, &rt_status_get_desc, &get);
+}
+
+/* Returns true when the target has the wanted version loaded. */
+static bool
+look_at_target(
+    struct lead *lead, struct rt_target *t, const struct rt_model *model)
+{
+	struct entry_side *side = t->owner;
+	const struct side_status *status;
+
+	if (digest_equal(&t->loaded, &model->rollout->root))
+		return t->reachable;
+	if (!t->reachable || has_order(lead, t) ||
+	    rests(lead, t, clk_now_us(clk_system())))
+		return false;
+	status = g_hash_table_lookup(side->statuses, &model->rollout->root);
+	if (status != NULL && status->phase == WTS_WHOLE)
+		order_load(lead, t, model);
+	else
+		ask_status(side, &model->rollout->root);
+	return false;
+}
+
+static void
+note_done(struct lead *lead, const struct rt_model *model, unsigned int n)
+{
+	struct digest *root = g_hash_table_lookup(lead->done, model->name);
+
+	if (root != NULL && digest_equal(root, &model->rollout->root))
+		return;
+	g_hash_table_replace(lead->done, g_strdup(model->name),
+	    g_memdup2(&model->rollout->root, sizeof(*root)));
+	tl_add(lead->entry->proc.timeline, "rollout_done", model->name,
+	    "%s on %u targets", model->rollout->name, n);
+	log_info("rollout of %s %s done on %u targets", model->name,
+	    model->rollout->name, n);
+}
+
+struct offering {
+	struct rt_place *place;
+};
+
+static void
+offer(const struct mem_member *member, void *ctx)
+{
+	struct offering *offering = ctx;
+	const struct mem_node *node = &member->node;
+
+	if (node->kind == MEM_SIDE && member->state != MEM_LEAVING)
+		rt_place_offer(offering->place, node->id, node->address,
+		    node->domain, node->info);
+}
+
+static GArray *
+hosts_of(struct lead *lead, const struct rt_model *model)
+{
+	struct offering offering = { rt_place_new(lead->team, model) };
+
+	agr_each_member(lead->entry->proc.agr, offer, &offering);
+	return rt_place_end(offering.place);
+}
+
+static void
+look_at_model(struct lead *lead, const struct rt_model *model)
+{
+	GArray *hosts = hosts_of(lead, model);
+	struct rt_target *t;
+	unsigned int places = 0, loaded = 0;
+
+	TAILQ_FOREACH (t, &lead->entry->targets, link) {
+		if (!is_place(t, lead, model, hosts))
+			continue;
+		places++;
+		if (look_at_target(lead, t, model))
+			loaded++;
+	}
+	if (places > 0 && places == loaded && places >= hosts->len)
+		note_done(lead, model, places);
+	g_array_unref(hosts);
+}
+
+static void
+tick(struct lead *lead)
+{
+	const struct rt_team *team = entry_team(lead->entry, lead->team);
+	size_t i;
+
+	if (team == NULL || agr_role_fence(lead->role) == 0)
+		return;
+	forget_lost_orders(lead);
+	for (i = 0; i < team->nmodels; i++) {
+		if (team->models[i].rollout != NULL)
+			look_at_model(lead, &team->models[i]);
+	}
+}
+
+static gboolean
+on_tick(gpointer data)
+{
+	tick(data);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_wake(gpointer data)
+{
+	struct entry *entry = data;
+	GHashTableIter iter;
+	gpointer value;
+
+	entry->lead_idle = 0;
+	g_hash_table_iter_init(&iter, entry->leads);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		tick(value);
+	return G_SOURCE_REMOVE;
+}
+
+void
+lead_wake(struct entry *entry)
+{
+	/* News comes in bursts; one pass when the loop is idle serves all. */
+	if (entry->lead_idle == 0)
+		entry->lead_idle = g_idle_add(on_wake, entry);
+}
+
+/* ------------------------------------------------------------------ */
+/* The role                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+on_gained(struct agr_role *role, uint64_t fence, void *ctx)
+{
+	struct lead *lead = ctx;
+
+	tl_add(lead->entry->proc.timeline, "lease_gained", lead->role_name,
+	    "fence %" G_GUINT64_FORMAT, fence);
+	log_info(
+	    "holds %s with fence %" G_GUINT64_FORMAT, lead->role_name, fence);
+	g_hash_table_remove_all(lead->orders);
+	if (lead->timer == 0)
+		lead->timer = g_timeout_add(LEAD_TICK_MS, on_tick, lead);
+}
+
+static void
+on_lost(struct agr_role *role, void *ctx)
+{
+	struct lead *lead = ctx;
+
+	tl_add(lead->entry->proc.timeline, "lease_lost", lead->role_name,
+	    "no more orders from here");
+	log_info("lost %s", lead->role_name);
+	if (lead->timer != 0)
+		g_source_remove(lead->timer);
+	lead->timer = 0;
+}
+
+static void
+add_lead(struct entry *entry, const char *team)
+{
+	static const struct agr_role_ops ops = {
+		.gained = on_gained,
+		.lost = on_lost,
+	};
+	struct lead *lead = g_new0(struct lead, 1);
+
+	lead->entry = entry;
+	g_strlcpy(lead->team, team, sizeof(lead->team));
+	g_snprintf(
+	    lead->role_name, sizeof(lead->role_name), "rollout-%.50s", team);
+	lead->orders =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	lead->resting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lead->done =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(entry->leads, lead->team, lead);
+	lead->role =
+	    agr_role_join(entry->proc.agr, lead->role_name, &ops, lead);
+}
+
+void
+lead_teams_changed(struct entry *entry)
+{
+	GHashTableIter iter;
+	gpointer name;
+
+	if (entry->leaving)
+		return;
+	g_hash_table_iter_init(&iter, entry->teams);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		if (!g_hash_table_contains(entry->leads, name))
+			add_lead(entry, name);
+	}
+}
+
+void
+lead_hand_over(struct lead *lead)
+{
+	agr_role_leave(lead->role);
+}
+
+bool
+lead_holds(const struct entry *entry, const char *team)
+{
+	struct lead *lead = g_hash_table_lookup(entry->leads, team);
+
+	return lead != NULL && agr_role_fence(lead->role) != 0;
+}
--- /dev/null
+++ b/programs/entry/request.c
@@ -0,0 +1,540 @@
+/* One caller's request over its attempts: the I/O behind charts/attempt. */
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "entry/entry.h"
+
+#define MAX_ATTEMPTS 4
+#define REQUEST_ID_LEN 40
+/* An answer that is not streamed is held up to this size until it is whole,
+ * so that a broken one can be run again and the caller sees no trace. */
+#define HOLD_MAX RT_WINDOW
+#define MIN_TRY_MS 20 /* less time left than this is not worth a try */
+#define RETRY_AFTER_MS 1000 /* advice when no target is there at all */
+
+struct request {
+	struct entry *entry;
+	SoupServerMessage *message;
+	struct att att;
+	char id[REQUEST_ID_LEN];
+	char team[RT_NAME_MAX + 1];
+	char model[RT_NAME_MAX + 1]; /* "" for a plain service */
+	char service[RT_NAME_MAX + 1];
+	char *method;
+	char *path;
+	char *headers;
+	GBytes *body;
+	bool streamed;
+	unsigned int stall_ms;
+	unsigned int priority;
+	int64_t deadline_us;
+	guint deadline_timer;
+	guint event_idle; /* an event that must not be taken within a step */
+	enum att_event event;
+	gulong finished_signal;
+	gulong wrote_signal;
+	GSource *gone_source;
+
+	/* The attempt that runs now. */
+	struct entry_side *side; /* NULL: none */
+	struct rt_target *target;
+	int64_t stream;
+	const struct rt_target *tried[MAX_ATTEMPTS];
+
+	/* The answer. */
+	struct rt_head head; /* headers are in `type` */
+	char *type;
+	bool begun; /* the caller has seen the head */
+	GByteArray *held;
+	struct err last;
+};
+
+static void free_request(struct request *r);
+
+/* ------------------------------------------------------------------ */
+/* Attempts                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+count(const struct request *r, const char *name)
+{
+	ctr_add(ctr_get(r->entry->proc.counters, name), 1);
+}
+
+static void
+leave_stream(struct request *r)
+{
+	if (r->side == NULL)
+		return;
+	g_hash_table_remove(r->side->streams, &r->stream);
+	if (r->target->own_running > 0)
+		r->target->own_running--;
+	r->side = NULL;
+}
+
+static int64_t
+time_left_ms(const struct request *r)
+{
+	return (r->deadline_us - clk_now_us(clk_system())) / 1000;
+}
+
+static void
+take(struct request *r, enum att_event event)
+{
+	r->att.facts.time_left = time_left_ms(r) >= MIN_TRY_MS;
+	att_take(&r->att, event);
+	if (att_is_over(&r->att))
+		free_request(r);
+}
+
+static gboolean
+take_later(gpointer data)
+{
+	struct request *r = data;
+
+	r->event_idle = 0;
+	take(r, r->event);
+	return G_SOURCE_REMOVE;
+}
+
+/* No target: the attempt is refused, but not from within this step. */
+static void
+refuse_later(struct request *r)
+{
+	err_set(&r->last, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
+	    "no target can take it now");
+	r->last.retry_after_ms = RETRY_AFTER_MS;
+	r->att.facts.max_attempts = r->att.facts.attempts;
+	r->event = ATT_REFUSED;
+	r->event_idle =
+	    g_idle_add_full(G_PRIORITY_DEFAULT, take_later, r, NULL);
+}
+
+static struct rt_target *
+choose(struct request *r, const struct rt_team *team)
+{
+	const struct rt_model *model = rt_team_model(team, r->model);
+	struct digest roots[64];
+	struct rt_wish wish = {
+		.team = r->team,
+		.pool = model == NULL ? "" : model->pool,
+		.service = r->service[0] == '\0' ? NULL : r->service,
+		.roots = roots,
+		.domain = cfg_str(r->entry->proc.cfg, "node.domain"),
+		.tried = r->tried,
+		.ntried = r->att.facts.attempts,
+	};
+
+	if (r->model[0] != '\0' && model == NULL)
+		return NULL;
+	if (model != NULL && model->nversions <= G_N_ELEMENTS(roots))
+		wish.nroots = rt_model_roots(
+		    model, hash64(0, r->id, strlen(r->id)), roots);
+	return rt_choose(&r->entry->targets, &wish, clk_now_us(clk_system()),
+	    &r->entry->rng);
+}
+
+static void
+send_request(struct request *r)
+{
+	gsize len = 0;
+	const uint8_t *body =
+	    r->body == NULL ? NULL : g_bytes_get_data(r->body, &len);
+	struct rt_request message = {
+		.stream = (uint64_t)r->stream,
+		.request_id = slice_str(r->id),
+		.attempt = r->att.facts.attempts,
+		.deadline_ms = (uint64_t)MAX(time_left_ms(r), 0),
+		.target = slice_str(r->target->name),
+		.method = slice_str(r->method),
+		.path = slice_str(r->path),
+		.headers = slice_str(r->headers),
+		.body = { body, len },
+		.expect = r->target->loaded,
+		.idempotent = r->att.facts.idempotent,
+		.priority = r->priority,
+		.stall_ms = r->stall_ms,
+	};
+
+	conn_send(r->side->conn, &rt_request_desc, &message);
+}
+
+static void
+op_dispatch(void *ctx)
+{
+	struct request *r = ctx;
+	const struct rt_team *team = entry_team(r->entry, r->team);
+	struct rt_target *target = team == NULL ? NULL : choose(r, team);
+
+	if (target == NULL) {
+		refuse_later(r);
+		return;
+	}
+	r->tried[r->att.facts.attempts++] = target;
+	r->target = target;
+	r->side = target->owner;
+	r->stream = (int64_t)++r->entry->next_stream;
+	target->own_running++;
+	g_hash_table_insert(r->side->streams, &r->stream, r);
+	if (r->att.facts.attempts > 1)
+		count(r, "request_retries");
+	send_request(r);
+}
+
+static void
+op_cancel(void *ctx)
+{
+	struct request *r = ctx;
+	struct rt_cancel cancel = { .stream = (uint64_t)r->stream };
+
+	if (r->side == NULL)
+		return;
+	if (r->side->open && r->att.facts.idempotent)
+		conn_send(r->side->conn, &rt_cancel_desc, &cancel);
+	leave_stream(r);
+}
+
+/* ------------------------------------------------------------------ */
+/* The answer to the caller                                            */
+/* ------------------------------------------------------------------ */
+
+static SoupMessageBody *
+body_of(struct request *r)
+{
+	return soup_server_message_get_response_body(r->message);
+}
+
+static void
+put_headers(struct request *r, enum verdict verdict)
+{
+	SoupMessageHeaders *h =
+	    soup_server_message_get_response_headers(r->message);
+	char digest[DIGEST_HEX], attempts[16];
+
+	g_snprintf(attempts, sizeof(attempts), "%u", r->att.facts.attempts);
+	soup_message_headers_replace(h, "X-Request-Id", r->id);
+	soup_message_headers_replace(h, "X-Attempts", attempts);
+	soup_message_headers_replace(h, "X-Verdict", verdict_name(verdict));
+	if (!digest_is_none(&r->head.loaded)) {
+		digest_to_hex(&r->head.loaded, digest);
+		soup_message_headers_replace(h, "X-Model-Digest", digest);
+	}
+}
+
+static void
+put_type(struct request *r)
+{
+	soup_message_headers_replace(
+	    soup_server_message_get_response_headers(r->message),
+	    "Content-Type", r->type);
+}
+
+/* Sends the head and lets the body follow piece by piece. While it runs the
+ * verdict can only be MAY_HAVE_RUN; the whole answer says RAN. */
+static void
+begin(struct request *r)
+{
+	r->begun = true;
+	soup_server_message_set_status(r->message, (guint)r->head.status, NULL);
+	put_headers(r, VERDICT_MAY_HAVE_RUN);
+	put_type(r);
+	soup_message_headers_set_encoding(
+	    soup_server_message_get_response_headers(r->message),
+	    SOUP_ENCODING_CHUNKED);
+	soup_message_body_set_accumulate(body_of(r), FALSE);
+}
+
+static void
+append(struct request *r, const uint8_t *bytes, size_t len)
+{
+	if (len == 0)
+		return;
+	soup_message_body_append(body_of(r), SOUP_MEMORY_COPY, bytes, len);
+	soup_server_message_unpause(r->message);
+}
+
+static void
+op_pass_head(void *ctx)
+{
+	struct request *r = ctx;
+
+	if (!r->begun)
+		begin(r);
+}
+
+static void
+op_finish(void *ctx)
+{
+	struct request *r = ctx;
+
+	count(r, "request_answered");
+	if (r->begun) {
+		soup_message_body_complete(body_of(r));
+	} else {
+		soup_server_message_set_status(
+		    r->message, (guint)r->head.status, NULL);
+		put_headers(r, VERDICT_RAN);
+		put_type(r);
+		soup_message_body_append(
+		    body_of(r), SOUP_MEMORY_COPY, r->held->data, r->held->len);
+		soup_message_body_complete(body_of(r));
+	}
+	soup_server_message_unpause(r->message);
+}
+
+static void
+op_fail(void *ctx)
+{
+	struct request *r = ctx;
+
+	/* One attempt that may have run makes the whole request so, even
+	 * when a later attempt was surely refused. */
+	if (r->att.may_have_run)
+		r->last.verdict = VERDICT_MAY_HAVE_RUN;
+	count(r,
+	    r->last.verdict == VERDICT_NOT_RUN ? "request_not_run"
+					       : "request_may_have_run");
+	put_headers(r, r->last.verdict);
+	answer_error(r->message, &r->last);
+	soup_server_message_unpause(r->message);
+}
+
+/*
+ * The answer broke after it began to reach the caller. It must not look
+ * whole: a stream of events gets an error event and no [DONE]; anything else is
+ * closed without the end that HTTP calls for.
+ */
+static void
+op_cut(void *ctx)
+{
+	struct request *r = ctx;
+	GSocket *socket;
+	char *event;
+
+	count(r, "request_cut");
+	tl_add(r->entry->proc.timeline, "answer_cut", r->id, "%s",
+	    r->last.message);
+	if (!r->streamed) {
+		socket = soup_server_message_get_socket(r->message);
+		if (socket != NULL)
+			g_socket_shutdown(socket, TRUE, TRUE, NULL);
+		soup_server_message_unpause(r->message);
+		return;
+	}
+	event = g_strdup_printf("event: error\ndata: {\"error\":{\"code\":"
+				"\"%s\",\"message\":\"the answer broke off\","
+				"\"verdict\":\"%s\"}}\n\n",
+	    err_code_name(r->last.code), verdict_name(VERDICT_MAY_HAVE_RUN));
+	append(r, (const uint8_t *)event, strlen(event));
+	soup_message_body_complete(body_of(r));
+	soup_server_message_unpause(r->message);
+	g_free(event);
+}
+
+static const struct att_ops ops = {
+	.dispatch = op_dispatch,
+	.pass_head = op_pass_head,
+	.finish = op_finish,
+	.fail = op_fail,
+	.cut = op_cut,
+	.cancel = op_cancel,
+};
+
+/* ------------------------------------------------------------------ */
+/* From the side                                                       */
+/* ------------------------------------------------------------------ */
+
+void
+request_head(struct request *r, const struct rt_head *head)
+{
+	char *headers = slice_dup(head->headers);
+
+	r->head = *head;
+	r->head.headers = (struct slice){ NULL, 0 };
+	g_free(r->type);
+	r->type = g_str_has_prefix(headers, "Content-Type: ")
+	    ? g_strndup(headers + 14, strcspn(headers + 14, "\n"))
+	    : g_strdup("application/octet-stream");
+	g_free(headers);
+	g_byte_array_set_size(r->held, 0);
+	if (r->streamed)
+		take(r, ATT_HEAD);
+}
+
+static void
+give_window(struct request *r, size_t len)
+{
+	struct rt_window window = { (uint64_t)r->stream, len };
+
+	if (len > 0 && r->side != NULL && r->side->open)
+		conn_send(r->side->conn, &rt_window_desc, &window);
+}
+
+void
+request_data(struct request *r, const uint8_t *bytes, size_t len)
+{
+	if (r->begun) {
+		append(r, bytes, len);
+		return;
+	}
+	g_byte_array_append(r->held, bytes, (guint)len);
+	if (r->held->len < HOLD_MAX)
+		return;
+	/* Too large to hold back any longer. */
+	begin(r);
+	append(r, r->held->data, r->held->len);
+	g_byte_array_set_size(r->held, 0);
+	take(r, ATT_HEAD);
+}
+
+void
+request_end(struct request *r, const struct err *err)
+{
+	leave_stream(r);
+	if (!err_is(err) && err->verdict == VERDICT_RAN) {
+		take(r, ATT_DONE);
+		return;
+	}
+	r->last = *err;
+	take(r, err->verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
+}
+
+/* ------------------------------------------------------------------ */
+/* From the caller and the clock                                       */
+/* ------------------------------------------------------------------ */
+
+static void
+on_wrote(SoupServerMessage *message, guint size, gpointer data)
+{
+	give_window(data, size);
+}
+
+static void
+caller_gone(struct request *r)
+{
+	count(r, "request_caller_gone");
+	take(r, ATT_CALLER_GONE);
+}
+
+static void
+on_finished(SoupServerMessage *message, gpointer data)
+{
+	caller_gone(data);
+}
+
+/* While we wait nobody reads the caller's socket; a look at it tells a
+ * caller that hung up, so that the work can stop. */
+static gboolean
+on_caller_readable(GSocket *socket, GIOCondition cond, gpointer data)
+{
+	struct request *r = data;
+	char byte;
+	ssize_t n =
+	    recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	g_source_unref(r->gone_source);
+	r->gone_source = NULL;
+	if (n == 0)
+		caller_gone(r);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_deadline(gpointer data)
+{
+	struct request *r = data;
+
+	r->deadline_timer = 0;
+	err_set(&r->last, ERR_DEADLINE,
+	    r->side == NULL ? VERDICT_NOT_RUN : VERDICT_MAY_HAVE_RUN,
+	    "the deadline passed");
+	count(r, "request_deadlines");
+	take(r, ATT_DEADLINE);
+	return G_SOURCE_REMOVE;
+}
+
+/* ------------------------------------------------------------------ */
+/* Life of a request                                                   */
+/* ------------------------------------------------------------------ */
+
+static void
+free_request(struct request *r)
+{
+	leave_stream(r);
+	g_signal_handler_disconnect(r->message, r->finished_signal);
+	g_signal_handler_disconnect(r->message, r->wrote_signal);
+	if (r->gone_source != NULL) {
+		g_source_destroy(r->gone_source);
+		g_source_unref(r->gone_source);
+	}
+	if (r->deadline_timer != 0)
+		g_source_remove(r->deadline_timer);
+	if (r->event_idle != 0)
+		g_source_remove(r->event_idle);
+	r->entry->open_requests--;
+	g_object_unref(r->message);
+	if (r->body != NULL)
+		g_bytes_unref(r->body);
+	g_byte_array_unref(r->held);
+	g_free(r->type);
+	g_free(r->method);
+	g_free(r->path);
+	g_free(r->headers);
+	g_free(r);
+}
+
+static void
+watch_caller(struct request *r)
+{
+	GSocket *socket = soup_server_message_get_socket(r->message);
+
+	r->finished_signal = g_signal_connect(
+	    r->message, "finished", G_CALLBACK(on_finished), r);
+	r->wrote_signal = g_signal_connect(
+	    r->message, "wrote-body-data", G_CALLBACK(on_wrote), r);
+	if (socket == NULL)
+		return;
+	r->gone_source = g_socket_create_source(socket, G_IO_IN, NULL);
+	g_source_set_callback(
+	    r->gone_source, G_SOURCE_FUNC(on_caller_readable), r, NULL);
+	g_source_attach(r->gone_source, NULL);
+}
+
+void
+request_start(struct entry *entry, const struct request_ask *ask)
+{
+	struct request *r = g_new0(struct request, 1);
+
+	r->entry = entry;
+	r->message = g_object_ref(ask->message);
+	g_snprintf(r->id, sizeof(r->id), "%.12s-%08x-%" G_GUINT64_FORMAT,
+	    entry->proc.node.id, entry->run_id, ++entry->next_request);
+	g_strlcpy(r->team, ask->team->name, sizeof(r->team));
+	if (ask->model != NULL)
+		g_strlcpy(r->model, ask->model->name, sizeof(r->model));
+	if (ask->service != NULL) {
+		g_strlcpy(r->service, ask->service->name, sizeof(r->service));
+		r->stall_ms = ask->service->stall_ms;
+	}
+	r->method = g_strdup(ask->method);
+	r->path = g_strdup(ask->path);
+	r->headers = g_strdup("Content-Type: application/json\n");
+	r->body = ask->body == NULL ? NULL : g_bytes_ref(ask->body);
+	r->streamed = ask->streamed;
+	r->priority = ask->priority;
+	r->held = g_byte_array_new();
+	r->deadline_us = clk_now_us(clk_system()) + ask->deadline_ms * 1000LL;
+	r->deadline_timer = g_timeout_add(ask->deadline_ms, on_deadline, r);
+	entry->open_requests++;
+	soup_server_message_pause(r->message);
+	watch_caller(r);
+	att_init(&r->att, entry->attempts, &ops, r);
+	r->att.facts = (struct att_facts){
+		.idempotent = ask->idempotent,
+		.max_attempts = MAX_ATTEMPTS,
+		.budget = true,
+	};
+	take(r, ATT_START);
+}
--- /dev/null
+++ b/programs/entry/serve.c
@@ -0,0 +1,261 @@
+/* The entry process: set-up, settings in force, graceful stop. */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "entry/entry.h"
+
+#define STOP_CHECK_MS 50
+#define STOP_LONGEST_MS 60000 /* a stream that never ends does not hold us */
+/* Callers' balancer looks at /healthz; it gets this long to see "draining"
+ * before we refuse, so that a planned stop turns nobody away. */
+#define STOP_NOTICE_MS 1000
+
+bool
+entry_takes_work(const struct entry *entry)
+{
+	return agr_is_ready(entry->proc.agr);
+}
+
+const struct rt_team *
+entry_team(const struct entry *entry, const char *name)
+{
+	return g_hash_table_lookup(entry->teams, name);
+}
+
+/* ------------------------------------------------------------------ */
+/* Connections from other processes                                    */
+/* ------------------------------------------------------------------ */
+
+static void
+send_events(struct entry *entry, struct conn *c, const struct msg *m)
+{
+	struct rt_events_get get;
+	struct rt_events events = { 0 };
+	char *json;
+
+	if (!msg_read(m, &rt_events_get_desc, &get, NULL))
+		return;
+	json = proc_events_json(entry->proc.timeline, get.since, &events.next);
+	events.json = slice_str(json);
+	conn_send(c, &rt_events_desc, &events);
+	g_free(json);
+}
+
+static void
+on_message(struct conn *c, const struct msg *m, void *ctx)
+{
+	struct entry *entry = ctx;
+
+	if (m->type == RT_EVENTS_GET)
+		send_events(entry, c, m);
+	else if (!agr_message(entry->proc.agr, c, m))
+		ctr_add(
+		    ctr_get(entry->proc.counters, "entry_unknown_messages"), 1);
+}
+
+static void
+on_closed(struct conn *c, const struct err *why, void *ctx)
+{
+}
+
+static const struct conn_ops accepted_ops = {
+	.message = on_message,
+	.closed = on_closed,
+};
+
+static const struct conn_ops *
+on_accepted(struct conn *c, void **ctx_out, void *ctx)
+{
+	*ctx_out = ctx;
+	return &accepted_ops;
+}
+
+/* ------------------------------------------------------------------ */
+/* Settings and members                                                */
+/* ------------------------------------------------------------------ */
+
+static void
+on_member(const struct mem_member *member, void *ctx)
+{
+	if (member->node.kind == MEM_SIDE)
+		sides_member(ctx, member);
+}
+
+static bool
+lists_us(const struct entry *entry)
+{
+	size_t n = cfg_count(entry->root, "drain.entries"), i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(cfg_str(entry->root, "drain.entries.%zu", i),
+			entry->proc.node.id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+take_root(struct entry *entry, struct cfg *cfg)
+{
+	cfg_free(entry->root);
+	entry->root = cfg;
+	entry->draining = lists_us(entry);
+	sides_apply_drain(entry);
+}
+
+static void
+on_branch(const struct inf_branch *branch, void *ctx)
+{
+	struct entry *entry = ctx;
+	bool root = strcmp(branch->name, INF_ROOT_BRANCH) == 0;
+	struct err err = { 0 };
+	struct cfg *cfg =
+	    cfg_parse(branch->name, branch->yaml, strlen(branch->yaml),
+		root ? &cfg_root_schema : &cfg_branch_schema, &err);
+
+	if (cfg == NULL) {
+		log_warn("branch %s: %s", branch->name, err.message);
+		return;
+	}
+	if (root) {
+		take_root(entry, cfg);
+		return;
+	}
+	g_hash_table_replace(entry->teams, g_strdup(branch->name),
+	    rt_team_read(cfg, branch->version));
+	lead_teams_changed(entry);
+}
+
+static void
+on_ready(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	tl_add(entry->proc.timeline, "ready", entry->proc.node.id,
+	    "settings are in force");
+	log_info("entry %s is ready", entry->proc.node.id);
+}
+
+/* ------------------------------------------------------------------ */
+/* Start and stop                                                      */
+/* ------------------------------------------------------------------ */
+
+static bool
+listen_http(struct entry *entry, struct err *err)
+{
+	const char *address = cfg_str(entry->proc.cfg, "node.http");
+	const char *colon = strrchr(address, ':');
+	GSocketAddress *at = NULL;
+	GError *error = NULL;
+	char *ip;
+
+	if (colon != NULL) {
+		ip = g_strndup(address, (gsize)(colon - address));
+		at = g_inet_socket_address_new_from_string(
+		    ip, (guint)atoi(colon + 1));
+		g_free(ip);
+	}
+	if (at == NULL) {
+		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "key 'node.http': '%s' is not like 192.0.2.1:8080",
+		    address);
+	}
+	entry->http = soup_server_new("server-header", "currantchute", NULL);
+	caller_open(entry);
+	ops_open(entry);
+	if (!soup_server_listen(entry->http, at, 0, &error)) {
+		err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
+		    "cannot listen on %s: %s", address, error->message);
+		g_error_free(error);
+	}
+	g_object_unref(at);
+	return !err_is(err);
+}
+
+static bool
+start(struct entry *entry, struct err *err)
+{
+	static const struct agr_ops ops = {
+		.member_changed = on_member,
+		.branch_changed = on_branch,
+		.ready = on_ready,
+	};
+	uint64_t seed;
+
+	TAILQ_INIT(&entry->sides);
+	TAILQ_INIT(&entry->targets);
+	entry->teams = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)rt_team_free);
+	entry->leads = g_hash_table_new(g_str_hash, g_str_equal);
+	random_bytes(&seed, sizeof(seed));
+	rng_seed(&entry->rng, seed);
+	entry->run_id = (uint32_t)rng_next(&entry->rng);
+	entry->attempts =
+	    att_chart_load(cfg_str(entry->proc.cfg, "node.charts"), err);
+	if (entry->attempts == NULL)
+		return false;
+	if (!proc_join(&entry->proc, MEM_ENTRY, "", &ops, entry, err))
+		return false;
+	entry->server = conn_listen(&entry->proc.node,
+	    cfg_str(entry->proc.cfg, "node.peer"), on_accepted, entry, err);
+	if (entry->server == NULL || !listen_http(entry, err))
+		return false;
+	tl_add(entry->proc.timeline, "started", entry->proc.node.id, "entry");
+	log_info("entry %s started", entry->proc.node.id);
+	return true;
+}
+
+static gboolean
+check_stopped(gpointer data)
+{
+	struct entry *entry = data;
+	static int waited_ms;
+
+	waited_ms += STOP_CHECK_MS;
+	if (waited_ms < STOP_NOTICE_MS ||
+	    (entry->open_requests > 0 && waited_ms < STOP_LONGEST_MS))
+		return G_SOURCE_CONTINUE;
+	entry->stop_timer = 0;
+	proc_quit(&entry->proc);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+hand_over(gpointer team, gpointer lead, gpointer data)
+{
+	lead_hand_over(lead);
+}
+
+static void
+on_stop(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	if (entry->leaving)
+		return;
+	entry->leaving = true;
+	tl_add(entry->proc.timeline, "leaving", entry->proc.node.id,
+	    "%u requests open", entry->open_requests);
+	log_info("entry %s is leaving", entry->proc.node.id);
+	g_hash_table_foreach(entry->leads, hand_over, NULL);
+	agr_leave(entry->proc.agr);
+	entry->stop_timer = g_timeout_add(STOP_CHECK_MS, check_stopped, entry);
+}
+
+int
+serve_main(const char *settings)
+{
+	struct entry *entry = g_new0(struct entry, 1);
+	struct err err = { 0 };
+
+	log_open("currantchute");
+	if (!proc_load(&entry->proc, settings, &err) || !start(entry, &err)) {
+		fprintf(stderr, "currantchute: %s\n", err.message);
+		return EXIT_USAGE;
+	}
+	proc_run(&entry->proc, on_stop, entry);
+	log_info("entry %s stopped", entry->proc.node.id);
+	log_close();
+	return EXIT_OK;
+}
--- /dev/null
+++ b/programs/side/targets.c
@@ -0,0 +1,440 @@
+/* The targets of this host: what is loaded, orders, what entries are told. */
+
+#include <string.h>
+
+#include "side/side.h"
+
+#define POLL_DEADLINE_MS 5000
+#define LOAD_DEADLINE_MS 600000 /* an engine may read hundreds of GB */
+#define SLOTS_UNKNOWN 16 /* until the target said how many it has */
+
+/* An order at the engine, answered to whoever asked last. */
+struct side_order {
+	struct side_target *target;
+	struct side_peer *peer; /* NULL once the asker is gone */
+	char *order_id;
+	struct digest root;
+};
+
+/* ------------------------------------------------------------------ */
+/* Reading and finding                                                 */
+/* ------------------------------------------------------------------ */
+
+static void
+read_text(
+    char *out, size_t size, const struct cfg *cfg, size_t i, const char *key)
+{
+	g_strlcpy(out, cfg_str(cfg, "side.targets.%zu.%s", i, key), size);
+}
+
+bool
+targets_read(struct side *side, struct err *err)
+{
+	const struct cfg *cfg = side->proc.cfg;
+	size_t n = cfg_count(cfg, "side.targets"), i;
+	struct side_target *t;
+
+	if (n == 0) {
+		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "key 'side.targets': at least one target is needed");
+	}
+	for (i = 0; i < n; i++) {
+		t = g_new0(struct side_target, 1);
+		t->side = side;
+		read_text(t->info.name, sizeof(t->info.name), cfg, i, "name");
+		read_text(t->info.team, sizeof(t->info.team), cfg, i, "team");
+		read_text(t->info.pool, sizeof(t->info.pool), cfg, i, "pool");
+		read_text(t->info.service, sizeof(t->info.service), cfg, i,
+		    "service");
+		t->info.kind = strcmp(cfg_str(cfg, "side.targets.%zu.kind", i),
+				   "service") == 0
+		    ? RT_SERVICE
+		    : RT_ENGINE;
+		t->url = cfg_str(cfg, "side.targets.%zu.url", i);
+		t->slots = SLOTS_UNKNOWN;
+		t->told_accepting = true;
+		TAILQ_INSERT_TAIL(&side->targets, t, link);
+	}
+	return true;
+}
+
+struct side_target *
+targets_find(struct side *side, struct slice name)
+{
+	struct side_target *t;
+
+	TAILQ_FOREACH (t, &side->targets, link) {
+		if (strlen(t->info.name) == name.len &&
+		    memcmp(t->info.name, name.data, name.len) == 0)
+			return t;
+	}
+	return NULL;
+}
+
+bool
+targets_accepting(const struct side_target *target)
+{
+	return !target->side->leaving && !target->side->draining &&
+	    !target->ordered_off;
+}
+
+unsigned int
+targets_running(const struct side *side)
+{
+	const struct side_target *t;
+	unsigned int running = 0;
+
+	TAILQ_FOREACH (t, &side->targets, link) {
+		running += t->running;
+	}
+	return running;
+}
+
+/* ------------------------------------------------------------------ */
+/* What entries are told                                               */
+/* ------------------------------------------------------------------ */
+
+static unsigned int
+count_targets(const struct side *side)
+{
+	const struct side_target *t;
+	unsigned int n = 0;
+
+	TAILQ_FOREACH (t, &side->targets, link) {
+		n++;
+	}
+	return n;
+}
+
+static void
+tell(struct side_peer *peer, const struct side_target *t)
+{
+	struct rt_target_msg message = {
+		.name = slice_str(t->info.name),
+		.kind = t->info.kind,
+		.team = slice_str(t->info.team),
+		.pool = slice_str(t->info.pool),
+		.service = slice_str(t->info.service),
+		.loaded = t->loaded,
+		.accepting = targets_accepting(t),
+		.running = t->running,
+		.slots = t->slots,
+		.count = count_targets(peer->side),
+	};
+
+	conn_send(peer->conn, &rt_target_desc, &message);
+}
+
+static void
+tell_all(const struct side_target *t)
+{
+	struct side_peer *peer;
+
+	TAILQ_FOREACH (peer, &t->side->peers, link) {
+		if (peer->watching)
+			tell(peer, t);
+	}
+}
+
+void
+targets_watch(struct side_peer *peer)
+{
+	const struct side_target *t;
+
+	peer->watching = true;
+	TAILQ_FOREACH (t, &peer->side->targets, link) {
+		tell(peer, t);
+	}
+}
+
+void
+targets_announce(struct side *side)
+{
+	struct side_target *t;
+	bool accepting;
+
+	TAILQ_FOREACH (t, &side->targets, link) {
+		accepting = targets_accepting(t);
+		if (accepting == t->told_accepting)
+			continue;
+		t->told_accepting = accepting;
+		tl_add(side->proc.timeline,
+		    accepting ? "target_accepting" : "target_draining",
+		    t->info.name, "%u running", t->running);
+		tell_all(t);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* What is loaded                                                      */
+/* ------------------------------------------------------------------ */
+
+static void
+set_loaded(struct side_target *t, const struct digest *loaded)
+{
+	char hex[DIGEST_HEX];
+
+	if (digest_equal(&t->loaded, loaded))
+		return;
+	t->loaded = *loaded;
+	digest_to_hex(loaded, hex);
+	tl_add(t->side->proc.timeline, "version_loaded", t->info.name, "%s",
+	    digest_is_none(loaded) ? "none" : hex);
+	tell_all(t);
+	place_schedule(t->side);
+}
+
+static void
+on_loaded(const char *version, const struct digest *loaded, uint64_t fence,
+    const struct err *err, void *ctx)
+{
+	struct side_target *t = ctx;
+	static const struct digest none;
+
+	t->polling = false;
+	if (t->loading != NULL)
+		return; /* the order's own answer says what is loaded */
+	if (err == NULL)
+		set_loaded(t, loaded);
+	else if (err->code == ERR_UNAVAILABLE)
+		set_loaded(t, &none);
+}
+
+static void
+on_report(const struct engine_report *report, const struct err *err, void *ctx)
+{
+	struct side_target *t = ctx;
+
+	if (err != NULL || report->slots == 0 || report->slots == t->slots)
+		return;
+	t->slots = report->slots;
+	tell_all(t);
+}
+
+void
+targets_poll(struct side *side)
+{
+	struct side_target *t;
+
+	TAILQ_FOREACH (t, &side->targets, link) {
+		if (t->info.kind != RT_ENGINE || t->polling)
+			continue;
+		t->polling = true;
+		engine_loaded(
+		    side->proc.plat, t->url, POLL_DEADLINE_MS, on_loaded, t);
+		engine_report(
+		    side->proc.plat, t->url, POLL_DEADLINE_MS, on_report, t);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Orders                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+answer(struct side_peer *peer, const char *order_id,
+    const struct digest *loaded, const struct err *err)
+{
+	struct rt_order_done done = {
+		.order_id = slice_str(order_id),
+		.code = err == NULL ? ERR_NONE : err->code,
+		.verdict = err == NULL ? VERDICT_RAN : err->verdict,
+		.message = slice_str(err == NULL ? "" : err->message),
+	};
+
+	if (loaded != NULL)
+		done.loaded = *loaded;
+	if (peer != NULL)
+		conn_send(peer->conn, &rt_order_done_desc, &done);
+}
+
+static void
+finish_order(struct side_order *order, const struct err *err)
+{
+	struct side_target *t = order->target;
+
+	answer(order->peer, order->order_id, &t->loaded, err);
+	t->loading = NULL;
+	g_free(order->order_id);
+	g_free(order);
+}
+
+static void
+on_load_done(const struct digest *loaded, const struct err *err, void *ctx)
+{
+	struct side_order *order = ctx;
+	struct err wrong = { 0 };
+
+	if (err != NULL) {
+		tl_add(order->target->side->proc.timeline, "load_failed",
+		    order->target->info.name, "%s", err->message);
+		finish_order(order, err);
+		return;
+	}
+	/* Whatever the engine loaded, it is what requests are checked
+	 * against from now on. */
+	set_loaded(order->target, loaded);
+	if (!digest_equal(loaded, &order->root)) {
+		err_set(&wrong, ERR_CORRUPT, VERDICT_RAN,
+		    "the engine loaded another digest");
+		finish_order(order, &wrong);
+		return;
+	}
+	finish_order(order, NULL);
+}
+
+static void
+start_load(
+    struct side_target *t, struct side_peer *peer, const struct rt_order *order)
+{
+	struct side *side = t->side;
+	char hex[DIGEST_HEX];
+	char *model = slice_dup(order->model);
+	char *version = slice_dup(order->version);
+	char *chunks, *source;
+	struct engine_load load = {
+		.model = model,
+		.version = version,
+		.root = order->root,
+		.bytes = order->bytes,
+		.chunk_bytes = order->chunk_bytes,
+		.fence = order->fence,
+	};
+
+	t->loading = g_new0(struct side_order, 1);
+	t->loading->target = t;
+	t->loading->peer = peer;
+	t->loading->order_id = slice_dup(order->order_id);
+	t->loading->root = order->root;
+	digest_to_hex(&order->root, hex);
+	chunks = g_strdup_printf("http://127.0.0.1:%u/v1/versions/%s/chunks",
+	    side->loopback_port, hex);
+	source = g_strdup_printf("http://127.0.0.1:%u/v1/versions/%s/bytes",
+	    side->loopback_port, hex);
+	load.chunks_url = chunks;
+	load.source = source;
+	load.order_id = t->loading->order_id;
+	tl_add(side->proc.timeline, "load_ordered", t->info.name,
+	    "%s fence %" G_GUINT64_FORMAT, version, order->fence);
+	engine_load(side->proc.plat, t->url, &load, LOAD_DEADLINE_MS,
+	    on_load_done, t->loading);
+	g_free(chunks);
+	g_free(source);
+	g_free(model);
+	g_free(version);
+}
+
+static bool
+may_load(
+    const struct side_target *t, const struct rt_order *order, struct err *err)
+{
+	struct wts_progress progress;
+
+	if (t->info.kind != RT_ENGINE) {
+		return err_set(
+		    err, ERR_INVALID, VERDICT_NOT_RUN, "not an engine");
+	}
+	if (t->loading != NULL) {
+		return err_set(err, ERR_OVERLOADED, VERDICT_NOT_RUN,
+		    "another load is under way");
+	}
+	wts_progress(t->side->wts, &order->root, &progress);
+	if (progress.phase != WTS_WHOLE) {
+		return err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
+		    "the version is not whole here");
+	}
+	return true;
+}
+
+static void
+take_load(struct side_target *t, struct side_peer *peer, const char *order_id,
+    const struct rt_order *order)
+{
+	struct err err = { 0 };
+
+	if (digest_equal(&t->loaded, &order->root)) {
+		answer(peer, order_id, &t->loaded, NULL); /* idempotent */
+		return;
+	}
+	if (t->loading != NULL &&
+	    digest_equal(&t->loading->root, &order->root)) {
+		/* The same load again, e.g. from the next lead: it hears the
+		 * outcome of the one under way, the first asker does not. */
+		err_set(&err, ERR_CANCELLED, VERDICT_MAY_HAVE_RUN,
+		    "asked for again by another");
+		answer(
+		    t->loading->peer, t->loading->order_id, &t->loaded, &err);
+		t->loading->peer = peer;
+		g_free(t->loading->order_id);
+		t->loading->order_id = g_strdup(order_id);
+		return;
+	}
+	if (!may_load(t, order, &err)) {
+		answer(peer, order_id, &t->loaded, &err);
+		return;
+	}
+	start_load(t, peer, order);
+}
+
+static void
+take_order(struct side_peer *peer, const char *role, const char *order_id,
+    const struct rt_order *order)
+{
+	struct side *side = peer->side;
+	struct side_target *t = targets_find(side, order->target);
+	struct err err = { 0 };
+
+	if (t == NULL) {
+		err_set(&err, ERR_NOT_FOUND, VERDICT_NOT_RUN, "no such target");
+		answer(peer, order_id, NULL, &err);
+		return;
+	}
+	/* A lead that was paused past its lease may still send; its number
+	 * is lower than that of the next one and is refused here, also for
+	 * engines that would not look at it. */
+	if (!agr_gate_pass(side->gate, role, order->fence, &err)) {
+		ctr_add(ctr_get(side->proc.counters, "gate_refused"), 1);
+		tl_add(side->proc.timeline, "order_refused", t->info.name, "%s",
+		    err.message);
+		answer(peer, order_id, &t->loaded, &err);
+		return;
+	}
+	ctr_add(ctr_get(side->proc.counters, "gate_passed"), 1);
+	if (order->kind == RT_ORDER_LOAD) {
+		take_load(t, peer, order_id, order);
+		return;
+	}
+	t->ordered_off = order->kind == RT_ORDER_DRAIN;
+	targets_announce(side);
+	answer(peer, order_id, &t->loaded, NULL);
+}
+
+void
+targets_order(struct side_peer *peer, const struct msg *m)
+{
+	struct rt_order order;
+	char *role, *order_id;
+
+	if (!msg_read(m, &rt_order_desc, &order, NULL)) {
+		ctr_add(
+		    ctr_get(peer->side->proc.counters, "gate_bad_messages"), 1);
+		conn_close(peer->conn);
+		return;
+	}
+	role = slice_dup(order.role);
+	order_id = slice_dup(order.order_id);
+	take_order(peer, role, order_id, &order);
+	g_free(role);
+	g_free(order_id);
+}
+
+void
+targets_peer_gone(struct side_peer *peer)
+{
+	struct side_target *t;
+
+	TAILQ_FOREACH (t, &peer->side->targets, link) {
+		if (t->loading != NULL && t->loading->peer == peer)
+			t->loading->peer = NULL;
+	}
+}
