--- a/lib/platform/hosts.c
+++ b/lib/platform/hosts.c
@@ -61,9 +61,12 @@
 		return;
 	}
 	hosts = parse_hosts(reply.json, &n);
-	if (hosts == NULL)
+	if (hosts == NULL) {
 		reply_malformed(&why);
-	call.done(hosts, n, hosts == NULL ? &why : NULL, call.ctx);
+		call.done(NULL, 0, &why, call.ctx);
+	} else {
+		call.done(hosts, n, NULL, call.ctx);
+	}
 	g_free(hosts);
 	reply_close(&reply);
 }
--- a/tests/platform/test_target.c
+++ b/tests/platform/test_target.c
@@ -103,6 +103,8 @@
 	} else if (strcmp(path, "/zip") == 0) {
 		peer_answer(
 		    peer, 200, "Content-Encoding: gzip\r\n", "not gzip");
+	} else if (strcmp(path, "/head") == 0) {
+		peer_answer(peer, 200, "", peer->head);
 	} else if (strcmp(path, "/hang") != 0) {
 		peer_answer(peer, 200, "", peer->body);
 	}
@@ -201,6 +203,22 @@
 		assert_int_equal(f->server.requests, i + 1);
 	}
 	assert_string_equal(f->data->str, "not gzip");
+	exchange(f, "GET", "/head");
+	assert_null(strcasestr(f->data->str, "Accept-Encoding"));
+}
+
+/* With credentials in the address libsoup alone answers a 401 by sending the request again. */
+static void
+test_login_is_not_answered(void **state)
+{
+	struct fixture *f = *state;
+	char *base = g_strdup_printf("http://u:p@%s", f->server.base + 7);
+
+	start(f, (struct target_request){ .base = base, .path = "/login" });
+	run_until(&f->ended);
+	assert_end(f, ERR_NONE, VERDICT_RAN);
+	assert_int_equal(f->server.requests, 1);
+	g_free(base);
 }
 
 /*
@@ -256,6 +274,27 @@
 	}
 }
 
+static void
+on_drained(GObject *source, GAsyncResult *result, gpointer data)
+{
+	g_bytes_unref(soup_session_send_and_read_finish(
+	    SOUP_SESSION(source), result, NULL));
+	*(bool *)data = true;
+}
+
+/* By another user of the session. */
+static void
+leave_idle_connection(struct fixture *f)
+{
+	SoupMessage *message = soup_message_new("GET", f->server.base);
+	bool drained = false;
+
+	soup_session_send_and_read_async(
+	    plat_session(f->plat), message, 0, NULL, on_drained, &drained);
+	run_until(&drained);
+	g_object_unref(message);
+}
+
 /*
  * A target that has answered before reads a request and dies before its answer.
  * Over the connection kept from before, libsoup alone would send a GET,
@@ -272,8 +311,7 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(methods); i++) {
-		exchange(f, "GET", "/warm");
-		assert_end(f, ERR_NONE, VERDICT_RAN);
+		leave_idle_connection(f);
 		before = f->server.requests;
 		exchange(f, methods[i], "/close");
 		assert_end(f, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN);
@@ -434,6 +472,8 @@
 		    test_whole_answers, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_answers_are_not_acted_on, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_login_is_not_answered, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_connection_refused_is_not_run, setup, teardown),
 		cmocka_unit_test_setup_teardown(
