Stand-ins for the outside systems: first working cut

Change: tests/standin, one program: objects, origin, hosts, engine, service, and caller, a load generator that checks each answer token by token.

--- /dev/null
+++ b/tests/standin/engine_answer.c
@@ -0,0 +1,222 @@
+/* What a run at the engine reads from its request and writes as its answer. */
+
+#include <string.h>
+
+#include "standin/engine_run.h"
+
+#define MAX_TOKENS_DEFAULT 16
+#define PRIORITY_DEFAULT 5
+/* In JSON and in the text of a token an id stands as it is. */
+#define ID_CHARS                                                         \
+	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789" \
+	"-_.@/"
+
+/* ------------------------------------------------------------------ */
+/* Request                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+add_content(JsonArray *array, guint i, JsonNode *node, void *ctx)
+{
+	GString *text = ctx;
+
+	if (JSON_NODE_HOLDS_OBJECT(node)) {
+		g_string_append(text,
+		    member_str(json_node_get_object(node), "content", ""));
+	}
+}
+
+static void
+read_prompt(struct run *run, JsonObject *body)
+{
+	JsonNode *node = json_object_get_member(body, "messages");
+	GString *text = g_string_new(NULL);
+
+	if (node != NULL && JSON_NODE_HOLDS_ARRAY(node)) {
+		json_array_foreach_element(
+		    json_node_get_array(node), add_content, text);
+	}
+	run->prefix = cache_prefix(text->str, text->len);
+	run->prompt_tokens =
+	    (int64_t)(text->len + TOKEN_BYTES - 1) / TOKEN_BYTES;
+	g_string_free(text, TRUE);
+}
+
+static char *
+read_id(struct batch *b, SoupServerMessage *msg)
+{
+	const char *id = soup_message_headers_get_one(
+	    soup_server_message_get_request_headers(msg), "X-Request-Id");
+
+	if (id == NULL) {
+		return g_strdup_printf(
+		    "unnamed-%" G_GUINT64_FORMAT, (guint64)++b->names);
+	}
+	if (*id == '\0' || id[strspn(id, ID_CHARS)] != '\0')
+		return NULL;
+	return g_strdup(id);
+}
+
+struct run *
+run_parse(struct batch *b, SoupServerMessage *msg)
+{
+	JsonObject *body = body_object(msg);
+	const char *expect = soup_message_headers_get_one(
+	    soup_server_message_get_request_headers(msg), "X-Expect-Digest");
+	struct run *run;
+
+	if (body == NULL)
+		return NULL;
+	run = g_new0(struct run, 1);
+	run->batch = b;
+	run->id = read_id(b, msg);
+	run->attempt = header_int(msg, "X-Attempt", 1);
+	run->priority = header_int(msg, "X-Priority", PRIORITY_DEFAULT);
+	run->stream = member_bool(body, "stream", false);
+	run->max_tokens = member_int(body, "max_tokens", MAX_TOKENS_DEFAULT);
+	if (expect != NULL)
+		g_strlcpy(run->expect, expect, sizeof(run->expect));
+	read_prompt(run, body);
+	json_object_unref(body);
+	if (run->id == NULL || run->max_tokens < 1) {
+		reply_not_run(msg, 400, "bad request id or max_tokens");
+		run_free(run);
+		return NULL;
+	}
+	return run;
+}
+
+void
+run_free(struct run *run)
+{
+	held_free(run->held);
+	g_free(run->id);
+	g_free(run);
+}
+
+/* ------------------------------------------------------------------ */
+/* Answer                                                              */
+/* ------------------------------------------------------------------ */
+
+void
+run_refuse(struct run *run, unsigned int status, const char *why)
+{
+	if (run->held == NULL)
+		return;
+	reply_not_run(held_msg(run->held), status, why);
+	held_write(run->held);
+	held_free(run->held);
+	run->held = NULL;
+}
+
+void
+run_send_head(struct run *run)
+{
+	SoupServerMessage *msg = held_msg(run->held);
+	SoupMessageHeaders *out = soup_server_message_get_response_headers(msg);
+
+	soup_message_headers_replace(out, "X-Model-Digest", run->digest);
+	if (!run->stream)
+		return;
+	soup_server_message_set_status(msg, 200, NULL);
+	soup_message_headers_set_content_type(out, "text/event-stream", NULL);
+	soup_message_headers_set_encoding(out, SOUP_ENCODING_CHUNKED);
+	soup_message_body_set_accumulate(
+	    soup_server_message_get_response_body(msg), FALSE);
+	held_write(run->held);
+}
+
+static void
+append_token(GString *out, const struct run *run, int64_t i)
+{
+	g_string_append_len(out, run->digest, DIGEST_SHORT);
+	g_string_append_printf(out, ":%s:%" G_GINT64_FORMAT " ", run->id, i);
+}
+
+static void
+append_text(SoupMessageBody *body, GString *text)
+{
+	size_t len = text->len;
+
+	soup_message_body_append_take(
+	    body, (guchar *)g_string_free(text, FALSE), len);
+}
+
+static void
+send_event(SoupMessageBody *body, const struct run *run, int64_t i)
+{
+	GString *event = g_string_sized_new(256);
+
+	g_string_append_printf(event,
+	    "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\","
+	    "\"index\":%" G_GINT64_FORMAT
+	    ",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"",
+	    run->id, i);
+	append_token(event, run, i);
+	g_string_append(event, "\"},\"finish_reason\":null}]}\n\n");
+	append_text(body, event);
+}
+
+/* A cancelled stream ends without `[DONE]`, so that it is not taken for a
+ * whole one. */
+static void
+send_events(struct run *run)
+{
+	SoupMessageBody *body =
+	    soup_server_message_get_response_body(held_msg(run->held));
+
+	for (; run->sent < run->tokens; run->sent++)
+		send_event(body, run, run->sent);
+	if (run->state == RUN_DONE)
+		append_text(body, g_string_new("data: [DONE]\n\n"));
+	if (run->state != RUN_RUNNING)
+		soup_message_body_complete(body);
+	held_write(run->held);
+}
+
+static void
+send_whole(struct run *run)
+{
+	SoupServerMessage *msg = held_msg(run->held);
+	GString *text = g_string_new(NULL);
+	int64_t i;
+
+	if (run->state == RUN_CANCELLED) {
+		reply_error(msg, 503, "cancelled");
+		g_string_free(text, TRUE);
+		held_write(run->held);
+		return;
+	}
+	g_string_append_printf(text,
+	    "{\"id\":\"%s\",\"object\":\"chat.completion\",\"choices\":"
+	    "[{\"index\":0,\"message\":{\"role\":\"assistant\","
+	    "\"content\":\"",
+	    run->id);
+	for (i = 0; i < run->tokens; i++)
+		append_token(text, run, i);
+	g_string_append_printf(text,
+	    "\"},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":"
+	    "%" G_GINT64_FORMAT ",\"completion_tokens\":%" G_GINT64_FORMAT "}}",
+	    run->prompt_tokens, run->tokens);
+	soup_server_message_set_status(msg, 200, NULL);
+	soup_message_headers_set_content_type(
+	    soup_server_message_get_response_headers(msg), "application/json",
+	    NULL);
+	append_text(soup_server_message_get_response_body(msg), text);
+	held_write(run->held);
+}
+
+void
+run_send(struct run *run)
+{
+	if (run->held == NULL)
+		return;
+	if (run->stream)
+		send_events(run);
+	else if (run->state != RUN_RUNNING)
+		send_whole(run);
+	if (run->state != RUN_RUNNING) {
+		held_free(run->held);
+		run->held = NULL;
+	}
+}
--- /dev/null
+++ b/tests/standin/engine_load.c
@@ -0,0 +1,538 @@
+/*
+ * The engine's load orders, one at a time: fetches the list of chunk digests
+ * and the bytes from the side process, hashes them as they come, and swaps
+ * what is loaded once the root digest is right.
+ */
+
+#include <string.h>
+
+#include "standin/engine.h"
+
+#define READ_BYTES (256u << 10)
+#define STALL_S 30 /* of the source, in seconds, before a load fails */
+
+struct load_entry { /* of the log */
+	STAILQ_ENTRY(load_entry) entry;
+	char *order_id;
+	char *digest;
+	int64_t fence;
+	bool accepted;
+};
+STAILQ_HEAD(load_log, load_entry);
+
+struct order {
+	STAILQ_ENTRY(order) entry;
+	struct loader *loader;
+	struct held *held; /* NULL: who ordered went away */
+	struct load_entry *logged;
+	struct weights weights;
+	int64_t bytes;
+	int64_t chunk_bytes;
+	char *chunks_url;
+	char *source;
+	GBytes *chunks; /* the list, 32 bytes each */
+	GInputStream *stream;
+	struct digest_stream *root;
+	struct digest_stream *chunk;
+	int64_t chunk_left; /* bytes until the chunk's end */
+	int64_t done; /* bytes read */
+	bool hung;
+};
+STAILQ_HEAD(order_list, order);
+
+struct loader {
+	bool check_fence;
+	struct weights *loaded;
+	int64_t fence_seen;
+	SoupSession *session;
+	GCancellable *cancel;
+	struct order_list orders; /* the first is being carried out */
+	struct load_log log;
+	int64_t load_fail, load_hang;
+};
+
+static void start_next(struct loader *l);
+
+/* ------------------------------------------------------------------ */
+/* Orders                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+order_free(struct order *o)
+{
+	held_free(o->held);
+	if (o->chunks != NULL)
+		g_bytes_unref(o->chunks);
+	g_clear_object(&o->stream);
+	digest_stream_free(o->root);
+	digest_stream_free(o->chunk);
+	g_free(o->weights.model);
+	g_free(o->weights.version);
+	g_free(o->chunks_url);
+	g_free(o->source);
+	g_free(o);
+}
+
+static void
+answer_digest(SoupServerMessage *msg, const char *digest)
+{
+	JsonBuilder *b = json_begin();
+
+	put_str(b, "digest", digest);
+	reply_json(msg, 200, b);
+}
+
+static void
+answer_stale(struct loader *l, SoupServerMessage *msg)
+{
+	JsonBuilder *b = json_begin();
+
+	put_int(b, "fence", l->fence_seen);
+	reply_json(msg, 409, b);
+}
+
+static bool
+is_stale(struct loader *l, int64_t fence)
+{
+	return l->check_fence && fence < l->fence_seen;
+}
+
+static void
+next_order(struct loader *l)
+{
+	struct order *o = STAILQ_FIRST(&l->orders);
+
+	STAILQ_REMOVE_HEAD(&l->orders, entry);
+	order_free(o);
+	start_next(l);
+}
+
+static void
+order_fail(struct order *o, const char *why)
+{
+	if (o->held != NULL) {
+		reply_error(held_msg(o->held), 502, why);
+		held_write(o->held);
+	}
+	next_order(o->loader);
+}
+
+static void
+put_in_force(struct weights *loaded, const struct weights *fresh)
+{
+	g_free(loaded->model);
+	g_free(loaded->version);
+	*loaded = *fresh;
+	loaded->model = g_strdup(fresh->model);
+	loaded->version = g_strdup(fresh->version);
+}
+
+/* The fence is checked again: a newer order may have come during the load. */
+static void
+order_done(struct order *o)
+{
+	struct loader *l = o->loader;
+	bool stale = is_stale(l, o->weights.fence);
+
+	if (!stale) {
+		put_in_force(l->loaded, &o->weights);
+		o->logged->accepted = true;
+	}
+	if (o->held != NULL) {
+		if (stale)
+			answer_stale(l, held_msg(o->held));
+		else
+			answer_digest(held_msg(o->held), o->weights.digest);
+		held_write(o->held);
+	}
+	next_order(l);
+}
+
+/* ------------------------------------------------------------------ */
+/* Reading and hashing                                                 */
+/* ------------------------------------------------------------------ */
+
+static void read_more(struct order *o);
+
+static bool
+chunk_ended(struct order *o)
+{
+	const uint8_t *list = g_bytes_get_data(o->chunks, NULL);
+	int64_t index = (o->done - 1) / o->chunk_bytes;
+	struct digest digest;
+
+	digest_stream_end(o->chunk, &digest);
+	o->chunk = digest_stream_new();
+	o->chunk_left = MIN(o->chunk_bytes, o->bytes - o->done);
+	digest_stream_add(o->root, digest.bytes, DIGEST_BYTES);
+	return memcmp(list + index * DIGEST_BYTES, digest.bytes,
+		   DIGEST_BYTES) == 0;
+}
+
+/* False when the bytes are too many or a chunk is not what the list says. */
+static bool
+take_bytes(struct order *o, const uint8_t *data, size_t len)
+{
+	size_t n;
+
+	while (len > 0) {
+		if (o->chunk_left == 0)
+			return false;
+		n = MIN(len, (size_t)o->chunk_left);
+		digest_stream_add(o->chunk, data, n);
+		data += n;
+		len -= n;
+		o->done += (int64_t)n;
+		o->chunk_left -= (int64_t)n;
+		if (o->chunk_left == 0 && !chunk_ended(o))
+			return false;
+	}
+	return true;
+}
+
+static void
+source_ended(struct order *o)
+{
+	char hex[DIGEST_HEX];
+	struct digest root;
+
+	if (o->done != o->bytes) {
+		order_fail(o, "the source is too short");
+		return;
+	}
+	digest_stream_end(o->root, &root);
+	o->root = NULL;
+	digest_to_hex(&root, hex);
+	if (strcmp(hex, o->weights.digest) == 0)
+		order_done(o);
+	else
+		order_fail(o, "the root digest does not match");
+}
+
+static void
+on_read(GObject *stream, GAsyncResult *result, void *ctx)
+{
+	struct order *o = ctx;
+	GError *error = NULL;
+	GBytes *bytes;
+	size_t len;
+	const uint8_t *data;
+	bool good;
+
+	bytes = g_input_stream_read_bytes_finish(
+	    G_INPUT_STREAM(stream), result, &error);
+	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
+		g_error_free(error); /* the engine is being freed */
+		return;
+	}
+	if (bytes == NULL) {
+		g_error_free(error);
+		order_fail(o, "the source broke off");
+		return;
+	}
+	data = g_bytes_get_data(bytes, &len);
+	good = take_bytes(o, data, len);
+	g_bytes_unref(bytes);
+	if (!good)
+		order_fail(o, "the bytes do not match");
+	else if (len == 0)
+		source_ended(o);
+	else
+		read_more(o);
+}
+
+static void
+read_more(struct order *o)
+{
+	g_input_stream_read_bytes_async(o->stream, READ_BYTES,
+	    G_PRIORITY_DEFAULT, o->loader->cancel, on_read, o);
+}
+
+static void
+begin_hashing(struct order *o)
+{
+	char *head = g_strdup_printf("currantchute-version-1\n%" G_GINT64_FORMAT
+				     "\n%" G_GINT64_FORMAT "\n",
+	    o->bytes, o->chunk_bytes);
+
+	o->root = digest_stream_new();
+	o->chunk = digest_stream_new();
+	o->chunk_left = MIN(o->chunk_bytes, o->bytes);
+	digest_stream_add(o->root, head, strlen(head));
+	g_free(head);
+}
+
+static void
+on_source(GObject *session, GAsyncResult *result, void *ctx)
+{
+	SoupMessage *msg = soup_session_get_async_result_message(
+	    SOUP_SESSION(session), result);
+	bool found = soup_message_get_status(msg) == 200;
+	GError *error = NULL;
+	GInputStream *stream;
+	struct order *o = ctx;
+
+	stream =
+	    soup_session_send_finish(SOUP_SESSION(session), result, &error);
+	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
+		g_error_free(error);
+		return;
+	}
+	g_clear_error(&error);
+	o->stream = stream;
+	if (stream == NULL || !found) {
+		order_fail(o, "no source");
+		return;
+	}
+	begin_hashing(o);
+	read_more(o);
+}
+
+/* Starts a GET; false when the URL is no good. */
+static bool
+fetch(struct order *o, const char *url, bool whole, GAsyncReadyCallback done)
+{
+	SoupMessage *msg = soup_message_new("GET", url);
+	struct loader *l = o->loader;
+
+	if (msg == NULL)
+		return false;
+	if (whole) {
+		soup_session_send_and_read_async(
+		    l->session, msg, G_PRIORITY_DEFAULT, l->cancel, done, o);
+	} else {
+		soup_session_send_async(
+		    l->session, msg, G_PRIORITY_DEFAULT, l->cancel, done, o);
+	}
+	g_object_unref(msg);
+	return true;
+}
+
+static bool
+list_fits(const struct order *o)
+{
+	int64_t n = (o->bytes + o->chunk_bytes - 1) / o->chunk_bytes;
+
+	return (int64_t)g_bytes_get_size(o->chunks) == n * DIGEST_BYTES;
+}
+
+static void
+on_chunks(GObject *session, GAsyncResult *result, void *ctx)
+{
+	GError *error = NULL;
+	GBytes *list;
+	struct order *o = ctx;
+
+	list = soup_session_send_and_read_finish(
+	    SOUP_SESSION(session), result, &error);
+	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
+		g_error_free(error);
+		return;
+	}
+	g_clear_error(&error);
+	o->chunks = list;
+	if (list == NULL || !list_fits(o))
+		order_fail(o, "no list of chunks, or one of another size");
+	else if (!fetch(o, o->source, false, on_source))
+		order_fail(o, "a bad source URL");
+}
+
+static void
+start_order(struct order *o)
+{
+	struct loader *l = o->loader;
+
+	if (is_stale(l, o->weights.fence) ||
+	    strcmp(l->loaded->digest, o->weights.digest) == 0) {
+		order_done(o);
+	} else if (l->load_fail > 0) {
+		l->load_fail--;
+		order_fail(o, "told to fail");
+	} else if (l->load_hang > 0) {
+		l->load_hang--;
+		o->hung = true; /* until who ordered goes away */
+		if (o->held == NULL)
+			next_order(l);
+	} else if (!fetch(o, o->chunks_url, true, on_chunks)) {
+		order_fail(o, "a bad chunks URL");
+	}
+}
+
+static void
+start_next(struct loader *l)
+{
+	if (!STAILQ_EMPTY(&l->orders))
+		start_order(STAILQ_FIRST(&l->orders));
+}
+
+/* ------------------------------------------------------------------ */
+/* Calls                                                               */
+/* ------------------------------------------------------------------ */
+
+/* A load goes on without who ordered it, as in an engine of its own mind. */
+static void
+on_orderer_gone(void *ctx)
+{
+	struct order *o = ctx;
+
+	held_free(o->held);
+	o->held = NULL;
+	if (o->hung)
+		next_order(o->loader);
+}
+
+static struct load_entry *
+log_order(struct loader *l, JsonObject *body)
+{
+	struct load_entry *e = g_new0(struct load_entry, 1);
+
+	e->order_id = g_strdup(member_str(body, "order_id", ""));
+	e->digest = g_strdup(member_str(body, "digest", ""));
+	e->fence = member_int(body, "fence", 0);
+	STAILQ_INSERT_TAIL(&l->log, e, entry);
+	return e;
+}
+
+static struct order *
+order_parse(JsonObject *body)
+{
+	const char *digest = member_str(body, "digest", "");
+	struct order *o = g_new0(struct order, 1);
+	struct digest parsed;
+
+	o->bytes = member_int(body, "bytes", 0);
+	o->chunk_bytes = member_int(body, "chunk_bytes", 0);
+	if (!digest_from_hex(digest, &parsed) || o->bytes <= 0 ||
+	    o->chunk_bytes <= 0) {
+		g_free(o);
+		return NULL;
+	}
+	digest_to_hex(&parsed, o->weights.digest);
+	o->weights.model = g_strdup(member_str(body, "model", ""));
+	o->weights.version = g_strdup(member_str(body, "version", ""));
+	o->weights.fence = member_int(body, "fence", 0);
+	o->chunks_url = g_strdup(member_str(body, "chunks_url", ""));
+	o->source = g_strdup(member_str(body, "source", ""));
+	return o;
+}
+
+static void
+take_order(struct loader *l, SoupServerMessage *msg, JsonObject *body)
+{
+	struct load_entry *logged = log_order(l, body);
+	struct order *o;
+
+	if (is_stale(l, logged->fence)) {
+		answer_stale(l, msg);
+		return;
+	}
+	o = order_parse(body);
+	if (o == NULL) {
+		reply_error(msg, 400, "digest, bytes or chunk_bytes is wrong");
+		return;
+	}
+	l->fence_seen = MAX(l->fence_seen, logged->fence);
+	o->loader = l;
+	o->logged = logged;
+	o->held = held_new(msg, on_orderer_gone, o);
+	STAILQ_INSERT_TAIL(&l->orders, o, entry);
+	if (STAILQ_FIRST(&l->orders) == o)
+		start_order(o);
+}
+
+static void
+answer_loaded(struct loader *l, SoupServerMessage *msg)
+{
+	JsonBuilder *b = json_begin();
+
+	put_str(b, "model", l->loaded->model);
+	put_str(b, "version", l->loaded->version);
+	put_str(b, "digest", l->loaded->digest);
+	put_int(b, "fence", l->loaded->fence);
+	reply_json(msg, 200, b);
+}
+
+void
+loader_on_load(SoupServer *server, SoupServerMessage *msg, const char *path,
+    GHashTable *query, void *ctx)
+{
+	struct loader *l = ctx;
+	JsonObject *body;
+
+	if (is_method(msg, "GET")) {
+		answer_loaded(l, msg);
+		return;
+	}
+	body = body_object(msg);
+	if (body == NULL)
+		return;
+	take_order(l, msg, body);
+	json_object_unref(body);
+}
+
+void
+loader_faults(struct loader *l, JsonObject *body)
+{
+	member_int_into(body, "load_fail", &l->load_fail);
+	member_int_into(body, "load_hang", &l->load_hang);
+}
+
+void
+loader_put_log(const struct loader *l, JsonBuilder *b)
+{
+	const struct load_entry *e;
+
+	json_builder_set_member_name(b, "loads");
+	json_builder_begin_array(b);
+	STAILQ_FOREACH (e, &l->log, entry) {
+		json_builder_begin_object(b);
+		put_str(b, "order_id", e->order_id);
+		put_str(b, "digest", e->digest);
+		put_int(b, "fence", e->fence);
+		put_bool(b, "accepted", e->accepted);
+		json_builder_end_object(b);
+	}
+	json_builder_end_array(b);
+}
+
+/* ------------------------------------------------------------------ */
+/* Start and end                                                       */
+/* ------------------------------------------------------------------ */
+
+struct loader *
+loader_new(const struct engine_options *options, struct weights *loaded)
+{
+	struct loader *l = g_new0(struct loader, 1);
+
+	l->check_fence = options->check_fence;
+	l->loaded = loaded;
+	l->session = soup_session_new_with_options("timeout", STALL_S, NULL);
+	soup_session_set_proxy_resolver(l->session, NULL);
+	l->cancel = g_cancellable_new();
+	STAILQ_INIT(&l->orders);
+	STAILQ_INIT(&l->log);
+	return l;
+}
+
+void
+loader_free(struct loader *l)
+{
+	struct load_entry *e;
+	struct order *o;
+
+	g_cancellable_cancel(l->cancel);
+	soup_session_abort(l->session);
+	while ((o = STAILQ_FIRST(&l->orders)) != NULL) {
+		STAILQ_REMOVE_HEAD(&l->orders, entry);
+		order_free(o);
+	}
+	while ((e = STAILQ_FIRST(&l->log)) != NULL) {
+		STAILQ_REMOVE_HEAD(&l->log, entry);
+		g_free(e->order_id);
+		g_free(e->digest);
+		g_free(e);
+	}
+	g_object_unref(l->session);
+	g_object_unref(l->cancel);
+	g_free(l);
+}
