--- /dev/null
+++ b/lib/weights/link.c
@@ -0,0 +1,76 @@
+/* Token buckets for the two directions of the host's link. */
+
+#include <glib.h>
+
+#include "weights/link.h"
+
+/* Timers fire up to some milliseconds late on a busy host; so much saved-up
+ * budget makes good for it and is too little to show on a link. */
+#define BURST_US 20000
+/* Live traffic holds weights back by at most so much at a time. */
+#define LIVE_DEBT_MAX_US 250000
+#define SECOND_US 1000000
+
+void
+bucket_init(struct bucket *b, uint64_t rate, int64_t now_us)
+{
+	g_assert(rate > 0);
+	*b = (struct bucket){
+		.rate = rate,
+		.burst = rate / (SECOND_US / BURST_US),
+		.at_us = now_us,
+	};
+}
+
+static void
+refill(struct bucket *b, int64_t now_us)
+{
+	/* Beyond this the bucket is full whatever it held; the bound also
+	 * keeps the product below from overflowing. */
+	int64_t passed = MIN(now_us - b->at_us, 600 * (int64_t)SECOND_US);
+	int64_t gained;
+
+	if (passed <= 0)
+		return;
+	gained = (int64_t)((double)passed * (double)b->rate / SECOND_US);
+	b->tokens = MIN(b->tokens + gained, (int64_t)b->burst);
+	/* Only the time that whole bytes took, or frequent calls at a low
+	 * rate would round every gain down to nothing. */
+	if (b->tokens < (int64_t)b->burst)
+		b->at_us +=
+		    (int64_t)((double)gained * SECOND_US / (double)b->rate);
+	else
+		b->at_us = now_us;
+}
+
+void
+bucket_take(struct bucket *b, uint64_t bytes, int64_t now_us)
+{
+	refill(b, now_us);
+	b->tokens -= (int64_t)bytes;
+}
+
+void
+bucket_take_live(struct bucket *b, uint64_t bytes, int64_t now_us)
+{
+	int64_t most = (int64_t)(b->rate / (SECOND_US / LIVE_DEBT_MAX_US));
+
+	refill(b, now_us);
+	if (b->tokens > -most)
+		b->tokens = MAX(b->tokens - (int64_t)bytes, -most);
+}
+
+int64_t
+bucket_debt_us(struct bucket *b, int64_t now_us)
+{
+	refill(b, now_us);
+	if (b->tokens >= 0)
+		return 0;
+	return (int64_t)((double)-b->tokens * SECOND_US / (double)b->rate) + 1;
+}
+
+int64_t
+bucket_ready_us(struct bucket *b, int64_t now_us)
+{
+	return now_us + bucket_debt_us(b, now_us);
+}
--- /dev/null
+++ b/lib/weights/peers.c
@@ -0,0 +1,413 @@
+/* Connections to the other hosts of a rollout, and what they are told. */
+
+#include <string.h>
+
+#include "weights/bits.h"
+#include "weights/xfer.h"
+
+/*
+ * Peers that this host dials; about as many dial it. Twelve in all keep the
+ * rollout's graph connected and mixing; most are of the own failure domain,
+ * and those in others keep the domains from running dry of each other's
+ * chunks.
+ */
+#define DIAL_NEAR 4
+#define DIAL_FAR 2
+#define DIAL_ALL 12 /* members of a rollout that connects all to all */
+#define PEERS_MAX 40
+#define REDIAL_US 250000
+#define REDIAL_DOUBLINGS 5
+
+/* ------------------------------------------------------------------ */
+/* Telling                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+clear_news(struct peer *peer)
+{
+	g_byte_array_set_size(peer->gained, 0);
+	g_byte_array_set_size(peer->claims, 0);
+}
+
+static void
+send_news(void *ctx)
+{
+	struct peer *peer = ctx;
+	struct wts *wts = peer->xfer->wts;
+	struct proto_news news = {
+		.gained = { peer->gained->data, peer->gained->len },
+		.claims = { peer->claims->data, peer->claims->len },
+		.load = wts->nuploads,
+	};
+
+	peer->news_after_us =
+	    clk_now_us(wts->clock) + peer->xfer->news_interval_us;
+	peer->told_load = wts->nuploads;
+	conn_send(peer->conn, &proto_news_desc, &news);
+	clear_news(peer);
+}
+
+/* The first news go at once, what follows within the interval as one. */
+static void
+tell_soon(struct peer *peer)
+{
+	if (peer->open)
+		timer_set_earlier(&peer->news_timer, peer->news_after_us);
+}
+
+void
+peers_tell_gained(struct xfer *x, uint64_t index)
+{
+	struct peer *peer;
+
+	TAILQ_FOREACH (peer, &x->peers, link) {
+		/* One that has the chunk only gains by it for its count of
+		 * holders; that is not worth the bytes. */
+		if (!peer->told_have || bits_get(peer->for_chunks.bits, index))
+			continue;
+		proto_add_index(peer->gained, (uint32_t)index);
+		tell_soon(peer);
+	}
+}
+
+void
+peers_tell_claim(struct xfer *x, uint64_t index, unsigned int rank,
+    const struct peer *except)
+{
+	uint8_t rank8 = (uint8_t)MIN(rank, UINT8_MAX);
+	struct peer *peer;
+
+	TAILQ_FOREACH (peer, &x->peers, link) {
+		if (peer == except || !peer->open)
+			continue;
+		proto_add_index(peer->claims, (uint32_t)index);
+		g_byte_array_append(peer->claims, &rank8, 1);
+		tell_soon(peer);
+	}
+}
+
+void
+peers_tell_load(struct wts *wts)
+{
+	struct peer *peer;
+	struct xfer *x;
+
+	TAILQ_FOREACH (x, &wts->xfers, link) {
+		TAILQ_FOREACH (peer, &x->peers, link) {
+			if (peer->told_load != wts->nuploads)
+				tell_soon(peer);
+		}
+	}
+}
+
+void
+peer_tell_have(struct peer *peer)
+{
+	struct xfer *x = peer->xfer;
+	uint64_t n = x->pick->conf.chunks;
+	GByteArray *bits = g_byte_array_new();
+	struct proto_have have;
+	uint64_t i;
+
+	g_byte_array_set_size(bits, (guint)((n + 7) / 8));
+	memset(bits->data, 0, bits->len);
+	for (i = 0; i < n; i++) {
+		if (x->pick->chunks[i].state == PICK_HAVE)
+			bits->data[i / 8] |= (uint8_t)(1u << (i % 8));
+	}
+	have.bits = (struct slice){ bits->data, bits->len };
+	have.load = x->wts->nuploads;
+	conn_send(peer->conn, &proto_have_desc, &have);
+	peer->told_have = true;
+	g_byte_array_set_size(peer->gained, 0);
+	g_byte_array_unref(bits);
+}
+
+void
+peer_join(struct peer *peer)
+{
+	struct xfer *x = peer->xfer;
+	struct proto_join join = {
+		.root = x->want.version.root,
+		.domain = slice_str(x->wts->conf.domain),
+	};
+
+	peer->open = true;
+	conn_send(peer->conn, &proto_join_desc, &join);
+	if (x->held != NULL)
+		peer_tell_have(peer);
+}
+
+/* ------------------------------------------------------------------ */
+/* Members                                                             */
+/* ------------------------------------------------------------------ */
+
+struct member *
+peers_member(struct xfer *x, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < x->members->len; i++) {
+		struct member *m = x->members->pdata[i];
+
+		if (strcmp(m->id, id) == 0)
+			return m;
+	}
+	return NULL;
+}
+
+static struct peer *
+find_peer(struct xfer *x, const char *id)
+{
+	struct peer *peer;
+
+	TAILQ_FOREACH (peer, &x->peers, link) {
+		if (strcmp(peer->id, id) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+static struct peer *
+new_peer(struct xfer *x, const char *id, bool near)
+{
+	struct peer *peer = g_new0(struct peer, 1);
+	struct member *m = peers_member(x, id);
+
+	peer->xfer = x;
+	peer->id = g_strdup(id);
+	peer->near = near;
+	peer->gained = g_byte_array_new();
+	peer->claims = g_byte_array_new();
+	LIST_INIT(&peer->intakes);
+	timer_init(&peer->news_timer, x->wts->clock, send_news, peer);
+	peer->for_list.owner = peer;
+	peer->for_chunks.owner = peer;
+	pick_add_peer(x->list_pick, &peer->for_list, near);
+	pick_add_peer(x->pick, &peer->for_chunks, near);
+	TAILQ_INSERT_TAIL(&x->peers, peer, link);
+	if (m != NULL)
+		m->peer = peer;
+	return peer;
+}
+
+void
+peer_drop(struct peer *peer)
+{
+	struct xfer *x = peer->xfer;
+	struct wts *wts = x->wts;
+	struct member *m = peers_member(x, peer->id);
+	int64_t now_us = clk_now_us(wts->clock);
+	struct intake *in;
+
+	serve_forget(peer);
+	while ((in = LIST_FIRST(&peer->intakes)) != NULL)
+		intake_free(in);
+	pick_remove_peer(x->list_pick, &peer->for_list, now_us);
+	pick_remove_peer(x->pick, &peer->for_chunks, now_us);
+	timer_stop(&peer->news_timer);
+	TAILQ_REMOVE(&x->peers, peer, link);
+	if (m != NULL && m->peer == peer) {
+		m->peer = NULL;
+		m->dial_after_us = now_us +
+		    ((int64_t)REDIAL_US << MIN(m->failures, REDIAL_DOUBLINGS));
+		m->failures = peer->has_list ? 1 : m->failures + 1;
+	}
+	if (peer->conn != NULL) {
+		g_hash_table_remove(wts->by_conn, peer->conn);
+		/* `closed` comes from the loop, maybe after wts has gone. */
+		if (peer->dialled)
+			conn_set_ctx(peer->conn, NULL);
+		conn_close(peer->conn);
+	}
+	g_byte_array_unref(peer->gained);
+	g_byte_array_unref(peer->claims);
+	g_free(peer->id);
+	g_free(peer);
+	timer_set_earlier(&x->dial_timer, now_us);
+	xfer_pump_soon(x);
+}
+
+void
+peers_drop_gone(struct xfer *x)
+{
+	struct peer *peer = TAILQ_FIRST(&x->peers);
+
+	while (peer != NULL) {
+		struct peer *next = TAILQ_NEXT(peer, link);
+		struct member *m = peers_member(x, peer->id);
+
+		/* One that dialled us may know of its membership earlier. */
+		if (m == NULL && peer->dialled)
+			peer_drop(peer);
+		else if (m != NULL)
+			m->peer = peer;
+		peer = next;
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Dialling                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+on_opened(struct conn *c, void *ctx)
+{
+	struct wts *wts = ctx;
+	struct peer *peer;
+
+	if (wts == NULL)
+		return;
+	peer = g_hash_table_lookup(wts->by_conn, c);
+	if (peer == NULL)
+		return;
+	if (strcmp(conn_peer(c), peer->id) != 0) {
+		/* Another host has taken the address over. */
+		peer_drop(peer);
+		return;
+	}
+	peer_join(peer);
+}
+
+static void
+on_message(struct conn *c, const struct msg *m, void *ctx)
+{
+	if (ctx != NULL)
+		wts_message(ctx, c, m);
+}
+
+static void
+on_drained(struct conn *c, void *ctx)
+{
+	if (ctx != NULL)
+		wts_drained(ctx, c);
+}
+
+static void
+on_closed(struct conn *c, const struct err *why, void *ctx)
+{
+	if (ctx != NULL)
+		wts_closed(ctx, c);
+}
+
+static const struct conn_ops dialled_ops = {
+	.opened = on_opened,
+	.message = on_message,
+	.drained = on_drained,
+	.closed = on_closed,
+};
+
+static void
+dial(struct xfer *x, struct member *m)
+{
+	struct wts *wts = x->wts;
+	bool near = strcmp(m->domain, wts->conf.domain) == 0;
+	struct peer *peer = new_peer(x, m->id, near);
+
+	peer->dialled = true;
+	peer->conn = conn_dial(wts->conf.node, m->address, &dialled_ops, wts);
+	g_hash_table_insert(wts->by_conn, peer->conn, peer);
+}
+
+/* How many dials go to the own failure domain and to others. */
+struct quota {
+	unsigned int near, far;
+};
+
+static bool
+member_is_near(const struct xfer *x, const struct member *m)
+{
+	return strcmp(m->domain, x->wts->conf.domain) == 0;
+}
+
+static struct quota
+dial_quota(const struct xfer *x)
+{
+	unsigned int near = 0;
+	unsigned int far = 0;
+	guint i;
+
+	for (i = 0; i < x->members->len; i++) {
+		if (member_is_near(x, x->members->pdata[i]))
+			near++;
+		else
+			far++;
+	}
+	if (far == 0)
+		return (struct quota){ DIAL_NEAR + DIAL_FAR, 0 };
+	near = MIN(near, DIAL_NEAR);
+	return (struct quota){ near, DIAL_NEAR + DIAL_FAR - near };
+}
+
+static bool
+should_connect(const struct xfer *x, const struct member *m, struct quota *left)
+{
+	unsigned int *of = member_is_near(x, m) ? &left->near : &left->far;
+
+	if (*of > 0) {
+		--*of;
+		return true;
+	}
+	/* Readers know each other, so that one which falls silent is missed
+	 * by those who step in for it and not by chance of the graph. */
+	return x->members->len < DIAL_ALL ||
+	    (m->reader && x->pick->rank.self != RANK_NONE);
+}
+
+void
+peers_dial(struct xfer *x)
+{
+	int64_t now_us = clk_now_us(x->wts->clock);
+	struct quota left = dial_quota(x);
+	guint i;
+
+	for (i = 0; i < x->members->len; i++) {
+		struct member *m = x->members->pdata[i];
+
+		/* One that cannot be reached now is replaced by the next. */
+		if (m->peer == NULL && m->dial_after_us > now_us) {
+			timer_set_earlier(&x->dial_timer, m->dial_after_us);
+			continue;
+		}
+		if (should_connect(x, m, &left) && m->peer == NULL)
+			dial(x, m);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Accepting                                                           */
+/* ------------------------------------------------------------------ */
+
+/* Two hosts that dialled each other keep the connection that the lower id
+ * dialled; both ends choose alike. */
+static bool
+replaces(const struct peer *old, const char *own_id)
+{
+	return !old->dialled || strcmp(own_id, old->id) > 0;
+}
+
+struct peer *
+peers_accept(struct xfer *x, struct conn *c)
+{
+	const char *id = conn_peer(c);
+	struct peer *old = find_peer(x, id);
+	struct member *m = peers_member(x, id);
+	unsigned int n = 0;
+	struct peer *peer;
+
+	if (old != NULL) {
+		if (!replaces(old, x->wts->conf.id))
+			return NULL;
+		peer_drop(old);
+	}
+	TAILQ_FOREACH (peer, &x->peers, link)
+		n++;
+	if (n >= PEERS_MAX)
+		return NULL;
+	peer = new_peer(
+	    x, id, m != NULL && strcmp(m->domain, x->wts->conf.domain) == 0);
+	peer->conn = c;
+	g_hash_table_insert(x->wts->by_conn, c, peer);
+	peer_join(peer);
+	return peer;
+}
--- /dev/null
+++ b/lib/weights/pick.h
@@ -0,0 +1,160 @@
+#ifndef WEIGHTS_PICK_H
+#define WEIGHTS_PICK_H
+
+/*
+ * pick: what to fetch next and from whom. State is changed by the events
+ * below; pick_next is a pure choice over (state, now, rng). No I/O here.
+ *
+ * Own failure domain first, then the least loaded peer, then the rarest of
+ * its chunks with a seeded tie-break. A chunk is asked from one peer at a
+ * time; it is asked again only when that peer failed or brought nothing for
+ * the patience measured from earlier answers.
+ *
+ * The origin is read by the chunk's first reader (rank.h), and only for
+ * chunks that nobody is known to have begun. Hosts of rank r step in after
+ * r times a silence: no claim by any host of a lower rank among the chunks
+ * of that first reader. Claims are passed on between hosts, so that hosts
+ * whose views of the members differ still learn what was read.
+ */
+
+#include <sys/queue.h>
+
+#include "weights/rank.h"
+
+#define PICK_ASKS 4 /* open at a time; covers round trips and queues */
+#define PICK_ASKS_PER_PEER 2
+#define PICK_READS 1 /* open at a time, from the origin */
+#define PICK_LOAD_MAX 4 /* a peer with so many uploads open is not asked */
+#define PICK_RANKS 16 /* higher ranks count as the last */
+
+enum pick_state {
+	PICK_MISSING,
+	PICK_ASKED, /* of a peer */
+	PICK_READING, /* from the origin */
+	PICK_CHECKING, /* all bytes came */
+	PICK_HAVE,
+};
+
+enum pick_reason { /* why an ask or a read ended without the chunk */
+	PICK_REFUSED, /* the peer does not have it */
+	PICK_BUSY, /* the peer has enough to do */
+	PICK_STALLED, /* nothing came for the patience */
+	PICK_CORRUPT, /* the bytes do not match the digest */
+	PICK_FAILED, /* the origin did not answer */
+	PICK_GONE, /* the connection closed, or no longer wanted */
+};
+
+struct pick_peer {
+	TAILQ_ENTRY(pick_peer) link;
+	uint64_t *bits; /* chunks that it has */
+	bool near; /* in this host's failure domain */
+	unsigned int open; /* asks */
+	unsigned int load; /* its open uploads, as it last said */
+	int64_t rest_us; /* not asked before */
+	unsigned int strikes; /* failures since the last good chunk */
+	void *owner;
+};
+
+struct pick_ask {
+	TAILQ_ENTRY(pick_ask) link;
+	uint64_t index;
+	struct pick_peer *peer; /* NULL: the origin */
+	int64_t since_us;
+	int64_t moved_us; /* last byte */
+	int64_t gap_us; /* longest wait for bytes so far */
+};
+
+struct pick_chunk {
+	uint8_t state;
+	uint8_t reader; /* place of its first reader */
+	bool claimed; /* somebody began to read it from the origin */
+	uint8_t bad_reads; /* corrupt copies from the origin, here */
+	uint32_t holders; /* connected peers that have it */
+	int64_t claimed_us;
+};
+
+struct pick_conf {
+	uint64_t chunks;
+	uint64_t chunk_bytes;
+	uint64_t rate; /* bytes a second of the download budget */
+	unsigned int copies; /* from the origin, over all hosts */
+	size_t members; /* of the rollout, this host included */
+};
+
+struct pick {
+	struct pick_conf conf;
+	struct rank rank;
+	bool ranked;
+	struct pick_chunk *chunks;
+	uint64_t *need; /* bits of PICK_MISSING chunks */
+	uint64_t have; /* count */
+	uint64_t unclaimed; /* chunks not known to be read by anyone */
+	TAILQ_HEAD(pick_peers, pick_peer) peers;
+	TAILQ_HEAD(pick_asks, pick_ask) asks;
+	unsigned int open_asks, open_reads;
+	int64_t start_us;
+	/* Last claim by rank, for the chunks of each first reader. */
+	int64_t claims_us[RANK_READERS][PICK_RANKS];
+	int64_t read_after_us; /* back-off of the origin */
+	unsigned int read_failures; /* in a row */
+	int64_t gap_us; /* average of the longest gaps of good asks */
+	int64_t read_us; /* average time of a read */
+	uint64_t extra_reads; /* beyond the first copy */
+	uint64_t bad_read_index; /* last chunk whose origin copy was bad */
+	unsigned int bad_reads; /* of that chunk; 0: none */
+};
+
+enum pick_kind {
+	PICK_ASK, /* chunk `index` from `peer` */
+	PICK_READ, /* chunk `index` from the origin, having rank `rank` */
+	PICK_EXPIRE, /* the ask of `index` has stalled */
+	PICK_WAIT, /* nothing to do before `until_us` */
+	PICK_DONE,
+};
+
+struct pick_action {
+	enum pick_kind kind;
+	struct pick_peer *peer;
+	uint64_t index;
+	unsigned int rank;
+	bool extra; /* a read beyond the first copy */
+	int64_t until_us;
+	const char *why; /* PICK_WAIT: what for, "" when bytes are coming */
+};
+
+struct pick *pick_new(const struct pick_conf *conf, int64_t now_us);
+void pick_free(struct pick *p); /* peers must be removed */
+/* The members changed, or become known: nothing is read before. */
+void pick_set_rank(
+    struct pick *p, const struct rank *rank, size_t members, int64_t now_us);
+void pick_set_copies(struct pick *p, unsigned int copies);
+
+void pick_add_peer(struct pick *p, struct pick_peer *peer, bool near);
+/* Its asks are ended as PICK_GONE. */
+void pick_remove_peer(struct pick *p, struct pick_peer *peer, int64_t now_us);
+void pick_peer_has(
+    struct pick *p, struct pick_peer *peer, uint64_t index, int64_t now_us);
+void pick_peer_load(struct pick_peer *peer, unsigned int load);
+/* A host of rank `rank` began to read `index`; true when that is news. */
+bool pick_claimed(
+    struct pick *p, uint64_t index, unsigned int rank, int64_t now_us);
+
+/* `may_fetch`: the link's budget allows another fetch now. */
+void pick_next(const struct pick *p, bool may_fetch, int64_t now_us,
+    struct rng *rng, struct pick_action *out);
+/* Records that an ask or a read was started as chosen. */
+void pick_begin(struct pick *p, const struct pick_action *a, int64_t now_us);
+struct pick_ask *pick_find(const struct pick *p, uint64_t index);
+void pick_moved(struct pick *p, uint64_t index, int64_t now_us);
+/* All bytes came: the ask ends, the chunk is being checked. */
+void pick_arrived(struct pick *p, uint64_t index, int64_t now_us);
+/* Verified, or held for another version. An open ask for it ends. */
+void pick_got(struct pick *p, uint64_t index);
+/* The ask or read ended without the chunk, whole or not. */
+void pick_ended(struct pick *p, uint64_t index, struct pick_peer *peer,
+    enum pick_reason reason, int64_t now_us);
+/* No byte for so long ends an ask; the same for reads. */
+int64_t pick_patience_us(const struct pick *p);
+int64_t pick_silence_us(const struct pick *p);
+
+#endif
--- /dev/null
+++ b/lib/weights/proto.c
@@ -0,0 +1,73 @@
+/* Message tables of the weights package. */
+
+#include <string.h>
+
+#include "weights/proto.h"
+
+static const struct msg_field join_fields[] = {
+	MSG_FIELD(struct proto_join, root, MSG_DIGEST, 0),
+	MSG_FIELD(struct proto_join, domain, MSG_STR, PROTO_DOMAIN_MAX),
+};
+const struct msg_desc proto_join_desc =
+    MSG_DESC(PROTO_JOIN, "join", struct proto_join, join_fields);
+
+static const struct msg_field have_fields[] = {
+	MSG_FIELD(struct proto_have, bits, MSG_BIN, 0),
+	MSG_FIELD(struct proto_have, load, MSG_U64, UINT32_MAX),
+};
+const struct msg_desc proto_have_desc =
+    MSG_DESC(PROTO_HAVE, "have", struct proto_have, have_fields);
+
+static const struct msg_field news_fields[] = {
+	MSG_FIELD(struct proto_news, gained, MSG_BIN, 0),
+	MSG_FIELD(struct proto_news, claims, MSG_BIN, 0),
+	MSG_FIELD(struct proto_news, load, MSG_U64, UINT32_MAX),
+};
+const struct msg_desc proto_news_desc =
+    MSG_DESC(PROTO_NEWS, "news", struct proto_news, news_fields);
+
+static const struct msg_field get_fields[] = {
+	MSG_FIELD(struct proto_get, index, MSG_U64, UINT32_MAX),
+};
+const struct msg_desc proto_get_desc =
+    MSG_DESC(PROTO_GET, "get", struct proto_get, get_fields);
+
+static const struct msg_field data_fields[] = {
+	MSG_FIELD(struct proto_data, index, MSG_U64, UINT32_MAX),
+	MSG_FIELD(struct proto_data, offset, MSG_U64, 0),
+	MSG_FIELD(struct proto_data, load, MSG_U64, UINT32_MAX),
+	MSG_FIELD(struct proto_data, bytes, MSG_BIN, PROTO_SLICE_MAX),
+};
+const struct msg_desc proto_data_desc =
+    MSG_DESC(PROTO_DATA, "data", struct proto_data, data_fields);
+
+static const struct msg_field none_fields[] = {
+	MSG_FIELD(struct proto_none, index, MSG_U64, UINT32_MAX),
+	MSG_FIELD(struct proto_none, busy, MSG_U64, 1),
+	MSG_FIELD(struct proto_none, load, MSG_U64, UINT32_MAX),
+};
+const struct msg_desc proto_none_desc =
+    MSG_DESC(PROTO_NONE, "none", struct proto_none, none_fields);
+
+static const struct msg_field bye_fields[] = {
+	MSG_FIELD(struct proto_bye, reserved, MSG_U64, 0),
+};
+const struct msg_desc proto_bye_desc =
+    MSG_DESC(PROTO_BYE, "bye", struct proto_bye, bye_fields);
+
+void
+proto_add_index(GByteArray *out, uint32_t index)
+{
+	uint32_t be = GUINT32_TO_BE(index);
+
+	g_byte_array_append(out, (const guint8 *)&be, sizeof(be));
+}
+
+uint32_t
+proto_index_at(const uint8_t *at)
+{
+	uint32_t be;
+
+	memcpy(&be, at, sizeof(be));
+	return GUINT32_FROM_BE(be);
+}
--- /dev/null
+++ b/lib/weights/rank.c
@@ -0,0 +1,137 @@
+/* Rendezvous ranking of origin readers. */
+
+#include <string.h>
+
+#include "weights/rank.h"
+
+struct candidate {
+	uint64_t hash;
+	const char *domain;
+	size_t index;
+	bool reader;
+};
+
+static uint64_t
+member_hash(const struct digest *root, const char *id)
+{
+	uint64_t seed;
+
+	memcpy(&seed, root->bytes, sizeof(seed));
+	return hash64(seed, id, strlen(id));
+}
+
+static int
+by_hash(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	return (x->hash < y->hash) - (x->hash > y->hash);
+}
+
+static bool
+domain_has_reader(const struct candidate *c, size_t n, const char *domain)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (c[i].reader && strcmp(c[i].domain, domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* One of each failure domain first, so that losing a domain leaves readers
+ * that know what was read already; then the highest left. */
+static void
+choose_readers(struct rank *r, struct candidate *c, size_t n)
+{
+	int round;
+	size_t i;
+
+	for (round = 0; round < 2; round++) {
+		for (i = 0; i < n && r->nreaders < RANK_READERS; i++) {
+			if (c[i].reader)
+				continue;
+			if (round == 0 && domain_has_reader(c, n, c[i].domain))
+				continue;
+			c[i].reader = true;
+			r->reader[r->nreaders++] = c[i].hash;
+		}
+	}
+}
+
+void
+rank_build(struct rank *r, const struct digest *root,
+    const struct rank_member *members, size_t n, size_t self)
+{
+	struct candidate *c = g_new0(struct candidate, n);
+	uint64_t own = member_hash(root, members[self].id);
+	unsigned int i;
+	size_t at;
+
+	memset(r, 0, sizeof(*r));
+	for (at = 0; at < n; at++) {
+		c[at] = (struct candidate){
+			.hash = member_hash(root, members[at].id),
+			.domain = members[at].domain,
+			.index = at,
+		};
+	}
+	qsort(c, n, sizeof(c[0]), by_hash);
+	choose_readers(r, c, n);
+	for (at = 0; c[at].index != self; at++)
+		r->later += !c[at].reader;
+	r->self = RANK_NONE;
+	for (i = 0; i < r->nreaders; i++) {
+		if (r->reader[i] == own)
+			r->self = i;
+	}
+	g_free(c);
+}
+
+static uint64_t
+chunk_score(const struct rank *r, unsigned int reader, uint64_t chunk)
+{
+	return hash64(r->reader[reader], &chunk, sizeof(chunk));
+}
+
+unsigned int
+rank_first(const struct rank *r, uint64_t chunk)
+{
+	unsigned int best = 0;
+	unsigned int i;
+
+	for (i = 1; i < r->nreaders; i++) {
+		if (chunk_score(r, i, chunk) > chunk_score(r, best, chunk))
+			best = i;
+	}
+	return best;
+}
+
+unsigned int
+rank_self(const struct rank *r, uint64_t chunk)
+{
+	unsigned int ahead = 0;
+	unsigned int i;
+	uint64_t own;
+
+	if (r->self == RANK_NONE)
+		return r->nreaders + r->later;
+	own = chunk_score(r, r->self, chunk);
+	for (i = 0; i < r->nreaders; i++)
+		ahead += chunk_score(r, i, chunk) > own;
+	return ahead;
+}
+
+bool
+rank_is_reader(const struct rank *r, const struct digest *root, const char *id)
+{
+	uint64_t hash = member_hash(root, id);
+	unsigned int i;
+
+	for (i = 0; i < r->nreaders; i++) {
+		if (r->reader[i] == hash)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/lib/weights/receive.c
@@ -0,0 +1,279 @@
+/* What peers send: their state, and bytes that are checked as they come. */
+
+#include "weights/bits.h"
+#include "weights/xfer.h"
+
+/* A peer that failed so often in a row is replaced by another. */
+#define STRIKES_TO_DROP 5
+
+void
+intake_free(struct intake *in)
+{
+	LIST_REMOVE(in, link);
+	digest_stream_free(in->stream);
+	g_free(in->buffer);
+	g_free(in);
+}
+
+static struct intake *
+find_intake(struct peer *peer, uint64_t index)
+{
+	struct intake *in;
+
+	LIST_FOREACH (in, &peer->intakes, link) {
+		if (in->index == index)
+			return in;
+	}
+	return NULL;
+}
+
+static struct pick_peer *
+side_of(struct peer *peer, uint64_t index)
+{
+	return index == PROTO_LIST ? &peer->for_list : &peer->for_chunks;
+}
+
+static void
+set_load(struct peer *peer, uint64_t load)
+{
+	pick_peer_load(&peer->for_list, (unsigned int)load);
+	pick_peer_load(&peer->for_chunks, (unsigned int)load);
+}
+
+/* ------------------------------------------------------------------ */
+/* State                                                               */
+/* ------------------------------------------------------------------ */
+
+static void
+take_join(struct peer *peer, const struct proto_join *join)
+{
+	const char *own = peer->xfer->wts->conf.domain;
+	char *domain = slice_dup(join->domain);
+
+	peer->joined = true;
+	peer->near = strcmp(domain, own) == 0;
+	peer->for_list.near = peer->near;
+	peer->for_chunks.near = peer->near;
+	g_free(domain);
+}
+
+static void
+take_have(struct peer *peer, const struct proto_have *have)
+{
+	struct xfer *x = peer->xfer;
+	int64_t now_us = clk_now_us(x->wts->clock);
+	uint64_t n = MIN(x->pick->conf.chunks, have->bits.len * 8);
+	uint64_t i;
+
+	peer->has_list = true;
+	pick_peer_has(x->list_pick, &peer->for_list, 0, now_us);
+	for (i = 0; i < n; i++) {
+		if (have->bits.data[i / 8] >> (i % 8) & 1)
+			pick_peer_has(x->pick, &peer->for_chunks, i, now_us);
+	}
+	set_load(peer, have->load);
+}
+
+static void
+take_claims(struct peer *peer, struct slice claims)
+{
+	struct xfer *x = peer->xfer;
+	int64_t now_us = clk_now_us(x->wts->clock);
+	size_t at;
+
+	for (at = 0; at + PROTO_CLAIM_BYTES <= claims.len;
+	     at += PROTO_CLAIM_BYTES) {
+		uint32_t index = proto_index_at(claims.data + at);
+		unsigned int rank = claims.data[at + PROTO_GAINED_BYTES];
+		struct pick *pick = xfer_pick_of(x, index);
+
+		if (pick != NULL &&
+		    pick_claimed(pick, xfer_pick_index(index), rank, now_us))
+			peers_tell_claim(x, index, rank, peer);
+	}
+}
+
+static void
+take_news(struct peer *peer, const struct proto_news *news)
+{
+	struct xfer *x = peer->xfer;
+	int64_t now_us = clk_now_us(x->wts->clock);
+	size_t at;
+
+	for (at = 0; at + PROTO_GAINED_BYTES <= news->gained.len;
+	     at += PROTO_GAINED_BYTES) {
+		uint32_t index = proto_index_at(news->gained.data + at);
+
+		if (index < x->pick->conf.chunks)
+			pick_peer_has(
+			    x->pick, &peer->for_chunks, index, now_us);
+	}
+	take_claims(peer, news->claims);
+	set_load(peer, news->load);
+}
+
+/* ------------------------------------------------------------------ */
+/* Bytes                                                               */
+/* ------------------------------------------------------------------ */
+
+/* The ask that these bytes answer, or NULL when it was given up. */
+static struct pick_ask *
+open_ask(struct peer *peer, uint64_t index)
+{
+	struct pick *pick = xfer_pick_of(peer->xfer, index);
+	struct pick_ask *ask;
+
+	if (pick == NULL)
+		return NULL;
+	ask = pick_find(pick, xfer_pick_index(index));
+	if (ask == NULL || ask->peer != side_of(peer, index))
+		return NULL;
+	return ask;
+}
+
+static struct intake *
+new_intake(struct peer *peer, uint64_t index)
+{
+	struct intake *in = g_new0(struct intake, 1);
+
+	in->index = index;
+	in->len = xfer_len_of(peer->xfer, index);
+	in->buffer = g_malloc(in->len);
+	in->stream = xfer_stream_of(peer->xfer, index);
+	LIST_INSERT_HEAD(&peer->intakes, in, link);
+	return in;
+}
+
+static void
+finish_intake(struct peer *peer, struct intake *in)
+{
+	struct xfer *x = peer->xfer;
+	struct wts *wts = x->wts;
+	uint64_t index = in->index;
+	struct digest got;
+	GBytes *bytes;
+
+	digest_stream_end(g_steal_pointer(&in->stream), &got);
+	bytes = g_bytes_new_take(g_steal_pointer(&in->buffer), in->len);
+	intake_free(in);
+	pick_arrived(xfer_pick_of(x, index), xfer_pick_index(index),
+	    clk_now_us(wts->clock));
+	if (xfer_take(x, index, bytes, &got, peer)) {
+		ctr_add(wts->counts.peer_chunks, 1);
+		side_of(peer, index)->strikes = 0;
+	} else {
+		ctr_add(wts->counts.corrupt_peer, 1);
+		log_warn("weights: chunk %" G_GUINT64_FORMAT
+			 " from %s does not match its digest",
+		    index, peer->id);
+	}
+	g_bytes_unref(bytes);
+}
+
+static void
+take_data(struct peer *peer, const struct proto_data *data)
+{
+	struct xfer *x = peer->xfer;
+	struct wts *wts = x->wts;
+	struct intake *in = find_intake(peer, data->index);
+
+	wts_received(wts, data->bytes.len);
+	ctr_add(wts->counts.peer_bytes, (int64_t)data->bytes.len);
+	if (!peer->near)
+		ctr_add(wts->counts.far_bytes, (int64_t)data->bytes.len);
+	set_load(peer, data->load);
+	if (open_ask(peer, data->index) == NULL) {
+		/* Given up, or had from elsewhere meanwhile. */
+		ctr_add(wts->counts.late_bytes, (int64_t)data->bytes.len);
+		if (in != NULL)
+			intake_free(in);
+		return;
+	}
+	if (in != NULL && data->offset == 0) {
+		/* Given up and asked again: the first answer's rest was
+		 * dropped, this is the second one. */
+		intake_free(in);
+		in = NULL;
+	}
+	if (in == NULL && data->offset == 0)
+		in = new_intake(peer, data->index);
+	if (in == NULL || data->offset != in->got ||
+	    data->bytes.len > in->len - in->got) {
+		ctr_add(wts->counts.late_bytes, (int64_t)data->bytes.len);
+		return;
+	}
+	memcpy(in->buffer + in->got, data->bytes.data, data->bytes.len);
+	digest_stream_add(in->stream, data->bytes.data, data->bytes.len);
+	in->got += data->bytes.len;
+	pick_moved(xfer_pick_of(x, data->index), xfer_pick_index(data->index),
+	    clk_now_us(wts->clock));
+	if (in->got == in->len)
+		finish_intake(peer, in);
+}
+
+static void
+take_none(struct peer *peer, const struct proto_none *none)
+{
+	struct xfer *x = peer->xfer;
+
+	set_load(peer, none->load);
+	if (open_ask(peer, none->index) == NULL)
+		return;
+	ctr_add(x->wts->counts.busy, (int64_t)none->busy);
+	pick_ended(xfer_pick_of(x, none->index), xfer_pick_index(none->index),
+	    side_of(peer, none->index), none->busy ? PICK_BUSY : PICK_REFUSED,
+	    clk_now_us(x->wts->clock));
+}
+
+/* ------------------------------------------------------------------ */
+/* Messages                                                            */
+/* ------------------------------------------------------------------ */
+
+static bool
+handle(struct peer *peer, const struct msg *m)
+{
+	union {
+		struct proto_join join;
+		struct proto_have have;
+		struct proto_news news;
+		struct proto_get get;
+		struct proto_data data;
+		struct proto_none none;
+	} u;
+
+	if (m->type == PROTO_JOIN && msg_read(m, &proto_join_desc, &u, NULL))
+		take_join(peer, &u.join);
+	else if (!peer->joined)
+		return false;
+	else if (m->type == PROTO_HAVE &&
+	    msg_read(m, &proto_have_desc, &u, NULL))
+		take_have(peer, &u.have);
+	else if (m->type == PROTO_NEWS &&
+	    msg_read(m, &proto_news_desc, &u, NULL))
+		take_news(peer, &u.news);
+	else if (m->type == PROTO_GET && msg_read(m, &proto_get_desc, &u, NULL))
+		serve_get(peer, u.get.index);
+	else if (m->type == PROTO_DATA &&
+	    msg_read(m, &proto_data_desc, &u, NULL))
+		take_data(peer, &u.data);
+	else if (m->type == PROTO_NONE &&
+	    msg_read(m, &proto_none_desc, &u, NULL))
+		take_none(peer, &u.none);
+	else
+		return false;
+	return true;
+}
+
+void
+peer_message(struct peer *peer, const struct msg *m)
+{
+	struct xfer *x = peer->xfer;
+
+	/* `bye` and whatever is malformed end the connection. Types of a
+	 * later release are passed over. */
+	if (m->type > PROTO_BYE)
+		return;
+	if (!handle(peer, m) || peer->for_chunks.strikes >= STRIKES_TO_DROP)
+		peer_drop(peer);
+	xfer_pump(x);
+}
--- /dev/null
+++ b/lib/weights/serve.c
@@ -0,0 +1,204 @@
+/* Uploads to peers: few at a time, paced by the upload budget. */
+
+#include "weights/xfer.h"
+
+/* Open uploads of this host; more are refused as busy, so that a peer does
+ * not wait here while others that have the chunk are idle. */
+#define UPLOADS_MAX PICK_LOAD_MAX
+#define SLICE_MIN (16u << 10)
+#define SLICE_US 15000 /* a slice takes so long at the budget's rate */
+#define SECOND_US 1000000
+/* A receiver that takes nothing for so long is dropped. */
+#define UPLOAD_STALL_US (10 * (int64_t)SECOND_US)
+
+struct upload {
+	TAILQ_ENTRY(upload) link;
+	struct peer *to;
+	uint64_t index;
+	GBytes *bytes;
+	uint64_t at;
+	int64_t moved_us;
+};
+
+static void
+end_upload(struct upload *u)
+{
+	struct wts *wts = u->to->xfer->wts;
+
+	TAILQ_REMOVE(&wts->uploads, u, link);
+	wts->nuploads--;
+	u->to->nuploads--;
+	g_bytes_unref(u->bytes);
+	g_free(u);
+}
+
+void
+serve_forget(struct peer *peer)
+{
+	struct upload *u = TAILQ_FIRST(&peer->xfer->wts->uploads);
+
+	while (u != NULL) {
+		struct upload *next = TAILQ_NEXT(u, link);
+
+		if (u->to == peer)
+			end_upload(u);
+		u = next;
+	}
+}
+
+static GBytes *
+bytes_of(struct xfer *x, uint64_t index)
+{
+	if (index == PROTO_LIST)
+		return x->list;
+	if (x->held == NULL || index >= x->pick->conf.chunks)
+		return NULL;
+	return hold_get(x->held, index);
+}
+
+static void
+refuse(struct peer *peer, uint64_t index, bool busy)
+{
+	struct proto_none none = {
+		.index = index,
+		.busy = busy,
+		.load = peer->xfer->wts->nuploads,
+	};
+
+	conn_send(peer->conn, &proto_none_desc, &none);
+}
+
+void
+serve_get(struct peer *peer, uint64_t index)
+{
+	struct wts *wts = peer->xfer->wts;
+	GBytes *bytes = bytes_of(peer->xfer, index);
+	struct upload *u;
+
+	if (bytes == NULL) {
+		refuse(peer, index, false);
+		return;
+	}
+	if (wts->nuploads >= UPLOADS_MAX ||
+	    peer->nuploads >= PICK_ASKS_PER_PEER) {
+		refuse(peer, index, true);
+		return;
+	}
+	u = g_new0(struct upload, 1);
+	u->to = peer;
+	u->index = index;
+	u->bytes = g_bytes_ref(bytes);
+	u->moved_us = clk_now_us(wts->clock);
+	peer->nuploads++;
+	wts->nuploads++;
+	TAILQ_INSERT_TAIL(&wts->uploads, u, link);
+	serve_run(wts);
+}
+
+/* Copies of the chunk that this host knows of. */
+static uint32_t
+copies_of(const struct upload *u)
+{
+	if (u->index == PROTO_LIST)
+		return 0;
+	return u->to->xfer->pick->chunks[u->index].holders;
+}
+
+/*
+ * The upload to go on with: one that has begun, or else the one of the
+ * rarest chunk, so that a host with several new chunks gives out all of
+ * them once before any twice. Uploads are sent one after another: side by
+ * side all would end late, and nobody could pass anything on meanwhile.
+ */
+static struct upload *
+choose(struct wts *wts)
+{
+	struct upload *best = NULL;
+	struct upload *u;
+
+	TAILQ_FOREACH (u, &wts->uploads, link) {
+		if (conn_queued(u->to->conn) >= CONN_LOW_WATER)
+			continue;
+		if (u->at > 0)
+			return u;
+		if (best == NULL || copies_of(u) < copies_of(best))
+			best = u;
+	}
+	return best;
+}
+
+static size_t
+slice_len(const struct wts *wts)
+{
+	uint64_t len = wts->conf.upload_bytes_s / (SECOND_US / SLICE_US);
+
+	return CLAMP(len, SLICE_MIN, PROTO_SLICE_MAX);
+}
+
+/* True when it was the last. */
+static bool
+send_slice(struct upload *u, int64_t now_us)
+{
+	struct wts *wts = u->to->xfer->wts;
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(u->bytes, &len);
+	size_t n = MIN(slice_len(wts), len - u->at);
+	bool last = u->at + n == len;
+	struct proto_data slice = {
+		.index = u->index,
+		.offset = u->at,
+		.load = wts->nuploads - last,
+		.bytes = { data + u->at, n },
+	};
+
+	conn_send(u->to->conn, &proto_data_desc, &slice);
+	bucket_take(&wts->up, n, now_us);
+	ctr_add(wts->counts.sent_bytes, (int64_t)n);
+	u->at += n;
+	u->moved_us = now_us;
+	return last;
+}
+
+/* Otherwise peers that stopped to read would hold all uploads in the end. */
+void
+serve_drop_stalled(struct wts *wts)
+{
+	int64_t now_us = clk_now_us(wts->clock);
+	struct upload *u = TAILQ_FIRST(&wts->uploads);
+
+	while (u != NULL) {
+		struct peer *peer = u->to;
+
+		if (conn_queued(peer->conn) < CONN_LOW_WATER ||
+		    now_us - u->moved_us < UPLOAD_STALL_US) {
+			u = TAILQ_NEXT(u, link);
+			continue;
+		}
+		ctr_add(wts->counts.stalls, 1);
+		peer_drop(peer);
+		u = TAILQ_FIRST(&wts->uploads);
+	}
+}
+
+void
+serve_run(struct wts *wts)
+{
+	int64_t now_us = clk_now_us(wts->clock);
+	bool was_busy = wts->nuploads > 0;
+	struct upload *u;
+
+	while ((u = choose(wts)) != NULL) {
+		int64_t ready_us = bucket_ready_us(&wts->up, now_us);
+
+		if (ready_us > now_us) {
+			timer_set_earlier(&wts->serve_timer, ready_us);
+			return;
+		}
+		if (send_slice(u, now_us))
+			end_upload(u);
+	}
+	if (wts->nuploads > 0)
+		timer_set_earlier(&wts->serve_timer, now_us + UPLOAD_STALL_US);
+	else if (was_busy)
+		peers_tell_load(wts);
+}
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -95,8 +95,10 @@
 	enum wts_policy policy;
 	unsigned int origin_copies; /* over all hosts together */
 };
-/* Starts, or goes on with changed terms; idempotent. Chunks held for other versions are reused. */
-void wts_want(struct wts *wts, const struct wts_want *want);
+/* Starts, or goes on with changed terms; idempotent. Chunks held for other
+ * versions are reused. ERR_INVALID for sizes out of bounds. Nothing is
+ * fetched before wts_set_peers was called once. */
+bool wts_want(struct wts *wts, const struct wts_want *want, struct err *err);
 /* Stops and forgets; its chunks go unless another version has them. */
 void wts_drop(struct wts *wts, const struct digest *root);
 /* Who else takes part now (live or suspected members, not this host). Given
@@ -115,7 +117,7 @@
 void wts_closed(struct wts *wts, struct conn *c);
 
 /* For the engine beside: the chunk list and the chunks of a whole version.
- * NULL unless the version is whole. */
+ * NULL unless the version is whole. Borrowed until the version is dropped. */
 GBytes *wts_list(struct wts *wts, const struct digest *root);
 GBytes *wts_chunk(struct wts *wts, const struct digest *root, uint64_t index);
 
--- /dev/null
+++ b/lib/weights/xfer.c
@@ -0,0 +1,455 @@
+/* One version on its way to this host: phases, decisions, verified bytes. */
+
+#include <stdio.h>
+
+#include "weights/bits.h"
+#include "weights/xfer.h"
+
+#define SECOND_US 1000000
+/* News wait so long at most, or a hundredth of the shortest possible
+ * transfer: often enough to show no loss of time, and control bytes stay in
+ * proportion to the weights. */
+#define NEWS_MIN_US 50000
+#define NEWS_MAX_US SECOND_US
+#define NEWS_SHARE 100
+/* Fetches are begun while the download budget is at most so far in debt, in
+ * chunk times: the answer comes a round trip and a queue later. */
+#define FETCH_DEBT_CHUNKS 1
+#define BAD_READS_TO_TELL 2
+#define STRIKES_TO_DROP 5
+
+static void
+on_pump(void *ctx)
+{
+	xfer_pump(ctx);
+}
+
+static void
+on_dial(void *ctx)
+{
+	peers_dial(ctx);
+}
+
+static void
+free_member(gpointer data)
+{
+	struct member *m = data;
+
+	g_free(m->id);
+	g_free(m->address);
+	g_free(m->domain);
+	g_free(m);
+}
+
+/* ------------------------------------------------------------------ */
+/* Phases                                                              */
+/* ------------------------------------------------------------------ */
+
+static gboolean
+on_notify(gpointer data)
+{
+	struct xfer *x = data;
+	struct wts *wts = x->wts;
+	struct wts_version version = x->want.version;
+	struct wts_progress progress;
+
+	x->notify_idle = 0;
+	wts_progress(wts, &version.root, &progress);
+	if (wts->ops.phase != NULL)
+		wts->ops.phase(&version, &progress, wts->ctx);
+	return G_SOURCE_REMOVE;
+}
+
+/* The owner is told from the loop: it may drop the version in answer. */
+static void
+set_phase(struct xfer *x, enum wts_phase phase)
+{
+	if (x->phase == phase)
+		return;
+	x->phase = phase;
+	if (x->notify_idle == 0)
+		x->notify_idle = g_idle_add(on_notify, x);
+}
+
+static void
+set_why(struct xfer *x, const char *why)
+{
+	g_strlcpy(x->why, why, sizeof(x->why));
+}
+
+static void
+on_filled(struct hold_version *held, uint64_t index, void *ctx)
+{
+	struct xfer *x = ctx;
+
+	pick_got(x->pick, index);
+	peers_tell_gained(x, index);
+	/* Maybe through another version's transfer. */
+	xfer_pump_soon(x);
+}
+
+void
+xfer_try_room(struct xfer *x)
+{
+	uint64_t missing;
+	struct peer *peer;
+	uint64_t i;
+
+	if (x->list == NULL || x->held != NULL)
+		return;
+	x->held = hold_open(
+	    x->wts->hold, &x->want.version, x->list, on_filled, x, &missing);
+	if (x->held == NULL) {
+		snprintf(x->why, sizeof(x->why),
+		    "memory budget: %" G_GUINT64_FORMAT " bytes too small",
+		    missing);
+		set_phase(x, WTS_NO_ROOM);
+		return;
+	}
+	for (i = 0; i < x->pick->conf.chunks; i++) {
+		if (hold_has(x->held, i))
+			pick_got(x->pick, i);
+	}
+	set_phase(x, WTS_FETCHING);
+	TAILQ_FOREACH (peer, &x->peers, link) {
+		if (peer->open)
+			peer_tell_have(peer);
+	}
+	xfer_pump_soon(x);
+}
+
+static struct pick *
+new_pick(const struct xfer *x, uint64_t chunks, uint64_t chunk_bytes)
+{
+	struct wts *wts = x->wts;
+	struct pick_conf conf = {
+		.chunks = chunks,
+		.chunk_bytes = chunk_bytes,
+		.rate = wts->conf.download_bytes_s,
+		.copies = MAX(x->want.origin_copies, 1),
+		.members = 1,
+	};
+
+	return pick_new(&conf, clk_now_us(wts->clock));
+}
+
+struct xfer *
+xfer_new(struct wts *wts, const struct wts_want *want)
+{
+	struct xfer *x = g_new0(struct xfer, 1);
+	const struct wts_version *v = &want->version;
+	double shortest_us =
+	    (double)v->bytes * SECOND_US / (double)wts->conf.download_bytes_s;
+
+	x->wts = wts;
+	x->want = *want;
+	x->phase = WTS_LIST;
+	x->news_interval_us =
+	    (int64_t)CLAMP(shortest_us / NEWS_SHARE, NEWS_MIN_US, NEWS_MAX_US);
+	TAILQ_INIT(&x->peers);
+	TAILQ_INIT(&x->reads);
+	x->members = g_ptr_array_new_with_free_func(free_member);
+	x->list_pick = new_pick(x, 1, version_list_len(v));
+	x->pick = new_pick(x, wts_chunk_count(v), v->chunk_bytes);
+	timer_init(&x->pump_timer, wts->clock, on_pump, x);
+	timer_init(&x->dial_timer, wts->clock, on_dial, x);
+	return x;
+}
+
+void
+xfer_free(struct xfer *x)
+{
+	struct read *r;
+	struct peer *peer;
+
+	while ((r = TAILQ_FIRST(&x->reads)) != NULL)
+		read_free(r);
+	while ((peer = TAILQ_FIRST(&x->peers)) != NULL)
+		peer_drop(peer);
+	hold_close(x->held);
+	pick_free(x->list_pick);
+	pick_free(x->pick);
+	timer_stop(&x->pump_timer);
+	timer_stop(&x->dial_timer);
+	if (x->notify_idle != 0)
+		g_source_remove(x->notify_idle);
+	g_clear_pointer(&x->list, g_bytes_unref);
+	g_ptr_array_unref(x->members);
+	g_free(x);
+}
+
+void
+xfer_set_want(struct xfer *x, const struct wts_want *want)
+{
+	x->want.policy = want->policy;
+	x->want.origin_copies = want->origin_copies;
+	pick_set_copies(x->pick,
+	    want->policy == WTS_ORIGIN_FIRST ? 1 : MAX(want->origin_copies, 1));
+	xfer_pump_soon(x);
+}
+
+/* ------------------------------------------------------------------ */
+/* Members                                                             */
+/* ------------------------------------------------------------------ */
+
+static struct member *
+new_member(const struct xfer *x, const struct wts_peer *from)
+{
+	struct member *m = g_new0(struct member, 1);
+	uint64_t seed = x->wts->conf.seed ^
+	    hash64(0, x->wts->conf.id, strlen(x->wts->conf.id));
+
+	m->id = g_strdup(from->id);
+	m->address = g_strdup(from->address);
+	m->domain = g_strdup(from->domain);
+	m->score = hash64(seed, m->id, strlen(m->id));
+	return m;
+}
+
+static gint
+by_score(gconstpointer a, gconstpointer b)
+{
+	const struct member *x = *(const struct member *const *)a;
+	const struct member *y = *(const struct member *const *)b;
+
+	return (x->score > y->score) - (x->score < y->score);
+}
+
+/* Keeps the dial state of a member that was there before. */
+static void
+keep_state(struct xfer *x, GPtrArray *fresh)
+{
+	guint i;
+
+	for (i = 0; i < fresh->len; i++) {
+		struct member *m = fresh->pdata[i];
+		const struct member *old = peers_member(x, m->id);
+
+		if (old == NULL || strcmp(old->address, m->address) != 0)
+			continue;
+		m->dial_after_us = old->dial_after_us;
+		m->failures = old->failures;
+	}
+}
+
+static void
+rank_members(struct xfer *x)
+{
+	size_t n = x->members->len;
+	struct rank_member *all = g_new0(struct rank_member, n + 1);
+	const struct digest *root = &x->want.version.root;
+	int64_t now_us = clk_now_us(x->wts->clock);
+	struct rank rank;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		const struct member *m = x->members->pdata[i];
+
+		all[i] = (struct rank_member){ m->id, m->domain };
+	}
+	all[n] = (struct rank_member){ x->wts->conf.id, x->wts->conf.domain };
+	rank_build(&rank, root, all, n + 1, n);
+	for (i = 0; i < n; i++) {
+		struct member *m = x->members->pdata[i];
+
+		m->reader = rank_is_reader(&rank, root, m->id);
+	}
+	pick_set_rank(x->list_pick, &rank, n + 1, now_us);
+	pick_set_rank(x->pick, &rank, n + 1, now_us);
+	g_free(all);
+}
+
+void
+xfer_set_members(struct xfer *x, const struct wts_peer *peers, size_t n)
+{
+	GPtrArray *fresh = g_ptr_array_new_with_free_func(free_member);
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(peers[i].id, x->wts->conf.id) != 0)
+			g_ptr_array_add(fresh, new_member(x, &peers[i]));
+	}
+	g_ptr_array_sort(fresh, by_score);
+	keep_state(x, fresh);
+	g_ptr_array_unref(x->members);
+	x->members = fresh;
+	peers_drop_gone(x);
+	rank_members(x);
+	peers_dial(x);
+	xfer_pump_soon(x);
+}
+
+/* ------------------------------------------------------------------ */
+/* Objects: the list and the chunks                                    */
+/* ------------------------------------------------------------------ */
+
+struct pick *
+xfer_pick_of(struct xfer *x, uint64_t index)
+{
+	if (index == PROTO_LIST)
+		return x->list_pick;
+	return index < x->pick->conf.chunks ? x->pick : NULL;
+}
+
+uint64_t
+xfer_pick_index(uint64_t index)
+{
+	return index == PROTO_LIST ? 0 : index;
+}
+
+uint64_t
+xfer_len_of(const struct xfer *x, uint64_t index)
+{
+	if (index == PROTO_LIST)
+		return version_list_len(&x->want.version);
+	return version_chunk_len(&x->want.version, index);
+}
+
+struct digest_stream *
+xfer_stream_of(const struct xfer *x, uint64_t index)
+{
+	const struct wts_version *v = &x->want.version;
+
+	if (index == PROTO_LIST)
+		return version_root_stream(v->bytes, v->chunk_bytes);
+	return digest_stream_new();
+}
+
+bool
+xfer_take(struct xfer *x, uint64_t index, GBytes *bytes,
+    const struct digest *got, struct peer *peer)
+{
+	bool list = index == PROTO_LIST;
+	const struct digest *right =
+	    list ? &x->want.version.root : version_chunk_digest(x->list, index);
+	struct pick_peer *from = NULL;
+
+	if (peer != NULL)
+		from = list ? &peer->for_list : &peer->for_chunks;
+	if (!digest_equal(got, right)) {
+		/* Never kept, never passed on: the digest of what this host
+		 * serves is always the one it checked itself. */
+		pick_ended(xfer_pick_of(x, index), xfer_pick_index(index), from,
+		    PICK_CORRUPT, clk_now_us(x->wts->clock));
+		return false;
+	}
+	if (!list) {
+		hold_put(x->held, index, bytes);
+		return true;
+	}
+	pick_got(x->list_pick, 0);
+	if (x->list == NULL)
+		x->list = g_bytes_ref(bytes);
+	xfer_try_room(x);
+	return true;
+}
+
+/* ------------------------------------------------------------------ */
+/* Decisions                                                           */
+/* ------------------------------------------------------------------ */
+
+static bool
+may_fetch(
+    struct xfer *x, const struct pick *pick, int64_t now_us, int64_t *until_us)
+{
+	int64_t debt = bucket_debt_us(&x->wts->down, now_us);
+	int64_t allowed =
+	    (int64_t)(FETCH_DEBT_CHUNKS * (double)pick->conf.chunk_bytes *
+		SECOND_US / (double)pick->conf.rate);
+
+	if (debt <= allowed)
+		return true;
+	*until_us = now_us + debt - allowed;
+	return false;
+}
+
+static void
+expire(struct xfer *x, struct pick *pick, const struct pick_action *a,
+    int64_t now_us)
+{
+	struct peer *peer = a->peer->owner;
+
+	ctr_add(x->wts->counts.stalls, 1);
+	pick_ended(pick, a->index, a->peer, PICK_STALLED, now_us);
+	if (a->peer->strikes >= STRIKES_TO_DROP)
+		peer_drop(peer);
+}
+
+static void
+act(struct xfer *x, struct pick *pick, const struct pick_action *a,
+    int64_t now_us)
+{
+	struct wts *wts = x->wts;
+	uint64_t index = pick == x->list_pick ? PROTO_LIST : a->index;
+	struct proto_get get = { .index = index };
+
+	switch (a->kind) {
+	case PICK_ASK:
+		pick_begin(pick, a, now_us);
+		conn_send(((struct peer *)a->peer->owner)->conn,
+		    &proto_get_desc, &get);
+		break;
+	case PICK_READ:
+		pick_begin(pick, a, now_us);
+		ctr_add(wts->counts.out_of_turn, a->rank > 0 && !a->extra);
+		ctr_add(wts->counts.extra_reads, a->extra);
+		peers_tell_claim(x, index, a->rank, NULL);
+		read_start(x, index);
+		break;
+	case PICK_EXPIRE:
+		expire(x, pick, a, now_us);
+		break;
+	case PICK_WAIT:
+	case PICK_DONE:
+		break;
+	}
+}
+
+static void
+tell_wait(struct xfer *x, const struct pick *pick, const char *why)
+{
+	if (pick->bad_reads >= BAD_READS_TO_TELL) {
+		snprintf(x->why, sizeof(x->why),
+		    "origin: the copy of %s %" G_GUINT64_FORMAT
+		    " does not match its digest (%u tries)",
+		    pick == x->list_pick ? "the list" : "chunk",
+		    pick->bad_read_index, pick->bad_reads);
+		return;
+	}
+	set_why(x, why);
+}
+
+void
+xfer_pump_soon(struct xfer *x)
+{
+	timer_set_earlier(&x->pump_timer, clk_now_us(x->wts->clock));
+}
+
+void
+xfer_pump(struct xfer *x)
+{
+	struct pick *pick = x->phase == WTS_LIST ? x->list_pick : x->pick;
+	int64_t now_us = clk_now_us(x->wts->clock);
+	int64_t fetch_us = INT64_MAX;
+	struct pick_action a;
+	bool fetch;
+
+	if (x->phase != WTS_LIST && x->phase != WTS_FETCHING)
+		return;
+	for (;;) {
+		fetch = may_fetch(x, pick, now_us, &fetch_us);
+		pick_next(pick, fetch, now_us, &x->wts->rng, &a);
+		if (a.kind == PICK_WAIT || a.kind == PICK_DONE)
+			break;
+		act(x, pick, &a, now_us);
+	}
+	if (a.kind == PICK_DONE) {
+		set_why(x, "");
+		if (pick == x->pick)
+			set_phase(x, WTS_WHOLE);
+		return;
+	}
+	tell_wait(x, pick, a.why);
+	if (MIN(a.until_us, fetch_us) != INT64_MAX)
+		timer_set(&x->pump_timer, MIN(a.until_us, fetch_us));
+}
--- /dev/null
+++ b/lib/weights/xfer.h
@@ -0,0 +1,177 @@
+#ifndef WEIGHTS_XFER_H
+#define WEIGHTS_XFER_H
+
+/*
+ * The driver's shared state: wts (this host) has transfers (one a wanted
+ * version), a transfer has peers (one a connection) and reads of the origin.
+ */
+
+#include "weights/hold.h"
+#include "weights/link.h"
+#include "weights/pick.h"
+#include "weights/proto.h"
+#include "weights/timer.h"
+#include "weights/version.h"
+
+/* Where the origin's bytes come from; tests put a fake here. */
+struct wts_source {
+	struct origin_read *(*start)(const char *name, uint64_t offset,
+	    uint64_t len, unsigned int stall_ms, origin_read_cb *done,
+	    void *done_ctx, void *ctx);
+	void (*cancel)(struct origin_read *read, void *ctx);
+	void *ctx;
+};
+
+struct counts {
+	struct ctr *peer_chunks, *origin_chunks;
+	struct ctr *peer_bytes, *far_bytes, *origin_bytes, *sent_bytes;
+	struct ctr *corrupt_peer, *corrupt_origin;
+	struct ctr *stalls, *busy, *late_bytes, *out_of_turn, *extra_reads;
+};
+
+struct wts {
+	struct wts_conf conf;
+	struct wts_ops ops;
+	void *ctx;
+	struct wts_source source;
+	const struct clk *clock;
+	struct ctr_set *own_counters; /* when the node has none */
+	struct counts counts;
+	struct rng rng;
+	struct hold *hold;
+	struct bucket down, up;
+	TAILQ_HEAD(xfer_list, xfer) xfers;
+	GHashTable *by_conn; /* struct conn -> struct peer */
+	TAILQ_HEAD(upload_list, upload) uploads;
+	unsigned int nuploads;
+	struct timer serve_timer;
+	struct timer resume_timer; /* of downloads, when the debt is paid */
+	bool paused;
+};
+
+/* Bytes of one chunk (or the list) from one peer, hashed as they come. */
+struct intake {
+	LIST_ENTRY(intake) link;
+	uint64_t index;
+	uint64_t len, got;
+	uint8_t *buffer;
+	struct digest_stream *stream;
+};
+
+struct member {
+	char *id, *address, *domain;
+	uint64_t score; /* order in which this host dials */
+	struct peer *peer; /* NULL: not connected */
+	bool reader;
+	int64_t dial_after_us;
+	unsigned int failures;
+};
+
+struct peer {
+	TAILQ_ENTRY(peer) link;
+	struct xfer *xfer;
+	struct conn *conn;
+	char *id;
+	bool dialled;
+	bool open; /* our join was sent */
+	bool joined; /* its join came */
+	bool near;
+	bool has_list;
+	bool told_have;
+	struct pick_peer for_list, for_chunks;
+	LIST_HEAD(intake_list, intake) intakes;
+	unsigned int nuploads;
+	GByteArray *gained, *claims; /* not told yet */
+	unsigned int told_load;
+	int64_t news_after_us;
+	struct timer news_timer;
+};
+
+struct read {
+	TAILQ_ENTRY(read) link;
+	struct xfer *xfer;
+	uint64_t index;
+	struct origin_read *handle; /* NULL once it has answered */
+	GBytes *bytes;
+	uint64_t hashed;
+	struct digest_stream *stream;
+	guint idle;
+};
+
+struct xfer {
+	TAILQ_ENTRY(xfer) link;
+	struct wts *wts;
+	struct wts_want want;
+	enum wts_phase phase;
+	GBytes *list;
+	struct hold_version *held;
+	struct pick *list_pick; /* the list as a rollout of one chunk */
+	struct pick *pick;
+	GPtrArray *members; /* struct member, by score */
+	TAILQ_HEAD(peer_list, peer) peers;
+	TAILQ_HEAD(read_list, read) reads;
+	int64_t news_interval_us;
+	struct timer pump_timer;
+	struct timer dial_timer;
+	guint notify_idle;
+	char why[120];
+};
+
+/* wts.c */
+struct wts *wts_new_from(const struct wts_conf *conf, const struct wts_ops *ops,
+    void *ctx, const struct wts_source *source);
+struct xfer *wts_find(struct wts *wts, const struct digest *root);
+/* Bytes came in: over the budget, all peers' connections pause. */
+void wts_received(struct wts *wts, uint64_t bytes);
+
+/* xfer.c */
+struct xfer *xfer_new(struct wts *wts, const struct wts_want *want);
+void xfer_free(struct xfer *x);
+void xfer_set_want(struct xfer *x, const struct wts_want *want);
+void xfer_set_members(struct xfer *x, const struct wts_peer *peers, size_t n);
+/* Takes all decisions that are due, arms the timer for the next. */
+void xfer_pump(struct xfer *x);
+/* The same, from the loop. */
+void xfer_pump_soon(struct xfer *x);
+struct pick *xfer_pick_of(struct xfer *x, uint64_t index); /* NULL: bad index */
+/* The index within xfer_pick_of. */
+uint64_t xfer_pick_index(uint64_t index);
+uint64_t xfer_len_of(const struct xfer *x, uint64_t index);
+struct digest_stream *xfer_stream_of(const struct xfer *x, uint64_t index);
+/* All bytes of `index` have come with digest `got`, from `peer` (NULL: the
+ * origin). False when the digest is wrong. Takes no reference. */
+bool xfer_take(struct xfer *x, uint64_t index, GBytes *bytes,
+    const struct digest *got, struct peer *peer);
+/* Tries again to reserve memory, after another version went. */
+void xfer_try_room(struct xfer *x);
+
+/* read.c */
+void read_start(struct xfer *x, uint64_t index);
+void read_free(struct read *r);
+
+/* peers.c */
+void peers_dial(struct xfer *x);
+void peers_drop_gone(struct xfer *x); /* those no longer members */
+struct peer *peers_accept(struct xfer *x, struct conn *c);
+/* Lets go of the connection, which closes; the peer is freed. */
+void peer_drop(struct peer *peer);
+void peer_join(struct peer *peer); /* sends join, and have if there is one */
+void peer_tell_have(struct peer *peer);
+void peers_tell_gained(struct xfer *x, uint64_t index);
+void peers_tell_claim(struct xfer *x, uint64_t index, unsigned int rank,
+    const struct peer *except);
+void peers_tell_load(struct wts *wts);
+struct member *peers_member(struct xfer *x, const char *id);
+
+/* receive.c */
+void peer_message(struct peer *peer, const struct msg *m);
+void intake_free(struct intake *in);
+
+/* serve.c */
+void serve_get(struct peer *peer, uint64_t index);
+void serve_run(struct wts *wts);
+/* Drops peers that take nothing; not from within a peer's message. */
+void serve_drop_stalled(struct wts *wts);
+void serve_forget(struct peer *peer); /* drops its uploads */
+
+#endif
--- /dev/null
+++ b/tests/weights/test_xfer.c
@@ -0,0 +1,35 @@
+/* Whole rollouts between a few hosts, without faults. */
+
+#include "nodes.h"
+
+static void
+test_all_whole_with_one_origin_copy(void **state)
+{
+	struct nodes s = { .rate = 4 << 20, .memory = 1 << 20 };
+	struct model m;
+	size_t i;
+
+	model_make(&m, "m", 60, 1);
+	model_seal(&m);
+	s.origin.models = &m;
+	s.origin.nmodels = 1;
+	nodes_start(&s, 8);
+	nodes_want_all(&s, &m, 1);
+	nodes_until(&s, nodes_whole, &m);
+	for (i = 0; i < s.n; i++)
+		node_check(&s.node[i], &m);
+	assert_int_equal(s.origin.bytes_sent, m.version.bytes);
+	assert_int_equal(nodes_count(&s, "wts_reads_out_of_turn"), 0);
+	nodes_stop(&s);
+	model_free(&m);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_all_whole_with_one_origin_copy),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
