--- a/tests/weights/nodes.h
+++ b/tests/weights/nodes.h
@@ -46,7 +46,7 @@
 	bool stalled; /* reads never answer */
 	uint64_t bytes_sent; /* of weights, not lists */
 	unsigned int reads;
-	TAILQ_HEAD(, origin_read) open;
+	TAILQ_HEAD(open_list, origin_read) open;
 };
 
 struct node {
@@ -336,8 +336,8 @@
 	size_t k;
 
 	for (k = 0; k < nmembers; k++) {
-		peers[k] = (struct wts_peer){ s->node[k].id,
-			s->node[k].address, s->node[k].domain };
+		peers[k] = (struct wts_peer){ s->node[k].id, s->node[k].address,
+			s->node[k].domain };
 	}
 	assert_true(wts_want(s->node[i].wts, &want, NULL));
 	wts_set_peers(s->node[i].wts, &m->version.root, peers, nmembers);
@@ -384,8 +384,8 @@
 
 /* Runs the loop until `done`; fails the test when that never comes. */
 static inline void
-nodes_until(struct nodes *s, bool (*done)(const struct nodes *s,
-				 const struct model *m),
+nodes_until(struct nodes *s,
+    bool (*done)(const struct nodes *s, const struct model *m),
     const struct model *m)
 {
 	bool late = false;
@@ -419,8 +419,8 @@
 		GBytes *chunk = wts_chunk(n->wts, &m->version.root, i);
 
 		assert_non_null(chunk);
-		assert_int_equal(g_bytes_get_size(chunk),
-		    version_chunk_len(&m->version, i));
+		assert_int_equal(
+		    g_bytes_get_size(chunk), version_chunk_len(&m->version, i));
 		assert_memory_equal(g_bytes_get_data(chunk, NULL),
 		    m->bytes->data + i * WTS_CHUNK_MIN,
 		    g_bytes_get_size(chunk));
