--- /dev/null
+++ b/bench/weights_model.c
@@ -0,0 +1,72 @@
+/*
+ * Makes a model for the weights bench: DIR/NAME.weights of random bytes and
+ * DIR/NAME.chunks; prints its line for the versions file. With a seventh
+ * argument the chunks are those of the seed with one in that many replaced.
+ */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "weights/weights.h"
+
+static void
+write_random(FILE *file, uint64_t bytes, uint64_t seed)
+{
+	struct rng rng;
+	uint64_t left;
+
+	rng_seed(&rng, seed);
+	for (left = bytes / sizeof(uint64_t); left > 0; left--) {
+		uint64_t word = rng_next(&rng);
+
+		if (fwrite(&word, sizeof(word), 1, file) != 1)
+			g_error("cannot write");
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	uint64_t bytes, chunk_bytes, seed, every, at;
+	GByteArray *list = g_byte_array_new();
+	struct wts_version v;
+	char hex[DIGEST_HEX];
+	struct err err;
+	char *path;
+	FILE *file;
+
+	if (argc < 6) {
+		fprintf(stderr,
+		    "weights_model DIR NAME BYTES CHUNK SEED [EVERY]\n");
+		return 2;
+	}
+	bytes = g_ascii_strtoull(argv[3], NULL, 10);
+	chunk_bytes = g_ascii_strtoull(argv[4], NULL, 10);
+	seed = g_ascii_strtoull(argv[5], NULL, 10);
+	every = argc > 6 ? g_ascii_strtoull(argv[6], NULL, 10) : 0;
+	path = g_strdup_printf("%s/%s.weights", argv[1], argv[2]);
+	file = fopen(path, "wb");
+	if (file == NULL)
+		g_error("%s cannot be written", path);
+	for (at = 0; at < bytes; at += chunk_bytes) {
+		uint64_t chunk = at / chunk_bytes;
+		bool changed = every > 0 && chunk % every == 0;
+
+		write_random(file, MIN(chunk_bytes, bytes - at),
+		    seed * 1000003 + 2 * chunk + changed);
+	}
+	fclose(file);
+	if (!wts_digest_file(path, chunk_bytes, list, &v, &err))
+		g_error("%s", err.message);
+	g_free(path);
+	path = g_strdup_printf("%s/%s.chunks", argv[1], argv[2]);
+	g_file_set_contents(
+	    path, (const char *)list->data, (gssize)list->len, NULL);
+	digest_to_hex(&v.root, hex);
+	printf("%s %s %" PRIu64 " %" PRIu64 "\n", argv[2], hex, v.bytes,
+	    v.chunk_bytes);
+	g_free(path);
+	g_byte_array_unref(list);
+	return 0;
+}
