Route package: tests of the first cut, and four faults they found

Cause: the first cut of route had no tests. Reading it against the header while writing them showed: a service's pool was not looked at; the versions of a model without rules came in document order, not the rollout's first; a target text with an unknown kind was read as an engine; a deadline between two attempts gave MAY_HAVE_RUN for a request that no target had, and a refusal before the first attempt was ignored, which would leave a request refused by admission open for ever.

Conclusion: decisions can be deepened on a tested base.

--- a/lib/route/attempt.c
+++ b/lib/route/attempt.c
@@ -43,6 +43,16 @@
 	return att->facts.idempotent && may_try_again(ctx, event_data);
 }
 
+/* The deadline came between two attempts: what was lost before has been
+ * noted, and to note more would turn a true NOT_RUN into a doubt. */
+static bool
+nothing_sent(void *ctx, const void *event_data)
+{
+	const struct att *att = ctx;
+
+	return att->facts.nothing_sent;
+}
+
 static void
 do_dispatch(void *ctx, const void *event_data)
 {
@@ -102,6 +112,7 @@
 static const struct chart_guard guards[] = {
 	{ "may_try_again", may_try_again },
 	{ "may_run_again", may_run_again },
+	{ "nothing_sent", nothing_sent },
 	{ NULL, NULL },
 };
 
--- a/lib/route/catalogue.c
+++ b/lib/route/catalogue.c
@@ -100,6 +100,7 @@
 	char *methods = g_strdup_printf("services.%s.idempotent_methods", name);
 
 	copy_name(out->name, name);
+	copy_name(out->pool, cfg_str(cfg, "services.%s.pool", name));
 	out->idempotent_methods = read_strings(cfg, methods);
 	out->stall_ms =
 	    (unsigned int)cfg_int(cfg, "services.%s.stall_ms", name);
@@ -239,8 +240,12 @@
 	for (i = 0; i < model->nversions; i++)
 		total += model->versions[i].weight;
 	if (total == 0) {
-		for (i = 0; i < model->nversions; i++)
-			roots[n++] = model->versions[i].root;
+		if (model->rollout != NULL)
+			roots[n++] = model->rollout->root;
+		for (i = 0; i < model->nversions; i++) {
+			if (&model->versions[i] != model->rollout)
+				roots[n++] = model->versions[i].root;
+		}
 		return n;
 	}
 	draw %= total;
@@ -274,11 +279,12 @@
 {
 	char **part = g_strsplit(text, ",", INFO_PARTS);
 	bool good = g_strv_length(part) == INFO_PARTS;
+	bool service = good && strcmp(part[1], "service") == 0;
 
+	good = good && (service || strcmp(part[1], "engine") == 0);
 	if (good) {
 		copy_name(out->name, part[0]);
-		out->kind =
-		    strcmp(part[1], "service") == 0 ? RT_SERVICE : RT_ENGINE;
+		out->kind = service ? RT_SERVICE : RT_ENGINE;
 		copy_name(out->team, part[2]);
 		copy_name(out->pool, part[3]);
 		copy_name(out->service, part[4]);
--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -41,13 +41,13 @@
 		return false;
 	if (strcmp(target->team, wish->team) != 0 || was_tried(target, wish))
 		return false;
+	if (strcmp(target->pool, wish->pool) != 0)
+		return false;
 	if (wish->service != NULL) {
 		return target->kind == RT_SERVICE &&
 		    strcmp(target->service, wish->service) == 0;
 	}
-	return target->kind == RT_ENGINE &&
-	    strcmp(target->pool, wish->pool) == 0 &&
-	    has_allowed_version(target, wish);
+	return target->kind == RT_ENGINE && has_allowed_version(target, wish);
 }
 
 /* Estimated load in thousandths of the slots. */
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -210,6 +210,7 @@
 
 struct rt_service {
 	char name[RT_NAME_MAX + 1];
+	char pool[RT_NAME_MAX + 1];
 	const char **idempotent_methods; /* NULL-terminated */
 	unsigned int stall_ms;
 };
@@ -247,7 +248,8 @@
 /*
  * The versions a request may be answered from, best first; `roots` has room
  * for model->nversions. With rules the split is by weight, drawn from
- * `draw` (the request's hash); without, every version of the model goes.
+ * `draw` (the request's hash); without, every version of the model goes, the
+ * rollout's before the others, which serve until it is loaded.
  */
 size_t rt_model_roots(
     const struct rt_model *model, uint64_t draw, struct digest *roots);
@@ -321,7 +323,7 @@
 /* What a request may go to. */
 struct rt_wish {
 	const char *team;
-	const char *pool; /* engines */
+	const char *pool;
 	const char *service; /* plain services; NULL for engines */
 	const struct digest *roots; /* versions allowed; engines only */
 	size_t nroots;
@@ -366,6 +368,7 @@
 	unsigned int max_attempts;
 	bool budget; /* the retry budget has room */
 	bool time_left; /* the deadline leaves room for another try */
+	bool nothing_sent; /* no target has the present attempt */
 };
 
 struct att_ops {
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -84,6 +84,7 @@
 take(struct request *r, enum att_event event)
 {
 	r->att.facts.time_left = time_left_ms(r) >= MIN_TRY_MS;
+	r->att.facts.nothing_sent = r->side == NULL;
 	att_take(&r->att, event);
 	if (att_is_over(&r->att))
 		free_request(r);
@@ -116,10 +117,13 @@
 choose(struct request *r, const struct rt_team *team)
 {
 	const struct rt_model *model = rt_team_model(team, r->model);
+	const struct rt_service *service = rt_team_service(team, r->service);
 	struct digest roots[64];
 	struct rt_wish wish = {
 		.team = r->team,
-		.pool = model == NULL ? "" : model->pool,
+		.pool = model != NULL ? model->pool
+		    : service != NULL ? service->pool
+				      : "",
 		.service = r->service[0] == '\0' ? NULL : r->service,
 		.roots = roots,
 		.domain = cfg_str(r->entry->proc.cfg, "node.domain"),
--- /dev/null
+++ b/tests/route/test_catalogue.c
@@ -0,0 +1,184 @@
+/* Catalogue: the example branch in typed form, splits, target text. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "route/route.h"
+
+static struct rt_team *
+read_team(const char *path, const char *value)
+{
+	struct err err = { 0 };
+	struct cfg *cfg = cfg_load(
+	    SOURCE_DIR "/docs/examples/konya.yaml", &cfg_branch_schema, &err);
+	struct cfg *changed = cfg;
+	char *text;
+
+	assert_string_equal(err.message, "");
+	if (path != NULL) {
+		text = cfg_edit(cfg, path, value, &err);
+		assert_string_equal(err.message, "");
+		changed = cfg_parse(
+		    "f", text, strlen(text), &cfg_branch_schema, &err);
+		assert_string_equal(err.message, "");
+		g_free(text);
+		cfg_free(cfg);
+	}
+	return rt_team_read(changed, 5);
+}
+
+static void
+test_branch(void **state)
+{
+	struct rt_team *team = read_team(NULL, NULL);
+	const struct rt_model *model = rt_team_model(team, "inspect");
+	const struct rt_service *service = rt_team_service(team, "notes");
+	struct digest other;
+
+	assert_string_equal(team->name, "konya");
+	assert_int_equal(team->version, 5);
+	assert_int_equal(team->requests_s, 1500);
+	assert_int_equal(team->queue, 3000);
+	assert_int_equal(team->weight, 200);
+	assert_int_equal(team->default_deadline_ms, 30000);
+	assert_int_equal(team->max_deadline_ms, 300000);
+	assert_int_equal(team->retry_budget_permille, 100);
+	assert_false(digest_is_none(&team->caller_token));
+	assert_false(digest_is_none(&team->operator_token));
+	assert_null(rt_team_model(team, "absent"));
+	assert_non_null(model);
+	assert_int_equal(model->nversions, 2);
+	assert_ptr_equal(model->rollout, &model->versions[1]);
+	assert_string_equal(model->rollout->weights, "inspect/v2.bin");
+	assert_string_equal(model->rollout->chunks, "inspect/v2.chunks");
+	assert_int_equal(model->rollout->chunk_bytes, 4194304);
+	assert_int_equal(model->rollout->weight, 100);
+	assert_false(model->time_first);
+	assert_true(model->room_for_two);
+	assert_int_equal(model->max_unavailable, 2);
+	assert_ptr_equal(rt_model_version(model, &model->versions[0].root),
+	    &model->versions[0]);
+	digest_of("x", 1, &other);
+	assert_null(rt_model_version(model, &other));
+	assert_true(rt_model_placed(model, "large", "hall-b"));
+	assert_false(rt_model_placed(model, "large", "hall-d"));
+	assert_false(rt_model_placed(model, "small", "hall-b"));
+	assert_null(rt_team_service(team, "absent"));
+	assert_string_equal(service->pool, "default");
+	assert_int_equal(service->stall_ms, 5000);
+	assert_true(rt_service_is_idempotent(service, "GET"));
+	assert_false(rt_service_is_idempotent(service, "POST"));
+	rt_team_free(team);
+}
+
+static void
+test_branch_with_little(void **state)
+{
+	struct rt_team *team = read_team("models",
+	    "{m: {versions: {v1: {bytes: 1, chunk_bytes: 65536, weights: w, "
+	    "chunks: c, root: "
+	    "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+	    "}}}}");
+	const struct rt_model *model = rt_team_model(team, "m");
+	struct digest roots[1];
+
+	assert_non_null(model);
+	assert_null(model->rollout);
+	assert_true(rt_model_placed(model, "default", "anywhere"));
+	assert_int_equal(rt_model_roots(model, 3, roots), 1);
+	rt_team_free(team);
+	rt_team_free(NULL);
+}
+
+#define DRAWS 10000
+
+static void
+test_split_by_weight(void **state)
+{
+	struct rt_team *team = read_team(NULL, NULL);
+	const struct rt_model *model = rt_team_model(team, "inspect");
+	struct digest roots[2];
+	unsigned int old = 0, i;
+
+	for (i = 0; i < DRAWS; i++) {
+		assert_in_range(
+		    rt_model_roots(model, hash64(1, &i, sizeof(i)), roots), 1,
+		    2);
+		if (digest_equal(&roots[0], &model->versions[0].root))
+			old++;
+	}
+	/* 900 of 1000; the spread at 10,000 draws is 0.3%. */
+	assert_in_range(old, DRAWS * 88 / 100, DRAWS * 92 / 100);
+	rt_team_free(team);
+}
+
+/* The version wanted comes first; the old one serves where it is loaded. */
+static void
+test_no_rules(void **state)
+{
+	struct rt_team *team = read_team("models.inspect.rules", NULL);
+	const struct rt_model *model = rt_team_model(team, "inspect");
+	struct digest roots[2];
+
+	assert_int_equal(rt_model_roots(model, 3, roots), 2);
+	assert_true(digest_equal(&roots[0], &model->versions[1].root));
+	assert_true(digest_equal(&roots[1], &model->versions[0].root));
+	rt_team_free(team);
+}
+
+static void
+print_target(const struct rt_target_info *t, void *ctx)
+{
+	g_string_append_printf(ctx, "[%s %d %s %s %s]", t->name, t->kind,
+	    t->team, t->pool, t->service);
+}
+
+static void
+assert_read(const char *text, const char *want)
+{
+	GString *got = g_string_new(NULL);
+
+	rt_info_each(text, print_target, got);
+	assert_string_equal(got->str, want);
+	g_string_free(got, TRUE);
+}
+
+static void
+test_target_text(void **state)
+{
+	const struct rt_target_info engine = {
+		.name = "e1", .kind = RT_ENGINE, .team = "t", .pool = "p"
+	};
+	const struct rt_target_info service = { .name = "s1",
+		.kind = RT_SERVICE,
+		.team = "t",
+		.pool = "q",
+		.service = "notes" };
+	GString *text = g_string_new(NULL);
+
+	rt_info_append(text, &engine);
+	rt_info_append(text, &service);
+	assert_string_equal(text->str, "e1,engine,t,p,;s1,service,t,q,notes");
+	assert_read(text->str, "[e1 0 t p ][s1 1 t q notes]");
+	assert_read("", "");
+	assert_read(";;a,b;e1,engine,t,p;e2,engine,t,p,", "[e2 0 t p ]");
+	assert_read("e1,lathe,t,p,;e2,engine,t,p,", "[e2 0 t p ]");
+	g_string_free(text, TRUE);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_branch),
+		cmocka_unit_test(test_branch_with_little),
+		cmocka_unit_test(test_split_by_weight),
+		cmocka_unit_test(test_no_rules),
+		cmocka_unit_test(test_target_text),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
