--- a/lib/agree/agr_internal.h
+++ b/lib/agree/agr_internal.h
@@ -73,9 +73,9 @@
 	int64_t hosts_us; /* no earlier call than this */
 	struct agr **hosts_call; /* its context while one is under way */
 
-	LIST_HEAD(, pull) pulls;
-	LIST_HEAD(, agr_role) roles;
-	LIST_HEAD(, agr_gate) gates;
+	LIST_HEAD(pull_list, pull) pulls;
+	LIST_HEAD(agr_role_list, agr_role) roles;
+	LIST_HEAD(agr_gate_list, agr_gate) gates;
 
 	struct ctr *pulls_count, *refused_branches, *sync_count, *members,
 	    *age_ms, *lease_refused;
--- a/lib/agree/inf.c
+++ b/lib/agree/inf.c
@@ -20,7 +20,7 @@
 };
 
 struct inf {
-	LIST_HEAD(, branch) branches; /* by name */
+	LIST_HEAD(branch_list, branch) branches; /* by name */
 };
 
 static struct branch *
@@ -251,6 +251,8 @@
 	size_t at = 0, len = strlen(name);
 	bool has = false;
 
+	if (!msg_bounded(known))
+		return false;
 	msgpack_unpacked_init(&got);
 	while (!has &&
 	    msgpack_unpack_next(&got, (const char *)known.data, known.len,
--- a/lib/agree/mem_internal.h
+++ b/lib/agree/mem_internal.h
@@ -182,7 +182,7 @@
 	uint64_t view;
 	struct mem_entry_list updates[MEM_CLASSES];
 	struct mem_entry_list digests;
-	LIST_HEAD(, mem_noted) notes;
+	LIST_HEAD(mem_note_list, mem_noted) notes;
 	int64_t fresh_us; /* when a watch was last known to work */
 	bool urgent; /* an update waits for its fan-out */
 	GArray *order; /* keys of the round robin, shuffled */
@@ -191,7 +191,7 @@
 	uint64_t seq;
 	int64_t period_us; /* when the next probe starts */
 	int64_t last_tick_us;
-	LIST_HEAD(, mem_relay) relays;
+	LIST_HEAD(mem_relay_list, mem_relay) relays;
 	unsigned int nrelays;
 	GHashTable *wanted; /* key -> address of who told of it */
 	int64_t want_us; /* no earlier question than this */
--- a/lib/agree/mem_wire.c
+++ b/lib/agree/mem_wire.c
@@ -295,6 +295,8 @@
 	const msgpack_object *o = &got.data;
 	const msgpack_object *field;
 
+	if (!msg_bounded(updates))
+		return;
 	msgpack_unpacked_init(&got);
 	while (msgpack_unpack_next(&got, (const char *)updates.data,
 		   updates.len, &at) == MSGPACK_UNPACK_SUCCESS) {
@@ -325,17 +327,35 @@
 /* Taking over a table                                                 */
 /* ------------------------------------------------------------------ */
 
+static void
+pack_roles(const struct mem *mem, GByteArray *out)
+{
+	const struct mem_noted *n;
+
+	LIST_FOREACH (n, &mem->notes, link) {
+		if (n->note.kind == MEM_NOTE_ROLE)
+			pack_note(out, &n->note);
+	}
+}
+
+GByteArray *
+mem_roles(const struct mem *mem)
+{
+	GByteArray *out = g_byte_array_new();
+
+	pack_roles(mem, out);
+	return out;
+}
+
 GByteArray *
 mem_sync_list(struct mem *mem)
 {
 	GByteArray *out = g_byte_array_new();
-	const struct mem_noted *n;
 	guint i;
 
 	for (i = 0; i < mem->by_id->len; i++)
 		mem_pack_state(out, g_ptr_array_index(mem->by_id, i));
-	LIST_FOREACH (n, &mem->notes, link)
-		pack_note(out, &n->note);
+	pack_roles(mem, out);
 	return out;
 }
 
@@ -374,6 +394,8 @@
 	const msgpack_object *field;
 	uint64_t key, incarnation;
 
+	if (!msg_bounded(list))
+		return known;
 	msgpack_unpacked_init(&got);
 	while (msgpack_unpack_next(&got, (const char *)list.data, list.len,
 		   &at) == MSGPACK_UNPACK_SUCCESS) {
@@ -408,8 +430,7 @@
 		else
 			mem_pack_state(p->bytes, e);
 	}
-	LIST_FOREACH (n, &mem->notes, link)
-		pack_note(p->bytes, &n->note);
+	pack_roles(mem, p->bytes);
 }
 
 GByteArray *
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -276,6 +276,14 @@
 bool msg_read(const struct msg *m, const struct msg_desc *desc, void *out,
     struct err *err);
 void msg_close(struct msg *m);
+/*
+ * Whether the bytes are a row of whole msgpack values, arrays at most
+ * MSG_DEPTH_MAX deep and no maps. To be asked before the library unpacks
+ * bytes from another process: it allocates for as many elements as a header
+ * claims, so that five bytes would take 34 GB.
+ */
+#define MSG_DEPTH_MAX 4
+bool msg_bounded(struct slice s);
 
 /* ------------------------------------------------------------------ */
 /* Connections between the system's processes (TCP)                    */
--- a/lib/common/msg.c
+++ b/lib/common/msg.c
@@ -73,6 +73,117 @@
 	}
 }
 
+/* ------------------------------------------------------------------ */
+/* Bounds, before the library reads it                                 */
+/* ------------------------------------------------------------------ */
+
+/* Bytes that a scalar takes: `fixed` after its first byte, of which the first
+ * `len_bytes` (big endian) give the length of what follows. */
+struct scalar {
+	uint8_t fixed;
+	uint8_t len_bytes;
+};
+
+/* First bytes 0xc0 to 0xdf; a row of zeros is not a scalar. */
+static const struct scalar scalars[32] = {
+	[0xc0 - 0xc0] = { 1, 0 }, /* nil */
+	[0xc2 - 0xc0] = { 1, 0 }, /* false */
+	[0xc3 - 0xc0] = { 1, 0 }, /* true */
+	[0xc4 - 0xc0] = { 2, 1 }, /* bin 8 */
+	[0xc5 - 0xc0] = { 3, 2 }, /* bin 16 */
+	[0xc6 - 0xc0] = { 5, 4 }, /* bin 32 */
+	[0xca - 0xc0] = { 5, 0 }, /* float 32 */
+	[0xcb - 0xc0] = { 9, 0 }, /* float 64 */
+	[0xcc - 0xc0] = { 2, 0 }, /* uint 8 */
+	[0xcd - 0xc0] = { 3, 0 }, /* uint 16 */
+	[0xce - 0xc0] = { 5, 0 }, /* uint 32 */
+	[0xcf - 0xc0] = { 9, 0 }, /* uint 64 */
+	[0xd0 - 0xc0] = { 2, 0 }, /* int 8 */
+	[0xd1 - 0xc0] = { 3, 0 }, /* int 16 */
+	[0xd2 - 0xc0] = { 5, 0 }, /* int 32 */
+	[0xd3 - 0xc0] = { 9, 0 }, /* int 64 */
+	[0xd9 - 0xc0] = { 2, 1 }, /* str 8 */
+	[0xda - 0xc0] = { 3, 2 }, /* str 16 */
+	[0xdb - 0xc0] = { 5, 4 }, /* str 32 */
+};
+
+/* Size of the scalar at `p`; 0 when it is none or does not fit in `left`. */
+static size_t
+scalar_size(const uint8_t *p, size_t left)
+{
+	const struct scalar *s;
+	size_t size, len = 0, i;
+
+	if (left == 0)
+		return 0;
+	if (p[0] < 0x80 || p[0] >= 0xe0)
+		return 1; /* small integers */
+	if (p[0] >= 0xa0 && p[0] < 0xc0) {
+		size = 1 + (p[0] & 31u); /* short text */
+		return size <= left ? size : 0;
+	}
+	if (p[0] < 0xc0)
+		return 0; /* a map or an array */
+	s = &scalars[p[0] - 0xc0];
+	if (s->fixed == 0 || s->fixed > left)
+		return 0;
+	for (i = 0; i < s->len_bytes; i++)
+		len = len << 8 | p[1 + i];
+	return len <= left - s->fixed ? s->fixed + len : 0;
+}
+
+/* What an array's header claims; false when it is not the header of one. Maps
+ * are in no message of ours. */
+static bool
+array_header(const uint8_t *p, size_t left, size_t *size, size_t *claimed)
+{
+	if (left >= 1 && (p[0] & 0xf0) == 0x90) {
+		*size = 1;
+		*claimed = p[0] & 0x0f;
+		return true;
+	}
+	if (left >= 3 && p[0] == 0xdc) {
+		*size = 3;
+		*claimed = (size_t)p[1] << 8 | p[2];
+		return true;
+	}
+	return false;
+}
+
+/* Size of the value at `p`, arrays nested at most `depth` deep; 0 when it is
+ * malformed or not all there. */
+static size_t
+value_size(const uint8_t *p, size_t left, unsigned int depth)
+{
+	size_t at, claimed, size;
+
+	if (!array_header(p, left, &at, &claimed))
+		return scalar_size(p, left);
+	if (depth == 0)
+		return 0;
+	for (; claimed > 0; claimed--) {
+		size = value_size(p + at, left - at, depth - 1);
+		if (size == 0)
+			return 0;
+		at += size;
+	}
+	return at;
+}
+
+bool
+msg_bounded(struct slice s)
+{
+	size_t at = 0, size;
+
+	while (at < s.len) {
+		size = value_size(s.data + at, s.len - at, MSG_DEPTH_MAX);
+		if (size == 0)
+			return false;
+		at += size;
+	}
+	return true;
+}
+
 /* The parsed form; strings and bins borrow from the input bytes. */
 struct parsed {
 	msgpack_unpacked unpacked;
@@ -81,11 +192,18 @@
 bool
 msg_open(struct msg *m, const void *data, size_t len, struct err *err)
 {
-	struct parsed *p = g_new0(struct parsed, 1);
-	const msgpack_object *o = &p->unpacked.data;
+	struct parsed *p;
+	const msgpack_object *o;
 	size_t at = 0;
 	msgpack_unpack_return got;
 
+	m->priv = NULL;
+	if (value_size(data, len, 1) != len) {
+		return err_set(
+		    err, ERR_INVALID, VERDICT_NOT_RUN, "malformed message");
+	}
+	p = g_new0(struct parsed, 1);
+	o = &p->unpacked.data;
 	msgpack_unpacked_init(&p->unpacked);
 	got = msgpack_unpack_next(&p->unpacked, data, len, &at);
 	m->priv = p;
--- a/programs/shared/proc.c
+++ b/programs/shared/proc.c
@@ -70,6 +70,7 @@
 		.suspect_ms =
 		    (unsigned int)cfg_int(p->cfg, "timing.suspect_ms"),
 		.lease_ms = (unsigned int)cfg_int(p->cfg, "timing.lease_ms"),
+		.charts = cfg_str(p->cfg, "node.charts"),
 		.node = &p->node,
 		.plat = p->plat,
 	};
--- a/programs/side/loopback.c
+++ b/programs/side/loopback.c
@@ -41,7 +41,6 @@
 	}
 	r->next++;
 	soup_message_body_append_bytes(body, chunk);
-	g_bytes_unref(chunk);
 }
 
 static void
@@ -100,8 +99,6 @@
 		answer_text(message, SOUP_STATUS_NOT_FOUND, "text/plain",
 		    "no such thing\n");
 	}
-	if (list != NULL)
-		g_bytes_unref(list);
 	g_strfreev(part);
 }
 
--- a/programs/side/place.c
+++ b/programs/side/place.c
@@ -66,10 +66,15 @@
 					    : WTS_ORIGIN_FIRST,
 		.origin_copies = model->origin_copies,
 	};
+	struct err err = { 0 };
 
 	g_strlcpy(w.version.weights, v->weights, sizeof(w.version.weights));
 	g_strlcpy(w.version.chunks, v->chunks, sizeof(w.version.chunks));
-	wts_want(pass->side->wts, &w);
+	if (!wts_want(pass->side->wts, &w, &err)) {
+		log_warn(
+		    "version %s of %s: %s", v->name, model->name, err.message);
+		return;
+	}
 	share_peers(pass->side, &v->root, hosts);
 	g_hash_table_add(pass->wanted, g_memdup2(&v->root, sizeof(v->root)));
 }
--- a/tests/common/test_conn.c
+++ b/tests/common/test_conn.c
@@ -253,6 +253,30 @@
 	g_byte_array_unref(bytes);
 }
 
+/*
+ * A stranger sends five bytes that claim an array of two thousand million
+ * elements, bare or inside a good message. The library would set aside 34 GB
+ * for it; we must refuse it without.
+ */
+static void
+test_codec_refuses_claimed_sizes(void **state)
+{
+	static const uint8_t bare[] = { 0xdd, 0x7f, 0xff, 0xff, 0xff };
+	static const uint8_t nested[] = { 0x93, 9, 0, 0xdd, 0x7f, 0xff, 0xff,
+		0xff };
+	static const uint8_t map[] = { 0x93, 9, 0, 0xdf, 0x7f, 0xff, 0xff,
+		0xff };
+	static const uint8_t text[] = { 0x93, 9, 0, 0xdb, 0x7f, 0xff, 0xff,
+		0xff };
+	struct err err = { 0 };
+	struct msg m = { 0 };
+
+	assert_false(msg_open(&m, bare, sizeof(bare), &err));
+	assert_false(msg_open(&m, nested, sizeof(nested), &err));
+	assert_false(msg_open(&m, map, sizeof(map), &err));
+	assert_false(msg_open(&m, text, sizeof(text), &err));
+}
+
 struct heard {
 	bool any;
 	uint64_t number;
@@ -309,6 +333,7 @@
 		cmocka_unit_test(test_wrong_key_is_refused),
 		cmocka_unit_test(test_bad_frames_are_counted),
 		cmocka_unit_test(test_codec_checks_bounds),
+		cmocka_unit_test(test_codec_refuses_claimed_sizes),
 		cmocka_unit_test(test_datagrams),
 	};
 
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -15,6 +15,7 @@
 	{ .name = "engine", .run = engine_main },
 	{ .name = "service", .run = service_main },
 	{ .name = "caller", .run = caller_main },
+	{ .name = "truth", .run = truth_main },
 };
 
 int
@@ -29,6 +30,6 @@
 	}
 	fprintf(stderr,
 	    "usage: standin objects|origin|hosts|engine|service|"
-	    "caller [OPTION...]\n");
+	    "caller|truth [OPTION...]\n");
 	return 2;
 }
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -108,6 +108,8 @@
 int service_main(int argc, const char **argv);
 
 int caller_main(int argc, const char **argv);
+/* Compares the logs of the stand-ins with what a caller received. */
+int truth_main(int argc, const char **argv);
 
 /* ------------------------------------------------------------------ */
 /* JSON and HTTP helpers                                               */
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -3,7 +3,7 @@
 # where everything is there already.
 set -eu
 packages="build-essential cmake ninja-build pkg-config clang-format cppcheck
- spin git libglib2.0-dev libsoup-3.0-dev libmsgpack-dev libyaml-dev libpopt-dev
+ spin git curl libglib2.0-dev libsoup-3.0-dev libmsgpack-dev libyaml-dev libpopt-dev
  liblog4c-dev libcmocka-dev libjson-glib-dev libssl-dev"
 missing=
 for p in $packages; do
