--- a/lib/agree/mem_internal.h
+++ b/lib/agree/mem_internal.h
@@ -182,7 +182,7 @@
 	uint64_t view;
 	struct mem_entry_list updates[MEM_CLASSES];
 	struct mem_entry_list digests;
-	LIST_HEAD(mem_noted_list, mem_noted) notes;
+	LIST_HEAD(mem_note_list, mem_noted) notes;
 	int64_t fresh_us; /* when a watch was last known to work */
 	bool urgent; /* an update waits for its fan-out */
 	GArray *order; /* keys of the round robin, shuffled */
