--- a/lib/agree/mem.c
+++ b/lib/agree/mem.c
@@ -94,6 +94,9 @@
 {
 	if (e->class != MEM_CLASSES)
 		TAILQ_REMOVE(&mem->updates[e->class], e, update_link);
+	e->class = MEM_CLASSES;
+	if (mem->many_news && class == MEM_CLASS_ALIVE)
+		return;
 	e->class = class;
 	/* News of a new member may be late, a table sync fills the gaps. */
 	e->sends_left = e->class == MEM_CLASS_ALIVE ? 2 + mem_log2(mem) / 2
--- a/lib/agree/mem_internal.h
+++ b/lib/agree/mem_internal.h
@@ -30,6 +30,7 @@
 	uint64_t settings;
 	uint64_t fence;
 	uint64_t view; /* digest of the sender's table, see mem_view() */
+	uint64_t members; /* that the sender knows, without the dead */
 	uint64_t age_ms; /* since a watch of the settings was surely well */
 	struct slice updates;
 };
@@ -199,7 +200,8 @@
 	int64_t bytes; /* credit for datagrams */
 	int64_t bytes_us;
 	bool joined; /* has taken over a table */
-	int64_t sync_us; /* no earlier sync than this */
+	int64_t synced_us; /* when the last sync began; 0: never */
+	bool many_news; /* a page full of members is being taken */
 	unsigned int differ; /* grows with each peer of another view */
 };
 
--- a/lib/agree/mem_probe.c
+++ b/lib/agree/mem_probe.c
@@ -30,7 +30,8 @@
  * differ (less those that agree) mean that news was lost. */
 #define SYNC_DIFFER 8
 #define SYNC_PERIODS 5
-#define SYNC_BYTES_S 500 /* a list is sent no faster than this on average */
+#define SYNC_BYTES_S 1000 /* a list is sent no faster than this on average */
+#define JOIN_BYTES_S 4000 /* ... while many are new, as after a cold start */
 
 static void
 refill(struct mem *mem, int64_t now_us)
@@ -58,6 +59,7 @@
 		.settings = self->settings,
 		.fence = self->fence,
 		.view = mem->view,
+		.members = mem->alive,
 		.age_ms = (uint64_t)mem_age_ms(mem, mem->bytes_us),
 		.updates = { blob->data, blob->len },
 	};
@@ -440,20 +442,26 @@
 	g_byte_array_unref(blob);
 }
 
+/* `many`: the peer knows many members that we lack. */
 static void
-ask_for_sync(struct mem *mem, const char *address, int64_t now_us)
+ask_for_sync(struct mem *mem, const char *address, int64_t now_us, bool many)
 {
 	int64_t period_us = (int64_t)mem->conf.gossip_ms * 1000;
-	int64_t pause_us = SYNC_PERIODS * period_us;
 	int64_t list_us = (int64_t)mem->by_id->len * 20 * G_USEC_PER_SEC;
+	int64_t pause_us;
 
-	if (now_us < mem->sync_us)
-		return;
-	pause_us = MAX(pause_us, list_us / SYNC_BYTES_S);
 	if (!mem->joined)
 		pause_us = period_us;
-	pause_us += (int64_t)rng_below(&mem->rng, (uint64_t)pause_us / 2);
-	mem->sync_us = now_us + pause_us;
+	else if (many)
+		pause_us = MAX(period_us, list_us / JOIN_BYTES_S);
+	else
+		pause_us =
+		    MAX(SYNC_PERIODS * period_us, list_us / SYNC_BYTES_S);
+	/* Spread by up to a quarter, so that not all ask in the same instant. */
+	pause_us += pause_us * (int64_t)(mem->self->key % 256) / 1024;
+	if (mem->synced_us != 0 && now_us < mem->synced_us + pause_us)
+		return;
+	mem->synced_us = now_us;
 	mem->differ = 0;
 	mem->ops->sync(address, mem->ctx);
 }
@@ -462,14 +470,17 @@
 compare_views(struct mem *mem, const struct mem_entry *e,
     const struct mem_msg *m, int64_t now_us)
 {
+	bool many;
+
 	if (m->view == mem->view) {
 		mem->differ -= mem->differ > 0;
 		return;
 	}
 	mem->differ++;
-	if (!mem->joined || mem->differ >= SYNC_DIFFER ||
-	    g_hash_table_size(mem->wanted) > WANTS_AT_ONCE)
-		ask_for_sync(mem, e->member.node.address, now_us);
+	many = g_hash_table_size(mem->wanted) > WANTS_AT_ONCE ||
+	    m->members > mem->alive + WANTS_AT_ONCE;
+	if (!mem->joined || mem->differ >= SYNC_DIFFER || many)
+		ask_for_sync(mem, e->member.node.address, now_us, many);
 }
 
 /* Facts of the sender that every datagram carries. */
@@ -503,7 +514,7 @@
 	*wanted = m->from;
 	g_hash_table_replace(mem->wanted, wanted, g_strdup(from));
 	if (!mem->joined)
-		ask_for_sync(mem, from, now_us);
+		ask_for_sync(mem, from, now_us, true);
 }
 
 void
--- a/lib/agree/mem_wire.c
+++ b/lib/agree/mem_wire.c
@@ -15,6 +15,9 @@
 #define STATE_BYTES 20 /* largest encoding */
 #define NOTE_BYTES (2 + 9 + 2 + INF_BRANCH_MAX + 2 + MEM_ID_MAX)
 #define DIGEST_GROUP_BYTES (1 + 9 + 3)
+/* What comes in a larger page of a sync is no news to the others: passing it
+ * on would fill all datagrams for minutes after a cold start. */
+#define NEWS_BYTES 1500
 #define DIGEST_KEYS_MAX 50 /* per datagram, to leave room in its budget */
 
 static const struct msg_field mem_fields[] = {
@@ -25,6 +28,7 @@
 	MSG_FIELD(struct mem_msg, settings, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, fence, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, view, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, members, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, age_ms, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, updates, MSG_BIN, DGRAM_MAX),
 };
@@ -383,16 +387,21 @@
 		end_page(p);
 }
 
-/* Key -> incarnation of the states in a list. */
+struct listed {
+	uint64_t key, incarnation, state;
+};
+
+/* Key -> struct listed, which holds the key. */
 static GHashTable *
 read_list(struct slice list)
 {
 	GHashTable *known =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	msgpack_unpacked got;
 	size_t at = 0;
 	const msgpack_object *field;
-	uint64_t key, incarnation;
+	struct listed l;
+	struct listed *kept;
 
 	if (!msg_bounded(list))
 		return known;
@@ -402,11 +411,12 @@
 		field = got.data.via.array.ptr;
 		if (got.data.type != MSGPACK_OBJECT_ARRAY ||
 		    got.data.via.array.size != 3 ||
-		    !get_number(&field[0], UINT64_MAX, &key) ||
-		    !get_number(&field[1], UINT64_MAX, &incarnation))
+		    !get_number(&field[0], UINT64_MAX, &l.key) ||
+		    !get_number(&field[1], UINT64_MAX, &l.incarnation) ||
+		    !get_number(&field[2], MEM_DEAD, &l.state))
 			continue;
-		g_hash_table_replace(known, g_memdup2(&key, sizeof(key)),
-		    g_memdup2(&incarnation, sizeof(incarnation)));
+		kept = g_memdup2(&l, sizeof(l));
+		g_hash_table_replace(known, &kept->key, kept);
 	}
 	msgpack_unpacked_destroy(&got);
 	return known;
@@ -416,18 +426,22 @@
 page_missing(struct mem *mem, GHashTable *known, struct pages *p)
 {
 	const struct mem_entry *e;
-	const uint64_t *theirs;
+	const struct listed *theirs;
+	uint64_t incarnation;
 	guint i;
 
 	for (i = 0; i < mem->by_id->len; i++) {
 		e = g_ptr_array_index(mem->by_id, i);
 		theirs = g_hash_table_lookup(known, &e->key);
+		incarnation = e->member.node.incarnation;
 		if (e->member.state == MEM_DEAD && theirs == NULL)
 			continue;
 		if (theirs == NULL ||
-		    mem_life(*theirs) < mem_life(e->member.node.incarnation))
+		    mem_life(theirs->incarnation) < mem_life(incarnation))
 			page_record(p, e);
-		else
+		else if (theirs->incarnation < incarnation ||
+		    (theirs->incarnation == incarnation &&
+			theirs->state < e->member.state))
 			mem_pack_state(p->bytes, e);
 	}
 	pack_roles(mem, p->bytes);
@@ -441,7 +455,9 @@
 	GHashTable *known = read_list(list);
 	struct pages p = { g_byte_array_new(), page, ctx };
 	GHashTableIter iter;
-	gpointer key;
+	gpointer value;
+	const struct listed *theirs;
+	const struct mem_entry *e;
 	uint64_t be;
 
 	/* No teller: what we lack is asked for over this connection. */
@@ -449,14 +465,15 @@
 	page_missing(mem, known, &p);
 	end_page(&p);
 	g_hash_table_iter_init(&iter, known);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const uint64_t *theirs = g_hash_table_lookup(known, key);
-		const struct mem_entry *e = mem_entry(mem, *(uint64_t *)key);
-
-		if (e != NULL &&
-		    mem_life(*theirs) <= mem_life(e->member.node.incarnation))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		theirs = value;
+		e = mem_entry(mem, theirs->key);
+		if (theirs->state == MEM_DEAD ||
+		    (e != NULL &&
+			mem_life(theirs->incarnation) <=
+			    mem_life(e->member.node.incarnation)))
 			continue;
-		be = GUINT64_TO_BE(*(uint64_t *)key);
+		be = GUINT64_TO_BE(theirs->key);
 		g_byte_array_append(lacking, (guint8 *)&be, sizeof(be));
 	}
 	g_hash_table_unref(known);
@@ -487,7 +504,9 @@
 mem_sync_page(struct mem *mem, int64_t now_us, struct slice page)
 {
 	mem->joined = true;
+	mem->many_news = page.len > NEWS_BYTES;
 	mem_take_updates(mem, now_us, NULL, page);
+	mem->many_news = false;
 }
 
 void
