Agree: all nodes learn within seconds where settings are in force

Cause: each node's digest went round as an update of its own: n * n of them. Trial: 26 s after a change, one node of 80 knew of 68; at 300 and 1,000 some nodes had not heard of all after a minute. Change: one bit a member in the order of the ids, taken over as a union by nodes with the same table; passed on beside the probes while it changes.

--- a/lib/agree/mem.c
+++ b/lib/agree/mem.c
@@ -7,7 +7,6 @@
 /* The dead are remembered, or gossip that is still under way would bring
  * them back; and so that a region cut for hours is found again. */
 #define TOMBSTONE_US (INT64_C(6) * 3600 * G_USEC_PER_SEC)
-#define DIGEST_SENDS 5 /* direct probes tell the rest */
 #define NOTES_MAX 256 /* branches and roles; more than either user has */
 
 uint64_t
@@ -274,8 +273,6 @@
 			continue;
 		if (e->class != MEM_CLASSES)
 			TAILQ_REMOVE(&mem->updates[e->class], e, update_link);
-		if (e->digest_sends_left > 0)
-			TAILQ_REMOVE(&mem->digests, e, digest_link);
 		g_ptr_array_remove_index(mem->by_id, i - 1);
 		g_hash_table_remove(mem->by_key, &e->key);
 	}
@@ -296,29 +293,9 @@
 }
 
 /* ------------------------------------------------------------------ */
-/* Digests of settings, notes                                          */
+/* Notes                                                               */
 /* ------------------------------------------------------------------ */
 
-void
-mem_seen_settings(struct mem *mem, struct mem_entry *e, uint64_t settings)
-{
-	/* Digests grow with the versions, see inf_digest(); an older one
-	 * that comes late must not hide the newer. */
-	if (settings <= e->member.settings)
-		return;
-	e->member.settings = settings;
-	if (e->digest_sends_left > 0)
-		TAILQ_REMOVE(&mem->digests, e, digest_link);
-	e->digest_sends_left = DIGEST_SENDS;
-	TAILQ_INSERT_TAIL(&mem->digests, e, digest_link);
-}
-
-void
-mem_set_settings(struct mem *mem, uint64_t settings)
-{
-	mem_seen_settings(mem, mem->self, settings);
-}
-
 void
 mem_set_fresh(struct mem *mem, int64_t now_us)
 {
@@ -432,7 +409,6 @@
 	mem->order = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (i = 0; i < MEM_CLASSES; i++)
 		TAILQ_INIT(&mem->updates[i]);
-	TAILQ_INIT(&mem->digests);
 	LIST_INIT(&mem->notes);
 	LIST_INIT(&mem->relays);
 	self.incarnation <<= MEM_REFUTES_BITS;
--- /dev/null
+++ b/lib/agree/mem_in_force.c
@@ -0,0 +1,98 @@
+/*
+ * Membership: who has which settings in force.
+ *
+ * After a change every node has news for every other: single updates would
+ * be n * n of them. Instead a datagram carries one bit a member, "has the
+ * sender's settings or newer", and receivers take the union, so that log2(n)
+ * rounds tell all of all. The bits follow the order of the ids, which is the
+ * same where the tables are the same.
+ */
+
+#include <msgpack.h>
+#include <string.h>
+
+#include "agree/mem_internal.h"
+
+#define MAP_HEADER_BYTES (1 + 9 + 3)
+
+static void
+map_changed(struct mem *mem)
+{
+	mem->map_sends_left = 3 + mem_log2(mem);
+}
+
+void
+mem_seen_settings(struct mem *mem, struct mem_entry *e, uint64_t settings)
+{
+	/* Digests grow with the versions, see inf_digest(); an older one
+	 * that comes late must not hide the newer. */
+	if (settings <= e->member.settings)
+		return;
+	e->member.settings = settings;
+	if (settings >= mem->self->member.settings)
+		map_changed(mem);
+}
+
+void
+mem_set_settings(struct mem *mem, uint64_t settings)
+{
+	mem_seen_settings(mem, mem->self, settings);
+}
+
+static int
+append(void *data, const char *bytes, size_t len)
+{
+	g_byte_array_append(data, (const guint8 *)bytes, (guint)len);
+	return 0;
+}
+
+void
+mem_pack_map(struct mem *mem, GByteArray *out, size_t room)
+{
+	uint64_t settings = mem->self->member.settings;
+	size_t len = (mem->alive + 7) / 8, place = 0;
+	const struct mem_entry *e;
+	msgpack_packer pk;
+	uint8_t *bits;
+	guint i;
+
+	if (mem->map_sends_left == 0 ||
+	    out->len + MAP_HEADER_BYTES + len > room)
+		return;
+	mem->map_sends_left--;
+	bits = g_malloc0(len);
+	for (i = 0; i < mem->by_id->len; i++) {
+		e = g_ptr_array_index(mem->by_id, i);
+		if (e->member.state == MEM_DEAD)
+			continue;
+		if (e->member.settings >= settings)
+			bits[place / 8] |= 1u << place % 8;
+		place++;
+	}
+	msgpack_packer_init(&pk, out, append);
+	msgpack_pack_array(&pk, 2);
+	msgpack_pack_uint64(&pk, settings);
+	msgpack_pack_bin(&pk, len);
+	msgpack_pack_bin_body(&pk, bits, len);
+	g_free(bits);
+}
+
+void
+mem_take_map(struct mem *mem, uint64_t settings, struct slice map)
+{
+	struct mem_entry *e;
+	size_t place = 0;
+	guint i;
+
+	if (map.len != (mem->alive + 7) / 8)
+		return;
+	for (i = 0; i < mem->by_id->len; i++) {
+		e = g_ptr_array_index(mem->by_id, i);
+		if (e->member.state == MEM_DEAD)
+			continue;
+		if ((map.data[place / 8] >> place % 8 & 1) != 0 &&
+		    e != mem->self)
+			mem_seen_settings(mem, e, settings);
+		place++;
+	}
+}
--- a/lib/agree/mem_internal.h
+++ b/lib/agree/mem_internal.h
@@ -141,8 +141,6 @@
 	enum mem_class class;
 	unsigned int sends_left;
 	TAILQ_ENTRY(mem_entry) update_link;
-	unsigned int digest_sends_left; /* of the settings digest */
-	TAILQ_ENTRY(mem_entry) digest_link;
 };
 TAILQ_HEAD(mem_entry_list, mem_entry);
 
@@ -182,7 +180,8 @@
 	unsigned int next_dead; /* place in by_id, for probes of the dead */
 	uint64_t view;
 	struct mem_entry_list updates[MEM_CLASSES];
-	struct mem_entry_list digests;
+	/* Sends left of the map of who has our settings; see mem_in_force.c. */
+	unsigned int map_sends_left;
 	LIST_HEAD(mem_note_list, mem_noted) notes;
 	int64_t fresh_us; /* when a watch was last known to work */
 	bool urgent; /* an update waits for its fan-out */
@@ -220,7 +219,6 @@
     uint64_t incarnation, enum mem_state state, const char *from);
 void mem_apply_full(struct mem *mem, int64_t now_us,
     const struct mem_node *node, enum mem_state state);
-void mem_seen_settings(struct mem *mem, struct mem_entry *e, uint64_t settings);
 void mem_suspect(struct mem *mem, struct mem_entry *e, int64_t now_us);
 unsigned int mem_log2(const struct mem *mem);
 bool mem_note_merge(struct mem *mem, const struct mem_note *note);
@@ -230,14 +228,25 @@
 void mem_expire(struct mem *mem, int64_t now_us); /* once a period */
 void mem_forgive(struct mem *mem, int64_t paused_us);
 
+struct mem_map { /* borrowed from the blob */
+	uint64_t settings;
+	struct slice bits;
+};
+
 /* mem_wire.c: blobs of updates */
 void mem_pack_state(GByteArray *out, const struct mem_entry *e);
 void mem_pack_full(GByteArray *out, const struct mem_entry *e);
 /* Fills a datagram's room; `about` (may be NULL) goes first. */
 void mem_pack_updates(struct mem *mem, GByteArray *out, size_t room,
     struct mem_entry *about, bool urgent);
-void mem_take_updates(
-    struct mem *mem, int64_t now_us, const char *from, struct slice updates);
+/* The map of settings in the blob, if any, is left in `map` (may be NULL). */
+void mem_take_updates(struct mem *mem, int64_t now_us, const char *from,
+    struct slice updates, struct mem_map *map);
+
+/* mem_in_force.c: who has which settings */
+void mem_seen_settings(struct mem *mem, struct mem_entry *e, uint64_t settings);
+void mem_pack_map(struct mem *mem, GByteArray *out, size_t room);
+void mem_take_map(struct mem *mem, uint64_t settings, struct slice map);
 
 /* mem_probe.c */
 void mem_flush(struct mem *mem, int64_t now_us); /* urgent news, now */
--- a/lib/agree/mem_probe.c
+++ b/lib/agree/mem_probe.c
@@ -10,7 +10,7 @@
  * credit (they are few and small); only the room for updates shrinks.
  */
 #define MEM_BYTES_S 1500
-#define MEM_BYTES_BURST 4500
+#define MEM_BYTES_BURST 2500
 #define HEADER_BYTES 96 /* proof, type, stamp, numbers of a mem_msg */
 #define ROOM_MAX (DGRAM_MAX - HEADER_BYTES)
 #define ROOM_MIN 64 /* also without credit: the member it is about */
@@ -21,6 +21,7 @@
 #define URGENT_FANOUT 5
 #define URGENT_ROOM 400
 #define DEAD_PROBE_ONE_IN 5 /* periods */
+#define MAP_CREDIT 1500
 #define PAUSE_TICKS 5 /* a longer gap than by a busy host */
 #define RELAYS_MAX 64
 #define WANTS_AT_ONCE 8 /* more are taken over by a sync */
@@ -339,6 +340,17 @@
 	g_free(teller);
 }
 
+/* Beside the probes, so that an operator soon sees where a change is in
+ * force; from credit that other news leaves. */
+static void
+pass_map(struct mem *mem)
+{
+	const char *to = mem_random_address(mem);
+
+	if (to != NULL)
+		mem_send(mem, to, MEM_GOSSIP, 0, 0, NULL);
+}
+
 void
 mem_tick(struct mem *mem, int64_t now_us)
 {
@@ -369,6 +381,8 @@
 		probe_seeds(mem);
 	}
 	ask_wanted(mem, now_us);
+	if (mem->map_sends_left > 0 && mem->bytes >= MAP_CREDIT)
+		pass_map(mem);
 	mem_flush(mem, now_us);
 }
 
@@ -522,6 +536,7 @@
     const struct mem_msg *m)
 {
 	struct mem_entry *e = mem_entry(mem, m->from);
+	struct mem_map map = { 0 };
 
 	if (e == mem->self)
 		return; /* our own, by a seed or hint that names us */
@@ -529,13 +544,16 @@
 	if (type == MEM_WANT)
 		answer_want(mem, from, m->updates);
 	else
-		mem_take_updates(mem, now_us, from, m->updates);
+		mem_take_updates(mem, now_us, from, m->updates, &map);
 	e = mem_entry(mem, m->from);
 	if (e == NULL ||
 	    mem_life(m->incarnation) > mem_life(e->member.node.incarnation))
 		take_from_unknown(mem, from, m, now_us);
 	else
 		take_header(mem, e, m, now_us);
+	/* The bits count members in order: only equal tables agree on it. */
+	if (map.bits.len > 0 && m->view == mem->view)
+		mem_take_map(mem, map.settings, map.bits);
 	if (type == MEM_PING)
 		mem_send(mem, from, MEM_ACK, m->seq, 0,
 		    e == NULL ? NULL : to_be_refuted(e));
--- a/lib/agree/mem_wire.c
+++ b/lib/agree/mem_wire.c
@@ -7,18 +7,16 @@
 
 /*
  * A blob is a row of msgpack arrays, told apart by their length:
- *   2  [settings digest, keys]: who has that digest (8 bytes a key)
+ *   2  [settings digest, bits]: which members have it, see mem_in_force.c
  *   3  [key, incarnation, state]
  *   4  [note kind, name, number, text]
  *   8  [incarnation, state, id, address, domain, region, kind, info]
  */
 #define STATE_BYTES 20 /* largest encoding */
 #define NOTE_BYTES (2 + 9 + 2 + INF_BRANCH_MAX + 2 + MEM_ID_MAX)
-#define DIGEST_GROUP_BYTES (1 + 9 + 3)
 /* What comes in a larger page of a sync is no news to the others: passing it
  * on would fill all datagrams for minutes after a cold start. */
 #define NEWS_BYTES 1500
-#define DIGEST_KEYS_MAX 50 /* per datagram, to leave room in its budget */
 
 static const struct msg_field mem_fields[] = {
 	MSG_FIELD(struct mem_msg, from, MSG_U64, 0),
@@ -112,41 +110,6 @@
 	pack_text(&pk, note->text);
 }
 
-/* One group: the members at the front of the queue with the same digest. */
-static void
-pack_digests(struct mem *mem, GByteArray *out, size_t room)
-{
-	struct mem_entry *e = TAILQ_FIRST(&mem->digests), *next;
-	uint64_t keys[DIGEST_KEYS_MAX];
-	uint64_t settings;
-	msgpack_packer pk;
-	size_t n = 0, max;
-
-	if (e == NULL || room < DIGEST_GROUP_BYTES + sizeof(keys[0]))
-		return;
-	max = MIN(
-	    G_N_ELEMENTS(keys), (room - DIGEST_GROUP_BYTES) / sizeof(keys[0]));
-	settings = e->member.settings;
-	for (; e != NULL && n < max; e = next) {
-		next = TAILQ_NEXT(e, digest_link);
-		if (e->member.settings != settings)
-			continue;
-		keys[n++] = GUINT64_TO_BE(e->key);
-		TAILQ_REMOVE(&mem->digests, e, digest_link);
-		e->digest_sends_left--;
-		/* Behind the others: fresher news has its turn first. */
-		if (e->digest_sends_left > 0)
-			TAILQ_INSERT_TAIL(&mem->digests, e, digest_link);
-		if (next == NULL)
-			break;
-	}
-	msgpack_packer_init(&pk, out, append);
-	msgpack_pack_array(&pk, 2);
-	msgpack_pack_uint64(&pk, settings);
-	msgpack_pack_bin(&pk, n * sizeof(keys[0]));
-	msgpack_pack_bin_body(&pk, keys, n * sizeof(keys[0]));
-}
-
 static void
 pack_class(struct mem *mem, GByteArray *out, size_t room, enum mem_class class)
 {
@@ -191,8 +154,7 @@
 		return;
 	pack_class(mem, out, room, MEM_CLASS_FAULT);
 	pack_class(mem, out, room, MEM_CLASS_ALIVE);
-	if (out->len < room)
-		pack_digests(mem, out, room - out->len);
+	mem_pack_map(mem, out, room);
 }
 
 /* ------------------------------------------------------------------ */
@@ -252,22 +214,13 @@
 }
 
 static void
-take_digests(struct mem *mem, const msgpack_object *field)
+take_map(const msgpack_object *field, struct mem_map *map)
 {
-	const msgpack_object_bin *keys = &field[1].via.bin;
-	uint64_t settings, key;
-	struct mem_entry *e;
-	size_t i;
-
-	if (!get_number(&field[0], UINT64_MAX, &settings) ||
-	    field[1].type != MSGPACK_OBJECT_BIN)
+	if (map == NULL || field[1].type != MSGPACK_OBJECT_BIN ||
+	    !get_number(&field[0], UINT64_MAX, &map->settings))
 		return;
-	for (i = 0; i + sizeof(key) <= keys->size; i += sizeof(key)) {
-		memcpy(&key, keys->ptr + i, sizeof(key));
-		e = mem_entry(mem, GUINT64_FROM_BE(key));
-		if (e != NULL && e != mem->self)
-			mem_seen_settings(mem, e, settings);
-	}
+	map->bits = (struct slice){ (const uint8_t *)field[1].via.bin.ptr,
+		field[1].via.bin.size };
 }
 
 static void
@@ -291,8 +244,8 @@
 }
 
 void
-mem_take_updates(
-    struct mem *mem, int64_t now_us, const char *from, struct slice updates)
+mem_take_updates(struct mem *mem, int64_t now_us, const char *from,
+    struct slice updates, struct mem_map *map)
 {
 	msgpack_unpacked got;
 	size_t at = 0;
@@ -309,7 +262,7 @@
 		field = o->via.array.ptr;
 		switch (o->via.array.size) {
 		case 2:
-			take_digests(mem, field);
+			take_map(field, map);
 			break;
 		case 3:
 			take_state(mem, now_us, from, field);
@@ -461,7 +414,7 @@
 	uint64_t be;
 
 	/* No teller: what we lack is asked for over this connection. */
-	mem_take_updates(mem, now_us, NULL, list);
+	mem_take_updates(mem, now_us, NULL, list, NULL);
 	page_missing(mem, known, &p);
 	end_page(&p);
 	g_hash_table_iter_init(&iter, known);
@@ -505,12 +458,12 @@
 {
 	mem->joined = true;
 	mem->many_news = page.len > NEWS_BYTES;
-	mem_take_updates(mem, now_us, NULL, page);
+	mem_take_updates(mem, now_us, NULL, page, NULL);
 	mem->many_news = false;
 }
 
 void
 mem_sync_roles(struct mem *mem, int64_t now_us, struct slice roles)
 {
-	mem_take_updates(mem, now_us, NULL, roles);
+	mem_take_updates(mem, now_us, NULL, roles, NULL);
 }
--- a/tests/agree/test_mem.c
+++ b/tests/agree/test_mem.c
@@ -474,6 +474,41 @@
 	end_net(net);
 }
 
+static void
+count_settings(const struct mem_member *member, void *ctx)
+{
+	*(unsigned int *)ctx += member->settings == 42;
+}
+
+/*
+ * A change is in force on all within a moment. Whichever entry the operator
+ * asks must soon say so, of all nodes and at no great cost.
+ */
+static void
+test_all_learn_where_settings_are_in_force(void **state)
+{
+	struct net *net = start_net(150, 20);
+	unsigned int i, seen;
+	int64_t mean, worst;
+
+	settle(net, 150, 60);
+	run_ms(net, 30000);
+	reset_bytes(net);
+	for (i = 0; i < net->n; i++)
+		mem_set_settings(net->nodes[i].mem, 42);
+	run_ms(net, 5000);
+	for (i = 0; i < net->n; i++) {
+		seen = 0;
+		mem_each(net->nodes[i].mem, count_settings, &seen);
+		assert_int_equal(seen, net->n);
+	}
+	bytes_per_s(net, 5, &mean, &worst);
+	print_message("change: bytes_s mean=%" PRId64 " worst=%" PRId64 "\n",
+	    mean, worst);
+	assert_true(worst < 4096);
+	end_net(net);
+}
+
 /* A node takes any bytes as updates without harm. */
 static void
 test_malformed_updates_are_ignored(void **state)
@@ -509,6 +544,7 @@
 		cmocka_unit_test(test_paused_host_refutes),
 		cmocka_unit_test(test_cut_region_is_found_again),
 		cmocka_unit_test(test_restart_is_a_new_life),
+		cmocka_unit_test(test_all_learn_where_settings_are_in_force),
 		cmocka_unit_test(test_malformed_updates_are_ignored),
 	};
 
