Agree: lease tests that fail without each safeguard; failed claims are paced

Change: the world keeps the paused still and mixes delays, directed tests; found by them: a claim that fails at once was repeated at each tick.

--- a/lib/agree/lse.c
+++ b/lib/agree/lse.c
@@ -15,6 +15,7 @@
 /* Views differ while members come: no claim before the rank has lasted. */
 #define SETTLE_MS 1000
 #define RETRY_MS 200 /* after a renewal that failed */
+#define CLAIM_RETRY_MS 500 /* after a claim that failed */
 #define RELEASE_LIMIT_MS 2000
 #define CANDIDATES 2 /* ranks that read the object */
 #define NO_RANK UINT_MAX
@@ -54,6 +55,7 @@
 	int64_t seen_us; /* when this version was first seen */
 	int64_t seen_read_us; /* when the read that saw it began */
 	uint64_t highest; /* fence that anybody told of */
+	int64_t claim_us; /* no earlier claim than this */
 	bool reading;
 	int64_t read_us; /* when the last read that succeeded began */
 	int64_t read_begun_us;
@@ -128,7 +130,8 @@
 
 	if (lse->rank >= CANDIDATES || lse->now_us < free_us)
 		return false;
-	if (lse->now_us - lse->ranked_us < SETTLE_MS * 1000)
+	if (lse->now_us < lse->claim_us ||
+	    lse->now_us - lse->ranked_us < SETTLE_MS * 1000)
 		return false;
 	if (lse->rank > 0)
 		wait_us = BACKUP_WAIT_MS * 1000;
@@ -446,6 +449,11 @@
 		step(lse, now_us, ours ? EVENT_FAILED : EVENT_REFUSED);
 		break;
 	case LSE_FAILED:
+		/* Unknown what is there now: a claim needs a look first. And a
+		 * pause, as both may end at once while the API is in trouble. */
+		if (lse->fence == 0)
+			lse->seen = false;
+		lse->claim_us = now_us + CLAIM_RETRY_MS * 1000;
 		step(lse, now_us, EVENT_FAILED);
 		break;
 	}
--- a/tests/agree/test_lse.c
+++ b/tests/agree/test_lse.c
@@ -34,6 +34,9 @@
 	char id[8];
 	struct call calls[2]; /* one read, one write at most */
 	int64_t paused_until_ms;
+	bool cut; /* from the object API */
+	int64_t apply_ms, answer_ms; /* of its calls; 0: at random */
+	unsigned int lose_writes; /* answers of its next writes */
 	unsigned int gained, lost;
 	uint64_t last_fence;
 	bool left;
@@ -53,6 +56,15 @@
 	unsigned int reads, writes, refused;
 };
 
+/* Most calls are quick, one in eight may take up to `delay_ms`. */
+static int64_t
+delay_ms(struct world *w)
+{
+	uint64_t bound = rng_below(&w->rng, 8) == 0 ? w->delay_ms : 20;
+
+	return (int64_t)rng_below(&w->rng, bound);
+}
+
 static void
 begin(struct candidate *c, struct call *call)
 {
@@ -60,9 +72,10 @@
 
 	assert_false(call->running);
 	call->running = true;
-	call->apply_ms = w->now_ms + (int64_t)rng_below(&w->rng, w->delay_ms);
-	call->answer_ms =
-	    call->apply_ms + 1 + (int64_t)rng_below(&w->rng, w->delay_ms);
+	call->apply_ms =
+	    w->now_ms + (c->apply_ms != 0 ? c->apply_ms : delay_ms(w));
+	call->answer_ms = call->apply_ms +
+	    (c->answer_ms != 0 ? c->answer_ms : 1 + delay_ms(w));
 }
 
 static void
@@ -109,13 +122,14 @@
 static void
 on_tell(uint64_t fence, const char *holder, void *ctx)
 {
-	struct candidate *c = ctx;
+	struct candidate *c = ctx, *other;
+	struct world *w = c->world;
 	int i;
 
 	for (i = 0; i < NODES; i++) {
-		if (&c->world->nodes[i] != c)
-			lse_hint(c->world->nodes[i].lse,
-			    c->world->now_ms * 1000, fence);
+		other = &w->nodes[i];
+		if (other != c && w->now_ms >= other->paused_until_ms)
+			lse_hint(other->lse, w->now_ms * 1000, fence);
 	}
 }
 
@@ -137,12 +151,14 @@
 };
 
 static void
-apply(struct world *w, struct call *call)
+apply(struct candidate *c, struct call *call)
 {
+	struct world *w = c->world;
+
 	call->apply_ms = INT64_MAX;
-	call->read_ok = !w->down;
+	call->read_ok = !w->down && !c->cut;
 	call->outcome = LSE_FAILED;
-	if (w->down)
+	if (!call->read_ok)
 		return;
 	if (call->is_write && call->if_version == w->version) {
 		g_free(w->value);
@@ -158,7 +174,8 @@
 	}
 	call->version = w->version;
 	call->found = g_strdup(w->value);
-	if (rng_below(&w->rng, 1000) < w->lose_permille) {
+	if (rng_below(&w->rng, 1000) < w->lose_permille ||
+	    (call->is_write && c->lose_writes > 0 && c->lose_writes--)) {
 		call->outcome = LSE_FAILED;
 		call->read_ok = false;
 	}
@@ -205,7 +222,7 @@
 			for (j = 0; j < 2; j++) {
 				if (c->calls[j].running &&
 				    w->now_ms >= c->calls[j].apply_ms)
-					apply(w, &c->calls[j]);
+					apply(c, &c->calls[j]);
 			}
 			if (w->now_ms < c->paused_until_ms)
 				continue;
@@ -361,6 +378,106 @@
 	world_free(w);
 }
 
+/*
+ * A renewal takes effect at once but its answer comes late, then the holder
+ * is cut from the API. Counted from the answer, its lease would outlast what
+ * the others wait (asserted in run_ms).
+ */
+static void
+test_late_answer_does_not_lengthen_the_lease(void **state)
+{
+	struct world *w = world_new(1);
+
+	run_ms(w, 3000);
+	rank_without(w, 0);
+	w->nodes[0].apply_ms = 1;
+	w->nodes[0].answer_ms = 1500;
+	run_ms(w, 1200);
+	w->nodes[0].cut = true;
+	w->nodes[0].answer_ms = 1;
+	run_ms(w, 10000);
+	assert_int_equal(w->nodes[1].gained, 1);
+	world_free(w);
+}
+
+/*
+ * Claims fail at once, as when nobody listens at the API's address. The
+ * candidate must pace itself, or it would keep the loop and the API busy.
+ */
+static void
+test_failed_claims_are_paced(void **state)
+{
+	struct world *w = world_new(1);
+
+	run_ms(w, 3000);
+	w->nodes[0].lose_writes = 1000;
+	w->nodes[0].paused_until_ms = w->now_ms + LEASE_MS;
+	rank_without(w, 0);
+	w->nodes[1].cut = w->nodes[2].cut = true;
+	run_ms(w, 13000);
+	assert_true(1000 - w->nodes[0].lose_writes < 30);
+	world_free(w);
+}
+
+/*
+ * The answer of a renewal is lost. The next one is refused, as the version
+ * has moved on, by our own write: no reason to give the role up.
+ */
+static void
+test_lost_renewal_answer_keeps_the_role(void **state)
+{
+	struct world *w = world_new(1);
+
+	run_ms(w, 3000);
+	rank_without(w, 0);
+	w->nodes[0].lose_writes = 1;
+	run_ms(w, 10000);
+	assert_int_equal(w->nodes[0].lose_writes, 0);
+	assert_int_equal(w->nodes[0].lost, 0);
+	assert_int_equal(w->nodes[0].gained, 1);
+	world_free(w);
+}
+
+/*
+ * Entries that have just met see different members: for a moment each
+ * believes that it is first. Claims wait until the rank has lasted.
+ */
+static void
+test_claims_wait_until_ranks_settle(void **state)
+{
+	struct world *w = world_new(1);
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		lse_set_rank(w->nodes[i].lse, w->now_ms * 1000, 0);
+	run_ms(w, 500);
+	for (i = 0; i < NODES; i++)
+		lse_set_rank(w->nodes[i].lse, w->now_ms * 1000, (unsigned)i);
+	run_ms(w, 5000);
+	assert_int_equal(w->nodes[0].gained, 1);
+	assert_int_equal(w->refused, 0);
+	world_free(w);
+}
+
+/*
+ * A candidate pauses while the holder renews. On waking, the version that it
+ * remembers has long lapsed by its clock: it must look before it claims.
+ */
+static void
+test_woken_candidate_looks_first(void **state)
+{
+	struct world *w = world_new(1);
+
+	run_ms(w, 3000);
+	rank_without(w, 0);
+	run_ms(w, 2000);
+	w->nodes[1].paused_until_ms = w->now_ms + 10000;
+	run_ms(w, 15000);
+	assert_int_equal(w->nodes[0].lost, 0);
+	assert_int_equal(w->refused, 0);
+	world_free(w);
+}
+
 /*
  * The object API is away for longer than the lease. The holder stops in
  * time, nobody takes over meanwhile, and one of them does when it is back.
@@ -424,6 +541,11 @@
 		cmocka_unit_test(test_crash_costs_one_lease_and_a_second),
 		cmocka_unit_test(test_planned_handover_is_at_once),
 		cmocka_unit_test(test_paused_holder_finds_out_before_it_acts),
+		cmocka_unit_test(test_late_answer_does_not_lengthen_the_lease),
+		cmocka_unit_test(test_failed_claims_are_paced),
+		cmocka_unit_test(test_lost_renewal_answer_keeps_the_role),
+		cmocka_unit_test(test_claims_wait_until_ranks_settle),
+		cmocka_unit_test(test_woken_candidate_looks_first),
 		cmocka_unit_test(test_api_outage_lapses_and_recovers),
 		cmocka_unit_test(test_never_two_holders),
 	};
