--- a/lib/platform/origin.c
+++ b/lib/platform/origin.c
@@ -17,16 +17,15 @@
 static bool
 is_range(const struct origin_read *read, const struct fetch_answer *answer)
 {
-	goffset start, end;
+	goffset start, last;
 
 	if (g_bytes_get_size(answer->body) != read->len)
 		return false;
 	if (answer->status == SOUP_STATUS_OK)
 		return read->offset == 0;
 	return soup_message_headers_get_content_range(
-		   answer->headers, &start, &end, NULL) &&
-	    (uint64_t)start == read->offset &&
-	    (uint64_t)end == read->offset + read->len - 1;
+		   answer->headers, &start, &last, NULL) &&
+	    (uint64_t)start == read->offset;
 }
 
 static void
--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -314,7 +314,7 @@
 
 	if (call->dropped) {
 		call_free(call);
-	} else if (n < 0 || err_is(&call->why)) {
+	} else if (n < 0) {
 		end_failed(call, error);
 	} else if (n == 0) {
 		end_body(call);
@@ -360,7 +360,7 @@
 	    soup_session_send_finish(SOUP_SESSION(source), result, &error);
 	if (call->dropped)
 		call_free(call);
-	else if (call->body == NULL || err_is(&call->why))
+	else if (call->body == NULL)
 		end_failed(call, error);
 	else
 		take_head(call);
