--- /dev/null
+++ b/tests/platform/api.h
@@ -0,0 +1,286 @@
+#ifndef API_H
+#define API_H
+
+/* A stand-in of the object API for tests, with faults, and a client of it. */
+
+#include "platform/platform_internal.h"
+#include "server.h"
+
+struct stored {
+	char *key, *op, *value;
+	uint64_t version, revision;
+};
+
+struct api { /* the object API in little, with faults */
+	struct server server;
+	GPtrArray *objects;
+	uint64_t revision;
+	unsigned int lose; /* apply the next writes, answer nothing */
+	unsigned int drop; /* close on the next requests, apply nothing */
+	unsigned int down; /* 503 for the next requests */
+	unsigned int hang; /* no answer to the next requests */
+	unsigned int garble; /* malformed answers to the next requests */
+	const char *intruder; /* writes after the next lost write */
+	bool huge; /* watches answer more than fits */
+	bool restless; /* no poll is held */
+	struct peer *waiting; /* an idle poll */
+	unsigned int puts, gets, polls;
+	char last_poll[200];
+	struct ctr_set *counters;
+	struct plat *plat;
+	struct obj *obj;
+	/* What the last call ended with. */
+	bool done;
+	uint64_t version;
+	struct err err;
+	char value[64], now_op[64];
+	size_t listed;
+	/* What the watch told. */
+	GString *changes;
+	unsigned int lost, found;
+	bool changed;
+};
+
+static inline void
+stored_free(gpointer data)
+{
+	struct stored *s = data;
+
+	g_free(s->key);
+	g_free(s->op);
+	g_free(s->value);
+	g_free(s);
+}
+
+static inline struct stored *
+stored_find(struct api *api, const char *key)
+{
+	guint i;
+
+	for (i = 0; i < api->objects->len; i++) {
+		struct stored *s = api->objects->pdata[i];
+
+		if (strcmp(s->key, key) == 0)
+			return s;
+	}
+	return NULL;
+}
+
+static inline struct stored *
+store(struct api *api, const char *key, const char *op, const char *value)
+{
+	struct stored *s = stored_find(api, key);
+
+	if (s == NULL) {
+		s = g_new0(struct stored, 1);
+		s->key = g_strdup(key);
+		g_ptr_array_add(api->objects, s);
+	}
+	g_free(s->op);
+	g_free(s->value);
+	s->op = g_strdup(op);
+	s->value = g_strdup(value);
+	s->version++;
+	s->revision = ++api->revision;
+	return s;
+}
+
+/* Values and keys of these tests need no escapes. */
+static inline void
+answer_json(struct peer *peer, unsigned int status, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	peer_answer(peer, status, "", text);
+	g_free(text);
+}
+
+static inline void
+answer_object(struct peer *peer, unsigned int status, const struct stored *s)
+{
+	if (s == NULL)
+		answer_json(peer, 404, "{}");
+	else
+		answer_json(peer, status,
+		    "{\"key\":\"%s\",\"version\":%u,\"op\":\"%s\","
+		    "\"value\":\"%s\"}",
+		    s->key, (unsigned int)s->version, s->op, s->value);
+}
+
+static inline void
+answer_changes(struct peer *peer, struct api *api, uint64_t since, bool whole)
+{
+	GString *text = g_string_new(NULL);
+	guint i;
+
+	for (i = 0; i < api->objects->len; i++) {
+		struct stored *s = api->objects->pdata[i];
+
+		if (s->revision <= since)
+			continue;
+		g_string_append_printf(text, "%s{\"key\":\"%s\",\"version\":%u",
+		    text->len > 0 ? "," : "", s->key, (unsigned int)s->version);
+		if (whole)
+			g_string_append_printf(text,
+			    ",\"op\":\"%s\",\"value\":\"%s\"", s->op, s->value);
+		g_string_append(text, "}");
+	}
+	answer_json(peer, 200, "{\"revision\":%u,\"objects\":[%s]}",
+	    (unsigned int)api->revision, text->str);
+	g_string_free(text, TRUE);
+}
+
+static inline void
+serve_put(struct peer *peer, struct api *api, const char *key)
+{
+	struct stored *s = stored_find(api, key);
+	uint64_t version = s == NULL ? 0 : s->version, if_version;
+	const char *op = NULL, *value = NULL;
+	struct reply reply;
+	GBytes *body = g_bytes_new(peer->body, strlen(peer->body));
+
+	assert_true(reply_open(&reply, body, NULL));
+	assert_true(reply_str(reply.json, "op", &op));
+	assert_true(reply_str(reply.json, "value", &value));
+	api->puts++;
+	if (reply_u64(reply.json, "if_version", &if_version) &&
+	    if_version != version) {
+		answer_object(peer, 409, s);
+	} else {
+		s = store(api, key, op, value);
+		if (api->lose > 0) {
+			api->lose--;
+			if (api->intruder != NULL)
+				store(api, key, api->intruder, "theirs");
+			peer_close(peer);
+		} else {
+			answer_json(peer, 200, "{\"version\":%u}",
+			    (unsigned int)s->version);
+		}
+	}
+	reply_close(&reply);
+	g_bytes_unref(body);
+}
+
+static inline gboolean
+flood_more(GSocket *socket, GIOCondition condition, gpointer data)
+{
+	struct peer *peer = data;
+	char *spaces;
+
+	if (!peer->open)
+		return G_SOURCE_REMOVE;
+	spaces = g_strnfill(0x8000, ' ');
+	peer_text(peer, "8000\r\n");
+	peer_text(peer, spaces);
+	peer_text(peer, "\r\n");
+	g_free(spaces);
+	return G_SOURCE_CONTINUE;
+}
+
+/* An answer without end. */
+static inline void
+flood(struct peer *peer)
+{
+	GSocket *socket = g_socket_connection_get_socket(peer->conn);
+	GSource *source =
+	    g_socket_create_source(socket, G_IO_OUT, peer->server->stop);
+
+	peer_text(
+	    peer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+	g_source_set_callback(source, G_SOURCE_FUNC(flood_more), peer, NULL);
+	g_source_attach(source, NULL);
+	g_source_unref(source);
+}
+
+static inline void
+serve_poll(struct peer *peer, struct api *api)
+{
+	uint64_t since =
+	    g_ascii_strtoull(strstr(peer->path, "since=") + 6, NULL, 10);
+
+	api->polls++;
+	g_strlcpy(api->last_poll, peer->path, sizeof(api->last_poll));
+	if (api->huge) {
+		flood(peer);
+	} else if (api->revision > since || api->restless ||
+	    strstr(peer->path, "wait_ms=0") != NULL) {
+		answer_changes(peer, api, since, true);
+	} else {
+		api->waiting = peer;
+	}
+}
+
+static inline bool
+fault(unsigned int *count)
+{
+	if (*count == 0)
+		return false;
+	(*count)--;
+	return true;
+}
+
+static inline void
+serve(struct peer *peer, void *ctx)
+{
+	struct api *api = ctx;
+	bool get = strcmp(peer->method, "GET") == 0;
+
+	if (fault(&api->hang))
+		return;
+	if (fault(&api->drop)) {
+		peer_close(peer);
+	} else if (fault(&api->down)) {
+		answer_json(peer, 503, "{}");
+	} else if (fault(&api->garble)) {
+		if (!get)
+			store(api, peer->path + 12, "mine", "v");
+		peer_answer(peer, 200, "", "{\"version\":\"x\"");
+	} else if (g_str_has_prefix(peer->path, "/v1/list")) {
+		answer_changes(peer, api, 0, false);
+	} else if (g_str_has_prefix(peer->path, "/v1/watch")) {
+		serve_poll(peer, api);
+	} else if (get) {
+		api->gets++;
+		answer_object(peer, 200, stored_find(api, peer->path + 12));
+	} else {
+		serve_put(peer, api, peer->path + 12);
+	}
+}
+
+static inline int
+setup(void **state)
+{
+	struct api *api = g_new0(struct api, 1);
+
+	api->objects = g_ptr_array_new_with_free_func(stored_free);
+	api->changes = g_string_new(NULL);
+	server_start(&api->server, serve, api);
+	api->counters = ctr_set_new();
+	api->plat = plat_new(clk_system(), api->counters, NULL);
+	api->obj = obj_new(api->plat, api->server.base);
+	*state = api;
+	return 0;
+}
+
+static inline int
+teardown(void **state)
+{
+	struct api *api = *state;
+
+	obj_free(api->obj);
+	plat_free(api->plat);
+	run_for(10);
+	server_stop(&api->server);
+	ctr_set_free(api->counters);
+	g_ptr_array_unref(api->objects);
+	g_string_free(api->changes, TRUE);
+	g_free(api);
+	return 0;
+}
+
+#endif
--- /dev/null
+++ b/tests/platform/test_obj_watch.c
@@ -0,0 +1,235 @@
+/* The watch of the object API. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "api.h"
+
+static void
+on_changed(
+    uint64_t revision, const struct obj_object *objects, size_t n, void *ctx)
+{
+	struct api *api = ctx;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		assert_non_null(objects[i].value);
+		g_string_append_printf(api->changes, "%s=%u@%u ",
+		    objects[i].key, (unsigned int)objects[i].version,
+		    (unsigned int)revision);
+	}
+	api->changed = true;
+}
+
+static void
+on_lost(const struct err *err, void *ctx)
+{
+	struct api *api = ctx;
+
+	api->lost++;
+}
+
+static void
+on_found(void *ctx)
+{
+	struct api *api = ctx;
+
+	api->found++;
+}
+
+static const struct obj_watch_ops watch_ops = {
+	.changed = on_changed,
+	.lost = on_lost,
+	.found = on_found,
+};
+
+static void
+await_change(struct api *api)
+{
+	api->changed = false;
+	run_until(&api->changed);
+}
+
+static void
+await_poll(struct api *api)
+{
+	unsigned int i;
+
+	for (i = 0; i < 1000 && api->waiting == NULL; i++)
+		run_for(10);
+	assert_non_null(api->waiting);
+}
+
+static void
+test_watch(void **state)
+{
+	struct api *api = *state;
+	struct obj_watch *watch;
+
+	store(api, "teams/a", "op", "1");
+	watch = obj_watch_start(api->obj, "teams/", 0, &watch_ops, api);
+	await_change(api);
+	assert_string_equal(api->changes->str, "teams/a=1@1 ");
+	await_poll(api);
+	assert_non_null(strstr(api->last_poll, "prefix=teams%2F&since=1"));
+	store(api, "teams/b", "op", "1");
+	answer_changes(api->waiting, api, 1, true);
+	await_change(api);
+	assert_string_equal(api->changes->str, "teams/a=1@1 teams/b=1@2 ");
+	obj_watch_stop(watch);
+	run_for(150);
+	assert_int_equal(api->polls, 2);
+}
+
+/*
+ * The API is down for a while. The owner hears once that the watch is lost and once
+ * that it is found, and then what changed meanwhile.
+ */
+static void
+test_watch_through_an_outage(void **state)
+{
+	struct api *api = *state;
+	struct obj_watch *watch;
+
+	store(api, "teams/a", "op", "1");
+	api->down = 2;
+	api->drop = 2;
+	watch = obj_watch_start(api->obj, "teams/", 0, &watch_ops, api);
+	await_change(api);
+	assert_string_equal(api->changes->str, "teams/a=1@1 ");
+	assert_int_equal(api->lost, 1);
+	assert_int_equal(api->found, 1);
+	obj_watch_stop(watch);
+}
+
+/*
+ * The API comes back with a revision below ours. Its new changes would lie
+ * below the revision we ask from, and the owner would hear of them late or never. The first
+ * poll after a failure, and the very first, do not wait; all objects are
+ * reported anew, and the watch goes on from the new revision.
+ */
+static void
+test_watch_after_a_restart_of_the_api(void **state)
+{
+	struct api *api = *state;
+	struct obj_watch *watch;
+
+	store(api, "teams/a", "op", "1");
+	store(api, "teams/b", "op", "1");
+	watch = obj_watch_start(api->obj, "teams/", 900, &watch_ops, api);
+	await_poll(api);
+	assert_string_equal(api->changes->str, "teams/a=1@2 teams/b=1@2 ");
+	assert_non_null(strstr(api->last_poll, "since=2&"));
+	g_string_truncate(api->changes, 0);
+	g_ptr_array_set_size(api->objects, 0);
+	api->revision = 0;
+	store(api, "teams/c", "op", "1");
+	peer_close(api->waiting);
+	api->waiting = NULL;
+	await_poll(api);
+	assert_string_equal(api->changes->str, "teams/c=1@1 ");
+	assert_non_null(strstr(api->last_poll, "since=1&"));
+	assert_int_equal(api->lost, 1);
+	assert_int_equal(api->found, 1);
+	obj_watch_stop(watch);
+}
+
+/* An API that holds no poll, or a busy prefix, would be asked as fast as it
+ * answers, and each poll counts as a call. */
+static void
+test_polls_are_spaced(void **state)
+{
+	struct api *api = *state;
+	int64_t began_us = g_get_monotonic_time();
+	struct obj_watch *watch;
+	unsigned int most;
+
+	api->restless = true;
+	watch = obj_watch_start(api->obj, "teams/", 0, &watch_ops, api);
+	run_for(350);
+	most = 2 + (unsigned int)(g_get_monotonic_time() - began_us) / 100000;
+	assert_in_range(api->polls, 2, most);
+	obj_watch_stop(watch);
+}
+
+/*
+ * More changed than fits into one bounded answer: asking again would fail
+ * for ever. The objects are read one by one, and the watch goes on.
+ */
+static void
+test_watch_with_too_much_at_once(void **state)
+{
+	struct api *api = *state;
+	struct obj_watch *watch;
+
+	store(api, "teams/a", "op", "1");
+	api->huge = true;
+	watch = obj_watch_start(api->obj, "teams/", 0, &watch_ops, api);
+	await_change(api);
+	api->huge = false;
+	await_poll(api);
+	assert_non_null(strstr(api->last_poll, "since=1&"));
+	assert_int_equal(api->lost, 0);
+	obj_watch_stop(watch);
+}
+
+/* The owner may stop the watch from within any of its callbacks. */
+static void
+stop_in_changed(
+    uint64_t revision, const struct obj_object *objects, size_t n, void *ctx)
+{
+	obj_watch_stop(*(struct obj_watch **)ctx);
+	*(struct obj_watch **)ctx = NULL;
+}
+
+static void
+stop_in_lost(const struct err *err, void *ctx)
+{
+	stop_in_changed(0, NULL, 0, ctx);
+}
+
+static void
+test_watch_stopped_in_callback(void **state)
+{
+	const struct obj_watch_ops stopping = {
+		.changed = stop_in_changed,
+		.lost = stop_in_lost,
+	};
+	struct api *api = *state;
+	struct obj_watch *watch;
+	uint64_t since;
+	unsigned int i;
+
+	store(api, "teams/a", "op", "1");
+	for (since = 0; since < 3; since++) {
+		api->down = since == 1;
+		watch = obj_watch_start(
+		    api->obj, "teams/", since * 100, &stopping, &watch);
+		for (i = 0; i < 1000 && watch != NULL; i++)
+			run_for(10);
+		assert_null(watch);
+	}
+	watch = obj_watch_start(api->obj, "teams/", 900, &watch_ops, api);
+	obj_watch_stop(watch);
+	run_for(50);
+	assert_int_equal(api->changes->len, 0);
+}
+
+#define SERVED(test) cmocka_unit_test_setup_teardown(test, setup, teardown)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		SERVED(test_watch),
+		SERVED(test_watch_through_an_outage),
+		SERVED(test_watch_after_a_restart_of_the_api),
+		SERVED(test_polls_are_spaced),
+		SERVED(test_watch_with_too_much_at_once),
+		SERVED(test_watch_stopped_in_callback),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/platform/test_target.c
+++ b/tests/platform/test_target.c
@@ -471,36 +471,26 @@
 	assert_null(strstr(f->data->str, "timeout"));
 }
 
+#define SERVED(test) cmocka_unit_test_setup_teardown(test, setup, teardown)
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(
-		    test_whole_answers, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_answers_are_not_acted_on, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_login_is_not_answered, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_connection_refused_is_not_run, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_refusal_of_the_target_is_not_run, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_cut_answers_may_have_run, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_nothing_is_sent_twice, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_no_connection_is_left, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_deadline, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_stall, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_pause_holds_back_without_stall, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_cancel_closes_the_connection, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_session_closed, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_hop_headers_stay_behind, setup, teardown),
+		SERVED(test_whole_answers),
+		SERVED(test_answers_are_not_acted_on),
+		SERVED(test_login_is_not_answered),
+		SERVED(test_connection_refused_is_not_run),
+		SERVED(test_refusal_of_the_target_is_not_run),
+		SERVED(test_cut_answers_may_have_run),
+		SERVED(test_nothing_is_sent_twice),
+		SERVED(test_no_connection_is_left),
+		SERVED(test_deadline),
+		SERVED(test_stall),
+		SERVED(test_pause_holds_back_without_stall),
+		SERVED(test_cancel_closes_the_connection),
+		SERVED(test_session_closed),
+		SERVED(test_hop_headers_stay_behind),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
