Tests of the stand-ins: protocol and runs

Cause: the stand-ins are what other tests are measured against, so what they promise has to be held by tests of their own.

--- a/tests/standin/caller.c
+++ b/tests/standin/caller.c
@@ -20,7 +20,7 @@
 	int streams_permille, max_tokens;
 	int prompts, prompt_bytes;
 	int key_permille, deadline_ms, priority;
-	int list;
+	int list, reuse;
 	long long seed;
 };
 
@@ -341,6 +341,10 @@
 	call->channel = channel_take(entry);
 	call->due_us = c->due_us;
 	call->msg = soup_message_new_from_uri("POST", entry->uri);
+	/* libsoup opens a connection for each POST, unless told that it may
+	 * send the request again should a kept connection turn out closed. */
+	if (c->options->reuse)
+		soup_message_add_flags(call->msg, SOUP_MESSAGE_IDEMPOTENT);
 	add_headers(c, call->msg);
 	soup_message_set_request_body_from_bytes(
 	    call->msg, "application/json", body);
@@ -576,6 +580,9 @@
 		    "file of the summary; standard output without", "FILE" },
 		{ "list", 0, POPT_ARG_NONE, &o.list, 0,
 		    "list every request in the summary", NULL },
+		{ "reuse-connections", 0, POPT_ARG_NONE, &o.reuse, 0,
+		    "keep connections; libsoup may then resend a request",
+		    NULL },
 		POPT_AUTOHELP POPT_TABLEEND,
 	};
 
--- /dev/null
+++ b/tests/standin/test_runs.c
@@ -0,0 +1,419 @@
+/* Runs at the model engine and the plain service, and the caller's checks. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "standin/caller.h"
+#include "standin/engine.h"
+#include "standin/test_client.h"
+
+#define HEX16 "0123456789abcdef"
+#define DIGEST HEX16 HEX16 HEX16 HEX16
+#define OTHER "fedcba9876543210" HEX16 HEX16 HEX16
+#define LONG_RUN 100000 /* tokens; does not end within a test */
+
+static struct standin *
+engine_with(struct engine_options options)
+{
+	options.loaded = "t/m:v1:" DIGEST;
+	return engine_start(&options, NULL);
+}
+
+static struct standin *
+quick_engine(void)
+{
+	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+
+	options.step_ms = 1;
+	return engine_with(options);
+}
+
+static void
+begin_chat(struct answer *a, const struct standin *s, const char *id,
+    int max_tokens, bool stream)
+{
+	const char *const headers[] = { "X-Request-Id", id, NULL };
+	char *body = g_strdup_printf(
+	    "{\"model\":\"t/m\",\"max_tokens\":%d,\"stream\":%s,"
+	    "\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}",
+	    max_tokens, stream ? "true" : "false");
+
+	begin(a, s, "POST", "/v1/chat/completions", body, headers);
+	g_free(body);
+}
+
+/* How the caller judges an answer. */
+static enum outcome
+judge(const struct answer *a, const char *id, int max_tokens, bool stream)
+{
+	struct check check;
+	enum outcome outcome;
+	size_t len = 0;
+	const char *data =
+	    a->body == NULL ? "" : g_bytes_get_data(a->body, &len);
+
+	check_init(&check, id, header(a, "X-Model-Digest"), max_tokens);
+	if (stream)
+		check_stream(&check, data, len);
+	else
+		check_body(&check, data, len);
+	outcome = check_outcome(&check);
+	check_clear(&check);
+	return outcome;
+}
+
+static bool
+log_has(const struct standin *s, const char *text)
+{
+	struct answer a;
+	bool found;
+
+	call(&a, s, "GET", "/admin/log", NULL, NULL);
+	found = body_has(&a, text);
+	end(&a);
+	return found;
+}
+
+/* Until the run has begun; ctest's limit ends a run that never does. */
+static void
+wait_until_begun(const struct standin *s, const char *id)
+{
+	char *text = g_strdup_printf("\"request_id\":\"%s\"", id);
+
+	while (!log_has(s, text))
+		run_for_ms(5);
+	g_free(text);
+}
+
+/* ------------------------------------------------------------------ */
+/* Model engine                                                        */
+/* ------------------------------------------------------------------ */
+
+static void
+test_answers_are_whole(void **state)
+{
+	struct standin *s = quick_engine();
+	struct answer stream, whole;
+
+	begin_chat(&stream, s, "r1", 20, true);
+	begin_chat(&whole, s, "r2", 20, false);
+	wait_for(&stream.done);
+	wait_for(&whole.done);
+	assert_string_equal(header(&stream, "X-Model-Digest"), DIGEST);
+	assert_int_equal(judge(&stream, "r1", 20, true), OUTCOME_ANSWERED);
+	assert_int_equal(judge(&whole, "r2", 20, false), OUTCOME_ANSWERED);
+	assert_int_equal(judge(&whole, "r1", 20, false), OUTCOME_SWAPPED);
+	end(&stream);
+	end(&whole);
+	assert_true(log_has(s,
+	    "{\"request_id\":\"r2\",\"attempt\":1,\"digest\":\"" DIGEST
+	    "\",\"tokens\":20,\"max_tokens\":20,\"state\":\"done\""));
+	standin_free(s);
+}
+
+/* What the engine refuses, it says it did not run, and its log agrees. */
+static void
+test_refusals_did_not_run(void **state)
+{
+	static const char *const other[] = { "X-Request-Id", "r1",
+		"X-Expect-Digest", OTHER, NULL };
+	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+	struct standin *s;
+	struct answer a, b;
+
+	options.slots = 1;
+	options.max_queue = 0;
+	s = engine_with(options);
+	call(&a, s, "POST", "/v1/chat/completions", "{}", other);
+	assert_int_equal(a.status, 409);
+	assert_string_equal(header(&a, "X-Not-Run"), "1");
+	end(&a);
+	begin_chat(&a, s, "r2", LONG_RUN, false);
+	wait_until_begun(s, "r2");
+	begin_chat(&b, s, "r3", 1, false);
+	wait_for(&b.done);
+	assert_int_equal(b.status, 503);
+	assert_string_equal(header(&b, "X-Not-Run"), "1");
+	end(&b);
+	expect(s, "POST", "/v1/cancel", "{\"request_id\":\"r2\"}", 200, NULL);
+	wait_for(&a.done);
+	end(&a);
+	assert_false(log_has(s, "\"r1\""));
+	assert_false(log_has(s, "\"r3\""));
+	standin_free(s);
+}
+
+/*
+ * The connection of a stream breaks half way. The engine goes on for a while;
+ * who asks for the rest by the token it has not got receives every token
+ * once, in order, to the end.
+ */
+static void
+test_stream_resumes(void **state)
+{
+	struct standin *s = quick_engine();
+	struct answer broken, rest;
+
+	begin_chat(&broken, s, "r1", 300, true);
+	wait_until_begun(s, "r1");
+	expect(
+	    s, "POST", "/admin/faults", "{\"drop_streams\":true}", 200, NULL);
+	wait_for(&broken.done);
+	/* libsoup takes a chunked body that breaks off for one that ends. */
+	assert_int_equal(judge(&broken, "r1", 300, true), OUTCOME_CUT);
+	end(&broken);
+	call(&rest, s, "GET", "/v1/streams/r1?from=0", NULL, NULL);
+	assert_int_equal(judge(&rest, "r1", 300, true), OUTCOME_ANSWERED);
+	end(&rest);
+	call(&rest, s, "GET", "/v1/streams/r1?from=299", NULL, NULL);
+	assert_true(body_has(&rest, ":r1:299 "));
+	assert_false(body_has(&rest, ":r1:298 "));
+	assert_int_equal(judge(&rest, "r1", 300, true), OUTCOME_CUT);
+	end(&rest);
+	expect(s, "GET", "/v1/streams/none?from=0", NULL, 404, NULL);
+	standin_free(s);
+}
+
+/* A cancelled stream ends without `[DONE]`, so it does not pass for whole. */
+static void
+test_cancel_frees_the_slot(void **state)
+{
+	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+	struct answer first, second;
+	struct standin *s;
+
+	options.slots = 1;
+	options.step_ms = 1;
+	s = engine_with(options);
+	begin_chat(&first, s, "r1", LONG_RUN, true);
+	wait_until_begun(s, "r1");
+	begin_chat(&second, s, "r2", 3, true);
+	expect(s, "POST", "/v1/cancel", "{\"request_id\":\"r1\",\"attempt\":2}",
+	    200, "{\"cancelled\":0}");
+	expect(s, "POST", "/v1/cancel", "{\"request_id\":\"r1\"}", 200,
+	    "{\"cancelled\":1}");
+	wait_for(&first.done);
+	assert_int_equal(first.status, 200);
+	assert_int_equal(judge(&first, "r1", LONG_RUN, true), OUTCOME_CUT);
+	wait_for(&second.done);
+	assert_int_equal(judge(&second, "r2", 3, true), OUTCOME_ANSWERED);
+	end(&first);
+	end(&second);
+	assert_true(log_has(s, "\"state\":\"cancelled\""));
+	standin_free(s);
+}
+
+/* A run whose caller is gone holds its slot for keep_ms, then no longer. */
+static void
+test_lost_run_is_kept_then_cancelled(void **state)
+{
+	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+	struct answer a;
+	struct standin *s;
+
+	options.step_ms = 1;
+	options.keep_ms = 50;
+	s = engine_with(options);
+	begin_chat(&a, s, "r1", LONG_RUN, true);
+	wait_until_begun(s, "r1");
+	expect(
+	    s, "POST", "/admin/faults", "{\"drop_streams\":true}", 200, NULL);
+	assert_true(log_has(s, "\"state\":\"running\""));
+	while (!log_has(s, "\"state\":\"cancelled\""))
+		run_for_ms(5);
+	expect(s, "GET", "/v1/streams/r1?from=0", NULL, 404, NULL);
+	wait_for(&a.done);
+	end(&a);
+	standin_free(s);
+}
+
+static void
+test_prefix_is_fnv(void **state)
+{
+	char longer[PREFIX_BYTES + 1];
+
+	/* The published test value of FNV-1a 64. */
+	assert_true(cache_prefix("foobar", 6) == 0x85944171f73967e8ULL);
+	memset(longer, 'a', sizeof(longer));
+	assert_true(cache_prefix(longer, PREFIX_BYTES) ==
+	    cache_prefix(longer, PREFIX_BYTES + 1));
+}
+
+/* Cache events come late and one in three is missing; the gap shows in the
+ * numbers, and the one that is missing may be the one that matters. */
+static void
+test_cache_events_are_late_with_gaps(void **state)
+{
+	struct clk_fake fake;
+	const struct engine_options options = { .cache_tokens = 10,
+		.event_lag_ms = 100,
+		.event_gap = 3,
+		.clock = &fake.clock };
+	struct cache *c;
+	JsonBuilder *b;
+	char *text;
+	size_t len;
+
+	clk_fake_init(&fake, 0);
+	c = cache_new(&options);
+	assert_false(cache_use(c, 1));
+	cache_add(c, 1, 6); /* event 1 */
+	assert_true(cache_use(c, 1));
+	cache_add(c, 2, 6); /* drops 1 (event 2), event 3 is missing */
+	assert_false(cache_use(c, 1));
+	clk_fake_advance_ms(&fake, 99);
+	b = json_begin();
+	cache_put_events(c, 0, b);
+	text = json_end(b, &len);
+	assert_string_equal(text, "{\"events\":[],\"next\":0}");
+	g_free(text);
+	clk_fake_advance_ms(&fake, 1);
+	b = json_begin();
+	cache_put_events(c, 1, b);
+	text = json_end(b, &len);
+	assert_string_equal(text,
+	    "{\"events\":[{\"seq\":2,\"prefix\":\"0000000000000001\","
+	    "\"present\":false}],\"next\":2}");
+	g_free(text);
+	cache_free(c);
+}
+
+/* ------------------------------------------------------------------ */
+/* Plain service                                                       */
+/* ------------------------------------------------------------------ */
+
+/*
+ * Two calls end without an answer. One was dropped before it ran and one
+ * after: from outside they look the same, and only the log tells that the
+ * second has had its effect.
+ */
+static void
+test_service_drops(void **state)
+{
+	static const char *const before[] = { "X-Request-Id", "r1", NULL };
+	static const char *const after[] = { "X-Request-Id", "r2",
+		"Idempotency-Key", "k2", "X-Attempt", "3", NULL };
+	const struct service_options options = { .name = "notes" };
+	struct standin *s = service_start(&options, NULL);
+	struct answer a;
+
+	expect(s, "POST", "/admin/faults",
+	    "{\"drop_before_run\":1,\"drop_after_run\":1}", 200, NULL);
+	call(&a, s, "POST", "/notes/1", "x", before);
+	assert_int_equal(a.status, 0);
+	end(&a);
+	call(&a, s, "POST", "/notes/1", "x", after);
+	assert_int_equal(a.status, 0);
+	end(&a);
+	expect(s, "POST", "/admin/faults", "{\"refuse\":1}", 200, NULL);
+	call(&a, s, "POST", "/notes/1", "x", before);
+	assert_int_equal(a.status, 503);
+	assert_string_equal(header(&a, "X-Not-Run"), "1");
+	end(&a);
+	expect(s, "GET", "/admin/log", NULL, 200,
+	    "{\"runs\":[{\"request_id\":\"r2\",\"attempt\":3,"
+	    "\"method\":\"POST\",\"path\":\"/notes/1\",\"key\":\"k2\"}]}");
+	expect(s, "PUT", "/other", "abc", 200,
+	    "{\"service\":\"notes\",\"path\":\"/other\",\"run\":2,"
+	    "\"body_sha256\":\"ba7816bf8f01cfea414140de5dae2223"
+	    "b00361a396177a9cb410ff61f20015ad\"}");
+	standin_free(s);
+}
+
+/* ------------------------------------------------------------------ */
+/* The caller's checks                                                 */
+/* ------------------------------------------------------------------ */
+
+/* Feeds tokens (space-separated, `D` and `E` for two digests) as a stream. */
+static enum outcome
+judge_tokens(const char *tokens, const char *last)
+{
+	char **items = g_strsplit(tokens, " ", -1), *event;
+	struct check check;
+	enum outcome outcome;
+	size_t i;
+
+	check_init(&check, "r", DIGEST, 3);
+	for (i = 0; items[i] != NULL; i++) {
+		event = g_strdup_printf("data: {\"id\":\"r\",\"choices\":[{"
+					"\"delta\":{\"content\":\"%s%s \"}}]}"
+					"\n\n",
+		    items[i][0] == 'D' ? "01234567" : "fedcba98", items[i] + 1);
+		check_stream(&check, event, 10); /* in two pieces */
+		check_stream(&check, event + 10, strlen(event) - 10);
+		g_free(event);
+	}
+	check_stream(&check, last, strlen(last));
+	outcome = check_outcome(&check);
+	check_clear(&check);
+	g_strfreev(items);
+	return outcome;
+}
+
+static void
+test_check_tells_wrong_answers(void **state)
+{
+	static const char done[] = "data: [DONE]\n\n";
+
+	assert_int_equal(
+	    judge_tokens("D:r:0 D:r:1 D:r:2", done), OUTCOME_ANSWERED);
+	assert_int_equal(judge_tokens("D:r:0 D:r:1", done), OUTCOME_CUT);
+	assert_int_equal(judge_tokens("D:r:0 D:r:2", done), OUTCOME_CUT);
+	assert_int_equal(judge_tokens("D:r:0 D:r:1 D:r:2", ""), OUTCOME_CUT);
+	assert_int_equal(
+	    judge_tokens("D:r:0", "event: error\ndata: {}\n\n"), OUTCOME_CUT);
+	assert_int_equal(
+	    judge_tokens("D:r:0 E:r:1 D:r:2", done), OUTCOME_MIXED);
+	assert_int_equal(
+	    judge_tokens("E:r:0 E:r:1 E:r:2", done), OUTCOME_MIXED);
+	assert_int_equal(
+	    judge_tokens("D:r:0 D:q:1 D:r:2", done), OUTCOME_SWAPPED);
+	assert_int_equal(
+	    judge_tokens("D:r:0 D:r:1 D:r:1 D:r:2", done), OUTCOME_DUPLICATED);
+	assert_int_equal(
+	    judge_tokens("D:r:0 D:r:1 D:r:2 D:r:3", done), OUTCOME_DUPLICATED);
+}
+
+static void
+test_histogram(void **state)
+{
+	struct hist *h = g_new0(struct hist, 1);
+	int64_t i;
+
+	assert_true(hist_at(h, 500) == 0);
+	for (i = 1; i <= 100000; i++)
+		hist_add(h, i);
+	assert_in_range(hist_at(h, 500), 50000, 51563);
+	assert_in_range(hist_at(h, 990), 99000, 100000);
+	assert_true(hist_at(h, 1000) == 100000);
+	g_free(h);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_answers_are_whole, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_refusals_did_not_run, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_stream_resumes, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_cancel_frees_the_slot, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_lost_run_is_kept_then_cancelled, client_setup,
+		    client_teardown),
+		cmocka_unit_test(test_prefix_is_fnv),
+		cmocka_unit_test(test_cache_events_are_late_with_gaps),
+		cmocka_unit_test_setup_teardown(
+		    test_service_drops, client_setup, client_teardown),
+		cmocka_unit_test(test_check_tells_wrong_answers),
+		cmocka_unit_test(test_histogram),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
