Stand-ins: tests of pace, stalls, fencing during a load, waiting runs

Cause: several safeguards of the stand-ins had no test of their own. Change: origin pace by a fake clock, stall, fence checked again when a load ends, load faults, takeover on resume, waiting runs dropped with their caller and checked again for the version when they begin.

--- a/tests/standin/test_client.c
+++ b/tests/standin/test_client.c
@@ -64,7 +64,8 @@
 	GBytes *bytes = body == NULL ? NULL : g_bytes_new(body, strlen(body));
 	size_t i;
 
-	*a = (struct answer){ .msg = soup_message_new(method, url) };
+	*a = (struct answer){ .msg = soup_message_new(method, url),
+		.cancel = g_cancellable_new() };
 	/* On a kept connection libsoup would send a PUT again by itself. */
 	soup_message_add_flags(a->msg, SOUP_MESSAGE_NEW_CONNECTION);
 	for (i = 0; headers != NULL && headers[i] != NULL; i += 2) {
@@ -75,7 +76,7 @@
 	soup_message_set_request_body_from_bytes(
 	    a->msg, "application/json", bytes);
 	soup_session_send_and_read_async(
-	    session, a->msg, G_PRIORITY_DEFAULT, NULL, on_answer, a);
+	    session, a->msg, G_PRIORITY_DEFAULT, a->cancel, on_answer, a);
 	g_clear_pointer(&bytes, g_bytes_unref);
 	g_free(url);
 }
@@ -84,9 +85,17 @@
 end(struct answer *a)
 {
 	g_clear_object(&a->msg);
+	g_clear_object(&a->cancel);
 	g_clear_pointer(&a->body, g_bytes_unref);
 }
 
+void
+leave(struct answer *a)
+{
+	g_cancellable_cancel(a->cancel);
+	wait_for(&a->done);
+}
+
 void
 call(struct answer *a, const struct standin *s, const char *method,
     const char *path, const char *body, const char *const *headers)
--- a/tests/standin/test_client.h
+++ b/tests/standin/test_client.h
@@ -7,6 +7,7 @@
 
 struct answer {
 	SoupMessage *msg;
+	GCancellable *cancel;
 	bool done;
 	unsigned int status; /* 0: the connection ended without an answer */
 	GBytes *body;
@@ -28,6 +29,7 @@
 /* Starts a call and waits. */
 void call(struct answer *a, const struct standin *s, const char *method,
     const char *path, const char *body, const char *const *headers);
+void leave(struct answer *a); /* closes the connection and waits */
 void end(struct answer *a); /* frees what the call left */
 /* Calls and compares status and body (NULL: any). */
 void expect(const struct standin *s, const char *method, const char *path,
--- a/tests/standin/test_protocol.c
+++ b/tests/standin/test_protocol.c
@@ -232,6 +232,80 @@
 	folder_free(f);
 }
 
+static int64_t
+bytes_sent(const struct standin *s)
+{
+	struct answer a;
+	const char *data, *found;
+	size_t len;
+	int64_t n;
+
+	call(&a, s, "GET", "/admin/counts", NULL, NULL);
+	data = g_bytes_get_data(a.body, &len);
+	found = g_strstr_len(data, (gssize)len, "\"bytes_sent\":");
+	assert_non_null(found);
+	n = g_ascii_strtoll(found + strlen("\"bytes_sent\":"), NULL, 10);
+	end(&a);
+	return n;
+}
+
+/* Two readers share one pace: by its clock the origin has sent no more than
+ * its rate allows, and all of that, however often its timer fires. */
+static void
+test_origin_pace(void **state)
+{
+	struct folder *f = folder_new();
+	struct clk_fake fake;
+	const struct origin_options options = {
+		.dir = f->dir, .bytes_s = 1000000, .clock = &fake.clock
+	};
+	struct answer a, b;
+	struct standin *s;
+	int i;
+
+	clk_fake_init(&fake, 0);
+	s = origin_start(&options, NULL);
+	begin(&a, s, "GET", "/v1/weights/v1", NULL, NULL);
+	begin(&b, s, "GET", "/v1/weights/v1", NULL, NULL);
+	run_for_ms(50);
+	assert_int_equal(bytes_sent(s), 0);
+	for (i = 1; i <= 5; i++) {
+		clk_fake_advance_ms(&fake, 20);
+		while (bytes_sent(s) < i * 20000)
+			run_for_ms(1);
+		run_for_ms(25);
+		assert_int_equal(bytes_sent(s), i * 20000);
+	}
+	leave(&a);
+	leave(&b);
+	end(&a);
+	end(&b);
+	standin_free(s);
+	folder_free(f);
+}
+
+/* The link stalls without closing: half of the answer comes, then nothing. */
+static void
+test_origin_stall(void **state)
+{
+	struct folder *f = folder_new();
+	const struct origin_options options = { .dir = f->dir };
+	struct standin *s = origin_start(&options, NULL);
+	struct answer a;
+
+	expect(s, "POST", "/admin/faults", "{\"stall_next\":1}", 200, NULL);
+	begin(&a, s, "GET", "/v1/weights/v1", NULL, NULL);
+	while (bytes_sent(s) < WEIGHTS_BYTES / 2)
+		run_for_ms(1);
+	run_for_ms(50);
+	assert_int_equal(bytes_sent(s), WEIGHTS_BYTES / 2);
+	assert_false(a.done);
+	leave(&a);
+	end(&a);
+	standin_free(s);
+	folder_free(f);
+}
+
 /* ------------------------------------------------------------------ */
 /* Host list                                                           */
 /* ------------------------------------------------------------------ */
@@ -265,8 +339,9 @@
 /* ------------------------------------------------------------------ */
 
 static void
-order(const struct standin *engine, const struct standin *origin,
-    const char *source, const char *digest, int fence, unsigned int status)
+begin_order(struct answer *a, const struct standin *engine,
+    const struct standin *origin, const char *source, const char *digest,
+    int fence)
 {
 	char *body = g_strdup_printf(
 	    "{\"model\":\"t/m\",\"version\":\"v1\",\"digest\":\"%s\","
@@ -276,10 +351,22 @@
 	    digest, WEIGHTS_BYTES, CHUNK_BYTES, fence, fence, origin->port,
 	    origin->port, source);
 
-	expect(engine, "POST", "/v1/load", body, status, NULL);
+	begin(a, engine, "POST", "/v1/load", body, NULL);
 	g_free(body);
 }
 
+static void
+order(const struct standin *engine, const struct standin *origin,
+    const char *source, const char *digest, int fence, unsigned int status)
+{
+	struct answer a;
+
+	begin_order(&a, engine, origin, source, digest, fence);
+	wait_for(&a.done);
+	assert_int_equal(a.status, status);
+	end(&a);
+}
+
 static void
 loaded_is(const struct standin *engine, const char *digest, int fence)
 {
@@ -352,6 +439,72 @@
 	folder_free(f);
 }
 
+/*
+ * The old holder's load is under way when the successor's order arrives. The
+ * old one was fine when it came; were it put in force when its bytes are in,
+ * the engine would end on it after refusing nothing. It is refused then.
+ */
+static void
+test_engine_fence_during_load(void **state)
+{
+	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+	struct folder *f = folder_new();
+	const struct origin_options files = { .dir = f->dir,
+		.bytes_s = 1000000 };
+	struct standin *origin = origin_start(&files, NULL);
+	struct standin *engine;
+	struct answer old, fresh;
+
+	options.check_fence = true;
+	engine = engine_start(&options, NULL);
+	begin_order(&old, engine, origin, "v1", f->root_hex, 7);
+	while (bytes_sent(origin) < 20000)
+		run_for_ms(1);
+	begin_order(&fresh, engine, origin, "v1", f->root_hex, 8);
+	wait_for(&old.done);
+	wait_for(&fresh.done);
+	assert_int_equal(old.status, 409);
+	assert_int_equal(fresh.status, 200);
+	loaded_is(engine, f->root_hex, 8);
+	end(&old);
+	end(&fresh);
+	standin_free(engine);
+	standin_free(origin);
+	folder_free(f);
+}
+
+/* A load that hangs answers nobody; when who ordered it gives up, the next
+ * order is carried out. */
+static void
+test_engine_load_faults(void **state)
+{
+	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+	struct folder *f = folder_new();
+	const struct origin_options files = { .dir = f->dir };
+	struct standin *origin = origin_start(&files, NULL);
+	struct standin *engine = engine_start(&options, NULL);
+	struct answer hung, next;
+
+	expect(engine, "POST", "/admin/faults",
+	    "{\"load_fail\":1,\"load_hang\":1}", 200, NULL);
+	order(engine, origin, "v1", f->root_hex, 1, 502);
+	begin_order(&hung, engine, origin, "v1", f->root_hex, 2);
+	run_for_ms(50);
+	begin_order(&next, engine, origin, "v1", f->root_hex, 3);
+	run_for_ms(50);
+	assert_false(hung.done);
+	assert_false(next.done);
+	leave(&hung);
+	wait_for(&next.done);
+	assert_int_equal(next.status, 200);
+	loaded_is(engine, f->root_hex, 3);
+	end(&hung);
+	end(&next);
+	standin_free(engine);
+	standin_free(origin);
+	folder_free(f);
+}
+
 /* ------------------------------------------------------------------ */
 /* Program                                                             */
 /* ------------------------------------------------------------------ */
@@ -370,12 +523,20 @@
 		    test_objects_down, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(test_origin_ranges_and_faults,
 		    client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_origin_pace, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_origin_stall, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_hosts_lag, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_engine_root_digest, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_engine_fence, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(test_engine_fence_during_load,
+		    client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_engine_load_faults, client_setup, client_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/standin/test_runs.c
+++ b/tests/standin/test_runs.c
@@ -177,6 +177,105 @@
 	standin_free(s);
 }
 
+/* The old connection hangs without having broken; the one that resumes takes
+ * over, and only it gets the rest. */
+static void
+test_resume_takes_over(void **state)
+{
+	struct standin *s = quick_engine();
+	struct answer hanging, rest;
+
+	begin_chat(&hanging, s, "r1", 300, true);
+	wait_until_begun(s, "r1");
+	call(&rest, s, "GET", "/v1/streams/r1?from=0", NULL, NULL);
+	wait_for(&hanging.done);
+	assert_int_equal(judge(&rest, "r1", 300, true), OUTCOME_ANSWERED);
+	assert_int_equal(judge(&hanging, "r1", 300, true), OUTCOME_CUT);
+	end(&rest);
+	end(&hanging);
+	standin_free(s);
+}
+
+/*
+ * A request waits for a slot and its caller goes away. Were it begun all the
+ * same, it would have run for nobody, and a retry elsewhere would make two.
+ */
+static void
+test_waiting_run_is_dropped_with_its_caller(void **state)
+{
+	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+	struct answer first, gone;
+	struct standin *s;
+
+	options.slots = 1;
+	options.step_ms = 1;
+	s = engine_with(options);
+	begin_chat(&first, s, "r1", LONG_RUN, true);
+	wait_until_begun(s, "r1");
+	begin_chat(&gone, s, "r2", 1, true);
+	run_for_ms(30);
+	leave(&gone);
+	run_for_ms(30);
+	expect(s, "POST", "/v1/cancel", "{\"request_id\":\"r1\"}", 200,
+	    "{\"cancelled\":1}");
+	run_for_ms(30);
+	assert_false(log_has(s, "\"r2\""));
+	wait_for(&first.done);
+	end(&first);
+	end(&gone);
+	standin_free(s);
+}
+
+static void
+free_batch(void *batch)
+{
+	batch_free(batch);
+}
+
+/*
+ * A request for one version waits while the engine loads another. It was
+ * fine when it came; begun after the change it would be answered by the
+ * wrong version. It is refused as not run.
+ */
+static void
+test_waiting_run_checks_the_version_again(void **state)
+{
+	static const char *const expects[] = { "X-Request-Id", "r2",
+		"X-Expect-Digest", DIGEST, NULL };
+	const struct weights fresh = { .digest = OTHER };
+	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+	struct weights loaded = { .digest = DIGEST };
+	struct cache *cache;
+	struct batch *batch;
+	SoupServer *server = soup_server_new(NULL, NULL);
+	struct standin *s;
+	struct answer first, second;
+
+	options.slots = 1;
+	options.step_ms = 1;
+	options.clock = clk_system();
+	cache = cache_new(&options);
+	batch = batch_new(&options, &loaded, cache);
+	soup_server_add_handler(
+	    server, "/v1/chat/completions", batch_on_chat, batch, NULL);
+	s = standin_new(server, 0, batch, free_batch, NULL);
+	begin_chat(&first, s, "r1", 200, true);
+	run_for_ms(30);
+	begin(&second, s, "POST", "/v1/chat/completions", "{}", expects);
+	run_for_ms(30);
+	loaded = fresh;
+	wait_for(&second.done);
+	assert_int_equal(second.status, 409);
+	assert_string_equal(header(&second, "X-Not-Run"), "1");
+	wait_for(&first.done);
+	/* What began before the change ends as it began. */
+	assert_int_equal(judge(&first, "r1", 200, true), OUTCOME_ANSWERED);
+	end(&first);
+	end(&second);
+	standin_free(s);
+	cache_free(cache);
+}
+
 /* A cancelled stream ends without `[DONE]`, so it does not pass for whole. */
 static void
 test_cancel_frees_the_slot(void **state)
@@ -402,6 +501,14 @@
 		    test_refusals_did_not_run, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_stream_resumes, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_resume_takes_over, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_waiting_run_is_dropped_with_its_caller, client_setup,
+		    client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_waiting_run_checks_the_version_again, client_setup,
+		    client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_cancel_frees_the_slot, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
