--- a/lib/agree/mem_wire.c
+++ b/lib/agree/mem_wire.c
@@ -216,6 +216,16 @@
 	return true;
 }
 
+/* The next array of a blob; false at its end or at what is none. */
+static bool
+next_record(msgpack_unpacked *got, struct slice blob, size_t *at)
+{
+	if (msg_flat_len(blob.data + *at, blob.len - *at) == 0)
+		return false;
+	return msgpack_unpack_next(got, (const char *)blob.data, blob.len,
+		   at) == MSGPACK_UNPACK_SUCCESS;
+}
+
 static void
 take_state(struct mem *mem, int64_t now_us, const char *from,
     const msgpack_object *field)
@@ -295,13 +305,8 @@
 	const msgpack_object *o = &got.data;
 	const msgpack_object *field;
 
-	if (!msg_bounded(updates))
-		return;
 	msgpack_unpacked_init(&got);
-	while (msgpack_unpack_next(&got, (const char *)updates.data,
-		   updates.len, &at) == MSGPACK_UNPACK_SUCCESS) {
-		if (o->type != MSGPACK_OBJECT_ARRAY)
-			break;
+	while (next_record(&got, updates, &at)) {
 		field = o->via.array.ptr;
 		switch (o->via.array.size) {
 		case 2:
@@ -394,14 +399,10 @@
 	const msgpack_object *field;
 	uint64_t key, incarnation;
 
-	if (!msg_bounded(list))
-		return known;
 	msgpack_unpacked_init(&got);
-	while (msgpack_unpack_next(&got, (const char *)list.data, list.len,
-		   &at) == MSGPACK_UNPACK_SUCCESS) {
+	while (next_record(&got, list, &at)) {
 		field = got.data.via.array.ptr;
-		if (got.data.type != MSGPACK_OBJECT_ARRAY ||
-		    got.data.via.array.size != 3 ||
+		if (got.data.via.array.size != 3 ||
 		    !get_number(&field[0], UINT64_MAX, &key) ||
 		    !get_number(&field[1], UINT64_MAX, &incarnation))
 			continue;
--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -99,6 +99,9 @@
 
 /* caller.c: HTTP for callers, health, counters, events. */
 void caller_open(struct entry *entry);
+/* Adds a handler together with the check that bounds bodies. */
+void caller_handle(
+    struct entry *entry, const char *path, SoupServerCallback handler);
 /* Answers with an error object, its verdict and Retry-After. */
 void answer_error(SoupServerMessage *message, const struct err *err);
 void answer_json(
--- a/programs/entry/ops.c
+++ b/programs/entry/ops.c
@@ -472,10 +472,8 @@
 void
 ops_open(struct entry *entry)
 {
-	SoupServer *http = entry->http;
-
-	soup_server_add_handler(http, "/v1/settings", on_settings, entry, NULL);
-	soup_server_add_handler(http, "/v1/status", on_status, entry, NULL);
-	soup_server_add_handler(http, "/v1/rollout", on_rollout, entry, NULL);
-	soup_server_add_handler(http, "/v1/timeline", on_timeline, entry, NULL);
+	caller_handle(entry, "/v1/settings", on_settings);
+	caller_handle(entry, "/v1/status", on_status);
+	caller_handle(entry, "/v1/rollout", on_rollout);
+	caller_handle(entry, "/v1/timeline", on_timeline);
 }
