Weights: uploads go to the peer furthest behind

Change: get carries the asker's count; a waiting upload is chosen by few copies first, then by need, and displaces one that needs it less.

--- a/lib/weights/proto.c
+++ b/lib/weights/proto.c
@@ -28,6 +28,7 @@
 
 static const struct msg_field get_fields[] = {
 	MSG_FIELD(struct proto_get, index, MSG_U64, UINT32_MAX),
+	MSG_FIELD(struct proto_get, have, MSG_U64, 0),
 };
 const struct msg_desc proto_get_desc =
     MSG_DESC(PROTO_GET, "get", struct proto_get, get_fields);
--- a/lib/weights/proto.h
+++ b/lib/weights/proto.h
@@ -45,6 +45,7 @@
 
 struct proto_get {
 	uint64_t index;
+	uint64_t have; /* chunks that the asker has */
 };
 
 struct proto_data {
--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -252,7 +252,7 @@
 	    msg_read(m, &proto_news_desc, &u, NULL))
 		take_news(peer, &u.news);
 	else if (m->type == PROTO_GET && msg_read(m, &proto_get_desc, &u, NULL))
-		serve_get(peer, u.get.index);
+		serve_get(peer, &u.get);
 	else if (m->type == PROTO_DATA &&
 	    msg_read(m, &proto_data_desc, &u, NULL))
 		take_data(peer, &u.data);
--- a/lib/weights/serve.c
+++ b/lib/weights/serve.c
@@ -5,6 +5,10 @@
 /* Open uploads of this host; more are refused as busy, so that a peer does
  * not wait here while others that have the chunk are idle. */
 #define UPLOADS_MAX PICK_LOAD_MAX
+/* Chunks with fewer copies are sent first, so that a host with several new
+ * chunks gives out all of them once before any twice. Beyond that the peer
+ * furthest behind goes first, so that all end at about the same time. */
+#define COPIES_SAFE 3
 #define SLICE_MIN (16u << 10)
 #define SLICE_US 15000 /* a slice takes so long at the budget's rate */
 #define SECOND_US 1000000
@@ -17,6 +21,7 @@
 	uint64_t index;
 	GBytes *bytes;
 	uint64_t at;
+	uint64_t have; /* chunks that the receiver had when it asked */
 	int64_t moved_us;
 };
 
@@ -68,46 +73,87 @@
 	conn_send(peer->conn, &proto_none_desc, &none);
 }
 
+/* Copies of the chunk that this host knows of. */
+static uint32_t
+copies_of(const struct upload *u)
+{
+	if (u->index == PROTO_LIST)
+		return 0;
+	return u->to->xfer->pick->chunks[u->index].holders;
+}
+
+/* Whether `u` is to be sent before `other`; neither has begun. */
+static bool
+goes_first(const struct upload *u, const struct upload *other)
+{
+	uint32_t copies = MIN(copies_of(u), COPIES_SAFE);
+	uint32_t other_copies = MIN(copies_of(other), COPIES_SAFE);
+
+	if (copies != other_copies)
+		return copies < other_copies;
+	return u->have < other->have;
+}
+
+/* The upload that would be sent last of those that have not begun. */
+static struct upload *
+find_last(struct wts *wts)
+{
+	struct upload *last = NULL;
+	struct upload *u;
+
+	TAILQ_FOREACH (u, &wts->uploads, link) {
+		if (u->at == 0 && (last == NULL || !goes_first(u, last)))
+			last = u;
+	}
+	return last;
+}
+
+/* Makes room when `u` should go before another that waits. */
+static bool
+displace(struct wts *wts, const struct upload *u)
+{
+	struct upload *last = find_last(wts);
+
+	if (last == NULL || !goes_first(u, last))
+		return false;
+	refuse(last->to, last->index, true);
+	end_upload(last);
+	return true;
+}
+
 void
-serve_get(struct peer *peer, uint64_t index)
+serve_get(struct peer *peer, const struct proto_get *get)
 {
 	struct wts *wts = peer->xfer->wts;
-	GBytes *bytes = bytes_of(peer->xfer, index);
-	struct upload *u;
+	GBytes *bytes = bytes_of(peer->xfer, get->index);
+	struct upload u = {
+		.to = peer,
+		.index = get->index,
+		.have = get->have,
+		.moved_us = clk_now_us(wts->clock),
+	};
+	struct upload *kept;
 
 	if (bytes == NULL) {
-		refuse(peer, index, false);
+		refuse(peer, get->index, false);
 		return;
 	}
-	if (wts->nuploads >= UPLOADS_MAX ||
-	    peer->nuploads >= PICK_ASKS_PER_PEER) {
-		refuse(peer, index, true);
+	if (peer->nuploads >= PICK_ASKS_PER_PEER ||
+	    (wts->nuploads >= UPLOADS_MAX && !displace(wts, &u))) {
+		refuse(peer, get->index, true);
 		return;
 	}
-	u = g_new0(struct upload, 1);
-	u->to = peer;
-	u->index = index;
-	u->bytes = g_bytes_ref(bytes);
-	u->moved_us = clk_now_us(wts->clock);
+	kept = g_memdup2(&u, sizeof(u));
+	kept->bytes = g_bytes_ref(bytes);
 	peer->nuploads++;
 	wts->nuploads++;
-	TAILQ_INSERT_TAIL(&wts->uploads, u, link);
+	TAILQ_INSERT_TAIL(&wts->uploads, kept, link);
 	serve_run(wts);
 }
 
-/* Copies of the chunk that this host knows of. */
-static uint32_t
-copies_of(const struct upload *u)
-{
-	if (u->index == PROTO_LIST)
-		return 0;
-	return u->to->xfer->pick->chunks[u->index].holders;
-}
-
 /*
- * The upload to go on with: one that has begun, or else the one of the
- * rarest chunk, so that a host with several new chunks gives out all of
- * them once before any twice. Uploads are sent one after another: side by
+ * The upload to go on with: one that has begun, or else the first by
+ * goes_first. Uploads are sent one after another: side by
  * side all would end late, and nobody could pass anything on meanwhile.
  */
 static struct upload *
@@ -121,7 +167,7 @@
 			continue;
 		if (u->at > 0)
 			return u;
-		if (best == NULL || copies_of(u) < copies_of(best))
+		if (best == NULL || goes_first(u, best))
 			best = u;
 	}
 	return best;
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -381,7 +381,7 @@
 {
 	struct wts *wts = x->wts;
 	uint64_t index = pick == x->list_pick ? PROTO_LIST : a->index;
-	struct proto_get get = { .index = index };
+	struct proto_get get = { .index = index, .have = x->pick->have };
 
 	switch (a->kind) {
 	case PICK_ASK:
--- a/lib/weights/xfer.h
+++ b/lib/weights/xfer.h
@@ -168,7 +168,7 @@
 void intake_free(struct intake *in);
 
 /* serve.c */
-void serve_get(struct peer *peer, uint64_t index);
+void serve_get(struct peer *peer, const struct proto_get *get);
 void serve_run(struct wts *wts);
 /* Drops peers that take nothing; not from within a peer's message. */
 void serve_drop_stalled(struct wts *wts);
