--- /dev/null
+++ b/lib/route/claim.c
@@ -0,0 +1,455 @@
+/* One bucket of claims: what an ask is told, and what calls for a write. */
+
+#include <string.h>
+
+#include "route/claim_internal.h"
+
+#define SETTLES_MAX 4096 /* kept while the API is down; the oldest go */
+#define DOWN_RETRY_MS 1000
+#define DOUBT_RETRY_MS 1000
+
+/* ------------------------------------------------------------------ */
+/* Asks and their lists                                                */
+/* ------------------------------------------------------------------ */
+
+unsigned int
+clm_bucket_of(const char *key)
+{
+	return (unsigned int)(hash64(0, key, strlen(key)) % CLM_BUCKETS);
+}
+
+void
+clm_put_in(struct clm_asks *list, struct clm_ask *ask)
+{
+	g_assert(ask->list == NULL);
+	TAILQ_INSERT_TAIL(list, ask, link);
+	ask->list = list;
+}
+
+void
+clm_forget(struct clm_ask *ask)
+{
+	if (ask->list == NULL)
+		return;
+	TAILQ_REMOVE(ask->list, ask, link);
+	ask->list = NULL;
+}
+
+void
+clm_move_all(struct clm_asks *from, struct clm_asks *to)
+{
+	struct clm_ask *ask;
+
+	while ((ask = TAILQ_FIRST(from)) != NULL) {
+		clm_forget(ask);
+		clm_put_in(to, ask);
+	}
+}
+
+void
+clm_answer(struct clm *clm, struct clm_ask *ask, enum clm_result result)
+{
+	clm_forget(ask);
+	clm->stats.granted += result == CLM_GRANTED ? 1 : 0;
+	clm->ops->answer(
+	    ask, result, NULL, clm->owner == NULL ? "" : clm->owner, clm->ctx);
+}
+
+void
+clm_answer_all(struct clm *clm, struct clm_asks *list, enum clm_result result)
+{
+	struct clm_ask *ask;
+
+	while ((ask = TAILQ_FIRST(list)) != NULL)
+		clm_answer(clm, ask, result);
+}
+
+static void
+answer_recorded(
+    struct clm *clm, struct clm_ask *ask, const struct clm_record *record)
+{
+	const struct clm_outcome outcome = {
+		.verdict = VERDICT_RAN,
+		.status = record->status,
+		.type = record->type,
+		.answer = record->answer,
+		.digest = record->digest,
+	};
+
+	clm_forget(ask);
+	clm->ops->answer(ask, CLM_RECORDED, &outcome, "", clm->ctx);
+}
+
+void
+clm_be_due(struct clm *clm, int64_t at_us)
+{
+	clm->due_us = MIN(clm->due_us, at_us);
+}
+
+/* ------------------------------------------------------------------ */
+/* Askers' words                                                       */
+/* ------------------------------------------------------------------ */
+
+void
+clm_free_settle(struct clm *clm, struct settle *s)
+{
+	TAILQ_REMOVE(&clm->settles, s, link);
+	clm->nsettles--;
+	g_free(s->key);
+	g_free(s->asker);
+	g_free(s->type);
+	g_free(s->answer);
+	g_free(s);
+}
+
+static void
+add_settle(struct clm *clm, const char *key, const char *asker,
+    const struct clm_outcome *outcome)
+{
+	struct settle *s = g_new0(struct settle, 1);
+
+	if (clm->nsettles >= SETTLES_MAX)
+		clm_free_settle(clm, TAILQ_FIRST(&clm->settles));
+	s->key = g_strdup(key);
+	s->asker = g_strdup(asker);
+	s->type = g_strdup(outcome->type);
+	s->answer = g_strdup(outcome->answer);
+	s->outcome = *outcome;
+	s->outcome.type = s->type;
+	s->outcome.answer = s->answer;
+	TAILQ_INSERT_TAIL(&clm->settles, s, link);
+	clm->nsettles++;
+}
+
+/* What ran stays so; only its own asker's word counts. */
+static void
+apply(struct clm *clm, const struct settle *s)
+{
+	struct clm_record *record = g_hash_table_lookup(clm->records, s->key);
+
+	if (record == NULL || record->state == CLM_RAN ||
+	    strcmp(record->asker, s->asker) != 0)
+		return;
+	if (s->outcome.verdict == VERDICT_NOT_RUN)
+		g_hash_table_remove(clm->records, s->key);
+	else
+		clm_record_settle(record, &s->outcome);
+}
+
+static void
+take_word(struct clm *clm, const char *key, const char *asker,
+    const struct clm_outcome *outcome, int64_t now_us)
+{
+	add_settle(clm, key, asker, outcome);
+	if (clm->phase != PHASE_HELD)
+		return;
+	apply(clm, TAILQ_LAST(&clm->settles, settles));
+	clm_be_due(clm, now_us + CLM_OUTCOME_MS * 1000);
+}
+
+/* The asker is told that nothing ran although its claim may be in, or get
+ * in yet: the claim is taken out as soon as that is possible. */
+void
+clm_refuse_down(struct clm *clm, struct clm_ask *ask, int64_t now_us)
+{
+	const struct clm_outcome nothing = { .verdict = VERDICT_NOT_RUN };
+
+	if (ask->tried)
+		take_word(clm, ask->key, ask->asker, &nothing, now_us);
+	clm_answer(clm, ask, CLM_DOWN);
+}
+
+/* It asks again after all, so its claim is not to be taken out. */
+static void
+keep_claim(struct clm *clm, const struct clm_ask *ask)
+{
+	struct settle *s, *next;
+
+	for (s = TAILQ_FIRST(&clm->settles); s != NULL; s = next) {
+		next = TAILQ_NEXT(s, link);
+		if (s->outcome.verdict == VERDICT_NOT_RUN &&
+		    strcmp(s->key, ask->key) == 0 &&
+		    strcmp(s->asker, ask->asker) == 0)
+			clm_free_settle(clm, s);
+	}
+}
+
+void
+clm_apply_all(struct clm *clm)
+{
+	const struct settle *s;
+
+	TAILQ_FOREACH (s, &clm->settles, link)
+		apply(clm, s);
+}
+
+/* ------------------------------------------------------------------ */
+/* What an ask is told                                                 */
+/* ------------------------------------------------------------------ */
+
+static bool
+asker_is_live(const struct clm *clm, const char *asker)
+{
+	char entry[CLM_ASKER_MAX + 1];
+	size_t n = strcspn(asker, "/");
+
+	g_strlcpy(entry, asker, MIN(n + 1, sizeof(entry)));
+	return clm->ops->is_live(entry, clm->ctx);
+}
+
+/* Another asker's claim that has no outcome. */
+static void
+consider_other(struct clm *clm, struct clm_ask *ask,
+    const struct clm_record *record, int64_t now_us)
+{
+	/* Without the lease another owner may know more by now. */
+	if (now_us >= clm->lease_until_us && !clm->writing && !ask->reread) {
+		ask->reread = true;
+		clm_put_in(&clm->pending, ask);
+		clm_step_down(clm, now_us);
+		return;
+	}
+	if (record->state == CLM_RUNNING && ask->until_us > now_us &&
+	    asker_is_live(clm, record->asker))
+		clm_put_in(&clm->waiting, ask);
+	else
+		clm_answer(clm, ask, CLM_IN_DOUBT);
+}
+
+/* The asker's own claim: granted when it is surely in and surely ours to
+ * grant, else by the next write. */
+static void
+consider_own(struct clm *clm, struct clm_ask *ask,
+    const struct clm_record *record, int64_t now_us)
+{
+	if (record->state == CLM_UNSURE) {
+		clm_answer(clm, ask, CLM_IN_DOUBT);
+	} else if (record->written && now_us < clm->lease_until_us) {
+		clm_answer(clm, ask, CLM_GRANTED);
+	} else if (clm->writing && !record->written) {
+		clm_put_in(&clm->inflight, ask);
+	} else {
+		clm_put_in(&clm->pending, ask);
+		clm_be_due(clm, now_us);
+	}
+}
+
+void
+clm_consider(struct clm *clm, struct clm_ask *ask, int64_t now_us)
+{
+	const struct clm_record *record =
+	    g_hash_table_lookup(clm->records, ask->key);
+
+	if (record == NULL) {
+		clm_put_in(&clm->pending, ask);
+		clm_be_due(clm, now_us + CLM_GROUP_MS * 1000);
+	} else if (!digest_equal(&record->body, &ask->body)) {
+		clm_answer(clm, ask, CLM_OTHER_BODY);
+	} else if (record->state == CLM_RAN) {
+		answer_recorded(clm, ask, record);
+	} else if (strcmp(record->asker, ask->asker) == 0) {
+		consider_own(clm, ask, record, now_us);
+	} else {
+		consider_other(clm, ask, record, now_us);
+	}
+}
+
+void
+clm_consider_all(struct clm *clm, struct clm_asks *list, int64_t now_us)
+{
+	struct clm_asks asks = TAILQ_HEAD_INITIALIZER(asks);
+	struct clm_ask *ask;
+
+	clm_move_all(list, &asks);
+	while ((ask = TAILQ_FIRST(&asks)) != NULL) {
+		clm_forget(ask);
+		if (clm->phase == PHASE_HELD)
+			clm_consider(clm, ask, now_us);
+		else
+			clm_put_in(&clm->pending, ask);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Events                                                              */
+/* ------------------------------------------------------------------ */
+
+struct clm *
+clm_new(const char *self, struct clm_pace *pace, const struct clm_ops *ops,
+    void *ctx)
+{
+	struct clm *clm = g_new0(struct clm, 1);
+
+	clm->self = g_strdup(self);
+	clm->pace = pace;
+	clm->ops = ops;
+	clm->ctx = ctx;
+	clm->records = clm_records_new();
+	clm->due_us = NEVER;
+	TAILQ_INIT(&clm->pending);
+	TAILQ_INIT(&clm->inflight);
+	TAILQ_INIT(&clm->waiting);
+	TAILQ_INIT(&clm->settles);
+	return clm;
+}
+
+void
+clm_free(struct clm *clm)
+{
+	struct clm_asks gone = TAILQ_HEAD_INITIALIZER(gone);
+
+	if (clm == NULL)
+		return;
+	clm_move_all(&clm->pending, &gone);
+	clm_move_all(&clm->inflight, &gone);
+	clm_move_all(&clm->waiting, &gone);
+	while (!TAILQ_EMPTY(&gone))
+		clm_forget(TAILQ_FIRST(&gone));
+	while (!TAILQ_EMPTY(&clm->settles))
+		clm_free_settle(clm, TAILQ_FIRST(&clm->settles));
+	g_hash_table_unref(clm->records);
+	g_free(clm->owner);
+	g_free(clm->self);
+	g_free(clm);
+}
+
+static bool
+is_good(const char *text, size_t max)
+{
+	return strlen(text) <= max && g_utf8_validate(text, -1, NULL);
+}
+
+void
+clm_ask(struct clm *clm, struct clm_ask *ask, int64_t now_us)
+{
+	ask->tried = false;
+	ask->reread = false;
+	if (!is_good(ask->key, CLM_KEY_MAX) ||
+	    !is_good(ask->asker, CLM_ASKER_MAX)) {
+		clm_answer(clm, ask, CLM_BAD_KEY);
+		return;
+	}
+	keep_claim(clm, ask);
+	switch (clm->phase) {
+	case PHASE_HELD:
+		clm_consider(clm, ask, now_us);
+		return;
+	case PHASE_READING:
+		clm_put_in(&clm->pending, ask);
+		return;
+	case PHASE_FOREIGN:
+		if (now_us < clm->seen_us + TAKE_OVER_US &&
+		    clm->ops->is_live(clm->owner, clm->ctx)) {
+			clm_answer(clm, ask, CLM_MOVED);
+			return;
+		}
+		break;
+	case PHASE_IDLE:
+		break;
+	}
+	clm_put_in(&clm->pending, ask);
+	clm_start_read(clm, now_us);
+}
+
+void
+clm_settle(struct clm *clm, const char *key, const char *asker,
+    const struct clm_outcome *outcome, int64_t now_us)
+{
+	take_word(clm, key, asker, outcome, now_us);
+	switch (clm->phase) {
+	case PHASE_HELD:
+		clm_consider_all(clm, &clm->waiting, now_us);
+		return;
+	case PHASE_READING:
+		return;
+	case PHASE_FOREIGN:
+		clm_pass_on_settles(clm);
+		return;
+	case PHASE_IDLE:
+		if (now_us >= clm->retry_us)
+			clm_start_read(clm, now_us);
+		return;
+	}
+}
+
+void
+clm_give_up(struct clm *clm, int64_t now_us)
+{
+	if (clm->phase != PHASE_HELD)
+		return;
+	clm->giving_up = true;
+	clm_be_due(clm, now_us);
+}
+
+/* An ask that waited for as long as its request may. */
+static void
+expire(struct clm *clm, struct clm_asks *list, bool known, int64_t now_us)
+{
+	struct clm_ask *ask, *next;
+
+	for (ask = TAILQ_FIRST(list); ask != NULL; ask = next) {
+		next = TAILQ_NEXT(ask, link);
+		if (ask->until_us > now_us)
+			continue;
+		if (known)
+			clm_answer(clm, ask, CLM_IN_DOUBT);
+		else
+			clm_refuse_down(clm, ask, now_us);
+	}
+}
+
+void
+clm_tick(struct clm *clm, int64_t now_us)
+{
+	expire(clm, &clm->waiting, true, now_us);
+	expire(clm, &clm->pending, false, now_us);
+	expire(clm, &clm->inflight, false, now_us);
+	if (clm->phase == PHASE_HELD)
+		clm_consider_all(clm, &clm->waiting, now_us);
+	if (clm->phase == PHASE_IDLE && !TAILQ_EMPTY(&clm->settles) &&
+	    now_us >= clm->retry_us)
+		clm_start_read(clm, now_us);
+	clm_write_if_due(clm, now_us);
+}
+
+/* ------------------------------------------------------------------ */
+/* What callers are told                                               */
+/* ------------------------------------------------------------------ */
+
+void
+clm_error(enum clm_result result, struct err *out)
+{
+	switch (result) {
+	case CLM_IN_DOUBT:
+		err_set(out, ERR_IN_DOUBT, VERDICT_MAY_HAVE_RUN,
+		    "an earlier try with this key may have run");
+		out->retry_after_ms = DOUBT_RETRY_MS;
+		return;
+	case CLM_OTHER_BODY:
+		err_set(out, ERR_CONFLICT, VERDICT_NOT_RUN,
+		    "this key was used for another request");
+		return;
+	case CLM_BAD_KEY:
+		err_set(out, ERR_INVALID, VERDICT_NOT_RUN,
+		    "the key is not text or too long");
+		return;
+	case CLM_FULL:
+		err_set(out, ERR_OVERLOADED, VERDICT_NOT_RUN,
+		    "no room for further claims");
+		break;
+	default:
+		err_set(out, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
+		    "the key cannot be claimed now");
+		break;
+	}
+	out->retry_after_ms = DOWN_RETRY_MS;
+}
+
+void
+clm_stats(const struct clm *clm, struct clm_stats *out)
+{
+	*out = clm->stats;
+	out->records = g_hash_table_size(clm->records);
+	out->unwritten = clm->nsettles;
+	out->held = clm->phase == PHASE_HELD;
+}
--- /dev/null
+++ b/lib/route/claim_io.c
@@ -0,0 +1,335 @@
+/* One bucket of claims: reading and writing its object. */
+
+#include <string.h>
+
+#include "route/claim_internal.h"
+
+#define RETRY_US G_USEC_PER_SEC /* between reads while the API is down */
+#define PACE_BURST 8 /* writes that a quiet time allows at once */
+
+/* ------------------------------------------------------------------ */
+/* Reading                                                             */
+/* ------------------------------------------------------------------ */
+
+void
+clm_start_read(struct clm *clm, int64_t now_us)
+{
+	clm->phase = PHASE_READING;
+	clm->read_us = now_us;
+	clm->stats.reads++;
+	clm->ops->read(clm, clm->ctx);
+}
+
+/*
+ * What is in memory may not be what is in the object: a write was lost or
+ * its answer was, or the lease ran out. The object is read back before anything
+ * is granted from it; claims that got in are found there by their askers' names.
+ */
+void
+clm_step_down(struct clm *clm, int64_t now_us)
+{
+	struct settle *s;
+
+	TAILQ_FOREACH (s, &clm->settles, link)
+		s->in_write = false;
+	clm_move_all(&clm->inflight, &clm->pending);
+	g_hash_table_remove_all(clm->records);
+	clm->phase = PHASE_IDLE;
+	clm->lease_until_us = 0;
+	clm->due_us = NEVER;
+	if (!TAILQ_EMPTY(&clm->pending) || !TAILQ_EMPTY(&clm->waiting) ||
+	    !TAILQ_EMPTY(&clm->settles))
+		clm_start_read(clm, now_us);
+}
+
+void
+clm_pass_on_settles(struct clm *clm)
+{
+	struct settle *s;
+
+	while ((s = TAILQ_FIRST(&clm->settles)) != NULL) {
+		clm->ops->pass_on(
+		    s->key, s->asker, &s->outcome, clm->owner, clm->ctx);
+		clm_free_settle(clm, s);
+	}
+}
+
+static void
+stay_out(struct clm *clm)
+{
+	clm->phase = PHASE_FOREIGN;
+	g_hash_table_remove_all(clm->records);
+	clm_pass_on_settles(clm);
+	clm_answer_all(clm, &clm->pending, CLM_MOVED);
+	clm_answer_all(clm, &clm->waiting, CLM_MOVED);
+}
+
+static void
+note_reread(struct clm_asks *list)
+{
+	struct clm_ask *ask;
+
+	TAILQ_FOREACH (ask, list, link)
+		ask->reread = true;
+}
+
+static void
+take_over(struct clm *clm, int64_t now_us)
+{
+	bool ours = strcmp(clm->owner, clm->self) == 0;
+
+	clm->phase = PHASE_HELD;
+	clm->giving_up = false;
+	clm->stats.takeovers += ours ? 0 : 1;
+	clm->fence += ours ? 0 : 1;
+	clm->due_us = NEVER;
+	clm_apply_all(clm);
+	note_reread(&clm->waiting);
+	note_reread(&clm->pending);
+	clm_consider_all(clm, &clm->waiting, now_us);
+	clm_consider_all(clm, &clm->pending, now_us);
+	if (!TAILQ_EMPTY(&clm->pending))
+		clm_be_due(clm, now_us);
+	if (!TAILQ_EMPTY(&clm->settles))
+		clm_be_due(clm, now_us + CLM_OUTCOME_MS * 1000);
+}
+
+static void
+read_failed(struct clm *clm, int64_t now_us)
+{
+	struct clm_ask *ask;
+
+	clm->phase = PHASE_IDLE;
+	clm->retry_us = now_us + RETRY_US;
+	g_hash_table_remove_all(clm->records);
+	while ((ask = TAILQ_FIRST(&clm->pending)) != NULL)
+		clm_refuse_down(clm, ask, now_us);
+	/* These are known to have been claimed by another. */
+	clm_answer_all(clm, &clm->waiting, CLM_IN_DOUBT);
+}
+
+/*
+ * The object's owner is another live entry. It loses the bucket only after
+ * the object has not changed for a lease from the first sight of it to the
+ * begin of this read: what that owner wrote before was sent before.
+ */
+static bool
+is_foreign(struct clm *clm, uint64_t version, int64_t now_us)
+{
+	bool same = clm->seen_us != 0 && clm->version == version;
+
+	if (clm->owner[0] == '\0' || strcmp(clm->owner, clm->self) == 0 ||
+	    !clm->ops->is_live(clm->owner, clm->ctx)) {
+		clm->seen_us = 0;
+		return false;
+	}
+	if (same && clm->read_us >= clm->seen_us + TAKE_OVER_US)
+		return false;
+	if (!same)
+		clm->seen_us = now_us;
+	return true;
+}
+
+void
+clm_read_done(struct clm *clm, bool failed, uint64_t version, const char *value,
+    int64_t now_us)
+{
+	char *owner = NULL;
+	bool foreign;
+
+	g_hash_table_remove_all(clm->records);
+	if (!failed && value == NULL) {
+		owner = g_strdup("");
+		clm->fence = 0;
+	} else if (failed ||
+	    !clm_records_parse(
+		clm->records, value, now_us, &owner, &clm->fence)) {
+		read_failed(clm, now_us);
+		return;
+	}
+	g_free(clm->owner);
+	clm->owner = owner;
+	foreign = is_foreign(clm, version, now_us);
+	clm->version = version;
+	if (foreign)
+		stay_out(clm);
+	else
+		take_over(clm, now_us);
+}
+
+/* ------------------------------------------------------------------ */
+/* Writing                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+claim_pending(struct clm *clm, int64_t now_us)
+{
+	struct clm_asks asks = TAILQ_HEAD_INITIALIZER(asks);
+	const struct clm_record *record;
+	struct clm_ask *ask;
+
+	clm_move_all(&clm->pending, &asks);
+	note_reread(&asks); /* a write tells as much as a read would */
+	while ((ask = TAILQ_FIRST(&asks)) != NULL) {
+		clm_forget(ask);
+		record = g_hash_table_lookup(clm->records, ask->key);
+		if (record != NULL && strcmp(record->asker, ask->asker) != 0) {
+			clm_consider(clm, ask, now_us);
+			continue;
+		}
+		if (record == NULL)
+			clm_record_add(clm->records, ask, now_us);
+		ask->tried = true;
+		clm_put_in(&clm->inflight, ask);
+	}
+}
+
+/* Takes back the claims that were to be made. */
+static void
+refuse_full(struct clm *clm)
+{
+	const struct clm_record *record;
+	struct clm_ask *ask, *next;
+
+	for (ask = TAILQ_FIRST(&clm->inflight); ask != NULL; ask = next) {
+		next = TAILQ_NEXT(ask, link);
+		record = g_hash_table_lookup(clm->records, ask->key);
+		if (record != NULL && record->written)
+			continue;
+		g_hash_table_remove(clm->records, ask->key);
+		clm_answer(clm, ask, CLM_FULL);
+	}
+}
+
+/* Kept answers go before a claim is refused, and no claim goes before its
+ * time: a record that is dropped lets its request run again. */
+static char *
+print_within_bounds(struct clm *clm, const char *owner, int64_t now_us)
+{
+	char *text = clm_records_print(clm->records, owner, clm->fence, now_us);
+
+	if (strlen(text) > CLM_VALUE_MAX) {
+		g_free(text);
+		clm_records_strip(clm->records);
+		text =
+		    clm_records_print(clm->records, owner, clm->fence, now_us);
+	}
+	if (strlen(text) > CLM_VALUE_MAX) {
+		g_free(text);
+		refuse_full(clm);
+		text =
+		    clm_records_print(clm->records, owner, clm->fence, now_us);
+	}
+	return text;
+}
+
+static bool
+pace_allows(struct clm_pace *pace, int64_t now_us)
+{
+	int64_t each_us = G_USEC_PER_SEC / MAX(pace->writes_s, 1);
+
+	if (pace->next_us > now_us)
+		return false;
+	pace->next_us =
+	    MAX(pace->next_us, now_us - PACE_BURST * each_us) + each_us;
+	return true;
+}
+
+static void
+start_write(struct clm *clm, int64_t now_us)
+{
+	struct settle *s;
+	char *text;
+
+	clm->due_us = NEVER;
+	clm_records_prune(clm->records, now_us);
+	claim_pending(clm, now_us);
+	if (TAILQ_EMPTY(&clm->inflight) && TAILQ_EMPTY(&clm->settles) &&
+	    !clm->giving_up)
+		return; /* what called for a write was withdrawn */
+	text =
+	    print_within_bounds(clm, clm->giving_up ? "" : clm->self, now_us);
+	TAILQ_FOREACH (s, &clm->settles, link)
+		s->in_write = true;
+	clm->writing = true;
+	clm->sent_us = now_us;
+	clm->stats.writes++;
+	clm->ops->write(clm, text, clm->version, clm->ctx);
+	g_free(text);
+}
+
+void
+clm_write_if_due(struct clm *clm, int64_t now_us)
+{
+	if (clm->phase == PHASE_HELD && !clm->writing &&
+	    now_us >= clm->due_us && pace_allows(clm->pace, now_us))
+		start_write(clm, now_us);
+}
+
+static void
+note_written(struct clm *clm)
+{
+	struct settle *s, *next;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, clm->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct clm_record *)value)->written = true;
+	for (s = TAILQ_FIRST(&clm->settles); s != NULL; s = next) {
+		next = TAILQ_NEXT(s, link);
+		if (s->in_write)
+			clm_free_settle(clm, s);
+	}
+}
+
+static void
+grant_written(struct clm *clm)
+{
+	const struct clm_record *record;
+	struct clm_ask *ask;
+
+	while ((ask = TAILQ_FIRST(&clm->inflight)) != NULL) {
+		record = g_hash_table_lookup(clm->records, ask->key);
+		/* The asker may have said NOT_RUN meanwhile. */
+		if (record != NULL && record->state == CLM_RUNNING &&
+		    strcmp(record->asker, ask->asker) == 0)
+			clm_answer(clm, ask, CLM_GRANTED);
+		else
+			clm_answer(clm, ask, CLM_DOWN);
+	}
+}
+
+static void
+write_is_in(struct clm *clm, uint64_t version, int64_t now_us)
+{
+	clm->version = version;
+	g_free(clm->owner);
+	clm->owner = g_strdup(clm->giving_up ? "" : clm->self);
+	note_written(clm);
+	clm->lease_until_us = clm->sent_us + CLM_LEASE_MS * 1000;
+	if (now_us >= clm->lease_until_us) {
+		/* Paused meanwhile: another owner may have taken over since,
+		 * and must not find two that grant. */
+		clm_step_down(clm, now_us);
+		return;
+	}
+	grant_written(clm);
+	if (!clm->giving_up)
+		return;
+	clm->giving_up = false;
+	clm_answer_all(clm, &clm->pending, CLM_MOVED);
+	clm_answer_all(clm, &clm->waiting, CLM_MOVED);
+	clm_step_down(clm, now_us);
+}
+
+void
+clm_write_done(
+    struct clm *clm, enum clm_write_end end, uint64_t version, int64_t now_us)
+{
+	clm->writing = false;
+	if (end == CLM_WRITE_IN)
+		write_is_in(clm, version, now_us);
+	else
+		clm_step_down(clm, now_us);
+}
