Platform tests: a base at which nobody listens stays so

Cause: platform-obj failed twice of about eight runs of make check (test_write_without_api: MAY_HAVE_RUN for a refused connection). The test gave its port back before it dialled it; the kernel hands such a port to the next server, here that of a test running beside it. Ruled out: the verdict itself, which follows libsoup's starting signal. Change: the port stays bound, not listening, while the test lives; the commands free what popt hands out (the sanitizer's leak report).

--- a/programs/entry/cli.c
+++ b/programs/entry/cli.c
@@ -2,6 +2,7 @@
 
 #include <popt.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "entry/cli.h"
@@ -127,21 +128,39 @@
 	return c->run(cli, args + count_words(c));
 }
 
+/* What the options left open. */
 static void
 read_environment(struct cli *cli)
 {
 	const char *entry = g_getenv("CURRANTCHUTE_ENTRY");
 	const char *token = g_getenv("CURRANTCHUTE_TOKEN");
 
-	cli->entry = g_strdup(entry == NULL ? "http://127.0.0.1:8080" : entry);
-	cli->token = g_strdup(token == NULL ? "" : token);
-	cli->wait_ms = WAIT_MS;
+	if (cli->entry == NULL)
+		cli->entry =
+		    strdup(entry == NULL ? "http://127.0.0.1:8080" : entry);
+	if (cli->token == NULL)
+		cli->token = strdup(token == NULL ? "" : token);
+}
+
+/* popt hands out strings that are the program's to free. */
+static void
+free_options(struct cli *cli)
+{
+	free(cli->entry);
+	free(cli->token);
+	free(cli->root);
+	free(cli->weights);
+	free(cli->chunks);
+	free(cli->pool);
+	free(cli->domains);
+	free(cli->policy);
+	free(cli->out);
 }
 
 int
 cli_main(int argc, const char **argv)
 {
-	struct cli cli = { 0 };
+	struct cli cli = { .wait_ms = WAIT_MS };
 	int help = 0, rc;
 	struct poptOption options[] = {
 		{ "entry", 0, POPT_ARG_STRING, &cli.entry, 0, NULL, NULL },
@@ -169,8 +188,8 @@
 	};
 	poptContext pc = poptGetContext("currantchute", argc, argv, options, 0);
 
-	read_environment(&cli);
 	rc = poptGetNextOpt(pc);
+	read_environment(&cli);
 	if (rc < -1) {
 		fprintf(stderr, "currantchute: %s: %s\n",
 		    poptBadOption(pc, POPT_BADOPTION_NOALIAS),
@@ -183,5 +202,6 @@
 		rc = run_command(&cli, poptGetArgs(pc));
 	}
 	poptFreeContext(pc);
+	free_options(&cli);
 	return rc;
 }
--- a/programs/side/main.c
+++ b/programs/side/main.c
@@ -2,6 +2,7 @@
 
 #include <popt.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "side/side.h"
@@ -282,5 +283,6 @@
 	log_info("side %s stopped", side->proc.node.id);
 	log_close();
 	poptFreeContext(pc);
+	free(settings);
 	return EXIT_OK;
 }
--- a/tests/platform/server.h
+++ b/tests/platform/server.h
@@ -225,15 +225,30 @@
 		g_main_context_iteration(NULL, TRUE);
 }
 
-/* A base at which nobody listens. */
+/*
+ * A base at which nobody listens. The port is bound for as long as the test
+ * lives: a port that was merely given back is handed to the next server that
+ * asks, also in a test that runs at the same time.
+ */
 static inline void
 closed_base(char out[40])
 {
-	struct server server;
-
-	server_start(&server, NULL, NULL);
-	g_strlcpy(out, server.base, 40);
-	server_stop(&server);
+	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+	GInetAddress *ip = g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	GSocketAddress *at = g_inet_socket_address_new(ip, 0);
+	GSocketAddress *bound;
+	static GSocket *kept;
+
+	assert_true(g_socket_bind(socket, at, FALSE, NULL));
+	bound = g_socket_get_local_address(socket, NULL);
+	g_snprintf(out, 40, "http://127.0.0.1:%u",
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	g_object_unref(bound);
+	g_object_unref(at);
+	g_object_unref(ip);
+	g_clear_object(&kept);
+	kept = socket;
 }
 
 #endif
