Entry: admission, limits over all entries, retry budget; a linter that lints

Cause: callers' requests went to targets without any bound. Separately, cppcheck gave up on every file that includes common.h (G_GNUC_PRINTF unknown, reported as unknownMacro, which was suppressed): a file with an uninitialised variable passed. The linter gets the macros it cannot read (tools/lint_macros.h) and no longer suppresses unknownMacro.

--- a/bench/weights_model.c
+++ b/bench/weights_model.c
@@ -29,7 +29,7 @@
 main(int argc, char **argv)
 {
 	uint64_t bytes, chunk_bytes, seed, every, at;
-	GByteArray *list = g_byte_array_new();
+	GByteArray *list;
 	struct wts_version v;
 	char hex[DIGEST_HEX];
 	struct err err;
@@ -41,6 +41,7 @@
 		    "weights_model DIR NAME BYTES CHUNK SEED [EVERY]\n");
 		return 2;
 	}
+	list = g_byte_array_new();
 	bytes = g_ascii_strtoull(argv[3], NULL, 10);
 	chunk_bytes = g_ascii_strtoull(argv[4], NULL, 10);
 	seed = g_ascii_strtoull(argv[5], NULL, 10);
--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -54,7 +54,8 @@
 static uint64_t
 load_of(const struct rt_target *target, const struct rt_wish *wish)
 {
-	uint64_t running = MAX(target->told_running, target->own_running);
+	uint64_t running =
+	    MAX(target->told_running + target->sent_since, target->own_running);
 	uint64_t load = running * 1000 / MAX(target->slots, 1);
 
 	if (strcmp(target->domain, wish->domain) != 0)
--- a/lib/route/messages.c
+++ b/lib/route/messages.c
@@ -168,3 +168,12 @@
 const struct msg_desc rt_events_desc =
     MSG_DESC(RT_EVENTS, "events", struct rt_events, events_fields);
 #undef RT_STRUCT
+
+#define RT_STRUCT rt_demand
+static const struct msg_field demand_fields[] = {
+	F(team, MSG_STR, RT_NAME_MAX),
+	F(milli_s, MSG_U64, 0),
+};
+const struct msg_desc rt_demand_desc =
+    MSG_DESC(RT_DEMAND, "demand", struct rt_demand, demand_fields);
+#undef RT_STRUCT
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -39,6 +39,7 @@
 	RT_STATUS,
 	RT_EVENTS_GET,
 	RT_EVENTS,
+	RT_DEMAND,
 };
 
 /* Entry to side: run this at your target. */
@@ -165,6 +166,13 @@
 	struct slice json; /* an array of events */
 };
 
+/* Entry to entry: what a team asks of this one; see lim_tell. */
+struct rt_demand {
+	struct slice team;
+	uint64_t milli_s; /* thousandths of a request a second */
+};
+
+extern const struct msg_desc rt_demand_desc;
 extern const struct msg_desc rt_request_desc;
 extern const struct msg_desc rt_head_desc;
 extern const struct msg_desc rt_data_desc;
@@ -311,8 +319,10 @@
 	bool accepting; /* told so, and its host is not leaving */
 	unsigned int slots;
 	/* Running there when the side last spoke, and what this entry has
-	 * sent and not seen ended: the larger is the estimate. */
+	 * sent since; or, if that is more, what it has sent and not seen
+	 * ended: the larger is the estimate. */
 	unsigned int told_running;
+	unsigned int sent_since;
 	unsigned int own_running;
 	int64_t resting_until_us; /* refused or failed: not before then */
 	void *owner; /* the program's connection to its side */
--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -237,7 +237,7 @@
 	/* Drawing an answer twice harms nobody, unless the caller says by a
 	 * key that it must happen once. */
 	ask.idempotent = ask.key == NULL;
-	request_start(entry, &ask);
+	request_start(entry, &ask, err);
 	g_bytes_unref(ask.body);
 }
 
@@ -293,7 +293,7 @@
 	if (!err_is(err) && read_common(message, &ask, err)) {
 		ask.idempotent =
 		    rt_service_is_idempotent(ask.service, ask.method);
-		request_start(entry, &ask);
+		request_start(entry, &ask, err);
 		g_bytes_unref(ask.body);
 	}
 	g_free(path);
--- a/programs/entry/cli_rollout.c
+++ b/programs/entry/cli_rollout.c
@@ -27,9 +27,9 @@
 		g_strfreev(part);
 		return false;
 	}
-	*team = part[0];
-	*model = part[1];
-	g_free(part);
+	*team = g_strdup(part[0]);
+	*model = g_strdup(part[1]);
+	g_strfreev(part);
 	return true;
 }
 
--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -10,11 +10,15 @@
 #include <json-glib/json-glib.h>
 
 #include "agree/agree.h"
+#include "route/admit.h"
+#include "route/limit.h"
 #include "route/route.h"
 #include "shared/proc.h"
 #include "weights/weights.h"
 
 struct entry;
+struct entry_peer;
+struct gatekeeper;
 struct lead;
 struct request;
 
@@ -44,6 +48,7 @@
 };
 
 TAILQ_HEAD(entry_sides, entry_side);
+TAILQ_HEAD(entry_peers, entry_peer);
 
 struct entry {
 	struct proc proc;
@@ -51,6 +56,9 @@
 	struct conn_server *server;
 	struct att_chart *attempts;
 	struct entry_sides sides;
+	struct entry_peers peers;
+	struct gatekeeper *gatekeeper;
+	unsigned int live_entries; /* this one included */
 	struct rt_targets targets;
 	GHashTable *teams; /* branch name -> struct rt_team */
 	struct cfg *root; /* the root branch; NULL before it is in force */
@@ -92,10 +100,40 @@
 	unsigned int deadline_ms;
 	unsigned int priority;
 };
-void request_start(struct entry *entry, const struct request_ask *ask);
+/* False when it is refused before it is begun; the caller is to be told. */
+bool request_start(
+    struct entry *entry, const struct request_ask *ask, struct err *err);
+/* What admission does with the tickets inside requests. */
+const struct adm_ops *request_adm_ops(void);
 void request_head(struct request *r, const struct rt_head *head);
 void request_data(struct request *r, const uint8_t *bytes, size_t len);
 void request_end(struct request *r, const struct err *err);
+/* Of the attempt that runs now. */
+struct rt_target *request_target(const struct request *r);
+
+/* peers.c: connections to the other entries. */
+void peers_member(struct entry *entry, const struct mem_member *member);
+/* False when there is no connection now; nothing is kept for later. */
+bool peers_send(struct entry *entry, const char *id,
+    const struct msg_desc *desc, const void *message);
+void peers_send_all(
+    struct entry *entry, const struct msg_desc *desc, const void *message);
+
+/* gatekeeper.c: limits, queues and the retry budget. */
+void gatekeeper_open(struct entry *entry);
+void gatekeeper_team(struct entry *entry, const struct rt_team *team);
+void gatekeeper_members(struct entry *entry);
+void gatekeeper_entry_gone(struct entry *entry, const char *id);
+void gatekeeper_told(
+    struct entry *entry, const char *from, const struct msg *m);
+/* A target's side said something new of it. */
+void gatekeeper_spoke(struct entry *entry, const struct rt_target *target);
+struct adm_lane *gatekeeper_lane(struct entry *entry, const char *team,
+    const char *pool, const char *service);
+/* Takes one request from the team's limit; ERR_OVERLOADED when over it. */
+bool gatekeeper_take(struct entry *entry, const char *team, struct err *err);
+bool gatekeeper_may_retry(struct entry *entry, const char *team);
+void gatekeeper_retried(struct entry *entry, const char *team);
 
 /* caller.c: HTTP for callers, health, counters, events. */
 void caller_open(struct entry *entry);
--- /dev/null
+++ b/programs/entry/gatekeeper.c
@@ -0,0 +1,255 @@
+/*
+ * Admission of callers' requests: the team's limit over all entries, the
+ * queues of this entry, the retry budget. The decisions are adm_*, lim_* and
+ * bud_*; here they get their clock, their load and their words to the others.
+ */
+
+#include <string.h>
+
+#include "entry/entry.h"
+
+/* Requests one entry passes on at a time, whatever the targets could take:
+ * bounds its memory (a held answer is up to RT_WINDOW). */
+#define OPEN_MAX 4096
+
+struct gatekeeper {
+	struct entry *entry;
+	struct adm *adm;
+	GHashTable *teams; /* name -> struct gate_team */
+	guint adm_timer;
+	guint lim_timer;
+};
+
+/* What is kept of a team at this entry. */
+struct gate_team {
+	char name[RT_NAME_MAX + 1];
+	struct lim *limit;
+	struct bud budget;
+	unsigned int retry_permille;
+};
+
+static int64_t
+now_us(void)
+{
+	return clk_now_us(clk_system());
+}
+
+/* ------------------------------------------------------------------ */
+/* Lanes                                                               */
+/* ------------------------------------------------------------------ */
+
+/* A lane is a pool of engines or a plain service of a team. */
+static void
+lane_name(char out[2 * RT_NAME_MAX], const char *pool, const char *service)
+{
+	g_snprintf(out, 2 * RT_NAME_MAX, "%s:%s",
+	    service[0] != '\0' ? "service" : "pool",
+	    service[0] != '\0' ? service : pool);
+}
+
+struct adm_lane *
+gatekeeper_lane(struct entry *entry, const char *team, const char *pool,
+    const char *service)
+{
+	char name[2 * RT_NAME_MAX];
+
+	lane_name(name, pool, service);
+	return adm_lane(adm_team(entry->gatekeeper->adm, team), name);
+}
+
+static unsigned int
+live_entries(struct entry *entry)
+{
+	return MAX(entry->live_entries, 1);
+}
+
+static bool
+in_lane(const struct rt_target *t, const struct rt_target *like)
+{
+	if (t->kind != like->kind || strcmp(t->team, like->team) != 0)
+		return false;
+	return t->kind == RT_ENGINE ? strcmp(t->pool, like->pool) == 0
+				    : strcmp(t->service, like->service) == 0;
+}
+
+void
+gatekeeper_spoke(struct entry *entry, const struct rt_target *target)
+{
+	struct adm_load load = { .entries = live_entries(entry) };
+	const struct rt_target *t;
+
+	if (target->team[0] == '\0')
+		return;
+	TAILQ_FOREACH (t, &entry->targets, link) {
+		if (!t->reachable || !t->accepting || !in_lane(t, target))
+			continue;
+		if (t->kind == RT_ENGINE && digest_is_none(&t->loaded))
+			continue;
+		load.slots += t->slots;
+		load.running += t->told_running + t->sent_since;
+	}
+	adm_lane_load(gatekeeper_lane(entry, target->team, target->pool,
+			  target->kind == RT_SERVICE ? target->service : ""),
+	    &load, now_us());
+}
+
+/* ------------------------------------------------------------------ */
+/* Teams                                                               */
+/* ------------------------------------------------------------------ */
+
+static struct gate_team *
+find_team(struct gatekeeper *g, const char *name)
+{
+	return g_hash_table_lookup(g->teams, name);
+}
+
+static void
+set_team(struct gatekeeper *g, struct gate_team *t, const struct rt_team *team)
+{
+	unsigned int entries = live_entries(g->entry);
+
+	t->retry_permille = team->retry_budget_permille;
+	lim_set(t->limit, team->requests_s, entries, now_us());
+	adm_team_set(adm_team(g->adm, t->name), team->weight,
+	    (team->queue + entries - 1) / entries);
+}
+
+void
+gatekeeper_team(struct entry *entry, const struct rt_team *team)
+{
+	struct gatekeeper *g = entry->gatekeeper;
+	struct gate_team *t = find_team(g, team->name);
+
+	if (t == NULL) {
+		t = g_new0(struct gate_team, 1);
+		g_strlcpy(t->name, team->name, sizeof(t->name));
+		t->limit = lim_new(now_us());
+		g_hash_table_insert(g->teams, t->name, t);
+	}
+	set_team(g, t, team);
+}
+
+/* The number of live entries changed: everybody's part does too. */
+void
+gatekeeper_members(struct entry *entry)
+{
+	struct gatekeeper *g = entry->gatekeeper;
+	GHashTableIter iter;
+	gpointer value;
+	const struct rt_team *team;
+
+	g_hash_table_iter_init(&iter, g->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		team = entry_team(entry, ((struct gate_team *)value)->name);
+		if (team != NULL)
+			set_team(g, value, team);
+	}
+}
+
+void
+gatekeeper_entry_gone(struct entry *entry, const char *id)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->gatekeeper->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		lim_gone(((struct gate_team *)value)->limit, id);
+}
+
+void
+gatekeeper_told(struct entry *entry, const char *from, const struct msg *m)
+{
+	struct rt_demand demand;
+	struct gate_team *t;
+	char *name;
+
+	if (!msg_read(m, &rt_demand_desc, &demand, NULL))
+		return;
+	name = slice_dup(demand.team);
+	t = find_team(entry->gatekeeper, name);
+	if (t != NULL)
+		lim_told(t->limit, from, demand.milli_s, now_us());
+	g_free(name);
+}
+
+/* ------------------------------------------------------------------ */
+/* Requests                                                            */
+/* ------------------------------------------------------------------ */
+
+bool
+gatekeeper_take(struct entry *entry, const char *team, struct err *err)
+{
+	struct gate_team *t = find_team(entry->gatekeeper, team);
+
+	if (t == NULL)
+		return true;
+	if (!lim_take(t->limit, now_us(), err))
+		return false;
+	bud_request(&t->budget, now_us());
+	return true;
+}
+
+bool
+gatekeeper_may_retry(struct entry *entry, const char *team)
+{
+	struct gate_team *t = find_team(entry->gatekeeper, team);
+
+	return t != NULL &&
+	    bud_has_room(&t->budget, t->retry_permille, now_us());
+}
+
+void
+gatekeeper_retried(struct entry *entry, const char *team)
+{
+	struct gate_team *t = find_team(entry->gatekeeper, team);
+
+	if (t != NULL)
+		bud_retry(&t->budget, now_us());
+}
+
+/* ------------------------------------------------------------------ */
+/* Time                                                                */
+/* ------------------------------------------------------------------ */
+
+static gboolean
+on_adm_tick(gpointer data)
+{
+	struct gatekeeper *g = data;
+
+	adm_expire(g->adm, now_us());
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_lim_tick(gpointer data)
+{
+	struct gatekeeper *g = data;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct gate_team *t = value;
+		struct rt_demand demand = { .team = slice_str(t->name) };
+
+		if (!lim_tell(t->limit, now_us()))
+			continue;
+		demand.milli_s = lim_demand(t->limit, now_us());
+		peers_send_all(g->entry, &rt_demand_desc, &demand);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+void
+gatekeeper_open(struct entry *entry)
+{
+	struct gatekeeper *g = g_new0(struct gatekeeper, 1);
+
+	g->entry = entry;
+	g->adm = adm_new(OPEN_MAX, request_adm_ops(), NULL);
+	g->teams = g_hash_table_new(g_str_hash, g_str_equal);
+	g->adm_timer = g_timeout_add(ADM_TICK_MS, on_adm_tick, g);
+	g->lim_timer = g_timeout_add(LIM_TICK_MS, on_lim_tick, g);
+	entry->gatekeeper = g;
+}
--- a/programs/entry/ops.c
+++ b/programs/entry/ops.c
@@ -432,6 +432,7 @@
 	a->model = g_strdup(model_name);
 	soup_server_message_pause(message);
 	g_timeout_add(STATUS_WAIT_MS, answer_rollout, a);
+	/* cppcheck-suppress memleak ; answer_rollout frees it */
 }
 
 static void
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -12,12 +12,15 @@
  * so that a broken one can be run again and the caller sees no trace. */
 #define HOLD_MAX RT_WINDOW
 #define MIN_TRY_MS 20 /* less time left than this is not worth a try */
+/* The users' measure: the first token of an admitted request. */
+#define FIRST_TOKEN_GOAL_US (1500 * 1000)
 #define RETRY_AFTER_MS 1000 /* advice when no target is there at all */
 
 struct request {
 	struct entry *entry;
 	SoupServerMessage *message;
 	struct att att;
+	struct adm_ticket ticket;
 	char id[REQUEST_ID_LEN];
 	char team[RT_NAME_MAX + 1];
 	char model[RT_NAME_MAX + 1]; /* "" for a plain service */
@@ -49,6 +52,7 @@
 	bool begun; /* the caller has seen the head */
 	GByteArray *held;
 	struct err last;
+	enum adm_outcome outcome;
 };
 
 static void free_request(struct request *r);
@@ -85,6 +89,7 @@
 {
 	r->att.facts.time_left = time_left_ms(r) >= MIN_TRY_MS;
 	r->att.facts.nothing_sent = r->side == NULL;
+	r->att.facts.budget = gatekeeper_may_retry(r->entry, r->team);
 	att_take(&r->att, event);
 	if (att_is_over(&r->att))
 		free_request(r);
@@ -181,9 +186,12 @@
 	r->side = target->owner;
 	r->stream = (int64_t)++r->entry->next_stream;
 	target->own_running++;
+	target->sent_since++;
 	g_hash_table_insert(r->side->streams, &r->stream, r);
-	if (r->att.facts.attempts > 1)
+	if (r->att.facts.attempts > 1) {
 		count(r, "request_retries");
+		gatekeeper_retried(r->entry, r->team);
+	}
 	send_request(r);
 }
 
@@ -363,6 +371,7 @@
 	    : g_strdup("application/octet-stream");
 	g_free(headers);
 	g_byte_array_set_size(r->held, 0);
+	adm_head(&r->ticket, clk_now_us(clk_system()));
 	if (r->streamed)
 		take(r, ATT_HEAD);
 }
@@ -398,10 +407,16 @@
 {
 	leave_stream(r);
 	if (!err_is(err) && err->verdict == VERDICT_RAN) {
+		r->outcome = ADM_ANSWERED;
 		take(r, ATT_DONE);
 		return;
 	}
 	r->last = *err;
+	r->outcome = ADM_OTHER;
+	if (err->code == ERR_OVERLOADED) {
+		r->outcome = ADM_OVERLOADED;
+		adm_overloaded(&r->ticket, clk_now_us(clk_system()));
+	}
 	take(r, err->verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
 }
 
@@ -459,6 +474,82 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* ------------------------------------------------------------------ */
+/* Admission                                                           */
+/* ------------------------------------------------------------------ */
+
+static struct request *
+of_ticket(struct adm_ticket *ticket)
+{
+	return (struct request *)((char *)ticket -
+	    offsetof(struct request, ticket));
+}
+
+static void
+on_admitted(struct adm_ticket *ticket, void *ctx)
+{
+	take(of_ticket(ticket), ATT_START);
+}
+
+static void
+on_not_admitted(struct adm_ticket *ticket, const struct err *err, void *ctx)
+{
+	struct request *r = of_ticket(ticket);
+
+	r->last = *err;
+	count(r, "request_not_admitted");
+	take(r, ATT_REFUSED);
+}
+
+const struct adm_ops *
+request_adm_ops(void)
+{
+	static const struct adm_ops adm_ops = {
+		.start = on_admitted,
+		.refuse = on_not_admitted,
+	};
+
+	return &adm_ops;
+}
+
+static void
+offer(struct request *r, const char *pool)
+{
+	struct adm_lane *lane =
+	    gatekeeper_lane(r->entry, r->team, pool, r->service);
+	int64_t now_us = clk_now_us(clk_system());
+
+	r->ticket.priority = r->priority;
+	r->ticket.deadline_us = r->deadline_us;
+	if (r->streamed)
+		r->ticket.goal_us = now_us + FIRST_TOKEN_GOAL_US;
+	switch (adm_offer(lane, &r->ticket, now_us, &r->last)) {
+	case ADM_STARTED:
+		take(r, ATT_START);
+		break;
+	case ADM_REFUSED:
+		count(r, "request_not_admitted");
+		take(r, ATT_REFUSED);
+		break;
+	default:
+		break;
+	}
+}
+
+/* The ticket goes with the request, whatever became of it. */
+static void
+end_ticket(struct request *r)
+{
+	int64_t now_us = clk_now_us(clk_system());
+
+	if (r->ticket.state == ADM_STARTED && r->outcome != ADM_OVERLOADED)
+		adm_done(&r->ticket, r->outcome, now_us);
+	else if (r->ticket.state == ADM_STARTED)
+		adm_done(&r->ticket, ADM_OTHER, now_us);
+	else if (r->ticket.state == ADM_WAITING)
+		adm_leave(&r->ticket, now_us);
+}
+
 /* ------------------------------------------------------------------ */
 /* Life of a request                                                   */
 /* ------------------------------------------------------------------ */
@@ -478,6 +569,7 @@
 	if (r->event_idle != 0)
 		g_source_remove(r->event_idle);
 	r->entry->open_requests--;
+	end_ticket(r);
 	g_object_unref(r->message);
 	if (r->body != NULL)
 		g_bytes_unref(r->body);
@@ -506,11 +598,21 @@
 	g_source_attach(r->gone_source, NULL);
 }
 
-void
-request_start(struct entry *entry, const struct request_ask *ask)
+struct rt_target *
+request_target(const struct request *r)
+{
+	return r->target;
+}
+
+bool
+request_start(
+    struct entry *entry, const struct request_ask *ask, struct err *err)
 {
-	struct request *r = g_new0(struct request, 1);
+	struct request *r;
 
+	if (!gatekeeper_take(entry, ask->team->name, err))
+		return false;
+	r = g_new0(struct request, 1);
 	r->entry = entry;
 	r->message = g_object_ref(ask->message);
 	g_snprintf(r->id, sizeof(r->id), "%.12s-%08x-%" G_GUINT64_FORMAT,
@@ -538,7 +640,7 @@
 	r->att.facts = (struct att_facts){
 		.idempotent = ask->idempotent,
 		.max_attempts = MAX_ATTEMPTS,
-		.budget = true,
 	};
-	take(r, ATT_START);
+	offer(r, ask->model == NULL ? "" : ask->model->pool);
+	return true;
 }
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -49,6 +49,8 @@
 
 	if (m->type == RT_EVENTS_GET)
 		send_events(entry, c, m);
+	else if (m->type == RT_DEMAND)
+		gatekeeper_told(entry, conn_peer(c), m);
 	else if (!agr_message(entry->proc.agr, c, m))
 		ctr_add(
 		    ctr_get(entry->proc.counters, "entry_unknown_messages"), 1);
@@ -75,11 +77,35 @@
 /* Settings and members                                                */
 /* ------------------------------------------------------------------ */
 
+static void
+count_entry(const struct mem_member *member, void *ctx)
+{
+	unsigned int *n = ctx;
+
+	if (member->node.kind == MEM_ENTRY && member->state != MEM_LEAVING)
+		(*n)++;
+}
+
 static void
 on_member(const struct mem_member *member, void *ctx)
 {
-	if (member->node.kind == MEM_SIDE)
-		sides_member(ctx, member);
+	struct entry *entry = ctx;
+	unsigned int n = 0;
+
+	if (member->node.kind == MEM_SIDE) {
+		sides_member(entry, member);
+		return;
+	}
+	peers_member(entry, member);
+	if (member->state == MEM_DEAD || member->state == MEM_LEAVING)
+		gatekeeper_entry_gone(entry, member->node.id);
+	if (entry->proc.agr == NULL)
+		return; /* still joining; the next change counts all */
+	agr_each_member(entry->proc.agr, count_entry, &n);
+	if (n == entry->live_entries)
+		return;
+	entry->live_entries = n;
+	gatekeeper_members(entry);
 }
 
 static bool
@@ -124,6 +150,7 @@
 	}
 	g_hash_table_replace(entry->teams, g_strdup(branch->name),
 	    rt_team_read(cfg, branch->version));
+	gatekeeper_team(entry, entry_team(entry, branch->name));
 	lead_teams_changed(entry);
 }
 
@@ -185,6 +212,8 @@
 
 	TAILQ_INIT(&entry->sides);
 	TAILQ_INIT(&entry->targets);
+	TAILQ_INIT(&entry->peers);
+	gatekeeper_open(entry);
 	entry->teams = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)rt_team_free);
 	entry->leads = g_hash_table_new(g_str_hash, g_str_equal);
--- a/programs/entry/sides.c
+++ b/programs/entry/sides.c
@@ -84,9 +84,11 @@
 	t->loaded = told.loaded;
 	t->slots = (unsigned int)told.slots;
 	t->told_running = (unsigned int)told.running;
+	t->sent_since = 0;
 	t->reachable = true;
 	t->told_accepting = told.accepting != 0;
 	t->accepting = t->told_accepting && !is_leaving(side);
+	gatekeeper_spoke(side->entry, t);
 	lead_wake(side->entry);
 }
 
@@ -94,9 +96,14 @@
 sides_apply_drain(struct entry *entry)
 {
 	struct rt_target *t;
+	bool accepting;
 
 	TAILQ_FOREACH (t, &entry->targets, link) {
-		t->accepting = t->told_accepting && !is_leaving(t->owner);
+		accepting = t->told_accepting && !is_leaving(t->owner);
+		if (accepting == t->accepting)
+			continue;
+		t->accepting = accepting;
+		gatekeeper_spoke(entry, t);
 	}
 }
 
@@ -113,6 +120,7 @@
 		 * target stays and is only out of reach. */
 		t->reachable = false;
 		t->own_running = 0;
+		gatekeeper_spoke(side->entry, t);
 	}
 }
 
@@ -141,6 +149,7 @@
 	struct request *r = find_stream(side, end->stream);
 	struct err err = { 0 };
 	char message[ERR_MESSAGE_MAX];
+	struct rt_target *target;
 
 	if (r == NULL)
 		return;
@@ -148,7 +157,11 @@
 	err_set(&err, (enum err_code)end->code, (enum verdict)end->verdict,
 	    "%s", message);
 	err.retry_after_ms = (unsigned int)end->retry_after_ms;
+	target = request_target(r);
+	target->told_running = (unsigned int)end->running;
+	target->sent_since = 0;
 	request_end(r, &err);
+	gatekeeper_spoke(side->entry, target);
 }
 
 static void
--- a/programs/entry/timeline.c
+++ b/programs/entry/timeline.c
@@ -20,10 +20,12 @@
 	bool answered;
 };
 
+TAILQ_HEAD(asked_list, asked);
+
 struct collecting {
 	struct entry *entry;
 	SoupServerMessage *message;
-	TAILQ_HEAD(asked_list, asked) asked;
+	struct asked_list asked;
 	JsonArray *events;
 	unsigned int open; /* connections that have not closed */
 	guint timer;
@@ -73,7 +75,6 @@
 	const struct asked *a;
 
 	TAILQ_FOREACH (a, &all->asked, link) {
-		/* cppcheck-suppress uninitvar ; it loses track of the list */
 		if (!a->answered)
 			json_array_add_string_element(silent, a->id);
 	}
@@ -197,7 +198,6 @@
 	all->timer = 0;
 	answer(all);
 	TAILQ_FOREACH (a, &all->asked, link) {
-		/* cppcheck-suppress uninitvar ; it loses track of the list */
 		if (a->conn != NULL)
 			conn_close(a->conn);
 	}
--- a/programs/side/door.c
+++ b/programs/side/door.c
@@ -47,7 +47,6 @@
 {
 	if (s->peer != NULL)
 		g_hash_table_remove(s->peer->streams, &s->number);
-	s->target->running--;
 	g_free(s->request_id);
 	g_free(s);
 }
@@ -127,6 +126,7 @@
 	struct err out = *err;
 
 	s->call = NULL;
+	s->target->running--; /* first: the load told is without it */
 	if (s->refused)
 		refusal(s, &out);
 	ctr_add(ctr_get(s->target->side->proc.counters,
@@ -282,6 +282,7 @@
 abandon(struct door_stream *s)
 {
 	target_call_cancel(s->call);
+	s->target->running--;
 	if (s->target->info.kind == RT_ENGINE)
 		engine_cancel(
 		    s->target->side->proc.plat, s->target->url, s->request_id);
--- a/programs/side/main.c
+++ b/programs/side/main.c
@@ -272,6 +272,7 @@
 		fprintf(stderr,
 		    "usage: currantchute-side --settings FILE\n"
 		    "example: currantchute-side --settings side-1.yaml\n");
+		g_free(side);
 		return EXIT_USAGE;
 	}
 	log_open("currantchute-side");
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,5 +10,6 @@
 cppcheck -q -j 8 --error-exitcode=1 --std=c11 --inline-suppr \
     --enable=warning,portability,performance \
     --suppress=missingInclude --suppress=missingIncludeSystem \
-    --suppress=unknownMacro --suppress=normalCheckLevelMaxBranches \
-    -Ilib $files
+    --suppress=normalCheckLevelMaxBranches --library=gtk,posix \
+    --include=tools/lint_macros.h \
+    -Ilib -Iprograms -Itests $files
