--- a/lib/agree/mem_probe.c
+++ b/lib/agree/mem_probe.c
@@ -10,7 +10,7 @@
  * credit (they are few and small); only the room for updates shrinks.
  */
 #define MEM_BYTES_S 1500
-#define MEM_BYTES_BURST 4500
+#define MEM_BYTES_BURST 2500
 #define HEADER_BYTES 96 /* proof, type, stamp, numbers of a mem_msg */
 #define ROOM_MAX (DGRAM_MAX - HEADER_BYTES)
 #define ROOM_MIN 64 /* also without credit: the member it is about */
@@ -21,6 +21,7 @@
 #define URGENT_FANOUT 5
 #define URGENT_ROOM 400
 #define DEAD_PROBE_ONE_IN 5 /* periods */
+#define MAP_CREDIT 1500
 #define PAUSE_TICKS 5 /* a longer gap than by a busy host */
 #define RELAYS_MAX 64
 #define WANTS_AT_ONCE 8 /* more are taken over by a sync */
@@ -30,7 +31,8 @@
  * differ (less those that agree) mean that news was lost. */
 #define SYNC_DIFFER 8
 #define SYNC_PERIODS 5
-#define SYNC_BYTES_S 500 /* a list is sent no faster than this on average */
+#define SYNC_BYTES_S 1000 /* a list is sent no faster than this on average */
+#define JOIN_BYTES_S 4000 /* ... while many are new, as after a cold start */
 
 static void
 refill(struct mem *mem, int64_t now_us)
@@ -58,6 +60,7 @@
 		.settings = self->settings,
 		.fence = self->fence,
 		.view = mem->view,
+		.members = mem->alive,
 		.age_ms = (uint64_t)mem_age_ms(mem, mem->bytes_us),
 		.updates = { blob->data, blob->len },
 	};
@@ -337,6 +340,17 @@
 	g_free(teller);
 }
 
+/* Beside the probes, so that an operator soon sees where a change is in
+ * force; from credit that other news leaves. */
+static void
+pass_map(struct mem *mem)
+{
+	const char *to = mem_random_address(mem);
+
+	if (to != NULL)
+		mem_send(mem, to, MEM_GOSSIP, 0, 0, NULL);
+}
+
 void
 mem_tick(struct mem *mem, int64_t now_us)
 {
@@ -367,6 +381,8 @@
 		probe_seeds(mem);
 	}
 	ask_wanted(mem, now_us);
+	if (mem->map_sends_left > 0 && mem->bytes >= MAP_CREDIT)
+		pass_map(mem);
 	mem_flush(mem, now_us);
 }
 
@@ -440,20 +456,26 @@
 	g_byte_array_unref(blob);
 }
 
+/* `many`: the peer knows many members that we lack. */
 static void
-ask_for_sync(struct mem *mem, const char *address, int64_t now_us)
+ask_for_sync(struct mem *mem, const char *address, int64_t now_us, bool many)
 {
 	int64_t period_us = (int64_t)mem->conf.gossip_ms * 1000;
-	int64_t pause_us = SYNC_PERIODS * period_us;
 	int64_t list_us = (int64_t)mem->by_id->len * 20 * G_USEC_PER_SEC;
+	int64_t pause_us;
 
-	if (now_us < mem->sync_us)
-		return;
-	pause_us = MAX(pause_us, list_us / SYNC_BYTES_S);
 	if (!mem->joined)
 		pause_us = period_us;
-	pause_us += (int64_t)rng_below(&mem->rng, (uint64_t)pause_us / 2);
-	mem->sync_us = now_us + pause_us;
+	else if (many)
+		pause_us = MAX(period_us, list_us / JOIN_BYTES_S);
+	else
+		pause_us =
+		    MAX(SYNC_PERIODS * period_us, list_us / SYNC_BYTES_S);
+	/* Spread by up to a quarter, so that not all ask in the same instant. */
+	pause_us += pause_us * (int64_t)(mem->self->key % 256) / 1024;
+	if (mem->synced_us != 0 && now_us < mem->synced_us + pause_us)
+		return;
+	mem->synced_us = now_us;
 	mem->differ = 0;
 	mem->ops->sync(address, mem->ctx);
 }
@@ -462,14 +484,17 @@
 compare_views(struct mem *mem, const struct mem_entry *e,
     const struct mem_msg *m, int64_t now_us)
 {
+	bool many;
+
 	if (m->view == mem->view) {
 		mem->differ -= mem->differ > 0;
 		return;
 	}
 	mem->differ++;
-	if (!mem->joined || mem->differ >= SYNC_DIFFER ||
-	    g_hash_table_size(mem->wanted) > WANTS_AT_ONCE)
-		ask_for_sync(mem, e->member.node.address, now_us);
+	many = g_hash_table_size(mem->wanted) > WANTS_AT_ONCE ||
+	    m->members > mem->alive + WANTS_AT_ONCE;
+	if (!mem->joined || mem->differ >= SYNC_DIFFER || many)
+		ask_for_sync(mem, e->member.node.address, now_us, many);
 }
 
 /* Facts of the sender that every datagram carries. */
@@ -503,7 +528,7 @@
 	*wanted = m->from;
 	g_hash_table_replace(mem->wanted, wanted, g_strdup(from));
 	if (!mem->joined)
-		ask_for_sync(mem, from, now_us);
+		ask_for_sync(mem, from, now_us, true);
 }
 
 void
@@ -511,6 +536,7 @@
     const struct mem_msg *m)
 {
 	struct mem_entry *e = mem_entry(mem, m->from);
+	struct mem_map map = { 0 };
 
 	if (e == mem->self)
 		return; /* our own, by a seed or hint that names us */
@@ -518,13 +544,16 @@
 	if (type == MEM_WANT)
 		answer_want(mem, from, m->updates);
 	else
-		mem_take_updates(mem, now_us, from, m->updates);
+		mem_take_updates(mem, now_us, from, m->updates, &map);
 	e = mem_entry(mem, m->from);
 	if (e == NULL ||
 	    mem_life(m->incarnation) > mem_life(e->member.node.incarnation))
 		take_from_unknown(mem, from, m, now_us);
 	else
 		take_header(mem, e, m, now_us);
+	/* The bits count members in order: only equal tables agree on it. */
+	if (map.bits.len > 0 && m->view == mem->view)
+		mem_take_map(mem, map.settings, map.bits);
 	if (type == MEM_PING)
 		mem_send(mem, from, MEM_ACK, m->seq, 0,
 		    e == NULL ? NULL : to_be_refuted(e));
--- a/lib/agree/mem_wire.c
+++ b/lib/agree/mem_wire.c
@@ -7,15 +7,16 @@
 
 /*
  * A blob is a row of msgpack arrays, told apart by their length:
- *   2  [settings digest, keys]: who has that digest (8 bytes a key)
+ *   2  [settings digest, bits]: which members have it, see mem_in_force.c
  *   3  [key, incarnation, state]
  *   4  [note kind, name, number, text]
  *   8  [incarnation, state, id, address, domain, region, kind, info]
  */
 #define STATE_BYTES 20 /* largest encoding */
 #define NOTE_BYTES (2 + 9 + 2 + INF_BRANCH_MAX + 2 + MEM_ID_MAX)
-#define DIGEST_GROUP_BYTES (1 + 9 + 3)
-#define DIGEST_KEYS_MAX 50 /* per datagram, to leave room in its budget */
+/* What comes in a larger page of a sync is no news to the others: passing it
+ * on would fill all datagrams for minutes after a cold start. */
+#define NEWS_BYTES 1500
 
 static const struct msg_field mem_fields[] = {
 	MSG_FIELD(struct mem_msg, from, MSG_U64, 0),
@@ -25,6 +26,7 @@
 	MSG_FIELD(struct mem_msg, settings, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, fence, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, view, MSG_U64, 0),
+	MSG_FIELD(struct mem_msg, members, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, age_ms, MSG_U64, 0),
 	MSG_FIELD(struct mem_msg, updates, MSG_BIN, DGRAM_MAX),
 };
@@ -108,41 +110,6 @@
 	pack_text(&pk, note->text);
 }
 
-/* One group: the members at the front of the queue with the same digest. */
-static void
-pack_digests(struct mem *mem, GByteArray *out, size_t room)
-{
-	struct mem_entry *e = TAILQ_FIRST(&mem->digests), *next;
-	uint64_t keys[DIGEST_KEYS_MAX];
-	uint64_t settings;
-	msgpack_packer pk;
-	size_t n = 0, max;
-
-	if (e == NULL || room < DIGEST_GROUP_BYTES + sizeof(keys[0]))
-		return;
-	max = MIN(
-	    G_N_ELEMENTS(keys), (room - DIGEST_GROUP_BYTES) / sizeof(keys[0]));
-	settings = e->member.settings;
-	for (; e != NULL && n < max; e = next) {
-		next = TAILQ_NEXT(e, digest_link);
-		if (e->member.settings != settings)
-			continue;
-		keys[n++] = GUINT64_TO_BE(e->key);
-		TAILQ_REMOVE(&mem->digests, e, digest_link);
-		e->digest_sends_left--;
-		/* Behind the others: fresher news has its turn first. */
-		if (e->digest_sends_left > 0)
-			TAILQ_INSERT_TAIL(&mem->digests, e, digest_link);
-		if (next == NULL)
-			break;
-	}
-	msgpack_packer_init(&pk, out, append);
-	msgpack_pack_array(&pk, 2);
-	msgpack_pack_uint64(&pk, settings);
-	msgpack_pack_bin(&pk, n * sizeof(keys[0]));
-	msgpack_pack_bin_body(&pk, keys, n * sizeof(keys[0]));
-}
-
 static void
 pack_class(struct mem *mem, GByteArray *out, size_t room, enum mem_class class)
 {
@@ -187,8 +154,7 @@
 		return;
 	pack_class(mem, out, room, MEM_CLASS_FAULT);
 	pack_class(mem, out, room, MEM_CLASS_ALIVE);
-	if (out->len < room)
-		pack_digests(mem, out, room - out->len);
+	mem_pack_map(mem, out, room);
 }
 
 /* ------------------------------------------------------------------ */
@@ -216,16 +182,6 @@
 	return true;
 }
 
-/* The next array of a blob; false at its end or at what is none. */
-static bool
-next_record(msgpack_unpacked *got, struct slice blob, size_t *at)
-{
-	if (msg_flat_len(blob.data + *at, blob.len - *at) == 0)
-		return false;
-	return msgpack_unpack_next(got, (const char *)blob.data, blob.len,
-		   at) == MSGPACK_UNPACK_SUCCESS;
-}
-
 static void
 take_state(struct mem *mem, int64_t now_us, const char *from,
     const msgpack_object *field)
@@ -258,22 +214,13 @@
 }
 
 static void
-take_digests(struct mem *mem, const msgpack_object *field)
+take_map(const msgpack_object *field, struct mem_map *map)
 {
-	const msgpack_object_bin *keys = &field[1].via.bin;
-	uint64_t settings, key;
-	struct mem_entry *e;
-	size_t i;
-
-	if (!get_number(&field[0], UINT64_MAX, &settings) ||
-	    field[1].type != MSGPACK_OBJECT_BIN)
+	if (map == NULL || field[1].type != MSGPACK_OBJECT_BIN ||
+	    !get_number(&field[0], UINT64_MAX, &map->settings))
 		return;
-	for (i = 0; i + sizeof(key) <= keys->size; i += sizeof(key)) {
-		memcpy(&key, keys->ptr + i, sizeof(key));
-		e = mem_entry(mem, GUINT64_FROM_BE(key));
-		if (e != NULL && e != mem->self)
-			mem_seen_settings(mem, e, settings);
-	}
+	map->bits = (struct slice){ (const uint8_t *)field[1].via.bin.ptr,
+		field[1].via.bin.size };
 }
 
 static void
@@ -297,8 +244,8 @@
 }
 
 void
-mem_take_updates(
-    struct mem *mem, int64_t now_us, const char *from, struct slice updates)
+mem_take_updates(struct mem *mem, int64_t now_us, const char *from,
+    struct slice updates, struct mem_map *map)
 {
 	msgpack_unpacked got;
 	size_t at = 0;
@@ -306,11 +253,14 @@
 	const msgpack_object *field;
 
 	msgpack_unpacked_init(&got);
-	while (next_record(&got, updates, &at)) {
+	while (msgpack_unpack_next(&got, (const char *)updates.data,
+		   updates.len, &at) == MSGPACK_UNPACK_SUCCESS) {
+		if (o->type != MSGPACK_OBJECT_ARRAY)
+			break;
 		field = o->via.array.ptr;
 		switch (o->via.array.size) {
 		case 2:
-			take_digests(mem, field);
+			take_map(field, map);
 			break;
 		case 3:
 			take_state(mem, now_us, from, field);
@@ -388,26 +338,34 @@
 		end_page(p);
 }
 
-/* Key -> incarnation of the states in a list. */
+struct listed {
+	uint64_t key, incarnation, state;
+};
+
+/* Key -> struct listed, which holds the key. */
 static GHashTable *
 read_list(struct slice list)
 {
 	GHashTable *known =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	msgpack_unpacked got;
 	size_t at = 0;
 	const msgpack_object *field;
-	uint64_t key, incarnation;
+	struct listed l;
+	struct listed *kept;
 
 	msgpack_unpacked_init(&got);
-	while (next_record(&got, list, &at)) {
+	while (msgpack_unpack_next(&got, (const char *)list.data, list.len,
+		   &at) == MSGPACK_UNPACK_SUCCESS) {
 		field = got.data.via.array.ptr;
-		if (got.data.via.array.size != 3 ||
-		    !get_number(&field[0], UINT64_MAX, &key) ||
-		    !get_number(&field[1], UINT64_MAX, &incarnation))
+		if (got.data.type != MSGPACK_OBJECT_ARRAY ||
+		    got.data.via.array.size != 3 ||
+		    !get_number(&field[0], UINT64_MAX, &l.key) ||
+		    !get_number(&field[1], UINT64_MAX, &l.incarnation) ||
+		    !get_number(&field[2], MEM_DEAD, &l.state))
 			continue;
-		g_hash_table_replace(known, g_memdup2(&key, sizeof(key)),
-		    g_memdup2(&incarnation, sizeof(incarnation)));
+		kept = g_memdup2(&l, sizeof(l));
+		g_hash_table_replace(known, &kept->key, kept);
 	}
 	msgpack_unpacked_destroy(&got);
 	return known;
@@ -417,18 +375,22 @@
 page_missing(struct mem *mem, GHashTable *known, struct pages *p)
 {
 	const struct mem_entry *e;
-	const uint64_t *theirs;
+	const struct listed *theirs;
+	uint64_t incarnation;
 	guint i;
 
 	for (i = 0; i < mem->by_id->len; i++) {
 		e = g_ptr_array_index(mem->by_id, i);
 		theirs = g_hash_table_lookup(known, &e->key);
+		incarnation = e->member.node.incarnation;
 		if (e->member.state == MEM_DEAD && theirs == NULL)
 			continue;
 		if (theirs == NULL ||
-		    mem_life(*theirs) < mem_life(e->member.node.incarnation))
+		    mem_life(theirs->incarnation) < mem_life(incarnation))
 			page_record(p, e);
-		else
+		else if (theirs->incarnation < incarnation ||
+		    (theirs->incarnation == incarnation &&
+			theirs->state < e->member.state))
 			mem_pack_state(p->bytes, e);
 	}
 	pack_roles(mem, p->bytes);
@@ -442,22 +404,25 @@
 	GHashTable *known = read_list(list);
 	struct pages p = { g_byte_array_new(), page, ctx };
 	GHashTableIter iter;
-	gpointer key;
+	gpointer value;
+	const struct listed *theirs;
+	const struct mem_entry *e;
 	uint64_t be;
 
 	/* No teller: what we lack is asked for over this connection. */
-	mem_take_updates(mem, now_us, NULL, list);
+	mem_take_updates(mem, now_us, NULL, list, NULL);
 	page_missing(mem, known, &p);
 	end_page(&p);
 	g_hash_table_iter_init(&iter, known);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const uint64_t *theirs = g_hash_table_lookup(known, key);
-		const struct mem_entry *e = mem_entry(mem, *(uint64_t *)key);
-
-		if (e != NULL &&
-		    mem_life(*theirs) <= mem_life(e->member.node.incarnation))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		theirs = value;
+		e = mem_entry(mem, theirs->key);
+		if (theirs->state == MEM_DEAD ||
+		    (e != NULL &&
+			mem_life(theirs->incarnation) <=
+			    mem_life(e->member.node.incarnation)))
 			continue;
-		be = GUINT64_TO_BE(*(uint64_t *)key);
+		be = GUINT64_TO_BE(theirs->key);
 		g_byte_array_append(lacking, (guint8 *)&be, sizeof(be));
 	}
 	g_hash_table_unref(known);
@@ -488,11 +453,13 @@
 mem_sync_page(struct mem *mem, int64_t now_us, struct slice page)
 {
 	mem->joined = true;
-	mem_take_updates(mem, now_us, NULL, page);
+	mem->many_news = page.len > NEWS_BYTES;
+	mem_take_updates(mem, now_us, NULL, page, NULL);
+	mem->many_news = false;
 }
 
 void
 mem_sync_roles(struct mem *mem, int64_t now_us, struct slice roles)
 {
-	mem_take_updates(mem, now_us, NULL, roles);
+	mem_take_updates(mem, now_us, NULL, roles, NULL);
 }
