--- /dev/null
+++ b/bench/http_call.c
@@ -0,0 +1,41 @@
+/* One HTTP exchange for the bench scripts: `http_call METHOD URL [BODY]`
+ * prints the answer's body; status 1 unless it is a 2xx. */
+
+#include <libsoup/soup.h>
+#include <stdio.h>
+#include <string.h>
+
+int
+main(int argc, char **argv)
+{
+	SoupSession *session = soup_session_new();
+	SoupMessage *message;
+	GBytes *answer;
+	guint status;
+
+	if (argc < 3) {
+		fprintf(stderr, "http_call METHOD URL [BODY]\n");
+		return 2;
+	}
+	message = soup_message_new(argv[1], argv[2]);
+	if (message == NULL)
+		return 2;
+	if (argc > 3) {
+		GBytes *body = g_bytes_new(argv[3], strlen(argv[3]));
+
+		soup_message_set_request_body_from_bytes(
+		    message, "application/json", body);
+		g_bytes_unref(body);
+	}
+	answer = soup_session_send_and_read(session, message, NULL, NULL);
+	status = soup_message_get_status(message);
+	if (answer != NULL) {
+		fwrite(g_bytes_get_data(answer, NULL), 1,
+		    g_bytes_get_size(answer), stdout);
+		putchar('\n');
+		g_bytes_unref(answer);
+	}
+	g_object_unref(message);
+	g_object_unref(session);
+	return answer != NULL && status / 100 == 2 ? 0 : 1;
+}
--- a/bench/weights_node.c
+++ b/bench/weights_node.c
@@ -178,7 +178,7 @@
 	       " peer_bytes=%" PRId64 " control_bytes=%" PRId64
 	       " late_bytes=%" PRId64 " stalls=%" PRId64 " busy=%" PRId64
 	       " corrupt=%" PRId64 " out_of_turn=%" PRId64 " extra=%" PRId64
-	       " rss=%" PRIu64 " why=%s\n",
+	       " rss=%" PRIu64 " held=%" PRIu64 " why=%s\n",
 	    word, b->opt.id, index, g_get_real_time() / 1000, p.have, p.total,
 	    ctr_read(set, "wts_origin_bytes"),
 	    ctr_read(set, "wts_cross_domain_bytes"),
@@ -189,7 +189,8 @@
 	    ctr_read(set, "wts_corrupt_from_peers") +
 		ctr_read(set, "wts_corrupt_from_origin"),
 	    ctr_read(set, "wts_reads_out_of_turn"),
-	    ctr_read(set, "wts_extra_reads"), resident_bytes(), p.why);
+	    ctr_read(set, "wts_extra_reads"), resident_bytes(),
+	    p.have * (index < 0 ? 0 : b->version[index].chunk_bytes), p.why);
 	fflush(stdout);
 }
 
@@ -253,11 +254,13 @@
 	struct wts_progress old = { 0 };
 	struct wts_want w = {
 		.version = b->version[index],
-		.policy = b->opt.copies > 1 ? WTS_TIME_FIRST : WTS_ORIGIN_FIRST,
+		.policy = b->opt.copies == 0 ? WTS_PEERS_ONLY : WTS_TIME_FIRST,
 		.origin_copies = (unsigned int)b->opt.copies,
 	};
 	struct err err;
 
+	if (!wts_want(b->wts, &w, &err))
+		g_error("%s", err.message);
 	if (index == 1) {
 		/* A version in mid-flight is superseded; a whole one serves
 		 * until the next is whole. */
@@ -265,8 +268,6 @@
 		if (old.phase != WTS_WHOLE)
 			wts_drop(b->wts, &b->version[0].root);
 	}
-	if (!wts_want(b->wts, &w, &err))
-		g_error("%s", err.message);
 	b->wanted = index;
 	set_members(b, &w.version.root);
 }
@@ -285,6 +286,18 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/* The members list has changed. */
+static gboolean
+on_hup(gpointer data)
+{
+	struct bench_node *b = data;
+	int i;
+
+	for (i = 0; i <= b->wanted; i++)
+		set_members(b, &b->version[i].root);
+	return G_SOURCE_CONTINUE;
+}
+
 static gboolean
 on_term(gpointer data)
 {
@@ -428,6 +441,7 @@
 	b.loop = g_main_loop_new(NULL, FALSE);
 	g_unix_signal_add(SIGUSR1, on_first, &b);
 	g_unix_signal_add(SIGUSR2, on_second, &b);
+	g_unix_signal_add(SIGHUP, on_hup, &b);
 	g_unix_signal_add(SIGTERM, on_term, &b);
 	start(&b);
 	g_main_loop_run(b.loop);
--- a/lib/weights/hold.c
+++ b/lib/weights/hold.c
@@ -20,6 +20,7 @@
 };
 
 struct hold_version {
+	LIST_ENTRY(hold_version) retired;
 	struct hold *hold;
 	uint64_t nuses;
 	hold_filled_cb *filled;
@@ -31,6 +32,7 @@
 	GHashTable *chunks; /* digest (inside the chunk) -> struct hold_chunk */
 	uint64_t limit;
 	uint64_t reserved;
+	LIST_HEAD(retired_list, hold_version) retired;
 };
 
 static void
@@ -50,6 +52,7 @@
 	hold->chunks = g_hash_table_new_full(
 	    digest_hash, digest_equal_ptr, NULL, free_chunk);
 	hold->limit = memory_bytes;
+	LIST_INIT(&hold->retired);
 	return hold;
 }
 
@@ -58,6 +61,7 @@
 {
 	if (hold == NULL)
 		return;
+	hold_sweep(hold);
 	g_assert(g_hash_table_size(hold->chunks) == 0);
 	g_hash_table_unref(hold->chunks);
 	g_free(hold);
@@ -100,6 +104,8 @@
 		    version_chunk_len(v, i));
 	}
 	/* A chunk that occurs twice, or in another version, counted once. */
+	if (hold->reserved > hold->limit)
+		hold_sweep(hold);
 	if (hold->reserved > hold->limit) {
 		if (missing_out != NULL)
 			*missing_out = hold->reserved - hold->limit;
@@ -132,6 +138,24 @@
 	g_free(version);
 }
 
+void
+hold_retire(struct hold_version *version)
+{
+	version->filled = NULL;
+	LIST_INSERT_HEAD(&version->hold->retired, version, retired);
+}
+
+void
+hold_sweep(struct hold *hold)
+{
+	struct hold_version *version;
+
+	while ((version = LIST_FIRST(&hold->retired)) != NULL) {
+		LIST_REMOVE(version, retired);
+		hold_close(version);
+	}
+}
+
 GBytes *
 hold_get(const struct hold_version *version, uint64_t index)
 {
@@ -160,7 +184,9 @@
 	LIST_FOREACH (use, &chunk->uses, link) {
 		struct hold_version *user = use->version;
 
-		user->filled(user, (uint64_t)(use - user->uses), user->ctx);
+		if (user->filled != NULL)
+			user->filled(
+			    user, (uint64_t)(use - user->uses), user->ctx);
 	}
 }
 
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -136,6 +136,14 @@
 	p->conf.copies = copies;
 }
 
+static void
+count_holder(struct pick_chunk *c, const struct pick_peer *peer, int by)
+{
+	c->holders = (uint16_t)(c->holders + by);
+	if (peer->near)
+		c->near_holders = (uint16_t)(c->near_holders + by);
+}
+
 void
 pick_add_peer(struct pick *p, struct pick_peer *peer, bool near)
 {
@@ -158,8 +166,10 @@
 			pick_ended(p, ask->index, peer, PICK_GONE, now_us);
 		ask = next;
 	}
-	for (i = 0; i < p->conf.chunks; i++)
-		p->chunks[i].holders -= bits_get(peer->bits, i);
+	for (i = 0; i < p->conf.chunks; i++) {
+		if (bits_get(peer->bits, i))
+			count_holder(&p->chunks[i], peer, -1);
+	}
 	TAILQ_REMOVE(&p->peers, peer, link);
 	g_clear_pointer(&peer->bits, g_free);
 }
@@ -184,7 +194,7 @@
 	if (bits_get(peer->bits, index))
 		return;
 	bits_set(peer->bits, index);
-	p->chunks[index].holders++;
+	count_holder(&p->chunks[index], peer, 1);
 	if (!p->chunks[index].claimed) {
 		p->chunks[index].claimed = true;
 		p->chunks[index].claimed_us = now_us;
@@ -350,7 +360,7 @@
 	if (peer != NULL) {
 		if (reason == PICK_REFUSED && bits_get(peer->bits, index)) {
 			bits_clear(peer->bits, index);
-			c->holders--;
+			count_holder(c, peer, -1);
 		}
 		rest_peer(p, peer, reason, now_us);
 		return;
@@ -470,8 +480,10 @@
 /* ------------------------------------------------------------------ */
 
 static bool
-can_ask(const struct pick_peer *peer, int64_t now_us)
+can_ask(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
 {
+	if (!peer->near && p->open_asks >= PICK_FAR_ASKS)
+		return false;
 	return peer->open < PICK_ASKS_PER_PEER &&
 	    peer->load + peer->open < PICK_LOAD_MAX && peer->rest_us <= now_us;
 }
@@ -494,8 +506,12 @@
 		for (; left != 0; left &= left - 1) {
 			uint64_t index =
 			    at * BITS_WORD + (uint64_t)__builtin_ctzll(left);
-			uint32_t holders = p->chunks[index].holders;
+			const struct pick_chunk *c = &p->chunks[index];
+			uint32_t holders = c->holders;
 
+			if (!peer->near && c->near_holders > 0 &&
+			    p->open_asks >= PICK_FAR_COMMON)
+				continue;
 			if (holders < best)
 				ties = 0;
 			if (holders > best || rng_below(rng, ++ties) != 0)
@@ -525,7 +541,7 @@
 	uint64_t index;
 
 	TAILQ_FOREACH (peer, &p->peers, link) {
-		if (!can_ask(peer, now_us))
+		if (!can_ask(p, peer, now_us))
 			continue;
 		if (best != NULL && better_peer(best, peer))
 			continue;
@@ -594,6 +610,12 @@
 	}
 }
 
+static bool
+may_read(const struct pick *p)
+{
+	return p->ranked && p->conf.copies > 0 && p->open_reads < PICK_READS;
+}
+
 void
 pick_next(const struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
     struct pick_action *out)
@@ -607,14 +629,12 @@
 	}
 	if (find_expired(p, now_us, out))
 		return;
-	if (may_fetch && p->ranked && p->open_reads < PICK_READS &&
-	    find_read(p, now_us, rng, out, &due_us))
+	if (may_fetch && may_read(p) && find_read(p, now_us, rng, out, &due_us))
 		return;
 	if (may_fetch && p->open_asks + p->open_reads < PICK_ASKS) {
 		if (find_ask(p, now_us, rng, out))
 			return;
-		if (p->ranked && p->open_reads < PICK_READS &&
-		    find_extra_read(p, now_us, rng, out))
+		if (may_read(p) && find_extra_read(p, now_us, rng, out))
 			return;
 		earliest_rest(p, now_us, out);
 	}
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -23,6 +23,8 @@
 
 #define PICK_ASKS 4 /* open at a time; covers round trips and queues */
 #define PICK_ASKS_PER_PEER 2
+#define PICK_FAR_ASKS 3
+#define PICK_FAR_COMMON 1
 #define PICK_READS 1 /* open at a time, from the origin */
 #define PICK_LOAD_MAX 4 /* a peer with so many uploads open is not asked */
 #define PICK_RANKS 16 /* higher ranks count as the last */
@@ -69,7 +71,8 @@
 	uint8_t reader; /* place of its first reader */
 	bool claimed; /* somebody began to read it from the origin */
 	uint8_t bad_reads; /* corrupt copies from the origin, here */
-	uint32_t holders; /* connected peers that have it */
+	uint16_t holders; /* connected peers that have it */
+	uint16_t near_holders; /* of them, in this host's domain */
 	int64_t claimed_us;
 };
 
@@ -77,7 +80,7 @@
 	uint64_t chunks;
 	uint64_t chunk_bytes;
 	uint64_t rate; /* bytes a second of the download budget */
-	unsigned int copies; /* from the origin, over all hosts */
+	unsigned int copies; /* from the origin, over all hosts; 0: never */
 	size_t members; /* of the rollout, this host included */
 };
 
--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -50,10 +50,13 @@
 	const char *own = peer->xfer->wts->conf.domain;
 	char *domain = slice_dup(join->domain);
 
-	peer->joined = true;
-	peer->near = strcmp(domain, own) == 0;
-	peer->for_list.near = peer->near;
-	peer->for_chunks.near = peer->near;
+	/* Nothing of what it has was counted before. */
+	if (!peer->joined) {
+		peer->joined = true;
+		peer->near = strcmp(domain, own) == 0;
+		peer->for_list.near = peer->near;
+		peer->for_chunks.near = peer->near;
+	}
 	g_free(domain);
 }
 
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -44,6 +44,7 @@
 enum wts_policy {
 	WTS_TIME_FIRST, /* several origin copies allowed */
 	WTS_ORIGIN_FIRST, /* one origin copy in all */
+	WTS_PEERS_ONLY, /* this host never reads the origin */
 };
 
 enum wts_phase {
@@ -93,13 +94,15 @@
 struct wts_want {
 	struct wts_version version;
 	enum wts_policy policy;
-	unsigned int origin_copies; /* over all hosts together */
+	unsigned int origin_copies; /* over all hosts; WTS_TIME_FIRST only */
 };
 /* Starts, or goes on with changed terms; idempotent. Chunks held for other
  * versions are reused. ERR_INVALID for sizes out of bounds. Nothing is
  * fetched before wts_set_peers was called once. */
 bool wts_want(struct wts *wts, const struct wts_want *want, struct err *err);
-/* Stops and forgets; its chunks go unless another version has them. */
+/* Stops and forgets; its chunks go unless another version has them. When a
+ * version takes the place of another, want the new one first: chunks of the
+ * old one are then kept until the new one's list has come. */
 void wts_drop(struct wts *wts, const struct digest *root);
 /* Who else takes part now (live or suspected members, not this host). Given
  * again whenever it changes; peers gone are closed. */
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -166,6 +166,19 @@
 	return true;
 }
 
+/* A version whose list has not come yet may share what dropped ones held. */
+void
+wts_sweep(struct wts *wts)
+{
+	struct xfer *x;
+
+	TAILQ_FOREACH (x, &wts->xfers, link) {
+		if (x->phase == WTS_LIST)
+			return;
+	}
+	hold_sweep(wts->hold);
+}
+
 void
 wts_drop(struct wts *wts, const struct digest *root)
 {
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -104,6 +104,7 @@
 		    "memory budget: %" G_GUINT64_FORMAT " bytes too small",
 		    missing);
 		set_phase(x, WTS_NO_ROOM);
+		wts_sweep(x->wts);
 		return;
 	}
 	for (i = 0; i < x->pick->conf.chunks; i++) {
@@ -111,6 +112,7 @@
 			pick_got(x->pick, i);
 	}
 	set_phase(x, WTS_FETCHING);
+	wts_sweep(x->wts);
 	TAILQ_FOREACH (peer, &x->peers, link) {
 		if (peer->open)
 			peer_tell_have(peer);
@@ -126,7 +128,7 @@
 		.chunks = chunks,
 		.chunk_bytes = chunk_bytes,
 		.rate = wts->conf.download_bytes_s,
-		.copies = MAX(x->want.origin_copies, 1),
+		.copies = 1,
 		.members = 1,
 	};
 
@@ -166,7 +168,8 @@
 		read_free(r);
 	while ((peer = TAILQ_FIRST(&x->peers)) != NULL)
 		peer_drop(peer);
-	hold_close(x->held);
+	if (x->held != NULL)
+		hold_retire(x->held);
 	pick_free(x->list_pick);
 	pick_free(x->pick);
 	timer_stop(&x->pump_timer);
@@ -181,10 +184,16 @@
 void
 xfer_set_want(struct xfer *x, const struct wts_want *want)
 {
+	unsigned int copies = 1;
+
 	x->want.policy = want->policy;
 	x->want.origin_copies = want->origin_copies;
-	pick_set_copies(x->pick,
-	    want->policy == WTS_ORIGIN_FIRST ? 1 : MAX(want->origin_copies, 1));
+	if (want->policy == WTS_PEERS_ONLY)
+		copies = 0;
+	else if (want->policy == WTS_TIME_FIRST)
+		copies = MAX(want->origin_copies, 1);
+	pick_set_copies(x->list_pick, MIN(copies, 1));
+	pick_set_copies(x->pick, copies);
 	xfer_pump_soon(x);
 }
 
--- a/lib/weights/xfer.h
+++ b/lib/weights/xfer.h
@@ -121,6 +121,8 @@
 struct wts *wts_new_from(const struct wts_conf *conf, const struct wts_ops *ops,
     void *ctx, const struct wts_source *source);
 struct xfer *wts_find(struct wts *wts, const struct digest *root);
+/* Lets go of dropped versions' chunks, unless a list is still to come. */
+void wts_sweep(struct wts *wts);
 /* Bytes came in: over the budget, all peers' connections pause. */
 void wts_received(struct wts *wts, uint64_t bytes);
 
