--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -50,10 +50,13 @@
 	const char *own = peer->xfer->wts->conf.domain;
 	char *domain = slice_dup(join->domain);
 
-	peer->joined = true;
-	peer->near = strcmp(domain, own) == 0;
-	peer->for_list.near = peer->near;
-	peer->for_chunks.near = peer->near;
+	/* Nothing of what it has was counted before. */
+	if (!peer->joined) {
+		peer->joined = true;
+		peer->near = strcmp(domain, own) == 0;
+		peer->for_list.near = peer->near;
+		peer->for_chunks.near = peer->near;
+	}
 	g_free(domain);
 }
 
@@ -252,7 +255,7 @@
 	    msg_read(m, &proto_news_desc, &u, NULL))
 		take_news(peer, &u.news);
 	else if (m->type == PROTO_GET && msg_read(m, &proto_get_desc, &u, NULL))
-		serve_get(peer, u.get.index);
+		serve_get(peer, &u.get);
 	else if (m->type == PROTO_DATA &&
 	    msg_read(m, &proto_data_desc, &u, NULL))
 		take_data(peer, &u.data);
--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -106,6 +106,18 @@
 	return true;
 }
 
+#define TOO_LARGE "currantchute-too-large" /* mark on a cut-off request */
+
+static bool
+is_too_large(SoupServerMessage *message, struct err *err)
+{
+	if (g_object_get_data(G_OBJECT(message), TOO_LARGE) == NULL)
+		return false;
+	err_set(err, ERR_TOO_LARGE, VERDICT_NOT_RUN, "body above %u bytes",
+	    RT_BODY_MAX);
+	return true;
+}
+
 /* Deadline, priority, key, body: alike for models and services. */
 static bool
 read_common(
@@ -125,10 +137,8 @@
 		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
 		    "header Idempotency-Key: at most %d bytes", RT_NAME_MAX);
 	}
-	if (g_object_get_data(G_OBJECT(message), "too-large") != NULL) {
-		return err_set(err, ERR_TOO_LARGE, VERDICT_NOT_RUN,
-		    "body above %u bytes", RT_BODY_MAX);
-	}
+	if (is_too_large(message, err))
+		return false;
 	ask->body = soup_message_body_flatten(body);
 	return true;
 }
@@ -227,7 +237,7 @@
 	/* Drawing an answer twice harms nobody, unless the caller says by a
 	 * key that it must happen once. */
 	ask.idempotent = ask.key == NULL;
-	request_start(entry, &ask);
+	request_start(entry, &ask, err);
 	g_bytes_unref(ask.body);
 }
 
@@ -243,8 +253,9 @@
 	if (strcmp(soup_server_message_get_method(message), "POST") != 0)
 		err_set(&err, ERR_INVALID, VERDICT_NOT_RUN,
 		    "POST is the method here");
-	else if (read_chat(soup_server_message_get_request_body(message), &team,
-		     &model, &streamed, &err))
+	else if (!is_too_large(message, &err) &&
+	    read_chat(soup_server_message_get_request_body(message), &team,
+		&model, &streamed, &err))
 		start_chat(entry, message, team, model, streamed, &err);
 	if (err_is(&err))
 		refuse(entry, message, &err);
@@ -282,7 +293,7 @@
 	if (!err_is(err) && read_common(message, &ask, err)) {
 		ask.idempotent =
 		    rt_service_is_idempotent(ask.service, ask.method);
-		request_start(entry, &ask);
+		request_start(entry, &ask, err);
 		g_bytes_unref(ask.body);
 	}
 	g_free(path);
@@ -323,7 +334,7 @@
 	 * dropped, so that one caller cannot fill our memory. */
 	soup_message_body_truncate(body);
 	soup_message_body_set_accumulate(body, FALSE);
-	g_object_set_data(G_OBJECT(message), "too-large", message);
+	g_object_set_data(G_OBJECT(message), TOO_LARGE, message);
 }
 
 static void
@@ -417,17 +428,22 @@
 	refuse(data, message, &err);
 }
 
+/* The server looks up one entry per path, so the early check that bounds
+ * bodies goes with every handler. */
+void
+caller_handle(struct entry *entry, const char *path, SoupServerCallback handler)
+{
+	soup_server_add_early_handler(entry->http, path, on_early, entry, NULL);
+	soup_server_add_handler(entry->http, path, handler, entry, NULL);
+}
+
 void
 caller_open(struct entry *entry)
 {
-	SoupServer *http = entry->http;
-
-	soup_server_add_early_handler(http, NULL, on_early, entry, NULL);
-	soup_server_add_handler(http, NULL, on_other, entry, NULL);
-	soup_server_add_handler(
-	    http, "/v1/chat/completions", on_chat, entry, NULL);
-	soup_server_add_handler(http, "/services", on_service, entry, NULL);
-	soup_server_add_handler(http, "/healthz", on_health, entry, NULL);
-	soup_server_add_handler(http, "/metrics", on_metrics, entry, NULL);
-	soup_server_add_handler(http, "/events", on_events, entry, NULL);
+	caller_handle(entry, NULL, on_other);
+	caller_handle(entry, "/v1/chat/completions", on_chat);
+	caller_handle(entry, "/services", on_service);
+	caller_handle(entry, "/healthz", on_health);
+	caller_handle(entry, "/metrics", on_metrics);
+	caller_handle(entry, "/events", on_events);
 }
--- a/programs/entry/ops.c
+++ b/programs/entry/ops.c
@@ -432,6 +432,7 @@
 	a->model = g_strdup(model_name);
 	soup_server_message_pause(message);
 	g_timeout_add(STATUS_WAIT_MS, answer_rollout, a);
+	/* cppcheck-suppress memleak ; answer_rollout frees it */
 }
 
 static void
@@ -472,10 +473,8 @@
 void
 ops_open(struct entry *entry)
 {
-	SoupServer *http = entry->http;
-
-	soup_server_add_handler(http, "/v1/settings", on_settings, entry, NULL);
-	soup_server_add_handler(http, "/v1/status", on_status, entry, NULL);
-	soup_server_add_handler(http, "/v1/rollout", on_rollout, entry, NULL);
-	soup_server_add_handler(http, "/v1/timeline", on_timeline, entry, NULL);
+	caller_handle(entry, "/v1/settings", on_settings);
+	caller_handle(entry, "/v1/status", on_status);
+	caller_handle(entry, "/v1/rollout", on_rollout);
+	caller_handle(entry, "/v1/timeline", on_timeline);
 }
--- a/programs/side/main.c
+++ b/programs/side/main.c
@@ -2,6 +2,7 @@
 
 #include <popt.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "side/side.h"
@@ -271,6 +272,7 @@
 		fprintf(stderr,
 		    "usage: currantchute-side --settings FILE\n"
 		    "example: currantchute-side --settings side-1.yaml\n");
+		g_free(side);
 		return EXIT_USAGE;
 	}
 	log_open("currantchute-side");
@@ -282,5 +284,6 @@
 	log_info("side %s stopped", side->proc.node.id);
 	log_close();
 	poptFreeContext(pc);
+	free(settings);
 	return EXIT_OK;
 }
