--- /dev/null
+++ b/tests/agree/test_inf.c
@@ -0,0 +1,250 @@
+/* Which offered settings are taken, when a node may begin, who is first. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "agree/agr_internal.h"
+
+static const char v1[] = "team: konya\nlimits: {requests_s: 1}\n";
+static const char v2[] = "team: konya\nlimits: {requests_s: 2}\n";
+static const char broken[] = "team: konya\nlimits: {requests_s: many}\n";
+static const char root[] = "team: platform\n"
+			   "teams:\n"
+			   "  konya: {requests_s: 10, queue: 9000}\n";
+
+static int64_t
+in_force(struct inf *inf)
+{
+	return cfg_int(inf_find(inf, "konya")->cfg, "limits.requests_s");
+}
+
+/*
+ * A watcher that was paused wakes and offers what was in force long ago; a
+ * peer from a cut region and a slow answer do the same. An accepted change
+ * would revert for everybody who listens to them.
+ */
+static void
+test_versions_only_grow(void **state)
+{
+	struct inf *inf = inf_new();
+	uint64_t digest, before = inf_digest(inf);
+
+	assert_int_equal(inf_offer(inf, "konya", 7, v2, NULL), INF_TAKEN);
+	digest = inf_digest(inf);
+	assert_true(digest > before);
+	assert_int_equal(inf_offer(inf, "konya", 6, v1, NULL), INF_OLD);
+	assert_int_equal(inf_offer(inf, "konya", 7, v1, NULL), INF_OLD);
+	assert_int_equal(in_force(inf), 2);
+	assert_true(inf_digest(inf) == digest);
+	/* Going back is a new version. */
+	assert_int_equal(inf_offer(inf, "konya", 8, v1, NULL), INF_TAKEN);
+	assert_int_equal(in_force(inf), 1);
+	assert_true(inf_digest(inf) > digest);
+	inf_free(inf);
+}
+
+/* A text that fails its check is refused once, not pulled again for ever. */
+static void
+test_broken_text_leaves_the_old_in_force(void **state)
+{
+	struct inf *inf = inf_new();
+	struct err err = { 0 };
+
+	inf_offer(inf, "konya", 1, v1, NULL);
+	assert_int_equal(inf_offer(inf, "konya", 2, broken, &err), INF_REFUSED);
+	assert_non_null(strstr(err.message, "requests_s"));
+	assert_int_equal(in_force(inf), 1);
+	assert_false(inf_is_news(inf, "konya", 2));
+	assert_int_equal(inf_offer(inf, "a.b", 1, v1, &err), INF_REFUSED);
+	assert_int_equal(inf_offer(inf, "konya", 3, v2, NULL), INF_TAKEN);
+	inf_free(inf);
+}
+
+/* The parent bounds its children, whichever of the two is written. */
+static void
+test_writes_are_checked_against_the_tree(void **state)
+{
+	struct inf *inf = inf_new();
+
+	inf_offer(inf, INF_ROOT_BRANCH, 1, root, NULL);
+	assert_true(inf_check_write(inf, "konya", v2, NULL));
+	assert_false(inf_check_write(
+	    inf, "konya", "team: konya\nlimits: {requests_s: 11}\n", NULL));
+	inf_offer(inf, "konya", 1, v2, NULL);
+	assert_false(inf_check_write(inf, INF_ROOT_BRANCH,
+	    "team: platform\nteams:\n  konya: {requests_s: 1, queue: 9000}\n",
+	    NULL));
+	assert_true(inf_check_write(inf, INF_ROOT_BRANCH, root, NULL));
+	inf_free(inf);
+}
+
+static void
+offer_to(const struct inf_branch *branch, void *ctx)
+{
+	inf_offer(ctx, branch->name, branch->version, branch->yaml, NULL);
+}
+
+/* Two parts that took different changes while apart end with the same. */
+static void
+test_pulls_both_ways_end_equal(void **state)
+{
+	struct inf *a = inf_new(), *b = inf_new();
+	GByteArray *known;
+
+	inf_offer(a, INF_ROOT_BRANCH, 3, root, NULL);
+	inf_offer(a, "konya", 1, v1, NULL);
+	inf_offer(b, INF_ROOT_BRANCH, 2, root, NULL);
+	inf_offer(b, "konya", 2, v2, NULL);
+	known = inf_known(a);
+	inf_each_newer(
+	    b, (struct slice){ known->data, known->len }, offer_to, a);
+	g_byte_array_unref(known);
+	known = inf_known(b);
+	inf_each_newer(
+	    a, (struct slice){ known->data, known->len }, offer_to, b);
+	g_byte_array_unref(known);
+	assert_true(inf_digest(a) == inf_digest(b));
+	assert_int_equal(in_force(a), 2);
+	assert_int_equal(inf_find(b, INF_ROOT_BRANCH)->version, 3);
+	inf_free(a);
+	inf_free(b);
+}
+
+/*
+ * A node that answers before it knows what was accepted would serve a state
+ * that was left behind: it waits for the API, or several who have begun.
+ */
+static void
+test_start_waits_for_enough(void **state)
+{
+	struct inf_start s = { 0 };
+
+	assert_false(inf_may_begin(&s));
+	s.api_failed = true;
+	s.waited_us = G_USEC_PER_SEC * INT64_C(3600);
+	assert_false(inf_may_begin(&s)); /* alone: never without the API */
+	s.peers_known = 5;
+	assert_false(inf_may_begin(&s));
+	s.peers_told = INF_PEERS_WANTED;
+	assert_true(inf_may_begin(&s));
+	s = (struct inf_start){ .api_read = true };
+	assert_true(inf_may_begin(&s)); /* the first node of all */
+	s.peers_known = 5;
+	assert_false(inf_may_begin(&s));
+	s.waited_us = G_USEC_PER_SEC;
+	assert_true(inf_may_begin(&s));
+}
+
+static void
+no_send(const char *to, enum mem_type type, const struct mem_msg *m, void *ctx)
+{
+}
+
+static void
+no_change(const struct mem_member *member, void *ctx)
+{
+}
+
+static const struct mem_ops no_ops = { .send = no_send, .changed = no_change };
+
+/* Node `self` of `n`, all alive, in three domains; `entries` come first. */
+static struct mem *
+view_of(unsigned int self, unsigned int n, unsigned int entries)
+{
+	struct mem_conf conf = { .gossip_ms = 1000, .suspect_ms = 1000 };
+	struct mem *mem = NULL;
+	struct mem_node node;
+	unsigned int i, order;
+
+	for (order = 0; order <= n; order++) {
+		i = order == 0 ? self : order - 1;
+		node = (struct mem_node){
+			.kind = i < entries ? MEM_ENTRY : MEM_SIDE,
+			.incarnation = UINT64_C(1) << MEM_REFUTES_BITS,
+		};
+		snprintf(node.id, sizeof(node.id), "host-%u", i);
+		snprintf(node.domain, sizeof(node.domain), "d%u", i % 3);
+		conf.self = node;
+		if (mem == NULL)
+			mem = mem_new(&conf, &no_ops, NULL, 0);
+		else
+			mem_apply_full(mem, 0, &node, MEM_ALIVE);
+	}
+	return mem;
+}
+
+/*
+ * All nodes compute places for themselves. Each place must be one node's:
+ * two firsts would write against one another, none would leave a role free.
+ */
+static void
+test_each_rank_is_one_nodes(void **state)
+{
+	const unsigned int n = 40, entries = 8;
+	unsigned int ranks[8] = { 0 }, firsts[8] = { 0 };
+	unsigned int i, r, rank, watchers = 0;
+	struct mem *mem;
+	char id[16], role[16];
+
+	for (i = 0; i < n; i++) {
+		mem = view_of(i, n, entries);
+		snprintf(id, sizeof(id), "host-%u", i);
+		watchers += rank_is_watcher(mem, id);
+		if (i < entries) {
+			rank = rank_for_role(mem, "lead", "", id);
+			assert_true(rank < entries);
+			ranks[rank]++;
+			assert_int_equal(rank_for_role(mem, "lead", id, id), 0);
+		}
+		for (r = 0; r < 64 && i < entries; r++) {
+			snprintf(role, sizeof(role), "claims-%u", r);
+			firsts[i] += rank_for_role(mem, role, "", id) == 0;
+		}
+		mem_free(mem);
+	}
+	for (i = 0; i < entries; i++) {
+		assert_int_equal(ranks[i], 1);
+		assert_in_range(firsts[i], 1, 24); /* spread, if not evenly */
+	}
+	assert_int_equal(watchers, 3); /* one a domain */
+}
+
+/* A domain without entries has a side as watcher; a single domain has three
+ * watchers, so that one that is paused does not hold back news. */
+static void
+test_watchers_in_every_domain(void **state)
+{
+	unsigned int i, watchers = 0, alone = 0;
+	struct mem *mem;
+	char id[16];
+
+	for (i = 0; i < 30; i++) {
+		mem = view_of(i, 30, 2); /* entries in d0 and d1 only */
+		snprintf(id, sizeof(id), "host-%u", i);
+		watchers += rank_is_watcher(mem, id);
+		alone += rank_is_watcher(mem, id) && i % 3 == 2;
+		mem_free(mem);
+	}
+	assert_int_equal(watchers, 3);
+	assert_int_equal(alone, 1);
+}
+
+int
+main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_versions_only_grow),
+		cmocka_unit_test(test_broken_text_leaves_the_old_in_force),
+		cmocka_unit_test(test_writes_are_checked_against_the_tree),
+		cmocka_unit_test(test_pulls_both_ways_end_equal),
+		cmocka_unit_test(test_start_waits_for_enough),
+		cmocka_unit_test(test_each_rank_is_one_nodes),
+		cmocka_unit_test(test_watchers_in_every_domain),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
