Agree: tests see a kept floor and peers that have not begun

Cause: with the floor not kept, or unready peers counted, no test failed. Change: an order above every known number raises the floor; the start without API and settings is watched for longer than the list's deadline.

--- a/tests/agree/test_agr.c
+++ b/tests/agree/test_agr.c
@@ -348,7 +348,7 @@
 	seeds[0] = NULL;
 	start_node(0, MEM_ENTRY);
 	start_node(1, MEM_ENTRY);
-	run_for(1000);
+	run_for(3000); /* longer than the list's deadline */
 	assert_false(agr_is_ready(nodes[0].agr));
 	assert_false(agr_is_ready(nodes[1].agr));
 	objects_down(&api, false);
@@ -423,6 +423,10 @@
 	assert_int_equal(nodes[holder()].fence, 3);
 	assert_int_equal(api.refused, 0);
 
+	/* An order may come before the news of its holder. */
+	assert_true(gate_passes(4));
+	assert_false(gate_passes(3));
+
 	stop_node(3);
 	objects_down(&api, true);
 	start_node(3, MEM_SIDE);
