Claims: keyed requests that must not run twice, at most once over all entries

Change: clm_* decides for one bucket what is read, written, answered. Claims go into one conditional write a group; a grant needs that write to be known in and the lease, counted from before it was sent, to hold; after any doubt the object is read back and claims are found there by their askers' names. The attempt chart gets the state claiming and settles as its last action. Messages 34 and 36-38 between entries.

--- a/lib/route/attempt.c
+++ b/lib/route/attempt.c
@@ -9,6 +9,7 @@
 
 static const char *const event_names[ATT_EVENTS] = {
 	[ATT_START] = "start",
+	[ATT_CLAIMED] = "claimed",
 	[ATT_REFUSED] = "refused",
 	[ATT_LOST] = "lost",
 	[ATT_HEAD] = "head",
@@ -53,6 +54,24 @@
 	return att->facts.nothing_sent;
 }
 
+static bool
+keyed(void *ctx, const void *event_data)
+{
+	const struct att *att = ctx;
+
+	return att->facts.keyed;
+}
+
+/* An entry that was paused may hear of its claim after the deadline; by then
+ * its caller has been told that nothing ran. */
+static bool
+time_left(void *ctx, const void *event_data)
+{
+	const struct att *att = ctx;
+
+	return att->facts.time_left;
+}
+
 static void
 do_dispatch(void *ctx, const void *event_data)
 {
@@ -101,6 +120,31 @@
 	att->ops->cancel(att->ctx);
 }
 
+static void
+do_claim(void *ctx, const void *event_data)
+{
+	struct att *att = ctx;
+
+	att->ops->claim(att->ctx);
+}
+
+static void
+do_detach(void *ctx, const void *event_data)
+{
+	struct att *att = ctx;
+
+	att->ops->detach(att->ctx);
+}
+
+static void
+do_settle(void *ctx, const void *event_data)
+{
+	struct att *att = ctx;
+
+	if (att->facts.keyed)
+		att->ops->settle(att->ctx);
+}
+
 static void
 do_note_may_have_run(void *ctx, const void *event_data)
 {
@@ -113,6 +157,8 @@
 	{ "may_try_again", may_try_again },
 	{ "may_run_again", may_run_again },
 	{ "nothing_sent", nothing_sent },
+	{ "keyed", keyed },
+	{ "time_left", time_left },
 	{ NULL, NULL },
 };
 
@@ -123,6 +169,9 @@
 	{ "fail", do_fail },
 	{ "cut", do_cut },
 	{ "cancel", do_cancel },
+	{ "claim", do_claim },
+	{ "detach", do_detach },
+	{ "settle", do_settle },
 	{ "note_may_have_run", do_note_may_have_run },
 	{ NULL, NULL },
 };
--- a/lib/route/claim.c
+++ b/lib/route/claim.c
@@ -159,21 +159,6 @@
 	clm_answer(clm, ask, CLM_DOWN);
 }
 
-/* It asks again after all, so its claim is not to be taken out. */
-static void
-keep_claim(struct clm *clm, const struct clm_ask *ask)
-{
-	struct settle *s, *next;
-
-	for (s = TAILQ_FIRST(&clm->settles); s != NULL; s = next) {
-		next = TAILQ_NEXT(s, link);
-		if (s->outcome.verdict == VERDICT_NOT_RUN &&
-		    strcmp(s->key, ask->key) == 0 &&
-		    strcmp(s->asker, ask->asker) == 0)
-			clm_free_settle(clm, s);
-	}
-}
-
 void
 clm_apply_all(struct clm *clm)
 {
@@ -216,8 +201,11 @@
 		clm_answer(clm, ask, CLM_IN_DOUBT);
 }
 
-/* The asker's own claim: granted when it is surely in and surely ours to
- * grant, else by the next write. */
+/*
+ * The asker's own claim. Granted when it is surely in and the lease holds;
+ * else a write decides: an owner that was paused for longer than its lease may
+ * have been followed by another, and then its write is refused.
+ */
 static void
 consider_own(struct clm *clm, struct clm_ask *ask,
     const struct clm_record *record, int64_t now_us)
@@ -329,7 +317,6 @@
 		clm_answer(clm, ask, CLM_BAD_KEY);
 		return;
 	}
-	keep_claim(clm, ask);
 	switch (clm->phase) {
 	case PHASE_HELD:
 		clm_consider(clm, ask, now_us);
--- a/lib/route/claim_io.c
+++ b/lib/route/claim_io.c
@@ -28,12 +28,7 @@
 void
 clm_step_down(struct clm *clm, int64_t now_us)
 {
-	struct settle *s;
-
-	TAILQ_FOREACH (s, &clm->settles, link)
-		s->in_write = false;
 	clm_move_all(&clm->inflight, &clm->pending);
-	g_hash_table_remove_all(clm->records);
 	clm->phase = PHASE_IDLE;
 	clm->lease_until_us = 0;
 	clm->due_us = NEVER;
@@ -84,7 +79,6 @@
 	clm->fence += ours ? 0 : 1;
 	clm->due_us = NEVER;
 	clm_apply_all(clm);
-	note_reread(&clm->waiting);
 	note_reread(&clm->pending);
 	clm_consider_all(clm, &clm->waiting, now_us);
 	clm_consider_all(clm, &clm->pending, now_us);
@@ -284,17 +278,21 @@
 }
 
 static void
-grant_written(struct clm *clm)
+grant_written(struct clm *clm, int64_t now_us)
 {
-	const struct clm_record *record;
+	struct clm_asks asks = TAILQ_HEAD_INITIALIZER(asks);
 	struct clm_ask *ask;
 
-	while ((ask = TAILQ_FIRST(&clm->inflight)) != NULL) {
-		record = g_hash_table_lookup(clm->records, ask->key);
-		/* The asker may have said NOT_RUN meanwhile. */
-		if (record != NULL && record->state == CLM_RUNNING &&
-		    strcmp(record->asker, ask->asker) == 0)
-			clm_answer(clm, ask, CLM_GRANTED);
+	clm_move_all(&clm->inflight, &asks);
+	while ((ask = TAILQ_FIRST(&asks)) != NULL) {
+		clm_forget(ask);
+		if (clm->phase != PHASE_HELD) {
+			clm_put_in(&clm->pending, ask);
+			continue;
+		}
+		/* None there: its asker has said NOT_RUN meanwhile. */
+		if (g_hash_table_contains(clm->records, ask->key))
+			clm_consider(clm, ask, now_us);
 		else
 			clm_answer(clm, ask, CLM_DOWN);
 	}
@@ -308,13 +306,7 @@
 	clm->owner = g_strdup(clm->giving_up ? "" : clm->self);
 	note_written(clm);
 	clm->lease_until_us = clm->sent_us + CLM_LEASE_MS * 1000;
-	if (now_us >= clm->lease_until_us) {
-		/* Paused meanwhile: another owner may have taken over since,
-		 * and must not find two that grant. */
-		clm_step_down(clm, now_us);
-		return;
-	}
-	grant_written(clm);
+	grant_written(clm, now_us);
 	if (!clm->giving_up)
 		return;
 	clm->giving_up = false;
--- a/lib/route/messages.c
+++ b/lib/route/messages.c
@@ -1,4 +1,4 @@
-/* Field tables of the messages between entry and side. */
+/* Field tables of the messages of entries and sides. */
 
 #include "route/route.h"
 
@@ -168,3 +168,53 @@
 const struct msg_desc rt_events_desc =
     MSG_DESC(RT_EVENTS, "events", struct rt_events, events_fields);
 #undef RT_STRUCT
+
+#define RT_STRUCT rt_demand
+static const struct msg_field demand_fields[] = {
+	F(team, MSG_STR, RT_NAME_MAX),
+	F(demand_milli_s, MSG_U64, 0),
+};
+const struct msg_desc rt_demand_desc =
+    MSG_DESC(RT_DEMAND, "demand", struct rt_demand, demand_fields);
+#undef RT_STRUCT
+
+#define RT_STRUCT rt_claim
+static const struct msg_field claim_fields[] = {
+	F(number, MSG_U64, 0),
+	F(key, MSG_STR, CLM_KEY_MAX),
+	F(asker, MSG_STR, CLM_ASKER_MAX),
+	F(body, MSG_DIGEST, 0),
+	F(keep_ms, MSG_U64, UINT32_MAX),
+	F(wait_ms, MSG_U64, UINT32_MAX),
+};
+const struct msg_desc rt_claim_desc =
+    MSG_DESC(RT_CLAIM, "claim", struct rt_claim, claim_fields);
+#undef RT_STRUCT
+
+#define RT_STRUCT rt_claim_answer
+static const struct msg_field claim_answer_fields[] = {
+	F(number, MSG_U64, 0),
+	F(result, MSG_U64, CLM_RESULTS - 1),
+	F(owner, MSG_STR, RT_NAME_MAX),
+	F(status, MSG_U64, 999),
+	F(type, MSG_STR, CLM_TYPE_MAX),
+	F(answer, MSG_STR, CLM_ANSWER_MAX),
+	F(digest, MSG_DIGEST, 0),
+};
+const struct msg_desc rt_claim_answer_desc = MSG_DESC(RT_CLAIM_ANSWER,
+    "claim_answer", struct rt_claim_answer, claim_answer_fields);
+#undef RT_STRUCT
+
+#define RT_STRUCT rt_claim_settle
+static const struct msg_field claim_settle_fields[] = {
+	F(key, MSG_STR, CLM_KEY_MAX),
+	F(asker, MSG_STR, CLM_ASKER_MAX),
+	F(verdict, MSG_U64, VERDICT_RAN),
+	F(status, MSG_U64, 999),
+	F(type, MSG_STR, CLM_TYPE_MAX),
+	F(answer, MSG_STR, CLM_ANSWER_MAX),
+	F(digest, MSG_DIGEST, 0),
+};
+const struct msg_desc rt_claim_settle_desc = MSG_DESC(RT_CLAIM_SETTLE,
+    "claim_settle", struct rt_claim_settle, claim_settle_fields);
+#undef RT_STRUCT
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -5,6 +5,7 @@
  * route: from a caller's request to the target that answers it. The messages
  * between entry and side, the targets an entry knows, the choice of one, the
  * split between versions, and the life of an attempt (charts/attempt.yaml).
+ * Admission, limits and claims have headers of their own, included here.
  *
  * Everything here decides over (state, event, now); programs/entry and
  * programs/side carry it out.
@@ -12,9 +13,12 @@
 
 #include "chart/chart.h"
 #include "common/common.h"
+#include "route/admit.h"
+#include "route/claim.h"
+#include "route/limit.h"
 
 /* ------------------------------------------------------------------ */
-/* Messages between entry and side (types 20-39)                       */
+/* Messages of entries and sides (types 20-39)                         */
 /* ------------------------------------------------------------------ */
 
 #define RT_NAME_MAX 64 /* a team, model, version, pool, target or service */
@@ -39,6 +43,10 @@
 	RT_STATUS,
 	RT_EVENTS_GET,
 	RT_EVENTS,
+	RT_DEMAND, /* between entries from here on */
+	RT_CLAIM = 36,
+	RT_CLAIM_ANSWER,
+	RT_CLAIM_SETTLE,
 };
 
 /* Entry to side: run this at your target. */
@@ -165,6 +173,43 @@
 	struct slice json; /* an array of events */
 };
 
+/* Entry to entry: what is asked of me for this team; see lim_told(). */
+struct rt_demand {
+	struct slice team;
+	uint64_t demand_milli_s;
+};
+
+/* Entry to the owner of a bucket of claims; see clm_ask(). */
+struct rt_claim {
+	uint64_t number; /* chosen by the asker, unique per connection */
+	struct slice key;
+	struct slice asker;
+	struct digest body;
+	uint64_t keep_ms;
+	uint64_t wait_ms; /* left, not absolute: clocks differ */
+};
+
+struct rt_claim_answer {
+	uint64_t number;
+	uint64_t result; /* enum clm_result */
+	struct slice owner;
+	uint64_t status;
+	struct slice type;
+	struct slice answer;
+	struct digest digest;
+};
+
+/* How a claim ended; see clm_settle(). Not answered. */
+struct rt_claim_settle {
+	struct slice key;
+	struct slice asker;
+	uint64_t verdict;
+	uint64_t status;
+	struct slice type;
+	struct slice answer;
+	struct digest digest;
+};
+
 extern const struct msg_desc rt_request_desc;
 extern const struct msg_desc rt_head_desc;
 extern const struct msg_desc rt_data_desc;
@@ -179,6 +224,10 @@
 extern const struct msg_desc rt_status_desc;
 extern const struct msg_desc rt_events_get_desc;
 extern const struct msg_desc rt_events_desc;
+extern const struct msg_desc rt_demand_desc;
+extern const struct msg_desc rt_claim_desc;
+extern const struct msg_desc rt_claim_answer_desc;
+extern const struct msg_desc rt_claim_settle_desc;
 
 /* ------------------------------------------------------------------ */
 /* Catalogue: a team's branch in typed form                            */
@@ -353,6 +402,7 @@
  */
 enum att_event {
 	ATT_START, /* admitted */
+	ATT_CLAIMED, /* the key's claim was granted */
 	ATT_REFUSED, /* ended with verdict NOT_RUN */
 	ATT_LOST, /* ended, or link gone, with MAY_HAVE_RUN */
 	ATT_HEAD, /* first byte of an answer */
@@ -369,6 +419,7 @@
 	bool budget; /* the retry budget has room */
 	bool time_left; /* the deadline leaves room for another try */
 	bool nothing_sent; /* no target has the present attempt */
+	bool keyed; /* must be claimed first, and its outcome recorded */
 };
 
 struct att_ops {
@@ -378,6 +429,12 @@
 	void (*fail)(void *ctx); /* final error with the verdict of `last` */
 	void (*cut)(void *ctx); /* visible error inside a begun answer */
 	void (*cancel)(void *ctx); /* stop the work at the target */
+	/* Of keyed requests only; NULL where there are none. */
+	void (*claim)(void *ctx); /* ask for the claim */
+	void (*detach)(void *ctx); /* the caller is gone, the work goes on */
+	/* The last action, in every keyed life that asked for the claim:
+	 * record how it ended, as `may_have_run` and the answer say. */
+	void (*settle)(void *ctx);
 };
 
 struct att_chart; /* the chart and its numbers, one per process */
