Agree: a lapsed holder looks before it writes; lists outlast a slow API

And a list that is given up after 1.5 s never ends on an API that is slow for minutes. Change: losing a lease forgets what was seen; the list's deadline doubles.

--- a/lib/agree/agr_internal.h
+++ b/lib/agree/agr_internal.h
@@ -61,6 +61,7 @@
 	unsigned int reading; /* objects of the list still to come */
 	bool read_failed;
 	int64_t list_us; /* no earlier list than this */
+	unsigned int list_deadline_ms;
 	struct obj_watch *watch;
 	bool watch_works;
 	uint64_t revision;
--- a/lib/agree/agr_role.c
+++ b/lib/agree/agr_role.c
@@ -4,9 +4,6 @@
 
 #include "agree/agr_internal.h"
 
-/* A read that takes longer says nothing about a lease of some seconds. */
-#define READ_DEADLINE_MS 1000
-
 static void
 free_when_idle(struct agr_role *role)
 {
@@ -48,8 +45,8 @@
 	if (role->agr->closing)
 		return;
 	role->calls++;
-	obj_get(
-	    role->agr->obj, role->key, READ_DEADLINE_MS, on_read_done, role);
+	obj_get(role->agr->obj, role->key, role->agr->conf.lease_ms,
+	    on_read_done, role);
 }
 
 static void
--- a/lib/agree/agr_settings.c
+++ b/lib/agree/agr_settings.c
@@ -7,7 +7,10 @@
 
 #include "agree/agr_internal.h"
 
+/* The first list is given up soon, so that members can stand in; each one
+ * that failed doubles the time, for an API that is slow for minutes. */
 #define LIST_DEADLINE_MS 1500
+#define LIST_DEADLINE_MAX_MS 24000
 #define LIST_PAUSE_US G_USEC_PER_SEC /* after a failure */
 #define WRITE_DEADLINE_MS 5000
 #define PULLS_AT_ONCE 2 /* a third answer would bring the same */
@@ -185,6 +188,9 @@
 	if (agr->reading > 0)
 		return;
 	agr->listing = false;
+	if (agr->read_failed)
+		agr->list_deadline_ms =
+		    MIN(2 * agr->list_deadline_ms, LIST_DEADLINE_MAX_MS);
 	agr->start.api_read = !agr->read_failed;
 	agr->start.api_failed = agr->read_failed;
 	agr->members_changed = true; /* a watch may begin */
@@ -245,7 +251,9 @@
 		return;
 	}
 	agr->listing = true;
-	obj_list(agr->obj, INF_KEY_PREFIX, LIST_DEADLINE_MS, on_list, agr);
+	if (agr->list_deadline_ms == 0)
+		agr->list_deadline_ms = LIST_DEADLINE_MS;
+	obj_list(agr->obj, INF_KEY_PREFIX, agr->list_deadline_ms, on_list, agr);
 }
 
 void
--- a/lib/agree/lse.c
+++ b/lib/agree/lse.c
@@ -279,6 +279,8 @@
 	struct lse *lse = ctx;
 
 	lse->fence = 0;
+	/* Ours as far as we remember; somebody may hold it by now. */
+	lse->seen = false;
 	lse->ops->lost(lse->ctx);
 }
 
--- a/tests/agree/test_lse.c
+++ b/tests/agree/test_lse.c
@@ -375,6 +375,7 @@
 	run_ms(w, 5000);
 	assert_int_equal(w->nodes[0].lost, 1);
 	assert_int_equal(w->nodes[0].gained, 1);
+	assert_int_equal(w->refused, 0); /* it looks before it writes */
 	world_free(w);
 }
 
