--- a/lib/agree/agr_settings.c
+++ b/lib/agree/agr_settings.c
@@ -234,8 +234,8 @@
 		    !inf_is_news(agr->inf, name, objects[i].version))
 			continue;
 		agr->reading++;
-		obj_get(
-		    agr->obj, objects[i].key, LIST_DEADLINE_MS, on_read, agr);
+		obj_get(agr->obj, objects[i].key, agr->list_deadline_ms,
+		    on_read, agr);
 	}
 	read_ended(agr);
 }
--- a/tests/agree/test_mem.c
+++ b/tests/agree/test_mem.c
@@ -199,6 +199,37 @@
 	end_net(net);
 }
 
+/*
+ * Only node 0 watches the settings. A region that is cut off cannot hear of
+ * changes; it goes on serving, and must know by the growing age that it may
+ * be behind, while nobody else raises a false alarm.
+ */
+static void
+test_cut_off_nodes_know_their_age(void **state)
+{
+	struct net *net = start_net(40, 20);
+	int64_t oldest = 0;
+	unsigned int i;
+	int s;
+
+	settle(net, 40, 60);
+	for (s = 0; s < 60; s++) {
+		mem_set_fresh(net->nodes[0].mem, now_us(net));
+		if (s == 20)
+			net->blocked = region_cut;
+		run_ms(net, 1000);
+	}
+	for (i = 0; i < 15; i++)
+		oldest =
+		    MAX(oldest, mem_age_ms(net->nodes[i].mem, now_us(net)));
+	print_message("oldest beside the watcher: %" PRId64 " ms\n", oldest);
+	assert_true(oldest < 15000);
+	for (; i < 40; i++)
+		assert_true(
+		    mem_age_ms(net->nodes[i].mem, now_us(net)) > 39000);
+	end_net(net);
+}
+
 /*
  * A host has died. A table taken over from a node that was away still calls
  * it alive: it must stay dead, or work would be sent to it.
@@ -316,6 +347,7 @@
 		cmocka_unit_test(test_cut_region_is_found_again),
 		cmocka_unit_test(test_restart_is_a_new_life),
 		cmocka_unit_test(test_all_learn_where_settings_are_in_force),
+		cmocka_unit_test(test_cut_off_nodes_know_their_age),
 		cmocka_unit_test(test_old_news_does_not_revive),
 		cmocka_unit_test(test_many_leaving_stay_within_the_budget),
 		cmocka_unit_test(test_map_of_another_table_is_ignored),
