--- /dev/null
+++ b/bench/route_bench.c
@@ -0,0 +1,211 @@
+/*
+ * What a decision on the way of a request costs, alone on one core. One line
+ * a decision: `route name=NAME targets=N ns_op=T ops_s=R`. No gate: a figure
+ * is for the page, and the next change is measured against it.
+ */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "route/route.h"
+
+#define RUN_US (300 * 1000) /* each case is repeated for so long */
+#define BATCH 1000
+#define TARGETS 600
+#define TICKETS 2000
+#define SLOTS 16
+
+static struct rt_target targets[TARGETS];
+static struct digest root;
+static struct rng rng;
+
+static void
+report(const char *name, size_t n, int64_t ops, int64_t us)
+{
+	printf("route name=%s targets=%zu ns_op=%.0f ops_s=%.0f\n", name, n,
+	    (double)us * 1000 / (double)ops, (double)ops * 1e6 / (double)us);
+}
+
+/* ------------------------------------------------------------------ */
+/* Choice                                                              */
+/* ------------------------------------------------------------------ */
+
+static struct rt_fleet *
+make_fleet(size_t n)
+{
+	struct rt_fleet *fleet = rt_fleet_new();
+	size_t i;
+
+	memset(targets, 0, sizeof(targets));
+	for (i = 0; i < n; i++) {
+		targets[i] = (struct rt_target){
+			.domain = "a",
+			.team = "team",
+			.pool = "large",
+			.loaded = root,
+			.reachable = true,
+			.accepting = true,
+			.slots = SLOTS,
+		};
+		rt_fleet_update(fleet, &targets[i]);
+	}
+	return fleet;
+}
+
+/* A choice with all that goes with it: sent, told, ended. */
+static void
+bench_choose(const char *name, size_t n, unsigned int resting_pct, bool prefix)
+{
+	struct rt_fleet *fleet = make_fleet(n);
+	struct rt_wish wish = {
+		.kind = RT_ENGINE,
+		.team = "team",
+		.pool = "large",
+		.service = "",
+		.roots = &root,
+		.nroots = 1,
+		.domain = "a",
+	};
+	const struct err none = { 0 };
+	int64_t began = clk_now_us(clk_system()), now, ops = 0;
+	struct rt_target *t;
+	size_t i;
+
+	for (i = 0; i < n * resting_pct / 100; i++)
+		targets[i].resting_until_us = INT64_MAX;
+	do {
+		now = clk_now_us(clk_system());
+		for (i = 0; i < BATCH; i++, ops++) {
+			wish.prefix = prefix ? 1 + rng_below(&rng, 5000) : 0;
+			t = rt_choose(fleet, &wish, now, &rng);
+			rt_fleet_prefix_sent(fleet, t, wish.prefix, now);
+			rt_target_sent(t, now);
+			rt_target_told(t, (unsigned int)(i % SLOTS), now);
+			rt_target_ended(t, &none, now);
+		}
+	} while (now - began < RUN_US);
+	report(name, n, ops, clk_now_us(clk_system()) - began);
+	rt_fleet_free(fleet);
+}
+
+/* ------------------------------------------------------------------ */
+/* Admission                                                           */
+/* ------------------------------------------------------------------ */
+
+static void
+on_start(struct adm_ticket *ticket, void *ctx)
+{
+}
+
+static void
+on_refuse(struct adm_ticket *ticket, const struct err *err, void *ctx)
+{
+}
+
+/* All slots taken and half the tickets waiting: an end, a start from the queue and an
+ * offer. */
+static void
+bench_admit(void)
+{
+	static const struct adm_ops ops = { on_start, on_refuse };
+	static struct adm_ticket ticket[TICKETS];
+	const struct adm_load load = { TICKETS / 2, 0, 1 };
+	struct adm *adm = adm_new(TICKETS, &ops, NULL);
+	struct adm_team *team = adm_team(adm, "team");
+	struct adm_lane *lane = adm_lane(team, "large");
+	int64_t began = clk_now_us(clk_system()), now = began, n = 0;
+	size_t i;
+
+	adm_team_set(team, 100, TICKETS);
+	adm_lane_load(lane, &load, now);
+	for (i = 0; i < TICKETS; i++) {
+		ticket[i].priority = (unsigned int)(i % 3) * 100;
+		ticket[i].deadline_us = INT64_MAX / 2;
+		adm_offer(lane, &ticket[i], now, NULL);
+	}
+	do {
+		now = clk_now_us(clk_system());
+		for (i = 0; i < TICKETS; i++) {
+			if (ticket[i].state != ADM_STARTED)
+				continue;
+			adm_done(&ticket[i], ADM_OTHER, now);
+			adm_offer(lane, &ticket[i], now, NULL);
+			n++;
+		}
+	} while (now - began < RUN_US);
+	report("admit", 0, n, clk_now_us(clk_system()) - began);
+	for (i = 0; i < TICKETS; i++)
+		adm_leave(&ticket[i], now);
+	adm_free(adm);
+}
+
+/* ------------------------------------------------------------------ */
+/* Attempt, limit                                                      */
+/* ------------------------------------------------------------------ */
+
+static void
+nothing(void *ctx)
+{
+}
+
+static void
+bench_attempt(const char *charts)
+{
+	static const struct att_ops ops = { nothing, nothing, nothing, nothing,
+		nothing, nothing, nothing, nothing, nothing };
+	struct err err = { 0 };
+	struct att_chart *chart = att_chart_load(charts, &err);
+	int64_t began = clk_now_us(clk_system()), now, n = 0;
+	struct att att;
+	size_t i;
+
+	if (chart == NULL) {
+		fprintf(stderr, "%s\n", err.message);
+		return;
+	}
+	do {
+		for (i = 0; i < BATCH; i++, n++) {
+			memset(&att, 0, sizeof(att));
+			att_init(&att, chart, &ops, NULL);
+			att_take(&att, ATT_START);
+			att_take(&att, ATT_HEAD);
+			att_take(&att, ATT_DONE);
+		}
+		now = clk_now_us(clk_system());
+	} while (now - began < RUN_US);
+	report("attempt", 0, n, now - began);
+	att_chart_free(chart);
+}
+
+static void
+bench_limit(void)
+{
+	int64_t began = clk_now_us(clk_system()), now = began, n = 0;
+	struct lim *lim = lim_new(now);
+	size_t i;
+
+	lim_set(lim, 1000000, 4, now);
+	do {
+		now = clk_now_us(clk_system());
+		for (i = 0; i < BATCH; i++, n++)
+			lim_take(lim, now, NULL);
+	} while (now - began < RUN_US);
+	report("limit", 0, n, clk_now_us(clk_system()) - began);
+	lim_free(lim);
+}
+
+int
+main(void)
+{
+	digest_of("v1", 2, &root);
+	rng_seed(&rng, 1);
+	bench_choose("choose", 12, 0, false);
+	bench_choose("choose", TARGETS, 0, false);
+	bench_choose("choose_prefix", TARGETS, 0, true);
+	bench_choose("choose_half_rest", TARGETS, 50, false);
+	bench_choose("choose_most_rest", TARGETS, 99, false);
+	bench_admit();
+	bench_attempt(SOURCE_DIR "/charts");
+	bench_limit();
+	return 0;
+}
--- a/lib/route/catalogue.c
+++ b/lib/route/catalogue.c
@@ -230,33 +230,55 @@
 	return NULL;
 }
 
-size_t
-rt_model_roots(
-    const struct rt_model *model, uint64_t draw, struct digest *roots)
+static size_t
+all_roots(const struct rt_model *model, struct digest *roots)
 {
-	uint64_t total = 0, at = 0;
 	size_t i, n = 0;
 
-	for (i = 0; i < model->nversions; i++)
-		total += model->versions[i].weight;
-	if (total == 0) {
-		if (model->rollout != NULL)
-			roots[n++] = model->rollout->root;
-		for (i = 0; i < model->nversions; i++) {
-			if (&model->versions[i] != model->rollout)
-				roots[n++] = model->versions[i].root;
-		}
-		return n;
+	if (model->rollout != NULL)
+		roots[n++] = model->rollout->root;
+	for (i = 0; i < model->nversions; i++) {
+		if (&model->versions[i] != model->rollout)
+			roots[n++] = model->versions[i].root;
 	}
+	return n;
+}
+
+/* The version whose share of the weights holds `draw`. */
+static size_t
+drawn_version(const struct rt_model *model, uint64_t draw, uint64_t total)
+{
+	uint64_t at = 0;
+	size_t i;
+
 	draw %= total;
-	for (i = 0; i < model->nversions; i++) {
+	for (i = 0; i + 1 < model->nversions; i++) {
 		at += model->versions[i].weight;
-		if (draw < at) {
-			roots[0] = model->versions[i].root;
-			return 1;
-		}
+		if (draw < at)
+			break;
+	}
+	return i;
+}
+
+size_t
+rt_model_roots(const struct rt_model *model, uint64_t draw,
+    struct digest *roots, bool *ranked)
+{
+	uint64_t total = 0;
+	size_t i, n = 0, drawn;
+
+	for (i = 0; i < model->nversions; i++)
+		total += model->versions[i].weight;
+	*ranked = total > 0;
+	if (total == 0)
+		return all_roots(model, roots);
+	drawn = drawn_version(model, draw, total);
+	roots[n++] = model->versions[drawn].root;
+	for (i = 0; i < model->nversions; i++) {
+		if (i != drawn && model->versions[i].weight > 0)
+			roots[n++] = model->versions[i].root;
 	}
-	g_assert_not_reached();
+	return n;
 }
 
 /* ------------------------------------------------------------------ */
--- /dev/null
+++ b/lib/route/fleet.c
@@ -0,0 +1,303 @@
+/* Targets by group, and what is believed of each. */
+
+#include <string.h>
+
+#include "route/fleet_internal.h"
+
+/* Others' requests at a target are forgotten by half in this time without a
+ * word from its side; an answer takes about as long. */
+#define FORGET_US (500 * 1000)
+#define FORGET_MOST 16 /* halvings */
+
+/* Rest after a refusal, when a slot may be free again soon, and after a
+ * failure; doubled with each in a row. */
+#define REST_REFUSED_US (20 * 1000)
+#define REST_FAILED_US (100 * 1000)
+/* Bounds how long a target that works again is left out. */
+#define REST_MOST_US (2 * G_USEC_PER_SEC)
+#define FAILS_MOST 16
+
+#define KEY_MAX (4 * (RT_NAME_MAX + 1) + DIGEST_HEX + 2)
+
+/* ------------------------------------------------------------------ */
+/* Groups                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+free_group(gpointer data)
+{
+	struct rt_group *group = data;
+
+	g_ptr_array_unref(group->targets);
+	g_free(group->key);
+	g_free(group);
+}
+
+struct rt_fleet *
+rt_fleet_new(void)
+{
+	struct rt_fleet *fleet = g_new0(struct rt_fleet, 1);
+
+	fleet->groups =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_group);
+	fleet->prefixes = prefix_map_new();
+	return fleet;
+}
+
+void
+rt_fleet_free(struct rt_fleet *fleet)
+{
+	if (fleet == NULL)
+		return;
+	prefix_map_free(fleet->prefixes);
+	g_hash_table_unref(fleet->groups);
+	g_free(fleet);
+}
+
+static void
+add_part(char **at, const char *part)
+{
+	size_t n = strlen(part);
+
+	memcpy(*at, part, n);
+	(*at)[n] = '\n';
+	*at += n + 1;
+}
+
+static void
+make_key(char out[KEY_MAX], enum rt_target_kind kind, const char *team,
+    const char *pool, const char *service, const struct digest *root)
+{
+	char hex[DIGEST_HEX] = "", *at = out;
+
+	if (kind == RT_ENGINE)
+		digest_to_hex(root, hex);
+	*at++ = kind == RT_ENGINE ? 'e' : 's';
+	add_part(&at, team);
+	add_part(&at, pool);
+	add_part(&at, service);
+	strcpy(at, hex);
+}
+
+struct rt_group *
+rt_group_find(struct rt_fleet *fleet, const struct rt_wish *wish,
+    const struct digest *root)
+{
+	char key[KEY_MAX];
+
+	if (strlen(wish->team) > RT_NAME_MAX ||
+	    strlen(wish->pool) > RT_NAME_MAX ||
+	    strlen(wish->service) > RT_NAME_MAX)
+		return NULL;
+	make_key(key, wish->kind, wish->team, wish->pool, wish->service, root);
+	return g_hash_table_lookup(fleet->groups, key);
+}
+
+static struct rt_group *
+group_of(struct rt_fleet *fleet, const struct rt_target *target)
+{
+	struct rt_group *group;
+	char key[KEY_MAX];
+
+	make_key(key, target->kind, target->team, target->pool, target->service,
+	    &target->loaded);
+	group = g_hash_table_lookup(fleet->groups, key);
+	if (group != NULL)
+		return group;
+	group = g_new0(struct rt_group, 1);
+	group->key = g_strdup(key);
+	group->targets = g_ptr_array_new();
+	g_hash_table_insert(fleet->groups, group->key, group);
+	return group;
+}
+
+/* Brings the target's part of its group's sums up to date. */
+static void
+count(struct rt_target *target, int64_t now_us)
+{
+	struct rt_group *group = target->group;
+	bool counts = target->reachable && target->accepting;
+
+	group->slots -= target->counted_slots;
+	group->running -= target->counted_running;
+	target->counted_slots = counts ? target->slots : 0;
+	target->counted_running =
+	    counts ? rt_target_running(target, now_us) : 0;
+	group->slots += target->counted_slots;
+	group->running += target->counted_running;
+}
+
+static void
+leave_group(struct rt_fleet *fleet, struct rt_target *target)
+{
+	struct rt_group *group = target->group;
+	struct rt_target *last;
+
+	group->slots -= target->counted_slots;
+	group->running -= target->counted_running;
+	target->counted_slots = 0;
+	target->counted_running = 0;
+	last = g_ptr_array_index(group->targets, group->targets->len - 1);
+	group->targets->pdata[target->place] = last;
+	last->place = target->place;
+	g_ptr_array_set_size(group->targets, (gint)group->targets->len - 1);
+	target->group = NULL;
+	target->cache++;
+	if (group->targets->len == 0)
+		g_hash_table_remove(fleet->groups, group->key);
+}
+
+void
+rt_fleet_update(struct rt_fleet *fleet, struct rt_target *target)
+{
+	struct rt_group *group = group_of(fleet, target);
+
+	if (target->group != group) {
+		if (target->group != NULL)
+			leave_group(fleet, target);
+		target->group = group;
+		target->place = group->targets->len;
+		g_ptr_array_add(group->targets, target);
+	}
+	count(target, target->told_us);
+}
+
+void
+rt_fleet_load(struct rt_fleet *fleet, const struct rt_wish *wish,
+    unsigned int *slots, unsigned int *running)
+{
+	size_t n = wish->kind == RT_ENGINE ? wish->nroots : 1, i;
+	const struct rt_group *group;
+
+	*slots = 0;
+	*running = 0;
+	for (i = 0; i < n; i++) {
+		group = rt_group_find(fleet, wish,
+		    wish->kind == RT_ENGINE ? &wish->roots[i] : NULL);
+		if (group == NULL)
+			continue;
+		*slots += group->slots;
+		*running += group->running;
+	}
+}
+
+void
+rt_fleet_refresh(struct rt_fleet *fleet, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, fleet->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rt_group *group = value;
+
+		for (i = 0; i < group->targets->len; i++)
+			count(group->targets->pdata[i], now_us);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Beliefs                                                             */
+/* ------------------------------------------------------------------ */
+
+unsigned int
+rt_target_running(const struct rt_target *target, int64_t now_us)
+{
+	int64_t silent = MAX(now_us - target->told_us, 0) / FORGET_US;
+	unsigned int others = 0;
+
+	if (target->told_running > target->own_when_told)
+		others = target->told_running - target->own_when_told;
+	return target->own_running + (others >> MIN(silent, FORGET_MOST));
+}
+
+void
+rt_target_told(struct rt_target *target, unsigned int running, int64_t now_us)
+{
+	target->told_running = running;
+	target->own_when_told = target->own_running;
+	target->told_us = now_us;
+	count(target, now_us);
+}
+
+void
+rt_target_sent(struct rt_target *target, int64_t now_us)
+{
+	target->own_running++;
+	if (target->unheard++ == 0)
+		target->unheard_since_us = now_us;
+	count(target, now_us);
+}
+
+void
+rt_target_heard(
+    struct rt_target *target, bool first, int64_t sent_us, int64_t now_us)
+{
+	target->unheard = 0;
+	if (first)
+		est_time_add(&target->group->first, now_us - sent_us, now_us);
+}
+
+static void
+rest(struct rt_target *target, int64_t first_us, unsigned int asked_ms,
+    int64_t now_us)
+{
+	int64_t us = first_us << MIN(target->fails, FAILS_MOST);
+
+	/* Many that ran there ended alike: that is one failure. */
+	if (target->resting_until_us > now_us)
+		return;
+	us = CLAMP(us, asked_ms * 1000LL, REST_MOST_US);
+	target->fails++;
+	target->resting_until_us = now_us + us;
+}
+
+static void
+learn(struct rt_target *target, const struct err *err, int64_t now_us)
+{
+	switch (err->code) {
+	case ERR_NONE:
+		target->fails = 0;
+		return;
+	case ERR_CANCELLED: /* by us: it says nothing of the target */
+	case ERR_INVALID:
+	case ERR_TOO_LARGE:
+		return;
+	case ERR_OVERLOADED:
+	case ERR_LEAVING:
+	case ERR_WRONG_VERSION:
+	case ERR_NOT_FOUND:
+		rest(target, REST_REFUSED_US,
+		    MIN(err->retry_after_ms, REST_MOST_US / 1000), now_us);
+		return;
+	default:
+		rest(target, REST_FAILED_US, 0, now_us);
+		return;
+	}
+}
+
+void
+rt_target_ended(struct rt_target *target, const struct err *err, int64_t now_us)
+{
+	if (target->own_running > 0)
+		target->own_running--;
+	/* None is left that could give a sign. */
+	target->unheard = MIN(target->unheard, target->own_running);
+	learn(target, err, now_us);
+	count(target, now_us);
+}
+
+void
+rt_target_lost(struct rt_fleet *fleet, struct rt_target *target)
+{
+	target->reachable = false;
+	target->own_running = 0;
+	target->told_running = 0;
+	target->own_when_told = 0;
+	target->unheard = 0;
+	target->fails = 0;
+	target->resting_until_us = 0;
+	target->cache++;
+	rt_fleet_update(fleet, target);
+}
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -3,9 +3,9 @@
 
 /*
  * route: from a caller's request to the target that answers it. The messages
- * between entry and side, the targets an entry knows, the choice of one, the
- * split between versions, and the life of an attempt (charts/attempt.yaml).
- * Admission, limits and claims have headers of their own, included here.
+ * between entry and side, the split between versions, and the life of an
+ * attempt (charts/attempt.yaml). Targets, admission, limits and claims have
+ * headers of their own, included here.
  *
  * Everything here decides over (state, event, now); programs/entry and
  * programs/side carry it out.
@@ -15,13 +15,13 @@
 #include "common/common.h"
 #include "route/admit.h"
 #include "route/claim.h"
+#include "route/fleet.h"
 #include "route/limit.h"
 
 /* ------------------------------------------------------------------ */
 /* Messages of entries and sides (types 20-39)                         */
 /* ------------------------------------------------------------------ */
 
-#define RT_NAME_MAX 64 /* a team, model, version, pool, target or service */
 #define RT_PATH_MAX 2048
 #define RT_HEADERS_MAX (16u << 10)
 #define RT_BODY_MAX (1u << 20)
@@ -105,11 +105,6 @@
 	uint64_t ignored;
 };
 
-enum rt_target_kind {
-	RT_ENGINE,
-	RT_SERVICE,
-};
-
 struct rt_target_msg {
 	struct slice name;
 	uint64_t kind;
@@ -296,12 +291,13 @@
     const struct rt_model *model, const struct digest *root);
 /*
  * The versions a request may be answered from, best first; `roots` has room
- * for model->nversions. With rules the split is by weight, drawn from
- * `draw` (the request's hash); without, every version of the model goes, the
- * rollout's before the others, which serve until it is loaded.
+ * for model->nversions. With rules the first is drawn by weight from `draw`
+ * (the request's hash), the others that have a weight stand in where it is
+ * not in service, and `ranked` is set; without rules every version goes
+ * alike: the old one serves until the rollout's is loaded.
  */
-size_t rt_model_roots(
-    const struct rt_model *model, uint64_t draw, struct digest *roots);
+size_t rt_model_roots(const struct rt_model *model, uint64_t draw,
+    struct digest *roots, bool *ranked);
 
 /*
  * A side's targets as text in its membership record, so that others know
@@ -341,57 +337,6 @@
 GArray *rt_place_end(struct rt_place *place);
 bool rt_place_has(const GArray *hosts, const char *id);
 
-/* ------------------------------------------------------------------ */
-/* Targets an entry knows                                              */
-/* ------------------------------------------------------------------ */
-
-struct rt_target {
-	TAILQ_ENTRY(rt_target) link;
-	char side[RT_NAME_MAX + 1];
-	char domain[RT_NAME_MAX + 1];
-	char name[RT_NAME_MAX + 1];
-	enum rt_target_kind kind;
-	char team[RT_NAME_MAX + 1];
-	char pool[RT_NAME_MAX + 1];
-	char service[RT_NAME_MAX + 1];
-	struct digest loaded;
-	bool reachable; /* the connection to its side is open */
-	bool told_accepting; /* as its side last said */
-	bool accepting; /* told so, and its host is not leaving */
-	unsigned int slots;
-	/* Running there when the side last spoke, and what this entry has
-	 * sent and not seen ended: the larger is the estimate. */
-	unsigned int told_running;
-	unsigned int own_running;
-	int64_t resting_until_us; /* refused or failed: not before then */
-	void *owner; /* the program's connection to its side */
-};
-
-TAILQ_HEAD(rt_targets, rt_target);
-
-/* What a request may go to. */
-struct rt_wish {
-	const char *team;
-	const char *pool;
-	const char *service; /* plain services; NULL for engines */
-	const struct digest *roots; /* versions allowed; engines only */
-	size_t nroots;
-	const char *domain; /* of the entry: nearer targets go first */
-	const struct rt_target *const *tried; /* not again */
-	size_t ntried;
-};
-
-/*
- * Two candidates at random, the one with the lower estimated load relative to its
- * slots wins; targets of the own domain count as somewhat less loaded.
- * NULL when none may be used now. Pure but for `rng`.
- */
-struct rt_target *rt_choose(const struct rt_targets *targets,
-    const struct rt_wish *wish, int64_t now_us, struct rng *rng);
-/* Whether a target may take such a request at all now. */
-bool rt_may_use(
-    const struct rt_target *target, const struct rt_wish *wish, int64_t now_us);
-
 /* ------------------------------------------------------------------ */
 /* Attempts                                                            */
 /* ------------------------------------------------------------------ */
--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -52,6 +52,7 @@
 	struct att_chart *attempts;
 	struct entry_sides sides;
 	struct rt_targets targets;
+	struct rt_fleet *fleet; /* the same targets, to choose from */
 	GHashTable *teams; /* branch name -> struct rt_team */
 	struct cfg *root; /* the root branch; NULL before it is in force */
 	struct rng rng;
@@ -95,6 +96,8 @@
 void request_start(struct entry *entry, const struct request_ask *ask);
 void request_head(struct request *r, const struct rt_head *head);
 void request_data(struct request *r, const uint8_t *bytes, size_t len);
+/* How many run at its target, as the end of its stream says. */
+void request_told(struct request *r, unsigned int running);
 void request_end(struct request *r, const struct err *err);
 
 /* caller.c: HTTP for callers, health, counters, events. */
--- a/programs/entry/ops.c
+++ b/programs/entry/ops.c
@@ -266,7 +266,7 @@
 	json_builder_add_boolean_value(b, t->accepting);
 	json_builder_set_member_name(b, "reachable");
 	json_builder_add_boolean_value(b, t->reachable);
-	put_int(b, "running", MAX(t->told_running, t->own_running));
+	put_int(b, "running", rt_target_running(t, clk_now_us(clk_system())));
 	put_int(b, "slots", t->slots);
 	json_builder_end_object(b);
 }
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -41,6 +41,8 @@
 	struct entry_side *side; /* NULL: none */
 	struct rt_target *target;
 	int64_t stream;
+	int64_t sent_us;
+	bool heard; /* the target gave a sign of an answer */
 	const struct rt_target *tried[MAX_ATTEMPTS];
 
 	/* The answer. */
@@ -63,17 +65,25 @@
 	ctr_add(ctr_get(r->entry->proc.counters, name), 1);
 }
 
+/* `err` says how the attempt ended, for what is believed of its target. */
 static void
-leave_stream(struct request *r)
+leave_stream(struct request *r, const struct err *err)
 {
 	if (r->side == NULL)
 		return;
 	g_hash_table_remove(r->side->streams, &r->stream);
-	if (r->target->own_running > 0)
-		r->target->own_running--;
+	rt_target_ended(r->target, err, clk_now_us(clk_system()));
 	r->side = NULL;
 }
 
+static void
+heard(struct request *r)
+{
+	rt_target_heard(
+	    r->target, !r->heard, r->sent_us, clk_now_us(clk_system()));
+	r->heard = true;
+}
+
 static int64_t
 time_left_ms(const struct request *r)
 {
@@ -120,11 +130,12 @@
 	const struct rt_service *service = rt_team_service(team, r->service);
 	struct digest roots[64];
 	struct rt_wish wish = {
+		.kind = model != NULL ? RT_ENGINE : RT_SERVICE,
 		.team = r->team,
 		.pool = model != NULL ? model->pool
 		    : service != NULL ? service->pool
 				      : "",
-		.service = r->service[0] == '\0' ? NULL : r->service,
+		.service = r->service,
 		.roots = roots,
 		.domain = cfg_str(r->entry->proc.cfg, "node.domain"),
 		.tried = r->tried,
@@ -134,10 +145,10 @@
 	if (r->model[0] != '\0' && model == NULL)
 		return NULL;
 	if (model != NULL && model->nversions <= G_N_ELEMENTS(roots))
-		wish.nroots = rt_model_roots(
-		    model, hash64(0, r->id, strlen(r->id)), roots);
-	return rt_choose(&r->entry->targets, &wish, clk_now_us(clk_system()),
-	    &r->entry->rng);
+		wish.nroots = rt_model_roots(model,
+		    hash64(0, r->id, strlen(r->id)), roots, &wish.ranked);
+	return rt_choose(
+	    r->entry->fleet, &wish, clk_now_us(clk_system()), &r->entry->rng);
 }
 
 static void
@@ -180,7 +191,9 @@
 	r->target = target;
 	r->side = target->owner;
 	r->stream = (int64_t)++r->entry->next_stream;
-	target->own_running++;
+	r->sent_us = clk_now_us(clk_system());
+	r->heard = false;
+	rt_target_sent(target, r->sent_us);
 	g_hash_table_insert(r->side->streams, &r->stream, r);
 	if (r->att.facts.attempts > 1)
 		count(r, "request_retries");
@@ -192,12 +205,13 @@
 {
 	struct request *r = ctx;
 	struct rt_cancel cancel = { .stream = (uint64_t)r->stream };
+	const struct err cancelled = { .code = ERR_CANCELLED };
 
 	if (r->side == NULL)
 		return;
 	if (r->side->open && r->att.facts.idempotent)
 		conn_send(r->side->conn, &rt_cancel_desc, &cancel);
-	leave_stream(r);
+	leave_stream(r, &cancelled);
 }
 
 /* ------------------------------------------------------------------ */
@@ -355,6 +369,7 @@
 {
 	char *headers = slice_dup(head->headers);
 
+	heard(r);
 	r->head = *head;
 	r->head.headers = (struct slice){ NULL, 0 };
 	g_free(r->type);
@@ -379,6 +394,7 @@
 void
 request_data(struct request *r, const uint8_t *bytes, size_t len)
 {
+	heard(r);
 	if (r->begun) {
 		append(r, bytes, len);
 		return;
@@ -393,10 +409,17 @@
 	take(r, ATT_HEAD);
 }
 
+void
+request_told(struct request *r, unsigned int running)
+{
+	if (r->side != NULL)
+		rt_target_told(r->target, running, clk_now_us(clk_system()));
+}
+
 void
 request_end(struct request *r, const struct err *err)
 {
-	leave_stream(r);
+	leave_stream(r, err);
 	if (!err_is(err) && err->verdict == VERDICT_RAN) {
 		take(r, ATT_DONE);
 		return;
@@ -466,7 +489,9 @@
 static void
 free_request(struct request *r)
 {
-	leave_stream(r);
+	const struct err cancelled = { .code = ERR_CANCELLED };
+
+	leave_stream(r, &cancelled);
 	g_signal_handler_disconnect(r->message, r->finished_signal);
 	g_signal_handler_disconnect(r->message, r->wrote_signal);
 	if (r->gone_source != NULL) {
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -185,6 +185,7 @@
 
 	TAILQ_INIT(&entry->sides);
 	TAILQ_INIT(&entry->targets);
+	entry->fleet = rt_fleet_new();
 	entry->teams = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)rt_team_free);
 	entry->leads = g_hash_table_new(g_str_hash, g_str_equal);
--- a/programs/entry/sides.c
+++ b/programs/entry/sides.c
@@ -83,10 +83,11 @@
 	copy_slice(t->service, sizeof(t->service), told.service);
 	t->loaded = told.loaded;
 	t->slots = (unsigned int)told.slots;
-	t->told_running = (unsigned int)told.running;
 	t->reachable = true;
 	t->told_accepting = told.accepting != 0;
 	t->accepting = t->told_accepting && !is_leaving(side);
+	rt_fleet_update(side->entry->fleet, t);
+	rt_target_told(t, (unsigned int)told.running, clk_now_us(clk_system()));
 	lead_wake(side->entry);
 }
 
@@ -97,6 +98,7 @@
 
 	TAILQ_FOREACH (t, &entry->targets, link) {
 		t->accepting = t->told_accepting && !is_leaving(t->owner);
+		rt_fleet_update(entry->fleet, t);
 	}
 }
 
@@ -111,8 +113,7 @@
 			continue;
 		/* Requests hold pointers to the targets they tried, so a
 		 * target stays and is only out of reach. */
-		t->reachable = false;
-		t->own_running = 0;
+		rt_target_lost(side->entry->fleet, t);
 	}
 }
 
@@ -148,6 +149,7 @@
 	err_set(&err, (enum err_code)end->code, (enum verdict)end->verdict,
 	    "%s", message);
 	err.retry_after_ms = (unsigned int)end->retry_after_ms;
+	request_told(r, (unsigned int)end->running);
 	request_end(r, &err);
 }
 
