--- a/lib/route/messages.c
+++ b/lib/route/messages.c
@@ -172,7 +172,7 @@
 #define RT_STRUCT rt_demand
 static const struct msg_field demand_fields[] = {
 	F(team, MSG_STR, RT_NAME_MAX),
-	F(demand_milli_s, MSG_U64, 0),
+	F(milli_s, MSG_U64, 0),
 };
 const struct msg_desc rt_demand_desc =
     MSG_DESC(RT_DEMAND, "demand", struct rt_demand, demand_fields);
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -11,13 +11,17 @@
 /* An answer that is not streamed is held up to this size until it is whole,
  * so that a broken one can be run again and the caller sees no trace. */
 #define HOLD_MAX RT_WINDOW
+#define VERSIONS_MAX 256 /* of a model; the settings allow no more */
 #define MIN_TRY_MS 20 /* less time left than this is not worth a try */
+/* The users' measure: the first token of an admitted request. */
+#define FIRST_TOKEN_GOAL_US (1500 * 1000)
 #define RETRY_AFTER_MS 1000 /* advice when no target is there at all */
 
 struct request {
 	struct entry *entry;
 	SoupServerMessage *message;
 	struct att att;
+	struct adm_ticket ticket;
 	char id[REQUEST_ID_LEN];
 	char team[RT_NAME_MAX + 1];
 	char model[RT_NAME_MAX + 1]; /* "" for a plain service */
@@ -29,6 +33,7 @@
 	bool streamed;
 	unsigned int stall_ms;
 	unsigned int priority;
+	uint64_t prefix; /* of the prompt; 0: none */
 	int64_t deadline_us;
 	guint deadline_timer;
 	guint event_idle; /* an event that must not be taken within a step */
@@ -51,6 +56,7 @@
 	bool begun; /* the caller has seen the head */
 	GByteArray *held;
 	struct err last;
+	enum adm_outcome outcome;
 };
 
 static void free_request(struct request *r);
@@ -95,6 +101,7 @@
 {
 	r->att.facts.time_left = time_left_ms(r) >= MIN_TRY_MS;
 	r->att.facts.nothing_sent = r->side == NULL;
+	r->att.facts.budget = gatekeeper_may_retry(r->entry, r->team);
 	att_take(&r->att, event);
 	if (att_is_over(&r->att))
 		free_request(r);
@@ -112,43 +119,56 @@
 
 /* No target: the attempt is refused, but not from within this step. */
 static void
-refuse_later(struct request *r)
+refuse_later(struct request *r, int64_t rest_ends_us)
 {
+	int64_t rest_us = rest_ends_us - clk_now_us(clk_system());
+
 	err_set(&r->last, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
 	    "no target can take it now");
 	r->last.retry_after_ms = RETRY_AFTER_MS;
+	if (rest_us > 0)
+		r->last.retry_after_ms = (unsigned int)(rest_us / 1000 + 1);
 	r->att.facts.max_attempts = r->att.facts.attempts;
 	r->event = ATT_REFUSED;
 	r->event_idle =
 	    g_idle_add_full(G_PRIORITY_DEFAULT, take_later, r, NULL);
 }
 
+/* NULL when there is none; `rest_ends_us` then says when one that rests may
+ * be used again, if any does. */
 static struct rt_target *
-choose(struct request *r, const struct rt_team *team)
+choose(struct request *r, int64_t *rest_ends_us)
 {
-	const struct rt_model *model = rt_team_model(team, r->model);
-	const struct rt_service *service = rt_team_service(team, r->service);
-	struct digest roots[64];
+	const struct rt_team *team = entry_team(r->entry, r->team);
+	const struct rt_model *model =
+	    team == NULL ? NULL : rt_team_model(team, r->model);
+	const struct rt_service *service =
+	    team == NULL ? NULL : rt_team_service(team, r->service);
+	struct digest roots[VERSIONS_MAX];
 	struct rt_wish wish = {
-		.kind = model != NULL ? RT_ENGINE : RT_SERVICE,
+		.kind = r->model[0] != '\0' ? RT_ENGINE : RT_SERVICE,
 		.team = r->team,
-		.pool = model != NULL ? model->pool
-		    : service != NULL ? service->pool
-				      : "",
 		.service = r->service,
 		.roots = roots,
 		.domain = cfg_str(r->entry->proc.cfg, "node.domain"),
+		.prefix = r->prefix,
 		.tried = r->tried,
 		.ntried = r->att.facts.attempts,
 	};
+	int64_t now_us = clk_now_us(clk_system());
+	struct rt_target *target;
 
-	if (r->model[0] != '\0' && model == NULL)
-		return NULL;
-	if (model != NULL && model->nversions <= G_N_ELEMENTS(roots))
+	*rest_ends_us = 0;
+	if (model == NULL && service == NULL)
+		return NULL; /* taken out of the settings meanwhile */
+	wish.pool = model != NULL ? model->pool : service->pool;
+	if (model != NULL && model->nversions <= VERSIONS_MAX)
 		wish.nroots = rt_model_roots(model,
 		    hash64(0, r->id, strlen(r->id)), roots, &wish.ranked);
-	return rt_choose(
-	    r->entry->fleet, &wish, clk_now_us(clk_system()), &r->entry->rng);
+	target = rt_choose(r->entry->fleet, &wish, now_us, &r->entry->rng);
+	if (target == NULL)
+		*rest_ends_us = rt_rest_ends_us(r->entry->fleet, &wish, now_us);
+	return target;
 }
 
 static void
@@ -180,11 +200,11 @@
 op_dispatch(void *ctx)
 {
 	struct request *r = ctx;
-	const struct rt_team *team = entry_team(r->entry, r->team);
-	struct rt_target *target = team == NULL ? NULL : choose(r, team);
+	int64_t rest_ends_us;
+	struct rt_target *target = choose(r, &rest_ends_us);
 
 	if (target == NULL) {
-		refuse_later(r);
+		refuse_later(r, rest_ends_us);
 		return;
 	}
 	r->tried[r->att.facts.attempts++] = target;
@@ -194,9 +214,12 @@
 	r->sent_us = clk_now_us(clk_system());
 	r->heard = false;
 	rt_target_sent(target, r->sent_us);
+	rt_fleet_prefix_sent(r->entry->fleet, target, r->prefix, r->sent_us);
 	g_hash_table_insert(r->side->streams, &r->stream, r);
-	if (r->att.facts.attempts > 1)
+	if (r->att.facts.attempts > 1) {
 		count(r, "request_retries");
+		gatekeeper_retried(r->entry, r->team);
+	}
 	send_request(r);
 }
 
@@ -378,6 +401,7 @@
 	    : g_strdup("application/octet-stream");
 	g_free(headers);
 	g_byte_array_set_size(r->held, 0);
+	adm_head(&r->ticket, clk_now_us(clk_system()));
 	if (r->streamed)
 		take(r, ATT_HEAD);
 }
@@ -409,22 +433,21 @@
 	take(r, ATT_HEAD);
 }
 
-void
-request_told(struct request *r, unsigned int running)
-{
-	if (r->side != NULL)
-		rt_target_told(r->target, running, clk_now_us(clk_system()));
-}
-
 void
 request_end(struct request *r, const struct err *err)
 {
 	leave_stream(r, err);
 	if (!err_is(err) && err->verdict == VERDICT_RAN) {
+		r->outcome = ADM_ANSWERED;
 		take(r, ATT_DONE);
 		return;
 	}
 	r->last = *err;
+	r->outcome = ADM_OTHER;
+	if (err->code == ERR_OVERLOADED) {
+		r->outcome = ADM_OVERLOADED;
+		adm_overloaded(&r->ticket, clk_now_us(clk_system()));
+	}
 	take(r, err->verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
 }
 
@@ -482,6 +505,82 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* ------------------------------------------------------------------ */
+/* Admission                                                           */
+/* ------------------------------------------------------------------ */
+
+static struct request *
+of_ticket(struct adm_ticket *ticket)
+{
+	return (struct request *)((char *)ticket -
+	    offsetof(struct request, ticket));
+}
+
+static void
+on_admitted(struct adm_ticket *ticket, void *ctx)
+{
+	take(of_ticket(ticket), ATT_START);
+}
+
+static void
+on_not_admitted(struct adm_ticket *ticket, const struct err *err, void *ctx)
+{
+	struct request *r = of_ticket(ticket);
+
+	r->last = *err;
+	count(r, "request_not_admitted");
+	take(r, ATT_REFUSED);
+}
+
+const struct adm_ops *
+request_adm_ops(void)
+{
+	static const struct adm_ops adm_ops = {
+		.start = on_admitted,
+		.refuse = on_not_admitted,
+	};
+
+	return &adm_ops;
+}
+
+static void
+offer(struct request *r)
+{
+	struct adm_lane *lane =
+	    gatekeeper_lane(r->entry, r->team, r->model, r->service);
+	int64_t now_us = clk_now_us(clk_system());
+
+	r->ticket.priority = r->priority;
+	r->ticket.deadline_us = r->deadline_us;
+	if (r->streamed)
+		r->ticket.goal_us = now_us + FIRST_TOKEN_GOAL_US;
+	switch (adm_offer(lane, &r->ticket, now_us, &r->last)) {
+	case ADM_STARTED:
+		take(r, ATT_START);
+		break;
+	case ADM_REFUSED:
+		count(r, "request_not_admitted");
+		take(r, ATT_REFUSED);
+		break;
+	default:
+		break;
+	}
+}
+
+/* The ticket goes with the request, whatever became of it. */
+static void
+end_ticket(struct request *r)
+{
+	int64_t now_us = clk_now_us(clk_system());
+
+	if (r->ticket.state == ADM_STARTED && r->outcome != ADM_OVERLOADED)
+		adm_done(&r->ticket, r->outcome, now_us);
+	else if (r->ticket.state == ADM_STARTED)
+		adm_done(&r->ticket, ADM_OTHER, now_us);
+	else if (r->ticket.state == ADM_WAITING)
+		adm_leave(&r->ticket, now_us);
+}
+
 /* ------------------------------------------------------------------ */
 /* Life of a request                                                   */
 /* ------------------------------------------------------------------ */
@@ -503,6 +602,7 @@
 	if (r->event_idle != 0)
 		g_source_remove(r->event_idle);
 	r->entry->open_requests--;
+	end_ticket(r);
 	g_object_unref(r->message);
 	if (r->body != NULL)
 		g_bytes_unref(r->body);
@@ -531,11 +631,21 @@
 	g_source_attach(r->gone_source, NULL);
 }
 
-void
-request_start(struct entry *entry, const struct request_ask *ask)
+struct rt_target *
+request_target(const struct request *r)
+{
+	return r->target;
+}
+
+bool
+request_start(
+    struct entry *entry, const struct request_ask *ask, struct err *err)
 {
-	struct request *r = g_new0(struct request, 1);
+	struct request *r;
 
+	if (!gatekeeper_take(entry, ask->team->name, err))
+		return false;
+	r = g_new0(struct request, 1);
 	r->entry = entry;
 	r->message = g_object_ref(ask->message);
 	g_snprintf(r->id, sizeof(r->id), "%.12s-%08x-%" G_GUINT64_FORMAT,
@@ -553,6 +663,7 @@
 	r->body = ask->body == NULL ? NULL : g_bytes_ref(ask->body);
 	r->streamed = ask->streamed;
 	r->priority = ask->priority;
+	r->prefix = ask->prefix;
 	r->held = g_byte_array_new();
 	r->deadline_us = clk_now_us(clk_system()) + ask->deadline_ms * 1000LL;
 	r->deadline_timer = g_timeout_add(ask->deadline_ms, on_deadline, r);
@@ -563,7 +674,7 @@
 	r->att.facts = (struct att_facts){
 		.idempotent = ask->idempotent,
 		.max_attempts = MAX_ATTEMPTS,
-		.budget = true,
 	};
-	take(r, ATT_START);
+	offer(r);
+	return true;
 }
--- a/programs/entry/sides.c
+++ b/programs/entry/sides.c
@@ -88,6 +88,7 @@
 	t->accepting = t->told_accepting && !is_leaving(side);
 	rt_fleet_update(side->entry->fleet, t);
 	rt_target_told(t, (unsigned int)told.running, clk_now_us(clk_system()));
+	gatekeeper_spoke(side->entry, t);
 	lead_wake(side->entry);
 }
 
@@ -95,10 +96,15 @@
 sides_apply_drain(struct entry *entry)
 {
 	struct rt_target *t;
+	bool accepting;
 
 	TAILQ_FOREACH (t, &entry->targets, link) {
-		t->accepting = t->told_accepting && !is_leaving(t->owner);
+		accepting = t->told_accepting && !is_leaving(t->owner);
+		if (accepting == t->accepting)
+			continue;
+		t->accepting = accepting;
 		rt_fleet_update(entry->fleet, t);
+		gatekeeper_spoke(entry, t);
 	}
 }
 
@@ -114,6 +120,7 @@
 		/* Requests hold pointers to the targets they tried, so a
 		 * target stays and is only out of reach. */
 		rt_target_lost(side->entry->fleet, t);
+		gatekeeper_spoke(side->entry, t);
 	}
 }
 
@@ -142,6 +149,7 @@
 	struct request *r = find_stream(side, end->stream);
 	struct err err = { 0 };
 	char message[ERR_MESSAGE_MAX];
+	struct rt_target *target;
 
 	if (r == NULL)
 		return;
@@ -149,8 +157,12 @@
 	err_set(&err, (enum err_code)end->code, (enum verdict)end->verdict,
 	    "%s", message);
 	err.retry_after_ms = (unsigned int)end->retry_after_ms;
-	request_told(r, (unsigned int)end->running);
+	target = request_target(r);
+	/* Told is the load without this request. */
+	rt_target_told(
+	    target, (unsigned int)end->running + 1, clk_now_us(clk_system()));
 	request_end(r, &err);
+	gatekeeper_spoke(side->entry, target);
 }
 
 static void
