--- a/lib/route/messages.c
+++ b/lib/route/messages.c
@@ -199,6 +199,7 @@
 	F(status, MSG_U64, 999),
 	F(type, MSG_STR, CLM_TYPE_MAX),
 	F(answer, MSG_STR, CLM_ANSWER_MAX),
+	F(has_answer, MSG_U64, 1),
 	F(digest, MSG_DIGEST, 0),
 };
 const struct msg_desc rt_claim_answer_desc = MSG_DESC(RT_CLAIM_ANSWER,
@@ -213,6 +214,7 @@
 	F(status, MSG_U64, 999),
 	F(type, MSG_STR, CLM_TYPE_MAX),
 	F(answer, MSG_STR, CLM_ANSWER_MAX),
+	F(has_answer, MSG_U64, 1),
 	F(digest, MSG_DIGEST, 0),
 };
 const struct msg_desc rt_claim_settle_desc = MSG_DESC(RT_CLAIM_SETTLE,
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -191,6 +191,7 @@
 	uint64_t status;
 	struct slice type;
 	struct slice answer;
+	uint64_t has_answer; /* else only its digest was kept */
 	struct digest digest;
 };
 
@@ -202,6 +203,7 @@
 	uint64_t status;
 	struct slice type;
 	struct slice answer;
+	uint64_t has_answer;
 	struct digest digest;
 };
 
--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -17,6 +17,7 @@
 #include "weights/weights.h"
 
 struct entry;
+struct claims;
 struct entry_peer;
 struct gatekeeper;
 struct lead;
@@ -58,6 +59,9 @@
 	struct entry_sides sides;
 	struct entry_peers peers;
 	struct gatekeeper *gatekeeper;
+	struct claims *claims;
+	GHashTable *asking; /* number -> struct claim */
+	uint64_t next_claim;
 	unsigned int live_entries; /* this one included */
 	struct rt_targets targets;
 	struct rt_fleet *fleet; /* the same targets, to choose from */
@@ -121,6 +125,43 @@
 void peers_send_all(
     struct entry *entry, const struct msg_desc *desc, const void *message);
 
+/* claims.c: the buckets of claims, as their owner sees them. */
+void claims_open(struct entry *entry);
+/* An ask by this or another entry; claim_take_answer there follows. */
+void claims_ask(
+    struct entry *entry, const char *from, const struct rt_claim *claim);
+void claims_settle(struct entry *entry, const struct rt_claim_settle *settle);
+/* RT_CLAIM and RT_CLAIM_SETTLE from another entry. */
+void claims_message(struct entry *entry, const char *from, const struct msg *m);
+/* Who should own a bucket: the same on all entries with the same view. */
+const char *claims_owner(struct entry *entry, unsigned int bucket);
+void claims_members(struct entry *entry);
+void claims_entry_gone(struct entry *entry, const char *id);
+/* Planned stop: the buckets go to others at once. */
+void claims_leave(struct entry *entry);
+
+/* claim_ask.c: the claim of one request, asked of the bucket's owner. */
+struct claim;
+struct claim_wish { /* copied */
+	const char *key;
+	struct digest body;
+	const char *asker; /* "ENTRY/..." */
+	unsigned int keep_ms;
+	int64_t until_us;
+};
+/* From the loop, once; the claim is gone after it. */
+typedef void claim_cb(
+    enum clm_result result, const struct clm_outcome *outcome, void *ctx);
+struct claim *claim_start(struct entry *entry, const struct claim_wish *wish,
+    claim_cb *done, void *ctx);
+/* No callback follows. What was claimed is to be settled by claim_settle. */
+void claim_drop(struct claim *claim);
+void claim_settle(struct entry *entry, const char *key, const char *asker,
+    const struct clm_outcome *outcome);
+void claim_take_answer(
+    struct entry *entry, const struct rt_claim_answer *answer);
+void claim_message(struct entry *entry, const struct msg *m); /* its frame */
+
 /* gatekeeper.c: limits, queues and the retry budget. */
 void gatekeeper_open(struct entry *entry);
 void gatekeeper_team(struct entry *entry, const struct rt_team *team);
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -1,13 +1,10 @@
 /* One caller's request over its attempts: the I/O behind charts/attempt. */
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include "entry/entry.h"
+#include "entry/request.h"
 
-#define MAX_ATTEMPTS 4
-#define REQUEST_ID_LEN 40
 /* An answer that is not streamed is held up to this size until it is whole,
  * so that a broken one can be run again and the caller sees no trace. */
 #define HOLD_MAX RT_WINDOW
@@ -15,58 +12,18 @@
 #define MIN_TRY_MS 20 /* less time left than this is not worth a try */
 /* The users' measure: the first token of an admitted request. */
 #define FIRST_TOKEN_GOAL_US (1500 * 1000)
+/* For the claim, or for the outcome of another try with the same key. */
+#define CLAIM_MOST_MS 10000
 #define RETRY_AFTER_MS 1000 /* advice when no target is there at all */
 
-struct request {
-	struct entry *entry;
-	SoupServerMessage *message;
-	struct att att;
-	struct adm_ticket ticket;
-	char id[REQUEST_ID_LEN];
-	char team[RT_NAME_MAX + 1];
-	char model[RT_NAME_MAX + 1]; /* "" for a plain service */
-	char service[RT_NAME_MAX + 1];
-	char *method;
-	char *path;
-	char *headers;
-	GBytes *body;
-	bool streamed;
-	unsigned int stall_ms;
-	unsigned int priority;
-	uint64_t prefix; /* of the prompt; 0: none */
-	int64_t deadline_us;
-	guint deadline_timer;
-	guint event_idle; /* an event that must not be taken within a step */
-	enum att_event event;
-	gulong finished_signal;
-	gulong wrote_signal;
-	GSource *gone_source;
-
-	/* The attempt that runs now. */
-	struct entry_side *side; /* NULL: none */
-	struct rt_target *target;
-	int64_t stream;
-	int64_t sent_us;
-	bool heard; /* the target gave a sign of an answer */
-	const struct rt_target *tried[MAX_ATTEMPTS];
-
-	/* The answer. */
-	struct rt_head head; /* headers are in `type` */
-	char *type;
-	bool begun; /* the caller has seen the head */
-	GByteArray *held;
-	struct err last;
-	enum adm_outcome outcome;
-};
-
 static void free_request(struct request *r);
 
 /* ------------------------------------------------------------------ */
 /* Attempts                                                            */
 /* ------------------------------------------------------------------ */
 
-static void
-count(const struct request *r, const char *name)
+void
+request_count(const struct request *r, const char *name)
 {
 	ctr_add(ctr_get(r->entry->proc.counters, name), 1);
 }
@@ -217,7 +174,7 @@
 	rt_fleet_prefix_sent(r->entry->fleet, target, r->prefix, r->sent_us);
 	g_hash_table_insert(r->side->streams, &r->stream, r);
 	if (r->att.facts.attempts > 1) {
-		count(r, "request_retries");
+		request_count(r, "request_retries");
 		gatekeeper_retried(r->entry, r->team);
 	}
 	send_request(r);
@@ -237,141 +194,131 @@
 	leave_stream(r, &cancelled);
 }
 
-/* ------------------------------------------------------------------ */
-/* The answer to the caller                                            */
-/* ------------------------------------------------------------------ */
-
-static SoupMessageBody *
-body_of(struct request *r)
+static void
+op_pass_head(void *ctx)
 {
-	return soup_server_message_get_response_body(r->message);
-}
+	struct request *r = ctx;
 
-static void
-put_headers(struct request *r, enum verdict verdict)
-{
-	SoupMessageHeaders *h =
-	    soup_server_message_get_response_headers(r->message);
-	char digest[DIGEST_HEX], attempts[16];
-
-	g_snprintf(attempts, sizeof(attempts), "%u", r->att.facts.attempts);
-	soup_message_headers_replace(h, "X-Request-Id", r->id);
-	soup_message_headers_replace(h, "X-Attempts", attempts);
-	soup_message_headers_replace(h, "X-Verdict", verdict_name(verdict));
-	if (!digest_is_none(&r->head.loaded)) {
-		digest_to_hex(&r->head.loaded, digest);
-		soup_message_headers_replace(h, "X-Model-Digest", digest);
-	}
+	if (!r->begun)
+		answer_begin(r);
 }
 
 static void
-put_type(struct request *r)
+op_finish(void *ctx)
 {
-	soup_message_headers_replace(
-	    soup_server_message_get_response_headers(r->message),
-	    "Content-Type", r->type);
+	struct request *r = ctx;
+
+	r->answered = true;
+	if (r->recorded != NULL)
+		answer_recorded(r);
+	else
+		answer_finish(r);
 }
 
-/* Sends the head and lets the body follow piece by piece. While it runs the
- * verdict can only be MAY_HAVE_RUN; the whole answer says RAN. */
 static void
-begin(struct request *r)
+op_fail(void *ctx)
 {
-	r->begun = true;
-	soup_server_message_set_status(r->message, (guint)r->head.status, NULL);
-	put_headers(r, VERDICT_MAY_HAVE_RUN);
-	put_type(r);
-	soup_message_headers_set_encoding(
-	    soup_server_message_get_response_headers(r->message),
-	    SOUP_ENCODING_CHUNKED);
-	soup_message_body_set_accumulate(body_of(r), FALSE);
+	answer_fail(ctx);
 }
 
 static void
-append(struct request *r, const uint8_t *bytes, size_t len)
+op_cut(void *ctx)
 {
-	if (len == 0)
-		return;
-	soup_message_body_append(body_of(r), SOUP_MEMORY_COPY, bytes, len);
-	soup_server_message_unpause(r->message);
+	answer_cut(ctx);
 }
 
+/* ------------------------------------------------------------------ */
+/* Claims of keyed requests                                            */
+/* ------------------------------------------------------------------ */
+
+/* The key was granted, or why not. */
 static void
-op_pass_head(void *ctx)
+on_claim(enum clm_result result, const struct clm_outcome *outcome, void *ctx)
 {
 	struct request *r = ctx;
 
-	if (!r->begun)
-		begin(r);
+	r->claim = NULL;
+	switch (result) {
+	case CLM_GRANTED:
+		err_set(&r->last, ERR_DEADLINE, VERDICT_NOT_RUN,
+		    "the deadline passed while the key was claimed");
+		take(r, ATT_CLAIMED);
+		return;
+	case CLM_RECORDED:
+		r->recorded = outcome;
+		take(r, ATT_DONE);
+		return;
+	default:
+		clm_error(result, &r->last);
+		take(r, result == CLM_IN_DOUBT ? ATT_LOST : ATT_REFUSED);
+		return;
+	}
 }
 
 static void
-op_finish(void *ctx)
+op_claim(void *ctx)
 {
 	struct request *r = ctx;
+	int64_t now_us = clk_now_us(clk_system());
+	struct claim_wish wish = {
+		.key = r->key,
+		.asker = r->asker,
+		.keep_ms = (unsigned int)MAX(time_left_ms(r), 0),
+		.until_us =
+		    MIN(r->deadline_us, now_us + CLAIM_MOST_MS * 1000LL),
+	};
+	struct digest_stream *body = digest_stream_new();
 
-	count(r, "request_answered");
-	if (r->begun) {
-		soup_message_body_complete(body_of(r));
-	} else {
-		soup_server_message_set_status(
-		    r->message, (guint)r->head.status, NULL);
-		put_headers(r, VERDICT_RAN);
-		put_type(r);
-		soup_message_body_append(
-		    body_of(r), SOUP_MEMORY_COPY, r->held->data, r->held->len);
-		soup_message_body_complete(body_of(r));
-	}
-	soup_server_message_unpause(r->message);
+	digest_stream_add(body, r->method, strlen(r->method) + 1);
+	digest_stream_add(body, r->path, strlen(r->path) + 1);
+	if (r->body != NULL)
+		digest_stream_add(body, g_bytes_get_data(r->body, NULL),
+		    g_bytes_get_size(r->body));
+	digest_stream_end(body, &wish.body);
+	r->claim = claim_start(r->entry, &wish, on_claim, r);
 }
 
 static void
-op_fail(void *ctx)
+op_detach(void *ctx)
 {
-	struct request *r = ctx;
+	request_count(ctx, "request_detached");
+}
+
+static bool
+is_short_text(const GByteArray *bytes)
+{
+	return bytes->len <= CLM_ANSWER_MAX &&
+	    g_utf8_validate((const char *)bytes->data, bytes->len, NULL);
+}
 
-	/* One attempt that may have run makes the whole request so, even
-	 * when a later attempt was surely refused. */
-	if (r->att.may_have_run)
-		r->last.verdict = VERDICT_MAY_HAVE_RUN;
-	count(r,
-	    r->last.verdict == VERDICT_NOT_RUN ? "request_not_run"
-					       : "request_may_have_run");
-	put_headers(r, r->last.verdict);
-	answer_error(r->message, &r->last);
-	soup_server_message_unpause(r->message);
-}
-
-/*
- * The answer broke after it began to reach the caller. It must not look
- * whole: a stream of events gets an error event and no [DONE]; anything else is
- * closed without the end that HTTP calls for.
- */
 static void
-op_cut(void *ctx)
+op_settle(void *ctx)
 {
 	struct request *r = ctx;
-	GSocket *socket;
-	char *event;
-
-	count(r, "request_cut");
-	tl_add(r->entry->proc.timeline, "answer_cut", r->id, "%s",
-	    r->last.message);
-	if (!r->streamed) {
-		socket = soup_server_message_get_socket(r->message);
-		if (socket != NULL)
-			g_socket_shutdown(socket, TRUE, TRUE, NULL);
-		soup_server_message_unpause(r->message);
-		return;
+	struct clm_outcome outcome = { .verdict = VERDICT_NOT_RUN };
+	char *answer = NULL;
+
+	if (r->claim != NULL)
+		claim_drop(r->claim);
+	r->claim = NULL;
+	if (r->answered) {
+		if (!r->begun && is_short_text(r->held))
+			answer = g_strndup(
+			    (const char *)r->held->data, r->held->len);
+		outcome = (struct clm_outcome){
+			.verdict = VERDICT_RAN,
+			.status = (unsigned int)r->head.status,
+			.type = r->type,
+			.answer = answer,
+		};
+		if (r->hash != NULL)
+			digest_stream_end(
+			    g_steal_pointer(&r->hash), &outcome.digest);
+	} else if (r->att.may_have_run || r->begun) {
+		outcome.verdict = VERDICT_MAY_HAVE_RUN;
 	}
-	event = g_strdup_printf("event: error\ndata: {\"error\":{\"code\":"
-				"\"%s\",\"message\":\"the answer broke off\","
-				"\"verdict\":\"%s\"}}\n\n",
-	    err_code_name(r->last.code), verdict_name(VERDICT_MAY_HAVE_RUN));
-	append(r, (const uint8_t *)event, strlen(event));
-	soup_message_body_complete(body_of(r));
-	soup_server_message_unpause(r->message);
-	g_free(event);
+	claim_settle(r->entry, r->key, r->asker, &outcome);
+	g_free(answer);
 }
 
 static const struct att_ops ops = {
@@ -381,6 +328,9 @@
 	.fail = op_fail,
 	.cut = op_cut,
 	.cancel = op_cancel,
+	.claim = op_claim,
+	.detach = op_detach,
+	.settle = op_settle,
 };
 
 /* ------------------------------------------------------------------ */
@@ -393,6 +343,10 @@
 	char *headers = slice_dup(head->headers);
 
 	heard(r);
+	if (r->key != NULL) {
+		digest_stream_free(r->hash);
+		r->hash = digest_stream_new();
+	}
 	r->head = *head;
 	r->head.headers = (struct slice){ NULL, 0 };
 	g_free(r->type);
@@ -419,16 +373,22 @@
 request_data(struct request *r, const uint8_t *bytes, size_t len)
 {
 	heard(r);
+	if (r->hash != NULL)
+		digest_stream_add(r->hash, bytes, len);
 	if (r->begun) {
-		append(r, bytes, len);
+		answer_append(r, bytes, len);
+		if (r->gone) /* nobody else will say that they were taken */
+			give_window(r, len);
 		return;
 	}
 	g_byte_array_append(r->held, bytes, (guint)len);
 	if (r->held->len < HOLD_MAX)
 		return;
 	/* Too large to hold back any longer. */
-	begin(r);
-	append(r, r->held->data, r->held->len);
+	answer_begin(r);
+	answer_append(r, r->held->data, r->held->len);
+	if (r->gone)
+		give_window(r, r->held->len);
 	g_byte_array_set_size(r->held, 0);
 	take(r, ATT_HEAD);
 }
@@ -464,14 +424,17 @@
 static void
 caller_gone(struct request *r)
 {
-	count(r, "request_caller_gone");
+	request_count(r, "request_caller_gone");
 	take(r, ATT_CALLER_GONE);
 }
 
 static void
 on_finished(SoupServerMessage *message, gpointer data)
 {
-	caller_gone(data);
+	struct request *r = data;
+
+	r->gone = true;
+	caller_gone(r);
 }
 
 /* While we wait nobody reads the caller's socket; a look at it tells a
@@ -500,7 +463,7 @@
 	err_set(&r->last, ERR_DEADLINE,
 	    r->side == NULL ? VERDICT_NOT_RUN : VERDICT_MAY_HAVE_RUN,
 	    "the deadline passed");
-	count(r, "request_deadlines");
+	request_count(r, "request_deadlines");
 	take(r, ATT_DEADLINE);
 	return G_SOURCE_REMOVE;
 }
@@ -528,7 +491,7 @@
 	struct request *r = of_ticket(ticket);
 
 	r->last = *err;
-	count(r, "request_not_admitted");
+	request_count(r, "request_not_admitted");
 	take(r, ATT_REFUSED);
 }
 
@@ -559,7 +522,7 @@
 		take(r, ATT_START);
 		break;
 	case ADM_REFUSED:
-		count(r, "request_not_admitted");
+		request_count(r, "request_not_admitted");
 		take(r, ATT_REFUSED);
 		break;
 	default:
@@ -591,6 +554,9 @@
 	const struct err cancelled = { .code = ERR_CANCELLED };
 
 	leave_stream(r, &cancelled);
+	if (r->claim != NULL)
+		claim_drop(r->claim);
+	digest_stream_free(r->hash);
 	g_signal_handler_disconnect(r->message, r->finished_signal);
 	g_signal_handler_disconnect(r->message, r->wrote_signal);
 	if (r->gone_source != NULL) {
@@ -611,6 +577,8 @@
 	g_free(r->method);
 	g_free(r->path);
 	g_free(r->headers);
+	g_free(r->key);
+	g_free(r->asker);
 	g_free(r);
 }
 
@@ -665,6 +633,13 @@
 	r->priority = ask->priority;
 	r->prefix = ask->prefix;
 	r->held = g_byte_array_new();
+	r->outcome = ADM_OTHER;
+	if (ask->key != NULL && !ask->idempotent) {
+		r->key = g_strdup_printf("%s/%s%s/%s", r->team,
+		    r->model[0] != '\0' ? "model:" : "service:",
+		    r->model[0] != '\0' ? r->model : r->service, ask->key);
+		r->asker = g_strdup_printf("%s/%s", entry->proc.node.id, r->id);
+	}
 	r->deadline_us = clk_now_us(clk_system()) + ask->deadline_ms * 1000LL;
 	r->deadline_timer = g_timeout_add(ask->deadline_ms, on_deadline, r);
 	entry->open_requests++;
@@ -673,6 +648,7 @@
 	att_init(&r->att, entry->attempts, &ops, r);
 	r->att.facts = (struct att_facts){
 		.idempotent = ask->idempotent,
+		.keyed = r->key != NULL,
 		.max_attempts = MAX_ATTEMPTS,
 	};
 	offer(r);
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -51,6 +51,10 @@
 		send_events(entry, c, m);
 	else if (m->type == RT_DEMAND)
 		gatekeeper_told(entry, conn_peer(c), m);
+	else if (m->type == RT_CLAIM || m->type == RT_CLAIM_SETTLE)
+		claims_message(entry, conn_peer(c), m);
+	else if (m->type == RT_CLAIM_ANSWER)
+		claim_message(entry, m);
 	else if (!agr_message(entry->proc.agr, c, m))
 		ctr_add(
 		    ctr_get(entry->proc.counters, "entry_unknown_messages"), 1);
@@ -99,6 +103,8 @@
 	peers_member(entry, member);
 	if (member->state == MEM_DEAD || member->state == MEM_LEAVING)
 		gatekeeper_entry_gone(entry, member->node.id);
+	if (member->state == MEM_DEAD)
+		claims_entry_gone(entry, member->node.id);
 	if (entry->proc.agr == NULL)
 		return; /* still joining; the next change counts all */
 	agr_each_member(entry->proc.agr, count_entry, &n);
@@ -106,6 +112,7 @@
 		return;
 	entry->live_entries = n;
 	gatekeeper_members(entry);
+	claims_members(entry);
 }
 
 static bool
@@ -215,6 +222,7 @@
 	entry->fleet = rt_fleet_new();
 	TAILQ_INIT(&entry->peers);
 	gatekeeper_open(entry);
+	claims_open(entry);
 	entry->teams = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)rt_team_free);
 	entry->leads = g_hash_table_new(g_str_hash, g_str_equal);
@@ -270,6 +278,7 @@
 	log_info("entry %s is leaving", entry->proc.node.id);
 	g_hash_table_foreach(entry->leads, hand_over, NULL);
 	agr_leave(entry->proc.agr);
+	claims_leave(entry);
 	entry->stop_timer = g_timeout_add(STOP_CHECK_MS, check_stopped, entry);
 }
 
