--- a/lib/agree/mem_wire.c
+++ b/lib/agree/mem_wire.c
@@ -252,6 +252,8 @@
 	const msgpack_object *o = &got.data;
 	const msgpack_object *field;
 
+	if (!msg_bounded(updates))
+		return;
 	msgpack_unpacked_init(&got);
 	while (msgpack_unpack_next(&got, (const char *)updates.data,
 		   updates.len, &at) == MSGPACK_UNPACK_SUCCESS) {
@@ -354,6 +356,8 @@
 	struct listed l;
 	struct listed *kept;
 
+	if (!msg_bounded(list))
+		return known;
 	msgpack_unpacked_init(&got);
 	while (msgpack_unpack_next(&got, (const char *)list.data, list.len,
 		   &at) == MSGPACK_UNPACK_SUCCESS) {
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -168,10 +168,10 @@
 	struct slice json; /* an array of events */
 };
 
-/* Entry to entry: what a team asks of this one; see lim_tell(). */
+/* Entry to entry: what is asked of me for this team; see lim_told(). */
 struct rt_demand {
 	struct slice team;
-	uint64_t milli_s; /* thousandths of a request a second */
+	uint64_t demand_milli_s;
 };
 
 /* Entry to the owner of a bucket of claims; see clm_ask(). */
--- a/programs/entry/answer.c
+++ b/programs/entry/answer.c
@@ -65,6 +65,7 @@
 answer_finish(struct request *r)
 {
 	request_count(r, "request_answered");
+	r->told = true;
 	if (r->gone)
 		return;
 	if (r->begun) {
@@ -91,6 +92,7 @@
 	char hex[DIGEST_HEX], *text;
 
 	request_count(r, "request_recorded");
+	r->told = true;
 	if (r->gone)
 		return;
 	headers = soup_server_message_get_response_headers(r->message);
@@ -121,6 +123,7 @@
 	request_count(r,
 	    r->last.verdict == VERDICT_NOT_RUN ? "request_not_run"
 					       : "request_may_have_run");
+	r->told = true;
 	if (r->gone)
 		return;
 	put_headers(r, r->last.verdict);
@@ -142,6 +145,7 @@
 	request_count(r, "request_cut");
 	tl_add(r->entry->proc.timeline, "answer_cut", r->id, "%s",
 	    r->last.message);
+	r->told = true;
 	if (r->gone)
 		return;
 	if (!r->streamed) {
@@ -160,3 +164,18 @@
 	soup_server_message_unpause(r->message);
 	g_free(event);
 }
+
+/* A message that stays paused keeps its connection open for ever, as nobody
+ * looks at its socket any more. Let go, it ends with the first write. */
+void
+answer_let_go(struct request *r)
+{
+	if (r->gone || r->told)
+		return;
+	soup_server_message_set_status(
+	    r->message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+	soup_message_headers_replace(
+	    soup_server_message_get_response_headers(r->message), "Connection",
+	    "close");
+	soup_server_message_unpause(r->message);
+}
--- a/programs/entry/gatekeeper.c
+++ b/programs/entry/gatekeeper.c
@@ -221,7 +221,7 @@
 	name = slice_dup(demand.team);
 	t = find_team(entry->gatekeeper, name);
 	if (t != NULL)
-		lim_told(t->limit, from, demand.milli_s, now_us());
+		lim_told(t->limit, from, demand.demand_milli_s, now_us());
 	g_free(name);
 }
 
@@ -287,7 +287,7 @@
 
 		if (!lim_tell(t->limit, now_us()))
 			continue;
-		demand.milli_s = lim_demand(t->limit, now_us());
+		demand.demand_milli_s = lim_demand(t->limit, now_us());
 		peers_send_all(g->entry, &rt_demand_desc, &demand);
 	}
 	return G_SOURCE_CONTINUE;
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -12,8 +12,6 @@
 #define MIN_TRY_MS 20 /* less time left than this is not worth a try */
 /* The users' measure: the first token of an admitted request. */
 #define FIRST_TOKEN_GOAL_US (1500 * 1000)
-/* For the claim, or for the outcome of another try with the same key. */
-#define CLAIM_MOST_MS 10000
 #define RETRY_AFTER_MS 1000 /* advice when no target is there at all */
 
 static void free_request(struct request *r);
@@ -47,16 +45,16 @@
 	r->heard = true;
 }
 
-static int64_t
-time_left_ms(const struct request *r)
+int64_t
+request_left_ms(const struct request *r)
 {
 	return (r->deadline_us - clk_now_us(clk_system())) / 1000;
 }
 
-static void
-take(struct request *r, enum att_event event)
+void
+request_take(struct request *r, enum att_event event)
 {
-	r->att.facts.time_left = time_left_ms(r) >= MIN_TRY_MS;
+	r->att.facts.time_left = request_left_ms(r) >= MIN_TRY_MS;
 	r->att.facts.nothing_sent = r->side == NULL;
 	r->att.facts.budget = gatekeeper_may_retry(r->entry, r->team);
 	att_take(&r->att, event);
@@ -70,7 +68,7 @@
 	struct request *r = data;
 
 	r->event_idle = 0;
-	take(r, r->event);
+	request_take(r, r->event);
 	return G_SOURCE_REMOVE;
 }
 
@@ -138,7 +136,7 @@
 		.stream = (uint64_t)r->stream,
 		.request_id = slice_str(r->id),
 		.attempt = r->att.facts.attempts,
-		.deadline_ms = (uint64_t)MAX(time_left_ms(r), 0),
+		.deadline_ms = (uint64_t)MAX(request_left_ms(r), 0),
 		.target = slice_str(r->target->name),
 		.method = slice_str(r->method),
 		.path = slice_str(r->path),
@@ -227,100 +225,6 @@
 	answer_cut(ctx);
 }
 
-/* ------------------------------------------------------------------ */
-/* Claims of keyed requests                                            */
-/* ------------------------------------------------------------------ */
-
-/* The key was granted, or why not. */
-static void
-on_claim(enum clm_result result, const struct clm_outcome *outcome, void *ctx)
-{
-	struct request *r = ctx;
-
-	r->claim = NULL;
-	switch (result) {
-	case CLM_GRANTED:
-		err_set(&r->last, ERR_DEADLINE, VERDICT_NOT_RUN,
-		    "the deadline passed while the key was claimed");
-		take(r, ATT_CLAIMED);
-		return;
-	case CLM_RECORDED:
-		r->recorded = outcome;
-		take(r, ATT_DONE);
-		return;
-	default:
-		clm_error(result, &r->last);
-		take(r, result == CLM_IN_DOUBT ? ATT_LOST : ATT_REFUSED);
-		return;
-	}
-}
-
-static void
-op_claim(void *ctx)
-{
-	struct request *r = ctx;
-	int64_t now_us = clk_now_us(clk_system());
-	struct claim_wish wish = {
-		.key = r->key,
-		.asker = r->asker,
-		.keep_ms = (unsigned int)MAX(time_left_ms(r), 0),
-		.until_us =
-		    MIN(r->deadline_us, now_us + CLAIM_MOST_MS * 1000LL),
-	};
-	struct digest_stream *body = digest_stream_new();
-
-	digest_stream_add(body, r->method, strlen(r->method) + 1);
-	digest_stream_add(body, r->path, strlen(r->path) + 1);
-	if (r->body != NULL)
-		digest_stream_add(body, g_bytes_get_data(r->body, NULL),
-		    g_bytes_get_size(r->body));
-	digest_stream_end(body, &wish.body);
-	r->claim = claim_start(r->entry, &wish, on_claim, r);
-}
-
-static void
-op_detach(void *ctx)
-{
-	request_count(ctx, "request_detached");
-}
-
-static bool
-is_short_text(const GByteArray *bytes)
-{
-	return bytes->len <= CLM_ANSWER_MAX &&
-	    g_utf8_validate((const char *)bytes->data, bytes->len, NULL);
-}
-
-static void
-op_settle(void *ctx)
-{
-	struct request *r = ctx;
-	struct clm_outcome outcome = { .verdict = VERDICT_NOT_RUN };
-	char *answer = NULL;
-
-	if (r->claim != NULL)
-		claim_drop(r->claim);
-	r->claim = NULL;
-	if (r->answered) {
-		if (!r->begun && is_short_text(r->held))
-			answer = g_strndup(
-			    (const char *)r->held->data, r->held->len);
-		outcome = (struct clm_outcome){
-			.verdict = VERDICT_RAN,
-			.status = (unsigned int)r->head.status,
-			.type = r->type,
-			.answer = answer,
-		};
-		if (r->hash != NULL)
-			digest_stream_end(
-			    g_steal_pointer(&r->hash), &outcome.digest);
-	} else if (r->att.may_have_run || r->begun) {
-		outcome.verdict = VERDICT_MAY_HAVE_RUN;
-	}
-	claim_settle(r->entry, r->key, r->asker, &outcome);
-	g_free(answer);
-}
-
 static const struct att_ops ops = {
 	.dispatch = op_dispatch,
 	.pass_head = op_pass_head,
@@ -328,9 +232,9 @@
 	.fail = op_fail,
 	.cut = op_cut,
 	.cancel = op_cancel,
-	.claim = op_claim,
-	.detach = op_detach,
-	.settle = op_settle,
+	.claim = keyed_claim,
+	.detach = keyed_detach,
+	.settle = keyed_settle,
 };
 
 /* ------------------------------------------------------------------ */
@@ -357,7 +261,7 @@
 	g_byte_array_set_size(r->held, 0);
 	adm_head(&r->ticket, clk_now_us(clk_system()));
 	if (r->streamed)
-		take(r, ATT_HEAD);
+		request_take(r, ATT_HEAD);
 }
 
 static void
@@ -390,7 +294,7 @@
 	if (r->gone)
 		give_window(r, r->held->len);
 	g_byte_array_set_size(r->held, 0);
-	take(r, ATT_HEAD);
+	request_take(r, ATT_HEAD);
 }
 
 void
@@ -399,7 +303,7 @@
 	leave_stream(r, err);
 	if (!err_is(err) && err->verdict == VERDICT_RAN) {
 		r->outcome = ADM_ANSWERED;
-		take(r, ATT_DONE);
+		request_take(r, ATT_DONE);
 		return;
 	}
 	r->last = *err;
@@ -408,7 +312,8 @@
 		r->outcome = ADM_OVERLOADED;
 		adm_overloaded(&r->ticket, clk_now_us(clk_system()));
 	}
-	take(r, err->verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
+	request_take(
+	    r, err->verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
 }
 
 /* ------------------------------------------------------------------ */
@@ -425,7 +330,7 @@
 caller_gone(struct request *r)
 {
 	request_count(r, "request_caller_gone");
-	take(r, ATT_CALLER_GONE);
+	request_take(r, ATT_CALLER_GONE);
 }
 
 static void
@@ -464,7 +369,7 @@
 	    r->side == NULL ? VERDICT_NOT_RUN : VERDICT_MAY_HAVE_RUN,
 	    "the deadline passed");
 	request_count(r, "request_deadlines");
-	take(r, ATT_DEADLINE);
+	request_take(r, ATT_DEADLINE);
 	return G_SOURCE_REMOVE;
 }
 
@@ -482,7 +387,7 @@
 static void
 on_admitted(struct adm_ticket *ticket, void *ctx)
 {
-	take(of_ticket(ticket), ATT_START);
+	request_take(of_ticket(ticket), ATT_START);
 }
 
 static void
@@ -492,7 +397,7 @@
 
 	r->last = *err;
 	request_count(r, "request_not_admitted");
-	take(r, ATT_REFUSED);
+	request_take(r, ATT_REFUSED);
 }
 
 const struct adm_ops *
@@ -519,11 +424,11 @@
 		r->ticket.goal_us = now_us + FIRST_TOKEN_GOAL_US;
 	switch (adm_offer(lane, &r->ticket, now_us, &r->last)) {
 	case ADM_STARTED:
-		take(r, ATT_START);
+		request_take(r, ATT_START);
 		break;
 	case ADM_REFUSED:
 		request_count(r, "request_not_admitted");
-		take(r, ATT_REFUSED);
+		request_take(r, ATT_REFUSED);
 		break;
 	default:
 		break;
@@ -559,6 +464,7 @@
 	digest_stream_free(r->hash);
 	g_signal_handler_disconnect(r->message, r->finished_signal);
 	g_signal_handler_disconnect(r->message, r->wrote_signal);
+	answer_let_go(r);
 	if (r->gone_source != NULL) {
 		g_source_destroy(r->gone_source);
 		g_source_unref(r->gone_source);
@@ -634,12 +540,8 @@
 	r->prefix = ask->prefix;
 	r->held = g_byte_array_new();
 	r->outcome = ADM_OTHER;
-	if (ask->key != NULL && !ask->idempotent) {
-		r->key = g_strdup_printf("%s/%s%s/%s", r->team,
-		    r->model[0] != '\0' ? "model:" : "service:",
-		    r->model[0] != '\0' ? r->model : r->service, ask->key);
-		r->asker = g_strdup_printf("%s/%s", entry->proc.node.id, r->id);
-	}
+	if (ask->key != NULL && !ask->idempotent)
+		keyed_init(r, ask->key);
 	r->deadline_us = clk_now_us(clk_system()) + ask->deadline_ms * 1000LL;
 	r->deadline_timer = g_timeout_add(ask->deadline_ms, on_deadline, r);
 	entry->open_requests++;
--- a/programs/entry/request.h
+++ b/programs/entry/request.h
@@ -33,6 +33,7 @@
 	gulong wrote_signal;
 	GSource *gone_source;
 	bool gone; /* the exchange with the caller is over */
+	bool told; /* its answer or error is on the way */
 
 	/* The attempt that runs now. */
 	struct entry_side *side; /* NULL: none */
@@ -60,6 +61,15 @@
 };
 
 void request_count(const struct request *r, const char *name);
+/* Takes an event of charts/attempt; may free the request. */
+void request_take(struct request *r, enum att_event event);
+int64_t request_left_ms(const struct request *r); /* to its deadline */
+
+/* keyed.c. The last three are actions of the chart. */
+void keyed_init(struct request *r, const char *key);
+void keyed_claim(void *request);
+void keyed_detach(void *request);
+void keyed_settle(void *request);
 
 /* answer.c. None of these does anything once the caller is gone. */
 /* Sends the head and lets the body follow piece by piece. */
@@ -73,5 +83,7 @@
 void answer_fail(struct request *r);
 /* The visible error inside an answer that has begun. */
 void answer_cut(struct request *r);
+/* The request ends; if the caller was told nothing, it is gone. */
+void answer_let_go(struct request *r);
 
 #endif
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "entry/entry.h"
+#include "shared/http.h"
 
 #define STOP_CHECK_MS 50
 #define STOP_LONGEST_MS 60000 /* a stream that never ends does not hold us */
@@ -196,6 +197,7 @@
 		    address);
 	}
 	entry->http = soup_server_new("server-header", "currantchute", NULL);
+	http_close_left(entry->http);
 	caller_open(entry);
 	ops_open(entry);
 	if (!soup_server_listen(entry->http, at, 0, &error)) {
--- /dev/null
+++ b/programs/shared/http.c
@@ -0,0 +1,40 @@
+/* What libsoup's server leaves open. */
+
+#include <errno.h>
+#include <sys/socket.h>
+
+#include "shared/http.h"
+
+static gboolean
+on_readable(GSocket *socket, GIOCondition cond, gpointer data)
+{
+	char byte;
+	ssize_t n =
+	    recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	if (n == 0 || (n < 0 && errno != EAGAIN))
+		g_socket_close(socket, NULL);
+	return G_SOURCE_REMOVE; /* set again after the next request */
+}
+
+static void
+on_request_finished(
+    SoupServer *server, SoupServerMessage *message, gpointer data)
+{
+	GSocket *socket = soup_server_message_get_socket(message);
+	GSource *source;
+
+	if (socket == NULL || g_socket_is_closed(socket))
+		return;
+	source = g_socket_create_source(socket, G_IO_IN, NULL);
+	g_source_set_callback(source, G_SOURCE_FUNC(on_readable), NULL, NULL);
+	g_source_attach(source, NULL);
+	g_source_unref(source);
+}
+
+void
+http_close_left(SoupServer *server)
+{
+	g_signal_connect(
+	    server, "request-finished", G_CALLBACK(on_request_finished), NULL);
+}
--- /dev/null
+++ b/programs/shared/http.h
@@ -0,0 +1,15 @@
+#ifndef HTTP_H
+#define HTTP_H
+
+#include <libsoup/soup.h>
+
+/*
+ * Closes a connection that its client has closed between two requests.
+ * libsoup 3.2 reads that end and then neither closes its own side nor says
+ * so: each client that does not keep its connection would cost a file
+ * descriptor for good, and after about a thousand the process takes nobody
+ * in. Closing the socket frees the descriptor; some 2 KB of memory stay.
+ */
+void http_close_left(SoupServer *server);
+
+#endif
