Claims: 16 buckets, outcomes wait longer for claims to go with

Cause: with 64 buckets hardly two claims met in one write, the pace became the limit and claims waited for their bucket's turn.

Change: 16 buckets of up to 900 KB instead of 64 of 512 KB; outcomes wait 500 ms instead of 200; records are kept for the deadline and 5 minutes.

--- a/lib/route/claim.h
+++ b/lib/route/claim.h
@@ -31,17 +31,19 @@
 
 #include "common/common.h"
 
-#define CLM_BUCKETS 64
+/* All writes together are bounded, so a bucket's turn comes the sooner the
+ * fewer there are; the most claims that can be kept grow with them. */
+#define CLM_BUCKETS 16
 #define CLM_KEY_MAX 320 /* TEAM/SERVICE/KEY */
 #define CLM_ASKER_MAX 128
 #define CLM_ANSWER_MAX 1024 /* longer answers are kept as a digest only */
 #define CLM_TYPE_MAX 64
-#define CLM_VALUE_MAX (512u << 10) /* of the object; the API takes 1 MB */
+#define CLM_VALUE_MAX (900u << 10) /* of the object; the API takes 1 MB */
 
 #define CLM_GROUP_MS 20
-#define CLM_OUTCOME_MS 200 /* outcomes wait so long for claims to go with */
+#define CLM_OUTCOME_MS 500 /* outcomes wait so long for claims to go with */
 #define CLM_LEASE_MS 2000
-#define CLM_KEEP_MS (600 * 1000)
+#define CLM_KEEP_MS (300 * 1000)
 /* Writes a second over all buckets and entries; the API takes several
  * hundred for everything. */
 #define CLM_WRITES_S 200
