Platform package: connections are kept and used again

Change: connections are reused, POSTs too; a resend by libsoup is stopped in its restarted signal; sockets are found by the connection's number, for the check of chunked answers. own_connection in target_request for requests that are not repeated.

--- a/lib/platform/plat.c
+++ b/lib/platform/plat.c
@@ -1,4 +1,8 @@
-/* The HTTP session that the adapters of a process share. */
+/*
+ * The HTTP session that the adapters of a process share, and the sockets of its
+ * connections, which libsoup does not show: target.c looks at them to tell a
+ * whole answer from a cut one.
+ */
 
 #include "platform/platform_internal.h"
 
@@ -11,6 +15,63 @@
  * few requests meet a connection that is just being closed. */
 #define IDLE_TIMEOUT_S 20
 
+struct plat_socket {
+	struct plat *plat;
+	guint64 id; /* libsoup's number of the connection; key in the map */
+	GSocket *socket; /* weak */
+};
+
+static void
+on_socket_gone(gpointer data, GObject *socket)
+{
+	struct plat_socket *entry = data;
+
+	g_hash_table_remove(entry->plat->sockets, &entry->id);
+}
+
+static void
+on_network_event(SoupMessage *message, GSocketClientEvent event,
+    GIOStream *stream, gpointer data)
+{
+	struct plat *plat = data;
+	struct plat_socket *entry;
+
+	if (event != G_SOCKET_CLIENT_CONNECTED)
+		return;
+	entry = g_new0(struct plat_socket, 1);
+	entry->plat = plat;
+	entry->id = soup_message_get_connection_id(message);
+	entry->socket =
+	    g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
+	g_object_weak_ref(G_OBJECT(entry->socket), on_socket_gone, entry);
+	g_hash_table_insert(plat->sockets, &entry->id, entry);
+}
+
+static void
+on_queued(SoupSession *session, SoupMessage *message, gpointer data)
+{
+	g_signal_connect(
+	    message, "network-event", G_CALLBACK(on_network_event), data);
+}
+
+/* The last mention: a message may outlive the session's owner. */
+static void
+on_unqueued(SoupSession *session, SoupMessage *message, gpointer data)
+{
+	g_signal_handlers_disconnect_by_func(
+	    message, G_CALLBACK(on_network_event), data);
+}
+
+GSocket *
+plat_socket(const struct plat *plat, SoupMessage *message)
+{
+	guint64 id = soup_message_get_connection_id(message);
+	const struct plat_socket *entry =
+	    g_hash_table_lookup(plat->sockets, &id);
+
+	return entry == NULL ? NULL : entry->socket;
+}
+
 struct plat *
 plat_new(const struct clk *clock, struct ctr_set *counters, struct tl *timeline)
 {
@@ -23,6 +84,12 @@
 	plat->session = soup_session_new_with_options("max-conns", CONNS_MAX,
 	    "max-conns-per-host", CONNS_PER_HOST_MAX, "proxy-resolver", NULL,
 	    "timeout", 0, "idle-timeout", IDLE_TIMEOUT_S, NULL);
+	plat->sockets =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	g_signal_connect(
+	    plat->session, "request-queued", G_CALLBACK(on_queued), plat);
+	g_signal_connect(
+	    plat->session, "request-unqueued", G_CALLBACK(on_unqueued), plat);
 	/* Bytes are handed on as they came, and no request is repeated with
 	 * credentials. */
 	soup_session_remove_feature_by_type(
@@ -35,10 +102,22 @@
 void
 plat_free(struct plat *plat)
 {
+	GHashTableIter iter;
+	gpointer value;
+
 	if (plat == NULL)
 		return;
 	target_cancel_all(plat);
 	soup_session_abort(plat->session);
+	g_signal_handlers_disconnect_by_data(plat->session, plat);
+	g_hash_table_iter_init(&iter, plat->sockets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct plat_socket *entry = value;
+
+		g_object_weak_unref(
+		    G_OBJECT(entry->socket), on_socket_gone, entry);
+	}
+	g_hash_table_unref(plat->sockets);
 	g_object_unref(plat->session);
 	g_free(plat);
 }
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -152,8 +152,12 @@
 	const char *path; /* with query */
 	const char *const *headers; /* name, value, ..., NULL */
 	GBytes *body; /* may be NULL */
-	unsigned int deadline_ms; /* for the whole exchange */
+	unsigned int deadline_ms; /* for the whole exchange; 0: none */
 	unsigned int stall_ms; /* no byte for so long ends it; 0: none */
+	/* Not over a connection kept from before: a target that is just
+	 * closing one makes a request MAY_HAVE_RUN that it never saw. For
+	 * requests that are not repeated; costs a round trip. */
+	bool own_connection;
 };
 struct target_ops {
 	void (*head)(
--- a/lib/platform/platform_internal.h
+++ b/lib/platform/platform_internal.h
@@ -15,8 +15,12 @@
 	struct ctr_set *counters;
 	struct tl *timeline; /* may be NULL */
 	struct target_calls calls; /* running exchanges */
+	GHashTable *sockets; /* of open connections, by libsoup's number */
 };
 
+/* The socket that a message went over; NULL when it is gone. Borrowed. */
+GSocket *plat_socket(const struct plat *plat, SoupMessage *message);
+
 struct ctr *plat_counter(const struct plat *plat, const char *name);
 /* Ends every running exchange with ERR_CANCELLED; for plat_free. */
 void target_cancel_all(struct plat *plat);
--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -24,7 +24,6 @@
 	void *ctx;
 	SoupMessage *message;
 	GInputStream *body;
-	GSocket *socket; /* of the exchange's own connection */
 	GCancellable *cancel;
 	guint deadline_timer, stall_timer, idle;
 	unsigned int stall_ms;
@@ -34,6 +33,8 @@
 	bool dropped; /* the owner cancelled; no more callbacks */
 	bool sent; /* libsoup began to write the request */
 	bool not_run; /* the target said so */
+	bool own_connection; /* not to be kept after the exchange */
+	bool reusable; /* the answer was read to its end */
 	uint64_t received; /* bytes of the answer's body */
 	struct err why; /* why the call was given up, if it was */
 	uint8_t buffer[READ_BYTES];
@@ -80,16 +81,15 @@
 /*
  * A body stream that is closed or freed before its end first reads the rest of
  * the answer, blocking the loop for as long as the target likes to send. With a
- * cancelled cancellable it closes the connection instead. That is right after
- * a whole answer too: nobody would use the connection again, and some
- * hundred exchanges a second would leave as many idle ones.
+ * cancelled cancellable it closes the connection instead.
  */
 static void
 close_body(struct target_call *call)
 {
 	if (call->body == NULL)
 		return;
-	g_cancellable_cancel(call->cancel);
+	if (!call->reusable)
+		g_cancellable_cancel(call->cancel);
 	g_input_stream_close_async(
 	    call->body, G_PRIORITY_DEFAULT, call->cancel, NULL, NULL);
 	g_clear_object(&call->body);
@@ -100,7 +100,6 @@
 {
 	detach(call);
 	close_body(call);
-	g_clear_object(&call->socket);
 	if (call->message != NULL) {
 		g_signal_handlers_disconnect_by_data(call->message, call);
 		g_object_unref(call->message);
@@ -170,19 +169,20 @@
  * stream whose target dies between two tokens would end as if it were
  * complete. What libsoup took for the end was then the end of the connection, which
  * shows on the socket for good; after a whole answer the connection is
- * still open, as we never ask for its end. A target that closes it all the same right
- * after its last chunk cannot be told from one that died.
+ * still open, as we never ask for its end. (Bytes there are the answer to the next
+ * request.) A target that closes it all the same right after its last chunk
+ * cannot be told from one that died.
  */
 static bool
 is_open(GSocket *socket)
 {
 	char byte;
+	ssize_t n;
 
 	if (socket == NULL || g_socket_is_closed(socket))
 		return false;
-	return recv(g_socket_get_fd(socket), &byte, 1,
-		   MSG_PEEK | MSG_DONTWAIT) < 0 &&
-	    (errno == EAGAIN || errno == EWOULDBLOCK);
+	n = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
 /*
@@ -204,7 +204,7 @@
 		return true;
 	switch (soup_message_headers_get_encoding(headers)) {
 	case SOUP_ENCODING_CHUNKED:
-		return is_open(call->socket);
+		return is_open(plat_socket(call->plat, call->message));
 	case SOUP_ENCODING_CONTENT_LENGTH:
 		return call->received ==
 		    (uint64_t)soup_message_headers_get_content_length(headers);
@@ -219,7 +219,10 @@
 	struct err err = { .code = ERR_NONE, .verdict = VERDICT_RAN };
 	unsigned int status = soup_message_get_status(call->message);
 
-	if (!is_whole(call)) {
+	bool whole = is_whole(call);
+
+	call->reusable = whole && !call->own_connection;
+	if (!whole) {
 		err_set(&err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN,
 		    "an answer was cut");
 	}
@@ -375,16 +378,21 @@
 	call->sent = true;
 }
 
+/*
+ * libsoup by itself sends a GET, PUT, DELETE and the like a second time when a
+ * kept connection closes before any byte of the answer. The target
+ * may have run the first: it would run twice on one attempt, and nobody
+ * would count it. libsoup emits `restarted` before it asks for another connection, and a
+ * message that is cancelled by then is not sent again.
+ */
 static void
-on_network_event(SoupMessage *message, GSocketClientEvent event,
-    GIOStream *stream, gpointer data)
+on_restarted(SoupMessage *message, gpointer data)
 {
 	struct target_call *call = data;
 
-	if (event != G_SOCKET_CLIENT_CONNECTED || call->socket != NULL)
-		return;
-	call->socket = g_object_ref(
-	    g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream)));
+	if (!call->dropped)
+		give_up(call, ERR_UNAVAILABLE,
+		    "the connection was closed before an answer");
 }
 
 static void
@@ -416,19 +424,16 @@
 }
 
 /*
- * Each exchange has a connection of its own. Over a kept one, libsoup by itself
- * sends a GET, PUT, DELETE and the like a second time when the
- * connection closes before any byte of the answer: the target would run it
- * twice on one attempt, and nobody would count it. And a request written to
- * a connection that is just being closed would be MAY_HAVE_RUN for
- * nothing. A first exchange on a connection is never repeated.
+ * Connections are kept and used again, by a POST too, which libsoup does only when told that
+ * it is idempotent; it still does not send a POST a second time.
  */
 static SoupMessage *
 new_message(const struct target_request *request)
 {
 	char *uri = g_strconcat(request->base, request->path, NULL);
-	SoupMessageFlags flags =
-	    SOUP_MESSAGE_NEW_CONNECTION | SOUP_MESSAGE_NO_REDIRECT;
+	SoupMessageFlags flags = SOUP_MESSAGE_NO_REDIRECT |
+	    (request->own_connection ? SOUP_MESSAGE_NEW_CONNECTION
+				     : SOUP_MESSAGE_IDEMPOTENT);
 	SoupMessage *message = soup_message_new(request->method, uri);
 
 	g_free(uri);
@@ -468,7 +473,7 @@
 	g_signal_connect(
 	    call->message, "starting", G_CALLBACK(on_starting), call);
 	g_signal_connect(
-	    call->message, "network-event", G_CALLBACK(on_network_event), call);
+	    call->message, "restarted", G_CALLBACK(on_restarted), call);
 	start_timers(call, request);
 	call->busy = true;
 	soup_session_send_async(call->plat->session, call->message,
@@ -484,6 +489,7 @@
 	call->plat = plat;
 	call->ops = *ops;
 	call->ctx = ctx;
+	call->own_connection = request->own_connection;
 	call->cancel = g_cancellable_new();
 	TAILQ_INSERT_TAIL(&plat->calls, call, link);
 	call->message = new_message(request);
