Platform package: exchanges spread over sessions

Cause: a trial with many exchanges at once: libsoup's work for one grows with the number in its session. Change: 64 sessions, filled up to 32 exchanges one after another from a start that the address gives; a test that fails when all go to one. Conclusion: keep the lanes.

--- a/lib/platform/plat.c
+++ b/lib/platform/plat.c
@@ -1,9 +1,11 @@
 /*
- * The HTTP session that the adapters of a process share, and the sockets of its
+ * The HTTP sessions that the adapters of a process share, and the sockets of their
  * connections, which libsoup does not show: target.c looks at them to tell a
  * whole answer from a cut one.
  */
 
+#include <string.h>
+
 #include "platform/platform_internal.h"
 
 /* An entry has some thousand streams open at once, many to one engine; a
@@ -16,7 +18,7 @@
 #define IDLE_TIMEOUT_S 20
 
 struct plat_socket {
-	struct plat *plat;
+	struct plat_lane *lane;
 	guint64 id; /* libsoup's number of the connection; key in the map */
 	GSocket *socket; /* weak */
 };
@@ -26,25 +28,25 @@
 {
 	struct plat_socket *entry = data;
 
-	g_hash_table_remove(entry->plat->sockets, &entry->id);
+	g_hash_table_remove(entry->lane->sockets, &entry->id);
 }
 
 static void
 on_network_event(SoupMessage *message, GSocketClientEvent event,
     GIOStream *stream, gpointer data)
 {
-	struct plat *plat = data;
+	struct plat_lane *lane = data;
 	struct plat_socket *entry;
 
 	if (event != G_SOCKET_CLIENT_CONNECTED)
 		return;
 	entry = g_new0(struct plat_socket, 1);
-	entry->plat = plat;
+	entry->lane = lane;
 	entry->id = soup_message_get_connection_id(message);
 	entry->socket =
 	    g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
 	g_object_weak_ref(G_OBJECT(entry->socket), on_socket_gone, entry);
-	g_hash_table_insert(plat->sockets, &entry->id, entry);
+	g_hash_table_insert(lane->sockets, &entry->id, entry);
 }
 
 static void
@@ -63,69 +65,104 @@
 }
 
 GSocket *
-plat_socket(const struct plat *plat, SoupMessage *message)
+plat_socket(const struct plat_lane *lane, SoupMessage *message)
 {
 	guint64 id = soup_message_get_connection_id(message);
 	const struct plat_socket *entry =
-	    g_hash_table_lookup(plat->sockets, &id);
+	    g_hash_table_lookup(lane->sockets, &id);
 
 	return entry == NULL ? NULL : entry->socket;
 }
 
-struct plat *
-plat_new(const struct clk *clock, struct ctr_set *counters, struct tl *timeline)
+static void
+lane_open(struct plat_lane *lane)
 {
-	struct plat *plat = g_new0(struct plat, 1);
-
-	plat->clock = clock;
-	plat->counters = counters;
-	plat->timeline = timeline;
-	TAILQ_INIT(&plat->calls);
-	plat->session = soup_session_new_with_options("max-conns", CONNS_MAX,
+	lane->sockets =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	lane->session = soup_session_new_with_options("max-conns", CONNS_MAX,
 	    "max-conns-per-host", CONNS_PER_HOST_MAX, "proxy-resolver", NULL,
 	    "timeout", 0, "idle-timeout", IDLE_TIMEOUT_S, NULL);
-	plat->sockets =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	g_signal_connect(
-	    plat->session, "request-queued", G_CALLBACK(on_queued), plat);
+	    lane->session, "request-queued", G_CALLBACK(on_queued), lane);
 	g_signal_connect(
-	    plat->session, "request-unqueued", G_CALLBACK(on_unqueued), plat);
+	    lane->session, "request-unqueued", G_CALLBACK(on_unqueued), lane);
 	/* Bytes are handed on as they came, and no request is repeated with
 	 * credentials. */
 	soup_session_remove_feature_by_type(
-	    plat->session, SOUP_TYPE_CONTENT_DECODER);
+	    lane->session, SOUP_TYPE_CONTENT_DECODER);
 	soup_session_remove_feature_by_type(
-	    plat->session, SOUP_TYPE_AUTH_MANAGER);
-	return plat;
+	    lane->session, SOUP_TYPE_AUTH_MANAGER);
 }
 
-void
-plat_free(struct plat *plat)
+static void
+lane_close(struct plat_lane *lane)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (plat == NULL)
-		return;
-	target_cancel_all(plat);
-	soup_session_abort(plat->session);
-	g_signal_handlers_disconnect_by_data(plat->session, plat);
-	g_hash_table_iter_init(&iter, plat->sockets);
+	soup_session_abort(lane->session);
+	g_signal_handlers_disconnect_by_data(lane->session, lane);
+	g_hash_table_iter_init(&iter, lane->sockets);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct plat_socket *entry = value;
 
 		g_object_weak_unref(
 		    G_OBJECT(entry->socket), on_socket_gone, entry);
 	}
-	g_hash_table_unref(plat->sockets);
-	g_object_unref(plat->session);
+	g_hash_table_unref(lane->sockets);
+	g_object_unref(lane->session);
+}
+
+struct plat_lane *
+plat_lane(struct plat *plat, const char *base)
+{
+	size_t first = hash64(0, base, strlen(base)) % PLAT_LANES;
+	struct plat_lane *least = &plat->lanes[first];
+	size_t i;
+
+	for (i = 0; i < PLAT_LANES; i++) {
+		struct plat_lane *lane = &plat->lanes[(first + i) % PLAT_LANES];
+
+		if (lane->running < PLAT_LANE_FILL)
+			return lane;
+		if (lane->running < least->running)
+			least = lane;
+	}
+	return least;
+}
+
+struct plat *
+plat_new(const struct clk *clock, struct ctr_set *counters, struct tl *timeline)
+{
+	struct plat *plat = g_new0(struct plat, 1);
+	size_t i;
+
+	plat->clock = clock;
+	plat->counters = counters;
+	plat->timeline = timeline;
+	TAILQ_INIT(&plat->calls);
+	for (i = 0; i < PLAT_LANES; i++)
+		lane_open(&plat->lanes[i]);
+	return plat;
+}
+
+void
+plat_free(struct plat *plat)
+{
+	size_t i;
+
+	if (plat == NULL)
+		return;
+	target_cancel_all(plat);
+	for (i = 0; i < PLAT_LANES; i++)
+		lane_close(&plat->lanes[i]);
 	g_free(plat);
 }
 
 SoupSession *
 plat_session(struct plat *plat)
 {
-	return plat->session;
+	return plat->lanes[0].session;
 }
 
 struct ctr *
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -16,13 +16,14 @@
 
 #include "common/common.h"
 
-/* One HTTP session shared by the adapters of a process. */
+/* The HTTP sessions shared by the adapters of a process. */
 struct plat;
 /* Exchanges that are running at plat_free end with ERR_CANCELLED from within
  * it; a client of the object API is freed before. */
 struct plat *plat_new(
     const struct clk *clock, struct ctr_set *counters, struct tl *timeline);
 void plat_free(struct plat *plat);
+/* One of its sessions, for a use that the adapters do not cover. */
 SoupSession *plat_session(struct plat *plat);
 
 /* ------------------------------------------------------------------ */
--- a/lib/platform/platform_internal.h
+++ b/lib/platform/platform_internal.h
@@ -9,17 +9,34 @@
 
 TAILQ_HEAD(target_calls, target_call);
 
-struct plat {
+/*
+ * One of the sessions that exchanges are spread over. The work that libsoup does for one
+ * exchange grows with the number of those in the same session, so that some
+ * hundred streams would take the whole processor.
+ */
+struct plat_lane {
 	SoupSession *session;
+	GHashTable *sockets; /* of open connections, by libsoup's number */
+	unsigned int running; /* exchanges */
+};
+
+#define PLAT_LANES 64
+/* Exchanges in one lane before the next one is taken. */
+#define PLAT_LANE_FILL 32
+
+struct plat {
+	struct plat_lane lanes[PLAT_LANES];
 	const struct clk *clock;
 	struct ctr_set *counters;
 	struct tl *timeline; /* may be NULL */
 	struct target_calls calls; /* running exchanges */
-	GHashTable *sockets; /* of open connections, by libsoup's number */
 };
 
+/* The lane for an exchange with `base`: the same as before where that is
+ * not full, so that connections are used again. */
+struct plat_lane *plat_lane(struct plat *plat, const char *base);
 /* The socket that a message went over; NULL when it is gone. Borrowed. */
-GSocket *plat_socket(const struct plat *plat, SoupMessage *message);
+GSocket *plat_socket(const struct plat_lane *lane, SoupMessage *message);
 
 struct ctr *plat_counter(const struct plat *plat, const char *name);
 /* Ends every running exchange with ERR_CANCELLED; for plat_free. */
--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -19,7 +19,8 @@
 
 struct target_call {
 	TAILQ_ENTRY(target_call) link;
-	struct plat *plat;
+	struct plat *plat; /* NULL once detached */
+	struct plat_lane *lane;
 	struct target_ops ops;
 	void *ctx;
 	SoupMessage *message;
@@ -75,6 +76,7 @@
 	stop_timer(&call->stall_timer);
 	stop_timer(&call->idle);
 	TAILQ_REMOVE(&call->plat->calls, call, link);
+	call->lane->running--;
 	call->plat = NULL;
 }
 
@@ -169,8 +171,7 @@
  * stream whose target dies between two tokens would end as if it were
  * complete. What libsoup took for the end was then the end of the connection, which
  * shows on the socket for good; after a whole answer the connection is
- * still open, as we never ask for its end. (Bytes there are the answer to the next
- * request.) A target that closes it all the same right after its last chunk
+ * still open, as we never ask for its end. A target that closes it all the same right after its last chunk
  * cannot be told from one that died.
  */
 static bool
@@ -182,7 +183,7 @@
 	if (socket == NULL || g_socket_is_closed(socket))
 		return false;
 	n = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+	return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 /*
@@ -204,7 +205,7 @@
 		return true;
 	switch (soup_message_headers_get_encoding(headers)) {
 	case SOUP_ENCODING_CHUNKED:
-		return is_open(plat_socket(call->plat, call->message));
+		return is_open(plat_socket(call->lane, call->message));
 	case SOUP_ENCODING_CONTENT_LENGTH:
 		return call->received ==
 		    (uint64_t)soup_message_headers_get_content_length(headers);
@@ -476,7 +477,7 @@
 	    call->message, "restarted", G_CALLBACK(on_restarted), call);
 	start_timers(call, request);
 	call->busy = true;
-	soup_session_send_async(call->plat->session, call->message,
+	soup_session_send_async(call->lane->session, call->message,
 	    G_PRIORITY_DEFAULT, call->cancel, on_answered, call);
 }
 
@@ -491,6 +492,8 @@
 	call->ctx = ctx;
 	call->own_connection = request->own_connection;
 	call->cancel = g_cancellable_new();
+	call->lane = plat_lane(plat, request->base);
+	call->lane->running++;
 	TAILQ_INSERT_TAIL(&plat->calls, call, link);
 	call->message = new_message(request);
 	if (call->message == NULL)
--- a/tests/platform/test_target.c
+++ b/tests/platform/test_target.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <cmocka.h>
 
+#include "platform/platform_internal.h"
 #include "server.h"
 
 struct fixture {
@@ -319,6 +320,36 @@
 	assert_int_equal(f->server.hangups, 1);
 }
 
+/*
+ * Some hundred streams are open to one target. In one session of libsoup the
+ * work for each exchange grows with their number, and the loop falls
+ * behind; they are spread, and a lane that is free again is used again.
+ */
+static void
+test_streams_are_spread(void **state)
+{
+	struct target_call *calls[3 * PLAT_LANE_FILL];
+	struct fixture *f = *state;
+	struct plat_lane *first = plat_lane(f->plat, f->server.base);
+	unsigned int running = 0;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(calls); i++) {
+		start(f, (struct target_request){ .path = "/hang" });
+		calls[i] = f->call;
+	}
+	for (i = 0; i < PLAT_LANES; i++) {
+		assert_true(f->plat->lanes[i].running <= PLAT_LANE_FILL);
+		running += f->plat->lanes[i].running;
+	}
+	assert_int_equal(running, G_N_ELEMENTS(calls));
+	assert_ptr_not_equal(plat_lane(f->plat, f->server.base), first);
+	for (i = 0; i < G_N_ELEMENTS(calls); i++)
+		target_call_cancel(calls[i]);
+	assert_int_equal(first->running, 0);
+	assert_ptr_equal(plat_lane(f->plat, f->server.base), first);
+}
+
 static void
 test_deadline(void **state)
 {
@@ -471,6 +502,7 @@
 		SERVED(test_cut_answers_may_have_run),
 		SERVED(test_nothing_is_sent_twice),
 		SERVED(test_connections_are_kept),
+		SERVED(test_streams_are_spread),
 		SERVED(test_deadline),
 		SERVED(test_stall),
 		SERVED(test_pause_holds_back_without_stall),
