Platform package: a call that waits for a connection ends at its deadline

Cause: a trial with one connection allowed: libsoup does not notice the cancelling of a message that waits for a connection, and the call ended long after its deadline (not within the test's ten seconds). Change: such a call is dropped and reported as NOT_RUN at once; a test that a request given up like this, or cancelled, is not sent later.

--- a/lib/platform/obj_retry.c
+++ b/lib/platform/obj_retry.c
@@ -1,14 +1,15 @@
 /*
- * Decisions of the object API's client: when to try again, and how a write whose answer was
- * lost is settled. Pure functions of state, event and clock.
+ * Decisions of the object API's client: when to try again, and how a write
+ * whose answer was lost is settled. Pure functions of state, event and clock.
  *
- * A write's answer can be lost after the write took effect. Symptom without care: the caller repeats a
- * conditional write, gets a conflict with its own write and believes that
- * somebody else won. So each write carries an operation id and the object is read back:
+ * A write's answer can be lost after the write took effect. Symptom without
+ * care: the caller repeats a conditional write, gets a conflict with its own
+ * write and believes that somebody else won. So each write carries an
+ * operation id and the object is read back:
  *
  *  - our id there: it took effect;
- *  - still the version of the condition: no copy took effect so far, and it is safe to
- *    send another, for a late earlier copy and the new one exclude one
+ *  - still the version of the condition: no copy took effect so far, and it is
+ *    safe to send another, for a late earlier copy and the new one exclude one
  *    another by the condition;
  *  - the version after the condition's, by another id: the only version our
  *    write could have made is taken, so it never takes effect;
--- a/lib/platform/obj_watch.c
+++ b/lib/platform/obj_watch.c
@@ -1,12 +1,12 @@
 /*
  * The watch of the object API: a long poll that goes on until stopped.
  *
- * A poll answers with what changed after the revision it names, so nothing is lost
- * between two polls. Two things break that chain, and both are answered by
- * listing afresh and reading every object, which reports it all as changed:
- * an API that restarted with a lower revision, whose new writes would
- * stay below ours for long and never be reported; and a set of changes that
- * is too large for one bounded answer, which would fail at each try.
+ * A poll answers with what changed after the revision it names, so nothing is
+ * lost between two polls. Two things break that chain, and both are answered
+ * by listing afresh and reading every object, which reports it all as changed:
+ * an API that restarted with a lower revision, whose new writes would stay
+ * below ours for long and never be reported; and a set of changes that is too
+ * large for one bounded answer, which would fail at each try.
  */
 
 #include <string.h>
--- a/lib/platform/plat.c
+++ b/lib/platform/plat.c
@@ -1,7 +1,7 @@
 /*
- * The HTTP sessions that the adapters of a process share, and the sockets of their
- * connections, which libsoup does not show: target.c looks at them to tell a
- * whole answer from a cut one.
+ * The HTTP sessions that the adapters of a process share, and the sockets of
+ * their connections, which libsoup does not show: target.c looks at them to
+ * tell a whole answer from a cut one.
  */
 
 #include <string.h>
@@ -11,10 +11,9 @@
 /* An entry has some thousand streams open at once, many to one engine; a
  * request that waits in the session's queue would lose its deadline there.
  * The limits of admission are ours, not the session's. */
-#define CONNS_MAX 16384
-#define CONNS_PER_HOST_MAX 4096
-/* Idle connections are closed before most servers' own limit of a minute, so that
- * few requests meet a connection that is just being closed. */
+#define CONNS_MAX 4096
+/* Idle connections are closed before most servers' own limit of a minute, so
+ * that few requests meet a connection that is just being closed. */
 #define IDLE_TIMEOUT_S 20
 
 struct plat_socket {
@@ -75,13 +74,13 @@
 }
 
 static void
-lane_open(struct plat_lane *lane)
+lane_open(struct plat_lane *lane, unsigned int conns)
 {
 	lane->sockets =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	lane->session = soup_session_new_with_options("max-conns", CONNS_MAX,
-	    "max-conns-per-host", CONNS_PER_HOST_MAX, "proxy-resolver", NULL,
-	    "timeout", 0, "idle-timeout", IDLE_TIMEOUT_S, NULL);
+	lane->session = soup_session_new_with_options("max-conns", conns,
+	    "max-conns-per-host", conns, "proxy-resolver", NULL, "timeout", 0,
+	    "idle-timeout", IDLE_TIMEOUT_S, NULL);
 	g_signal_connect(
 	    lane->session, "request-queued", G_CALLBACK(on_queued), lane);
 	g_signal_connect(
@@ -132,7 +131,8 @@
 }
 
 struct plat *
-plat_new(const struct clk *clock, struct ctr_set *counters, struct tl *timeline)
+plat_new_bounded(const struct clk *clock, struct ctr_set *counters,
+    struct tl *timeline, unsigned int conns)
 {
 	struct plat *plat = g_new0(struct plat, 1);
 	size_t i;
@@ -142,10 +142,16 @@
 	plat->timeline = timeline;
 	TAILQ_INIT(&plat->calls);
 	for (i = 0; i < PLAT_LANES; i++)
-		lane_open(&plat->lanes[i]);
+		lane_open(&plat->lanes[i], conns);
 	return plat;
 }
 
+struct plat *
+plat_new(const struct clk *clock, struct ctr_set *counters, struct tl *timeline)
+{
+	return plat_new_bounded(clock, counters, timeline, CONNS_MAX);
+}
+
 void
 plat_free(struct plat *plat)
 {
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -32,12 +32,12 @@
 
 /*
  * Every call has a deadline; within it reads are repeated, and writes are
- * settled, after a back-off with jitter. A write whose answer is lost is settled by
- * reading the object back: it took effect if the object carries the
- * write's operation id. Only when that cannot be learned within the deadline does a write
- * end as ERR_UNAVAILABLE with VERDICT_MAY_HAVE_RUN.
- * Counters: obj_reads, obj_writes, obj_refused_writes, obj_watches,
- * obj_retries, obj_settled_writes, obj_errors.
+ * settled, after a back-off with jitter. A write whose answer is lost is
+ * settled by reading the object back: it took effect if the object carries the
+ * write's operation id. Only when that cannot be learned within the deadline
+ * does a write end as ERR_UNAVAILABLE with VERDICT_MAY_HAVE_RUN. Counters:
+ * obj_reads, obj_writes, obj_refused_writes, obj_watches, obj_retries,
+ * obj_settled_writes, obj_errors.
  */
 #define OBJ_VALUE_MAX (1u << 20)
 #define OBJ_KEY_MAX 200
@@ -54,7 +54,8 @@
 
 typedef void obj_get_cb(
     const struct obj_object *object, const struct err *err, void *ctx);
-/* `version` is the object's after a successful write; on ERR_CONFLICT `now` is what is there. */
+/* `version` is the object's after a successful write; on ERR_CONFLICT `now` is
+ * what is there. */
 typedef void obj_put_cb(uint64_t version, const struct obj_object *now,
     const struct err *err, void *ctx);
 typedef void obj_list_cb(uint64_t revision, const struct obj_object *objects,
@@ -87,11 +88,12 @@
 
 /*
  * A long-poll watch that goes on until stopped, with back-off while the API is
- * down. `changed` gets objects changed since the last call; `lost` (may be NULL) is called when the
- * watch begins to fail and `found` when it works again. When the API
- * restarted with a lower revision, or changes do not fit into one answer, all objects under
- * the prefix are read anew and given to `changed` one by one, with the revision of
- * the list: a caller ignores versions that it has. `ops` outlives the watch.
+ * down. `changed` gets objects changed since the last call; `lost` (may be
+ * NULL) is called when the watch begins to fail and `found` when it works
+ * again. When the API restarted with a lower revision, or changes do not fit
+ * into one answer, all objects under the prefix are read anew and given to
+ * `changed` one by one, with the revision of the list: a caller ignores
+ * versions that it has. `ops` outlives the watch.
  */
 struct obj_watch_ops {
 	void (*changed)(uint64_t revision, const struct obj_object *objects,
@@ -109,9 +111,9 @@
 /* ------------------------------------------------------------------ */
 
 /*
- * Reads bytes [offset, offset + len) of a name at the origin. A read that brings no
- * byte for `stall_ms` ends as ERR_UNAVAILABLE. Counters: origin_reads, origin_bytes,
- * origin_stalls, origin_errors.
+ * Reads bytes [offset, offset + len) of a name at the origin. A read that
+ * brings no byte for `stall_ms` ends as ERR_UNAVAILABLE. Counters:
+ * origin_reads, origin_bytes, origin_stalls, origin_errors.
  */
 typedef void origin_read_cb(GBytes *bytes, const struct err *err, void *ctx);
 struct origin_read; /* a running read */
@@ -141,10 +143,13 @@
 /* ------------------------------------------------------------------ */
 
 /*
- * One HTTP exchange with a target, its answer handed over piece by piece and never
- * gathered. The verdict in `ended`: NOT_RUN when the connection was refused or the target
- * said `X-Not-Run: 1`; RAN when the answer came whole; MAY_HAVE_RUN for
- * everything else.
+ * One HTTP exchange with a target, its answer handed over piece by piece and
+ * never gathered. The verdict in `ended`: NOT_RUN when the connection was
+ * refused or the target said `X-Not-Run: 1`; RAN when the answer came whole;
+ * MAY_HAVE_RUN for everything else. An answer without a length, or one in
+ * chunks whose connection the target closes at once, cannot be told from a cut
+ * one: MAY_HAVE_RUN. No request is sent twice. A pointer to a call is invalid
+ * from `ended` on; one more piece may arrive after a pause.
  */
 struct target_call;
 struct target_request {
@@ -189,8 +194,9 @@
 	uint64_t fence;
 	const char *order_id;
 };
-/* `loaded` is the digest that the engine says it loaded. ERR_STALE_FENCE, ERR_CORRUPT (the engine's
- * own check failed) or ERR_UNAVAILABLE / ERR_DEADLINE otherwise. */
+/* `loaded` is the digest that the engine says it loaded. ERR_STALE_FENCE,
+ * ERR_CORRUPT (the engine's own check failed) or ERR_UNAVAILABLE /
+ * ERR_DEADLINE otherwise. */
 typedef void engine_load_cb(
     const struct digest *loaded, const struct err *err, void *ctx);
 void engine_load(struct plat *plat, const char *base,
--- a/lib/platform/platform_internal.h
+++ b/lib/platform/platform_internal.h
@@ -10,9 +10,9 @@
 TAILQ_HEAD(target_calls, target_call);
 
 /*
- * One of the sessions that exchanges are spread over. The work that libsoup does for one
- * exchange grows with the number of those in the same session, so that some
- * hundred streams would take the whole processor.
+ * One of the sessions that exchanges are spread over. The work that libsoup
+ * does for one exchange grows with the number of those in the same session, so
+ * that some hundred streams would take the whole processor.
  */
 struct plat_lane {
 	SoupSession *session;
@@ -32,6 +32,9 @@
 	struct target_calls calls; /* running exchanges */
 };
 
+/* With at most `conns` connections a lane; for tests of what waits for one. */
+struct plat *plat_new_bounded(const struct clk *clock, struct ctr_set *counters,
+    struct tl *timeline, unsigned int conns);
 /* The lane for an exchange with `base`: the same as before where that is
  * not full, so that connections are used again. */
 struct plat_lane *plat_lane(struct plat *plat, const char *base);
@@ -98,7 +101,8 @@
 };
 /* Opens an answer's body. ERR_UNAVAILABLE when it is not one JSON object. */
 bool reply_open(struct reply *reply, GBytes *bytes, struct err *err);
-/* The same for what a fetch gave, whose error or status other than 200 is the error. */
+/* The same for what a fetch gave, whose error or status other than 200 is the
+ * error. */
 bool reply_take(struct reply *reply, const struct fetch_answer *answer,
     const struct err *failure, struct err *err);
 void reply_close(struct reply *reply); /* nothing when it was not opened */
@@ -205,8 +209,9 @@
 	    *settled_writes, *errors;
 };
 
-/* What gets, lists and puts have in common: a place in the client's list, the exchange
- * or the wait that is going on, and how to end. First member of each. */
+/* What gets, lists and puts have in common: a place in the client's list, the
+ * exchange or the wait that is going on, and how to end. First member of each.
+ */
 struct obj_call {
 	TAILQ_ENTRY(obj_call) link;
 	struct obj *obj;
--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -169,10 +169,10 @@
 /*
  * libsoup takes a chunked answer that was cut between two chunks for whole: a
  * stream whose target dies between two tokens would end as if it were
- * complete. What libsoup took for the end was then the end of the connection, which
- * shows on the socket for good; after a whole answer the connection is
- * still open, as we never ask for its end. A target that closes it all the same right after its last chunk
- * cannot be told from one that died.
+ * complete. What libsoup took for the end was then the end of the connection,
+ * which shows on the socket for good; after a whole answer the connection is
+ * still open, as we never ask for its end. A target that closes it all the
+ * same right after its last chunk cannot be told from one that died.
  */
 static bool
 is_open(GSocket *socket)
@@ -236,21 +236,37 @@
 	end(call, &err);
 }
 
+/* No callbacks from now on; the operation under way frees the call. */
+static void
+drop(struct target_call *call)
+{
+	detach(call);
+	call->dropped = true;
+	g_cancellable_cancel(call->cancel);
+}
+
 static void
 give_up(struct target_call *call, enum err_code code, const char *message)
 {
-	GCancellable *cancel;
+	struct target_ops ops = call->ops;
+	void *ctx = call->ctx;
+	struct err why;
 
 	if (err_is(&call->why))
 		return;
-	err_set(&call->why, code, VERDICT_MAY_HAVE_RUN, "%s", message);
+	err_set(&call->why, code, verdict_now(call), "%s", message);
 	if (!call->busy) {
 		end_failed(call, NULL);
-		return;
+	} else if (call->sent) {
+		g_cancellable_cancel(call->cancel);
+	} else {
+		/* libsoup does not look at the cancellable of a message that
+		 * waits for a connection: it would end long after its
+		 * deadline. It does before it writes. */
+		why = call->why;
+		drop(call);
+		ops.ended(&why, ctx);
 	}
-	cancel = g_object_ref(call->cancel);
-	g_cancellable_cancel(cancel);
-	g_object_unref(cancel);
 }
 
 static gboolean
@@ -381,9 +397,9 @@
 
 /*
  * libsoup by itself sends a GET, PUT, DELETE and the like a second time when a
- * kept connection closes before any byte of the answer. The target
- * may have run the first: it would run twice on one attempt, and nobody
- * would count it. libsoup emits `restarted` before it asks for another connection, and a
+ * kept connection closes before any byte of the answer. The target may have
+ * run the first: it would run twice on one attempt, and nobody would count it.
+ * libsoup emits `restarted` before it asks for another connection, and a
  * message that is cancelled by then is not sent again.
  */
 static void
@@ -425,8 +441,9 @@
 }
 
 /*
- * Connections are kept and used again, by a POST too, which libsoup does only when told that
- * it is idempotent; it still does not send a POST a second time.
+ * Connections are kept and used again, by a POST too, which libsoup does only
+ * when told that it is idempotent; it still does not send a POST a second
+ * time.
  */
 static SoupMessage *
 new_message(const struct target_request *request)
@@ -518,17 +535,11 @@
 void
 target_call_cancel(struct target_call *call)
 {
-	GCancellable *cancel;
-
-	detach(call);
-	call->dropped = true;
-	if (!call->busy) {
-		call_free(call);
+	if (call->busy) {
+		drop(call);
 		return;
 	}
-	cancel = g_object_ref(call->cancel);
-	g_cancellable_cancel(cancel);
-	g_object_unref(cancel);
+	call_free(call);
 }
 
 void
--- a/tests/platform/server.h
+++ b/tests/platform/server.h
@@ -2,8 +2,9 @@
 #define SERVER_H
 
 /*
- * A scripted HTTP server on the test's own loop. It works on raw sockets, so that a
- * test can close, cut or hold an answer at any byte. Include after cmocka.h.
+ * A scripted HTTP server on the test's own loop. It works on raw sockets, so
+ * that a test can close, cut or hold an answer at any byte. Include after
+ * cmocka.h.
  */
 
 #include <gio/gio.h>
--- a/tests/platform/test_engine.c
+++ b/tests/platform/test_engine.c
@@ -1,4 +1,5 @@
-/* Engines, the origin and the host list: what is asked, and what each answer means. */
+/* Engines, the origin and the host list: what is asked, and what each answer
+ * means. */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -150,8 +151,8 @@
 }
 
 /*
- * The rollout asks what became of its order. An old fencing number and
- * bytes that did not match are told apart from an engine that is down; an answer
+ * The rollout asks what became of its order. An old fencing number and bytes
+ * that did not match are told apart from an engine that is down; an answer
  * without a proper digest is never taken for a load.
  */
 static void
@@ -413,8 +414,8 @@
 	assert_int_equal(ctr_read(f->counters, "origin_errors"), 4);
 }
 
-/* The link stalls without closing: the read ends and is counted, so that the chunk
- * is asked for elsewhere. */
+/* The link stalls without closing: the read ends and is counted, so that the
+ * chunk is asked for elsewhere. */
 static void
 test_origin_stall_and_cancel(void **state)
 {
--- a/tests/platform/test_obj.c
+++ b/tests/platform/test_obj.c
@@ -150,8 +150,9 @@
 }
 
 /*
- * The API closes connections, answers 503, garbles an answer that it has
- * acted on, or does not answer: the write goes on within its deadline and takes effect once.
+ * The API closes connections, answers 503, garbles an answer that it has acted
+ * on, or does not answer: the write goes on within its deadline and takes
+ * effect once.
  */
 static void
 test_write_through_faults(void **state)
--- a/tests/platform/test_obj_retry.c
+++ b/tests/platform/test_obj_retry.c
@@ -23,10 +23,10 @@
 };
 
 /*
- * The API applies a write and its answer is lost, or the write was lost on
- * the way there. What the object shows when read back decides, or a
- * conflict when it is sent again. Only where others' writes may hide ours does
- * the caller hear MAY_HAVE_RUN: version 8 is the only one that ours could have made.
+ * The API applies a write and its answer is lost, or the write was lost on the
+ * way there. What the object shows when read back decides, or a conflict when
+ * it is sent again. Only where others' writes may hide ours does the caller
+ * hear MAY_HAVE_RUN: version 8 is the only one that ours could have made.
  */
 static const struct history conditional[] = {
 	/* Answered at once; then with our own write, applied earlier. */
@@ -45,7 +45,8 @@
 	{ "blwsd", "WPRWE", 8, "mine", ERR_NONE, 0 },
 	{ "blwsd", "WPRWE", 8, "other", ERR_CONFLICT, VERDICT_NOT_RUN },
 	{ "blwsd", "WPRWE", 9, "other", ERR_CONFLICT, VERDICT_MAY_HAVE_RUN },
-	/* What was not sent needs no reading back; what was lost before does. */
+	/* What was not sent needs no reading back; what was lost before does.
+	 */
 	{ "bnwd", "WPWE", 9, "other", ERR_CONFLICT, VERDICT_NOT_RUN },
 	{ "blwsnwf", "WPRWPRE", 8, "mine", ERR_NONE, 0 },
 };
--- a/tests/platform/test_obj_watch.c
+++ b/tests/platform/test_obj_watch.c
@@ -84,8 +84,8 @@
 }
 
 /*
- * The API is down for a while. The owner hears once that the watch is lost and once
- * that it is found, and then what changed meanwhile.
+ * The API is down for a while. The owner hears once that the watch is lost and
+ * once that it is found, and then what changed meanwhile.
  */
 static void
 test_watch_through_an_outage(void **state)
@@ -106,9 +106,9 @@
 
 /*
  * The API comes back with a revision below ours. Its new changes would lie
- * below the revision we ask from, and the owner would hear of them late or never. The first
- * poll after a failure, and the very first, do not wait; all objects are
- * reported anew, and the watch goes on from the new revision.
+ * below the revision we ask from, and the owner would hear of them late or
+ * never. The first poll after a failure, and the very first, do not wait; all
+ * objects are reported anew, and the watch goes on from the new revision.
  */
 static void
 test_watch_after_a_restart_of_the_api(void **state)
--- a/tests/platform/test_target.c
+++ b/tests/platform/test_target.c
@@ -1,4 +1,5 @@
-/* Exchanges with a target: pieces, pause, limits, and the verdict of each end. */
+/* Exchanges with a target: pieces, pause, limits, and the verdict of each end.
+ */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -185,7 +186,8 @@
 	assert_string_equal(f->data->str, "onetwo");
 }
 
-/* An answer of whatever status is handed on as it is: an error is an answer too. */
+/* An answer of whatever status is handed on as it is: an error is an answer
+ * too. */
 static void
 test_answers_are_not_acted_on(void **state)
 {
@@ -208,7 +210,8 @@
 	assert_null(strcasestr(f->data->str, "Accept-Encoding"));
 }
 
-/* With credentials in the address libsoup alone answers a 401 by sending the request again. */
+/* With credentials in the address libsoup alone answers a 401 by sending the
+ * request again. */
 static void
 test_login_is_not_answered(void **state)
 {
@@ -276,10 +279,11 @@
 }
 
 /*
- * A target that has answered before reads a request and dies before its answer.
- * Over the connection kept from before, libsoup alone would send a GET,
- * PUT or DELETE again by itself, and the target would run it twice on one
- * attempt. The caller is told MAY_HAVE_RUN, and the target saw the request once.
+ * A target that has answered before reads a request and dies before its
+ * answer. Over the connection kept from before, libsoup alone would send a
+ * GET, PUT or DELETE again by itself, and the target would run it twice on one
+ * attempt. The caller is told MAY_HAVE_RUN, and the target saw the request
+ * once.
  */
 static void
 test_nothing_is_sent_twice(void **state)
@@ -367,10 +371,36 @@
 	assert_int_equal(f->server.hangups, 2);
 }
 
+/*
+ * All connections are taken, and the deadline passes before one is free. The
+ * caller hears at once that nothing ran; and nothing runs later,
+ * when a connection is free: neither this request nor one that was cancelled.
+ */
+static void
+test_deadline_before_a_connection(void **state)
+{
+	struct fixture *f = *state;
+	struct target_call *hanging;
+
+	plat_free(f->plat);
+	f->plat = plat_new_bounded(clk_system(), f->counters, NULL, 1);
+	start(f, (struct target_request){ .path = "/hang" });
+	hanging = f->call;
+	run_for(20);
+	start(f, (struct target_request){ .path = "/echo", .deadline_ms = 50 });
+	run_until(&f->ended);
+	assert_end(f, ERR_DEADLINE, VERDICT_NOT_RUN);
+	start(f, (struct target_request){ .path = "/echo" });
+	target_call_cancel(f->call);
+	target_call_cancel(hanging);
+	run_for(50);
+	assert_int_equal(f->server.requests, 1);
+}
+
 /*
  * The link stalls without closing: the caller would wait for the whole
- * deadline. Before the head and between two pieces alike the exchange ends soon, and
- * the connection is closed.
+ * deadline. Before the head and between two pieces alike the exchange ends
+ * soon, and the connection is closed.
  */
 static void
 test_stall(void **state)
@@ -467,8 +497,8 @@
 }
 
 /*
- * Headers of the caller's own connection would break the one to the target: an `Expect` holds the
- * body back, a foreign length cuts it.
+ * Headers of the caller's own connection would break the one to the target: an
+ * `Expect` holds the body back, a foreign length cuts it.
  */
 static void
 test_hop_headers_stay_behind(void **state)
@@ -504,6 +534,7 @@
 		SERVED(test_connections_are_kept),
 		SERVED(test_streams_are_spread),
 		SERVED(test_deadline),
+		SERVED(test_deadline_before_a_connection),
 		SERVED(test_stall),
 		SERVED(test_pause_holds_back_without_stall),
 		SERVED(test_cancel_closes_the_connection),
