--- a/lib/platform/platform_internal.h
+++ b/lib/platform/platform_internal.h
@@ -9,14 +9,38 @@
 
 TAILQ_HEAD(target_calls, target_call);
 
-struct plat {
+/*
+ * One of the sessions that exchanges are spread over. The work that libsoup
+ * does for one exchange grows with the number of those in the same session, so
+ * that some hundred streams would take the whole processor.
+ */
+struct plat_lane {
 	SoupSession *session;
+	GHashTable *sockets; /* of open connections, by libsoup's number */
+	unsigned int running; /* exchanges */
+};
+
+#define PLAT_LANES 64
+/* Exchanges in one lane before the next one is taken. */
+#define PLAT_LANE_FILL 32
+
+struct plat {
+	struct plat_lane lanes[PLAT_LANES];
 	const struct clk *clock;
 	struct ctr_set *counters;
 	struct tl *timeline; /* may be NULL */
 	struct target_calls calls; /* running exchanges */
 };
 
+/* With at most `conns` connections a lane; for tests of what waits for one. */
+struct plat *plat_new_bounded(const struct clk *clock, struct ctr_set *counters,
+    struct tl *timeline, unsigned int conns);
+/* The lane for an exchange with `base`: the same as before where that is
+ * not full, so that connections are used again. */
+struct plat_lane *plat_lane(struct plat *plat, const char *base);
+/* The socket that a message went over; NULL when it is gone. Borrowed. */
+GSocket *plat_socket(const struct plat_lane *lane, SoupMessage *message);
+
 struct ctr *plat_counter(const struct plat *plat, const char *name);
 /* Ends every running exchange with ERR_CANCELLED; for plat_free. */
 void target_cancel_all(struct plat *plat);
@@ -77,7 +101,8 @@
 };
 /* Opens an answer's body. ERR_UNAVAILABLE when it is not one JSON object. */
 bool reply_open(struct reply *reply, GBytes *bytes, struct err *err);
-/* The same for what a fetch gave, whose error or status other than 200 is the error. */
+/* The same for what a fetch gave, whose error or status other than 200 is the
+ * error. */
 bool reply_take(struct reply *reply, const struct fetch_answer *answer,
     const struct err *failure, struct err *err);
 void reply_close(struct reply *reply); /* nothing when it was not opened */
@@ -184,8 +209,9 @@
 	    *settled_writes, *errors;
 };
 
-/* What gets, lists and puts have in common: a place in the client's list, the exchange
- * or the wait that is going on, and how to end. First member of each. */
+/* What gets, lists and puts have in common: a place in the client's list, the
+ * exchange or the wait that is going on, and how to end. First member of each.
+ */
 struct obj_call {
 	TAILQ_ENTRY(obj_call) link;
 	struct obj *obj;
