Tests of the stand-ins: each safeguard taken out once

Cause: a test that passes without its safeguard holds nothing. Change: the resume test lets many steps pass before it asks for the rest; the cancel test looks for [DONE] itself.

--- a/tests/standin/test_runs.c
+++ b/tests/standin/test_runs.c
@@ -165,6 +165,7 @@
 	/* libsoup takes a chunked body that breaks off for one that ends. */
 	assert_int_equal(judge(&broken, "r1", 300, true), OUTCOME_CUT);
 	end(&broken);
+	run_for_ms(30); /* many steps, and none of them ends the run */
 	call(&rest, s, "GET", "/v1/streams/r1?from=0", NULL, NULL);
 	assert_int_equal(judge(&rest, "r1", 300, true), OUTCOME_ANSWERED);
 	end(&rest);
@@ -297,6 +298,7 @@
 	wait_for(&first.done);
 	assert_int_equal(first.status, 200);
 	assert_int_equal(judge(&first, "r1", LONG_RUN, true), OUTCOME_CUT);
+	assert_false(body_has(&first, "[DONE]"));
 	wait_for(&second.done);
 	assert_int_equal(judge(&second, "r2", 3, true), OUTCOME_ANSWERED);
 	end(&first);
