Stand-ins: the caller's latencies in whole microseconds, a test of delays

Cause: milliseconds as doubles printed seventeen digits; delay_ms of the object API had no test; answers without X-Request-Id passed unseen. Change: first_token_us, between_tokens_us, whole_us and sending_ms as whole numbers, without_id counted, test_objects_delay.

--- a/tests/standin/caller.c
+++ b/tests/standin/caller.c
@@ -111,6 +111,7 @@
 	const struct stats_end end = {
 		.outcome = c->gave_up ? OUTCOME_UNFINISHED : outcome,
 		.check = &call->check,
+		.named = header_of(call, "X-Request-Id") != NULL,
 		.verdict = header_of(call, "X-Verdict"),
 		.attempts = header_of(call, "X-Attempts"),
 		.took_us = g_get_monotonic_time() - call->due_us,
@@ -467,7 +468,7 @@
 write_summary(struct caller *c)
 {
 	char *text =
-	    stats_print(&c->stats, (double)(c->stopped_us - c->start_us) / 1e6);
+	    stats_print(&c->stats, (c->stopped_us - c->start_us) / 1000);
 	GError *error = NULL;
 
 	if (c->options->out == NULL) {
--- a/tests/standin/caller.h
+++ b/tests/standin/caller.h
@@ -72,6 +72,7 @@
 	int64_t without_verdict; /* refusals that named none */
 	int64_t cut_with_error;
 	int64_t repeated_ids; /* answers under an id seen before */
+	int64_t without_id; /* answers that came without X-Request-Id */
 	int64_t tokens;
 	struct hist first_token, between_tokens, whole; /* microseconds */
 	GHashTable *digests; /* char * -> count of answers */
@@ -86,12 +87,13 @@
 struct stats_end { /* of a request */
 	enum outcome outcome;
 	const struct check *check;
+	bool named; /* it came with X-Request-Id */
 	const char *verdict; /* X-Verdict, NULL without */
 	const char *attempts; /* X-Attempts, NULL without */
 	int64_t took_us;
 };
 void stats_add(struct stats *s, const struct stats_end *end);
 /* One JSON object; g_free. */
-char *stats_print(const struct stats *s, double seconds);
+char *stats_print(const struct stats *s, int64_t sending_ms);
 
 #endif
--- a/tests/standin/caller_stats.c
+++ b/tests/standin/caller_stats.c
@@ -159,6 +159,8 @@
 		count_text(s->digests, c->digest);
 		hist_add(&s->whole, end->took_us);
 	}
+	if (end->outcome != OUTCOME_UNANSWERED && !end->named)
+		s->without_id++;
 	if (c->request_id != NULL &&
 	    !g_hash_table_add(s->ids, g_strdup(c->request_id)))
 		s->repeated_ids++;
@@ -184,9 +186,8 @@
 	json_builder_begin_object(b);
 	put_int(b, "count", (int64_t)h->count);
 	for (i = 0; i < G_N_ELEMENTS(points); i++) {
-		json_builder_set_member_name(b, points[i].name);
-		json_builder_add_double_value(
-		    b, (double)hist_at(h, points[i].permille) / 1000.0);
+		put_int(
+		    b, points[i].name, (int64_t)hist_at(h, points[i].permille));
 	}
 	json_builder_end_object(b);
 }
@@ -219,7 +220,7 @@
 }
 
 char *
-stats_print(const struct stats *s, double seconds)
+stats_print(const struct stats *s, int64_t sending_ms)
 {
 	JsonBuilder *b = json_begin();
 	GString *text;
@@ -234,11 +235,11 @@
 	put_int(b, "cut_with_error", s->cut_with_error);
 	put_int(b, "repeated_ids", s->repeated_ids);
 	put_int(b, "tokens", s->tokens);
-	json_builder_set_member_name(b, "seconds");
-	json_builder_add_double_value(b, seconds);
-	put_hist(b, "first_token_ms", &s->first_token);
-	put_hist(b, "between_tokens_ms", &s->between_tokens);
-	put_hist(b, "whole_ms", &s->whole);
+	put_int(b, "without_id", s->without_id);
+	put_int(b, "sending_ms", sending_ms);
+	put_hist(b, "first_token_us", &s->first_token);
+	put_hist(b, "between_tokens_us", &s->between_tokens);
+	put_hist(b, "whole_us", &s->whole);
 	put_counts(b, "digests", s->digests);
 	put_counts(b, "errors", s->errors);
 	head = json_end(b, &len);
--- a/tests/standin/test_protocol.c
+++ b/tests/standin/test_protocol.c
@@ -65,6 +65,26 @@
 	standin_free(s);
 }
 
+/* A slow write: its effect is there while its writer still waits. */
+static void
+test_objects_delay(void **state)
+{
+	const struct objects_options options = { 0 };
+	struct standin *s = objects_start(&options, NULL);
+	struct answer slow;
+
+	expect(s, "POST", "/admin/faults", "{\"delay_ms\":60000}", 200, NULL);
+	begin(&slow, s, "PUT", "/v1/objects/k",
+	    "{\"op\":\"o1\",\"value\":\"x\"}", NULL);
+	run_for_ms(50);
+	expect(s, "POST", "/admin/faults", "{\"delay_ms\":0}", 200, NULL);
+	expect(s, "GET", "/v1/objects/k", NULL, 200, NULL);
+	assert_false(slow.done);
+	leave(&slow);
+	end(&slow);
+	standin_free(s);
+}
+
 static void
 test_objects_watch(void **state)
 {
@@ -517,6 +537,8 @@
 		    test_objects_conditions, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_objects_lost_answer, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_objects_delay, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_objects_watch, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
