Tests of the stand-ins: no verdict hangs on the wall clock

Cause: some tests waited a fixed time for a call to arrive, or let a real 50 ms decide; on a busy machine they could fail without a fault. Change: they wait for the log or count that shows the arrival; keep_ms and the origin's pace run by the fake clock.

--- a/tests/standin/test_client.c
+++ b/tests/standin/test_client.c
@@ -168,3 +168,17 @@
 		continue;
 	return 0;
 }
+
+void
+wait_for_text(const struct standin *s, const char *path, const char *text)
+{
+	struct answer a;
+	bool found = false;
+
+	while (!found) {
+		call(&a, s, "GET", path, NULL, NULL);
+		found = body_has(&a, text);
+		end(&a);
+		run_for_ms(2);
+	}
+}
--- a/tests/standin/test_client.h
+++ b/tests/standin/test_client.h
@@ -35,6 +35,10 @@
 void expect(const struct standin *s, const char *method, const char *path,
     const char *body, unsigned int status, const char *answer);
 
+/* Asks again and again until the answer holds the text; ctest's limit ends a
+ * test where it never does. */
+void wait_for_text(const struct standin *s, const char *path, const char *text);
+
 bool body_has(const struct answer *a, const char *text);
 size_t body_len(const struct answer *a);
 const char *header(const struct answer *a, const char *name); /* or "" */
--- a/tests/standin/test_protocol.c
+++ b/tests/standin/test_protocol.c
@@ -76,7 +76,7 @@
 	expect(s, "POST", "/admin/faults", "{\"delay_ms\":60000}", 200, NULL);
 	begin(&slow, s, "PUT", "/v1/objects/k",
 	    "{\"op\":\"o1\",\"value\":\"x\"}", NULL);
-	run_for_ms(50);
+	wait_for_text(s, "/admin/counts", "\"writes\":1");
 	expect(s, "POST", "/admin/faults", "{\"delay_ms\":0}", 200, NULL);
 	expect(s, "GET", "/v1/objects/k", NULL, 200, NULL);
 	assert_false(slow.done);
@@ -469,20 +469,28 @@
 {
 	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
 	struct folder *f = folder_new();
-	const struct origin_options files = { .dir = f->dir,
-		.bytes_s = 1000000 };
-	struct standin *origin = origin_start(&files, NULL);
-	struct standin *engine;
+	struct clk_fake fake;
+	const struct origin_options files = {
+		.dir = f->dir, .bytes_s = 1000000, .clock = &fake.clock
+	};
+	struct standin *origin, *engine;
 	struct answer old, fresh;
 
+	clk_fake_init(&fake, 0);
+	origin = origin_start(&files, NULL);
 	options.check_fence = true;
 	engine = engine_start(&options, NULL);
 	begin_order(&old, engine, origin, "v1", f->root_hex, 7);
-	while (bytes_sent(origin) < 20000)
+	while (bytes_sent(origin) < 20000) {
+		clk_fake_advance_ms(&fake, 1);
 		run_for_ms(1);
+	}
 	begin_order(&fresh, engine, origin, "v1", f->root_hex, 8);
-	wait_for(&old.done);
-	wait_for(&fresh.done);
+	wait_for_text(engine, "/admin/log", "\"o8\"");
+	while (!old.done || !fresh.done) {
+		clk_fake_advance_ms(&fake, 5);
+		run_for_ms(1);
+	}
 	assert_int_equal(old.status, 409);
 	assert_int_equal(fresh.status, 200);
 	loaded_is(engine, f->root_hex, 8);
@@ -509,7 +517,7 @@
 	    "{\"load_fail\":1,\"load_hang\":1}", 200, NULL);
 	order(engine, origin, "v1", f->root_hex, 1, 502);
 	begin_order(&hung, engine, origin, "v1", f->root_hex, 2);
-	run_for_ms(50);
+	wait_for_text(engine, "/admin/log", "\"o2\"");
 	begin_order(&next, engine, origin, "v1", f->root_hex, 3);
 	run_for_ms(50);
 	assert_false(hung.done);
--- a/tests/standin/test_runs.c
+++ b/tests/standin/test_runs.c
@@ -28,6 +28,7 @@
 	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
 
 	options.step_ms = 1;
+	options.keep_ms = 60000; /* beyond any test, also on a busy machine */
 	return engine_with(options);
 }
 
@@ -77,14 +78,12 @@
 	return found;
 }
 
-/* Until the run has begun; ctest's limit ends a run that never does. */
 static void
 wait_until_begun(const struct standin *s, const char *id)
 {
 	char *text = g_strdup_printf("\"request_id\":\"%s\"", id);
 
-	while (!log_has(s, text))
-		run_for_ms(5);
+	wait_for_text(s, "/admin/log", text);
 	g_free(text);
 }
 
@@ -312,19 +311,24 @@
 test_lost_run_is_kept_then_cancelled(void **state)
 {
 	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
+	struct clk_fake fake;
 	struct answer a;
 	struct standin *s;
 
 	options.step_ms = 1;
 	options.keep_ms = 50;
+	options.clock = &fake.clock;
+	clk_fake_init(&fake, 0);
 	s = engine_with(options);
 	begin_chat(&a, s, "r1", LONG_RUN, true);
 	wait_until_begun(s, "r1");
 	expect(
 	    s, "POST", "/admin/faults", "{\"drop_streams\":true}", 200, NULL);
+	clk_fake_advance_ms(&fake, 49);
+	run_for_ms(30);
 	assert_true(log_has(s, "\"state\":\"running\""));
-	while (!log_has(s, "\"state\":\"cancelled\""))
-		run_for_ms(5);
+	clk_fake_advance_ms(&fake, 1);
+	wait_for_text(s, "/admin/log", "\"state\":\"cancelled\"");
 	expect(s, "GET", "/v1/streams/r1?from=0", NULL, 404, NULL);
 	wait_for(&a.done);
 	end(&a);
