--- a/tests/standin/test_protocol.c
+++ b/tests/standin/test_protocol.c
@@ -65,6 +65,26 @@
 	standin_free(s);
 }
 
+/* A slow write: its effect is there while its writer still waits. */
+static void
+test_objects_delay(void **state)
+{
+	const struct objects_options options = { 0 };
+	struct standin *s = objects_start(&options, NULL);
+	struct answer slow;
+
+	expect(s, "POST", "/admin/faults", "{\"delay_ms\":60000}", 200, NULL);
+	begin(&slow, s, "PUT", "/v1/objects/k",
+	    "{\"op\":\"o1\",\"value\":\"x\"}", NULL);
+	wait_for_text(s, "/admin/counts", "\"writes\":1");
+	expect(s, "POST", "/admin/faults", "{\"delay_ms\":0}", 200, NULL);
+	expect(s, "GET", "/v1/objects/k", NULL, 200, NULL);
+	assert_false(slow.done);
+	leave(&slow);
+	end(&slow);
+	standin_free(s);
+}
+
 static void
 test_objects_watch(void **state)
 {
@@ -449,20 +469,28 @@
 {
 	struct engine_options options = ENGINE_OPTIONS_DEFAULT;
 	struct folder *f = folder_new();
-	const struct origin_options files = { .dir = f->dir,
-		.bytes_s = 1000000 };
-	struct standin *origin = origin_start(&files, NULL);
-	struct standin *engine;
+	struct clk_fake fake;
+	const struct origin_options files = {
+		.dir = f->dir, .bytes_s = 1000000, .clock = &fake.clock
+	};
+	struct standin *origin, *engine;
 	struct answer old, fresh;
 
+	clk_fake_init(&fake, 0);
+	origin = origin_start(&files, NULL);
 	options.check_fence = true;
 	engine = engine_start(&options, NULL);
 	begin_order(&old, engine, origin, "v1", f->root_hex, 7);
-	while (bytes_sent(origin) < 20000)
+	while (bytes_sent(origin) < 20000) {
+		clk_fake_advance_ms(&fake, 1);
 		run_for_ms(1);
+	}
 	begin_order(&fresh, engine, origin, "v1", f->root_hex, 8);
-	wait_for(&old.done);
-	wait_for(&fresh.done);
+	wait_for_text(engine, "/admin/log", "\"o8\"");
+	while (!old.done || !fresh.done) {
+		clk_fake_advance_ms(&fake, 5);
+		run_for_ms(1);
+	}
 	assert_int_equal(old.status, 409);
 	assert_int_equal(fresh.status, 200);
 	loaded_is(engine, f->root_hex, 8);
@@ -489,7 +517,7 @@
 	    "{\"load_fail\":1,\"load_hang\":1}", 200, NULL);
 	order(engine, origin, "v1", f->root_hex, 1, 502);
 	begin_order(&hung, engine, origin, "v1", f->root_hex, 2);
-	run_for_ms(50);
+	wait_for_text(engine, "/admin/log", "\"o2\"");
 	begin_order(&next, engine, origin, "v1", f->root_hex, 3);
 	run_for_ms(50);
 	assert_false(hung.done);
@@ -517,6 +545,8 @@
 		    test_objects_conditions, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_objects_lost_answer, client_setup, client_teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_objects_delay, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_objects_watch, client_setup, client_teardown),
 		cmocka_unit_test_setup_teardown(
