--- a/lib/agree/mem_probe.c
+++ b/lib/agree/mem_probe.c
@@ -9,8 +9,8 @@
  * together stay below 4 KB a second. Probes and acks are sent also without
  * credit (they are few and small); only the room for updates shrinks.
  */
-#define MEM_BYTES_S 1500
-#define MEM_BYTES_BURST 2500
+#define MEM_BYTES_S 1200
+#define MEM_BYTES_BURST 2000
 #define HEADER_BYTES 96 /* proof, type, stamp, numbers of a mem_msg */
 #define ROOM_MAX (DGRAM_MAX - HEADER_BYTES)
 #define ROOM_MIN 64 /* also without credit: the member it is about */
@@ -22,6 +22,7 @@
 #define URGENT_ROOM 400
 #define DEAD_PROBE_ONE_IN 5 /* periods */
 #define MAP_CREDIT 1500
+#define HOP_MS 50 /* no datagram is longer under way between regions */
 #define PAUSE_TICKS 5 /* a longer gap than by a busy host */
 #define RELAYS_MAX 64
 #define WANTS_AT_ONCE 8 /* more are taken over by a sync */
@@ -31,6 +32,7 @@
  * differ (less those that agree) mean that news was lost. */
 #define SYNC_DIFFER 8
 #define SYNC_PERIODS 5
+#define NEWS_PERIODS 3
 #define SYNC_BYTES_S 1000 /* a list is sent no faster than this on average */
 #define JOIN_BYTES_S 4000 /* ... while many are new, as after a cold start */
 
@@ -456,12 +458,18 @@
 	g_byte_array_unref(blob);
 }
 
+static int64_t
+list_bytes(const struct mem *mem)
+{
+	return (int64_t)mem->by_id->len * 20; /* see mem_pack_state() */
+}
+
 /* `many`: the peer knows many members that we lack. */
 static void
 ask_for_sync(struct mem *mem, const char *address, int64_t now_us, bool many)
 {
 	int64_t period_us = (int64_t)mem->conf.gossip_ms * 1000;
-	int64_t list_us = (int64_t)mem->by_id->len * 20 * G_USEC_PER_SEC;
+	int64_t list_us = list_bytes(mem) * G_USEC_PER_SEC;
 	int64_t pause_us;
 
 	if (!mem->joined)
@@ -490,7 +498,12 @@
 		mem->differ -= mem->differ > 0;
 		return;
 	}
-	mem->differ++;
+	/* News that is still going round makes tables differ by itself; a list
+	 * that is no larger than a datagram is not worth the wait. */
+	if (list_bytes(mem) <= DGRAM_MAX ||
+	    now_us - mem->changed_us >
+		NEWS_PERIODS * (int64_t)mem->conf.gossip_ms * 1000)
+		mem->differ++;
 	many = g_hash_table_size(mem->wanted) > WANTS_AT_ONCE ||
 	    m->members > mem->alive + WANTS_AT_ONCE;
 	if (!mem->joined || mem->differ >= SYNC_DIFFER || many)
@@ -507,8 +520,14 @@
 	if (m->incarnation < e->member.node.incarnation)
 		return; /* sent in an earlier life or before a refutation */
 	mem_seen_settings(mem, e, m->settings);
-	if (m->age_ms < INT32_MAX)
-		mem_set_fresh(mem, now_us - (int64_t)m->age_ms * 1000);
+	/* The way here counts too, or ages would creep down in a cut region as
+	 * its nodes tell one another; a datagram that lay here while we were
+	 * paused is of unknown age. */
+	if (m->age_ms < INT32_MAX &&
+	    now_us - mem->last_tick_us <= 2 * MEM_TICK_MS * 1000) {
+		mem_set_fresh(
+		    mem, now_us - ((int64_t)m->age_ms + HOP_MS) * 1000);
+	}
 	e->member.fence = MAX(e->member.fence, m->fence);
 	if (m->fence < self->fence)
 		mem_renote(mem);
--- a/tests/agree/test_mem.c
+++ b/tests/agree/test_mem.c
@@ -8,324 +8,7 @@
 #include <stddef.h>
 #include <cmocka.h>
 #include <inttypes.h>
-#include <stdio.h>
-#include <string.h>
-
-#include "agree/mem_internal.h"
-
-#define NODES_MAX 300
-#define STEP_MS 10
-#define DELAY_STEPS 3 /* 10 to 30 ms on the way */
-#define PROOF_BYTES 16
-
-struct packet {
-	unsigned int from, to;
-	enum mem_type type;
-	struct mem_msg msg;
-	uint8_t *updates;
-	struct packet *next;
-};
-
-struct node {
-	struct mem *mem;
-	struct net *net;
-	unsigned int number;
-	int64_t bytes; /* sent and received, with table syncs */
-	bool paused;
-	unsigned int deaths; /* that it saw */
-};
-
-struct net {
-	struct node nodes[NODES_MAX];
-	unsigned int n;
-	int64_t step;
-	struct packet *slots[DELAY_STEPS + 1];
-	struct rng rng;
-	unsigned int loss_permille;
-	bool (*blocked)(unsigned int a, unsigned int b);
-	uint64_t incarnation;
-};
-
-static int64_t
-now_us(const struct net *net)
-{
-	return (1000 + net->step * STEP_MS) * 1000;
-}
-
-static unsigned int
-number_of(const char *address)
-{
-	return (unsigned int)atoi(strchr(address, ':') + 1) - 1000;
-}
-
-static bool
-passes(struct net *net, unsigned int a, unsigned int b)
-{
-	if (b >= net->n || net->nodes[b].mem == NULL)
-		return false;
-	return net->blocked == NULL || !net->blocked(a, b);
-}
-
-static void
-on_send(const char *to, enum mem_type type, const struct mem_msg *m, void *ctx)
-{
-	struct node *node = ctx;
-	struct net *net = node->net;
-	struct packet *p;
-	GByteArray *wire = g_byte_array_new();
-	unsigned int slot;
-
-	msg_pack(wire, UINT64_MAX, mem_msg_desc(type), m);
-	assert_true(wire->len + PROOF_BYTES <= DGRAM_MAX);
-	node->bytes += wire->len + PROOF_BYTES;
-	if (passes(net, node->number, number_of(to)) &&
-	    rng_below(&net->rng, 1000) >= net->loss_permille) {
-		p = g_new0(struct packet, 1);
-		p->from = node->number;
-		p->to = number_of(to);
-		p->type = type;
-		p->msg = *m;
-		p->updates = g_memdup2(m->updates.data, m->updates.len);
-		p->msg.updates.data = p->updates;
-		slot = (net->step + 1 + rng_below(&net->rng, DELAY_STEPS)) %
-		    (DELAY_STEPS + 1);
-		p->next = net->slots[slot];
-		net->slots[slot] = p;
-		net->nodes[p->to].bytes += wire->len + PROOF_BYTES;
-	}
-	g_byte_array_unref(wire);
-}
-
-static void
-on_changed(const struct mem_member *member, void *ctx)
-{
-	struct node *node = ctx;
-
-	node->deaths += member->state == MEM_DEAD;
-}
-
-static void
-on_noted(const struct mem_note *note, const char *from, void *ctx)
-{
-}
-
-static void
-on_differ(const char *address, uint64_t settings, void *ctx)
-{
-}
-
-struct page_to {
-	struct node *from, *to;
-};
-
-static void
-give_page(struct slice page, void *ctx)
-{
-	struct page_to *p = ctx;
-
-	p->from->bytes += (int64_t)page.len;
-	p->to->bytes += (int64_t)page.len;
-	mem_sync_page(p->to->mem, now_us(p->to->net), page);
-}
-
-static void
-on_sync(const char *address, void *ctx)
-{
-	struct node *node = ctx;
-	struct net *net = node->net;
-	struct node *peer = &net->nodes[number_of(address)];
-	struct page_to to_us = { peer, node }, to_peer = { node, peer };
-	GByteArray *list, *lacking;
-
-	if (!passes(net, node->number, peer->number) || peer->paused)
-		return;
-	list = mem_sync_list(node->mem);
-	node->bytes += list->len;
-	peer->bytes += list->len;
-	lacking = mem_sync_answer(peer->mem, now_us(net),
-	    (struct slice){ list->data, list->len }, give_page, &to_us);
-	mem_sync_records(node->mem,
-	    (struct slice){ lacking->data, lacking->len }, give_page, &to_peer);
-	g_byte_array_unref(list);
-	g_byte_array_unref(lacking);
-}
-
-static const struct mem_ops ops = {
-	.send = on_send,
-	.changed = on_changed,
-	.noted = on_noted,
-	.settings_differ = on_differ,
-	.sync = on_sync,
-};
-
-static const char *const seeds[] = { "10.0.0.1:1000", "10.0.0.1:1001", NULL };
-
-static void
-start_node(struct net *net, unsigned int i)
-{
-	struct mem_conf conf = {
-		.self = { .incarnation = ++net->incarnation, .domain = "d1" },
-		.gossip_ms = 1000,
-		.suspect_ms = 4000,
-		.seeds = seeds,
-		.seed = i + 1,
-	};
-	struct node *node = &net->nodes[i];
-
-	snprintf(conf.self.id, sizeof(conf.self.id), "host-%03u", i);
-	snprintf(conf.self.address, sizeof(conf.self.address), "10.0.0.1:%u",
-	    1000 + i);
-	snprintf(conf.self.info, sizeof(conf.self.info),
-	    "targets of host %u, about as long as a side's are", i);
-	node->net = net;
-	node->number = i;
-	node->mem = mem_new(&conf, &ops, node, now_us(net));
-}
-
-static void
-deliver(struct net *net)
-{
-	unsigned int slot = net->step % (DELAY_STEPS + 1);
-	struct packet *p = net->slots[slot], *next;
-	char from[32];
-
-	net->slots[slot] = NULL;
-	for (; p != NULL; p = next) {
-		next = p->next;
-		snprintf(from, sizeof(from), "10.0.0.1:%u", 1000 + p->from);
-		if (net->nodes[p->to].mem != NULL && !net->nodes[p->to].paused)
-			mem_take(net->nodes[p->to].mem, now_us(net), from,
-			    p->type, &p->msg);
-		g_free(p->updates);
-		g_free(p);
-	}
-}
-
-static void
-run_ms(struct net *net, int64_t ms)
-{
-	int64_t end = net->step + ms / STEP_MS;
-	unsigned int i;
-
-	for (; net->step < end; net->step++) {
-		deliver(net);
-		for (i = 0; i < net->n; i++) {
-			if (net->nodes[i].mem != NULL &&
-			    !net->nodes[i].paused &&
-			    (net->step + i) % (MEM_TICK_MS / STEP_MS) == 0)
-				mem_tick(net->nodes[i].mem, now_us(net));
-		}
-	}
-}
-
-static unsigned int
-seeing(struct net *net, unsigned int about, enum mem_state state)
-{
-	const struct mem_member *m;
-	unsigned int i, count = 0;
-	char id[16];
-
-	snprintf(id, sizeof(id), "host-%03u", about);
-	for (i = 0; i < net->n; i++) {
-		if (i == about || net->nodes[i].mem == NULL)
-			continue;
-		m = mem_find(net->nodes[i].mem, id);
-		count += (m == NULL ? MEM_DEAD : m->state) == state;
-	}
-	return count;
-}
-
-static bool
-all_know(struct net *net, unsigned int count)
-{
-	unsigned int i;
-
-	for (i = 0; i < net->n; i++) {
-		if (net->nodes[i].mem != NULL &&
-		    mem_count(net->nodes[i].mem) != count)
-			return false;
-	}
-	return true;
-}
-
-/* Virtual seconds until all know all; fails the test after `limit_s`. */
-static int
-settle(struct net *net, unsigned int count, int limit_s)
-{
-	int s;
-
-	for (s = 0; s < limit_s && !all_know(net, count); s++)
-		run_ms(net, 1000);
-	assert_true(all_know(net, count));
-	return s;
-}
-
-static struct net *
-start_net(unsigned int n, unsigned int loss_permille)
-{
-	struct net *net = g_new0(struct net, 1);
-	unsigned int i;
-
-	rng_seed(&net->rng, 7);
-	net->n = n;
-	net->loss_permille = loss_permille;
-	for (i = 0; i < n; i++)
-		start_node(net, i);
-	return net;
-}
-
-static void
-stop_node(struct net *net, unsigned int i)
-{
-	mem_free(net->nodes[i].mem);
-	net->nodes[i].mem = NULL;
-}
-
-static void
-end_net(struct net *net)
-{
-	unsigned int i;
-
-	net->loss_permille = 1000;
-	net->step++;
-	for (i = 0; i <= DELAY_STEPS; i++, net->step++)
-		deliver(net);
-	for (i = 0; i < net->n; i++)
-		mem_free(net->nodes[i].mem);
-	g_free(net);
-}
-
-static unsigned int
-total_deaths(const struct net *net)
-{
-	unsigned int i, deaths = 0;
-
-	for (i = 0; i < net->n; i++)
-		deaths += net->nodes[i].deaths;
-	return deaths;
-}
-
-static void
-reset_bytes(struct net *net)
-{
-	unsigned int i;
-
-	for (i = 0; i < net->n; i++)
-		net->nodes[i].bytes = 0;
-}
-
-static void
-bytes_per_s(const struct net *net, int seconds, int64_t *mean, int64_t *worst)
-{
-	unsigned int i;
-
-	*mean = *worst = 0;
-	for (i = 0; i < net->n; i++) {
-		*mean += net->nodes[i].bytes;
-		*worst = MAX(*worst, net->nodes[i].bytes / seconds);
-	}
-	*mean /= (int64_t)seconds * net->n;
-}
+#include "mem_net.h"
 
 /*
  * All start at once, later one says that it leaves. Its requests stop only
@@ -381,6 +64,8 @@
 	net->blocked = one_link;
 	run_ms(net, 120000);
 	assert_int_equal(total_deaths(net), 0);
+	assert_int_equal(net->nodes[3].suspicions, 0);
+	assert_int_equal(net->nodes[4].suspicions, 0);
 	assert_int_equal(seeing(net, 3, MEM_ALIVE), 11);
 	end_net(net);
 }
@@ -404,9 +89,9 @@
 }
 
 /*
- * A host pauses for longer than a probe but less than the suspicion. It is
- * suspected, wakes, hears of it and refutes; and does not itself blame those
- * whose answers it did not read.
+ * A host pauses right after a probe, for less than the suspicion. It is
+ * suspected, wakes, hears of it and refutes; and does not itself blame the
+ * one whose answer it did not read.
  */
 static void
 test_paused_host_refutes(void **state)
@@ -414,11 +99,12 @@
 	struct net *net = start_net(12, 0);
 
 	settle(net, 12, 60);
-	net->nodes[2].paused = true;
-	run_ms(net, 4500);
+	net->nodes[2].pause_at_ping = true;
+	run_ms(net, 5000);
 	assert_true(seeing(net, 2, MEM_SUSPECT) > 0);
-	net->nodes[2].paused = false;
+	net->nodes[2].pause_at_ping = net->nodes[2].paused = false;
 	run_ms(net, 10000);
+	assert_int_equal(net->nodes[2].suspicions, 0);
 	assert_int_equal(seeing(net, 2, MEM_ALIVE), 11);
 	assert_int_equal(total_deaths(net), 0);
 	end_net(net);
@@ -432,7 +118,8 @@
 
 /*
  * A region is cut off for an hour: each part gives the other up and goes on
- * by itself. When the cut heals both must find each other without a restart.
+ * by itself, and the seeds die meanwhile. When the cut heals both parts must
+ * find each other without a restart.
  */
 static void
 test_cut_region_is_found_again(void **state)
@@ -443,10 +130,13 @@
 	settle(net, 40, 60);
 	net->blocked = region_cut;
 	run_ms(net, 3600 * 1000);
-	assert_int_equal(mem_count(net->nodes[0].mem), 15);
+	assert_int_equal(mem_count(net->nodes[2].mem), 15);
 	assert_int_equal(mem_count(net->nodes[39].mem), 25);
+	stop_node(net, 0);
+	stop_node(net, 1);
+	run_ms(net, 30000);
 	net->blocked = NULL;
-	healed = settle(net, 40, 60);
+	healed = settle(net, 38, 60);
 	print_message("healed_s=%d\n", healed);
 	end_net(net);
 }
@@ -509,6 +199,117 @@
 	end_net(net);
 }
 
+/*
+ * Only node 0 watches the settings. A region that is cut off cannot hear of
+ * changes; it goes on serving, and must know by the growing age that it may
+ * be behind, while nobody else raises a false alarm.
+ */
+static void
+test_cut_off_nodes_know_their_age(void **state)
+{
+	struct net *net = start_net(40, 20);
+	int64_t oldest = 0;
+	unsigned int i;
+	int s;
+
+	settle(net, 40, 60);
+	for (s = 0; s < 60; s++) {
+		mem_set_fresh(net->nodes[0].mem, now_us(net));
+		if (s == 20)
+			net->blocked = region_cut;
+		run_ms(net, 1000);
+	}
+	for (i = 0; i < 15; i++)
+		oldest =
+		    MAX(oldest, mem_age_ms(net->nodes[i].mem, now_us(net)));
+	print_message("oldest beside the watcher: %" PRId64 " ms\n", oldest);
+	assert_true(oldest < 15000);
+	for (; i < 40; i++)
+		assert_true(mem_age_ms(net->nodes[i].mem, now_us(net)) > 39000);
+	end_net(net);
+}
+
+/*
+ * A host has died. A table taken over from a node that was away still calls
+ * it alive: it must stay dead, or work would be sent to it.
+ */
+static void
+test_old_news_does_not_revive(void **state)
+{
+	struct net *net = start_net(6, 0);
+	GByteArray *old;
+
+	settle(net, 6, 60);
+	old = mem_sync_list(net->nodes[1].mem);
+	stop_node(net, 5);
+	run_ms(net, 40000);
+	assert_int_equal(seeing(net, 5, MEM_DEAD), 5);
+	mem_sync_page(net->nodes[0].mem, now_us(net),
+	    (struct slice){ old->data, old->len });
+	assert_int_equal(seeing(net, 5, MEM_DEAD), 5);
+	g_byte_array_unref(old);
+	end_net(net);
+}
+
+/*
+ * Many leave at once, as when a domain is drained. Their news is urgent, and
+ * still no node may use more than its share of the network for it.
+ */
+static void
+test_many_leaving_stay_within_the_budget(void **state)
+{
+	struct net *net = start_net(150, 20);
+	int64_t mean, worst;
+	unsigned int i;
+
+	settle(net, 150, 60);
+	run_ms(net, 30000);
+	reset_bytes(net);
+	for (i = 50; i < 100; i++)
+		mem_leave(net->nodes[i].mem, now_us(net));
+	run_ms(net, 5000);
+	bytes_per_s(net, 5, &mean, &worst);
+	print_message("50 leave: bytes_s mean=%" PRId64 " worst=%" PRId64 "\n",
+	    mean, worst);
+	assert_true(worst < 4096);
+	assert_int_equal(seeing(net, 70, MEM_LEAVING), 149);
+	end_net(net);
+}
+
+/*
+ * The map of settings counts members in order. Taken from a node with another
+ * table it would call a node in force that is not.
+ */
+static void
+test_map_of_another_table_is_ignored(void **state)
+{
+	struct net *net = start_net(3, 0);
+	struct mem *a, *b;
+	GByteArray *blob = g_byte_array_new();
+	struct mem_msg m;
+
+	settle(net, 3, 60);
+	run_ms(net, 5000);
+	a = net->nodes[0].mem;
+	b = net->nodes[1].mem;
+	mem_set_settings(b, 42);
+	mem_seen_settings(b, mem_entry(b, mem_key("host-002")), 42);
+	mem_pack_map(b, blob, 200);
+	m = (struct mem_msg){
+		.from = mem_key("host-001"),
+		.incarnation = mem_self(b)->node.incarnation,
+		.view = mem_view(a) ^ 1,
+		.updates = { blob->data, blob->len },
+	};
+	mem_take(a, now_us(net), "10.0.0.1:1001", MEM_GOSSIP, &m);
+	assert_int_equal(mem_find(a, "host-002")->settings, 0);
+	m.view = mem_view(a);
+	mem_take(a, now_us(net), "10.0.0.1:1001", MEM_GOSSIP, &m);
+	assert_int_equal(mem_find(a, "host-002")->settings, 42);
+	g_byte_array_unref(blob);
+	end_net(net);
+}
+
 /* A node takes any bytes as updates without harm. */
 static void
 test_malformed_updates_are_ignored(void **state)
@@ -545,6 +346,10 @@
 		cmocka_unit_test(test_cut_region_is_found_again),
 		cmocka_unit_test(test_restart_is_a_new_life),
 		cmocka_unit_test(test_all_learn_where_settings_are_in_force),
+		cmocka_unit_test(test_cut_off_nodes_know_their_age),
+		cmocka_unit_test(test_old_news_does_not_revive),
+		cmocka_unit_test(test_many_leaving_stay_within_the_budget),
+		cmocka_unit_test(test_map_of_another_table_is_ignored),
 		cmocka_unit_test(test_malformed_updates_are_ignored),
 	};
 
