--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -175,22 +175,56 @@
 /* Models                                                              */
 /* ------------------------------------------------------------------ */
 
-/* "TEAM/MODEL" and whether to stream, out of the JSON body. */
+/* What a chat request says in its JSON body. */
+struct chat {
+	char *team, *model; /* of "model": "TEAM/MODEL" */
+	bool streamed;
+	uint64_t prefix;
+};
+
+static void
+read_content(JsonArray *messages, guint i, JsonNode *item, gpointer prefix)
+{
+	const char *content;
+
+	if (!JSON_NODE_HOLDS_OBJECT(item))
+		return;
+	content = json_object_get_string_member_with_default(
+	    json_node_get_object(item), "content", NULL);
+	if (content != NULL)
+		rt_prefix_add(prefix, content);
+}
+
+static uint64_t
+read_prefix(JsonObject *o)
+{
+	JsonNode *messages = json_object_get_member(o, "messages");
+	struct rt_prefix prefix;
+
+	if (messages == NULL || !JSON_NODE_HOLDS_ARRAY(messages))
+		return 0;
+	rt_prefix_begin(&prefix);
+	json_array_foreach_element(
+	    json_node_get_array(messages), read_content, &prefix);
+	return rt_prefix_end(&prefix);
+}
+
 static bool
-read_chat(SoupMessageBody *body, char **team, char **model, bool *streamed,
-    struct err *err)
+read_chat(SoupMessageBody *body, struct chat *chat, struct err *err)
 {
 	JsonParser *parser = json_parser_new();
 	GBytes *bytes = soup_message_body_flatten(body);
 	gsize len;
 	const char *text = g_bytes_get_data(bytes, &len);
+	JsonNode *root = NULL;
 	JsonObject *o = NULL;
 	const char *name = NULL, *slash;
 
 	if (len > 0 &&
-	    json_parser_load_from_data(parser, text, (gssize)len, NULL) &&
-	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
-		o = json_node_get_object(json_parser_get_root(parser));
+	    json_parser_load_from_data(parser, text, (gssize)len, NULL))
+		root = json_parser_get_root(parser);
+	if (root != NULL && JSON_NODE_HOLDS_OBJECT(root))
+		o = json_node_get_object(root);
 	if (o != NULL)
 		name =
 		    json_object_get_string_member_with_default(o, "model", "");
@@ -202,10 +236,11 @@
 		err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
 		    "'model' must be TEAM/MODEL");
 	else {
-		*team = g_strndup(name, (gsize)(slash - name));
-		*model = g_strdup(slash + 1);
-		*streamed = json_object_get_boolean_member_with_default(
+		chat->team = g_strndup(name, (gsize)(slash - name));
+		chat->model = g_strdup(slash + 1);
+		chat->streamed = json_object_get_boolean_member_with_default(
 		    o, "stream", FALSE);
+		chat->prefix = read_prefix(o);
 	}
 	g_bytes_unref(bytes);
 	g_object_unref(parser);
@@ -213,23 +248,25 @@
 }
 
 static void
-start_chat(struct entry *entry, SoupServerMessage *message, const char *team,
-    const char *model, bool streamed, struct err *err)
+start_chat(struct entry *entry, SoupServerMessage *message,
+    const struct chat *chat, struct err *err)
 {
 	struct request_ask ask = {
 		.message = message,
-		.team = find_team(entry, message, team, err),
+		.team = find_team(entry, message, chat->team, err),
 		.method = "POST",
 		.path = "/v1/chat/completions",
-		.streamed = streamed,
+		.streamed = chat->streamed,
+		.prefix = chat->prefix,
 	};
 
 	if (ask.team == NULL)
 		return;
-	ask.model = rt_team_model(ask.team, model);
+	ask.model = rt_team_model(ask.team, chat->model);
 	if (ask.model == NULL) {
 		err_set(err, ERR_NOT_FOUND, VERDICT_NOT_RUN,
-		    "unknown model '%.40s' of team '%.40s'", model, team);
+		    "unknown model '%.40s' of team '%.40s'", chat->model,
+		    chat->team);
 		return;
 	}
 	if (!read_common(message, &ask, err))
@@ -247,20 +284,19 @@
 {
 	struct entry *entry = data;
 	struct err err = { 0 };
-	char *team = NULL, *model = NULL;
-	bool streamed = false;
+	struct chat chat = { 0 };
 
 	if (strcmp(soup_server_message_get_method(message), "POST") != 0)
 		err_set(&err, ERR_INVALID, VERDICT_NOT_RUN,
 		    "POST is the method here");
 	else if (!is_too_large(message, &err) &&
-	    read_chat(soup_server_message_get_request_body(message), &team,
-		&model, &streamed, &err))
-		start_chat(entry, message, team, model, streamed, &err);
+	    read_chat(
+		soup_server_message_get_request_body(message), &chat, &err))
+		start_chat(entry, message, &chat, &err);
 	if (err_is(&err))
 		refuse(entry, message, &err);
-	g_free(team);
-	g_free(model);
+	g_free(chat.team);
+	g_free(chat.model);
 }
 
 /* ------------------------------------------------------------------ */
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -1,93 +1,60 @@
 /* One caller's request over its attempts: the I/O behind charts/attempt. */
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include "entry/entry.h"
+#include "entry/request.h"
 
-#define MAX_ATTEMPTS 4
-#define REQUEST_ID_LEN 40
 /* An answer that is not streamed is held up to this size until it is whole,
  * so that a broken one can be run again and the caller sees no trace. */
 #define HOLD_MAX RT_WINDOW
+#define VERSIONS_MAX 256 /* of a model; the settings allow no more */
 #define MIN_TRY_MS 20 /* less time left than this is not worth a try */
 /* The users' measure: the first token of an admitted request. */
 #define FIRST_TOKEN_GOAL_US (1500 * 1000)
 #define RETRY_AFTER_MS 1000 /* advice when no target is there at all */
 
-struct request {
-	struct entry *entry;
-	SoupServerMessage *message;
-	struct att att;
-	struct adm_ticket ticket;
-	char id[REQUEST_ID_LEN];
-	char team[RT_NAME_MAX + 1];
-	char model[RT_NAME_MAX + 1]; /* "" for a plain service */
-	char service[RT_NAME_MAX + 1];
-	char *method;
-	char *path;
-	char *headers;
-	GBytes *body;
-	bool streamed;
-	unsigned int stall_ms;
-	unsigned int priority;
-	int64_t deadline_us;
-	guint deadline_timer;
-	guint event_idle; /* an event that must not be taken within a step */
-	enum att_event event;
-	gulong finished_signal;
-	gulong wrote_signal;
-	GSource *gone_source;
-
-	/* The attempt that runs now. */
-	struct entry_side *side; /* NULL: none */
-	struct rt_target *target;
-	int64_t stream;
-	const struct rt_target *tried[MAX_ATTEMPTS];
-
-	/* The answer. */
-	struct rt_head head; /* headers are in `type` */
-	char *type;
-	bool begun; /* the caller has seen the head */
-	GByteArray *held;
-	struct err last;
-	enum adm_outcome outcome;
-};
-
 static void free_request(struct request *r);
 
 /* ------------------------------------------------------------------ */
 /* Attempts                                                            */
 /* ------------------------------------------------------------------ */
 
-static void
-count(const struct request *r, const char *name)
+void
+request_count(const struct request *r, const char *name)
 {
 	ctr_add(ctr_get(r->entry->proc.counters, name), 1);
 }
 
+/* `err` says how the attempt ended, for what is believed of its target. */
 static void
-leave_stream(struct request *r)
+leave_stream(struct request *r, const struct err *err)
 {
 	if (r->side == NULL)
 		return;
 	g_hash_table_remove(r->side->streams, &r->stream);
-	if (r->target->own_running > 0)
-		r->target->own_running--;
+	rt_target_ended(r->target, err, clk_now_us(clk_system()));
 	r->side = NULL;
 }
 
-static int64_t
-time_left_ms(const struct request *r)
+static void
+heard(struct request *r)
+{
+	rt_target_heard(
+	    r->target, !r->heard, r->sent_us, clk_now_us(clk_system()));
+	r->heard = true;
+}
+
+int64_t
+request_left_ms(const struct request *r)
 {
 	return (r->deadline_us - clk_now_us(clk_system())) / 1000;
 }
 
-static void
-take(struct request *r, enum att_event event)
+void
+request_take(struct request *r, enum att_event event)
 {
-	r->att.facts.time_left = time_left_ms(r) >= MIN_TRY_MS;
+	r->att.facts.time_left = request_left_ms(r) >= MIN_TRY_MS;
 	r->att.facts.nothing_sent = r->side == NULL;
 	r->att.facts.budget = gatekeeper_may_retry(r->entry, r->team);
 	att_take(&r->att, event);
@@ -101,48 +68,62 @@
 	struct request *r = data;
 
 	r->event_idle = 0;
-	take(r, r->event);
+	request_take(r, r->event);
 	return G_SOURCE_REMOVE;
 }
 
 /* No target: the attempt is refused, but not from within this step. */
 static void
-refuse_later(struct request *r)
+refuse_later(struct request *r, int64_t rest_ends_us)
 {
+	int64_t rest_us = rest_ends_us - clk_now_us(clk_system());
+
 	err_set(&r->last, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
 	    "no target can take it now");
 	r->last.retry_after_ms = RETRY_AFTER_MS;
+	if (rest_us > 0)
+		r->last.retry_after_ms = (unsigned int)(rest_us / 1000 + 1);
 	r->att.facts.max_attempts = r->att.facts.attempts;
 	r->event = ATT_REFUSED;
 	r->event_idle =
 	    g_idle_add_full(G_PRIORITY_DEFAULT, take_later, r, NULL);
 }
 
+/* NULL when there is none; `rest_ends_us` then says when one that rests may
+ * be used again, if any does. */
 static struct rt_target *
-choose(struct request *r, const struct rt_team *team)
+choose(struct request *r, int64_t *rest_ends_us)
 {
-	const struct rt_model *model = rt_team_model(team, r->model);
-	const struct rt_service *service = rt_team_service(team, r->service);
-	struct digest roots[64];
+	const struct rt_team *team = entry_team(r->entry, r->team);
+	const struct rt_model *model =
+	    team == NULL ? NULL : rt_team_model(team, r->model);
+	const struct rt_service *service =
+	    team == NULL ? NULL : rt_team_service(team, r->service);
+	struct digest roots[VERSIONS_MAX];
 	struct rt_wish wish = {
+		.kind = r->model[0] != '\0' ? RT_ENGINE : RT_SERVICE,
 		.team = r->team,
-		.pool = model != NULL ? model->pool
-		    : service != NULL ? service->pool
-				      : "",
-		.service = r->service[0] == '\0' ? NULL : r->service,
+		.service = r->service,
 		.roots = roots,
 		.domain = cfg_str(r->entry->proc.cfg, "node.domain"),
+		.prefix = r->prefix,
 		.tried = r->tried,
 		.ntried = r->att.facts.attempts,
 	};
+	int64_t now_us = clk_now_us(clk_system());
+	struct rt_target *target;
 
-	if (r->model[0] != '\0' && model == NULL)
-		return NULL;
-	if (model != NULL && model->nversions <= G_N_ELEMENTS(roots))
-		wish.nroots = rt_model_roots(
-		    model, hash64(0, r->id, strlen(r->id)), roots);
-	return rt_choose(&r->entry->targets, &wish, clk_now_us(clk_system()),
-	    &r->entry->rng);
+	*rest_ends_us = 0;
+	if (model == NULL && service == NULL)
+		return NULL; /* taken out of the settings meanwhile */
+	wish.pool = model != NULL ? model->pool : service->pool;
+	if (model != NULL && model->nversions <= VERSIONS_MAX)
+		wish.nroots = rt_model_roots(model,
+		    hash64(0, r->id, strlen(r->id)), roots, &wish.ranked);
+	target = rt_choose(r->entry->fleet, &wish, now_us, &r->entry->rng);
+	if (target == NULL)
+		*rest_ends_us = rt_rest_ends_us(r->entry->fleet, &wish, now_us);
+	return target;
 }
 
 static void
@@ -155,7 +136,7 @@
 		.stream = (uint64_t)r->stream,
 		.request_id = slice_str(r->id),
 		.attempt = r->att.facts.attempts,
-		.deadline_ms = (uint64_t)MAX(time_left_ms(r), 0),
+		.deadline_ms = (uint64_t)MAX(request_left_ms(r), 0),
 		.target = slice_str(r->target->name),
 		.method = slice_str(r->method),
 		.path = slice_str(r->path),
@@ -174,22 +155,24 @@
 op_dispatch(void *ctx)
 {
 	struct request *r = ctx;
-	const struct rt_team *team = entry_team(r->entry, r->team);
-	struct rt_target *target = team == NULL ? NULL : choose(r, team);
+	int64_t rest_ends_us;
+	struct rt_target *target = choose(r, &rest_ends_us);
 
 	if (target == NULL) {
-		refuse_later(r);
+		refuse_later(r, rest_ends_us);
 		return;
 	}
 	r->tried[r->att.facts.attempts++] = target;
 	r->target = target;
 	r->side = target->owner;
 	r->stream = (int64_t)++r->entry->next_stream;
-	target->own_running++;
-	target->sent_since++;
+	r->sent_us = clk_now_us(clk_system());
+	r->heard = false;
+	rt_target_sent(target, r->sent_us);
+	rt_fleet_prefix_sent(r->entry->fleet, target, r->prefix, r->sent_us);
 	g_hash_table_insert(r->side->streams, &r->stream, r);
 	if (r->att.facts.attempts > 1) {
-		count(r, "request_retries");
+		request_count(r, "request_retries");
 		gatekeeper_retried(r->entry, r->team);
 	}
 	send_request(r);
@@ -200,71 +183,13 @@
 {
 	struct request *r = ctx;
 	struct rt_cancel cancel = { .stream = (uint64_t)r->stream };
+	const struct err cancelled = { .code = ERR_CANCELLED };
 
 	if (r->side == NULL)
 		return;
 	if (r->side->open && r->att.facts.idempotent)
 		conn_send(r->side->conn, &rt_cancel_desc, &cancel);
-	leave_stream(r);
-}
-
-/* ------------------------------------------------------------------ */
-/* The answer to the caller                                            */
-/* ------------------------------------------------------------------ */
-
-static SoupMessageBody *
-body_of(struct request *r)
-{
-	return soup_server_message_get_response_body(r->message);
-}
-
-static void
-put_headers(struct request *r, enum verdict verdict)
-{
-	SoupMessageHeaders *h =
-	    soup_server_message_get_response_headers(r->message);
-	char digest[DIGEST_HEX], attempts[16];
-
-	g_snprintf(attempts, sizeof(attempts), "%u", r->att.facts.attempts);
-	soup_message_headers_replace(h, "X-Request-Id", r->id);
-	soup_message_headers_replace(h, "X-Attempts", attempts);
-	soup_message_headers_replace(h, "X-Verdict", verdict_name(verdict));
-	if (!digest_is_none(&r->head.loaded)) {
-		digest_to_hex(&r->head.loaded, digest);
-		soup_message_headers_replace(h, "X-Model-Digest", digest);
-	}
-}
-
-static void
-put_type(struct request *r)
-{
-	soup_message_headers_replace(
-	    soup_server_message_get_response_headers(r->message),
-	    "Content-Type", r->type);
-}
-
-/* Sends the head and lets the body follow piece by piece. While it runs the
- * verdict can only be MAY_HAVE_RUN; the whole answer says RAN. */
-static void
-begin(struct request *r)
-{
-	r->begun = true;
-	soup_server_message_set_status(r->message, (guint)r->head.status, NULL);
-	put_headers(r, VERDICT_MAY_HAVE_RUN);
-	put_type(r);
-	soup_message_headers_set_encoding(
-	    soup_server_message_get_response_headers(r->message),
-	    SOUP_ENCODING_CHUNKED);
-	soup_message_body_set_accumulate(body_of(r), FALSE);
-}
-
-static void
-append(struct request *r, const uint8_t *bytes, size_t len)
-{
-	if (len == 0)
-		return;
-	soup_message_body_append(body_of(r), SOUP_MEMORY_COPY, bytes, len);
-	soup_server_message_unpause(r->message);
+	leave_stream(r, &cancelled);
 }
 
 static void
@@ -273,7 +198,7 @@
 	struct request *r = ctx;
 
 	if (!r->begun)
-		begin(r);
+		answer_begin(r);
 }
 
 static void
@@ -281,68 +206,23 @@
 {
 	struct request *r = ctx;
 
-	count(r, "request_answered");
-	if (r->begun) {
-		soup_message_body_complete(body_of(r));
-	} else {
-		soup_server_message_set_status(
-		    r->message, (guint)r->head.status, NULL);
-		put_headers(r, VERDICT_RAN);
-		put_type(r);
-		soup_message_body_append(
-		    body_of(r), SOUP_MEMORY_COPY, r->held->data, r->held->len);
-		soup_message_body_complete(body_of(r));
-	}
-	soup_server_message_unpause(r->message);
+	r->answered = true;
+	if (r->recorded != NULL)
+		answer_recorded(r);
+	else
+		answer_finish(r);
 }
 
 static void
 op_fail(void *ctx)
 {
-	struct request *r = ctx;
+	answer_fail(ctx);
+}
 
-	/* One attempt that may have run makes the whole request so, even
-	 * when a later attempt was surely refused. */
-	if (r->att.may_have_run)
-		r->last.verdict = VERDICT_MAY_HAVE_RUN;
-	count(r,
-	    r->last.verdict == VERDICT_NOT_RUN ? "request_not_run"
-					       : "request_may_have_run");
-	put_headers(r, r->last.verdict);
-	answer_error(r->message, &r->last);
-	soup_server_message_unpause(r->message);
-}
-
-/*
- * The answer broke after it began to reach the caller. It must not look
- * whole: a stream of events gets an error event and no [DONE]; anything else is
- * closed without the end that HTTP calls for.
- */
 static void
 op_cut(void *ctx)
 {
-	struct request *r = ctx;
-	GSocket *socket;
-	char *event;
-
-	count(r, "request_cut");
-	tl_add(r->entry->proc.timeline, "answer_cut", r->id, "%s",
-	    r->last.message);
-	if (!r->streamed) {
-		socket = soup_server_message_get_socket(r->message);
-		if (socket != NULL)
-			g_socket_shutdown(socket, TRUE, TRUE, NULL);
-		soup_server_message_unpause(r->message);
-		return;
-	}
-	event = g_strdup_printf("event: error\ndata: {\"error\":{\"code\":"
-				"\"%s\",\"message\":\"the answer broke off\","
-				"\"verdict\":\"%s\"}}\n\n",
-	    err_code_name(r->last.code), verdict_name(VERDICT_MAY_HAVE_RUN));
-	append(r, (const uint8_t *)event, strlen(event));
-	soup_message_body_complete(body_of(r));
-	soup_server_message_unpause(r->message);
-	g_free(event);
+	answer_cut(ctx);
 }
 
 static const struct att_ops ops = {
@@ -352,6 +232,9 @@
 	.fail = op_fail,
 	.cut = op_cut,
 	.cancel = op_cancel,
+	.claim = keyed_claim,
+	.detach = keyed_detach,
+	.settle = keyed_settle,
 };
 
 /* ------------------------------------------------------------------ */
@@ -363,6 +246,11 @@
 {
 	char *headers = slice_dup(head->headers);
 
+	heard(r);
+	if (r->key != NULL) {
+		digest_stream_free(r->hash);
+		r->hash = digest_stream_new();
+	}
 	r->head = *head;
 	r->head.headers = (struct slice){ NULL, 0 };
 	g_free(r->type);
@@ -373,7 +261,7 @@
 	g_byte_array_set_size(r->held, 0);
 	adm_head(&r->ticket, clk_now_us(clk_system()));
 	if (r->streamed)
-		take(r, ATT_HEAD);
+		request_take(r, ATT_HEAD);
 }
 
 static void
@@ -388,27 +276,34 @@
 void
 request_data(struct request *r, const uint8_t *bytes, size_t len)
 {
+	heard(r);
+	if (r->hash != NULL)
+		digest_stream_add(r->hash, bytes, len);
 	if (r->begun) {
-		append(r, bytes, len);
+		answer_append(r, bytes, len);
+		if (r->gone) /* nobody else will say that they were taken */
+			give_window(r, len);
 		return;
 	}
 	g_byte_array_append(r->held, bytes, (guint)len);
 	if (r->held->len < HOLD_MAX)
 		return;
 	/* Too large to hold back any longer. */
-	begin(r);
-	append(r, r->held->data, r->held->len);
+	answer_begin(r);
+	answer_append(r, r->held->data, r->held->len);
+	if (r->gone)
+		give_window(r, r->held->len);
 	g_byte_array_set_size(r->held, 0);
-	take(r, ATT_HEAD);
+	request_take(r, ATT_HEAD);
 }
 
 void
 request_end(struct request *r, const struct err *err)
 {
-	leave_stream(r);
+	leave_stream(r, err);
 	if (!err_is(err) && err->verdict == VERDICT_RAN) {
 		r->outcome = ADM_ANSWERED;
-		take(r, ATT_DONE);
+		request_take(r, ATT_DONE);
 		return;
 	}
 	r->last = *err;
@@ -417,7 +312,8 @@
 		r->outcome = ADM_OVERLOADED;
 		adm_overloaded(&r->ticket, clk_now_us(clk_system()));
 	}
-	take(r, err->verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
+	request_take(
+	    r, err->verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
 }
 
 /* ------------------------------------------------------------------ */
@@ -433,14 +329,17 @@
 static void
 caller_gone(struct request *r)
 {
-	count(r, "request_caller_gone");
-	take(r, ATT_CALLER_GONE);
+	request_count(r, "request_caller_gone");
+	request_take(r, ATT_CALLER_GONE);
 }
 
 static void
 on_finished(SoupServerMessage *message, gpointer data)
 {
-	caller_gone(data);
+	struct request *r = data;
+
+	r->gone = true;
+	caller_gone(r);
 }
 
 /* While we wait nobody reads the caller's socket; a look at it tells a
@@ -469,8 +368,8 @@
 	err_set(&r->last, ERR_DEADLINE,
 	    r->side == NULL ? VERDICT_NOT_RUN : VERDICT_MAY_HAVE_RUN,
 	    "the deadline passed");
-	count(r, "request_deadlines");
-	take(r, ATT_DEADLINE);
+	request_count(r, "request_deadlines");
+	request_take(r, ATT_DEADLINE);
 	return G_SOURCE_REMOVE;
 }
 
@@ -488,7 +387,7 @@
 static void
 on_admitted(struct adm_ticket *ticket, void *ctx)
 {
-	take(of_ticket(ticket), ATT_START);
+	request_take(of_ticket(ticket), ATT_START);
 }
 
 static void
@@ -497,8 +396,8 @@
 	struct request *r = of_ticket(ticket);
 
 	r->last = *err;
-	count(r, "request_not_admitted");
-	take(r, ATT_REFUSED);
+	request_count(r, "request_not_admitted");
+	request_take(r, ATT_REFUSED);
 }
 
 const struct adm_ops *
@@ -513,10 +412,10 @@
 }
 
 static void
-offer(struct request *r, const char *pool)
+offer(struct request *r)
 {
 	struct adm_lane *lane =
-	    gatekeeper_lane(r->entry, r->team, pool, r->service);
+	    gatekeeper_lane(r->entry, r->team, r->model, r->service);
 	int64_t now_us = clk_now_us(clk_system());
 
 	r->ticket.priority = r->priority;
@@ -525,11 +424,11 @@
 		r->ticket.goal_us = now_us + FIRST_TOKEN_GOAL_US;
 	switch (adm_offer(lane, &r->ticket, now_us, &r->last)) {
 	case ADM_STARTED:
-		take(r, ATT_START);
+		request_take(r, ATT_START);
 		break;
 	case ADM_REFUSED:
-		count(r, "request_not_admitted");
-		take(r, ATT_REFUSED);
+		request_count(r, "request_not_admitted");
+		request_take(r, ATT_REFUSED);
 		break;
 	default:
 		break;
@@ -557,9 +456,15 @@
 static void
 free_request(struct request *r)
 {
-	leave_stream(r);
+	const struct err cancelled = { .code = ERR_CANCELLED };
+
+	leave_stream(r, &cancelled);
+	if (r->claim != NULL)
+		claim_drop(r->claim);
+	digest_stream_free(r->hash);
 	g_signal_handler_disconnect(r->message, r->finished_signal);
 	g_signal_handler_disconnect(r->message, r->wrote_signal);
+	answer_let_go(r);
 	if (r->gone_source != NULL) {
 		g_source_destroy(r->gone_source);
 		g_source_unref(r->gone_source);
@@ -578,6 +483,8 @@
 	g_free(r->method);
 	g_free(r->path);
 	g_free(r->headers);
+	g_free(r->key);
+	g_free(r->asker);
 	g_free(r);
 }
 
@@ -630,7 +537,11 @@
 	r->body = ask->body == NULL ? NULL : g_bytes_ref(ask->body);
 	r->streamed = ask->streamed;
 	r->priority = ask->priority;
+	r->prefix = ask->prefix;
 	r->held = g_byte_array_new();
+	r->outcome = ADM_OTHER;
+	if (ask->key != NULL && !ask->idempotent)
+		keyed_init(r, ask->key);
 	r->deadline_us = clk_now_us(clk_system()) + ask->deadline_ms * 1000LL;
 	r->deadline_timer = g_timeout_add(ask->deadline_ms, on_deadline, r);
 	entry->open_requests++;
@@ -639,8 +550,9 @@
 	att_init(&r->att, entry->attempts, &ops, r);
 	r->att.facts = (struct att_facts){
 		.idempotent = ask->idempotent,
+		.keyed = r->key != NULL,
 		.max_attempts = MAX_ATTEMPTS,
 	};
-	offer(r, ask->model == NULL ? "" : ask->model->pool);
+	offer(r);
 	return true;
 }
--- a/programs/entry/sides.c
+++ b/programs/entry/sides.c
@@ -83,11 +83,11 @@
 	copy_slice(t->service, sizeof(t->service), told.service);
 	t->loaded = told.loaded;
 	t->slots = (unsigned int)told.slots;
-	t->told_running = (unsigned int)told.running;
-	t->sent_since = 0;
 	t->reachable = true;
 	t->told_accepting = told.accepting != 0;
 	t->accepting = t->told_accepting && !is_leaving(side);
+	rt_fleet_update(side->entry->fleet, t);
+	rt_target_told(t, (unsigned int)told.running, clk_now_us(clk_system()));
 	gatekeeper_spoke(side->entry, t);
 	lead_wake(side->entry);
 }
@@ -103,6 +103,7 @@
 		if (accepting == t->accepting)
 			continue;
 		t->accepting = accepting;
+		rt_fleet_update(entry->fleet, t);
 		gatekeeper_spoke(entry, t);
 	}
 }
@@ -118,8 +119,7 @@
 			continue;
 		/* Requests hold pointers to the targets they tried, so a
 		 * target stays and is only out of reach. */
-		t->reachable = false;
-		t->own_running = 0;
+		rt_target_lost(side->entry->fleet, t);
 		gatekeeper_spoke(side->entry, t);
 	}
 }
@@ -158,8 +158,9 @@
 	    "%s", message);
 	err.retry_after_ms = (unsigned int)end->retry_after_ms;
 	target = request_target(r);
-	target->told_running = (unsigned int)end->running;
-	target->sent_since = 0;
+	/* Told is the load without this request. */
+	rt_target_told(
+	    target, (unsigned int)end->running + 1, clk_now_us(clk_system()));
 	request_end(r, &err);
 	gatekeeper_spoke(side->entry, target);
 }
