Weights: hosts tell what the rollout knows, before any reads again

Change: have carries the chunks known to exist besides those held, news of them are passed on, and readers wait four news intervals where peers hold something already. Shorter queues (3 uploads), fewer dials (3 near, 1 far).

--- a/lib/weights/peers.c
+++ b/lib/weights/peers.c
@@ -6,13 +6,13 @@
 #include "weights/xfer.h"
 
 /*
- * Peers that this host dials; about as many dial it. Twelve in all keep the
+ * Peers that this host dials; about as many dial it. Eight in all keep the
  * rollout's graph connected and mixing; most are of the own failure domain,
  * and those in others keep the domains from running dry of each other's
  * chunks.
  */
-#define DIAL_NEAR 4
-#define DIAL_FAR 2
+#define DIAL_NEAR 3
+#define DIAL_FAR 1
 #define DIAL_ALL 12 /* members of a rollout that connects all to all */
 #define PEERS_MAX 40
 #define REDIAL_US 250000
@@ -100,27 +100,48 @@
 	}
 }
 
+static void
+set_bit(GByteArray *bits, uint64_t i)
+{
+	bits->data[i / 8] |= (uint8_t)(1u << (i % 8));
+}
+
+static GByteArray *
+new_bits(uint64_t n)
+{
+	GByteArray *bits = g_byte_array_new();
+
+	g_byte_array_set_size(bits, (guint)((n + 7) / 8));
+	memset(bits->data, 0, bits->len);
+	return bits;
+}
+
 void
 peer_tell_have(struct peer *peer)
 {
 	struct xfer *x = peer->xfer;
 	uint64_t n = x->pick->conf.chunks;
-	GByteArray *bits = g_byte_array_new();
+	GByteArray *bits = new_bits(n);
+	GByteArray *known = new_bits(n);
 	struct proto_have have;
 	uint64_t i;
 
-	g_byte_array_set_size(bits, (guint)((n + 7) / 8));
-	memset(bits->data, 0, bits->len);
 	for (i = 0; i < n; i++) {
 		if (x->pick->chunks[i].state == PICK_HAVE)
-			bits->data[i / 8] |= (uint8_t)(1u << (i % 8));
+			set_bit(bits, i);
+		if (x->pick->chunks[i].claimed)
+			set_bit(known, i);
 	}
-	have.bits = (struct slice){ bits->data, bits->len };
-	have.load = x->wts->nuploads;
+	have = (struct proto_have){
+		.bits = { bits->data, bits->len },
+		.load = x->wts->nuploads,
+		.known = { known->data, known->len },
+	};
 	conn_send(peer->conn, &proto_have_desc, &have);
 	peer->told_have = true;
-	g_byte_array_set_size(peer->gained, 0);
+	clear_news(peer);
 	g_byte_array_unref(bits);
+	g_byte_array_unref(known);
 }
 
 void
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -130,6 +130,12 @@
 		p->chunks[i].reader = (uint8_t)rank_first(rank, i);
 }
 
+void
+pick_settle(struct pick *p, int64_t until_us)
+{
+	p->settle_us = until_us;
+}
+
 void
 pick_set_copies(struct pick *p, unsigned int copies)
 {
@@ -148,6 +154,7 @@
 pick_add_peer(struct pick *p, struct pick_peer *peer, bool near)
 {
 	peer->bits = bits_new(p->conf.chunks);
+	peer->have = 0;
 	peer->near = near;
 	peer->open = 0;
 	TAILQ_INSERT_TAIL(&p->peers, peer, link);
@@ -183,23 +190,27 @@
 	c->claimed = true;
 	c->claimed_us = now_us;
 	p->unclaimed -= news;
-	p->claims_us[c->reader][MIN(rank, PICK_RANKS - 1)] = now_us;
+	p->claims_us[c->reader][MIN(rank, PICK_RANK_UNKNOWN)] = now_us;
 	return news;
 }
 
-void
+bool
 pick_peer_has(
     struct pick *p, struct pick_peer *peer, uint64_t index, int64_t now_us)
 {
+	struct pick_chunk *c = &p->chunks[index];
+
 	if (bits_get(peer->bits, index))
-		return;
+		return false;
 	bits_set(peer->bits, index);
-	count_holder(&p->chunks[index], peer, 1);
-	if (!p->chunks[index].claimed) {
-		p->chunks[index].claimed = true;
-		p->chunks[index].claimed_us = now_us;
-		p->unclaimed--;
-	}
+	peer->have++;
+	count_holder(c, peer, 1);
+	if (c->claimed)
+		return false;
+	c->claimed = true;
+	c->claimed_us = now_us;
+	p->unclaimed--;
+	return true;
 }
 
 void
@@ -218,6 +229,14 @@
 	return true;
 }
 
+bool
+pick_known(struct pick *p, uint64_t index, int64_t now_us)
+{
+	if (p->chunks[index].claimed)
+		return false;
+	return mark_claimed(p, index, PICK_RANK_UNKNOWN, now_us);
+}
+
 void
 pick_begin(struct pick *p, const struct pick_action *a, int64_t now_us)
 {
@@ -360,6 +379,7 @@
 	if (peer != NULL) {
 		if (reason == PICK_REFUSED && bits_get(peer->bits, index)) {
 			bits_clear(peer->bits, index);
+			peer->have--;
 			count_holder(c, peer, -1);
 		}
 		rest_peer(p, peer, reason, now_us);
@@ -381,7 +401,7 @@
 {
 	const struct pick_chunk *c = &p->chunks[index];
 	int64_t silence = pick_silence_us(p);
-	int64_t due = p->start_us + (int64_t)rank * silence;
+	int64_t due = MAX(p->start_us + (int64_t)rank * silence, p->settle_us);
 	unsigned int ahead;
 
 	if (c->bad_reads > 0 || p->read_failures > 0)
@@ -390,7 +410,7 @@
 	 * read that failed here is repeated without that wait. */
 	if (c->claimed && !(rank == 0 && c->bad_reads > 0))
 		due = MAX(due, c->claimed_us + MAX(rank, 1) * silence);
-	for (ahead = 0; ahead < MIN(rank, PICK_RANKS - 1); ahead++) {
+	for (ahead = 0; ahead < MIN(rank, PICK_RANK_UNKNOWN); ahead++) {
 		int64_t claim = p->claims_us[c->reader][ahead];
 
 		if (claim != 0)
@@ -468,7 +488,7 @@
 		out->kind = PICK_READ;
 		out->index =
 		    at * BITS_WORD + (uint64_t)__builtin_ctzll(p->need[at]);
-		out->rank = PICK_RANKS - 1;
+		out->rank = PICK_RANK_UNKNOWN;
 		out->extra = true;
 		return true;
 	}
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -23,11 +23,16 @@
 
 #define PICK_ASKS 4 /* open at a time; covers round trips and queues */
 #define PICK_ASKS_PER_PEER 2
+/* Links between failure domains are thin. Peers of other domains are asked
+ * while fewer asks than this are open, and for chunks that the own domain
+ * has too only while the link would else be idle. Stricter bounds cost more
+ * time than they save bytes (docs/WEIGHTS.md). */
 #define PICK_FAR_ASKS 3
 #define PICK_FAR_COMMON 1
 #define PICK_READS 1 /* open at a time, from the origin */
-#define PICK_LOAD_MAX 4 /* a peer with so many uploads open is not asked */
+#define PICK_LOAD_MAX 3 /* a peer with so many uploads open is not asked */
 #define PICK_RANKS 16 /* higher ranks count as the last */
+#define PICK_RANK_UNKNOWN (PICK_RANKS - 1) /* holds nobody back */
 
 enum pick_state {
 	PICK_MISSING,
@@ -49,6 +54,7 @@
 struct pick_peer {
 	TAILQ_ENTRY(pick_peer) link;
 	uint64_t *bits; /* chunks that it has */
+	uint64_t have; /* their number */
 	bool near; /* in this host's failure domain */
 	unsigned int open; /* asks */
 	unsigned int load; /* its open uploads, as it last said */
@@ -98,6 +104,7 @@
 	int64_t start_us;
 	/* Last claim by rank, for the chunks of each first reader. */
 	int64_t claims_us[RANK_READERS][PICK_RANKS];
+	int64_t settle_us; /* no read of the origin before */
 	int64_t read_after_us; /* back-off of the origin */
 	unsigned int read_failures; /* in a row */
 	int64_t gap_us; /* average of the longest gaps of good asks */
@@ -130,18 +137,25 @@
 /* The members changed, or become known: nothing is read before. */
 void pick_set_rank(
     struct pick *p, const struct rank *rank, size_t members, int64_t now_us);
+/* Nothing is read before `until_us` (0: at once): peers that have chunks
+ * already need a moment to say so. */
+void pick_settle(struct pick *p, int64_t until_us);
 void pick_set_copies(struct pick *p, unsigned int copies);
 
 void pick_add_peer(struct pick *p, struct pick_peer *peer, bool near);
 /* Its asks are ended as PICK_GONE. */
 void pick_remove_peer(struct pick *p, struct pick_peer *peer, int64_t now_us);
-void pick_peer_has(
+/* True when it was not known before that anybody has or reads it. */
+bool pick_peer_has(
     struct pick *p, struct pick_peer *peer, uint64_t index, int64_t now_us);
 void pick_peer_load(struct pick_peer *peer, unsigned int load);
 /* A host of rank `rank` began to read `index`; true when that is news. */
 bool pick_claimed(
     struct pick *p, uint64_t index, unsigned int rank, int64_t now_us);
 
+/* Some host has or reads it, of unknown rank; true when that is news. */
+bool pick_known(struct pick *p, uint64_t index, int64_t now_us);
+
 /* `may_fetch`: the link's budget allows another fetch now. */
 void pick_next(const struct pick *p, bool may_fetch, int64_t now_us,
     struct rng *rng, struct pick_action *out);
--- a/lib/weights/proto.c
+++ b/lib/weights/proto.c
@@ -14,6 +14,7 @@
 static const struct msg_field have_fields[] = {
 	MSG_FIELD(struct proto_have, bits, MSG_BIN, 0),
 	MSG_FIELD(struct proto_have, load, MSG_U64, UINT32_MAX),
+	MSG_FIELD(struct proto_have, known, MSG_BIN, 0),
 };
 const struct msg_desc proto_have_desc =
     MSG_DESC(PROTO_HAVE, "have", struct proto_have, have_fields);
--- a/lib/weights/proto.h
+++ b/lib/weights/proto.h
@@ -34,6 +34,7 @@
 struct proto_have {
 	struct slice bits; /* chunk i is bit i % 8 of byte i / 8 */
 	uint64_t load;
+	struct slice known; /* as `bits`: chunks that some host has or reads */
 };
 
 /* What changed since: batched, so that control bytes stay few. */
--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -60,19 +60,32 @@
 	g_free(domain);
 }
 
+static bool
+has_bit(struct slice bits, uint64_t i)
+{
+	return i / 8 < bits.len && (bits.data[i / 8] >> (i % 8) & 1) != 0;
+}
+
 static void
 take_have(struct peer *peer, const struct proto_have *have)
 {
 	struct xfer *x = peer->xfer;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	uint64_t n = MIN(x->pick->conf.chunks, have->bits.len * 8);
+	uint64_t n = x->pick->conf.chunks;
 	uint64_t i;
 
 	peer->has_list = true;
 	pick_peer_has(x->list_pick, &peer->for_list, 0, now_us);
 	for (i = 0; i < n; i++) {
-		if (have->bits.data[i / 8] >> (i % 8) & 1)
-			pick_peer_has(x->pick, &peer->for_chunks, i, now_us);
+		bool news = false;
+
+		if (has_bit(have->bits, i))
+			news = pick_peer_has(
+			    x->pick, &peer->for_chunks, i, now_us);
+		else if (has_bit(have->known, i))
+			news = pick_known(x->pick, i, now_us);
+		if (news)
+			peers_tell_claim(x, i, PICK_RANK_UNKNOWN, peer);
 	}
 	set_load(peer, have->load);
 }
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -15,6 +15,8 @@
 /* Fetches are begun while the download budget is at most so far in debt, in
  * chunk times: the answer comes a round trip and a queue later. */
 #define FETCH_DEBT_CHUNKS 1
+/* News of what a rollout has cross it in so many hops of a news interval. */
+#define SETTLE_HOPS 4
 #define BAD_READS_TO_TELL 2
 #define STRIKES_TO_DROP 5
 
@@ -88,6 +90,29 @@
 	xfer_pump_soon(x);
 }
 
+/*
+ * A host that joins late, or goes on to a next version, would fetch from the
+ * origin once more what the rollout has, were it to read before the others
+ * have told what they hold and know of. Where all begin with nothing there is
+ * nothing to hear, and the first word of a peer ends the wait.
+ */
+static void
+settle(struct xfer *x)
+{
+	bool told = x->members->len == 0;
+	struct peer *peer;
+
+	if (x->pick->settle_us == 0 || x->pick->have > 0)
+		return;
+	TAILQ_FOREACH (peer, &x->peers, link) {
+		if (peer->for_chunks.have > 0)
+			return;
+		told = told || peer->has_list;
+	}
+	if (told)
+		pick_settle(x->pick, 0);
+}
+
 void
 xfer_try_room(struct xfer *x)
 {
@@ -112,6 +137,8 @@
 			pick_got(x->pick, i);
 	}
 	set_phase(x, WTS_FETCHING);
+	pick_settle(x->pick,
+	    clk_now_us(x->wts->clock) + SETTLE_HOPS * x->news_interval_us);
 	wts_sweep(x->wts);
 	TAILQ_FOREACH (peer, &x->peers, link) {
 		if (peer->open)
@@ -445,6 +472,7 @@
 
 	if (x->phase != WTS_LIST && x->phase != WTS_FETCHING)
 		return;
+	settle(x);
 	for (;;) {
 		fetch = may_fetch(x, pick, now_us, &fetch_us);
 		pick_next(pick, fetch, now_us, &x->wts->rng, &a);
