Weights: faults, each caused by a test; failing peers are doubted, then refused

Cause: with a host that answers nothing or wrong bytes four nodes took 8 and 10 s: it looked idle and was asked first, counted as holder of chunks that it never gave, and was dialled again at once when dropped. Change: wrong bytes end its being a holder; two failures in a row put a peer last, three get it refused for ten seconds. tests/weights/test_faults.c has eleven faults (reader dies, link stalls, peer and origin corrupt, bad copy, origin down, superseded, restart and late join, domain gone, two at once, differing views). Conclusion: the safeguards' tests are still to be run without them.

--- a/lib/weights/peers.c
+++ b/lib/weights/peers.c
@@ -17,6 +17,9 @@
 #define PEERS_MAX 40
 #define REDIAL_US 250000
 #define REDIAL_DOUBLINGS 5
+/* Long beside the time that others need to take a chunk's place, short beside
+ * a rollout: a host that was only slow comes back into use. */
+#define REFUSE_US (10 * (int64_t)1000000)
 
 /* ------------------------------------------------------------------ */
 /* Telling                                                             */
@@ -249,6 +252,24 @@
 	xfer_pump_soon(x);
 }
 
+void
+peer_drop_failing(struct peer *peer)
+{
+	struct xfer *x = peer->xfer;
+	struct member *m = peers_member(x, peer->id);
+	int64_t until_us = clk_now_us(x->wts->clock) + REFUSE_US;
+
+	if (MAX(peer->for_list.strikes, peer->for_chunks.strikes) <
+	    PICK_STRIKES_DROP)
+		return;
+	log_warn("weights: %s failed too often; refused for a while", peer->id);
+	peer_drop(peer);
+	if (m == NULL)
+		return;
+	m->dial_after_us = until_us;
+	m->refuse_until_us = until_us;
+}
+
 void
 peers_drop_gone(struct xfer *x)
 {
@@ -416,6 +437,8 @@
 	unsigned int n = 0;
 	struct peer *peer;
 
+	if (m != NULL && m->refuse_until_us > clk_now_us(x->wts->clock))
+		return NULL;
 	if (old != NULL) {
 		if (!replaces(old, x->wts->conf.id))
 			return NULL;
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -377,7 +377,11 @@
 	c->state = PICK_MISSING;
 	bits_set(p->need, index);
 	if (peer != NULL) {
-		if (reason == PICK_REFUSED && bits_get(peer->bits, index)) {
+		/* One that sent wrong bytes does not have the chunk. Left
+		 * as its holder, it would keep the chunk from being read
+		 * from the origin, and be asked for it for ever. */
+		if ((reason == PICK_REFUSED || reason == PICK_CORRUPT) &&
+		    bits_get(peer->bits, index)) {
 			bits_clear(peer->bits, index);
 			peer->have--;
 			count_holder(c, peer, -1);
@@ -499,11 +503,21 @@
 /* Asking peers                                                        */
 /* ------------------------------------------------------------------ */
 
+/* A peer that failed twice in a row looks idle and would be asked first,
+ * and each ask would wait out the patience. */
+static bool
+is_doubtful(const struct pick_peer *peer)
+{
+	return peer->strikes >= PICK_STRIKES_DOUBT;
+}
+
 static bool
 can_ask(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
 {
 	if (!peer->near && p->open_asks >= PICK_FAR_ASKS)
 		return false;
+	if (is_doubtful(peer) && p->open_asks > 0)
+		return false;
 	return peer->open < PICK_ASKS_PER_PEER &&
 	    peer->load + peer->open < PICK_LOAD_MAX && peer->rest_us <= now_us;
 }
@@ -546,6 +560,8 @@
 static bool
 better_peer(const struct pick_peer *a, const struct pick_peer *b)
 {
+	if (is_doubtful(a) != is_doubtful(b))
+		return is_doubtful(b);
 	if (a->near != b->near)
 		return a->near;
 	return a->load + a->open < b->load + b->open;
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -29,6 +29,8 @@
  * time than they save bytes (docs/WEIGHTS.md). */
 #define PICK_FAR_ASKS 3
 #define PICK_FAR_COMMON 1
+#define PICK_STRIKES_DOUBT 2
+#define PICK_STRIKES_DROP 3 /* the driver replaces such a peer */
 #define PICK_READS 1 /* open at a time, from the origin */
 #define PICK_LOAD_MAX 3 /* a peer with so many uploads open is not asked */
 #define PICK_RANKS 16 /* higher ranks count as the last */
--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -3,9 +3,6 @@
 #include "weights/bits.h"
 #include "weights/xfer.h"
 
-/* A peer that failed so often in a row is replaced by another. */
-#define STRIKES_TO_DROP 5
-
 void
 intake_free(struct intake *in)
 {
@@ -289,7 +286,9 @@
 	 * later release are passed over. */
 	if (m->type > PROTO_BYE)
 		return;
-	if (!handle(peer, m) || peer->for_chunks.strikes >= STRIKES_TO_DROP)
+	if (!handle(peer, m))
 		peer_drop(peer);
+	else
+		peer_drop_failing(peer);
 	xfer_pump(x);
 }
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -18,7 +18,6 @@
 /* News of what a rollout has cross it in so many hops of a news interval. */
 #define SETTLE_HOPS 4
 #define BAD_READS_TO_TELL 2
-#define STRIKES_TO_DROP 5
 
 static void
 on_pump(void *ctx)
@@ -264,6 +263,7 @@
 		if (old == NULL || strcmp(old->address, m->address) != 0)
 			continue;
 		m->dial_after_us = old->dial_after_us;
+		m->refuse_until_us = old->refuse_until_us;
 		m->failures = old->failures;
 	}
 }
@@ -407,8 +407,7 @@
 
 	ctr_add(x->wts->counts.stalls, 1);
 	pick_ended(pick, a->index, a->peer, PICK_STALLED, now_us);
-	if (a->peer->strikes >= STRIKES_TO_DROP)
-		peer_drop(peer);
+	peer_drop_failing(peer);
 }
 
 static void
--- a/lib/weights/xfer.h
+++ b/lib/weights/xfer.h
@@ -64,6 +64,7 @@
 	struct peer *peer; /* NULL: not connected */
 	bool reader;
 	int64_t dial_after_us;
+	int64_t refuse_until_us; /* it failed too often */
 	unsigned int failures;
 };
 
@@ -157,6 +158,8 @@
 struct peer *peers_accept(struct xfer *x, struct conn *c);
 /* Lets go of the connection, which closes; the peer is freed. */
 void peer_drop(struct peer *peer);
+/* As peer_drop, for one that failed too often; it is refused for a while. */
+void peer_drop_failing(struct peer *peer);
 void peer_join(struct peer *peer); /* sends join, and have if there is one */
 void peer_tell_have(struct peer *peer);
 void peers_tell_gained(struct xfer *x, uint64_t index);
--- a/tests/weights/nodes.h
+++ b/tests/weights/nodes.h
@@ -57,8 +57,9 @@
 	struct conn_server *server;
 	GHashTable *conns; /* accepted and open */
 	struct wts *wts;
-	bool deaf; /* reads nothing: a link that stalls without closing */
-	void (*spoil)(struct node *n); /* called when wanted */
+	/* In place of `wts`: a host that breaks the rules. */
+	void (*fake)(struct node *n, struct conn *c, const struct msg *m);
+	void *fake_ctx;
 };
 
 struct nodes {
@@ -218,6 +219,8 @@
 
 	if (n->wts != NULL)
 		assert_true(wts_message(n->wts, c, m));
+	else if (n->fake != NULL)
+		n->fake(n, c, m);
 }
 
 static inline void
@@ -315,9 +318,8 @@
 	GHashTableIter iter;
 	gpointer c;
 
-	if (n->wts == NULL)
-		return;
-	wts_free(g_steal_pointer(&n->wts));
+	if (n->wts != NULL)
+		wts_free(g_steal_pointer(&n->wts));
 	g_hash_table_iter_init(&iter, n->conns);
 	while (g_hash_table_iter_next(&iter, &c, NULL))
 		conn_close(c);
--- /dev/null
+++ b/tests/weights/test_faults.c
@@ -0,0 +1,437 @@
+/* What a rollout lives through; each test causes the fault it names. */
+
+#include "nodes.h"
+
+#define CHUNKS 60
+#define SLOW (512 << 10) /* bytes a second: a transfer lasts half a second */
+
+static struct model first;
+static struct model models[2]; /* the second: a tenth of the chunks changed */
+
+static int
+set_up(void **state)
+{
+	uint64_t i;
+
+	model_make(&models[0], "a", CHUNKS, 1);
+	model_make(&models[1], "b", CHUNKS, 1);
+	for (i = 0; i < CHUNKS; i += 10)
+		models[1].bytes->data[i * WTS_CHUNK_MIN] ^= 1;
+	model_seal(&models[0]);
+	model_seal(&models[1]);
+	first = models[0];
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	model_free(&models[0]);
+	model_free(&models[1]);
+	return 0;
+}
+
+static void
+begin(struct nodes *s, size_t n)
+{
+	s->memory = 1 << 20;
+	s->origin.models = models;
+	s->origin.nmodels = 2;
+	if (s->origin.delay_ms == 0)
+		s->origin.delay_ms = 5;
+	nodes_start(s, n);
+}
+
+static bool
+half_way(const struct nodes *s, const struct model *m)
+{
+	struct wts_progress p;
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		if (s->node[i].wts == NULL)
+			continue;
+		wts_progress(s->node[i].wts, &m->version.root, &p);
+		sum += p.have;
+	}
+	return sum >= s->n * CHUNKS / 2;
+}
+
+static void
+end(struct nodes *s, const struct model *m)
+{
+	size_t i;
+
+	nodes_until(s, nodes_whole, m);
+	for (i = 0; i < s->n; i++) {
+		if (s->node[i].wts != NULL)
+			node_check(&s->node[i], m);
+	}
+	nodes_stop(s);
+}
+
+/* Chunks read from the origin more often than once, in all. */
+static int64_t
+reads_beyond(const struct nodes *s, const struct model *m)
+{
+	int64_t extra =
+	    (int64_t)s->origin.bytes_sent - (int64_t)m->version.bytes;
+
+	return (extra + WTS_CHUNK_MIN - 1) / WTS_CHUNK_MIN;
+}
+
+static size_t
+reader_of(const struct nodes *s, const struct model *m)
+{
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		const struct xfer *x =
+		    wts_find(s->node[i].wts, &m->version.root);
+
+		if (x->pick->rank.self != RANK_NONE)
+			return i;
+	}
+	fail_msg("no reader");
+	return 0;
+}
+
+/*
+ * A host that reads from the origin dies half way, and its connections
+ * close; the members list follows. The chunks it was to read are nobody's in
+ * turn until the ranking is made anew without it; what it had passed on need
+ * not be read again.
+ */
+static void
+test_reader_dies(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+	struct wts_peer left[NODES_MAX];
+	size_t dead, i, n = 0;
+
+	begin(&s, 8);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, half_way, &first);
+	dead = reader_of(&s, &first);
+	node_kill(&s.node[dead]);
+	for (i = 0; i < s.n; i++) {
+		if (i != dead)
+			left[n++] = (struct wts_peer){ s.node[i].id,
+				s.node[i].address, s.node[i].domain };
+	}
+	for (i = 0; i < s.n; i++) {
+		if (i != dead)
+			wts_set_peers(
+			    s.node[i].wts, &first.version.root, left, n);
+	}
+	end(&s, &first);
+	/* What only the dead host had: few of its chunks. */
+	assert_in_range(reads_beyond(&s, &first), 0, CHUNKS / 10);
+}
+
+/* ------------------------------------------------------------------ */
+/* Hosts that break the rules                                          */
+/* ------------------------------------------------------------------ */
+
+static void
+fake_have_all(struct conn *c, const struct model *m, const char *domain)
+{
+	uint8_t bits[CHUNKS / 8 + 1];
+	struct proto_join join = {
+		.root = m->version.root,
+		.domain = slice_str(domain),
+	};
+	struct proto_have have = { .bits = { bits, sizeof(bits) } };
+
+	memset(bits, 0xff, sizeof(bits));
+	conn_send(c, &proto_join_desc, &join);
+	conn_send(c, &proto_have_desc, &have);
+}
+
+/* Has all, answers nothing, closes nothing. */
+static void
+fake_stalls(struct node *n, struct conn *c, const struct msg *m)
+{
+	if (m->type == PROTO_JOIN)
+		fake_have_all(c, &first, n->domain);
+}
+
+/* Has all, and one byte of each chunk is wrong. */
+static void
+fake_corrupts(struct node *n, struct conn *c, const struct msg *m)
+{
+	uint8_t bytes[WTS_CHUNK_MIN];
+	struct proto_data data = { 0 };
+	struct proto_get get;
+
+	if (m->type == PROTO_JOIN)
+		fake_have_all(c, &first, n->domain);
+	if (!msg_read(m, &proto_get_desc, &get, NULL))
+		return;
+	data.index = get.index;
+	if (get.index == PROTO_LIST) {
+		data.bytes.len = first.list->len;
+		memcpy(bytes, first.list->data, data.bytes.len);
+	} else {
+		data.bytes.len = version_chunk_len(&first.version, get.index);
+		memcpy(bytes, first.bytes->data + get.index * WTS_CHUNK_MIN,
+		    data.bytes.len);
+	}
+	bytes[data.bytes.len - 1] ^= 1;
+	data.bytes.data = bytes;
+	conn_send(c, &proto_data_desc, &data);
+	++*(unsigned int *)n->fake_ctx;
+}
+
+static void
+make_fake(struct node *n,
+    void (*fake)(struct node *n, struct conn *c, const struct msg *m),
+    void *ctx)
+{
+	wts_free(g_steal_pointer(&n->wts));
+	n->fake = fake;
+	n->fake_ctx = ctx;
+}
+
+/*
+ * A host says that it has everything, takes requests and never answers; its
+ * connection stays open. Without a deadline on progress the others wait for
+ * its answers for ever.
+ */
+static void
+test_link_stalls(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+
+	begin(&s, 4);
+	make_fake(&s.node[1], fake_stalls, NULL);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, nodes_whole, &first);
+	assert_true(nodes_count(&s, "wts_stalls") > 0);
+	end(&s, &first);
+}
+
+/*
+ * A host sends chunks and a list with a wrong byte. Nothing of that may be kept or
+ * passed on: every host checks each digest itself, and asks elsewhere.
+ */
+static void
+test_peer_corrupts(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+	unsigned int sent = 0;
+
+	begin(&s, 4);
+	make_fake(&s.node[1], fake_corrupts, &sent);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, nodes_whole, &first);
+	assert_true(sent > 0);
+	assert_true(nodes_count(&s, "wts_corrupt_from_peers") > 0);
+	end(&s, &first);
+}
+
+/*
+ * The origin's answers are spoiled for a while. The reader drops them and reads
+ * again after a pause; the bad bytes reach nobody.
+ */
+static void
+test_origin_corrupts(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+
+	begin(&s, 4);
+	s.origin.corrupt = 3;
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, nodes_whole, &first);
+	assert_int_equal(nodes_count(&s, "wts_corrupt_from_origin"), 3);
+	end(&s, &first);
+}
+
+static bool
+says_bad_copy(const struct nodes *s, const struct model *m)
+{
+	struct wts_progress p;
+
+	wts_progress(s->node[0].wts, &m->version.root, &p);
+	return strstr(p.why, "does not match its digest") != NULL;
+}
+
+/* The origin's copy itself is bad: no host gets it, and the operator reads why. */
+static void
+test_origin_copy_is_bad(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+
+	begin(&s, 1);
+	s.origin.corrupt = UINT_MAX;
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, says_bad_copy, &first);
+	assert_null(wts_list(s.node[0].wts, &first.version.root));
+	nodes_stop(&s);
+}
+
+static bool
+origin_was_read(const struct nodes *s, const struct model *m)
+{
+	return s->origin.reads > CHUNKS / 3;
+}
+
+static bool
+all_say_origin_is_down(const struct nodes *s, const struct model *m)
+{
+	struct wts_progress p;
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		wts_progress(s->node[i].wts, &m->version.root, &p);
+		if (strcmp(p.why, "the origin does not answer") != 0)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * The origin stops answering in the middle. What it has sent reaches all hosts,
+ * each then says what it waits for, and the rest comes when it is back.
+ */
+static void
+test_origin_down(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+
+	begin(&s, 4);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, origin_was_read, &first);
+	s.origin.down = true;
+	nodes_until(&s, all_say_origin_is_down, &first);
+	s.origin.down = false;
+	end(&s, &first);
+}
+
+/*
+ * Another version is wanted while the first is under way. No chunk of the first can
+ * get into the second, what both share is not fetched again, and the first
+ * is gone everywhere.
+ */
+static void
+test_superseded(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+	size_t i;
+
+	begin(&s, 6);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, half_way, &first);
+	nodes_want_all(&s, &models[1], 1);
+	for (i = 0; i < s.n; i++)
+		wts_drop(s.node[i].wts, &first.version.root);
+	nodes_until(&s, nodes_whole, &models[1]);
+	for (i = 0; i < s.n; i++)
+		assert_null(wts_chunk(s.node[i].wts, &first.version.root, 1));
+	assert_in_range(reads_beyond(&s, &first), 0, CHUNKS / 5);
+	end(&s, &models[1]);
+}
+
+/*
+ * A host comes back with empty memory after all others are whole, and a
+ * new one joins. Both are served by the others; the origin is left alone.
+ */
+static void
+test_restart_empty_and_join_late(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+	uint64_t sent;
+
+	begin(&s, 6);
+	node_kill(&s.node[5]);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, nodes_whole, &first);
+	sent = s.origin.bytes_sent;
+	node_kill(&s.node[2]);
+	node_start(&s, 2);
+	node_start(&s, 5);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, nodes_whole, &first);
+	assert_int_equal(s.origin.bytes_sent, sent);
+	end(&s, &first);
+}
+
+/*
+ * All hosts of a failure domain go at once, readers among them, and nobody is told:
+ * no new members list comes. The readers' silence brings in the next by rank.
+ */
+static void
+test_domain_gone(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+	size_t i;
+
+	begin(&s, 9);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, origin_was_read, &first);
+	for (i = 0; i < s.n; i += 3)
+		node_kill(&s.node[i]);
+	end(&s, &first);
+	assert_in_range(reads_beyond(&s, &first), 0, CHUNKS / 5);
+}
+
+/* Two at once: one host sends bad bytes while another, a reader, dies untold. */
+static void
+test_reader_dies_and_peer_corrupts(void **state)
+{
+	struct nodes s = { .rate = SLOW };
+	unsigned int sent = 0;
+	size_t dead = 0;
+
+	begin(&s, 6);
+	make_fake(&s.node[1], fake_corrupts, &sent);
+	nodes_want_all(&s, &first, 1);
+	nodes_until(&s, origin_was_read, &first);
+	while (s.node[dead].wts == NULL ||
+	    wts_find(s.node[dead].wts, &first.version.root)->pick->rank.self ==
+		RANK_NONE)
+		dead++;
+	node_kill(&s.node[dead]);
+	end(&s, &first);
+	assert_true(sent > 0);
+}
+
+/*
+ * Half of the hosts have heard of only half of the members, so that two
+ * rankings are in use. The claims they pass on keep the origin's bytes near one
+ * copy; by the rankings alone most chunks would be read twice.
+ */
+static void
+test_views_differ(void **state)
+{
+	/* News of a claim are fresher than the read that it is about. */
+	struct nodes s = { .rate = SLOW, .origin = { .delay_ms = 60 } };
+	size_t i;
+
+	begin(&s, 10);
+	for (i = 0; i < s.n; i++)
+		nodes_want(&s, i, &first, 1, i < 5 ? 5 : s.n);
+	end(&s, &first);
+	assert_in_range(reads_beyond(&s, &first), 0, CHUNKS / 10);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_reader_dies),
+		cmocka_unit_test(test_link_stalls),
+		cmocka_unit_test(test_peer_corrupts),
+		cmocka_unit_test(test_origin_corrupts),
+		cmocka_unit_test(test_origin_copy_is_bad),
+		cmocka_unit_test(test_origin_down),
+		cmocka_unit_test(test_superseded),
+		cmocka_unit_test(test_restart_empty_and_join_late),
+		cmocka_unit_test(test_domain_gone),
+		cmocka_unit_test(test_reader_dies_and_peer_corrupts),
+		cmocka_unit_test(test_views_differ),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
