Rollouts drain first where the engine has no room for two versions

Cause: max_unavailable and room_for_two were settings without effect: every engine was ordered to load as soon as its side was whole, with requests running there. The lead carries it out; a side tells when the last request of a drained target has ended; a failed load goes back to work and rests, longer each time.

--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -37,6 +37,7 @@
 	struct digest loaded;
 	bool reachable; /* the connection to its side is open */
 	bool told_accepting; /* as its side last said */
+	bool ordered_off; /* not accepting by order of a rollout */
 	bool accepting; /* told so, and its host is not leaving */
 	unsigned int slots;
 	void *owner; /* the program's connection to its side */
--- a/lib/route/messages.c
+++ b/lib/route/messages.c
@@ -98,6 +98,7 @@
 	F(running, MSG_U64, UINT32_MAX),
 	F(slots, MSG_U64, UINT32_MAX),
 	F(count, MSG_U64, 0),
+	F(ordered_off, MSG_U64, 1),
 };
 const struct msg_desc rt_target_desc =
     MSG_DESC(RT_TARGET, "target", struct rt_target_msg, target_fields);
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -116,6 +116,7 @@
 	uint64_t running;
 	uint64_t slots;
 	uint64_t count; /* targets of this side in all */
+	uint64_t ordered_off; /* an order keeps it from new work */
 };
 
 enum rt_order_kind {
--- a/programs/entry/lead.c
+++ b/programs/entry/lead.c
@@ -7,15 +7,21 @@
 #include <string.h>
 
 #include "entry/entry.h"
+#include "route/activate.h"
 
 #define LEAD_TICK_MS 250
-#define ORDER_RETRY_MS 2000 /* after a load that failed, per target */
 
 /* An order sent and not answered. */
 struct lead_order {
 	char id[RT_NAME_MAX];
 	struct rt_target *target;
-	struct digest root;
+	enum rt_order_kind kind;
+};
+
+/* A target whose load failed. */
+struct lead_rest {
+	unsigned int failures; /* in a row */
+	int64_t until_us;
 };
 
 struct lead {
@@ -26,7 +32,7 @@
 	guint timer; /* runs while the role is held */
 	uint64_t next_order;
 	GHashTable *orders; /* order id -> struct lead_order */
-	GHashTable *resting; /* target -> time (us) before which it rests */
+	GHashTable *rests; /* target -> struct lead_rest */
 	GHashTable *done; /* model name -> root last reported as done */
 };
 
@@ -49,17 +55,22 @@
 }
 
 static bool
-rests(const struct lead *lead, const struct rt_target *target, int64_t now_us)
+rests(const struct lead *lead, const struct rt_target *target)
 {
-	const int64_t *until = g_hash_table_lookup(lead->resting, target);
+	const struct lead_rest *rest = g_hash_table_lookup(lead->rests, target);
 
-	return until != NULL && *until > now_us;
+	return rest != NULL && rest->until_us > clk_now_us(clk_system());
 }
 
 static void
-order_load(
-    struct lead *lead, struct rt_target *target, const struct rt_model *model)
+send_order(struct lead *lead, struct rt_target *target,
+    const struct rt_model *model, enum rt_order_kind kind)
 {
+	static const char *const kinds[] = {
+		[RT_ORDER_LOAD] = "load",
+		[RT_ORDER_DRAIN] = "drain",
+		[RT_ORDER_ADMIT] = "admit",
+	};
 	const struct rt_version *v = model->rollout;
 	struct entry_side *side = target->owner;
 	/* Asked at the last moment: a pause may have ended the lease. */
@@ -74,13 +85,13 @@
 	    "%.20s-%08x-%" G_GUINT64_FORMAT, lead->entry->proc.node.id,
 	    lead->entry->run_id, ++lead->next_order);
 	order->target = target;
-	order->root = v->root;
+	order->kind = kind;
 	g_hash_table_insert(lead->orders, order->id, order);
 	message = (struct rt_order){
 		.role = slice_str(lead->role_name),
 		.fence = fence,
 		.order_id = slice_str(order->id),
-		.kind = RT_ORDER_LOAD,
+		.kind = kind,
 		.target = slice_str(target->name),
 		.model = slice_str(model->name),
 		.version = slice_str(v->name),
@@ -91,7 +102,7 @@
 	conn_send(side->conn, &rt_order_desc, &message);
 	ctr_add(ctr_get(lead->entry->proc.counters, "lead_orders"), 1);
 	tl_add(lead->entry->proc.timeline, "order_sent", target->name,
-	    "load %s, fence %" G_GUINT64_FORMAT, v->name, fence);
+	    "%s %s, fence %" G_GUINT64_FORMAT, kinds[kind], v->name, fence);
 }
 
 static gboolean
@@ -114,6 +125,36 @@
 	}
 }
 
+/* The load failed: the target rests, longer after each failure in a row. */
+static void
+note_failure(struct lead *lead, struct rt_target *target)
+{
+	struct lead_rest *rest = g_hash_table_lookup(lead->rests, target);
+
+	ctr_add(ctr_get(lead->entry->proc.counters, "lead_orders_failed"), 1);
+	if (rest == NULL) {
+		rest = g_new0(struct lead_rest, 1);
+		g_hash_table_insert(lead->rests, target, rest);
+	}
+	rest->failures++;
+	rest->until_us =
+	    clk_now_us(clk_system()) + act_rest_ms(rest->failures) * 1000LL;
+}
+
+static void
+end_order(struct lead *lead, const char *id, const struct rt_order_done *done)
+{
+	struct lead_order *order = g_hash_table_lookup(lead->orders, id);
+
+	if (order == NULL)
+		return;
+	if (done->code != ERR_NONE)
+		note_failure(lead, order->target);
+	else if (order->kind == RT_ORDER_LOAD)
+		g_hash_table_remove(lead->rests, order->target);
+	g_hash_table_remove(lead->orders, id);
+}
+
 void
 lead_order_done(struct entry *entry, struct entry_side *side,
     const struct rt_order_done *done)
@@ -121,28 +162,10 @@
 	char *id = slice_dup(done->order_id);
 	GHashTableIter iter;
 	gpointer value;
-	struct lead_order *order;
-	int64_t *until;
 
 	g_hash_table_iter_init(&iter, entry->leads);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct lead *lead = value;
-
-		order = g_hash_table_lookup(lead->orders, id);
-		if (order == NULL)
-			continue;
-		if (done->code != ERR_NONE) {
-			ctr_add(
-			    ctr_get(entry->proc.counters, "lead_orders_failed"),
-			    1);
-			until = g_new(int64_t, 1);
-			*until =
-			    clk_now_us(clk_system()) + ORDER_RETRY_MS * 1000LL;
-			g_hash_table_replace(
-			    lead->resting, order->target, until);
-		}
-		g_hash_table_remove(lead->orders, id);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		end_order(value, id, done);
 	g_free(id);
 	lead_wake(entry);
 }
@@ -169,25 +192,49 @@
 		conn_send(side->conn, &rt_status_get_desc, &get);
 }
 
-/* Returns true when the target has the wanted version loaded. */
-static bool
-look_at_target(
-    struct lead *lead, struct rt_target *t, const struct rt_model *model)
+static struct act_target
+facts_of(const struct lead *lead, const struct rt_target *t,
+    const struct digest *root)
 {
-	struct entry_side *side = t->owner;
-	const struct side_status *status;
-
-	if (digest_equal(&t->loaded, &model->rollout->root))
-		return t->reachable;
-	if (!t->reachable || has_order(lead, t) ||
-	    rests(lead, t, clk_now_us(clk_system())))
-		return false;
-	status = g_hash_table_lookup(side->statuses, &model->rollout->root);
-	if (status != NULL && status->phase == WTS_WHOLE)
-		order_load(lead, t, model);
-	else
-		ask_status(side, &model->rollout->root);
-	return false;
+	const struct entry_side *side = t->owner;
+	const struct side_status *status =
+	    g_hash_table_lookup(side->statuses, root);
+
+	return (struct act_target){
+		.reachable = t->reachable,
+		.whole = status != NULL && status->phase == WTS_WHOLE,
+		.loaded = digest_equal(&t->loaded, root),
+		.empty = digest_is_none(&t->loaded),
+		.ordered_off = t->ordered_off,
+		.order_open = has_order(lead, t),
+		.resting = rests(lead, t),
+		.running = t->told_running,
+	};
+}
+
+static void
+look_at_target(struct lead *lead, struct rt_target *t,
+    const struct rt_model *model, struct act_rules *rules)
+{
+	struct act_target facts = facts_of(lead, t, &model->rollout->root);
+
+	switch (act_next(rules, &facts)) {
+	case ACT_NONE:
+		break;
+	case ACT_ASK:
+		ask_status(t->owner, &model->rollout->root);
+		break;
+	case ACT_DRAIN:
+		rules->unavailable++;
+		send_order(lead, t, model, RT_ORDER_DRAIN);
+		break;
+	case ACT_LOAD:
+		send_order(lead, t, model, RT_ORDER_LOAD);
+		break;
+	case ACT_ADMIT:
+		send_order(lead, t, model, RT_ORDER_ADMIT);
+		break;
+	}
 }
 
 static void
@@ -229,10 +276,29 @@
 	return rt_place_end(offering.place);
 }
 
+static unsigned int
+count_unavailable(
+    const struct lead *lead, const struct rt_model *model, const GArray *hosts)
+{
+	const struct rt_target *t;
+	unsigned int n = 0;
+
+	TAILQ_FOREACH (t, &lead->entry->targets, link) {
+		if (is_place(t, lead, model, hosts) && t->ordered_off)
+			n++;
+	}
+	return n;
+}
+
 static void
 look_at_model(struct lead *lead, const struct rt_model *model)
 {
 	GArray *hosts = hosts_of(lead, model);
+	struct act_rules rules = {
+		.room_for_two = model->room_for_two,
+		.max_unavailable = model->max_unavailable,
+		.unavailable = count_unavailable(lead, model, hosts),
+	};
 	struct rt_target *t;
 	unsigned int places = 0, loaded = 0;
 
@@ -240,7 +306,9 @@
 		if (!is_place(t, lead, model, hosts))
 			continue;
 		places++;
-		if (look_at_target(lead, t, model))
+		look_at_target(lead, t, model, &rules);
+		if (t->reachable &&
+		    digest_equal(&t->loaded, &model->rollout->root))
 			loaded++;
 	}
 	if (places > 0 && places == loaded && places >= hosts->len)
@@ -338,7 +406,7 @@
 	    lead->role_name, sizeof(lead->role_name), "rollout-%.50s", team);
 	lead->orders =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	lead->resting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lead->rests = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	lead->done =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(entry->leads, lead->team, lead);
--- a/programs/entry/sides.c
+++ b/programs/entry/sides.c
@@ -85,6 +85,7 @@
 	t->slots = (unsigned int)told.slots;
 	t->reachable = true;
 	t->told_accepting = told.accepting != 0;
+	t->ordered_off = told.ordered_off != 0;
 	t->accepting = t->told_accepting && !is_leaving(side);
 	rt_fleet_update(side->entry->fleet, t);
 	rt_target_told(t, (unsigned int)told.running, clk_now_us(clk_system()));
--- a/programs/side/door.c
+++ b/programs/side/door.c
@@ -47,6 +47,7 @@
 {
 	if (s->peer != NULL)
 		g_hash_table_remove(s->peer->streams, &s->number);
+	targets_ran_out(s->target);
 	g_free(s->request_id);
 	g_free(s);
 }
--- a/programs/side/side.h
+++ b/programs/side/side.h
@@ -72,6 +72,8 @@
 void targets_watch(struct side_peer *peer);
 /* Tells the watching entries when a target changed. */
 void targets_announce(struct side *side);
+/* A request of the target ended. */
+void targets_ran_out(struct side_target *target);
 void targets_order(struct side_peer *peer, const struct msg *m);
 void targets_peer_gone(struct side_peer *peer);
 void targets_poll(struct side *side);
--- a/programs/side/targets.c
+++ b/programs/side/targets.c
@@ -120,6 +120,7 @@
 		.running = t->running,
 		.slots = t->slots,
 		.count = count_targets(peer->side),
+		.ordered_off = t->ordered_off,
 	};
 
 	conn_send(peer->conn, &rt_target_desc, &message);
@@ -136,6 +137,14 @@
 	}
 }
 
+void
+targets_ran_out(struct side_target *target)
+{
+	/* The lead waits for this before it loads another version. */
+	if (target->ordered_off && target->running == 0)
+		tell_all(target);
+}
+
 void
 targets_watch(struct side_peer *peer)
 {
