--- /dev/null
+++ b/tests/system/rollout.sh
@@ -0,0 +1,59 @@
+#!/bin/sh
+# A version is rolled out under live requests while things fail: chunks come
+# corrupted from the origin, a load fails at one engine, a side dies in the
+# middle and comes back empty, the object API goes away. Callers see none of
+# it: every answer is whole and of one version, since a version is loaded only
+# when every chunk is verified, and the old one serves until then.
+set -u
+BUILD=$1
+. tests/system/lib.sh
+small_fleet 3
+
+fault() { # URL JSON
+	curl -fs -o /dev/null -d "$2" "$1/admin/faults"
+}
+
+loaded_everywhere() { # DIGEST
+	for url in $(echo "$engines" | tr ',' ' '); do
+		curl -fs "$url/v1/load" | grep -q "$1" || return 1
+	done
+}
+
+"$standin" caller --entries "$entries" --model cedar/care \
+    --token $caller_token --rate 20 --seconds 0 --streams-permille 500 \
+    --max-tokens 12 --list --out "$STAGE/caller.json" \
+    2>"$STAGE/log/caller.err" &
+caller=$!
+stage_pids="$stage_pids $caller"
+
+publish_version v2 4194304
+fault "$origin" '{"corrupt_next":3}'
+fault "$engine_1" '{"load_fail":1}'
+start_rollout v2
+kill -KILL "$side_pid_2"
+fault "$objects" '{"down":true}'
+sleep 1
+"$bin/side/currantchute-side" --settings "$STAGE/side-2.yaml" \
+    >"$STAGE/log/side-2b.out" 2>"$STAGE/log/side-2b.err" &
+stage_pids="$stage_pids $!"
+sleep 1
+fault "$objects" '{"down":false}'
+eventually "v2 is loaded on all three engines" loaded_everywhere "$root"
+eventually "the rollout is reported as done" operate rollout status cedar/care
+
+kill -TERM $caller
+eventually "the caller has ended" test -s "$STAGE/caller.json"
+operate timeline >"$STAGE/timeline.txt" 2>/dev/null
+check "the load had failed once" grep -q load_failed "$STAGE/timeline.txt"
+check "corrupt bytes were noticed" sh -c "for p in \$(sed -n \
+    's/.*loopback: .127.0.0.1:\([0-9]*\).*/\1/p' '$STAGE'/side-*.yaml); do \
+    curl -fs http://127.0.0.1:\$p/metrics; done | grep -q 'corrupt[a-z_]* [1-9]'"
+number() { # KEY of the caller's summary
+	tr ',{' '\n\n' <"$STAGE/caller.json" | sed -n "s/^\"$1\":\([0-9]*\).*/\1/p" |
+	    head -n 1
+}
+check "callers were answered" [ "$(number answered)" -gt 0 ]
+check "no answer of mixed versions" [ "$(number mixed)" = 0 ]
+check "no swapped answer" [ "$(number swapped)" = 0 ]
+check "no cut answer that looks whole" [ "$(number cut)" = "$(number cut_with_error)" ]
+finish
