Test of a frozen lead: it wakes to engines that moved on

Cause: woken before the next version, the frozen lead had nothing stale to order. Change: v3 is rolled out first; the woken one still wants v2.

--- a/tests/system/lead.sh
+++ b/tests/system/lead.sh
@@ -42,13 +42,16 @@
 kill -STOP "$lead_pid"
 eventually "the other takes over" leads "$other"
 eventually "v2 is loaded on all engines" loaded_everywhere "$root"
+publish_version v3 4194304
+start_rollout v3
+eventually "v3 is loaded on all engines" loaded_everywhere "$root"
+# It wakes with v2 as the wanted version and sees engines without it.
 kill -CONT "$lead_pid"
 eventually "the woken one knows that it does not lead" sh -c \
     "curl -fs -m 3 -H 'Authorization: Bearer $root_token' '$lead/v1/status' \
     | grep -q '\"leads_here\":\[\]'"
-publish_version v3 4194304
-start_rollout v3
-eventually "v3 is loaded on all engines" loaded_everywhere "$root"
+sleep 1
+check "v3 is still loaded on all engines" loaded_everywhere "$root"
 for url in $(echo "$engines" | tr ',' ' '); do
 	check "no stale order was taken at $url" fences_grow "$url"
 done
