--- a/programs/entry/cli_settings.c
+++ b/programs/entry/cli_settings.c
@@ -5,6 +5,9 @@
 
 #include "entry/cli.h"
 
+/* What `settings get` puts before the text, and `settings set` reads. */
+#define VERSION_LINE "# version "
+
 /* A process's file has `node`, the root branch team `platform`. */
 static const struct cfg_schema *
 schema_for(const char *text, size_t len)
@@ -82,7 +85,7 @@
 	else if (cli->json)
 		cli_print_json(node);
 	else
-		printf("# version %d\n%s",
+		printf(VERSION_LINE "%d\n%s",
 		    (int)json_object_get_int_member(
 			json_node_get_object(node), "version"),
 		    json_object_get_string_member(
@@ -93,6 +96,16 @@
 	return rc;
 }
 
+/* The text without the line that `settings get` put before it. */
+static const char *
+skip_version_line(const char *text)
+{
+	const char *end = strchr(text, '\n');
+
+	return g_str_has_prefix(text, VERSION_LINE) && end != NULL ? end + 1
+								   : text;
+}
+
 /* The version that an edited file is based on: what `settings get` wrote in
  * its first line, or what is there now when the file has none. */
 static bool
@@ -102,9 +115,9 @@
 	unsigned int status;
 	JsonNode *node;
 
-	if (g_str_has_prefix(text, "# version ")) {
+	if (g_str_has_prefix(text, VERSION_LINE)) {
 		*version =
-		    g_ascii_strtoull(text + strlen("# version "), NULL, 10);
+		    g_ascii_strtoull(text + strlen(VERSION_LINE), NULL, 10);
 		return true;
 	}
 	if (!cli_call(cli, "GET", path, NULL, &status, &node, err))
@@ -149,7 +162,7 @@
 	    !base_version(cli, path, text, &base, &err)) {
 		rc = cli_fail(&err);
 	} else {
-		body = cli_put_body(text, base);
+		body = cli_put_body(skip_version_line(text), base);
 		if (!cli_call(cli, "PUT", path, body, &status, &node, &err))
 			rc = cli_fail(&err);
 		else if (status == 409 && node != NULL)
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -97,6 +97,7 @@
 	struct entry *entry = ctx;
 	unsigned int n = 0;
 
+	proc_note_member(&entry->proc, member);
 	if (member->node.kind == MEM_SIDE) {
 		sides_member(entry, member);
 		return;
--- a/programs/shared/proc.c
+++ b/programs/shared/proc.c
@@ -136,6 +136,20 @@
 	cfg_free(p->cfg);
 }
 
+void
+proc_note_member(struct proc *p, const struct mem_member *member)
+{
+	static const char *const kinds[] = {
+		[MEM_SUSPECT] = "member_suspect",
+		[MEM_LEAVING] = "member_leaving",
+		[MEM_DEAD] = "member_dead",
+	};
+
+	if (member->state != MEM_ALIVE)
+		tl_add(p->timeline, kinds[member->state], member->node.id,
+		    "in %s", member->node.domain);
+}
+
 /* ------------------------------------------------------------------ */
 /* Events as JSON                                                      */
 /* ------------------------------------------------------------------ */
--- a/programs/shared/proc.h
+++ b/programs/shared/proc.h
@@ -46,6 +46,9 @@
 void proc_quit(struct proc *p);
 void proc_free(struct proc *p);
 
+/* Notes on the time line that a member is suspected, leaves or is dead. */
+void proc_note_member(struct proc *p, const struct mem_member *member);
+
 /* JSON array of this process's events after `since`; g_free. */
 char *proc_events_json(
     const struct tl *timeline, uint64_t since, uint64_t *next);
--- a/programs/side/main.c
+++ b/programs/side/main.c
@@ -112,6 +112,7 @@
 static void
 on_member(const struct mem_member *member, void *ctx)
 {
+	proc_note_member(&((struct side *)ctx)->proc, member);
 	if (member->node.kind == MEM_SIDE)
 		place_schedule(ctx);
 }
