--- a/tests/route/test_attempt.c
+++ b/tests/route/test_attempt.c
@@ -32,53 +32,19 @@
 	note(trail, "dispatch");
 }
 
-static void
-on_pass_head(void *ctx)
-{
-	note(ctx, "pass_head");
-}
-
-static void
-on_finish(void *ctx)
-{
-	note(ctx, "finish");
-}
-
-static void
-on_fail(void *ctx)
-{
-	note(ctx, "fail");
-}
-
-static void
-on_cut(void *ctx)
-{
-	note(ctx, "cut");
-}
-
-static void
-on_cancel(void *ctx)
-{
-	note(ctx, "cancel");
-}
-
-static void
-on_claim(void *ctx)
-{
-	note(ctx, "claim");
-}
-
-static void
-on_detach(void *ctx)
-{
-	note(ctx, "detach");
-}
-
-static void
-on_settle(void *ctx)
-{
-	note(ctx, "settle");
-}
+#define RECORDER(name)                   \
+	static void on_##name(void *ctx) \
+	{                                \
+		note(ctx, #name);        \
+	}
+RECORDER(pass_head)
+RECORDER(finish)
+RECORDER(fail)
+RECORDER(cut)
+RECORDER(cancel)
+RECORDER(claim)
+RECORDER(detach)
+RECORDER(settle)
 
 static const struct att_ops ops = {
 	.claim = on_claim,
