--- a/tests/standin/caller_stats.c
+++ b/tests/standin/caller_stats.c
@@ -151,8 +151,10 @@
 
 	s->by_outcome[end->outcome]++;
 	s->tokens += c->next;
-	if (end->outcome == OUTCOME_REFUSED)
+	if (end->outcome == OUTCOME_REFUSED) {
 		count_refusal(s, end->verdict);
+		hist_add(&s->refusal, end->took_us);
+	}
 	if (end->outcome == OUTCOME_CUT && c->error)
 		s->cut_with_error++;
 	if (end->outcome == OUTCOME_ANSWERED) {
@@ -240,6 +242,7 @@
 	put_hist(b, "first_token_us", &s->first_token);
 	put_hist(b, "between_tokens_us", &s->between_tokens);
 	put_hist(b, "whole_us", &s->whole);
+	put_hist(b, "refusal_us", &s->refusal);
 	put_counts(b, "digests", s->digests);
 	put_counts(b, "errors", s->errors);
 	head = json_end(b, &len);
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -16,6 +16,7 @@
 	{ .name = "service", .run = service_main },
 	{ .name = "caller", .run = caller_main },
 	{ .name = "truth", .run = truth_main },
+	{ .name = "tally", .run = tally_main },
 };
 
 int
@@ -30,6 +31,6 @@
 	}
 	fprintf(stderr,
 	    "usage: standin objects|origin|hosts|engine|service|"
-	    "caller|truth [OPTION...]\n");
+	    "caller|truth|tally [OPTION...]\n");
 	return 2;
 }
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -110,6 +110,12 @@
 int caller_main(int argc, const char **argv);
 /* Compares the logs of the stand-ins with what a caller received. */
 int truth_main(int argc, const char **argv);
+/* One line of a bench case, from the same two sources. */
+int tally_main(int argc, const char **argv);
+/* The JSON object at a stand-in's path; NULL after printing why. Free with
+ * json_node_unref. */
+JsonNode *standin_fetch(
+    SoupSession *session, const char *base, const char *path);
 
 /* ------------------------------------------------------------------ */
 /* JSON and HTTP helpers                                               */
--- a/tests/standin/truth.c
+++ b/tests/standin/truth.c
@@ -18,8 +18,8 @@
 	unsigned int engines, loaded;
 };
 
-static JsonNode *
-fetch(SoupSession *session, const char *base, const char *path)
+JsonNode *
+standin_fetch(SoupSession *session, const char *base, const char *path)
 {
 	char *url = g_strconcat(base, path, NULL);
 	SoupMessage *message = soup_message_new("GET", url);
@@ -70,8 +70,8 @@
 add_engine(
     struct truth *t, SoupSession *session, const char *base, const char *want)
 {
-	JsonNode *log = fetch(session, base, "/admin/log");
-	JsonNode *load = fetch(session, base, "/v1/load");
+	JsonNode *log = standin_fetch(session, base, "/admin/log");
+	JsonNode *load = standin_fetch(session, base, "/v1/load");
 	JsonArray *runs;
 	guint i;
 
@@ -124,7 +124,7 @@
 origin_copies(
     SoupSession *session, const char *origin, const char *name, int64_t bytes)
 {
-	JsonNode *node = fetch(session, origin, "/admin/counts");
+	JsonNode *node = standin_fetch(session, origin, "/admin/counts");
 	JsonObject *names;
 	double copies = -1;
 
