--- a/tests/standin/caller.h
+++ b/tests/standin/caller.h
@@ -74,7 +74,8 @@
 	int64_t repeated_ids; /* answers under an id seen before */
 	int64_t without_id; /* answers that came without X-Request-Id */
 	int64_t tokens;
-	struct hist first_token, between_tokens, whole, refusal; /* microseconds */
+	struct hist first_token, between_tokens, whole,
+	    refusal; /* microseconds */
 	GHashTable *digests; /* char * -> count of answers */
 	GHashTable *errors; /* char * -> count */
 	GHashTable *ids; /* request ids seen */
