--- a/lib/common/cfg_schema_branch.c
+++ b/lib/common/cfg_schema_branch.c
@@ -207,7 +207,7 @@
 	    .min = 0,
 	    .max = VERSIONS_MAX,
 	    .about =
-		"How live requests are shared between versions; none: all go to the rollout's version." },
+		"How live requests are shared between versions; none: every version of the model that is loaded answers, so the old one serves until the new one is loaded." },
 	{ .path = "models.*.rules.[]", .type = CFG_MAP, .about = "One share." },
 	{ .path = "models.*.rules.[].version",
 	    .type = CFG_STRING,
--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -130,11 +130,13 @@
 	ask->deadline_ms = ask->team->default_deadline_ms;
 	ask->priority = PRIORITY_DEFAULT;
 	ask->key = header(message, "Idempotency-Key");
-	if (!read_number(message, "X-Deadline-Ms", 1,
-		ask->team->max_deadline_ms, &ask->deadline_ms, err) ||
+	/* A longer deadline than the team's is cut to it, not refused. */
+	if (!read_number(message, "X-Deadline-Ms", 1, UINT32_MAX,
+		&ask->deadline_ms, err) ||
 	    !read_number(
 		message, "X-Priority", 0, PRIORITY_MOST, &ask->priority, err))
 		return false;
+	ask->deadline_ms = MIN(ask->deadline_ms, ask->team->max_deadline_ms);
 	if (ask->key != NULL && strlen(ask->key) > RT_NAME_MAX) {
 		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
 		    "header Idempotency-Key: at most %d bytes", RT_NAME_MAX);
--- a/tests/system/bad_input.sh
+++ b/tests/system/bad_input.sh
@@ -38,6 +38,9 @@
     -d '{"model":"cedar/care"}' "$chat_url"
 check "deadline that is no number" refused 400 -H "$auth" \
     -H "X-Deadline-Ms: soon" -d '{"model":"cedar/care"}' "$chat_url"
+check "a deadline above the team's longest is cut to it" sh -c \
+    "curl -fs -H '$auth' -H 'X-Deadline-Ms: 999999999' \
+    -d '{\"model\":\"cedar/care\",\"max_tokens\":2}' '$chat_url' | grep -q content"
 check "key too long" refused 400 -H "$auth" \
     -H "Idempotency-Key: $(printf 'k%.0s' $(seq 100))" \
     -d '{"model":"cedar/care"}' "$chat_url"
