--- a/tests/weights/nodes.h
+++ b/tests/weights/nodes.h
@@ -40,10 +40,11 @@
 struct fake_origin {
 	const struct model *models;
 	size_t nmodels;
-	unsigned int delay_ms;
+	unsigned int delay_ms; /* of an answer, on average */
+	struct rng rng;
 	unsigned int corrupt; /* the next so many answers */
 	bool down;
-	bool stalled; /* reads never answer */
+	bool hold; /* reads of weights are not answered meanwhile */
 	uint64_t bytes_sent; /* of weights, not lists */
 	unsigned int reads;
 	TAILQ_HEAD(open_list, origin_read) open;
@@ -137,15 +138,15 @@
 {
 	struct origin_read *r = data;
 	origin_read_cb *done = r->done;
-	GBytes *bytes = g_steal_pointer(&r->bytes);
 	void *ctx = r->ctx;
 	struct err err;
+	GBytes *bytes;
+
+	if (r->origin->hold && g_str_has_suffix(r->name, ".weights"))
+		return G_SOURCE_CONTINUE;
+	bytes = g_steal_pointer(&r->bytes);
 
 	r->source = 0;
-	if (r->origin->stalled) {
-		g_clear_pointer(&bytes, g_bytes_unref);
-		return G_SOURCE_REMOVE;
-	}
 	err_set(&err, ERR_UNAVAILABLE, VERDICT_NOT_RUN, "down");
 	if (r->origin->down)
 		g_clear_pointer(&bytes, g_bytes_unref);
@@ -198,7 +199,10 @@
 	if (!o->down && g_str_has_suffix(name, ".weights"))
 		o->bytes_sent += len;
 	TAILQ_INSERT_TAIL(&o->open, r, link);
-	r->source = g_timeout_add(o->delay_ms, fake_answer, r);
+	/* Uneven, or hosts would choose in step and never hear in time. */
+	r->source = g_timeout_add(
+	    o->delay_ms / 2 + (guint)rng_below(&o->rng, o->delay_ms + 1),
+	    fake_answer, r);
 	return r;
 }
 
--- a/tests/weights/test_faults.c
+++ b/tests/weights/test_faults.c
@@ -397,21 +397,50 @@
 	assert_true(sent > 0);
 }
 
+/* Three chunks are being read, and all hosts know of the same number. */
+static bool
+all_know_the_claims(const struct nodes *s, const struct model *m)
+{
+	uint64_t unclaimed[3];
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		const struct xfer *x =
+		    wts_find(s->node[i].wts, &m->version.root);
+
+		if (x->pick->open_reads == 0)
+			return false;
+		unclaimed[i] = x->pick->unclaimed;
+	}
+	return unclaimed[0] == unclaimed[1] && unclaimed[1] == unclaimed[2];
+}
+
 /*
- * Half of the hosts have heard of only half of the members, so that two
- * rankings are in use. The claims they pass on keep the origin's bytes near one
- * copy; by the rankings alone most chunks would be read twice.
+ * The two outer hosts of three have not heard of each other, so that each holds
+ * itself for the first reader of chunks that the other reads. The host between them
+ * passes on what each has begun to read; without that both would read most chunks.
  */
 static void
 test_views_differ(void **state)
 {
-	/* News of a claim are fresher than the read that it is about. */
-	struct nodes s = { .rate = SLOW, .origin = { .delay_ms = 60 } };
+	/* A read lasts longer than news of it, as with chunks of real size. */
+	struct nodes s = { .rate = SLOW,
+		.origin = { .hold = true, .delay_ms = 100 } };
+	struct wts_want want = { .version = first.version };
+	struct wts_peer peers[3];
 	size_t i;
 
-	begin(&s, 10);
-	for (i = 0; i < s.n; i++)
-		nodes_want(&s, i, &first, 1, i < 5 ? 5 : s.n);
+	begin(&s, 3);
+	for (i = 0; i < s.n; i++) {
+		peers[i] = (struct wts_peer){ s.node[i].id, s.node[i].address,
+			s.node[i].domain };
+		assert_true(wts_want(s.node[i].wts, &want, NULL));
+	}
+	wts_set_peers(s.node[0].wts, &first.version.root, peers, 2);
+	wts_set_peers(s.node[1].wts, &first.version.root, peers, 3);
+	wts_set_peers(s.node[2].wts, &first.version.root, &peers[1], 2);
+	nodes_until(&s, all_know_the_claims, &first);
+	s.origin.hold = false;
 	end(&s, &first);
 	assert_in_range(reads_beyond(&s, &first), 0, CHUNKS / 10);
 }
--- /dev/null
+++ b/tests/weights/test_pick.c
@@ -0,0 +1,364 @@
+/* The choice of the next fetch, from states made by hand. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "weights/bits.h"
+#include "weights/pick.h"
+
+#define CHUNKS 64
+#define HOSTS 9
+#define SECOND 1000000
+
+static struct rank ranks[HOSTS];
+static struct digest root = { { 7 } };
+static struct rng rng;
+
+static int
+set_up(void **state)
+{
+	static char ids[HOSTS][8];
+	static const char *const domains[] = { "a", "b", "c" };
+	struct rank_member members[HOSTS];
+	size_t i;
+
+	for (i = 0; i < HOSTS; i++) {
+		snprintf(ids[i], sizeof(ids[i]), "h%zu", i);
+		members[i] = (struct rank_member){ ids[i], domains[i % 3] };
+	}
+	for (i = 0; i < HOSTS; i++)
+		rank_build(&ranks[i], &root, members, HOSTS, i);
+	rng_seed(&rng, 1);
+	return 0;
+}
+
+static struct pick *
+new_pick(const struct rank *rank)
+{
+	struct pick_conf conf = {
+		.chunks = CHUNKS,
+		.chunk_bytes = 1 << 20,
+		.rate = 100 << 20, /* ten milliseconds a chunk */
+		.copies = 1,
+		.members = HOSTS,
+	};
+	struct pick *p = pick_new(&conf, 0);
+
+	if (rank != NULL)
+		pick_set_rank(p, rank, HOSTS, 0);
+	return p;
+}
+
+static struct pick_action
+next(const struct pick *p, int64_t now_us)
+{
+	struct pick_action a;
+
+	pick_next(p, true, now_us, &rng, &a);
+	return a;
+}
+
+/* Takes everything that is to be begun now; gives the last action. */
+static struct pick_action
+begin_all(struct pick *p, int64_t now_us)
+{
+	struct pick_action a = next(p, now_us);
+
+	while (a.kind == PICK_ASK || a.kind == PICK_READ) {
+		pick_begin(p, &a, now_us);
+		a = next(p, now_us);
+	}
+	return a;
+}
+
+static const struct rank *
+reader(unsigned int place)
+{
+	size_t i;
+
+	for (i = 0; i < HOSTS; i++) {
+		if (ranks[i].self == place)
+			return &ranks[i];
+	}
+	fail_msg("no reader %u", place);
+	return NULL;
+}
+
+static void
+has_all(struct pick *p, struct pick_peer *peer)
+{
+	uint64_t i;
+
+	for (i = 0; i < CHUNKS; i++)
+		pick_peer_has(p, peer, i, 0);
+}
+
+/* Every host computes the same readers, one at least in each domain, and
+ * exactly one of them is first for a chunk. */
+static void
+test_ranking_is_the_same_everywhere(void **state)
+{
+	unsigned int firsts, readers = 0;
+	uint64_t chunk;
+	size_t i;
+
+	for (i = 0; i < HOSTS; i++) {
+		assert_int_equal(ranks[i].nreaders, RANK_READERS);
+		assert_memory_equal(
+		    ranks[i].reader, ranks[0].reader, sizeof(ranks[0].reader));
+		readers += ranks[i].self != RANK_NONE;
+	}
+	assert_int_equal(readers, RANK_READERS);
+	for (chunk = 0; chunk < CHUNKS; chunk++) {
+		firsts = 0;
+		for (i = 0; i < HOSTS; i++)
+			firsts += rank_self(&ranks[i], chunk) == 0;
+		assert_int_equal(firsts, 1);
+	}
+}
+
+/* Before the members are known a host would hold itself for the only one, and
+ * every host would read a whole copy. */
+static void
+test_no_read_before_members_are_known(void **state)
+{
+	struct pick *p = new_pick(NULL);
+
+	assert_int_equal(next(p, 3600 * (int64_t)SECOND).kind, PICK_WAIT);
+	pick_free(p);
+}
+
+/*
+ * A reader begins with chunks of its own rank, one at a time, and leaves alone what
+ * it heard was begun. The others' chunks come only after a silence.
+ */
+static void
+test_reads_in_turn(void **state)
+{
+	struct pick *p = new_pick(reader(0));
+	unsigned int own = 0, read = 0;
+	struct pick_action a;
+	uint64_t i;
+
+	for (i = 0; i < CHUNKS; i++)
+		own += rank_self(reader(0), i) == 0;
+	for (i = 0; i < CHUNKS; i++) {
+		if (rank_self(reader(0), i) == 0 && i % 2 == 0) {
+			assert_true(pick_claimed(p, i, 1, 0));
+			own--;
+		}
+	}
+	for (a = next(p, 0); a.kind == PICK_READ; a = next(p, 0)) {
+		assert_int_equal(a.rank, 0);
+		assert_int_equal(a.index % 2, 1);
+		pick_begin(p, &a, 0);
+		assert_int_equal(next(p, 0).kind, PICK_WAIT);
+		pick_arrived(p, a.index, 0);
+		pick_got(p, a.index);
+		read++;
+	}
+	assert_int_equal(read, own);
+	assert_int_equal(a.kind, PICK_WAIT);
+	assert_int_equal(a.until_us, pick_silence_us(p));
+	pick_free(p);
+}
+
+/*
+ * The first reader of some chunks falls silent. The second steps in after one
+ * silence and then goes on without waiting again; a host that is no reader
+ * waits longer; and a claim by the first puts all of them off again.
+ */
+static void
+test_next_in_rank_after_silence(void **state)
+{
+	struct pick *p = new_pick(reader(1));
+	int64_t now = pick_silence_us(p);
+	struct pick_action a;
+	uint64_t i;
+
+	for (i = 0; i < CHUNKS; i++) {
+		if (rank_self(reader(1), i) != 1)
+			pick_got(p, i);
+	}
+	assert_int_equal(next(p, now - 1).kind, PICK_WAIT);
+	a = next(p, now);
+	assert_int_equal(a.kind, PICK_READ);
+	assert_int_equal(a.rank, 1);
+	pick_begin(p, &a, now);
+	pick_arrived(p, a.index, now);
+	pick_got(p, a.index);
+	a = next(p, now);
+	assert_int_equal(a.kind, PICK_READ);
+	for (i = 0; i < CHUNKS; i++) {
+		if (p->chunks[i].state == PICK_MISSING)
+			pick_claimed(p, i, 0, now);
+	}
+	assert_int_equal(next(p, now).kind, PICK_WAIT);
+	pick_free(p);
+}
+
+/* Own failure domain first; of its peers the least loaded; of its chunks the
+ * rarest. */
+static void
+test_near_then_idle_then_rarest(void **state)
+{
+	struct pick *p = new_pick(&ranks[0]);
+	struct pick_peer near = { 0 }, loaded = { 0 }, far = { 0 };
+	struct pick_action a;
+	uint64_t i;
+
+	pick_add_peer(p, &near, true);
+	pick_add_peer(p, &loaded, true);
+	pick_add_peer(p, &far, false);
+	has_all(p, &near);
+	for (i = 0; i < CHUNKS; i++) {
+		if (i != 17)
+			pick_peer_has(p, &loaded, i, 0);
+	}
+	has_all(p, &far);
+	pick_peer_load(&loaded, 1);
+	a = next(p, 0);
+	assert_int_equal(a.kind, PICK_ASK);
+	assert_ptr_equal(a.peer, &near);
+	assert_int_equal(a.index, 17);
+	pick_remove_peer(p, &near, 0);
+	pick_remove_peer(p, &loaded, 0);
+	assert_ptr_equal(next(p, 0).peer, &far);
+	pick_remove_peer(p, &far, 0);
+	pick_free(p);
+}
+
+/*
+ * Near the end several peers have the last chunk. It is asked of one only, until that one
+ * has brought nothing for the patience; then of another.
+ */
+static void
+test_no_duplicate_before_patience(void **state)
+{
+	struct pick *p = new_pick(&ranks[0]);
+	int64_t late = pick_patience_us(p);
+	struct pick_peer one = { 0 }, two = { 0 };
+	struct pick_action a;
+	uint64_t i;
+
+	for (i = 1; i < CHUNKS; i++)
+		pick_got(p, i);
+	pick_add_peer(p, &one, true);
+	pick_add_peer(p, &two, true);
+	has_all(p, &one);
+	has_all(p, &two);
+	pick_peer_load(&two, 1);
+	a = begin_all(p, 0);
+	assert_int_equal(one.open, 1);
+	assert_int_equal(two.open, 0);
+	assert_int_equal(a.kind, PICK_WAIT);
+	assert_int_equal(a.until_us, late);
+	a = next(p, late);
+	assert_int_equal(a.kind, PICK_EXPIRE);
+	pick_ended(p, a.index, a.peer, PICK_STALLED, late);
+	a = next(p, late);
+	assert_ptr_equal(a.peer, &two);
+	pick_remove_peer(p, &one, late);
+	pick_remove_peer(p, &two, late);
+	pick_free(p);
+}
+
+/* Bytes put the deadline off: a slow link is not a stalled one. */
+static void
+test_progress_extends_patience(void **state)
+{
+	struct pick *p = new_pick(&ranks[0]);
+	int64_t late = pick_patience_us(p);
+	struct pick_peer one = { 0 };
+	struct pick_action a;
+
+	pick_add_peer(p, &one, true);
+	pick_peer_has(p, &one, 3, 0);
+	begin_all(p, 0);
+	pick_moved(p, 3, late - 1);
+	a = next(p, late);
+	assert_int_not_equal(a.kind, PICK_EXPIRE);
+	pick_remove_peer(p, &one, late);
+	pick_free(p);
+}
+
+/*
+ * A peer sends wrong bytes for the one chunk that it alone has. It does not count as its
+ * holder any more, so that the chunk can be read from the origin, and it is not
+ * asked for it again.
+ */
+static void
+test_wrong_bytes_end_being_a_holder(void **state)
+{
+	struct pick *p = new_pick(reader(0));
+	struct pick_peer liar = { 0 };
+	struct pick_action a;
+	uint64_t own;
+	uint64_t i;
+
+	for (own = 0; rank_self(reader(0), own) != 0; own++)
+		;
+	for (i = 0; i < CHUNKS; i++) {
+		if (i != own)
+			pick_got(p, i);
+	}
+	pick_add_peer(p, &liar, true);
+	has_all(p, &liar);
+	a = begin_all(p, 0);
+	assert_int_equal(liar.open, 1);
+	pick_arrived(p, own, 0);
+	pick_ended(p, own, &liar, PICK_CORRUPT, 0);
+	a = next(p, pick_silence_us(p));
+	assert_int_equal(a.kind, PICK_READ);
+	pick_remove_peer(p, &liar, 0);
+	pick_free(p);
+}
+
+/* Further copies are read only once the first is under way, and each host
+ * takes no more than its part of them. */
+static void
+test_extra_copies_are_bounded(void **state)
+{
+	struct pick *p = new_pick(&ranks[0]);
+	struct pick_action a;
+	unsigned int extra = 0;
+	uint64_t i;
+
+	pick_set_copies(p, 2);
+	for (i = 1; i < CHUNKS; i++)
+		pick_claimed(p, i, 0, 0);
+	a = next(p, 0);
+	assert_true(a.kind == PICK_WAIT || !a.extra);
+	pick_claimed(p, 0, 0, 0);
+	for (a = next(p, 0); a.kind == PICK_READ; a = next(p, 0)) {
+		assert_true(a.extra);
+		pick_begin(p, &a, 0);
+		pick_arrived(p, a.index, 0);
+		pick_got(p, a.index);
+		extra++;
+	}
+	assert_int_equal(extra, (CHUNKS + HOSTS - 1) / HOSTS);
+	pick_free(p);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_ranking_is_the_same_everywhere),
+		cmocka_unit_test(test_no_read_before_members_are_known),
+		cmocka_unit_test(test_reads_in_turn),
+		cmocka_unit_test(test_next_in_rank_after_silence),
+		cmocka_unit_test(test_near_then_idle_then_rarest),
+		cmocka_unit_test(test_no_duplicate_before_patience),
+		cmocka_unit_test(test_progress_extends_patience),
+		cmocka_unit_test(test_wrong_bytes_end_being_a_holder),
+		cmocka_unit_test(test_extra_copies_are_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, NULL);
+}
