Weights: a peer's load wears off; a busy peer was never asked again

Change: load counts down by a chunk time each, it excludes the asker's own uploads, and whatever carries it counts as told. Connections still proving themselves are not paused (they could not resume). The scan for origin reads is remembered until an event changes it, the rarest is of a sample.

--- a/lib/weights/peers.c
+++ b/lib/weights/peers.c
@@ -40,12 +40,11 @@
 	struct proto_news news = {
 		.gained = { peer->gained->data, peer->gained->len },
 		.claims = { peer->claims->data, peer->claims->len },
-		.load = wts->nuploads,
+		.load = serve_load(peer),
 	};
 
 	peer->news_after_us =
 	    clk_now_us(wts->clock) + peer->xfer->news_interval_us;
-	peer->told_load = wts->nuploads;
 	conn_send(peer->conn, &proto_news_desc, &news);
 	clear_news(peer);
 }
@@ -90,14 +89,14 @@
 }
 
 void
-peers_tell_load(struct wts *wts)
+peers_tell_idle(struct wts *wts)
 {
 	struct peer *peer;
 	struct xfer *x;
 
 	TAILQ_FOREACH (x, &wts->xfers, link) {
 		TAILQ_FOREACH (peer, &x->peers, link) {
-			if (peer->told_load != wts->nuploads)
+			if (peer->told_load > 0)
 				tell_soon(peer);
 		}
 	}
@@ -137,7 +136,7 @@
 	}
 	have = (struct proto_have){
 		.bits = { bits->data, bits->len },
-		.load = x->wts->nuploads,
+		.load = serve_load(peer),
 		.known = { known->data, known->len },
 	};
 	conn_send(peer->conn, &proto_have_desc, &have);
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -19,14 +19,17 @@
 #define STRIKES_MAX 8
 #define READ_REST_US (SECOND_US / 4)
 #define READ_REST_MAX_US (8 * (int64_t)SECOND_US)
-#define SCAN_WORDS 4096 /* per choice; bounds the time of one */
+/* The rarest of so many, from a random start on: bounds the time of a choice
+ * in versions of many thousand chunks, and is as good as the rarest of all. */
+#define SCAN_CANDIDATES 1024
 #define AVERAGE_SHARE 8 /* of the newest sample: one eighth */
 
 static int64_t
 chunk_time_us(const struct pick *p)
 {
-	return (int64_t)((double)p->conf.chunk_bytes * SECOND_US /
-	    (double)p->conf.rate);
+	return 1 +
+	    (int64_t)((double)p->conf.chunk_bytes * SECOND_US /
+		(double)p->conf.rate);
 }
 
 static void
@@ -119,6 +122,7 @@
 	p->conf.members = members;
 	if (p->ranked && same_readers(&p->rank, rank)) {
 		p->rank = *rank;
+		p->no_read_us = 0;
 		return;
 	}
 	p->rank = *rank;
@@ -126,6 +130,7 @@
 	/* Readers have changed places; each gets its time again. */
 	p->start_us = now_us;
 	memset(p->claims_us, 0, sizeof(p->claims_us));
+	p->no_read_us = 0;
 	for (i = 0; i < p->conf.chunks; i++)
 		p->chunks[i].reader = (uint8_t)rank_first(rank, i);
 }
@@ -134,6 +139,7 @@
 pick_settle(struct pick *p, int64_t until_us)
 {
 	p->settle_us = until_us;
+	p->no_read_us = 0;
 }
 
 void
@@ -178,6 +184,7 @@
 			count_holder(&p->chunks[i], peer, -1);
 	}
 	TAILQ_REMOVE(&p->peers, peer, link);
+	p->no_read_us = 0;
 	g_clear_pointer(&peer->bits, g_free);
 }
 
@@ -214,9 +221,10 @@
 }
 
 void
-pick_peer_load(struct pick_peer *peer, unsigned int load)
+pick_peer_load(struct pick_peer *peer, unsigned int load, int64_t now_us)
 {
 	peer->load = load;
+	peer->load_us = now_us;
 }
 
 bool
@@ -376,6 +384,7 @@
 		return;
 	c->state = PICK_MISSING;
 	bits_set(p->need, index);
+	p->no_read_us = 0;
 	if (peer != NULL) {
 		/* One that sent wrong bytes does not have the chunk. Left
 		 * as its holder, it would keep the chunk from being read
@@ -434,18 +443,23 @@
 
 /*
  * Finds a missing chunk that no connected peer has and that this host may
- * read now. Otherwise gives the earliest time at which one may be.
+ * read now. Otherwise gives the earliest time at which one may be, and keeps
+ * it: claims only put it off, so the scan need not be made again before,
+ * unless an event below resets it.
  */
 static bool
-find_read(const struct pick *p, int64_t now_us, struct rng *rng,
+find_read(struct pick *p, int64_t now_us, struct rng *rng,
     struct pick_action *out, int64_t *due_us)
 {
 	uint64_t words = bits_words(p->conf.chunks);
 	uint64_t first = rng_below(rng, words);
 	uint64_t i;
 
+	*due_us = p->no_read_us;
+	if (now_us < p->no_read_us)
+		return false;
 	*due_us = INT64_MAX;
-	for (i = 0; i < MIN(words, SCAN_WORDS); i++) {
+	for (i = 0; i < words; i++) {
 		uint64_t at = (first + i) % words;
 		uint64_t left = p->need[at];
 
@@ -468,6 +482,7 @@
 			return true;
 		}
 	}
+	p->no_read_us = *due_us;
 	return false;
 }
 
@@ -511,6 +526,20 @@
 	return peer->strikes >= PICK_STRIKES_DOUBT;
 }
 
+/*
+ * Uploads that an ask would wait behind. What the peer last said wears off by
+ * one a chunk time: it is not told again by peers that have nothing to say,
+ * and taken for lasting, a peer once busy would never be asked again.
+ */
+static unsigned int
+load_of(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
+{
+	int64_t done = (now_us - peer->load_us) / chunk_time_us(p);
+
+	return peer->open +
+	    (done < peer->load ? peer->load - (unsigned int)done : 0);
+}
+
 static bool
 can_ask(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
 {
@@ -518,11 +547,11 @@
 		return false;
 	if (is_doubtful(peer) && p->open_asks > 0)
 		return false;
-	return peer->open < PICK_ASKS_PER_PEER &&
-	    peer->load + peer->open < PICK_LOAD_MAX && peer->rest_us <= now_us;
+	return peer->open < PICK_ASKS_PER_PEER && peer->rest_us <= now_us &&
+	    load_of(p, peer, now_us) < PICK_LOAD_MAX;
 }
 
-/* The rarest missing chunk that `peer` has; ties by a seeded start. */
+/* The rarest missing chunk that `peer` has, or one of the rarest. */
 static bool
 rarest_of(const struct pick *p, const struct pick_peer *peer, struct rng *rng,
     uint64_t *index_out)
@@ -531,9 +560,10 @@
 	uint64_t first = rng_below(rng, words);
 	uint32_t best = UINT32_MAX;
 	unsigned int ties = 0;
+	unsigned int seen = 0;
 	uint64_t i;
 
-	for (i = 0; i < MIN(words, SCAN_WORDS); i++) {
+	for (i = 0; i < words && seen < SCAN_CANDIDATES; i++) {
 		uint64_t at = (first + i) % words;
 		uint64_t left = p->need[at] & peer->bits[at];
 
@@ -543,6 +573,7 @@
 			const struct pick_chunk *c = &p->chunks[index];
 			uint32_t holders = c->holders;
 
+			seen++;
 			if (!peer->near && c->near_holders > 0 &&
 			    p->open_asks >= PICK_FAR_COMMON)
 				continue;
@@ -558,13 +589,14 @@
 }
 
 static bool
-better_peer(const struct pick_peer *a, const struct pick_peer *b)
+better_peer(const struct pick *p, const struct pick_peer *a,
+    const struct pick_peer *b, int64_t now_us)
 {
 	if (is_doubtful(a) != is_doubtful(b))
 		return is_doubtful(b);
 	if (a->near != b->near)
 		return a->near;
-	return a->load + a->open < b->load + b->open;
+	return load_of(p, a, now_us) < load_of(p, b, now_us);
 }
 
 static bool
@@ -579,9 +611,9 @@
 	TAILQ_FOREACH (peer, &p->peers, link) {
 		if (!can_ask(p, peer, now_us))
 			continue;
-		if (best != NULL && better_peer(best, peer))
+		if (best != NULL && better_peer(p, best, peer, now_us))
 			continue;
-		if (best == NULL || better_peer(peer, best))
+		if (best == NULL || better_peer(p, peer, best, now_us))
 			ties = 0;
 		if (rng_below(rng, ++ties) != 0 ||
 		    !rarest_of(p, peer, rng, &index))
@@ -641,8 +673,12 @@
 	const struct pick_peer *peer;
 
 	TAILQ_FOREACH (peer, &p->peers, link) {
-		if (peer->rest_us > now_us)
-			out->until_us = MIN(out->until_us, peer->rest_us);
+		int64_t due = peer->rest_us;
+
+		if (due <= now_us && load_of(p, peer, now_us) >= PICK_LOAD_MAX)
+			due = now_us + chunk_time_us(p);
+		if (due > now_us)
+			out->until_us = MIN(out->until_us, due);
 	}
 }
 
@@ -653,7 +689,7 @@
 }
 
 void
-pick_next(const struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
+pick_next(struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
     struct pick_action *out)
 {
 	int64_t due_us = INT64_MAX;
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -59,7 +59,8 @@
 	uint64_t have; /* their number */
 	bool near; /* in this host's failure domain */
 	unsigned int open; /* asks */
-	unsigned int load; /* its open uploads, as it last said */
+	unsigned int load; /* its uploads to others, as it last said */
+	int64_t load_us; /* when it said so */
 	int64_t rest_us; /* not asked before */
 	unsigned int strikes; /* failures since the last good chunk */
 	void *owner;
@@ -107,6 +108,7 @@
 	/* Last claim by rank, for the chunks of each first reader. */
 	int64_t claims_us[RANK_READERS][PICK_RANKS];
 	int64_t settle_us; /* no read of the origin before */
+	int64_t no_read_us; /* no chunk may be read before (memo) */
 	int64_t read_after_us; /* back-off of the origin */
 	unsigned int read_failures; /* in a row */
 	int64_t gap_us; /* average of the longest gaps of good asks */
@@ -150,7 +152,7 @@
 /* True when it was not known before that anybody has or reads it. */
 bool pick_peer_has(
     struct pick *p, struct pick_peer *peer, uint64_t index, int64_t now_us);
-void pick_peer_load(struct pick_peer *peer, unsigned int load);
+void pick_peer_load(struct pick_peer *peer, unsigned int load, int64_t now_us);
 /* A host of rank `rank` began to read `index`; true when that is news. */
 bool pick_claimed(
     struct pick *p, uint64_t index, unsigned int rank, int64_t now_us);
@@ -159,8 +161,8 @@
 bool pick_known(struct pick *p, uint64_t index, int64_t now_us);
 
 /* `may_fetch`: the link's budget allows another fetch now. */
-void pick_next(const struct pick *p, bool may_fetch, int64_t now_us,
-    struct rng *rng, struct pick_action *out);
+void pick_next(struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
+    struct pick_action *out);
 /* Records that an ask or a read was started as chosen. */
 void pick_begin(struct pick *p, const struct pick_action *a, int64_t now_us);
 struct pick_ask *pick_find(const struct pick *p, uint64_t index);
--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -33,8 +33,10 @@
 static void
 set_load(struct peer *peer, uint64_t load)
 {
-	pick_peer_load(&peer->for_list, (unsigned int)load);
-	pick_peer_load(&peer->for_chunks, (unsigned int)load);
+	int64_t now_us = clk_now_us(peer->xfer->wts->clock);
+
+	pick_peer_load(&peer->for_list, (unsigned int)load, now_us);
+	pick_peer_load(&peer->for_chunks, (unsigned int)load, now_us);
 }
 
 /* ------------------------------------------------------------------ */
--- a/lib/weights/serve.c
+++ b/lib/weights/serve.c
@@ -51,6 +51,13 @@
 	}
 }
 
+unsigned int
+serve_load(struct peer *peer)
+{
+	peer->told_load = peer->xfer->wts->nuploads - peer->nuploads;
+	return peer->told_load;
+}
+
 static GBytes *
 bytes_of(struct xfer *x, uint64_t index)
 {
@@ -67,7 +74,7 @@
 	struct proto_none none = {
 		.index = index,
 		.busy = busy,
-		.load = peer->xfer->wts->nuploads,
+		.load = serve_load(peer),
 	};
 
 	conn_send(peer->conn, &proto_none_desc, &none);
@@ -193,7 +200,7 @@
 	struct proto_data slice = {
 		.index = u->index,
 		.offset = u->at,
-		.load = wts->nuploads - last,
+		.load = serve_load(u->to),
 		.bytes = { data + u->at, n },
 	};
 
@@ -246,5 +253,5 @@
 	if (wts->nuploads > 0)
 		timer_set_earlier(&wts->serve_timer, now_us + UPLOAD_STALL_US);
 	else if (was_busy)
-		peers_tell_load(wts);
+		peers_tell_idle(wts);
 }
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -49,12 +49,15 @@
 set_paused(struct wts *wts, bool paused)
 {
 	GHashTableIter iter;
-	gpointer c;
+	gpointer c, peer;
 
 	wts->paused = paused;
 	g_hash_table_iter_init(&iter, wts->by_conn);
-	while (g_hash_table_iter_next(&iter, &c, NULL))
-		conn_pause(c, paused);
+	while (g_hash_table_iter_next(&iter, &c, &peer)) {
+		/* One that is still proving itself reads little. */
+		if (((struct peer *)peer)->open)
+			conn_pause(c, paused);
+	}
 }
 
 static void
--- a/lib/weights/xfer.h
+++ b/lib/weights/xfer.h
@@ -83,7 +83,7 @@
 	LIST_HEAD(intake_list, intake) intakes;
 	unsigned int nuploads;
 	GByteArray *gained, *claims; /* not told yet */
-	unsigned int told_load;
+	unsigned int told_load; /* uploads to others, as last told */
 	int64_t news_after_us;
 	struct timer news_timer;
 };
@@ -165,7 +165,8 @@
 void peers_tell_gained(struct xfer *x, uint64_t index);
 void peers_tell_claim(struct xfer *x, uint64_t index, unsigned int rank,
     const struct peer *except);
-void peers_tell_load(struct wts *wts);
+/* This host has no uploads left. */
+void peers_tell_idle(struct wts *wts);
 struct member *peers_member(struct xfer *x, const char *id);
 
 /* receive.c */
@@ -175,6 +176,8 @@
 /* serve.c */
 void serve_get(struct peer *peer, const struct proto_get *get);
 void serve_run(struct wts *wts);
+/* Uploads to others than `peer`, noted as told to it. */
+unsigned int serve_load(struct peer *peer);
 /* Drops peers that take nothing; not from within a peer's message. */
 void serve_drop_stalled(struct wts *wts);
 void serve_forget(struct peer *peer); /* drops its uploads */
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -54,7 +54,7 @@
 }
 
 static struct pick_action
-next(const struct pick *p, int64_t now_us)
+next(struct pick *p, int64_t now_us)
 {
 	struct pick_action a;
 
@@ -220,7 +220,7 @@
 			pick_peer_has(p, &loaded, i, 0);
 	}
 	has_all(p, &far);
-	pick_peer_load(&loaded, 1);
+	pick_peer_load(&loaded, 1, 0);
 	a = next(p, 0);
 	assert_int_equal(a.kind, PICK_ASK);
 	assert_ptr_equal(a.peer, &near);
@@ -251,7 +251,7 @@
 	pick_add_peer(p, &two, true);
 	has_all(p, &one);
 	has_all(p, &two);
-	pick_peer_load(&two, 1);
+	pick_peer_load(&two, 1, 0);
 	a = begin_all(p, 0);
 	assert_int_equal(one.open, 1);
 	assert_int_equal(two.open, 0);
@@ -267,6 +267,29 @@
 	pick_free(p);
 }
 
+/*
+ * A peer said that it has enough to do, and nothing since. Its word wears off: else
+ * hosts whose peers had all been busy once, and then had nothing new to
+ * say, would wait for ever.
+ */
+static void
+test_busy_peer_is_asked_again(void **state)
+{
+	struct pick *p = new_pick(&ranks[0]);
+	struct pick_peer one = { 0 };
+	struct pick_action a;
+
+	pick_add_peer(p, &one, true);
+	pick_peer_has(p, &one, 3, 0);
+	pick_peer_load(&one, PICK_LOAD_MAX, 0);
+	a = next(p, 0);
+	assert_int_equal(a.kind, PICK_WAIT);
+	assert_in_range(a.until_us, 1, SECOND / 10);
+	assert_int_equal(next(p, a.until_us).kind, PICK_ASK);
+	pick_remove_peer(p, &one, 0);
+	pick_free(p);
+}
+
 /* Bytes put the deadline off: a slow link is not a stalled one. */
 static void
 test_progress_extends_patience(void **state)
@@ -355,6 +378,7 @@
 		cmocka_unit_test(test_next_in_rank_after_silence),
 		cmocka_unit_test(test_near_then_idle_then_rarest),
 		cmocka_unit_test(test_no_duplicate_before_patience),
+		cmocka_unit_test(test_busy_peer_is_asked_again),
 		cmocka_unit_test(test_progress_extends_patience),
 		cmocka_unit_test(test_wrong_bytes_end_being_a_holder),
 		cmocka_unit_test(test_extra_copies_are_bounded),
