--- a/lib/weights/proto.c
+++ b/lib/weights/proto.c
@@ -1,7 +1,5 @@
 /* Message tables of the weights package. */
 
-#include <string.h>
-
 #include "weights/proto.h"
 
 static const struct msg_field join_fields[] = {
@@ -57,19 +55,37 @@
 const struct msg_desc proto_bye_desc =
     MSG_DESC(PROTO_BYE, "bye", struct proto_bye, bye_fields);
 
+#define INDEX_BITS 7 /* of a byte; the top bit says that more follow */
+#define INDEX_MORE (1u << INDEX_BITS)
+
 void
 proto_add_index(GByteArray *out, uint32_t index)
 {
-	uint32_t be = GUINT32_TO_BE(index);
+	uint8_t byte;
 
-	g_byte_array_append(out, (const guint8 *)&be, sizeof(be));
+	for (; index >= INDEX_MORE; index >>= INDEX_BITS) {
+		byte = (uint8_t)(index | INDEX_MORE);
+		g_byte_array_append(out, &byte, 1);
+	}
+	byte = (uint8_t)index;
+	g_byte_array_append(out, &byte, 1);
 }
 
-uint32_t
-proto_index_at(const uint8_t *at)
+bool
+proto_next_index(struct slice *in, uint32_t *out)
 {
-	uint32_t be;
+	unsigned int shift;
+	uint32_t index = 0;
+
+	for (shift = 0; shift < 32 && in->len > 0; shift += INDEX_BITS) {
+		uint8_t byte = *in->data++;
 
-	memcpy(&be, at, sizeof(be));
-	return GUINT32_FROM_BE(be);
+		in->len--;
+		index |= (uint32_t)(byte & (INDEX_MORE - 1)) << shift;
+		if ((byte & INDEX_MORE) != 0)
+			continue;
+		*out = index;
+		return true;
+	}
+	return false;
 }
--- a/lib/weights/proto.h
+++ b/lib/weights/proto.h
@@ -39,8 +39,8 @@
 
 /* What changed since: batched, so that control bytes stay few. */
 struct proto_news {
-	struct slice gained; /* 4 bytes a chunk, big endian */
-	struct slice claims; /* 5 bytes a claim: chunk, rank of the reader */
+	struct slice gained; /* indices */
+	struct slice claims; /* an index and a byte: the reader's rank */
 	uint64_t load; /* uploads open at the sender */
 };
 
@@ -74,10 +74,9 @@
 extern const struct msg_desc proto_none_desc;
 extern const struct msg_desc proto_bye_desc;
 
-#define PROTO_GAINED_BYTES 4
-#define PROTO_CLAIM_BYTES 5
-
+/* Indices take as few bytes as they need: most of what a host says is them. */
 void proto_add_index(GByteArray *out, uint32_t index);
-uint32_t proto_index_at(const uint8_t *at);
+/* Takes one off the front of `in`; false when there is none (left). */
+bool proto_next_index(struct slice *in, uint32_t *out);
 
 #endif
--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -94,14 +94,13 @@
 {
 	struct xfer *x = peer->xfer;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	size_t at;
+	uint32_t index;
 
-	for (at = 0; at + PROTO_CLAIM_BYTES <= claims.len;
-	     at += PROTO_CLAIM_BYTES) {
-		uint32_t index = proto_index_at(claims.data + at);
-		unsigned int rank = claims.data[at + PROTO_GAINED_BYTES];
+	while (proto_next_index(&claims, &index) && claims.len > 0) {
 		struct pick *pick = xfer_pick_of(x, index);
+		unsigned int rank = *claims.data++;
 
+		claims.len--;
 		if (pick != NULL &&
 		    pick_claimed(pick, xfer_pick_index(index), rank, now_us))
 			peers_tell_claim(x, index, rank, peer);
@@ -113,12 +112,10 @@
 {
 	struct xfer *x = peer->xfer;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	size_t at;
-
-	for (at = 0; at + PROTO_GAINED_BYTES <= news->gained.len;
-	     at += PROTO_GAINED_BYTES) {
-		uint32_t index = proto_index_at(news->gained.data + at);
+	struct slice gained = news->gained;
+	uint32_t index;
 
+	while (proto_next_index(&gained, &index)) {
 		if (index < x->pick->conf.chunks)
 			pick_peer_has(
 			    x->pick, &peer->for_chunks, index, now_us);
--- a/tests/weights/test_hold.c
+++ b/tests/weights/test_hold.c
@@ -9,6 +9,7 @@
 
 #include "weights/hold.h"
 #include "weights/link.h"
+#include "weights/proto.h"
 #include "weights/version.h"
 
 #define CHUNK WTS_CHUNK_MIN
@@ -137,6 +138,31 @@
 	g_free(path);
 }
 
+static void
+test_indices_on_the_wire(void **state)
+{
+	static const uint32_t some[] = { 0, 127, 128, 50000, 2000000,
+		PROTO_LIST };
+	GByteArray *out = g_byte_array_new();
+	struct slice in;
+	uint32_t got;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(some); i++)
+		proto_add_index(out, some[i]);
+	assert_int_equal(out->len, 1 + 1 + 2 + 3 + 3 + 5);
+	in = (struct slice){ out->data, out->len };
+	for (i = 0; i < G_N_ELEMENTS(some); i++) {
+		assert_true(proto_next_index(&in, &got));
+		assert_int_equal(got, some[i]);
+	}
+	assert_false(proto_next_index(&in, &got));
+	/* Cut within an index. */
+	in = (struct slice){ out->data + 2, 1 };
+	assert_false(proto_next_index(&in, &got));
+	g_byte_array_unref(out);
+}
+
 /* Bytes go out at the rate, whatever the steps in which the clock is read;
  * an idle link saves up next to nothing. */
 static void
@@ -180,6 +206,7 @@
 		    test_chunks_are_shared_and_go_with_the_last_use),
 		cmocka_unit_test(test_memory_budget),
 		cmocka_unit_test(test_digest_of_a_file),
+		cmocka_unit_test(test_indices_on_the_wire),
 		cmocka_unit_test(test_bucket_keeps_the_rate),
 		cmocka_unit_test(test_live_traffic_goes_ahead),
 	};
