A caller whose connection was reset is gone too

Cause: a caller that dies with unread bytes resets its connection; the look at its socket took only the orderly end (0 bytes) as a sign, so the engine ran the request to its end for nobody. Change: an error other than EAGAIN counts as well. caller_gone.sh before: 16 checks, 2 failed; after: 16 checks, 0 failed.

--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -1,5 +1,6 @@
 /* One caller's request over its attempts: the I/O behind charts/attempt. */
 
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -354,7 +355,8 @@
 
 	g_source_unref(r->gone_source);
 	r->gone_source = NULL;
-	if (n == 0)
+	/* A caller that died with unread bytes resets the connection. */
+	if (n == 0 || (n < 0 && errno != EAGAIN))
 		caller_gone(r);
 	return G_SOURCE_REMOVE;
 }
--- a/tests/system/caller_gone.sh
+++ b/tests/system/caller_gone.sh
@@ -45,6 +45,18 @@
 eventually "its run is cancelled too" cancelled_is 2
 eventually "nothing runs" running_is 0
 
+# A caller that dies with unread bytes resets its connection: reading it is an
+# error then, not an end. Here they are the answer to Expect.
+body='{"model":"cedar/care","max_tokens":1000,"messages":[]}'
+bash -c "exec 3<>/dev/tcp/127.0.0.1/${entry_1##*:} &&
+    printf 'POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nAuthorization: Bearer $caller_token\r\nContent-Length: ${#body}\r\n\r\n' >&3 &&
+    sleep 1 && printf '%s' '$body' >&3 && exec sleep 60" &
+asked=$!
+eventually "it runs" running_is 1
+kill -KILL $asked
+eventually "its run is cancelled too" cancelled_is 3
+eventually "nothing runs" running_is 0
+
 # More callers than the engine has slots: some wait at the entry.
 askers=
 for i in $(seq 60); do
