--- a/tests/weights/test_faults.c
+++ b/tests/weights/test_faults.c
@@ -401,7 +401,7 @@
 static bool
 all_know_the_claims(const struct nodes *s, const struct model *m)
 {
-	uint64_t unclaimed[3];
+	uint64_t unclaimed[3] = { 0 };
 	size_t i;
 
 	for (i = 0; i < s->n; i++) {
