Answers larger than the window no longer stand still

Cause: the entry gave back in one message what it had written; the first write of a held answer is up to a read more than the window (273408 of 262144 bytes), which the side's codec refuses as out of bounds and the door dropped without a word. Any answer held back to that size stood still until its deadline.

--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -265,13 +265,20 @@
 		request_take(r, ATT_HEAD);
 }
 
+/* The side may overshoot the window by what it read last, and a message that
+ * gives back more than a window is malformed: the side would drop it and the
+ * stream would stand still until its deadline. */
 static void
 give_window(struct request *r, size_t len)
 {
-	struct rt_window window = { (uint64_t)r->stream, len };
+	struct rt_window window = { .stream = (uint64_t)r->stream };
 
-	if (len > 0 && r->side != NULL && r->side->open)
+	if (r->side == NULL || !r->side->open)
+		return;
+	for (; len > 0; len -= window.bytes) {
+		window.bytes = MIN(len, RT_WINDOW);
 		conn_send(r->side->conn, &rt_window_desc, &window);
+	}
 }
 
 void
--- a/programs/side/door.c
+++ b/programs/side/door.c
@@ -248,6 +248,15 @@
 	g_free(method);
 }
 
+/* Streams that wait for what it said would stand still; closed, they end with
+ * a visible error. */
+static void
+bad_message(struct side_peer *peer)
+{
+	ctr_add(ctr_get(peer->side->proc.counters, "door_bad_messages"), 1);
+	conn_close(peer->conn);
+}
+
 void
 door_request(struct side_peer *peer, const struct msg *m)
 {
@@ -257,9 +266,7 @@
 	struct err err = { 0 };
 
 	if (!msg_read(m, &rt_request_desc, &request, &err)) {
-		ctr_add(
-		    ctr_get(peer->side->proc.counters, "door_bad_messages"), 1);
-		conn_close(peer->conn);
+		bad_message(peer);
 		return;
 	}
 	target = targets_find(peer->side, request.target);
@@ -299,8 +306,10 @@
 	struct door_stream *s;
 	int64_t number;
 
-	if (!msg_read(m, &rt_cancel_desc, &cancel, NULL))
+	if (!msg_read(m, &rt_cancel_desc, &cancel, NULL)) {
+		bad_message(peer);
 		return;
+	}
 	number = (int64_t)cancel.stream;
 	s = g_hash_table_lookup(peer->streams, &number);
 	if (s != NULL)
@@ -314,8 +323,10 @@
 	struct door_stream *s;
 	int64_t number;
 
-	if (!msg_read(m, &rt_window_desc, &window, NULL))
+	if (!msg_read(m, &rt_window_desc, &window, NULL)) {
+		bad_message(peer);
 		return;
+	}
 	number = (int64_t)window.stream;
 	s = g_hash_table_lookup(peer->streams, &number);
 	if (s == NULL)
--- a/tests/system/slow_caller.sh
+++ b/tests/system/slow_caller.sh
@@ -17,13 +17,23 @@
 	[ $(($(rss_kb "$1") - $2)) -lt $most_growth_kb ]
 }
 book() { # PATH
-	curl -s -m 60 -H "Authorization: Bearer $caller_token" \
+	curl -s -m 20 -H "Authorization: Bearer $caller_token" \
 	    "$entry_1/services/cedar/book/$1"
 }
 received() {
 	[ -s "$STAGE/large" ]
 }
 
+# Answers about the size of the window and well above, read at once.
+whole() { # BYTES
+	curl -s -o /dev/null -d "{\"answer_bytes\":$1}" "$service_1/admin/faults"
+	[ "$(book "whole-$1" | wc -c)" -gt "$1" ]
+}
+for bytes in 200000 262000 300000 1000000 5000000; do
+	check "an answer of $bytes bytes comes whole" whole $bytes
+done
+curl -s -o /dev/null -d '{"answer_bytes":0}' "$service_1/admin/faults"
+
 chat "$entry_1" >/dev/null
 book warm >/dev/null
 entry_before=$(rss_kb "$entry_pid_1")
@@ -54,7 +64,8 @@
 check "then the entry still answers" test -n "$(chat "$entry_1" | grep choices)"
 
 curl -s -o /dev/null -d "{\"answer_bytes\":$answer_bytes}" "$service_1/admin/faults"
-book again >"$STAGE/large" &
+curl -s -m 60 -H "Authorization: Bearer $caller_token" \
+    "$entry_1/services/cedar/book/again" >"$STAGE/large" &
 slow=$!
 stage_pids="$stage_pids $slow"
 eventually "another large answer has begun" received
