An entry that leaves no longer asks a role that is gone; number told before acting

Cause: system-slow_caller under ASan: heap-use-after-free in agr_role_fence. agr_role_leave frees a role that is not held; a pass of the lead that was still due while the last requests ended asked it. A planned stop with requests open could have crashed the entry and cut them. Separately, the spec showed that a new holder acted before it told the members of its number. Change: the lead forgets the role at the hand-over; every test of real processes ends with a check that no process was reported by a sanitizer (it fails without the change); tell comes before gained.

--- a/lib/agree/lse.c
+++ b/lib/agree/lse.c
@@ -269,8 +269,10 @@
 	lse->fence = lse->written.fence;
 	lse->highest = lse->fence;
 	do_extend(lse, NULL);
-	lse->ops->gained(lse->fence, lse->ctx);
+	/* Told before it acts: a side that restarts while the API is away
+	 * takes its floor from the members. */
 	lse->ops->tell(lse->fence, lse->conf.self, lse->ctx);
+	lse->ops->gained(lse->fence, lse->ctx);
 }
 
 static void
--- a/programs/entry/lead.c
+++ b/programs/entry/lead.c
@@ -28,7 +28,7 @@
 	struct entry *entry;
 	char team[RT_NAME_MAX + 1];
 	char role_name[RT_NAME_MAX + 1];
-	struct agr_role *role;
+	struct agr_role *role; /* NULL once it was handed over */
 	guint timer; /* runs while the role is held */
 	uint64_t next_order;
 	GHashTable *orders; /* order id -> struct lead_order */
@@ -322,7 +322,8 @@
 	const struct rt_team *team = entry_team(lead->entry, lead->team);
 	size_t i;
 
-	if (team == NULL || agr_role_fence(lead->role) == 0)
+	if (team == NULL || lead->role == NULL ||
+	    agr_role_fence(lead->role) == 0)
 		return;
 	forget_lost_orders(lead);
 	for (i = 0; i < team->nmodels; i++) {
@@ -432,7 +433,10 @@
 void
 lead_hand_over(struct lead *lead)
 {
+	/* The role may be gone after this; passes that are still due, while
+	 * the last requests end, must not ask it. */
 	agr_role_leave(lead->role);
+	lead->role = NULL;
 }
 
 bool
@@ -440,5 +444,6 @@
 {
 	struct lead *lead = g_hash_table_lookup(entry->leads, team);
 
-	return lead != NULL && agr_role_fence(lead->role) != 0;
+	return lead != NULL && lead->role != NULL &&
+	    agr_role_fence(lead->role) != 0;
 }
--- a/tests/system/lib.sh
+++ b/tests/system/lib.sh
@@ -36,6 +36,9 @@
 
 finish() {
 	stage_end
+	# Also processes that the test did not look at must have run clean.
+	check "no process was reported by a sanitizer or an assertion" \
+	    no_reports
 	echo "$checks checks, $failures failed"
 	if [ "$failures" -gt 0 ]; then
 		tail -n 20 "$STAGE"/log/*.err
@@ -44,6 +47,11 @@
 	exit 0
 }
 
+no_reports() {
+	! grep -lE 'ERROR: AddressSanitizer|runtime error:|ERROR:.*assertion failed' \
+	    "$STAGE"/log/*.err
+}
+
 give_up() {
 	check "$1" false
 	finish
