Weights: thrift across domains ends where the link is idle; dials grow with N

Change: the limits on other domains hold while the link is not idle; a host dials as many peers as N has binary digits.

--- a/lib/weights/peers.c
+++ b/lib/weights/peers.c
@@ -6,13 +6,13 @@
 #include "weights/xfer.h"
 
 /*
- * Peers that this host dials; about as many dial it. Eight in all keep the
- * rollout's graph connected and mixing; most are of the own failure domain,
- * and those in others keep the domains from running dry of each other's
- * chunks.
+ * A host dials as many peers as the number of members has binary digits, and
+ * about as many dial it: with fewer some corners of a large rollout starve,
+ * and end late. Two of them are in other domains, and keep the domains from
+ * running dry of each other's chunks.
  */
-#define DIAL_NEAR 3
-#define DIAL_FAR 1
+#define DIAL_MIN 4
+#define DIAL_FAR 2
 #define DIAL_ALL 12 /* members of a rollout that connects all to all */
 #define PEERS_MAX 40
 #define REDIAL_US 250000
@@ -366,6 +366,7 @@
 {
 	unsigned int near = 0;
 	unsigned int far = 0;
+	unsigned int dials;
 	guint i;
 
 	for (i = 0; i < x->members->len; i++) {
@@ -374,10 +375,10 @@
 		else
 			far++;
 	}
-	if (far == 0)
-		return (struct quota){ DIAL_NEAR + DIAL_FAR, 0 };
-	near = MIN(near, DIAL_NEAR);
-	return (struct quota){ near, DIAL_NEAR + DIAL_FAR - near };
+	dials = MAX(DIAL_MIN, g_bit_storage(x->members->len));
+	far = MIN(far, DIAL_FAR);
+	near = MIN(near, dials - far);
+	return (struct quota){ near, dials - near };
 }
 
 static bool
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -541,9 +541,11 @@
 }
 
 static bool
-can_ask(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
+can_ask(const struct pick *p, const struct pick_peer *peer, enum pick_link link,
+    int64_t now_us)
 {
-	if (!peer->near && p->open_asks >= PICK_FAR_ASKS)
+	if (!peer->near && link != PICK_LINK_IDLE &&
+	    p->open_asks >= PICK_FAR_ASKS)
 		return false;
 	if (is_doubtful(peer) && p->open_asks > 0)
 		return false;
@@ -553,9 +555,11 @@
 
 /* The rarest missing chunk that `peer` has, or one of the rarest. */
 static bool
-rarest_of(const struct pick *p, const struct pick_peer *peer, struct rng *rng,
-    uint64_t *index_out)
+rarest_of(const struct pick *p, const struct pick_peer *peer,
+    enum pick_link link, struct rng *rng, uint64_t *index_out)
 {
+	bool thrift = !peer->near && link != PICK_LINK_IDLE &&
+	    p->open_asks >= PICK_FAR_COMMON;
 	uint64_t words = bits_words(p->conf.chunks);
 	uint64_t first = rng_below(rng, words);
 	uint32_t best = UINT32_MAX;
@@ -574,8 +578,7 @@
 			uint32_t holders = c->holders;
 
 			seen++;
-			if (!peer->near && c->near_holders > 0 &&
-			    p->open_asks >= PICK_FAR_COMMON)
+			if (thrift && c->near_holders > 0)
 				continue;
 			if (holders < best)
 				ties = 0;
@@ -600,8 +603,8 @@
 }
 
 static bool
-find_ask(const struct pick *p, int64_t now_us, struct rng *rng,
-    struct pick_action *out)
+find_ask(const struct pick *p, enum pick_link link, int64_t now_us,
+    struct rng *rng, struct pick_action *out)
 {
 	const struct pick_peer *peer;
 	const struct pick_peer *best = NULL;
@@ -609,14 +612,14 @@
 	uint64_t index;
 
 	TAILQ_FOREACH (peer, &p->peers, link) {
-		if (!can_ask(p, peer, now_us))
+		if (!can_ask(p, peer, link, now_us))
 			continue;
 		if (best != NULL && better_peer(p, best, peer, now_us))
 			continue;
 		if (best == NULL || better_peer(p, peer, best, now_us))
 			ties = 0;
 		if (rng_below(rng, ++ties) != 0 ||
-		    !rarest_of(p, peer, rng, &index))
+		    !rarest_of(p, peer, link, rng, &index))
 			continue;
 		best = peer;
 		out->index = index;
@@ -689,7 +692,7 @@
 }
 
 void
-pick_next(struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
+pick_next(struct pick *p, enum pick_link link, int64_t now_us, struct rng *rng,
     struct pick_action *out)
 {
 	int64_t due_us = INT64_MAX;
@@ -701,10 +704,12 @@
 	}
 	if (find_expired(p, now_us, out))
 		return;
-	if (may_fetch && may_read(p) && find_read(p, now_us, rng, out, &due_us))
+	if (link != PICK_LINK_BUSY && may_read(p) &&
+	    find_read(p, now_us, rng, out, &due_us))
 		return;
-	if (may_fetch && p->open_asks + p->open_reads < PICK_ASKS) {
-		if (find_ask(p, now_us, rng, out))
+	if (link != PICK_LINK_BUSY &&
+	    p->open_asks + p->open_reads < PICK_ASKS) {
+		if (find_ask(p, link, now_us, rng, out))
 			return;
 		if (may_read(p) && find_extra_read(p, now_us, rng, out))
 			return;
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -23,11 +23,10 @@
 
 #define PICK_ASKS 4 /* open at a time; covers round trips and queues */
 #define PICK_ASKS_PER_PEER 2
-/* Links between failure domains are thin. Peers of other domains are asked
- * while fewer asks than this are open, and for chunks that the own domain
- * has too only while the link would else be idle. Stricter bounds cost more
- * time than they save bytes (docs/WEIGHTS.md). */
+/* Links between failure domains are thin. While this host's link is not idle,
+ * peers of other domains are asked only with fewer asks open than this, ... */
 #define PICK_FAR_ASKS 3
+/* ... and for chunks that the own domain has too with fewer than this. */
 #define PICK_FAR_COMMON 1
 #define PICK_STRIKES_DOUBT 2
 #define PICK_STRIKES_DROP 3 /* the driver replaces such a peer */
@@ -36,6 +35,13 @@
 #define PICK_RANKS 16 /* higher ranks count as the last */
 #define PICK_RANK_UNKNOWN (PICK_RANKS - 1) /* holds nobody back */
 
+/* This host's link for downloads. */
+enum pick_link {
+	PICK_LINK_BUSY, /* its budget is used up for now */
+	PICK_LINK_OPEN,
+	PICK_LINK_IDLE, /* for so long that time is being lost */
+};
+
 enum pick_state {
 	PICK_MISSING,
 	PICK_ASKED, /* of a peer */
@@ -160,9 +166,8 @@
 /* Some host has or reads it, of unknown rank; true when that is news. */
 bool pick_known(struct pick *p, uint64_t index, int64_t now_us);
 
-/* `may_fetch`: the link's budget allows another fetch now. */
-void pick_next(struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
-    struct pick_action *out);
+void pick_next(struct pick *p, enum pick_link link, int64_t now_us,
+    struct rng *rng, struct pick_action *out);
 /* Records that an ask or a read was started as chosen. */
 void pick_begin(struct pick *p, const struct pick_action *a, int64_t now_us);
 struct pick_ask *pick_find(const struct pick *p, uint64_t index);
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -384,19 +384,24 @@
 /* Decisions                                                           */
 /* ------------------------------------------------------------------ */
 
-static bool
-may_fetch(
+/* The state of the download link, and when it will change by itself. */
+static enum pick_link
+link_state(
     struct xfer *x, const struct pick *pick, int64_t now_us, int64_t *until_us)
 {
-	int64_t debt = bucket_debt_us(&x->wts->down, now_us);
+	struct bucket *down = &x->wts->down;
 	int64_t allowed =
 	    (int64_t)(FETCH_DEBT_CHUNKS * (double)pick->conf.chunk_bytes *
 		SECOND_US / (double)pick->conf.rate);
 
-	if (debt <= allowed)
-		return true;
-	*until_us = now_us + debt - allowed;
-	return false;
+	*until_us = bucket_ready_us(down, now_us) - allowed;
+	if (*until_us > now_us)
+		return PICK_LINK_BUSY;
+	*until_us = bucket_idle_us(down, now_us);
+	if (*until_us > now_us)
+		return PICK_LINK_OPEN;
+	*until_us = INT64_MAX;
+	return PICK_LINK_IDLE;
 }
 
 static void
@@ -465,16 +470,16 @@
 {
 	struct pick *pick = x->phase == WTS_LIST ? x->list_pick : x->pick;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	int64_t fetch_us = INT64_MAX;
+	int64_t link_us;
+	enum pick_link link;
 	struct pick_action a;
-	bool fetch;
 
 	if (x->phase != WTS_LIST && x->phase != WTS_FETCHING)
 		return;
 	settle(x);
 	for (;;) {
-		fetch = may_fetch(x, pick, now_us, &fetch_us);
-		pick_next(pick, fetch, now_us, &x->wts->rng, &a);
+		link = link_state(x, pick, now_us, &link_us);
+		pick_next(pick, link, now_us, &x->wts->rng, &a);
 		if (a.kind == PICK_WAIT || a.kind == PICK_DONE)
 			break;
 		act(x, pick, &a, now_us);
@@ -486,6 +491,6 @@
 		return;
 	}
 	tell_wait(x, pick, a.why);
-	if (MIN(a.until_us, fetch_us) != INT64_MAX)
-		timer_set(&x->pump_timer, MIN(a.until_us, fetch_us));
+	if (MIN(a.until_us, link_us) != INT64_MAX)
+		timer_set(&x->pump_timer, MIN(a.until_us, link_us));
 }
