--- a/programs/entry/lead.c
+++ b/programs/entry/lead.c
@@ -30,6 +30,7 @@
 	char role_name[RT_NAME_MAX + 1];
 	struct agr_role *role;
 	guint timer; /* runs while the role is held */
+	bool asking; /* in a pass of the timer */
 	uint64_t next_order;
 	GHashTable *orders; /* order id -> struct lead_order */
 	GHashTable *rests; /* target -> struct lead_rest */
@@ -222,7 +223,8 @@
 	case ACT_NONE:
 		break;
 	case ACT_ASK:
-		ask_status(t->owner, &model->rollout->root);
+		if (lead->asking)
+			ask_status(t->owner, &model->rollout->root);
 		break;
 	case ACT_DRAIN:
 		rules->unavailable++;
@@ -331,10 +333,17 @@
 	}
 }
 
+/* Only the timer asks. An answer wakes the lead; if that pass asked too, each
+ * answer would bring the next question at once, and the lead would ask all
+ * hosts as fast as it can for as long as weights move. */
 static gboolean
 on_tick(gpointer data)
 {
-	tick(data);
+	struct lead *lead = data;
+
+	lead->asking = true;
+	tick(lead);
+	lead->asking = false;
 	return G_SOURCE_CONTINUE;
 }
 
