--- a/lib/route/messages.c
+++ b/lib/route/messages.c
@@ -98,6 +98,7 @@
 	F(running, MSG_U64, UINT32_MAX),
 	F(slots, MSG_U64, UINT32_MAX),
 	F(count, MSG_U64, 0),
+	F(ordered_off, MSG_U64, 1),
 };
 const struct msg_desc rt_target_desc =
     MSG_DESC(RT_TARGET, "target", struct rt_target_msg, target_fields);
@@ -199,6 +200,7 @@
 	F(status, MSG_U64, 999),
 	F(type, MSG_STR, CLM_TYPE_MAX),
 	F(answer, MSG_STR, CLM_ANSWER_MAX),
+	F(has_answer, MSG_U64, 1),
 	F(digest, MSG_DIGEST, 0),
 };
 const struct msg_desc rt_claim_answer_desc = MSG_DESC(RT_CLAIM_ANSWER,
@@ -213,6 +215,7 @@
 	F(status, MSG_U64, 999),
 	F(type, MSG_STR, CLM_TYPE_MAX),
 	F(answer, MSG_STR, CLM_ANSWER_MAX),
+	F(has_answer, MSG_U64, 1),
 	F(digest, MSG_DIGEST, 0),
 };
 const struct msg_desc rt_claim_settle_desc = MSG_DESC(RT_CLAIM_SETTLE,
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -19,14 +19,17 @@
 #define STRIKES_MAX 8
 #define READ_REST_US (SECOND_US / 4)
 #define READ_REST_MAX_US (8 * (int64_t)SECOND_US)
-#define SCAN_WORDS 4096 /* per choice; bounds the time of one */
+/* The rarest of so many, from a random start on: bounds the time of a choice
+ * in versions of many thousand chunks, and is as good as the rarest of all. */
+#define SCAN_CANDIDATES 1024
 #define AVERAGE_SHARE 8 /* of the newest sample: one eighth */
 
 static int64_t
 chunk_time_us(const struct pick *p)
 {
-	return (int64_t)((double)p->conf.chunk_bytes * SECOND_US /
-	    (double)p->conf.rate);
+	return 1 +
+	    (int64_t)((double)p->conf.chunk_bytes * SECOND_US /
+		(double)p->conf.rate);
 }
 
 static void
@@ -119,6 +122,7 @@
 	p->conf.members = members;
 	if (p->ranked && same_readers(&p->rank, rank)) {
 		p->rank = *rank;
+		p->no_read_us = 0;
 		return;
 	}
 	p->rank = *rank;
@@ -126,10 +130,18 @@
 	/* Readers have changed places; each gets its time again. */
 	p->start_us = now_us;
 	memset(p->claims_us, 0, sizeof(p->claims_us));
+	p->no_read_us = 0;
 	for (i = 0; i < p->conf.chunks; i++)
 		p->chunks[i].reader = (uint8_t)rank_first(rank, i);
 }
 
+void
+pick_settle(struct pick *p, int64_t until_us)
+{
+	p->settle_us = until_us;
+	p->no_read_us = 0;
+}
+
 void
 pick_set_copies(struct pick *p, unsigned int copies)
 {
@@ -148,6 +160,7 @@
 pick_add_peer(struct pick *p, struct pick_peer *peer, bool near)
 {
 	peer->bits = bits_new(p->conf.chunks);
+	peer->have = 0;
 	peer->near = near;
 	peer->open = 0;
 	TAILQ_INSERT_TAIL(&p->peers, peer, link);
@@ -171,6 +184,7 @@
 			count_holder(&p->chunks[i], peer, -1);
 	}
 	TAILQ_REMOVE(&p->peers, peer, link);
+	p->no_read_us = 0;
 	g_clear_pointer(&peer->bits, g_free);
 }
 
@@ -183,29 +197,34 @@
 	c->claimed = true;
 	c->claimed_us = now_us;
 	p->unclaimed -= news;
-	p->claims_us[c->reader][MIN(rank, PICK_RANKS - 1)] = now_us;
+	p->claims_us[c->reader][MIN(rank, PICK_RANK_UNKNOWN)] = now_us;
 	return news;
 }
 
-void
+bool
 pick_peer_has(
     struct pick *p, struct pick_peer *peer, uint64_t index, int64_t now_us)
 {
+	struct pick_chunk *c = &p->chunks[index];
+
 	if (bits_get(peer->bits, index))
-		return;
+		return false;
 	bits_set(peer->bits, index);
-	count_holder(&p->chunks[index], peer, 1);
-	if (!p->chunks[index].claimed) {
-		p->chunks[index].claimed = true;
-		p->chunks[index].claimed_us = now_us;
-		p->unclaimed--;
-	}
+	peer->have++;
+	count_holder(c, peer, 1);
+	if (c->claimed)
+		return false;
+	c->claimed = true;
+	c->claimed_us = now_us;
+	p->unclaimed--;
+	return true;
 }
 
 void
-pick_peer_load(struct pick_peer *peer, unsigned int load)
+pick_peer_load(struct pick_peer *peer, unsigned int load, int64_t now_us)
 {
 	peer->load = load;
+	peer->load_us = now_us;
 }
 
 bool
@@ -218,6 +237,14 @@
 	return true;
 }
 
+bool
+pick_known(struct pick *p, uint64_t index, int64_t now_us)
+{
+	if (p->chunks[index].claimed)
+		return false;
+	return mark_claimed(p, index, PICK_RANK_UNKNOWN, now_us);
+}
+
 void
 pick_begin(struct pick *p, const struct pick_action *a, int64_t now_us)
 {
@@ -357,9 +384,15 @@
 		return;
 	c->state = PICK_MISSING;
 	bits_set(p->need, index);
+	p->no_read_us = 0;
 	if (peer != NULL) {
-		if (reason == PICK_REFUSED && bits_get(peer->bits, index)) {
+		/* One that sent wrong bytes does not have the chunk. Left
+		 * as its holder, it would keep the chunk from being read
+		 * from the origin, and be asked for it for ever. */
+		if ((reason == PICK_REFUSED || reason == PICK_CORRUPT) &&
+		    bits_get(peer->bits, index)) {
 			bits_clear(peer->bits, index);
+			peer->have--;
 			count_holder(c, peer, -1);
 		}
 		rest_peer(p, peer, reason, now_us);
@@ -381,7 +414,7 @@
 {
 	const struct pick_chunk *c = &p->chunks[index];
 	int64_t silence = pick_silence_us(p);
-	int64_t due = p->start_us + (int64_t)rank * silence;
+	int64_t due = MAX(p->start_us + (int64_t)rank * silence, p->settle_us);
 	unsigned int ahead;
 
 	if (c->bad_reads > 0 || p->read_failures > 0)
@@ -390,7 +423,7 @@
 	 * read that failed here is repeated without that wait. */
 	if (c->claimed && !(rank == 0 && c->bad_reads > 0))
 		due = MAX(due, c->claimed_us + MAX(rank, 1) * silence);
-	for (ahead = 0; ahead < MIN(rank, PICK_RANKS - 1); ahead++) {
+	for (ahead = 0; ahead < MIN(rank, PICK_RANK_UNKNOWN); ahead++) {
 		int64_t claim = p->claims_us[c->reader][ahead];
 
 		if (claim != 0)
@@ -410,18 +443,23 @@
 
 /*
  * Finds a missing chunk that no connected peer has and that this host may
- * read now. Otherwise gives the earliest time at which one may be.
+ * read now. Otherwise gives the earliest time at which one may be, and keeps
+ * it: claims only put it off, so the scan need not be made again before,
+ * unless an event below resets it.
  */
 static bool
-find_read(const struct pick *p, int64_t now_us, struct rng *rng,
+find_read(struct pick *p, int64_t now_us, struct rng *rng,
     struct pick_action *out, int64_t *due_us)
 {
 	uint64_t words = bits_words(p->conf.chunks);
 	uint64_t first = rng_below(rng, words);
 	uint64_t i;
 
+	*due_us = p->no_read_us;
+	if (now_us < p->no_read_us)
+		return false;
 	*due_us = INT64_MAX;
-	for (i = 0; i < MIN(words, SCAN_WORDS); i++) {
+	for (i = 0; i < words; i++) {
 		uint64_t at = (first + i) % words;
 		uint64_t left = p->need[at];
 
@@ -444,6 +482,7 @@
 			return true;
 		}
 	}
+	p->no_read_us = *due_us;
 	return false;
 }
 
@@ -468,7 +507,7 @@
 		out->kind = PICK_READ;
 		out->index =
 		    at * BITS_WORD + (uint64_t)__builtin_ctzll(p->need[at]);
-		out->rank = PICK_RANKS - 1;
+		out->rank = PICK_RANK_UNKNOWN;
 		out->extra = true;
 		return true;
 	}
@@ -479,27 +518,56 @@
 /* Asking peers                                                        */
 /* ------------------------------------------------------------------ */
 
+/* A peer that failed twice in a row looks idle and would be asked first,
+ * and each ask would wait out the patience. */
+static bool
+is_doubtful(const struct pick_peer *peer)
+{
+	return peer->strikes >= PICK_STRIKES_DOUBT;
+}
+
+/*
+ * Uploads that an ask would wait behind. What the peer last said wears off by
+ * one a chunk time: it is not told again by peers that have nothing to say,
+ * and taken for lasting, a peer once busy would never be asked again.
+ */
+static unsigned int
+load_of(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
+{
+	int64_t done = (now_us - peer->load_us) / chunk_time_us(p);
+
+	return peer->open +
+	    (done < peer->load ? peer->load - (unsigned int)done : 0);
+}
+
 static bool
-can_ask(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
+can_ask(const struct pick *p, const struct pick_peer *peer, enum pick_link link,
+    int64_t now_us)
 {
-	if (!peer->near && p->open_asks >= PICK_FAR_ASKS)
+	if (!peer->near && link != PICK_LINK_IDLE &&
+	    p->open_asks >= PICK_FAR_ASKS)
+		return false;
+	if (is_doubtful(peer) && p->open_asks > 0)
 		return false;
-	return peer->open < PICK_ASKS_PER_PEER &&
-	    peer->load + peer->open < PICK_LOAD_MAX && peer->rest_us <= now_us;
+	return peer->open < PICK_ASKS_PER_PEER && peer->rest_us <= now_us &&
+	    load_of(p, peer, now_us) < PICK_LOAD_MAX;
 }
 
-/* The rarest missing chunk that `peer` has; ties by a seeded start. */
+/* The rarest missing chunk that `peer` has, or one of the rarest. */
 static bool
-rarest_of(const struct pick *p, const struct pick_peer *peer, struct rng *rng,
-    uint64_t *index_out)
+rarest_of(const struct pick *p, const struct pick_peer *peer,
+    enum pick_link link, struct rng *rng, uint64_t *index_out)
 {
+	bool thrift = !peer->near && link != PICK_LINK_IDLE &&
+	    p->open_asks >= PICK_FAR_COMMON;
 	uint64_t words = bits_words(p->conf.chunks);
 	uint64_t first = rng_below(rng, words);
 	uint32_t best = UINT32_MAX;
 	unsigned int ties = 0;
+	unsigned int seen = 0;
 	uint64_t i;
 
-	for (i = 0; i < MIN(words, SCAN_WORDS); i++) {
+	for (i = 0; i < words && seen < SCAN_CANDIDATES; i++) {
 		uint64_t at = (first + i) % words;
 		uint64_t left = p->need[at] & peer->bits[at];
 
@@ -509,8 +577,8 @@
 			const struct pick_chunk *c = &p->chunks[index];
 			uint32_t holders = c->holders;
 
-			if (!peer->near && c->near_holders > 0 &&
-			    p->open_asks >= PICK_FAR_COMMON)
+			seen++;
+			if (thrift && c->near_holders > 0)
 				continue;
 			if (holders < best)
 				ties = 0;
@@ -524,16 +592,19 @@
 }
 
 static bool
-better_peer(const struct pick_peer *a, const struct pick_peer *b)
+better_peer(const struct pick *p, const struct pick_peer *a,
+    const struct pick_peer *b, int64_t now_us)
 {
+	if (is_doubtful(a) != is_doubtful(b))
+		return is_doubtful(b);
 	if (a->near != b->near)
 		return a->near;
-	return a->load + a->open < b->load + b->open;
+	return load_of(p, a, now_us) < load_of(p, b, now_us);
 }
 
 static bool
-find_ask(const struct pick *p, int64_t now_us, struct rng *rng,
-    struct pick_action *out)
+find_ask(const struct pick *p, enum pick_link link, int64_t now_us,
+    struct rng *rng, struct pick_action *out)
 {
 	const struct pick_peer *peer;
 	const struct pick_peer *best = NULL;
@@ -541,14 +612,14 @@
 	uint64_t index;
 
 	TAILQ_FOREACH (peer, &p->peers, link) {
-		if (!can_ask(p, peer, now_us))
+		if (!can_ask(p, peer, link, now_us))
 			continue;
-		if (best != NULL && better_peer(best, peer))
+		if (best != NULL && better_peer(p, best, peer, now_us))
 			continue;
-		if (best == NULL || better_peer(peer, best))
+		if (best == NULL || better_peer(p, peer, best, now_us))
 			ties = 0;
 		if (rng_below(rng, ++ties) != 0 ||
-		    !rarest_of(p, peer, rng, &index))
+		    !rarest_of(p, peer, link, rng, &index))
 			continue;
 		best = peer;
 		out->index = index;
@@ -605,8 +676,12 @@
 	const struct pick_peer *peer;
 
 	TAILQ_FOREACH (peer, &p->peers, link) {
-		if (peer->rest_us > now_us)
-			out->until_us = MIN(out->until_us, peer->rest_us);
+		int64_t due = peer->rest_us;
+
+		if (due <= now_us && load_of(p, peer, now_us) >= PICK_LOAD_MAX)
+			due = now_us + chunk_time_us(p);
+		if (due > now_us)
+			out->until_us = MIN(out->until_us, due);
 	}
 }
 
@@ -617,7 +692,7 @@
 }
 
 void
-pick_next(const struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
+pick_next(struct pick *p, enum pick_link link, int64_t now_us, struct rng *rng,
     struct pick_action *out)
 {
 	int64_t due_us = INT64_MAX;
@@ -629,10 +704,12 @@
 	}
 	if (find_expired(p, now_us, out))
 		return;
-	if (may_fetch && may_read(p) && find_read(p, now_us, rng, out, &due_us))
+	if (link != PICK_LINK_BUSY && may_read(p) &&
+	    find_read(p, now_us, rng, out, &due_us))
 		return;
-	if (may_fetch && p->open_asks + p->open_reads < PICK_ASKS) {
-		if (find_ask(p, now_us, rng, out))
+	if (link != PICK_LINK_BUSY &&
+	    p->open_asks + p->open_reads < PICK_ASKS) {
+		if (find_ask(p, link, now_us, rng, out))
 			return;
 		if (may_read(p) && find_extra_read(p, now_us, rng, out))
 			return;
--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -3,9 +3,6 @@
 #include "weights/bits.h"
 #include "weights/xfer.h"
 
-/* A peer that failed so often in a row is replaced by another. */
-#define STRIKES_TO_DROP 5
-
 void
 intake_free(struct intake *in)
 {
@@ -36,8 +33,10 @@
 static void
 set_load(struct peer *peer, uint64_t load)
 {
-	pick_peer_load(&peer->for_list, (unsigned int)load);
-	pick_peer_load(&peer->for_chunks, (unsigned int)load);
+	int64_t now_us = clk_now_us(peer->xfer->wts->clock);
+
+	pick_peer_load(&peer->for_list, (unsigned int)load, now_us);
+	pick_peer_load(&peer->for_chunks, (unsigned int)load, now_us);
 }
 
 /* ------------------------------------------------------------------ */
@@ -60,19 +59,32 @@
 	g_free(domain);
 }
 
+static bool
+has_bit(struct slice bits, uint64_t i)
+{
+	return i / 8 < bits.len && (bits.data[i / 8] >> (i % 8) & 1) != 0;
+}
+
 static void
 take_have(struct peer *peer, const struct proto_have *have)
 {
 	struct xfer *x = peer->xfer;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	uint64_t n = MIN(x->pick->conf.chunks, have->bits.len * 8);
+	uint64_t n = x->pick->conf.chunks;
 	uint64_t i;
 
 	peer->has_list = true;
 	pick_peer_has(x->list_pick, &peer->for_list, 0, now_us);
 	for (i = 0; i < n; i++) {
-		if (have->bits.data[i / 8] >> (i % 8) & 1)
-			pick_peer_has(x->pick, &peer->for_chunks, i, now_us);
+		bool news = false;
+
+		if (has_bit(have->bits, i))
+			news = pick_peer_has(
+			    x->pick, &peer->for_chunks, i, now_us);
+		else if (has_bit(have->known, i))
+			news = pick_known(x->pick, i, now_us);
+		if (news)
+			peers_tell_claim(x, i, PICK_RANK_UNKNOWN, peer);
 	}
 	set_load(peer, have->load);
 }
@@ -82,14 +94,13 @@
 {
 	struct xfer *x = peer->xfer;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	size_t at;
+	uint32_t index;
 
-	for (at = 0; at + PROTO_CLAIM_BYTES <= claims.len;
-	     at += PROTO_CLAIM_BYTES) {
-		uint32_t index = proto_index_at(claims.data + at);
-		unsigned int rank = claims.data[at + PROTO_GAINED_BYTES];
+	while (proto_next_index(&claims, &index) && claims.len > 0) {
 		struct pick *pick = xfer_pick_of(x, index);
+		unsigned int rank = *claims.data++;
 
+		claims.len--;
 		if (pick != NULL &&
 		    pick_claimed(pick, xfer_pick_index(index), rank, now_us))
 			peers_tell_claim(x, index, rank, peer);
@@ -101,12 +112,10 @@
 {
 	struct xfer *x = peer->xfer;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	size_t at;
-
-	for (at = 0; at + PROTO_GAINED_BYTES <= news->gained.len;
-	     at += PROTO_GAINED_BYTES) {
-		uint32_t index = proto_index_at(news->gained.data + at);
+	struct slice gained = news->gained;
+	uint32_t index;
 
+	while (proto_next_index(&gained, &index)) {
 		if (index < x->pick->conf.chunks)
 			pick_peer_has(
 			    x->pick, &peer->for_chunks, index, now_us);
@@ -276,7 +285,9 @@
 	 * later release are passed over. */
 	if (m->type > PROTO_BYE)
 		return;
-	if (!handle(peer, m) || peer->for_chunks.strikes >= STRIKES_TO_DROP)
+	if (!handle(peer, m))
 		peer_drop(peer);
+	else
+		peer_drop_failing(peer);
 	xfer_pump(x);
 }
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -15,8 +15,9 @@
 /* Fetches are begun while the download budget is at most so far in debt, in
  * chunk times: the answer comes a round trip and a queue later. */
 #define FETCH_DEBT_CHUNKS 1
+/* News of what a rollout has cross it in so many hops of a news interval. */
+#define SETTLE_HOPS 4
 #define BAD_READS_TO_TELL 2
-#define STRIKES_TO_DROP 5
 
 static void
 on_pump(void *ctx)
@@ -88,6 +89,29 @@
 	xfer_pump_soon(x);
 }
 
+/*
+ * A host that joins late, or goes on to a next version, would fetch from the
+ * origin once more what the rollout has, were it to read before the others
+ * have told what they hold and know of. Where all begin with nothing there is
+ * nothing to hear, and the first word of a peer ends the wait.
+ */
+static void
+settle(struct xfer *x)
+{
+	bool told = x->members->len == 0;
+	struct peer *peer;
+
+	if (x->pick->settle_us == 0 || x->pick->have > 0)
+		return;
+	TAILQ_FOREACH (peer, &x->peers, link) {
+		if (peer->for_chunks.have > 0)
+			return;
+		told = told || peer->has_list;
+	}
+	if (told)
+		pick_settle(x->pick, 0);
+}
+
 void
 xfer_try_room(struct xfer *x)
 {
@@ -112,6 +136,8 @@
 			pick_got(x->pick, i);
 	}
 	set_phase(x, WTS_FETCHING);
+	pick_settle(x->pick,
+	    clk_now_us(x->wts->clock) + SETTLE_HOPS * x->news_interval_us);
 	wts_sweep(x->wts);
 	TAILQ_FOREACH (peer, &x->peers, link) {
 		if (peer->open)
@@ -237,6 +263,7 @@
 		if (old == NULL || strcmp(old->address, m->address) != 0)
 			continue;
 		m->dial_after_us = old->dial_after_us;
+		m->refuse_until_us = old->refuse_until_us;
 		m->failures = old->failures;
 	}
 }
@@ -357,19 +384,24 @@
 /* Decisions                                                           */
 /* ------------------------------------------------------------------ */
 
-static bool
-may_fetch(
+/* The state of the download link, and when it will change by itself. */
+static enum pick_link
+link_state(
     struct xfer *x, const struct pick *pick, int64_t now_us, int64_t *until_us)
 {
-	int64_t debt = bucket_debt_us(&x->wts->down, now_us);
+	struct bucket *down = &x->wts->down;
 	int64_t allowed =
 	    (int64_t)(FETCH_DEBT_CHUNKS * (double)pick->conf.chunk_bytes *
 		SECOND_US / (double)pick->conf.rate);
 
-	if (debt <= allowed)
-		return true;
-	*until_us = now_us + debt - allowed;
-	return false;
+	*until_us = bucket_ready_us(down, now_us) - allowed;
+	if (*until_us > now_us)
+		return PICK_LINK_BUSY;
+	*until_us = bucket_idle_us(down, now_us);
+	if (*until_us > now_us)
+		return PICK_LINK_OPEN;
+	*until_us = INT64_MAX;
+	return PICK_LINK_IDLE;
 }
 
 static void
@@ -380,8 +412,7 @@
 
 	ctr_add(x->wts->counts.stalls, 1);
 	pick_ended(pick, a->index, a->peer, PICK_STALLED, now_us);
-	if (a->peer->strikes >= STRIKES_TO_DROP)
-		peer_drop(peer);
+	peer_drop_failing(peer);
 }
 
 static void
@@ -439,15 +470,16 @@
 {
 	struct pick *pick = x->phase == WTS_LIST ? x->list_pick : x->pick;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	int64_t fetch_us = INT64_MAX;
+	int64_t link_us;
+	enum pick_link link;
 	struct pick_action a;
-	bool fetch;
 
 	if (x->phase != WTS_LIST && x->phase != WTS_FETCHING)
 		return;
+	settle(x);
 	for (;;) {
-		fetch = may_fetch(x, pick, now_us, &fetch_us);
-		pick_next(pick, fetch, now_us, &x->wts->rng, &a);
+		link = link_state(x, pick, now_us, &link_us);
+		pick_next(pick, link, now_us, &x->wts->rng, &a);
 		if (a.kind == PICK_WAIT || a.kind == PICK_DONE)
 			break;
 		act(x, pick, &a, now_us);
@@ -459,6 +491,6 @@
 		return;
 	}
 	tell_wait(x, pick, a.why);
-	if (MIN(a.until_us, fetch_us) != INT64_MAX)
-		timer_set(&x->pump_timer, MIN(a.until_us, fetch_us));
+	if (MIN(a.until_us, link_us) != INT64_MAX)
+		timer_set(&x->pump_timer, MIN(a.until_us, link_us));
 }
--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -8,6 +8,8 @@
 #define NOT_READY_RETRY_MS 1000
 #define PRIORITY_DEFAULT 100
 #define PRIORITY_MOST 1000
+#define TOKENS_DEFAULT 16 /* where a request does not say max_tokens */
+#define TOKENS_MOST 100000
 #define SERVICES_PREFIX "/services/"
 
 /* ------------------------------------------------------------------ */
@@ -128,11 +130,13 @@
 	ask->deadline_ms = ask->team->default_deadline_ms;
 	ask->priority = PRIORITY_DEFAULT;
 	ask->key = header(message, "Idempotency-Key");
-	if (!read_number(message, "X-Deadline-Ms", 1,
-		ask->team->max_deadline_ms, &ask->deadline_ms, err) ||
+	/* A longer deadline than the team's is cut to it, not refused. */
+	if (!read_number(message, "X-Deadline-Ms", 1, UINT32_MAX,
+		&ask->deadline_ms, err) ||
 	    !read_number(
 		message, "X-Priority", 0, PRIORITY_MOST, &ask->priority, err))
 		return false;
+	ask->deadline_ms = MIN(ask->deadline_ms, ask->team->max_deadline_ms);
 	if (ask->key != NULL && strlen(ask->key) > RT_NAME_MAX) {
 		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
 		    "header Idempotency-Key: at most %d bytes", RT_NAME_MAX);
@@ -175,22 +179,57 @@
 /* Models                                                              */
 /* ------------------------------------------------------------------ */
 
-/* "TEAM/MODEL" and whether to stream, out of the JSON body. */
+/* What a chat request says in its JSON body. */
+struct chat {
+	char *team, *model; /* of "model": "TEAM/MODEL" */
+	bool streamed;
+	uint64_t prefix;
+	unsigned int tokens;
+};
+
+static void
+read_content(JsonArray *messages, guint i, JsonNode *item, gpointer prefix)
+{
+	const char *content;
+
+	if (!JSON_NODE_HOLDS_OBJECT(item))
+		return;
+	content = json_object_get_string_member_with_default(
+	    json_node_get_object(item), "content", NULL);
+	if (content != NULL)
+		rt_prefix_add(prefix, content);
+}
+
+static uint64_t
+read_prefix(JsonObject *o)
+{
+	JsonNode *messages = json_object_get_member(o, "messages");
+	struct rt_prefix prefix;
+
+	if (messages == NULL || !JSON_NODE_HOLDS_ARRAY(messages))
+		return 0;
+	rt_prefix_begin(&prefix);
+	json_array_foreach_element(
+	    json_node_get_array(messages), read_content, &prefix);
+	return rt_prefix_end(&prefix);
+}
+
 static bool
-read_chat(SoupMessageBody *body, char **team, char **model, bool *streamed,
-    struct err *err)
+read_chat(SoupMessageBody *body, struct chat *chat, struct err *err)
 {
 	JsonParser *parser = json_parser_new();
 	GBytes *bytes = soup_message_body_flatten(body);
 	gsize len;
 	const char *text = g_bytes_get_data(bytes, &len);
+	JsonNode *root = NULL;
 	JsonObject *o = NULL;
 	const char *name = NULL, *slash;
 
 	if (len > 0 &&
-	    json_parser_load_from_data(parser, text, (gssize)len, NULL) &&
-	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
-		o = json_node_get_object(json_parser_get_root(parser));
+	    json_parser_load_from_data(parser, text, (gssize)len, NULL))
+		root = json_parser_get_root(parser);
+	if (root != NULL && JSON_NODE_HOLDS_OBJECT(root))
+		o = json_node_get_object(root);
 	if (o != NULL)
 		name =
 		    json_object_get_string_member_with_default(o, "model", "");
@@ -202,10 +241,15 @@
 		err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
 		    "'model' must be TEAM/MODEL");
 	else {
-		*team = g_strndup(name, (gsize)(slash - name));
-		*model = g_strdup(slash + 1);
-		*streamed = json_object_get_boolean_member_with_default(
+		chat->team = g_strndup(name, (gsize)(slash - name));
+		chat->model = g_strdup(slash + 1);
+		chat->streamed = json_object_get_boolean_member_with_default(
 		    o, "stream", FALSE);
+		chat->prefix = read_prefix(o);
+		chat->tokens =
+		    (unsigned int)CLAMP(json_object_get_int_member_with_default(
+					    o, "max_tokens", TOKENS_DEFAULT),
+			1, TOKENS_MOST);
 	}
 	g_bytes_unref(bytes);
 	g_object_unref(parser);
@@ -213,23 +257,26 @@
 }
 
 static void
-start_chat(struct entry *entry, SoupServerMessage *message, const char *team,
-    const char *model, bool streamed, struct err *err)
+start_chat(struct entry *entry, SoupServerMessage *message,
+    const struct chat *chat, struct err *err)
 {
 	struct request_ask ask = {
 		.message = message,
-		.team = find_team(entry, message, team, err),
+		.team = find_team(entry, message, chat->team, err),
 		.method = "POST",
 		.path = "/v1/chat/completions",
-		.streamed = streamed,
+		.streamed = chat->streamed,
+		.prefix = chat->prefix,
+		.tokens = chat->tokens,
 	};
 
 	if (ask.team == NULL)
 		return;
-	ask.model = rt_team_model(ask.team, model);
+	ask.model = rt_team_model(ask.team, chat->model);
 	if (ask.model == NULL) {
 		err_set(err, ERR_NOT_FOUND, VERDICT_NOT_RUN,
-		    "unknown model '%.40s' of team '%.40s'", model, team);
+		    "unknown model '%.40s' of team '%.40s'", chat->model,
+		    chat->team);
 		return;
 	}
 	if (!read_common(message, &ask, err))
@@ -247,20 +294,19 @@
 {
 	struct entry *entry = data;
 	struct err err = { 0 };
-	char *team = NULL, *model = NULL;
-	bool streamed = false;
+	struct chat chat = { 0 };
 
 	if (strcmp(soup_server_message_get_method(message), "POST") != 0)
 		err_set(&err, ERR_INVALID, VERDICT_NOT_RUN,
 		    "POST is the method here");
 	else if (!is_too_large(message, &err) &&
-	    read_chat(soup_server_message_get_request_body(message), &team,
-		&model, &streamed, &err))
-		start_chat(entry, message, team, model, streamed, &err);
+	    read_chat(
+		soup_server_message_get_request_body(message), &chat, &err))
+		start_chat(entry, message, &chat, &err);
 	if (err_is(&err))
 		refuse(entry, message, &err);
-	g_free(team);
-	g_free(model);
+	g_free(chat.team);
+	g_free(chat.model);
 }
 
 /* ------------------------------------------------------------------ */
--- a/programs/entry/gatekeeper.c
+++ b/programs/entry/gatekeeper.c
@@ -11,6 +11,8 @@
 /* Requests one entry passes on at a time, whatever the targets could take:
  * bounds its memory (a held answer is up to RT_WINDOW). */
 #define OPEN_MAX 4096
+#define VERSIONS_MAX 256 /* of a model; the settings allow no more */
+#define LOAD_TICK_MS 100
 
 struct gatekeeper {
 	struct entry *entry;
@@ -18,6 +20,7 @@
 	GHashTable *teams; /* name -> struct gate_team */
 	guint adm_timer;
 	guint lim_timer;
+	guint load_timer;
 };
 
 /* What is kept of a team at this entry. */
@@ -38,22 +41,17 @@
 /* Lanes                                                               */
 /* ------------------------------------------------------------------ */
 
-/* A lane is a pool of engines or a plain service of a team. */
-static void
-lane_name(char out[2 * RT_NAME_MAX], const char *pool, const char *service)
-{
-	g_snprintf(out, 2 * RT_NAME_MAX, "%s:%s",
-	    service[0] != '\0' ? "service" : "pool",
-	    service[0] != '\0' ? service : pool);
-}
-
+/* A lane is a model or a plain service of a team: what competes for the same
+ * targets. */
 struct adm_lane *
-gatekeeper_lane(struct entry *entry, const char *team, const char *pool,
+gatekeeper_lane(struct entry *entry, const char *team, const char *model,
     const char *service)
 {
 	char name[2 * RT_NAME_MAX];
 
-	lane_name(name, pool, service);
+	g_snprintf(name, sizeof(name), "%s:%s",
+	    service[0] != '\0' ? "service" : "model",
+	    service[0] != '\0' ? service : model);
 	return adm_lane(adm_team(entry->gatekeeper->adm, team), name);
 }
 
@@ -63,34 +61,88 @@
 	return MAX(entry->live_entries, 1);
 }
 
-static bool
-in_lane(const struct rt_target *t, const struct rt_target *like)
+static void
+load_lane(struct entry *entry, const struct rt_wish *wish, const char *model)
 {
-	if (t->kind != like->kind || strcmp(t->team, like->team) != 0)
-		return false;
-	return t->kind == RT_ENGINE ? strcmp(t->pool, like->pool) == 0
-				    : strcmp(t->service, like->service) == 0;
+	struct adm_load load = { .entries = live_entries(entry) };
+
+	rt_fleet_load(entry->fleet, wish, &load.slots, &load.running);
+	adm_lane_load(gatekeeper_lane(entry, wish->team, model, wish->service),
+	    &load, now_us());
+}
+
+static void
+load_model(struct entry *entry, const struct rt_team *team,
+    const struct rt_model *model)
+{
+	struct digest roots[VERSIONS_MAX];
+	struct rt_wish wish = {
+		.kind = RT_ENGINE,
+		.team = team->name,
+		.pool = model->pool,
+		.service = "",
+		.roots = roots,
+	};
+
+	if (model->nversions <= VERSIONS_MAX)
+		wish.nroots = rt_model_roots(model, 0, roots, &wish.ranked);
+	load_lane(entry, &wish, model->name);
+}
+
+static void
+load_service(struct entry *entry, const struct rt_team *team,
+    const struct rt_service *service)
+{
+	const struct rt_wish wish = {
+		.kind = RT_SERVICE,
+		.team = team->name,
+		.pool = service->pool,
+		.service = service->name,
+	};
+
+	load_lane(entry, &wish, "");
 }
 
 void
 gatekeeper_spoke(struct entry *entry, const struct rt_target *target)
 {
-	struct adm_load load = { .entries = live_entries(entry) };
-	const struct rt_target *t;
+	const struct rt_team *team = entry_team(entry, target->team);
+	size_t i;
 
-	if (target->team[0] == '\0')
+	if (team == NULL)
 		return;
-	TAILQ_FOREACH (t, &entry->targets, link) {
-		if (!t->reachable || !t->accepting || !in_lane(t, target))
-			continue;
-		if (t->kind == RT_ENGINE && digest_is_none(&t->loaded))
-			continue;
-		load.slots += t->slots;
-		load.running += t->told_running + t->sent_since;
+	for (i = 0; i < team->nmodels; i++) {
+		if (target->kind == RT_ENGINE &&
+		    strcmp(team->models[i].pool, target->pool) == 0)
+			load_model(entry, team, &team->models[i]);
 	}
-	adm_lane_load(gatekeeper_lane(entry, target->team, target->pool,
-			  target->kind == RT_SERVICE ? target->service : ""),
-	    &load, now_us());
+	for (i = 0; i < team->nservices; i++) {
+		if (target->kind == RT_SERVICE &&
+		    strcmp(team->services[i].name, target->service) == 0)
+			load_service(entry, team, &team->services[i]);
+	}
+}
+
+/* What others run fades while their sides are silent: so do the loads. */
+static gboolean
+on_load_tick(gpointer data)
+{
+	struct entry *entry = ((struct gatekeeper *)data)->entry;
+	const struct rt_team *team;
+	GHashTableIter iter;
+	gpointer value;
+	size_t i;
+
+	rt_fleet_refresh(entry->fleet, now_us());
+	g_hash_table_iter_init(&iter, entry->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		team = value;
+		for (i = 0; i < team->nmodels; i++)
+			load_model(entry, team, &team->models[i]);
+		for (i = 0; i < team->nservices; i++)
+			load_service(entry, team, &team->services[i]);
+	}
+	return G_SOURCE_CONTINUE;
 }
 
 /* ------------------------------------------------------------------ */
@@ -251,5 +303,6 @@
 	g->teams = g_hash_table_new(g_str_hash, g_str_equal);
 	g->adm_timer = g_timeout_add(ADM_TICK_MS, on_adm_tick, g);
 	g->lim_timer = g_timeout_add(LIM_TICK_MS, on_lim_tick, g);
+	g->load_timer = g_timeout_add(LOAD_TICK_MS, on_load_tick, g);
 	entry->gatekeeper = g;
 }
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -4,7 +4,12 @@
 #include <string.h>
 
 #include "entry/entry.h"
+#include "shared/http.h"
 
+/* Callers that may wait to be taken in. GLib's 10 overflow when a batch of
+ * callers arrives while the loop is busy; those left out try again only a
+ * second later, which looks like a slow answer. The kernel caps it. */
+#define LISTEN_BACKLOG 4096
 #define STOP_CHECK_MS 50
 #define STOP_LONGEST_MS 60000 /* a stream that never ends does not hold us */
 /* Callers' balancer looks at /healthz; it gets this long to see "draining"
@@ -51,6 +56,10 @@
 		send_events(entry, c, m);
 	else if (m->type == RT_DEMAND)
 		gatekeeper_told(entry, conn_peer(c), m);
+	else if (m->type == RT_CLAIM || m->type == RT_CLAIM_SETTLE)
+		claims_message(entry, conn_peer(c), m);
+	else if (m->type == RT_CLAIM_ANSWER)
+		claim_message(entry, m);
 	else if (!agr_message(entry->proc.agr, c, m))
 		ctr_add(
 		    ctr_get(entry->proc.counters, "entry_unknown_messages"), 1);
@@ -92,6 +101,7 @@
 	struct entry *entry = ctx;
 	unsigned int n = 0;
 
+	proc_note_member(&entry->proc, member);
 	if (member->node.kind == MEM_SIDE) {
 		sides_member(entry, member);
 		return;
@@ -99,6 +109,8 @@
 	peers_member(entry, member);
 	if (member->state == MEM_DEAD || member->state == MEM_LEAVING)
 		gatekeeper_entry_gone(entry, member->node.id);
+	if (member->state == MEM_DEAD)
+		claims_entry_gone(entry, member->node.id);
 	if (entry->proc.agr == NULL)
 		return; /* still joining; the next change counts all */
 	agr_each_member(entry->proc.agr, count_entry, &n);
@@ -106,6 +118,7 @@
 		return;
 	entry->live_entries = n;
 	gatekeeper_members(entry);
+	claims_members(entry);
 }
 
 static bool
@@ -168,6 +181,23 @@
 /* Start and stop                                                      */
 /* ------------------------------------------------------------------ */
 
+static bool
+listen_at(SoupServer *server, GSocketAddress *at, GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(at),
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+	bool good;
+
+	if (socket == NULL)
+		return false;
+	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+	good = g_socket_bind(socket, at, TRUE, error) &&
+	    g_socket_listen(socket, error) &&
+	    soup_server_listen_socket(server, socket, 0, error);
+	g_object_unref(socket);
+	return good;
+}
+
 static bool
 listen_http(struct entry *entry, struct err *err)
 {
@@ -189,9 +219,10 @@
 		    address);
 	}
 	entry->http = soup_server_new("server-header", "currantchute", NULL);
+	http_close_left(entry->http);
 	caller_open(entry);
 	ops_open(entry);
-	if (!soup_server_listen(entry->http, at, 0, &error)) {
+	if (!listen_at(entry->http, at, &error)) {
 		err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
 		    "cannot listen on %s: %s", address, error->message);
 		g_error_free(error);
@@ -212,8 +243,10 @@
 
 	TAILQ_INIT(&entry->sides);
 	TAILQ_INIT(&entry->targets);
+	entry->fleet = rt_fleet_new();
 	TAILQ_INIT(&entry->peers);
 	gatekeeper_open(entry);
+	claims_open(entry);
 	entry->teams = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)rt_team_free);
 	entry->leads = g_hash_table_new(g_str_hash, g_str_equal);
@@ -269,6 +302,7 @@
 	log_info("entry %s is leaving", entry->proc.node.id);
 	g_hash_table_foreach(entry->leads, hand_over, NULL);
 	agr_leave(entry->proc.agr);
+	claims_leave(entry);
 	entry->stop_timer = g_timeout_add(STOP_CHECK_MS, check_stopped, entry);
 }
 
--- a/programs/side/door.c
+++ b/programs/side/door.c
@@ -47,6 +47,7 @@
 {
 	if (s->peer != NULL)
 		g_hash_table_remove(s->peer->streams, &s->number);
+	targets_ran_out(s->target);
 	g_free(s->request_id);
 	g_free(s);
 }
@@ -214,6 +215,9 @@
 		.deadline_ms =
 		    (unsigned int)MIN(request->deadline_ms, UINT32_MAX),
 		.stall_ms = (unsigned int)MIN(request->stall_ms, UINT32_MAX),
+		/* A kept connection that the target is just closing would
+		 * make it MAY_HAVE_RUN, and nobody may try it again. */
+		.own_connection = !s->idempotent,
 	};
 	size_t n = 0;
 
@@ -245,6 +249,15 @@
 	g_free(method);
 }
 
+/* Streams that wait for what it said would stand still; closed, they end with
+ * a visible error. */
+static void
+bad_message(struct side_peer *peer)
+{
+	ctr_add(ctr_get(peer->side->proc.counters, "door_bad_messages"), 1);
+	conn_close(peer->conn);
+}
+
 void
 door_request(struct side_peer *peer, const struct msg *m)
 {
@@ -254,9 +267,7 @@
 	struct err err = { 0 };
 
 	if (!msg_read(m, &rt_request_desc, &request, &err)) {
-		ctr_add(
-		    ctr_get(peer->side->proc.counters, "door_bad_messages"), 1);
-		conn_close(peer->conn);
+		bad_message(peer);
 		return;
 	}
 	target = targets_find(peer->side, request.target);
@@ -296,8 +307,10 @@
 	struct door_stream *s;
 	int64_t number;
 
-	if (!msg_read(m, &rt_cancel_desc, &cancel, NULL))
+	if (!msg_read(m, &rt_cancel_desc, &cancel, NULL)) {
+		bad_message(peer);
 		return;
+	}
 	number = (int64_t)cancel.stream;
 	s = g_hash_table_lookup(peer->streams, &number);
 	if (s != NULL)
@@ -311,8 +324,10 @@
 	struct door_stream *s;
 	int64_t number;
 
-	if (!msg_read(m, &rt_window_desc, &window, NULL))
+	if (!msg_read(m, &rt_window_desc, &window, NULL)) {
+		bad_message(peer);
 		return;
+	}
 	number = (int64_t)window.stream;
 	s = g_hash_table_lookup(peer->streams, &number);
 	if (s == NULL)
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -1,232 +1,259 @@
 /*
- * Lease, fencing and activation: two entries compete for the lead's role and
- * order versions from one side, whose engine ignores fencing numbers. The
- * code is lib/agree/lse.c with charts/lease.yaml, and lib/agree/gate.c.
+ * The lease of a role: lib/agree/lse.c, charts/lease.yaml.
  *
- * Time is one counter. Between two steps of a process anything may happen,
- * also that time passes: a pause, a slow call and a late datagram are all a
- * process that is not scheduled for a while. A call to the object API takes
- * effect at one moment and is answered at a later one, or never.
+ * Two entries compete for one role, kept as an object {holder, fence,
+ * handed over, version}. Each has its own clock; the clocks run at different
+ * rates, up to SKEW ticks apart. An entry is paused by not being scheduled
+ * while the clocks go on. A write's answer may be late or lost, and a write
+ * that was given up may still take effect later.
  *
- * Size: two entries, one order of each generation under way, one restart of
- * the side, a lease of LEASE, WRITES writes, an end after END units of time.
+ * What must hold
+ *   one_holder  never do two entries believe at one time to hold the role
+ *   given_held  no order is given while the other believes to hold it
+ *   own_fence   no two holdings have the same fencing number, and an order's
+ *               number was in the object before the order (see gate.pml)
  *
- * Shown: by the clocks never two holders; no order is given under a number
- * that was taken over; the engine never goes back to an older version; no
- * version is routed before the engine has named it.
+ * Safeguards, each with a switch (0 turns it off):
+ *   CONDITIONAL   a write needs the version that was read
+ *   BEFORE_SEND   the holder counts its lease from before it sent the write
+ *   MARGIN        ticks that the holder ends early and that others wait longer
+ *   OWN_DEADLINE  the holder asks its own clock before each order
  *
- * Safeguards, each with the switch that takes it out:
- * SWITCH NO_CONDITION  a write goes through whatever the version is
- * SWITCH NO_SIGHT      a candidate does not wait a lease from the sight
- * SWITCH NO_BEFORE     the holder counts from the answer, not the sending
- * SWITCH NO_CLOCK      the holder does not look at the clock before an order
- * SWITCH NO_GATE       the side lets every order through
- * SWITCH NO_FLOOR      after its restart the side begins with a floor of 0
- * SWITCH NO_NAMED      a version is routed when ordered, not when loaded
+ * A write's sending and taking effect are one step here: the holder counts
+ * from the sending, so that a later effect only makes others wait longer. A
+ * late effect of a write that was given up is a step of its own.
  */
 
-#ifndef LEASE
-#define LEASE 2
+#ifndef CONDITIONAL
+#define CONDITIONAL 1
 #endif
-#ifndef END
-#define END 4
+#ifndef BEFORE_SEND
+#define BEFORE_SEND 1
 #endif
-#ifndef WRITES
-#define WRITES 3
+#ifndef MARGIN
+#define MARGIN 1
+#endif
+#ifndef OWN_DEADLINE
+#define OWN_DEADLINE 1
 #endif
-#define NONE 255
 
-byte now;
+#define LEASE 3 /* ticks */
+#define LAST_TICK 5
+#define SKEW 1
+#define NONE 2 /* no holder */
+#define LAST_FENCE 3
+#define LAST_VERSION 4
+#define UNSEEN 15
 
-/* The lease object: its version and the fencing number in its value. */
-byte version, fence;
+byte clk[2];
 
-bool held[2];
-byte deadline[2];
-#define believes(i) (held[i] && now < deadline[i])
+/* The object. */
+byte holder = NONE;
+byte fence = 0;
+byte version = 0;
+bool handed = false;
 
-#ifdef NO_SIGHT
-#define waited true
-#else
-#define waited (known == 0 || now >= seen_at + LEASE)
-#endif
-#ifdef NO_CLOCK
-#define in_time true
-#else
-#define in_time (now < deadline[me])
-#endif
+/* What each entry believes. */
+bool holds[2];
+byte until[2];
+byte my_fence[2];
 
-/* An order's fencing number is also the version that it asks for. */
-chan orders[2] = [1] of { byte };
-byte loaded; /* by the engine */
-byte routed; /* version that requests are sent for */
-
-/* Forgets what no longer matters, so that fewer states differ. */
-inline lose() {
-	held[me] = false;
-	deadline[me] = 0;
-	own = 0;
-	ordered = false;
-	known = NONE
-}
+/* A write that was given up and may still take effect. */
+bool late[2];
+byte late_if[2];
+byte late_fence[2];
 
-inline route(v) {
-	routed = v;
-	assert(loaded >= routed) /* a request may come at once */
-}
+byte gained_by[4] = NONE; /* by fencing number */
 
-inline write() { /* one moment at the object API */
-	atomic {
-#ifdef NO_CONDITION
-		written = (version < WRITES);
-#else
-		written = (version == known);
-#endif
-		if
-		:: written ->
-			version++;
-			known = version;
-			fence = own
-		:: else
-		fi
-	}
-}
+#define BELIEVES(i) (holds[i] && clk[i] < until[i])
+#define MATCHES(v) (!CONDITIONAL || version == (v))
 
-proctype clock() {
+active proctype clocks()
+{
 	do
-	:: now < END -> now++
-	:: now == END -> break
+	:: atomic { clk[0] < LAST_TICK && clk[1] < LAST_TICK ->
+		clk[0]++; clk[1]++ }
+	:: atomic { clk[0] < LAST_TICK && clk[0] < clk[1] + SKEW -> clk[0]++ }
+	:: atomic { clk[1] < LAST_TICK && clk[1] < clk[0] + SKEW -> clk[1]++ }
 	od
 }
 
-proctype entry(byte me) {
-	byte known = NONE; /* version of the object, seen or written */
-	byte known_fence, seen_at;
-	byte read_version, read_fence; /* on the way here */
-	byte own, sent_at;
-	bool written, ordered;
+inline put(who, number)
+{
+	holder = who;
+	fence = number;
+	handed = false;
+	version++
+}
+
+inline believe(me)
+{
+	holds[me] = true;
+	until[me] = (BEFORE_SEND -> sent : clk[me]) + LEASE - MARGIN;
+	assert(!BELIEVES(me) || !BELIEVES(1 - me)) /* one_holder */
+}
+
+proctype entry(byte me)
+{
+	byte seen = UNSEEN; /* version */
+	byte seen_fence = 0;
+	byte seen_at = 0;
+	bool is_free = false;
+	byte sent = 0;
 
 	do
-	:: !held[me] && now < END -> /* look */
-		d_step { read_version = version; read_fence = fence }
-		d_step {
-			if
-			:: read_version != known ->
-				known = read_version;
-				known_fence = read_fence;
-				seen_at = now
-			:: else
-			fi;
-			read_version = 0;
-			read_fence = 0
-		}
+	/* Look. What is unchanged for long enough, or known to be free, may
+	 * be claimed; free after a wait only by a look after the wait. */
+	:: d_step { !holds[me] && !is_free &&
+	    (seen != version || clk[me] >= seen_at + LEASE + MARGIN) ->
+		if
+		:: seen != version ->
+			seen = version;
+			seen_fence = fence;
+			seen_at = clk[me];
+			is_free = (holder == NONE || holder == me || handed)
+		:: else -> is_free = true
+		fi
+	   }
 
-	:: atomic {
-		!held[me] && known != NONE && now < END && version < WRITES && waited ->
-		sent_at = now;
-		own = known_fence + 1;
+	/* Claim: in, with an answer later; given up; or refused. */
+	:: atomic { !holds[me] && is_free && seen_fence < LAST_FENCE &&
+	    version < LAST_VERSION ->
+		sent = clk[me];
+		is_free = false;
+		if
+		:: MATCHES(seen) ->
+			put(me, seen_fence + 1);
+			seen = version
+		:: MATCHES(seen) -> /* in, the answer is lost */
+			put(me, seen_fence + 1);
+			sent = UNSEEN
+		:: !late[me] -> /* not in yet */
+			late[me] = true;
+			late_if[me] = seen;
+			late_fence[me] = seen_fence + 1;
+			sent = UNSEEN
+		:: !MATCHES(seen) -> sent = UNSEEN
+		fi;
+		if
+		:: sent == UNSEEN -> seen = UNSEEN; sent = 0; goto on
+		:: else -> skip
+		fi
+	   };
+	   /* Here time may pass, then the answer comes. */
+	   atomic {
+		my_fence[me] = seen_fence + 1;
+		if
+		:: (BEFORE_SEND -> sent : clk[me]) + LEASE - MARGIN > clk[me] ->
+			assert(gained_by[my_fence[me]] == NONE); /* own_fence */
+			gained_by[my_fence[me]] = me;
+			believe(me)
+		:: else -> seen = UNSEEN
+		fi;
+		seen_at = 0;
+		seen_fence = 0;
+		sent = 0
 	   }
-		write();
-		atomic {
-			if
-#ifdef NO_BEFORE
-			:: written ->
-				deadline[me] = now + LEASE;
-#else
-			:: written && now < sent_at + LEASE ->
-				deadline[me] = sent_at + LEASE;
-#endif
-				assert(!believes(1 - me));
-				held[me] = true;
-				ordered = false
-			:: known = NONE; own = 0 /* refused, too late, no answer */
-			fi;
-			written = false;
-			sent_at = 0;
-			known_fence = 0;
-			seen_at = 0
-		}
-
-	:: /* renew */
-	   atomic { believes(me) && now < END && version < WRITES -> sent_at = now }
-		write();
-		atomic {
+
+	/* Renew. */
+	:: atomic { BELIEVES(me) && version < LAST_VERSION ->
+		sent = clk[me];
+		if
+		:: MATCHES(seen) ->
+			put(me, my_fence[me]);
+			seen = version
+		:: MATCHES(seen) -> /* in, the answer is lost */
+			put(me, my_fence[me]);
+			sent = 0;
+			goto on
+		:: !late[me] -> /* not in yet */
+			late[me] = true;
+			late_if[me] = seen;
+			late_fence[me] = my_fence[me];
+			sent = 0;
+			goto on
+		:: !MATCHES(seen) ->
+			sent = 0;
 			if
-#ifdef NO_BEFORE
-			:: written -> deadline[me] = now + LEASE;
-#else
-			:: written && now < deadline[me] ->
-				deadline[me] = sent_at + LEASE;
-#endif
-				assert(!believes(1 - me))
-			:: lose() /* refused, too late or no answer */
+			:: holder == me && fence == my_fence[me] && !handed ->
+				seen = version /* an earlier one was in */
+			:: else ->
+				holds[me] = false;
+				seen = UNSEEN;
+				until[me] = 0
 			fi;
-			written = false;
-			sent_at = 0
-		}
+			goto on
+		fi
+	   };
+	   atomic { /* the answer */
+		if
+		:: clk[me] < until[me] &&
+		    (BEFORE_SEND -> sent : clk[me]) + LEASE - MARGIN >
+			clk[me] ->
+			believe(me)
+		:: else ->
+			holds[me] = false;
+			seen = UNSEEN;
+			until[me] = 0
+		fi;
+		sent = 0
+	   }
 
-	:: atomic {
-		held[me] && !ordered && nfull(orders[me]) && in_time ->
-		assert(own == fence);
-		orders[me]!own;
-		ordered = true;
-#ifdef NO_NAMED
-		route(own)
-#endif
+	/* The lease ran out by the own clock, and the entry came to see it. */
+	:: d_step { holds[me] && clk[me] >= until[me] ->
+		holds[me] = false;
+		until[me] = 0;
+		seen = UNSEEN
 	   }
 
-	:: atomic {
-		held[me] && now >= deadline[me] -> lose()
+	/* Planned handover. */
+	:: d_step { holds[me] && version < LAST_VERSION ->
+		holds[me] = false;
+		until[me] = 0;
+		if
+		:: MATCHES(seen) -> put(me, my_fence[me]); handed = true
+		:: else -> skip
+		fi;
+		seen = UNSEEN
 	   }
 
-	:: now == END -> break
+	/* An order. */
+	:: d_step { holds[me] && (!OWN_DEADLINE || clk[me] < until[me]) ->
+		assert(!BELIEVES(1 - me)); /* given_held */
+		assert(my_fence[me] <= fence) /* own_fence */
+	   }
+on:	   skip
 	od
 }
 
-proctype side() {
-	byte order, lowest;
-	bool learned, restarted;
-
-end:	do
-	:: orders[0]?order -> goto gate
-	:: orders[1]?order -> goto gate
-	:: !restarted -> /* the engine goes on with what it has loaded */
-		d_step { restarted = true; learned = false; lowest = 0 }
-	od;
-gate:
-#ifndef NO_FLOOR
-	if
-	:: !learned -> d_step { lowest = fence; learned = true }
-	:: learned
-	fi;
-#endif
-	atomic {
+/* What was given up takes effect, or is found not to. */
+active proctype network()
+{
+	byte i;
+
+	do
+	:: atomic {
 		if
-#ifndef NO_GATE
-		:: order < lowest
-#endif
-		:: order >= lowest ->
-			lowest = order;
-			assert(order >= loaded);
-			loaded = order;
-#ifndef NO_NAMED
-			route(loaded)
-#endif
-#ifdef NO_GATE
-		:: order < lowest ->
-			assert(order >= loaded)
-#endif
+		:: late[0] -> i = 0
+		:: late[1] -> i = 1
+		fi;
+		if
+		:: MATCHES(late_if[i]) && version < LAST_VERSION ->
+			put(i, late_fence[i])
+		:: else -> skip
 		fi;
-		order = 0
-	};
-	goto end
+		late[i] = false;
+		late_if[i] = 0;
+		late_fence[i] = 0;
+		i = 0
+	   }
+	od
 }
 
-init {
+init
+{
 	atomic {
-		run clock();
 		run entry(0);
-		run entry(1);
-		run side()
+		run entry(1)
 	}
 }
--- a/spec/model.sh
+++ b/spec/model.sh
@@ -1,43 +1,95 @@
 #!/bin/sh
-# Checks every spec/*.pml exhaustively, then once with each safeguard taken
-# out (its lines `SWITCH NAME`): the first must hold, the others must not.
+# Checks the core protocol with spin: `make model`. With every safeguard on
+# the search must be exhaustive and find no violation; with each one off spin
+# must find a violated assertion. A search cut short by its depth, memory or
+# time, and anything that does not build, counts as failed.
 set -u
-cd "$(dirname "$0")" || exit 1
-here=$PWD
-work=$(mktemp -d)
-trap 'rm -rf "$work"' EXIT
-failed=0
+cd "$(dirname "$0")"
+out=../out/model
+limit_s=60 # gives up; the searches take seconds
+memory_mb=2000
+failures=0
+rm -rf "$out"
+mkdir -p "$out"
 
-verify() { # verify MODEL SWITCH COMPILER-FLAG
+# search MODEL SWITCH: sets verdict to holds, violated or what went wrong.
+search() {
+	work=$out/$1${2:+-$2}
+	mkdir -p "$work"
+	cp "$1.pml" "$work/"
+	verdict="does not build, see $work"
+	# Breadth first finds a short violation soon; depth first needs less
+	# memory for a whole search.
+	order=${2:+-DBFS}
 	(
 		cd "$work" || exit 1
-		rm -f pan pan.log
-		spin ${2:+-D"$2"} -a "$here/$1" >spin.log 2>&1 || cat spin.log
-		cc -O2 -w -DSAFETY -DCOLLAPSE $3 -o pan pan.c &&
-		    ./pan -m100000 -w22 >pan.log 2>&1
-		grep -E 'errors:|depth too small|violated|invalid' pan.log
+		# shellcheck disable=SC2086
+		spin -a ${2:+-D$2=0} "$1.pml" >build.log 2>&1 &&
+		    cc -O2 -w -DSAFETY $order -DVECTORSZ=1024 \
+			-DCOLLAPSE -DMEMLIM=$memory_mb -o pan pan.c >>build.log 2>&1
+	) || return
+	(
+		cd "$work" || exit 1
+		timeout "$limit_s" ./pan -E -m100000 -w24 >pan.log 2>&1
+		echo $? >status
 	)
+	states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' \
+	    "$work/pan.log")
+	rule=$(sed -n 's/^pan:1: assertion violated \(.*\) (at depth.*/\1/p' \
+	    "$work/pan.log")
+	if [ "$(cat "$work/status")" = 124 ]; then
+		verdict="not finished in $limit_s s"
+	elif grep -q 'max search depth too small' "$work/pan.log"; then
+		verdict="incomplete: depth"
+	elif grep -q 'errors: 1$' "$work/pan.log" && [ -n "$rule" ]; then
+		verdict=violated
+	elif grep -qi 'out of memory\|reached -DMEMLIM\|not completed' \
+	    "$work/pan.log"; then
+		verdict="incomplete: memory, or cut short"
+	elif [ "$(cat "$work/status")" = 0 ] &&
+	    grep -q 'errors: 0$' "$work/pan.log"; then
+		verdict=holds
+	else
+		verdict="unclear, see $work/pan.log"
+	fi
+}
+
+holds() { # MODEL
+	search "$1" ""
+	if [ "$verdict" = holds ]; then
+		echo "model $1: holds, exhaustive, $states states"
+		return
+	fi
+	echo "model $1: FAILED: $verdict ${rule:-}"
+	failures=$((failures + 1))
 }
 
-for model in *.pml; do
-	out=$(verify "$model" "" "")
-	states=$(grep -oE '[0-9.e+]+ states, stored' "$work/pan.log")
-	case $out in
-	*"too small"*) echo "model $model: not exhaustive"; failed=1 ;;
-	*"errors: 0"*) echo "model $model: holds, $states" ;;
-	*) echo "model $model: VIOLATED: $out"; failed=1 ;;
-	esac
-	for switch in $(sed -n 's/^ \* SWITCH \([A-Z_]*\).*/\1/p' "$model"); do
-		# Processes in the other order: finds the violations sooner.
-		out=$(verify "$model" "$switch" -DREVERSE)
-		case $out in
-		*"assertion violated"*)
-			echo "model $model: $switch is violated, as it must be" ;;
-		*)
-			echo "model $model: $switch makes no difference"
-			failed=1
-			;;
-		esac
+must_break() { # MODEL WORD SWITCH...
+	model=$1
+	word=$2
+	shift 2
+	for switch in "$@"; do
+		search "$model" "$switch"
+		if [ "$verdict" = violated ]; then
+			echo "model $model without $word $switch:" \
+			    "violates $rule, as it must"
+			continue
+		fi
+		echo "model $model without $word $switch: FAILED: $verdict"
+		failures=$((failures + 1))
 	done
-done
-exit $failed
+}
+
+holds lease
+must_break lease safeguard CONDITIONAL BEFORE_SEND MARGIN OWN_DEADLINE
+holds gate
+must_break gate safeguard GATE RESTORE
+must_break gate assumption SPREAD
+holds claim
+must_break claim safeguard CLAIM_FIRST CONDITIONAL READ_BACK IN_DOUBT ENDED \
+    NO_RERUN
+holds settings
+must_break settings safeguard ONLY_HIGHER ASK_AT_START ANTI_ENTROPY
+must_break settings assumption SPREAD
+echo "$failures failed"
+[ "$failures" -eq 0 ]
--- a/spec/settings.pml
+++ b/spec/settings.pml
@@ -1,200 +1,187 @@
 /*
- * Settings in force: one branch, NODES nodes that restart from empty, an API
- * that goes away. The code is lib/agree/inf.c and agr_settings.c.
+ * Settings in force: lib/agree/inf.c, agr_settings.c.
  *
- * Every answer is taken some time after it was made: a slow API, a paused
- * watcher that wakes and a peer's late answer are all an answer that waits.
- * Notes to other members may be lost.
+ * The object API keeps one branch; its version grows with each accepted
+ * write. Node 1 watches it; the nodes compare versions and pull what is
+ * higher; answers come late, when the asker may have newer already. Node 0
+ * may restart from empty; it begins by the API's list or, while the API is
+ * away, by what both peers told, one after the other.
  *
- * Size: NODES nodes, WRITES accepted changes, RESTARTS restarts of one node
- * and one of all at once, one outage of the API at any time, for any time.
+ * What must hold
+ *   only_grows  what is in force on a node never goes back while it runs
+ *   no_revert   after its restart a node begins with no lower version than
+ *               one that was in force on every node before
+ *   reached     when writes, outages and restarts end, every node comes to
+ *               the newest version
+ *   own_highest (only with the API up at the restart) a node begins with no
+ *               lower version than it had in force itself before
  *
- * Shown: on a node the version never falls; a node that begins to answer has
- * at least what was in force on all when its life began; when nothing more
- * happens all have the last accepted change.
+ * Safeguards, each with a switch (0 turns it off):
+ *   ONLY_HIGHER    a node takes a version only if it is higher than its own
+ *   ASK_AT_START   a node begins only after it asked the API, or the peers
+ *   ANTI_ENTROPY   nodes compare versions and the lower takes the higher
  *
- * Safeguards, each with the switch that takes it out:
- * SWITCH NO_GROW    a node takes what it is offered, also a lower version
- * SWITCH NO_WAIT    a node begins without the API's list or peers
- * SWITCH NO_BEGUN   peers that have not begun themselves stand in too
- * SWITCH NO_DIGEST  no anti-entropy: who missed the note stays behind
+ * Assumption, which the code does not ensure:
+ *   SPREAD   what a node has in force when it stops is in force on the
+ *            peers that it asks, if the API is away when it starts. With 0
+ *            own_highest is checked without it.
  */
 
-#define NODES 3
-#define WATCHER 0 /* after the start */
-#ifndef WRITES
-#define WRITES 1
+#ifndef ONLY_HIGHER
+#define ONLY_HIGHER 1
 #endif
-#ifndef RESTARTS
-#define RESTARTS 1
+#ifndef ASK_AT_START
+#define ASK_AT_START 1
 #endif
-#define NONE 255
-
-byte stored; /* accepted by the API */
-bool down;
-byte restarts;
-
-byte has[NODES];
-bool begun[NODES];
-byte owed[NODES]; /* in force on all when this life began */
-byte everywhere;
-
-/* What each node has been told and not yet taken, NONE if nothing. */
-byte from_api[NODES], from_peer[NODES];
-bool listed[NODES]; /* the API's list was taken in this life */
-byte told[NODES]; /* bits of the peers that told in this life */
-
-#define ALL 7
-#define others(i) (ALL - (1 << (i)))
-#ifdef NO_GROW
-#define is_news(i, v) (v != has[i])
-#else
-#define is_news(i, v) (v > has[i])
+#ifndef ANTI_ENTROPY
+#define ANTI_ENTROPY 1
 #endif
-#ifdef NO_WAIT
-#define may_begin true
-#else
-#define may_begin (listed[me] || (down && told[me] == others(me)))
-#endif
-#ifdef NO_BEGUN
-#define may_tell(j) true
-#else
-#define may_tell(j) begun[j]
+#ifndef SPREAD
+#define SPREAD 1
 #endif
 
-#define next(i) ((i + 1) % NODES)
-#define may_ask(j) (!begun[me] && from_peer[me] == NONE && may_tell(j) && (told[me] >> (j) & 1) == 0)
-#ifdef NO_DIGEST
-#define ahead(j) false
-#else
-#define ahead(j) (from_peer[me] == NONE && has[j] > has[me])
-#endif
+#define WRITES 3 /* the highest version */
+#define OUTAGES 2
 
-inline ask(j) {
-	from_peer[me] = has[j];
-	told[me] = told[me] | (1 << (j))
-}
+byte accepted = 1; /* version at the API */
+byte in_force[3] = 1;
+bool ready[3] = true;
+byte everywhere = 1; /* highest version that was in force on all */
+byte own = 1; /* highest that was in force on node 0 */
+bool api_up = true;
+byte outages = 0;
 
-inline see_everywhere() {
+inline note()
+{
+	own = (in_force[0] > own -> in_force[0] : own);
 	if
-	:: begun[0] && begun[1] && begun[2] &&
-	   has[0] > everywhere && has[1] > everywhere &&
-	   has[2] > everywhere ->
-		everywhere++
-	:: else
+	:: ready[0] && in_force[0] > everywhere && in_force[1] > everywhere &&
+	    in_force[2] > everywhere -> everywhere++
+	:: else -> skip
 	fi
 }
 
-inline take(i, v) {
+inline take(n, v)
+{
 	if
-	:: is_news(i, v) ->
-		assert(v >= has[i]);
-		has[i] = v;
-		see_everywhere()
-	:: else
+	:: !ONLY_HIGHER || v > in_force[n] ->
+		assert(v >= in_force[n]); /* only_grows */
+		in_force[n] = v;
+		note();
+		note()
+	:: else -> skip
 	fi
 }
 
-/* Replaced by an empty one; answers under way are lost. */
-inline restart(i) {
-	has[i] = 0;
-	begun[i] = false;
-	owed[i] = everywhere;
-	from_api[i] = NONE;
-	from_peer[i] = NONE;
-	listed[i] = false;
-	told[i] = 0
+/* Operators write; the API goes away and comes back. */
+active proctype platform()
+{
+	do
+	:: d_step { api_up && accepted < WRITES -> accepted++ }
+	:: d_step { api_up && outages < OUTAGES -> api_up = false; outages++ }
+	:: d_step { !api_up -> api_up = true }
+	od
 }
 
-proctype node(byte me) {
-end:	do
-	/* The API's list or watch. */
-	:: d_step { !down && from_api[me] == NONE &&
-	       (!listed[me] || (me == WATCHER && stored > has[me])) ->
-		from_api[me] = stored }
-	:: atomic { from_api[me] != NONE ->
-		take(me, from_api[me]);
-		from_api[me] = NONE;
-		listed[me] = true }
-
-	/* A peer's answer: asked at the start, or as its digest is higher. */
-	:: d_step { may_ask(next(me)) -> ask(next(me)) }
-	:: d_step { may_ask(next(next(me))) -> ask(next(next(me))) }
-	:: d_step { ahead(next(me)) -> from_peer[me] = has[next(me)] }
-	:: d_step { ahead(next(next(me))) ->
-		from_peer[me] = has[next(next(me))] }
-	:: atomic { from_peer[me] != NONE ->
-		take(me, from_peer[me]);
-		from_peer[me] = NONE }
+/* Node N has its write accepted: in force there at once. Node 0 only, the
+ * one that restarts. */
+active proctype writer()
+{
+	byte v;
 
-	:: atomic { !begun[me] && from_peer[me] == NONE && may_begin ->
-		begun[me] = true;
-		assert(has[me] >= owed[me]);
-		see_everywhere() }
-
-	:: d_step { restarts < RESTARTS ->
-		restarts++;
-		restart(me) }
+	do
+	:: d_step { api_up && ready[0] && accepted < WRITES ->
+		accepted++;
+		v = accepted
+	   };
+		d_step {
+			if
+			:: ready[0] -> take(0, v)
+			:: else -> skip
+			fi;
+			v = 0
+		}
 	od
 }
 
-/* Changes are accepted through any node, which has them in force at once,
- * and passes the note on; here to one other, or to nobody when it is lost. */
-proctype writer() {
-	byte by, to;
+active proctype watch()
+{
+	byte v;
 
 	do
-	:: atomic { stored < WRITES && !down ->
-		stored++;
-		if
-		:: by = 0
-		:: by = 1
-		:: by = 2
-		fi;
-		take(by, stored);
-		to = (by + 1) % NODES;
+	:: d_step { api_up && in_force[1] < accepted -> v = in_force[1] + 1 };
 		if
-		:: from_peer[to] == NONE -> from_peer[to] = stored
-		:: true
-		fi }
-	:: stored == WRITES -> break
+		:: d_step { take(1, v); v = 0 }
+		/* one write seen for two */
+		:: d_step { v < accepted -> v++; take(1, v); v = 0 }
+		fi
 	od
 }
 
-/* Once, the API goes away, and all nodes may be restarted meanwhile. */
-proctype outage() {
-	if
-	:: down = true
-	:: true
-	fi;
-	if
-	:: d_step { restart(0); restart(1); restart(2) }
-	:: true
-	fi;
-	down = false
-}
+/* Anti-entropy: an answer is made, and received later. */
+proctype pull(byte to; byte from)
+{
+	byte v;
 
-/* When nothing else can move. */
-proctype quiet() {
-	timeout ->
-	assert(has[0] == stored && has[1] == stored && has[2] == stored)
+	do
+	:: d_step { ANTI_ENTROPY && ready[from] && ready[to] &&
+	    in_force[from] > in_force[to] -> v = in_force[from] };
+		d_step {
+			if
+			:: ready[to] -> take(to, v)
+			:: else -> skip
+			fi;
+			v = 0
+		}
+	od
 }
 
-init {
-	atomic {
-		byte i;
+active proctype restart()
+{
+	byte v;
 
-		for (i : 0 .. NODES - 1) {
-			from_api[i] = NONE;
-			from_peer[i] = NONE;
-			begun[i] = true;
-			listed[i] = true
+	if
+	:: d_step {
+		ready[0] = false;
+		in_force[0] = 0
+	   };
+		if
+		:: !ASK_AT_START -> v = 1 /* what its files were made with */
+		:: d_step { ASK_AT_START && api_up ->
+			v = accepted;
+			assert(v >= own) /* own_highest */
+		   }
+		:: ASK_AT_START && !api_up ->
+			v = in_force[1];
+			d_step {
+				v = (in_force[2] > v -> in_force[2] : v);
+				assert(SPREAD || v >= own) /* own_highest */
+			}
+		fi;
+		d_step {
+			assert(v >= everywhere); /* no_revert */
+			in_force[0] = v;
+			ready[0] = true;
+			own = v;
+			v = 0;
+			note();
+			note()
 		}
-		run node(0);
-		run node(1);
-		run node(2);
-		run writer();
-		run outage();
-		run quiet()
-	}
+	:: skip
+	fi
+}
+
+init
+{
+	atomic {
+		run pull(0, 1);
+		run pull(1, 0);
+		run pull(1, 2);
+		run pull(2, 1);
+		run pull(2, 0);
+		run pull(0, 2)
+	};
+	timeout; /* everything has come to rest */
+	assert(in_force[0] == accepted && in_force[1] == accepted &&
+	    in_force[2] == accepted) /* reached */
 }
--- a/tests/weights/nodes.h
+++ b/tests/weights/nodes.h
@@ -40,10 +40,11 @@
 struct fake_origin {
 	const struct model *models;
 	size_t nmodels;
-	unsigned int delay_ms;
+	unsigned int delay_ms; /* of an answer, on average */
+	struct rng rng;
 	unsigned int corrupt; /* the next so many answers */
 	bool down;
-	bool stalled; /* reads never answer */
+	bool hold; /* reads of weights are not answered meanwhile */
 	uint64_t bytes_sent; /* of weights, not lists */
 	unsigned int reads;
 	TAILQ_HEAD(open_list, origin_read) open;
@@ -57,8 +58,9 @@
 	struct conn_server *server;
 	GHashTable *conns; /* accepted and open */
 	struct wts *wts;
-	bool deaf; /* reads nothing: a link that stalls without closing */
-	void (*spoil)(struct node *n); /* called when wanted */
+	/* In place of `wts`: a host that breaks the rules. */
+	void (*fake)(struct node *n, struct conn *c, const struct msg *m);
+	void *fake_ctx;
 };
 
 struct nodes {
@@ -136,15 +138,15 @@
 {
 	struct origin_read *r = data;
 	origin_read_cb *done = r->done;
-	GBytes *bytes = g_steal_pointer(&r->bytes);
 	void *ctx = r->ctx;
 	struct err err;
+	GBytes *bytes;
+
+	if (r->origin->hold && g_str_has_suffix(r->name, ".weights"))
+		return G_SOURCE_CONTINUE;
+	bytes = g_steal_pointer(&r->bytes);
 
 	r->source = 0;
-	if (r->origin->stalled) {
-		g_clear_pointer(&bytes, g_bytes_unref);
-		return G_SOURCE_REMOVE;
-	}
 	err_set(&err, ERR_UNAVAILABLE, VERDICT_NOT_RUN, "down");
 	if (r->origin->down)
 		g_clear_pointer(&bytes, g_bytes_unref);
@@ -197,7 +199,10 @@
 	if (!o->down && g_str_has_suffix(name, ".weights"))
 		o->bytes_sent += len;
 	TAILQ_INSERT_TAIL(&o->open, r, link);
-	r->source = g_timeout_add(o->delay_ms, fake_answer, r);
+	/* Uneven, or hosts would choose in step and never hear in time. */
+	r->source = g_timeout_add(
+	    o->delay_ms / 2 + (guint)rng_below(&o->rng, o->delay_ms + 1),
+	    fake_answer, r);
 	return r;
 }
 
@@ -218,6 +223,8 @@
 
 	if (n->wts != NULL)
 		assert_true(wts_message(n->wts, c, m));
+	else if (n->fake != NULL)
+		n->fake(n, c, m);
 }
 
 static inline void
@@ -315,9 +322,8 @@
 	GHashTableIter iter;
 	gpointer c;
 
-	if (n->wts == NULL)
-		return;
-	wts_free(g_steal_pointer(&n->wts));
+	if (n->wts != NULL)
+		wts_free(g_steal_pointer(&n->wts));
 	g_hash_table_iter_init(&iter, n->conns);
 	while (g_hash_table_iter_next(&iter, &c, NULL))
 		conn_close(c);
