--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -514,10 +514,11 @@
 	}' "$points" | tee -a "$points"
 }
 
-# Y = idle * seconds + R * requests + T * tokens, by normal equations.
+# Y = idle * seconds + R * requests + T * tokens, by normal equations, over the
+# points of a part and those of part open.
 fit2() { # PART Y
 	awk -v part="part=$1" -v y="$2" '
-	$1 == "point" && $2 == part {
+	$1 == "point" && ($2 == part || $2 == "part=open") {
 		for (i = 3; i <= NF; i++) {
 			split($i, p, "=")
 			f[p[1]] = p[2]
--- a/bench/capacity_tables.sh
+++ b/bench/capacity_tables.sh
@@ -110,7 +110,7 @@
 	row("processor for requests, % of a core", "-", c[1], c[2],
 	    "derived: (request_us x requests/s + token_us x tokens/s) / E")
 	# A wake polls every connection: seen as a slope over sides under load,
-	# of two entries with about a third of the tokens of two years each.
+	# of two entries with about a fifth of the tokens of two years each.
 	for (i = 1; i <= 2; i++)
 		p[i] = c[i] + slope("fan/sides/entry_cpu_ms_s") / 20 * \
 		    (S[i] + 2 * (E[i] - 1))
