--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Capacity: the slopes that docs/CAPACITY.md is worked out from, and its
 # tables. `sh bench/capacity.sh BUILD`; PARTS by environment (all). Real
-# processes on loopback, at most 60 at a time; `make capacity` ends within 10
+# processes on loopback, at most 100 at a time; `make capacity` ends within 10
 # minutes.
 #
 # A line `point part=P ...` is a measured point. A line `fit of=Y on=X a=A
