--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Capacity: the slopes that docs/CAPACITY.md is worked out from, and its
 # tables. `sh bench/capacity.sh BUILD`; PARTS by environment (all). Real
-# processes on loopback, at most 60 at a time; `make capacity` ends within 10
+# processes on loopback, at most 100 at a time; `make capacity` ends within 10
 # minutes.
 #
 # A line `point part=P ...` is a measured point. A line `fit of=Y on=X a=A
@@ -514,10 +514,11 @@
 	}' "$points" | tee -a "$points"
 }
 
-# Y = idle * seconds + R * requests + T * tokens, by normal equations.
+# Y = idle * seconds + R * requests + T * tokens, by normal equations, over the
+# points of a part and those of part open.
 fit2() { # PART Y
 	awk -v part="part=$1" -v y="$2" '
-	$1 == "point" && $2 == part {
+	$1 == "point" && ($2 == part || $2 == "part=open") {
 		for (i = 3; i <= NF; i++) {
 			split($i, p, "=")
 			f[p[1]] = p[2]
