The gate takes the members' word for its floor only after a lease

Cause: gate.pml without SPREAD: a side that restarts while the object API is away took its floor from members that might not yet know the last number; an older order still on its way passed. Change: members stand in for the API only when the side has been up for a lease. Conclusion: SPREAD stays an assumption of the model, now bought by time.

--- a/lib/agree/agr_internal.h
+++ b/lib/agree/agr_internal.h
@@ -86,6 +86,7 @@
 
 struct agr_gate { /* see gate.c */
 	struct agr *agr;
+	int64_t started_us; /* of this life of the host */
 	GHashTable *floors;
 	LIST_ENTRY(agr_gate) link;
 };
--- a/lib/agree/gate.c
+++ b/lib/agree/gate.c
@@ -83,8 +83,20 @@
 	g_free(key);
 }
 
-/* With the API away, several members that have begun stand in for it: the
- * holder told of its number before it acted, and so did who heard. */
+/*
+ * With the API away, several members that have begun stand in for it, but not
+ * at once: a holder tells of its number before it acts and waits for nobody, so
+ * members may not have heard yet of a number that this host took before its
+ * restart, and an older order still on its way would pass. After a lease
+ * gossip has long carried it to them.
+ */
+static bool
+news_has_spread(const struct agr_gate *gate)
+{
+	return agr_now_us(gate->agr) - gate->started_us >=
+	    (int64_t)gate->agr->conf.lease_ms * 1000;
+}
+
 void
 agr_gates_told(struct agr *agr)
 {
@@ -97,7 +109,8 @@
 		while (g_hash_table_iter_next(&iter, NULL, &value)) {
 			struct floor *floor = value;
 
-			if (floor->by_members && inf_peers_told(&agr->start))
+			if (floor->by_members && news_has_spread(gate) &&
+			    inf_peers_told(&agr->start))
 				floor->known = true;
 		}
 	}
@@ -113,6 +126,7 @@
 	struct agr_gate *gate = g_new0(struct agr_gate, 1);
 
 	gate->agr = agr;
+	gate->started_us = agr_now_us(agr);
 	gate->floors = g_hash_table_new(g_str_hash, g_str_equal);
 	LIST_INSERT_HEAD(&agr->gates, gate, link);
 	return gate;
