--- a/lib/common/cfg_read.c
+++ b/lib/common/cfg_read.c
@@ -122,3 +122,15 @@
 	va_end(args);
 	return node != NULL ? node->line : 0;
 }
+
+bool
+cfg_list_has(const struct cfg *cfg, const char *path, const char *item)
+{
+	size_t n = cfg == NULL ? 0 : cfg_count(cfg, "%s", path), i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(cfg_str(cfg, "%s.%zu", path, i), item) == 0)
+			return true;
+	}
+	return false;
+}
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -452,6 +452,8 @@
     G_GNUC_PRINTF(3, 4);
 /* List items are addressed as "rules.0.weight". A key that holds a dot cannot
  * be addressed and is refused when parsing. */
+/* Whether the list at `path` holds the string. `cfg` may be NULL. */
+bool cfg_list_has(const struct cfg *cfg, const char *path, const char *item);
 int cfg_line(const struct cfg *cfg, const char *format, ...)
     G_GNUC_PRINTF(2, 3); /* 0 if absent */
 /* A copy of the document with one value set (the parents are made when
--- a/lib/common/conn.c
+++ b/lib/common/conn.c
@@ -13,8 +13,6 @@
 #define HANDSHAKE_FRAME_MAX 512 /* bytes an unproved peer can make us hold */
 #define HANDSHAKE_MS 5000 /* connect and both proofs; a stalled peer goes */
 #define READ_SLICE (256u << 10) /* per turn of the loop, to stay fair */
-#define NONCE_BYTES 32
-#define NODE_ID_MAX 64
 #define LISTEN_BACKLOG 512
 
 enum conn_state {
@@ -39,9 +37,9 @@
 	enum conn_state state;
 	bool dialled;
 	bool paused;
-	char peer[NODE_ID_MAX + 1];
-	uint8_t nonce[NONCE_BYTES];
-	uint8_t peer_nonce[NONCE_BYTES];
+	char peer[CONN_ID_MAX + 1];
+	uint8_t nonce[CONN_NONCE_BYTES];
+	uint8_t peer_nonce[CONN_NONCE_BYTES];
 	GSocket *socket;
 	GSource *in_source;
 	GSource *out_source;
@@ -65,53 +63,6 @@
 	GHashTable *proving;
 };
 
-/* ------------------------------------------------------------------ */
-/* Handshake messages                                                  */
-/* ------------------------------------------------------------------ */
-
-struct msg_hello {
-	struct slice id;
-	struct slice nonce;
-};
-
-struct msg_proof {
-	struct digest proof;
-};
-
-static const struct msg_field hello_fields[] = {
-	MSG_FIELD(struct msg_hello, id, MSG_STR, NODE_ID_MAX),
-	MSG_FIELD(struct msg_hello, nonce, MSG_BIN, NONCE_BYTES),
-};
-static const struct msg_desc hello_desc =
-    MSG_DESC(1, "hello", struct msg_hello, hello_fields);
-
-static const struct msg_field proof_fields[] = {
-	MSG_FIELD(struct msg_proof, proof, MSG_DIGEST, 0),
-};
-static const struct msg_desc proof_desc =
-    MSG_DESC(2, "proof", struct msg_proof, proof_fields);
-
-/*
- * The prover's proof. The label differs by direction, or a peer could send
- * our own proof back to us on a second connection and be believed.
- */
-static void
-make_proof(const struct conn_node *node, bool by_dialler, const char *prover,
-    const uint8_t *prover_nonce, const char *checker,
-    const uint8_t *checker_nonce, struct digest *out)
-{
-	GByteArray *text = g_byte_array_new();
-	const char *label = by_dialler ? "dialler" : "acceptor";
-
-	g_byte_array_append(text, (const guint8 *)label, strlen(label) + 1);
-	g_byte_array_append(text, (const guint8 *)prover, strlen(prover) + 1);
-	g_byte_array_append(text, (const guint8 *)checker, strlen(checker) + 1);
-	g_byte_array_append(text, prover_nonce, NONCE_BYTES);
-	g_byte_array_append(text, checker_nonce, NONCE_BYTES);
-	hmac_of(node->key, node->key_len, text->data, text->len, out);
-	g_byte_array_unref(text);
-}
-
 /* ------------------------------------------------------------------ */
 /* Closing                                                             */
 /* ------------------------------------------------------------------ */
@@ -275,43 +226,43 @@
 static void
 send_hello(struct conn *c)
 {
-	struct msg_hello hello = {
+	struct conn_hello hello = {
 		.id = slice_str(c->node->id),
-		.nonce = { c->nonce, NONCE_BYTES },
+		.nonce = { c->nonce, CONN_NONCE_BYTES },
 	};
 
-	random_bytes(c->nonce, NONCE_BYTES);
-	conn_send(c, &hello_desc, &hello);
+	random_bytes(c->nonce, CONN_NONCE_BYTES);
+	conn_send(c, &conn_hello_desc, &hello);
 }
 
 static void
 take_hello(struct conn *c, const struct msg *m)
 {
-	struct msg_hello hello;
-	struct msg_proof proof;
+	struct conn_hello hello;
+	struct conn_proof proof;
 
-	if (!msg_read(m, &hello_desc, &hello, NULL) || hello.id.len == 0 ||
-	    hello.nonce.len != NONCE_BYTES) {
+	if (!msg_read(m, &conn_hello_desc, &hello, NULL) || hello.id.len == 0 ||
+	    hello.nonce.len != CONN_NONCE_BYTES) {
 		fail(c, ERR_INVALID, "malformed hello");
 		return;
 	}
 	memcpy(c->peer, hello.id.data, hello.id.len);
-	memcpy(c->peer_nonce, hello.nonce.data, NONCE_BYTES);
-	make_proof(c->node, c->dialled, c->node->id, c->nonce, c->peer,
+	memcpy(c->peer_nonce, hello.nonce.data, CONN_NONCE_BYTES);
+	conn_make_proof(c->node, c->dialled, c->node->id, c->nonce, c->peer,
 	    c->peer_nonce, &proof.proof);
 	c->state = CONN_PROOF;
-	conn_send(c, &proof_desc, &proof);
+	conn_send(c, &conn_proof_desc, &proof);
 }
 
 static void
 take_proof(struct conn *c, const struct msg *m)
 {
-	struct msg_proof proof;
+	struct conn_proof proof;
 	struct digest want;
 
-	make_proof(c->node, !c->dialled, c->peer, c->peer_nonce, c->node->id,
-	    c->nonce, &want);
-	if (!msg_read(m, &proof_desc, &proof, NULL) ||
+	conn_make_proof(c->node, !c->dialled, c->peer, c->peer_nonce,
+	    c->node->id, c->nonce, &want);
+	if (!msg_read(m, &conn_proof_desc, &proof, NULL) ||
 	    !digest_equal_secret(&proof.proof, &want)) {
 		count(c, "conn_refused_keys", 1);
 		fail(c, ERR_UNAUTHORISED, "wrong shared key");
@@ -459,7 +410,7 @@
 {
 	struct conn *c = g_new0(struct conn, 1);
 
-	g_assert(strlen(node->id) <= NODE_ID_MAX);
+	g_assert(strlen(node->id) <= CONN_ID_MAX);
 	c->node = node;
 	TAILQ_INIT(&c->out);
 	c->timer = g_timeout_add(HANDSHAKE_MS, handshake_timeout, c);
--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "entry/entry.h"
+#include "shared/http.h"
 
 #define NOT_READY_RETRY_MS 1000
 #define PRIORITY_DEFAULT 100
@@ -406,15 +407,6 @@
 /* Health, counters, events                                            */
 /* ------------------------------------------------------------------ */
 
-static void
-answer_text(SoupServerMessage *message, unsigned int status, const char *type,
-    const char *text)
-{
-	soup_server_message_set_status(message, status, NULL);
-	soup_server_message_set_response(
-	    message, type, SOUP_MEMORY_COPY, text, strlen(text));
-}
-
 static void
 on_health(SoupServer *server, SoupServerMessage *message, const char *path,
     GHashTable *query, gpointer data)
@@ -422,13 +414,13 @@
 	struct entry *entry = data;
 
 	if (entry->leaving || entry->draining)
-		answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+		http_answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
 		    "application/json", "{\"state\":\"draining\"}\n");
 	else if (!entry_takes_work(entry))
-		answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+		http_answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
 		    "application/json", "{\"state\":\"starting\"}\n");
 	else
-		answer_text(message, SOUP_STATUS_OK, "application/json",
+		http_answer_text(message, SOUP_STATUS_OK, "application/json",
 		    "{\"state\":\"ready\"}\n");
 }
 
@@ -437,13 +429,10 @@
     GHashTable *query, gpointer data)
 {
 	struct entry *entry = data;
-	GString *text = g_string_new(NULL);
 
 	ctr_put(ctr_get(entry->proc.counters, "entry_open_requests"),
 	    entry->open_requests);
-	ctr_print(entry->proc.counters, text);
-	answer_text(message, SOUP_STATUS_OK, "text/plain", text->str);
-	g_string_free(text, TRUE);
+	http_answer_counters(message, entry->proc.counters);
 }
 
 static void
@@ -459,7 +448,7 @@
 	char *json = g_strdup_printf(
 	    "{\"next\":%" G_GUINT64_FORMAT ",\"events\":%s}\n", next, events);
 
-	answer_text(message, SOUP_STATUS_OK, "application/json", json);
+	http_answer_text(message, SOUP_STATUS_OK, "application/json", json);
 	g_free(json);
 	g_free(events);
 }
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -121,25 +121,13 @@
 	claims_members(entry);
 }
 
-static bool
-lists_us(const struct entry *entry)
-{
-	size_t n = cfg_count(entry->root, "drain.entries"), i;
-
-	for (i = 0; i < n; i++) {
-		if (strcmp(cfg_str(entry->root, "drain.entries.%zu", i),
-			entry->proc.node.id) == 0)
-			return true;
-	}
-	return false;
-}
-
 static void
 take_root(struct entry *entry, struct cfg *cfg)
 {
 	cfg_free(entry->root);
 	entry->root = cfg;
-	entry->draining = lists_us(entry);
+	entry->draining =
+	    cfg_list_has(cfg, "drain.entries", entry->proc.node.id);
 	sides_apply_drain(entry);
 }
 
--- a/programs/entry/sides.c
+++ b/programs/entry/sides.c
@@ -35,18 +35,6 @@
 	out[n] = '\0';
 }
 
-static bool
-list_has(const struct cfg *cfg, const char *path, const char *name)
-{
-	size_t n = cfg == NULL ? 0 : cfg_count(cfg, "%s", path), i;
-
-	for (i = 0; i < n; i++) {
-		if (strcmp(cfg_str(cfg, "%s.%zu", path, i), name) == 0)
-			return true;
-	}
-	return false;
-}
-
 /* A host leaves by its own word, by membership or by the settings; whichever
  * is heard first stops new work. */
 static bool
@@ -54,8 +42,8 @@
 {
 	const struct cfg *root = side->entry->root;
 
-	return side->leaving || list_has(root, "drain.hosts", side->id) ||
-	    list_has(root, "drain.domains", side->domain);
+	return side->leaving || cfg_list_has(root, "drain.hosts", side->id) ||
+	    cfg_list_has(root, "drain.domains", side->domain);
 }
 
 static void
--- a/programs/shared/http.c
+++ b/programs/shared/http.c
@@ -1,5 +1,6 @@
 /* What libsoup's server leaves open. */
 
+#include <string.h>
 #include <errno.h>
 #include <sys/socket.h>
 
@@ -38,3 +39,22 @@
 	g_signal_connect(
 	    server, "request-finished", G_CALLBACK(on_request_finished), NULL);
 }
+
+void
+http_answer_text(SoupServerMessage *message, unsigned int status,
+    const char *type, const char *text)
+{
+	soup_server_message_set_status(message, status, NULL);
+	soup_server_message_set_response(
+	    message, type, SOUP_MEMORY_COPY, text, strlen(text));
+}
+
+void
+http_answer_counters(SoupServerMessage *message, const struct ctr_set *counters)
+{
+	GString *text = g_string_new(NULL);
+
+	ctr_print(counters, text);
+	http_answer_text(message, SOUP_STATUS_OK, "text/plain", text->str);
+	g_string_free(text, TRUE);
+}
--- a/programs/shared/http.h
+++ b/programs/shared/http.h
@@ -3,6 +3,8 @@
 
 #include <libsoup/soup.h>
 
+#include "common/common.h"
+
 /*
  * Closes a connection that its client has closed between two requests.
  * libsoup 3.2 reads that end and then neither closes its own side nor says
@@ -12,4 +14,11 @@
  */
 void http_close_left(SoupServer *server);
 
+/* Answers with a short text, which is copied. */
+void http_answer_text(SoupServerMessage *message, unsigned int status,
+    const char *type, const char *text);
+/* Answers with all counters, one `name value` a line. */
+void http_answer_counters(
+    SoupServerMessage *message, const struct ctr_set *counters);
+
 #endif
--- a/programs/side/loopback.c
+++ b/programs/side/loopback.c
@@ -17,15 +17,6 @@
 	uint64_t next; /* chunk to append next */
 };
 
-static void
-answer_text(SoupServerMessage *message, unsigned int status, const char *type,
-    const char *text)
-{
-	soup_server_message_set_status(message, status, NULL);
-	soup_server_message_set_response(
-	    message, type, SOUP_MEMORY_COPY, text, strlen(text));
-}
-
 /* ------------------------------------------------------------------ */
 /* A version's bytes                                                   */
 /* ------------------------------------------------------------------ */
@@ -88,7 +79,7 @@
 	if (g_strv_length(part) == 2 && digest_from_hex(part[0], &root))
 		list = wts_list(side->wts, &root);
 	if (list == NULL) {
-		answer_text(message, SOUP_STATUS_NOT_FOUND, "text/plain",
+		http_answer_text(message, SOUP_STATUS_NOT_FOUND, "text/plain",
 		    "not whole here\n");
 	} else if (strcmp(part[1], "chunks") == 0) {
 		soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
@@ -97,7 +88,7 @@
 	} else if (strcmp(part[1], "bytes") == 0) {
 		send_bytes(side, message, &root);
 	} else {
-		answer_text(message, SOUP_STATUS_NOT_FOUND, "text/plain",
+		http_answer_text(message, SOUP_STATUS_NOT_FOUND, "text/plain",
 		    "no such thing\n");
 	}
 	g_strfreev(part);
@@ -114,13 +105,13 @@
 	struct side *side = data;
 
 	if (side->leaving || side->draining)
-		answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+		http_answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
 		    "application/json", "{\"state\":\"draining\"}\n");
 	else if (!agr_is_ready(side->proc.agr))
-		answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+		http_answer_text(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
 		    "application/json", "{\"state\":\"starting\"}\n");
 	else
-		answer_text(message, SOUP_STATUS_OK, "application/json",
+		http_answer_text(message, SOUP_STATUS_OK, "application/json",
 		    "{\"state\":\"ready\"}\n");
 }
 
@@ -129,11 +120,8 @@
     GHashTable *query, gpointer data)
 {
 	struct side *side = data;
-	GString *text = g_string_new(NULL);
 
-	ctr_print(side->proc.counters, text);
-	answer_text(message, SOUP_STATUS_OK, "text/plain", text->str);
-	g_string_free(text, TRUE);
+	http_answer_counters(message, side->proc.counters);
 }
 
 bool
--- a/programs/side/place.c
+++ b/programs/side/place.c
@@ -175,25 +175,13 @@
 /* Settings                                                            */
 /* ------------------------------------------------------------------ */
 
-static bool
-list_has(const struct cfg *cfg, const char *path, const char *name)
-{
-	size_t n = cfg_count(cfg, "%s", path), i;
-
-	for (i = 0; i < n; i++) {
-		if (strcmp(cfg_str(cfg, "%s.%zu", path, i), name) == 0)
-			return true;
-	}
-	return false;
-}
-
 static void
 take_root_branch(struct side *side, const struct cfg *cfg)
 {
 	const char *domain = cfg_str(side->proc.cfg, "node.domain");
 
-	side->draining = list_has(cfg, "drain.hosts", side->proc.node.id) ||
-	    list_has(cfg, "drain.domains", domain);
+	side->draining = cfg_list_has(cfg, "drain.hosts", side->proc.node.id) ||
+	    cfg_list_has(cfg, "drain.domains", domain);
 	targets_announce(side);
 }
 
