Sides tell the lead each change of phase; it asks once a minute

Cause: docs/CAPACITY.md: the lead asked every side that was not whole four times a second, 477 KB/s derived at 1,000 hosts against 4 KB/s. Change: a side sends its status to the watching entries when a version's phase changes; the question stays as a fallback, once a minute a side and version.

--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -38,6 +38,7 @@
 	unsigned int retry_ms;
 	GHashTable *streams; /* stream number -> struct request */
 	GHashTable *statuses; /* struct digest -> struct side_status */
+	GHashTable *asked; /* struct digest -> time (us) the lead last asked */
 };
 
 /* How far a version has come at a side, as it last said. */
--- a/programs/entry/lead.c
+++ b/programs/entry/lead.c
@@ -10,6 +10,7 @@
 #include "route/activate.h"
 
 #define LEAD_TICK_MS 250
+#define ASK_MS 60000 /* 1,000 hosts at 60 bytes: 1 KB/s */
 
 /* An order sent and not answered. */
 struct lead_order {
@@ -30,7 +31,6 @@
 	char role_name[RT_NAME_MAX + 1];
 	struct agr_role *role; /* NULL once it was handed over */
 	guint timer; /* runs while the role is held */
-	bool asking; /* in a pass of the timer */
 	uint64_t next_order;
 	GHashTable *orders; /* order id -> struct lead_order */
 	GHashTable *rests; /* target -> struct lead_rest */
@@ -184,13 +184,23 @@
 	    rt_place_has(hosts, t->side);
 }
 
+/* Sides tell each change of a version's phase by themselves; the question is
+ * for what was told before we watched, and goes again only now and then. */
 static void
 ask_status(struct entry_side *side, const struct digest *root)
 {
 	struct rt_status_get get = { .root = *root };
+	int64_t *asked_us = g_hash_table_lookup(side->asked, root);
+	int64_t now_us = clk_now_us(clk_system());
 
-	if (side->open)
-		conn_send(side->conn, &rt_status_get_desc, &get);
+	if (!side->open ||
+	    (asked_us != NULL && now_us - *asked_us < ASK_MS * 1000LL))
+		return;
+	asked_us = g_new(int64_t, 1);
+	*asked_us = now_us;
+	g_hash_table_replace(
+	    side->asked, g_memdup2(root, sizeof(*root)), asked_us);
+	conn_send(side->conn, &rt_status_get_desc, &get);
 }
 
 static struct act_target
@@ -223,8 +233,7 @@
 	case ACT_NONE:
 		break;
 	case ACT_ASK:
-		if (lead->asking)
-			ask_status(t->owner, &model->rollout->root);
+		ask_status(t->owner, &model->rollout->root);
 		break;
 	case ACT_DRAIN:
 		rules->unavailable++;
@@ -334,17 +343,12 @@
 	}
 }
 
-/* Only the timer asks. An answer wakes the lead; if that pass asked too, each
- * answer would bring the next question at once, and the lead would ask all
- * hosts as fast as it can for as long as weights move. */
 static gboolean
 on_tick(gpointer data)
 {
 	struct lead *lead = data;
 
-	lead->asking = true;
 	tick(lead);
-	lead->asking = false;
 	return G_SOURCE_CONTINUE;
 }
 
--- a/programs/entry/sides.c
+++ b/programs/entry/sides.c
@@ -264,6 +264,7 @@
 	forget_targets(side);
 	fail_streams(side, why);
 	g_hash_table_remove_all(side->statuses);
+	g_hash_table_remove_all(side->asked);
 	if (side->address[0] != '\0') {
 		side->retry_timer =
 		    g_timeout_add(side->retry_ms, on_retry, side);
@@ -311,6 +312,8 @@
 	side->streams = g_hash_table_new(g_int64_hash, g_int64_equal);
 	side->statuses =
 	    g_hash_table_new_full(digest_hash, digest_equal_ptr, NULL, g_free);
+	side->asked = g_hash_table_new_full(
+	    digest_hash, digest_equal_ptr, g_free, g_free);
 	TAILQ_INSERT_TAIL(&entry->sides, side, link);
 	return side;
 }
--- a/programs/side/main.c
+++ b/programs/side/main.c
@@ -137,6 +137,7 @@
 	else if (progress->phase == WTS_NO_ROOM)
 		tl_add(side->proc.timeline, "version_no_room", hex, "%s",
 		    progress->why);
+	place_tell(side, &version->root);
 	place_schedule(side);
 }
 
--- a/programs/side/place.c
+++ b/programs/side/place.c
@@ -206,18 +206,15 @@
 	place_schedule(side);
 }
 
-void
-place_status(struct side_peer *peer, const struct msg *m)
+static void
+send_status(struct side_peer *peer, const struct digest *root)
 {
-	struct rt_status_get get;
 	struct wts_progress progress = { 0 };
 	struct rt_status status;
 
-	if (!msg_read(m, &rt_status_get_desc, &get, NULL))
-		return;
-	wts_progress(peer->side->wts, &get.root, &progress);
+	wts_progress(peer->side->wts, root, &progress);
 	status = (struct rt_status){
-		.root = get.root,
+		.root = *root,
 		.phase = progress.phase,
 		.have = progress.have,
 		.total = progress.total,
@@ -225,3 +222,23 @@
 	};
 	conn_send(peer->conn, &rt_status_desc, &status);
 }
+
+void
+place_tell(struct side *side, const struct digest *root)
+{
+	struct side_peer *peer;
+
+	TAILQ_FOREACH (peer, &side->peers, link) {
+		if (peer->watching)
+			send_status(peer, root);
+	}
+}
+
+void
+place_status(struct side_peer *peer, const struct msg *m)
+{
+	struct rt_status_get get;
+
+	if (msg_read(m, &rt_status_get_desc, &get, NULL))
+		send_status(peer, &get.root);
+}
--- a/programs/side/side.h
+++ b/programs/side/side.h
@@ -82,6 +82,8 @@
 /* place.c: which versions the settings want on this host, and with whom. */
 void place_schedule(struct side *side);
 void place_branch(struct side *side, const struct inf_branch *branch);
+/* Tells the watching entries how far a version has come. */
+void place_tell(struct side *side, const struct digest *root);
 void place_status(struct side_peer *peer, const struct msg *m);
 
 /* loopback.c: HTTP for the engine beside. */
--- a/tests/system/asking.sh
+++ b/tests/system/asking.sh
@@ -17,9 +17,9 @@
 	[ $(($(entries_sent) - before)) -gt 1000 ]
 }
 
-# Four passes a second, three sides, 60 bytes a question, and the entries'
-# own words: below 2 KB/s. Ten times that is let through, whatever time the
-# window really took.
+# Each side is asked once and then tells by itself; what is left are the
+# entries' own words, about 0.1 KB/s. Ten times that is let through, whatever
+# time the window really took.
 asks_with_pauses() {
 	before=$(entries_sent)
 	from=$(date +%s%3N)
@@ -27,7 +27,7 @@
 	sent=$(($(entries_sent) - before))
 	took=$(($(date +%s%3N) - from))
 	echo "sent $sent bytes in $took ms"
-	[ "$sent" -le $((20 * took)) ]
+	[ "$sent" -le "$took" ]
 }
 
 publish_version v2 4194304
