Weights: no limits on asking other domains; near first is enough

Change: the limits, the link's idle state and the count of near holders go. Slices of a chunk are of one length. Names of 512 bytes, as settings allow: longer ones than 200 were cut.

--- a/lib/weights/link.c
+++ b/lib/weights/link.c
@@ -60,19 +60,13 @@
 		b->tokens = MAX(b->tokens - (int64_t)bytes, -most);
 }
 
-static int64_t
-time_of(const struct bucket *b, int64_t bytes)
-{
-	if (bytes <= 0)
-		return 0;
-	return (int64_t)((double)bytes * SECOND_US / (double)b->rate) + 1;
-}
-
 int64_t
 bucket_debt_us(struct bucket *b, int64_t now_us)
 {
 	refill(b, now_us);
-	return time_of(b, -b->tokens);
+	if (b->tokens >= 0)
+		return 0;
+	return (int64_t)((double)-b->tokens * SECOND_US / (double)b->rate) + 1;
 }
 
 int64_t
@@ -80,10 +74,3 @@
 {
 	return now_us + bucket_debt_us(b, now_us);
 }
-
-int64_t
-bucket_idle_us(struct bucket *b, int64_t now_us)
-{
-	refill(b, now_us);
-	return now_us + time_of(b, (int64_t)b->burst - b->tokens);
-}
--- a/lib/weights/link.h
+++ b/lib/weights/link.h
@@ -25,9 +25,6 @@
 void bucket_take_live(struct bucket *b, uint64_t bytes, int64_t now_us);
 /* When the debt is paid: now or a later time. */
 int64_t bucket_ready_us(struct bucket *b, int64_t now_us);
-/* When the link will have been idle so long that nothing more is saved up:
- * now or a later time, if nothing is taken meanwhile. */
-int64_t bucket_idle_us(struct bucket *b, int64_t now_us);
 /* How long the present debt lasts. */
 int64_t bucket_debt_us(struct bucket *b, int64_t now_us);
 
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -148,14 +148,6 @@
 	p->conf.copies = copies;
 }
 
-static void
-count_holder(struct pick_chunk *c, const struct pick_peer *peer, int by)
-{
-	c->holders = (uint16_t)(c->holders + by);
-	if (peer->near)
-		c->near_holders = (uint16_t)(c->near_holders + by);
-}
-
 void
 pick_add_peer(struct pick *p, struct pick_peer *peer, bool near)
 {
@@ -181,7 +173,7 @@
 	}
 	for (i = 0; i < p->conf.chunks; i++) {
 		if (bits_get(peer->bits, i))
-			count_holder(&p->chunks[i], peer, -1);
+			p->chunks[i].holders--;
 	}
 	TAILQ_REMOVE(&p->peers, peer, link);
 	p->no_read_us = 0;
@@ -211,7 +203,7 @@
 		return false;
 	bits_set(peer->bits, index);
 	peer->have++;
-	count_holder(c, peer, 1);
+	c->holders++;
 	if (c->claimed)
 		return false;
 	c->claimed = true;
@@ -393,7 +385,7 @@
 		    bits_get(peer->bits, index)) {
 			bits_clear(peer->bits, index);
 			peer->have--;
-			count_holder(c, peer, -1);
+			c->holders--;
 		}
 		rest_peer(p, peer, reason, now_us);
 		return;
@@ -541,12 +533,8 @@
 }
 
 static bool
-can_ask(const struct pick *p, const struct pick_peer *peer, enum pick_link link,
-    int64_t now_us)
+can_ask(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
 {
-	if (!peer->near && link != PICK_LINK_IDLE &&
-	    p->open_asks >= PICK_FAR_ASKS)
-		return false;
 	if (is_doubtful(peer) && p->open_asks > 0)
 		return false;
 	return peer->open < PICK_ASKS_PER_PEER && peer->rest_us <= now_us &&
@@ -555,11 +543,9 @@
 
 /* The rarest missing chunk that `peer` has, or one of the rarest. */
 static bool
-rarest_of(const struct pick *p, const struct pick_peer *peer,
-    enum pick_link link, struct rng *rng, uint64_t *index_out)
+rarest_of(const struct pick *p, const struct pick_peer *peer, struct rng *rng,
+    uint64_t *index_out)
 {
-	bool thrift = !peer->near && link != PICK_LINK_IDLE &&
-	    p->open_asks >= PICK_FAR_COMMON;
 	uint64_t words = bits_words(p->conf.chunks);
 	uint64_t first = rng_below(rng, words);
 	uint32_t best = UINT32_MAX;
@@ -574,12 +560,9 @@
 		for (; left != 0; left &= left - 1) {
 			uint64_t index =
 			    at * BITS_WORD + (uint64_t)__builtin_ctzll(left);
-			const struct pick_chunk *c = &p->chunks[index];
-			uint32_t holders = c->holders;
+			uint32_t holders = p->chunks[index].holders;
 
 			seen++;
-			if (thrift && c->near_holders > 0)
-				continue;
 			if (holders < best)
 				ties = 0;
 			if (holders > best || rng_below(rng, ++ties) != 0)
@@ -603,8 +586,8 @@
 }
 
 static bool
-find_ask(const struct pick *p, enum pick_link link, int64_t now_us,
-    struct rng *rng, struct pick_action *out)
+find_ask(const struct pick *p, int64_t now_us, struct rng *rng,
+    struct pick_action *out)
 {
 	const struct pick_peer *peer;
 	const struct pick_peer *best = NULL;
@@ -612,14 +595,14 @@
 	uint64_t index;
 
 	TAILQ_FOREACH (peer, &p->peers, link) {
-		if (!can_ask(p, peer, link, now_us))
+		if (!can_ask(p, peer, now_us))
 			continue;
 		if (best != NULL && better_peer(p, best, peer, now_us))
 			continue;
 		if (best == NULL || better_peer(p, peer, best, now_us))
 			ties = 0;
 		if (rng_below(rng, ++ties) != 0 ||
-		    !rarest_of(p, peer, link, rng, &index))
+		    !rarest_of(p, peer, rng, &index))
 			continue;
 		best = peer;
 		out->index = index;
@@ -692,7 +675,7 @@
 }
 
 void
-pick_next(struct pick *p, enum pick_link link, int64_t now_us, struct rng *rng,
+pick_next(struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
     struct pick_action *out)
 {
 	int64_t due_us = INT64_MAX;
@@ -704,12 +687,10 @@
 	}
 	if (find_expired(p, now_us, out))
 		return;
-	if (link != PICK_LINK_BUSY && may_read(p) &&
-	    find_read(p, now_us, rng, out, &due_us))
+	if (may_fetch && may_read(p) && find_read(p, now_us, rng, out, &due_us))
 		return;
-	if (link != PICK_LINK_BUSY &&
-	    p->open_asks + p->open_reads < PICK_ASKS) {
-		if (find_ask(p, link, now_us, rng, out))
+	if (may_fetch && p->open_asks + p->open_reads < PICK_ASKS) {
+		if (find_ask(p, now_us, rng, out))
 			return;
 		if (may_read(p) && find_extra_read(p, now_us, rng, out))
 			return;
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -23,11 +23,6 @@
 
 #define PICK_ASKS 4 /* open at a time; covers round trips and queues */
 #define PICK_ASKS_PER_PEER 2
-/* Links between failure domains are thin. While this host's link is not idle,
- * peers of other domains are asked only with fewer asks open than this, ... */
-#define PICK_FAR_ASKS 3
-/* ... and for chunks that the own domain has too with fewer than this. */
-#define PICK_FAR_COMMON 1
 #define PICK_STRIKES_DOUBT 2
 #define PICK_STRIKES_DROP 3 /* the driver replaces such a peer */
 #define PICK_READS 1 /* open at a time, from the origin */
@@ -35,13 +30,6 @@
 #define PICK_RANKS 16 /* higher ranks count as the last */
 #define PICK_RANK_UNKNOWN (PICK_RANKS - 1) /* holds nobody back */
 
-/* This host's link for downloads. */
-enum pick_link {
-	PICK_LINK_BUSY, /* its budget is used up for now */
-	PICK_LINK_OPEN,
-	PICK_LINK_IDLE, /* for so long that time is being lost */
-};
-
 enum pick_state {
 	PICK_MISSING,
 	PICK_ASKED, /* of a peer */
@@ -86,8 +74,7 @@
 	uint8_t reader; /* place of its first reader */
 	bool claimed; /* somebody began to read it from the origin */
 	uint8_t bad_reads; /* corrupt copies from the origin, here */
-	uint16_t holders; /* connected peers that have it */
-	uint16_t near_holders; /* of them, in this host's domain */
+	uint32_t holders; /* connected peers that have it */
 	int64_t claimed_us;
 };
 
@@ -166,8 +153,9 @@
 /* Some host has or reads it, of unknown rank; true when that is news. */
 bool pick_known(struct pick *p, uint64_t index, int64_t now_us);
 
-void pick_next(struct pick *p, enum pick_link link, int64_t now_us,
-    struct rng *rng, struct pick_action *out);
+/* `may_fetch`: the link's budget allows another fetch now. */
+void pick_next(struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
+    struct pick_action *out);
 /* Records that an ask or a read was started as chosen. */
 void pick_begin(struct pick *p, const struct pick_action *a, int64_t now_us);
 struct pick_ask *pick_find(const struct pick *p, uint64_t index);
--- a/lib/weights/serve.c
+++ b/lib/weights/serve.c
@@ -180,12 +180,16 @@
 	return best;
 }
 
+/* Slices of one length, so that none is a crumb. */
 static size_t
-slice_len(const struct wts *wts)
+slice_len(const struct wts *wts, size_t len)
 {
-	uint64_t len = wts->conf.upload_bytes_s / (SECOND_US / SLICE_US);
+	uint64_t most = wts->conf.upload_bytes_s / (SECOND_US / SLICE_US);
+	size_t n;
 
-	return CLAMP(len, SLICE_MIN, PROTO_SLICE_MAX);
+	most = CLAMP(most, SLICE_MIN, PROTO_SLICE_MAX);
+	n = (len + most - 1) / most;
+	return (len + n - 1) / n;
 }
 
 /* True when it was the last. */
@@ -195,7 +199,7 @@
 	struct wts *wts = u->to->xfer->wts;
 	gsize len;
 	const uint8_t *data = g_bytes_get_data(u->bytes, &len);
-	size_t n = MIN(slice_len(wts), len - u->at);
+	size_t n = MIN(slice_len(wts, len), len - u->at);
 	bool last = u->at + n == len;
 	struct proto_data slice = {
 		.index = u->index,
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -17,7 +17,7 @@
 /* Versions                                                            */
 /* ------------------------------------------------------------------ */
 
-#define WTS_NAME_MAX 200 /* of an object at the origin */
+#define WTS_NAME_MAX 512 /* of an object at the origin */
 #define WTS_CHUNK_MIN (4u << 10)
 #define WTS_CHUNK_MAX (64u << 20)
 
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -384,24 +384,19 @@
 /* Decisions                                                           */
 /* ------------------------------------------------------------------ */
 
-/* The state of the download link, and when it will change by itself. */
-static enum pick_link
-link_state(
+static bool
+may_fetch(
     struct xfer *x, const struct pick *pick, int64_t now_us, int64_t *until_us)
 {
-	struct bucket *down = &x->wts->down;
 	int64_t allowed =
 	    (int64_t)(FETCH_DEBT_CHUNKS * (double)pick->conf.chunk_bytes *
 		SECOND_US / (double)pick->conf.rate);
 
-	*until_us = bucket_ready_us(down, now_us) - allowed;
+	*until_us = bucket_ready_us(&x->wts->down, now_us) - allowed;
 	if (*until_us > now_us)
-		return PICK_LINK_BUSY;
-	*until_us = bucket_idle_us(down, now_us);
-	if (*until_us > now_us)
-		return PICK_LINK_OPEN;
+		return false;
 	*until_us = INT64_MAX;
-	return PICK_LINK_IDLE;
+	return true;
 }
 
 static void
@@ -470,16 +465,16 @@
 {
 	struct pick *pick = x->phase == WTS_LIST ? x->list_pick : x->pick;
 	int64_t now_us = clk_now_us(x->wts->clock);
-	int64_t link_us;
-	enum pick_link link;
+	int64_t fetch_us;
+	bool fetch;
 	struct pick_action a;
 
 	if (x->phase != WTS_LIST && x->phase != WTS_FETCHING)
 		return;
 	settle(x);
 	for (;;) {
-		link = link_state(x, pick, now_us, &link_us);
-		pick_next(pick, link, now_us, &x->wts->rng, &a);
+		fetch = may_fetch(x, pick, now_us, &fetch_us);
+		pick_next(pick, fetch, now_us, &x->wts->rng, &a);
 		if (a.kind == PICK_WAIT || a.kind == PICK_DONE)
 			break;
 		act(x, pick, &a, now_us);
@@ -491,6 +486,6 @@
 		return;
 	}
 	tell_wait(x, pick, a.why);
-	if (MIN(a.until_us, link_us) != INT64_MAX)
-		timer_set(&x->pump_timer, MIN(a.until_us, link_us));
+	if (MIN(a.until_us, fetch_us) != INT64_MAX)
+		timer_set(&x->pump_timer, MIN(a.until_us, fetch_us));
 }
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -58,7 +58,7 @@
 {
 	struct pick_action a;
 
-	pick_next(p, PICK_LINK_OPEN, now_us, &rng, &a);
+	pick_next(p, true, now_us, &rng, &a);
 	return a;
 }
 
