--- a/lib/weights/serve.c
+++ b/lib/weights/serve.c
@@ -10,7 +10,7 @@
  * furthest behind goes first, so that all end at about the same time. */
 #define COPIES_SAFE 3
 #define SLICE_MIN (16u << 10)
-#define SLICE_US 15000 /* a slice takes so long at the budget's rate */
+#define SLICE_US 20000 /* a slice takes so long at the budget's rate */
 #define SECOND_US 1000000
 /* A receiver that takes nothing for so long is dropped. */
 #define UPLOAD_STALL_US (10 * (int64_t)SECOND_US)
