--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -61,6 +61,27 @@
 	return G_SOURCE_REMOVE;
 }
 
+static void
+note_phase(const struct xfer *x)
+{
+	static const char *const names[] = {
+		[WTS_UNKNOWN] = "unknown",
+		[WTS_LIST] = "list",
+		[WTS_FETCHING] = "fetching",
+		[WTS_WHOLE] = "whole",
+		[WTS_NO_ROOM] = "no room",
+	};
+	struct tl *timeline = x->wts->conf.node->timeline;
+	char root[DIGEST_HEX];
+
+	if (timeline == NULL)
+		return;
+	digest_to_hex(&x->want.version.root, root);
+	tl_add(timeline, "weights_phase", root,
+	    "%s, %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT " chunks",
+	    names[x->phase], x->pick->have, x->pick->conf.chunks);
+}
+
 /* The owner is told from the loop: it may drop the version in answer. */
 static void
 set_phase(struct xfer *x, enum wts_phase phase)
@@ -68,6 +89,7 @@
 	if (x->phase == phase)
 		return;
 	x->phase = phase;
+	note_phase(x);
 	if (x->notify_idle == 0)
 		x->notify_idle = g_idle_add(on_notify, x);
 }
