--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -208,6 +208,8 @@
 	}
 	entry->http = soup_server_new("server-header", "currantchute", NULL);
 	http_close_left(entry->http);
+	http_count_malformed(
+	    entry->http, ctr_get(entry->proc.counters, "caller_malformed"));
 	caller_open(entry);
 	ops_open(entry);
 	if (!listen_at(entry->http, at, &error)) {
--- a/programs/shared/http.c
+++ b/programs/shared/http.c
@@ -40,6 +40,45 @@
 	    server, "request-finished", G_CALLBACK(on_request_finished), NULL);
 }
 
+static void
+on_head_read(SoupServerMessage *message, gpointer data)
+{
+	/* From here on the handlers say what the verdict is; an early one may
+	 * have refused already. */
+	if (soup_server_message_get_status(message) == 0)
+		soup_message_headers_remove(
+		    soup_server_message_get_response_headers(message),
+		    "X-Verdict");
+	g_object_set_data(G_OBJECT(message), "head-read", message);
+}
+
+static void
+on_started(SoupServer *server, SoupServerMessage *message, gpointer data)
+{
+	soup_message_headers_replace(
+	    soup_server_message_get_response_headers(message), "X-Verdict",
+	    "NOT_RUN");
+	g_signal_connect(
+	    message, "got-headers", G_CALLBACK(on_head_read), NULL);
+}
+
+static void
+on_finished(SoupServer *server, SoupServerMessage *message, gpointer data)
+{
+	if (soup_server_message_get_status(message) >= 400 &&
+	    g_object_get_data(G_OBJECT(message), "head-read") == NULL)
+		ctr_add(data, 1);
+}
+
+void
+http_count_malformed(SoupServer *server, struct ctr *malformed)
+{
+	g_signal_connect(
+	    server, "request-started", G_CALLBACK(on_started), NULL);
+	g_signal_connect(
+	    server, "request-finished", G_CALLBACK(on_finished), malformed);
+}
+
 void
 http_answer_text(SoupServerMessage *message, unsigned int status,
     const char *type, const char *text)
--- a/programs/shared/http.h
+++ b/programs/shared/http.h
@@ -14,6 +14,13 @@
  */
 void http_close_left(SoupServer *server);
 
+/*
+ * libsoup answers a head that it cannot read by itself, before any handler.
+ * Its answer gets the verdict NOT_RUN like every other refusal, and
+ * `malformed` counts it.
+ */
+void http_count_malformed(SoupServer *server, struct ctr *malformed);
+
 /* Answers with a short text, which is copied. */
 void http_answer_text(SoupServerMessage *message, unsigned int status,
     const char *type, const char *text);
--- a/tests/system/bad_input.sh
+++ b/tests/system/bad_input.sh
@@ -24,6 +24,20 @@
 	return 0
 }
 
+# malformed_head BYTES: what HTTP's parser refuses before any handler.
+malformed_head() {
+	timeout 3 bash -c "exec 3<>/dev/tcp/127.0.0.1/${entry_1##*:} && \
+	    printf '$1' >&3 && cat <&3" >"$STAGE/head" 2>/dev/null
+	grep -q '^HTTP/1.[01] 400' "$STAGE/head" &&
+	    grep -qi '^X-Verdict: NOT_RUN' "$STAGE/head"
+}
+
+check "no HTTP at all" malformed_head 'GARBAGE\r\n\r\n'
+check "malformed header" malformed_head \
+    'GET / HTTP/1.1\r\nHost x\r\n\r\n'
+check "malformed length" malformed_head \
+    'POST / HTTP/1.1\r\nContent-Length: zz\r\n\r\n{}'
+check "counted malformed heads" counter_is_positive "$entry_1" caller_malformed
 check "malformed JSON" refused 400 -H "$auth" -d '{"model":' "$chat_url"
 check "JSON that is no object" refused 400 -H "$auth" -d '[1]' "$chat_url"
 check "model without team" refused 400 -H "$auth" -d '{"model":"care"}' "$chat_url"
@@ -72,7 +86,6 @@
 check "command: refused with file, line and key" sh -c "'$bin/entry/currantchute' \
     settings check '$STAGE/bad.yaml' 2>&1 | grep -q 'bad.yaml:3: key .*verzions'"
 
-send_raw "${entry_1##*:}" 'GARBAGE\r\n\r\n'
 send_raw "$peer_a" '\000\000\000\005\335\177\377\377\377'
 send_raw "$peer_a" '\177\377\377\377'
 send_raw "$side_peer_1" 'GET / HTTP/1.1\r\n\r\n'
