--- a/programs/entry/cli.h
+++ b/programs/entry/cli.h
@@ -28,6 +28,7 @@
 int cli_refused(unsigned int status, JsonNode *node);
 int cli_fail(const struct err *err); /* prints; returns the exit code */
 void cli_print_json(JsonNode *node);
+void cli_print_object(JsonObject *object); /* takes it over */
 
 /* JSON body of a write of a branch, with a fresh operation id; g_free. */
 char *cli_put_body(const char *yaml, uint64_t if_version);
--- a/programs/entry/cli_http.c
+++ b/programs/entry/cli_http.c
@@ -107,6 +107,16 @@
 	g_free(text);
 }
 
+void
+cli_print_object(JsonObject *object)
+{
+	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
+
+	json_node_take_object(node, object);
+	cli_print_json(node);
+	json_node_unref(node);
+}
+
 int
 cli_fail(const struct err *err)
 {
@@ -184,7 +194,9 @@
 			    json_object_get_int_member(o, "in_force") ==
 				json_object_get_int_member(o, "nodes"))
 				rc = EXIT_OK;
-			if (rc == EXIT_OK || last)
+			if ((rc == EXIT_OK || last) && cli->json)
+				cli_print_json(node);
+			else if (rc == EXIT_OK || last)
 				print_in_force(o, version);
 		}
 		json_node_unref(node);
--- a/programs/entry/cli_rollout.c
+++ b/programs/entry/cli_rollout.c
@@ -50,6 +50,25 @@
 /* model digest, model add                                             */
 /* ------------------------------------------------------------------ */
 
+static void
+print_version(
+    const struct cli *cli, const char *root, const struct wts_version *v)
+{
+	JsonObject *o;
+
+	if (!cli->json) {
+		printf("root %s bytes %" G_GUINT64_FORMAT
+		       " chunk_bytes %" G_GUINT64_FORMAT "\n",
+		    root, v->bytes, v->chunk_bytes);
+		return;
+	}
+	o = json_object_new();
+	json_object_set_string_member(o, "root", root);
+	json_object_set_int_member(o, "bytes", (gint64)v->bytes);
+	json_object_set_int_member(o, "chunk_bytes", (gint64)v->chunk_bytes);
+	cli_print_object(o);
+}
+
 int
 cli_model_digest(const struct cli *cli, const char **args)
 {
@@ -72,9 +91,7 @@
 		rc = EXIT_USAGE;
 	} else {
 		digest_to_hex(&version.root, hex);
-		printf("root %s bytes %" G_GUINT64_FORMAT
-		       " chunk_bytes %" G_GUINT64_FORMAT "\n",
-		    hex, version.bytes, version.chunk_bytes);
+		print_version(cli, hex, &version);
 	}
 	g_byte_array_unref(list);
 	return rc;
--- a/programs/entry/cli_settings.c
+++ b/programs/entry/cli_settings.c
@@ -54,6 +54,7 @@
 int
 cli_settings_check(const struct cli *cli, const char **args)
 {
+	JsonObject *o;
 	struct err err = { 0 };
 	char *text;
 	size_t len;
@@ -65,7 +66,14 @@
 	g_free(text);
 	if (!good)
 		return cli_fail(&err);
-	printf("%s: good\n", args[0]);
+	if (cli->json) {
+		o = json_object_new();
+		json_object_set_string_member(o, "file", args[0]);
+		json_object_set_boolean_member(o, "good", TRUE);
+		cli_print_object(o);
+	} else {
+		printf("%s: good\n", args[0]);
+	}
 	return EXIT_OK;
 }
 
--- a/tests/system/bad_input.sh
+++ b/tests/system/bad_input.sh
@@ -82,6 +82,7 @@
 check "settings: nothing changed" [ "$before" = "$(curl -s -H "$root_auth" "$settings")" ]
 check "counted for operators" counter_is_positive "$entry_1" ops_refused
 
+operate settings get cedar >"$STAGE/now.yaml"
 printf 'team: cedar\nmodels:\n  care: {verzions: {}}\n' >"$STAGE/bad.yaml"
 check "command: refused with file, line and key" sh -c "'$bin/entry/currantchute' \
     settings check '$STAGE/bad.yaml' 2>&1 | grep -q 'bad.yaml:3: key .*verzions'"
@@ -92,6 +93,13 @@
 check "frames: malformed counted" counter_is_positive "$entry_1" conn_bad_frames
 check "frames: oversize counted" counter_is_positive "$entry_1" conn_oversize_frames
 
+check "command: a good file, as JSON" sh -c "'$bin/entry/currantchute' --json \
+    settings check '$STAGE/cedar.yaml' | grep -q '\"good\" : true'"
+check "command: a digest, as JSON" sh -c "'$bin/entry/currantchute' --json \
+    model digest '$STAGE/cedar.yaml' | grep -q '\"root\" : \"'"
+check "command: a change, as JSON" sh -c "'$bin/entry/currantchute' --json \
+    --entry '$entry_1' --token '$root_token' settings set cedar '$STAGE/now.yaml' |
+    grep -q '\"in_force\" : '"
 check "a good request is answered as before" sh -c \
     "curl -fs -H '$auth' -d '{\"model\":\"cedar/care\",\"max_tokens\":2}' '$chat_url' | grep -q '$(printf %.8s "$root"):'"
 finish
