Weights: a late claim is a sign of life; the silence covers news under way

The silence also left out the time that news take. Conclusion: test_late_claim_is_a_sign_of_life holds it.

--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -1,4 +1,4 @@
-/* The choice of the next fetch, and the state it is made from. */
+/* The state that fetches are chosen from, and the events that change it. */
 
 #include <string.h>
 
@@ -10,7 +10,7 @@
 #define PATIENCE_MAX_US (30 * (int64_t)SECOND_US)
 #define PATIENCE_GAPS 4 /* times the usual longest gap */
 #define FIRST_GAP_CHUNKS 8 /* before anything was measured, in chunk times */
-#define SILENCE_MIN_US SECOND_US /* a claim passes all hosts well within */
+#define SILENCE_MIN_US SECOND_US /* beside the time that a claim travels */
 #define SILENCE_MAX_US (60 * (int64_t)SECOND_US)
 #define SILENCE_CHUNKS 16 /* times a chunk takes on this host's link */
 #define SILENCE_READS 4 /* times a read was measured to take */
@@ -19,13 +19,10 @@
 #define STRIKES_MAX 8
 #define READ_REST_US (SECOND_US / 4)
 #define READ_REST_MAX_US (8 * (int64_t)SECOND_US)
-/* The rarest of so many, from a random start on: bounds the time of a choice
- * in versions of many thousand chunks, and is as good as the rarest of all. */
-#define SCAN_CANDIDATES 1024
 #define AVERAGE_SHARE 8 /* of the newest sample: one eighth */
 
-static int64_t
-chunk_time_us(const struct pick *p)
+int64_t
+pick_chunk_us(const struct pick *p)
 {
 	return 1 +
 	    (int64_t)((double)p->conf.chunk_bytes * SECOND_US /
@@ -50,9 +47,10 @@
 pick_silence_us(const struct pick *p)
 {
 	int64_t us =
-	    MAX(SILENCE_CHUNKS * chunk_time_us(p), SILENCE_READS * p->read_us);
+	    MAX(SILENCE_CHUNKS * pick_chunk_us(p), SILENCE_READS * p->read_us);
 
-	return MIN(SILENCE_MIN_US + us, SILENCE_MAX_US);
+	us += SILENCE_MIN_US + PICK_NEWS_HOPS * p->conf.news_us;
+	return MIN(us, SILENCE_MAX_US);
 }
 
 /* ------------------------------------------------------------------ */
@@ -74,7 +72,7 @@
 		bits_set(p->need, i);
 	TAILQ_INIT(&p->peers);
 	TAILQ_INIT(&p->asks);
-	p->gap_us = FIRST_GAP_CHUNKS * chunk_time_us(p);
+	p->gap_us = FIRST_GAP_CHUNKS * pick_chunk_us(p);
 	return p;
 }
 
@@ -187,6 +185,7 @@
 	bool news = !c->claimed;
 
 	c->claimed = true;
+	c->heard = true;
 	c->claimed_us = now_us;
 	p->unclaimed -= news;
 	p->claims_us[c->reader][MIN(rank, PICK_RANK_UNKNOWN)] = now_us;
@@ -222,8 +221,12 @@
 bool
 pick_claimed(struct pick *p, uint64_t index, unsigned int rank, int64_t now_us)
 {
-	if (p->chunks[index].claimed &&
-	    now_us - p->chunks[index].claimed_us < pick_silence_us(p))
+	const struct pick_chunk *c = &p->chunks[index];
+
+	/* A claim is the reader's sign of life also where the chunk itself came
+	 * sooner than the claim; passed over, a reader that is quicker than
+	 * news travel would be taken for silent. */
+	if (c->heard && now_us - c->claimed_us < pick_silence_us(p))
 		return false;
 	mark_claimed(p, index, rank, now_us);
 	return true;
@@ -333,7 +336,7 @@
     int64_t now_us)
 {
 	if (reason == PICK_BUSY) {
-		peer->rest_us = now_us + BUSY_REST_CHUNKS * chunk_time_us(p);
+		peer->rest_us = now_us + BUSY_REST_CHUNKS * pick_chunk_us(p);
 		return;
 	}
 	if (reason == PICK_GONE)
@@ -395,307 +398,3 @@
 	if (reason != PICK_GONE)
 		rest_origin(p, now_us);
 }
-
-/* ------------------------------------------------------------------ */
-/* Reading from the origin                                             */
-/* ------------------------------------------------------------------ */
-
-/* When this host may read `index`, by its rank and the claims heard of. */
-static int64_t
-read_due_us(const struct pick *p, uint64_t index, unsigned int rank)
-{
-	const struct pick_chunk *c = &p->chunks[index];
-	int64_t silence = pick_silence_us(p);
-	int64_t due = MAX(p->start_us + (int64_t)rank * silence, p->settle_us);
-	unsigned int ahead;
-
-	if (c->bad_reads > 0 || p->read_failures > 0)
-		due = MAX(due, p->read_after_us);
-	/* Claimed and not seen since: its reader may have died with it. A
-	 * read that failed here is repeated without that wait. */
-	if (c->claimed && !(rank == 0 && c->bad_reads > 0))
-		due = MAX(due, c->claimed_us + MAX(rank, 1) * silence);
-	for (ahead = 0; ahead < MIN(rank, PICK_RANK_UNKNOWN); ahead++) {
-		int64_t claim = p->claims_us[c->reader][ahead];
-
-		if (claim != 0)
-			due = MAX(due, claim + (rank - ahead) * silence);
-	}
-	return due;
-}
-
-/* Extra copies are split evenly; this is one host's part. */
-static uint64_t
-extra_share(const struct pick *p)
-{
-	uint64_t extra = (uint64_t)(p->conf.copies - 1) * p->conf.chunks;
-
-	return (extra + p->conf.members - 1) / p->conf.members;
-}
-
-/*
- * Finds a missing chunk that no connected peer has and that this host may
- * read now. Otherwise gives the earliest time at which one may be, and keeps
- * it: claims only put it off, so the scan need not be made again before,
- * unless an event below resets it.
- */
-static bool
-find_read(struct pick *p, int64_t now_us, struct rng *rng,
-    struct pick_action *out, int64_t *due_us)
-{
-	uint64_t words = bits_words(p->conf.chunks);
-	uint64_t first = rng_below(rng, words);
-	uint64_t i;
-
-	*due_us = p->no_read_us;
-	if (now_us < p->no_read_us)
-		return false;
-	*due_us = INT64_MAX;
-	for (i = 0; i < words; i++) {
-		uint64_t at = (first + i) % words;
-		uint64_t left = p->need[at];
-
-		for (; left != 0; left &= left - 1) {
-			uint64_t index =
-			    at * BITS_WORD + (uint64_t)__builtin_ctzll(left);
-			unsigned int rank;
-			int64_t due;
-
-			if (p->chunks[index].holders > 0)
-				continue;
-			rank = rank_self(&p->rank, index);
-			due = read_due_us(p, index, rank);
-			*due_us = MIN(*due_us, due);
-			if (due > now_us)
-				continue;
-			out->kind = PICK_READ;
-			out->index = index;
-			out->rank = rank;
-			return true;
-		}
-	}
-	p->no_read_us = *due_us;
-	return false;
-}
-
-/* With more than one copy allowed: once the first copy is under way the
- * origin's link is idle, and hosts with nothing to ask for may use it. */
-static bool
-find_extra_read(const struct pick *p, int64_t now_us, struct rng *rng,
-    struct pick_action *out)
-{
-	uint64_t words = bits_words(p->conf.chunks);
-	uint64_t first = rng_below(rng, words);
-	uint64_t i;
-
-	if (p->conf.copies < 2 || p->unclaimed > 0 ||
-	    p->extra_reads >= extra_share(p) || now_us < p->read_after_us)
-		return false;
-	for (i = 0; i < words; i++) {
-		uint64_t at = (first + i) % words;
-
-		if (p->need[at] == 0)
-			continue;
-		out->kind = PICK_READ;
-		out->index =
-		    at * BITS_WORD + (uint64_t)__builtin_ctzll(p->need[at]);
-		out->rank = PICK_RANK_UNKNOWN;
-		out->extra = true;
-		return true;
-	}
-	return false;
-}
-
-/* ------------------------------------------------------------------ */
-/* Asking peers                                                        */
-/* ------------------------------------------------------------------ */
-
-/* A peer that failed twice in a row looks idle and would be asked first,
- * and each ask would wait out the patience. */
-static bool
-is_doubtful(const struct pick_peer *peer)
-{
-	return peer->strikes >= PICK_STRIKES_DOUBT;
-}
-
-/*
- * Uploads that an ask would wait behind. What the peer last said wears off by
- * one a chunk time: it is not told again by peers that have nothing to say,
- * and taken for lasting, a peer once busy would never be asked again.
- */
-static unsigned int
-load_of(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
-{
-	int64_t done = (now_us - peer->load_us) / chunk_time_us(p);
-
-	return peer->open +
-	    (done < peer->load ? peer->load - (unsigned int)done : 0);
-}
-
-static bool
-can_ask(const struct pick *p, const struct pick_peer *peer, int64_t now_us)
-{
-	if (is_doubtful(peer) && p->open_asks > 0)
-		return false;
-	return peer->open < PICK_ASKS_PER_PEER && peer->rest_us <= now_us &&
-	    load_of(p, peer, now_us) < PICK_LOAD_MAX;
-}
-
-/* The rarest missing chunk that `peer` has, or one of the rarest. */
-static bool
-rarest_of(const struct pick *p, const struct pick_peer *peer, struct rng *rng,
-    uint64_t *index_out)
-{
-	uint64_t words = bits_words(p->conf.chunks);
-	uint64_t first = rng_below(rng, words);
-	uint32_t best = UINT32_MAX;
-	unsigned int ties = 0;
-	unsigned int seen = 0;
-	uint64_t i;
-
-	for (i = 0; i < words && seen < SCAN_CANDIDATES; i++) {
-		uint64_t at = (first + i) % words;
-		uint64_t left = p->need[at] & peer->bits[at];
-
-		for (; left != 0; left &= left - 1) {
-			uint64_t index =
-			    at * BITS_WORD + (uint64_t)__builtin_ctzll(left);
-			uint32_t holders = p->chunks[index].holders;
-
-			seen++;
-			if (holders < best)
-				ties = 0;
-			if (holders > best || rng_below(rng, ++ties) != 0)
-				continue;
-			best = holders;
-			*index_out = index;
-		}
-	}
-	return best != UINT32_MAX;
-}
-
-static bool
-better_peer(const struct pick *p, const struct pick_peer *a,
-    const struct pick_peer *b, int64_t now_us)
-{
-	if (is_doubtful(a) != is_doubtful(b))
-		return is_doubtful(b);
-	if (a->near != b->near)
-		return a->near;
-	return load_of(p, a, now_us) < load_of(p, b, now_us);
-}
-
-static bool
-find_ask(const struct pick *p, int64_t now_us, struct rng *rng,
-    struct pick_action *out)
-{
-	const struct pick_peer *peer;
-	const struct pick_peer *best = NULL;
-	unsigned int ties = 0;
-	uint64_t index;
-
-	TAILQ_FOREACH (peer, &p->peers, link) {
-		if (!can_ask(p, peer, now_us))
-			continue;
-		if (best != NULL && better_peer(p, best, peer, now_us))
-			continue;
-		if (best == NULL || better_peer(p, peer, best, now_us))
-			ties = 0;
-		if (rng_below(rng, ++ties) != 0 ||
-		    !rarest_of(p, peer, rng, &index))
-			continue;
-		best = peer;
-		out->index = index;
-	}
-	if (best == NULL)
-		return false;
-	out->kind = PICK_ASK;
-	out->peer = (struct pick_peer *)best;
-	return true;
-}
-
-/* ------------------------------------------------------------------ */
-/* The choice                                                          */
-/* ------------------------------------------------------------------ */
-
-static bool
-find_expired(const struct pick *p, int64_t now_us, struct pick_action *out)
-{
-	int64_t patience = pick_patience_us(p);
-	struct pick_ask *ask;
-
-	TAILQ_FOREACH (ask, &p->asks, link) {
-		/* Reads of the origin have their own stall limit. */
-		if (ask->peer == NULL)
-			continue;
-		if (now_us - ask->moved_us >= patience) {
-			out->kind = PICK_EXPIRE;
-			out->index = ask->index;
-			out->peer = ask->peer;
-			return true;
-		}
-		out->until_us = MIN(out->until_us, ask->moved_us + patience);
-	}
-	return false;
-}
-
-static const char *
-why_waiting(const struct pick *p)
-{
-	if (p->open_asks + p->open_reads > 0)
-		return "";
-	if (!p->ranked)
-		return "waits for the list of members";
-	if (p->read_failures > 0)
-		return "the origin does not answer";
-	if (TAILQ_EMPTY(&p->peers))
-		return "no peer is connected";
-	return "no connected peer has the missing chunks free to send";
-}
-
-static void
-earliest_rest(const struct pick *p, int64_t now_us, struct pick_action *out)
-{
-	const struct pick_peer *peer;
-
-	TAILQ_FOREACH (peer, &p->peers, link) {
-		int64_t due = peer->rest_us;
-
-		if (due <= now_us && load_of(p, peer, now_us) >= PICK_LOAD_MAX)
-			due = now_us + chunk_time_us(p);
-		if (due > now_us)
-			out->until_us = MIN(out->until_us, due);
-	}
-}
-
-static bool
-may_read(const struct pick *p)
-{
-	return p->ranked && p->conf.copies > 0 && p->open_reads < PICK_READS;
-}
-
-void
-pick_next(struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
-    struct pick_action *out)
-{
-	int64_t due_us = INT64_MAX;
-
-	*out = (struct pick_action){ .kind = PICK_WAIT, .until_us = INT64_MAX };
-	if (p->have == p->conf.chunks) {
-		out->kind = PICK_DONE;
-		return;
-	}
-	if (find_expired(p, now_us, out))
-		return;
-	if (may_fetch && may_read(p) && find_read(p, now_us, rng, out, &due_us))
-		return;
-	if (may_fetch && p->open_asks + p->open_reads < PICK_ASKS) {
-		if (find_ask(p, now_us, rng, out))
-			return;
-		if (may_read(p) && find_extra_read(p, now_us, rng, out))
-			return;
-		earliest_rest(p, now_us, out);
-	}
-	out->until_us = MIN(out->until_us, due_us);
-	out->why = why_waiting(p);
-}
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -27,6 +27,8 @@
 #define PICK_STRIKES_DROP 3 /* the driver replaces such a peer */
 #define PICK_READS 1 /* open at a time, from the origin */
 #define PICK_LOAD_MAX 3 /* a peer with so many uploads open is not asked */
+/* News cross a rollout in so many intervals: its graph is that wide. */
+#define PICK_NEWS_HOPS 4
 #define PICK_RANKS 16 /* higher ranks count as the last */
 #define PICK_RANK_UNKNOWN (PICK_RANKS - 1) /* holds nobody back */
 
@@ -72,7 +74,8 @@
 struct pick_chunk {
 	uint8_t state;
 	uint8_t reader; /* place of its first reader */
-	bool claimed; /* somebody began to read it from the origin */
+	bool claimed; /* somebody has it, or reads it from the origin */
+	bool heard; /* a claim for it was heard, or made here */
 	uint8_t bad_reads; /* corrupt copies from the origin, here */
 	uint32_t holders; /* connected peers that have it */
 	int64_t claimed_us;
@@ -82,6 +85,7 @@
 	uint64_t chunks;
 	uint64_t chunk_bytes;
 	uint64_t rate; /* bytes a second of the download budget */
+	int64_t news_us; /* interval at which hosts tell news */
 	unsigned int copies; /* from the origin, over all hosts; 0: never */
 	size_t members; /* of the rollout, this host included */
 };
@@ -169,6 +173,8 @@
     enum pick_reason reason, int64_t now_us);
 /* No byte for so long ends an ask; the same for reads. */
 int64_t pick_patience_us(const struct pick *p);
+/* What no claim is heard for before the next in rank steps in. */
 int64_t pick_silence_us(const struct pick *p);
+int64_t pick_chunk_us(const struct pick *p); /* a chunk's time on the link */
 
 #endif
--- a/lib/weights/receive.c
+++ b/lib/weights/receive.c
@@ -115,12 +115,12 @@
 	struct slice gained = news->gained;
 	uint32_t index;
 
+	take_claims(peer, news->claims);
 	while (proto_next_index(&gained, &index)) {
 		if (index < x->pick->conf.chunks)
 			pick_peer_has(
 			    x->pick, &peer->for_chunks, index, now_us);
 	}
-	take_claims(peer, news->claims);
 	set_load(peer, news->load);
 }
 
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -15,8 +15,6 @@
 /* Fetches are begun while the download budget is at most so far in debt, in
  * chunk times: the answer comes a round trip and a queue later. */
 #define FETCH_DEBT_CHUNKS 1
-/* News of what a rollout has cross it in so many hops of a news interval. */
-#define SETTLE_HOPS 4
 #define BAD_READS_TO_TELL 2
 
 static void
@@ -159,7 +157,7 @@
 	}
 	set_phase(x, WTS_FETCHING);
 	pick_settle(x->pick,
-	    clk_now_us(x->wts->clock) + SETTLE_HOPS * x->news_interval_us);
+	    clk_now_us(x->wts->clock) + PICK_NEWS_HOPS * x->news_interval_us);
 	wts_sweep(x->wts);
 	TAILQ_FOREACH (peer, &x->peers, link) {
 		if (peer->open)
@@ -176,6 +174,7 @@
 		.chunks = chunks,
 		.chunk_bytes = chunk_bytes,
 		.rate = wts->conf.download_bytes_s,
+		.news_us = x->news_interval_us,
 		.copies = 1,
 		.members = 1,
 	};
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -201,6 +201,38 @@
 	pick_free(p);
 }
 
+/*
+ * A reader is quicker than news travel: its chunks are seen at a peer before its
+ * claims are heard. The claims still show that it lives, and nobody steps in.
+ */
+static void
+test_late_claim_is_a_sign_of_life(void **state)
+{
+	struct pick *p = new_pick(reader(1));
+	int64_t silence = pick_silence_us(p);
+	struct pick_peer peer = { 0 };
+	struct pick_action a;
+	uint64_t i, seen = CHUNKS;
+
+	pick_add_peer(p, &peer, true);
+	for (i = 0; i < CHUNKS; i++) {
+		if (rank_self(reader(1), i) != 1 ||
+		    rank_first(reader(1), i) != 0)
+			pick_got(p, i);
+		else
+			seen = i;
+	}
+	pick_peer_has(p, &peer, seen, silence - 1);
+	assert_true(pick_claimed(p, seen, 0, silence - 1));
+	assert_false(pick_claimed(p, seen, 0, silence - 1));
+	pick_got(p, seen);
+	a = next(p, silence);
+	assert_int_equal(a.kind, PICK_WAIT);
+	assert_int_equal(a.until_us, 2 * silence - 1);
+	pick_remove_peer(p, &peer, 0);
+	pick_free(p);
+}
+
 /* Own failure domain first; of its peers the least loaded; of its chunks the
  * rarest. */
 static void
@@ -376,6 +408,7 @@
 		cmocka_unit_test(test_no_read_before_members_are_known),
 		cmocka_unit_test(test_reads_in_turn),
 		cmocka_unit_test(test_next_in_rank_after_silence),
+		cmocka_unit_test(test_late_claim_is_a_sign_of_life),
 		cmocka_unit_test(test_near_then_idle_then_rarest),
 		cmocka_unit_test(test_no_duplicate_before_patience),
 		cmocka_unit_test(test_busy_peer_is_asked_again),
