--- a/lib/common/cfg_check.c
+++ b/lib/common/cfg_check.c
@@ -17,6 +17,7 @@
 	[CFG_HEX] = "an even number of lower-case hex digits",
 	[CFG_ADDRESS] = "an address as ip:port",
 	[CFG_URL] = "a URL as http://host:port",
+	[CFG_DECIMAL] = "a number such as 0.19",
 };
 
 /* The last segment of a rule that is a direct child of `pattern`, or NULL. */
@@ -245,6 +246,15 @@
 	return ok;
 }
 
+static bool
+is_decimal(const char *text)
+{
+	char *end;
+	double value = g_ascii_strtod(text, &end);
+
+	return end != text && *end == '\0' && value >= 0 && value < 1e12;
+}
+
 static bool
 has_form(enum cfg_form form, const char *text)
 {
@@ -259,6 +269,8 @@
 		return is_address(text);
 	case CFG_URL:
 		return is_url(text);
+	case CFG_DECIMAL:
+		return is_decimal(text);
 	}
 	return false;
 }
--- a/lib/common/cfg_read.c
+++ b/lib/common/cfg_read.c
@@ -70,6 +70,18 @@
 	return text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
 }
 
+double
+cfg_num(const struct cfg *cfg, const char *format, ...)
+{
+	const char *text;
+	va_list args;
+
+	va_start(args, format);
+	text = find_text(cfg, format, args);
+	va_end(args);
+	return text != NULL ? g_ascii_strtod(text, NULL) : 0;
+}
+
 bool
 cfg_bool(const struct cfg *cfg, const char *format, ...)
 {
--- a/lib/common/cfg_rules.c
+++ b/lib/common/cfg_rules.c
@@ -175,6 +175,11 @@
 	    "`timing.gossip_ms`, targets' names differ, and a target of\n"
 	    "kind `service` names its service.\n\n");
 	cfg_print_schema(&cfg_node_schema, out);
+	g_string_append(out,
+	    "\n## The file of a `gateway` or `keeper`\n\n"
+	    "These take the operators' settings from the deployment's store; "
+	    "the file says where they are and what is promised.\n\n");
+	cfg_print_schema(&cfg_serve_schema, out);
 	g_string_append(out,
 	    "\n## A team's branch\n\n"
 	    "Beyond the table: the team is one of the root branch's `teams` "
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -393,6 +393,7 @@
 	CFG_HEX, /* an even number of lower-case hex digits */
 	CFG_ADDRESS, /* "ip:port" */
 	CFG_URL, /* "http://..." */
+	CFG_DECIMAL, /* a number such as 0.19; read with cfg_num */
 };
 
 struct cfg_rule {
@@ -442,6 +443,9 @@
     G_GNUC_PRINTF(2, 3);
 int64_t cfg_int(const struct cfg *cfg, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
+/* Of a CFG_STRING in the form CFG_DECIMAL. */
+double cfg_num(const struct cfg *cfg, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
 bool cfg_bool(const struct cfg *cfg, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
 /* Number of entries of a map or list, 0 if absent. */
@@ -476,6 +480,8 @@
 extern const struct cfg_schema cfg_node_schema; /* one file a process */
 extern const struct cfg_schema cfg_branch_schema; /* a team's branch */
 extern const struct cfg_schema cfg_root_schema; /* the root branch */
+/* One file a process of `gateway` and `keeper`. */
+extern const struct cfg_schema cfg_serve_schema;
 
 /* What a schema cannot say. The trees were parsed with the schemas above;
  * errors are those of cfg_refuse. */
--- /dev/null
+++ b/lib/common/spend.c
@@ -0,0 +1,61 @@
+/* A process's share of a retry budget. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "common/spend.h"
+
+static void
+move(struct spend *s, const struct spend_conf *conf, int64_t now_us)
+{
+	int64_t slot = now_us / (conf->window_us / SPEND_SLOTS);
+
+	if (slot - s->slot >= SPEND_SLOTS) {
+		memset(s, 0, sizeof(*s));
+		s->slot = slot;
+	}
+	while (s->slot < slot) {
+		s->slot++;
+		s->requests[s->slot % SPEND_SLOTS] = 0;
+		s->extra[s->slot % SPEND_SLOTS] = 0;
+	}
+}
+
+void
+spend_request(struct spend *s, const struct spend_conf *conf, int64_t now_us)
+{
+	move(s, conf, now_us);
+	s->requests[s->slot % SPEND_SLOTS]++;
+}
+
+void
+spend_add(struct spend *s, const struct spend_conf *conf, int64_t now_us)
+{
+	move(s, conf, now_us);
+	s->extra[s->slot % SPEND_SLOTS]++;
+}
+
+double
+spend_left(struct spend *s, const struct spend_conf *conf, int64_t now_us)
+{
+	double requests = 0, extra = 0;
+	int i;
+
+	move(s, conf, now_us);
+	for (i = 0; i < SPEND_SLOTS; i++) {
+		requests += s->requests[i];
+		extra += s->extra[i];
+	}
+	return conf->used *
+	    (conf->ratio * requests + conf->slack / MAX(1, conf->sharers)) -
+	    extra;
+}
+
+bool
+spend_take(struct spend *s, const struct spend_conf *conf, int64_t now_us)
+{
+	if (spend_left(s, conf, now_us) < 1)
+		return false;
+	spend_add(s, conf, now_us);
+	return true;
+}
--- /dev/null
+++ b/lib/http/evl.c
@@ -0,0 +1,261 @@
+/* One epoll set and one timer heap as a single GLib source. */
+
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "http/evl.h"
+
+#define BATCH 64 /* events a wake-up; more stay in the kernel */
+#define SCRATCH_BYTES (16u << 10) /* one read; larger ones take turns */
+
+struct evl {
+	GSource source; /* first: GLib allocates the whole struct */
+	const struct clk *clock;
+	int epoll;
+	int64_t now_us; /* valid while awake */
+	bool awake;
+	struct epoll_event batch[BATCH];
+	int batch_len, batch_at;
+	GPtrArray *heap; /* struct evl_timer, earliest first */
+	TAILQ_HEAD(evl_tasks, evl_task) tasks;
+	uint8_t scratch[SCRATCH_BYTES];
+};
+
+/* ------------------------------------------------------------------ */
+/* Timers                                                              */
+/* ------------------------------------------------------------------ */
+
+static struct evl_timer *
+heap_at(const struct evl *e, size_t i)
+{
+	return g_ptr_array_index(e->heap, i);
+}
+
+static void
+heap_place(struct evl *e, size_t i, struct evl_timer *t)
+{
+	e->heap->pdata[i] = t;
+	t->slot = i + 1;
+}
+
+static void
+heap_up(struct evl *e, size_t i)
+{
+	struct evl_timer *t = heap_at(e, i);
+
+	while (i > 0 && heap_at(e, (i - 1) / 2)->at_us > t->at_us) {
+		heap_place(e, i, heap_at(e, (i - 1) / 2));
+		i = (i - 1) / 2;
+	}
+	heap_place(e, i, t);
+}
+
+static void
+heap_down(struct evl *e, size_t i)
+{
+	struct evl_timer *t = heap_at(e, i);
+	size_t child, n = e->heap->len;
+
+	while ((child = 2 * i + 1) < n) {
+		if (child + 1 < n &&
+		    heap_at(e, child + 1)->at_us < heap_at(e, child)->at_us)
+			child++;
+		if (heap_at(e, child)->at_us >= t->at_us)
+			break;
+		heap_place(e, i, heap_at(e, child));
+		i = child;
+	}
+	heap_place(e, i, t);
+}
+
+void
+evl_timer_stop(struct evl *e, struct evl_timer *t)
+{
+	struct evl_timer *last;
+	size_t i;
+
+	if (t->slot == 0)
+		return;
+	i = t->slot - 1;
+	t->slot = 0;
+	last = heap_at(e, e->heap->len - 1);
+	g_ptr_array_set_size(e->heap, (gint)e->heap->len - 1);
+	if (last == t)
+		return;
+	heap_place(e, i, last);
+	heap_up(e, i);
+	heap_down(e, last->slot - 1);
+}
+
+void
+evl_timer_set(struct evl *e, struct evl_timer *t, int64_t at_us)
+{
+	evl_timer_stop(e, t);
+	t->at_us = at_us;
+	g_ptr_array_add(e->heap, t);
+	t->slot = e->heap->len;
+	heap_up(e, e->heap->len - 1);
+	if (t->slot == 1)
+		g_source_set_ready_time(&e->source, at_us);
+}
+
+static void
+fire_timers(struct evl *e)
+{
+	struct evl_timer *t;
+
+	while (e->heap->len > 0 && (t = heap_at(e, 0))->at_us <= e->now_us) {
+		evl_timer_stop(e, t);
+		t->fire(t);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Descriptors                                                         */
+/* ------------------------------------------------------------------ */
+
+void
+evl_watch(struct evl *e, struct evl_fd *fd, uint32_t events)
+{
+	struct epoll_event event = { .events = events, .data.ptr = fd };
+
+	if (fd->added && fd->events == events)
+		return;
+	if (epoll_ctl(e->epoll, fd->added ? EPOLL_CTL_MOD : EPOLL_CTL_ADD,
+		fd->fd, &event) != 0) {
+		log_warn("epoll_ctl of descriptor %d: %s", fd->fd,
+		    g_strerror(errno));
+		return;
+	}
+	fd->added = true;
+	fd->events = events;
+}
+
+void
+evl_forget(struct evl *e, struct evl_fd *fd)
+{
+	int i;
+
+	if (!fd->added)
+		return;
+	epoll_ctl(e->epoll, EPOLL_CTL_DEL, fd->fd, NULL);
+	fd->added = false;
+	/* An event of this batch may still name it: its owner frees it. */
+	for (i = e->batch_at; i < e->batch_len; i++) {
+		if (e->batch[i].data.ptr == fd)
+			e->batch[i].data.ptr = NULL;
+	}
+}
+
+static void
+take_events(struct evl *e)
+{
+	struct evl_fd *fd;
+
+	e->batch_len = epoll_wait(e->epoll, e->batch, BATCH, 0);
+	for (e->batch_at = 0; e->batch_at < e->batch_len;) {
+		fd = e->batch[e->batch_at].data.ptr;
+		e->batch_at++;
+		if (fd != NULL)
+			fd->ready(fd, e->batch[e->batch_at - 1].events);
+	}
+	e->batch_len = 0;
+}
+
+/* ------------------------------------------------------------------ */
+/* Work at the end of a wake-up                                        */
+/* ------------------------------------------------------------------ */
+
+void
+evl_later(struct evl *e, struct evl_task *task)
+{
+	if (task->queued)
+		return;
+	task->queued = true;
+	TAILQ_INSERT_TAIL(&e->tasks, task, link);
+	/* Asked for outside of a wake-up of ours, it wants one. */
+	g_source_set_ready_time(&e->source, 0);
+}
+
+void
+evl_task_cancel(struct evl *e, struct evl_task *task)
+{
+	if (!task->queued)
+		return;
+	task->queued = false;
+	TAILQ_REMOVE(&e->tasks, task, link);
+}
+
+static void
+run_tasks(struct evl *e)
+{
+	struct evl_task *task;
+
+	while ((task = TAILQ_FIRST(&e->tasks)) != NULL) {
+		evl_task_cancel(e, task);
+		task->run(task);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* The source                                                          */
+/* ------------------------------------------------------------------ */
+
+static gboolean
+dispatch(GSource *source, GSourceFunc callback, gpointer data)
+{
+	struct evl *e = (struct evl *)source;
+
+	e->now_us = clk_now_us(e->clock);
+	e->awake = true;
+	take_events(e);
+	fire_timers(e);
+	run_tasks(e);
+	e->awake = false;
+	g_source_set_ready_time(
+	    source, e->heap->len > 0 ? heap_at(e, 0)->at_us : -1);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs source_funcs = { .dispatch = dispatch };
+
+struct evl *
+evl_new(const struct clk *clock)
+{
+	struct evl *e =
+	    (struct evl *)g_source_new(&source_funcs, sizeof(struct evl));
+
+	e->clock = clock;
+	e->epoll = epoll_create1(EPOLL_CLOEXEC);
+	g_assert(e->epoll >= 0);
+	e->heap = g_ptr_array_new();
+	e->now_us = clk_now_us(clock);
+	TAILQ_INIT(&e->tasks);
+	g_source_add_unix_fd(&e->source, e->epoll, G_IO_IN);
+	g_source_attach(&e->source, NULL);
+	return e;
+}
+
+void
+evl_free(struct evl *e)
+{
+	close(e->epoll);
+	g_ptr_array_unref(e->heap);
+	g_source_destroy(&e->source);
+	g_source_unref(&e->source);
+}
+
+int64_t
+evl_now_us(const struct evl *e)
+{
+	/* Other sources of the GLib loop call between the wake-ups. */
+	return e->awake ? e->now_us : clk_now_us(e->clock);
+}
+
+uint8_t *
+evl_scratch(struct evl *e, size_t *size_out)
+{
+	*size_out = sizeof(e->scratch);
+	return e->scratch;
+}
--- /dev/null
+++ b/lib/http/fetch.c
@@ -0,0 +1,127 @@
+/* A call whose answer is gathered whole. */
+
+#include <string.h>
+
+#include "http/fetch.h"
+
+struct hfetch {
+	struct evl *loop;
+	struct hcall *call;
+	struct evl_timer timer;
+	unsigned int status;
+	struct hbuf body;
+	size_t answer_max;
+	bool too_long;
+	hfetch_cb *done;
+	void *ctx;
+};
+
+static void
+finish(struct hfetch *f, const struct hfetch_answer *answer)
+{
+	evl_timer_stop(f->loop, &f->timer);
+	f->done(answer, f->ctx);
+	hbuf_free(&f->body);
+	g_free(f);
+}
+
+static void
+on_head(struct hcall *c, const struct hmsg *m, void *ctx)
+{
+	((struct hfetch *)ctx)->status = m->status;
+}
+
+static void
+on_body(struct hcall *c, const void *data, size_t len, void *ctx)
+{
+	struct hfetch *f = ctx;
+
+	if (hbuf_left(&f->body) + len > f->answer_max)
+		f->too_long = true;
+	else
+		hbuf_add(&f->body, data, len);
+}
+
+static void
+on_done(struct hcall *c, void *ctx)
+{
+	struct hfetch *f = ctx;
+
+	finish(f,
+	    &(struct hfetch_answer){ .status = f->too_long ? 0 : f->status,
+		.sent = true,
+		.why = "answer too long",
+		.body = hbuf_front(&f->body),
+		.len = hbuf_left(&f->body) });
+}
+
+static void
+on_failed(struct hcall *c, enum hcall_failure why, bool sent, void *ctx)
+{
+	finish(ctx,
+	    &(struct hfetch_answer){
+		.sent = sent, .why = hcall_failure_name(why) });
+}
+
+static const struct hcall_ops ops = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.failed = on_failed,
+};
+
+static void
+on_timeout(struct evl_timer *timer)
+{
+	struct hfetch *f =
+	    (struct hfetch *)((char *)timer - offsetof(struct hfetch, timer));
+	bool sent = hcall_sent(f->call);
+
+	hcall_cancel(f->call);
+	finish(f,
+	    &(struct hfetch_answer){
+		.sent = sent, .why = "no answer in time" });
+}
+
+struct hfetch *
+hfetch_start(
+    struct evl *loop, struct hpool *pool, const struct hfetch_conf *conf)
+{
+	struct hfetch *f = g_new0(struct hfetch, 1);
+	GString *head = g_string_new(NULL);
+
+	g_string_printf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n", conf->method,
+	    conf->path, conf->address);
+	if (conf->type != NULL)
+		g_string_append_printf(
+		    head, "Content-Type: %s\r\n", conf->type);
+	if (conf->body_len > 0)
+		g_string_append_printf(
+		    head, "Content-Length: %zu\r\n", conf->body_len);
+	g_string_append(head, "\r\n");
+	f->loop = loop;
+	f->answer_max = conf->answer_max;
+	f->done = conf->done;
+	f->ctx = conf->ctx;
+	f->timer.fire = on_timeout;
+	f->call = hcall_start(pool,
+	    &(struct hcall_conf){ .address = conf->address,
+		.head = head->str,
+		.head_len = head->len,
+		.body = conf->body,
+		.body_len = conf->body_len,
+		.ops = &ops,
+		.ctx = f });
+	evl_timer_set(loop, &f->timer, evl_now_us(loop) + conf->timeout_us);
+	g_string_free(head, TRUE);
+	return f;
+}
+
+void
+hfetch_cancel(struct hfetch *f)
+{
+	evl_timer_stop(f->loop, &f->timer);
+	hcall_cancel(f->call);
+	hbuf_free(&f->body);
+	g_free(f);
+}
--- /dev/null
+++ b/lib/http/parse.c
@@ -0,0 +1,329 @@
+/* HTTP messages out of a byte stream, by http-parser. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "http/parse.h"
+
+#define HEADERS_FIRST 16 /* slots made at first */
+
+/* ------------------------------------------------------------------ */
+/* Slices                                                              */
+/* ------------------------------------------------------------------ */
+
+bool
+hslice_is(struct hslice s, const char *text)
+{
+	return strlen(text) == s.n && g_ascii_strncasecmp(s.p, text, s.n) == 0;
+}
+
+static struct hslice
+trim(struct hslice s)
+{
+	while (s.n > 0 && (s.p[0] == ' ' || s.p[0] == '\t')) {
+		s.p++;
+		s.n--;
+	}
+	while (s.n > 0 && (s.p[s.n - 1] == ' ' || s.p[s.n - 1] == '\t'))
+		s.n--;
+	return s;
+}
+
+bool
+hslice_has_token(struct hslice list, const char *token)
+{
+	struct hslice item;
+	const char *comma;
+
+	while (list.n > 0) {
+		comma = memchr(list.p, ',', list.n);
+		item.p = list.p;
+		item.n = comma == NULL ? list.n : (size_t)(comma - list.p);
+		if (hslice_is(trim(item), token))
+			return true;
+		if (comma == NULL)
+			return false;
+		list.n -= item.n + 1;
+		list.p = comma + 1;
+	}
+	return false;
+}
+
+bool
+hslice_number(struct hslice s, int64_t *out)
+{
+	int64_t value = 0;
+	size_t i;
+
+	s = trim(s);
+	if (s.n == 0 || s.n > 18)
+		return false;
+	for (i = 0; i < s.n; i++) {
+		if (!g_ascii_isdigit(s.p[i]))
+			return false;
+		value = value * 10 + (s.p[i] - '0');
+	}
+	*out = value;
+	return true;
+}
+
+char *
+hslice_dup(struct hslice s)
+{
+	return g_strndup(s.p, s.n);
+}
+
+const struct hheader *
+hmsg_find(const struct hmsg *m, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < m->nheaders; i++) {
+		if (hslice_is(m->headers[i].name, name))
+			return &m->headers[i];
+	}
+	return NULL;
+}
+
+/* ------------------------------------------------------------------ */
+/* Callbacks of the library                                            */
+/* ------------------------------------------------------------------ */
+
+static int
+on_url(http_parser *hp, const char *at, size_t len)
+{
+	struct hparse *p = hp->data;
+
+	p->msg.target = (struct hslice){ at, len };
+	return 0;
+}
+
+static int
+on_field(http_parser *hp, const char *at, size_t len)
+{
+	struct hparse *p = hp->data;
+
+	/* Trailers of a chunked body come here too; they are not passed on. */
+	if (p->head_done)
+		return 0;
+	if (p->msg.nheaders == p->headers_size) {
+		p->headers_size = MAX(HEADERS_FIRST, 2 * p->headers_size);
+		p->msg.headers =
+		    g_renew(struct hheader, p->msg.headers, p->headers_size);
+	}
+	p->msg.headers[p->msg.nheaders++] =
+	    (struct hheader){ .name = { at, len }, .value = { "", 0 } };
+	return 0;
+}
+
+static int
+on_value(http_parser *hp, const char *at, size_t len)
+{
+	struct hparse *p = hp->data;
+
+	if (p->head_done)
+		return 0;
+	p->msg.headers[p->msg.nheaders - 1].value = (struct hslice){ at, len };
+	return 0;
+}
+
+static int
+on_headers_complete(http_parser *hp)
+{
+	struct hparse *p = hp->data;
+
+	p->msg.status = hp->status_code;
+	p->msg.method = http_method_str(hp->method);
+	p->msg.http10 = hp->http_major == 1 && hp->http_minor == 0;
+	p->msg.keep_alive = http_should_keep_alive(hp) != 0;
+	p->msg.chunked = (hp->flags & F_CHUNKED) != 0;
+	p->msg.has_length = p->msg.chunked || hp->content_length != UINT64_MAX;
+	p->msg.length = p->msg.has_length ? hp->content_length : 0;
+	/* No other protocol is spoken here: the bytes that follow are a
+	 * message like any other. */
+	hp->upgrade = 0;
+	return p->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *hp, const char *at, size_t len)
+{
+	struct hparse *p = hp->data;
+
+	p->body(at, len, p->ctx);
+	return 0;
+}
+
+static int
+on_complete(http_parser *hp)
+{
+	struct hparse *p = hp->data;
+
+	p->complete = true;
+	http_parser_pause(hp, 1);
+	return 0;
+}
+
+static const http_parser_settings settings = {
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* ------------------------------------------------------------------ */
+/* Feeding                                                             */
+/* ------------------------------------------------------------------ */
+
+void
+hparse_init(struct hparse *p, enum http_parser_type type, size_t head_max,
+    void (*body)(const char *data, size_t len, void *ctx), void *ctx)
+{
+	memset(p, 0, sizeof(*p));
+	p->type = type;
+	p->head_max = head_max;
+	p->body = body;
+	p->ctx = ctx;
+	hparse_reset(p);
+}
+
+void
+hparse_reset(struct hparse *p)
+{
+	http_parser_init(&p->parser, p->type);
+	p->parser.data = p;
+	hbuf_free(&p->head);
+	g_free(p->msg.headers);
+	memset(&p->msg, 0, sizeof(p->msg));
+	p->headers_size = 0;
+	p->head_done = false;
+	p->no_body = false;
+	p->complete = false;
+}
+
+void
+hparse_free(struct hparse *p)
+{
+	hparse_reset(p);
+}
+
+/* A lone line feed ends a line for some readers and not for others, and a
+ * line that begins with a blank goes on with the one before for some. Either
+ * can hide a second request in a header. */
+static bool
+head_is_plain(const uint8_t *head, size_t len)
+{
+	size_t i;
+
+	if (memchr(head, '\0', len) != NULL)
+		return false;
+	for (i = 0; i < len; i++) {
+		if (head[i] == '\n' && (i == 0 || head[i - 1] != '\r'))
+			return false;
+		if (head[i] == '\r' && (i + 1 == len || head[i + 1] != '\n'))
+			return false;
+		if (head[i] == '\n' && i + 1 < len &&
+		    (head[i + 1] == ' ' || head[i + 1] == '\t'))
+			return false;
+	}
+	return true;
+}
+
+/* Whether a header that must be single comes twice. */
+static bool
+repeated(const struct hmsg *m, const char *name)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < m->nheaders; i++)
+		n += hslice_is(m->headers[i].name, name);
+	return n > 1;
+}
+
+static bool
+head_is_clear(const struct hparse *p)
+{
+	if (repeated(&p->msg, "Content-Length"))
+		return false;
+	if (repeated(&p->msg, "Transfer-Encoding"))
+		return false;
+	return !p->msg.chunked || hmsg_find(&p->msg, "Content-Length") == NULL;
+}
+
+static enum hparse_result
+read_head(struct hparse *p)
+{
+	size_t n;
+
+	if (!head_is_plain(p->head.data, p->head.len))
+		return HPARSE_BAD;
+	/* Held back until the owner has seen the head: a body of no bytes
+	 * would end the message within this call. */
+	n = http_parser_execute(
+	    &p->parser, &settings, (const char *)p->head.data, p->head.len);
+	if (HTTP_PARSER_ERRNO(&p->parser) == HPE_PAUSED)
+		http_parser_pause(&p->parser, 0);
+	else if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK)
+		return HPARSE_BAD;
+	if (n != p->head.len || !head_is_clear(p))
+		return HPARSE_BAD;
+	p->head_done = true;
+	return HPARSE_HEAD;
+}
+
+/* Adds bytes up to the empty line that ends the head. */
+static enum hparse_result
+feed_head(struct hparse *p, const uint8_t *data, size_t len, size_t *used)
+{
+	size_t before, from, skipped = 0;
+	const uint8_t *end;
+
+	/* Empty lines between messages are ignored. */
+	while (p->head.len == 0 && len > 0 &&
+	    (data[0] == '\r' || data[0] == '\n')) {
+		data++;
+		len--;
+		skipped++;
+	}
+	before = p->head.len;
+	from = before < 3 ? 0 : before - 3;
+	hbuf_add(&p->head, data, MIN(len, p->head_max + 4 - before));
+	end = p->head.len == 0
+	    ? NULL
+	    : memmem(p->head.data + from, p->head.len - from, "\r\n\r\n", 4);
+	if (end != NULL) {
+		p->head.len = (size_t)(end - p->head.data) + 4;
+		*used = skipped + p->head.len - before;
+		return read_head(p);
+	}
+	*used = skipped + p->head.len - before;
+	if (p->head.len > p->head_max)
+		return HPARSE_HEAD_TOO_LARGE;
+	return HPARSE_MORE;
+}
+
+enum hparse_result
+hparse_feed(struct hparse *p, const void *data, size_t len, size_t *used)
+{
+	if (!p->head_done)
+		return feed_head(p, data, len, used);
+	*used = 0;
+	if (!p->complete && len > 0) {
+		*used = http_parser_execute(&p->parser, &settings, data, len);
+		if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK &&
+		    HTTP_PARSER_ERRNO(&p->parser) != HPE_PAUSED)
+			return HPARSE_BAD;
+	}
+	return p->complete ? HPARSE_DONE : HPARSE_MORE;
+}
+
+bool
+hparse_eof(struct hparse *p)
+{
+	if (!p->head_done || p->complete)
+		return p->complete;
+	http_parser_execute(&p->parser, &settings, NULL, 0);
+	return p->complete;
+}
--- /dev/null
+++ b/lib/http/server.c
@@ -0,0 +1,684 @@
+/* The server side: callers' connections, one request at a time on each. */
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http.h"
+#include "http/sock.h"
+
+#define BACKLOG 512
+#define ACCEPTS_PER_TURN 32
+/* Bytes queued for one caller at which its source is held. */
+#define CONGESTED_BYTES (128u << 10)
+/* After a refusal its unread request is read and dropped for so long: closing
+ * with unread bytes resets the connection, and the caller loses the answer. */
+#define LINGER_US 1000000
+
+enum hreq_state {
+	HREQ_READ, /* waiting for a request, or reading it */
+	HREQ_BUSY, /* the owner has it */
+	HREQ_FLUSH, /* answered; closes when all is written */
+	HREQ_LINGER, /* written; reads and drops until the caller closes */
+};
+
+/* A connection; it stands for its present request. */
+struct hreq {
+	struct evl_fd fd;
+	struct evl_timer timer;
+	struct evl_task flush;
+	LIST_ENTRY(hreq) link;
+	struct hserver *server;
+	enum hreq_state state;
+	struct hparse parse;
+	struct hbuf in; /* read ahead, of the next request */
+	struct hbuf body;
+	struct hbuf out;
+	void *ctx;
+	int64_t started_us;
+	size_t body_counted; /* of this body in the server's sum */
+	bool begun; /* the head of the answer was queued */
+	bool chunked; /* the answer's body goes in chunks */
+	bool close_after; /* this answer ends the connection */
+	bool congested;
+	bool too_large;
+};
+
+struct hserver {
+	struct hserver_conf conf;
+	struct evl_fd fd;
+	LIST_HEAD(hreqs, hreq) reqs;
+	unsigned int connections;
+	size_t bodies; /* bytes held over all connections */
+	bool closing;
+};
+
+static struct hreq *
+from_fd(struct evl_fd *fd)
+{
+	return (struct hreq *)((char *)fd - offsetof(struct hreq, fd));
+}
+
+static struct hreq *
+from_timer(struct evl_timer *t)
+{
+	return (struct hreq *)((char *)t - offsetof(struct hreq, timer));
+}
+
+static struct hreq *
+from_flush(struct evl_task *t)
+{
+	return (struct hreq *)((char *)t - offsetof(struct hreq, flush));
+}
+
+static struct evl *
+loop_of(const struct hreq *r)
+{
+	return r->server->conf.loop;
+}
+
+static const struct hlimits *
+limits_of(const struct hreq *r)
+{
+	return r->server->conf.limits;
+}
+
+/* ------------------------------------------------------------------ */
+/* Closing                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+drop_body(struct hreq *r)
+{
+	r->server->bodies -= r->body_counted;
+	r->body_counted = 0;
+	hbuf_free(&r->body);
+}
+
+static void
+watch_accepts(struct hserver *s)
+{
+	bool room = s->connections < s->conf.connections_max;
+
+	if (s->fd.fd >= 0)
+		evl_watch(s->conf.loop, &s->fd, room ? EPOLLIN : 0);
+}
+
+static void
+destroy(struct hreq *r)
+{
+	struct hserver *s = r->server;
+
+	evl_forget(s->conf.loop, &r->fd);
+	evl_timer_stop(s->conf.loop, &r->timer);
+	evl_task_cancel(s->conf.loop, &r->flush);
+	close(r->fd.fd);
+	drop_body(r);
+	hparse_free(&r->parse);
+	hbuf_free(&r->in);
+	hbuf_free(&r->out);
+	LIST_REMOVE(r, link);
+	s->connections--;
+	g_free(r);
+	watch_accepts(s);
+}
+
+/* The caller is gone: whoever works for it is told, once. */
+static void
+leave(struct hreq *r)
+{
+	if (r->state == HREQ_BUSY)
+		r->server->conf.ops->left(r, r->server->conf.ctx);
+	destroy(r);
+}
+
+/* ------------------------------------------------------------------ */
+/* Writing                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+watch(struct hreq *r)
+{
+	uint32_t events = EPOLLRDHUP;
+
+	if (r->state == HREQ_READ)
+		events = EPOLLIN;
+	else if (r->state == HREQ_LINGER)
+		events = EPOLLIN;
+	if (hbuf_left(&r->out) > 0)
+		events |= EPOLLOUT;
+	evl_watch(loop_of(r), &r->fd, events);
+}
+
+static void
+linger(struct hreq *r)
+{
+	r->state = HREQ_LINGER;
+	shutdown(r->fd.fd, SHUT_WR);
+	evl_timer_set(
+	    loop_of(r), &r->timer, evl_now_us(loop_of(r)) + LINGER_US);
+}
+
+/* Writes what is queued. False when the connection is gone. */
+static bool
+write_out(struct hreq *r)
+{
+	ssize_t n;
+
+	while (hbuf_left(&r->out) > 0) {
+		n = send(r->fd.fd, hbuf_front(&r->out), hbuf_left(&r->out),
+		    MSG_NOSIGNAL);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN)
+			break;
+		if (n < 0) {
+			leave(r);
+			return false;
+		}
+		hbuf_use(&r->out, (size_t)n);
+	}
+	if (r->congested && hbuf_left(&r->out) < CONGESTED_BYTES / 2) {
+		r->congested = false;
+		if (r->state == HREQ_BUSY)
+			r->server->conf.ops->drained(r, r->server->conf.ctx);
+	}
+	return true;
+}
+
+static void read_ahead(struct hreq *r);
+
+static void
+on_flush(struct evl_task *task)
+{
+	struct hreq *r = from_flush(task);
+
+	if (!write_out(r))
+		return;
+	if (r->state == HREQ_FLUSH && hbuf_left(&r->out) == 0)
+		linger(r);
+	watch(r);
+	if (r->state == HREQ_READ && hbuf_left(&r->in) > 0)
+		read_ahead(r);
+}
+
+static void
+queue(struct hreq *r, const void *data, size_t len)
+{
+	hbuf_add(&r->out, data, len);
+	if (hbuf_left(&r->out) > CONGESTED_BYTES)
+		r->congested = true;
+	evl_later(loop_of(r), &r->flush);
+}
+
+static void
+queue_text(struct hreq *r, const char *text)
+{
+	queue(r, text, strlen(text));
+}
+
+/* ------------------------------------------------------------------ */
+/* Answers                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+queue_status(struct hreq *r, unsigned int status, const char *headers)
+{
+	char line[64];
+
+	g_snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", status,
+	    http_status_str(status));
+	queue_text(r, line);
+	queue_text(r, headers);
+	if (r->server->closing || !r->parse.msg.keep_alive)
+		r->close_after = true;
+	if (r->close_after)
+		queue_text(r, "Connection: close\r\n");
+	else if (r->parse.msg.http10)
+		queue_text(r, "Connection: keep-alive\r\n");
+	r->begun = true;
+}
+
+/* The answer is queued whole: on to the next request, or to the close. */
+static void
+finish(struct hreq *r)
+{
+	drop_body(r);
+	hparse_reset(&r->parse);
+	r->begun = false;
+	r->ctx = NULL;
+	r->congested = false;
+	if (r->close_after) {
+		r->state = HREQ_FLUSH;
+		hbuf_free(&r->in);
+	} else {
+		r->state = HREQ_READ;
+		r->started_us = 0;
+		evl_timer_set(loop_of(r), &r->timer,
+		    evl_now_us(loop_of(r)) + limits_of(r)->idle_us);
+	}
+	evl_later(loop_of(r), &r->flush);
+}
+
+static bool
+has_no_body(unsigned int status)
+{
+	return status == 204 || status == 304;
+}
+
+void
+hreq_answer(struct hreq *r, unsigned int status, const char *headers,
+    const void *body, size_t len)
+{
+	bool head_only = r->parse.msg.method != NULL &&
+	    strcmp(r->parse.msg.method, "HEAD") == 0;
+	char line[64];
+
+	g_assert(r->state == HREQ_BUSY && !r->begun);
+	queue_status(r, status, headers);
+	if (has_no_body(status)) {
+		queue_text(r, "\r\n");
+		finish(r);
+		return;
+	}
+	g_snprintf(line, sizeof(line), "Content-Length: %zu\r\n\r\n", len);
+	queue_text(r, line);
+	if (!head_only)
+		queue(r, body, len);
+	finish(r);
+}
+
+void
+hreq_begin(struct hreq *r, unsigned int status, const char *headers)
+{
+	g_assert(r->state == HREQ_BUSY && !r->begun);
+	/* HTTP/1.0 knows no chunks: the end of the connection ends the body. */
+	r->chunked = !r->parse.msg.http10;
+	if (!r->chunked)
+		r->close_after = true;
+	queue_status(r, status, headers);
+	queue_text(
+	    r, r->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+}
+
+void
+hreq_write(struct hreq *r, const void *data, size_t len)
+{
+	char line[24];
+
+	g_assert(r->state == HREQ_BUSY && r->begun);
+	if (len == 0)
+		return;
+	if (r->chunked) {
+		g_snprintf(line, sizeof(line), "%zx\r\n", len);
+		queue_text(r, line);
+	}
+	queue(r, data, len);
+	if (r->chunked)
+		queue(r, "\r\n", 2);
+}
+
+void
+hreq_end(struct hreq *r)
+{
+	g_assert(r->state == HREQ_BUSY && r->begun);
+	if (r->chunked)
+		queue(r, "0\r\n\r\n", 5);
+	finish(r);
+}
+
+void
+hreq_abort(struct hreq *r)
+{
+	struct linger now = { .l_onoff = 1, .l_linger = 0 };
+
+	g_assert(r->state == HREQ_BUSY);
+	/* What was queued still goes out; then a reset, so that no reader
+	 * takes the end of the connection for the end of the answer. */
+	if (hbuf_left(&r->out) > 0)
+		(void)send(r->fd.fd, hbuf_front(&r->out), hbuf_left(&r->out),
+		    MSG_NOSIGNAL);
+	if (r->begun && !r->chunked)
+		(void)setsockopt(
+		    r->fd.fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	r->state = HREQ_FLUSH;
+	destroy(r);
+}
+
+bool
+hreq_begun(const struct hreq *r)
+{
+	return r->begun;
+}
+
+bool
+hreq_congested(const struct hreq *r)
+{
+	return r->congested;
+}
+
+/* A refusal of this module: the request is not whole or not HTTP. */
+static void
+refuse(struct hreq *r, unsigned int status)
+{
+	r->server->conf.ops->refused(status, r->server->conf.ctx);
+	r->state = HREQ_BUSY;
+	r->close_after = true;
+	hreq_answer(r, status, "", "", 0);
+}
+
+/* ------------------------------------------------------------------ */
+/* Reading                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+on_body(const char *data, size_t len, void *ctx)
+{
+	struct hreq *r = ctx;
+
+	if (r->body.len + len > limits_of(r)->body_bytes) {
+		r->too_large = true;
+		return;
+	}
+	hbuf_add(&r->body, data, len);
+	r->body_counted += len;
+	r->server->bodies += len;
+}
+
+static bool
+target_is_plain(const struct hmsg *m)
+{
+	return m->target.n > 0 && m->target.p[0] == '/';
+}
+
+/* One host, as every request of HTTP/1.1 has; two would be two routes. */
+static bool
+host_is_single(const struct hmsg *m)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < m->nheaders; i++)
+		n += hslice_is(m->headers[i].name, "Host");
+	return n == 1 || (n == 0 && m->http10);
+}
+
+/* False when the request was refused. */
+static bool
+check_head(struct hreq *r)
+{
+	const struct hmsg *m = &r->parse.msg;
+	const struct hheader *expect = hmsg_find(m, "Expect");
+
+	if (!target_is_plain(m) || !host_is_single(m)) {
+		refuse(r, 400);
+		return false;
+	}
+	if (m->has_length && !m->chunked &&
+	    m->length > limits_of(r)->body_bytes) {
+		refuse(r, 413);
+		return false;
+	}
+	if (expect != NULL && hslice_is(expect->value, "100-continue") &&
+	    !r->parse.complete)
+		queue_text(r, "HTTP/1.1 100 Continue\r\n\r\n");
+	evl_timer_set(loop_of(r), &r->timer,
+	    evl_now_us(loop_of(r)) + limits_of(r)->idle_us);
+	return true;
+}
+
+/* The request is whole: its owner gets it. */
+static void
+hand_over(struct hreq *r)
+{
+	evl_timer_stop(loop_of(r), &r->timer);
+	r->state = HREQ_BUSY;
+	watch(r);
+	r->server->conf.ops->request(r, r->server->conf.ctx);
+}
+
+/* The first byte of a request came. */
+static void
+begin(struct hreq *r)
+{
+	r->started_us = evl_now_us(loop_of(r));
+	evl_timer_set(
+	    loop_of(r), &r->timer, r->started_us + limits_of(r)->head_us);
+}
+
+/* Takes bytes for the present request; returns how many. It may have been
+ * answered when this returns, but the connection is still there. */
+static size_t
+take(struct hreq *r, const uint8_t *data, size_t len)
+{
+	enum hparse_result result;
+	size_t used = 0, n;
+
+	while (r->state == HREQ_READ) {
+		if (r->started_us == 0 && used < len)
+			begin(r);
+		result = hparse_feed(&r->parse, data + used, len - used, &n);
+		used += n;
+		if (result == HPARSE_BAD)
+			refuse(r, 400);
+		else if (result == HPARSE_HEAD_TOO_LARGE)
+			refuse(r, 431);
+		else if (r->too_large)
+			refuse(r, 413);
+		else if (r->server->bodies > r->server->conf.bodies_max)
+			refuse(r, 503);
+		else if (result == HPARSE_HEAD && !check_head(r))
+			break;
+		else if (result == HPARSE_MORE)
+			break;
+		else if (result == HPARSE_DONE)
+			hand_over(r);
+	}
+	return used;
+}
+
+/* Goes on with bytes that came together with an earlier request. */
+static void
+read_ahead(struct hreq *r)
+{
+	struct hbuf in = r->in;
+	size_t used;
+
+	r->in = (struct hbuf){ 0 };
+	used = take(r, hbuf_front(&in), hbuf_left(&in));
+	if (used < hbuf_left(&in) && r->state != HREQ_FLUSH)
+		hbuf_add(&r->in, in.data + in.at + used, hbuf_left(&in) - used);
+	hbuf_free(&in);
+}
+
+static void
+on_readable(struct hreq *r)
+{
+	size_t size, used;
+	uint8_t *buffer = evl_scratch(loop_of(r), &size);
+	ssize_t n = recv(r->fd.fd, buffer, size, 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		leave(r);
+		return;
+	}
+	if (r->state != HREQ_READ) /* lingering: read and dropped */
+		return;
+	used = take(r, buffer, (size_t)n);
+	if (used < (size_t)n && r->state != HREQ_FLUSH &&
+	    r->state != HREQ_LINGER)
+		hbuf_add(&r->in, buffer + used, (size_t)n - used);
+}
+
+static void
+on_ready(struct evl_fd *fd, uint32_t events)
+{
+	struct hreq *r = from_fd(fd);
+
+	if ((events & (EPOLLERR | EPOLLHUP)) != 0 ||
+	    ((events & EPOLLRDHUP) != 0 && r->state == HREQ_BUSY)) {
+		leave(r);
+		return;
+	}
+	if ((events & EPOLLOUT) != 0)
+		evl_later(loop_of(r), &r->flush);
+	if ((events & EPOLLIN) != 0 || (events & EPOLLRDHUP) != 0)
+		on_readable(r);
+}
+
+static void
+on_timer(struct evl_timer *timer)
+{
+	struct hreq *r = from_timer(timer);
+
+	if (r->state == HREQ_READ && r->started_us != 0) {
+		refuse(r, 408);
+		return;
+	}
+	/* Idle, or lingering for long enough. */
+	destroy(r);
+}
+
+/* ------------------------------------------------------------------ */
+/* Accepting                                                           */
+/* ------------------------------------------------------------------ */
+
+static void
+accept_one(struct hserver *s, int fd)
+{
+	struct hreq *r = g_new0(struct hreq, 1);
+
+	sock_tune(fd);
+	r->fd = (struct evl_fd){ .fd = fd, .ready = on_ready };
+	r->timer.fire = on_timer;
+	r->flush.run = on_flush;
+	r->server = s;
+	hparse_init(
+	    &r->parse, HTTP_REQUEST, s->conf.limits->head_bytes, on_body, r);
+	LIST_INSERT_HEAD(&s->reqs, r, link);
+	s->connections++;
+	watch(r);
+	evl_timer_set(s->conf.loop, &r->timer,
+	    evl_now_us(s->conf.loop) + s->conf.limits->idle_us);
+}
+
+static void
+on_accept(struct evl_fd *efd, uint32_t events)
+{
+	struct hserver *s =
+	    (struct hserver *)((char *)efd - offsetof(struct hserver, fd));
+	int i, fd;
+
+	for (i = 0; i < ACCEPTS_PER_TURN; i++) {
+		if (s->connections >= s->conf.connections_max)
+			break;
+		fd =
+		    accept4(s->fd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			break;
+		accept_one(s, fd);
+	}
+	watch_accepts(s);
+}
+
+struct hserver *
+hserver_new(const struct hserver_conf *conf, struct err *err)
+{
+	struct sockaddr_in at;
+	struct hserver *s;
+	int fd = -1;
+
+	if (sock_address(conf->address, &at))
+		fd = sock_listen(&at, BACKLOG);
+	if (fd < 0) {
+		err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
+		    "cannot listen on %s: %s", conf->address,
+		    g_strerror(errno));
+		return NULL;
+	}
+	s = g_new0(struct hserver, 1);
+	s->conf = *conf;
+	LIST_INIT(&s->reqs);
+	s->fd = (struct evl_fd){ .fd = fd, .ready = on_accept };
+	watch_accepts(s);
+	return s;
+}
+
+void
+hserver_stop_listening(struct hserver *s)
+{
+	if (s->fd.fd < 0)
+		return;
+	evl_forget(s->conf.loop, &s->fd);
+	close(s->fd.fd);
+	s->fd.fd = -1;
+}
+
+void
+hserver_set_closing(struct hserver *s, bool closing)
+{
+	s->closing = closing;
+}
+
+unsigned int
+hserver_connections(const struct hserver *s)
+{
+	return s->connections;
+}
+
+void
+hserver_free(struct hserver *s)
+{
+	struct hreq *r;
+
+	if (s == NULL)
+		return;
+	hserver_stop_listening(s);
+	while ((r = LIST_FIRST(&s->reqs)) != NULL)
+		destroy(r);
+	g_free(s);
+}
+
+/* ------------------------------------------------------------------ */
+/* What a request says                                                 */
+/* ------------------------------------------------------------------ */
+
+const struct hmsg *
+hreq_msg(const struct hreq *r)
+{
+	return &r->parse.msg;
+}
+
+const void *
+hreq_body(const struct hreq *r, size_t *len_out)
+{
+	*len_out = hbuf_left(&r->body);
+	return *len_out == 0 ? NULL : hbuf_front(&r->body);
+}
+
+int64_t
+hreq_started_us(const struct hreq *r)
+{
+	return r->started_us;
+}
+
+void
+hreq_set_ctx(struct hreq *r, void *ctx)
+{
+	r->ctx = ctx;
+}
+
+void *
+hreq_ctx(const struct hreq *r)
+{
+	return r->ctx;
+}
+
+void
+hreq_drop_body(struct hreq *r)
+{
+	drop_body(r);
+}
--- a/lib/route/limit.h
+++ b/lib/route/limit.h
@@ -24,6 +24,7 @@
  */
 
 #include "common/common.h"
+#include "common/spend.h"
 
 #define LIM_WINDOW_MS 500 /* over which demand is measured */
 #define LIM_BURST_MS 250 /* of its part an entry may admit at once */
@@ -67,10 +68,7 @@
 
 /* Embedded where it is used; zero it first. */
 struct bud {
-	struct {
-		unsigned int requests, retries;
-	} slot[BUD_SLOTS];
-	int64_t slot_number; /* of the newest slot */
+	struct spend spend;
 };
 
 void bud_request(struct bud *bud, int64_t now_us);
--- /dev/null
+++ b/lib/serve/fwd.c
@@ -0,0 +1,389 @@
+/* Callers' requests: taking them in, ending them. */
+
+#include <string.h>
+
+#include "serve/fwd_internal.h"
+
+#define DEFAULT_DUE_US 60000000 /* neither caller nor route names a time */
+
+int64_t
+fwd_now(const struct fwd_req *r)
+{
+	return evl_now_us(r->fwd->conf.loop);
+}
+
+/* ------------------------------------------------------------------ */
+/* Ends                                                                */
+/* ------------------------------------------------------------------ */
+
+void
+fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
+    const char *why)
+{
+	int64_t now_us = fwd_now(r);
+
+	evt(ev,
+	    "req=%s route=%s service=%s status=%u why=%s tries=%u runs=%u "
+	    "events=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT
+	    " first_ms=%" G_GINT64_FORMAT " target=%s config=%" G_GINT64_FORMAT,
+	    r->id, r->route->name, r->service->targets->name, status, why,
+	    r->flow.tries, r->flow.runs, r->events,
+	    (now_us - r->begun_us) / 1000,
+	    r->first_event_us == 0 ? -1
+				   : (r->first_event_us - r->begun_us) / 1000,
+	    r->target == NULL ? "-" : r->target->says.id,
+	    rtab_config(r->routes)->version);
+}
+
+void
+fwd_finish(struct fwd_req *r)
+{
+	struct fwd *f = r->fwd;
+
+	fwd_unwait(r);
+	fwd_drop_call(r);
+	evl_timer_stop(f->conf.loop, &r->due);
+	evl_timer_stop(f->conf.loop, &r->step);
+	rtab_unref(r->routes);
+	g_free(r->model);
+	f->active--;
+	g_free(r);
+}
+
+static void
+append_retry_after(GString *headers, double seconds)
+{
+	char number[G_ASCII_DTOSTR_BUF_SIZE];
+
+	g_ascii_formatd(number, sizeof(number), "%.2f", seconds);
+	g_string_append_printf(headers, "Retry-After: %s\r\n", number);
+}
+
+static void
+append_id(GString *headers, const struct fwd_req *r)
+{
+	if (r->id[0] != '\0')
+		g_string_append_printf(headers, "%s: %s\r\n",
+		    r->fwd->conf.dialect->header[SV_F_REQUEST_ID], r->id);
+}
+
+void
+fwd_refuse(struct fwd_req *r, const char *why)
+{
+	GString *headers = g_string_new(NULL);
+	struct hreq *caller = r->caller;
+
+	append_id(headers, r);
+	append_retry_after(headers, fwd_retry_after(r));
+	ctr_add(r->fwd->refused, 1);
+	fwd_log_end(r, EVT_REFUSED, 503, why);
+	fwd_finish(r);
+	hreq_answer(caller, 503, headers->str, "", 0);
+	g_string_free(headers, TRUE);
+}
+
+void
+fwd_fail(struct fwd_req *r, unsigned int status, const char *why)
+{
+	GString *headers = g_string_new(NULL);
+	struct hreq *caller = r->caller;
+
+	append_id(headers, r);
+	ctr_add(r->fwd->failed, 1);
+	fwd_log_end(r, EVT_FAILED, status, why);
+	fwd_finish(r);
+	hreq_answer(caller, status, headers->str, "", 0);
+	g_string_free(headers, TRUE);
+}
+
+void
+fwd_break(struct fwd_req *r, const char *why)
+{
+	struct hreq *caller = r->caller;
+
+	ctr_add(r->fwd->failed, 1);
+	fwd_log_end(r, EVT_FAILED, 0, why);
+	fwd_finish(r);
+	hreq_abort(caller);
+}
+
+/* The time that the route or the caller gives is over. */
+static void
+on_due(struct evl_timer *timer)
+{
+	struct fwd_req *r =
+	    (struct fwd_req *)((char *)timer - offsetof(struct fwd_req, due));
+
+	if (r->flow.begun)
+		fwd_break(r, "timeout");
+	else if (r->flow.tries == 0)
+		fwd_refuse(r, "timeout_waiting");
+	else
+		fwd_fail(r, 504, "timeout");
+}
+
+/* ------------------------------------------------------------------ */
+/* Taking requests in                                                  */
+/* ------------------------------------------------------------------ */
+
+static struct fwd_service *
+service_of(struct fwd *f, const char *name)
+{
+	struct fwd_service *service = g_hash_table_lookup(f->services, name);
+
+	if (service != NULL)
+		return service;
+	service = g_new0(struct fwd_service, 1);
+	service->fwd = f;
+	service->targets = tgt_service(f->conf.targets, name);
+	TAILQ_INIT(&service->waiting);
+	g_hash_table_insert(f->services, service->targets->name, service);
+	return service;
+}
+
+/* Refuses a request that never became one of ours. */
+static void
+answer_early(
+    struct fwd *f, struct hreq *caller, unsigned int status, const char *why)
+{
+	const struct hheader *id = hmsg_find(
+	    hreq_msg(caller), f->conf.dialect->header[SV_F_REQUEST_ID]);
+
+	ctr_add(f->refused, 1);
+	evt(EVT_REFUSED, "req=%.*s status=%u why=%s config=%" G_GINT64_FORMAT,
+	    id == NULL ? 1 : (int)MIN(id->value.n, FWD_ID_MAX),
+	    id == NULL ? "-" : id->value.p, status, why,
+	    f->routes == NULL ? 0 : rtab_config(f->routes)->version);
+	hreq_answer(
+	    caller, status, status == 503 ? "Retry-After: 0.5\r\n" : "", "", 0);
+}
+
+/* False when the request was answered. */
+static bool
+authorise(struct fwd *f, struct hreq *caller, const struct sv_route *route,
+    const struct sv_workspace **workspace)
+{
+	const struct sv_dialect *d = f->conf.dialect;
+	const struct hheader *h =
+	    hmsg_find(hreq_msg(caller), d->header[SV_F_KEY]);
+	size_t scheme = strlen(d->key_scheme);
+	struct hslice key;
+
+	*workspace = NULL;
+	if (h != NULL && h->value.n > scheme &&
+	    g_ascii_strncasecmp(h->value.p, d->key_scheme, scheme) == 0) {
+		key =
+		    (struct hslice){ h->value.p + scheme, h->value.n - scheme };
+		*workspace = rtab_workspace(f->routes, key);
+	}
+	if (*workspace != NULL || route->anonymous ||
+	    !rtab_has_workspaces(f->routes))
+		return true;
+	answer_early(f, caller, 401, "unknown_key");
+	return false;
+}
+
+static void
+read_id(struct fwd_req *r, const struct hmsg *m)
+{
+	const struct hheader *h =
+	    hmsg_find(m, r->fwd->conf.dialect->header[SV_F_REQUEST_ID]);
+
+	if (h == NULL)
+		return;
+	memcpy(r->id, h->value.p, MIN(h->value.n, sizeof(r->id) - 1));
+}
+
+static void
+read_times(struct fwd_req *r, const struct hmsg *m)
+{
+	const struct hheader *h =
+	    hmsg_find(m, r->fwd->conf.dialect->header[SV_F_DEADLINE_MS]);
+	int64_t ms;
+
+	r->begun_us = hreq_started_us(r->caller);
+	r->due_us = r->begun_us +
+	    (r->route->timeout_us > 0 ? r->route->timeout_us : DEFAULT_DUE_US);
+	if (h != NULL && hslice_number(h->value, &ms))
+		r->due_us = MIN(r->due_us, r->begun_us + ms * 1000);
+}
+
+static bool
+is_repeatable(const struct sv_route *route)
+{
+	return route->kind == SV_SAFE ||
+	    (route->kind == SV_STREAM && route->resumable);
+}
+
+static struct fwd_req *
+req_new(struct fwd *f, struct hreq *caller, const struct sv_route *route,
+    const struct sv_workspace *workspace)
+{
+	const struct hmsg *m = hreq_msg(caller);
+	const struct hheader *model =
+	    hmsg_find(m, f->conf.dialect->header[SV_F_MODEL]);
+	struct fwd_req *r = g_new0(struct fwd_req, 1);
+
+	r->fwd = f;
+	r->caller = caller;
+	r->routes = rtab_ref(f->routes);
+	r->route = route;
+	r->workspace = workspace;
+	r->service = service_of(f, rtab_pick_service(route, rng_next(&f->rng)));
+	r->due.fire = on_due;
+	r->priority = workspace != NULL && workspace->priority != INT_MAX
+	    ? workspace->priority
+	    : route->priority;
+	if (model != NULL)
+		r->model = hslice_dup(model->value);
+	read_id(r, m);
+	read_times(r, m);
+	r->flow.repeatable = is_repeatable(route);
+	r->flow.attempts = route->attempts;
+	hreq_set_ctx(caller, r);
+	f->active++;
+	evl_timer_set(f->conf.loop, &r->due, r->due_us);
+	return r;
+}
+
+static void
+on_request(struct hreq *caller, void *ctx)
+{
+	static const struct hslice none = { "", 0 };
+	struct fwd *f = ctx;
+	const struct hmsg *m = hreq_msg(caller);
+	const struct hheader *host = hmsg_find(m, "Host");
+	const struct sv_workspace *workspace;
+	const struct sv_route *route;
+	struct fwd_req *r;
+
+	hreq_set_ctx(caller, NULL);
+	if (f->routes == NULL) {
+		answer_early(f, caller, 503, "no_settings_yet");
+		return;
+	}
+	route =
+	    rtab_route(f->routes, host == NULL ? none : host->value, m->target);
+	if (route == NULL) {
+		answer_early(f, caller, 404, "no_route");
+		return;
+	}
+	if (!authorise(f, caller, route, &workspace))
+		return;
+	r = req_new(f, caller, route, workspace);
+	spend_request(&r->service->budget, &f->conf.budget, fwd_now(r));
+	fwd_dispatch(r);
+}
+
+static void
+on_left(struct hreq *caller, void *ctx)
+{
+	struct fwd_req *r = hreq_ctx(caller);
+
+	if (r == NULL)
+		return;
+	ctr_add(r->fwd->left, 1);
+	fwd_log_end(
+	    r, EVT_LEFT, 0, r->state == FWD_WAITING ? "waiting" : "running");
+	fwd_finish(r);
+}
+
+static void
+on_drained(struct hreq *caller, void *ctx)
+{
+	struct fwd_req *r = hreq_ctx(caller);
+
+	if (r != NULL && r->call != NULL)
+		hcall_pause(r->call, false);
+}
+
+static void
+on_refused(unsigned int status, void *ctx)
+{
+	struct fwd *f = ctx;
+
+	ctr_add(f->refused, 1);
+	evt(EVT_REFUSED, "req=- status=%u why=malformed", status);
+}
+
+const struct hserver_ops fwd_server_ops = {
+	.request = on_request,
+	.left = on_left,
+	.drained = on_drained,
+	.refused = on_refused,
+};
+
+/* ------------------------------------------------------------------ */
+/* The forwarder                                                       */
+/* ------------------------------------------------------------------ */
+
+struct fwd *
+fwd_new(const struct fwd_conf *conf)
+{
+	struct fwd *f = g_new0(struct fwd, 1);
+	struct ctr_set *set = conf->counters;
+
+	f->conf = *conf;
+	f->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	rng_seed(&f->rng, conf->seed);
+	f->done = ctr_get(set, "requests_done");
+	f->refused = ctr_get(set, "requests_refused");
+	f->failed = ctr_get(set, "requests_failed");
+	f->left = ctr_get(set, "requests_left");
+	f->retries = ctr_get(set, "requests_sent_again");
+	f->resumes = ctr_get(set, "streams_resumed");
+	f->odd = ctr_get(set, "answers_not_ours");
+	return f;
+}
+
+void
+fwd_free(struct fwd *f)
+{
+	evl_task_cancel(f->conf.loop, &f->pump);
+	g_hash_table_unref(f->services);
+	rtab_unref(f->routes);
+	g_free(f);
+}
+
+void
+fwd_set_routes(struct fwd *f, struct rtab *routes)
+{
+	rtab_unref(f->routes);
+	f->routes = routes;
+}
+
+struct rtab *
+fwd_routes(struct fwd *f)
+{
+	return f->routes;
+}
+
+struct spend_conf *
+fwd_budget(struct fwd *f)
+{
+	return &f->conf.budget;
+}
+
+unsigned int
+fwd_active(const struct fwd *f)
+{
+	return f->active;
+}
+
+unsigned int
+fwd_waiting(const struct fwd *f)
+{
+	return f->waiting;
+}
+
+void
+fwd_print(const struct fwd *f, GString *out)
+{
+	g_string_append_printf(out, "requests_active %u\nrequests_waiting %u\n",
+	    f->active, f->waiting);
+	hist_print(&f->wait, "request_wait_seconds", out);
+	hist_print(&f->first, "stream_first_event_seconds", out);
+	hist_print(&f->gap, "stream_event_gap_seconds", out);
+	hist_print(&f->whole, "request_seconds", out);
+}
--- /dev/null
+++ b/lib/serve/fwd_answer.c
@@ -0,0 +1,234 @@
+/* What comes back from a target, and how it is passed on. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "serve/fwd_internal.h"
+
+/* Largest answer that is held whole, and largest event of a stream. */
+#define ANSWER_MAX (8u << 20)
+#define EVENT_MAX (1u << 20)
+
+/* ------------------------------------------------------------------ */
+/* Head                                                                */
+/* ------------------------------------------------------------------ */
+
+static const struct hheader *
+field(const struct fwd_req *r, const struct hmsg *m, enum sv_field f)
+{
+	return hmsg_find(m, r->fwd->conf.dialect->header[f]);
+}
+
+/* "running,waiting,slots" */
+static void
+read_load(struct fwd_req *r, const struct hmsg *m)
+{
+	const struct hheader *h = field(r, m, SV_F_LOAD);
+	unsigned long running, waiting;
+	char text[48], *end;
+
+	if (h == NULL || h->value.n >= sizeof(text))
+		return;
+	memcpy(text, h->value.p, h->value.n);
+	text[h->value.n] = '\0';
+	running = strtoul(text, &end, 10);
+	if (*end != ',')
+		return;
+	waiting = strtoul(end + 1, &end, 10);
+	tgt_load(r->target, (unsigned int)(running + waiting), fwd_now(r));
+}
+
+static bool
+is_success(const struct fwd_req *r)
+{
+	return r->status >= 200 && r->status < 300;
+}
+
+/* Statuses that promise that a request did not run: only a target that says
+ * so in its own field may make that promise. */
+static bool
+promises_not_run(unsigned int status)
+{
+	return status == 429 || status == 503 || status == 408;
+}
+
+static bool
+says_not_run(const struct fwd_req *r, const struct hmsg *m)
+{
+	return r->status == 421 || field(r, m, SV_F_NOT_RUN) != NULL;
+}
+
+static bool
+can_pass(const struct fwd_req *r, const struct hmsg *m)
+{
+	if (is_success(r))
+		return r->sealed && hmsg_find(m, "Content-Encoding") == NULL;
+	return r->sealed && !promises_not_run(r->status);
+}
+
+void
+fwd_read_head(struct fwd_req *r, const struct hmsg *m)
+{
+	const struct hheader *id = field(r, m, SV_F_REQUEST_ID);
+
+	/* An answer to an earlier request, late or sent twice. */
+	if (id != NULL &&
+	    (id->value.n != strlen(r->id) ||
+		memcmp(id->value.p, r->id, id->value.n) != 0)) {
+		ctr_add(r->fwd->odd, 1);
+		evt(EVT_ODD, "req=%s target=%s got=%.*s", r->id,
+		    r->target->says.id, (int)MIN(id->value.n, FWD_ID_MAX),
+		    id->value.p);
+		hcall_skip(r->call);
+		return;
+	}
+	r->ours = true;
+	r->status = m->status;
+	r->sealed = field(r, m, SV_F_SEAL) != NULL;
+	read_load(r, m);
+	r->refused = says_not_run(r, m);
+	r->broken =
+	    !r->refused && (!can_pass(r, m) || (is_success(r) && id == NULL));
+	if (r->headers == NULL)
+		r->headers = g_string_sized_new(256);
+	g_string_truncate(r->headers, 0);
+	fwd_answer_headers(m, r->headers);
+	if (r->refused || r->broken)
+		hcall_spoil(r->call);
+}
+
+bool
+fwd_is_stream(const struct fwd_req *r)
+{
+	return r->route->kind == SV_STREAM && is_success(r);
+}
+
+/* ------------------------------------------------------------------ */
+/* Events                                                              */
+/* ------------------------------------------------------------------ */
+
+/* Length of the first whole event, with the empty line that ends it. */
+static size_t
+event_length(const struct hbuf *b)
+{
+	const uint8_t *end = memmem(hbuf_front(b), hbuf_left(b), "\n\n", 2);
+
+	return end == NULL ? 0 : (size_t)(end - hbuf_front(b)) + 2;
+}
+
+/* The number in the event's line "id: N"; -1 without one. */
+static int64_t
+event_id(const uint8_t *event, size_t len)
+{
+	const char *at = (const char *)event;
+	const char *end = at + len;
+	const char *line_end;
+
+	while (at < end) {
+		line_end = memchr(at, '\n', (size_t)(end - at));
+		if (line_end == NULL)
+			break;
+		if (line_end - at > 3 && memcmp(at, "id:", 3) == 0)
+			return g_ascii_strtoll(at + 3, NULL, 10);
+		at = line_end + 1;
+	}
+	return -1;
+}
+
+static void
+note_event(struct fwd_req *r, int64_t id)
+{
+	int64_t now_us = fwd_now(r);
+
+	if (r->events == 0) {
+		r->first_event_us = now_us;
+		hist_add(&r->fwd->first, now_us - r->begun_us);
+	} else
+		hist_add(&r->fwd->gap, now_us - r->last_event_us);
+	r->last_event_us = now_us;
+	r->events++;
+	if (id < 0)
+		return;
+	r->last_event = id;
+	r->has_event = true;
+}
+
+static void
+begin_answer(struct fwd_req *r)
+{
+	if (hreq_begun(r->caller))
+		return;
+	hreq_begin(r->caller, r->status, r->headers->str);
+	r->flow.begun = true;
+	r->state = FWD_STREAMING;
+}
+
+static void
+pass_events(struct fwd_req *r)
+{
+	size_t len;
+	int64_t id;
+
+	while (
+	    hbuf_left(&r->answer) > 0 && (len = event_length(&r->answer)) > 0) {
+		id = event_id(hbuf_front(&r->answer), len);
+		if (id < 0 || !r->has_event || id > r->last_event) {
+			begin_answer(r);
+			hreq_write(r->caller, hbuf_front(&r->answer), len);
+			note_event(r, id);
+		} else /* passed on already, from an earlier target */
+			ctr_add(r->fwd->odd, 1);
+		hbuf_use(&r->answer, len);
+	}
+	if (hreq_congested(r->caller))
+		hcall_pause(r->call, true);
+}
+
+void
+fwd_read_body(struct fwd_req *r, const void *data, size_t len)
+{
+	size_t most = fwd_is_stream(r) ? EVENT_MAX : ANSWER_MAX;
+
+	if (r->refused || r->broken)
+		return;
+	if (hbuf_left(&r->answer) + len > most) {
+		r->broken = true;
+		hcall_spoil(r->call);
+		return;
+	}
+	hbuf_add(&r->answer, data, len);
+	if (!fwd_is_stream(r))
+		return;
+	pass_events(r);
+	fwd_heard(r);
+}
+
+/* ------------------------------------------------------------------ */
+/* Whole                                                               */
+/* ------------------------------------------------------------------ */
+
+/* The target's answer is whole: passes on what has not gone yet. */
+void
+fwd_answer_whole(struct fwd_req *r)
+{
+	struct hreq *caller = r->caller;
+	struct hbuf answer = r->answer;
+	GString *headers = r->headers;
+	unsigned int status = r->status;
+	bool begun = r->flow.begun;
+
+	r->answer = (struct hbuf){ 0 };
+	r->headers = NULL;
+	ctr_add(r->fwd->done, 1);
+	hist_add(&r->fwd->whole, fwd_now(r) - r->begun_us);
+	fwd_log_end(r, EVT_DONE, status, status < 500 ? "ok" : "target_failed");
+	fwd_finish(r);
+	if (begun) {
+		hreq_write(caller, hbuf_front(&answer), hbuf_left(&answer));
+		hreq_end(caller);
+	} else
+		hreq_answer(caller, status, headers->str, hbuf_front(&answer),
+		    hbuf_left(&answer));
+	hbuf_free(&answer);
+	g_string_free(headers, TRUE);
+}
--- /dev/null
+++ b/lib/serve/fwd_call.c
@@ -0,0 +1,286 @@
+/* One attempt at a target. */
+
+#include <string.h>
+
+#include "serve/fwd_internal.h"
+
+/* An engine that has said nothing for so many objectives is taken as silent:
+ * three times the objective is late already, and the caller gives up on a
+ * stream after four. */
+#define SILENT_FIRST 3
+/* The same between events, in objectives for the pause. */
+#define SILENT_GAP 3
+#define SILENT_DEFAULT_US 1200000
+/* A plain request that may be repeated is tried elsewhere after this share of
+ * its route's time, so that the second try still fits. */
+#define SILENT_PLAIN_SHARE 0.5
+/* Least time that another attempt needs. */
+#define ATTEMPT_MIN_US 60000
+
+void
+fwd_drop_call(struct fwd_req *r)
+{
+	struct fwd *f = r->fwd;
+
+	evl_timer_stop(f->conf.loop, &r->step);
+	if (r->call != NULL) {
+		hcall_cancel(r->call);
+		r->call = NULL;
+	}
+	if (r->headers != NULL) {
+		g_string_free(r->headers, TRUE);
+		r->headers = NULL;
+	}
+	hbuf_free(&r->answer);
+	if (r->target == NULL)
+		return;
+	tgt_ended(r->target, fwd_now(r));
+	tgt_unref(r->target);
+	r->target = NULL;
+	fwd_count_end(r->service, fwd_now(r));
+	fwd_pump(f);
+}
+
+/* ------------------------------------------------------------------ */
+/* The end of an attempt                                               */
+/* ------------------------------------------------------------------ */
+
+static bool
+may_spend(void *ctx)
+{
+	struct fwd_req *r = ctx;
+
+	return spend_take(
+	    &r->service->budget, &r->fwd->conf.budget, fwd_now(r));
+}
+
+static const char *const end_names[] = {
+	[FLOW_REFUSED] = "target_refused",
+	[FLOW_UNREACHABLE] = "target_unreachable",
+	[FLOW_LOST] = "answer_lost",
+	[FLOW_SILENT] = "target_silent",
+	[FLOW_FAILURE] = "target_failed",
+};
+
+static const enum tgt_outcome outcomes[] = {
+	[FLOW_REFUSED] = TGT_REFUSED,
+	[FLOW_UNREACHABLE] = TGT_LOST,
+	[FLOW_LOST] = TGT_ERROR,
+	[FLOW_SILENT] = TGT_SILENT,
+	[FLOW_FAILURE] = TGT_ERROR,
+};
+
+static void
+note_outcome(struct fwd_req *r, enum flow_end end)
+{
+	unsigned int failures = r->target->failures;
+
+	tgt_outcome(r->target, outcomes[end], fwd_now(r));
+	if (r->target->failures > failures)
+		evt(EVT_TARGET_REST,
+		    "target=%s address=%s why=%s failures=%u rest_ms=%" G_GINT64_FORMAT,
+		    r->target->says.id, r->target->says.address, end_names[end],
+		    r->target->failures,
+		    (r->target->rest_until_us - fwd_now(r)) / 1000);
+	if (end != FLOW_REFUSED)
+		return;
+	if (r->status == 421)
+		tgt_mistaken(r->target);
+	else /* it is fuller than was thought */
+		tgt_load(r->target,
+		    (unsigned int)tgt_limit(
+			r->target, tgt_set_policy(r->fwd->conf.targets)),
+		    fwd_now(r));
+}
+
+static void
+go_on(struct fwd_req *r, enum flow_end end)
+{
+	ctr_add(r->fwd->retries, 1);
+	if (r->flow.begun)
+		ctr_add(r->fwd->resumes, 1);
+	evt(EVT_RETRY,
+	    "req=%s why=%s target=%s tries=%u runs=%u last_event=%" G_GINT64_FORMAT
+	    " ms=%" G_GINT64_FORMAT,
+	    r->id, end_names[end], r->target->says.id, r->flow.tries,
+	    r->flow.runs, r->last_event, (fwd_now(r) - r->begun_us) / 1000);
+	fwd_drop_call(r);
+	r->state = FWD_WAITING;
+	fwd_dispatch(r);
+}
+
+static void
+attempt_ended(struct fwd_req *r, enum flow_end end)
+{
+	evl_timer_stop(r->fwd->conf.loop, &r->step);
+	note_outcome(r, end);
+	if (end != FLOW_REFUSED && end != FLOW_UNREACHABLE) {
+		r->flow.may_have_run = true;
+		r->flow.runs++;
+	}
+	r->flow.time = r->due_us - fwd_now(r) > ATTEMPT_MIN_US &&
+	    r->ntried < FWD_TRIED_MAX;
+	switch (flow_next(&r->flow, end, may_spend, r)) {
+	case FLOW_AGAIN:
+	case FLOW_RESUME:
+		go_on(r, end);
+		break;
+	case FLOW_PASS:
+		fwd_answer_whole(r);
+		break;
+	case FLOW_REFUSE:
+		fwd_refuse(r, end_names[end]);
+		break;
+	case FLOW_FAIL:
+		fwd_fail(r, 502, end_names[end]);
+		break;
+	case FLOW_BREAK:
+		fwd_break(r, end_names[end]);
+		break;
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Events of the call                                                  */
+/* ------------------------------------------------------------------ */
+
+static void
+on_head(struct hcall *c, const struct hmsg *m, void *ctx)
+{
+	fwd_read_head(ctx, m);
+}
+
+static void
+on_body(struct hcall *c, const void *data, size_t len, void *ctx)
+{
+	fwd_read_body(ctx, data, len);
+}
+
+static bool
+is_failure(const struct fwd_req *r)
+{
+	return r->status >= 500;
+}
+
+static void
+on_done(struct hcall *c, void *ctx)
+{
+	struct fwd_req *r = ctx;
+
+	r->call = NULL;
+	if (r->refused)
+		attempt_ended(r, FLOW_REFUSED);
+	else if (r->broken)
+		attempt_ended(r, FLOW_LOST);
+	else if (is_failure(r))
+		attempt_ended(r, FLOW_FAILURE);
+	else {
+		tgt_outcome(r->target, TGT_ANSWERED, fwd_now(r));
+		fwd_answer_whole(r);
+	}
+}
+
+static void
+on_failed(struct hcall *c, enum hcall_failure why, bool sent, void *ctx)
+{
+	struct fwd_req *r = ctx;
+
+	r->call = NULL;
+	/* A refusal was read whole enough: its head says that it did not
+	 * run, whatever became of its body. */
+	if (r->refused)
+		attempt_ended(r, FLOW_REFUSED);
+	else
+		attempt_ended(r, sent ? FLOW_LOST : FLOW_UNREACHABLE);
+}
+
+static const struct hcall_ops call_ops = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.failed = on_failed,
+};
+
+/* ------------------------------------------------------------------ */
+/* Sending                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+on_silent(struct evl_timer *timer)
+{
+	struct fwd_req *r =
+	    (struct fwd_req *)((char *)timer - offsetof(struct fwd_req, step));
+
+	if (r->call != NULL) {
+		hcall_cancel(r->call);
+		r->call = NULL;
+	}
+	attempt_ended(r, FLOW_SILENT);
+}
+
+/* Waits for the target's next word. A request that cannot go elsewhere is
+ * left to its due time: its silence is no reason to end it sooner. */
+static void
+expect_word(struct fwd_req *r)
+{
+	const struct sv_route *route = r->route;
+	int64_t wait_us = SILENT_DEFAULT_US;
+
+	if (!r->flow.repeatable || r->flow.runs + 1 >= r->flow.attempts)
+		return;
+	if (route->kind != SV_STREAM)
+		wait_us =
+		    (int64_t)((double)route->timeout_us * SILENT_PLAIN_SHARE);
+	else if (r->state == FWD_STREAMING && route->gap_us > 0)
+		wait_us = SILENT_GAP * route->gap_us;
+	else if (route->objective_us > 0)
+		wait_us = SILENT_FIRST * route->objective_us;
+	r->step.fire = on_silent;
+	evl_timer_set(r->fwd->conf.loop, &r->step, fwd_now(r) + wait_us);
+}
+
+void
+fwd_heard(struct fwd_req *r)
+{
+	expect_word(r);
+}
+
+static void
+reset_answer(struct fwd_req *r)
+{
+	r->status = 0;
+	r->ours = false;
+	r->refused = false;
+	r->broken = false;
+	r->sealed = false;
+	hbuf_free(&r->answer);
+}
+
+void
+fwd_send(struct fwd_req *r, struct tgt *target)
+{
+	GString *head = fwd_request_head(r, target);
+	const void *body;
+	size_t len;
+
+	reset_answer(r);
+	r->state = r->flow.begun ? FWD_STREAMING : FWD_CALLING;
+	r->target = tgt_ref(target);
+	r->sent_us = fwd_now(r);
+	if (r->ntried < FWD_TRIED_MAX)
+		r->tried[r->ntried++] = target;
+	r->flow.tries++;
+	tgt_sent(target, r->sent_us);
+	body = hreq_body(r->caller, &len);
+	r->call = hcall_start(r->fwd->conf.pool,
+	    &(struct hcall_conf){ .address = target->says.address,
+		.head = head->str,
+		.head_len = head->len,
+		.body = body,
+		.body_len = len,
+		.no_body = strcmp(hreq_msg(r->caller)->method, "HEAD") == 0,
+		.ops = &call_ops,
+		.ctx = r });
+	g_string_free(head, TRUE);
+	expect_word(r);
+}
--- /dev/null
+++ b/lib/serve/fwd_internal.h
@@ -0,0 +1,115 @@
+#ifndef SERVE_FWD_INTERNAL_H
+#define SERVE_FWD_INTERNAL_H
+
+#include "common/evt.h"
+#include "serve/flow.h"
+#include "serve/fwd.h"
+#include "serve/hist.h"
+
+#define FWD_TRIED_MAX 8
+#define FWD_ID_MAX 64 /* of a request, in log lines */
+
+struct fwd_service;
+
+enum fwd_state {
+	FWD_WAITING, /* for a place at a target */
+	FWD_CALLING, /* sent; no byte passed on yet */
+	FWD_STREAMING, /* events are passed on */
+};
+
+/* A caller's request until it is answered. */
+struct fwd_req {
+	TAILQ_ENTRY(fwd_req) link; /* among the waiting of its service */
+	struct fwd *fwd;
+	struct hreq *caller;
+	struct rtab *routes;
+	const struct sv_route *route;
+	const struct sv_workspace *workspace; /* NULL: anonymous */
+	struct fwd_service *service;
+	enum fwd_state state;
+	char id[FWD_ID_MAX];
+	char *model; /* NULL: none asked for */
+	int64_t begun_us; /* first byte read */
+	int64_t due_us; /* final answer by then */
+	int priority;
+	struct evl_timer due;
+	struct evl_timer step; /* waiting, silence of the target */
+	/* The attempt under way. */
+	struct hcall *call;
+	struct tgt *target; /* counted */
+	int64_t sent_us;
+	unsigned int status;
+	bool ours; /* the answer's head is checked */
+	bool refused; /* it says that it did not run */
+	bool broken; /* it cannot be passed on */
+	bool sealed;
+	GString *headers; /* of the answer, to pass on */
+	struct hbuf answer; /* a whole answer, or events not whole yet */
+	/* Over all attempts. */
+	const struct tgt *tried[FWD_TRIED_MAX]; /* compared, never followed */
+	unsigned int ntried;
+	struct flow_state flow;
+	int64_t last_event; /* passed on; -1: none */
+	bool has_event;
+	uint64_t events;
+	int64_t first_event_us, last_event_us;
+};
+
+/* One service's requests here. */
+struct fwd_service {
+	struct fwd *fwd;
+	struct tgt_service *targets;
+	struct spend budget;
+	TAILQ_HEAD(fwd_waiting_list, fwd_req) waiting; /* urgent first */
+	unsigned int nwaiting;
+	/* Ends of requests a second, moving average: how fast places free. */
+	double rate;
+	int64_t rate_us;
+	unsigned int ends;
+};
+
+struct fwd {
+	struct fwd_conf conf;
+	struct rtab *routes;
+	GHashTable *services; /* name -> struct fwd_service */
+	struct evl_task pump;
+	struct rng rng;
+	unsigned int active, waiting;
+	struct ctr *done, *refused, *failed, *left, *retries, *resumes, *odd;
+	struct ctr *late_events;
+	struct hist wait, first, gap, whole;
+};
+
+/* fwd.c */
+int64_t fwd_now(const struct fwd_req *r);
+/* Ends the request here with an answer of our own. */
+void fwd_refuse(struct fwd_req *r, const char *why); /* 503: not run */
+void fwd_fail(struct fwd_req *r, unsigned int status, const char *why);
+void fwd_break(struct fwd_req *r, const char *why); /* close mid-answer */
+void fwd_finish(struct fwd_req *r); /* frees; the caller was answered */
+void fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
+    const char *why);
+
+/* fwd_wait.c: waiting for a place */
+void fwd_dispatch(struct fwd_req *r); /* send now, wait, or refuse */
+void fwd_unwait(struct fwd_req *r);
+void fwd_count_end(struct fwd_service *service, int64_t now_us);
+/* Seconds until a place is likely. */
+double fwd_retry_after(struct fwd_req *r);
+
+/* fwd_call.c: an attempt */
+void fwd_send(struct fwd_req *r, struct tgt *target);
+void fwd_drop_call(struct fwd_req *r); /* cancels what is under way */
+void fwd_heard(struct fwd_req *r); /* the target has given a sign of life */
+
+/* fwd_answer.c: what comes back */
+void fwd_read_head(struct fwd_req *r, const struct hmsg *m);
+void fwd_read_body(struct fwd_req *r, const void *data, size_t len);
+void fwd_answer_whole(struct fwd_req *r);
+bool fwd_is_stream(const struct fwd_req *r); /* the answer is passed on live */
+
+/* fwd_head.c: heads to targets and callers */
+GString *fwd_request_head(struct fwd_req *r, struct tgt *target);
+void fwd_answer_headers(const struct hmsg *m, GString *out);
+
+#endif
--- /dev/null
+++ b/lib/serve/fwd_wait.c
@@ -0,0 +1,221 @@
+/* Waiting for a place at a target. */
+
+#include <string.h>
+
+#include "serve/fwd_internal.h"
+
+/*
+ * Share of a request's objective that it may wait for a place. The rest is
+ * what an engine takes to its first token (some 200 of 400 ms under load):
+ * whoever waits longer is served late, and its place is better used by one
+ * that is not.
+ */
+#define WAIT_SHARE 0.4
+#define WAIT_MIN_US 20000
+/* A service of no known objective. */
+#define WAIT_DEFAULT_US 200000
+#define RATE_SPAN_US 2000000 /* of the moving average of ends a second */
+/* Bounds of the advice when to come back. Callers wait for a third of their
+ * time at most, so more is no use. */
+#define RETRY_MIN_S 0.2
+#define RETRY_MAX_S 1.5
+
+/* ------------------------------------------------------------------ */
+/* How fast places become free                                         */
+/* ------------------------------------------------------------------ */
+
+void
+fwd_count_end(struct fwd_service *service, int64_t now_us)
+{
+	int64_t span_us = now_us - service->rate_us;
+	double rate, weight;
+
+	service->ends++;
+	if (span_us < RATE_SPAN_US / 8)
+		return;
+	rate = (double)service->ends * G_USEC_PER_SEC / (double)span_us;
+	weight = MIN(1, (double)span_us / RATE_SPAN_US);
+	service->rate += (rate - service->rate) * weight;
+	service->rate_us = now_us;
+	service->ends = 0;
+}
+
+static double
+expected_wait_s(const struct fwd_service *service, unsigned int ahead)
+{
+	if (service->rate <= 0)
+		return 0;
+	return (ahead + 1) / service->rate;
+}
+
+double
+fwd_retry_after(struct fwd_req *r)
+{
+	double wait_s = expected_wait_s(r->service, r->service->nwaiting);
+	/* Those refused together must not come back together. */
+	double spread = 0.75 + (double)rng_below(&r->fwd->rng, 1000) / 2000.0;
+
+	return CLAMP((0.3 + wait_s) * spread, RETRY_MIN_S, RETRY_MAX_S);
+}
+
+/* ------------------------------------------------------------------ */
+/* The waiting                                                         */
+/* ------------------------------------------------------------------ */
+
+static int64_t
+wait_limit_us(const struct fwd_req *r)
+{
+	if (r->route->objective_us <= 0)
+		return WAIT_DEFAULT_US;
+	return MAX(WAIT_MIN_US,
+	    (int64_t)((double)r->route->objective_us * WAIT_SHARE));
+}
+
+static void
+on_waited(struct evl_timer *timer)
+{
+	struct fwd_req *r =
+	    (struct fwd_req *)((char *)timer - offsetof(struct fwd_req, step));
+
+	if (r->flow.begun)
+		fwd_break(r, "no_target_to_resume");
+	else if (r->flow.may_have_run)
+		fwd_fail(r, 502, "no_target_to_repeat");
+	else
+		fwd_refuse(r, "no_place");
+}
+
+void
+fwd_unwait(struct fwd_req *r)
+{
+	if (r->state != FWD_WAITING || r->link.tqe_prev == NULL)
+		return;
+	TAILQ_REMOVE(&r->service->waiting, r, link);
+	r->link.tqe_prev = NULL;
+	r->service->nwaiting--;
+	r->fwd->waiting--;
+}
+
+/* Before those that are less urgent; a stream that has begun comes first. */
+static bool
+goes_before(const struct fwd_req *a, const struct fwd_req *b)
+{
+	if (a->flow.begun != b->flow.begun)
+		return a->flow.begun;
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	return a->begun_us < b->begun_us;
+}
+
+static void
+enqueue(struct fwd_req *r)
+{
+	struct fwd_service *service = r->service;
+	struct fwd_req *other;
+
+	r->state = FWD_WAITING;
+	TAILQ_FOREACH (other, &service->waiting, link) {
+		if (goes_before(r, other))
+			break;
+	}
+	if (other != NULL)
+		TAILQ_INSERT_BEFORE(other, r, link);
+	else
+		TAILQ_INSERT_TAIL(&service->waiting, r, link);
+	service->nwaiting++;
+	r->fwd->waiting++;
+}
+
+static struct tgt *
+choose(struct fwd_req *r, enum tgt_why *why)
+{
+	struct fwd *f = r->fwd;
+	struct tgt_wish wish = {
+		.model = r->model,
+		.version = vers_least(f->conf.versions, r->model, fwd_now(r)),
+		.not = r->tried,
+		.nnot = r->ntried,
+		.repeatable = r->flow.repeatable,
+		.random = rng_next(&f->rng),
+	};
+
+	return tgt_choose(
+	    f->conf.targets, r->service->targets, &wish, fwd_now(r), why);
+}
+
+/* Whether waiting has a chance: places free fast enough for its turn. */
+static bool
+worth_waiting(const struct fwd_req *r)
+{
+	double wait_us =
+	    expected_wait_s(r->service, r->service->nwaiting) * G_USEC_PER_SEC;
+
+	return wait_us <= (double)wait_limit_us(r);
+}
+
+void
+fwd_dispatch(struct fwd_req *r)
+{
+	enum tgt_why why;
+	struct tgt *target = choose(r, &why);
+	int64_t until_us;
+
+	if (target != NULL) {
+		hist_add(&r->fwd->wait, fwd_now(r) - r->begun_us);
+		fwd_send(r, target);
+		return;
+	}
+	if (!r->flow.begun && !r->flow.may_have_run &&
+	    (why == TGT_NONE || !worth_waiting(r))) {
+		fwd_refuse(r, why == TGT_NONE ? "no_target" : "full");
+		return;
+	}
+	enqueue(r);
+	until_us = fwd_now(r) + wait_limit_us(r);
+	if (!r->flow.begun && !r->flow.may_have_run)
+		until_us = r->begun_us + wait_limit_us(r);
+	r->step.fire = on_waited;
+	evl_timer_set(r->fwd->conf.loop, &r->step, until_us);
+}
+
+/* Gives free places to those that wait, most urgent first. */
+static void
+pump_service(struct fwd_service *service)
+{
+	struct fwd_req *r, *next;
+	struct tgt *target;
+	enum tgt_why why;
+
+	for (r = TAILQ_FIRST(&service->waiting); r != NULL; r = next) {
+		next = TAILQ_NEXT(r, link);
+		target = choose(r, &why);
+		if (target == NULL)
+			continue;
+		fwd_unwait(r);
+		evl_timer_stop(r->fwd->conf.loop, &r->step);
+		hist_add(&r->fwd->wait, fwd_now(r) - r->begun_us);
+		fwd_send(r, target);
+	}
+}
+
+static void
+on_pump(struct evl_task *task)
+{
+	struct fwd *f =
+	    (struct fwd *)((char *)task - offsetof(struct fwd, pump));
+	GHashTableIter iter;
+	gpointer service;
+
+	g_hash_table_iter_init(&iter, f->services);
+	while (g_hash_table_iter_next(&iter, NULL, &service))
+		pump_service(service);
+}
+
+void
+fwd_pump(struct fwd *f)
+{
+	if (f->waiting == 0)
+		return;
+	f->pump.run = on_pump;
+	evl_later(f->conf.loop, &f->pump);
+}
--- /dev/null
+++ b/lib/serve/records.c
@@ -0,0 +1,54 @@
+/* Typed records: making and freeing. */
+
+#include <string.h>
+
+#include "serve/records.h"
+
+static void
+route_clear(struct sv_route *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->nshares; i++)
+		g_free(r->shares[i].service);
+	g_free(r->shares);
+	g_free(r->name);
+	g_free(r->host);
+	g_free(r->prefix);
+}
+
+void
+sv_config_free(struct sv_config *c)
+{
+	size_t i;
+
+	if (c == NULL)
+		return;
+	for (i = 0; i < c->nroutes; i++)
+		route_clear(&c->routes[i]);
+	for (i = 0; i < c->nservices; i++) {
+		g_free(c->services[i].name);
+		g_free(c->services[i].health_path);
+		g_free(c->services[i].origin);
+	}
+	for (i = 0; i < c->nworkspaces; i++) {
+		g_free(c->workspaces[i].name);
+		g_strfreev(c->workspaces[i].keys);
+	}
+	g_free(c->routes);
+	g_free(c->services);
+	g_free(c->workspaces);
+	g_free(c);
+}
+
+const struct sv_service *
+sv_config_service(const struct sv_config *c, const char *name)
+{
+	size_t i;
+
+	for (i = 0; c != NULL && i < c->nservices; i++) {
+		if (strcmp(c->services[i].name, name) == 0)
+			return &c->services[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/lib/serve/side.h
@@ -0,0 +1,53 @@
+#ifndef SERVE_SIDE_H
+#define SERVE_SIDE_H
+
+/*
+ * side: what gateways and keepers tell each other, by datagrams. A gateway
+ * tells every keeper what should be loaded and who else loads it (`view`);
+ * keepers answer to each gateway that did so lately how full their engine is
+ * (`load`). Lost datagrams are made up for by the next.
+ */
+
+#include "common/common.h"
+
+enum {
+	SIDE_VIEW = 90,
+	SIDE_LOAD = 91,
+};
+
+/* Bytes of a peer in a view: IPv4, port, index of its domain. */
+#define SIDE_PEER_BYTES 7
+#define SIDE_PEERS_MAX 140 /* what one datagram holds beside the rest */
+#define SIDE_DOMAINS_MAX 200 /* bytes of all their names */
+
+struct side_view {
+	struct slice model;
+	uint64_t version; /* to be loaded */
+	uint64_t age_ms; /* since its name was heard of first */
+	uint64_t due_ms; /* from then on, no request begins on older ones */
+	struct slice origin; /* "ip:port", or empty */
+	uint64_t chunks, chunk_bytes;
+	struct slice domains; /* names, with commas between */
+	struct slice peers; /* keepers of the same model */
+};
+
+enum side_engine {
+	SIDE_ENGINE_DOWN, /* does not answer */
+	SIDE_ENGINE_LOADING, /* takes no requests now */
+	SIDE_ENGINE_UP,
+};
+
+struct side_load {
+	struct slice address; /* of the engine */
+	uint64_t engine; /* enum side_engine */
+	uint64_t running, waiting;
+	struct slice model; /* loaded; empty: none */
+	uint64_t version;
+	uint64_t pace_permille; /* of its steps against the stated */
+	uint64_t gateways; /* that the keeper hears */
+};
+
+extern const struct msg_desc side_view_desc;
+extern const struct msg_desc side_load_desc;
+
+#endif
--- /dev/null
+++ b/lib/serve/tgt.c
@@ -0,0 +1,484 @@
+/* Beliefs about targets, and the choice of one. */
+
+#include <string.h>
+
+#include "serve/tgt.h"
+
+/* Word about the load that is older than this says nothing: a request on an
+ * engine takes one to two seconds. */
+#define LOAD_FRESH_US 600000
+/* A side speaks several times a second; one that was heard and is silent for
+ * this long has lost its host or the way here. */
+#define SIDE_SILENT_US 900000
+/* Targets whose entries ran out while the store was away write again within
+ * about two seconds of its return. */
+#define LAPSED_KEEP_US 1900000
+/* After a failure without an answer a target rests; each further one doubles
+ * it. The first is short: one lost connection is not a dead host. */
+#define REST_FIRST_US 250000
+#define REST_MAX_US 4000000
+/* Longer rest before a request that may not be repeated is risked on it. */
+#define PROBE_UNSAFE_US 1000000
+/* Weight of one answer in the moving share of failures. */
+#define ERROR_WEIGHT 0.1
+/* Answers before the share of failures is believed. */
+#define ERROR_ANSWERS 8
+/* Failures beyond the service's usual share cost so many places. */
+#define ERROR_COST 12.0
+
+struct tgt_set {
+	char *region;
+	struct tgt_policy policy;
+	GHashTable *regions; /* failure domain -> region */
+	GHashTable *services; /* name -> struct tgt_service */
+	GHashTable *by_id;
+	GHashTable *by_address;
+};
+
+/* ------------------------------------------------------------------ */
+/* Making                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+service_free(gpointer data)
+{
+	struct tgt_service *service = data;
+	struct tgt *t;
+
+	while ((t = TAILQ_FIRST(&service->targets)) != NULL) {
+		TAILQ_REMOVE(&service->targets, t, link);
+		t->dropped = true;
+		t->service = NULL;
+		if (t->refs == 0)
+			g_free(t);
+	}
+	g_free(service->name);
+	g_free(service);
+}
+
+struct tgt_set *
+tgt_set_new(const char *region, const struct tgt_policy *p)
+{
+	struct tgt_set *s = g_new0(struct tgt_set, 1);
+
+	s->region = g_strdup(region);
+	s->policy = *p;
+	s->regions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	s->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	return s;
+}
+
+void
+tgt_set_free(struct tgt_set *s)
+{
+	g_hash_table_unref(s->by_id);
+	g_hash_table_unref(s->by_address);
+	g_hash_table_unref(s->services);
+	g_hash_table_unref(s->regions);
+	g_free(s->region);
+	g_free(s);
+}
+
+struct tgt_policy *
+tgt_set_policy(struct tgt_set *s)
+{
+	return &s->policy;
+}
+
+void
+tgt_set_domain(struct tgt_set *s, const char *domain, const char *region)
+{
+	g_hash_table_replace(s->regions, g_strdup(domain), g_strdup(region));
+}
+
+struct tgt_service *
+tgt_service(struct tgt_set *s, const char *name)
+{
+	struct tgt_service *service = g_hash_table_lookup(s->services, name);
+
+	if (service != NULL)
+		return service;
+	service = g_new0(struct tgt_service, 1);
+	service->name = g_strdup(name);
+	TAILQ_INIT(&service->targets);
+	g_hash_table_insert(s->services, service->name, service);
+	return service;
+}
+
+void
+tgt_configure(struct tgt_set *s, const struct sv_config *config)
+{
+	struct tgt_service *service;
+	size_t i;
+
+	for (i = 0; i < config->nservices; i++) {
+		service = tgt_service(s, config->services[i].name);
+		service->has_engine = config->services[i].has_engine;
+		service->engine = config->services[i].engine;
+		service->connections_max = config->services[i].connections_max;
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Who there is                                                        */
+/* ------------------------------------------------------------------ */
+
+struct tgt *
+tgt_ref(struct tgt *t)
+{
+	t->refs++;
+	return t;
+}
+
+void
+tgt_unref(struct tgt *t)
+{
+	g_assert(t->refs > 0);
+	t->refs--;
+	if (t->refs == 0 && t->dropped)
+		g_free(t);
+}
+
+static void
+drop(struct tgt_set *s, struct tgt *t)
+{
+	TAILQ_REMOVE(&t->service->targets, t, link);
+	t->service->ntargets--;
+	g_hash_table_remove(s->by_id, t->says.id);
+	if (g_hash_table_lookup(s->by_address, t->says.address) == t)
+		g_hash_table_remove(s->by_address, t->says.address);
+	t->dropped = true;
+	t->service = NULL;
+	if (t->refs == 0)
+		g_free(t);
+}
+
+static bool
+is_near(struct tgt_set *s, const char *domain)
+{
+	const char *region = g_hash_table_lookup(s->regions, domain);
+
+	return region != NULL && strcmp(region, s->region) == 0;
+}
+
+/* A target at an address that another had: the other one is no more. */
+static void
+take_address(struct tgt_set *s, struct tgt *t)
+{
+	struct tgt *before =
+	    g_hash_table_lookup(s->by_address, t->says.address);
+
+	if (before != NULL && before != t)
+		drop(s, before);
+	g_hash_table_insert(s->by_address, t->says.address, t);
+}
+
+struct tgt *
+tgt_put(struct tgt_set *s, const struct sv_target *says, int64_t now_us)
+{
+	struct tgt *t = g_hash_table_lookup(s->by_id, says->id);
+
+	if (t != NULL &&
+	    (strcmp(t->says.service, says->service) != 0 ||
+		strcmp(t->says.address, says->address) != 0)) {
+		drop(s, t);
+		t = NULL;
+	}
+	if (t == NULL) {
+		t = g_new0(struct tgt, 1);
+		t->says = *says;
+		t->service = tgt_service(s, says->service);
+		t->near = is_near(s, says->domain);
+		t->pace = 1;
+		TAILQ_INSERT_TAIL(&t->service->targets, t, link);
+		t->service->ntargets++;
+		g_hash_table_insert(s->by_id, t->says.id, t);
+		take_address(s, t);
+	}
+	t->says = *says;
+	t->gone_us = 0;
+	t->leaving = says->leaving;
+	/* The side's word is newer while it is heard. */
+	if (t->side_us == 0 || now_us - t->side_us > SIDE_SILENT_US) {
+		g_strlcpy(t->model, says->model, sizeof(t->model));
+		t->version = says->model_version;
+	}
+	return t;
+}
+
+void
+tgt_removed(struct tgt_set *s, const char *id, bool lapsed, int64_t now_us)
+{
+	struct tgt *t = g_hash_table_lookup(s->by_id, id);
+
+	if (t == NULL)
+		return;
+	if (lapsed && !t->leaving) {
+		t->gone_us = now_us + LAPSED_KEEP_US;
+		return;
+	}
+	drop(s, t);
+}
+
+void
+tgt_sweep(struct tgt_set *s, int64_t now_us)
+{
+	GList *all = g_hash_table_get_values(s->by_id);
+	GList *at;
+	struct tgt *t;
+
+	for (at = all; at != NULL; at = at->next) {
+		t = at->data;
+		if (t->gone_us != 0 && t->gone_us <= now_us)
+			drop(s, t);
+	}
+	g_list_free(all);
+}
+
+struct tgt *
+tgt_find(struct tgt_set *s, const char *id)
+{
+	return g_hash_table_lookup(s->by_id, id);
+}
+
+struct tgt *
+tgt_at(struct tgt_set *s, const char *address)
+{
+	return g_hash_table_lookup(s->by_address, address);
+}
+
+void
+tgt_each(struct tgt_set *s, void (*each)(struct tgt *t, void *ctx), void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		each(value, ctx);
+}
+
+/* ------------------------------------------------------------------ */
+/* Load                                                                */
+/* ------------------------------------------------------------------ */
+
+void
+tgt_sent(struct tgt *t, int64_t now_us)
+{
+	t->mine++;
+	if (t->failures > 0)
+		t->probing = true;
+}
+
+void
+tgt_ended(struct tgt *t, int64_t now_us)
+{
+	g_assert(t->mine > 0);
+	t->mine--;
+}
+
+void
+tgt_load(struct tgt *t, unsigned int total, int64_t now_us)
+{
+	t->seen = total;
+	t->seen_mine = t->mine;
+	t->seen_us = now_us;
+}
+
+double
+tgt_estimate(const struct tgt *t, const struct tgt_policy *p, int64_t now_us)
+{
+	double others;
+
+	if (t->seen_us == 0 || now_us - t->seen_us > LOAD_FRESH_US)
+		return (double)t->mine * MAX(1, p->entries);
+	/* What the others had then, and what this entry has now. */
+	others = (double)t->seen - (double)t->seen_mine;
+	return MAX(0, others) + t->mine;
+}
+
+static unsigned int
+slots_of(const struct tgt *t)
+{
+	if (t->says.slots > 0)
+		return t->says.slots;
+	return MAX(1, t->service->engine.slots);
+}
+
+double
+tgt_limit(const struct tgt *t, const struct tgt_policy *p)
+{
+	return slots_of(t) + p->beyond_slots;
+}
+
+/* ------------------------------------------------------------------ */
+/* Failures                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+failed(struct tgt *t, int64_t now_us)
+{
+	int64_t rest = REST_FIRST_US << MIN(t->failures, 6);
+
+	t->failures++;
+	t->probing = false;
+	t->rest_until_us = now_us + MIN(rest, REST_MAX_US);
+}
+
+void
+tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us)
+{
+	double error = o == TGT_ANSWERED ? 0 : 1;
+
+	if (o == TGT_REFUSED) {
+		t->probing = false;
+		return;
+	}
+	t->error_share += (error - t->error_share) * ERROR_WEIGHT;
+	t->answers++;
+	if (o == TGT_SILENT || o == TGT_LOST) {
+		/* Several requests that fail together are one failure. */
+		if (now_us >= t->rest_until_us)
+			failed(t, now_us);
+		return;
+	}
+	t->failures = 0;
+	t->probing = false;
+	t->rest_until_us = 0;
+}
+
+void
+tgt_mistaken(struct tgt *t)
+{
+	t->leaving = true;
+}
+
+/* ------------------------------------------------------------------ */
+/* Choice                                                              */
+/* ------------------------------------------------------------------ */
+
+static bool
+was_tried(const struct tgt *t, const struct tgt_wish *wish)
+{
+	size_t i;
+
+	for (i = 0; i < wish->nnot; i++) {
+		if (wish->not [i] == t)
+			return true;
+	}
+	return false;
+}
+
+static bool
+has_weights(const struct tgt *t, const struct tgt_wish *wish)
+{
+	if (wish->model == NULL || !t->says.has_models)
+		return true;
+	return t->version > 0 && t->version >= wish->version &&
+	    strcmp(t->model, wish->model) == 0;
+}
+
+/* A target that failed gets one request at a time to show that it is back,
+ * first such as may be repeated elsewhere. */
+static bool
+may_probe(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
+{
+	int64_t from_us = t->rest_until_us;
+
+	if (!wish->repeatable)
+		from_us += PROBE_UNSAFE_US;
+	return now_us >= from_us && !t->probing;
+}
+
+static bool
+can_serve(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
+{
+	if (t->leaving || t->side_down || !has_weights(t, wish))
+		return false;
+	if (t->failures > 0 && !may_probe(t, wish, now_us))
+		return false;
+	return !was_tried(t, wish);
+}
+
+/* Share of failures that is usual among the service's targets: the median
+ * would be better, the smallest is simpler and never hides a bad target. */
+static double
+usual_errors(const struct tgt_service *service)
+{
+	const struct tgt *t;
+	double least = 1;
+
+	TAILQ_FOREACH (t, &service->targets, link) {
+		if (t->answers >= ERROR_ANSWERS)
+			least = MIN(least, t->error_share);
+	}
+	return least;
+}
+
+static double
+cost_of(const struct tgt *t, const struct tgt_policy *p, double usual,
+    int64_t now_us)
+{
+	double cost = tgt_estimate(t, p, now_us) / slots_of(t);
+
+	if (!t->near)
+		cost += p->far_cost / slots_of(t);
+	if (t->answers >= ERROR_ANSWERS && t->error_share > usual)
+		cost += (t->error_share - usual) * ERROR_COST / slots_of(t);
+	if (t->side_us != 0 && now_us - t->side_us > SIDE_SILENT_US)
+		cost += 1; /* last choice, not none: the side may be ill */
+	return cost;
+}
+
+struct tgt *
+tgt_choose(struct tgt_set *s, struct tgt_service *service,
+    const struct tgt_wish *wish, int64_t now_us, enum tgt_why *why)
+{
+	double usual = usual_errors(service), cost, best_cost = 0;
+	struct tgt *t, *best = NULL;
+	uint64_t random = wish->random;
+
+	*why = TGT_NONE;
+	TAILQ_FOREACH (t, &service->targets, link) {
+		if (!can_serve(t, wish, now_us))
+			continue;
+		if (tgt_estimate(t, &s->policy, now_us) + 1 >
+		    tgt_limit(t, &s->policy)) {
+			*why = TGT_FULL;
+			continue;
+		}
+		cost = cost_of(t, &s->policy, usual, now_us);
+		/* Equal ones take turns by chance: entries that see the same
+		 * figures would all choose the same target. */
+		random = random * 6364136223846793005u + 1442695040888963407u;
+		cost += (double)(random >> 40) / (double)(1 << 24) * 0.5 /
+		    slots_of(t);
+		if (best == NULL || cost < best_cost) {
+			best = t;
+			best_cost = cost;
+		}
+	}
+	if (best != NULL)
+		*why = TGT_CHOSEN;
+	return best;
+}
+
+void
+tgt_room(struct tgt_set *s, struct tgt_service *service,
+    const struct tgt_wish *wish, int64_t now_us, double *used, double *limit)
+{
+	struct tgt *t;
+
+	*used = 0;
+	*limit = 0;
+	TAILQ_FOREACH (t, &service->targets, link) {
+		if (!can_serve(t, wish, now_us))
+			continue;
+		*used += tgt_estimate(t, &s->policy, now_us);
+		*limit += tgt_limit(t, &s->policy);
+	}
+}
--- /dev/null
+++ b/lib/serve/tgt.h
@@ -0,0 +1,140 @@
+#ifndef SERVE_TGT_H
+#define SERVE_TGT_H
+
+/*
+ * tgt: what an entry believes of the targets: who there is (from the store),
+ * how full each is (from its side, from its answers, from this entry's own
+ * requests), whether it can be reached and answers. And the choice of one for
+ * a request. Pure: driven by events and a clock.
+ */
+
+#include <sys/queue.h>
+
+#include "serve/records.h"
+
+struct tgt_service;
+
+struct tgt {
+	TAILQ_ENTRY(tgt) link; /* in its service */
+	struct tgt_service *service;
+	struct sv_target says; /* as in the store */
+	bool near; /* in this entry's region */
+	bool leaving; /* announced, or its side said so */
+	int64_t gone_us; /* dropped then (missing from the store); 0: not */
+	/* Load: `seen` of all entries at `seen_us`, when this entry had
+	 * `seen_mine` of them under way. */
+	unsigned int mine;
+	unsigned int seen, seen_mine;
+	int64_t seen_us;
+	int64_t side_us; /* last word of its side; 0: never */
+	bool side_down; /* its side cannot reach it, or it loads weights */
+	char model[SV_ID_MAX]; /* loaded; newer of store and side */
+	int64_t version;
+	double pace; /* of its steps against the stated; 1: as stated */
+	/* Failures without an answer. */
+	unsigned int failures; /* in a row */
+	int64_t rest_until_us;
+	bool probing; /* one request finds out whether it is back */
+	/* Answers that were failures, of the last ones: moving averages. */
+	double error_share;
+	unsigned int answers;
+	/* Requests that wait for it to go, freed with the last of them. */
+	unsigned int refs;
+	bool dropped;
+};
+
+TAILQ_HEAD(tgt_list, tgt);
+
+struct tgt_service {
+	char *name;
+	struct tgt_list targets;
+	unsigned int ntargets;
+	/* From the settings; 0 slots: as each target says. */
+	bool has_engine;
+	struct sv_engine engine;
+	unsigned int connections_max;
+};
+
+struct tgt_set;
+
+/* What decides how many requests a target gets. */
+struct tgt_policy {
+	/* Requests beyond its slots that a target holds, so that a slot that
+	 * becomes free is taken at once. */
+	double beyond_slots;
+	/* Load (in requests) that a target in another region must be below a
+	 * near one to be chosen: its bytes and round trips cost more. */
+	double far_cost;
+	/* Entries that share a target when nothing tells its load. */
+	unsigned int entries;
+};
+
+struct tgt_set *tgt_set_new(const char *region, const struct tgt_policy *p);
+void tgt_set_free(struct tgt_set *s);
+struct tgt_policy *tgt_set_policy(struct tgt_set *s);
+/* Region of a failure domain, for `near`. */
+void tgt_set_domain(struct tgt_set *s, const char *domain, const char *region);
+struct tgt_service *tgt_service(struct tgt_set *s, const char *name);
+/* Takes over engines' figures from the settings. */
+void tgt_configure(struct tgt_set *s, const struct sv_config *config);
+
+/* Events from the store. */
+struct tgt *tgt_put(
+    struct tgt_set *s, const struct sv_target *says, int64_t now_us);
+/* `lapsed`: missing after a time without news; it may only be late to write
+ * again, so it is kept for a moment. */
+void tgt_removed(
+    struct tgt_set *s, const char *id, bool lapsed, int64_t now_us);
+/* Drops what was kept for long enough. */
+void tgt_sweep(struct tgt_set *s, int64_t now_us);
+struct tgt *tgt_find(struct tgt_set *s, const char *id);
+struct tgt *tgt_at(struct tgt_set *s, const char *address);
+void tgt_each(
+    struct tgt_set *s, void (*each)(struct tgt *t, void *ctx), void *ctx);
+
+struct tgt *tgt_ref(struct tgt *t);
+void tgt_unref(struct tgt *t);
+
+/* Events of requests. */
+void tgt_sent(struct tgt *t, int64_t now_us);
+void tgt_ended(struct tgt *t, int64_t now_us);
+/* An answer's or a side's word about the load over all entries. */
+void tgt_load(struct tgt *t, unsigned int total, int64_t now_us);
+enum tgt_outcome {
+	TGT_ANSWERED, /* well */
+	TGT_ERROR, /* an answer, but a failure */
+	TGT_REFUSED, /* full or leaving: not run */
+	TGT_SILENT, /* no answer in time */
+	TGT_LOST, /* unreachable, reset, broken bytes */
+};
+void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
+/* Its address answers as another instance. */
+void tgt_mistaken(struct tgt *t);
+
+/* Requests under way there, as well as is known. */
+double tgt_estimate(
+    const struct tgt *t, const struct tgt_policy *p, int64_t now_us);
+double tgt_limit(const struct tgt *t, const struct tgt_policy *p);
+
+struct tgt_wish {
+	const char *model; /* NULL: any */
+	int64_t version; /* at least; 0: any that is loaded */
+	const struct tgt *const * not ; /* tried before */
+	size_t nnot;
+	bool repeatable; /* may be the one that finds out */
+	uint64_t random;
+};
+
+enum tgt_why { /* why no target was chosen */
+	TGT_CHOSEN,
+	TGT_FULL, /* those that could are full */
+	TGT_NONE, /* none there can serve it now */
+};
+
+struct tgt *tgt_choose(struct tgt_set *s, struct tgt_service *service,
+    const struct tgt_wish *wish, int64_t now_us, enum tgt_why *why);
+/* Requests and places over the targets that could serve the wish. */
+void tgt_room(struct tgt_set *s, struct tgt_service *service,
+    const struct tgt_wish *wish, int64_t now_us, double *used, double *limit);
+
+#endif
--- /dev/null
+++ b/lib/serve/vers.c
@@ -0,0 +1,94 @@
+/* Which version of the weights may serve. */
+
+#include <string.h>
+
+#include "serve/vers.h"
+
+struct vers {
+	int64_t due_us;
+	GHashTable *models; /* name -> struct vers_model */
+};
+
+struct vers *
+vers_new(int64_t due_us)
+{
+	struct vers *v = g_new0(struct vers, 1);
+
+	v->due_us = due_us;
+	v->models =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	return v;
+}
+
+void
+vers_free(struct vers *v)
+{
+	g_hash_table_unref(v->models);
+	g_free(v);
+}
+
+static struct vers_model *
+model_of(struct vers *v, const char *name)
+{
+	struct vers_model *m = g_hash_table_lookup(v->models, name);
+
+	if (m != NULL)
+		return m;
+	m = g_new0(struct vers_model, 1);
+	g_strlcpy(m->model, name, sizeof(m->model));
+	g_hash_table_insert(v->models, m->model, m);
+	return m;
+}
+
+bool
+vers_named(
+    struct vers *v, const struct sv_version *named, bool old, int64_t heard_us)
+{
+	struct vers_model *m = model_of(v, named->model);
+	unsigned int n = m->nnamed;
+
+	if (n > 0 && m->named[n - 1].version >= named->version)
+		return false;
+	if (n == VERS_KEPT) {
+		memmove(&m->named[0], &m->named[1],
+		    (VERS_KEPT - 1) * sizeof(m->named[0]));
+		n--;
+	}
+	m->named[n].version = named->version;
+	m->named[n].heard_us = old ? heard_us - v->due_us : heard_us;
+	m->nnamed = n + 1;
+	return true;
+}
+
+int64_t
+vers_least(const struct vers *v, const char *model, int64_t now_us)
+{
+	const struct vers_model *m =
+	    model == NULL ? NULL : g_hash_table_lookup(v->models, model);
+	int64_t least = 0;
+	unsigned int i;
+
+	for (i = 0; m != NULL && v->due_us > 0 && i < m->nnamed; i++) {
+		if (m->named[i].heard_us + v->due_us <= now_us)
+			least = m->named[i].version;
+	}
+	return least;
+}
+
+int64_t
+vers_newest(const struct vers *v, const char *model)
+{
+	const struct vers_model *m = g_hash_table_lookup(v->models, model);
+
+	return m == NULL || m->nnamed == 0 ? 0
+					   : m->named[m->nnamed - 1].version;
+}
+
+int64_t
+vers_heard_us(const struct vers *v, const char *model)
+{
+	const struct vers_model *m = g_hash_table_lookup(v->models, model);
+
+	return m == NULL || m->nnamed == 0 ? 0
+					   : m->named[m->nnamed - 1].heard_us;
+}
--- /dev/null
+++ b/lib/serve/vers.h
@@ -0,0 +1,41 @@
+#ifndef SERVE_VERS_H
+#define SERVE_VERS_H
+
+/*
+ * vers: which version of a model's weights a request must at least be served
+ * by. A version that was named is due a while after it was heard of; until
+ * then any that is loaded may serve. Pure.
+ */
+
+#include "serve/records.h"
+
+#define VERS_KEPT 4 /* named versions of a model that are not due yet */
+
+struct vers_model {
+	char model[SV_ID_MAX];
+	struct {
+		int64_t version;
+		int64_t heard_us;
+	} named[VERS_KEPT]; /* oldest first */
+	unsigned int nnamed;
+};
+
+struct vers;
+/* `due_us`: from hearing of a version to its being due; 0: never. */
+struct vers *vers_new(int64_t due_us);
+void vers_free(struct vers *v);
+/*
+ * True when it is news. `heard_us` is when it was heard of. One that was there
+ * before this process may have been named at any time (`old`): it is due at
+ * once, as a request that begins on older weights breaks a promise, while one
+ * that is refused can come back.
+ */
+bool vers_named(
+    struct vers *v, const struct sv_version *named, bool old, int64_t heard_us);
+/* 0: any version. */
+int64_t vers_least(const struct vers *v, const char *model, int64_t now_us);
+int64_t vers_newest(const struct vers *v, const char *model);
+/* When the newest was heard of; 0: none. */
+int64_t vers_heard_us(const struct vers *v, const char *model);
+
+#endif
--- /dev/null
+++ b/lib/stage/stage.c
@@ -0,0 +1,90 @@
+/* What a keeper does next for its engine. */
+
+#include "stage/stage.h"
+
+/* Pieces of a version take about so long to reach all hosts: a host's link
+ * carries one copy in two seconds. */
+#define SPREAD_US 2500000
+/* Before the due time the last engine has begun to change, so that a lost
+ * order can be given again. */
+#define MARGIN_US 1200000
+/* Between engines, where nothing is due. */
+#define PACE_US 1000000
+
+static const char *const names[STG_STEPS] = {
+	[STG_IDLE] = "idle",
+	[STG_MANIFEST] = "manifest",
+	[STG_LOOK] = "look",
+	[STG_FETCH] = "fetch",
+	[STG_PUT] = "put",
+	[STG_TURN] = "turn",
+	[STG_CHECK] = "check",
+	[STG_ORDER] = "order",
+	[STG_LOADING] = "loading",
+	[STG_DONE] = "done",
+};
+
+const char *
+stg_step_name(enum stg_step step)
+{
+	return names[step];
+}
+
+/* The engine has it: what is left is to hold the pieces for others. */
+static enum stg_step
+next_loaded(const struct stg_state *s)
+{
+	if (!s->manifest)
+		return STG_MANIFEST;
+	return s->whole || s->looked ? STG_DONE : STG_LOOK;
+}
+
+static enum stg_step
+next_order(const struct stg_state *s, int64_t now_us)
+{
+	if (s->busy)
+		return STG_LOADING;
+	if (s->ordered_us != 0 && now_us - s->ordered_us < STG_ORDER_LOST_US)
+		return STG_LOADING;
+	if (!s->put)
+		return STG_PUT;
+	/* An engine that serves waits for its turn; one that holds nothing or
+	 * has nothing to do loses nothing by changing at once. */
+	if (s->loaded != 0 && s->running > 0 && now_us < s->turn_us)
+		return STG_TURN;
+	if (s->checked_us == 0 || now_us - s->checked_us > STG_CHECK_KEEPS_US)
+		return STG_CHECK;
+	if (s->refused_us != 0 && now_us - s->refused_us < STG_ORDER_REST_US)
+		return STG_LOADING;
+	return STG_ORDER;
+}
+
+enum stg_step
+stg_next(const struct stg_state *s, int64_t now_us)
+{
+	if (s->wanted == 0 || !s->up)
+		return STG_IDLE;
+	if (s->loaded >= s->wanted)
+		return next_loaded(s);
+	if (!s->manifest)
+		return STG_MANIFEST;
+	/* An engine that restarted may still have the pieces beside it. */
+	if (!s->whole && !s->looked && s->loaded == 0)
+		return STG_LOOK;
+	if (!s->whole)
+		return STG_FETCH;
+	return next_order(s, now_us);
+}
+
+int64_t
+stg_turn(int64_t heard_us, int64_t due_us, unsigned int rank, unsigned int n)
+{
+	int64_t from_us = heard_us + SPREAD_US;
+	int64_t span_us = due_us - SPREAD_US - MARGIN_US;
+
+	if (due_us == 0)
+		return from_us + (int64_t)rank * PACE_US;
+	if (span_us <= 0 || n == 0)
+		return heard_us;
+	return from_us + span_us * (int64_t)rank / (int64_t)n;
+}
--- /dev/null
+++ b/lib/stage/stage.h
@@ -0,0 +1,71 @@
+#ifndef STAGE_H
+#define STAGE_H
+
+/*
+ * stage: what a keeper does next for the engine beside it, so that it comes
+ * to hold the wanted version whole and unspoilt. Pure: the keeper fills in
+ * what it knows and carries out the step.
+ *
+ * An engine loads what lies in its staging place without checking it, and
+ * what lies there can rot. So every piece is checked against its digest right
+ * before the order to load.
+ */
+
+#include "common/common.h"
+
+enum stg_step {
+	STG_IDLE, /* nothing is wanted, or the engine does not answer */
+	STG_MANIFEST, /* fetch the digests of the wanted version */
+	STG_LOOK, /* look for its pieces in the staging place */
+	STG_FETCH, /* pieces are on their way */
+	STG_PUT, /* put pieces into the staging place */
+	STG_TURN, /* other engines change version first */
+	STG_CHECK, /* read all pieces back */
+	STG_ORDER, /* order the engine to load */
+	STG_LOADING, /* the order is being carried out */
+	STG_DONE, /* the engine holds the wanted version */
+	STG_STEPS,
+};
+
+const char *stg_step_name(enum stg_step step);
+
+struct stg_state {
+	int64_t wanted; /* version; 0: none */
+	/* The engine, as it last answered. */
+	bool up;
+	int64_t loaded; /* version; 0: none */
+	bool busy; /* with an order */
+	unsigned int running; /* requests */
+	/* The wanted version, here. */
+	bool manifest;
+	bool looked; /* the staging place was looked through for it */
+	bool whole; /* all pieces are held and checked */
+	bool put; /* all pieces lie in the staging place, as far as known */
+	int64_t checked_us; /* all were read back and good; 0: not yet */
+	int64_t ordered_us; /* an order was accepted; 0: none */
+	int64_t refused_us; /* the last order was refused; 0: no */
+	/* When it may begin to change from one version to another. */
+	int64_t turn_us;
+};
+
+/* A piece that turns bad is to be noticed within three seconds: pieces that
+ * were checked longer ago are checked again. */
+#define STG_CHECK_KEEPS_US 700000
+/* After a refused order, before the next. */
+#define STG_ORDER_REST_US 400000
+/* An accepted order that shows no effect for so long is given again. It waits
+ * for running streams, which last six seconds at most. */
+#define STG_ORDER_LOST_US 9000000
+
+enum stg_step stg_next(const struct stg_state *s, int64_t now_us);
+
+/*
+ * When the engine of rank `rank` among `n` begins to change to a version that
+ * was heard of at `heard_us` and is due `due_us` later: evenly over the time
+ * that is left after the pieces have spread, so that as few as possible are
+ * out of service together. `due_us` 0: no bound.
+ */
+int64_t stg_turn(
+    int64_t heard_us, int64_t due_us, unsigned int rank, unsigned int n);
+
+#endif
--- /dev/null
+++ b/lib/store/store.c
@@ -0,0 +1,417 @@
+/* Client of the object store: mirrors of its kinds. */
+
+#include <string.h>
+
+#include "http/fetch.h"
+#include "store/store.h"
+
+/*
+ * A waiting watch is paid for as one call and brings news at once, so long
+ * ones are cheap. A silent connection is found by the socket's probes; the
+ * time-out below only covers a store that accepts bytes and never answers.
+ */
+#define WATCH_WAIT_MS 10000
+#define WATCH_SLACK_US 2000000
+#define LIST_TIMEOUT_US 2500000
+/* Calls to a store that does not answer cost as much as others. Its clients
+ * are back within REST_MAX_US of its return. */
+#define REST_FIRST_US 150000
+#define REST_MAX_US 800000
+#define BODY_MAX (8u << 20) /* a page is about 1 MB */
+
+struct store {
+	struct store_conf conf;
+	char *address;
+	struct rng rng;
+	LIST_HEAD(mirrors, mirror) mirrors;
+	struct ctr *calls, *failed;
+};
+
+enum mirror_state {
+	MIRROR_LIST,
+	MIRROR_WATCH,
+	MIRROR_REST, /* until the timer */
+};
+
+struct known {
+	int64_t revision;
+	unsigned int listing; /* the listing that last had it */
+};
+
+struct mirror {
+	LIST_ENTRY(mirror) link;
+	struct store *store;
+	const struct store_kind *kind;
+	struct mirror_ops ops;
+	void *ctx;
+	enum mirror_state state;
+	struct hfetch *call;
+	struct evl_timer timer;
+	GHashTable *known; /* name -> struct known */
+	unsigned int listing;
+	char *after; /* last name of the pages so far */
+	int64_t list_at; /* revision of the first page */
+	int64_t at;
+	int64_t heard_us;
+	int64_t rest_us;
+	bool synced;
+	bool watching; /* `at` is good to watch from */
+	bool down;
+};
+
+static void next_call(struct mirror *m);
+
+static int64_t
+now_us(const struct mirror *m)
+{
+	return evl_now_us(m->store->conf.loop);
+}
+
+/* ------------------------------------------------------------------ */
+/* The store's silence and return                                      */
+/* ------------------------------------------------------------------ */
+
+static void
+set_link(struct mirror *m, bool up, const char *why)
+{
+	if (m->down == !up)
+		return;
+	m->down = !up;
+	if (m->ops.link != NULL)
+		m->ops.link(up, why, m->ctx);
+}
+
+static void
+rest(struct mirror *m, const char *why)
+{
+	int64_t jitter;
+
+	ctr_add(m->store->failed, 1);
+	set_link(m, false, why);
+	m->rest_us =
+	    m->rest_us == 0 ? REST_FIRST_US : MIN(2 * m->rest_us, REST_MAX_US);
+	jitter =
+	    (int64_t)rng_below(&m->store->rng, (uint64_t)m->rest_us / 4 + 1);
+	m->state = MIRROR_REST;
+	evl_timer_set(
+	    m->store->conf.loop, &m->timer, now_us(m) + m->rest_us - jitter);
+}
+
+/* One mirror was answered: those that rest need not wait longer. */
+static void
+answered(struct mirror *m)
+{
+	struct mirror *other;
+
+	m->heard_us = now_us(m);
+	m->rest_us = 0;
+	if (!m->down)
+		return;
+	set_link(m, true, "answered");
+	LIST_FOREACH (other, &m->store->mirrors, link) {
+		if (other->state == MIRROR_REST)
+			evl_timer_set(
+			    m->store->conf.loop, &other->timer, now_us(m));
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* What an answer says                                                 */
+/* ------------------------------------------------------------------ */
+
+static void
+take_item(struct mirror *m, struct store_item *item)
+{
+	struct known *k = g_hash_table_lookup(m->known, item->name);
+
+	if (k != NULL && item->revision < k->revision) {
+		/* News that another answer has overtaken. */
+		if (item->value != NULL)
+			m->kind->free(item->value);
+		return;
+	}
+	if (item->removed) {
+		if (k != NULL && g_hash_table_remove(m->known, item->name))
+			m->ops.removed(item->name, false, m->ctx);
+		return;
+	}
+	if (k != NULL && item->revision == k->revision) {
+		k->listing = m->listing;
+		if (item->value != NULL)
+			m->kind->free(item->value);
+		return;
+	}
+	if (k == NULL) {
+		k = g_new0(struct known, 1);
+		g_hash_table_insert(m->known, g_strdup(item->name), k);
+	}
+	k->revision = item->revision;
+	k->listing = m->listing;
+	if (item->value != NULL)
+		m->ops.put(item->name, item->value, m->ctx);
+}
+
+/* What the listing did not have is gone. */
+static void
+sweep(struct mirror *m)
+{
+	GHashTableIter iter;
+	gpointer name, value;
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	guint i;
+
+	g_hash_table_iter_init(&iter, m->known);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		if (((struct known *)value)->listing != m->listing)
+			g_ptr_array_add(gone, g_strdup(name));
+	}
+	for (i = 0; i < gone->len; i++) {
+		g_hash_table_remove(m->known, gone->pdata[i]);
+		m->ops.removed(gone->pdata[i], true, m->ctx);
+	}
+	g_ptr_array_unref(gone);
+}
+
+static void
+take_items(struct mirror *m, struct store_page *page)
+{
+	struct store_item *item;
+	guint i;
+
+	for (i = 0; i < page->items->len; i++) {
+		item = &g_array_index(page->items, struct store_item, i);
+		if (i + 1 == page->items->len && page->more) {
+			g_free(m->after);
+			m->after = g_strdup(item->name);
+		}
+		take_item(m, item);
+		g_free(item->name);
+	}
+	g_array_set_size(page->items, 0);
+}
+
+static void
+drop_items(struct mirror *m, struct store_page *page)
+{
+	struct store_item *item;
+	guint i;
+
+	for (i = 0; i < page->items->len; i++) {
+		item = &g_array_index(page->items, struct store_item, i);
+		if (item->value != NULL)
+			m->kind->free(item->value);
+		g_free(item->name);
+	}
+}
+
+static void
+begin_list(struct mirror *m)
+{
+	m->state = MIRROR_LIST;
+	m->watching = false;
+	m->listing++;
+	m->list_at = 0;
+	g_clear_pointer(&m->after, g_free);
+}
+
+static void
+take_page(struct mirror *m, struct store_page *page)
+{
+	if (page->at < m->at) {
+		/* An answer from the past: what is known here is newer. */
+		drop_items(m, page);
+		begin_list(m);
+		rest(m, "stale answer");
+		return;
+	}
+	answered(m);
+	take_items(m, page);
+	if (m->state == MIRROR_WATCH) {
+		m->at = page->at;
+		next_call(m);
+		return;
+	}
+	if (m->list_at == 0)
+		m->list_at = page->at;
+	if (page->more) {
+		next_call(m);
+		return;
+	}
+	/* Changes made while the pages came are in the watch's events. */
+	m->at = m->list_at;
+	sweep(m);
+	m->synced = true;
+	m->watching = true;
+	m->state = MIRROR_WATCH;
+	if (m->ops.synced != NULL)
+		m->ops.synced(m->ctx);
+	next_call(m);
+}
+
+/* ------------------------------------------------------------------ */
+/* Calls                                                               */
+/* ------------------------------------------------------------------ */
+
+static void
+read_answer(struct mirror *m, const struct hfetch_answer *a)
+{
+	struct store_page page = { 0 };
+	struct err err = { 0 };
+
+	page.items = g_array_new(FALSE, FALSE, sizeof(struct store_item));
+	if (m->store->conf.dialect->read_page(
+		m->kind, a->body, a->len, &page, &err))
+		take_page(m, &page);
+	else {
+		drop_items(m, &page);
+		log_warn("store: answer about %s not readable: %s",
+		    m->kind->name, err.message);
+		rest(m, "unreadable answer");
+	}
+	g_array_unref(page.items);
+}
+
+static void
+on_answer(const struct hfetch_answer *a, void *ctx)
+{
+	struct mirror *m = ctx;
+	char why[32];
+
+	m->call = NULL;
+	if (a->status == 200) {
+		read_answer(m, a);
+	} else if (a->status == 410 && m->state == MIRROR_WATCH) {
+		begin_list(m); /* the history from there on is gone */
+		next_call(m);
+	} else if (a->status == 0) {
+		rest(m, a->why);
+	} else {
+		g_snprintf(why, sizeof(why), "status_%u", a->status);
+		rest(m, why);
+	}
+}
+
+static void
+next_call(struct mirror *m)
+{
+	const struct store_conf *conf = &m->store->conf;
+	bool watch = m->state == MIRROR_WATCH;
+	char *path;
+
+	if (watch)
+		path = conf->dialect->watch_path(m->kind, m->at, WATCH_WAIT_MS);
+	else
+		path = conf->dialect->list_path(m->kind, m->after);
+	m->call = hfetch_start(conf->loop, conf->pool,
+	    &(struct hfetch_conf){ .address = m->store->address,
+		.method = "GET",
+		.path = path,
+		.timeout_us = watch ? WATCH_WAIT_MS * 1000 + WATCH_SLACK_US
+				    : LIST_TIMEOUT_US,
+		.answer_max = BODY_MAX,
+		.done = on_answer,
+		.ctx = m });
+	ctr_add(m->store->calls, 1);
+	g_free(path);
+}
+
+static void
+on_timer(struct evl_timer *t)
+{
+	struct mirror *m =
+	    (struct mirror *)((char *)t - offsetof(struct mirror, timer));
+
+	/* After a rest: go on watching from where the news stopped, unless it
+	 * was a listing that failed. */
+	if (m->watching)
+		m->state = MIRROR_WATCH;
+	else
+		begin_list(m);
+	next_call(m);
+}
+
+/* ------------------------------------------------------------------ */
+/* Making                                                              */
+/* ------------------------------------------------------------------ */
+
+struct store *
+store_new(const struct store_conf *conf)
+{
+	struct store *s = g_new0(struct store, 1);
+
+	s->conf = *conf;
+	s->address = g_strdup(conf->address);
+	rng_seed(&s->rng, conf->seed);
+	LIST_INIT(&s->mirrors);
+	s->calls = ctr_get(conf->counters, "store_calls");
+	s->failed = ctr_get(conf->counters, "store_calls_failed");
+	return s;
+}
+
+void
+store_set_address(struct store *s, const char *address)
+{
+	g_free(s->address);
+	s->address = g_strdup(address);
+}
+
+void
+store_free(struct store *s)
+{
+	struct mirror *m;
+
+	while ((m = LIST_FIRST(&s->mirrors)) != NULL) {
+		LIST_REMOVE(m, link);
+		if (m->call != NULL)
+			hfetch_cancel(m->call);
+		evl_timer_stop(s->conf.loop, &m->timer);
+		g_hash_table_unref(m->known);
+		g_free(m->after);
+		g_free(m);
+	}
+	g_free(s->address);
+	g_free(s);
+}
+
+struct mirror *
+mirror_new(struct store *s, const struct store_kind *kind,
+    const struct mirror_ops *ops, void *ctx)
+{
+	struct mirror *m = g_new0(struct mirror, 1);
+
+	m->store = s;
+	m->kind = kind;
+	m->ops = *ops;
+	m->ctx = ctx;
+	m->timer.fire = on_timer;
+	m->known =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	LIST_INSERT_HEAD(&s->mirrors, m, link);
+	begin_list(m);
+	next_call(m);
+	return m;
+}
+
+bool
+mirror_synced(const struct mirror *m)
+{
+	return m->synced;
+}
+
+bool
+mirror_up(const struct mirror *m)
+{
+	return m->synced && !m->down;
+}
+
+int64_t
+mirror_heard_us(const struct mirror *m)
+{
+	return m->heard_us;
+}
+
+int64_t
+mirror_revision(const struct mirror *m)
+{
+	return m->at;
+}
--- /dev/null
+++ b/lib/store/store.h
@@ -0,0 +1,88 @@
+#ifndef STORE_H
+#define STORE_H
+
+/*
+ * store: the client of the deployment's object store. A mirror holds one
+ * kind of objects as the store has them: it lists (page by page), then
+ * watches from the revision of the list, lists again when the history is
+ * gone, and keeps its last state while the store is away. Conditional writes
+ * go through store_put.
+ *
+ * Paths and bodies are the dialect's; waiting, backing off and what is
+ * believed are decided here.
+ */
+
+#include "common/common.h"
+#include "http/http.h"
+
+/* One object of a page or an event. */
+struct store_item {
+	char *name;
+	int64_t revision;
+	bool removed;
+	void *value; /* decoded spec; NULL when removed or not readable */
+};
+
+struct store_kind {
+	const char *name; /* in paths */
+	/* Decodes one object; `node` is the dialect's. NULL on refusal. */
+	void *(*decode)(const char *name, void *node, struct err *err);
+	void (*free)(void *value);
+};
+
+struct store_page {
+	GArray *items; /* struct store_item */
+	bool more; /* pages follow, from `items`' last name */
+	int64_t at; /* the store's revision */
+};
+
+struct store_dialect {
+	/* Paths; g_free. `after` may be NULL. */
+	char *(*list_path)(const struct store_kind *kind, const char *after);
+	char *(*watch_path)(
+	    const struct store_kind *kind, int64_t since, int64_t wait_ms);
+	/* An answer to either: a page of objects, or of events. */
+	bool (*read_page)(const struct store_kind *kind, const void *body,
+	    size_t len, struct store_page *out, struct err *err);
+};
+
+struct store;
+struct store_conf {
+	struct evl *loop;
+	struct hpool *pool;
+	const char *address; /* "ip:port" */
+	const struct store_dialect *dialect;
+	struct ctr_set *counters;
+	uint64_t seed; /* of the spread of retries */
+};
+
+struct store *store_new(const struct store_conf *conf);
+void store_free(struct store *s);
+void store_set_address(struct store *s, const char *address);
+
+/* ------------------------------------------------------------------ */
+/* Mirrors                                                             */
+/* ------------------------------------------------------------------ */
+
+struct mirror_ops {
+	/* An object is new or has changed. Takes the value. */
+	void (*put)(const char *name, void *value, void *ctx);
+	/* `lapsed`: found missing on a fresh list after a time without news,
+	 * rather than told by an event. */
+	void (*removed)(const char *name, bool lapsed, void *ctx);
+	/* All of the kind is known, as of now. May be NULL. */
+	void (*synced)(void *ctx);
+	/* The store stopped answering, or answers again. May be NULL. */
+	void (*link)(bool up, const char *why, void *ctx);
+};
+
+struct mirror;
+struct mirror *mirror_new(struct store *s, const struct store_kind *kind,
+    const struct mirror_ops *ops, void *ctx);
+bool mirror_synced(const struct mirror *m); /* has been whole once */
+bool mirror_up(const struct mirror *m);
+/* Time of the last word from the store about this kind; 0: none yet. */
+int64_t mirror_heard_us(const struct mirror *m);
+int64_t mirror_revision(const struct mirror *m);
+
+#endif
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -86,9 +86,24 @@
 	    const struct wts_progress *progress, void *ctx);
 };
 
+/*
+ * Where the origin's bytes come from, when it is not the one of platform.h:
+ * `name`, `offset` and `len` are those of a version's `weights` and `chunks`.
+ * `done` is called from the loop, once, unless the read is cancelled.
+ */
+struct wts_source {
+	struct origin_read *(*start)(const char *name, uint64_t offset,
+	    uint64_t len, unsigned int stall_ms, origin_read_cb *done,
+	    void *done_ctx, void *ctx);
+	void (*cancel)(struct origin_read *read, void *ctx);
+	void *ctx;
+};
+
 struct wts;
 struct wts *wts_new(
     const struct wts_conf *conf, const struct wts_ops *ops, void *ctx);
+struct wts *wts_new_from(const struct wts_conf *conf, const struct wts_ops *ops,
+    void *ctx, const struct wts_source *source);
 void wts_free(struct wts *wts);
 
 struct wts_want {
@@ -104,6 +119,11 @@
  * version takes the place of another, want the new one first: chunks of the
  * old one are then kept until the new one's list has come. */
 void wts_drop(struct wts *wts, const struct digest *root);
+/* The chunk list, and a chunk, of a wanted version that were found on this
+ * host. False when they are not what the version's digests say. */
+bool wts_offer_list(struct wts *wts, const struct digest *root, GBytes *list);
+bool wts_offer(
+    struct wts *wts, const struct digest *root, uint64_t index, GBytes *bytes);
 /* Who else takes part now (live or suspected members, not this host). Given
  * again whenever it changes; peers gone are closed. */
 void wts_set_peers(struct wts *wts, const struct digest *root,
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -194,6 +194,49 @@
 		xfer_try_room(x);
 }
 
+bool
+wts_offer_list(struct wts *wts, const struct digest *root, GBytes *list)
+{
+	struct xfer *x = wts_find(wts, root);
+	struct digest_stream *stream;
+	struct digest got;
+	gsize len;
+	const void *raw = g_bytes_get_data(list, &len);
+
+	if (x == NULL || len != version_list_len(&x->want.version))
+		return false;
+	if (x->list != NULL)
+		return true;
+	stream = xfer_stream_of(x, PROTO_LIST);
+	digest_stream_add(stream, raw, len);
+	digest_stream_end(stream, &got);
+	if (!xfer_take(x, PROTO_LIST, list, &got, NULL))
+		return false;
+	xfer_pump_soon(x);
+	return true;
+}
+
+bool
+wts_offer(
+    struct wts *wts, const struct digest *root, uint64_t index, GBytes *bytes)
+{
+	struct xfer *x = wts_find(wts, root);
+	struct digest got;
+	gsize len;
+	const void *raw = g_bytes_get_data(bytes, &len);
+
+	if (x == NULL || x->held == NULL || index >= x->pick->conf.chunks)
+		return false;
+	if (hold_has(x->held, index))
+		return true;
+	digest_of(raw, len, &got);
+	if (!digest_equal(&got, version_chunk_digest(x->list, index)))
+		return false;
+	hold_put(x->held, index, bytes);
+	xfer_pump_soon(x);
+	return true;
+}
+
 void
 wts_set_peers(struct wts *wts, const struct digest *root,
     const struct wts_peer *peers, size_t n)
--- a/lib/weights/xfer.h
+++ b/lib/weights/xfer.h
@@ -13,15 +13,6 @@
 #include "weights/timer.h"
 #include "weights/version.h"
 
-/* Where the origin's bytes come from; tests put a fake here. */
-struct wts_source {
-	struct origin_read *(*start)(const char *name, uint64_t offset,
-	    uint64_t len, unsigned int stall_ms, origin_read_cb *done,
-	    void *done_ctx, void *ctx);
-	void (*cancel)(struct origin_read *read, void *ctx);
-	void *ctx;
-};
-
 struct counts {
 	struct ctr *peer_chunks, *origin_chunks;
 	struct ctr *peer_bytes, *far_bytes, *origin_bytes, *sent_bytes;
@@ -119,8 +110,6 @@
 };
 
 /* wts.c */
-struct wts *wts_new_from(const struct wts_conf *conf, const struct wts_ops *ops,
-    void *ctx, const struct wts_source *source);
 struct xfer *wts_find(struct wts *wts, const struct digest *root);
 /* Lets go of dropped versions' chunks, unless a list is still to come. */
 void wts_sweep(struct wts *wts);
--- /dev/null
+++ b/programs/entry/gateway.c
@@ -0,0 +1,428 @@
+/* The gateway: set-up, beliefs from the store, readiness, stop. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/gateway.h"
+#include "shared/proc.h"
+
+#define TICK_US 100000
+/* Part of the retry budget that is used; the rest is for gateways that start
+ * or stop, and for windows that do not begin with this process's slots. */
+#define BUDGET_USED 0.8
+/* Descriptors left for files and for calls to targets. */
+#define DESCRIPTORS_KEPT 1200
+/* Share of the memory that bodies of requests may hold. */
+#define BODIES_SHARE 0.25
+/*
+ * A planned stop: the balancer needs two questions, a second apart, to send
+ * nobody here any more; until STOP_LISTEN_US connections are still taken.
+ * STOP_MARGIN_US before the end of the grace what still runs is broken off.
+ */
+#define STOP_LISTEN_US 2600000
+#define STOP_MARGIN_US 400000
+
+/* ------------------------------------------------------------------ */
+/* Beliefs from the store                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+on_link(struct gateway *g, const char *kind, bool up, const char *why)
+{
+	evt(up ? EVT_STORE_BACK : EVT_STORE_LOST, "kind=%s why=%s", kind, why);
+}
+
+static void
+config_put(const char *name, void *value, void *ctx)
+{
+	struct gateway *g = ctx;
+	struct sv_config *config = value;
+	struct rtab *before = fwd_routes(g->fwd);
+
+	if (before != NULL && rtab_config(before)->version >= config->version) {
+		/* Settings never go back. */
+		evt(EVT_CONFIG,
+		    "version=%" G_GINT64_FORMAT
+		    " outcome=older_than_%" G_GINT64_FORMAT,
+		    config->version, rtab_config(before)->version);
+		sv_config_free(config);
+		return;
+	}
+	g->limits = (struct hlimits){ .head_bytes = config->head_bytes,
+		.body_bytes = config->body_bytes,
+		.head_us = config->head_us,
+		.idle_us = config->idle_us };
+	tgt_configure(g->set, config);
+	evt(EVT_CONFIG,
+	    "version=%" G_GINT64_FORMAT
+	    " routes=%zu workspaces=%zu outcome=in_force",
+	    config->version, config->nroutes, config->nworkspaces);
+	fwd_set_routes(g->fwd, rtab_new(config));
+}
+
+static void
+config_removed(const char *name, bool lapsed, void *ctx)
+{
+	/* The operators' settings are never taken away whole; what is known
+	 * stays in force. */
+	evt(EVT_CONFIG, "outcome=removed_ignored");
+}
+
+static void
+config_link(bool up, const char *why, void *ctx)
+{
+	on_link(ctx, "config", up, why);
+}
+
+static const struct mirror_ops config_ops = {
+	.put = config_put,
+	.removed = config_removed,
+	.link = config_link,
+};
+
+static void
+target_put(const char *name, void *value, void *ctx)
+{
+	struct gateway *g = ctx;
+	struct sv_target *says = value;
+
+	tgt_put(g->set, says, evl_now_us(g->st.loop));
+	evt(EVT_TARGET,
+	    "target=%s service=%s address=%s state=%s model_version=%" G_GINT64_FORMAT
+	    " revision=%" G_GINT64_FORMAT,
+	    says->id, says->service, says->address,
+	    says->leaving ? "leaving" : "ready", says->model_version,
+	    mirror_revision(g->targets));
+	g_free(says);
+	fwd_pump(g->fwd);
+}
+
+static void
+target_removed(const char *name, bool lapsed, void *ctx)
+{
+	struct gateway *g = ctx;
+
+	evt(EVT_TARGET_GONE, "target=%s how=%s", name,
+	    lapsed ? "missing_after_silence" : "told");
+	tgt_removed(g->set, name, lapsed, evl_now_us(g->st.loop));
+}
+
+static void
+targets_link(bool up, const char *why, void *ctx)
+{
+	on_link(ctx, "targets", up, why);
+}
+
+static const struct mirror_ops target_ops = {
+	.put = target_put,
+	.removed = target_removed,
+	.link = targets_link,
+};
+
+static void
+version_put(const char *name, void *value, void *ctx)
+{
+	struct gateway *g = ctx;
+	struct sv_version *v = value;
+
+	if (vers_named(g->named, v,
+		g->versions == NULL || !mirror_synced(g->versions),
+		evl_now_us(g->st.loop)))
+		evt(EVT_VERSION, "model=%s version=%" G_GINT64_FORMAT, v->model,
+		    v->version);
+	g_free(v);
+	gateway_peers_tell(g);
+}
+
+static void
+version_removed(const char *name, bool lapsed, void *ctx)
+{
+	evt(EVT_VERSION, "model=%s outcome=removed_ignored", name);
+}
+
+static void
+versions_link(bool up, const char *why, void *ctx)
+{
+	on_link(ctx, "versions", up, why);
+}
+
+static const struct mirror_ops version_ops = {
+	.put = version_put,
+	.removed = version_removed,
+	.link = versions_link,
+};
+
+/* ------------------------------------------------------------------ */
+/* Readiness                                                           */
+/* ------------------------------------------------------------------ */
+
+static bool
+should_be_ready(const struct gateway *g)
+{
+	return g->stopping_us == 0 && fwd_routes(g->fwd) != NULL &&
+	    mirror_synced(g->targets) && mirror_synced(g->versions);
+}
+
+static void
+check_ready(struct gateway *g)
+{
+	bool ready = should_be_ready(g);
+
+	if (ready == g->is_ready)
+		return;
+	g->is_ready = ready;
+	evt(EVT_READY, "ready=%d stopping=%d", ready, g->stopping_us != 0);
+}
+
+static void
+on_ready_asked(struct hreq *r, void *ctx)
+{
+	struct gateway *g = ctx;
+
+	check_ready(g);
+	hreq_answer(r, g->is_ready ? 200 : 503, "", "", 0);
+}
+
+static void
+on_nothing(struct hreq *r, void *ctx)
+{
+}
+
+static void
+on_refused(unsigned int status, void *ctx)
+{
+	struct gateway *g = ctx;
+
+	ctr_add(ctr_get(g->st.counters, "ready_refused"), 1);
+}
+
+static const struct hserver_ops ready_ops = {
+	.request = on_ready_asked,
+	.left = on_nothing,
+	.drained = on_nothing,
+	.refused = on_refused,
+};
+
+/* ------------------------------------------------------------------ */
+/* Time                                                                */
+/* ------------------------------------------------------------------ */
+
+static int64_t
+grace_us(const struct gateway *g)
+{
+	return (int64_t)(cfg_num(g->st.cfg, "bounds.grace_s") * G_USEC_PER_SEC);
+}
+
+static void
+check_stop(struct gateway *g, int64_t now_us)
+{
+	int64_t since_us = now_us - g->stopping_us;
+
+	if (since_us < STOP_LISTEN_US)
+		return;
+	if (fwd_active(g->fwd) > 0 && since_us < grace_us(g) - STOP_MARGIN_US)
+		return;
+	evt(EVT_STOP, "outcome=ended active=%u ms=%" G_GINT64_FORMAT,
+	    fwd_active(g->fwd), since_us / 1000);
+	station_quit(&g->st);
+}
+
+static void
+on_tick(struct evl_timer *timer)
+{
+	struct gateway *g =
+	    (struct gateway *)((char *)timer - offsetof(struct gateway, tick));
+	int64_t now_us = evl_now_us(g->st.loop);
+
+	tgt_sweep(g->set, now_us);
+	check_ready(g);
+	fwd_pump(g->fwd);
+	if (g->stopping_us != 0)
+		check_stop(g, now_us);
+	evl_timer_set(g->st.loop, timer, now_us + TICK_US);
+}
+
+static void
+on_stop(void *ctx)
+{
+	struct gateway *g = ctx;
+
+	g->stopping_us = evl_now_us(g->st.loop);
+	check_ready(g);
+	hserver_set_closing(g->callers, true);
+	evt(EVT_STOP, "outcome=begun active=%u", fwd_active(g->fwd));
+}
+
+/* ------------------------------------------------------------------ */
+/* Settings                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+apply_settings(struct gateway *g)
+{
+	const struct cfg *cfg = g->st.cfg;
+	struct tgt_policy *policy = tgt_set_policy(g->set);
+	struct spend_conf *budget = fwd_budget(g->fwd);
+	const char *domain;
+	size_t i;
+
+	policy->beyond_slots = cfg_num(cfg, "policy.beyond_slots");
+	policy->far_cost = cfg_num(cfg, "policy.far_cost");
+	policy->entries = g->gateways;
+	budget->ratio = cfg_num(cfg, "bounds.retry_ratio");
+	budget->slack = cfg_num(cfg, "bounds.retry_slack");
+	budget->window_us =
+	    (int64_t)(cfg_num(cfg, "bounds.retry_window_s") * G_USEC_PER_SEC);
+	budget->sharers = g->gateways;
+	budget->used = BUDGET_USED;
+	for (i = 0; (domain = cfg_key(cfg, i, "domains")) != NULL; i++)
+		tgt_set_domain(
+		    g->set, domain, cfg_str(cfg, "domains.%s", domain));
+}
+
+static void
+on_reload(void *ctx)
+{
+	struct gateway *g = ctx;
+
+	apply_settings(g);
+	store_set_address(g->store, cfg_str(g->st.cfg, "store.address"));
+}
+
+static void
+on_print(void *ctx, GString *out)
+{
+	struct gateway *g = ctx;
+	int64_t now_us = evl_now_us(g->st.loop);
+
+	fwd_print(g->fwd, out);
+	g_string_append_printf(out,
+	    "gateway_ready %d\nconfig_version %" G_GINT64_FORMAT
+	    "\nconfig_heard_age_ms %" G_GINT64_FORMAT
+	    "\ntargets_heard_age_ms %" G_GINT64_FORMAT
+	    "\ncaller_connections %u\n",
+	    g->is_ready,
+	    fwd_routes(g->fwd) == NULL
+		? 0
+		: rtab_config(fwd_routes(g->fwd))->version,
+	    (now_us - mirror_heard_us(g->config)) / 1000,
+	    (now_us - mirror_heard_us(g->targets)) / 1000,
+	    hserver_connections(g->callers));
+}
+
+/* ------------------------------------------------------------------ */
+/* Start                                                               */
+/* ------------------------------------------------------------------ */
+
+static void
+open_decisions(struct gateway *g)
+{
+	const struct cfg *cfg = g->st.cfg;
+	static const struct tgt_policy none;
+	struct fwd_conf conf = {
+		.loop = g->st.loop,
+		.pool = g->st.pool,
+		.dialect = &adapter_headers,
+		.counters = g->st.counters,
+	};
+
+	g->gateways = (unsigned int)cfg_int(cfg, "policy.gateways");
+	g->set = tgt_set_new(cfg_str(cfg, "node.region"), &none);
+	g->named = vers_new(cfg_int(cfg, "bounds.version_ms") * 1000);
+	conf.targets = g->set;
+	conf.versions = g->named;
+	random_bytes(&conf.seed, sizeof(conf.seed));
+	g->fwd = fwd_new(&conf);
+	apply_settings(g);
+}
+
+static void
+open_store(struct gateway *g)
+{
+	struct store_conf conf = {
+		.loop = g->st.loop,
+		.pool = g->st.pool,
+		.address = cfg_str(g->st.cfg, "store.address"),
+		.dialect = &adapter_store,
+		.counters = g->st.counters,
+	};
+
+	random_bytes(&conf.seed, sizeof(conf.seed));
+	g->store = store_new(&conf);
+	g->config = mirror_new(g->store, &adapter_config, &config_ops, g);
+	g->targets = mirror_new(g->store, &adapter_targets, &target_ops, g);
+	g->versions = mirror_new(g->store, &adapter_versions, &version_ops, g);
+}
+
+static bool
+open_servers(struct gateway *g, struct err *err)
+{
+	const struct cfg *cfg = g->st.cfg;
+	int64_t descriptors = cfg_int(cfg, "limits.descriptors");
+	struct hserver_conf conf = {
+		.loop = g->st.loop,
+		.address = cfg_str(cfg, "listen.callers"),
+		.limits = &g->limits,
+		.connections_max = (unsigned int)MAX(
+		    descriptors / 2, descriptors - DESCRIPTORS_KEPT),
+		.bodies_max =
+		    (size_t)((double)cfg_int(cfg, "limits.memory_mb") * 1e6 *
+			BODIES_SHARE),
+		.ops = &fwd_server_ops,
+		.ctx = g->fwd,
+	};
+
+	/* Until the operators' limits are known. */
+	g->limits = (struct hlimits){ .head_bytes = 16384,
+		.body_bytes = 4 << 20,
+		.head_us = 3000000,
+		.idle_us = 15000000 };
+	g->callers = hserver_new(&conf, err);
+	if (g->callers == NULL)
+		return false;
+	conf.address = cfg_str(cfg, "listen.ready");
+	conf.ops = &ready_ops;
+	conf.ctx = g;
+	conf.connections_max = 64;
+	g->ready = hserver_new(&conf, err);
+	return g->ready != NULL;
+}
+
+static bool
+start(struct gateway *g, const char *settings, struct err *err)
+{
+	if (!station_load(&g->st, settings, err))
+		return false;
+	g->st.stop = on_stop;
+	g->st.reload = on_reload;
+	g->st.print = on_print;
+	g->st.ctx = g;
+	if (!station_open(&g->st, "gateway", err))
+		return false;
+	open_decisions(g);
+	if (!open_servers(g, err) || !gateway_peers_open(g, err))
+		return false;
+	open_store(g);
+	g->tick.fire = on_tick;
+	evl_timer_set(g->st.loop, &g->tick, evl_now_us(g->st.loop) + TICK_US);
+	evt(EVT_START, "program=gateway domain=%s region=%s callers=%s",
+	    cfg_str(g->st.cfg, "node.domain"),
+	    cfg_str(g->st.cfg, "node.region"),
+	    cfg_str(g->st.cfg, "listen.callers"));
+	return true;
+}
+
+int
+gateway_main(const char *settings)
+{
+	struct gateway *g = g_new0(struct gateway, 1);
+	struct err err = { 0 };
+
+	if (!start(g, settings, &err)) {
+		fprintf(stderr, "currantchute: %s\n", err.message);
+		return EXIT_USAGE;
+	}
+	station_run(&g->st);
+	return EXIT_OK;
+}
--- /dev/null
+++ b/programs/entry/gateway.h
@@ -0,0 +1,38 @@
+#ifndef GATEWAY_H
+#define GATEWAY_H
+
+/*
+ * gateway: the entry process for a deployment whose store names targets and
+ * holds the operators' settings. It needs no other process: each gateway
+ * watches the store itself and calls targets directly.
+ */
+
+#include "platform/adapter.h"
+#include "common/evt.h"
+#include "serve/fwd.h"
+#include "shared/station.h"
+
+struct gateway {
+	struct station st;
+	struct store *store;
+	struct mirror *config, *targets, *versions;
+	struct tgt_set *set;
+	struct vers *named;
+	struct fwd *fwd;
+	struct hlimits limits;
+	struct hserver *callers, *ready;
+	struct dgram *peers;
+	struct evl_timer tick, tell;
+	bool is_ready;
+	int64_t stopping_us; /* 0: not asked to stop */
+	unsigned int gateways; /* that share the targets, as keepers say */
+};
+
+/* gateway_peers.c: keepers */
+bool gateway_peers_open(struct gateway *g, struct err *err);
+void gateway_peers_tell(struct gateway *g); /* now, and on from there */
+
+/* gateway.c */
+int gateway_main(const char *settings);
+
+#endif
--- /dev/null
+++ b/programs/entry/gateway_peers.c
@@ -0,0 +1,268 @@
+/* The gateway's talk with keepers: who should load what, how full they are. */
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "entry/gateway.h"
+#include "http/sock.h"
+#include "serve/side.h"
+
+/* A keeper that starts hears within this what it is to load; the same news
+ * go out at once when a version is named. */
+#define TELL_US 400000
+
+/* Engines of one service, as a view lists them. */
+struct listing {
+	struct gateway *g;
+	const struct tgt_service *service;
+	GByteArray *peers;
+	GString *domains;
+	GPtrArray *names; /* of domains, in the order of their index */
+	unsigned int port; /* of keepers' peers */
+};
+
+static unsigned int
+peers_port(const struct gateway *g)
+{
+	struct sockaddr_in at;
+
+	if (!sock_address(cfg_str(g->st.cfg, "listen.peers"), &at))
+		return 0;
+	return ntohs(at.sin_port);
+}
+
+/* A keeper stands beside its engine: same host, the port of peers. */
+static bool
+keeper_address(const struct tgt *t, unsigned int port, struct sockaddr_in *out)
+{
+	if (!sock_address(t->says.address, out))
+		return false;
+	out->sin_port = htons((uint16_t)port);
+	return true;
+}
+
+static uint8_t
+domain_index(struct listing *l, const char *domain)
+{
+	guint i;
+
+	for (i = 0; i < l->names->len; i++) {
+		if (strcmp(l->names->pdata[i], domain) == 0)
+			return (uint8_t)i;
+	}
+	if (l->domains->len + strlen(domain) + 1 >= SIDE_DOMAINS_MAX)
+		return UINT8_MAX;
+	g_ptr_array_add(l->names, (gpointer)domain);
+	if (l->domains->len > 0)
+		g_string_append_c(l->domains, ',');
+	g_string_append(l->domains, domain);
+	return (uint8_t)i;
+}
+
+static void
+list_target(struct listing *l, const struct tgt *t)
+{
+	struct sockaddr_in at;
+	uint8_t index;
+
+	if (l->peers->len >= SIDE_PEERS_MAX * SIDE_PEER_BYTES)
+		return;
+	if (!keeper_address(t, l->port, &at))
+		return;
+	g_byte_array_append(l->peers, (const guint8 *)&at.sin_addr.s_addr, 4);
+	g_byte_array_append(l->peers, (const guint8 *)&at.sin_port, 2);
+	index = domain_index(l, t->says.domain);
+	g_byte_array_append(l->peers, &index, 1);
+}
+
+/* ------------------------------------------------------------------ */
+/* Views                                                               */
+/* ------------------------------------------------------------------ */
+
+static const char *
+origin_of(const struct sv_config *config)
+{
+	size_t i;
+
+	for (i = 0; i < config->nservices; i++) {
+		if (config->services[i].origin != NULL)
+			return config->services[i].origin;
+	}
+	return "";
+}
+
+/* The newest that was named, or else the newest that any engine has. */
+static int64_t
+version_wanted(struct gateway *g, const struct tgt_service *service)
+{
+	int64_t version = vers_newest(g->named, service->engine.model);
+	const struct tgt *t;
+
+	TAILQ_FOREACH (t, &service->targets, link) {
+		if (strcmp(t->model, service->engine.model) == 0)
+			version = MAX(version, t->version);
+	}
+	return MAX(version, 1); /* versions start at 1 */
+}
+
+static void
+fill_view(struct gateway *g, const struct tgt_service *service,
+    struct side_view *view)
+{
+	const struct sv_engine *e = &service->engine;
+	int64_t heard_us = vers_heard_us(g->named, e->model);
+
+	view->model = slice_str(e->model);
+	view->version = (uint64_t)version_wanted(g, service);
+	view->age_ms = heard_us == 0
+	    ? 0
+	    : (uint64_t)(evl_now_us(g->st.loop) - heard_us) / 1000;
+	view->due_ms = (uint64_t)cfg_int(g->st.cfg, "bounds.version_ms");
+	view->origin = slice_str(origin_of(rtab_config(fwd_routes(g->fwd))));
+	view->chunks = e->chunks;
+	view->chunk_bytes = e->chunk_bytes;
+}
+
+static void
+send_views(struct listing *l, const struct side_view *view)
+{
+	const struct tgt *t;
+	struct sockaddr_in at;
+	char ip[INET_ADDRSTRLEN], to[INET_ADDRSTRLEN + 8];
+
+	TAILQ_FOREACH (t, &l->service->targets, link) {
+		if (!keeper_address(t, l->port, &at))
+			continue;
+		inet_ntop(AF_INET, &at.sin_addr, ip, sizeof(ip));
+		g_snprintf(to, sizeof(to), "%s:%u", ip, l->port);
+		if (!dgram_send(l->g->peers, to, &side_view_desc, view))
+			ctr_add(
+			    ctr_get(l->g->st.counters, "views_too_large"), 1);
+	}
+}
+
+static void
+tell_service(struct gateway *g, const struct tgt_service *service)
+{
+	struct listing l = { .g = g,
+		.service = service,
+		.peers = g_byte_array_new(),
+		.domains = g_string_new(NULL),
+		.names = g_ptr_array_new(),
+		.port = peers_port(g) };
+	struct side_view view = { 0 };
+	const struct tgt *t;
+
+	TAILQ_FOREACH (t, &service->targets, link)
+		list_target(&l, t);
+	fill_view(g, service, &view);
+	view.domains = slice_str(l.domains->str);
+	view.peers = (struct slice){ l.peers->data, l.peers->len };
+	send_views(&l, &view);
+	g_byte_array_unref(l.peers);
+	g_string_free(l.domains, TRUE);
+	g_ptr_array_unref(l.names);
+}
+
+void
+gateway_peers_tell(struct gateway *g)
+{
+	const struct sv_config *config;
+	const struct tgt_service *service;
+	size_t i;
+
+	evl_timer_set(g->st.loop, &g->tell, evl_now_us(g->st.loop) + TELL_US);
+	if (fwd_routes(g->fwd) == NULL)
+		return;
+	config = rtab_config(fwd_routes(g->fwd));
+	for (i = 0; i < config->nservices; i++) {
+		service = tgt_service(g->set, config->services[i].name);
+		if (service->has_engine && service->engine.chunks > 0)
+			tell_service(g, service);
+	}
+}
+
+static void
+on_tell(struct evl_timer *timer)
+{
+	gateway_peers_tell(
+	    (struct gateway *)((char *)timer - offsetof(struct gateway, tell)));
+}
+
+/* ------------------------------------------------------------------ */
+/* Loads                                                               */
+/* ------------------------------------------------------------------ */
+
+static void
+note_gateways(struct gateway *g, unsigned int n)
+{
+	if (n == 0 || n == g->gateways)
+		return;
+	g->gateways = n;
+	tgt_set_policy(g->set)->entries = n;
+	fwd_budget(g->fwd)->sharers = n;
+}
+
+static void
+take_slice(char *out, size_t size, struct slice s)
+{
+	size_t n = MIN(s.len, size - 1);
+
+	memcpy(out, s.data, n);
+	out[n] = '\0';
+}
+
+static void
+note_engine(struct tgt *t, const struct side_load *load)
+{
+	bool down = load->engine != SIDE_ENGINE_UP;
+	char model[SV_ID_MAX];
+
+	take_slice(model, sizeof(model), load->model);
+	if (down != t->side_down || (int64_t)load->version != t->version)
+		evt(EVT_SIDE,
+		    "target=%s engine=%s version=%" G_GUINT64_FORMAT
+		    " running=%" G_GUINT64_FORMAT,
+		    t->says.id,
+		    load->engine == SIDE_ENGINE_UP            ? "up"
+			: load->engine == SIDE_ENGINE_LOADING ? "loading"
+							      : "down",
+		    load->version, load->running);
+	t->side_down = down;
+	g_strlcpy(t->model, model, sizeof(t->model));
+	t->version = (int64_t)load->version;
+	t->pace =
+	    load->pace_permille == 0 ? 1 : (double)load->pace_permille / 1000.0;
+}
+
+static void
+on_load(const char *from, const struct msg *m, void *ctx)
+{
+	struct gateway *g = ctx;
+	struct side_load load;
+	char address[SV_ADDRESS_MAX];
+	int64_t now_us = evl_now_us(g->st.loop);
+	struct tgt *t;
+
+	if (!msg_read(m, &side_load_desc, &load, NULL))
+		return;
+	take_slice(address, sizeof(address), load.address);
+	t = tgt_at(g->set, address);
+	if (t == NULL)
+		return;
+	note_engine(t, &load);
+	t->side_us = now_us;
+	tgt_load(t, (unsigned int)(load.running + load.waiting), now_us);
+	note_gateways(g, (unsigned int)load.gateways);
+	fwd_pump(g->fwd);
+}
+
+bool
+gateway_peers_open(struct gateway *g, struct err *err)
+{
+	g->peers = dgram_open(
+	    &g->st.node, cfg_str(g->st.cfg, "listen.peers"), on_load, g, err);
+	g->tell.fire = on_tell;
+	evl_timer_set(g->st.loop, &g->tell, evl_now_us(g->st.loop) + TELL_US);
+	return g->peers != NULL;
+}
--- a/programs/entry/main.c
+++ b/programs/entry/main.c
@@ -1,20 +1,36 @@
-/* currantchute: `entry` serves; every other command is an operator's. */
+/* currantchute: `entry` and `gateway` serve; every other command is an operator's. */
 
 #include <stdio.h>
 #include <string.h>
 
 #include "entry/entry.h"
+#include "entry/gateway.h"
+
+/* The commands that serve, each with its settings file. */
+static const struct {
+	const char *name;
+	int (*run)(const char *settings);
+} servers[] = {
+	{ "entry", serve_main },
+	{ "gateway", gateway_main },
+};
 
 int
 main(int argc, char **argv)
 {
-	if (argc == 4 && strcmp(argv[1], "entry") == 0 &&
-	    (strcmp(argv[2], "--settings") == 0 || strcmp(argv[2], "-s") == 0))
-		return serve_main(argv[3]);
-	if (argc >= 2 && strcmp(argv[1], "entry") == 0) {
+	size_t i;
+
+	for (i = 0; argc >= 2 && i < G_N_ELEMENTS(servers); i++) {
+		if (strcmp(argv[1], servers[i].name) != 0)
+			continue;
+		if (argc == 4 &&
+		    (strcmp(argv[2], "--settings") == 0 ||
+			strcmp(argv[2], "-s") == 0))
+			return servers[i].run(argv[3]);
 		fprintf(stderr,
-		    "usage: currantchute entry --settings FILE\n"
-		    "example: currantchute entry --settings entry-1.yaml\n");
+		    "usage: currantchute %s --settings FILE\n"
+		    "example: currantchute %s --settings %s-1.yaml\n",
+		    argv[1], argv[1], argv[1]);
 		return EXIT_USAGE;
 	}
 	return cli_main(argc, (const char **)argv);
--- /dev/null
+++ b/programs/side/keeper.c
@@ -0,0 +1,94 @@
+/* The keeper: set-up, time, stop. */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "shared/proc.h"
+#include "side/keeper.h"
+
+/* How often the engine is asked how full it is: a fraction of the time
+ * between two requests that it gets (some 16 a second). */
+#define TICK_US 30000
+
+static void
+on_tick(struct evl_timer *timer)
+{
+	struct keeper *k =
+	    (struct keeper *)((char *)timer - offsetof(struct keeper, tick));
+
+	keeper_ask_report(k);
+	keeper_step(k);
+	keeper_tell_load(k);
+	evl_timer_set(k->st.loop, timer, keeper_now(k) + TICK_US);
+}
+
+/* Nothing here serves callers: the engine goes on without its keeper. */
+static void
+on_stop(void *ctx)
+{
+	struct keeper *k = ctx;
+
+	evt(EVT_STOP, "outcome=ended step=%s", stg_step_name(k->step));
+	station_quit(&k->st);
+}
+
+static void
+on_reload(void *ctx)
+{
+}
+
+static void
+on_print(void *ctx, GString *out)
+{
+	struct keeper *k = ctx;
+	struct wts_progress p = { 0 };
+
+	if (k->list != NULL)
+		wts_progress(k->wts, &k->version.root, &p);
+	g_string_append_printf(out,
+	    "keeper_wanted_version %" G_GINT64_FORMAT
+	    "\nkeeper_loaded_version %" G_GINT64_FORMAT
+	    "\nkeeper_chunks_held %" G_GUINT64_FORMAT
+	    "\nkeeper_step %d\nkeeper_engine_up %d\nkeeper_gateways %u\n",
+	    k->stage.wanted, k->stage.loaded, p.have, k->step, k->stage.up,
+	    k->gateways->len);
+}
+
+static bool
+start(struct keeper *k, const char *settings, struct err *err)
+{
+	if (!station_load(&k->st, settings, err))
+		return false;
+	if (!cfg_has(k->st.cfg, "engine.address"))
+		return err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "%s: key 'engine.address': missing; allowed: ip:port",
+		    settings);
+	k->st.stop = on_stop;
+	k->st.reload = on_reload;
+	k->st.print = on_print;
+	k->st.ctx = k;
+	if (!station_open(&k->st, "keeper", err))
+		return false;
+	if (!keeper_weights_open(k, err) || !keeper_gateways_open(k, err))
+		return false;
+	k->tick.fire = on_tick;
+	evl_timer_set(k->st.loop, &k->tick, keeper_now(k) + TICK_US);
+	evt(EVT_START, "program=keeper domain=%s engine=%s",
+	    cfg_str(k->st.cfg, "node.domain"),
+	    cfg_str(k->st.cfg, "engine.address"));
+	return true;
+}
+
+int
+keeper_main(const char *settings)
+{
+	struct keeper *k = g_new0(struct keeper, 1);
+	struct err err = { 0 };
+
+	if (!start(k, settings, &err)) {
+		fprintf(stderr, "currantchute-side: %s\n", err.message);
+		return EXIT_USAGE;
+	}
+	station_run(&k->st);
+	return EXIT_OK;
+}
--- /dev/null
+++ b/programs/side/keeper_gateways.c
@@ -0,0 +1,237 @@
+/* Talk with gateways: their views come in, the engine's load goes out. */
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "serve/side.h"
+#include "side/keeper.h"
+
+/* A gateway that has said nothing for so long is told nothing more. */
+#define GATEWAY_SILENT_US 3000000
+/* A load that has not changed is told again this often, so that its age and
+ * the keeper's silence mean something. */
+#define TELL_AGAIN_US 250000
+
+/* ------------------------------------------------------------------ */
+/* Gateways                                                            */
+/* ------------------------------------------------------------------ */
+
+static struct keeper_gateway *
+gateway_at(struct keeper *k, guint i)
+{
+	return &g_array_index(k->gateways, struct keeper_gateway, i);
+}
+
+static void
+note_gateway(struct keeper *k, const char *from)
+{
+	struct keeper_gateway fresh = { .heard_us = keeper_now(k) };
+	guint i;
+
+	for (i = 0; i < k->gateways->len; i++) {
+		if (strcmp(gateway_at(k, i)->address, from) == 0) {
+			gateway_at(k, i)->heard_us = keeper_now(k);
+			return;
+		}
+	}
+	if (k->gateways->len == KEEPER_GATEWAYS_MAX)
+		return;
+	g_strlcpy(fresh.address, from, sizeof(fresh.address));
+	g_array_append_val(k->gateways, fresh);
+	k->told_us = 0; /* it is told at once */
+}
+
+static void
+drop_silent(struct keeper *k)
+{
+	guint i = 0;
+
+	while (i < k->gateways->len) {
+		if (keeper_now(k) - gateway_at(k, i)->heard_us >
+		    GATEWAY_SILENT_US)
+			g_array_remove_index_fast(k->gateways, i);
+		else
+			i++;
+	}
+}
+
+bool
+keeper_is_heard(const struct keeper *k)
+{
+	return k->gateways->len > 0;
+}
+
+/* ------------------------------------------------------------------ */
+/* Views                                                               */
+/* ------------------------------------------------------------------ */
+
+static void
+take_text(char *out, size_t size, struct slice s)
+{
+	size_t n = MIN(s.len, size - 1);
+
+	memcpy(out, s.data, n);
+	out[n] = '\0';
+}
+
+static gint
+by_address(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const struct keeper_peer *)a)->address,
+	    ((const struct keeper_peer *)b)->address);
+}
+
+static void
+read_peer(const uint8_t *raw, char **domains, struct keeper_peer *out)
+{
+	char ip[INET_ADDRSTRLEN];
+	uint16_t port;
+	guint n = g_strv_length(domains);
+
+	memcpy(&port, raw + 4, sizeof(port));
+	inet_ntop(AF_INET, raw, ip, sizeof(ip));
+	memset(out, 0, sizeof(*out));
+	g_snprintf(
+	    out->address, sizeof(out->address), "%s:%u", ip, ntohs(port));
+	g_strlcpy(out->domain, raw[6] < n ? domains[raw[6]] : "",
+	    sizeof(out->domain));
+}
+
+/* True when the peers have changed. */
+static bool
+take_peers(struct keeper *k, const struct side_view *view)
+{
+	char *names = slice_dup(view->domains);
+	char **domains = g_strsplit(names, ",", -1);
+	GArray *peers = g_array_new(FALSE, TRUE, sizeof(struct keeper_peer));
+	struct keeper_peer peer;
+	size_t at;
+	bool changed;
+
+	for (at = 0; at + SIDE_PEER_BYTES <= view->peers.len;
+	     at += SIDE_PEER_BYTES) {
+		read_peer(view->peers.data + at, domains, &peer);
+		g_array_append_val(peers, peer);
+	}
+	g_array_sort(peers, by_address);
+	changed = peers->len != k->peers->len ||
+	    memcmp(peers->data, k->peers->data,
+		peers->len * sizeof(struct keeper_peer)) != 0;
+	g_array_unref(k->peers);
+	k->peers = peers;
+	g_strfreev(domains);
+	g_free(names);
+	return changed;
+}
+
+static unsigned int
+own_rank(const struct keeper *k)
+{
+	guint i;
+
+	for (i = 0; i < k->peers->len; i++) {
+		if (strcmp(
+			g_array_index(k->peers, struct keeper_peer, i).address,
+			k->st.node.id) == 0)
+			return i;
+	}
+	return 0;
+}
+
+static void
+take_view(struct keeper *k, const struct side_view *view)
+{
+	bool changed;
+	char model[KEEPER_MODEL_MAX];
+
+	take_text(model, sizeof(model), view->model);
+	take_text(k->origin, sizeof(k->origin), view->origin);
+	changed = take_peers(k, view);
+	if (strcmp(model, k->model) != 0) {
+		g_strlcpy(k->model, model, sizeof(k->model));
+		k->stage.wanted = 0;
+	}
+	/* Gateways that were cut off may still tell of an older version. */
+	if ((int64_t)view->version > k->stage.wanted) {
+		k->heard_us = keeper_now(k) - (int64_t)view->age_ms * 1000;
+		k->due_us = (int64_t)view->due_ms * 1000;
+		keeper_want(k, (int64_t)view->version);
+	}
+	k->stage.turn_us =
+	    stg_turn(k->heard_us, k->due_us, own_rank(k), k->peers->len);
+	if (changed && (k->stage.looked || k->stage.loaded != 0))
+		keeper_set_peers(k);
+}
+
+static void
+on_message(const char *from, const struct msg *m, void *ctx)
+{
+	struct keeper *k = ctx;
+	struct side_view view;
+
+	if (!msg_read(m, &side_view_desc, &view, NULL))
+		return;
+	note_gateway(k, from);
+	take_view(k, &view);
+	keeper_step(k);
+}
+
+/* ------------------------------------------------------------------ */
+/* Loads                                                               */
+/* ------------------------------------------------------------------ */
+
+static enum side_engine
+engine_state(const struct keeper *k)
+{
+	if (!k->stage.up)
+		return SIDE_ENGINE_DOWN;
+	if (k->stage.busy || k->stage.ordered_us != 0)
+		return SIDE_ENGINE_LOADING;
+	return SIDE_ENGINE_UP;
+}
+
+static bool
+has_changed(const struct keeper *k)
+{
+	return k->told.running != k->engine.running ||
+	    k->told.waiting != k->engine.waiting ||
+	    k->told.version != k->engine.version ||
+	    k->told.busy != k->engine.busy || k->told_step != k->step;
+}
+
+void
+keeper_tell_load(struct keeper *k)
+{
+	struct side_load load = {
+		.address = slice_str(cfg_str(k->st.cfg, "engine.address")),
+		.engine = engine_state(k),
+		.running = k->engine.running,
+		.waiting = k->engine.waiting,
+		.model = slice_str(k->engine.model),
+		.version = (uint64_t)k->stage.loaded,
+		.pace_permille = (uint64_t)(k->engine.pace * 1000),
+	};
+	guint i;
+
+	drop_silent(k);
+	if (!k->had_engine ||
+	    (!has_changed(k) && keeper_now(k) - k->told_us < TELL_AGAIN_US))
+		return;
+	load.gateways = k->gateways->len;
+	for (i = 0; i < k->gateways->len; i++)
+		dgram_send(k->dgram, gateway_at(k, i)->address, &side_load_desc,
+		    &load);
+	k->told = k->engine;
+	k->told_step = k->step;
+	k->told_us = keeper_now(k);
+}
+
+bool
+keeper_gateways_open(struct keeper *k, struct err *err)
+{
+	k->gateways = g_array_new(FALSE, FALSE, sizeof(struct keeper_gateway));
+	k->peers = g_array_new(FALSE, TRUE, sizeof(struct keeper_peer));
+	k->dgram = dgram_open(&k->st.node, cfg_str(k->st.cfg, "listen.peers"),
+	    on_message, k, err);
+	return k->dgram != NULL;
+}
--- a/programs/side/main.c
+++ b/programs/side/main.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "side/keeper.h"
 #include "side/side.h"
 
 #define POLL_MS 1000 /* how soon an engine that lost its model is noticed */
@@ -255,8 +256,8 @@
 	side->stop_timer = g_timeout_add(STOP_CHECK_MS, check_stopped, side);
 }
 
-int
-main(int argc, char **argv)
+static int
+side_main(int argc, char **argv)
 {
 	char *settings = NULL;
 	struct poptOption options[] = {
@@ -289,3 +290,20 @@
 	free(settings);
 	return EXIT_OK;
 }
+
+/* `keeper` serves beside an engine that gateways call directly; without that
+ * word the process is the only door to its targets. */
+int
+main(int argc, char **argv)
+{
+	if (argc == 4 && strcmp(argv[1], "keeper") == 0 &&
+	    (strcmp(argv[2], "--settings") == 0 || strcmp(argv[2], "-s") == 0))
+		return keeper_main(argv[3]);
+	if (argc >= 2 && strcmp(argv[1], "keeper") == 0) {
+		fprintf(stderr,
+		    "usage: currantchute-side keeper --settings FILE\n"
+		    "example: currantchute-side keeper --settings keeper-1.yaml\n");
+		return EXIT_USAGE;
+	}
+	return side_main(argc, argv);
+}
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 set -eu
 packages="build-essential cmake ninja-build pkg-config clang-format cppcheck
  spin git curl libglib2.0-dev libsoup-3.0-dev libmsgpack-dev libyaml-dev libpopt-dev
- liblog4c-dev libcmocka-dev libjson-glib-dev libssl-dev"
+ liblog4c-dev libcmocka-dev libjson-glib-dev libssl-dev libhttp-parser-dev"
 missing=
 for p in $packages; do
 	dpkg-query -W -f='${Status}' "$p" 2>/dev/null |
