Silent connections to the store, planned stops, versions due in an engine's queue

Cause: (1) CONFIG: kept connections fell silent; a watch of 10 s and its retry on the next kept, equally silent connection left settings 12 s old. (2) LOST: new requests were taken until the end of the grace and broken off with the process. (3) VERSION: requests wait up to 1.1 s in an engine's queue and began on old weights after the due time; a version named while the one before was pending reset the due time. Ruled out: probes of the sockets (they are answered on silent connections).

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -483,6 +483,22 @@
 		g_hash_table_remove(p->places, address);
 }
 
+void
+hpool_forget_idle(struct hpool *p)
+{
+	GHashTableIter iter;
+	gpointer value;
+	struct hplace *place;
+	struct hlink *l;
+
+	g_hash_table_iter_init(&iter, p->places);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		place = value;
+		while ((l = TAILQ_FIRST(&place->idle)) != NULL)
+			link_free(l);
+	}
+}
+
 unsigned int
 hpool_opened(const struct hpool *p)
 {
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -52,7 +52,8 @@
 };
 
 struct hserver *hserver_new(const struct hserver_conf *conf, struct err *err);
-/* No new connections from now on; open ones go on. */
+/* No new connections from now on. Those on which no request is under way are
+ * closed, the others after their answer. */
 void hserver_stop_listening(struct hserver *s);
 /* From now on each answer ends its connection (a planned stop). */
 void hserver_set_closing(struct hserver *s, bool closing);
@@ -119,6 +120,8 @@
 void hpool_free(struct hpool *p); /* no calls may be open */
 /* Closes the kept connections to an address that is not used any more. */
 void hpool_forget(struct hpool *p, const char *address);
+/* Closes all kept connections on which no call is under way. */
+void hpool_forget_idle(struct hpool *p);
 unsigned int hpool_opened(const struct hpool *p); /* connections ever dialled */
 
 struct hcall_conf {
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -610,11 +610,19 @@
 void
 hserver_stop_listening(struct hserver *s)
 {
+	struct hreq *r, *next;
+
+	s->closing = true;
 	if (s->fd.fd < 0)
 		return;
 	evl_forget(s->conf.loop, &s->fd);
 	close(s->fd.fd);
 	s->fd.fd = -1;
+	for (r = LIST_FIRST(&s->reqs); r != NULL; r = next) {
+		next = LIST_NEXT(r, link);
+		if (r->state == HREQ_READ && r->started_us == 0)
+			destroy(r);
+	}
 }
 
 void
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -211,6 +211,10 @@
 	struct fwd_req *r =
 	    (struct fwd_req *)((char *)timer - offsetof(struct fwd_req, step));
 
+	/* When connections fall silent they do so many at a time, and each
+	 * kept one would cost another request. */
+	if (r->call != NULL && hcall_kept(r->call))
+		hpool_forget_idle(r->fwd->conf.pool);
 	if (r->call != NULL) {
 		hcall_cancel(r->call);
 		r->call = NULL;
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -4,10 +4,10 @@
 
 /* Pieces of a version take about so long to reach all hosts: a host's link
  * carries one copy in two seconds. */
-#define SPREAD_US 2500000
+#define SPREAD_US 3000000
 /* Before the due time the last engine has begun to change, so that a lost
  * order can be given again. */
-#define MARGIN_US 1200000
+#define MARGIN_US 1500000
 /* Between engines, where nothing is due. */
 #define PACE_US 1000000
 
@@ -80,7 +80,7 @@
 stg_turn(int64_t heard_us, int64_t due_us, unsigned int rank, unsigned int n)
 {
 	int64_t from_us = heard_us + SPREAD_US;
-	int64_t span_us = due_us - SPREAD_US - MARGIN_US;
+	int64_t span_us = due_us - MARGIN_US - from_us;
 
 	if (due_us == 0)
 		return from_us + (int64_t)rank * PACE_US;
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -61,7 +61,7 @@
 
 /*
  * When the engine of rank `rank` among `n` begins to change to a version that
- * was heard of at `heard_us` and is due `due_us` later: evenly over the time
+ * was heard of at `heard_us` and is due at `due_us`: evenly over the time
  * that is left after the pieces have spread, so that as few as possible are
  * out of service together. `due_us` 0: no bound.
  */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -6,12 +6,13 @@
 #include "store/store.h"
 
 /*
- * A waiting watch is paid for as one call and brings news at once, so long
- * ones are cheap. A silent connection is found by the socket's probes; the
- * time-out below only covers a store that accepts bytes and never answers.
+ * A connection can fall silent for good while the socket's probes are still
+ * answered: news then stop without an error, and settings grow old unnoticed.
+ * Only an answer that is due and does not come shows it. A watch waits this
+ * long at most; each is paid for as one call, so shorter ones cost more.
  */
-#define WATCH_WAIT_MS 10000
-#define WATCH_SLACK_US 2000000
+#define WATCH_WAIT_MS 1500
+#define WATCH_SLACK_US 500000
 #define LIST_TIMEOUT_US 2500000
 /* Calls to a store that does not answer cost as much as others. Its clients
  * are back within REST_MAX_US of its return. */
@@ -278,6 +279,9 @@
 	char why[32];
 
 	m->call = NULL;
+	/* Kept connections may be as silent as the one that was used. */
+	if (a->status == 0)
+		hpool_forget(m->store->conf.pool, m->store->address);
 	if (a->status == 200) {
 		read_answer(m, a);
 	} else if (a->status == 410 && m->state == MIRROR_WATCH) {
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -17,7 +17,9 @@
 #define BODIES_SHARE 0.25
 /*
  * A planned stop: the balancer needs two questions, a second apart, to send
- * nobody here any more; until STOP_LISTEN_US connections are still taken.
+ * nobody here any more; until STOP_LISTEN_US connections are still taken. A
+ * request that came later could not end within the grace, so from then on
+ * callers are turned away unread, which lets them go elsewhere.
  * STOP_MARGIN_US before the end of the grace what still runs is broken off.
  */
 #define STOP_LISTEN_US 2600000
@@ -86,6 +88,7 @@
 {
 	struct gateway *g = ctx;
 	struct sv_target *says = value;
+	bool is_new = tgt_find(g->set, says->id) == NULL;
 
 	tgt_put(g->set, says, evl_now_us(g->st.loop));
 	evt(EVT_TARGET,
@@ -94,6 +97,8 @@
 	    says->id, says->service, says->address,
 	    says->leaving ? "leaving" : "ready", says->model_version,
 	    mirror_revision(g->targets));
+	if (is_new)
+		gateway_peers_tell(g);
 	g_free(says);
 	fwd_pump(g->fwd);
 }
@@ -221,6 +226,7 @@
 
 	if (since_us < STOP_LISTEN_US)
 		return;
+	hserver_stop_listening(g->callers);
 	if (fwd_active(g->fwd) > 0 && since_us < grace_us(g) - STOP_MARGIN_US)
 		return;
 	evt(EVT_STOP, "outcome=ended active=%u ms=%" G_GINT64_FORMAT,
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -42,7 +42,8 @@
 	char model[KEEPER_MODEL_MAX];
 	char origin[KEEPER_ADDRESS_MAX];
 	uint64_t chunks, chunk_bytes;
-	int64_t heard_us, due_us; /* of the wanted version */
+	int64_t heard_us; /* of the wanted version */
+	int64_t due_us; /* it is due then; 0: no bound */
 	GArray *peers; /* struct keeper_peer, by address */
 	struct stg_state stage;
 	enum stg_step step; /* as last logged */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -138,6 +138,20 @@
 	return 0;
 }
 
+/* A version that takes the place of one that the engine never loaded is due
+ * when that one was: requests may not begin on what came before both. */
+static void
+note_due(struct keeper *k, const struct side_view *view)
+{
+	bool skipped = k->stage.wanted > k->stage.loaded && k->due_us != 0;
+	int64_t due_us = 0;
+
+	k->heard_us = keeper_now(k) - (int64_t)view->age_ms * 1000;
+	if (view->due_ms > 0)
+		due_us = k->heard_us + (int64_t)view->due_ms * 1000;
+	k->due_us = skipped ? MIN(k->due_us, due_us) : due_us;
+}
+
 static void
 take_view(struct keeper *k, const struct side_view *view)
 {
@@ -153,8 +167,7 @@
 	}
 	/* Gateways that were cut off may still tell of an older version. */
 	if ((int64_t)view->version > k->stage.wanted) {
-		k->heard_us = keeper_now(k) - (int64_t)view->age_ms * 1000;
-		k->due_us = (int64_t)view->due_ms * 1000;
+		note_due(k, view);
 		keeper_want(k, (int64_t)view->version);
 	}
 	k->stage.turn_us =
