--- a/lib/serve/records.c
+++ b/lib/serve/records.c
@@ -30,6 +30,7 @@
 		g_free(c->services[i].name);
 		g_free(c->services[i].health_path);
 		g_free(c->services[i].origin);
+		g_free(c->services[i].domain);
 	}
 	for (i = 0; i < c->nworkspaces; i++) {
 		g_free(c->workspaces[i].name);
--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -63,6 +63,7 @@
 	char *health_path;
 	unsigned int connections_max; /* a target takes, from all callers */
 	char *origin; /* address of the weights' origin, or NULL */
+	char *domain; /* that the origin is in, or NULL */
 	bool has_engine;
 	struct sv_engine engine;
 };
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -11,6 +11,7 @@
 	MSG_FIELD(struct side_view, age_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_view, due_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_view, origin, MSG_STR, TEXT_MAX),
+	MSG_FIELD(struct side_view, origin_domain, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_view, chunks, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_view, chunk_bytes, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_view, domains, MSG_STR, SIDE_DOMAINS_MAX),
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -26,6 +26,7 @@
 	uint64_t age_ms; /* since its name was heard of first */
 	uint64_t due_ms; /* from then on, no request begins on older ones */
 	struct slice origin; /* "ip:port", or empty */
+	struct slice origin_domain;
 	uint64_t chunks, chunk_bytes;
 	struct slice domains; /* names, with commas between */
 	struct slice peers; /* keepers of the same model */
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -49,7 +49,9 @@
 	int64_t us =
 	    MAX(SILENCE_CHUNKS * pick_chunk_us(p), SILENCE_READS * p->read_us);
 
-	us += SILENCE_MIN_US + PICK_NEWS_HOPS * p->conf.news_us;
+	us += p->conf.silence_min_us > 0 ? p->conf.silence_min_us
+					 : SILENCE_MIN_US;
+	us += PICK_NEWS_HOPS * p->conf.news_us;
 	return MIN(us, SILENCE_MAX_US);
 }
 
@@ -140,6 +142,19 @@
 	p->no_read_us = 0;
 }
 
+void
+pick_set_far(struct pick *p, uint64_t index, unsigned int rank, int64_t step_us)
+{
+	p->conf.far_step_us = step_us;
+	p->chunks[index].far_rank = (uint8_t)MIN(rank, UINT8_MAX);
+}
+
+void
+pick_set_silence(struct pick *p, int64_t min_us)
+{
+	p->conf.silence_min_us = min_us;
+}
+
 void
 pick_set_copies(struct pick *p, unsigned int copies)
 {
@@ -170,8 +185,10 @@
 		ask = next;
 	}
 	for (i = 0; i < p->conf.chunks; i++) {
-		if (bits_get(peer->bits, i))
-			p->chunks[i].holders--;
+		if (!bits_get(peer->bits, i))
+			continue;
+		p->chunks[i].holders--;
+		p->chunks[i].near_holders -= peer->near;
 	}
 	TAILQ_REMOVE(&p->peers, peer, link);
 	p->no_read_us = 0;
@@ -203,6 +220,9 @@
 	bits_set(peer->bits, index);
 	peer->have++;
 	c->holders++;
+	c->near_holders += peer->near;
+	if (!peer->near && c->far_since_us == 0)
+		c->far_since_us = now_us;
 	if (c->claimed)
 		return false;
 	c->claimed = true;
@@ -389,6 +409,7 @@
 			bits_clear(peer->bits, index);
 			peer->have--;
 			c->holders--;
+			c->near_holders -= peer->near;
 		}
 		rest_peer(p, peer, reason, now_us);
 		return;
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -78,6 +78,11 @@
 	bool heard; /* a claim for it was heard, or made here */
 	uint8_t bad_reads; /* corrupt copies from the origin, here */
 	uint32_t holders; /* connected peers that have it */
+	uint32_t near_holders; /* of these, in this host's domain */
+	/* Hosts of this domain that fetch it from other domains before this
+	 * one; and since when some peer in another has it (0: none). */
+	uint8_t far_rank;
+	int64_t far_since_us;
 	int64_t claimed_us;
 };
 
@@ -88,6 +93,13 @@
 	int64_t news_us; /* interval at which hosts tell news */
 	unsigned int copies; /* from the origin, over all hosts; 0: never */
 	size_t members; /* of the rollout, this host included */
+	/*
+	 * Links between domains are thin: each chunk is to cross one once a
+	 * domain. Its hosts ask other domains in turn, so long after each
+	 * other; 0: all at once.
+	 */
+	int64_t far_step_us;
+	int64_t silence_min_us; /* 0: the usual; see pick_silence_us */
 };
 
 struct pick {
@@ -110,6 +122,7 @@
 	unsigned int read_failures; /* in a row */
 	int64_t gap_us; /* average of the longest gaps of good asks */
 	int64_t read_us; /* average time of a read */
+	int64_t far_due_us; /* a chunk may be asked of other domains then */
 	uint64_t extra_reads; /* beyond the first copy */
 	uint64_t bad_read_index; /* last chunk whose origin copy was bad */
 	unsigned int bad_reads; /* of that chunk; 0: none */
@@ -141,6 +154,9 @@
 /* Nothing is read before `until_us` (0: at once): peers that have chunks
  * already need a moment to say so. */
 void pick_settle(struct pick *p, int64_t until_us);
+void pick_set_far(
+    struct pick *p, uint64_t index, unsigned int rank, int64_t step_us);
+void pick_set_silence(struct pick *p, int64_t min_us);
 void pick_set_copies(struct pick *p, unsigned int copies);
 
 void pick_add_peer(struct pick *p, struct pick_peer *peer, bool near);
--- a/lib/weights/pick_next.c
+++ b/lib/weights/pick_next.c
@@ -152,10 +152,33 @@
 	    load_of(p, peer, now_us) < PICK_LOAD_MAX;
 }
 
+/* A chunk that is in this domain is asked of others only when it has been
+ * there for so many steps without coming: near hosts are busy or gone. */
+#define FAR_STEPS_NEAR 6
+
+/* Whether another domain may be asked for `index` now. */
+static bool
+far_is_due(struct pick *p, uint64_t index, int64_t now_us)
+{
+	const struct pick_chunk *c = &p->chunks[index];
+	int64_t steps = c->far_rank;
+	int64_t due_us;
+
+	if (p->conf.far_step_us == 0)
+		return true;
+	if (c->near_holders > 0)
+		steps += FAR_STEPS_NEAR;
+	due_us = c->far_since_us + steps * p->conf.far_step_us;
+	if (due_us <= now_us)
+		return true;
+	p->far_due_us = MIN(p->far_due_us, due_us);
+	return false;
+}
+
 /* The rarest missing chunk that `peer` has, or one of the rarest. */
 static bool
-rarest_of(const struct pick *p, const struct pick_peer *peer, struct rng *rng,
-    uint64_t *index_out)
+rarest_of(struct pick *p, const struct pick_peer *peer, int64_t now_us,
+    struct rng *rng, uint64_t *index_out)
 {
 	uint64_t words = bits_words(p->conf.chunks);
 	uint64_t first = rng_below(rng, words);
@@ -173,6 +196,8 @@
 			    at * BITS_WORD + (uint64_t)__builtin_ctzll(left);
 			uint32_t holders = p->chunks[index].holders;
 
+			if (!peer->near && !far_is_due(p, index, now_us))
+				continue;
 			seen++;
 			if (holders < best)
 				ties = 0;
@@ -197,8 +222,8 @@
 }
 
 static bool
-find_ask(const struct pick *p, int64_t now_us, struct rng *rng,
-    struct pick_action *out)
+find_ask(
+    struct pick *p, int64_t now_us, struct rng *rng, struct pick_action *out)
 {
 	const struct pick_peer *peer;
 	const struct pick_peer *best = NULL;
@@ -213,7 +238,7 @@
 		if (best == NULL || better_peer(p, peer, best, now_us))
 			ties = 0;
 		if (rng_below(rng, ++ties) != 0 ||
-		    !rarest_of(p, peer, rng, &index))
+		    !rarest_of(p, peer, now_us, rng, &index))
 			continue;
 		best = peer;
 		out->index = index;
@@ -301,8 +326,10 @@
 	if (may_fetch && may_read(p) && find_read(p, now_us, rng, out, &due_us))
 		return;
 	if (may_fetch && p->open_asks + p->open_reads < PICK_ASKS) {
+		p->far_due_us = INT64_MAX;
 		if (find_ask(p, now_us, rng, out))
 			return;
+		out->until_us = MIN(out->until_us, p->far_due_us);
 		if (may_read(p) && find_extra_read(p, now_us, rng, out))
 			return;
 		earliest_rest(p, now_us, out);
--- a/lib/weights/rank.c
+++ b/lib/weights/rank.c
@@ -40,6 +40,21 @@
 	return false;
 }
 
+/* The highest of the origin's own domain. */
+static void
+choose_readers_in(
+    struct rank *r, struct candidate *c, size_t n, const char *domain)
+{
+	size_t i;
+
+	for (i = 0; i < n && r->nreaders < RANK_READERS; i++) {
+		if (strcmp(c[i].domain, domain) != 0)
+			continue;
+		c[i].reader = true;
+		r->reader[r->nreaders++] = c[i].hash;
+	}
+}
+
 /* One of each failure domain first, so that losing a domain leaves readers
  * that know what was read already; then the highest left. */
 static void
@@ -63,6 +78,14 @@
 void
 rank_build(struct rank *r, const struct digest *root,
     const struct rank_member *members, size_t n, size_t self)
+{
+	rank_build_in(r, root, members, n, self, NULL);
+}
+
+void
+rank_build_in(struct rank *r, const struct digest *root,
+    const struct rank_member *members, size_t n, size_t self,
+    const char *domain)
 {
 	struct candidate *c = g_new0(struct candidate, n);
 	uint64_t own = member_hash(root, members[self].id);
@@ -78,7 +101,10 @@
 		};
 	}
 	qsort(c, n, sizeof(c[0]), by_hash);
-	choose_readers(r, c, n);
+	if (domain != NULL)
+		choose_readers_in(r, c, n, domain);
+	if (r->nreaders == 0)
+		choose_readers(r, c, n);
 	for (at = 0; c[at].index != self; at++)
 		r->later += !c[at].reader;
 	r->self = RANK_NONE;
@@ -123,6 +149,24 @@
 	return ahead;
 }
 
+unsigned int
+rank_far(const struct digest *root, const struct rank_member *members, size_t n,
+    size_t self, uint64_t chunk)
+{
+	uint64_t own =
+	    hash64(member_hash(root, members[self].id), &chunk, sizeof(chunk));
+	unsigned int ahead = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (i != self &&
+		    strcmp(members[i].domain, members[self].domain) == 0)
+			ahead += hash64(member_hash(root, members[i].id),
+				     &chunk, sizeof(chunk)) > own;
+	}
+	return ahead;
+}
+
 bool
 rank_is_reader(const struct rank *r, const struct digest *root, const char *id)
 {
--- a/lib/weights/rank.h
+++ b/lib/weights/rank.h
@@ -30,9 +30,20 @@
 	unsigned int later; /* places behind the readers, when not one */
 };
 
-/* `members` are all members, this host (`self` is its index) included. */
+/*
+ * `members` are all members, this host (`self` is its index) included. Where
+ * some are in `domain` (may be NULL), the readers are of these alone: what the
+ * origin sends then crosses no link between domains.
+ */
 void rank_build(struct rank *r, const struct digest *root,
     const struct rank_member *members, size_t n, size_t self);
+void rank_build_in(struct rank *r, const struct digest *root,
+    const struct rank_member *members, size_t n, size_t self,
+    const char *domain);
+/* How many of the members in `self`'s domain come before it in fetching
+ * `chunk` from other domains. */
+unsigned int rank_far(const struct digest *root,
+    const struct rank_member *members, size_t n, size_t self, uint64_t chunk);
 /* Place of the first reader of a chunk. */
 unsigned int rank_first(const struct rank *r, uint64_t chunk);
 /* This host's rank for a chunk; 0 reads it in turn. */
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -110,6 +110,16 @@
 	struct wts_version version;
 	enum wts_policy policy;
 	unsigned int origin_copies; /* over all hosts; WTS_TIME_FIRST only */
+	/*
+	 * Where links between domains are thin: so long after each other the
+	 * hosts of a domain ask others for a chunk that theirs lacks; and the
+	 * origin's own domain, whose hosts read it. 0 and "": no difference is
+	 * made between domains beyond asking near hosts first.
+	 */
+	unsigned int far_step_ms;
+	char origin_domain[64];
+	/* Least silence of a reader after which the next steps in; 0: 1 s. */
+	unsigned int silence_ms;
 };
 /* Starts, or goes on with changed terms; idempotent. Chunks held for other
  * versions are reused. ERR_INVALID for sizes out of bounds. Nothing is
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -235,6 +235,11 @@
 
 	x->want.policy = want->policy;
 	x->want.origin_copies = want->origin_copies;
+	x->want.far_step_ms = want->far_step_ms;
+	g_strlcpy(x->want.origin_domain, want->origin_domain,
+	    sizeof(x->want.origin_domain));
+	pick_set_silence(x->pick, (int64_t)want->silence_ms * 1000);
+	pick_set_silence(x->list_pick, (int64_t)want->silence_ms * 1000);
 	if (want->policy == WTS_PEERS_ONLY)
 		copies = 0;
 	else if (want->policy == WTS_TIME_FIRST)
@@ -289,6 +294,20 @@
 	}
 }
 
+static void
+rank_far_chunks(struct xfer *x, const struct rank_member *all, size_t self)
+{
+	const struct digest *root = &x->want.version.root;
+	int64_t step_us = (int64_t)x->want.far_step_ms * 1000;
+	uint64_t i;
+
+	if (step_us == 0)
+		return;
+	for (i = 0; i < x->pick->conf.chunks; i++)
+		pick_set_far(x->pick, i, rank_far(root, all, self + 1, self, i),
+		    step_us);
+}
+
 static void
 rank_members(struct xfer *x)
 {
@@ -305,7 +324,9 @@
 		all[i] = (struct rank_member){ m->id, m->domain };
 	}
 	all[n] = (struct rank_member){ x->wts->conf.id, x->wts->conf.domain };
-	rank_build(&rank, root, all, n + 1, n);
+	rank_build_in(&rank, root, all, n + 1, n,
+	    x->want.origin_domain[0] == '\0' ? NULL : x->want.origin_domain);
+	rank_far_chunks(x, all, n);
 	for (i = 0; i < n; i++) {
 		struct member *m = x->members->pdata[i];
 
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -79,16 +79,17 @@
 /* Views                                                               */
 /* ------------------------------------------------------------------ */
 
-static const char *
+/* The service that is the weights' origin; NULL: there is none. */
+static const struct sv_service *
 origin_of(const struct sv_config *config)
 {
 	size_t i;
 
 	for (i = 0; i < config->nservices; i++) {
 		if (config->services[i].origin != NULL)
-			return config->services[i].origin;
+			return &config->services[i];
 	}
-	return "";
+	return NULL;
 }
 
 /* The newest that was named, or else the newest that any engine has. */
@@ -111,6 +112,8 @@
 {
 	const struct sv_engine *e = &service->engine;
 	int64_t heard_us = vers_heard_us(g->named, e->model);
+	const struct sv_service *origin =
+	    origin_of(rtab_config(fwd_routes(g->fwd)));
 
 	view->model = slice_str(e->model);
 	view->version = (uint64_t)version_wanted(g, service);
@@ -118,7 +121,10 @@
 	    ? 0
 	    : (uint64_t)(evl_now_us(g->st.loop) - heard_us) / 1000;
 	view->due_ms = (uint64_t)cfg_int(g->st.cfg, "bounds.version_ms");
-	view->origin = slice_str(origin_of(rtab_config(fwd_routes(g->fwd))));
+	if (origin != NULL) {
+		view->origin = slice_str(origin->origin);
+		view->origin_domain = slice_str(origin->domain);
+	}
 	view->chunks = e->chunks;
 	view->chunk_bytes = e->chunk_bytes;
 }
--- a/programs/side/keeper.c
+++ b/programs/side/keeper.c
@@ -10,6 +10,14 @@
  * between two requests that it gets (some 16 a second). */
 #define TICK_US 30000
 
+const char *
+keeper_region(const struct keeper *k, const char *domain)
+{
+	if (!cfg_key_valid(domain) || !cfg_has(k->st.cfg, "domains.%s", domain))
+		return domain;
+	return cfg_str(k->st.cfg, "domains.%s", domain);
+}
+
 static void
 on_tick(struct evl_timer *timer)
 {
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -28,7 +28,7 @@
 /* Another keeper of the same model. */
 struct keeper_peer {
 	char address[KEEPER_ADDRESS_MAX]; /* its id, too */
-	char domain[KEEPER_MODEL_MAX];
+	char region[KEEPER_MODEL_MAX];
 };
 
 struct keeper {
@@ -41,6 +41,7 @@
 	/* The view: what gateways say is wanted. */
 	char model[KEEPER_MODEL_MAX];
 	char origin[KEEPER_ADDRESS_MAX];
+	char origin_region[KEEPER_MODEL_MAX];
 	uint64_t chunks, chunk_bytes;
 	int64_t heard_us; /* of the wanted version */
 	int64_t due_us; /* it is due then; 0: no bound */
@@ -82,6 +83,9 @@
 void keeper_step(struct keeper *k); /* carries out what is next */
 void keeper_ask_report(struct keeper *k);
 
+/* Region of a failure domain, by the settings; the domain itself if none. */
+const char *keeper_region(const struct keeper *k, const char *domain);
+
 /* keeper_gateways.c: views and loads */
 bool keeper_gateways_open(struct keeper *k, struct err *err);
 void keeper_tell_load(struct keeper *k);
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -82,7 +82,8 @@
 }
 
 static void
-read_peer(const uint8_t *raw, char **domains, struct keeper_peer *out)
+read_peer(const struct keeper *k, const uint8_t *raw, char **domains,
+    struct keeper_peer *out)
 {
 	char ip[INET_ADDRSTRLEN];
 	uint16_t port;
@@ -93,8 +94,9 @@
 	memset(out, 0, sizeof(*out));
 	g_snprintf(
 	    out->address, sizeof(out->address), "%s:%u", ip, ntohs(port));
-	g_strlcpy(out->domain, raw[6] < n ? domains[raw[6]] : "",
-	    sizeof(out->domain));
+	g_strlcpy(out->region,
+	    raw[6] < n ? keeper_region(k, domains[raw[6]]) : "",
+	    sizeof(out->region));
 }
 
 /* True when the peers have changed. */
@@ -110,7 +112,7 @@
 
 	for (at = 0; at + SIDE_PEER_BYTES <= view->peers.len;
 	     at += SIDE_PEER_BYTES) {
-		read_peer(view->peers.data + at, domains, &peer);
+		read_peer(k, view->peers.data + at, domains, &peer);
 		g_array_append_val(peers, peer);
 	}
 	g_array_sort(peers, by_address);
@@ -156,10 +158,13 @@
 take_view(struct keeper *k, const struct side_view *view)
 {
 	bool changed;
-	char model[KEEPER_MODEL_MAX];
+	char model[KEEPER_MODEL_MAX], domain[KEEPER_MODEL_MAX];
 
 	take_text(model, sizeof(model), view->model);
 	take_text(k->origin, sizeof(k->origin), view->origin);
+	take_text(domain, sizeof(domain), view->origin_domain);
+	g_strlcpy(k->origin_region, keeper_region(k, domain),
+	    sizeof(k->origin_region));
 	changed = take_peers(k, view);
 	if (strcmp(model, k->model) != 0) {
 		g_strlcpy(k->model, model, sizeof(k->model));
--- a/programs/side/keeper_weights.c
+++ b/programs/side/keeper_weights.c
@@ -13,6 +13,16 @@
 /* Versions that may be held at once: the loaded, the wanted, one between. */
 #define VERSIONS_HELD 3
 #define MEMORY_MIN (8u << 20)
+/*
+ * Regions are joined by thin links that carry callers' requests, too. A piece
+ * takes 35 ms on a host's link; a host that fetches for its region has four
+ * under way. After this the next host of the region tries.
+ */
+#define FAR_STEP_MS 400
+/* A reader of the origin that is silent for this and the time that news and
+ * pieces take is replaced: a second copy of a few pieces costs less than a
+ * second in which engines wait. */
+#define SILENCE_MS 250
 /* Names under which the transfer asks for bytes. */
 #define NAME_LIST "list"
 #define NAME_WEIGHTS "weights"
@@ -153,7 +163,7 @@
 		if (strcmp(p->address, k->st.node.id) != 0)
 			peers[n++] = (struct wts_peer){ .id = p->address,
 				.address = p->address,
-				.domain = p->domain };
+				.domain = p->region };
 	}
 	wts_set_peers(k->wts, &k->version.root, peers, n);
 	g_free(peers);
@@ -181,6 +191,10 @@
 	    (unsigned int)cfg_int(k->st.cfg, "policy.origin_copies");
 	if (want.origin_copies > 1)
 		want.policy = WTS_TIME_FIRST;
+	want.far_step_ms = FAR_STEP_MS;
+	want.silence_ms = SILENCE_MS;
+	g_strlcpy(
+	    want.origin_domain, k->origin_region, sizeof(want.origin_domain));
 	if (!wts_want(k->wts, &want, &err)) {
 		log_warn("weights: %s", err.message);
 		forget_version(k);
@@ -300,7 +314,7 @@
 	    (uint64_t)(cfg_num(cfg, "limits.link_mbit") * 1e6 / 8 * LINK_SHARE);
 	struct wts_conf conf = {
 		.id = k->st.node.id,
-		.domain = cfg_str(cfg, "node.domain"),
+		.domain = cfg_str(cfg, "node.region"),
 		.origin = "",
 		.download_bytes_s = link,
 		.upload_bytes_s = link,
