Weights: a narrow link gets one piece at a time, with pauses

Ruled out: the link between regions (the slow path was within one zone). Change: pick measures what part of its budget arrives; below 0.3 it asks for one piece at a time and rests as long as it took; such a host sends pieces only that nobody else has.

--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -19,6 +19,11 @@
 #define STRIKES_MAX 8
 #define READ_REST_US (SECOND_US / 4)
 #define READ_REST_MAX_US (8 * (int64_t)SECOND_US)
+/* Peers that are busy halve what arrives now and then; a link squeezed to an
+ * eighth stays far below. */
+#define NARROW_SHARE 0.3
+#define RATE_WEIGHT 0.25 /* of the newest chunk */
+#define PAUSE_MAX_US SECOND_US
 #define AVERAGE_SHARE 8 /* of the newest sample: one eighth */
 
 int64_t
@@ -67,6 +72,7 @@
 
 	p->conf = *conf;
 	p->start_us = now_us;
+	p->share = 1;
 	p->unclaimed = conf->chunks;
 	p->chunks = g_new0(struct pick_chunk, conf->chunks);
 	p->need = bits_new(conf->chunks);
@@ -314,6 +320,26 @@
 		note_gap(ask, now_us);
 }
 
+bool
+pick_is_narrow(const struct pick *p)
+{
+	return p->share < NARROW_SHARE;
+}
+
+/* A chunk came from a peer, with others under way beside it. */
+static void
+note_rate(struct pick *p, const struct pick_ask *ask, int64_t now_us)
+{
+	int64_t took_us = MAX(1, now_us - ask->since_us);
+	double bytes = (double)(p->open_asks * p->conf.chunk_bytes);
+	double share =
+	    bytes * SECOND_US / (double)took_us / (double)p->conf.rate;
+
+	p->share += (MIN(share, 1) - p->share) * RATE_WEIGHT;
+	if (pick_is_narrow(p))
+		p->pause_us = now_us + MIN(took_us, PAUSE_MAX_US);
+}
+
 void
 pick_arrived(struct pick *p, uint64_t index, int64_t now_us)
 {
@@ -323,6 +349,7 @@
 	note_gap(ask, now_us);
 	if (ask->peer != NULL) {
 		average(&p->gap_us, ask->gap_us);
+		note_rate(p, ask, now_us);
 	} else if (p->read_us == 0) {
 		p->read_us = now_us - ask->since_us;
 	} else {
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -122,6 +122,14 @@
 	unsigned int read_failures; /* in a row */
 	int64_t gap_us; /* average of the longest gaps of good asks */
 	int64_t read_us; /* average time of a read */
+	/*
+	 * Part of `rate` that arrives while chunks are under way, moving
+	 * average. Well below one, something on the way is narrower than the
+	 * budget says; what is under way then stands in the queue of live
+	 * traffic, so one chunk at a time is asked for, with pauses.
+	 */
+	double share;
+	int64_t pause_us; /* nothing is asked before */
 	int64_t far_due_us; /* a chunk may be asked of other domains then */
 	uint64_t extra_reads; /* beyond the first copy */
 	uint64_t bad_read_index; /* last chunk whose origin copy was bad */
@@ -192,5 +200,7 @@
 /* What no claim is heard for before the next in rank steps in. */
 int64_t pick_silence_us(const struct pick *p);
 int64_t pick_chunk_us(const struct pick *p); /* a chunk's time on the link */
+/* The way here is much narrower than the budget. */
+bool pick_is_narrow(const struct pick *p);
 
 #endif
--- a/lib/weights/pick_next.c
+++ b/lib/weights/pick_next.c
@@ -310,6 +310,12 @@
 	return p->ranked && p->conf.copies > 0 && p->open_reads < PICK_READS;
 }
 
+static unsigned int
+asks_max(const struct pick *p)
+{
+	return pick_is_narrow(p) ? 1 : PICK_ASKS;
+}
+
 void
 pick_next(struct pick *p, bool may_fetch, int64_t now_us, struct rng *rng,
     struct pick_action *out)
@@ -325,7 +331,10 @@
 		return;
 	if (may_fetch && may_read(p) && find_read(p, now_us, rng, out, &due_us))
 		return;
-	if (may_fetch && p->open_asks + p->open_reads < PICK_ASKS) {
+	if (may_fetch && p->open_asks + p->open_reads < asks_max(p) &&
+	    now_us < p->pause_us) {
+		out->until_us = MIN(out->until_us, p->pause_us);
+	} else if (may_fetch && p->open_asks + p->open_reads < asks_max(p)) {
 		p->far_due_us = INT64_MAX;
 		if (find_ask(p, now_us, rng, out))
 			return;
--- a/lib/weights/serve.c
+++ b/lib/weights/serve.c
@@ -145,6 +145,12 @@
 		refuse(peer, get->index, false);
 		return;
 	}
+	/* On a narrow link what is sent here delays the engine's answers, and
+	 * the peer waits long: others that have the chunk serve it better. */
+	if (pick_is_narrow(peer->xfer->pick) && copies_of(&u) > 0) {
+		refuse(peer, get->index, true);
+		return;
+	}
 	if (peer->nuploads >= PICK_ASKS_PER_PEER ||
 	    (wts->nuploads >= UPLOADS_MAX && !displace(wts, &u))) {
 		refuse(peer, get->index, true);
