Weights: the origin's readers share its pieces evenly; digests by peers

Change: four keepers read the digests, others take them from peers once two agree on the root; calls to the origin close; eight readers go round the pieces. Store watches gather changes; far gateways hear loads every 150 ms.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -98,6 +98,8 @@
 	if (conf->body_len > 0)
 		g_string_append_printf(
 		    head, "Content-Length: %zu\r\n", conf->body_len);
+	if (conf->close)
+		g_string_append(head, "Connection: close\r\n");
 	g_string_append(head, "\r\n");
 	f->loop = loop;
 	f->answer_max = conf->answer_max;
@@ -112,6 +114,8 @@
 		.body_len = conf->body_len,
 		.ops = &ops,
 		.ctx = f });
+	if (conf->close)
+		hcall_spoil(f->call);
 	evl_timer_set(loop, &f->timer, evl_now_us(loop) + conf->timeout_us);
 	g_string_free(head, TRUE);
 	return f;
--- a/lib/http/fetch.h
+++ b/lib/http/fetch.h
@@ -26,6 +26,8 @@
 	size_t body_len;
 	int64_t timeout_us;
 	size_t answer_max; /* bytes; a longer answer is a failure */
+	/* For targets that take few connections: this one is closed after. */
+	bool close;
 	hfetch_cb *done;
 	void *ctx;
 };
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -6,10 +6,12 @@
 #define COUNT_MAX (1u << 20)
 
 static const struct msg_field view_fields[] = {
+	MSG_FIELD(struct side_view, region, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_view, model, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_view, version, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_view, age_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_view, due_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_view, root, MSG_DIGEST, 0),
 	MSG_FIELD(struct side_view, origin, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_view, origin_domain, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_view, chunks, MSG_U64, COUNT_MAX),
@@ -26,9 +28,10 @@
 	MSG_FIELD(struct side_load, engine, MSG_U64, SIDE_ENGINE_UP),
 	MSG_FIELD(struct side_load, running, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_load, waiting, MSG_U64, COUNT_MAX),
-	MSG_FIELD(struct side_load, model, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_load, version, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_load, pace_permille, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_load, wanted, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_load, root, MSG_BIN, DIGEST_BYTES),
 	MSG_FIELD(struct side_load, gateways, MSG_U64, COUNT_MAX),
 };
 const struct msg_desc side_load_desc =
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -21,10 +21,12 @@
 #define SIDE_DOMAINS_MAX 200 /* bytes of all their names */
 
 struct side_view {
+	struct slice region; /* of the gateway */
 	struct slice model;
 	uint64_t version; /* to be loaded */
 	uint64_t age_ms; /* since its name was heard of first */
 	uint64_t due_ms; /* from then on, no request begins on older ones */
+	struct digest root; /* of that version, as keepers found; or none */
 	struct slice origin; /* "ip:port", or empty */
 	struct slice origin_domain;
 	uint64_t chunks, chunk_bytes;
@@ -42,9 +44,10 @@
 	struct slice address; /* of the engine */
 	uint64_t engine; /* enum side_engine */
 	uint64_t running, waiting;
-	struct slice model; /* loaded; empty: none */
-	uint64_t version;
+	uint64_t version; /* of the service's model, loaded; 0: none */
 	uint64_t pace_permille; /* of its steps against the stated */
+	uint64_t wanted; /* version whose root follows */
+	struct slice root; /* as read from the origin; empty: not here */
 	uint64_t gateways; /* that the keeper hears */
 };
 
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -30,6 +30,9 @@
 	bool side_down; /* its side cannot reach it, or it loads weights */
 	char model[SV_ID_MAX]; /* loaded; newer of store and side */
 	int64_t version;
+	/* Root digest that its keeper read of a version's digests. */
+	struct digest root;
+	int64_t root_version;
 	double pace; /* of its steps against the stated; 1: as stated */
 	/* Failures without an answer. */
 	unsigned int failures; /* in a row */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -215,6 +215,17 @@
 	g_clear_pointer(&m->after, g_free);
 }
 
+/* On to the next watch, when what comes meanwhile has gathered. */
+static void
+gather(struct mirror *m)
+{
+	if (m->kind->gather_us == 0)
+		next_call(m);
+	else
+		evl_timer_set(m->store->conf.loop, &m->timer,
+		    now_us(m) + m->kind->gather_us);
+}
+
 static void
 take_page(struct mirror *m, struct store_page *page)
 {
@@ -229,7 +240,7 @@
 	take_items(m, page);
 	if (m->state == MIRROR_WATCH) {
 		m->at = page->at;
-		next_call(m);
+		gather(m);
 		return;
 	}
 	if (m->list_at == 0)
@@ -246,7 +257,7 @@
 	m->state = MIRROR_WATCH;
 	if (m->ops.synced != NULL)
 		m->ops.synced(m->ctx);
-	next_call(m);
+	gather(m);
 }
 
 /* ------------------------------------------------------------------ */
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -25,6 +25,10 @@
 
 struct store_kind {
 	const char *name; /* in paths */
+	/* Least time from one answer to the next watch: changes that come
+	 * close together are paid for as one call. Part of the time in which
+	 * they must be in force. */
+	int64_t gather_us;
 	/* Decodes one object; `node` is the dialect's. NULL on refusal. */
 	void *(*decode)(const char *name, void *node, struct err *err);
 	void (*free)(void *value);
--- a/lib/weights/rank.c
+++ b/lib/weights/rank.c
@@ -115,38 +115,22 @@
 	g_free(c);
 }
 
-static uint64_t
-chunk_score(const struct rank *r, unsigned int reader, uint64_t chunk)
-{
-	return hash64(r->reader[reader], &chunk, sizeof(chunk));
-}
-
+/* Chunks go round the readers, so that all have the same to read: the one
+ * with the most would end last, and everybody waits for its chunks. */
 unsigned int
 rank_first(const struct rank *r, uint64_t chunk)
 {
-	unsigned int best = 0;
-	unsigned int i;
-
-	for (i = 1; i < r->nreaders; i++) {
-		if (chunk_score(r, i, chunk) > chunk_score(r, best, chunk))
-			best = i;
-	}
-	return best;
+	return r->nreaders == 0 ? 0 : (unsigned int)(chunk % r->nreaders);
 }
 
 unsigned int
 rank_self(const struct rank *r, uint64_t chunk)
 {
-	unsigned int ahead = 0;
-	unsigned int i;
-	uint64_t own;
+	unsigned int first = rank_first(r, chunk);
 
 	if (r->self == RANK_NONE)
 		return r->nreaders + r->later;
-	own = chunk_score(r, r->self, chunk);
-	for (i = 0; i < r->nreaders; i++)
-		ahead += chunk_score(r, i, chunk) > own;
-	return ahead;
+	return (r->self + r->nreaders - first) % r->nreaders;
 }
 
 unsigned int
--- a/lib/weights/rank.h
+++ b/lib/weights/rank.h
@@ -6,7 +6,7 @@
  * alike from the members of the rollout (rendezvous hashing).
  *
  * A few members, spread over the failure domains, are the readers. Each
- * chunk ranks the readers by a hash of (chunk, reader); the other members
+ * chunk has a first reader, and the others step in by turn; the other members
  * follow in one order that is the same for all chunks. Few readers keep the
  * origin's link to few reads at a time: with all members reading at once
  * every first chunk would be whole only when almost all are, and no host
@@ -15,7 +15,7 @@
 
 #include "weights/weights.h"
 
-#define RANK_READERS 4
+#define RANK_READERS 8
 #define RANK_NONE UINT32_MAX
 
 struct rank_member {
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -134,6 +134,8 @@
 bool wts_offer_list(struct wts *wts, const struct digest *root, GBytes *list);
 bool wts_offer(
     struct wts *wts, const struct digest *root, uint64_t index, GBytes *bytes);
+/* The chunk list as soon as it is known and verified; NULL before. Borrowed. */
+GBytes *wts_known_list(struct wts *wts, const struct digest *root);
 /* Who else takes part now (live or suspected members, not this host). Given
  * again whenever it changes; peers gone are closed. */
 void wts_set_peers(struct wts *wts, const struct digest *root,
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -271,6 +271,14 @@
 	bucket_take_live(&wts->up, bytes, now_us);
 }
 
+GBytes *
+wts_known_list(struct wts *wts, const struct digest *root)
+{
+	struct xfer *x = wts_find(wts, root);
+
+	return x == NULL ? NULL : x->list;
+}
+
 GBytes *
 wts_list(struct wts *wts, const struct digest *root)
 {
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -106,6 +106,31 @@
 	return MAX(version, 1); /* versions start at 1 */
 }
 
+/* Keepers that read the same digests from the origin before others take them
+ * over without reading: a single answer may have been spoilt on its way. */
+#define ROOT_VOTES 2
+
+/* The root that enough keepers found; none otherwise. */
+static struct digest
+agreed_root(const struct tgt_service *service, int64_t version)
+{
+	struct digest none = { 0 };
+	const struct tgt *t, *other;
+	unsigned int votes;
+
+	TAILQ_FOREACH (t, &service->targets, link) {
+		if (t->root_version != version || digest_is_none(&t->root))
+			continue;
+		votes = 0;
+		TAILQ_FOREACH (other, &service->targets, link)
+			votes += other->root_version == version &&
+			    digest_equal(&t->root, &other->root);
+		if (votes >= ROOT_VOTES)
+			return t->root;
+	}
+	return none;
+}
+
 static void
 fill_view(struct gateway *g, const struct tgt_service *service,
     struct side_view *view)
@@ -115,8 +140,10 @@
 	const struct sv_service *origin =
 	    origin_of(rtab_config(fwd_routes(g->fwd)));
 
+	view->region = slice_str(cfg_str(g->st.cfg, "node.region"));
 	view->model = slice_str(e->model);
 	view->version = (uint64_t)version_wanted(g, service);
+	view->root = agreed_root(service, (int64_t)view->version);
 	view->age_ms = heard_us == 0
 	    ? 0
 	    : (uint64_t)(evl_now_us(g->st.loop) - heard_us) / 1000;
@@ -218,13 +245,43 @@
 	out[n] = '\0';
 }
 
+/* True when the keeper's word on a root is news. */
+static bool
+note_root(struct tgt *t, const struct side_load *load)
+{
+	struct digest root;
+
+	if (load->root.len != DIGEST_BYTES)
+		return false;
+	memcpy(root.bytes, load->root.data, DIGEST_BYTES);
+	if (t->root_version == (int64_t)load->wanted &&
+	    digest_equal(&t->root, &root))
+		return false;
+	t->root = root;
+	t->root_version = (int64_t)load->wanted;
+	return true;
+}
+
+/* News of a root go on at once while they decide something. */
+static bool
+root_matters(struct gateway *g, const struct tgt *t)
+{
+	struct digest root = agreed_root(t->service, t->root_version);
+	const struct tgt *other;
+	unsigned int votes = 0;
+
+	if (digest_is_none(&root))
+		return false;
+	TAILQ_FOREACH (other, &t->service->targets, link)
+		votes += other->root_version == t->root_version;
+	return votes == ROOT_VOTES;
+}
+
 static void
 note_engine(struct tgt *t, const struct side_load *load)
 {
 	bool down = load->engine != SIDE_ENGINE_UP;
-	char model[SV_ID_MAX];
 
-	take_slice(model, sizeof(model), load->model);
 	if (down != t->side_down || (int64_t)load->version != t->version)
 		evt(EVT_SIDE,
 		    "target=%s engine=%s version=%" G_GUINT64_FORMAT
@@ -235,7 +292,8 @@
 							      : "down",
 		    load->version, load->running);
 	t->side_down = down;
-	g_strlcpy(t->model, model, sizeof(t->model));
+	g_strlcpy(t->model, load->version > 0 ? t->service->engine.model : "",
+	    sizeof(t->model));
 	t->version = (int64_t)load->version;
 	t->pace =
 	    load->pace_permille == 0 ? 1 : (double)load->pace_permille / 1000.0;
@@ -260,6 +318,8 @@
 	t->side_us = now_us;
 	tgt_load(t, (unsigned int)(load.running + load.waiting), now_us);
 	note_gateways(g, (unsigned int)load.gateways);
+	if (note_root(t, &load) && root_matters(g, t))
+		gateway_peers_tell(g);
 	fwd_pump(g->fwd);
 }
 
--- a/programs/side/keeper.c
+++ b/programs/side/keeper.c
@@ -51,7 +51,7 @@
 	struct keeper *k = ctx;
 	struct wts_progress p = { 0 };
 
-	if (k->list != NULL)
+	if (k->has_root)
 		wts_progress(k->wts, &k->version.root, &p);
 	g_string_append_printf(out,
 	    "keeper_wanted_version %" G_GINT64_FORMAT
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -22,7 +22,9 @@
 /* A gateway that has told its view lately. */
 struct keeper_gateway {
 	char address[KEEPER_ADDRESS_MAX];
+	bool near; /* in this keeper's region */
 	int64_t heard_us;
+	int64_t told_us; /* the last load */
 };
 
 /* Another keeper of the same model. */
@@ -49,17 +51,24 @@
 	struct stg_state stage;
 	enum stg_step step; /* as last logged */
 	struct wts_version version; /* the wanted one, once known */
+	bool has_root; /* `version` is filled in and wanted of the swarm */
+	bool own_root; /* read from the origin here */
 	GBytes *list; /* its digests */
+	struct digest told_root; /* that gateways say others found */
 	/* The engine. */
 	struct hfetch *report;
 	struct sv_report engine;
 	unsigned int report_failures;
 	bool had_engine; /* it answered at least once */
-	int64_t told_us; /* last load told */
+	/* What gateways were told last. */
 	struct sv_report told;
 	enum stg_step told_step;
+	bool told_own_root, told_up;
 	/* The call that a step waits for. */
 	struct hfetch *call;
+	struct hfetch *manifest;
+	int64_t manifest_rest_us;
+	int64_t wanted_us, asked_us; /* wanted; its digests first needed */
 	uint64_t index; /* of the piece it is about */
 	uint64_t bad; /* pieces found spoilt or missing in this pass */
 	bool *placed; /* pieces that lie in the staging place */
@@ -76,7 +85,9 @@
 bool keeper_weights_open(struct keeper *k, struct err *err);
 void keeper_want(struct keeper *k, int64_t version);
 void keeper_set_peers(struct keeper *k);
-void keeper_fetch_manifest(struct keeper *k);
+/* Learns the wanted version's digests: from the origin in turn, or from other
+ * keepers once enough agree on their root. */
+void keeper_learn_digests(struct keeper *k);
 extern const struct conn_ops keeper_conn_ops;
 
 /* keeper_engine.c: the engine's staging place, orders and reports */
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -331,7 +331,7 @@
 	log_step(k, step);
 	switch (step) {
 	case STG_MANIFEST:
-		keeper_fetch_manifest(k);
+		keeper_learn_digests(k);
 		break;
 	case STG_LOOK:
 		k->index = 0;
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -11,6 +11,20 @@
 /* A load that has not changed is told again this often, so that its age and
  * the keeper's silence mean something. */
 #define TELL_AGAIN_US 250000
+/* Least time between two loads for a gateway. Those of other regions choose
+ * this engine less, and bytes between regions are dear: all keepers to all
+ * gateways at the near rate would be most of what crosses. */
+#define TELL_NEAR_US 25000
+#define TELL_FAR_US 150000
+
+static void
+take_text(char *out, size_t size, struct slice s)
+{
+	size_t n = MIN(s.len, size - 1);
+
+	memcpy(out, s.data, n);
+	out[n] = '\0';
+}
 
 /* ------------------------------------------------------------------ */
 /* Gateways                                                            */
@@ -23,9 +37,10 @@
 }
 
 static void
-note_gateway(struct keeper *k, const char *from)
+note_gateway(struct keeper *k, const char *from, const struct side_view *view)
 {
 	struct keeper_gateway fresh = { .heard_us = keeper_now(k) };
+	char region[KEEPER_MODEL_MAX];
 	guint i;
 
 	for (i = 0; i < k->gateways->len; i++) {
@@ -36,9 +51,10 @@
 	}
 	if (k->gateways->len == KEEPER_GATEWAYS_MAX)
 		return;
+	take_text(region, sizeof(region), view->region);
+	fresh.near = strcmp(region, cfg_str(k->st.cfg, "node.region")) == 0;
 	g_strlcpy(fresh.address, from, sizeof(fresh.address));
 	g_array_append_val(k->gateways, fresh);
-	k->told_us = 0; /* it is told at once */
 }
 
 static void
@@ -65,15 +81,6 @@
 /* Views                                                               */
 /* ------------------------------------------------------------------ */
 
-static void
-take_text(char *out, size_t size, struct slice s)
-{
-	size_t n = MIN(s.len, size - 1);
-
-	memcpy(out, s.data, n);
-	out[n] = '\0';
-}
-
 static gint
 by_address(gconstpointer a, gconstpointer b)
 {
@@ -154,6 +161,16 @@
 	k->due_us = skipped ? MIN(k->due_us, due_us) : due_us;
 }
 
+static void
+take_root(struct keeper *k, const struct side_view *view)
+{
+	k->told_root = view->root;
+	if (k->has_root)
+		return;
+	k->chunks = view->chunks;
+	k->chunk_bytes = view->chunk_bytes;
+}
+
 static void
 take_view(struct keeper *k, const struct side_view *view)
 {
@@ -177,6 +194,8 @@
 	}
 	k->stage.turn_us =
 	    stg_turn(k->heard_us, k->due_us, own_rank(k), k->peers->len);
+	if ((int64_t)view->version == k->stage.wanted)
+		take_root(k, view);
 	if (changed && (k->stage.looked || k->stage.loaded != 0))
 		keeper_set_peers(k);
 }
@@ -189,7 +208,7 @@
 
 	if (!msg_read(m, &side_view_desc, &view, NULL))
 		return;
-	note_gateway(k, from);
+	note_gateway(k, from, &view);
 	take_view(k, &view);
 	keeper_step(k);
 }
@@ -208,13 +227,41 @@
 	return SIDE_ENGINE_UP;
 }
 
+/* What a gateway must hear at once: whether requests can go there at all. */
+static bool
+state_changed(const struct keeper *k)
+{
+	return k->told.version != k->engine.version ||
+	    k->told.busy != k->engine.busy || k->told_step != k->step ||
+	    k->told_own_root != k->own_root || k->told_up != k->stage.up;
+}
+
 static bool
-has_changed(const struct keeper *k)
+load_changed(const struct keeper *k)
 {
 	return k->told.running != k->engine.running ||
-	    k->told.waiting != k->engine.waiting ||
-	    k->told.version != k->engine.version ||
-	    k->told.busy != k->engine.busy || k->told_step != k->step;
+	    k->told.waiting != k->engine.waiting;
+}
+
+static bool
+is_due(const struct keeper *k, const struct keeper_gateway *g)
+{
+	int64_t since_us = keeper_now(k) - g->told_us;
+
+	if (state_changed(k))
+		return true;
+	if (load_changed(k))
+		return since_us >= (g->near ? TELL_NEAR_US : TELL_FAR_US);
+	return since_us >= TELL_AGAIN_US;
+}
+
+static void
+note_told(struct keeper *k)
+{
+	k->told = k->engine;
+	k->told_step = k->step;
+	k->told_own_root = k->own_root;
+	k->told_up = k->stage.up;
 }
 
 void
@@ -225,23 +272,29 @@
 		.engine = engine_state(k),
 		.running = k->engine.running,
 		.waiting = k->engine.waiting,
-		.model = slice_str(k->engine.model),
 		.version = (uint64_t)k->stage.loaded,
 		.pace_permille = (uint64_t)(k->engine.pace * 1000),
 	};
+	struct keeper_gateway *g;
 	guint i;
 
 	drop_silent(k);
-	if (!k->had_engine ||
-	    (!has_changed(k) && keeper_now(k) - k->told_us < TELL_AGAIN_US))
+	if (!k->had_engine)
 		return;
 	load.gateways = k->gateways->len;
-	for (i = 0; i < k->gateways->len; i++)
-		dgram_send(k->dgram, gateway_at(k, i)->address, &side_load_desc,
-		    &load);
-	k->told = k->engine;
-	k->told_step = k->step;
-	k->told_us = keeper_now(k);
+	if (k->own_root) {
+		load.wanted = (uint64_t)k->stage.wanted;
+		load.root =
+		    (struct slice){ k->version.root.bytes, DIGEST_BYTES };
+	}
+	for (i = 0; i < k->gateways->len; i++) {
+		g = gateway_at(k, i);
+		if (!is_due(k, g))
+			continue;
+		dgram_send(k->dgram, g->address, &side_load_desc, &load);
+		g->told_us = keeper_now(k);
+	}
+	note_told(k);
 }
 
 bool
--- a/programs/side/keeper_weights.c
+++ b/programs/side/keeper_weights.c
@@ -8,6 +8,15 @@
 #define MANIFEST_TIMEOUT_US 1500000
 #define MANIFEST_MAX (1u << 20)
 #define MANIFEST_REST_US 300000
+/*
+ * The origin takes few connections and is slow: this many keepers read a
+ * version's digests there; the others wait for these to agree and take them
+ * from peers, and ask the origin only when that has not come about.
+ */
+#define MANIFEST_READERS 4
+#define MANIFEST_ALONE_US 700000
+#define MANIFEST_STEP_US 50000
+#define MANIFEST_SPREAD_US 2000000
 /* Share of the host's link for pieces; the rest is for control. */
 #define LINK_SHARE 0.95
 /* Versions that may be held at once: the loaded, the wanted, one between. */
@@ -96,6 +105,7 @@
 		.path = path,
 		.timeout_us = (int64_t)stall_ms * 1000 + 1000000,
 		.answer_max = len,
+		.close = true,
 		.done = on_piece,
 		.ctx = r });
 	g_free(path);
@@ -120,18 +130,25 @@
 static void
 forget_version(struct keeper *k)
 {
-	if (k->list != NULL)
+	if (k->has_root)
 		wts_drop(k->wts, &k->version.root);
+	k->has_root = false;
+	k->own_root = false;
 	g_clear_pointer(&k->list, g_bytes_unref);
 	g_clear_pointer(&k->placed, g_free);
 	if (k->call != NULL)
 		hfetch_cancel(k->call);
+	if (k->manifest != NULL)
+		hfetch_cancel(k->manifest);
 	k->call = NULL;
+	k->manifest = NULL;
 }
 
 void
 keeper_want(struct keeper *k, int64_t version)
 {
+	k->wanted_us = keeper_now(k);
+	memset(&k->told_root, 0, sizeof(k->told_root));
 	evt(EVT_WEIGHTS,
 	    "step=wanted model=%s version=%" G_GINT64_FORMAT
 	    " before=%" G_GINT64_FORMAT " loaded=%" G_GINT64_FORMAT,
@@ -145,6 +162,7 @@
 		.running = k->stage.running,
 	};
 	k->rest_until_us = 0;
+	k->manifest_rest_us = 0;
 }
 
 void
@@ -155,7 +173,7 @@
 	size_t n = 0;
 	guint i;
 
-	if (k->list == NULL)
+	if (!k->has_root)
 		return;
 	peers = g_new0(struct wts_peer, k->peers->len + 1);
 	for (i = 0; i < k->peers->len; i++) {
@@ -170,22 +188,17 @@
 }
 
 static void
-begin_transfer(struct keeper *k, GByteArray *list, uint64_t chunk_bytes)
+begin_transfer(struct keeper *k, const struct digest *root)
 {
-	uint64_t chunks = list->len / DIGEST_BYTES;
 	struct wts_want want = { .policy = WTS_ORIGIN_FIRST };
 	struct err err = { 0 };
 
-	k->chunk_bytes = chunk_bytes;
-	k->chunks = chunks;
-	k->version = (struct wts_version){ .bytes = chunks * chunk_bytes,
-		.chunk_bytes = chunk_bytes,
+	k->version = (struct wts_version){ .root = *root,
+		.bytes = k->chunks * k->chunk_bytes,
+		.chunk_bytes = k->chunk_bytes,
 		.weights = NAME_WEIGHTS,
 		.chunks = NAME_LIST };
-	wts_root(k->version.bytes, chunk_bytes, list->data, list->len,
-	    &k->version.root);
-	k->list = g_bytes_new(list->data, list->len);
-	k->placed = g_new0(bool, chunks);
+	k->placed = g_new0(bool, k->chunks);
 	want.version = k->version;
 	want.origin_copies =
 	    (unsigned int)cfg_int(k->st.cfg, "policy.origin_copies");
@@ -195,62 +208,153 @@
 	want.silence_ms = SILENCE_MS;
 	g_strlcpy(
 	    want.origin_domain, k->origin_region, sizeof(want.origin_domain));
-	if (!wts_want(k->wts, &want, &err)) {
+	k->has_root = wts_want(k->wts, &want, &err);
+	if (!k->has_root) {
 		log_warn("weights: %s", err.message);
 		forget_version(k);
-		return;
 	}
-	wts_offer_list(k->wts, &k->version.root, k->list);
+}
+
+/* The digests are here, from wherever: pieces can be fetched and checked. */
+static void
+take_list(struct keeper *k, GBytes *list, const char *from)
+{
+	k->list = g_bytes_ref(list);
 	k->stage.manifest = true;
+	evt(EVT_WEIGHTS,
+	    "step=manifest version=%" G_GINT64_FORMAT
+	    " outcome=known from=%s age_ms=%" G_GINT64_FORMAT,
+	    k->stage.wanted, from, (keeper_now(k) - k->heard_us) / 1000);
 	/* Peers come after the look at the staging place: what lies there
 	 * must not be fetched. */
 	if (k->stage.loaded != 0 && k->stage.loaded != k->stage.wanted)
 		keeper_set_peers(k);
 }
 
+static void
+take_manifest(struct keeper *k, GByteArray *raw, uint64_t chunk_bytes)
+{
+	struct digest root;
+	GBytes *list = g_bytes_new(raw->data, raw->len);
+
+	k->chunk_bytes = chunk_bytes;
+	k->chunks = raw->len / DIGEST_BYTES;
+	wts_root(
+	    k->chunks * chunk_bytes, chunk_bytes, raw->data, raw->len, &root);
+	/* What other keepers agreed on gives way to what was read here. */
+	if (k->has_root && !digest_equal(&root, &k->version.root))
+		forget_version(k);
+	if (!k->has_root)
+		begin_transfer(k, &root);
+	if (k->has_root && wts_offer_list(k->wts, &k->version.root, list)) {
+		k->own_root = true;
+		take_list(k, list, "origin");
+	}
+	g_bytes_unref(list);
+}
+
 static void
 on_manifest(const struct hfetch_answer *a, void *ctx)
 {
 	struct keeper *k = ctx;
-	GByteArray *list = g_byte_array_new();
+	GByteArray *raw = g_byte_array_new();
 	uint64_t chunk_bytes = 0;
 	struct err err = { 0 };
 
-	k->call = NULL;
-	if (a->status == 200 &&
+	k->manifest = NULL;
+	if (k->list != NULL) {
+		/* It came from other keepers meanwhile. */
+	} else if (a->status == 200 &&
 	    adapter_manifest_read(
-		a->body, a->len, k->stage.wanted, list, &chunk_bytes, &err))
-		begin_transfer(k, list, chunk_bytes);
-	else
-		k->rest_until_us = keeper_now(k) + MANIFEST_REST_US;
-	evt(EVT_WEIGHTS,
-	    "step=manifest version=%" G_GINT64_FORMAT
-	    " status=%u outcome=%s chunks=%u",
-	    k->stage.wanted, a->status, k->stage.manifest ? "read" : "failed",
-	    list->len / DIGEST_BYTES);
-	g_byte_array_unref(list);
+		a->body, a->len, k->stage.wanted, raw, &chunk_bytes, &err)) {
+		take_manifest(k, raw, chunk_bytes);
+	} else {
+		k->manifest_rest_us = keeper_now(k) + MANIFEST_REST_US;
+		evt(EVT_WEIGHTS,
+		    "step=manifest version=%" G_GINT64_FORMAT
+		    " status=%u outcome=failed why=%s",
+		    k->stage.wanted, a->status,
+		    a->status == 0 ? a->why : "unreadable");
+	}
+	g_byte_array_unref(raw);
 	keeper_step(k);
 }
 
-void
-keeper_fetch_manifest(struct keeper *k)
+static void
+ask_manifest(struct keeper *k)
 {
-	char *path;
+	char *path = adapter_manifest_path(k->model, k->stage.wanted);
 
-	if (k->origin[0] == '\0')
-		return;
-	path = adapter_manifest_path(k->model, k->stage.wanted);
-	k->call = hfetch_start(k->st.loop, k->st.pool,
+	k->manifest = hfetch_start(k->st.loop, k->st.pool,
 	    &(struct hfetch_conf){ .address = k->origin,
 		.method = "GET",
 		.path = path,
 		.timeout_us = MANIFEST_TIMEOUT_US,
 		.answer_max = MANIFEST_MAX,
+		.close = true,
 		.done = on_manifest,
 		.ctx = k });
 	g_free(path);
 }
 
+/* Keepers before this one in asking the origin: those of its region first. */
+static unsigned int
+manifest_rank(const struct keeper *k)
+{
+	const char *own = keeper_region(k, cfg_str(k->st.cfg, "node.domain"));
+	bool own_in = strcmp(own, k->origin_region) == 0;
+	const struct keeper_peer *p;
+	unsigned int ahead = 0;
+	bool in;
+	guint i;
+
+	for (i = 0; i < k->peers->len; i++) {
+		p = &g_array_index(k->peers, struct keeper_peer, i);
+		in = strcmp(p->region, k->origin_region) == 0;
+		if (in != own_in)
+			ahead += in;
+		else
+			ahead += strcmp(p->address, k->st.node.id) < 0;
+	}
+	return ahead;
+}
+
+/* When this keeper asks the origin itself. One that starts beside an engine
+ * with weights looks at these with the digests, and nothing hurries. */
+static int64_t
+manifest_due_us(const struct keeper *k)
+{
+	unsigned int rank = manifest_rank(k);
+	int64_t wait_us;
+
+	if (rank < MANIFEST_READERS)
+		return k->manifest_rest_us;
+	wait_us = MANIFEST_ALONE_US +
+	    MIN((int64_t)rank * MANIFEST_STEP_US, MANIFEST_SPREAD_US);
+	return MAX(k->manifest_rest_us, k->asked_us + wait_us);
+}
+
+void
+keeper_learn_digests(struct keeper *k)
+{
+	GBytes *list;
+
+	if (k->asked_us < k->wanted_us)
+		k->asked_us = keeper_now(k);
+	if (!k->has_root && !digest_is_none(&k->told_root) && k->chunks > 0) {
+		begin_transfer(k, &k->told_root);
+		keeper_set_peers(k);
+	}
+	list = k->has_root ? wts_known_list(k->wts, &k->version.root) : NULL;
+	if (list != NULL) {
+		take_list(k, list, "keepers");
+		return;
+	}
+	if (k->manifest == NULL && k->origin[0] != '\0' &&
+	    keeper_now(k) >= manifest_due_us(k))
+		ask_manifest(k);
+}
+
 /* ------------------------------------------------------------------ */
 /* The swarm                                                           */
 /* ------------------------------------------------------------------ */
@@ -261,7 +365,7 @@
 {
 	struct keeper *k = ctx;
 
-	if (k->list == NULL || !digest_equal(&version->root, &k->version.root))
+	if (!k->has_root || !digest_equal(&version->root, &k->version.root))
 		return;
 	evt(EVT_WEIGHTS,
 	    "step=transfer version=%" G_GINT64_FORMAT
