--- a/lib/common/cfg_schema_serve.c
+++ b/lib/common/cfg_schema_serve.c
@@ -77,9 +77,9 @@
 	NUMBER_RULE(
 	    "bounds.retry_window_s", "10", "s", "Window of the retry budget."),
 	MAP_RULE("policy", false, "How targets are filled."),
-	NUMBER_RULE("policy.beyond_slots", "2", "requests",
+	NUMBER_RULE("policy.beyond_slots", "1", "requests",
 	    "Requests that a target holds beyond its slots, so that a free slot is taken at once."),
-	NUMBER_RULE("policy.far_cost", "1.5", "requests",
+	NUMBER_RULE("policy.far_cost", "6", "requests",
 	    "Load by which a target in another region must be below one in this region to be chosen."),
 	INT_RULE("policy.gateways", 1, 10000, "5", "",
 	    "Gateways that share the targets, until their number is heard."),
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -10,6 +10,13 @@
 
 #include "common/common.h"
 
+/*
+ * An engine may take a request in and begin it only when those before it have
+ * gone on: about a second later when it is full. Requests go only to engines
+ * with a new version this much earlier than it is due.
+ */
+#define SIDE_QUEUE_US 1100000
+
 enum {
 	SIDE_VIEW = 90,
 	SIDE_LOAD = 91,
--- a/lib/serve/vers.c
+++ b/lib/serve/vers.c
@@ -2,15 +2,9 @@
 
 #include <string.h>
 
+#include "serve/side.h"
 #include "serve/vers.h"
 
-/*
- * An engine may take a request in and begin it only when those before it have
- * gone on: about a second later when it is full. Requests go to engines with
- * the new version that much earlier than it is due.
- */
-#define QUEUE_US 1100000
-
 struct vers {
 	int64_t due_us;
 	GHashTable *models; /* name -> struct vers_model */
@@ -21,7 +15,7 @@
 {
 	struct vers *v = g_new0(struct vers, 1);
 
-	v->due_us = due_us == 0 ? 0 : MAX(1, due_us - QUEUE_US);
+	v->due_us = due_us == 0 ? 0 : MAX(1, due_us - SIDE_QUEUE_US);
 	v->models =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	return v;
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -8,6 +8,11 @@
 /* Before the due time the last engine has begun to change, so that a lost
  * order can be given again. */
 #define MARGIN_US 1500000
+/* Pieces that are left take so long once they come at all. */
+#define SPREAD_LEFT_US 2300000
+/* Idle time that a change of version costs an engine: running requests end,
+ * and their places stay empty meanwhile. */
+#define IDLE_WORTH_US 800000
 /* Between engines, where nothing is due. */
 #define PACE_US 1000000
 
@@ -76,6 +81,32 @@
 	return next_order(s, now_us);
 }
 
+/* When the newest will be whole here, from its progress. */
+static int64_t
+whole_at_us(const struct stg_rival *r, int64_t now_us)
+{
+	double left = 1;
+
+	if (r->total > 0)
+		left = 1 - (double)r->have / (double)r->total;
+	return MAX(r->newest_heard_us + SPREAD_US,
+	    now_us + (int64_t)(left * SPREAD_LEFT_US));
+}
+
+bool
+stg_prefers_older(const struct stg_rival *r, int64_t now_us)
+{
+	int64_t whole_us = whole_at_us(r, now_us);
+
+	if (!r->older_whole)
+		return false;
+	if (r->loaded == 0)
+		return whole_us > now_us + IDLE_WORTH_US;
+	if (r->older_due_us == 0 || now_us < r->older_turn_us)
+		return false;
+	return whole_us > r->older_due_us + IDLE_WORTH_US;
+}
+
 int64_t
 stg_turn(int64_t heard_us, int64_t due_us, unsigned int rank, unsigned int n)
 {
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -59,6 +59,24 @@
 
 enum stg_step stg_next(const struct stg_state *s, int64_t now_us);
 
+/* Two versions were named one after the other. */
+struct stg_rival {
+	bool older_whole;
+	int64_t loaded; /* 0: the engine serves with neither */
+	int64_t older_turn_us; /* the engine may change to the older then */
+	int64_t older_due_us; /* what is loaded serves until then; 0: on */
+	int64_t newest_heard_us;
+	uint64_t have, total; /* pieces of the newest, here; 0 of 0: unknown */
+};
+
+/*
+ * Whether the engine goes for the older one first. Each change costs it the
+ * time in which running requests end, so the older one is passed over when
+ * the newest is there in time; when that comes late (the origin is away, a
+ * link is narrow), the engine would stand idle without the older one.
+ */
+bool stg_prefers_older(const struct stg_rival *r, int64_t now_us);
+
 /*
  * When the engine of rank `rank` among `n` begins to change to a version that
  * was heard of at `heard_us` and is due at `due_us`: evenly over the time
--- a/programs/side/keeper.c
+++ b/programs/side/keeper.c
@@ -51,15 +51,15 @@
 	struct keeper *k = ctx;
 	struct wts_progress p = { 0 };
 
-	if (k->has_root)
-		wts_progress(k->wts, &k->version.root, &p);
+	if (k->newest != NULL && k->newest->has_root)
+		wts_progress(k->wts, &k->newest->wts.root, &p);
 	g_string_append_printf(out,
 	    "keeper_wanted_version %" G_GINT64_FORMAT
 	    "\nkeeper_loaded_version %" G_GINT64_FORMAT
 	    "\nkeeper_chunks_held %" G_GUINT64_FORMAT
 	    "\nkeeper_step %d\nkeeper_engine_up %d\nkeeper_gateways %u\n",
-	    k->stage.wanted, k->stage.loaded, p.have, k->step, k->stage.up,
-	    k->gateways->len);
+	    k->newest == NULL ? 0 : k->newest->version, k->loaded, p.have,
+	    k->step, k->up, k->gateways->len);
 }
 
 static bool
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -3,19 +3,19 @@
 
 /*
  * keeper: the side process for a deployment whose engines load from a staging
- * place beside them. It brings the wanted version's pieces by the swarm,
- * stages and checks them, gives its engine's orders, and tells gateways how
- * full the engine is. Gateways call the engine directly.
+ * place beside them. It brings wanted versions' pieces by the swarm, stages
+ * and checks them, gives its engine's orders, and tells gateways how full the
+ * engine is. Gateways call the engine directly.
  */
 
-#include "platform/adapter.h"
 #include "common/evt.h"
 #include "http/fetch.h"
+#include "platform/adapter.h"
 #include "shared/station.h"
 #include "stage/stage.h"
 #include "weights/weights.h"
 
-#define KEEPER_MODEL_MAX 64
+#define KEEPER_NAME_MAX 64
 #define KEEPER_ADDRESS_MAX 24
 #define KEEPER_GATEWAYS_MAX 512
 
@@ -30,7 +30,34 @@
 /* Another keeper of the same model. */
 struct keeper_peer {
 	char address[KEEPER_ADDRESS_MAX]; /* its id, too */
-	char region[KEEPER_MODEL_MAX];
+	char region[KEEPER_NAME_MAX];
+};
+
+struct keeper;
+
+/* A version that is wanted, and what of it is here. */
+struct keeper_copy {
+	struct keeper *keeper;
+	int64_t version;
+	int64_t heard_us; /* its name, by any gateway */
+	int64_t due_us; /* nothing older serves from then on; 0: no bound */
+	int64_t turn_us; /* this engine may change to it then */
+	/* Its digests. */
+	uint64_t chunks, chunk_bytes;
+	struct digest told_root; /* that gateways say others found */
+	struct hfetch *manifest;
+	int64_t manifest_rest_us; /* the origin is not asked before */
+	int64_t asked_us; /* the digests were needed first; 0: not yet */
+	bool own_root; /* read from the origin here */
+	bool has_root; /* `wts` is filled in and wanted of the swarm */
+	struct wts_version wts;
+	GBytes *list; /* NULL: not known yet */
+	/* Its pieces. */
+	bool whole; /* all are held and checked */
+	bool *placed; /* those that lie in the staging place */
+	bool looked; /* the staging place was looked through */
+	bool put; /* all are placed, as far as is known */
+	int64_t checked_us; /* all were read back and good; 0: not yet */
 };
 
 struct keeper {
@@ -40,39 +67,34 @@
 	struct dgram *dgram;
 	struct evl_timer tick;
 	GArray *gateways; /* struct keeper_gateway */
-	/* The view: what gateways say is wanted. */
-	char model[KEEPER_MODEL_MAX];
+	/* What gateways say. */
+	char model[KEEPER_NAME_MAX];
 	char origin[KEEPER_ADDRESS_MAX];
-	char origin_region[KEEPER_MODEL_MAX];
-	uint64_t chunks, chunk_bytes;
-	int64_t heard_us; /* of the wanted version */
-	int64_t due_us; /* it is due then; 0: no bound */
+	char origin_region[KEEPER_NAME_MAX];
 	GArray *peers; /* struct keeper_peer, by address */
-	struct stg_state stage;
-	enum stg_step step; /* as last logged */
-	struct wts_version version; /* the wanted one, once known */
-	bool has_root; /* `version` is filled in and wanted of the swarm */
-	bool own_root; /* read from the origin here */
-	GBytes *list; /* its digests */
-	struct digest told_root; /* that gateways say others found */
+	/* The newest wanted version; and one before it that is not loaded yet
+	 * and may be whole sooner, or NULL. */
+	struct keeper_copy *newest, *older;
 	/* The engine. */
 	struct hfetch *report;
 	struct sv_report engine;
 	unsigned int report_failures;
 	bool had_engine; /* it answered at least once */
-	/* What gateways were told last. */
-	struct sv_report told;
-	enum stg_step told_step;
-	bool told_own_root, told_up;
-	/* The call that a step waits for. */
+	bool up;
+	int64_t loaded; /* version; 0: none */
+	int64_t ordered_us; /* an order was accepted; 0: none under way */
+	int64_t refused_us; /* the last order was refused; 0: no */
+	enum stg_step step; /* as last logged */
+	/* The call to the engine that a step waits for. */
 	struct hfetch *call;
-	struct hfetch *manifest;
-	int64_t manifest_rest_us;
-	int64_t wanted_us, asked_us; /* wanted; its digests first needed */
+	struct keeper_copy *busy; /* that the call is for */
 	uint64_t index; /* of the piece it is about */
 	uint64_t bad; /* pieces found spoilt or missing in this pass */
-	bool *placed; /* pieces that lie in the staging place */
 	int64_t rest_until_us; /* after a call that failed */
+	/* What gateways were told last. */
+	struct sv_report told;
+	enum stg_step told_step;
+	bool told_own_root, told_up;
 };
 
 static inline int64_t
@@ -81,21 +103,42 @@
 	return evl_now_us(k->st.loop);
 }
 
-/* keeper_weights.c: manifest, swarm, origin */
+/* Region of a failure domain, by the settings; the domain itself if none. */
+const char *keeper_region(const struct keeper *k, const char *domain);
+
+/* keeper_copy.c: wanted versions and their digests */
+struct keeper_named {
+	int64_t version;
+	int64_t heard_us, due_us;
+	uint64_t chunks, chunk_bytes;
+};
+/* A newer version is wanted; the one before may stay beside it. */
+void keeper_want(struct keeper *k, const struct keeper_named *named);
+/* Drops all wanted versions (another model). */
+void keeper_forget(struct keeper *k);
+void keeper_drop_older(struct keeper *k);
+/* Learns a version's digests: from the origin in turn, or from other keepers
+ * once enough agree on their root. */
+void keeper_learn(struct keeper_copy *c);
+
+/* keeper_weights.c: the swarm */
 bool keeper_weights_open(struct keeper *k, struct err *err);
-void keeper_want(struct keeper *k, int64_t version);
-void keeper_set_peers(struct keeper *k);
-/* Learns the wanted version's digests: from the origin in turn, or from other
- * keepers once enough agree on their root. */
-void keeper_learn_digests(struct keeper *k);
-extern const struct conn_ops keeper_conn_ops;
-
-/* keeper_engine.c: the engine's staging place, orders and reports */
-void keeper_step(struct keeper *k); /* carries out what is next */
+/* Begins to fetch; `root` is that of the copy's digests. */
+void keeper_begin_transfer(struct keeper_copy *c, const struct digest *root);
+void keeper_set_peers(struct keeper_copy *c);
+
+/* keeper_origin.c: pieces from the origin */
+extern const struct wts_source keeper_origin; /* its context is the keeper */
+
+/* keeper_engine.c: the engine's reports, and the next step */
 void keeper_ask_report(struct keeper *k);
+void keeper_step(struct keeper *k); /* carries out what is next */
 
-/* Region of a failure domain, by the settings; the domain itself if none. */
-const char *keeper_region(const struct keeper *k, const char *domain);
+/* keeper_stage.c: the engine's staging place, and orders */
+void keeper_look(struct keeper_copy *c);
+void keeper_put(struct keeper_copy *c);
+void keeper_check(struct keeper_copy *c);
+void keeper_order(struct keeper_copy *c);
 
 /* keeper_gateways.c: views and loads */
 bool keeper_gateways_open(struct keeper *k, struct err *err);
--- /dev/null
+++ b/programs/side/keeper_copy.c
@@ -0,0 +1,258 @@
+/* Wanted versions, and how their digests become known. */
+
+#include <string.h>
+
+#include "side/keeper.h"
+
+#define MANIFEST_TIMEOUT_US 1500000
+#define MANIFEST_MAX (1u << 20)
+#define MANIFEST_REST_US 300000
+/*
+ * The origin takes few connections and is slow: this many keepers read a
+ * version's digests there; the others wait for these to agree and take them
+ * from peers, and ask the origin only when that has not come about.
+ */
+#define MANIFEST_READERS 4
+#define MANIFEST_ALONE_US 700000
+#define MANIFEST_STEP_US 50000
+#define MANIFEST_SPREAD_US 2000000
+
+/* ------------------------------------------------------------------ */
+/* Wanted versions                                                     */
+/* ------------------------------------------------------------------ */
+
+static struct keeper_copy *
+copy_new(struct keeper *k, const struct keeper_named *named)
+{
+	struct keeper_copy *c = g_new0(struct keeper_copy, 1);
+
+	c->keeper = k;
+	c->version = named->version;
+	c->heard_us = named->heard_us;
+	c->due_us = named->due_us;
+	c->chunks = named->chunks;
+	c->chunk_bytes = named->chunk_bytes;
+	return c;
+}
+
+/* The transfer ends; what is under way for it as well. */
+static void
+copy_stop(struct keeper_copy *c)
+{
+	struct keeper *k = c->keeper;
+
+	if (k->busy == c && k->call != NULL) {
+		hfetch_cancel(k->call);
+		k->call = NULL;
+	}
+	if (c->manifest != NULL)
+		hfetch_cancel(c->manifest);
+	c->manifest = NULL;
+	if (c->has_root)
+		wts_drop(k->wts, &c->wts.root);
+	c->has_root = false;
+	c->own_root = false;
+	c->whole = false;
+	c->put = false;
+	g_clear_pointer(&c->list, g_bytes_unref);
+	g_clear_pointer(&c->placed, g_free);
+}
+
+static void
+copy_free(struct keeper_copy *c)
+{
+	if (c == NULL)
+		return;
+	copy_stop(c);
+	g_free(c);
+}
+
+void
+keeper_drop_older(struct keeper *k)
+{
+	copy_free(k->older);
+	k->older = NULL;
+}
+
+void
+keeper_forget(struct keeper *k)
+{
+	keeper_drop_older(k);
+	copy_free(k->newest);
+	k->newest = NULL;
+}
+
+/*
+ * The version before is kept while it is not loaded: when the newer one comes
+ * late, the engine serves with it meanwhile. Of several only the last is.
+ */
+static void
+keep_before(struct keeper *k)
+{
+	keeper_drop_older(k);
+	if (k->newest != NULL && k->newest->version > k->loaded)
+		k->older = k->newest;
+	else
+		copy_free(k->newest);
+	k->newest = NULL;
+}
+
+void
+keeper_want(struct keeper *k, const struct keeper_named *named)
+{
+	struct keeper_copy *fresh = copy_new(k, named);
+
+	evt(EVT_WEIGHTS,
+	    "step=wanted model=%s version=%" G_GINT64_FORMAT
+	    " before=%" G_GINT64_FORMAT " loaded=%" G_GINT64_FORMAT,
+	    k->model, named->version,
+	    k->newest == NULL ? 0 : k->newest->version, k->loaded);
+	keep_before(k);
+	k->newest = fresh;
+}
+
+/* ------------------------------------------------------------------ */
+/* Digests                                                             */
+/* ------------------------------------------------------------------ */
+
+/* They are here, from wherever: pieces can be fetched and checked. */
+static void
+take_list(struct keeper_copy *c, GBytes *list, const char *from)
+{
+	struct keeper *k = c->keeper;
+
+	c->list = g_bytes_ref(list);
+	evt(EVT_WEIGHTS,
+	    "step=manifest version=%" G_GINT64_FORMAT
+	    " outcome=known from=%s age_ms=%" G_GINT64_FORMAT,
+	    c->version, from, (keeper_now(k) - c->heard_us) / 1000);
+	/* Beside an engine that may have the pieces, peers come after the
+	 * look at the staging place: what lies there must not be fetched. */
+	if (k->loaded != 0 && k->loaded != c->version)
+		keeper_set_peers(c);
+}
+
+static void
+take_manifest(struct keeper_copy *c, GByteArray *raw, uint64_t chunk_bytes)
+{
+	struct digest root;
+	GBytes *list = g_bytes_new(raw->data, raw->len);
+
+	c->chunk_bytes = chunk_bytes;
+	c->chunks = raw->len / DIGEST_BYTES;
+	wts_root(
+	    c->chunks * chunk_bytes, chunk_bytes, raw->data, raw->len, &root);
+	/* What other keepers agreed on gives way to what was read here. */
+	if (c->has_root && !digest_equal(&root, &c->wts.root))
+		copy_stop(c);
+	if (!c->has_root)
+		keeper_begin_transfer(c, &root);
+	if (c->has_root && wts_offer_list(c->keeper->wts, &c->wts.root, list)) {
+		c->own_root = true;
+		take_list(c, list, "origin");
+	}
+	g_bytes_unref(list);
+}
+
+static void
+on_manifest(const struct hfetch_answer *a, void *ctx)
+{
+	struct keeper_copy *c = ctx;
+	GByteArray *raw = g_byte_array_new();
+	uint64_t chunk_bytes = 0;
+	struct err err = { 0 };
+
+	c->manifest = NULL;
+	if (c->list != NULL) {
+		/* It came from other keepers meanwhile. */
+	} else if (a->status == 200 &&
+	    adapter_manifest_read(
+		a->body, a->len, c->version, raw, &chunk_bytes, &err)) {
+		take_manifest(c, raw, chunk_bytes);
+	} else {
+		c->manifest_rest_us = keeper_now(c->keeper) + MANIFEST_REST_US;
+		evt(EVT_WEIGHTS,
+		    "step=manifest version=%" G_GINT64_FORMAT
+		    " status=%u outcome=failed why=%s",
+		    c->version, a->status,
+		    a->status == 0 ? a->why : "unreadable");
+	}
+	g_byte_array_unref(raw);
+	keeper_step(c->keeper);
+}
+
+static void
+ask_manifest(struct keeper_copy *c)
+{
+	struct keeper *k = c->keeper;
+	char *path = adapter_manifest_path(k->model, c->version);
+
+	c->manifest = hfetch_start(k->st.loop, k->st.pool,
+	    &(struct hfetch_conf){ .address = k->origin,
+		.method = "GET",
+		.path = path,
+		.timeout_us = MANIFEST_TIMEOUT_US,
+		.answer_max = MANIFEST_MAX,
+		.close = true,
+		.done = on_manifest,
+		.ctx = c });
+	g_free(path);
+}
+
+/* Keepers before this one in asking the origin: those of its region first. */
+static unsigned int
+manifest_rank(const struct keeper *k)
+{
+	const char *own = keeper_region(k, cfg_str(k->st.cfg, "node.domain"));
+	bool own_in = strcmp(own, k->origin_region) == 0;
+	const struct keeper_peer *p;
+	unsigned int ahead = 0;
+	bool in;
+	guint i;
+
+	for (i = 0; i < k->peers->len; i++) {
+		p = &g_array_index(k->peers, struct keeper_peer, i);
+		in = strcmp(p->region, k->origin_region) == 0;
+		if (in != own_in)
+			ahead += in;
+		else
+			ahead += strcmp(p->address, k->st.node.id) < 0;
+	}
+	return ahead;
+}
+
+/* When this keeper asks the origin itself. */
+static int64_t
+manifest_due_us(const struct keeper_copy *c)
+{
+	unsigned int rank = manifest_rank(c->keeper);
+	int64_t wait_us;
+
+	if (rank < MANIFEST_READERS)
+		return c->manifest_rest_us;
+	wait_us = MANIFEST_ALONE_US +
+	    MIN((int64_t)rank * MANIFEST_STEP_US, MANIFEST_SPREAD_US);
+	return MAX(c->manifest_rest_us, c->asked_us + wait_us);
+}
+
+void
+keeper_learn(struct keeper_copy *c)
+{
+	struct keeper *k = c->keeper;
+	GBytes *list;
+
+	if (c->asked_us == 0)
+		c->asked_us = keeper_now(k);
+	if (!c->has_root && !digest_is_none(&c->told_root) && c->chunks > 0) {
+		keeper_begin_transfer(c, &c->told_root);
+		keeper_set_peers(c);
+	}
+	list = c->has_root ? wts_known_list(k->wts, &c->wts.root) : NULL;
+	if (list != NULL) {
+		take_list(c, list, "keepers");
+		return;
+	}
+	if (c->manifest == NULL && k->origin[0] != '\0' &&
+	    keeper_now(k) >= manifest_due_us(c))
+		ask_manifest(c);
+}
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -1,7 +1,8 @@
-/* The engine beside: its staging place, its orders, its reports. */
+/* The engine's reports, and the next step for it. */
 
 #include <string.h>
 
+#include "serve/side.h"
 #include "side/keeper.h"
 
 #define REPORT_TIMEOUT_US 300000
@@ -9,27 +10,33 @@
 /* Reports that fail in a row before the engine counts as down: one can be
  * lost to a moment without processor. */
 #define REPORT_FAILURES 2
-#define CALL_TIMEOUT_US 1500000
-#define CALL_REST_US 200000
-#define ORDER_TIMEOUT_US 1000000
 
 /* ------------------------------------------------------------------ */
 /* Reports                                                             */
 /* ------------------------------------------------------------------ */
 
+/* What was checked before may have changed with the engine's state. */
+static void
+distrust_checks(struct keeper *k)
+{
+	if (k->newest != NULL)
+		k->newest->checked_us = 0;
+	if (k->older != NULL)
+		k->older->checked_us = 0;
+}
+
 static void
 note_down(struct keeper *k)
 {
 	k->report_failures++;
-	if (k->report_failures < REPORT_FAILURES || !k->stage.up)
+	if (k->report_failures < REPORT_FAILURES || !k->up)
 		return;
-	k->stage.up = false;
-	evt(EVT_ENGINE, "state=down version=%" G_GINT64_FORMAT,
-	    k->stage.loaded);
+	k->up = false;
+	evt(EVT_ENGINE, "state=down version=%" G_GINT64_FORMAT, k->loaded);
 	/* It may come back without what it held; its staging place may have
 	 * lost pieces, too. */
-	k->stage.ordered_us = 0;
-	k->stage.checked_us = 0;
+	k->ordered_us = 0;
+	distrust_checks(k);
 }
 
 static void
@@ -38,22 +45,19 @@
 	bool same_model = strcmp(r->model, k->model) == 0;
 	int64_t loaded = same_model ? r->version : 0;
 
-	if (!k->stage.up || loaded != k->stage.loaded ||
-	    r->busy != k->stage.busy)
+	if (!k->up || loaded != k->loaded || r->busy != k->engine.busy)
 		evt(EVT_ENGINE,
 		    "state=up version=%" G_GINT64_FORMAT
 		    " before=%" G_GINT64_FORMAT " busy=%d running=%u",
-		    loaded, k->stage.loaded, r->busy, r->running);
+		    loaded, k->loaded, r->busy, r->running);
 	/* The order was carried out, or the engine restarted. */
-	if (loaded != k->stage.loaded)
-		k->stage.ordered_us = 0;
+	if (loaded != k->loaded && !r->busy)
+		k->ordered_us = 0;
 	k->report_failures = 0;
 	k->had_engine = true;
 	k->engine = *r;
-	k->stage.up = true;
-	k->stage.loaded = loaded;
-	k->stage.busy = r->busy;
-	k->stage.running = r->running + r->waiting;
+	k->up = true;
+	k->loaded = loaded;
 }
 
 static void
@@ -90,225 +94,65 @@
 }
 
 /* ------------------------------------------------------------------ */
-/* Pieces in the staging place                                         */
+/* Which version, which step                                           */
 /* ------------------------------------------------------------------ */
 
-static void
-rest(struct keeper *k, const char *step, const struct hfetch_answer *a)
-{
-	k->rest_until_us = keeper_now(k) + CALL_REST_US;
-	evt(EVT_WEIGHTS, "step=%s outcome=failed status=%u why=%s", step,
-	    a->status, a->status == 0 ? a->why : "status");
-}
-
-static void
-call_piece(struct keeper *k, bool put, hfetch_cb *done)
-{
-	char *path = adapter_stage_path(k->model, k->index, put);
-	GBytes *bytes =
-	    put ? wts_chunk(k->wts, &k->version.root, k->index) : NULL;
-	gsize len = 0;
-	const void *body = bytes == NULL ? NULL : g_bytes_get_data(bytes, &len);
-
-	k->call = hfetch_start(k->st.loop, k->st.pool,
-	    &(struct hfetch_conf){
-		.address = cfg_str(k->st.cfg, "engine.address"),
-		.method = put ? "PUT" : "GET",
-		.path = path,
-		.type = put ? "application/octet-stream" : NULL,
-		.body = body,
-		.body_len = len,
-		.timeout_us = CALL_TIMEOUT_US,
-		.answer_max = k->chunk_bytes + 4096,
-		.done = done,
-		.ctx = k });
-	g_free(path);
-}
-
-static void put_next(struct keeper *k);
-
-static void
-on_put(const struct hfetch_answer *a, void *ctx)
-{
-	struct keeper *k = ctx;
-
-	k->call = NULL;
-	if (a->status < 200 || a->status >= 300) {
-		rest(k, "put", a);
-		return;
-	}
-	k->placed[k->index] = true;
-	put_next(k);
-}
-
-static void
-put_next(struct keeper *k)
-{
-	uint64_t i;
-
-	for (i = 0; i < k->chunks && k->placed[i]; i++)
-		continue;
-	if (i == k->chunks) {
-		k->stage.put = true;
-		keeper_step(k);
-		return;
-	}
-	k->index = i;
-	call_piece(k, true, on_put);
+static struct stg_state
+state_of(const struct keeper *k, const struct keeper_copy *c)
+{
+	return (struct stg_state){
+		.wanted = c->version,
+		.up = k->up,
+		.loaded = k->loaded,
+		.busy = k->engine.busy,
+		.running = k->engine.running + k->engine.waiting,
+		.manifest = c->list != NULL,
+		.looked = c->looked,
+		.whole = c->whole,
+		.put = c->put,
+		.checked_us = c->checked_us,
+		.ordered_us = k->ordered_us,
+		.refused_us = k->refused_us,
+		.turn_us = c->turn_us,
+	};
 }
 
 static bool
-piece_is_good(const struct keeper *k, const struct hfetch_answer *a)
-{
-	const struct digest *digests = g_bytes_get_data(k->list, NULL);
-	struct digest got;
-
-	if (a->status != 200)
-		return false;
-	digest_of(a->body, a->len, &got);
-	return digest_equal(&got, &digests[k->index]);
-}
-
-static void check_next(struct keeper *k);
-
-static void
-on_check(const struct hfetch_answer *a, void *ctx)
-{
-	struct keeper *k = ctx;
-
-	k->call = NULL;
-	if (a->status == 0) {
-		rest(k, "check", a);
-		return;
-	}
-	if (!piece_is_good(k, a)) {
-		k->placed[k->index] = false;
-		k->bad++;
-	}
-	k->index++;
-	check_next(k);
-}
-
-static void
-check_next(struct keeper *k)
-{
-	if (k->index < k->chunks) {
-		call_piece(k, false, on_check);
-		return;
-	}
-	if (k->bad > 0) {
-		evt(EVT_WEIGHTS,
-		    "step=check version=%" G_GINT64_FORMAT
-		    " outcome=spoilt pieces=%" G_GUINT64_FORMAT,
-		    k->stage.wanted, k->bad);
-		k->stage.put = false;
-	} else
-		k->stage.checked_us = keeper_now(k);
-	keeper_step(k);
-}
-
-/* ------------------------------------------------------------------ */
-/* Pieces found there                                                  */
-/* ------------------------------------------------------------------ */
-
-static void look_next(struct keeper *k);
-
-static void
-on_look(const struct hfetch_answer *a, void *ctx)
-{
-	struct keeper *k = ctx;
-	GBytes *bytes;
-
-	k->call = NULL;
-	if (a->status == 0) {
-		rest(k, "look", a);
-		return;
-	}
-	if (a->status == 200) {
-		bytes = g_bytes_new(a->body, a->len);
-		k->placed[k->index] =
-		    wts_offer(k->wts, &k->version.root, k->index, bytes);
-		g_bytes_unref(bytes);
-	}
-	if (!k->placed[k->index])
-		k->bad++;
-	k->index++;
-	look_next(k);
-}
-
-static void
-look_next(struct keeper *k)
-{
-	/* A first piece that is not there or of another version: so are the
-	 * rest. */
-	if (k->index < k->chunks && !(k->index == 1 && k->bad == 1)) {
-		call_piece(k, false, on_look);
-		return;
-	}
-	k->stage.looked = true;
-	evt(EVT_WEIGHTS,
-	    "step=look version=%" G_GINT64_FORMAT " found=%" G_GUINT64_FORMAT
-	    " of=%" G_GUINT64_FORMAT,
-	    k->stage.wanted, k->index - k->bad, k->chunks);
-	keeper_set_peers(k);
-	keeper_step(k);
-}
-
-/* ------------------------------------------------------------------ */
-/* Orders                                                              */
-/* ------------------------------------------------------------------ */
-
-static void
-on_order(const struct hfetch_answer *a, void *ctx)
-{
-	struct keeper *k = ctx;
-	bool accepted = a->status == 200 || a->status == 202;
-	bool unknown = a->status == 0 && a->sent;
-
-	k->call = NULL;
-	evt(EVT_ORDER,
-	    "model=%s version=%" G_GINT64_FORMAT
-	    " status=%u outcome=%s age_ms=%" G_GINT64_FORMAT " running=%u",
-	    k->model, k->stage.wanted, a->status,
-	    accepted      ? "accepted"
-		: unknown ? "unknown"
-			  : "refused",
-	    (keeper_now(k) - k->heard_us) / 1000, k->stage.running);
-	/* One that may have been accepted shows in the next reports. */
-	if (accepted)
-		k->stage.ordered_us = keeper_now(k);
-	else
-		k->stage.refused_us = keeper_now(k);
-	k->stage.checked_us = 0;
-	keeper_ask_report(k);
+prefers_older(const struct keeper *k)
+{
+	struct wts_progress p = { 0 };
+	struct stg_rival rival = {
+		.older_whole = k->older->whole,
+		.loaded = k->loaded,
+		.older_turn_us = k->older->turn_us,
+		.newest_heard_us = k->newest->heard_us,
+	};
+
+	if (k->newest->has_root)
+		wts_progress(k->wts, &k->newest->wts.root, &p);
+	rival.have = p.have;
+	rival.total = p.total;
+	/* Gateways stop sending so much before the due time. */
+	if (k->older->due_us != 0)
+		rival.older_due_us = k->older->due_us - SIDE_QUEUE_US;
+	return stg_prefers_older(&rival, keeper_now(k));
+}
+
+/* The version that the engine goes for now. */
+static struct keeper_copy *
+choose_copy(struct keeper *k)
+{
+	if (k->older != NULL &&
+	    (k->newest->whole || k->loaded >= k->newest->version))
+		keeper_drop_older(k);
+	if (k->older != NULL && k->loaded < k->older->version &&
+	    prefers_older(k))
+		return k->older;
+	return k->newest;
 }
 
 static void
-give_order(struct keeper *k)
-{
-	char *body = adapter_order_load(k->model, k->stage.wanted, false);
-
-	k->call = hfetch_start(k->st.loop, k->st.pool,
-	    &(struct hfetch_conf){
-		.address = cfg_str(k->st.cfg, "engine.address"),
-		.method = "POST",
-		.path = adapter_order_path,
-		.type = "application/json",
-		.body = body,
-		.body_len = strlen(body),
-		.timeout_us = ORDER_TIMEOUT_US,
-		.answer_max = REPORT_MAX,
-		.done = on_order,
-		.ctx = k });
-	g_free(body);
-}
-
-/* ------------------------------------------------------------------ */
-/* Steps                                                               */
-/* ------------------------------------------------------------------ */
-
-static void
-log_step(struct keeper *k, enum stg_step step)
+log_step(struct keeper *k, const struct keeper_copy *c, enum stg_step step)
 {
 	if (step == k->step)
 		return;
@@ -316,40 +160,57 @@
 	evt(EVT_WEIGHTS,
 	    "step=%s version=%" G_GINT64_FORMAT " loaded=%" G_GINT64_FORMAT
 	    " running=%u age_ms=%" G_GINT64_FORMAT,
-	    stg_step_name(step), k->stage.wanted, k->stage.loaded,
-	    k->stage.running, (keeper_now(k) - k->heard_us) / 1000);
+	    stg_step_name(step), c->version, k->loaded, k->engine.running,
+	    (keeper_now(k) - c->heard_us) / 1000);
 }
 
-void
-keeper_step(struct keeper *k)
+static void
+carry_out(struct keeper_copy *c, enum stg_step step)
 {
-	enum stg_step step;
-
-	if (k->call != NULL || keeper_now(k) < k->rest_until_us)
-		return;
-	step = stg_next(&k->stage, keeper_now(k));
-	log_step(k, step);
 	switch (step) {
 	case STG_MANIFEST:
-		keeper_learn_digests(k);
+		keeper_learn(c);
 		break;
 	case STG_LOOK:
-		k->index = 0;
-		k->bad = 0;
-		look_next(k);
+		keeper_look(c);
 		break;
 	case STG_PUT:
-		put_next(k);
+		keeper_put(c);
 		break;
 	case STG_CHECK:
-		k->index = 0;
-		k->bad = 0;
-		check_next(k);
+		keeper_check(c);
 		break;
 	case STG_ORDER:
-		give_order(k);
+		keeper_order(c);
 		break;
-	default:
+	case STG_IDLE:
+	case STG_FETCH:
+	case STG_TURN:
+	case STG_LOADING:
+	case STG_DONE:
+	case STG_STEPS:
 		break;
 	}
 }
+
+void
+keeper_step(struct keeper *k)
+{
+	struct keeper_copy *c;
+	struct stg_state state;
+	enum stg_step step;
+
+	if (k->newest == NULL || k->call != NULL ||
+	    keeper_now(k) < k->rest_until_us)
+		return;
+	c = choose_copy(k);
+	/* The other one goes on being fetched meanwhile. */
+	if (c != k->newest && k->newest->list == NULL)
+		keeper_learn(k->newest);
+	if (k->older != NULL && c != k->older && k->older->list == NULL)
+		keeper_learn(k->older);
+	state = state_of(k, c);
+	step = stg_next(&state, keeper_now(k));
+	log_step(k, c, step);
+	carry_out(c, step);
+}
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -40,7 +40,7 @@
 note_gateway(struct keeper *k, const char *from, const struct side_view *view)
 {
 	struct keeper_gateway fresh = { .heard_us = keeper_now(k) };
-	char region[KEEPER_MODEL_MAX];
+	char region[KEEPER_NAME_MAX];
 	guint i;
 
 	for (i = 0; i < k->gateways->len; i++) {
@@ -149,33 +149,60 @@
 
 /* A version that takes the place of one that the engine never loaded is due
  * when that one was: requests may not begin on what came before both. */
-static void
-note_due(struct keeper *k, const struct side_view *view)
+static int64_t
+due_of(const struct keeper *k, const struct side_view *view, int64_t heard_us)
 {
-	bool skipped = k->stage.wanted > k->stage.loaded && k->due_us != 0;
 	int64_t due_us = 0;
 
-	k->heard_us = keeper_now(k) - (int64_t)view->age_ms * 1000;
 	if (view->due_ms > 0)
-		due_us = k->heard_us + (int64_t)view->due_ms * 1000;
-	k->due_us = skipped ? MIN(k->due_us, due_us) : due_us;
+		due_us = heard_us + (int64_t)view->due_ms * 1000;
+	if (k->newest != NULL && k->newest->version > k->loaded &&
+	    k->newest->due_us != 0)
+		return MIN(k->newest->due_us, due_us);
+	return due_us;
 }
 
+/* Gateways that were cut off may still tell of an older version. */
 static void
-take_root(struct keeper *k, const struct side_view *view)
+take_version(struct keeper *k, const struct side_view *view)
 {
-	k->told_root = view->root;
-	if (k->has_root)
+	struct keeper_named named = {
+		.version = (int64_t)view->version,
+		.heard_us = keeper_now(k) - (int64_t)view->age_ms * 1000,
+		.chunks = view->chunks,
+		.chunk_bytes = view->chunk_bytes,
+	};
+
+	if (k->newest != NULL && named.version <= k->newest->version) {
+		if (named.version == k->newest->version)
+			k->newest->told_root = view->root;
 		return;
-	k->chunks = view->chunks;
-	k->chunk_bytes = view->chunk_bytes;
+	}
+	named.due_us = due_of(k, view, named.heard_us);
+	keeper_want(k, &named);
+	k->newest->told_root = view->root;
+}
+
+static void
+set_turn(struct keeper *k, struct keeper_copy *c)
+{
+	if (c != NULL)
+		c->turn_us = stg_turn(
+		    c->heard_us, c->due_us, own_rank(k), k->peers->len);
+}
+
+static void
+peers_changed(struct keeper_copy *c)
+{
+	if (c != NULL && (c->looked || c->keeper->loaded != 0))
+		keeper_set_peers(c);
 }
 
 static void
 take_view(struct keeper *k, const struct side_view *view)
 {
 	bool changed;
-	char model[KEEPER_MODEL_MAX], domain[KEEPER_MODEL_MAX];
+	char model[KEEPER_NAME_MAX], domain[KEEPER_NAME_MAX];
 
 	take_text(model, sizeof(model), view->model);
 	take_text(k->origin, sizeof(k->origin), view->origin);
@@ -185,19 +212,15 @@
 	changed = take_peers(k, view);
 	if (strcmp(model, k->model) != 0) {
 		g_strlcpy(k->model, model, sizeof(k->model));
-		k->stage.wanted = 0;
+		keeper_forget(k);
 	}
-	/* Gateways that were cut off may still tell of an older version. */
-	if ((int64_t)view->version > k->stage.wanted) {
-		note_due(k, view);
-		keeper_want(k, (int64_t)view->version);
+	take_version(k, view);
+	set_turn(k, k->newest);
+	set_turn(k, k->older);
+	if (changed) {
+		peers_changed(k->newest);
+		peers_changed(k->older);
 	}
-	k->stage.turn_us =
-	    stg_turn(k->heard_us, k->due_us, own_rank(k), k->peers->len);
-	if ((int64_t)view->version == k->stage.wanted)
-		take_root(k, view);
-	if (changed && (k->stage.looked || k->stage.loaded != 0))
-		keeper_set_peers(k);
 }
 
 static void
@@ -220,20 +243,26 @@
 static enum side_engine
 engine_state(const struct keeper *k)
 {
-	if (!k->stage.up)
+	if (!k->up)
 		return SIDE_ENGINE_DOWN;
-	if (k->stage.busy || k->stage.ordered_us != 0)
+	if (k->engine.busy || k->ordered_us != 0)
 		return SIDE_ENGINE_LOADING;
 	return SIDE_ENGINE_UP;
 }
 
+static bool
+has_own_root(const struct keeper *k)
+{
+	return k->newest != NULL && k->newest->own_root;
+}
+
 /* What a gateway must hear at once: whether requests can go there at all. */
 static bool
 state_changed(const struct keeper *k)
 {
 	return k->told.version != k->engine.version ||
 	    k->told.busy != k->engine.busy || k->told_step != k->step ||
-	    k->told_own_root != k->own_root || k->told_up != k->stage.up;
+	    k->told_own_root != has_own_root(k) || k->told_up != k->up;
 }
 
 static bool
@@ -260,8 +289,8 @@
 {
 	k->told = k->engine;
 	k->told_step = k->step;
-	k->told_own_root = k->own_root;
-	k->told_up = k->stage.up;
+	k->told_own_root = has_own_root(k);
+	k->told_up = k->up;
 }
 
 void
@@ -272,7 +301,7 @@
 		.engine = engine_state(k),
 		.running = k->engine.running,
 		.waiting = k->engine.waiting,
-		.version = (uint64_t)k->stage.loaded,
+		.version = (uint64_t)k->loaded,
 		.pace_permille = (uint64_t)(k->engine.pace * 1000),
 	};
 	struct keeper_gateway *g;
@@ -282,10 +311,10 @@
 	if (!k->had_engine)
 		return;
 	load.gateways = k->gateways->len;
-	if (k->own_root) {
-		load.wanted = (uint64_t)k->stage.wanted;
+	if (has_own_root(k)) {
+		load.wanted = (uint64_t)k->newest->version;
 		load.root =
-		    (struct slice){ k->version.root.bytes, DIGEST_BYTES };
+		    (struct slice){ k->newest->wts.root.bytes, DIGEST_BYTES };
 	}
 	for (i = 0; i < k->gateways->len; i++) {
 		g = gateway_at(k, i);
--- /dev/null
+++ b/programs/side/keeper_stage.c
@@ -0,0 +1,259 @@
+/* The engine's staging place, and orders to load what lies there. */
+
+#include <string.h>
+
+#include "side/keeper.h"
+
+#define CALL_TIMEOUT_US 1500000
+#define CALL_REST_US 200000
+#define ORDER_TIMEOUT_US 1000000
+#define ORDER_ANSWER_MAX (64u << 10)
+#define HEAD_SLACK 4096 /* an answer may be longer than a piece: an error */
+
+static void
+rest(struct keeper *k, const char *step, const struct hfetch_answer *a)
+{
+	k->rest_until_us = keeper_now(k) + CALL_REST_US;
+	evt(EVT_WEIGHTS, "step=%s outcome=failed status=%u why=%s", step,
+	    a->status, a->status == 0 ? a->why : "status");
+}
+
+static void
+call_engine(struct keeper_copy *c, const struct hfetch_conf *what)
+{
+	struct keeper *k = c->keeper;
+	struct hfetch_conf conf = *what;
+
+	conf.address = cfg_str(k->st.cfg, "engine.address");
+	conf.ctx = c;
+	k->busy = c;
+	k->call = hfetch_start(k->st.loop, k->st.pool, &conf);
+}
+
+static void
+call_piece(struct keeper_copy *c, bool put, hfetch_cb *done)
+{
+	struct keeper *k = c->keeper;
+	char *path = adapter_stage_path(k->model, k->index, put);
+	GBytes *bytes = put ? wts_chunk(k->wts, &c->wts.root, k->index) : NULL;
+	gsize len = 0;
+	const void *body = bytes == NULL ? NULL : g_bytes_get_data(bytes, &len);
+
+	call_engine(c,
+	    &(struct hfetch_conf){ .method = put ? "PUT" : "GET",
+		.path = path,
+		.type = put ? "application/octet-stream" : NULL,
+		.body = body,
+		.body_len = len,
+		.timeout_us = CALL_TIMEOUT_US,
+		.answer_max = c->chunk_bytes + HEAD_SLACK,
+		.done = done });
+	g_free(path);
+}
+
+/* ------------------------------------------------------------------ */
+/* Putting                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+on_put(const struct hfetch_answer *a, void *ctx)
+{
+	struct keeper_copy *c = ctx;
+	struct keeper *k = c->keeper;
+
+	k->call = NULL;
+	if (a->status < 200 || a->status >= 300) {
+		rest(k, "put", a);
+		return;
+	}
+	c->placed[k->index] = true;
+	keeper_put(c);
+}
+
+void
+keeper_put(struct keeper_copy *c)
+{
+	uint64_t i;
+
+	for (i = 0; i < c->chunks && c->placed[i]; i++)
+		continue;
+	if (i == c->chunks) {
+		c->put = true;
+		keeper_step(c->keeper);
+		return;
+	}
+	c->keeper->index = i;
+	call_piece(c, true, on_put);
+}
+
+/* ------------------------------------------------------------------ */
+/* Checking                                                            */
+/* ------------------------------------------------------------------ */
+
+static bool
+piece_is_good(const struct keeper_copy *c, const struct hfetch_answer *a)
+{
+	const struct digest *digests = g_bytes_get_data(c->list, NULL);
+	struct digest got;
+
+	if (a->status != 200)
+		return false;
+	digest_of(a->body, a->len, &got);
+	return digest_equal(&got, &digests[c->keeper->index]);
+}
+
+static void check_next(struct keeper_copy *c);
+
+static void
+on_check(const struct hfetch_answer *a, void *ctx)
+{
+	struct keeper_copy *c = ctx;
+	struct keeper *k = c->keeper;
+
+	k->call = NULL;
+	if (a->status == 0) {
+		rest(k, "check", a);
+		return;
+	}
+	if (!piece_is_good(c, a)) {
+		c->placed[k->index] = false;
+		k->bad++;
+	}
+	k->index++;
+	check_next(c);
+}
+
+static void
+check_next(struct keeper_copy *c)
+{
+	struct keeper *k = c->keeper;
+
+	if (k->index < c->chunks) {
+		call_piece(c, false, on_check);
+		return;
+	}
+	if (k->bad > 0) {
+		evt(EVT_WEIGHTS,
+		    "step=check version=%" G_GINT64_FORMAT
+		    " outcome=spoilt pieces=%" G_GUINT64_FORMAT,
+		    c->version, k->bad);
+		c->put = false;
+	} else
+		c->checked_us = keeper_now(k);
+	keeper_step(k);
+}
+
+void
+keeper_check(struct keeper_copy *c)
+{
+	c->keeper->index = 0;
+	c->keeper->bad = 0;
+	check_next(c);
+}
+
+/* ------------------------------------------------------------------ */
+/* Looking for pieces that lie there already                           */
+/* ------------------------------------------------------------------ */
+
+static void look_next(struct keeper_copy *c);
+
+static void
+on_look(const struct hfetch_answer *a, void *ctx)
+{
+	struct keeper_copy *c = ctx;
+	struct keeper *k = c->keeper;
+	GBytes *bytes;
+
+	k->call = NULL;
+	if (a->status == 0) {
+		rest(k, "look", a);
+		return;
+	}
+	if (a->status == 200) {
+		bytes = g_bytes_new(a->body, a->len);
+		c->placed[k->index] =
+		    wts_offer(k->wts, &c->wts.root, k->index, bytes);
+		g_bytes_unref(bytes);
+	}
+	if (!c->placed[k->index])
+		k->bad++;
+	k->index++;
+	look_next(c);
+}
+
+static void
+look_next(struct keeper_copy *c)
+{
+	struct keeper *k = c->keeper;
+
+	/* A first piece that is not there or of another version: so are the
+	 * rest. */
+	if (k->index < c->chunks && !(k->index == 1 && k->bad == 1)) {
+		call_piece(c, false, on_look);
+		return;
+	}
+	c->looked = true;
+	evt(EVT_WEIGHTS,
+	    "step=look version=%" G_GINT64_FORMAT " found=%" G_GUINT64_FORMAT
+	    " of=%" G_GUINT64_FORMAT,
+	    c->version, k->index - k->bad, c->chunks);
+	keeper_set_peers(c);
+	keeper_step(k);
+}
+
+void
+keeper_look(struct keeper_copy *c)
+{
+	c->keeper->index = 0;
+	c->keeper->bad = 0;
+	look_next(c);
+}
+
+/* ------------------------------------------------------------------ */
+/* Orders                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+on_order(const struct hfetch_answer *a, void *ctx)
+{
+	struct keeper_copy *c = ctx;
+	struct keeper *k = c->keeper;
+	bool accepted = a->status == 200 || a->status == 202;
+	const char *outcome = "refused";
+
+	k->call = NULL;
+	if (accepted)
+		outcome = "accepted";
+	else if (a->status == 0 && a->sent)
+		outcome = "unknown"; /* it shows in the next reports */
+	evt(EVT_ORDER,
+	    "model=%s version=%" G_GINT64_FORMAT
+	    " status=%u outcome=%s age_ms=%" G_GINT64_FORMAT
+	    " running=%u checked_ms=%" G_GINT64_FORMAT,
+	    k->model, c->version, a->status, outcome,
+	    (keeper_now(k) - c->heard_us) / 1000, k->engine.running,
+	    (keeper_now(k) - c->checked_us) / 1000);
+	if (accepted)
+		k->ordered_us = keeper_now(k);
+	else
+		k->refused_us = keeper_now(k);
+	c->checked_us = 0;
+	keeper_ask_report(k);
+}
+
+void
+keeper_order(struct keeper_copy *c)
+{
+	char *body = adapter_order_load(c->keeper->model, c->version, false);
+
+	call_engine(c,
+	    &(struct hfetch_conf){ .method = "POST",
+		.path = adapter_order_path,
+		.type = "application/json",
+		.body = body,
+		.body_len = strlen(body),
+		.timeout_us = ORDER_TIMEOUT_US,
+		.answer_max = ORDER_ANSWER_MAX,
+		.done = on_order });
+	g_free(body);
+}
--- /dev/null
+++ b/tests/http/loop.h
@@ -0,0 +1,111 @@
+#ifndef TESTS_HTTP_LOOP_H
+#define TESTS_HTTP_LOOP_H
+
+/* Turns the loop until something has come about; a raw caller beside it. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http.h"
+#include "http/sock.h"
+
+#define TURNS_MAX 20000 /* of a millisecond: gives up, no verdict on speed */
+
+static inline gboolean
+turn_tick(gpointer data)
+{
+	return G_SOURCE_CONTINUE;
+}
+
+/* Runs until `*flag` is true; fails the test if that never happens. */
+static inline void
+turn_until(const bool *flag)
+{
+	guint tick = g_timeout_add(1, turn_tick, NULL);
+	int i;
+
+	for (i = 0; i < TURNS_MAX && !*flag; i++)
+		g_main_context_iteration(NULL, TRUE);
+	g_source_remove(tick);
+	assert_true(*flag);
+}
+
+/* Lets everything happen that is due within `ms`. */
+static inline void
+turn_ms(int ms)
+{
+	guint tick = g_timeout_add(1, turn_tick, NULL);
+	int64_t end_us = g_get_monotonic_time() + ms * 1000;
+
+	while (g_get_monotonic_time() < end_us)
+		g_main_context_iteration(NULL, TRUE);
+	g_source_remove(tick);
+}
+
+static inline unsigned int
+free_port(void)
+{
+	struct sockaddr_in at;
+	socklen_t len = sizeof(at);
+	int fd;
+
+	assert_true(sock_address("127.0.0.1:0", &at));
+	fd = sock_listen(&at, 1);
+	assert_true(fd >= 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &len), 0);
+	close(fd);
+	return ntohs(at.sin_port);
+}
+
+static inline int
+raw_dial(const char *address)
+{
+	struct sockaddr_in at;
+	int fd;
+
+	assert_true(sock_address(address, &at));
+	fd = sock_dial(&at);
+	assert_true(fd >= 0);
+	turn_ms(5);
+	return fd;
+}
+
+static inline void
+raw_send(int fd, const char *text)
+{
+	assert_int_equal(
+	    send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+}
+
+/* All that comes until `stop` is in it or the other end closes. */
+static inline char *
+raw_read(int fd, const char *stop)
+{
+	GString *got = g_string_new(NULL);
+	char buffer[4096];
+	ssize_t n;
+	int i;
+
+	for (i = 0; i < TURNS_MAX / 4; i++) {
+		n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+		if (n == 0 || (n < 0 && errno != EAGAIN))
+			break;
+		if (n > 0)
+			g_string_append_len(got, buffer, n);
+		if (stop != NULL && strstr(got->str, stop) != NULL)
+			break;
+		turn_ms(1);
+	}
+	return g_string_free(got, FALSE);
+}
+
+#endif
--- /dev/null
+++ b/tests/stage/test_stage.c
@@ -0,0 +1,196 @@
+/* What a keeper does next for its engine. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "stage/stage.h"
+
+#define SECOND 1000000
+
+static struct stg_state
+serving(void)
+{
+	return (struct stg_state){ .wanted = 2,
+		.up = true,
+		.loaded = 1,
+		.running = 9,
+		.manifest = true,
+		.whole = true,
+		.put = true };
+}
+
+static void
+test_an_empty_engine_loads_at_once(void **state)
+{
+	struct stg_state s = { .wanted = 1, .up = true };
+
+	assert_int_equal(stg_next(&s, 0), STG_MANIFEST);
+	s.manifest = true;
+	assert_int_equal(stg_next(&s, 0), STG_LOOK);
+	s.looked = true;
+	assert_int_equal(stg_next(&s, 0), STG_FETCH);
+	s.whole = true;
+	assert_int_equal(stg_next(&s, 0), STG_PUT);
+	s.put = true;
+	s.turn_us = 100 * SECOND; /* not waited for: nothing is lost */
+	assert_int_equal(stg_next(&s, SECOND), STG_CHECK);
+	s.checked_us = SECOND;
+	assert_int_equal(stg_next(&s, SECOND), STG_ORDER);
+	s.ordered_us = SECOND;
+	assert_int_equal(stg_next(&s, 2 * SECOND), STG_LOADING);
+	s.loaded = 1;
+	assert_int_equal(stg_next(&s, 2 * SECOND), STG_DONE);
+}
+
+/*
+ * Pieces in the staging place rot without notice, and the engine loads them
+ * as they are: callers would get answers of spoilt weights. A check that has
+ * grown old while the engine waited for its turn is made again.
+ */
+static void
+test_an_old_check_does_not_count(void **state)
+{
+	struct stg_state s = serving();
+
+	s.checked_us = SECOND;
+	assert_int_equal(stg_next(&s, SECOND + STG_CHECK_KEEPS_US), STG_ORDER);
+	assert_int_equal(
+	    stg_next(&s, SECOND + STG_CHECK_KEEPS_US + 1), STG_CHECK);
+}
+
+static void
+test_a_serving_engine_waits_for_its_turn(void **state)
+{
+	struct stg_state s = serving();
+
+	s.turn_us = 5 * SECOND;
+	assert_int_equal(stg_next(&s, 4 * SECOND), STG_TURN);
+	assert_int_equal(stg_next(&s, 5 * SECOND), STG_CHECK);
+	s.running = 0;
+	assert_int_equal(stg_next(&s, 4 * SECOND), STG_CHECK);
+}
+
+static void
+test_orders_that_are_refused_or_lost(void **state)
+{
+	struct stg_state s = serving();
+
+	s.checked_us = SECOND;
+	s.refused_us = SECOND;
+	assert_int_equal(stg_next(&s, SECOND + 1), STG_LOADING);
+	s.checked_us = SECOND + STG_ORDER_REST_US;
+	assert_int_equal(stg_next(&s, SECOND + STG_ORDER_REST_US), STG_ORDER);
+	s.ordered_us = SECOND;
+	assert_int_equal(stg_next(&s, 2 * SECOND), STG_LOADING);
+	assert_int_equal(stg_next(&s, SECOND + STG_ORDER_LOST_US), STG_CHECK);
+}
+
+static void
+test_nothing_while_the_engine_is_away(void **state)
+{
+	struct stg_state s = serving();
+
+	s.up = false;
+	assert_int_equal(stg_next(&s, 0), STG_IDLE);
+	s.up = true;
+	s.busy = true;
+	assert_int_equal(stg_next(&s, 0), STG_LOADING);
+	s.wanted = 0;
+	assert_int_equal(stg_next(&s, 0), STG_IDLE);
+}
+
+/* Beside an engine that has the version its pieces are taken from the staging
+ * place, for other keepers. */
+static void
+test_a_loaded_engine_is_a_source(void **state)
+{
+	struct stg_state s = { .wanted = 1, .up = true, .loaded = 1 };
+
+	assert_int_equal(stg_next(&s, 0), STG_MANIFEST);
+	s.manifest = true;
+	assert_int_equal(stg_next(&s, 0), STG_LOOK);
+	s.looked = true;
+	assert_int_equal(stg_next(&s, 0), STG_DONE);
+}
+
+/* Engines change one after the other, the last well before the due time. */
+static void
+test_turns_are_spread(void **state)
+{
+	int64_t before = 0, turn;
+	unsigned int i;
+
+	for (i = 0; i < 20; i++) {
+		turn = stg_turn(10 * SECOND, 18 * SECOND, i, 20);
+		assert_true(turn > before);
+		assert_true(turn < 17 * SECOND);
+		before = turn;
+	}
+	assert_int_equal(
+	    stg_turn(10 * SECOND, 12 * SECOND, 3, 20), 10 * SECOND);
+	assert_true(
+	    stg_turn(10 * SECOND, 0, 3, 20) > stg_turn(10 * SECOND, 0, 2, 20));
+}
+
+/*
+ * Two versions are named two seconds apart, then the origin goes away. The
+ * engine must not wait for the second beyond the moment from which what it
+ * holds may not serve, when the first is whole beside it.
+ */
+static void
+test_the_older_version_when_the_newest_is_late(void **state)
+{
+	struct stg_rival r = { .older_whole = true,
+		.loaded = 1,
+		.older_turn_us = 14 * SECOND,
+		.older_due_us = 17 * SECOND,
+		.newest_heard_us = 12 * SECOND,
+		.have = 0,
+		.total = 64 };
+
+	assert_false(stg_prefers_older(&r, 13 * SECOND));
+	/* In time: the change to the older would cost more. */
+	r.have = 60;
+	assert_false(stg_prefers_older(&r, 15 * SECOND));
+	r.have = 0;
+	assert_true(stg_prefers_older(&r, 16 * SECOND));
+	r.older_whole = false;
+	assert_false(stg_prefers_older(&r, 16 * SECOND));
+}
+
+/* An engine that holds nothing serves with whatever comes first. */
+static void
+test_an_empty_engine_takes_the_older(void **state)
+{
+	struct stg_rival r = { .older_whole = true,
+		.loaded = 0,
+		.newest_heard_us = 10 * SECOND,
+		.have = 0,
+		.total = 64 };
+
+	assert_true(stg_prefers_older(&r, 10 * SECOND));
+	r.have = 64;
+	assert_false(stg_prefers_older(&r, 14 * SECOND));
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_an_empty_engine_loads_at_once),
+		cmocka_unit_test(test_an_old_check_does_not_count),
+		cmocka_unit_test(test_a_serving_engine_waits_for_its_turn),
+		cmocka_unit_test(test_orders_that_are_refused_or_lost),
+		cmocka_unit_test(test_nothing_while_the_engine_is_away),
+		cmocka_unit_test(test_a_loaded_engine_is_a_source),
+		cmocka_unit_test(test_turns_are_spread),
+		cmocka_unit_test(
+		    test_the_older_version_when_the_newest_is_late),
+		cmocka_unit_test(test_an_empty_engine_takes_the_older),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
