--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -26,6 +26,24 @@
 /* Timers                                                              */
 /* ------------------------------------------------------------------ */
 
+static struct evl_timer *heap_at(const struct evl *e, size_t i);
+
+/* Tells GLib when the loop wants its next turn: at once for work that was put
+ * off between two wake-ups, else for the earliest timer. */
+static void
+arm(struct evl *e)
+{
+	int64_t at_us = -1;
+
+	if (e->awake)
+		return; /* done at the end of the wake-up */
+	if (!TAILQ_EMPTY(&e->tasks))
+		at_us = 0;
+	else if (e->heap->len > 0)
+		at_us = heap_at(e, 0)->at_us;
+	g_source_set_ready_time(&e->source, at_us);
+}
+
 static struct evl_timer *
 heap_at(const struct evl *e, size_t i)
 {
@@ -97,7 +115,7 @@
 	t->slot = e->heap->len;
 	heap_up(e, e->heap->len - 1);
 	if (t->slot == 1)
-		g_source_set_ready_time(&e->source, at_us);
+		arm(e);
 }
 
 static void
@@ -174,8 +192,7 @@
 		return;
 	task->queued = true;
 	TAILQ_INSERT_TAIL(&e->tasks, task, link);
-	/* Asked for outside of a wake-up of ours, it wants one. */
-	g_source_set_ready_time(&e->source, 0);
+	arm(e);
 }
 
 void
@@ -213,8 +230,7 @@
 	fire_timers(e);
 	run_tasks(e);
 	e->awake = false;
-	g_source_set_ready_time(
-	    source, e->heap->len > 0 ? heap_at(e, 0)->at_us : -1);
+	arm(e);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/lib/http/parse.c
+++ b/lib/http/parse.c
@@ -242,9 +242,27 @@
 	return n > 1;
 }
 
+/* "Name : value": some readers take the blank as part of the name. */
+static bool
+names_are_plain(const struct hmsg *m)
+{
+	size_t i;
+
+	for (i = 0; i < m->nheaders; i++) {
+		struct hslice name = m->headers[i].name;
+
+		if (name.n == 0 || memchr(name.p, ' ', name.n) != NULL ||
+		    memchr(name.p, '\t', name.n) != NULL)
+			return false;
+	}
+	return true;
+}
+
 static bool
 head_is_clear(const struct hparse *p)
 {
+	if (!names_are_plain(&p->msg))
+		return false;
 	if (repeated(&p->msg, "Content-Length"))
 		return false;
 	if (repeated(&p->msg, "Transfer-Encoding"))
@@ -267,6 +285,9 @@
 		http_parser_pause(&p->parser, 0);
 	else if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK)
 		return HPARSE_BAD;
+	/* HTTP/0.9 has no headers, and nobody speaks another version here. */
+	if (p->parser.http_major != 1)
+		return HPARSE_BAD;
 	if (n != p->head.len || !head_is_clear(p))
 		return HPARSE_BAD;
 	p->head_done = true;
--- /dev/null
+++ b/tests/adapter/test_records.c
@@ -0,0 +1,227 @@
+/* The platform's bodies, decoded into records; hostile ones refused. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "platform/adapter.h"
+
+static struct store_item *
+item(struct store_page *page, guint i)
+{
+	return &g_array_index(page->items, struct store_item, i);
+}
+
+static void
+read_into(
+    const struct store_kind *kind, const char *text, struct store_page *page)
+{
+	struct err err = { 0 };
+
+	page->items = g_array_new(FALSE, FALSE, sizeof(struct store_item));
+	assert_true(
+	    adapter_store.read_page(kind, text, strlen(text), page, &err));
+}
+
+static void
+drop(const struct store_kind *kind, struct store_page *page)
+{
+	guint i;
+
+	for (i = 0; i < page->items->len; i++) {
+		g_free(item(page, i)->name);
+		if (item(page, i)->value != NULL)
+			kind->free(item(page, i)->value);
+	}
+	g_array_unref(page->items);
+}
+
+static void
+test_config(void **state)
+{
+	static const char text[] =
+	    "{\"items\":[{\"metadata\":{\"name\":\"main\",\"revision\":12},"
+	    "\"spec\":{\"version\":7,\"routes\":[{\"name\":\"r\","
+	    "\"host\":\"H.example\",\"pathPrefix\":\"/a/\","
+	    "\"kind\":\"streaming\",\"timeoutMs\":6000,"
+	    "\"targetLatencyMs\":400,\"priority\":1,\"trafficSplit\":["
+	    "{\"service\":\"x\",\"weight\":9},{\"service\":\"y\",\"weight\":1}],"
+	    "\"maxAttempts\":2,\"resumable\":true,\"gapTargetMs\":300}],"
+	    "\"services\":[{\"name\":\"x\",\"maxConnections\":10,\"engine\":{"
+	    "\"slots\":16,\"models\":[{\"name\":\"m\",\"warmS\":0.3}],"
+	    "\"chunk\":2048,\"chunks\":64,\"chunkBytes\":32768}},"
+	    "{\"name\":\"o\",\"origin\":\"1.2.3.4:5\",\"zone\":\"z\"}],"
+	    "\"limits\":{\"maxHeaderBytes\":100},\"tenants\":["
+	    "{\"name\":\"t\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":3}],"
+	    "\"unknown\":{\"ignored\":[1]}}}],\"hasMore\":false,\"at\":13}";
+	struct store_page page = { 0 };
+	const struct sv_config *c;
+
+	read_into(&adapter_config, text, &page);
+	assert_int_equal(page.at, 13);
+	assert_false(page.more);
+	assert_int_equal(item(&page, 0)->revision, 12);
+	c = item(&page, 0)->value;
+	assert_non_null(c);
+	assert_int_equal(c->version, 7);
+	assert_string_equal(c->routes[0].host, "h.example");
+	assert_int_equal(c->routes[0].kind, SV_STREAM);
+	assert_int_equal(c->routes[0].timeout_us, 6000000);
+	assert_int_equal(c->routes[0].nshares, 2);
+	assert_true(c->routes[0].resumable);
+	assert_false(c->routes[0].anonymous);
+	assert_true(c->services[0].has_engine);
+	assert_string_equal(c->services[0].engine.model, "m");
+	assert_int_equal(c->services[0].engine.read_most, 2048);
+	assert_int_equal(c->services[0].engine.chunks, 64);
+	assert_string_equal(c->services[1].origin, "1.2.3.4:5");
+	assert_string_equal(c->services[1].domain, "z");
+	assert_int_equal(c->head_bytes, 100);
+	assert_string_equal(c->workspaces[0].keys[1], "k2");
+	drop(&adapter_config, &page);
+}
+
+static void
+test_events(void **state)
+{
+	static const char text[] =
+	    "{\"events\":[{\"removed\":true,\"object\":{\"metadata\":{"
+	    "\"name\":\"i-1\",\"revision\":4}}},{\"removed\":false,"
+	    "\"object\":{\"metadata\":{\"name\":\"i-2\",\"revision\":5},"
+	    "\"spec\":{\"service\":\"x\",\"address\":\"1.2.3.4:80\","
+	    "\"zone\":\"z\",\"slots\":16,\"state\":\"draining\",\"models\":["
+	    "{\"name\":\"m\",\"version\":2,\"layers\":[{\"from\":0,\"to\":8,"
+	    "\"version\":2},{\"from\":8,\"to\":16,\"version\":2}]}]}}}],"
+	    "\"at\":5}";
+	struct store_page page = { 0 };
+	const struct sv_target *t;
+
+	read_into(&adapter_targets, text, &page);
+	assert_int_equal(page.items->len, 2);
+	assert_true(item(&page, 0)->removed);
+	t = item(&page, 1)->value;
+	assert_string_equal(t->id, "i-2");
+	assert_true(t->leaving);
+	assert_string_equal(t->model, "m");
+	assert_int_equal(t->model_version, 2);
+	drop(&adapter_targets, &page);
+}
+
+static int64_t
+version_of(const char *models)
+{
+	struct sv_report report;
+	struct err err = { 0 };
+	char *text = g_strdup_printf("{\"models\":[%s],\"running\":3}", models);
+
+	assert_true(adapter_report_read(text, strlen(text), &report, &err));
+	g_free(text);
+	assert_int_equal(report.running, 3);
+	return report.version;
+}
+
+/* Layers of two versions, or with a gap, are no version: requests there would
+ * be answered from mixed weights. */
+static void
+test_only_whole_models_count(void **state)
+{
+	assert_int_equal(version_of("{\"name\":\"m\",\"version\":3}"), 3);
+	assert_int_equal(version_of("{\"name\":\"m\",\"version\":3,\"layers\":["
+				    "{\"from\":0,\"to\":16,\"version\":3}]}"),
+	    3);
+	assert_int_equal(version_of("{\"name\":\"m\",\"version\":3,\"layers\":["
+				    "{\"from\":0,\"to\":4,\"version\":3},"
+				    "{\"from\":8,\"to\":16,\"version\":3}]}"),
+	    0);
+	assert_int_equal(version_of("{\"name\":\"m\",\"version\":3,\"layers\":["
+				    "{\"from\":0,\"to\":8,\"version\":3},"
+				    "{\"from\":8,\"to\":16,\"version\":2}]}"),
+	    0);
+	assert_int_equal(
+	    version_of("{\"name\":\"m\",\"version\":3,\"layers\":[]}"), 0);
+	assert_int_equal(version_of(""), 0);
+}
+
+static void
+test_manifest(void **state)
+{
+	static const char good[] =
+	    "{\"version\":2,\"chunkBytes\":32768,\"digests\":[\""
+	    "00112233445566778899aabbccddeeff"
+	    "00112233445566778899aabbccddeeff\"]}";
+	static const char *const bad[] = { "{\"version\":2,\"digests\":[]}",
+		"{\"version\":2,\"digests\":[\"0011\"]}",
+		"{\"version\":2,\"digests\":[null]}",
+		"{\"version\":2,\"digests\":[7]}", "{\"version\":2}", "[]", "",
+		"{\"version\":2,\"dig" };
+	GByteArray *list = g_byte_array_new();
+	uint64_t chunk_bytes;
+	struct err err = { 0 };
+	size_t i;
+
+	assert_true(adapter_manifest_read(
+	    good, strlen(good), 2, list, &chunk_bytes, &err));
+	assert_int_equal(list->len, DIGEST_BYTES);
+	assert_int_equal(chunk_bytes, 32768);
+	/* Of another version: not what was asked for. */
+	g_byte_array_set_size(list, 0);
+	assert_false(adapter_manifest_read(
+	    good, strlen(good), 3, list, &chunk_bytes, &err));
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_byte_array_set_size(list, 0);
+		assert_false(adapter_manifest_read(
+		    bad[i], strlen(bad[i]), 2, list, &chunk_bytes, &err));
+	}
+	g_byte_array_unref(list);
+}
+
+/* Members of unexpected types, missing names, no JSON at all: refused or left
+ * out, never taken for something else. */
+static void
+test_hostile_pages(void **state)
+{
+	static const char *const texts[] = {
+		"{\"items\":[7,null,[],{}],\"at\":\"x\"}",
+		"{\"items\":[{\"metadata\":[],\"spec\":1}]}",
+		"{\"items\":[{\"metadata\":{\"name\":\"a\"},\"spec\":{"
+		"\"version\":\"7\",\"routes\":{}}}]}",
+		"{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":1},"
+		"\"spec\":{\"version\":1,\"routes\":[7,{}],\"services\":[null],"
+		"\"tenants\":[{\"apiKeys\":[1,null]}]}}]}",
+		"{\"events\":[{\"object\":7},7]}",
+	};
+	struct store_page page = { 0 };
+	struct err err = { 0 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		read_into(&adapter_config, texts[i], &page);
+		drop(&adapter_config, &page);
+		read_into(&adapter_targets, texts[i], &page);
+		drop(&adapter_targets, &page);
+		read_into(&adapter_versions, texts[i], &page);
+		drop(&adapter_versions, &page);
+	}
+	page.items = g_array_new(FALSE, FALSE, sizeof(struct store_item));
+	assert_false(
+	    adapter_store.read_page(&adapter_config, "{", 1, &page, &err));
+	g_array_unref(page.items);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_events),
+		cmocka_unit_test(test_only_whole_models_count),
+		cmocka_unit_test(test_manifest),
+		cmocka_unit_test(test_hostile_pages),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/common/test_spend.c
@@ -0,0 +1,74 @@
+/* A share of the retry budget, over a sliding window. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "common/spend.h"
+
+#define SECOND ((int64_t)1000000)
+
+static const struct spend_conf conf = { .ratio = 0.2,
+	.slack = 100,
+	.used = 0.8,
+	.window_us = 10 * SECOND,
+	.sharers = 5 };
+
+static unsigned int
+take_all(struct spend *s, int64_t now_us)
+{
+	unsigned int n = 0;
+
+	while (spend_take(s, &conf, now_us))
+		n++;
+	return n;
+}
+
+/* Five processes, each with its part of the slack and a fifth of its own
+ * requests: together never more than the whole. */
+static void
+test_share(void **state)
+{
+	struct spend s = { 0 };
+	unsigned int i;
+
+	assert_int_equal(take_all(&s, SECOND), 16);
+	for (i = 0; i < 100; i++)
+		spend_request(&s, &conf, SECOND);
+	assert_int_equal(take_all(&s, SECOND), 16);
+	assert_false(spend_take(&s, &conf, 10 * SECOND));
+	assert_int_equal(take_all(&s, 12 * SECOND), 16);
+}
+
+/* Whatever the moments, no window of the budget's length has more. */
+static void
+test_any_window(void **state)
+{
+	static int64_t taken[4000];
+	struct spend s = { 0 };
+	int64_t now_us;
+	size_t n = 0, first = 0;
+
+	for (now_us = 0; now_us < 60 * SECOND; now_us += 7000) {
+		if (n < 4000 && spend_take(&s, &conf, now_us))
+			taken[n++] = now_us;
+	}
+	for (size_t i = 0; i < n; i++) {
+		while (taken[i] - taken[first] >= 10 * SECOND)
+			first++;
+		assert_true(i - first < 20);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_share),
+		cmocka_unit_test(test_any_window),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/http/test_parse.c
+++ b/tests/http/test_parse.c
@@ -135,7 +135,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
 		if (parse_once(bad[i]) != HPARSE_BAD)
-			fail_msg("taken: %s", bad[i]);
+			fail_msg("taken: number %zu", i);
 	}
 }
 
--- /dev/null
+++ b/tests/serve/test_decide.c
@@ -0,0 +1,407 @@
+/* The pure decisions of the data path: routes, attempts, versions, targets. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "serve/flow.h"
+#include "serve/hist.h"
+#include "serve/rtab.h"
+#include "serve/side.h"
+#include "serve/tgt.h"
+#include "serve/vers.h"
+
+#define SECOND 1000000
+
+/* ------------------------------------------------------------------ */
+/* Routes                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+add_route(struct sv_config *c, const char *host, const char *prefix)
+{
+	struct sv_route *r = &c->routes[c->nroutes++];
+
+	r->name = g_strdup(prefix);
+	r->host = g_strdup(host);
+	r->prefix = g_strdup(prefix);
+	r->nshares = 2;
+	r->shares = g_new0(struct sv_share, 2);
+	r->shares[0] = (struct sv_share){ g_strdup("a"), 9 };
+	r->shares[1] = (struct sv_share){ g_strdup("b"), 1 };
+}
+
+static struct hslice
+slice(const char *s)
+{
+	return (struct hslice){ s, strlen(s) };
+}
+
+static const char *
+match(struct rtab *t, const char *host, const char *path)
+{
+	const struct sv_route *r = rtab_route(t, slice(host), slice(path));
+
+	return r == NULL ? NULL : r->name;
+}
+
+static void
+test_longest_prefix(void **state)
+{
+	struct sv_config *c = g_new0(struct sv_config, 1);
+	struct rtab *t;
+	unsigned int i, b = 0;
+
+	c->routes = g_new0(struct sv_route, 3);
+	add_route(c, "h.example", "/a/");
+	add_route(c, "h.example", "/a/b/");
+	add_route(c, "other.example", "/");
+	t = rtab_new(c);
+	assert_string_equal(match(t, "h.example", "/a/x"), "/a/");
+	assert_string_equal(match(t, "H.Example:8080", "/a/b/x?/c/"), "/a/b/");
+	assert_string_equal(match(t, "h.example", "/a/b?x=/a/b/"), "/a/");
+	assert_null(match(t, "h.example", "/ab"));
+	assert_null(match(t, "h.example", "/a?/"));
+	assert_null(match(t, "x.example", "/a/"));
+	for (i = 0; i < 100; i++)
+		b += strcmp(rtab_pick_service(&c->routes[0], i), "b") == 0;
+	assert_int_equal(b, 10);
+	rtab_unref(t);
+}
+
+/* ------------------------------------------------------------------ */
+/* Attempts                                                            */
+/* ------------------------------------------------------------------ */
+
+static bool
+yes(void *ctx)
+{
+	(*(unsigned int *)ctx)++;
+	return true;
+}
+
+static bool
+no(void *ctx)
+{
+	return false;
+}
+
+static void
+test_what_follows_an_attempt(void **state)
+{
+	struct flow_state s = { .attempts = 2, .time = true, .tries = 1 };
+	unsigned int asked = 0;
+
+	/* May run once, and certainly did not: on it goes. */
+	assert_int_equal(flow_next(&s, FLOW_REFUSED, yes, &asked), FLOW_AGAIN);
+	assert_int_equal(flow_next(&s, FLOW_REFUSED, no, NULL), FLOW_REFUSE);
+	/* Nothing was sent: no arrival, so nothing is spent. */
+	asked = 0;
+	assert_int_equal(
+	    flow_next(&s, FLOW_UNREACHABLE, yes, &asked), FLOW_AGAIN);
+	assert_int_equal(asked, 0);
+	/* It may have run: never again, and never "not run". */
+	s.may_have_run = true;
+	s.runs = 1;
+	assert_int_equal(flow_next(&s, FLOW_LOST, yes, &asked), FLOW_FAIL);
+	assert_int_equal(flow_next(&s, FLOW_REFUSED, yes, &asked), FLOW_FAIL);
+	assert_int_equal(flow_next(&s, FLOW_FAILURE, yes, &asked), FLOW_PASS);
+	/* May be repeated, within its attempts. */
+	s.repeatable = true;
+	assert_int_equal(flow_next(&s, FLOW_LOST, yes, &asked), FLOW_AGAIN);
+	s.begun = true;
+	assert_int_equal(flow_next(&s, FLOW_LOST, yes, &asked), FLOW_RESUME);
+	assert_int_equal(flow_next(&s, FLOW_LOST, no, NULL), FLOW_BREAK);
+	s.runs = 2;
+	assert_int_equal(flow_next(&s, FLOW_SILENT, yes, &asked), FLOW_BREAK);
+	/* No time left. */
+	s = (struct flow_state){ .repeatable = true, .attempts = 3 };
+	assert_int_equal(flow_next(&s, FLOW_REFUSED, yes, &asked), FLOW_REFUSE);
+	/* Refusals do not go round for ever. */
+	s.time = true;
+	s.tries = 3 + FLOW_REFUSALS_MAX;
+	assert_int_equal(flow_next(&s, FLOW_REFUSED, yes, &asked), FLOW_REFUSE);
+}
+
+/* ------------------------------------------------------------------ */
+/* Versions                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+test_versions_become_due(void **state)
+{
+	struct vers *v = vers_new(8 * SECOND);
+	struct sv_version named = { .model = "m", .version = 2 };
+	int64_t due_us = 8 * SECOND - SIDE_QUEUE_US;
+
+	assert_int_equal(vers_least(v, "m", 0), 0);
+	assert_true(vers_named(v, &named, false, SECOND));
+	assert_false(vers_named(v, &named, false, 2 * SECOND));
+	named.version = 5;
+	assert_true(vers_named(v, &named, false, 3 * SECOND));
+	assert_int_equal(vers_least(v, "m", SECOND + due_us - 1), 0);
+	assert_int_equal(vers_least(v, "m", SECOND + due_us), 2);
+	assert_int_equal(vers_least(v, "m", 3 * SECOND + due_us), 5);
+	assert_int_equal(vers_newest(v, "m"), 5);
+	assert_int_equal(vers_least(v, "other", 99 * SECOND), 0);
+	assert_int_equal(vers_least(v, NULL, 99 * SECOND), 0);
+	vers_free(v);
+}
+
+/* A gateway that starts does not know when a version was named: it is due. */
+static void
+test_versions_from_before_the_start(void **state)
+{
+	struct vers *v = vers_new(8 * SECOND);
+	struct sv_version named = { .model = "m", .version = 2 };
+
+	assert_true(vers_named(v, &named, true, SECOND));
+	assert_int_equal(vers_least(v, "m", SECOND), 2);
+	vers_free(v);
+}
+
+/* ------------------------------------------------------------------ */
+/* Targets                                                             */
+/* ------------------------------------------------------------------ */
+
+static struct tgt_set *set;
+
+static int
+set_up(void **state)
+{
+	static const struct tgt_policy policy = {
+		.beyond_slots = 1, .far_cost = 2, .entries = 3
+	};
+
+	set = tgt_set_new("here", &policy);
+	tgt_set_domain(set, "near", "here");
+	tgt_set_domain(set, "far", "there");
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	tgt_set_free(set);
+	return 0;
+}
+
+static struct tgt *
+put(const char *id, const char *address, const char *domain)
+{
+	struct sv_target says = { .slots = 4 };
+
+	g_strlcpy(says.id, id, sizeof(says.id));
+	g_strlcpy(says.service, "s", sizeof(says.service));
+	g_strlcpy(says.address, address, sizeof(says.address));
+	g_strlcpy(says.domain, domain, sizeof(says.domain));
+	return tgt_put(set, &says, 0);
+}
+
+static struct tgt *
+choose(int64_t now_us, bool repeatable, enum tgt_why *why)
+{
+	struct tgt_wish wish = { .repeatable = repeatable };
+
+	return tgt_choose(set, tgt_service(set, "s"), &wish, now_us, why);
+}
+
+/* What the others have is known from the last word; what this gateway has
+ * sent or got back since is added. */
+static void
+test_estimate(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	const struct tgt_policy *p = tgt_set_policy(set);
+	enum tgt_why why;
+
+	tgt_sent(t, 0);
+	assert_true(tgt_estimate(t, p, 0) == 3); /* three gateways alike */
+	tgt_load(t, 3, SECOND);
+	assert_true(tgt_estimate(t, p, SECOND) == 3);
+	tgt_sent(t, SECOND);
+	assert_true(tgt_estimate(t, p, SECOND) == 4);
+	assert_ptr_equal(choose(SECOND, true, &why), t);
+	tgt_sent(t, SECOND);
+	assert_null(choose(SECOND, true, &why));
+	assert_int_equal(why, TGT_FULL);
+	tgt_ended(t, SECOND);
+	tgt_ended(t, SECOND);
+	tgt_ended(t, SECOND);
+	assert_true(tgt_estimate(t, p, SECOND) == 2);
+}
+
+static void
+test_near_first(void **state)
+{
+	struct tgt *near = put("n", "1.1.1.1:1", "near");
+	struct tgt *far = put("f", "1.1.1.2:1", "far");
+	enum tgt_why why;
+
+	tgt_load(near, 1, SECOND);
+	tgt_load(far, 0, SECOND);
+	assert_ptr_equal(choose(SECOND, true, &why), near);
+	tgt_load(near, 4, SECOND);
+	assert_ptr_equal(choose(SECOND, true, &why), far);
+}
+
+/*
+ * A target stops answering. It gets nothing while it rests, then one request
+ * shows whether it is back; until that has ended nobody else goes there.
+ */
+static void
+test_rest_and_probe(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	enum tgt_why why;
+	int64_t later;
+
+	tgt_outcome(t, TGT_LOST, SECOND);
+	assert_null(choose(SECOND, true, &why));
+	assert_int_equal(why, TGT_NONE);
+	later = t->rest_until_us;
+	assert_null(choose(later, false, &why)); /* first what may repeat */
+	assert_ptr_equal(choose(later, true, &why), t);
+	tgt_sent(t, later);
+	assert_null(choose(later, true, &why));
+	tgt_outcome(t, TGT_SILENT, later);
+	tgt_ended(t, later);
+	assert_true(t->rest_until_us - later > later - SECOND);
+	later = t->rest_until_us;
+	tgt_sent(t, later);
+	tgt_outcome(t, TGT_ANSWERED, later);
+	tgt_ended(t, later);
+	assert_ptr_equal(choose(later, false, &why), t);
+}
+
+/* Many requests that fail at the same moment are one failure. */
+static void
+test_failures_together(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	int i;
+
+	for (i = 0; i < 16; i++)
+		tgt_outcome(t, TGT_LOST, SECOND);
+	assert_int_equal(t->failures, 1);
+}
+
+/* A target that answers with failures while others do not gets less. */
+static void
+test_failing_target(void **state)
+{
+	struct tgt *bad = put("a", "1.1.1.1:1", "near");
+	struct tgt *good = put("b", "1.1.1.2:1", "near");
+	enum tgt_why why;
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		tgt_outcome(bad, TGT_ERROR, SECOND);
+		tgt_outcome(good, TGT_ANSWERED, SECOND);
+	}
+	tgt_load(bad, 0, SECOND);
+	tgt_load(good, 2, SECOND);
+	assert_ptr_equal(choose(SECOND, true, &why), good);
+}
+
+/*
+ * Entries lapse while the store is away, though the targets live: they write
+ * again within two seconds of its return. Until then they are kept; those told
+ * to be gone are not, nor those that were leaving.
+ */
+static void
+test_lapsed_targets(void **state)
+{
+	enum tgt_why why;
+
+	put("a", "1.1.1.1:1", "near");
+	put("b", "1.1.1.2:1", "near");
+	tgt_removed(set, "b", false, SECOND);
+	assert_null(tgt_find(set, "b"));
+	tgt_removed(set, "a", true, SECOND);
+	tgt_sweep(set, SECOND + 1000000);
+	assert_non_null(choose(2 * SECOND, true, &why));
+	put("a", "1.1.1.1:1", "near");
+	tgt_sweep(set, 9 * SECOND);
+	assert_non_null(tgt_find(set, "a"));
+	tgt_removed(set, "a", true, 9 * SECOND);
+	tgt_sweep(set, 11 * SECOND);
+	assert_null(tgt_find(set, "a"));
+}
+
+/* An address passes on to another target: the one before is no more, also for
+ * requests that still refer to it. */
+static void
+test_address_used_again(void **state)
+{
+	struct tgt *before = tgt_ref(put("a", "1.1.1.1:1", "near"));
+	struct tgt *now = put("b", "1.1.1.1:1", "near");
+
+	assert_null(tgt_find(set, "a"));
+	assert_ptr_equal(tgt_at(set, "1.1.1.1:1"), now);
+	assert_true(before->dropped);
+	tgt_unref(before);
+}
+
+static void
+test_only_loaded_versions(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	struct tgt_wish wish = { .model = "m", .version = 2 };
+	enum tgt_why why;
+
+	t->says.has_models = true;
+	assert_null(tgt_choose(set, tgt_service(set, "s"), &wish, 0, &why));
+	g_strlcpy(t->model, "m", sizeof(t->model));
+	t->version = 1;
+	assert_null(tgt_choose(set, tgt_service(set, "s"), &wish, 0, &why));
+	t->version = 2;
+	assert_ptr_equal(
+	    tgt_choose(set, tgt_service(set, "s"), &wish, 0, &why), t);
+	t->side_down = true;
+	assert_null(tgt_choose(set, tgt_service(set, "s"), &wish, 0, &why));
+}
+
+static void
+test_histogram(void **state)
+{
+	struct hist h = { 0 };
+	GString *out = g_string_new(NULL);
+
+	hist_add(&h, 900);
+	hist_add(&h, 350000);
+	hist_add(&h, 99000000);
+	hist_print(&h, "x", out);
+	assert_non_null(strstr(out->str, "x_bucket{le=\"0.001\"} 1\n"));
+	assert_non_null(strstr(out->str, "x_bucket{le=\"0.4\"} 2\n"));
+	assert_non_null(strstr(out->str, "x_bucket{le=\"+Inf\"} 3\n"));
+	assert_non_null(strstr(out->str, "x_count 3\n"));
+	g_string_free(out, TRUE);
+}
+
+int
+main(void)
+{
+#define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_longest_prefix),
+		cmocka_unit_test(test_what_follows_an_attempt),
+		cmocka_unit_test(test_versions_become_due),
+		cmocka_unit_test(test_versions_from_before_the_start),
+		T(test_estimate),
+		T(test_near_first),
+		T(test_rest_and_probe),
+		T(test_failures_together),
+		T(test_failing_target),
+		T(test_lapsed_targets),
+		T(test_address_used_again),
+		T(test_only_loaded_versions),
+		cmocka_unit_test(test_histogram),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/serve/test_fwd.c
@@ -0,0 +1,431 @@
+/* Requests through the forwarder: what callers get when targets misbehave. */
+
+#include <stdlib.h>
+
+#include "world.h"
+
+static int
+tear_down(void **state)
+{
+	world_close();
+	return 0;
+}
+
+/* ------------------------------------------------------------------ */
+/* The plain way                                                       */
+/* ------------------------------------------------------------------ */
+
+/* What is the caller's goes on, what is this system's is set here, the key
+ * stays here. */
+static void
+test_what_a_target_gets(void **state)
+{
+	char *request, *left;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	fd = ask_with("POST", "/x/1?q=2",
+	    "T-Deadline: 900\r\nT-Workspace: forged\r\nT-Expect: forged\r\n"
+	    "X-Own: kept\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n");
+	t = target_get(&request);
+	assert_true(g_str_has_prefix(request, "POST /x/1?q=2 HTTP/1.1\r\n"));
+	assert_non_null(strstr(request, "X-Own: kept\r\n"));
+	assert_non_null(strstr(request, "T-Id: q1\r\n"));
+	assert_non_null(strstr(request, "T-Workspace: team\r\n"));
+	assert_non_null(strstr(request, "T-Expect: i0\r\n"));
+	assert_non_null(strstr(request, "Content-Length: 3\r\n"));
+	left = strstr(request, "T-Deadline: ");
+	assert_non_null(left);
+	assert_in_range(atoi(left + strlen("T-Deadline: ")), 1, 900);
+	assert_null(strstr(request, "secret"));
+	assert_null(strstr(request, "forged"));
+	assert_null(strstr(request, "X-Hop"));
+	assert_null(strstr(request, "chunked"));
+	g_free(request);
+	raw_send(t->fd, WHOLE);
+	expect_answer(fd, "\r\n\r\nok");
+}
+
+static void
+test_no_settings_no_route_no_key(void **state)
+{
+	int fd;
+
+	world_open(1, NULL);
+	expect_answer(ask(), "503 ");
+	fwd_set_routes(w.fwd, rtab_new(make_config(SV_SAFE, 2, 2000)));
+	expect_answer(ask_with("GET", "/y/1", ""), "404 ");
+	fd = raw_dial(w.address);
+	raw_send(fd,
+	    "GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+	    "T-Key: Bearer wrong\r\n\r\n");
+	expect_answer(fd, "401 ");
+	assert_false(target_is_called());
+}
+
+/* ------------------------------------------------------------------ */
+/* Answers that are not what they seem                                 */
+/* ------------------------------------------------------------------ */
+
+/*
+ * A target answers an earlier request late, on the connection of this one.
+ * The caller must get its own answer, and never the other's.
+ */
+static void
+test_answer_to_another_request(void **state)
+{
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd,
+	    "HTTP/1.1 200 OK\r\nT-Id: q0\r\nT-Seal: s\r\n"
+	    "Content-Length: 5\r\n\r\nother" WHOLE);
+	expect_answer(fd, "\r\n\r\nok");
+	assert_int_equal(ctr_read(w.counters, "answers_not_ours"), 1);
+}
+
+static void
+expect_bad_gateway(const char *answer)
+{
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, answer);
+	shutdown(t->fd, SHUT_RDWR);
+	expect_answer(fd, "502 ");
+	assert_false(target_is_called());
+	world_close();
+}
+
+/* A success that is not proved, encoded, or not whole is no success; and what
+ * may have run is not said not to have. */
+static void
+test_answers_that_are_no_success(void **state)
+{
+	expect_bad_gateway("HTTP/1.1 200 OK\r\nT-Id: q1\r\n"
+			   "Content-Length: 2\r\n\r\nok");
+	expect_bad_gateway(
+	    GOOD "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok");
+	expect_bad_gateway(GOOD "Content-Length: 9\r\n\r\nok");
+	expect_bad_gateway("HTTP/1.1 200 OK\r\nT-Seal: s\r\n"
+			   "Content-Length: 2\r\n\r\nok");
+	expect_bad_gateway("nonsense");
+	expect_bad_gateway("");
+	/* It does not say that it did not run: no promise is passed on. */
+	expect_bad_gateway("HTTP/1.1 503 Busy\r\nT-Id: q1\r\nT-Seal: s\r\n"
+			   "Content-Length: 0\r\n\r\n");
+	world_open(1, NULL);
+}
+
+static void
+test_failure_is_passed_on_as_it_is(void **state)
+{
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd,
+	    "HTTP/1.1 500 Oops\r\nT-Id: q1\r\nT-Seal: s5\r\n"
+	    "Content-Length: 3\r\n\r\nbad");
+	expect_answer(fd, "T-Seal: s5\r\nContent-Length: 3\r\n\r\nbad");
+}
+
+/* ------------------------------------------------------------------ */
+/* Another target                                                      */
+/* ------------------------------------------------------------------ */
+
+/* A target that refuses has run nothing: even what may run once goes on. */
+static void
+test_refusal_goes_elsewhere(void **state)
+{
+	char *request;
+	struct target *first, *second;
+	int fd;
+
+	world_open(2, make_config(SV_UNSAFE, 1, 2000));
+	fd = ask();
+	first = target_get(&request);
+	g_free(request);
+	raw_send(first->fd,
+	    "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	second = target_get(&request);
+	g_free(request);
+	assert_ptr_not_equal(first, second);
+	raw_send(second->fd, WHOLE);
+	expect_answer(fd, "\r\n\r\nok");
+}
+
+/* Nobody takes it: the caller hears that it did not run, and when to come
+ * back. */
+static void
+test_refused_by_all(void **state)
+{
+	char *request, *answer;
+	struct target *t;
+	int fd, i;
+
+	world_open(2, make_config(SV_UNSAFE, 1, 2000));
+	fd = ask();
+	for (i = 0; i < 2; i++) {
+		t = target_get(&request);
+		g_free(request);
+		raw_send(t->fd,
+		    "HTTP/1.1 421 Other\r\nT-Instance: z\r\n"
+		    "Content-Length: 0\r\n\r\n");
+	}
+	answer = raw_read(fd, "\r\n\r\n");
+	assert_non_null(strstr(answer, "503 "));
+	assert_non_null(strstr(answer, "Retry-After: "));
+	assert_null(strstr(answer, "T-Seal"));
+	g_free(answer);
+	close(fd);
+}
+
+/* The connection is reset after the request was sent. A request that may run
+ * more than once is tried elsewhere; see above for the other kind. */
+static void
+test_reset_is_repeated_when_it_may_be(void **state)
+{
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(2, make_config(SV_SAFE, 2, 2000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	shutdown(t->fd, SHUT_RDWR);
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, WHOLE);
+	expect_answer(fd, "\r\n\r\nok");
+}
+
+/* The route's time is over: the answer is due at that moment, and the target
+ * is told to stop. */
+static void
+test_timeout(void **state)
+{
+	char *request;
+	struct target *t;
+	int64_t begun_us = now_us();
+	int fd;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 150));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	expect_answer(fd, "504 ");
+	assert_in_range(now_us() - begun_us, 150000, 10000000);
+	assert_true(target_is_left(t));
+}
+
+/* A caller leaves: its target must not work for nobody. */
+static void
+test_caller_leaves(void **state)
+{
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	close(fd);
+	assert_true(target_is_left(t));
+	assert_int_equal(fwd_active(w.fwd), 0);
+}
+
+/* ------------------------------------------------------------------ */
+/* Streams                                                             */
+/* ------------------------------------------------------------------ */
+
+/*
+ * A target dies in the middle of an event. The caller must see each event
+ * once, whole and in order: half an event is held back, and the stream goes on
+ * at another target after the last one that was passed on.
+ */
+static void
+test_stream_goes_on_elsewhere(void **state)
+{
+	char *request, *answer;
+	struct target *t;
+	int fd;
+
+	world_open(2, make_config(SV_STREAM, 2, 3000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1") EVENT("2") "9\r\nid: 3\ndat\r\n");
+	turn_ms(10);
+	shutdown(t->fd, SHUT_RDWR);
+	t = target_get(&request);
+	assert_non_null(strstr(request, "T-Last: 2\r\n"));
+	g_free(request);
+	/* One that was passed on already comes again: it is left out. */
+	raw_send(t->fd, STREAM EVENT("2") EVENT("3") "0\r\n\r\n");
+	answer = raw_read(fd, "0\r\n\r\n");
+	assert_non_null(
+	    strstr(answer, EVENT("1") EVENT("2") EVENT("3") "0\r\n\r\n"));
+	g_free(answer);
+	close(fd);
+}
+
+/* Nobody can go on: the stream ends visibly broken off. */
+static void
+test_stream_that_cannot_go_on(void **state)
+{
+	char *request, *answer;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1"));
+	turn_ms(10);
+	shutdown(t->fd, SHUT_RDWR);
+	answer = raw_read(fd, NULL);
+	assert_non_null(strstr(answer, EVENT("1")));
+	assert_null(strstr(answer, "0\r\n\r\n"));
+	g_free(answer);
+	close(fd);
+}
+
+/* A target that falls silent in a stream is left for another while the caller
+ * still waits. */
+static void
+test_silent_stream(void **state)
+{
+	char *request, *answer;
+	struct target *t;
+	int fd;
+
+	world_open(2, make_config(SV_STREAM, 2, 3000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1"));
+	t = target_get(&request);
+	assert_non_null(strstr(request, "T-Last: 1\r\n"));
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("2") "0\r\n\r\n");
+	answer = raw_read(fd, "0\r\n\r\n");
+	assert_non_null(strstr(answer, EVENT("1") EVENT("2") "0\r\n\r\n"));
+	g_free(answer);
+	close(fd);
+}
+
+/* ------------------------------------------------------------------ */
+/* Places                                                              */
+/* ------------------------------------------------------------------ */
+
+/* A target is full: whoever waits gets the place that becomes free. */
+static void
+test_waiting_for_a_place(void **state)
+{
+	char *request;
+	int fd[4], busy[3], i;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	for (i = 0; i < 3; i++) { /* two slots and one beyond */
+		fd[i] = ask();
+		busy[i] = target_get(&request)->fd;
+		g_free(request);
+	}
+	fd[3] = ask();
+	assert_int_equal(fwd_waiting(w.fwd), 1);
+	raw_send(busy[0], WHOLE);
+	expect_answer(fd[0], "\r\n\r\nok");
+	turn_ms(10);
+	assert_int_equal(fwd_waiting(w.fwd), 0);
+	for (i = 1; i < 3; i++)
+		close(busy[i]);
+	for (i = 1; i < 4; i++)
+		close(fd[i]);
+}
+
+/* No place within its share of the objective: refused at once, with advice,
+ * rather than held until the caller gives up. */
+static void
+test_refused_for_want_of_a_place(void **state)
+{
+	char *request, *answer;
+	int fd[4], busy[3], i;
+	int64_t begun_us;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	for (i = 0; i < 3; i++) {
+		fd[i] = ask();
+		busy[i] = target_get(&request)->fd;
+		g_free(request);
+	}
+	begun_us = now_us();
+	fd[3] = ask();
+	answer = raw_read(fd[3], "\r\n\r\n");
+	assert_non_null(strstr(answer, "503 "));
+	assert_non_null(strstr(answer, "Retry-After: "));
+	assert_true(now_us() - begun_us < 1500000);
+	g_free(answer);
+	for (i = 0; i < 3; i++)
+		close(busy[i]);
+	for (i = 0; i < 4; i++)
+		close(fd[i]);
+}
+
+/* A target announced its leaving, or lacks the model: it gets nothing. */
+static void
+test_leaving_and_empty_targets(void **state)
+{
+	world_open(2, make_config(SV_UNSAFE, 1, 2000));
+	target_say(&w.target[0], true, 0);
+	tgt_find(w.set, "i1")->says.has_models = true;
+	expect_answer(
+	    ask_with("GET", "/x/1", "T-Model: " MODEL "\r\n"), "503 ");
+	assert_false(target_is_called());
+}
+
+int
+main(void)
+{
+#define T(f) cmocka_unit_test_teardown(f, tear_down)
+	const struct CMUnitTest tests[] = {
+		T(test_what_a_target_gets),
+		T(test_no_settings_no_route_no_key),
+		T(test_answer_to_another_request),
+		T(test_answers_that_are_no_success),
+		T(test_failure_is_passed_on_as_it_is),
+		T(test_refusal_goes_elsewhere),
+		T(test_refused_by_all),
+		T(test_reset_is_repeated_when_it_may_be),
+		T(test_timeout),
+		T(test_caller_leaves),
+		T(test_stream_goes_on_elsewhere),
+		T(test_stream_that_cannot_go_on),
+		T(test_silent_stream),
+		T(test_waiting_for_a_place),
+		T(test_refused_for_want_of_a_place),
+		T(test_leaving_and_empty_targets),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/serve/world.h
@@ -0,0 +1,315 @@
+#ifndef TESTS_SERVE_WORLD_H
+#define TESTS_SERVE_WORLD_H
+
+/*
+ * A forwarder with its callers' server, and targets whose answers the tests
+ * write byte by byte. All in one loop.
+ */
+
+#include "../http/loop.h"
+
+#include "serve/fwd.h"
+#include "serve/side.h"
+
+#define SERVICE "engines"
+#define MODEL "m"
+#define TARGETS 3
+
+static const struct sv_dialect dialect = {
+	.header = {
+	    [SV_F_REQUEST_ID] = "T-Id",
+	    [SV_F_DEADLINE_MS] = "T-Deadline",
+	    [SV_F_SEAL] = "T-Seal",
+	    [SV_F_WORKSPACE] = "T-Workspace",
+	    [SV_F_KEY] = "T-Key",
+	    [SV_F_EXPECT_INSTANCE] = "T-Expect",
+	    [SV_F_EXPECT_VERSION] = "T-Expect-Version",
+	    [SV_F_URGENCY] = "T-Urgency",
+	    [SV_F_LAST_EVENT] = "T-Last",
+	    [SV_F_LOAD] = "T-Load",
+	    [SV_F_NOT_RUN] = "T-Not-Run",
+	    [SV_F_INSTANCE] = "T-Instance",
+	    [SV_F_MODEL] = "T-Model",
+	    [SV_F_TOKENS] = "T-Tokens",
+	    [SV_F_PREFIX] = "T-Prefix",
+	    [SV_F_LENGTH_HINT] = "T-Hint",
+	    [SV_F_WEIGHTS] = "T-Weights",
+	},
+	.key_scheme = "Bearer ",
+};
+
+/* A target: a raw listener; the test plays its part. */
+struct target {
+	unsigned int port;
+	char address[32];
+	char id[8];
+	int listener;
+	int fd; /* its last connection; -1: none */
+};
+
+struct world {
+	struct evl *loop;
+	struct hpool *pool;
+	struct tgt_set *set;
+	struct vers *versions;
+	struct ctr_set *counters;
+	struct fwd *fwd;
+	struct hserver *server;
+	struct hlimits limits;
+	char address[32];
+	struct target target[TARGETS];
+	size_t ntargets;
+};
+
+static struct world w;
+
+static inline int64_t
+now_us(void)
+{
+	return clk_now_us(clk_system());
+}
+
+/* ------------------------------------------------------------------ */
+/* Targets                                                             */
+/* ------------------------------------------------------------------ */
+
+static inline void
+target_open(struct target *t, size_t i)
+{
+	struct sockaddr_in at;
+
+	t->port = free_port();
+	g_snprintf(t->address, sizeof(t->address), "127.0.0.1:%u", t->port);
+	g_snprintf(t->id, sizeof(t->id), "i%zu", i);
+	assert_true(sock_address(t->address, &at));
+	t->listener = sock_listen(&at, 8);
+	assert_true(t->listener >= 0);
+	t->fd = -1;
+}
+
+static inline void
+target_say(struct target *t, bool leaving, int64_t version)
+{
+	struct sv_target says = { .slots = 2,
+		.leaving = leaving,
+		.has_models = version != 0,
+		.model_version = version };
+
+	g_strlcpy(says.id, t->id, sizeof(says.id));
+	g_strlcpy(says.service, SERVICE, sizeof(says.service));
+	g_strlcpy(says.address, t->address, sizeof(says.address));
+	g_strlcpy(says.domain, "d", sizeof(says.domain));
+	if (version != 0)
+		g_strlcpy(says.model, MODEL, sizeof(says.model));
+	tgt_put(w.set, &says, now_us());
+}
+
+/* The target that gets the next connection, with what it was sent. */
+static inline struct target *
+target_get(char **request_out)
+{
+	size_t i;
+	int turn;
+
+	for (turn = 0; turn < 4000; turn++) {
+		for (i = 0; i < w.ntargets; i++) {
+			int fd = accept4(
+			    w.target[i].listener, NULL, NULL, SOCK_NONBLOCK);
+
+			if (fd < 0)
+				continue;
+			w.target[i].fd = fd;
+			*request_out = raw_read(fd, "\r\n\r\n");
+			return &w.target[i];
+		}
+		turn_ms(1);
+	}
+	*request_out = NULL;
+	fail_msg("no target was called");
+	return NULL;
+}
+
+static inline bool
+target_is_called(void)
+{
+	size_t i;
+
+	turn_ms(30);
+	for (i = 0; i < w.ntargets; i++) {
+		int fd =
+		    accept4(w.target[i].listener, NULL, NULL, SOCK_NONBLOCK);
+
+		if (fd >= 0) {
+			close(fd);
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Whether the other end closed the target's connection. */
+static inline bool
+target_is_left(struct target *t)
+{
+	char byte;
+	int i;
+
+	for (i = 0; i < 2000; i++) {
+		if (recv(t->fd, &byte, 1, MSG_DONTWAIT) == 0)
+			return true;
+		turn_ms(1);
+	}
+	return false;
+}
+
+/* ------------------------------------------------------------------ */
+/* The world                                                           */
+/* ------------------------------------------------------------------ */
+
+static inline struct sv_config *
+make_config(enum sv_kind kind, unsigned int attempts, int64_t timeout_ms)
+{
+	struct sv_config *c = g_new0(struct sv_config, 1);
+	struct sv_route *r;
+
+	c->version = 1;
+	c->nroutes = 1;
+	c->routes = g_new0(struct sv_route, 1);
+	r = &c->routes[0];
+	r->name = g_strdup("route");
+	r->host = g_strdup("a.example");
+	r->prefix = g_strdup("/x/");
+	r->kind = kind;
+	r->timeout_us = timeout_ms * 1000;
+	r->objective_us = 100000;
+	r->gap_us = 100000;
+	r->attempts = attempts;
+	r->resumable = kind == SV_STREAM;
+	r->nshares = 1;
+	r->shares = g_new0(struct sv_share, 1);
+	r->shares[0].service = g_strdup(SERVICE);
+	r->shares[0].weight = 1;
+	c->nworkspaces = 1;
+	c->workspaces = g_new0(struct sv_workspace, 1);
+	c->workspaces[0].name = g_strdup("team");
+	c->workspaces[0].priority = INT_MAX;
+	c->workspaces[0].keys = g_strsplit("secret", ",", -1);
+	return c;
+}
+
+static inline void
+world_open(size_t ntargets, struct sv_config *config)
+{
+	static const struct tgt_policy policy = {
+		.beyond_slots = 1, .far_cost = 1, .entries = 1
+	};
+	struct fwd_conf conf = { 0 };
+	struct err err = { 0 };
+	size_t i;
+
+	memset(&w, 0, sizeof(w));
+	w.loop = evl_new(clk_system());
+	w.counters = ctr_set_new();
+	w.pool = hpool_new(&(struct hpool_conf){ .loop = w.loop,
+	    .idle_max = 4,
+	    .connect_us = 300000,
+	    .idle_us = 5000000,
+	    .head_bytes = 8192 });
+	w.set = tgt_set_new("r", &policy);
+	w.versions = vers_new(2 * G_USEC_PER_SEC + SIDE_QUEUE_US);
+	conf = (struct fwd_conf){ .loop = w.loop,
+		.pool = w.pool,
+		.targets = w.set,
+		.versions = w.versions,
+		.dialect = &dialect,
+		.budget = { .ratio = 1,
+		    .slack = 100,
+		    .used = 1,
+		    .window_us = 10 * G_USEC_PER_SEC,
+		    .sharers = 1 },
+		.counters = w.counters,
+		.seed = 1 };
+	w.fwd = fwd_new(&conf);
+	if (config != NULL)
+		fwd_set_routes(w.fwd, rtab_new(config));
+	w.limits = (struct hlimits){ .head_bytes = 8192,
+		.body_bytes = 100000,
+		.head_us = 2000000,
+		.idle_us = 5000000 };
+	g_snprintf(w.address, sizeof(w.address), "127.0.0.1:%u", free_port());
+	w.server = hserver_new(&(struct hserver_conf){ .loop = w.loop,
+				   .address = w.address,
+				   .limits = &w.limits,
+				   .connections_max = 20,
+				   .bodies_max = 1000000,
+				   .ops = &fwd_server_ops,
+				   .ctx = w.fwd },
+	    &err);
+	assert_non_null(w.server);
+	w.ntargets = ntargets;
+	for (i = 0; i < ntargets; i++) {
+		target_open(&w.target[i], i);
+		target_say(&w.target[i], false, 0);
+	}
+}
+
+static inline void
+world_close(void)
+{
+	size_t i;
+
+	turn_ms(2);
+	for (i = 0; i < w.ntargets; i++) {
+		close(w.target[i].listener);
+		if (w.target[i].fd >= 0)
+			close(w.target[i].fd);
+	}
+	hserver_free(w.server);
+	turn_ms(2);
+	fwd_free(w.fwd);
+	hpool_free(w.pool);
+	tgt_set_free(w.set);
+	vers_free(w.versions);
+	ctr_set_free(w.counters);
+	evl_free(w.loop);
+}
+
+/* A caller's connection with one request on its way. */
+static inline int
+ask_with(const char *method, const char *path, const char *headers)
+{
+	int fd = raw_dial(w.address);
+	char *text = g_strdup_printf("%s %s HTTP/1.1\r\nHost: A.example:80\r\n"
+				     "T-Id: q1\r\nT-Key: Bearer secret\r\n"
+				     "%s\r\n",
+	    method, path, headers);
+
+	raw_send(fd, text);
+	g_free(text);
+	turn_ms(5);
+	return fd;
+}
+
+static inline int
+ask(void)
+{
+	return ask_with("GET", "/x/1", "T-Deadline: 3000\r\n");
+}
+
+static inline void
+expect_answer(int fd, const char *part)
+{
+	char *answer = raw_read(fd, part);
+
+	if (strstr(answer, part) == NULL)
+		fail_msg("wanted %s, got %s", part, answer);
+	g_free(answer);
+	close(fd);
+}
+
+#define GOOD "HTTP/1.1 200 OK\r\nT-Id: q1\r\nT-Seal: s\r\n"
+#define WHOLE GOOD "Content-Length: 2\r\n\r\nok"
+#define STREAM GOOD "Transfer-Encoding: chunked\r\n\r\n"
+#define EVENT(n) "d\r\nid: " n "\ndata:\n\n\r\n"
+
+#endif
--- /dev/null
+++ b/tests/store/test_store.c
@@ -0,0 +1,274 @@
+/* A mirror of the store: paging, watching, lost history, silence. */
+
+#include "../http/loop.h"
+
+#include "store/store.h"
+
+/* A tiny store: lines "NAME REVISION [-]" instead of the deployment's form,
+ * after a line "at REVISION [more]". */
+static char *
+list_path(const struct store_kind *kind, const char *after)
+{
+	return g_strdup_printf(
+	    "/%s?after=%s", kind->name, after == NULL ? "" : after);
+}
+
+static char *
+watch_path(const struct store_kind *kind, int64_t since, int64_t wait_ms)
+{
+	return g_strdup_printf(
+	    "/%s?watch=%" G_GINT64_FORMAT, kind->name, since);
+}
+
+static bool
+read_page(const struct store_kind *kind, const void *body, size_t len,
+    struct store_page *out, struct err *err)
+{
+	char *text = g_strndup(body, len);
+	char **lines = g_strsplit(text, "\n", -1);
+	struct store_item item;
+	char **words;
+	int i;
+
+	g_free(text);
+	if (!g_str_has_prefix(lines[0], "at ")) {
+		g_strfreev(lines);
+		return err_set(
+		    err, ERR_INVALID, VERDICT_MAY_HAVE_RUN, "no revision");
+	}
+	out->at = g_ascii_strtoll(lines[0] + 3, NULL, 10);
+	out->more = strstr(lines[0], "more") != NULL;
+	for (i = 1; lines[i] != NULL && lines[i][0] != '\0'; i++) {
+		words = g_strsplit(lines[i], " ", -1);
+		item = (struct store_item){ .name = g_strdup(words[0]),
+			.revision = g_ascii_strtoll(words[1], NULL, 10),
+			.removed = words[2] != NULL };
+		if (!item.removed)
+			item.value = g_strdup(words[0]);
+		g_array_append_val(out->items, item);
+		g_strfreev(words);
+	}
+	g_strfreev(lines);
+	return true;
+}
+
+static const struct store_dialect dialect = {
+	.list_path = list_path,
+	.watch_path = watch_path,
+	.read_page = read_page,
+};
+
+static const struct store_kind kind = { .name = "kind", .free = g_free };
+
+static struct evl *loop;
+static struct hpool *pool;
+static struct hserver *server;
+static struct hlimits limits = { 8192, 8192, 5000000, 5000000 };
+static struct store *store;
+static struct ctr_set *counters;
+static struct hreq *call; /* that waits for the test's answer */
+static bool called, up;
+static GString *seen; /* what the mirror told, in order */
+
+static void
+on_request(struct hreq *r, void *ctx)
+{
+	call = r;
+	called = true;
+}
+
+static void
+on_left(struct hreq *r, void *ctx)
+{
+	call = NULL;
+}
+
+static void
+on_drained(struct hreq *r, void *ctx)
+{
+}
+
+static void
+on_refused(unsigned int status, void *ctx)
+{
+}
+
+static const struct hserver_ops ops = {
+	.request = on_request,
+	.left = on_left,
+	.drained = on_drained,
+	.refused = on_refused,
+};
+
+static void
+on_put(const char *name, void *value, void *ctx)
+{
+	g_string_append_printf(seen, "+%s ", name);
+	g_free(value);
+}
+
+static void
+on_removed(const char *name, bool lapsed, void *ctx)
+{
+	g_string_append_printf(seen, "%s%s ", lapsed ? "?" : "-", name);
+}
+
+static void
+on_synced(void *ctx)
+{
+	g_string_append(seen, "| ");
+}
+
+static void
+on_link(bool is_up, const char *why, void *ctx)
+{
+	up = is_up;
+	g_string_append(seen, is_up ? "up " : "down ");
+}
+
+static const struct mirror_ops mirror_ops = {
+	.put = on_put,
+	.removed = on_removed,
+	.synced = on_synced,
+	.link = on_link,
+};
+
+static int
+set_up(void **state)
+{
+	static char address[32];
+	struct err err = { 0 };
+
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
+	loop = evl_new(clk_system());
+	counters = ctr_set_new();
+	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
+	    .idle_max = 4,
+	    .connect_us = 200000,
+	    .idle_us = 5000000,
+	    .head_bytes = 4096 });
+	server = hserver_new(&(struct hserver_conf){ .loop = loop,
+				 .address = address,
+				 .limits = &limits,
+				 .connections_max = 10,
+				 .bodies_max = 10000,
+				 .ops = &ops },
+	    &err);
+	assert_non_null(server);
+	store = store_new(&(struct store_conf){ .loop = loop,
+	    .pool = pool,
+	    .address = address,
+	    .dialect = &dialect,
+	    .counters = counters,
+	    .seed = 1 });
+	seen = g_string_new(NULL);
+	called = false;
+	mirror_new(store, &kind, &mirror_ops, NULL);
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	store_free(store);
+	turn_ms(2);
+	hserver_free(server);
+	hpool_free(pool);
+	ctr_set_free(counters);
+	evl_free(loop);
+	g_string_free(seen, TRUE);
+	return 0;
+}
+
+/* Waits for the mirror's next call, whose path holds `part`; answers it. */
+static void
+answer(const char *part, unsigned int status, const char *body)
+{
+	struct hslice target;
+
+	turn_until(&called);
+	called = false;
+	target = hreq_msg(call)->target;
+	if (memmem(target.p, target.n, part, strlen(part)) == NULL)
+		fail_msg(
+		    "wanted %s, asked %.*s", part, (int)target.n, target.p);
+	hreq_answer(call, status, "", body, strlen(body));
+	turn_ms(5);
+}
+
+static void
+test_pages_then_events(void **state)
+{
+	answer("after=", 200, "at 7 more\na 3\nb 5\n");
+	answer("after=b", 200, "at 9\nc 8\n");
+	assert_string_equal(seen->str, "+a +b +c | ");
+	/* From the first page's revision: what changed between the pages
+	 * comes again and is passed over. */
+	answer("watch=7", 200, "at 10\nc 8\na 9\nb 10 -\n");
+	assert_string_equal(seen->str, "+a +b +c | +a -b ");
+	answer("watch=10", 200, "at 10\n");
+	answer("watch=10", 200, "at 11\nd 11\n");
+	assert_string_equal(seen->str, "+a +b +c | +a -b +d ");
+}
+
+/* The history is gone: all is listed anew. What is missing then is told as
+ * such, and what an older answer says is not believed. */
+static void
+test_history_gone(void **state)
+{
+	answer("after=", 200, "at 5\na 3\nb 5\n");
+	answer("watch=5", 410, "");
+	answer("after=", 200, "at 4\na 2\n"); /* a stale answer */
+	answer("after=", 200, "at 8\na 3\nc 8\n");
+	assert_string_equal(seen->str, "+a +b | down up +c ?b | ");
+	answer("watch=8", 200, "at 8\n");
+}
+
+/*
+ * The store refuses, then answers again. What is known stays meanwhile; the
+ * watch goes on from where it was.
+ */
+static void
+test_refused_for_a_while(void **state)
+{
+	answer("after=", 200, "at 5\na 3\n");
+	answer("watch=5", 503, "");
+	answer("watch=5", 429, "");
+	assert_false(up);
+	answer("watch=5", 200, "at 6\nb 6\n");
+	assert_true(up);
+	assert_string_equal(seen->str, "+a | down up +b ");
+	answer("watch=6", 200, "not a page");
+	answer("watch=6", 200, "at 7\nc 7\n");
+	assert_string_equal(seen->str, "+a | down up +b down up +c ");
+}
+
+/*
+ * A connection falls silent for good: the store's news stop without an error,
+ * and settings would grow old. The watch gives up when its answer is overdue
+ * and asks on a fresh connection.
+ */
+static void
+test_silent_connection(void **state)
+{
+	answer("after=", 200, "at 5\na 3\n");
+	turn_until(&called);
+	called = false;
+	turn_until(&called); /* asked again, though nobody answered */
+	answer("watch=5", 200, "at 6\nb 6\n");
+	assert_string_equal(seen->str, "+a | down up +b ");
+}
+
+int
+main(void)
+{
+#define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		T(test_pages_then_events),
+		T(test_history_gone),
+		T(test_refused_for_a_while),
+		T(test_silent_connection),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -61,6 +61,7 @@
 }
 
 step lint sh tools/lint.sh
+step words sh tools/words.sh
 step build make -s build
 step build-asan make -s asan
 tests plain build
