--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -343,7 +343,7 @@
 static void
 test_waiting_for_a_place(void **state)
 {
-	char *request;
+	char *request = NULL;
 	int fd[4], busy[3], i;
 
 	world_open(1, make_config(SV_UNSAFE, 1, 2000));
@@ -369,7 +369,7 @@
 static void
 test_refused_for_want_of_a_place(void **state)
 {
-	char *request, *answer;
+	char *request = NULL, *answer;
 	int fd[4], busy[3], i;
 	int64_t begun_us;
 
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -45,7 +45,7 @@
 			.removed = words[2] != NULL };
 		if (!item.removed)
 			item.value = g_strdup(words[0]);
-		g_array_append_val(out->items, item);
+		g_array_append_vals(out->items, &item, 1);
 		g_strfreev(words);
 	}
 	g_strfreev(lines);
