--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,12 @@
 	cmake -G Ninja -S . -B build-asan -DSANITIZE=ON >/dev/null
 	cmake --build build-asan
 
+demo-platform: build
+	sh tools/demo_platform.sh $(BUILD)
+
+soak: build
+	sh tools/soak.sh $(BUILD) $(SEED) $(if $(N),$(N),60)
+
 demo: build
 	sh tools/demo.sh $(BUILD)
 
@@ -49,5 +55,5 @@
 clean:
 	rm -rf build build-asan out
 
-.PHONY: all install-deps build asan demo check model fmt lint settings-page bench-weights \
+.PHONY: all install-deps build asan demo demo-platform soak check model fmt lint settings-page bench-weights \
 	bench-requests bench-control capacity clean
--- a/programs/shared/station.c
+++ b/programs/shared/station.c
@@ -40,6 +40,10 @@
 bool
 station_load(struct station *s, const char *path, struct err *err)
 {
+	/* The settings may change while this process starts: the signal that
+	 * says so would end it before the loop takes signals. What it says is
+	 * made up for by looking at the file's time. */
+	signal(SIGHUP, SIG_IGN);
 	s->path = g_strdup(path);
 	s->file_mtime_ns = file_mtime_ns(path);
 	s->cfg = cfg_load(path, &cfg_serve_schema, err);
--- /dev/null
+++ b/tests/fleet/engine.c
@@ -0,0 +1,542 @@
+/* The stand-in's engines, with their staging places, and the origin. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+#define SLOTS 8
+#define QUEUE 8
+#define EVENTS 12
+#define EVENT_US 15000
+#define PLAIN_US 10000
+#define LOAD_US 200000
+
+struct fleet_run; /* a request that an engine works on */
+
+struct fleet_engine {
+	struct fleet *f;
+	size_t i;
+	char id[24];
+	char advertised[32];
+	unsigned int starts;
+	bool llm;
+	struct hserver *server;
+	int64_t version; /* loaded; 0: none */
+	int64_t loading; /* version on its way; 0: none */
+	struct evl_timer load;
+	uint8_t *staged[FLEET_CHUNKS];
+	unsigned int sequence;
+	LIST_HEAD(fleet_runs, fleet_run) runs;
+	unsigned int nruns;
+};
+
+struct fleet_run {
+	LIST_ENTRY(fleet_run) link;
+	struct fleet_engine *e;
+	struct hreq *r;
+	char id[40];
+	unsigned int event, from;
+	int64_t version;
+	struct evl_timer timer;
+};
+
+void
+fleet_piece(int64_t version, uint64_t index, uint8_t *out)
+{
+	struct rng rng;
+	size_t i;
+
+	rng_seed(&rng, (uint64_t)version * 1000 + index);
+	for (i = 0; i < FLEET_CHUNK_BYTES; i += 8) {
+		uint64_t word = rng_next(&rng);
+
+		memcpy(out + i, &word, 8);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Its entry in the store                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+append_models(const struct fleet_engine *e, GString *out)
+{
+	g_string_append(out, "\"models\":[");
+	if (e->version > 0)
+		g_string_append_printf(out,
+		    "{\"name\":\"" FLEET_MODEL
+		    "\",\"version\":%" G_GINT64_FORMAT
+		    ",\"adapters\":[],\"layers\":[{\"from\":0,\"to\":4,"
+		    "\"version\":%" G_GINT64_FORMAT "}]}",
+		    e->version, e->version);
+	g_string_append(out, "]");
+}
+
+void
+fleet_engine_beat(struct fleet *f, size_t i)
+{
+	const struct fleet_engine *e = f->engine[i];
+	GString *spec = g_string_new(NULL);
+
+	g_string_printf(spec,
+	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%zu\","
+	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\"",
+	    e->llm ? FLEET_LLM : FLEET_PLAIN, e->advertised, i % 2, SLOTS);
+	if (e->llm) {
+		g_string_append_c(spec, ',');
+		append_models(e, spec);
+	}
+	g_string_append_c(spec, '}');
+	fleet_store_put(f, "servers", e->id, spec->str);
+	g_string_free(spec, TRUE);
+}
+
+/* ------------------------------------------------------------------ */
+/* Runs                                                                */
+/* ------------------------------------------------------------------ */
+
+static void
+run_free(struct fleet_run *run)
+{
+	LIST_REMOVE(run, link);
+	run->e->nruns--;
+	evl_timer_stop(run->e->f->loop, &run->timer);
+	g_free(run);
+}
+
+static char *
+head_of(const struct fleet_run *run)
+{
+	return g_strdup_printf(
+	    "X-Attempt-Id: %s\r\nX-Response-Seal: seal-%s-%s\r\n"
+	    "X-Server-Load: %u,0,%d\r\nX-Weight-Versions: %" G_GINT64_FORMAT
+	    "\r\n",
+	    run->id, run->e->id, run->id, run->e->nruns, SLOTS, run->version);
+}
+
+static void
+on_event(struct evl_timer *timer)
+{
+	struct fleet_run *run = (struct fleet_run *)((char *)timer -
+	    offsetof(struct fleet_run, timer));
+	struct hreq *r = run->r;
+	char event[128], *head;
+
+	if (!hreq_begun(r)) {
+		head = head_of(run);
+		hreq_begin(r, 200, head);
+		g_free(head);
+	}
+	run->event++;
+	g_snprintf(event, sizeof(event), "id: %u\ndata: %s %u\n\n", run->event,
+	    run->id, run->event);
+	hreq_write(r, event, strlen(event));
+	if (run->event >= EVENTS) {
+		run_free(run);
+		hreq_end(r);
+		return;
+	}
+	evl_timer_set(
+	    run->e->f->loop, timer, evl_now_us(run->e->f->loop) + EVENT_US);
+}
+
+static void
+on_plain(struct evl_timer *timer)
+{
+	struct fleet_run *run = (struct fleet_run *)((char *)timer -
+	    offsetof(struct fleet_run, timer));
+	struct hreq *r = run->r;
+	char body[64], *head = head_of(run);
+
+	g_snprintf(body, sizeof(body), "answer to %s", run->id);
+	run_free(run);
+	hreq_answer(r, 200, head, body, strlen(body));
+	g_free(head);
+}
+
+static const char *
+header(struct hreq *r, const char *name, char *out, size_t size)
+{
+	const struct hheader *h = hmsg_find(hreq_msg(r), name);
+	size_t n = h == NULL ? 0 : MIN(h->value.n, size - 1);
+
+	if (n > 0)
+		memcpy(out, h->value.p, n);
+	out[n] = '\0';
+	return out;
+}
+
+static void
+refuse(struct fleet_engine *e, struct hreq *r, unsigned int status)
+{
+	char headers[96];
+
+	g_snprintf(headers, sizeof(headers),
+	    "X-Not-Executed: 1\r\nX-Instance-Id: %s\r\n", e->id);
+	hreq_answer(r, status, headers, "", 0);
+}
+
+/* What may run once is "u-..."; it is counted over all engines. */
+static void
+count_run(struct fleet_engine *e, struct hreq *r, const char *id)
+{
+	struct fleet *f = e->f;
+	unsigned int n = GPOINTER_TO_UINT(g_hash_table_lookup(f->runs, id)) + 1;
+	char workspace[32], key[32];
+
+	g_hash_table_replace(f->runs, g_strdup(id), GUINT_TO_POINTER(n));
+	if (n > 1 && id[0] == 'u')
+		f->tally.twice++;
+	header(r, "X-Tenant", workspace, sizeof(workspace));
+	header(r, "Authorization", key, sizeof(key));
+	if (strcmp(workspace, "team") != 0 || key[0] != '\0' || id[0] == '\0')
+		f->tally.stranger++;
+	if (e->llm && e->version < f->version_before)
+		f->tally.stale++;
+	if (e->llm && e->version < f->version &&
+	    evl_now_us(f->loop) - f->named_us > FLEET_VERSION_MS * 1000)
+		f->tally.stale++;
+}
+
+static void
+begin_run(struct fleet_engine *e, struct hreq *r, const char *id)
+{
+	struct fleet_run *run = g_new0(struct fleet_run, 1);
+	char last[24];
+
+	count_run(e, r, id);
+	run->e = e;
+	run->r = r;
+	g_strlcpy(run->id, id, sizeof(run->id));
+	run->version = e->version;
+	run->event =
+	    (unsigned int)atoi(header(r, "Last-Event-Id", last, sizeof(last)));
+	run->timer.fire = e->llm ? on_event : on_plain;
+	LIST_INSERT_HEAD(&e->runs, run, link);
+	e->nruns++;
+	hreq_set_ctx(r, run);
+	evl_timer_set(e->f->loop, &run->timer,
+	    evl_now_us(e->f->loop) + (e->llm ? EVENT_US : PLAIN_US));
+}
+
+static void
+serve(struct fleet_engine *e, struct hreq *r)
+{
+	char id[40], expect[24];
+
+	header(r, "X-Attempt-Id", id, sizeof(id));
+	header(r, "X-Expect-Instance", expect, sizeof(expect));
+	if (expect[0] != '\0' && strcmp(expect, e->id) != 0) {
+		refuse(e, r, 421);
+		return;
+	}
+	if (e->llm && (e->version == 0 || e->loading != 0)) {
+		refuse(e, r, 503);
+		return;
+	}
+	if (e->nruns >= SLOTS + QUEUE) {
+		refuse(e, r, 503);
+		return;
+	}
+	begin_run(e, r, id);
+}
+
+/* ------------------------------------------------------------------ */
+/* Staging, orders, reports                                            */
+/* ------------------------------------------------------------------ */
+
+static uint64_t
+index_of(const char *target)
+{
+	const char *at = strstr(target, "itemCount=");
+
+	return at == NULL ? FLEET_CHUNKS : (uint64_t)atoll(at + 10);
+}
+
+static void
+stage(struct fleet_engine *e, struct hreq *r, const char *target, bool put)
+{
+	uint64_t i = index_of(target);
+	const void *body;
+	size_t len;
+
+	body = hreq_body(r, &len);
+	if (i >= FLEET_CHUNKS || (put && len != FLEET_CHUNK_BYTES)) {
+		hreq_answer(r, 400, "", "", 0);
+		return;
+	}
+	if (put) {
+		g_free(e->staged[i]);
+		e->staged[i] = g_memdup2(body, len);
+		hreq_answer(r, 200, "", "", 0);
+	} else if (e->staged[i] == NULL) {
+		hreq_answer(r, 404, "", "", 0);
+	} else {
+		hreq_answer(r, 200, "", e->staged[i], FLEET_CHUNK_BYTES);
+	}
+}
+
+static bool
+staged_is_whole(const struct fleet_engine *e, int64_t version)
+{
+	uint8_t right[FLEET_CHUNK_BYTES];
+	uint64_t i;
+
+	for (i = 0; i < FLEET_CHUNKS; i++) {
+		fleet_piece(version, i, right);
+		if (e->staged[i] == NULL ||
+		    memcmp(right, e->staged[i], sizeof(right)) != 0)
+			return false;
+	}
+	return true;
+}
+
+static void
+on_loaded(struct evl_timer *timer)
+{
+	struct fleet_engine *e = (struct fleet_engine *)((char *)timer -
+	    offsetof(struct fleet_engine, load));
+
+	if (e->nruns > 0) { /* what runs ends first */
+		evl_timer_set(
+		    e->f->loop, timer, evl_now_us(e->f->loop) + LOAD_US / 4);
+		return;
+	}
+	e->version = e->loading;
+	e->loading = 0;
+	fleet_engine_beat(e->f, e->i);
+}
+
+static void
+order(struct fleet_engine *e, struct hreq *r)
+{
+	size_t len;
+	const char *body = hreq_body(r, &len);
+	char *text = g_strndup(body == NULL ? "" : body, len);
+	const char *at = strstr(text, "\"version\":");
+	int64_t version = at == NULL ? 0 : atoll(at + 10);
+
+	g_free(text);
+	if (version == e->version || version == e->loading) {
+		hreq_answer(r, 200, "", "", 0);
+		return;
+	}
+	if (version <= 0 || e->loading != 0) {
+		hreq_answer(r, 409, "", "", 0);
+		return;
+	}
+	if (!staged_is_whole(e, version))
+		e->f->tally.unwhole++;
+	e->sequence++;
+	e->loading = version;
+	e->load.fire = on_loaded;
+	evl_timer_set(e->f->loop, &e->load, evl_now_us(e->f->loop) + LOAD_US);
+	hreq_answer(r, 202, "", "", 0);
+}
+
+static void
+report(struct fleet_engine *e, struct hreq *r)
+{
+	GString *out = g_string_new("{\"stage\":\"colocated\",");
+
+	append_models(e, out);
+	g_string_append_printf(out,
+	    ",\"busy\":%s,\"sequence\":%u,\"waiting\":%u,\"running\":%u}",
+	    e->loading != 0 ? "true" : "false", e->sequence,
+	    e->nruns > SLOTS ? e->nruns - SLOTS : 0, MIN(e->nruns, SLOTS));
+	hreq_answer(
+	    r, 200, "Content-Type: application/json\r\n", out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+static void
+on_request(struct hreq *r, void *ctx)
+{
+	struct fleet_engine *e = ctx;
+	char *target = hslice_dup(hreq_msg(r)->target);
+
+	hreq_set_ctx(r, NULL);
+	if (g_str_has_prefix(target, "/-/report"))
+		report(e, r);
+	else if (g_str_has_prefix(target, "/-/order"))
+		order(e, r);
+	else if (g_str_has_prefix(target, "/-/stage-put/"))
+		stage(e, r, target, true);
+	else if (g_str_has_prefix(target, "/-/stage-get/"))
+		stage(e, r, target, false);
+	else
+		serve(e, r);
+	g_free(target);
+}
+
+static void
+on_left(struct hreq *r, void *ctx)
+{
+	struct fleet_run *run = hreq_ctx(r);
+
+	if (run != NULL)
+		run_free(run);
+}
+
+static void
+on_drained(struct hreq *r, void *ctx)
+{
+}
+
+static void
+on_refused(unsigned int status, void *ctx)
+{
+}
+
+static const struct hserver_ops ops = {
+	.request = on_request,
+	.left = on_left,
+	.drained = on_drained,
+	.refused = on_refused,
+};
+
+static void
+name_start(struct fleet_engine *e)
+{
+	g_snprintf(e->id, sizeof(e->id), "i-%zu-%u", e->i, ++e->starts);
+}
+
+bool
+fleet_engine_open(struct fleet *f, size_t i, const char *address,
+    const char *advertised, bool llm, bool empty, struct err *err)
+{
+	struct fleet_engine *e = g_new0(struct fleet_engine, 1);
+	uint64_t c;
+
+	e->f = f;
+	e->i = i;
+	e->llm = llm;
+	g_strlcpy(e->advertised, advertised, sizeof(e->advertised));
+	LIST_INIT(&e->runs);
+	name_start(e);
+	for (c = 0; llm && !empty && c < FLEET_CHUNKS; c++) {
+		e->staged[c] = g_malloc(FLEET_CHUNK_BYTES);
+		fleet_piece(1, c, e->staged[c]);
+	}
+	e->version = llm && !empty ? 1 : 0;
+	f->engine[i] = e;
+	e->server = hserver_new(&(struct hserver_conf){ .loop = f->loop,
+				    .address = address,
+				    .limits = &f->limits,
+				    .connections_max = 200,
+				    .bodies_max = 16 << 20,
+				    .ops = &ops,
+				    .ctx = e },
+	    err);
+	return e->server != NULL;
+}
+
+void
+fleet_engine_crash(struct fleet *f, size_t i)
+{
+	struct fleet_engine *e = f->engine[i];
+	struct fleet_run *run;
+
+	while ((run = LIST_FIRST(&e->runs)) != NULL) {
+		struct hreq *r = run->r;
+
+		run_free(run);
+		hreq_abort(r);
+	}
+	evl_timer_stop(f->loop, &e->load);
+	e->loading = 0;
+	e->version = 0;
+	e->sequence = 0;
+	fleet_store_remove(f, "servers", e->id);
+	name_start(e);
+	fleet_engine_beat(f, i);
+}
+
+void
+fleet_engine_rot(struct fleet *f, size_t i)
+{
+	uint8_t *piece = f->engine[i]->staged[rng_below(&f->rng, FLEET_CHUNKS)];
+
+	if (piece != NULL)
+		piece[rng_below(&f->rng, FLEET_CHUNK_BYTES)] ^= 1;
+}
+
+/* ------------------------------------------------------------------ */
+/* The origin                                                          */
+/* ------------------------------------------------------------------ */
+
+static void
+manifest(struct hreq *r, int64_t version)
+{
+	GString *out = g_string_new(NULL);
+	uint8_t piece[FLEET_CHUNK_BYTES];
+	struct digest digest;
+	char hex[DIGEST_HEX];
+	uint64_t i;
+
+	g_string_printf(out,
+	    "{\"model\":\"" FLEET_MODEL "\",\"version\":%" G_GINT64_FORMAT
+	    ",\"chunkBytes\":%d,\"layers\":4,\"digests\":[",
+	    version, FLEET_CHUNK_BYTES);
+	for (i = 0; i < FLEET_CHUNKS; i++) {
+		fleet_piece(version, i, piece);
+		digest_of(piece, sizeof(piece), &digest);
+		digest_to_hex(&digest, hex);
+		g_string_append_printf(out, "%s\"%s\"", i > 0 ? "," : "", hex);
+	}
+	g_string_append(out, "]}");
+	hreq_answer(
+	    r, 200, "Content-Type: application/json\r\n", out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+/* One answer in twenty is spoilt on its way. */
+static void
+on_origin(struct hreq *r, void *ctx)
+{
+	struct fleet *f = ctx;
+	char *target = hslice_dup(hreq_msg(r)->target);
+	const char *at = strstr(target, "version=");
+	int64_t version = at == NULL ? f->version : atoll(at + 8);
+	uint64_t i = index_of(target);
+	uint8_t piece[FLEET_CHUNK_BYTES];
+
+	if (g_str_has_prefix(target, "/-/manifest/")) {
+		manifest(r, version);
+	} else if (i < FLEET_CHUNKS) {
+		fleet_piece(version, i, piece);
+		if (rng_below(&f->rng, 20) == 0)
+			piece[7] ^= 1;
+		hreq_answer(r, 200, "", piece, sizeof(piece));
+	} else {
+		hreq_answer(r, 404, "", "", 0);
+	}
+	g_free(target);
+}
+
+static void
+on_origin_left(struct hreq *r, void *ctx)
+{
+}
+
+static const struct hserver_ops origin_ops = {
+	.request = on_origin,
+	.left = on_origin_left,
+	.drained = on_drained,
+	.refused = on_refused,
+};
+
+bool
+fleet_origin_open(struct fleet *f, const char *address, struct err *err)
+{
+	f->origin = hserver_new(&(struct hserver_conf){ .loop = f->loop,
+				    .address = address,
+				    .limits = &f->limits,
+				    .connections_max = 48,
+				    .bodies_max = 1 << 16,
+				    .ops = &origin_ops,
+				    .ctx = f },
+	    err);
+	return f->origin != NULL;
+}
--- /dev/null
+++ b/tests/fleet/fleet.h
@@ -0,0 +1,104 @@
+#ifndef FLEET_H
+#define FLEET_H
+
+/*
+ * fleet: a stand-in for the users' platform, for tests and the demo: its
+ * store, model engines with a staging place, a plain service, the origin of
+ * weights, callers that check what they get, and a proxy before each engine
+ * and the store that misbehaves when told to. One process, on loopback
+ * addresses: engine i is at 127.0.0.(10 + i).
+ */
+
+#include "http/fetch.h"
+#include "http/http.h"
+#include "http/sock.h"
+
+#define FLEET_ENGINES_MAX 40
+#define FLEET_CHUNKS 16
+#define FLEET_CHUNK_BYTES 8192
+#define FLEET_MODEL "m0"
+#define FLEET_LLM "llm"
+#define FLEET_PLAIN "plain"
+#define FLEET_KEY "key-of-team"
+#define FLEET_VERSION_MS 8000
+
+struct fleet_proxy;
+struct fleet_engine;
+
+/* What was seen, over all callers and engines. */
+struct fleet_tally {
+	unsigned int asked, answered, refused, failed, broken;
+	unsigned int twice; /* ran again what may run once */
+	unsigned int mixed; /* an answer that is not the request's own */
+	unsigned int lied; /* "not run" of what had run */
+	unsigned int unwhole; /* loaded with a spoilt or missing piece */
+	unsigned int stale; /* begun on a version that was past its due */
+	unsigned int stranger; /* a run without a proper workspace or id */
+};
+
+struct fleet {
+	struct evl *loop;
+	struct hpool *pool;
+	struct hlimits limits;
+	struct fleet_tally tally;
+	GHashTable *runs; /* request id -> times run */
+	struct rng rng;
+	/* Store. */
+	struct hserver *store;
+	GHashTable *objects; /* "kind/name" -> struct fleet_object */
+	GPtrArray *history; /* struct fleet_event */
+	int64_t revision, history_from;
+	LIST_HEAD(fleet_watches, fleet_watch) watches;
+	bool store_refuses;
+	/* Engines. */
+	struct fleet_engine *engine[FLEET_ENGINES_MAX];
+	size_t nengines;
+	int64_t version, named_us; /* newest, and since when */
+	int64_t version_before;
+	/* Origin. */
+	struct hserver *origin;
+	/* Callers. */
+	char *gateways[8];
+	size_t ngateways;
+	unsigned int rate; /* requests a second */
+	struct evl_timer next_request, beat, fault;
+	unsigned int open_calls;
+	bool stopping;
+	/* Proxies. */
+	struct fleet_proxy *proxy[FLEET_ENGINES_MAX + 1];
+	size_t nproxies;
+};
+
+/* store.c */
+bool fleet_store_open(struct fleet *f, const char *address, struct err *err);
+void fleet_store_put(
+    struct fleet *f, const char *kind, const char *name, const char *spec);
+void fleet_store_remove(struct fleet *f, const char *kind, const char *name);
+void fleet_store_forget_history(struct fleet *f);
+
+/* engine.c */
+bool fleet_engine_open(struct fleet *f, size_t i, const char *address,
+    const char *advertised, bool llm, bool empty, struct err *err);
+void fleet_engine_beat(struct fleet *f, size_t i); /* writes its entry */
+void fleet_engine_crash(struct fleet *f, size_t i); /* and starts again */
+void fleet_engine_rot(struct fleet *f, size_t i); /* spoils a staged piece */
+/* Bytes of a piece of a version; both engines and origin use them. */
+void fleet_piece(int64_t version, uint64_t index, uint8_t *out);
+bool fleet_origin_open(struct fleet *f, const char *address, struct err *err);
+
+/* caller.c */
+void fleet_callers_start(struct fleet *f);
+
+/* proxy.c */
+enum proxy_mode {
+	PROXY_PASS,
+	PROXY_SILENT, /* bytes are held, both ways */
+	PROXY_ONE_WAY, /* answers are held */
+	PROXY_DELAY, /* bytes come later */
+};
+struct fleet_proxy *fleet_proxy_open(
+    struct fleet *f, const char *address, const char *to, struct err *err);
+void fleet_proxy_set(struct fleet_proxy *p, enum proxy_mode mode);
+void fleet_proxy_reset(struct fleet_proxy *p); /* all its connections */
+
+#endif
--- /dev/null
+++ b/tests/fleet/main.c
@@ -0,0 +1,309 @@
+/*
+ * The stand-in for the users' platform as a process:
+ *
+ *   fleet --engines N --empty N --gateways ADDRESS,... --rate N --seconds N
+ *         --seed N --faults 0|1 --bump SECONDS
+ *
+ * It prints "ready", plays, and ends with one line of what was seen; its exit
+ * code is 0 when no promise was broken and most requests were answered.
+ */
+
+#include <popt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+#define FAULT_US 450000
+#define END_WAIT_US 6000000
+
+static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1;
+static int faults, bump = 3;
+static char *gateways;
+static struct fleet f;
+static GMainLoop *main_loop;
+static int64_t begun_us;
+static int64_t config_version = 1;
+static struct evl_timer calm[FLEET_ENGINES_MAX + 1], store_back, end;
+
+/* ------------------------------------------------------------------ */
+/* What the operators say                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+put_config(void)
+{
+	GString *s = g_string_new(NULL);
+
+	g_string_printf(s,
+	    "{\"version\":%" G_GINT64_FORMAT ",\"routes\":["
+	    "{\"name\":\"chat\",\"host\":\"a.example\","
+	    "\"pathPrefix\":\"/chat/\",\"kind\":\"streaming\","
+	    "\"timeoutMs\":4000,\"targetLatencyMs\":400,\"maxAttempts\":2,"
+	    "\"resumable\":true,\"gapTargetMs\":300,\"service\":\"" FLEET_LLM
+	    "\"},{\"name\":\"book\",\"host\":\"a.example\","
+	    "\"pathPrefix\":\"/book/\",\"kind\":\"unsafe\","
+	    "\"timeoutMs\":1500,\"targetLatencyMs\":300,\"maxAttempts\":1,"
+	    "\"service\":\"" FLEET_PLAIN
+	    "\"},{\"name\":\"look\",\"host\":\"a.example\","
+	    "\"pathPrefix\":\"/look/\",\"kind\":\"safe\",\"timeoutMs\":1500,"
+	    "\"targetLatencyMs\":300,\"maxAttempts\":2,"
+	    "\"service\":\"" FLEET_PLAIN
+	    "\"}],\"services\":[{\"name\":\"" FLEET_LLM
+	    "\",\"maxConnections\":200,\"engine\":{\"slots\":8,"
+	    "\"models\":[{\"name\":\"" FLEET_MODEL
+	    "\",\"warmS\":0.2}],\"layers\":4,\"chunks\":%d,"
+	    "\"chunkBytes\":%d}},{\"name\":\"" FLEET_PLAIN
+	    "\",\"maxConnections\":200},{\"name\":\"origin\","
+	    "\"origin\":\"127.0.0.8:8000\",\"zone\":\"z0\"}],"
+	    "\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,"
+	    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+	    "\"tenants\":[{\"name\":\"team\",\"apiKeys\":[\"" FLEET_KEY
+	    "\"]}]}",
+	    config_version++, FLEET_CHUNKS, FLEET_CHUNK_BYTES);
+	fleet_store_put(&f, "config", "main", s->str);
+	g_string_free(s, TRUE);
+}
+
+static void
+name_version(void)
+{
+	char *spec;
+
+	f.version_before = f.version;
+	f.version++;
+	f.named_us = evl_now_us(f.loop);
+	spec = g_strdup_printf("{\"model\":\"" FLEET_MODEL
+			       "\",\"version\":%" G_GINT64_FORMAT "}",
+	    f.version);
+	fleet_store_put(&f, "versions", FLEET_MODEL, spec);
+	g_free(spec);
+	/* The one before is due only when it was named long enough ago. */
+	f.version_before = MAX(1, f.version_before - 1);
+}
+
+/* ------------------------------------------------------------------ */
+/* Faults                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+on_calm(struct evl_timer *t)
+{
+	fleet_proxy_set(f.proxy[t - calm], PROXY_PASS);
+}
+
+static void
+on_store_back(struct evl_timer *t)
+{
+	f.store_refuses = false;
+}
+
+static void
+disturb_proxy(void)
+{
+	size_t i = rng_below(&f.rng, f.nproxies);
+
+	fleet_proxy_set(
+	    f.proxy[i], (enum proxy_mode)(1 + rng_below(&f.rng, 3)));
+	calm[i].fire = on_calm;
+	evl_timer_set(f.loop, &calm[i],
+	    evl_now_us(f.loop) + 200000 + (int64_t)rng_below(&f.rng, 1500000));
+}
+
+static void
+on_fault(struct evl_timer *t)
+{
+	size_t engine = rng_below(&f.rng, f.nengines);
+
+	switch (rng_below(&f.rng, 9)) {
+	case 0:
+	case 1:
+	case 2:
+		disturb_proxy();
+		break;
+	case 3:
+		fleet_proxy_reset(f.proxy[rng_below(&f.rng, f.nproxies)]);
+		break;
+	case 4:
+		fleet_engine_crash(&f, engine);
+		break;
+	case 5:
+		fleet_engine_rot(&f, engine);
+		break;
+	case 6:
+		f.store_refuses = true;
+		store_back.fire = on_store_back;
+		evl_timer_set(f.loop, &store_back,
+		    evl_now_us(f.loop) + 300000 +
+			(int64_t)rng_below(&f.rng, 1500000));
+		break;
+	case 7:
+		fleet_store_forget_history(&f);
+		break;
+	case 8:
+		put_config();
+		break;
+	}
+	evl_timer_set(f.loop, t, evl_now_us(f.loop) + FAULT_US);
+}
+
+static void
+on_beat(struct evl_timer *t)
+{
+	static int64_t bumped_us;
+	int64_t now_us = evl_now_us(f.loop);
+
+	if (bump > 0 && now_us - begun_us > (int64_t)bump * G_USEC_PER_SEC &&
+	    (bumped_us == 0 || now_us - bumped_us > 9 * G_USEC_PER_SEC)) {
+		bumped_us = now_us;
+		name_version();
+	}
+	evl_timer_set(f.loop, t, now_us + 200000);
+}
+
+/* ------------------------------------------------------------------ */
+/* Start and end                                                       */
+/* ------------------------------------------------------------------ */
+
+static bool
+promises_kept(const struct fleet_tally *t)
+{
+	return t->twice + t->mixed + t->lied + t->unwhole + t->stale +
+	    t->stranger ==
+	    0;
+}
+
+static void
+on_end(struct evl_timer *t)
+{
+	if (!f.stopping) {
+		f.stopping = true;
+		evl_timer_set(f.loop, t, evl_now_us(f.loop) + END_WAIT_US);
+		return;
+	}
+	g_main_loop_quit(main_loop);
+}
+
+static bool
+open_engine(int i, struct err *err)
+{
+	char real[32], seen[32];
+	bool llm = i < engines;
+
+	g_snprintf(real, sizeof(real), "127.0.0.%d:8002", 10 + i);
+	g_snprintf(seen, sizeof(seen), "127.0.0.%d:8001", 10 + i);
+	if (!fleet_engine_open(
+		&f, (size_t)i, real, seen, llm, i >= engines - empty, err))
+		return false;
+	f.nengines++;
+	if (fleet_proxy_open(&f, seen, real, err) == NULL)
+		return false;
+	fleet_engine_beat(&f, (size_t)i);
+	return true;
+}
+
+static bool
+open_all(struct err *err)
+{
+	int i;
+
+	if (!fleet_store_open(&f, "127.0.0.9:8000", err) ||
+	    fleet_proxy_open(&f, "127.0.0.9:8007", "127.0.0.9:8000", err) ==
+		NULL ||
+	    !fleet_origin_open(&f, "127.0.0.8:8000", err))
+		return false;
+	put_config();
+	for (i = 0; i < engines + 2; i++) {
+		if (!open_engine(i, err))
+			return false;
+	}
+	return true;
+}
+
+static void
+read_gateways(void)
+{
+	char **list = g_strsplit(gateways, ",", -1);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(f.gateways) && list[i] != NULL; i++)
+		f.gateways[i] = list[i];
+	f.ngateways = i;
+}
+
+static int
+tell(void)
+{
+	const struct fleet_tally *t = &f.tally;
+	bool kept = promises_kept(t);
+	size_t i, loaded = 0;
+
+	for (i = 0; i < (size_t)engines; i++)
+		loaded += f.engine[i] != NULL;
+	printf("fleet: %s asked=%u answered=%u refused=%u failed=%u broken=%u "
+	       "twice=%u mixed=%u lied=%u unwhole=%u stale=%u stranger=%u "
+	       "seed=%d\n",
+	    kept ? "kept" : "BROKEN", t->asked, t->answered, t->refused,
+	    t->failed, t->broken, t->twice, t->mixed, t->lied, t->unwhole,
+	    t->stale, t->stranger, seed);
+	return kept && t->answered > t->asked / 2 ? 0 : 1;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct poptOption options[] = { { "engines", 0, POPT_ARG_INT, &engines,
+					    0, "model engines", "N" },
+		{ "empty", 0, POPT_ARG_INT, &empty, 0, "of them empty", "N" },
+		{ "gateways", 0, POPT_ARG_STRING, &gateways, 0,
+		    "addresses for callers", "LIST" },
+		{ "rate", 0, POPT_ARG_INT, &rate, 0, "requests a second", "N" },
+		{ "seconds", 0, POPT_ARG_INT, &seconds, 0, "to play", "N" },
+		{ "seed", 0, POPT_ARG_INT, &seed, 0, "of all chance", "N" },
+		{ "faults", 0, POPT_ARG_INT, &faults, 0, "0 or 1", "N" },
+		{ "bump", 0, POPT_ARG_INT, &bump, 0,
+		    "seconds to a new version; 0: none", "N" },
+		POPT_AUTOHELP POPT_TABLEEND };
+	poptContext pc =
+	    poptGetContext("fleet", argc, (const char **)argv, options, 0);
+	struct err err = { 0 };
+
+	if (poptGetNextOpt(pc) < -1 || gateways == NULL)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	rng_seed(&f.rng, (uint64_t)seed);
+	f.loop = evl_new(clk_system());
+	f.pool = hpool_new(&(struct hpool_conf){ .loop = f.loop,
+	    .idle_max = 8,
+	    .connect_us = 1000000,
+	    .idle_us = 3000000,
+	    .head_bytes = 16384 });
+	f.limits = (struct hlimits){ 16384, 1 << 20, 5000000, 30000000 };
+	f.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f.rate = (unsigned int)rate;
+	f.version = 1;
+	f.version_before = 1;
+	read_gateways();
+	if (!open_all(&err)) {
+		fprintf(stderr, "fleet: %s\n", err.message);
+		return 2;
+	}
+	printf("ready\n");
+	fflush(stdout);
+	begun_us = evl_now_us(f.loop);
+	fleet_callers_start(&f);
+	f.beat.fire = on_beat;
+	evl_timer_set(f.loop, &f.beat, begun_us);
+	f.fault.fire = on_fault;
+	if (faults)
+		evl_timer_set(f.loop, &f.fault, begun_us + 2 * G_USEC_PER_SEC);
+	end.fire = on_end;
+	evl_timer_set(
+	    f.loop, &end, begun_us + (int64_t)seconds * G_USEC_PER_SEC);
+	main_loop = g_main_loop_new(NULL, FALSE);
+	g_main_loop_run(main_loop);
+	poptFreeContext(pc);
+	return tell();
+}
--- /dev/null
+++ b/tests/fleet/proxy.c
@@ -0,0 +1,200 @@
+/* A loopback proxy that delays, silences, cuts one way and resets. */
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "fleet.h"
+
+#define DELAY_US 250000
+#define HELD_MAX (1u << 20)
+
+struct fleet_pipe;
+
+/* One side of a proxied connection. */
+struct fleet_end {
+	struct evl_fd fd;
+	struct fleet_pipe *pipe;
+	struct hbuf out; /* bytes for this side */
+	struct evl_timer late;
+};
+
+struct fleet_pipe {
+	LIST_ENTRY(fleet_pipe) link;
+	struct fleet_proxy *proxy;
+	struct fleet_end caller, target;
+};
+
+struct fleet_proxy {
+	struct fleet *f;
+	struct evl_fd listener;
+	struct sockaddr_in to;
+	enum proxy_mode mode;
+	LIST_HEAD(fleet_pipes, fleet_pipe) pipes;
+};
+
+static void
+pipe_close(struct fleet_pipe *p, bool reset)
+{
+	struct linger now = { .l_onoff = 1, .l_linger = 0 };
+	struct fleet_end *ends[] = { &p->caller, &p->target };
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		if (reset)
+			(void)setsockopt(ends[i]->fd.fd, SOL_SOCKET, SO_LINGER,
+			    &now, sizeof(now));
+		evl_forget(p->proxy->f->loop, &ends[i]->fd);
+		evl_timer_stop(p->proxy->f->loop, &ends[i]->late);
+		close(ends[i]->fd.fd);
+		hbuf_free(&ends[i]->out);
+	}
+	LIST_REMOVE(p, link);
+	g_free(p);
+}
+
+static bool
+is_held(const struct fleet_end *e)
+{
+	enum proxy_mode mode = e->pipe->proxy->mode;
+
+	if (mode == PROXY_SILENT)
+		return true;
+	return mode == PROXY_ONE_WAY && e == &e->pipe->caller;
+}
+
+/* False when the pipe is gone. */
+static bool
+push(struct fleet_end *e)
+{
+	ssize_t n;
+
+	while (hbuf_left(&e->out) > 0 && !is_held(e)) {
+		n = send(e->fd.fd, hbuf_front(&e->out), hbuf_left(&e->out),
+		    MSG_NOSIGNAL);
+		if (n < 0 &&
+		    (errno == EAGAIN || errno == EINPROGRESS ||
+			errno == ENOTCONN))
+			break;
+		if (n < 0) {
+			pipe_close(e->pipe, false);
+			return false;
+		}
+		hbuf_use(&e->out, (size_t)n);
+	}
+	evl_watch(e->pipe->proxy->f->loop, &e->fd,
+	    EPOLLIN | (hbuf_left(&e->out) > 0 && !is_held(e) ? EPOLLOUT : 0u));
+	return true;
+}
+
+static void
+on_late(struct evl_timer *t)
+{
+	push(
+	    (struct fleet_end *)((char *)t - offsetof(struct fleet_end, late)));
+}
+
+static void
+on_ready(struct evl_fd *fd, uint32_t events)
+{
+	struct fleet_end *e = (struct fleet_end *)fd;
+	struct fleet_pipe *p = e->pipe;
+	struct fleet_end *other = e == &p->caller ? &p->target : &p->caller;
+	struct fleet *f = p->proxy->f;
+	uint8_t buffer[16384];
+	ssize_t n;
+
+	if ((events & EPOLLOUT) != 0 && !push(e))
+		return;
+	if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) == 0)
+		return;
+	n = recv(e->fd.fd, buffer, sizeof(buffer), 0);
+	if (n < 0 && errno == EAGAIN)
+		return;
+	if (n <= 0 || hbuf_left(&other->out) + (size_t)n > HELD_MAX) {
+		push(other);
+		pipe_close(p, n < 0);
+		return;
+	}
+	hbuf_add(&other->out, buffer, (size_t)n);
+	if (p->proxy->mode == PROXY_DELAY) {
+		other->late.fire = on_late;
+		evl_timer_set(
+		    f->loop, &other->late, evl_now_us(f->loop) + DELAY_US);
+		return;
+	}
+	push(other);
+}
+
+static void
+on_accept(struct evl_fd *fd, uint32_t events)
+{
+	struct fleet_proxy *proxy = (struct fleet_proxy *)((char *)fd -
+	    offsetof(struct fleet_proxy, listener));
+	struct fleet_pipe *p;
+	int caller = accept4(fd->fd, NULL, NULL, SOCK_NONBLOCK);
+	int target;
+
+	if (caller < 0)
+		return;
+	target = sock_dial(&proxy->to);
+	if (target < 0) {
+		close(caller);
+		return;
+	}
+	p = g_new0(struct fleet_pipe, 1);
+	p->proxy = proxy;
+	p->caller.pipe = p->target.pipe = p;
+	p->caller.fd = (struct evl_fd){ .fd = caller, .ready = on_ready };
+	p->target.fd = (struct evl_fd){ .fd = target, .ready = on_ready };
+	LIST_INSERT_HEAD(&proxy->pipes, p, link);
+	evl_watch(proxy->f->loop, &p->caller.fd, EPOLLIN);
+	evl_watch(proxy->f->loop, &p->target.fd, EPOLLIN);
+}
+
+struct fleet_proxy *
+fleet_proxy_open(
+    struct fleet *f, const char *address, const char *to, struct err *err)
+{
+	struct fleet_proxy *proxy = g_new0(struct fleet_proxy, 1);
+	struct sockaddr_in at;
+	int fd = -1;
+
+	if (sock_address(address, &at) && sock_address(to, &proxy->to))
+		fd = sock_listen(&at, 200);
+	if (fd < 0) {
+		err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
+		    "cannot listen on %s", address);
+		g_free(proxy);
+		return NULL;
+	}
+	proxy->f = f;
+	LIST_INIT(&proxy->pipes);
+	proxy->listener = (struct evl_fd){ .fd = fd, .ready = on_accept };
+	evl_watch(f->loop, &proxy->listener, EPOLLIN);
+	f->proxy[f->nproxies++] = proxy;
+	return proxy;
+}
+
+void
+fleet_proxy_set(struct fleet_proxy *proxy, enum proxy_mode mode)
+{
+	struct fleet_pipe *p = LIST_FIRST(&proxy->pipes), *next;
+
+	proxy->mode = mode;
+	for (; p != NULL; p = next) {
+		next = LIST_NEXT(p, link);
+		if (push(&p->caller))
+			push(&p->target);
+	}
+}
+
+void
+fleet_proxy_reset(struct fleet_proxy *proxy)
+{
+	struct fleet_pipe *p;
+
+	while ((p = LIST_FIRST(&proxy->pipes)) != NULL)
+		pipe_close(p, true);
+}
--- /dev/null
+++ b/tests/fleet/store.c
@@ -0,0 +1,379 @@
+/* The stand-in's store: lists, watches with a wait, a history that can go. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+#define PAGE 50 /* objects an answer, so that clients must page */
+
+struct fleet_object {
+	char *kind, *name, *spec;
+	int64_t revision;
+};
+
+struct fleet_event {
+	char *kind, *name, *spec;
+	int64_t revision;
+	bool removed;
+};
+
+/* A call that waits for news. */
+struct fleet_watch {
+	LIST_ENTRY(fleet_watch) link;
+	struct fleet *f;
+	struct hreq *r;
+	char *kind;
+	int64_t since;
+	struct evl_timer timer;
+};
+
+static void
+append_object(
+    GString *out, const char *name, int64_t revision, const char *spec)
+{
+	g_string_append_printf(out,
+	    "{\"metadata\":{\"name\":\"%s\",\"revision\":%" G_GINT64_FORMAT
+	    ",\"created\":1,\"finalizers\":[],\"deleting\":false},"
+	    "\"spec\":%s,\"status\":null}",
+	    name, revision, spec);
+}
+
+static void
+answer_json(struct hreq *r, GString *body)
+{
+	hreq_answer(
+	    r, 200, "Content-Type: application/json\r\n", body->str, body->len);
+	g_string_free(body, TRUE);
+}
+
+/* ------------------------------------------------------------------ */
+/* Watches                                                             */
+/* ------------------------------------------------------------------ */
+
+/* Events of a kind after `since`; NULL when there are none. */
+static GString *
+events_since(struct fleet *f, const char *kind, int64_t since)
+{
+	GString *out = g_string_new("{\"events\":[");
+	unsigned int n = 0;
+	guint i;
+
+	for (i = 0; i < f->history->len; i++) {
+		const struct fleet_event *e = f->history->pdata[i];
+
+		if (e->revision <= since || strcmp(e->kind, kind) != 0)
+			continue;
+		g_string_append_printf(out,
+		    "%s{\"removed\":%s,\"object\":", n++ > 0 ? "," : "",
+		    e->removed ? "true" : "false");
+		append_object(out, e->name, e->revision, e->spec);
+		g_string_append_c(out, '}');
+	}
+	g_string_append_printf(
+	    out, "],\"at\":%" G_GINT64_FORMAT "}", f->revision);
+	if (n > 0)
+		return out;
+	g_string_free(out, TRUE);
+	return NULL;
+}
+
+static void
+watch_free(struct fleet_watch *w)
+{
+	LIST_REMOVE(w, link);
+	evl_timer_stop(w->f->loop, &w->timer);
+	g_free(w->kind);
+	g_free(w);
+}
+
+static void
+on_watch_end(struct evl_timer *timer)
+{
+	struct fleet_watch *w = (struct fleet_watch *)((char *)timer -
+	    offsetof(struct fleet_watch, timer));
+	GString *out = g_string_new(NULL);
+	struct hreq *r = w->r;
+
+	g_string_printf(
+	    out, "{\"events\":[],\"at\":%" G_GINT64_FORMAT "}", w->f->revision);
+	watch_free(w);
+	answer_json(r, out);
+}
+
+static void
+tell_watches(struct fleet *f, const char *kind)
+{
+	struct fleet_watch *w = LIST_FIRST(&f->watches), *next;
+
+	for (; w != NULL; w = next) {
+		struct hreq *r = w->r;
+		GString *out;
+
+		next = LIST_NEXT(w, link);
+		if (strcmp(w->kind, kind) != 0)
+			continue;
+		out = events_since(f, kind, w->since);
+		if (out == NULL)
+			continue;
+		watch_free(w);
+		answer_json(r, out);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Objects                                                             */
+/* ------------------------------------------------------------------ */
+
+static void
+note(struct fleet *f, const char *kind, const char *name, const char *spec,
+    bool removed)
+{
+	struct fleet_event *e = g_new0(struct fleet_event, 1);
+
+	e->kind = g_strdup(kind);
+	e->name = g_strdup(name);
+	e->spec = g_strdup(spec);
+	e->revision = ++f->revision;
+	e->removed = removed;
+	g_ptr_array_add(f->history, e);
+	tell_watches(f, kind);
+}
+
+void
+fleet_store_put(
+    struct fleet *f, const char *kind, const char *name, const char *spec)
+{
+	char *key = g_strdup_printf("%s/%s", kind, name);
+	struct fleet_object *o = g_hash_table_lookup(f->objects, key);
+
+	if (o != NULL && strcmp(o->spec, spec) == 0) {
+		g_free(key);
+		return;
+	}
+	if (o == NULL) {
+		o = g_new0(struct fleet_object, 1);
+		o->kind = g_strdup(kind);
+		o->name = g_strdup(name);
+		g_hash_table_insert(f->objects, g_strdup(key), o);
+	}
+	g_free(key);
+	g_free(o->spec);
+	o->spec = g_strdup(spec);
+	o->revision = f->revision + 1;
+	note(f, kind, name, spec, false);
+}
+
+void
+fleet_store_remove(struct fleet *f, const char *kind, const char *name)
+{
+	char *key = g_strdup_printf("%s/%s", kind, name);
+
+	if (g_hash_table_remove(f->objects, key))
+		note(f, kind, name, "null", true);
+	g_free(key);
+}
+
+void
+fleet_store_forget_history(struct fleet *f)
+{
+	struct fleet_watch *w;
+
+	f->history_from = f->revision;
+	g_ptr_array_set_size(f->history, 0);
+	while ((w = LIST_FIRST(&f->watches)) != NULL) {
+		struct hreq *r = w->r;
+
+		watch_free(w);
+		hreq_abort(r);
+	}
+}
+
+/* ------------------------------------------------------------------ */
+/* Calls                                                               */
+/* ------------------------------------------------------------------ */
+
+static char *
+query(const char *target, const char *name)
+{
+	char *key = g_strdup_printf("%s=", name);
+	const char *at = strchr(target, '?');
+	char *value = NULL;
+
+	while (at != NULL) {
+		at++;
+		if (g_str_has_prefix(at, key)) {
+			at += strlen(key);
+			value = g_strndup(at, strcspn(at, "&"));
+			break;
+		}
+		at = strchr(at, '&');
+	}
+	g_free(key);
+	return value;
+}
+
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const struct fleet_object *)a)->name,
+	    ((const struct fleet_object *)b)->name);
+}
+
+static void
+answer_list(
+    struct fleet *f, struct hreq *r, const char *kind, const char *after)
+{
+	GList *all = g_list_sort(g_hash_table_get_values(f->objects), by_name);
+	GString *out = g_string_new("{\"items\":[");
+	unsigned int n = 0;
+	bool more = false;
+	GList *at;
+
+	for (at = all; at != NULL; at = at->next) {
+		const struct fleet_object *o = at->data;
+
+		if (strcmp(o->kind, kind) != 0 ||
+		    (after != NULL && strcmp(o->name, after) <= 0))
+			continue;
+		more = n == PAGE;
+		if (more)
+			break;
+		if (n++ > 0)
+			g_string_append_c(out, ',');
+		append_object(out, o->name, o->revision, o->spec);
+	}
+	g_list_free(all);
+	g_string_append_printf(out,
+	    "],\"hasMore\":%s,\"at\":%" G_GINT64_FORMAT "}",
+	    more ? "true" : "false", f->revision);
+	answer_json(r, out);
+}
+
+static void
+answer_watch(struct fleet *f, struct hreq *r, const char *kind, int64_t since,
+    int64_t wait_ms)
+{
+	struct fleet_watch *w;
+	GString *out;
+
+	if (since < f->history_from) {
+		hreq_answer(r, 410, "", "", 0);
+		return;
+	}
+	out = events_since(f, kind, since);
+	if (out != NULL) {
+		answer_json(r, out);
+		return;
+	}
+	w = g_new0(struct fleet_watch, 1);
+	w->f = f;
+	w->r = r;
+	w->kind = g_strdup(kind);
+	w->since = since;
+	w->timer.fire = on_watch_end;
+	hreq_set_ctx(r, w);
+	LIST_INSERT_HEAD(&f->watches, w, link);
+	evl_timer_set(f->loop, &w->timer, evl_now_us(f->loop) + wait_ms * 1000);
+}
+
+static void
+on_request(struct hreq *r, void *ctx)
+{
+	struct fleet *f = ctx;
+	char *target = hslice_dup(hreq_msg(r)->target);
+	const char *kind_at = target + strlen("/-/objects/");
+	char *kind, *watch, *wait, *after;
+
+	hreq_set_ctx(r, NULL);
+	if (f->store_refuses) {
+		hreq_answer(r, 503, "", "", 0);
+		g_free(target);
+		return;
+	}
+	if (!g_str_has_prefix(target, "/-/objects/")) {
+		hreq_answer(r, 404, "", "", 0);
+		g_free(target);
+		return;
+	}
+	kind = g_strndup(kind_at, strcspn(kind_at, "?/"));
+	watch = query(target, "watch");
+	wait = query(target, "waitMs");
+	after = query(target, "after");
+	if (watch != NULL)
+		answer_watch(
+		    f, r, kind, atoll(watch), wait == NULL ? 0 : atoll(wait));
+	else
+		answer_list(f, r, kind, after);
+	g_free(kind);
+	g_free(watch);
+	g_free(wait);
+	g_free(after);
+	g_free(target);
+}
+
+static void
+on_left(struct hreq *r, void *ctx)
+{
+	struct fleet_watch *w = hreq_ctx(r);
+
+	if (w != NULL)
+		watch_free(w);
+}
+
+static void
+on_drained(struct hreq *r, void *ctx)
+{
+}
+
+static void
+on_refused(unsigned int status, void *ctx)
+{
+}
+
+static const struct hserver_ops ops = {
+	.request = on_request,
+	.left = on_left,
+	.drained = on_drained,
+	.refused = on_refused,
+};
+
+static void
+object_free(gpointer data)
+{
+	struct fleet_object *o = data;
+
+	g_free(o->kind);
+	g_free(o->name);
+	g_free(o->spec);
+	g_free(o);
+}
+
+static void
+event_free(gpointer data)
+{
+	struct fleet_event *e = data;
+
+	g_free(e->kind);
+	g_free(e->name);
+	g_free(e->spec);
+	g_free(e);
+}
+
+bool
+fleet_store_open(struct fleet *f, const char *address, struct err *err)
+{
+	f->objects =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, object_free);
+	f->history = g_ptr_array_new_with_free_func(event_free);
+	LIST_INIT(&f->watches);
+	f->store = hserver_new(&(struct hserver_conf){ .loop = f->loop,
+				   .address = address,
+				   .limits = &f->limits,
+				   .connections_max = 500,
+				   .bodies_max = 1 << 20,
+				   .ops = &ops,
+				   .ctx = f },
+	    err);
+	return f->store != NULL;
+}
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -49,6 +49,7 @@
 		g_strfreev(words);
 	}
 	g_strfreev(lines);
+	/* cppcheck-suppress memleak ; the page has the items now */
 	return true;
 }
 
--- /dev/null
+++ b/tools/demo_platform.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# The whole path on the stand-in for the users' platform: 2 gateways, 8
+# keepers, 6 engines with weights and 2 without, a new version on the way,
+# requests throughout. Last line: `fleet: kept ...`.
+set -u
+BUILD=${1:-build}
+. tools/fleet.sh
+fleet_begin "$BUILD/stage-demo-platform" 8 2
+"$BUILD/tests/fleet/fleet" --engines 8 --empty 2 --gateways "$gateways" \
+    --rate 80 --seconds "${SECONDS_TO_PLAY:-12}" --bump 3 --seed 1 >"$STAGE/fleet.out"
+status=$?
+fleet_end || status=1
+loaded=$(grep -h 'ev=weights step=done version=2' "$STAGE"/keeper-*.log | wc -l)
+echo "demo-platform: version 2 loaded at $loaded of 8 engines"
+[ "$loaded" -ge 8 ] || status=1
+tail -n 1 "$STAGE/fleet.out"
+exit $status
--- /dev/null
+++ b/tools/fleet.sh
@@ -0,0 +1,56 @@
+# Sourced by scripts that play the stand-in fleet with our own processes:
+#   fleet_begin FOLDER ENGINES GATEWAYS; fleet_play OPTIONS...; fleet_end
+# Each "host" has a loopback address of its own. Only processes started here
+# are ended, by their ids.
+
+fleet_settings() { # fleet_settings FILE ID DOMAIN IP LINES...
+	{
+		echo "node: {id: $2, domain: $3, region: $3, key: 63757272616e746368757465746573747065657273}"
+		echo "store: {address: 127.0.0.9:8007}"
+		echo "domains: {z0: z0, z1: z1}"
+		echo "limits: {link_mbit: 40}"
+		echo "bounds: {version_ms: 8000, grace_s: 4, retry_ratio: 0.2, retry_slack: 40}"
+	} >"$1"
+	file=$1
+	shift 4
+	printf '%s\n' "$@" >>"$file"
+}
+
+fleet_start() { # fleet_start NAME: (again)
+	case $1 in
+	gateway-*) $BUILD/programs/entry/currantchute gateway --settings $STAGE/$1.yaml ;;
+	*) $BUILD/programs/side/currantchute-side keeper --settings $STAGE/$1.yaml ;;
+	esac >>"$STAGE/$1.log" 2>>"$STAGE/$1.err" &
+	echo $! >"$STAGE/$1.pid"
+}
+
+fleet_begin() { # fleet_begin FOLDER ENGINES GATEWAYS
+	STAGE=$1
+	rm -rf "$STAGE"
+	mkdir -p "$STAGE"
+	names=
+	gateways=
+	for g in $(seq "$3"); do
+		ip=127.0.0.$((g + 1))
+		fleet_settings "$STAGE/gateway-$g.yaml" "gateway-$g" "z$(((g - 1) % 2))" $ip \
+		    "listen: {callers: $ip:8005, ready: $ip:8006, metrics: $ip:9464, peers: $ip:7700}"
+		names="$names gateway-$g"
+		gateways="$gateways,$ip:8005"
+	done
+	for e in $(seq 0 $(($2 - 1))); do
+		ip=127.0.0.$((e + 10))
+		fleet_settings "$STAGE/keeper-$e.yaml" "keeper-$e" "z$((e % 2))" $ip \
+		    "listen: {metrics: $ip:9464, peers: $ip:7700}" \
+		    "engine: {address: $ip:8001}"
+		names="$names keeper-$e"
+	done
+	gateways=${gateways#,}
+	for name in $names; do fleet_start "$name"; done
+}
+
+fleet_end() {
+	for name in $names; do kill -CONT "$(cat "$STAGE/$name.pid")" 2>/dev/null; done
+	for name in $names; do kill -TERM "$(cat "$STAGE/$name.pid")" 2>/dev/null; done
+	for name in $names; do wait "$(cat "$STAGE/$name.pid")" 2>/dev/null; done
+	! grep -lE 'ERROR: AddressSanitizer|runtime error:|ERROR:.*assertion failed' "$STAGE"/*.err
+}
