Free places of a target are shared among gateways

Change: until the next word about the load each gateway takes its part of the places that were free then.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -1,5 +1,6 @@
 /* Beliefs about targets, and the choice of one. */
 
+#include <math.h>
 #include <string.h>
 
 #include "serve/tgt.h"
@@ -270,6 +271,7 @@
 tgt_sent(struct tgt *t, int64_t now_us)
 {
 	t->mine++;
+	t->sent_since++;
 	if (t->failures > 0)
 		t->probing = true;
 }
@@ -287,6 +289,7 @@
 	t->seen = total;
 	t->seen_mine = t->mine;
 	t->seen_us = now_us;
+	t->sent_since = 0;
 }
 
 double
@@ -384,6 +387,23 @@
 
 /* A target that failed gets one request at a time to show that it is back,
  * first such as may be repeated elsewhere. */
+/*
+ * Places that a word about the load shows free are seen by all entries at
+ * once. Were each to take them all, a target that has just come up would get
+ * as many requests as there are entries times its places, and most would wait
+ * there for seconds. Until the next word each takes its part.
+ */
+static bool
+took_its_part(const struct tgt *t, const struct tgt_policy *p, int64_t now_us)
+{
+	double free_then = tgt_limit(t, p) - t->seen;
+	unsigned int entries = MAX(1, p->entries);
+
+	if (t->seen_us == 0 || now_us - t->seen_us > LOAD_FRESH_US)
+		return false; /* the estimate has the others' parts in it */
+	return t->sent_since >= MAX(1, ceil(free_then / entries));
+}
+
 static bool
 may_probe(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
 {
@@ -447,7 +467,8 @@
 		if (!can_serve(t, wish, now_us))
 			continue;
 		if (tgt_estimate(t, &s->policy, now_us) + 1 >
-		    tgt_limit(t, &s->policy)) {
+			tgt_limit(t, &s->policy) ||
+		    took_its_part(t, &s->policy, now_us)) {
 			*why = TGT_FULL;
 			continue;
 		}
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -26,6 +26,7 @@
 	unsigned int mine;
 	unsigned int seen, seen_mine;
 	int64_t seen_us;
+	unsigned int sent_since; /* by this entry, since that word */
 	int64_t side_us; /* last word of its side; 0: never */
 	bool side_down; /* its side cannot reach it, or it loads weights */
 	char model[SV_ID_MAX]; /* loaded; newer of store and side */
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -225,6 +225,7 @@
 	assert_true(tgt_estimate(t, p, SECOND) == 3);
 	tgt_sent(t, SECOND);
 	assert_true(tgt_estimate(t, p, SECOND) == 4);
+	tgt_load(t, 4, SECOND);
 	assert_ptr_equal(choose(SECOND, true, &why), t);
 	tgt_sent(t, SECOND);
 	assert_null(choose(SECOND, true, &why));
@@ -235,6 +236,28 @@
 	assert_true(tgt_estimate(t, p, SECOND) == 2);
 }
 
+/*
+ * An engine comes up empty. All gateways see its places at the same moment;
+ * together they must not send it more than it can take before its next word.
+ */
+static void
+test_free_places_are_shared(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	enum tgt_why why;
+	unsigned int sent = 0;
+
+	tgt_load(t, 0, SECOND);
+	while (choose(SECOND, true, &why) != NULL) {
+		tgt_sent(t, SECOND);
+		sent++;
+	}
+	assert_int_equal(why, TGT_FULL);
+	assert_int_equal(sent, 2); /* of five places, for three gateways */
+	tgt_load(t, 2, SECOND + 30000);
+	assert_non_null(choose(SECOND + 30000, true, &why));
+}
+
 static void
 test_near_first(void **state)
 {
@@ -393,6 +416,7 @@
 		cmocka_unit_test(test_versions_become_due),
 		cmocka_unit_test(test_versions_from_before_the_start),
 		T(test_estimate),
+		T(test_free_places_are_shared),
 		T(test_near_first),
 		T(test_rest_and_probe),
 		T(test_failures_together),
