Engines get no more prompts than they read within 150 ms

Change: each gateway counts its prompt tokens at an engine until an answer begins, times the share of gateways that send there; beyond 150 ms of reading the engine counts as full, below that it costs more.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -194,6 +194,25 @@
 	memcpy(r->id, h->value.p, MIN(h->value.n, sizeof(r->id) - 1));
 }
 
+/* "PROMPT,ANSWER" in tokens */
+static void
+read_prompt(struct fwd_req *r, const struct hmsg *m)
+{
+	const struct hheader *h =
+	    hmsg_find(m, r->fwd->conf.dialect->header[SV_F_TOKENS]);
+	const char *comma;
+	struct hslice number;
+	int64_t tokens;
+
+	if (h == NULL)
+		return;
+	comma = memchr(h->value.p, ',', h->value.n);
+	number.p = h->value.p;
+	number.n = comma == NULL ? h->value.n : (size_t)(comma - number.p);
+	if (hslice_number(number, &tokens))
+		r->prompt = (uint64_t)tokens;
+}
+
 static void
 read_times(struct fwd_req *r, const struct hmsg *m)
 {
@@ -238,6 +257,7 @@
 		r->model = hslice_dup(model->value);
 	read_id(r, m);
 	read_times(r, m);
+	read_prompt(r, m);
 	r->flow.repeatable = is_repeatable(route);
 	r->flow.attempts = route->attempts;
 	hreq_set_ctx(caller, r);
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -86,6 +86,7 @@
 	r->status = m->status;
 	r->sealed = field(r, m, SV_F_SEAL) != NULL;
 	read_load(r, m);
+	fwd_read(r);
 	r->refused = says_not_run(r, m);
 	r->broken =
 	    !r->refused && (!can_pass(r, m) || (is_success(r) && id == NULL));
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -17,6 +17,16 @@
 /* Least time that another attempt needs. */
 #define ATTEMPT_MIN_US 60000
 
+void
+fwd_read(struct fwd_req *r)
+{
+	if (!r->reading)
+		return;
+	r->reading = false;
+	tgt_reading(r->target, r->prompt, false);
+	fwd_pump(r->fwd);
+}
+
 void
 fwd_drop_call(struct fwd_req *r)
 {
@@ -34,6 +44,7 @@
 	hbuf_free(&r->answer);
 	if (r->target == NULL)
 		return;
+	fwd_read(r);
 	tgt_ended(r->target, fwd_now(r));
 	tgt_unref(r->target);
 	r->target = NULL;
@@ -275,6 +286,8 @@
 		r->tried[r->ntried++] = target;
 	r->flow.tries++;
 	tgt_sent(target, r->sent_us);
+	tgt_reading(target, r->prompt, true);
+	r->reading = true;
 	body = hreq_body(r->caller, &len);
 	r->call = hcall_start(r->fwd->conf.pool,
 	    &(struct hcall_conf){ .address = target->says.address,
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -29,6 +29,8 @@
 	enum fwd_state state;
 	char id[FWD_ID_MAX];
 	char *model; /* NULL: none asked for */
+	uint64_t prompt; /* tokens; 0: unknown */
+	bool reading; /* the target has them to read */
 	int64_t begun_us; /* first byte read */
 	int64_t due_us; /* final answer by then */
 	int priority;
@@ -100,6 +102,7 @@
 /* fwd_call.c: an attempt */
 void fwd_send(struct fwd_req *r, struct tgt *target);
 void fwd_drop_call(struct fwd_req *r); /* cancels what is under way */
+void fwd_read(struct fwd_req *r); /* the target has read the prompt */
 void fwd_heard(struct fwd_req *r); /* the target has given a sign of life */
 
 /* fwd_answer.c: what comes back */
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -24,6 +24,10 @@
 #define ERROR_WEIGHT 0.1
 /* Answers before the share of failures is believed. */
 #define ERROR_ANSWERS 8
+/* Part of the entries that send to one target: mostly those of its region. */
+#define READ_SHARERS 0.4
+/* A target at its limit of reading costs as much as so many requests. */
+#define READ_COST 4.0
 /* Failures beyond the service's usual share cost so many places. */
 #define ERROR_COST 12.0
 
@@ -283,6 +287,13 @@
 	t->mine--;
 }
 
+void
+tgt_reading(struct tgt *t, uint64_t tokens, bool sent)
+{
+	g_assert(sent || t->reading >= tokens);
+	t->reading = sent ? t->reading + tokens : t->reading - tokens;
+}
+
 void
 tgt_load(struct tgt *t, unsigned int total, int64_t now_us)
 {
@@ -404,6 +415,31 @@
 	return t->sent_since >= MAX(1, ceil(free_then / entries));
 }
 
+/* Time in which the target reads the prompts that wait there: this entry's,
+ * and as many of each other that sends to it. */
+static int64_t
+read_us(const struct tgt *t, const struct tgt_policy *p)
+{
+	double rate = t->service->engine.read_per_s;
+	double sharers = MAX(1, p->entries * READ_SHARERS);
+
+	if (rate <= 0)
+		return 0;
+	return (int64_t)((double)t->reading * sharers * G_USEC_PER_SEC / rate);
+}
+
+/*
+ * A prompt is read before its first token, and those of others as well. Sent
+ * to a target that has many to read, a request has its place at once and its
+ * first token late: after its objective, or on weights that have become too
+ * old meanwhile.
+ */
+static bool
+reads_enough(const struct tgt *t, const struct tgt_policy *p)
+{
+	return p->read_us > 0 && read_us(t, p) >= p->read_us;
+}
+
 static bool
 may_probe(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
 {
@@ -445,6 +481,11 @@
 {
 	double cost = tgt_estimate(t, p, now_us) / slots_of(t);
 
+	/* What it has to read counts as much as its places: whole at the
+	 * limit. */
+	if (p->read_us > 0)
+		cost += (double)read_us(t, p) / (double)p->read_us * READ_COST /
+		    slots_of(t);
 	if (!t->near)
 		cost += p->far_cost / slots_of(t);
 	if (t->answers >= ERROR_ANSWERS && t->error_share > usual)
@@ -468,7 +509,8 @@
 			continue;
 		if (tgt_estimate(t, &s->policy, now_us) + 1 >
 			tgt_limit(t, &s->policy) ||
-		    took_its_part(t, &s->policy, now_us)) {
+		    took_its_part(t, &s->policy, now_us) ||
+		    reads_enough(t, &s->policy)) {
 			*why = TGT_FULL;
 			continue;
 		}
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -27,6 +27,7 @@
 	unsigned int seen, seen_mine;
 	int64_t seen_us;
 	unsigned int sent_since; /* by this entry, since that word */
+	uint64_t reading; /* prompt tokens of this entry's, before any answer */
 	int64_t side_us; /* last word of its side; 0: never */
 	bool side_down; /* its side cannot reach it, or it loads weights */
 	char model[SV_ID_MAX]; /* loaded; newer of store and side */
@@ -69,6 +70,9 @@
 	/* Load (in requests) that a target in another region must be below a
 	 * near one to be chosen: its bytes and round trips cost more. */
 	double far_cost;
+	/* Longest time that a target may need to read the prompts that it has
+	 * before another is sent; 0: no limit. */
+	int64_t read_us;
 	/* Entries that share a target when nothing tells its load. */
 	unsigned int entries;
 };
@@ -101,6 +105,8 @@
 
 /* Events of requests. */
 void tgt_sent(struct tgt *t, int64_t now_us);
+/* A prompt was sent, or its answer has begun or ended (`sent` false). */
+void tgt_reading(struct tgt *t, uint64_t tokens, bool sent);
 void tgt_ended(struct tgt *t, int64_t now_us);
 /* An answer's or a side's word about the load over all entries. */
 void tgt_load(struct tgt *t, unsigned int total, int64_t now_us);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -275,6 +275,7 @@
 
 	policy->beyond_slots = cfg_num(cfg, "policy.beyond_slots");
 	policy->far_cost = cfg_num(cfg, "policy.far_cost");
+	policy->read_us = cfg_int(cfg, "policy.read_ms") * 1000;
 	policy->entries = g->gateways;
 	budget->ratio = cfg_num(cfg, "bounds.retry_ratio");
 	budget->slack = cfg_num(cfg, "bounds.retry_slack");
