--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,9 @@
 settings-page: build
 	$(BUILD)/tools/print_settings >docs/SETTINGS.md
 
+logs-page: build
+	$(BUILD)/tools/print_logs
+
 bench-weights: build
 	N="$(N)" SEED="$(SEED)" sh bench/weights.sh $(BUILD)
 
@@ -55,5 +58,5 @@
 clean:
 	rm -rf build build-asan out
 
-.PHONY: all install-deps build asan demo demo-platform soak check model fmt lint settings-page bench-weights \
+.PHONY: all install-deps build asan demo demo-platform soak check model fmt lint settings-page logs-page bench-weights \
 	bench-requests bench-control capacity clean
--- /dev/null
+++ b/programs/entry/explain.c
@@ -0,0 +1,213 @@
+/*
+ * `currantchute explain ID FILE...`: the story of one request from the log
+ * lines of several processes: every line about it, and what its gateways
+ * believed of its targets and settings shortly before and meanwhile.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/cli.h"
+#include "shared/proc.h"
+
+/* Changes of belief so long before the request began may explain it. */
+#define BEFORE_S 3.0
+#define LINE_BYTES 1024
+
+struct line {
+	double t;
+	char *node, *ev, *text;
+	bool own; /* it names the request */
+};
+
+struct story {
+	const char *id;
+	GPtrArray *lines; /* struct line */
+	GHashTable *targets, *nodes; /* that the request's lines name */
+	double from, to;
+};
+
+static void
+line_free(gpointer data)
+{
+	struct line *l = data;
+
+	g_free(l->node);
+	g_free(l->ev);
+	g_free(l->text);
+	g_free(l);
+}
+
+/* Value of "key=" in a line; NULL when absent. g_free. */
+static char *
+value_of(const char *text, const char *key)
+{
+	char *pattern = g_strdup_printf(" %s=", key);
+	const char *at = strstr(text, pattern);
+	char *value = NULL;
+
+	if (at != NULL) {
+		at += strlen(pattern);
+		value = g_strndup(at, strcspn(at, " \r\n"));
+	}
+	g_free(pattern);
+	return value;
+}
+
+/* Lines may stand behind a prefix of whoever collected them. */
+static struct line *
+read_line(const char *raw, const char *id)
+{
+	const char *at = strstr(raw, "t=");
+	struct line *l;
+	char *req, *copy;
+
+	if (at == NULL || strstr(at, " ev=") == NULL)
+		return NULL;
+	l = g_new0(struct line, 1);
+	l->t = g_ascii_strtod(at + 2, NULL);
+	copy = g_strndup(at, strcspn(at, "\r\n"));
+	l->text = copy;
+	l->node = value_of(copy, "node");
+	l->ev = value_of(copy, "ev");
+	req = value_of(copy, "req");
+	l->own = g_strcmp0(req, id) == 0;
+	g_free(req);
+	return l;
+}
+
+static bool
+read_file(struct story *s, const char *path)
+{
+	FILE *file = fopen(path, "r");
+	char raw[LINE_BYTES];
+	struct line *l;
+
+	if (file == NULL) {
+		fprintf(stderr, "currantchute: cannot read %s\n", path);
+		return false;
+	}
+	while (fgets(raw, sizeof(raw), file) != NULL) {
+		l = read_line(raw, s->id);
+		if (l != NULL)
+			g_ptr_array_add(s->lines, l);
+	}
+	fclose(file);
+	return true;
+}
+
+/* What the request's own lines name, and when. */
+static void
+note_own(struct story *s)
+{
+	char *target;
+	guint i;
+
+	for (i = 0; i < s->lines->len; i++) {
+		const struct line *l = s->lines->pdata[i];
+
+		if (!l->own)
+			continue;
+		s->from = s->from == 0 ? l->t : MIN(s->from, l->t);
+		s->to = MAX(s->to, l->t);
+		g_hash_table_add(s->nodes, g_strdup(l->node));
+		target = value_of(l->text, "target");
+		if (target != NULL)
+			g_hash_table_add(s->targets, target);
+	}
+}
+
+static bool
+is_about_settings(const char *ev)
+{
+	static const char *const names[] = { "start", "stop", "reload",
+		"store_lost", "store_back", "config", "version", "ready",
+		"lines_dropped" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (strcmp(ev, names[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+belongs(const struct story *s, const struct line *l)
+{
+	char *target, *req;
+	bool about;
+
+	if (l->own)
+		return true;
+	if (l->t < s->from - BEFORE_S || l->t > s->to ||
+	    !g_hash_table_contains(s->nodes, l->node))
+		return false;
+	req = value_of(l->text, "req");
+	target = value_of(l->text, "target");
+	about = is_about_settings(l->ev) ||
+	    (req == NULL && target != NULL &&
+		g_hash_table_contains(s->targets, target));
+	g_free(req);
+	g_free(target);
+	return about;
+}
+
+static gint
+by_time(gconstpointer a, gconstpointer b)
+{
+	const struct line *x = *(const struct line *const *)a;
+	const struct line *y = *(const struct line *const *)b;
+
+	return (x->t > y->t) - (x->t < y->t);
+}
+
+static void
+tell(const struct story *s)
+{
+	guint i;
+
+	for (i = 0; i < s->lines->len; i++) {
+		const struct line *l = s->lines->pdata[i];
+
+		if (belongs(s, l))
+			printf("%c %+8.3f %s\n", l->own ? '*' : ' ',
+			    l->t - s->from, l->text);
+	}
+}
+
+int
+explain_main(int argc, char **argv)
+{
+	struct story s = { 0 };
+	int i, rc = EXIT_OK;
+
+	if (argc < 4) {
+		fprintf(stderr,
+		    "usage: currantchute explain ID FILE...\n"
+		    "example: currantchute explain 9c41d07be2a35f68 "
+		    "gateway-1.log gateway-2.log\n");
+		return EXIT_USAGE;
+	}
+	s.id = argv[2];
+	s.lines = g_ptr_array_new_with_free_func(line_free);
+	s.targets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s.nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 3; i < argc; i++) {
+		if (!read_file(&s, argv[i]))
+			rc = EXIT_USAGE;
+	}
+	g_ptr_array_sort(s.lines, by_time);
+	note_own(&s);
+	if (g_hash_table_size(s.nodes) == 0) {
+		fprintf(stderr, "currantchute: no line about %s\n", s.id);
+		rc = EXIT_REFUSED;
+	} else
+		tell(&s);
+	g_ptr_array_unref(s.lines);
+	g_hash_table_unref(s.targets);
+	g_hash_table_unref(s.nodes);
+	return rc;
+}
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -35,4 +35,7 @@
 /* gateway.c */
 int gateway_main(const char *settings);
 
+/* explain.c */
+int explain_main(int argc, char **argv);
+
 #endif
--- a/programs/entry/main.c
+++ b/programs/entry/main.c
@@ -1,4 +1,4 @@
-/* currantchute: `entry` and `gateway` serve; every other command is an operator's. */
+/* currantchute: `entry` and `gateway` serve, `explain` reads logs; every other command is an operator's. */
 
 #include <stdio.h>
 #include <string.h>
@@ -33,5 +33,7 @@
 		    argv[1], argv[1], argv[1]);
 		return EXIT_USAGE;
 	}
+	if (argc >= 2 && strcmp(argv[1], "explain") == 0)
+		return explain_main(argc, argv);
 	return cli_main(argc, (const char **)argv);
 }
--- a/programs/side/keeper.c
+++ b/programs/side/keeper.c
@@ -1,5 +1,6 @@
 /* The keeper: set-up, time, stop. */
 
+#include <malloc.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -18,6 +19,9 @@
 	return cfg_str(k->st.cfg, "domains.%s", domain);
 }
 
+#define PIECE_MAPPED_FROM (24 << 10) /* bytes; pieces are of 32 KB */
+#define HEAP_KEPT (128 << 10) /* free bytes at the end of the heap */
+
 static void
 on_tick(struct evl_timer *timer)
 {
@@ -87,12 +91,25 @@
 	return true;
 }
 
+/*
+ * Pieces come and go by the hundred with each version. From the heap they
+ * would leave holes that nothing else fills, and the process would keep the
+ * memory of two versions for good; mapped one by one they go back at once.
+ */
+static void
+map_pieces(void)
+{
+	(void)mallopt(M_MMAP_THRESHOLD, PIECE_MAPPED_FROM);
+	(void)mallopt(M_TRIM_THRESHOLD, HEAP_KEPT);
+}
+
 int
 keeper_main(const char *settings)
 {
 	struct keeper *k = g_new0(struct keeper, 1);
 	struct err err = { 0 };
 
+	map_pieces();
 	if (!start(k, settings, &err)) {
 		fprintf(stderr, "currantchute-side: %s\n", err.message);
 		return EXIT_USAGE;
