--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "serve/fwd_internal.h"
+#include "serve/side.h"
 
 /*
  * Share of a request's objective that it may wait for a place. The rest is
@@ -10,7 +11,7 @@
  * full): whoever waits longer is served late, and its place is better used by
  * one that is not.
  */
-#define WAIT_SHARE 0.2
+#define WAIT_SHARE 0.3
 #define WAIT_MIN_US 20000
 /* A service of no known objective. */
 #define WAIT_DEFAULT_US 200000
@@ -133,6 +134,8 @@
 	struct tgt_wish wish = {
 		.model = r->model,
 		.version = vers_least(f->conf.versions, r->model, fwd_now(r)),
+		.version_fresh = vers_least(
+		    f->conf.versions, r->model, fwd_now(r) + SIDE_HERD_US),
 		.not = r->tried,
 		.nnot = r->ntried,
 		.repeatable = r->flow.repeatable,
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "serve/side.h"
 #include "serve/tgt.h"
 
 /* Word about the load that is older than this says nothing: a request on an
@@ -365,6 +366,14 @@
 	t->rest_until_us = 0;
 }
 
+void
+tgt_side(struct tgt *t, bool down, int64_t now_us)
+{
+	if (t->side_down && !down)
+		t->up_us = now_us;
+	t->side_down = down;
+}
+
 void
 tgt_mistaken(struct tgt *t)
 {
@@ -388,11 +397,15 @@
 }
 
 static bool
-has_weights(const struct tgt *t, const struct tgt_wish *wish)
+has_weights(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
 {
+	int64_t least = wish->version;
+
 	if (wish->model == NULL || !t->says.has_models)
 		return true;
-	return t->version > 0 && t->version >= wish->version &&
+	if (t->up_us != 0 && now_us - t->up_us < SIDE_FRESH_US)
+		least = MAX(least, wish->version_fresh);
+	return t->version > 0 && t->version >= least &&
 	    strcmp(t->model, wish->model) == 0;
 }
 
@@ -453,7 +466,7 @@
 static bool
 can_serve(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
 {
-	if (t->leaving || t->side_down || !has_weights(t, wish))
+	if (t->leaving || t->side_down || !has_weights(t, wish, now_us))
 		return false;
 	if (t->failures > 0 && !may_probe(t, wish, now_us))
 		return false;
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -29,6 +29,7 @@
 	unsigned int sent_since; /* by this entry, since that word */
 	uint64_t reading; /* prompt tokens of this entry's, before any answer */
 	int64_t side_us; /* last word of its side; 0: never */
+	int64_t up_us; /* it came up then, by its side; 0: not known */
 	bool side_down; /* its side cannot reach it, or it loads weights */
 	char model[SV_ID_MAX]; /* loaded; newer of store and side */
 	int64_t version;
@@ -118,6 +119,8 @@
 	TGT_LOST, /* unreachable, reset, broken bytes */
 };
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
+/* Its side says whether it takes requests. */
+void tgt_side(struct tgt *t, bool down, int64_t now_us);
 /* Its address answers as another instance. */
 void tgt_mistaken(struct tgt *t);
 
@@ -129,6 +132,7 @@
 struct tgt_wish {
 	const char *model; /* NULL: any */
 	int64_t version; /* at least; 0: any that is loaded */
+	int64_t version_fresh; /* the same, of one that has just come up */
 	const struct tgt *const * not ; /* tried before */
 	size_t nnot;
 	bool repeatable; /* may be the one that finds out */
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -7,7 +7,7 @@
 #define SPREAD_US 3000000
 /* Before the due time the last engine has begun to change, so that a lost
  * order can be given again. */
-#define MARGIN_US 1900000
+#define MARGIN_US 1500000
 /* Pieces that are left take so long once they come at all. */
 #define SPREAD_LEFT_US 2300000
 /* Idle time that a change of version costs an engine: running requests end,
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -278,7 +278,7 @@
 }
 
 static void
-note_engine(struct tgt *t, const struct side_load *load)
+note_engine(struct tgt *t, const struct side_load *load, int64_t now_us)
 {
 	bool down = load->engine != SIDE_ENGINE_UP;
 
@@ -291,7 +291,7 @@
 			: load->engine == SIDE_ENGINE_LOADING ? "loading"
 							      : "down",
 		    load->version, load->running);
-	t->side_down = down;
+	tgt_side(t, down, now_us);
 	g_strlcpy(t->model, load->version > 0 ? t->service->engine.model : "",
 	    sizeof(t->model));
 	t->version = (int64_t)load->version;
@@ -314,7 +314,7 @@
 	t = tgt_at(g->set, address);
 	if (t == NULL)
 		return;
-	note_engine(t, &load);
+	note_engine(t, &load, now_us);
 	t->side_us = now_us;
 	tgt_load(t, (unsigned int)(load.running + load.waiting), now_us);
 	note_gateways(g, (unsigned int)load.gateways);
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -385,6 +385,16 @@
 	t->version = 2;
 	assert_ptr_equal(
 	    tgt_choose(set, tgt_service(set, "s"), &wish, 0, &why), t);
+	/* It has just come up on what is about to be past its due: all
+	 * gateways send to it at once, and the last would begin too late. */
+	tgt_side(t, true, 0);
+	tgt_side(t, false, SECOND);
+	wish.version_fresh = 3;
+	assert_null(
+	    tgt_choose(set, tgt_service(set, "s"), &wish, SECOND + 1, &why));
+	assert_ptr_equal(tgt_choose(set, tgt_service(set, "s"), &wish,
+			     SECOND + SIDE_FRESH_US, &why),
+	    t);
 	t->side_down = true;
 	assert_null(tgt_choose(set, tgt_service(set, "s"), &wish, 0, &why));
 }
