--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -5,8 +5,8 @@
  * store: the client of the deployment's object store. A mirror holds one
  * kind of objects as the store has them: it lists (page by page), then
  * watches from the revision of the list, lists again when the history is
- * gone, and keeps its last state while the store is away. Conditional writes
- * go through store_put.
+ * gone, and keeps its last state while the store is away. It only reads:
+ * nothing that these processes know has to outlive them.
  *
  * Paths and bodies are the dialect's; waiting, backing off and what is
  * believed are decided here.
--- /dev/null
+++ b/tests/http/test_client.c
@@ -0,0 +1,249 @@
+/* The client side: kept connections, and answers that come oddly. */
+
+#include "loop.h"
+
+static struct evl *loop;
+static struct hpool *pool;
+static char address[32];
+static int listener;
+static unsigned int heads, dones, failures, sents;
+static enum hcall_failure last_failure;
+static bool ended, skip_first;
+
+static void
+on_head(struct hcall *c, const struct hmsg *m, void *ctx)
+{
+	heads++;
+	if (skip_first && heads == 1)
+		hcall_skip(c);
+}
+
+static void
+on_body(struct hcall *c, const void *data, size_t len, void *ctx)
+{
+}
+
+static void
+on_done(struct hcall *c, void *ctx)
+{
+	dones++;
+	ended = true;
+}
+
+static void
+on_failed(struct hcall *c, enum hcall_failure why, bool sent, void *ctx)
+{
+	failures++;
+	sents += sent;
+	last_failure = why;
+	ended = true;
+}
+
+static const struct hcall_ops ops = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.failed = on_failed,
+};
+
+static int
+set_up(void **state)
+{
+	struct sockaddr_in at;
+
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
+	assert_true(sock_address(address, &at));
+	listener = sock_listen(&at, 4);
+	assert_true(listener >= 0);
+	loop = evl_new(clk_system());
+	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
+	    .idle_max = 2,
+	    .connect_us = 300000,
+	    .idle_us = 400000,
+	    .head_bytes = 4096 });
+	heads = dones = failures = sents = 0;
+	ended = skip_first = false;
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	hpool_free(pool);
+	evl_free(loop);
+	if (listener >= 0)
+		close(listener);
+	return 0;
+}
+
+static struct hcall *
+start(void)
+{
+	static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+	ended = false;
+	return hcall_start(pool,
+	    &(struct hcall_conf){ .address = address,
+		.head = head,
+		.head_len = strlen(head),
+		.ops = &ops });
+}
+
+static int
+take(void)
+{
+	int fd = -1, i;
+
+	for (i = 0; i < 1000 && fd < 0; i++) {
+		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+		turn_ms(1);
+	}
+	assert_true(fd >= 0);
+	return fd;
+}
+
+#define OK "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+
+static void
+test_connection_is_used_again(void **state)
+{
+	int fd;
+
+	start();
+	fd = take();
+	raw_send(fd, OK "\r\nok");
+	turn_until(&ended);
+	start();
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, OK "\r\nok");
+	turn_until(&ended);
+	assert_int_equal(dones, 2);
+	assert_int_equal(hpool_opened(pool), 1);
+	close(fd);
+}
+
+/* Its target closes kept connections after a second: well before that it is
+ * not used any more, as a request could cross the close. */
+static void
+test_keep_alive_is_heeded(void **state)
+{
+	int fd;
+
+	start();
+	fd = take();
+	raw_send(fd, OK "Keep-Alive: timeout=0\r\n\r\nok");
+	turn_until(&ended);
+	close(fd);
+	start();
+	fd = take();
+	raw_send(fd, OK "Connection: close\r\n\r\nok");
+	turn_until(&ended);
+	assert_int_equal(hpool_opened(pool), 2);
+	close(fd);
+}
+
+/* Bytes after an answer, or on a connection that nobody uses, belong to no
+ * request: that connection ends. */
+static void
+test_stray_bytes(void **state)
+{
+	int fd;
+
+	start();
+	fd = take();
+	raw_send(fd, OK "\r\nok" OK "\r\nno");
+	turn_until(&ended);
+	start();
+	close(fd);
+	fd = take();
+	raw_send(fd, OK "\r\nok");
+	turn_until(&ended);
+	raw_send(fd, OK "\r\nno");
+	turn_ms(20);
+	start();
+	close(fd);
+	fd = take();
+	raw_send(fd, OK "\r\nok");
+	turn_until(&ended);
+	assert_int_equal(dones, 3);
+	assert_int_equal(hpool_opened(pool), 3);
+	close(fd);
+}
+
+static void
+test_skipped_answer(void **state)
+{
+	int fd;
+
+	skip_first = true;
+	start();
+	fd = take();
+	raw_send(fd, OK "\r\nno");
+	turn_ms(5);
+	assert_false(ended);
+	raw_send(fd, OK "\r\nok");
+	turn_until(&ended);
+	assert_int_equal(heads, 2);
+	assert_int_equal(dones, 1);
+	close(fd);
+}
+
+static void
+test_what_failures_say(void **state)
+{
+	int fd;
+
+	start();
+	fd = take();
+	g_free(raw_read(fd, "\r\n\r\n"));
+	close(fd);
+	turn_until(&ended);
+	assert_int_equal(last_failure, HCALL_CLOSED);
+	assert_int_equal(sents, 1);
+	start();
+	fd = take();
+	raw_send(fd, OK "\r\no");
+	turn_ms(5);
+	close(fd);
+	turn_until(&ended);
+	assert_int_equal(last_failure, HCALL_BROKEN);
+	close(listener);
+	listener = -1;
+	start();
+	turn_until(&ended);
+	assert_int_equal(last_failure, HCALL_UNREACHABLE);
+	assert_int_equal(sents, 2); /* nothing was sent this time */
+}
+
+/* Cancelled: the target sees its connection close. */
+static void
+test_cancel(void **state)
+{
+	struct hcall *c = start();
+	char byte;
+	int fd = take(), i;
+
+	g_free(raw_read(fd, "\r\n\r\n"));
+	hcall_cancel(c);
+	for (i = 0; i < 200 && recv(fd, &byte, 1, MSG_DONTWAIT) != 0; i++)
+		turn_ms(1);
+	assert_true(i < 200);
+	assert_false(ended);
+	close(fd);
+}
+
+int
+main(void)
+{
+#define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		T(test_connection_is_used_again),
+		T(test_keep_alive_is_heeded),
+		T(test_stray_bytes),
+		T(test_skipped_answer),
+		T(test_what_failures_say),
+		T(test_cancel),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
