A stream that ends after the stop ends its connection

Ruled out: new connections (the listener was closed since 2.6 s). Change: once listening has stopped every answer's end closes its connection.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -250,6 +250,11 @@
 	r->begun = false;
 	r->ctx = NULL;
 	r->congested = false;
+	/* A stream that began before the stop did not announce its end. Left
+	 * open, its caller would send the next request to a process that is
+	 * about to go, and lose it with that. */
+	if (r->server->fd.fd < 0)
+		r->close_after = true;
 	if (r->close_after) {
 		r->state = HREQ_FLUSH;
 		hbuf_free(&r->in);
--- a/tests/http/test_server.c
+++ b/tests/http/test_server.c
@@ -225,6 +225,37 @@
 	close(busy);
 }
 
+/*
+ * A stream begins, then the process is asked to stop, then the stream ends.
+ * Its caller was not told that the connection would close; it must not stay
+ * open, or the next request is lost with the process.
+ */
+static void
+test_stream_over_the_stop(void **state)
+{
+	char *answer;
+	int fd;
+
+	limits.idle_us = 30000000; /* not what closes it here */
+	fd = raw_dial(address);
+
+	raw_send(fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+	turn_until(&got);
+	hreq_begin(held, 200, "");
+	hreq_write(held, "abc", 3);
+	turn_ms(5);
+	hserver_stop_listening(server);
+	hreq_end(held);
+	answer = raw_read(fd, "0\r\n\r\n");
+	assert_true(g_str_has_suffix(answer, "0\r\n\r\n"));
+	g_free(answer);
+	got = false;
+	(void)send(fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 27, MSG_NOSIGNAL);
+	turn_ms(20);
+	assert_false(got);
+	close(fd);
+}
+
 static void
 test_http10(void **state)
 {
@@ -255,6 +286,7 @@
 		T(test_broken_stream),
 		T(test_slow_reader_is_congested),
 		T(test_stop),
+		T(test_stream_over_the_stop),
 		T(test_http10),
 	};
 
