--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -225,6 +225,8 @@
 
 struct slice slice_str(const char *s); /* NULL gives an empty slice */
 char *slice_dup(struct slice s); /* terminated copy; g_free */
+/* Terminated copy into `out`, cut to its size. */
+void slice_copy(struct slice s, char *out, size_t size);
 
 enum msg_kind {
 	MSG_U64, /* uint64_t */
--- a/lib/common/msg.c
+++ b/lib/common/msg.c
@@ -15,6 +15,16 @@
 	return (struct slice){ (const uint8_t *)s, strlen(s) };
 }
 
+void
+slice_copy(struct slice s, char *out, size_t size)
+{
+	size_t n = MIN(s.len, size - 1);
+
+	if (n > 0)
+		memcpy(out, s.data, n);
+	out[n] = '\0';
+}
+
 char *
 slice_dup(struct slice s)
 {
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -236,15 +236,6 @@
 	fwd_budget(g->fwd)->sharers = n;
 }
 
-static void
-take_slice(char *out, size_t size, struct slice s)
-{
-	size_t n = MIN(s.len, size - 1);
-
-	memcpy(out, s.data, n);
-	out[n] = '\0';
-}
-
 /* True when the keeper's word on a root is news. */
 static bool
 note_root(struct tgt *t, const struct side_load *load)
@@ -310,7 +301,7 @@
 
 	if (!msg_read(m, &side_load_desc, &load, NULL))
 		return;
-	take_slice(address, sizeof(address), load.address);
+	slice_copy(load.address, address, sizeof(address));
 	t = tgt_at(g->set, address);
 	if (t == NULL)
 		return;
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -17,15 +17,6 @@
 #define TELL_NEAR_US 25000
 #define TELL_FAR_US 150000
 
-static void
-take_text(char *out, size_t size, struct slice s)
-{
-	size_t n = MIN(s.len, size - 1);
-
-	memcpy(out, s.data, n);
-	out[n] = '\0';
-}
-
 /* ------------------------------------------------------------------ */
 /* Gateways                                                            */
 /* ------------------------------------------------------------------ */
@@ -51,7 +42,7 @@
 	}
 	if (k->gateways->len == KEEPER_GATEWAYS_MAX)
 		return;
-	take_text(region, sizeof(region), view->region);
+	slice_copy(view->region, region, sizeof(region));
 	fresh.near = strcmp(region, cfg_str(k->st.cfg, "node.region")) == 0;
 	g_strlcpy(fresh.address, from, sizeof(fresh.address));
 	g_array_append_val(k->gateways, fresh);
@@ -204,9 +195,9 @@
 	bool changed;
 	char model[KEEPER_NAME_MAX], domain[KEEPER_NAME_MAX];
 
-	take_text(model, sizeof(model), view->model);
-	take_text(k->origin, sizeof(k->origin), view->origin);
-	take_text(domain, sizeof(domain), view->origin_domain);
+	slice_copy(view->model, model, sizeof(model));
+	slice_copy(view->origin, k->origin, sizeof(k->origin));
+	slice_copy(view->origin_domain, domain, sizeof(domain));
 	g_strlcpy(k->origin_region, keeper_region(k, domain),
 	    sizeof(k->origin_region));
 	changed = take_peers(k, view);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -2,7 +2,7 @@
  * The stand-in for the users' platform as a process:
  *
  *   fleet --engines N --empty N --gateways ADDRESS,... --rate N --seconds N
- *         --seed N --faults 0|1 --bump SECONDS
+ *         --seed N --faults 0|1 --bump SECONDS --crash SECONDS
  *
  * It prints "ready", plays, and ends with one line of what was seen; its exit
  * code is 0 when no promise was broken and most requests were answered.
@@ -20,7 +20,7 @@
 #define END_WAIT_US 6000000
 
 static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1;
-static int faults, bump = 3;
+static int faults, bump = 3, crash;
 static char *gateways;
 static struct fleet f;
 static GMainLoop *main_loop;
@@ -153,6 +153,7 @@
 on_beat(struct evl_timer *t)
 {
 	static int64_t bumped_us;
+	static bool crashed;
 	int64_t now_us = evl_now_us(f.loop);
 
 	if (bump > 0 && now_us - begun_us > (int64_t)bump * G_USEC_PER_SEC &&
@@ -160,6 +161,11 @@
 		bumped_us = now_us;
 		name_version();
 	}
+	if (crash > 0 && !crashed &&
+	    now_us - begun_us > (int64_t)crash * G_USEC_PER_SEC) {
+		crashed = true;
+		fleet_engine_crash(&f, 0);
+	}
 	evl_timer_set(f.loop, t, now_us + 200000);
 }
 
@@ -263,6 +269,8 @@
 		{ "seconds", 0, POPT_ARG_INT, &seconds, 0, "to play", "N" },
 		{ "seed", 0, POPT_ARG_INT, &seed, 0, "of all chance", "N" },
 		{ "faults", 0, POPT_ARG_INT, &faults, 0, "0 or 1", "N" },
+		{ "crash", 0, POPT_ARG_INT, &crash, 0,
+		    "seconds to a crash of the first engine; 0: none", "N" },
 		{ "bump", 0, POPT_ARG_INT, &bump, 0,
 		    "seconds to a new version; 0: none", "N" },
 		POPT_AUTOHELP POPT_TABLEEND };
