lib/http: answers in a file of their own

Cause: server.c had grown to 700 lines with two jobs. Change: server_answer.c (writing, answers), server_internal.h. Conclusion: no change of behaviour; tests of http, serve and store pass.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -6,54 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http/http.h"
+#include "http/server_internal.h"
 #include "http/sock.h"
 
 #define BACKLOG 512
 #define ACCEPTS_PER_TURN 32
-/* Bytes queued for one caller at which its source is held. */
-#define CONGESTED_BYTES (128u << 10)
-/* After a refusal its unread request is read and dropped for so long: closing
- * with unread bytes resets the connection, and the caller loses the answer. */
-#define LINGER_US 1000000
-
-enum hreq_state {
-	HREQ_READ, /* waiting for a request, or reading it */
-	HREQ_BUSY, /* the owner has it */
-	HREQ_FLUSH, /* answered; closes when all is written */
-	HREQ_LINGER, /* written; reads and drops until the caller closes */
-};
-
-/* A connection; it stands for its present request. */
-struct hreq {
-	struct evl_fd fd;
-	struct evl_timer timer;
-	struct evl_task flush;
-	LIST_ENTRY(hreq) link;
-	struct hserver *server;
-	enum hreq_state state;
-	struct hparse parse;
-	struct hbuf in; /* read ahead, of the next request */
-	struct hbuf body;
-	struct hbuf out;
-	void *ctx;
-	int64_t started_us;
-	size_t body_counted; /* of this body in the server's sum */
-	bool begun; /* the head of the answer was queued */
-	bool chunked; /* the answer's body goes in chunks */
-	bool close_after; /* this answer ends the connection */
-	bool congested;
-	bool too_large;
-};
-
-struct hserver {
-	struct hserver_conf conf;
-	struct evl_fd fd;
-	LIST_HEAD(hreqs, hreq) reqs;
-	unsigned int connections;
-	size_t bodies; /* bytes held over all connections */
-	bool closing;
-};
 
 static struct hreq *
 from_fd(struct evl_fd *fd)
@@ -67,18 +24,6 @@
 	return (struct hreq *)((char *)t - offsetof(struct hreq, timer));
 }
 
-static struct hreq *
-from_flush(struct evl_task *t)
-{
-	return (struct hreq *)((char *)t - offsetof(struct hreq, flush));
-}
-
-static struct evl *
-loop_of(const struct hreq *r)
-{
-	return r->server->conf.loop;
-}
-
 static const struct hlimits *
 limits_of(const struct hreq *r)
 {
@@ -89,8 +34,8 @@
 /* Closing                                                             */
 /* ------------------------------------------------------------------ */
 
-static void
-drop_body(struct hreq *r)
+void
+hreq_drop_body(struct hreq *r)
 {
 	r->server->bodies -= r->body_counted;
 	r->body_counted = 0;
@@ -106,8 +51,8 @@
 		evl_watch(s->conf.loop, &s->fd, room ? EPOLLIN : 0);
 }
 
-static void
-destroy(struct hreq *r)
+void
+hreq_destroy(struct hreq *r)
 {
 	struct hserver *s = r->server;
 
@@ -115,7 +60,7 @@
 	evl_timer_stop(s->conf.loop, &r->timer);
 	evl_task_cancel(s->conf.loop, &r->flush);
 	close(r->fd.fd);
-	drop_body(r);
+	hreq_drop_body(r);
 	hparse_free(&r->parse);
 	hbuf_free(&r->in);
 	hbuf_free(&r->out);
@@ -126,20 +71,16 @@
 }
 
 /* The caller is gone: whoever works for it is told, once. */
-static void
-leave(struct hreq *r)
+void
+hreq_leave(struct hreq *r)
 {
 	if (r->state == HREQ_BUSY)
 		r->server->conf.ops->left(r, r->server->conf.ctx);
-	destroy(r);
+	hreq_destroy(r);
 }
 
-/* ------------------------------------------------------------------ */
-/* Writing                                                             */
-/* ------------------------------------------------------------------ */
-
-static void
-watch(struct hreq *r)
+void
+hreq_watch(struct hreq *r)
 {
 	uint32_t events = EPOLLRDHUP;
 
@@ -149,219 +90,7 @@
 		events = EPOLLIN;
 	if (hbuf_left(&r->out) > 0)
 		events |= EPOLLOUT;
-	evl_watch(loop_of(r), &r->fd, events);
-}
-
-static void
-linger(struct hreq *r)
-{
-	r->state = HREQ_LINGER;
-	shutdown(r->fd.fd, SHUT_WR);
-	evl_timer_set(
-	    loop_of(r), &r->timer, evl_now_us(loop_of(r)) + LINGER_US);
-}
-
-/* Writes what is queued. False when the connection is gone. */
-static bool
-write_out(struct hreq *r)
-{
-	ssize_t n;
-
-	while (hbuf_left(&r->out) > 0) {
-		n = send(r->fd.fd, hbuf_front(&r->out), hbuf_left(&r->out),
-		    MSG_NOSIGNAL);
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0 && errno == EAGAIN)
-			break;
-		if (n < 0) {
-			leave(r);
-			return false;
-		}
-		hbuf_use(&r->out, (size_t)n);
-	}
-	if (r->congested && hbuf_left(&r->out) < CONGESTED_BYTES / 2) {
-		r->congested = false;
-		if (r->state == HREQ_BUSY)
-			r->server->conf.ops->drained(r, r->server->conf.ctx);
-	}
-	return true;
-}
-
-static void read_ahead(struct hreq *r);
-
-static void
-on_flush(struct evl_task *task)
-{
-	struct hreq *r = from_flush(task);
-
-	if (!write_out(r))
-		return;
-	if (r->state == HREQ_FLUSH && hbuf_left(&r->out) == 0)
-		linger(r);
-	watch(r);
-	if (r->state == HREQ_READ && hbuf_left(&r->in) > 0)
-		read_ahead(r);
-}
-
-static void
-queue(struct hreq *r, const void *data, size_t len)
-{
-	hbuf_add(&r->out, data, len);
-	if (hbuf_left(&r->out) > CONGESTED_BYTES)
-		r->congested = true;
-	evl_later(loop_of(r), &r->flush);
-}
-
-static void
-queue_text(struct hreq *r, const char *text)
-{
-	queue(r, text, strlen(text));
-}
-
-/* ------------------------------------------------------------------ */
-/* Answers                                                             */
-/* ------------------------------------------------------------------ */
-
-static void
-queue_status(struct hreq *r, unsigned int status, const char *headers)
-{
-	char line[64];
-
-	g_snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", status,
-	    http_status_str(status));
-	queue_text(r, line);
-	queue_text(r, headers);
-	if (r->server->closing || !r->parse.msg.keep_alive)
-		r->close_after = true;
-	if (r->close_after)
-		queue_text(r, "Connection: close\r\n");
-	else if (r->parse.msg.http10)
-		queue_text(r, "Connection: keep-alive\r\n");
-	r->begun = true;
-}
-
-/* The answer is queued whole: on to the next request, or to the close. */
-static void
-finish(struct hreq *r)
-{
-	drop_body(r);
-	hparse_reset(&r->parse);
-	r->begun = false;
-	r->ctx = NULL;
-	r->congested = false;
-	/* A stream that began before the stop did not announce its end. Left
-	 * open, its caller would send the next request to a process that is
-	 * about to go, and lose it with that. */
-	if (r->server->fd.fd < 0)
-		r->close_after = true;
-	if (r->close_after) {
-		r->state = HREQ_FLUSH;
-		hbuf_free(&r->in);
-	} else {
-		r->state = HREQ_READ;
-		r->started_us = 0;
-		evl_timer_set(loop_of(r), &r->timer,
-		    evl_now_us(loop_of(r)) + limits_of(r)->idle_us);
-	}
-	evl_later(loop_of(r), &r->flush);
-}
-
-static bool
-has_no_body(unsigned int status)
-{
-	return status == 204 || status == 304;
-}
-
-void
-hreq_answer(struct hreq *r, unsigned int status, const char *headers,
-    const void *body, size_t len)
-{
-	bool head_only = r->parse.msg.method != NULL &&
-	    strcmp(r->parse.msg.method, "HEAD") == 0;
-	char line[64];
-
-	g_assert(r->state == HREQ_BUSY && !r->begun);
-	queue_status(r, status, headers);
-	if (has_no_body(status)) {
-		queue_text(r, "\r\n");
-		finish(r);
-		return;
-	}
-	g_snprintf(line, sizeof(line), "Content-Length: %zu\r\n\r\n", len);
-	queue_text(r, line);
-	if (!head_only)
-		queue(r, body, len);
-	finish(r);
-}
-
-void
-hreq_begin(struct hreq *r, unsigned int status, const char *headers)
-{
-	g_assert(r->state == HREQ_BUSY && !r->begun);
-	/* HTTP/1.0 knows no chunks: the end of the connection ends the body. */
-	r->chunked = !r->parse.msg.http10;
-	if (!r->chunked)
-		r->close_after = true;
-	queue_status(r, status, headers);
-	queue_text(
-	    r, r->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
-}
-
-void
-hreq_write(struct hreq *r, const void *data, size_t len)
-{
-	char line[24];
-
-	g_assert(r->state == HREQ_BUSY && r->begun);
-	if (len == 0)
-		return;
-	if (r->chunked) {
-		g_snprintf(line, sizeof(line), "%zx\r\n", len);
-		queue_text(r, line);
-	}
-	queue(r, data, len);
-	if (r->chunked)
-		queue(r, "\r\n", 2);
-}
-
-void
-hreq_end(struct hreq *r)
-{
-	g_assert(r->state == HREQ_BUSY && r->begun);
-	if (r->chunked)
-		queue(r, "0\r\n\r\n", 5);
-	finish(r);
-}
-
-void
-hreq_abort(struct hreq *r)
-{
-	struct linger now = { .l_onoff = 1, .l_linger = 0 };
-
-	g_assert(r->state == HREQ_BUSY);
-	/* What was queued still goes out; then a reset, so that no reader
-	 * takes the end of the connection for the end of the answer. */
-	if (hbuf_left(&r->out) > 0)
-		(void)send(r->fd.fd, hbuf_front(&r->out), hbuf_left(&r->out),
-		    MSG_NOSIGNAL);
-	if (r->begun && !r->chunked)
-		(void)setsockopt(
-		    r->fd.fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-	r->state = HREQ_FLUSH;
-	destroy(r);
-}
-
-bool
-hreq_begun(const struct hreq *r)
-{
-	return r->begun;
-}
-
-bool
-hreq_congested(const struct hreq *r)
-{
-	return r->congested;
+	evl_watch(hreq_loop(r), &r->fd, events);
 }
 
 /* A refusal of this module: the request is not whole or not HTTP. */
@@ -427,9 +156,9 @@
 	}
 	if (expect != NULL && hslice_is(expect->value, "100-continue") &&
 	    !r->parse.complete)
-		queue_text(r, "HTTP/1.1 100 Continue\r\n\r\n");
-	evl_timer_set(loop_of(r), &r->timer,
-	    evl_now_us(loop_of(r)) + limits_of(r)->idle_us);
+		hreq_continue(r);
+	evl_timer_set(hreq_loop(r), &r->timer,
+	    evl_now_us(hreq_loop(r)) + limits_of(r)->idle_us);
 	return true;
 }
 
@@ -437,9 +166,9 @@
 static void
 hand_over(struct hreq *r)
 {
-	evl_timer_stop(loop_of(r), &r->timer);
+	evl_timer_stop(hreq_loop(r), &r->timer);
 	r->state = HREQ_BUSY;
-	watch(r);
+	hreq_watch(r);
 	r->server->conf.ops->request(r, r->server->conf.ctx);
 }
 
@@ -447,9 +176,9 @@
 static void
 begin(struct hreq *r)
 {
-	r->started_us = evl_now_us(loop_of(r));
+	r->started_us = evl_now_us(hreq_loop(r));
 	evl_timer_set(
-	    loop_of(r), &r->timer, r->started_us + limits_of(r)->head_us);
+	    hreq_loop(r), &r->timer, r->started_us + limits_of(r)->head_us);
 }
 
 /* Takes bytes for the present request; returns how many. It may have been
@@ -484,8 +213,8 @@
 }
 
 /* Goes on with bytes that came together with an earlier request. */
-static void
-read_ahead(struct hreq *r)
+void
+hreq_read_ahead(struct hreq *r)
 {
 	struct hbuf in = r->in;
 	size_t used;
@@ -501,13 +230,13 @@
 on_readable(struct hreq *r)
 {
 	size_t size, used;
-	uint8_t *buffer = evl_scratch(loop_of(r), &size);
+	uint8_t *buffer = evl_scratch(hreq_loop(r), &size);
 	ssize_t n = recv(r->fd.fd, buffer, size, 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		leave(r);
+		hreq_leave(r);
 		return;
 	}
 	if (r->state != HREQ_READ) /* lingering: read and dropped */
@@ -525,11 +254,11 @@
 
 	if ((events & (EPOLLERR | EPOLLHUP)) != 0 ||
 	    ((events & EPOLLRDHUP) != 0 && r->state == HREQ_BUSY)) {
-		leave(r);
+		hreq_leave(r);
 		return;
 	}
 	if ((events & EPOLLOUT) != 0)
-		evl_later(loop_of(r), &r->flush);
+		evl_later(hreq_loop(r), &r->flush);
 	if ((events & EPOLLIN) != 0 || (events & EPOLLRDHUP) != 0)
 		on_readable(r);
 }
@@ -544,7 +273,7 @@
 		return;
 	}
 	/* Idle, or lingering for long enough. */
-	destroy(r);
+	hreq_destroy(r);
 }
 
 /* ------------------------------------------------------------------ */
@@ -559,13 +288,13 @@
 	sock_tune(fd);
 	r->fd = (struct evl_fd){ .fd = fd, .ready = on_ready };
 	r->timer.fire = on_timer;
-	r->flush.run = on_flush;
+	r->flush.run = hreq_flush;
 	r->server = s;
 	hparse_init(
 	    &r->parse, HTTP_REQUEST, s->conf.limits->head_bytes, on_body, r);
 	LIST_INSERT_HEAD(&s->reqs, r, link);
 	s->connections++;
-	watch(r);
+	hreq_watch(r);
 	evl_timer_set(s->conf.loop, &r->timer,
 	    evl_now_us(s->conf.loop) + s->conf.limits->idle_us);
 }
@@ -626,7 +355,7 @@
 	for (r = LIST_FIRST(&s->reqs); r != NULL; r = next) {
 		next = LIST_NEXT(r, link);
 		if (r->state == HREQ_READ && r->started_us == 0)
-			destroy(r);
+			hreq_destroy(r);
 	}
 }
 
@@ -651,7 +380,7 @@
 		return;
 	hserver_stop_listening(s);
 	while ((r = LIST_FIRST(&s->reqs)) != NULL)
-		destroy(r);
+		hreq_destroy(r);
 	g_free(s);
 }
 
@@ -689,9 +418,3 @@
 {
 	return r->ctx;
 }
-
-void
-hreq_drop_body(struct hreq *r)
-{
-	drop_body(r);
-}
