--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -551,7 +551,7 @@
 {
 	struct hplace *place = place_of(p, conf->address);
 	struct hcall *c = g_new0(struct hcall, 1);
-	struct hlink *l = conf->fresh ? NULL : link_take_idle(place);
+	struct hlink *l = link_take_idle(place);
 
 	if (l == NULL)
 		l = link_new(place);
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -131,7 +131,6 @@
 	const void *body;
 	size_t body_len;
 	bool no_body; /* a HEAD request: the answer has no body */
-	bool fresh; /* on a connection of its own, not a kept one */
 	const struct hcall_ops *ops;
 	void *ctx;
 };
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -29,6 +29,8 @@
 #define READ_SHARERS 0.4
 /* A target at its limit of reading costs as much as so many requests. */
 #define READ_COST 4.0
+/* Targets this close, in requests, take turns by chance. */
+#define TIE_COST 0.5
 /* Failures beyond the service's usual share cost so many places. */
 #define ERROR_COST 12.0
 
@@ -257,17 +259,6 @@
 	return g_hash_table_lookup(s->by_address, address);
 }
 
-void
-tgt_each(struct tgt_set *s, void (*each)(struct tgt *t, void *ctx), void *ctx)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, s->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		each(value, ctx);
-}
-
 /* ------------------------------------------------------------------ */
 /* Load                                                                */
 /* ------------------------------------------------------------------ */
@@ -508,14 +499,22 @@
 	return cost;
 }
 
+/* A number from 0 up to 1. */
+static double
+rng_part(struct rng *rng)
+{
+	return (double)(rng_next(rng) >> 11) / (double)(UINT64_C(1) << 53);
+}
+
 struct tgt *
 tgt_choose(struct tgt_set *s, struct tgt_service *service,
     const struct tgt_wish *wish, int64_t now_us, enum tgt_why *why)
 {
 	double usual = usual_errors(service), cost, best_cost = 0;
 	struct tgt *t, *best = NULL;
-	uint64_t random = wish->random;
+	struct rng rng;
 
+	rng_seed(&rng, wish->random);
 	*why = TGT_NONE;
 	TAILQ_FOREACH (t, &service->targets, link) {
 		if (!can_serve(t, wish, now_us))
@@ -528,11 +527,9 @@
 			continue;
 		}
 		cost = cost_of(t, &s->policy, usual, now_us);
-		/* Equal ones take turns by chance: entries that see the same
-		 * figures would all choose the same target. */
-		random = random * 6364136223846793005u + 1442695040888963407u;
-		cost += (double)(random >> 40) / (double)(1 << 24) * 0.5 /
-		    slots_of(t);
+		/* Entries that see the same figures would all choose the same
+		 * of equal targets. */
+		cost += TIE_COST * rng_part(&rng) / slots_of(t);
 		if (best == NULL || cost < best_cost) {
 			best = t;
 			best_cost = cost;
@@ -542,19 +539,3 @@
 		*why = TGT_CHOSEN;
 	return best;
 }
-
-void
-tgt_room(struct tgt_set *s, struct tgt_service *service,
-    const struct tgt_wish *wish, int64_t now_us, double *used, double *limit)
-{
-	struct tgt *t;
-
-	*used = 0;
-	*limit = 0;
-	TAILQ_FOREACH (t, &service->targets, link) {
-		if (!can_serve(t, wish, now_us))
-			continue;
-		*used += tgt_estimate(t, &s->policy, now_us);
-		*limit += tgt_limit(t, &s->policy);
-	}
-}
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -147,8 +147,4 @@
 
 struct tgt *tgt_choose(struct tgt_set *s, struct tgt_service *service,
     const struct tgt_wish *wish, int64_t now_us, enum tgt_why *why);
-/* Requests and places over the targets that could serve the wish. */
-void tgt_room(struct tgt_set *s, struct tgt_service *service,
-    const struct tgt_wish *wish, int64_t now_us, double *used, double *limit);
-
 #endif
