--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -98,8 +98,6 @@
 void tgt_sweep(struct tgt_set *s, int64_t now_us);
 struct tgt *tgt_find(struct tgt_set *s, const char *id);
 struct tgt *tgt_at(struct tgt_set *s, const char *address);
-void tgt_each(
-    struct tgt_set *s, void (*each)(struct tgt *t, void *ctx), void *ctx);
 
 struct tgt *tgt_ref(struct tgt *t);
 void tgt_unref(struct tgt *t);
