A stop ends when callers have their last bytes

Change: lib/serve/stop: the process also waits for its callers' connections. Figures: the test fails on the rule before (requests alone).

--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "entry/gateway.h"
+#include "serve/stop.h"
 #include "shared/proc.h"
 
 #define TICK_US 100000
@@ -15,16 +16,6 @@
 #define DESCRIPTORS_KEPT 1200
 /* Share of the memory that bodies of requests may hold. */
 #define BODIES_SHARE 0.25
-/*
- * A planned stop: the balancer needs two questions, a second apart, to send
- * nobody here any more; until STOP_LISTEN_US connections are still taken. A
- * request that came later could not end within the grace, so from then on
- * callers are turned away unread, which lets them go elsewhere.
- * STOP_MARGIN_US before the end of the grace what still runs is broken off.
- */
-#define STOP_LISTEN_US 2600000
-#define STOP_MARGIN_US 400000
-
 /* ------------------------------------------------------------------ */
 /* Beliefs from the store                                              */
 /* ------------------------------------------------------------------ */
@@ -222,15 +213,22 @@
 static void
 check_stop(struct gateway *g, int64_t now_us)
 {
-	int64_t since_us = now_us - g->stopping_us;
+	struct stop_state state = {
+		.since_us = g->stopping_us,
+		.grace_us = grace_us(g),
+		.active = fwd_active(g->fwd),
+		.connections = hserver_connections(g->callers),
+	};
+	enum stop_step step = stop_next(&state, now_us);
 
-	if (since_us < STOP_LISTEN_US)
+	if (step == STOP_SERVE)
 		return;
 	hserver_stop_listening(g->callers);
-	if (fwd_active(g->fwd) > 0 && since_us < grace_us(g) - STOP_MARGIN_US)
+	if (step != STOP_END)
 		return;
-	evt(EVT_STOP, "outcome=ended active=%u ms=%" G_GINT64_FORMAT,
-	    fwd_active(g->fwd), since_us / 1000);
+	evt(EVT_STOP,
+	    "outcome=ended active=%u connections=%u ms=%" G_GINT64_FORMAT,
+	    state.active, state.connections, (now_us - g->stopping_us) / 1000);
 	station_quit(&g->st);
 }
 
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -12,6 +12,7 @@
 #include "serve/hist.h"
 #include "serve/rtab.h"
 #include "serve/side.h"
+#include "serve/stop.h"
 #include "serve/tgt.h"
 #include "serve/vers.h"
 
@@ -399,6 +400,28 @@
 	assert_null(tgt_choose(set, tgt_service(set, "s"), &wish, 0, &why));
 }
 
+/*
+ * The last answer is made and its bytes wait to go out when the stop's first
+ * part is over. The process must not end before its caller has them: the
+ * answer would be cut in the middle.
+ */
+static void
+test_stop_waits_for_the_last_bytes(void **state)
+{
+	struct stop_state s = { .since_us = SECOND,
+		.grace_us = 8 * SECOND,
+		.active = 0,
+		.connections = 1 };
+
+	assert_int_equal(stop_next(&s, 2 * SECOND), STOP_SERVE);
+	assert_int_equal(stop_next(&s, 4 * SECOND), STOP_TURN_AWAY);
+	s.connections = 0;
+	assert_int_equal(stop_next(&s, 4 * SECOND), STOP_END);
+	s.active = 1;
+	assert_int_equal(stop_next(&s, 4 * SECOND), STOP_TURN_AWAY);
+	assert_int_equal(stop_next(&s, 9 * SECOND), STOP_END);
+}
+
 static void
 test_histogram(void **state)
 {
@@ -434,6 +457,7 @@
 		T(test_lapsed_targets),
 		T(test_address_used_again),
 		T(test_only_loaded_versions),
+		cmocka_unit_test(test_stop_waits_for_the_last_bytes),
 		cmocka_unit_test(test_histogram),
 	};
 
