--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -237,6 +237,7 @@
 	for (i = 0; i < G_N_ELEMENTS(f.gateways) && list[i] != NULL; i++)
 		f.gateways[i] = list[i];
 	f.ngateways = i;
+	g_free(list); /* its strings are the fleet's now */
 }
 
 static int
