--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -79,7 +79,6 @@
 	struct rng rng;
 	unsigned int active, waiting;
 	struct ctr *done, *refused, *failed, *left, *retries, *resumes, *odd;
-	struct ctr *late_events;
 	struct hist wait, first, gap, whole;
 };
 
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -413,12 +413,6 @@
 	return m->synced;
 }
 
-bool
-mirror_up(const struct mirror *m)
-{
-	return m->synced && !m->down;
-}
-
 int64_t
 mirror_heard_us(const struct mirror *m)
 {
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -84,7 +84,6 @@
 struct mirror *mirror_new(struct store *s, const struct store_kind *kind,
     const struct mirror_ops *ops, void *ctx);
 bool mirror_synced(const struct mirror *m); /* has been whole once */
-bool mirror_up(const struct mirror *m);
 /* Time of the last word from the store about this kind; 0: none yet. */
 int64_t mirror_heard_us(const struct mirror *m);
 int64_t mirror_revision(const struct mirror *m);
