Engines are closed before they change version, then cut what is left

Ruled out: the load itself (0.3 s), the check of the pieces (30 ms).

Change: the keeper tells gateways that the engine is closed, waits until four tenths of its places are left or 0.4 s are over, checks, and orders with `preempt` where every route to the service can go on elsewhere (gateways say so in their views). A cut by a planned load is no failure of the engine; a stream that was cut waits up to 1.5 s for its next target.

--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -13,6 +13,9 @@
  */
 #define WAIT_SHARE 0.3
 #define WAIT_MIN_US 20000
+/* A stream that was cut midway waits longer for its next target: its caller
+ * gives up after a pause of two seconds, and what it has had is lost then. */
+#define WAIT_RESUME_US 1500000
 /* A service of no known objective. */
 #define WAIT_DEFAULT_US 200000
 #define RATE_SPAN_US 2000000 /* of the moving average of ends a second */
@@ -175,7 +178,9 @@
 	}
 	enqueue(r);
 	until_us = fwd_now(r) + wait_limit_us(r);
-	if (!r->flow.begun && !r->flow.may_have_run)
+	if (r->flow.begun)
+		until_us = fwd_now(r) + WAIT_RESUME_US;
+	else if (!r->flow.may_have_run)
 		until_us = r->begun_us + wait_limit_us(r);
 	r->step.fire = on_waited;
 	evl_timer_set(r->fwd->conf.loop, &r->step, until_us);
--- a/lib/serve/records.c
+++ b/lib/serve/records.c
@@ -53,3 +53,32 @@
 	}
 	return NULL;
 }
+
+static bool
+leads_to(const struct sv_route *route, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < route->nshares; i++) {
+		if (strcmp(route->shares[i].service, service) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool
+sv_config_may_cut(const struct sv_config *c, const char *service)
+{
+	const struct sv_route *route;
+	size_t i;
+
+	for (i = 0; i < c->nroutes; i++) {
+		route = &c->routes[i];
+		if (!leads_to(route, service))
+			continue;
+		if (route->kind != SV_STREAM || !route->resumable ||
+		    route->attempts < 2)
+			return false;
+	}
+	return true;
+}
--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -89,6 +89,9 @@
 void sv_config_free(struct sv_config *c);
 const struct sv_service *sv_config_service(
     const struct sv_config *c, const char *name);
+/* Whether every request that the service gets can go on at another target
+ * when it is cut: all its routes carry streams that may be resumed. */
+bool sv_config_may_cut(const struct sv_config *c, const char *service);
 
 /* ------------------------------------------------------------------ */
 /* Targets and versions                                                */
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -16,6 +16,8 @@
 	MSG_FIELD(struct side_view, origin_domain, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_view, chunks, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_view, chunk_bytes, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_view, slots, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_view, may_cut, MSG_U64, 1),
 	MSG_FIELD(struct side_view, domains, MSG_STR, SIDE_DOMAINS_MAX),
 	MSG_FIELD(
 	    struct side_view, peers, MSG_BIN, SIDE_PEERS_MAX *SIDE_PEER_BYTES),
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -44,6 +44,8 @@
 	struct slice origin; /* "ip:port", or empty */
 	struct slice origin_domain;
 	uint64_t chunks, chunk_bytes;
+	uint64_t slots; /* of an engine */
+	uint64_t may_cut; /* 1: requests that an engine cuts go on elsewhere */
 	struct slice domains; /* names, with commas between */
 	struct slice peers; /* keepers of the same model */
 };
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -340,7 +340,9 @@
 {
 	double error = o == TGT_ANSWERED ? 0 : 1;
 
-	if (o == TGT_REFUSED) {
+	/* An engine that loads cuts what it had: its side has said so, and it
+	 * is no sign of illness. */
+	if (o == TGT_REFUSED || (o == TGT_ERROR && t->side_down)) {
 		t->probing = false;
 		return;
 	}
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -23,6 +23,7 @@
 	[STG_FETCH] = "fetch",
 	[STG_PUT] = "put",
 	[STG_TURN] = "turn",
+	[STG_CLOSE] = "close",
 	[STG_CHECK] = "check",
 	[STG_ORDER] = "order",
 	[STG_LOADING] = "loading",
@@ -35,6 +36,13 @@
 	return names[step];
 }
 
+bool
+stg_leads_to_order(enum stg_step step)
+{
+	return step == STG_CLOSE || step == STG_PUT || step == STG_CHECK ||
+	    step == STG_ORDER || step == STG_LOADING;
+}
+
 /* The engine has it: what is left is to hold the pieces for others. */
 static enum stg_step
 next_loaded(const struct stg_state *s)
@@ -44,6 +52,17 @@
 	return s->whole || s->looked ? STG_DONE : STG_LOOK;
 }
 
+static bool
+is_closed(const struct stg_state *s, int64_t now_us)
+{
+	if (!s->may_cut || s->loaded == 0 || s->running == 0)
+		return true;
+	if (s->closed_us == 0)
+		return false;
+	return now_us - s->closed_us >= STG_CLOSE_US ||
+	    s->running <= (double)s->slots * STG_CLOSE_SHARE;
+}
+
 static enum stg_step
 next_order(const struct stg_state *s, int64_t now_us)
 {
@@ -57,6 +76,8 @@
 	 * has nothing to do loses nothing by changing at once. */
 	if (s->loaded != 0 && s->running > 0 && now_us < s->turn_us)
 		return STG_TURN;
+	if (!is_closed(s, now_us))
+		return STG_CLOSE;
 	if (s->checked_us == 0 || now_us - s->checked_us > STG_CHECK_KEEPS_US)
 		return STG_CHECK;
 	if (s->refused_us != 0 && now_us - s->refused_us < STG_ORDER_REST_US)
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -20,6 +20,7 @@
 	STG_FETCH, /* pieces are on their way */
 	STG_PUT, /* put pieces into the staging place */
 	STG_TURN, /* other engines change version first */
+	STG_CLOSE, /* gateways send it nothing more; its requests end */
 	STG_CHECK, /* read all pieces back */
 	STG_ORDER, /* order the engine to load */
 	STG_LOADING, /* the order is being carried out */
@@ -28,6 +29,8 @@
 };
 
 const char *stg_step_name(enum stg_step step);
+/* Whether an order follows within moments: the engine is kept closed. */
+bool stg_leads_to_order(enum stg_step step);
 
 struct stg_state {
 	int64_t wanted; /* version; 0: none */
@@ -44,6 +47,10 @@
 	int64_t checked_us; /* all were read back and good; 0: not yet */
 	int64_t ordered_us; /* an order was accepted; 0: none */
 	int64_t refused_us; /* the last order was refused; 0: no */
+	unsigned int slots; /* of the engine; 0: not known */
+	int64_t closed_us; /* gateways were told to send nothing; 0: no */
+	/* Requests that are cut go on at other engines. */
+	bool may_cut;
 	/* When it may begin to change from one version to another. */
 	int64_t turn_us;
 };
@@ -57,6 +64,20 @@
  * for running streams, which last six seconds at most. */
 #define STG_ORDER_LOST_US 9000000
 
+/*
+ * An engine that is ordered to load once its requests have ended stands almost
+ * empty while the longest of them run: 1.1 to 2.9 s, 2.0 s in the mean. Where
+ * cut requests go on elsewhere, it gets no new ones first, and those that are
+ * left after this time, or once only this share of its places is taken, are
+ * cut. A request that goes on elsewhere costs a second reading of its prompt,
+ * about as much as its place is worth in that time.
+ */
+#define STG_CLOSE_US 400000
+#define STG_CLOSE_SHARE 0.4
+/* An engine that gateways were told to leave alone and that still has no
+ * accepted order after so long is opened again: it serves what it holds. */
+#define STG_CLOSE_MAX_US 3000000
+
 enum stg_step stg_next(const struct stg_state *s, int64_t now_us);
 
 /* Two versions were named one after the other. */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -154,6 +154,9 @@
 	}
 	view->chunks = e->chunks;
 	view->chunk_bytes = e->chunk_bytes;
+	view->slots = e->slots;
+	view->may_cut =
+	    sv_config_may_cut(rtab_config(fwd_routes(g->fwd)), service->name);
 }
 
 static void
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -72,6 +72,8 @@
 	char origin[KEEPER_ADDRESS_MAX];
 	char origin_region[KEEPER_NAME_MAX];
 	GArray *peers; /* struct keeper_peer, by address */
+	unsigned int slots; /* of the engine */
+	bool may_cut; /* requests that the engine cuts go on elsewhere */
 	/* The newest wanted version; and one before it that is not loaded yet
 	 * and may be whole sooner, or NULL. */
 	struct keeper_copy *newest, *older;
@@ -84,6 +86,7 @@
 	int64_t loaded; /* version; 0: none */
 	int64_t ordered_us; /* an order was accepted; 0: none under way */
 	int64_t refused_us; /* the last order was refused; 0: no */
+	int64_t closed_us; /* gateways were told to leave it; 0: no */
 	enum stg_step step; /* as last logged */
 	/* The call to the engine that a step waits for. */
 	struct hfetch *call;
@@ -94,7 +97,7 @@
 	/* What gateways were told last. */
 	struct sv_report told;
 	enum stg_step told_step;
-	bool told_own_root, told_up;
+	bool told_own_root, told_up, told_closed;
 };
 
 static inline int64_t
@@ -139,6 +142,9 @@
 void keeper_put(struct keeper_copy *c);
 void keeper_check(struct keeper_copy *c);
 void keeper_order(struct keeper_copy *c);
+/* Gateways send the engine nothing more, or send to it again. */
+void keeper_close(struct keeper *k);
+void keeper_reopen(struct keeper *k, const char *why);
 
 /* keeper_gateways.c: views and loads */
 bool keeper_gateways_open(struct keeper *k, struct err *err);
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -36,6 +36,7 @@
 	/* It may come back without what it held; its staging place may have
 	 * lost pieces, too. */
 	k->ordered_us = 0;
+	k->closed_us = 0;
 	distrust_checks(k);
 }
 
@@ -51,8 +52,10 @@
 		    " before=%" G_GINT64_FORMAT " busy=%d running=%u",
 		    loaded, k->loaded, r->busy, r->running);
 	/* The order was carried out, or the engine restarted. */
-	if (loaded != k->loaded && !r->busy)
+	if (loaded != k->loaded && !r->busy) {
 		k->ordered_us = 0;
+		k->closed_us = 0;
+	}
 	k->report_failures = 0;
 	k->had_engine = true;
 	k->engine = *r;
@@ -113,6 +116,9 @@
 		.checked_us = c->checked_us,
 		.ordered_us = k->ordered_us,
 		.refused_us = k->refused_us,
+		.slots = k->slots,
+		.closed_us = k->closed_us,
+		.may_cut = k->may_cut,
 		.turn_us = c->turn_us,
 	};
 }
@@ -191,6 +197,9 @@
 	case STG_PUT:
 		keeper_put(c);
 		break;
+	case STG_CLOSE:
+		keeper_close(c->keeper);
+		break;
 	case STG_CHECK:
 		keeper_check(c);
 		break;
@@ -217,6 +226,9 @@
 	if (k->newest == NULL || k->call != NULL ||
 	    keeper_now(k) < k->rest_until_us)
 		return;
+	if (k->closed_us != 0 && k->ordered_us == 0 &&
+	    keeper_now(k) - k->closed_us > STG_CLOSE_MAX_US)
+		keeper_reopen(k, "no_order_accepted");
 	c = choose_copy(k);
 	/* The other one goes on being fetched meanwhile. */
 	if (c != k->newest && k->newest->list == NULL && !newest_waits(k))
@@ -226,5 +238,9 @@
 	state = state_of(k, c);
 	step = stg_next(&state, keeper_now(k));
 	log_step(k, c, step);
+	/* A newer version was named meanwhile, say, and is not whole yet. */
+	if (k->closed_us != 0 && k->ordered_us == 0 &&
+	    !stg_leads_to_order(step))
+		keeper_reopen(k, stg_step_name(step));
 	carry_out(c, step);
 }
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -200,6 +200,8 @@
 	slice_copy(view->origin_domain, domain, sizeof(domain));
 	g_strlcpy(k->origin_region, keeper_region(k, domain),
 	    sizeof(k->origin_region));
+	k->slots = (unsigned int)view->slots;
+	k->may_cut = view->may_cut != 0;
 	changed = take_peers(k, view);
 	if (strcmp(model, k->model) != 0) {
 		g_strlcpy(k->model, model, sizeof(k->model));
@@ -236,7 +238,7 @@
 {
 	if (!k->up)
 		return SIDE_ENGINE_DOWN;
-	if (k->engine.busy || k->ordered_us != 0)
+	if (k->engine.busy || k->ordered_us != 0 || k->closed_us != 0)
 		return SIDE_ENGINE_LOADING;
 	return SIDE_ENGINE_UP;
 }
@@ -253,7 +255,8 @@
 {
 	return k->told.version != k->engine.version ||
 	    k->told.busy != k->engine.busy || k->told_step != k->step ||
-	    k->told_own_root != has_own_root(k) || k->told_up != k->up;
+	    k->told_own_root != has_own_root(k) || k->told_up != k->up ||
+	    k->told_closed != (k->closed_us != 0);
 }
 
 static bool
@@ -282,6 +285,7 @@
 	k->told_step = k->step;
 	k->told_own_root = has_own_root(k);
 	k->told_up = k->up;
+	k->told_closed = k->closed_us != 0;
 }
 
 void
--- a/programs/side/keeper_stage.c
+++ b/programs/side/keeper_stage.c
@@ -213,6 +213,26 @@
 /* Orders                                                              */
 /* ------------------------------------------------------------------ */
 
+void
+keeper_close(struct keeper *k)
+{
+	if (k->closed_us != 0)
+		return;
+	k->closed_us = keeper_now(k);
+	keeper_tell_load(k);
+}
+
+void
+keeper_reopen(struct keeper *k, const char *why)
+{
+	evt(EVT_ENGINE,
+	    "state=reopened version=%" G_GINT64_FORMAT
+	    " closed_ms=%" G_GINT64_FORMAT " why=%s",
+	    k->loaded, (keeper_now(k) - k->closed_us) / 1000, why);
+	k->closed_us = 0;
+	keeper_tell_load(k);
+}
+
 static void
 on_order(const struct hfetch_answer *a, void *ctx)
 {
@@ -244,7 +264,8 @@
 void
 keeper_order(struct keeper_copy *c)
 {
-	char *body = adapter_order_load(c->keeper->model, c->version, false);
+	char *body = adapter_order_load(
+	    c->keeper->model, c->version, c->keeper->may_cut);
 
 	call_engine(c,
 	    &(struct hfetch_conf){ .method = "POST",
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -50,6 +50,40 @@
 	return r == NULL ? NULL : r->name;
 }
 
+/*
+ * An engine's requests may be cut for a change of version only when every
+ * route to its service carries streams that go on at another target: a caller
+ * of any other kind would see a broken answer.
+ */
+static void
+test_which_services_may_be_cut(void **state)
+{
+	struct sv_config *c = g_new0(struct sv_config, 1);
+
+	c->routes = g_new0(struct sv_route, 2);
+	add_route(c, "h.example", "/a/");
+	add_route(c, "h.example", "/b/");
+	c->routes[0].kind = SV_STREAM;
+	c->routes[0].resumable = true;
+	c->routes[0].attempts = 2;
+	c->routes[1] = (struct sv_route){ .name = c->routes[1].name,
+		.host = c->routes[1].host,
+		.prefix = c->routes[1].prefix,
+		.kind = SV_UNSAFE,
+		.shares = c->routes[1].shares,
+		.nshares = 1 };
+	c->nroutes = 2;
+	assert_true(sv_config_may_cut(c, "b"));
+	assert_false(sv_config_may_cut(c, "a")); /* the second route's, too */
+	c->routes[0].attempts = 1;
+	assert_false(sv_config_may_cut(c, "b"));
+	c->routes[0].attempts = 2;
+	c->routes[0].resumable = false;
+	assert_false(sv_config_may_cut(c, "b"));
+	c->routes[1].nshares = 2;
+	sv_config_free(c);
+}
+
 static void
 test_longest_prefix(void **state)
 {
@@ -332,6 +366,26 @@
 	assert_ptr_equal(choose(SECOND, true, &why), good);
 }
 
+/*
+ * An engine that changes its version cuts the streams that it has. Its side
+ * said so before; were they counted as failures, the engine would come up on
+ * the new version and get fewer requests than the others for many answers.
+ */
+static void
+test_cut_by_a_planned_load(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	int i;
+
+	tgt_side(t, true, SECOND);
+	for (i = 0; i < 10; i++)
+		tgt_outcome(t, TGT_ERROR, SECOND);
+	assert_int_equal(t->answers, 0);
+	tgt_side(t, false, 2 * SECOND);
+	tgt_outcome(t, TGT_ERROR, 2 * SECOND);
+	assert_int_equal(t->answers, 1);
+}
+
 /*
  * Entries lapse while the store is away, though the targets live: they write
  * again within two seconds of its return. Until then they are kept; those told
@@ -444,6 +498,7 @@
 {
 #define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_which_services_may_be_cut),
 		cmocka_unit_test(test_longest_prefix),
 		cmocka_unit_test(test_what_follows_an_attempt),
 		cmocka_unit_test(test_versions_become_due),
@@ -454,6 +509,7 @@
 		T(test_rest_and_probe),
 		T(test_failures_together),
 		T(test_failing_target),
+		T(test_cut_by_a_planned_load),
 		T(test_lapsed_targets),
 		T(test_address_used_again),
 		T(test_only_loaded_versions),
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -289,6 +289,40 @@
 	close(fd);
 }
 
+/*
+ * A stream is cut midway while the only other target is full. New requests are
+ * refused after a moment of waiting; the stream, whose caller has had half an
+ * answer and waits on, gets the place that becomes free later than that.
+ */
+static void
+test_cut_stream_waits_longer(void **state)
+{
+	char *request, *answer;
+	struct target *t;
+	int fd;
+
+	world_open(2, make_config(SV_STREAM, 2, 3000));
+	fd = ask();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1"));
+	turn_ms(10);
+	target_say(&w.target[t == &w.target[0]], true, 0); /* leaving */
+	shutdown(t->fd, SHUT_RDWR);
+	turn_ms(400); /* a new request has a place within 30 ms or none */
+	assert_int_equal(fwd_waiting(w.fwd), 1);
+	target_say(&w.target[t == &w.target[0]], false, 0);
+	fwd_pump(w.fwd);
+	t = target_get(&request);
+	assert_non_null(strstr(request, "T-Last: 1\r\n"));
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("2") "0\r\n\r\n");
+	answer = raw_read(fd, "0\r\n\r\n");
+	assert_non_null(strstr(answer, EVENT("1") EVENT("2") "0\r\n\r\n"));
+	g_free(answer);
+	close(fd);
+}
+
 /* Nobody can go on: the stream ends visibly broken off. */
 static void
 test_stream_that_cannot_go_on(void **state)
@@ -420,6 +454,7 @@
 		T(test_timeout),
 		T(test_caller_leaves),
 		T(test_stream_goes_on_elsewhere),
+		T(test_cut_stream_waits_longer),
 		T(test_stream_that_cannot_go_on),
 		T(test_silent_stream),
 		T(test_waiting_for_a_place),
--- a/tests/stage/test_stage.c
+++ b/tests/stage/test_stage.c
@@ -73,6 +73,34 @@
 	assert_int_equal(stg_next(&s, 4 * SECOND), STG_CHECK);
 }
 
+/*
+ * Callers meet full engines everywhere while one that changes its version
+ * stands almost empty: it takes nothing new and waits for its longest request.
+ * Where cut requests go on elsewhere, gateways leave the engine alone first,
+ * and the order comes when few requests are left, or after a while.
+ */
+static void
+test_an_engine_is_closed_before_its_requests_are_cut(void **state)
+{
+	struct stg_state s = serving();
+
+	s.may_cut = true;
+	s.slots = 10;
+	assert_int_equal(stg_next(&s, SECOND), STG_CLOSE);
+	s.closed_us = SECOND;
+	assert_int_equal(stg_next(&s, SECOND + 1000), STG_CLOSE);
+	assert_int_equal(stg_next(&s, SECOND + STG_CLOSE_US), STG_CHECK);
+	s.running = 4;
+	assert_int_equal(stg_next(&s, SECOND + 1000), STG_CHECK);
+	/* Nothing to cut, or nothing that may be. */
+	s.closed_us = 0;
+	s.running = 0;
+	assert_int_equal(stg_next(&s, SECOND), STG_CHECK);
+	s.running = 9;
+	s.may_cut = false;
+	assert_int_equal(stg_next(&s, SECOND), STG_CHECK);
+}
+
 static void
 test_orders_that_are_refused_or_lost(void **state)
 {
@@ -183,6 +211,8 @@
 		cmocka_unit_test(test_an_empty_engine_loads_at_once),
 		cmocka_unit_test(test_an_old_check_does_not_count),
 		cmocka_unit_test(test_a_serving_engine_waits_for_its_turn),
+		cmocka_unit_test(
+		    test_an_engine_is_closed_before_its_requests_are_cut),
 		cmocka_unit_test(test_orders_that_are_refused_or_lost),
 		cmocka_unit_test(test_nothing_while_the_engine_is_away),
 		cmocka_unit_test(test_a_loaded_engine_is_a_source),
