Changes of version are spread over all the time that each engine has

Ruled out: the links (75 hosts share their uplinks evenly), the order's check.

Change: due times of all named versions are kept (stg_dues); an engine changes in its turn before what it holds is due, after those that hold older weights; it takes the older version when its turn comes before the newest can be here; a version is dropped when the next is heard of within a second. Failed reads are repeated after 0.3 s, own pieces first; views name the version before the newest; the newest is fetched once hosts have all pieces of the older. Engines are closed for up to 0.8 s (0.4 before) until a quarter of their places is left (four tenths).

--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -40,6 +40,11 @@
 	uint64_t version; /* to be loaded */
 	uint64_t age_ms; /* since its name was heard of first */
 	uint64_t due_ms; /* from then on, no request begins on older ones */
+	/* The one named before it, while that is not due yet; 0: none. A
+	 * keeper that has just started helps to bring it, too. */
+	uint64_t older;
+	uint64_t older_age_ms;
+	struct digest older_root; /* or none */
 	struct digest root; /* of that version, as keepers found; or none */
 	struct slice origin; /* "ip:port", or empty */
 	struct slice origin_domain;
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -51,8 +51,15 @@
 
 TAILQ_HEAD(tgt_list, tgt);
 
+/* Root digest of a version's digests that enough keepers agreed on. */
+struct tgt_root {
+	int64_t version; /* 0: none */
+	struct digest root;
+};
+
 struct tgt_service {
 	char *name;
+	struct tgt_root roots[2]; /* of the last two versions, newest first */
 	struct tgt_list targets;
 	unsigned int ntargets;
 	/* From the settings; 0 slots: as each target says. */
--- a/lib/serve/vers.c
+++ b/lib/serve/vers.c
@@ -85,6 +85,22 @@
 					   : m->named[m->nnamed - 1].version;
 }
 
+int64_t
+vers_pending(
+    const struct vers *v, const char *model, int64_t now_us, int64_t *heard_us)
+{
+	const struct vers_model *m = g_hash_table_lookup(v->models, model);
+	unsigned int at;
+
+	if (m == NULL || m->nnamed < 2)
+		return 0;
+	at = m->nnamed - 2;
+	if (v->due_us > 0 && m->named[at].heard_us + v->due_us <= now_us)
+		return 0;
+	*heard_us = m->named[at].heard_us;
+	return m->named[at].version;
+}
+
 int64_t
 vers_heard_us(const struct vers *v, const char *model)
 {
--- a/lib/serve/vers.h
+++ b/lib/serve/vers.h
@@ -35,6 +35,10 @@
 /* 0: any version. */
 int64_t vers_least(const struct vers *v, const char *model, int64_t now_us);
 int64_t vers_newest(const struct vers *v, const char *model);
+/* The one named before the newest, while requests may begin on what came
+ * before it; 0: none. */
+int64_t vers_pending(
+    const struct vers *v, const char *model, int64_t now_us, int64_t *heard_us);
 /* When the newest was heard of; 0: none. */
 int64_t vers_heard_us(const struct vers *v, const char *model);
 
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -1,5 +1,7 @@
 /* What a keeper does next for its engine. */
 
+#include <string.h>
+
 #include "stage/stage.h"
 
 /* Pieces of a version take about so long to reach all hosts: a host's link
@@ -13,6 +15,9 @@
 /* Idle time that a change of version costs an engine: running requests end,
  * and their places stay empty meanwhile. */
 #define IDLE_WORTH_US 800000
+/* A version that was named so long before the next has most of its pieces on
+ * the way when the next one comes. */
+#define OLDER_LEAD_US 1000000
 /* Between engines, where nothing is due. */
 #define PACE_US 1000000
 
@@ -102,6 +107,53 @@
 	return next_order(s, now_us);
 }
 
+/* ------------------------------------------------------------------ */
+/* Due times                                                           */
+/* ------------------------------------------------------------------ */
+
+void
+stg_dues_add(struct stg_dues *d, int64_t version, int64_t due_us)
+{
+	if (due_us == 0 || (d->n > 0 && d->at[d->n - 1].version >= version))
+		return;
+	if (d->n == STG_DUES_KEPT) {
+		memmove(&d->at[0], &d->at[1],
+		    (STG_DUES_KEPT - 1) * sizeof(d->at[0]));
+		d->n--;
+	}
+	d->at[d->n].version = version;
+	d->at[d->n].due_us = due_us;
+	d->n++;
+}
+
+int64_t
+stg_dues_end(const struct stg_dues *d, int64_t loaded)
+{
+	unsigned int i;
+
+	for (i = 0; i < d->n; i++) {
+		if (d->at[i].version > loaded)
+			return d->at[i].due_us;
+	}
+	return 0;
+}
+
+int64_t
+stg_dues_of(const struct stg_dues *d, int64_t loaded)
+{
+	unsigned int i;
+
+	for (i = 0; i < d->n; i++) {
+		if (d->at[i].version == loaded)
+			return d->at[i].due_us;
+	}
+	return 0;
+}
+
+/* ------------------------------------------------------------------ */
+/* Two versions                                                        */
+/* ------------------------------------------------------------------ */
+
 /* When the newest will be whole here, from its progress. */
 static int64_t
 whole_at_us(const struct stg_rival *r, int64_t now_us)
@@ -115,28 +167,44 @@
 }
 
 bool
-stg_prefers_older(const struct stg_rival *r, int64_t now_us)
+stg_keeps_older(int64_t older_heard_us, int64_t newest_heard_us)
 {
-	int64_t whole_us = whole_at_us(r, now_us);
+	return newest_heard_us - older_heard_us >= OLDER_LEAD_US;
+}
 
+bool
+stg_fetches_older(const struct stg_rival *r, int64_t now_us)
+{
+	return !r->older_whole && r->older_awaits_origin &&
+	    r->older_due_us != 0 && now_us < r->older_due_us;
+}
+
+bool
+stg_prefers_older(const struct stg_rival *r, int64_t now_us)
+{
 	if (!r->older_whole)
 		return false;
-	if (r->loaded == 0)
-		return whole_us > now_us + IDLE_WORTH_US;
-	if (r->older_due_us == 0 || now_us < r->older_turn_us)
+	if (r->loaded != 0 && now_us < r->older_turn_us)
 		return false;
-	return whole_us > r->older_due_us + IDLE_WORTH_US;
+	return whole_at_us(r, now_us) > now_us + IDLE_WORTH_US;
 }
 
+/* ------------------------------------------------------------------ */
+/* Turns                                                               */
+/* ------------------------------------------------------------------ */
+
 int64_t
-stg_turn(int64_t heard_us, int64_t due_us, unsigned int rank, unsigned int n)
+stg_turn(const struct stg_queue *q)
 {
-	int64_t from_us = heard_us + SPREAD_US;
-	int64_t span_us = due_us - MARGIN_US - from_us;
-
-	if (due_us == 0)
-		return from_us + (int64_t)rank * PACE_US;
-	if (span_us <= 0 || n == 0)
-		return heard_us;
-	return from_us + span_us * (int64_t)rank / (int64_t)n;
+	int64_t from_us = q->heard_us + SPREAD_US;
+	int64_t span_us;
+
+	if (q->end_us == 0)
+		return from_us + (int64_t)q->rank * PACE_US;
+	if (q->others_us != 0)
+		from_us = MAX(from_us, q->others_us - MARGIN_US);
+	span_us = q->end_us - MARGIN_US - from_us;
+	if (span_us <= 0 || q->n == 0)
+		return q->heard_us;
+	return from_us + span_us * (int64_t)q->rank / (int64_t)q->n;
 }
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -72,39 +72,78 @@
  * cut. A request that goes on elsewhere costs a second reading of its prompt,
  * about as much as its place is worth in that time.
  */
-#define STG_CLOSE_US 400000
-#define STG_CLOSE_SHARE 0.4
+#define STG_CLOSE_US 800000
+#define STG_CLOSE_SHARE 0.25
 /* An engine that gateways were told to leave alone and that still has no
  * accepted order after so long is opened again: it serves what it holds. */
 #define STG_CLOSE_MAX_US 3000000
 
 enum stg_step stg_next(const struct stg_state *s, int64_t now_us);
 
+/*
+ * Versions that were named, and from when on no request may begin on anything
+ * older than each.
+ */
+#define STG_DUES_KEPT 4 /* several may be named before the first is due */
+
+struct stg_dues {
+	struct {
+		int64_t version, due_us;
+	} at[STG_DUES_KEPT]; /* oldest first */
+	unsigned int n;
+};
+
+void stg_dues_add(struct stg_dues *d, int64_t version, int64_t due_us);
+/* When `loaded` may not serve any more; 0: no such time is known. */
+int64_t stg_dues_end(const struct stg_dues *d, int64_t loaded);
+/* When everything before `loaded` may not serve any more; 0: not known. */
+int64_t stg_dues_of(const struct stg_dues *d, int64_t loaded);
+
 /* Two versions were named one after the other. */
 struct stg_rival {
 	bool older_whole;
+	bool older_awaits_origin; /* pieces of it are at no host yet */
 	int64_t loaded; /* 0: the engine serves with neither */
 	int64_t older_turn_us; /* the engine may change to the older then */
-	int64_t older_due_us; /* what is loaded serves until then; 0: on */
+	int64_t older_due_us; /* of the older one; 0: no bound */
 	int64_t newest_heard_us;
 	uint64_t have, total; /* pieces of the newest, here; 0 of 0: unknown */
 };
 
 /*
- * Whether the engine goes for the older one first. Each change costs it the
- * time in which running requests end, so the older one is passed over when
- * the newest is there in time; when that comes late (the origin is away, a
- * link is narrow), the engine would stand idle without the older one.
+ * Whether a version that is not loaded yet stays wanted when the next is named.
+ * Not where both are heard of at nearly the same time, as after the store's
+ * return: the older one would only hold up the newest.
+ */
+bool stg_keeps_older(int64_t older_heard_us, int64_t newest_heard_us);
+
+/* Whether the older one is fetched first: the origin's link is narrow, and two
+ * versions that share it are both late. Once hosts have all of its pieces the
+ * origin is free for the newest. */
+bool stg_fetches_older(const struct stg_rival *r, int64_t now_us);
+
+/*
+ * Whether the engine changes to the older one first. All engines that pass
+ * over it must leave what they hold before it is due, at nearly the same time
+ * when the newest comes late. So an engine whose turn for the older one comes
+ * before the newest can be here takes it; those that are left then are fewer.
  */
 bool stg_prefers_older(const struct stg_rival *r, int64_t now_us);
 
+struct stg_queue {
+	int64_t heard_us; /* of the version that engines change to */
+	int64_t end_us; /* what this one holds serves until then; 0: on */
+	/* Engines that hold older weights than this one must have changed by
+	 * then and go first; 0: there are none. */
+	int64_t others_us;
+	unsigned int rank, n; /* this engine among all */
+};
+
 /*
- * When the engine of rank `rank` among `n` begins to change to a version that
- * was heard of at `heard_us` and is due at `due_us`: evenly over the time
- * that is left after the pieces have spread, so that as few as possible are
- * out of service together. `due_us` 0: no bound.
+ * When this engine begins to change: evenly over the time that is left after
+ * the pieces have spread, so that as few as possible are out of service
+ * together.
  */
-int64_t stg_turn(
-    int64_t heard_us, int64_t due_us, unsigned int rank, unsigned int n);
+int64_t stg_turn(const struct stg_queue *q);
 
 #endif
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -18,9 +18,10 @@
 #define STRIKE_REST_US (SECOND_US / 4)
 #define STRIKES_MAX 8
 #define READ_REST_US (SECOND_US / 4)
-/* Few hosts read, so asking an origin that is away once a second costs little,
- * and its return is found soon. */
-#define READ_REST_MAX_US SECOND_US
+/* Few hosts read, so asking an origin that is away often costs little; each
+ * moment from its return to the next try is one more in which engines whose
+ * weights are due stand idle. */
+#define READ_REST_MAX_US (SECOND_US * 3 / 10)
 /* Peers that are busy halve what arrives now and then; a link squeezed to an
  * eighth stays far below. */
 #define NARROW_SHARE 0.3
@@ -211,6 +212,7 @@
 
 	c->claimed = true;
 	c->heard = true;
+	c->failed_here = false;
 	c->claimed_us = now_us;
 	p->unclaimed -= news;
 	p->claims_us[c->reader][MIN(rank, PICK_RANK_UNKNOWN)] = now_us;
@@ -328,6 +330,19 @@
 	return p->share < NARROW_SHARE;
 }
 
+bool
+pick_awaits_origin(const struct pick *p)
+{
+	uint64_t i;
+
+	for (i = 0; i < p->conf.chunks; i++) {
+		if (p->chunks[i].holders == 0 &&
+		    p->chunks[i].state < PICK_CHECKING)
+			return true;
+	}
+	return false;
+}
+
 /* A chunk came from a peer, with others under way beside it. */
 static void
 note_rate(struct pick *p, const struct pick_ask *ask, int64_t now_us)
@@ -445,6 +460,7 @@
 	}
 	if (reason == PICK_CORRUPT)
 		note_bad_read(p, index);
+	c->failed_here = reason == PICK_FAILED;
 	if (reason != PICK_GONE)
 		rest_origin(p, now_us);
 }
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -77,6 +77,8 @@
 	bool claimed; /* somebody has it, or reads it from the origin */
 	bool heard; /* a claim for it was heard, or made here */
 	uint8_t bad_reads; /* corrupt copies from the origin, here */
+	bool
+	    failed_here; /* the last claim was this host's, and its read failed */
 	uint32_t holders; /* connected peers that have it */
 	uint32_t near_holders; /* of these, in this host's domain */
 	/* Hosts of this domain that fetch it from other domains before this
@@ -199,6 +201,8 @@
 int64_t pick_patience_us(const struct pick *p);
 /* What no claim is heard for before the next in rank steps in. */
 int64_t pick_silence_us(const struct pick *p);
+/* Some missing chunk is at no connected peer. */
+bool pick_awaits_origin(const struct pick *p);
 int64_t pick_chunk_us(const struct pick *p); /* a chunk's time on the link */
 /* The way here is much narrower than the budget. */
 bool pick_is_narrow(const struct pick *p);
--- a/lib/weights/pick_next.c
+++ b/lib/weights/pick_next.c
@@ -23,8 +23,9 @@
 	if (c->bad_reads > 0 || p->read_failures > 0)
 		due = MAX(due, p->read_after_us);
 	/* Claimed and not seen since: its reader may have died with it. A
-	 * read that failed here is repeated without that wait. */
-	if (c->claimed && !(rank == 0 && c->bad_reads > 0))
+	 * read that failed here is repeated without that wait, or an origin
+	 * that is back would hear of the last tried chunks a second later. */
+	if (c->claimed && !(rank == 0 && (c->bad_reads > 0 || c->failed_here)))
 		due = MAX(due, c->claimed_us + MAX(rank, 1) * silence);
 	for (ahead = 0; ahead < MIN(rank, PICK_RANK_UNKNOWN); ahead++) {
 		int64_t claim = p->claims_us[c->reader][ahead];
@@ -46,7 +47,8 @@
 
 /*
  * Finds a missing chunk that no connected peer has and that this host may
- * read now. Otherwise gives the earliest time at which one may be, and keeps
+ * read now: one of its lowest rank, as after a time without the origin it may
+ * read others' chunks, too, and would leave its own to them. Otherwise gives the earliest time at which one may be, and keeps
  * it: claims only put it off, so the scan need not be made again before,
  * unless an event below resets it.
  */
@@ -57,6 +59,7 @@
 	uint64_t words = bits_words(p->conf.chunks);
 	uint64_t first = rng_below(rng, words);
 	uint64_t i;
+	bool found = false;
 
 	*due_us = p->no_read_us;
 	if (now_us < p->no_read_us)
@@ -77,16 +80,19 @@
 			rank = rank_self(&p->rank, index);
 			due = read_due_us(p, index, rank);
 			*due_us = MIN(*due_us, due);
-			if (due > now_us)
+			if (due > now_us || (found && rank >= out->rank))
 				continue;
+			found = true;
 			out->kind = PICK_READ;
 			out->index = index;
 			out->rank = rank;
-			return true;
+			if (rank == 0)
+				return true;
 		}
 	}
-	p->no_read_us = *due_us;
-	return false;
+	if (!found)
+		p->no_read_us = *due_us;
+	return found;
 }
 
 /* With more than one copy allowed: once the first copy is under way the
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -262,6 +262,14 @@
 	g_strlcpy(out->why, x->why, sizeof(out->why));
 }
 
+bool
+wts_awaits_origin(struct wts *wts, const struct digest *root)
+{
+	struct xfer *x = wts_find(wts, root);
+
+	return x == NULL || pick_awaits_origin(x->pick);
+}
+
 void
 wts_live_bytes(struct wts *wts, uint64_t bytes)
 {
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -131,22 +131,54 @@
 	return none;
 }
 
+/* Keepers tell the root of the newest version only; that of the one before
+ * is kept for those that start now. */
 static void
-fill_view(struct gateway *g, const struct tgt_service *service,
-    struct side_view *view)
+note_agreed(struct tgt_service *service, int64_t version)
+{
+	struct digest root = agreed_root(service, version);
+
+	if (digest_is_none(&root))
+		return;
+	if (service->roots[0].version < version)
+		service->roots[1] = service->roots[0];
+	service->roots[0] = (struct tgt_root){ version, root };
+}
+
+static struct digest
+known_root(const struct tgt_service *service, int64_t version)
+{
+	struct digest none = { 0 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(service->roots); i++) {
+		if (service->roots[i].version == version)
+			return service->roots[i].root;
+	}
+	return none;
+}
+
+static void
+fill_view(
+    struct gateway *g, struct tgt_service *service, struct side_view *view)
 {
 	const struct sv_engine *e = &service->engine;
 	int64_t heard_us = vers_heard_us(g->named, e->model);
 	const struct sv_service *origin =
 	    origin_of(rtab_config(fwd_routes(g->fwd)));
+	int64_t now_us = evl_now_us(g->st.loop);
 
 	view->region = slice_str(cfg_str(g->st.cfg, "node.region"));
 	view->model = slice_str(e->model);
 	view->version = (uint64_t)version_wanted(g, service);
-	view->root = agreed_root(service, (int64_t)view->version);
-	view->age_ms = heard_us == 0
-	    ? 0
-	    : (uint64_t)(evl_now_us(g->st.loop) - heard_us) / 1000;
+	note_agreed(service, (int64_t)view->version);
+	view->root = known_root(service, (int64_t)view->version);
+	view->age_ms = heard_us == 0 ? 0 : (uint64_t)(now_us - heard_us) / 1000;
+	view->older =
+	    (uint64_t)vers_pending(g->named, e->model, now_us, &heard_us);
+	if (view->older != 0)
+		view->older_age_ms = (uint64_t)(now_us - heard_us) / 1000;
+	view->older_root = known_root(service, (int64_t)view->older);
 	view->due_ms = (uint64_t)cfg_int(g->st.cfg, "bounds.version_ms");
 	if (origin != NULL) {
 		view->origin = slice_str(origin->origin);
@@ -178,7 +210,7 @@
 }
 
 static void
-tell_service(struct gateway *g, const struct tgt_service *service)
+tell_service(struct gateway *g, struct tgt_service *service)
 {
 	struct listing l = { .g = g,
 		.service = service,
@@ -204,7 +236,7 @@
 gateway_peers_tell(struct gateway *g)
 {
 	const struct sv_config *config;
-	const struct tgt_service *service;
+	struct tgt_service *service;
 	size_t i;
 
 	evl_timer_set(g->st.loop, &g->tell, evl_now_us(g->st.loop) + TELL_US);
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -41,7 +41,6 @@
 	int64_t version;
 	int64_t heard_us; /* its name, by any gateway */
 	int64_t due_us; /* nothing older serves from then on; 0: no bound */
-	int64_t turn_us; /* this engine may change to it then */
 	/* Its digests. */
 	uint64_t chunks, chunk_bytes;
 	struct digest told_root; /* that gateways say others found */
@@ -77,6 +76,7 @@
 	/* The newest wanted version; and one before it that is not loaded yet
 	 * and may be whole sooner, or NULL. */
 	struct keeper_copy *newest, *older;
+	struct stg_dues dues;
 	/* The engine. */
 	struct hfetch *report;
 	struct sv_report engine;
--- a/programs/side/keeper_copy.c
+++ b/programs/side/keeper_copy.c
@@ -87,12 +87,15 @@
  * late, the engine serves with it meanwhile. Of several only the last is.
  */
 static void
-keep_before(struct keeper *k)
+keep_before(struct keeper *k, int64_t heard_us)
 {
-	keeper_drop_older(k);
-	if (k->newest != NULL && k->newest->version > k->loaded)
+	if (k->older != NULL && k->older->version <= k->loaded)
+		keeper_drop_older(k);
+	if (k->newest != NULL && k->newest->version > k->loaded &&
+	    stg_keeps_older(k->newest->heard_us, heard_us)) {
+		keeper_drop_older(k);
 		k->older = k->newest;
-	else
+	} else
 		copy_free(k->newest);
 	k->newest = NULL;
 }
@@ -107,7 +110,7 @@
 	    " before=%" G_GINT64_FORMAT " loaded=%" G_GINT64_FORMAT,
 	    k->model, named->version,
 	    k->newest == NULL ? 0 : k->newest->version, k->loaded);
-	keep_before(k);
+	keep_before(k, named->heard_us);
 	k->newest = fresh;
 }
 
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -100,6 +100,35 @@
 /* Which version, which step                                           */
 /* ------------------------------------------------------------------ */
 
+static unsigned int
+own_rank(const struct keeper *k)
+{
+	guint i;
+
+	for (i = 0; i < k->peers->len; i++) {
+		if (strcmp(
+			g_array_index(k->peers, struct keeper_peer, i).address,
+			k->st.node.id) == 0)
+			return i;
+	}
+	return 0;
+}
+
+/* When the engine may change from what it has loaded to `c`. */
+static int64_t
+turn_of(const struct keeper *k, const struct keeper_copy *c)
+{
+	struct stg_queue q = {
+		.heard_us = c->heard_us,
+		.end_us = stg_dues_end(&k->dues, k->loaded),
+		.others_us = stg_dues_of(&k->dues, k->loaded),
+		.rank = own_rank(k),
+		.n = k->peers->len,
+	};
+
+	return stg_turn(&q);
+}
+
 static struct stg_state
 state_of(const struct keeper *k, const struct keeper_copy *c)
 {
@@ -119,42 +148,50 @@
 		.slots = k->slots,
 		.closed_us = k->closed_us,
 		.may_cut = k->may_cut,
-		.turn_us = c->turn_us,
+		.turn_us = turn_of(k, c),
 	};
 }
 
-static bool
-prefers_older(const struct keeper *k)
+static struct stg_rival
+rival_of(const struct keeper *k)
 {
 	struct wts_progress p = { 0 };
-	struct stg_rival rival = {
+
+	if (k->newest->has_root)
+		wts_progress(k->wts, &k->newest->wts.root, &p);
+	return (struct stg_rival){
 		.older_whole = k->older->whole,
+		.older_awaits_origin = !k->older->has_root ||
+		    wts_awaits_origin(k->wts, &k->older->wts.root),
 		.loaded = k->loaded,
-		.older_turn_us = k->older->turn_us,
+		.older_turn_us = turn_of(k, k->older),
 		.newest_heard_us = k->newest->heard_us,
+		.older_due_us = k->older->due_us,
+		.have = p.have,
+		.total = p.total,
 	};
-
-	if (k->newest->has_root)
-		wts_progress(k->wts, &k->newest->wts.root, &p);
-	rival.have = p.have;
-	rival.total = p.total;
-	/* Gateways stop sending so much before the due time. */
-	if (k->older->due_us != 0)
-		rival.older_due_us = k->older->due_us - SIDE_QUEUE_US;
-	return stg_prefers_older(&rival, keeper_now(k));
 }
 
-/*
- * The older version is fetched first: the origin's link is narrow, and two
- * versions that share it are both late. Not beyond the time at which nothing
- * serves any more without one of them.
- */
 static bool
 newest_waits(const struct keeper *k)
 {
-	return k->older != NULL && !k->older->whole &&
-	    k->loaded < k->older->version && k->older->due_us != 0 &&
-	    keeper_now(k) < k->older->due_us;
+	struct stg_rival rival;
+
+	if (k->older == NULL || k->loaded >= k->older->version)
+		return false;
+	rival = rival_of(k);
+	return stg_fetches_older(&rival, keeper_now(k));
+}
+
+static bool
+prefers_older(const struct keeper *k)
+{
+	struct stg_rival rival;
+
+	if (k->older == NULL || k->loaded >= k->older->version)
+		return false;
+	rival = rival_of(k);
+	return stg_prefers_older(&rival, keeper_now(k));
 }
 
 /* The version that the engine goes for now. */
@@ -164,9 +201,7 @@
 	if (k->older != NULL &&
 	    (k->newest->whole || k->loaded >= k->newest->version))
 		keeper_drop_older(k);
-	if (newest_waits(k) ||
-	    (k->older != NULL && k->loaded < k->older->version &&
-		prefers_older(k)))
+	if (newest_waits(k) || prefers_older(k))
 		return k->older;
 	return k->newest;
 }
@@ -233,8 +268,6 @@
 	/* The other one goes on being fetched meanwhile. */
 	if (c != k->newest && k->newest->list == NULL && !newest_waits(k))
 		keeper_learn(k->newest);
-	if (k->older != NULL && c != k->older && k->older->list == NULL)
-		keeper_learn(k->older);
 	state = state_of(k, c);
 	step = stg_next(&state, keeper_now(k));
 	log_step(k, c, step);
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -124,64 +124,43 @@
 	return changed;
 }
 
-static unsigned int
-own_rank(const struct keeper *k)
-{
-	guint i;
-
-	for (i = 0; i < k->peers->len; i++) {
-		if (strcmp(
-			g_array_index(k->peers, struct keeper_peer, i).address,
-			k->st.node.id) == 0)
-			return i;
-	}
-	return 0;
-}
-
-/* A version that takes the place of one that the engine never loaded is due
- * when that one was: requests may not begin on what came before both. */
-static int64_t
-due_of(const struct keeper *k, const struct side_view *view, int64_t heard_us)
+static void
+want(struct keeper *k, const struct side_view *view, uint64_t version,
+    uint64_t age_ms)
 {
-	int64_t due_us = 0;
+	struct keeper_named named = {
+		.version = (int64_t)version,
+		.heard_us = keeper_now(k) - (int64_t)age_ms * 1000,
+		.chunks = view->chunks,
+		.chunk_bytes = view->chunk_bytes,
+	};
 
 	if (view->due_ms > 0)
-		due_us = heard_us + (int64_t)view->due_ms * 1000;
-	if (k->newest != NULL && k->newest->version > k->loaded &&
-	    k->newest->due_us != 0)
-		return MIN(k->newest->due_us, due_us);
-	return due_us;
+		named.due_us = named.heard_us + (int64_t)view->due_ms * 1000;
+	stg_dues_add(&k->dues, named.version, named.due_us);
+	keeper_want(k, &named);
 }
 
 /* Gateways that were cut off may still tell of an older version. */
 static void
 take_version(struct keeper *k, const struct side_view *view)
 {
-	struct keeper_named named = {
-		.version = (int64_t)view->version,
-		.heard_us = keeper_now(k) - (int64_t)view->age_ms * 1000,
-		.chunks = view->chunks,
-		.chunk_bytes = view->chunk_bytes,
-	};
+	int64_t version = (int64_t)view->version;
 
-	if (k->newest != NULL && named.version <= k->newest->version) {
-		if (named.version == k->newest->version)
+	if (k->newest != NULL && version <= k->newest->version) {
+		if (version == k->newest->version)
 			k->newest->told_root = view->root;
 		return;
 	}
-	named.due_us = due_of(k, view, named.heard_us);
-	keeper_want(k, &named);
+	/* Just started: its part in the older one is waited for, too. */
+	if (view->older != 0 && k->newest == NULL) {
+		want(k, view, view->older, view->older_age_ms);
+		k->newest->told_root = view->older_root;
+	}
+	want(k, view, view->version, view->age_ms);
 	k->newest->told_root = view->root;
 }
 
-static void
-set_turn(struct keeper *k, struct keeper_copy *c)
-{
-	if (c != NULL)
-		c->turn_us = stg_turn(
-		    c->heard_us, c->due_us, own_rank(k), k->peers->len);
-}
-
 static void
 peers_changed(struct keeper_copy *c)
 {
@@ -206,10 +185,9 @@
 	if (strcmp(model, k->model) != 0) {
 		g_strlcpy(k->model, model, sizeof(k->model));
 		keeper_forget(k);
+		k->dues.n = 0;
 	}
 	take_version(k, view);
-	set_turn(k, k->newest);
-	set_turn(k, k->older);
 	if (changed) {
 		peers_changed(k->newest);
 		peers_changed(k->older);
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -187,6 +187,29 @@
 	vers_free(v);
 }
 
+/*
+ * Keepers that restart while two versions are on their way must hear of both:
+ * they are the origin's readers of some pieces, and for those that are wanted
+ * first everybody would wait until others step in.
+ */
+static void
+test_the_version_before_the_newest(void **state)
+{
+	struct vers *v = vers_new(8 * SECOND);
+	struct sv_version named = { .model = "m", .version = 2 };
+	int64_t heard_us = 0;
+
+	assert_int_equal(vers_pending(v, "m", SECOND, &heard_us), 0);
+	vers_named(v, &named, false, SECOND);
+	assert_int_equal(vers_pending(v, "m", SECOND, &heard_us), 0);
+	named.version = 3;
+	vers_named(v, &named, false, 3 * SECOND);
+	assert_int_equal(vers_pending(v, "m", 3 * SECOND, &heard_us), 2);
+	assert_int_equal(heard_us, SECOND);
+	assert_int_equal(vers_pending(v, "m", 9 * SECOND, &heard_us), 0);
+	vers_free(v);
+}
+
 /* A gateway that starts does not know when a version was named: it is due. */
 static void
 test_versions_from_before_the_start(void **state)
@@ -502,6 +525,7 @@
 		cmocka_unit_test(test_longest_prefix),
 		cmocka_unit_test(test_what_follows_an_attempt),
 		cmocka_unit_test(test_versions_become_due),
+		cmocka_unit_test(test_the_version_before_the_newest),
 		cmocka_unit_test(test_versions_from_before_the_start),
 		T(test_estimate),
 		T(test_free_places_are_shared),
--- a/tests/stage/test_stage.c
+++ b/tests/stage/test_stage.c
@@ -90,7 +90,7 @@
 	s.closed_us = SECOND;
 	assert_int_equal(stg_next(&s, SECOND + 1000), STG_CLOSE);
 	assert_int_equal(stg_next(&s, SECOND + STG_CLOSE_US), STG_CHECK);
-	s.running = 4;
+	s.running = 2;
 	assert_int_equal(stg_next(&s, SECOND + 1000), STG_CHECK);
 	/* Nothing to cut, or nothing that may be. */
 	s.closed_us = 0;
@@ -148,19 +148,113 @@
 static void
 test_turns_are_spread(void **state)
 {
+	struct stg_queue q = {
+		.heard_us = 10 * SECOND, .end_us = 18 * SECOND, .n = 20
+	};
 	int64_t before = 0, turn;
-	unsigned int i;
 
-	for (i = 0; i < 20; i++) {
-		turn = stg_turn(10 * SECOND, 18 * SECOND, i, 20);
+	for (q.rank = 0; q.rank < q.n; q.rank++) {
+		turn = stg_turn(&q);
 		assert_true(turn > before);
 		assert_true(turn < 17 * SECOND);
 		before = turn;
 	}
-	assert_int_equal(
-	    stg_turn(10 * SECOND, 12 * SECOND, 3, 20), 10 * SECOND);
-	assert_true(
-	    stg_turn(10 * SECOND, 0, 3, 20) > stg_turn(10 * SECOND, 0, 2, 20));
+	q.rank = 3;
+	q.end_us = 12 * SECOND;
+	assert_int_equal(stg_turn(&q), 10 * SECOND);
+	q.end_us = 0;
+	before = stg_turn(&q);
+	q.rank++;
+	assert_true(stg_turn(&q) > before);
+}
+
+/*
+ * Callers are refused by the hundred when nearly all engines change version in
+ * the same second. Versions 2 and 3 were named four seconds apart: engines
+ * with 1 must have left it before 2 is due; those that took 2 meanwhile have
+ * until 3 is due, and wait until the others are through.
+ */
+static void
+test_engines_with_more_time_go_later(void **state)
+{
+	struct stg_dues dues = { 0 };
+	struct stg_queue q = { .heard_us = 24 * SECOND, .n = 20 };
+	int64_t last_of_first;
+
+	stg_dues_add(&dues, 2, 30 * SECOND);
+	stg_dues_add(&dues, 3, 34 * SECOND);
+	stg_dues_add(&dues, 3, 99 * SECOND); /* heard again: no news */
+	q.end_us = stg_dues_end(&dues, 1);
+	q.others_us = stg_dues_of(&dues, 1);
+	assert_int_equal(q.end_us, 30 * SECOND);
+	assert_int_equal(q.others_us, 0);
+	q.rank = 19;
+	last_of_first = stg_turn(&q);
+	assert_true(last_of_first < 29 * SECOND);
+	q.end_us = stg_dues_end(&dues, 2);
+	q.others_us = stg_dues_of(&dues, 2);
+	q.rank = 0;
+	assert_true(stg_turn(&q) > last_of_first);
+	q.rank = 19;
+	assert_true(stg_turn(&q) < 33 * SECOND);
+	assert_int_equal(stg_dues_end(&dues, 3), 0);
+}
+
+static void
+test_only_the_last_due_times_are_kept(void **state)
+{
+	struct stg_dues dues = { 0 };
+	int64_t v;
+
+	for (v = 2; v < 20; v++)
+		stg_dues_add(&dues, v, v * SECOND);
+	assert_int_equal(stg_dues_end(&dues, 1), (20 - STG_DUES_KEPT) * SECOND);
+	assert_int_equal(stg_dues_end(&dues, 18), 19 * SECOND);
+}
+
+/*
+ * After the store's return two versions are heard of within moments. Fetched
+ * first, the older one holds the newest up by seconds, and is never loaded.
+ */
+static void
+test_an_older_version_heard_of_together(void **state)
+{
+	struct stg_rival r = { .loaded = 1,
+		.older_awaits_origin = true,
+		.older_due_us = 36 * SECOND,
+		.newest_heard_us = 26 * SECOND };
+
+	assert_false(stg_keeps_older(26 * SECOND - 75000, 26 * SECOND));
+	assert_true(stg_keeps_older(24 * SECOND, 26 * SECOND));
+	assert_true(stg_fetches_older(&r, 26 * SECOND));
+	assert_false(stg_fetches_older(&r, 36 * SECOND));
+	r.older_awaits_origin = false;
+	assert_false(stg_fetches_older(&r, 26 * SECOND));
+	r.older_awaits_origin = true;
+	r.older_whole = true;
+	assert_false(stg_fetches_older(&r, 26 * SECOND));
+}
+
+/*
+ * An engine that passes over the older version changes with all others that
+ * did, in the moments between the newest's arrival and the older one's due
+ * time. Where its turn comes before the newest can be here it takes the older.
+ */
+static void
+test_a_turn_before_the_newest_is_used(void **state)
+{
+	struct stg_rival r = { .older_whole = true,
+		.loaded = 1,
+		.older_turn_us = 25 * SECOND,
+		.older_due_us = 30 * SECOND,
+		.newest_heard_us = 24 * SECOND,
+		.total = 64 };
+
+	assert_false(stg_prefers_older(&r, 24 * SECOND));
+	assert_true(stg_prefers_older(&r, 25 * SECOND));
+	r.older_turn_us = 28 * SECOND;
+	r.have = 60;
+	assert_false(stg_prefers_older(&r, 28 * SECOND));
 }
 
 /*
@@ -217,6 +311,10 @@
 		cmocka_unit_test(test_nothing_while_the_engine_is_away),
 		cmocka_unit_test(test_a_loaded_engine_is_a_source),
 		cmocka_unit_test(test_turns_are_spread),
+		cmocka_unit_test(test_engines_with_more_time_go_later),
+		cmocka_unit_test(test_only_the_last_due_times_are_kept),
+		cmocka_unit_test(test_an_older_version_heard_of_together),
+		cmocka_unit_test(test_a_turn_before_the_newest_is_used),
 		cmocka_unit_test(
 		    test_the_older_version_when_the_newest_is_late),
 		cmocka_unit_test(test_an_empty_engine_takes_the_older),
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -178,6 +178,79 @@
 	pick_free(p);
 }
 
+/*
+ * The origin is away, and a first reader's read of a chunk fails. It tries the
+ * same chunk again as soon as the origin may be back, not after the time that
+ * others give a silent reader: every host waits for that chunk, and engines
+ * whose weights are due stand idle.
+ */
+static void
+test_failed_read_is_repeated_soon(void **state)
+{
+	struct pick *p = new_pick(reader(0));
+	struct pick_action a = next(p, 0);
+	uint64_t index = a.index, i;
+
+	assert_int_equal(a.kind, PICK_READ);
+	for (i = 0; i < CHUNKS; i++) {
+		if (i != index)
+			pick_got(p, i);
+	}
+	pick_begin(p, &a, 0);
+	pick_ended(p, index, NULL, PICK_FAILED, 0);
+	a = next(p, SECOND / 10);
+	assert_int_equal(a.kind, PICK_WAIT);
+	a = next(p, SECOND / 2);
+	assert_int_equal(a.kind, PICK_READ);
+	assert_int_equal(a.index, index);
+	pick_free(p);
+}
+
+/*
+ * The origin comes back after a while in which all claims have grown old, so a
+ * reader may read chunks of other readers, too. It takes its own first: others
+ * leave those to it, and everybody would wait for them.
+ */
+static void
+test_own_chunks_are_read_first(void **state)
+{
+	struct pick *p = new_pick(reader(0));
+	int64_t later_us = 100 * (int64_t)SECOND;
+	struct pick_action a;
+	unsigned int before = 0;
+	uint64_t read = 0;
+
+	for (a = next(p, later_us); a.kind == PICK_READ;
+	     a = next(p, later_us)) {
+		assert_true(a.rank >= before);
+		before = a.rank;
+		pick_begin(p, &a, later_us);
+		pick_arrived(p, a.index, later_us);
+		pick_got(p, a.index);
+		read++;
+	}
+	assert_true(read > CHUNKS / HOSTS);
+	pick_free(p);
+}
+
+/* Chunks that a peer has do not keep the origin from other versions. */
+static void
+test_what_is_still_to_come_from_the_origin(void **state)
+{
+	struct pick *p = new_pick(reader(0));
+	struct pick_peer peer = { 0 };
+	uint64_t i;
+
+	pick_add_peer(p, &peer, true);
+	for (i = 0; i < CHUNKS - 1; i++)
+		pick_peer_has(p, &peer, i, 0);
+	assert_true(pick_awaits_origin(p));
+	pick_got(p, CHUNKS - 1);
+	assert_false(pick_awaits_origin(p));
+	pick_remove_peer(p, &peer, 0);
+	pick_free(p);
+}
+
 /*
  * The first reader of some chunks falls silent. The second steps in after one
  * silence and then goes on without waiting again; a host that is no reader
@@ -418,6 +491,9 @@
 		cmocka_unit_test(test_ranking_is_the_same_everywhere),
 		cmocka_unit_test(test_no_read_before_members_are_known),
 		cmocka_unit_test(test_reads_in_turn),
+		cmocka_unit_test(test_failed_read_is_repeated_soon),
+		cmocka_unit_test(test_own_chunks_are_read_first),
+		cmocka_unit_test(test_what_is_still_to_come_from_the_origin),
 		cmocka_unit_test(test_next_in_rank_after_silence),
 		cmocka_unit_test(test_late_claim_is_a_sign_of_life),
 		cmocka_unit_test(test_near_then_idle_then_rarest),
