Free places are drawn for; the store's return is found within a second

In overload engines had 12 requests running and 6 waiting (up to 18) where 2 were meant to wait: each of 19 gateways sent one to every place that a word showed free. Gateways that start held the newest version due at once: nobody was served until it had been fetched (36 to 42 s). Ruled out for 1: waiting at the gateway (p50 0 ms, p90 70 ms), reading of prompts (limit of 150 ms kept).

Change: where a side gives words, each gateway's part of the free places is rounded up or down by a draw that differs between gateways. Calls to the store are given up after 0.6 s (doubled after each three failures), one mirror tries for all while it is away, watches last as long as a silence may (bounds.stable_ms less 0.8 s, 1.5 s before), which costs a third of the calls less. For stable_ms after its start a gateway is not bound by due times; keepers' words tell it when versions were named.

--- a/lib/common/cfg_schema_serve.c
+++ b/lib/common/cfg_schema_serve.c
@@ -68,6 +68,8 @@
 	    "A leaving target gets no request after this."),
 	NUMBER_RULE("bounds.grace_s", "8", "s",
 	    "From the request to stop to the end of the process."),
+	INT_RULE("bounds.stable_ms", 1000, HOUR_MS, "3000", "ms",
+	    "After its start, and after connections fell silent, a process has so long before the other bounds hold for it."),
 	INT_RULE("bounds.version_ms", 0, HOUR_MS, "0", "ms",
 	    "From naming new weights to no request beginning on older ones; 0: no bound."),
 	NUMBER_RULE("bounds.retry_ratio", "0.1", "",
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -36,6 +36,7 @@
 	MSG_FIELD(struct side_load, version, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_load, pace_permille, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_load, wanted, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_load, wanted_age_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_load, root, MSG_BIN, DIGEST_BYTES),
 	MSG_FIELD(struct side_load, gateways, MSG_U64, COUNT_MAX),
 };
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -67,7 +67,8 @@
 	uint64_t running, waiting;
 	uint64_t version; /* of the service's model, loaded; 0: none */
 	uint64_t pace_permille; /* of its steps against the stated */
-	uint64_t wanted; /* version whose root follows */
+	uint64_t wanted; /* the newest version that it was told of; 0: none */
+	uint64_t wanted_age_ms; /* since its name was heard of first */
 	struct slice root; /* as read from the origin; empty: not here */
 	uint64_t gateways; /* that the keeper hears */
 };
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -402,23 +402,43 @@
 	    strcmp(t->model, wish->model) == 0;
 }
 
-/* A target that failed gets one request at a time to show that it is back,
- * first such as may be repeated elsewhere. */
+static bool
+side_is_heard(const struct tgt *t, int64_t now_us)
+{
+	return t->side_us != 0 && now_us - t->side_us <= SIDE_SILENT_US;
+}
+
+/* A number from 0 up to 1, the same until the next word about the load, and
+ * another one at each entry. */
+static double
+draw_of(const struct tgt *t, const struct tgt_policy *p)
+{
+	uint64_t bits = hash64(p->seed, &t->seen_us, sizeof(t->seen_us));
+
+	bits = hash64(bits, t->says.id, strlen(t->says.id));
+	return (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
+}
+
 /*
  * Places that a word about the load shows free are seen by all entries at
  * once. Were each to take them all, a target that has just come up would get
  * as many requests as there are entries times its places, and most would wait
- * there for seconds. Until the next word each takes its part.
+ * there for seconds. Until the next word each takes its part. Where that is less
+ * than one request and a side gives words often, it is drawn who sends: with
+ * one each, nineteen entries kept some six requests waiting at every engine
+ * where two were meant to, and six in ten first tokens came late.
  */
 static bool
 took_its_part(const struct tgt *t, const struct tgt_policy *p, int64_t now_us)
 {
 	double free_then = tgt_limit(t, p) - t->seen;
-	unsigned int entries = MAX(1, p->entries);
+	double part = free_then / MAX(1, p->entries);
 
 	if (t->seen_us == 0 || now_us - t->seen_us > LOAD_FRESH_US)
 		return false; /* the estimate has the others' parts in it */
-	return t->sent_since >= MAX(1, ceil(free_then / entries));
+	if (!side_is_heard(t, now_us))
+		return t->sent_since >= MAX(1, ceil(part));
+	return t->sent_since >= floor(part + draw_of(t, p));
 }
 
 /* Time in which the target reads the prompts that wait there: this entry's,
@@ -446,6 +466,8 @@
 	return p->read_us > 0 && read_us(t, p) >= p->read_us;
 }
 
+/* A target that failed gets one request at a time to show that it is back,
+ * first such as may be repeated elsewhere. */
 static bool
 may_probe(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -81,8 +81,9 @@
 	/* Longest time that a target may need to read the prompts that it has
 	 * before another is sent; 0: no limit. */
 	int64_t read_us;
-	/* Entries that share a target when nothing tells its load. */
+	/* Entries that share a target. */
 	unsigned int entries;
+	uint64_t seed; /* this entry's own, for its part of a single place */
 };
 
 struct tgt_set *tgt_set_new(const char *region, const struct tgt_policy *p);
--- a/lib/serve/vers.c
+++ b/lib/serve/vers.c
@@ -6,16 +6,17 @@
 #include "serve/vers.h"
 
 struct vers {
-	int64_t due_us;
+	int64_t due_us, bound_us;
 	GHashTable *models; /* name -> struct vers_model */
 };
 
 struct vers *
-vers_new(int64_t due_us)
+vers_new(int64_t due_us, int64_t bound_us)
 {
 	struct vers *v = g_new0(struct vers, 1);
 
 	v->due_us = due_us == 0 ? 0 : MAX(1, due_us - SIDE_QUEUE_US);
+	v->bound_us = bound_us - SIDE_QUEUE_US;
 	v->models =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	return v;
@@ -56,11 +57,34 @@
 		n--;
 	}
 	m->named[n].version = named->version;
-	m->named[n].heard_us = old ? heard_us - v->due_us : heard_us;
+	m->named[n].heard_us = heard_us;
+	m->named[n].guessed = old;
+	if (old)
+		m->named[n].heard_us = MAX(heard_us, v->bound_us) - v->due_us;
 	m->nnamed = n + 1;
 	return true;
 }
 
+bool
+vers_told(struct vers *v, const char *model, int64_t version, int64_t heard_us)
+{
+	struct sv_version named = { .version = version };
+	struct vers_model *m = model_of(v, model);
+	unsigned int i;
+
+	for (i = 0; i < m->nnamed; i++) {
+		if (m->named[i].version != version)
+			continue;
+		if (!m->named[i].guessed || heard_us <= m->named[i].heard_us)
+			return false;
+		m->named[i].heard_us = heard_us;
+		m->named[i].guessed = false;
+		return true;
+	}
+	g_strlcpy(named.model, model, sizeof(named.model));
+	return vers_named(v, &named, false, heard_us);
+}
+
 int64_t
 vers_least(const struct vers *v, const char *model, int64_t now_us)
 {
--- a/lib/serve/vers.h
+++ b/lib/serve/vers.h
@@ -16,22 +16,33 @@
 	struct {
 		int64_t version;
 		int64_t heard_us;
+		bool guessed; /* it was there before this process */
 	} named[VERS_KEPT]; /* oldest first */
 	unsigned int nnamed;
 };
 
 struct vers;
-/* `due_us`: from hearing of a version to its being due; 0: never. */
-struct vers *vers_new(int64_t due_us);
+/*
+ * `due_us`: from hearing of a version to its being due; 0: never. `bound_us`:
+ * the time from which this process is bound by that. One that has just started
+ * is not yet, like one that lost its connections; were it to refuse whatever
+ * is loaded, nobody would be served after all have been restarted, until the
+ * newest version is everywhere.
+ */
+struct vers *vers_new(int64_t due_us, int64_t bound_us);
 void vers_free(struct vers *v);
 /*
  * True when it is news. `heard_us` is when it was heard of. One that was there
- * before this process may have been named at any time (`old`): it is due at
- * once, as a request that begins on older weights breaks a promise, while one
- * that is refused can come back.
+ * before this process may have been named at any time (`old`): it is due as
+ * soon as the process is bound, as a request that begins on older weights breaks
+ * a promise, while one that is refused can come back.
  */
 bool vers_named(
     struct vers *v, const struct sv_version *named, bool old, int64_t heard_us);
+/* A keeper's word on when a version was heard of, by a gateway that may have
+ * heard of it when it was named. True when it is news. */
+bool vers_told(
+    struct vers *v, const char *model, int64_t version, int64_t heard_us);
 /* 0: any version. */
 int64_t vers_least(const struct vers *v, const char *model, int64_t now_us);
 int64_t vers_newest(const struct vers *v, const char *model);
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -8,16 +8,28 @@
 /*
  * A connection can fall silent for good while the socket's probes are still
  * answered: news then stop without an error, and settings grow old unnoticed.
- * Only an answer that is due and does not come shows it. A watch waits this
- * long at most; each is paid for as one call, so shorter ones cost more.
+ * Only an answer that is due and does not come shows it. A watch waits at most
+ * for what the silence may last, less this for its answer and the next call;
+ * each is paid for as one call, so shorter ones cost more.
  */
-#define WATCH_WAIT_MS 1500
-#define WATCH_SLACK_US 500000
-#define LIST_TIMEOUT_US 2500000
-/* Calls to a store that does not answer cost as much as others. Its clients
- * are back within REST_MAX_US of its return. */
+#define WATCH_ANSWER_US 800000
+#define WATCH_WAIT_MIN_US 500000
+/*
+ * The store answers within milliseconds, or some hundred when it is slow. A
+ * call that it took in while it was silent hangs for good; the time until it
+ * is given up is time without settings after its return. So many failures double
+ * it, for a store that is slower still.
+ */
+#define CALL_TIMEOUT_TRIES 3
+#define CALL_TIMEOUT_US 600000
+#define CALL_TIMEOUT_MAX_US 2500000
+/* Watches that find out whether the store is back do not wait for changes. */
+#define PROBE_WAIT_MS 100
+/* Calls to a store that does not answer cost as much as others: one mirror
+ * tries again soon, and its first answer wakes the others. */
 #define REST_FIRST_US 150000
-#define REST_MAX_US 800000
+#define REST_MAX_US 400000
+#define REST_FOLLOWER_US 2000000
 #define BODY_MAX (8u << 20) /* a page is about 1 MB */
 
 struct store {
@@ -55,6 +67,7 @@
 	int64_t at;
 	int64_t heard_us;
 	int64_t rest_us;
+	unsigned int failures; /* in a row */
 	bool synced;
 	bool watching; /* `at` is good to watch from */
 	bool down;
@@ -82,15 +95,41 @@
 		m->ops.link(up, why, m->ctx);
 }
 
+/* The one of the mirrors without an answer that tries for all. */
+static bool
+is_prober(const struct mirror *m)
+{
+	const struct mirror *other;
+
+	LIST_FOREACH (other, &m->store->mirrors, link) {
+		if (other->down)
+			return other == m;
+	}
+	return true;
+}
+
+static int64_t
+call_timeout_us(const struct mirror *m)
+{
+	return MIN((int64_t)CALL_TIMEOUT_US
+		<< MIN(m->failures / CALL_TIMEOUT_TRIES, 8),
+	    CALL_TIMEOUT_MAX_US);
+}
+
 static void
 rest(struct mirror *m, const char *why)
 {
 	int64_t jitter;
 
 	ctr_add(m->store->failed, 1);
+	m->failures++;
 	set_link(m, false, why);
-	m->rest_us =
-	    m->rest_us == 0 ? REST_FIRST_US : MIN(2 * m->rest_us, REST_MAX_US);
+	if (!is_prober(m))
+		m->rest_us = REST_FOLLOWER_US;
+	else if (m->rest_us == 0)
+		m->rest_us = REST_FIRST_US;
+	else
+		m->rest_us = MIN(2 * m->rest_us, REST_MAX_US);
 	jitter =
 	    (int64_t)rng_below(&m->store->rng, (uint64_t)m->rest_us / 4 + 1);
 	m->state = MIRROR_REST;
@@ -106,6 +145,7 @@
 
 	m->heard_us = now_us(m);
 	m->rest_us = 0;
+	m->failures = 0;
 	if (!m->down)
 		return;
 	set_link(m, true, "answered");
@@ -306,23 +346,33 @@
 	}
 }
 
+static int64_t
+watch_wait_ms(const struct mirror *m)
+{
+	int64_t wait_us = m->store->conf.silence_us - WATCH_ANSWER_US;
+
+	if (m->down)
+		return PROBE_WAIT_MS;
+	return MAX(wait_us, WATCH_WAIT_MIN_US) / 1000;
+}
+
 static void
 next_call(struct mirror *m)
 {
 	const struct store_conf *conf = &m->store->conf;
 	bool watch = m->state == MIRROR_WATCH;
+	int64_t wait_ms = watch ? watch_wait_ms(m) : 0;
 	char *path;
 
 	if (watch)
-		path = conf->dialect->watch_path(m->kind, m->at, WATCH_WAIT_MS);
+		path = conf->dialect->watch_path(m->kind, m->at, wait_ms);
 	else
 		path = conf->dialect->list_path(m->kind, m->after);
 	m->call = hfetch_start(conf->loop, conf->pool,
 	    &(struct hfetch_conf){ .address = m->store->address,
 		.method = "GET",
 		.path = path,
-		.timeout_us = watch ? WATCH_WAIT_MS * 1000 + WATCH_SLACK_US
-				    : LIST_TIMEOUT_US,
+		.timeout_us = wait_ms * 1000 + call_timeout_us(m),
 		.answer_max = BODY_MAX,
 		.done = on_answer,
 		.ctx = m });
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -58,6 +58,8 @@
 	const struct store_dialect *dialect;
 	struct ctr_set *counters;
 	uint64_t seed; /* of the spread of retries */
+	/* A connection that falls silent is to be found within this. */
+	int64_t silence_us;
 };
 
 struct store *store_new(const struct store_conf *conf);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -275,6 +275,7 @@
 	policy->far_cost = cfg_num(cfg, "policy.far_cost");
 	policy->read_us = cfg_int(cfg, "policy.read_ms") * 1000;
 	policy->entries = g->gateways;
+	policy->seed = g->seed;
 	budget->ratio = cfg_num(cfg, "bounds.retry_ratio");
 	budget->slack = cfg_num(cfg, "bounds.retry_slack");
 	budget->window_us =
@@ -334,10 +335,12 @@
 
 	g->gateways = (unsigned int)cfg_int(cfg, "policy.gateways");
 	g->set = tgt_set_new(cfg_str(cfg, "node.region"), &none);
-	g->named = vers_new(cfg_int(cfg, "bounds.version_ms") * 1000);
+	g->named = vers_new(cfg_int(cfg, "bounds.version_ms") * 1000,
+	    evl_now_us(g->st.loop) + cfg_int(cfg, "bounds.stable_ms") * 1000);
 	conf.targets = g->set;
 	conf.versions = g->named;
 	random_bytes(&conf.seed, sizeof(conf.seed));
+	random_bytes(&g->seed, sizeof(g->seed));
 	g->fwd = fwd_new(&conf);
 	apply_settings(g);
 }
@@ -351,6 +354,7 @@
 		.address = cfg_str(g->st.cfg, "store.address"),
 		.dialect = &adapter_store,
 		.counters = g->st.counters,
+		.silence_us = cfg_int(g->st.cfg, "bounds.stable_ms") * 1000,
 	};
 
 	random_bytes(&conf.seed, sizeof(conf.seed));
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -23,6 +23,7 @@
 	struct hserver *callers, *ready;
 	struct dgram *peers;
 	struct evl_timer tick, tell;
+	uint64_t seed; /* of what this gateway draws among others */
 	bool is_ready;
 	int64_t stopping_us; /* 0: not asked to stop */
 	unsigned int gateways; /* that share the targets, as keepers say */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -11,6 +11,8 @@
  * go out at once when a version is named. */
 #define TELL_US 400000
 
+#define FIRST_VERSION 1 /* of weights; engines may have it unnamed */
+
 /* Engines of one service, as a view lists them. */
 struct listing {
 	struct gateway *g;
@@ -103,7 +105,7 @@
 		if (strcmp(t->model, service->engine.model) == 0)
 			version = MAX(version, t->version);
 	}
-	return MAX(version, 1); /* versions start at 1 */
+	return MAX(version, FIRST_VERSION);
 }
 
 /* Keepers that read the same digests from the origin before others take them
@@ -325,6 +327,29 @@
 	    load->pace_permille == 0 ? 1 : (double)load->pace_permille / 1000.0;
 }
 
+/*
+ * A gateway that starts after a version was named does not know when that was
+ * and would refuse engines that may still serve; one whose watch is silent
+ * does not know of it at all. Keepers have heard of it from the others. The
+ * first version was never named: engines have it from the beginning.
+ */
+static void
+note_wanted(struct gateway *g, const struct tgt_service *service,
+    const struct side_load *load)
+{
+	int64_t heard_us =
+	    evl_now_us(g->st.loop) - (int64_t)load->wanted_age_ms * 1000;
+
+	if (load->wanted <= FIRST_VERSION)
+		return;
+	if (vers_told(g->named, service->engine.model, (int64_t)load->wanted,
+		heard_us))
+		evt(EVT_VERSION,
+		    "model=%s version=%" G_GUINT64_FORMAT
+		    " from=keeper age_ms=%" G_GUINT64_FORMAT,
+		    service->engine.model, load->wanted, load->wanted_age_ms);
+}
+
 static void
 on_load(const char *from, const struct msg *m, void *ctx)
 {
@@ -344,6 +369,7 @@
 	t->side_us = now_us;
 	tgt_load(t, (unsigned int)(load.running + load.waiting), now_us);
 	note_gateways(g, (unsigned int)load.gateways);
+	note_wanted(g, t->service, &load);
 	if (note_root(t, &load) && root_matters(g, t))
 		gateway_peers_tell(g);
 	fwd_pump(g->fwd);
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -284,11 +284,14 @@
 	if (!k->had_engine)
 		return;
 	load.gateways = k->gateways->len;
-	if (has_own_root(k)) {
+	if (k->newest != NULL) {
 		load.wanted = (uint64_t)k->newest->version;
+		load.wanted_age_ms =
+		    (uint64_t)(keeper_now(k) - k->newest->heard_us) / 1000;
+	}
+	if (has_own_root(k))
 		load.root =
 		    (struct slice){ k->newest->wts.root.bytes, DIGEST_BYTES };
-	}
 	for (i = 0; i < k->gateways->len; i++) {
 		g = gateway_at(k, i);
 		if (!is_due(k, g))
