New callers go before those that come back after a refusal

The late ones had been refused once; on their return they took places of new callers, who then were refused and came back in their turn. Ruled out: first tokens of requests that were let in (p90 350 ms of 400 after 0 to 90 ms of waiting), pauses between events (p90 210 ms of 300).

Change: a request with less than 0.85 of its route's time has come back (callers' own times differ by up to 0.15, read off the requests of a light hour). It does not wait, and a target keeps three tenths of its places from it; where most requests are like that, times left say nothing and no difference is made. Whoever is refused is told to come back after 0.9 to 1.9 s (0.2 to 1.5 before): it misses its objective in any case, and must not meet the same crowd.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -5,6 +5,9 @@
 #include "serve/fwd_internal.h"
 
 #define DEFAULT_DUE_US 60000000 /* neither caller nor route names a time */
+/* Callers' own times are below their route's by up to this share; one that has
+ * less left has spent it on an earlier try. */
+#define OWN_TIME_SHARE 0.15
 
 int64_t
 fwd_now(const struct fwd_req *r)
@@ -157,7 +160,7 @@
 	    id == NULL ? "-" : id->value.p, status, why,
 	    f->routes == NULL ? 0 : rtab_config(f->routes)->version);
 	hreq_answer(
-	    caller, status, status == 503 ? "Retry-After: 0.5\r\n" : "", "", 0);
+	    caller, status, status == 503 ? "Retry-After: 1.2\r\n" : "", "", 0);
 }
 
 /* False when the request was answered. */
@@ -225,8 +228,11 @@
 	r->begun_us = hreq_started_us(r->caller);
 	r->due_us = r->begun_us +
 	    (r->route->timeout_us > 0 ? r->route->timeout_us : DEFAULT_DUE_US);
-	if (h != NULL && hslice_number(h->value, &ms))
-		r->due_us = MIN(r->due_us, r->begun_us + ms * 1000);
+	if (h == NULL || !hslice_number(h->value, &ms))
+		return;
+	r->due_us = MIN(r->due_us, r->begun_us + ms * 1000);
+	r->came_back = (double)(ms * 1000) <
+	    (double)r->route->timeout_us * (1 - OWN_TIME_SHARE);
 }
 
 static bool
@@ -293,6 +299,7 @@
 	if (!authorise(f, caller, route, &workspace))
 		return;
 	r = req_new(f, caller, route, workspace);
+	fwd_note_back(r);
 	spend_request(&r->service->budget, &f->conf.budget, fwd_now(r));
 	fwd_dispatch(r);
 }
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -33,6 +33,7 @@
 	bool reading; /* the target has them to read */
 	int64_t begun_us; /* first byte read */
 	int64_t due_us; /* final answer by then */
+	bool came_back; /* its caller was refused before, by its time */
 	int priority;
 	struct evl_timer due;
 	struct evl_timer step; /* waiting, silence of the target */
@@ -69,6 +70,7 @@
 	int64_t rate_us;
 	unsigned int ends;
 	int64_t first_us; /* to a first event after sending, moving average */
+	double back_share; /* of requests that came back, moving average */
 };
 
 struct fwd {
@@ -93,6 +95,7 @@
     const char *why);
 
 /* fwd_wait.c: waiting for a place */
+void fwd_note_back(struct fwd_req *r);
 void fwd_dispatch(struct fwd_req *r); /* send now, wait, or refuse */
 void fwd_unwait(struct fwd_req *r);
 void fwd_count_end(struct fwd_service *service, int64_t now_us);
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -19,10 +19,26 @@
 /* A service of no known objective. */
 #define WAIT_DEFAULT_US 200000
 #define RATE_SPAN_US 2000000 /* of the moving average of ends a second */
-/* Bounds of the advice when to come back. Callers wait for a third of their
- * time at most, so more is no use. */
-#define RETRY_MIN_S 0.2
-#define RETRY_MAX_S 1.5
+/*
+ * Advice when to come back. Whoever was refused misses its objective in any
+ * case, so it may as well come when the crowd of that moment is gone; and late
+ * enough that its time tells it from new callers. Callers wait for a third of
+ * their time at most, so more than the bound is no use.
+ */
+#define RETRY_BASE_S 1.2
+#define RETRY_MAX_S 1.9
+/* Weight of one request in the moving share of those that came back. */
+#define BACK_WEIGHT 0.02
+/* With more than this share, times left say nothing: these callers always
+ * bring less than their routes allow. */
+#define BACK_SHARE_MAX 0.6
+/*
+ * Part of a target's places that is kept from callers that came back. They are
+ * late already, and each place that they take makes a new caller late: in an
+ * overload that lasted, a quarter of the engines' work went into late answers,
+ * and every second answer that could have been in time was not.
+ */
+#define BACK_SPARE_SHARE 0.3
 
 /* ------------------------------------------------------------------ */
 /* How fast places become free                                         */
@@ -59,7 +75,22 @@
 	/* Those refused together must not come back together. */
 	double spread = 0.75 + (double)rng_below(&r->fwd->rng, 1000) / 2000.0;
 
-	return CLAMP((0.3 + wait_s) * spread, RETRY_MIN_S, RETRY_MAX_S);
+	return MIN((RETRY_BASE_S + wait_s) * spread, RETRY_MAX_S);
+}
+
+/* ------------------------------------------------------------------ */
+/* Callers that come back                                              */
+/* ------------------------------------------------------------------ */
+
+void
+fwd_note_back(struct fwd_req *r)
+{
+	struct fwd_service *service = r->service;
+
+	service->back_share +=
+	    ((r->came_back ? 1 : 0) - service->back_share) * BACK_WEIGHT;
+	if (service->back_share > BACK_SHARE_MAX)
+		r->came_back = false;
 }
 
 /* ------------------------------------------------------------------ */
@@ -108,6 +139,8 @@
 		return a->flow.begun;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	if (a->came_back != b->came_back)
+		return b->came_back;
 	return a->begun_us < b->begun_us;
 }
 
@@ -142,6 +175,8 @@
 		.not = r->tried,
 		.nnot = r->ntried,
 		.repeatable = r->flow.repeatable,
+		.spare_share =
+		    r->came_back && !r->flow.begun ? BACK_SPARE_SHARE : 0,
 		.random = rng_next(&f->rng),
 	};
 
@@ -156,7 +191,7 @@
 	double wait_us =
 	    expected_wait_s(r->service, r->service->nwaiting) * G_USEC_PER_SEC;
 
-	return wait_us <= (double)wait_limit_us(r);
+	return !r->came_back && wait_us <= (double)wait_limit_us(r);
 }
 
 void
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -544,7 +544,8 @@
 		if (!can_serve(t, wish, now_us))
 			continue;
 		if (tgt_estimate(t, &s->policy, now_us) + 1 >
-			tgt_limit(t, &s->policy) ||
+			tgt_limit(t, &s->policy) -
+			    wish->spare_share * slots_of(t) ||
 		    took_its_part(t, &s->policy, now_us) ||
 		    reads_enough(t, &s->policy)) {
 			*why = TGT_FULL;
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -142,6 +142,7 @@
 	const struct tgt *const * not ; /* tried before */
 	size_t nnot;
 	bool repeatable; /* may be the one that finds out */
+	double spare_share; /* part of its places that must stay free */
 	uint64_t random;
 };
 
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -426,6 +426,70 @@
 		close(fd[i]);
 }
 
+#define CAME_BACK "T-Deadline: 1200\r\n" /* of the route's 2000 ms */
+
+/*
+ * In an overload that lasts, callers that were refused come back and take the
+ * places of new ones: both end late. A place is left for a new caller, and who
+ * came back is refused at once, with a time after the crowd of that moment.
+ */
+static void
+test_new_callers_before_those_that_come_back(void **state)
+{
+	char *request = NULL, *answer;
+	int fd[4], busy[3], i;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	for (i = 0; i < 2; i++) { /* two slots; one place beyond */
+		fd[i] = ask();
+		busy[i] = target_get(&request)->fd;
+		g_free(request);
+	}
+	fd[2] = ask_with("GET", "/x/1", CAME_BACK);
+	answer = raw_read(fd[2], "\r\n\r\n");
+	assert_non_null(strstr(answer, "503 "));
+	assert_true(
+	    g_ascii_strtod(strstr(answer, "Retry-After: ") + 13, NULL) >= 0.9);
+	g_free(answer);
+	fd[3] = ask();
+	busy[2] = target_get(&request)->fd;
+	g_free(request);
+	for (i = 0; i < 3; i++)
+		close(busy[i]);
+	for (i = 0; i < 4; i++)
+		close(fd[i]);
+}
+
+/* Where all callers bring less time than their route allows, it says nothing
+ * about them: all places are theirs. */
+static void
+test_callers_that_always_bring_less_time(void **state)
+{
+	char *request = NULL;
+	int fd, i, busy[3], asked[3];
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	for (i = 0; i < 100; i++) {
+		fd = ask_with("GET", "/x/1", CAME_BACK);
+		busy[0] = target_get(&request)->fd;
+		g_free(request);
+		raw_send(busy[0],
+		    GOOD "Connection: close\r\n"
+			 "Content-Length: 2\r\n\r\nok");
+		expect_answer(fd, "\r\n\r\nok");
+		close(busy[0]);
+	}
+	for (i = 0; i < 3; i++) {
+		asked[i] = ask_with("GET", "/x/1", CAME_BACK);
+		busy[i] = target_get(&request)->fd;
+		g_free(request);
+	}
+	for (i = 0; i < 3; i++) {
+		close(busy[i]);
+		close(asked[i]);
+	}
+}
+
 /* A target announced its leaving, or lacks the model: it gets nothing. */
 static void
 test_leaving_and_empty_targets(void **state)
@@ -459,6 +523,8 @@
 		T(test_silent_stream),
 		T(test_waiting_for_a_place),
 		T(test_refused_for_want_of_a_place),
+		T(test_new_callers_before_those_that_come_back),
+		T(test_callers_that_always_bring_less_time),
 		T(test_leaving_and_empty_targets),
 	};
 
