The stand-in cuts what runs when ordered to, and can run several at a time

Change: an order with preempt ends the engine's streams midway; addresses are 127.0.NET.x, NET from the soak's seed; the stand-in's processes have stable_ms 1000, so that due times hold for them from the start.

--- a/tests/fleet/caller.c
+++ b/tests/fleet/caller.c
@@ -144,6 +144,8 @@
 {
 	struct ask *a = ctx;
 
+	g_printerr("broken %s: failure %d, sent %d, status %u\n", a->id, why,
+	    sent, a->status);
 	a->f->tally.broken++;
 	check_part(a);
 	ask_free(a);
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -308,6 +308,20 @@
 	fleet_engine_beat(e->f, e->i);
 }
 
+/* An order that does not wait cuts what runs; streams go on elsewhere. */
+static void
+cut_runs(struct fleet_engine *e)
+{
+	struct fleet_run *run;
+	struct hreq *r;
+
+	while ((run = LIST_FIRST(&e->runs)) != NULL) {
+		r = run->r;
+		run_free(run);
+		hreq_abort(r);
+	}
+}
+
 static void
 order(struct fleet_engine *e, struct hreq *r)
 {
@@ -316,6 +330,7 @@
 	char *text = g_strndup(body == NULL ? "" : body, len);
 	const char *at = strstr(text, "\"version\":");
 	int64_t version = at == NULL ? 0 : atoll(at + 10);
+	bool cuts = strstr(text, "\"preempt\"") != NULL;
 
 	g_free(text);
 	if (version == e->version || version == e->loading) {
@@ -332,6 +347,8 @@
 	e->loading = version;
 	e->load.fire = on_loaded;
 	evl_timer_set(e->f->loop, &e->load, evl_now_us(e->f->loop) + LOAD_US);
+	if (cuts)
+		cut_runs(e);
 	hreq_answer(r, 202, "", "", 0);
 }
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -6,7 +6,7 @@
  * store, model engines with a staging place, a plain service, the origin of
  * weights, callers that check what they get, and a proxy before each engine
  * and the store that misbehaves when told to. One process, on loopback
- * addresses: engine i is at 127.0.0.(10 + i).
+ * addresses: engine i is at 127.0.NET.(10 + i).
  */
 
 #include "http/fetch.h"
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -19,7 +19,7 @@
 #define FAULT_US 450000
 #define END_WAIT_US 6000000
 
-static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1;
+static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1, net;
 static int faults, bump = 3, crash;
 static char *gateways;
 static struct fleet f;
@@ -57,12 +57,12 @@
 	    "\",\"warmS\":0.2}],\"layers\":4,\"chunks\":%d,"
 	    "\"chunkBytes\":%d}},{\"name\":\"" FLEET_PLAIN
 	    "\",\"maxConnections\":200},{\"name\":\"origin\","
-	    "\"origin\":\"127.0.0.8:8000\",\"zone\":\"z0\"}],"
+	    "\"origin\":\"127.0.%d.8:8000\",\"zone\":\"z0\"}],"
 	    "\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,"
 	    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
 	    "\"tenants\":[{\"name\":\"team\",\"apiKeys\":[\"" FLEET_KEY
 	    "\"]}]}",
-	    config_version++, FLEET_CHUNKS, FLEET_CHUNK_BYTES);
+	    config_version++, FLEET_CHUNKS, FLEET_CHUNK_BYTES, net);
 	fleet_store_put(&f, "config", "main", s->str);
 	g_string_free(s, TRUE);
 }
@@ -198,8 +198,8 @@
 	char real[32], seen[32];
 	bool llm = i < engines;
 
-	g_snprintf(real, sizeof(real), "127.0.0.%d:8002", 10 + i);
-	g_snprintf(seen, sizeof(seen), "127.0.0.%d:8001", 10 + i);
+	g_snprintf(real, sizeof(real), "127.0.%d.%d:8002", net, 10 + i);
+	g_snprintf(seen, sizeof(seen), "127.0.%d.%d:8001", net, 10 + i);
 	if (!fleet_engine_open(
 		&f, (size_t)i, real, seen, llm, i >= engines - empty, err))
 		return false;
@@ -213,12 +213,15 @@
 static bool
 open_all(struct err *err)
 {
+	char store[32], seen[32], origin[32];
 	int i;
 
-	if (!fleet_store_open(&f, "127.0.0.9:8000", err) ||
-	    fleet_proxy_open(&f, "127.0.0.9:8007", "127.0.0.9:8000", err) ==
-		NULL ||
-	    !fleet_origin_open(&f, "127.0.0.8:8000", err))
+	g_snprintf(store, sizeof(store), "127.0.%d.9:8000", net);
+	g_snprintf(seen, sizeof(seen), "127.0.%d.9:8007", net);
+	g_snprintf(origin, sizeof(origin), "127.0.%d.8:8000", net);
+	if (!fleet_store_open(&f, store, err) ||
+	    fleet_proxy_open(&f, seen, store, err) == NULL ||
+	    !fleet_origin_open(&f, origin, err))
 		return false;
 	put_config();
 	for (i = 0; i < engines + 2; i++) {
@@ -268,6 +271,8 @@
 		    "addresses for callers", "LIST" },
 		{ "rate", 0, POPT_ARG_INT, &rate, 0, "requests a second", "N" },
 		{ "seconds", 0, POPT_ARG_INT, &seconds, 0, "to play", "N" },
+		{ "net", 0, POPT_ARG_INT, &net, 0,
+		    "addresses are 127.0.N.x, so that several can run", "N" },
 		{ "seed", 0, POPT_ARG_INT, &seed, 0, "of all chance", "N" },
 		{ "faults", 0, POPT_ARG_INT, &faults, 0, "0 or 1", "N" },
 		{ "crash", 0, POPT_ARG_INT, &crash, 0,
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,15 +1,17 @@
 # Sourced by scripts that play the stand-in fleet with our own processes:
 #   fleet_begin FOLDER ENGINES GATEWAYS; fleet_play OPTIONS...; fleet_end
-# Each "host" has a loopback address of its own. Only processes started here
-# are ended, by their ids.
+# Each "host" has a loopback address of its own, 127.0.NET.x; runs with different
+# NETs do not meet. Only processes started here are ended, by their ids.
+NET=${NET:-0}
 
 fleet_settings() { # fleet_settings FILE ID DOMAIN IP LINES...
 	{
 		echo "node: {id: $2, domain: $3, region: $3, key: 63757272616e746368757465746573747065657273}"
-		echo "store: {address: 127.0.0.9:8007}"
+		echo "store: {address: 127.0.$NET.9:8007}"
 		echo "domains: {z0: z0, z1: z1}"
 		echo "limits: {link_mbit: 40}"
-		echo "bounds: {version_ms: 8000, grace_s: 4, retry_ratio: 0.2, retry_slack: 40}"
+		# stable_ms at its least: due times hold from the start on.
+		echo "bounds: {version_ms: 8000, stable_ms: 1000, grace_s: 4, retry_ratio: 0.2, retry_slack: 40}"
 	} >"$1"
 	file=$1
 	shift 4
@@ -31,14 +33,14 @@
 	names=
 	gateways=
 	for g in $(seq "$3"); do
-		ip=127.0.0.$((g + 1))
+		ip=127.0.$NET.$((g + 1))
 		fleet_settings "$STAGE/gateway-$g.yaml" "gateway-$g" "z$(((g - 1) % 2))" $ip \
 		    "listen: {callers: $ip:8005, ready: $ip:8006, metrics: $ip:9464, peers: $ip:7700}"
 		names="$names gateway-$g"
 		gateways="$gateways,$ip:8005"
 	done
 	for e in $(seq 0 $(($2 - 1))); do
-		ip=127.0.0.$((e + 10))
+		ip=127.0.$NET.$((e + 10))
 		fleet_settings "$STAGE/keeper-$e.yaml" "keeper-$e" "z$((e % 2))" $ip \
 		    "listen: {metrics: $ip:9464, peers: $ip:7700}" \
 		    "engine: {address: $ip:8001}"
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -10,6 +10,7 @@
 BUILD=$1
 SEED=$2
 SECONDS_TO_PLAY=${3:-20}
+NET=$((SEED % 250 + 1)) # several seeds can be played at once
 . tools/fleet.sh
 
 # Numbers 0..N-1 from the seed, one a call: every run of a seed draws the same.
@@ -71,7 +72,7 @@
 
 fleet_begin "$BUILD/stage-soak-$SEED" 6 3
 "$BUILD/tests/fleet/fleet" --engines 6 --empty 1 --gateways "$gateways" \
-    --rate 60 --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --faults 1 \
+    --rate 60 --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --net "$NET" --faults 1 \
     >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
 fleet=$!
 sleep 3
