--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -29,6 +29,7 @@
 	    "req=%s route=%s service=%s status=%u why=%s tries=%u runs=%u "
 	    "events=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT
+	    " back=%d"
 	    " target=%s config=%" G_GINT64_FORMAT,
 	    r->id, r->route->name, r->service->targets->name, status, why,
 	    r->flow.tries, r->flow.runs, r->events,
@@ -36,7 +37,7 @@
 	    r->first_event_us == 0 ? -1
 				   : (r->first_event_us - r->begun_us) / 1000,
 	    r->sent_us == 0 ? -1 : (r->sent_us - r->begun_us) / 1000,
-	    r->target == NULL ? "-" : r->target->says.id,
+	    r->came_back, r->target == NULL ? "-" : r->target->says.id,
 	    rtab_config(r->routes)->version);
 }
 
