--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -19,6 +19,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* The struct of `type` whose `member` is at `ptr`: callbacks of timers, tasks
+ * and descriptors get a pointer to the member that they were set with. */
+#define CONTAINER_OF(ptr, type, member) \
+	((type *)(void *)((char *)(ptr)-offsetof(type, member)))
+
 /* ------------------------------------------------------------------ */
 /* Errors and verdicts                                                 */
 /* ------------------------------------------------------------------ */
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -6,64 +6,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http/http.h"
+#include "http/client_internal.h"
 #include "http/sock.h"
 
 /* A kept connection is used for this share of the time after which its target
  * closes it: a request that crosses the close may or may not have run. */
 #define KEEP_SHARE_PERCENT 60
 
-enum link_state {
-	LINK_CONNECTING,
-	LINK_BUSY,
-	LINK_IDLE,
-};
-
-/* A connection to a target. */
-struct hlink {
-	struct evl_fd fd;
-	struct evl_timer timer; /* connecting, or idle for too long */
-	struct evl_task flush;
-	TAILQ_ENTRY(hlink) link; /* in the idle list of its place */
-	LIST_ENTRY(hlink) all; /* in its place */
-	struct hplace *place;
-	enum link_state state;
-	struct hparse parse;
-	struct hbuf out;
-	struct hcall *call;
-	int64_t keep_us; /* how long its target keeps it when idle */
-	bool spoilt; /* not to be used again */
-	bool kept; /* it served a call before */
-};
-
-/* One address. */
-struct hplace {
-	struct hpool *pool;
-	char *address;
-	TAILQ_HEAD(hlinks, hlink) idle; /* last used first */
-	LIST_HEAD(hlinks_all, hlink) all;
-	unsigned int nidle;
-};
-
-struct hpool {
-	struct hpool_conf conf;
-	GHashTable *places; /* address -> struct hplace */
-	unsigned int opened;
-};
-
-struct hcall {
-	struct hlink *link;
-	const struct hcall_ops *ops;
-	void *ctx;
-	bool no_body;
-	bool sent;
-	bool got; /* a byte of an answer came */
-	bool in_head; /* `head` is being called */
-	bool skip; /* the present answer is not ours */
-	bool cancelled; /* by its owner, from within a callback */
-	bool paused;
-};
-
 static const char *const failure_names[HCALL_FAILURES] = {
 	[HCALL_UNREACHABLE] = "unreachable",
 	[HCALL_CLOSED] = "closed",
@@ -79,38 +28,13 @@
 static struct hlink *
 from_fd(struct evl_fd *fd)
 {
-	return (struct hlink *)((char *)fd - offsetof(struct hlink, fd));
-}
-
-static struct evl *
-loop_of(const struct hlink *l)
-{
-	return l->place->pool->conf.loop;
+	return CONTAINER_OF(fd, struct hlink, fd);
 }
 
 /* ------------------------------------------------------------------ */
 /* Ends                                                                */
 /* ------------------------------------------------------------------ */
 
-static void
-link_free(struct hlink *l)
-{
-	if (l->state == LINK_IDLE) {
-		TAILQ_REMOVE(&l->place->idle, l, link);
-		l->place->nidle--;
-	}
-	LIST_REMOVE(l, all);
-	evl_timer_stop(loop_of(l), &l->timer);
-	evl_task_cancel(loop_of(l), &l->flush);
-	if (l->fd.fd >= 0) {
-		evl_forget(loop_of(l), &l->fd);
-		close(l->fd.fd);
-	}
-	hparse_free(&l->parse);
-	hbuf_free(&l->out);
-	g_free(l);
-}
-
 static void
 call_failed(struct hlink *l)
 {
@@ -122,7 +46,7 @@
 	else if (!c->sent)
 		why = HCALL_UNREACHABLE;
 	l->call = NULL;
-	link_free(l);
+	hlink_free(l);
 	c->link = NULL;
 	c->ops->failed(c, why, c->sent, c->ctx);
 	g_free(c);
@@ -134,7 +58,7 @@
 	if (l->call != NULL)
 		call_failed(l);
 	else
-		link_free(l);
+		hlink_free(l);
 }
 
 static void
@@ -144,7 +68,7 @@
 
 	if (l->spoilt || l->keep_us <= 0 ||
 	    place->nidle >= place->pool->conf.idle_max) {
-		link_free(l);
+		hlink_free(l);
 		return;
 	}
 	hparse_reset(&l->parse);
@@ -152,9 +76,9 @@
 	l->kept = true;
 	TAILQ_INSERT_HEAD(&place->idle, l, link);
 	place->nidle++;
-	evl_watch(loop_of(l), &l->fd, EPOLLIN | EPOLLRDHUP);
+	evl_watch(hlink_loop(l), &l->fd, EPOLLIN | EPOLLRDHUP);
 	evl_timer_set(
-	    loop_of(l), &l->timer, evl_now_us(loop_of(l)) + l->keep_us);
+	    hlink_loop(l), &l->timer, evl_now_us(hlink_loop(l)) + l->keep_us);
 }
 
 static void
@@ -180,7 +104,7 @@
 	}
 	if (c->link != NULL) {
 		c->link->call = NULL;
-		link_free(c->link);
+		hlink_free(c->link);
 	}
 	g_free(c);
 }
@@ -196,14 +120,13 @@
 
 	if (hbuf_left(&l->out) > 0)
 		events |= EPOLLOUT;
-	evl_watch(loop_of(l), &l->fd, events);
+	evl_watch(hlink_loop(l), &l->fd, events);
 }
 
 static void
 on_flush(struct evl_task *task)
 {
-	struct hlink *l =
-	    (struct hlink *)((char *)task - offsetof(struct hlink, flush));
+	struct hlink *l = CONTAINER_OF(task, struct hlink, flush);
 	ssize_t n;
 
 	while (hbuf_left(&l->out) > 0) {
@@ -297,7 +220,7 @@
 	struct hcall *c = l->call;
 
 	l->call = NULL;
-	link_free(l);
+	hlink_free(l);
 	g_free(c);
 }
 
@@ -360,7 +283,7 @@
 on_readable(struct hlink *l)
 {
 	size_t size;
-	uint8_t *buffer = evl_scratch(loop_of(l), &size);
+	uint8_t *buffer = evl_scratch(hlink_loop(l), &size);
 	ssize_t n = recv(l->fd.fd, buffer, size, 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
@@ -385,7 +308,7 @@
 		return;
 	}
 	l->state = LINK_BUSY;
-	evl_timer_stop(loop_of(l), &l->timer);
+	evl_timer_stop(hlink_loop(l), &l->timer);
 	on_flush(&l->flush);
 }
 
@@ -404,107 +327,22 @@
 		return;
 	}
 	if ((events & EPOLLOUT) != 0)
-		evl_later(loop_of(l), &l->flush);
+		evl_later(hlink_loop(l), &l->flush);
 }
 
 /* Not connected in time, or kept for long enough. */
 static void
 on_timer(struct evl_timer *t)
 {
-	struct hlink *l =
-	    (struct hlink *)((char *)t - offsetof(struct hlink, timer));
+	struct hlink *l = CONTAINER_OF(t, struct hlink, timer);
 
 	link_lost(l);
 }
 
 /* ------------------------------------------------------------------ */
-/* Pool                                                                */
+/* Calls                                                               */
 /* ------------------------------------------------------------------ */
 
-static void
-place_free(gpointer data)
-{
-	struct hplace *place = data;
-	struct hlink *l;
-
-	while ((l = LIST_FIRST(&place->all)) != NULL)
-		link_free(l);
-	g_free(place->address);
-	g_free(place);
-}
-
-static struct hplace *
-place_of(struct hpool *p, const char *address)
-{
-	struct hplace *place = g_hash_table_lookup(p->places, address);
-
-	if (place != NULL)
-		return place;
-	place = g_new0(struct hplace, 1);
-	place->pool = p;
-	place->address = g_strdup(address);
-	TAILQ_INIT(&place->idle);
-	LIST_INIT(&place->all);
-	g_hash_table_insert(p->places, place->address, place);
-	return place;
-}
-
-struct hpool *
-hpool_new(const struct hpool_conf *conf)
-{
-	struct hpool *p = g_new0(struct hpool, 1);
-
-	p->conf = *conf;
-	p->places =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, place_free);
-	return p;
-}
-
-void
-hpool_free(struct hpool *p)
-{
-	g_hash_table_unref(p->places);
-	g_free(p);
-}
-
-void
-hpool_forget(struct hpool *p, const char *address)
-{
-	struct hplace *place = g_hash_table_lookup(p->places, address);
-	struct hlink *l;
-
-	if (place == NULL)
-		return;
-	while ((l = TAILQ_FIRST(&place->idle)) != NULL)
-		link_free(l);
-	LIST_FOREACH (l, &place->all, all)
-		l->spoilt = true; /* a call is under way: close after it */
-	if (LIST_EMPTY(&place->all))
-		g_hash_table_remove(p->places, address);
-}
-
-void
-hpool_forget_idle(struct hpool *p)
-{
-	GHashTableIter iter;
-	gpointer value;
-	struct hplace *place;
-	struct hlink *l;
-
-	g_hash_table_iter_init(&iter, p->places);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		place = value;
-		while ((l = TAILQ_FIRST(&place->idle)) != NULL)
-			link_free(l);
-	}
-}
-
-unsigned int
-hpool_opened(const struct hpool *p)
-{
-	return p->opened;
-}
-
 static struct hlink *
 link_new(struct hplace *place)
 {
@@ -532,26 +370,12 @@
 	return l;
 }
 
-static struct hlink *
-link_take_idle(struct hplace *place)
-{
-	struct hlink *l = TAILQ_FIRST(&place->idle);
-
-	if (l == NULL)
-		return NULL;
-	TAILQ_REMOVE(&place->idle, l, link);
-	place->nidle--;
-	l->state = LINK_BUSY;
-	evl_timer_stop(loop_of(l), &l->timer);
-	return l;
-}
-
 struct hcall *
 hcall_start(struct hpool *p, const struct hcall_conf *conf)
 {
-	struct hplace *place = place_of(p, conf->address);
+	struct hplace *place = hplace_of(p, conf->address);
 	struct hcall *c = g_new0(struct hcall, 1);
-	struct hlink *l = link_take_idle(place);
+	struct hlink *l = hlink_take_idle(place);
 
 	if (l == NULL)
 		l = link_new(place);
--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -73,8 +73,7 @@
 static void
 on_timeout(struct evl_timer *timer)
 {
-	struct hfetch *f =
-	    (struct hfetch *)((char *)timer - offsetof(struct hfetch, timer));
+	struct hfetch *f = CONTAINER_OF(timer, struct hfetch, timer);
 	bool sent = hcall_sent(f->call);
 
 	hcall_cancel(f->call);
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -15,13 +15,13 @@
 static struct hreq *
 from_fd(struct evl_fd *fd)
 {
-	return (struct hreq *)((char *)fd - offsetof(struct hreq, fd));
+	return CONTAINER_OF(fd, struct hreq, fd);
 }
 
 static struct hreq *
 from_timer(struct evl_timer *t)
 {
-	return (struct hreq *)((char *)t - offsetof(struct hreq, timer));
+	return CONTAINER_OF(t, struct hreq, timer);
 }
 
 static const struct hlimits *
@@ -302,8 +302,7 @@
 static void
 on_accept(struct evl_fd *efd, uint32_t events)
 {
-	struct hserver *s =
-	    (struct hserver *)((char *)efd - offsetof(struct hserver, fd));
+	struct hserver *s = CONTAINER_OF(efd, struct hserver, fd);
 	int i, fd;
 
 	for (i = 0; i < ACCEPTS_PER_TURN; i++) {
--- a/lib/http/server_answer.c
+++ b/lib/http/server_answer.c
@@ -15,7 +15,7 @@
 static struct hreq *
 from_flush(struct evl_task *t)
 {
-	return (struct hreq *)((char *)t - offsetof(struct hreq, flush));
+	return CONTAINER_OF(t, struct hreq, flush);
 }
 
 /* ------------------------------------------------------------------ */
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -117,8 +117,7 @@
 static void
 on_due(struct evl_timer *timer)
 {
-	struct fwd_req *r =
-	    (struct fwd_req *)((char *)timer - offsetof(struct fwd_req, due));
+	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, due);
 
 	if (r->flow.begun)
 		fwd_break(r, "timeout");
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -226,8 +226,7 @@
 static void
 on_silent(struct evl_timer *timer)
 {
-	struct fwd_req *r =
-	    (struct fwd_req *)((char *)timer - offsetof(struct fwd_req, step));
+	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, step);
 
 	/* When connections fall silent they do so many at a time, and each
 	 * kept one would cost another request. */
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -109,8 +109,7 @@
 static void
 on_waited(struct evl_timer *timer)
 {
-	struct fwd_req *r =
-	    (struct fwd_req *)((char *)timer - offsetof(struct fwd_req, step));
+	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, step);
 
 	if (r->flow.begun)
 		fwd_break(r, "no_target_to_resume");
@@ -244,8 +243,7 @@
 static void
 on_pump(struct evl_task *task)
 {
-	struct fwd *f =
-	    (struct fwd *)((char *)task - offsetof(struct fwd, pump));
+	struct fwd *f = CONTAINER_OF(task, struct fwd, pump);
 	GHashTableIter iter;
 	gpointer service;
 
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -383,8 +383,7 @@
 static void
 on_timer(struct evl_timer *t)
 {
-	struct mirror *m =
-	    (struct mirror *)((char *)t - offsetof(struct mirror, timer));
+	struct mirror *m = CONTAINER_OF(t, struct mirror, timer);
 
 	/* After a rest: go on watching from where the news stopped, unless it
 	 * was a listing that failed. */
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -235,8 +235,7 @@
 static void
 on_tick(struct evl_timer *timer)
 {
-	struct gateway *g =
-	    (struct gateway *)((char *)timer - offsetof(struct gateway, tick));
+	struct gateway *g = CONTAINER_OF(timer, struct gateway, tick);
 	int64_t now_us = evl_now_us(g->st.loop);
 
 	tgt_sweep(g->set, now_us);
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -255,8 +255,7 @@
 static void
 on_tell(struct evl_timer *timer)
 {
-	gateway_peers_tell(
-	    (struct gateway *)((char *)timer - offsetof(struct gateway, tell)));
+	gateway_peers_tell(CONTAINER_OF(timer, struct gateway, tell));
 }
 
 /* ------------------------------------------------------------------ */
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -389,8 +389,7 @@
 static struct request *
 of_ticket(struct adm_ticket *ticket)
 {
-	return (struct request *)((char *)ticket -
-	    offsetof(struct request, ticket));
+	return CONTAINER_OF(ticket, struct request, ticket);
 }
 
 static void
--- a/programs/shared/station.c
+++ b/programs/shared/station.c
@@ -88,8 +88,7 @@
 static void
 on_watch(struct evl_timer *timer)
 {
-	struct station *s =
-	    (struct station *)((char *)timer - offsetof(struct station, watch));
+	struct station *s = CONTAINER_OF(timer, struct station, watch);
 
 	if (file_mtime_ns(s->path) != s->file_mtime_ns)
 		reload(s, "file_changed");
--- a/programs/side/keeper.c
+++ b/programs/side/keeper.c
@@ -25,8 +25,7 @@
 static void
 on_tick(struct evl_timer *timer)
 {
-	struct keeper *k =
-	    (struct keeper *)((char *)timer - offsetof(struct keeper, tick));
+	struct keeper *k = CONTAINER_OF(timer, struct keeper, tick);
 
 	keeper_ask_report(k);
 	keeper_step(k);
--- a/programs/side/keeper_origin.c
+++ b/programs/side/keeper_origin.c
@@ -51,8 +51,7 @@
 static void
 on_list(struct evl_task *task)
 {
-	struct piece_read *r = (struct piece_read *)((char *)task -
-	    offsetof(struct piece_read, later));
+	struct piece_read *r = CONTAINER_OF(task, struct piece_read, later);
 	struct err err = { 0 };
 
 	if (r->list == NULL)
--- a/tests/fleet/caller.c
+++ b/tests/fleet/caller.c
@@ -154,8 +154,7 @@
 static void
 on_deadline(struct evl_timer *t)
 {
-	struct ask *a =
-	    (struct ask *)((char *)t - offsetof(struct ask, deadline));
+	struct ask *a = CONTAINER_OF(t, struct ask, deadline);
 
 	hcall_cancel(a->call);
 	a->f->tally.broken++;
@@ -205,8 +204,7 @@
 static void
 on_next(struct evl_timer *t)
 {
-	struct fleet *f =
-	    (struct fleet *)((char *)t - offsetof(struct fleet, next_request));
+	struct fleet *f = CONTAINER_OF(t, struct fleet, next_request);
 
 	if (f->stopping)
 		return;
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -118,8 +118,7 @@
 static void
 on_event(struct evl_timer *timer)
 {
-	struct fleet_run *run = (struct fleet_run *)((char *)timer -
-	    offsetof(struct fleet_run, timer));
+	struct fleet_run *run = CONTAINER_OF(timer, struct fleet_run, timer);
 	struct hreq *r = run->r;
 	char event[128], *head;
 
@@ -144,8 +143,7 @@
 static void
 on_plain(struct evl_timer *timer)
 {
-	struct fleet_run *run = (struct fleet_run *)((char *)timer -
-	    offsetof(struct fleet_run, timer));
+	struct fleet_run *run = CONTAINER_OF(timer, struct fleet_run, timer);
 	struct hreq *r = run->r;
 	char body[64], *head = head_of(run);
 
@@ -295,8 +293,7 @@
 static void
 on_loaded(struct evl_timer *timer)
 {
-	struct fleet_engine *e = (struct fleet_engine *)((char *)timer -
-	    offsetof(struct fleet_engine, load));
+	struct fleet_engine *e = CONTAINER_OF(timer, struct fleet_engine, load);
 
 	if (e->nruns > 0) { /* what runs ends first */
 		evl_timer_set(
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -91,8 +91,7 @@
 static void
 on_late(struct evl_timer *t)
 {
-	push(
-	    (struct fleet_end *)((char *)t - offsetof(struct fleet_end, late)));
+	push(CONTAINER_OF(t, struct fleet_end, late));
 }
 
 static void
@@ -130,8 +129,8 @@
 static void
 on_accept(struct evl_fd *fd, uint32_t events)
 {
-	struct fleet_proxy *proxy = (struct fleet_proxy *)((char *)fd -
-	    offsetof(struct fleet_proxy, listener));
+	struct fleet_proxy *proxy =
+	    CONTAINER_OF(fd, struct fleet_proxy, listener);
 	struct fleet_pipe *p;
 	int caller = accept4(fd->fd, NULL, NULL, SOCK_NONBLOCK);
 	int target;
--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -90,8 +90,7 @@
 static void
 on_watch_end(struct evl_timer *timer)
 {
-	struct fleet_watch *w = (struct fleet_watch *)((char *)timer -
-	    offsetof(struct fleet_watch, timer));
+	struct fleet_watch *w = CONTAINER_OF(timer, struct fleet_watch, timer);
 	GString *out = g_string_new(NULL);
 	struct hreq *r = w->r;
 
