Places are kept from returning callers only while new ones lack them

Cause: found by reading, not by a run: where callers' own times differ by more than 0.15 of their route's, new callers are taken for returning ones, and three tenths of the places would stay empty for them with nobody else to use them.

Change: a target's last places are kept only for half a second after a new caller found all taken. In an overload that lasts that is always so.

--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -71,6 +71,7 @@
 	unsigned int ends;
 	int64_t first_us; /* to a first event after sending, moving average */
 	double back_share; /* of requests that came back, moving average */
+	int64_t pressed_us; /* a new caller last found all places taken */
 };
 
 struct fwd {
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -39,6 +39,9 @@
  * and every second answer that could have been in time was not.
  */
 #define BACK_SPARE_SHARE 0.3
+/* They are kept only while new callers lack them: so long after one found all
+ * taken. Longer than the time between two callers at a gateway in a burst. */
+#define PRESSED_US 500000
 
 /* ------------------------------------------------------------------ */
 /* How fast places become free                                         */
@@ -162,6 +165,14 @@
 	r->fwd->waiting++;
 }
 
+/* Leaves the last places to new callers. */
+static bool
+gives_way(const struct fwd_req *r)
+{
+	return r->came_back && !r->flow.begun && r->service->pressed_us != 0 &&
+	    fwd_now(r) - r->service->pressed_us < PRESSED_US;
+}
+
 static struct tgt *
 choose(struct fwd_req *r, enum tgt_why *why)
 {
@@ -174,8 +185,7 @@
 		.not = r->tried,
 		.nnot = r->ntried,
 		.repeatable = r->flow.repeatable,
-		.spare_share =
-		    r->came_back && !r->flow.begun ? BACK_SPARE_SHARE : 0,
+		.spare_share = gives_way(r) ? BACK_SPARE_SHARE : 0,
 		.random = rng_next(&f->rng),
 	};
 
@@ -205,6 +215,8 @@
 		fwd_send(r, target);
 		return;
 	}
+	if (!r->came_back && why == TGT_FULL)
+		r->service->pressed_us = fwd_now(r);
 	if (!r->flow.begun && !r->flow.may_have_run &&
 	    (why == TGT_NONE || !worth_waiting(r))) {
 		fwd_refuse(r, why == TGT_NONE ? "no_target" : "full");
