--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -96,6 +96,7 @@
     const char *why);
 
 /* fwd_wait.c: waiting for a place */
+/* Counts a new request; whether its time left tells that it came back. */
 void fwd_note_back(struct fwd_req *r);
 void fwd_dispatch(struct fwd_req *r); /* send now, wait, or refuse */
 void fwd_unwait(struct fwd_req *r);
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -193,7 +193,8 @@
 	    f->conf.targets, r->service->targets, &wish, fwd_now(r), why);
 }
 
-/* Whether waiting has a chance: places free fast enough for its turn. */
+/* Whether waiting has a chance: places free fast enough for its turn. Whoever
+ * came back would be late all the same, and stand before new callers. */
 static bool
 worth_waiting(const struct fwd_req *r)
 {
