--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -173,6 +173,12 @@
 	return region != NULL && strcmp(region, s->region) == 0;
 }
 
+static bool
+side_is_heard(const struct tgt *t, int64_t now_us)
+{
+	return t->side_us != 0 && now_us - t->side_us <= SIDE_SILENT_US;
+}
+
 /* A target at an address that another had: the other one is no more. */
 static void
 take_address(struct tgt_set *s, struct tgt *t)
@@ -211,7 +217,7 @@
 	t->gone_us = 0;
 	t->leaving = says->leaving;
 	/* The side's word is newer while it is heard. */
-	if (t->side_us == 0 || now_us - t->side_us > SIDE_SILENT_US) {
+	if (!side_is_heard(t, now_us)) {
 		g_strlcpy(t->model, says->model, sizeof(t->model));
 		t->version = says->model_version;
 	}
@@ -402,10 +408,11 @@
 	    strcmp(t->model, wish->model) == 0;
 }
 
-static bool
-side_is_heard(const struct tgt *t, int64_t now_us)
+/* Random bits as a number from 0 up to 1. */
+static double
+part_of(uint64_t bits)
 {
-	return t->side_us != 0 && now_us - t->side_us <= SIDE_SILENT_US;
+	return (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
 }
 
 /* A number from 0 up to 1, the same until the next word about the load, and
@@ -416,7 +423,7 @@
 	uint64_t bits = hash64(p->seed, &t->seen_us, sizeof(t->seen_us));
 
 	bits = hash64(bits, t->says.id, strlen(t->says.id));
-	return (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
+	return part_of(bits);
 }
 
 /*
@@ -518,18 +525,11 @@
 		cost += p->far_cost / slots_of(t);
 	if (t->answers >= ERROR_ANSWERS && t->error_share > usual)
 		cost += (t->error_share - usual) * ERROR_COST / slots_of(t);
-	if (t->side_us != 0 && now_us - t->side_us > SIDE_SILENT_US)
+	if (t->side_us != 0 && !side_is_heard(t, now_us))
 		cost += 1; /* last choice, not none: the side may be ill */
 	return cost;
 }
 
-/* A number from 0 up to 1. */
-static double
-rng_part(struct rng *rng)
-{
-	return (double)(rng_next(rng) >> 11) / (double)(UINT64_C(1) << 53);
-}
-
 struct tgt *
 tgt_choose(struct tgt_set *s, struct tgt_service *service,
     const struct tgt_wish *wish, int64_t now_us, enum tgt_why *why)
@@ -554,7 +554,7 @@
 		cost = cost_of(t, &s->policy, usual, now_us);
 		/* Entries that see the same figures would all choose the same
 		 * of equal targets. */
-		cost += TIE_COST * rng_part(&rng) / slots_of(t);
+		cost += TIE_COST * part_of(rng_next(&rng)) / slots_of(t);
 		if (best == NULL || cost < best_cost) {
 			best = t;
 			best_cost = cost;
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -77,8 +77,8 @@
 	bool claimed; /* somebody has it, or reads it from the origin */
 	bool heard; /* a claim for it was heard, or made here */
 	uint8_t bad_reads; /* corrupt copies from the origin, here */
-	bool
-	    failed_here; /* the last claim was this host's, and its read failed */
+	/* The last claim was this host's, and its read failed. */
+	bool failed_here;
 	uint32_t holders; /* connected peers that have it */
 	uint32_t near_holders; /* of these, in this host's domain */
 	/* Hosts of this domain that fetch it from other domains before this
--- a/lib/weights/pick_next.c
+++ b/lib/weights/pick_next.c
@@ -48,9 +48,9 @@
 /*
  * Finds a missing chunk that no connected peer has and that this host may
  * read now: one of its lowest rank, as after a time without the origin it may
- * read others' chunks, too, and would leave its own to them. Otherwise gives the earliest time at which one may be, and keeps
- * it: claims only put it off, so the scan need not be made again before,
- * unless an event below resets it.
+ * read others' chunks, too, and would leave its own to them. Otherwise gives
+ * the earliest time at which one may be, and keeps it: claims only put it off,
+ * so the scan need not be made again before, unless an event below resets it.
  */
 static bool
 find_read(struct pick *p, int64_t now_us, struct rng *rng,
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -172,26 +172,23 @@
 	};
 }
 
+/* What `rule` says of the older version, while one is wanted. */
 static bool
-newest_waits(const struct keeper *k)
+older_goes_first(const struct keeper *k,
+    bool (*rule)(const struct stg_rival *r, int64_t now_us))
 {
 	struct stg_rival rival;
 
 	if (k->older == NULL || k->loaded >= k->older->version)
 		return false;
 	rival = rival_of(k);
-	return stg_fetches_older(&rival, keeper_now(k));
+	return rule(&rival, keeper_now(k));
 }
 
 static bool
-prefers_older(const struct keeper *k)
+newest_waits(const struct keeper *k)
 {
-	struct stg_rival rival;
-
-	if (k->older == NULL || k->loaded >= k->older->version)
-		return false;
-	rival = rival_of(k);
-	return stg_prefers_older(&rival, keeper_now(k));
+	return older_goes_first(k, stg_fetches_older);
 }
 
 /* The version that the engine goes for now. */
@@ -201,7 +198,7 @@
 	if (k->older != NULL &&
 	    (k->newest->whole || k->loaded >= k->newest->version))
 		keeper_drop_older(k);
-	if (newest_waits(k) || prefers_older(k))
+	if (newest_waits(k) || older_goes_first(k, stg_prefers_older))
 		return k->older;
 	return k->newest;
 }
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -134,11 +134,38 @@
 	.link = on_link,
 };
 
+static struct hserver *
+open_server(const char *address, const struct hserver_ops *how)
+{
+	struct err err = { 0 };
+	struct hserver *s = hserver_new(&(struct hserver_conf){ .loop = loop,
+					    .address = address,
+					    .limits = &limits,
+					    .connections_max = 10,
+					    .bodies_max = 10000,
+					    .ops = how },
+	    &err);
+
+	assert_non_null(s);
+	return s;
+}
+
+static struct store *
+open_store(const char *address)
+{
+	return store_new(&(struct store_conf){ .loop = loop,
+	    .pool = pool,
+	    .address = address,
+	    .dialect = &dialect,
+	    .counters = counters,
+	    .seed = 1,
+	    .silence_us = 1200000 });
+}
+
 static int
 set_up(void **state)
 {
 	static char address[32];
-	struct err err = { 0 };
 
 	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
 	loop = evl_new(clk_system());
@@ -148,21 +175,8 @@
 	    .connect_us = 200000,
 	    .idle_us = 5000000,
 	    .head_bytes = 4096 });
-	server = hserver_new(&(struct hserver_conf){ .loop = loop,
-				 .address = address,
-				 .limits = &limits,
-				 .connections_max = 10,
-				 .bodies_max = 10000,
-				 .ops = &ops },
-	    &err);
-	assert_non_null(server);
-	store = store_new(&(struct store_conf){ .loop = loop,
-	    .pool = pool,
-	    .address = address,
-	    .dialect = &dialect,
-	    .counters = counters,
-	    .seed = 1,
-	    .silence_us = 1200000 });
+	server = open_server(address, &ops);
+	store = open_store(address);
 	seen = g_string_new(NULL);
 	called = false;
 	mirror_new(store, &kind, &mirror_ops, NULL);
@@ -306,27 +320,13 @@
 		.left = on_left,
 		.drained = on_drained,
 		.refused = on_refused };
-	struct err err = { 0 };
 	char address[32];
 	struct hserver *two;
 	struct store *both;
 
 	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
-	two = hserver_new(&(struct hserver_conf){ .loop = loop,
-			      .address = address,
-			      .limits = &limits,
-			      .connections_max = 10,
-			      .bodies_max = 10000,
-			      .ops = &either },
-	    &err);
-	assert_non_null(two);
-	both = store_new(&(struct store_conf){ .loop = loop,
-	    .pool = pool,
-	    .address = address,
-	    .dialect = &dialect,
-	    .counters = counters,
-	    .seed = 1,
-	    .silence_us = 1200000 });
+	two = open_server(address, &either);
+	both = open_store(address);
 	answer_with = 503;
 	(void)mirror_new(both, &second, &mirror_ops, NULL);
 	(void)mirror_new(both, &kind, &mirror_ops, NULL);
