Views are told once a wake-up, not once for each target of a page

Found on reading the change for work done twice at start-up: each new target of a listed page was followed by a view to all keepers, their number squared. Change: telling sets the timer of views to now, so it runs once after all events of a wake-up. tests/system/views.sh fails without it (32 rounds of views for 32 targets, one now).

--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -31,7 +31,8 @@
 
 /* gateway_peers.c: keepers */
 bool gateway_peers_open(struct gateway *g, struct err *err);
-void gateway_peers_tell(struct gateway *g); /* now, and on from there */
+/* Once after all events of this wake-up, and on from there. */
+void gateway_peers_tell(struct gateway *g);
 
 /* gateway.c */
 int gateway_main(const char *settings);
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -223,6 +223,7 @@
 	struct side_view view = { 0 };
 	const struct tgt *t;
 
+	ctr_add(ctr_get(g->st.counters, "views_told"), 1);
 	TAILQ_FOREACH (t, &service->targets, link)
 		list_target(&l, t);
 	fill_view(g, service, &view);
@@ -234,14 +235,26 @@
 	g_ptr_array_unref(l.names);
 }
 
+/*
+ * A page of the store's list brings hundreds of targets at once. A view to all
+ * keepers for each of them would be their number squared, more than the links
+ * between regions carry in the first seconds, and settings would come late.
+ */
 void
 gateway_peers_tell(struct gateway *g)
 {
+	evl_timer_set(g->st.loop, &g->tell, evl_now_us(g->st.loop));
+}
+
+static void
+on_tell(struct evl_timer *timer)
+{
+	struct gateway *g = CONTAINER_OF(timer, struct gateway, tell);
 	const struct sv_config *config;
 	struct tgt_service *service;
 	size_t i;
 
-	evl_timer_set(g->st.loop, &g->tell, evl_now_us(g->st.loop) + TELL_US);
+	evl_timer_set(g->st.loop, timer, evl_now_us(g->st.loop) + TELL_US);
 	if (fwd_routes(g->fwd) == NULL)
 		return;
 	config = rtab_config(fwd_routes(g->fwd));
@@ -252,12 +265,6 @@
 	}
 }
 
-static void
-on_tell(struct evl_timer *timer)
-{
-	gateway_peers_tell(CONTAINER_OF(timer, struct gateway, tell));
-}
-
 /* ------------------------------------------------------------------ */
 /* Loads                                                               */
 /* ------------------------------------------------------------------ */
