Streams go to older weights until 0.3 s before these are due, and are taken back

Cause: a fixed margin of 1.1 s (1.8 s at an engine just up) kept all requests from engines whose weights were about to be too old, because one that waits in an engine's queue may begin late.

Ruled out: shorter margins alone. They leave a request that does wait to begin on withdrawn weights; nothing would end it.

Change: streams that may go on elsewhere are sent until 0.3 s before, and what has no answer 0.08 s before the due time is cancelled at its engine and goes on at another one. Requests that may run once, and those whose last attempt it is, keep the old margins.

--- a/lib/serve/flow.h
+++ b/lib/serve/flow.h
@@ -17,6 +17,7 @@
 	FLOW_UNREACHABLE, /* nothing was sent */
 	FLOW_LOST, /* sent, and no answer or no whole one */
 	FLOW_SILENT, /* sent, and given up here for its silence */
+	FLOW_WITHDRAWN, /* sent, and taken back before its answer began */
 	FLOW_FAILURE, /* a whole answer that says failure */
 };
 
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -24,6 +24,15 @@
 /* Least time that another attempt needs. */
 #define ATTEMPT_MIN_US 60000
 
+/*
+ * A request that waits at its target until the target's weights are too old is
+ * run on them all the same: its caller gets an answer that the operators have
+ * withdrawn. What has not begun so long before that moment is cancelled and
+ * goes on elsewhere; a target drops what its caller has left. Longer than a
+ * cancel takes to get there beside other work, 20 to 40 ms.
+ */
+#define WITHDRAW_US 80000
+
 void
 fwd_read(struct fwd_req *r)
 {
@@ -40,6 +49,7 @@
 	struct fwd *f = r->fwd;
 
 	evl_timer_stop(f->conf.loop, &r->step);
+	evl_timer_stop(f->conf.loop, &r->begin);
 	if (r->call != NULL) {
 		hcall_cancel(r->call);
 		r->call = NULL;
@@ -77,6 +87,7 @@
 	[FLOW_UNREACHABLE] = "target_unreachable",
 	[FLOW_LOST] = "answer_lost",
 	[FLOW_SILENT] = "target_silent",
+	[FLOW_WITHDRAWN] = "weights_too_old",
 	[FLOW_FAILURE] = "target_failed",
 };
 
@@ -85,6 +96,7 @@
 	[FLOW_UNREACHABLE] = TGT_LOST,
 	[FLOW_LOST] = TGT_ERROR,
 	[FLOW_SILENT] = TGT_SILENT,
+	[FLOW_WITHDRAWN] = TGT_REFUSED, /* says nothing against it */
 	[FLOW_FAILURE] = TGT_ERROR,
 };
 
@@ -131,6 +143,7 @@
 attempt_ended(struct fwd_req *r, enum flow_end end)
 {
 	evl_timer_stop(r->fwd->conf.loop, &r->step);
+	evl_timer_stop(r->fwd->conf.loop, &r->begin);
 	note_outcome(r, end);
 	if (end != FLOW_REFUSED && end != FLOW_UNREACHABLE) {
 		r->flow.may_have_run = true;
@@ -239,6 +252,34 @@
 	attempt_ended(r, FLOW_SILENT);
 }
 
+static void
+on_begin_due(struct evl_timer *timer)
+{
+	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, begin);
+
+	/* The head of its answer came: it has begun. */
+	if (r->call == NULL || r->status != 0)
+		return;
+	hcall_cancel(r->call);
+	r->call = NULL;
+	attempt_ended(r, FLOW_WITHDRAWN);
+}
+
+static void
+expect_begin(struct fwd_req *r)
+{
+	int64_t end_us;
+
+	if (!fwd_may_withdraw(r) || !r->target->says.has_models)
+		return;
+	end_us =
+	    vers_end_us(r->fwd->conf.versions, r->model, r->target->version);
+	if (end_us == 0)
+		return;
+	r->begin.fire = on_begin_due;
+	evl_timer_set(r->fwd->conf.loop, &r->begin, end_us - WITHDRAW_US);
+}
+
 /* Waits for the target's next word. A request that cannot go elsewhere is
  * left to its due time: its silence is no reason to end it sooner. */
 static void
@@ -308,4 +349,5 @@
 		.ctx = r });
 	g_string_free(head, TRUE);
 	expect_word(r);
+	expect_begin(r);
 }
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -37,6 +37,7 @@
 	int priority;
 	struct evl_timer due;
 	struct evl_timer step; /* waiting, silence of the target */
+	struct evl_timer begin; /* it must have begun by then */
 	/* The attempt under way. */
 	struct hcall *call;
 	struct tgt *target; /* counted */
@@ -106,6 +107,8 @@
 
 /* fwd_call.c: an attempt */
 void fwd_send(struct fwd_req *r, struct tgt *target);
+/* Whether it may be taken back from a target that has not begun it. */
+bool fwd_may_withdraw(const struct fwd_req *r);
 void fwd_drop_call(struct fwd_req *r); /* cancels what is under way */
 void fwd_read(struct fwd_req *r); /* the target has read the prompt */
 void fwd_heard(struct fwd_req *r); /* the target has given a sign of life */
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "serve/fwd_internal.h"
-#include "serve/side.h"
 
 /*
  * Share of a request's objective that it may wait for a place. The rest is
@@ -173,15 +172,39 @@
 	    fwd_now(r) - r->service->pressed_us < PRESSED_US;
 }
 
+/*
+ * A target may take a request in and begin it later, on weights that have
+ * become too old meanwhile. So requests go only to targets with a new version
+ * some time before it is due. One that can be withdrawn needs little: what a
+ * target with a free place takes to begin, under 0.1 s, and the time in which
+ * it is withdrawn. Any other needs what was seen in a queue: 1.1 s, and up to
+ * 1.8 s at a target that has just come up. Where weights come late, the lesser
+ * one keeps targets in service for 0.8 to 1.5 s more.
+ */
+#define LEAD_WITHDRAWN_US 300000
+#define LEAD_QUEUE_US 1100000
+#define LEAD_HERD_US 700000 /* beyond it, for a target just up */
+
+bool
+fwd_may_withdraw(const struct fwd_req *r)
+{
+	return r->route->kind == SV_STREAM && r->flow.repeatable &&
+	    !r->flow.begun && r->flow.runs + 1 < r->flow.attempts;
+}
+
 static struct tgt *
 choose(struct fwd_req *r, enum tgt_why *why)
 {
 	struct fwd *f = r->fwd;
+	bool queues = !fwd_may_withdraw(r);
+	int64_t begin_us =
+	    fwd_now(r) + (queues ? LEAD_QUEUE_US : LEAD_WITHDRAWN_US);
+	int64_t fresh_us = begin_us + (queues ? LEAD_HERD_US : 0);
 	struct tgt_wish wish = {
 		.model = r->model,
-		.version = vers_least(f->conf.versions, r->model, fwd_now(r)),
-		.version_fresh = vers_least(
-		    f->conf.versions, r->model, fwd_now(r) + SIDE_HERD_US),
+		.version = vers_least(f->conf.versions, r->model, begin_us),
+		.version_fresh =
+		    vers_least(f->conf.versions, r->model, fresh_us),
 		.not = r->tried,
 		.nnot = r->ntried,
 		.repeatable = r->flow.repeatable,
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -10,20 +10,6 @@
 
 #include "common/common.h"
 
-/*
- * An engine may take a request in and begin it only when those before it have
- * gone on: about a second later when it is full. Requests go only to engines
- * with a new version this much earlier than it is due.
- */
-#define SIDE_QUEUE_US 1100000
-/*
- * All gateways find an engine empty that has just come up, and each sends it
- * something: up to 1.14 s to the begin was seen. For such an engine the time
- * above is longer by this, for as long after it came up as SIDE_FRESH_US.
- */
-#define SIDE_HERD_US 700000
-#define SIDE_FRESH_US 1000000
-
 enum {
 	SIDE_VIEW = 90,
 	SIDE_LOAD = 91,
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -3,7 +3,6 @@
 #include <math.h>
 #include <string.h>
 
-#include "serve/side.h"
 #include "serve/tgt.h"
 
 /* Word about the load that is older than this says nothing: a request on an
@@ -402,7 +401,7 @@
 
 	if (wish->model == NULL || !t->says.has_models)
 		return true;
-	if (t->up_us != 0 && now_us - t->up_us < SIDE_FRESH_US)
+	if (t->up_us != 0 && now_us - t->up_us < TGT_FRESH_US)
 		least = MAX(least, wish->version_fresh);
 	return t->version > 0 && t->version >= least &&
 	    strcmp(t->model, wish->model) == 0;
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -135,10 +135,16 @@
     const struct tgt *t, const struct tgt_policy *p, int64_t now_us);
 double tgt_limit(const struct tgt *t, const struct tgt_policy *p);
 
+/*
+ * All entries find a target empty that has just come up, and each sends it
+ * something, so requests wait there longer than elsewhere.
+ */
+#define TGT_FRESH_US 1000000
+
 struct tgt_wish {
 	const char *model; /* NULL: any */
 	int64_t version; /* at least; 0: any that is loaded */
-	int64_t version_fresh; /* the same, of one that has just come up */
+	int64_t version_fresh; /* the same, of one up since TGT_FRESH_US */
 	const struct tgt *const * not ; /* tried before */
 	size_t nnot;
 	bool repeatable; /* may be the one that finds out */
--- a/lib/serve/vers.c
+++ b/lib/serve/vers.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "serve/side.h"
 #include "serve/vers.h"
 
 struct vers {
@@ -15,8 +14,8 @@
 {
 	struct vers *v = g_new0(struct vers, 1);
 
-	v->due_us = due_us == 0 ? 0 : MAX(1, due_us - SIDE_QUEUE_US);
-	v->bound_us = bound_us - SIDE_QUEUE_US;
+	v->due_us = due_us;
+	v->bound_us = bound_us;
 	v->models =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	return v;
@@ -86,7 +85,7 @@
 }
 
 int64_t
-vers_least(const struct vers *v, const char *model, int64_t now_us)
+vers_least(const struct vers *v, const char *model, int64_t at_us)
 {
 	const struct vers_model *m =
 	    model == NULL ? NULL : g_hash_table_lookup(v->models, model);
@@ -94,12 +93,26 @@
 	unsigned int i;
 
 	for (i = 0; m != NULL && v->due_us > 0 && i < m->nnamed; i++) {
-		if (m->named[i].heard_us + v->due_us <= now_us)
+		if (m->named[i].heard_us + v->due_us <= at_us)
 			least = m->named[i].version;
 	}
 	return least;
 }
 
+int64_t
+vers_end_us(const struct vers *v, const char *model, int64_t loaded)
+{
+	const struct vers_model *m =
+	    model == NULL ? NULL : g_hash_table_lookup(v->models, model);
+	unsigned int i;
+
+	for (i = 0; m != NULL && v->due_us > 0 && i < m->nnamed; i++) {
+		if (m->named[i].version > loaded)
+			return m->named[i].heard_us + v->due_us;
+	}
+	return 0;
+}
+
 int64_t
 vers_newest(const struct vers *v, const char *model)
 {
--- a/lib/serve/vers.h
+++ b/lib/serve/vers.h
@@ -43,8 +43,10 @@
  * heard of it when it was named. True when it is news. */
 bool vers_told(
     struct vers *v, const char *model, int64_t version, int64_t heard_us);
-/* 0: any version. */
-int64_t vers_least(const struct vers *v, const char *model, int64_t now_us);
+/* What a request that begins at `at_us` must at least run on; 0: any. */
+int64_t vers_least(const struct vers *v, const char *model, int64_t at_us);
+/* From when on no request may begin on `loaded`; 0: no such time is known. */
+int64_t vers_end_us(const struct vers *v, const char *model, int64_t loaded);
 int64_t vers_newest(const struct vers *v, const char *model);
 /* The one named before the newest, while requests may begin on what came
  * before it; 0: none. */
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -527,6 +527,113 @@
 	assert_false(target_is_called());
 }
 
+/* ------------------------------------------------------------------ */
+/* Weights that are about to be too old                                */
+/* ------------------------------------------------------------------ */
+
+/* Version 2 was named so long ago that it is due in `left_ms`. */
+static void
+name_version(int64_t left_ms)
+{
+	struct sv_version named = { .model = MODEL, .version = 2 };
+	int64_t due_us = now_us() + left_ms * 1000;
+
+	vers_named(w.versions, &named, false, due_us - 2 * G_USEC_PER_SEC);
+}
+
+static int
+ask_model(void)
+{
+	return ask_with("GET", "/x/1", "T-Deadline: 3000\r\nT-Model: m\r\n");
+}
+
+/*
+ * A caller's stream waits in the queue of an engine that holds version 1, and
+ * half a second later version 2 is due. Left there it would be run on weights
+ * that the operators have withdrawn. It is taken back before that moment and
+ * answered by an engine with version 2.
+ */
+static void
+test_queued_request_is_withdrawn_before_its_weights_are_due(void **state)
+{
+	char *request;
+	struct target *old, *fresh;
+	int64_t due_us;
+	int fd;
+
+	world_open(2, make_config(SV_STREAM, 2, 3000));
+	target_say(&w.target[0], false, 1);
+	name_version(500);
+	due_us = now_us() + 500000;
+	target_say(&w.target[1], true, 2); /* takes nothing yet */
+	fd = ask_model();
+	old = target_get(&request);
+	g_free(request);
+	assert_ptr_equal(old, &w.target[0]);
+	target_say(&w.target[1], false, 2);
+	assert_true(target_is_left(old));
+	assert_true(now_us() < due_us);
+	fresh = target_get(&request);
+	g_free(request);
+	assert_ptr_equal(fresh, &w.target[1]);
+	raw_send(fresh->fd, STREAM EVENT("1") "0\r\n\r\n");
+	expect_answer(fd, "id: 1");
+}
+
+/* The same, but the engine has begun to answer in time: it goes on. */
+static void
+test_begun_request_stays_when_its_weights_become_due(void **state)
+{
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	target_say(&w.target[0], false, 1);
+	name_version(400);
+	fd = ask_model();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1"));
+	turn_ms(200);
+	raw_send(t->fd, EVENT("2"));
+	turn_ms(250);
+	raw_send(t->fd, EVENT("3") "0\r\n\r\n");
+	expect_answer(fd, "id: 3");
+}
+
+/*
+ * Version 2 is due in 0.7 s. A request that may run once cannot be taken back
+ * from a queue, in which 1.1 s were seen, so it does not go to version 1 any
+ * more. One that may be repeated still does, and none does in the last 0.3 s.
+ */
+static void
+test_who_may_still_go_to_older_weights(void **state)
+{
+	char *request;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 3000));
+	target_say(&w.target[0], false, 1);
+	name_version(700);
+	expect_answer(ask_model(), "503 ");
+	assert_false(target_is_called());
+	world_close();
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	target_say(&w.target[0], false, 1);
+	name_version(700);
+	close(ask_model());
+	(void)target_get(&request);
+	g_free(request);
+	world_close();
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	target_say(&w.target[0], false, 1);
+	name_version(250);
+	expect_answer(ask_model(), "503 ");
+	assert_false(target_is_called());
+}
+
 int
 main(void)
 {
@@ -552,6 +659,9 @@
 		T(test_places_are_kept_only_while_they_are_short),
 		T(test_callers_that_always_bring_less_time),
 		T(test_leaving_and_empty_targets),
+		T(test_queued_request_is_withdrawn_before_its_weights_are_due),
+		T(test_begun_request_stays_when_its_weights_become_due),
+		T(test_who_may_still_go_to_older_weights),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
