Two reads of the origin open at each reader

Cause: a new version took 1.4 to 1.6 times what the origin's link needs. With a trace of every read: each of the four readers had one piece under way all along, yet a piece came every 33 ms where the link needs 27: its last bytes stood behind peers' pieces on the reader's own link, and the origin idled meanwhile.

Change: two reads open. With three all end later.

What binds now is the spread: hosts receive 28 pieces a second where their links take 37, and the readers' own uplinks give 31 each.

--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -25,7 +25,14 @@
 #define PICK_ASKS_PER_PEER 2
 #define PICK_STRIKES_DOUBT 2
 #define PICK_STRIKES_DROP 3 /* the driver replaces such a peer */
-#define PICK_READS 1 /* open at a time, from the origin */
+/*
+ * Reads of the origin that a reader has open at a time. The last bytes of one
+ * stand behind peers' pieces on this host's link, and with a single one the
+ * origin idles meanwhile: its link was used for 0.78 of the time that a version
+ * takes, with two for 0.97. With three a piece takes so long to be whole that
+ * hosts have nothing to pass on, and all end later.
+ */
+#define PICK_READS 2
 #define PICK_LOAD_MAX 3 /* a peer with so many uploads open is not asked */
 /* News cross a rollout in so many intervals: its graph is that wide. */
 #define PICK_NEWS_HOPS 4
