No version becomes due while the store is away for all

Ruled out: one gateway's own view of the store. A cut, or a store that turns only some machines away, is no outage; a process that stood still finds all its calls timed out at once.

Change: gateways tell keepers that the store does not answer them, from the second failed call on; keepers tell how many of how many say so. While all do, and this gateway, too, versions that were not due wait; their time begins again with the store's return. Restarted gateways count as well.

--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -21,6 +21,7 @@
 	MSG_FIELD(struct side_view, chunk_bytes, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_view, slots, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_view, may_cut, MSG_U64, 1),
+	MSG_FIELD(struct side_view, store_away, MSG_U64, 1),
 	MSG_FIELD(struct side_view, domains, MSG_STR, SIDE_DOMAINS_MAX),
 	MSG_FIELD(
 	    struct side_view, peers, MSG_BIN, SIDE_PEERS_MAX *SIDE_PEER_BYTES),
@@ -39,6 +40,7 @@
 	MSG_FIELD(struct side_load, wanted_age_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_load, root, MSG_BIN, DIGEST_BYTES),
 	MSG_FIELD(struct side_load, gateways, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_load, without_store, MSG_U64, COUNT_MAX),
 };
 const struct msg_desc side_load_desc =
     MSG_DESC(SIDE_LOAD, "load", struct side_load, load_fields);
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -37,6 +37,7 @@
 	uint64_t chunks, chunk_bytes;
 	uint64_t slots; /* of an engine */
 	uint64_t may_cut; /* 1: requests that an engine cuts go on elsewhere */
+	uint64_t store_away; /* 1: the store does not answer this gateway */
 	struct slice domains; /* names, with commas between */
 	struct slice peers; /* keepers of the same model */
 };
@@ -57,6 +58,7 @@
 	uint64_t wanted_age_ms; /* since its name was heard of first */
 	struct slice root; /* as read from the origin; empty: not here */
 	uint64_t gateways; /* that the keeper hears */
+	uint64_t without_store; /* of these, that the store does not answer */
 };
 
 extern const struct msg_desc side_view_desc;
--- a/lib/serve/vers.c
+++ b/lib/serve/vers.c
@@ -84,6 +84,27 @@
 	return vers_named(v, &named, false, heard_us);
 }
 
+void
+vers_hold(struct vers *v, int64_t from_us, int64_t until_us)
+{
+	GHashTableIter iter;
+	gpointer model;
+	struct vers_model *m;
+	unsigned int i;
+
+	g_hash_table_iter_init(&iter, v->models);
+	while (g_hash_table_iter_next(&iter, NULL, &model)) {
+		m = model;
+		for (i = 0; i < m->nnamed; i++) {
+			if (m->named[i].guessed ||
+			    m->named[i].heard_us + v->due_us <= from_us)
+				continue;
+			m->named[i].heard_us =
+			    MAX(m->named[i].heard_us, until_us);
+		}
+	}
+}
+
 int64_t
 vers_least(const struct vers *v, const char *model, int64_t at_us)
 {
--- a/lib/serve/vers.h
+++ b/lib/serve/vers.h
@@ -43,6 +43,13 @@
  * heard of it when it was named. True when it is news. */
 bool vers_told(
     struct vers *v, const char *model, int64_t version, int64_t heard_us);
+/*
+ * Operators' commands reached nobody between the two moments, as the store was
+ * away for all. The time until a version is due runs in one stretch in which
+ * they do; a version that was not due at `from_us` is due that long after
+ * `until_us`. Versions of unknown age stay due as they are.
+ */
+void vers_hold(struct vers *v, int64_t from_us, int64_t until_us);
 /* What a request that begins at `at_us` must at least run on; 0: any. */
 int64_t vers_least(const struct vers *v, const char *model, int64_t at_us);
 /* From when on no request may begin on `loaded`; 0: no such time is known. */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -30,6 +30,9 @@
 #define REST_FIRST_US 150000
 #define REST_MAX_US 400000
 #define REST_FOLLOWER_US 2000000
+/* Calls that fail in a row before the store counts as away. A process that
+ * stood still finds all its calls timed out at once, and the next answered. */
+#define AWAY_FAILURES 2
 #define BODY_MAX (8u << 20) /* a page is about 1 MB */
 
 struct store {
@@ -65,6 +68,7 @@
 	char *after; /* last name of the pages so far */
 	int64_t list_at; /* revision of the first page */
 	int64_t at;
+	int64_t made_us;
 	int64_t heard_us;
 	int64_t rest_us;
 	unsigned int failures; /* in a row */
@@ -95,6 +99,22 @@
 		m->ops.link(up, why, m->ctx);
 }
 
+int64_t
+store_away_us(const struct store *s)
+{
+	const struct mirror *m;
+	int64_t heard_us = 0;
+	unsigned int failures = 0;
+
+	LIST_FOREACH (m, &s->mirrors, link) {
+		if (!m->down)
+			return 0;
+		heard_us = MAX(heard_us, MAX(m->heard_us, m->made_us));
+		failures = MAX(failures, m->failures);
+	}
+	return failures < AWAY_FAILURES ? 0 : heard_us;
+}
+
 /* The one of the mirrors without an answer that tries for all. */
 static bool
 is_prober(const struct mirror *m)
@@ -448,6 +468,7 @@
 	m->ops = *ops;
 	m->ctx = ctx;
 	m->timer.fire = on_timer;
+	m->made_us = now_us(m);
 	m->known =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	LIST_INSERT_HEAD(&s->mirrors, m, link);
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -65,6 +65,10 @@
 struct store *store_new(const struct store_conf *conf);
 void store_free(struct store *s);
 void store_set_address(struct store *s, const char *address);
+/* Time of the last answer, or of the mirrors' making when there was none, while
+ * the store answers nothing that is asked of it and this is no matter of one
+ * lost call; 0: it answers. */
+int64_t store_away_us(const struct store *s);
 
 /* ------------------------------------------------------------------ */
 /* Mirrors                                                             */
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -208,6 +208,28 @@
 /* Time                                                                */
 /* ------------------------------------------------------------------ */
 
+/* A word of keepers on the store's silence is believed for so long: views
+ * bring it to them every 0.4 s, loads from there every 0.25 s. */
+#define ALL_AWAY_FRESH_US 1000000
+
+/*
+ * While the store answers none of the gateways, no operator can name, halt or
+ * replace a version, and the time until one is due does not run. Were it to,
+ * engines whose next weights come late would be left alone by all gateways,
+ * and callers refused, for a moment that does not bind: in outages of 8 s with
+ * a version on its way, two thirds of the callers of 6 to 8 s. One gateway's
+ * word is not enough: a cut between it and the store is no outage.
+ */
+static void
+hold_due_times(struct gateway *g, int64_t now_us)
+{
+	int64_t away_us = store_away_us(g->store);
+
+	if (away_us != 0 && g->all_away_us != 0 &&
+	    now_us - g->all_away_us < ALL_AWAY_FRESH_US)
+		vers_hold(g->named, away_us, now_us);
+}
+
 static int64_t
 grace_us(const struct gateway *g)
 {
@@ -243,6 +265,7 @@
 	int64_t now_us = evl_now_us(g->st.loop);
 
 	tgt_sweep(g->set, now_us);
+	hold_due_times(g, now_us);
 	check_ready(g);
 	fwd_pump(g->fwd);
 	if (g->stopping_us != 0)
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -27,6 +27,7 @@
 	bool is_ready;
 	int64_t stopping_us; /* 0: not asked to stop */
 	unsigned int gateways; /* that share the targets, as keepers say */
+	int64_t all_away_us; /* a keeper last said that none has the store */
 };
 
 /* gateway_peers.c: keepers */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -189,6 +189,7 @@
 	view->chunks = e->chunks;
 	view->chunk_bytes = e->chunk_bytes;
 	view->slots = e->slots;
+	view->store_away = store_away_us(g->store) != 0;
 	view->may_cut =
 	    sv_config_may_cut(rtab_config(fwd_routes(g->fwd)), service->name);
 }
@@ -356,6 +357,9 @@
 		    service->engine.model, load->wanted, load->wanted_age_ms);
 }
 
+/* A gateway that alone finds the store away may be cut off itself. */
+#define ALL_AWAY_GATEWAYS 2
+
 static void
 on_load(const char *from, const struct msg *m, void *ctx)
 {
@@ -375,6 +379,9 @@
 	t->side_us = now_us;
 	tgt_load(t, (unsigned int)(load.running + load.waiting), now_us);
 	note_gateways(g, (unsigned int)load.gateways);
+	if (load.gateways >= ALL_AWAY_GATEWAYS &&
+	    load.without_store == load.gateways)
+		g->all_away_us = now_us;
 	note_wanted(g, t->service, &load);
 	if (note_root(t, &load) && root_matters(g, t))
 		gateway_peers_tell(g);
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -25,6 +25,7 @@
 	bool near; /* in this keeper's region */
 	int64_t heard_us;
 	int64_t told_us; /* the last load */
+	bool store_away; /* the store does not answer it */
 };
 
 /* Another keeper of the same model. */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -30,13 +30,15 @@
 static void
 note_gateway(struct keeper *k, const char *from, const struct side_view *view)
 {
-	struct keeper_gateway fresh = { .heard_us = keeper_now(k) };
+	struct keeper_gateway fresh = { .heard_us = keeper_now(k),
+		.store_away = view->store_away != 0 };
 	char region[KEEPER_NAME_MAX];
 	guint i;
 
 	for (i = 0; i < k->gateways->len; i++) {
 		if (strcmp(gateway_at(k, i)->address, from) == 0) {
 			gateway_at(k, i)->heard_us = keeper_now(k);
+			gateway_at(k, i)->store_away = view->store_away != 0;
 			return;
 		}
 	}
@@ -284,6 +286,8 @@
 	if (!k->had_engine)
 		return;
 	load.gateways = k->gateways->len;
+	for (i = 0; i < k->gateways->len; i++)
+		load.without_store += gateway_at(k, i)->store_away;
 	if (k->newest != NULL) {
 		load.wanted = (uint64_t)k->newest->version;
 		load.wanted_age_ms =
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -268,6 +268,37 @@
 	vers_free(v);
 }
 
+/*
+ * Version 2 is named, two seconds later the store falls silent for all, for
+ * eight seconds. Engines could still get version 2 or not; nobody could name
+ * another. Its eight seconds begin again with the store's return. What was due
+ * before the silence stays due, and so does what was found at a start.
+ */
+static void
+test_no_version_becomes_due_while_the_store_is_away(void **state)
+{
+	struct vers *v = vers_new(8 * SECOND, 0);
+	struct sv_version named = { .model = "m", .version = 2 };
+	int64_t at;
+
+	assert_true(vers_named(v, &named, false, SECOND));
+	named.version = 3;
+	assert_true(vers_named(v, &named, false, 10 * SECOND));
+	for (at = 12 * SECOND; at <= 20 * SECOND; at += SECOND)
+		vers_hold(v, 12 * SECOND, at);
+	assert_int_equal(vers_least(v, "m", 28 * SECOND - 1), 2);
+	assert_int_equal(vers_least(v, "m", 28 * SECOND), 3);
+	vers_hold(v, 12 * SECOND, 19 * SECOND); /* never back */
+	assert_int_equal(vers_least(v, "m", 28 * SECOND), 3);
+	vers_free(v);
+
+	v = vers_new(8 * SECOND, 14 * SECOND);
+	assert_true(vers_named(v, &named, true, 11 * SECOND));
+	vers_hold(v, 12 * SECOND, 20 * SECOND);
+	assert_int_equal(vers_least(v, "m", 14 * SECOND), 3);
+	vers_free(v);
+}
+
 /* ------------------------------------------------------------------ */
 /* Targets                                                             */
 /* ------------------------------------------------------------------ */
@@ -613,6 +644,8 @@
 		cmocka_unit_test(test_versions_from_before_the_start),
 		cmocka_unit_test(test_no_version_is_due_right_after_the_start),
 		cmocka_unit_test(test_keepers_know_when_a_version_was_named),
+		cmocka_unit_test(
+		    test_no_version_becomes_due_while_the_store_is_away),
 		T(test_estimate),
 		T(test_free_places_are_shared),
 		T(test_a_single_place_is_drawn_for),
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -275,6 +275,28 @@
 	assert_string_equal(seen->str, "+a | down up +b ");
 }
 
+/*
+ * The store stops answering. One call without an answer may be lost, or this
+ * process stood still; from the second on the store is away since its last
+ * answer, and until the next.
+ */
+static void
+test_when_the_store_is_away(void **state)
+{
+	answer("after=", 200, "at 5\na 3\n");
+	turn_until(&called);
+	assert_int_equal(store_away_us(store), 0);
+	called = false;
+	turn_until(&called); /* after one failure */
+	assert_int_equal(store_away_us(store), 0);
+	called = false;
+	turn_until(&called); /* after two */
+	assert_true(store_away_us(store) > 0);
+	assert_true(store_away_us(store) < clk_now_us(clk_system()));
+	answer("watch=5", 200, "at 6\nb 6\n");
+	assert_int_equal(store_away_us(store), 0);
+}
+
 /*
  * Processes start while the store is silent: their first calls hang for good.
  * They are given up soon, as nobody is served before the settings are known.
@@ -351,6 +373,7 @@
 		T(test_history_gone),
 		T(test_refused_for_a_while),
 		T(test_silent_connection),
+		T(test_when_the_store_is_away),
 		T(test_a_call_that_hangs_is_given_up_soon),
 		T(test_one_mirror_tries_for_all),
 	};
