Engines change version until 0.5 s before the due time

Cause: turns ended 1.5 s before a due time, so that a lost order could be given again. Since gateways send to the older weights until 0.3 s before it, an engine that changes later is out of service for the same 0.85 s, not longer; the rest of the time was not used and more engines were away together.

Ruled out: counting turns from when the pieces are here.

--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -7,9 +7,10 @@
 /* Pieces of a version take about so long to reach all hosts: a host's link
  * carries one copy in two seconds. */
 #define SPREAD_US 3000000
-/* Before the due time the last engine has begun to change, so that a lost
- * order can be given again. */
-#define MARGIN_US 1500000
+/* Before the due time the last engine has begun to change. Gateways send
+ * requests to what it holds until some 0.3 s before that, so each engine is out
+ * of service for the same time, however late it begins. */
+#define MARGIN_US 500000
 /* Pieces that are left take so long once they come at all. */
 #define SPREAD_LEFT_US 2300000
 /* Idle time that a change of version costs an engine: running requests end,
