Entries of other writers name no target and no version; the others hold

Cause: entries were read with a fallback for whatever is missing or of another type. One without a state was a ready target, without slots one with a single place, with a number as a text one with none; what a good entry had said stayed believed when it was overwritten.

A mirror takes an entry that can no longer be read for a removed one.

--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -102,10 +102,13 @@
 
 /* What a target says of itself in the store, under its instance id. */
 struct sv_target {
-	char id[SV_ID_MAX]; /* of this start of the target */
+	char id[SV_ID_MAX];
 	char service[SV_ID_MAX];
 	char address[SV_ADDRESS_MAX];
 	char domain[SV_ID_MAX]; /* failure domain */
+	/* Start of the target, Unix time; 0: not told. One that starts again
+	 * may keep its id: with another start it is another target. */
+	int64_t born_ms;
 	unsigned int slots;
 	bool leaving; /* announced a planned stop */
 	bool has_models; /* it lists models at all */
@@ -123,6 +126,7 @@
 struct sv_report {
 	char model[SV_ID_MAX]; /* "" when none is loaded */
 	int64_t version; /* 0 when none is loaded whole */
+	int64_t born_ms; /* its start, Unix time; 0: not told */
 	bool busy; /* an order is being carried out */
 	unsigned int running, waiting;
 	uint64_t memory_used, memory_total; /* units of the engine */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -40,7 +40,7 @@
 	char *address;
 	struct rng rng;
 	LIST_HEAD(mirrors, mirror) mirrors;
-	struct ctr *calls, *failed;
+	struct ctr *calls, *failed, *unreadable;
 };
 
 enum mirror_state {
@@ -52,6 +52,7 @@
 struct known {
 	int64_t revision;
 	unsigned int listing; /* the listing that last had it */
+	bool told; /* its value was readable, and passed on */
 };
 
 struct mirror {
@@ -180,6 +181,25 @@
 /* What an answer says                                                 */
 /* ------------------------------------------------------------------ */
 
+static void
+tell_removed(struct mirror *m, struct known *k, const char *name, bool lapsed)
+{
+	if (k->told)
+		m->ops.removed(name, lapsed, m->ctx);
+	k->told = false;
+}
+
+/* Another writer's entry, or a spoilt one. What it said before, when it was
+ * good, is not believed any longer; the others hold. */
+static void
+take_unreadable(
+    struct mirror *m, struct known *k, const struct store_item *item)
+{
+	ctr_add(m->store->unreadable, 1);
+	log_warn("store: %s/%s: %s", m->kind->name, item->name, item->why);
+	tell_removed(m, k, item->name, false);
+}
+
 static void
 take_item(struct mirror *m, struct store_item *item)
 {
@@ -192,8 +212,9 @@
 		return;
 	}
 	if (item->removed) {
-		if (k != NULL && g_hash_table_remove(m->known, item->name))
-			m->ops.removed(item->name, false, m->ctx);
+		if (k != NULL)
+			tell_removed(m, k, item->name, false);
+		g_hash_table_remove(m->known, item->name);
 		return;
 	}
 	if (k != NULL && item->revision == k->revision) {
@@ -208,8 +229,12 @@
 	}
 	k->revision = item->revision;
 	k->listing = m->listing;
-	if (item->value != NULL)
-		m->ops.put(item->name, item->value, m->ctx);
+	if (item->value == NULL) {
+		take_unreadable(m, k, item);
+		return;
+	}
+	k->told = true;
+	m->ops.put(item->name, item->value, m->ctx);
 }
 
 /* What the listing did not have is gone. */
@@ -227,8 +252,9 @@
 			g_ptr_array_add(gone, g_strdup(name));
 	}
 	for (i = 0; i < gone->len; i++) {
+		tell_removed(m, g_hash_table_lookup(m->known, gone->pdata[i]),
+		    gone->pdata[i], true);
 		g_hash_table_remove(m->known, gone->pdata[i]);
-		m->ops.removed(gone->pdata[i], true, m->ctx);
 	}
 	g_ptr_array_unref(gone);
 }
@@ -429,6 +455,7 @@
 	LIST_INIT(&s->mirrors);
 	s->calls = ctr_get(conf->counters, "store_calls");
 	s->failed = ctr_get(conf->counters, "store_calls_failed");
+	s->unreadable = ctr_get(conf->counters, "store_entries_unreadable");
 	return s;
 }
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -21,6 +21,7 @@
 	int64_t revision;
 	bool removed;
 	void *value; /* decoded spec; NULL when removed or not readable */
+	char why[96]; /* not readable */
 };
 
 struct store_kind {
@@ -75,7 +76,8 @@
 /* ------------------------------------------------------------------ */
 
 struct mirror_ops {
-	/* An object is new or has changed. Takes the value. */
+	/* An object is new or has changed. Takes the value. One that was
+	 * readable and no longer is counts as removed. */
 	void (*put)(const char *name, void *value, void *ctx);
 	/* `lapsed`: found missing on a fresh list after a time without news,
 	 * rather than told by an event. */
--- a/tests/adapter/test_records.c
+++ b/tests/adapter/test_records.c
@@ -93,7 +93,8 @@
 	    "\"name\":\"i-1\",\"revision\":4}}},{\"removed\":false,"
 	    "\"object\":{\"metadata\":{\"name\":\"i-2\",\"revision\":5},"
 	    "\"spec\":{\"service\":\"x\",\"address\":\"1.2.3.4:80\","
-	    "\"zone\":\"z\",\"slots\":16,\"state\":\"draining\",\"models\":["
+	    "\"zone\":\"z\",\"version\":\"v1\",\"slots\":16,\"sequence\":3,"
+	    "\"state\":\"draining\",\"born\":1700000000123,\"models\":["
 	    "{\"name\":\"m\",\"version\":2,\"layers\":[{\"from\":0,\"to\":8,"
 	    "\"version\":2},{\"from\":8,\"to\":16,\"version\":2}]}]}}}],"
 	    "\"at\":5}";
@@ -108,6 +109,7 @@
 	assert_true(t->leaving);
 	assert_string_equal(t->model, "m");
 	assert_int_equal(t->model_version, 2);
+	assert_true(t->born_ms == INT64_C(1700000000123));
 	drop(&adapter_targets, &page);
 }
 
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -43,8 +43,10 @@
 		item = (struct store_item){ .name = g_strdup(words[0]),
 			.revision = g_ascii_strtoll(words[1], NULL, 10),
 			.removed = words[2] != NULL };
-		if (!item.removed)
+		if (!item.removed && words[0][0] != '?')
 			item.value = g_strdup(words[0]);
+		if (words[0][0] == '?') /* "?NAME": NAME cannot be read */
+			memmove(item.name, item.name + 1, strlen(item.name));
 		g_array_append_vals(out->items, &item, 1);
 		g_strfreev(words);
 	}
@@ -259,6 +261,24 @@
 	assert_string_equal(seen->str, "+a | down up +b down up +c ");
 }
 
+/*
+ * An entry that was good is overwritten by something else. What it said before
+ * is not believed any longer, the others hold, and it counts again as soon as
+ * it can be read.
+ */
+static void
+test_an_entry_that_can_no_longer_be_read(void **state)
+{
+	answer("after=", 200, "at 5\na 3\n?b 4\nc 4\n");
+	assert_string_equal(seen->str, "+a +c | ");
+	answer("watch=5", 200, "at 6\n?a 6\n");
+	assert_string_equal(seen->str, "+a +c | -a ");
+	answer("watch=6", 200, "at 8\n?a 7\nb 8\n");
+	assert_string_equal(seen->str, "+a +c | -a +b ");
+	answer("watch=8", 200, "at 9\na 9\n");
+	assert_string_equal(seen->str, "+a +c | -a +b +a ");
+}
+
 /*
  * A connection falls silent for good: the store's news stop without an error,
  * and settings would grow old. The watch gives up when its answer is overdue
@@ -372,6 +392,7 @@
 		T(test_pages_then_events),
 		T(test_history_gone),
 		T(test_refused_for_a_while),
+		T(test_an_entry_that_can_no_longer_be_read),
 		T(test_silent_connection),
 		T(test_when_the_store_is_away),
 		T(test_a_call_that_hangs_is_given_up_soon),
