A target that starts again under its id is another one

Cause: an engine that started again under its id kept what gateways and keepers believed of the one before: its failures and rest, its requests under way, the version that it had loaded, an accepted order (waited for, for nine seconds), the pieces that were checked beside it, kept connections.

Change: `born`, the start of a target, is read from entries and reports, and keepers tell it to gateways. Another start makes another target in a gateway; the one before ends with the requests that it has, and kept connections to its address are forgotten. The side's word goes before a store's entry that is older. A keeper forgets orders, closing and what lies staged. An entry of a service that the settings don't have takes no target's address.

The stand-in's engines start again under their id or another, and foreign entries are written beside and over good ones; the soak draws both.

--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -32,6 +32,7 @@
 static const struct msg_field load_fields[] = {
 	MSG_FIELD(struct side_load, address, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_load, engine, MSG_U64, SIDE_ENGINE_UP),
+	MSG_FIELD(struct side_load, born_ms, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_load, running, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_load, waiting, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_load, version, MSG_U64, INT64_MAX),
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -51,6 +51,7 @@
 struct side_load {
 	struct slice address; /* of the engine */
 	uint64_t engine; /* enum side_engine */
+	uint64_t born_ms; /* the engine's start, Unix time; 0: not told */
 	uint64_t running, waiting;
 	uint64_t version; /* of the service's model, loaded; 0: none */
 	uint64_t pace_permille; /* of its steps against the stated */
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -124,6 +124,7 @@
 
 	for (i = 0; i < config->nservices; i++) {
 		service = tgt_service(s, config->services[i].name);
+		service->configured = true;
 		service->has_engine = config->services[i].has_engine;
 		service->engine = config->services[i].engine;
 		service->connections_max = config->services[i].connections_max;
@@ -178,41 +179,71 @@
 	return t->side_us != 0 && now_us - t->side_us <= SIDE_SILENT_US;
 }
 
-/* A target at an address that another had: the other one is no more. */
+/* A target at an address that another had: the other one is no more. But an
+ * entry of a service that the settings don't have names no target, and takes
+ * nobody's place. */
 static void
 take_address(struct tgt_set *s, struct tgt *t)
 {
 	struct tgt *before =
 	    g_hash_table_lookup(s->by_address, t->says.address);
 
-	if (before != NULL && before != t)
+	if (before != NULL && before != t) {
+		if (before->service->configured && !t->service->configured)
+			return;
 		drop(s, before);
+	}
 	g_hash_table_insert(s->by_address, t->says.address, t);
 }
 
+static struct tgt *
+add(struct tgt_set *s, const struct sv_target *says)
+{
+	struct tgt *t = g_new0(struct tgt, 1);
+
+	t->says = *says;
+	t->service = tgt_service(s, says->service);
+	t->near = is_near(s, says->domain);
+	t->pace = 1;
+	TAILQ_INSERT_TAIL(&t->service->targets, t, link);
+	t->service->ntargets++;
+	g_hash_table_insert(s->by_id, t->says.id, t);
+	take_address(s, t);
+	return t;
+}
+
+/*
+ * Whether an entry is of the same start of the target. The side's word on the
+ * start is newer while it is heard: an entry of the start before may be written
+ * late. Where either does not tell, nothing else can.
+ */
+static bool
+same_start(const struct tgt *t, const struct sv_target *says, int64_t now_us)
+{
+	if (says->born_ms == 0 || t->says.born_ms == 0 ||
+	    says->born_ms == t->says.born_ms)
+		return true;
+	return says->born_ms < t->says.born_ms && side_is_heard(t, now_us);
+}
+
 struct tgt *
 tgt_put(struct tgt_set *s, const struct sv_target *says, int64_t now_us)
 {
 	struct tgt *t = g_hash_table_lookup(s->by_id, says->id);
+	int64_t born_ms;
 
 	if (t != NULL &&
 	    (strcmp(t->says.service, says->service) != 0 ||
-		strcmp(t->says.address, says->address) != 0)) {
+		strcmp(t->says.address, says->address) != 0 ||
+		!same_start(t, says, now_us))) {
 		drop(s, t);
 		t = NULL;
 	}
-	if (t == NULL) {
-		t = g_new0(struct tgt, 1);
-		t->says = *says;
-		t->service = tgt_service(s, says->service);
-		t->near = is_near(s, says->domain);
-		t->pace = 1;
-		TAILQ_INSERT_TAIL(&t->service->targets, t, link);
-		t->service->ntargets++;
-		g_hash_table_insert(s->by_id, t->says.id, t);
-		take_address(s, t);
-	}
+	if (t == NULL)
+		t = add(s, says);
+	born_ms = MAX(t->says.born_ms, says->born_ms);
 	t->says = *says;
+	t->says.born_ms = born_ms;
 	t->gone_us = 0;
 	t->leaving = says->leaving;
 	/* The side's word is newer while it is heard. */
@@ -372,6 +403,22 @@
 	t->side_down = down;
 }
 
+struct tgt *
+tgt_side_born(struct tgt_set *s, struct tgt *t, int64_t born_ms)
+{
+	struct sv_target says = t->says;
+
+	if (born_ms == 0 || born_ms == t->says.born_ms)
+		return t;
+	says.born_ms = born_ms;
+	if (t->says.born_ms == 0) { /* it had not told before */
+		t->says.born_ms = born_ms;
+		return t;
+	}
+	drop(s, t);
+	return add(s, &says);
+}
+
 void
 tgt_mistaken(struct tgt *t)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -63,6 +63,7 @@
 	struct tgt_list targets;
 	unsigned int ntargets;
 	/* From the settings; 0 slots: as each target says. */
+	bool configured; /* they have this service */
 	bool has_engine;
 	struct sv_engine engine;
 	unsigned int connections_max;
@@ -95,7 +96,11 @@
 /* Takes over engines' figures from the settings. */
 void tgt_configure(struct tgt_set *s, const struct sv_config *config);
 
-/* Events from the store. */
+/*
+ * Events from the store. A target that started again under its id is a new one:
+ * it holds and knows nothing of before, so neither does this entry of it.
+ * Requests that went to the one before keep that one, by their reference.
+ */
 struct tgt *tgt_put(
     struct tgt_set *s, const struct sv_target *says, int64_t now_us);
 /* `lapsed`: missing after a time without news; it may only be late to write
@@ -127,6 +132,9 @@
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
 /* Its side says whether it takes requests. */
 void tgt_side(struct tgt *t, bool down, int64_t now_us);
+/* Its side says when it started; 0: not told. A new start makes a new target,
+ * which is returned; otherwise `t`. */
+struct tgt *tgt_side_born(struct tgt_set *s, struct tgt *t, int64_t born_ms);
 /* Its address answers as another instance. */
 void tgt_mistaken(struct tgt *t);
 
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -78,14 +78,26 @@
 	.link = config_link,
 };
 
+struct tgt *
+gateway_renew(struct gateway *g, const struct tgt *before, struct tgt *now)
+{
+	if (before == NULL || before == now)
+		return now;
+	hpool_forget(g->st.pool, now->says.address);
+	evt(EVT_TARGET, "target=%s address=%s state=started_again",
+	    now->says.id, now->says.address);
+	return now;
+}
+
 static void
 target_put(const char *name, void *value, void *ctx)
 {
 	struct gateway *g = ctx;
 	struct sv_target *says = value;
-	bool is_new = tgt_find(g->set, says->id) == NULL;
+	const struct tgt *before = tgt_find(g->set, says->id);
+	bool is_new = before == NULL;
 
-	tgt_put(g->set, says, evl_now_us(g->st.loop));
+	gateway_renew(g, before, tgt_put(g->set, says, evl_now_us(g->st.loop)));
 	evt(EVT_TARGET,
 	    "target=%s service=%s address=%s state=%s model_version=%" G_GINT64_FORMAT
 	    " revision=%" G_GINT64_FORMAT,
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -36,6 +36,10 @@
 void gateway_peers_tell(struct gateway *g);
 
 /* gateway.c */
+/* `now` stands where `before` did, NULL: nothing. Kept connections to another
+ * start of a target are dead, and answers on them belong to nobody. */
+struct tgt *gateway_renew(
+    struct gateway *g, const struct tgt *before, struct tgt *now);
 int gateway_main(const char *settings);
 
 /* explain.c */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -375,6 +375,8 @@
 	t = tgt_at(g->set, address);
 	if (t == NULL)
 		return;
+	t = gateway_renew(
+	    g, t, tgt_side_born(g->set, t, (int64_t)load.born_ms));
 	note_engine(t, &load, now_us);
 	t->side_us = now_us;
 	tgt_load(t, (unsigned int)(load.running + load.waiting), now_us);
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -40,12 +40,48 @@
 	distrust_checks(k);
 }
 
+static void
+doubt_staged(struct keeper_copy *c)
+{
+	if (c == NULL || c->placed == NULL)
+		return;
+	memset(c->placed, 0, c->chunks * sizeof(c->placed[0]));
+	c->put = false;
+	c->looked = false;
+	c->checked_us = 0;
+}
+
+/*
+ * The engine started again between two reports. An order that the one before
+ * accepted would be waited for in vain, for nine seconds, and what lies in the
+ * staging place may be gone with the power.
+ */
+static void
+note_start(struct keeper *k)
+{
+	evt(EVT_ENGINE, "state=started_again version=%" G_GINT64_FORMAT,
+	    k->loaded);
+	k->ordered_us = 0;
+	k->refused_us = 0;
+	k->closed_us = 0;
+	k->loaded = 0;
+	if (k->call != NULL)
+		hfetch_cancel(k->call);
+	k->call = NULL;
+	doubt_staged(k->newest);
+	doubt_staged(k->older);
+}
+
 static void
 note_report(struct keeper *k, const struct sv_report *r)
 {
 	bool same_model = strcmp(r->model, k->model) == 0;
 	int64_t loaded = same_model ? r->version : 0;
 
+	if (k->had_engine && k->engine.born_ms != 0 && r->born_ms != 0 &&
+	    k->engine.born_ms != r->born_ms)
+		note_start(k);
+
 	if (!k->up || loaded != k->loaded || r->busy != k->engine.busy)
 		evt(EVT_ENGINE,
 		    "state=up version=%" G_GINT64_FORMAT
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -274,6 +274,7 @@
 	struct side_load load = {
 		.address = slice_str(cfg_str(k->st.cfg, "engine.address")),
 		.engine = engine_state(k),
+		.born_ms = (uint64_t)MAX(0, k->engine.born_ms),
 		.running = k->engine.running,
 		.waiting = k->engine.waiting,
 		.version = (uint64_t)k->loaded,
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -27,6 +27,7 @@
 	struct evl_timer load;
 	uint8_t *staged[FLEET_CHUNKS];
 	unsigned int sequence;
+	int64_t born_ms;
 	LIST_HEAD(fleet_runs, fleet_run) runs;
 	unsigned int nruns;
 };
@@ -81,8 +82,10 @@
 
 	g_string_printf(spec,
 	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%zu\","
-	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\"",
-	    e->llm ? FLEET_LLM : FLEET_PLAIN, e->advertised, i % 2, SLOTS);
+	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+	    "\"coldMs\":0,\"sequence\":%u,\"born\":%" G_GINT64_FORMAT,
+	    e->llm ? FLEET_LLM : FLEET_PLAIN, e->advertised, i % 2, SLOTS,
+	    e->sequence, e->born_ms);
 	if (e->llm) {
 		g_string_append_c(spec, ',');
 		append_models(e, spec);
@@ -356,8 +359,9 @@
 
 	append_models(e, out);
 	g_string_append_printf(out,
-	    ",\"busy\":%s,\"sequence\":%u,\"waiting\":%u,\"running\":%u}",
-	    e->loading != 0 ? "true" : "false", e->sequence,
+	    ",\"busy\":%s,\"born\":%" G_GINT64_FORMAT
+	    ",\"sequence\":%u,\"waiting\":%u,\"running\":%u}",
+	    e->loading != 0 ? "true" : "false", e->born_ms, e->sequence,
 	    e->nruns > SLOTS ? e->nruns - SLOTS : 0, MIN(e->nruns, SLOTS));
 	hreq_answer(
 	    r, 200, "Content-Type: application/json\r\n", out->str, out->len);
@@ -414,6 +418,7 @@
 name_start(struct fleet_engine *e)
 {
 	g_snprintf(e->id, sizeof(e->id), "i-%zu-%u", e->i, ++e->starts);
+	e->born_ms = g_get_real_time() / 1000;
 }
 
 bool
@@ -446,8 +451,14 @@
 	return e->server != NULL;
 }
 
+const char *
+fleet_engine_id(const struct fleet *f, size_t i)
+{
+	return f->engine[i]->id;
+}
+
 void
-fleet_engine_crash(struct fleet *f, size_t i)
+fleet_engine_crash(struct fleet *f, size_t i, bool keeps_id)
 {
 	struct fleet_engine *e = f->engine[i];
 	struct fleet_run *run;
@@ -462,8 +473,12 @@
 	e->loading = 0;
 	e->version = 0;
 	e->sequence = 0;
-	fleet_store_remove(f, "servers", e->id);
-	name_start(e);
+	if (keeps_id) {
+		e->born_ms = g_get_real_time() / 1000;
+	} else {
+		fleet_store_remove(f, "servers", e->id);
+		name_start(e);
+	}
 	fleet_engine_beat(f, i);
 }
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -80,7 +80,11 @@
 bool fleet_engine_open(struct fleet *f, size_t i, const char *address,
     const char *advertised, bool llm, bool empty, struct err *err);
 void fleet_engine_beat(struct fleet *f, size_t i); /* writes its entry */
-void fleet_engine_crash(struct fleet *f, size_t i); /* and starts again */
+/* As it stands in the store. */
+const char *fleet_engine_id(const struct fleet *f, size_t i);
+/* It starts again, with nothing loaded, under its id or another. */
+void fleet_engine_crash(
+    struct fleet *f, size_t i, bool keeps_id); /* and starts again */
 void fleet_engine_rot(struct fleet *f, size_t i); /* spoils a staged piece */
 /* Bytes of a piece of a version; both engines and origin use them. */
 void fleet_piece(int64_t version, uint64_t index, uint8_t *out);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -112,12 +112,36 @@
 	    evl_now_us(f.loop) + 200000 + (int64_t)rng_below(&f.rng, 1500000));
 }
 
+/* Entries by another writer: none of them names an engine. One that spoils a
+ * good entry stays until its engine writes again. */
+static void
+write_foreign(size_t engine)
+{
+	static const char *const specs[] = {
+		"{}",
+		"[[[[[[[[]]]]]]]]",
+		"\"engine\"",
+		"{\"service\":\"" FLEET_LLM "\",\"address\":\"127.0.0.1:9\"}",
+		"{\"service\":7,\"address\":{},\"zone\":null,\"slots\":\"8\"}",
+		"{\"service\":\"" FLEET_LLM "\",\"address\":\"127.0.0.1:9\","
+		"\"zone\":\"z0\",\"version\":\"v1\",\"slots\":8,"
+		"\"state\":\"melting\",\"coldMs\":0,\"sequence\":1}",
+	};
+	const char *spec = specs[rng_below(&f.rng, G_N_ELEMENTS(specs))];
+
+	fleet_store_put(&f, "servers", "foreign", spec);
+	if (rng_below(&f.rng, 2) == 0)
+		return;
+	fleet_store_put(&f, "servers", fleet_engine_id(&f, engine), spec);
+	fleet_engine_beat(&f, engine);
+}
+
 static void
 on_fault(struct evl_timer *t)
 {
 	size_t engine = rng_below(&f.rng, f.nengines);
 
-	switch (rng_below(&f.rng, 9)) {
+	switch (rng_below(&f.rng, 10)) {
 	case 0:
 	case 1:
 	case 2:
@@ -127,7 +151,7 @@
 		fleet_proxy_reset(f.proxy[rng_below(&f.rng, f.nproxies)]);
 		break;
 	case 4:
-		fleet_engine_crash(&f, engine);
+		fleet_engine_crash(&f, engine, rng_below(&f.rng, 2) == 0);
 		break;
 	case 5:
 		fleet_engine_rot(&f, engine);
@@ -145,6 +169,9 @@
 	case 8:
 		put_config();
 		break;
+	case 9:
+		write_foreign(engine);
+		break;
 	}
 	evl_timer_set(f.loop, t, evl_now_us(f.loop) + FAULT_US);
 }
@@ -164,7 +191,7 @@
 	if (crash > 0 && !crashed &&
 	    now_us - begun_us > (int64_t)crash * G_USEC_PER_SEC) {
 		crashed = true;
-		fleet_engine_crash(&f, 0);
+		fleet_engine_crash(&f, 0, false);
 	}
 	evl_timer_set(f.loop, t, now_us + 200000);
 }
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -563,6 +563,95 @@
 	tgt_unref(before);
 }
 
+/* What target "a" says of itself, by its own start time. */
+static struct tgt *
+put_started(int64_t born_ms, int64_t version, int64_t now_us)
+{
+	struct sv_target says = { .slots = 4,
+		.has_models = true,
+		.born_ms = born_ms,
+		.model_version = version };
+
+	g_strlcpy(says.id, "a", sizeof(says.id));
+	g_strlcpy(says.service, "s", sizeof(says.service));
+	g_strlcpy(says.address, "1.1.1.1:1", sizeof(says.address));
+	g_strlcpy(says.domain, "near", sizeof(says.domain));
+	g_strlcpy(says.model, "m", sizeof(says.model));
+	return tgt_put(set, &says, now_us);
+}
+
+/*
+ * An engine crashes under load and starts again under its id, faster than
+ * anybody could miss it. Believed to be the one before, it would be rested for
+ * that one's failures, counted as full of that one's requests, and sent
+ * requests for weights that it no longer holds.
+ */
+static void
+test_a_target_that_started_again_is_another(void **state)
+{
+	struct tgt *before = tgt_ref(put_started(1000, 3, 0));
+	struct tgt *now;
+
+	tgt_sent(before, 0);
+	tgt_load(before, 4, 0);
+	tgt_outcome(before, TGT_LOST, 0);
+	assert_ptr_equal(put_started(1000, 3, 1), before);
+	now = put_started(2000, 0, 2);
+	assert_ptr_not_equal(now, before);
+	assert_true(before->dropped);
+	assert_int_equal(now->failures, 0);
+	assert_int_equal(now->mine, 0);
+	assert_int_equal(now->version, 0);
+	assert_int_equal(now->service->ntargets, 1);
+	assert_ptr_equal(tgt_at(set, "1.1.1.1:1"), now);
+	tgt_ended(before, 3); /* the request that went to the one before */
+	tgt_unref(before);
+}
+
+/*
+ * The side tells of the new start before the store's entry has changed; an
+ * entry that the one before wrote late must not bring that one back. When the
+ * side is not heard the entry decides, also after a clock that was set back.
+ */
+static void
+test_who_tells_of_a_new_start(void **state)
+{
+	struct tgt *t = put_started(1000, 3, 0);
+	struct tgt *again;
+
+	assert_ptr_equal(tgt_side_born(set, t, 1000), t);
+	assert_ptr_equal(tgt_side_born(set, t, 0), t);
+	tgt_ref(t);
+	again = tgt_side_born(set, t, 2000);
+	assert_ptr_not_equal(again, t);
+	tgt_unref(t);
+	again->side_us = SECOND;
+	assert_ptr_equal(put_started(1000, 3, SECOND), again);
+	assert_ptr_equal(tgt_side_born(set, again, 2000), again);
+	tgt_ref(again);
+	assert_ptr_not_equal(put_started(1500, 3, 9 * SECOND), again);
+	tgt_unref(again);
+}
+
+/* An entry of a service that nobody knows bears a good target's address. */
+static void
+test_an_unknown_service_takes_no_address(void **state)
+{
+	struct sv_service known = { .name = (char *)"s" };
+	struct sv_config config = { .services = &known, .nservices = 1 };
+	struct sv_target says = { .id = "x",
+		.service = "unknown",
+		.address = "1.1.1.1:1",
+		.slots = 1 };
+	struct tgt *t;
+
+	tgt_configure(set, &config);
+	t = put("a", "1.1.1.1:1", "near");
+	tgt_put(set, &says, 0);
+	assert_ptr_equal(tgt_find(set, "a"), t);
+	assert_ptr_equal(tgt_at(set, "1.1.1.1:1"), t);
+}
+
 static void
 test_only_loaded_versions(void **state)
 {
@@ -656,6 +745,9 @@
 		T(test_cut_by_a_planned_load),
 		T(test_lapsed_targets),
 		T(test_address_used_again),
+		T(test_a_target_that_started_again_is_another),
+		T(test_who_tells_of_a_new_start),
+		T(test_an_unknown_service_takes_no_address),
 		T(test_only_loaded_versions),
 		cmocka_unit_test(test_stop_waits_for_the_last_bytes),
 		cmocka_unit_test(test_histogram),
