--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -43,17 +43,28 @@
 	fwd_pump(r->fwd);
 }
 
+static void
+stop_timers(struct fwd_req *r)
+{
+	evl_timer_stop(r->fwd->conf.loop, &r->step);
+	evl_timer_stop(r->fwd->conf.loop, &r->begin);
+}
+
+static void
+cancel_call(struct fwd_req *r)
+{
+	if (r->call != NULL)
+		hcall_cancel(r->call);
+	r->call = NULL;
+}
+
 void
 fwd_drop_call(struct fwd_req *r)
 {
 	struct fwd *f = r->fwd;
 
-	evl_timer_stop(f->conf.loop, &r->step);
-	evl_timer_stop(f->conf.loop, &r->begin);
-	if (r->call != NULL) {
-		hcall_cancel(r->call);
-		r->call = NULL;
-	}
+	stop_timers(r);
+	cancel_call(r);
 	if (r->headers != NULL) {
 		g_string_free(r->headers, TRUE);
 		r->headers = NULL;
@@ -142,8 +153,7 @@
 static void
 attempt_ended(struct fwd_req *r, enum flow_end end)
 {
-	evl_timer_stop(r->fwd->conf.loop, &r->step);
-	evl_timer_stop(r->fwd->conf.loop, &r->begin);
+	stop_timers(r);
 	note_outcome(r, end);
 	if (end != FLOW_REFUSED && end != FLOW_UNREACHABLE) {
 		r->flow.may_have_run = true;
@@ -245,10 +255,7 @@
 	 * kept one would cost another request. */
 	if (r->call != NULL && hcall_kept(r->call))
 		hpool_forget_idle(r->fwd->conf.pool);
-	if (r->call != NULL) {
-		hcall_cancel(r->call);
-		r->call = NULL;
-	}
+	cancel_call(r);
 	attempt_ended(r, FLOW_SILENT);
 }
 
@@ -260,8 +267,7 @@
 	/* The head of its answer came: it has begun. */
 	if (r->call == NULL || r->status != 0)
 		return;
-	hcall_cancel(r->call);
-	r->call = NULL;
+	cancel_call(r);
 	attempt_ended(r, FLOW_WITHDRAWN);
 }
 
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -74,7 +74,7 @@
 	uint64_t i;
 
 	p->conf = *conf;
-	p->conf.reads = MAX(1, conf->reads);
+	pick_set_reads(p, conf->reads);
 	p->start_us = now_us;
 	p->share = 1;
 	p->unclaimed = conf->chunks;
@@ -174,7 +174,7 @@
 void
 pick_set_reads(struct pick *p, unsigned int reads)
 {
-	p->conf.reads = reads;
+	p->conf.reads = MAX(1, reads);
 }
 
 void
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -93,7 +93,7 @@
 	uint64_t rate; /* bytes a second of the download budget */
 	int64_t news_us; /* interval at which hosts tell news */
 	unsigned int copies; /* from the origin, over all hosts; 0: never */
-	unsigned int reads; /* of the origin, open at a time */
+	unsigned int reads; /* of the origin, open at a time; 0: 1 */
 	size_t members; /* of the rollout, this host included */
 	/*
 	 * Links between domains are thin: each chunk is to cross one once a
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -246,7 +246,7 @@
 		copies = MAX(want->origin_copies, 1);
 	pick_set_copies(x->list_pick, MIN(copies, 1));
 	pick_set_copies(x->pick, copies);
-	pick_set_reads(x->pick, MAX(1, want->reads));
+	pick_set_reads(x->pick, want->reads);
 	xfer_pump_soon(x);
 }
 
--- a/tests/adapter/test_foreign.c
+++ b/tests/adapter/test_foreign.c
@@ -70,6 +70,21 @@
 	g_free(text);
 }
 
+/* None of these entries names anything, and those beside it hold. */
+static void
+expect_foreign(const struct store_kind *kind, const char *good,
+    const char *const *specs, size_t n)
+{
+	struct seen seen;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		read_between(kind, good, specs[i], &seen);
+		if (seen.good != 2 || seen.bad != 1)
+			fail_msg("taken for one of ours: %s", specs[i]);
+	}
+}
+
 /*
  * An operator's script writes an entry without a state beside the engines'
  * own. Read with a fallback it is a ready engine with one place, and callers'
@@ -121,13 +136,8 @@
 		"{" GOOD ",\"address\":\"1.2.3.4.5.6.7.8.9.10.11:80\"}",
 	};
 	struct seen seen;
-	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(specs); i++) {
-		read_between(&adapter_targets, GOOD, specs[i], &seen);
-		if (seen.good != 2 || seen.bad != 1)
-			fail_msg("taken for a target: %s", specs[i]);
-	}
+	expect_foreign(&adapter_targets, GOOD, specs, G_N_ELEMENTS(specs));
 	read_between(&adapter_targets, GOOD, "{" GOOD "}", &seen);
 	assert_int_equal(seen.good, 3);
 }
@@ -142,14 +152,8 @@
 		"{\"model\":\"m\",\"version\":3.5}",
 		"{\"model\":\"m\",\"version\":0}",
 		"{\"model\":\"m\",\"version\":-1}" };
-	struct seen seen;
-	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(specs); i++) {
-		read_between(&adapter_versions, good, specs[i], &seen);
-		if (seen.good != 2 || seen.bad != 1)
-			fail_msg("taken for a version: %s", specs[i]);
-	}
+	expect_foreign(&adapter_versions, good, specs, G_N_ELEMENTS(specs));
 }
 
 /*
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -308,7 +308,7 @@
 	fleet_engine_beat(e->f, e->i);
 }
 
-/* An order that does not wait cuts what runs; streams go on elsewhere. */
+/* By an order that does not wait, or a crash; streams go on elsewhere. */
 static void
 cut_runs(struct fleet_engine *e)
 {
@@ -418,6 +418,11 @@
 name_start(struct fleet_engine *e)
 {
 	g_snprintf(e->id, sizeof(e->id), "i-%zu-%u", e->i, ++e->starts);
+}
+
+static void
+note_born(struct fleet_engine *e)
+{
 	e->born_ms = g_get_real_time() / 1000;
 }
 
@@ -434,6 +439,7 @@
 	g_strlcpy(e->advertised, advertised, sizeof(e->advertised));
 	LIST_INIT(&e->runs);
 	name_start(e);
+	note_born(e);
 	for (c = 0; llm && !empty && c < FLEET_CHUNKS; c++) {
 		e->staged[c] = g_malloc(FLEET_CHUNK_BYTES);
 		fleet_piece(1, c, e->staged[c]);
@@ -461,24 +467,17 @@
 fleet_engine_crash(struct fleet *f, size_t i, bool keeps_id)
 {
 	struct fleet_engine *e = f->engine[i];
-	struct fleet_run *run;
 
-	while ((run = LIST_FIRST(&e->runs)) != NULL) {
-		struct hreq *r = run->r;
-
-		run_free(run);
-		hreq_abort(r);
-	}
+	cut_runs(e);
 	evl_timer_stop(f->loop, &e->load);
 	e->loading = 0;
 	e->version = 0;
 	e->sequence = 0;
-	if (keeps_id) {
-		e->born_ms = g_get_real_time() / 1000;
-	} else {
+	if (!keeps_id) {
 		fleet_store_remove(f, "servers", e->id);
 		name_start(e);
 	}
+	note_born(e);
 	fleet_engine_beat(f, i);
 }
 
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -373,19 +373,27 @@
 /* Places                                                              */
 /* ------------------------------------------------------------------ */
 
+/* A caller's request that a target has taken; its connection in `busy`. */
+static int
+take_place(const char *headers, int *busy)
+{
+	int fd = ask_with("GET", "/x/1", headers);
+	char *request = NULL;
+
+	*busy = target_get(&request)->fd;
+	g_free(request);
+	return fd;
+}
+
 /* A target is full: whoever waits gets the place that becomes free. */
 static void
 test_waiting_for_a_place(void **state)
 {
-	char *request = NULL;
 	int fd[4], busy[3], i;
 
 	world_open(1, make_config(SV_UNSAFE, 1, 2000));
-	for (i = 0; i < 3; i++) { /* two slots and one beyond */
-		fd[i] = ask();
-		busy[i] = target_get(&request)->fd;
-		g_free(request);
-	}
+	for (i = 0; i < 3; i++) /* two slots and one beyond */
+		fd[i] = take_place("T-Deadline: 3000\r\n", &busy[i]);
 	fd[3] = ask();
 	assert_int_equal(fwd_waiting(w.fwd), 1);
 	raw_send(busy[0], WHOLE);
@@ -403,16 +411,13 @@
 static void
 test_refused_for_want_of_a_place(void **state)
 {
-	char *request = NULL, *answer;
+	char *answer;
 	int fd[4], busy[3], i;
 	int64_t begun_us;
 
 	world_open(1, make_config(SV_UNSAFE, 1, 2000));
-	for (i = 0; i < 3; i++) {
-		fd[i] = ask();
-		busy[i] = target_get(&request)->fd;
-		g_free(request);
-	}
+	for (i = 0; i < 3; i++)
+		fd[i] = take_place("T-Deadline: 3000\r\n", &busy[i]);
 	begun_us = now_us();
 	fd[3] = ask();
 	answer = raw_read(fd[3], "\r\n\r\n");
@@ -436,15 +441,12 @@
 static void
 test_new_callers_before_those_that_come_back(void **state)
 {
-	char *request = NULL, *answer;
+	char *answer;
 	int fd[5], busy[3], i;
 
 	world_open(1, make_config(SV_UNSAFE, 1, 2000));
-	for (i = 0; i < 3; i++) { /* two slots; one place beyond */
-		fd[i] = ask();
-		busy[i] = target_get(&request)->fd;
-		g_free(request);
-	}
+	for (i = 0; i < 3; i++) /* two slots; one place beyond */
+		fd[i] = take_place("T-Deadline: 3000\r\n", &busy[i]);
 	fd[3] = ask(); /* a new caller finds all taken, and is refused */
 	answer = raw_read(fd[3], "\r\n\r\n");
 	assert_non_null(strstr(answer, "503 "));
@@ -470,15 +472,11 @@
 static void
 test_places_are_kept_only_while_they_are_short(void **state)
 {
-	char *request = NULL;
 	int fd[3], busy[3], i;
 
 	world_open(1, make_config(SV_UNSAFE, 1, 2000));
-	for (i = 0; i < 3; i++) {
-		fd[i] = ask_with("GET", "/x/1", i < 2 ? "" : CAME_BACK);
-		busy[i] = target_get(&request)->fd;
-		g_free(request);
-	}
+	for (i = 0; i < 3; i++)
+		fd[i] = take_place(i < 2 ? "" : CAME_BACK, &busy[i]);
 	for (i = 0; i < 3; i++) {
 		close(busy[i]);
 		close(fd[i]);
@@ -490,25 +488,19 @@
 static void
 test_callers_that_always_bring_less_time(void **state)
 {
-	char *request = NULL;
 	int fd, i, busy[3], asked[3];
 
 	world_open(1, make_config(SV_UNSAFE, 1, 2000));
 	for (i = 0; i < 100; i++) {
-		fd = ask_with("GET", "/x/1", CAME_BACK);
-		busy[0] = target_get(&request)->fd;
-		g_free(request);
+		fd = take_place(CAME_BACK, &busy[0]);
 		raw_send(busy[0],
 		    GOOD "Connection: close\r\n"
 			 "Content-Length: 2\r\n\r\nok");
 		expect_answer(fd, "\r\n\r\nok");
 		close(busy[0]);
 	}
-	for (i = 0; i < 3; i++) {
-		asked[i] = ask_with("GET", "/x/1", CAME_BACK);
-		busy[i] = target_get(&request)->fd;
-		g_free(request);
-	}
+	for (i = 0; i < 3; i++)
+		asked[i] = take_place(CAME_BACK, &busy[i]);
 	for (i = 0; i < 3; i++) {
 		close(busy[i]);
 		close(asked[i]);
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -178,6 +178,25 @@
 	pick_free(p);
 }
 
+/* Begins the first read, and ends it without the chunk, which is the only one
+ * that is missing but for `other` (CHUNKS: none). */
+static uint64_t
+fail_a_read(struct pick *p, uint64_t other)
+{
+	struct pick_action a = next(p, 0);
+	uint64_t i;
+
+	assert_int_equal(a.kind, PICK_READ);
+	for (i = 0; i < CHUNKS; i++) {
+		if (i != a.index && i != other)
+			pick_got(p, i);
+	}
+	pick_begin(p, &a, 0);
+	pick_ended(p, a.index, NULL, PICK_FAILED, 0);
+	assert_int_equal(next(p, SECOND / 10).kind, PICK_WAIT);
+	return a.index;
+}
+
 /*
  * The origin is away, and a first reader's read of a chunk fails. It tries the
  * same chunk again as soon as the origin may be back, not after the time that
@@ -188,19 +207,9 @@
 test_failed_read_is_repeated_soon(void **state)
 {
 	struct pick *p = new_pick(reader(0));
-	struct pick_action a = next(p, 0);
-	uint64_t index = a.index, i;
+	uint64_t index = fail_a_read(p, CHUNKS);
+	struct pick_action a = next(p, SECOND / 2);
 
-	assert_int_equal(a.kind, PICK_READ);
-	for (i = 0; i < CHUNKS; i++) {
-		if (i != index)
-			pick_got(p, i);
-	}
-	pick_begin(p, &a, 0);
-	pick_ended(p, index, NULL, PICK_FAILED, 0);
-	a = next(p, SECOND / 10);
-	assert_int_equal(a.kind, PICK_WAIT);
-	a = next(p, SECOND / 2);
 	assert_int_equal(a.kind, PICK_READ);
 	assert_int_equal(a.index, index);
 	pick_free(p);
@@ -265,20 +274,10 @@
 	struct pick *p = new_pick(reader(0));
 	struct pick_peer peer = { 0 };
 	struct pick_action a;
-	uint64_t i, index;
+	uint64_t index;
 
 	pick_add_peer(p, &peer, true);
-	a = next(p, 0);
-	assert_int_equal(a.kind, PICK_READ);
-	index = a.index;
-	for (i = 0; i + 1 < CHUNKS; i++) {
-		if (i != index)
-			pick_got(p, i);
-	}
-	pick_begin(p, &a, 0);
-	pick_ended(p, index, NULL, PICK_FAILED, 0);
-	a = next(p, SECOND / 10);
-	assert_int_equal(a.kind, PICK_WAIT);
+	index = fail_a_read(p, CHUNKS - 1);
 	pick_peer_has(p, &peer, CHUNKS - 1, SECOND / 10);
 	a = next(p, SECOND / 10);
 	assert_int_equal(a.kind, PICK_READ);
