Two known reds traced: reads lost with the dead, a counter that ends with its process

weights-faults test_domain_gone. Cause: the check counted all chunks read again, and most of these must be: reads that the dead hosts had open, and chunks that nobody else had the bytes of yet. How many there are at the kill hangs on how late the test's own poll sees the twentieth read. Ruled out: readers that step in late (none did). Change: reads beyond what was lost may be a twentieth of the chunks, where a fifth of them was allowed for both together; what is lost is held to the dead readers' part of the reads made by then.

Cause: counters of a side end with it, and the test kills a side that may have read all three spoilt chunks. Change: the test waits until all three were noticed (one was enough before) and kills then. The first failure was not seen again; the cause is from reading the test.

--- a/tests/system/rollout.sh
+++ b/tests/system/rollout.sh
@@ -26,10 +26,25 @@
 caller=$!
 stage_pids="$stage_pids $caller"
 
+# Over all sides; a side's counters end with its process.
+corrupt_noticed() { # AT-LEAST
+	sum=0
+	for port in $(sed -n 's/.*loopback: .127.0.0.1:\([0-9]*\).*/\1/p' \
+	    "$STAGE"/side-*.yaml); do
+		for n in $(curl -fs "http://127.0.0.1:$port/metrics" |
+		    sed -n 's/.*corrupt[a-z_]* \([0-9]*\)$/\1/p'); do
+			sum=$((sum + n))
+		done
+	done
+	[ "$sum" -ge "$1" ]
+}
+
 publish_version v2 4194304
 fault "$origin" '{"corrupt_next":3}'
 fault "$engine_1" '{"load_fail":1}'
 start_rollout v2
+# All of them, before a side takes what it counted with it.
+eventually "corrupt bytes were noticed" corrupt_noticed 3
 kill -KILL "$side_pid_2"
 fault "$objects" '{"down":true}'
 sleep 1
@@ -45,9 +60,6 @@
 eventually "the caller has ended" test -s "$STAGE/caller.json"
 operate timeline >"$STAGE/timeline.txt" 2>/dev/null
 check "the load had failed once" grep -q load_failed "$STAGE/timeline.txt"
-check "corrupt bytes were noticed" sh -c "for p in \$(sed -n \
-    's/.*loopback: .127.0.0.1:\([0-9]*\).*/\1/p' '$STAGE'/side-*.yaml); do \
-    curl -fs http://127.0.0.1:\$p/metrics; done | grep -q 'corrupt[a-z_]* [1-9]'"
 number() { # KEY of the caller's summary
 	tr ',{' '\n\n' <"$STAGE/caller.json" | sed -n "s/^\"$1\":\([0-9]*\).*/\1/p" |
 	    head -n 1
--- a/tests/weights/test_faults.c
+++ b/tests/weights/test_faults.c
@@ -357,14 +357,51 @@
 	end(&s, &first);
 }
 
+/* Whether a host that lives holds the chunk, or is reading it. */
+static bool
+is_safe(const struct nodes *s, const struct model *m, uint64_t chunk)
+{
+	const struct xfer *x;
+	enum pick_state state;
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		x = s->node[i].wts == NULL
+		    ? NULL
+		    : wts_find(s->node[i].wts, &m->version.root);
+		if (x == NULL)
+			continue;
+		state = x->pick->chunks[chunk].state;
+		if (state == PICK_HAVE || state == PICK_CHECKING ||
+		    state == PICK_READING)
+			return true;
+	}
+	return false;
+}
+
+/* Chunks that were read and went with the hosts that died: reads of them that
+ * had not ended, or that nobody else had the bytes of yet. */
+static int64_t
+reads_lost(const struct nodes *s, const struct model *m)
+{
+	int64_t lost = (int64_t)s->origin.bytes_sent / WTS_CHUNK_MIN;
+	uint64_t chunk;
+
+	for (chunk = 0; chunk < CHUNKS; chunk++)
+		lost -= is_safe(s, m, chunk);
+	return lost;
+}
+
 /*
  * All hosts of a failure domain go at once, readers among them, and nobody is told:
- * no new members list comes. The readers' silence brings in the next by rank.
+ * no new members list comes. The readers' silence brings in the next by rank. What
+ * they alone had must be read again; little else is.
  */
 static void
 test_domain_gone(void **state)
 {
 	struct nodes s = { .rate = SLOW };
+	int64_t lost, reads;
 	size_t i;
 
 	begin(&s, 9);
@@ -372,8 +409,13 @@
 	nodes_until(&s, origin_was_read, &first);
 	for (i = 0; i < s.n; i += 3)
 		node_kill(&s.node[i]);
+	reads = (int64_t)s.origin.bytes_sent / WTS_CHUNK_MIN;
+	lost = reads_lost(&s, &first);
 	end(&s, &first);
-	assert_in_range(reads_beyond(&s, &first), 0, CHUNKS / 5);
+	/* Three of eight readers died: at most their part of the reads, and one
+	 * more each. How many reads there were by then is the machine's matter. */
+	assert_in_range(lost, 0, reads * 3 / 8 + 3);
+	assert_in_range(reads_beyond(&s, &first), 0, lost + CHUNKS / 20);
 }
 
 /* Two at once: one host sends bad bytes while another, a reader, dies untold. */
