--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -366,6 +366,15 @@
 /* False when the message does not fit; loss is silent. */
 bool dgram_send(struct dgram *d, const char *to, const struct msg_desc *desc,
     const void *message);
+/*
+ * The same in two steps: packed and signed once, then sent to each of many.
+ * NULL when the message does not fit; g_byte_array_unref. Sent bytes and
+ * datagrams count under the message's name.
+ */
+GByteArray *dgram_pack(
+    struct dgram *d, const struct msg_desc *desc, const void *message);
+void dgram_send_packed(struct dgram *d, const char *to,
+    const struct msg_desc *desc, const GByteArray *packed);
 unsigned int dgram_port(const struct dgram *d);
 void dgram_free(struct dgram *d);
 
--- a/lib/common/dgram.c
+++ b/lib/common/dgram.c
@@ -1,6 +1,9 @@
 /* Datagrams between the system's processes, each proved by the shared key. */
 
+#include <arpa/inet.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "common/common_internal.h"
 
@@ -8,8 +11,17 @@
 #define PROOF_BYTES 16
 #define READS_PER_TURN 64 /* datagrams taken before other work gets a turn */
 
+/* Counters of one kind of message, looked up once. */
+struct sent {
+	const struct msg_desc *desc; /* NULL: free */
+	struct ctr *datagrams, *bytes;
+};
+
+#define KINDS_MAX 16 /* of messages that one process sends */
+
 struct dgram {
 	const struct conn_node *node;
+	struct sent sent[KINDS_MAX];
 	void (*message)(const char *from, const struct msg *m, void *ctx);
 	void *ctx;
 	GSocket *socket;
@@ -35,11 +47,30 @@
 	return digest_equal_secret(&got, &want);
 }
 
+/* Text of an address; hundreds of datagrams a second are read, and GLib's
+ * objects for each would cost more than the message. */
+static void
+address_text(const struct sockaddr_storage *from, char *out, size_t size)
+{
+	const struct sockaddr_in *v4 = (const struct sockaddr_in *)from;
+	const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)from;
+	char ip[INET6_ADDRSTRLEN];
+
+	if (from->ss_family == AF_INET6) {
+		inet_ntop(AF_INET6, &v6->sin6_addr, ip, sizeof(ip));
+		snprintf(out, size, "[%s]:%u", ip, ntohs(v6->sin6_port));
+		return;
+	}
+	inet_ntop(AF_INET, &v4->sin_addr, ip, sizeof(ip));
+	snprintf(out, size, "%s:%u", ip, ntohs(v4->sin_port));
+}
+
 static void
-take(struct dgram *d, GSocketAddress *from, const uint8_t *data, size_t len)
+take(struct dgram *d, const struct sockaddr_storage *from, const uint8_t *data,
+    size_t len)
 {
 	struct msg m = { 0 };
-	char *text;
+	char text[INET6_ADDRSTRLEN + sizeof("[]:65535")];
 
 	count(d, "dgram_received_bytes", (int64_t)len);
 	if (len <= PROOF_BYTES || !proof_holds(d, data, len)) {
@@ -52,9 +83,8 @@
 	}
 	if (d->node->timeline != NULL)
 		tl_seen(d->node->timeline, m.hlc);
-	text = net_address_text(from);
+	address_text(from, text, sizeof(text));
 	d->message(text, &m, d->ctx);
-	g_free(text);
 	msg_close(&m);
 }
 
@@ -62,19 +92,19 @@
 on_readable(GSocket *socket, GIOCondition cond, gpointer data)
 {
 	struct dgram *d = data;
+	struct sockaddr_storage from;
+	socklen_t from_len;
 	uint8_t buffer[2048];
-	GSocketAddress *from;
-	gssize n;
+	ssize_t n;
 	int i;
 
 	for (i = 0; i < READS_PER_TURN; i++) {
-		from = NULL;
-		n = g_socket_receive_from(
-		    socket, &from, (gchar *)buffer, sizeof(buffer), NULL, NULL);
+		from_len = sizeof(from);
+		n = recvfrom(g_socket_get_fd(socket), buffer, sizeof(buffer),
+		    MSG_DONTWAIT, (struct sockaddr *)&from, &from_len);
 		if (n < 0)
 			break;
-		take(d, from, buffer, (size_t)n);
-		g_clear_object(&from);
+		take(d, &from, buffer, (size_t)n);
 	}
 	return G_SOURCE_CONTINUE;
 }
@@ -116,32 +146,82 @@
 	return d;
 }
 
-bool
-dgram_send(struct dgram *d, const char *to, const struct msg_desc *desc,
-    const void *message)
+GByteArray *
+dgram_pack(struct dgram *d, const struct msg_desc *desc, const void *message)
 {
 	GByteArray *out = g_byte_array_new();
-	GSocketAddress *address;
 	struct digest proof;
 	uint64_t hlc;
-	bool fits;
 
 	hlc = d->node->timeline == NULL ? 0 : tl_stamp(d->node->timeline);
 	g_byte_array_set_size(out, PROOF_BYTES);
 	msg_pack(out, hlc, desc, message);
-	fits = out->len <= DGRAM_MAX;
-	address = fits ? net_address(to, NULL) : NULL;
-	if (address != NULL) {
-		hmac_of(d->node->key, d->node->key_len, out->data + PROOF_BYTES,
-		    out->len - PROOF_BYTES, &proof);
-		memcpy(out->data, proof.bytes, PROOF_BYTES);
-		g_socket_send_to(d->socket, address, (const gchar *)out->data,
-		    out->len, NULL, NULL);
-		count(d, "dgram_sent_bytes", out->len);
-		g_object_unref(address);
+	if (out->len > DGRAM_MAX) {
+		g_byte_array_unref(out);
+		return NULL;
 	}
-	g_byte_array_unref(out);
-	return fits;
+	hmac_of(d->node->key, d->node->key_len, out->data + PROOF_BYTES,
+	    out->len - PROOF_BYTES, &proof);
+	memcpy(out->data, proof.bytes, PROOF_BYTES);
+	return out;
+}
+
+static struct ctr *
+counter_of(const struct dgram *d, const char *kind, const char *what)
+{
+	char name[64];
+
+	snprintf(name, sizeof(name), "dgram_sent_%s%s", kind, what);
+	return ctr_get(d->node->counters, name);
+}
+
+static void
+count_sent(struct dgram *d, const struct msg_desc *desc, size_t len)
+{
+	struct sent *s;
+
+	if (d->node->counters == NULL)
+		return;
+	for (s = d->sent; s->desc != desc && s->desc != NULL; s++)
+		g_assert(s + 1 < d->sent + KINDS_MAX);
+	if (s->desc == NULL) {
+		s->desc = desc;
+		s->datagrams = counter_of(d, desc->name, "");
+		s->bytes = counter_of(d, desc->name, "_bytes");
+	}
+	ctr_add(s->datagrams, 1);
+	ctr_add(s->bytes, (int64_t)len);
+}
+
+void
+dgram_send_packed(struct dgram *d, const char *to, const struct msg_desc *desc,
+    const GByteArray *packed)
+{
+	GSocketAddress *address = net_address(to, NULL);
+	struct sockaddr_storage raw;
+
+	if (address == NULL)
+		return;
+	if (g_socket_address_to_native(address, &raw, sizeof(raw), NULL)) {
+		sendto(g_socket_get_fd(d->socket), packed->data, packed->len,
+		    MSG_DONTWAIT, (const struct sockaddr *)&raw,
+		    (socklen_t)g_socket_address_get_native_size(address));
+		count_sent(d, desc, packed->len);
+	}
+	g_object_unref(address);
+}
+
+bool
+dgram_send(struct dgram *d, const char *to, const struct msg_desc *desc,
+    const void *message)
+{
+	GByteArray *packed = dgram_pack(d, desc, message);
+
+	if (packed == NULL)
+		return false;
+	dgram_send_packed(d, to, desc, packed);
+	g_byte_array_unref(packed);
+	return true;
 }
 
 unsigned int
--- a/lib/common/net.c
+++ b/lib/common/net.c
@@ -30,22 +30,6 @@
 	return address;
 }
 
-char *
-net_address_text(GSocketAddress *address)
-{
-	GInetSocketAddress *inet = G_INET_SOCKET_ADDRESS(address);
-	GInetAddress *ip = g_inet_socket_address_get_address(inet);
-	char *ip_text = g_inet_address_to_string(ip);
-	char *text;
-
-	text = g_strdup_printf(
-	    g_inet_address_get_family(ip) == G_SOCKET_FAMILY_IPV6 ? "[%s]:%u"
-								  : "%s:%u",
-	    ip_text, g_inet_socket_address_get_port(inet));
-	g_free(ip_text);
-	return text;
-}
-
 GSocket *
 net_socket(GSocketAddress *address, GSocketType type, struct err *err)
 {
--- /dev/null
+++ b/lib/serve/roster.c
@@ -0,0 +1,278 @@
+/* Rosters: their identity, pages, and how pages become a roster again. */
+
+#include <string.h>
+
+#include "serve/roster.h"
+
+/* Index of a domain in a page's names that says: not among them. */
+#define NO_DOMAIN UINT8_MAX
+
+/* Pages of one roster, as they come in. */
+struct intake {
+	struct roster_id id;
+	GPtrArray *pages; /* GArray of struct roster_peer; NULL: not here yet */
+	guint left;
+};
+
+struct roster {
+	struct roster_id id;
+	GArray *peers;
+	struct intake intake;
+};
+
+static void
+intake_clear(struct intake *in)
+{
+	g_clear_pointer(&in->pages, g_ptr_array_unref);
+	in->left = 0;
+}
+
+struct roster *
+roster_new(void)
+{
+	struct roster *r = g_new0(struct roster, 1);
+
+	r->peers = g_array_new(FALSE, TRUE, sizeof(struct roster_peer));
+	return r;
+}
+
+void
+roster_free(struct roster *r)
+{
+	if (r == NULL)
+		return;
+	intake_clear(&r->intake);
+	g_array_unref(r->peers);
+	g_free(r);
+}
+
+struct roster_id
+roster_id(const struct roster *r)
+{
+	return r->id;
+}
+
+const GArray *
+roster_peers(const struct roster *r)
+{
+	return r->peers;
+}
+
+/* ------------------------------------------------------------------ */
+/* Identity                                                            */
+/* ------------------------------------------------------------------ */
+
+static gint
+by_address(gconstpointer a, gconstpointer b)
+{
+	const struct roster_peer *x = a;
+	const struct roster_peer *y = b;
+	int order = memcmp(x->ip, y->ip, sizeof(x->ip));
+
+	return order != 0 ? order : memcmp(&x->port, &y->port, sizeof(x->port));
+}
+
+static uint64_t
+digest_of_peers(const GArray *peers)
+{
+	const struct roster_peer *p;
+	uint64_t digest = 0;
+	guint i;
+
+	for (i = 0; i < peers->len; i++) {
+		p = &g_array_index(peers, struct roster_peer, i);
+		digest = hash64(digest, p->ip, sizeof(p->ip));
+		digest = hash64(digest, &p->port, sizeof(p->port));
+		digest = hash64(digest, p->domain, strlen(p->domain));
+	}
+	return digest;
+}
+
+bool
+roster_is_newer(const struct roster_id *a, const struct roster_id *b)
+{
+	if (a->digest == b->digest && a->count == b->count)
+		return false;
+	if (a->revision != b->revision)
+		return a->revision > b->revision;
+	return a->count > b->count;
+}
+
+bool
+roster_set(struct roster *r, GArray *peers, int64_t revision)
+{
+	uint64_t digest;
+
+	g_array_sort(peers, by_address);
+	digest = digest_of_peers(peers);
+	if (digest == r->id.digest && peers->len == r->id.count) {
+		g_array_unref(peers);
+		return false;
+	}
+	g_array_unref(r->peers);
+	r->peers = peers;
+	r->id = (struct roster_id){ revision, digest, peers->len };
+	return true;
+}
+
+/* ------------------------------------------------------------------ */
+/* Pages out                                                           */
+/* ------------------------------------------------------------------ */
+
+unsigned int
+roster_pages(const struct roster *r)
+{
+	return (r->peers->len + SIDE_PAGE_PEERS - 1) / SIDE_PAGE_PEERS;
+}
+
+/* Place of `domain` among a page's names, added where there is room. */
+static uint8_t
+domain_index(GString *names, const char *domain)
+{
+	char **known = g_strsplit(names->str, ",", -1);
+	guint n = g_strv_length(known), i;
+
+	for (i = 0; i < n && strcmp(known[i], domain) != 0; i++)
+		continue;
+	g_strfreev(known);
+	if (i < n)
+		return (uint8_t)i;
+	if (names->len + strlen(domain) + 1 >= SIDE_DOMAINS_MAX)
+		return NO_DOMAIN;
+	if (names->len > 0)
+		g_string_append_c(names, ',');
+	g_string_append(names, domain);
+	return (uint8_t)n;
+}
+
+void
+roster_page(const struct roster *r, unsigned int index, GByteArray *bytes,
+    struct side_page *out)
+{
+	guint from = index * SIDE_PAGE_PEERS;
+	guint to = MIN(from + SIDE_PAGE_PEERS, r->peers->len);
+	GString *names = g_string_new(NULL);
+	const struct roster_peer *p;
+	uint8_t domain;
+	guint i, peers_len;
+
+	g_byte_array_set_size(bytes, 0);
+	for (i = from; i < to; i++) {
+		p = &g_array_index(r->peers, struct roster_peer, i);
+		domain = domain_index(names, p->domain);
+		g_byte_array_append(bytes, p->ip, sizeof(p->ip));
+		g_byte_array_append(
+		    bytes, (const guint8 *)&p->port, sizeof(p->port));
+		g_byte_array_append(bytes, &domain, 1);
+	}
+	peers_len = bytes->len;
+	g_byte_array_append(
+	    bytes, (const guint8 *)names->str, (guint)names->len);
+	*out = (struct side_page){
+		.revision = (uint64_t)r->id.revision,
+		.digest = r->id.digest,
+		.count = r->id.count,
+		.page = index,
+		.pages = roster_pages(r),
+		.domains = { bytes->data + peers_len, names->len },
+		.peers = { bytes->data, peers_len },
+	};
+	g_string_free(names, TRUE);
+}
+
+/* ------------------------------------------------------------------ */
+/* Pages in                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+free_page(gpointer page)
+{
+	if (page != NULL)
+		g_array_unref(page);
+}
+
+static void
+begin_intake(struct intake *in, const struct roster_id *id, guint pages)
+{
+	intake_clear(in);
+	in->id = *id;
+	in->pages = g_ptr_array_new_with_free_func(free_page);
+	g_ptr_array_set_size(in->pages, (gint)pages);
+	in->left = pages;
+}
+
+static bool
+is_same(const struct roster_id *a, const struct roster_id *b)
+{
+	return a->digest == b->digest && a->count == b->count;
+}
+
+static GArray *
+read_page(const struct side_page *page)
+{
+	GArray *peers = g_array_new(FALSE, TRUE, sizeof(struct roster_peer));
+	char *names = slice_dup(page->domains);
+	char **domains = g_strsplit(names, ",", -1);
+	guint n = g_strv_length(domains);
+	const uint8_t *raw = page->peers.data;
+	size_t at;
+
+	for (at = 0; at + SIDE_PEER_BYTES <= page->peers.len;
+	     at += SIDE_PEER_BYTES) {
+		struct roster_peer peer = { 0 };
+
+		memcpy(peer.ip, raw + at, sizeof(peer.ip));
+		memcpy(&peer.port, raw + at + 4, sizeof(peer.port));
+		if (raw[at + 6] < n)
+			g_strlcpy(peer.domain, domains[raw[at + 6]],
+			    sizeof(peer.domain));
+		g_array_append_val(peers, peer);
+	}
+	g_strfreev(domains);
+	g_free(names);
+	return peers;
+}
+
+static void
+complete(struct roster *r)
+{
+	struct intake *in = &r->intake;
+	GArray *peers = g_array_new(FALSE, TRUE, sizeof(struct roster_peer));
+	const GArray *page;
+	guint i;
+
+	for (i = 0; i < in->pages->len; i++) {
+		page = in->pages->pdata[i];
+		g_array_append_vals(peers, page->data, page->len);
+	}
+	g_array_unref(r->peers);
+	r->peers = peers;
+	r->id = in->id;
+	intake_clear(in);
+}
+
+bool
+roster_take(struct roster *r, const struct side_page *page)
+{
+	struct roster_id id = { (int64_t)page->revision, page->digest,
+		page->count };
+	struct intake *in = &r->intake;
+
+	if (page->page >= page->pages || !roster_is_newer(&id, &r->id))
+		return false;
+	if (in->pages == NULL || !is_same(&in->id, &id) ||
+	    in->pages->len != page->pages) {
+		/* Pages of an older one may still be on their way. */
+		if (in->pages != NULL && !roster_is_newer(&id, &in->id))
+			return false;
+		begin_intake(in, &id, (guint)page->pages);
+	}
+	if (in->pages->pdata[page->page] != NULL)
+		return false;
+	in->pages->pdata[page->page] = read_page(page);
+	in->left--;
+	if (in->left > 0)
+		return false;
+	complete(r);
+	return true;
+}
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -1,9 +1,13 @@
 /* Messages between gateways and keepers. */
 
+#include <arpa/inet.h>
+#include <string.h>
+
 #include "serve/side.h"
 
 #define TEXT_MAX 63
 #define COUNT_MAX (1u << 20)
+#define PAGES_MAX 1000 /* of a roster: 120,000 keepers */
 
 static const struct msg_field view_fields[] = {
 	MSG_FIELD(struct side_view, region, MSG_STR, TEXT_MAX),
@@ -22,9 +26,9 @@
 	MSG_FIELD(struct side_view, slots, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_view, may_cut, MSG_U64, 1),
 	MSG_FIELD(struct side_view, store_away, MSG_U64, 1),
-	MSG_FIELD(struct side_view, domains, MSG_STR, SIDE_DOMAINS_MAX),
-	MSG_FIELD(
-	    struct side_view, peers, MSG_BIN, SIDE_PEERS_MAX *SIDE_PEER_BYTES),
+	MSG_FIELD(struct side_view, roster_revision, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_view, roster_digest, MSG_U64, 0),
+	MSG_FIELD(struct side_view, roster_count, MSG_U64, COUNT_MAX),
 };
 const struct msg_desc side_view_desc =
     MSG_DESC(SIDE_VIEW, "view", struct side_view, view_fields);
@@ -42,6 +46,107 @@
 	MSG_FIELD(struct side_load, root, MSG_BIN, DIGEST_BYTES),
 	MSG_FIELD(struct side_load, gateways, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_load, without_store, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_load, near, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_load, seq, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_load, gateway, MSG_STR, TEXT_MAX),
+	MSG_FIELD(struct side_load, gateway_region, MSG_STR, TEXT_MAX),
 };
 const struct msg_desc side_load_desc =
     MSG_DESC(SIDE_LOAD, "load", struct side_load, load_fields);
+
+static const struct msg_field ask_fields[] = {
+	MSG_FIELD(struct side_ask, model, MSG_STR, TEXT_MAX),
+};
+const struct msg_desc side_ask_desc =
+    MSG_DESC(SIDE_ASK, "ask", struct side_ask, ask_fields);
+
+static const struct msg_field page_fields[] = {
+	MSG_FIELD(struct side_page, model, MSG_STR, TEXT_MAX),
+	MSG_FIELD(struct side_page, revision, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_page, digest, MSG_U64, 0),
+	MSG_FIELD(struct side_page, count, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_page, page, MSG_U64, PAGES_MAX),
+	MSG_FIELD(struct side_page, pages, MSG_U64, PAGES_MAX),
+	MSG_FIELD(struct side_page, domains, MSG_STR, SIDE_DOMAINS_MAX),
+	MSG_FIELD(
+	    struct side_page, peers, MSG_BIN, SIDE_PAGE_PEERS *SIDE_PEER_BYTES),
+};
+const struct msg_desc side_page_desc =
+    MSG_DESC(SIDE_PAGE, "page", struct side_page, page_fields);
+
+static const struct msg_field loads_fields[] = {
+	MSG_FIELD(struct side_loads, entries, MSG_BIN,
+	    SIDE_LOADS_MAX *SIDE_RELAYED_BYTES),
+};
+const struct msg_desc side_loads_desc =
+    MSG_DESC(SIDE_LOADS, "loads", struct side_loads, loads_fields);
+
+/* ------------------------------------------------------------------ */
+/* Entries of `loads`                                                  */
+/* ------------------------------------------------------------------ */
+
+/* An entry as it is sent. */
+struct wire_relayed {
+	uint8_t ip[4];
+	uint16_t port;
+	uint32_t seq;
+	uint16_t total;
+	uint16_t pace_permille;
+} __attribute__((packed));
+
+G_STATIC_ASSERT(sizeof(struct wire_relayed) == SIDE_RELAYED_BYTES);
+
+bool
+side_relayed_put(GByteArray *entries, const struct side_relayed *one)
+{
+	const char *colon = strrchr(one->address, ':');
+	struct wire_relayed wire = {
+		.seq = htonl(one->seq),
+		.total = htons((uint16_t)MIN(one->total, UINT16_MAX)),
+		.pace_permille =
+		    htons((uint16_t)MIN(one->pace_permille, UINT16_MAX)),
+	};
+	char ip[INET_ADDRSTRLEN];
+	guint64 port;
+
+	if (colon == NULL || (size_t)(colon - one->address) >= sizeof(ip) ||
+	    !g_ascii_string_to_unsigned(
+		colon + 1, 10, 1, UINT16_MAX, &port, NULL))
+		return false;
+	memcpy(ip, one->address, (size_t)(colon - one->address));
+	ip[colon - one->address] = '\0';
+	if (inet_pton(AF_INET, ip, wire.ip) != 1)
+		return false;
+	wire.port = htons((uint16_t)port);
+	g_byte_array_append(entries, (const guint8 *)&wire, sizeof(wire));
+	return true;
+}
+
+size_t
+side_relayed_count(const struct side_loads *loads)
+{
+	return loads->entries.len / SIDE_RELAYED_BYTES;
+}
+
+void
+side_relayed_get(
+    const struct side_loads *loads, size_t i, struct side_relayed *out)
+{
+	struct wire_relayed wire;
+	char ip[INET_ADDRSTRLEN];
+
+	memcpy(
+	    &wire, loads->entries.data + i * SIDE_RELAYED_BYTES, sizeof(wire));
+	inet_ntop(AF_INET, wire.ip, ip, sizeof(ip));
+	g_snprintf(
+	    out->address, sizeof(out->address), "%s:%u", ip, ntohs(wire.port));
+	out->seq = ntohl(wire.seq);
+	out->total = ntohs(wire.total);
+	out->pace_permille = ntohs(wire.pace_permille);
+}
+
+bool
+side_seq_after(uint32_t a, uint32_t b)
+{
+	return (int32_t)(a - b) > 0;
+}
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -2,10 +2,17 @@
 #define SERVE_SIDE_H
 
 /*
- * side: what gateways and keepers tell each other, by datagrams. A gateway
- * tells every keeper what should be loaded and who else loads it (`view`);
- * keepers answer to each gateway that did so lately how full their engine is
- * (`load`). Lost datagrams are made up for by the next.
+ * side: what gateways and keepers tell each other, by datagrams. Lost ones are
+ * made up for by the next.
+ *
+ * A gateway tells every keeper what should be loaded (`view`). A keeper that
+ * lacks the roster named there asks for it (`ask`) and gets it (`page`).
+ * Keepers tell gateways that spoke to them lately what their engine does and
+ * how full it is (`load`): those of their region each change, others only what
+ * decides whether requests can go there at all. How full a region's engines
+ * are, its gateways tell those of other regions for all of them at once
+ * (`loads`): were each keeper to tell each gateway, that would grow with the
+ * square of the deployment and fill the thin links between regions.
  */
 
 #include "common/common.h"
@@ -13,11 +20,14 @@
 enum {
 	SIDE_VIEW = 90,
 	SIDE_LOAD = 91,
+	SIDE_ASK = 92,
+	SIDE_PAGE = 93,
+	SIDE_LOADS = 94,
 };
 
-/* Bytes of a peer in a view: IPv4, port, index of its domain. */
+/* Bytes of a peer in a page: IPv4, port, index of its domain. */
 #define SIDE_PEER_BYTES 7
-#define SIDE_PEERS_MAX 140 /* what one datagram holds beside the rest */
+#define SIDE_PAGE_PEERS 120 /* what one datagram holds beside the rest */
 #define SIDE_DOMAINS_MAX 200 /* bytes of all their names */
 
 struct side_view {
@@ -38,8 +48,22 @@
 	uint64_t slots; /* of an engine */
 	uint64_t may_cut; /* 1: requests that an engine cuts go on elsewhere */
 	uint64_t store_away; /* 1: the store does not answer this gateway */
+	/* The keepers of the same model, as this gateway knows them. */
+	uint64_t roster_revision, roster_digest, roster_count;
+};
+
+/* A keeper wants the roster of its model. */
+struct side_ask {
+	struct slice model;
+};
+
+/* A part of a roster. */
+struct side_page {
+	struct slice model;
+	uint64_t revision, digest, count; /* of the whole */
+	uint64_t page, pages;
 	struct slice domains; /* names, with commas between */
-	struct slice peers; /* keepers of the same model */
+	struct slice peers;
 };
 
 enum side_engine {
@@ -60,9 +84,42 @@
 	struct slice root; /* as read from the origin; empty: not here */
 	uint64_t gateways; /* that the keeper hears */
 	uint64_t without_store; /* of these, that the store does not answer */
+	uint64_t near; /* of these, in the keeper's region */
+	uint64_t seq; /* grows with each load while the keeper runs */
+	/* One of the gateways, another each time, to gateways of the keeper's
+	 * region: so they come to know all that they have to tell. Empty: none. */
+	struct slice gateway; /* "ip:port" */
+	struct slice gateway_region;
+};
+
+/* How full one engine is, as its keeper told a gateway of its region. */
+struct side_relayed {
+	char address[24]; /* of the engine */
+	uint32_t seq; /* low bits of the load's */
+	unsigned int total; /* running and waiting */
+	unsigned int pace_permille;
+};
+
+/* Bytes of one of them: IPv4, port, seq, total, pace; network order. */
+#define SIDE_RELAYED_BYTES 14
+#define SIDE_LOADS_MAX 75 /* what one datagram holds */
+
+struct side_loads {
+	struct slice entries;
 };
 
 extern const struct msg_desc side_view_desc;
 extern const struct msg_desc side_load_desc;
+extern const struct msg_desc side_ask_desc;
+extern const struct msg_desc side_page_desc;
+extern const struct msg_desc side_loads_desc;
+
+/* Appends one entry to those of a `loads`; false: malformed address. */
+bool side_relayed_put(GByteArray *entries, const struct side_relayed *one);
+size_t side_relayed_count(const struct side_loads *loads);
+void side_relayed_get(
+    const struct side_loads *loads, size_t i, struct side_relayed *out);
+/* Whether load `a` was told after load `b`; sequences may wrap around. */
+bool side_seq_after(uint32_t a, uint32_t b);
 
 #endif
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -403,6 +403,25 @@
 	t->side_down = down;
 }
 
+void
+tgt_side_heard(struct tgt *t, uint32_t seq, int64_t now_us)
+{
+	t->side_us = now_us;
+	t->side_seq = seq;
+}
+
+bool
+tgt_relayed(struct tgt *t, const struct side_relayed *word, int64_t now_us)
+{
+	if (t->side_us == 0 || !side_seq_after(word->seq, t->side_seq))
+		return false;
+	tgt_side_heard(t, word->seq, now_us);
+	t->pace =
+	    word->pace_permille == 0 ? 1 : (double)word->pace_permille / 1000.0;
+	tgt_load(t, word->total, now_us);
+	return true;
+}
+
 struct tgt *
 tgt_side_born(struct tgt_set *s, struct tgt *t, int64_t born_ms)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -11,6 +11,7 @@
 #include <sys/queue.h>
 
 #include "serve/records.h"
+#include "serve/side.h"
 
 struct tgt_service;
 
@@ -29,6 +30,8 @@
 	unsigned int sent_since; /* by this entry, since that word */
 	uint64_t reading; /* prompt tokens of this entry's, before any answer */
 	int64_t side_us; /* last word of its side; 0: never */
+	uint32_t side_seq; /* of that word */
+	bool greeted; /* its side was told of this entry */
 	int64_t up_us; /* it came up then, by its side; 0: not known */
 	bool side_down; /* its side cannot reach it, or it loads weights */
 	char model[SV_ID_MAX]; /* loaded; newer of store and side */
@@ -132,6 +135,16 @@
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
 /* Its side says whether it takes requests. */
 void tgt_side(struct tgt *t, bool down, int64_t now_us);
+/* Its side spoke itself: `seq` counts its words. */
+void tgt_side_heard(struct tgt *t, uint32_t seq, int64_t now_us);
+/*
+ * Its side's word about the load came by an entry of its region. False, and
+ * nothing changes, when it is not newer than what is known here: an entry that
+ * stood still passes on what it heard before. What never spoke itself is not
+ * believed: the word does not say whether the target takes requests.
+ */
+bool tgt_relayed(
+    struct tgt *t, const struct side_relayed *word, int64_t now_us);
 /* Its side says when it started; 0: not told. A new start makes a new target,
  * which is returned; otherwise `t`. */
 struct tgt *tgt_side_born(struct tgt_set *s, struct tgt *t, int64_t born_ms);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -55,7 +55,7 @@
 	/* Views that fell due before were not sent: keepers that have just
 	 * started would wait for the next, up to 0.4 s. */
 	if (before == NULL)
-		gateway_peers_tell(g);
+		gateway_views_news(g);
 }
 
 static void
@@ -105,7 +105,7 @@
 	    says->leaving ? "leaving" : "ready", says->model_version,
 	    mirror_revision(g->targets));
 	if (is_new)
-		gateway_peers_tell(g);
+		gateway_views_greet(g);
 	g_free(says);
 	fwd_pump(g->fwd);
 }
@@ -144,7 +144,7 @@
 		evt(EVT_VERSION, "model=%s version=%" G_GINT64_FORMAT, v->model,
 		    v->version);
 	g_free(v);
-	gateway_peers_tell(g);
+	gateway_views_news(g);
 }
 
 static void
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -10,6 +10,7 @@
 #include "platform/adapter.h"
 #include "common/evt.h"
 #include "serve/fwd.h"
+#include "serve/roster.h"
 #include "shared/station.h"
 
 struct gateway {
@@ -22,18 +23,44 @@
 	struct hlimits limits;
 	struct hserver *callers, *ready;
 	struct dgram *peers;
-	struct evl_timer tick, tell;
+	struct evl_timer tick, tell, relay;
+	int64_t told_near_us, told_far_us; /* views, last */
+	bool news; /* all keepers are to be told at once */
+	GHashTable *rosters; /* model -> struct roster */
+	GHashTable *mates; /* address -> struct gateway_mate */
 	uint64_t seed; /* of what this gateway draws among others */
 	bool is_ready;
 	int64_t stopping_us; /* 0: not asked to stop */
 	unsigned int gateways; /* that share the targets, as keepers say */
+	unsigned int near_gateways; /* of these, in this region */
 	int64_t all_away_us; /* a keeper last said that none has the store */
 };
 
-/* gateway_peers.c: keepers */
+/* gateway_views.c: what keepers are told */
+void gateway_views_open(struct gateway *g);
+/* Something that decides has changed: all keepers hear of it once after all
+ * events of this wake-up. */
+void gateway_views_news(struct gateway *g);
+/* Keepers that were not told anything yet are told then. */
+void gateway_views_greet(struct gateway *g);
+void gateway_views_asked(
+    struct gateway *g, const char *from, const struct side_ask *ask);
+/* Root digest that enough keepers found for a version; none otherwise. */
+struct digest gateway_agreed_root(
+    const struct tgt_service *service, int64_t version);
+#define GATEWAY_FIRST_VERSION 1 /* of weights; engines may have it unnamed */
+/* Keepers that read the same digests from the origin before others take them
+ * over without reading: a single answer may have been spoilt on its way. */
+#define GATEWAY_ROOT_VOTES 2
+
+/* gateway_relay.c: how full this region's engines are, told to other regions */
+void gateway_relay_open(struct gateway *g);
+/* A keeper says that there is this gateway. */
+void gateway_relay_mate(struct gateway *g, const struct side_load *load);
+void gateway_relay_take(struct gateway *g, const struct side_loads *loads);
+
+/* gateway_peers.c: messages of keepers and other gateways */
 bool gateway_peers_open(struct gateway *g, struct err *err);
-/* Once after all events of this wake-up, and on from there. */
-void gateway_peers_tell(struct gateway *g);
 
 /* gateway.c */
 /* `now` stands where `before` did, NULL: nothing. Kept connections to another
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -11,13 +11,16 @@
 #include "common/evt.h"
 #include "http/fetch.h"
 #include "platform/adapter.h"
+#include "serve/roster.h"
 #include "shared/station.h"
 #include "stage/stage.h"
 #include "weights/weights.h"
 
 #define KEEPER_NAME_MAX 64
 #define KEEPER_ADDRESS_MAX 24
-#define KEEPER_GATEWAYS_MAX 512
+/* Gateways that a keeper tells its load, 200 bytes each; more are counted and
+ * know the engine by its answers alone. */
+#define KEEPER_GATEWAYS_MAX 4096
 
 /* A gateway that has told its view lately. */
 struct keeper_gateway {
@@ -25,6 +28,7 @@
 	bool near; /* in this keeper's region */
 	int64_t heard_us;
 	int64_t told_us; /* the last load */
+	char region[KEEPER_NAME_MAX];
 	bool store_away; /* the store does not answer it */
 };
 
@@ -62,6 +66,14 @@
 	int64_t checked_us; /* all were read back and good; 0: not yet */
 };
 
+/* What a load says that a gateway decides by. */
+struct keeper_told {
+	uint64_t engine; /* enum side_engine */
+	int64_t loaded, wanted;
+	bool own_root;
+	unsigned int running, waiting;
+};
+
 struct keeper {
 	struct station st;
 	struct wts *wts;
@@ -73,7 +85,10 @@
 	char model[KEEPER_NAME_MAX];
 	char origin[KEEPER_ADDRESS_MAX];
 	char origin_region[KEEPER_NAME_MAX];
-	GArray *peers; /* struct keeper_peer, by address */
+	struct roster *roster; /* of the keepers of the model */
+	int64_t lacks_us; /* a newer one is known of since; 0: none */
+	int64_t asked_us; /* a gateway was asked for it, last */
+	GArray *peers; /* struct keeper_peer, of the roster */
 	unsigned int slots; /* of the engine */
 	bool may_cut; /* requests that the engine cuts go on elsewhere */
 	/* The newest wanted version; and one before it that is not loaded yet
@@ -99,9 +114,9 @@
 	int64_t look_us; /* the staging place was last looked through from */
 	int64_t rest_until_us; /* after a call that failed */
 	/* What gateways were told last. */
-	struct sv_report told;
-	enum stg_step told_step;
-	bool told_own_root, told_up, told_closed;
+	struct keeper_told told;
+	uint64_t load_seq; /* of the last load */
+	guint named_gateway; /* the one that the last load named */
 };
 
 static inline int64_t
@@ -152,10 +167,16 @@
 void keeper_close(struct keeper *k);
 void keeper_reopen(struct keeper *k, const char *why);
 
-/* keeper_gateways.c: views and loads */
+/* keeper_views.c: what gateways say is wanted, and who else loads it */
+void keeper_take_view(
+    struct keeper *k, const char *from, const struct side_view *view);
+void keeper_take_page(struct keeper *k, const struct side_page *page);
+
+/* keeper_gateways.c: gateways, and loads for them */
 bool keeper_gateways_open(struct keeper *k, struct err *err);
 void keeper_tell_load(struct keeper *k);
 bool keeper_is_heard(const struct keeper *k); /* some gateway wants loads */
+unsigned int keeper_near_gateways(const struct keeper *k);
 
 int keeper_main(const char *settings);
 
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -1,6 +1,5 @@
-/* Talk with gateways: their views come in, the engine's load goes out. */
+/* The gateways that speak to this keeper, and the engine's load for them. */
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #include "serve/side.h"
@@ -11,11 +10,17 @@
 /* A load that has not changed is told again this often, so that its age and
  * the keeper's silence mean something. */
 #define TELL_AGAIN_US 250000
-/* Least time between two loads for a gateway. Those of other regions choose
- * this engine less, and bytes between regions are dear: all keepers to all
- * gateways at the near rate would be most of what crosses. */
+/* Least time between two loads for a gateway. */
 #define TELL_NEAR_US 25000
-#define TELL_FAR_US 150000
+/*
+ * Gateways of other regions hear how full the engine is from those of this
+ * region, for all engines here at once. They hear from the keeper itself when
+ * that changes whether requests can go here at all, and this often, so that a
+ * change that was lost is made up for.
+ */
+#define TELL_FAR_US 1000000
+/* The same while no gateway of this region is there to tell them. */
+#define TELL_ALONE_US 150000
 
 /* ------------------------------------------------------------------ */
 /* Gateways                                                            */
@@ -32,7 +37,6 @@
 {
 	struct keeper_gateway fresh = { .heard_us = keeper_now(k),
 		.store_away = view->store_away != 0 };
-	char region[KEEPER_NAME_MAX];
 	guint i;
 
 	for (i = 0; i < k->gateways->len; i++) {
@@ -44,8 +48,9 @@
 	}
 	if (k->gateways->len == KEEPER_GATEWAYS_MAX)
 		return;
-	slice_copy(view->region, region, sizeof(region));
-	fresh.near = strcmp(region, cfg_str(k->st.cfg, "node.region")) == 0;
+	slice_copy(view->region, fresh.region, sizeof(fresh.region));
+	fresh.near =
+	    strcmp(fresh.region, cfg_str(k->st.cfg, "node.region")) == 0;
 	g_strlcpy(fresh.address, from, sizeof(fresh.address));
 	g_array_append_val(k->gateways, fresh);
 }
@@ -64,149 +69,22 @@
 	}
 }
 
-bool
-keeper_is_heard(const struct keeper *k)
+unsigned int
+keeper_near_gateways(const struct keeper *k)
 {
-	return k->gateways->len > 0;
-}
-
-/* ------------------------------------------------------------------ */
-/* Views                                                               */
-/* ------------------------------------------------------------------ */
-
-static gint
-by_address(gconstpointer a, gconstpointer b)
-{
-	return strcmp(((const struct keeper_peer *)a)->address,
-	    ((const struct keeper_peer *)b)->address);
-}
-
-static void
-read_peer(const struct keeper *k, const uint8_t *raw, char **domains,
-    struct keeper_peer *out)
-{
-	char ip[INET_ADDRSTRLEN];
-	uint16_t port;
-	guint n = g_strv_length(domains);
-
-	memcpy(&port, raw + 4, sizeof(port));
-	inet_ntop(AF_INET, raw, ip, sizeof(ip));
-	memset(out, 0, sizeof(*out));
-	g_snprintf(
-	    out->address, sizeof(out->address), "%s:%u", ip, ntohs(port));
-	g_strlcpy(out->region,
-	    raw[6] < n ? keeper_region(k, domains[raw[6]]) : "",
-	    sizeof(out->region));
-}
-
-/* True when the peers have changed. */
-static bool
-take_peers(struct keeper *k, const struct side_view *view)
-{
-	char *names = slice_dup(view->domains);
-	char **domains = g_strsplit(names, ",", -1);
-	GArray *peers = g_array_new(FALSE, TRUE, sizeof(struct keeper_peer));
-	struct keeper_peer peer;
-	size_t at;
-	bool changed;
-
-	for (at = 0; at + SIDE_PEER_BYTES <= view->peers.len;
-	     at += SIDE_PEER_BYTES) {
-		read_peer(k, view->peers.data + at, domains, &peer);
-		g_array_append_val(peers, peer);
-	}
-	g_array_sort(peers, by_address);
-	changed = peers->len != k->peers->len ||
-	    memcmp(peers->data, k->peers->data,
-		peers->len * sizeof(struct keeper_peer)) != 0;
-	g_array_unref(k->peers);
-	k->peers = peers;
-	g_strfreev(domains);
-	g_free(names);
-	return changed;
-}
-
-static void
-want(struct keeper *k, const struct side_view *view, uint64_t version,
-    uint64_t age_ms)
-{
-	struct keeper_named named = {
-		.version = (int64_t)version,
-		.heard_us = keeper_now(k) - (int64_t)age_ms * 1000,
-		.chunks = view->chunks,
-		.chunk_bytes = view->chunk_bytes,
-	};
-
-	if (view->due_ms > 0)
-		named.due_us = named.heard_us + (int64_t)view->due_ms * 1000;
-	stg_dues_add(&k->dues, named.version, named.due_us);
-	keeper_want(k, &named);
-}
-
-/* Gateways that were cut off may still tell of an older version. */
-static void
-take_version(struct keeper *k, const struct side_view *view)
-{
-	int64_t version = (int64_t)view->version;
-
-	if (k->newest != NULL && version <= k->newest->version) {
-		if (version == k->newest->version)
-			k->newest->told_root = view->root;
-		return;
-	}
-	/* Just started: its part in the older one is waited for, too. */
-	if (view->older != 0 && k->newest == NULL) {
-		want(k, view, view->older, view->older_age_ms);
-		k->newest->told_root = view->older_root;
-	}
-	want(k, view, view->version, view->age_ms);
-	k->newest->told_root = view->root;
-}
-
-static void
-peers_changed(struct keeper_copy *c)
-{
-	if (c != NULL && (c->looked || c->keeper->loaded != 0))
-		keeper_set_peers(c);
-}
+	unsigned int near = 0;
+	guint i;
 
-static void
-take_view(struct keeper *k, const struct side_view *view)
-{
-	bool changed;
-	char model[KEEPER_NAME_MAX], domain[KEEPER_NAME_MAX];
-
-	slice_copy(view->model, model, sizeof(model));
-	slice_copy(view->origin, k->origin, sizeof(k->origin));
-	slice_copy(view->origin_domain, domain, sizeof(domain));
-	g_strlcpy(k->origin_region, keeper_region(k, domain),
-	    sizeof(k->origin_region));
-	k->slots = (unsigned int)view->slots;
-	k->may_cut = view->may_cut != 0;
-	changed = take_peers(k, view);
-	if (strcmp(model, k->model) != 0) {
-		g_strlcpy(k->model, model, sizeof(k->model));
-		keeper_forget(k);
-		k->dues.n = 0;
-	}
-	take_version(k, view);
-	if (changed) {
-		peers_changed(k->newest);
-		peers_changed(k->older);
-	}
+	for (i = 0; i < k->gateways->len; i++)
+		near +=
+		    g_array_index(k->gateways, struct keeper_gateway, i).near;
+	return near;
 }
 
-static void
-on_message(const char *from, const struct msg *m, void *ctx)
+bool
+keeper_is_heard(const struct keeper *k)
 {
-	struct keeper *k = ctx;
-	struct side_view view;
-
-	if (!msg_read(m, &side_view_desc, &view, NULL))
-		return;
-	note_gateway(k, from, &view);
-	take_view(k, &view);
-	keeper_step(k);
+	return k->gateways->len > 0;
 }
 
 /* ------------------------------------------------------------------ */
@@ -229,88 +107,183 @@
 	return k->newest != NULL && k->newest->own_root;
 }
 
+static struct keeper_told
+what_to_tell(const struct keeper *k)
+{
+	return (struct keeper_told){
+		.engine = engine_state(k),
+		.loaded = k->loaded,
+		.wanted = k->newest == NULL ? 0 : k->newest->version,
+		.own_root = has_own_root(k),
+		.running = k->engine.running,
+		.waiting = k->engine.waiting,
+	};
+}
+
 /* What a gateway must hear at once: whether requests can go there at all. */
 static bool
-state_changed(const struct keeper *k)
+state_differs(const struct keeper_told *a, const struct keeper_told *b)
 {
-	return k->told.version != k->engine.version ||
-	    k->told.busy != k->engine.busy || k->told_step != k->step ||
-	    k->told_own_root != has_own_root(k) || k->told_up != k->up ||
-	    k->told_closed != (k->closed_us != 0);
+	return a->engine != b->engine || a->loaded != b->loaded ||
+	    a->wanted != b->wanted || a->own_root != b->own_root;
 }
 
 static bool
-load_changed(const struct keeper *k)
+load_differs(const struct keeper_told *a, const struct keeper_told *b)
 {
-	return k->told.running != k->engine.running ||
-	    k->told.waiting != k->engine.waiting;
+	return a->running != b->running || a->waiting != b->waiting;
 }
 
-static bool
-is_due(const struct keeper *k, const struct keeper_gateway *g)
+/* Which gateways hear a load at this moment. */
+struct tell_plan {
+	bool at_once; /* all of them */
+	int64_t near_us, far_us; /* those that heard nothing for so long */
+};
+
+static struct tell_plan
+plan_telling(const struct keeper *k, const struct keeper_told *now)
 {
-	int64_t since_us = keeper_now(k) - g->told_us;
+	bool changed = load_differs(now, &k->told);
+	struct tell_plan plan = {
+		.at_once = state_differs(now, &k->told),
+		.near_us = changed ? TELL_NEAR_US : TELL_AGAIN_US,
+		.far_us = TELL_FAR_US,
+	};
 
-	if (state_changed(k))
-		return true;
-	if (load_changed(k))
-		return since_us >= (g->near ? TELL_NEAR_US : TELL_FAR_US);
-	return since_us >= TELL_AGAIN_US;
+	if (keeper_near_gateways(k) == 0)
+		plan.far_us = changed ? TELL_ALONE_US : TELL_AGAIN_US;
+	return plan;
 }
 
-static void
-note_told(struct keeper *k)
+static bool
+is_due(const struct keeper *k, const struct tell_plan *plan,
+    const struct keeper_gateway *g)
 {
-	k->told = k->engine;
-	k->told_step = k->step;
-	k->told_own_root = has_own_root(k);
-	k->told_up = k->up;
-	k->told_closed = k->closed_us != 0;
+	return plan->at_once ||
+	    keeper_now(k) - g->told_us >=
+	    (g->near ? plan->near_us : plan->far_us);
 }
 
-void
-keeper_tell_load(struct keeper *k)
+static void
+fill_load(
+    struct keeper *k, const struct keeper_told *now, struct side_load *load)
 {
-	struct side_load load = {
+	guint i;
+
+	*load = (struct side_load){
 		.address = slice_str(cfg_str(k->st.cfg, "engine.address")),
-		.engine = engine_state(k),
+		.engine = now->engine,
 		.born_ms = (uint64_t)MAX(0, k->engine.born_ms),
-		.running = k->engine.running,
-		.waiting = k->engine.waiting,
-		.version = (uint64_t)k->loaded,
+		.running = now->running,
+		.waiting = now->waiting,
+		.version = (uint64_t)now->loaded,
 		.pace_permille = (uint64_t)(k->engine.pace * 1000),
+		.wanted = (uint64_t)now->wanted,
+		.gateways = k->gateways->len,
+		.near = keeper_near_gateways(k),
+		.seq = k->load_seq,
 	};
-	struct keeper_gateway *g;
+	for (i = 0; i < k->gateways->len; i++)
+		load->without_store += gateway_at(k, i)->store_away;
+	if (k->newest != NULL)
+		load->wanted_age_ms =
+		    (uint64_t)(keeper_now(k) - k->newest->heard_us) / 1000;
+	if (now->own_root)
+		load->root =
+		    (struct slice){ k->newest->wts.root.bytes, DIGEST_BYTES };
+}
+
+/* Names a gateway of another region, the next one each time. */
+static void
+name_gateway(struct keeper *k, struct side_load *load)
+{
+	const struct keeper_gateway *g;
 	guint i;
 
-	drop_silent(k);
-	if (!k->had_engine)
+	for (i = 0; i < k->gateways->len; i++) {
+		k->named_gateway = (k->named_gateway + 1) % k->gateways->len;
+		g = gateway_at(k, k->named_gateway);
+		if (g->near)
+			continue;
+		load->gateway = slice_str(g->address);
+		load->gateway_region = slice_str(g->region);
 		return;
-	load.gateways = k->gateways->len;
-	for (i = 0; i < k->gateways->len; i++)
-		load.without_store += gateway_at(k, i)->store_away;
-	if (k->newest != NULL) {
-		load.wanted = (uint64_t)k->newest->version;
-		load.wanted_age_ms =
-		    (uint64_t)(keeper_now(k) - k->newest->heard_us) / 1000;
 	}
-	if (has_own_root(k))
-		load.root =
-		    (struct slice){ k->newest->wts.root.bytes, DIGEST_BYTES };
+}
+
+/* Sends `load` to those of one side (near or far) that are due. */
+static bool
+tell(struct keeper *k, const struct tell_plan *plan, bool near,
+    const struct side_load *load)
+{
+	GByteArray *packed = NULL;
+	struct keeper_gateway *g;
+	bool told = false;
+	guint i;
+
 	for (i = 0; i < k->gateways->len; i++) {
 		g = gateway_at(k, i);
-		if (!is_due(k, g))
+		if (g->near != near || !is_due(k, plan, g))
 			continue;
-		dgram_send(k->dgram, g->address, &side_load_desc, &load);
+		if (packed == NULL)
+			packed = dgram_pack(k->dgram, &side_load_desc, load);
+		if (packed == NULL)
+			break;
+		dgram_send_packed(
+		    k->dgram, g->address, &side_load_desc, packed);
 		g->told_us = keeper_now(k);
+		told = true;
 	}
-	note_told(k);
+	if (packed != NULL)
+		g_byte_array_unref(packed);
+	return told;
+}
+
+void
+keeper_tell_load(struct keeper *k)
+{
+	struct keeper_told now = what_to_tell(k);
+	struct tell_plan plan;
+	struct side_load load;
+	bool told_far;
+
+	drop_silent(k);
+	if (!k->had_engine)
+		return;
+	plan = plan_telling(k, &now);
+	k->load_seq++;
+	fill_load(k, &now, &load);
+	told_far = tell(k, &plan, false, &load);
+	name_gateway(k, &load);
+	/* A change that was not due yet stays one until it is told. */
+	if (tell(k, &plan, true, &load) || plan.at_once ||
+	    (told_far && keeper_near_gateways(k) == 0))
+		k->told = now;
+}
+
+/* ------------------------------------------------------------------ */
+/* Messages                                                            */
+/* ------------------------------------------------------------------ */
+
+static void
+on_message(const char *from, const struct msg *m, void *ctx)
+{
+	struct keeper *k = ctx;
+	struct side_view view;
+	struct side_page page;
+
+	if (msg_read(m, &side_view_desc, &view, NULL)) {
+		note_gateway(k, from, &view);
+		keeper_take_view(k, from, &view);
+	} else if (msg_read(m, &side_page_desc, &page, NULL))
+		keeper_take_page(k, &page);
 }
 
 bool
 keeper_gateways_open(struct keeper *k, struct err *err)
 {
 	k->gateways = g_array_new(FALSE, FALSE, sizeof(struct keeper_gateway));
+	k->roster = roster_new();
 	k->peers = g_array_new(FALSE, TRUE, sizeof(struct keeper_peer));
 	k->dgram = dgram_open(&k->st.node, cfg_str(k->st.cfg, "listen.peers"),
 	    on_message, k, err);
--- /dev/null
+++ b/programs/side/keeper_views.c
@@ -0,0 +1,180 @@
+/* What gateways say is wanted, and who else loads it. */
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "side/keeper.h"
+
+/*
+ * A roster comes within milliseconds of the question; one that was lost is
+ * asked for again after this. While a deployment grows it changes with each
+ * host, and is asked for this often at most.
+ */
+#define ASK_AGAIN_US 100000
+/* Gateways of the own region speak each 0.4 s. When only another region's
+ * knows of a newer roster for longer, they are cut off from the store, and it
+ * may cross a thin link. */
+#define ASK_FAR_US 600000
+
+/* ------------------------------------------------------------------ */
+/* Roster                                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+read_peer(const struct keeper *k, const struct roster_peer *p,
+    struct keeper_peer *out)
+{
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, p->ip, ip, sizeof(ip));
+	memset(out, 0, sizeof(*out));
+	g_snprintf(
+	    out->address, sizeof(out->address), "%s:%u", ip, ntohs(p->port));
+	g_strlcpy(
+	    out->region, keeper_region(k, p->domain), sizeof(out->region));
+}
+
+static gint
+by_address(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const struct keeper_peer *)a)->address,
+	    ((const struct keeper_peer *)b)->address);
+}
+
+static void
+peers_changed(struct keeper_copy *c)
+{
+	if (c != NULL && (c->looked || c->keeper->loaded != 0))
+		keeper_set_peers(c);
+}
+
+static void
+take_roster(struct keeper *k)
+{
+	const GArray *all = roster_peers(k->roster);
+	struct keeper_peer peer;
+	guint i;
+
+	g_array_set_size(k->peers, 0);
+	for (i = 0; i < all->len; i++) {
+		read_peer(k, &g_array_index(all, struct roster_peer, i), &peer);
+		g_array_append_val(k->peers, peer);
+	}
+	g_array_sort(k->peers, by_address);
+	peers_changed(k->newest);
+	peers_changed(k->older);
+}
+
+void
+keeper_take_page(struct keeper *k, const struct side_page *page)
+{
+	char model[KEEPER_NAME_MAX];
+
+	slice_copy(page->model, model, sizeof(model));
+	if (strcmp(model, k->model) != 0 || !roster_take(k->roster, page))
+		return;
+	k->lacks_us = 0;
+	take_roster(k);
+	keeper_step(k);
+}
+
+static void
+ask_roster(
+    struct keeper *k, const char *from, const struct side_view *view, bool near)
+{
+	struct roster_id theirs = { (int64_t)view->roster_revision,
+		view->roster_digest, view->roster_count };
+	struct roster_id own = roster_id(k->roster);
+	struct side_ask ask = { .model = view->model };
+	int64_t now_us = keeper_now(k);
+
+	if (!roster_is_newer(&theirs, &own))
+		return;
+	if (k->lacks_us == 0)
+		k->lacks_us = now_us;
+	if (!near && keeper_near_gateways(k) > 0 &&
+	    now_us - k->lacks_us < ASK_FAR_US)
+		return;
+	if (k->asked_us != 0 && now_us - k->asked_us < ASK_AGAIN_US)
+		return;
+	k->asked_us = now_us;
+	dgram_send(k->dgram, from, &side_ask_desc, &ask);
+}
+
+/* ------------------------------------------------------------------ */
+/* Views                                                               */
+/* ------------------------------------------------------------------ */
+
+static void
+want(struct keeper *k, const struct side_view *view, uint64_t version,
+    uint64_t age_ms)
+{
+	struct keeper_named named = {
+		.version = (int64_t)version,
+		.heard_us = keeper_now(k) - (int64_t)age_ms * 1000,
+		.chunks = view->chunks,
+		.chunk_bytes = view->chunk_bytes,
+	};
+
+	if (view->due_ms > 0)
+		named.due_us = named.heard_us + (int64_t)view->due_ms * 1000;
+	stg_dues_add(&k->dues, named.version, named.due_us);
+	keeper_want(k, &named);
+}
+
+/* Gateways that were cut off may still tell of an older version. */
+static void
+take_version(struct keeper *k, const struct side_view *view)
+{
+	int64_t version = (int64_t)view->version;
+
+	if (k->newest != NULL && version <= k->newest->version) {
+		if (version == k->newest->version)
+			k->newest->told_root = view->root;
+		return;
+	}
+	/* Just started: its part in the older one is waited for, too. */
+	if (view->older != 0 && k->newest == NULL) {
+		want(k, view, view->older, view->older_age_ms);
+		k->newest->told_root = view->older_root;
+	}
+	want(k, view, view->version, view->age_ms);
+	k->newest->told_root = view->root;
+}
+
+static void
+take_model(struct keeper *k, const struct side_view *view)
+{
+	char model[KEEPER_NAME_MAX];
+
+	slice_copy(view->model, model, sizeof(model));
+	if (strcmp(model, k->model) == 0)
+		return;
+	g_strlcpy(k->model, model, sizeof(k->model));
+	keeper_forget(k);
+	k->dues.n = 0;
+	roster_free(k->roster);
+	k->roster = roster_new();
+	g_array_set_size(k->peers, 0);
+	k->asked_us = 0;
+}
+
+void
+keeper_take_view(
+    struct keeper *k, const char *from, const struct side_view *view)
+{
+	char domain[KEEPER_NAME_MAX], region[KEEPER_NAME_MAX];
+
+	slice_copy(view->region, region, sizeof(region));
+	slice_copy(view->origin, k->origin, sizeof(k->origin));
+	slice_copy(view->origin_domain, domain, sizeof(domain));
+	g_strlcpy(k->origin_region, keeper_region(k, domain),
+	    sizeof(k->origin_region));
+	k->slots = (unsigned int)view->slots;
+	k->may_cut = view->may_cut != 0;
+	take_model(k, view);
+	ask_roster(k, from, view,
+	    strcmp(region, cfg_str(k->st.cfg, "node.region")) == 0);
+	take_version(k, view);
+	keeper_step(k);
+}
--- /dev/null
+++ b/tests/serve/test_roster.c
@@ -0,0 +1,197 @@
+/* Rosters: pages of any number of keepers, and which roster replaces which. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "serve/roster.h"
+
+#define PORT 7700
+#define ZONES 5
+
+static GArray *
+some_peers(unsigned int n)
+{
+	GArray *peers = g_array_new(FALSE, TRUE, sizeof(struct roster_peer));
+	unsigned int i;
+
+	for (i = 0; i < n; i++) {
+		struct roster_peer p = { .ip = { 10, (uint8_t)(i % ZONES),
+					     (uint8_t)(i >> 8), (uint8_t)i },
+			.port = htons(PORT) };
+
+		g_snprintf(p.domain, sizeof(p.domain), "zone-%u", i % ZONES);
+		g_array_append_val(peers, p);
+	}
+	return peers;
+}
+
+static struct roster *
+roster_at(unsigned int n, int64_t revision)
+{
+	struct roster *r = roster_new();
+
+	assert_true(roster_set(r, some_peers(n), revision));
+	return r;
+}
+
+/* Sends one page as a datagram, and has it taken in. */
+static bool
+pass_page(const struct roster *from, unsigned int index, struct roster *to)
+{
+	GByteArray *bytes = g_byte_array_new();
+	GByteArray *wire = g_byte_array_new();
+	struct side_page page, read;
+	struct msg m = { 0 };
+	bool done;
+
+	roster_page(from, index, bytes, &page);
+	page.model = slice_str("model");
+	msg_pack(wire, 0, &side_page_desc, &page);
+	/* 16 bytes of proof go before it. */
+	assert_true(wire->len + 16 <= DGRAM_MAX);
+	assert_true(msg_open(&m, wire->data, wire->len, NULL));
+	assert_true(msg_read(&m, &side_page_desc, &read, NULL));
+	done = roster_take(to, &read);
+	msg_close(&m);
+	g_byte_array_unref(wire);
+	g_byte_array_unref(bytes);
+	return done;
+}
+
+static void
+assert_same(const struct roster *a, const struct roster *b)
+{
+	const GArray *x = roster_peers(a);
+	const GArray *y = roster_peers(b);
+
+	assert_int_equal(x->len, y->len);
+	assert_memory_equal(
+	    x->data, y->data, x->len * sizeof(struct roster_peer));
+}
+
+/*
+ * A deployment grows from 120 hosts to 204 and on. When a list had to fit in
+ * one datagram, hosts beyond the 140th were in nobody's list: no one fetched
+ * from them, and no turn counted them.
+ */
+static void
+test_any_number_of_peers(void **state)
+{
+	static const unsigned int sizes[] = { 1, 140, 141, 204, 300, 600,
+		2000 };
+	struct roster *from, *to;
+	unsigned int i, page;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		from = roster_at(sizes[i], 7);
+		to = roster_new();
+		for (page = 0; page < roster_pages(from); page++)
+			assert_int_equal(pass_page(from, page, to),
+			    page + 1 == roster_pages(from));
+		assert_same(from, to);
+		assert_int_equal(roster_id(to).revision, 7);
+		roster_free(from);
+		roster_free(to);
+	}
+}
+
+/*
+ * The second of three pages is lost and the roster is asked for again, of
+ * another gateway: its pages fill the gap, in whatever order they come.
+ */
+static void
+test_lost_page(void **state)
+{
+	struct roster *a = roster_at(300, 7);
+	struct roster *b = roster_at(300, 9); /* the same, read later */
+	struct roster *to = roster_new();
+
+	assert_false(pass_page(a, 0, to));
+	assert_false(pass_page(a, 2, to));
+	assert_false(pass_page(b, 2, to)); /* twice */
+	assert_true(pass_page(b, 1, to));
+	assert_same(a, to);
+	roster_free(a);
+	roster_free(b);
+	roster_free(to);
+}
+
+/*
+ * A gateway that is cut off from the store knows fewer hosts than the others.
+ * Were keepers to take whatever they heard last, each view would change their
+ * peers, drop connections and count other turns, several times a second.
+ */
+static void
+test_older_roster_is_not_taken(void **state)
+{
+	struct roster *cut_off = roster_at(120, 50);
+	struct roster *fresh = roster_at(204, 80);
+	struct roster_id old_id = roster_id(cut_off);
+	struct roster_id new_id = roster_id(fresh);
+	struct roster *to = roster_new();
+
+	assert_true(roster_is_newer(&new_id, &old_id));
+	assert_false(roster_is_newer(&old_id, &new_id));
+	assert_false(pass_page(fresh, 0, to));
+	assert_false(pass_page(cut_off, 0, to)); /* halfway: no way back */
+	assert_true(pass_page(fresh, 1, to));
+	assert_false(pass_page(cut_off, 0, to));
+	assert_same(fresh, to);
+	roster_free(cut_off);
+	roster_free(fresh);
+	roster_free(to);
+}
+
+/* The store's list comes in by pages at one revision: longer is newer. The
+ * same peers at another revision are the same roster. */
+static void
+test_roster_grows_at_one_revision(void **state)
+{
+	struct roster *r = roster_at(50, 0);
+	struct roster_id before = roster_id(r), after;
+
+	assert_true(roster_set(r, some_peers(100), 0));
+	after = roster_id(r);
+	assert_true(roster_is_newer(&after, &before));
+	assert_false(roster_is_newer(&before, &after));
+	assert_false(roster_set(r, some_peers(100), 30));
+	assert_int_equal(roster_id(r).revision, 0);
+	roster_free(r);
+}
+
+/* A page whose counts make no sense changes nothing. */
+static void
+test_malformed_page(void **state)
+{
+	struct roster *to = roster_new();
+	struct side_page page = {
+		.revision = 1, .digest = 1, .count = 1, .page = 1, .pages = 1
+	};
+
+	assert_false(roster_take(to, &page));
+	page.pages = 0;
+	page.page = 0;
+	assert_false(roster_take(to, &page));
+	assert_int_equal(roster_peers(to)->len, 0);
+	roster_free(to);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_any_number_of_peers),
+		cmocka_unit_test(test_lost_page),
+		cmocka_unit_test(test_older_roster_is_not_taken),
+		cmocka_unit_test(test_roster_grows_at_one_revision),
+		cmocka_unit_test(test_malformed_page),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
