A gateway that starts between two due times hears of both versions

Cause, by reading: a gateway that starts after two versions were named lists the newest from the store, and keepers told it only of that. Until the newest is due it sends requests to engines that the one before has already made too old: a broken promise about weights. Ruled out: keepers' own due times (they know both). Change: loads also tell the version named before the newest and its age; vers_told takes one in from between those known, not before the process is bound. Test: test_a_gateway_that_starts_between_two_due_times fails on the code before (nothing follows from an older version) and passes.

--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -48,6 +48,8 @@
 	MSG_FIELD(struct side_load, without_store, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_load, near, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_load, seq, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_load, older, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_load, older_age_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_load, gateway, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_load, gateway_region, MSG_STR, TEXT_MAX),
 };
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -81,6 +81,8 @@
 	uint64_t pace_permille; /* of its steps against the stated */
 	uint64_t wanted; /* the newest version that it was told of; 0: none */
 	uint64_t wanted_age_ms; /* since its name was heard of first */
+	uint64_t older; /* the one named before it, also when due; 0: none */
+	uint64_t older_age_ms;
 	struct slice root; /* as read from the origin; empty: not here */
 	uint64_t gateways; /* that the keeper hears */
 	uint64_t without_store; /* of these, that the store does not answer */
--- a/lib/serve/vers.c
+++ b/lib/serve/vers.c
@@ -64,6 +64,32 @@
 	return true;
 }
 
+/*
+ * A version from between those known. Whoever lists the store after two were
+ * named is told only the last; what is loaded may have to end with the first.
+ * One that is due no sooner than the next says nothing that this does not.
+ */
+static bool
+insert_older(const struct vers *v, struct vers_model *m, int64_t version,
+    int64_t told_us)
+{
+	int64_t heard_us = MAX(told_us, v->bound_us - v->due_us);
+	unsigned int at = 0;
+
+	while (at < m->nnamed && m->named[at].version < version)
+		at++;
+	if (at == m->nnamed || m->nnamed == VERS_KEPT ||
+	    heard_us >= m->named[at].heard_us)
+		return false;
+	memmove(&m->named[at + 1], &m->named[at],
+	    (m->nnamed - at) * sizeof(m->named[0]));
+	m->named[at].version = version;
+	m->named[at].heard_us = heard_us;
+	m->named[at].guessed = false;
+	m->nnamed++;
+	return true;
+}
+
 bool
 vers_told(struct vers *v, const char *model, int64_t version, int64_t heard_us)
 {
@@ -80,6 +106,8 @@
 		m->named[i].guessed = false;
 		return true;
 	}
+	if (m->nnamed > 0 && m->named[m->nnamed - 1].version > version)
+		return insert_older(v, m, version, heard_us);
 	g_strlcpy(named.model, model, sizeof(named.model));
 	return vers_named(v, &named, false, heard_us);
 }
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -151,6 +151,19 @@
 	return 0;
 }
 
+int64_t
+stg_dues_before(const struct stg_dues *d, int64_t version, int64_t *due_us)
+{
+	unsigned int i = d->n;
+
+	while (i > 0 && d->at[i - 1].version >= version)
+		i--;
+	if (i == 0)
+		return 0;
+	*due_us = d->at[i - 1].due_us;
+	return d->at[i - 1].version;
+}
+
 /* ------------------------------------------------------------------ */
 /* Two versions                                                        */
 /* ------------------------------------------------------------------ */
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -96,6 +96,9 @@
 void stg_dues_add(struct stg_dues *d, int64_t version, int64_t due_us);
 /* When `loaded` may not serve any more; 0: no such time is known. */
 int64_t stg_dues_end(const struct stg_dues *d, int64_t loaded);
+/* The one named before `version`, and when it is due; 0: not known. */
+int64_t stg_dues_before(
+    const struct stg_dues *d, int64_t version, int64_t *due_us);
 /* When everything before `loaded` may not serve any more; 0: not known. */
 int64_t stg_dues_of(const struct stg_dues *d, int64_t loaded);
 
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -68,27 +68,37 @@
 	    load->pace_permille == 0 ? 1 : (double)load->pace_permille / 1000.0;
 }
 
+/* A version that keepers have heard of so long ago. The first was never named:
+ * engines have it from the beginning. */
+static void
+note_told(
+    struct gateway *g, const char *model, uint64_t version, uint64_t age_ms)
+{
+	int64_t heard_us = evl_now_us(g->st.loop) - (int64_t)age_ms * 1000;
+
+	if (version <= GATEWAY_FIRST_VERSION)
+		return;
+	if (vers_told(g->named, model, (int64_t)version, heard_us))
+		evt(EVT_VERSION,
+		    "model=%s version=%" G_GUINT64_FORMAT
+		    " from=keeper age_ms=%" G_GUINT64_FORMAT,
+		    model, version, age_ms);
+}
+
 /*
  * A gateway that starts after a version was named does not know when that was
- * and would refuse engines that may still serve; one whose watch is silent
- * does not know of it at all. Keepers have heard of it from the others. The
- * first version was never named: engines have it from the beginning.
+ * and would refuse engines that may still serve; of two it knows the newest
+ * alone, and would use engines that may not; one whose watch is silent does not
+ * know of any. Keepers have heard of them from the others.
  */
 static void
 note_wanted(struct gateway *g, const struct tgt_service *service,
     const struct side_load *load)
 {
-	int64_t heard_us =
-	    evl_now_us(g->st.loop) - (int64_t)load->wanted_age_ms * 1000;
+	const char *model = service->engine.model;
 
-	if (load->wanted <= GATEWAY_FIRST_VERSION)
-		return;
-	if (vers_told(g->named, service->engine.model, (int64_t)load->wanted,
-		heard_us))
-		evt(EVT_VERSION,
-		    "model=%s version=%" G_GUINT64_FORMAT
-		    " from=keeper age_ms=%" G_GUINT64_FORMAT,
-		    service->engine.model, load->wanted, load->wanted_age_ms);
+	note_told(g, model, load->wanted, load->wanted_age_ms);
+	note_told(g, model, load->older, load->older_age_ms);
 }
 
 /* A gateway that alone finds the store away may be cut off itself. */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -46,8 +46,10 @@
 			return;
 		}
 	}
-	if (k->gateways->len == KEEPER_GATEWAYS_MAX)
+	if (k->gateways->len == KEEPER_GATEWAYS_MAX) {
+		ctr_add(ctr_get(k->st.counters, "gateways_left_out"), 1);
 		return;
+	}
 	slice_copy(view->region, fresh.region, sizeof(fresh.region));
 	fresh.near =
 	    strcmp(fresh.region, cfg_str(k->st.cfg, "node.region")) == 0;
@@ -164,6 +166,32 @@
 	    (g->near ? plan->near_us : plan->far_us);
 }
 
+static uint64_t
+age_ms(const struct keeper *k, int64_t since_us)
+{
+	return (uint64_t)MAX(0, keeper_now(k) - since_us) / 1000;
+}
+
+/* The versions that are wanted, and how long they are. */
+static void
+fill_wanted(const struct keeper *k, struct side_load *load)
+{
+	const struct keeper_copy *newest = k->newest;
+	int64_t older_due_us = 0;
+
+	if (newest == NULL)
+		return;
+	load->wanted = (uint64_t)newest->version;
+	load->wanted_age_ms = age_ms(k, newest->heard_us);
+	if (newest->due_us == 0)
+		return;
+	load->older =
+	    (uint64_t)stg_dues_before(&k->dues, newest->version, &older_due_us);
+	if (load->older != 0)
+		load->older_age_ms = age_ms(
+		    k, older_due_us - (newest->due_us - newest->heard_us));
+}
+
 static void
 fill_load(
     struct keeper *k, const struct keeper_told *now, struct side_load *load)
@@ -178,16 +206,13 @@
 		.waiting = now->waiting,
 		.version = (uint64_t)now->loaded,
 		.pace_permille = (uint64_t)(k->engine.pace * 1000),
-		.wanted = (uint64_t)now->wanted,
 		.gateways = k->gateways->len,
 		.near = keeper_near_gateways(k),
 		.seq = k->load_seq,
 	};
 	for (i = 0; i < k->gateways->len; i++)
 		load->without_store += gateway_at(k, i)->store_away;
-	if (k->newest != NULL)
-		load->wanted_age_ms =
-		    (uint64_t)(keeper_now(k) - k->newest->heard_us) / 1000;
+	fill_wanted(k, load);
 	if (now->own_root)
 		load->root =
 		    (struct slice){ k->newest->wts.root.bytes, DIGEST_BYTES };
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -268,6 +268,45 @@
 	vers_free(v);
 }
 
+/*
+ * Versions 2 and 3 are named two seconds apart, and then a gateway is replaced.
+ * The store names only version 3 to it. When version 2 is due some engines
+ * still have version 1, and its callers alone are served with that for two
+ * seconds more, until version 3 is due. Keepers know both.
+ */
+static void
+test_a_gateway_that_starts_between_two_due_times(void **state)
+{
+	struct vers *v = vers_new(10 * SECOND, 26 * SECOND);
+	struct sv_version named = { .model = "m", .version = 3 };
+
+	assert_true(vers_named(v, &named, true, 21 * SECOND));
+	assert_true(vers_told(v, "m", 3, 20 * SECOND));
+	assert_true(vers_told(v, "m", 2, 18 * SECOND));
+	assert_false(vers_told(v, "m", 2, 18 * SECOND));
+	assert_int_equal(vers_least(v, "m", 28 * SECOND - 1), 0);
+	assert_int_equal(vers_least(v, "m", 28 * SECOND), 2);
+	assert_int_equal(vers_least(v, "m", 30 * SECOND), 3);
+	assert_int_equal(vers_end_us(v, "m", 1), 28 * SECOND);
+	assert_int_equal(vers_newest(v, "m"), 3);
+	vers_free(v);
+
+	/* One that has just started is not bound before its time. */
+	v = vers_new(10 * SECOND, 29 * SECOND);
+	assert_true(vers_named(v, &named, true, 24 * SECOND));
+	assert_true(vers_told(v, "m", 3, 20 * SECOND));
+	assert_true(vers_told(v, "m", 2, 18 * SECOND));
+	assert_int_equal(vers_end_us(v, "m", 1), 29 * SECOND);
+	vers_free(v);
+
+	/* Nothing follows from one that is due no sooner than the next. */
+	v = vers_new(10 * SECOND, 0);
+	assert_true(vers_named(v, &named, false, 20 * SECOND));
+	assert_false(vers_told(v, "m", 2, 20 * SECOND));
+	assert_int_equal(vers_end_us(v, "m", 1), 30 * SECOND);
+	vers_free(v);
+}
+
 /*
  * Version 2 is named, two seconds later the store falls silent for all, for
  * eight seconds. Engines could still get version 2 or not; nobody could name
@@ -733,6 +772,8 @@
 		cmocka_unit_test(test_versions_from_before_the_start),
 		cmocka_unit_test(test_no_version_is_due_right_after_the_start),
 		cmocka_unit_test(test_keepers_know_when_a_version_was_named),
+		cmocka_unit_test(
+		    test_a_gateway_that_starts_between_two_due_times),
 		cmocka_unit_test(
 		    test_no_version_becomes_due_while_the_store_is_away),
 		T(test_estimate),
--- a/tests/stage/test_stage.c
+++ b/tests/stage/test_stage.c
@@ -212,6 +212,20 @@
 	assert_int_equal(stg_dues_end(&dues, 18), 19 * SECOND);
 }
 
+static void
+test_the_one_named_before(void **state)
+{
+	struct stg_dues dues = { 0 };
+	int64_t due_us = 0;
+
+	assert_int_equal(stg_dues_before(&dues, 5, &due_us), 0);
+	stg_dues_add(&dues, 3, 7 * SECOND);
+	stg_dues_add(&dues, 5, 9 * SECOND);
+	assert_int_equal(stg_dues_before(&dues, 3, &due_us), 0);
+	assert_int_equal(stg_dues_before(&dues, 5, &due_us), 3);
+	assert_int_equal(due_us, 7 * SECOND);
+}
+
 /*
  * After the store's return two versions are heard of within moments. Fetched
  * first, the older one holds the newest up by seconds, and is never loaded.
@@ -338,6 +352,7 @@
 		cmocka_unit_test(test_turns_are_spread),
 		cmocka_unit_test(test_engines_with_more_time_go_later),
 		cmocka_unit_test(test_only_the_last_due_times_are_kept),
+		cmocka_unit_test(test_the_one_named_before),
 		cmocka_unit_test(test_an_older_version_heard_of_together),
 		cmocka_unit_test(test_an_overdue_version_that_is_almost_here),
 		cmocka_unit_test(test_a_turn_before_the_newest_is_used),
