One look through the targets tells for all that wait for the same

Cause: while all places are taken, each word about a load had all targets looked through for each request that waits: waiting times targets times words, each growing with a deployment. Change: what was found to have no place is remembered for the pass; another request of the same model and kind can only be more particular. Test: six that wait and one word are one look, six before; it fails without. No figure of its own was taken.

--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -212,6 +212,7 @@
 		.random = rng_next(&f->rng),
 	};
 
+	ctr_add(f->choices, 1);
 	return tgt_choose(
 	    f->conf.targets, r->service->targets, &wish, fwd_now(r), why);
 }
@@ -256,19 +257,70 @@
 	evl_timer_set(r->fwd->conf.loop, &r->step, until_us);
 }
 
+/*
+ * What was found to have no place. While all targets are full hundreds wait, and
+ * each word about a load would have all targets looked through for each of them:
+ * a gateway beside 200 engines spent its processor on that, and was late for
+ * callers whose place was free.
+ */
+struct full {
+	const char *model; /* NULL: no model is asked for */
+	bool may_withdraw, repeatable;
+	bool is_set;
+};
+
+#define FULL_KINDS 8 /* more are looked for each time */
+
+/* Another request of the same kind has no place, either: it can only be more
+ * particular, by targets that it was sent to and places left to others. */
+static bool
+is_known_full(const struct full *full, const struct fwd_req *r)
+{
+	unsigned int i;
+
+	for (i = 0; i < FULL_KINDS && full[i].is_set; i++) {
+		if (full[i].may_withdraw == fwd_may_withdraw(r) &&
+		    full[i].repeatable == r->flow.repeatable &&
+		    g_strcmp0(full[i].model, r->model) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+note_full(struct full *full, const struct fwd_req *r)
+{
+	unsigned int i = 0;
+
+	if (r->ntried > 0 || gives_way(r))
+		return;
+	while (i < FULL_KINDS && full[i].is_set)
+		i++;
+	if (i < FULL_KINDS)
+		full[i] = (struct full){ .model = r->model,
+			.may_withdraw = fwd_may_withdraw(r),
+			.repeatable = r->flow.repeatable,
+			.is_set = true };
+}
+
 /* Gives free places to those that wait, most urgent first. */
 static void
 pump_service(struct fwd_service *service)
 {
+	struct full full[FULL_KINDS] = { 0 };
 	struct fwd_req *r, *next;
 	struct tgt *target;
 	enum tgt_why why;
 
 	for (r = TAILQ_FIRST(&service->waiting); r != NULL; r = next) {
 		next = TAILQ_NEXT(r, link);
+		if (is_known_full(full, r))
+			continue;
 		target = choose(r, &why);
-		if (target == NULL)
+		if (target == NULL) {
+			note_full(full, r);
 			continue;
+		}
 		fwd_unwait(r);
 		evl_timer_stop(r->fwd->conf.loop, &r->step);
 		hist_add(&r->fwd->wait, fwd_now(r) - r->begun_us);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -406,6 +406,43 @@
 		close(fd[i]);
 }
 
+/*
+ * All targets are full and many requests wait; keepers speak hundreds of times
+ * a second. Were each word to have all targets looked through for each request
+ * that waits, a gateway beside 200 engines had no time left for those whose
+ * place is free. One look tells for all of a kind.
+ */
+static void
+test_one_look_for_all_that_wait(void **state)
+{
+	enum {
+		WAITING = 6
+	};
+	int fd[3 + WAITING], busy[3], i;
+	int64_t before;
+	struct sv_config *config = make_config(SV_UNSAFE, 1, 3000);
+
+	config->routes[0].objective_us = 3000000; /* they wait for long */
+	world_open(1, config);
+	for (i = 0; i < 3; i++)
+		fd[i] = take_place("T-Deadline: 3000\r\n", &busy[i]);
+	for (i = 3; i < 3 + WAITING; i++)
+		fd[i] = ask();
+	assert_int_equal(fwd_waiting(w.fwd), WAITING);
+	before = ctr_read(w.counters, "target_choices");
+	fwd_pump(w.fwd);
+	turn_ms(1);
+	assert_int_equal(ctr_read(w.counters, "target_choices") - before, 1);
+	raw_send(busy[0], WHOLE);
+	expect_answer(fd[0], "\r\n\r\nok");
+	turn_ms(10);
+	assert_int_equal(fwd_waiting(w.fwd), WAITING - 1);
+	for (i = 1; i < 3; i++)
+		close(busy[i]);
+	for (i = 1; i < 3 + WAITING; i++)
+		close(fd[i]);
+}
+
 /* No place within its share of the objective: refused at once, with advice,
  * rather than held until the caller gives up. */
 static void
@@ -646,6 +683,7 @@
 		T(test_stream_that_cannot_go_on),
 		T(test_silent_stream),
 		T(test_waiting_for_a_place),
+		T(test_one_look_for_all_that_wait),
 		T(test_refused_for_want_of_a_place),
 		T(test_new_callers_before_those_that_come_back),
 		T(test_places_are_kept_only_while_they_are_short),
