A target's free places are drawn for by its region's gateways

Cause: each gateway drew for free places as one of all gateways. With 35, of which seven stand in a region, a gateway found none of its 41 engines' places its own in three of ten moments when one was free at each, and sent the request to another region. Hypothesis: eight tenths of a target's free places for the gateways of its own region, which keepers count, the rest for all others.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -24,7 +24,15 @@
 #define ERROR_WEIGHT 0.1
 /* Answers before the share of failures is believed. */
 #define ERROR_ANSWERS 8
-/* Part of the entries that send to one target: mostly those of its region. */
+/*
+ * Entries send to targets of their own region while these have places, so a
+ * target's places are shared by its region's entries. This part of its free
+ * places is drawn for by these; the rest is left to all others, whose own
+ * targets are taken.
+ */
+#define NEAR_PART 0.8
+/* Part of the entries that send to one target, where its region's are not
+ * told. */
 #define READ_SHARERS 0.4
 /* A target at its limit of reading costs as much as so many requests. */
 #define READ_COST 4.0
@@ -331,13 +339,27 @@
 	t->sent_since = 0;
 }
 
+/* Entries that draw for the target's places, as this one must count them. */
+static double
+sharers(const struct tgt *t, const struct tgt_policy *p)
+{
+	unsigned int far;
+
+	if (t->entries_near == 0)
+		return MAX(1, p->entries);
+	if (t->near)
+		return MAX(1, t->entries_near / NEAR_PART);
+	far = p->entries - MIN(p->entries, t->entries_near);
+	return MAX(1, far / (1 - NEAR_PART));
+}
+
 double
 tgt_estimate(const struct tgt *t, const struct tgt_policy *p, int64_t now_us)
 {
 	double others;
 
 	if (t->seen_us == 0 || now_us - t->seen_us > LOAD_FRESH_US)
-		return (double)t->mine * MAX(1, p->entries);
+		return (double)t->mine * sharers(t, p);
 	/* What the others had then, and what this entry has now. */
 	others = (double)t->seen - (double)t->seen_mine;
 	return MAX(0, others) + t->mine;
@@ -504,7 +526,7 @@
 took_its_part(const struct tgt *t, const struct tgt_policy *p, int64_t now_us)
 {
 	double free_then = tgt_limit(t, p) - t->seen;
-	double part = free_then / MAX(1, p->entries);
+	double part = free_then / sharers(t, p);
 
 	if (t->seen_us == 0 || now_us - t->seen_us > LOAD_FRESH_US)
 		return false; /* the estimate has the others' parts in it */
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -32,6 +32,7 @@
 	int64_t side_us; /* last word of its side; 0: never */
 	uint32_t side_seq; /* of that word */
 	bool greeted; /* its side was told of this entry */
+	unsigned int entries_near; /* in its region, by its side; 0: not told */
 	int64_t up_us; /* it came up then, by its side; 0: not known */
 	bool side_down; /* its side cannot reach it, or it loads weights */
 	char model[SV_ID_MAX]; /* loaded; newer of store and side */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -121,6 +121,7 @@
 	tgt_side_heard(t, (uint32_t)load->seq, now_us);
 	tgt_load(t, (unsigned int)(load->running + load->waiting), now_us);
 	note_gateways(g, (unsigned int)load->gateways);
+	t->entries_near = (unsigned int)load->near;
 	if (t->near) {
 		g->near_gateways = (unsigned int)load->near;
 		gateway_relay_mate(g, load);
