--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -220,10 +220,22 @@
 /* Time                                                                */
 /* ------------------------------------------------------------------ */
 
-/* A word of keepers on the store's silence is believed for so long: views
- * bring it to them every 0.4 s, loads from there every 0.25 s. */
+/* A word of keepers on the store's silence is believed for so long: they hear
+ * of it at once and tell their region's gateways every 0.25 s. */
 #define ALL_AWAY_FRESH_US 1000000
 
+/* Keepers count the gateways that the store does not answer. */
+static void
+tell_store_away(struct gateway *g)
+{
+	bool away = store_away_us(g->store) != 0;
+
+	if (away == g->store_away)
+		return;
+	g->store_away = away;
+	gateway_views_news(g);
+}
+
 /*
  * While the store answers none of the gateways, no operator can name, halt or
  * replace a version, and the time until one is due does not run. Were it to,
@@ -277,6 +289,7 @@
 	int64_t now_us = evl_now_us(g->st.loop);
 
 	tgt_sweep(g->set, now_us);
+	tell_store_away(g);
 	hold_due_times(g, now_us);
 	check_ready(g);
 	fwd_pump(g->fwd);
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -25,6 +25,7 @@
 	struct dgram *peers;
 	struct evl_timer tick, tell, relay;
 	int64_t told_near_us, told_far_us; /* views, last */
+	bool store_away; /* as keepers were told */
 	bool news; /* all keepers are to be told at once */
 	GHashTable *rosters; /* model -> struct roster */
 	GHashTable *mates; /* address -> struct gateway_mate */
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -204,7 +204,7 @@
 	view->chunks = e->chunks;
 	view->chunk_bytes = e->chunk_bytes;
 	view->slots = e->slots;
-	view->store_away = store_away_us(g->store) != 0;
+	view->store_away = g->store_away;
 	view->may_cut =
 	    sv_config_may_cut(rtab_config(fwd_routes(g->fwd)), service->name);
 	view->roster_revision = (uint64_t)roster.revision;
