--- a/lib/serve/flow.h
+++ b/lib/serve/flow.h
@@ -48,4 +48,11 @@
 enum flow_step flow_next(const struct flow_state *s, enum flow_end end,
     bool (*may_spend)(void *ctx), void *ctx);
 
+/*
+ * When a refused caller is told to come back, in seconds: `wait_s` is expected
+ * for a place now, `random` is from 0 up to 1 and spreads those refused
+ * together.
+ */
+double flow_return_s(double wait_s, double random);
+
 #endif
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -18,14 +18,6 @@
 /* A service of no known objective. */
 #define WAIT_DEFAULT_US 200000
 #define RATE_SPAN_US 2000000 /* of the moving average of ends a second */
-/*
- * Advice when to come back. Whoever was refused misses its objective in any
- * case, so it may as well come when the crowd of that moment is gone; and late
- * enough that its time tells it from new callers. Callers wait for a third of
- * their time at most, so more than the bound is no use.
- */
-#define RETRY_BASE_S 1.2
-#define RETRY_MAX_S 1.9
 /* Weight of one request in the moving share of those that came back. */
 #define BACK_WEIGHT 0.02
 /* With more than this share, times left say nothing: these callers always
@@ -74,10 +66,9 @@
 fwd_retry_after(struct fwd_req *r)
 {
 	double wait_s = expected_wait_s(r->service, r->service->nwaiting);
-	/* Those refused together must not come back together. */
-	double spread = 0.75 + (double)rng_below(&r->fwd->rng, 1000) / 2000.0;
 
-	return MIN((RETRY_BASE_S + wait_s) * spread, RETRY_MAX_S);
+	return flow_return_s(
+	    wait_s, (double)rng_below(&r->fwd->rng, 1000) / 1000.0);
 }
 
 /* ------------------------------------------------------------------ */
--- a/tests/serve/test_decide.c
+++ b/tests/serve/test_decide.c
@@ -107,6 +107,43 @@
 	rtab_unref(t);
 }
 
+/* ------------------------------------------------------------------ */
+/* Callers that are refused                                            */
+/* ------------------------------------------------------------------ */
+
+/*
+ * For 1.5 s no engine may serve: the weights of all have become too old, or all
+ * were started at once. Callers are refused all through it and come back once,
+ * at the time that they are told. Hardly one finds nobody again, and they do
+ * not come all in one moment.
+ */
+static void
+test_refused_callers_return_after_the_gap(void **state)
+{
+	enum {
+		CALLERS = 1500
+	};
+	const double gap_s = 1.5;
+	unsigned int again = 0, i, in_100_ms[40] = { 0 }, most = 0;
+	struct rng rng;
+
+	rng_seed(&rng, 1);
+	for (i = 0; i < CALLERS; i++) {
+		double at_s = gap_s * i / CALLERS;
+		double back_s = at_s +
+		    flow_return_s(0, (double)rng_below(&rng, 1000) / 1000);
+
+		again += back_s < gap_s;
+		in_100_ms[(unsigned int)(back_s * 10)]++;
+	}
+	for (i = 0; i < G_N_ELEMENTS(in_100_ms); i++)
+		most = MAX(most, in_100_ms[i]);
+	assert_true(again <= CALLERS / 20);
+	assert_true(most <= CALLERS / 10);
+	/* A caller waits for a third of its time, and that is some six seconds. */
+	assert_true(flow_return_s(5, 0.5) <= 1.9);
+}
+
 /* ------------------------------------------------------------------ */
 /* Attempts                                                            */
 /* ------------------------------------------------------------------ */
@@ -766,6 +803,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_which_services_may_be_cut),
 		cmocka_unit_test(test_longest_prefix),
+		cmocka_unit_test(test_refused_callers_return_after_the_gap),
 		cmocka_unit_test(test_what_follows_an_attempt),
 		cmocka_unit_test(test_versions_become_due),
 		cmocka_unit_test(test_the_version_before_the_newest),
