Tests of lib/serve by module: one program where six stood in one

tests/serve/test_decide.c (836 lines) held those of routes, attempts, versions, targets, stop and histogram.

--- /dev/null
+++ b/tests/serve/test_stop.c
@@ -0,0 +1,43 @@
+/* When a process that was asked to stop may end. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "serve/stop.h"
+
+#define SECOND 1000000
+
+/*
+ * The last answer is made and its bytes wait to go out when the stop's first
+ * part is over. The process must not end before its caller has them: the
+ * answer would be cut in the middle.
+ */
+static void
+test_stop_waits_for_the_last_bytes(void **state)
+{
+	struct stop_state s = { .since_us = SECOND,
+		.grace_us = 8 * SECOND,
+		.active = 0,
+		.connections = 1 };
+
+	assert_int_equal(stop_next(&s, 2 * SECOND), STOP_SERVE);
+	assert_int_equal(stop_next(&s, 4 * SECOND), STOP_TURN_AWAY);
+	s.connections = 0;
+	assert_int_equal(stop_next(&s, 4 * SECOND), STOP_END);
+	s.active = 1;
+	assert_int_equal(stop_next(&s, 4 * SECOND), STOP_TURN_AWAY);
+	assert_int_equal(stop_next(&s, 9 * SECOND), STOP_END);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_stop_waits_for_the_last_bytes),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
