--- a/tests/serve/test_share.c
+++ b/tests/serve/test_share.c
@@ -1,7 +1,6 @@
 /*
- * Free places shared by many entries without a message between them. Five
- * regions with seven entries and 41 targets each: what the users' large
- * deployment has after it has grown.
+ * Free places shared by many entries without a message between them: five
+ * regions with seven entries and 41 targets each, of 8 slots and one place more.
  */
 
 #include <setjmp.h>
