A stream that ends as its gateway stops to listen reaches its caller whole

Cause: 2.6 s after the request to stop, connections that wait for their next request are closed. Ruled out: the end of the process, the engine. Change: such a connection closes after what is queued. Test: test_stream_ends_as_listening_stops fails on the code before.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -340,6 +340,23 @@
 	return s;
 }
 
+/*
+ * Ends a connection that waits for its next request. The answer before it may
+ * still be queued: closed at once, its caller would have it cut off, by a
+ * process that stops as planned. It goes out first, and the end with it.
+ */
+static void
+end_idle(struct hreq *r)
+{
+	if (hbuf_left(&r->out) == 0) {
+		hreq_destroy(r);
+		return;
+	}
+	r->state = HREQ_FLUSH;
+	hbuf_free(&r->in);
+	evl_later(hreq_loop(r), &r->flush);
+}
+
 void
 hserver_stop_listening(struct hserver *s)
 {
@@ -354,7 +371,7 @@
 	for (r = LIST_FIRST(&s->reqs); r != NULL; r = next) {
 		next = LIST_NEXT(r, link);
 		if (r->state == HREQ_READ && r->started_us == 0)
-			hreq_destroy(r);
+			end_idle(r);
 	}
 }
 
--- a/tests/http/test_server.c
+++ b/tests/http/test_server.c
@@ -256,6 +256,34 @@
 	close(fd);
 }
 
+/*
+ * A stream that began before the stop ends in the same wake-up in which the
+ * process stops to listen, as happens when reading new settings held the loop
+ * up. Its last bytes are queued and not written yet; its connection looks idle.
+ * Closed at once, the caller would have an answer that breaks off.
+ */
+static void
+test_stream_ends_as_listening_stops(void **state)
+{
+	char *answer;
+	int fd;
+
+	limits.idle_us = 30000000; /* not what closes it here */
+	fd = raw_dial(address);
+	raw_send(fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+	turn_until(&got);
+	hreq_begin(held, 200, "");
+	hreq_write(held, "abc", 3);
+	turn_ms(5);
+	hreq_write(held, "def", 3);
+	hreq_end(held);
+	hserver_stop_listening(server);
+	answer = raw_read(fd, NULL); /* to the connection's end */
+	assert_true(g_str_has_suffix(answer, "def\r\n0\r\n\r\n"));
+	g_free(answer);
+	close(fd);
+}
+
 static void
 test_http10(void **state)
 {
@@ -287,6 +315,7 @@
 		T(test_slow_reader_is_congested),
 		T(test_stop),
 		T(test_stream_over_the_stop),
+		T(test_stream_ends_as_listening_stops),
 		T(test_http10),
 	};
 
