A keeper that does not know the others yet leaves the digests to them

Change: who is to read is a decision of lib/stage; with the members unknown a keeper waits as those do that are not first. Test: test_who_reads_digests; on the rule before, nothing waits.

--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -164,6 +164,34 @@
 	return d->at[i - 1].version;
 }
 
+/* ------------------------------------------------------------------ */
+/* Digests                                                             */
+/* ------------------------------------------------------------------ */
+
+/*
+ * The origin takes few connections and is slow: this many keepers read a
+ * version's digests there; the others wait for these to agree and take them
+ * from peers, and ask the origin only when that has not come about. One that
+ * does not know the others yet, as just after its start, is none of the few:
+ * after a start of everything all would ask, and the origin's link be taken
+ * for a second by what one of them needs to read.
+ */
+#define DIGEST_READERS 4
+#define DIGEST_ALONE_US 700000
+#define DIGEST_STEP_US 50000
+#define DIGEST_SPREAD_US 2000000
+
+int64_t
+stg_digests_due(const struct stg_digests *d)
+{
+	int64_t wait_us = DIGEST_ALONE_US;
+
+	if (d->members > 0 && d->ahead < DIGEST_READERS)
+		return d->rest_us;
+	wait_us += MIN((int64_t)d->ahead * DIGEST_STEP_US, DIGEST_SPREAD_US);
+	return MAX(d->rest_us, d->asked_us + wait_us);
+}
+
 /* ------------------------------------------------------------------ */
 /* Two versions                                                        */
 /* ------------------------------------------------------------------ */
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -102,6 +102,16 @@
 /* When everything before `loaded` may not serve any more; 0: not known. */
 int64_t stg_dues_of(const struct stg_dues *d, int64_t loaded);
 
+/* When a keeper reads a version's digests from the origin itself. */
+struct stg_digests {
+	unsigned int members; /* keepers of the model; 0: not known yet */
+	unsigned int ahead; /* of these, before this one */
+	int64_t asked_us; /* the digests were needed first */
+	int64_t rest_us; /* the origin is not asked before */
+};
+
+int64_t stg_digests_due(const struct stg_digests *d);
+
 /* Two versions were named one after the other. */
 struct stg_rival {
 	bool older_whole;
--- a/programs/side/keeper_copy.c
+++ b/programs/side/keeper_copy.c
@@ -7,16 +7,6 @@
 #define MANIFEST_TIMEOUT_US 1500000
 #define MANIFEST_MAX (1u << 20)
 #define MANIFEST_REST_US 300000
-/*
- * The origin takes few connections and is slow: this many keepers read a
- * version's digests there; the others wait for these to agree and take them
- * from peers, and ask the origin only when that has not come about.
- */
-#define MANIFEST_READERS 4
-#define MANIFEST_ALONE_US 700000
-#define MANIFEST_STEP_US 50000
-#define MANIFEST_SPREAD_US 2000000
-
 /* ------------------------------------------------------------------ */
 /* Wanted versions                                                     */
 /* ------------------------------------------------------------------ */
@@ -228,14 +218,12 @@
 static int64_t
 manifest_due_us(const struct keeper_copy *c)
 {
-	unsigned int rank = manifest_rank(c->keeper);
-	int64_t wait_us;
-
-	if (rank < MANIFEST_READERS)
-		return c->manifest_rest_us;
-	wait_us = MANIFEST_ALONE_US +
-	    MIN((int64_t)rank * MANIFEST_STEP_US, MANIFEST_SPREAD_US);
-	return MAX(c->manifest_rest_us, c->asked_us + wait_us);
+	return stg_digests_due(&(struct stg_digests){
+	    .members = c->keeper->peers->len,
+	    .ahead = manifest_rank(c->keeper),
+	    .asked_us = c->asked_us,
+	    .rest_us = c->manifest_rest_us,
+	});
 }
 
 void
--- a/tests/stage/test_stage.c
+++ b/tests/stage/test_stage.c
@@ -212,6 +212,28 @@
 	assert_int_equal(stg_dues_end(&dues, 18), 19 * SECOND);
 }
 
+/*
+ * All keepers start at once and are told what is wanted a moment before they
+ * are told who else there is. Each would take itself for the first and read the
+ * digests from the origin, whose link they all need for the pieces.
+ */
+static void
+test_who_reads_digests(void **state)
+{
+	struct stg_digests d = { .asked_us = 10 * SECOND };
+
+	assert_true(stg_digests_due(&d) > 10 * SECOND + SECOND / 2);
+	d.members = 204;
+	d.ahead = 3;
+	assert_int_equal(stg_digests_due(&d), 0); /* one of the few */
+	d.rest_us = 11 * SECOND; /* the origin failed it */
+	assert_int_equal(stg_digests_due(&d), 11 * SECOND);
+	d.ahead = 4;
+	assert_true(stg_digests_due(&d) > 10 * SECOND + SECOND / 2);
+	d.ahead = 203; /* in the end all ask */
+	assert_true(stg_digests_due(&d) < 13 * SECOND);
+}
+
 static void
 test_the_one_named_before(void **state)
 {
@@ -352,6 +374,7 @@
 		cmocka_unit_test(test_turns_are_spread),
 		cmocka_unit_test(test_engines_with_more_time_go_later),
 		cmocka_unit_test(test_only_the_last_due_times_are_kept),
+		cmocka_unit_test(test_who_reads_digests),
 		cmocka_unit_test(test_the_one_named_before),
 		cmocka_unit_test(test_an_older_version_heard_of_together),
 		cmocka_unit_test(test_an_overdue_version_that_is_almost_here),
