Sight: gateways log and count what targets with a rate limit get

Now a gateway notes the limit that an answer names, logs its changes (ev=limit), shows how many targets name one (targets_limited) and counts requests to them, first sends and repeats apart (requests_to_limited, _again). An answer begun before the limit was named does not end it, nor does a refusal.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -28,6 +28,8 @@
 	X(EVT_TARGET_GONE, "target_gone", EVT_STATE, "a target was removed")   \
 	X(EVT_TARGET_REST, "target_rest", EVT_STATE,                           \
 	    "a target is left alone after failures")                           \
+	X(EVT_LIMIT, "limit", EVT_STATE,                                       \
+	    "a target names another rate limit, or none any more")             \
 	X(EVT_VERSION, "version", EVT_STATE, "new weights were named")         \
 	X(EVT_READY, "ready", EVT_STATE, "readiness changed")                  \
 	X(EVT_SIDE, "side", EVT_STATE, "a side's word changed what is known")  \
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -363,6 +363,8 @@
 	f->retries = ctr_get(set, "requests_sent_again");
 	f->resumes = ctr_get(set, "streams_resumed");
 	f->odd = ctr_get(set, "answers_not_ours");
+	f->limited = ctr_get(set, "requests_to_limited");
+	f->limited_again = ctr_get(set, "requests_to_limited_again");
 	f->choices = ctr_get(set, "target_choices");
 	return f;
 }
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -1,5 +1,6 @@
 /* What comes back from a target, and how it is passed on. */
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -46,6 +47,45 @@
 	return r->status >= 200 && r->status < 300;
 }
 
+/* Requests a second; 0: none is named. False: not a number. */
+static bool
+limit_of(const struct fwd_req *r, const struct hmsg *m, double *out)
+{
+	const struct hheader *h = field(r, m, SV_F_LIMIT);
+	char text[32], *end;
+
+	*out = 0;
+	if (h == NULL)
+		return true;
+	if (h->value.n == 0 || h->value.n >= sizeof(text))
+		return false;
+	memcpy(text, h->value.p, h->value.n);
+	text[h->value.n] = '\0';
+	*out = g_ascii_strtod(text, &end);
+	if (*end != '\0' || !isfinite(*out) || *out < 0)
+		return false;
+	*out = MAX(*out, RATE_LEAST);
+	return true;
+}
+
+static void
+read_limit(struct fwd_req *r, const struct hmsg *m)
+{
+	struct rate *rate = &r->target->rate;
+	double limit, before = rate->limit;
+
+	if (!limit_of(r, m, &limit))
+		return;
+	/* A refusal need not come from the engine itself: that it names no
+	 * limit does not end one. */
+	if (limit == 0 && !(is_success(r) && r->sealed))
+		return;
+	if (rate_answered(rate, limit, r->sent_us, fwd_now(r)))
+		evt(EVT_LIMIT,
+		    "target=%s address=%s limit=%.2f before=%.2f from=answer",
+		    r->target->says.id, r->target->says.address, limit, before);
+}
+
 /* Statuses that promise that a request did not run: only a target that says
  * so in its own field may make that promise. */
 static bool
@@ -88,6 +128,7 @@
 	r->status = m->status;
 	r->sealed = field(r, m, SV_F_SEAL) != NULL;
 	read_load(r, m);
+	read_limit(r, m);
 	fwd_read(r);
 	r->refused = says_not_run(r, m);
 	r->broken =
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -326,6 +326,16 @@
 	hbuf_free(&r->answer);
 }
 
+/* First sends and repeats apart: a limit binds both. */
+static void
+count_limited(struct fwd_req *r)
+{
+	if (r->target->rate.limit > 0)
+		ctr_add(
+		    r->flow.tries > 1 ? r->fwd->limited_again : r->fwd->limited,
+		    1);
+}
+
 void
 fwd_send(struct fwd_req *r, struct tgt *target)
 {
@@ -340,6 +350,7 @@
 	if (r->ntried < FWD_TRIED_MAX)
 		r->tried[r->ntried++] = target;
 	r->flow.tries++;
+	count_limited(r);
 	tgt_sent(target, r->sent_us);
 	tgt_reading(target, r->prompt, true);
 	r->reading = true;
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -83,6 +83,7 @@
 	struct rng rng;
 	unsigned int active, waiting;
 	struct ctr *done, *refused, *failed, *left, *retries, *resumes, *odd;
+	struct ctr *limited, *limited_again; /* sent to targets with a limit */
 	struct ctr *choices; /* looks through all targets */
 	struct hist wait, first, gap, whole;
 };
--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -148,6 +148,7 @@
 	SV_F_URGENCY, /* 0 first */
 	SV_F_LAST_EVENT, /* a stream goes on after this event */
 	SV_F_LOAD, /* running, waiting, slots */
+	SV_F_LIMIT, /* requests a second that it takes from all entries */
 	SV_F_NOT_RUN, /* the target refused before it began */
 	SV_F_INSTANCE,
 	SV_F_MODEL,
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -291,6 +291,19 @@
 	g_list_free(all);
 }
 
+unsigned int
+tgt_limited(struct tgt_set *s)
+{
+	GHashTableIter iter;
+	gpointer t;
+	unsigned int n = 0;
+
+	g_hash_table_iter_init(&iter, s->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &t))
+		n += ((const struct tgt *)t)->rate.limit > 0;
+	return n;
+}
+
 struct tgt *
 tgt_find(struct tgt_set *s, const char *id)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -10,6 +10,7 @@
 
 #include <sys/queue.h>
 
+#include "serve/rate.h"
 #include "serve/records.h"
 #include "serve/side.h"
 
@@ -40,6 +41,7 @@
 	/* Root digest that its keeper read of a version's digests. */
 	struct digest root;
 	int64_t root_version;
+	struct rate rate;
 	double pace; /* of its steps against the stated; 1: as stated */
 	/* Failures without an answer. */
 	unsigned int failures; /* in a row */
@@ -113,6 +115,8 @@
     struct tgt_set *s, const char *id, bool lapsed, int64_t now_us);
 /* Drops what was kept for long enough. */
 void tgt_sweep(struct tgt_set *s, int64_t now_us);
+/* Targets that name a rate limit. */
+unsigned int tgt_limited(struct tgt_set *s);
 struct tgt *tgt_find(struct tgt_set *s, const char *id);
 struct tgt *tgt_at(struct tgt_set *s, const char *address);
 
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -377,14 +377,14 @@
 	    "gateway_ready %d\nconfig_version %" G_GINT64_FORMAT
 	    "\nconfig_heard_age_ms %" G_GINT64_FORMAT
 	    "\ntargets_heard_age_ms %" G_GINT64_FORMAT
-	    "\ncaller_connections %u\n",
+	    "\ncaller_connections %u\ntargets_limited %u\n",
 	    g->is_ready,
 	    fwd_routes(g->fwd) == NULL
 		? 0
 		: rtab_config(fwd_routes(g->fwd))->version,
 	    (now_us - mirror_heard_us(g->config)) / 1000,
 	    (now_us - mirror_heard_us(g->targets)) / 1000,
-	    hserver_connections(g->callers));
+	    hserver_connections(g->callers), tgt_limited(g->set));
 }
 
 /* ------------------------------------------------------------------ */
--- a/tests/serve/world.h
+++ b/tests/serve/world.h
@@ -27,6 +27,7 @@
 	    [SV_F_URGENCY] = "T-Urgency",
 	    [SV_F_LAST_EVENT] = "T-Last",
 	    [SV_F_LOAD] = "T-Load",
+	    [SV_F_LIMIT] = "T-Limit",
 	    [SV_F_NOT_RUN] = "T-Not-Run",
 	    [SV_F_INSTANCE] = "T-Instance",
 	    [SV_F_MODEL] = "T-Model",
