--- a/tests/fleet/caller.c
+++ b/tests/fleet/caller.c
@@ -169,17 +169,31 @@
 	.failed = on_failed,
 };
 
+/* Unevenly, as a balancer does that goes by the caller: half of what is left
+ * goes to the first, and so on. */
+static size_t
+choose_gateway(struct fleet *f)
+{
+	size_t i = 0;
+
+	while (f->uneven && i + 1 < f->ngateways && rng_below(&f->rng, 2) == 0)
+		i++;
+	return f->uneven ? i : rng_below(&f->rng, f->ngateways);
+}
+
 static void
 start_ask(struct fleet *f)
 {
 	struct ask *a = g_new0(struct ask, 1);
+	size_t gateway = choose_gateway(f);
 	char *head;
 
 	a->f = f;
 	a->kind = (enum ask_kind)rng_below(&f->rng, ASK_KINDS);
 	a->body = g_string_new(NULL);
-	g_snprintf(a->id, sizeof(a->id), "%c-%u-%" G_GUINT64_FORMAT,
-	    ask_letter[a->kind], f->tally.asked, rng_next(&f->rng) % 100000);
+	g_snprintf(a->id, sizeof(a->id), "%c-%u-%" G_GUINT64_FORMAT "-g%zu",
+	    ask_letter[a->kind], f->tally.asked, rng_next(&f->rng) % 100000,
+	    gateway);
 	f->tally.asked++;
 	f->open_calls++;
 	head = g_strdup_printf(
@@ -192,8 +206,7 @@
 	evl_timer_set(f->loop, &a->deadline,
 	    evl_now_us(f->loop) + (DEADLINE_MS + 500) * 1000);
 	a->call = hcall_start(f->pool,
-	    &(struct hcall_conf){
-		.address = f->gateways[rng_below(&f->rng, f->ngateways)],
+	    &(struct hcall_conf){ .address = f->gateways[gateway],
 		.head = head,
 		.head_len = strlen(head),
 		.ops = &ops,
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -30,6 +30,7 @@
 	int64_t born_ms;
 	LIST_HEAD(fleet_runs, fleet_run) runs;
 	unsigned int nruns;
+	struct fleet_limit limit;
 };
 
 struct fleet_run {
@@ -111,11 +112,19 @@
 static char *
 head_of(const struct fleet_run *run)
 {
-	return g_strdup_printf(
+	struct fleet_engine *e = run->e;
+	GString *head = g_string_new(NULL);
+
+	g_string_printf(head,
 	    "X-Attempt-Id: %s\r\nX-Response-Seal: seal-%s-%s\r\n"
 	    "X-Server-Load: %u,0,%d\r\nX-Weight-Versions: %" G_GINT64_FORMAT
 	    "\r\n",
-	    run->id, run->e->id, run->id, run->e->nruns, SLOTS, run->version);
+	    run->id, e->id, run->id, e->nruns, SLOTS, run->version);
+	fleet_limit_named(e->f, &e->limit, run->id);
+	if (e->limit.limit > 0)
+		g_string_append_printf(
+		    head, "Server-Limit: %.1f\r\n", e->limit.limit);
+	return g_string_free(head, FALSE);
 }
 
 static void
@@ -228,6 +237,7 @@
 
 	header(r, "X-Attempt-Id", id, sizeof(id));
 	header(r, "X-Expect-Instance", expect, sizeof(expect));
+	fleet_limit_arrived(e->f, &e->limit, id);
 	if (expect[0] != '\0' && strcmp(expect, e->id) != 0) {
 		refuse(e, r, 421);
 		return;
@@ -478,9 +488,22 @@
 		name_start(e);
 	}
 	note_born(e);
+	fleet_engine_limit(f, i, 0);
 	fleet_engine_beat(f, i);
 }
 
+void
+fleet_engine_limit(struct fleet *f, size_t i, double limit)
+{
+	fleet_limit_set(f, &f->engine[i]->limit, limit);
+}
+
+unsigned int
+fleet_engine_most(const struct fleet *f, size_t i)
+{
+	return f->engine[i]->limit.most;
+}
+
 void
 fleet_engine_rot(struct fleet *f, size_t i)
 {
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -14,6 +14,7 @@
 #include "http/sock.h"
 
 #define FLEET_ENGINES_MAX 40
+#define FLEET_GATEWAYS_MAX 8
 #define FLEET_CHUNKS 16
 #define FLEET_CHUNK_BYTES 8192
 #define FLEET_MODEL "m0"
@@ -33,9 +34,20 @@
 	unsigned int lied; /* "not run" of what had run */
 	unsigned int unwhole; /* loaded with a spoilt or missing piece */
 	unsigned int stale; /* begun on a version that was past its due */
+	unsigned int over; /* more than the limit that the engine named */
 	unsigned int stranger; /* a run without a proper workspace or id */
 };
 
+/* A rate limit that an engine names in its answers. */
+struct fleet_limit {
+	double limit; /* requests a second; 0: none */
+	int64_t first_us; /* first named */
+	int64_t
+	    told_us[FLEET_GATEWAYS_MAX]; /* first told to each; 0: not yet */
+	GArray *arrivals; /* of the last four seconds that count */
+	guint most; /* of them, ever */
+};
+
 struct fleet {
 	struct evl *loop;
 	struct hpool *pool;
@@ -58,8 +70,9 @@
 	/* Origin. */
 	struct hserver *origin;
 	/* Callers. */
-	char *gateways[8];
+	char *gateways[FLEET_GATEWAYS_MAX];
 	size_t ngateways;
+	bool uneven; /* over the gateways */
 	unsigned int rate; /* requests a second */
 	struct evl_timer next_request, beat, fault;
 	unsigned int open_calls;
@@ -90,6 +103,18 @@
 void fleet_piece(int64_t version, uint64_t index, uint8_t *out);
 bool fleet_origin_open(struct fleet *f, const char *address, struct err *err);
 
+/* 0: it names none any more. */
+void fleet_engine_limit(struct fleet *f, size_t i, double limit);
+/* The most requests in four seconds that its limits were judged by. */
+unsigned int fleet_engine_most(const struct fleet *f, size_t i);
+
+/* limit.c */
+void fleet_limit_set(struct fleet *f, struct fleet_limit *l, double limit);
+/* Request `id` arrived; its answer bears the limit. */
+void fleet_limit_arrived(
+    struct fleet *f, struct fleet_limit *l, const char *id);
+void fleet_limit_named(struct fleet *f, struct fleet_limit *l, const char *id);
+
 /* caller.c */
 void fleet_callers_start(struct fleet *f);
 
--- /dev/null
+++ b/tests/fleet/limit.c
@@ -0,0 +1,93 @@
+/*
+ * Rate limits that engines name, and whether all gateways together hold to
+ * them. From three seconds after a limit was first named, no four seconds may
+ * bring more than one and a half times what it allows, and five requests; a
+ * gateway counts from half a second after an answer that told it.
+ */
+
+#include <string.h>
+
+#include "fleet.h"
+
+#define STABLE_US 3000000
+#define WINDOW_US 4000000
+#define TOLD_US 500000
+#define EXCESS 1.5
+#define SLACK 5
+
+struct arrival {
+	int64_t at_us;
+	double limit; /* then */
+};
+
+/* Ids of requests end with the number of the gateway that was asked. */
+static size_t
+gateway_of(const char *id)
+{
+	const char *at = strrchr(id, 'g');
+
+	return at == NULL ? 0 : (size_t)g_ascii_strtoull(at + 1, NULL, 10);
+}
+
+void
+fleet_limit_set(struct fleet *f, struct fleet_limit *l, double limit)
+{
+	/* One that has ended is judged no more; the next begins anew. */
+	if (limit == 0 || l->limit == 0) {
+		memset(l->told_us, 0, sizeof(l->told_us));
+		l->first_us = 0;
+		if (l->arrivals != NULL)
+			g_array_set_size(l->arrivals, 0);
+	}
+	l->limit = limit;
+}
+
+void
+fleet_limit_named(struct fleet *f, struct fleet_limit *l, const char *id)
+{
+	size_t gateway = gateway_of(id) % FLEET_GATEWAYS_MAX;
+
+	if (l->limit == 0)
+		return;
+	if (l->first_us == 0)
+		l->first_us = evl_now_us(f->loop);
+	if (l->told_us[gateway] == 0)
+		l->told_us[gateway] = evl_now_us(f->loop);
+}
+
+/* What the window that ends now allows: the limit may have changed in it. */
+static double
+allowed(const struct fleet_limit *l)
+{
+	double most = l->limit;
+	guint i;
+
+	for (i = 0; i < l->arrivals->len; i++)
+		most = MAX(
+		    most, g_array_index(l->arrivals, struct arrival, i).limit);
+	return EXCESS * most * WINDOW_US / G_USEC_PER_SEC + SLACK;
+}
+
+void
+fleet_limit_arrived(struct fleet *f, struct fleet_limit *l, const char *id)
+{
+	struct arrival now = { evl_now_us(f->loop), l->limit };
+	int64_t told_us = l->told_us[gateway_of(id) % FLEET_GATEWAYS_MAX];
+
+	if (l->limit == 0 || told_us == 0 || now.at_us - told_us < TOLD_US ||
+	    now.at_us - l->first_us < STABLE_US)
+		return;
+	if (l->arrivals == NULL)
+		l->arrivals = g_array_new(FALSE, FALSE, sizeof(struct arrival));
+	g_array_append_val(l->arrivals, now);
+	while (now.at_us - g_array_index(l->arrivals, struct arrival, 0).at_us >
+	    WINDOW_US)
+		g_array_remove_index(l->arrivals, 0);
+	l->most = MAX(l->most, l->arrivals->len);
+	if (l->arrivals->len <= allowed(l))
+		return;
+	f->tally.over++;
+	g_printerr("over its limit of %.1f a second: %u requests in 4 s, "
+		   "allowed %.0f\n",
+	    l->limit, l->arrivals->len, allowed(l));
+}
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -3,6 +3,7 @@
  *
  *   fleet --engines N --empty N --gateways ADDRESS,... --rate N --seconds N
  *         --seed N --faults 0|1 --bump SECONDS --crash SECONDS
+ *         --limit SECONDS --uneven 0|1
  *
  * It prints "ready", plays, and ends with one line of what was seen; its exit
  * code is 0 when no promise was broken and most requests were answered.
@@ -20,7 +21,7 @@
 #define END_WAIT_US 6000000
 
 static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1, net;
-static int faults, bump = 3, crash;
+static int faults, bump = 3, crash, limit, uneven;
 static char *gateways;
 static struct fleet f;
 static GMainLoop *main_loop;
@@ -180,7 +181,7 @@
 on_beat(struct evl_timer *t)
 {
 	static int64_t bumped_us;
-	static bool crashed;
+	static bool crashed, limited;
 	int64_t now_us = evl_now_us(f.loop);
 
 	if (bump > 0 && now_us - begun_us > (int64_t)bump * G_USEC_PER_SEC &&
@@ -193,6 +194,12 @@
 		crashed = true;
 		fleet_engine_crash(&f, 0, false);
 	}
+	if (limit > 0 && !limited &&
+	    now_us - begun_us > (int64_t)limit * G_USEC_PER_SEC) {
+		limited = true;
+		fleet_engine_limit(&f, 0, 1);
+		fleet_engine_limit(&f, (size_t)engines, 2.2);
+	}
 	evl_timer_set(f.loop, t, now_us + 200000);
 }
 
@@ -204,7 +211,7 @@
 promises_kept(const struct fleet_tally *t)
 {
 	return t->twice + t->mixed + t->lied + t->unwhole + t->stale +
-	    t->stranger ==
+	    t->stranger + t->over ==
 	    0;
 }
 
@@ -279,12 +286,17 @@
 
 	for (i = 0; i < (size_t)engines; i++)
 		loaded += f.engine[i] != NULL;
+	if (limit > 0)
+		printf("most in 4 s: engine %u, plain target %u\n",
+		    fleet_engine_most(&f, 0),
+		    fleet_engine_most(&f, (size_t)engines));
 	printf("fleet: %s asked=%u answered=%u refused=%u failed=%u broken=%u "
 	       "twice=%u mixed=%u lied=%u unwhole=%u stale=%u stranger=%u "
+	       "over=%u "
 	       "seed=%d\n",
 	    kept ? "kept" : "BROKEN", t->asked, t->answered, t->refused,
 	    t->failed, t->broken, t->twice, t->mixed, t->lied, t->unwhole,
-	    t->stale, t->stranger, seed);
+	    t->stale, t->stranger, t->over, seed);
 	return kept && t->answered > t->asked / 2 ? 0 : 1;
 }
 
@@ -304,6 +316,12 @@
 		{ "faults", 0, POPT_ARG_INT, &faults, 0, "0 or 1", "N" },
 		{ "crash", 0, POPT_ARG_INT, &crash, 0,
 		    "seconds to a crash of the first engine; 0: none", "N" },
+		{ "limit", 0, POPT_ARG_INT, &limit, 0,
+		    "seconds to a rate limit at the first engine and the first "
+		    "plain target; 0: none",
+		    "N" },
+		{ "uneven", 0, POPT_ARG_INT, &uneven, 0,
+		    "0 or 1: requests over the gateways", "N" },
 		{ "bump", 0, POPT_ARG_INT, &bump, 0,
 		    "seconds to a new version; 0: none", "N" },
 		POPT_AUTOHELP POPT_TABLEEND };
@@ -324,6 +342,7 @@
 	f.limits = (struct hlimits){ 16384, 1 << 20, 5000000, 30000000 };
 	f.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f.rate = (unsigned int)rate;
+	f.uneven = uneven != 0;
 	f.version = 1;
 	f.version_before = 1;
 	read_gateways();
