A target's rate limit holds for all gateways together: permits by its keeper

What callers saw: an engine that named a limit of 1 or 2.2 requests a second got its usual share all the same, up to 28 in 4 s where 11 are allowed; whoever was sent there waited behind what the engine could not keep up with. Cause: no gateway read the field that names the limit (a word of a dependency that is ignored: missing backpressure). Ruled out: repeats (tries=1 on every line; requests_to_limited_again 0). A gateway alone that listens is not enough: traffic is uneven and each knows only its own requests. Change: a request goes to a limited target only with a permit. Permits are handed out one a request from a token bucket by the keeper beside the engine, in the order of asking; for a target without a keeper by one that the gateways find by rendezvous hashing; while no keeper is heard, in turns by the clock at 0.6 of the limit. Loads name the limit, so all gateways hold to it. An end is believed only of a request that was sent after the limit was last named, and lifted by steps, so that a stale word costs little. lib/serve/tgt.c, grown past one job, is split (tgt, tgt_choose, tgt_rate). Why it holds: permits in any 4 s are bounded by 4 s of the limit, 1 s of validity and half a second's gathering, below the 1.5 times and 5; gateways that start, freeze or are cut off use none.

--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -71,8 +71,7 @@
 static void
 read_limit(struct fwd_req *r, const struct hmsg *m)
 {
-	struct rate *rate = &r->target->rate;
-	double limit, before = rate->limit;
+	double limit, before = r->target->rate.limit;
 
 	if (!limit_of(r, m, &limit))
 		return;
@@ -80,7 +79,8 @@
 	 * limit does not end one. */
 	if (limit == 0 && !(is_success(r) && r->sealed))
 		return;
-	if (rate_answered(rate, limit, r->sent_us, fwd_now(r)))
+	if (tgt_answered_rate(
+		r->fwd->conf.targets, r->target, limit, r->sent_us, fwd_now(r)))
 		evt(EVT_LIMIT,
 		    "target=%s address=%s limit=%.2f before=%.2f from=answer",
 		    r->target->says.id, r->target->says.address, limit, before);
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -352,6 +352,8 @@
 	r->flow.tries++;
 	count_limited(r);
 	tgt_sent(target, r->sent_us);
+	/* The next request finds its permit there. */
+	tgt_ask_permit(r->fwd->conf.targets, target, r->sent_us);
 	tgt_reading(target, r->prompt, true);
 	r->reading = true;
 	body = hreq_body(r->caller, &len);
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -8,6 +8,7 @@
 
 #define TEXT_MAX 63
 #define COUNT_MAX (1u << 20)
+#define LIMIT_MILLI_MAX UINT32_MAX
 #define PAGES_MAX 1000 /* of a roster: 120,000 keepers */
 
 static const struct msg_field view_fields[] = {
@@ -52,6 +53,8 @@
 	MSG_FIELD(struct side_load, older, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_load, older_age_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_load, gateway, MSG_STR, TEXT_MAX),
+	MSG_FIELD(struct side_load, limit_known, MSG_U64, 1),
+	MSG_FIELD(struct side_load, limit_milli, MSG_U64, LIMIT_MILLI_MAX),
 };
 const struct msg_desc side_load_desc =
     MSG_DESC(SIDE_LOAD, "load", struct side_load, load_fields);
@@ -83,6 +86,22 @@
 const struct msg_desc side_loads_desc =
     MSG_DESC(SIDE_LOADS, "loads", struct side_loads, loads_fields);
 
+static const struct msg_field rate_fields[] = {
+	MSG_FIELD(struct side_rate, address, MSG_STR, TEXT_MAX),
+	MSG_FIELD(struct side_rate, limit_milli, MSG_U64, LIMIT_MILLI_MAX),
+	MSG_FIELD(struct side_rate, own, MSG_U64, 1),
+	MSG_FIELD(struct side_rate, age_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_rate, ask, MSG_U64, 1),
+};
+const struct msg_desc side_rate_desc =
+    MSG_DESC(SIDE_RATE, "rate", struct side_rate, rate_fields);
+
+static const struct msg_field permit_fields[] = {
+	MSG_FIELD(struct side_permit, address, MSG_STR, TEXT_MAX),
+};
+const struct msg_desc side_permit_desc =
+    MSG_DESC(SIDE_PERMIT, "permit", struct side_permit, permit_fields);
+
 /* ------------------------------------------------------------------ */
 /* Entries of `loads`                                                  */
 /* ------------------------------------------------------------------ */
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -13,6 +13,12 @@
  * are, its gateways tell those of other regions for all of them at once
  * (`loads`): were each keeper to tell each gateway, that would grow with the
  * square of the deployment and fill the thin links between regions.
+ *
+ * While a target names a rate limit, gateways tell a keeper of it and ask for
+ * permits (`rate`), and the keeper gives them (`permit`), one a request. It is
+ * the keeper beside the target; for one without, a keeper on which the gateways
+ * agree. A keeper's loads name its own engine's limit, so that all gateways hold
+ * to it.
  */
 
 #include "common/common.h"
@@ -23,6 +29,8 @@
 	SIDE_ASK = 92,
 	SIDE_PAGE = 93,
 	SIDE_LOADS = 94,
+	SIDE_RATE = 95,
+	SIDE_PERMIT = 96,
 };
 
 /* Bytes of a peer in a page: IPv4, port, index of its domain. */
@@ -91,6 +99,23 @@
 	/* A gateway of another region, another each time, to gateways of the keeper's
 	 * region: so they come to know all that they have to tell. Empty: none. */
 	struct slice gateway; /* "ip:port" */
+	/* The engine's rate limit, in thousandths of a request a second; 0:
+	 * none. Not known while the keeper was told nothing. */
+	uint64_t limit_known, limit_milli;
+};
+
+/* A gateway tells of a target's rate limit. */
+struct side_rate {
+	struct slice address; /* of the target */
+	uint64_t limit_milli; /* as in a load */
+	uint64_t own; /* 1: an answer to it said so; 0: it heard of it */
+	uint64_t age_ms; /* since the moment for which that holds */
+	uint64_t ask; /* 1: it wants a permit */
+};
+
+/* The gateway may send the target one request more. */
+struct side_permit {
+	struct slice address; /* of the target */
 };
 
 /* How full one engine is, as its keeper told a gateway of its region. */
@@ -114,6 +139,8 @@
 extern const struct msg_desc side_ask_desc;
 extern const struct msg_desc side_page_desc;
 extern const struct msg_desc side_loads_desc;
+extern const struct msg_desc side_rate_desc;
+extern const struct msg_desc side_permit_desc;
 
 /* Appends one entry to those of a `loads`; false: malformed address. */
 bool side_relayed_put(GByteArray *entries, const struct side_relayed *one);
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -1,16 +1,9 @@
-/* Beliefs about targets, and the choice of one. */
+/* Beliefs about targets. */
 
-#include <math.h>
 #include <string.h>
 
-#include "serve/tgt.h"
+#include "serve/tgt_internal.h"
 
-/* Word about the load that is older than this says nothing: a request on an
- * engine takes one to two seconds. */
-#define LOAD_FRESH_US 600000
-/* A side speaks several times a second; one that was heard and is silent for
- * this long has lost its host or the way here. */
-#define SIDE_SILENT_US 900000
 /* Targets whose entries ran out while the store was away write again within
  * about two seconds of its return. */
 #define LAPSED_KEEP_US 1900000
@@ -18,38 +11,8 @@
  * it. The first is short: one lost connection is not a dead host. */
 #define REST_FIRST_US 250000
 #define REST_MAX_US 4000000
-/* Longer rest before a request that may not be repeated is risked on it. */
-#define PROBE_UNSAFE_US 1000000
 /* Weight of one answer in the moving share of failures. */
 #define ERROR_WEIGHT 0.1
-/* Answers before the share of failures is believed. */
-#define ERROR_ANSWERS 8
-/*
- * Entries send to targets of their own region while these have places, so a
- * target's places are shared by its region's entries. This part of its free
- * places is drawn for by these; the rest is left to all others, whose own
- * targets are taken.
- */
-#define NEAR_PART 0.8
-/* Part of the entries that send to one target, where its region's are not
- * told. */
-#define READ_SHARERS 0.4
-/* A target at its limit of reading costs as much as so many requests. */
-#define READ_COST 4.0
-/* Targets this close, in requests, take turns by chance. */
-#define TIE_COST 0.5
-/* Failures beyond the service's usual share cost so many places. */
-#define ERROR_COST 12.0
-
-struct tgt_set {
-	char *region;
-	struct tgt_policy policy;
-	GHashTable *regions; /* failure domain -> region */
-	GHashTable *services; /* name -> struct tgt_service */
-	GHashTable *by_id;
-	GHashTable *by_address;
-};
-
 /* ------------------------------------------------------------------ */
 /* Making                                                              */
 /* ------------------------------------------------------------------ */
@@ -181,10 +144,10 @@
 	return region != NULL && strcmp(region, s->region) == 0;
 }
 
-static bool
-side_is_heard(const struct tgt *t, int64_t now_us)
+bool
+tgt_side_is_heard(const struct tgt *t, int64_t now_us)
 {
-	return t->side_us != 0 && now_us - t->side_us <= SIDE_SILENT_US;
+	return t->side_us != 0 && now_us - t->side_us <= TGT_SIDE_SILENT_US;
 }
 
 /* A target at an address that another had: the other one is no more. But an
@@ -231,7 +194,7 @@
 	if (says->born_ms == 0 || t->says.born_ms == 0 ||
 	    says->born_ms == t->says.born_ms)
 		return true;
-	return says->born_ms < t->says.born_ms && side_is_heard(t, now_us);
+	return says->born_ms < t->says.born_ms && tgt_side_is_heard(t, now_us);
 }
 
 struct tgt *
@@ -255,7 +218,7 @@
 	t->gone_us = 0;
 	t->leaving = says->leaving;
 	/* The side's word is newer while it is heard. */
-	if (!side_is_heard(t, now_us)) {
+	if (!tgt_side_is_heard(t, now_us)) {
 		g_strlcpy(t->model, says->model, sizeof(t->model));
 		t->version = says->model_version;
 	}
@@ -325,6 +288,7 @@
 {
 	t->mine++;
 	t->sent_since++;
+	rate_sent(&t->rate, now_us);
 	if (t->failures > 0)
 		t->probing = true;
 }
@@ -352,46 +316,6 @@
 	t->sent_since = 0;
 }
 
-/* Entries that draw for the target's places, as this one must count them. */
-static double
-sharers(const struct tgt *t, const struct tgt_policy *p)
-{
-	unsigned int far;
-
-	if (t->entries_near == 0)
-		return MAX(1, p->entries);
-	if (t->near)
-		return MAX(1, t->entries_near / NEAR_PART);
-	far = p->entries - MIN(p->entries, t->entries_near);
-	return MAX(1, far / (1 - NEAR_PART));
-}
-
-double
-tgt_estimate(const struct tgt *t, const struct tgt_policy *p, int64_t now_us)
-{
-	double others;
-
-	if (t->seen_us == 0 || now_us - t->seen_us > LOAD_FRESH_US)
-		return (double)t->mine * sharers(t, p);
-	/* What the others had then, and what this entry has now. */
-	others = (double)t->seen - (double)t->seen_mine;
-	return MAX(0, others) + t->mine;
-}
-
-static unsigned int
-slots_of(const struct tgt *t)
-{
-	if (t->says.slots > 0)
-		return t->says.slots;
-	return MAX(1, t->service->engine.slots);
-}
-
-double
-tgt_limit(const struct tgt *t, const struct tgt_policy *p)
-{
-	return slots_of(t) + p->beyond_slots;
-}
-
 /* ------------------------------------------------------------------ */
 /* Failures                                                            */
 /* ------------------------------------------------------------------ */
@@ -448,6 +372,7 @@
 tgt_side_heard(struct tgt *t, uint32_t seq, int64_t now_us)
 {
 	t->side_us = now_us;
+	t->service->side_us = now_us;
 	t->side_seq = seq;
 }
 
@@ -483,189 +408,3 @@
 {
 	t->leaving = true;
 }
-
-/* ------------------------------------------------------------------ */
-/* Choice                                                              */
-/* ------------------------------------------------------------------ */
-
-static bool
-was_tried(const struct tgt *t, const struct tgt_wish *wish)
-{
-	size_t i;
-
-	for (i = 0; i < wish->nnot; i++) {
-		if (wish->not [i] == t)
-			return true;
-	}
-	return false;
-}
-
-static bool
-has_weights(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
-{
-	int64_t least = wish->version;
-
-	if (wish->model == NULL || !t->says.has_models)
-		return true;
-	if (t->up_us != 0 && now_us - t->up_us < TGT_FRESH_US)
-		least = MAX(least, wish->version_fresh);
-	return t->version > 0 && t->version >= least &&
-	    strcmp(t->model, wish->model) == 0;
-}
-
-/* Random bits as a number from 0 up to 1. */
-static double
-part_of(uint64_t bits)
-{
-	return (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
-}
-
-/* A number from 0 up to 1, the same until the next word about the load, and
- * another one at each entry. */
-static double
-draw_of(const struct tgt *t, const struct tgt_policy *p)
-{
-	uint64_t bits = hash64(p->seed, &t->seen_us, sizeof(t->seen_us));
-
-	bits = hash64(bits, t->says.id, strlen(t->says.id));
-	return part_of(bits);
-}
-
-/*
- * Places that a word about the load shows free are seen by all entries at
- * once. Were each to take them all, a target that has just come up would get
- * as many requests as there are entries times its places, and most would wait
- * there for seconds. Until the next word each takes its part. Where that is less
- * than one request and a side gives words often, it is drawn who sends: with
- * one each, nineteen entries kept some six requests waiting at every engine
- * where two were meant to, and six in ten first tokens came late.
- */
-static bool
-took_its_part(const struct tgt *t, const struct tgt_policy *p, int64_t now_us)
-{
-	double free_then = tgt_limit(t, p) - t->seen;
-	double part = free_then / sharers(t, p);
-
-	if (t->seen_us == 0 || now_us - t->seen_us > LOAD_FRESH_US)
-		return false; /* the estimate has the others' parts in it */
-	if (!side_is_heard(t, now_us))
-		return t->sent_since >= MAX(1, ceil(part));
-	return t->sent_since >= floor(part + draw_of(t, p));
-}
-
-/* Time in which the target reads the prompts that wait there: this entry's,
- * and as many of each other that sends to it. */
-static int64_t
-read_us(const struct tgt *t, const struct tgt_policy *p)
-{
-	double rate = t->service->engine.read_per_s;
-	double sharers = MAX(1, p->entries * READ_SHARERS);
-
-	if (rate <= 0)
-		return 0;
-	return (int64_t)((double)t->reading * sharers * G_USEC_PER_SEC / rate);
-}
-
-/*
- * A prompt is read before its first token, and those of others as well. Sent
- * to a target that has many to read, a request has its place at once and its
- * first token late: after its objective, or on weights that have become too
- * old meanwhile.
- */
-static bool
-reads_enough(const struct tgt *t, const struct tgt_policy *p)
-{
-	return p->read_us > 0 && read_us(t, p) >= p->read_us;
-}
-
-/* A target that failed gets one request at a time to show that it is back,
- * first such as may be repeated elsewhere. */
-static bool
-may_probe(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
-{
-	int64_t from_us = t->rest_until_us;
-
-	if (!wish->repeatable)
-		from_us += PROBE_UNSAFE_US;
-	return now_us >= from_us && !t->probing;
-}
-
-static bool
-can_serve(const struct tgt *t, const struct tgt_wish *wish, int64_t now_us)
-{
-	if (t->leaving || t->side_down || !has_weights(t, wish, now_us))
-		return false;
-	if (t->failures > 0 && !may_probe(t, wish, now_us))
-		return false;
-	return !was_tried(t, wish);
-}
-
-/* Share of failures that is usual among the service's targets: the median
- * would be better, the smallest is simpler and never hides a bad target. */
-static double
-usual_errors(const struct tgt_service *service)
-{
-	const struct tgt *t;
-	double least = 1;
-
-	TAILQ_FOREACH (t, &service->targets, link) {
-		if (t->answers >= ERROR_ANSWERS)
-			least = MIN(least, t->error_share);
-	}
-	return least;
-}
-
-static double
-cost_of(const struct tgt *t, const struct tgt_policy *p, double usual,
-    int64_t now_us)
-{
-	double cost = tgt_estimate(t, p, now_us) / slots_of(t);
-
-	/* What it has to read counts as much as its places: whole at the
-	 * limit. */
-	if (p->read_us > 0)
-		cost += (double)read_us(t, p) / (double)p->read_us * READ_COST /
-		    slots_of(t);
-	if (!t->near)
-		cost += p->far_cost / slots_of(t);
-	if (t->answers >= ERROR_ANSWERS && t->error_share > usual)
-		cost += (t->error_share - usual) * ERROR_COST / slots_of(t);
-	if (t->side_us != 0 && !side_is_heard(t, now_us))
-		cost += 1; /* last choice, not none: the side may be ill */
-	return cost;
-}
-
-struct tgt *
-tgt_choose(struct tgt_set *s, struct tgt_service *service,
-    const struct tgt_wish *wish, int64_t now_us, enum tgt_why *why)
-{
-	double usual = usual_errors(service), cost, best_cost = 0;
-	struct tgt *t, *best = NULL;
-	struct rng rng;
-
-	rng_seed(&rng, wish->random);
-	*why = TGT_NONE;
-	TAILQ_FOREACH (t, &service->targets, link) {
-		if (!can_serve(t, wish, now_us))
-			continue;
-		if (tgt_estimate(t, &s->policy, now_us) + 1 >
-			tgt_limit(t, &s->policy) -
-			    wish->spare_share * slots_of(t) ||
-		    took_its_part(t, &s->policy, now_us) ||
-		    reads_enough(t, &s->policy)) {
-			*why = TGT_FULL;
-			continue;
-		}
-		cost = cost_of(t, &s->policy, usual, now_us);
-		/* Entries that see the same figures would all choose the same
-		 * of equal targets. */
-		cost += TIE_COST * part_of(rng_next(&rng)) / slots_of(t);
-		if (best == NULL || cost < best_cost) {
-			best = t;
-			best_cost = cost;
-		}
-	}
-	if (best != NULL)
-		*why = TGT_CHOSEN;
-	return best;
-}
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -68,6 +68,7 @@
 	struct tgt_root roots[2]; /* of the last two versions, newest first */
 	struct tgt_list targets;
 	unsigned int ntargets;
+	int64_t side_us; /* last word of any of their sides; 0: never */
 	/* From the settings; 0 slots: as each target says. */
 	bool configured; /* they have this service */
 	bool has_engine;
@@ -91,6 +92,11 @@
 	/* Entries that share a target. */
 	unsigned int entries;
 	uint64_t seed; /* this entry's own, for its part of a single place */
+	/* The side of `at` is to be told of the rate limit of `t`, and asked
+	 * for a permit. NULL: there are no sides. */
+	void (*tell_rate)(
+	    const struct tgt *t, const struct tgt *at, bool ask, void *ctx);
+	void *rate_ctx;
 };
 
 struct tgt_set *tgt_set_new(const char *region, const struct tgt_policy *p);
@@ -140,6 +146,12 @@
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
 /* Its side says whether it takes requests. */
 void tgt_side(struct tgt *t, bool down, int64_t now_us);
+/* An answer to a request that was sent at `asked_us` names a rate limit, or
+ * none (0). True when what this entry holds to has changed. */
+bool tgt_answered_rate(struct tgt_set *s, struct tgt *t, double limit,
+    int64_t asked_us, int64_t now_us);
+/* Asks for a permit, if it has a rate limit. */
+void tgt_ask_permit(struct tgt_set *s, struct tgt *t, int64_t now_us);
 /* Its side says how slow its steps are; 0: not told. */
 void tgt_set_pace(struct tgt *t, uint64_t permille);
 /* Its side spoke itself: `seq` counts its words. */
--- /dev/null
+++ b/lib/serve/tgt_rate.c
@@ -0,0 +1,101 @@
+/* Rate limits of targets: who gives permits, and who is told. */
+
+#include <string.h>
+
+#include "serve/tgt_internal.h"
+
+/* The side that gives permits for `t`: its own; while that is not heard, one of
+ * all that are, by rendezvous hashing, so that all entries find the same. */
+static const struct tgt *
+permits_at(struct tgt_set *s, const struct tgt *t, int64_t now_us)
+{
+	uint64_t seed = hash64(0, t->says.address, strlen(t->says.address));
+	const struct tgt *other, *best = NULL;
+	uint64_t hash, best_hash = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (tgt_side_is_heard(t, now_us))
+		return t;
+	g_hash_table_iter_init(&iter, s->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		other = value;
+		if (!tgt_side_is_heard(other, now_us))
+			continue;
+		hash = hash64(
+		    seed, other->says.address, strlen(other->says.address));
+		if (best == NULL || hash > best_hash) {
+			best = other;
+			best_hash = hash;
+		}
+	}
+	return best;
+}
+
+static bool
+some_side_is_heard(struct tgt_set *s, int64_t now_us)
+{
+	const struct tgt_service *service;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		service = value;
+		if (service->side_us != 0 &&
+		    now_us - service->side_us <= TGT_SIDE_SILENT_US)
+			return true;
+	}
+	return false;
+}
+
+static void
+tell_rate(struct tgt_set *s, const struct tgt *t, bool ask, int64_t now_us)
+{
+	const struct tgt *at;
+
+	if (s->policy.tell_rate == NULL)
+		return;
+	at = permits_at(s, t, now_us);
+	if (at != NULL)
+		s->policy.tell_rate(t, at, ask, s->policy.rate_ctx);
+}
+
+bool
+tgt_answered_rate(struct tgt_set *s, struct tgt *t, double limit,
+    int64_t asked_us, int64_t now_us)
+{
+	bool changed = rate_answered(
+	    &t->rate, limit, asked_us, tgt_side_is_heard(t, now_us), now_us);
+
+	if (rate_is_news(&t->rate))
+		tell_rate(s, t, false, now_us);
+	return changed;
+}
+
+/*
+ * A target in need names how many requests it takes from all entries together.
+ * Passed over, it gets as many as before, falls further behind, and its callers
+ * wait. Were each entry to hold to the limit, all together would send so many
+ * times as much. So a request goes there only with a permit, which one side
+ * gives for all entries; while no side is heard, in this entry's turns.
+ */
+bool
+tgt_rate_is_left(struct tgt_set *s, const struct tgt *t, int64_t now_us)
+{
+	struct rate_share share = { .entries = MAX(1, s->policy.entries) };
+
+	if (t->rate.limit == 0)
+		return true;
+	share.phase =
+	    tgt_part_of(hash64(s->policy.seed, t->says.id, strlen(t->says.id)));
+	return rate_allows(
+	    &t->rate, some_side_is_heard(s, now_us) ? NULL : &share, now_us);
+}
+
+void
+tgt_ask_permit(struct tgt_set *s, struct tgt *t, int64_t now_us)
+{
+	if (rate_ask(&t->rate, now_us))
+		tell_rate(s, t, true, now_us);
+}
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -46,6 +46,9 @@
 void gateway_views_greet(struct gateway *g);
 void gateway_views_asked(
     struct gateway *g, const char *from, const struct side_ask *ask);
+/* Address of the keeper beside a target, whether there is one or not. */
+bool gateway_keeper_of(
+    const struct gateway *g, const struct tgt *t, char to[SV_ADDRESS_MAX]);
 /* Root digest that enough keepers found for a version; none otherwise. */
 struct digest gateway_agreed_root(
     const struct tgt_service *service, int64_t version);
@@ -60,6 +63,12 @@
 void gateway_relay_mate(struct gateway *g, const struct side_load *load);
 void gateway_relay_take(struct gateway *g, const struct side_loads *loads);
 
+/* gateway_rate.c: rate limits of targets, and keepers' permits */
+void gateway_rate_open(struct gateway *g);
+void gateway_rate_load(
+    struct gateway *g, struct tgt *t, const struct side_load *load);
+void gateway_rate_permit(struct gateway *g, const struct side_permit *permit);
+
 /* gateway_peers.c: messages of keepers and other gateways */
 bool gateway_peers_open(struct gateway *g, struct err *err);
 
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -119,6 +119,7 @@
 	note_engine(t, load, now_us);
 	tgt_side_heard(t, (uint32_t)load->seq, now_us);
 	tgt_load(t, (unsigned int)(load->running + load->waiting), now_us);
+	gateway_rate_load(g, t, load);
 	note_gateways(g, (unsigned int)load->gateways);
 	t->entries_near = (unsigned int)load->near;
 	if (t->near) {
@@ -140,11 +141,14 @@
 	struct side_load load;
 	struct side_loads loads;
 	struct side_ask ask;
+	struct side_permit permit;
 
 	if (msg_read(m, &side_load_desc, &load, NULL))
 		take_load(g, &load);
 	else if (msg_read(m, &side_loads_desc, &loads, NULL))
 		gateway_relay_take(g, &loads);
+	else if (msg_read(m, &side_permit_desc, &permit, NULL))
+		gateway_rate_permit(g, &permit);
 	else if (msg_read(m, &side_ask_desc, &ask, NULL))
 		gateway_views_asked(g, from, &ask);
 	fwd_pump(g->fwd);
@@ -157,5 +161,6 @@
 	    on_message, g, err);
 	gateway_views_open(g);
 	gateway_relay_open(g);
+	gateway_rate_open(g);
 	return g->peers != NULL;
 }
--- /dev/null
+++ b/programs/entry/gateway_rate.c
@@ -0,0 +1,79 @@
+/* Rate limits of targets: what keepers are told, and permits that they give. */
+
+#include <string.h>
+
+#include "entry/gateway.h"
+
+static uint64_t
+milli(double limit)
+{
+	return (uint64_t)MIN(limit * 1000, UINT32_MAX);
+}
+
+/* What its own answers said. But a question is asked by the limit that it holds
+ * to: a keeper that has just started would take an old answer for the end. */
+static struct side_rate
+word_of(const struct tgt *t, bool ask, int64_t now_us)
+{
+	const struct rate *r = &t->rate;
+	bool own = r->own_us != 0 && (r->own > 0 || !ask);
+
+	return (struct side_rate){
+		.address = slice_str(t->says.address),
+		.limit_milli = milli(own ? r->own : r->limit),
+		.own = own,
+		.ask = ask,
+		.age_ms = own ? (uint64_t)MAX(0, now_us - r->own_us) / 1000 : 0,
+	};
+}
+
+static void
+tell_rate(const struct tgt *t, const struct tgt *at, bool ask, void *ctx)
+{
+	struct gateway *g = ctx;
+	struct side_rate word = word_of(t, ask, evl_now_us(g->st.loop));
+	char to[SV_ADDRESS_MAX];
+
+	if (!gateway_keeper_of(g, at, to))
+		return;
+	if (ask)
+		ctr_add(ctr_get(g->st.counters, "permits_asked"), 1);
+	dgram_send(g->peers, to, &side_rate_desc, &word);
+}
+
+void
+gateway_rate_open(struct gateway *g)
+{
+	struct tgt_policy *policy = tgt_set_policy(g->set);
+
+	policy->tell_rate = tell_rate;
+	policy->rate_ctx = g;
+}
+
+void
+gateway_rate_load(
+    struct gateway *g, struct tgt *t, const struct side_load *load)
+{
+	double before = t->rate.limit;
+	double limit = (double)load->limit_milli / 1000;
+
+	if (load->limit_known &&
+	    rate_told(&t->rate, limit, evl_now_us(g->st.loop)))
+		evt(EVT_LIMIT,
+		    "target=%s address=%s limit=%.2f before=%.2f from=keeper",
+		    t->says.id, t->says.address, limit, before);
+}
+
+void
+gateway_rate_permit(struct gateway *g, const struct side_permit *permit)
+{
+	char address[SV_ADDRESS_MAX];
+	struct tgt *t;
+
+	slice_copy(permit->address, address, sizeof(address));
+	t = tgt_at(g->set, address);
+	if (t == NULL)
+		return;
+	ctr_add(ctr_get(g->st.counters, "permits_got"), 1);
+	rate_permit(&t->rate, evl_now_us(g->st.loop));
+}
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -38,6 +38,18 @@
 	return true;
 }
 
+bool
+gateway_keeper_of(
+    const struct gateway *g, const struct tgt *t, char to[SV_ADDRESS_MAX])
+{
+	struct sockaddr_in at;
+
+	if (!keeper_address(t, peers_port(g), &at))
+		return false;
+	sock_text(&at, to, SV_ADDRESS_MAX);
+	return true;
+}
+
 static struct roster *
 roster_of(struct gateway *g, const struct tgt_service *service)
 {
--- a/programs/side/keeper.c
+++ b/programs/side/keeper.c
@@ -29,6 +29,7 @@
 
 	keeper_ask_report(k);
 	keeper_step(k);
+	keeper_rate_tick(k);
 	keeper_tell_load(k);
 	keeper_log_progress(k);
 	evl_timer_set(k->st.loop, timer, keeper_now(k) + TICK_US);
@@ -61,9 +62,9 @@
 	    "keeper_wanted_version %" G_GINT64_FORMAT
 	    "\nkeeper_loaded_version %" G_GINT64_FORMAT
 	    "\nkeeper_chunks_held %" G_GUINT64_FORMAT
-	    "\nkeeper_step %d\nkeeper_engine_up %d\nkeeper_gateways %u\n",
+	    "\nkeeper_step %d\nkeeper_engine_up %d\nkeeper_gateways %u\nkeeper_engine_limit %.3f\n",
 	    k->newest == NULL ? 0 : k->newest->version, k->loaded, p.have,
-	    k->step, k->up, k->gateways->len);
+	    k->step, k->up, k->gateways->len, k->permits.limit);
 }
 
 static bool
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -11,6 +11,7 @@
 #include "common/evt.h"
 #include "http/fetch.h"
 #include "platform/adapter.h"
+#include "serve/permit.h"
 #include "serve/roster.h"
 #include "shared/station.h"
 #include "stage/stage.h"
@@ -71,6 +72,8 @@
 	int64_t loaded, wanted;
 	bool own_root;
 	unsigned int running, waiting;
+	bool limit_known;
+	double limit; /* the engine's rate limit */
 };
 
 struct keeper {
@@ -94,6 +97,8 @@
 	 * and may be whole sooner, or NULL. */
 	struct keeper_copy *newest, *older;
 	struct stg_dues dues;
+	struct permits permits; /* by the engine's rate limit */
+	GHashTable *pools; /* address of another target -> keeper_pool */
 	/* The engine. */
 	struct hfetch *report;
 	struct sv_report engine;
@@ -171,6 +176,12 @@
     struct keeper *k, const char *from, const struct side_view *view);
 void keeper_take_page(struct keeper *k, const struct side_page *page);
 
+/* keeper_rate.c: rate limits, and permits for gateways */
+void keeper_rate_open(struct keeper *k);
+void keeper_take_rate(
+    struct keeper *k, const char *from, const struct side_rate *rate);
+void keeper_rate_tick(struct keeper *k);
+
 /* keeper_gateways.c: gateways, and loads for them */
 bool keeper_gateways_open(struct keeper *k, struct err *err);
 void keeper_tell_load(struct keeper *k);
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -33,6 +33,7 @@
 		return;
 	k->up = false;
 	evt(EVT_ENGINE, "state=down version=%" G_GINT64_FORMAT, k->loaded);
+	permits_forget(&k->permits);
 	/* It may come back without what it held; its staging place may have
 	 * lost pieces, too. */
 	k->ordered_us = 0;
@@ -65,6 +66,7 @@
 	k->refused_us = 0;
 	k->closed_us = 0;
 	k->loaded = 0;
+	permits_forget(&k->permits);
 	if (k->call != NULL)
 		hfetch_cancel(k->call);
 	k->call = NULL;
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -119,6 +119,8 @@
 		.own_root = has_own_root(k),
 		.running = k->engine.running,
 		.waiting = k->engine.waiting,
+		.limit_known = k->permits.knows,
+		.limit = k->permits.limit,
 	};
 }
 
@@ -127,7 +129,8 @@
 state_differs(const struct keeper_told *a, const struct keeper_told *b)
 {
 	return a->engine != b->engine || a->loaded != b->loaded ||
-	    a->wanted != b->wanted || a->own_root != b->own_root;
+	    a->wanted != b->wanted || a->own_root != b->own_root ||
+	    a->limit_known != b->limit_known || a->limit != b->limit;
 }
 
 static bool
@@ -209,6 +212,8 @@
 		.gateways = k->gateways->len,
 		.near = keeper_near_gateways(k),
 		.seq = k->load_seq,
+		.limit_known = now->limit_known,
+		.limit_milli = (uint64_t)(now->limit * 1000),
 	};
 	for (i = 0; i < k->gateways->len; i++)
 		load->without_store += gateway_at(k, i)->store_away;
@@ -295,12 +300,15 @@
 	struct keeper *k = ctx;
 	struct side_view view;
 	struct side_page page;
+	struct side_rate rate;
 
 	if (msg_read(m, &side_view_desc, &view, NULL)) {
 		note_gateway(k, from, &view);
 		keeper_take_view(k, from, &view);
 	} else if (msg_read(m, &side_page_desc, &page, NULL))
 		keeper_take_page(k, &page);
+	else if (msg_read(m, &side_rate_desc, &rate, NULL))
+		keeper_take_rate(k, from, &rate);
 }
 
 bool
@@ -308,6 +316,7 @@
 {
 	k->gateways = g_array_new(FALSE, FALSE, sizeof(struct keeper_gateway));
 	k->roster = roster_new();
+	keeper_rate_open(k);
 	k->peers = g_array_new(FALSE, TRUE, sizeof(struct keeper_peer));
 	k->dgram = dgram_open(&k->st.node, cfg_str(k->st.cfg, "listen.peers"),
 	    on_message, k, err);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -142,7 +142,7 @@
 {
 	size_t engine = rng_below(&f.rng, f.nengines);
 
-	switch (rng_below(&f.rng, 10)) {
+	switch (rng_below(&f.rng, 11)) {
 	case 0:
 	case 1:
 	case 2:
@@ -173,6 +173,12 @@
 	case 9:
 		write_foreign(engine);
 		break;
+	case 10:
+		fleet_engine_limit(&f, engine,
+		    rng_below(&f.rng, 3) == 0
+			? 0
+			: 0.5 + (double)rng_below(&f.rng, 40) / 10);
+		break;
 	}
 	evl_timer_set(f.loop, t, evl_now_us(f.loop) + FAULT_US);
 }
--- a/tests/serve/test_rate.c
+++ b/tests/serve/test_rate.c
@@ -6,8 +6,11 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include "common/common.h"
 #include "serve/rate.h"
 
+#define SECOND 1000000
+
 /*
  * A target names a limit, and a longer answer that it had begun before comes
  * in after. Taken as the limit's end, that would let everything through again.
@@ -17,12 +20,12 @@
 {
 	struct rate r = { 0 };
 
-	assert_true(rate_answered(&r, 2.5, 1000, 5000));
-	assert_false(rate_answered(&r, 0, 4000, 6000));
+	assert_true(rate_answered(&r, 2.5, 1000, false, 5000));
+	assert_false(rate_answered(&r, 0, 4000, false, 6000));
 	assert_true(r.limit == 2.5);
-	assert_false(rate_answered(&r, 2.5, 4500, 7000));
-	assert_false(rate_answered(&r, 0, 6500, 8000));
-	assert_true(rate_answered(&r, 0, 7500, 9000));
+	assert_false(rate_answered(&r, 2.5, 4500, false, 7000));
+	assert_false(rate_answered(&r, 0, 6500, false, 8000));
+	assert_true(rate_answered(&r, 0, 7500, false, 9000));
 	assert_true(r.limit == 0);
 }
 
@@ -31,17 +34,123 @@
 {
 	struct rate r = { 0 };
 
-	assert_true(rate_answered(&r, 4, 0, 1));
-	assert_true(rate_answered(&r, 0.5, 0, 2));
+	assert_true(rate_answered(&r, 4, 0, false, 1));
+	assert_true(rate_answered(&r, 0.5, 0, false, 2));
 	assert_true(r.limit == 0.5);
 }
 
+/*
+ * An entry without traffic hears of the limit from the side, and of its end. The
+ * side's word from before it heard of an answer here ends nothing.
+ */
+static void
+test_the_side_tells(void **state)
+{
+	struct rate r = { 0 };
+
+	assert_true(rate_told(&r, 3, SECOND));
+	assert_true(rate_told(&r, 0, 2 * SECOND));
+	assert_true(rate_answered(&r, 3, 0, true, 3 * SECOND));
+	assert_true(rate_is_news(&r));
+	assert_false(rate_told(&r, 0, 3 * SECOND + 100000));
+	assert_true(r.limit == 3);
+	assert_false(rate_told(&r, 3, 3 * SECOND + 200000));
+	assert_false(rate_is_news(&r));
+	/* Its own answer names none: the side is told, and lifts it. */
+	assert_false(rate_answered(&r, 0, 4 * SECOND, true, 5 * SECOND));
+	assert_true(r.limit == 3);
+	assert_true(rate_is_news(&r));
+	assert_true(rate_told(&r, 0, 6 * SECOND));
+}
+
+static void
+test_one_request_a_permit(void **state)
+{
+	struct rate r = { 0 };
+
+	assert_true(rate_allows(&r, NULL, SECOND));
+	assert_false(rate_ask(&r, SECOND)); /* no limit, no permit */
+	rate_told(&r, 1, SECOND);
+	assert_false(rate_allows(&r, NULL, SECOND));
+	assert_true(rate_ask(&r, SECOND));
+	assert_false(rate_ask(&r, SECOND + 100000));
+	assert_true(rate_ask(&r, SECOND + 200000)); /* the first was lost */
+	rate_permit(&r, 2 * SECOND);
+	assert_true(rate_allows(&r, NULL, 2 * SECOND + 900000));
+	assert_false(rate_allows(&r, NULL, 2 * SECOND + 1100000)); /* lapsed */
+	rate_permit(&r, 3 * SECOND);
+	rate_sent(&r, 3 * SECOND);
+	assert_false(rate_allows(&r, NULL, 3 * SECOND));
+}
+
+/* Requests of `n` entries in turns by the clock, each with one to send at any
+ * moment from `from_us` on; the most in any four seconds, and all in 60 s. */
+static unsigned int
+sent_in_turns(unsigned int n, double limit, uint64_t seed, unsigned int *all)
+{
+	struct rate *r = g_new0(struct rate, n);
+	GArray *sent = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	struct rate_share share = { .entries = n };
+	unsigned int most = 0, i;
+	int64_t from_us = 1000 * SECOND + (int64_t)seed * 777777;
+	int64_t now_us, end_us = from_us + 60 * SECOND;
+	guint first = 0;
+	struct rng rng;
+
+	for (now_us = from_us; now_us < end_us; now_us += 10000) {
+		rng_seed(&rng, seed);
+		for (i = 0; i < n; i++) {
+			r[i].limit = limit;
+			share.phase = (double)rng_below(&rng, 1000) / 1000;
+			if (!rate_allows(&r[i], &share, now_us))
+				continue;
+			rate_sent(&r[i], now_us);
+			g_array_append_val(sent, now_us);
+		}
+		while (first < sent->len &&
+		    now_us - g_array_index(sent, int64_t, first) > 4 * SECOND)
+			first++;
+		most = MAX(most, sent->len - first);
+	}
+	*all = sent->len;
+	g_array_unref(sent);
+	g_free(r);
+	return most;
+}
+
+/*
+ * A plain target without a side names a limit. Each entry finds that it has had
+ * no request there for long; were each to send one at once, 35 would come where
+ * 11 are allowed.
+ */
+static void
+test_turns_by_the_clock(void **state)
+{
+	static const unsigned int entries[] = { 1, 5, 9, 35, 100 };
+	static const double limits[] = { 0.25, 1, 2.2, 10, 40 };
+	unsigned int most, all;
+	size_t i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
+		for (j = 0; j < G_N_ELEMENTS(limits); j++) {
+			most = sent_in_turns(
+			    entries[i], limits[j], 1 + i * 10 + j, &all);
+			assert_true(most <= 1.5 * 4 * limits[j] + 5);
+			/* And what it takes is used. */
+			assert_true(all >= 0.5 * 60 * limits[j] - entries[i]);
+		}
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_an_answer_from_before_ends_nothing),
 		cmocka_unit_test(test_a_limit_that_changes),
+		cmocka_unit_test(test_the_side_tells),
+		cmocka_unit_test(test_one_request_a_permit),
+		cmocka_unit_test(test_turns_by_the_clock),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
