--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -3,7 +3,7 @@
  *
  *   fleet --engines N --empty N --gateways ADDRESS,... --rate N --seconds N
  *         --seed N --faults 0|1 --bump SECONDS --crash SECONDS
- *         --limit SECONDS --uneven 0|1
+ *         --limit SECONDS --limited N --limit-milli N --uneven 0|1
  *
  * It prints "ready", plays, and ends with one line of what was seen; its exit
  * code is 0 when no promise was broken and most requests were answered.
@@ -22,6 +22,7 @@
 
 static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1, net;
 static int faults, bump = 3, crash, limit, uneven;
+static int limited = 1, limit_milli = 1000;
 static char *gateways;
 static struct fleet f;
 static GMainLoop *main_loop;
@@ -187,7 +188,8 @@
 on_beat(struct evl_timer *t)
 {
 	static int64_t bumped_us;
-	static bool crashed, limited;
+	int i;
+	static bool crashed, is_limited;
 	int64_t now_us = evl_now_us(f.loop);
 
 	if (bump > 0 && now_us - begun_us > (int64_t)bump * G_USEC_PER_SEC &&
@@ -200,10 +202,12 @@
 		crashed = true;
 		fleet_engine_crash(&f, 0, false);
 	}
-	if (limit > 0 && !limited &&
+	if (limit > 0 && !is_limited &&
 	    now_us - begun_us > (int64_t)limit * G_USEC_PER_SEC) {
-		limited = true;
-		fleet_engine_limit(&f, 0, 1);
+		is_limited = true;
+		for (i = 0; i < limited; i++)
+			fleet_engine_limit(
+			    &f, (size_t)i, (double)limit_milli / 1000);
 		fleet_engine_limit(&f, (size_t)engines, 2.2);
 	}
 	evl_timer_set(f.loop, t, now_us + 200000);
@@ -326,6 +330,10 @@
 		    "seconds to a rate limit at the first engine and the first "
 		    "plain target; 0: none",
 		    "N" },
+		{ "limited", 0, POPT_ARG_INT, &limited, 0,
+		    "engines with a rate limit", "N" },
+		{ "limit-milli", 0, POPT_ARG_INT, &limit_milli, 0,
+		    "their limit, thousandths of a request a second", "N" },
 		{ "uneven", 0, POPT_ARG_INT, &uneven, 0,
 		    "0 or 1: requests over the gateways", "N" },
 		{ "bump", 0, POPT_ARG_INT, &bump, 0,
