No request begins on withdrawn weights behind a slow link

What callers saw: 502 for streams that had been sent to an engine on a host whose link was filled by pieces of a new version, and the engine ran them afterwards on weights that had been due 0.1 to 0.5 s before (VERSION). Cause: requests took 0.4 to 1.5 s to such a host, and the closing of the connection that takes one back as long; leads were reckoned as if the way took nothing (nothing sent from 0.3 s before, taken back 0.08 s before). Class: what is slow is taken for what is fast, as it is not silent. Weighed: the keeper closes its engine by an order for the layers that are whole; whether any layer is whole by then is chance, and what runs would have to end first.

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -32,6 +32,8 @@
  * cancel takes to get there beside other work, 20 to 40 ms.
  */
 #define WITHDRAW_US 80000
+/* The same over a slow link, where the cancel itself takes up to a second. */
+#define WITHDRAW_SLOW_US 980000
 
 void
 fwd_read(struct fwd_req *r)
@@ -283,7 +285,8 @@
 	if (end_us == 0)
 		return;
 	r->begin.fire = on_begin_due;
-	evl_timer_set(r->fwd->conf.loop, &r->begin, end_us - WITHDRAW_US);
+	evl_timer_set(r->fwd->conf.loop, &r->begin,
+	    end_us - (r->target->slow_link ? WITHDRAW_SLOW_US : WITHDRAW_US));
 }
 
 /* Waits for the target's next word. A request that cannot go elsewhere is
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -175,6 +175,13 @@
 #define LEAD_WITHDRAWN_US 300000
 #define LEAD_QUEUE_US 1100000
 #define LEAD_HERD_US 700000 /* beyond it, for a target just up */
+/*
+ * Over a slow link, filled by weights, a request takes a second and more to its
+ * target, and so does the closing of the connection that is to take it back: it
+ * was begun on weights that had been withdrawn half a second before. It must
+ * have arrived by when it is taken back, and be taken back by when it is due.
+ */
+#define LEAD_SLOW_US 1800000
 
 bool
 fwd_may_withdraw(const struct fwd_req *r)
@@ -196,6 +203,8 @@
 		.version = vers_least(f->conf.versions, r->model, begin_us),
 		.version_fresh =
 		    vers_least(f->conf.versions, r->model, fresh_us),
+		.version_slow = vers_least(
+		    f->conf.versions, r->model, fwd_now(r) + LEAD_SLOW_US),
 		.not = r->tried,
 		.nnot = r->ntried,
 		.repeatable = r->flow.repeatable,
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -55,6 +55,7 @@
 	MSG_FIELD(struct side_load, gateway, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_load, limit_known, MSG_U64, 1),
 	MSG_FIELD(struct side_load, limit_milli, MSG_U64, LIMIT_MILLI_MAX),
+	MSG_FIELD(struct side_load, slow_link, MSG_U64, 1),
 };
 const struct msg_desc side_load_desc =
     MSG_DESC(SIDE_LOAD, "load", struct side_load, load_fields);
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -102,6 +102,8 @@
 	/* The engine's rate limit, in thousandths of a request a second; 0:
 	 * none. Not known while the keeper was told nothing. */
 	uint64_t limit_known, limit_milli;
+	uint64_t
+	    slow_link; /* 1: what comes to the keeper's host comes slowly */
 };
 
 /* A gateway tells of a target's rate limit. */
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -42,6 +42,7 @@
 	struct digest root;
 	int64_t root_version;
 	struct rate rate;
+	bool slow_link; /* what comes to its host comes slowly, by its side */
 	double pace; /* of its steps against the stated; 1: as stated */
 	/* Failures without an answer. */
 	unsigned int failures; /* in a row */
@@ -185,6 +186,7 @@
 	const char *model; /* NULL: any */
 	int64_t version; /* at least; 0: any that is loaded */
 	int64_t version_fresh; /* the same, of one up since TGT_FRESH_US */
+	int64_t version_slow; /* the same, of one behind a slow link */
 	const struct tgt *const * not ; /* tried before */
 	size_t nnot;
 	bool repeatable; /* may be the one that finds out */
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -148,6 +148,8 @@
 /* Missing chunks of a wanted version that are at no connected peer: they are
  * still to come from the origin. UINT64_MAX: the version is not wanted. */
 uint64_t wts_left_at_origin(struct wts *wts, const struct digest *root);
+/* Chunks of some wanted version come much slower than this host's budget. */
+bool wts_is_narrow(const struct wts *wts);
 /* Live traffic asks for the link: uploads and downloads shrink meanwhile. */
 void wts_live_bytes(struct wts *wts, uint64_t bytes);
 
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -270,6 +270,18 @@
 	return x == NULL ? UINT64_MAX : pick_left_at_origin(x->pick);
 }
 
+bool
+wts_is_narrow(const struct wts *wts)
+{
+	const struct xfer *x;
+
+	TAILQ_FOREACH (x, &wts->xfers, link) {
+		if (x->phase != WTS_WHOLE && pick_is_narrow(x->pick))
+			return true;
+	}
+	return false;
+}
+
 void
 wts_live_bytes(struct wts *wts, uint64_t bytes)
 {
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -122,6 +122,7 @@
 	gateway_rate_load(g, t, load);
 	note_gateways(g, (unsigned int)load->gateways);
 	t->entries_near = (unsigned int)load->near;
+	t->slow_link = load->slow_link != 0;
 	if (t->near) {
 		g->near_gateways = (unsigned int)load->near;
 		gateway_relay_mate(g, load);
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -72,6 +72,7 @@
 	int64_t loaded, wanted;
 	bool own_root;
 	unsigned int running, waiting;
+	bool slow_link; /* what comes to this host comes slowly */
 	bool limit_known;
 	double limit; /* the engine's rate limit */
 };
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -119,6 +119,7 @@
 		.own_root = has_own_root(k),
 		.running = k->engine.running,
 		.waiting = k->engine.waiting,
+		.slow_link = wts_is_narrow(k->wts),
 		.limit_known = k->permits.knows,
 		.limit = k->permits.limit,
 	};
@@ -130,7 +131,8 @@
 {
 	return a->engine != b->engine || a->loaded != b->loaded ||
 	    a->wanted != b->wanted || a->own_root != b->own_root ||
-	    a->limit_known != b->limit_known || a->limit != b->limit;
+	    a->slow_link != b->slow_link || a->limit_known != b->limit_known ||
+	    a->limit != b->limit;
 }
 
 static bool
@@ -212,6 +214,7 @@
 		.gateways = k->gateways->len,
 		.near = keeper_near_gateways(k),
 		.seq = k->load_seq,
+		.slow_link = now->slow_link,
 		.limit_known = now->limit_known,
 		.limit_milli = (uint64_t)(now->limit * 1000),
 	};
@@ -279,6 +282,8 @@
 	drop_silent(k);
 	if (!k->had_engine)
 		return;
+	if (now.slow_link != k->told.slow_link)
+		evt(EVT_WEIGHTS, "step=link slow=%d", now.slow_link);
 	plan = plan_telling(k, &now);
 	k->load_seq++;
 	fill_load(k, &now, &load);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -663,6 +663,61 @@
 	assert_false(target_is_called());
 }
 
+/*
+ * Version 2 is due in 1.5 s. Pieces of it fill the link of one engine, so that
+ * a request takes a second to it and the closing of its connection another: it
+ * would be begun on version 1 when that is withdrawn. So it goes elsewhere.
+ */
+static void
+test_no_older_weights_behind_a_slow_link(void **state)
+{
+	char *request;
+	struct target *t;
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	target_say(&w.target[0], false, 1);
+	tgt_find(w.set, "i0")->slow_link = true;
+	name_version(1500);
+	expect_answer(ask_model(), "503 ");
+	assert_false(target_is_called());
+	world_close();
+
+	world_open(2, make_config(SV_STREAM, 2, 3000));
+	target_say(&w.target[0], false, 1);
+	target_say(&w.target[1], false, 1);
+	tgt_find(w.set, "i0")->slow_link = true;
+	name_version(1500);
+	close(ask_model());
+	t = target_get(&request);
+	g_free(request);
+	assert_ptr_equal(t, &w.target[1]);
+}
+
+/* One that was sent there in time and has not begun is taken back so early that
+ * the close arrives before the weights are withdrawn. */
+static void
+test_withdrawn_early_over_a_slow_link(void **state)
+{
+	char *request;
+	struct target *t;
+	struct sv_config *config = make_config(SV_STREAM, 2, 3000);
+	int64_t sent_us;
+	int fd;
+
+	config->routes[0].objective_us = 1000000; /* it is not silent so soon */
+	world_open(1, config);
+	target_say(&w.target[0], false, 1);
+	tgt_find(w.set, "i0")->slow_link = true;
+	name_version(1900);
+	sent_us = now_us();
+	fd = ask_model();
+	t = target_get(&request);
+	g_free(request);
+	assert_true(target_is_left(t));
+	assert_in_range(now_us() - sent_us, 700000, 1100000);
+	expect_answer(fd, "502 ");
+}
+
 int
 main(void)
 {
@@ -692,6 +747,8 @@
 		T(test_queued_request_is_withdrawn_before_its_weights_are_due),
 		T(test_begun_request_stays_when_its_weights_become_due),
 		T(test_who_may_still_go_to_older_weights),
+		T(test_no_older_weights_behind_a_slow_link),
+		T(test_withdrawn_early_over_a_slow_link),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
