A slow way is also one on which nothing is heard, and far gateways hear of it at once

Class: what is not known is taken for good. Change: a way is slow unless its keeper says otherwise, where keepers of the service are heard; and what gateways of a region tell those of others has the flag. The message has a new type, so that gateways of the release before do not misread it.

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -286,7 +286,9 @@
 		return;
 	r->begin.fire = on_begin_due;
 	evl_timer_set(r->fwd->conf.loop, &r->begin,
-	    end_us - (r->target->slow_link ? WITHDRAW_SLOW_US : WITHDRAW_US));
+	    end_us -
+		(tgt_way_is_slow(r->target, fwd_now(r)) ? WITHDRAW_SLOW_US
+							: WITHDRAW_US));
 }
 
 /* Waits for the target's next word. A request that cannot go elsewhere is
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -114,8 +114,11 @@
 	uint32_t seq;
 	uint16_t total;
 	uint16_t pace_permille;
+	uint16_t flags;
 } __attribute__((packed));
 
+#define FLAG_SLOW_LINK 1
+
 G_STATIC_ASSERT(sizeof(struct wire_relayed) == SIDE_RELAYED_BYTES);
 
 bool
@@ -133,6 +136,7 @@
 		.total = htons((uint16_t)MIN(one->total, UINT16_MAX)),
 		.pace_permille =
 		    htons((uint16_t)MIN(one->pace_permille, UINT16_MAX)),
+		.flags = htons(one->slow_link ? FLAG_SLOW_LINK : 0),
 	};
 	g_byte_array_append(entries, (const guint8 *)&wire, sizeof(wire));
 	return true;
@@ -159,6 +163,7 @@
 	out->seq = ntohl(wire.seq);
 	out->total = ntohs(wire.total);
 	out->pace_permille = ntohs(wire.pace_permille);
+	out->slow_link = (ntohs(wire.flags) & FLAG_SLOW_LINK) != 0;
 }
 
 bool
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -28,7 +28,7 @@
 	SIDE_LOAD = 91,
 	SIDE_ASK = 92,
 	SIDE_PAGE = 93,
-	SIDE_LOADS = 94,
+	SIDE_LOADS = 97, /* 94 had no flags in its entries */
 	SIDE_RATE = 95,
 	SIDE_PERMIT = 96,
 };
@@ -126,11 +126,12 @@
 	uint32_t seq; /* low bits of the load's */
 	unsigned int total; /* running and waiting */
 	unsigned int pace_permille;
+	bool slow_link;
 };
 
-/* Bytes of one of them: IPv4, port, seq, total, pace; network order. */
-#define SIDE_RELAYED_BYTES 14
-#define SIDE_LOADS_MAX 75 /* what one datagram holds */
+/* Bytes of one of them: IPv4, port, seq, total, pace, flags; network order. */
+#define SIDE_RELAYED_BYTES 16
+#define SIDE_LOADS_MAX 65 /* what one datagram holds */
 
 struct side_loads {
 	struct slice entries;
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -150,6 +150,15 @@
 	return t->side_us != 0 && now_us - t->side_us <= TGT_SIDE_SILENT_US;
 }
 
+bool
+tgt_way_is_slow(const struct tgt *t, int64_t now_us)
+{
+	if (t->slow_link)
+		return true;
+	return t->service != NULL && t->service->side_us != 0 &&
+	    !tgt_side_is_heard(t, now_us);
+}
+
 /* A target at an address that another had: the other one is no more. But an
  * entry of a service that the settings don't have names no target, and takes
  * nobody's place. */
@@ -383,6 +392,7 @@
 		return false;
 	tgt_side_heard(t, word->seq, now_us);
 	tgt_set_pace(t, word->pace_permille);
+	t->slow_link = word->slow_link;
 	tgt_load(t, word->total, now_us);
 	return true;
 }
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -171,6 +171,11 @@
 /* Its address answers as another instance. */
 void tgt_mistaken(struct tgt *t);
 
+/* What is sent there, and what takes it back, may be long on its way: its side
+ * says so; or its side's words don't come here, while those of others of its
+ * service do: lost on a full link, or not yet heard of one that is back. */
+bool tgt_way_is_slow(const struct tgt *t, int64_t now_us);
+
 /* Requests under way there, as well as is known. */
 double tgt_estimate(
     const struct tgt *t, const struct tgt_policy *p, int64_t now_us);
--- a/programs/entry/gateway_relay.c
+++ b/programs/entry/gateway_relay.c
@@ -80,6 +80,7 @@
 		.seq = t->side_seq,
 		.total = t->seen,
 		.pace_permille = (unsigned int)(t->pace * 1000),
+		.slow_link = t->slow_link,
 	};
 
 	g_strlcpy(one.address, t->says.address, sizeof(one.address));
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -693,6 +693,27 @@
 	assert_ptr_equal(t, &w.target[1]);
 }
 
+/* The same when the link is so full that the words of the engine's side are lost,
+ * and with them that it is slow. */
+static void
+test_no_older_weights_while_the_side_is_silent(void **state)
+{
+	struct tgt *t;
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	target_say(&w.target[0], false, 1);
+	t = tgt_find(w.set, "i0");
+	tgt_side_heard(t, 1, now_us() - 1200000);
+	name_version(1500);
+	expect_answer(ask_model(), "503 ");
+	assert_false(target_is_called());
+	/* It is back under its id, and its side was not heard yet. */
+	tgt_removed(w.set, "i0", false, now_us());
+	target_say(&w.target[0], false, 1);
+	expect_answer(ask_model(), "503 ");
+	assert_false(target_is_called());
+}
+
 /* One that was sent there in time and has not begun is taken back so early that
  * the close arrives before the weights are withdrawn. */
 static void
@@ -748,6 +769,7 @@
 		T(test_begun_request_stays_when_its_weights_become_due),
 		T(test_who_may_still_go_to_older_weights),
 		T(test_no_older_weights_behind_a_slow_link),
+		T(test_no_older_weights_while_the_side_is_silent),
 		T(test_withdrawn_early_over_a_slow_link),
 	};
 
--- a/tests/serve/test_relay.c
+++ b/tests/serve/test_relay.c
@@ -28,9 +28,10 @@
 static struct side_relayed
 word(uint32_t seq, unsigned int total)
 {
-	struct side_relayed w = {
-		.seq = seq, .total = total, .pace_permille = 2500
-	};
+	struct side_relayed w = { .seq = seq,
+		.total = total,
+		.pace_permille = 2500,
+		.slow_link = true };
 
 	return w;
 }
@@ -62,6 +63,7 @@
 	assert_int_equal(out.seq, UINT32_MAX);
 	assert_int_equal(out.total, 12);
 	assert_int_equal(out.pace_permille, 2500);
+	assert_true(out.slow_link);
 	msg_close(&m);
 	g_byte_array_unref(wire);
 	g_byte_array_unref(entries);
@@ -88,6 +90,7 @@
 	assert_int_equal(t->seen, 8);
 	assert_int_equal(t->side_us, 2 * SECOND);
 	assert_true(t->pace > 2.4 && t->pace < 2.6);
+	assert_true(t->slow_link);
 	assert_false(tgt_relayed(t, &fresh, 3 * SECOND)); /* the same again */
 	tgt_set_free(set);
 }
