Chunks of a slow reader of the origin are taken over

Cause: each chunk has a first reader, for whom others step in when it is silent. A reader behind a slow link is not: it claims a chunk now and then, and each claim puts the others off. Fast hosts stood at 91 to 94 of 96 chunks for three seconds, the origin idle. Class: what is slow passes for alive. Change: a reader that is through with its own chunks takes over those of a reader whose pace is less than half of its own and whose rest would take longer than a silent one is given, also those that it began long ago. A claim by one behind the first reader is news, or three would take over the same.

--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -140,6 +140,7 @@
 	/* Readers have changed places; each gets its time again. */
 	p->start_us = now_us;
 	memset(p->claims_us, 0, sizeof(p->claims_us));
+	memset(p->paces, 0, sizeof(p->paces));
 	p->no_read_us = 0;
 	for (i = 0; i < p->conf.chunks; i++)
 		p->chunks[i].reader = (uint8_t)rank_first(rank, i);
@@ -211,6 +212,14 @@
 	g_clear_pointer(&peer->bits, g_free);
 }
 
+static void
+note_pace(struct pick_pace *pace, int64_t now_us)
+{
+	if (pace->claims++ == 0)
+		pace->first_us = now_us;
+	pace->last_us = now_us;
+}
+
 static bool
 mark_claimed(struct pick *p, uint64_t index, unsigned int rank, int64_t now_us)
 {
@@ -221,7 +230,10 @@
 	c->heard = true;
 	c->failed_here = false;
 	c->claimed_us = now_us;
+	c->claimed_rank = (uint8_t)MIN(rank, PICK_RANK_UNKNOWN);
 	p->unclaimed -= news;
+	if (news && rank == 0)
+		note_pace(&p->paces[c->reader], now_us);
 	p->claims_us[c->reader][MIN(rank, PICK_RANK_UNKNOWN)] = now_us;
 	return news;
 }
@@ -280,7 +292,8 @@
 	/* A claim is the reader's sign of life also where the chunk itself came
 	 * sooner than the claim; passed over, a reader that is quicker than
 	 * news travel would be taken for silent. */
-	if (c->heard && now_us - c->claimed_us < pick_silence_us(p))
+	if (c->heard && MIN(rank, PICK_RANK_UNKNOWN) <= c->claimed_rank &&
+	    now_us - c->claimed_us < pick_silence_us(p))
 		return false;
 	mark_claimed(p, index, rank, now_us);
 	return true;
@@ -315,6 +328,7 @@
 	}
 	g_assert(a->kind == PICK_READ);
 	c->state = PICK_READING;
+	p->no_read_us = 0;
 	p->open_reads++;
 	p->extra_reads += a->extra;
 	mark_claimed(p, a->index, a->rank, now_us);
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -85,6 +85,7 @@
 	uint8_t far_rank;
 	int64_t far_since_us;
 	int64_t claimed_us;
+	uint8_t claimed_rank; /* of who did; one behind it takes over */
 };
 
 struct pick_conf {
@@ -104,6 +105,12 @@
 	int64_t silence_min_us; /* 0: the usual; see pick_silence_us */
 };
 
+/* How fast a reader goes through the chunks that it is first for. */
+struct pick_pace {
+	unsigned int claims;
+	int64_t first_us, last_us;
+};
+
 struct pick {
 	struct pick_conf conf;
 	struct rank rank;
@@ -118,6 +125,7 @@
 	int64_t start_us;
 	/* Last claim by rank, for the chunks of each first reader. */
 	int64_t claims_us[RANK_READERS][PICK_RANKS];
+	struct pick_pace paces[RANK_READERS];
 	int64_t settle_us; /* no read of the origin before */
 	int64_t no_read_us; /* no chunk may be read before (memo) */
 	int64_t read_after_us; /* back-off of the origin */
--- a/lib/weights/pick_next.c
+++ b/lib/weights/pick_next.c
@@ -36,6 +36,93 @@
 	return due;
 }
 
+/*
+ * A reader whose link is slow shows with each claim that it lives, so nobody
+ * steps in for it, and all hosts wait for its chunks while the origin idles: half
+ * of a version's chunks came after four more seconds. So whoever is through with
+ * its own chunks takes over those that such a reader has not begun, or began so
+ * long ago that they would have come here. Claims keep two others from reading
+ * the same; it costs a second copy of the few that are on their way.
+ */
+#define SLOW_PACE 2 /* times this host's own time a chunk */
+#define SLOW_CLAIMS 2 /* before a pace is known */
+#define SLOW_READS 4 /* times this host's own read */
+#define SLOW_LOOK_US 50000 /* until paces are compared again */
+
+/* `left`: its chunks that no host is known to have. A silent reader is given a
+ * time; one that will take longer than that is not waited for, either. */
+static bool
+is_slow_reader(
+    const struct pick *p, unsigned int reader, uint64_t left, int64_t now_us)
+{
+	const struct pick_pace *own, *other = &p->paces[reader];
+	int64_t own_us, other_us;
+
+	if (p->rank.self == reader)
+		return false;
+	own = &p->paces[p->rank.self];
+	if (own->claims < SLOW_CLAIMS || other->claims < SLOW_CLAIMS)
+		return false;
+	own_us = (own->last_us - own->first_us) / (own->claims - 1);
+	other_us = (now_us - other->first_us) / other->claims;
+	return other_us > SLOW_PACE * own_us &&
+	    other_us * (int64_t)left > pick_silence_us(p);
+}
+
+static bool
+is_on_its_way(const struct pick *p, const struct pick_chunk *c, int64_t now_us)
+{
+	return c->claimed && now_us - c->claimed_us <= SLOW_READS * p->read_us;
+}
+
+static bool
+is_nowhere(const struct pick_chunk *c)
+{
+	return c->state == PICK_MISSING && c->holders == 0;
+}
+
+/* Which readers are slow; false while this host has chunks of its own to read. */
+static bool
+find_slow_readers(const struct pick *p, int64_t now_us, bool slow[RANK_READERS])
+{
+	uint64_t left[RANK_READERS] = { 0 };
+	unsigned int reader;
+	uint64_t i;
+
+	for (i = 0; i < p->conf.chunks; i++)
+		left[p->chunks[i].reader] += is_nowhere(&p->chunks[i]);
+	if (left[p->rank.self] > 0)
+		return false;
+	for (reader = 0; reader < RANK_READERS; reader++)
+		slow[reader] = is_slow_reader(p, reader, left[reader], now_us);
+	return true;
+}
+
+/* A chunk that a slow reader does not bring. */
+static bool
+find_take_over(const struct pick *p, int64_t now_us, struct rng *rng,
+    struct pick_action *out)
+{
+	bool slow[RANK_READERS];
+	const struct pick_chunk *c;
+	unsigned int ties = 0;
+	uint64_t i;
+
+	if (!find_slow_readers(p, now_us, slow))
+		return false;
+	for (i = 0; i < p->conf.chunks; i++) {
+		c = &p->chunks[i];
+		if (is_nowhere(c) && slow[c->reader] &&
+		    !is_on_its_way(p, c, now_us) && rng_below(rng, ++ties) == 0)
+			out->index = i;
+	}
+	if (ties == 0)
+		return false;
+	out->kind = PICK_READ;
+	out->rank = rank_self(&p->rank, out->index);
+	return true;
+}
+
 /* Extra copies are split evenly; this is one host's part. */
 static uint64_t
 extra_share(const struct pick *p)
@@ -90,9 +177,16 @@
 				return true;
 		}
 	}
-	if (!found)
-		p->no_read_us = *due_us;
-	return found;
+	if (found)
+		return true;
+	if (p->rank.self != RANK_NONE && p->read_failures == 0 &&
+	    p->paces[p->rank.self].claims >= SLOW_CLAIMS) {
+		if (find_take_over(p, now_us, rng, out))
+			return true;
+		*due_us = MIN(*due_us, now_us + SLOW_LOOK_US);
+	}
+	p->no_read_us = *due_us;
+	return false;
 }
 
 /* With more than one copy allowed: once the first copy is under way the
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -338,6 +338,64 @@
 	pick_free(p);
 }
 
+/*
+ * One reader's link is slow: it claims a chunk each second, so it is not silent,
+ * and all hosts wait for the rest of its chunks. A reader that is through with
+ * its own takes over what the slow one has not begun, and what it began long
+ * ago, and leaves to a reader of its own pace what is that one's.
+ */
+static void
+test_chunks_of_a_slow_reader_are_taken_over(void **state)
+{
+	struct pick *p = new_pick(reader(0));
+	unsigned int slow = 0, brisk = 0, taken = 0;
+	int64_t now = 0;
+	struct pick_action a;
+	uint64_t i;
+
+	for (i = 0; i < CHUNKS; i++) {
+		if (rank_first(reader(0), i) > 2)
+			pick_got(p, i);
+	}
+	for (i = 0; i < CHUNKS; i++) {
+		switch (rank_first(reader(0), i)) {
+		case 0: /* one of this host's each 0.1 s */
+			a = next(p, now += SECOND / 10);
+			assert_int_equal(a.rank, 0);
+			pick_begin(p, &a, now);
+			pick_arrived(p, a.index, now);
+			pick_got(p, a.index);
+			break;
+		case 1:
+			if (now >= (int64_t)slow * SECOND * 6 / 10 &&
+			    ++slow > 0)
+				pick_claimed(p, i, 0, now);
+			break;
+		case 2:
+			if (++brisk == CHUNKS / RANK_READERS)
+				break;
+			pick_claimed(p, i, 0, now);
+			pick_got(p, i); /* it came */
+			break;
+		}
+	}
+	/* What is left of its chunks then comes sooner than a silent reader is
+	 * waited for; but it does not come. */
+	while ((now += SECOND * 4 / 10) < 3 * SECOND) {
+		for (a = next(p, now); a.kind == PICK_READ; a = next(p, now)) {
+			assert_int_equal(rank_first(reader(0), a.index), 1);
+			pick_begin(p, &a, now);
+			pick_arrived(p, a.index, now);
+			pick_got(p, a.index);
+			taken++;
+		}
+		assert_true(taken > 0);
+	}
+	assert_int_equal(slow, 2);
+	assert_int_equal(taken, CHUNKS / RANK_READERS);
+	pick_free(p);
+}
+
 /*
  * A reader is quicker than news travel: its chunks are seen at a peer before its
  * claims are heard. The claims still show that it lives, and nobody steps in.
@@ -550,6 +608,7 @@
 		cmocka_unit_test(test_a_chunk_from_the_origin_ends_the_rest),
 		cmocka_unit_test(test_what_is_still_to_come_from_the_origin),
 		cmocka_unit_test(test_next_in_rank_after_silence),
+		cmocka_unit_test(test_chunks_of_a_slow_reader_are_taken_over),
 		cmocka_unit_test(test_late_claim_is_a_sign_of_life),
 		cmocka_unit_test(test_near_then_idle_then_rarest),
 		cmocka_unit_test(test_no_duplicate_before_patience),
