Read once more: one pool for a limit also while its keeper is silent to some, limits to the last bit

A gateway that does not hear the engine's keeper asked another keeper for permits, while others went on with the first: two pools, up to twice the limit, which is over the bound from 2 a second on; on a full link, where keepers' words are lost, that lasts.

--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -64,7 +64,8 @@
 	*out = g_ascii_strtod(text, &end);
 	if (*end != '\0' || !isfinite(*out) || *out < 0)
 		return false;
-	*out = MAX(*out, RATE_LEAST);
+	/* As others will hear it, or their word would seem to be another. */
+	*out = rate_of_milli(rate_to_milli(MAX(*out, RATE_LEAST)));
 	return true;
 }
 
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -276,6 +276,7 @@
 static void
 expect_begin(struct fwd_req *r)
 {
+	bool slow = tgt_way_is_slow(r->target, fwd_now(r));
 	int64_t end_us;
 
 	if (!fwd_may_withdraw(r) || !r->target->says.has_models)
@@ -286,9 +287,7 @@
 		return;
 	r->begin.fire = on_begin_due;
 	evl_timer_set(r->fwd->conf.loop, &r->begin,
-	    end_us -
-		(tgt_way_is_slow(r->target, fwd_now(r)) ? WITHDRAW_SLOW_US
-							: WITHDRAW_US));
+	    end_us - (slow ? WITHDRAW_SLOW_US : WITHDRAW_US));
 }
 
 /* Waits for the target's next word. A request that cannot go elsewhere is
--- a/lib/serve/rate.c
+++ b/lib/serve/rate.c
@@ -27,6 +27,18 @@
 #define SHARE_USED 0.6
 #define SHARE_PART_MAX 0.5
 
+uint64_t
+rate_to_milli(double limit)
+{
+	return (uint64_t)fmin(round(limit * 1000), UINT32_MAX);
+}
+
+double
+rate_of_milli(uint64_t milli)
+{
+	return (double)milli / 1000;
+}
+
 bool
 rate_answered(struct rate *r, double limit, int64_t asked_us, bool side_heard,
     int64_t now_us)
--- a/lib/serve/rate.h
+++ b/lib/serve/rate.h
@@ -9,8 +9,8 @@
  * Each entry that knows of a limit needs a permit for each request. Permits are
  * handed out in one place for all entries (permit.h), so that one limit holds
  * for all of them however uneven their traffic is: by the side of the target,
- * or, where it has none, by a side on which the entries agree. While no side is
- * heard at all, each entry has its turns by the clock. Pure.
+ * or, where it has none, by a side on which the entries agree. While that is not
+ * heard, each entry has its turns by the clock. Pure.
  */
 
 #include <stdbool.h>
@@ -20,6 +20,10 @@
  * is found out. */
 #define RATE_LEAST 0.25
 
+/* Between processes a limit goes in thousandths of a request a second. */
+uint64_t rate_to_milli(double limit);
+double rate_of_milli(uint64_t milli);
+
 struct rate {
 	double limit; /* requests a second; 0: none */
 	/*
@@ -36,7 +40,7 @@
 	int64_t sent_us; /* the last request */
 };
 
-/* Entries that share a target while no side is heard. */
+/* Entries that share a target while nobody gives permits for it. */
 struct rate_share {
 	unsigned int entries;
 	double phase; /* of this entry's turns, 0 up to 1 */
@@ -55,8 +59,7 @@
 /* Whether the side should be told of this entry's answers. */
 bool rate_is_news(const struct rate *r);
 
-/* Whether a request may be sent now. `share` NULL: some side is heard,
- * which gives permits. */
+/* Whether a request may be sent now. `share` NULL: a side gives permits. */
 bool rate_allows(
     const struct rate *r, const struct rate_share *share, int64_t now_us);
 void rate_sent(struct rate *r, int64_t now_us);
--- a/lib/serve/tgt_rate.c
+++ b/lib/serve/tgt_rate.c
@@ -4,8 +4,10 @@
 
 #include "serve/tgt_internal.h"
 
-/* The side that gives permits for `t`: its own; while that is not heard, one of
- * all that are, by rendezvous hashing, so that all entries find the same. */
+/* The side that gives permits for `t`: its own; where it has none, one of all that
+ * are heard, by rendezvous hashing, so that all entries find the same. NULL while
+ * its own is silent: others may still hear that, and a second pool would give as
+ * much again. */
 static const struct tgt *
 permits_at(struct tgt_set *s, const struct tgt *t, int64_t now_us)
 {
@@ -15,8 +17,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (tgt_side_is_heard(t, now_us))
-		return t;
+	if (t->side_us != 0)
+		return tgt_side_is_heard(t, now_us) ? t : NULL;
 	g_hash_table_iter_init(&iter, s->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		other = value;
@@ -32,13 +34,16 @@
 	return best;
 }
 
+/* Whether some side gives permits for `t`: cheaper than to find out which. */
 static bool
-some_side_is_heard(struct tgt_set *s, int64_t now_us)
+permits_are_given(struct tgt_set *s, const struct tgt *t, int64_t now_us)
 {
 	const struct tgt_service *service;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (t->side_us != 0)
+		return tgt_side_is_heard(t, now_us);
 	g_hash_table_iter_init(&iter, s->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		service = value;
@@ -78,7 +83,7 @@
  * Passed over, it gets as many as before, falls further behind, and its callers
  * wait. Were each entry to hold to the limit, all together would send so many
  * times as much. So a request goes there only with a permit, which one side
- * gives for all entries; while no side is heard, in this entry's turns.
+ * gives for all entries; while that is silent, in this entry's turns.
  */
 bool
 tgt_rate_is_left(struct tgt_set *s, const struct tgt *t, int64_t now_us)
@@ -90,7 +95,7 @@
 	share.phase =
 	    tgt_part_of(hash64(s->policy.seed, t->says.id, strlen(t->says.id)));
 	return rate_allows(
-	    &t->rate, some_side_is_heard(s, now_us) ? NULL : &share, now_us);
+	    &t->rate, permits_are_given(s, t, now_us) ? NULL : &share, now_us);
 }
 
 void
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -289,7 +289,8 @@
 {
 	const struct pick_chunk *c = &p->chunks[index];
 
-	/* A claim is the reader's sign of life also where the chunk itself came
+	/* One of a higher rank takes the chunk over, and tells the others so.
+	 * A claim is the reader's sign of life also where the chunk itself came
 	 * sooner than the claim; passed over, a reader that is quicker than
 	 * news travel would be taken for silent. */
 	if (c->heard && MIN(rank, PICK_RANK_UNKNOWN) <= c->claimed_rank &&
--- a/lib/weights/pick_next.c
+++ b/lib/weights/pick_next.c
@@ -38,11 +38,10 @@
 
 /*
  * A reader whose link is slow shows with each claim that it lives, so nobody
- * steps in for it, and all hosts wait for its chunks while the origin idles: half
- * of a version's chunks came after four more seconds. So whoever is through with
- * its own chunks takes over those that such a reader has not begun, or began so
- * long ago that they would have come here. Claims keep two others from reading
- * the same; it costs a second copy of the few that are on their way.
+ * steps in for it, and all hosts wait for its chunks while the origin idles. So
+ * whoever is through with its own chunks takes over those that such a reader has
+ * not begun, or began so long ago that they would be here. Claims keep two others
+ * from reading the same; it costs a second copy of the few that are on their way.
  */
 #define SLOW_PACE 2 /* times this host's own time a chunk */
 #define SLOW_CLAIMS 2 /* before a pace is known */
--- a/programs/entry/gateway_rate.c
+++ b/programs/entry/gateway_rate.c
@@ -4,12 +4,6 @@
 
 #include "entry/gateway.h"
 
-static uint64_t
-milli(double limit)
-{
-	return (uint64_t)MIN(limit * 1000, UINT32_MAX);
-}
-
 /* What its own answers said. But a question is asked by the limit that it holds
  * to: a keeper that has just started would take an old answer for the end. */
 static struct side_rate
@@ -20,7 +14,7 @@
 
 	return (struct side_rate){
 		.address = slice_str(t->says.address),
-		.limit_milli = milli(own ? r->own : r->limit),
+		.limit_milli = rate_to_milli(own ? r->own : r->limit),
 		.own = own,
 		.ask = ask,
 		.age_ms = own ? (uint64_t)MAX(0, now_us - r->own_us) / 1000 : 0,
@@ -55,7 +49,7 @@
     struct gateway *g, struct tgt *t, const struct side_load *load)
 {
 	double before = t->rate.limit;
-	double limit = (double)load->limit_milli / 1000;
+	double limit = rate_of_milli(load->limit_milli);
 
 	if (load->limit_known &&
 	    rate_told(&t->rate, limit, evl_now_us(g->st.loop)))
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "serve/rate.h"
 #include "serve/side.h"
 #include "side/keeper.h"
 
@@ -216,7 +217,7 @@
 		.seq = k->load_seq,
 		.slow_link = now->slow_link,
 		.limit_known = now->limit_known,
-		.limit_milli = (uint64_t)(now->limit * 1000),
+		.limit_milli = rate_to_milli(now->limit),
 	};
 	for (i = 0; i < k->gateways->len; i++)
 		load->without_store += gateway_at(k, i)->store_away;
--- a/programs/side/keeper_rate.c
+++ b/programs/side/keeper_rate.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "serve/rate.h"
 #include "serve/side.h"
 #include "side/keeper.h"
 
@@ -76,7 +77,7 @@
     struct keeper *k, const char *from, const struct side_rate *rate)
 {
 	struct permit_word word = {
-		.limit = (double)rate->limit_milli / 1000,
+		.limit = rate_of_milli(rate->limit_milli),
 		.since_us = keeper_now(k) - (int64_t)rate->age_ms * 1000,
 		.own = rate->own != 0,
 	};
--- a/tests/serve/test_rate.c
+++ b/tests/serve/test_rate.c
@@ -142,6 +142,20 @@
 	}
 }
 
+/* What a side says back must be the limit that was told, to the last bit, or each
+ * answer seems to name another. */
+static void
+test_limits_between_processes(void **state)
+{
+	static const double limits[] = { 0.25, 0.29, 1.1, 2.2, 4.35, 1000.001 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(limits); i++)
+		assert_true(
+		    rate_of_milli(rate_to_milli(limits[i])) == limits[i]);
+	assert_int_equal(rate_to_milli(1e12), UINT32_MAX);
+}
+
 int
 main(void)
 {
@@ -151,6 +165,7 @@
 		cmocka_unit_test(test_the_side_tells),
 		cmocka_unit_test(test_one_request_a_permit),
 		cmocka_unit_test(test_turns_by_the_clock),
+		cmocka_unit_test(test_limits_between_processes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
