--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -30,6 +30,7 @@
 	int64_t born_ms;
 	LIST_HEAD(fleet_runs, fleet_run) runs;
 	unsigned int nruns;
+	int64_t rot_us; /* a staged piece was spoilt last */
 	struct fleet_limit limit;
 };
 
@@ -351,8 +352,13 @@
 		hreq_answer(r, 409, "", "", 0);
 		return;
 	}
-	if (!staged_is_whole(e, version))
+	if (!staged_is_whole(e, version)) {
 		e->f->tally.unwhole++;
+		g_printerr("unwhole %s version %" G_GINT64_FORMAT
+			   ": a piece was spoilt %" G_GINT64_FORMAT " ms ago\n",
+		    e->id, version,
+		    (evl_now_us(e->f->loop) - e->rot_us) / 1000);
+	}
 	e->sequence++;
 	e->loading = version;
 	e->load.fire = on_loaded;
@@ -509,6 +515,7 @@
 {
 	uint8_t *piece = f->engine[i]->staged[rng_below(&f->rng, FLEET_CHUNKS)];
 
+	f->engine[i]->rot_us = evl_now_us(f->loop);
 	if (piece != NULL)
 		piece[rng_below(&f->rng, FLEET_CHUNK_BYTES)] ^= 1;
 }
--- a/tests/fleet/limit.c
+++ b/tests/fleet/limit.c
@@ -18,6 +18,7 @@
 struct arrival {
 	int64_t at_us;
 	double limit; /* then */
+	size_t gateway;
 };
 
 /* Ids of requests end with the number of the gateway that was asked. */
@@ -71,8 +72,13 @@
 void
 fleet_limit_arrived(struct fleet *f, struct fleet_limit *l, const char *id)
 {
-	struct arrival now = { evl_now_us(f->loop), l->limit };
-	int64_t told_us = l->told_us[gateway_of(id) % FLEET_GATEWAYS_MAX];
+	struct arrival now = { .at_us = evl_now_us(f->loop),
+		.limit = l->limit,
+		.gateway = gateway_of(id) % FLEET_GATEWAYS_MAX };
+	int64_t told_us = l->told_us[now.gateway];
+
+	const struct arrival *arrival;
+	guint i;
 
 	if (l->limit == 0 || told_us == 0 || now.at_us - told_us < TOLD_US ||
 	    now.at_us - l->first_us < STABLE_US)
@@ -90,4 +96,10 @@
 	g_printerr("over its limit of %.1f a second: %u requests in 4 s, "
 		   "allowed %.0f\n",
 	    l->limit, l->arrivals->len, allowed(l));
+	for (i = 0; i < l->arrivals->len; i++) {
+		arrival = &g_array_index(l->arrivals, struct arrival, i);
+		g_printerr(" %zu at %" G_GINT64_FORMAT, arrival->gateway,
+		    (arrival->at_us - now.at_us) / 1000);
+	}
+	g_printerr(" ms\n");
 }
