Sight: lines of cut requests name the fingerprint of their content

Lines of requests whose target was lost under them now bear content=, the same at every gateway; two counters tell requests cut before their first event from those cut midway.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -15,6 +15,22 @@
 	return evl_now_us(r->fwd->conf.loop);
 }
 
+uint64_t
+fwd_content(struct fwd_req *r)
+{
+	struct fpr_content content = {
+		.host = r->route->host,
+		.target = hreq_msg(r->caller)->target,
+		.caller = r->workspace == NULL ? NULL : r->workspace->name,
+	};
+
+	if (r->content == 0) {
+		content.body = hreq_body(r->caller, &content.body_len);
+		r->content = fpr_of(&content);
+	}
+	return r->content;
+}
+
 /* ------------------------------------------------------------------ */
 /* Ends                                                                */
 /* ------------------------------------------------------------------ */
@@ -30,7 +46,8 @@
 	    "events=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT
 	    " back=%d"
-	    " target=%s config=%" G_GINT64_FORMAT,
+	    " target=%s content=%016" G_GINT64_MODIFIER
+	    "x config=%" G_GINT64_FORMAT,
 	    r->id, r->route->name, r->service->targets->name, status, why,
 	    r->flow.tries, r->flow.runs, r->events,
 	    (now_us - r->begun_us) / 1000,
@@ -38,7 +55,7 @@
 				   : (r->first_event_us - r->begun_us) / 1000,
 	    r->sent_us == 0 ? -1 : (r->sent_us - r->begun_us) / 1000,
 	    r->came_back, r->target == NULL ? "-" : r->target->says.id,
-	    rtab_config(r->routes)->version);
+	    r->content, rtab_config(r->routes)->version);
 }
 
 void
@@ -366,6 +383,8 @@
 	f->limited = ctr_get(set, "requests_to_limited");
 	f->limited_again = ctr_get(set, "requests_to_limited_again");
 	f->choices = ctr_get(set, "target_choices");
+	f->cut_silent = ctr_get(set, "requests_cut_before_answer");
+	f->cut_answering = ctr_get(set, "requests_cut_midway");
 	return f;
 }
 
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -193,6 +193,7 @@
 {
 	int64_t now_us = fwd_now(r);
 
+	r->answering = true;
 	if (r->events == 0) {
 		note_first(r->service, now_us - r->sent_us);
 		r->first_event_us = now_us;
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -144,19 +144,32 @@
 		ctr_add(r->fwd->resumes, 1);
 	evt(EVT_RETRY,
 	    "req=%s why=%s target=%s tries=%u runs=%u last_event=%" G_GINT64_FORMAT
-	    " ms=%" G_GINT64_FORMAT,
+	    " ms=%" G_GINT64_FORMAT " content=%016" G_GINT64_MODIFIER "x",
 	    r->id, end_names[end], r->target->says.id, r->flow.tries,
-	    r->flow.runs, r->last_event, (fwd_now(r) - r->begun_us) / 1000);
+	    r->flow.runs, r->last_event, (fwd_now(r) - r->begun_us) / 1000,
+	    r->content);
 	fwd_drop_call(r);
 	r->state = FWD_WAITING;
 	fwd_dispatch(r);
 }
 
+/* Cut without a whole answer: the request may be what ended its target. Its
+ * fingerprint tells whether other attempts, here and elsewhere, were the same
+ * request. */
+static void
+note_cut(struct fwd_req *r)
+{
+	(void)fwd_content(r);
+	ctr_add(r->answering ? r->fwd->cut_answering : r->fwd->cut_silent, 1);
+}
+
 static void
 attempt_ended(struct fwd_req *r, enum flow_end end)
 {
 	stop_timers(r);
 	note_outcome(r, end);
+	if (end == FLOW_LOST)
+		note_cut(r);
 	if (end != FLOW_REFUSED && end != FLOW_UNREACHABLE) {
 		r->flow.may_have_run = true;
 		r->flow.runs++;
@@ -327,6 +340,7 @@
 	r->refused = false;
 	r->broken = false;
 	r->sealed = false;
+	r->answering = false;
 	hbuf_free(&r->answer);
 }
 
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -3,6 +3,7 @@
 
 #include "common/evt.h"
 #include "serve/flow.h"
+#include "serve/fingerprint.h"
 #include "serve/fwd.h"
 #include "serve/hist.h"
 
@@ -47,9 +48,11 @@
 	bool refused; /* it says that it did not run */
 	bool broken; /* it cannot be passed on */
 	bool sealed;
+	bool answering; /* its first event has come */
 	GString *headers; /* of the answer, to pass on */
 	struct hbuf answer; /* a whole answer, or events not whole yet */
 	/* Over all attempts. */
+	uint64_t content; /* fingerprint; 0: not computed yet */
 	const struct tgt *tried[FWD_TRIED_MAX]; /* compared, never followed */
 	unsigned int ntried;
 	struct flow_state flow;
@@ -84,12 +87,16 @@
 	unsigned int active, waiting;
 	struct ctr *done, *refused, *failed, *left, *retries, *resumes, *odd;
 	struct ctr *limited, *limited_again; /* sent to targets with a limit */
+	struct ctr *cut_silent,
+	    *cut_answering; /* before, after a first event */
 	struct ctr *choices; /* looks through all targets */
 	struct hist wait, first, gap, whole;
 };
 
 /* fwd.c */
 int64_t fwd_now(const struct fwd_req *r);
+/* Fingerprint of its content. */
+uint64_t fwd_content(struct fwd_req *r);
 /* Ends the request here with an answer of our own. */
 void fwd_refuse(struct fwd_req *r, const char *why); /* 503: not run */
 void fwd_fail(struct fwd_req *r, unsigned int status, const char *why);
