--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -11,6 +11,7 @@
 #define EVENT_US 15000
 #define PLAIN_US 10000
 #define LOAD_US 200000
+#define DOWN_US 1500000 /* from an end to the next start */
 
 struct fleet_run; /* a request that an engine works on */
 
@@ -18,8 +19,10 @@
 	struct fleet *f;
 	size_t i;
 	char id[24];
+	char real[32]; /* address that it listens on */
 	char advertised[32];
 	unsigned int starts;
+	struct evl_timer back; /* it starts again */
 	bool llm;
 	struct hserver *server;
 	int64_t version; /* loaded; 0: none */
@@ -135,6 +138,11 @@
 	struct hreq *r = run->r;
 	char event[128], *head;
 
+	if (fleet_is_poison(run->id)) {
+		fleet_poison_ended(run->e->f);
+		fleet_engine_end(run->e->f, run->e->i);
+		return;
+	}
 	if (!hreq_begun(r)) {
 		head = head_of(run);
 		hreq_begin(r, 200, head);
@@ -238,6 +246,8 @@
 
 	header(r, "X-Attempt-Id", id, sizeof(id));
 	header(r, "X-Expect-Instance", expect, sizeof(expect));
+	if (fleet_is_poison(id))
+		fleet_poison_arrived(e->f);
 	fleet_limit_arrived(e->f, &e->limit, id);
 	if (expect[0] != '\0' && strcmp(expect, e->id) != 0) {
 		refuse(e, r, 421);
@@ -442,6 +452,20 @@
 	e->born_ms = g_get_real_time() / 1000;
 }
 
+static bool
+listen_again(struct fleet_engine *e, struct err *err)
+{
+	e->server = hserver_new(&(struct hserver_conf){ .loop = e->f->loop,
+				    .address = e->real,
+				    .limits = &e->f->limits,
+				    .connections_max = 200,
+				    .bodies_max = 16 << 20,
+				    .ops = &ops,
+				    .ctx = e },
+	    err);
+	return e->server != NULL;
+}
+
 bool
 fleet_engine_open(struct fleet *f, size_t i, const char *address,
     const char *advertised, bool llm, bool empty, struct err *err)
@@ -452,6 +476,7 @@
 	e->f = f;
 	e->i = i;
 	e->llm = llm;
+	g_strlcpy(e->real, address, sizeof(e->real));
 	g_strlcpy(e->advertised, advertised, sizeof(e->advertised));
 	LIST_INIT(&e->runs);
 	name_start(e);
@@ -462,15 +487,7 @@
 	}
 	e->version = llm && !empty ? 1 : 0;
 	f->engine[i] = e;
-	e->server = hserver_new(&(struct hserver_conf){ .loop = f->loop,
-				    .address = address,
-				    .limits = &f->limits,
-				    .connections_max = 200,
-				    .bodies_max = 16 << 20,
-				    .ops = &ops,
-				    .ctx = e },
-	    err);
-	return e->server != NULL;
+	return listen_again(e, err);
 }
 
 const char *
@@ -498,6 +515,31 @@
 	fleet_engine_beat(f, i);
 }
 
+static void
+on_back(struct evl_timer *t)
+{
+	struct fleet_engine *e = CONTAINER_OF(t, struct fleet_engine, back);
+	struct err err = { 0 };
+
+	if (!listen_again(e, &err))
+		g_error("engine %zu: %s", e->i, err.message);
+	fleet_engine_crash(e->f, e->i, false);
+}
+
+void
+fleet_engine_end(struct fleet *f, size_t i)
+{
+	struct fleet_engine *e = f->engine[i];
+
+	if (e->server == NULL)
+		return;
+	cut_runs(e);
+	hserver_free(e->server);
+	e->server = NULL;
+	e->back.fire = on_back;
+	evl_timer_set(f->loop, &e->back, evl_now_us(f->loop) + DOWN_US);
+}
+
 void
 fleet_engine_limit(struct fleet *f, size_t i, double limit)
 {
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -25,6 +25,7 @@
 
 struct fleet_proxy;
 struct fleet_engine;
+struct fleet_poison;
 
 /* What was seen, over all callers and engines. */
 struct fleet_tally {
@@ -36,6 +37,7 @@
 	unsigned int stale; /* begun on a version that was past its due */
 	unsigned int over; /* more than the limit that the engine named */
 	unsigned int stranger; /* a run without a proper workspace or id */
+	unsigned int spread; /* sends of what had ended three engines */
 };
 
 /* A rate limit that an engine names in its answers. */
@@ -77,6 +79,7 @@
 	struct evl_timer next_request, beat, fault;
 	unsigned int open_calls;
 	bool stopping;
+	struct fleet_poison *poison; /* NULL: none */
 	/* Proxies. */
 	struct fleet_proxy *proxy[FLEET_ENGINES_MAX + 1];
 	size_t nproxies;
@@ -98,6 +101,9 @@
 /* It starts again, with nothing loaded, under its id or another. */
 void fleet_engine_crash(
     struct fleet *f, size_t i, bool keeps_id); /* and starts again */
+/* Its process ends: all is cut, and nobody listens for a while. Then it starts
+ * again under another id, with nothing loaded. */
+void fleet_engine_end(struct fleet *f, size_t i);
 void fleet_engine_rot(struct fleet *f, size_t i); /* spoils a staged piece */
 /* Bytes of a piece of a version; both engines and origin use them. */
 void fleet_piece(int64_t version, uint64_t index, uint8_t *out);
@@ -118,6 +124,13 @@
 /* caller.c */
 void fleet_callers_start(struct fleet *f);
 
+/* poison.c: a request that ends the engines that run it */
+void fleet_poison_start(struct fleet *f, int64_t gap_us, int64_t from_us);
+bool fleet_is_poison(const char *id);
+void fleet_poison_arrived(struct fleet *f); /* at an engine */
+void fleet_poison_ended(struct fleet *f); /* an engine, under it */
+void fleet_poison_tell(const struct fleet *f);
+
 /* proxy.c */
 enum proxy_mode {
 	PROXY_PASS,
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -4,6 +4,7 @@
  *   fleet --engines N --empty N --gateways ADDRESS,... --rate N --seconds N
  *         --seed N --faults 0|1 --bump SECONDS --crash SECONDS
  *         --limit SECONDS --limited N --limit-milli N --uneven 0|1
+ *         --poison SECONDS --poison-gap-ms N
  *
  * It prints "ready", plays, and ends with one line of what was seen; its exit
  * code is 0 when no promise was broken and most requests were answered.
@@ -23,6 +24,7 @@
 static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1, net;
 static int faults, bump = 3, crash, limit, uneven;
 static int limited = 1, limit_milli = 1000;
+static int poison, poison_gap_ms = 300;
 static char *gateways;
 static struct fleet f;
 static GMainLoop *main_loop;
@@ -221,7 +223,7 @@
 promises_kept(const struct fleet_tally *t)
 {
 	return t->twice + t->mixed + t->lied + t->unwhole + t->stale +
-	    t->stranger + t->over ==
+	    t->stranger + t->over + t->spread ==
 	    0;
 }
 
@@ -296,17 +298,18 @@
 
 	for (i = 0; i < (size_t)engines; i++)
 		loaded += f.engine[i] != NULL;
+	fleet_poison_tell(&f);
 	if (limit > 0)
 		printf("most in 4 s: engine %u, plain target %u\n",
 		    fleet_engine_most(&f, 0),
 		    fleet_engine_most(&f, (size_t)engines));
 	printf("fleet: %s asked=%u answered=%u refused=%u failed=%u broken=%u "
 	       "twice=%u mixed=%u lied=%u unwhole=%u stale=%u stranger=%u "
-	       "over=%u "
+	       "over=%u spread=%u "
 	       "seed=%d\n",
 	    kept ? "kept" : "BROKEN", t->asked, t->answered, t->refused,
 	    t->failed, t->broken, t->twice, t->mixed, t->lied, t->unwhole,
-	    t->stale, t->stranger, t->over, seed);
+	    t->stale, t->stranger, t->over, t->spread, seed);
 	return kept && t->answered > t->asked / 2 ? 0 : 1;
 }
 
@@ -336,6 +339,10 @@
 		    "their limit, thousandths of a request a second", "N" },
 		{ "uneven", 0, POPT_ARG_INT, &uneven, 0,
 		    "0 or 1: requests over the gateways", "N" },
+		{ "poison", 0, POPT_ARG_INT, &poison, 0,
+		    "seconds to a request that ends engines; 0: none", "N" },
+		{ "poison-gap-ms", 0, POPT_ARG_INT, &poison_gap_ms, 0,
+		    "between two of its kind", "N" },
 		{ "bump", 0, POPT_ARG_INT, &bump, 0,
 		    "seconds to a new version; 0: none", "N" },
 		POPT_AUTOHELP POPT_TABLEEND };
@@ -370,6 +377,9 @@
 	fleet_callers_start(&f);
 	f.beat.fire = on_beat;
 	evl_timer_set(f.loop, &f.beat, begun_us);
+	if (poison > 0)
+		fleet_poison_start(&f, (int64_t)poison_gap_ms * 1000,
+		    begun_us + (int64_t)poison * G_USEC_PER_SEC);
 	f.fault.fire = on_fault;
 	if (faults)
 		evl_timer_set(f.loop, &f.fault, begun_us + 2 * G_USEC_PER_SEC);
--- /dev/null
+++ b/tests/fleet/poison.c
@@ -0,0 +1,187 @@
+/*
+ * A request that ends each engine that begins to run it. It comes again and
+ * again under new ids, at any gateway. Once three engines have ended under it
+ * and gateways have had time to learn of that, at most three more sends may
+ * reach engines.
+ */
+
+#include <string.h>
+
+#include "fleet.h"
+
+#define ENDS_KNOWN 3
+#define LEARN_US 1000000 /* the bound `stable_ms` of the gateways' settings */
+#define SENDS_ALLOWED 3
+#define DEADLINE_US 4000000
+
+struct fleet_poison {
+	struct fleet *f;
+	int64_t gap_us;
+	struct evl_timer next;
+	unsigned int asked, refused, failed;
+	unsigned int ended, sends_after;
+	int64_t known_us; /* the third engine ended; 0: not yet */
+};
+
+struct poison_ask {
+	struct fleet_poison *p;
+	char id[40];
+	struct hcall *call;
+	struct evl_timer deadline;
+	unsigned int status;
+};
+
+bool
+fleet_is_poison(const char *id)
+{
+	return id[0] == 'p';
+}
+
+void
+fleet_poison_arrived(struct fleet *f)
+{
+	struct fleet_poison *p = f->poison;
+
+	if (p->known_us == 0 || evl_now_us(f->loop) - p->known_us < LEARN_US)
+		return;
+	p->sends_after++;
+	if (p->sends_after > SENDS_ALLOWED)
+		f->tally.spread++;
+}
+
+void
+fleet_poison_ended(struct fleet *f)
+{
+	struct fleet_poison *p = f->poison;
+
+	p->ended++;
+	if (p->ended == ENDS_KNOWN)
+		p->known_us = evl_now_us(f->loop);
+}
+
+static void
+ask_free(struct poison_ask *a)
+{
+	evl_timer_stop(a->p->f->loop, &a->deadline);
+	a->p->f->open_calls--;
+	g_free(a);
+}
+
+static void
+on_head(struct hcall *c, const struct hmsg *m, void *ctx)
+{
+	((struct poison_ask *)ctx)->status = m->status;
+}
+
+static void
+on_body(struct hcall *c, const void *data, size_t len, void *ctx)
+{
+}
+
+/* 503 promises that it did not run. */
+static void
+on_done(struct hcall *c, void *ctx)
+{
+	struct poison_ask *a = ctx;
+	struct fleet *f = a->p->f;
+
+	if (a->status != 503)
+		a->p->failed++;
+	else if (g_hash_table_contains(f->runs, a->id)) {
+		f->tally.lied++;
+		g_printerr("lied %s\n", a->id);
+	} else
+		a->p->refused++;
+	ask_free(a);
+}
+
+static void
+on_failed(struct hcall *c, enum hcall_failure why, bool sent, void *ctx)
+{
+	struct poison_ask *a = ctx;
+
+	a->p->failed++;
+	ask_free(a);
+}
+
+static void
+on_deadline(struct evl_timer *t)
+{
+	struct poison_ask *a = CONTAINER_OF(t, struct poison_ask, deadline);
+
+	hcall_cancel(a->call);
+	a->p->failed++;
+	ask_free(a);
+}
+
+static const struct hcall_ops ops = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.failed = on_failed,
+};
+
+static void
+ask(struct fleet_poison *p)
+{
+	struct poison_ask *a = g_new0(struct poison_ask, 1);
+	struct fleet *f = p->f;
+	size_t gateway = rng_below(&f->rng, f->ngateways);
+	char head[512];
+
+	a->p = p;
+	g_snprintf(a->id, sizeof(a->id), "p-%u-g%zu", p->asked++, gateway);
+	f->open_calls++;
+	g_snprintf(head, sizeof(head),
+	    "POST /chat/again HTTP/1.1\r\nHost: a.example\r\n"
+	    "X-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n"
+	    "Authorization: Bearer " FLEET_KEY "\r\nX-Model: " FLEET_MODEL
+	    "\r\nContent-Length: 5\r\n\r\ncrash",
+	    a->id, DEADLINE_US / 1000);
+	a->deadline.fire = on_deadline;
+	evl_timer_set(
+	    f->loop, &a->deadline, evl_now_us(f->loop) + DEADLINE_US + 500000);
+	a->call = hcall_start(f->pool,
+	    &(struct hcall_conf){ .address = f->gateways[gateway],
+		.head = head,
+		.head_len = strlen(head),
+		.ops = &ops,
+		.ctx = a });
+}
+
+static void
+on_next(struct evl_timer *t)
+{
+	struct fleet_poison *p = CONTAINER_OF(t, struct fleet_poison, next);
+	struct fleet *f = p->f;
+
+	if (f->stopping)
+		return;
+	ask(p);
+	evl_timer_set(f->loop, t, evl_now_us(f->loop) + p->gap_us);
+}
+
+void
+fleet_poison_start(struct fleet *f, int64_t gap_us, int64_t from_us)
+{
+	struct fleet_poison *p = g_new0(struct fleet_poison, 1);
+
+	p->f = f;
+	p->gap_us = gap_us;
+	p->next.fire = on_next;
+	f->poison = p;
+	evl_timer_set(f->loop, &p->next, from_us);
+}
+
+void
+fleet_poison_tell(const struct fleet *f)
+{
+	const struct fleet_poison *p = f->poison;
+
+	if (p == NULL)
+		return;
+	g_print(
+	    "crashing request: asked=%u refused=%u failed=%u engines_ended=%u "
+	    "sends_after_third=%u\n",
+	    p->asked, p->refused, p->failed, p->ended, p->sends_after);
+}
