A request under which targets end is known again, and held at all gateways

Cause: failures were put down to the target alone, and what a gateway learnt of a request was kept under the id of one attempt and dropped with its answer. The class is a poison request (query of death) that retries multiply: the unit that failed has no identity beyond its attempt.

A cut counts against it if its target's process ended, by its keeper's word or a refused connection, and not if that was leaving or loading weights. Most requests at an ended engine are innocent: held is what was under way at two ended targets without an answer (answers that had begun count half), and a whole answer clears. Gateways tell three keepers found by rendezvous hashing on the content; these count over all gateways, tell all of what is to be held, at once, after 0.7 and 3.2 s, and any gateway that they had not heard. Copies under way without an answer are taken back. Held for 10 to 20 s after the second end, 5 to 10 min after the third, then 1 h and 24 h, at another moment by each gateway; one copy at a time when that is over. Its callers are told at once: 503 with the time of that chance where it has not run, 502 where it may have.

Why it is enough: whatever gateway and id it comes by, the third send needs a gateway that has heard none of three keepers three times. Two of them that start at once may each cost one engine; that is below the three allowed.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -41,6 +41,8 @@
 	X(EVT_FAILED, "failed", EVT_BAD, "a request failed")                   \
 	X(EVT_LEFT, "left", EVT_BAD, "the caller left before its answer")      \
 	X(EVT_RETRY, "retry", EVT_BAD, "a request goes to another target")     \
+	X(EVT_SUSPECT, "suspect", EVT_STATE,                                   \
+	    "targets ended under a request: held back, or cleared")            \
 	X(EVT_ODD, "odd", EVT_BAD, "an answer that is not ours was dropped")   \
 	X(EVT_DROPPED, "lines_dropped", EVT_STATE, "lines were left out")
 
--- a/lib/serve/flow.h
+++ b/lib/serve/flow.h
@@ -38,6 +38,7 @@
 	unsigned int tries; /* targets that it was sent to */
 	unsigned int attempts; /* runs that its route allows */
 	bool time; /* enough is left for another attempt */
+	bool held; /* it may be what ended its targets */
 };
 
 /* Tries beyond the route's attempts that refusals may use up: a refusal runs
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -63,6 +63,7 @@
 {
 	struct fwd *f = r->fwd;
 
+	TAILQ_REMOVE(&f->open, r, open);
 	fwd_unwait(r);
 	fwd_drop_call(r);
 	evl_timer_stop(f->conf.loop, &r->due);
@@ -90,14 +91,14 @@
 		    r->fwd->conf.dialect->header[SV_F_REQUEST_ID], r->id);
 }
 
-void
-fwd_refuse(struct fwd_req *r, const char *why)
+static void
+refuse(struct fwd_req *r, const char *why, double retry_after_s)
 {
 	GString *headers = g_string_new(NULL);
 	struct hreq *caller = r->caller;
 
 	append_id(headers, r);
-	append_retry_after(headers, fwd_retry_after(r));
+	append_retry_after(headers, retry_after_s);
 	ctr_add(r->fwd->refused, 1);
 	fwd_log_end(r, EVT_REFUSED, 503, why);
 	fwd_finish(r);
@@ -105,6 +106,18 @@
 	g_string_free(headers, TRUE);
 }
 
+void
+fwd_refuse(struct fwd_req *r, const char *why)
+{
+	refuse(r, why, fwd_retry_after(r));
+}
+
+void
+fwd_refuse_until(struct fwd_req *r, const char *why, int64_t until_us)
+{
+	refuse(r, why, (double)MAX(0, until_us - fwd_now(r)) / G_USEC_PER_SEC);
+}
+
 void
 fwd_fail(struct fwd_req *r, unsigned int status, const char *why)
 {
@@ -286,6 +299,7 @@
 	r->flow.repeatable = is_repeatable(route);
 	r->flow.attempts = route->attempts;
 	hreq_set_ctx(caller, r);
+	TAILQ_INSERT_TAIL(&f->open, r, open);
 	f->active++;
 	evl_timer_set(f->conf.loop, &r->due, r->due_us);
 	return r;
@@ -301,6 +315,7 @@
 	const struct sv_workspace *workspace;
 	const struct sv_route *route;
 	struct fwd_req *r;
+	int64_t until_us;
 
 	hreq_set_ctx(caller, NULL);
 	if (f->routes == NULL) {
@@ -318,7 +333,10 @@
 	r = req_new(f, caller, route, workspace);
 	fwd_note_back(r);
 	spend_request(&r->service->budget, &f->conf.budget, fwd_now(r));
-	fwd_dispatch(r);
+	if (fwd_is_held(r, &until_us))
+		fwd_refuse_until(r, "held", until_us);
+	else
+		fwd_dispatch(r);
 }
 
 static void
@@ -373,6 +391,8 @@
 	f->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	rng_seed(&f->rng, conf->seed);
+	f->suspects = sus_new(conf->seed);
+	TAILQ_INIT(&f->open);
 	f->done = ctr_get(set, "requests_done");
 	f->refused = ctr_get(set, "requests_refused");
 	f->failed = ctr_get(set, "requests_failed");
@@ -383,6 +403,8 @@
 	f->limited = ctr_get(set, "requests_to_limited");
 	f->limited_again = ctr_get(set, "requests_to_limited_again");
 	f->choices = ctr_get(set, "target_choices");
+	f->contents_held = ctr_get(set, "contents_held");
+	f->withdrawn = ctr_get(set, "requests_withdrawn_held");
 	f->cut_silent = ctr_get(set, "requests_cut_before_answer");
 	f->cut_answering = ctr_get(set, "requests_cut_midway");
 	return f;
@@ -393,6 +415,7 @@
 {
 	evl_task_cancel(f->conf.loop, &f->pump);
 	g_hash_table_unref(f->services);
+	sus_free(f->suspects);
 	rtab_unref(f->routes);
 	g_free(f);
 }
@@ -431,8 +454,9 @@
 void
 fwd_print(const struct fwd *f, GString *out)
 {
-	g_string_append_printf(out, "requests_active %u\nrequests_waiting %u\n",
-	    f->active, f->waiting);
+	g_string_append_printf(out,
+	    "requests_active %u\nrequests_waiting %u\ncontents_held_now %u\n",
+	    f->active, f->waiting, sus_count_known(f->suspects));
 	hist_print(&f->wait, "request_wait_seconds", out);
 	hist_print(&f->first, "stream_first_event_seconds", out);
 	hist_print(&f->gap, "stream_event_gap_seconds", out);
--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -10,6 +10,7 @@
 #include "http/http.h"
 #include "common/spend.h"
 #include "serve/rtab.h"
+#include "serve/suspect.h"
 #include "serve/tgt.h"
 #include "serve/vers.h"
 
@@ -24,6 +25,9 @@
 	struct spend_conf budget;
 	struct ctr_set *counters;
 	uint64_t seed;
+	/* Others are to be told of these. NULL: there is nobody to tell. */
+	void (*tell_ends)(const struct sus_end *ends, size_t n, void *ctx);
+	void *tell_ctx;
 };
 
 struct fwd *fwd_new(const struct fwd_conf *conf);
@@ -36,6 +40,12 @@
 extern const struct hserver_ops fwd_server_ops;
 /* Places may have become free at some target. */
 void fwd_pump(struct fwd *f);
+/* A target's process has ended: what was cut there may be the cause. */
+void fwd_target_ended(struct fwd *f, const struct tgt *t);
+/* Others know of a request that was under way at a target that ended. */
+void fwd_told_end(struct fwd *f, const struct sus_end *end);
+/* Forgets what is old; to be called now and then. */
+void fwd_sweep(struct fwd *f);
 unsigned int fwd_active(const struct fwd *f); /* requests not yet answered */
 unsigned int fwd_waiting(const struct fwd *f);
 /* Histograms and gauges for the metrics page. */
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -21,6 +21,8 @@
 /* A plain request that may be repeated is tried elsewhere after this share of
  * its route's time, so that the second try still fits. */
 #define SILENT_PLAIN_SHARE 0.5
+/* A connection that fails sooner was refused by the target's host. */
+#define REFUSED_US 100000
 /* Least time that another attempt needs. */
 #define ATTEMPT_MIN_US 60000
 
@@ -153,29 +155,20 @@
 	fwd_dispatch(r);
 }
 
-/* Cut without a whole answer: the request may be what ended its target. Its
- * fingerprint tells whether other attempts, here and elsewhere, were the same
- * request. */
-static void
-note_cut(struct fwd_req *r)
-{
-	(void)fwd_content(r);
-	ctr_add(r->answering ? r->fwd->cut_answering : r->fwd->cut_silent, 1);
-}
-
 static void
 attempt_ended(struct fwd_req *r, enum flow_end end)
 {
+	int64_t until_us;
+
 	stop_timers(r);
 	note_outcome(r, end);
-	if (end == FLOW_LOST)
-		note_cut(r);
 	if (end != FLOW_REFUSED && end != FLOW_UNREACHABLE) {
 		r->flow.may_have_run = true;
 		r->flow.runs++;
 	}
 	r->flow.time = r->due_us - fwd_now(r) > ATTEMPT_MIN_US &&
 	    r->ntried < FWD_TRIED_MAX;
+	r->flow.held = fwd_is_held(r, &until_us);
 	switch (flow_next(&r->flow, end, may_spend, r)) {
 	case FLOW_AGAIN:
 	case FLOW_RESUME:
@@ -232,10 +225,25 @@
 		attempt_ended(r, FLOW_FAILURE);
 	else {
 		tgt_outcome(r->target, TGT_ANSWERED, fwd_now(r));
+		fwd_note_answered(r);
 		fwd_answer_whole(r);
 	}
 }
 
+/* A connection that is refused at once: nobody listens there any more. */
+static void
+connection_failed(struct fwd_req *r)
+{
+	struct fwd *f = r->fwd;
+	struct tgt *target = tgt_ref(r->target);
+	bool at_once = fwd_now(r) - r->sent_us < REFUSED_US;
+
+	attempt_ended(r, FLOW_UNREACHABLE);
+	if (at_once)
+		fwd_target_ended(f, target);
+	tgt_unref(target);
+}
+
 static void
 on_failed(struct hcall *c, enum hcall_failure why, bool sent, void *ctx)
 {
@@ -246,8 +254,11 @@
 	 * run, whatever became of its body. */
 	if (r->refused)
 		attempt_ended(r, FLOW_REFUSED);
-	else
-		attempt_ended(r, sent ? FLOW_LOST : FLOW_UNREACHABLE);
+	else if (sent) {
+		fwd_note_cut(r);
+		attempt_ended(r, FLOW_LOST);
+	} else
+		connection_failed(r);
 }
 
 static const struct hcall_ops call_ops = {
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -21,6 +21,7 @@
 /* A caller's request until it is answered. */
 struct fwd_req {
 	TAILQ_ENTRY(fwd_req) link; /* among the waiting of its service */
+	TAILQ_ENTRY(fwd_req) open; /* among all that are not answered yet */
 	struct fwd *fwd;
 	struct hreq *caller;
 	struct rtab *routes;
@@ -84,11 +85,14 @@
 	GHashTable *services; /* name -> struct fwd_service */
 	struct evl_task pump;
 	struct rng rng;
+	TAILQ_HEAD(fwd_open_list, fwd_req) open;
 	unsigned int active, waiting;
+	struct sus *suspects;
 	struct ctr *done, *refused, *failed, *left, *retries, *resumes, *odd;
 	struct ctr *limited, *limited_again; /* sent to targets with a limit */
-	struct ctr *cut_silent,
-	    *cut_answering; /* before, after a first event */
+	/* Cut by their targets before, after a first event. */
+	struct ctr *cut_silent, *cut_answering;
+	struct ctr *contents_held, *withdrawn;
 	struct ctr *choices; /* looks through all targets */
 	struct hist wait, first, gap, whole;
 };
@@ -99,6 +103,8 @@
 uint64_t fwd_content(struct fwd_req *r);
 /* Ends the request here with an answer of our own. */
 void fwd_refuse(struct fwd_req *r, const char *why); /* 503: not run */
+/* The same, told to come back at that moment and not sooner. */
+void fwd_refuse_until(struct fwd_req *r, const char *why, int64_t until_us);
 void fwd_fail(struct fwd_req *r, unsigned int status, const char *why);
 void fwd_break(struct fwd_req *r, const char *why); /* close mid-answer */
 void fwd_finish(struct fwd_req *r); /* frees; the caller was answered */
@@ -128,6 +134,12 @@
 void fwd_answer_whole(struct fwd_req *r);
 bool fwd_is_stream(const struct fwd_req *r); /* the answer is passed on live */
 
+/* fwd_suspect.c: requests under which targets ended */
+/* Whether it must not be sent now; until when. */
+bool fwd_is_held(struct fwd_req *r, int64_t *until_us);
+void fwd_note_cut(struct fwd_req *r); /* its target broke off */
+void fwd_note_answered(struct fwd_req *r); /* its answer is whole */
+
 /* fwd_head.c: heads to targets and callers */
 GString *fwd_request_head(struct fwd_req *r, struct tgt *target);
 void fwd_answer_headers(const struct hmsg *m, GString *out);
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -103,6 +103,13 @@
 const struct msg_desc side_permit_desc =
     MSG_DESC(SIDE_PERMIT, "permit", struct side_permit, permit_fields);
 
+static const struct msg_field ends_fields[] = {
+	MSG_FIELD(
+	    struct side_ends, entries, MSG_BIN, SIDE_ENDS_MAX *SIDE_END_BYTES),
+};
+const struct msg_desc side_ends_desc =
+    MSG_DESC(SIDE_ENDS, "ends", struct side_ends, ends_fields);
+
 /* ------------------------------------------------------------------ */
 /* Entries of `loads`                                                  */
 /* ------------------------------------------------------------------ */
@@ -166,6 +173,52 @@
 	out->slow_link = (ntohs(wire.flags) & FLAG_SLOW_LINK) != 0;
 }
 
+/* ------------------------------------------------------------------ */
+/* Entries of `ends`                                                   */
+/* ------------------------------------------------------------------ */
+
+/* An entry as it is sent. */
+struct wire_end {
+	uint64_t content, target;
+	uint32_t age_ms;
+	uint8_t weight;
+} __attribute__((packed));
+
+G_STATIC_ASSERT(sizeof(struct wire_end) == SIDE_END_BYTES);
+
+void
+side_end_put(GByteArray *entries, const struct sus_end *end, int64_t now_us)
+{
+	int64_t age_ms = MAX(0, now_us - end->at_us) / 1000;
+	struct wire_end wire = {
+		.content = GUINT64_TO_BE(end->content),
+		.target = GUINT64_TO_BE(end->target),
+		.age_ms = htonl((uint32_t)MIN(age_ms, UINT32_MAX)),
+		.weight = (uint8_t)end->weight,
+	};
+
+	g_byte_array_append(entries, (const guint8 *)&wire, sizeof(wire));
+}
+
+size_t
+side_ends_count(const struct side_ends *ends)
+{
+	return ends->entries.len / SIDE_END_BYTES;
+}
+
+void
+side_end_get(
+    const struct side_ends *ends, size_t i, int64_t now_us, struct sus_end *out)
+{
+	struct wire_end wire;
+
+	memcpy(&wire, ends->entries.data + i * SIDE_END_BYTES, sizeof(wire));
+	out->content = GUINT64_FROM_BE(wire.content);
+	out->target = GUINT64_FROM_BE(wire.target);
+	out->at_us = now_us - (int64_t)ntohl(wire.age_ms) * 1000;
+	out->weight = MIN(wire.weight, SUS_SILENT);
+}
+
 bool
 side_seq_after(uint32_t a, uint32_t b)
 {
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -19,9 +19,15 @@
  * the keeper beside the target; for one without, a keeper on which the gateways
  * agree. A keeper's loads name its own engine's limit, so that all gateways hold
  * to it.
+ *
+ * When a target ends, gateways tell of the requests that were under way there
+ * (`ends`), by their fingerprints, to a few keepers on which they agree for each
+ * content. These count over all gateways, and tell all of them of a request that
+ * is to be held, and each gateway that they have not heard before.
  */
 
 #include "common/common.h"
+#include "serve/suspect.h"
 
 enum {
 	SIDE_VIEW = 90,
@@ -31,6 +37,7 @@
 	SIDE_LOADS = 97, /* 94 had no flags in its entries */
 	SIDE_RATE = 95,
 	SIDE_PERMIT = 96,
+	SIDE_ENDS = 98,
 };
 
 /* Bytes of a peer in a page: IPv4, port, index of its domain. */
@@ -137,6 +144,15 @@
 	struct slice entries;
 };
 
+/* Requests that were under way at targets that ended, or were cleared. */
+struct side_ends {
+	struct slice entries;
+};
+
+/* Bytes of one: content, target, age in ms, weight; network order. */
+#define SIDE_END_BYTES 21
+#define SIDE_ENDS_MAX 48 /* what one datagram holds */
+
 extern const struct msg_desc side_view_desc;
 extern const struct msg_desc side_load_desc;
 extern const struct msg_desc side_ask_desc;
@@ -144,12 +160,18 @@
 extern const struct msg_desc side_loads_desc;
 extern const struct msg_desc side_rate_desc;
 extern const struct msg_desc side_permit_desc;
+extern const struct msg_desc side_ends_desc;
 
 /* Appends one entry to those of a `loads`; false: malformed address. */
 bool side_relayed_put(GByteArray *entries, const struct side_relayed *one);
 size_t side_relayed_count(const struct side_loads *loads);
 void side_relayed_get(
     const struct side_loads *loads, size_t i, struct side_relayed *out);
+void side_end_put(
+    GByteArray *entries, const struct sus_end *end, int64_t now_us);
+size_t side_ends_count(const struct side_ends *ends);
+void side_end_get(const struct side_ends *ends, size_t i, int64_t now_us,
+    struct sus_end *out);
 /* Whether load `a` was told after load `b`; sequences may wrap around. */
 bool side_seq_after(uint32_t a, uint32_t b);
 
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -36,6 +36,7 @@
 	unsigned int entries_near; /* in its region, by its side; 0: not told */
 	int64_t up_us; /* it came up then, by its side; 0: not known */
 	bool side_down; /* its side cannot reach it, or it loads weights */
+	bool ended; /* of these, the former: its process has ended */
 	char model[SV_ID_MAX]; /* loaded; newer of store and side */
 	int64_t version;
 	/* Root digest that its keeper read of a version's digests. */
@@ -168,6 +169,12 @@
 /* Its side says when it started; 0: not told. A new start makes a new target,
  * which is returned; otherwise `t`. */
 struct tgt *tgt_side_born(struct tgt_set *s, struct tgt *t, int64_t born_ms);
+/*
+ * Up to `most` targets whose sides are heard, by rendezvous hashing: all
+ * entries find mostly the same for a seed. Best first; returns how many.
+ */
+size_t tgt_sides(struct tgt_set *s, uint64_t seed, int64_t now_us,
+    const struct tgt *out[], size_t most);
 /* Its address answers as another instance. */
 void tgt_mistaken(struct tgt *t);
 
--- a/lib/serve/tgt_rate.c
+++ b/lib/serve/tgt_rate.c
@@ -4,6 +4,55 @@
 
 #include "serve/tgt_internal.h"
 
+#define SIDES_MAX 8
+
+struct ranked_side {
+	const struct tgt *t;
+	uint64_t hash;
+};
+
+/* Keeps the `most` best, best first. */
+static size_t
+rank_side(struct ranked_side *best, size_t n, size_t most,
+    const struct ranked_side *one)
+{
+	size_t at = n;
+
+	while (at > 0 && best[at - 1].hash < one->hash)
+		at--;
+	if (at == most)
+		return n;
+	if (n < most)
+		n++;
+	memmove(&best[at + 1], &best[at], (n - at - 1) * sizeof(best[0]));
+	best[at] = *one;
+	return n;
+}
+
+size_t
+tgt_sides(struct tgt_set *s, uint64_t seed, int64_t now_us,
+    const struct tgt *out[], size_t most)
+{
+	struct ranked_side best[SIDES_MAX], one;
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0, i;
+
+	g_assert(most <= SIDES_MAX);
+	g_hash_table_iter_init(&iter, s->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		one.t = value;
+		if (!tgt_side_is_heard(one.t, now_us))
+			continue;
+		one.hash = hash64(
+		    seed, one.t->says.address, strlen(one.t->says.address));
+		n = rank_side(best, n, most, &one);
+	}
+	for (i = 0; i < n; i++)
+		out[i] = best[i].t;
+	return n;
+}
+
 /* The side that gives permits for `t`: its own; where it has none, one of all that
  * are heard, by rendezvous hashing, so that all entries find the same. NULL while
  * its own is silent: others may still hear that, and a second pool would give as
@@ -12,25 +61,11 @@
 permits_at(struct tgt_set *s, const struct tgt *t, int64_t now_us)
 {
 	uint64_t seed = hash64(0, t->says.address, strlen(t->says.address));
-	const struct tgt *other, *best = NULL;
-	uint64_t hash, best_hash = 0;
-	GHashTableIter iter;
-	gpointer value;
+	const struct tgt *best = NULL;
 
 	if (t->side_us != 0)
 		return tgt_side_is_heard(t, now_us) ? t : NULL;
-	g_hash_table_iter_init(&iter, s->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		other = value;
-		if (!tgt_side_is_heard(other, now_us))
-			continue;
-		hash = hash64(
-		    seed, other->says.address, strlen(other->says.address));
-		if (best == NULL || hash > best_hash) {
-			best = other;
-			best_hash = hash;
-		}
-	}
+	(void)tgt_sides(s, seed, now_us, &best, 1);
 	return best;
 }
 
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -289,6 +289,7 @@
 	int64_t now_us = evl_now_us(g->st.loop);
 
 	tgt_sweep(g->set, now_us);
+	fwd_sweep(g->fwd);
 	tell_store_away(g);
 	hold_due_times(g, now_us);
 	check_ready(g);
@@ -411,6 +412,8 @@
 	conf.versions = g->named;
 	random_bytes(&conf.seed, sizeof(conf.seed));
 	random_bytes(&g->seed, sizeof(g->seed));
+	conf.tell_ends = gateway_ends_tell;
+	conf.tell_ctx = g;
 	g->fwd = fwd_new(&conf);
 	apply_settings(g);
 }
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -72,6 +72,10 @@
 /* gateway_peers.c: messages of keepers and other gateways */
 bool gateway_peers_open(struct gateway *g, struct err *err);
 
+/* gateway_ends.c: requests under which targets ended */
+void gateway_ends_tell(const struct sus_end *ends, size_t n, void *ctx);
+void gateway_ends_take(struct gateway *g, const struct side_ends *ends);
+
 /* gateway.c */
 /* `now` stands where `before` did, NULL: nothing. Kept connections to another
  * start of a target are dead, and answers on them belong to nobody. */
--- /dev/null
+++ b/programs/entry/gateway_ends.c
@@ -0,0 +1,51 @@
+/* Requests under which targets ended: what keepers are told, and tell. */
+
+#include "entry/gateway.h"
+
+/* Keepers that count the ends of one content. They are found by rendezvous
+ * hashing among those that are heard; gateways that hear others than this one
+ * still have some of them in common. */
+#define COUNTERS 3
+
+static void
+send_ends(struct gateway *g, uint64_t content, const struct side_ends *ends)
+{
+	const struct tgt *at[COUNTERS];
+	char to[SV_ADDRESS_MAX];
+	size_t n, i;
+
+	n = tgt_sides(g->set, content, evl_now_us(g->st.loop), at, COUNTERS);
+	for (i = 0; i < n; i++) {
+		if (gateway_keeper_of(g, at[i], to))
+			dgram_send(g->peers, to, &side_ends_desc, ends);
+	}
+}
+
+void
+gateway_ends_tell(const struct sus_end *ends, size_t n, void *ctx)
+{
+	struct gateway *g = ctx;
+	GByteArray *entry = g_byte_array_new();
+	struct side_ends one;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		g_byte_array_set_size(entry, 0);
+		side_end_put(entry, &ends[i], evl_now_us(g->st.loop));
+		one.entries = (struct slice){ entry->data, entry->len };
+		send_ends(g, ends[i].content, &one);
+	}
+	g_byte_array_unref(entry);
+}
+
+void
+gateway_ends_take(struct gateway *g, const struct side_ends *ends)
+{
+	struct sus_end end;
+	size_t i;
+
+	for (i = 0; i < side_ends_count(ends); i++) {
+		side_end_get(ends, i, evl_now_us(g->st.loop), &end);
+		fwd_told_end(g->fwd, &end);
+	}
+}
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -47,9 +47,11 @@
 }
 
 static void
-note_engine(struct tgt *t, const struct side_load *load, int64_t now_us)
+note_engine(struct gateway *g, struct tgt *t, const struct side_load *load)
 {
+	int64_t now_us = evl_now_us(g->st.loop);
 	bool down = load->engine != SIDE_ENGINE_UP;
+	bool had_ended = t->ended;
 
 	if (down != t->side_down || (int64_t)load->version != t->version)
 		evt(EVT_SIDE,
@@ -61,6 +63,9 @@
 							      : "down",
 		    load->version, load->running);
 	tgt_side(t, down, now_us);
+	t->ended = load->engine == SIDE_ENGINE_DOWN;
+	if (t->ended && !had_ended)
+		fwd_target_ended(g->fwd, t);
 	g_strlcpy(t->model, load->version > 0 ? t->service->engine.model : "",
 	    sizeof(t->model));
 	t->version = (int64_t)load->version;
@@ -116,7 +121,7 @@
 		return;
 	t = gateway_renew(
 	    g, t, tgt_side_born(g->set, t, (int64_t)load->born_ms));
-	note_engine(t, load, now_us);
+	note_engine(g, t, load);
 	tgt_side_heard(t, (uint32_t)load->seq, now_us);
 	tgt_load(t, (unsigned int)(load->running + load->waiting), now_us);
 	gateway_rate_load(g, t, load);
@@ -143,6 +148,7 @@
 	struct side_loads loads;
 	struct side_ask ask;
 	struct side_permit permit;
+	struct side_ends ends;
 
 	if (msg_read(m, &side_load_desc, &load, NULL))
 		take_load(g, &load);
@@ -150,6 +156,8 @@
 		gateway_relay_take(g, &loads);
 	else if (msg_read(m, &side_permit_desc, &permit, NULL))
 		gateway_rate_permit(g, &permit);
+	else if (msg_read(m, &side_ends_desc, &ends, NULL))
+		gateway_ends_take(g, &ends);
 	else if (msg_read(m, &side_ask_desc, &ask, NULL))
 		gateway_views_asked(g, from, &ask);
 	fwd_pump(g->fwd);
--- a/programs/side/keeper.c
+++ b/programs/side/keeper.c
@@ -30,6 +30,7 @@
 	keeper_ask_report(k);
 	keeper_step(k);
 	keeper_rate_tick(k);
+	keeper_ends_tick(k);
 	keeper_tell_load(k);
 	keeper_log_progress(k);
 	evl_timer_set(k->st.loop, timer, keeper_now(k) + TICK_US);
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -12,6 +12,7 @@
 #include "http/fetch.h"
 #include "platform/adapter.h"
 #include "serve/permit.h"
+#include "serve/side.h"
 #include "serve/roster.h"
 #include "shared/station.h"
 #include "stage/stage.h"
@@ -100,6 +101,8 @@
 	struct stg_dues dues;
 	struct permits permits; /* by the engine's rate limit */
 	GHashTable *pools; /* address of another target -> keeper_pool */
+	struct sus *suspects; /* requests under which targets ended */
+	GArray *ends_again; /* struct again: held ones, to be told again */
 	/* The engine. */
 	struct hfetch *report;
 	struct sv_report engine;
@@ -183,7 +186,16 @@
     struct keeper *k, const char *from, const struct side_rate *rate);
 void keeper_rate_tick(struct keeper *k);
 
+/* keeper_ends.c: requests under which targets ended */
+void keeper_ends_open(struct keeper *k);
+void keeper_take_ends(struct keeper *k, const struct side_ends *ends);
+/* A gateway that was not heard before is told what is held. */
+void keeper_greet_ends(struct keeper *k, const char *gateway);
+void keeper_ends_tick(struct keeper *k);
+
 /* keeper_gateways.c: gateways, and loads for them */
+void keeper_tell_all(
+    struct keeper *k, const struct msg_desc *desc, const void *message);
 bool keeper_gateways_open(struct keeper *k, struct err *err);
 void keeper_tell_load(struct keeper *k);
 bool keeper_is_heard(const struct keeper *k); /* some gateway wants loads */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -56,6 +56,7 @@
 	fresh.near = strcmp(region, cfg_str(k->st.cfg, "node.region")) == 0;
 	g_strlcpy(fresh.address, from, sizeof(fresh.address));
 	g_array_append_val(k->gateways, fresh);
+	keeper_greet_ends(k, from);
 }
 
 static void
@@ -296,6 +297,20 @@
 		k->told = now;
 }
 
+void
+keeper_tell_all(
+    struct keeper *k, const struct msg_desc *desc, const void *message)
+{
+	GByteArray *packed = dgram_pack(k->dgram, desc, message);
+	guint i;
+
+	for (i = 0; packed != NULL && i < k->gateways->len; i++)
+		dgram_send_packed(
+		    k->dgram, gateway_at(k, i)->address, desc, packed);
+	if (packed != NULL)
+		g_byte_array_unref(packed);
+}
+
 /* ------------------------------------------------------------------ */
 /* Messages                                                            */
 /* ------------------------------------------------------------------ */
@@ -307,6 +322,7 @@
 	struct side_view view;
 	struct side_page page;
 	struct side_rate rate;
+	struct side_ends ends;
 
 	if (msg_read(m, &side_view_desc, &view, NULL)) {
 		note_gateway(k, from, &view);
@@ -315,6 +331,8 @@
 		keeper_take_page(k, &page);
 	else if (msg_read(m, &side_rate_desc, &rate, NULL))
 		keeper_take_rate(k, from, &rate);
+	else if (msg_read(m, &side_ends_desc, &ends, NULL))
+		keeper_take_ends(k, &ends);
 }
 
 bool
@@ -323,6 +341,7 @@
 	k->gateways = g_array_new(FALSE, FALSE, sizeof(struct keeper_gateway));
 	k->roster = roster_new();
 	keeper_rate_open(k);
+	keeper_ends_open(k);
 	k->peers = g_array_new(FALSE, TRUE, sizeof(struct keeper_peer));
 	k->dgram = dgram_open(&k->st.node, cfg_str(k->st.cfg, "listen.peers"),
 	    on_message, k, err);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -4,6 +4,8 @@
 
 #include "world.h"
 
+#include "serve/fingerprint.h"
+
 static int
 tear_down(void **state)
 {
@@ -739,6 +741,157 @@
 	expect_answer(fd, "502 ");
 }
 
+/* ------------------------------------------------------------------ */
+/* Requests under which targets end                                    */
+/* ------------------------------------------------------------------ */
+
+/* The process of the target that a request went to ends under it. */
+static struct target *
+end_under_request(void)
+{
+	char *request;
+	struct target *t = target_get(&request);
+
+	g_free(request);
+	shutdown(t->fd, SHUT_RDWR);
+	turn_ms(5);
+	return t;
+}
+
+static int
+ask_path(const char *path)
+{
+	return ask_with("GET", path, "T-Deadline: 3000\r\n");
+}
+
+/* Guards against a request that ends one target after the other: it is not
+ * sent a third time, and refused at once when it comes again. */
+static void
+test_held_after_two_targets_ended(void **state)
+{
+	char *request, *answer;
+	struct target *t;
+	int fd;
+
+	world_open(3, make_config(SV_STREAM, 3, 3000));
+	fd = ask_path("/x/1");
+	t = end_under_request();
+	fwd_target_ended(w.fwd, tgt_find(w.set, t->id));
+	t = end_under_request();
+	expect_answer(fd, "502 ");
+	fwd_target_ended(w.fwd, tgt_find(w.set, t->id));
+	fd = ask_path("/x/1");
+	answer = raw_read(fd, "\r\n\r\n");
+	assert_non_null(strstr(answer, "503 "));
+	/* Not before its next chance. */
+	assert_in_range(
+	    atoi(strstr(answer, "Retry-After: ") + strlen("Retry-After: ")), 9,
+	    20);
+	g_free(answer);
+	close(fd);
+	assert_false(target_is_called());
+	fd = ask_path("/x/2"); /* another request */
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1") "0\r\n\r\n");
+	expect_answer(fd, "0\r\n\r\n");
+}
+
+/* Guards against copies that are under way elsewhere when it becomes known
+ * what they do. */
+static void
+test_copies_under_way_are_withdrawn(void **state)
+{
+	struct sus_end end = { .weight = SUS_SILENT };
+	char *request;
+	struct target *t;
+	int fd, other;
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	fd = ask_path("/x/1");
+	t = target_get(&request);
+	g_free(request);
+	end.content = fpr_of(&(struct fpr_content){
+	    .host = "a.example", .target = { "/x/1", 4 }, .caller = "team" });
+	for (end.target = 1; end.target <= 2; end.target++) {
+		end.at_us = now_us();
+		fwd_told_end(w.fwd, &end);
+	}
+	assert_true(target_is_left(t));
+	expect_answer(fd, "502 "); /* it may have run */
+	other = ask_path("/x/2");
+	t = target_get(&request);
+	g_free(request);
+	close(t->fd);
+	t->fd = -1;
+	close(other);
+}
+
+/* A copy whose answer has begun goes on: it may come whole and clear it. */
+static void
+test_whole_answer_ends_the_hold(void **state)
+{
+	struct sus_end end = { .weight = SUS_SILENT };
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	fd = ask_path("/x/1");
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1"));
+	turn_ms(10);
+	end.content = fpr_of(&(struct fpr_content){
+	    .host = "a.example", .target = { "/x/1", 4 }, .caller = "team" });
+	for (end.target = 1; end.target <= 2; end.target++) {
+		end.at_us = now_us();
+		fwd_told_end(w.fwd, &end);
+	}
+	expect_answer(ask_path("/x/1"), "503 ");
+	raw_send(t->fd, EVENT("2") "0\r\n\r\n");
+	expect_answer(fd, "0\r\n\r\n");
+	fd = ask_path("/x/1");
+	request = raw_read(t->fd, "\r\n\r\n"); /* on the kept connection */
+	assert_non_null(request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1") "0\r\n\r\n");
+	expect_answer(fd, "0\r\n\r\n");
+}
+
+/* Guards against holding what planned stops and loads of weights cut. */
+static void
+test_cuts_by_planned_work_say_nothing(void **state)
+{
+	struct target *t;
+	int fd, i;
+
+	world_open(3, make_config(SV_STREAM, 3, 3000));
+	fd = ask_path("/x/1");
+	for (i = 0; i < 3; i++) {
+		char *request;
+
+		t = target_get(&request);
+		g_free(request);
+		if (i == 1)
+			tgt_side(tgt_find(w.set, t->id), true, now_us());
+		else
+			target_say(t, true, 0);
+		shutdown(t->fd, SHUT_RDWR);
+		turn_ms(5);
+		fwd_target_ended(w.fwd, tgt_find(w.set, t->id));
+	}
+	expect_answer(fd, "502 ");
+	for (i = 0; i < 3; i++) {
+		target_say(&w.target[i], false, 0);
+		tgt_side(tgt_find(w.set, w.target[i].id), false, now_us());
+		tgt_find(w.set, w.target[i].id)->failures = 0;
+	}
+	fd = ask_path("/x/1");
+	assert_true(target_is_called());
+	close(fd);
+}
+
 int
 main(void)
 {
@@ -771,6 +924,10 @@
 		T(test_no_older_weights_behind_a_slow_link),
 		T(test_no_older_weights_while_the_side_is_silent),
 		T(test_withdrawn_early_over_a_slow_link),
+		T(test_held_after_two_targets_ended),
+		T(test_copies_under_way_are_withdrawn),
+		T(test_whole_answer_ends_the_hold),
+		T(test_cuts_by_planned_work_say_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
