A gateway that starts again is told what is held before it sends it

Callers saw: two engines and what they ran were lost anew for each held request 0.2 s after three gateways had been killed and started at once (tests/system/crash.sh with two contents, one of them plain: 4 engines each instead of 2). Cause: keepers tell what is held to a gateway that they had not heard; one that is back within three seconds under its address was none. Views now bear a number that differs with each start. Gateways tell what they hold again each 5 s, so that keepers that started again, or others that count now, know it as well.

The stand-in now has several such requests, stream and plain, and an ended engine's address refuses connections as a dead process's does. In the test all gateways, then all keepers are killed, one gateway stands still.

--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -44,6 +44,8 @@
 void fwd_target_ended(struct fwd *f, const struct tgt *t);
 /* Others know of a request that was under way at a target that ended. */
 void fwd_told_end(struct fwd *f, const struct sus_end *end);
+/* Appends all ends of what is held, those of a content together. */
+void fwd_held_ends(const struct fwd *f, GArray *out);
 /* Forgets what is old; to be called now and then. */
 void fwd_sweep(struct fwd *f);
 unsigned int fwd_active(const struct fwd *f); /* requests not yet answered */
--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -181,6 +181,12 @@
 	withdraw_copies(f, end->content);
 }
 
+void
+fwd_held_ends(const struct fwd *f, GArray *out)
+{
+	sus_ends_known(f->suspects, out);
+}
+
 void
 fwd_sweep(struct fwd *f)
 {
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -13,6 +13,7 @@
 
 static const struct msg_field view_fields[] = {
 	MSG_FIELD(struct side_view, region, MSG_STR, TEXT_MAX),
+	MSG_FIELD(struct side_view, start, MSG_U64, 0),
 	MSG_FIELD(struct side_view, model, MSG_STR, TEXT_MAX),
 	MSG_FIELD(struct side_view, version, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_view, age_ms, MSG_U64, INT64_MAX / 1000),
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -47,6 +47,7 @@
 
 struct side_view {
 	struct slice region; /* of the gateway */
+	uint64_t start; /* of the gateway: another number each time */
 	struct slice model;
 	uint64_t version; /* to be loaded */
 	uint64_t age_ms; /* since its name was heard of first */
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -23,7 +23,7 @@
 	struct hlimits limits;
 	struct hserver *callers, *ready;
 	struct dgram *peers;
-	struct evl_timer tick, tell, relay;
+	struct evl_timer tick, tell, relay, ends;
 	int64_t told_near_us, told_far_us; /* views, last */
 	bool store_away; /* as keepers were told */
 	bool news; /* all keepers are to be told at once */
@@ -73,6 +73,7 @@
 bool gateway_peers_open(struct gateway *g, struct err *err);
 
 /* gateway_ends.c: requests under which targets ended */
+void gateway_ends_open(struct gateway *g);
 void gateway_ends_tell(const struct sus_end *ends, size_t n, void *ctx);
 void gateway_ends_take(struct gateway *g, const struct side_ends *ends);
 
--- a/programs/entry/gateway_ends.c
+++ b/programs/entry/gateway_ends.c
@@ -6,6 +6,9 @@
  * hashing among those that are heard; gateways that hear others than this one
  * still have some of them in common. */
 #define COUNTERS 3
+/* What is held is told again this often: keepers may have started again, or
+ * others may be the ones that count. */
+#define REFRESH_US 5000000
 
 static void
 send_ends(struct gateway *g, uint64_t content, const struct side_ends *ends)
@@ -38,6 +41,47 @@
 	g_byte_array_unref(entry);
 }
 
+/* Tells all ends of each content that is held, one datagram a content. */
+static void
+refresh(struct gateway *g)
+{
+	GArray *ends = g_array_new(FALSE, FALSE, sizeof(struct sus_end));
+	GByteArray *entries = g_byte_array_new();
+	const struct sus_end *end;
+	struct side_ends message;
+	guint i;
+
+	fwd_held_ends(g->fwd, ends);
+	for (i = 0; i < ends->len; i++) {
+		end = &g_array_index(ends, struct sus_end, i);
+		side_end_put(entries, end, evl_now_us(g->st.loop));
+		if (i + 1 < ends->len && end[1].content == end->content)
+			continue;
+		message.entries = (struct slice){ entries->data, entries->len };
+		send_ends(g, end->content, &message);
+		g_byte_array_set_size(entries, 0);
+	}
+	g_byte_array_unref(entries);
+	g_array_unref(ends);
+}
+
+static void
+on_refresh(struct evl_timer *timer)
+{
+	struct gateway *g = CONTAINER_OF(timer, struct gateway, ends);
+
+	refresh(g);
+	evl_timer_set(g->st.loop, timer, evl_now_us(g->st.loop) + REFRESH_US);
+}
+
+void
+gateway_ends_open(struct gateway *g)
+{
+	g->ends.fire = on_refresh;
+	evl_timer_set(
+	    g->st.loop, &g->ends, evl_now_us(g->st.loop) + REFRESH_US);
+}
+
 void
 gateway_ends_take(struct gateway *g, const struct side_ends *ends)
 {
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -171,5 +171,6 @@
 	gateway_views_open(g);
 	gateway_relay_open(g);
 	gateway_rate_open(g);
+	gateway_ends_open(g);
 	return g->peers != NULL;
 }
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -197,6 +197,7 @@
 	struct roster_id roster = roster_id(roster_of(g, service));
 
 	view->region = slice_str(cfg_str(g->st.cfg, "node.region"));
+	view->start = g->seed;
 	view->model = slice_str(e->model);
 	view->version = (uint64_t)version_wanted(g, service);
 	note_agreed(service, (int64_t)view->version);
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -27,6 +27,7 @@
 /* A gateway that has told its view lately. */
 struct keeper_gateway {
 	char address[KEEPER_ADDRESS_MAX];
+	uint64_t start; /* which one of its starts */
 	bool near; /* in this keeper's region */
 	int64_t heard_us;
 	int64_t told_us; /* the last load */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -33,20 +33,34 @@
 	return &g_array_index(k->gateways, struct keeper_gateway, i);
 }
 
+static struct keeper_gateway *
+find_gateway(struct keeper *k, const char *address)
+{
+	guint i;
+
+	for (i = 0; i < k->gateways->len; i++) {
+		if (strcmp(gateway_at(k, i)->address, address) == 0)
+			return gateway_at(k, i);
+	}
+	return NULL;
+}
+
 static void
 note_gateway(struct keeper *k, const char *from, const struct side_view *view)
 {
-	struct keeper_gateway fresh = { .heard_us = keeper_now(k),
+	struct keeper_gateway fresh = { .start = view->start,
+		.heard_us = keeper_now(k),
 		.store_away = view->store_away != 0 };
+	struct keeper_gateway *known = find_gateway(k, from);
 	char region[KEEPER_NAME_MAX];
-	guint i;
 
-	for (i = 0; i < k->gateways->len; i++) {
-		if (strcmp(gateway_at(k, i)->address, from) == 0) {
-			gateway_at(k, i)->heard_us = keeper_now(k);
-			gateway_at(k, i)->store_away = view->store_away != 0;
-			return;
-		}
+	if (known != NULL) {
+		known->heard_us = keeper_now(k);
+		known->store_away = view->store_away != 0;
+		if (known->start != view->start)
+			keeper_greet_ends(k, from);
+		known->start = view->start;
+		return;
 	}
 	if (k->gateways->len == KEEPER_GATEWAYS_MAX) {
 		ctr_add(ctr_get(k->st.counters, "gateways_left_out"), 1);
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -131,6 +131,20 @@
 	return g_string_free(head, FALSE);
 }
 
+/* The engine's process ends under the run. */
+static bool
+ends_engine(struct fleet_run *run)
+{
+	struct fleet_engine *e = run->e;
+	struct fleet_poison *poison = fleet_poison_of(e->f, run->id);
+
+	if (poison == NULL)
+		return false;
+	fleet_poison_ended(poison);
+	fleet_engine_end(e->f, e->i);
+	return true;
+}
+
 static void
 on_event(struct evl_timer *timer)
 {
@@ -138,11 +152,8 @@
 	struct hreq *r = run->r;
 	char event[128], *head;
 
-	if (fleet_is_poison(run->id)) {
-		fleet_poison_ended(run->e->f);
-		fleet_engine_end(run->e->f, run->e->i);
+	if (ends_engine(run))
 		return;
-	}
 	if (!hreq_begun(r)) {
 		head = head_of(run);
 		hreq_begin(r, 200, head);
@@ -166,8 +177,11 @@
 {
 	struct fleet_run *run = CONTAINER_OF(timer, struct fleet_run, timer);
 	struct hreq *r = run->r;
-	char body[64], *head = head_of(run);
+	char body[64], *head;
 
+	if (ends_engine(run))
+		return;
+	head = head_of(run);
 	g_snprintf(body, sizeof(body), "answer to %s", run->id);
 	run_free(run);
 	hreq_answer(r, 200, head, body, strlen(body));
@@ -246,8 +260,8 @@
 
 	header(r, "X-Attempt-Id", id, sizeof(id));
 	header(r, "X-Expect-Instance", expect, sizeof(expect));
-	if (fleet_is_poison(id))
-		fleet_poison_arrived(e->f);
+	if (fleet_poison_of(e->f, id) != NULL)
+		fleet_poison_arrived(fleet_poison_of(e->f, id), id);
 	fleet_limit_arrived(e->f, &e->limit, id);
 	if (expect[0] != '\0' && strcmp(expect, e->id) != 0) {
 		refuse(e, r, 421);
@@ -523,6 +537,7 @@
 
 	if (!listen_again(e, &err))
 		g_error("engine %zu: %s", e->i, err.message);
+	fleet_proxy_listen(e->f->proxy[e->i + 1], true);
 	fleet_engine_crash(e->f, e->i, false);
 }
 
@@ -534,6 +549,9 @@
 	if (e->server == NULL)
 		return;
 	cut_runs(e);
+	fleet_proxy_listen(
+	    f->proxy[i + 1], false); /* the first is the store's */
+	fleet_proxy_reset(f->proxy[i + 1]);
 	hserver_free(e->server);
 	e->server = NULL;
 	e->back.fire = on_back;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -15,6 +15,7 @@
 
 #define FLEET_ENGINES_MAX 40
 #define FLEET_GATEWAYS_MAX 8
+#define FLEET_POISONS_MAX 4
 #define FLEET_CHUNKS 16
 #define FLEET_CHUNK_BYTES 8192
 #define FLEET_MODEL "m0"
@@ -79,7 +80,7 @@
 	struct evl_timer next_request, beat, fault;
 	unsigned int open_calls;
 	bool stopping;
-	struct fleet_poison *poison; /* NULL: none */
+	struct fleet_poison *poison[FLEET_POISONS_MAX]; /* NULL: none */
 	/* Proxies. */
 	struct fleet_proxy *proxy[FLEET_ENGINES_MAX + 1];
 	size_t nproxies;
@@ -125,10 +126,13 @@
 void fleet_callers_start(struct fleet *f);
 
 /* poison.c: a request that ends the engines that run it */
-void fleet_poison_start(struct fleet *f, int64_t gap_us, int64_t from_us);
-bool fleet_is_poison(const char *id);
-void fleet_poison_arrived(struct fleet *f); /* at an engine */
-void fleet_poison_ended(struct fleet *f); /* an engine, under it */
+/* The first is a stream, the second a plain request, and so on in turn. */
+void fleet_poisons_start(
+    struct fleet *f, unsigned int n, int64_t gap_us, int64_t from_us);
+/* NULL: an ordinary request. */
+struct fleet_poison *fleet_poison_of(struct fleet *f, const char *id);
+void fleet_poison_arrived(struct fleet_poison *p, const char *id);
+void fleet_poison_ended(struct fleet_poison *p); /* an engine, under it */
 void fleet_poison_tell(const struct fleet *f);
 
 /* proxy.c */
@@ -142,5 +146,7 @@
     struct fleet *f, const char *address, const char *to, struct err *err);
 void fleet_proxy_set(struct fleet_proxy *p, enum proxy_mode mode);
 void fleet_proxy_reset(struct fleet_proxy *p); /* all its connections */
+/* Whether it accepts connections: not while what it stands for is gone. */
+void fleet_proxy_listen(struct fleet_proxy *p, bool listen);
 
 #endif
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -4,7 +4,7 @@
  *   fleet --engines N --empty N --gateways ADDRESS,... --rate N --seconds N
  *         --seed N --faults 0|1 --bump SECONDS --crash SECONDS
  *         --limit SECONDS --limited N --limit-milli N --uneven 0|1
- *         --poison SECONDS --poison-gap-ms N
+ *         --poison SECONDS --poisons N --poison-gap-ms N
  *
  * It prints "ready", plays, and ends with one line of what was seen; its exit
  * code is 0 when no promise was broken and most requests were answered.
@@ -24,7 +24,7 @@
 static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1, net;
 static int faults, bump = 3, crash, limit, uneven;
 static int limited = 1, limit_milli = 1000;
-static int poison, poison_gap_ms = 300;
+static int poison, poisons = 1, poison_gap_ms = 300;
 static char *gateways;
 static struct fleet f;
 static GMainLoop *main_loop;
@@ -341,6 +341,8 @@
 		    "0 or 1: requests over the gateways", "N" },
 		{ "poison", 0, POPT_ARG_INT, &poison, 0,
 		    "seconds to a request that ends engines; 0: none", "N" },
+		{ "poisons", 0, POPT_ARG_INT, &poisons, 0, "different ones",
+		    "N" },
 		{ "poison-gap-ms", 0, POPT_ARG_INT, &poison_gap_ms, 0,
 		    "between two of its kind", "N" },
 		{ "bump", 0, POPT_ARG_INT, &bump, 0,
@@ -378,7 +380,8 @@
 	f.beat.fire = on_beat;
 	evl_timer_set(f.loop, &f.beat, begun_us);
 	if (poison > 0)
-		fleet_poison_start(&f, (int64_t)poison_gap_ms * 1000,
+		fleet_poisons_start(&f, (unsigned int)poisons,
+		    (int64_t)poison_gap_ms * 1000,
 		    begun_us + (int64_t)poison * G_USEC_PER_SEC);
 	f.fault.fire = on_fault;
 	if (faults)
--- a/tests/fleet/poison.c
+++ b/tests/fleet/poison.c
@@ -16,6 +16,7 @@
 
 struct fleet_poison {
 	struct fleet *f;
+	unsigned int number;
 	int64_t gap_us;
 	struct evl_timer next;
 	unsigned int asked, refused, failed;
@@ -31,32 +32,35 @@
 	unsigned int status;
 };
 
-bool
-fleet_is_poison(const char *id)
+/* Their ids are "p0-17-g2": number, attempt, gateway. */
+struct fleet_poison *
+fleet_poison_of(struct fleet *f, const char *id)
 {
-	return id[0] == 'p';
+	if (id[0] != 'p')
+		return NULL;
+	return f->poison[(id[1] - '0') % FLEET_POISONS_MAX];
 }
 
 void
-fleet_poison_arrived(struct fleet *f)
+fleet_poison_arrived(struct fleet_poison *p, const char *id)
 {
-	struct fleet_poison *p = f->poison;
+	struct fleet *f = p->f;
 
 	if (p->known_us == 0 || evl_now_us(f->loop) - p->known_us < LEARN_US)
 		return;
 	p->sends_after++;
+	g_printerr("%s sent %" G_GINT64_FORMAT " ms after the third end\n", id,
+	    (evl_now_us(f->loop) - p->known_us) / 1000);
 	if (p->sends_after > SENDS_ALLOWED)
 		f->tally.spread++;
 }
 
 void
-fleet_poison_ended(struct fleet *f)
+fleet_poison_ended(struct fleet_poison *p)
 {
-	struct fleet_poison *p = f->poison;
-
 	p->ended++;
 	if (p->ended == ENDS_KNOWN)
-		p->known_us = evl_now_us(f->loop);
+		p->known_us = evl_now_us(p->f->loop);
 }
 
 static void
@@ -130,13 +134,15 @@
 	char head[512];
 
 	a->p = p;
-	g_snprintf(a->id, sizeof(a->id), "p-%u-g%zu", p->asked++, gateway);
+	g_snprintf(a->id, sizeof(a->id), "p%u-%u-g%zu", p->number, p->asked++,
+	    gateway);
 	f->open_calls++;
 	g_snprintf(head, sizeof(head),
-	    "POST /chat/again HTTP/1.1\r\nHost: a.example\r\n"
+	    "POST %s%u HTTP/1.1\r\nHost: a.example\r\n"
 	    "X-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n"
 	    "Authorization: Bearer " FLEET_KEY "\r\nX-Model: " FLEET_MODEL
 	    "\r\nContent-Length: 5\r\n\r\ncrash",
+	    p->number % 2 == 0 ? "/chat/again" : "/look/again", p->number,
 	    a->id, DEADLINE_US / 1000);
 	a->deadline.fire = on_deadline;
 	evl_timer_set(
@@ -161,27 +167,42 @@
 	evl_timer_set(f->loop, t, evl_now_us(f->loop) + p->gap_us);
 }
 
-void
-fleet_poison_start(struct fleet *f, int64_t gap_us, int64_t from_us)
+static void
+start_one(struct fleet *f, unsigned int number, int64_t gap_us, int64_t from_us)
 {
 	struct fleet_poison *p = g_new0(struct fleet_poison, 1);
 
 	p->f = f;
+	p->number = number;
 	p->gap_us = gap_us;
 	p->next.fire = on_next;
-	f->poison = p;
+	f->poison[number] = p;
 	evl_timer_set(f->loop, &p->next, from_us);
 }
 
 void
-fleet_poison_tell(const struct fleet *f)
+fleet_poisons_start(
+    struct fleet *f, unsigned int n, int64_t gap_us, int64_t from_us)
 {
-	const struct fleet_poison *p = f->poison;
+	unsigned int i;
 
-	if (p == NULL)
-		return;
-	g_print(
-	    "crashing request: asked=%u refused=%u failed=%u engines_ended=%u "
-	    "sends_after_third=%u\n",
-	    p->asked, p->refused, p->failed, p->ended, p->sends_after);
+	for (i = 0; i < MIN(n, FLEET_POISONS_MAX); i++)
+		start_one(f, i, gap_us, from_us);
+}
+
+void
+fleet_poison_tell(const struct fleet *f)
+{
+	const struct fleet_poison *p;
+	unsigned int i;
+
+	for (i = 0; i < FLEET_POISONS_MAX; i++) {
+		p = f->poison[i];
+		if (p == NULL)
+			continue;
+		g_print("crashing request %u: asked=%u refused=%u failed=%u "
+			"engines_ended=%u sends_after_third=%u\n",
+		    i, p->asked, p->refused, p->failed, p->ended,
+		    p->sends_after);
+	}
 }
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -29,7 +29,7 @@
 struct fleet_proxy {
 	struct fleet *f;
 	struct evl_fd listener;
-	struct sockaddr_in to;
+	struct sockaddr_in at, to;
 	enum proxy_mode mode;
 	LIST_HEAD(fleet_pipes, fleet_pipe) pipes;
 };
@@ -157,11 +157,10 @@
     struct fleet *f, const char *address, const char *to, struct err *err)
 {
 	struct fleet_proxy *proxy = g_new0(struct fleet_proxy, 1);
-	struct sockaddr_in at;
 	int fd = -1;
 
-	if (sock_address(address, &at) && sock_address(to, &proxy->to))
-		fd = sock_listen(&at, 200);
+	if (sock_address(address, &proxy->at) && sock_address(to, &proxy->to))
+		fd = sock_listen(&proxy->at, 200);
 	if (fd < 0) {
 		err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN,
 		    "cannot listen on %s", address);
@@ -176,6 +175,19 @@
 	return proxy;
 }
 
+void
+fleet_proxy_listen(struct fleet_proxy *proxy, bool listen)
+{
+	if (!listen) {
+		evl_forget(proxy->f->loop, &proxy->listener);
+		close(proxy->listener.fd);
+		return;
+	}
+	proxy->listener.fd = sock_listen(&proxy->at, 200);
+	g_assert(proxy->listener.fd >= 0);
+	evl_watch(proxy->f->loop, &proxy->listener, EPOLLIN);
+}
+
 void
 fleet_proxy_set(struct fleet_proxy *proxy, enum proxy_mode mode)
 {
--- a/tests/system/crash.sh
+++ b/tests/system/crash.sh
@@ -1,15 +1,47 @@
 #!/bin/sh
 # Guards against one request that ends engine after engine: it comes again under
-# new ids at any gateway, and none of them learns from the others' losses.
+# new ids at any gateway, and none of them learns from the others' losses; nor
+# from its own, once it or the keepers have started again or stood still.
 set -u
 BUILD=$1
 NET=251
 . tools/fleet.sh
+
+restart_all() { # restart_all PREFIX
+	for name in $names; do
+		case $name in $1*)
+			kill -KILL "$(cat "$STAGE/$name.pid")"
+			wait "$(cat "$STAGE/$name.pid")" 2>/dev/null
+			fleet_start "$name"
+			;;
+		esac
+	done
+}
+
 fleet_begin "$BUILD/stage-crash" 6 3
-"$BUILD/tests/fleet/fleet" --engines 6 --empty 0 --gateways "$gateways" --rate 60 \
-    --seconds 12 --bump 0 --poison 3 --seed 1 --net $NET >"$STAGE/fleet.out" 2>"$STAGE/fleet.err"
+"$BUILD/tests/fleet/fleet" --engines 6 --empty 0 --gateways "$gateways" --rate 60 --seconds 18 \
+    --bump 0 --poison 3 --poisons 2 --seed 1 --net $NET >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
+fleet=$!
+sleep 7
+restart_all gateway-
+sleep 4
+restart_all keeper-
+sleep 2
+kill -STOP "$(cat "$STAGE/gateway-1.pid")"
+sleep 2
+kill -CONT "$(cat "$STAGE/gateway-1.pid")"
+wait $fleet
 status=$?
 fleet_end || status=1
-tail -n 3 "$STAGE/fleet.err"
-tail -n 2 "$STAGE/fleet.out"
+# A gateway that starts again is told what is held before it sends that itself.
+for log in "$STAGE"/gateway-*.log; do
+	awk '/ ev=start / { starts++ }
+	    starts < 2 || !match($0, /content=[0-9a-f]+/) { next }
+	    { content = substr($0, RSTART, RLENGTH) }
+	    / ev=suspect / { known[content] = 1 }
+	    / req=p/ && / ev=(retry|failed) / && !known[content] { print "sent unknowing:", $0; bad = 1 }
+	    END { exit bad }' "$log" || status=1
+done
+grep 'sent' "$STAGE/fleet.err" | tail -n 4
+tail -n 4 "$STAGE/fleet.out"
 exit $status
