--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -77,6 +77,13 @@
 	(sleep "$(awk -v t="$2" 'BEGIN { print t / 10 }')" && kill -CONT "$pid" 2>/dev/null) &
 }
 
+# Whether its program has begun: before, paused at its very start, the signal's
+# default would end it, whatever the program does.
+takes_hup() { # takes_hup NAME
+	awk '/^Sig(Ign|Cgt):/ && $2 ~ /[13579bdf]$/ { yes = 1 } END { exit !yes }' \
+	    "/proc/$(cat "$STAGE/$1.pid")/status"
+}
+
 disturb() {
 	set -- $names
 	draw $#
@@ -88,7 +95,7 @@
 	0) draw 25 && pause "$target" "$drawn" ;;
 	1) restart "$target" KILL ;;
 	2) restart "$target" TERM ;;
-	3) kill -HUP "$(cat "$STAGE/$target.pid")" ;;
+	3) takes_hup "$target" && kill -HUP "$(cat "$STAGE/$target.pid")" ;;
 	4) echo "# changed" >>"$STAGE/$target.yaml" ;;
 	5) restart "$target" KILL && draw 25 && pause "$target" "$drawn" ;;
 	esac
