--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -227,11 +227,11 @@
 
 	if (x == NULL || x->held == NULL || index >= x->pick->conf.chunks)
 		return false;
-	if (hold_has(x->held, index))
-		return true;
 	digest_of(raw, len, &got);
 	if (!digest_equal(&got, version_chunk_digest(x->list, index)))
 		return false;
+	if (hold_has(x->held, index))
+		return true;
 	hold_put(x->held, index, bytes);
 	xfer_pump_soon(x);
 	return true;
--- a/tests/weights/test_xfer.c
+++ b/tests/weights/test_xfer.c
@@ -24,11 +24,40 @@
 	model_free(&m);
 }
 
+/* Guards against an engine that loads a piece of an older version: what lies
+ * beside it is looked through while pieces come, and one that came meanwhile was
+ * no proof of what lies there. */
+static void
+test_offer_is_judged_by_its_own_bytes(void **state)
+{
+	struct nodes s = { .rate = 4 << 20, .memory = 1 << 20 };
+	struct model m;
+	GBytes *good, *other;
+
+	model_make(&m, "m", 8, 1);
+	model_seal(&m);
+	s.origin.models = &m;
+	s.origin.nmodels = 1;
+	nodes_start(&s, 2);
+	nodes_want_all(&s, &m, 1);
+	nodes_until(&s, nodes_whole, &m);
+	good = g_bytes_new(m.bytes->data, WTS_CHUNK_MIN);
+	other = g_bytes_new(m.bytes->data + WTS_CHUNK_MIN, WTS_CHUNK_MIN);
+	assert_true(wts_offer(s.node[0].wts, &m.version.root, 0, good));
+	assert_false(wts_offer(s.node[0].wts, &m.version.root, 0, other));
+	node_check(&s.node[0], &m);
+	g_bytes_unref(good);
+	g_bytes_unref(other);
+	nodes_stop(&s);
+	model_free(&m);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_whole_with_one_origin_copy),
+		cmocka_unit_test(test_offer_is_judged_by_its_own_bytes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
