--- a/lib/serve/rate.c
+++ b/lib/serve/rate.c
@@ -71,6 +71,15 @@
 	return limit != before;
 }
 
+bool
+rate_heard(struct rate *r, double limit)
+{
+	if (r->own_us != 0 || limit == r->limit)
+		return false;
+	r->limit = limit;
+	return true;
+}
+
 bool
 rate_is_news(const struct rate *r)
 {
--- a/lib/serve/rate.h
+++ b/lib/serve/rate.h
@@ -56,6 +56,9 @@
 /* The side's word about the limit, 0: none; not given while the side does not
  * know. True when what this entry holds to has changed. */
 bool rate_told(struct rate *r, double limit, int64_t now_us);
+/* Another's word that there is a limit, while no answer here has told. True
+ * when what this entry holds to has changed. */
+bool rate_heard(struct rate *r, double limit);
 /* Whether the side should be told of this entry's answers. */
 bool rate_is_news(const struct rate *r);
 
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -67,6 +67,8 @@
 void gateway_rate_open(struct gateway *g);
 void gateway_rate_load(
     struct gateway *g, struct tgt *t, const struct side_load *load);
+/* A keeper passes on the limit of a target without one. */
+void gateway_rate_told(struct gateway *g, const struct side_rate *rate);
 void gateway_rate_permit(struct gateway *g, const struct side_permit *permit);
 
 /* gateway_peers.c: messages of keepers and other gateways */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -149,6 +149,7 @@
 	struct side_ask ask;
 	struct side_permit permit;
 	struct side_ends ends;
+	struct side_rate rate;
 
 	if (msg_read(m, &side_load_desc, &load, NULL))
 		take_load(g, &load);
@@ -156,6 +157,8 @@
 		gateway_relay_take(g, &loads);
 	else if (msg_read(m, &side_permit_desc, &permit, NULL))
 		gateway_rate_permit(g, &permit);
+	else if (msg_read(m, &side_rate_desc, &rate, NULL))
+		gateway_rate_told(g, &rate);
 	else if (msg_read(m, &side_ends_desc, &ends, NULL))
 		gateway_ends_take(g, &ends);
 	else if (msg_read(m, &side_ask_desc, &ask, NULL))
--- a/programs/entry/gateway_rate.c
+++ b/programs/entry/gateway_rate.c
@@ -58,6 +58,24 @@
 		    t->says.id, t->says.address, limit, before);
 }
 
+void
+gateway_rate_told(struct gateway *g, const struct side_rate *rate)
+{
+	double limit = rate_of_milli(rate->limit_milli), before;
+	char address[SV_ADDRESS_MAX];
+	struct tgt *t;
+
+	slice_copy(rate->address, address, sizeof(address));
+	t = tgt_at(g->set, address);
+	if (t == NULL || t->side_us != 0)
+		return;
+	before = t->rate.limit;
+	if (rate_heard(&t->rate, limit))
+		evt(EVT_LIMIT,
+		    "target=%s address=%s limit=%.2f before=%.2f from=keeper",
+		    t->says.id, t->says.address, limit, before);
+}
+
 void
 gateway_rate_permit(struct gateway *g, const struct side_permit *permit)
 {
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -186,6 +186,9 @@
 void keeper_take_rate(
     struct keeper *k, const char *from, const struct side_rate *rate);
 void keeper_rate_tick(struct keeper *k);
+/* A gateway that was not heard before is told the limits of targets without
+ * keepers; loads tell the own engine's. */
+void keeper_greet_rates(struct keeper *k, const char *gateway);
 
 /* keeper_ends.c: requests under which targets ended */
 void keeper_ends_open(struct keeper *k);
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -45,6 +45,15 @@
 	return NULL;
 }
 
+/* A gateway that knows nothing yet. Its next load is due at once. */
+static void
+greet(struct keeper *k, struct keeper_gateway *gateway)
+{
+	gateway->told_us = 0;
+	keeper_greet_ends(k, gateway->address);
+	keeper_greet_rates(k, gateway->address);
+}
+
 static void
 note_gateway(struct keeper *k, const char *from, const struct side_view *view)
 {
@@ -58,7 +67,7 @@
 		known->heard_us = keeper_now(k);
 		known->store_away = view->store_away != 0;
 		if (known->start != view->start)
-			keeper_greet_ends(k, from);
+			greet(k, known);
 		known->start = view->start;
 		return;
 	}
@@ -70,7 +79,7 @@
 	fresh.near = strcmp(region, cfg_str(k->st.cfg, "node.region")) == 0;
 	g_strlcpy(fresh.address, from, sizeof(fresh.address));
 	g_array_append_val(k->gateways, fresh);
-	keeper_greet_ends(k, from);
+	greet(k, gateway_at(k, k->gateways->len - 1));
 }
 
 static void
--- a/programs/side/keeper_rate.c
+++ b/programs/side/keeper_rate.c
@@ -127,6 +127,25 @@
 	}
 }
 
+void
+keeper_greet_rates(struct keeper *k, const char *gateway)
+{
+	struct side_rate rate = { 0 };
+	const struct keeper_pool *pool;
+	gpointer address, value;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, k->pools);
+	while (g_hash_table_iter_next(&iter, &address, &value)) {
+		pool = value;
+		if (pool->permits.limit == 0)
+			continue;
+		rate.address = slice_str(address);
+		rate.limit_milli = rate_to_milli(pool->permits.limit);
+		dgram_send(k->dgram, gateway, &side_rate_desc, &rate);
+	}
+}
+
 void
 keeper_rate_open(struct keeper *k)
 {
--- a/tests/serve/test_rate.c
+++ b/tests/serve/test_rate.c
@@ -156,6 +156,22 @@
 	assert_int_equal(rate_to_milli(1e12), UINT32_MAX);
 }
 
+/* Guards against a process that starts and knows no limit until its first
+ * answer; its own answers go before what others say. */
+static void
+test_others_word_counts_until_the_first_answer(void **state)
+{
+	struct rate r = { 0 };
+
+	assert_true(rate_heard(&r, 2.0));
+	assert_false(rate_heard(&r, 2.0));
+	assert_true(r.limit == 2.0);
+	rate_answered(&r, 0, 100 * G_USEC_PER_SEC, false, 101 * G_USEC_PER_SEC);
+	assert_true(r.limit == 0);
+	assert_false(rate_heard(&r, 2.0));
+	assert_true(r.limit == 0);
+}
+
 int
 main(void)
 {
@@ -166,6 +182,8 @@
 		cmocka_unit_test(test_one_request_a_permit),
 		cmocka_unit_test(test_turns_by_the_clock),
 		cmocka_unit_test(test_limits_between_processes),
+		cmocka_unit_test(
+		    test_others_word_counts_until_the_first_answer),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
