Resumed streams, last attempts and far requests are taken back before their weights are due

Two shapes, one cause: what bounds a begin was a figure for the usual case. A resumed stream or a last attempt was never taken back and relied on 1.1 s for its engine's queue, which took 2.0 to 2.7 s; and a cancel sent 0.08 s before the due time was 0.24 s on its way to another region.

Now every stream that may be resumed is taken back before the due time if its answer there has not begun, also one that has begun elsewhere or has no attempt left: its caller is told at once (broken off, or 502) instead of getting withdrawn weights' tokens. At targets of other regions 0.4 s before instead of 0.08, and nothing is sent there in the last 0.62 s instead of 0.3.

Three tests failed before and pass: test_resumed_stream_is_withdrawn_before_its_weights_are_due, test_last_attempt_is_withdrawn_before_its_weights_are_due (the engine was not left at all), and test_withdrawn_earlier_from_another_region (left 0.08 s before).

Not in this change: the herd that the keepers' own orders make, and a measured way for each engine in place of a margin.

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -34,6 +34,8 @@
  * cancel takes to get there beside other work, 20 to 40 ms.
  */
 #define WITHDRAW_US 80000
+/* The same to another region, over a link that others fill. */
+#define WITHDRAW_FAR_US 400000
 /* The same over a slow link, where the cancel itself takes up to a second. */
 #define WITHDRAW_SLOW_US 980000
 
@@ -297,21 +299,30 @@
 	attempt_ended(r, FLOW_WITHDRAWN);
 }
 
+static int64_t
+withdraw_us(const struct fwd_req *r)
+{
+	if (tgt_way_is_slow(r->target, fwd_now(r)))
+		return WITHDRAW_SLOW_US;
+	return r->target->near ? WITHDRAW_US : WITHDRAW_FAR_US;
+}
+
+/* Also of a stream that has begun elsewhere, and of a last attempt: their
+ * callers lose the rest, which withdrawn weights must not make. */
 static void
 expect_begin(struct fwd_req *r)
 {
-	bool slow = tgt_way_is_slow(r->target, fwd_now(r));
 	int64_t end_us;
 
-	if (!fwd_may_withdraw(r) || !r->target->says.has_models)
+	if (r->route->kind != SV_STREAM || !r->flow.repeatable ||
+	    !r->target->says.has_models)
 		return;
 	end_us =
 	    vers_end_us(r->fwd->conf.versions, r->model, r->target->version);
 	if (end_us == 0)
 		return;
 	r->begin.fire = on_begin_due;
-	evl_timer_set(r->fwd->conf.loop, &r->begin,
-	    end_us - (slow ? WITHDRAW_SLOW_US : WITHDRAW_US));
+	evl_timer_set(r->fwd->conf.loop, &r->begin, end_us - withdraw_us(r));
 }
 
 /* Waits for the target's next word. A request that cannot go elsewhere is
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -174,6 +174,7 @@
  */
 #define LEAD_WITHDRAWN_US 300000
 #define LEAD_QUEUE_US 1100000
+#define LEAD_FAR_US 320000 /* beyond it, in another region: a longer way */
 #define LEAD_HERD_US 700000 /* beyond it, for a target just up */
 /*
  * Over a slow link, filled by weights, a request takes a second and more to its
@@ -203,6 +204,8 @@
 		.version = vers_least(f->conf.versions, r->model, begin_us),
 		.version_fresh =
 		    vers_least(f->conf.versions, r->model, fresh_us),
+		.version_far = vers_least(
+		    f->conf.versions, r->model, begin_us + LEAD_FAR_US),
 		.version_slow = vers_least(
 		    f->conf.versions, r->model, fwd_now(r) + LEAD_SLOW_US),
 		.not = r->tried,
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -198,6 +198,7 @@
 	const char *model; /* NULL: any */
 	int64_t version; /* at least; 0: any that is loaded */
 	int64_t version_fresh; /* the same, of one up since TGT_FRESH_US */
+	int64_t version_far; /* the same, of one in another region */
 	int64_t version_slow; /* the same, of one behind a slow link */
 	const struct tgt *const * not ; /* tried before */
 	size_t nnot;
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -98,6 +98,8 @@
 		return true;
 	if (t->up_us != 0 && now_us - t->up_us < TGT_FRESH_US)
 		least = MAX(least, wish->version_fresh);
+	if (!t->near)
+		least = MAX(least, wish->version_far);
 	if (tgt_way_is_slow(t, now_us))
 		least = MAX(least, wish->version_slow);
 	return t->version > 0 && t->version >= least &&
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -741,6 +741,93 @@
 	expect_answer(fd, "502 ");
 }
 
+/* Guards against a stream that is resumed, waits in the queue of an engine
+ * until its weights are withdrawn, and is begun on them. */
+static void
+test_resumed_stream_is_withdrawn_before_its_weights_are_due(void **state)
+{
+	char *request;
+	struct target *t;
+	int64_t due_us;
+	int fd;
+
+	world_open(2, make_config(SV_STREAM, 2, 4000));
+	target_say(&w.target[0], false, 1);
+	target_say(&w.target[1], false, 1);
+	name_version(1600);
+	due_us = now_us() + 1600000;
+	fd = ask_model();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1"));
+	turn_ms(10);
+	shutdown(t->fd, SHUT_RDWR);
+	t = target_get(&request);
+	assert_non_null(strstr(request, "T-Last: 1\r\n"));
+	g_free(request);
+	assert_true(target_is_left(t));
+	assert_in_range(due_us - now_us(), 30000, 200000);
+	request = raw_read(fd, NULL); /* visibly broken off */
+	assert_non_null(strstr(request, "id: 1"));
+	assert_null(strstr(request, "0\r\n\r\n"));
+	g_free(request);
+	close(fd);
+}
+
+/* Guards against the same of a request's last attempt. */
+static void
+test_last_attempt_is_withdrawn_before_its_weights_are_due(void **state)
+{
+	char *request;
+	struct target *t;
+	int64_t due_us;
+	int fd;
+
+	world_open(1, make_config(SV_STREAM, 1, 4000));
+	target_say(&w.target[0], false, 1);
+	name_version(1500);
+	due_us = now_us() + 1500000;
+	fd = ask_model();
+	t = target_get(&request);
+	g_free(request);
+	assert_true(target_is_left(t));
+	assert_in_range(due_us - now_us(), 30000, 200000);
+	expect_answer(fd, "502 ");
+}
+
+/* Guards against a cancel that is longer on its way to another region than the
+ * weights have left. */
+static void
+test_withdrawn_earlier_from_another_region(void **state)
+{
+	char *request;
+	struct target *t;
+	struct sv_config *config = make_config(SV_STREAM, 2, 4000);
+	int64_t due_us;
+	int fd;
+
+	config->routes[0].objective_us = 1000000; /* it is not silent so soon */
+	world_open(1, config);
+	target_say(&w.target[0], false, 1);
+	tgt_find(w.set, "i0")->near = false;
+	name_version(900);
+	due_us = now_us() + 900000;
+	fd = ask_model();
+	t = target_get(&request);
+	g_free(request);
+	assert_true(target_is_left(t));
+	assert_in_range(due_us - now_us(), 350000, 500000);
+	close(fd);
+	world_close();
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	target_say(&w.target[0], false, 1);
+	tgt_find(w.set, "i0")->near = false;
+	name_version(550);
+	expect_answer(ask_model(), "503 ");
+	assert_false(target_is_called());
+}
+
 /* ------------------------------------------------------------------ */
 /* Requests under which targets end                                    */
 /* ------------------------------------------------------------------ */
@@ -924,6 +1011,9 @@
 		T(test_no_older_weights_behind_a_slow_link),
 		T(test_no_older_weights_while_the_side_is_silent),
 		T(test_withdrawn_early_over_a_slow_link),
+		T(test_resumed_stream_is_withdrawn_before_its_weights_are_due),
+		T(test_last_attempt_is_withdrawn_before_its_weights_are_due),
+		T(test_withdrawn_earlier_from_another_region),
 		T(test_held_after_two_targets_ended),
 		T(test_copies_under_way_are_withdrawn),
 		T(test_whole_answer_ends_the_hold),
--- a/tests/serve/world.h
+++ b/tests/serve/world.h
@@ -217,6 +217,7 @@
 	    .idle_us = 5000000,
 	    .head_bytes = 8192 });
 	w.set = tgt_set_new("r", &policy);
+	tgt_set_domain(w.set, "d", "r");
 	w.versions = vers_new(2 * G_USEC_PER_SEC, 0);
 	conf = (struct fwd_conf){ .loop = w.loop,
 		.pool = w.pool,
