Ends: planned removals say nothing, and a full target's refusal is no end

Read once more: a target that leaves without a word is taken out of the store and cuts what it still has when it goes; that counted against its requests. And a target with a side may refuse connections because it has enough of them: only where no side can tell is a refused connection an end. A keeper keeps one reminder a content, not one an end.

test_cuts_by_planned_work_say_nothing now begins with one end known and has all three kinds of planned cuts; without any one of the three conditions it fails (tried).

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -232,16 +232,18 @@
 	}
 }
 
-/* A connection that is refused at once: nobody listens there any more. */
+/* A connection that is refused at once: nobody listens there any more. A side
+ * knows better: its target may only refuse more connections. */
 static void
 connection_failed(struct fwd_req *r)
 {
 	struct fwd *f = r->fwd;
 	struct tgt *target = tgt_ref(r->target);
-	bool at_once = fwd_now(r) - r->sent_us < REFUSED_US;
+	bool ended =
+	    target->side_us == 0 && fwd_now(r) - r->sent_us < REFUSED_US;
 
 	attempt_ended(r, FLOW_UNREACHABLE);
-	if (at_once)
+	if (ended)
 		fwd_target_ended(f, target);
 	tgt_unref(target);
 }
--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -48,12 +48,12 @@
 	return sus_is_known(s, r->content) && has_copy_under_way(r);
 }
 
-/* A target that was to stop, or that loads weights, cuts what it still has:
- * that says nothing against a request. */
+/* A target that was to stop, announced or taken out of the store, or that loads
+ * weights cuts what it still has: that says nothing against a request. */
 static bool
 cuts_by_itself(const struct tgt *t)
 {
-	return t->leaving || (t->side_down && !t->ended);
+	return t->leaving || t->dropped || (t->side_down && !t->ended);
 }
 
 void
--- a/programs/side/keeper_ends.c
+++ b/programs/side/keeper_ends.c
@@ -57,7 +57,13 @@
 {
 	struct again again = { .content = content,
 		.due_us = keeper_now(k) + again_us[0] };
+	guint i;
 
+	for (i = 0; i < k->ends_again->len; i++) {
+		if (g_array_index(k->ends_again, struct again, i).content ==
+		    content)
+			g_array_remove_index_fast(k->ends_again, i);
+	}
 	if (k->ends_again->len < AGAIN_MAX)
 		g_array_append_val(k->ends_again, again);
 }
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -950,23 +950,34 @@
 static void
 test_cuts_by_planned_work_say_nothing(void **state)
 {
+	struct sus_end once = { .target = 9, .weight = SUS_SILENT };
 	struct target *t;
+	struct tgt *target;
 	int fd, i;
 
 	world_open(3, make_config(SV_STREAM, 3, 3000));
+	/* One end more would hold it. */
+	once.content = fpr_of(&(struct fpr_content){
+	    .host = "a.example", .target = { "/x/1", 4 }, .caller = "team" });
+	once.at_us = now_us();
+	fwd_told_end(w.fwd, &once);
 	fd = ask_path("/x/1");
 	for (i = 0; i < 3; i++) {
 		char *request;
 
 		t = target_get(&request);
 		g_free(request);
-		if (i == 1)
-			tgt_side(tgt_find(w.set, t->id), true, now_us());
-		else
+		target = tgt_ref(tgt_find(w.set, t->id));
+		if (i == 0)
 			target_say(t, true, 0);
+		else if (i == 1)
+			tgt_side(target, true, now_us());
+		else
+			tgt_removed(w.set, t->id, false, now_us());
 		shutdown(t->fd, SHUT_RDWR);
 		turn_ms(5);
-		fwd_target_ended(w.fwd, tgt_find(w.set, t->id));
+		fwd_target_ended(w.fwd, target);
+		tgt_unref(target);
 	}
 	expect_answer(fd, "502 ");
 	for (i = 0; i < 3; i++) {
