--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -851,6 +851,20 @@
 	return ask_with("GET", path, "T-Deadline: 3000\r\n");
 }
 
+/* Others tell that so many targets ended under the request for /x/1. */
+static void
+told_of_ends(uint64_t n)
+{
+	struct sus_end end = { .weight = SUS_SILENT };
+
+	end.content = fpr_of(&(struct fpr_content){
+	    .host = "a.example", .target = { "/x/1", 4 }, .caller = "team" });
+	for (end.target = 1; end.target <= n; end.target++) {
+		end.at_us = now_us();
+		fwd_told_end(w.fwd, &end);
+	}
+}
+
 /* Guards against a request that ends one target after the other: it is not
  * sent a third time, and refused at once when it comes again. */
 static void
@@ -889,7 +903,6 @@
 static void
 test_copies_under_way_are_withdrawn(void **state)
 {
-	struct sus_end end = { .weight = SUS_SILENT };
 	char *request;
 	struct target *t;
 	int fd, other;
@@ -898,12 +911,7 @@
 	fd = ask_path("/x/1");
 	t = target_get(&request);
 	g_free(request);
-	end.content = fpr_of(&(struct fpr_content){
-	    .host = "a.example", .target = { "/x/1", 4 }, .caller = "team" });
-	for (end.target = 1; end.target <= 2; end.target++) {
-		end.at_us = now_us();
-		fwd_told_end(w.fwd, &end);
-	}
+	told_of_ends(2);
 	assert_true(target_is_left(t));
 	expect_answer(fd, "502 "); /* it may have run */
 	other = ask_path("/x/2");
@@ -918,7 +926,6 @@
 static void
 test_whole_answer_ends_the_hold(void **state)
 {
-	struct sus_end end = { .weight = SUS_SILENT };
 	char *request;
 	struct target *t;
 	int fd;
@@ -929,12 +936,7 @@
 	g_free(request);
 	raw_send(t->fd, STREAM EVENT("1"));
 	turn_ms(10);
-	end.content = fpr_of(&(struct fpr_content){
-	    .host = "a.example", .target = { "/x/1", 4 }, .caller = "team" });
-	for (end.target = 1; end.target <= 2; end.target++) {
-		end.at_us = now_us();
-		fwd_told_end(w.fwd, &end);
-	}
+	told_of_ends(2);
 	expect_answer(ask_path("/x/1"), "503 ");
 	raw_send(t->fd, EVENT("2") "0\r\n\r\n");
 	expect_answer(fd, "0\r\n\r\n");
@@ -950,17 +952,13 @@
 static void
 test_cuts_by_planned_work_say_nothing(void **state)
 {
-	struct sus_end once = { .target = 9, .weight = SUS_SILENT };
 	struct target *t;
 	struct tgt *target;
 	int fd, i;
 
 	world_open(3, make_config(SV_STREAM, 3, 3000));
 	/* One end more would hold it. */
-	once.content = fpr_of(&(struct fpr_content){
-	    .host = "a.example", .target = { "/x/1", 4 }, .caller = "team" });
-	once.at_us = now_us();
-	fwd_told_end(w.fwd, &once);
+	told_of_ends(1);
 	fd = ask_path("/x/1");
 	for (i = 0; i < 3; i++) {
 		char *request;
