serve: Log what targets announce about themselves in answers

Change: a gateway logs 'ev=notice' with the target, its start, what it said, the request whose answer said so and how long ago that was sent. One line per announcement and one per requested pause, so that a storm of refusals does not flood the log. No decision uses the values yet.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -32,6 +32,8 @@
 	    "a target is in backoff after failures")                             \
 	X(EVT_LIMIT, "limit", EVT_STATE,                                         \
 	    "a target announced another rate limit, or none")                    \
+	X(EVT_NOTICE, "notice", EVT_STATE,                                       \
+	    "a target announced in an answer that it stops, or when to retry")   \
 	X(EVT_VERSION, "version", EVT_STATE, "a new version was announced")      \
 	X(EVT_READY, "ready", EVT_STATE, "readiness changed")                    \
 	X(EVT_SIDE, "side", EVT_STATE,                                           \
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -117,6 +117,7 @@
 {
 	const struct hheader *id = find_header(r, m, SV_F_REQUEST_ID);
 
+	fwd_read_notices(r, m);
 	/* This answers an earlier request: it is late or a duplicate. */
 	if (id != NULL &&
 	    (id->value.n != strlen(r->id) ||
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -132,6 +132,10 @@
 void fwd_prompt_read(struct fwd_req *r); /* the target has read it */
 void fwd_note_progress(struct fwd_req *r); /* restarts the stall timer */
 
+/* fwd_notice.c: what targets state about themselves in answers */
+/* To be called with the head of any answer of the current target. */
+void fwd_read_notices(struct fwd_req *r, const struct hmsg *m);
+
 /* fwd_answer.c: answers from targets */
 void fwd_read_head(struct fwd_req *r, const struct hmsg *m);
 void fwd_read_body(struct fwd_req *r, const void *data, size_t len);
--- /dev/null
+++ b/lib/serve/fwd_notice.c
@@ -0,0 +1,79 @@
+/* What a target states about itself in the head of an answer: that it is about
+ * to stop, or when it wants requests again. */
+
+#include <math.h>
+#include <string.h>
+
+#include "serve/fwd_internal.h"
+
+/* Longest Retry-After that is taken as stated; bounds what a faulty target can
+ * ask for. */
+#define RETRY_AFTER_MAX_S (7 * 24 * 3600.0)
+
+static const struct hheader *
+find_header(const struct fwd_req *r, const struct hmsg *m, enum sv_field f)
+{
+	return hmsg_find(m, r->fwd->conf.dialect->header[f]);
+}
+
+/* Parses a number of seconds, which may have a fraction. Returns false for
+ * anything else. */
+static bool
+parse_seconds(struct hslice value, double *out)
+{
+	char text[32], *end;
+
+	if (value.n == 0 || value.n >= sizeof(text))
+		return false;
+	memcpy(text, value.p, value.n);
+	text[value.n] = '\0';
+	if (strspn(text, "0123456789.") != value.n)
+		return false;
+	*out = g_ascii_strtod(text, &end);
+	return *end == '\0' && isfinite(*out);
+}
+
+static void
+read_leaving(struct fwd_req *r, const struct hmsg *m)
+{
+	const struct hheader *h = find_header(r, m, SV_F_LEAVING);
+
+	if (h == NULL || !hslice_is(h->value, "1") ||
+	    !tgt_announced_leaving(r->target))
+		return;
+	evt(EVT_NOTICE,
+	    "target=%s address=%s start=%" G_GINT64_FORMAT
+	    " said=leaving from=answer req=%s sent_ms_ago=%" G_GINT64_FORMAT,
+	    r->target->record.id, r->target->record.address,
+	    r->target->record.start_ms, r->id,
+	    (fwd_now(r) - r->sent_us) / 1000);
+}
+
+static void
+read_retry_after(struct fwd_req *r, const struct hmsg *m)
+{
+	const struct hheader *h = find_header(r, m, SV_F_RETRY_AFTER);
+	int64_t now_us = fwd_now(r), until_us;
+	double seconds;
+
+	if (m->status != 503 || h == NULL || !parse_seconds(h->value, &seconds))
+		return;
+	until_us = now_us +
+	    (int64_t)(MIN(seconds, RETRY_AFTER_MAX_S) * G_USEC_PER_SEC);
+	if (!tgt_asked_retry_after(r->target, until_us, now_us))
+		return;
+	evt(EVT_NOTICE,
+	    "target=%s address=%s start=%" G_GINT64_FORMAT
+	    " said=retry_after ms=%" G_GINT64_FORMAT
+	    " from=answer req=%s sent_ms_ago=%" G_GINT64_FORMAT,
+	    r->target->record.id, r->target->record.address,
+	    r->target->record.start_ms, (until_us - now_us) / 1000, r->id,
+	    (now_us - r->sent_us) / 1000);
+}
+
+void
+fwd_read_notices(struct fwd_req *r, const struct hmsg *m)
+{
+	read_leaving(r, m);
+	read_retry_after(r, m);
+}
--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -156,6 +156,8 @@
 	SV_F_LOAD, /* running, waiting, slots */
 	/* Requests a second that the target takes from all gateways. */
 	SV_F_LIMIT,
+	SV_F_LEAVING, /* "1": the target is about to stop */
+	SV_F_RETRY_AFTER, /* seconds, in a refusal */
 	SV_F_NOT_RUN, /* the target refused the request before it began */
 	SV_F_INSTANCE,
 	SV_F_MODEL,
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -368,6 +368,24 @@
 	t->backoff_until_us = 0;
 }
 
+bool
+tgt_announced_leaving(struct tgt *t)
+{
+	bool is_new = !t->announced_leaving;
+
+	t->announced_leaving = true;
+	return is_new;
+}
+
+bool
+tgt_asked_retry_after(struct tgt *t, int64_t until_us, int64_t now_us)
+{
+	bool is_new = t->retry_after_us <= now_us;
+
+	t->retry_after_us = MAX(t->retry_after_us, until_us);
+	return is_new;
+}
+
 void
 tgt_set_side_down(struct tgt *t, bool down, int64_t now_us)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -55,6 +55,11 @@
 	bool slow_link;
 	/* Step time relative to the configured one; 1: as configured. */
 	double slowdown;
+	/* It announced its stop in an answer. */
+	bool announced_leaving;
+	/* Time before which it wants no requests of this gateway, as its
+	 * refusals stated; 0: none. */
+	int64_t retry_after_us;
 	/* Failures without an answer. */
 	unsigned int failures; /* consecutive */
 	int64_t backoff_until_us;
@@ -162,6 +167,11 @@
 	TGT_LOST, /* unreachable, connection reset, or malformed answer */
 };
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
+/* An answer announced the target's planned stop. True if that is new. */
+bool tgt_announced_leaving(struct tgt *t);
+/* A refusal asked for no requests before `until_us`. Never shortens the time
+ * that an earlier one asked for. True if there was none under way. */
+bool tgt_asked_retry_after(struct tgt *t, int64_t until_us, int64_t now_us);
 /* The sidecar reported whether the target takes requests. */
 void tgt_set_side_down(struct tgt *t, bool down, int64_t now_us);
 /* An answer to a request sent at `asked_us` carries a rate limit, or none
