tests: Let the stand-in's engines announce their stop and ask for a pause

Change: an engine of the stand-in can announce its stop in all answers, with or without its record saying so, and is replaced five seconds later; or refuse for six seconds with 503 and Retry-After. Requests that a proxy of the stand-in held back are not judged.

--- a/tests/fleet/caller.c
+++ b/tests/fleet/caller.c
@@ -39,6 +39,16 @@
 	g_free(r);
 }
 
+size_t
+fleet_gateway_of(const char *id)
+{
+	const char *at = strrchr(id, 'g');
+
+	if (at == NULL)
+		return 0;
+	return (size_t)g_ascii_strtoull(at + 1, NULL, 10) % FLEET_GATEWAYS_MAX;
+}
+
 /* ------------------------------------------------------------------ */
 /* Checks                                                              */
 /* ------------------------------------------------------------------ */
@@ -123,9 +133,16 @@
 on_head(struct hcall *c, const struct hmsg *m, void *ctx)
 {
 	struct request *r = ctx;
+	const struct hheader *seal = hmsg_find(m, "X-Response-Seal");
+	char *text;
 
 	r->status = m->status;
-	r->sealed = hmsg_find(m, "X-Response-Seal") != NULL;
+	r->sealed = seal != NULL;
+	if (!r->sealed || hmsg_find(m, "Server-Leaving") == NULL)
+		return;
+	text = hslice_dup(seal->value);
+	fleet_engine_relayed(r->f, text, r->id);
+	g_free(text);
 }
 
 static void
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -12,6 +12,8 @@
 #define PLAIN_US 10000
 #define LOAD_US 200000
 #define DOWN_US 1500000 /* from termination to restart */
+#define LEAVE_US 5000000 /* from the announcement of a stop to the restart */
+#define SHED_US 6000000
 
 struct fleet_run; /* a request that an engine runs */
 
@@ -35,6 +37,9 @@
 	unsigned int nruns;
 	int64_t corrupted_us; /* last corruption of a staged chunk */
 	struct fleet_limit limit;
+	struct fleet_notice notice;
+	bool silent; /* its record does not tell that it leaves */
+	struct evl_timer leave, shed;
 };
 
 struct fleet_run {
@@ -87,10 +92,11 @@
 
 	g_string_printf(spec,
 	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%zu\","
-	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
 	    "\"coldMs\":0,\"sequence\":%u,\"born\":%" G_GINT64_FORMAT,
 	    e->llm ? FLEET_LLM : FLEET_PLAIN, e->advertised, i % 2, SLOTS,
-	    e->sequence, e->started_ms);
+	    e->notice.leaving && !e->silent ? "draining" : "ready", e->sequence,
+	    e->started_ms);
 	if (e->llm) {
 		g_string_append_c(spec, ',');
 		append_models(e, spec);
@@ -128,6 +134,8 @@
 	if (e->limit.limit > 0)
 		g_string_append_printf(
 		    head, "Server-Limit: %.1f\r\n", e->limit.limit);
+	if (e->notice.leaving)
+		g_string_append(head, "Server-Leaving: 1\r\n");
 	return g_string_free(head, FALSE);
 }
 
@@ -204,11 +212,17 @@
 static void
 refuse(struct fleet_engine *e, struct hreq *r, unsigned int status)
 {
-	char headers[96];
+	GString *headers = g_string_new(NULL);
 
-	g_snprintf(headers, sizeof(headers),
-	    "X-Not-Executed: 1\r\nX-Instance-Id: %s\r\n", e->id);
-	hreq_answer(r, status, headers, "", 0);
+	g_string_printf(
+	    headers, "X-Not-Executed: 1\r\nX-Instance-Id: %s\r\n", e->id);
+	if (e->notice.leaving)
+		g_string_append(headers, "Server-Leaving: 1\r\n");
+	if (status == 503 && e->notice.retry_after_s > 0)
+		g_string_append_printf(
+		    headers, "Retry-After: %g\r\n", e->notice.retry_after_s);
+	hreq_answer(r, status, headers->str, "", 0);
+	g_string_free(headers, TRUE);
 }
 
 /* Counts runs over all engines; ids of requests that may run only once begin
@@ -265,10 +279,16 @@
 	if (fleet_poison_of(e->f, id) != NULL)
 		fleet_poison_arrived(fleet_poison_of(e->f, id), id);
 	fleet_limit_arrived(e->f, &e->limit, id);
+	fleet_notice_arrived(e->f, &e->notice, e->f->proxy[e->i + 1], id);
 	if (expect[0] != '\0' && strcmp(expect, e->id) != 0) {
 		refuse(e, r, 421);
 		return;
 	}
+	if (e->notice.retry_after_s > 0) {
+		fleet_notice_refused(e->f, &e->notice, id);
+		refuse(e, r, 503);
+		return;
+	}
 	if (e->llm && (e->version == 0 || e->loading != 0)) {
 		refuse(e, r, 503);
 		return;
@@ -531,9 +551,66 @@
 	}
 	set_started(e);
 	fleet_engine_set_limit(f, i, 0);
+	evl_timer_stop(f->loop, &e->leave);
+	evl_timer_stop(f->loop, &e->shed);
+	e->notice = (struct fleet_notice){ 0 };
 	fleet_engine_publish(f, i);
 }
 
+static void
+on_left(struct evl_timer *t)
+{
+	struct fleet_engine *e = CONTAINER_OF(t, struct fleet_engine, leave);
+
+	fleet_engine_crash(e->f, e->i, false);
+}
+
+void
+fleet_engine_leave(struct fleet *f, size_t i, bool silent)
+{
+	struct fleet_engine *e = f->engine[i];
+
+	if (e->server == NULL || e->notice.leaving)
+		return;
+	e->notice.leaving = true;
+	e->silent = silent;
+	e->leave.fire = on_left;
+	evl_timer_set(f->loop, &e->leave, evl_now_us(f->loop) + LEAVE_US);
+	fleet_engine_publish(f, i);
+}
+
+static void
+on_shed_end(struct evl_timer *t)
+{
+	struct fleet_engine *e = CONTAINER_OF(t, struct fleet_engine, shed);
+
+	e->notice.retry_after_s = 0;
+}
+
+void
+fleet_engine_shed(struct fleet *f, size_t i, double retry_after_s)
+{
+	struct fleet_engine *e = f->engine[i];
+
+	e->notice.retry_after_s = retry_after_s;
+	e->shed.fire = on_shed_end;
+	evl_timer_set(f->loop, &e->shed, evl_now_us(f->loop) + SHED_US);
+}
+
+void
+fleet_engine_relayed(struct fleet *f, const char *seal, const char *id)
+{
+	struct fleet_engine *e;
+	size_t i;
+
+	for (i = 0; i < f->nengines; i++) {
+		e = f->engine[i];
+		if (g_str_has_prefix(seal, "seal-") &&
+		    g_str_has_prefix(seal + strlen("seal-"), e->id))
+			fleet_notice_relayed(f, &e->notice, id);
+	}
+}
+
 static void
 on_restart(struct evl_timer *t)
 {
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -51,6 +51,22 @@
 	/* Excess sends of requests that terminated three engines; printed
 	 * `spread`. */
 	unsigned int excess_sends;
+	/* Requests sent despite an engine's announcement in an answer. */
+	unsigned int unheeded;
+};
+
+/* What an engine announced to one gateway; 0: nothing. */
+struct fleet_told {
+	int64_t leaving_us; /* first relayed answer that announced its stop */
+	int64_t retry_from_us, retry_until_us; /* of a refusal */
+	unsigned int early; /* requests before `retry_until_us` */
+};
+
+/* What an engine announces in its answers. */
+struct fleet_notice {
+	bool leaving;
+	double retry_after_s; /* 0: it does not refuse */
+	struct fleet_told told[FLEET_GATEWAYS_MAX];
 };
 
 /* A rate limit that an engine announces in its answers. */
@@ -93,6 +109,7 @@
 	unsigned int open_calls;
 	bool stopping;
 	bool check_poison; /* otherwise its sends are only printed */
+	bool check_notices; /* the same for unheeded announcements */
 	struct fleet_poison *poison[FLEET_POISONS_MAX]; /* NULL: none */
 	/* Proxies. */
 	struct fleet_proxy *proxy[FLEET_ENGINES_MAX + 1];
@@ -124,6 +141,13 @@
 void fleet_chunk(int64_t version, uint64_t index, uint8_t *out);
 bool fleet_origin_open(struct fleet *f, const char *address, struct err *err);
 
+/* The engine announces its stop in all its answers, and in its record unless
+ * `silent`; it is replaced by another LEAVE_US (engine.c) later. */
+void fleet_engine_leave(struct fleet *f, size_t i, bool silent);
+/* The engine refuses all requests for SHED_US (engine.c), with Retry-After. */
+void fleet_engine_shed(struct fleet *f, size_t i, double retry_after_s);
+/* A caller got an answer with this seal through this request's gateway. */
+void fleet_engine_relayed(struct fleet *f, const char *seal, const char *id);
 /* 0: the engine announces no limit any more. */
 void fleet_engine_set_limit(struct fleet *f, size_t i, double limit);
 /* The highest number of requests in four seconds that was checked against a
@@ -139,7 +163,19 @@
 void fleet_limit_announced(
     struct fleet *f, struct fleet_limit *l, const char *id);
 
+/* notice.c */
+/* A request arrived at the engine over the proxy `path`. */
+void fleet_notice_arrived(struct fleet *f, struct fleet_notice *n,
+    const struct fleet_proxy *path, const char *id);
+void fleet_notice_refused(
+    struct fleet *f, struct fleet_notice *n, const char *id);
+/* An answer of the engine reached the caller. */
+void fleet_notice_relayed(
+    struct fleet *f, struct fleet_notice *n, const char *id);
+
 /* caller.c */
+/* Request ids end with the number of the gateway that got the request. */
+size_t fleet_gateway_of(const char *id);
 void fleet_callers_start(struct fleet *f);
 
 /* poison.c: requests that terminate the engines that run them.
@@ -164,6 +200,8 @@
     struct fleet *f, const char *address, const char *to, struct err *err);
 void fleet_proxy_set(struct fleet_proxy *proxy, enum proxy_mode mode);
 void fleet_proxy_reset(struct fleet_proxy *proxy); /* all its connections */
+/* Last time at which it held back or reset traffic; 0: never. */
+int64_t fleet_proxy_disturbed_us(const struct fleet_proxy *proxy);
 /* Whether the proxy accepts connections; not while its target is down. */
 void fleet_proxy_listen(struct fleet_proxy *proxy, bool listen);
 
--- a/tests/fleet/limit.c
+++ b/tests/fleet/limit.c
@@ -22,15 +22,6 @@
 	size_t gateway;
 };
 
-/* Request ids end with the number of the gateway that got the request. */
-static size_t
-gateway_of(const char *id)
-{
-	const char *at = strrchr(id, 'g');
-
-	return at == NULL ? 0 : (size_t)g_ascii_strtoull(at + 1, NULL, 10);
-}
-
 void
 fleet_limit_set(struct fleet *f, struct fleet_limit *l, double limit)
 {
@@ -47,7 +38,7 @@
 void
 fleet_limit_announced(struct fleet *f, struct fleet_limit *l, const char *id)
 {
-	size_t gateway = gateway_of(id) % FLEET_GATEWAYS_MAX;
+	size_t gateway = fleet_gateway_of(id);
 
 	if (l->limit == 0)
 		return;
@@ -77,7 +68,7 @@
 {
 	struct arrival now = { .at_us = evl_now_us(f->loop),
 		.limit = l->limit,
-		.gateway = gateway_of(id) % FLEET_GATEWAYS_MAX };
+		.gateway = fleet_gateway_of(id) };
 	int64_t announced_us = l->announced_us[now.gateway];
 
 	const struct arrival *arrival;
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -4,6 +4,7 @@
  *   fleet --engines N --empty N --gateways ADDRESS,... --rate N --seconds N
  *         --seed N --faults 0|1 --bump SECONDS --crash SECONDS
  *         --limit SECONDS --limited N --limit-milli N --uneven 0|1
+ *         --leave SECONDS --shed SECONDS --notices 0|1 --notices-judged 0|1
  *         --poison SECONDS --poisons N --poison-gap-ms N --poison-judged 0|1
  *
  * It prints "ready", runs, and at the end prints one line of counts; its exit
@@ -26,11 +27,15 @@
 static int limited = 1, limit_milli = 1000;
 static int poison, poisons = 1, poison_gap_ms = 300;
 static int poison_judged = 1;
+static int leave, shed, notices, notices_judged = 1;
 static char *gateways;
 static struct fleet f;
 static GMainLoop *main_loop;
 static int64_t begun_us;
 static int64_t config_version = 1;
+#define NOTICE_GAP_US 700000
+static struct rng notice_rng; /* does not shift the draws of other faults */
+static struct evl_timer notice_fault;
 static struct evl_timer proxy_restore[FLEET_ENGINES_MAX + 1], store_restore,
     end;
 
@@ -190,12 +195,36 @@
 	evl_timer_set(f.loop, t, evl_now_us(f.loop) + FAULT_US);
 }
 
+/* Random engines announce that they stop or when to retry. */
+static void
+on_notice_fault(struct evl_timer *t)
+{
+	size_t engine = rng_below(&notice_rng, f.nengines);
+
+	if (rng_below(&notice_rng, 2) == 0)
+		fleet_engine_leave(&f, engine, rng_below(&notice_rng, 2) == 0);
+	else
+		fleet_engine_shed(
+		    &f, engine, 0.5 * (double)(1 + rng_below(&notice_rng, 8)));
+	evl_timer_set(f.loop, t, evl_now_us(f.loop) + NOTICE_GAP_US);
+}
+
+static bool
+is_due(int at_s, bool *done)
+{
+	if (*done || at_s <= 0 ||
+	    evl_now_us(f.loop) - begun_us <= (int64_t)at_s * G_USEC_PER_SEC)
+		return false;
+	*done = true;
+	return true;
+}
+
 static void
 on_schedule(struct evl_timer *t)
 {
 	static int64_t bumped_us;
 	int i;
-	static bool crashed, is_limited;
+	static bool crashed, is_limited, has_left, has_shed;
 	int64_t now_us = evl_now_us(f.loop);
 
 	if (bump > 0 && now_us - begun_us > (int64_t)bump * G_USEC_PER_SEC &&
@@ -216,6 +245,14 @@
 			    &f, (size_t)i, (double)limit_milli / 1000);
 		fleet_engine_set_limit(&f, (size_t)engines, 2.2);
 	}
+	if (is_due(leave, &has_left)) {
+		fleet_engine_leave(&f, 0, true);
+		fleet_engine_leave(&f, (size_t)engines, true);
+	}
+	if (is_due(shed, &has_shed)) {
+		fleet_engine_shed(&f, 0, 3);
+		fleet_engine_shed(&f, (size_t)engines, 1.5);
+	}
 	evl_timer_set(f.loop, t, now_us + 200000);
 }
 
@@ -228,7 +265,7 @@
 {
 	return t->ran_twice + t->wrong_answers + t->false_not_run +
 	    t->incomplete + t->stale + t->bad_identity + t->over_limit +
-	    t->excess_sends ==
+	    t->excess_sends + t->unheeded ==
 	    0;
 }
 
@@ -311,12 +348,12 @@
 		    fleet_engine_max_in_window(&f, (size_t)engines));
 	printf("fleet: %s asked=%u answered=%u refused=%u failed=%u broken=%u "
 	       "twice=%u mixed=%u lied=%u unwhole=%u stale=%u stranger=%u "
-	       "over=%u spread=%u "
+	       "over=%u spread=%u unheeded=%u "
 	       "seed=%d\n",
 	    kept ? "kept" : "BROKEN", t->sent_count, t->answered, t->refused,
 	    t->failed, t->broken, t->ran_twice, t->wrong_answers,
 	    t->false_not_run, t->incomplete, t->stale, t->bad_identity,
-	    t->over_limit, t->excess_sends, seed);
+	    t->over_limit, t->excess_sends, t->unheeded, seed);
 	return kept && t->answered > t->sent_count / 2 ? 0 : 1;
 }
 
@@ -359,6 +396,18 @@
 		    "0 or 1: count their excess sends as violations", "N" },
 		{ "poison-gap-ms", 0, POPT_ARG_INT, &poison_gap_ms, 0,
 		    "time between two sends of the same poison request", "N" },
+		{ "leave", 0, POPT_ARG_INT, &leave, 0,
+		    "seconds until the first engine and the first plain target "
+		    "announce their stop in answers only; 0: never",
+		    "N" },
+		{ "shed", 0, POPT_ARG_INT, &shed, 0,
+		    "seconds until they refuse with Retry-After; 0: never",
+		    "N" },
+		{ "notices", 0, POPT_ARG_INT, &notices, 0,
+		    "0 or 1: the same at random engines", "N" },
+		{ "notices-judged", 0, POPT_ARG_INT, &notices_judged, 0,
+		    "0 or 1: count requests sent despite it as violations",
+		    "N" },
 		{ "bump", 0, POPT_ARG_INT, &bump, 0,
 		    "seconds to a new version; 0: none", "N" },
 		POPT_AUTOHELP POPT_TABLEEND };
@@ -381,6 +430,8 @@
 	f.rate = (unsigned int)rate;
 	f.uneven = uneven != 0;
 	f.check_poison = poison_judged != 0;
+	f.check_notices = notices_judged != 0;
+	rng_seed(&notice_rng, (uint64_t)seed + 1);
 	f.version = 1;
 	f.previous_version = 1;
 	read_gateways();
@@ -401,6 +452,10 @@
 	f.fault.fire = on_fault;
 	if (faults)
 		evl_timer_set(f.loop, &f.fault, begun_us + 2 * G_USEC_PER_SEC);
+	notice_fault.fire = on_notice_fault;
+	if (notices)
+		evl_timer_set(
+		    f.loop, &notice_fault, begun_us + 2 * G_USEC_PER_SEC);
 	end.fire = on_end;
 	evl_timer_set(
 	    f.loop, &end, begun_us + (int64_t)seconds * G_USEC_PER_SEC);
--- /dev/null
+++ b/tests/fleet/notice.c
@@ -0,0 +1,71 @@
+/*
+ * What engines announce about themselves in answers, and the check that each
+ * gateway heeds it: from two seconds after a gateway relayed an answer that
+ * announced the engine's stop, it sends nothing to that engine; after a refusal
+ * with Retry-After, it sends at most two requests between half a second later
+ * and the end of that time.
+ */
+
+#include "fleet.h"
+
+#define LEAVE_REACTION_US 2000000
+#define RETRY_REACTION_US 500000
+#define EARLY_ALLOWED 2
+
+static void
+report(struct fleet *f, const char *id, int64_t since_us, const char *what)
+{
+	int64_t now_us = evl_now_us(f->loop);
+	double at = (double)g_get_real_time() / G_USEC_PER_SEC;
+
+	/* tools/soak.sh reads the first six fields. */
+	g_printerr("unheeded at %.3f gateway %zu since %.3f: %s %s\n", at,
+	    fleet_gateway_of(id),
+	    at - (double)(now_us - since_us) / G_USEC_PER_SEC, id, what);
+	if (f->check_notices)
+		f->tally.unheeded++;
+}
+
+void
+fleet_notice_arrived(struct fleet *f, struct fleet_notice *n,
+    const struct fleet_proxy *path, const char *id)
+{
+	struct fleet_told *told = &n->told[fleet_gateway_of(id)];
+	int64_t now_us = evl_now_us(f->loop);
+	int64_t disturbed_us = fleet_proxy_disturbed_us(path);
+
+	if (told->leaving_us != 0 && disturbed_us < told->leaving_us &&
+	    now_us - told->leaving_us > LEAVE_REACTION_US)
+		report(f, id, told->leaving_us, "reached a leaving engine");
+	if (now_us < told->retry_from_us + RETRY_REACTION_US ||
+	    now_us >= told->retry_until_us ||
+	    disturbed_us >= told->retry_from_us)
+		return;
+	if (++told->early > EARLY_ALLOWED)
+		report(f, id, told->retry_from_us, "came before Retry-After");
+}
+
+void
+fleet_notice_refused(struct fleet *f, struct fleet_notice *n, const char *id)
+{
+	struct fleet_told *told = &n->told[fleet_gateway_of(id)];
+	int64_t now_us = evl_now_us(f->loop);
+
+	if (n->retry_after_s <= 0)
+		return;
+	if (now_us >= told->retry_until_us) {
+		told->retry_from_us = now_us;
+		told->early = 0;
+	}
+	told->retry_until_us =
+	    now_us + (int64_t)(n->retry_after_s * G_USEC_PER_SEC);
+}
+
+void
+fleet_notice_relayed(struct fleet *f, struct fleet_notice *n, const char *id)
+{
+	struct fleet_told *told = &n->told[fleet_gateway_of(id)];
+
+	if (n->leaving && told->leaving_us == 0)
+		told->leaving_us = evl_now_us(f->loop);
+}
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -32,6 +32,7 @@
 	struct evl_fd listener;
 	struct sockaddr_in at, to;
 	enum proxy_mode mode;
+	int64_t disturbed_us; /* when it last was not passing */
 	LIST_HEAD(fleet_pipes, fleet_pipe) pipes;
 };
 
@@ -195,6 +196,8 @@
 {
 	struct fleet_pipe *p = LIST_FIRST(&proxy->pipes), *next;
 
+	if (proxy->mode != PROXY_PASS || mode != PROXY_PASS)
+		proxy->disturbed_us = evl_now_us(proxy->f->loop);
 	proxy->mode = mode;
 	for (; p != NULL; p = next) {
 		next = LIST_NEXT(p, link);
@@ -208,6 +211,14 @@
 {
 	struct fleet_pipe *p;
 
+	proxy->disturbed_us = evl_now_us(proxy->f->loop);
 	while ((p = LIST_FIRST(&proxy->pipes)) != NULL)
 		pipe_close(p, true);
 }
+
+int64_t
+fleet_proxy_disturbed_us(const struct fleet_proxy *proxy)
+{
+	return proxy->mode == PROXY_PASS ? proxy->disturbed_us
+					 : evl_now_us(proxy->f->loop);
+}
