serve: Send nothing to a target that announced its stop in an answer

Callers' requests reached an engine 2.3 and 2.6 s after an answer that their gateway had relayed had announced the engine's stop, and were at risk of being cut with it. The store was away, so the engine's record still said ready.

Cause: only the store's record made a target leave; the header was not read. Evidence: in tests/system/leaving.sh each gateway logs the notice once, within 0.2 s, and goes on sending at the same rate; 183 requests came later than 2 s after it, all of them through the one place that chooses a target (tgt_choose), which asked only the record.

Change: the announcement makes the target leave for all ways of sending. It is the word of the target itself and holds for this start of it: no record undoes it, whatever it says and whenever it was read, and it is kept while the store does not list the target. Only a newer start of the target, or another target at its address, is free of it.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -48,6 +48,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	s->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	TAILQ_INIT(&s->kept);
 	return s;
 }
 
@@ -58,6 +59,7 @@
 	g_hash_table_unref(s->by_address);
 	g_hash_table_unref(s->services);
 	g_hash_table_unref(s->regions);
+	tgt_notice_free(s);
 	g_free(s->region);
 	g_free(s);
 }
@@ -126,6 +128,7 @@
 static void
 drop(struct tgt_set *s, struct tgt *t)
 {
+	tgt_notice_keep(s, t);
 	TAILQ_REMOVE(&t->service->targets, t, link);
 	t->service->ntargets--;
 	g_hash_table_remove(s->by_id, t->record.id);
@@ -191,6 +194,7 @@
 	t->service->ntargets++;
 	g_hash_table_insert(s->by_id, t->record.id, t);
 	take_address(s, t);
+	tgt_notice_restore(s, t);
 	return t;
 }
 
@@ -229,7 +233,9 @@
 	t->record = *record;
 	t->record.start_ms = start_ms;
 	t->drop_us = 0;
-	t->leaving = record->leaving;
+	/* The target itself knows better than a record, which may have been
+	 * written earlier. */
+	t->leaving = record->leaving || t->announced_leaving;
 	/* A live sidecar's report is newer. */
 	if (!tgt_side_is_alive(t, now_us)) {
 		g_strlcpy(t->model, record->model, sizeof(t->model));
@@ -368,24 +374,6 @@
 	t->backoff_until_us = 0;
 }
 
-bool
-tgt_announced_leaving(struct tgt *t)
-{
-	bool is_new = !t->announced_leaving;
-
-	t->announced_leaving = true;
-	return is_new;
-}
-
-bool
-tgt_asked_retry_after(struct tgt *t, int64_t until_us, int64_t now_us)
-{
-	bool is_new = t->retry_after_us <= now_us;
-
-	t->retry_after_us = MAX(t->retry_after_us, until_us);
-	return is_new;
-}
-
 void
 tgt_set_side_down(struct tgt *t, bool down, int64_t now_us)
 {
@@ -433,6 +421,7 @@
 		return t;
 	}
 	drop(s, t);
+	tgt_notice_discard(s, record.id);
 	return add(s, &record);
 }
 
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -55,7 +55,8 @@
 	bool slow_link;
 	/* Step time relative to the configured one; 1: as configured. */
 	double slowdown;
-	/* It announced its stop in an answer. */
+	/* It announced its stop in an answer, which ends only with this start
+	 * of the target. */
 	bool announced_leaving;
 	/* Time before which it wants no requests of this gateway, as its
 	 * refusals stated; 0: none. */
--- a/lib/serve/tgt_internal.h
+++ b/lib/serve/tgt_internal.h
@@ -2,7 +2,7 @@
 #define SERVE_TGT_INTERNAL_H
 
 /* Shared by the files of tgt: tgt.c holds the targets' state, tgt_rate.c
- * their rate limits, tgt_choose.c the load estimate and the selection. */
+ * their rate limits, tgt_notice.c their announcements, tgt_choose.c the load estimate and the selection. */
 
 #include "serve/tgt.h"
 
@@ -13,6 +13,8 @@
 	GHashTable *services; /* name -> struct tgt_service */
 	GHashTable *by_id;
 	GHashTable *by_address;
+	TAILQ_HEAD(tgt_kept_list, tgt_kept) kept; /* see tgt_notice.c */
+	unsigned int nkept;
 };
 
 /* A sidecar reports several times a second. One that sent no report for this
@@ -30,4 +32,11 @@
 	return (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
 }
 
+/* Announcements of a target that is dropped are kept, and apply again when the
+ * same start of it is added again. */
+void tgt_notice_keep(struct tgt_set *s, const struct tgt *t);
+void tgt_notice_restore(struct tgt_set *s, struct tgt *t);
+void tgt_notice_discard(struct tgt_set *s, const char *id);
+void tgt_notice_free(struct tgt_set *s);
+
 #endif
--- /dev/null
+++ b/lib/serve/tgt_notice.c
@@ -0,0 +1,103 @@
+/* What targets announced about themselves in answers. It holds for one start
+ * of a target, also while the store does not list it for a moment. */
+
+#include <string.h>
+
+#include "serve/tgt_internal.h"
+
+/* Dropped targets whose announcements are kept, oldest first out. */
+#define KEPT_MAX 512
+
+struct tgt_kept {
+	TAILQ_ENTRY(tgt_kept) link;
+	char id[SV_ID_MAX];
+	int64_t start_ms;
+	bool leaving;
+};
+
+static struct tgt_kept *
+find(struct tgt_set *s, const char *id)
+{
+	struct tgt_kept *k;
+
+	TAILQ_FOREACH (k, &s->kept, link) {
+		if (strcmp(k->id, id) == 0)
+			return k;
+	}
+	return NULL;
+}
+
+static void
+discard(struct tgt_set *s, struct tgt_kept *k)
+{
+	if (k == NULL)
+		return;
+	TAILQ_REMOVE(&s->kept, k, link);
+	s->nkept--;
+	g_free(k);
+}
+
+void
+tgt_notice_keep(struct tgt_set *s, const struct tgt *t)
+{
+	struct tgt_kept *k;
+
+	if (!t->announced_leaving)
+		return;
+	tgt_notice_discard(s, t->record.id);
+	if (s->nkept == KEPT_MAX)
+		discard(s, TAILQ_FIRST(&s->kept));
+	k = g_new0(struct tgt_kept, 1);
+	g_strlcpy(k->id, t->record.id, sizeof(k->id));
+	k->start_ms = t->record.start_ms;
+	k->leaving = t->announced_leaving;
+	TAILQ_INSERT_TAIL(&s->kept, k, link);
+	s->nkept++;
+}
+
+void
+tgt_notice_restore(struct tgt_set *s, struct tgt *t)
+{
+	struct tgt_kept *k = find(s, t->record.id);
+
+	if (k == NULL)
+		return;
+	if (k->start_ms == 0 || t->record.start_ms <= k->start_ms) {
+		t->announced_leaving = k->leaving;
+		t->leaving = t->leaving || t->announced_leaving;
+		t->record.start_ms = k->start_ms;
+	}
+	discard(s, k);
+}
+
+void
+tgt_notice_discard(struct tgt_set *s, const char *id)
+{
+	discard(s, find(s, id));
+}
+
+void
+tgt_notice_free(struct tgt_set *s)
+{
+	while (!TAILQ_EMPTY(&s->kept))
+		discard(s, TAILQ_FIRST(&s->kept));
+}
+
+bool
+tgt_announced_leaving(struct tgt *t)
+{
+	bool is_new = !t->announced_leaving;
+
+	t->announced_leaving = true;
+	t->leaving = true;
+	return is_new;
+}
+
+bool
+tgt_asked_retry_after(struct tgt *t, int64_t until_us, int64_t now_us)
+{
+	bool is_new = t->retry_after_us <= now_us;
+
+	t->retry_after_us = MAX(t->retry_after_us, until_us);
+	return is_new;
+}
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -98,14 +98,14 @@
 	struct sv_target *record = value;
 	const struct tgt *before = tgt_find(g->set, record->id);
 	bool is_new = before == NULL;
-
-	gateway_target_replaced(
+	const struct tgt *t = gateway_target_replaced(
 	    g, before, tgt_put(g->set, record, evl_now_us(g->st.loop)));
+
 	evt(EVT_TARGET,
 	    "target=%s service=%s address=%s state=%s model_version=%" G_GINT64_FORMAT
 	    " revision=%" G_GINT64_FORMAT,
 	    record->id, record->service, record->address,
-	    record->leaving ? "leaving" : "ready", record->model_version,
+	    t->leaving ? "leaving" : "ready", record->model_version,
 	    store_cache_revision(g->targets));
 	if (is_new)
 		gateway_desired_new_target(g);
