serve: Send nothing to a target before its Retry-After is over

Callers' requests went to overloaded engines that had refused with 503 and Retry-After: 10 and 12 requests of one gateway within 3 s where two are allowed. Each cost its caller an attempt; some were refused three and four times in 0.1 s and then for good.

A refusal counted as a full target, until the next load report or 0.6 s later.

Change: a target is not eligible before the time that its refusals (503, 429) asked for; tgt_choose, which all ways of sending pass, asks for it. No later answer, refusal or record shortens it; a newer start of the target ends it. It is no failure of the target: no backoff, no error rate. Where all eligible targets are deferred, the caller is refused at once with the soonest end, spread over 0.3 s, unless the request may wait as long. A timer sends queued requests at the end, as plain services have no sidecar whose reports would.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -416,6 +416,7 @@
 fwd_free(struct fwd *f)
 {
 	evl_task_cancel(f->conf.loop, &f->pump);
+	evl_timer_stop(f->conf.loop, &f->pump_timer);
 	g_hash_table_unref(f->services);
 	sus_free(f->suspects);
 	rtab_unref(f->routes);
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -86,6 +86,7 @@
 	struct rtab *routes;
 	GHashTable *services; /* name -> struct fwd_service */
 	struct evl_task pump;
+	struct evl_timer pump_timer; /* a deferred target takes requests */
 	struct rng rng;
 	TAILQ_HEAD(fwd_open_list, fwd_req) open;
 	unsigned int active, waiting;
@@ -124,6 +125,10 @@
 /* Seconds until a slot is likely to be free. */
 double fwd_retry_after(struct fwd_req *r);
 
+/* Schedules a pass over the queues at `at_us`, when a target that asked for no
+ * requests takes some again. */
+void fwd_pump_at(struct fwd *f, int64_t at_us);
+
 /* fwd_call.c: one attempt */
 void fwd_send(struct fwd_req *r, struct tgt *target);
 /* Whether it may be recalled from a target that has not begun it. */
--- a/lib/serve/fwd_notice.c
+++ b/lib/serve/fwd_notice.c
@@ -56,12 +56,14 @@
 	int64_t now_us = fwd_now(r), until_us;
 	double seconds;
 
-	if (m->status != 503 || h == NULL || !parse_seconds(h->value, &seconds))
+	if ((m->status != 503 && m->status != 429) || h == NULL ||
+	    !parse_seconds(h->value, &seconds))
 		return;
 	until_us = now_us +
 	    (int64_t)(MIN(seconds, RETRY_AFTER_MAX_S) * G_USEC_PER_SEC);
 	if (!tgt_asked_retry_after(r->target, until_us, now_us))
 		return;
+	fwd_pump_at(r->fwd, until_us);
 	evt(EVT_NOTICE,
 	    "target=%s address=%s start=%" G_GINT64_FORMAT
 	    " said=retry_after ms=%" G_GINT64_FORMAT
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -34,6 +34,9 @@
 /* Slots are reserved only for this long after a new caller found all of them
  * taken. Longer than the time between two callers at a gateway in a burst. */
 #define RESERVE_US 500000
+/* Callers that are refused until a target takes requests again return within
+ * this time after it. */
+#define DEFERRED_SPREAD_US 300000
 
 /* ------------------------------------------------------------------ */
 /* Rate at which slots become free                                     */
@@ -197,15 +200,16 @@
 	    !r->flow.begun && r->flow.runs + 1 < r->flow.max_attempts;
 }
 
-static struct tgt *
-choose(struct fwd_req *r, enum tgt_reason *why)
+static struct tgt_criteria
+criteria_of(struct fwd_req *r)
 {
 	struct fwd *f = r->fwd;
 	bool may_queue = !fwd_may_recall(r);
 	int64_t begin_us =
 	    fwd_now(r) + (may_queue ? LEAD_QUEUE_US : LEAD_RECALL_US);
 	int64_t fresh_us = begin_us + (may_queue ? LEAD_FRESH_US : 0);
-	struct tgt_criteria criteria = {
+
+	return (struct tgt_criteria){
 		.model = r->model,
 		.version = vers_min(f->conf.versions, r->model, begin_us),
 		.version_fresh = vers_min(f->conf.versions, r->model, fresh_us),
@@ -219,6 +223,13 @@
 		.reserve_share = yields_to_new(r) ? RESERVED_SHARE : 0,
 		.random = rng_next(&f->rng),
 	};
+}
+
+static struct tgt *
+choose(struct fwd_req *r, enum tgt_reason *why)
+{
+	struct fwd *f = r->fwd;
+	struct tgt_criteria criteria = criteria_of(r);
 
 	ctr_add(f->choices, 1);
 	return tgt_choose(
@@ -236,6 +247,40 @@
 	return !r->is_client_retry && wait_us <= (double)wait_limit_us(r);
 }
 
+/* All eligible targets asked for no requests. Waits for the first of them only
+ * if it takes requests in time; the caller's Retry-After is spread, as all that
+ * are refused now would otherwise return at once. Returns whether it refused
+ * the request. */
+static bool
+refuse_deferred(struct fwd_req *r)
+{
+	struct tgt_criteria criteria = criteria_of(r);
+	int64_t soonest_us =
+	    tgt_soonest_us(r->service->targets, &criteria, fwd_now(r));
+
+	if (!r->is_client_retry &&
+	    soonest_us < r->started_us + wait_limit_us(r))
+		return false;
+	fwd_refuse_until(r, "retry_after",
+	    soonest_us + (int64_t)rng_below(&r->fwd->rng, DEFERRED_SPREAD_US));
+	return true;
+}
+
+/* Refuses a request that has not run where waiting is of no use. Returns
+ * whether it did. */
+static bool
+refuse_early(struct fwd_req *r, enum tgt_reason why)
+{
+	if (r->flow.begun || r->flow.may_have_run)
+		return false;
+	if (why == TGT_RETRY_LATER)
+		return refuse_deferred(r);
+	if (why == TGT_FULL && worth_waiting(r))
+		return false;
+	fwd_refuse(r, why == TGT_NONE ? "no_target" : "full");
+	return true;
+}
+
 void
 fwd_dispatch(struct fwd_req *r)
 {
@@ -250,11 +295,8 @@
 	}
 	if (!r->is_client_retry && why == TGT_FULL)
 		r->service->full_us = fwd_now(r);
-	if (!r->flow.begun && !r->flow.may_have_run &&
-	    (why == TGT_NONE || !worth_waiting(r))) {
-		fwd_refuse(r, why == TGT_NONE ? "no_target" : "full");
+	if (refuse_early(r, why))
 		return;
-	}
 	enqueue(r);
 	until_us = fwd_now(r) + wait_limit_us(r);
 	if (r->flow.begun)
@@ -358,3 +400,24 @@
 	f->pump.run = on_pump;
 	evl_defer(f->conf.loop, &f->pump);
 }
+
+static void
+on_pump_timer(struct evl_timer *timer)
+{
+	struct fwd *f = CONTAINER_OF(timer, struct fwd, pump_timer);
+	int64_t now_us = evl_now_us(f->conf.loop);
+	int64_t next_us = tgt_set_soonest_us(f->conf.targets, now_us);
+
+	fwd_pump(f);
+	if (next_us != 0)
+		evl_timer_set(f->conf.loop, timer, next_us);
+}
+
+void
+fwd_pump_at(struct fwd *f, int64_t at_us)
+{
+	if (f->pump_timer.slot != 0 && f->pump_timer.at_us <= at_us)
+		return;
+	f->pump_timer.fire = on_pump_timer;
+	evl_timer_set(f->conf.loop, &f->pump_timer, at_us);
+}
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -240,9 +240,17 @@
 enum tgt_reason { /* outcome of a choice */
 	TGT_CHOSEN,
 	TGT_FULL, /* all eligible targets are full */
+	/* All eligible targets asked for no requests until later. */
+	TGT_RETRY_LATER,
 	TGT_NONE, /* no target is eligible now */
 };
 
+/* Earliest time at which a target that meets the criteria, and asked for no
+ * requests until then, takes some again; 0: there is none. */
+int64_t tgt_soonest_us(const struct tgt_service *service,
+    const struct tgt_criteria *criteria, int64_t now_us);
+/* The same for any target of the set. */
+int64_t tgt_set_soonest_us(const struct tgt_set *s, int64_t now_us);
 struct tgt *tgt_choose(struct tgt_set *s, struct tgt_service *service,
     const struct tgt_criteria *criteria, int64_t now_us, enum tgt_reason *why);
 #endif
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -195,6 +195,46 @@
 	return !is_excluded(t, criteria);
 }
 
+static bool
+is_deferred(const struct tgt *t, int64_t now_us)
+{
+	return now_us < t->retry_after_us;
+}
+
+int64_t
+tgt_soonest_us(const struct tgt_service *service,
+    const struct tgt_criteria *criteria, int64_t now_us)
+{
+	const struct tgt *t;
+	int64_t soonest_us = 0;
+
+	TAILQ_FOREACH (t, &service->targets, link) {
+		if (!is_deferred(t, now_us) || !can_serve(t, criteria, now_us))
+			continue;
+		if (soonest_us == 0 || t->retry_after_us < soonest_us)
+			soonest_us = t->retry_after_us;
+	}
+	return soonest_us;
+}
+
+int64_t
+tgt_set_soonest_us(const struct tgt_set *s, int64_t now_us)
+{
+	int64_t soonest_us = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct tgt *t = value;
+
+		if (is_deferred(t, now_us) &&
+		    (soonest_us == 0 || t->retry_after_us < soonest_us))
+			soonest_us = t->retry_after_us;
+	}
+	return soonest_us;
+}
+
 /* Baseline error rate among the service's targets. The median would be
  * better; the minimum is simpler and never hides a bad target. */
 static double
@@ -245,6 +285,11 @@
 	TAILQ_FOREACH (t, &service->targets, link) {
 		if (!can_serve(t, criteria, now_us))
 			continue;
+		if (is_deferred(t, now_us)) {
+			if (*why == TGT_NONE)
+				*why = TGT_RETRY_LATER;
+			continue;
+		}
 		if (tgt_estimate(t, &s->policy, now_us) + 1 >
 			tgt_limit(t, &s->policy) -
 			    criteria->reserve_share * slot_count(t) ||
--- a/lib/serve/tgt_notice.c
+++ b/lib/serve/tgt_notice.c
@@ -13,6 +13,7 @@
 	char id[SV_ID_MAX];
 	int64_t start_ms;
 	bool leaving;
+	int64_t retry_after_us;
 };
 
 static struct tgt_kept *
@@ -42,7 +43,7 @@
 {
 	struct tgt_kept *k;
 
-	if (!t->announced_leaving)
+	if (!t->announced_leaving && t->retry_after_us == 0)
 		return;
 	tgt_notice_discard(s, t->record.id);
 	if (s->nkept == KEPT_MAX)
@@ -51,6 +52,7 @@
 	g_strlcpy(k->id, t->record.id, sizeof(k->id));
 	k->start_ms = t->record.start_ms;
 	k->leaving = t->announced_leaving;
+	k->retry_after_us = t->retry_after_us;
 	TAILQ_INSERT_TAIL(&s->kept, k, link);
 	s->nkept++;
 }
@@ -65,6 +67,7 @@
 	if (k->start_ms == 0 || t->record.start_ms <= k->start_ms) {
 		t->announced_leaving = k->leaving;
 		t->leaving = t->leaving || t->announced_leaving;
+		t->retry_after_us = k->retry_after_us;
 		t->record.start_ms = k->start_ms;
 	}
 	discard(s, k);
--- a/tests/serve/test_notice.c
+++ b/tests/serve/test_notice.c
@@ -1,4 +1,7 @@
-/* What targets announce about themselves in answers: a planned stop. */
+/* What targets announce about themselves in answers: a planned stop, and when
+ * they take requests again. */
+
+#include <stdlib.h>
 
 #include "world.h"
 
@@ -174,6 +177,175 @@
 	expect_target(t, true);
 }
 
+/* ------------------------------------------------------------------ */
+/* Retry-After                                                         */
+/* ------------------------------------------------------------------ */
+
+#define REFUSAL(value)                                               \
+	"HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nT-Retry-After: " value \
+	"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+/* Sends a request; the target that gets it refuses. */
+static struct target *
+refuse_one(int *caller, const char *refusal)
+{
+	struct target *t = send_to_any(caller);
+
+	raw_send(t->fd, refusal);
+	run_ms(10);
+	return t;
+}
+
+/* Guards against requests to an overloaded target before the time that its
+ * refusal asked for is over. Another start of the target takes requests. */
+static void
+test_deferred_target_gets_no_request(void **state)
+{
+	struct target *t, *other;
+	char *request;
+	int caller;
+
+	world_open(2, make_config(SV_UNSAFE, 1, 2000));
+	announce(&w.target[0], 1000);
+	announce(&w.target[1], 1000);
+	t = refuse_one(&caller, REFUSAL("0.3"));
+	other = target_get(&request);
+	assert_ptr_equal(other, other_than(t));
+	g_free(request);
+	finish(other, caller, OK_CLOSE);
+	expect_target(t, false);
+	announce(t, 1000); /* a record does not end it */
+	tgt_removed(w.set, t->id, false, now_us());
+	announce(t, 1000);
+	assert_true(tgt_find(w.set, t->id)->retry_after_us > now_us());
+	run_ms(310);
+	tgt_removed(w.set, other->id, false, now_us());
+	expect_target(t, true);
+	(void)tgt_asked_retry_after(
+	    tgt_find(w.set, t->id), now_us() + 60000000, now_us());
+	announce(t, 2000);
+	expect_target(t, true);
+}
+
+/* Guards against ending the time by the answer to a request that was sent
+ * before, or by a later refusal that asks for less. */
+static void
+test_deferral_is_never_shortened(void **state)
+{
+	struct target *t;
+	int first, second, third, fd[3];
+	int64_t until_us;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	t = send_to_any(&first);
+	fd[0] = t->fd;
+	(void)send_to_any(&second);
+	fd[1] = t->fd;
+	(void)send_to_any(&third);
+	fd[2] = t->fd;
+	raw_send(fd[0], REFUSAL("60"));
+	run_ms(10);
+	until_us = tgt_find(w.set, t->id)->retry_after_us;
+	assert_in_range(until_us - now_us(), 59000000, 60000000);
+	raw_send(fd[1], OK_CLOSE);
+	expect_answer(second, "ok");
+	raw_send(fd[2], REFUSAL("1"));
+	run_ms(10);
+	assert_int_equal(tgt_find(w.set, t->id)->retry_after_us, until_us);
+	close(first);
+	close(third);
+}
+
+/* Time in ms that an answer defers its target for; 0: it does not. */
+static int64_t
+deferred_ms(const char *answer)
+{
+	struct target *t;
+	int64_t left_us;
+	int caller;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	t = refuse_one(&caller, answer);
+	left_us = tgt_find(w.set, t->id)->retry_after_us;
+	left_us = left_us == 0 ? 0 : left_us - now_us();
+	close(caller);
+	world_close();
+	return left_us / 1000;
+}
+
+static void
+test_which_values_defer(void **state)
+{
+	assert_in_range(deferred_ms(REFUSAL("2")), 1900, 2000);
+	assert_in_range(deferred_ms(REFUSAL("2.5")), 2400, 2500);
+	assert_in_range(deferred_ms(REFUSAL("86400")), 86399000, 86400000);
+	assert_in_range(
+	    deferred_ms(REFUSAL("99999999999999")), 604799000, 604800000);
+	assert_in_range(deferred_ms("HTTP/1.1 429 Busy\r\nT-Not-Run: 1\r\n"
+				    "T-Retry-After: 2\r\n"
+				    "Content-Length: 0\r\n\r\n"),
+	    1900, 2000);
+	assert_int_equal(deferred_ms(REFUSAL("")), 0);
+	assert_int_equal(deferred_ms(REFUSAL("-3")), 0);
+	assert_int_equal(deferred_ms(REFUSAL("soon")), 0);
+	assert_int_equal(deferred_ms(REFUSAL("1e9")), 0);
+	assert_int_equal(deferred_ms(REFUSAL("1.2.3")), 0);
+	assert_int_equal(
+	    deferred_ms(REFUSAL("Thu, 03 Dec 2026 13:00:00 GMT")), 0);
+	assert_int_equal(deferred_ms(GOOD "T-Retry-After: 2\r\n"
+					  "Content-Length: 0\r\n\r\n"),
+	    0);
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+}
+
+/* All targets ask for no requests: the caller is refused at once, and told when
+ * the first of them takes requests again. */
+static void
+test_all_deferred_refuses_at_once(void **state)
+{
+	char *answer, *retry_after;
+	int64_t started_us;
+	int caller;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 3000));
+	(void)refuse_one(&caller, REFUSAL("2"));
+	expect_answer(caller, "503 ");
+	started_us = now_us();
+	caller = send_get();
+	answer = raw_read(caller, "\r\n\r\n");
+	assert_true(now_us() - started_us < 1500000);
+	assert_non_null(strstr(answer, "503 "));
+	retry_after = strstr(answer, "Retry-After: ");
+	assert_non_null(retry_after);
+	assert_true(atof(retry_after + strlen("Retry-After: ")) > 1.2);
+	assert_true(atof(retry_after + strlen("Retry-After: ")) < 3);
+	assert_false(target_is_called());
+	g_free(answer);
+	close(caller);
+}
+
+/* The target takes requests again within the time that a request may wait: the
+ * request waits for it, and no other event is needed to send it. */
+static void
+test_waits_for_a_short_deferral(void **state)
+{
+	struct sv_config *config = make_config(SV_UNSAFE, 1, 3000);
+	struct target *t;
+	char *request;
+	int first, second;
+
+	config->routes[0].objective_us = 2000000;
+	world_open(1, config);
+	(void)refuse_one(&first, REFUSAL("0.2"));
+	expect_answer(first, "503 ");
+	second = send_get();
+	assert_int_equal(fwd_waiting(w.fwd), 1);
+	assert_false(target_is_called());
+	t = target_get(&request);
+	g_free(request);
+	finish(t, second, OK_CLOSE);
+}
+
 #define T(name) cmocka_unit_test_teardown(name, tear_down)
 
 int
@@ -184,6 +356,11 @@
 		T(test_leaving_is_read_with_the_head),
 		T(test_which_answers_announce_a_stop),
 		T(test_leaving_holds_for_one_start),
+		T(test_deferred_target_gets_no_request),
+		T(test_deferral_is_never_shortened),
+		T(test_which_values_defer),
+		T(test_all_deferred_refuses_at_once),
+		T(test_waits_for_a_short_deferral),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
