route: Keep a target's Retry-After whole on the own interface

Found by looking for the cause of the refusals before Retry-After on the own interface: a refusal with a Retry-After of 30 s kept its target out for 2 s, the longest backoff, and not at all while a shorter backoff was under way.

Cause: the value set the length of the backoff, so it was capped like one and dropped like one.

Change: a backoff ends no sooner than the time that the target asked for.

Result: test_retry_after in tests/route/test_choose.c failed before, the target was chosen during its 30 s, and passes now; tests of the package pass.

--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -251,11 +251,12 @@
 	    << MIN(target->consecutive_failures, BACKOFF_DOUBLINGS_MAX);
 
 	/* Requests that fail together count as one failure. */
-	if (target->backoff_until_us > now_us)
-		return;
-	us = CLAMP(us, retry_after_ms * 1000LL, BACKOFF_MAX_US);
-	target->consecutive_failures++;
-	target->backoff_until_us = now_us + us;
+	if (target->backoff_until_us <= now_us) {
+		target->consecutive_failures++;
+		target->backoff_until_us = now_us + MIN(us, BACKOFF_MAX_US);
+	}
+	target->backoff_until_us =
+	    MAX(target->backoff_until_us, now_us + retry_after_ms * 1000LL);
 }
 
 static void
@@ -273,8 +274,8 @@
 	case ERR_LEAVING:
 	case ERR_WRONG_VERSION:
 	case ERR_NOT_FOUND:
-		back_off(target, BACKOFF_REFUSED_US,
-		    MIN(err->retry_after_ms, BACKOFF_MAX_US / 1000), now_us);
+		back_off(
+		    target, BACKOFF_REFUSED_US, err->retry_after_ms, now_us);
 		return;
 	default:
 		back_off(target, BACKOFF_FAILED_US, 0, now_us);
--- a/tests/route/test_choose.c
+++ b/tests/route/test_choose.c
@@ -294,6 +294,28 @@
 	rt_fleet_free(f.fleet);
 }
 
+/* Guards against requests to a target before its Retry-After is over: one that
+ * is longer than the longest backoff, or that comes during a backoff, holds as
+ * stated. */
+static void
+test_retry_after(void **state)
+{
+	struct fixture f;
+	const struct err asked = { .code = ERR_OVERLOADED,
+		.retry_after_ms = 30000 };
+
+	setup(&f, 1);
+	end(&f, 0, ERR_OVERLOADED);
+	rt_target_sent(&f.target[0], f.now_us);
+	rt_target_ended(&f.target[0], &asked, f.now_us);
+	end(&f, 0, ERR_NONE);
+	f.now_us += 29999 * MS;
+	assert_int_equal(choose(&f), -1);
+	f.now_us += 1 * MS;
+	assert_int_equal(choose(&f), 0);
+	rt_fleet_free(f.fleet);
+}
+
 /*
  * A connection stalls without closing, so requests there hang until their
  * deadlines. A target that sends no response data for much longer than usual
@@ -512,6 +534,7 @@
 		cmocka_unit_test(test_spread),
 		cmocka_unit_test(test_estimate),
 		cmocka_unit_test(test_backoff),
+		cmocka_unit_test(test_retry_after),
 		cmocka_unit_test(test_stalled),
 		cmocka_unit_test(test_prefix_hash),
 		cmocka_unit_test(test_prefix_affinity),
