--- a/lib/serve/fwd_notice.c
+++ b/lib/serve/fwd_notice.c
@@ -43,7 +43,7 @@
 		return;
 	evt(EVT_NOTICE,
 	    "target=%s address=%s start=%" G_GINT64_FORMAT
-	    " said=leaving from=answer req=%s sent_ms_ago=%" G_GINT64_FORMAT,
+	    " said=leaving from=answer answer_to=%s sent_ms_ago=%" G_GINT64_FORMAT,
 	    r->target->record.id, r->target->record.address,
 	    r->target->record.start_ms, r->id,
 	    (fwd_now(r) - r->sent_us) / 1000);
@@ -67,7 +67,7 @@
 	evt(EVT_NOTICE,
 	    "target=%s address=%s start=%" G_GINT64_FORMAT
 	    " said=retry_after ms=%" G_GINT64_FORMAT
-	    " from=answer req=%s sent_ms_ago=%" G_GINT64_FORMAT,
+	    " from=answer answer_to=%s sent_ms_ago=%" G_GINT64_FORMAT,
 	    r->target->record.id, r->target->record.address,
 	    r->target->record.start_ms, (until_us - now_us) / 1000, r->id,
 	    (now_us - r->sent_us) / 1000);
--- a/programs/entry/explain.c
+++ b/programs/entry/explain.c
@@ -125,7 +125,7 @@
 {
 	static const char *const names[] = { "start", "stop", "reload",
 		"store_lost", "store_back", "config", "version", "ready",
-		"lines_dropped" };
+		"notice", "lines_dropped" };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(names); i++) {
@@ -143,12 +143,13 @@
 
 	if (l->names_request)
 		return true;
-	if (l->t < s->from - CONTEXT_S || l->t > s->to ||
-	    !g_hash_table_contains(s->nodes, l->node))
+	/* A target's announcement may hold for longer than the context. */
+	if ((l->t < s->from - CONTEXT_S && strcmp(l->ev, "notice") != 0) ||
+	    l->t > s->to || !g_hash_table_contains(s->nodes, l->node))
 		return false;
 	req = value_of(l->text, "req");
 	target = value_of(l->text, "target");
-	relevant = is_process_event(l->ev) ||
+	relevant = (l->t >= s->from - CONTEXT_S && is_process_event(l->ev)) ||
 	    (req == NULL && target != NULL &&
 		g_hash_table_contains(s->targets, target));
 	g_free(req);
