tools: Let the soak's engines announce their stop or when to retry

A request that comes despite the announcement counts unless its gateway was disturbed since it was told.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -5,7 +5,8 @@
 # whose engines crash and whose staged chunks get corrupted; meanwhile this
 # script stops, kills, terminates and restarts processes by signals, one after
 # the other and together. The stand-in checks every answer and every run. From
-# seed 200 on, two requests terminate the engines that run them. The last line
+# seed 200 on, two requests terminate the engines that run them; from seed 400
+# on, engines announce that they stop or when to retry. The last line
 # begins with `soak: kept` or `soak: BROKEN`; logs stay in
 # BUILD/stage-soak-SEED.
 set -u
@@ -45,6 +46,20 @@
 	    }' "$STAGE/disturbed" "$STAGE/fleet.err"
 }
 
+# Prints the requests that gateways sent despite an engine's announcement; not
+# those of a gateway that was disturbed since it was told, as it may have
+# forgotten the announcement or held the request back.
+print_unheeded() {
+	touch "$STAGE/disturbed"
+	awk 'NR == FNR { n++; gateway[n] = $1 - 1; from[n] = $2; to[n] = $2 + $3 + 1; next }
+	    /^unheeded / {
+		at = $3; since = $7 + 0
+		for (i = 1; i <= n; i++)
+			if (gateway[i] == $5 && from[i] <= at && to[i] >= since) next
+		print
+	    }' "$STAGE/disturbed" "$STAGE/fleet.err"
+}
+
 restart() { # restart NAME SIGNAL
 	note_disturbed "$1" "$([ "$2" = TERM ] && echo 5 || echo 0)"
 	pid=$(cat "$STAGE/$1.pid")
@@ -109,6 +124,7 @@
 "$BUILD/tests/fleet/fleet" --engines 6 --empty 1 --gateways "$gateways" \
     --rate 60 --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --net "$NET" --faults 1 \
     --poison $((SEED >= 200 ? 4 : 0)) --poisons 2 --poison-judged 0 \
+    --notices $((SEED >= 400)) --notices-judged 0 \
     >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
 fleet=$!
 sleep 3
@@ -121,10 +137,12 @@
 fleet_end || status=1
 [ -s "$STAGE/crashes" ] && status=1
 print_excess_sends >"$STAGE/spread"
-if [ -s "$STAGE/spread" ]; then
-	cat "$STAGE/spread"
+print_unheeded >"$STAGE/unheeded"
+for broken in spread unheeded; do
+	[ -s "$STAGE/$broken" ] || continue
+	cat "$STAGE/$broken"
 	status=1
-fi
+done
 grep '^crashing' "$STAGE/fleet.out"
 sed -n 's/^fleet: /soak: /p' "$STAGE/fleet.out"
 exit $status
