store: Log answers that are older than what is known

Change: 'ev=store_stale' with the kind, the revision in the answer and the one known, for the first of a row of such answers. In tests/system/store_drill.sh, which fails as the incidents did, all three caches of a gateway log it once (revision 7 and 9 where 29 is known) and never log store_back: the answers are refused as a whole, calls do not hang, and no list gets as far as its objects.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -23,6 +23,8 @@
 	X(EVT_STORE_LOST, "store_lost", EVT_STATE,                               \
 	    "the store stopped responding for one kind of object")               \
 	X(EVT_STORE_BACK, "store_back", EVT_STATE, "the store responds again")   \
+	X(EVT_STORE_STALE, "store_stale", EVT_STATE,                             \
+	    "an answer of the store was older than what is known")               \
 	X(EVT_CONFIG, "config", EVT_STATE,                                       \
 	    "operators' settings became active")                                 \
 	X(EVT_TARGET, "target", EVT_STATE, "a target was added or changed")      \
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/evt.h"
 #include "http/fetch.h"
 #include "store/store.h"
 
@@ -78,6 +79,7 @@
 	bool synced;
 	bool watching; /* `revision` is valid to watch from */
 	bool down;
+	bool stale; /* the last answer was older than what is known */
 };
 
 static void next_call(struct store_cache *c);
@@ -323,11 +325,18 @@
 {
 	if (page->revision < c->revision) {
 		/* A stale answer: the local state is newer. */
+		if (!c->stale)
+			evt(EVT_STORE_STALE,
+			    "kind=%s revision=%" G_GINT64_FORMAT
+			    " known=%" G_GINT64_FORMAT,
+			    c->kind->name, page->revision, c->revision);
+		c->stale = true;
 		drop_items(c, page);
 		begin_list(c);
 		back_off(c, "stale answer");
 		return;
 	}
+	c->stale = false;
 	handle_success(c);
 	handle_items(c, page);
 	if (c->state == CACHE_WATCH) {
