--- a/tests/fleet/notice.c
+++ b/tests/fleet/notice.c
@@ -3,7 +3,9 @@
  * gateway heeds it: from two seconds after a gateway relayed an answer that
  * announced the engine's stop, it sends nothing to that engine; after a refusal
  * with Retry-After, it sends at most two requests between half a second later
- * and the end of that time.
+ * and the end of that time. The same for what the store acknowledged: two
+ * seconds later no request goes to an engine whose record announces its stop,
+ * or is handled by older settings, and no gateway goes back to older ones.
  */
 
 #include "fleet.h"
@@ -11,6 +13,9 @@
 #define LEAVE_REACTION_US 2000000
 #define RETRY_REACTION_US 500000
 #define EARLY_ALLOWED 2
+#define ACK_REACTION_US 2000000
+#define STORE_STABLE_US 3000000
+#define ROLLBACK_SLACK_US 250000
 
 static void
 report(struct fleet *f, const char *id, int64_t since_us, const char *what)
@@ -26,6 +31,36 @@
 		f->tally.unheeded++;
 }
 
+/* Whether gateways must know by now what the store acknowledged at `acked_us`:
+ * it has been stable since, and was for some time before or is now. */
+static bool
+is_known_by_now(const struct fleet *f, int64_t acked_us)
+{
+	int64_t now_us = evl_now_us(f->loop);
+	int64_t disturbed_us =
+	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
+
+	return !f->store_refuses && now_us - acked_us > ACK_REACTION_US &&
+	    (now_us - disturbed_us > STORE_STABLE_US + ACK_REACTION_US);
+}
+
+void
+fleet_settings_used(struct fleet *f, unsigned int generation, const char *id)
+{
+	size_t gateway = fleet_gateway_of(id);
+	int64_t now_us = evl_now_us(f->loop);
+
+	if (generation < f->generation && is_known_by_now(f, f->renamed_us))
+		report(f, id, f->renamed_us, "was handled by older settings");
+	if (generation > f->seen_generation[gateway]) {
+		f->seen_generation[gateway] = generation;
+		f->seen_us[gateway] = now_us;
+	} else if (generation < f->seen_generation[gateway] &&
+	    now_us - f->seen_us[gateway] > ROLLBACK_SLACK_US)
+		report(
+		    f, id, f->seen_us[gateway], "came by settings of before");
+}
+
 void
 fleet_notice_arrived(struct fleet *f, struct fleet_notice *n,
     const struct fleet_proxy *path, const char *id)
@@ -34,6 +69,9 @@
 	int64_t now_us = evl_now_us(f->loop);
 	int64_t disturbed_us = fleet_proxy_disturbed_us(path);
 
+	if (n->drained_us != 0 && disturbed_us < n->drained_us &&
+	    is_known_by_now(f, n->drained_us))
+		report(f, id, n->drained_us, "reached a draining engine");
 	if (told->leaving_us != 0 && disturbed_us < told->leaving_us &&
 	    now_us - told->leaving_us > LEAVE_REACTION_US)
 		report(f, id, told->leaving_us, "reached a leaving engine");
