--- /dev/null
+++ b/tests/system/store_drill.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# Guards against gateways that go on with what they knew when the store comes
+# back from an older copy: they took its lower revisions for stale answers and
+# missed all changes until it had counted up again. Here settings and records
+# change before a drill, whose copy lacks that, and again after it.
+set -u
+BUILD=$1
+NET=${NET:-63}
+. tools/fleet.sh
+fleet_begin "$BUILD/stage-store-drill" 4 3
+"$BUILD/tests/fleet/fleet" --net "$NET" --engines 4 --empty 0 --gateways "$gateways" --rate 120 \
+    --seconds 14 --bump 0 --drill 3 --seed 1 >"$STAGE/fleet.out" 2>"$STAGE/fleet.err"
+status=$?
+fleet_end || status=1
+tail -n 3 "$STAGE/fleet.err"
+tail -n 1 "$STAGE/fleet.out"
+exit $status
