store: List again when the store was restored from an older copy

Cause: revisions were compared across histories. The copy took the revision back; a cache took each answer below its own revision for one of a stale replica, dropped it, listed again and backed off. A later list would have been stopped at each object by the same comparison, and a watch of a revision that had been given out again would have gone on without what was before it. Evidence: tests/system/store_drill.sh, whose gateways log store_stale (revision 7, known 29) once per kind and never store_back.

Change: the store's number of its history, in a header of all its answers, goes with every comparison. An answer of an older history is dropped. A store that does not send the header is treated as before.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -25,6 +25,8 @@
 	X(EVT_STORE_BACK, "store_back", EVT_STATE, "the store responds again")   \
 	X(EVT_STORE_STALE, "store_stale", EVT_STATE,                             \
 	    "an answer of the store was older than what is known")               \
+	X(EVT_STORE_HISTORY, "store_history", EVT_STATE,                         \
+	    "the store was restored from an older copy; it is listed again")     \
 	X(EVT_CONFIG, "config", EVT_STATE,                                       \
 	    "operators' settings became active")                                 \
 	X(EVT_TARGET, "target", EVT_STATE, "a target was added or changed")      \
--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -4,12 +4,16 @@
 
 #include "http/fetch.h"
 
+#define HEADER_MAX 64
+
 struct hfetch {
 	struct evl *loop;
 	struct hcall *call;
 	struct evl_timer timer;
 	unsigned int status;
 	struct hbuf body;
+	const char *header_name; /* NULL: none is asked for */
+	char header[HEADER_MAX];
 	size_t answer_max;
 	bool too_long;
 	hfetch_cb *done;
@@ -28,7 +32,16 @@
 static void
 on_head(struct hcall *c, const struct hmsg *m, void *ctx)
 {
-	((struct hfetch *)ctx)->status = m->status;
+	struct hfetch *f = ctx;
+	const struct hheader *h = NULL;
+
+	f->status = m->status;
+	if (f->header_name != NULL)
+		h = hmsg_find(m, f->header_name);
+	if (h == NULL || h->value.n >= sizeof(f->header))
+		return;
+	memcpy(f->header, h->value.p, h->value.n);
+	f->header[h->value.n] = '\0';
 }
 
 static void
@@ -52,7 +65,8 @@
 		.sent = true,
 		.error = "answer too long",
 		.body = hbuf_front(&f->body),
-		.len = hbuf_left(&f->body) });
+		.len = hbuf_left(&f->body),
+		.header = f->header });
 }
 
 static void
@@ -60,7 +74,7 @@
 {
 	finish(ctx,
 	    &(struct hfetch_answer){
-		.sent = sent, .error = hcall_failure_name(why) });
+		.sent = sent, .error = hcall_failure_name(why), .header = "" });
 }
 
 static const struct hcall_ops ops = {
@@ -79,7 +93,7 @@
 	hcall_cancel(f->call);
 	finish(f,
 	    &(struct hfetch_answer){
-		.sent = sent, .error = "no answer in time" });
+		.sent = sent, .error = "no answer in time", .header = "" });
 }
 
 struct hfetch *
@@ -102,6 +116,7 @@
 	g_string_append(head, "\r\n");
 	f->loop = loop;
 	f->answer_max = conf->answer_max;
+	f->header_name = conf->header;
 	f->done = conf->done;
 	f->ctx = conf->ctx;
 	f->timer.fire = on_timeout;
--- a/lib/http/fetch.h
+++ b/lib/http/fetch.h
@@ -13,6 +13,8 @@
 	const char *error; /* with status 0: the cause */
 	const void *body;
 	size_t len;
+	/* Value of the header asked for; "" if it is missing or too long. */
+	const char *header;
 };
 
 typedef void hfetch_cb(const struct hfetch_answer *answer, void *ctx);
@@ -25,6 +27,7 @@
 	const void *body;
 	size_t body_len;
 	int64_t timeout_us;
+	const char *header; /* of the response, for the answer; NULL: none */
 	size_t answer_max; /* bytes; a longer response is a failure */
 	/* Close the connection after the call, for targets that accept few. */
 	bool close;
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -42,6 +42,7 @@
 	char *address;
 	struct rng rng;
 	LIST_HEAD(caches, store_cache) caches;
+	int64_t history; /* newest known; 0: not told */
 	struct ctr *calls, *failed, *unreadable;
 };
 
@@ -104,6 +105,12 @@
 		c->ops.link(up, why, c->ctx);
 }
 
+int64_t
+store_history(const struct store *s)
+{
+	return s->history;
+}
+
 int64_t
 store_down_since_us(const struct store *s)
 {
@@ -320,17 +327,23 @@
 		    now_us(c) + c->batch_delay_us);
 }
 
+/* Logs the first of a row of answers that are older than what is known. */
+static void
+log_stale(struct store_cache *c, const char *number, int64_t got, int64_t known)
+{
+	if (!c->stale)
+		evt(EVT_STORE_STALE,
+		    "kind=%s %s=%" G_GINT64_FORMAT " known=%" G_GINT64_FORMAT,
+		    c->kind->name, number, got, known);
+	c->stale = true;
+}
+
 static void
 handle_page(struct store_cache *c, struct store_page *page)
 {
 	if (page->revision < c->revision) {
 		/* A stale answer: the local state is newer. */
-		if (!c->stale)
-			evt(EVT_STORE_STALE,
-			    "kind=%s revision=%" G_GINT64_FORMAT
-			    " known=%" G_GINT64_FORMAT,
-			    c->kind->name, page->revision, c->revision);
-		c->stale = true;
+		log_stale(c, "revision", page->revision, c->revision);
 		drop_items(c, page);
 		begin_list(c);
 		back_off(c, "stale answer");
@@ -361,6 +374,79 @@
 	schedule_watch(c);
 }
 
+/* ------------------------------------------------------------------ */
+/* Histories                                                           */
+/* ------------------------------------------------------------------ */
+
+static void
+forget_revision(gpointer name, gpointer value, gpointer ctx)
+{
+	((struct cached_object *)value)->revision = 0;
+}
+
+/* Forgets all revisions and begins a list; objects stay until the list shows
+ * what has become of them. */
+static void
+begin_history(struct store_cache *c)
+{
+	g_hash_table_foreach(c->known, forget_revision, NULL);
+	c->revision = 0;
+	begin_list(c);
+}
+
+static int64_t
+history_of(const struct hfetch_answer *a)
+{
+	gint64 history;
+
+	if (!g_ascii_string_to_signed(
+		a->header, 10, 1, INT64_MAX, &history, NULL))
+		return 0;
+	return history;
+}
+
+/*
+ * Notes the history that an answer belongs to. Returns false if the answer is
+ * of no use: it belongs to a history before the newest, or continues a list or a
+ * watch of the one before it.
+ */
+static bool
+note_history(struct store_cache *c, const struct hfetch_answer *a)
+{
+	int64_t history = history_of(a), before = c->store->history;
+	bool is_first_page = c->state == CACHE_LIST && c->after == NULL;
+	struct store_cache *other;
+
+	if (history == 0 || history == before)
+		return true;
+	if (history < before) {
+		log_stale(c, "history", history, before);
+		back_off(c, "answer of an older history");
+		return false;
+	}
+	c->store->history = history;
+	if (before == 0)
+		return true;
+	evt(EVT_STORE_HISTORY,
+	    "history=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+	    " kind=%s revision=%" G_GINT64_FORMAT,
+	    history, before, c->kind->name, c->revision);
+	LIST_FOREACH (other, &c->store->caches, link) {
+		begin_history(other);
+		if (other == c)
+			continue;
+		if (other->call != NULL)
+			hfetch_cancel(other->call);
+		evl_timer_stop(c->store->conf.loop, &other->timer);
+		next_call(other);
+	}
+	if (a->status == 410 || (a->status == 200 && !is_first_page)) {
+		next_call(c);
+		return false;
+	}
+	return true;
+}
+
 /* ------------------------------------------------------------------ */
 /* Calls                                                               */
 /* ------------------------------------------------------------------ */
@@ -391,6 +477,8 @@
 	char why[32];
 
 	c->call = NULL;
+	if (a->status != 0 && !note_history(c, a))
+		return;
 	/* Pooled connections may have stalled as well. */
 	if (a->status == 0)
 		hpool_remove_address(c->store->conf.pool, c->store->address);
@@ -434,6 +522,7 @@
 		.method = "GET",
 		.path = path,
 		.timeout_us = wait_ms * 1000 + call_timeout_us(c),
+		.header = conf->dialect->history_header,
 		.answer_max = BODY_MAX,
 		.done = on_answer,
 		.ctx = c });
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -8,6 +8,11 @@
  * gone, and retains its last state while the store is down. It only reads: no
  * state of these processes has to outlive them.
  *
+ * Revisions are comparable within one history only. A store that is restored
+ * from an older copy begins a new history and gives revisions out again; it
+ * numbers its histories in a header of its answers. All caches then forget their
+ * revisions, but not their objects, and list again.
+ *
  * Paths and bodies are the dialect's; timeouts, backoff and the validity of
  * answers are decided here.
  */
@@ -41,6 +46,8 @@
 };
 
 struct store_dialect {
+	/* Header with the number of the store's history; NULL: there is none. */
+	const char *history_header;
 	/* Paths, to be freed with g_free. `after` may be NULL. */
 	char *(*list_path)(const struct store_kind *kind, const char *after);
 	char *(*watch_path)(
@@ -65,6 +72,8 @@
 struct store *store_new(const struct store_conf *conf);
 void store_free(struct store *s);
 void store_set_address(struct store *s, const char *address);
+/* Number of the store's newest known history; 0: it has told none. */
+int64_t store_history(const struct store *s);
 /* Time of the last answer, or of the creation of the caches if there was
  * none, while the store answers no call and more than one call has failed;
  * 0: the store answers. */
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -58,6 +58,7 @@
 
 static const struct store_dialect dialect = {
 	.list_path = list_path,
+	.history_header = "T-History",
 	.watch_path = watch_path,
 	.read_page = read_page,
 };
@@ -201,10 +202,12 @@
 }
 
 /* Waits for the cache's next call, whose path must contain `part`, and
- * answers it. */
+ * answers it as a store of that history; "": without the header. */
 static void
-answer(const char *part, unsigned int status, const char *body)
+answer_in(const char *history, const char *part, unsigned int status,
+    const char *body)
 {
+	char headers[64] = "";
 	struct hslice target;
 
 	run_until(&called);
@@ -213,10 +216,19 @@
 	if (memmem(target.p, target.n, part, strlen(part)) == NULL)
 		fail_msg(
 		    "wanted %s, asked %.*s", part, (int)target.n, target.p);
-	hreq_answer(call, status, "", body, strlen(body));
+	if (history[0] != '\0')
+		g_snprintf(
+		    headers, sizeof(headers), "T-History: %s\r\n", history);
+	hreq_answer(call, status, headers, body, strlen(body));
 	run_ms(5);
 }
 
+static void
+answer(const char *part, unsigned int status, const char *body)
+{
+	answer_in("", part, status, body);
+}
+
 static void
 test_pages_then_events(void **state)
 {
@@ -397,6 +409,148 @@
 	hserver_free(two);
 }
 
+/* ------------------------------------------------------------------ */
+/* Histories                                                           */
+/* ------------------------------------------------------------------ */
+
+/*
+ * Guards against a cache that goes on with what it knew after the store was
+ * restored from an older copy: it took all lower revisions for stale answers,
+ * and missed every change until the store had counted up again.
+ */
+static void
+test_restored_from_a_copy(void **state)
+{
+	answer_in("1", "after=", 200, "at 50\na 30\nb 50\n");
+	answer_in("1", "watch=50", 410, "");
+	answer_in("2", "after=", 200, "at 9\na 4\nc 9\n");
+	assert_string_equal(events->str, "+a +b | +a +c ?b | ");
+	answer_in("2", "watch=9", 200, "at 10\nb 10\n");
+	assert_string_equal(events->str, "+a +b | +a +c ?b | +b ");
+}
+
+/* The revision that is watched exists again and stands for something else: the
+ * events after it belong to another history, and those before it are lost. */
+static void
+test_revision_given_out_again(void **state)
+{
+	answer_in("1", "after=", 200, "at 5\na 3\nb 5\n");
+	answer_in("2", "watch=5", 200, "at 7\nd 7\n");
+	assert_string_equal(events->str, "+a +b | ");
+	answer_in("2", "after=", 200, "at 7\na 3\nb 4\nc 5\nd 7\n");
+	assert_string_equal(events->str, "+a +b | +a +b +c +d | ");
+}
+
+/* A list is not joined from pages of two histories. */
+static void
+test_list_across_histories(void **state)
+{
+	answer_in("1", "after=", 200, "at 50 more\na 30\n");
+	answer_in("2", "after=a", 200, "at 9\nc 9\n");
+	answer_in("2", "after=", 200, "at 9 more\na 4\n");
+	answer_in("3", "after=a", 410, "");
+	answer_in("3", "after=", 200, "at 6\nc 6\n");
+	assert_string_equal(events->str, "+a +a +c ?a | ");
+}
+
+/* A refusal tells of the new history, too; an answer of the older one that
+ * comes after it is dropped. One that names none counts as of the present. */
+static void
+test_answer_of_an_older_history(void **state)
+{
+	answer_in("1", "after=", 200, "at 50\na 30\n");
+	answer_in("2", "watch=50", 503, "");
+	answer_in("1", "after=", 200, "at 60\nb 60\n");
+	assert_string_equal(events->str, "+a | down ");
+	answer_in("2", "after=", 200, "at 9\na 4\n");
+	answer_in("2", "watch=9", 200, "at 10\n");
+	answer_in("nonsense", "watch=10", 200, "at 11\nc 11\n");
+	assert_string_equal(events->str, "+a | down up +a | +c ");
+}
+
+/* Twice in a row: also the list of the second history is begun again. */
+static void
+test_restored_twice(void **state)
+{
+	answer_in("1", "after=", 200, "at 50\na 30\n");
+	answer_in("2", "watch=50", 410, "");
+	answer_in("3", "after=", 200, "at 8\na 8\n");
+	answer_in("3", "watch=8", 200, "at 9\nb 9\n");
+	assert_string_equal(events->str, "+a | +a | +b ");
+}
+
+static struct hreq *call_of[2]; /* of the kinds "kind" and "second" */
+
+static void
+on_call_of(struct hreq *r, void *ctx)
+{
+	struct hslice target = hreq_msg(r)->target;
+
+	call_of[memmem(target.p, target.n, "second", 6) != NULL] = r;
+}
+
+static void
+on_call_gone(struct hreq *r, void *ctx)
+{
+	if (call_of[0] == r)
+		call_of[0] = NULL;
+	if (call_of[1] == r)
+		call_of[1] = NULL;
+}
+
+static void
+answer_of(int which, const char *history, const char *part, const char *body)
+{
+	struct hreq *r;
+	char headers[64];
+	int i;
+
+	for (i = 0; i < 2000 && call_of[which] == NULL; i++)
+		run_ms(1);
+	r = call_of[which];
+	assert_non_null(r);
+	assert_non_null(memmem(
+	    hreq_msg(r)->target.p, hreq_msg(r)->target.n, part, strlen(part)));
+	call_of[which] = NULL;
+	g_snprintf(headers, sizeof(headers), "T-History: %s\r\n", history);
+	hreq_answer(r, 200, headers, body, strlen(body));
+	run_ms(5);
+}
+
+/* The answer to one cache's call makes the others list again at once: their own
+ * watches may wait for a long time, from revisions that no longer exist. */
+static void
+test_all_caches_begin_the_new_history(void **state)
+{
+	static const struct store_kind second = { .name = "second",
+		.free = g_free };
+	static const struct hserver_ops by_kind = { .request = on_call_of,
+		.disconnected = on_call_gone,
+		.drained = on_drained,
+		.refused = on_refused };
+	char address[32];
+	struct hserver *server_of_both;
+	struct store *both;
+
+	memset(call_of, 0, sizeof(call_of));
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
+	server_of_both = open_server(address, &by_kind);
+	both = open_store(address);
+	(void)store_cache_new(both, &kind, &cache_ops, NULL);
+	(void)store_cache_new(both, &second, &cache_ops, NULL);
+	answer_of(0, "1", "after=", "at 50\na 30\n");
+	answer_of(1, "1", "after=", "at 50\nz 40\n");
+	answer_of(0, "2", "watch=50", "at 51\nb 51\n");
+	answer_of(1, "2", "after=", "at 20\nz 7\n");
+	answer_of(0, "2", "after=", "at 20\na 9\n");
+	answer_of(1, "2", "watch=20", "at 21\n");
+	assert_string_equal(events->str, "+a | +z | +z | +a | ");
+	assert_int_equal(store_history(both), 2);
+	store_free(both);
+	run_ms(2);
+	hserver_free(server_of_both);
+}
+
 int
 main(void)
 {
@@ -411,6 +565,12 @@
 		T(test_store_outage),
 		T(test_hanging_call_times_out_soon),
 		T(test_one_cache_retries_for_all),
+		T(test_restored_from_a_copy),
+		T(test_revision_given_out_again),
+		T(test_list_across_histories),
+		T(test_answer_of_an_older_history),
+		T(test_restored_twice),
+		T(test_all_caches_begin_the_new_history),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
