serve: Let no record of an older copy of the store undo a planned stop

Cause: gateways replaced what they knew by what they read, though after a drill a record that is read later may have been written earlier.

Change: when the store was restored, a stop that a record announced holds like one that the target announced itself, until a newer start; also for targets that were dropped before. A target that was removed and is listed again by the copy gets no requests for 2.5 s, in which its removal is repeated if it is gone. Within one history a newer record still counts, so an entry that expired and is written again is back at once.

Two tests in tests/serve/test_notice.c.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -194,7 +194,6 @@
 	t->service->ntargets++;
 	g_hash_table_insert(s->by_id, t->record.id, t);
 	take_address(s, t);
-	tgt_notice_restore(s, t);
 	return t;
 }
 
@@ -227,8 +226,10 @@
 		drop(s, t);
 		t = NULL;
 	}
-	if (t == NULL)
+	if (t == NULL) {
 		t = add(s, record);
+		tgt_notice_restore(s, t, now_us);
+	}
 	start_ms = MAX(t->record.start_ms, record->start_ms);
 	t->record = *record;
 	t->record.start_ms = start_ms;
@@ -255,9 +256,27 @@
 		t->drop_us = now_us + EXPIRED_RETAIN_US;
 		return;
 	}
+	t->removed_us = now_us;
 	drop(s, t);
 }
 
+void
+tgt_restored(struct tgt_set *s, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	struct tgt *t;
+
+	s->restored_us = now_us;
+	tgt_notice_restored(s);
+	g_hash_table_iter_init(&iter, s->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		t = value;
+		t->announced_leaving =
+		    t->announced_leaving || t->record.leaving;
+	}
+}
+
 void
 tgt_sweep(struct tgt_set *s, int64_t now_us)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -55,12 +55,13 @@
 	bool slow_link;
 	/* Step time relative to the configured one; 1: as configured. */
 	double slowdown;
-	/* It announced its stop in an answer, which ends only with this start
-	 * of the target. */
+	/* It announced its stop in an answer, or in a record that an older one
+	 * may follow. Ends only with this start of the target. */
 	bool announced_leaving;
-	/* Time before which it wants no requests of this gateway, as its
-	 * refusals stated; 0: none. */
+	/* Time before which it gets no requests of this gateway, as its
+	 * refusals stated or as it may be gone; 0: none. */
 	int64_t retry_after_us;
+	int64_t removed_us; /* by the store; 0: not removed */
 	/* Failures without an answer. */
 	unsigned int failures; /* consecutive */
 	int64_t backoff_until_us;
@@ -143,6 +144,10 @@
  * moment. */
 void tgt_removed(
     struct tgt_set *s, const char *id, bool expired, int64_t now_us);
+/* The store was restored from an older copy: records that come now may be older
+ * than those before. They undo no planned stop, and a target that was removed
+ * before gets no requests until its removal had time to be repeated. */
+void tgt_restored(struct tgt_set *s, int64_t now_us);
 /* Drops expired targets whose retention time has passed. */
 void tgt_sweep(struct tgt_set *s, int64_t now_us);
 /* Number of targets with a rate limit. */
--- a/lib/serve/tgt_internal.h
+++ b/lib/serve/tgt_internal.h
@@ -15,6 +15,7 @@
 	GHashTable *by_address;
 	TAILQ_HEAD(tgt_kept_list, tgt_kept) kept; /* see tgt_notice.c */
 	unsigned int nkept;
+	int64_t restored_us; /* the store, from an older copy; 0: never */
 };
 
 /* A sidecar reports several times a second. One that sent no report for this
@@ -32,10 +33,12 @@
 	return (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
 }
 
-/* Announcements of a target that is dropped are kept, and apply again when the
- * same start of it is added again. */
+/* Announcements of a target that is dropped, and its removal, are kept and apply
+ * again when the same start of it is added again. */
 void tgt_notice_keep(struct tgt_set *s, const struct tgt *t);
-void tgt_notice_restore(struct tgt_set *s, struct tgt *t);
+void tgt_notice_restore(struct tgt_set *s, struct tgt *t, int64_t now_us);
+/* The store was restored: what records said holds as announced. */
+void tgt_notice_restored(struct tgt_set *s);
 void tgt_notice_discard(struct tgt_set *s, const char *id);
 void tgt_notice_free(struct tgt_set *s);
 
--- a/lib/serve/tgt_notice.c
+++ b/lib/serve/tgt_notice.c
@@ -1,5 +1,5 @@
-/* What targets announced about themselves in answers. It holds for one start
- * of a target, also while the store does not list it for a moment. */
+/* What targets announced about themselves, and their removal. It holds for one
+ * start of a target, also while the store does not list it for a moment. */
 
 #include <string.h>
 
@@ -7,13 +7,18 @@
 
 /* Dropped targets whose announcements are kept, oldest first out. */
 #define KEPT_MAX 512
+/* After the store was restored from an older copy, what was written since is
+ * written again within about two seconds. */
+#define RESTORED_SETTLE_US 2500000
 
 struct tgt_kept {
 	TAILQ_ENTRY(tgt_kept) link;
 	char id[SV_ID_MAX];
 	int64_t start_ms;
 	bool leaving;
+	bool recorded_leaving; /* as its last record said */
 	int64_t retry_after_us;
+	int64_t removed_us;
 };
 
 static struct tgt_kept *
@@ -43,7 +48,7 @@
 {
 	struct tgt_kept *k;
 
-	if (!t->announced_leaving && t->retry_after_us == 0)
+	if (!t->leaving && t->retry_after_us == 0 && t->removed_us == 0)
 		return;
 	tgt_notice_discard(s, t->record.id);
 	if (s->nkept == KEPT_MAX)
@@ -52,13 +57,23 @@
 	g_strlcpy(k->id, t->record.id, sizeof(k->id));
 	k->start_ms = t->record.start_ms;
 	k->leaving = t->announced_leaving;
+	k->recorded_leaving = t->record.leaving;
 	k->retry_after_us = t->retry_after_us;
+	k->removed_us = t->removed_us;
 	TAILQ_INSERT_TAIL(&s->kept, k, link);
 	s->nkept++;
 }
 
+/* Whether a record that comes now may only be older than the removal. */
+static bool
+may_be_gone(const struct tgt_set *s, const struct tgt_kept *k, int64_t now_us)
+{
+	return k->removed_us != 0 && s->restored_us >= k->removed_us &&
+	    now_us < s->restored_us + RESTORED_SETTLE_US;
+}
+
 void
-tgt_notice_restore(struct tgt_set *s, struct tgt *t)
+tgt_notice_restore(struct tgt_set *s, struct tgt *t, int64_t now_us)
 {
 	struct tgt_kept *k = find(s, t->record.id);
 
@@ -68,11 +83,23 @@
 		t->announced_leaving = k->leaving;
 		t->leaving = t->leaving || t->announced_leaving;
 		t->retry_after_us = k->retry_after_us;
+		if (may_be_gone(s, k, now_us))
+			t->retry_after_us = MAX(t->retry_after_us,
+			    s->restored_us + RESTORED_SETTLE_US);
 		t->record.start_ms = k->start_ms;
 	}
 	discard(s, k);
 }
 
+void
+tgt_notice_restored(struct tgt_set *s)
+{
+	struct tgt_kept *k;
+
+	TAILQ_FOREACH (k, &s->kept, link)
+		k->leaving = k->leaving || k->recorded_leaving;
+}
+
 void
 tgt_notice_discard(struct tgt_set *s, const char *id)
 {
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -391,6 +391,8 @@
 {
 	g_hash_table_foreach(c->known, forget_revision, NULL);
 	c->revision = 0;
+	if (c->ops.restored != NULL)
+		c->ops.restored(c->ctx);
 	begin_list(c);
 }
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -90,6 +90,10 @@
 	/* `expired`: found missing from a new list after an interruption of
 	 * the updates, rather than removed by an event. */
 	void (*removed)(const char *name, bool expired, void *ctx);
+	/* The store was restored from an older copy: what is put or removed
+	 * from now on may be older than what was before. A new list follows.
+	 * May be NULL. */
+	void (*restored)(void *ctx);
 	/* A list is complete. May be NULL. */
 	void (*synced)(void *ctx);
 	/* The store stopped answering, or answers again. May be NULL. */
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -91,6 +91,15 @@
 	return now;
 }
 
+static const char *
+target_state(const struct gateway *g, const struct tgt *t)
+{
+	if (t->leaving)
+		return "leaving";
+	return t->retry_after_us > evl_now_us(g->st.loop) ? "deferred"
+							  : "ready";
+}
+
 static void
 target_put(const char *name, void *value, void *ctx)
 {
@@ -104,9 +113,8 @@
 	evt(EVT_TARGET,
 	    "target=%s service=%s address=%s state=%s model_version=%" G_GINT64_FORMAT
 	    " revision=%" G_GINT64_FORMAT,
-	    record->id, record->service, record->address,
-	    t->leaving ? "leaving" : "ready", record->model_version,
-	    store_cache_revision(g->targets));
+	    record->id, record->service, record->address, target_state(g, t),
+	    record->model_version, store_cache_revision(g->targets));
 	if (is_new)
 		gateway_desired_new_target(g);
 	g_free(record);
@@ -123,6 +131,14 @@
 	tgt_removed(g->set, name, expired, evl_now_us(g->st.loop));
 }
 
+static void
+targets_restored(void *ctx)
+{
+	struct gateway *g = ctx;
+
+	tgt_restored(g->set, evl_now_us(g->st.loop));
+}
+
 static void
 targets_link_changed(bool up, const char *why, void *ctx)
 {
@@ -132,6 +148,7 @@
 static const struct store_cache_ops target_ops = {
 	.put = target_put,
 	.removed = target_removed,
+	.restored = targets_restored,
 	.link = targets_link_changed,
 };
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -98,7 +98,8 @@
 	GPtrArray *writes; /* struct fleet_write; all that a copy may contain */
 	int64_t era; /* rises with each drill */
 	struct evl_timer drill_end;
-	int64_t drilled_us; /* end of the last drill; 0: none */
+	/* Begin of the last drill, and the disturbance before it; 0: none. */
+	int64_t drill_us, before_drill_us;
 	int64_t store_disturbed_us; /* last time that it did not answer */
 	/* Settings: number of the workspace's name, and its last change. */
 	unsigned int generation;
--- a/tests/fleet/notice.c
+++ b/tests/fleet/notice.c
@@ -16,6 +16,7 @@
 #define ACK_REACTION_US 2000000
 #define STORE_STABLE_US 3000000
 #define ROLLBACK_SLACK_US 250000
+#define HEARD_US 700000 /* changes reach all gateways of a stable store */
 
 static void
 report(struct fleet *f, const char *id, int64_t since_us, const char *what)
@@ -44,6 +45,15 @@
 	    (now_us - disturbed_us > STORE_STABLE_US + ACK_REACTION_US);
 }
 
+/* Whether gateways had heard of what was acknowledged before the last drill. */
+static bool
+was_heard_before_drill(const struct fleet *f, int64_t acked_us)
+{
+	return f->drill_us != 0 && acked_us <= f->drill_us - HEARD_US &&
+	    acked_us >= f->before_drill_us + STORE_STABLE_US &&
+	    evl_now_us(f->loop) - acked_us > ACK_REACTION_US;
+}
+
 void
 fleet_settings_used(struct fleet *f, unsigned int generation, const char *id)
 {
@@ -70,7 +80,8 @@
 	int64_t disturbed_us = fleet_proxy_disturbed_us(path);
 
 	if (n->drained_us != 0 && disturbed_us < n->drained_us &&
-	    is_known_by_now(f, n->drained_us))
+	    (is_known_by_now(f, n->drained_us) ||
+		was_heard_before_drill(f, n->drained_us)))
 		report(f, id, n->drained_us, "reached a draining engine");
 	if (told->leaving_us != 0 && disturbed_us < told->leaving_us &&
 	    now_us - told->leaving_us > LEAVE_REACTION_US)
--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -290,7 +290,6 @@
 
 	f->store_refuses = false;
 	f->store_disturbed_us = evl_now_us(f->loop);
-	f->drilled_us = f->store_disturbed_us;
 }
 
 void
@@ -299,6 +298,9 @@
 	int64_t now_us = evl_now_us(f->loop);
 
 	f->era++;
+	f->drill_us = now_us;
+	f->before_drill_us =
+	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
 	f->store_refuses = true;
 	f->store_disturbed_us = now_us;
 	abort_watches(f);
--- a/tests/serve/test_notice.c
+++ b/tests/serve/test_notice.c
@@ -177,6 +177,62 @@
 	expect_target(t, true);
 }
 
+/* ------------------------------------------------------------------ */
+/* A store that was restored from an older copy                        */
+/* ------------------------------------------------------------------ */
+
+/* Guards against an older record that undoes a planned stop: the record of the
+ * stop is lost with the store's last seconds, and comes again later. */
+static void
+test_recorded_stop_survives_an_older_record(void **state)
+{
+	const struct target *t = &w.target[0];
+
+	world_open(2, make_config(SV_UNSAFE, 1, 2000));
+	announce(t, 1000);
+	target_announce(&w.target[0], true, 0);
+	tgt_restored(w.set, now_us());
+	announce(t, 1000);
+	expect_target(t, false);
+	tgt_removed(w.set, t->id, false, now_us());
+	announce(t, 1000);
+	expect_target(t, false);
+	announce(t, 2000);
+	assert_false(tgt_find(w.set, t->id)->leaving);
+	/* Dropped before the store was restored. */
+	target_announce(&w.target[0], true, 0);
+	tgt_removed(w.set, t->id, false, now_us());
+	tgt_restored(w.set, now_us());
+	announce(t, 2000);
+	assert_true(tgt_find(w.set, t->id)->leaving);
+}
+
+/* Guards against requests to a target that the store had removed, when an older
+ * copy lists it again: it gets none until its removal had time to be repeated.
+ * One that the store lists again in the same history is back at once. */
+static void
+test_removed_target_in_an_older_copy(void **state)
+{
+	const struct target *t = &w.target[0];
+
+	world_open(2, make_config(SV_UNSAFE, 1, 2000));
+	announce(t, 1000);
+	tgt_removed(w.set, t->id, false, now_us());
+	announce(t, 1000);
+	assert_int_equal(tgt_find(w.set, t->id)->retry_after_us, 0);
+	tgt_removed(w.set, t->id, false, now_us());
+	tgt_restored(w.set, now_us());
+	announce(t, 1000);
+	expect_target(t, false);
+	assert_in_range(tgt_find(w.set, t->id)->retry_after_us - now_us(),
+	    1000000, 3000000);
+	/* One that the gateway did not know before is new. */
+	tgt_removed(w.set, other_than(t)->id, false, now_us());
+	g_strlcpy(w.target[1].id, "i9", sizeof(w.target[1].id));
+	announce(&w.target[1], 1000);
+	expect_target(&w.target[1], true);
+}
+
 /* ------------------------------------------------------------------ */
 /* Retry-After                                                         */
 /* ------------------------------------------------------------------ */
@@ -356,6 +412,8 @@
 		T(test_leaving_is_read_with_the_head),
 		T(test_which_answers_announce_a_stop),
 		T(test_leaving_holds_for_one_start),
+		T(test_recorded_stop_survives_an_older_record),
+		T(test_removed_target_in_an_older_copy),
 		T(test_deferred_target_gets_no_request),
 		T(test_deferral_is_never_shortened),
 		T(test_which_values_defer),
