serve: Order rosters by the store's history before its revision

Found by following the store's revision through the processes: it also orders the rosters of sidecars. After a drill a gateway's roster has a lower revision than the one that sidecars hold, so these refuse it until the store has counted up, and hosts that are added meanwhile get weights only from the origin.

Change: a roster's identity has the number of the store's history, which goes first; messages carry it as their last field. A process of an earlier release ignores it, and sends none, which counts as older than any.

Result: test_roster_of_a_newer_history in tests/serve/test_roster.c fails without the comparison and passes with it.

--- a/lib/serve/roster.c
+++ b/lib/serve/roster.c
@@ -93,13 +93,15 @@
 {
 	if (a->digest == b->digest && a->count == b->count)
 		return false;
+	if (a->history != b->history)
+		return a->history > b->history;
 	if (a->revision != b->revision)
 		return a->revision > b->revision;
 	return a->count > b->count;
 }
 
 bool
-roster_set(struct roster *r, GArray *peers, int64_t revision)
+roster_set(struct roster *r, GArray *peers, int64_t history, int64_t revision)
 {
 	uint64_t digest;
 
@@ -111,7 +113,7 @@
 	}
 	g_array_unref(r->peers);
 	r->peers = peers;
-	r->id = (struct roster_id){ revision, digest, peers->len };
+	r->id = (struct roster_id){ history, revision, digest, peers->len };
 	return true;
 }
 
@@ -169,6 +171,7 @@
 	g_byte_array_append(
 	    bytes, (const guint8 *)names->str, (guint)names->len);
 	*out = (struct side_roster_page){
+		.history = (uint64_t)r->id.history,
 		.revision = (uint64_t)r->id.revision,
 		.digest = r->id.digest,
 		.count = r->id.count,
@@ -254,8 +257,8 @@
 bool
 roster_add_page(struct roster *r, const struct side_roster_page *page)
 {
-	struct roster_id id = { (int64_t)page->revision, page->digest,
-		page->count };
+	struct roster_id id = { (int64_t)page->history, (int64_t)page->revision,
+		page->digest, page->count };
 	struct reassembly *in = &r->reassembly;
 
 	if (page->page >= page->pages || !roster_is_newer(&id, &r->id))
--- a/lib/serve/roster.h
+++ b/lib/serve/roster.h
@@ -9,8 +9,8 @@
  * of a datagram.
  *
  * Gateways may disagree while some are cut off from the store. A roster carries
- * the store's revision at which it was read, and sidecars accept only newer
- * ones, so two gateways that disagree cannot make them alternate between two
+ * the store's history and revision at which it was read, and sidecars accept
+ * only newer ones, so two gateways that disagree cannot make them alternate between two
  * rosters. Pure.
  */
 
@@ -23,7 +23,8 @@
 };
 
 struct roster_id {
-	int64_t revision; /* of the store */
+	int64_t history; /* of the store; 0: not known */
+	int64_t revision; /* in that history */
 	uint64_t digest; /* of the peers, in order */
 	uint64_t count;
 };
@@ -37,9 +38,10 @@
 const GArray *roster_peers(const struct roster *r);
 
 /* Takes ownership of `peers`, in any order, as read at the store's
- * `revision`. True if they differ from the present ones; otherwise the
+ * `history` and `revision`. True if they differ from the present ones; otherwise the
  * roster does not change. */
-bool roster_set(struct roster *r, GArray *peers, int64_t revision);
+bool roster_set(
+    struct roster *r, GArray *peers, int64_t history, int64_t revision);
 
 /*
  * Whether `a` replaces `b`. While the store's list is read page by page its
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -32,6 +32,7 @@
 	MSG_FIELD(struct side_desired, roster_revision, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_desired, roster_digest, MSG_U64, 0),
 	MSG_FIELD(struct side_desired, roster_count, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_desired, roster_history, MSG_U64, INT64_MAX),
 };
 const struct msg_desc side_desired_desc =
     MSG_DESC(SIDE_DESIRED, "view", struct side_desired, desired_fields);
@@ -77,6 +78,7 @@
 	MSG_FIELD(struct side_roster_page, domains, MSG_STR, SIDE_DOMAINS_MAX),
 	MSG_FIELD(struct side_roster_page, peers, MSG_BIN,
 	    SIDE_PAGE_PEERS *SIDE_PEER_BYTES),
+	MSG_FIELD(struct side_roster_page, history, MSG_U64, INT64_MAX),
 };
 const struct msg_desc side_roster_page_desc = MSG_DESC(
     SIDE_ROSTER_PAGE, "page", struct side_roster_page, roster_page_fields);
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -70,6 +70,7 @@
 	uint64_t store_down; /* 1: the store does not answer this gateway */
 	/* The sidecars of the same model, as this gateway knows them. */
 	uint64_t roster_revision, roster_digest, roster_count;
+	uint64_t roster_history;
 };
 
 /* A sidecar requests the roster of its model. */
@@ -84,6 +85,7 @@
 	uint64_t page, pages;
 	struct slice domains; /* names, separated by commas */
 	struct slice peers;
+	uint64_t history; /* of the store, in which `revision` counts */
 };
 
 enum side_engine {
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -83,8 +83,8 @@
 		g_strlcpy(peer.domain, t->record.domain, sizeof(peer.domain));
 		g_array_append_val(peers, peer);
 	}
-	roster_set(
-	    roster_of(g, service), peers, store_cache_revision(g->targets));
+	roster_set(roster_of(g, service), peers, store_history(g->store),
+	    store_cache_revision(g->targets));
 }
 
 void
@@ -227,6 +227,7 @@
 	desired->roster_revision = (uint64_t)roster.revision;
 	desired->roster_digest = roster.digest;
 	desired->roster_count = roster.count;
+	desired->roster_history = (uint64_t)roster.history;
 }
 
 /* Regions whose sidecars are sent the desired state now, in addition to
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -84,8 +84,9 @@
 request_roster(struct keeper *k, const char *from,
     const struct side_desired *desired, bool local)
 {
-	struct roster_id announced_id = { (int64_t)desired->roster_revision,
-		desired->roster_digest, desired->roster_count };
+	struct roster_id announced_id = { (int64_t)desired->roster_history,
+		(int64_t)desired->roster_revision, desired->roster_digest,
+		desired->roster_count };
 	struct roster_id local_id = roster_id(k->roster);
 	struct side_roster_request request = { .model = desired->model };
 	int64_t now_us = keeper_now(k);
--- a/tests/serve/test_roster.c
+++ b/tests/serve/test_roster.c
@@ -36,7 +36,7 @@
 {
 	struct roster *r = roster_new();
 
-	assert_true(roster_set(r, some_peers(n), revision));
+	assert_true(roster_set(r, some_peers(n), 1, revision));
 	return r;
 }
 
@@ -148,6 +148,40 @@
 	roster_free(to);
 }
 
+/*
+ * Guards against sidecars that keep the roster of before for as long as a store
+ * that was restored from an older copy has lower revisions: new hosts would get
+ * their weights from nobody. A gateway that tells no history, of an earlier
+ * release, is older than any that does.
+ */
+static void
+test_roster_of_a_newer_history(void **state)
+{
+	struct roster *before = roster_at(120, 80);
+	struct roster *after = roster_new(), *untold = roster_new();
+	struct roster *to = roster_new();
+	struct roster_id before_id, after_id, untold_id;
+
+	assert_true(roster_set(after, some_peers(130), 2, 9));
+	assert_true(roster_set(untold, some_peers(140), 0, 90));
+	before_id = roster_id(before);
+	after_id = roster_id(after);
+	untold_id = roster_id(untold);
+	assert_true(roster_is_newer(&after_id, &before_id));
+	assert_false(roster_is_newer(&before_id, &after_id));
+	assert_false(roster_is_newer(&untold_id, &before_id));
+	assert_true(pass_page(before, 0, to));
+	assert_false(pass_page(after, 0, to));
+	assert_true(pass_page(after, 1, to));
+	assert_false(pass_page(before, 0, to));
+	assert_same(after, to);
+	assert_int_equal(roster_id(to).history, 2);
+	roster_free(before);
+	roster_free(after);
+	roster_free(untold);
+	roster_free(to);
+}
+
 /* The store's list is read page by page at one revision: the longer roster
  * is newer. The same peers at another revision are the same roster. */
 static void
@@ -156,11 +190,11 @@
 	struct roster *r = roster_at(50, 0);
 	struct roster_id before = roster_id(r), after;
 
-	assert_true(roster_set(r, some_peers(100), 0));
+	assert_true(roster_set(r, some_peers(100), 1, 0));
 	after = roster_id(r);
 	assert_true(roster_is_newer(&after, &before));
 	assert_false(roster_is_newer(&before, &after));
-	assert_false(roster_set(r, some_peers(100), 30));
+	assert_false(roster_set(r, some_peers(100), 1, 30));
 	assert_int_equal(roster_id(r).revision, 0);
 	roster_free(r);
 }
@@ -189,6 +223,7 @@
 		cmocka_unit_test(test_any_number_of_peers),
 		cmocka_unit_test(test_lost_page),
 		cmocka_unit_test(test_older_roster_is_not_taken),
+		cmocka_unit_test(test_roster_of_a_newer_history),
 		cmocka_unit_test(test_roster_grows_at_one_revision),
 		cmocka_unit_test(test_malformed_page),
 	};
