--- a/tests/fleet/caller.c
+++ b/tests/fleet/caller.c
@@ -206,6 +206,7 @@
 {
 	struct request *r = g_new0(struct request, 1);
 	size_t gateway = choose_gateway(f);
+	int64_t sent_us;
 	char *head;
 
 	r->f = f;
@@ -216,6 +217,9 @@
 	    rng_next(&f->rng) % 100000, gateway);
 	f->tally.sent_count++;
 	f->open_calls++;
+	sent_us = evl_now_us(f->loop);
+	g_hash_table_insert(
+	    f->sent, g_strdup(r->id), g_memdup2(&sent_us, sizeof(sent_us)));
 	head = g_strdup_printf(
 	    "POST %s%u HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\n"
 	    "X-Deadline-Ms: %d\r\nAuthorization: Bearer " FLEET_KEY "\r\n"
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -22,6 +22,9 @@
 #define FLEET_LLM "llm"
 #define FLEET_PLAIN "plain"
 #define FLEET_KEY "key-of-team"
+/* Of another workspace, whose name does not change: a request is the same only
+ * within one workspace. */
+#define FLEET_POISON_KEY "key-of-guest"
 #define FLEET_VERSION_MS 8000
 
 struct fleet_proxy;
@@ -87,6 +90,7 @@
 	struct hlimits limits;
 	struct fleet_tally tally;
 	GHashTable *runs; /* request id -> times run */
+	GHashTable *sent; /* request id -> int64_t, when its caller sent it */
 	struct rng rng;
 	/* Store. */
 	struct hserver *store;
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -80,6 +80,7 @@
 	    "\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,"
 	    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
 	    "\"tenants\":[{\"name\":\"team%s\",\"apiKeys\":[\"" FLEET_KEY
+	    "\"]},{\"name\":\"guest\",\"apiKeys\":[\"" FLEET_POISON_KEY
 	    "\"]}]}",
 	    config_version++, FLEET_CHUNKS, FLEET_CHUNK_BYTES, net, number);
 	fleet_store_put(&f, "config", "main", s->str);
@@ -527,6 +528,7 @@
 	    .head_bytes = 16384 });
 	f.limits = (struct hlimits){ 16384, 1 << 20, 5000000, 30000000 };
 	f.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f.sent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f.rate = (unsigned int)rate;
 	f.uneven = uneven != 0;
 	f.check_poison = poison_judged != 0;
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -6,7 +6,9 @@
 # script stops, kills, terminates and restarts processes by signals, one after
 # the other and together. The stand-in checks every answer and every run. From
 # seed 200 on, two requests terminate the engines that run them; from seed 400
-# on, engines announce that they stop or when to retry. The last line
+# on, engines announce that they stop or when to retry; from seed 600 on, the
+# store comes back from older copies, settings change and engines announce their
+# stop in their records. The last line
 # begins with `soak: kept` or `soak: BROKEN`; logs stay in
 # BUILD/stage-soak-SEED.
 set -u
@@ -46,9 +48,10 @@
 	    }' "$STAGE/disturbed" "$STAGE/fleet.err"
 }
 
-# Prints the requests that gateways sent despite an engine's announcement; not
-# those of a gateway that was disturbed since it was told, as it may have
-# forgotten the announcement or held the request back.
+# Prints the requests that gateways sent despite an engine's announcement, or by
+# older settings than the store had acknowledged; not those of a gateway that
+# was disturbed since it was told, as it may have forgotten the announcement or
+# held the request back.
 print_unheeded() {
 	touch "$STAGE/disturbed"
 	awk 'NR == FNR { n++; gateway[n] = $1 - 1; from[n] = $2; to[n] = $2 + $3 + 1; next }
@@ -124,7 +127,7 @@
 "$BUILD/tests/fleet/fleet" --engines 6 --empty 1 --gateways "$gateways" \
     --rate 60 --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --net "$NET" --faults 1 \
     --poison $((SEED >= 200 ? 4 : 0)) --poisons 2 --poison-judged 0 \
-    --notices $((SEED >= 400)) --notices-judged 0 \
+    --notices $((SEED >= 400)) --notices-judged 0 --drills $((SEED >= 600)) \
     >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
 fleet=$!
 sleep 3
