serve: Keep what a target says that was listed again meanwhile

Found in review: a request refers to the target as it was when the request was sent. If the store removed it and listed it again before the answer came, as it may after an outage or a drill, an announced stop or a Retry-After was noted on the object of before and was lost.

Change: what the answer of a dropped target says is passed on to the one that is listed now, or kept for it, if it is the same start. 'Retry-After: 0' asks for nothing and is not logged.

Result: test_answer_of_a_target_listed_again fails without the change.

--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -16,8 +16,8 @@
 /* Head                                                                */
 /* ------------------------------------------------------------------ */
 
-static const struct hheader *
-find_header(const struct fwd_req *r, const struct hmsg *m, enum sv_field f)
+const struct hheader *
+fwd_find_header(const struct fwd_req *r, const struct hmsg *m, enum sv_field f)
 {
 	return hmsg_find(m, r->fwd->conf.dialect->header[f]);
 }
@@ -26,7 +26,7 @@
 static void
 apply_load(struct fwd_req *r, const struct hmsg *m)
 {
-	const struct hheader *h = find_header(r, m, SV_F_LOAD);
+	const struct hheader *h = fwd_find_header(r, m, SV_F_LOAD);
 	unsigned long running, waiting;
 	char text[48], *end;
 
@@ -52,7 +52,7 @@
 static bool
 parse_limit(const struct fwd_req *r, const struct hmsg *m, double *out)
 {
-	const struct hheader *h = find_header(r, m, SV_F_LIMIT);
+	const struct hheader *h = fwd_find_header(r, m, SV_F_LIMIT);
 	char text[32], *end;
 
 	*out = 0;
@@ -101,7 +101,7 @@
 static bool
 is_not_run(const struct fwd_req *r, const struct hmsg *m)
 {
-	return r->status == 421 || find_header(r, m, SV_F_NOT_RUN) != NULL;
+	return r->status == 421 || fwd_find_header(r, m, SV_F_NOT_RUN) != NULL;
 }
 
 static bool
@@ -115,7 +115,7 @@
 void
 fwd_read_head(struct fwd_req *r, const struct hmsg *m)
 {
-	const struct hheader *id = find_header(r, m, SV_F_REQUEST_ID);
+	const struct hheader *id = fwd_find_header(r, m, SV_F_REQUEST_ID);
 
 	fwd_read_notices(r, m);
 	/* This answers an earlier request: it is late or a duplicate. */
@@ -131,7 +131,7 @@
 	}
 	r->is_matched = true;
 	r->status = m->status;
-	r->sealed = find_header(r, m, SV_F_SEAL) != NULL;
+	r->sealed = fwd_find_header(r, m, SV_F_SEAL) != NULL;
 	apply_load(r, m);
 	apply_limit(r, m);
 	fwd_prompt_read(r);
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -142,6 +142,8 @@
 void fwd_read_notices(struct fwd_req *r, const struct hmsg *m);
 
 /* fwd_answer.c: answers from targets */
+const struct hheader *fwd_find_header(
+    const struct fwd_req *r, const struct hmsg *m, enum sv_field f);
 void fwd_read_head(struct fwd_req *r, const struct hmsg *m);
 void fwd_read_body(struct fwd_req *r, const void *data, size_t len);
 void fwd_answer_complete(struct fwd_req *r);
--- a/lib/serve/fwd_notice.c
+++ b/lib/serve/fwd_notice.c
@@ -10,12 +10,6 @@
  * ask for. */
 #define RETRY_AFTER_MAX_S (7 * 24 * 3600.0)
 
-static const struct hheader *
-find_header(const struct fwd_req *r, const struct hmsg *m, enum sv_field f)
-{
-	return hmsg_find(m, r->fwd->conf.dialect->header[f]);
-}
-
 /* Parses a number of seconds, which may have a fraction. Returns false for
  * anything else. */
 static bool
@@ -36,10 +30,10 @@
 static void
 read_leaving(struct fwd_req *r, const struct hmsg *m)
 {
-	const struct hheader *h = find_header(r, m, SV_F_LEAVING);
+	const struct hheader *h = fwd_find_header(r, m, SV_F_LEAVING);
 
 	if (h == NULL || !hslice_is(h->value, "1") ||
-	    !tgt_announced_leaving(r->target))
+	    !tgt_announced_leaving(r->fwd->conf.targets, r->target, fwd_now(r)))
 		return;
 	evt(EVT_NOTICE,
 	    "target=%s address=%s start=%" G_GINT64_FORMAT
@@ -52,7 +46,7 @@
 static void
 read_retry_after(struct fwd_req *r, const struct hmsg *m)
 {
-	const struct hheader *h = find_header(r, m, SV_F_RETRY_AFTER);
+	const struct hheader *h = fwd_find_header(r, m, SV_F_RETRY_AFTER);
 	int64_t now_us = fwd_now(r), until_us;
 	double seconds;
 
@@ -61,7 +55,8 @@
 		return;
 	until_us = now_us +
 	    (int64_t)(MIN(seconds, RETRY_AFTER_MAX_S) * G_USEC_PER_SEC);
-	if (!tgt_asked_retry_after(r->target, until_us, now_us))
+	if (!tgt_asked_retry_after(
+		r->fwd->conf.targets, r->target, until_us, now_us))
 		return;
 	fwd_pump_at(r->fwd, until_us);
 	evt(EVT_NOTICE,
--- a/lib/serve/roster.h
+++ b/lib/serve/roster.h
@@ -10,8 +10,8 @@
  *
  * Gateways may disagree while some are cut off from the store. A roster carries
  * the store's history and revision at which it was read, and sidecars accept
- * only newer ones, so two gateways that disagree cannot make them alternate between two
- * rosters. Pure.
+ * only newer ones, so two gateways that disagree cannot make them alternate
+ * between two rosters. Pure.
  */
 
 #include "serve/side.h"
@@ -37,9 +37,9 @@
 /* struct roster_peer, sorted by address; valid until the next change. */
 const GArray *roster_peers(const struct roster *r);
 
-/* Takes ownership of `peers`, in any order, as read at the store's
- * `history` and `revision`. True if they differ from the present ones; otherwise the
- * roster does not change. */
+/* Takes ownership of `peers`, in any order, as read at the store's `history` and
+ * `revision`. True if they differ from the present ones; otherwise the roster
+ * does not change. */
 bool roster_set(
     struct roster *r, GArray *peers, int64_t history, int64_t revision);
 
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -174,10 +174,11 @@
 };
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
 /* An answer announced the target's planned stop. True if that is new. */
-bool tgt_announced_leaving(struct tgt *t);
+bool tgt_announced_leaving(struct tgt_set *s, struct tgt *t, int64_t now_us);
 /* A refusal asked for no requests before `until_us`. Never shortens the time
  * that an earlier one asked for. True if there was none under way. */
-bool tgt_asked_retry_after(struct tgt *t, int64_t until_us, int64_t now_us);
+bool tgt_asked_retry_after(
+    struct tgt_set *s, struct tgt *t, int64_t until_us, int64_t now_us);
 /* The sidecar reported whether the target takes requests. */
 void tgt_set_side_down(struct tgt *t, bool down, int64_t now_us);
 /* An answer to a request sent at `asked_us` carries a rate limit, or none
--- a/lib/serve/tgt_notice.c
+++ b/lib/serve/tgt_notice.c
@@ -80,9 +80,9 @@
 	if (k == NULL)
 		return;
 	if (k->start_ms == 0 || t->record.start_ms <= k->start_ms) {
-		t->announced_leaving = k->leaving;
+		t->announced_leaving = t->announced_leaving || k->leaving;
 		t->leaving = t->leaving || t->announced_leaving;
-		t->retry_after_us = k->retry_after_us;
+		t->retry_after_us = MAX(t->retry_after_us, k->retry_after_us);
 		if (may_be_gone(s, k, now_us))
 			t->retry_after_us = MAX(t->retry_after_us,
 			    s->restored_us + RESTORED_SETTLE_US);
@@ -113,21 +113,41 @@
 		discard(s, TAILQ_FIRST(&s->kept));
 }
 
-bool
-tgt_announced_leaving(struct tgt *t)
+/* A request may still refer to a target that was dropped and listed again since;
+ * what its answer says is for that one. */
+static void
+pass_on(struct tgt_set *s, const struct tgt *t, int64_t now_us)
 {
-	bool is_new = !t->announced_leaving;
+	struct tgt *listed;
+
+	if (!t->dropped)
+		return;
+	tgt_notice_keep(s, t);
+	listed = tgt_find(s, t->record.id);
+	if (listed != NULL)
+		tgt_notice_restore(s, listed, now_us);
+}
 
+bool
+tgt_announced_leaving(struct tgt_set *s, struct tgt *t, int64_t now_us)
+{
+	if (t->announced_leaving)
+		return false;
 	t->announced_leaving = true;
 	t->leaving = true;
-	return is_new;
+	pass_on(s, t, now_us);
+	return true;
 }
 
 bool
-tgt_asked_retry_after(struct tgt *t, int64_t until_us, int64_t now_us)
+tgt_asked_retry_after(
+    struct tgt_set *s, struct tgt *t, int64_t until_us, int64_t now_us)
 {
 	bool is_new = t->retry_after_us <= now_us;
 
+	if (until_us <= now_us)
+		return false;
 	t->retry_after_us = MAX(t->retry_after_us, until_us);
+	pass_on(s, t, now_us);
 	return is_new;
 }
--- a/tests/serve/test_notice.c
+++ b/tests/serve/test_notice.c
@@ -170,13 +170,41 @@
 	expect_target(t, false);
 	announce(t, 2000);
 	assert_false(tgt_find(w.set, t->id)->leaving);
-	(void)tgt_announced_leaving(tgt_find(w.set, t->id));
+	(void)tgt_announced_leaving(w.set, tgt_find(w.set, t->id), now_us());
 	tgt_removed(w.set, other_than(t)->id, false, now_us());
 	g_strlcpy(t->id, "i9", sizeof(t->id));
 	announce(t, 2000);
 	expect_target(t, true);
 }
 
+/* Guards against losing what the answer of a target says that was dropped and
+ * listed again while the request was under way. */
+static void
+test_answer_of_a_target_listed_again(void **state)
+{
+	struct target *t;
+	int caller;
+
+	world_open(2, make_config(SV_UNSAFE, 1, 2000));
+	announce(&w.target[0], 1000);
+	announce(&w.target[1], 1000);
+	t = send_to_any(&caller);
+	tgt_removed(w.set, t->id, false, now_us());
+	announce(t, 1000);
+	finish(t, caller, LEAVING_CLOSE);
+	expect_target(t, false);
+	t = send_to_any(&caller);
+	tgt_removed(w.set, t->id, false, now_us());
+	announce(t, 2000); /* another start */
+	finish(t, caller, LEAVING_CLOSE);
+	assert_false(tgt_find(w.set, t->id)->leaving);
+	t = send_to_any(&caller);
+	tgt_removed(w.set, t->id, false, now_us());
+	finish(t, caller, LEAVING_CLOSE);
+	announce(t, 2000); /* listed after the answer */
+	assert_true(tgt_find(w.set, t->id)->leaving);
+}
+
 /* ------------------------------------------------------------------ */
 /* A store that was restored from an older copy                        */
 /* ------------------------------------------------------------------ */
@@ -278,7 +306,7 @@
 	tgt_removed(w.set, other->id, false, now_us());
 	expect_target(t, true);
 	(void)tgt_asked_retry_after(
-	    tgt_find(w.set, t->id), now_us() + 60000000, now_us());
+	    w.set, tgt_find(w.set, t->id), now_us() + 60000000, now_us());
 	announce(t, 2000);
 	expect_target(t, true);
 }
@@ -341,6 +369,7 @@
 				    "T-Retry-After: 2\r\n"
 				    "Content-Length: 0\r\n\r\n"),
 	    1900, 2000);
+	assert_int_equal(deferred_ms(REFUSAL("0")), 0);
 	assert_int_equal(deferred_ms(REFUSAL("")), 0);
 	assert_int_equal(deferred_ms(REFUSAL("-3")), 0);
 	assert_int_equal(deferred_ms(REFUSAL("soon")), 0);
@@ -412,6 +441,7 @@
 		T(test_leaving_is_read_with_the_head),
 		T(test_which_answers_announce_a_stop),
 		T(test_leaving_holds_for_one_start),
+		T(test_answer_of_a_target_listed_again),
 		T(test_recorded_stop_survives_an_older_record),
 		T(test_removed_target_in_an_older_copy),
 		T(test_deferred_target_gets_no_request),
