entry: Do not log records that come again unchanged

After the store was restored from an older copy each gateway is handed all records once more. 200 engines would fill the bucket for lines of state in that second, and lines about settings and the store itself would be lost.

Change: a record equal to the known one writes no line, and settings that are active already write none of being older than themselves.

Result: in tests/system/store_drill.sh a gateway writes one line for the record that differs in the copy, instead of one per record.

--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -36,10 +36,11 @@
 
 	if (before != NULL && rtab_config(before)->version >= config->version) {
 		/* Settings never revert to an older version. */
-		evt(EVT_CONFIG,
-		    "version=%" G_GINT64_FORMAT
-		    " outcome=older_than_%" G_GINT64_FORMAT,
-		    config->version, rtab_config(before)->version);
+		if (rtab_config(before)->version > config->version)
+			evt(EVT_CONFIG,
+			    "version=%" G_GINT64_FORMAT
+			    " outcome=older_than_%" G_GINT64_FORMAT,
+			    config->version, rtab_config(before)->version);
 		sv_config_free(config);
 		return;
 	}
@@ -107,14 +108,19 @@
 	struct sv_target *record = value;
 	const struct tgt *before = tgt_find(g->set, record->id);
 	bool is_new = before == NULL;
+	/* All records come again when the store has a new history. */
+	bool is_known =
+	    !is_new && memcmp(&before->record, record, sizeof(*record)) == 0;
 	const struct tgt *t = gateway_target_replaced(
 	    g, before, tgt_put(g->set, record, evl_now_us(g->st.loop)));
 
-	evt(EVT_TARGET,
-	    "target=%s service=%s address=%s state=%s model_version=%" G_GINT64_FORMAT
-	    " revision=%" G_GINT64_FORMAT,
-	    record->id, record->service, record->address, target_state(g, t),
-	    record->model_version, store_cache_revision(g->targets));
+	if (!is_known)
+		evt(EVT_TARGET,
+		    "target=%s service=%s address=%s state=%s model_version=%" G_GINT64_FORMAT
+		    " revision=%" G_GINT64_FORMAT,
+		    record->id, record->service, record->address,
+		    target_state(g, t), record->model_version,
+		    store_cache_revision(g->targets));
 	if (is_new)
 		gateway_desired_new_target(g);
 	g_free(record);
