serve: Build the criteria of a choice once

Cause: a request that was refused as all targets were deferred had its criteria built twice, with four lookups of versions and a random draw, and the minimum of the ends of deferrals stood in two loops. The condition by which explain shows a line named the time of the context twice.

Change: fwd_dispatch builds the criteria and hands them to the choice and to the refusal; both loops call one function; explain decides in steps. Two comments say 'not known' instead of 'not told'. Behaviour is as before.

--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -226,14 +226,14 @@
 }
 
 static struct tgt *
-choose(struct fwd_req *r, enum tgt_reason *why)
+choose(struct fwd_req *r, const struct tgt_criteria *criteria,
+    enum tgt_reason *why)
 {
 	struct fwd *f = r->fwd;
-	struct tgt_criteria criteria = criteria_of(r);
 
 	ctr_add(f->choices, 1);
 	return tgt_choose(
-	    f->conf.targets, r->service->targets, &criteria, fwd_now(r), why);
+	    f->conf.targets, r->service->targets, criteria, fwd_now(r), why);
 }
 
 /* Whether slots become free fast enough for the request to get one in time. A
@@ -252,11 +252,10 @@
  * are refused now would otherwise return at once. Returns whether it refused
  * the request. */
 static bool
-refuse_deferred(struct fwd_req *r)
+refuse_deferred(struct fwd_req *r, const struct tgt_criteria *criteria)
 {
-	struct tgt_criteria criteria = criteria_of(r);
 	int64_t soonest_us =
-	    tgt_soonest_us(r->service->targets, &criteria, fwd_now(r));
+	    tgt_soonest_us(r->service->targets, criteria, fwd_now(r));
 
 	if (!r->is_client_retry &&
 	    soonest_us < r->started_us + wait_limit_us(r))
@@ -269,12 +268,13 @@
 /* Refuses a request that has not run where waiting is of no use. Returns
  * whether it did. */
 static bool
-refuse_early(struct fwd_req *r, enum tgt_reason why)
+refuse_early(
+    struct fwd_req *r, const struct tgt_criteria *criteria, enum tgt_reason why)
 {
 	if (r->flow.begun || r->flow.may_have_run)
 		return false;
 	if (why == TGT_RETRY_LATER)
-		return refuse_deferred(r);
+		return refuse_deferred(r, criteria);
 	if (why == TGT_FULL && worth_waiting(r))
 		return false;
 	fwd_refuse(r, why == TGT_NONE ? "no_target" : "full");
@@ -284,8 +284,9 @@
 void
 fwd_dispatch(struct fwd_req *r)
 {
+	struct tgt_criteria criteria = criteria_of(r);
 	enum tgt_reason why;
-	struct tgt *target = choose(r, &why);
+	struct tgt *target = choose(r, &criteria, &why);
 	int64_t until_us;
 
 	if (target != NULL) {
@@ -295,7 +296,7 @@
 	}
 	if (!r->is_client_retry && why == TGT_FULL)
 		r->service->full_us = fwd_now(r);
-	if (refuse_early(r, why))
+	if (refuse_early(r, &criteria, why))
 		return;
 	enqueue(r);
 	until_us = fwd_now(r) + wait_limit_us(r);
@@ -360,6 +361,7 @@
 pump_service(struct fwd_service *service)
 {
 	struct full_kind kinds[FULL_KINDS] = { 0 };
+	struct tgt_criteria criteria;
 	struct fwd_req *r, *next;
 	struct tgt *target;
 	enum tgt_reason why;
@@ -368,7 +370,8 @@
 		next = TAILQ_NEXT(r, link);
 		if (is_known_full(kinds, r))
 			continue;
-		target = choose(r, &why);
+		criteria = criteria_of(r);
+		target = choose(r, &criteria, &why);
 		if (target == NULL) {
 			note_full(kinds, r);
 			continue;
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -201,6 +201,17 @@
 	return now_us < t->retry_after_us;
 }
 
+/* The earlier of `soonest_us` (0: none) and the end of the target's deferral, if
+ * it is deferred. */
+static int64_t
+earlier_us(int64_t soonest_us, const struct tgt *t, int64_t now_us)
+{
+	if (!is_deferred(t, now_us) ||
+	    (soonest_us != 0 && soonest_us <= t->retry_after_us))
+		return soonest_us;
+	return t->retry_after_us;
+}
+
 int64_t
 tgt_soonest_us(const struct tgt_service *service,
     const struct tgt_criteria *criteria, int64_t now_us)
@@ -209,10 +220,8 @@
 	int64_t soonest_us = 0;
 
 	TAILQ_FOREACH (t, &service->targets, link) {
-		if (!is_deferred(t, now_us) || !can_serve(t, criteria, now_us))
-			continue;
-		if (soonest_us == 0 || t->retry_after_us < soonest_us)
-			soonest_us = t->retry_after_us;
+		if (can_serve(t, criteria, now_us))
+			soonest_us = earlier_us(soonest_us, t, now_us);
 	}
 	return soonest_us;
 }
@@ -225,13 +234,8 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, s->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct tgt *t = value;
-
-		if (is_deferred(t, now_us) &&
-		    (soonest_us == 0 || t->retry_after_us < soonest_us))
-			soonest_us = t->retry_after_us;
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		soonest_us = earlier_us(soonest_us, value, now_us);
 	return soonest_us;
 }
 
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -42,7 +42,7 @@
 	char *address;
 	struct rng rng;
 	LIST_HEAD(caches, store_cache) caches;
-	int64_t history; /* newest known; 0: not told */
+	int64_t history; /* newest known number; 0: not known */
 	struct ctr *calls, *failed, *unreadable;
 };
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -72,7 +72,7 @@
 struct store *store_new(const struct store_conf *conf);
 void store_free(struct store *s);
 void store_set_address(struct store *s, const char *address);
-/* Number of the store's newest known history; 0: it has told none. */
+/* Number of the store's newest known history; 0: not known. */
 int64_t store_history(const struct store *s);
 /* Time of the last answer, or of the creation of the caches if there was
  * none, while the store answers no call and more than one call has failed;
--- a/programs/entry/explain.c
+++ b/programs/entry/explain.c
@@ -138,20 +138,23 @@
 static bool
 is_relevant(const struct explanation *s, const struct line *l)
 {
+	bool is_recent = l->t >= s->from - CONTEXT_S;
 	char *target, *req;
 	bool relevant;
 
 	if (l->names_request)
 		return true;
+	if (l->t > s->to || !g_hash_table_contains(s->nodes, l->node))
+		return false;
+	if (is_recent && is_process_event(l->ev))
+		return true;
 	/* A target's announcement may hold for longer than the context. */
-	if ((l->t < s->from - CONTEXT_S && strcmp(l->ev, "notice") != 0) ||
-	    l->t > s->to || !g_hash_table_contains(s->nodes, l->node))
+	if (!is_recent && strcmp(l->ev, "notice") != 0)
 		return false;
 	req = value_of(l->text, "req");
 	target = value_of(l->text, "target");
-	relevant = (l->t >= s->from - CONTEXT_S && is_process_event(l->ev)) ||
-	    (req == NULL && target != NULL &&
-		g_hash_table_contains(s->targets, target));
+	relevant = req == NULL && target != NULL &&
+	    g_hash_table_contains(s->targets, target);
 	g_free(req);
 	g_free(target);
 	return relevant;
