tests: Keep one log of the stand-in's store

Cause: for its drills the store logged each write beside the event of the same write, with the same four members, and made objects in two places.

Change: events stay, with their time; a copy is read from them, and a history that is discarded is one that watches may no longer begin before. One function makes an object. The schedule of crashes and limits uses the check of the newer options, an expression that the formatter had taken for a template is split, and one function of tests/serve fills a target's record. All checks stay as they were.

--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -95,11 +95,11 @@
 	/* Store. */
 	struct hserver *store;
 	GHashTable *objects; /* "kind/name" -> struct fleet_object */
-	GPtrArray *history; /* struct fleet_event */
-	int64_t revision, history_from;
+	GPtrArray *history; /* struct fleet_event; all, for copies */
+	int64_t revision;
+	int64_t history_from; /* watches from before it get no events */
 	LIST_HEAD(fleet_watches, fleet_watch) watches;
 	bool store_refuses;
-	GPtrArray *writes; /* struct fleet_write; all that a copy may contain */
 	int64_t era; /* rises with each drill */
 	struct evl_timer drill_end;
 	/* Begin of the last drill, and the disturbance before it; 0: none. */
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -317,14 +317,9 @@
 		bumped_us = now_us;
 		announce_version();
 	}
-	if (crash > 0 && !crashed &&
-	    now_us - begun_us > (int64_t)crash * G_USEC_PER_SEC) {
-		crashed = true;
+	if (is_due(crash, &crashed))
 		fleet_engine_crash(&f, 0, false);
-	}
-	if (limit > 0 && !is_limited &&
-	    now_us - begun_us > (int64_t)limit * G_USEC_PER_SEC) {
-		is_limited = true;
+	if (is_due(limit, &is_limited)) {
 		for (i = 0; i < limited; i++)
 			fleet_engine_set_limit(
 			    &f, (size_t)i, (double)limit_milli / 1000);
@@ -345,7 +340,7 @@
 	}
 	if (is_due(drill, &has_drilled))
 		begin_drill(2500000, 500000, WRITE_AGAIN_US);
-	if (is_due(drill == 0 ? 0 : drill + 6, &has_changed_again)) {
+	if (drill > 0 && is_due(drill + 6, &has_changed_again)) {
 		fleet_engine_drain(&f, 0);
 		fleet_engine_drain(&f, (size_t)engines);
 		rename_workspace();
--- a/tests/fleet/notice.c
+++ b/tests/fleet/notice.c
@@ -58,20 +58,20 @@
 fleet_settings_used(struct fleet *f, unsigned int generation, const char *id)
 {
 	size_t gateway = fleet_gateway_of(id);
-	int64_t now_us = evl_now_us(f->loop);
 	const int64_t *sent_us = g_hash_table_lookup(f->sent, id);
+	int64_t age_us;
 
 	/* A request is handled by the settings at its acceptance, also when a
 	 * queue or a second target delays it; others are not recorded. */
 	if (sent_us == NULL)
 		return;
-	if (generation<f->generation && * sent_us - f->renamed_us>
-		ACK_REACTION_US &&
+	age_us = *sent_us - f->renamed_us;
+	if (generation < f->generation && age_us > ACK_REACTION_US &&
 	    is_known_by_now(f, f->renamed_us))
 		report(f, id, f->renamed_us, "was handled by older settings");
 	if (generation > f->seen_generation[gateway]) {
 		f->seen_generation[gateway] = generation;
-		f->seen_us[gateway] = now_us;
+		f->seen_us[gateway] = evl_now_us(f->loop);
 	} else if (generation < f->seen_generation[gateway] &&
 	    *sent_us - f->seen_us[gateway] > ROLLBACK_SLACK_US)
 		report(
--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -8,12 +8,6 @@
 
 #define PAGE 50 /* objects per response, so that clients must page */
 
-/* A write, for the copies that a drill restores. */
-struct fleet_write {
-	int64_t at_us, revision;
-	char *kind, *name, *spec; /* `spec` NULL: removed */
-};
-
 struct fleet_object {
 	char *kind, *name, *spec;
 	int64_t revision;
@@ -21,7 +15,7 @@
 
 struct fleet_event {
 	char *kind, *name, *spec;
-	int64_t revision;
+	int64_t revision, at_us;
 	bool removed;
 };
 
@@ -140,19 +134,6 @@
 /* Objects                                                             */
 /* ------------------------------------------------------------------ */
 
-static void
-log_write(struct fleet *f, const char *kind, const char *name, const char *spec)
-{
-	struct fleet_write *w = g_new0(struct fleet_write, 1);
-
-	w->at_us = evl_now_us(f->loop);
-	w->revision = f->revision;
-	w->kind = g_strdup(kind);
-	w->name = g_strdup(name);
-	w->spec = g_strdup(spec);
-	g_ptr_array_add(f->writes, w);
-}
-
 static void
 append_event(struct fleet *f, const char *kind, const char *name,
     const char *spec, bool removed)
@@ -163,23 +144,19 @@
 	e->name = g_strdup(name);
 	e->spec = g_strdup(spec);
 	e->revision = ++f->revision;
+	e->at_us = evl_now_us(f->loop);
 	e->removed = removed;
 	g_ptr_array_add(f->history, e);
-	log_write(f, kind, name, removed ? NULL : spec);
 	notify_watches(f, kind);
 }
 
-void
-fleet_store_put(
-    struct fleet *f, const char *kind, const char *name, const char *spec)
+static void
+set_object(struct fleet *f, const char *kind, const char *name,
+    const char *spec, int64_t revision)
 {
 	char *key = g_strdup_printf("%s/%s", kind, name);
 	struct fleet_object *o = g_hash_table_lookup(f->objects, key);
 
-	if (o != NULL && strcmp(o->spec, spec) == 0) {
-		g_free(key);
-		return;
-	}
 	if (o == NULL) {
 		o = g_new0(struct fleet_object, 1);
 		o->kind = g_strdup(kind);
@@ -189,18 +166,38 @@
 	g_free(key);
 	g_free(o->spec);
 	o->spec = g_strdup(spec);
-	o->revision = f->revision + 1;
-	append_event(f, kind, name, spec, false);
+	o->revision = revision;
+}
+
+static bool
+remove_object(struct fleet *f, const char *kind, const char *name)
+{
+	char *key = g_strdup_printf("%s/%s", kind, name);
+	bool removed = g_hash_table_remove(f->objects, key);
+
+	g_free(key);
+	return removed;
 }
 
 void
-fleet_store_remove(struct fleet *f, const char *kind, const char *name)
+fleet_store_put(
+    struct fleet *f, const char *kind, const char *name, const char *spec)
 {
 	char *key = g_strdup_printf("%s/%s", kind, name);
+	const struct fleet_object *o = g_hash_table_lookup(f->objects, key);
 
-	if (g_hash_table_remove(f->objects, key))
-		append_event(f, kind, name, "null", true);
 	g_free(key);
+	if (o != NULL && strcmp(o->spec, spec) == 0)
+		return;
+	set_object(f, kind, name, spec, f->revision + 1);
+	append_event(f, kind, name, spec, false);
+}
+
+void
+fleet_store_remove(struct fleet *f, const char *kind, const char *name)
+{
+	if (remove_object(f, kind, name))
+		append_event(f, kind, name, "null", true);
 }
 
 static void
@@ -220,7 +217,6 @@
 fleet_store_discard_history(struct fleet *f)
 {
 	f->history_from = f->revision;
-	g_ptr_array_set_size(f->history, 0);
 	abort_watches(f);
 }
 
@@ -228,58 +224,26 @@
 /* Drills                                                              */
 /* ------------------------------------------------------------------ */
 
-static void
-write_free(gpointer data)
-{
-	struct fleet_write *w = data;
-
-	g_free(w->kind);
-	g_free(w->name);
-	g_free(w->spec);
-	g_free(w);
-}
-
-static void
-restore_object(struct fleet *f, const struct fleet_write *w)
-{
-	char *key = g_strdup_printf("%s/%s", w->kind, w->name);
-	struct fleet_object *o;
-
-	g_hash_table_remove(f->objects, key);
-	if (w->spec == NULL) {
-		g_free(key);
-		return;
-	}
-	o = g_new0(struct fleet_object, 1);
-	o->kind = g_strdup(w->kind);
-	o->name = g_strdup(w->name);
-	o->spec = g_strdup(w->spec);
-	o->revision = w->revision;
-	g_hash_table_insert(f->objects, key, o);
-}
-
 /* Replaces the state by that of `at_us`; later revisions are given out again. */
 static void
 restore_copy(struct fleet *f, int64_t at_us)
 {
-	const struct fleet_write *w;
-	guint n = 0, kept = 0;
+	const struct fleet_event *e;
+	guint n;
 
 	g_hash_table_remove_all(f->objects);
 	f->revision = 0;
-	for (n = 0; n < f->writes->len; n++) {
-		w = f->writes->pdata[n];
-		if (w->at_us > at_us)
+	for (n = 0; n < f->history->len; n++) {
+		e = f->history->pdata[n];
+		if (e->at_us > at_us)
 			break;
-		restore_object(f, w);
-		f->revision = w->revision;
+		if (e->removed)
+			(void)remove_object(f, e->kind, e->name);
+		else
+			set_object(f, e->kind, e->name, e->spec, e->revision);
+		f->revision = e->revision;
 	}
-	g_ptr_array_set_size(f->writes, (gint)n);
-	while (kept < f->history->len &&
-	    ((const struct fleet_event *)f->history->pdata[kept])->revision <=
-		f->revision)
-		kept++;
-	g_ptr_array_set_size(f->history, (gint)kept);
+	g_ptr_array_set_size(f->history, (gint)n);
 	f->history_from = MIN(f->history_from, f->revision);
 }
 
@@ -512,7 +476,6 @@
 	f->objects =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, object_free);
 	f->history = g_ptr_array_new_with_free_func(event_free);
-	f->writes = g_ptr_array_new_with_free_func(write_free);
 	f->era = 1;
 	LIST_INIT(&f->watches);
 	f->store = hserver_new(&(struct hserver_conf){ .loop = f->loop,
--- a/tests/serve/test_notice.c
+++ b/tests/serve/test_notice.c
@@ -61,12 +61,9 @@
 static void
 announce(const struct target *t, int64_t start_ms)
 {
-	struct sv_target record = { .slots = 2, .start_ms = start_ms };
+	struct sv_target record = target_record(t);
 
-	g_strlcpy(record.id, t->id, sizeof(record.id));
-	g_strlcpy(record.service, SERVICE, sizeof(record.service));
-	g_strlcpy(record.address, t->address, sizeof(record.address));
-	g_strlcpy(record.domain, "d", sizeof(record.domain));
+	record.start_ms = start_ms;
 	tgt_put(w.set, &record, now_us());
 }
 
--- a/tests/serve/world.h
+++ b/tests/serve/world.h
@@ -90,18 +90,26 @@
 	t->fd = -1;
 }
 
-static inline void
-target_announce(struct target *t, bool leaving, int64_t version)
+static inline struct sv_target
+target_record(const struct target *t)
 {
-	struct sv_target record = { .slots = 2,
-		.leaving = leaving,
-		.has_models = version != 0,
-		.model_version = version };
+	struct sv_target record = { .slots = 2 };
 
 	g_strlcpy(record.id, t->id, sizeof(record.id));
 	g_strlcpy(record.service, SERVICE, sizeof(record.service));
 	g_strlcpy(record.address, t->address, sizeof(record.address));
 	g_strlcpy(record.domain, "d", sizeof(record.domain));
+	return record;
+}
+
+static inline void
+target_announce(struct target *t, bool leaving, int64_t version)
+{
+	struct sv_target record = target_record(t);
+
+	record.leaving = leaving;
+	record.has_models = version != 0;
+	record.model_version = version;
 	if (version != 0)
 		g_strlcpy(record.model, MODEL, sizeof(record.model));
 	tgt_put(w.set, &record, now_us());
