tools: Share what the scripts of the stand-in repeat

Change: fleet_check in tools/fleet.sh; one awk function tells whether a gateway was disturbed between two times. Bounds and options stay.

--- a/tests/system/leaving.sh
+++ b/tests/system/leaving.sh
@@ -7,10 +7,4 @@
 NET=${NET:-61}
 . tools/fleet.sh
 fleet_begin "$BUILD/stage-leaving" 4 3
-"$BUILD/tests/fleet/fleet" --net "$NET" --engines 4 --empty 0 --gateways "$gateways" --rate 120 \
-    --seconds 10 --bump 0 --leave 3 --seed 1 >"$STAGE/fleet.out" 2>"$STAGE/fleet.err"
-status=$?
-fleet_end || status=1
-tail -n 3 "$STAGE/fleet.err"
-tail -n 1 "$STAGE/fleet.out"
-exit $status
+fleet_check --engines 4 --empty 0 --rate 120 --seconds 10 --bump 0 --leave 3 --seed 1
--- a/tests/system/limit.sh
+++ b/tests/system/limit.sh
@@ -10,10 +10,4 @@
 BUILD=$1
 . tools/fleet.sh
 fleet_begin "$BUILD/stage-limit" 4 3
-"$BUILD/tests/fleet/fleet" --engines 4 --empty 0 --gateways "$gateways" --rate 120 --uneven 1 \
-    --seconds 14 --bump 0 --limit 2 --seed 1 >"$STAGE/fleet.out" 2>"$STAGE/fleet.err"
-status=$?
-fleet_end || status=1
-tail -n 3 "$STAGE/fleet.err"
-tail -n 2 "$STAGE/fleet.out"
-exit $status
+fleet_check --engines 4 --empty 0 --rate 120 --uneven 1 --seconds 14 --bump 0 --limit 2 --seed 1
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,5 +1,6 @@
 # Sourced by scripts that run gateways and sidecars against the stand-in fleet:
 #   fleet_begin FOLDER ENGINES GATEWAYS; tests/fleet/fleet OPTIONS...; fleet_end
+# or, where nothing happens beside the fleet: fleet_begin ...; fleet_check OPTIONS...
 # Each "host" has its own loopback address, 127.0.NET.x; runs with different
 # NETs are independent. Only processes started here are signalled, by their ids.
 NET=${NET:-0}
@@ -57,3 +58,15 @@
 	for name in $names; do wait "$(cat "$STAGE/$name.pid")" 2>/dev/null; done
 	! grep -lE 'ERROR: AddressSanitizer|runtime error:|ERROR:.*assertion failed' "$STAGE"/*.err
 }
+
+# Runs the fleet, ends the processes and prints the last lines; the status tells
+# whether all invariants held.
+fleet_check() { # fleet_check OPTIONS...
+	"$BUILD/tests/fleet/fleet" --net "$NET" --gateways "$gateways" "$@" \
+	    >"$STAGE/fleet.out" 2>"$STAGE/fleet.err"
+	status=$?
+	fleet_end || status=1
+	tail -n 3 "$STAGE/fleet.err"
+	tail -n 2 "$STAGE/fleet.out"
+	return $status
+}
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -34,17 +34,24 @@
 	esac
 }
 
+# For awk: reads the table of disturbances, and tells whether the gateway was
+# disturbed between two times.
+DISTURBED='NR == FNR { n++; gateway[n] = $1 - 1; from[n] = $2; to[n] = $2 + $3 + 1; next }
+    function disturbed(g, since, at,   i) {
+	for (i = 1; i <= n; i++)
+		if (gateway[i] == g && from[i] <= at && to[i] >= since) return 1
+	return 0
+    }'
+
 # The fleet prints each send of a poison request that comes after its third
 # termination. Prints these from the fourth on, as the fleet allows three; sends
 # by gateways that were disturbed at the time are not counted.
 print_excess_sends() {
 	touch "$STAGE/disturbed"
-	awk 'NR == FNR { n++; gateway[n] = $1 - 1; from[n] = $2; to[n] = $2 + $3 + 1; next }
+	awk "$DISTURBED"'
 	    / was sent, / {
-		at = $2; split($3, part, "-"); sub(/^g/, "", part[3])
-		for (i = 1; i <= n; i++)
-			if (gateway[i] == part[3] && at >= from[i] && at <= to[i]) next
-		if (++sends[part[1]] > 3) print
+		split($3, part, "-"); sub(/^g/, "", part[3])
+		if (!disturbed(part[3], $2, $2) && ++sends[part[1]] > 3) print
 	    }' "$STAGE/disturbed" "$STAGE/fleet.err"
 }
 
@@ -54,13 +61,8 @@
 # held the request back.
 print_unheeded() {
 	touch "$STAGE/disturbed"
-	awk 'NR == FNR { n++; gateway[n] = $1 - 1; from[n] = $2; to[n] = $2 + $3 + 1; next }
-	    /^unheeded / {
-		at = $3; since = $7 + 0
-		for (i = 1; i <= n; i++)
-			if (gateway[i] == $5 && from[i] <= at && to[i] >= since) next
-		print
-	    }' "$STAGE/disturbed" "$STAGE/fleet.err"
+	awk "$DISTURBED"'
+	    /^unheeded / && !disturbed($5, $7 + 0, $3)' "$STAGE/disturbed" "$STAGE/fleet.err"
 }
 
 restart() { # restart NAME SIGNAL
