http, entry: Log when callers are not accepted for want of connections

One gateway of an overload sent requests on that had been sent to it two seconds before, by callers who had left. No line told whether it was slow, or did not accept connections. ev=callers now says when the limit is reached, how many of the connections wait for a request, and when the limit no longer holds.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -40,6 +40,8 @@
 	    "a target announced in an answer that it stops, or when to retry")   \
 	X(EVT_VERSION, "version", EVT_STATE, "a new version was announced")      \
 	X(EVT_READY, "ready", EVT_STATE, "readiness changed")                    \
+	X(EVT_CALLERS, "callers", EVT_STATE,                                     \
+	    "the limit of caller connections was reached, or no longer is")      \
 	X(EVT_SIDE, "side", EVT_STATE,                                           \
 	    "a sidecar's report changed the local state")                        \
 	X(EVT_WEIGHTS, "weights", EVT_STATE,                                     \
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -62,6 +62,10 @@
 /* Whether each response closes its connection (before a planned stop). */
 void hserver_set_closing(struct hserver *s, bool closing);
 unsigned int hserver_connections(const struct hserver *s);
+/* Connections that wait for their next request. */
+unsigned int hserver_idle_connections(const struct hserver *s);
+/* Whether no connection is accepted, as `connections_max` is reached. */
+bool hserver_is_full(const struct hserver *s);
 void hserver_free(struct hserver *s); /* closes all connections */
 
 const struct hmsg *hreq_msg(const struct hreq *r);
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -30,6 +30,12 @@
 	return r->server->conf.limits;
 }
 
+static bool
+is_idle(const struct hreq *r)
+{
+	return r->state == HREQ_READ && r->started_us == 0;
+}
+
 /* ------------------------------------------------------------------ */
 /* Closing                                                             */
 /* ------------------------------------------------------------------ */
@@ -45,10 +51,9 @@
 static void
 watch_accepts(struct hserver *s)
 {
-	bool room = s->connections < s->conf.connections_max;
-
 	if (s->fd.fd >= 0)
-		evl_watch(s->conf.loop, &s->fd, room ? EPOLLIN : 0);
+		evl_watch(s->conf.loop, &s->fd,
+		    hserver_is_full(s) ? 0 : EPOLLIN);
 }
 
 void
@@ -305,7 +310,7 @@
 	int i, fd;
 
 	for (i = 0; i < ACCEPTS_PER_WAKEUP; i++) {
-		if (s->connections >= s->conf.connections_max)
+		if (hserver_is_full(s))
 			break;
 		fd =
 		    accept4(s->fd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -366,7 +371,7 @@
 	s->fd.fd = -1;
 	for (r = LIST_FIRST(&s->reqs); r != NULL; r = next) {
 		next = LIST_NEXT(r, link);
-		if (r->state == HREQ_READ && r->started_us == 0)
+		if (is_idle(r))
 			close_idle(r);
 	}
 }
@@ -383,6 +388,23 @@
 	return s->connections;
 }
 
+unsigned int
+hserver_idle_connections(const struct hserver *s)
+{
+	const struct hreq *r;
+	unsigned int n = 0;
+
+	LIST_FOREACH (r, &s->reqs, link)
+		n += is_idle(r);
+	return n;
+}
+
+bool
+hserver_is_full(const struct hserver *s)
+{
+	return s->connections >= s->conf.connections_max;
+}
+
 void
 hserver_free(struct hserver *s)
 {
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -309,6 +309,19 @@
 	daemon_quit(&g->st);
 }
 
+static void
+log_callers(struct gateway *g)
+{
+	bool full = hserver_is_full(g->callers);
+
+	if (full == g->callers_full)
+		return;
+	g->callers_full = full;
+	evt(EVT_CALLERS, "state=%s connections=%u idle=%u requests=%u",
+	    full ? "full" : "open", hserver_connections(g->callers),
+	    hserver_idle_connections(g->callers), fwd_active(g->fwd));
+}
+
 static void
 on_tick(struct evl_timer *timer)
 {
@@ -320,6 +333,7 @@
 	send_store_state(g);
 	extend_deadlines(g, now_us);
 	check_ready(g);
+	log_callers(g);
 	fwd_pump(g->fwd);
 	if (g->stopping_us != 0)
 		check_stop(g, now_us);
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -36,6 +36,7 @@
 	GHashTable *remote_gateways;
 	uint64_t seed; /* random; differs between gateways */
 	bool is_ready;
+	bool callers_full; /* as last logged */
 	int64_t stopping_us; /* start of the planned stop; 0: none */
 	/* Gateways that share the targets, as sidecars report. */
 	unsigned int gateways;
