weights: Log how long inbound traffic may wait behind requested chunks

step=progress of a keeper tells inbound_ms: the time that the chunks it has requested take on its link.

--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -29,6 +29,7 @@
 /* Busy peers can halve the received rate at times; on a link limited to an
  * eighth of its rate the fraction stays far below this value. */
 #define SLOW_LINK_FRACTION 0.3
+#define RATE_FRACTION_MIN 0.01
 #define RATE_SMOOTHING 0.25 /* weight of the newest chunk */
 #define PAUSE_MAX_US SECOND_US
 #define AVERAGE_DIVISOR 8 /* the newest sample has a weight of one eighth */
@@ -376,6 +377,16 @@
 	return p->rate_fraction < SLOW_LINK_FRACTION;
 }
 
+int64_t
+pick_inbound_us(const struct pick *p)
+{
+	double bytes = (double)(p->open_requests + p->open_reads) *
+	    (double)p->conf.chunk_bytes;
+
+	return (int64_t)(bytes * SECOND_US /
+	    ((double)p->conf.rate * MAX(p->rate_fraction, RATE_FRACTION_MIN)));
+}
+
 uint64_t
 pick_count_origin_only(const struct pick *p)
 {
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -229,5 +229,8 @@
 int64_t pick_chunk_us(const struct pick *p);
 /* The path to this host is much slower than the download budget. */
 bool pick_is_link_slow(const struct pick *p);
+/* Time that the chunks requested and not yet received take on this host's link,
+ * at most: other inbound traffic waits that long behind them. */
+int64_t pick_inbound_us(const struct pick *p);
 
 #endif
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -158,6 +158,9 @@
 uint64_t wts_count_origin_only(struct wts *wts, const struct digest *root);
 /* Chunks of a wanted version arrive much slower than this host's budget. */
 bool wts_is_link_slow(const struct wts *wts);
+/* Time, at most, that other inbound traffic of this host waits behind the chunks
+ * that were requested and have not arrived, of all versions together. */
+int64_t wts_inbound_us(const struct wts *wts);
 /* Charges live traffic to the link budgets; uploads and downloads slow down
  * meanwhile. */
 void wts_live_bytes(struct wts *wts, uint64_t bytes);
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -285,6 +285,17 @@
 	return false;
 }
 
+int64_t
+wts_inbound_us(const struct wts *wts)
+{
+	const struct xfer *x;
+	int64_t sum_us = 0;
+
+	TAILQ_FOREACH (x, &wts->xfers, link)
+		sum_us += pick_inbound_us(x->pick);
+	return sum_us;
+}
+
 void
 wts_live_bytes(struct wts *wts, uint64_t bytes)
 {
--- a/programs/side/keeper_weights.c
+++ b/programs/side/keeper_weights.c
@@ -121,9 +121,10 @@
 	evt(EVT_WEIGHTS,
 	    "step=progress version=%" G_GINT64_FORMAT " have=%" G_GUINT64_FORMAT
 	    " of=%" G_GUINT64_FORMAT " origin_chunks=%" G_GINT64_FORMAT
-	    " age_ms=%" G_GINT64_FORMAT,
+	    " inbound_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
 	    c->version, p.have, p.total,
 	    ctr_read(k->st.counters, "wts_origin_chunks"),
+	    wts_inbound_us(k->wts) / 1000,
 	    (keeper_now(k) - c->announced_us) / 1000);
 	c->logged_chunks = p.have;
 	c->logged_us = keeper_now(k);
