http, serve: Send no request on whose caller has left

A caller in an overload was accepted two to three seconds late, when it had given up. Its request and its close were read in one wake-up, but the close was looked at only while a request runs, so the request went to an engine and was cancelled a millisecond later. Engines worked for callers who had left while others were refused.

A connection whose caller has closed it, or its sending side, is now dropped with all input that was not delivered. A queued or repeated request is sent only after a look at its caller's socket, since a pass over the queue can come before the event of the close.

Before: test_caller_leaves_before_its_request_is_read, test_caller_leaves_with_a_later_request, test_caller_half_closes (http) and test_caller_of_a_queued_request_leaves (serve) failed. After: all pass.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -34,8 +34,9 @@
 struct hserver_ops {
 	/* A complete request was read. The owner answers now or later. */
 	void (*request)(struct hreq *r, void *ctx);
-	/* The caller disconnected before the response was complete. `r` is
-	 * freed after the callback. */
+	/* The caller disconnected, or closed its sending side, before the
+	 * response was complete. `r` is freed after the callback. A request
+	 * whose caller disconnects before it was read is not delivered. */
 	void (*disconnected)(struct hreq *r, void *ctx);
 	/* The output queued for a congested caller has shrunk: the source of
 	 * its response can continue. */
@@ -70,6 +71,8 @@
 
 const struct hmsg *hreq_msg(const struct hreq *r);
 const void *hreq_body(const struct hreq *r, size_t *len_out);
+/* Whether the caller has disconnected and the callback is still to come. */
+bool hreq_has_left(const struct hreq *r);
 int64_t hreq_started_us(const struct hreq *r); /* first byte read */
 void hreq_set_ctx(struct hreq *r, void *ctx);
 void *hreq_ctx(const struct hreq *r);
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -1,6 +1,7 @@
 /* The HTTP server: callers' connections, each with one request at a time. */
 
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -52,8 +53,8 @@
 watch_accepts(struct hserver *s)
 {
 	if (s->fd.fd >= 0)
-		evl_watch(s->conf.loop, &s->fd,
-		    hserver_is_full(s) ? 0 : EPOLLIN);
+		evl_watch(
+		    s->conf.loop, &s->fd, hserver_is_full(s) ? 0 : EPOLLIN);
 }
 
 void
@@ -89,7 +90,7 @@
 	uint32_t events = EPOLLRDHUP;
 
 	if (r->state == HREQ_READ)
-		events = EPOLLIN;
+		events |= EPOLLIN;
 	else if (r->state == HREQ_LINGER)
 		events = EPOLLIN;
 	if (hbuf_left(&r->out) > 0)
@@ -251,13 +252,24 @@
 		hbuf_add(&r->in, buffer + used, (size_t)n - used);
 }
 
+/* Whether the caller disconnected. One that closed only its sending side counts
+ * as disconnected, too, until its response is complete. */
+static bool
+is_disconnected(const struct hreq *r, uint32_t events)
+{
+	if ((events & (EPOLLERR | EPOLLHUP)) != 0)
+		return true;
+	return (events & EPOLLRDHUP) != 0 &&
+	    (r->state == HREQ_READ || r->state == HREQ_BUSY);
+}
+
 static void
 on_ready(struct evl_fd *fd, uint32_t events)
 {
 	struct hreq *r = from_fd(fd);
 
-	if ((events & (EPOLLERR | EPOLLHUP)) != 0 ||
-	    ((events & EPOLLRDHUP) != 0 && r->state == HREQ_BUSY)) {
+	/* Input that has not been read is dropped with the connection. */
+	if (is_disconnected(r, events)) {
 		hreq_disconnected(r);
 		return;
 	}
@@ -435,6 +447,14 @@
 	return *len_out == 0 ? NULL : hbuf_front(&r->body);
 }
 
+bool
+hreq_has_left(const struct hreq *r)
+{
+	struct pollfd fd = { .fd = r->fd.fd, .events = POLLRDHUP };
+
+	return poll(&fd, 1, 0) > 0;
+}
+
 int64_t
 hreq_started_us(const struct hreq *r)
 {
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -289,6 +289,8 @@
 	struct tgt *target = choose(r, &criteria, &why);
 	int64_t until_us;
 
+	if (target != NULL && hreq_has_left(r->caller))
+		return; /* on_disconnected() ends the request */
 	if (target != NULL) {
 		hist_add(&r->fwd->wait, fwd_now(r) - r->started_us);
 		fwd_send(r, target);
@@ -376,6 +378,8 @@
 			note_full(kinds, r);
 			continue;
 		}
+		if (hreq_has_left(r->caller))
+			continue;
 		fwd_dequeue(r);
 		evl_timer_stop(r->fwd->conf.loop, &r->wait_timer);
 		hist_add(&r->fwd->wait, fwd_now(r) - r->started_us);
--- a/tests/http/test_server.c
+++ b/tests/http/test_server.c
@@ -158,6 +158,66 @@
 	assert_int_equal(hserver_connections(server), 0);
 }
 
+#define GET "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+/* A caller that is not accepted in time gives up. If its request were delivered
+ * when request and close are read together, a target would work for nobody. */
+static void
+test_caller_leaves_before_its_request_is_read(void **state)
+{
+	int fd = raw_dial(address);
+
+	raw_send(fd, GET);
+	close(fd);
+	run_ms(20);
+	assert_false(delivered);
+	assert_int_equal(hserver_connections(server), 0);
+}
+
+/* The same for the second request on a kept connection, and for a body that
+ * ends with the close. */
+static void
+test_caller_leaves_with_a_later_request(void **state)
+{
+	int fd = raw_dial(address);
+	char *answer;
+
+	raw_send(fd, GET);
+	run_until(&delivered);
+	hreq_answer(request, 200, "", "one", 3);
+	answer = raw_read(fd, "one");
+	g_free(answer);
+	delivered = false;
+	raw_send(fd, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n");
+	run_ms(2);
+	raw_send(fd, "abc");
+	close(fd);
+	run_ms(20);
+	assert_false(delivered);
+	assert_int_equal(hserver_connections(server), 0);
+}
+
+/* A caller that closes its sending side counts as disconnected, whether its
+ * request was read before or is read with the close. */
+static void
+test_caller_half_closes(void **state)
+{
+	int early = raw_dial(address);
+	int late = raw_dial(address);
+
+	raw_send(early, GET);
+	shutdown(early, SHUT_WR);
+	run_ms(20);
+	assert_false(delivered);
+	raw_send(late, GET);
+	run_until(&delivered);
+	shutdown(late, SHUT_WR);
+	run_until(&disconnected);
+	assert_int_equal(hserver_connections(server), 0);
+	close(early);
+	close(late);
+}
+
 /* An aborted response must not look complete: the last chunk is missing. */
 static void
 test_aborted_stream(void **state)
@@ -314,6 +374,9 @@
 		T(test_refusals),
 		T(test_slow_head),
 		T(test_caller_disconnects),
+		T(test_caller_leaves_before_its_request_is_read),
+		T(test_caller_leaves_with_a_later_request),
+		T(test_caller_half_closes),
 		T(test_aborted_stream),
 		T(test_slow_reader_is_congested),
 		T(test_stop),
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -999,6 +999,47 @@
 	close(fd);
 }
 
+/* ------------------------------------------------------------------ */
+/* Callers who left                                                    */
+/* ------------------------------------------------------------------ */
+
+static int queued_caller;
+
+/* Runs before the deferred pass over the queue, in the same wake-up. */
+static void
+leave_as_a_target_comes(struct evl_task *task)
+{
+	close(queued_caller);
+	target_announce(&w.target[1], false, 0);
+	fwd_pump(w.fwd);
+}
+
+/* A slot comes free in the wake-up in which the caller of a queued request
+ * leaves. If it were sent all the same, the target would work for nobody. */
+static void
+test_caller_of_a_queued_request_leaves(void **state)
+{
+	struct sv_config *config = make_config(SV_SAFE, 2, 2000);
+	struct evl_task task = { .run = leave_as_a_target_comes };
+	int fd[3];
+	size_t i;
+
+	config->routes[0].objective_us = 5000000;
+	world_open(2, config);
+	target_announce(&w.target[1], true, 0);
+	for (i = 0; i < G_N_ELEMENTS(fd); i++)
+		fd[i] = send_get();
+	queued_caller = send_get();
+	assert_int_equal(fwd_waiting(w.fwd), 1);
+	evl_defer(w.loop, &task);
+	run_ms(20);
+	assert_int_equal(
+	    accept4(w.target[1].listener, NULL, NULL, SOCK_NONBLOCK), -1);
+	assert_int_equal(fwd_active(w.fwd), G_N_ELEMENTS(fd));
+	for (i = 0; i < G_N_ELEMENTS(fd); i++)
+		close(fd[i]);
+}
+
 int
 main(void)
 {
@@ -1019,6 +1060,7 @@
 		T(test_stream_that_cannot_be_resumed),
 		T(test_stalled_stream),
 		T(test_waiting_for_a_slot),
+		T(test_caller_of_a_queued_request_leaves),
 		T(test_one_scan_for_all_queued_requests),
 		T(test_refused_without_a_free_slot),
 		T(test_new_callers_before_client_retries),
