http: Close idle connections for new callers when all are in use

In an overload, callers that had been refused came back on new connections and kept the old ones open. One gateway of five reached its limit of connections (2900, 2830 of them idle), and accepted nobody for 4.7 to 7 s but in the place of connections that timed out. Its callers waited up to 2.4 s, then gave up.

While all connections are in use, a new one now closes the one that has been idle for the longest time. One with a request that was received and not read, or with output to be written, is kept.

Before: test_idle_connections_make_room, test_connection_with_unread_request_is_kept and test_busy_connections_are_kept failed. After: all pass.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -65,7 +65,8 @@
 unsigned int hserver_connections(const struct hserver *s);
 /* Connections that wait for their next request. */
 unsigned int hserver_idle_connections(const struct hserver *s);
-/* Whether no connection is accepted, as `connections_max` is reached. */
+/* Whether `connections_max` is reached: each new connection closes the one that
+ * has been idle for the longest time, and waits while none is idle. */
 bool hserver_is_full(const struct hserver *s);
 void hserver_free(struct hserver *s); /* closes all connections */
 
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -52,9 +52,25 @@
 static void
 watch_accepts(struct hserver *s)
 {
+	bool room = !hserver_is_full(s) || !TAILQ_EMPTY(&s->idle);
+
 	if (s->fd.fd >= 0)
-		evl_watch(
-		    s->conf.loop, &s->fd, hserver_is_full(s) ? 0 : EPOLLIN);
+		evl_watch(s->conf.loop, &s->fd, room ? EPOLLIN : 0);
+}
+
+void
+hreq_set_idle(struct hreq *r, bool idle)
+{
+	struct hserver *s = r->server;
+
+	if (idle == r->is_idle)
+		return;
+	r->is_idle = idle;
+	if (idle)
+		TAILQ_INSERT_TAIL(&s->idle, r, idle_link);
+	else
+		TAILQ_REMOVE(&s->idle, r, idle_link);
+	watch_accepts(s);
 }
 
 void
@@ -62,6 +78,7 @@
 {
 	struct hserver *s = r->server;
 
+	hreq_set_idle(r, false);
 	evl_unwatch(s->conf.loop, &r->fd);
 	evl_timer_stop(s->conf.loop, &r->timer);
 	evl_task_cancel(s->conf.loop, &r->flush);
@@ -182,6 +199,7 @@
 static void
 request_begun(struct hreq *r)
 {
+	hreq_set_idle(r, false);
 	r->started_us = evl_now_us(hreq_loop(r));
 	evl_timer_set(
 	    hreq_loop(r), &r->timer, r->started_us + limits_of(r)->head_us);
@@ -310,26 +328,55 @@
 	    &r->parse, HTTP_REQUEST, s->conf.limits->head_bytes, on_body, r);
 	LIST_INSERT_HEAD(&s->reqs, r, link);
 	s->connections++;
+	hreq_set_idle(r, true);
 	hreq_watch(r);
 	evl_timer_set(s->conf.loop, &r->timer,
 	    evl_now_us(s->conf.loop) + s->conf.limits->idle_us);
 }
 
+/* An idle connection to close for a new one: the one that has been idle for the
+ * longest time, unless its next request was received and not read yet. */
+static struct hreq *
+find_closable(const struct hserver *s)
+{
+	struct hreq *r;
+
+	TAILQ_FOREACH (r, &s->idle, idle_link) {
+		struct pollfd fd = { .fd = r->fd.fd, .events = POLLIN };
+
+		if (poll(&fd, 1, 0) == 0)
+			return r;
+	}
+	return NULL;
+}
+
+/* Callers keep connections open that they do not use. While these take up all
+ * that may be open, each new one closes one of them. */
+static bool
+accept_next(struct hserver *s)
+{
+	struct hreq *closable = NULL;
+	int fd;
+
+	if (hserver_is_full(s) && (closable = find_closable(s)) == NULL)
+		return false;
+	fd = accept4(s->fd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd < 0)
+		return false;
+	if (closable != NULL)
+		hreq_destroy(closable);
+	accept_one(s, fd);
+	return true;
+}
+
 static void
 on_accept(struct evl_fd *efd, uint32_t events)
 {
 	struct hserver *s = CONTAINER_OF(efd, struct hserver, fd);
-	int i, fd;
+	int i;
 
-	for (i = 0; i < ACCEPTS_PER_WAKEUP; i++) {
-		if (hserver_is_full(s))
-			break;
-		fd =
-		    accept4(s->fd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd < 0)
-			break;
-		accept_one(s, fd);
-	}
+	for (i = 0; i < ACCEPTS_PER_WAKEUP && accept_next(s); i++)
+		continue;
 	watch_accepts(s);
 }
 
@@ -351,6 +398,7 @@
 	s = g_new0(struct hserver, 1);
 	s->conf = *conf;
 	LIST_INIT(&s->reqs);
+	TAILQ_INIT(&s->idle);
 	s->fd = (struct evl_fd){ .fd = fd, .ready = on_accept };
 	watch_accepts(s);
 	return s;
--- a/lib/http/server_answer.c
+++ b/lib/http/server_answer.c
@@ -70,8 +70,12 @@
 	if (r->state == HREQ_FLUSH && hbuf_left(&r->out) == 0)
 		linger(r);
 	hreq_watch(r);
-	if (r->state == HREQ_READ && hbuf_left(&r->in) > 0)
+	if (r->state != HREQ_READ)
+		return;
+	if (hbuf_left(&r->in) > 0)
 		hreq_read_ahead(r);
+	else if (r->started_us == 0 && hbuf_left(&r->out) == 0)
+		hreq_set_idle(r, true);
 }
 
 static void
@@ -120,6 +124,7 @@
 void
 hreq_close_after_flush(struct hreq *r)
 {
+	hreq_set_idle(r, false);
 	r->state = HREQ_FLUSH;
 	hbuf_free(&r->in);
 	evl_defer(hreq_loop(r), &r->flush);
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -18,6 +18,8 @@
 	struct evl_timer timer;
 	struct evl_task flush;
 	LIST_ENTRY(hreq) link;
+	TAILQ_ENTRY(hreq) idle_link;
+	bool is_idle; /* in hserver.idle */
 	struct hserver *server;
 	enum hreq_state state;
 	struct hparse parse;
@@ -38,6 +40,9 @@
 	struct hserver_conf conf;
 	struct evl_fd fd;
 	LIST_HEAD(hreqs, hreq) reqs;
+	/* Connections that wait for their next request, with no output queued;
+	 * the one that has waited for the longest time first. */
+	TAILQ_HEAD(hreqs_idle, hreq) idle;
 	unsigned int connections;
 	size_t bodies; /* bytes of request bodies in memory */
 	bool closing;
@@ -50,6 +55,7 @@
 }
 
 /* server.c */
+void hreq_set_idle(struct hreq *r, bool idle);
 void hreq_destroy(struct hreq *r);
 /* The caller disconnected: calls hserver_ops.disconnected, if the owner has not
  * answered the request completely, and frees the request. The callback is
--- a/tests/http/test_server.c
+++ b/tests/http/test_server.c
@@ -2,6 +2,8 @@
 
 #include "loop.h"
 
+#define CONNECTIONS_MAX 4
+
 static struct evl *loop;
 static struct hserver *server;
 static struct hlimits limits;
@@ -56,7 +58,7 @@
 	server = hserver_new(&(struct hserver_conf){ .loop = loop,
 				 .address = address,
 				 .limits = &limits,
-				 .connections_max = 4,
+				 .connections_max = CONNECTIONS_MAX,
 				 .bodies_max = 5000,
 				 .ops = &ops },
 	    &err);
@@ -218,6 +220,106 @@
 	close(late);
 }
 
+/* ------------------------------------------------------------------ */
+/* All connections in use                                              */
+/* ------------------------------------------------------------------ */
+
+static void
+dial_all(int fd[CONNECTIONS_MAX])
+{
+	int i;
+
+	limits.idle_us = 30000000;
+	for (i = 0; i < CONNECTIONS_MAX; i++)
+		fd[i] = raw_dial(address);
+	assert_true(hserver_is_full(server));
+}
+
+static bool
+is_open(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+static void
+close_all(const int fd[CONNECTIONS_MAX])
+{
+	int i;
+
+	for (i = 0; i < CONNECTIONS_MAX; i++)
+		close(fd[i]);
+}
+
+/* Callers keep connections that they do not use. If these took up all that the
+ * server accepts, the next caller would wait for an idle time-out. */
+static void
+test_idle_connections_make_room(void **state)
+{
+	int fd[CONNECTIONS_MAX], next;
+
+	dial_all(fd);
+	next = raw_dial(address);
+	raw_send(next, GET);
+	run_until(&delivered);
+	assert_false(is_open(fd[0])); /* idle for the longest time */
+	assert_true(is_open(fd[1]));
+	assert_int_equal(hserver_connections(server), CONNECTIONS_MAX);
+	close(next);
+	close_all(fd);
+}
+
+/* A connection with a request that was received and not read yet is not closed
+ * for another caller: its request would be lost. */
+static void
+test_connection_with_unread_request_is_kept(void **state)
+{
+	int fd[CONNECTIONS_MAX], next = -1;
+	struct sockaddr_in at;
+
+	dial_all(fd);
+	assert_true(sock_parse(address, &at));
+	next = sock_dial(&at);
+	raw_send(fd[0], GET); /* both are seen in the same wake-up */
+	run_until(&delivered);
+	run_ms(5);
+	assert_true(is_open(fd[0]));
+	assert_false(is_open(fd[1]));
+	close(next);
+	close_all(fd);
+}
+
+/* Connections with requests under way are not closed for new callers, who wait
+ * until one of them is answered. */
+static void
+test_busy_connections_are_kept(void **state)
+{
+	struct hreq *busy[CONNECTIONS_MAX];
+	int fd[CONNECTIONS_MAX], next, i;
+
+	dial_all(fd);
+	for (i = 0; i < CONNECTIONS_MAX; i++) {
+		delivered = false;
+		raw_send(fd[i], GET);
+		run_until(&delivered);
+		busy[i] = request;
+	}
+	delivered = false;
+	next = raw_dial(address);
+	raw_send(next, GET);
+	run_ms(20);
+	assert_false(delivered);
+	hreq_answer(busy[2], 200, "", "", 0);
+	run_until(&delivered);
+	for (i = 0; i < CONNECTIONS_MAX; i++) {
+		if (i != 2)
+			assert_true(is_open(fd[i]));
+	}
+	close(next);
+	close_all(fd);
+}
+
 /* An aborted response must not look complete: the last chunk is missing. */
 static void
 test_aborted_stream(void **state)
@@ -377,6 +479,9 @@
 		T(test_caller_leaves_before_its_request_is_read),
 		T(test_caller_leaves_with_a_later_request),
 		T(test_caller_half_closes),
+		T(test_idle_connections_make_room),
+		T(test_connection_with_unread_request_is_kept),
+		T(test_busy_connections_are_kept),
 		T(test_aborted_stream),
 		T(test_slow_reader_is_congested),
 		T(test_stop),
