serve, stage: Recall requests before chunks in front of the cancel expire them

Cause: a host that still takes in a version has up to four chunks a version under way to it, 34 ms each on its link. A cancel waits behind them: 0.125 to 0.166 s in the traced cases, where gateways allowed 0.08 s. Such a link is not slow by its rate, so the margin for slow links did not hold either. The new inbound_ms at these hosts was 155 to 395 ms at that time; the gateway's cancels went out within 0.5 ms of each other, so its loop was not the cause.

Keepers now report how long inbound traffic may wait at their host (the longest time of the last second), gateways relay it, and it is added to the margin of the recall and to the time before the end of the weights in which nothing is sent there. The margin is looked at again each 25 ms in the last second, since chunks are requested after a request was sent, and the end is read again, since it moves while the store is away. Processes without the field behave as before: it is appended to the report, and takes unused bits of a relayed entry.

Before: test_recalled_earlier_behind_chunks (recalled 79 ms before the end instead of 400) and test_no_older_weights_behind_chunks failed.

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -40,6 +40,10 @@
 #define RECALL_REMOTE_US 400000
 /* The same over a slow link, where a cancel takes up to one second. */
 #define RECALL_SLOW_US 980000
+/* Time before the end of the weights from which the margin is looked at again,
+ * and how often: more chunks may be on their way to the target's host now. */
+#define RECALL_CHECK_US 1000000
+#define RECALL_CHECK_INTERVAL_US 25000
 
 void
 fwd_prompt_read(struct fwd_req *r)
@@ -292,24 +296,57 @@
 	attempt_ended(r, FLOW_STALLED);
 }
 
+/* Time that a cancel takes to arrive at the target, at most. */
+static int64_t
+recall_margin_us(const struct fwd_req *r)
+{
+	const struct tgt *t = r->target;
+	int64_t margin_us =
+	    t->inbound_us + (t->local ? RECALL_LOCAL_US : RECALL_REMOTE_US);
+
+	if (tgt_path_is_slow(t, fwd_now(r)))
+		margin_us = MAX(margin_us, RECALL_SLOW_US);
+	return margin_us;
+}
+
+/* Time from which the target may not begin the request; 0: none is known. */
+static int64_t
+weights_end_us(const struct fwd_req *r)
+{
+	/* While the target loads, its version is 0. */
+	return vers_deadline_us(r->fwd->conf.versions, r->model,
+	    MAX(r->target->version, r->sent_version));
+}
+
+/* Recalls the request if a cancel sent later may arrive too late, or sets the
+ * timer to the next look. */
 static void
-on_begin_deadline(struct evl_timer *timer)
+check_recall(struct fwd_req *r)
 {
-	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, begin_timer);
+	int64_t end_us = weights_end_us(r), now_us = fwd_now(r);
+	int64_t recall_us = end_us - recall_margin_us(r);
 
-	/* The head of the answer has arrived, so the target has begun. */
-	if (r->call == NULL || r->status != 0)
+	if (end_us == 0)
 		return;
-	cancel_call(r);
-	attempt_ended(r, FLOW_RECALLED);
+	if (now_us >= recall_us) {
+		cancel_call(r);
+		attempt_ended(r, FLOW_RECALLED);
+		return;
+	}
+	evl_timer_set(r->fwd->conf.loop, &r->begin_timer,
+	    MIN(recall_us,
+		MAX(end_us - RECALL_CHECK_US,
+		    now_us + RECALL_CHECK_INTERVAL_US)));
 }
 
-static int64_t
-recall_margin_us(const struct fwd_req *r)
+static void
+on_begin_deadline(struct evl_timer *timer)
 {
-	if (tgt_path_is_slow(r->target, fwd_now(r)))
-		return RECALL_SLOW_US;
-	return r->target->local ? RECALL_LOCAL_US : RECALL_REMOTE_US;
+	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, begin_timer);
+
+	/* The head of the answer has arrived, so the target has begun. */
+	if (r->call != NULL && r->status == 0)
+		check_recall(r);
 }
 
 /* Arms the recall of a request that does not begin in time. This includes
@@ -323,13 +360,12 @@
 	if (r->route->kind != SV_STREAM || !r->flow.repeatable ||
 	    !r->target->record.has_models)
 		return;
-	end_us = vers_deadline_us(
-	    r->fwd->conf.versions, r->model, r->target->version);
+	end_us = weights_end_us(r);
 	if (end_us == 0)
 		return;
 	r->begin_timer.fire = on_begin_deadline;
-	evl_timer_set(
-	    r->fwd->conf.loop, &r->begin_timer, end_us - recall_margin_us(r));
+	evl_timer_set(r->fwd->conf.loop, &r->begin_timer,
+	    end_us - MAX(RECALL_CHECK_US, recall_margin_us(r)));
 }
 
 /* Arms the stall timer until the target's next event. A request that cannot be
@@ -395,6 +431,7 @@
 	r->state = r->flow.begun ? FWD_STREAMING : FWD_CALLING;
 	r->target = tgt_ref(target);
 	r->sent_us = fwd_now(r);
+	r->sent_version = target->version;
 	if (r->ntried < FWD_TRIED_MAX)
 		r->tried[r->ntried++] = target;
 	r->flow.attempts++;
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -44,6 +44,7 @@
 	struct hcall *call;
 	struct tgt *target; /* holds a reference and a slot */
 	int64_t sent_us;
+	int64_t sent_version; /* of the target's weights then */
 	unsigned int status;
 	bool is_matched; /* the answer's head belongs to this request */
 	bool not_run; /* the target says that it did not run the request */
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -217,6 +217,9 @@
 		    f->conf.versions, r->model, begin_us + LEAD_REMOTE_US),
 		.version_slow = vers_min(
 		    f->conf.versions, r->model, fwd_now(r) + LEAD_SLOW_US),
+		.versions = f->conf.versions,
+		.begin_us = begin_us,
+		.begin_remote_us = begin_us + LEAD_REMOTE_US,
 		.exclude = r->tried,
 		.nexclude = r->ntried,
 		.repeatable = r->flow.repeatable,
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -58,6 +58,7 @@
 	MSG_FIELD(struct side_report, limit_known, MSG_U64, 1),
 	MSG_FIELD(struct side_report, limit_milli, MSG_U64, LIMIT_MILLI_MAX),
 	MSG_FIELD(struct side_report, slow_link, MSG_U64, 1),
+	MSG_FIELD(struct side_report, inbound_ms, MSG_U64, COUNT_MAX),
 };
 const struct msg_desc side_report_desc =
     MSG_DESC(SIDE_REPORT, "load", struct side_report, status_fields);
@@ -128,9 +129,22 @@
 } __attribute__((packed));
 
 #define FLAG_SLOW_LINK 1
+/* The rest of the flags: inbound_ms, in steps. */
+#define INBOUND_SHIFT 4
+#define INBOUND_STEPS_MAX (UINT16_MAX >> INBOUND_SHIFT)
 
 G_STATIC_ASSERT(sizeof(struct wire_relayed) == SIDE_RELAYED_BYTES);
 
+static uint16_t
+pack_flags(const struct side_relayed *one)
+{
+	unsigned int steps =
+	    (one->inbound_ms + SIDE_INBOUND_STEP_MS - 1) / SIDE_INBOUND_STEP_MS;
+
+	return (uint16_t)(MIN(steps, INBOUND_STEPS_MAX) << INBOUND_SHIFT |
+	    (one->slow_link ? FLAG_SLOW_LINK : 0));
+}
+
 bool
 side_relayed_put(GByteArray *entries, const struct side_relayed *one)
 {
@@ -146,7 +160,7 @@
 		.total = htons((uint16_t)MIN(one->total, UINT16_MAX)),
 		.slowdown_permille =
 		    htons((uint16_t)MIN(one->slowdown_permille, UINT16_MAX)),
-		.flags = htons(one->slow_link ? FLAG_SLOW_LINK : 0),
+		.flags = htons(pack_flags(one)),
 	};
 	g_byte_array_append(entries, (const guint8 *)&wire, sizeof(wire));
 	return true;
@@ -174,6 +188,8 @@
 	out->total = ntohs(wire.total);
 	out->slowdown_permille = ntohs(wire.slowdown_permille);
 	out->slow_link = (ntohs(wire.flags) & FLAG_SLOW_LINK) != 0;
+	out->inbound_ms =
+	    (ntohs(wire.flags) >> INBOUND_SHIFT) * SIDE_INBOUND_STEP_MS;
 }
 
 /* ------------------------------------------------------------------ */
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -124,6 +124,8 @@
 	uint64_t limit_known, limit_milli;
 	/* 1: inbound traffic of the sidecar's host is slow. */
 	uint64_t slow_link;
+	/* How long inbound traffic may wait there behind chunks of weights. */
+	uint64_t inbound_ms;
 };
 
 /* A gateway reports a target's rate limit. */
@@ -147,8 +149,12 @@
 	unsigned int total; /* running and waiting */
 	unsigned int slowdown_permille;
 	bool slow_link;
+	unsigned int
+	    inbound_ms; /* in steps of SIDE_INBOUND_STEP_MS, rounded up */
 };
 
+#define SIDE_INBOUND_STEP_MS 16
+
 /* Encoded size: IPv4 address, port, seq, total, slowdown, flags; network
  * order. */
 #define SIDE_RELAYED_BYTES 16
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -423,6 +423,7 @@
 	tgt_side_reported(t, report->seq, now_us);
 	tgt_set_slowdown(t, report->slowdown_permille);
 	t->slow_link = report->slow_link;
+	t->inbound_us = (int64_t)report->inbound_ms * 1000;
 	tgt_set_load(t, report->total, now_us);
 	return true;
 }
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -13,6 +13,7 @@
 #include "serve/rate.h"
 #include "serve/records.h"
 #include "serve/side.h"
+#include "serve/vers.h"
 
 struct tgt_service;
 
@@ -53,6 +54,8 @@
 	struct rate rate;
 	/* Inbound traffic of its host is slow, as its sidecar reported. */
 	bool slow_link;
+	/* How long it may wait there behind chunks of weights. */
+	int64_t inbound_us;
 	/* Step time relative to the configured one; 1: as configured. */
 	double slowdown;
 	/* It announced its stop in an answer, or in a record that an older one
@@ -236,6 +239,11 @@
 	int64_t version_fresh;
 	int64_t version_remote; /* minimum for a target in a remote region */
 	int64_t version_slow; /* minimum for a target behind a slow link */
+	/* The same for a target whose inbound traffic waits: the minimum when
+	 * that time is added to `begin_us`, or to `begin_remote_us` in another
+	 * region. NULL: not considered. */
+	const struct vers *versions;
+	int64_t begin_us, begin_remote_us;
 	const struct tgt *const *exclude; /* targets tried before */
 	size_t nexclude;
 	bool repeatable; /* may probe a target that failed */
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -92,6 +92,19 @@
 	return false;
 }
 
+/* Minimum version for a target whose inbound traffic waits behind chunks. */
+static int64_t
+version_behind_chunks(const struct tgt *t, const struct tgt_criteria *criteria)
+{
+	int64_t begin_us =
+	    t->local ? criteria->begin_us : criteria->begin_remote_us;
+
+	if (t->inbound_us == 0 || criteria->versions == NULL)
+		return 0;
+	return vers_min(
+	    criteria->versions, criteria->model, begin_us + t->inbound_us);
+}
+
 static bool
 has_weights(
     const struct tgt *t, const struct tgt_criteria *criteria, int64_t now_us)
@@ -106,6 +119,7 @@
 		least = MAX(least, criteria->version_remote);
 	if (tgt_path_is_slow(t, now_us))
 		least = MAX(least, criteria->version_slow);
+	least = MAX(least, version_behind_chunks(t, criteria));
 	return t->version > 0 && t->version >= least &&
 	    strcmp(t->model, criteria->model) == 0;
 }
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -168,6 +168,19 @@
 	return d->at[i - 1].version;
 }
 
+/* ------------------------------------------------------------------ */
+/* Inbound traffic                                                     */
+/* ------------------------------------------------------------------ */
+
+void
+stg_inbound_note(struct stg_inbound *in, int64_t us, int64_t now_us)
+{
+	if (us < in->us && now_us - in->at_us <= STG_INBOUND_HOLD_US)
+		return;
+	in->us = us;
+	in->at_us = now_us;
+}
+
 /* ------------------------------------------------------------------ */
 /* Digests                                                             */
 /* ------------------------------------------------------------------ */
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -104,6 +104,18 @@
 /* Time from which nothing older than `loaded` may serve; 0: not known. */
 int64_t stg_deadlines_of(const struct stg_deadlines *d, int64_t loaded);
 
+/* How long inbound traffic may wait at this host behind chunks: the longest time
+ * of the last second, since a message that is on its way meets a queue that grew
+ * after the last report. */
+struct stg_inbound {
+	int64_t us;
+	int64_t at_us; /* when that was noted */
+};
+
+#define STG_INBOUND_HOLD_US 1000000
+
+void stg_inbound_note(struct stg_inbound *in, int64_t us, int64_t now_us);
+
 /* When a sidecar reads a version's digests from the origin itself. */
 struct stg_digests {
 	unsigned int members; /* sidecars of the model; 0: not known yet */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -131,6 +131,7 @@
 	note_gateways(g, (unsigned int)report->gateways);
 	t->region_gateways = (unsigned int)report->local_gateways;
 	t->slow_link = report->slow_link != 0;
+	t->inbound_us = (int64_t)report->inbound_ms * 1000;
 	if (t->local) {
 		g->local_gateways = (unsigned int)report->local_gateways;
 		gateway_relay_add_gateway(g, report);
--- a/programs/entry/gateway_relay.c
+++ b/programs/entry/gateway_relay.c
@@ -82,6 +82,7 @@
 		.total = t->reported,
 		.slowdown_permille = (unsigned int)(t->slowdown * 1000),
 		.slow_link = t->slow_link,
+		.inbound_ms = (unsigned int)(t->inbound_us / 1000),
 	};
 
 	g_strlcpy(entry.address, t->record.address, sizeof(entry.address));
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -80,6 +80,7 @@
 	bool origin_root;
 	unsigned int running, waiting;
 	bool slow_link; /* inbound traffic of this host is slow */
+	unsigned int inbound_ms; /* and may wait this long behind chunks */
 	bool limit_known;
 	double limit; /* the engine's rate limit */
 };
@@ -105,6 +106,7 @@
 	 * loaded and may be complete earlier, or NULL. */
 	struct keeper_copy *newest, *older;
 	struct stg_deadlines deadlines;
+	struct stg_inbound inbound;
 	struct permits permits; /* by the engine's rate limit */
 	GHashTable *pools; /* address of another target -> keeper_pool */
 	/* Requests in flight at targets that terminated. */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -139,6 +139,16 @@
 	return k->newest != NULL && k->newest->origin_root;
 }
 
+/* Rounded up to steps, as each rise is reported at once. */
+static unsigned int
+inbound_ms(const struct keeper *k)
+{
+	int64_t step_us = SIDE_INBOUND_STEP_MS * 1000;
+
+	return (unsigned int)((k->inbound.us + step_us - 1) / step_us) *
+	    SIDE_INBOUND_STEP_MS;
+}
+
 static struct keeper_status
 current_status(const struct keeper *k)
 {
@@ -150,6 +160,7 @@
 		.running = k->engine.running,
 		.waiting = k->engine.waiting,
 		.slow_link = wts_is_link_slow(k->wts),
+		.inbound_ms = inbound_ms(k),
 		.limit_known = k->permits.known,
 		.limit = k->permits.limit,
 	};
@@ -166,10 +177,12 @@
 	    a->limit != b->limit;
 }
 
+/* Whether `a` has a changed load since `b`. */
 static bool
 load_differs(const struct keeper_status *a, const struct keeper_status *b)
 {
-	return a->running != b->running || a->waiting != b->waiting;
+	return a->running != b->running || a->waiting != b->waiting ||
+	    a->inbound_ms > b->inbound_ms;
 }
 
 /* Which gateways get a status report now. */
@@ -249,6 +262,7 @@
 		.local_gateways = keeper_local_gateways(k),
 		.seq = k->report_seq,
 		.slow_link = status->slow_link,
+		.inbound_ms = status->inbound_ms,
 		.limit_known = status->limit_known,
 		.limit_milli = rate_to_milli(status->limit),
 	};
@@ -310,7 +324,7 @@
 void
 keeper_send_status(struct keeper *k)
 {
-	struct keeper_status status = current_status(k);
+	struct keeper_status status;
 	struct report_plan plan;
 	struct side_report report;
 	bool sent_remote;
@@ -318,6 +332,8 @@
 	drop_timed_out(k);
 	if (!k->had_engine)
 		return;
+	stg_inbound_note(&k->inbound, wts_inbound_us(k->wts), keeper_now(k));
+	status = current_status(k);
 	if (status.slow_link != k->reported.slow_link)
 		evt(EVT_WEIGHTS, "step=link slow=%d", status.slow_link);
 	plan = plan_reports(k, &status);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -747,6 +747,54 @@
 	expect_answer(fd, "502 ");
 }
 
+/* Chunks that the target's host has requested fill its link, after the request
+ * was sent. Guards against a cancel that waits behind them and arrives when the
+ * request has begun on withdrawn weights. */
+static void
+test_recalled_earlier_behind_chunks(void **state)
+{
+	char *request;
+	struct target *t;
+	struct sv_config *config = make_config(SV_STREAM, 2, 3000);
+	int64_t deadline_us;
+	int fd;
+
+	config->routes[0].objective_us = 1000000; /* no stall timeout before */
+	world_open(1, config);
+	target_announce(&w.target[0], false, 1);
+	announce_version(900);
+	deadline_us = now_us() + 900000;
+	fd = send_model_request();
+	t = target_get(&request);
+	g_free(request);
+	tgt_find(w.set, "i0")->inbound_us = 400000;
+	assert_true(target_is_disconnected(t));
+	assert_in_range(deadline_us - now_us(), 400000, 520000);
+	close(fd);
+}
+
+/* The same chunks delay requests: one that would have to be recalled before it
+ * arrives is not sent. */
+static void
+test_no_older_weights_behind_chunks(void **state)
+{
+	char *request;
+	struct target *t;
+
+	world_open(2, make_config(SV_STREAM, 2, 3000));
+	target_announce(&w.target[0], false, 1);
+	target_announce(&w.target[1], false, 1);
+	tgt_find(w.set, "i0")->inbound_us = 400000;
+	announce_version(600);
+	close(send_model_request());
+	t = target_get(&request);
+	g_free(request);
+	assert_ptr_equal(t, &w.target[1]);
+	run_ms(5);
+	tgt_find(w.set, "i1")->inbound_us = 400000;
+	expect_answer(send_model_request(), "503 ");
+}
+
 /* Guards against a resumed stream that is queued at an engine until the
  * engine's weights are withdrawn, and is begun on them. */
 static void
@@ -1073,6 +1121,8 @@
 		T(test_no_older_weights_behind_a_slow_link),
 		T(test_no_older_weights_without_status_reports),
 		T(test_recalled_early_over_a_slow_link),
+		T(test_recalled_earlier_behind_chunks),
+		T(test_no_older_weights_behind_chunks),
 		T(test_resumed_stream_is_recalled_before_its_weights_expire),
 		T(test_last_attempt_is_recalled_before_its_weights_expire),
 		T(test_recalled_earlier_from_another_region),
--- a/tests/serve/test_relay.c
+++ b/tests/serve/test_relay.c
@@ -31,7 +31,8 @@
 	struct side_relayed w = { .seq = seq,
 		.total = total,
 		.slowdown_permille = 2500,
-		.slow_link = true };
+		.slow_link = true,
+		.inbound_ms = 150 };
 
 	return w;
 }
@@ -64,6 +65,8 @@
 	assert_int_equal(out.total, 12);
 	assert_int_equal(out.slowdown_permille, 2500);
 	assert_true(out.slow_link);
+	/* Rounded up: a cancel must not be sent too late. */
+	assert_in_range(out.inbound_ms, 150, 150 + SIDE_INBOUND_STEP_MS);
 	msg_close(&m);
 	g_byte_array_unref(wire);
 	g_byte_array_unref(entries);
@@ -92,6 +95,7 @@
 	assert_int_equal(t->side_report_us, 2 * SECOND);
 	assert_true(t->slowdown > 2.4 && t->slowdown < 2.6);
 	assert_true(t->slow_link);
+	assert_int_equal(t->inbound_us, 150000);
 	assert_false(tgt_relayed(t, &fresh, 3 * SECOND)); /* a duplicate */
 	tgt_set_free(set);
 }
--- a/tests/stage/test_stage.c
+++ b/tests/stage/test_stage.c
@@ -220,6 +220,22 @@
 	assert_int_equal(stg_deadlines_expiry(&deadlines, 18), 19 * SECOND);
 }
 
+/* A cancel that is on its way meets the queue of the last second, so a report
+ * between two chunks does not say that the link is free. */
+static void
+test_longest_inbound_wait_is_held(void **state)
+{
+	struct stg_inbound in = { 0 };
+
+	stg_inbound_note(&in, 140000, SECOND);
+	stg_inbound_note(&in, 0, 2 * SECOND);
+	assert_int_equal(in.us, 140000);
+	stg_inbound_note(&in, 270000, 2 * SECOND);
+	assert_int_equal(in.us, 270000);
+	stg_inbound_note(&in, 30000, 3 * SECOND + 1);
+	assert_int_equal(in.us, 30000);
+}
+
 /*
  * All sidecars start at once and learn the wanted version a moment before the
  * other sidecars. Guards against each taking itself for the first and reading
@@ -382,6 +398,7 @@
 		cmocka_unit_test(test_nothing_while_the_engine_is_down),
 		cmocka_unit_test(test_loaded_engine_is_a_source),
 		cmocka_unit_test(test_switch_times_are_spread),
+		cmocka_unit_test(test_longest_inbound_wait_is_held),
 		cmocka_unit_test(
 		    test_engines_with_later_deadlines_switch_later),
 		cmocka_unit_test(test_only_the_last_deadlines_are_retained),
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -455,6 +455,31 @@
 	pick_free(p);
 }
 
+/* The chunks that are requested at once delay other inbound traffic by the time
+ * that they take on the link together. */
+static void
+test_inbound_wait_behind_requests(void **state)
+{
+	struct pick *p = new_pick(not_reader());
+	struct pick_peer a = { 0 }, b = { 0 };
+
+	assert_int_equal(pick_inbound_us(p), 0);
+	pick_add_peer(p, &a, true);
+	pick_add_peer(p, &b, true);
+	add_all_chunks(p, &a);
+	add_all_chunks(p, &b);
+	(void)start_all(p, 0);
+	assert_int_equal(p->open_requests, PICK_REQUESTS_MAX);
+	assert_in_range(pick_inbound_us(p), PICK_REQUESTS_MAX * 10000 - 1,
+	    PICK_REQUESTS_MAX * 10000 + 1);
+	p->rate_fraction = 0.5;
+	assert_in_range(pick_inbound_us(p), PICK_REQUESTS_MAX * 20000 - 1,
+	    PICK_REQUESTS_MAX * 20000 + 1);
+	pick_remove_peer(p, &a, 0);
+	pick_remove_peer(p, &b, 0);
+	pick_free(p);
+}
+
 /* Near the end several peers have the last chunk. It is requested from only one
  * peer, and from another after the first has sent nothing for the stall
  * timeout. */
@@ -600,6 +625,7 @@
 		cmocka_unit_test(test_count_origin_only),
 		cmocka_unit_test(test_next_rank_reads_after_claim_timeout),
 		cmocka_unit_test(test_takeover_from_slow_reader),
+		cmocka_unit_test(test_inbound_wait_behind_requests),
 		cmocka_unit_test(test_late_claim_resets_claim_timeout),
 		cmocka_unit_test(test_same_domain_then_idle_then_rarest),
 		cmocka_unit_test(test_no_duplicate_before_stall_timeout),
