weights: Retry an own failed read although another host took the chunk over

Cause: a reader whose read fails tries again each 0.15 s. When the claim timeout has passed, another host takes the chunk over, and its read fails as well. Claims do not tell that a read failed.

The reader now leaves a host that took over the time of a read, then tries again as before. At worst one chunk is read twice. No constant is changed.

Before: test_failed_read_is_retried_after_a_takeover failed.

--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -235,7 +235,6 @@
 
 	c->claimed = true;
 	c->claim_seen = true;
-	c->read_failed = false;
 	c->claimed_us = now_us;
 	c->claimed_rank = (uint8_t)MIN(rank, PICK_RANK_UNKNOWN);
 	p->unclaimed -= is_new;
@@ -337,6 +336,7 @@
 	}
 	g_assert(a->kind == PICK_READ);
 	c->state = PICK_READING;
+	c->read_failed = false;
 	p->next_read_us = 0;
 	p->open_reads++;
 	p->extra_reads += a->extra;
--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -83,8 +83,7 @@
 	bool claim_seen; /* a claim for it was received or made by this host */
 	/* Corrupt copies read from the origin by this host. */
 	uint8_t corrupt_reads;
-	/* The last claim was made by this host, and the read failed. */
-	bool read_failed;
+	bool read_failed; /* this host's last read of it from the origin */
 	uint32_t holders; /* connected peers that have it */
 	uint32_t domain_holders; /* holders in this host's domain */
 	/* Number of hosts in this domain that fetch the chunk from other
--- a/lib/weights/pick_next.c
+++ b/lib/weights/pick_next.c
@@ -12,6 +12,22 @@
 /* Reading from the origin                                             */
 /* ------------------------------------------------------------------ */
 
+/*
+ * How long a claim keeps this host from reading the chunk: its reader may have
+ * failed. The first reader retries its own failed read without this wait, or
+ * the chunks tried last would be retried a second after the origin has
+ * recovered. To another host that took over it only leaves the time of a read:
+ * claims do not tell that a read failed.
+ */
+static int64_t
+claim_wait_us(
+    const struct pick *p, const struct pick_chunk *c, unsigned int rank)
+{
+	if (rank > 0 || !(c->corrupt_reads > 0 || c->read_failed))
+		return MAX(rank, 1) * pick_claim_timeout_us(p);
+	return c->claimed_rank > 0 ? p->read_time_us : 0;
+}
+
 /* Earliest time at which this host may read `index`, given its rank and the
  * claims received. */
 static int64_t
@@ -25,15 +41,8 @@
 
 	if (c->corrupt_reads > 0 || p->read_failures > 0)
 		due = MAX(due, p->read_backoff_until_us);
-	/*
-	 * The chunk was claimed but has not been seen since; its reader may
-	 * have failed. A failed read of this host is retried without this wait,
-	 * or the chunks tried last would be retried a second after the origin
-	 * has recovered.
-	 */
-	if (c->claimed &&
-	    !(rank == 0 && (c->corrupt_reads > 0 || c->read_failed)))
-		due = MAX(due, c->claimed_us + MAX(rank, 1) * timeout_us);
+	if (c->claimed)
+		due = MAX(due, c->claimed_us + claim_wait_us(p, c, rank));
 	for (lower_rank = 0; lower_rank < MIN(rank, PICK_RANK_UNKNOWN);
 	     lower_rank++) {
 		int64_t claim = p->claims_us[c->reader][lower_rank];
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -214,6 +214,28 @@
 	pick_free(p);
 }
 
+/* The origin is down, and the reader's repeated reads of a chunk fail. Another
+ * host takes the chunk over, and its read fails as well, which no claim tells.
+ * Guards against a reader that waits for that read until the claim times out,
+ * seconds after the origin has recovered. */
+static void
+test_failed_read_is_retried_after_a_takeover(void **state)
+{
+	struct pick *p = new_pick(reader(0));
+	uint64_t index = fail_read(p, CHUNKS);
+	struct pick_action a;
+
+	p->read_time_us = SECOND / 10;
+	assert_true(pick_claimed(p, index, 1, SECOND / 2));
+	/* The other host's read may be in progress. */
+	a = next(p, SECOND / 2 + SECOND / 20);
+	assert_true(a.kind != PICK_READ || a.index != index);
+	a = next(p, SECOND / 2 + SECOND / 10);
+	assert_int_equal(a.kind, PICK_READ);
+	assert_int_equal(a.index, index);
+	pick_free(p);
+}
+
 /* The origin recovers after an outage in which all claims have expired, so a
  * reader may also read chunks of other readers. It reads its own first: others
  * leave those to it, and all hosts would wait for them. */
@@ -619,6 +641,7 @@
 		cmocka_unit_test(test_no_read_before_members_are_known),
 		cmocka_unit_test(test_reads_in_turn),
 		cmocka_unit_test(test_failed_read_is_retried_soon),
+		cmocka_unit_test(test_failed_read_is_retried_after_a_takeover),
 		cmocka_unit_test(test_own_chunks_are_read_first),
 		cmocka_unit_test(test_max_reads_open),
 		cmocka_unit_test(test_origin_chunk_at_peer_ends_backoff),
