serve: Send requests until shortly before a recall behind chunks

Where inbound traffic waits at a target, 0.3 s and that wait were kept free before its weights end. The 0.3 s allow for a way that the wait is already the bound of; what is needed beside it is the time to begin, 0.1 s, and to recall, 0.08 s. The recall stays as early as it was.

--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -181,6 +181,9 @@
  * targets in service for 0.8 to 1.5 s longer.
  */
 #define LEAD_RECALL_US 300000
+/* The part of it in which the request begins and is recalled; where inbound
+ * traffic waits at the target, that time is added. */
+#define LEAD_BEGIN_US 180000
 #define LEAD_QUEUE_US 1100000
 #define LEAD_REMOTE_US 320000 /* in addition, to another region */
 #define LEAD_FRESH_US 700000 /* in addition, for a target just started */
@@ -207,6 +210,8 @@
 	bool may_queue = !fwd_may_recall(r);
 	int64_t begin_us =
 	    fwd_now(r) + (may_queue ? LEAD_QUEUE_US : LEAD_RECALL_US);
+	int64_t behind_us =
+	    fwd_now(r) + (may_queue ? LEAD_QUEUE_US : LEAD_BEGIN_US);
 	int64_t fresh_us = begin_us + (may_queue ? LEAD_FRESH_US : 0);
 
 	return (struct tgt_criteria){
@@ -218,8 +223,8 @@
 		.version_slow = vers_min(
 		    f->conf.versions, r->model, fwd_now(r) + LEAD_SLOW_US),
 		.versions = f->conf.versions,
-		.begin_us = begin_us,
-		.begin_remote_us = begin_us + LEAD_REMOTE_US,
+		.begin_us = behind_us,
+		.begin_remote_us = behind_us + LEAD_REMOTE_US,
 		.exclude = r->tried,
 		.nexclude = r->ntried,
 		.repeatable = r->flow.repeatable,
