weights: End the wait of an empty host only when all have announced

Two hosts that started empty beside four full ones read a chunk from the origin that the others had, 2 of 293 runs of the test beside load.

Cause: a host waits for what others announce before it reads from the origin, four update intervals at most, and stops waiting when nobody has anything. The first announcement decided that, though it may come from another host that has just started. Now all members must have announced, in a large rollout all that this host connects to; the limit in time stays, for members that never announce.

Before: test_empty_hosts_wait_for_all_announcements failed each time (16384 bytes read), without load. After: passes, as does test_silent_host_does_not_stop_a_rollout.

--- a/lib/weights/peers.c
+++ b/lib/weights/peers.c
@@ -367,12 +367,18 @@
 	return strcmp(m->domain, x->wts->conf.domain) == 0;
 }
 
+static unsigned int
+dial_count(const struct xfer *x)
+{
+	return MAX(DIAL_MIN, g_bit_storage(x->members->len));
+}
+
 static struct quota
 dial_quota(const struct xfer *x)
 {
 	unsigned int same_domain = 0;
 	unsigned int cross_domain = 0;
-	unsigned int dials;
+	unsigned int dials = dial_count(x);
 	guint i;
 
 	for (i = 0; i < x->members->len; i++) {
@@ -381,7 +387,6 @@
 		else
 			cross_domain++;
 	}
-	dials = MAX(DIAL_MIN, g_bit_storage(x->members->len));
 	cross_domain = MIN(cross_domain, DIAL_CROSS_DOMAIN);
 	same_domain = MIN(same_domain, dials - cross_domain);
 	return (struct quota){ same_domain, dials - same_domain };
@@ -426,6 +431,21 @@
 	}
 }
 
+bool
+peers_all_announced(const struct xfer *x)
+{
+	const struct peer *peer;
+	guint members = x->members->len;
+	guint announced = 0;
+
+	TAILQ_FOREACH (peer, &x->peers, link) {
+		if (!peer->has_list)
+			return false;
+		announced++;
+	}
+	return announced >= (members < DIAL_ALL ? members : dial_count(x));
+}
+
 /* ------------------------------------------------------------------ */
 /* Accepting                                                           */
 /* ------------------------------------------------------------------ */
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -115,12 +115,12 @@
  * A host that joins late, or continues with a next version, would read chunks
  * from the origin that other hosts of the rollout already have, if it read
  * before they had reported their chunks and claims. If all hosts start empty
- * there is nothing to wait for, and the first report of a peer ends the wait.
+ * there is nothing to wait for, which only the reports of all peers tell: the
+ * first one may come from another host that has just started.
  */
 static void
 update_settling(struct xfer *x)
 {
-	bool received = x->members->len == 0;
 	struct peer *peer;
 
 	if (x->pick->settle_until_us == 0 || x->pick->have > 0)
@@ -128,9 +128,8 @@
 	TAILQ_FOREACH (peer, &x->peers, link) {
 		if (peer->for_chunks.have > 0)
 			return;
-		received = received || peer->has_list;
 	}
-	if (received)
+	if (peers_all_announced(x))
 		pick_settle(x->pick, 0);
 }
 
--- a/lib/weights/xfer.h
+++ b/lib/weights/xfer.h
@@ -148,6 +148,9 @@
 void read_free(struct read *r);
 
 /* peers.c */
+/* Whether all members of the rollout have announced their chunks; of a large one
+ * all those that this host connects to. */
+bool peers_all_announced(const struct xfer *x);
 void peers_dial(struct xfer *x);
 void peers_drop_removed(struct xfer *x); /* peers that are no longer members */
 struct peer *peers_accept(struct xfer *x, struct conn *c);
--- a/tests/weights/test_faults.c
+++ b/tests/weights/test_faults.c
@@ -350,6 +350,85 @@
 	finish_rollout(&s, &first);
 }
 
+/* A host that accepts connections and says nothing. */
+static void
+fake_silent(struct node *n, struct conn *c, const struct msg *m)
+{
+}
+
+static bool
+knows_list(const struct node *a, const struct node *b, const struct model *m)
+{
+	const struct xfer *x = wts_find(a->wts, &m->version.root);
+	const struct peer *peer;
+
+	TAILQ_FOREACH (peer, &x->peers, link) {
+		if (strcmp(peer->id, b->id) == 0)
+			return peer->has_list;
+	}
+	return false;
+}
+
+static bool
+empty_hosts_announced(const struct nodes *s, const struct model *m)
+{
+	return knows_list(&s->node[0], &s->node[1], m) &&
+	    knows_list(&s->node[1], &s->node[0], m);
+}
+
+static gboolean
+on_pause_end(gpointer data)
+{
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
+}
+
+static void
+run_ms(guint ms)
+{
+	bool over = false;
+
+	g_timeout_add(ms, on_pause_end, &over);
+	while (!over)
+		g_main_context_iteration(NULL, TRUE);
+}
+
+#define LONG_WAIT_RATE 2000 /* bytes per second: updates each second */
+
+/* Two hosts start empty, and a third has not announced its chunks yet. Guards
+ * against reads of the origin as soon as the empty hosts know each other. */
+static void
+test_empty_hosts_wait_for_all_announcements(void **state)
+{
+	struct nodes s = { .rate = LONG_WAIT_RATE };
+	GBytes *list = g_bytes_new(first.list->data, first.list->len);
+	size_t i;
+
+	start_rollout(&s, 3);
+	replace_with_fake(&s.node[2], fake_silent, NULL);
+	nodes_want_all(&s, &first, 1);
+	for (i = 0; i < 2; i++)
+		assert_true(
+		    wts_offer_list(s.node[i].wts, &first.version.root, list));
+	g_bytes_unref(list);
+	nodes_run_until(&s, empty_hosts_announced, &first);
+	run_ms(100);
+	assert_int_equal(s.origin.bytes_sent, 0);
+	nodes_stop(&s);
+}
+
+/* The same, but the third host never announces: the wait ends all the same. */
+static void
+test_silent_host_does_not_stop_a_rollout(void **state)
+{
+	struct nodes s = { .rate = SLOW_RATE };
+
+	start_rollout(&s, 3);
+	replace_with_fake(&s.node[2], fake_silent, NULL);
+	nodes_want_all(&s, &first, 1);
+	finish_rollout(&s, &first);
+}
+
 /* Whether a live host has the chunk or is reading it. */
 static bool
 is_recoverable(const struct nodes *s, const struct model *m, uint64_t chunk)
@@ -497,6 +576,8 @@
 		cmocka_unit_test(test_origin_down),
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_restart_empty_and_join_late),
+		cmocka_unit_test(test_empty_hosts_wait_for_all_announcements),
+		cmocka_unit_test(test_silent_host_does_not_stop_a_rollout),
 		cmocka_unit_test(test_domain_lost),
 		cmocka_unit_test(test_reader_dies_and_peer_corrupts),
 		cmocka_unit_test(test_member_lists_differ),
