--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -32,7 +32,7 @@
 }
 
 static bool
-is_idle(const struct hreq *r)
+waits_for_request(const struct hreq *r)
 {
 	return r->state == HREQ_READ && r->started_us == 0;
 }
@@ -431,7 +431,7 @@
 	s->fd.fd = -1;
 	for (r = LIST_FIRST(&s->reqs); r != NULL; r = next) {
 		next = LIST_NEXT(r, link);
-		if (is_idle(r))
+		if (waits_for_request(r))
 			close_idle(r);
 	}
 }
@@ -455,7 +455,7 @@
 	unsigned int n = 0;
 
 	LIST_FOREACH (r, &s->reqs, link)
-		n += is_idle(r);
+		n += waits_for_request(r);
 	return n;
 }
 
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -210,7 +210,7 @@
 	bool may_queue = !fwd_may_recall(r);
 	int64_t begin_us =
 	    fwd_now(r) + (may_queue ? LEAD_QUEUE_US : LEAD_RECALL_US);
-	int64_t behind_us =
+	int64_t behind_chunks_us =
 	    fwd_now(r) + (may_queue ? LEAD_QUEUE_US : LEAD_BEGIN_US);
 	int64_t fresh_us = begin_us + (may_queue ? LEAD_FRESH_US : 0);
 
@@ -223,8 +223,8 @@
 		.version_slow = vers_min(
 		    f->conf.versions, r->model, fwd_now(r) + LEAD_SLOW_US),
 		.versions = f->conf.versions,
-		.begin_us = behind_us,
-		.begin_remote_us = behind_us + LEAD_REMOTE_US,
+		.begin_us = behind_chunks_us,
+		.begin_remote_us = behind_chunks_us + LEAD_REMOTE_US,
 		.exclude = r->tried,
 		.nexclude = r->ntried,
 		.repeatable = r->flow.repeatable,
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -149,8 +149,7 @@
 	unsigned int total; /* running and waiting */
 	unsigned int slowdown_permille;
 	bool slow_link;
-	unsigned int
-	    inbound_ms; /* in steps of SIDE_INBOUND_STEP_MS, rounded up */
+	unsigned int inbound_ms; /* rounded up to SIDE_INBOUND_STEP_MS */
 };
 
 #define SIDE_INBOUND_STEP_MS 16
--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -29,7 +29,7 @@
 /* Busy peers can halve the received rate at times; on a link limited to an
  * eighth of its rate the fraction stays far below this value. */
 #define SLOW_LINK_FRACTION 0.3
-#define RATE_FRACTION_MIN 0.01
+#define RATE_FRACTION_MIN 0.01 /* of an average that only tends to zero */
 #define RATE_SMOOTHING 0.25 /* weight of the newest chunk */
 #define PAUSE_MAX_US SECOND_US
 #define AVERAGE_DIVISOR 8 /* the newest sample has a weight of one eighth */
