tests: Do not take the first large answer for the second

The answer that it got is whole, 124 bytes: its request reached the service after the test had set the size of answers back. The test waits until the answer has begun, by a file that still held the first answer until the shell that starts curl had opened it anew.

The file is now emptied before. With that shell delayed by half a second the test failed each time at that check, and passes with the change.

--- a/tests/system/slow_caller.sh
+++ b/tests/system/slow_caller.sh
@@ -70,6 +70,7 @@
 check "the entry still answers" test -n "$(chat "$entry_1" | grep choices)"
 
 curl -s -o /dev/null -d "{\"answer_bytes\":$answer_bytes}" "$service_1/admin/faults"
+: >"$STAGE/large" # otherwise the first answer counts as the begin of this one
 curl -s -m 60 -H "Authorization: Bearer $caller_token" \
     "$entry_1/services/cedar/book/again" >"$STAGE/large" &
 slow=$!
