serve, http, weights: One way from a chosen target to the send

Cause: the look at the caller's socket stood before the send twice, in the dispatch of a request and in the pass over the queue, each beside the same steps; a third way of sending would have needed a third look. Two places polled a single descriptor in the same way, the number of idle connections was derived by a rule of its own beside the list of them, and the claim timeout was computed again for each missing chunk in the scan for reads.

Change: send_chosen() in fwd_wait.c, has_event() in server.c, the count taken from the list, the timeout passed in. Nothing else decides differently: the count, which only ev=callers shows, no longer includes connections with output to be written, which are not closed for new callers either; so idle=0 now means what docs/LOGS.md says.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -63,7 +63,7 @@
 /* Whether each response closes its connection (before a planned stop). */
 void hserver_set_closing(struct hserver *s, bool closing);
 unsigned int hserver_connections(const struct hserver *s);
-/* Connections that wait for their next request. */
+/* Connections that wait for their next request, with no output queued. */
 unsigned int hserver_idle_connections(const struct hserver *s);
 /* Whether `connections_max` is reached: each new connection closes the one that
  * has been idle for the longest time, and waits while none is idle. */
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -31,10 +31,13 @@
 	return r->server->conf.limits;
 }
 
+/* Whether one of the poll events holds for the connection now. */
 static bool
-waits_for_request(const struct hreq *r)
+has_event(const struct hreq *r, short events)
 {
-	return r->state == HREQ_READ && r->started_us == 0;
+	struct pollfd fd = { .fd = r->fd.fd, .events = events };
+
+	return poll(&fd, 1, 0) > 0;
 }
 
 /* ------------------------------------------------------------------ */
@@ -342,9 +345,7 @@
 	struct hreq *r;
 
 	TAILQ_FOREACH (r, &s->idle, idle_link) {
-		struct pollfd fd = { .fd = r->fd.fd, .events = POLLIN };
-
-		if (poll(&fd, 1, 0) == 0)
+		if (!has_event(r, POLLIN))
 			return r;
 	}
 	return NULL;
@@ -431,7 +432,7 @@
 	s->fd.fd = -1;
 	for (r = LIST_FIRST(&s->reqs); r != NULL; r = next) {
 		next = LIST_NEXT(r, link);
-		if (waits_for_request(r))
+		if (r->state == HREQ_READ && r->started_us == 0)
 			close_idle(r);
 	}
 }
@@ -454,8 +455,8 @@
 	const struct hreq *r;
 	unsigned int n = 0;
 
-	LIST_FOREACH (r, &s->reqs, link)
-		n += waits_for_request(r);
+	TAILQ_FOREACH (r, &s->idle, idle_link)
+		n++;
 	return n;
 }
 
@@ -498,9 +499,7 @@
 bool
 hreq_has_left(const struct hreq *r)
 {
-	struct pollfd fd = { .fd = r->fd.fd, .events = POLLRDHUP };
-
-	return poll(&fd, 1, 0) > 0;
+	return has_event(r, POLLRDHUP);
 }
 
 int64_t
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -289,6 +289,19 @@
 	return true;
 }
 
+/* Sends a new or queued request, unless its caller has left meanwhile; then
+ * on_disconnected() ends it. */
+static void
+send_chosen(struct fwd_req *r, struct tgt *target)
+{
+	if (hreq_has_left(r->caller))
+		return;
+	fwd_dequeue(r);
+	evl_timer_stop(r->fwd->conf.loop, &r->wait_timer);
+	hist_add(&r->fwd->wait, fwd_now(r) - r->started_us);
+	fwd_send(r, target);
+}
+
 void
 fwd_dispatch(struct fwd_req *r)
 {
@@ -297,11 +310,8 @@
 	struct tgt *target = choose(r, &criteria, &why);
 	int64_t until_us;
 
-	if (target != NULL && hreq_has_left(r->caller))
-		return; /* on_disconnected() ends the request */
 	if (target != NULL) {
-		hist_add(&r->fwd->wait, fwd_now(r) - r->started_us);
-		fwd_send(r, target);
+		send_chosen(r, target);
 		return;
 	}
 	if (!r->is_client_retry && why == TGT_FULL)
@@ -386,12 +396,7 @@
 			note_full(kinds, r);
 			continue;
 		}
-		if (hreq_has_left(r->caller))
-			continue;
-		fwd_dequeue(r);
-		evl_timer_stop(r->fwd->conf.loop, &r->wait_timer);
-		hist_add(&r->fwd->wait, fwd_now(r) - r->started_us);
-		fwd_send(r, target);
+		send_chosen(r, target);
 	}
 }
 
--- a/lib/weights/pick_next.c
+++ b/lib/weights/pick_next.c
@@ -20,11 +20,11 @@
  * claims do not tell that a read failed.
  */
 static int64_t
-claim_wait_us(
-    const struct pick *p, const struct pick_chunk *c, unsigned int rank)
+claim_wait_us(const struct pick *p, const struct pick_chunk *c,
+    unsigned int rank, int64_t timeout_us)
 {
 	if (rank > 0 || !(c->corrupt_reads > 0 || c->read_failed))
-		return MAX(rank, 1) * pick_claim_timeout_us(p);
+		return MAX(rank, 1) * timeout_us;
 	return c->claimed_rank > 0 ? p->read_time_us : 0;
 }
 
@@ -42,7 +42,8 @@
 	if (c->corrupt_reads > 0 || p->read_failures > 0)
 		due = MAX(due, p->read_backoff_until_us);
 	if (c->claimed)
-		due = MAX(due, c->claimed_us + claim_wait_us(p, c, rank));
+		due = MAX(
+		    due, c->claimed_us + claim_wait_us(p, c, rank, timeout_us));
 	for (lower_rank = 0; lower_rank < MIN(rank, PICK_RANK_UNKNOWN);
 	     lower_rank++) {
 		int64_t claim = p->claims_us[c->reader][lower_rank];
