tests: Share the set-up of the recall tests

Three tests of the recall of a request opened the same world and sent the same request by lines of their own, and a fourth sent it. open_for_recall() and send_to_model() do so now; assertions, times and bounds are as they were. The pause in test_faults.c uses the timer callback of nodes.h instead of a copy of it.

--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -722,26 +722,45 @@
 	assert_false(target_is_called());
 }
 
+/* Opens a world with one target, which has version 1, and in which no stall
+ * timeout comes before a recall. */
+static struct tgt *
+open_for_recall(int64_t timeout_ms)
+{
+	struct sv_config *config = make_config(SV_STREAM, 2, timeout_ms);
+
+	config->routes[0].objective_us = 1000000;
+	world_open(1, config);
+	target_announce(&w.target[0], false, 1);
+	return tgt_find(w.set, "i0");
+}
+
+/* Sends a request for the model; returns the target that it reaches. */
+static struct target *
+send_to_model(int *caller_out)
+{
+	struct target *t;
+	char *request;
+
+	*caller_out = send_model_request();
+	t = target_get(&request);
+	g_free(request);
+	return t;
+}
+
 /* A request that was sent over a slow link in time and has not begun is
  * recalled so early that the close arrives before the weights are withdrawn. */
 static void
 test_recalled_early_over_a_slow_link(void **state)
 {
-	char *request;
 	struct target *t;
-	struct sv_config *config = make_config(SV_STREAM, 2, 3000);
 	int64_t sent_us;
 	int fd;
 
-	config->routes[0].objective_us = 1000000; /* no stall timeout before */
-	world_open(1, config);
-	target_announce(&w.target[0], false, 1);
-	tgt_find(w.set, "i0")->slow_link = true;
+	open_for_recall(3000)->slow_link = true;
 	announce_version(1900);
 	sent_us = now_us();
-	fd = send_model_request();
-	t = target_get(&request);
-	g_free(request);
+	t = send_to_model(&fd);
 	assert_true(target_is_disconnected(t));
 	assert_in_range(now_us() - sent_us, 700000, 1100000);
 	expect_answer(fd, "502 ");
@@ -753,21 +772,15 @@
 static void
 test_recalled_earlier_behind_chunks(void **state)
 {
-	char *request;
+	struct tgt *known = open_for_recall(3000);
 	struct target *t;
-	struct sv_config *config = make_config(SV_STREAM, 2, 3000);
 	int64_t deadline_us;
 	int fd;
 
-	config->routes[0].objective_us = 1000000; /* no stall timeout before */
-	world_open(1, config);
-	target_announce(&w.target[0], false, 1);
 	announce_version(900);
 	deadline_us = now_us() + 900000;
-	fd = send_model_request();
-	t = target_get(&request);
-	g_free(request);
-	tgt_find(w.set, "i0")->inbound_us = 400000;
+	t = send_to_model(&fd);
+	known->inbound_us = 400000;
 	assert_true(target_is_disconnected(t));
 	assert_in_range(deadline_us - now_us(), 400000, 520000);
 	close(fd);
@@ -832,7 +845,6 @@
 static void
 test_last_attempt_is_recalled_before_its_weights_expire(void **state)
 {
-	char *request;
 	struct target *t;
 	int64_t deadline_us;
 	int fd;
@@ -841,9 +853,7 @@
 	target_announce(&w.target[0], false, 1);
 	announce_version(1500);
 	deadline_us = now_us() + 1500000;
-	fd = send_model_request();
-	t = target_get(&request);
-	g_free(request);
+	t = send_to_model(&fd);
 	assert_true(target_is_disconnected(t));
 	assert_in_range(deadline_us - now_us(), 30000, 200000);
 	expect_answer(fd, "502 ");
@@ -854,21 +864,14 @@
 static void
 test_recalled_earlier_from_another_region(void **state)
 {
-	char *request;
 	struct target *t;
-	struct sv_config *config = make_config(SV_STREAM, 2, 4000);
 	int64_t deadline_us;
 	int fd;
 
-	config->routes[0].objective_us = 1000000; /* no stall timeout before */
-	world_open(1, config);
-	target_announce(&w.target[0], false, 1);
-	tgt_find(w.set, "i0")->local = false;
+	open_for_recall(4000)->local = false;
 	announce_version(900);
 	deadline_us = now_us() + 900000;
-	fd = send_model_request();
-	t = target_get(&request);
-	g_free(request);
+	t = send_to_model(&fd);
 	assert_true(target_is_disconnected(t));
 	assert_in_range(deadline_us - now_us(), 350000, 500000);
 	close(fd);
--- a/tests/weights/test_faults.c
+++ b/tests/weights/test_faults.c
@@ -376,19 +376,12 @@
 	    knows_list(&s->node[1], &s->node[0], m);
 }
 
-static gboolean
-on_pause_end(gpointer data)
-{
-	*(bool *)data = true;
-	return G_SOURCE_REMOVE;
-}
-
 static void
 run_ms(guint ms)
 {
 	bool over = false;
 
-	g_timeout_add(ms, on_pause_end, &over);
+	g_timeout_add(ms, nodes_on_timeout, &over);
 	while (!over)
 		g_main_context_iteration(NULL, TRUE);
 }
