http, serve: Log how a target's answer was delimited and how it ended

Cause: a done line said why=ok for an answer that had been broken off, and a retry line said answer_lost for a reset, an early close and malformed bytes alike.

Change: the parser states what delimits a message (enum hframing, in place of two flags), the client names a truncated, a reset and a malformed response apart, and the lines done, failed, left, refused and retry have framing=, end= and rest=. No decision changes.

Measured: the tests of http, serve and common pass; test_failure_reasons now covers a truncated, a reset and a malformed response, each with its own name.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -17,7 +17,9 @@
 static const char *const failure_names[HCALL_FAILURES] = {
 	[HCALL_UNREACHABLE] = "unreachable",
 	[HCALL_CLOSED] = "closed",
-	[HCALL_BROKEN] = "broken",
+	[HCALL_TRUNCATED] = "truncated",
+	[HCALL_RESET] = "reset",
+	[HCALL_MALFORMED] = "malformed",
 };
 
 const char *
@@ -36,16 +38,14 @@
 /* End of a call                                                       */
 /* ------------------------------------------------------------------ */
 
+/* `why` applies once a response has begun. */
 static void
-call_failed(struct hlink *l)
+call_failed(struct hlink *l, enum hcall_failure why)
 {
 	struct hcall *c = l->call;
-	enum hcall_failure why = HCALL_CLOSED;
 
-	if (c->response_begun)
-		why = HCALL_BROKEN;
-	else if (!c->sent)
-		why = HCALL_UNREACHABLE;
+	if (!c->response_begun)
+		why = c->sent ? HCALL_CLOSED : HCALL_UNREACHABLE;
 	l->call = NULL;
 	hlink_free(l);
 	c->link = NULL;
@@ -54,10 +54,10 @@
 }
 
 static void
-link_lost(struct hlink *l)
+link_lost(struct hlink *l, enum hcall_failure why)
 {
 	if (l->call != NULL)
-		call_failed(l);
+		call_failed(l, why);
 	else
 		hlink_free(l);
 }
@@ -245,7 +245,7 @@
 			return false;
 		}
 		if (result == HPARSE_BAD || result == HPARSE_HEAD_TOO_LARGE) {
-			call_failed(l);
+			call_failed(l, HCALL_MALFORMED);
 			return false;
 		}
 		if (result == HPARSE_MORE)
@@ -279,7 +279,7 @@
 			call_done(l);
 		return;
 	}
-	link_lost(l);
+	link_lost(l, HCALL_TRUNCATED);
 }
 
 static void
@@ -291,8 +291,9 @@
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
+	/* Bytes on an idle link belong to no request. */
 	if (l->state == LINK_IDLE || n < 0)
-		link_lost(l); /* bytes on an idle link belong to no request */
+		link_lost(l, HCALL_RESET);
 	else if (n == 0)
 		on_eof(l);
 	else
@@ -307,7 +308,7 @@
 
 	getsockopt(l->fd.fd, SOL_SOCKET, SO_ERROR, &error, &len);
 	if (error != 0) {
-		link_lost(l);
+		link_lost(l, HCALL_RESET);
 		return;
 	}
 	l->state = LINK_BUSY;
@@ -340,7 +341,7 @@
 {
 	struct hlink *l = CONTAINER_OF(t, struct hlink, timer);
 
-	link_lost(l);
+	link_lost(l, HCALL_RESET);
 }
 
 /* ------------------------------------------------------------------ */
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -105,7 +105,9 @@
 enum hcall_failure {
 	HCALL_UNREACHABLE, /* no connection: nothing was sent */
 	HCALL_CLOSED, /* closed before the first byte of a response */
-	HCALL_BROKEN, /* invalid or truncated response */
+	HCALL_TRUNCATED, /* closed in order before the response ended */
+	HCALL_RESET, /* connection lost within a response */
+	HCALL_MALFORMED, /* not HTTP, or ambiguous */
 	HCALL_FAILURES,
 };
 
--- a/lib/http/parse.c
+++ b/lib/http/parse.c
@@ -87,6 +87,19 @@
 	return g_strndup(s.p, s.n);
 }
 
+static const char *const framing_names[HFRAMINGS] = {
+	[HFRAMING_NO_BODY] = "no_body",
+	[HFRAMING_LENGTH] = "length",
+	[HFRAMING_CHUNKED] = "chunked",
+	[HFRAMING_CLOSE] = "close",
+};
+
+const char *
+hframing_name(enum hframing f)
+{
+	return framing_names[f];
+}
+
 const struct hheader *
 hmsg_find(const struct hmsg *m, const char *name)
 {
@@ -141,6 +154,25 @@
 	return 0;
 }
 
+static bool
+status_has_body(unsigned int status)
+{
+	return status >= 200 && status != 204 && status != 304;
+}
+
+static enum hframing
+framing_of(const struct hparse *p, const http_parser *hp)
+{
+	if (p->no_body ||
+	    (p->type == HTTP_RESPONSE && !status_has_body(hp->status_code)))
+		return HFRAMING_NO_BODY;
+	if ((hp->flags & F_CHUNKED) != 0)
+		return HFRAMING_CHUNKED;
+	if (hp->content_length != UINT64_MAX)
+		return HFRAMING_LENGTH;
+	return p->type == HTTP_RESPONSE ? HFRAMING_CLOSE : HFRAMING_NO_BODY;
+}
+
 static int
 on_headers_complete(http_parser *hp)
 {
@@ -150,9 +182,9 @@
 	p->msg.method = http_method_str(hp->method);
 	p->msg.http10 = hp->http_major == 1 && hp->http_minor == 0;
 	p->msg.keep_alive = http_should_keep_alive(hp) != 0;
-	p->msg.chunked = (hp->flags & F_CHUNKED) != 0;
-	p->msg.has_length = p->msg.chunked || hp->content_length != UINT64_MAX;
-	p->msg.length = p->msg.has_length ? hp->content_length : 0;
+	p->msg.framing = framing_of(p, hp);
+	p->msg.length =
+	    p->msg.framing == HFRAMING_LENGTH ? hp->content_length : 0;
 	/* Protocol upgrades are not supported: parse the bytes that follow as
 	 * the next HTTP message. */
 	hp->upgrade = 0;
@@ -281,7 +313,8 @@
 		return false;
 	if (is_repeated(&p->msg, "Transfer-Encoding"))
 		return false;
-	return !p->msg.chunked || hmsg_find(&p->msg, "Content-Length") == NULL;
+	return (p->parser.flags & F_CHUNKED) == 0 ||
+	    hmsg_find(&p->msg, "Content-Length") == NULL;
 }
 
 static enum hparse_result
--- a/lib/http/parse.h
+++ b/lib/http/parse.h
@@ -25,6 +25,15 @@
 	struct hslice name, value;
 };
 
+/* What delimits the body of a message. */
+enum hframing {
+	HFRAMING_NO_BODY,
+	HFRAMING_LENGTH,
+	HFRAMING_CHUNKED,
+	HFRAMING_CLOSE, /* of a response: the end of its connection */
+	HFRAMINGS,
+};
+
 /* A parsed head. Slices point into the parser's block. */
 struct hmsg {
 	unsigned int status; /* of a response */
@@ -34,10 +43,8 @@
 	size_t nheaders;
 	bool http10;
 	bool keep_alive; /* the sender keeps the connection open */
-	/* Of a response: its body has a length or is chunked. */
-	bool has_length;
-	bool chunked;
-	uint64_t length; /* valid with has_length and not chunked */
+	enum hframing framing;
+	uint64_t length; /* valid with HFRAMING_LENGTH */
 };
 
 enum hparse_result {
@@ -76,6 +83,7 @@
  * response without a length ends with its connection. */
 bool hparse_eof(struct hparse *p);
 
+const char *hframing_name(enum hframing f);
 /* The first header of that name (case-insensitive), or NULL. */
 const struct hheader *hmsg_find(const struct hmsg *m, const char *name);
 bool hslice_is(struct hslice s, const char *text); /* case-insensitive */
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -175,7 +175,7 @@
 		refuse(r, 400);
 		return false;
 	}
-	if (m->has_length && !m->chunked &&
+	if (m->framing == HFRAMING_LENGTH &&
 	    m->length > limits_of(r)->body_bytes) {
 		refuse(r, 413);
 		return false;
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -47,6 +47,7 @@
 	    "events=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT
 	    " back=%d"
+	    " framing=%s end=%s rest=%zu"
 	    " target=%s content=%016" G_GINT64_MODIFIER
 	    "x config=%" G_GINT64_FORMAT,
 	    r->id, r->route->name, r->service->targets->name, status, why,
@@ -55,7 +56,8 @@
 	    r->first_event_us == 0 ? -1
 				   : (r->first_event_us - r->started_us) / 1000,
 	    r->sent_us == 0 ? -1 : (r->sent_us - r->started_us) / 1000,
-	    r->is_client_retry, r->target == NULL ? "-" : r->target->record.id,
+	    r->is_client_retry, fwd_framing_name(r), r->answer_end,
+	    fwd_event_rest(r), r->target == NULL ? "-" : r->target->record.id,
 	    r->fingerprint, rtab_config(r->routes)->version);
 }
 
@@ -290,6 +292,7 @@
 	r->workspace = workspace;
 	r->service = service_of(f, rtab_pick_service(route, rng_next(&f->rng)));
 	r->deadline.fire = on_deadline;
+	r->answer_end = "-";
 	r->priority = workspace != NULL && workspace->priority != INT_MAX
 	    ? workspace->priority
 	    : route->priority;
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -123,6 +123,7 @@
 		return;
 	}
 	r->is_matched = true;
+	r->framing = m->framing;
 	r->status = m->status;
 	r->sealed = fwd_find_header(r, m, SV_F_SEAL) != NULL;
 	apply_load(r, m);
@@ -256,6 +257,18 @@
 	fwd_note_progress(r);
 }
 
+size_t
+fwd_event_rest(const struct fwd_req *r)
+{
+	return fwd_is_stream(r) ? hbuf_left(&r->answer) : 0;
+}
+
+const char *
+fwd_framing_name(const struct fwd_req *r)
+{
+	return r->is_matched ? hframing_name(r->framing) : "-";
+}
+
 /* ------------------------------------------------------------------ */
 /* Completion                                                          */
 /* ------------------------------------------------------------------ */
@@ -270,11 +283,11 @@
 	unsigned int status = r->status;
 	bool begun = r->flow.begun;
 
-	r->answer = (struct hbuf){ 0 };
-	r->headers = NULL;
 	ctr_add(r->fwd->done, 1);
 	hist_add(&r->fwd->total, fwd_now(r) - r->started_us);
 	fwd_log_end(r, EVT_DONE, status, status < 500 ? "ok" : "target_failed");
+	r->answer = (struct hbuf){ 0 };
+	r->headers = NULL;
 	fwd_finish(r);
 	if (begun) {
 		hreq_write(caller, hbuf_front(&answer), hbuf_left(&answer));
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -154,9 +154,11 @@
 		ctr_add(r->fwd->resumes, 1);
 	evt(EVT_RETRY,
 	    "req=%s why=%s target=%s tries=%u runs=%u last_event=%" G_GINT64_FORMAT
-	    " ms=%" G_GINT64_FORMAT " content=%016" G_GINT64_MODIFIER "x",
+	    " ms=%" G_GINT64_FORMAT
+	    " framing=%s end=%s rest=%zu content=%016" G_GINT64_MODIFIER "x",
 	    r->id, end_names[end], r->target->record.id, r->flow.attempts,
 	    r->flow.runs, r->last_event, (fwd_now(r) - r->started_us) / 1000,
+	    fwd_framing_name(r), r->answer_end, fwd_event_rest(r),
 	    r->fingerprint);
 	fwd_drop_call(r);
 	r->state = FWD_WAITING;
@@ -225,6 +227,7 @@
 	struct fwd_req *r = ctx;
 
 	r->call = NULL;
+	r->answer_end = r->framing == HFRAMING_CLOSE ? "closed" : "whole";
 	if (r->not_run)
 		attempt_ended(r, FLOW_REFUSED);
 	else if (r->unusable)
@@ -261,6 +264,7 @@
 	struct fwd_req *r = ctx;
 
 	r->call = NULL;
+	r->answer_end = hcall_failure_name(why);
 	/* The head of a refusal is enough: it says that the request did not
 	 * run, even if the body is incomplete. */
 	if (r->not_run)
@@ -403,6 +407,7 @@
 {
 	r->status = 0;
 	r->is_matched = false;
+	r->answer_end = "cancelled";
 	r->not_run = false;
 	r->unusable = false;
 	r->sealed = false;
--- a/lib/serve/fwd_head.c
+++ b/lib/serve/fwd_head.c
@@ -114,7 +114,8 @@
 {
 	const struct hmsg *m = hreq_msg(r->caller);
 	GString *out = g_string_sized_new(1024);
-	bool had_body = m->chunked || (m->has_length && m->length > 0);
+	bool had_body = m->framing == HFRAMING_CHUNKED ||
+	    (m->framing == HFRAMING_LENGTH && m->length > 0);
 	const struct hheader *h;
 	size_t i, len;
 
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -51,6 +51,8 @@
 	bool unusable; /* the answer cannot be relayed */
 	bool sealed; /* the answer has the seal header */
 	bool has_begun; /* the first event has arrived */
+	enum hframing framing; /* of the answer, if is_matched */
+	const char *answer_end; /* how the attempt ended, for the log */
 	GString *headers; /* of the answer, to relay */
 	struct hbuf answer; /* the complete answer, or incomplete events */
 	/* Across all attempts. */
@@ -113,6 +115,9 @@
 void fwd_fail(struct fwd_req *r, unsigned int status, const char *why);
 void fwd_abort(struct fwd_req *r, const char *why); /* close mid-answer */
 void fwd_finish(struct fwd_req *r); /* frees it, but not the hreq */
+/* Bytes of an incomplete event: received and not relayed. */
+const char *fwd_framing_name(const struct fwd_req *r); /* "-": no answer */
+size_t fwd_event_rest(const struct fwd_req *r);
 void fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
     const char *why);
 
--- a/tests/http/loop.h
+++ b/tests/http/loop.h
@@ -87,6 +87,17 @@
 	    send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
 }
 
+/* Closes with a reset instead of in order. */
+static inline void
+raw_reset(int fd)
+{
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	assert_int_equal(
+	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)), 0);
+	close(fd);
+}
+
 /* Reads until the text contains `stop` or the peer closes. */
 static inline char *
 raw_read(int fd, const char *stop)
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -202,17 +202,33 @@
 	assert_int_equal(failures_sent, 1);
 	start();
 	fd = accept_connection();
+	g_free(raw_read(fd, "\r\n\r\n"));
 	raw_send(fd, OK "\r\no");
 	run_ms(5);
 	close(fd);
 	run_until(&finished);
-	assert_int_equal(last_failure, HCALL_BROKEN);
+	assert_int_equal(last_failure, HCALL_TRUNCATED);
+	start();
+	fd = accept_connection();
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, OK "\r\no");
+	run_ms(5);
+	raw_reset(fd);
+	run_until(&finished);
+	assert_int_equal(last_failure, HCALL_RESET);
+	start();
+	fd = accept_connection();
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n");
+	run_until(&finished);
+	assert_int_equal(last_failure, HCALL_MALFORMED);
+	close(fd);
 	close(listener);
 	listener = -1;
 	start();
 	run_until(&finished);
 	assert_int_equal(last_failure, HCALL_UNREACHABLE);
-	assert_int_equal(failures_sent, 2); /* nothing was sent this time */
+	assert_int_equal(failures_sent, 4); /* nothing was sent this time */
 }
 
 /* Cancelling a call closes the connection to the target. */
--- a/tests/http/test_parse.c
+++ b/tests/http/test_parse.c
@@ -171,7 +171,7 @@
 	hparse_init(&p, HTTP_RESPONSE, 512, on_body, NULL);
 	assert_int_equal(
 	    feed(&p, "HTTP/1.1 200 OK\r\n\r\nabc", 7, NULL), HPARSE_MORE);
-	assert_false(p.msg.has_length);
+	assert_int_equal(p.msg.framing, HFRAMING_CLOSE);
 	assert_true(hparse_eof(&p));
 	hparse_reset(&p);
 	assert_int_equal(
