serve, common: Relay events with any line end as they arrive

Seen by callers: a stream whose lines end with CRLF was held back until its target had finished, as the forwarder looked for two line feeds in a row. Callers give up on a stream after a gap of two seconds. A comment outside of events was held back in the same way and counted as an event.

Cause: the end of an event was a search for two bytes, without the lines that make an event.

Comments and empty lines are relayed and not counted; the stall timer follows the first event, not the first byte.

--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -150,34 +150,6 @@
 /* Events                                                              */
 /* ------------------------------------------------------------------ */
 
-/* Length of the first complete event with its final empty line; 0: none. */
-static size_t
-event_length(const struct hbuf *b)
-{
-	const uint8_t *end = memmem(hbuf_front(b), hbuf_left(b), "\n\n", 2);
-
-	return end == NULL ? 0 : (size_t)(end - hbuf_front(b)) + 2;
-}
-
-/* The number in the event's "id: N" line; -1: it has none. */
-static int64_t
-event_id(const uint8_t *event, size_t len)
-{
-	const char *at = (const char *)event;
-	const char *end = at + len;
-	const char *line_end;
-
-	while (at < end) {
-		line_end = memchr(at, '\n', (size_t)(end - at));
-		if (line_end == NULL)
-			break;
-		if (line_end - at > 3 && memcmp(at, "id:", 3) == 0)
-			return g_ascii_strtoll(at + 3, NULL, 10);
-		at = line_end + 1;
-	}
-	return -1;
-}
-
 static void
 update_first_event_us(struct fwd_service *service, int64_t first_us)
 {
@@ -192,7 +164,6 @@
 {
 	int64_t now_us = fwd_now(r);
 
-	r->has_begun = true;
 	if (r->events == 0) {
 		update_first_event_us(r->service, now_us - r->sent_us);
 		r->first_event_us = now_us;
@@ -217,21 +188,39 @@
 	r->state = FWD_STREAMING;
 }
 
+static void
+relay_block(struct fwd_req *r, const void *block, size_t len)
+{
+	begin_answer(r);
+	hreq_write(r->caller, block, len);
+}
+
+static void
+relay_event(struct fwd_req *r, const void *event, size_t len)
+{
+	int64_t id = sse_id(event, len);
+
+	r->has_begun = true;
+	if (id >= 0 && r->has_event && id <= r->last_event) {
+		/* relayed already, from an earlier target */
+		ctr_add(r->fwd->unexpected, 1);
+		return;
+	}
+	relay_block(r, event, len);
+	note_event(r, id);
+}
+
 static void
 relay_events(struct fwd_req *r)
 {
 	size_t len;
-	int64_t id;
-
-	while (
-	    hbuf_left(&r->answer) > 0 && (len = event_length(&r->answer)) > 0) {
-		id = event_id(hbuf_front(&r->answer), len);
-		if (id < 0 || !r->has_event || id > r->last_event) {
-			begin_answer(r);
-			hreq_write(r->caller, hbuf_front(&r->answer), len);
-			note_event(r, id);
-		} else /* relayed already, from an earlier target */
-			ctr_add(r->fwd->unexpected, 1);
+
+	while ((len = sse_next(&r->sse, hbuf_front(&r->answer),
+		    hbuf_left(&r->answer))) > 0) {
+		if (sse_is_event(&r->sse))
+			relay_event(r, hbuf_front(&r->answer), len);
+		else
+			relay_block(r, hbuf_front(&r->answer), len);
 		hbuf_consume(&r->answer, len);
 	}
 	if (hreq_congested(r->caller))
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -386,7 +386,7 @@
 	if (route->kind != SV_STREAM)
 		wait_us =
 		    (int64_t)((double)route->timeout_us * STALL_PLAIN_SHARE);
-	else if (r->state == FWD_STREAMING && route->gap_us > 0)
+	else if (r->events > 0 && route->gap_us > 0)
 		wait_us = STALL_GAP * route->gap_us;
 	else if (route->objective_us > 0)
 		wait_us = CLAMP(STALL_MEAN * r->service->first_event_us,
@@ -412,6 +412,7 @@
 	r->unusable = false;
 	r->sealed = false;
 	r->has_begun = false;
+	r->sse = (struct sse){ 0 };
 	hbuf_free(&r->answer);
 }
 
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -2,6 +2,7 @@
 #define SERVE_FWD_INTERNAL_H
 
 #include "common/evt.h"
+#include "common/sse.h"
 #include "serve/flow.h"
 #include "serve/fingerprint.h"
 #include "serve/fwd.h"
@@ -51,6 +52,7 @@
 	bool unusable; /* the answer cannot be relayed */
 	bool sealed; /* the answer has the seal header */
 	bool has_begun; /* the first event has arrived */
+	struct sse sse; /* position in the answer's events */
 	enum hframing framing; /* of the answer, if is_matched */
 	const char *answer_end; /* how the attempt ended, for the log */
 	GString *headers; /* of the answer, to relay */
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -292,6 +292,44 @@
 	close(fd);
 }
 
+/* Guards against streams whose lines end with CRLF, or which carry comments,
+ * being held back until they end. */
+static void
+test_events_are_relayed_as_they_arrive(void **state)
+{
+	static const char *const blocks[] = { ": hello\n",
+		"id: 1\r\ndata: a\r\n\r\n", "id: 2\ndata: b\n\n" };
+	char *request, *answer;
+	struct target *t;
+	size_t i;
+	int fd;
+
+	world_open(2, make_config(SV_STREAM, 2, 3000));
+	fd = send_get();
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, STREAM);
+	for (i = 0; i < G_N_ELEMENTS(blocks); i++) {
+		char *chunk = g_strdup_printf(
+		    "%zx\r\n%s\r\n", strlen(blocks[i]), blocks[i]);
+
+		raw_send(t->fd, chunk);
+		answer = raw_read(fd, chunk);
+		assert_non_null(strstr(answer, chunk));
+		g_free(answer);
+		g_free(chunk);
+	}
+	raw_send(t->fd, "5\r\nid: 3\r\n");
+	run_ms(10);
+	shutdown(t->fd, SHUT_RDWR);
+	t = target_get(&request);
+	assert_non_null(strstr(request, "T-Last: 2\r\n"));
+	g_free(request);
+	raw_send(t->fd, STREAM "0\r\n\r\n");
+	expect_answer(fd, "0\r\n\r\n");
+	assert_int_equal(ctr_read(w.counters, "streams_resumed"), 1);
+}
+
 /*
  * A stream is cut off midway while the only other target accepts nothing. A new
  * request would be refused after a short wait; the stream, whose caller has
@@ -1107,6 +1145,7 @@
 		T(test_timeout),
 		T(test_caller_disconnects),
 		T(test_stream_is_resumed_elsewhere),
+		T(test_events_are_relayed_as_they_arrive),
 		T(test_cut_stream_waits_longer),
 		T(test_stream_that_cannot_be_resumed),
 		T(test_stalled_stream),
