serve: Complete a stream only where its events end

Cause: the forwarder took the end of a message for the end of the answer. An orderly close ends a message without framing, and a last chunk or the last announced byte ends the others, but none of them says that the events were finished. What was left of an incomplete event was written to the caller before the end.

Change: when a message has ended, fwd_answer_is_complete() asks the events whether they may end there. Otherwise the attempt counts as lost: the target gets an error, the content is a suspect, the stream is resumed elsewhere or visibly cut, and the incomplete event is dropped. Without framing, a stream needs an event to be an answer at all. An answer of another type on such a route is judged by its framing, as before.

Why this works: every way out of an answer passes there, and nothing but complete blocks is written to the caller before.

Most resumable cases are played with one attempt instead of two, as each waited 1.5 s for a target; the wait has a test of its own.

--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -105,6 +105,18 @@
 	return r->sealed && !implies_not_run(r->status);
 }
 
+/* On a route of streams, an answer without a type is one of events, too. */
+static bool
+has_event_type(const struct hmsg *m)
+{
+	static const char type[] = "text/event-stream";
+	const struct hheader *h = hmsg_find(m, "Content-Type");
+
+	return h == NULL ||
+	    (h->value.n >= strlen(type) &&
+		g_ascii_strncasecmp(h->value.p, type, strlen(type)) == 0);
+}
+
 void
 fwd_read_head(struct fwd_req *r, const struct hmsg *m)
 {
@@ -124,6 +136,7 @@
 	}
 	r->is_matched = true;
 	r->framing = m->framing;
+	r->has_events = has_event_type(m);
 	r->status = m->status;
 	r->sealed = fwd_find_header(r, m, SV_F_SEAL) != NULL;
 	apply_load(r, m);
@@ -262,6 +275,22 @@
 /* Completion                                                          */
 /* ------------------------------------------------------------------ */
 
+/*
+ * The end of a message tells that its bytes are complete, which a target that
+ * breaks off may claim as well. The answer is complete only if its events are.
+ */
+bool
+fwd_answer_is_complete(const struct fwd_req *r)
+{
+	if (!fwd_is_stream(r) || !r->has_events)
+		return true;
+	/* Without framing, a stream that was broken off at once looks like an
+	 * empty one. */
+	if (r->framing == HFRAMING_CLOSE && !r->has_begun)
+		return false;
+	return sse_may_end(&r->sse);
+}
+
 /* The target's answer is complete: relays the part not sent yet. */
 void
 fwd_answer_complete(struct fwd_req *r)
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -234,7 +234,10 @@
 		attempt_ended(r, FLOW_LOST);
 	else if (is_failure(r))
 		attempt_ended(r, FLOW_FAILURE);
-	else {
+	else if (!fwd_answer_is_complete(r)) {
+		fwd_note_cut(r);
+		attempt_ended(r, FLOW_LOST);
+	} else {
 		tgt_outcome(r->target, TGT_ANSWERED, fwd_now(r));
 		fwd_note_answered(r);
 		fwd_answer_complete(r);
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -52,6 +52,7 @@
 	bool unusable; /* the answer cannot be relayed */
 	bool sealed; /* the answer has the seal header */
 	bool has_begun; /* the first event has arrived */
+	bool has_events; /* the answer's type is that of events */
 	struct sse sse; /* position in the answer's events */
 	enum hframing framing; /* of the answer, if is_matched */
 	const char *answer_end; /* how the attempt ended, for the log */
@@ -154,6 +155,8 @@
     const struct fwd_req *r, const struct hmsg *m, enum sv_field f);
 void fwd_read_head(struct fwd_req *r, const struct hmsg *m);
 void fwd_read_body(struct fwd_req *r, const void *data, size_t len);
+/* Whether an answer whose message has ended is complete. */
+bool fwd_answer_is_complete(const struct fwd_req *r);
 void fwd_answer_complete(struct fwd_req *r);
 bool fwd_is_stream(const struct fwd_req *r); /* relayed as it arrives */
 
--- a/tests/serve/test_answer_end.c
+++ b/tests/serve/test_answer_end.c
@@ -216,11 +216,11 @@
 	bool whole; /* they are an answer */
 };
 
-/* One target, so a stream that may be resumed cannot be. */
+/* Nothing can resume the stream. */
 static void
-check_alone(const struct stream_case *c, bool resumable)
+check_alone(const struct stream_case *c, bool resumable, unsigned int attempts)
 {
-	struct sv_config *config = make_config(SV_STREAM, 2, 3000);
+	struct sv_config *config = make_config(SV_STREAM, attempts, 3000);
 	struct target *t;
 	char *request;
 	int fd;
@@ -290,17 +290,22 @@
 }
 
 static void
-check_stream(const struct stream_case *c)
+set_label(const struct stream_case *c)
 {
-	char *bytes;
+	char *bytes = g_strescape(c->bytes, NULL);
 
 	g_free(label);
-	bytes = g_strescape(c->bytes, NULL);
 	label = g_strdup_printf("framing %s, ended %s, after '%s', HTTP/1.%d",
 	    framing_names[c->framing], end_names[c->end], bytes, !c->http10);
 	g_free(bytes);
-	check_alone(c, false);
-	check_alone(c, true);
+}
+
+static void
+check_stream(const struct stream_case *c)
+{
+	set_label(c);
+	check_alone(c, false, 2);
+	check_alone(c, true, 1);
 	check_resumed(c);
 }
 
@@ -364,6 +369,58 @@
 	assert_int_equal(failures, 0);
 }
 
+/* The same for a stream that waits in vain for a target to resume it. */
+static void
+test_broken_off_stream_without_a_target(void **state)
+{
+	struct stream_case c = { .framing = NONE,
+		.end = IN_ORDER,
+		.bytes = place_bytes[INSIDE],
+		.events = place_events[INSIDE] };
+
+	for (c.http10 = false;; c.http10 = true) {
+		set_label(&c);
+		check_alone(&c, true, 2);
+		if (c.http10)
+			break;
+	}
+	assert_int_equal(failures, 0);
+}
+
+/* Lines that end with CRLF, and what may follow the last event. */
+static void
+test_where_a_stream_may_end(void **state)
+{
+	static const struct {
+		const char *bytes, *events;
+		bool whole;
+	} ends[] = {
+		{ "id: 1\r\ndata: a\r\n\r\n", "id: 1\r\ndata: a\r\n\r\n",
+		    true },
+		{ "id: 1\ndata: a\n\n\n", "id: 1\ndata: a\n\n\n", true },
+		{ "id: 1\ndata: a\n\n: bye\n", "id: 1\ndata: a\n\n: bye\n",
+		    true },
+		{ "id: 1\ndata: a\n\n: by", "id: 1\ndata: a\n\n", false },
+		{ "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n",
+		    "id: 1\ndata: a\n\n", false },
+		{ "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r",
+		    "id: 1\ndata: a\n\n", false },
+	};
+	enum framing framing;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ends); i++) {
+		for (framing = 0; framing < FRAMINGS; framing++)
+			check_stream(&(struct stream_case){ .framing = framing,
+			    .end = IN_ORDER,
+			    .bytes = ends[i].bytes,
+			    .events = ends[i].events,
+			    .last_id = "T-Last: 1\r\n",
+			    .whole = ends[i].whole });
+	}
+	assert_int_equal(failures, 0);
+}
+
 int
 main(void)
 {
@@ -371,6 +428,8 @@
 	const struct CMUnitTest tests[] = {
 		T(test_broken_off_stream_is_not_complete),
 		T(test_broken_off_stream_is_reset_for_http10),
+		T(test_broken_off_stream_without_a_target),
+		T(test_where_a_stream_may_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
