serve: Do not clear a suspected request by an end of connection

A request under which targets terminate is blocked at all gateways until one complete answer clears it. An answer without framing was complete as soon as its connection was closed, so the very termination that is evidence against the request cleared it, for all gateways.

Change: only an answer whose framing states its end clears a request. Without framing it neither clears nor accuses; the evidence expires as before.

Measured: test_end_of_connection_does_not_unblock failed before (the request was sent, 502 instead of 503). The table of plain answers (framing, end, repeatable or not, HTTP/1.0) and an answer of another type on a route of streams are tests as well; both held before.

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -239,7 +239,9 @@
 		attempt_ended(r, FLOW_LOST);
 	} else {
 		tgt_outcome(r->target, TGT_ANSWERED, fwd_now(r));
-		fwd_note_answered(r);
+		/* A target that terminates closes its connections, too. */
+		if (r->framing != HFRAMING_CLOSE)
+			fwd_note_answered(r);
 		fwd_answer_complete(r);
 	}
 }
--- a/tests/serve/test_answer_end.c
+++ b/tests/serve/test_answer_end.c
@@ -97,13 +97,16 @@
 	t->fd = -1;
 }
 
-/* Answers with these bytes as a body or as its beginning. */
+/* Answers with these bytes as a body or as its beginning, after a head that may
+ * have further lines. */
 static void
-answer(struct target *t, enum framing framing, enum end end, const char *bytes)
+answer_typed(struct target *t, const char *lines, enum framing framing,
+    enum end end, const char *bytes)
 {
 	GString *text = g_string_new(GOOD);
 	size_t len = strlen(bytes), more = end == IN_ORDER ? 0 : 100;
 
+	g_string_append(text, lines);
 	if (framing == LENGTH)
 		g_string_append_printf(
 		    text, "Content-Length: %zu\r\n\r\n%s", len + more, bytes);
@@ -122,6 +125,12 @@
 	end_connection(t, end);
 }
 
+static void
+answer(struct target *t, enum framing framing, enum end end, const char *bytes)
+{
+	answer_typed(t, "", framing, end, bytes);
+}
+
 /* ------------------------------------------------------------------ */
 /* The caller's side                                                   */
 /* ------------------------------------------------------------------ */
@@ -421,6 +430,81 @@
 	assert_int_equal(failures, 0);
 }
 
+/* On a route of streams, an answer of another type may end anywhere. */
+static void
+test_other_type_on_a_stream_route(void **state)
+{
+	static const char body[] = "{\"a\": 1}";
+	enum framing framing;
+	struct target *t;
+	char *request;
+	int fd;
+
+	for (framing = 0; framing < FRAMINGS; framing++) {
+		set_label(
+		    &(struct stream_case){ .framing = framing, .bytes = body });
+		world_open(1, make_config(SV_STREAM, 2, 3000));
+		fd = send_as(false);
+		t = target_get(&request);
+		g_free(request);
+		answer_typed(t, "Content-Type: application/json\r\n", framing,
+		    IN_ORDER, body);
+		expect_whole(fd, body);
+		world_close();
+	}
+	assert_int_equal(failures, 0);
+}
+
+/* ------------------------------------------------------------------ */
+/* Plain answers                                                       */
+/* ------------------------------------------------------------------ */
+
+static void
+check_plain(enum framing framing, enum end end, bool http10, bool repeatable)
+{
+	static const char body[] = "all of it";
+	struct target *t;
+	char *request;
+	int fd;
+
+	set_label(&(struct stream_case){
+	    .framing = framing, .end = end, .http10 = http10, .bytes = body });
+	world_open(2, make_config(repeatable ? SV_SAFE : SV_UNSAFE, 2, 3000));
+	fd = send_as(http10);
+	t = target_get(&request);
+	g_free(request);
+	answer(t, framing, end, body);
+	if (end != IN_ORDER && repeatable) {
+		t = target_get(&request);
+		g_free(request);
+		answer(t, LENGTH, IN_ORDER, body);
+	}
+	if (end == IN_ORDER || repeatable)
+		expect_whole(fd, body);
+	else
+		expect_broken_off(fd, "");
+	check(!target_is_called(), "the request is sent again");
+	world_close();
+}
+
+/* Guards against a plain answer that was broken off and looks complete. Without
+ * framing, an orderly close is all that its target can say about the end. */
+static void
+test_broken_off_plain_answer(void **state)
+{
+	enum framing framing;
+	enum end end;
+	unsigned int i;
+
+	for (framing = 0; framing < FRAMINGS; framing++) {
+		for (end = 0; end < ENDS; end++) {
+			for (i = 0; i < 4 && may_happen(framing, end); i++)
+				check_plain(framing, end, i & 1, i & 2);
+		}
+	}
+	assert_int_equal(failures, 0);
+}
+
 int
 main(void)
 {
@@ -430,6 +514,8 @@
 		T(test_broken_off_stream_is_reset_for_http10),
 		T(test_broken_off_stream_without_a_target),
 		T(test_where_a_stream_may_end),
+		T(test_other_type_on_a_stream_route),
+		T(test_broken_off_plain_answer),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -1046,6 +1046,28 @@
 	expect_answer(fd, "0\r\n\r\n");
 }
 
+/* Guards against clearing a request by an answer whose end is only that of its
+ * connection: a target that terminates closes it, too. */
+static void
+test_end_of_connection_does_not_unblock(void **state)
+{
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_STREAM, 2, 3000));
+	fd = send_path("/x/1");
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd, GOOD "\r\nid: 1\ndata:\n\n");
+	run_ms(10);
+	report_terminations(2);
+	shutdown(t->fd, SHUT_RDWR);
+	expect_answer(fd, "0\r\n\r\n");
+	expect_answer(send_path("/x/1"), "503 ");
+	assert_false(target_is_called());
+}
+
 /* Guards against blocking requests that are cut off by planned shutdowns or by
  * the loading of weights. */
 static void
@@ -1171,6 +1193,7 @@
 		T(test_blocked_after_two_terminations),
 		T(test_copies_in_flight_are_recalled),
 		T(test_complete_answer_unblocks),
+		T(test_end_of_connection_does_not_unblock),
 		T(test_planned_cut_offs_do_not_block),
 	};
 
