tests: Cover responses without framing at every reader of lib/http

Lists, events, reports and manifests that are cut at any byte are rejected; a list with entries missing would count targets as gone. The client does not reuse such a connection, and a reset does not pass for its end.

--- a/tests/adapter/test_records.c
+++ b/tests/adapter/test_records.c
@@ -215,6 +215,81 @@
 	g_array_unref(page.items);
 }
 
+static bool
+page_is_read(const char *text, size_t len)
+{
+	struct store_page page = { .items = g_array_new(FALSE, FALSE,
+				       sizeof(struct store_item)) };
+	struct err err = { 0 };
+	bool is_read =
+	    adapter_store.read_page(&adapter_targets, text, len, &page, &err);
+
+	free_page(&adapter_targets, &page);
+	return is_read;
+}
+
+static bool
+report_is_read(const char *text, size_t len)
+{
+	struct sv_report report;
+	struct err err = { 0 };
+
+	return adapter_report_read(text, len, &report, &err);
+}
+
+static bool
+manifest_is_read(const char *text, size_t len)
+{
+	GByteArray *list = g_byte_array_new();
+	uint64_t chunk_bytes;
+	struct err err = { 0 };
+	bool is_read =
+	    adapter_manifest_read(text, len, 2, list, &chunk_bytes, &err);
+
+	g_byte_array_unref(list);
+	return is_read;
+}
+
+/* Guards against an answer without framing that is broken off and read as a
+ * shorter list, report or manifest: an entry that is missing from a list counts
+ * as gone. */
+static void
+test_truncated_bodies(void **state)
+{
+	static const struct {
+		bool (*read)(const char *text, size_t len);
+		const char *text;
+	} bodies[] = {
+		{ page_is_read,
+		    "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":3},"
+		    "\"spec\":{\"service\":\"x\",\"address\":\"1.2.3.4:80\","
+		    "\"zone\":\"z\",\"version\":\"v\",\"slots\":16,"
+		    "\"state\":\"ready\",\"sequence\":3}},"
+		    "{\"metadata\":{\"name\":\"b\",\"revision\":4},"
+		    "\"spec\":{}}],\"at\":5}" },
+		{ page_is_read,
+		    "{\"at\":5,\"events\":[{\"removed\":true,\"object\":"
+		    "{\"metadata\":{\"name\":\"b\",\"revision\":4}}}]}" },
+		{ report_is_read,
+		    "{\"running\":1,\"waiting\":0,\"sequence\":2,"
+		    "\"models\":[],\"busy\":false}" },
+		{ manifest_is_read,
+		    "{\"version\":2,\"chunkBytes\":32768,\"digests\":[\""
+		    "00112233445566778899aabbccddeeff"
+		    "00112233445566778899aabbccddeeff\"]}" },
+	};
+	size_t i, len;
+
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		len = strlen(bodies[i].text);
+		assert_true(bodies[i].read(bodies[i].text, len));
+		while (len-- > 0) {
+			if (bodies[i].read(bodies[i].text, len))
+				fail_msg("read %.*s", (int)len, bodies[i].text);
+		}
+	}
+}
+
 int
 main(void)
 {
@@ -224,6 +299,7 @@
 		cmocka_unit_test(test_only_complete_models_count),
 		cmocka_unit_test(test_manifest),
 		cmocka_unit_test(test_hostile_pages),
+		cmocka_unit_test(test_truncated_bodies),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -231,6 +231,32 @@
 	assert_int_equal(failures_sent, 4); /* nothing was sent this time */
 }
 
+/* Guards against reusing a connection whose end delimited a response, and
+ * against a reset that passes for that end. */
+static void
+test_response_until_close(void **state)
+{
+	int fd;
+
+	start();
+	fd = accept_connection();
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nall");
+	run_ms(5);
+	close(fd);
+	run_until(&finished);
+	assert_int_equal(dones, 1);
+	start();
+	fd = accept_connection();
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, "HTTP/1.1 200 OK\r\n\r\nhal");
+	run_ms(5);
+	raw_reset(fd);
+	run_until(&finished);
+	assert_int_equal(dones, 1);
+	assert_int_equal(last_failure, HCALL_RESET);
+}
+
 /* Cancelling a call closes the connection to the target. */
 static void
 test_cancel(void **state)
@@ -258,6 +284,7 @@
 		T(test_stray_bytes),
 		T(test_skipped_response),
 		T(test_failure_reasons),
+		T(test_response_until_close),
 		T(test_cancel),
 	};
 
