tests: Reproduce the same fault on the own interface

Cause, as far as shown: the entry takes the end of a stream's message for the end of the answer, and passes on bytes as they come. A stream that ends in order inside an event, or between two events without [DONE], is completed without an error event; part of the event reaches the caller, where it runs into the error event of a stream that was seen to break ('data: {"id": "brokevent: error'). Plain services that answer without framing always fail, POST with MAY_HAVE_RUN.

--- a/tests/standin/engine_answer.c
+++ b/tests/standin/engine_answer.c
@@ -6,6 +6,7 @@
 
 #define MAX_TOKENS_DEFAULT 16
 #define PRIORITY_DEFAULT 5
+#define BREAK_TOKENS 3 /* sent before a stream breaks off */
 /* Request ids are copied unescaped into JSON and into the text of tokens. */
 #define ID_CHARS                                                         \
 	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789" \
@@ -119,9 +120,12 @@
 	soup_message_headers_replace(out, "X-Model-Digest", run->digest);
 	if (!run->stream)
 		return;
+	run->breaks = consume_fault(&run->batch->break_in_event);
 	soup_server_message_set_status(msg, 200, NULL);
 	soup_message_headers_set_content_type(out, "text/event-stream", NULL);
-	soup_message_headers_set_encoding(out, SOUP_ENCODING_CHUNKED);
+	soup_message_headers_set_encoding(out,
+	    consume_fault(&run->batch->unframed) ? SOUP_ENCODING_EOF
+						 : SOUP_ENCODING_CHUNKED);
 	soup_message_body_set_accumulate(
 	    soup_server_message_get_response_body(msg), FALSE);
 	deferred_write(run->deferred);
@@ -158,6 +162,17 @@
 	append_text(body, event);
 }
 
+/* Ends the body in order in the middle of an event. */
+static void
+break_off(struct run *run, SoupMessageBody *body)
+{
+	append_text(body, g_string_new("data: {\"id\":\"brok"));
+	soup_message_body_complete(body);
+	deferred_write(run->deferred);
+	deferred_free(run->deferred);
+	run->deferred = NULL;
+}
+
 /* A cancelled stream ends without `[DONE]`, so that the client does not treat
  * it as complete. */
 static void
@@ -166,8 +181,13 @@
 	SoupMessageBody *body =
 	    soup_server_message_get_response_body(deferred_msg(run->deferred));
 
-	for (; run->sent < run->tokens; run->sent++)
+	for (; run->sent < run->tokens; run->sent++) {
+		if (run->breaks && run->sent == BREAK_TOKENS) {
+			break_off(run, body);
+			return;
+		}
 		send_event(body, run, run->sent);
+	}
 	if (run->state == RUN_DONE)
 		append_text(body, g_string_new("data: [DONE]\n\n"));
 	if (run->state != RUN_RUNNING)
@@ -216,7 +236,7 @@
 		send_events(run);
 	else if (run->state != RUN_RUNNING)
 		send_complete(run);
-	if (run->state != RUN_RUNNING) {
+	if (run->deferred != NULL && run->state != RUN_RUNNING) {
 		deferred_free(run->deferred);
 		run->deferred = NULL;
 	}
--- a/tests/standin/engine_run.c
+++ b/tests/standin/engine_run.c
@@ -396,6 +396,8 @@
 	if (step_ms > 0)
 		b->step_ms = step_ms;
 	b->refuse = member_bool(body, "refuse", b->refuse);
+	member_int_into(body, "unframed", &b->unframed);
+	member_int_into(body, "break_in_event", &b->break_in_event);
 	if (member_bool(body, "drop_streams", false))
 		drop_streams(b);
 }
--- a/tests/standin/engine_run.h
+++ b/tests/standin/engine_run.h
@@ -22,6 +22,7 @@
 	int64_t attempt;
 	int64_t priority; /* 0 is most urgent */
 	bool stream;
+	bool breaks; /* in the middle of an event, after BREAK_TOKENS */
 	/* Digest required by the request; "": any. */
 	char expected_digest[DIGEST_HEX];
 	char digest[DIGEST_HEX]; /* loaded when the run started */
@@ -63,6 +64,9 @@
 	uint64_t generated_ids; /* for requests without one */
 	int64_t frozen_until_ms;
 	bool refuse;
+	/* Faults of the next streams: how many have no framing, and how many
+	 * end their body in order in the middle of an event. */
+	int64_t unframed, break_in_event;
 };
 
 /* Parses and validates a chat request; if it is invalid, answers it and
--- a/tests/standin/service.c
+++ b/tests/standin/service.c
@@ -31,6 +31,7 @@
 	/* Injected faults. */
 	int64_t delay_ms, drop_before_run, drop_after_run, refuse;
 	int64_t answer_bytes; /* padding added to each answer */
+	int64_t unframed; /* answers with neither a length nor chunks */
 };
 
 /* ------------------------------------------------------------------ */
@@ -122,16 +123,6 @@
 	reply_json(msg, 200, b);
 }
 
-/* Decrements the remaining count of an injected fault; false if it is zero. */
-static bool
-consume_fault(int64_t *count)
-{
-	if (*count <= 0)
-		return false;
-	(*count)--;
-	return true;
-}
-
 static void
 on_any(SoupServer *server, SoupServerMessage *msg, const char *path,
     GHashTable *query, void *ctx)
@@ -148,6 +139,10 @@
 	}
 	record_run(s, msg, path);
 	answer_run(s, msg, path);
+	if (consume_fault(&s->unframed))
+		soup_message_headers_set_encoding(
+		    soup_server_message_get_response_headers(msg),
+		    SOUP_ENCODING_EOF);
 	if (consume_fault(&s->drop_after_run))
 		hang_up(msg);
 	else if (s->delay_ms > 0)
@@ -172,6 +167,7 @@
 	member_int_into(body, "drop_after_run", &s->drop_after_run);
 	member_int_into(body, "refuse", &s->refuse);
 	member_int_into(body, "answer_bytes", &s->answer_bytes);
+	member_int_into(body, "unframed", &s->unframed);
 	json_object_unref(body);
 	reply_json(msg, 200, json_begin());
 }
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -205,6 +205,15 @@
 	*value = member_int(object, name, *value);
 }
 
+bool
+consume_fault(int64_t *count)
+{
+	if (*count <= 0)
+		return false;
+	(*count)--;
+	return true;
+}
+
 JsonBuilder *
 json_begin(void)
 {
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -134,6 +134,9 @@
 /* Overwrites *value if the member is present. */
 void member_int_into(JsonObject *object, const char *name, int64_t *value);
 
+/* Decrements the remaining count of an injected fault; false if it is zero. */
+bool consume_fault(int64_t *count);
+
 /* Returns a builder with an open object. */
 JsonBuilder *json_begin(void);
 void put_int(JsonBuilder *b, const char *name, int64_t value);
