entry: Complete a stream only after its end event

Seen by callers of the own interface: a stream that its engine had broken off in order ended like a complete one, without [DONE] and without the error event that docs/INTERFACES.md promises. Where a stream was seen to break inside an event, the error event was appended to that part and could not be read ('data: {"id":"brokevent: error').

Change: programs/entry/body.c holds back bytes of an event until it is complete, and an event stream is complete only between two events, that of an engine only after [DONE]; otherwise the attempt is lost, which its caller sees as an error event. Buffering and flow control of the body move there from request.c. The window is returned early for a large event that is held back, which would otherwise use it up and stall.

--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -7,9 +7,6 @@
 
 #include "entry/request.h"
 
-/* An answer that is not streamed is buffered up to this size until it is
- * complete, so that a failed attempt can be retried unseen by the caller. */
-#define BUFFER_MAX RT_WINDOW_BYTES
 #define VERSIONS_MAX 256 /* of one model; the limit in the settings */
 #define MIN_ATTEMPT_MS 20 /* no attempt with less time than this left */
 /* The users' limit for the first token of an admitted request: a stream
@@ -266,69 +263,49 @@
 	    ? g_strndup(headers + 14, strcspn(headers + 14, "\n"))
 	    : g_strdup("application/octet-stream");
 	g_free(headers);
-	g_byte_array_set_size(r->buffer, 0);
+	body_begin(r);
 	adm_first_byte(&r->ticket, clk_now_us(clk_system()));
 	if (r->streamed)
 		request_step(r, ATT_HEAD);
 }
 
-/* The sidecar may exceed the window by its last read. A message that returns
- * more than one window is malformed: the sidecar would drop it and the stream
- * would stall until its deadline. */
-static void
-send_window_update(struct request *r, size_t len)
-{
-	struct rt_window window = { .stream = (uint64_t)r->stream };
-
-	if (r->sidecar == NULL || !r->sidecar->open)
-		return;
-	for (; len > 0; len -= window.bytes) {
-		window.bytes = MIN(len, RT_WINDOW_BYTES);
-		conn_send(r->sidecar->conn, &rt_window_desc, &window);
-	}
-}
-
 void
 request_data(struct request *r, const uint8_t *bytes, size_t len)
 {
 	note_response(r);
 	if (r->answer_hash != NULL)
 		digest_stream_add(r->answer_hash, bytes, len);
-	if (r->head_sent) {
-		answer_append(r, bytes, len);
-		if (r->exchange_over) /* on_wrote is no longer called */
-			send_window_update(r, len);
-		return;
-	}
-	g_byte_array_append(r->buffer, bytes, (guint)len);
-	if (r->buffer->len < BUFFER_MAX)
+	if (body_add(r, bytes, len))
 		return;
-	/* Too large to buffer. */
-	answer_begin(r);
-	answer_append(r, r->buffer->data, r->buffer->len);
-	if (r->exchange_over)
-		send_window_update(r, r->buffer->len);
-	g_byte_array_set_size(r->buffer, 0);
-	request_step(r, ATT_HEAD);
+	err_set(&r->last_err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN,
+	    "an event of the answer is too large");
+	op_cancel(r);
+	request_step(r, ATT_LOST);
 }
 
 void
-request_end(struct request *r, const struct err *err)
+request_end(struct request *r, const struct err *result)
 {
-	end_attempt(r, err);
-	if (!err_is(err) && err->verdict == VERDICT_RAN) {
+	struct err err = *result;
+
+	/* The end of the message does not tell that the answer is complete. */
+	if (!err_is(result) && !body_is_complete(r))
+		err_set(&err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN,
+		    "the answer broke off");
+	end_attempt(r, &err);
+	if (!err_is(&err) && err.verdict == VERDICT_RAN) {
 		r->outcome = ADM_ANSWERED;
 		request_step(r, ATT_DONE);
 		return;
 	}
-	r->last_err = *err;
+	r->last_err = err;
 	r->outcome = ADM_OTHER;
-	if (err->code == ERR_OVERLOADED) {
+	if (err.code == ERR_OVERLOADED) {
 		r->outcome = ADM_OVERLOADED;
 		adm_overloaded(&r->ticket, clk_now_us(clk_system()));
 	}
 	request_step(
-	    r, err->verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
+	    r, err.verdict == VERDICT_NOT_RUN ? ATT_REFUSED : ATT_LOST);
 }
 
 /* ------------------------------------------------------------------ */
@@ -338,7 +315,7 @@
 static void
 on_wrote(SoupServerMessage *message, guint size, gpointer data)
 {
-	send_window_update(data, size);
+	body_written(data, size);
 }
 
 static void
@@ -495,6 +472,7 @@
 	if (r->body != NULL)
 		g_bytes_unref(r->body);
 	g_byte_array_unref(r->buffer);
+	g_byte_array_unref(r->held_back);
 	g_free(r->type);
 	g_free(r->method);
 	g_free(r->path);
@@ -556,6 +534,7 @@
 	r->priority = params->priority;
 	r->prefix = params->prefix;
 	r->buffer = g_byte_array_new();
+	r->held_back = g_byte_array_new();
 	r->outcome = ADM_OTHER;
 	if (params->key != NULL && !params->idempotent)
 		keyed_init(r, params->key);
--- a/programs/entry/request.h
+++ b/programs/entry/request.h
@@ -1,8 +1,9 @@
 #ifndef REQUEST_H
 #define REQUEST_H
 
-/* The request, shared by request.c, answer.c and keyed.c. */
+/* The request, shared by request.c, body.c, answer.c and keyed.c. */
 
+#include "common/sse.h"
 #include "entry/entry.h"
 
 #define MAX_ATTEMPTS 4
@@ -47,6 +48,11 @@
 	struct rt_head head; /* headers are in `type` */
 	char *type;
 	bool head_sent; /* to the caller */
+	bool has_events; /* its type is that of an event stream */
+	struct sse sse; /* position in its events */
+	bool has_end_event; /* of an engine's stream */
+	GByteArray *held_back; /* bytes of an event that is not complete */
+	size_t credit_ahead; /* returned for bytes that are not written yet */
 	GByteArray *buffer; /* body of an answer that is not yet sent */
 	struct err last_err;
 	enum adm_outcome outcome;
@@ -73,6 +79,15 @@
 void keyed_detach(void *request);
 void keyed_settle(void *request);
 
+/* body.c: the body of an answer, from the sidecar to the caller */
+void body_begin(struct request *r); /* the head of an answer was received */
+/* Passes bytes on, or holds them back until their event is complete. Returns
+ * false if that event is too large. */
+bool body_add(struct request *r, const uint8_t *bytes, size_t len);
+void body_written(struct request *r, size_t len); /* to the caller */
+/* Whether an answer whose message has ended is complete. */
+bool body_is_complete(const struct request *r);
+
 /* answer.c. These send nothing once the exchange is over. */
 /* Sends the head; the body follows in chunks. */
 void answer_begin(struct request *r);
