platform, side: Accept answers that end with their connection

Seen by callers of the own interface: every answer of a plain service that has neither a length nor chunks failed, GET after all attempts and POST with MAY_HAVE_RUN though it had run. A stream of an engine without framing got an error event behind its [DONE].

Cause: the HTTP client took each such response for a truncated one, as its end looks the same in both cases. For a plain answer nothing else can tell, and HTTP says that it is complete; for a stream, its events tell.

Change: target_call_may_end_by_close() accepts an orderly end of the connection; a reset stays an error. The sidecar sets it for plain services and for event streams, which the gateway checks. The other calls (store, origin, orders) take such responses for truncated as before.

--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -36,6 +36,7 @@
 	bool not_run; /* an error response with `X-Not-Run: 1` */
 	bool new_connection; /* close the connection after the exchange */
 	bool reusable; /* the response was read completely */
+	bool may_end_by_close; /* see target_call_may_end_by_close() */
 	uint64_t received; /* bytes of the response body */
 	struct err why; /* why the call was aborted, if it was */
 	uint8_t buffer[READ_BYTES];
@@ -189,9 +190,9 @@
 
 /*
  * A response with neither a length nor chunked encoding looks the same whether
- * or not the target terminated before its end. In addition, libsoup treats a
- * response shorter than its Content-Length as complete if the target announced
- * that it closes the connection.
+ * or not the target terminated before its end, unless its connection was reset.
+ * In addition, libsoup treats a response shorter than its Content-Length as
+ * complete if the target announced that it closes the connection.
  */
 static bool
 is_complete(const struct target_call *call)
@@ -211,6 +212,8 @@
 	case SOUP_ENCODING_CONTENT_LENGTH:
 		return call->received ==
 		    (uint64_t)soup_message_headers_get_content_length(headers);
+	case SOUP_ENCODING_EOF:
+		return call->may_end_by_close;
 	default:
 		return false;
 	}
@@ -535,6 +538,12 @@
 	read_next(call);
 }
 
+void
+target_call_may_end_by_close(struct target_call *call)
+{
+	call->may_end_by_close = true;
+}
+
 void
 target_call_cancel(struct target_call *call)
 {
--- a/programs/side/door.c
+++ b/programs/side/door.c
@@ -69,6 +69,12 @@
 /* Responses of targets                                                */
 /* ------------------------------------------------------------------ */
 
+static bool
+is_event_type(const char *type)
+{
+	return type != NULL && g_str_has_prefix(type, "text/event-stream");
+}
+
 static void
 on_head(unsigned int status, SoupMessageHeaders *headers, void *ctx)
 {
@@ -86,6 +92,9 @@
 		s->refused_status = status;
 		return;
 	}
+	/* The gateway checks the events of a stream. */
+	if (s->target->info.kind != RT_ENGINE || is_event_type(type))
+		target_call_may_end_by_close(s->call);
 	if (s->peer == NULL)
 		return;
 	if (digest != NULL)
--- a/tests/platform/server.h
+++ b/tests/platform/server.h
@@ -9,6 +9,7 @@
 
 #include <gio/gio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "platform/platform.h"
 
@@ -69,6 +70,16 @@
 	g_io_stream_close(G_IO_STREAM(peer->conn), NULL, NULL);
 }
 
+static inline void
+peer_reset(struct peer *peer)
+{
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(g_socket_get_fd(g_socket_connection_get_socket(peer->conn)),
+	    SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	peer_close(peer);
+}
+
 static inline void
 peer_free(gpointer data)
 {
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -324,6 +324,15 @@
 	return strcmp(soup_server_message_get_method(msg), method) == 0;
 }
 
+void
+end_by_close(SoupServerMessage *msg)
+{
+	SoupMessageHeaders *out = soup_server_message_get_response_headers(msg);
+
+	soup_message_headers_set_encoding(out, SOUP_ENCODING_EOF);
+	soup_message_headers_replace(out, "Connection", "close");
+}
+
 void
 hang_up(SoupServerMessage *msg)
 {
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -158,6 +158,9 @@
 int64_t header_int(SoupServerMessage *msg, const char *name, int64_t fallback);
 bool is_method(SoupServerMessage *msg, const char *method);
 
+/* The answer has neither a length nor chunks. */
+void end_by_close(SoupServerMessage *msg);
+
 /* Closes the connection at once, without completing the answer. */
 void hang_up(SoupServerMessage *msg);
 
