tests, tools: Break off answers in the stand-in, and check them from outside

Cause: no engine of the soak and the demo ever answered without framing, none broke off an answer, and the callers read with the same client as the gateways, so a fault of that reader could not show. The proxy in front of each engine closed in order what had been reset or held back. The demo's traffic began before its gateways listened, and a first request that nobody accepted passed.

Callers keep their connections and read with tests/http/raw_answer.h; an answer that is complete must be whole, one that is not must consist of complete events. The proxy delivers bytes before a close and passes resets on.

--- a/tests/fleet/caller.c
+++ b/tests/fleet/caller.c
@@ -5,36 +5,34 @@
 
 #include "fleet.h"
 
-#define EVENTS 12
 #define DEADLINE_MS 4000
+#define ONCE_ONE_IN 4 /* streams that may not be resumed */
 
 enum request_kind {
 	REQUEST_STREAM,
 	REQUEST_UNSAFE,
 	REQUEST_SAFE,
-	REQUEST_KINDS
+	REQUEST_KINDS,
+	/* Drawn in place of REQUEST_STREAM. */
+	REQUEST_STREAM_ONCE = REQUEST_KINDS,
 };
 
-static const char request_letter[REQUEST_KINDS] = { 's', 'u', 'g' };
-static const char *const request_path[REQUEST_KINDS] = { "/chat/", "/book/",
-	"/look/" };
+static const char request_letter[] = { 's', 'u', 'g', 'o' };
+static const char *const request_path[] = { "/chat/", "/book/", "/look/",
+	"/tell/" };
 
 struct request {
 	struct fleet *f;
 	enum request_kind kind;
 	char id[40];
-	struct hcall *call;
+	struct fleet_call *call;
 	struct evl_timer deadline;
-	unsigned int status;
-	bool sealed;
-	GString *body;
 };
 
 static void
 request_free(struct request *r)
 {
 	evl_timer_stop(r->f->loop, &r->deadline);
-	g_string_free(r->body, TRUE);
 	r->f->open_calls--;
 	g_free(r);
 }
@@ -54,119 +52,130 @@
 /* ------------------------------------------------------------------ */
 
 static bool
-stream_matches(const struct request *r)
+is_stream(const struct request *r)
 {
-	GString *expected = g_string_new(NULL);
+	return r->kind == REQUEST_STREAM || r->kind == REQUEST_STREAM_ONCE;
+}
+
+/* The complete body; the caller frees it. */
+static char *
+expected_body(const struct request *r)
+{
+	GString *body = g_string_new(NULL);
 	unsigned int i;
-	bool matches;
 
-	for (i = 1; i <= EVENTS; i++)
+	if (!is_stream(r))
+		g_string_printf(body, "answer to %s", r->id);
+	for (i = 1; is_stream(r) && i <= FLEET_EVENTS; i++)
 		g_string_append_printf(
-		    expected, "id: %u\ndata: %s %u\n\n", i, r->id, i);
-	matches = strcmp(expected->str, r->body->str) == 0;
-	g_string_free(expected, TRUE);
-	return matches;
+		    body, "id: %u\ndata: %s %u\n\n", i, r->id, i);
+	return g_string_free(body, FALSE);
+}
+
+static void
+count_wrong(struct request *r, const char *what, const GString *body)
+{
+	r->f->tally.wrong_answers++;
+	g_printerr("mixed %s: %s: %s\n", r->id, what, body->str);
 }
 
 static bool
-body_matches(const struct request *r)
+has_header(const struct raw_answer *a, const char *name)
 {
-	char expected[64];
+	char *value = raw_answer_header(a, name);
+	bool has = value != NULL;
 
-	if (r->kind == REQUEST_STREAM)
-		return stream_matches(r);
-	g_snprintf(expected, sizeof(expected), "answer to %s", r->id);
-	return strcmp(expected, r->body->str) == 0;
+	g_free(value);
+	return has;
 }
 
 static void
-check_answer(struct request *r)
+check_success(struct request *r, const struct raw_answer *a)
+{
+	char *expected = expected_body(r);
+
+	r->f->tally.answered++;
+	if (!has_header(a, "X-Response-Seal") ||
+	    strcmp(expected, a->body->str) != 0)
+		count_wrong(r, "complete", a->body);
+	g_free(expected);
+}
+
+static void
+check_answer(struct request *r, const struct raw_answer *a)
 {
 	struct fleet_tally *t = &r->f->tally;
 
-	if (r->status == 200) {
-		t->answered++;
-		if (!r->sealed || !body_matches(r)) {
-			t->wrong_answers++;
-			g_printerr("mixed %s: %s\n", r->id, r->body->str);
-		}
-	} else if (r->status == 503 || r->status == 429) {
+	if (a->status == 200) {
+		check_success(r, a);
+	} else if (a->status == 503 || a->status == 429) {
 		t->refused++;
-		if (r->kind == REQUEST_UNSAFE &&
+		if ((r->kind == REQUEST_UNSAFE ||
+			r->kind == REQUEST_STREAM_ONCE) &&
 		    g_hash_table_contains(r->f->runs, r->id)) {
 			t->false_not_run++;
 			g_printerr("lied %s\n", r->id);
 		}
 	} else {
 		t->failed++;
-		if (r->sealed && r->status != 500)
-			t->wrong_answers++;
+		if (has_header(a, "X-Response-Seal") && a->status != 500)
+			count_wrong(r, "failure", a->body);
 	}
 }
 
-/* The part of an answer that arrived before a failure must be a prefix of the
- * expected answer. */
+/* What arrived of an answer that ended early: the beginning of the expected
+ * one, and of a stream complete events only. The caller may have given up
+ * while a chunk was on its way, so the last event may be incomplete then. */
 static void
-check_partial_answer(struct request *r)
+check_partial_answer(
+    struct request *r, const struct raw_answer *a, bool gave_up)
 {
-	char *whole;
-	unsigned int i;
-	GString *expected = g_string_new(NULL);
-
-	for (i = 1; i <= EVENTS; i++)
-		g_string_append_printf(
-		    expected, "id: %u\ndata: %s %u\n\n", i, r->id, i);
-	whole = expected->str;
-	if (r->status == 200 && r->kind == REQUEST_STREAM &&
-	    strncmp(whole, r->body->str, r->body->len) != 0) {
-		r->f->tally.wrong_answers++;
-		g_printerr("mixed part %s: %s\n", r->id, r->body->str);
-	}
-	g_string_free(expected, TRUE);
+	char *expected = expected_body(r);
+	const GString *body = a->body;
+
+	if (a->malformed)
+		count_wrong(r, "malformed", body);
+	else if (a->status == 200 &&
+	    strncmp(expected, body->str, body->len) != 0)
+		count_wrong(r, "part", body);
+	else if (a->status == 200 && is_stream(r) && !gave_up &&
+	    body->len > 0 && !g_str_has_suffix(body->str, "\n\n"))
+		count_wrong(r, "part of an event", body);
+	g_free(expected);
 }
 
 /* ------------------------------------------------------------------ */
 /* Calls                                                               */
 /* ------------------------------------------------------------------ */
 
+/* The engine announced its stop in an answer that reached its caller. */
 static void
-on_head(struct hcall *c, const struct hmsg *m, void *ctx)
+note_notice(struct request *r, const struct raw_answer *a)
 {
-	struct request *r = ctx;
-	const struct hheader *seal = hmsg_find(m, "X-Response-Seal");
-	char *text;
+	char *seal = raw_answer_header(a, "X-Response-Seal");
 
-	r->status = m->status;
-	r->sealed = seal != NULL;
-	if (!r->sealed || hmsg_find(m, "Server-Leaving") == NULL)
-		return;
-	text = hslice_dup(seal->value);
-	fleet_engine_relayed(r->f, text, r->id);
-	g_free(text);
-}
-
-static void
-on_body(struct hcall *c, const void *data, size_t len, void *ctx)
-{
-	g_string_append_len(((struct request *)ctx)->body, data, (gssize)len);
+	if (seal != NULL && has_header(a, "Server-Leaving"))
+		fleet_engine_relayed(r->f, seal, r->id);
+	g_free(seal);
 }
 
 static void
-on_done(struct hcall *c, void *ctx)
-{
-	check_answer(ctx);
-	request_free(ctx);
-}
-
-static void
-on_failed(struct hcall *c, enum hcall_failure why, bool sent, void *ctx)
+on_done(struct fleet_call *c, void *ctx)
 {
 	struct request *r = ctx;
 
-	g_printerr("broken %s: failure %d, sent %d, status %u\n", r->id, why,
-	    sent, r->status);
-	r->f->tally.broken++;
-	check_partial_answer(r);
+	note_notice(r, &c->answer);
+	if (c->answer.complete && !c->answer.malformed)
+		check_answer(r, &c->answer);
+	else {
+		check_partial_answer(r, &c->answer, false);
+		if (c->answer.status == 0) {
+			r->f->tally.broken++;
+			g_printerr("broken %s: end %d, sent %d\n", r->id,
+			    c->end, c->sent);
+		} else
+			r->f->tally.cut++;
+	}
 	request_free(r);
 }
 
@@ -175,19 +184,14 @@
 {
 	struct request *r = CONTAINER_OF(t, struct request, deadline);
 
-	hcall_cancel(r->call);
-	r->f->tally.broken++;
-	check_partial_answer(r);
+	r->f->tally.late++;
+	g_printerr("late %s: no answer in time, status %u\n", r->id,
+	    r->call->answer.status);
+	check_partial_answer(r, &r->call->answer, true);
+	fleet_call_cancel(r->call);
 	request_free(r);
 }
 
-static const struct hcall_ops ops = {
-	.head = on_head,
-	.body = on_body,
-	.done = on_done,
-	.failed = on_failed,
-};
-
 /* The uneven distribution is like that of a load balancer that hashes by
  * caller: half of the requests go to the first gateway, half of the remaining
  * ones to the second, and so on. */
@@ -201,17 +205,47 @@
 	return f->uneven ? i : rng_below(&f->rng, f->ngateways);
 }
 
+static enum request_kind
+choose_kind(struct fleet *f)
+{
+	enum request_kind kind =
+	    (enum request_kind)rng_below(&f->rng, REQUEST_KINDS);
+
+	if (kind == REQUEST_STREAM && f->broken_one_in > 0 &&
+	    rng_below(&f->caller_rng, ONCE_ONE_IN) == 0)
+		kind = REQUEST_STREAM_ONCE;
+	return kind;
+}
+
+static bool
+uses_http10(struct fleet *f)
+{
+	return f->http10_one_in > 0 &&
+	    rng_below(&f->caller_rng, (uint64_t)f->http10_one_in) == 0;
+}
+
+static char *
+request_text(const struct request *r)
+{
+	return g_strdup_printf(
+	    "POST %s%u HTTP/1.%d\r\nHost: a.example\r\nX-Attempt-Id: %s\r\n"
+	    "X-Deadline-Ms: %d\r\nAuthorization: Bearer " FLEET_KEY "\r\n"
+	    "X-Tenant: forged\r\n%sContent-Length: 4\r\n\r\nbody",
+	    request_path[r->kind], r->f->tally.sent_count, !uses_http10(r->f),
+	    r->id, DEADLINE_MS,
+	    is_stream(r) ? "X-Model: " FLEET_MODEL "\r\n" : "");
+}
+
 static void
 start_request(struct fleet *f)
 {
 	struct request *r = g_new0(struct request, 1);
 	size_t gateway = choose_gateway(f);
 	int64_t sent_us;
-	char *head;
+	char *text;
 
 	r->f = f;
-	r->kind = (enum request_kind)rng_below(&f->rng, REQUEST_KINDS);
-	r->body = g_string_new(NULL);
+	r->kind = choose_kind(f);
 	g_snprintf(r->id, sizeof(r->id), "%c-%u-%" G_GUINT64_FORMAT "-g%zu",
 	    request_letter[r->kind], f->tally.sent_count,
 	    rng_next(&f->rng) % 100000, gateway);
@@ -220,22 +254,12 @@
 	sent_us = evl_now_us(f->loop);
 	g_hash_table_insert(
 	    f->sent, g_strdup(r->id), g_memdup2(&sent_us, sizeof(sent_us)));
-	head = g_strdup_printf(
-	    "POST %s%u HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\n"
-	    "X-Deadline-Ms: %d\r\nAuthorization: Bearer " FLEET_KEY "\r\n"
-	    "X-Tenant: forged\r\n%sContent-Length: 4\r\n\r\nbody",
-	    request_path[r->kind], f->tally.sent_count, r->id, DEADLINE_MS,
-	    r->kind == REQUEST_STREAM ? "X-Model: " FLEET_MODEL "\r\n" : "");
 	r->deadline.fire = on_deadline;
 	evl_timer_set(f->loop, &r->deadline,
 	    evl_now_us(f->loop) + (DEADLINE_MS + 500) * 1000);
-	r->call = hcall_start(f->pool,
-	    &(struct hcall_conf){ .address = f->gateways[gateway],
-		.head = head,
-		.head_len = strlen(head),
-		.ops = &ops,
-		.ctx = r });
-	g_free(head);
+	text = request_text(r);
+	r->call = fleet_call_start(f, gateway, text, on_done, r);
+	g_free(text);
 }
 
 static void
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -7,7 +7,6 @@
 
 #define SLOTS 8
 #define QUEUE 8
-#define EVENTS 12
 #define EVENT_US 15000
 #define PLAIN_US 10000
 #define LOAD_US 200000
@@ -47,7 +46,7 @@
 	struct fleet_engine *e;
 	struct hreq *r;
 	char id[40];
-	unsigned int event, from;
+	struct fleet_answer answer;
 	int64_t version;
 	struct evl_timer timer;
 };
@@ -158,32 +157,27 @@
 {
 	struct fleet_run *run = CONTAINER_OF(timer, struct fleet_run, timer);
 	struct hreq *r = run->r;
-	char event[128], *head;
+	struct fleet *f = run->e->f;
+	char *head;
 
 	if (terminates_engine(run))
 		return;
 	if (!hreq_begun(r)) {
 		head = response_head(run);
-		hreq_begin(r, 200, head);
+		fleet_answer_begin_stream(&run->answer, r, head);
 		g_free(head);
 	}
-	run->event++;
-	g_snprintf(event, sizeof(event), "id: %u\ndata: %s %u\n\n", run->event,
-	    run->id, run->event);
-	hreq_write(r, event, strlen(event));
-	if (run->event >= EVENTS) {
+	if (fleet_answer_next_event(&run->answer, r))
+		evl_timer_set(f->loop, timer, evl_now_us(f->loop) + EVENT_US);
+	else
 		run_free(run);
-		hreq_end(r);
-		return;
-	}
-	evl_timer_set(
-	    run->e->f->loop, timer, evl_now_us(run->e->f->loop) + EVENT_US);
 }
 
 static void
 on_plain(struct evl_timer *timer)
 {
 	struct fleet_run *run = CONTAINER_OF(timer, struct fleet_run, timer);
+	struct fleet_answer answer = run->answer;
 	struct hreq *r = run->r;
 	char body[64], *head;
 
@@ -192,7 +186,7 @@
 	head = response_head(run);
 	g_snprintf(body, sizeof(body), "answer to %s", run->id);
 	run_free(run);
-	hreq_answer(r, 200, head, body, strlen(body));
+	fleet_answer_plain(&answer, r, head, body);
 	g_free(head);
 }
 
@@ -225,7 +219,7 @@
 }
 
 /* Counts runs over all engines; ids of requests that may run only once begin
- * with `u`. */
+ * with `u` or `o`. */
 static void
 count_run(struct fleet_engine *e, struct hreq *r, const char *id)
 {
@@ -234,7 +228,7 @@
 	char workspace[32], key[32];
 
 	g_hash_table_replace(f->runs, g_strdup(id), GUINT_TO_POINTER(n));
-	if (n > 1 && id[0] == 'u')
+	if (n > 1 && (id[0] == 'u' || id[0] == 'o'))
 		f->tally.ran_twice++;
 	header(r, "X-Tenant", workspace, sizeof(workspace));
 	header(r, "Authorization", key, sizeof(key));
@@ -262,8 +256,12 @@
 	run->r = r;
 	g_strlcpy(run->id, id, sizeof(run->id));
 	run->version = e->version;
-	run->event =
-	    (unsigned int)atoi(header(r, "Last-Event-Id", last, sizeof(last)));
+	header(r, "Last-Event-Id", last, sizeof(last));
+	if (e->llm)
+		fleet_answer_draw_stream(e->f, &run->answer, run->id,
+		    (unsigned int)atoi(last), FLEET_EVENTS);
+	else
+		fleet_answer_draw_plain(e->f, &run->answer);
 	run->timer.fire = e->llm ? on_event : on_plain;
 	LIST_INSERT_HEAD(&e->runs, run, link);
 	e->nruns++;
@@ -714,7 +712,7 @@
 	g_string_free(out, TRUE);
 }
 
-/* Corrupts one answer in twenty. */
+/* Corrupts one answer in twenty, and truncates another. */
 static void
 on_origin(struct hreq *r, void *ctx)
 {
@@ -731,7 +729,10 @@
 		fleet_chunk(version, i, chunk);
 		if (rng_below(&f->rng, 20) == 0)
 			chunk[7] ^= 1;
-		hreq_answer(r, 200, "", chunk, sizeof(chunk));
+		if (f->broken_one_in > 0 && rng_below(&f->answer_rng, 20) == 0)
+			fleet_answer_truncated(r, chunk, sizeof(chunk));
+		else
+			hreq_answer(r, 200, "", chunk, sizeof(chunk));
 	} else {
 		hreq_answer(r, 404, "", "", 0);
 	}
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -13,6 +13,8 @@
 #include "http/http.h"
 #include "http/sock.h"
 
+#include "../http/raw_answer.h"
+
 #define FLEET_ENGINES_MAX 40
 #define FLEET_GATEWAYS_MAX 8
 #define FLEET_POISONS_MAX 4
@@ -26,6 +28,7 @@
  * within one workspace. */
 #define FLEET_POISON_KEY "key-of-guest"
 #define FLEET_VERSION_MS 8000
+#define FLEET_EVENTS 12 /* of a stream */
 
 struct fleet_proxy;
 struct fleet_engine;
@@ -36,7 +39,9 @@
 struct fleet_tally {
 	unsigned int sent_count; /* printed `asked` */
 	unsigned int answered, refused, failed;
-	unsigned int broken; /* connection failures and missed deadlines */
+	unsigned int broken; /* connections that ended without an answer */
+	unsigned int late; /* missed deadlines */
+	unsigned int cut; /* answers that ended early, as their callers see */
 	/* Repeated runs of requests that may run once; printed `twice`. */
 	unsigned int ran_twice;
 	/* Answers that do not belong to the request; printed `mixed`. */
@@ -118,10 +123,18 @@
 	int64_t previous_version;
 	/* Origin. */
 	struct hserver *origin;
+	/* One in so many answers is broken off, and all framings are used; 0:
+	 * none is, and answers have a length or chunks. */
+	int broken_one_in;
+	/* Separate, so that other draws do not depend on it. */
+	struct rng answer_rng;
 	/* Callers. */
 	char *gateways[FLEET_GATEWAYS_MAX];
 	size_t ngateways;
 	bool uneven; /* distribution over the gateways */
+	int http10_one_in; /* one in so many callers uses HTTP/1.0; 0: none */
+	struct rng caller_rng; /* of what was added to the callers later */
+	LIST_HEAD(fleet_links, fleet_link) idle_links;
 	unsigned int rate; /* requests a second */
 	struct evl_timer next_request, schedule, fault;
 	unsigned int open_calls;
@@ -179,6 +192,67 @@
  * limit. */
 unsigned int fleet_engine_max_in_window(const struct fleet *f, size_t i);
 
+/* answer.c */
+enum fleet_framing {
+	FLEET_LENGTH,
+	FLEET_CHUNKED,
+	FLEET_CLOSE, /* neither: the end of the connection */
+	FLEET_FRAMINGS
+};
+enum fleet_end {
+	FLEET_IN_ORDER, /* as the framing says */
+	FLEET_EARLY, /* an orderly close before its end */
+	FLEET_RESET,
+	FLEET_ENDS
+};
+enum fleet_place {
+	FLEET_IN_EVENT,
+	FLEET_IN_EVENT_END, /* between its two line feeds */
+	FLEET_BETWEEN_EVENTS, /* also before the first and after the last */
+	FLEET_PLACES
+};
+struct fleet_answer {
+	const char *id; /* of the request, borrowed */
+	unsigned int from, to; /* events after `from` */
+	unsigned int sent; /* complete events */
+	enum fleet_framing framing;
+	bool breaks; /* the members below apply */
+	enum fleet_end end;
+	enum fleet_place place;
+	unsigned int events_before; /* it breaks off */
+};
+/* `from` is the last event that the caller has; `to` is the last one. */
+void fleet_answer_draw_stream(struct fleet *f, struct fleet_answer *a,
+    const char *id, unsigned int from, unsigned int to);
+void fleet_answer_draw_plain(struct fleet *f, struct fleet_answer *a);
+void fleet_answer_begin_stream(
+    struct fleet_answer *a, struct hreq *r, const char *headers);
+/* Sends the next event, or ends the answer and returns false. */
+bool fleet_answer_next_event(struct fleet_answer *a, struct hreq *r);
+void fleet_answer_plain(struct fleet_answer *a, struct hreq *r,
+    const char *headers, const char *body);
+/* Half of a body without framing, ended in order. */
+void fleet_answer_truncated(struct hreq *r, const void *body, size_t len);
+
+/* link.c */
+/* A caller's request and the answer to it. */
+struct fleet_call {
+	struct fleet_link *link;
+	char *request;
+	bool sent;
+	struct raw_answer answer;
+	enum raw_end end;
+	void (*done)(struct fleet_call *c, void *ctx);
+	void *ctx;
+};
+/* Sends a complete request over an idle or a new connection. `done` is called
+ * once, when the answer is complete, the connection has ended or none comes
+ * about; the call is freed after it. */
+struct fleet_call *fleet_call_start(struct fleet *f, size_t gateway,
+    const char *request, void (*done)(struct fleet_call *c, void *ctx),
+    void *ctx);
+void fleet_call_cancel(struct fleet_call *c); /* `done` is not called */
+
 /* limit.c */
 void fleet_limit_set(struct fleet *f, struct fleet_limit *l, double limit);
 /* Counts a request that arrived against the limit. */
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -4,7 +4,7 @@
  *   fleet --engines N --empty N --gateways ADDRESS,... --rate N --seconds N
  *         --seed N --faults 0|1 --bump SECONDS --crash SECONDS
  *         --limit SECONDS --limited N --limit-milli N --uneven 0|1
- *         --drill SECONDS --drills 0|1
+ *         --drill SECONDS --drills 0|1 --broken N --http10 N
  *         --leave SECONDS --shed SECONDS --notices 0|1 --notices-judged 0|1
  *         --poison SECONDS --poisons N --poison-gap-ms N --poison-judged 0|1
  *
@@ -17,11 +17,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "fleet.h"
 
 #define FAULT_US 450000
 #define END_WAIT_US 6000000
+#define START_WAIT_US 10000000 /* for gateways that never accept */
+#define START_CHECK_US 20000
 
 static int engines = 6, empty = 2, rate = 60, seconds = 10, seed = 1, net;
 static int faults, bump = 3, crash, limit, uneven;
@@ -30,10 +34,11 @@
 static int poison_judged = 1;
 static int leave, shed, notices, notices_judged = 1;
 static int drill, drills;
+static int broken, http10;
 static char *gateways;
 static struct fleet f;
 static GMainLoop *main_loop;
-static int64_t begun_us;
+static int64_t opened_us, begun_us;
 static int64_t config_version = 1;
 static char *config_spec; /* as last written */
 #define NOTICE_GAP_US 2000000
@@ -43,7 +48,7 @@
 #define DRILL_EVERY 6
 #define WRITE_AGAIN_US 1000000 /* after the end of a drill */
 static struct evl_timer proxy_restore[FLEET_ENGINES_MAX + 1], store_restore,
-    end;
+    start, end;
 
 /* ------------------------------------------------------------------ */
 /* Operators' settings and versions                                    */
@@ -63,6 +68,10 @@
 	    "\"pathPrefix\":\"/chat/\",\"kind\":\"streaming\","
 	    "\"timeoutMs\":4000,\"targetLatencyMs\":400,\"maxAttempts\":2,"
 	    "\"resumable\":true,\"gapTargetMs\":300,\"service\":\"" FLEET_LLM
+	    "\"},{\"name\":\"tell\",\"host\":\"a.example\","
+	    "\"pathPrefix\":\"/tell/\",\"kind\":\"streaming\","
+	    "\"timeoutMs\":4000,\"targetLatencyMs\":400,\"maxAttempts\":2,"
+	    "\"resumable\":false,\"gapTargetMs\":300,\"service\":\"" FLEET_LLM
 	    "\"},{\"name\":\"book\",\"host\":\"a.example\","
 	    "\"pathPrefix\":\"/book/\",\"kind\":\"unsafe\","
 	    "\"timeoutMs\":1500,\"targetLatencyMs\":300,\"maxAttempts\":1,"
@@ -438,17 +447,76 @@
 		printf("most in 4 s: engine %u, plain target %u\n",
 		    fleet_engine_max_in_window(&f, 0),
 		    fleet_engine_max_in_window(&f, (size_t)engines));
-	printf("fleet: %s asked=%u answered=%u refused=%u failed=%u broken=%u "
-	       "twice=%u mixed=%u lied=%u unwhole=%u stale=%u stranger=%u "
-	       "over=%u spread=%u unheeded=%u "
-	       "seed=%d\n",
+	printf(
+	    "fleet: %s asked=%u answered=%u refused=%u failed=%u broken=%u late=%u "
+	    "cut=%u "
+	    "twice=%u mixed=%u lied=%u unwhole=%u stale=%u stranger=%u "
+	    "over=%u spread=%u unheeded=%u "
+	    "seed=%d\n",
 	    kept ? "kept" : "BROKEN", t->sent_count, t->answered, t->refused,
-	    t->failed, t->broken, t->ran_twice, t->wrong_answers,
-	    t->false_not_run, t->incomplete, t->stale, t->bad_identity,
-	    t->over_limit, t->excess_sends, t->unheeded, seed);
+	    t->failed, t->broken, t->late, t->cut, t->ran_twice,
+	    t->wrong_answers, t->false_not_run, t->incomplete, t->stale,
+	    t->bad_identity, t->over_limit, t->excess_sends, t->unheeded, seed);
 	return kept && t->answered > t->sent_count / 2 ? 0 : 1;
 }
 
+static bool
+all_gateways_accept(void)
+{
+	struct sockaddr_in at;
+	bool accepts = true;
+	size_t i;
+	int fd;
+
+	for (i = 0; accepts && i < f.ngateways; i++) {
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		accepts = sock_parse(f.gateways[i], &at) &&
+		    connect(fd, (struct sockaddr *)&at, sizeof(at)) == 0;
+		close(fd);
+	}
+	return accepts;
+}
+
+static void
+begin_traffic(void)
+{
+	begun_us = evl_now_us(f.loop);
+	fleet_callers_start(&f);
+	f.schedule.fire = on_schedule;
+	evl_timer_set(f.loop, &f.schedule, begun_us);
+	if (poison > 0)
+		fleet_poisons_start(&f, (unsigned int)poisons,
+		    (int64_t)poison_gap_ms * 1000,
+		    begun_us + (int64_t)poison * G_USEC_PER_SEC);
+	f.fault.fire = on_fault;
+	if (faults)
+		evl_timer_set(f.loop, &f.fault, begun_us + 2 * G_USEC_PER_SEC);
+	notice_fault.fire = on_notice_fault;
+	if (notices)
+		evl_timer_set(
+		    f.loop, &notice_fault, begun_us + 2 * G_USEC_PER_SEC);
+	drill_fault.fire = on_drill_fault;
+	if (drills)
+		evl_timer_set(
+		    f.loop, &drill_fault, begun_us + 3 * G_USEC_PER_SEC);
+	end.fire = on_end;
+	evl_timer_set(
+	    f.loop, &end, begun_us + (int64_t)seconds * G_USEC_PER_SEC);
+}
+
+/* Traffic begins when the gateways accept callers: the platform sends none to
+ * one that has not started. */
+static void
+on_start(struct evl_timer *t)
+{
+	int64_t now_us = evl_now_us(f.loop);
+
+	if (now_us - opened_us < START_WAIT_US && !all_gateways_accept())
+		evl_timer_set(f.loop, t, now_us + START_CHECK_US);
+	else
+		begin_traffic();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -506,6 +574,12 @@
 		{ "notices-judged", 0, POPT_ARG_INT, &notices_judged, 0,
 		    "0 or 1: count requests sent despite it as violations",
 		    "N" },
+		{ "broken", 0, POPT_ARG_INT, &broken, 0,
+		    "one in so many answers of engines is broken off, and "
+		    "answers have all framings; 0: none",
+		    "N" },
+		{ "http10", 0, POPT_ARG_INT, &http10, 0,
+		    "one in so many callers uses HTTP/1.0; 0: none", "N" },
 		{ "bump", 0, POPT_ARG_INT, &bump, 0,
 		    "seconds to a new version; 0: none", "N" },
 		POPT_AUTOHELP POPT_TABLEEND };
@@ -527,6 +601,11 @@
 	f.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f.sent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f.rate = (unsigned int)rate;
+	f.broken_one_in = broken;
+	f.http10_one_in = http10;
+	rng_seed(&f.answer_rng, (uint64_t)seed + 2);
+	rng_seed(&f.caller_rng, (uint64_t)seed + 3);
+	LIST_INIT(&f.idle_links);
 	f.uneven = uneven != 0;
 	f.check_poison = poison_judged != 0;
 	f.check_notices = notices_judged != 0;
@@ -540,28 +619,9 @@
 	}
 	printf("ready\n");
 	fflush(stdout);
-	begun_us = evl_now_us(f.loop);
-	fleet_callers_start(&f);
-	f.schedule.fire = on_schedule;
-	evl_timer_set(f.loop, &f.schedule, begun_us);
-	if (poison > 0)
-		fleet_poisons_start(&f, (unsigned int)poisons,
-		    (int64_t)poison_gap_ms * 1000,
-		    begun_us + (int64_t)poison * G_USEC_PER_SEC);
-	f.fault.fire = on_fault;
-	if (faults)
-		evl_timer_set(f.loop, &f.fault, begun_us + 2 * G_USEC_PER_SEC);
-	notice_fault.fire = on_notice_fault;
-	if (notices)
-		evl_timer_set(
-		    f.loop, &notice_fault, begun_us + 2 * G_USEC_PER_SEC);
-	drill_fault.fire = on_drill_fault;
-	if (drills)
-		evl_timer_set(
-		    f.loop, &drill_fault, begun_us + 3 * G_USEC_PER_SEC);
-	end.fire = on_end;
-	evl_timer_set(
-	    f.loop, &end, begun_us + (int64_t)seconds * G_USEC_PER_SEC);
+	opened_us = evl_now_us(f.loop);
+	start.fire = on_start;
+	evl_timer_set(f.loop, &start, opened_us);
 	main_loop = g_main_loop_new(NULL, FALSE);
 	g_main_loop_run(main_loop);
 	poptFreeContext(pc);
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -25,6 +25,7 @@
 	LIST_ENTRY(fleet_pipe) link;
 	struct fleet_proxy *proxy;
 	struct fleet_conn caller, target;
+	bool target_ended; /* in order; its bytes are still to be delivered */
 };
 
 struct fleet_proxy {
@@ -66,12 +67,16 @@
 	return mode == PROXY_STALL_RESPONSES && c == &c->pipe->caller;
 }
 
-/* Sends the buffered bytes; false when an error closed the pipe. */
+/* Sends the buffered bytes; false when the pipe was closed. */
 static bool
 flush(struct fleet_conn *c)
 {
+	struct fleet_pipe *p = c->pipe;
 	ssize_t n;
 
+	if (c == &p->target && p->target_ended)
+		return true;
+
 	while (hbuf_left(&c->out) > 0 && !is_stalled(c)) {
 		n = send(c->fd.fd, hbuf_front(&c->out), hbuf_left(&c->out),
 		    MSG_NOSIGNAL);
@@ -80,12 +85,16 @@
 			errno == ENOTCONN))
 			break;
 		if (n < 0) {
-			pipe_close(c->pipe, false);
+			pipe_close(p, true);
 			return false;
 		}
 		hbuf_consume(&c->out, (size_t)n);
 	}
-	evl_watch(c->pipe->proxy->f->loop, &c->fd,
+	if (p->target_ended && hbuf_left(&c->out) == 0) {
+		pipe_close(p, false);
+		return false;
+	}
+	evl_watch(p->proxy->f->loop, &c->fd,
 	    EPOLLIN |
 		(hbuf_left(&c->out) > 0 && !is_stalled(c) ? EPOLLOUT : 0u));
 	return true;
@@ -97,6 +106,23 @@
 	flush(CONTAINER_OF(t, struct fleet_conn, delay));
 }
 
+/* One side closed in order. What a target sent before reaches the caller first;
+ * a target works for no caller that has left. */
+static void
+end_pipe(struct fleet_conn *c)
+{
+	struct fleet_pipe *p = c->pipe;
+
+	if (c == &p->caller || hbuf_left(&p->caller.out) == 0) {
+		pipe_close(p, false);
+		return;
+	}
+	p->target_ended = true;
+	evl_unwatch(p->proxy->f->loop, &p->target.fd);
+	if (p->proxy->mode != PROXY_DELAY)
+		flush(&p->caller);
+}
+
 static void
 on_ready(struct evl_fd *fd, uint32_t events)
 {
@@ -114,9 +140,12 @@
 	n = recv(c->fd.fd, buffer, sizeof(buffer), 0);
 	if (n < 0 && errno == EAGAIN)
 		return;
-	if (n <= 0 || hbuf_left(&other->out) + (size_t)n > BUFFERED_MAX) {
-		flush(other);
-		pipe_close(p, n < 0);
+	if (n < 0 || hbuf_left(&other->out) + (size_t)n > BUFFERED_MAX) {
+		pipe_close(p, true);
+		return;
+	}
+	if (n == 0) {
+		end_pipe(c);
 		return;
 	}
 	hbuf_add(&other->out, buffer, (size_t)n);
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -2,15 +2,15 @@
 # A randomized soak: soak.sh BUILD SEED SECONDS. Runs real gateways and sidecars
 # against the stand-in, whose proxies delay, stall, block one direction of and
 # reset connections, whose store refuses requests and discards its history,
-# whose engines crash and whose staged chunks get corrupted; meanwhile this
+# whose engines crash, break off answers and frame them in every way, whose
+# origin truncates chunks and whose staged chunks get corrupted; meanwhile this
 # script stops, kills, terminates and restarts processes by signals, one after
 # the other and together. The stand-in checks every answer and every run. From
 # seed 200 on, two requests terminate the engines that run them; from seed 400
 # on, engines announce that they stop or when to retry; from seed 600 on, the
 # store comes back from older copies, settings change and engines announce their
-# stop in their records. The last line
-# begins with `soak: kept` or `soak: BROKEN`; logs stay in
-# BUILD/stage-soak-SEED.
+# stop in their records. The last line begins with `soak: kept` or
+# `soak: BROKEN`; logs stay in BUILD/stage-soak-SEED.
 set -u
 BUILD=$1
 SEED=$2
@@ -129,6 +129,7 @@
 "$BUILD/tests/fleet/fleet" --engines 6 --empty 1 --gateways "$gateways" \
     --rate 60 --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --net "$NET" --faults 1 \
     --poison $((SEED >= 200 ? 4 : 0)) --poisons 2 --poison-judged 0 \
+    --broken 12 \
     --notices $((SEED >= 400)) --notices-judged 0 --drills $((SEED >= 600)) \
     >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
 fleet=$!
