serve: Continue a stream only with events

A stream that broke off was resumed at a second target; when that answered with 404, or with a success of another type, the body was appended to the events and the stream completed.

Cause: the end of the second answer's message was taken for the end of the stream, whatever the answer was.

Change: once part of a stream was relayed, an answer that is not a success with events is unusable: the attempt is lost, and the stream is resumed again or visibly cut. A 5xx ended so before.

Measured: test_resumed_by_another_answer failed for 404 and for JSON and passes now; for 500 it held before. A request without framing has no body (test_request_without_framing); that held before as well.

--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -117,6 +117,14 @@
 		g_ascii_strncasecmp(h->value.p, type, strlen(type)) == 0);
 }
 
+/* The caller has the beginning of a stream from an earlier target: only events
+ * can follow. */
+static bool
+may_continue_stream(const struct fwd_req *r)
+{
+	return is_success(r) && r->has_events;
+}
+
 void
 fwd_read_head(struct fwd_req *r, const struct hmsg *m)
 {
@@ -144,7 +152,8 @@
 	fwd_prompt_read(r);
 	r->not_run = is_not_run(r, m);
 	r->unusable = !r->not_run &&
-	    (!is_relayable(r, m) || (is_success(r) && id == NULL));
+	    (!is_relayable(r, m) || (is_success(r) && id == NULL) ||
+		(r->flow.begun && !may_continue_stream(r)));
 	if (r->headers == NULL)
 		r->headers = g_string_sized_new(256);
 	g_string_truncate(r->headers, 0);
--- a/tests/http/test_server.c
+++ b/tests/http/test_server.c
@@ -101,6 +101,29 @@
 	close(fd);
 }
 
+/* A request with neither a length nor chunks has no body, whatever follows: its
+ * end is never that of its connection. */
+static void
+test_request_without_framing(void **state)
+{
+	int fd = raw_dial(address);
+	size_t len;
+
+	raw_send(fd,
+	    "POST /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+	    "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+	run_until(&delivered);
+	assert_null(hreq_body(request, &len));
+	assert_int_equal(len, 0);
+	delivered = false;
+	hreq_answer(request, 200, "", "", 0);
+	run_until(&delivered);
+	assert_int_equal(hreq_msg(request)->target.p[1], '2');
+	hreq_answer(request, 200, "", "", 0);
+	run_ms(5);
+	close(fd);
+}
+
 static void
 expect_refusal(const char *text, unsigned int status)
 {
@@ -473,6 +496,7 @@
 #define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		T(test_pipelined_requests),
+		T(test_request_without_framing),
 		T(test_refusals),
 		T(test_slow_head),
 		T(test_caller_disconnects),
--- a/tests/serve/test_answer_end.c
+++ b/tests/serve/test_answer_end.c
@@ -430,6 +430,39 @@
 	assert_int_equal(failures, 0);
 }
 
+/* Guards against the answer of a second target that is no stream being appended
+ * to the events of the first, as the end of the answer. */
+static void
+test_resumed_by_another_answer(void **state)
+{
+	static const char *const heads[] = { "HTTP/1.1 404 No\r\n",
+		"HTTP/1.1 500 Oops\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" };
+	struct target *t;
+	char *request, *text;
+	size_t i;
+	int fd;
+
+	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
+		set_label(&(struct stream_case){ .bytes = heads[i] });
+		world_open(2, make_config(SV_STREAM, 2, 3000));
+		fd = send_as(false);
+		t = target_get(&request);
+		g_free(request);
+		answer(t, CHUNKED, EARLY, place_bytes[BETWEEN]);
+		t = target_get(&request);
+		g_free(request);
+		text = g_strconcat(heads[i],
+		    "T-Id: q1\r\nT-Seal: s\r\nContent-Length: 2\r\n\r\n{}",
+		    NULL);
+		raw_send(t->fd, text);
+		g_free(text);
+		expect_broken_off(fd, place_events[BETWEEN]);
+		world_close();
+	}
+	assert_int_equal(failures, 0);
+}
+
 /* On a route of streams, an answer of another type may end anywhere. */
 static void
 test_other_type_on_a_stream_route(void **state)
@@ -514,6 +547,7 @@
 		T(test_broken_off_stream_is_reset_for_http10),
 		T(test_broken_off_stream_without_a_target),
 		T(test_where_a_stream_may_end),
+		T(test_resumed_by_another_answer),
 		T(test_other_type_on_a_stream_route),
 		T(test_broken_off_plain_answer),
 	};
