serve: Do not resume a stream that has no ids

A stream on a resumable route that broke off after events without ids was sent to a second target without Last-Event-Id, and its events came twice.

Cause: a stream was resumed because its route allows it, without asking whether anything tells after which event.

Change: once events were relayed and none had an id, the request may not be repeated; its caller sees the cut.

Measured: test_stream_without_ids_is_not_resumed failed before; serve-fwd passes.

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -176,6 +176,9 @@
 		r->flow.may_have_run = true;
 		r->flow.runs++;
 	}
+	/* Only an event with an id tells where to resume. */
+	if (r->events > 0 && !r->has_event)
+		r->flow.repeatable = false;
 	r->flow.has_time = r->deadline_us - fwd_now(r) > ATTEMPT_MIN_US &&
 	    r->ntried < FWD_TRIED_MAX;
 	r->flow.blocked = fwd_is_blocked(r, &until_us);
--- a/tests/serve/test_answer_end.c
+++ b/tests/serve/test_answer_end.c
@@ -430,6 +430,28 @@
 	assert_int_equal(failures, 0);
 }
 
+/* Guards against events that come twice: a stream without ids would be resumed
+ * from its beginning. */
+static void
+test_stream_without_ids_is_not_resumed(void **state)
+{
+	static const char events[] = "data: a\n\n";
+	struct target *t;
+	char *request;
+	int fd;
+
+	set_label(&(struct stream_case){ .bytes = events });
+	world_open(2, make_config(SV_STREAM, 2, 3000));
+	fd = send_as(false);
+	t = target_get(&request);
+	g_free(request);
+	answer(t, CHUNKED, EARLY, events);
+	expect_broken_off(fd, events);
+	check(!target_is_called(), "the stream is sent again");
+	world_close();
+	assert_int_equal(failures, 0);
+}
+
 /* Guards against the answer of a second target that is no stream being appended
  * to the events of the first, as the end of the answer. */
 static void
@@ -547,6 +569,7 @@
 		T(test_broken_off_stream_is_reset_for_http10),
 		T(test_broken_off_stream_without_a_target),
 		T(test_where_a_stream_may_end),
+		T(test_stream_without_ids_is_not_resumed),
 		T(test_resumed_by_another_answer),
 		T(test_other_type_on_a_stream_route),
 		T(test_broken_off_plain_answer),
