--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -93,6 +93,7 @@
 	struct evl *loop;
 	struct hpool *pool;
 	struct hlimits limits;
+	int net; /* third number of all addresses */
 	struct fleet_tally tally;
 	GHashTable *runs; /* request id -> times run */
 	GHashTable *sent; /* request id -> int64_t, when its caller sent it */
@@ -110,7 +111,10 @@
 	/* Begin of the last drill, and the disturbance before it; 0: none. */
 	int64_t drill_us, before_drill_us;
 	int64_t store_disturbed_us; /* last time that it did not answer */
-	/* Settings: number of the workspace's name, and its last change. */
+	/* Settings: the next version, and the last one as it was written. */
+	int64_t config_version;
+	char *config_spec;
+	/* Number of the workspace's name, and its last change. */
 	unsigned int generation;
 	int64_t renamed_us;
 	/* What engines saw of each gateway, and when they first did. */
@@ -159,6 +163,14 @@
 /* Removes the records of engines that no longer exist. */
 void fleet_store_remove_unknown(struct fleet *f);
 
+/* operator.c */
+void fleet_operator_put_config(struct fleet *f);
+/* A change of the settings that engines see. */
+void fleet_operator_rename_workspace(struct fleet *f);
+void fleet_operator_announce_version(struct fleet *f);
+/* Writes settings and version again that the store has lost. */
+void fleet_operator_write_again(struct fleet *f);
+
 /* engine.c */
 bool fleet_engine_open(struct fleet *f, size_t i, const char *address,
     const char *advertised, bool llm, bool empty, struct err *err);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -39,8 +39,6 @@
 static struct fleet f;
 static GMainLoop *main_loop;
 static int64_t opened_us, begun_us;
-static int64_t config_version = 1;
-static char *config_spec; /* as last written */
 #define NOTICE_GAP_US 2000000
 static struct rng notice_rng; /* does not shift the draws of other faults */
 static struct evl_timer notice_fault, drill_fault, write_again;
@@ -50,85 +48,6 @@
 static struct evl_timer proxy_restore[FLEET_ENGINES_MAX + 1], store_restore,
     start, end;
 
-/* ------------------------------------------------------------------ */
-/* Operators' settings and versions                                    */
-/* ------------------------------------------------------------------ */
-
-static void
-put_config(void)
-{
-	GString *s = g_string_new(NULL);
-	char number[16] = "";
-
-	if (f.generation > 0)
-		g_snprintf(number, sizeof(number), "%u", f.generation);
-	g_string_printf(s,
-	    "{\"version\":%" G_GINT64_FORMAT ",\"routes\":["
-	    "{\"name\":\"chat\",\"host\":\"a.example\","
-	    "\"pathPrefix\":\"/chat/\",\"kind\":\"streaming\","
-	    "\"timeoutMs\":4000,\"targetLatencyMs\":400,\"maxAttempts\":2,"
-	    "\"resumable\":true,\"gapTargetMs\":300,\"service\":\"" FLEET_LLM
-	    "\"},{\"name\":\"tell\",\"host\":\"a.example\","
-	    "\"pathPrefix\":\"/tell/\",\"kind\":\"streaming\","
-	    "\"timeoutMs\":4000,\"targetLatencyMs\":400,\"maxAttempts\":2,"
-	    "\"resumable\":false,\"gapTargetMs\":300,\"service\":\"" FLEET_LLM
-	    "\"},{\"name\":\"book\",\"host\":\"a.example\","
-	    "\"pathPrefix\":\"/book/\",\"kind\":\"unsafe\","
-	    "\"timeoutMs\":1500,\"targetLatencyMs\":300,\"maxAttempts\":1,"
-	    "\"service\":\"" FLEET_PLAIN
-	    "\"},{\"name\":\"look\",\"host\":\"a.example\","
-	    "\"pathPrefix\":\"/look/\",\"kind\":\"safe\",\"timeoutMs\":1500,"
-	    "\"targetLatencyMs\":300,\"maxAttempts\":2,"
-	    "\"service\":\"" FLEET_PLAIN
-	    "\"}],\"services\":[{\"name\":\"" FLEET_LLM
-	    "\",\"maxConnections\":200,\"engine\":{\"slots\":8,"
-	    "\"models\":[{\"name\":\"" FLEET_MODEL
-	    "\",\"warmS\":0.2}],\"layers\":4,\"chunks\":%d,"
-	    "\"chunkBytes\":%d}},{\"name\":\"" FLEET_PLAIN
-	    "\",\"maxConnections\":200},{\"name\":\"origin\","
-	    "\"origin\":\"127.0.%d.8:8000\",\"zone\":\"z0\"}],"
-	    "\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,"
-	    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
-	    "\"tenants\":[{\"name\":\"team%s\",\"apiKeys\":[\"" FLEET_KEY
-	    "\"]},{\"name\":\"guest\",\"apiKeys\":[\"" FLEET_POISON_KEY
-	    "\"]}]}",
-	    config_version++, FLEET_CHUNKS, FLEET_CHUNK_BYTES, net, number);
-	fleet_store_put(&f, "config", "main", s->str);
-	g_free(config_spec);
-	config_spec = g_string_free(s, FALSE);
-}
-
-/* A change of the settings that engines see. */
-static void
-rename_workspace(void)
-{
-	f.generation++;
-	f.renamed_us = evl_now_us(f.loop);
-	put_config();
-}
-
-static void
-put_version(void)
-{
-	char *spec = g_strdup_printf("{\"model\":\"" FLEET_MODEL
-				     "\",\"version\":%" G_GINT64_FORMAT "}",
-	    f.version);
-	fleet_store_put(&f, "versions", FLEET_MODEL, spec);
-	g_free(spec);
-}
-
-static void
-announce_version(void)
-{
-	f.previous_version = f.version;
-	f.version++;
-	f.announced_us = evl_now_us(f.loop);
-	put_version();
-	/* The version before may have been announced too recently to be in use,
-	 * so runs on the one before that are not stale yet. */
-	f.previous_version = MAX(1, f.previous_version - 1);
-}
-
 /* ------------------------------------------------------------------ */
 /* Faults                                                              */
 /* ------------------------------------------------------------------ */
@@ -166,9 +85,7 @@
 {
 	size_t i;
 
-	fleet_store_put(&f, "config", "main", config_spec);
-	if (f.version > 1)
-		put_version();
+	fleet_operator_write_again(&f);
 	for (i = 0; i < f.nengines; i++)
 		fleet_engine_publish(&f, i);
 	fleet_store_remove_unknown(&f);
@@ -251,7 +168,7 @@
 		fleet_store_discard_history(&f);
 		break;
 	case 8:
-		put_config();
+		fleet_operator_put_config(&f);
 		break;
 	case 9:
 		write_invalid_records(engine);
@@ -294,7 +211,7 @@
 		    200000 + (int64_t)rng_below(&notice_rng, 800000),
 		    (int64_t)rng_below(&notice_rng, WRITE_AGAIN_US));
 	else if (rng_below(&notice_rng, 2) == 0)
-		rename_workspace();
+		fleet_operator_rename_workspace(&f);
 	else
 		fleet_engine_drain(&f, rng_below(&notice_rng, f.nengines));
 	if (step == 0) /* the next step is a drill, which loses these */
@@ -324,7 +241,7 @@
 	if (bump > 0 && now_us - begun_us > (int64_t)bump * G_USEC_PER_SEC &&
 	    (bumped_us == 0 || now_us - bumped_us > 9 * G_USEC_PER_SEC)) {
 		bumped_us = now_us;
-		announce_version();
+		fleet_operator_announce_version(&f);
 	}
 	if (is_due(crash, &crashed))
 		fleet_engine_crash(&f, 0, false);
@@ -345,14 +262,14 @@
 	if (is_due(drill - 1, &has_changed)) {
 		fleet_engine_drain(&f, 1);
 		write_unrepeated(20);
-		rename_workspace();
+		fleet_operator_rename_workspace(&f);
 	}
 	if (is_due(drill, &has_drilled))
 		begin_drill(2500000, 500000, WRITE_AGAIN_US);
 	if (drill > 0 && is_due(drill + 6, &has_changed_again)) {
 		fleet_engine_drain(&f, 0);
 		fleet_engine_drain(&f, (size_t)engines);
-		rename_workspace();
+		fleet_operator_rename_workspace(&f);
 	}
 	evl_timer_set(f.loop, t, now_us + 200000);
 }
@@ -413,7 +330,7 @@
 	    fleet_proxy_open(&f, advertised, store, err) == NULL ||
 	    !fleet_origin_open(&f, origin, err))
 		return false;
-	put_config();
+	fleet_operator_put_config(&f);
 	for (i = 0; i < engines + 2; i++) {
 		if (!open_engine(i, err))
 			return false;
@@ -610,8 +527,11 @@
 	f.check_poison = poison_judged != 0;
 	f.check_notices = notices_judged != 0;
 	rng_seed(&notice_rng, (uint64_t)seed + 1);
+	f.net = net;
+	f.config_version = 1;
 	f.version = 1;
 	f.previous_version = 1;
+	f.net = net;
 	read_gateways();
 	if (!open_all(&err)) {
 		fprintf(stderr, "fleet: %s\n", err.message);
