tests: Share the set-up of answers that end or unblock

Two tests of blocked requests and three cases of failed calls repeated the same lines; answer_and_block() and start_answered() do so now. Assertions are as they were.

--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -188,38 +188,36 @@
 	close(fd);
 }
 
-static void
-test_failure_reasons(void **state)
+/* Starts a call, and answers it with these bytes once its request was read. */
+static int
+start_answered(const char *bytes)
 {
 	int fd;
 
 	start();
 	fd = accept_connection();
 	g_free(raw_read(fd, "\r\n\r\n"));
-	close(fd);
+	raw_send(fd, bytes);
+	run_ms(5);
+	return fd;
+}
+
+static void
+test_failure_reasons(void **state)
+{
+	int fd;
+
+	close(start_answered(""));
 	run_until(&finished);
 	assert_int_equal(last_failure, HCALL_CLOSED);
 	assert_int_equal(failures_sent, 1);
-	start();
-	fd = accept_connection();
-	g_free(raw_read(fd, "\r\n\r\n"));
-	raw_send(fd, OK "\r\no");
-	run_ms(5);
-	close(fd);
+	close(start_answered(OK "\r\no"));
 	run_until(&finished);
 	assert_int_equal(last_failure, HCALL_TRUNCATED);
-	start();
-	fd = accept_connection();
-	g_free(raw_read(fd, "\r\n\r\n"));
-	raw_send(fd, OK "\r\no");
-	run_ms(5);
-	raw_reset(fd);
+	raw_reset(start_answered(OK "\r\no"));
 	run_until(&finished);
 	assert_int_equal(last_failure, HCALL_RESET);
-	start();
-	fd = accept_connection();
-	g_free(raw_read(fd, "\r\n\r\n"));
-	raw_send(fd, "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n");
+	fd = start_answered("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n");
 	run_until(&finished);
 	assert_int_equal(last_failure, HCALL_MALFORMED);
 	close(fd);
@@ -236,22 +234,11 @@
 static void
 test_response_until_close(void **state)
 {
-	int fd;
-
-	start();
-	fd = accept_connection();
-	g_free(raw_read(fd, "\r\n\r\n"));
-	raw_send(fd, "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nall");
-	run_ms(5);
-	close(fd);
+	close(start_answered(
+	    "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nall"));
 	run_until(&finished);
 	assert_int_equal(dones, 1);
-	start();
-	fd = accept_connection();
-	g_free(raw_read(fd, "\r\n\r\n"));
-	raw_send(fd, "HTTP/1.1 200 OK\r\n\r\nhal");
-	run_ms(5);
-	raw_reset(fd);
+	raw_reset(start_answered("HTTP/1.1 200 OK\r\n\r\nhal"));
 	run_until(&finished);
 	assert_int_equal(dones, 1);
 	assert_int_equal(last_failure, HCALL_RESET);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -1020,21 +1020,31 @@
 	close(other);
 }
 
-/* A copy whose answer has begun continues: a complete answer clears it. */
-static void
-test_complete_answer_unblocks(void **state)
+/* Begins an answer; the request is then blocked by terminations elsewhere. */
+static struct target *
+answer_and_block(int *fd, const char *begin)
 {
 	char *request;
 	struct target *t;
-	int fd;
 
 	world_open(1, make_config(SV_STREAM, 2, 3000));
-	fd = send_path("/x/1");
+	*fd = send_path("/x/1");
 	t = target_get(&request);
 	g_free(request);
-	raw_send(t->fd, STREAM EVENT("1"));
+	raw_send(t->fd, begin);
 	run_ms(10);
 	report_terminations(2);
+	return t;
+}
+
+/* A copy whose answer has begun continues: a complete answer clears it. */
+static void
+test_complete_answer_unblocks(void **state)
+{
+	char *request;
+	int fd;
+	struct target *t = answer_and_block(&fd, STREAM EVENT("1"));
+
 	expect_answer(send_path("/x/1"), "503 ");
 	raw_send(t->fd, EVENT("2") "0\r\n\r\n");
 	expect_answer(fd, "0\r\n\r\n");
@@ -1051,17 +1061,9 @@
 static void
 test_end_of_connection_does_not_unblock(void **state)
 {
-	char *request;
-	struct target *t;
 	int fd;
+	struct target *t = answer_and_block(&fd, GOOD "\r\nid: 1\ndata:\n\n");
 
-	world_open(1, make_config(SV_STREAM, 2, 3000));
-	fd = send_path("/x/1");
-	t = target_get(&request);
-	g_free(request);
-	raw_send(t->fd, GOOD "\r\nid: 1\ndata:\n\n");
-	run_ms(10);
-	report_terminations(2);
 	shutdown(t->fd, SHUT_RDWR);
 	expect_answer(fd, "0\r\n\r\n");
 	expect_answer(send_path("/x/1"), "503 ");
