--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -285,8 +285,9 @@
 /* ------------------------------------------------------------------ */
 
 /*
- * The end of a message tells that its bytes are complete, which a target that
- * breaks off may claim as well. The answer is complete only if its events are.
+ * A complete message does not imply a complete answer: a target that fails
+ * midway may still end its message in order. A stream must also end between two
+ * events.
  */
 bool
 fwd_answer_is_complete(const struct fwd_req *r)
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -176,7 +176,7 @@
 		r->flow.may_have_run = true;
 		r->flow.runs++;
 	}
-	/* Only an event with an id tells where to resume. */
+	/* Without an id there is no position to resume from. */
 	if (r->events > 0 && !r->has_event)
 		r->flow.repeatable = false;
 	r->flow.has_time = r->deadline_us - fwd_now(r) > ATTEMPT_MIN_US &&
