serve, platform: Log the shared parts of a prompt where a request is not answered

A line about a request that its target cut off named the fingerprint of the whole content only.

Lines of retries, refusals and failures now list the ids of the parts that other requests may share. The adapter reads them, as the format is the platform's. No decision depends on it yet.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -41,7 +41,10 @@
     const char *why)
 {
 	int64_t now_us = fwd_now(r);
+	char parts[FWD_PARTS_TEXT] = "-";
 
+	if (ev != EVT_DONE)
+		fwd_parts_text(r, parts);
 	evt(ev,
 	    "req=%s route=%s service=%s status=%u why=%s tries=%u runs=%u "
 	    "events=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT
@@ -49,7 +52,7 @@
 	    " back=%d"
 	    " framing=%s end=%s rest=%zu"
 	    " target=%s content=%016" G_GINT64_MODIFIER
-	    "x config=%" G_GINT64_FORMAT,
+	    "x parts=%s config=%" G_GINT64_FORMAT,
 	    r->id, r->route->name, r->service->targets->name, status, why,
 	    r->flow.attempts, r->flow.runs, r->events,
 	    (now_us - r->started_us) / 1000,
@@ -58,7 +61,7 @@
 	    r->sent_us == 0 ? -1 : (r->sent_us - r->started_us) / 1000,
 	    r->is_client_retry, fwd_framing_name(r), r->answer_end,
 	    fwd_event_rest(r), r->target == NULL ? "-" : r->target->record.id,
-	    r->fingerprint, rtab_config(r->routes)->version);
+	    r->fingerprint, parts, rtab_config(r->routes)->version);
 }
 
 void
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -149,17 +149,21 @@
 static void
 retry(struct fwd_req *r, enum flow_end end)
 {
+	char parts[FWD_PARTS_TEXT];
+
+	fwd_parts_text(r, parts);
 	ctr_add(r->fwd->retries, 1);
 	if (r->flow.begun)
 		ctr_add(r->fwd->resumes, 1);
 	evt(EVT_RETRY,
 	    "req=%s why=%s target=%s tries=%u runs=%u last_event=%" G_GINT64_FORMAT
 	    " ms=%" G_GINT64_FORMAT
-	    " framing=%s end=%s rest=%zu content=%016" G_GINT64_MODIFIER "x",
+	    " framing=%s end=%s rest=%zu content=%016" G_GINT64_MODIFIER
+	    "x parts=%s",
 	    r->id, end_names[end], r->target->record.id, r->flow.attempts,
 	    r->flow.runs, r->last_event, (fwd_now(r) - r->started_us) / 1000,
 	    fwd_framing_name(r), r->answer_end, fwd_event_rest(r),
-	    r->fingerprint);
+	    r->fingerprint, parts);
 	fwd_drop_call(r);
 	r->state = FWD_WAITING;
 	fwd_dispatch(r);
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -124,6 +124,12 @@
 void fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
     const char *why);
 
+/* fwd_identity.c: what a request shares with others */
+#define FWD_PARTS_TEXT 128 /* buffer for the parts in a log line */
+/* Ids of the shared parts of its prompt for a log line, separated by commas, as
+ * many as fit; "-": it has none. */
+void fwd_parts_text(const struct fwd_req *r, char out[FWD_PARTS_TEXT]);
+
 /* fwd_wait.c: queueing for a slot */
 /* Updates the service's share of client retries; clears is_client_retry where
  * that share is so high that the remaining time does not indicate one. */
--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -172,6 +172,11 @@
 struct sv_dialect {
 	const char *header[SV_FIELDS];
 	const char *key_scheme; /* precedes the key, with a trailing space */
+	/* Finds the ids of the parts of a prompt that several requests may
+	 * share, in the value of SV_F_PREFIX. They point into `value`. Returns
+	 * their number, at most `max`. NULL: prompts have no such parts. */
+	size_t (*shared_parts)(
+	    struct slice value, struct slice *ids_out, size_t max);
 };
 
 #endif
--- /dev/null
+++ b/tests/adapter/test_calls.c
@@ -0,0 +1,92 @@
+/* Decoding of header fields. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "platform/adapter.h"
+
+#define PARTS 16
+
+/* The ids that are found, separated by commas. */
+static char *
+shared_parts(const char *value)
+{
+	struct slice ids[PARTS];
+	GString *found = g_string_new(NULL);
+	size_t n = adapter_headers.shared_parts(slice_str(value), ids, PARTS);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		g_string_append_printf(found, "%s%.*s", i > 0 ? "," : "",
+		    (int)ids[i].len, (const char *)ids[i].data);
+	return g_string_free(found, FALSE);
+}
+
+static void
+expect_parts(const char *value, const char *expected)
+{
+	char *found = shared_parts(value);
+
+	assert_string_equal(found, expected);
+	g_free(found);
+}
+
+static void
+test_last_part_is_not_shared(void **state)
+{
+	expect_parts(
+	    "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "5c1e07a2,91bd3f06");
+	expect_parts("5c1e07a2:800", "");
+	expect_parts("", "");
+	expect_parts(NULL, "");
+}
+
+/* Guards against lists that callers made up. */
+static void
+test_malformed_parts(void **state)
+{
+	expect_parts(",,:7,a:1", "");
+	expect_parts("a,b:,:,c:1:2,d", "a,b,c");
+	expect_parts(" a : 1 ,\tb:2, c", "a,b");
+	expect_parts("a:1,a:1,a:1", "a,a");
+	expect_parts("a:1,", "a");
+}
+
+/* Guards against one part with two names. */
+static void
+test_leading_zeros_are_dropped(void **state)
+{
+	expect_parts("00c1:8,000:4,0:1,c1:2,x", "c1,0,0,c1");
+}
+
+/* Guards against a caller whose list does not fit. */
+static void
+test_long_lists_are_cut_off(void **state)
+{
+	GString *list = g_string_new(NULL);
+	char *found;
+	int i;
+
+	for (i = 0; i < 10000; i++)
+		g_string_append(list, "f:1,");
+	found = shared_parts(list->str);
+	assert_int_equal(strlen(found), 2 * PARTS - 1);
+	g_free(found);
+	g_string_free(list, TRUE);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_last_part_is_not_shared),
+		cmocka_unit_test(test_malformed_parts),
+		cmocka_unit_test(test_leading_zeros_are_dropped),
+		cmocka_unit_test(test_long_lists_are_cut_off),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
