tests: Reproduce a part of prompts that terminates engine after engine

The stand-in sent neither token counts nor parts of prompts. Sound streams now carry both: a first part that the route shares, a second one of twelve, and their own. New kinds of trouble: a part of prompts that terminates each engine 60 ms after it began the answer, in requests that differ otherwise, at any place but the last (--poison-parts), and engines that terminate by no request's fault, one to three at once (--end-gap-ms).

The stand-in counts from outside: after the fifth termination and the time to make it known at most three more sends; and sound requests that share caller and parts begin at least half as often as before.

--- a/tests/fleet/caller.c
+++ b/tests/fleet/caller.c
@@ -26,6 +26,7 @@
 	enum request_kind kind;
 	char id[40];
 	struct fleet_call *call;
+	int64_t sent_us;
 	struct evl_timer deadline;
 };
 
@@ -162,12 +163,20 @@
 	g_free(seal);
 }
 
+static void
+note_begun(const struct request *r, const struct raw_answer *a)
+{
+	if (is_stream(r))
+		fleet_part_answered(r->f, r->sent_us, a->status == 200);
+}
+
 static void
 on_done(struct fleet_call *c, void *ctx)
 {
 	struct request *r = ctx;
 
 	note_notice(r, &c->answer);
+	note_begun(r, &c->answer);
 	if (c->answer.complete && !c->answer.malformed)
 		check_answer(r, &c->answer);
 	else {
@@ -191,6 +200,7 @@
 	g_printerr("late %s: no answer in time, status %u\n", r->id,
 	    r->call->answer.status);
 	check_partial_answer(r, &r->call->answer, true);
+	note_begun(r, &r->call->answer);
 	fleet_call_cancel(r->call);
 	request_free(r);
 }
@@ -227,16 +237,32 @@
 	    rng_below(&f->caller_rng, (uint64_t)f->http10_one_in) == 0;
 }
 
+static char *
+stream_headers(const struct request *r)
+{
+	char *parts = fleet_part_list(r->f, r->f->tally.sent_count, NULL, 0);
+	char *headers = g_strdup_printf("X-Model: " FLEET_MODEL "\r\n"
+					"X-Token-Counts: 290,24\r\n"
+					"X-Prompt-Prefix: %s\r\n",
+	    parts);
+
+	g_free(parts);
+	return headers;
+}
+
 static char *
 request_text(const struct request *r)
 {
-	return g_strdup_printf(
+	char *headers = is_stream(r) ? stream_headers(r) : g_strdup("");
+	char *text = g_strdup_printf(
 	    "POST %s%u HTTP/1.%d\r\nHost: a.example\r\nX-Attempt-Id: %s\r\n"
 	    "X-Deadline-Ms: %d\r\nAuthorization: Bearer " FLEET_KEY "\r\n"
 	    "X-Tenant: forged\r\n%sContent-Length: 4\r\n\r\nbody",
 	    request_path[r->kind], r->f->tally.sent_count, !uses_http10(r->f),
-	    r->id, DEADLINE_MS,
-	    is_stream(r) ? "X-Model: " FLEET_MODEL "\r\n" : "");
+	    r->id, DEADLINE_MS, headers);
+
+	g_free(headers);
+	return text;
 }
 
 static void
@@ -244,7 +270,6 @@
 {
 	struct request *r = g_new0(struct request, 1);
 	size_t gateway = choose_gateway(f);
-	int64_t sent_us;
 	char *text;
 
 	r->f = f;
@@ -254,9 +279,9 @@
 	    rng_next(&f->rng) % 100000, gateway);
 	f->tally.sent_count++;
 	f->open_calls++;
-	sent_us = evl_now_us(f->loop);
-	g_hash_table_insert(
-	    f->sent, g_strdup(r->id), g_memdup2(&sent_us, sizeof(sent_us)));
+	r->sent_us = evl_now_us(f->loop);
+	g_hash_table_insert(f->sent, g_strdup(r->id),
+	    g_memdup2(&r->sent_us, sizeof(r->sent_us)));
 	r->deadline.fire = on_deadline;
 	evl_timer_set(f->loop, &r->deadline,
 	    evl_now_us(f->loop) + (DEADLINE_MS + 500) * 1000);
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -13,6 +13,8 @@
 #define DOWN_US 1500000 /* from termination to restart */
 #define LEAVE_US 5000000 /* from the announcement of a stop to the restart */
 #define SHED_US 6000000
+/* From the head of an answer to the termination by a part of the prompt. */
+#define CRASH_US 60000
 /* The platform allows a load with a chunk that was corrupted so shortly before:
  * it may happen after the last check. */
 #define UNNOTICED_US 3000000
@@ -145,8 +147,18 @@
 	return g_string_free(head, FALSE);
 }
 
+static void
+begin_answer(struct fleet_run *run)
+{
+	char *head = response_head(run);
+
+	fleet_answer_begin_stream(&run->answer, run->r, head);
+	g_free(head);
+}
+
 /* Terminates the engine's process and returns true when the run is of a poison
- * request. */
+ * request; where the poison is a part of the prompt, only after the answer has
+ * begun. */
 static bool
 terminates_engine(struct fleet_run *run)
 {
@@ -155,6 +167,12 @@
 
 	if (poison == NULL)
 		return false;
+	if (fleet_poison_is_part(poison) && !hreq_begun(run->r)) {
+		begin_answer(run);
+		evl_timer_set(
+		    e->f->loop, &run->timer, evl_now_us(e->f->loop) + CRASH_US);
+		return true;
+	}
 	fleet_poison_terminated(poison);
 	fleet_engine_terminate(e->f, e->i);
 	return true;
@@ -166,15 +184,11 @@
 	struct fleet_run *run = CONTAINER_OF(timer, struct fleet_run, timer);
 	struct hreq *r = run->r;
 	struct fleet *f = run->e->f;
-	char *head;
 
 	if (terminates_engine(run))
 		return;
-	if (!hreq_begun(r)) {
-		head = response_head(run);
-		fleet_answer_begin_stream(&run->answer, r, head);
-		g_free(head);
-	}
+	if (!hreq_begun(r))
+		begin_answer(run);
 	if (fleet_answer_next_event(&run->answer, r))
 		evl_timer_set(f->loop, timer, evl_now_us(f->loop) + EVENT_US);
 	else
@@ -232,6 +246,8 @@
 count_run(struct fleet_engine *e, struct hreq *r, const char *id)
 {
 	struct fleet *f = e->f;
+	const struct fleet_poison *poison = fleet_poison_of(f, id);
+	bool is_guest = poison != NULL && !fleet_poison_is_part(poison);
 	unsigned int n = GPOINTER_TO_UINT(g_hash_table_lookup(f->runs, id)) + 1;
 	char workspace[32], key[32];
 
@@ -240,7 +256,7 @@
 		f->tally.ran_twice++;
 	header(r, "X-Tenant", workspace, sizeof(workspace));
 	header(r, "Authorization", key, sizeof(key));
-	if (!g_str_has_prefix(workspace, id[0] == 'p' ? "guest" : "team") ||
+	if (!g_str_has_prefix(workspace, is_guest ? "guest" : "team") ||
 	    key[0] != '\0' || id[0] == '\0')
 		f->tally.bad_identity++;
 	else
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -17,7 +17,7 @@
 
 #define FLEET_ENGINES_MAX 40
 #define FLEET_GATEWAYS_MAX 8
-#define FLEET_POISONS_MAX 4
+#define FLEET_POISONS_MAX 8
 #define FLEET_CHUNKS 16
 #define FLEET_CHUNK_BYTES 8192
 #define FLEET_MODEL "m0"
@@ -56,13 +56,18 @@
 	unsigned int over_limit;
 	/* Runs without the right workspace or an id; printed `stranger`. */
 	unsigned int bad_identity;
-	/* Excess sends of requests that terminated three engines; printed
-	 * `spread`. */
+	/* Excess sends of requests that terminated three engines, or with a
+	 * part that terminated five; printed `spread`. */
 	unsigned int excess_sends;
 	/* Requests sent despite an engine's announcement in an answer. */
 	unsigned int unheeded;
 };
 
+/* Sound requests, and those of them that began to be answered. */
+struct fleet_share {
+	unsigned int asked, begun;
+};
+
 /* What an engine announced to one gateway; 0: nothing. */
 struct fleet_told {
 	int64_t leaving_us; /* first relayed answer that announced its stop */
@@ -146,6 +151,10 @@
 	bool check_poison; /* otherwise its sends are only printed */
 	bool check_notices; /* the same for unheeded announcements */
 	struct fleet_poison *poison[FLEET_POISONS_MAX]; /* NULL: none */
+	/* Parts of prompts. */
+	struct rng part_rng; /* does not shift other draws */
+	int64_t part_from_us; /* first request with a poison part; 0: none */
+	struct fleet_share share_before, share_after;
 	/* Proxies. */
 	struct fleet_proxy *proxy[FLEET_ENGINES_MAX + 1];
 	size_t nproxies;
@@ -294,15 +303,36 @@
 size_t fleet_gateway_of(const char *id);
 void fleet_callers_start(struct fleet *f);
 
-/* poison.c: requests that terminate the engines that run them.
- * Streams and plain requests alternate; the first is a stream. */
-void fleet_poisons_start(
-    struct fleet *f, unsigned int n, int64_t gap_us, int64_t from_us);
+/* part.c */
+/* The parts of a prompt, for g_free(): with `extra` at this place, if it is not
+ * NULL. `number` makes the last part. */
+char *fleet_part_list(struct fleet *f, unsigned int number, const char *extra,
+    unsigned int place);
+/* A sound request with shared parts has ended. */
+void fleet_part_answered(struct fleet *f, int64_t sent_us, bool has_begun);
+/* Whether they began less than half as often once the poison parts were known.
+ */
+bool fleet_parts_withheld(const struct fleet *f);
+void fleet_parts_print(const struct fleet *f);
+
+/* poison.c: requests that terminate the engines that run them: the same one
+ * again and again, or different ones that share a part of their prompts.
+ * Of the former, streams and plain requests alternate; the first is a stream.
+ */
+struct fleet_poison_plan {
+	unsigned int requests, parts; /* numbers of different ones */
+	int64_t gap_us, from_us;
+};
+void fleet_poisons_start(struct fleet *f, const struct fleet_poison_plan *plan);
 /* NULL when `id` is not of a poison request. */
 struct fleet_poison *fleet_poison_of(struct fleet *f, const char *id);
 void fleet_poison_arrived(struct fleet_poison *p, const char *id);
 /* The request terminated an engine. */
 void fleet_poison_terminated(struct fleet_poison *p);
+bool fleet_poison_is_part(const struct fleet_poison *p);
+/* Whether a request sent at this time comes after all poison parts have
+ * terminated engines and become known. */
+bool fleet_parts_known(const struct fleet *f, int64_t sent_us);
 void fleet_poison_print(const struct fleet *f);
 
 /* proxy.c */
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -7,6 +7,7 @@
  *         --drill SECONDS --drills 0|1 --broken N --http10 N
  *         --leave SECONDS --shed SECONDS --notices 0|1 --notices-judged 0|1
  *         --poison SECONDS --poisons N --poison-gap-ms N --poison-judged 0|1
+ *         --poison-parts N --end-gap-ms N
  *
  * It prints "ready", runs, and at the end prints one line of counts; its exit
  * code is 0 when no invariant was violated and most requests were answered.
@@ -31,7 +32,8 @@
 static int faults, bump = 3, crash, limit, uneven;
 static int limited = 1, limit_milli = 1000;
 static int poison, poisons = 1, poison_gap_ms = 300;
-static int poison_judged = 1;
+static int poison_judged = 1, poison_parts;
+static int end_gap_ms;
 static int leave, shed, notices, notices_judged = 1;
 static int drill, drills;
 static int broken, http10;
@@ -41,7 +43,8 @@
 static int64_t opened_us, begun_us;
 #define NOTICE_GAP_US 2000000
 static struct rng notice_rng; /* does not shift the draws of other faults */
-static struct evl_timer notice_fault, drill_fault, write_again;
+static struct evl_timer notice_fault, drill_fault, write_again, next_end;
+static struct rng end_rng; /* the same */
 #define DRILL_GAP_US 1500000
 #define DRILL_EVERY 6
 #define WRITE_AGAIN_US 1000000 /* after the end of a drill */
@@ -197,6 +200,21 @@
 	evl_timer_set(f.loop, t, evl_now_us(f.loop) + NOTICE_GAP_US);
 }
 
+/* One to three engines terminate at once, by no request. */
+static void
+on_next_end(struct evl_timer *t)
+{
+	uint64_t n = 1 + rng_below(&end_rng, 3);
+
+	if (f.stopping)
+		return;
+	while (n-- > 0)
+		fleet_engine_terminate(
+		    &f, rng_below(&end_rng, (uint64_t)engines));
+	evl_timer_set(
+	    f.loop, t, evl_now_us(f.loop) + (int64_t)end_gap_ms * 1000);
+}
+
 /* Changes of settings and records, and every sixth time a drill: rarely enough
  * that the store is also stable for long enough to judge what follows. */
 static void
@@ -282,9 +300,10 @@
 invariants_hold(const struct fleet_tally *t)
 {
 	return t->ran_twice + t->wrong_answers + t->false_not_run +
-	    t->incomplete + t->stale + t->bad_identity + t->over_limit +
-	    t->excess_sends + t->unheeded ==
-	    0;
+		t->incomplete + t->stale + t->bad_identity + t->over_limit +
+		t->excess_sends + t->unheeded ==
+	    0 &&
+	    !fleet_parts_withheld(&f);
 }
 
 static void
@@ -360,6 +379,7 @@
 	for (i = 0; i < (size_t)engines; i++)
 		loaded += f.engine[i] != NULL;
 	fleet_poison_print(&f);
+	fleet_parts_print(&f);
 	if (limit > 0)
 		printf("most in 4 s: engine %u, plain target %u\n",
 		    fleet_engine_max_in_window(&f, 0),
@@ -402,9 +422,16 @@
 	f.schedule.fire = on_schedule;
 	evl_timer_set(f.loop, &f.schedule, begun_us);
 	if (poison > 0)
-		fleet_poisons_start(&f, (unsigned int)poisons,
-		    (int64_t)poison_gap_ms * 1000,
-		    begun_us + (int64_t)poison * G_USEC_PER_SEC);
+		fleet_poisons_start(&f,
+		    &(struct fleet_poison_plan){
+			.requests = (unsigned int)poisons,
+			.parts = (unsigned int)poison_parts,
+			.gap_us = (int64_t)poison_gap_ms * 1000,
+			.from_us =
+			    begun_us + (int64_t)poison * G_USEC_PER_SEC });
+	next_end.fire = on_next_end;
+	if (end_gap_ms > 0)
+		evl_timer_set(f.loop, &next_end, begun_us + 2 * G_USEC_PER_SEC);
 	f.fault.fire = on_fault;
 	if (faults)
 		evl_timer_set(f.loop, &f.fault, begun_us + 2 * G_USEC_PER_SEC);
@@ -473,6 +500,14 @@
 		    "0 or 1: count their excess sends as violations", "N" },
 		{ "poison-gap-ms", 0, POPT_ARG_INT, &poison_gap_ms, 0,
 		    "time between two sends of the same poison request", "N" },
+		{ "poison-parts", 0, POPT_ARG_INT, &poison_parts, 0,
+		    "number of different parts of prompts that terminate "
+		    "engines, beside the poison requests",
+		    "N" },
+		{ "end-gap-ms", 0, POPT_ARG_INT, &end_gap_ms, 0,
+		    "time between two terminations of random engines by no "
+		    "request; 0: none",
+		    "N" },
 		{ "leave", 0, POPT_ARG_INT, &leave, 0,
 		    "seconds until the first engine and the first plain target "
 		    "announce their stop in answers only; 0: never",
@@ -527,6 +562,8 @@
 	f.check_poison = poison_judged != 0;
 	f.check_notices = notices_judged != 0;
 	rng_seed(&notice_rng, (uint64_t)seed + 1);
+	rng_seed(&f.part_rng, (uint64_t)seed + 4);
+	rng_seed(&end_rng, (uint64_t)seed + 5);
 	f.net = net;
 	f.config_version = 1;
 	f.version = 1;
