serve, side: Block a part of prompts under which targets terminate

Callers saw engine after engine crash: requests with one part of their prompts in common ended up to 91 engines in a wave, and beside them a fifth to two fifths of the sound requests were refused or lost.

Cause: blame was put on one identity only, the whole content. Requests that share what crashes an engine but are no two alike were all strangers, two engines each. Class: blame at the wrong granularity.

All identities that requests share now go through one mechanism: a request has its content and the shared parts of its prompt, each with a fingerprint that bears its kind, and a kind has a policy. Content keeps its own. A part is blocked after three targets without an answer, as more callers share it. Against blocking the innocent: - A complete answer with the part speaks for it for three seconds more, so a part in wide use is not suspected when many targets terminate at once. A process that has such an answer refutes others' reports. - A termination has one cause: it does not count against an identity while a blocked one with more evidence explains it. - An answer clears only where the target did the work (2xx): a rejection says nothing on what the work does. A clearing that is older than terminations no longer removes them. Eviction prefers the least evidence, so many parts in one request do not evict what is known.

Lines "cleared" are now written only for what had been held.

New: 8 tests in serve-suspect, 4 in serve-fwd, 1 in serve-fingerprint.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -16,22 +16,6 @@
 	return evl_now_us(r->fwd->conf.loop);
 }
 
-uint64_t
-fwd_fingerprint(struct fwd_req *r)
-{
-	struct fpr_content content = {
-		.host = r->route->host,
-		.target = hreq_msg(r->caller)->target,
-		.workspace = r->workspace == NULL ? NULL : r->workspace->name,
-	};
-
-	if (r->fingerprint == 0) {
-		content.body = hreq_body(r->caller, &content.body_len);
-		r->fingerprint = fpr_of(&content);
-	}
-	return r->fingerprint;
-}
-
 /* ------------------------------------------------------------------ */
 /* Ending requests                                                     */
 /* ------------------------------------------------------------------ */
@@ -41,10 +25,11 @@
     const char *why)
 {
 	int64_t now_us = fwd_now(r);
-	char parts[FWD_PARTS_TEXT] = "-";
+	char parts[FWD_PARTS_TEXT] = "-", blocked_by[FWD_BLOCKED_BY_TEXT];
 
 	if (ev != EVT_DONE)
 		fwd_parts_text(r, parts);
+	fwd_blocked_by_text(r, blocked_by);
 	evt(ev,
 	    "req=%s route=%s service=%s status=%u why=%s tries=%u runs=%u "
 	    "events=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT
@@ -52,7 +37,7 @@
 	    " back=%d"
 	    " framing=%s end=%s rest=%zu"
 	    " target=%s content=%016" G_GINT64_MODIFIER
-	    "x parts=%s config=%" G_GINT64_FORMAT,
+	    "x parts=%s by=%s config=%" G_GINT64_FORMAT,
 	    r->id, r->route->name, r->service->targets->name, status, why,
 	    r->flow.attempts, r->flow.runs, r->events,
 	    (now_us - r->started_us) / 1000,
@@ -61,7 +46,7 @@
 	    r->sent_us == 0 ? -1 : (r->sent_us - r->started_us) / 1000,
 	    r->is_client_retry, fwd_framing_name(r), r->answer_end,
 	    fwd_event_rest(r), r->target == NULL ? "-" : r->target->record.id,
-	    r->fingerprint, parts, rtab_config(r->routes)->version);
+	    r->content, parts, blocked_by, rtab_config(r->routes)->version);
 }
 
 void
@@ -76,6 +61,7 @@
 	evl_timer_stop(f->conf.loop, &r->wait_timer);
 	rtab_unref(r->routes);
 	g_free(r->model);
+	g_free(r->parts);
 	f->active--;
 	g_free(r);
 }
@@ -411,7 +397,8 @@
 	f->limited = ctr_get(set, "requests_to_limited");
 	f->limited_again = ctr_get(set, "requests_to_limited_again");
 	f->choices = ctr_get(set, "target_choices");
-	f->blocked = ctr_get(set, "contents_held");
+	f->blocked[FPR_CONTENT] = ctr_get(set, "contents_held");
+	f->blocked[FPR_PART] = ctr_get(set, "parts_held");
 	f->recalled = ctr_get(set, "requests_withdrawn_held");
 	f->cut_before_answer = ctr_get(set, "requests_cut_before_answer");
 	f->cut_midway = ctr_get(set, "requests_cut_midway");
@@ -464,8 +451,10 @@
 fwd_print(const struct fwd *f, GString *out)
 {
 	g_string_append_printf(out,
-	    "requests_active %u\nrequests_waiting %u\ncontents_held_now %u\n",
-	    f->active, f->waiting, sus_count_blocked(f->suspects));
+	    "requests_active %u\nrequests_waiting %u\ncontents_held_now %u\n"
+	    "parts_held_now %u\n",
+	    f->active, f->waiting, sus_count_blocked(f->suspects, FPR_CONTENT),
+	    sus_count_blocked(f->suspects, FPR_PART));
 	hist_print(&f->wait, "request_wait_seconds", out);
 	hist_print(&f->first_event, "stream_first_event_seconds", out);
 	hist_print(&f->gap, "stream_event_gap_seconds", out);
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -162,8 +162,8 @@
 	    "x parts=%s",
 	    r->id, end_names[end], r->target->record.id, r->flow.attempts,
 	    r->flow.runs, r->last_event, (fwd_now(r) - r->started_us) / 1000,
-	    fwd_framing_name(r), r->answer_end, fwd_event_rest(r),
-	    r->fingerprint, parts);
+	    fwd_framing_name(r), r->answer_end, fwd_event_rest(r), r->content,
+	    parts);
 	fwd_drop_call(r);
 	r->state = FWD_WAITING;
 	fwd_dispatch(r);
@@ -228,6 +228,13 @@
 	return r->status >= 500;
 }
 
+/* The target has done the work that it may terminate under. */
+static bool
+is_success(const struct fwd_req *r)
+{
+	return r->status >= 200 && r->status < 300;
+}
+
 static void
 on_done(struct hcall *c, void *ctx)
 {
@@ -247,7 +254,7 @@
 	} else {
 		tgt_outcome(r->target, TGT_ANSWERED, fwd_now(r));
 		/* A target that terminates closes its connections, too. */
-		if (r->framing != HFRAMING_CLOSE)
+		if (r->framing != HFRAMING_CLOSE && is_success(r))
 			fwd_note_answered(r);
 		fwd_answer_complete(r);
 	}
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -59,7 +59,11 @@
 	GString *headers; /* of the answer, to relay */
 	struct hbuf answer; /* the complete answer, or incomplete events */
 	/* Across all attempts. */
-	uint64_t fingerprint; /* 0: not computed yet */
+	uint64_t content; /* fingerprint; 0: not computed yet */
+	uint64_t *parts; /* fingerprints of the prompt's shared parts */
+	size_t nparts;
+	bool parts_read;
+	uint64_t blocked_by; /* identity; 0: none */
 	const struct tgt *tried[FWD_TRIED_MAX]; /* never dereferenced */
 	unsigned int ntried;
 	struct flow_state flow;
@@ -102,15 +106,13 @@
 	struct ctr *limited, *limited_again; /* sent to rate-limited targets */
 	/* Cut off by their targets before and after the first event. */
 	struct ctr *cut_before_answer, *cut_midway;
-	struct ctr *blocked, *recalled;
+	struct ctr *blocked[FPR_KINDS], *recalled;
 	struct ctr *choices; /* scans over all targets of a service */
 	struct hist wait, first_event, gap, total;
 };
 
 /* fwd.c */
 int64_t fwd_now(const struct fwd_req *r);
-/* Computed on first use. */
-uint64_t fwd_fingerprint(struct fwd_req *r);
 /* Ends the request with an answer made by the gateway. */
 void fwd_refuse(struct fwd_req *r, const char *why); /* 503: it did not run */
 /* The same, with a Retry-After that ends at `until_us`. */
@@ -124,7 +126,20 @@
 void fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
     const char *why);
 
-/* fwd_identity.c: what a request shares with others */
+/* fwd_identity.c: what a request may share with others. Fingerprints are
+ * computed on first use. */
+#define FWD_IDENTITIES_MAX (1 + FWD_PARTS_MAX)
+#define FWD_PARTS_MAX 64 /* of a request; further ones are ignored */
+uint64_t fwd_content(struct fwd_req *r);
+/* Content and parts; returns their number. */
+size_t fwd_identities(
+    struct fwd_req *r, uint64_t identities[FWD_IDENTITIES_MAX]);
+bool fwd_has_identity(struct fwd_req *r, uint64_t fingerprint);
+void fwd_read_parts(struct fwd_req *r);
+#define FWD_BLOCKED_BY_TEXT 64 /* buffer for the identity in a log line */
+/* The identity that blocks the request, for a log line; "-": none does. */
+void fwd_blocked_by_text(
+    const struct fwd_req *r, char out[FWD_BLOCKED_BY_TEXT]);
 #define FWD_PARTS_TEXT 128 /* buffer for the parts in a log line */
 /* Ids of the shared parts of its prompt for a log line, separated by commas, as
  * many as fit; "-": it has none. */
@@ -167,7 +182,7 @@
 bool fwd_is_stream(const struct fwd_req *r); /* relayed as it arrives */
 
 /* fwd_suspect.c: requests under which targets terminated */
-/* Whether it must not be sent before `*until_us`. */
+/* Whether it must not be sent before `*until_us`. Sets `blocked_by`. */
 bool fwd_is_blocked(struct fwd_req *r, int64_t *until_us);
 void fwd_note_cut(struct fwd_req *r); /* its target cut it off */
 void fwd_note_answered(struct fwd_req *r); /* its answer is complete */
--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -20,33 +20,54 @@
 		f->conf.publish_terminations(ends, n, f->conf.publish_ctx);
 }
 
-/* Another request with the same fingerprint is in flight. */
+/* Another request with the identity is in flight. */
 static bool
-has_copy_in_flight(const struct fwd_req *r)
+is_other_in_flight(const struct fwd_req *r, uint64_t fingerprint)
 {
-	const struct fwd_req *other;
+	struct fwd_req *other;
 
 	TAILQ_FOREACH (other, &r->fwd->open, open) {
-		if (other != r && other->fingerprint == r->fingerprint &&
-		    other->call != NULL)
+		if (other != r && other->call != NULL &&
+		    fwd_has_identity(other, fingerprint))
 			return true;
 	}
 	return false;
 }
 
-bool
-fwd_is_blocked(struct fwd_req *r, int64_t *until_us)
+static bool
+is_identity_blocked(
+    const struct fwd_req *r, uint64_t fingerprint, int64_t *until_us)
 {
 	struct sus *s = r->fwd->suspects;
 
-	if (sus_is_empty(s))
-		return false;
-	if (sus_judge(s, fwd_fingerprint(r), fwd_now(r), until_us) ==
-	    SUS_BLOCKED)
+	if (sus_judge(s, fingerprint, fwd_now(r), until_us) == SUS_BLOCKED)
 		return true;
-	/* Only one copy at a time is sent as a probe. */
+	/* Only one request at a time is sent as a probe. */
 	*until_us = fwd_now(r) + PROBE_US;
-	return sus_was_blocked(s, r->fingerprint) && has_copy_in_flight(r);
+	return sus_was_blocked(s, fingerprint) &&
+	    is_other_in_flight(r, fingerprint);
+}
+
+bool
+fwd_is_blocked(struct fwd_req *r, int64_t *until_us)
+{
+	uint64_t identities[FWD_IDENTITIES_MAX];
+	int64_t identity_until_us;
+	size_t n, i;
+
+	r->blocked_by = 0;
+	if (sus_is_empty(r->fwd->suspects))
+		return false;
+	n = fwd_identities(r, identities);
+	for (i = 0; i < n; i++) {
+		if (!is_identity_blocked(r, identities[i], &identity_until_us))
+			continue;
+		if (r->blocked_by != 0 && identity_until_us <= *until_us)
+			continue;
+		r->blocked_by = identities[i];
+		*until_us = identity_until_us;
+	}
+	return r->blocked_by != 0;
 }
 
 /* A target that shuts down (announced, or removed from the store) or that loads
@@ -63,43 +84,62 @@
 {
 	struct fwd *f = r->fwd;
 	struct sus_termination termination = {
-		.fingerprint = fwd_fingerprint(r),
 		.target = target_hash(r->target),
 		.weight = r->has_begun ? SUS_ANSWERING : SUS_UNANSWERED,
 		.at_us = fwd_now(r),
 	};
+	uint64_t identities[FWD_IDENTITIES_MAX];
+	size_t n, i;
 
 	ctr_add(r->has_begun ? f->cut_midway : f->cut_before_answer, 1);
-	if (!is_planned_cut(r->target) && sus_cut(f->suspects, &termination))
-		publish(f, &termination, 1);
+	if (is_planned_cut(r->target))
+		return;
+	n = fwd_identities(r, identities);
+	for (i = 0; i < n; i++) {
+		termination.fingerprint = identities[i];
+		if (sus_cut(f->suspects, &termination))
+			publish(f, &termination, 1);
+	}
+}
+
+static void
+note_identity_answered(struct fwd *f, uint64_t fingerprint)
+{
+	struct sus_termination cleared = {
+		.fingerprint = fingerprint,
+		.weight = SUS_CLEARED,
+		.at_us = evl_now_us(f->conf.loop),
+	};
+	bool was_blocked = sus_was_blocked(f->suspects, fingerprint);
+
+	if (!sus_answered(f->suspects, fingerprint, cleared.at_us))
+		return;
+	if (was_blocked)
+		evt(EVT_SUSPECT,
+		    "%s=%016" G_GINT64_MODIFIER "x outcome=cleared",
+		    fpr_kind_name(fingerprint), fingerprint);
+	publish(f, &cleared, 1);
 }
 
+/* Answers speak for parts also before any target has terminated; the content's
+ * fingerprint, which costs more, is computed only after that. */
 void
 fwd_note_answered(struct fwd_req *r)
 {
-	struct sus_termination cleared = { .weight = SUS_CLEARED };
+	bool is_suspected = !sus_is_empty(r->fwd->suspects);
+	size_t i;
 
-	if (sus_is_empty(r->fwd->suspects))
-		return;
-	cleared.fingerprint = fwd_fingerprint(r);
-	cleared.at_us = fwd_now(r);
-	if (!sus_answered(r->fwd->suspects, cleared.fingerprint))
-		return;
-	evt(EVT_SUSPECT, "content=%016" G_GINT64_MODIFIER "x outcome=cleared",
-	    cleared.fingerprint);
-	publish(r->fwd, &cleared, 1);
+	fwd_read_parts(r);
+	for (i = 0; i < r->nparts; i++)
+		note_identity_answered(r->fwd, r->parts[i]);
+	if (is_suspected)
+		note_identity_answered(r->fwd, fwd_content(r));
 }
 
 /* ------------------------------------------------------------------ */
 /* Recalling blocked requests                                          */
 /* ------------------------------------------------------------------ */
 
-static bool
-has_fingerprint(struct fwd_req *r, uint64_t fingerprint)
-{
-	return fwd_fingerprint(r) == fingerprint;
-}
-
 /* The rest of its answer may still arrive, which clears it. */
 static bool
 is_answering(const struct fwd_req *r)
@@ -108,8 +148,9 @@
 }
 
 static void
-recall(struct fwd_req *r, int64_t until_us)
+recall(struct fwd_req *r, uint64_t blocked_by, int64_t until_us)
 {
+	r->blocked_by = blocked_by;
 	ctr_add(r->fwd->recalled, 1);
 	if (r->flow.begun)
 		fwd_abort(r, "held");
@@ -119,10 +160,10 @@
 		fwd_refuse_until(r, "held", until_us);
 }
 
-/* Copies of a blocked request that are in flight may not have begun to run:
+/* Requests with a blocked identity that are in flight may not have begun to run:
  * recalled in time, they terminate no further targets. */
 static void
-recall_copies(struct fwd *f, uint64_t fingerprint)
+recall_all(struct fwd *f, uint64_t fingerprint)
 {
 	int64_t now_us = evl_now_us(f->conf.loop), until_us;
 	struct fwd_req *r, *next;
@@ -132,24 +173,25 @@
 		return;
 	for (r = TAILQ_FIRST(&f->open); r != NULL; r = next) {
 		next = TAILQ_NEXT(r, open);
-		if (has_fingerprint(r, fingerprint) && !is_answering(r))
-			recall(r, until_us);
+		if (!is_answering(r) && fwd_has_identity(r, fingerprint))
+			recall(r, fingerprint, until_us);
 	}
 }
 
 static void
 note_blocked(struct fwd *f, uint64_t fingerprint, bool was_known)
 {
-	int64_t now_us = evl_now_us(f->conf.loop), until_us = now_us;
+	int64_t now_us = evl_now_us(f->conf.loop), until_us;
 
-	if (was_known || !sus_was_blocked(f->suspects, fingerprint))
+	if (was_known ||
+	    sus_judge(f->suspects, fingerprint, now_us, &until_us) !=
+		SUS_BLOCKED)
 		return;
-	(void)sus_judge(f->suspects, fingerprint, now_us, &until_us);
-	ctr_add(f->blocked, 1);
+	ctr_add(f->blocked[fpr_kind_of(fingerprint)], 1);
 	evt(EVT_SUSPECT,
-	    "content=%016" G_GINT64_MODIFIER
-	    "x outcome=held ms=%" G_GINT64_FORMAT,
-	    fingerprint, (until_us - now_us) / 1000);
+	    "%s=%016" G_GINT64_MODIFIER "x outcome=held ms=%" G_GINT64_FORMAT,
+	    fpr_kind_name(fingerprint), fingerprint,
+	    (until_us - now_us) / 1000);
 }
 
 /* ------------------------------------------------------------------ */
@@ -172,7 +214,7 @@
 		termination =
 		    &g_array_index(confirmed, struct sus_termination, i);
 		note_blocked(f, termination->fingerprint, false);
-		recall_copies(f, termination->fingerprint);
+		recall_all(f, termination->fingerprint);
 	}
 	g_array_unref(confirmed);
 }
@@ -180,12 +222,23 @@
 void
 fwd_report_termination(struct fwd *f, const struct sus_termination *termination)
 {
-	bool was_known = sus_was_blocked(f->suspects, termination->fingerprint);
-
-	if (!sus_report(f->suspects, termination))
-		return;
-	note_blocked(f, termination->fingerprint, was_known);
-	recall_copies(f, termination->fingerprint);
+	uint64_t fingerprint = termination->fingerprint;
+	bool was_known = sus_was_blocked(f->suspects, fingerprint);
+	struct sus_termination refutation;
+
+	switch (
+	    sus_report(f->suspects, termination, evl_now_us(f->conf.loop))) {
+	case SUS_KNOWN:
+		break;
+	case SUS_NEW:
+		note_blocked(f, fingerprint, was_known);
+		recall_all(f, fingerprint);
+		break;
+	case SUS_REFUTED:
+		refutation = sus_refutation(f->suspects, fingerprint);
+		publish(f, &refutation, 1);
+		break;
+	}
 }
 
 void
--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -1,4 +1,4 @@
-/* Requests under which targets terminated. */
+/* Identities of requests under which targets terminated. */
 
 #include <string.h>
 
@@ -6,10 +6,10 @@
 #include "serve/suspect.h"
 
 #define SUSPECTS_MAX 2048
-#define TERMINATIONS_MAX 6 /* of a request; the oldest is dropped first */
+#define TERMINATIONS_MAX 8 /* of an identity; the oldest is dropped first */
 #define ENDED_TARGETS_MAX 32 /* recently terminated targets */
+#define ANSWERS_MAX 4096
 
-#define BLOCK_WEIGHT 4 /* sum of weights: two targets without an answer */
 /* A cut-off counts this long while it is not known whether its target
  * terminated. The target's sidecar detects that within 0.1 s. */
 #define PENDING_US 300000
@@ -19,13 +19,35 @@
  * termination; a target that restarts under its id takes longer. */
 #define SAME_END_US 2000000
 #define SUSPECT_US 60000000 /* after which a single termination expires */
+/* Longer than gateways take to repeat what they have blocked, so that an old
+ * report is refuted. */
+#define ANSWER_US 10000000
+/* Interval at which reports on the same identity are refuted. */
+#define REFUTE_US 500000
+
+#define BLOCK_STEPS 4
+#define S G_GINT64_CONSTANT(1000000)
+
+/* How an identity of a kind is judged. */
+struct policy {
+	unsigned int block_weight; /* sum of weights from which it is blocked */
+	/* Time blocked at that weight and for each two more. */
+	int64_t block_us[BLOCK_STEPS];
+	/* Terminations this long after a complete answer do not count. */
+	int64_t trust_us;
+};
 
-/* Time blocked after the second, third, ... termination without an answer. */
-static const int64_t block_us[] = {
-	10 * G_USEC_PER_SEC,
-	300 * (int64_t)G_USEC_PER_SEC,
-	3600 * (int64_t)G_USEC_PER_SEC,
-	24 * 3600 * (int64_t)G_USEC_PER_SEC,
+/*
+ * Two targets without an answer block a request, and three a part. A part that
+ * is in flight at three targets at once is answered more often than once in
+ * three seconds, unless it is at fault.
+ */
+static const struct policy policies[FPR_KINDS] = {
+	[FPR_CONTENT] = { .block_weight = 2 * SUS_UNANSWERED,
+	    .block_us = { 10 * S, 300 * S, 3600 * S, 24 * 3600 * S } },
+	[FPR_PART] = { .block_weight = 3 * SUS_UNANSWERED,
+	    .block_us = { 10 * S, 60 * S, 600 * S, 24 * 3600 * S },
+	    .trust_us = 3 * S },
 };
 
 struct termination {
@@ -43,6 +65,13 @@
 	int64_t blocked_until_us; /* 0: never blocked */
 };
 
+/* The latest complete answer of a request with the identity. */
+struct answer {
+	uint64_t fingerprint; /* key */
+	int64_t at_us;
+	int64_t refuted_us; /* last time that a report was refuted; 0: never */
+};
+
 struct ended_target {
 	uint64_t target;
 	int64_t at_us;
@@ -51,6 +80,7 @@
 struct sus {
 	uint64_t seed;
 	GHashTable *suspects; /* fingerprint -> struct suspect */
+	GHashTable *answers; /* fingerprint -> struct answer */
 	struct ended_target ended_targets[ENDED_TARGETS_MAX]; /* ring buffer */
 	unsigned int next_ended;
 };
@@ -63,6 +93,8 @@
 	s->seed = seed;
 	s->suspects =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	s->answers =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	return s;
 }
 
@@ -72,6 +104,7 @@
 	if (s == NULL)
 		return;
 	g_hash_table_unref(s->suspects);
+	g_hash_table_unref(s->answers);
 	g_free(s);
 }
 
@@ -81,6 +114,67 @@
 	return g_hash_table_size(s->suspects) == 0;
 }
 
+static const struct policy *
+policy_of(uint64_t fingerprint)
+{
+	return &policies[fpr_kind_of(fingerprint)];
+}
+
+/* ------------------------------------------------------------------ */
+/* Complete answers                                                    */
+/* ------------------------------------------------------------------ */
+
+static struct answer *
+find_answer(const struct sus *s, uint64_t fingerprint)
+{
+	return g_hash_table_lookup(s->answers, &fingerprint);
+}
+
+static void
+drop_old_answers(struct sus *s, int64_t now_us)
+{
+	const struct answer *answer;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->answers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		answer = value;
+		if (now_us - answer->at_us > ANSWER_US)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void
+note_answer(struct sus *s, uint64_t fingerprint, int64_t at_us)
+{
+	struct answer *answer = find_answer(s, fingerprint);
+
+	if (policy_of(fingerprint)->trust_us == 0)
+		return;
+	if (answer == NULL && g_hash_table_size(s->answers) >= ANSWERS_MAX)
+		drop_old_answers(s, at_us);
+	if (answer == NULL && g_hash_table_size(s->answers) >= ANSWERS_MAX)
+		return;
+	if (answer == NULL) {
+		answer = g_new0(struct answer, 1);
+		answer->fingerprint = fingerprint;
+		g_hash_table_insert(s->answers, &answer->fingerprint, answer);
+	}
+	answer->at_us = MAX(answer->at_us, at_us);
+}
+
+/* Whether a complete answer speaks against this termination as evidence. */
+static bool
+is_refuted(const struct sus *s, const struct sus_termination *termination)
+{
+	const struct answer *answer = find_answer(s, termination->fingerprint);
+
+	return answer != NULL &&
+	    termination->at_us <=
+	    answer->at_us + policy_of(termination->fingerprint)->trust_us;
+}
+
 /* ------------------------------------------------------------------ */
 /* Evidence against a request                                          */
 /* ------------------------------------------------------------------ */
@@ -110,20 +204,20 @@
 	return weight;
 }
 
-/* Differs between gateways, so that they probe at different times: copies
- * of the request that reach several gateways at once would otherwise all be
- * sent. */
+/* Differs between gateways, so that they probe at different times: requests
+ * that reach several gateways at once would otherwise all be sent. */
 static int64_t
 block_span_us(
     const struct sus *s, const struct suspect *sp, unsigned int weight)
 {
-	size_t step = MIN((weight - BLOCK_WEIGHT) / SUS_UNANSWERED,
-	    G_N_ELEMENTS(block_us) - 1);
+	const struct policy *policy = policy_of(sp->fingerprint);
+	size_t step = MIN(
+	    (weight - policy->block_weight) / SUS_UNANSWERED, BLOCK_STEPS - 1);
 	uint64_t bits =
 	    hash64(s->seed, &sp->fingerprint, sizeof(sp->fingerprint));
 	double fraction = (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
 
-	return (int64_t)((double)block_us[step] * (1 + fraction));
+	return (int64_t)((double)policy->block_us[step] * (1 + fraction));
 }
 
 static void
@@ -131,7 +225,7 @@
 {
 	unsigned int weight = confirmed_weight(sp);
 
-	if (weight >= BLOCK_WEIGHT)
+	if (weight >= policy_of(sp->fingerprint)->block_weight)
 		sp->blocked_until_us = MAX(sp->blocked_until_us,
 		    sp->last_us + block_span_us(s, sp, weight));
 }
@@ -151,8 +245,13 @@
 {
 	bool a_blocked = a->blocked_until_us != 0,
 	     b_blocked = b->blocked_until_us != 0;
+	unsigned int a_weight = confirmed_weight(a),
+		     b_weight = confirmed_weight(b);
 
-	return a_blocked != b_blocked ? b_blocked : a->last_us < b->last_us;
+	if (a_blocked != b_blocked)
+		return b_blocked;
+	return a_weight != b_weight ? a_weight < b_weight
+				    : a->last_us < b->last_us;
 }
 
 static void
@@ -188,14 +287,13 @@
 }
 
 static struct termination *
-find_termination(struct suspect *sp, const struct sus_termination *termination)
+find_termination(struct suspect *sp, uint64_t target, int64_t at_us)
 {
 	unsigned int i;
 
 	for (i = 0; i < sp->nterminations; i++) {
-		if (sp->terminations[i].target == termination->target &&
-		    ABS(sp->terminations[i].at_us - termination->at_us) <
-			SAME_END_US)
+		if (sp->terminations[i].target == target &&
+		    ABS(sp->terminations[i].at_us - at_us) < SAME_END_US)
 			return &sp->terminations[i];
 	}
 	return NULL;
@@ -214,10 +312,14 @@
 add_termination(
     struct sus *s, const struct sus_termination *termination, bool confirmed)
 {
-	struct suspect *sp = get(s, termination->fingerprint);
-	struct termination *known = find_termination(sp, termination);
+	struct termination *known;
+	struct suspect *sp;
 	bool is_new;
 
+	if (is_refuted(s, termination))
+		return false;
+	sp = get(s, termination->fingerprint);
+	known = find_termination(sp, termination->target, termination->at_us);
 	if (known == NULL) {
 		if (sp->nterminations == TERMINATIONS_MAX)
 			remove_termination(sp, 0);
@@ -299,32 +401,130 @@
 		confirm(s, suspect, target, now_us, confirmed);
 }
 
-bool
-sus_report(struct sus *s, const struct sus_termination *termination)
+/* Removes the terminations that the answer refutes. Returns whether one of them
+ * was confirmed. */
+static bool
+clear(struct sus *s, uint64_t fingerprint, int64_t answered_us)
 {
-	if (termination->weight == SUS_CLEARED)
-		return g_hash_table_remove(
-		    s->suspects, &termination->fingerprint);
-	return add_termination(s, termination, true);
+	int64_t until_us = answered_us + policy_of(fingerprint)->trust_us;
+	struct suspect *sp = find(s, fingerprint);
+	bool was_confirmed = false;
+	unsigned int i = 0;
+
+	if (sp == NULL)
+		return false;
+	while (i < sp->nterminations) {
+		if (sp->terminations[i].at_us > until_us) {
+			i++;
+			continue;
+		}
+		was_confirmed |= sp->terminations[i].confirmed;
+		remove_termination(sp, i);
+	}
+	sp->blocked_until_us = 0;
+	block_if_confirmed(s, sp);
+	if (sp->nterminations == 0)
+		g_hash_table_remove(s->suspects, &fingerprint);
+	return was_confirmed;
 }
 
 bool
-sus_answered(struct sus *s, uint64_t fingerprint)
+sus_answered(struct sus *s, uint64_t fingerprint, int64_t now_us)
 {
-	struct suspect *sp = find(s, fingerprint);
-	bool was_published;
+	note_answer(s, fingerprint, now_us);
+	return clear(s, fingerprint, now_us);
+}
 
-	if (sp == NULL)
+/* Several processes report the same; one refutation in a while is enough. */
+static bool
+may_refute(struct sus *s, uint64_t fingerprint, int64_t now_us)
+{
+	struct answer *answer = find_answer(s, fingerprint);
+
+	if (answer->refuted_us != 0 && now_us - answer->refuted_us < REFUTE_US)
 		return false;
-	was_published = confirmed_weight(sp) > 0;
-	g_hash_table_remove(s->suspects, &fingerprint);
-	return was_published;
+	answer->refuted_us = now_us;
+	return true;
+}
+
+enum sus_news
+sus_report(
+    struct sus *s, const struct sus_termination *termination, int64_t now_us)
+{
+	uint64_t fingerprint = termination->fingerprint;
+	bool is_new;
+
+	if (termination->weight == SUS_CLEARED)
+		is_new = sus_answered(s, fingerprint, termination->at_us);
+	else if (is_refuted(s, termination))
+		return may_refute(s, fingerprint, now_us) ? SUS_REFUTED
+							  : SUS_KNOWN;
+	else
+		is_new = add_termination(s, termination, true);
+	return is_new ? SUS_NEW : SUS_KNOWN;
+}
+
+struct sus_termination
+sus_refutation(const struct sus *s, uint64_t fingerprint)
+{
+	const struct answer *answer = find_answer(s, fingerprint);
+
+	return (struct sus_termination){ .fingerprint = fingerprint,
+		.weight = SUS_CLEARED,
+		.at_us = answer == NULL ? 0 : answer->at_us };
 }
 
 /* ------------------------------------------------------------------ */
 /* Verdicts                                                            */
 /* ------------------------------------------------------------------ */
 
+static bool
+is_explained_by(struct suspect *other, const struct suspect *sp,
+    const struct termination *termination)
+{
+	return other != sp && other->blocked_until_us != 0 &&
+	    confirmed_weight(other) > confirmed_weight(sp) &&
+	    find_termination(other, termination->target, termination->at_us) !=
+	    NULL;
+}
+
+static bool
+is_explained(const struct sus *s, const struct suspect *sp,
+    const struct termination *termination)
+{
+	GHashTableIter iter;
+	gpointer other;
+
+	g_hash_table_iter_init(&iter, s->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &other)) {
+		if (is_explained_by(other, sp, termination))
+			return true;
+	}
+	return false;
+}
+
+/* Sum of the weights for which no other blocked identity is at fault. */
+static unsigned int
+unexplained_weight(const struct sus *s, const struct suspect *sp)
+{
+	unsigned int weight = 0, i;
+
+	for (i = 0; i < sp->nterminations; i++) {
+		if (sp->terminations[i].confirmed &&
+		    !is_explained(s, sp, &sp->terminations[i]))
+			weight += sp->terminations[i].weight;
+	}
+	return weight;
+}
+
+static bool
+is_blocked_now(const struct sus *s, const struct suspect *sp, int64_t now_us)
+{
+	return sp->blocked_until_us > now_us &&
+	    unexplained_weight(s, sp) >=
+	    policy_of(sp->fingerprint)->block_weight;
+}
+
 enum sus_verdict
 sus_judge(
     struct sus *s, uint64_t fingerprint, int64_t now_us, int64_t *until_us)
@@ -334,12 +534,14 @@
 
 	if (sp == NULL)
 		return SUS_NONE;
-	if (sp->blocked_until_us > now_us) {
+	if (is_blocked_now(s, sp, now_us)) {
 		*until_us = sp->blocked_until_us;
 		return SUS_BLOCKED;
 	}
 	pending = pending_weight(sp, now_us);
-	if (pending > 0 && confirmed_weight(sp) + pending >= BLOCK_WEIGHT) {
+	if (pending > 0 &&
+	    unexplained_weight(s, sp) + pending >=
+		policy_of(fingerprint)->block_weight) {
 		*until_us = now_us + PENDING_US;
 		return SUS_BLOCKED;
 	}
@@ -393,15 +595,19 @@
 }
 
 unsigned int
-sus_count_blocked(const struct sus *s)
+sus_count_blocked(const struct sus *s, enum fpr_kind kind)
 {
+	const struct suspect *sp;
 	GHashTableIter iter;
 	gpointer value;
 	unsigned int n = 0;
 
 	g_hash_table_iter_init(&iter, s->suspects);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		n += ((const struct suspect *)value)->blocked_until_us != 0;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sp = value;
+		n += sp->blocked_until_us != 0 &&
+		    fpr_kind_of(sp->fingerprint) == kind;
+	}
 	return n;
 }
 
@@ -447,4 +653,5 @@
 		if (is_expired(value, now_us))
 			g_hash_table_iter_remove(&iter);
 	}
+	drop_old_answers(s, now_us);
 }
--- a/programs/side/keeper_ends.c
+++ b/programs/side/keeper_ends.c
@@ -3,6 +3,7 @@
  * those that it sent; the keeper counts them over all gateways.
  */
 
+#include "serve/fingerprint.h"
 #include "serve/side.h"
 #include "side/keeper.h"
 
@@ -73,28 +74,49 @@
 }
 
 static void
-take_termination(struct keeper *k, const struct sus_termination *termination)
+send_one(struct keeper *k, const struct sus_termination *termination)
 {
-	GArray *cleared;
-	bool was_known = sus_was_blocked(k->suspects, termination->fingerprint);
+	GArray *terminations =
+	    g_array_new(FALSE, FALSE, sizeof(struct sus_termination));
+
+	g_array_append_vals(terminations, termination, 1);
+	send_terminations(k, terminations, NULL);
+	g_array_unref(terminations);
+}
 
-	if (!sus_report(k->suspects, termination))
+/* The identity has a termination that was not known. */
+static void
+note_termination(struct keeper *k, uint64_t fingerprint, bool was_blocked)
+{
+	if (!sus_was_blocked(k->suspects, fingerprint))
 		return;
-	if (termination->weight == SUS_CLEARED && was_known) {
-		cleared =
-		    g_array_new(FALSE, FALSE, sizeof(struct sus_termination));
-		g_array_append_vals(cleared, termination, 1);
-		send_terminations(k, cleared, NULL);
-		g_array_unref(cleared);
+	if (!was_blocked)
+		evt(EVT_SUSPECT, "%s=%016" G_GINT64_MODIFIER "x outcome=held",
+		    fpr_kind_name(fingerprint), fingerprint);
+	send_fingerprint(k, fingerprint);
+	schedule_repeat(k, fingerprint);
+}
+
+static void
+take_termination(struct keeper *k, const struct sus_termination *termination)
+{
+	uint64_t fingerprint = termination->fingerprint;
+	bool was_blocked = sus_was_blocked(k->suspects, fingerprint);
+	struct sus_termination refutation;
+
+	switch (sus_report(k->suspects, termination, keeper_now(k))) {
+	case SUS_KNOWN:
+		break;
+	case SUS_NEW:
+		if (termination->weight == SUS_CLEARED && was_blocked)
+			send_one(k, termination);
+		note_termination(k, fingerprint, was_blocked);
+		break;
+	case SUS_REFUTED:
+		refutation = sus_refutation(k->suspects, fingerprint);
+		send_one(k, &refutation);
+		break;
 	}
-	if (!sus_was_blocked(k->suspects, termination->fingerprint))
-		return;
-	if (!was_known)
-		evt(EVT_SUSPECT,
-		    "content=%016" G_GINT64_MODIFIER "x outcome=held",
-		    termination->fingerprint);
-	send_fingerprint(k, termination->fingerprint);
-	schedule_repeat(k, termination->fingerprint);
 }
 
 void
--- a/tests/serve/test_fingerprint.c
+++ b/tests/serve/test_fingerprint.c
@@ -50,12 +50,29 @@
 	    fingerprint_of("h", "/x/1b", "team", "ody"));
 }
 
+/* Guards against one part that counts as two, and two that count as one. */
+static void
+test_parts(void **state)
+{
+	uint64_t one = fpr_of_part(slice_str("5c1e07a2"));
+
+	assert_true(one == fpr_of_part(slice_str("5C1E07A2")));
+	assert_true(one != fpr_of_part(slice_str("5c1e07a3")));
+	assert_true(one != fpr_of_part(slice_str("5c1e07a")));
+	assert_int_equal(fpr_kind_of(one), FPR_PART);
+	assert_int_equal(
+	    fpr_kind_of(fingerprint_of("h", "/x", "team", "")), FPR_CONTENT);
+	/* Kinds that later versions may add. */
+	assert_int_equal(fpr_kind_of(UINT64_MAX), FPR_CONTENT);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_same_content_has_the_same_fingerprint),
 		cmocka_unit_test(test_other_content_has_another_fingerprint),
+		cmocka_unit_test(test_parts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -946,16 +946,13 @@
 	return send_request("GET", path, "T-Deadline: 3000\r\n");
 }
 
-/* Reports, as another process, `n` terminations under the request for /x/1. */
+/* Reports, as another process, `n` terminations under an identity. */
 static void
-report_terminations(uint64_t n)
+report_terminations_of(uint64_t fingerprint, uint64_t n)
 {
-	struct sus_termination termination = { .weight = SUS_UNANSWERED };
+	struct sus_termination termination = { .fingerprint = fingerprint,
+		.weight = SUS_UNANSWERED };
 
-	termination.fingerprint =
-	    fpr_of(&(struct fpr_content){ .host = "a.example",
-		.target = { "/x/1", 4 },
-		.workspace = "team" });
 	for (termination.target = 1; termination.target <= n;
 	     termination.target++) {
 		termination.at_us = now_us();
@@ -963,6 +960,135 @@
 	}
 }
 
+/* The same under the request for /x/1. */
+static void
+report_terminations(uint64_t n)
+{
+	report_terminations_of(
+	    fpr_of(&(struct fpr_content){ .host = "a.example",
+		.target = { "/x/1", 4 },
+		.workspace = "team" }),
+	    n);
+}
+
+static uint64_t
+part(const char *id)
+{
+	return fpr_of_part(slice_str(id));
+}
+
+static int
+send_with_parts(const char *path, const char *parts)
+{
+	char *headers =
+	    g_strdup_printf("T-Deadline: 3000\r\nT-Prefix: %s\r\n", parts);
+	int fd = send_request("GET", path, headers);
+
+	g_free(headers);
+	return fd;
+}
+
+/* The request is sent; its target answers it. */
+static void
+expect_sent(int fd)
+{
+	char *request;
+	struct target *t = target_get(&request);
+
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1") "0\r\n\r\n");
+	expect_answer(fd, "0\r\n\r\n");
+	close(t->fd);
+	t->fd = -1;
+	run_ms(5);
+}
+
+/* Guards against a part of prompts that terminates one target after the other,
+ * under requests that differ in all else. */
+static void
+test_part_blocked_after_three_terminations(void **state)
+{
+	static const char *const parts[] = { "a,p,1", "p,b,2", "a,b,P,3" };
+	struct target *t;
+	char path[8];
+	int fd, i;
+
+	world_open(3, make_config(SV_STREAM, 1, 3000));
+	for (i = 0; i < 3; i++) {
+		g_snprintf(path, sizeof(path), "/x/%d", i);
+		fd = send_with_parts(path, parts[i]);
+		t = terminate_under_request();
+		expect_answer(fd, "502 ");
+		fwd_target_terminated(w.fwd, tgt_find(w.set, t->id));
+		tgt_removed(w.set, t->id, false, now_us());
+	}
+	for (i = 0; i < 3; i++)
+		target_announce(&w.target[i], false, 0);
+	expect_answer(send_with_parts("/x/7", "c,p,4"), "503 ");
+	assert_false(target_is_called());
+	expect_sent(send_with_parts("/x/8", "a,b,5"));
+	/* The last part belongs to the request alone. */
+	expect_sent(send_with_parts("/x/9", "a,p"));
+}
+
+/* Guards against a part that is split over several headers, or that others have
+ * in front of it. */
+static void
+test_part_is_found_at_any_place(void **state)
+{
+	GString *many = g_string_new(NULL);
+	int i;
+
+	world_open(1, make_config(SV_STREAM, 1, 3000));
+	report_terminations_of(part("p"), 3);
+	expect_answer(
+	    send_with_parts("/x/1", "a,b\r\nT-Prefix: p\r\nT-Prefix: c"),
+	    "503 ");
+	for (i = 0; i < 60; i++)
+		g_string_append_printf(many, "%x,", i);
+	g_string_append(many, "p,own");
+	expect_answer(send_with_parts("/x/1", many->str), "503 ");
+	g_string_free(many, TRUE);
+	expect_sent(send_with_parts("/x/1", "a,,,x"));
+	expect_sent(send_with_parts("/x/1", ""));
+}
+
+/* Guards against refusing all callers that share a part, for terminations that
+ * it did not cause: it was answered just before. */
+static void
+test_answered_part_is_not_blocked(void **state)
+{
+	world_open(1, make_config(SV_STREAM, 1, 3000));
+	expect_sent(send_with_parts("/x/1", "a,b,1"));
+	report_terminations_of(part("a"), 5);
+	expect_sent(send_with_parts("/x/2", "a,b,2"));
+	/* Parts of which nothing is known are blocked. */
+	report_terminations_of(part("c"), 5);
+	expect_answer(send_with_parts("/x/3", "a,c,3"), "503 ");
+}
+
+/* Guards against clearing a request by an answer for which the target did no
+ * work: it says nothing on what the work does. */
+static void
+test_rejection_does_not_clear(void **state)
+{
+	char *request;
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_STREAM, 1, 3000));
+	report_terminations(1);
+	fd = send_path("/x/1");
+	t = target_get(&request);
+	g_free(request);
+	raw_send(t->fd,
+	    "HTTP/1.1 404 Not Found\r\nT-Id: q1\r\nT-Seal: s\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	expect_answer(fd, "404 ");
+	report_terminations(2);
+	expect_answer(send_path("/x/1"), "503 ");
+}
+
 /* Guards against a request that terminates one target after the other: it is
  * not sent a third time, and is refused at once when the caller retries. */
 static void
@@ -1192,6 +1318,10 @@
 		T(test_resumed_stream_is_recalled_before_its_weights_expire),
 		T(test_last_attempt_is_recalled_before_its_weights_expire),
 		T(test_recalled_earlier_from_another_region),
+		T(test_part_blocked_after_three_terminations),
+		T(test_part_is_found_at_any_place),
+		T(test_answered_part_is_not_blocked),
+		T(test_rejection_does_not_clear),
 		T(test_blocked_after_two_terminations),
 		T(test_copies_in_flight_are_recalled),
 		T(test_complete_answer_unblocks),
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -3,6 +3,7 @@
 #include "../http/loop.h"
 
 #include "common/common.h"
+#include "serve/fingerprint.h"
 #include "serve/suspect.h"
 
 #define S ((int64_t)G_USEC_PER_SEC)
@@ -51,7 +52,7 @@
 	struct sus_termination termination =
 	    termination_of(fingerprint, target, weight, at_us);
 
-	return sus_report(by, &termination);
+	return sus_report(by, &termination, at_us) == SUS_NEW;
 }
 
 static enum sus_verdict
@@ -168,11 +169,11 @@
 test_complete_answer_clears(void **state)
 {
 	report(s, 7, 1, SUS_UNANSWERED, T0);
-	assert_true(sus_answered(s, 7));
+	assert_true(sus_answered(s, 7, T0));
 	assert_int_equal(judge(7, T0 + S), SUS_NONE);
-	assert_false(sus_answered(s, 7));
+	assert_false(sus_answered(s, 7, T0));
 	cut(8, 1, SUS_UNANSWERED, T0); /* not published yet */
-	assert_false(sus_answered(s, 8));
+	assert_false(sus_answered(s, 8, T0));
 	/* The same, reported by another process. */
 	report(s, 9, 1, SUS_UNANSWERED, T0);
 	report(s, 9, 2, SUS_UNANSWERED, T0);
@@ -230,7 +231,7 @@
 	for (fingerprint = 100; fingerprint < 5000; fingerprint++)
 		report(s, fingerprint, 3, SUS_UNANSWERED, T0 + S);
 	assert_int_equal(judge(7, T0 + 2 * S), SUS_BLOCKED);
-	assert_int_equal(sus_count_blocked(s), 1);
+	assert_int_equal(sus_count_blocked(s, FPR_CONTENT), 1);
 	sus_blocked_terminations(s, confirmed);
 	assert_int_equal(confirmed->len, 2);
 	assert_int_equal(judge(100, T0 + 2 * S), SUS_NONE); /* evicted */
@@ -256,12 +257,161 @@
 	for (i = 0; i < confirmed->len; i++) {
 		termination =
 		    &g_array_index(confirmed, struct sus_termination, i);
-		assert_true(sus_report(other, termination));
+		assert_int_equal(
+		    sus_report(other, termination, T0 + 3 * S), SUS_NEW);
 	}
 	assert_true(blocked_until(other, 7, T0 + 200 * S) > T0 + 300 * S);
 	sus_free(other);
 }
 
+/* ------------------------------------------------------------------ */
+/* Parts of prompts                                                    */
+/* ------------------------------------------------------------------ */
+
+static uint64_t
+part(const char *id)
+{
+	return fpr_of_part(slice_str(id));
+}
+
+/* Reports terminations under the part, one second apart. */
+static void
+report_part(const char *id, uint64_t n, int64_t from_us)
+{
+	uint64_t i;
+
+	for (i = 0; i < n; i++)
+		report(s, part(id), 1 + i, SUS_UNANSWERED,
+		    from_us + (int64_t)i * S);
+}
+
+/* Guards against blocking a part as soon as a request: many more callers share
+ * it. */
+static void
+test_part_needs_three_terminations(void **state)
+{
+	report_part("p", 2, T0);
+	assert_int_equal(judge(part("p"), T0 + S), SUS_SUSPECT);
+	report_part("p", 3, T0);
+	assert_int_equal(judge(part("p"), T0 + 2 * S), SUS_BLOCKED);
+	assert_int_equal(judge(part("q"), T0 + 2 * S), SUS_NONE);
+}
+
+/* Guards against blocking a part in wide use when many targets terminate at
+ * once by no request's fault. */
+static void
+test_part_in_use_is_not_suspected(void **state)
+{
+	uint64_t target;
+
+	sus_answered(s, part("p"), T0);
+	for (target = 1; target <= 8; target++) {
+		cut(part("p"), target, SUS_UNANSWERED, T0 + 2 * S);
+		sus_target_terminated(s, target, T0 + 2 * S, confirmed);
+	}
+	assert_int_equal(confirmed->len, 0);
+	assert_int_equal(judge(part("p"), T0 + 2 * S), SUS_NONE);
+	assert_true(sus_is_empty(s));
+}
+
+/* Guards against trusting a part for long that was sound and is no more. */
+static void
+test_part_that_turns_bad_is_blocked(void **state)
+{
+	sus_answered(s, part("p"), T0);
+	report_part("p", 6, T0 + S); /* the first three do not count */
+	assert_int_equal(judge(part("p"), T0 + 6 * S), SUS_BLOCKED);
+}
+
+/* Guards against clearing a part by an answer from before the terminations. */
+static void
+test_old_answer_does_not_clear(void **state)
+{
+	report_part("p", 3, T0);
+	report(s, part("p"), 0, SUS_CLEARED, T0 - 4 * S);
+	assert_int_equal(judge(part("p"), T0 + 2 * S), SUS_BLOCKED);
+}
+
+/* Guards against a part that some processes know to be sound and others block:
+ * the former refute the report, and the refutation clears it everywhere. */
+static void
+test_report_is_refuted(void **state)
+{
+	struct sus_termination termination =
+	    termination_of(part("p"), 1, SUS_UNANSWERED, T0 + S);
+	struct sus *other = sus_new(2);
+	struct sus_termination refutation;
+
+	report_part("p", 3, T0);
+	sus_answered(other, part("p"), T0 + 2 * S);
+	assert_int_equal(
+	    sus_report(other, &termination, T0 + 3 * S), SUS_REFUTED);
+	/* Reports that arrive together are refuted once. */
+	assert_int_equal(
+	    sus_report(other, &termination, T0 + 3 * S), SUS_KNOWN);
+	assert_int_equal(
+	    sus_report(other, &termination, T0 + 4 * S), SUS_REFUTED);
+	refutation = sus_refutation(other, part("p"));
+	assert_int_equal(sus_report(s, &refutation, T0 + 4 * S), SUS_NEW);
+	assert_int_equal(judge(part("p"), T0 + 4 * S), SUS_NONE);
+	/* A repeated report of a process that does not know yet. */
+	report_part("p", 3, T0);
+	assert_int_equal(judge(part("p"), T0 + 4 * S), SUS_NONE);
+	sus_free(other);
+}
+
+/* Guards against blocking what was in flight beside a poison part: a termination
+ * has one cause. */
+static void
+test_blocked_part_explains_terminations(void **state)
+{
+	report_part("p", 3, T0);
+	report(s, 7, 1, SUS_UNANSWERED, T0);
+	report(s, 7, 2, SUS_UNANSWERED, T0 + S);
+	assert_int_equal(judge(7, T0 + 2 * S), SUS_SUSPECT);
+	/* The part explains only the first of these. */
+	report(s, 8, 2, SUS_UNANSWERED, T0 + S);
+	report(s, 8, 8, SUS_UNANSWERED, T0 + 2 * S);
+	assert_int_equal(judge(8, T0 + 2 * S), SUS_SUSPECT);
+	report(s, 8, 9, SUS_UNANSWERED, T0 + 2 * S);
+	assert_int_equal(judge(8, T0 + 2 * S), SUS_BLOCKED);
+	/* If the part is not at fault, it explains nothing. */
+	report(s, 9, 1, SUS_UNANSWERED, T0);
+	report(s, 9, 3, SUS_UNANSWERED, T0 + 2 * S);
+	assert_int_equal(judge(9, T0 + 2 * S), SUS_SUSPECT);
+	sus_answered(s, part("p"), T0 + 3 * S);
+	assert_int_equal(judge(9, T0 + 3 * S), SUS_BLOCKED);
+}
+
+/* Two parts that come together only: either may be at fault. */
+static void
+test_equal_evidence_explains_nothing(void **state)
+{
+	report_part("p", 3, T0);
+	report_part("q", 3, T0);
+	assert_int_equal(judge(part("p"), T0 + 2 * S), SUS_BLOCKED);
+	assert_int_equal(judge(part("q"), T0 + 2 * S), SUS_BLOCKED);
+	sus_answered(s, part("q"), T0 + 3 * S);
+	assert_int_equal(judge(part("p"), T0 + 3 * S), SUS_BLOCKED);
+	assert_int_equal(judge(part("q"), T0 + 3 * S), SUS_NONE);
+}
+
+/* Guards against a caller who evicts the evidence by requests of many parts. */
+static void
+test_flood_does_not_evict_evidence(void **state)
+{
+	char id[16];
+	unsigned int i;
+
+	report_part("p", 2, T0);
+	for (i = 0; i < 5000; i++) {
+		g_snprintf(id, sizeof(id), "%x", i);
+		report(s, part(id), 9, SUS_UNANSWERED, T0 + 3 * S);
+	}
+	report(s, part("p"), 3, SUS_UNANSWERED, T0 + 4 * S);
+	assert_int_equal(judge(part("p"), T0 + 4 * S), SUS_BLOCKED);
+}
+
 int
 main(void)
 {
@@ -278,6 +428,14 @@
 		TEST(test_gateways_probe_at_different_times),
 		TEST(test_blocked_requests_are_not_evicted),
 		TEST(test_published_terminations_block_elsewhere),
+		TEST(test_part_needs_three_terminations),
+		TEST(test_part_in_use_is_not_suspected),
+		TEST(test_part_that_turns_bad_is_blocked),
+		TEST(test_old_answer_does_not_clear),
+		TEST(test_report_is_refuted),
+		TEST(test_blocked_part_explains_terminations),
+		TEST(test_equal_evidence_explains_nothing),
+		TEST(test_flood_does_not_evict_evidence),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/serve/world.h
+++ b/tests/serve/world.h
@@ -15,6 +15,23 @@
 #define MODEL "m"
 #define TARGETS 3
 
+/* Each id but the last one, which belongs to the request. */
+static inline size_t
+find_parts(struct slice value, struct slice *ids_out, size_t max)
+{
+	const uint8_t *at = value.data, *end = value.data + value.len, *comma;
+	size_t n = 0;
+
+	while (n < max && at < end) {
+		comma = memchr(at, ',', (size_t)(end - at));
+		if (comma == NULL)
+			break;
+		ids_out[n++] = (struct slice){ at, (size_t)(comma - at) };
+		at = comma + 1;
+	}
+	return n;
+}
+
 static const struct sv_dialect dialect = {
 	.header = {
 	    [SV_F_REQUEST_ID] = "T-Id",
@@ -39,6 +56,7 @@
 	    [SV_F_WEIGHTS] = "T-Weights",
 	},
 	.key_scheme = "Bearer ",
+	.shared_parts = find_parts,
 };
 
 /* A target: a listening socket; the test writes its answers. */
