--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -9,7 +9,8 @@
 # seed 200 on, two requests terminate the engines that run them; from seed 400
 # on, engines announce that they stop or when to retry; from seed 600 on, the
 # store comes back from older copies, settings change and engines announce their
-# stop in their records. The last line begins with `soak: kept` or
+# stop in their records; from seed 800 on, two parts of prompts terminate
+# engines, too, and engines terminate by no request. The last line begins with `soak: kept` or
 # `soak: BROKEN`; logs stay in BUILD/stage-soak-SEED.
 set -u
 BUILD=$1
@@ -129,6 +130,7 @@
 "$BUILD/tests/fleet/fleet" --engines 6 --empty 1 --gateways "$gateways" \
     --rate 60 --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --net "$NET" --faults 1 \
     --poison $((SEED >= 200 ? 4 : 0)) --poisons 2 --poison-judged 0 \
+    --poison-parts $((SEED >= 800 ? 2 : 0)) --end-gap-ms $((SEED >= 800 ? 2500 : 0)) \
     --broken 12 \
     --notices $((SEED >= 400)) --notices-judged 0 --drills $((SEED >= 600)) \
     >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
@@ -149,6 +151,6 @@
 	cat "$STAGE/$broken"
 	status=1
 done
-grep '^crashing' "$STAGE/fleet.out"
+grep -E '^(crashing|sound)' "$STAGE/fleet.out"
 sed -n 's/^fleet: /soak: /p' "$STAGE/fleet.out"
 exit $status
