--- a/tests/standin/engine_answer.c
+++ b/tests/standin/engine_answer.c
@@ -79,6 +79,9 @@
 		g_strlcpy(run->expected_digest, expected_digest,
 		    sizeof(run->expected_digest));
 	read_prompt(run, body);
+	run->crashes = b->crash_on != NULL &&
+	    strstr(soup_server_message_get_request_body(msg)->data,
+		b->crash_on) != NULL;
 	json_object_unref(body);
 	if (run->id == NULL || run->max_tokens < 1) {
 		reply_not_run(msg, 400, "bad request id or max_tokens");
--- a/tests/standin/engine_run.c
+++ b/tests/standin/engine_run.c
@@ -1,9 +1,12 @@
 /* The engine's continuous batching: slots, steps, queue, cancel, resume. */
 
 #include <string.h>
+#include <unistd.h>
 
 #include "standin/engine_run.h"
 
+#define CRASH_STATUS 9
+
 /* ------------------------------------------------------------------ */
 /* Reports                                                             */
 /* ------------------------------------------------------------------ */
@@ -157,6 +160,8 @@
 		run_end(run, RUN_CANCELLED);
 	} else if (run->prefill_left > 0) {
 		prefill(run, budget);
+	} else if (run->crashes) {
+		_exit(CRASH_STATUS);
 	} else if (++run->tokens < run->max_tokens) {
 		if (run->stream)
 			run_send(run);
@@ -400,6 +405,11 @@
 	member_int_into(body, "break_in_event", &b->break_in_event);
 	if (member_bool(body, "drop_streams", false))
 		drop_streams(b);
+	if (json_object_has_member(body, "crash_on")) {
+		g_free(b->crash_on);
+		b->crash_on =
+		    g_strdup(json_object_get_string_member(body, "crash_on"));
+	}
 }
 
 static const char *
@@ -494,5 +504,6 @@
 	while (!STAILQ_EMPTY(&b->snapshots))
 		drop_snapshot(b);
 	g_hash_table_destroy(b->by_id);
+	g_free(b->crash_on);
 	g_free(b);
 }
--- a/tests/standin/engine_run.h
+++ b/tests/standin/engine_run.h
@@ -23,6 +23,7 @@
 	int64_t priority; /* 0 is most urgent */
 	bool stream;
 	bool breaks; /* in the middle of an event, after BREAK_TOKENS */
+	bool crashes; /* terminates the engine with its first token */
 	/* Digest required by the request; "": any. */
 	char expected_digest[DIGEST_HEX];
 	char digest[DIGEST_HEX]; /* loaded when the run started */
@@ -67,6 +68,7 @@
 	/* Faults of the next streams: how many have no framing, and how many
 	 * end their body in order in the middle of an event. */
 	int64_t unframed, break_in_event;
+	char *crash_on; /* a request with this text crashes; NULL: none */
 };
 
 /* Parses and validates a chat request; if it is invalid, answers it and
