entry, side: Block requests that terminate engine after engine on the own interface

One plain request to a model ended four engines, an attempt each, and the next one at another entry the rest: entries learnt nothing from an engine that ended but to avoid that engine. The class is that of the platform's gateways, which had their answer to it (lib/serve/suspect.h) and shared it with nobody.

Entries now use the same mechanism, with the content of a request and each message of its prompt but the last as identities. A sidecar asks its engine at once when a request broke off, so the report that it is gone comes within milliseconds instead of up to a second. Entries send terminations to each other, and what is blocked to one that starts.

--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -189,9 +189,12 @@
 	char *workspace, *model; /* "model" is WORKSPACE/MODEL */
 	bool streamed;
 	uint64_t prefix;
+	GArray *parts; /* of uint64_t, fingerprints; NULL: none were read */
 	unsigned int tokens;
 };
 
+#define PARTS_MAX 64 /* of a prompt; further messages are ignored */
+
 static void
 read_content(JsonArray *messages, guint i, JsonNode *item, gpointer prefix)
 {
@@ -205,6 +208,43 @@
 		rt_prefix_add(prefix, content);
 }
 
+static void
+read_part(JsonArray *messages, guint i, JsonNode *item, gpointer data)
+{
+	GArray *parts = data;
+	const char *content = NULL;
+	struct digest digest;
+	char hex[DIGEST_HEX];
+	uint64_t part;
+
+	if (JSON_NODE_HOLDS_OBJECT(item))
+		content = json_object_get_string_member_with_default(
+		    json_node_get_object(item), "content", NULL);
+	if (content == NULL || parts->len == PARTS_MAX)
+		return;
+	digest_of(content, strlen(content), &digest);
+	digest_to_hex(&digest, hex);
+	part = fpr_of_part(slice_str(hex));
+	g_array_append_val(parts, part);
+}
+
+/* All messages but the last, which belongs to the request. */
+static GArray *
+read_parts(JsonObject *o)
+{
+	JsonNode *messages = json_object_get_member(o, "messages");
+	GArray *parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	JsonArray *list;
+	guint i;
+
+	if (messages == NULL || !JSON_NODE_HOLDS_ARRAY(messages))
+		return parts;
+	list = json_node_get_array(messages);
+	for (i = 0; i + 1 < json_array_get_length(list); i++)
+		read_part(list, i, json_array_get_element(list, i), parts);
+	return parts;
+}
+
 static uint64_t
 read_prefix(JsonObject *o)
 {
@@ -251,6 +291,7 @@
 		chat->streamed = json_object_get_boolean_member_with_default(
 		    o, "stream", FALSE);
 		chat->prefix = read_prefix(o);
+		chat->parts = read_parts(o);
 		chat->tokens =
 		    (unsigned int)CLAMP(json_object_get_int_member_with_default(
 					    o, "max_tokens", TOKENS_DEFAULT),
@@ -273,6 +314,8 @@
 		.path = "/v1/chat/completions",
 		.streamed = chat->streamed,
 		.prefix = chat->prefix,
+		.parts = (const uint64_t *)(void *)chat->parts->data,
+		.nparts = chat->parts->len,
 		.tokens = chat->tokens,
 	};
 
@@ -311,6 +354,8 @@
 		start_chat(entry, message, &chat, &err);
 	if (err_is(&err))
 		refuse(entry, message, &err);
+	if (chat.parts != NULL)
+		g_array_unref(chat.parts);
 	g_free(chat.workspace);
 	g_free(chat.model);
 }
--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -13,6 +13,7 @@
 #include "route/admit.h"
 #include "route/limit.h"
 #include "route/route.h"
+#include "serve/suspect.h"
 #include "shared/proc.h"
 #include "weights/weights.h"
 
@@ -74,6 +75,7 @@
 	uint64_t next_request;
 	uint32_t run_id; /* random; ids must differ after a restart */
 	unsigned int open_requests;
+	struct sus *suspects;
 	GHashTable *leaders; /* workspace name -> struct rollout_leader */
 	guint leader_idle;
 	bool leaving; /* a planned stop is under way */
@@ -110,6 +112,9 @@
 	unsigned int deadline_ms;
 	unsigned int priority;
 	uint64_t prefix; /* hash of the prompt's first bytes; 0: none */
+	/* Fingerprints of the messages that other prompts may share. */
+	const uint64_t *parts;
+	size_t nparts;
 	unsigned int tokens; /* requested; 0: not a request to a model */
 };
 /* Returns false when the request is refused before it starts; `err` is then to
@@ -123,6 +128,21 @@
 void request_end(struct request *r, const struct err *err);
 /* The target of the current attempt. */
 struct rt_target *request_target(const struct request *r);
+/* Cancels an attempt whose answer has not begun, and ends the request. */
+void request_recall(struct request *r);
+
+/* suspects.c: requests under which engines terminated */
+void suspects_open(struct entry *entry);
+/* Whether the request must not be sent now; `err` then says until when. */
+bool suspects_block(struct request *r, struct err *err);
+/* The attempt was cut off by its target, which had a complete answer or not. */
+void suspects_note_cut(struct request *r);
+void suspects_note_answered(struct request *r);
+void suspects_target_terminated(struct entry *entry, const struct rt_target *t);
+/* Sends all that is blocked to a gateway that may have started just now. */
+void suspects_send_blocked(struct entry *entry, const char *to);
+/* SIDE_TERMINATIONS from another gateway. */
+void suspects_message(struct entry *entry, const struct msg *m);
 
 /* peers.c: connections to the other gateways. */
 void peers_member_changed(struct entry *entry, const struct mem_member *member);
--- a/programs/entry/peers.c
+++ b/programs/entry/peers.c
@@ -43,6 +43,14 @@
 	return G_SOURCE_REMOVE;
 }
 
+static void
+on_opened(struct conn *c, void *ctx)
+{
+	struct entry_peer *p = ctx;
+
+	suspects_send_blocked(p->entry, p->id);
+}
+
 static void
 on_message(struct conn *c, const struct msg *m, void *ctx)
 {
@@ -60,6 +68,7 @@
 }
 
 static const struct conn_ops peer_ops = {
+	.opened = on_opened,
 	.message = on_message,
 	.closed = on_closed,
 };
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -72,10 +72,8 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* No target: refuses the attempt from the main loop, because the state machine
- * takes no event within a step. */
 static void
-refuse_later(struct request *r, int64_t backoff_ends_us)
+set_no_target(struct request *r, int64_t backoff_ends_us)
 {
 	int64_t backoff_us = backoff_ends_us - clk_now_us(clk_system());
 
@@ -85,6 +83,13 @@
 	if (backoff_us > 0)
 		r->last_err.retry_after_ms =
 		    (unsigned int)(backoff_us / 1000 + 1);
+}
+
+/* Refuses the attempt with `last_err` from the main loop, because the state
+ * machine takes no event within a step. */
+static void
+refuse_later(struct request *r)
+{
 	r->att.facts.max_attempts = r->att.facts.attempts;
 	r->event = ATT_REFUSED;
 	r->event_idle =
@@ -161,10 +166,16 @@
 {
 	struct request *r = ctx;
 	int64_t backoff_ends_us;
-	struct rt_target *target = choose_target(r, &backoff_ends_us);
+	struct rt_target *target;
 
+	if (suspects_block(r, &r->last_err)) {
+		refuse_later(r);
+		return;
+	}
+	target = choose_target(r, &backoff_ends_us);
 	if (target == NULL) {
-		refuse_later(r, backoff_ends_us);
+		set_no_target(r, backoff_ends_us);
+		refuse_later(r);
 		return;
 	}
 	r->tried[r->att.facts.attempts++] = target;
@@ -173,6 +184,7 @@
 	r->stream = (int64_t)++r->entry->next_stream;
 	r->sent_us = clk_now_us(clk_system());
 	r->responded = false;
+	r->answering = false;
 	rt_target_sent(target, r->sent_us);
 	rt_fleet_prefix_sent(r->entry->fleet, target, r->prefix, r->sent_us);
 	g_hash_table_insert(r->sidecar->streams, &r->stream, r);
@@ -273,6 +285,7 @@
 request_data(struct request *r, const uint8_t *bytes, size_t len)
 {
 	note_response(r);
+	r->answering = true;
 	if (r->answer_hash != NULL)
 		digest_stream_add(r->answer_hash, bytes, len);
 	if (body_add(r, bytes, len))
@@ -283,6 +296,33 @@
 	request_step(r, ATT_LOST);
 }
 
+void
+request_recall(struct request *r)
+{
+	if (r->answering || !r->att.facts.idempotent)
+		return;
+	err_set(&r->last_err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN,
+	    "recalled: engines terminated under this request");
+	r->att.facts.max_attempts = r->att.facts.attempts;
+	op_cancel(r);
+	request_step(r, ATT_LOST);
+}
+
+/* The end of an attempt is evidence for or against the request. A connection to
+ * a sidecar that closes says nothing of the engine. */
+static void
+note_evidence(struct request *r, const struct err *err)
+{
+	if (r->sidecar == NULL || !r->sidecar->open)
+		return;
+	if (err_is(err)) {
+		if (err->code == ERR_UNAVAILABLE &&
+		    err->verdict == VERDICT_MAY_HAVE_RUN)
+			suspects_note_cut(r);
+	} else if (r->head.status >= 200 && r->head.status < 300)
+		suspects_note_answered(r);
+}
+
 void
 request_end(struct request *r, const struct err *result)
 {
@@ -292,6 +332,7 @@
 	if (!err_is(result) && !body_is_complete(r))
 		err_set(&err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN,
 		    "the answer broke off");
+	note_evidence(r, &err);
 	end_attempt(r, &err);
 	if (!err_is(&err) && err.verdict == VERDICT_RAN) {
 		r->outcome = ADM_ANSWERED;
@@ -410,6 +451,11 @@
 	    gatekeeper_queue(r->entry, r->workspace, r->model, r->service);
 	int64_t now_us = clk_now_us(clk_system());
 
+	if (suspects_block(r, &r->last_err)) {
+		request_step(r, ATT_REFUSED);
+		return;
+	}
+
 	r->ticket.priority = r->priority;
 	r->ticket.cost = tokens;
 	r->ticket.deadline_us = r->deadline_us;
@@ -479,6 +525,7 @@
 	g_free(r->headers);
 	g_free(r->key);
 	g_free(r->claimant);
+	g_free(r->parts);
 	g_free(r);
 }
 
@@ -533,6 +580,9 @@
 	r->streamed = params->streamed;
 	r->priority = params->priority;
 	r->prefix = params->prefix;
+	r->parts =
+	    g_memdup2(params->parts, params->nparts * sizeof(params->parts[0]));
+	r->nparts = params->nparts;
 	r->buffer = g_byte_array_new();
 	r->held_back = g_byte_array_new();
 	r->outcome = ADM_OTHER;
--- a/programs/entry/request.h
+++ b/programs/entry/request.h
@@ -26,6 +26,9 @@
 	unsigned int stall_ms;
 	unsigned int priority;
 	uint64_t prefix; /* hash of the prompt's first bytes; 0: none */
+	uint64_t content; /* fingerprint; 0: not computed yet */
+	uint64_t *parts; /* fingerprints of messages */
+	size_t nparts;
 	int64_t deadline_us;
 	guint deadline_timer;
 	guint event_idle; /* raises `event` outside of a step */
@@ -42,6 +45,7 @@
 	int64_t stream;
 	int64_t sent_us;
 	bool responded; /* the target sent a head or data */
+	bool answering; /* the target sent data */
 	const struct rt_target *tried[MAX_ATTEMPTS];
 
 	/* The answer. */
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "entry/entry.h"
+#include "serve/side.h"
 #include "shared/http.h"
 
 /* Connections that may wait for accept. GLib's default of 10 overflows when a
@@ -62,6 +63,8 @@
 		claims_message(entry, conn_peer(c), m);
 	else if (m->type == RT_CLAIM_ANSWER)
 		claim_answer_message(entry, m);
+	else if (m->type == SIDE_TERMINATIONS)
+		suspects_message(entry, m);
 	else if (!agr_message(entry->proc.agr, c, m))
 		ctr_add(
 		    ctr_get(entry->proc.counters, "entry_unknown_messages"), 1);
@@ -244,6 +247,7 @@
 	entry->leaders = g_hash_table_new(g_str_hash, g_str_equal);
 	random_bytes(&seed, sizeof(seed));
 	rng_seed(&entry->rng, seed);
+	suspects_open(entry);
 	entry->run_id = (uint32_t)rng_next(&entry->rng);
 	entry->attempts =
 	    att_chart_load(cfg_str(entry->proc.cfg, "node.charts"), err);
--- a/programs/entry/sides.c
+++ b/programs/entry/sides.c
@@ -54,6 +54,7 @@
 	struct rt_target_msg report;
 	struct rt_target *t;
 	char name[RT_NAME_MAX + 1];
+	bool has_terminated;
 
 	if (!msg_read(m, &rt_target_desc, &report, NULL))
 		return;
@@ -71,6 +72,9 @@
 	copy_slice(t->workspace, sizeof(t->workspace), report.workspace);
 	copy_slice(t->pool, sizeof(t->pool), report.pool);
 	copy_slice(t->service, sizeof(t->service), report.service);
+	/* An engine that answers has weights, or an order loads them. */
+	has_terminated = t->kind == RT_ENGINE && t->reachable &&
+	    !digest_is_none(&t->loaded) && digest_is_none(&report.loaded);
 	t->loaded = report.loaded;
 	t->slots = (unsigned int)report.slots;
 	t->reachable = true;
@@ -80,6 +84,8 @@
 	rt_fleet_update(sidecar->entry->fleet, t);
 	rt_target_reported(
 	    t, (unsigned int)report.running, clk_now_us(clk_system()));
+	if (has_terminated)
+		suspects_target_terminated(sidecar->entry, t);
 	gatekeeper_target_changed(sidecar->entry, t);
 	leader_wake(sidecar->entry);
 }
--- a/programs/side/door.c
+++ b/programs/side/door.c
@@ -145,6 +145,9 @@
 	    1);
 	if (s->peer != NULL)
 		send_end(s->peer, (uint64_t)s->number, s->target, &out);
+	/* Gateways need to know at once whether the engine terminated. */
+	if (out.code == ERR_UNAVAILABLE)
+		targets_poll(s->target->side);
 	free_stream(s);
 }
 
