serve: Count targets that terminate at once as one against a part

Two ways in which an innocent part could be held, found by reading: - After a loss of power all engines come back, and are lost again before the first answer. A part in wide use is then in flight at many terminated targets without an answer in the last three seconds. Targets that terminate within 0.1 s have a cause in common and now count once against a part; of such a group one termination is kept when there are more than fit. - Where all answers end with their connections, none spoke for a part, as a target that terminates closes its connections, too. Such an answer now counts once its target is known to have lived on for a second.

Contents are judged as before. Tests: test_terminations_at_once_count_once, test_closed_answer_counts_if_target_lives and the one after it; the first two fail without the change.

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -253,8 +253,7 @@
 		attempt_ended(r, FLOW_LOST);
 	} else {
 		tgt_outcome(r->target, TGT_ANSWERED, fwd_now(r));
-		/* A target that terminates closes its connections, too. */
-		if (r->framing != HFRAMING_CLOSE && is_success(r))
+		if (is_success(r))
 			fwd_note_answered(r);
 		fwd_answer_complete(r);
 	}
--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -103,21 +103,31 @@
 }
 
 static void
-note_identity_answered(struct fwd *f, uint64_t fingerprint)
+log_cleared(uint64_t fingerprint)
 {
-	struct sus_termination cleared = {
-		.fingerprint = fingerprint,
-		.weight = SUS_CLEARED,
-		.at_us = evl_now_us(f->conf.loop),
-	};
+	evt(EVT_SUSPECT, "%s=%016" G_GINT64_MODIFIER "x outcome=cleared",
+	    fpr_kind_name(fingerprint), fingerprint);
+}
+
+/* A target that terminates closes its connections, too. */
+static void
+note_identity_answered(struct fwd_req *r, uint64_t fingerprint)
+{
+	struct fwd *f = r->fwd;
 	bool was_blocked = sus_was_blocked(f->suspects, fingerprint);
+	struct sus_termination cleared = { .fingerprint = fingerprint,
+		.weight = SUS_CLEARED,
+		.at_us = fwd_now(r) };
 
+	if (r->framing == HFRAMING_CLOSE) {
+		sus_closed(f->suspects, fingerprint, target_hash(r->target),
+		    cleared.at_us);
+		return;
+	}
 	if (!sus_answered(f->suspects, fingerprint, cleared.at_us))
 		return;
 	if (was_blocked)
-		evt(EVT_SUSPECT,
-		    "%s=%016" G_GINT64_MODIFIER "x outcome=cleared",
-		    fpr_kind_name(fingerprint), fingerprint);
+		log_cleared(fingerprint);
 	publish(f, &cleared, 1);
 }
 
@@ -131,9 +141,9 @@
 
 	fwd_read_parts(r);
 	for (i = 0; i < r->nparts; i++)
-		note_identity_answered(r->fwd, r->parts[i]);
+		note_identity_answered(r, r->parts[i]);
 	if (is_suspected)
-		note_identity_answered(r->fwd, fwd_content(r));
+		note_identity_answered(r, fwd_content(r));
 }
 
 /* ------------------------------------------------------------------ */
@@ -250,5 +260,11 @@
 void
 fwd_sweep(struct fwd *f)
 {
-	sus_sweep(f->suspects, evl_now_us(f->conf.loop));
+	GArray *cleared =
+	    g_array_new(FALSE, FALSE, sizeof(struct sus_termination));
+
+	sus_sweep(f->suspects, evl_now_us(f->conf.loop), cleared);
+	publish(f, (const struct sus_termination *)(void *)cleared->data,
+	    cleared->len);
+	g_array_unref(cleared);
 }
--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -6,9 +6,10 @@
 #include "serve/suspect.h"
 
 #define SUSPECTS_MAX 2048
-#define TERMINATIONS_MAX 8 /* of an identity; the oldest is dropped first */
-#define ENDED_TARGETS_MAX 32 /* recently terminated targets */
+#define TERMINATIONS_MAX 8 /* of an identity */
+#define ENDED_TARGETS_MAX 256 /* recently terminated targets */
 #define ANSWERS_MAX 4096
+#define CLOSED_MAX 4096
 
 /* A cut-off counts this long while it is not known whether its target
  * terminated. The target's sidecar detects that within 0.1 s. */
@@ -35,6 +36,9 @@
 	int64_t block_us[BLOCK_STEPS];
 	/* Terminations this long after a complete answer do not count. */
 	int64_t trust_us;
+	/* Targets that terminate within this time count as one: they have a
+	 * cause in common, such as a loss of power. */
+	int64_t same_cause_us;
 };
 
 /*
@@ -47,7 +51,8 @@
 	    .block_us = { 10 * S, 300 * S, 3600 * S, 24 * 3600 * S } },
 	[FPR_PART] = { .block_weight = 3 * SUS_UNANSWERED,
 	    .block_us = { 10 * S, 60 * S, 600 * S, 24 * 3600 * S },
-	    .trust_us = 3 * S },
+	    .trust_us = 3 * S,
+	    .same_cause_us = 100000 },
 };
 
 struct termination {
@@ -72,6 +77,13 @@
 	int64_t refuted_us; /* last time that a report was refuted; 0: never */
 };
 
+/* An answer that ended with its connection, by a target that may have
+ * terminated. */
+struct closed_answer {
+	uint64_t fingerprint, target;
+	int64_t at_us;
+};
+
 struct ended_target {
 	uint64_t target;
 	int64_t at_us;
@@ -81,6 +93,7 @@
 	uint64_t seed;
 	GHashTable *suspects; /* fingerprint -> struct suspect */
 	GHashTable *answers; /* fingerprint -> struct answer */
+	GArray *closed; /* struct closed_answer, oldest first */
 	struct ended_target ended_targets[ENDED_TARGETS_MAX]; /* ring buffer */
 	unsigned int next_ended;
 };
@@ -95,6 +108,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	s->answers =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	s->closed = g_array_new(FALSE, FALSE, sizeof(struct closed_answer));
 	return s;
 }
 
@@ -105,6 +119,7 @@
 		return;
 	g_hash_table_unref(s->suspects);
 	g_hash_table_unref(s->answers);
+	g_array_unref(s->closed);
 	g_free(s);
 }
 
@@ -179,31 +194,61 @@
 /* Evidence against a request                                          */
 /* ------------------------------------------------------------------ */
 
-static unsigned int
-confirmed_weight(const struct suspect *sp)
+/* Selects terminations of a suspect. */
+typedef bool filter(const struct sus *s, const struct suspect *sp,
+    const struct termination *t, int64_t now_us);
+
+static bool
+is_confirmed(const struct sus *s, const struct suspect *sp,
+    const struct termination *t, int64_t now_us)
 {
-	unsigned int weight = 0, i;
+	return t->confirmed;
+}
 
-	for (i = 0; i < sp->nterminations; i++)
-		weight += sp->terminations[i].confirmed
-		    ? sp->terminations[i].weight
-		    : 0;
-	return weight;
+/* One with the same cause is counted: an earlier one of at least its weight, or
+ * a later one of greater weight. */
+static bool
+is_counted_by_other(const struct sus *s, const struct suspect *sp,
+    const struct termination *t, filter *select, int64_t now_us)
+{
+	int64_t same_cause_us = policy_of(sp->fingerprint)->same_cause_us;
+	const struct termination *other;
+	unsigned int i;
+
+	for (i = 0; i < sp->nterminations; i++) {
+		other = &sp->terminations[i];
+		if (other == t || ABS(other->at_us - t->at_us) >= same_cause_us)
+			continue;
+		if ((other->weight > t->weight ||
+			(other->weight == t->weight && other < t)) &&
+		    select(s, sp, other, now_us))
+			return true;
+	}
+	return false;
 }
 
 static unsigned int
-pending_weight(const struct suspect *sp, int64_t now_us)
+sum_weights(const struct sus *s, const struct suspect *sp, filter *select,
+    int64_t now_us)
 {
+	const struct termination *t;
 	unsigned int weight = 0, i;
 
 	for (i = 0; i < sp->nterminations; i++) {
-		if (!sp->terminations[i].confirmed &&
-		    now_us - sp->terminations[i].at_us < PENDING_US)
-			weight += sp->terminations[i].weight;
+		t = &sp->terminations[i];
+		if (select(s, sp, t, now_us) &&
+		    !is_counted_by_other(s, sp, t, select, now_us))
+			weight += t->weight;
 	}
 	return weight;
 }
 
+static unsigned int
+confirmed_weight(const struct sus *s, const struct suspect *sp)
+{
+	return sum_weights(s, sp, is_confirmed, 0);
+}
+
 /* Differs between gateways, so that they probe at different times: requests
  * that reach several gateways at once would otherwise all be sent. */
 static int64_t
@@ -223,7 +268,7 @@
 static void
 block_if_confirmed(const struct sus *s, struct suspect *sp)
 {
-	unsigned int weight = confirmed_weight(sp);
+	unsigned int weight = confirmed_weight(s, sp);
 
 	if (weight >= policy_of(sp->fingerprint)->block_weight)
 		sp->blocked_until_us = MAX(sp->blocked_until_us,
@@ -241,12 +286,13 @@
 }
 
 static bool
-is_less_suspect(const struct suspect *a, const struct suspect *b)
+is_less_suspect(
+    const struct sus *s, const struct suspect *a, const struct suspect *b)
 {
 	bool a_blocked = a->blocked_until_us != 0,
 	     b_blocked = b->blocked_until_us != 0;
-	unsigned int a_weight = confirmed_weight(a),
-		     b_weight = confirmed_weight(b);
+	unsigned int a_weight = confirmed_weight(s, a),
+		     b_weight = confirmed_weight(s, b);
 
 	if (a_blocked != b_blocked)
 		return b_blocked;
@@ -266,7 +312,7 @@
 	g_hash_table_iter_init(&iter, s->suspects);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		sp = value;
-		if (least == NULL || is_less_suspect(sp, least))
+		if (least == NULL || is_less_suspect(s, sp, least))
 			least = sp;
 	}
 	g_hash_table_remove(s->suspects, &least->fingerprint);
@@ -307,6 +353,20 @@
 	    (sp->nterminations - i) * sizeof(sp->terminations[0]));
 }
 
+/* One that does not count beside another, or the oldest. */
+static unsigned int
+least_informative(const struct sus *s, const struct suspect *sp)
+{
+	unsigned int i;
+
+	for (i = 0; i < sp->nterminations; i++) {
+		if (is_counted_by_other(
+			s, sp, &sp->terminations[i], is_confirmed, 0))
+			return i;
+	}
+	return 0;
+}
+
 /* Returns true if it is new, now confirmed, or of greater weight. */
 static bool
 add_termination(
@@ -322,7 +382,7 @@
 	known = find_termination(sp, termination->target, termination->at_us);
 	if (known == NULL) {
 		if (sp->nterminations == TERMINATIONS_MAX)
-			remove_termination(sp, 0);
+			remove_termination(sp, least_informative(s, sp));
 		known = &sp->terminations[sp->nterminations++];
 		*known = (struct termination){ .target = termination->target,
 			.at_us = termination->at_us };
@@ -340,15 +400,16 @@
 /* Events                                                              */
 /* ------------------------------------------------------------------ */
 
+/* About that time. */
 static bool
-has_terminated(const struct sus *s, uint64_t target, int64_t now_us)
+has_terminated(const struct sus *s, uint64_t target, int64_t at_us)
 {
 	unsigned int i;
 
 	for (i = 0; i < ENDED_TARGETS_MAX; i++) {
 		if (s->ended_targets[i].target == target &&
 		    s->ended_targets[i].at_us != 0 &&
-		    now_us - s->ended_targets[i].at_us < CONFIRM_US)
+		    ABS(at_us - s->ended_targets[i].at_us) < CONFIRM_US)
 			return true;
 	}
 	return false;
@@ -435,6 +496,37 @@
 	return clear(s, fingerprint, now_us);
 }
 
+void
+sus_closed(struct sus *s, uint64_t fingerprint, uint64_t target, int64_t now_us)
+{
+	struct closed_answer closed = { fingerprint, target, now_us };
+
+	if (s->closed->len < CLOSED_MAX)
+		g_array_append_val(s->closed, closed);
+}
+
+/* Appends the closed answers of targets that have not terminated since. */
+static void
+accept_closed(struct sus *s, int64_t now_us, GArray *cleared)
+{
+	const struct closed_answer *closed;
+	struct sus_termination clear_one = { .weight = SUS_CLEARED };
+	guint i;
+
+	for (i = 0; i < s->closed->len; i++) {
+		closed = &g_array_index(s->closed, struct closed_answer, i);
+		if (now_us - closed->at_us < CONFIRM_US)
+			break;
+		if (has_terminated(s, closed->target, closed->at_us))
+			continue;
+		clear_one.fingerprint = closed->fingerprint;
+		clear_one.at_us = closed->at_us;
+		if (sus_answered(s, closed->fingerprint, closed->at_us))
+			g_array_append_val(cleared, clear_one);
+	}
+	g_array_remove_range(s->closed, 0, i);
+}
+
 /* Several processes report the same; one refutation in a while is enough. */
 static bool
 may_refute(struct sus *s, uint64_t fingerprint, int64_t now_us)
@@ -479,11 +571,11 @@
 /* ------------------------------------------------------------------ */
 
 static bool
-is_explained_by(struct suspect *other, const struct suspect *sp,
-    const struct termination *termination)
+is_explained_by(const struct sus *s, struct suspect *other,
+    const struct suspect *sp, const struct termination *termination)
 {
 	return other != sp && other->blocked_until_us != 0 &&
-	    confirmed_weight(other) > confirmed_weight(sp) &&
+	    confirmed_weight(s, other) > confirmed_weight(s, sp) &&
 	    find_termination(other, termination->target, termination->at_us) !=
 	    NULL;
 }
@@ -497,51 +589,58 @@
 
 	g_hash_table_iter_init(&iter, s->suspects);
 	while (g_hash_table_iter_next(&iter, NULL, &other)) {
-		if (is_explained_by(other, sp, termination))
+		if (is_explained_by(s, other, sp, termination))
 			return true;
 	}
 	return false;
 }
 
-/* Sum of the weights for which no other blocked identity is at fault. */
-static unsigned int
-unexplained_weight(const struct sus *s, const struct suspect *sp)
+/* No other blocked identity is at fault. */
+static bool
+is_unexplained(const struct sus *s, const struct suspect *sp,
+    const struct termination *t, int64_t now_us)
 {
-	unsigned int weight = 0, i;
+	return t->confirmed && !is_explained(s, sp, t);
+}
 
-	for (i = 0; i < sp->nterminations; i++) {
-		if (sp->terminations[i].confirmed &&
-		    !is_explained(s, sp, &sp->terminations[i]))
-			weight += sp->terminations[i].weight;
-	}
-	return weight;
+/* The same, and cut-offs whose targets may have terminated. */
+static bool
+is_unexplained_or_pending(const struct sus *s, const struct suspect *sp,
+    const struct termination *t, int64_t now_us)
+{
+	return t->confirmed ? is_unexplained(s, sp, t, now_us)
+			    : now_us - t->at_us < PENDING_US;
 }
 
 static bool
-is_blocked_now(const struct sus *s, const struct suspect *sp, int64_t now_us)
+has_pending(const struct suspect *sp, int64_t now_us)
 {
-	return sp->blocked_until_us > now_us &&
-	    unexplained_weight(s, sp) >=
-	    policy_of(sp->fingerprint)->block_weight;
+	unsigned int i;
+
+	for (i = 0; i < sp->nterminations; i++) {
+		if (!sp->terminations[i].confirmed &&
+		    now_us - sp->terminations[i].at_us < PENDING_US)
+			return true;
+	}
+	return false;
 }
 
 enum sus_verdict
 sus_judge(
     struct sus *s, uint64_t fingerprint, int64_t now_us, int64_t *until_us)
 {
+	unsigned int limit = policy_of(fingerprint)->block_weight;
 	const struct suspect *sp = find(s, fingerprint);
-	unsigned int pending;
 
 	if (sp == NULL)
 		return SUS_NONE;
-	if (is_blocked_now(s, sp, now_us)) {
+	if (sp->blocked_until_us > now_us &&
+	    sum_weights(s, sp, is_unexplained, now_us) >= limit) {
 		*until_us = sp->blocked_until_us;
 		return SUS_BLOCKED;
 	}
-	pending = pending_weight(sp, now_us);
-	if (pending > 0 &&
-	    unexplained_weight(s, sp) + pending >=
-		policy_of(fingerprint)->block_weight) {
+	if (has_pending(sp, now_us) &&
+	    sum_weights(s, sp, is_unexplained_or_pending, now_us) >= limit) {
 		*until_us = now_us + PENDING_US;
 		return SUS_BLOCKED;
 	}
@@ -642,11 +741,13 @@
 }
 
 void
-sus_sweep(struct sus *s, int64_t now_us)
+sus_sweep(struct sus *s, int64_t now_us, GArray *cleared)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	if (cleared != NULL)
+		accept_closed(s, now_us, cleared);
 	g_hash_table_iter_init(&iter, s->suspects);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		drop_refuted(value, now_us);
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -15,7 +15,8 @@
  * more if answers had begun. How many depends on its kind: a part is shared, and
  * blocking it costs more callers their answers.
  *
- * A complete answer clears all identities of its request. That of a part speaks
+ * Targets that terminate at the same time have a cause in common, and count once
+ * against a part. A complete answer clears all identities of its request. That of a part speaks
  * for it for some time more, so that a part in wide use is not suspected when
  * many targets terminate at once. A termination has one cause: it does not count
  * against an identity while a blocked one with more evidence explains it.
@@ -87,6 +88,11 @@
  * caller must publish this, as a termination of weight SUS_CLEARED. */
 bool sus_answered(struct sus *s, uint64_t fingerprint, int64_t now_us);
 
+/* The same for an answer that ended with its connection. It counts only if its
+ * target does not terminate at about that time, as of a later sweep. */
+void sus_closed(
+    struct sus *s, uint64_t fingerprint, uint64_t target, int64_t now_us);
+
 /* `*until_us` is set if blocked: when this gateway may probe it next. */
 enum sus_verdict sus_judge(
     struct sus *s, uint64_t fingerprint, int64_t now_us, int64_t *until_us);
@@ -97,8 +103,10 @@
 void sus_terminations_of(
     const struct sus *s, uint64_t fingerprint, GArray *out);
 void sus_blocked_terminations(const struct sus *s, GArray *out);
-/* Drops expired suspects and answers. */
-void sus_sweep(struct sus *s, int64_t now_us);
+/* Drops expired suspects and answers. Appends what sus_closed() clears to
+ * `cleared` (of struct sus_termination); the caller publishes it. NULL: it is
+ * not called. */
+void sus_sweep(struct sus *s, int64_t now_us, GArray *cleared);
 bool sus_is_empty(const struct sus *s); /* there are no suspects */
 unsigned int sus_count_blocked(const struct sus *s, enum fpr_kind kind);
 
--- a/programs/entry/suspects.c
+++ b/programs/entry/suspects.c
@@ -335,7 +335,7 @@
 {
 	struct entry *entry = data;
 
-	sus_sweep(entry->suspects, now_us());
+	sus_sweep(entry->suspects, now_us(), NULL);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/programs/side/keeper_ends.c
+++ b/programs/side/keeper_ends.c
@@ -150,7 +150,7 @@
 	struct repeat *repeat;
 	guint i = 0;
 
-	sus_sweep(k->suspects, keeper_now(k));
+	sus_sweep(k->suspects, keeper_now(k), NULL);
 	while (i < k->repeats->len) {
 		repeat = &g_array_index(k->repeats, struct repeat, i);
 		if (keeper_now(k) < repeat->due_us) {
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -99,7 +99,7 @@
 	cut(7, 2, SUS_UNANSWERED, T0 + 100 * MS);
 	assert_int_equal(judge(7, T0 + 100 * MS), SUS_BLOCKED);
 	assert_int_equal(judge(7, T0 + 500 * MS), SUS_SUSPECT);
-	sus_sweep(s, T0 + 2 * S);
+	sus_sweep(s, T0 + 2 * S, NULL);
 	assert_true(sus_is_empty(s));
 	/* A termination much later is unrelated. */
 	cut(7, 1, SUS_UNANSWERED, T0 + 3 * S);
@@ -194,7 +194,7 @@
 		until_us = blocked_until(s, 7, now_us);
 		assert_in_range((until_us - now_us) / S, least_s[target - 2],
 		    2 * least_s[target - 2]);
-		sus_sweep(s, until_us);
+		sus_sweep(s, until_us, NULL);
 		assert_int_equal(judge(7, until_us), SUS_SUSPECT);
 		now_us = until_us;
 	}
@@ -235,7 +235,7 @@
 	sus_blocked_terminations(s, confirmed);
 	assert_int_equal(confirmed->len, 2);
 	assert_int_equal(judge(100, T0 + 2 * S), SUS_NONE); /* evicted */
-	sus_sweep(s, T0 + 90 * S);
+	sus_sweep(s, T0 + 90 * S, NULL);
 	assert_true(sus_is_empty(s));
 }
 
@@ -323,6 +323,57 @@
 	assert_int_equal(judge(part("p"), T0 + 6 * S), SUS_BLOCKED);
 }
 
+/* Guards against blocking a part for the loss of power of many targets: these
+ * have one cause, and a part may be in flight at all of them. */
+static void
+test_terminations_at_once_count_once(void **state)
+{
+	uint64_t target;
+	int64_t at_us = T0;
+
+	for (target = 1; target <= 20; target++) {
+		if (target % 10 == 1)
+			at_us += 5 * S;
+		report(s, part("p"), target, SUS_UNANSWERED,
+		    at_us + (int64_t)(target % 10) * MS);
+	}
+	assert_int_equal(judge(part("p"), at_us + S), SUS_SUSPECT);
+	/* A third time is no coincidence. */
+	report(s, part("p"), 30, SUS_UNANSWERED, at_us + S);
+	assert_int_equal(judge(part("p"), at_us + S), SUS_BLOCKED);
+}
+
+/* Guards against parts without an answer that speaks for them, where all answers
+ * end with their connections. */
+static void
+test_closed_answer_counts_if_target_lives(void **state)
+{
+	report_part("p", 3, T0);
+	sus_closed(s, part("p"), 40, T0 + 3 * S);
+	sus_sweep(s, T0 + 3 * S + 500 * MS, confirmed);
+	assert_int_equal(judge(part("p"), T0 + 4 * S), SUS_BLOCKED);
+	sus_sweep(s, T0 + 5 * S, confirmed);
+	assert_int_equal(confirmed->len, 1);
+	assert_int_equal(judge(part("p"), T0 + 5 * S), SUS_NONE);
+	/* It speaks for the part from its end on, not from the sweep. */
+	report_part("p", 1, T0 + 5 * S);
+	assert_int_equal(judge(part("p"), T0 + 5 * S), SUS_NONE);
+	report_part("p", 1, T0 + 7 * S);
+	assert_int_equal(judge(part("p"), T0 + 7 * S), SUS_SUSPECT);
+}
+
+/* Guards against taking the end of a target for that of its answer. */
+static void
+test_closed_answer_of_terminated_target_is_none(void **state)
+{
+	report_part("p", 3, T0);
+	sus_closed(s, part("p"), 40, T0 + 3 * S);
+	sus_target_terminated(s, 40, T0 + 3 * S + 100 * MS, confirmed);
+	sus_sweep(s, T0 + 5 * S, confirmed);
+	assert_int_equal(confirmed->len, 0);
+	assert_int_equal(judge(part("p"), T0 + 5 * S), SUS_BLOCKED);
+}
+
 /* Guards against clearing a part by an answer from before the terminations. */
 static void
 test_old_answer_does_not_clear(void **state)
@@ -431,6 +482,9 @@
 		TEST(test_part_needs_three_terminations),
 		TEST(test_part_in_use_is_not_suspected),
 		TEST(test_part_that_turns_bad_is_blocked),
+		TEST(test_terminations_at_once_count_once),
+		TEST(test_closed_answer_counts_if_target_lives),
+		TEST(test_closed_answer_of_terminated_target_is_none),
 		TEST(test_old_answer_does_not_clear),
 		TEST(test_report_is_refuted),
 		TEST(test_blocked_part_explains_terminations),
