serve, entry: Terminations in a row count each, however fast they come

What tells the two apart is when the request was sent. A loss of power takes targets at which requests were in flight together; a part that terminates them was sent to the second after the first had terminated. Terminations now carry for how long the request was in flight, in the six unused bits beside the weight. An older process takes such a termination for one without an answer, and a newer one counts an older one's each, as before.

--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -87,6 +87,7 @@
 		.target = target_hash(r->target),
 		.weight = r->has_begun ? SUS_ANSWERING : SUS_UNANSWERED,
 		.at_us = fwd_now(r),
+		.in_flight_us = fwd_now(r) - r->sent_us,
 	};
 	uint64_t identities[FWD_IDENTITIES_MAX];
 	size_t n, i;
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -200,9 +200,26 @@
 struct wire_termination {
 	uint64_t fingerprint, target;
 	uint32_t age_ms;
-	uint8_t weight;
+	uint8_t evidence;
 } __attribute__((packed));
 
+/* `evidence`: the weight, and for how long the request was in flight, in steps;
+ * longer times are sent as the longest. */
+#define WEIGHT_BITS 2
+#define WEIGHT_MASK ((1u << WEIGHT_BITS) - 1)
+#define IN_FLIGHT_STEP_US 4000
+#define IN_FLIGHT_STEPS_MAX (UINT8_MAX >> WEIGHT_BITS)
+
+static uint8_t
+pack_evidence(const struct sus_termination *termination)
+{
+	int64_t steps = CLAMP(termination->in_flight_us / IN_FLIGHT_STEP_US, 0,
+	    IN_FLIGHT_STEPS_MAX);
+
+	return (uint8_t)(((unsigned int)steps << WEIGHT_BITS) |
+	    termination->weight);
+}
+
 G_STATIC_ASSERT(sizeof(struct wire_termination) == SIDE_TERMINATION_BYTES);
 
 void
@@ -214,7 +231,7 @@
 		.fingerprint = GUINT64_TO_BE(termination->fingerprint),
 		.target = GUINT64_TO_BE(termination->target),
 		.age_ms = htonl((uint32_t)MIN(age_ms, UINT32_MAX)),
-		.weight = (uint8_t)termination->weight,
+		.evidence = pack_evidence(termination),
 	};
 
 	g_byte_array_append(entries, (const guint8 *)&wire, sizeof(wire));
@@ -237,7 +254,9 @@
 	out->fingerprint = GUINT64_FROM_BE(wire.fingerprint);
 	out->target = GUINT64_FROM_BE(wire.target);
 	out->at_us = now_us - (int64_t)ntohl(wire.age_ms) * 1000;
-	out->weight = MIN(wire.weight, SUS_UNANSWERED);
+	out->weight = MIN(wire.evidence & WEIGHT_MASK, SUS_UNANSWERED);
+	out->in_flight_us =
+	    (int64_t)(wire.evidence >> WEIGHT_BITS) * IN_FLIGHT_STEP_US;
 }
 
 bool
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -168,7 +168,7 @@
 	struct slice entries;
 };
 
-/* Encoded size: fingerprint, target, age in ms, weight; network order. */
+/* Encoded size: fingerprint, target, age in ms, evidence; network order. */
 #define SIDE_TERMINATION_BYTES 21
 #define SIDE_TERMINATIONS_MAX 48 /* fit in one datagram */
 
--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -36,8 +36,9 @@
 	int64_t block_us[BLOCK_STEPS];
 	/* Terminations this long after a complete answer do not count. */
 	int64_t trust_us;
-	/* Targets that terminate within this time count as one: they have a
-	 * cause in common, such as a loss of power. */
+	/* Targets that terminate within this time count as one, unless the
+	 * request was sent to one of them after the other had terminated: they
+	 * may have a cause in common, such as a loss of power. */
 	int64_t same_cause_us;
 };
 
@@ -58,7 +59,7 @@
 struct termination {
 	uint64_t target;
 	unsigned int weight;
-	int64_t at_us;
+	int64_t at_us, sent_us;
 	bool confirmed; /* the target is known to have terminated */
 };
 
@@ -129,6 +130,12 @@
 	return g_hash_table_size(s->suspects) == 0;
 }
 
+static int64_t
+in_flight_us(const struct termination *t)
+{
+	return t->at_us - t->sent_us;
+}
+
 static const struct policy *
 policy_of(uint64_t fingerprint)
 {
@@ -205,19 +212,27 @@
 	return t->confirmed;
 }
 
+static bool
+may_have_same_cause(const struct suspect *sp, const struct termination *a,
+    const struct termination *b)
+{
+	return ABS(a->at_us - b->at_us) <
+	    policy_of(sp->fingerprint)->same_cause_us &&
+	    a->sent_us < b->at_us && b->sent_us < a->at_us;
+}
+
 /* One with the same cause is counted: an earlier one of at least its weight, or
  * a later one of greater weight. */
 static bool
 is_counted_by_other(const struct sus *s, const struct suspect *sp,
     const struct termination *t, filter *select, int64_t now_us)
 {
-	int64_t same_cause_us = policy_of(sp->fingerprint)->same_cause_us;
 	const struct termination *other;
 	unsigned int i;
 
 	for (i = 0; i < sp->nterminations; i++) {
 		other = &sp->terminations[i];
-		if (other == t || ABS(other->at_us - t->at_us) >= same_cause_us)
+		if (other == t || !may_have_same_cause(sp, t, other))
 			continue;
 		if ((other->weight > t->weight ||
 			(other->weight == t->weight && other < t)) &&
@@ -385,8 +400,11 @@
 			remove_termination(sp, least_informative(s, sp));
 		known = &sp->terminations[sp->nterminations++];
 		*known = (struct termination){ .target = termination->target,
-			.at_us = termination->at_us };
+			.at_us = termination->at_us,
+			.sent_us = termination->at_us };
 	}
+	known->sent_us =
+	    MIN(known->sent_us, termination->at_us - termination->in_flight_us);
 	is_new =
 	    known->weight < termination->weight || known->confirmed < confirmed;
 	known->weight = MAX(known->weight, termination->weight);
@@ -437,11 +455,12 @@
 		    now_us - sp->terminations[i].at_us > CONFIRM_US)
 			continue;
 		sp->terminations[i].confirmed = true;
-		termination =
-		    (struct sus_termination){ .fingerprint = sp->fingerprint,
-			    .target = target,
-			    .weight = sp->terminations[i].weight,
-			    .at_us = sp->terminations[i].at_us };
+		termination = (struct sus_termination){ .fingerprint =
+							    sp->fingerprint,
+			.target = target,
+			.weight = sp->terminations[i].weight,
+			.at_us = sp->terminations[i].at_us,
+			.in_flight_us = in_flight_us(&sp->terminations[i]) };
 		g_array_append_val(confirmed, termination);
 	}
 	block_if_confirmed(s, sp);
@@ -667,6 +686,7 @@
 		termination.target = sp->terminations[i].target;
 		termination.weight = sp->terminations[i].weight;
 		termination.at_us = sp->terminations[i].at_us;
+		termination.in_flight_us = in_flight_us(&sp->terminations[i]);
 		g_array_append_val(out, termination);
 	}
 }
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -15,8 +15,8 @@
  * more if answers had begun. How many depends on its kind: a part is shared, and
  * blocking it costs more callers their answers.
  *
- * Targets that terminate at the same time have a cause in common, and count once
- * against a part. A complete answer clears all identities of its request. That of a part speaks
+ * Targets that terminate at the same time, with requests that were in flight
+ * together, may have a cause in common, and count once against a part. A complete answer clears all identities of its request. That of a part speaks
  * for it for some time more, so that a part in wide use is not suspected when
  * many targets terminate at once. A termination has one cause: it does not count
  * against an identity while a blocked one with more evidence explains it.
@@ -47,6 +47,7 @@
 	uint64_t target; /* hash of its instance id */
 	unsigned int weight; /* enum sus_weight */
 	int64_t at_us;
+	int64_t in_flight_us; /* since it was sent there; 0: not known */
 };
 
 enum sus_verdict {
--- a/programs/entry/suspects.c
+++ b/programs/entry/suspects.c
@@ -229,6 +229,7 @@
 		.target = target_hash(r->target),
 		.weight = r->answering ? SUS_ANSWERING : SUS_UNANSWERED,
 		.at_us = now_us(),
+		.in_flight_us = now_us() - r->sent_us,
 	};
 
 	if (sus_cut(r->entry->suspects, &termination))
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -955,9 +955,7 @@
 
 	for (termination.target = 1; termination.target <= n;
 	     termination.target++) {
-		/* Not at the same time, and the last one just now. */
-		termination.at_us =
-		    now_us() - (int64_t)(n - termination.target) * 200000;
+		termination.at_us = now_us();
 		fwd_report_termination(w.fwd, &termination);
 	}
 }
@@ -1023,7 +1021,6 @@
 		expect_answer(fd, "502 ");
 		fwd_target_terminated(w.fwd, tgt_find(w.set, t->id));
 		tgt_removed(w.set, t->id, false, now_us());
-		run_ms(150); /* the next one has another cause */
 	}
 	for (i = 0; i < 3; i++)
 		target_announce(&w.target[i], false, 0);
--- /dev/null
+++ b/tests/serve/test_side.c
@@ -0,0 +1,80 @@
+/* Encoding of terminations between processes. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "serve/side.h"
+
+#define NOW_US (G_GINT64_CONSTANT(1000) * G_USEC_PER_SEC)
+
+static struct sus_termination
+pass_on(const struct sus_termination *termination)
+{
+	GByteArray *entries = g_byte_array_new();
+	struct side_terminations message;
+	struct sus_termination out;
+
+	side_termination_put(entries, termination, NOW_US);
+	assert_int_equal(entries->len, SIDE_TERMINATION_BYTES);
+	message.entries = (struct slice){ entries->data, entries->len };
+	assert_int_equal(side_terminations_count(&message), 1);
+	side_termination_get(&message, 0, NOW_US, &out);
+	g_byte_array_unref(entries);
+	return out;
+}
+
+static void
+test_termination_is_passed_on(void **state)
+{
+	static const unsigned int weights[] = { SUS_CLEARED, SUS_ANSWERING,
+		SUS_UNANSWERED };
+	struct sus_termination in = { .fingerprint = UINT64_MAX - 1,
+		.target = 7,
+		.at_us = NOW_US - 1500000,
+		.in_flight_us = 41000 },
+			       out;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(weights); i++) {
+		in.weight = weights[i];
+		out = pass_on(&in);
+		assert_true(out.fingerprint == in.fingerprint);
+		assert_int_equal(out.target, in.target);
+		assert_int_equal(out.weight, in.weight);
+		assert_int_equal(out.at_us, in.at_us);
+		assert_int_equal(out.in_flight_us, 40000);
+	}
+}
+
+/* Guards against a long time in flight that changes the weight. */
+static void
+test_long_time_in_flight(void **state)
+{
+	struct sus_termination in = { .fingerprint = 1,
+		.target = 2,
+		.weight = SUS_ANSWERING,
+		.at_us = NOW_US,
+		.in_flight_us = 60 * G_USEC_PER_SEC };
+	struct sus_termination out = pass_on(&in);
+
+	assert_int_equal(out.weight, SUS_ANSWERING);
+	assert_true(out.in_flight_us >= 200000);
+	in.in_flight_us = -1;
+	assert_int_equal(pass_on(&in).in_flight_us, 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_termination_is_passed_on),
+		cmocka_unit_test(test_long_time_in_flight),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -33,7 +33,10 @@
 termination_of(
     uint64_t fingerprint, uint64_t target, unsigned int weight, int64_t at_us)
 {
-	return (struct sus_termination){ fingerprint, target, weight, at_us };
+	return (struct sus_termination){ .fingerprint = fingerprint,
+		.target = target,
+		.weight = weight,
+		.at_us = at_us };
 }
 
 static void
@@ -328,19 +331,38 @@
 static void
 test_terminations_at_once_count_once(void **state)
 {
-	uint64_t target;
-	int64_t at_us = T0;
-
-	for (target = 1; target <= 20; target++) {
-		if (target % 10 == 1)
-			at_us += 5 * S;
-		report(s, part("p"), target, SUS_UNANSWERED,
-		    at_us + (int64_t)(target % 10) * MS);
+	struct sus_termination termination =
+	    termination_of(part("p"), 0, SUS_UNANSWERED, T0);
+	int i;
+
+	termination.in_flight_us = 200 * MS;
+	for (i = 0; i < 20; i++) {
+		termination.target = (uint64_t)i + 1;
+		termination.at_us = T0 + i / 10 * 5 * S + i % 10 * MS;
+		sus_report(s, &termination, termination.at_us);
 	}
-	assert_int_equal(judge(part("p"), at_us + S), SUS_SUSPECT);
+	assert_int_equal(judge(part("p"), T0 + 6 * S), SUS_SUSPECT);
 	/* A third time is no coincidence. */
-	report(s, part("p"), 30, SUS_UNANSWERED, at_us + S);
-	assert_int_equal(judge(part("p"), at_us + S), SUS_BLOCKED);
+	report(s, part("p"), 30, SUS_UNANSWERED, T0 + 6 * S);
+	assert_int_equal(judge(part("p"), T0 + 6 * S), SUS_BLOCKED);
+}
+
+/* Guards against missing a part that terminates its targets within milliseconds:
+ * it was sent to each after the one before had terminated. */
+static void
+test_terminations_in_a_row_count_each(void **state)
+{
+	struct sus_termination termination =
+	    termination_of(part("p"), 0, SUS_UNANSWERED, T0);
+	int i;
+
+	termination.in_flight_us = 8 * MS;
+	for (i = 0; i < 3; i++) {
+		termination.target = (uint64_t)i + 1;
+		termination.at_us = T0 + i * 10 * MS;
+		sus_report(s, &termination, termination.at_us);
+	}
+	assert_int_equal(judge(part("p"), T0 + 100 * MS), SUS_BLOCKED);
 }
 
 /* Guards against parts without an answer that speaks for them, where all answers
@@ -483,6 +505,7 @@
 		TEST(test_part_in_use_is_not_suspected),
 		TEST(test_part_that_turns_bad_is_blocked),
 		TEST(test_terminations_at_once_count_once),
+		TEST(test_terminations_in_a_row_count_each),
 		TEST(test_closed_answer_counts_if_target_lives),
 		TEST(test_closed_answer_of_terminated_target_is_none),
 		TEST(test_old_answer_does_not_clear),
