entry: Explain what blocked a request

`explain` printed the line of a refused request, which names the part that blocked it, and nothing on when and where that part was found. It now prints the `suspect` lines of that fingerprint of all processes, however old.

--- a/programs/entry/explain.c
+++ b/programs/entry/explain.c
@@ -26,6 +26,8 @@
 	const char *id;
 	GPtrArray *lines; /* struct line */
 	GHashTable *targets; /* named in the lines about the request */
+	/* Fingerprints, as log lines have them, that blocked the request. */
+	GHashTable *blocked_by;
 	GHashTable *nodes; /* that logged them */
 	double from, to; /* times of the first and last line about it */
 };
@@ -99,6 +101,19 @@
 	return true;
 }
 
+/* Its form is KIND:FINGERPRINT or KIND:FINGERPRINT:ID. */
+static void
+note_blocked_by(struct explanation *s, const struct line *l)
+{
+	char *by = value_of(l->text, "by");
+	char **fields = g_strsplit(by == NULL ? "" : by, ":", 3);
+
+	if (g_strv_length(fields) >= 2)
+		g_hash_table_add(s->blocked_by, g_strdup(fields[1]));
+	g_strfreev(fields);
+	g_free(by);
+}
+
 /* Collects the nodes, targets and times of the lines about the request. */
 static void
 note_request_lines(struct explanation *s)
@@ -117,6 +132,7 @@
 		target = value_of(l->text, "target");
 		if (target != NULL)
 			g_hash_table_add(s->targets, target);
+		note_blocked_by(s, l);
 	}
 }
 
@@ -135,6 +151,19 @@
 	return false;
 }
 
+/* It may have been blocked long before, and first by another process. */
+static bool
+names_blocked_identity(const struct explanation *s, const struct line *l)
+{
+	char *part = value_of(l->text, "part");
+	char *fingerprint = part != NULL ? part : value_of(l->text, "content");
+	bool names = strcmp(l->ev, "suspect") == 0 && fingerprint != NULL &&
+	    g_hash_table_contains(s->blocked_by, fingerprint);
+
+	g_free(fingerprint);
+	return names;
+}
+
 static bool
 is_relevant(const struct explanation *s, const struct line *l)
 {
@@ -142,7 +171,7 @@
 	char *target, *req;
 	bool relevant;
 
-	if (l->names_request)
+	if (l->names_request || (l->t <= s->to && names_blocked_identity(s, l)))
 		return true;
 	if (l->t > s->to || !g_hash_table_contains(s->nodes, l->node))
 		return false;
@@ -200,6 +229,8 @@
 	s.lines = g_ptr_array_new_with_free_func(line_free);
 	s.targets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s.blocked_by =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s.nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (i = 3; i < argc; i++) {
 		if (!read_file(&s, argv[i]))
@@ -215,6 +246,7 @@
 		print_lines(&s);
 	g_ptr_array_unref(s.lines);
 	g_hash_table_unref(s.targets);
+	g_hash_table_unref(s.blocked_by);
 	g_hash_table_unref(s.nodes);
 	return rc;
 }
