serve: Explain few terminations only by another identity

Two poison parts had been in flight at the same six engines and ended more of them, so all terminations of the request counted as explained.

Explanation now helps only who has few terminations, as bystanders do. From the number of engines by which the platform takes it as known (three for a content, five for a part), an identity is blocked whatever else was there, also while the last of them is not confirmed yet.

test_certain_suspect_is_not_explained fails without the change (judge gives suspect where blocked is expected: the condition that it adds is the only one that holds).

--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -32,6 +32,8 @@
 /* How an identity of a kind is judged. */
 struct policy {
 	unsigned int block_weight; /* sum of weights from which it is blocked */
+	/* From this sum on also where another identity explains it. */
+	unsigned int certain_weight;
 	/* Time blocked at that weight and for each two more. */
 	int64_t block_us[BLOCK_STEPS];
 	/* Terminations this long after a complete answer do not count. */
@@ -49,8 +51,10 @@
  */
 static const struct policy policies[FPR_KINDS] = {
 	[FPR_CONTENT] = { .block_weight = 2 * SUS_UNANSWERED,
+	    .certain_weight = 3 * SUS_UNANSWERED,
 	    .block_us = { 10 * S, 300 * S, 3600 * S, 24 * 3600 * S } },
 	[FPR_PART] = { .block_weight = 3 * SUS_UNANSWERED,
+	    .certain_weight = 5 * SUS_UNANSWERED,
 	    .block_us = { 10 * S, 60 * S, 600 * S, 24 * 3600 * S },
 	    .trust_us = 3 * S,
 	    .same_cause_us = 100000 },
@@ -644,22 +648,39 @@
 	return false;
 }
 
+static bool
+is_confirmed_or_pending(const struct sus *s, const struct suspect *sp,
+    const struct termination *t, int64_t now_us)
+{
+	return t->confirmed || now_us - t->at_us < PENDING_US;
+}
+
+static bool
+is_evident(const struct sus *s, const struct suspect *sp, filter *all,
+    filter *unexplained, int64_t now_us)
+{
+	const struct policy *policy = policy_of(sp->fingerprint);
+
+	return sum_weights(s, sp, all, now_us) >= policy->certain_weight ||
+	    sum_weights(s, sp, unexplained, now_us) >= policy->block_weight;
+}
+
 enum sus_verdict
 sus_judge(
     struct sus *s, uint64_t fingerprint, int64_t now_us, int64_t *until_us)
 {
-	unsigned int limit = policy_of(fingerprint)->block_weight;
 	const struct suspect *sp = find(s, fingerprint);
 
 	if (sp == NULL)
 		return SUS_NONE;
 	if (sp->blocked_until_us > now_us &&
-	    sum_weights(s, sp, is_unexplained, now_us) >= limit) {
+	    is_evident(s, sp, is_confirmed, is_unexplained, now_us)) {
 		*until_us = sp->blocked_until_us;
 		return SUS_BLOCKED;
 	}
 	if (has_pending(sp, now_us) &&
-	    sum_weights(s, sp, is_unexplained_or_pending, now_us) >= limit) {
+	    is_evident(s, sp, is_confirmed_or_pending,
+		is_unexplained_or_pending, now_us)) {
 		*until_us = now_us + PENDING_US;
 		return SUS_BLOCKED;
 	}
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -19,7 +19,8 @@
  * together, may have a cause in common, and count once against a part. A complete answer clears all identities of its request. That of a part speaks
  * for it for some time more, so that a part in wide use is not suspected when
  * many targets terminate at once. A termination has one cause: it does not count
- * against an identity while a blocked one with more evidence explains it.
+ * against an identity while a blocked one with more evidence explains it, unless
+ * there are so many that chance is ruled out.
  *
  * A blocked identity is probed again later, by each gateway at a different time;
  * each further termination blocks it for longer. Does no I/O: targets are hashes
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -456,6 +456,28 @@
 	assert_int_equal(judge(9, T0 + 3 * S), SUS_BLOCKED);
 }
 
+/* Guards against releasing a poison request because a poison part, or what is
+ * taken for one, was in flight at the same targets. */
+static void
+test_certain_suspect_is_not_explained(void **state)
+{
+	uint64_t target;
+
+	report_part("p", 4, T0);
+	report_part("q", 6, T0);
+	for (target = 1; target <= 2; target++)
+		report(s, 7, target, SUS_UNANSWERED, T0);
+	assert_int_equal(judge(7, T0 + 5 * S), SUS_SUSPECT);
+	/* Before it is known that the third target terminated, and after. */
+	cut(7, 3, SUS_UNANSWERED, T0 + 2 * S);
+	assert_int_equal(judge(7, T0 + 2 * S), SUS_BLOCKED);
+	sus_target_terminated(s, 3, T0 + 2 * S, confirmed);
+	assert_int_equal(judge(7, T0 + 5 * S), SUS_BLOCKED);
+	assert_int_equal(judge(part("p"), T0 + 5 * S), SUS_SUSPECT);
+	report_part("p", 5, T0);
+	assert_int_equal(judge(part("p"), T0 + 5 * S), SUS_BLOCKED);
+}
+
 /* Two parts that come together only: either may be at fault. */
 static void
 test_equal_evidence_explains_nothing(void **state)
@@ -511,6 +533,7 @@
 		TEST(test_old_answer_does_not_clear),
 		TEST(test_report_is_refuted),
 		TEST(test_blocked_part_explains_terminations),
+		TEST(test_certain_suspect_is_not_explained),
 		TEST(test_equal_evidence_explains_nothing),
 		TEST(test_flood_does_not_evict_evidence),
 	};
