--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -202,7 +202,7 @@
 }
 
 /* ------------------------------------------------------------------ */
-/* Evidence against a request                                          */
+/* Evidence against an identity                                        */
 /* ------------------------------------------------------------------ */
 
 /* Selects terminations of a suspect. */
@@ -422,7 +422,7 @@
 /* Events                                                              */
 /* ------------------------------------------------------------------ */
 
-/* About that time. */
+/* Whether the target terminated shortly before or after `at_us`. */
 static bool
 has_terminated(const struct sus *s, uint64_t target, int64_t at_us)
 {
