--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -110,7 +110,6 @@
 	    fpr_kind_name(fingerprint), fingerprint);
 }
 
-/* A target that terminates closes its connections, too. */
 static void
 note_identity_answered(struct fwd_req *r, uint64_t fingerprint)
 {
@@ -120,6 +119,7 @@
 		.weight = SUS_CLEARED,
 		.at_us = fwd_now(r) };
 
+	/* A target that terminates closes its connections, too. */
 	if (r->framing == HFRAMING_CLOSE) {
 		sus_closed(f->suspects, fingerprint, target_hash(r->target),
 		    cleared.at_us);
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -16,11 +16,12 @@
  * blocking it costs more callers their answers.
  *
  * Targets that terminate at the same time, with requests that were in flight
- * together, may have a cause in common, and count once against a part. A complete answer clears all identities of its request. That of a part speaks
- * for it for some time more, so that a part in wide use is not suspected when
- * many targets terminate at once. A termination has one cause: it does not count
- * against an identity while a blocked one with more evidence explains it, unless
- * there are so many that chance is ruled out.
+ * together, may have a cause in common, and count once against a part. A complete
+ * answer clears all identities of its request. It speaks for the parts for some
+ * time more, so that a part in wide use is not suspected when many targets
+ * terminate at once. A termination has one cause: it does not count against an
+ * identity while a blocked one with more evidence explains it, unless there are
+ * so many that chance is ruled out.
  *
  * A blocked identity is probed again later, by each gateway at a different time;
  * each further termination blocks it for longer. Does no I/O: targets are hashes
@@ -106,8 +107,8 @@
     const struct sus *s, uint64_t fingerprint, GArray *out);
 void sus_blocked_terminations(const struct sus *s, GArray *out);
 /* Drops expired suspects and answers. Appends what sus_closed() clears to
- * `cleared` (of struct sus_termination); the caller publishes it. NULL: it is
- * not called. */
+ * `cleared` (of struct sus_termination); the caller publishes it. NULL: no
+ * answers end with their connections. */
 void sus_sweep(struct sus *s, int64_t now_us, GArray *cleared);
 bool sus_is_empty(const struct sus *s); /* there are no suspects */
 unsigned int sus_count_blocked(const struct sus *s, enum fpr_kind kind);
