--- a/tests/system/claims.sh
+++ b/tests/system/claims.sh
@@ -88,6 +88,7 @@
 faults "$objects" '{"lose_answers":3}'
 book "$entry_1" k5 five x
 check "responses of the API lost: resolved by reading the object back" response_is 200 RAN
+response_is 200 RAN || cat "$STAGE/head" "$STAGE/answer"
 faults "$objects" '{"lose_answers":0}'
 book "$entry_2" k5 five x
 check "the retry gets the outcome" response_is 200 RAN
