--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -10,8 +10,8 @@
 # on, engines announce that they stop or when to retry; from seed 600 on, the
 # store comes back from older copies, settings change and engines announce their
 # stop in their records; from seed 800 on, two parts of prompts terminate
-# engines, too, and engines terminate by no request. The last line begins with `soak: kept` or
-# `soak: BROKEN`; logs stay in BUILD/stage-soak-SEED.
+# engines, too, and engines terminate by no request. The last line begins with
+# `soak: kept` or `soak: BROKEN`; logs stay in BUILD/stage-soak-SEED.
 set -u
 BUILD=$1
 SEED=$2
