--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -7,7 +7,6 @@
 
 #define SLOTS 8
 #define QUEUE 8
-#define EVENT_US 15000
 #define PLAIN_US 10000
 #define LOAD_US 200000
 #define DOWN_US 1500000 /* from termination to restart */
@@ -49,6 +48,7 @@
 	struct fleet_notice notice;
 	bool draining; /* as its record says */
 	struct evl_timer leave, shed;
+	int64_t silent_until_us; /* its runs write nothing until then */
 };
 
 struct fleet_run {
@@ -178,6 +178,18 @@
 	return true;
 }
 
+/* Postpones what the run does next until its engine goes on. */
+static bool
+stays_silent(struct fleet_run *run)
+{
+	const struct fleet_engine *e = run->e;
+
+	if (evl_now_us(e->f->loop) >= e->silent_until_us)
+		return false;
+	evl_timer_set(e->f->loop, &run->timer, e->silent_until_us);
+	return true;
+}
+
 static void
 on_event(struct evl_timer *timer)
 {
@@ -185,12 +197,13 @@
 	struct hreq *r = run->r;
 	struct fleet *f = run->e->f;
 
-	if (terminates_engine(run))
+	if (stays_silent(run) || terminates_engine(run))
 		return;
 	if (!hreq_begun(r))
 		begin_answer(run);
 	if (fleet_answer_next_event(&run->answer, r))
-		evl_timer_set(f->loop, timer, evl_now_us(f->loop) + EVENT_US);
+		evl_timer_set(
+		    f->loop, timer, evl_now_us(f->loop) + fleet_event_us());
 	else
 		run_free(run);
 }
@@ -203,7 +216,7 @@
 	struct hreq *r = run->r;
 	char body[64], *head;
 
-	if (terminates_engine(run))
+	if (stays_silent(run) || terminates_engine(run))
 		return;
 	head = response_head(run);
 	g_snprintf(body, sizeof(body), "answer to %s", run->id);
@@ -291,7 +304,7 @@
 	e->nruns++;
 	hreq_set_ctx(r, run);
 	evl_timer_set(e->f->loop, &run->timer,
-	    evl_now_us(e->f->loop) + (e->llm ? EVENT_US : PLAIN_US));
+	    evl_now_us(e->f->loop) + (e->llm ? fleet_event_us() : PLAIN_US));
 }
 
 static void
@@ -642,6 +655,12 @@
 	fleet_engine_publish(f, i);
 }
 
+void
+fleet_engine_fall_silent(struct fleet *f, size_t i, int64_t until_us)
+{
+	f->engine[i]->silent_until_us = until_us;
+}
+
 static void
 on_shed_end(struct evl_timer *t)
 {
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -205,6 +205,8 @@
 void fleet_engine_drain(struct fleet *f, size_t i);
 /* The engine refuses all requests for SHED_US (engine.c), with Retry-After. */
 void fleet_engine_shed(struct fleet *f, size_t i, double retry_after_s);
+/* The engine's runs write nothing until then, and go on where they were. */
+void fleet_engine_fall_silent(struct fleet *f, size_t i, int64_t until_us);
 /* A caller got an answer with this seal through this request's gateway. */
 void fleet_engine_relayed(struct fleet *f, const char *seal, const char *id);
 /* 0: the engine announces no limit any more. */
@@ -337,6 +339,14 @@
 bool fleet_parts_known(const struct fleet *f, int64_t sent_us);
 void fleet_poison_print(const struct fleet *f);
 
+/* silence.c: sound engines that fall silent and go on, and changes of the
+ * settings beside them. */
+struct poptOption;
+struct poptOption *fleet_silence_options(void);
+void fleet_silences_start(struct fleet *f);
+int fleet_idle_ms(void); /* limit in the settings */
+int64_t fleet_event_us(void); /* between two events of a stream */
+
 /* proxy.c */
 enum proxy_mode {
 	PROXY_PASS,
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -8,6 +8,8 @@
  *         --leave SECONDS --shed SECONDS --notices 0|1 --notices-judged 0|1
  *         --poison SECONDS --poisons N --poison-gap-ms N --poison-judged 0|1
  *         --poison-parts N --end-gap-ms N
+ *         --silent-gap-ms N --silent-for-ms N --silent-engines N
+ *         --silent-whole 0|1 --settings-gap-ms N --event-ms N
  *
  * It prints "ready", runs, and at the end prints one line of counts; its exit
  * code is 0 when no invariant was violated and most requests were answered.
@@ -419,6 +421,7 @@
 {
 	begun_us = evl_now_us(f.loop);
 	fleet_callers_start(&f);
+	fleet_silences_start(&f);
 	f.schedule.fire = on_schedule;
 	evl_timer_set(f.loop, &f.schedule, begun_us);
 	if (poison > 0)
@@ -534,6 +537,8 @@
 		    "one in so many callers uses HTTP/1.0; 0: none", "N" },
 		{ "bump", 0, POPT_ARG_INT, &bump, 0,
 		    "seconds to a new version; 0: none", "N" },
+		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_silence_options(), 0,
+		    "Silences:", NULL },
 		POPT_AUTOHELP POPT_TABLEEND };
 	poptContext pc =
 	    poptGetContext("fleet", argc, (const char **)argv, options, 0);
--- a/tests/fleet/operator.c
+++ b/tests/fleet/operator.c
@@ -36,12 +36,12 @@
 	    "\",\"maxConnections\":200},{\"name\":\"origin\","
 	    "\"origin\":\"127.0.%d.8:8000\",\"zone\":\"z0\"}],"
 	    "\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,"
-	    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+	    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":%d},"
 	    "\"tenants\":[{\"name\":\"team%s\",\"apiKeys\":[\"" FLEET_KEY
 	    "\"]},{\"name\":\"guest\",\"apiKeys\":[\"" FLEET_POISON_KEY
 	    "\"]}]}",
 	    f->config_version++, FLEET_CHUNKS, FLEET_CHUNK_BYTES, f->net,
-	    number);
+	    fleet_idle_ms(), number);
 	fleet_store_put(f, "config", "main", s->str);
 	g_free(f->config_spec);
 	f->config_spec = g_string_free(s, FALSE);
