serve, http, entry: Log silences of targets, hold-ups, and connections closed with bytes left

The logs did not tell whether a request was ended for a silence of its target, how long that had lasted and whether the target went on afterwards, nor that a connection was closed with a whole request in it. New: silent_ms on the lines of requests, target_heard when a target that a request was taken from sends again, held_up when the loop runs late, closed when the server closes a connection with bytes that were not read or not sent; config lines have the idle limit. No decision changes.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -34,6 +34,8 @@
 	    "a target was removed")                                              \
 	X(EVT_TARGET_BACKOFF, "target_rest", EVT_STATE,                          \
 	    "a target is in backoff after failures")                             \
+	X(EVT_TARGET_HEARD, "target_heard", EVT_STATE,                           \
+	    "a target that a request was taken from as silent sends again")      \
 	X(EVT_LIMIT, "limit", EVT_STATE,                                         \
 	    "a target announced another rate limit, or none")                    \
 	X(EVT_NOTICE, "notice", EVT_STATE,                                       \
@@ -42,6 +44,10 @@
 	X(EVT_READY, "ready", EVT_STATE, "readiness changed")                    \
 	X(EVT_CALLERS, "callers", EVT_STATE,                                     \
 	    "the limit of caller connections was reached, or no longer is")      \
+	X(EVT_CLOSED, "closed", EVT_FAILURE,                                     \
+	    "a caller's connection was closed with bytes not read or not sent")  \
+	X(EVT_HELD_UP, "held_up", EVT_STATE,                                     \
+	    "the process ran late: it stood still or had too much to do")        \
 	X(EVT_SIDE, "side", EVT_STATE,                                           \
 	    "a sidecar's report changed the local state")                        \
 	X(EVT_WEIGHTS, "weights", EVT_STATE,                                     \
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -43,6 +43,10 @@
 	void (*drained)(struct hreq *r, void *ctx);
 	/* The server refused a request before it was complete. */
 	void (*refused)(unsigned int status, void *ctx);
+	/* The server closed a connection with input that it had not read, or
+	 * output that it had not sent, in bytes. NULL: not reported. */
+	void (*dropped)(
+	    const char *why, size_t unread, size_t unsent, void *ctx);
 };
 
 struct hserver_conf {
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -40,6 +41,16 @@
 	return poll(&fd, 1, 0) > 0;
 }
 
+static size_t
+unread_bytes(const struct hreq *r)
+{
+	int n = 0;
+
+	if (ioctl(r->fd.fd, FIONREAD, &n) != 0)
+		n = 0;
+	return (size_t)n + hbuf_left(&r->in);
+}
+
 /* ------------------------------------------------------------------ */
 /* Closing                                                             */
 /* ------------------------------------------------------------------ */
@@ -96,6 +107,21 @@
 	watch_accepts(s);
 }
 
+/* Closes a connection by a decision of the server. */
+static void
+close_connection(struct hreq *r, const char *why)
+{
+	const struct hserver_conf *conf = &r->server->conf;
+	size_t unread = unread_bytes(r), unsent = hbuf_left(&r->out);
+
+	/* After the last response, input is discarded as intended. */
+	if (r->state == HREQ_LINGER)
+		unread = 0;
+	if (conf->ops->dropped != NULL && (unread > 0 || unsent > 0))
+		conf->ops->dropped(why, unread, unsent, conf->ctx);
+	hreq_destroy(r);
+}
+
 void
 hreq_disconnected(struct hreq *r)
 {
@@ -310,7 +336,7 @@
 		return;
 	}
 	/* Idle time-out, or the end of the linger time. */
-	hreq_destroy(r);
+	close_connection(r, "idle");
 }
 
 /* ------------------------------------------------------------------ */
@@ -365,7 +391,7 @@
 	if (fd < 0)
 		return false;
 	if (closable != NULL)
-		hreq_destroy(closable);
+		close_connection(closable, "room");
 	accept_one(s, fd);
 	return true;
 }
@@ -416,7 +442,7 @@
 	if (hbuf_left(&r->out) > 0)
 		hreq_close_after_flush(r);
 	else
-		hreq_destroy(r);
+		close_connection(r, "stop");
 }
 
 void
@@ -475,7 +501,7 @@
 		return;
 	hserver_stop_listening(s);
 	while ((r = LIST_FIRST(&s->reqs)) != NULL)
-		hreq_destroy(r);
+		close_connection(r, "exit");
 	g_free(s);
 }
 
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -20,6 +20,27 @@
 /* Ending requests                                                     */
 /* ------------------------------------------------------------------ */
 
+int64_t
+fwd_silent_ms(const struct fwd_req *r)
+{
+	if (r->sent_us == 0)
+		return -1;
+	return (fwd_now(r) - MAX(r->sent_us, r->heard_us)) / 1000;
+}
+
+void
+fwd_note_heard(struct fwd_req *r)
+{
+	int64_t silent_us = tgt_heard(r->target, fwd_now(r));
+
+	r->heard_us = fwd_now(r);
+	if (silent_us > 0)
+		evt(EVT_TARGET_HEARD,
+		    "target=%s address=%s req=%s ms=%" G_GINT64_FORMAT,
+		    r->target->record.id, r->target->record.address, r->id,
+		    silent_us / 1000);
+}
+
 void
 fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
     const char *why)
@@ -35,7 +56,7 @@
 	    "events=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT
 	    " back=%d"
-	    " framing=%s end=%s rest=%zu"
+	    " framing=%s end=%s rest=%zu silent_ms=%" G_GINT64_FORMAT
 	    " target=%s content=%016" G_GINT64_MODIFIER
 	    "x parts=%s by=%s config=%" G_GINT64_FORMAT,
 	    r->id, r->route->name, r->service->targets->name, status, why,
@@ -45,8 +66,9 @@
 				   : (r->first_event_us - r->started_us) / 1000,
 	    r->sent_us == 0 ? -1 : (r->sent_us - r->started_us) / 1000,
 	    r->is_client_retry, fwd_framing_name(r), r->answer_end,
-	    fwd_event_rest(r), r->target == NULL ? "-" : r->target->record.id,
-	    r->content, parts, blocked_by, rtab_config(r->routes)->version);
+	    fwd_event_rest(r), fwd_silent_ms(r),
+	    r->target == NULL ? "-" : r->target->record.id, r->content, parts,
+	    blocked_by, rtab_config(r->routes)->version);
 }
 
 void
@@ -364,11 +386,21 @@
 	evt(EVT_REFUSED, "req=- status=%u why=malformed", status);
 }
 
+static void
+on_dropped(const char *why, size_t unread, size_t unsent, void *ctx)
+{
+	struct fwd *f = ctx;
+
+	ctr_add(f->dropped, 1);
+	evt(EVT_CLOSED, "why=%s unread=%zu unsent=%zu", why, unread, unsent);
+}
+
 const struct hserver_ops fwd_server_ops = {
 	.request = on_request,
 	.disconnected = on_disconnected,
 	.drained = on_drained,
 	.refused = on_refused,
+	.dropped = on_dropped,
 };
 
 /* ------------------------------------------------------------------ */
@@ -402,6 +434,7 @@
 	f->recalled = ctr_get(set, "requests_withdrawn_held");
 	f->cut_before_answer = ctr_get(set, "requests_cut_before_answer");
 	f->cut_midway = ctr_get(set, "requests_cut_midway");
+	f->dropped = ctr_get(set, "connections_closed_with_bytes");
 	return f;
 }
 
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -158,12 +158,12 @@
 	evt(EVT_RETRY,
 	    "req=%s why=%s target=%s tries=%u runs=%u last_event=%" G_GINT64_FORMAT
 	    " ms=%" G_GINT64_FORMAT
-	    " framing=%s end=%s rest=%zu content=%016" G_GINT64_MODIFIER
-	    "x parts=%s",
+	    " framing=%s end=%s rest=%zu silent_ms=%" G_GINT64_FORMAT
+	    " content=%016" G_GINT64_MODIFIER "x parts=%s",
 	    r->id, end_names[end], r->target->record.id, r->flow.attempts,
 	    r->flow.runs, r->last_event, (fwd_now(r) - r->started_us) / 1000,
-	    fwd_framing_name(r), r->answer_end, fwd_event_rest(r), r->content,
-	    parts);
+	    fwd_framing_name(r), r->answer_end, fwd_event_rest(r),
+	    fwd_silent_ms(r), r->content, parts);
 	fwd_drop_call(r);
 	r->state = FWD_WAITING;
 	fwd_dispatch(r);
@@ -213,12 +213,14 @@
 static void
 on_head(struct hcall *c, const struct hmsg *m, void *ctx)
 {
+	fwd_note_heard(ctx);
 	fwd_read_head(ctx, m);
 }
 
 static void
 on_body(struct hcall *c, const void *data, size_t len, void *ctx)
 {
+	fwd_note_heard(ctx);
 	fwd_read_body(ctx, data, len);
 }
 
@@ -315,6 +317,7 @@
 	if (r->call != NULL && hcall_is_reused(r->call))
 		hpool_close_idle(r->fwd->conf.pool);
 	cancel_call(r);
+	tgt_silent(r->target, MAX(r->sent_us, r->heard_us));
 	attempt_ended(r, FLOW_STALLED);
 }
 
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -56,6 +56,7 @@
 	struct sse sse; /* position in the answer's events */
 	enum hframing framing; /* of the answer, if is_matched */
 	const char *answer_end; /* how the attempt ended, for the log */
+	int64_t heard_us; /* last byte from a target; 0: none yet */
 	GString *headers; /* of the answer, to relay */
 	struct hbuf answer; /* the complete answer, or incomplete events */
 	/* Across all attempts. */
@@ -106,6 +107,7 @@
 	struct ctr *limited, *limited_again; /* sent to rate-limited targets */
 	/* Cut off by their targets before and after the first event. */
 	struct ctr *cut_before_answer, *cut_midway;
+	struct ctr *dropped; /* callers' connections closed with bytes left */
 	struct ctr *blocked[FPR_KINDS], *recalled;
 	struct ctr *choices; /* scans over all targets of a service */
 	struct hist wait, first_event, gap, total;
@@ -123,6 +125,11 @@
 /* Bytes of an incomplete event: received and not relayed. */
 const char *fwd_framing_name(const struct fwd_req *r); /* "-": no answer */
 size_t fwd_event_rest(const struct fwd_req *r);
+/* Time since the last target that it was sent to wrote anything, or since it was
+ * sent there; -1: not sent. */
+int64_t fwd_silent_ms(const struct fwd_req *r);
+/* The current target has sent something. */
+void fwd_note_heard(struct fwd_req *r);
 void fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
     const char *why);
 
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -393,6 +393,22 @@
 	t->backoff_until_us = 0;
 }
 
+void
+tgt_silent(struct tgt *t, int64_t since_us)
+{
+	if (t->silent_us == 0)
+		t->silent_us = since_us;
+}
+
+int64_t
+tgt_heard(struct tgt *t, int64_t now_us)
+{
+	int64_t since_us = t->silent_us;
+
+	t->silent_us = 0;
+	return since_us == 0 ? 0 : now_us - since_us;
+}
+
 void
 tgt_set_side_down(struct tgt *t, bool down, int64_t now_us)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -65,6 +65,9 @@
 	 * refusals stated or as it may be gone; 0: none. */
 	int64_t retry_after_us;
 	int64_t removed_us; /* by the store; 0: not removed */
+	/* Since when a request that was taken from it as silent had heard
+	 * nothing; 0: it has sent something to this gateway since. */
+	int64_t silent_us;
 	/* Failures without an answer. */
 	unsigned int failures; /* consecutive */
 	int64_t backoff_until_us;
@@ -176,6 +179,11 @@
 	TGT_LOST, /* unreachable, connection reset, or malformed answer */
 };
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
+/* A request heard nothing since `since_us` and is taken from the target. */
+void tgt_silent(struct tgt *t, int64_t since_us);
+/* The target has sent something. Returns for how long it had been silent if that
+ * ends a silence for which a request was taken from it; otherwise 0. */
+int64_t tgt_heard(struct tgt *t, int64_t now_us);
 /* An answer announced the target's planned stop. True if that is new. */
 bool tgt_announced_leaving(struct tgt_set *s, struct tgt *t, int64_t now_us);
 /* A refusal asked for no requests before `until_us`. Never shortens the time
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -9,6 +9,8 @@
 #include "shared/proc.h"
 
 #define TICK_US 100000
+/* A tick that is later than this is logged. */
+#define HELD_UP_US 150000
 /* Fraction of the retry budget that is spent; the rest allows for gateways that
  * start or stop, and for windows not aligned with this process's slots. */
 #define BUDGET_USED 0.8
@@ -51,8 +53,10 @@
 	tgt_configure(g->set, config);
 	evt(EVT_CONFIG,
 	    "version=%" G_GINT64_FORMAT
-	    " routes=%zu workspaces=%zu outcome=in_force",
-	    config->version, config->nroutes, config->nworkspaces);
+	    " routes=%zu workspaces=%zu idle_ms=%" G_GINT64_FORMAT
+	    " head_ms=%" G_GINT64_FORMAT " outcome=in_force",
+	    config->version, config->nroutes, config->nworkspaces,
+	    config->idle_us / 1000, config->head_us / 1000);
 	fwd_set_routes(g->fwd, rtab_new(config));
 	/* Without settings no desired state was sent: sidecars that have just
 	 * started would wait for the next periodic one, up to 0.4 s. */
@@ -322,12 +326,22 @@
 	    hserver_idle_connections(g->callers), fwd_active(g->fwd));
 }
 
+/* What is late here looks like silence of targets and of callers. */
+static void
+log_held_up(const struct gateway *g, int64_t late_us)
+{
+	if (late_us >= HELD_UP_US)
+		evt(EVT_HELD_UP, "ms=%" G_GINT64_FORMAT " active=%u",
+		    late_us / 1000, fwd_active(g->fwd));
+}
+
 static void
 on_tick(struct evl_timer *timer)
 {
 	struct gateway *g = CONTAINER_OF(timer, struct gateway, tick);
 	int64_t now_us = evl_now_us(g->st.loop);
 
+	log_held_up(g, now_us - timer->at_us);
 	tgt_sweep(g->set, now_us);
 	fwd_sweep(g->fwd);
 	send_store_state(g);
