http: Handle all input that has arrived before timers fire

Callers whose next request had arrived in time found their connection closed without a byte, and attempts could be given up as silent although the target's bytes were in the socket, when the process had been held up (large settings, a stop, a slow core). Cause: a wake-up read at most 64 descriptors and then fired all timers that were due. The loop now passes over all ready descriptors first, each once, so that input without end cannot hold timers up, and reads the clock for each pass.

--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -6,7 +6,7 @@
 
 #include "http/evl.h"
 
-#define BATCH 64 /* events per wake-up; more remain in the kernel */
+#define BATCH 64 /* events per pass */
 /* Size of one read. Connections with more input are read in turn. */
 #define SCRATCH_BYTES (16u << 10)
 
@@ -18,6 +18,7 @@
 	bool in_wakeup;
 	struct epoll_event batch[BATCH];
 	int batch_len, batch_at;
+	unsigned int nwatched; /* descriptors */
 	GPtrArray *heap; /* of struct evl_timer; min-heap by at_us */
 	TAILQ_HEAD(evl_tasks, evl_task) tasks;
 	uint8_t scratch[SCRATCH_BYTES];
@@ -147,6 +148,7 @@
 		    g_strerror(errno));
 		return;
 	}
+	e->nwatched += !fd->added;
 	fd->added = true;
 	fd->events = events;
 }
@@ -160,6 +162,7 @@
 		return;
 	epoll_ctl(e->epoll, EPOLL_CTL_DEL, fd->fd, NULL);
 	fd->added = false;
+	e->nwatched--;
 	/* The owner may free `fd` now; events later in the current batch can
 	 * still point to it. */
 	for (i = e->batch_at; i < e->batch_len; i++) {
@@ -168,12 +171,16 @@
 	}
 }
 
-static void
-dispatch_events(struct evl *e)
+/* Returns false if no further descriptors are ready. */
+static bool
+dispatch_batch(struct evl *e)
 {
 	struct evl_fd *fd;
+	bool is_full;
 
+	e->now_us = clk_now_us(e->clock);
 	e->batch_len = epoll_wait(e->epoll, e->batch, BATCH, 0);
+	is_full = e->batch_len == BATCH;
 	for (e->batch_at = 0; e->batch_at < e->batch_len;) {
 		fd = e->batch[e->batch_at].data.ptr;
 		e->batch_at++;
@@ -181,6 +188,7 @@
 			fd->ready(fd, e->batch[e->batch_at - 1].events);
 	}
 	e->batch_len = 0;
+	return is_full;
 }
 
 /* ------------------------------------------------------------------ */
@@ -217,6 +225,21 @@
 	}
 }
 
+/*
+ * Handles all descriptors that are ready before any timer: after a hold-up of
+ * the process, a timer would otherwise act on a peer whose input waits behind
+ * that of others. Descriptors that stay ready are returned in turn, so the
+ * number of passes is bounded.
+ */
+static void
+dispatch_events(struct evl *e)
+{
+	unsigned int passes = e->nwatched / BATCH + 1;
+
+	while (dispatch_batch(e) && --passes > 0)
+		run_tasks(e);
+}
+
 /* ------------------------------------------------------------------ */
 /* GLib source                                                         */
 /* ------------------------------------------------------------------ */
@@ -226,7 +249,6 @@
 {
 	struct evl *e = (struct evl *)source;
 
-	e->now_us = clk_now_us(e->clock);
 	e->in_wakeup = true;
 	dispatch_events(e);
 	fire_timers(e);
--- a/lib/http/evl.h
+++ b/lib/http/evl.h
@@ -7,7 +7,8 @@
  * one source instead of a thousand, and a timer costs a heap element instead
  * of a source. Descriptors and timers are intrusive: their owner embeds them.
  *
- * evl_defer() queues work to run once after all events of a wake-up, such as
+ * A timer fires only after all input that arrived before its time was handled.
+ * evl_defer() queues work to run once after the events of a pass, such as
  * writing the output that they produced.
  */
 
@@ -46,7 +47,7 @@
 struct evl *evl_new(const struct clk *clock);
 void evl_free(struct evl *e);
 
-/* Monotonic time, read once per wake-up. */
+/* Monotonic time, read once per pass over the descriptors. */
 int64_t evl_now_us(const struct evl *e);
 
 /* Adds `fd` with `events`, or changes its events. */
