http: Close a caller's connection as idle only if it is idle

A connection was closed with a whole request in it: at the idle time-out when the request came within the same wake-up, when the server stops listening, and when a request had been sent behind an answer that began before the stop. It was also closed while its caller still read the answer, by an idle limit that settings had raised meanwhile, and kept the size limit of heads from its beginning. Cause: each place that closes had its own idea of idle, and looked at the connection's state instead of at what had arrived and what was still to be sent. Now input that waits keeps it open until the request is answered (with "Connection: close" while stopping), the idle time begins when the answer is sent and goes by the limits in force, and a caller that takes nothing of its answer for 10 s is given up on its own ground.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -41,6 +41,12 @@
 	return poll(&fd, 1, 0) > 0;
 }
 
+bool
+hreq_has_input(const struct hreq *r)
+{
+	return hbuf_left(&r->in) > 0 || has_event(r, POLLIN);
+}
+
 static size_t
 unread_bytes(const struct hreq *r)
 {
@@ -214,6 +220,14 @@
 	return true;
 }
 
+void
+hreq_await_request(struct hreq *r)
+{
+	r->idle_since_us = evl_now_us(hreq_loop(r));
+	evl_timer_set(
+	    hreq_loop(r), &r->timer, r->idle_since_us + limits_of(r)->idle_us);
+}
+
 /* Passes a complete request to the owner. */
 static void
 deliver(struct hreq *r)
@@ -230,6 +244,7 @@
 {
 	hreq_set_idle(r, false);
 	r->started_us = evl_now_us(hreq_loop(r));
+	r->parse.head_max = limits_of(r)->head_bytes;
 	evl_timer_set(
 	    hreq_loop(r), &r->timer, r->started_us + limits_of(r)->head_us);
 }
@@ -326,17 +341,41 @@
 		on_readable(r);
 }
 
+/* The limit may have been raised since the time-out was set. */
+static bool
+may_stay_idle(const struct hreq *r)
+{
+	return evl_now_us(hreq_loop(r)) <
+	    r->idle_since_us + limits_of(r)->idle_us;
+}
+
+/* The idle time-out. */
+static void
+idle_time_is_over(struct hreq *r)
+{
+	if (may_stay_idle(r))
+		evl_timer_set(hreq_loop(r), &r->timer,
+		    r->idle_since_us + limits_of(r)->idle_us);
+	else if (hreq_has_input(r)) /* the next request is about to be read */
+		evl_timer_set(hreq_loop(r), &r->timer,
+		    evl_now_us(hreq_loop(r)) + limits_of(r)->head_us);
+	else
+		close_connection(r, "idle");
+}
+
 static void
 on_timer(struct evl_timer *timer)
 {
 	struct hreq *r = from_timer(timer);
 
-	if (r->state == HREQ_READ && r->started_us != 0) {
+	if (r->state == HREQ_READ && r->started_us != 0)
 		refuse(r, 408);
-		return;
-	}
-	/* Idle time-out, or the end of the linger time. */
-	close_connection(r, "idle");
+	else if (hbuf_left(&r->out) > 0) /* nothing could be sent for long */
+		close_connection(r, "unsent");
+	else if (r->state == HREQ_READ)
+		idle_time_is_over(r);
+	else /* the end of the linger time */
+		close_connection(r, "linger");
 }
 
 /* ------------------------------------------------------------------ */
@@ -359,8 +398,7 @@
 	s->connections++;
 	hreq_set_idle(r, true);
 	hreq_watch(r);
-	evl_timer_set(s->conf.loop, &r->timer,
-	    evl_now_us(s->conf.loop) + s->conf.limits->idle_us);
+	hreq_await_request(r);
 }
 
 /* An idle connection to close for a new one: the one that has been idle for the
@@ -432,13 +470,16 @@
 }
 
 /*
- * Closes a connection that waits for its next request. Output of the previous
- * response may still be queued; it is written first, since closing at once
- * would truncate the response during a planned stop.
+ * Closes a connection that waits for its next request, unless that has arrived:
+ * its response closes the connection then. Output of the previous response may
+ * still be queued; it is written first, since closing at once would truncate the
+ * response during a planned stop.
  */
 static void
 close_idle(struct hreq *r)
 {
+	if (hreq_has_input(r))
+		return;
 	if (hbuf_left(&r->out) > 0)
 		hreq_close_after_flush(r);
 	else
--- a/lib/http/server_answer.c
+++ b/lib/http/server_answer.c
@@ -9,6 +9,9 @@
 /* Bytes queued for one caller above which the source of its response is
  * paused. */
 #define CONGESTED_BYTES (128u << 10)
+/* A caller that takes none of the bytes queued for it for this long after its
+ * response has gone. */
+#define SEND_TIMEOUT_US 10000000
 /* How long input is read and discarded after the last response. Closing a
  * socket with unread input, such as the rest of a refused request, resets the
  * connection, and the caller loses the response. */
@@ -33,10 +36,27 @@
 	    hreq_loop(r), &r->timer, evl_now_us(hreq_loop(r)) + LINGER_US);
 }
 
+/* Starts the time-out that ends with the next byte sent. */
+static void
+await_sending(struct hreq *r)
+{
+	evl_timer_set(hreq_loop(r), &r->timer,
+	    evl_now_us(hreq_loop(r)) + SEND_TIMEOUT_US);
+}
+
+/* The response is queued completely; no further request has begun. */
+static bool
+is_answered(const struct hreq *r)
+{
+	return r->state == HREQ_FLUSH ||
+	    (r->state == HREQ_READ && r->started_us == 0);
+}
+
 /* Writes queued output. Returns false if the connection was closed. */
 static bool
 write_out(struct hreq *r)
 {
+	size_t before = hbuf_left(&r->out);
 	ssize_t n;
 
 	while (hbuf_left(&r->out) > 0) {
@@ -52,6 +72,12 @@
 		}
 		hbuf_consume(&r->out, (size_t)n);
 	}
+	if (is_answered(r) && hbuf_left(&r->out) < before) {
+		if (r->state == HREQ_READ && hbuf_left(&r->out) == 0)
+			hreq_await_request(r);
+		else
+			await_sending(r);
+	}
 	if (r->congested && hbuf_left(&r->out) < CONGESTED_BYTES / 2) {
 		r->congested = false;
 		if (r->state == HREQ_BUSY)
@@ -127,6 +153,7 @@
 	hreq_set_idle(r, false);
 	r->state = HREQ_FLUSH;
 	hbuf_free(&r->in);
+	await_sending(r);
 	evl_defer(hreq_loop(r), &r->flush);
 }
 
@@ -142,8 +169,9 @@
 	/* A stream that began before the server stopped listening has no
 	 * "Connection: close". If the connection stayed open, the caller
 	 * could send its next request to a process that is about to exit, and
-	 * that request would be lost. */
-	if (r->server->fd.fd < 0)
+	 * that request would be lost. One that it has sent already is answered
+	 * first. */
+	if (r->server->fd.fd < 0 && !hreq_has_input(r))
 		r->close_after = true;
 	if (r->close_after) {
 		hreq_close_after_flush(r);
@@ -151,8 +179,7 @@
 	}
 	r->state = HREQ_READ;
 	r->started_us = 0;
-	evl_timer_set(hreq_loop(r), &r->timer,
-	    evl_now_us(hreq_loop(r)) + r->server->conf.limits->idle_us);
+	await_sending(r);
 	evl_defer(hreq_loop(r), &r->flush);
 }
 
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -28,6 +28,7 @@
 	struct hbuf out;
 	void *ctx;
 	int64_t started_us;
+	int64_t idle_since_us; /* the last response was sent, or accepted */
 	size_t body_bytes_counted; /* bytes included in hserver.bodies */
 	bool begun; /* the head of the response was queued */
 	bool chunked; /* the response uses chunked encoding */
@@ -66,6 +67,11 @@
 /* Parses bytes that were received together with an earlier request. */
 void hreq_read_ahead(struct hreq *r);
 
+/* Whether input waits to be read or parsed; the end of the input counts. */
+bool hreq_has_input(const struct hreq *r);
+/* The connection waits for its next request: starts the idle time-out. */
+void hreq_await_request(struct hreq *r);
+
 /* server_answer.c */
 void hreq_continue(struct hreq *r); /* sends "100 Continue" */
 void hreq_flush(struct evl_task *task);
--- a/tests/http/test_held_up.c
+++ b/tests/http/test_held_up.c
@@ -288,6 +288,41 @@
 	close(fd);
 }
 
+/* Guards against closing a connection by a limit that is no longer in force: its
+ * caller goes by the new one. */
+static void
+test_raised_idle_limit(void **state)
+{
+	int fd = raw_dial(address);
+
+	raw_send(fd, REQUEST);
+	expect_ok(fd);
+	limits.idle_us = INT64_C(10000000);
+	run_ms(IDLE_MS + 100);
+	raw_send(fd, REQUEST);
+	expect_ok(fd);
+	close(fd);
+}
+
+/* The same for the size of a head. */
+static void
+test_raised_head_limit(void **state)
+{
+	char *padding = g_strnfill(800, 'x');
+	char *text = g_strdup_printf(
+	    "GET / HTTP/1.1\r\nHost: a\r\nX: %s\r\n\r\n", padding);
+	int fd = raw_dial(address);
+
+	raw_send(fd, REQUEST);
+	expect_ok(fd);
+	limits.head_bytes = 1024;
+	raw_send(fd, text);
+	expect_ok(fd);
+	close(fd);
+	g_free(text);
+	g_free(padding);
+}
+
 int
 main(void)
 {
@@ -299,6 +334,8 @@
 		T(test_request_arrives_before_the_stop),
 		T(test_request_behind_an_answer_at_the_stop),
 		T(test_idle_time_begins_after_the_answer),
+		T(test_raised_idle_limit),
+		T(test_raised_head_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
