--- a/lib/serve/flow.c
+++ b/lib/serve/flow.c
@@ -47,6 +47,12 @@
 	return certainly_not_run(s) ? FLOW_REFUSE : FLOW_FAIL;
 }
 
+bool
+flow_may_hedge(const struct flow_state *s)
+{
+	return s->repeatable && may_retry(s, FLOW_STALLED);
+}
+
 double
 flow_retry_after_s(double wait_s, double random)
 {
--- a/lib/serve/flow.h
+++ b/lib/serve/flow.h
@@ -49,6 +49,10 @@
 enum flow_step flow_next(const struct flow_state *s, enum flow_end end,
     bool (*may_spend)(void *ctx), void *ctx);
 
+/* Whether the request may be sent to one more target while those that have it are
+ * silent; they count as `runs`. The retry budget is charged separately. */
+bool flow_may_hedge(const struct flow_state *s);
+
 /*
  * Retry-After for a refused caller, in seconds. `wait_s` is the expected wait
  * for a slot now; `random`, in [0, 1), spreads out callers that are refused at
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -28,23 +28,11 @@
 	return (fwd_now(r) - MAX(r->sent_us, r->heard_us)) / 1000;
 }
 
-void
-fwd_note_heard(struct fwd_req *r)
-{
-	int64_t silent_us = tgt_heard(r->target, fwd_now(r));
-
-	r->heard_us = fwd_now(r);
-	if (silent_us > 0)
-		evt(EVT_TARGET_HEARD,
-		    "target=%s address=%s req=%s ms=%" G_GINT64_FORMAT,
-		    r->target->record.id, r->target->record.address, r->id,
-		    silent_us / 1000);
-}
-
 void
 fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
     const char *why)
 {
+	const struct fwd_attempt *a = TAILQ_LAST(&r->attempts, fwd_attempts);
 	int64_t now_us = fwd_now(r);
 	char parts[FWD_PARTS_TEXT] = "-", blocked_by[FWD_BLOCKED_BY_TEXT];
 
@@ -65,10 +53,12 @@
 	    r->first_event_us == 0 ? -1
 				   : (r->first_event_us - r->started_us) / 1000,
 	    r->sent_us == 0 ? -1 : (r->sent_us - r->started_us) / 1000,
-	    r->is_client_retry, fwd_framing_name(r), r->answer_end,
-	    fwd_event_rest(r), fwd_silent_ms(r),
-	    r->target == NULL ? "-" : r->target->record.id, r->content, parts,
-	    blocked_by, rtab_config(r->routes)->version);
+	    r->is_client_retry,
+	    a == NULL ? r->last_framing : fwd_framing_name(a),
+	    a == NULL ? r->last_end : a->end,
+	    a == NULL ? r->last_rest : fwd_event_rest(a), fwd_silent_ms(r),
+	    a == NULL ? r->last_target : a->target->record.id, r->content,
+	    parts, blocked_by, rtab_config(r->routes)->version);
 }
 
 void
@@ -78,7 +68,7 @@
 
 	TAILQ_REMOVE(&f->open, r, open);
 	fwd_dequeue(r);
-	fwd_drop_call(r);
+	fwd_drop_attempts(r);
 	evl_timer_stop(f->conf.loop, &r->deadline);
 	evl_timer_stop(f->conf.loop, &r->wait_timer);
 	rtab_unref(r->routes);
@@ -303,7 +293,9 @@
 	r->workspace = workspace;
 	r->service = service_of(f, rtab_pick_service(route, rng_next(&f->rng)));
 	r->deadline.fire = on_deadline;
-	r->answer_end = "-";
+	TAILQ_INIT(&r->attempts);
+	g_strlcpy(r->last_target, "-", sizeof(r->last_target));
+	r->last_end = r->last_framing = "-";
 	r->priority = workspace != NULL && workspace->priority != INT_MAX
 	    ? workspace->priority
 	    : route->priority;
@@ -364,7 +356,7 @@
 		return;
 	ctr_add(r->fwd->disconnected, 1);
 	fwd_log_end(r, EVT_DISCONNECTED, 0,
-	    r->state == FWD_WAITING ? "waiting" : "running");
+	    TAILQ_EMPTY(&r->attempts) ? "waiting" : "running");
 	fwd_finish(r);
 }
 
@@ -373,8 +365,8 @@
 {
 	struct fwd_req *r = hreq_ctx(caller);
 
-	if (r != NULL && r->call != NULL)
-		hcall_pause(r->call, false);
+	if (r != NULL)
+		fwd_resume_reading(r);
 }
 
 static void
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -23,9 +23,9 @@
 
 /* Parses "running,waiting,slots". */
 static void
-apply_load(struct fwd_req *r, const struct hmsg *m)
+apply_load(struct fwd_attempt *a, const struct hmsg *m)
 {
-	const struct hheader *h = fwd_find_header(r, m, SV_F_LOAD);
+	const struct hheader *h = fwd_find_header(a->req, m, SV_F_LOAD);
 	unsigned long running, waiting;
 	char text[48], *end;
 
@@ -37,13 +37,21 @@
 	if (*end != ',')
 		return;
 	waiting = strtoul(end + 1, &end, 10);
-	tgt_set_load(r->target, (unsigned int)(running + waiting), fwd_now(r));
+	tgt_set_load(
+	    a->target, (unsigned int)(running + waiting), fwd_now(a->req));
 }
 
 static bool
-is_success(const struct fwd_req *r)
+is_success(const struct fwd_attempt *a)
 {
-	return r->status >= 200 && r->status < 300;
+	return a->status >= 200 && a->status < 300;
+}
+
+/* Whether the answer is relayed as it arrives. */
+static bool
+is_stream(const struct fwd_attempt *a)
+{
+	return a->req->route->kind == SV_STREAM && is_success(a);
 }
 
 /* Reads the rate limit that an answer states, in requests per second; 0: it
@@ -65,21 +73,22 @@
 }
 
 static void
-apply_limit(struct fwd_req *r, const struct hmsg *m)
+apply_limit(struct fwd_attempt *a, const struct hmsg *m)
 {
-	double limit, before = r->target->rate.limit;
+	struct fwd_req *r = a->req;
+	double limit, before = a->target->rate.limit;
 
 	if (!parse_limit(r, m, &limit))
 		return;
 	/* A refusal need not come from the engine itself, so a refusal without
 	 * a limit does not remove the current one. */
-	if (limit == 0 && !(is_success(r) && r->sealed))
+	if (limit == 0 && !(is_success(a) && a->sealed))
 		return;
 	if (tgt_rate_answered(
-		r->fwd->conf.targets, r->target, limit, r->sent_us, fwd_now(r)))
+		r->fwd->conf.targets, a->target, limit, a->sent_us, fwd_now(r)))
 		evt(EVT_LIMIT,
 		    "target=%s address=%s limit=%.2f before=%.2f from=answer",
-		    r->target->record.id, r->target->record.address, limit,
+		    a->target->record.id, a->target->record.address, limit,
 		    before);
 }
 
@@ -92,17 +101,18 @@
 }
 
 static bool
-is_not_run(const struct fwd_req *r, const struct hmsg *m)
+is_not_run(const struct fwd_attempt *a, const struct hmsg *m)
 {
-	return r->status == 421 || fwd_find_header(r, m, SV_F_NOT_RUN) != NULL;
+	return a->status == 421 ||
+	    fwd_find_header(a->req, m, SV_F_NOT_RUN) != NULL;
 }
 
 static bool
-is_relayable(const struct fwd_req *r, const struct hmsg *m)
+is_relayable(const struct fwd_attempt *a, const struct hmsg *m)
 {
-	if (is_success(r))
-		return r->sealed && hmsg_find(m, "Content-Encoding") == NULL;
-	return r->sealed && !implies_not_run(r->status);
+	if (is_success(a))
+		return a->sealed && hmsg_find(m, "Content-Encoding") == NULL;
+	return a->sealed && !implies_not_run(a->status);
 }
 
 /* On a route of streams, an answer without a type is one of events, too. */
@@ -120,52 +130,58 @@
 /* The caller has the beginning of a stream from an earlier target: only events
  * can follow. */
 static bool
-may_continue_stream(const struct fwd_req *r)
+may_continue_stream(const struct fwd_attempt *a)
+{
+	return is_success(a) && a->has_events;
+}
+
+/* An answer that is relayed whole wins as soon as it begins. */
+static bool
+is_plain_answer(const struct fwd_attempt *a)
 {
-	return is_success(r) && r->has_events;
+	return !a->not_run && !a->unusable && a->status < 500 && !is_stream(a);
 }
 
 void
-fwd_read_head(struct fwd_req *r, const struct hmsg *m)
+fwd_read_head(struct fwd_attempt *a, const struct hmsg *m)
 {
+	struct fwd_req *r = a->req;
 	const struct hheader *id = fwd_find_header(r, m, SV_F_REQUEST_ID);
 
-	fwd_read_notices(r, m);
+	fwd_read_notices(a, m);
 	/* This answers an earlier request: it is late or a duplicate. */
 	if (id != NULL &&
 	    (id->value.n != strlen(r->id) ||
 		memcmp(id->value.p, r->id, id->value.n) != 0)) {
 		ctr_add(r->fwd->unexpected, 1);
 		evt(EVT_UNEXPECTED, "req=%s target=%s got=%.*s", r->id,
-		    r->target->record.id, (int)MIN(id->value.n, FWD_ID_MAX),
+		    a->target->record.id, (int)MIN(id->value.n, FWD_ID_MAX),
 		    id->value.p);
-		hcall_skip(r->call);
+		hcall_skip(a->call);
 		return;
 	}
-	r->is_matched = true;
-	r->framing = m->framing;
-	r->has_events = has_event_type(m);
-	r->status = m->status;
-	r->sealed = fwd_find_header(r, m, SV_F_SEAL) != NULL;
-	apply_load(r, m);
-	apply_limit(r, m);
-	fwd_prompt_read(r);
-	r->not_run = is_not_run(r, m);
-	r->unusable = !r->not_run &&
-	    (!is_relayable(r, m) || (is_success(r) && id == NULL) ||
-		(r->flow.begun && !may_continue_stream(r)));
-	if (r->headers == NULL)
-		r->headers = g_string_sized_new(256);
-	g_string_truncate(r->headers, 0);
-	fwd_answer_headers(m, r->headers);
-	if (r->not_run || r->unusable)
-		hcall_no_reuse(r->call);
-}
-
-bool
-fwd_is_stream(const struct fwd_req *r)
-{
-	return r->route->kind == SV_STREAM && is_success(r);
+	a->is_matched = true;
+	a->framing = m->framing;
+	a->has_events = has_event_type(m);
+	a->status = m->status;
+	a->sealed = fwd_find_header(r, m, SV_F_SEAL) != NULL;
+	apply_load(a, m);
+	apply_limit(a, m);
+	fwd_prompt_read(a);
+	a->not_run = is_not_run(a, m);
+	a->unusable = !a->not_run &&
+	    (!is_relayable(a, m) || (is_success(a) && id == NULL) ||
+		(r->flow.begun && !may_continue_stream(a)));
+	if (a->headers == NULL)
+		a->headers = g_string_sized_new(256);
+	g_string_truncate(a->headers, 0);
+	fwd_answer_headers(m, a->headers);
+	if (a->not_run || a->unusable)
+		hcall_no_reuse(a->call);
+	if (is_plain_answer(a)) {
+		fwd_choose_attempt(a);
+		fwd_note_progress(a);
+	}
 }
 
 /* ------------------------------------------------------------------ */
@@ -182,12 +198,13 @@
 }
 
 static void
-note_event(struct fwd_req *r, int64_t id)
+note_event(struct fwd_attempt *a, int64_t id)
 {
+	struct fwd_req *r = a->req;
 	int64_t now_us = fwd_now(r);
 
 	if (r->events == 0) {
-		update_first_event_us(r->service, now_us - r->sent_us);
+		update_first_event_us(r->service, now_us - a->sent_us);
 		r->first_event_us = now_us;
 		hist_add(&r->fwd->first_event, now_us - r->started_us);
 	} else
@@ -201,83 +218,86 @@
 }
 
 static void
-begin_answer(struct fwd_req *r)
+begin_answer(struct fwd_attempt *a)
 {
+	struct fwd_req *r = a->req;
+
 	if (hreq_begun(r->caller))
 		return;
-	hreq_begin(r->caller, r->status, r->headers->str);
+	hreq_begin(r->caller, a->status, a->headers->str);
 	r->flow.begun = true;
-	r->state = FWD_STREAMING;
 }
 
 static void
-relay_block(struct fwd_req *r, const void *block, size_t len)
+relay_block(struct fwd_attempt *a, const void *block, size_t len)
 {
-	begin_answer(r);
-	hreq_write(r->caller, block, len);
+	fwd_choose_attempt(a);
+	begin_answer(a);
+	hreq_write(a->req->caller, block, len);
 }
 
 static void
-relay_event(struct fwd_req *r, const void *event, size_t len)
+relay_event(struct fwd_attempt *a, const void *event, size_t len)
 {
+	struct fwd_req *r = a->req;
 	int64_t id = sse_id(event, len);
 
-	r->has_begun = true;
+	a->has_begun = true;
 	if (id >= 0 && r->has_event && id <= r->last_event) {
-		/* relayed already, from an earlier target */
+		/* relayed already, from another target */
 		ctr_add(r->fwd->unexpected, 1);
 		return;
 	}
-	relay_block(r, event, len);
-	note_event(r, id);
+	relay_block(a, event, len);
+	note_event(a, id);
 }
 
 static void
-relay_events(struct fwd_req *r)
+relay_events(struct fwd_attempt *a)
 {
 	size_t len;
 
-	while ((len = sse_next(&r->sse, hbuf_front(&r->answer),
-		    hbuf_left(&r->answer))) > 0) {
-		if (sse_is_event(&r->sse))
-			relay_event(r, hbuf_front(&r->answer), len);
+	while ((len = sse_next(&a->sse, hbuf_front(&a->answer),
+		    hbuf_left(&a->answer))) > 0) {
+		if (sse_is_event(&a->sse))
+			relay_event(a, hbuf_front(&a->answer), len);
 		else
-			relay_block(r, hbuf_front(&r->answer), len);
-		hbuf_consume(&r->answer, len);
+			relay_block(a, hbuf_front(&a->answer), len);
+		hbuf_consume(&a->answer, len);
 	}
-	if (hreq_congested(r->caller))
-		hcall_pause(r->call, true);
+	if (hreq_congested(a->req->caller))
+		hcall_pause(a->call, true);
 }
 
 void
-fwd_read_body(struct fwd_req *r, const void *data, size_t len)
+fwd_read_body(struct fwd_attempt *a, const void *data, size_t len)
 {
-	size_t most = fwd_is_stream(r) ? EVENT_MAX : ANSWER_MAX;
+	size_t most = is_stream(a) ? EVENT_MAX : ANSWER_MAX;
 
-	if (r->not_run || r->unusable)
+	if (a->not_run || a->unusable)
 		return;
-	if (hbuf_left(&r->answer) + len > most) {
-		r->unusable = true;
-		hcall_no_reuse(r->call);
+	if (hbuf_left(&a->answer) + len > most) {
+		a->unusable = true;
+		hcall_no_reuse(a->call);
 		return;
 	}
-	hbuf_add(&r->answer, data, len);
-	if (!fwd_is_stream(r))
+	hbuf_add(&a->answer, data, len);
+	if (!is_stream(a))
 		return;
-	relay_events(r);
-	fwd_note_progress(r);
+	relay_events(a);
+	fwd_note_progress(a);
 }
 
 size_t
-fwd_event_rest(const struct fwd_req *r)
+fwd_event_rest(const struct fwd_attempt *a)
 {
-	return fwd_is_stream(r) ? hbuf_left(&r->answer) : 0;
+	return is_stream(a) ? hbuf_left(&a->answer) : 0;
 }
 
 const char *
-fwd_framing_name(const struct fwd_req *r)
+fwd_framing_name(const struct fwd_attempt *a)
 {
-	return r->is_matched ? hframing_name(r->framing) : "-";
+	return a->is_matched ? hframing_name(a->framing) : "-";
 }
 
 /* ------------------------------------------------------------------ */
@@ -290,32 +310,34 @@
  * events.
  */
 bool
-fwd_answer_is_complete(const struct fwd_req *r)
+fwd_answer_is_complete(const struct fwd_attempt *a)
 {
-	if (!fwd_is_stream(r) || !r->has_events)
+	if (!is_stream(a) || !a->has_events)
 		return true;
 	/* Without framing, a stream that was broken off at once looks like an
 	 * empty one. */
-	if (r->framing == HFRAMING_CLOSE && !r->has_begun)
+	if (a->framing == HFRAMING_CLOSE && !a->has_begun)
 		return false;
-	return sse_may_end(&r->sse);
+	return sse_may_end(&a->sse);
 }
 
 /* The target's answer is complete: relays the part not sent yet. */
 void
-fwd_answer_complete(struct fwd_req *r)
+fwd_answer_complete(struct fwd_attempt *a)
 {
+	struct fwd_req *r = a->req;
 	struct hreq *caller = r->caller;
-	struct hbuf answer = r->answer;
-	GString *headers = r->headers;
-	unsigned int status = r->status;
+	struct hbuf answer = a->answer;
+	GString *headers = a->headers;
+	unsigned int status = a->status;
 	bool begun = r->flow.begun;
 
+	fwd_choose_attempt(a);
 	ctr_add(r->fwd->done, 1);
 	hist_add(&r->fwd->total, fwd_now(r) - r->started_us);
 	fwd_log_end(r, EVT_DONE, status, status < 500 ? "ok" : "target_failed");
-	r->answer = (struct hbuf){ 0 };
-	r->headers = NULL;
+	a->answer = (struct hbuf){ 0 };
+	a->headers = NULL;
 	fwd_finish(r);
 	if (begun) {
 		hreq_write(caller, hbuf_front(&answer), hbuf_left(&answer));
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -1,4 +1,4 @@
-/* One attempt at a target: sending, timers, outcome. */
+/* Attempts at targets: sending, timers, outcome. */
 
 #include <string.h>
 
@@ -46,65 +46,107 @@
 #define RECALL_CHECK_INTERVAL_US 25000
 
 void
-fwd_prompt_read(struct fwd_req *r)
+fwd_prompt_read(struct fwd_attempt *a)
 {
-	if (!r->prompt_pending)
+	if (!a->prompt_pending)
 		return;
-	r->prompt_pending = false;
-	tgt_prefill(r->target, r->prompt, false);
-	fwd_pump(r->fwd);
+	a->prompt_pending = false;
+	tgt_prefill(a->target, a->req->prompt, false);
+	fwd_pump(a->req->fwd);
+}
+
+static struct evl *
+loop_of(const struct fwd_attempt *a)
+{
+	return a->req->fwd->conf.loop;
 }
 
 static void
-stop_timers(struct fwd_req *r)
+cancel_call(struct fwd_attempt *a)
 {
-	evl_timer_stop(r->fwd->conf.loop, &r->wait_timer);
-	evl_timer_stop(r->fwd->conf.loop, &r->begin_timer);
+	if (a->call != NULL)
+		hcall_cancel(a->call);
+	a->call = NULL;
+}
+
+static void
+keep_for_log(struct fwd_attempt *a)
+{
+	struct fwd_req *r = a->req;
+
+	g_strlcpy(r->last_target, a->target->record.id, sizeof(r->last_target));
+	r->last_end = a->end;
+	r->last_framing = fwd_framing_name(a);
+	r->last_rest = fwd_event_rest(a);
 }
 
+/* Cancels the attempt if it has not ended, and frees it. */
 static void
-cancel_call(struct fwd_req *r)
+drop_attempt(struct fwd_attempt *a)
 {
-	if (r->call != NULL)
-		hcall_cancel(r->call);
-	r->call = NULL;
+	struct fwd_req *r = a->req;
+
+	keep_for_log(a);
+	TAILQ_REMOVE(&r->attempts, a, link);
+	evl_timer_stop(loop_of(a), &a->stall_timer);
+	evl_timer_stop(loop_of(a), &a->begin_timer);
+	cancel_call(a);
+	if (a->headers != NULL)
+		g_string_free(a->headers, TRUE);
+	hbuf_free(&a->answer);
+	fwd_prompt_read(a);
+	if (a->is_probe)
+		tgt_probe_abandoned(a->target);
+	tgt_ended(a->target, fwd_now(r));
+	tgt_unref(a->target);
+	fwd_count_completion(r->service, fwd_now(r));
+	fwd_pump(r->fwd);
+	g_free(a);
 }
 
 void
-fwd_drop_call(struct fwd_req *r)
+fwd_drop_attempts(struct fwd_req *r)
 {
-	struct fwd *f = r->fwd;
+	struct fwd_attempt *a;
 
-	stop_timers(r);
-	cancel_call(r);
-	if (r->headers != NULL) {
-		g_string_free(r->headers, TRUE);
-		r->headers = NULL;
+	while ((a = TAILQ_FIRST(&r->attempts)) != NULL)
+		drop_attempt(a);
+}
+
+void
+fwd_choose_attempt(struct fwd_attempt *a)
+{
+	struct fwd_req *r = a->req;
+	struct fwd_attempt *other, *next;
+
+	fwd_dequeue(r);
+	for (other = TAILQ_FIRST(&r->attempts); other != NULL; other = next) {
+		next = TAILQ_NEXT(other, link);
+		if (other == a)
+			continue;
+		if (!other->silent) /* counted already if it is */
+			r->flow.runs++;
+		drop_attempt(other);
 	}
-	hbuf_free(&r->answer);
-	if (r->target == NULL)
-		return;
-	fwd_prompt_read(r);
-	tgt_ended(r->target, fwd_now(r));
-	tgt_unref(r->target);
-	r->target = NULL;
-	fwd_count_completion(r->service, fwd_now(r));
-	fwd_pump(f);
 }
 
 /* ------------------------------------------------------------------ */
 /* End of an attempt                                                   */
 /* ------------------------------------------------------------------ */
 
-static bool
-may_spend(void *ctx)
+bool
+fwd_may_spend(struct fwd_req *r)
 {
-	struct fwd_req *r = ctx;
-
 	return spend_take(
 	    &r->service->budget, &r->fwd->conf.budget, fwd_now(r));
 }
 
+static bool
+may_spend(void *ctx)
+{
+	return fwd_may_spend(ctx);
+}
+
 static const char *const end_names[] = {
 	[FLOW_REFUSED] = "target_refused",
 	[FLOW_UNREACHABLE] = "target_unreachable",
@@ -118,81 +160,112 @@
 	[FLOW_REFUSED] = TGT_REFUSED,
 	[FLOW_UNREACHABLE] = TGT_LOST,
 	[FLOW_LOST] = TGT_ERROR,
-	[FLOW_STALLED] = TGT_TIMEOUT,
 	[FLOW_RECALLED] = TGT_REFUSED, /* no fault of the target */
 	[FLOW_FAILURE] = TGT_ERROR,
 };
 
 static void
-note_outcome(struct fwd_req *r, enum flow_end end)
+log_backoff(const struct fwd_attempt *a, enum flow_end end)
+{
+	const struct tgt *t = a->target;
+
+	evt(EVT_TARGET_BACKOFF,
+	    "target=%s address=%s why=%s failures=%u rest_ms=%" G_GINT64_FORMAT,
+	    t->record.id, t->record.address, end_names[end], t->failures,
+	    (t->backoff_until_us - fwd_now(a->req)) / 1000);
+}
+
+static void
+note_outcome(struct fwd_attempt *a, enum flow_end end)
 {
-	unsigned int failures = r->target->failures;
+	struct fwd *f = a->req->fwd;
+	struct tgt *t = a->target;
+	unsigned int failures = t->failures;
 
-	tgt_outcome(r->target, target_outcomes[end], fwd_now(r));
-	if (r->target->failures > failures)
-		evt(EVT_TARGET_BACKOFF,
-		    "target=%s address=%s why=%s failures=%u rest_ms=%" G_GINT64_FORMAT,
-		    r->target->record.id, r->target->record.address,
-		    end_names[end], r->target->failures,
-		    (r->target->backoff_until_us - fwd_now(r)) / 1000);
+	tgt_outcome(t, target_outcomes[end], fwd_now(a->req));
+	if (t->failures > failures)
+		log_backoff(a, end);
 	if (end != FLOW_REFUSED)
 		return;
-	if (r->status == 421)
-		tgt_wrong_instance(r->target);
+	if (a->status == 421)
+		tgt_wrong_instance(t);
 	else /* it is fuller than estimated */
-		tgt_set_load(r->target,
-		    (unsigned int)tgt_limit(
-			r->target, tgt_set_policy(r->fwd->conf.targets)),
-		    fwd_now(r));
+		tgt_set_load(t,
+		    (unsigned int)tgt_limit(t, tgt_set_policy(f->conf.targets)),
+		    fwd_now(a->req));
 }
 
 static void
-retry(struct fwd_req *r, enum flow_end end)
+count_retry(struct fwd_req *r)
 {
-	char parts[FWD_PARTS_TEXT];
-
-	fwd_parts_text(r, parts);
 	ctr_add(r->fwd->retries, 1);
 	if (r->flow.begun)
 		ctr_add(r->fwd->resumes, 1);
+}
+
+static void
+log_retry(const struct fwd_attempt *a, enum flow_end end)
+{
+	struct fwd_req *r = a->req;
+	char parts[FWD_PARTS_TEXT];
+
+	fwd_parts_text(r, parts);
 	evt(EVT_RETRY,
 	    "req=%s why=%s target=%s tries=%u runs=%u last_event=%" G_GINT64_FORMAT
 	    " ms=%" G_GINT64_FORMAT
 	    " framing=%s end=%s rest=%zu silent_ms=%" G_GINT64_FORMAT
 	    " content=%016" G_GINT64_MODIFIER "x parts=%s",
-	    r->id, end_names[end], r->target->record.id, r->flow.attempts,
+	    r->id, end_names[end], a->target->record.id, r->flow.attempts,
 	    r->flow.runs, r->last_event, (fwd_now(r) - r->started_us) / 1000,
-	    fwd_framing_name(r), r->answer_end, fwd_event_rest(r),
-	    fwd_silent_ms(r), r->content, parts);
-	fwd_drop_call(r);
-	r->state = FWD_WAITING;
-	fwd_dispatch(r);
+	    fwd_framing_name(a), a->end, fwd_event_rest(a), fwd_silent_ms(r),
+	    r->content, parts);
 }
 
+/* Updates what the next step depends on. */
 static void
-attempt_ended(struct fwd_req *r, enum flow_end end)
+update_flow(struct fwd_req *r)
 {
 	int64_t until_us;
 
-	stop_timers(r);
-	note_outcome(r, end);
-	if (end != FLOW_REFUSED && end != FLOW_UNREACHABLE) {
-		r->flow.may_have_run = true;
-		r->flow.runs++;
-	}
 	/* Without an id there is no position to resume from. */
 	if (r->events > 0 && !r->has_event)
 		r->flow.repeatable = false;
 	r->flow.has_time = r->deadline_us - fwd_now(r) > ATTEMPT_MIN_US &&
 	    r->ntried < FWD_TRIED_MAX;
 	r->flow.blocked = fwd_is_blocked(r, &until_us);
+}
+
+/* Counts the attempt as one that may have run, once. */
+static void
+count_run(struct fwd_attempt *a, enum flow_end end)
+{
+	struct fwd_req *r = a->req;
+	bool may_have_run = end != FLOW_REFUSED && end != FLOW_UNREACHABLE;
+
+	if (may_have_run && end != FLOW_STALLED)
+		r->flow.may_have_run = true;
+	if (may_have_run && !a->silent)
+		r->flow.runs++;
+	else if (!may_have_run && a->silent)
+		r->flow.runs--;
+}
+
+/* The only attempt has ended. */
+static void
+last_attempt_ended(struct fwd_attempt *a, enum flow_end end)
+{
+	struct fwd_req *r = a->req;
+
 	switch (flow_next(&r->flow, end, may_spend, r)) {
 	case FLOW_RETRY:
 	case FLOW_RESUME:
-		retry(r, end);
+		count_retry(r);
+		log_retry(a, end);
+		drop_attempt(a);
+		fwd_dispatch(r);
 		break;
 	case FLOW_PASS:
-		fwd_answer_complete(r);
+		fwd_answer_complete(a);
 		break;
 	case FLOW_REFUSE:
 		fwd_refuse(r, end_names[end]);
@@ -206,6 +279,104 @@
 	}
 }
 
+static void seek_second_target(struct fwd_req *r);
+
+static void
+attempt_ended(struct fwd_attempt *a, enum flow_end end)
+{
+	struct fwd_req *r = a->req;
+
+	note_outcome(a, end);
+	count_run(a, end);
+	update_flow(r);
+	if (TAILQ_FIRST(&r->attempts) == a && TAILQ_NEXT(a, link) == NULL) {
+		fwd_dequeue(r);
+		last_attempt_ended(a, end);
+		return;
+	}
+	log_retry(a, end);
+	drop_attempt(a);
+	seek_second_target(r);
+}
+
+/* ------------------------------------------------------------------ */
+/* Silent targets                                                      */
+/* ------------------------------------------------------------------ */
+
+bool
+fwd_may_hedge(struct fwd_req *r)
+{
+	update_flow(r);
+	return flow_may_hedge(&r->flow);
+}
+
+/* All targets that have the request are silent. */
+static bool
+all_are_silent(const struct fwd_req *r)
+{
+	const struct fwd_attempt *a;
+
+	TAILQ_FOREACH (a, &r->attempts, link) {
+		if (!a->silent)
+			return false;
+	}
+	return true;
+}
+
+/* Looks for a target that takes the request beside those that are silent. They
+ * keep it, as a sound target goes on after a second or so. */
+static void
+seek_second_target(struct fwd_req *r)
+{
+	if (!r->queued && all_are_silent(r) && fwd_may_hedge(r))
+		fwd_dispatch(r);
+}
+
+static void
+note_silence(struct fwd_attempt *a)
+{
+	struct fwd_req *r = a->req;
+	unsigned int failures = a->target->failures;
+
+	if (!a->silent)
+		count_run(a, FLOW_STALLED);
+	a->silent = true;
+	tgt_silent(a->target, MAX(a->sent_us, a->heard_us), fwd_now(r));
+	if (a->target->failures > failures)
+		log_backoff(a, FLOW_STALLED);
+}
+
+static void
+on_stalled(struct evl_timer *timer)
+{
+	struct fwd_attempt *a =
+	    CONTAINER_OF(timer, struct fwd_attempt, stall_timer);
+
+	/* Connections usually stall many at a time, and each idle one that
+	 * stays in the pool would cost another request a stall timeout. */
+	if (a->call != NULL && hcall_is_reused(a->call))
+		hpool_close_idle(a->req->fwd->conf.pool);
+	note_silence(a);
+	seek_second_target(a->req);
+}
+
+/* The target has sent something. */
+static void
+note_heard(struct fwd_attempt *a)
+{
+	struct fwd_req *r = a->req;
+	int64_t silent_us = tgt_heard(a->target, fwd_now(r));
+
+	a->heard_us = r->heard_us = fwd_now(r);
+	if (silent_us == 0)
+		return;
+	evt(EVT_TARGET_HEARD,
+	    "target=%s address=%s req=%s ms=%" G_GINT64_FORMAT,
+	    a->target->record.id, a->target->record.address, r->id,
+	    silent_us / 1000);
+	fwd_pump(r->fwd);
+}
+
 /* ------------------------------------------------------------------ */
 /* Callbacks of the call                                               */
 /* ------------------------------------------------------------------ */
@@ -213,51 +384,51 @@
 static void
 on_head(struct hcall *c, const struct hmsg *m, void *ctx)
 {
-	fwd_note_heard(ctx);
+	note_heard(ctx);
 	fwd_read_head(ctx, m);
 }
 
 static void
 on_body(struct hcall *c, const void *data, size_t len, void *ctx)
 {
-	fwd_note_heard(ctx);
+	note_heard(ctx);
 	fwd_read_body(ctx, data, len);
 }
 
 static bool
-is_failure(const struct fwd_req *r)
+is_failure(const struct fwd_attempt *a)
 {
-	return r->status >= 500;
+	return a->status >= 500;
 }
 
 /* The target has done the work that it may terminate under. */
 static bool
-is_success(const struct fwd_req *r)
+is_success(const struct fwd_attempt *a)
 {
-	return r->status >= 200 && r->status < 300;
+	return a->status >= 200 && a->status < 300;
 }
 
 static void
 on_done(struct hcall *c, void *ctx)
 {
-	struct fwd_req *r = ctx;
-
-	r->call = NULL;
-	r->answer_end = r->framing == HFRAMING_CLOSE ? "closed" : "whole";
-	if (r->not_run)
-		attempt_ended(r, FLOW_REFUSED);
-	else if (r->unusable)
-		attempt_ended(r, FLOW_LOST);
-	else if (is_failure(r))
-		attempt_ended(r, FLOW_FAILURE);
-	else if (!fwd_answer_is_complete(r)) {
-		fwd_note_cut(r);
-		attempt_ended(r, FLOW_LOST);
+	struct fwd_attempt *a = ctx;
+
+	a->call = NULL;
+	a->end = a->framing == HFRAMING_CLOSE ? "closed" : "whole";
+	if (a->not_run)
+		attempt_ended(a, FLOW_REFUSED);
+	else if (a->unusable)
+		attempt_ended(a, FLOW_LOST);
+	else if (is_failure(a))
+		attempt_ended(a, FLOW_FAILURE);
+	else if (!fwd_answer_is_complete(a)) {
+		fwd_note_cut(a);
+		attempt_ended(a, FLOW_LOST);
 	} else {
-		tgt_outcome(r->target, TGT_ANSWERED, fwd_now(r));
-		if (is_success(r))
-			fwd_note_answered(r);
-		fwd_answer_complete(r);
+		tgt_outcome(a->target, TGT_ANSWERED, fwd_now(a->req));
+		if (is_success(a))
+			fwd_note_answered(a);
+		fwd_answer_complete(a);
 	}
 }
 
@@ -265,14 +436,14 @@
  * more. Where a sidecar reports on the target, it decides instead: the target
  * may only be refusing further connections. */
 static void
-connection_failed(struct fwd_req *r)
+connection_failed(struct fwd_attempt *a)
 {
-	struct fwd *f = r->fwd;
-	struct tgt *target = tgt_ref(r->target);
-	bool terminated =
-	    target->side_report_us == 0 && fwd_now(r) - r->sent_us < REFUSED_US;
+	struct fwd *f = a->req->fwd;
+	struct tgt *target = tgt_ref(a->target);
+	bool terminated = target->side_report_us == 0 &&
+	    fwd_now(a->req) - a->sent_us < REFUSED_US;
 
-	attempt_ended(r, FLOW_UNREACHABLE);
+	attempt_ended(a, FLOW_UNREACHABLE);
 	if (terminated)
 		fwd_target_terminated(f, target);
 	tgt_unref(target);
@@ -281,19 +452,19 @@
 static void
 on_failed(struct hcall *c, enum hcall_failure why, bool sent, void *ctx)
 {
-	struct fwd_req *r = ctx;
+	struct fwd_attempt *a = ctx;
 
-	r->call = NULL;
-	r->answer_end = hcall_failure_name(why);
+	a->call = NULL;
+	a->end = hcall_failure_name(why);
 	/* The head of a refusal is enough: it says that the request did not
 	 * run, even if the body is incomplete. */
-	if (r->not_run)
-		attempt_ended(r, FLOW_REFUSED);
+	if (a->not_run)
+		attempt_ended(a, FLOW_REFUSED);
 	else if (sent) {
-		fwd_note_cut(r);
-		attempt_ended(r, FLOW_LOST);
+		fwd_note_cut(a);
+		attempt_ended(a, FLOW_LOST);
 	} else
-		connection_failed(r);
+		connection_failed(a);
 }
 
 static const struct hcall_ops call_ops = {
@@ -304,61 +475,47 @@
 };
 
 /* ------------------------------------------------------------------ */
-/* Sending                                                             */
+/* Recall                                                              */
 /* ------------------------------------------------------------------ */
 
-static void
-on_stalled(struct evl_timer *timer)
-{
-	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, wait_timer);
-
-	/* Connections usually stall many at a time, and each idle one that
-	 * stays in the pool would cost another request a stall timeout. */
-	if (r->call != NULL && hcall_is_reused(r->call))
-		hpool_close_idle(r->fwd->conf.pool);
-	cancel_call(r);
-	tgt_silent(r->target, MAX(r->sent_us, r->heard_us));
-	attempt_ended(r, FLOW_STALLED);
-}
-
 /* Time that a cancel takes to arrive at the target, at most. */
 static int64_t
-recall_margin_us(const struct fwd_req *r)
+recall_margin_us(const struct fwd_attempt *a)
 {
-	const struct tgt *t = r->target;
+	const struct tgt *t = a->target;
 	int64_t margin_us =
 	    t->inbound_us + (t->local ? RECALL_LOCAL_US : RECALL_REMOTE_US);
 
-	if (tgt_path_is_slow(t, fwd_now(r)))
+	if (tgt_path_is_slow(t, fwd_now(a->req)))
 		margin_us = MAX(margin_us, RECALL_SLOW_US);
 	return margin_us;
 }
 
 /* Time from which the target may not begin the request; 0: none is known. */
 static int64_t
-weights_end_us(const struct fwd_req *r)
+weights_end_us(const struct fwd_attempt *a)
 {
 	/* While the target loads, its version is 0. */
-	return vers_deadline_us(r->fwd->conf.versions, r->model,
-	    MAX(r->target->version, r->sent_version));
+	return vers_deadline_us(a->req->fwd->conf.versions, a->req->model,
+	    MAX(a->target->version, a->sent_version));
 }
 
 /* Recalls the request if a cancel sent later may arrive too late, or sets the
  * timer to the next look. */
 static void
-check_recall(struct fwd_req *r)
+check_recall(struct fwd_attempt *a)
 {
-	int64_t end_us = weights_end_us(r), now_us = fwd_now(r);
-	int64_t recall_us = end_us - recall_margin_us(r);
+	int64_t end_us = weights_end_us(a), now_us = fwd_now(a->req);
+	int64_t recall_us = end_us - recall_margin_us(a);
 
 	if (end_us == 0)
 		return;
 	if (now_us >= recall_us) {
-		cancel_call(r);
-		attempt_ended(r, FLOW_RECALLED);
+		cancel_call(a);
+		attempt_ended(a, FLOW_RECALLED);
 		return;
 	}
-	evl_timer_set(r->fwd->conf.loop, &r->begin_timer,
+	evl_timer_set(loop_of(a), &a->begin_timer,
 	    MIN(recall_us,
 		MAX(end_us - RECALL_CHECK_US,
 		    now_us + RECALL_CHECK_INTERVAL_US)));
@@ -367,109 +524,158 @@
 static void
 on_begin_deadline(struct evl_timer *timer)
 {
-	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, begin_timer);
+	struct fwd_attempt *a =
+	    CONTAINER_OF(timer, struct fwd_attempt, begin_timer);
 
 	/* The head of the answer has arrived, so the target has begun. */
-	if (r->call != NULL && r->status == 0)
-		check_recall(r);
+	if (a->call != NULL && a->status == 0)
+		check_recall(a);
 }
 
 /* Arms the recall of a request that does not begin in time. This includes
  * resumed streams and last attempts: their callers lose the rest of the answer,
  * which must not be made with withdrawn weights. */
 static void
-arm_begin_timer(struct fwd_req *r)
+arm_begin_timer(struct fwd_attempt *a)
 {
+	const struct fwd_req *r = a->req;
 	int64_t end_us;
 
 	if (r->route->kind != SV_STREAM || !r->flow.repeatable ||
-	    !r->target->record.has_models)
+	    !a->target->record.has_models)
 		return;
-	end_us = weights_end_us(r);
+	end_us = weights_end_us(a);
 	if (end_us == 0)
 		return;
-	r->begin_timer.fire = on_begin_deadline;
-	evl_timer_set(r->fwd->conf.loop, &r->begin_timer,
-	    end_us - MAX(RECALL_CHECK_US, recall_margin_us(r)));
+	a->begin_timer.fire = on_begin_deadline;
+	evl_timer_set(loop_of(a), &a->begin_timer,
+	    end_us - MAX(RECALL_CHECK_US, recall_margin_us(a)));
 }
 
-/* Arms the stall timer until the target's next event. A request that cannot be
- * sent elsewhere only has its deadline: a stalled target is no reason to end it
- * sooner. */
-static void
-arm_stall_timer(struct fwd_req *r)
+/* ------------------------------------------------------------------ */
+/* Sending                                                             */
+/* ------------------------------------------------------------------ */
+
+static int64_t
+stall_timeout_us(const struct fwd_req *r)
 {
 	const struct sv_route *route = r->route;
-	int64_t wait_us = STALL_DEFAULT_US;
 
-	if (!r->flow.repeatable || r->flow.runs + 1 >= r->flow.max_attempts)
-		return;
 	if (route->kind != SV_STREAM)
-		wait_us =
-		    (int64_t)((double)route->timeout_us * STALL_PLAIN_SHARE);
-	else if (r->events > 0 && route->gap_us > 0)
-		wait_us = STALL_GAP * route->gap_us;
-	else if (route->objective_us > 0)
-		wait_us = CLAMP(STALL_MEAN * r->service->first_event_us,
+		return (int64_t)((double)route->timeout_us * STALL_PLAIN_SHARE);
+	if (r->events > 0 && route->gap_us > 0)
+		return STALL_GAP * route->gap_us;
+	if (route->objective_us > 0)
+		return CLAMP(STALL_MEAN * r->service->first_event_us,
 		    STALL_FIRST * route->objective_us,
 		    STALL_FIRST_MAX * route->objective_us);
-	r->wait_timer.fire = on_stalled;
-	evl_timer_set(r->fwd->conf.loop, &r->wait_timer, fwd_now(r) + wait_us);
+	return STALL_DEFAULT_US;
+}
+
+/* Arms the stall timer until the target's next event, where the request may be
+ * sent elsewhere then. */
+static void
+arm_stall_timer(struct fwd_attempt *a)
+{
+	const struct fwd_req *r = a->req;
+
+	if (!r->flow.repeatable || r->flow.runs + 1 >= r->flow.max_attempts)
+		return;
+	a->stall_timer.fire = on_stalled;
+	evl_timer_set(
+	    loop_of(a), &a->stall_timer, fwd_now(r) + stall_timeout_us(r));
 }
 
 void
-fwd_note_progress(struct fwd_req *r)
+fwd_note_progress(struct fwd_attempt *a)
 {
-	arm_stall_timer(r);
+	struct fwd_req *r = a->req;
+
+	if (a->silent)
+		r->flow.runs--;
+	a->silent = false;
+	/* Nothing is read while the caller is slow. */
+	if (hreq_congested(r->caller))
+		evl_timer_stop(loop_of(a), &a->stall_timer);
+	else
+		arm_stall_timer(a);
 }
 
-static void
-reset_answer(struct fwd_req *r)
+void
+fwd_resume_reading(struct fwd_req *r)
 {
-	r->status = 0;
-	r->is_matched = false;
-	r->answer_end = "cancelled";
-	r->not_run = false;
-	r->unusable = false;
-	r->sealed = false;
-	r->has_begun = false;
-	r->sse = (struct sse){ 0 };
-	hbuf_free(&r->answer);
+	struct fwd_attempt *a;
+
+	TAILQ_FOREACH (a, &r->attempts, link) {
+		if (a->call == NULL)
+			continue;
+		hcall_pause(a->call, false);
+		fwd_note_progress(a);
+	}
+}
+
+void
+fwd_hedge_later(struct fwd_req *r)
+{
+	struct fwd_attempt *a = TAILQ_LAST(&r->attempts, fwd_attempts);
+
+	if (a != NULL)
+		evl_timer_set(loop_of(a), &a->stall_timer,
+		    fwd_now(r) + stall_timeout_us(r));
 }
 
 /* Counts first attempts and retries apart: a rate limit applies to both. */
 static void
-count_limited(struct fwd_req *r)
+count_limited(struct fwd_attempt *a)
 {
-	if (r->target->rate.limit > 0)
+	struct fwd_req *r = a->req;
+
+	if (a->target->rate.limit > 0)
 		ctr_add(r->flow.attempts > 1 ? r->fwd->limited_again
 					     : r->fwd->limited,
 		    1);
 }
 
+static struct fwd_attempt *
+attempt_new(struct fwd_req *r, struct tgt *target)
+{
+	struct fwd_attempt *a = g_new0(struct fwd_attempt, 1);
+
+	a->req = r;
+	a->target = tgt_ref(target);
+	a->end = "cancelled";
+	a->sent_us = r->sent_us = fwd_now(r);
+	a->sent_version = target->version;
+	a->is_probe = target->failures > 0;
+	if (r->ntried < FWD_TRIED_MAX)
+		r->tried[r->ntried++] = target;
+	r->flow.attempts++;
+	TAILQ_INSERT_TAIL(&r->attempts, a, link);
+	return a;
+}
+
 void
 fwd_send(struct fwd_req *r, struct tgt *target)
 {
+	struct fwd_attempt *silent = TAILQ_LAST(&r->attempts, fwd_attempts);
 	GString *head = fwd_request_head(r, target);
+	struct fwd_attempt *a;
 	const void *body;
 	size_t len;
 
-	reset_answer(r);
-	r->state = r->flow.begun ? FWD_STREAMING : FWD_CALLING;
-	r->target = tgt_ref(target);
-	r->sent_us = fwd_now(r);
-	r->sent_version = target->version;
-	if (r->ntried < FWD_TRIED_MAX)
-		r->tried[r->ntried++] = target;
-	r->flow.attempts++;
-	count_limited(r);
-	tgt_sent(target, r->sent_us);
+	if (silent != NULL) {
+		count_retry(r);
+		log_retry(silent, FLOW_STALLED);
+	}
+	a = attempt_new(r, target);
+	count_limited(a);
+	tgt_sent(target, a->sent_us);
 	/* Ask now, so that the next request finds a permit. */
-	tgt_ask_permit(r->fwd->conf.targets, target, r->sent_us);
+	tgt_ask_permit(r->fwd->conf.targets, target, a->sent_us);
 	tgt_prefill(target, r->prompt, true);
-	r->prompt_pending = true;
+	a->prompt_pending = true;
 	body = hreq_body(r->caller, &len);
-	r->call = hcall_start(r->fwd->conf.pool,
+	a->call = hcall_start(r->fwd->conf.pool,
 	    &(struct hcall_conf){ .address = target->record.address,
 		.head = head->str,
 		.head_len = head->len,
@@ -477,8 +683,8 @@
 		.body_len = len,
 		.no_body = strcmp(hreq_msg(r->caller)->method, "HEAD") == 0,
 		.ops = &call_ops,
-		.ctx = r });
+		.ctx = a });
 	g_string_free(head, TRUE);
-	arm_stall_timer(r);
-	arm_begin_timer(r);
+	arm_stall_timer(a);
+	arm_begin_timer(a);
 }
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -13,13 +13,40 @@
 
 struct fwd_service;
 
-enum fwd_state {
-	FWD_WAITING, /* queued for a slot at a target */
-	FWD_CALLING, /* sent; nothing relayed to the caller yet */
-	FWD_STREAMING, /* events are being relayed */
+/* A request at a target. */
+struct fwd_attempt {
+	TAILQ_ENTRY(fwd_attempt) link; /* in fwd_req.attempts */
+	struct fwd_req *req;
+	struct hcall *call; /* NULL: ended */
+	struct tgt *target; /* holds a reference and a slot */
+	int64_t sent_us;
+	int64_t heard_us; /* last byte from the target; 0: none yet */
+	int64_t sent_version; /* of the target's weights then */
+	bool prompt_pending; /* counted as not yet read by the target */
+	bool is_probe; /* sent to a target that had failed */
+	bool silent; /* for too long, and counted in flow_state.runs */
+	struct evl_timer stall_timer; /* for the target's next event */
+	struct evl_timer begin_timer; /* the answer must have begun by then */
+	/* Its answer. */
+	unsigned int status;
+	bool is_matched; /* the answer's head belongs to this request */
+	bool not_run; /* the target says that it did not run the request */
+	bool unusable; /* the answer cannot be relayed */
+	bool sealed; /* the answer has the seal header */
+	bool has_begun; /* the first event has arrived */
+	bool has_events; /* the answer's type is that of events */
+	struct sse sse; /* position in the answer's events */
+	enum hframing framing; /* of the answer, if is_matched */
+	const char *end; /* how the attempt ended, for the log */
+	GString *headers; /* of the answer, to relay */
+	struct hbuf answer; /* the complete answer, or incomplete events */
 };
 
-/* A caller's request, from its arrival until it is answered. */
+/*
+ * A caller's request, from its arrival until it is answered. It has several
+ * attempts while their targets are silent: none is given up for that before
+ * another one's answer is to be relayed, since its target may go on.
+ */
 struct fwd_req {
 	TAILQ_ENTRY(fwd_req) link; /* in fwd_service.waiting */
 	TAILQ_ENTRY(fwd_req) open; /* in fwd.open */
@@ -29,36 +56,24 @@
 	const struct sv_route *route;
 	const struct sv_workspace *workspace; /* NULL: anonymous */
 	struct fwd_service *service;
-	enum fwd_state state;
 	char id[FWD_ID_MAX];
 	char *model; /* NULL: none requested */
 	uint64_t prompt; /* tokens; 0: unknown */
-	bool prompt_pending; /* counted as not yet read by the target */
 	int64_t started_us; /* first byte received */
 	int64_t deadline_us; /* for the complete answer */
 	bool is_client_retry; /* inferred from the caller's deadline header */
 	int priority;
 	struct evl_timer deadline;
-	struct evl_timer wait_timer; /* for a slot, or for a stalled target */
-	struct evl_timer begin_timer; /* the answer must have begun by then */
-	/* The current attempt. */
-	struct hcall *call;
-	struct tgt *target; /* holds a reference and a slot */
-	int64_t sent_us;
-	int64_t sent_version; /* of the target's weights then */
-	unsigned int status;
-	bool is_matched; /* the answer's head belongs to this request */
-	bool not_run; /* the target says that it did not run the request */
-	bool unusable; /* the answer cannot be relayed */
-	bool sealed; /* the answer has the seal header */
-	bool has_begun; /* the first event has arrived */
-	bool has_events; /* the answer's type is that of events */
-	struct sse sse; /* position in the answer's events */
-	enum hframing framing; /* of the answer, if is_matched */
-	const char *answer_end; /* how the attempt ended, for the log */
-	int64_t heard_us; /* last byte from a target; 0: none yet */
-	GString *headers; /* of the answer, to relay */
-	struct hbuf answer; /* the complete answer, or incomplete events */
+	struct evl_timer wait_timer; /* for a slot */
+	bool queued; /* in fwd_service.waiting */
+	TAILQ_HEAD(fwd_attempts, fwd_attempt) attempts; /* oldest first */
+	/* The last attempt that ended, for the log. */
+	char last_target[SV_ID_MAX];
+	const char *last_end;
+	const char *last_framing;
+	size_t last_rest;
+	int64_t sent_us; /* last sent; 0: not sent */
+	int64_t heard_us; /* last byte from any target; 0: none yet */
 	/* Across all attempts. */
 	uint64_t content; /* fingerprint; 0: not computed yet */
 	uint64_t *parts; /* fingerprints of the prompt's shared parts */
@@ -122,14 +137,9 @@
 void fwd_fail(struct fwd_req *r, unsigned int status, const char *why);
 void fwd_abort(struct fwd_req *r, const char *why); /* close mid-answer */
 void fwd_finish(struct fwd_req *r); /* frees it, but not the hreq */
-/* Bytes of an incomplete event: received and not relayed. */
-const char *fwd_framing_name(const struct fwd_req *r); /* "-": no answer */
-size_t fwd_event_rest(const struct fwd_req *r);
 /* Time since the last target that it was sent to wrote anything, or since it was
  * sent there; -1: not sent. */
 int64_t fwd_silent_ms(const struct fwd_req *r);
-/* The current target has sent something. */
-void fwd_note_heard(struct fwd_req *r);
 void fwd_log_end(const struct fwd_req *r, enum evt_name ev, unsigned int status,
     const char *why);
 
@@ -166,33 +176,45 @@
  * requests takes some again. */
 void fwd_pump_at(struct fwd *f, int64_t at_us);
 
-/* fwd_call.c: one attempt */
+/* fwd_call.c: attempts */
 void fwd_send(struct fwd_req *r, struct tgt *target);
 /* Whether it may be recalled from a target that has not begun it. */
 bool fwd_may_recall(const struct fwd_req *r);
-void fwd_drop_call(struct fwd_req *r); /* cancels the current attempt */
-void fwd_prompt_read(struct fwd_req *r); /* the target has read it */
-void fwd_note_progress(struct fwd_req *r); /* restarts the stall timer */
+/* Whether one more attempt may begin while others are in flight. */
+bool fwd_may_hedge(struct fwd_req *r);
+/* Charges the retry budget with an attempt. */
+bool fwd_may_spend(struct fwd_req *r);
+/* Looks again for another target once the stall timeout has passed anew. */
+void fwd_hedge_later(struct fwd_req *r);
+void fwd_drop_attempts(struct fwd_req *r); /* cancels all of them */
+/* The answer of this one is relayed: cancels the others. */
+void fwd_choose_attempt(struct fwd_attempt *a);
+void fwd_prompt_read(struct fwd_attempt *a); /* the target has read it */
+void fwd_note_progress(struct fwd_attempt *a); /* restarts the stall timer */
+/* The caller takes bytes again. */
+void fwd_resume_reading(struct fwd_req *r);
 
 /* fwd_notice.c: what targets state about themselves in answers */
-/* To be called with the head of any answer of the current target. */
-void fwd_read_notices(struct fwd_req *r, const struct hmsg *m);
+/* To be called with the head of any answer of the attempt's target. */
+void fwd_read_notices(struct fwd_attempt *a, const struct hmsg *m);
 
 /* fwd_answer.c: answers from targets */
 const struct hheader *fwd_find_header(
     const struct fwd_req *r, const struct hmsg *m, enum sv_field f);
-void fwd_read_head(struct fwd_req *r, const struct hmsg *m);
-void fwd_read_body(struct fwd_req *r, const void *data, size_t len);
+void fwd_read_head(struct fwd_attempt *a, const struct hmsg *m);
+void fwd_read_body(struct fwd_attempt *a, const void *data, size_t len);
 /* Whether an answer whose message has ended is complete. */
-bool fwd_answer_is_complete(const struct fwd_req *r);
-void fwd_answer_complete(struct fwd_req *r);
-bool fwd_is_stream(const struct fwd_req *r); /* relayed as it arrives */
+bool fwd_answer_is_complete(const struct fwd_attempt *a);
+void fwd_answer_complete(struct fwd_attempt *a);
+const char *fwd_framing_name(const struct fwd_attempt *a); /* "-": no answer */
+/* Bytes of an incomplete event: received and not relayed. */
+size_t fwd_event_rest(const struct fwd_attempt *a);
 
 /* fwd_suspect.c: requests under which targets terminated */
 /* Whether it must not be sent before `*until_us`. Sets `blocked_by`. */
 bool fwd_is_blocked(struct fwd_req *r, int64_t *until_us);
-void fwd_note_cut(struct fwd_req *r); /* its target cut it off */
-void fwd_note_answered(struct fwd_req *r); /* its answer is complete */
+void fwd_note_cut(struct fwd_attempt *a); /* its target cut it off */
+void fwd_note_answered(struct fwd_attempt *a); /* its answer is complete */
 
 /* fwd_head.c: message heads for targets and callers */
 GString *fwd_request_head(struct fwd_req *r, struct tgt *target);
--- a/lib/serve/fwd_notice.c
+++ b/lib/serve/fwd_notice.c
@@ -22,24 +22,26 @@
 }
 
 static void
-read_leaving(struct fwd_req *r, const struct hmsg *m)
+read_leaving(struct fwd_attempt *a, const struct hmsg *m)
 {
+	struct fwd_req *r = a->req;
 	const struct hheader *h = fwd_find_header(r, m, SV_F_LEAVING);
 
 	if (h == NULL || !hslice_is(h->value, "1") ||
-	    !tgt_announced_leaving(r->fwd->conf.targets, r->target, fwd_now(r)))
+	    !tgt_announced_leaving(r->fwd->conf.targets, a->target, fwd_now(r)))
 		return;
 	evt(EVT_NOTICE,
 	    "target=%s address=%s start=%" G_GINT64_FORMAT
 	    " said=leaving from=answer answer_to=%s sent_ms_ago=%" G_GINT64_FORMAT,
-	    r->target->record.id, r->target->record.address,
-	    r->target->record.start_ms, r->id,
-	    (fwd_now(r) - r->sent_us) / 1000);
+	    a->target->record.id, a->target->record.address,
+	    a->target->record.start_ms, r->id,
+	    (fwd_now(r) - a->sent_us) / 1000);
 }
 
 static void
-read_retry_after(struct fwd_req *r, const struct hmsg *m)
+read_retry_after(struct fwd_attempt *a, const struct hmsg *m)
 {
+	struct fwd_req *r = a->req;
 	const struct hheader *h = fwd_find_header(r, m, SV_F_RETRY_AFTER);
 	int64_t now_us = fwd_now(r), until_us;
 	double seconds;
@@ -50,21 +52,21 @@
 	until_us = now_us +
 	    (int64_t)(MIN(seconds, RETRY_AFTER_MAX_S) * G_USEC_PER_SEC);
 	if (!tgt_asked_retry_after(
-		r->fwd->conf.targets, r->target, until_us, now_us))
+		r->fwd->conf.targets, a->target, until_us, now_us))
 		return;
 	fwd_pump_at(r->fwd, until_us);
 	evt(EVT_NOTICE,
 	    "target=%s address=%s start=%" G_GINT64_FORMAT
 	    " said=retry_after ms=%" G_GINT64_FORMAT
 	    " from=answer answer_to=%s sent_ms_ago=%" G_GINT64_FORMAT,
-	    r->target->record.id, r->target->record.address,
-	    r->target->record.start_ms, (until_us - now_us) / 1000, r->id,
-	    (now_us - r->sent_us) / 1000);
+	    a->target->record.id, a->target->record.address,
+	    a->target->record.start_ms, (until_us - now_us) / 1000, r->id,
+	    (now_us - a->sent_us) / 1000);
 }
 
 void
-fwd_read_notices(struct fwd_req *r, const struct hmsg *m)
+fwd_read_notices(struct fwd_attempt *a, const struct hmsg *m)
 {
-	read_leaving(r, m);
-	read_retry_after(r, m);
+	read_leaving(a, m);
+	read_retry_after(a, m);
 }
--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -27,7 +27,7 @@
 	struct fwd_req *other;
 
 	TAILQ_FOREACH (other, &r->fwd->open, open) {
-		if (other != r && other->call != NULL &&
+		if (other != r && !TAILQ_EMPTY(&other->attempts) &&
 		    fwd_has_identity(other, fingerprint))
 			return true;
 	}
@@ -80,20 +80,21 @@
 }
 
 void
-fwd_note_cut(struct fwd_req *r)
+fwd_note_cut(struct fwd_attempt *a)
 {
+	struct fwd_req *r = a->req;
 	struct fwd *f = r->fwd;
 	struct sus_termination termination = {
-		.target = target_hash(r->target),
-		.weight = r->has_begun ? SUS_ANSWERING : SUS_UNANSWERED,
+		.target = target_hash(a->target),
+		.weight = a->has_begun ? SUS_ANSWERING : SUS_UNANSWERED,
 		.at_us = fwd_now(r),
-		.in_flight_us = fwd_now(r) - r->sent_us,
+		.in_flight_us = fwd_now(r) - a->sent_us,
 	};
 	uint64_t identities[FWD_IDENTITIES_MAX];
 	size_t n, i;
 
-	ctr_add(r->has_begun ? f->cut_midway : f->cut_before_answer, 1);
-	if (is_planned_cut(r->target))
+	ctr_add(a->has_begun ? f->cut_midway : f->cut_before_answer, 1);
+	if (is_planned_cut(a->target))
 		return;
 	n = fwd_identities(r, identities);
 	for (i = 0; i < n; i++) {
@@ -111,8 +112,9 @@
 }
 
 static void
-note_identity_answered(struct fwd_req *r, uint64_t fingerprint)
+note_identity_answered(struct fwd_attempt *a, uint64_t fingerprint)
 {
+	struct fwd_req *r = a->req;
 	struct fwd *f = r->fwd;
 	bool was_blocked = sus_was_blocked(f->suspects, fingerprint);
 	struct sus_termination cleared = { .fingerprint = fingerprint,
@@ -120,8 +122,8 @@
 		.at_us = fwd_now(r) };
 
 	/* A target that terminates closes its connections, too. */
-	if (r->framing == HFRAMING_CLOSE) {
-		sus_closed(f->suspects, fingerprint, target_hash(r->target),
+	if (a->framing == HFRAMING_CLOSE) {
+		sus_closed(f->suspects, fingerprint, target_hash(a->target),
 		    cleared.at_us);
 		return;
 	}
@@ -135,16 +137,17 @@
 /* Answers speak for parts also before any target has terminated; the content's
  * fingerprint, which costs more, is computed only after that. */
 void
-fwd_note_answered(struct fwd_req *r)
+fwd_note_answered(struct fwd_attempt *a)
 {
+	struct fwd_req *r = a->req;
 	bool is_suspected = !sus_is_empty(r->fwd->suspects);
 	size_t i;
 
 	fwd_read_parts(r);
 	for (i = 0; i < r->nparts; i++)
-		note_identity_answered(r, r->parts[i]);
+		note_identity_answered(a, r->parts[i]);
 	if (is_suspected)
-		note_identity_answered(r, fwd_content(r));
+		note_identity_answered(a, fwd_content(r));
 }
 
 /* ------------------------------------------------------------------ */
@@ -155,7 +158,13 @@
 static bool
 is_answering(const struct fwd_req *r)
 {
-	return r->state != FWD_WAITING && r->has_begun;
+	const struct fwd_attempt *a;
+
+	TAILQ_FOREACH (a, &r->attempts, link) {
+		if (a->has_begun)
+			return true;
+	}
+	return false;
 }
 
 static void
@@ -165,7 +174,7 @@
 	ctr_add(r->fwd->recalled, 1);
 	if (r->flow.begun)
 		fwd_abort(r, "held");
-	else if (r->flow.may_have_run || r->call != NULL)
+	else if (r->flow.may_have_run || !TAILQ_EMPTY(&r->attempts))
 		fwd_fail(r, 502, "held");
 	else
 		fwd_refuse_until(r, "held", until_us);
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -120,10 +120,10 @@
 void
 fwd_dequeue(struct fwd_req *r)
 {
-	if (r->state != FWD_WAITING || r->link.tqe_prev == NULL)
+	if (!r->queued)
 		return;
 	TAILQ_REMOVE(&r->service->waiting, r, link);
-	r->link.tqe_prev = NULL;
+	r->queued = false;
 	r->service->nwaiting--;
 	r->fwd->waiting--;
 }
@@ -148,7 +148,7 @@
 	struct fwd_service *service = r->service;
 	struct fwd_req *other;
 
-	r->state = FWD_WAITING;
+	r->queued = true;
 	TAILQ_FOREACH (other, &service->waiting, link) {
 		if (goes_before(r, other))
 			break;
@@ -203,6 +203,13 @@
 	    !r->flow.begun && r->flow.runs + 1 < r->flow.max_attempts;
 }
 
+/* It looks for a target beside those that have it and are silent. */
+static bool
+is_hedge(const struct fwd_req *r)
+{
+	return !TAILQ_EMPTY(&r->attempts);
+}
+
 static struct tgt_criteria
 criteria_of(struct fwd_req *r)
 {
@@ -228,6 +235,7 @@
 		.exclude = r->tried,
 		.nexclude = r->ntried,
 		.repeatable = r->flow.repeatable,
+		.not_silent = is_hedge(r),
 		.reserve_share = yields_to_new(r) ? RESERVED_SHARE : 0,
 		.random = rng_next(&f->rng),
 	};
@@ -297,8 +305,13 @@
 	if (hreq_has_left(r->caller))
 		return;
 	fwd_dequeue(r);
+	if (is_hedge(r) && !(fwd_may_hedge(r) && fwd_may_spend(r))) {
+		fwd_hedge_later(r);
+		return;
+	}
 	evl_timer_stop(r->fwd->conf.loop, &r->wait_timer);
-	hist_add(&r->fwd->wait, fwd_now(r) - r->started_us);
+	if (!is_hedge(r))
+		hist_add(&r->fwd->wait, fwd_now(r) - r->started_us);
 	fwd_send(r, target);
 }
 
@@ -314,6 +327,10 @@
 		send_chosen(r, target);
 		return;
 	}
+	if (is_hedge(r)) {
+		enqueue(r);
+		return;
+	}
 	if (!r->is_client_retry && why == TGT_FULL)
 		r->service->full_us = fwd_now(r);
 	if (refuse_early(r, &criteria, why))
@@ -365,7 +382,7 @@
 {
 	unsigned int i = 0;
 
-	if (r->ntried > 0 || yields_to_new(r))
+	if (r->ntried > 0 || is_hedge(r) || yields_to_new(r))
 		return;
 	while (i < FULL_KINDS && kinds[i].is_set)
 		i++;
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -369,6 +369,14 @@
 	t->backoff_until_us = now_us + MIN(backoff_us, BACKOFF_MAX_US);
 }
 
+static void
+end_backoff(struct tgt *t)
+{
+	t->failures = 0;
+	t->probing = false;
+	t->backoff_until_us = 0;
+}
+
 void
 tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us)
 {
@@ -382,20 +390,21 @@
 	}
 	t->error_rate += (error - t->error_rate) * ERROR_WEIGHT;
 	t->answers++;
+	if (o == TGT_LOST) /* worse than silence */
+		t->silent_us = 0;
 	if (o == TGT_TIMEOUT || o == TGT_LOST) {
 		/* Requests that fail at the same time count as one failure. */
 		if (now_us >= t->backoff_until_us)
 			record_failure(t, now_us);
 		return;
 	}
-	t->failures = 0;
-	t->probing = false;
-	t->backoff_until_us = 0;
+	end_backoff(t);
 }
 
 void
-tgt_silent(struct tgt *t, int64_t since_us)
+tgt_silent(struct tgt *t, int64_t since_us, int64_t now_us)
 {
+	tgt_outcome(t, TGT_TIMEOUT, now_us);
 	if (t->silent_us == 0)
 		t->silent_us = since_us;
 }
@@ -405,8 +414,23 @@
 {
 	int64_t since_us = t->silent_us;
 
+	if (since_us == 0)
+		return 0;
 	t->silent_us = 0;
-	return since_us == 0 ? 0 : now_us - since_us;
+	end_backoff(t);
+	return now_us - since_us;
+}
+
+void
+tgt_set_side_silent(struct tgt *t, bool silent)
+{
+	t->side_silent = silent;
+}
+
+void
+tgt_probe_abandoned(struct tgt *t)
+{
+	t->probing = false;
 }
 
 void
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -65,9 +65,10 @@
 	 * refusals stated or as it may be gone; 0: none. */
 	int64_t retry_after_us;
 	int64_t removed_us; /* by the store; 0: not removed */
-	/* Since when a request that was taken from it as silent had heard
-	 * nothing; 0: it has sent something to this gateway since. */
+	/* Since when a request that waited too long for it had heard nothing;
+	 * 0: it has sent something to this gateway since, or has failed. */
 	int64_t silent_us;
+	bool side_silent; /* it does not answer its sidecar either */
 	/* Failures without an answer. */
 	unsigned int failures; /* consecutive */
 	int64_t backoff_until_us;
@@ -179,11 +180,20 @@
 	TGT_LOST, /* unreachable, connection reset, or malformed answer */
 };
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
-/* A request heard nothing since `since_us` and is taken from the target. */
-void tgt_silent(struct tgt *t, int64_t since_us);
-/* The target has sent something. Returns for how long it had been silent if that
- * ends a silence for which a request was taken from it; otherwise 0. */
+/*
+ * A request has heard nothing from the target since `since_us`, for too long.
+ * That is no evidence of a failure yet: a sound target may be silent for a
+ * second or so. Requests avoid it while any other target can serve them.
+ */
+void tgt_silent(struct tgt *t, int64_t since_us, int64_t now_us);
+/* The target has sent something, so it lives. Returns for how long it had been
+ * silent if tgt_silent() was called meanwhile; otherwise 0. */
 int64_t tgt_heard(struct tgt *t, int64_t now_us);
+/* Its sidecar reported whether it leaves reports unanswered. */
+void tgt_set_side_silent(struct tgt *t, bool silent);
+/* A probe ended without an outcome, as its caller has left or was answered by
+ * another target. */
+void tgt_probe_abandoned(struct tgt *t);
 /* An answer announced the target's planned stop. True if that is new. */
 bool tgt_announced_leaving(struct tgt_set *s, struct tgt *t, int64_t now_us);
 /* A refusal asked for no requests before `until_us`. Never shortens the time
@@ -255,6 +265,9 @@
 	const struct tgt *const *exclude; /* targets tried before */
 	size_t nexclude;
 	bool repeatable; /* may probe a target that failed */
+	/* Never a target that is silent; otherwise such a target is chosen if
+	 * no other is eligible. */
+	bool not_silent;
 	double reserve_share; /* share of the slots that must stay free */
 	uint64_t random;
 };
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -11,6 +11,9 @@
 /* Additional backoff before a request that must not be repeated may probe a
  * target. */
 #define PROBE_UNSAFE_US 1000000
+/* A sound target may be silent for a second or so; one that is silent for longer
+ * counts as failed. */
+#define SILENCE_MAX_US 2000000
 /* Number of answers from which the error rate is used. */
 #define ERROR_ANSWERS 8
 /*
@@ -198,17 +201,40 @@
 	return now_us >= probe_from_us && !t->probing;
 }
 
+/* Silent, and not for so long that it counts as failed. */
+static bool
+is_only_silent(const struct tgt *t, int64_t now_us)
+{
+	return t->silent_us != 0 ? now_us - t->silent_us < SILENCE_MAX_US
+				 : t->side_silent && t->failures == 0;
+}
+
 static bool
 can_serve(
     const struct tgt *t, const struct tgt_criteria *criteria, int64_t now_us)
 {
-	if (t->leaving || t->side_down || !has_weights(t, criteria, now_us))
+	if (t->leaving || t->side_down || !has_weights(t, criteria, now_us) ||
+	    is_excluded(t, criteria))
 		return false;
-	if (t->failures > 0 && !may_probe(t, criteria, now_us))
+	if (t->side_silent)
 		return false;
-	return !is_excluded(t, criteria);
+	return t->failures == 0 || may_probe(t, criteria, now_us);
+}
+
+/* The same where no target can serve: one that is silent may go on any moment,
+ * and all may be silent for a common cause. */
+static bool
+may_go_on(
+    const struct tgt *t, const struct tgt_criteria *criteria, int64_t now_us)
+{
+	return !t->leaving && !t->side_down &&
+	    has_weights(t, criteria, now_us) && !is_excluded(t, criteria) &&
+	    is_only_silent(t, now_us);
 }
 
+typedef bool eligible(
+    const struct tgt *t, const struct tgt_criteria *criteria, int64_t now_us);
+
 static bool
 is_deferred(const struct tgt *t, int64_t now_us)
 {
@@ -289,9 +315,11 @@
 	return cost;
 }
 
-struct tgt *
-tgt_choose(struct tgt_set *s, struct tgt_service *service,
-    const struct tgt_criteria *criteria, int64_t now_us, enum tgt_reason *why)
+/* `*sound` is set if an eligible target is neither silent nor in backoff. */
+static struct tgt *
+choose_among(eligible *is_eligible, struct tgt_set *s,
+    struct tgt_service *service, const struct tgt_criteria *criteria,
+    int64_t now_us, enum tgt_reason *why, bool *sound)
 {
 	double baseline = baseline_errors(service), cost;
 	double best_cost = INFINITY, limited_cost = INFINITY;
@@ -301,8 +329,9 @@
 	rng_seed(&rng, criteria->random);
 	*why = TGT_NONE;
 	TAILQ_FOREACH (t, &service->targets, link) {
-		if (!can_serve(t, criteria, now_us))
+		if (!is_eligible(t, criteria, now_us))
 			continue;
+		*sound = *sound || (t->failures == 0 && !t->side_silent);
 		if (is_deferred(t, now_us)) {
 			if (*why == TGT_NONE)
 				*why = TGT_RETRY_LATER;
@@ -338,3 +367,17 @@
 		*why = TGT_CHOSEN;
 	return best;
 }
+
+struct tgt *
+tgt_choose(struct tgt_set *s, struct tgt_service *service,
+    const struct tgt_criteria *criteria, int64_t now_us, enum tgt_reason *why)
+{
+	bool sound = false;
+	struct tgt *t =
+	    choose_among(can_serve, s, service, criteria, now_us, why, &sound);
+
+	if (t != NULL || sound || criteria->not_silent)
+		return t;
+	return choose_among(
+	    may_go_on, s, service, criteria, now_us, why, &sound);
+}
