side, serve, entry: Do not take a silent engine for a terminated one

A keeper whose engine left two reports unanswered (0.6 s) announced it as down. Its gateways then sent it nothing (refused: no_target, although it lived), and held its termination against every request in flight there, as requests that terminate engines are found this way. The same cause as with requests: silence taken for death. Only a refused or reset connection shows a termination; a report that times out says that the engine is silent. Status reports have a new field for that (older gateways ignore it); gateways avoid such an engine while another is eligible and hold nothing against requests. After 2 s without a report it counts as down as before.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -92,8 +92,10 @@
 
 	hcall_cancel(f->call);
 	finish(f,
-	    &(struct hfetch_answer){
-		.sent = sent, .error = "no answer in time", .header = "" });
+	    &(struct hfetch_answer){ .sent = sent,
+		.error = "no answer in time",
+		.timed_out = true,
+		.header = "" });
 }
 
 struct hfetch *
--- a/lib/http/fetch.h
+++ b/lib/http/fetch.h
@@ -11,6 +11,7 @@
 	unsigned int status; /* 0: no complete response */
 	bool sent; /* with status 0: the request may have been executed */
 	const char *error; /* with status 0: the cause */
+	bool timed_out; /* with status 0: there was no sign of a failure */
 	const void *body;
 	size_t len;
 	/* Value of the header asked for; "" if it is missing or too long. */
--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -101,6 +101,10 @@
 /* ------------------------------------------------------------------ */
 
 #define SV_ID_MAX 64
+
+/* A sound target may be silent for a second or so; one that is silent for longer
+ * counts as failed. */
+#define SV_SILENCE_MAX_US 2000000
 #define SV_ADDRESS_MAX 24 /* fits "ip:port" */
 
 /* A target's own record in the store, under its instance id. */
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -89,7 +89,7 @@
 };
 
 enum side_engine {
-	SIDE_ENGINE_DOWN, /* does not answer */
+	SIDE_ENGINE_DOWN, /* terminated, or silent for too long */
 	SIDE_ENGINE_LOADING, /* takes no requests now */
 	SIDE_ENGINE_UP,
 };
@@ -126,6 +126,9 @@
 	uint64_t slow_link;
 	/* How long inbound traffic may wait there behind chunks of weights. */
 	uint64_t inbound_ms;
+	/* 1: the engine leaves reports unanswered, for less than
+	 * SV_SILENCE_MAX_US; `engine` and the load are as of the last one. */
+	uint64_t silent;
 };
 
 /* A gateway reports a target's rate limit. */
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -11,9 +11,6 @@
 /* Additional backoff before a request that must not be repeated may probe a
  * target. */
 #define PROBE_UNSAFE_US 1000000
-/* A sound target may be silent for a second or so; one that is silent for longer
- * counts as failed. */
-#define SILENCE_MAX_US 2000000
 /* Number of answers from which the error rate is used. */
 #define ERROR_ANSWERS 8
 /*
@@ -205,7 +202,7 @@
 static bool
 is_only_silent(const struct tgt *t, int64_t now_us)
 {
-	return t->silent_us != 0 ? now_us - t->silent_us < SILENCE_MAX_US
+	return t->silent_us != 0 ? now_us - t->silent_us < SV_SILENCE_MAX_US
 				 : t->side_silent && t->failures == 0;
 }
 
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -47,6 +47,25 @@
 	return votes == GATEWAY_ROOT_VOTES;
 }
 
+static const char *
+engine_name(const struct side_report *report)
+{
+	if (report->engine == SIDE_ENGINE_LOADING)
+		return "loading";
+	if (report->engine != SIDE_ENGINE_UP)
+		return "down";
+	return report->silent ? "silent" : "up";
+}
+
+/* The engine left its sidecar's reports unanswered, or answers them again. */
+static void
+note_silence(struct gateway *g, struct tgt *t, bool silent)
+{
+	if (t->side_silent && !silent)
+		tgt_heard(t, evl_now_us(g->st.loop));
+	tgt_set_side_silent(t, silent);
+}
+
 static void
 note_engine(struct gateway *g, struct tgt *t, const struct side_report *report)
 {
@@ -54,16 +73,15 @@
 	bool down = report->engine != SIDE_ENGINE_UP;
 	bool was_terminated = t->terminated;
 
-	if (down != t->side_down || (int64_t)report->version != t->version)
+	if (down != t->side_down || (report->silent != 0) != t->side_silent ||
+	    (int64_t)report->version != t->version)
 		evt(EVT_SIDE,
 		    "target=%s engine=%s version=%" G_GUINT64_FORMAT
 		    " running=%" G_GUINT64_FORMAT,
-		    t->record.id,
-		    report->engine == SIDE_ENGINE_UP            ? "up"
-			: report->engine == SIDE_ENGINE_LOADING ? "loading"
-								: "down",
-		    report->version, report->running);
+		    t->record.id, engine_name(report), report->version,
+		    report->running);
 	tgt_set_side_down(t, down, now_us);
+	note_silence(g, t, report->silent != 0);
 	t->terminated = report->engine == SIDE_ENGINE_DOWN;
 	if (t->terminated && !was_terminated)
 		fwd_target_terminated(g->fwd, t);
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -83,6 +83,7 @@
 	unsigned int inbound_ms; /* and may wait this long behind chunks */
 	bool limit_known;
 	double limit; /* the engine's rate limit */
+	bool silent; /* the engine leaves reports unanswered */
 };
 
 struct keeper {
@@ -118,7 +119,9 @@
 	struct sv_report engine;
 	unsigned int report_failures; /* in a row */
 	bool had_engine; /* it answered at least once */
+	int64_t answered_us; /* its last report */
 	bool up;
+	bool silent; /* it leaves reports unanswered, and may go on */
 	int64_t loaded; /* version of the weights; 0: none */
 	int64_t ordered_us; /* an order was accepted; 0: none in progress */
 	int64_t refused_us; /* the last order was refused; 0: no */
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -7,8 +7,9 @@
 
 #define REPORT_TIMEOUT_US 300000
 #define REPORT_MAX (64u << 10)
-/* Consecutive failed reports after which the engine counts as down. A single
- * one can time out while a process gets no processor time. */
+/* Consecutive failed reports after which the engine counts as down, or as silent
+ * if it only left them unanswered. A single one can time out while a process
+ * gets no processor time. */
 #define REPORT_FAILURES 2
 
 /* ------------------------------------------------------------------ */
@@ -26,12 +27,30 @@
 		k->older->checked_us = 0;
 }
 
+/* Requests that a silent engine runs may still be answered, and none of them has
+ * terminated it. */
+static bool
+is_only_silent(const struct keeper *k, bool timed_out)
+{
+	return timed_out && keeper_now(k) - k->answered_us < SV_SILENCE_MAX_US;
+}
+
 static void
-note_report_failure(struct keeper *k)
+note_report_failure(struct keeper *k, bool timed_out)
 {
+	bool was_silent = k->silent;
+
 	k->report_failures++;
 	if (k->report_failures < REPORT_FAILURES || !k->up)
 		return;
+	k->silent = is_only_silent(k, timed_out);
+	if (k->silent) {
+		if (!was_silent)
+			evt(EVT_ENGINE,
+			    "state=silent version=%" G_GINT64_FORMAT,
+			    k->loaded);
+		return;
+	}
 	k->up = false;
 	evt(EVT_ENGINE, "state=down version=%" G_GINT64_FORMAT, k->loaded);
 	permits_reset(&k->permits);
@@ -85,7 +104,8 @@
 	    k->engine.start_ms != r->start_ms)
 		note_restart(k);
 
-	if (!k->up || loaded != k->loaded || r->busy != k->engine.busy)
+	if (!k->up || k->silent || loaded != k->loaded ||
+	    r->busy != k->engine.busy)
 		evt(EVT_ENGINE,
 		    "state=up version=%" G_GINT64_FORMAT
 		    " before=%" G_GINT64_FORMAT " busy=%d running=%u",
@@ -96,6 +116,8 @@
 		k->drain_us = 0;
 	}
 	k->report_failures = 0;
+	k->answered_us = keeper_now(k);
+	k->silent = false;
 	k->had_engine = true;
 	k->engine = *r;
 	k->up = true;
@@ -114,7 +136,7 @@
 	    adapter_report_read(a->body, a->len, &report, &err))
 		note_report(k, &report);
 	else
-		note_report_failure(k);
+		note_report_failure(k, a->timed_out);
 	keeper_send_status(k);
 	keeper_step(k);
 }
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -163,6 +163,7 @@
 		.inbound_ms = inbound_ms(k),
 		.limit_known = k->permits.known,
 		.limit = k->permits.limit,
+		.silent = k->silent,
 	};
 }
 
@@ -174,7 +175,7 @@
 	return a->engine != b->engine || a->loaded != b->loaded ||
 	    a->wanted != b->wanted || a->origin_root != b->origin_root ||
 	    a->slow_link != b->slow_link || a->limit_known != b->limit_known ||
-	    a->limit != b->limit;
+	    a->limit != b->limit || a->silent != b->silent;
 }
 
 /* Whether `a` has a changed load since `b`. */
@@ -265,6 +266,7 @@
 		.inbound_ms = status->inbound_ms,
 		.limit_known = status->limit_known,
 		.limit_milli = rate_to_milli(status->limit),
+		.silent = status->silent,
 	};
 	for (i = 0; i < k->gateways->len; i++)
 		report->without_store += gateway_at(k, i)->store_down;
