tests: Silent targets in the choice of a target, and attempts beside them

What the fix of silent targets decides without I/O: a silent target is avoided while another takes requests or will, is chosen while all are silent for less than 2 s, counts as failed after that or when it cannot be reached, and takes requests again once it is heard; a probe whose caller leaves does not end the probing; an attempt beside silent ones keeps to the attempts of the route.

--- a/tests/serve/test_flow.c
+++ b/tests/serve/test_flow.c
@@ -105,12 +105,35 @@
 	    flow_next(&s, FLOW_REFUSED, yes, &charged), FLOW_REFUSE);
 }
 
+/* Guards against one attempt more than the route allows, beside silent ones. */
+static void
+test_attempt_beside_silent_ones(void **state)
+{
+	struct flow_state s = { .repeatable = true,
+		.max_attempts = 2,
+		.runs = 1,
+		.attempts = 1,
+		.has_time = true };
+
+	assert_true(flow_may_hedge(&s));
+	s.runs = 2;
+	assert_false(flow_may_hedge(&s));
+	s.runs = 1;
+	s.blocked = true;
+	assert_false(flow_may_hedge(&s));
+	s.blocked = false;
+	/* Not even while it has certainly not run: it may run later. */
+	s.repeatable = false;
+	assert_false(flow_may_hedge(&s));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_refused_callers_retry_after_the_gap),
 		cmocka_unit_test(test_next_step_after_attempt),
+		cmocka_unit_test(test_attempt_beside_silent_ones),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -396,6 +396,113 @@
 	assert_null(tgt_choose(set, tgt_service(set, "s"), &criteria, 0, &why));
 }
 
+/* Guards against sending requests to a silent target, which may be dead, while
+ * another one can take them or will. */
+static void
+test_silent_target_is_avoided(void **state)
+{
+	struct tgt *silent = put("a", "1.1.1.1:1", "near");
+	struct tgt *sound = put("b", "1.1.1.2:1", "near");
+	enum tgt_reason why;
+
+	tgt_silent(silent, SECOND / 2, SECOND);
+	assert_ptr_equal(choose(SECOND, true, &why), sound);
+	tgt_set_load(silent, 0, SECOND);
+	tgt_set_load(sound, 100, SECOND);
+	assert_null(choose(SECOND, true, &why));
+	assert_int_equal(why, TGT_FULL);
+}
+
+/* Guards against an empty list of targets while all are silent for a common
+ * cause, and against trusting them for longer than a second or so. */
+static void
+test_all_targets_are_silent(void **state)
+{
+	struct tgt *a = put("a", "1.1.1.1:1", "near");
+	struct tgt *b = put("b", "1.1.1.2:1", "near");
+	struct tgt_criteria criteria = { .repeatable = true,
+		.not_silent = true };
+	enum tgt_reason why;
+
+	tgt_silent(a, SECOND / 2, SECOND);
+	tgt_silent(b, SECOND / 2, SECOND);
+	assert_non_null(choose(SECOND, false, &why));
+	assert_int_equal(why, TGT_CHOSEN);
+	/* Not in addition to a silent one. */
+	assert_null(
+	    tgt_choose(set, tgt_service(set, "s"), &criteria, SECOND, &why));
+	assert_int_equal(why, TGT_NONE);
+	/* From then on they count as failed: one probe each. */
+	a->backoff_until_us = b->backoff_until_us = 9 * SECOND;
+	assert_null(choose(SECOND / 2 + SV_SILENCE_MAX_US, true, &why));
+	assert_int_equal(why, TGT_NONE);
+}
+
+/* Guards against a backoff that outlasts the silence. */
+static void
+test_target_is_heard_again(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	enum tgt_reason why;
+
+	assert_int_equal(tgt_heard(t, 0), 0);
+	tgt_silent(t, SECOND / 2, SECOND);
+	assert_int_equal(t->failures, 1);
+	assert_int_equal(tgt_heard(t, SECOND), SECOND / 2);
+	assert_int_equal(t->failures, 0);
+	assert_ptr_equal(choose(SECOND + 1, false, &why), t);
+}
+
+/* Guards against taking a target that cannot be reached for a silent one. */
+static void
+test_silent_target_is_unreachable(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	enum tgt_reason why;
+
+	tgt_silent(t, SECOND / 2, SECOND);
+	tgt_outcome(t, TGT_LOST, SECOND);
+	assert_null(choose(SECOND, true, &why));
+	assert_int_equal(tgt_heard(t, SECOND), 0);
+	assert_int_equal(t->failures, 1);
+}
+
+/* The same by the word of sidecars, which ask before any request is late. */
+static void
+test_target_is_silent_to_its_sidecar(void **state)
+{
+	struct tgt *silent = put("a", "1.1.1.1:1", "near"), *sound;
+	enum tgt_reason why;
+
+	tgt_set_side_silent(silent, true);
+	assert_ptr_equal(choose(SECOND, true, &why), silent);
+	sound = put("b", "1.1.1.2:1", "near");
+	assert_ptr_equal(choose(SECOND, true, &why), sound);
+	tgt_set_side_silent(silent, false);
+	tgt_set_load(sound, 2, SECOND);
+	tgt_set_load(silent, 0, SECOND);
+	assert_ptr_equal(choose(SECOND, true, &why), silent);
+}
+
+/* Guards against a target that is never probed again, as the caller of the last
+ * probe left. */
+static void
+test_abandoned_probe(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+	enum tgt_reason why;
+	int64_t later;
+
+	tgt_outcome(t, TGT_LOST, SECOND);
+	later = t->backoff_until_us;
+	assert_ptr_equal(choose(later, true, &why), t);
+	tgt_sent(t, later);
+	assert_null(choose(later, true, &why));
+	tgt_probe_abandoned(t);
+	tgt_ended(t, later);
+	assert_ptr_equal(choose(later, true, &why), t);
+}
+
 int
 main(void)
 {
@@ -415,6 +522,12 @@
 		T(test_source_of_a_new_start),
 		T(test_unknown_service_takes_no_address),
 		T(test_only_loaded_versions),
+		T(test_silent_target_is_avoided),
+		T(test_all_targets_are_silent),
+		T(test_target_is_heard_again),
+		T(test_silent_target_is_unreachable),
+		T(test_target_is_silent_to_its_sidecar),
+		T(test_abandoned_probe),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
