serve, entry: Answer open requests before the process exits

At the end of the grace period a gateway closed the connections of requests that were still open without a byte. Those that were not sent are now refused (503, they did not run), those that were get 502; only begun streams are cut off.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -460,6 +460,21 @@
 	return &f->conf.budget;
 }
 
+void
+fwd_end_all(struct fwd *f)
+{
+	struct fwd_req *r;
+
+	while ((r = TAILQ_FIRST(&f->open)) != NULL) {
+		if (r->flow.begun)
+			fwd_abort(r, "stopping");
+		else if (r->flow.attempts == 0)
+			fwd_refuse_until(r, "stopping", fwd_now(r));
+		else
+			fwd_fail(r, 502, "stopping");
+	}
+}
+
 unsigned int
 fwd_active(const struct fwd *f)
 {
--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -54,6 +54,9 @@
 void fwd_blocked_terminations(const struct fwd *f, GArray *out);
 /* Drops expired suspects; to be called periodically. */
 void fwd_sweep(struct fwd *f);
+/* Ends all requests, as the process is about to exit. Callers whose answer has
+ * not begun are told whether it may have run. */
+void fwd_end_all(struct fwd *f);
 unsigned int fwd_active(const struct fwd *f); /* unanswered requests */
 unsigned int fwd_waiting(const struct fwd *f);
 /* Appends histograms and gauges for the metrics page. */
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -310,6 +310,7 @@
 	evt(EVT_STOP,
 	    "outcome=ended active=%u connections=%u ms=%" G_GINT64_FORMAT,
 	    state.active, state.connections, (now_us - g->stopping_us) / 1000);
+	fwd_end_all(g->fwd);
 	daemon_quit(&g->st);
 }
 
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -240,6 +240,29 @@
 	assert_true(target_is_disconnected(t));
 }
 
+/* Guards against ending callers' connections without a byte when the process
+ * exits: the one whose request was not sent learns that it did not run. */
+static void
+test_process_exits(void **state)
+{
+	int running[3], waiting, i;
+	char *request;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 2000));
+	for (i = 0; i < 3; i++) { /* two slots and one beyond */
+		running[i] = send_get();
+		target_get(&request);
+		g_free(request);
+	}
+	waiting = send_get();
+	assert_int_equal(fwd_waiting(w.fwd), 1);
+	fwd_end_all(w.fwd);
+	assert_int_equal(fwd_active(w.fwd), 0);
+	expect_answer(waiting, "503 ");
+	for (i = 0; i < 3; i++)
+		expect_answer(running[i], "502 ");
+}
+
 /* A caller disconnects: the call to its target must be cancelled. */
 static void
 test_caller_disconnects(void **state)
@@ -1293,6 +1316,7 @@
 		T(test_refused_by_all),
 		T(test_reset_is_retried_if_repeatable),
 		T(test_timeout),
+		T(test_process_exits),
 		T(test_caller_disconnects),
 		T(test_stream_is_resumed_elsewhere),
 		T(test_events_are_relayed_as_they_arrive),
