http: Read long messages before timers fire; judge a body by the limit of its head

Two remainders found in review. While a timer is due, rounds over the descriptors now go on until nothing is left, at most 16 of them; test_endless_input_does_not_delay_timers has that bound in place of its former one, which was four reads a descriptor. And a body that was being read was refused with 413 by a limit that came after its head (test_lowered_body_limit; by reading it would have failed before).

--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -7,6 +7,8 @@
 #include "http/evl.h"
 
 #define BATCH 64 /* events per pass */
+/* Reads of one descriptor before timers that are due fire. */
+#define ROUNDS_MAX 16
 /* Size of one read. Connections with more input are read in turn. */
 #define SCRATCH_BYTES (16u << 10)
 
@@ -171,16 +173,16 @@
 	}
 }
 
-/* Returns false if no further descriptors are ready. */
-static bool
+/* Returns the number of descriptors that were ready, BATCH at most. */
+static int
 dispatch_batch(struct evl *e)
 {
 	struct evl_fd *fd;
-	bool is_full;
+	int n;
 
 	e->now_us = clk_now_us(e->clock);
 	e->batch_len = epoll_wait(e->epoll, e->batch, BATCH, 0);
-	is_full = e->batch_len == BATCH;
+	n = e->batch_len;
 	for (e->batch_at = 0; e->batch_at < e->batch_len;) {
 		fd = e->batch[e->batch_at].data.ptr;
 		e->batch_at++;
@@ -188,7 +190,7 @@
 			fd->ready(fd, e->batch[e->batch_at - 1].events);
 	}
 	e->batch_len = 0;
-	return is_full;
+	return n;
 }
 
 /* ------------------------------------------------------------------ */
@@ -225,18 +227,39 @@
 	}
 }
 
+/* Handles each descriptor that is ready, once: those that stay ready are
+ * returned in turn. Returns whether there were any. */
+static bool
+dispatch_round(struct evl *e)
+{
+	unsigned int passes = e->nwatched / BATCH + 1;
+	int n = dispatch_batch(e);
+	bool any = n > 0;
+
+	while (n == BATCH && --passes > 0) {
+		run_tasks(e);
+		n = dispatch_batch(e);
+	}
+	return any;
+}
+
+static bool
+timer_is_due(const struct evl *e)
+{
+	return e->heap->len > 0 && heap_at(e, 0)->at_us <= e->now_us;
+}
+
 /*
- * Handles all descriptors that are ready before any timer: after a hold-up of
- * the process, a timer would otherwise act on a peer whose input waits behind
- * that of others. Descriptors that stay ready are returned in turn, so the
- * number of passes is bounded.
+ * Handles input before any timer: after a hold-up of the process, a timer would
+ * otherwise act on a peer whose input waits to be read, behind that of others or
+ * behind the first part of its own. Bounded, as peers may never stop sending.
  */
 static void
 dispatch_events(struct evl *e)
 {
-	unsigned int passes = e->nwatched / BATCH + 1;
+	unsigned int rounds = ROUNDS_MAX;
 
-	while (dispatch_batch(e) && --passes > 0)
+	while (dispatch_round(e) && timer_is_due(e) && --rounds > 0)
 		run_tasks(e);
 }
 
--- a/lib/http/evl.h
+++ b/lib/http/evl.h
@@ -7,7 +7,8 @@
  * one source instead of a thousand, and a timer costs a heap element instead
  * of a source. Descriptors and timers are intrusive: their owner embeds them.
  *
- * A timer fires only after all input that arrived before its time was handled.
+ * A timer fires only after the input that arrived before its time was handled, up
+ * to 256 KB of each descriptor.
  * evl_defer() queues work to run once after the events of a pass, such as
  * writing the output that they produced.
  */
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -169,7 +169,7 @@
 {
 	struct hreq *r = ctx;
 
-	if (r->body.len + len > limits_of(r)->body_bytes) {
+	if (r->body.len + len > r->body_max) {
 		r->too_large = true;
 		return;
 	}
@@ -207,8 +207,7 @@
 		refuse(r, 400);
 		return false;
 	}
-	if (m->framing == HFRAMING_LENGTH &&
-	    m->length > limits_of(r)->body_bytes) {
+	if (m->framing == HFRAMING_LENGTH && m->length > r->body_max) {
 		refuse(r, 413);
 		return false;
 	}
@@ -245,6 +244,7 @@
 	hreq_set_idle(r, false);
 	r->started_us = evl_now_us(hreq_loop(r));
 	r->parse.head_max = limits_of(r)->head_bytes;
+	r->body_max = limits_of(r)->body_bytes;
 	evl_timer_set(
 	    hreq_loop(r), &r->timer, r->started_us + limits_of(r)->head_us);
 }
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -29,6 +29,7 @@
 	void *ctx;
 	int64_t started_us;
 	int64_t idle_since_us; /* the last response was sent, or accepted */
+	size_t body_max; /* as the limits were when the request began */
 	size_t body_bytes_counted; /* bytes included in hserver.bodies */
 	bool begun; /* the head of the response was queued */
 	bool chunked; /* the response uses chunked encoding */
