side: Give no order to a silent engine

Since an engine that leaves its reports unanswered stays up for 2 s, its keeper could drain it and order a load by a stale report, which may cut answers that would have come. It waits as for an engine that is down, as before. Found in review, by reading; there is no test of it.

--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -195,7 +195,7 @@
 {
 	return (struct stg_state){
 		.wanted = c->version,
-		.up = k->up,
+		.up = k->up && !k->silent,
 		.loaded = k->loaded,
 		.busy = k->engine.busy,
 		.running = k->engine.running + k->engine.waiting,
