serve: Judge silent targets more strictly

A cut after a silence now counts as a lost target. - The load that a keeper repeats for a silent engine made room for new requests with each report. It is no longer applied. - A failure that a second target answered was replaced by a 504 of ours when the first never answered. It is kept, and relayed if no other target answers. - Two targets that cut off one request at once, which both had it for a common silence, counted as two ends under its content.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -125,9 +125,14 @@
 void
 fwd_fail(struct fwd_req *r, unsigned int status, const char *why)
 {
-	GString *headers = g_string_new(NULL);
+	GString *headers;
 	struct hreq *caller = r->caller;
 
+	if (r->failure != NULL) {
+		fwd_answer_complete(r->failure);
+		return;
+	}
+	headers = g_string_new(NULL);
 	append_id(headers, r);
 	ctr_add(r->fwd->failed, 1);
 	fwd_log_end(r, EVT_FAILED, status, why);
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -80,30 +80,50 @@
 	r->last_rest = fwd_event_rest(a);
 }
 
-/* Cancels the attempt if it has not ended, and frees it. */
+/* Cancels the attempt if it has not ended, and frees its slot. */
 static void
-drop_attempt(struct fwd_attempt *a)
+end_attempt(struct fwd_attempt *a)
 {
 	struct fwd_req *r = a->req;
 
-	keep_for_log(a);
 	TAILQ_REMOVE(&r->attempts, a, link);
 	evl_timer_stop(loop_of(a), &a->stall_timer);
 	evl_timer_stop(loop_of(a), &a->begin_timer);
 	cancel_call(a);
-	if (a->headers != NULL)
-		g_string_free(a->headers, TRUE);
-	hbuf_free(&a->answer);
 	fwd_prompt_read(a);
 	if (a->is_probe)
 		tgt_probe_abandoned(a->target);
 	tgt_ended(a->target, fwd_now(r));
-	tgt_unref(a->target);
 	fwd_count_completion(r->service, fwd_now(r));
 	fwd_pump(r->fwd);
+}
+
+static void
+attempt_free(struct fwd_attempt *a)
+{
+	if (a->headers != NULL)
+		g_string_free(a->headers, TRUE);
+	hbuf_free(&a->answer);
+	tgt_unref(a->target);
 	g_free(a);
 }
 
+static void
+drop_attempt(struct fwd_attempt *a)
+{
+	keep_for_log(a);
+	end_attempt(a);
+	attempt_free(a);
+}
+
+static void
+drop_failure(struct fwd_req *r)
+{
+	if (r->failure != NULL)
+		attempt_free(r->failure);
+	r->failure = NULL;
+}
+
 void
 fwd_drop_attempts(struct fwd_req *r)
 {
@@ -111,6 +131,16 @@
 
 	while ((a = TAILQ_FIRST(&r->attempts)) != NULL)
 		drop_attempt(a);
+	drop_failure(r);
+}
+
+/* Retains a target's failure, to be relayed if no other target answers. */
+static void
+keep_failure(struct fwd_attempt *a)
+{
+	end_attempt(a);
+	drop_failure(a->req);
+	a->req->failure = a;
 }
 
 void
@@ -128,6 +158,7 @@
 			r->flow.runs++;
 		drop_attempt(other);
 	}
+	keep_for_log(a);
 }
 
 /* ------------------------------------------------------------------ */
@@ -175,6 +206,16 @@
 	    (t->backoff_until_us - fwd_now(a->req)) / 1000);
 }
 
+/* A target that was silent and then cut the request off has given no sign of
+ * life, unless it loads weights. */
+static enum tgt_outcome
+outcome_of(const struct fwd_attempt *a, enum flow_end end)
+{
+	if (end == FLOW_LOST && a->silent && !a->target->side_down)
+		return TGT_LOST;
+	return target_outcomes[end];
+}
+
 static void
 note_outcome(struct fwd_attempt *a, enum flow_end end)
 {
@@ -182,7 +223,7 @@
 	struct tgt *t = a->target;
 	unsigned int failures = t->failures;
 
-	tgt_outcome(t, target_outcomes[end], fwd_now(a->req));
+	tgt_outcome(t, outcome_of(a, end), fwd_now(a->req));
 	if (t->failures > failures)
 		log_backoff(a, end);
 	if (end != FLOW_REFUSED)
@@ -295,7 +336,10 @@
 		return;
 	}
 	log_retry(a, end);
-	drop_attempt(a);
+	if (end == FLOW_FAILURE)
+		keep_failure(a);
+	else
+		drop_attempt(a);
 	seek_second_target(r);
 }
 
@@ -341,6 +385,7 @@
 	if (!a->silent)
 		count_run(a, FLOW_STALLED);
 	a->silent = true;
+	a->is_probe = false; /* it has an outcome now */
 	tgt_silent(a->target, MAX(a->sent_us, a->heard_us), fwd_now(r));
 	if (a->target->failures > failures)
 		log_backoff(a, FLOW_STALLED);
@@ -354,7 +399,7 @@
 
 	/* Connections usually stall many at a time, and each idle one that
 	 * stays in the pool would cost another request a stall timeout. */
-	if (a->call != NULL && hcall_is_reused(a->call))
+	if (!a->silent && hcall_is_reused(a->call))
 		hpool_close_idle(a->req->fwd->conf.pool);
 	note_silence(a);
 	seek_second_target(a->req);
@@ -594,6 +639,7 @@
 	if (a->silent)
 		r->flow.runs--;
 	a->silent = false;
+	fwd_dequeue(r); /* no second target is needed */
 	/* Nothing is read while the caller is slow. */
 	if (hreq_congested(r->caller))
 		evl_timer_stop(loop_of(a), &a->stall_timer);
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -66,7 +66,11 @@
 	struct evl_timer deadline;
 	struct evl_timer wait_timer; /* for a slot */
 	bool queued; /* in fwd_service.waiting */
+	bool queued_as_hedge; /* while silent targets have it */
 	TAILQ_HEAD(fwd_attempts, fwd_attempt) attempts; /* oldest first */
+	/* Ended with a failure that its target answered, while others were in
+	 * flight; NULL: none. */
+	struct fwd_attempt *failure;
 	/* The last attempt that ended, for the log. */
 	char last_target[SV_ID_MAX];
 	const char *last_end;
@@ -74,6 +78,7 @@
 	size_t last_rest;
 	int64_t sent_us; /* last sent; 0: not sent */
 	int64_t heard_us; /* last byte from any target; 0: none yet */
+	int64_t cut_us; /* last cut off by a target; 0: never */
 	/* Across all attempts. */
 	uint64_t content; /* fingerprint; 0: not computed yet */
 	uint64_t *parts; /* fingerprints of the prompt's shared parts */
@@ -95,7 +100,7 @@
 	struct tgt_service *targets;
 	struct spend budget;
 	TAILQ_HEAD(fwd_waiting_list, fwd_req) waiting; /* most urgent first */
-	unsigned int nwaiting;
+	unsigned int nwaiting; /* without those that silent targets have */
 	/* Completed requests per second, moving average: the rate at which
 	 * slots become free. */
 	double completion_rate;
--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -6,6 +6,8 @@
 
 /* A request that terminates its target does so within this time. */
 #define PROBE_US 1000000
+/* Targets that cut one request off within this time may have a common cause. */
+#define COMMON_CAUSE_US 100000
 
 static uint64_t
 target_hash(const struct tgt *t)
@@ -79,6 +81,17 @@
 	return t->leaving || t->dropped || (t->side_down && !t->terminated);
 }
 
+/* Several targets had the request at a time, as they were silent, and cut it off
+ * at once: that counts once, as they may have a cause in common. */
+static bool
+has_common_cause(const struct fwd_attempt *a)
+{
+	const struct fwd_req *r = a->req;
+
+	return a->sent_us < r->cut_us &&
+	    fwd_now(r) - r->cut_us < COMMON_CAUSE_US;
+}
+
 void
 fwd_note_cut(struct fwd_attempt *a)
 {
@@ -94,8 +107,9 @@
 	size_t n, i;
 
 	ctr_add(a->has_begun ? f->cut_midway : f->cut_before_answer, 1);
-	if (is_planned_cut(a->target))
+	if (is_planned_cut(a->target) || has_common_cause(a))
 		return;
+	r->cut_us = fwd_now(r);
 	n = fwd_identities(r, identities);
 	for (i = 0; i < n; i++) {
 		termination.fingerprint = identities[i];
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -117,6 +117,13 @@
 		fwd_refuse(r, "no_place");
 }
 
+/* It looks for a target beside those that have it and are silent. */
+static bool
+is_hedge(const struct fwd_req *r)
+{
+	return !TAILQ_EMPTY(&r->attempts);
+}
+
 void
 fwd_dequeue(struct fwd_req *r)
 {
@@ -124,7 +131,7 @@
 		return;
 	TAILQ_REMOVE(&r->service->waiting, r, link);
 	r->queued = false;
-	r->service->nwaiting--;
+	r->service->nwaiting -= !r->queued_as_hedge;
 	r->fwd->waiting--;
 }
 
@@ -157,7 +164,8 @@
 		TAILQ_INSERT_BEFORE(other, r, link);
 	else
 		TAILQ_INSERT_TAIL(&service->waiting, r, link);
-	service->nwaiting++;
+	r->queued_as_hedge = is_hedge(r);
+	service->nwaiting += !r->queued_as_hedge;
 	r->fwd->waiting++;
 }
 
@@ -203,13 +211,6 @@
 	    !r->flow.begun && r->flow.runs + 1 < r->flow.max_attempts;
 }
 
-/* It looks for a target beside those that have it and are silent. */
-static bool
-is_hedge(const struct fwd_req *r)
-{
-	return !TAILQ_EMPTY(&r->attempts);
-}
-
 static struct tgt_criteria
 criteria_of(struct fwd_req *r)
 {
@@ -281,6 +282,12 @@
 	return true;
 }
 
+static const char *const refusal_names[] = {
+	[TGT_FULL] = "full",
+	[TGT_SILENT] = "all_silent",
+	[TGT_NONE] = "no_target",
+};
+
 /* Refuses a request that has not run where waiting is of no use. Returns
  * whether it did. */
 static bool
@@ -293,7 +300,7 @@
 		return refuse_deferred(r, criteria);
 	if (why == TGT_FULL && worth_waiting(r))
 		return false;
-	fwd_refuse(r, why == TGT_NONE ? "no_target" : "full");
+	fwd_refuse(r, refusal_names[why]);
 	return true;
 }
 
@@ -355,6 +362,7 @@
 struct full_kind {
 	const char *model; /* NULL: no model is requested */
 	bool may_recall, repeatable;
+	bool is_hedge;
 	bool is_set;
 };
 
@@ -369,7 +377,8 @@
 	unsigned int i;
 
 	for (i = 0; i < FULL_KINDS && kinds[i].is_set; i++) {
-		if (kinds[i].may_recall == fwd_may_recall(r) &&
+		if (kinds[i].is_hedge == is_hedge(r) &&
+		    kinds[i].may_recall == fwd_may_recall(r) &&
 		    kinds[i].repeatable == r->flow.repeatable &&
 		    g_strcmp0(kinds[i].model, r->model) == 0)
 			return true;
@@ -382,7 +391,7 @@
 {
 	unsigned int i = 0;
 
-	if (r->ntried > 0 || is_hedge(r) || yields_to_new(r))
+	if (r->ntried > (is_hedge(r) ? 1 : 0) || yields_to_new(r))
 		return;
 	while (i < FULL_KINDS && kinds[i].is_set)
 		i++;
@@ -390,6 +399,7 @@
 		kinds[i] = (struct full_kind){ .model = r->model,
 			.may_recall = fwd_may_recall(r),
 			.repeatable = r->flow.repeatable,
+			.is_hedge = is_hedge(r),
 			.is_set = true };
 }
 
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -349,6 +349,11 @@
 void
 tgt_set_load(struct tgt *t, unsigned int total, int64_t now_us)
 {
+	if (t->side_silent && t->reported_us != 0) {
+		/* The load as of its last report, told again. */
+		t->reported_us = now_us;
+		return;
+	}
 	t->reported = total;
 	t->reported_local = t->local_inflight;
 	t->reported_us = now_us;
@@ -414,6 +419,7 @@
 {
 	int64_t since_us = t->silent_us;
 
+	t->side_silent = false;
 	if (since_us == 0)
 		return 0;
 	t->silent_us = 0;
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -265,8 +265,9 @@
 	const struct tgt *const *exclude; /* targets tried before */
 	size_t nexclude;
 	bool repeatable; /* may probe a target that failed */
-	/* Never a target that is silent; otherwise such a target is chosen if
-	 * no other is eligible. */
+	/* No target that is silent, unless as a probe after its backoff;
+	 * otherwise such a target is chosen if no other is eligible and the
+	 * request may be repeated. */
 	bool not_silent;
 	double reserve_share; /* share of the slots that must stay free */
 	uint64_t random;
@@ -277,6 +278,9 @@
 	TGT_FULL, /* all eligible targets are full */
 	/* All eligible targets asked for no requests until later. */
 	TGT_RETRY_LATER,
+	/* All eligible targets are silent, and the request could not be sent
+	 * again if they were dead. */
+	TGT_SILENT,
 	TGT_NONE, /* no target is eligible now */
 };
 
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -198,12 +198,19 @@
 	return now_us >= probe_from_us && !t->probing;
 }
 
+static bool
+is_silent_to_side(const struct tgt *t, int64_t now_us)
+{
+	return t->side_silent && tgt_side_is_alive(t, now_us);
+}
+
 /* Silent, and not for so long that it counts as failed. */
 static bool
 is_only_silent(const struct tgt *t, int64_t now_us)
 {
-	return t->silent_us != 0 ? now_us - t->silent_us < SV_SILENCE_MAX_US
-				 : t->side_silent && t->failures == 0;
+	return t->silent_us != 0
+	    ? now_us - t->silent_us < SV_SILENCE_MAX_US
+	    : is_silent_to_side(t, now_us) && t->failures == 0;
 }
 
 static bool
@@ -213,7 +220,7 @@
 	if (t->leaving || t->side_down || !has_weights(t, criteria, now_us) ||
 	    is_excluded(t, criteria))
 		return false;
-	if (t->side_silent)
+	if (is_silent_to_side(t, now_us))
 		return false;
 	return t->failures == 0 || may_probe(t, criteria, now_us);
 }
@@ -328,7 +335,8 @@
 	TAILQ_FOREACH (t, &service->targets, link) {
 		if (!is_eligible(t, criteria, now_us))
 			continue;
-		*sound = *sound || (t->failures == 0 && !t->side_silent);
+		*sound = *sound ||
+		    (t->failures == 0 && !is_silent_to_side(t, now_us));
 		if (is_deferred(t, now_us)) {
 			if (*why == TGT_NONE)
 				*why = TGT_RETRY_LATER;
@@ -369,12 +377,22 @@
 tgt_choose(struct tgt_set *s, struct tgt_service *service,
     const struct tgt_criteria *criteria, int64_t now_us, enum tgt_reason *why)
 {
+	enum tgt_reason why_silent;
 	bool sound = false;
 	struct tgt *t =
 	    choose_among(can_serve, s, service, criteria, now_us, why, &sound);
 
 	if (t != NULL || sound || criteria->not_silent)
 		return t;
-	return choose_among(
-	    may_go_on, s, service, criteria, now_us, why, &sound);
+	t = choose_among(
+	    may_go_on, s, service, criteria, now_us, &why_silent, &sound);
+	if (why_silent == TGT_NONE || why_silent == TGT_RETRY_LATER)
+		return NULL;
+	if (criteria->repeatable) {
+		*why = why_silent;
+		return t;
+	}
+	/* Refused, its caller may come back; lost, it may not. */
+	*why = TGT_SILENT;
+	return NULL;
 }
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -426,8 +426,11 @@
 
 	tgt_silent(a, SECOND / 2, SECOND);
 	tgt_silent(b, SECOND / 2, SECOND);
-	assert_non_null(choose(SECOND, false, &why));
+	assert_non_null(choose(SECOND, true, &why));
 	assert_int_equal(why, TGT_CHOSEN);
+	/* Not for what could not be sent again if they were dead. */
+	assert_null(choose(SECOND, false, &why));
+	assert_int_equal(why, TGT_SILENT);
 	/* Not in addition to a silent one. */
 	assert_null(
 	    tgt_choose(set, tgt_service(set, "s"), &criteria, SECOND, &why));
@@ -474,6 +477,7 @@
 	struct tgt *silent = put("a", "1.1.1.1:1", "near"), *sound;
 	enum tgt_reason why;
 
+	tgt_side_reported(silent, 1, SECOND);
 	tgt_set_side_silent(silent, true);
 	assert_ptr_equal(choose(SECOND, true, &why), silent);
 	sound = put("b", "1.1.1.2:1", "near");
--- a/tests/serve/test_tgt_silent.c
+++ b/tests/serve/test_tgt_silent.c
@@ -20,8 +20,11 @@
 	static const struct tgt_policy policy = { .beyond_slots = 1,
 		.gateways = 1 };
 	struct tgt_set *set = tgt_set_new("here", &policy);
-	struct sv_target record = { .id = "a", .service = "s",
-		.address = "1.1.1.1:1", .domain = "near", .slots = 4 };
+	struct sv_target record = { .id = "a",
+		.service = "s",
+		.address = "1.1.1.1:1",
+		.domain = "near",
+		.slots = 4 };
 	struct tgt_criteria criteria = { .repeatable = true };
 	unsigned int sent = 0, report;
 	int64_t now_us = SECOND;
