platform: Read what has arrived before time limits of exchanges act

A sidecar that had been held up (stop of the process, a slow core, large settings) ended requests as stalled, or at their deadline, although the target's bytes were in the socket: callers got 503 with MAY_HAVE_RUN or 504, and the target went into backoff. The same held for polls of engines and transfers of weights. Cause: after a hold-up the timers that are due and the ready sockets are dispatched in one iteration of the loop in the order of their creation; a read is attached after the timers of its call, so that the timer acts first. A timer that fires 5 ms late or more now waits 50 ms, once, so that the input is read and takes it back. Without input the limits hold: a dead target holds a call 50 ms longer, and only after a hold-up.

Evidence: platform-target, test_input_before_timers (held up for 150 ms, limits of 100 and 120 ms; response head and body) failed before with UNAVAILABLE and passes; test_timers_without_input passes before and after.

--- a/lib/common/clock.c
+++ b/lib/common/clock.c
@@ -2,6 +2,9 @@
 
 #include "common/common.h"
 
+/* Timers of a loop that is not held up fire within 2 ms. */
+#define LATE_US (5 * 1000)
+
 static int64_t
 system_monotonic(void *ctx)
 {
@@ -43,6 +46,12 @@
 	return clock->wall_us(clock->ctx);
 }
 
+bool
+clk_is_late(const struct clk *clock, int64_t due_us)
+{
+	return clk_now_us(clock) - due_us >= LATE_US;
+}
+
 static int64_t
 fake_now(void *ctx)
 {
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -99,6 +99,14 @@
 int64_t clk_now_ms(const struct clk *clock);
 int64_t clk_wall_us(const struct clk *clock);
 
+/*
+ * Whether a timer that was due at `due_us` fires late because the process was
+ * held up. What has arrived meanwhile may not be read yet, so a timer that ends
+ * something for lack of input waits for CLK_READ_MS then, but only once.
+ */
+#define CLK_READ_MS 50
+bool clk_is_late(const struct clk *clock, int64_t due_us);
+
 /* A clock that is advanced explicitly; for tests and trace replay. */
 struct clk_fake {
 	struct clk clock;
--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -28,7 +28,8 @@
 	GCancellable *cancel;
 	guint deadline_timer, stall_timer, idle;
 	unsigned int stall_ms;
-	int64_t last_byte_us;
+	int64_t last_byte_us, deadline_us;
+	bool deadline_was_late, stall_was_late; /* see is_late() */
 	bool busy; /* an operation or a callback is running */
 	bool paused;
 	bool abandoned; /* no more callbacks; freed on completion */
@@ -275,12 +276,29 @@
 	}
 }
 
+/* Whether the timer that was due at `due_us` has to wait until the input that
+ * arrived before is read. It waits only once, so that a process that is held up
+ * often ends its calls, too. */
+static bool
+is_late(const struct target_call *call, int64_t due_us, bool *was_late)
+{
+	if (*was_late || !clk_is_late(call->plat->clock, due_us))
+		return false;
+	*was_late = true;
+	return true;
+}
+
 static gboolean
 on_deadline(gpointer data)
 {
 	struct target_call *call = data;
 
 	call->deadline_timer = 0;
+	if (is_late(call, call->deadline_us, &call->deadline_was_late)) {
+		call->deadline_timer =
+		    g_timeout_add(CLK_READ_MS, on_deadline, call);
+		return G_SOURCE_REMOVE;
+	}
 	abort_call(call, ERR_DEADLINE, "the deadline of the exchange passed");
 	return G_SOURCE_REMOVE;
 }
@@ -309,9 +327,15 @@
 	if (call->paused)
 		call->last_byte_us = now_us;
 	if (now_us - call->last_byte_us < call->stall_ms * (int64_t)1000) {
+		call->stall_was_late = false;
 		start_stall_timer(call);
 		return G_SOURCE_REMOVE;
 	}
+	if (is_late(call, call->last_byte_us + call->stall_ms * (int64_t)1000,
+		&call->stall_was_late)) {
+		call->stall_timer = g_timeout_add(CLK_READ_MS, on_stall, call);
+		return G_SOURCE_REMOVE;
+	}
 	if (call->ops.stalled != NULL)
 		call->ops.stalled(call->ctx);
 	abort_call(call, ERR_UNAVAILABLE, "the target stalled");
@@ -480,6 +504,8 @@
 start_timers(struct target_call *call, const struct target_request *request)
 {
 	if (request->deadline_ms != 0) {
+		call->deadline_us = clk_now_us(call->plat->clock) +
+		    request->deadline_ms * (int64_t)1000;
 		call->deadline_timer =
 		    g_timeout_add(request->deadline_ms, on_deadline, call);
 	}
--- a/tests/common/test_core.c
+++ b/tests/common/test_core.c
@@ -22,6 +22,19 @@
 	assert_int_equal(verdict_from_name("NOT_RUN"), VERDICT_NOT_RUN);
 }
 
+static void
+test_clock_late(void **state)
+{
+	struct clk_fake fake;
+
+	clk_fake_init(&fake, 1000000);
+	assert_false(clk_is_late(&fake.clock, 1000000));
+	clk_fake_advance_ms(&fake, 2);
+	assert_false(clk_is_late(&fake.clock, 1000000));
+	clk_fake_advance_ms(&fake, 18);
+	assert_true(clk_is_late(&fake.clock, 1000000));
+}
+
 static void
 test_digest(void **state)
 {
@@ -129,6 +142,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_error_names),
+		cmocka_unit_test(test_clock_late),
 		cmocka_unit_test(test_digest),
 		cmocka_unit_test(test_rng_repeats),
 		cmocka_unit_test(test_counters),
--- a/tests/platform/test_target.c
+++ b/tests/platform/test_target.c
@@ -451,6 +451,73 @@
 	assert_int_equal(f->server.hangups, 2);
 }
 
+/* Answers the hanging request of the last connection, or the rest of its
+ * stream, while the process is held up for longer than the time limit. */
+static void
+arrive_during_hold_up(struct fixture *f, const char *text)
+{
+	run_for(10);
+	peer_text(
+	    g_ptr_array_index(f->server.peers, f->server.peers->len - 1), text);
+	g_usleep(150 * 1000);
+	run_until(&f->ended);
+}
+
+/*
+ * The process was held up, and a time limit expires before what has arrived in
+ * time is read. The timer must not end the exchange then, before the response
+ * headers or within the body.
+ */
+static void
+test_input_before_timers(void **state)
+{
+	static const struct target_request limits[] = {
+		{ .stall_ms = 100 },
+		{ .deadline_ms = 100 },
+		{ .stall_ms = 100, .deadline_ms = 120 },
+	};
+	struct fixture *f = *state;
+	struct target_request request;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(limits); i++) {
+		request = limits[i];
+		request.path = "/hang";
+		start(f, request);
+		arrive_during_hold_up(
+		    f, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+		assert_result(f, ERR_NONE, VERDICT_RAN);
+		assert_string_equal(f->data->str, "one");
+		request.path = "/stream";
+		start(f, request);
+		arrive_during_hold_up(f, "3\r\ntwo\r\n0\r\n\r\n");
+		assert_result(f, ERR_NONE, VERDICT_RAN);
+		assert_string_equal(f->data->str, "onetwo");
+	}
+}
+
+/* The process was held up, but nothing has arrived: the time limits hold. */
+static void
+test_timers_without_input(void **state)
+{
+	struct fixture *f = *state;
+	int64_t from_us;
+
+	start(f, (struct target_request){ .path = "/hang", .stall_ms = 100 });
+	run_for(10);
+	g_usleep(150 * 1000);
+	from_us = g_get_monotonic_time();
+	run_until(&f->ended);
+	assert_result(f, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN);
+	assert_true(g_get_monotonic_time() - from_us < 5 * G_USEC_PER_SEC);
+	start(
+	    f, (struct target_request){ .path = "/hang", .deadline_ms = 100 });
+	run_for(10);
+	g_usleep(150 * 1000);
+	run_until(&f->ended);
+	assert_result(f, ERR_DEADLINE, VERDICT_MAY_HAVE_RUN);
+}
+
 /*
  * A slow caller pauses its stream. The time without reads is not caused by the
  * target and is no stall; the deadline still applies.
@@ -568,6 +635,8 @@
 		SERVED(test_deadline),
 		SERVED(test_deadline_before_a_connection),
 		SERVED(test_stall),
+		SERVED(test_input_before_timers),
+		SERVED(test_timers_without_input),
 		SERVED(test_pause_is_not_a_stall),
 		SERVED(test_cancel_closes_the_connection),
 		SERVED(test_session_closed),
