entry: Read what has arrived before a request's deadline ends it

Requests ended with 504 although their answers had arrived before their deadline, when the gateway was held up until the deadline had passed. Cause: the timers of all requests are due at once then and act in the first iteration of the loop, which reads one slice of 256 KB from each sidecar.

Requests without an answer end at their deadline as before.

--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -399,6 +399,13 @@
 	struct request *r = data;
 
 	r->deadline_timer = 0;
+	/* The answer may have arrived while the process was held up. */
+	if (!r->deadline_was_late &&
+	    clk_is_late(clk_system(), r->deadline_us)) {
+		r->deadline_was_late = true;
+		r->deadline_timer = g_timeout_add(CLK_READ_MS, on_deadline, r);
+		return G_SOURCE_REMOVE;
+	}
 	err_set(&r->last_err, ERR_DEADLINE,
 	    r->sidecar == NULL ? VERDICT_NOT_RUN : VERDICT_MAY_HAVE_RUN,
 	    "the deadline expired");
--- /dev/null
+++ b/tests/system/held_up.sh
@@ -0,0 +1,58 @@
+#!/bin/sh
+# Guards against requests that fail at their deadline because their gateway was
+# held up, although their answers had arrived in time: the timers of many
+# requests are due at once then, and must not act before the input is read.
+set -u
+BUILD=$1
+. tests/system/lib.sh
+small_fleet 2
+
+REQUESTS=24 # fewer than the slots, so that none waits in a queue
+ask_all() { # ENTRY DEADLINE-MS
+	rm -f "$STAGE"/status-*
+	asking=
+	for n in $(seq $REQUESTS); do
+		curl -s -m 30 -o /dev/null -w '%{http_code}\n' \
+		    -H "Authorization: Bearer $caller_token" \
+		    -H "X-Deadline-Ms: $2" \
+		    "$1/services/cedar/book/$n" >"$STAGE/status-$n" &
+		asking="$asking $!"
+	done
+}
+hold_up() { # ENTRY-PID SECONDS
+	kill -STOP "$1"
+	sleep "$2"
+	kill -CONT "$1"
+	# shellcheck disable=SC2086
+	wait $asking
+}
+with_status() {
+	cat "$STAGE"/status-* | grep -c "^$1\$"
+}
+faults() {
+	for url in "$service_1" "$service_2"; do
+		curl -s -o /dev/null -d "$1" "$url/admin/faults"
+	done
+}
+running() { # ENTRY
+	[ "$(counter "$1" entry_open_requests)" -eq $REQUESTS ]
+}
+
+# The answers arrive while the gateway stands still, and its deadlines pass.
+faults '{"delay_ms":1000,"answer_bytes":100000}'
+ask_all "$entry_1" 2000
+eventually "all requests run" running "$entry_1"
+hold_up "$entry_pid_1" 2.2
+echo "$(with_status 200) answered, $(with_status 504) with the deadline expired"
+check "answers that arrived in time are delivered" test "$(with_status 200)" -eq $REQUESTS
+
+# No answer arrives in time: the deadline holds. The other gateway has no
+# estimate of the answers' time yet, by which it would refuse the requests.
+faults '{"delay_ms":20000}'
+ask_all "$entry_2" 1500
+eventually "all requests run" running "$entry_2"
+from=$(date +%s)
+hold_up "$entry_pid_2" 1.8
+check "requests without an answer end at their deadline" test "$(with_status 504)" -eq $REQUESTS
+check "soon after the process goes on" test $(($(date +%s) - from)) -lt 15
+finish
