entry: Lose no request that has arrived when a stopping gateway ends

Callers of a gateway in a planned stop got a reset connection instead of an answer: (a) the last request, whose answer had been handed to libsoup and not yet written, (b) requests whole in the socket of a connection that was opened or used during the stop, (c) at times the end of a large answer that is read slowly. Cause: the process ended at the first check without a running request, whatever was still to be read or written. Now libsoup's requests are counted until their answers are sent; the end waits for these (60 s at most, as for running requests) and for a check that finds no request read since the last one and was not held up itself, but for 1 s at most after the notice, so that callers that go on sending do not hold it up. Answers during the stop close their connections.

--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -14,6 +14,7 @@
 #include "route/limit.h"
 #include "route/route.h"
 #include "serve/suspect.h"
+#include "shared/http.h"
 #include "shared/proc.h"
 #include "weights/weights.h"
 
@@ -57,6 +58,7 @@
 struct entry {
 	struct proc proc;
 	SoupServer *http;
+	struct http_requests http_requests;
 	struct conn_server *server;
 	struct att_chart *attempts;
 	struct entry_sidecars sidecars;
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -18,6 +18,8 @@
  * "draining" before requests are refused, so that a planned stop refuses
  * none. */
 #define STOP_NOTICE_MS 1000
+/* After the last answer, limit on the wait for callers that go on sending. */
+#define STOP_QUIET_MS 1000
 
 bool
 entry_is_ready(const struct entry *entry)
@@ -213,6 +215,7 @@
 	}
 	entry->http = soup_server_new("server-header", "currantchute", NULL);
 	http_close_disconnected(entry->http);
+	http_track_requests(entry->http, &entry->http_requests);
 	http_count_malformed(
 	    entry->http, ctr_get(entry->proc.counters, "caller_malformed"));
 	caller_open(entry);
@@ -264,15 +267,46 @@
 	return true;
 }
 
+/* A planned stop, from the signal on. */
+struct stop {
+	int waited_ms;
+	int idle_ms; /* of it after the notice, without an open request */
+	unsigned int read; /* requests read until the last check */
+	int64_t checked_us;
+};
+
+/*
+ * Whether nothing is lost when the process ends now: each answer is sent, and no
+ * request has arrived since the last check. If the process was held up since,
+ * requests may have arrived that are not read yet.
+ */
+static bool
+is_quiet(const struct entry *entry, struct stop *stop)
+{
+	bool is_late =
+	    clk_is_late(clk_system(), stop->checked_us + STOP_CHECK_MS * 1000);
+	bool is_same = entry->http_requests.read == stop->read;
+
+	stop->checked_us = clk_now_us(clk_system());
+	stop->read = entry->http_requests.read;
+	if (entry->open_requests > 0 || entry->http_requests.open > 0)
+		return false;
+	if (stop->waited_ms > STOP_NOTICE_MS)
+		stop->idle_ms += STOP_CHECK_MS;
+	return (is_same && !is_late) || stop->idle_ms >= STOP_QUIET_MS;
+}
+
 static gboolean
 on_stop_tick(gpointer data)
 {
+	static struct stop stop;
 	struct entry *entry = data;
-	static int waited_ms;
+	bool quiet;
 
-	waited_ms += STOP_CHECK_MS;
-	if (waited_ms < STOP_NOTICE_MS ||
-	    (entry->open_requests > 0 && waited_ms < STOP_TIMEOUT_MS))
+	stop.waited_ms += STOP_CHECK_MS;
+	quiet = is_quiet(entry, &stop);
+	if (stop.waited_ms < STOP_NOTICE_MS ||
+	    (!quiet && stop.waited_ms < STOP_TIMEOUT_MS))
 		return G_SOURCE_CONTINUE;
 	entry->stop_timer = 0;
 	proc_quit(&entry->proc);
@@ -293,6 +327,7 @@
 	if (entry->leaving)
 		return;
 	entry->leaving = true;
+	entry->http_requests.closing = true;
 	tl_add(entry->proc.timeline, "leaving", entry->proc.node.id,
 	    "%u requests open", entry->open_requests);
 	log_info("entry %s is leaving", entry->proc.node.id);
--- a/programs/shared/http.c
+++ b/programs/shared/http.c
@@ -79,6 +79,39 @@
 	    server, "request-finished", G_CALLBACK(on_finished), malformed);
 }
 
+static void
+on_read(SoupServer *server, SoupServerMessage *message, gpointer data)
+{
+	struct http_requests *requests = data;
+
+	requests->read++;
+	requests->open++;
+	g_object_set_data(G_OBJECT(message), "tracked", message);
+	if (requests->closing)
+		soup_message_headers_replace(
+		    soup_server_message_get_response_headers(message),
+		    "Connection", "close");
+}
+
+static void
+on_sent(SoupServer *server, SoupServerMessage *message, gpointer data)
+{
+	struct http_requests *requests = data;
+
+	if (g_object_get_data(G_OBJECT(message), "tracked") != NULL)
+		requests->open--;
+}
+
+void
+http_track_requests(SoupServer *server, struct http_requests *requests)
+{
+	g_signal_connect(server, "request-read", G_CALLBACK(on_read), requests);
+	g_signal_connect(
+	    server, "request-finished", G_CALLBACK(on_sent), requests);
+	g_signal_connect(
+	    server, "request-aborted", G_CALLBACK(on_sent), requests);
+}
+
 void
 http_answer_text(SoupServerMessage *message, unsigned int status,
     const char *type, const char *text)
--- a/programs/shared/http.h
+++ b/programs/shared/http.h
@@ -21,6 +21,16 @@
  */
 void http_count_malformed(SoupServer *server, struct ctr *malformed);
 
+/* The requests of a server; read by its owner. */
+struct http_requests {
+	unsigned int read; /* completely, since the start */
+	unsigned int open; /* of these, those whose response is not sent yet */
+	bool closing; /* set by the owner: responses end their connections */
+};
+
+/* Counts requests from now on; `requests` must live as long as the server. */
+void http_track_requests(SoupServer *server, struct http_requests *requests);
+
 /* Responds with a short text, which is copied. */
 void http_answer_text(SoupServerMessage *message, unsigned int status,
     const char *type, const char *text);
