route: Do not take a caller's deadline for a failure of the target

Callers with time left were refused ("no target can accept the request now") while all engines were silent for a second, and sound engines that were merely slower than a caller's deadline went into backoff. Now such a target is avoided as long as before while another one is usable, but chosen if there is none, unless it has sent nothing for 2 s; anything that it sends ends that. A target that has been silent for longer is in backoff as before.

--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -58,12 +58,23 @@
 	    now_us - target->unanswered_since_us > timeout_us;
 }
 
+/* Whether a target that is avoided as silent may be chosen. */
+static bool
+may_be_sound(const struct rt_target *target, int64_t now_us)
+{
+	return target->backoff_is_silence &&
+	    (target->silent_since_us == 0 ||
+		now_us - target->silent_since_us < RT_SILENT_MAX_US);
+}
+
 static bool
 is_usable(const struct rt_target *target, const struct rt_criteria *criteria,
     int64_t now_us)
 {
 	return target->reachable && target->accepting &&
-	    target->backoff_until_us <= now_us && !was_tried(target, criteria);
+	    (target->backoff_until_us <= now_us ||
+		(criteria->silent && may_be_sound(target, now_us))) &&
+	    !was_tried(target, criteria);
 }
 
 static bool
@@ -228,8 +239,8 @@
 	return best;
 }
 
-struct rt_target *
-rt_choose(struct rt_fleet *fleet, const struct rt_criteria *criteria,
+static struct rt_target *
+choose(struct rt_fleet *fleet, const struct rt_criteria *criteria,
     int64_t now_us, struct rng *rng)
 {
 	struct candidates candidates = { .ngroups = 0 };
@@ -249,6 +260,19 @@
 	return target;
 }
 
+struct rt_target *
+rt_choose(struct rt_fleet *fleet, const struct rt_criteria *criteria,
+    int64_t now_us, struct rng *rng)
+{
+	struct rt_criteria with_silent = *criteria;
+	struct rt_target *target = choose(fleet, criteria, now_us, rng);
+
+	if (target != NULL)
+		return target;
+	with_silent.silent = true;
+	return choose(fleet, &with_silent, now_us, rng);
+}
+
 int64_t
 rt_backoff_ends_us(
     struct rt_fleet *fleet, const struct rt_criteria *criteria, int64_t now_us)
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -228,17 +228,34 @@
 void
 rt_target_sent(struct rt_target *target, int64_t now_us)
 {
+	/* A target without requests is not silent. */
+	if (target->local_inflight == 0 &&
+	    now_us - target->sent_us > RT_SILENT_MAX_US)
+		target->silent_since_us = 0;
+	if (target->silent_since_us == 0)
+		target->silent_since_us = now_us;
+	target->sent_us = now_us;
 	target->local_inflight++;
 	if (target->unanswered++ == 0)
 		target->unanswered_since_us = now_us;
 	update_sums(target, now_us);
 }
 
+static void
+note_heard(struct rt_target *target)
+{
+	target->silent_since_us = 0;
+	if (target->backoff_is_silence)
+		target->backoff_until_us = 0;
+	target->backoff_is_silence = false;
+}
+
 void
 rt_target_responded(
     struct rt_target *target, bool first, int64_t sent_us, int64_t now_us)
 {
 	target->unanswered = 0;
+	note_heard(target);
 	if (first)
 		est_time_add(&target->group->first, now_us - sent_us, now_us);
 }
@@ -252,6 +269,7 @@
 
 	/* Requests that fail together count as one failure. */
 	if (target->backoff_until_us <= now_us) {
+		target->backoff_is_silence = false;
 		target->consecutive_failures++;
 		target->backoff_until_us = now_us + MIN(us, BACKOFF_MAX_US);
 	}
@@ -259,12 +277,26 @@
 	    MAX(target->backoff_until_us, now_us + retry_after_ms * 1000LL);
 }
 
+void
+rt_target_silent(struct rt_target *target, int64_t now_us)
+{
+	bool was_backing_off = target->backoff_until_us > now_us;
+
+	back_off(target, BACKOFF_FAILED_US, 0, now_us);
+	if (!was_backing_off)
+		target->backoff_is_silence = true;
+}
+
 static void
 handle_result(struct rt_target *target, const struct err *err, int64_t now_us)
 {
 	switch (err->code) {
 	case ERR_NONE:
 		target->consecutive_failures = 0;
+		note_heard(target);
+		return;
+	case ERR_DEADLINE:
+		rt_target_silent(target, now_us);
 		return;
 	case ERR_CANCELLED: /* by this gateway: no sign of a fault of the target */
 	case ERR_INVALID:
@@ -304,6 +336,8 @@
 	target->unanswered = 0;
 	target->consecutive_failures = 0;
 	target->backoff_until_us = 0;
+	target->backoff_is_silence = false;
+	target->silent_since_us = 0;
 	target->cache_epoch++;
 	rt_fleet_update(fleet, target);
 }
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -50,6 +50,10 @@
 	int64_t reported_us;
 	unsigned int consecutive_failures;
 	int64_t backoff_until_us;
+	bool backoff_is_silence; /* may be chosen if no other is usable */
+	int64_t sent_us; /* the last request */
+	/* The first request since it sent anything; 0: none. */
+	int64_t silent_since_us;
 	unsigned int unanswered; /* sent since the last response data from it */
 	int64_t unanswered_since_us;
 	uint32_t cache_epoch; /* incremented when its cache is lost */
@@ -76,8 +80,14 @@
 /* Response data arrived for a request sent at `sent_us`; `first`: the first. */
 void rt_target_responded(
     struct rt_target *target, bool first, int64_t sent_us, int64_t now_us);
+/* A request there is without a response for too long. This is no failure: the
+ * target is avoided as after one, but chosen if no other is usable, unless it
+ * has been silent for RT_SILENT_MAX_US. */
+#define RT_SILENT_MAX_US (2 * G_USEC_PER_SEC)
+void rt_target_silent(struct rt_target *target, int64_t now_us);
 /* A request sent there ended with `err`, ERR_NONE if it was answered. A refusal
- * or failure puts the target in backoff, longer with each consecutive one. */
+ * or failure puts the target in backoff, longer with each consecutive one. A
+ * deadline of the caller that expired counts as silence. */
 void rt_target_ended(
     struct rt_target *target, const struct err *err, int64_t now_us);
 /* The connection is lost, with all requests that ran there. */
@@ -98,6 +108,7 @@
 	uint64_t prefix; /* result of rt_prefix_end; 0: none */
 	const struct rt_target *const *tried; /* not to be chosen again */
 	size_t ntried;
+	bool silent; /* include targets that are avoided as silent */
 };
 
 /*
--- a/tests/route/test_choose.c
+++ b/tests/route/test_choose.c
@@ -316,6 +316,73 @@
 	rt_fleet_free(f.fleet);
 }
 
+/*
+ * Guards against requests that are refused as if no target lived, because all
+ * targets were silent for a moment and callers with short deadlines left. Silent
+ * targets are avoided, but chosen if there is no other.
+ */
+static void
+test_silent_targets(void **state)
+{
+	struct fixture f;
+
+	setup(&f, 2);
+	rt_target_sent(&f.target[0], f.now_us);
+	f.now_us += 300 * MS;
+	rt_target_silent(&f.target[0], f.now_us);
+	assert_always(&f, 1);
+	end(&f, 1, ERR_DEADLINE);
+	assert_true(choose(&f) >= 0);
+	/* A failure is no silence. */
+	end(&f, 1, ERR_NONE);
+	end(&f, 1, ERR_UNAVAILABLE);
+	assert_always(&f, 0);
+	/* Any response ends the silence, and the target is not avoided. */
+	end(&f, 1, ERR_NONE);
+	f.now_us += 50 * MS;
+	rt_target_responded(&f.target[0], false, 0, f.now_us);
+	assert_true(count_chosen(&f, 0) > 0);
+	rt_fleet_free(f.fleet);
+}
+
+/* A target that is silent for long is dead: it gets no request in a backoff,
+ * also if requests that were sent later have the shorter silences. */
+static void
+test_dead_targets(void **state)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f, 1);
+	for (i = 0; i < 7; i++) {
+		rt_target_sent(&f.target[0], f.now_us);
+		f.now_us += 300 * MS;
+		end(&f, 0, ERR_DEADLINE);
+	}
+	assert_int_equal(choose(&f), -1);
+	f.now_us = f.target[0].backoff_until_us;
+	assert_int_equal(choose(&f), 0);
+	rt_fleet_free(f.fleet);
+}
+
+/* A target is not silent while it has no request. */
+static void
+test_idle_is_not_silent(void **state)
+{
+	const struct err cancelled = { .code = ERR_CANCELLED };
+	struct fixture f;
+
+	setup(&f, 1);
+	rt_target_sent(&f.target[0], f.now_us);
+	rt_target_ended(&f.target[0], &cancelled, f.now_us);
+	f.now_us += 60000 * MS;
+	rt_target_sent(&f.target[0], f.now_us);
+	f.now_us += 300 * MS;
+	rt_target_silent(&f.target[0], f.now_us);
+	assert_int_equal(choose(&f), 0);
+	rt_fleet_free(f.fleet);
+}
+
 /*
  * A connection stalls without closing, so requests there hang until their
  * deadlines. A target that sends no response data for much longer than usual
@@ -535,6 +602,9 @@
 		cmocka_unit_test(test_estimate),
 		cmocka_unit_test(test_backoff),
 		cmocka_unit_test(test_retry_after),
+		cmocka_unit_test(test_silent_targets),
+		cmocka_unit_test(test_dead_targets),
+		cmocka_unit_test(test_idle_is_not_silent),
 		cmocka_unit_test(test_stalled),
 		cmocka_unit_test(test_prefix_hash),
 		cmocka_unit_test(test_prefix_affinity),
--- a/tests/system/lib.sh
+++ b/tests/system/lib.sh
@@ -68,7 +68,8 @@
 
 # small_fleet SIDES: starts the platform's stand-ins, 2 entries and SIDES
 # sidecars with an engine and a service each, sets both branches of settings,
-# and rolls out model cedar/care at version v1.
+# and rolls out model cedar/care at version v1. `book_settings` adds settings of
+# the service.
 small_fleet() {
 	stage_begin
 	stage_platform 50000000 || give_up "stand-ins start"
@@ -115,7 +116,7 @@
 limits: {requests_s: 1000, queue: 1000}
 tokens: {operator: $(sha $team_token), caller: $(sha $caller_token)}
 services:
-  book: {idempotent_methods: [GET]}
+  book: {idempotent_methods: [GET]${book_settings:+, $book_settings}}
 END
 	operate settings set platform "$STAGE/platform.yaml" ||
 	    give_up "root branch"
