--- a/tests/system/lib.sh
+++ b/tests/system/lib.sh
@@ -93,7 +93,7 @@
 		engines="${engines:+$engines,}http://127.0.0.1:$port"
 		stage_standin service-$i service --name book ||
 		    give_up "service $i starts"
-		eval "service_$i=http://127.0.0.1:$port"
+		eval "service_$i=http://127.0.0.1:$port service_pid_$i=$last_pid"
 		domain=north
 		[ $((i % 2)) -eq 0 ] && domain=south
 		next_port
--- /dev/null
+++ b/tests/system/silent_services.sh
@@ -0,0 +1,69 @@
+#!/bin/sh
+# Guards against requests that are given up because their target was silent for
+# longer than `stall_ms`, although it would have answered and no other target
+# did. Dead targets must not hold their callers for that.
+set -u
+BUILD=$1
+. tests/system/lib.sh
+book_settings="stall_ms: 250"
+small_fleet 3
+
+all_services() { # SIGNAL
+	kill "-$1" "$service_pid_1" "$service_pid_2" "$service_pid_3"
+}
+get() { # NAME [CURL OPTIONS...]: writes status, attempts and seconds
+	name=$1
+	shift
+	curl -s -m 30 -o "$STAGE/answer-$name" -D "$STAGE/head-$name" \
+	    -w '%{http_code} %{time_total}\n' \
+	    -H "Authorization: Bearer $caller_token" "$@" \
+	    "$entry_1/services/cedar/book/$name" >"$STAGE/result-$name"
+}
+get_some() { # NAME COUNT
+	asking=
+	for n in $(seq "$2"); do
+		get "$1-$n" &
+		asking="$asking $!"
+	done
+}
+with_status() { # NAME STATUS
+	cat "$STAGE"/result-"$1"-* | grep -c "^$2 "
+}
+slowest_ms() { # NAME
+	cat "$STAGE"/result-"$1"-* | awk '$2 > most { most = $2 }
+	    END { print int(most * 1000) }'
+}
+
+get warm
+check "a service answers" grep -q '^200 ' "$STAGE/result-warm"
+
+# All are silent for 1.2 s and go on.
+all_services STOP
+get_some silent 20
+sleep 1.2
+all_services CONT
+# shellcheck disable=SC2086
+wait $asking
+echo "$(with_status silent 200) of 20 answered"
+check "requests at silent services are answered" test "$(with_status silent 200)" -eq 20
+
+# One is dead: its requests are answered by the others.
+sleep 2
+kill -STOP "$service_pid_3"
+get_some dead 20
+# shellcheck disable=SC2086
+wait $asking
+echo "$(with_status dead 200) of 20 answered, the slowest after $(slowest_ms dead) ms"
+check "a dead service is replaced" test "$(with_status dead 200)" -eq 20
+check "before its callers' deadline" test "$(slowest_ms dead)" -lt 10000
+
+# All are dead: nobody is held until the deadline.
+all_services STOP
+get_some none 10
+# shellcheck disable=SC2086
+wait $asking
+all_services CONT
+echo "the slowest was refused after $(slowest_ms none) ms"
+check "requests at dead services fail" test "$(with_status none 200)" -eq 0
+check "before their deadline" test "$(slowest_ms none)" -lt 10000
+finish
