fleet: Count requests that gateways ended unread or gave up, and reuse connections late

- Callers leave one in N kept connections idle for 50 to 76% of the idle limit (never reused after 80%); a crowd of kept connections to each gateway is used at once, again and again, for requests that no route takes.
Idleness is what the kernel says, as the stand-in may read late.
After a change of the limit the lower one holds until the store was stable for 2 s, and after a drill.
- settings.c (from silence.c): changes take turns with two idle limits and add routes by the hundred.
- silence.c: random silences of one, some or all engines.
A silence of reports is a proxy mode of its own, as it is no fault of the way to the engine.
- ends.c: `unread`, a request sent whole on a kept connection that ended without a byte; `given_up`, a sound run that was cancelled before the request's time was over, and its caller got neither an answer nor a refusal.
Not counted, but printed as `taken_over`, where another run of the request broke off, as the cancelled one may have lost to that.

--- a/tests/fleet/caller.c
+++ b/tests/fleet/caller.c
@@ -6,6 +6,7 @@
 #include "fleet.h"
 
 #define DEADLINE_MS 4000
+#define PLAIN_TIMEOUT_MS 1500 /* of their routes (operator.c) */
 #define ONCE_ONE_IN 4 /* streams that may not be resumed */
 
 enum request_kind {
@@ -105,6 +106,16 @@
 	g_free(expected);
 }
 
+/* Neither an answer nor a refusal came, or none in time. */
+static void
+check_unanswered(struct request *r, const struct raw_answer *a)
+{
+	int64_t time_us =
+	    (is_stream(r) ? DEADLINE_MS : PLAIN_TIMEOUT_MS) * INT64_C(1000);
+
+	fleet_ends_unanswered(r->f, r->id, r->sent_us, time_us, a->status);
+}
+
 static void
 check_answer(struct request *r, const struct raw_answer *a)
 {
@@ -122,6 +133,7 @@
 		}
 	} else {
 		t->failed++;
+		check_unanswered(r, a);
 		if (has_header(a, "X-Response-Seal") && a->status != 500)
 			count_wrong(r, "failure", a->body);
 	}
@@ -181,6 +193,7 @@
 		check_answer(r, &c->answer);
 	else {
 		check_partial_answer(r, &c->answer, false);
+		check_unanswered(r, &c->answer);
 		if (c->answer.status == 0) {
 			r->f->tally.broken++;
 			g_printerr("broken %s: end %d, sent %d\n", r->id,
@@ -200,6 +213,7 @@
 	g_printerr("late %s: no answer in time, status %u\n", r->id,
 	    r->call->answer.status);
 	check_partial_answer(r, &r->call->answer, true);
+	check_unanswered(r, &r->call->answer);
 	note_begun(r, &r->call->answer);
 	fleet_call_cancel(r->call);
 	request_free(r);
@@ -286,7 +300,12 @@
 	evl_timer_set(f->loop, &r->deadline,
 	    evl_now_us(f->loop) + (DEADLINE_MS + 500) * 1000);
 	text = request_text(r);
-	r->call = fleet_call_start(f, gateway, text, on_done, r);
+	r->call = fleet_call_start(f,
+	    &(struct fleet_call_conf){ .gateway = gateway,
+		.id = r->id,
+		.request = text,
+		.done = on_done,
+		.ctx = r });
 	g_free(text);
 }
 
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -57,7 +57,7 @@
 	struct hreq *r;
 	char id[40];
 	struct fleet_answer answer;
-	int64_t version;
+	int64_t version, begun_us;
 	struct evl_timer timer;
 };
 
@@ -201,11 +201,14 @@
 		return;
 	if (!hreq_begun(r))
 		begin_answer(run);
-	if (fleet_answer_next_event(&run->answer, r))
+	if (fleet_answer_next_event(&run->answer, r)) {
 		evl_timer_set(
 		    f->loop, timer, evl_now_us(f->loop) + fleet_event_us());
-	else
-		run_free(run);
+		return;
+	}
+	if (run->answer.breaks)
+		fleet_run_broke(f, run->id);
+	run_free(run);
 }
 
 static void
@@ -218,6 +221,8 @@
 
 	if (stays_silent(run) || terminates_engine(run))
 		return;
+	if (answer.breaks)
+		fleet_run_broke(run->e->f, run->id);
 	head = response_head(run);
 	g_snprintf(body, sizeof(body), "answer to %s", run->id);
 	run_free(run);
@@ -293,6 +298,7 @@
 	run->r = r;
 	g_strlcpy(run->id, id, sizeof(run->id));
 	run->version = e->version;
+	run->begun_us = evl_now_us(e->f->loop);
 	header(r, "Last-Event-Id", last, sizeof(last));
 	if (e->llm)
 		fleet_answer_draw_stream(e->f, &run->answer, run->id,
@@ -434,6 +440,7 @@
 
 	while ((run = LIST_FIRST(&e->runs)) != NULL) {
 		r = run->r;
+		fleet_run_broke(e->f, run->id);
 		run_free(run);
 		hreq_abort(r);
 	}
@@ -508,13 +515,27 @@
 	g_free(target);
 }
 
+/* Its gateway cancelled the run, or the way to it failed. */
+static void
+note_cancelled(const struct fleet_run *run)
+{
+	struct fleet_engine *e = run->e;
+
+	if (fleet_proxy_faulty_us(e->f->proxy[e->i + 1]) >= run->begun_us)
+		fleet_run_broke(e->f, run->id);
+	else if (!run->answer.breaks)
+		fleet_run_cancelled(e->f, run->id, e->i);
+}
+
 static void
 on_disconnected(struct hreq *r, void *ctx)
 {
 	struct fleet_run *run = hreq_ctx(r);
 
-	if (run != NULL)
-		run_free(run);
+	if (run == NULL)
+		return;
+	note_cancelled(run);
+	run_free(run);
 }
 
 static void
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -61,6 +61,9 @@
 	unsigned int excess_sends;
 	/* Requests sent despite an engine's announcement in an answer. */
 	unsigned int unheeded;
+	/* Requests that a gateway ended without an answer (ends.c). */
+	unsigned int unread, given_up;
+	unsigned int crowd_sent, crowd_answered; /* crowd.c */
 };
 
 /* Sound requests, and those of them that began to be answered. */
@@ -102,6 +105,7 @@
 	struct fleet_tally tally;
 	GHashTable *runs; /* request id -> times run */
 	GHashTable *sent; /* request id -> int64_t, when its caller sent it */
+	GHashTable *endings; /* request id -> struct fleet_ending (ends.c) */
 	struct rng rng;
 	/* Store. */
 	struct hserver *store;
@@ -144,12 +148,16 @@
 	int http10_one_in; /* one in so many callers uses HTTP/1.0; 0: none */
 	struct rng caller_rng; /* of what was added to the callers later */
 	LIST_HEAD(fleet_links, fleet_link) idle_links;
+	int late_one_in; /* one in so many links is reused late; 0: none */
+	struct rng late_rng; /* does not shift other draws */
+	unsigned int crowd; /* connections to each gateway; 0: none */
 	unsigned int rate; /* requests a second */
 	struct evl_timer next_request, schedule, fault;
 	unsigned int open_calls;
 	bool stopping;
 	bool check_poison; /* otherwise its sends are only printed */
 	bool check_notices; /* the same for unheeded announcements */
+	bool check_ends; /* the same for unread and given up requests */
 	struct fleet_poison *poison[FLEET_POISONS_MAX]; /* NULL: none */
 	/* Parts of prompts. */
 	struct rng part_rng; /* does not shift other draws */
@@ -260,11 +268,23 @@
 void fleet_answer_truncated(struct hreq *r, const void *body, size_t len);
 
 /* link.c */
+struct fleet_call;
+struct fleet_call_conf {
+	size_t gateway;
+	const char *id, *request; /* borrowed until the call starts */
+	bool crowd; /* uses connections of its own (crowd.c) */
+	void (*done)(struct fleet_call *c, void *ctx);
+	void *ctx;
+};
 /* A caller's request and the answer to it. */
 struct fleet_call {
 	struct fleet_link *link;
-	char *request;
+	char *id, *request;
 	bool sent;
+	int64_t sent_us;
+	/* For how long the connection had been idle then; negative: it is new,
+	 * or its idleness was too long for its gateway to keep it. */
+	int64_t idle_us;
 	struct raw_answer answer;
 	enum raw_end end;
 	void (*done)(struct fleet_call *c, void *ctx);
@@ -273,9 +293,8 @@
 /* Sends a complete request over an idle or a new connection. `done` is called
  * once, when the answer is complete, the connection has ended or none comes
  * about; the call is freed after it. */
-struct fleet_call *fleet_call_start(struct fleet *f, size_t gateway,
-    const char *request, void (*done)(struct fleet_call *c, void *ctx),
-    void *ctx);
+struct fleet_call *fleet_call_start(
+    struct fleet *f, const struct fleet_call_conf *conf);
 void fleet_call_cancel(struct fleet_call *c); /* `done` is not called */
 
 /* limit.c */
@@ -339,20 +358,44 @@
 bool fleet_parts_known(const struct fleet *f, int64_t sent_us);
 void fleet_poison_print(const struct fleet *f);
 
-/* silence.c: sound engines that fall silent and go on, and changes of the
- * settings beside them. */
+/* silence.c: sound engines that fall silent and go on. */
 struct poptOption;
 struct poptOption *fleet_silence_options(void);
-void fleet_silences_start(struct fleet *f);
-int fleet_idle_ms(void); /* limit in the settings */
+void fleet_silences_start(struct fleet *f, uint64_t seed);
 int64_t fleet_event_us(void); /* between two events of a stream */
 
+/* settings.c: changes of the settings beside traffic. */
+struct poptOption *fleet_settings_options(void);
+void fleet_settings_start(struct fleet *f, uint64_t seed);
+int fleet_settings_idle_ms(void); /* the idle limit of callers' connections */
+unsigned int fleet_settings_more_routes(void); /* beside those in use */
+/* The lowest idle limit that a gateway may have in force. */
+int64_t fleet_settings_safe_idle_us(void);
+
+/* crowd.c: callers that use all their kept connections at once. */
+void fleet_crowds_start(struct fleet *f);
+
+/* ends.c */
+/* A run that would have been answered whole was cancelled at its engine. */
+void fleet_run_cancelled(struct fleet *f, const char *id, size_t engine);
+/* A run ended by a fault of its engine or of the way to it. */
+void fleet_run_broke(struct fleet *f, const char *id);
+/* The caller got neither an answer nor a refusal; `time_us` is the time that
+ * the request had. */
+void fleet_ends_unanswered(struct fleet *f, const char *id, int64_t sent_us,
+    int64_t time_us, unsigned int status);
+/* The connection of a request that was sent whole ended without a byte. */
+void fleet_ends_unread(struct fleet *f, const char *id, size_t gateway,
+    int64_t sent_us, int64_t idle_us, enum raw_end end);
+
 /* proxy.c */
 enum proxy_mode {
 	PROXY_PASS,
 	PROXY_STALL, /* buffers bytes in both directions */
 	PROXY_STALL_RESPONSES, /* buffers responses */
 	PROXY_DELAY, /* forwards bytes after a delay */
+	/* Buffers responses for an engine that is silent: no fault. */
+	PROXY_SILENT,
 };
 struct fleet_proxy *fleet_proxy_open(
     struct fleet *f, const char *address, const char *to, struct err *err);
@@ -360,6 +403,8 @@
 void fleet_proxy_reset(struct fleet_proxy *proxy); /* all its connections */
 /* Last time at which it held back or reset traffic; 0: never. */
 int64_t fleet_proxy_disturbed_us(const struct fleet_proxy *proxy);
+/* The same without the silences of its engine. */
+int64_t fleet_proxy_faulty_us(const struct fleet_proxy *proxy);
 /* Whether the proxy accepts connections; not while its target is down. */
 void fleet_proxy_listen(struct fleet_proxy *proxy, bool listen);
 
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -9,7 +9,14 @@
  *         --poison SECONDS --poisons N --poison-gap-ms N --poison-judged 0|1
  *         --poison-parts N --end-gap-ms N
  *         --silent-gap-ms N --silent-for-ms N --silent-engines N
- *         --silent-whole 0|1 --settings-gap-ms N --event-ms N
+ *         --silent-whole 0|1 --silences 0|1 --event-ms N
+ *         --settings-gap-ms N --idle-ms N --other-idle-ms N --many-routes N
+ *         --late N --crowd N --ends-judged 0|1
+ *
+ * Silences are of sound engines, which go on where they were. Settings change
+ * the idle limit and add routes by the hundred; callers reuse kept connections
+ * late, up to four fifths of the limit. Requests that gateways end without an
+ * answer are printed and counted (ends.c).
  *
  * It prints "ready", runs, and at the end prints one line of counts; its exit
  * code is 0 when no invariant was violated and most requests were answered.
@@ -39,6 +46,7 @@
 static int leave, shed, notices, notices_judged = 1;
 static int drill, drills;
 static int broken, http10;
+static int late, crowd, ends_judged = 1;
 static char *gateways;
 static struct fleet f;
 static GMainLoop *main_loop;
@@ -305,6 +313,7 @@
 		t->incomplete + t->stale + t->bad_identity + t->over_limit +
 		t->excess_sends + t->unheeded ==
 	    0 &&
+	    (!f.check_ends || t->unread + t->given_up == 0) &&
 	    !fleet_parts_withheld(&f);
 }
 
@@ -390,12 +399,13 @@
 	    "fleet: %s asked=%u answered=%u refused=%u failed=%u broken=%u late=%u "
 	    "cut=%u "
 	    "twice=%u mixed=%u lied=%u unwhole=%u stale=%u stranger=%u "
-	    "over=%u spread=%u unheeded=%u "
+	    "over=%u spread=%u unheeded=%u unread=%u given_up=%u crowd=%u/%u "
 	    "seed=%d\n",
 	    kept ? "kept" : "BROKEN", t->sent_count, t->answered, t->refused,
 	    t->failed, t->broken, t->late, t->cut, t->ran_twice,
 	    t->wrong_answers, t->false_not_run, t->incomplete, t->stale,
-	    t->bad_identity, t->over_limit, t->excess_sends, t->unheeded, seed);
+	    t->bad_identity, t->over_limit, t->excess_sends, t->unheeded,
+	    t->unread, t->given_up, t->crowd_answered, t->crowd_sent, seed);
 	return kept && t->answered > t->sent_count / 2 ? 0 : 1;
 }
 
@@ -421,7 +431,9 @@
 {
 	begun_us = evl_now_us(f.loop);
 	fleet_callers_start(&f);
-	fleet_silences_start(&f);
+	fleet_settings_start(&f, (uint64_t)seed + 7);
+	fleet_silences_start(&f, (uint64_t)seed + 6);
+	fleet_crowds_start(&f);
 	f.schedule.fire = on_schedule;
 	evl_timer_set(f.loop, &f.schedule, begun_us);
 	if (poison > 0)
@@ -539,6 +551,19 @@
 		    "seconds to a new version; 0: none", "N" },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_silence_options(), 0,
 		    "Silences:", NULL },
+		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_settings_options(), 0,
+		    "Settings:", NULL },
+		{ "late", 0, POPT_ARG_INT, &late, 0,
+		    "one in so many kept connections is reused late; 0: none",
+		    "N" },
+		{ "crowd", 0, POPT_ARG_INT, &crowd, 0,
+		    "kept connections to each gateway that are used at once, "
+		    "again and again",
+		    "N" },
+		{ "ends-judged", 0, POPT_ARG_INT, &ends_judged, 0,
+		    "0 or 1: count requests that gateways ended without an "
+		    "answer as violations",
+		    "N" },
 		POPT_AUTOHELP POPT_TABLEEND };
 	poptContext pc =
 	    poptGetContext("fleet", argc, (const char **)argv, options, 0);
@@ -557,7 +582,13 @@
 	f.limits = (struct hlimits){ 16384, 1 << 20, 5000000, 30000000 };
 	f.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f.sent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f.endings =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f.rate = (unsigned int)rate;
+	f.late_one_in = late;
+	f.crowd = (unsigned int)crowd;
+	f.check_ends = ends_judged != 0;
+	rng_seed(&f.late_rng, (uint64_t)seed + 8);
 	f.broken_one_in = broken;
 	f.http10_one_in = http10;
 	rng_seed(&f.answer_rng, (uint64_t)seed + 2);
--- a/tests/fleet/operator.c
+++ b/tests/fleet/operator.c
@@ -2,6 +2,21 @@
 
 #include "fleet.h"
 
+/* Routes that no caller uses. */
+static void
+append_more_routes(GString *s)
+{
+	unsigned int i;
+
+	for (i = 0; i < fleet_settings_more_routes(); i++)
+		g_string_append_printf(s,
+		    ",{\"name\":\"more%u\",\"host\":\"more%u.example\","
+		    "\"pathPrefix\":\"/more/\",\"kind\":\"safe\","
+		    "\"timeoutMs\":1500,\"targetLatencyMs\":300,"
+		    "\"maxAttempts\":2,\"service\":\"" FLEET_PLAIN "\"}",
+		    i, i);
+}
+
 void
 fleet_operator_put_config(struct fleet *f)
 {
@@ -27,8 +42,11 @@
 	    "\"},{\"name\":\"look\",\"host\":\"a.example\","
 	    "\"pathPrefix\":\"/look/\",\"kind\":\"safe\",\"timeoutMs\":1500,"
 	    "\"targetLatencyMs\":300,\"maxAttempts\":2,"
-	    "\"service\":\"" FLEET_PLAIN
-	    "\"}],\"services\":[{\"name\":\"" FLEET_LLM
+	    "\"service\":\"" FLEET_PLAIN "\"}",
+	    f->config_version++);
+	append_more_routes(s);
+	g_string_append_printf(s,
+	    "],\"services\":[{\"name\":\"" FLEET_LLM
 	    "\",\"maxConnections\":200,\"engine\":{\"slots\":8,"
 	    "\"models\":[{\"name\":\"" FLEET_MODEL
 	    "\",\"warmS\":0.2}],\"layers\":4,\"chunks\":%d,"
@@ -40,8 +58,8 @@
 	    "\"tenants\":[{\"name\":\"team%s\",\"apiKeys\":[\"" FLEET_KEY
 	    "\"]},{\"name\":\"guest\",\"apiKeys\":[\"" FLEET_POISON_KEY
 	    "\"]}]}",
-	    f->config_version++, FLEET_CHUNKS, FLEET_CHUNK_BYTES, f->net,
-	    fleet_idle_ms(), number);
+	    FLEET_CHUNKS, FLEET_CHUNK_BYTES, f->net, fleet_settings_idle_ms(),
+	    number);
 	fleet_store_put(f, "config", "main", s->str);
 	g_free(f->config_spec);
 	f->config_spec = g_string_free(s, FALSE);
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -34,6 +34,7 @@
 	struct sockaddr_in at, to;
 	enum proxy_mode mode;
 	int64_t disturbed_us; /* when it last was not passing */
+	int64_t faulty_us; /* the same without silences */
 	LIST_HEAD(fleet_pipes, fleet_pipe) pipes;
 };
 
@@ -64,7 +65,8 @@
 
 	if (mode == PROXY_STALL)
 		return true;
-	return mode == PROXY_STALL_RESPONSES && c == &c->pipe->caller;
+	return (mode == PROXY_STALL_RESPONSES || mode == PROXY_SILENT) &&
+	    c == &c->pipe->caller;
 }
 
 /* Sends the buffered bytes; false when the pipe was closed. */
@@ -220,6 +222,12 @@
 	evl_watch(proxy->f->loop, &proxy->listener, EPOLLIN);
 }
 
+static bool
+is_faulty(enum proxy_mode mode)
+{
+	return mode != PROXY_PASS && mode != PROXY_SILENT;
+}
+
 void
 fleet_proxy_set(struct fleet_proxy *proxy, enum proxy_mode mode)
 {
@@ -227,6 +235,8 @@
 
 	if (proxy->mode != PROXY_PASS || mode != PROXY_PASS)
 		proxy->disturbed_us = evl_now_us(proxy->f->loop);
+	if (is_faulty(proxy->mode) || is_faulty(mode))
+		proxy->faulty_us = evl_now_us(proxy->f->loop);
 	proxy->mode = mode;
 	for (; p != NULL; p = next) {
 		next = LIST_NEXT(p, link);
@@ -241,6 +251,7 @@
 	struct fleet_pipe *p;
 
 	proxy->disturbed_us = evl_now_us(proxy->f->loop);
+	proxy->faulty_us = proxy->disturbed_us;
 	while ((p = LIST_FIRST(&proxy->pipes)) != NULL)
 		pipe_close(p, true);
 }
@@ -251,3 +262,10 @@
 	return proxy->mode == PROXY_PASS ? proxy->disturbed_us
 					 : evl_now_us(proxy->f->loop);
 }
+
+int64_t
+fleet_proxy_faulty_us(const struct fleet_proxy *proxy)
+{
+	return is_faulty(proxy->mode) ? evl_now_us(proxy->f->loop)
+				      : proxy->faulty_us;
+}
--- a/tests/system/crash.sh
+++ b/tests/system/crash.sh
@@ -21,7 +21,7 @@
 
 fleet_begin "$BUILD/stage-crash" 6 3
 "$BUILD/tests/fleet/fleet" --engines 6 --empty 0 --gateways "$gateways" --rate 60 --seconds 18 \
-    --bump 0 --poison 3 --poisons 2 --seed 1 --net $NET >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
+    --bump 0 --poison 3 --poisons 2 --seed 1 --net $NET --ends-judged 0 >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
 fleet=$!
 sleep 7
 restart_all gateway-
--- a/tests/system/limit_restart.sh
+++ b/tests/system/limit_restart.sh
@@ -9,7 +9,7 @@
 . tools/fleet.sh
 fleet_begin "$BUILD/stage-limit-restart" 4 3
 "$BUILD/tests/fleet/fleet" --engines 4 --empty 0 --gateways "$gateways" --rate 120 --uneven 1 \
-    --seconds 12 --bump 0 --limit 2 --seed 1 --net $NET >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
+    --seconds 12 --bump 0 --limit 2 --seed 1 --net $NET --ends-judged 0 >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
 fleet=$!
 sleep 7
 for _ in 1 2 3; do
