--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -143,12 +143,21 @@
 	a->req->failure = a;
 }
 
+static bool
+is_only_attempt(const struct fwd_attempt *a)
+{
+	return TAILQ_FIRST(&a->req->attempts) == a &&
+	    TAILQ_NEXT(a, link) == NULL;
+}
+
 void
 fwd_choose_attempt(struct fwd_attempt *a)
 {
 	struct fwd_req *r = a->req;
 	struct fwd_attempt *other, *next;
 
+	if (is_only_attempt(a) && !r->queued)
+		return;
 	fwd_dequeue(r);
 	for (other = TAILQ_FIRST(&r->attempts); other != NULL; other = next) {
 		next = TAILQ_NEXT(other, link);
@@ -330,7 +339,7 @@
 	note_outcome(a, end);
 	count_run(a, end);
 	update_flow(r);
-	if (TAILQ_FIRST(&r->attempts) == a && TAILQ_NEXT(a, link) == NULL) {
+	if (is_only_attempt(a)) {
 		fwd_dequeue(r);
 		last_attempt_ended(a, end);
 		return;
