--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -9,6 +9,8 @@
 #define BATCH 64 /* events per pass */
 /* Reads of one descriptor before timers that are due fire. */
 #define ROUNDS_MAX 16
+/* Time after which these reads end, as timers matter most under load. */
+#define ROUNDS_US 50000
 /* Size of one read. Connections with more input are read in turn. */
 #define SCRATCH_BYTES (16u << 10)
 
@@ -257,9 +259,11 @@
 static void
 dispatch_events(struct evl *e)
 {
+	int64_t until_us = clk_now_us(e->clock) + ROUNDS_US;
 	unsigned int rounds = ROUNDS_MAX;
 
-	while (dispatch_round(e) && timer_is_due(e) && --rounds > 0)
+	while (dispatch_round(e) && timer_is_due(e) && --rounds > 0 &&
+	    e->now_us < until_us)
 		run_tasks(e);
 }
 
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -473,7 +473,7 @@
 	while ((r = TAILQ_FIRST(&f->open)) != NULL) {
 		if (r->flow.begun)
 			fwd_abort(r, "stopping");
-		else if (r->flow.attempts == 0)
+		else if (!r->flow.may_have_run && TAILQ_EMPTY(&r->attempts))
 			fwd_refuse_until(r, "stopping", fwd_now(r));
 		else
 			fwd_fail(r, 502, "stopping");
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -163,7 +163,7 @@
 		next = TAILQ_NEXT(other, link);
 		if (other == a)
 			continue;
-		if (!other->silent) /* counted already if it is */
+		if (!other->silent && other->call != NULL) /* not counted yet */
 			r->flow.runs++;
 		drop_attempt(other);
 	}
@@ -215,12 +215,15 @@
 	    (t->backoff_until_us - fwd_now(a->req)) / 1000);
 }
 
-/* A target that was silent and then cut the request off has given no sign of
- * life, unless it loads weights. */
+/* A target in backoff that cuts off a request which has heard nothing, or no more,
+ * from it has given no sign of life, unless it loads weights. */
 static enum tgt_outcome
 outcome_of(const struct fwd_attempt *a, enum flow_end end)
 {
-	if (end == FLOW_LOST && a->silent && !a->target->side_down)
+	bool is_unheard = a->silent || a->heard_us == 0;
+
+	if (end == FLOW_LOST && is_unheard && !a->unusable &&
+	    a->target->failures > 0 && !a->target->side_down)
 		return TGT_LOST;
 	return target_outcomes[end];
 }
@@ -394,7 +397,9 @@
 	if (!a->silent)
 		count_run(a, FLOW_STALLED);
 	a->silent = true;
-	a->is_probe = false; /* it has an outcome now */
+	if (a->is_probe) /* it has an outcome now */
+		tgt_probe_abandoned(a->target);
+	a->is_probe = false;
 	tgt_silent(a->target, MAX(a->sent_us, a->heard_us), fwd_now(r));
 	if (a->target->failures > failures)
 		log_backoff(a, FLOW_STALLED);
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -391,7 +391,7 @@
 {
 	unsigned int i = 0;
 
-	if (r->ntried > (is_hedge(r) ? 1 : 0) || yields_to_new(r))
+	if ((r->ntried > 0 && !is_hedge(r)) || yields_to_new(r))
 		return;
 	while (i < FULL_KINDS && kinds[i].is_set)
 		i++;
@@ -418,12 +418,19 @@
 		if (is_known_full(kinds, r))
 			continue;
 		criteria = criteria_of(r);
+		if (is_hedge(r)) /* each has tried other targets */
+			criteria.nexclude = 0;
 		target = choose(r, &criteria, &why);
 		if (target == NULL) {
 			note_full(kinds, r);
 			continue;
 		}
-		send_chosen(r, target);
+		if (is_hedge(r)) {
+			criteria = criteria_of(r);
+			target = choose(r, &criteria, &why);
+		}
+		if (target != NULL)
+			send_chosen(r, target);
 	}
 }
 
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -349,7 +349,7 @@
 void
 tgt_set_load(struct tgt *t, unsigned int total, int64_t now_us)
 {
-	if (t->side_silent && t->reported_us != 0) {
+	if (tgt_is_silent_to_side(t, now_us) && t->reported_us != 0) {
 		/* The load as of its last report, told again. */
 		t->reported_us = now_us;
 		return;
@@ -419,7 +419,7 @@
 {
 	int64_t since_us = t->silent_us;
 
-	t->side_silent = false;
+	t->side_silent_us = 0;
 	if (since_us == 0)
 		return 0;
 	t->silent_us = 0;
@@ -428,9 +428,16 @@
 }
 
 void
-tgt_set_side_silent(struct tgt *t, bool silent)
+tgt_set_side_silent(struct tgt *t, bool silent, int64_t now_us)
 {
-	t->side_silent = silent;
+	t->side_silent_us = silent ? now_us : 0;
+}
+
+bool
+tgt_is_silent_to_side(const struct tgt *t, int64_t now_us)
+{
+	return t->side_silent_us != 0 &&
+	    now_us - t->side_silent_us < SV_SILENCE_MAX_US;
 }
 
 void
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -68,7 +68,9 @@
 	/* Since when a request that waited too long for it had heard nothing;
 	 * 0: it has sent something to this gateway since, or has failed. */
 	int64_t silent_us;
-	bool side_silent; /* it does not answer its sidecar either */
+	/* Its sidecar said so far that it leaves reports unanswered; last at
+	 * this time. 0: it does not. */
+	int64_t side_silent_us;
 	/* Failures without an answer. */
 	unsigned int failures; /* consecutive */
 	int64_t backoff_until_us;
@@ -190,7 +192,9 @@
  * silent if tgt_silent() was called meanwhile; otherwise 0. */
 int64_t tgt_heard(struct tgt *t, int64_t now_us);
 /* Its sidecar reported whether it leaves reports unanswered. */
-void tgt_set_side_silent(struct tgt *t, bool silent);
+void tgt_set_side_silent(struct tgt *t, bool silent, int64_t now_us);
+/* The word of its sidecar, until it is too old. */
+bool tgt_is_silent_to_side(const struct tgt *t, int64_t now_us);
 /* A probe ended without an outcome, as its caller has left or was answered by
  * another target. */
 void tgt_probe_abandoned(struct tgt *t);
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -198,19 +198,13 @@
 	return now_us >= probe_from_us && !t->probing;
 }
 
-static bool
-is_silent_to_side(const struct tgt *t, int64_t now_us)
-{
-	return t->side_silent && tgt_side_is_alive(t, now_us);
-}
-
 /* Silent, and not for so long that it counts as failed. */
 static bool
 is_only_silent(const struct tgt *t, int64_t now_us)
 {
 	return t->silent_us != 0
 	    ? now_us - t->silent_us < SV_SILENCE_MAX_US
-	    : is_silent_to_side(t, now_us) && t->failures == 0;
+	    : tgt_is_silent_to_side(t, now_us) && t->failures == 0;
 }
 
 static bool
@@ -220,7 +214,7 @@
 	if (t->leaving || t->side_down || !has_weights(t, criteria, now_us) ||
 	    is_excluded(t, criteria))
 		return false;
-	if (is_silent_to_side(t, now_us))
+	if (tgt_is_silent_to_side(t, now_us))
 		return false;
 	return t->failures == 0 || may_probe(t, criteria, now_us);
 }
@@ -336,7 +330,7 @@
 		if (!is_eligible(t, criteria, now_us))
 			continue;
 		*sound = *sound ||
-		    (t->failures == 0 && !is_silent_to_side(t, now_us));
+		    (t->failures == 0 && !tgt_is_silent_to_side(t, now_us));
 		if (is_deferred(t, now_us)) {
 			if (*why == TGT_NONE)
 				*why = TGT_RETRY_LATER;
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -61,9 +61,11 @@
 static void
 note_silence(struct gateway *g, struct tgt *t, bool silent)
 {
-	if (t->side_silent && !silent)
-		tgt_heard(t, evl_now_us(g->st.loop));
-	tgt_set_side_silent(t, silent);
+	int64_t now_us = evl_now_us(g->st.loop);
+
+	if (t->side_silent_us != 0 && !silent)
+		tgt_heard(t, now_us);
+	tgt_set_side_silent(t, silent, now_us);
 }
 
 static void
@@ -73,7 +75,8 @@
 	bool down = report->engine != SIDE_ENGINE_UP;
 	bool was_terminated = t->terminated;
 
-	if (down != t->side_down || (report->silent != 0) != t->side_silent ||
+	if (down != t->side_down ||
+	    (report->silent != 0) != (t->side_silent_us != 0) ||
 	    (int64_t)report->version != t->version)
 		evt(EVT_SIDE,
 		    "target=%s engine=%s version=%" G_GUINT64_FORMAT
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -116,6 +116,9 @@
 		k->drain_us = 0;
 	}
 	k->report_failures = 0;
+	/* A drain that began before a silence has drained nothing. */
+	if (k->silent)
+		k->drain_us = 0;
 	k->answered_us = keeper_now(k);
 	k->silent = false;
 	k->had_engine = true;
--- a/tests/serve/test_silence_ends.c
+++ b/tests/serve/test_silence_ends.c
@@ -180,7 +180,8 @@
 	for (i = 0; i < REQUESTS; i++)
 		fd[i] = send_get();
 	for (i = 0; i < TARGETS; i++)
-		tgt_set_side_silent(tgt_find(w.set, w.target[i].id), true);
+		tgt_set_side_silent(
+		    tgt_find(w.set, w.target[i].id), true, now_us());
 	run_ms(400);
 	choices = ctr_get(w.counters, "target_choices");
 	before = ctr_value(choices);
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -478,11 +478,11 @@
 	enum tgt_reason why;
 
 	tgt_side_reported(silent, 1, SECOND);
-	tgt_set_side_silent(silent, true);
+	tgt_set_side_silent(silent, true, SECOND);
 	assert_ptr_equal(choose(SECOND, true, &why), silent);
 	sound = put("b", "1.1.1.2:1", "near");
 	assert_ptr_equal(choose(SECOND, true, &why), sound);
-	tgt_set_side_silent(silent, false);
+	tgt_set_side_silent(silent, false, SECOND);
 	tgt_set_load(sound, 2, SECOND);
 	tgt_set_load(silent, 0, SECOND);
 	assert_ptr_equal(choose(SECOND, true, &why), silent);
--- a/tests/serve/test_tgt_silent.c
+++ b/tests/serve/test_tgt_silent.c
@@ -33,7 +33,7 @@
 
 	tgt_set_domain(set, "near", "here");
 	t = tgt_put(set, &record, 0);
-	tgt_set_side_silent(t, true);
+	tgt_set_side_silent(t, true, SECOND);
 	for (report = 0; report < 6; report++, now_us += REPORT_US) {
 		tgt_side_reported(t, report + 1, now_us);
 		tgt_set_load(t, 4, now_us); /* others' requests */
