tools, tests: Silences, late reuse, idle limits and large settings in the soak

From seed 1000 on sound engines fall silent and go on, callers reuse kept connections late and hundreds of them at once, the idle limit changes beside large settings, and gateways are paused and reloaded in series; from seed 1100 on there are more processes. Requests that a gateway gave up although their run was sound, and kept connections that ended with a whole request in them, break a run; a pause or a reload excuses the latter not. The draws of older seeds stay.

--- a/tests/fleet/silence.c
+++ b/tests/fleet/silence.c
@@ -8,8 +8,9 @@
 
 #define FIRST_US 2000000 /* after the begin of traffic */
 
-#define RANDOM_GAP_US 900000 /* at least, from one random silence to the next */
-#define RANDOM_MORE_US 1600000 /* and at most so much more */
+#define RANDOM_GAP_US \
+	1200000 /* at least, from one random silence to the next */
+#define RANDOM_MORE_US 2000000 /* and at most so much more */
 #define RANDOM_MIN_MS 300
 #define RANDOM_MAX_MS 1500
 #define RANDOM_WHOLE_ONE_IN 3
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -10,8 +10,13 @@
 # on, engines announce that they stop or when to retry; from seed 600 on, the
 # store comes back from older copies, settings change and engines announce their
 # stop in their records; from seed 800 on, two parts of prompts terminate
-# engines, too, and engines terminate by no request. The last line begins with
-# `soak: kept` or `soak: BROKEN`; logs stay in BUILD/stage-soak-SEED.
+# engines, too, and engines terminate by no request; from seed 1000 on, sound
+# engines fall silent and go on, callers reuse kept connections late and hundreds
+# of them at once, the idle limit changes, settings grow by hundreds of routes,
+# and gateways are paused and reloaded in series; from seed 1100 on, there are
+# more processes. Requests that a gateway ended without an answer are broken
+# (tests/fleet/ends.c). The last line begins with `soak: kept` or `soak: BROKEN`;
+# logs stay in BUILD/stage-soak-SEED.
 set -u
 BUILD=$1
 SEED=$2
@@ -28,10 +33,18 @@
 	    'BEGIN { srand(s * 7919 + d * 104729); rand(); print int(rand() * n) }')
 }
 
+# The same for what was added from seed 1000 on; does not shift other draws.
+more_draws=0
+draw_more() { # draw_more N: the result is in $drawn
+	more_draws=$((more_draws + 1))
+	drawn=$(awk -v s="$SEED" -v d="$more_draws" -v n="$1" \
+	    'BEGIN { srand(s * 6133 + d * 350377); rand(); print int(rand() * n) }')
+}
+
 # Sends of a gateway are not counted until one second after a disturbance of it.
-note_disturbed() { # note_disturbed NAME SECONDS
+note_disturbed() { # note_disturbed NAME SECONDS [paused]
 	case $1 in
-	gateway-*) echo "${1#gateway-} $(date +%s.%N) $2" >>"$STAGE/disturbed" ;;
+	gateway-*) echo "${1#gateway-} $(date +%s.%N) $2 ${3:-ended}" >>"$STAGE/disturbed" ;;
 	esac
 }
 
@@ -66,6 +79,25 @@
 	    /^unheeded / && !disturbed($5, $7 + 0, $3)' "$STAGE/disturbed" "$STAGE/fleet.err"
 }
 
+# Prints the requests that gateways gave up although their runs were sound; not
+# those of a gateway that was disturbed in their time.
+print_given_up() {
+	touch "$STAGE/disturbed"
+	awk "$DISTURBED"'
+	    /^given_up / && !disturbed($5, $7 + 0, $3)' "$STAGE/disturbed" "$STAGE/fleet.err"
+}
+
+# Prints the requests whose kept connection ended without a byte; not those of a
+# gateway that was stopped or killed at that time. A pause or a reload is no
+# excuse.
+print_unread() {
+	touch "$STAGE/disturbed"
+	grep -v ' paused$' "$STAGE/disturbed" >"$STAGE/ended"
+	echo "0 0 0 ended" >>"$STAGE/ended" # awk needs a line in the first file
+	awk "$DISTURBED"'
+	    /^unread / && !disturbed($5, $7 + 0, $3)' "$STAGE/ended" "$STAGE/fleet.err"
+}
+
 restart() { # restart NAME SIGNAL
 	note_disturbed "$1" "$([ "$2" = TERM ] && echo 5 || echo 0)"
 	pid=$(cat "$STAGE/$1.pid")
@@ -97,7 +129,7 @@
 
 pause() { # pause NAME TENTHS
 	pid=$(cat "$STAGE/$1.pid")
-	note_disturbed "$1" "$(awk -v t="$2" 'BEGIN { print t / 10 }')"
+	note_disturbed "$1" "$(awk -v t="$2" 'BEGIN { print t / 10 }')" paused
 	kill -STOP "$pid"
 	(sleep "$(awk -v t="$2" 'BEGIN { print t / 10 }')" && kill -CONT "$pid" 2>/dev/null) &
 }
@@ -126,31 +158,68 @@
 	esac
 }
 
-fleet_begin "$BUILD/stage-soak-$SEED" 6 3
-"$BUILD/tests/fleet/fleet" --engines 6 --empty 1 --gateways "$gateways" \
-    --rate 60 --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --net "$NET" --faults 1 \
+# A reload of all gateways, or a pause of one.
+disturb_gateways() {
+	draw_more 3
+	case $drawn in
+	0)
+		for name in $names; do
+			case $name in gateway-*) takes_hup "$name" && kill -HUP "$(cat "$STAGE/$name.pid")" ;; esac
+		done
+		;;
+	1)
+		draw_more "$n_gateways"
+		target=gateway-$((drawn + 1))
+		draw_more 12
+		kill -0 "$(cat "$STAGE/$target.pid")" 2>/dev/null && pause "$target" $((drawn + 4))
+		;;
+	esac
+}
+
+n_engines=6
+n_gateways=3
+rate=60
+more=
+if [ "$SEED" -ge 1000 ]; then
+	more="--plain 4 --silences 1 --event-ms 40 --late 3 --crowd 80
+	    --settings-gap-ms 1900 --idle-ms 5000 --other-idle-ms 2000 --many-routes 500"
+fi
+if [ "$SEED" -ge 1100 ]; then
+	n_engines=20
+	n_gateways=6
+	rate=120
+fi
+fleet_begin "$BUILD/stage-soak-$SEED" $n_engines $n_gateways
+# shellcheck disable=SC2086
+"$BUILD/tests/fleet/fleet" --engines $n_engines --empty 1 --gateways "$gateways" \
+    --rate $rate $more --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --net "$NET" --faults 1 \
     --poison $((SEED >= 200 ? 4 : 0)) --poisons 2 --poison-judged 0 \
     --poison-parts $((SEED >= 800 ? 2 : 0)) --end-gap-ms $((SEED >= 800 ? 2500 : 0)) \
-    --broken 12 \
+    --broken 12 --ends-judged 0 \
     --notices $((SEED >= 400)) --notices-judged 0 --drills $((SEED >= 600)) \
     >"$STAGE/fleet.out" 2>"$STAGE/fleet.err" &
 fleet=$!
 sleep 3
 while [ "$(ps -o etimes= -p $fleet | tr -d ' ')" -lt "$((SECONDS_TO_PLAY - 1))" ] 2>/dev/null; do
 	disturb
+	[ "$SEED" -ge 1000 ] && disturb_gateways
 	sleep 0.6
 done
 wait $fleet
 status=$?
 fleet_end || status=1
-[ -s "$STAGE/crashes" ] && status=1
+verdict=kept
+[ -s "$STAGE/crashes" ] && status=1 verdict=BROKEN
 print_excess_sends >"$STAGE/spread"
 print_unheeded >"$STAGE/unheeded"
-for broken in spread unheeded; do
+print_given_up >"$STAGE/given_up"
+print_unread >"$STAGE/unread"
+for broken in spread unheeded given_up unread; do
 	[ -s "$STAGE/$broken" ] || continue
 	cat "$STAGE/$broken"
 	status=1
+	verdict=BROKEN
 done
 grep -E '^(crashing|sound)' "$STAGE/fleet.out"
-sed -n 's/^fleet: /soak: /p' "$STAGE/fleet.out"
+sed -n "s/^fleet: kept/soak: $verdict/p; s/^fleet: BROKEN/soak: BROKEN/p" "$STAGE/fleet.out"
 exit $status
