--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -61,7 +61,6 @@
 # termination. Prints these from the fourth on, as the fleet allows three; sends
 # by gateways that were disturbed at the time are not counted.
 print_excess_sends() {
-	touch "$STAGE/disturbed"
 	awk "$DISTURBED"'
 	    / was sent, / {
 		split($3, part, "-"); sub(/^g/, "", part[3])
@@ -74,7 +73,6 @@
 # was disturbed since it was told, as it may have forgotten the announcement or
 # held the request back.
 print_unheeded() {
-	touch "$STAGE/disturbed"
 	awk "$DISTURBED"'
 	    /^unheeded / && !disturbed($5, $7 + 0, $3)' "$STAGE/disturbed" "$STAGE/fleet.err"
 }
@@ -82,7 +80,6 @@
 # Prints the requests that gateways gave up although their runs were sound; not
 # those of a gateway that was disturbed in their time.
 print_given_up() {
-	touch "$STAGE/disturbed"
 	awk "$DISTURBED"'
 	    /^given_up / && !disturbed($5, $7 + 0, $3)' "$STAGE/disturbed" "$STAGE/fleet.err"
 }
@@ -91,9 +88,7 @@
 # gateway that was stopped or killed at that time. A pause or a reload is no
 # excuse.
 print_unread() {
-	touch "$STAGE/disturbed"
 	grep -v ' paused$' "$STAGE/disturbed" >"$STAGE/ended"
-	echo "0 0 0 ended" >>"$STAGE/ended" # awk needs a line in the first file
 	awk "$DISTURBED"'
 	    /^unread / && !disturbed($5, $7 + 0, $3)' "$STAGE/ended" "$STAGE/fleet.err"
 }
@@ -190,6 +185,8 @@
 	rate=120
 fi
 fleet_begin "$BUILD/stage-soak-$SEED" $n_engines $n_gateways
+# Of no gateway: awk tells the files below apart by a line in the first one.
+echo "0 0 0 ended" >"$STAGE/disturbed"
 # shellcheck disable=SC2086
 "$BUILD/tests/fleet/fleet" --engines $n_engines --empty 1 --gateways "$gateways" \
     --rate $rate $more --seconds "$SECONDS_TO_PLAY" --bump 4 --seed "$SEED" --net "$NET" --faults 1 \
