--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -35,7 +35,7 @@
 	X(EVT_TARGET_BACKOFF, "target_rest", EVT_STATE,                          \
 	    "a target is in backoff after failures")                             \
 	X(EVT_TARGET_HEARD, "target_heard", EVT_STATE,                           \
-	    "a target that a request was taken from as silent sends again")      \
+	    "a target sends again after a request reached its stall timeout")    \
 	X(EVT_LIMIT, "limit", EVT_STATE,                                         \
 	    "a target announced another rate limit, or none")                    \
 	X(EVT_NOTICE, "notice", EVT_STATE,                                       \
--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -55,7 +55,7 @@
 /* Drops expired suspects; to be called periodically. */
 void fwd_sweep(struct fwd *f);
 /* Ends all requests, as the process is about to exit. Callers whose answer has
- * not begun are told whether it may have run. */
+ * not begun are told whether their request may have run. */
 void fwd_end_all(struct fwd *f);
 unsigned int fwd_active(const struct fwd *f); /* unanswered requests */
 unsigned int fwd_waiting(const struct fwd *f);
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -215,8 +215,9 @@
 	    (t->backoff_until_us - fwd_now(a->req)) / 1000);
 }
 
-/* A target in backoff that cuts off a request which has heard nothing, or no more,
- * from it has given no sign of life, unless it loads weights. */
+/* A target in backoff that closes the connection of an attempt to which it has
+ * sent nothing, or nothing since the stall timeout, does not count as alive,
+ * unless it loads weights. */
 static enum tgt_outcome
 outcome_of(const struct fwd_attempt *a, enum flow_end end)
 {
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -350,7 +350,7 @@
 tgt_set_load(struct tgt *t, unsigned int total, int64_t now_us)
 {
 	if (tgt_is_silent_to_side(t, now_us) && t->reported_us != 0) {
-		/* The load as of its last report, told again. */
+		/* The sidecar repeats the load of the target's last report. */
 		t->reported_us = now_us;
 		return;
 	}
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -65,8 +65,8 @@
 	 * refusals stated or as it may be gone; 0: none. */
 	int64_t retry_after_us;
 	int64_t removed_us; /* by the store; 0: not removed */
-	/* Since when a request that waited too long for it had heard nothing;
-	 * 0: it has sent something to this gateway since, or has failed. */
+	/* Start of the silence for which a request reached its stall timeout;
+	 * 0: the target has sent something to this gateway since, or failed. */
 	int64_t silent_us;
 	/* Its sidecar said so far that it leaves reports unanswered; last at
 	 * this time. 0: it does not. */
@@ -183,8 +183,8 @@
 };
 void tgt_outcome(struct tgt *t, enum tgt_outcome o, int64_t now_us);
 /*
- * A request has heard nothing from the target since `since_us`, for too long.
- * That is no evidence of a failure yet: a sound target may be silent for a
+ * A request has reached its stall timeout: the target has sent nothing for it
+ * since `since_us`. That is no evidence of a failure yet: a sound target may be silent for a
  * second or so. Requests avoid it while any other target can serve them.
  */
 void tgt_silent(struct tgt *t, int64_t since_us, int64_t now_us);
--- a/programs/entry/parked.c
+++ b/programs/entry/parked.c
@@ -122,7 +122,7 @@
 	struct parked *p = find(r, stream);
 
 	if (p != NULL) {
-		parked_add(r); /* there is a place more than attempts */
+		parked_add(r); /* there is room for each attempt */
 		resume(r, p);
 	}
 	parked_cancel(r);
--- a/tests/http/test_held_up.c
+++ b/tests/http/test_held_up.c
@@ -7,6 +7,7 @@
 
 #define CONNECTIONS 200 /* more than the loop reads in one pass */
 #define IDLE_MS 300
+#define BODY_BYTES 60000 /* several reads */
 /* Reads of one descriptor before timers fire, and descriptors in a pass. */
 #define ROUNDS 16
 #define BATCH 64
@@ -66,7 +67,7 @@
 				 .address = address,
 				 .limits = &limits,
 				 .connections_max = CONNECTIONS + 1,
-				 .bodies_max = 5000,
+				 .bodies_max = 500000,
 				 .ops = &ops },
 	    &err);
 	assert_non_null(server);
@@ -131,6 +132,29 @@
 	assert_int_equal(dropped, 0);
 }
 
+/* Guards against refusing a request by the time for reading it, although all of
+ * it arrived in time: a pass reads only a part of a long one. */
+static void
+test_long_request_that_arrived_in_time(void **state)
+{
+	char *body = g_strnfill(BODY_BYTES, 'b'), *head;
+	int fd = raw_dial(address);
+
+	limits.body_bytes = 100000;
+	limits.head_us = IDLE_MS * 1000;
+	head = g_strdup_printf("POST / HTTP/1.1\r\nHost: a\r\n"
+			       "Content-Length: %d\r\n\r\n",
+	    BODY_BYTES);
+	raw_send(fd, head);
+	run_ms(20);
+	raw_send(fd, body);
+	hold_up_ms(IDLE_MS + 50);
+	expect_ok(fd);
+	g_free(head);
+	g_free(body);
+	close(fd);
+}
+
 struct reader {
 	struct evl_fd fd;
 	int peer;
@@ -349,6 +373,7 @@
 #define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		T(test_requests_that_arrived_in_time),
+		T(test_long_request_that_arrived_in_time),
 		T(test_timers_after_all_input),
 		T(test_endless_input_does_not_delay_timers),
 		T(test_request_arrives_before_the_stop),
--- a/tests/serve/test_silence.c
+++ b/tests/serve/test_silence.c
@@ -15,16 +15,6 @@
 	return 0;
 }
 
-static struct target *
-get_target(void)
-{
-	char *request;
-	struct target *t = target_get(&request);
-
-	g_free(request);
-	return t;
-}
-
 static void
 open_plain(size_t ntargets)
 {
@@ -62,7 +52,7 @@
 
 	open_plain(1);
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	run_ms(STALL_PLAIN_MS + SLACK_MS);
 	raw_send(t->fd, ANSWER);
 	expect_answer(fd, "\r\n\r\nok");
@@ -77,7 +67,7 @@
 
 	open_streams(1);
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	run_ms(1200);
 	raw_send(t->fd, STREAM EVENT("1") "0\r\n\r\n");
 	expect_stream(fd, EVENT("1") "0\r\n\r\n");
@@ -93,7 +83,7 @@
 
 	open_streams(1);
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	raw_send(t->fd, STREAM EVENT("1"));
 	run_ms(STALL_MS + 2000);
 	raw_send(t->fd, EVENT("2") "0\r\n\r\n");
@@ -110,9 +100,9 @@
 
 	open_streams(2);
 	fd = send_get();
-	first = get_target();
+	first = target_next();
 	raw_send(first->fd, STREAM EVENT("1"));
-	second = get_target();
+	second = target_next();
 	assert_ptr_not_equal(first, second);
 	run_ms(STALL_MS + SLACK_MS);
 	raw_send(first->fd, EVENT("2") EVENT("3") "0\r\n\r\n");
@@ -129,8 +119,8 @@
 
 	open_plain(2);
 	fd = send_get();
-	first = get_target();
-	second = get_target();
+	first = target_next();
+	second = target_next();
 	raw_send(second->fd,
 	    "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
 	run_ms(SLACK_MS);
@@ -147,8 +137,8 @@
 
 	open_streams(2);
 	fd = send_get();
-	first = get_target();
-	second = get_target();
+	first = target_next();
+	second = target_next();
 	shutdown(second->fd, SHUT_RDWR);
 	run_ms(SLACK_MS);
 	raw_send(first->fd, STREAM EVENT("1") "0\r\n\r\n");
@@ -165,9 +155,9 @@
 
 	open_streams(2);
 	fd = send_get();
-	first = get_target();
+	first = target_next();
 	raw_send(first->fd, STREAM EVENT("1"));
-	second = get_target();
+	second = target_next();
 	shutdown(first->fd, SHUT_RDWR);
 	run_ms(SLACK_MS);
 	raw_send(second->fd, STREAM EVENT("2") "0\r\n\r\n");
@@ -186,7 +176,7 @@
 	fwd_budget(w.fwd)->ratio = 0;
 	fwd_budget(w.fwd)->slack = 0;
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	raw_send(t->fd, STREAM EVENT("1"));
 	run_ms(STALL_MS + SLACK_MS);
 	assert_false(target_is_called());
@@ -204,12 +194,12 @@
 
 	open_plain(1);
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	run_ms(STALL_PLAIN_MS + 50);
 	later = send_get();
 	raw_send(t->fd, ANSWER);
 	expect_answer(fd, "\r\n\r\nok");
-	raw_send(get_target()->fd, ANSWER);
+	raw_send(target_next()->fd, ANSWER);
 	expect_answer(later, "\r\n\r\nok");
 }
 
@@ -222,14 +212,14 @@
 
 	open_streams(2);
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	raw_send(t->fd, STREAM EVENT("1"));
-	other = get_target();
+	other = target_next();
 	raw_send(t->fd, EVENT("2"));
 	assert_true(target_is_disconnected(other));
 	target_announce(other, true, 0); /* leaving */
 	later = send_get();
-	other = get_target();
+	other = target_next();
 	assert_ptr_equal(other, t);
 	raw_send(other->fd, STREAM EVENT("1") "0\r\n\r\n");
 	expect_stream(later, EVENT("1") "0\r\n\r\n");
@@ -267,7 +257,7 @@
 
 	open_streams(2);
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	raw_send(t->fd, STREAM);
 	for (i = 1; i <= EVENTS; i++) {
 		event = g_string_new(NULL);
@@ -299,9 +289,9 @@
 
 	open_streams(2);
 	fd = send_get();
-	first = get_target();
+	first = target_next();
 	sent_us = now_us();
-	second = get_target();
+	second = target_next();
 	assert_in_range(
 	    now_us() - sent_us, 0, (STALL_MS + SLACK_MS) * INT64_C(1000));
 	raw_send(second->fd, STREAM EVENT("1") "0\r\n\r\n");
@@ -319,10 +309,10 @@
 
 	open_streams(2);
 	fd = send_get();
-	first = get_target();
+	first = target_next();
 	raw_send(first->fd, STREAM EVENT("1"));
 	sent_us = now_us();
-	second = get_target();
+	second = target_next();
 	assert_in_range(
 	    now_us() - sent_us, 0, (STALL_MS + SLACK_MS) * INT64_C(1000));
 	raw_send(second->fd, STREAM EVENT("2") "0\r\n\r\n");
@@ -340,8 +330,8 @@
 
 	open_plain(2);
 	fd = send_get();
-	get_target();
-	second = get_target();
+	target_next();
+	second = target_next();
 	raw_send(second->fd, ANSWER);
 	expect_answer(fd, "\r\n\r\nok");
 	for (i = 0; i < 4; i++) {
@@ -364,7 +354,7 @@
 	open_plain(1);
 	sent_us = now_us();
 	fd = send_get();
-	get_target();
+	target_next();
 	expect_answer(fd, "504 ");
 	assert_in_range(now_us() - sent_us, TIMEOUT_MS * INT64_C(1000),
 	    (TIMEOUT_MS + SLACK_MS) * INT64_C(1000));
@@ -379,8 +369,8 @@
 
 	open_streams(2);
 	fd = send_get();
-	first = get_target();
-	second = get_target();
+	first = target_next();
+	second = target_next();
 	close(fd);
 	assert_true(target_is_disconnected(first));
 	assert_true(target_is_disconnected(second));
--- a/tests/serve/test_silence_backoff.c
+++ b/tests/serve/test_silence_backoff.c
@@ -9,16 +9,6 @@
 	return 0;
 }
 
-static struct target *
-get_target(void)
-{
-	char *request;
-	struct target *t = target_get(&request);
-
-	g_free(request);
-	return t;
-}
-
 /* Guards against a target that is never probed again, as a request that was sent to
  * it during its backoff has stalled, too. */
 static void
@@ -30,12 +20,12 @@
 
 	world_open(1, make_config(SV_SAFE, 2, 300));
 	a = send_get();
-	get_target();
+	target_next();
 	t = tgt_find(w.set, "i0");
 	run_ms(165);
 	assert_int_equal(t->failures, 1);
 	b = send_get();
-	get_target();
+	target_next();
 	assert_true(t->probing);
 	run_ms(700);
 	assert_int_equal(t->local_inflight, 0);
@@ -64,12 +54,12 @@
 	world_open(2, make_config(SV_SAFE, 2, 1000));
 	target_announce(&w.target[1], true, 0);
 	a = send_get();
-	first = get_target();
+	first = target_next();
 	fa = first->fd;
 	first->fd = -1;
 	run_ms(350);
 	b = send_get();
-	assert_ptr_equal(get_target(), first);
+	assert_ptr_equal(target_next(), first);
 	fb = first->fd;
 	target_announce(&w.target[1], false, 0);
 	run_ms(200);
@@ -99,7 +89,7 @@
 	world_open(2, make_config(SV_STREAM, 2, 6000));
 	for (i = 0; i < 2; i++) {
 		fd[i] = send_get();
-		at[i] = get_target();
+		at[i] = target_next();
 	}
 	assert_ptr_not_equal(at[0], at[1]);
 	for (i = 0; i < 2; i++) {
@@ -143,7 +133,7 @@
 
 	world_open(1, make_config(SV_SAFE, 2, 1000));
 	a = send_get();
-	first = get_target();
+	first = target_next();
 	run_ms(550);
 	t = tgt_find(w.set, first->id);
 	raw_send(first->fd, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n");
@@ -164,7 +154,7 @@
 
 	world_open(1, make_config(SV_SAFE, 2, 1000));
 	a = send_get();
-	first = get_target();
+	first = target_next();
 	raw_send(first->fd,
 	    "HTTP/1.1 503 No\r\nT-Id: q1\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
 	run_ms(10);
--- a/tests/serve/test_silence_ends.c
+++ b/tests/serve/test_silence_ends.c
@@ -13,16 +13,6 @@
 	return 0;
 }
 
-static struct target *
-get_target(void)
-{
-	char *request;
-	struct target *t = target_get(&request);
-
-	g_free(request);
-	return t;
-}
-
 static void
 open_plain(size_t ntargets)
 {
@@ -39,13 +29,13 @@
 
 	open_plain(2);
 	fd = send_get();
-	first = get_target();
-	second = get_target(); /* after the stall timeout */
+	first = target_next();
+	second = target_next(); /* after the stall timeout */
 	assert_ptr_not_equal(first, second);
 	shutdown(first->fd, SHUT_RDWR);
 	run_ms(10);
 	later = send_get();
-	third = get_target();
+	third = target_next();
 	close(fd);
 	close(later);
 	run_ms(20);
@@ -63,13 +53,13 @@
 
 	open_plain(1);
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	run_ms(STALL_PLAIN_MS + 50);
 	shutdown(t->fd, SHUT_RDWR);
 	expect_answer(fd, "HTTP/1.1 50");
 	run_ms(2200);
 	fd = send_get();
-	t = get_target();
+	t = target_next();
 	run_ms(STALL_PLAIN_MS + 50);
 	later = send_get();
 	is_taken = target_is_called();
@@ -90,8 +80,8 @@
 
 	open_plain(2);
 	fd = send_get();
-	first = get_target();
-	second = get_target();
+	first = target_next();
+	second = target_next();
 	assert_ptr_not_equal(first, second);
 	raw_send(second->fd,
 	    "HTTP/1.1 500 Bad\r\nT-Id: q1\r\nT-Seal: s\r\n"
@@ -111,8 +101,8 @@
 
 	open_plain(2);
 	a = send_get();
-	dead = get_target();
-	sound = get_target();
+	dead = target_next();
+	sound = target_next();
 	raw_send(sound->fd, ANSWER);
 	expect_answer(a, "\r\n\r\nok");
 	t = tgt_find(w.set, dead->id);
@@ -121,7 +111,7 @@
 	run_ms(300);
 	target_announce(sound, true, 0);
 	b = send_get();
-	assert_ptr_equal(get_target(), dead);
+	assert_ptr_equal(target_next(), dead);
 	assert_true(t->probing);
 	run_ms(STALL_PLAIN_MS + 20);
 	assert_int_equal(t->failures, 2);
@@ -130,7 +120,7 @@
 	run_ms(SLACK_MS);
 	t->backoff_until_us = now_us();
 	c = send_get();
-	assert_ptr_equal(get_target(), dead);
+	assert_ptr_equal(target_next(), dead);
 	assert_true(t->probing);
 	close(b); /* the caller of the former probe leaves */
 	run_ms(20);
@@ -150,11 +140,11 @@
 
 	world_open(3, make_config(SV_STREAM, 3, 6000));
 	fd = send_get();
-	first = get_target();
-	second = get_target();
+	first = target_next();
+	second = target_next();
 	shutdown(first->fd, SHUT_RDWR);
 	shutdown(second->fd, SHUT_RDWR);
-	third = get_target();
+	third = target_next();
 	fwd_target_terminated(w.fwd, tgt_find(w.set, first->id));
 	fwd_target_terminated(w.fwd, tgt_find(w.set, second->id));
 	run_ms(20);
--- a/tests/serve/world.h
+++ b/tests/serve/world.h
@@ -159,6 +159,17 @@
 	return NULL;
 }
 
+/* The same without the request. */
+static inline struct target *
+target_next(void)
+{
+	char *request;
+	struct target *t = target_get(&request);
+
+	g_free(request);
+	return t;
+}
+
 static inline bool
 target_is_called(void)
 {
