serve, entry: Log each charge of the retry budget and the number of sharers

An excess arrival could not be put down to a process, its share or the number by which the slack was divided: retry lines name none of them, hedges wrote no line, and a change of the number of sharers wrote none either.

Each charge now has a line with the counts of the window, the share of the slack and the number of sharers; denials have one line in half a second and service, and the failed line of the request says that it was denied. Counters retries_charged and retries_denied.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -63,6 +63,10 @@
 	    "the caller disconnected before the response")                       \
 	X(EVT_RETRY, "retry", EVT_FAILURE,                                       \
 	    "a request is sent to another target")                               \
+	X(EVT_BUDGET, "budget", EVT_FAILURE,                                     \
+	    "the retry budget was charged with an attempt, or denied one")       \
+	X(EVT_SHARERS, "sharers", EVT_STATE,                                     \
+	    "another number of gateways shares targets and the retry budget")    \
 	X(EVT_SUSPECT, "suspect", EVT_STATE,                                     \
 	    "a request suspected of terminating targets was blocked or cleared") \
 	X(EVT_UNEXPECTED, "odd", EVT_FAILURE,                                    \
--- a/lib/common/spend.c
+++ b/lib/common/spend.c
@@ -36,20 +36,29 @@
 	s->extra[s->slot % SPEND_SLOTS]++;
 }
 
-double
-spend_remaining(struct spend *s, const struct spend_conf *conf, int64_t now_us)
+struct spend_usage
+spend_usage(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
-	double requests = 0, extra = 0;
+	struct spend_usage usage = { 0 };
 	int i;
 
 	advance(s, conf, now_us);
 	for (i = 0; i < SPEND_SLOTS; i++) {
-		requests += s->requests[i];
-		extra += s->extra[i];
+		usage.requests += s->requests[i];
+		usage.extra += s->extra[i];
 	}
+	return usage;
+}
+
+double
+spend_remaining(struct spend *s, const struct spend_conf *conf, int64_t now_us)
+{
+	struct spend_usage usage = spend_usage(s, conf, now_us);
+
 	return conf->usable *
-	    (conf->ratio * requests + conf->slack / MAX(1, conf->processes)) -
-	    extra;
+	    (conf->ratio * usage.requests +
+		conf->slack / MAX(1, conf->processes)) -
+	    usage.extra;
 }
 
 bool
--- a/lib/common/spend.h
+++ b/lib/common/spend.h
@@ -30,12 +30,19 @@
 	int64_t slot; /* number of the current slot, counted from time 0 */
 };
 
+struct spend_usage {
+	unsigned int requests, extra;
+};
+
 /* Counts a request, without its retries. */
 void spend_request(
     struct spend *s, const struct spend_conf *conf, int64_t now_us);
 /* Number of retries that the share allows now; may be negative. */
 double spend_remaining(
     struct spend *s, const struct spend_conf *conf, int64_t now_us);
+/* The counts of the window, for logs. */
+struct spend_usage spend_usage(
+    struct spend *s, const struct spend_conf *conf, int64_t now_us);
 /* Counts a retry, even if the share is exhausted. */
 void spend_add(struct spend *s, const struct spend_conf *conf, int64_t now_us);
 /* Counts a retry if the share allows one; otherwise returns false. */
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -46,7 +46,7 @@
 	    " back=%d"
 	    " framing=%s end=%s rest=%zu silent_ms=%" G_GINT64_FORMAT
 	    " target=%s content=%016" G_GINT64_MODIFIER
-	    "x parts=%s by=%s config=%" G_GINT64_FORMAT,
+	    "x parts=%s by=%s denied=%d config=%" G_GINT64_FORMAT,
 	    r->id, r->route->name, r->service->targets->name, status, why,
 	    r->flow.attempts, r->flow.runs, r->events,
 	    (now_us - r->started_us) / 1000,
@@ -58,7 +58,7 @@
 	    a == NULL ? r->last_end : a->end,
 	    a == NULL ? r->last_rest : fwd_event_rest(a), fwd_silent_ms(r),
 	    a == NULL ? r->last_target : a->target->record.id, r->content,
-	    parts, blocked_by, rtab_config(r->routes)->version);
+	    parts, blocked_by, r->is_denied, rtab_config(r->routes)->version);
 }
 
 void
@@ -423,6 +423,8 @@
 	f->retries = ctr_get(set, "requests_sent_again");
 	f->resumes = ctr_get(set, "streams_resumed");
 	f->unexpected = ctr_get(set, "answers_not_ours");
+	f->charged = ctr_get(set, "retries_charged");
+	f->denied = ctr_get(set, "retries_denied");
 	f->limited = ctr_get(set, "requests_to_limited");
 	f->limited_again = ctr_get(set, "requests_to_limited_again");
 	f->choices = ctr_get(set, "target_choices");
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -174,13 +174,6 @@
 /* End of an attempt                                                   */
 /* ------------------------------------------------------------------ */
 
-bool
-fwd_may_spend(struct fwd_req *r)
-{
-	return spend_take(
-	    &r->service->budget, &r->fwd->conf.budget, fwd_now(r));
-}
-
 static bool
 may_spend(void *ctx)
 {
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -61,6 +61,7 @@
 	uint64_t prompt; /* tokens; 0: unknown */
 	int64_t started_us; /* first byte received */
 	int64_t deadline_us; /* for the complete answer */
+	bool is_denied; /* the retry budget denied its last attempt */
 	bool is_client_retry; /* inferred from the caller's deadline header */
 	int priority;
 	struct evl_timer deadline;
@@ -99,6 +100,8 @@
 	struct fwd *fwd;
 	struct tgt_service *targets;
 	struct spend budget;
+	int64_t denied_logged_us; /* last log line of a denial; 0: none */
+	unsigned int denied; /* since then */
 	TAILQ_HEAD(fwd_waiting_list, fwd_req) waiting; /* most urgent first */
 	unsigned int nwaiting; /* without those that silent targets have */
 	/* Completed requests per second, moving average: the rate at which
@@ -124,6 +127,7 @@
 	struct sus *suspects;
 	struct ctr *done, *refused, *failed, *disconnected, *retries, *resumes,
 	    *unexpected;
+	struct ctr *charged, *denied; /* by the retry budget */
 	struct ctr *limited, *limited_again; /* sent to rate-limited targets */
 	/* Cut off by their targets before and after the first event. */
 	struct ctr *cut_before_answer, *cut_midway;
@@ -187,8 +191,6 @@
 bool fwd_may_recall(const struct fwd_req *r);
 /* Whether one more attempt may begin while others are in flight. */
 bool fwd_may_hedge(struct fwd_req *r);
-/* Charges the retry budget with an attempt. */
-bool fwd_may_spend(struct fwd_req *r);
 /* Looks again for another target once the stall timeout has passed anew. */
 void fwd_hedge_later(struct fwd_req *r);
 void fwd_drop_attempts(struct fwd_req *r); /* cancels all of them */
@@ -199,6 +201,10 @@
 /* The caller takes bytes again. */
 void fwd_resume_reading(struct fwd_req *r);
 
+/* fwd_budget.c: the retry budget */
+/* Charges it with an attempt; false if it denies one. */
+bool fwd_may_spend(struct fwd_req *r);
+
 /* fwd_notice.c: what targets state about themselves in answers */
 /* To be called with the head of any answer of the attempt's target. */
 void fwd_read_notices(struct fwd_attempt *a, const struct hmsg *m);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -549,10 +549,11 @@
 	open_store(g);
 	g->tick.fire = on_tick;
 	evl_timer_set(g->st.loop, &g->tick, evl_now_us(g->st.loop) + TICK_US);
-	evt(EVT_START, "program=gateway domain=%s region=%s callers=%s",
+	evt(EVT_START,
+	    "program=gateway domain=%s region=%s callers=%s gateways=%u",
 	    cfg_str(g->st.cfg, "node.domain"),
 	    cfg_str(g->st.cfg, "node.region"),
-	    cfg_str(g->st.cfg, "listen.callers"));
+	    cfg_str(g->st.cfg, "listen.callers"), g->gateways);
 	return true;
 }
 
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -5,10 +5,12 @@
 #include "entry/gateway.h"
 
 static void
-note_gateways(struct gateway *g, unsigned int n)
+note_gateways(struct gateway *g, const struct tgt *t, unsigned int n)
 {
 	if (n == 0 || n == g->gateways)
 		return;
+	evt(EVT_SHARERS, "gateways=%u before=%u target=%s address=%s", n,
+	    g->gateways, t->record.id, t->record.address);
 	g->gateways = n;
 	tgt_set_policy(g->set)->gateways = n;
 	fwd_budget(g->fwd)->processes = n;
@@ -149,7 +151,7 @@
 	tgt_set_load(
 	    t, (unsigned int)(report->running + report->waiting), now_us);
 	gateway_rate_reported(g, t, report);
-	note_gateways(g, (unsigned int)report->gateways);
+	note_gateways(g, t, (unsigned int)report->gateways);
 	t->region_gateways = (unsigned int)report->local_gateways;
 	t->slow_link = report->slow_link != 0;
 	t->inbound_us = (int64_t)report->inbound_ms * 1000;
