spend: Count retries for a whole window

A retry late in a time slot expired with the beginning of its slot: 20 slots cover 9.5 to 10 s. Retries that begin late in a slot, as when all targets begin to fail at that time, were allowed again 9.5 s later, so that a window had up to twice a process's share. The margin of a fifth does not cover that.

--- a/lib/common/spend.c
+++ b/lib/common/spend.c
@@ -9,7 +9,7 @@
 static void
 advance(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
-	int64_t slot = now_us / (conf->window_us / SPEND_SLOTS);
+	int64_t slot = now_us / (conf->window_us / SPEND_WINDOW_SLOTS);
 
 	if (slot - s->slot >= SPEND_SLOTS) {
 		memset(s, 0, sizeof(*s));
--- a/lib/common/spend.h
+++ b/lib/common/spend.h
@@ -12,13 +12,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define SPEND_SLOTS 20 /* time slots per window, which expire one by one */
+#define SPEND_WINDOW_SLOTS 20 /* time slots per window, expiring one by one */
+#define SPEND_SLOTS (SPEND_WINDOW_SLOTS + 1) /* with one that is not over */
 
 struct spend_conf {
 	double ratio;
 	double slack; /* of all processes together */
 	/* Fraction of both that is used. The rest is a margin for processes
-	 * that start or stop and for windows that do not align with slots. */
+	 * that start or stop. */
 	double usable;
 	int64_t window_us;
 	unsigned int processes; /* that share the slack; at least 1 */
