entry, side: Continue a gateway's retry account in its next process

Callers' requests reached engines beyond the first time more often than all gateways together may retry: 343 of 767 in 10 s where 257 are allowed, with one gateway killed each 0.8 s while engines fail 8.5 of 10 requests.

Cause: the slack of the budget is divided among gateways, and both halves of the account end with a process. What a gateway has retried was in its memory only, so that each start had a whole share anew; and the number of sharers was that of the gateways heard in the last three seconds, so that others divided by less while a silent one's retries were still in the window (logged: by 2 instead of 5), as did all that a divided or newly started keeper hears. A gateway that no keeper had answered divided by a number from its settings.

Gateways now copy their accounts to three keepers, with each retry and each second. The next process at the address gets the newest copy back and continues it; without one that has all retries it uses no slack for a window. Keepers count gateways of the last minute, and gateways go by the highest count. Where no keeper responds no slack is used.

The margin is applied to ratio and slack where they are set, at the same fraction of 0.8 as before.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -66,7 +66,10 @@
 	X(EVT_BUDGET, "budget", EVT_FAILURE,                                     \
 	    "the retry budget was charged with an attempt, or denied one")       \
 	X(EVT_SHARERS, "sharers", EVT_STATE,                                     \
-	    "another number of gateways shares targets and the retry budget")    \
+	    "another number of gateways shares the retry budget")                \
+	X(EVT_ACCOUNT, "account", EVT_STATE,                                     \
+	    "an earlier process's retries are known, or the share of the slack " \
+	    "may be used, or not")                                               \
 	X(EVT_SUSPECT, "suspect", EVT_STATE,                                     \
 	    "a request suspected of terminating targets was blocked or cleared") \
 	X(EVT_UNEXPECTED, "odd", EVT_FAILURE,                                    \
--- a/lib/common/spend.c
+++ b/lib/common/spend.c
@@ -5,11 +5,32 @@
 
 #include "common/spend.h"
 
+static int64_t
+slot_us(const struct spend_conf *conf)
+{
+	return conf->window_us / SPEND_WINDOW_SLOTS;
+}
+
+/* Index of the slot that is `age` slots older than the current one. */
+static int
+slot_index(const struct spend *s, int64_t age)
+{
+	return (
+	    int)(((s->slot - age) % SPEND_SLOTS + SPEND_SLOTS) % SPEND_SLOTS);
+}
+
+static void
+clear_slot(struct spend_counts *counts, int i)
+{
+	counts->requests[i] = 0;
+	counts->extra[i] = 0;
+}
+
 /* Clears the slots that have expired since the last call. */
 static void
 advance(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
-	int64_t slot = now_us / (conf->window_us / SPEND_WINDOW_SLOTS);
+	int64_t slot = now_us / slot_us(conf);
 
 	if (slot - s->slot >= SPEND_SLOTS) {
 		memset(s, 0, sizeof(*s));
@@ -17,8 +38,8 @@
 	}
 	while (s->slot < slot) {
 		s->slot++;
-		s->requests[s->slot % SPEND_SLOTS] = 0;
-		s->extra[s->slot % SPEND_SLOTS] = 0;
+		clear_slot(&s->own, slot_index(s, 0));
+		clear_slot(&s->inherited, slot_index(s, 0));
 	}
 }
 
@@ -26,14 +47,14 @@
 spend_request(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
 	advance(s, conf, now_us);
-	s->requests[s->slot % SPEND_SLOTS]++;
+	s->own.requests[slot_index(s, 0)]++;
 }
 
 void
 spend_add(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
 	advance(s, conf, now_us);
-	s->extra[s->slot % SPEND_SLOTS]++;
+	s->own.extra[slot_index(s, 0)]++;
 }
 
 struct spend_usage
@@ -44,21 +65,24 @@
 
 	advance(s, conf, now_us);
 	for (i = 0; i < SPEND_SLOTS; i++) {
-		usage.requests += s->requests[i];
-		usage.extra += s->extra[i];
+		usage.requests += s->own.requests[i] + s->inherited.requests[i];
+		usage.extra += s->own.extra[i] + s->inherited.extra[i];
 	}
 	return usage;
 }
 
+double
+spend_slack(const struct spend_conf *conf)
+{
+	return conf->processes == 0 ? 0 : conf->slack / conf->processes;
+}
+
 double
 spend_remaining(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
 	struct spend_usage usage = spend_usage(s, conf, now_us);
 
-	return conf->usable *
-	    (conf->ratio * usage.requests +
-		conf->slack / MAX(1, conf->processes)) -
-	    usage.extra;
+	return conf->ratio * usage.requests + spend_slack(conf) - usage.extra;
 }
 
 bool
@@ -69,3 +93,56 @@
 	spend_add(s, conf, now_us);
 	return true;
 }
+
+/* ------------------------------------------------------------------ */
+/* Copies                                                              */
+/* ------------------------------------------------------------------ */
+
+void
+spend_export(struct spend *s, const struct spend_conf *conf, int64_t now_us,
+    struct spend_copy *out)
+{
+	int age, i;
+
+	advance(s, conf, now_us);
+	out->phase_us = now_us % slot_us(conf);
+	for (age = 0; age < SPEND_SLOTS; age++) {
+		i = slot_index(s, age);
+		out->counts.requests[age] =
+		    s->own.requests[i] + s->inherited.requests[i];
+		out->counts.extra[age] =
+		    s->own.extra[i] + s->inherited.extra[i];
+	}
+}
+
+/* Age in slots, at `now_us`, of what a copy has in a slot: by the end of that
+ * slot, as it may all have been counted then. */
+static int64_t
+age_now(const struct spend_conf *conf, int64_t now_us,
+    const struct spend_copy *copy, int64_t age_us, int slot)
+{
+	int64_t us = age_us - now_us % slot_us(conf);
+
+	if (slot > 0)
+		us += copy->phase_us + (slot - 1) * slot_us(conf);
+	return us <= 0 ? 0 : (us + slot_us(conf) - 1) / slot_us(conf);
+}
+
+void
+spend_inherit(struct spend *s, const struct spend_conf *conf, int64_t now_us,
+    const struct spend_copy *copy, int64_t age_us)
+{
+	int64_t age;
+	int slot, i;
+
+	advance(s, conf, now_us);
+	memset(&s->inherited, 0, sizeof(s->inherited));
+	for (slot = 0; slot < SPEND_SLOTS; slot++) {
+		age = age_now(conf, now_us, copy, age_us, slot);
+		if (age >= SPEND_SLOTS)
+			continue;
+		i = slot_index(s, age);
+		s->inherited.requests[i] += copy->counts.requests[slot];
+		s->inherited.extra[i] += copy->counts.extra[slot];
+	}
+}
--- a/lib/route/budget.c
+++ b/lib/route/budget.c
@@ -12,7 +12,6 @@
 {
 	return (struct spend_conf){ .ratio = permille / 1000.0,
 		.slack = BUD_MIN_RETRIES,
-		.usable = 1,
 		.window_us = (int64_t)BUD_SLOTS * BUD_SLOT_MS * 1000,
 		.processes = 1 };
 }
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -170,8 +170,8 @@
 /* Accepting requests                                                  */
 /* ------------------------------------------------------------------ */
 
-static struct fwd_service *
-service_of(struct fwd *f, const char *name)
+struct fwd_service *
+fwd_service(struct fwd *f, const char *name)
 {
 	struct fwd_service *service = g_hash_table_lookup(f->services, name);
 
@@ -296,7 +296,8 @@
 	r->routes = rtab_ref(f->routes);
 	r->route = route;
 	r->workspace = workspace;
-	r->service = service_of(f, rtab_pick_service(route, rng_next(&f->rng)));
+	r->service =
+	    fwd_service(f, rtab_pick_service(route, rng_next(&f->rng)));
 	r->deadline.fire = on_deadline;
 	TAILQ_INIT(&r->attempts);
 	g_strlcpy(r->last_target, "-", sizeof(r->last_target));
--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -30,6 +30,9 @@
 	 * to notify. */
 	void (*publish_terminations)(
 	    const struct sus_termination *ends, size_t n, void *ctx);
+	/* Retry accounts have changed; called for each charge. NULL: they are
+	 * not copied. */
+	void (*account_changed)(void *ctx);
 	void *publish_ctx;
 };
 
@@ -39,6 +42,15 @@
 void fwd_set_routes(struct fwd *f, struct rtab *routes);
 struct rtab *fwd_routes(struct fwd *f); /* NULL: no settings yet */
 struct spend_conf *fwd_budget(struct fwd *f);
+/* Calls `each` with the retry account of every service that had requests in the
+ * window. */
+void fwd_each_account(struct fwd *f,
+    void (*each)(const char *service, const struct spend_copy *copy, void *ctx),
+    void *ctx);
+/* Continues a service's account from a copy that an earlier process made
+ * `age_us` ago, in place of the one before. */
+void fwd_inherit_account(struct fwd *f, const char *service,
+    const struct spend_copy *copy, int64_t age_us);
 /* Callbacks of the server that callers connect to; ctx: struct fwd. */
 extern const struct hserver_ops fwd_server_ops;
 /* Schedules a pass over the queues: slots may have become free. */
--- a/lib/serve/fwd_budget.c
+++ b/lib/serve/fwd_budget.c
@@ -1,4 +1,5 @@
-/* The retry budget: charges attempts beyond a request's first. */
+/* The retry budget: charges attempts beyond a request's first, and copies of
+ * the accounts. */
 
 #include "serve/fwd_internal.h"
 
@@ -17,8 +18,7 @@
 	    "slack=%.1f sharers=%u denied=%u",
 	    r->id, r->service->targets->name, outcome,
 	    spend_remaining(s, conf, fwd_now(r)), usage.extra, usage.requests,
-	    conf->usable * conf->slack / MAX(1, conf->processes),
-	    conf->processes, r->service->denied);
+	    spend_slack(conf), conf->processes, r->service->denied);
 }
 
 static void
@@ -47,5 +47,37 @@
 	}
 	ctr_add(r->fwd->charged, 1);
 	log_budget(r, "charged");
+	if (r->fwd->conf.account_changed != NULL)
+		r->fwd->conf.account_changed(r->fwd->conf.publish_ctx);
 	return true;
 }
+
+void
+fwd_each_account(struct fwd *f,
+    void (*each)(const char *service, const struct spend_copy *copy, void *ctx),
+    void *ctx)
+{
+	int64_t now_us = evl_now_us(f->conf.loop);
+	struct fwd_service *service;
+	struct spend_copy copy;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		service = value;
+		if (spend_usage(&service->budget, &f->conf.budget, now_us)
+			.requests == 0)
+			continue;
+		spend_export(&service->budget, &f->conf.budget, now_us, &copy);
+		each(service->targets->name, &copy, ctx);
+	}
+}
+
+void
+fwd_inherit_account(struct fwd *f, const char *service,
+    const struct spend_copy *copy, int64_t age_us)
+{
+	spend_inherit(&fwd_service(f, service)->budget, &f->conf.budget,
+	    evl_now_us(f->conf.loop), copy, age_us);
+}
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -138,6 +138,7 @@
 };
 
 /* fwd.c */
+struct fwd_service *fwd_service(struct fwd *f, const char *name);
 int64_t fwd_now(const struct fwd_req *r);
 /* Ends the request with an answer made by the gateway. */
 void fwd_refuse(struct fwd_req *r, const char *why); /* 503: it did not run */
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -33,6 +33,7 @@
 	MSG_FIELD(struct side_desired, roster_digest, MSG_U64, 0),
 	MSG_FIELD(struct side_desired, roster_count, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_desired, roster_history, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_desired, wants_account, MSG_U64, 1),
 };
 const struct msg_desc side_desired_desc =
     MSG_DESC(SIDE_DESIRED, "view", struct side_desired, desired_fields);
@@ -60,6 +61,7 @@
 	MSG_FIELD(struct side_report, slow_link, MSG_U64, 1),
 	MSG_FIELD(struct side_report, inbound_ms, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_report, silent, MSG_U64, 1),
+	MSG_FIELD(struct side_report, sharers, MSG_U64, COUNT_MAX),
 };
 const struct msg_desc side_report_desc =
     MSG_DESC(SIDE_REPORT, "load", struct side_report, status_fields);
@@ -115,6 +117,21 @@
 const struct msg_desc side_terminations_desc = MSG_DESC(
     SIDE_TERMINATIONS, "ends", struct side_terminations, termination_fields);
 
+static const struct msg_field account_fields[] = {
+	MSG_FIELD(struct side_account, start, MSG_U64, 0),
+	MSG_FIELD(struct side_account, seq, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_account, sharers, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_account, window_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_account, phase_us, MSG_U64, INT64_MAX),
+	MSG_FIELD(
+	    struct side_account, entries, MSG_BIN, SIDE_ACCOUNT_ENTRIES_MAX),
+	MSG_FIELD(struct side_account, complete, MSG_U64, 1),
+	MSG_FIELD(struct side_account, age_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_account, current, MSG_U64, 1),
+};
+const struct msg_desc side_account_desc =
+    MSG_DESC(SIDE_ACCOUNT, "account", struct side_account, account_fields);
+
 /* ------------------------------------------------------------------ */
 /* Entries of `side_relay`                                             */
 /* ------------------------------------------------------------------ */
@@ -260,6 +277,62 @@
 	    (int64_t)(wire.evidence >> WEIGHT_BITS) * IN_FLIGHT_STEP_US;
 }
 
+/* ------------------------------------------------------------------ */
+/* Entries of `side_account`                                           */
+/* ------------------------------------------------------------------ */
+
+/* Wire format of an entry; the service's name follows, without a terminator. */
+struct wire_account {
+	uint16_t requests[SPEND_SLOTS], extra[SPEND_SLOTS];
+	uint8_t name_len;
+} __attribute__((packed));
+
+bool
+side_account_put(
+    GByteArray *entries, const char *service, const struct spend_copy *account)
+{
+	struct wire_account wire = { .name_len = (uint8_t)strlen(service) };
+	int i;
+
+	if (entries->len + sizeof(wire) + wire.name_len >
+	    SIDE_ACCOUNT_ENTRIES_MAX)
+		return false;
+	for (i = 0; i < SPEND_SLOTS; i++) {
+		wire.requests[i] = htons(
+		    (uint16_t)MIN(account->counts.requests[i], UINT16_MAX));
+		wire.extra[i] =
+		    htons((uint16_t)MIN(account->counts.extra[i], UINT16_MAX));
+	}
+	g_byte_array_append(entries, (const guint8 *)&wire, sizeof(wire));
+	g_byte_array_append(entries, (const guint8 *)service, wire.name_len);
+	return true;
+}
+
+bool
+side_account_get(const struct side_account *message, size_t *at,
+    char service[SV_ID_MAX], struct spend_copy *out)
+{
+	size_t left = message->entries.len - *at;
+	struct wire_account wire;
+	int i;
+
+	if (left < sizeof(wire))
+		return false;
+	memcpy(&wire, message->entries.data + *at, sizeof(wire));
+	if (left - sizeof(wire) < wire.name_len)
+		return false;
+	slice_copy((struct slice){ message->entries.data + *at + sizeof(wire),
+		       wire.name_len },
+	    service, SV_ID_MAX);
+	out->phase_us = (int64_t)message->phase_us;
+	for (i = 0; i < SPEND_SLOTS; i++) {
+		out->counts.requests[i] = ntohs(wire.requests[i]);
+		out->counts.extra[i] = ntohs(wire.extra[i]);
+	}
+	*at += sizeof(wire) + wire.name_len;
+	return true;
+}
+
 bool
 side_seq_after(uint32_t a, uint32_t b)
 {
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -21,6 +21,10 @@
  * gateways agree. A sidecar's status reports state its own engine's limit, so
  * that all gateways apply it.
  *
+ * Gateways send copies of their retry accounts to a few sidecars. These send a
+ * copy back to the gateway's next process, which says in its desired state that
+ * it lacks the account of the one before.
+ *
  * When a target terminates, gateways report the requests that were in flight
  * there, by their fingerprints, to a few sidecars on which they agree for each
  * fingerprint. These count over all gateways, and notify all gateways, and each
@@ -28,6 +32,8 @@
  */
 
 #include "common/common.h"
+#include "common/spend.h"
+#include "serve/records.h"
 #include "serve/suspect.h"
 
 enum {
@@ -39,6 +45,7 @@
 	SIDE_RATE = 95,
 	SIDE_PERMIT = 96,
 	SIDE_TERMINATIONS = 98,
+	SIDE_ACCOUNT = 99,
 };
 
 /* Bytes of a peer in a page: IPv4 address, port, index of its domain. */
@@ -71,6 +78,8 @@
 	/* The sidecars of the same model, as this gateway knows them. */
 	uint64_t roster_revision, roster_digest, roster_count;
 	uint64_t roster_history;
+	/* 1: the process lacks the retry account of the one before it. */
+	uint64_t wants_account;
 };
 
 /* A sidecar requests the roster of its model. */
@@ -129,6 +138,9 @@
 	/* 1: the engine leaves reports unanswered, for less than
 	 * SV_SILENCE_MAX_US; `engine` and the load are as of the last one. */
 	uint64_t silent;
+	/* Gateways that share the slack of the retry budget, also those that
+	 * have gone lately; 0: the sidecar does not count them. */
+	uint64_t sharers;
 };
 
 /* A gateway reports a target's rate limit. */
@@ -175,6 +187,22 @@
 #define SIDE_TERMINATION_BYTES 21
 #define SIDE_TERMINATIONS_MAX 48 /* fit in one datagram */
 
+#define SIDE_ACCOUNT_ENTRIES_MAX 1000 /* bytes; fit in one datagram */
+
+/* A gateway's retry account, and a copy of it that a sidecar sends back. */
+struct side_account {
+	uint64_t start; /* of the gateway process */
+	uint64_t seq; /* grows with each that the process sends */
+	uint64_t sharers; /* of the slack, as the gateway knows; 0: not known */
+	uint64_t window_ms;
+	uint64_t phase_us; /* since the current time slot began */
+	struct slice entries; /* of services */
+	uint64_t complete; /* 1: `entries` has all services with retries */
+	/* Of a copy: since the sidecar got it; and 1 if the process can hardly
+	 * have retried since. */
+	uint64_t age_ms, current;
+};
+
 extern const struct msg_desc side_desired_desc;
 extern const struct msg_desc side_report_desc;
 extern const struct msg_desc side_roster_request_desc;
@@ -183,6 +211,7 @@
 extern const struct msg_desc side_rate_desc;
 extern const struct msg_desc side_permit_desc;
 extern const struct msg_desc side_terminations_desc;
+extern const struct msg_desc side_account_desc;
 
 /* Appends one entry to those of a `side_relay`; false: malformed address. */
 bool side_relayed_put(GByteArray *entries, const struct side_relayed *one);
@@ -194,6 +223,14 @@
 size_t side_terminations_count(const struct side_terminations *terminations);
 void side_termination_get(const struct side_terminations *terminations,
     size_t i, int64_t now_us, struct sus_termination *out);
+/* Appends the account of one service to the entries of a `side_account`; false:
+ * it does not fit. */
+bool side_account_put(
+    GByteArray *entries, const char *service, const struct spend_copy *account);
+/* Reads the entry at `*at`, and moves `*at` to the next one; false: there is
+ * none. */
+bool side_account_get(const struct side_account *message, size_t *at,
+    char service[SV_ID_MAX], struct spend_copy *out);
 /* Whether sequence number `a` is after `b`; they may wrap around. */
 bool side_seq_after(uint32_t a, uint32_t b);
 
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -236,6 +236,8 @@
  */
 size_t tgt_sides(struct tgt_set *s, uint64_t seed, int64_t now_us,
     const struct tgt *out[], size_t most);
+/* Whether any target has a live sidecar. */
+bool tgt_has_sides(struct tgt_set *s, int64_t now_us);
 /* Another instance answers at its address. */
 void tgt_wrong_instance(struct tgt *t);
 
--- a/lib/serve/tgt_rate.c
+++ b/lib/serve/tgt_rate.c
@@ -73,17 +73,13 @@
 	return best;
 }
 
-/* Whether any sidecar issues permits for `t`: cheaper than finding out
- * which. */
-static bool
-permits_are_issued(struct tgt_set *s, const struct tgt *t, int64_t now_us)
+bool
+tgt_has_sides(struct tgt_set *s, int64_t now_us)
 {
 	const struct tgt_service *service;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (t->side_report_us != 0)
-		return tgt_side_is_alive(t, now_us);
 	g_hash_table_iter_init(&iter, s->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		service = value;
@@ -94,6 +90,16 @@
 	return false;
 }
 
+/* Whether any sidecar issues permits for `t`: cheaper than finding out
+ * which. */
+static bool
+permits_are_issued(struct tgt_set *s, const struct tgt *t, int64_t now_us)
+{
+	if (t->side_report_us != 0)
+		return tgt_side_is_alive(t, now_us);
+	return tgt_has_sides(s, now_us);
+}
+
 static void
 report_rate(struct tgt_set *s, const struct tgt *t, bool ask, int64_t now_us)
 {
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -11,9 +11,14 @@
 #define TICK_US 100000
 /* A tick that is later than this is logged. */
 #define HELD_UP_US 150000
-/* Fraction of the retry budget that is spent; the rest allows for gateways that
- * start or stop, and for windows not aligned with this process's slots. */
-#define BUDGET_USED 0.8
+/*
+ * Fractions of the retry budget that are used. A process applies the ratio to the
+ * requests of the last window at the time of the retry, and of bursts fewer may
+ * lie in a window of the budget. Retries may be held up on the way, so that more
+ * of them arrive in a window than were sent in one.
+ */
+#define RATIO_USED 0.8
+#define SLACK_USED 0.8
 /* Descriptors reserved for files and for calls to targets. */
 #define DESCRIPTORS_RESERVED 1200
 /* Share of the memory that request bodies may take. */
@@ -349,6 +354,7 @@
 	extend_deadlines(g, now_us);
 	check_ready(g);
 	log_callers(g);
+	gateway_account_update(g);
 	fwd_pump(g->fwd);
 	if (g->stopping_us != 0)
 		check_stop(g, now_us);
@@ -384,12 +390,10 @@
 	policy->prefill_max_us = cfg_int(cfg, "policy.read_ms") * 1000;
 	policy->gateways = g->gateways;
 	policy->seed = g->seed;
-	budget->ratio = cfg_num(cfg, "bounds.retry_ratio");
-	budget->slack = cfg_num(cfg, "bounds.retry_slack");
+	budget->ratio = RATIO_USED * cfg_num(cfg, "bounds.retry_ratio");
+	budget->slack = SLACK_USED * cfg_num(cfg, "bounds.retry_slack");
 	budget->window_us =
 	    (int64_t)(cfg_num(cfg, "bounds.retry_window_s") * G_USEC_PER_SEC);
-	budget->processes = g->gateways;
-	budget->usable = BUDGET_USED;
 	for (i = 0; (domain = cfg_key(cfg, i, "domains")) != NULL; i++)
 		tgt_set_domain(
 		    g->set, domain, cfg_str(cfg, "domains.%s", domain));
@@ -470,6 +474,7 @@
 	random_bytes(&conf.seed, sizeof(conf.seed));
 	random_bytes(&g->seed, sizeof(g->seed));
 	conf.publish_terminations = gateway_terminations_send;
+	conf.account_changed = gateway_account_changed;
 	conf.publish_ctx = g;
 	g->fwd = fwd_new(&conf);
 	apply_settings(g);
@@ -550,10 +555,11 @@
 	g->tick.fire = on_tick;
 	evl_timer_set(g->st.loop, &g->tick, evl_now_us(g->st.loop) + TICK_US);
 	evt(EVT_START,
-	    "program=gateway domain=%s region=%s callers=%s gateways=%u",
+	    "program=gateway domain=%s region=%s callers=%s start=%016" G_GINT64_MODIFIER
+	    "x",
 	    cfg_str(g->st.cfg, "node.domain"),
 	    cfg_str(g->st.cfg, "node.region"),
-	    cfg_str(g->st.cfg, "listen.callers"), g->gateways);
+	    cfg_str(g->st.cfg, "listen.callers"), g->seed);
 	return true;
 }
 
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -9,6 +9,7 @@
 
 #include "platform/adapter.h"
 #include "common/evt.h"
+#include "serve/acct.h"
 #include "serve/fwd.h"
 #include "serve/roster.h"
 #include "shared/station.h"
@@ -23,7 +24,8 @@
 	struct hlimits limits;
 	struct hserver *callers, *ready;
 	struct dgram *peers;
-	struct evl_timer tick, desired_timer, relay_timer, terminations_timer;
+	struct evl_timer tick, desired_timer, relay_timer, terminations_timer,
+	    account_timer;
 	/* Last time the desired state was sent to the sidecars of the local and
 	 * of the remote regions. */
 	int64_t desired_local_us, desired_remote_us;
@@ -44,6 +46,11 @@
 	/* Last report of a sidecar that no gateway has a working connection to
 	 * the store. */
 	int64_t all_down_us;
+	/* The retry accounts, which outlive the process. */
+	struct acct acct;
+	enum acct_state acct_state; /* as last logged */
+	uint64_t account_seq; /* of the last copies sent */
+	struct evl_task account_task; /* sends copies after this wake-up */
 };
 
 /* gateway_views.c: the desired state and rosters, sent to sidecars */
@@ -93,6 +100,18 @@
 void gateway_terminations_received(
     struct gateway *g, const struct side_terminations *terminations);
 
+/* gateway_account.c: retry accounts that outlive the process */
+void gateway_account_open(struct gateway *g);
+/* Applies the share of the slack that may be used now. */
+void gateway_account_update(struct gateway *g);
+void gateway_account_reported(
+    struct gateway *g, const struct tgt *t, const struct side_report *report);
+void gateway_account_received(
+    struct gateway *g, const char *from, const struct side_account *copy);
+/* Whether a copy of the earlier process's account is wanted. */
+bool gateway_account_is_wanted(const struct gateway *g);
+void gateway_account_changed(void *ctx); /* ctx: struct gateway */
+
 /* gateway.c */
 /* `now` has replaced `before` (NULL: it is new). Pooled connections to the
  * previous start of a target are dead, and answers on them match no request. */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -5,15 +5,12 @@
 #include "entry/gateway.h"
 
 static void
-note_gateways(struct gateway *g, const struct tgt *t, unsigned int n)
+note_gateways(struct gateway *g, unsigned int n)
 {
-	if (n == 0 || n == g->gateways)
+	if (n == 0)
 		return;
-	evt(EVT_SHARERS, "gateways=%u before=%u target=%s address=%s", n,
-	    g->gateways, t->record.id, t->record.address);
 	g->gateways = n;
 	tgt_set_policy(g->set)->gateways = n;
-	fwd_budget(g->fwd)->processes = n;
 }
 
 /* Stores the root digest that the sidecar reported; true if it is new. */
@@ -151,7 +148,8 @@
 	tgt_set_load(
 	    t, (unsigned int)(report->running + report->waiting), now_us);
 	gateway_rate_reported(g, t, report);
-	note_gateways(g, t, (unsigned int)report->gateways);
+	note_gateways(g, (unsigned int)report->gateways);
+	gateway_account_reported(g, t, report);
 	t->region_gateways = (unsigned int)report->local_gateways;
 	t->slow_link = report->slow_link != 0;
 	t->inbound_us = (int64_t)report->inbound_ms * 1000;
@@ -177,6 +175,7 @@
 	struct side_permit permit;
 	struct side_terminations terminations;
 	struct side_rate rate;
+	struct side_account account;
 
 	if (msg_read(m, &side_report_desc, &report, NULL))
 		take_report(g, &report);
@@ -188,6 +187,8 @@
 		gateway_rate_relayed(g, &rate);
 	else if (msg_read(m, &side_terminations_desc, &terminations, NULL))
 		gateway_terminations_received(g, &terminations);
+	else if (msg_read(m, &side_account_desc, &account, NULL))
+		gateway_account_received(g, from, &account);
 	else if (msg_read(m, &side_roster_request_desc, &request, NULL))
 		gateway_roster_requested(g, from, &request);
 	fwd_pump(g->fwd);
@@ -202,5 +203,6 @@
 	gateway_relay_open(g);
 	gateway_rate_open(g);
 	gateway_terminations_open(g);
+	gateway_account_open(g);
 	return g->peers != NULL;
 }
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -12,6 +12,7 @@
 #include "common/evt.h"
 #include "http/fetch.h"
 #include "platform/adapter.h"
+#include "serve/acct.h"
 #include "serve/permit.h"
 #include "serve/roster.h"
 #include "serve/side.h"
@@ -110,6 +111,7 @@
 	struct stg_inbound inbound;
 	struct permits permits; /* by the engine's rate limit */
 	GHashTable *pools; /* address of another target -> keeper_pool */
+	struct acct_copies accounts; /* of gateways */
 	/* Requests in flight at targets that terminated. */
 	struct sus *suspects;
 	/* struct repeat: blocked requests to be reported again. */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -58,6 +58,20 @@
 	keeper_send_rates(k, gateway->address);
 }
 
+/* Sends a gateway's process the account of the one before, if it wants it. */
+static void
+note_account(
+    struct keeper *k, const char *from, const struct side_desired *desired)
+{
+	struct side_account copy;
+
+	acct_copies_heard(&k->accounts, from, desired->start, keeper_now(k));
+	if (desired->wants_account &&
+	    acct_copies_get(
+		&k->accounts, from, desired->start, keeper_now(k), &copy))
+		dgram_send(k->dgram, from, &side_account_desc, &copy);
+}
+
 static void
 note_gateway(
     struct keeper *k, const char *from, const struct side_desired *desired)
@@ -68,6 +82,7 @@
 	struct keeper_gateway *known = find_gateway(k, from);
 	char region[KEEPER_NAME_MAX];
 
+	note_account(k, from, desired);
 	if (known != NULL) {
 		known->received_us = keeper_now(k);
 		known->store_down = desired->store_down != 0;
@@ -267,6 +282,7 @@
 		.limit_known = status->limit_known,
 		.limit_milli = rate_to_milli(status->limit),
 		.silent = status->silent,
+		.sharers = acct_copies_sharers(&k->accounts, keeper_now(k)),
 	};
 	for (i = 0; i < k->gateways->len; i++)
 		report->without_store += gateway_at(k, i)->store_down;
@@ -375,6 +391,7 @@
 	struct side_roster_page page;
 	struct side_rate rate;
 	struct side_terminations terminations;
+	struct side_account account;
 
 	if (msg_read(m, &side_desired_desc, &desired, NULL)) {
 		note_gateway(k, from, &desired);
@@ -383,6 +400,8 @@
 		keeper_take_page(k, &page);
 	else if (msg_read(m, &side_rate_desc, &rate, NULL))
 		keeper_take_rate(k, from, &rate);
+	else if (msg_read(m, &side_account_desc, &account, NULL))
+		acct_copies_put(&k->accounts, from, &account, keeper_now(k));
 	else if (msg_read(m, &side_terminations_desc, &terminations, NULL))
 		keeper_take_terminations(k, &terminations);
 }
@@ -392,6 +411,7 @@
 {
 	k->gateways = g_array_new(FALSE, FALSE, sizeof(struct keeper_gateway));
 	k->roster = roster_new();
+	acct_copies_init(&k->accounts);
 	keeper_rate_open(k);
 	keeper_terminations_open(k);
 	k->peers = g_array_new(FALSE, TRUE, sizeof(struct keeper_peer));
--- a/tests/common/test_spend.c
+++ b/tests/common/test_spend.c
@@ -10,11 +10,9 @@
 
 #define SECOND ((int64_t)1000000)
 
-static const struct spend_conf conf = { .ratio = 0.2,
-	.slack = 100,
-	.usable = 0.8,
-	.window_us = 10 * SECOND,
-	.processes = 5 };
+static const struct spend_conf conf = {
+	.ratio = 0.16, .slack = 80, .window_us = 10 * SECOND, .processes = 5
+};
 
 static unsigned int
 take_all(struct spend *s, int64_t now_us)
@@ -68,12 +66,77 @@
 	}
 }
 
+/* Another process continues the counts of a copy: what was taken expires no
+ * earlier than a window after it was, and at most two time slots later. */
+static void
+test_inherited(void **state)
+{
+	int64_t phase_us, at_us, until_us;
+	struct spend_copy copy;
+
+	for (at_us = 100 * SECOND; at_us < 101 * SECOND; at_us += 70000) {
+		for (phase_us = 0; phase_us < SECOND; phase_us += 90000) {
+			struct spend before = { 0 }, after = { 0 };
+
+			assert_int_equal(take_all(&before, at_us), 16);
+			spend_export(&before, &conf, at_us + phase_us, &copy);
+			/* The clock of the next process differs. */
+			spend_inherit(&after, &conf, 7 * SECOND + phase_us,
+			    &copy, 300000);
+			until_us = 7 * SECOND - 300000 + 10 * SECOND;
+			assert_int_equal(take_all(&after, until_us - 1), 0);
+			assert_int_equal(
+			    take_all(&after, until_us + SECOND), 16);
+		}
+	}
+}
+
+/* A newer copy replaces the inherited counts; its own stay. */
+static void
+test_inherited_again(void **state)
+{
+	struct spend before = { 0 }, after = { 0 };
+	struct spend_copy copy;
+	unsigned int i;
+
+	for (i = 0; i < 4; i++)
+		spend_add(&before, &conf, 20 * SECOND);
+	for (i = 0; i < 50; i++)
+		spend_request(&before, &conf, 20 * SECOND);
+	spend_export(&before, &conf, 20 * SECOND, &copy);
+	spend_inherit(&after, &conf, 20 * SECOND, &copy, 0);
+	spend_add(&after, &conf, 20 * SECOND);
+	spend_inherit(&after, &conf, 20 * SECOND, &copy, 0);
+	assert_int_equal(spend_usage(&after, &conf, 20 * SECOND).extra, 4 + 1);
+	assert_int_equal(spend_usage(&after, &conf, 20 * SECOND).requests, 50);
+	assert_int_equal(take_all(&after, 20 * SECOND), 16 + 8 - 5);
+}
+
+/* Without a known number of processes there is no share of the slack. */
+static void
+test_no_share(void **state)
+{
+	struct spend_conf alone = conf;
+	struct spend s = { 0 };
+	unsigned int i;
+
+	alone.processes = 0;
+	assert_false(spend_take(&s, &alone, SECOND));
+	for (i = 0; i < 7; i++)
+		spend_request(&s, &alone, SECOND);
+	assert_true(spend_take(&s, &alone, SECOND));
+	assert_false(spend_take(&s, &alone, SECOND));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_share),
 		cmocka_unit_test(test_any_window),
+		cmocka_unit_test(test_inherited),
+		cmocka_unit_test(test_inherited_again),
+		cmocka_unit_test(test_no_share),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/serve/budget_world.h
+++ b/tests/serve/budget_world.h
@@ -17,26 +17,28 @@
 
 #include "common/common.h"
 #include "common/spend.h"
+#include "serve/acct.h"
 
 #define SECOND ((int64_t)1000000)
 #define STEP_US 50000
 #define WINDOW_US (10 * SECOND)
 #define RATIO 0.2
 #define SLACK 100
-#define USABLE 0.8
+/* As gateways use them. */
+#define RATIO_USED 0.8
+#define SLACK_USED 0.8
 #define GATEWAYS_MAX 8
 #define SIDES_MAX 6
 /* As gateways and sidecars do. */
 #define DESIRED_US 400000
 #define REPORT_US 250000
-#define GATEWAY_TIMEOUT_US (3 * SECOND)
-#define ASSUMED_GATEWAYS 5
+#define SIDE_TIMEOUT_US 900000
+#define COPIES 3
 
 struct side {
-	bool up;
 	int64_t paused_us; /* until then it handles nothing */
 	int64_t reported_us;
-	int64_t heard_us[GATEWAYS_MAX]; /* 0: not heard */
+	struct acct_copies copies;
 };
 
 struct gateway {
@@ -47,6 +49,10 @@
 	double pending; /* part of a request */
 	struct spend_conf conf;
 	struct spend spend;
+	struct acct acct;
+	uint64_t start, seq;
+	int64_t copied_us; /* last copies sent */
+	int64_t reported_us[SIDES_MAX]; /* last report of each sidecar */
 	unsigned int retries; /* in all */
 };
 
@@ -56,6 +62,7 @@
 	struct gateway gateway[GATEWAYS_MAX];
 	struct side side[SIDES_MAX];
 	bool cut[GATEWAYS_MAX][SIDES_MAX];
+	uint64_t starts;
 	GArray *requests, *retries; /* int64_t, ascending */
 };
 
@@ -69,50 +76,152 @@
 	struct gateway *g = &w->gateway[i];
 
 	g->up = true;
-	g->desired_us = 0;
+	g->desired_us = g->copied_us = 0;
+	g->start = ++w->starts;
+	g->seq = 0;
+	memset(g->reported_us, 0, sizeof(g->reported_us));
 	memset(&g->spend, 0, sizeof(g->spend));
-	g->conf = (struct spend_conf){ .ratio = RATIO,
-		.slack = SLACK,
-		.usable = USABLE,
-		.window_us = WINDOW_US,
-		.processes = ASSUMED_GATEWAYS };
+	acct_start(&g->acct, w->now_us);
+	g->conf = (struct spend_conf){ .ratio = RATIO_USED * RATIO,
+		.slack = SLACK_USED * SLACK,
+		.window_us = WINDOW_US };
+}
+
+static inline const char *
+gateway_name(unsigned int i)
+{
+	static char name[ACCT_GATEWAY_MAX];
+
+	g_snprintf(name, sizeof(name), "gateway-%u", i);
+	return name;
+}
+
+static inline bool
+is_connected(const struct budget_world *w, unsigned int g, unsigned int s)
+{
+	return !w->cut[g][s] && w->gateway[g].up &&
+	    w->now_us >= w->gateway[g].paused_us &&
+	    w->now_us >= w->side[s].paused_us;
+}
+
+/* Whether the gateway takes the sidecar for alive. */
+static inline bool
+hears_side(const struct budget_world *w, unsigned int g, unsigned int s)
+{
+	return w->gateway[g].reported_us[s] != 0 &&
+	    w->now_us - w->gateway[g].reported_us[s] <= SIDE_TIMEOUT_US;
 }
 
 static inline void
-side_start(struct side *s)
+update_share(struct budget_world *w, unsigned int i)
 {
-	memset(s->heard_us, 0, sizeof(s->heard_us));
-	s->up = true;
+	struct gateway *g = &w->gateway[i];
+	bool has_sidecar = false;
+	unsigned int s;
+
+	for (s = 0; s < w->nsides; s++)
+		has_sidecar |= hears_side(w, i, s);
+	g->conf.processes = acct_state(&g->acct, WINDOW_US, has_sidecar,
+				w->now_us) == ACCT_USABLE
+	    ? g->acct.sharers
+	    : 0;
 }
 
+/* Sends copies of the account to the first sidecars that are alive, beginning
+ * with another one for each gateway. */
 static inline void
-side_hears(struct budget_world *w, unsigned int s, unsigned int g)
+send_copies(struct budget_world *w, unsigned int i)
 {
-	w->side[s].heard_us[g] = w->now_us;
+	struct gateway *g = &w->gateway[i];
+	struct side_account message = { .start = g->start,
+		.seq = ++g->seq,
+		.sharers = g->acct.sharers,
+		.complete = 1 };
+	GByteArray *entries = g_byte_array_new();
+	struct spend_copy copy;
+	unsigned int n, s, sent = 0;
+
+	spend_export(&g->spend, &g->conf, w->now_us, &copy);
+	message.phase_us = (uint64_t)copy.phase_us;
+	assert_true(side_account_put(entries, "service", &copy));
+	message.entries = (struct slice){ entries->data, entries->len };
+	for (n = 0; n < w->nsides && sent < COPIES; n++) {
+		s = (i + n) % w->nsides;
+		if (!hears_side(w, i, s))
+			continue;
+		sent++;
+		if (is_connected(w, i, s))
+			acct_copies_put(&w->side[s].copies, gateway_name(i),
+			    &message, w->now_us);
+	}
+	g_byte_array_unref(entries);
+	g->copied_us = w->now_us;
 }
 
-static inline bool
-side_knows(const struct budget_world *w, unsigned int s, unsigned int g)
+static inline void
+take_copy(
+    struct budget_world *w, unsigned int i, const struct side_account *message)
 {
-	int64_t heard_us = w->side[s].heard_us[g];
+	struct gateway *g = &w->gateway[i];
+	int64_t age_us = (int64_t)message->age_ms * 1000;
+	struct acct_origin origin = { .start = message->start,
+		.seq = message->seq,
+		.made_us = w->now_us - age_us,
+		.sharers = (unsigned int)message->sharers };
+	char service[SV_ID_MAX];
+	struct spend_copy copy;
+	size_t at = 0;
+
+	if (!acct_offered(&g->acct, &origin, message->current != 0, w->now_us))
+		return;
+	while (side_account_get(message, &at, service, &copy))
+		spend_inherit(&g->spend, &g->conf, w->now_us, &copy, age_us);
+}
+
+static inline void
+side_start(struct side *s)
+{
+	if (s->copies.gateways != NULL)
+		acct_copies_clear(&s->copies);
+	acct_copies_init(&s->copies);
+}
 
-	return heard_us != 0 && w->now_us - heard_us <= GATEWAY_TIMEOUT_US;
+static inline void
+side_hears(struct budget_world *w, unsigned int s, unsigned int i)
+{
+	struct gateway *g = &w->gateway[i];
+	struct side_account message;
+
+	if (acct_wants_copy(&g->acct, WINDOW_US, w->now_us) &&
+	    acct_copies_get(&w->side[s].copies, gateway_name(i), g->start,
+		w->now_us, &message))
+		take_copy(w, i, &message);
+	acct_copies_heard(
+	    &w->side[s].copies, gateway_name(i), g->start, w->now_us);
 }
 
 static inline void
-gateway_hears(struct budget_world *w, unsigned int g, unsigned int s)
+gateway_hears(struct budget_world *w, unsigned int i, unsigned int s)
 {
-	unsigned int i, n = 0;
+	unsigned int sharers =
+	    acct_copies_sharers(&w->side[s].copies, w->now_us);
 
-	for (i = 0; i < w->ngateways; i++)
-		n += side_knows(w, s, i);
-	w->gateway[g].conf.processes = n;
+	w->gateway[i].reported_us[s] = w->now_us;
+	if (sharers > 0)
+		(void)acct_reported(&w->gateway[i].acct, sharers, w->now_us);
 }
 
 static inline bool
-gateway_retries(struct budget_world *w, unsigned int g)
+gateway_retries(struct budget_world *w, unsigned int i)
 {
-	return spend_take(&w->gateway[g].spend, &w->gateway[g].conf, w->now_us);
+	struct gateway *g = &w->gateway[i];
+
+	update_share(w, i);
+	if (!spend_take(&g->spend, &g->conf, w->now_us))
+		return false;
+	if (!acct_wants_copy(&g->acct, WINDOW_US, w->now_us))
+		send_copies(w, i);
+	return true;
 }
 
 /* ------------------------------------------------------------------ */
@@ -125,12 +234,6 @@
 	return w->gateway[i].up && w->now_us >= w->gateway[i].paused_us;
 }
 
-static inline bool
-side_runs(const struct budget_world *w, unsigned int i)
-{
-	return w->side[i].up && w->now_us >= w->side[i].paused_us;
-}
-
 /* Every request fails at its first target and is retried once if it may. */
 static inline void
 take_requests(struct budget_world *w, unsigned int i)
@@ -154,11 +257,11 @@
 static inline void
 exchange(struct budget_world *w, unsigned int g, unsigned int s)
 {
-	if (w->cut[g][s] || !gateway_runs(w, g) || !side_runs(w, s))
+	if (!is_connected(w, g, s))
 		return;
 	if (w->gateway[g].desired_us == w->now_us)
 		side_hears(w, s, g);
-	if (w->side[s].reported_us == w->now_us && side_knows(w, s, g))
+	if (w->side[s].reported_us == w->now_us)
 		gateway_hears(w, g, s);
 }
 
@@ -182,8 +285,13 @@
 		for (s = 0; s < w->nsides; s++)
 			exchange(w, g, s);
 	}
-	for (g = 0; g < w->ngateways; g++)
+	for (g = 0; g < w->ngateways; g++) {
 		take_requests(w, g);
+		if (gateway_runs(w, g) &&
+		    w->now_us - w->gateway[g].copied_us >= ACCT_REFRESH_US &&
+		    !acct_wants_copy(&w->gateway[g].acct, WINDOW_US, w->now_us))
+			send_copies(w, g);
+	}
 }
 
 static inline void
@@ -226,6 +334,10 @@
 static inline void
 world_close(struct budget_world *w)
 {
+	unsigned int s;
+
+	for (s = 0; s < w->nsides; s++)
+		acct_copies_clear(&w->side[s].copies);
 	g_array_unref(w->requests);
 	g_array_unref(w->retries);
 }
--- a/tests/serve/test_budget.c
+++ b/tests/serve/test_budget.c
@@ -88,6 +88,102 @@
 	world_close(&w);
 }
 
+/* ------------------------------------------------------------------ */
+/* What a restart costs callers                                        */
+/* ------------------------------------------------------------------ */
+
+/* Guards against a gateway that has no slack for a window after each start:
+ * what its earlier process has not used is there at once. */
+static void
+test_restart_keeps_the_slack(void **state)
+{
+	unsigned int g;
+
+	world_open(&w, 5, 4, 0);
+	for (g = 0; g < w.ngateways; g++) {
+		kill_gateway(&w, g, 500000);
+		w.gateway[g].requests_s = 40;
+	}
+	run_for(&w, 2 * SECOND);
+	assert_true(w.retries->len >= SLACK_USED * SLACK);
+	assert_within_budget(&w);
+	world_close(&w);
+}
+
+static unsigned int
+retries_with(unsigned int killed, bool together)
+{
+	unsigned int g, n;
+
+	world_open(&w, 5, 4, 10);
+	run_for(&w, 5 * SECOND);
+	for (g = 0; g < killed; g++) {
+		kill_gateway(&w, g, 500000);
+		if (!together)
+			run_for(&w, 2 * SECOND);
+	}
+	run_for(&w, (together ? 20 : 20 - 2 * killed) * SECOND);
+	assert_within_budget(&w);
+	n = w.retries->len;
+	world_close(&w);
+	return n;
+}
+
+/* Guards against an account that a restart makes smaller than it was: one
+ * restart of each gateway, in turn or together, costs no more retries than
+ * requests came while they were down. */
+static void
+test_single_restart(void **state)
+{
+	unsigned int undisturbed = retries_with(0, true);
+	unsigned int missed = 5 * 5;
+
+	assert_true(retries_with(1, true) + missed / 5 >= undisturbed);
+	assert_true(retries_with(5, true) + missed >= undisturbed);
+	assert_true(retries_with(5, false) + missed >= undisturbed);
+}
+
+/* A gateway at a new address shares the slack once the others, who may have
+ * used all of it, know of it. */
+static void
+test_added_gateway(void **state)
+{
+	world_open(&w, 4, 4, 10);
+	run_for(&w, 5 * SECOND);
+	w.ngateways = 5;
+	gateway_start(&w, 4);
+	w.gateway[4].requests_s = 10;
+	run_for(&w, 4 * SECOND);
+	assert_true(w.gateway[4].retries > 0);
+	assert_true(w.gateway[4].retries <= RATIO_USED * RATIO * 40);
+	run_for(&w, 20 * SECOND);
+	assert_int_equal(w.gateway[0].conf.processes, 5);
+	assert_int_equal(w.gateway[4].conf.processes, 5);
+	assert_within_budget(&w);
+	world_close(&w);
+}
+
+/* A gateway without a sidecar that could take copies uses no slack, and some
+ * again as soon as one responds. */
+static void
+test_no_sidecar(void **state)
+{
+	unsigned int s, n;
+
+	world_open(&w, 2, 2, 0);
+	for (s = 0; s < w.nsides; s++)
+		w.cut[0][s] = true;
+	run_for(&w, 2 * SECOND);
+	w.gateway[0].requests_s = 10;
+	run_for(&w, SECOND);
+	n = w.gateway[0].retries;
+	assert_true(n <= RATIO_USED * RATIO * 10);
+	w.cut[0][1] = false;
+	run_for(&w, SECOND);
+	assert_true(w.gateway[0].retries - n >= 9);
+	world_close(&w);
+}
+
 /* ------------------------------------------------------------------ */
 /* Random schedules                                                    */
 /* ------------------------------------------------------------------ */
@@ -188,6 +284,10 @@
 		cmocka_unit_test(test_silent_gateways),
 		cmocka_unit_test(test_divided),
 		cmocka_unit_test(test_number_unknown),
+		cmocka_unit_test(test_restart_keeps_the_slack),
+		cmocka_unit_test(test_single_restart),
+		cmocka_unit_test(test_added_gateway),
+		cmocka_unit_test(test_no_sidecar),
 		cmocka_unit_test(test_any_schedule),
 	};
 
--- a/tests/serve/test_side.c
+++ b/tests/serve/test_side.c
@@ -68,12 +68,52 @@
 	assert_int_equal(pass_on(&in).in_flight_us, 0);
 }
 
+/* Accounts of several services come back as they were put in; what does not fit
+ * or is cut off is left out. */
+static void
+test_accounts(void **state)
+{
+	static struct spend_copy one, other, out;
+	GByteArray *entries = g_byte_array_new();
+	struct side_account message = { .phase_us = 1234 };
+	char service[SV_ID_MAX], long_name[SV_ID_MAX];
+	size_t at = 0;
+	int i;
+
+	for (i = 0; i < SPEND_SLOTS; i++) {
+		one.counts.requests[i] = (uint32_t)i * 1000;
+		one.counts.extra[i] = (uint32_t)i;
+		other.counts.extra[i] = 70000;
+	}
+	memset(long_name, 'x', sizeof(long_name));
+	long_name[SV_ID_MAX - 1] = '\0';
+	assert_true(side_account_put(entries, "one", &one));
+	assert_true(side_account_put(entries, long_name, &other));
+	message.entries = (struct slice){ entries->data, entries->len };
+	assert_true(side_account_get(&message, &at, service, &out));
+	assert_string_equal(service, "one");
+	assert_int_equal(out.phase_us, 1234);
+	assert_memory_equal(&out.counts, &one.counts, sizeof(out.counts));
+	assert_true(side_account_get(&message, &at, service, &out));
+	assert_string_equal(service, long_name);
+	assert_int_equal(out.counts.extra[3], UINT16_MAX);
+	assert_false(side_account_get(&message, &at, service, &out));
+	at = 0;
+	message.entries.len -= 1;
+	assert_true(side_account_get(&message, &at, service, &out));
+	assert_false(side_account_get(&message, &at, service, &out));
+	for (i = 0; side_account_put(entries, "more", &one); i++)
+		assert_true(entries->len <= SIDE_ACCOUNT_ENTRIES_MAX);
+	g_byte_array_unref(entries);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_termination_is_passed_on),
 		cmocka_unit_test(test_long_time_in_flight),
+		cmocka_unit_test(test_accounts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/serve/world.h
+++ b/tests/serve/world.h
@@ -80,6 +80,7 @@
 	char address[32];
 	struct target target[TARGETS];
 	size_t ntargets;
+	unsigned int account_changes;
 };
 
 static struct world w;
@@ -238,6 +239,12 @@
 	return c;
 }
 
+static inline void
+count_account_change(void *ctx)
+{
+	w.account_changes++;
+}
+
 static inline void
 world_open(size_t ntargets, struct sv_config *config)
 {
@@ -266,11 +273,11 @@
 		.dialect = &dialect,
 		.budget = { .ratio = 1,
 		    .slack = 100,
-		    .usable = 1,
 		    .window_us = 10 * G_USEC_PER_SEC,
 		    .processes = 1 },
 		.counters = w.counters,
-		.seed = 1 };
+		.seed = 1,
+		.account_changed = count_account_change };
 	w.fwd = fwd_new(&conf);
 	if (config != NULL)
 		fwd_set_routes(w.fwd, rtab_new(config));
