tests, fleet: State an engine's notices in its failures, too

The failures of the stand-in's engines did not state their rate limit, which gateways take for its end.

--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -287,15 +287,17 @@
 		f->tally.stale++;
 }
 
-/* Answers with a failure of the engine, which counts as a run. */
+/* Ends the run with a failure of the engine, which states what all its answers
+ * do. */
 static void
-fail_run(struct fleet_engine *e, struct hreq *r, const char *id)
+fail_run(struct fleet_run *run)
 {
-	char *head = g_strdup_printf("X-Attempt-Id: %s\r\n"
-				     "X-Response-Seal: seal-%s-%s\r\n",
-	    id, e->id, id);
+	char *head = response_head(run);
+	struct hreq *r = run->r;
 
-	fleet_run_broke(e->f, id);
+	fleet_run_broke(run->e->f, run->id);
+	run_free(run);
+	hreq_set_ctx(r, NULL);
 	hreq_answer(r, 500, head, "", 0);
 	g_free(head);
 }
@@ -303,15 +305,10 @@
 static void
 begin_run(struct fleet_engine *e, struct hreq *r, const char *id)
 {
-	struct fleet_run *run;
+	struct fleet_run *run = g_new0(struct fleet_run, 1);
 	char last[24];
 
 	count_run(e, r, id);
-	if (fleet_budget_fails(e->f)) {
-		fail_run(e, r, id);
-		return;
-	}
-	run = g_new0(struct fleet_run, 1);
 	run->e = e;
 	run->r = r;
 	g_strlcpy(run->id, id, sizeof(run->id));
@@ -327,6 +324,10 @@
 	LIST_INSERT_HEAD(&e->runs, run, link);
 	e->nruns++;
 	hreq_set_ctx(r, run);
+	if (fleet_budget_fails(e->f)) {
+		fail_run(run);
+		return;
+	}
 	evl_timer_set(e->f->loop, &run->timer,
 	    evl_now_us(e->f->loop) + (e->llm ? fleet_event_us() : PLAIN_US));
 }
