serve: Copy accounts that have retries and no requests

A request expires before its retry, so a service that has become idle has retries in its account and no requests for some time. Such an account was left out of the copies, and the next process could retry on top of it. test_retries_outlast_requests failed before.

--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -42,8 +42,8 @@
 void fwd_set_routes(struct fwd *f, struct rtab *routes);
 struct rtab *fwd_routes(struct fwd *f); /* NULL: no settings yet */
 struct spend_conf *fwd_budget(struct fwd *f);
-/* Calls `each` with the retry account of every service that had requests in the
- * window. */
+/* Calls `each` with the retry account of every service that had requests or
+ * retries in the window. */
 void fwd_each_account(struct fwd *f,
     void (*each)(const char *service, const struct spend_copy *copy, void *ctx),
     void *ctx);
--- a/lib/serve/fwd_budget.c
+++ b/lib/serve/fwd_budget.c
@@ -59,6 +59,7 @@
 {
 	int64_t now_us = evl_now_us(f->conf.loop);
 	struct fwd_service *service;
+	struct spend_usage usage;
 	struct spend_copy copy;
 	GHashTableIter iter;
 	gpointer value;
@@ -66,8 +67,8 @@
 	g_hash_table_iter_init(&iter, f->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		service = value;
-		if (spend_usage(&service->budget, &f->conf.budget, now_us)
-			.requests == 0)
+		usage = spend_usage(&service->budget, &f->conf.budget, now_us);
+		if (usage.requests == 0 && usage.extra == 0)
 			continue;
 		spend_export(&service->budget, &f->conf.budget, now_us, &copy);
 		each(service->targets->name, &copy, ctx);
--- a/tests/serve/test_fwd_budget.c
+++ b/tests/serve/test_fwd_budget.c
@@ -82,6 +82,19 @@
 	assert_int_equal(w.account_changes, 0);
 }
 
+/* Guards against a copy without the retries of requests that have expired: the
+ * next process would retry on top of them. */
+static void
+test_retries_outlast_requests(void **state)
+{
+	struct spend_copy copy = { .counts.extra[2] = 3 };
+
+	fwd_inherit_account(w.fwd, SERVICE, &copy, 0);
+	read_accounts();
+	assert_int_equal(requests, 0);
+	assert_int_equal(retries, 3);
+}
+
 /* Nor does the slack help while this process must not use it. */
 static void
 test_no_share(void **state)
@@ -106,6 +119,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(test_retry_is_charged),
 		TEST(test_account_is_continued),
+		TEST(test_retries_outlast_requests),
 		TEST(test_no_share),
 	};
 
