serve: Divide a target's rate limit by silent gateways, too

The same cause as in the retry budget: while no sidecar issues permits, each gateway sends in time slots of the limit divided by the gateways that keepers have heard in the last three seconds. Those that were not heard went on, and the others divided by fewer: of five, two took 91 requests a minute each where a fifth of the limit is 36 (test_limit_is_divided_by_silent_gateways, failed before). The number of the last minute, by which the budget's slack is divided, is used. Shares of a target's places still follow the gateways that are heard: they are estimates, not a limit.

--- a/lib/serve/tgt_rate.c
+++ b/lib/serve/tgt_rate.c
@@ -135,7 +135,9 @@
 bool
 tgt_rate_allows(struct tgt_set *s, const struct tgt *t, int64_t now_us)
 {
-	struct rate_share share = { .gateways = MAX(1, s->policy.gateways) };
+	struct rate_share share = {
+		.gateways = MAX(1, MAX(s->policy.gateways, s->policy.sharers)),
+	};
 
 	if (t->rate.limit == 0)
 		return true;
--- a/programs/entry/gateway_account.c
+++ b/programs/entry/gateway_account.c
@@ -58,6 +58,7 @@
 		(void)acct_reported(&g->acct,
 		    (unsigned int)cfg_int(g->st.cfg, "policy.gateways"),
 		    evl_now_us(g->st.loop));
+	tgt_set_policy(g->set)->sharers = g->acct.sharers;
 	state = state_now(g);
 	fwd_budget(g->fwd)->processes =
 	    state == ACCT_USABLE ? g->acct.sharers : 0;
