acct, spend: Continue accounts without drift, and before they are whole

Gateways that start again within each window, the first time with nobody who knows, never used the slack again: only an account that had all retries of a window was copied. Copies now say since when they have all retries, and a process without that sends its own too, but not in its first second, in which the copy of the one before may still arrive. test_restarted_before_known and test_known_since_an_earlier_process guard it.

The next process now goes on with the phase of the time slots. test_inherited_many_times restarts 32 times in a window.

--- a/lib/common/spend.c
+++ b/lib/common/spend.c
@@ -30,10 +30,11 @@
 static void
 advance(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
-	int64_t slot = now_us / slot_us(conf);
+	int64_t slot = (now_us - s->origin_us) / slot_us(conf);
 
 	if (slot - s->slot >= SPEND_SLOTS) {
-		memset(s, 0, sizeof(*s));
+		memset(&s->own, 0, sizeof(s->own));
+		memset(&s->inherited, 0, sizeof(s->inherited));
 		s->slot = slot;
 	}
 	while (s->slot < slot) {
@@ -98,6 +99,13 @@
 /* Copies                                                              */
 /* ------------------------------------------------------------------ */
 
+/* Time since the current slot began. */
+static int64_t
+phase_us(const struct spend *s, const struct spend_conf *conf, int64_t now_us)
+{
+	return (now_us - s->origin_us) % slot_us(conf);
+}
+
 void
 spend_export(struct spend *s, const struct spend_conf *conf, int64_t now_us,
     struct spend_copy *out)
@@ -105,7 +113,7 @@
 	int age, i;
 
 	advance(s, conf, now_us);
-	out->phase_us = now_us % slot_us(conf);
+	out->phase_us = phase_us(s, conf, now_us);
 	for (age = 0; age < SPEND_SLOTS; age++) {
 		i = slot_index(s, age);
 		out->counts.requests[age] =
@@ -115,34 +123,45 @@
 	}
 }
 
-/* Age in slots, at `now_us`, of what a copy has in a slot: by the end of that
- * slot, as it may all have been counted then. */
-static int64_t
-age_now(const struct spend_conf *conf, int64_t now_us,
-    const struct spend_copy *copy, int64_t age_us, int slot)
+/* Adds the counts of slot `from`, in `in`, to those that are `age` slots old. */
+static void
+add_slot(struct spend *s, struct spend_counts *out, int64_t age,
+    const struct spend_counts *in, int from)
 {
-	int64_t us = age_us - now_us % slot_us(conf);
+	int to = slot_index(s, age);
 
-	if (slot > 0)
-		us += copy->phase_us + (slot - 1) * slot_us(conf);
-	return us <= 0 ? 0 : (us + slot_us(conf) - 1) / slot_us(conf);
+	out->requests[to] += in->requests[from];
+	out->extra[to] += in->extra[from];
+}
+
+/* Lets the current slot have begun `phase` ago. The own counts become younger
+ * by up to a slot, so that none expires too early. */
+static void
+set_phase(struct spend *s, const struct spend_conf *conf, int64_t now_us,
+    int64_t phase)
+{
+	struct spend before = *s;
+	int age;
+
+	s->slot = SPEND_SLOTS;
+	s->origin_us = now_us - phase - s->slot * slot_us(conf);
+	memset(&s->own, 0, sizeof(s->own));
+	for (age = 0; age < SPEND_SLOTS; age++)
+		add_slot(s, &s->own, MAX(0, age - 1), &before.own,
+		    slot_index(&before, age));
 }
 
 void
 spend_inherit(struct spend *s, const struct spend_conf *conf, int64_t now_us,
     const struct spend_copy *copy, int64_t age_us)
 {
-	int64_t age;
-	int slot, i;
+	int64_t since_us = copy->phase_us + age_us;
+	int64_t age = since_us / slot_us(conf);
+	int slot;
 
 	advance(s, conf, now_us);
+	set_phase(s, conf, now_us, since_us % slot_us(conf));
 	memset(&s->inherited, 0, sizeof(s->inherited));
-	for (slot = 0; slot < SPEND_SLOTS; slot++) {
-		age = age_now(conf, now_us, copy, age_us, slot);
-		if (age >= SPEND_SLOTS)
-			continue;
-		i = slot_index(s, age);
-		s->inherited.requests[i] += copy->counts.requests[slot];
-		s->inherited.extra[i] += copy->counts.extra[slot];
-	}
+	for (slot = 0; slot + age < SPEND_SLOTS; slot++)
+		add_slot(s, &s->inherited, slot + age, &copy->counts, slot);
 }
--- a/lib/common/spend.h
+++ b/lib/common/spend.h
@@ -32,7 +32,8 @@
 struct spend {
 	struct spend_counts own;
 	struct spend_counts inherited; /* from earlier processes */
-	int64_t slot; /* number of the current slot, counted from time 0 */
+	int64_t origin_us; /* when slot 0 began */
+	int64_t slot; /* number of the current slot */
 };
 
 /* The counts of a window, by age. */
@@ -65,7 +66,7 @@
 void spend_export(struct spend *s, const struct spend_conf *conf,
     int64_t now_us, struct spend_copy *out);
 /* Replaces the inherited counts by those of a copy that was made `age_us` ago
- * with the same window. No count expires earlier than it would have there. */
+ * with the same window. They expire when they would have there. */
 void spend_inherit(struct spend *s, const struct spend_conf *conf,
     int64_t now_us, const struct spend_copy *copy, int64_t age_us);
 
--- a/lib/serve/acct.c
+++ b/lib/serve/acct.c
@@ -9,6 +9,7 @@
 #define CURRENT_US (ACCT_REFRESH_US + 500000)
 /* A process that was heard last so long ago may have gone on out of reach. */
 #define CURRENT_AGE_US 4000000
+#define FIRST_COPY_US 1000000
 #define SWEEP_US 1000000
 
 struct acct_gateway {
@@ -24,7 +25,7 @@
 void
 acct_start(struct acct *a, int64_t now_us)
 {
-	*a = (struct acct){ .started_us = now_us };
+	*a = (struct acct){ .started_us = now_us, .known_us = now_us };
 }
 
 bool
@@ -63,14 +64,21 @@
 		a->origin = *origin;
 	/* A sidecar that knows it to be current may answer second. */
 	if (is_current && is_same(&a->origin, origin))
-		a->is_continued = true;
+		a->known_us = MIN(a->known_us, origin->known_us);
 	return is_newer;
 }
 
 bool
 acct_wants_copy(const struct acct *a, int64_t window_us, int64_t now_us)
 {
-	return !a->is_continued && now_us - a->started_us <= window_us;
+	return now_us - a->known_us <= window_us;
+}
+
+bool
+acct_may_copy(const struct acct *a, int64_t window_us, int64_t now_us)
+{
+	return !acct_wants_copy(a, window_us, now_us) ||
+	    now_us - a->started_us >= FIRST_COPY_US;
 }
 
 enum acct_state
@@ -181,8 +189,7 @@
 static bool
 is_current(const struct acct_copy *copy, int64_t now_us)
 {
-	return copy->message.complete &&
-	    copy->heard_us - copy->received_us <= CURRENT_US &&
+	return copy->heard_us - copy->received_us <= CURRENT_US &&
 	    now_us - copy->heard_us <= CURRENT_AGE_US;
 }
 
--- a/lib/serve/acct.h
+++ b/lib/serve/acct.h
@@ -7,9 +7,9 @@
  * retried stays in the window when its process ends or others no longer hear
  * it. So each gateway sends copies of its account to a few sidecars, and the
  * next process at its address gets them back and continues the account. Until
- * then, and while no sidecar could take a copy, a gateway retries only by the
- * ratio of its own requests; a process that gets no copy does so for one
- * window. The number of gateways includes those that were heard lately. Pure.
+ * an account has had all retries for one window, and while no sidecar could take
+ * a copy, a gateway retries only by the ratio of its own requests. The number of
+ * gateways includes those that were heard lately. Pure.
  */
 
 #include <glib.h>
@@ -34,12 +34,13 @@
 	uint64_t start; /* of the gateway process that made it; 0: none */
 	uint64_t seq; /* of the copies of that process */
 	int64_t made_us;
+	int64_t known_us; /* from then on it has all retries */
 	unsigned int sharers; /* that it knew of; 0: none */
 };
 
 struct acct {
 	int64_t started_us;
-	bool is_continued; /* from a copy that has all retries */
+	int64_t known_us; /* from then on the account has all retries */
 	struct acct_origin origin;
 	unsigned int sharers; /* 0: not known */
 	int64_t sharers_us; /* when they were last reported */
@@ -59,11 +60,14 @@
  * for ACCT_RETAIN_US. */
 bool acct_reported(struct acct *a, unsigned int sharers, int64_t now_us);
 /* Whether the account is to be continued from this copy in place of the one
- * before; if so, notes that it is. `is_current`: it has all retries. */
+ * before; if so, notes that it is. `is_current`: no retries came after it. */
 bool acct_offered(struct acct *a, const struct acct_origin *origin,
     bool is_current, int64_t now_us);
 /* True until the retries of earlier processes are known or have expired. */
 bool acct_wants_copy(const struct acct *a, int64_t window_us, int64_t now_us);
+/* Whether to send copies. Not while that of the process before may still arrive,
+ * as they replace it. */
+bool acct_may_copy(const struct acct *a, int64_t window_us, int64_t now_us);
 enum acct_state acct_state(
     const struct acct *a, int64_t window_us, bool has_sidecar, int64_t now_us);
 const char *acct_state_name(enum acct_state state);
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -122,10 +122,9 @@
 	MSG_FIELD(struct side_account, seq, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_account, sharers, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_account, window_ms, MSG_U64, INT64_MAX / 1000),
-	MSG_FIELD(struct side_account, phase_us, MSG_U64, INT64_MAX),
 	MSG_FIELD(
 	    struct side_account, entries, MSG_BIN, SIDE_ACCOUNT_ENTRIES_MAX),
-	MSG_FIELD(struct side_account, complete, MSG_U64, 1),
+	MSG_FIELD(struct side_account, known_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_account, age_ms, MSG_U64, INT64_MAX / 1000),
 	MSG_FIELD(struct side_account, current, MSG_U64, 1),
 };
@@ -283,6 +282,7 @@
 
 /* Wire format of an entry; the service's name follows, without a terminator. */
 struct wire_account {
+	uint32_t phase_us;
 	uint16_t requests[SPEND_SLOTS], extra[SPEND_SLOTS];
 	uint8_t name_len;
 } __attribute__((packed));
@@ -291,7 +291,9 @@
 side_account_put(
     GByteArray *entries, const char *service, const struct spend_copy *account)
 {
-	struct wire_account wire = { .name_len = (uint8_t)strlen(service) };
+	struct wire_account wire = { .phase_us =
+					 htonl((uint32_t)account->phase_us),
+		.name_len = (uint8_t)strlen(service) };
 	int i;
 
 	if (entries->len + sizeof(wire) + wire.name_len >
@@ -324,7 +326,7 @@
 	slice_copy((struct slice){ message->entries.data + *at + sizeof(wire),
 		       wire.name_len },
 	    service, SV_ID_MAX);
-	out->phase_us = (int64_t)message->phase_us;
+	out->phase_us = ntohl(wire.phase_us);
 	for (i = 0; i < SPEND_SLOTS; i++) {
 		out->counts.requests[i] = ntohs(wire.requests[i]);
 		out->counts.extra[i] = ntohs(wire.extra[i]);
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -195,9 +195,8 @@
 	uint64_t seq; /* grows with each that the process sends */
 	uint64_t sharers; /* of the slack, as the gateway knows; 0: not known */
 	uint64_t window_ms;
-	uint64_t phase_us; /* since the current time slot began */
 	struct slice entries; /* of services */
-	uint64_t complete; /* 1: `entries` has all services with retries */
+	uint64_t known_ms; /* how long it has had all retries */
 	/* Of a copy: since the sidecar got it; and 1 if the process can hardly
 	 * have retried since. */
 	uint64_t age_ms, current;
--- a/programs/entry/gateway_account.c
+++ b/programs/entry/gateway_account.c
@@ -160,14 +160,15 @@
 		.seq = ++g->account_seq,
 		.sharers = g->acct.sharers,
 		.window_ms = (uint64_t)window / 1000,
-		.phase_us = (uint64_t)(evl_now_us(g->st.loop) %
-		    (window / SPEND_WINDOW_SLOTS)),
 	};
 
 	fwd_each_account(g->fwd, add_account, &entries);
 	message.entries =
 	    (struct slice){ entries.bytes->data, entries.bytes->len };
-	message.complete = entries.complete;
+	if (entries.complete)
+		message.known_ms =
+		    (uint64_t)(evl_now_us(g->st.loop) - g->acct.known_us) /
+		    1000;
 	send_account(g, &message);
 	g_byte_array_unref(entries.bytes);
 }
@@ -184,8 +185,7 @@
 {
 	struct gateway *g = CONTAINER_OF(task, struct gateway, account_task);
 
-	/* Until then the copy of the process before has more. */
-	if (!gateway_account_is_wanted(g))
+	if (acct_may_copy(&g->acct, window_us(g), evl_now_us(g->st.loop)))
 		copy_account(g);
 }
 
@@ -233,6 +233,7 @@
 	struct acct_origin origin = { .start = copy->start,
 		.seq = copy->seq,
 		.made_us = now_us - age_us,
+		.known_us = now_us - age_us - (int64_t)copy->known_ms * 1000,
 		.sharers = (unsigned int)copy->sharers };
 
 	if (copy->start == g->seed ||
@@ -244,8 +245,8 @@
 		evt(EVT_ACCOUNT,
 		    "from=%s start=%016" G_GINT64_MODIFIER
 		    "x seq=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT
-		    " current=%d",
-		    from, copy->start, copy->seq, copy->age_ms,
+		    " known_ms=%" G_GUINT64_FORMAT " current=%d",
+		    from, copy->start, copy->seq, copy->age_ms, copy->known_ms,
 		    copy->current != 0);
 	}
 	if (g->acct.sharers != before)
--- a/tests/common/test_spend.c
+++ b/tests/common/test_spend.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <string.h>
 
 #include "common/spend.h"
 
@@ -67,7 +68,7 @@
 }
 
 /* Another process continues the counts of a copy: what was taken expires no
- * earlier than a window after it was, and at most two time slots later. */
+ * earlier than a window after it was, and at most a time slot later. */
 static void
 test_inherited(void **state)
 {
@@ -86,11 +87,38 @@
 			until_us = 7 * SECOND - 300000 + 10 * SECOND;
 			assert_int_equal(take_all(&after, until_us - 1), 0);
 			assert_int_equal(
-			    take_all(&after, until_us + SECOND), 16);
+			    take_all(&after, until_us + SECOND / 2), 16);
 		}
 	}
 }
 
+/* Guards against counts that become younger with each restart: requests would
+ * allow retries for longer, and retries deny them for longer. */
+static void
+test_inherited_many_times(void **state)
+{
+	int64_t now_us = 100 * SECOND + 10000, until_us = now_us + 10 * SECOND;
+	struct spend before = { 0 }, after;
+	struct spend_copy copy;
+	unsigned int i;
+
+	for (i = 0; i < 100; i++)
+		spend_request(&before, &conf, now_us);
+	assert_int_equal(take_all(&before, now_us), 32);
+	while (now_us + 310000 < until_us) {
+		spend_export(&before, &conf, now_us, &copy);
+		now_us += 310000;
+		memset(&after, 0, sizeof(after));
+		spend_inherit(&after, &conf, now_us, &copy, 310000);
+		before = after;
+	}
+	assert_int_equal(spend_usage(&before, &conf, until_us - 1).extra, 32);
+	assert_int_equal(
+	    spend_usage(&before, &conf, until_us + SECOND / 2).requests, 0);
+	assert_int_equal(
+	    spend_usage(&before, &conf, until_us + SECOND / 2).extra, 0);
+}
+
 /* A newer copy replaces the inherited counts; its own stay. */
 static void
 test_inherited_again(void **state)
@@ -135,6 +163,7 @@
 		cmocka_unit_test(test_share),
 		cmocka_unit_test(test_any_window),
 		cmocka_unit_test(test_inherited),
+		cmocka_unit_test(test_inherited_many_times),
 		cmocka_unit_test(test_inherited_again),
 		cmocka_unit_test(test_no_share),
 	};
--- a/tests/serve/budget_world.h
+++ b/tests/serve/budget_world.h
@@ -136,13 +136,12 @@
 	struct side_account message = { .start = g->start,
 		.seq = ++g->seq,
 		.sharers = g->acct.sharers,
-		.complete = 1 };
+		.known_ms = (uint64_t)(w->now_us - g->acct.known_us) / 1000 };
 	GByteArray *entries = g_byte_array_new();
 	struct spend_copy copy;
 	unsigned int n, s, sent = 0;
 
 	spend_export(&g->spend, &g->conf, w->now_us, &copy);
-	message.phase_us = (uint64_t)copy.phase_us;
 	assert_true(side_account_put(entries, "service", &copy));
 	message.entries = (struct slice){ entries->data, entries->len };
 	for (n = 0; n < w->nsides && sent < COPIES; n++) {
@@ -167,6 +166,8 @@
 	struct acct_origin origin = { .start = message->start,
 		.seq = message->seq,
 		.made_us = w->now_us - age_us,
+		.known_us =
+		    w->now_us - age_us - (int64_t)message->known_ms * 1000,
 		.sharers = (unsigned int)message->sharers };
 	char service[SV_ID_MAX];
 	struct spend_copy copy;
@@ -219,7 +220,7 @@
 	update_share(w, i);
 	if (!spend_take(&g->spend, &g->conf, w->now_us))
 		return false;
-	if (!acct_wants_copy(&g->acct, WINDOW_US, w->now_us))
+	if (acct_may_copy(&g->acct, WINDOW_US, w->now_us))
 		send_copies(w, i);
 	return true;
 }
@@ -289,7 +290,7 @@
 		take_requests(w, g);
 		if (gateway_runs(w, g) &&
 		    w->now_us - w->gateway[g].copied_us >= ACCT_REFRESH_US &&
-		    !acct_wants_copy(&w->gateway[g].acct, WINDOW_US, w->now_us))
+		    acct_may_copy(&w->gateway[g].acct, WINDOW_US, w->now_us))
 			send_copies(w, g);
 	}
 }
--- a/tests/serve/test_acct.c
+++ b/tests/serve/test_acct.c
@@ -17,11 +17,10 @@
 static struct acct_copies copies;
 
 static void
-put(uint64_t start, uint64_t seq, bool complete, int64_t now_us)
+put(uint64_t start, uint64_t seq, int64_t now_us)
 {
 	struct side_account message = { .start = start,
 		.seq = seq,
-		.complete = complete,
 		.entries = { (const uint8_t *)"abc", 3 } };
 
 	acct_copies_put(&copies, GATEWAY, &message, now_us);
@@ -49,7 +48,7 @@
 	struct side_account copy;
 
 	assert_false(acct_copies_get(&copies, GATEWAY, 2, NOW_US, &copy));
-	put(1, 7, true, NOW_US);
+	put(1, 7, NOW_US);
 	assert_false(acct_copies_get(&copies, GATEWAY, 1, NOW_US, &copy));
 	assert_true(
 	    acct_copies_get(&copies, GATEWAY, 2, NOW_US + SECOND, &copy));
@@ -67,35 +66,31 @@
 {
 	struct side_account copy;
 
-	put(1, 7, true, NOW_US);
-	put(1, 6, true, NOW_US + 1000);
+	put(1, 7, NOW_US);
+	put(1, 6, NOW_US + 1000);
 	assert_true(acct_copies_get(&copies, GATEWAY, 2, NOW_US, &copy));
 	assert_int_equal(copy.seq, 7);
 }
 
-/* A copy does not have all retries if the process went on without sending more
- * to this sidecar, if it was out of reach for long, or if not all fit. */
+/* A copy may lack retries if the process went on without sending more to this
+ * sidecar, or if it was out of reach for long. */
 static void
 test_copy_that_lacks_retries(void **state)
 {
 	struct side_account copy;
 
-	put(1, 1, true, NOW_US);
+	put(1, 1, NOW_US);
 	acct_copies_heard(&copies, GATEWAY, 1, NOW_US + 3 * SECOND);
 	assert_true(
 	    acct_copies_get(&copies, GATEWAY, 2, NOW_US + 3 * SECOND, &copy));
 	assert_false(copy.current);
-	put(1, 2, true, NOW_US + 3 * SECOND);
+	put(1, 2, NOW_US + 3 * SECOND);
 	assert_true(
 	    acct_copies_get(&copies, GATEWAY, 2, NOW_US + 4 * SECOND, &copy));
 	assert_true(copy.current);
 	assert_true(
 	    acct_copies_get(&copies, GATEWAY, 2, NOW_US + 9 * SECOND, &copy));
 	assert_false(copy.current);
-	put(1, 3, false, NOW_US + 9 * SECOND);
-	assert_true(
-	    acct_copies_get(&copies, GATEWAY, 2, NOW_US + 9 * SECOND, &copy));
-	assert_false(copy.current);
 }
 
 /* A sign of life of the next process says nothing of the copy's. */
@@ -104,7 +99,7 @@
 {
 	struct side_account copy;
 
-	put(1, 1, true, NOW_US);
+	put(1, 1, NOW_US);
 	acct_copies_heard(&copies, GATEWAY, 2, NOW_US + 3 * SECOND);
 	assert_true(
 	    acct_copies_get(&copies, GATEWAY, 2, NOW_US + 3 * SECOND, &copy));
@@ -164,6 +159,44 @@
 	    acct_state(&a, WINDOW_US, false, NOW_US + 2 * SECOND), ACCT_ALONE);
 }
 
+/* Guards against a gateway that never uses the slack as it starts again within
+ * each window: what is known goes back to the first of its processes. */
+static void
+test_known_since_an_earlier_process(void **state)
+{
+	struct acct_origin copy = { .start = 1,
+		.seq = 1,
+		.made_us = NOW_US,
+		.known_us = NOW_US - 8 * SECOND,
+		.sharers = 2 };
+	struct acct a;
+
+	acct_start(&a, NOW_US + SECOND);
+	assert_true(acct_offered(&a, &copy, true, NOW_US + SECOND));
+	assert_int_equal(
+	    acct_state(&a, WINDOW_US, true, NOW_US + SECOND), ACCT_UNKNOWN);
+	assert_int_equal(
+	    acct_state(&a, WINDOW_US, true, NOW_US + 2 * SECOND + 1),
+	    ACCT_USABLE);
+}
+
+/* A process sends no copy while it may still get that of the one before. */
+static void
+test_first_copy(void **state)
+{
+	struct acct_origin copy = { .start = 1,
+		.seq = 1,
+		.made_us = NOW_US,
+		.known_us = NOW_US - WINDOW_US };
+	struct acct a;
+
+	acct_start(&a, NOW_US);
+	assert_false(acct_may_copy(&a, WINDOW_US, NOW_US + SECOND - 1));
+	assert_true(acct_may_copy(&a, WINDOW_US, NOW_US + SECOND));
+	assert_true(acct_offered(&a, &copy, true, NOW_US + 1));
+	assert_true(acct_may_copy(&a, WINDOW_US, NOW_US + 1));
+}
+
 /* Without a copy, the slack is used after a window, by a known number. */
 static void
 test_no_copy(void **state)
@@ -195,6 +228,8 @@
 		TEST(test_sharers),
 		TEST(test_lower_number_of_sharers),
 		TEST(test_newest_copy),
+		TEST(test_known_since_an_earlier_process),
+		TEST(test_first_copy),
 		TEST(test_no_copy),
 	};
 
--- a/tests/serve/test_budget.c
+++ b/tests/serve/test_budget.c
@@ -143,6 +143,29 @@
 	assert_true(retries_with(5, false) + missed >= undisturbed);
 }
 
+/* Guards against gateways that never use the slack again: all of them start
+ * again every few seconds, the first time with nobody who knows. */
+static void
+test_restarted_before_known(void **state)
+{
+	unsigned int i, g, s;
+
+	world_open(&w, 5, 4, 0);
+	for (s = 0; s < w.nsides; s++)
+		side_start(&w.side[s]);
+	for (i = 0; i < 4; i++) {
+		for (g = 0; g < w.ngateways; g++)
+			kill_gateway(&w, g, 500000);
+		run_for(&w, 4 * SECOND);
+	}
+	for (g = 0; g < w.ngateways; g++)
+		w.gateway[g].requests_s = 40;
+	run_for(&w, 2 * SECOND);
+	assert_true(w.retries->len >= SLACK_USED * SLACK);
+	assert_within_budget(&w);
+	world_close(&w);
+}
+
 /* A gateway at a new address shares the slack once the others, who may have
  * used all of it, know of it. */
 static void
@@ -286,6 +309,7 @@
 		cmocka_unit_test(test_number_unknown),
 		cmocka_unit_test(test_restart_keeps_the_slack),
 		cmocka_unit_test(test_single_restart),
+		cmocka_unit_test(test_restarted_before_known),
 		cmocka_unit_test(test_added_gateway),
 		cmocka_unit_test(test_no_sidecar),
 		cmocka_unit_test(test_any_schedule),
--- a/tests/serve/test_side.c
+++ b/tests/serve/test_side.c
@@ -75,11 +75,12 @@
 {
 	static struct spend_copy one, other, out;
 	GByteArray *entries = g_byte_array_new();
-	struct side_account message = { .phase_us = 1234 };
+	struct side_account message = { 0 };
 	char service[SV_ID_MAX], long_name[SV_ID_MAX];
 	size_t at = 0;
 	int i;
 
+	one.phase_us = 1234;
 	for (i = 0; i < SPEND_SLOTS; i++) {
 		one.counts.requests[i] = (uint32_t)i * 1000;
 		one.counts.extra[i] = (uint32_t)i;
