--- a/lib/common/cfg_schema_serve.c
+++ b/lib/common/cfg_schema_serve.c
@@ -89,7 +89,7 @@
 	INT_RULE("policy.read_ms", 0, HOUR_MS, "100", "ms",
 	    "Time that an engine may still need for its assigned prompts when another one is sent; 0: no limit."),
 	INT_RULE("policy.gateways", 1, 10000, "5", "",
-	    "Assumed number of gateways that share the targets, until the actual number is received."),
+	    "Assumed number of gateways that share the targets, until the actual number is received. Without model engines, the number that share the slack of the retry budget."),
 	INT_RULE("policy.origin_copies", 1, 100, "1", "",
 	    "Copies of a version that all keepers together read from the origin."),
 };
