--- a/lib/common/spend.c
+++ b/lib/common/spend.c
@@ -15,8 +15,9 @@
 static int
 slot_index(const struct spend *s, int64_t age)
 {
-	return (
-	    int)(((s->slot - age) % SPEND_SLOTS + SPEND_SLOTS) % SPEND_SLOTS);
+	int64_t i = (s->slot - age) % SPEND_SLOTS;
+
+	return (int)(i < 0 ? i + SPEND_SLOTS : i);
 }
 
 static void
--- a/lib/serve/acct.c
+++ b/lib/serve/acct.c
@@ -1,7 +1,5 @@
 /* Whether a gateway may use its share of the slack of the retry budget. */
 
-#include <string.h>
-
 #include "serve/acct.h"
 
 /* A sidecar that receives a process's copies received one at most this long
@@ -9,6 +7,7 @@
 #define CURRENT_US (ACCT_REFRESH_US + 500000)
 /* A process that was heard last so long ago may have gone on out of reach. */
 #define CURRENT_AGE_US 4000000
+/* The copy of the process before arrives sooner, if it is not lost. */
 #define FIRST_COPY_US 1000000
 #define SWEEP_US 1000000
 
