spend, acct, entry: Count a window once for a log line; plainer comments

Found on a last reading of the change, no change of behaviour. A line of the retry budget summed the window's counts twice; spend_usage now also says what they leave, and spend_remaining is that. gateway_account read the window in two ways. struct acct_copy is used in acct.c only and moves there. Comments that read as figures of speech say what happens.

--- a/lib/common/spend.c
+++ b/lib/common/spend.c
@@ -59,6 +59,12 @@
 	s->own.extra[slot_index(s, 0)]++;
 }
 
+double
+spend_slack(const struct spend_conf *conf)
+{
+	return conf->processes == 0 ? 0 : conf->slack / conf->processes;
+}
+
 struct spend_usage
 spend_usage(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
@@ -70,21 +76,15 @@
 		usage.requests += s->own.requests[i] + s->inherited.requests[i];
 		usage.extra += s->own.extra[i] + s->inherited.extra[i];
 	}
+	usage.remaining =
+	    conf->ratio * usage.requests + spend_slack(conf) - usage.extra;
 	return usage;
 }
 
-double
-spend_slack(const struct spend_conf *conf)
-{
-	return conf->processes == 0 ? 0 : conf->slack / conf->processes;
-}
-
 double
 spend_remaining(struct spend *s, const struct spend_conf *conf, int64_t now_us)
 {
-	struct spend_usage usage = spend_usage(s, conf, now_us);
-
-	return conf->ratio * usage.requests + spend_slack(conf) - usage.extra;
+	return spend_usage(s, conf, now_us).remaining;
 }
 
 bool
--- a/lib/common/spend.h
+++ b/lib/common/spend.h
@@ -44,6 +44,7 @@
 
 struct spend_usage {
 	unsigned int requests, extra;
+	double remaining; /* retries that are allowed now; may be negative */
 };
 
 /* Counts a request, without its retries. */
@@ -54,7 +55,7 @@
     struct spend *s, const struct spend_conf *conf, int64_t now_us);
 /* The part of the slack that this process may use. */
 double spend_slack(const struct spend_conf *conf);
-/* The counts of the window, for logs. */
+/* The counts of the window, and what they leave. */
 struct spend_usage spend_usage(
     struct spend *s, const struct spend_conf *conf, int64_t now_us);
 /* Counts a retry, even if the share is exhausted. */
--- a/lib/serve/acct.c
+++ b/lib/serve/acct.c
@@ -5,12 +5,19 @@
 /* A sidecar that receives a process's copies received one at most this long
  * before the process's last sign of life. */
 #define CURRENT_US (ACCT_REFRESH_US + 500000)
-/* A process that was heard last so long ago may have gone on out of reach. */
+/* A process that has sent nothing for longer may have been cut off and may have
+ * retried since. */
 #define CURRENT_AGE_US 4000000
 /* The copy of the process before arrives sooner, if it is not lost. */
 #define FIRST_COPY_US 1000000
 #define SWEEP_US 1000000
 
+struct acct_copy {
+	struct side_account message; /* as received */
+	int64_t received_us;
+	int64_t heard_us; /* last sign of life of the process that made it */
+};
+
 struct acct_gateway {
 	int64_t heard_us; /* any of its processes */
 	bool has_copy;
--- a/lib/serve/acct.h
+++ b/lib/serve/acct.h
@@ -9,7 +9,7 @@
  * next process at its address gets them back and continues the account. Until
  * an account has had all retries for one window, and while no sidecar could take
  * a copy, a gateway retries only by the ratio of its own requests. The number of
- * gateways includes those that were heard lately. Pure.
+ * gateways includes those that sent something in the last minute. Pure.
  */
 
 #include <glib.h>
@@ -20,7 +20,7 @@
 
 #define ACCT_GATEWAY_MAX 24 /* fits "ip:port" */
 #define ACCT_GATEWAYS_MAX 4096
-/* A gateway that has not been heard for longer shares the slack no more. */
+/* A gateway that has sent nothing for longer no longer shares the slack. */
 #define ACCT_RETAIN_US 60000000
 /* Without a retry, a gateway sends copies at this interval. */
 #define ACCT_REFRESH_US 1000000
@@ -76,13 +76,7 @@
 /* The sidecar's side                                                  */
 /* ------------------------------------------------------------------ */
 
-/* The last copy of a gateway's account. */
-struct acct_copy {
-	struct side_account message; /* as received */
-	int64_t received_us;
-	int64_t heard_us; /* last sign of life of the process that made it */
-};
-
+/* The last copy of each gateway's account. */
 struct acct_copies {
 	GHashTable *gateways; /* address -> struct acct_gateway */
 	int64_t swept_us;
--- a/lib/serve/fwd_budget.c
+++ b/lib/serve/fwd_budget.c
@@ -10,15 +10,15 @@
 log_budget(struct fwd_req *r, const char *outcome)
 {
 	const struct spend_conf *conf = &r->fwd->conf.budget;
-	struct spend *s = &r->service->budget;
-	struct spend_usage usage = spend_usage(s, conf, fwd_now(r));
+	struct spend_usage usage =
+	    spend_usage(&r->service->budget, conf, fwd_now(r));
 
 	evt(EVT_BUDGET,
 	    "req=%s service=%s outcome=%s left=%.1f retries=%u requests=%u "
 	    "slack=%.1f sharers=%u denied=%u",
-	    r->id, r->service->targets->name, outcome,
-	    spend_remaining(s, conf, fwd_now(r)), usage.extra, usage.requests,
-	    spend_slack(conf), conf->processes, r->service->denied);
+	    r->id, r->service->targets->name, outcome, usage.remaining,
+	    usage.extra, usage.requests, spend_slack(conf), conf->processes,
+	    r->service->denied);
 }
 
 static void
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -78,7 +78,8 @@
 	/* The sidecars of the same model, as this gateway knows them. */
 	uint64_t roster_revision, roster_digest, roster_count;
 	uint64_t roster_history;
-	/* 1: the process lacks the retry account of the one before it. */
+	/* 1: send this process the retry account of the gateway's previous
+	 * process. */
 	uint64_t wants_account;
 };
 
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -122,8 +122,9 @@
 	int64_t prefill_max_us;
 	/* Gateways that share a target. */
 	unsigned int gateways;
-	/* The same with those that were heard lately and may go on out of
-	 * reach: together they must not exceed a target's rate limit. */
+	/* The same with those that sent something in the last minute, as they
+	 * may only be cut off: together they must not exceed a target's rate
+	 * limit. */
 	unsigned int sharers;
 	/* Differs between gateways; decides which one takes a single free
 	 * slot. */
--- a/programs/entry/gateway_account.c
+++ b/programs/entry/gateway_account.c
@@ -16,7 +16,7 @@
 /* ------------------------------------------------------------------ */
 
 static int64_t
-window_us(struct gateway *g)
+window_us(const struct gateway *g)
 {
 	return fwd_budget(g->fwd)->window_us;
 }
@@ -176,8 +176,7 @@
 bool
 gateway_account_is_wanted(const struct gateway *g)
 {
-	return acct_wants_copy(
-	    &g->acct, fwd_budget(g->fwd)->window_us, evl_now_us(g->st.loop));
+	return acct_wants_copy(&g->acct, window_us(g), evl_now_us(g->st.loop));
 }
 
 static void
