--- a/review/lib.sh
+++ b/review/lib.sh
@@ -2,9 +2,8 @@
 # two keepers with the commands of the deploy file, on addresses 127.0.NET.x, with
 # the bounds of the sheet of Cedar Hollow. Only processes that were started here
 # are signalled, by their ids.
-cd "$(dirname "$0")/../.." || exit 2
-here=$PWD/$(basename "$(dirname "$0")")
-here=$PWD/review/${here##*/}
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
 trouble=${TROUBLE:-1}
 work=$(mktemp -d) || exit 2
 names="gateway-0 gateway-1 keeper-0 keeper-1"
@@ -21,8 +20,7 @@
 	} >"$work/$name.yaml"
 }
 
-begin() { # begin NET MODE SECONDS
-	NET=$1
+write_settings() {
 	for i in 0 1; do
 		ip=127.0.$NET.$((i + 2))
 		settings gateway-$i "limits: {descriptors: 4100, memory_mb: 260, link_mbit: 1000}" \
@@ -31,13 +29,21 @@
 		settings keeper-$i "limits: {descriptors: 2048, memory_mb: 128, link_mbit: 40}" \
 		    "listen: {metrics: $ip:9464, peers: $ip:7700}" "engine: {address: $ip:8001}"
 	done
-	target/review/stand "$2" "$trouble" "$NET" "$3" "$work" >"$here/record.txt" 2>"$work/stand.err" &
-	stand=$!
+}
+
+# begin NET MODE SECONDS: starts the stand-in; takes the next NET where an address
+# is in use.
+begin() {
 	trap end_all EXIT
 	trap 'exit 2' INT TERM
-	for _ in 1 2 3 4 5 6 7 8 9 10; do
-		grep -q ready "$here/record.txt" && return 0
-		sleep 0.1
+	for NET in $(seq "$1" $(($1 + 20))); do
+		target/review/stand "$2" "$trouble" "$NET" "$3" "$work" >"$here/record.txt" 2>"$work/stand.err" &
+		stand=$!
+		for _ in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20; do
+			grep -q ready "$here/record.txt" && write_settings && return 0
+			kill -0 "$stand" 2>/dev/null || break
+			sleep 0.1
+		done
 	done
 	cat "$work/stand.err"
 	exit 2
