--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,10 +1,9 @@
-# Sourced by the scripts run.sh: begin NET; start NAME; end_all. Two gateways and
+# Sourced by the scripts run.sh, which set `trouble`: begin NET MODE SECONDS; start NAME. Two gateways and
 # two keepers with the commands of the deploy file, on addresses 127.0.NET.x, with
 # the bounds of the sheet of Cedar Hollow. Only processes that were started here
 # are signalled, by their ids.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-trouble=${TROUBLE:-1}
 work=$(mktemp -d) || exit 2
 names="gateway-0 gateway-1 keeper-0 keeper-1"
 
