keeper: Log the sizes of a list of digests, read and announced

Two keepers of review/5 end by themselves three times each at the assertion of hold_put, which says neither length. Three causes fit what the log had: the size of the chunks in the list is wrong, the engine returned staged bytes of another length, or a chunk is shared with a version of another size.

The line of a list that becomes known now has its root, its number and size of chunks, and both as announced from the operators' settings.

--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -51,6 +51,8 @@
 	int64_t announced_us; /* first announcement, by any gateway */
 	/* No request begins on older versions after this; 0: no deadline. */
 	int64_t deadline_us;
+	/* Its size by the operators' settings, as gateways announce it. */
+	uint64_t announced_chunks, announced_chunk_bytes;
 	/* Its digests. */
 	uint64_t chunks, chunk_bytes;
 	/* Root on which enough other keepers agree, as gateways report it. */
--- a/programs/side/keeper_copy.c
+++ b/programs/side/keeper_copy.c
@@ -7,6 +7,7 @@
 #define MANIFEST_TIMEOUT_US 1500000
 #define MANIFEST_MAX (1u << 20)
 #define MANIFEST_BACKOFF_US 300000
+#define ROOT_LOGGED 16 /* hexadecimal digits of a root in log lines */
 
 /* ------------------------------------------------------------------ */
 /* Wanted versions                                                     */
@@ -21,6 +22,8 @@
 	c->version = announced->version;
 	c->announced_us = announced->announced_us;
 	c->deadline_us = announced->deadline_us;
+	c->announced_chunks = announced->chunks;
+	c->announced_chunk_bytes = announced->chunk_bytes;
 	c->chunks = announced->chunks;
 	c->chunk_bytes = announced->chunk_bytes;
 	return c;
@@ -115,12 +118,18 @@
 set_list(struct keeper_copy *c, GBytes *list, const char *from)
 {
 	struct keeper *k = c->keeper;
+	char root[DIGEST_HEX];
 
 	c->list = g_bytes_ref(list);
+	digest_to_hex(&c->wts.root, root);
 	evt(EVT_WEIGHTS,
 	    "step=manifest version=%" G_GINT64_FORMAT
-	    " outcome=known from=%s age_ms=%" G_GINT64_FORMAT,
-	    c->version, from, (keeper_now(k) - c->announced_us) / 1000);
+	    " outcome=known from=%s root=%.*s chunks=%" G_GUINT64_FORMAT
+	    " chunk_bytes=%" G_GUINT64_FORMAT " announced=%" G_GUINT64_FORMAT
+	    "x%" G_GUINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+	    c->version, from, ROOT_LOGGED, root, c->chunks, c->chunk_bytes,
+	    c->announced_chunks, c->announced_chunk_bytes,
+	    (keeper_now(k) - c->announced_us) / 1000);
 	/* If the engine has loaded no version or this one, its staging area may
 	 * contain the chunks. The peers are then set after it was searched, so
 	 * that no chunk in it is fetched. */
