keeper: Refuse lists of digests whose sizes are not the announced ones

Seen by callers: engines without a keeper, or without the newest weights.

Cause: the size of the chunks and the number of digests were taken from the origin's answer as they came, although the answer may be corrupted and the operators' settings name the same figures, which gateways announce. The size then replaced the announced one and became the length that hold_put asserts of a chunk whose digest is right.

Evidence: the line outcome=known before each end has chunk_bytes=72768 announced=64x32768.

A refused list is logged with its reason, counted (digests_refused) and read again after the pause that failed reads have. Nothing of it reaches the transfer, other keepers or the next attempt. A list that could not be used for its sizes had no pause before. The announced size is corrected by gateways until a list is known.

Why it works: no length in a transfer comes from the origin any more where the settings have one, so a chunk whose digest is right has the length that was reserved.

Test: system-digests (six lists with another size).

--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -161,6 +161,9 @@
 };
 /* Adds a newer wanted version; the one before may stay wanted. */
 void keeper_want(struct keeper *k, const struct keeper_announced *announced);
+/* Corrects the size that was announced, until the digests are known. */
+void keeper_set_announced_size(
+    struct keeper_copy *c, uint64_t chunks, uint64_t chunk_bytes);
 /* Drops all wanted versions: the model changed. */
 void keeper_drop_all(struct keeper *k);
 void keeper_drop_older(struct keeper *k);
--- a/programs/side/keeper_copy.c
+++ b/programs/side/keeper_copy.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "side/keeper.h"
+#include "stage/digests.h"
 
 #define MANIFEST_TIMEOUT_US 1500000
 #define MANIFEST_MAX (1u << 20)
@@ -13,22 +14,6 @@
 /* Wanted versions                                                     */
 /* ------------------------------------------------------------------ */
 
-static struct keeper_copy *
-copy_new(struct keeper *k, const struct keeper_announced *announced)
-{
-	struct keeper_copy *c = g_new0(struct keeper_copy, 1);
-
-	c->keeper = k;
-	c->version = announced->version;
-	c->announced_us = announced->announced_us;
-	c->deadline_us = announced->deadline_us;
-	c->announced_chunks = announced->chunks;
-	c->announced_chunk_bytes = announced->chunk_bytes;
-	c->chunks = announced->chunks;
-	c->chunk_bytes = announced->chunk_bytes;
-	return c;
-}
-
 /* Ends the transfer and cancels its calls. */
 static void
 copy_stop(struct keeper_copy *c)
@@ -52,6 +37,21 @@
 	g_clear_pointer(&c->chunk_staged, g_free);
 }
 
+void
+keeper_set_announced_size(
+    struct keeper_copy *c, uint64_t chunks, uint64_t chunk_bytes)
+{
+	if (c->list != NULL ||
+	    (c->announced_chunks == chunks &&
+		c->announced_chunk_bytes == chunk_bytes))
+		return;
+	copy_stop(c);
+	c->announced_chunks = chunks;
+	c->announced_chunk_bytes = chunk_bytes;
+	c->chunks = chunks;
+	c->chunk_bytes = chunk_bytes;
+}
+
 static void
 copy_free(struct keeper_copy *c)
 {
@@ -61,6 +61,19 @@
 	g_free(c);
 }
 
+static struct keeper_copy *
+copy_new(struct keeper *k, const struct keeper_announced *announced)
+{
+	struct keeper_copy *c = g_new0(struct keeper_copy, 1);
+
+	c->keeper = k;
+	c->version = announced->version;
+	c->announced_us = announced->announced_us;
+	c->deadline_us = announced->deadline_us;
+	keeper_set_announced_size(c, announced->chunks, announced->chunk_bytes);
+	return c;
+}
+
 void
 keeper_drop_older(struct keeper *k)
 {
@@ -137,53 +150,100 @@
 		keeper_set_peers(c);
 }
 
-static void
-take_manifest(struct keeper_copy *c, GByteArray *raw, uint64_t chunk_bytes)
+/* Starts or replaces the transfer. False if its sizes are out of bounds. */
+static bool
+take_manifest(struct keeper_copy *c, GByteArray *raw)
 {
 	struct digest root;
 	GBytes *list = g_bytes_new(raw->data, raw->len);
+	bool taken;
 
-	c->chunk_bytes = chunk_bytes;
-	c->chunks = raw->len / DIGEST_BYTES;
-	wts_root(
-	    c->chunks * chunk_bytes, chunk_bytes, raw->data, raw->len, &root);
+	wts_root(c->chunks * c->chunk_bytes, c->chunk_bytes, raw->data,
+	    raw->len, &root);
 	/* The root read from the origin overrides that of other keepers. */
 	if (c->has_root && !digest_equal(&root, &c->wts.root))
 		copy_stop(c);
 	if (!c->has_root)
 		keeper_begin_transfer(c, &root);
-	if (c->has_root && wts_offer_list(c->keeper->wts, &c->wts.root, list)) {
+	taken =
+	    c->has_root && wts_offer_list(c->keeper->wts, &c->wts.root, list);
+	if (taken) {
 		c->origin_root = true;
 		set_list(c, list, "origin");
 	}
 	g_bytes_unref(list);
+	return taken;
+}
+
+/* Compares a list's sizes with the announced ones; sizes that no gateway
+ * announced are taken from the list. */
+static bool
+accept_sizes(struct keeper_copy *c, const struct dgs_size *listed)
+{
+	const struct dgs_size announced = { c->announced_chunks,
+		c->announced_chunk_bytes };
+	const char *field = dgs_contradiction(&announced, listed);
+
+	if (field == NULL) {
+		c->chunks = listed->chunks;
+		c->chunk_bytes = listed->chunk_bytes;
+		return true;
+	}
+	evt(EVT_WEIGHTS,
+	    "step=manifest version=%" G_GINT64_FORMAT
+	    " outcome=refused why=%s chunks=%" G_GUINT64_FORMAT
+	    " chunk_bytes=%" G_GUINT64_FORMAT " announced=%" G_GUINT64_FORMAT
+	    "x%" G_GUINT64_FORMAT,
+	    c->version, field, listed->chunks, listed->chunk_bytes,
+	    announced.chunks, announced.chunk_bytes);
+	return false;
 }
 
 static void
-on_manifest(const struct hfetch_answer *a, void *ctx)
+log_failed_manifest(const struct keeper_copy *c, unsigned int status,
+    const char *outcome, const char *why)
+{
+	evt(EVT_WEIGHTS,
+	    "step=manifest version=%" G_GINT64_FORMAT
+	    " status=%u outcome=%s why=%s",
+	    c->version, status, outcome, why);
+}
+
+/* Whether the answer holds a list of digests that can be the version's. */
+static bool
+read_manifest(struct keeper_copy *c, const struct hfetch_answer *a)
 {
-	struct keeper_copy *c = ctx;
 	GByteArray *raw = g_byte_array_new();
-	uint64_t chunk_bytes = 0;
+	struct dgs_size listed = { 0 };
 	struct err err = { 0 };
+	bool taken = false;
 
-	c->manifest = NULL;
-	if (c->list != NULL) {
-		/* Other keepers have sent the list in the meantime. */
-	} else if (a->status == 200 &&
-	    adapter_manifest_read(
-		a->body, a->len, c->version, raw, &chunk_bytes, &err)) {
-		take_manifest(c, raw, chunk_bytes);
+	if (a->status != 200) {
+		log_failed_manifest(c, a->status, "failed",
+		    a->status == 0 ? a->error : "status");
+	} else if (!adapter_manifest_read(a->body, a->len, c->version, raw,
+		       &listed.chunk_bytes, &err)) {
+		log_failed_manifest(c, a->status, "refused", "unreadable");
 	} else {
-		c->manifest_backoff_us =
-		    keeper_now(c->keeper) + MANIFEST_BACKOFF_US;
-		evt(EVT_WEIGHTS,
-		    "step=manifest version=%" G_GINT64_FORMAT
-		    " status=%u outcome=failed why=%s",
-		    c->version, a->status,
-		    a->status == 0 ? a->error : "unreadable");
+		listed.chunks = raw->len / DIGEST_BYTES;
+		taken = accept_sizes(c, &listed) && take_manifest(c, raw);
 	}
+	if (a->status == 200 && !taken)
+		ctr_add(ctr_get(c->keeper->st.counters, "digests_refused"), 1);
 	g_byte_array_unref(raw);
+	return taken;
+}
+
+static void
+on_manifest(const struct hfetch_answer *a, void *ctx)
+{
+	struct keeper_copy *c = ctx;
+
+	c->manifest = NULL;
+	/* Otherwise other keepers have sent the list in the meantime. */
+	if (c->list == NULL && !read_manifest(c, a))
+		c->manifest_backoff_us =
+		    keeper_now(c->keeper) + MANIFEST_BACKOFF_US;
 	keeper_step(c->keeper);
 }
 
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -136,8 +136,11 @@
 	int64_t version = (int64_t)desired->version;
 
 	if (k->newest != NULL && version <= k->newest->version) {
-		if (version == k->newest->version)
+		if (version == k->newest->version) {
 			k->newest->reported_root = desired->root;
+			keeper_set_announced_size(
+			    k->newest, desired->chunks, desired->chunk_bytes);
+		}
 		return;
 	}
 	/* This keeper has just started: other keepers need its part in the
--- a/tests/adapter/test_calls.c
+++ b/tests/adapter/test_calls.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <string.h>
 
 #include "platform/adapter.h"
 
@@ -78,6 +79,70 @@
 	g_string_free(list, TRUE);
 }
 
+#define DIGEST_A \
+	"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+/* Whether a list of version 2 with these members can be read; its size of chunks
+ * in `chunk_bytes`. */
+static bool
+manifest_is_read(const char *members, uint64_t *chunk_bytes)
+{
+	char *body = g_strdup_printf("{\"model\":\"m\",%s}", members);
+	GByteArray *list = g_byte_array_new();
+	struct err err = { 0 };
+	bool read = adapter_manifest_read(
+	    body, strlen(body), 2, list, chunk_bytes, &err);
+
+	if (read)
+		assert_int_equal(list->len % DIGEST_BYTES, 0);
+	else
+		assert_string_not_equal(err.message, "");
+	g_byte_array_unref(list);
+	g_free(body);
+	return read;
+}
+
+/* Guards against corrupted lists of digests that are read as valid ones. */
+static void
+test_corrupted_manifests_are_refused(void **state)
+{
+	static const char *const corrupted[] = {
+		"\"version\":2,\"digests\":[\"" DIGEST_A "\"]",
+		"\"version\":2,\"chunkBytes\":0,\"digests\":[\"" DIGEST_A "\"]",
+		"\"version\":2,\"chunkBytes\":-32768,\"digests\":[\"" DIGEST_A
+		"\"]",
+		"\"version\":2,\"chunkBytes\":1e3,\"digests\":[\"" DIGEST_A
+		"\"]",
+		"\"version\":2,\"chunkBytes\":null,\"digests\":[\"" DIGEST_A
+		"\"]",
+		"\"version\":2,\"chunkBytes\":\"32768\",\"digests\":[\"" DIGEST_A
+		"\"]",
+		"\"version\":2,\"chunkBytes\":true,\"digests\":[\"" DIGEST_A
+		"\"]",
+		"\"version\":2,\"chunkBytes\":32768,\"digests\":[]",
+		"\"version\":2,\"chunkBytes\":32768,\"digests\":{}",
+		"\"version\":2,\"chunkBytes\":32768,\"digests\":[[]]",
+		"\"version\":2,\"chunkBytes\":32768,\"digests\":[7,null]",
+		"\"version\":2,\"chunkBytes\":32768,\"digests\":[\"00\"]",
+		"\"version\":2,\"chunkBytes\":32768,\"digests\":[\"" DIGEST_A
+		"\",{}]",
+		"\"version\":3,\"chunkBytes\":32768,\"digests\":[\"" DIGEST_A
+		"\"]",
+		"\"version\":2.0,\"chunkBytes\":32768,\"digests\":[\"" DIGEST_A
+		"\"]",
+	};
+	uint64_t chunk_bytes = 0;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(corrupted); i++)
+		assert_false(manifest_is_read(corrupted[i], &chunk_bytes));
+	assert_true(manifest_is_read(
+	    "\"version\":2,\"chunkBytes\":72768,\"digests\":[\"" DIGEST_A
+	    "\",\"" DIGEST_A "\"]",
+	    &chunk_bytes));
+	assert_int_equal(chunk_bytes, 72768);
+}
+
 int
 main(void)
 {
@@ -86,6 +151,7 @@
 		cmocka_unit_test(test_malformed_parts),
 		cmocka_unit_test(test_leading_zeros_are_dropped),
 		cmocka_unit_test(test_long_lists_are_cut_off),
+		cmocka_unit_test(test_corrupted_manifests_are_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -793,31 +793,6 @@
 /* The origin                                                          */
 /* ------------------------------------------------------------------ */
 
-static void
-answer_manifest(struct hreq *r, int64_t version)
-{
-	GString *out = g_string_new(NULL);
-	uint8_t chunk[FLEET_CHUNK_BYTES];
-	struct digest digest;
-	char hex[DIGEST_HEX];
-	uint64_t i;
-
-	g_string_printf(out,
-	    "{\"model\":\"" FLEET_MODEL "\",\"version\":%" G_GINT64_FORMAT
-	    ",\"chunkBytes\":%d,\"layers\":4,\"digests\":[",
-	    version, FLEET_CHUNK_BYTES);
-	for (i = 0; i < FLEET_CHUNKS; i++) {
-		fleet_chunk(version, i, chunk);
-		digest_of(chunk, sizeof(chunk), &digest);
-		digest_to_hex(&digest, hex);
-		g_string_append_printf(out, "%s\"%s\"", i > 0 ? "," : "", hex);
-	}
-	g_string_append(out, "]}");
-	hreq_answer(
-	    r, 200, "Content-Type: application/json\r\n", out->str, out->len);
-	g_string_free(out, TRUE);
-}
-
 /* Corrupts one answer in twenty, and truncates another. */
 static void
 on_origin(struct hreq *r, void *ctx)
@@ -830,7 +805,7 @@
 	uint8_t chunk[FLEET_CHUNK_BYTES];
 
 	if (g_str_has_prefix(target, "/-/manifest/")) {
-		answer_manifest(r, version);
+		fleet_manifest_answer(f, r, version);
 	} else if (i < FLEET_CHUNKS) {
 		fleet_chunk(version, i, chunk);
 		if (rng_below(&f->rng, 20) == 0)
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -146,6 +146,7 @@
 	int64_t previous_version;
 	/* Origin. */
 	struct hserver *origin;
+	unsigned int manifests; /* lists of digests that it sent */
 	/* One in so many answers is broken off, and all framings are used; 0:
 	 * none is, and answers have a length or chunks. */
 	int broken_one_in;
@@ -216,6 +217,10 @@
 void fleet_chunk(int64_t version, uint64_t index, uint8_t *out);
 bool fleet_origin_open(struct fleet *f, const char *address, struct err *err);
 
+/* manifest.c: the origin's lists of digests */
+struct poptOption *fleet_manifest_options(void);
+void fleet_manifest_answer(struct fleet *f, struct hreq *r, int64_t version);
+
 /* The engine announces its stop in all its answers, and in its record unless
  * `silent`; it is replaced by another LEAVE_US (engine.c) later. */
 void fleet_engine_leave(struct fleet *f, size_t i, bool silent);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -568,6 +568,8 @@
 		    "Failures:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_settings_options(), 0,
 		    "Settings:", NULL },
+		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_manifest_options(), 0,
+		    "Lists of digests:", NULL },
 		{ "late", 0, POPT_ARG_INT, &late, 0,
 		    "one in so many kept connections is reused late; 0: none",
 		    "N" },
