weights: Check the length of a chunk that is found on this host

Seen by callers: as with corrupted sizes, a sidecar that ends itself and an engine without one until the next start.

Cause: wts_offer checked the digest of the offered bytes and left their length to an assertion of hold_put. Bytes of a peer or of the origin are compared with the length of the chunk where they are read; these, read back from a staging area that nothing protects, were not.

Evidence: test_offer_verifies_length, a list whose first digest is that of 100 bytes, ends the test at the assertion before the change and passes now.

Why it works: all three ways to hold_put now refuse another length where the bytes are read, so the assertion states what this package guarantees.

--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -140,7 +140,7 @@
  */
 void wts_drop(struct wts *wts, const struct digest *root);
 /* Supply the chunk list or a chunk of a wanted version that was found on this
- * host. False if it does not match the digests of the version. */
+ * host. False if it does not match the sizes and digests of the version. */
 bool wts_offer_list(struct wts *wts, const struct digest *root, GBytes *list);
 bool wts_offer(
     struct wts *wts, const struct digest *root, uint64_t index, GBytes *bytes);
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -228,7 +228,8 @@
 	gsize len;
 	const void *raw = g_bytes_get_data(bytes, &len);
 
-	if (x == NULL || x->stored == NULL || index >= x->pick->conf.chunks)
+	if (x == NULL || x->stored == NULL || index >= x->pick->conf.chunks ||
+	    len != xfer_len_of(x, index))
 		return false;
 	digest_of(raw, len, &got);
 	if (!digest_equal(&got, version_chunk_digest(x->list, index)))
--- a/tests/weights/test_xfer.c
+++ b/tests/weights/test_xfer.c
@@ -52,12 +52,42 @@
 	model_free(&m);
 }
 
+/* Guards against a staged chunk that ends the process: its digest is in the
+ * list, and its length is not that of a chunk. */
+static void
+test_offer_verifies_length(void **state)
+{
+	struct nodes s = { .rate = 4 << 20, .memory = 1 << 20 };
+	struct wts_want want = { .policy = WTS_PEERS_ONLY };
+	struct model m;
+	struct err err = { 0 };
+	GBytes *list, *shorter;
+
+	model_init(&m, "m", 8, 1);
+	model_compute_root(&m);
+	digest_of(m.bytes->data, 100, (struct digest *)m.list->data);
+	wts_root(m.version.bytes, m.version.chunk_bytes, m.list->data,
+	    m.list->len, &m.version.root);
+	nodes_start(&s, 1);
+	want.version = m.version;
+	assert_true(wts_want(s.node[0].wts, &want, &err));
+	list = g_bytes_new(m.list->data, m.list->len);
+	assert_true(wts_offer_list(s.node[0].wts, &m.version.root, list));
+	shorter = g_bytes_new(m.bytes->data, 100);
+	assert_false(wts_offer(s.node[0].wts, &m.version.root, 0, shorter));
+	g_bytes_unref(shorter);
+	g_bytes_unref(list);
+	nodes_stop(&s);
+	model_free(&m);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_complete_with_one_origin_copy),
 		cmocka_unit_test(test_offer_verifies_offered_bytes),
+		cmocka_unit_test(test_offer_verifies_length),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
