weights: Share chunks between versions only if their lengths agree

Seen by callers: nothing yet; by reading, a sidecar that ends itself.

Cause: the store of chunks was keyed by the digest alone, and a chunk had the length of the first version that named it. With two open versions whose lists give one digest other lengths, as when one list is corrupted and not dropped yet, sound bytes of the second failed the assertion of hold_put, and the memory was reserved with the first length.

Evidence: test_chunks_of_other_lengths_are_not_shared; before the change 100 bytes are reserved where the chunk needs 4096 and hold_put would end the process.

Why it works: the key has digest and length, so a chunk's length is the one that each version that uses it has verified.

--- a/lib/weights/hold.c
+++ b/lib/weights/hold.c
@@ -12,9 +12,15 @@
 	struct hold_chunk *chunk;
 };
 
-struct hold_chunk {
+/* Versions share a chunk only if both agree: a list may be corrupt until its
+ * chunks have arrived. */
+struct hold_key {
 	struct digest digest;
 	uint64_t len;
+};
+
+struct hold_chunk {
+	struct hold_key key;
 	GBytes *bytes; /* NULL until received */
 	LIST_HEAD(use_list, hold_use) uses;
 };
@@ -29,12 +35,26 @@
 };
 
 struct hold {
-	GHashTable *chunks; /* digest (inside the chunk) -> struct hold_chunk */
+	GHashTable *chunks; /* key (inside the chunk) -> struct hold_chunk */
 	uint64_t limit;
 	uint64_t reserved;
 	LIST_HEAD(retired_list, hold_version) retired;
 };
 
+static guint
+key_hash(gconstpointer key)
+{
+	return digest_hash(&((const struct hold_key *)key)->digest);
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+	const struct hold_key *x = a, *y = b;
+
+	return x->len == y->len && digest_equal(&x->digest, &y->digest);
+}
+
 static void
 free_chunk(gpointer data)
 {
@@ -49,8 +69,8 @@
 {
 	struct hold *hold = g_new0(struct hold, 1);
 
-	hold->chunks = g_hash_table_new_full(
-	    digest_hash, digest_equal_ptr, NULL, free_chunk);
+	hold->chunks =
+	    g_hash_table_new_full(key_hash, key_equal, NULL, free_chunk);
 	hold->limit = memory_bytes;
 	LIST_INIT(&hold->retired);
 	return hold;
@@ -73,14 +93,14 @@
 {
 	struct hold *hold = version->hold;
 	struct hold_use *use = &version->uses[index];
-	struct hold_chunk *chunk = g_hash_table_lookup(hold->chunks, digest);
+	struct hold_key key = { .digest = *digest, .len = len };
+	struct hold_chunk *chunk = g_hash_table_lookup(hold->chunks, &key);
 
 	if (chunk == NULL) {
 		chunk = g_new0(struct hold_chunk, 1);
-		chunk->digest = *digest;
-		chunk->len = len;
+		chunk->key = key;
 		LIST_INIT(&chunk->uses);
-		g_hash_table_insert(hold->chunks, &chunk->digest, chunk);
+		g_hash_table_insert(hold->chunks, &chunk->key, chunk);
 		hold->reserved += len;
 	}
 	use->version = version;
@@ -133,8 +153,8 @@
 		LIST_REMOVE(&version->uses[i], link);
 		if (!LIST_EMPTY(&chunk->uses))
 			continue;
-		hold->reserved -= chunk->len;
-		g_hash_table_remove(hold->chunks, &chunk->digest);
+		hold->reserved -= chunk->key.len;
+		g_hash_table_remove(hold->chunks, &chunk->key);
 	}
 	g_free(version);
 }
@@ -180,7 +200,7 @@
 	chunk = version->uses[index].chunk;
 	if (chunk->bytes != NULL)
 		return;
-	g_assert(g_bytes_get_size(bytes) == chunk->len);
+	g_assert(g_bytes_get_size(bytes) == chunk->key.len);
 	chunk->bytes = g_bytes_ref(bytes);
 	LIST_FOREACH (use, &chunk->uses, link) {
 		struct hold_version *user = use->version;
--- a/lib/weights/hold.h
+++ b/lib/weights/hold.h
@@ -2,9 +2,9 @@
 #define WEIGHTS_HOLD_H
 
 /*
- * hold: the in-memory store of this host's chunks, keyed by digest. Each
- * version that needs a chunk holds a reference to it; a chunk is freed with its
- * last reference. Memory for all chunks of a version is reserved when it is
+ * hold: the in-memory store of this host's chunks, keyed by digest and length.
+ * Each version that needs a chunk holds a reference to it; a chunk is freed with
+ * its last reference. Memory for all chunks of a version is reserved when it is
  * opened, so that a running transfer cannot run out of memory.
  */
 
@@ -38,8 +38,9 @@
 bool hold_has(const struct hold_version *version, uint64_t index);
 /* Borrowed; NULL if not stored. */
 GBytes *hold_get(const struct hold_version *version, uint64_t index);
-/* Stores verified bytes and calls `filled` for every use of the chunk,
- * including this one. A chunk that is stored already is unchanged. */
+/* Stores bytes whose digest and length were verified and calls `filled` for
+ * every use of the chunk, including this one. A chunk that is stored already is
+ * unchanged. */
 void hold_put(struct hold_version *version, uint64_t index, GBytes *bytes);
 uint64_t hold_reserved(const struct hold *hold); /* bytes */
 
--- a/tests/weights/test_hold.c
+++ b/tests/weights/test_hold.c
@@ -77,6 +77,37 @@
 	hold_free(hold);
 }
 
+/* Guards against a chunk that ends the process: two versions have its digest in
+ * their lists, at places of different lengths. */
+static void
+test_chunks_of_other_lengths_are_not_shared(void **state)
+{
+	struct hold *hold = hold_new(1 << 20);
+	struct wts_version a_version = { .bytes = CHUNK, .chunk_bytes = CHUNK };
+	struct wts_version b_version = { .bytes = 100, .chunk_bytes = CHUNK };
+	GBytes *chunk = g_bytes_new_static(bytes, CHUNK);
+	unsigned int filled = 0;
+	struct digest digest;
+	GBytes *list;
+	struct hold_version *a, *b;
+
+	digest_of(bytes, CHUNK, &digest);
+	list = g_bytes_new(&digest, sizeof(digest));
+	b = hold_open(hold, &b_version, list, note_filled, &filled, NULL);
+	a = hold_open(hold, &a_version, list, note_filled, &filled, NULL);
+	assert_int_equal(hold_reserved(hold), CHUNK + 100);
+	hold_put(a, 0, chunk);
+	assert_ptr_equal(hold_get(a, 0), chunk);
+	assert_false(hold_has(b, 0));
+	hold_retire(b);
+	hold_close(a);
+	hold_release_retired(hold);
+	assert_int_equal(hold_reserved(hold), 0);
+	g_bytes_unref(list);
+	g_bytes_unref(chunk);
+	hold_free(hold);
+}
+
 /* A version that does not fit is refused before any chunk of it is fetched;
  * chunks retained for a dropped version are freed first. */
 static void
@@ -204,6 +235,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 		    test_chunks_are_shared_and_freed_with_last_use),
+		cmocka_unit_test(test_chunks_of_other_lengths_are_not_shared),
 		cmocka_unit_test(test_memory_budget),
 		cmocka_unit_test(test_digest_of_a_file),
 		cmocka_unit_test(test_index_encoding),
