keeper: Read a list of digests again when chunks contradict it

What was read from the origin was believed for as long as the version was wanted: the chunk of the wrong digest was read again and again, each copy counted as corrupt, and the list that caused it was never read again. "The root read from the origin overrides that of other keepers" kept a keeper with a corrupt list alone even where all others agreed.

A corrupt copy differs from the next one.

Change: misfits.c remembers the digests of copies that do not match. After two equal ones the list is read again, at once and then with pauses of 0.3 s up to 5 s. It is replaced only by a list that has the digests of all such copies; an equal one is confirmed, another one refused. Chunks that both lists name are kept. A keeper whose version is incomplete continues with the root on which two other keepers agree, except one that chunks have contradicted. A new root is reported to gateways at once. The digests get a file of their own.

Why it works: a list in use is either matched by its chunks, or contradicted by the bytes that the origin keeps sending, which no corruption of single answers produces.

--- a/lib/stage/digests.c
+++ b/lib/stage/digests.c
@@ -2,6 +2,12 @@
 
 #include "stage/digests.h"
 
+/* Time between two reads of a list. It doubles while the copies of a chunk
+ * still contradict the list. */
+#define REREAD_MIN_US 300000
+#define REREAD_MAX_US 5000000
+#define REREAD_DOUBLINGS 5
+
 const char *
 dgs_contradiction(
     const struct dgs_size *announced, const struct dgs_size *listed)
@@ -13,3 +19,23 @@
 		return "chunks";
 	return NULL;
 }
+
+bool
+dgs_is_reread(const struct dgs_doubt *d, int64_t now_us)
+{
+	int64_t pause_us = (int64_t)REREAD_MIN_US
+	    << MIN(d->rereads, REREAD_DOUBLINGS);
+
+	if (!d->contradicted)
+		return false;
+	return d->reread_us == 0 ||
+	    now_us - d->reread_us >= MIN(pause_us, REREAD_MAX_US);
+}
+
+bool
+dgs_follows_others(const struct dgs_roots *r)
+{
+	return !digest_is_none(&r->own) && !digest_is_none(&r->agreed) &&
+	    !digest_equal(&r->agreed, &r->own) &&
+	    !digest_equal(&r->agreed, &r->rejected);
+}
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -144,6 +144,20 @@
 bool wts_offer_list(struct wts *wts, const struct digest *root, GBytes *list);
 bool wts_offer(
     struct wts *wts, const struct digest *root, uint64_t index, GBytes *bytes);
+/* A missing chunk of which the origin sent the same bytes repeatedly, although
+ * they do not match the list. */
+#define WTS_MISFIT_COPIES 2
+struct wts_misfit {
+	uint64_t index;
+	struct digest digest; /* of these bytes */
+	unsigned int copies;
+};
+/* The chunk with the most such copies. False if there is none. */
+bool wts_worst_misfit(
+    struct wts *wts, const struct digest *root, struct wts_misfit *out);
+/* Whether another list of the same length has the digests of all such copies. */
+bool wts_matches_misfits(
+    struct wts *wts, const struct digest *root, GBytes *list);
 /* The chunk list once it is known and verified, or else NULL. Borrowed. */
 GBytes *wts_known_list(struct wts *wts, const struct digest *root);
 /* Sets the other participants (live or suspected members, without this host).
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -241,6 +241,25 @@
 	return true;
 }
 
+bool
+wts_worst_misfit(
+    struct wts *wts, const struct digest *root, struct wts_misfit *out)
+{
+	struct xfer *x = wts_find(wts, root);
+
+	return x != NULL && misfits_worst(x->misfits, out);
+}
+
+bool
+wts_matches_misfits(struct wts *wts, const struct digest *root, GBytes *list)
+{
+	struct xfer *x = wts_find(wts, root);
+
+	return x != NULL &&
+	    g_bytes_get_size(list) == version_list_len(&x->want.version) &&
+	    misfits_match(x->misfits, list);
+}
+
 void
 wts_set_peers(struct wts *wts, const struct digest *root,
     const struct wts_peer *peers, size_t n)
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -57,6 +57,7 @@
 	uint64_t chunks, chunk_bytes;
 	/* Root on which enough other keepers agree, as gateways report it. */
 	struct digest reported_root;
+	struct digest rejected_root; /* of the list that was replaced */
 	struct hfetch *manifest;
 	/* No manifest request to the origin before. */
 	int64_t manifest_backoff_us;
@@ -65,6 +66,10 @@
 	bool has_root; /* `wts` is set and the transfer has started */
 	struct wts_version wts;
 	GBytes *list; /* NULL: not known yet */
+	/* Chunks contradict the list, and it is being read again. */
+	bool doubted;
+	unsigned int rereads;
+	int64_t reread_us;
 	/* Its chunks. */
 	uint64_t logged_chunks; /* number of stored chunks, as last logged */
 	int64_t logged_us;
@@ -80,7 +85,7 @@
 struct keeper_status {
 	uint64_t engine; /* enum side_engine */
 	int64_t loaded, wanted;
-	bool origin_root;
+	struct digest root; /* read from the origin; zero: none */
 	unsigned int running, waiting;
 	bool slow_link; /* inbound traffic of this host is slow */
 	unsigned int inbound_ms; /* and may wait this long behind chunks */
@@ -153,7 +158,7 @@
 /* Region of a failure domain, by the settings; the domain itself if none. */
 const char *keeper_region(const struct keeper *k, const char *domain);
 
-/* keeper_copy.c: wanted versions and their digests */
+/* keeper_copy.c: wanted versions */
 struct keeper_announced {
 	int64_t version;
 	int64_t announced_us, deadline_us;
@@ -164,12 +169,18 @@
 /* Corrects the size that was announced, until the digests are known. */
 void keeper_set_announced_size(
     struct keeper_copy *c, uint64_t chunks, uint64_t chunk_bytes);
+/* Ends the transfer and cancels its calls. */
+void keeper_stop_copy(struct keeper_copy *c);
 /* Drops all wanted versions: the model changed. */
 void keeper_drop_all(struct keeper *k);
 void keeper_drop_older(struct keeper *k);
+
+/* keeper_digests.c: digests of wanted versions */
 /* Gets a version's digests: from other keepers once enough of them agree on
  * its root, or from the origin when it is this keeper's turn. */
 void keeper_get_digests(struct keeper_copy *c);
+/* Replaces a list that other keepers or the chunks contradict. */
+void keeper_check_digests(struct keeper_copy *c);
 
 /* keeper_weights.c: transfers between keepers */
 bool keeper_weights_open(struct keeper *k, struct err *err);
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -322,6 +322,10 @@
 	struct stg_state state;
 	enum stg_step step;
 
+	if (k->newest != NULL)
+		keeper_check_digests(k->newest);
+	if (k->older != NULL)
+		keeper_check_digests(k->older);
 	if (k->newest == NULL || k->call != NULL ||
 	    keeper_now(k) < k->backoff_until_us)
 		return;
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -148,10 +148,14 @@
 	return SIDE_ENGINE_UP;
 }
 
-static bool
-has_own_root(const struct keeper *k)
+static struct digest
+own_root(const struct keeper *k)
 {
-	return k->newest != NULL && k->newest->origin_root;
+	struct digest none = { 0 };
+
+	if (k->newest == NULL || !k->newest->origin_root)
+		return none;
+	return k->newest->wts.root;
 }
 
 /* Rounded up to steps, as each rise is reported at once. */
@@ -171,7 +175,7 @@
 		.engine = engine_state(k),
 		.loaded = k->loaded,
 		.wanted = k->newest == NULL ? 0 : k->newest->version,
-		.origin_root = has_own_root(k),
+		.root = own_root(k),
 		.running = k->engine.running,
 		.waiting = k->engine.waiting,
 		.slow_link = wts_is_link_slow(k->wts),
@@ -188,7 +192,7 @@
 state_differs(const struct keeper_status *a, const struct keeper_status *b)
 {
 	return a->engine != b->engine || a->loaded != b->loaded ||
-	    a->wanted != b->wanted || a->origin_root != b->origin_root ||
+	    a->wanted != b->wanted || !digest_equal(&a->root, &b->root) ||
 	    a->slow_link != b->slow_link || a->limit_known != b->limit_known ||
 	    a->limit != b->limit || a->silent != b->silent;
 }
@@ -287,9 +291,9 @@
 	for (i = 0; i < k->gateways->len; i++)
 		report->without_store += gateway_at(k, i)->store_down;
 	fill_wanted(k, report);
-	if (status->origin_root)
+	if (!digest_is_none(&status->root))
 		report->root =
-		    (struct slice){ k->newest->wts.root.bytes, DIGEST_BYTES };
+		    (struct slice){ status->root.bytes, DIGEST_BYTES };
 }
 
 /* Names a gateway of a remote region in the report, the next one each time. */
--- a/tests/fleet/manifest.c
+++ b/tests/fleet/manifest.c
@@ -15,7 +15,7 @@
 		    "first lists of digests that state another size of chunks",
 		    "N" },
 		{ "bad-digests", 0, POPT_ARG_INT, &bad_digests, 0,
-		    "first lists of digests with one wrong digit in a digest",
+		    "first lists of each version with a wrong digit in a digest",
 		    "N" },
 		POPT_TABLEEND
 	};
@@ -52,6 +52,8 @@
 void
 fleet_manifest_answer(struct fleet *f, struct hreq *r, int64_t version)
 {
+	static int64_t last_version;
+	static unsigned int of_version;
 	int n = (int)f->manifests++;
 	GString *out = g_string_new(NULL);
 	size_t digests;
@@ -62,8 +64,11 @@
 	    version, FLEET_CHUNK_BYTES + (n < bad_sizes ? 1000 : 0));
 	digests = out->len;
 	add_digests(out, version);
-	if (n < bad_digests)
-		corrupt_digest(out->str + digests, (unsigned int)n);
+	if (version != last_version)
+		of_version = 0;
+	last_version = version;
+	if ((int)of_version++ < bad_digests)
+		corrupt_digest(out->str + digests, of_version);
 	g_string_append(out, "]}");
 	hreq_answer(
 	    r, 200, "Content-Type: application/json\r\n", out->str, out->len);
