http: End calls whose answer has no end

Seen by callers: nothing yet; what a gateway or keeper reads from a server that sends without end costs its link and processor until the call's own time is over (37 to 56 MB in one request of a keeper at full speed).

Cause: hfetch noted that an answer is too long and read on. Nothing counted interim answers, empty lines before a head and late answers that are discarded.

Change: a call has a largest body and fails with too_long at the first byte beyond it, or at the head that announces more. Discarded answers share a bound of 256 KB in a call, empty lines count against the largest head. A report of an engine that has no end counts as no answer, as before, not as the end of the engine.

Why it works: each byte that a call reads now counts against the head, the body or what is discarded, and each of these has a bound.

The clients of the store, of an engine and of the origin are calls of this kind.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -14,12 +14,17 @@
  * unknown whether the target executed the request. */
 #define KEEP_ALIVE_PERCENT 60
 
+/* Interim responses and late ones to earlier requests are discarded, up to this
+ * number of bytes in a call: a faulty target may send them without end. */
+#define DISCARD_MAX (256u << 10)
+
 static const char *const failure_names[HCALL_FAILURES] = {
 	[HCALL_UNREACHABLE] = "unreachable",
 	[HCALL_CLOSED] = "closed",
 	[HCALL_TRUNCATED] = "truncated",
 	[HCALL_RESET] = "reset",
 	[HCALL_MALFORMED] = "malformed",
+	[HCALL_TOO_LONG] = "too_long",
 };
 
 const char *
@@ -161,8 +166,13 @@
 	struct hlink *l = ctx;
 	struct hcall *c = l->call;
 
-	if (c->skip_response || c->cancelled)
+	if (c->skip_response || c->cancelled || c->too_long)
+		return;
+	c->body_bytes += len;
+	if (c->body_bytes > c->body_max) {
+		c->too_long = true;
 		return;
+	}
 	c->in_callback = true;
 	c->ops->body(c, data, len, c->ctx);
 	c->in_callback = false;
@@ -203,6 +213,9 @@
 	c->in_callback = true;
 	c->ops->head(c, &l->parse.msg, c->ctx);
 	c->in_callback = false;
+	/* A long body that was announced need not arrive first. */
+	if (!c->skip_response && l->parse.msg.length > c->body_max)
+		c->too_long = true;
 }
 
 /* Prepares for the next response after a skipped one is complete. */
@@ -213,6 +226,15 @@
 	l->parse.no_body = l->call->no_body;
 	l->call->skip_response = false;
 	l->call->response_begun = false;
+	l->call->discarded += l->call->current;
+	l->call->current = 0;
+}
+
+static bool
+is_too_long(const struct hcall *c)
+{
+	return c->too_long ||
+	    (c->skip_response && c->discarded + c->current > DISCARD_MAX);
 }
 
 static void
@@ -238,14 +260,21 @@
 			l->call->response_begun = true;
 		result = hparse_feed(&l->parse, data + used, len - used, &n);
 		used += n;
+		l->call->current += n;
 		if (result == HPARSE_HEAD)
 			on_head(l);
 		if (l->call->cancelled) {
 			free_cancelled(l);
 			return false;
 		}
+		if (is_too_long(l->call)) {
+			call_failed(l, HCALL_TOO_LONG);
+			return false;
+		}
 		if (result == HPARSE_BAD || result == HPARSE_HEAD_TOO_LARGE) {
-			call_failed(l, HCALL_MALFORMED);
+			call_failed(l,
+			    result == HPARSE_BAD ? HCALL_MALFORMED
+						 : HCALL_TOO_LONG);
 			return false;
 		}
 		if (result == HPARSE_MORE)
@@ -388,6 +417,7 @@
 	c->ops = conf->ops;
 	c->ctx = conf->ctx;
 	c->no_body = conf->no_body;
+	c->body_max = conf->body_max == 0 ? UINT64_MAX : conf->body_max;
 	l->call = c;
 	l->parse.no_body = conf->no_body;
 	hbuf_add(&l->out, conf->head, conf->head_len);
@@ -404,6 +434,14 @@
 	c->link->no_reuse = true;
 }
 
+void
+hcall_limit_rest(struct hcall *c, size_t rest)
+{
+	c->body_max = MIN(c->body_max, c->body_bytes + rest);
+	if (c->link != NULL)
+		c->link->no_reuse = true;
+}
+
 void
 hcall_no_reuse(struct hcall *c)
 {
--- a/lib/http/client_internal.h
+++ b/lib/http/client_internal.h
@@ -54,6 +54,10 @@
 	bool skip_response; /* discard the current response */
 	bool cancelled; /* by the owner, from within a callback */
 	bool paused;
+	uint64_t body_max, body_bytes; /* of the current response */
+	/* Bytes of interim and discarded responses, and of the current one. */
+	size_t discarded, current;
+	bool too_long; /* a limit was exceeded */
 };
 
 static inline struct evl *
--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -14,8 +14,6 @@
 	struct hbuf body;
 	const char *header_name; /* NULL: none is asked for */
 	char header[HEADER_MAX];
-	size_t answer_max;
-	bool too_long;
 	hfetch_cb *done;
 	void *ctx;
 };
@@ -49,10 +47,7 @@
 {
 	struct hfetch *f = ctx;
 
-	if (hbuf_left(&f->body) + len > f->answer_max)
-		f->too_long = true;
-	else
-		hbuf_add(&f->body, data, len);
+	hbuf_add(&f->body, data, len);
 }
 
 static void
@@ -61,9 +56,8 @@
 	struct hfetch *f = ctx;
 
 	finish(f,
-	    &(struct hfetch_answer){ .status = f->too_long ? 0 : f->status,
+	    &(struct hfetch_answer){ .status = f->status,
 		.sent = true,
-		.error = "answer too long",
 		.body = hbuf_front(&f->body),
 		.len = hbuf_left(&f->body),
 		.header = f->header });
@@ -73,8 +67,10 @@
 on_failed(struct hcall *c, enum hcall_failure why, bool sent, void *ctx)
 {
 	finish(ctx,
-	    &(struct hfetch_answer){
-		.sent = sent, .error = hcall_failure_name(why), .header = "" });
+	    &(struct hfetch_answer){ .sent = sent,
+		.error = hcall_failure_name(why),
+		.too_long = why == HCALL_TOO_LONG,
+		.header = "" });
 }
 
 static const struct hcall_ops ops = {
@@ -117,7 +113,6 @@
 		g_string_append(head, "Connection: close\r\n");
 	g_string_append(head, "\r\n");
 	f->loop = loop;
-	f->answer_max = conf->answer_max;
 	f->header_name = conf->header;
 	f->done = conf->done;
 	f->ctx = conf->ctx;
@@ -128,6 +123,7 @@
 		.head_len = head->len,
 		.body = conf->body,
 		.body_len = conf->body_len,
+		.body_max = conf->answer_max,
 		.ops = &ops,
 		.ctx = f });
 	if (conf->close)
--- a/lib/http/fetch.h
+++ b/lib/http/fetch.h
@@ -12,6 +12,8 @@
 	bool sent; /* with status 0: the request may have been executed */
 	const char *error; /* with status 0: the cause */
 	bool timed_out; /* with status 0: there was no sign of a failure */
+	/* With status 0: more bytes arrived than a response may have. */
+	bool too_long;
 	const void *body;
 	size_t len;
 	/* Value of the header asked for; "" if it is missing or too long. */
@@ -29,7 +31,7 @@
 	size_t body_len;
 	int64_t timeout_us;
 	const char *header; /* of the response, for the answer; NULL: none */
-	size_t answer_max; /* bytes; a longer response is a failure */
+	size_t answer_max; /* bytes of the body; a longer one is a failure */
 	/* Close the connection after the call, for targets that accept few. */
 	bool close;
 	hfetch_cb *done;
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -112,6 +112,7 @@
 	HCALL_TRUNCATED, /* closed in order before the response ended */
 	HCALL_RESET, /* connection lost within a response */
 	HCALL_MALFORMED, /* not HTTP, or ambiguous */
+	HCALL_TOO_LONG, /* more bytes than the call accepts */
 	HCALL_FAILURES,
 };
 
@@ -155,6 +156,7 @@
 	const void *body;
 	size_t body_len;
 	bool no_body; /* a HEAD request: the response has no body */
+	size_t body_max; /* bytes; a longer body fails the call. 0: no limit */
 	const struct hcall_ops *ops;
 	void *ctx;
 };
@@ -167,6 +169,9 @@
 /* From `head`: this response belongs to an earlier request. Discards it and
  * waits for the next one. */
 void hcall_skip(struct hcall *c);
+/* From `head` or `body`: the rest of the body is of no use. Fails the call once
+ * more than `rest` further bytes of it have arrived. */
+void hcall_limit_rest(struct hcall *c, size_t rest);
 /* Closes the connection after this call instead of reusing it. */
 void hcall_no_reuse(struct hcall *c);
 /* Stops or resumes reading the response. */
--- a/lib/http/parse.c
+++ b/lib/http/parse.c
@@ -244,6 +244,7 @@
 	g_free(p->msg.headers);
 	memset(&p->msg, 0, sizeof(p->msg));
 	p->headers_size = 0;
+	p->skipped = 0;
 	p->head_done = false;
 	p->no_body = false;
 	p->complete = false;
@@ -355,6 +356,7 @@
 		len--;
 		skipped++;
 	}
+	p->skipped += skipped;
 	before = p->head.len;
 	from = before < 3 ? 0 : before - 3;
 	hbuf_add(&p->head, data, MIN(len, p->head_max + 4 - before));
@@ -367,7 +369,7 @@
 		return parse_head(p);
 	}
 	*used = skipped + p->head.len - before;
-	if (p->head.len > p->head_max)
+	if (p->head.len > p->head_max || p->skipped > p->head_max)
 		return HPARSE_HEAD_TOO_LARGE;
 	return HPARSE_MORE;
 }
--- a/lib/http/parse.h
+++ b/lib/http/parse.h
@@ -7,7 +7,7 @@
  * header slices stay valid for the lifetime of the message, and rejects heads
  * that two parsers could interpret differently (request smuggling): bare line
  * feeds, folded lines, NUL, two lengths, a length together with chunked
- * encoding.
+ * encoding. Empty lines before a head count against its largest size.
  */
 
 #include <http_parser.h>
@@ -64,7 +64,7 @@
 	bool head_done;
 	bool no_body; /* set before the head is parsed: response to HEAD */
 	bool complete;
-	bool value_open; /* unused */
+	size_t skipped; /* empty lines before the head, in bytes */
 	size_t headers_size;
 	/* Called with body bytes as they are parsed. */
 	void (*body)(const char *data, size_t len, void *ctx);
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -27,23 +27,25 @@
 		k->older->checked_us = 0;
 }
 
-/* Requests that a silent engine runs may still be answered, and none of them has
+/* Requests that an engine runs while it answers no report, or without end, may
+ * still be answered, and none of them has
  * terminated it. */
 static bool
-is_only_silent(const struct keeper *k, bool timed_out)
+is_only_silent(const struct keeper *k, const struct hfetch_answer *a)
 {
-	return timed_out && keeper_now(k) - k->answered_us < SV_SILENCE_MAX_US;
+	return (a->timed_out || a->too_long) &&
+	    keeper_now(k) - k->answered_us < SV_SILENCE_MAX_US;
 }
 
 static void
-note_report_failure(struct keeper *k, bool timed_out)
+note_report_failure(struct keeper *k, const struct hfetch_answer *a)
 {
 	bool was_silent = k->silent;
 
 	k->report_failures++;
 	if (k->report_failures < REPORT_FAILURES || !k->up)
 		return;
-	k->silent = is_only_silent(k, timed_out);
+	k->silent = is_only_silent(k, a);
 	if (k->silent) {
 		if (!was_silent)
 			evt(EVT_ENGINE,
@@ -139,7 +141,7 @@
 	    adapter_report_read(a->body, a->len, &report, &err))
 		note_report(k, &report);
 	else
-		note_report_failure(k, a->timed_out);
+		note_report_failure(k, a);
 	keeper_send_status(k);
 	keeper_step(k);
 }
