fwd: End attempts whose answer is of no use and has no end

Seen by callers: a request that a server refuses, or answers with a failure or without a seal, waits until its deadline if the body of that answer goes on, although the head says all that is needed and other servers could run it.

Cause: the body of an answer that is not relayed was read to its end, and so was one larger than the buffer.

Change: of an answer that is not relayed 64 KB of body are read, of one that is too large for the buffer no more. Then the attempt ends as one whose answer was lost, or, after the head of a refusal, as refused.

Why it works: a refusal holds from its head on (on_failed), so the request is sent elsewhere at once; a lost answer is retried where the route allows it and otherwise fails at once with 502.

Test: serve-endless, 17 kinds each for plain requests and streams: the second server answers; a request that may run once gets 502 and no second run, except after a refusal.

--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -8,6 +8,8 @@
 /* Largest answer that is buffered, and largest event of a stream. */
 #define ANSWER_MAX (8u << 20)
 #define EVENT_MAX (1u << 20)
+/* Bytes of the body of an answer that is not relayed. */
+#define UNUSED_MAX (64u << 10)
 /* Moving average of the time to the first event: a new value counts 1/16. */
 #define FIRST_EVENT_WEIGHT 16
 
@@ -177,7 +179,7 @@
 	g_string_truncate(a->headers, 0);
 	fwd_answer_headers(m, a->headers);
 	if (a->not_run || a->unusable)
-		hcall_no_reuse(a->call);
+		hcall_limit_rest(a->call, UNUSED_MAX);
 	if (is_plain_answer(a)) {
 		fwd_choose_attempt(a);
 		fwd_note_progress(a);
@@ -278,7 +280,7 @@
 		return;
 	if (hbuf_left(&a->answer) + len > most) {
 		a->unusable = true;
-		hcall_no_reuse(a->call);
+		hcall_limit_rest(a->call, 0);
 		return;
 	}
 	hbuf_add(&a->answer, data, len);
