fwd: Bound the answers in memory over all requests

Seen by callers: nothing yet; by reading, a gateway that exceeds its memory and is killed while several servers answer without end. Each answer may have 8 MB, and the number of requests at servers bounds the rest.

Cause: the buffer of an answer had a bound and their sum had none.

Evidence: six requests whose sealed answers do not end hold bytes at a time (test_many_targets_at_a_time without the limit).

Change: above an eighth of the process's memory only answers up to 64 KB are buffered; longer ones fail at their next bytes, which frees theirs. The sum is on the metrics page (answers_buffered_bytes).

Why it works: what is held never exceeds the limit by more than the short answers, and these go on while others have no end.

Test: the same six hold at most the limit of 4 MB plus 1 MB, all end and get 502, and nothing is left in memory.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -500,9 +500,9 @@
 {
 	g_string_append_printf(out,
 	    "requests_active %u\nrequests_waiting %u\ncontents_held_now %u\n"
-	    "parts_held_now %u\n",
+	    "parts_held_now %u\nanswers_buffered_bytes %zu\n",
 	    f->active, f->waiting, sus_count_blocked(f->suspects, FPR_CONTENT),
-	    sus_count_blocked(f->suspects, FPR_PART));
+	    sus_count_blocked(f->suspects, FPR_PART), f->buffered);
 	hist_print(&f->wait, "request_wait_seconds", out);
 	hist_print(&f->first_event, "stream_first_event_seconds", out);
 	hist_print(&f->gap, "stream_event_gap_seconds", out);
--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -24,6 +24,9 @@
 	struct vers *versions;
 	const struct sv_dialect *dialect;
 	struct spend_conf budget;
+	/* Bytes of incomplete answers in memory, all requests. Above it long
+	 * answers fail. 0: no limit. */
+	size_t answers_max;
 	struct ctr_set *counters;
 	uint64_t seed;
 	/* Publishes terminations to the other gateways. NULL: there is nobody
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -8,6 +8,8 @@
 /* Largest answer that is buffered, and largest event of a stream. */
 #define ANSWER_MAX (8u << 20)
 #define EVENT_MAX (1u << 20)
+/* An answer up to this size is buffered however many others are. */
+#define ANSWER_SHORT (64u << 10)
 /* Bytes of the body of an answer that is not relayed. */
 #define UNUSED_MAX (64u << 10)
 /* Moving average of the time to the first event: a new value counts 1/16. */
@@ -271,22 +273,50 @@
 		hcall_pause(a->call, true);
 }
 
+static void
+count_buffered(struct fwd_attempt *a)
+{
+	size_t buffered = hbuf_left(&a->answer);
+
+	a->req->fwd->buffered += buffered - a->buffered;
+	a->buffered = buffered;
+}
+
 void
-fwd_read_body(struct fwd_attempt *a, const void *data, size_t len)
+fwd_drop_answer(struct fwd_attempt *a)
+{
+	hbuf_free(&a->answer);
+	count_buffered(a);
+}
+
+/* Bytes of its answer that the attempt may have in memory. */
+static size_t
+largest_answer(const struct fwd_attempt *a)
 {
-	size_t most = is_stream(a) ? EVENT_MAX : ANSWER_MAX;
+	const struct fwd *f = a->req->fwd;
+
+	if (f->conf.answers_max != 0 && f->buffered > f->conf.answers_max)
+		return ANSWER_SHORT;
+	return is_stream(a) ? EVENT_MAX : ANSWER_MAX;
+}
 
+void
+fwd_read_body(struct fwd_attempt *a, const void *data, size_t len)
+{
 	if (a->not_run || a->unusable)
 		return;
-	if (hbuf_left(&a->answer) + len > most) {
+	if (hbuf_left(&a->answer) + len > largest_answer(a)) {
 		a->unusable = true;
+		fwd_drop_answer(a);
 		hcall_limit_rest(a->call, 0);
 		return;
 	}
 	hbuf_add(&a->answer, data, len);
+	if (is_stream(a))
+		relay_events(a);
+	count_buffered(a);
 	if (!is_stream(a))
 		return;
-	relay_events(a);
 	fwd_note_progress(a);
 }
 
@@ -339,6 +369,7 @@
 	hist_add(&r->fwd->total, fwd_now(r) - r->started_us);
 	fwd_log_end(r, EVT_DONE, status, status < 500 ? "ok" : "target_failed");
 	a->answer = (struct hbuf){ 0 };
+	count_buffered(a);
 	a->headers = NULL;
 	fwd_finish(r);
 	if (begun) {
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -103,7 +103,7 @@
 {
 	if (a->headers != NULL)
 		g_string_free(a->headers, TRUE);
-	hbuf_free(&a->answer);
+	fwd_drop_answer(a);
 	tgt_unref(a->target);
 	g_free(a);
 }
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -40,6 +40,7 @@
 	const char *end; /* how the attempt ended, for the log */
 	GString *headers; /* of the answer, to relay */
 	struct hbuf answer; /* the complete answer, or incomplete events */
+	size_t buffered; /* bytes of it that fwd.buffered includes */
 };
 
 /*
@@ -124,6 +125,7 @@
 	struct rng rng;
 	TAILQ_HEAD(fwd_open_list, fwd_req) open;
 	unsigned int active, waiting;
+	size_t buffered; /* bytes of all answers in memory */
 	struct sus *suspects;
 	struct ctr *done, *refused, *failed, *disconnected, *retries, *resumes,
 	    *unexpected;
@@ -215,6 +217,7 @@
     const struct fwd_req *r, const struct hmsg *m, enum sv_field f);
 void fwd_read_head(struct fwd_attempt *a, const struct hmsg *m);
 void fwd_read_body(struct fwd_attempt *a, const void *data, size_t len);
+void fwd_drop_answer(struct fwd_attempt *a); /* frees its buffered bytes */
 /* Whether an answer whose message has ended is complete. */
 bool fwd_answer_is_complete(const struct fwd_attempt *a);
 void fwd_answer_complete(struct fwd_attempt *a);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -23,6 +23,7 @@
 #define DESCRIPTORS_RESERVED 1200
 /* Share of the memory that request bodies may take. */
 #define BODIES_SHARE 0.25
+#define ANSWERS_SHARE 0.125
 
 /* ------------------------------------------------------------------ */
 /* Updates from the store                                              */
@@ -453,6 +454,12 @@
 /* Start                                                               */
 /* ------------------------------------------------------------------ */
 
+static size_t
+memory_share(const struct cfg *cfg, double share)
+{
+	return (size_t)((double)cfg_int(cfg, "limits.memory_mb") * 1e6 * share);
+}
+
 static void
 open_routing(struct gateway *g)
 {
@@ -462,6 +469,7 @@
 		.loop = g->st.loop,
 		.pool = g->st.pool,
 		.dialect = &adapter_headers,
+		.answers_max = memory_share(cfg, ANSWERS_SHARE),
 		.counters = g->st.counters,
 	};
 
@@ -514,9 +522,7 @@
 		.limits = &g->limits,
 		.connections_max = (unsigned int)MAX(
 		    descriptors / 2, descriptors - DESCRIPTORS_RESERVED),
-		.bodies_max =
-		    (size_t)((double)cfg_int(cfg, "limits.memory_mb") * 1e6 *
-			BODIES_SHARE),
+		.bodies_max = memory_share(cfg, BODIES_SHARE),
 		.ops = &fwd_server_ops,
 		.ctx = g->fwd,
 	};
--- a/tests/serve/test_endless.c
+++ b/tests/serve/test_endless.c
@@ -111,6 +111,60 @@
 	world_close();
 }
 
+#define MANY 6
+
+static size_t
+buffered_bytes(void)
+{
+	static const char name[] = "answers_buffered_bytes ";
+	GString *page = g_string_new(NULL);
+	const char *at;
+	size_t bytes;
+
+	fwd_print(w.fwd, page);
+	at = strstr(page->str, name);
+	assert_non_null(at);
+	bytes = (size_t)g_ascii_strtoull(at + strlen(name), NULL, 10);
+	g_string_free(page, TRUE);
+	return bytes;
+}
+
+/* Guards against a process whose memory ends while many targets answer without
+ * end, each within the size that one answer may have. */
+static void
+test_many_targets_at_a_time(void **state)
+{
+	struct endless_sender s[MANY] = { 0 };
+	size_t most = 0, sent = 0, closed = 0, i;
+	int fd[MANY];
+
+	world_open(3, make_config(SV_UNSAFE, 1, 60000));
+	for (i = 0; i < MANY; i++) {
+		fd[i] = send_request("POST", "/x/1", "T-Deadline: 60000\r\n");
+		s[i].kind = &sealed_kinds[2];
+		s[i].fd = target_next()->fd;
+	}
+	while (closed < MANY && sent < MANY * READ_MAX) {
+		for (closed = sent = i = 0; i < MANY; i++) {
+			endless_send(&s[i]);
+			closed += s[i].closed;
+			sent += s[i].sent;
+		}
+		run_ms(0);
+		g_main_context_iteration(NULL, FALSE);
+		most = MAX(most, buffered_bytes());
+	}
+	assert_int_equal(closed, MANY);
+	assert_in_range(most, ANSWERS_MAX / 2, ANSWERS_MAX + (1 << 20));
+	for (i = 0; i < MANY; i++) {
+		close(s[i].fd);
+		expect_answer(fd[i], "HTTP/1.1 502");
+	}
+	w.target[0].fd = w.target[1].fd = w.target[2].fd = -1;
+	assert_int_equal(buffered_bytes(), 0);
+	world_close();
+}
+
 int
 main(void)
 {
@@ -118,6 +172,7 @@
 		cmocka_unit_test(test_plain_request_moves_on),
 		cmocka_unit_test(test_stream_moves_on),
 		cmocka_unit_test(test_request_that_may_run_once),
+		cmocka_unit_test(test_many_targets_at_a_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/serve/world.h
+++ b/tests/serve/world.h
@@ -14,6 +14,7 @@
 #define SERVICE "engines"
 #define MODEL "m"
 #define TARGETS 3
+#define ANSWERS_MAX (4u << 20)
 
 /* Each id but the last one, which belongs to the request. */
 static inline size_t
@@ -275,6 +276,7 @@
 		    .slack = 100,
 		    .window_us = 10 * G_USEC_PER_SEC,
 		    .processes = 1 },
+		.answers_max = ANSWERS_MAX,
 		.counters = w.counters,
 		.seed = 1,
 		.account_changed = count_account_change };
