tests, fleet: Servers that answer without end

Real gateways and keepers beside an engine, the origin or the store that answers each request without end, twelve kinds in turn, through the proxy in front of it. system-endless asks that every process lives and keeps within half of its memory, that no answer takes more bytes than the largest one and what a connection buffers, and that the other servers' requests are answered.

--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -177,6 +177,7 @@
 	/* Proxies. */
 	struct fleet_proxy *proxy[FLEET_ENGINES_MAX + 1];
 	size_t nproxies;
+	struct fleet_proxy *origin_proxy; /* in addition to these */
 };
 
 /* store.c */
@@ -399,6 +400,11 @@
 /* Counts the windows in which too many arrived, and prints the worst. */
 void fleet_budget_judge(struct fleet *f);
 
+/* endless.c: servers that answer without end. */
+struct poptOption *fleet_endless_options(void);
+void fleet_endless_start(struct fleet *f);
+void fleet_endless_print(const struct fleet *f);
+
 /* crowd.c: callers that use all their kept connections at once. */
 void fleet_crowds_start(struct fleet *f);
 
@@ -423,10 +429,14 @@
 	PROXY_DELAY, /* forwards bytes after a delay */
 	/* Buffers responses for an engine that is silent: no fault. */
 	PROXY_SILENT,
+	PROXY_ENDLESS, /* answers requests itself, without end */
 };
 struct fleet_proxy *fleet_proxy_open(
     struct fleet *f, const char *address, const char *to, struct err *err);
 void fleet_proxy_set(struct fleet_proxy *proxy, enum proxy_mode mode);
+void fleet_proxy_set_endless(struct fleet_proxy *proxy, unsigned int kind);
+/* Bytes of its longest answer without end that a caller has taken. */
+size_t fleet_proxy_endless_most(const struct fleet_proxy *proxy);
 void fleet_proxy_reset(struct fleet_proxy *proxy); /* all its connections */
 /* Last time at which it held back or reset traffic; 0: never. */
 int64_t fleet_proxy_disturbed_us(const struct fleet_proxy *proxy);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -344,7 +344,8 @@
 		i >= engines - empty, err))
 		return false;
 	f.nengines++;
-	if (fleet_proxy_open(&f, advertised, real, err) == NULL)
+	f.proxy[f.nproxies] = fleet_proxy_open(&f, advertised, real, err);
+	if (f.proxy[f.nproxies++] == NULL)
 		return false;
 	fleet_engine_publish(&f, (size_t)i);
 	return true;
@@ -353,15 +354,21 @@
 static bool
 open_all(struct err *err)
 {
-	char store[32], advertised[32], origin[32];
+	char store[32], advertised[32], origin[32], real_origin[32];
 	int i;
 
 	g_snprintf(store, sizeof(store), "127.0.%d.9:8000", net);
 	g_snprintf(advertised, sizeof(advertised), "127.0.%d.9:8007", net);
 	g_snprintf(origin, sizeof(origin), "127.0.%d.8:8000", net);
+	g_snprintf(real_origin, sizeof(real_origin), "127.0.%d.8:8001", net);
 	if (!fleet_store_open(&f, store, err) ||
-	    fleet_proxy_open(&f, advertised, store, err) == NULL ||
-	    !fleet_origin_open(&f, origin, err))
+	    !fleet_origin_open(&f, real_origin, err))
+		return false;
+	f.proxy[f.nproxies] = fleet_proxy_open(&f, advertised, store, err);
+	if (f.proxy[f.nproxies++] == NULL)
+		return false;
+	f.origin_proxy = fleet_proxy_open(&f, origin, real_origin, err);
+	if (f.origin_proxy == NULL)
 		return false;
 	fleet_operator_put_config(&f);
 	for (i = 0; i < engines + plain; i++) {
@@ -396,6 +403,7 @@
 		loaded += f.engine[i] != NULL;
 	fleet_poison_print(&f);
 	fleet_parts_print(&f);
+	fleet_endless_print(&f);
 	if (limit > 0)
 		printf("most in 4 s: engine %u, plain target %u\n",
 		    fleet_engine_max_in_window(&f, 0),
@@ -445,6 +453,7 @@
 	fleet_settings_start(&f, (uint64_t)seed + 7);
 	fleet_silences_start(&f, (uint64_t)seed + 6);
 	fleet_crowds_start(&f);
+	fleet_endless_start(&f);
 	f.schedule.fire = on_schedule;
 	evl_timer_set(f.loop, &f.schedule, begun_us);
 	if (poison > 0)
@@ -568,6 +577,8 @@
 		    "Failures:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_settings_options(), 0,
 		    "Settings:", NULL },
+		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_endless_options(), 0,
+		    "Answers without end:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_manifest_options(), 0,
 		    "Lists of digests:", NULL },
 		{ "late", 0, POPT_ARG_INT, &late, 0,
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -1,5 +1,5 @@
 /* A loopback proxy that delays or stalls traffic, stalls responses only, and
- * resets connections. */
+ * resets connections; or answers in place of its target, without end. */
 
 #include <errno.h>
 #include <string.h>
@@ -8,6 +8,8 @@
 
 #include "fleet.h"
 
+#include "../http/endless.h"
+
 #define DELAY_US 250000
 #define BUFFERED_MAX (1u << 20)
 
@@ -26,6 +28,7 @@
 	struct fleet_proxy *proxy;
 	struct fleet_conn caller, target;
 	bool target_ended; /* in order; its bytes are still to be delivered */
+	struct endless_sender endless; /* with a kind: answers the caller */
 };
 
 struct fleet_proxy {
@@ -35,6 +38,8 @@
 	enum proxy_mode mode;
 	int64_t disturbed_us; /* when it last was not passing */
 	int64_t faulty_us; /* the same without silences */
+	unsigned int endless_kind; /* of the next answer without end */
+	size_t endless_most; /* bytes of the longest one */
 	LIST_HEAD(fleet_pipes, fleet_pipe) pipes;
 };
 
@@ -45,6 +50,7 @@
 	struct fleet_conn *conns[] = { &p->caller, &p->target };
 	size_t i;
 
+	p->proxy->endless_most = MAX(p->proxy->endless_most, p->endless.sent);
 	for (i = 0; i < 2; i++) {
 		if (reset)
 			(void)setsockopt(conns[i]->fd.fd, SOL_SOCKET, SO_LINGER,
@@ -125,6 +131,24 @@
 		flush(&p->caller);
 }
 
+/* The caller has sent a request. */
+static void
+begin_endless(struct fleet_pipe *p)
+{
+	p->endless = (struct endless_sender){ .fd = p->caller.fd.fd,
+		.kind = &endless_kinds[p->proxy->endless_kind] };
+	evl_unwatch(p->proxy->f->loop, &p->target.fd);
+	evl_watch(p->proxy->f->loop, &p->caller.fd, EPOLLOUT);
+}
+
+static void
+go_on_endless(struct fleet_pipe *p)
+{
+	endless_send(&p->endless);
+	if (p->endless.closed)
+		pipe_close(p, true);
+}
+
 static void
 on_ready(struct evl_fd *fd, uint32_t events)
 {
@@ -135,6 +159,10 @@
 	uint8_t buffer[16384];
 	ssize_t n;
 
+	if (p->endless.kind != NULL) {
+		go_on_endless(p);
+		return;
+	}
 	if ((events & EPOLLOUT) != 0 && !flush(c))
 		return;
 	if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) == 0)
@@ -150,6 +178,10 @@
 		end_pipe(c);
 		return;
 	}
+	if (p->proxy->mode == PROXY_ENDLESS && c == &p->caller) {
+		begin_endless(p);
+		return;
+	}
 	hbuf_add(&other->out, buffer, (size_t)n);
 	if (p->proxy->mode == PROXY_DELAY) {
 		other->delay.fire = on_delay;
@@ -205,7 +237,6 @@
 	LIST_INIT(&proxy->pipes);
 	proxy->listener = (struct evl_fd){ .fd = fd, .ready = on_accept };
 	evl_watch(f->loop, &proxy->listener, EPOLLIN);
-	f->proxy[f->nproxies++] = proxy;
 	return proxy;
 }
 
@@ -240,7 +271,9 @@
 	proxy->mode = mode;
 	for (; p != NULL; p = next) {
 		next = LIST_NEXT(p, link);
-		if (flush(&p->caller))
+		if (p->endless.kind != NULL)
+			pipe_close(p, true);
+		else if (flush(&p->caller))
 			flush(&p->target);
 	}
 }
@@ -269,3 +302,16 @@
 	return is_faulty(proxy->mode) ? evl_now_us(proxy->f->loop)
 				      : proxy->faulty_us;
 }
+
+void
+fleet_proxy_set_endless(struct fleet_proxy *proxy, unsigned int kind)
+{
+	proxy->endless_kind = kind % ENDLESS_KINDS;
+	fleet_proxy_set(proxy, PROXY_ENDLESS);
+}
+
+size_t
+fleet_proxy_endless_most(const struct fleet_proxy *proxy)
+{
+	return proxy->endless_most;
+}
