platform: End calls that get interim responses without end

Seen by callers: nothing yet; a call of the own interface reads interim responses until its deadline, which calls without one never reach.

Cause: libsoup bounds a head and our clients bound a body; nothing bounds the number of interim responses before the final one.

Change: the call ends after a hundred interim responses.

Test: platform-endless, twelve kinds; common-conn, the same bytes from a peer that has not proved who it is (it was dropped before, too).

--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -17,6 +17,8 @@
  * some thousand open streams has a buffer of this size. */
 #define READ_BYTES (16u << 10)
 
+#define INTERIM_MAX 100 /* responses before the final one */
+
 struct target_call {
 	TAILQ_ENTRY(target_call) link;
 	struct plat *plat; /* NULL once detached */
@@ -39,6 +41,7 @@
 	bool reusable; /* the response was read completely */
 	bool may_end_by_close; /* see target_call_may_end_by_close() */
 	uint64_t received; /* bytes of the response body */
+	unsigned int interim; /* responses before the final one */
 	struct err why; /* why the call was aborted, if it was */
 	uint8_t buffer[READ_BYTES];
 };
@@ -448,6 +451,17 @@
 		    "the connection was closed before a response");
 }
 
+/* libsoup bounds each head, but not the number of interim responses. */
+static void
+on_informational(SoupMessage *message, gpointer data)
+{
+	struct target_call *call = data;
+
+	if (++call->interim > INTERIM_MAX && !call->abandoned)
+		abort_call(call, ERR_UNAVAILABLE,
+		    "the target sent interim responses without end");
+}
+
 static void
 add_headers(struct target_call *call, const struct target_request *request)
 {
@@ -529,6 +543,8 @@
 	    call->message, "starting", G_CALLBACK(on_starting), call);
 	g_signal_connect(
 	    call->message, "restarted", G_CALLBACK(on_restarted), call);
+	g_signal_connect(call->message, "got-informational",
+	    G_CALLBACK(on_informational), call);
 	start_timers(call, request);
 	call->busy = true;
 	soup_session_send_async(call->pool->session, call->message,
--- a/tests/common/test_conn.c
+++ b/tests/common/test_conn.c
@@ -4,9 +4,12 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <cmocka.h>
+#include <arpa/inet.h>
 #include <gio/gio.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "../http/endless.h"
 #include "common/common.h"
 
 struct note {
@@ -231,6 +234,53 @@
 	close_end(&server);
 }
 
+/* Dials a listener that answers without end; returns the bytes that it sent
+ * before the connection was closed. */
+static size_t
+dial_endless(const struct endless *kind)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(at);
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct endless_sender s = { .kind = kind };
+	struct end client;
+	char address[32];
+
+	assert_int_equal(bind(listener, (struct sockaddr *)&at, len), 0);
+	assert_int_equal(listen(listener, 1), 0);
+	assert_int_equal(
+	    getsockname(listener, (struct sockaddr *)&at, &len), 0);
+	g_snprintf(
+	    address, sizeof(address), "127.0.0.1:%u", ntohs(at.sin_port));
+	init_end(&client, "client", shared_key);
+	client.conn = conn_dial(&client.node, address, &ops, &client);
+	assert_non_null(client.conn);
+	s.fd = accept(listener, NULL, NULL);
+	while (!client.closed && s.sent < 1 << 20) {
+		endless_send(&s);
+		g_main_context_iteration(NULL, FALSE);
+	}
+	assert_true(client.closed);
+	assert_false(client.opened);
+	close(s.fd);
+	close(listener);
+	close_end(&client);
+	return s.sent;
+}
+
+/* Guards against a host that reads from a peer without end before it knows who
+ * that is. */
+static void
+test_peer_without_end_is_dropped(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < ENDLESS_KINDS; i++)
+		assert_in_range(
+		    dial_endless(&endless_kinds[i]), 1, (1 << 20) - 1);
+}
+
 static void
 test_codec_checks_bounds(void **state)
 {
@@ -333,6 +383,7 @@
 		cmocka_unit_test(test_messages_arrive_in_order),
 		cmocka_unit_test(test_wrong_key_is_refused),
 		cmocka_unit_test(test_bad_frames_are_counted),
+		cmocka_unit_test(test_peer_without_end_is_dropped),
 		cmocka_unit_test(test_codec_checks_bounds),
 		cmocka_unit_test(test_codec_refuses_claimed_sizes),
 		cmocka_unit_test(test_datagrams),
--- a/tests/http/endless.h
+++ b/tests/http/endless.h
@@ -5,6 +5,7 @@
  * its connection is closed. */
 
 #include <errno.h>
+#include <stdbool.h>
 #include <string.h>
 #include <sys/socket.h>
 
