fwd: Bound the numbers that callers send

Seen by callers: a gateway that ends itself, with all its connections. By reading, as an assertion whose condition hangs on bytes from outside.

Cause: the prompts of the requests at a target are added up, and the number in a request's header may have 18 digits. From 19 requests on the sum wraps, and the first of them to end fails the assertion that the sum is at least its part. A deadline of 18 digits overflows when it is converted to microseconds, which is undefined.

Evidence: test_sum_of_prompts ends the process at the assertion in tgt_prefill; the review's random requests found the deadline under the sanitizer.

The headers go to the target as they came.

Why it works: 2^33 requests of the largest prompt fit into the sum, more than a process can have.

Test: serve-numbers, plain and under the sanitizers.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -9,6 +9,8 @@
  * to this share. A caller with less has spent the difference on an earlier
  * attempt. */
 #define CALLER_MARGIN_SHARE 0.15
+#define DEADLINE_MAX_MS (24 * 3600 * INT64_C(1000))
+#define PROMPT_MAX 1000000000 /* tokens */
 
 int64_t
 fwd_now(const struct fwd_req *r)
@@ -238,6 +240,16 @@
 	memcpy(r->id, h->value.p, MIN(h->value.n, sizeof(r->id) - 1));
 }
 
+/* Numbers of callers are added and multiplied: larger ones count as `max`. */
+static int64_t
+bounded(const struct fwd_req *r, int64_t number, int64_t max)
+{
+	if (number <= max)
+		return number;
+	ctr_add(r->fwd->excessive, 1);
+	return max;
+}
+
 /* Parses "PROMPT,ANSWER", both in tokens. */
 static void
 read_prompt(struct fwd_req *r, const struct hmsg *m)
@@ -254,7 +266,7 @@
 	number.p = h->value.p;
 	number.n = comma == NULL ? h->value.n : (size_t)(comma - number.p);
 	if (hslice_number(number, &tokens))
-		r->prompt = (uint64_t)tokens;
+		r->prompt = (uint64_t)bounded(r, tokens, PROMPT_MAX);
 }
 
 static void
@@ -270,6 +282,7 @@
 				      : DEFAULT_TIMEOUT_US);
 	if (h == NULL || !hslice_number(h->value, &ms))
 		return;
+	ms = bounded(r, ms, DEADLINE_MAX_MS);
 	r->deadline_us = MIN(r->deadline_us, r->started_us + ms * 1000);
 	r->is_client_retry = (double)(ms * 1000) <
 	    (double)r->route->timeout_us * (1 - CALLER_MARGIN_SHARE);
@@ -428,6 +441,7 @@
 	f->denied = ctr_get(set, "retries_denied");
 	f->limited = ctr_get(set, "requests_to_limited");
 	f->limited_again = ctr_get(set, "requests_to_limited_again");
+	f->excessive = ctr_get(set, "excessive_numbers");
 	f->choices = ctr_get(set, "target_choices");
 	f->blocked[FPR_CONTENT] = ctr_get(set, "contents_held");
 	f->blocked[FPR_PART] = ctr_get(set, "parts_held");
