cfg: Refuse a link without bandwidth

Seen by callers: an engine without its sidecar. With limits.link_mbit 0, or so small that it rounds to 0 bytes a second, the sidecar ends itself at each start by the assertion rate > 0 of its link's budget, which names no setting.

Cause: the value was checked as a number that may be 0.

Change: it must be at least 0.001 Mbit/s. Other values are refused at the start with the key, the line and what is allowed, exit status 2.

Evidence and test: 0, 0.000001 and 1e-9 ended a sidecar with status 134; test_link_has_bandwidth.

--- a/lib/common/cfg_check.c
+++ b/lib/common/cfg_check.c
@@ -18,6 +18,7 @@
 	[CFG_ADDRESS] = "an address as ip:port",
 	[CFG_URL] = "a URL as http://host:port",
 	[CFG_DECIMAL] = "a number such as 0.19",
+	[CFG_POSITIVE] = "a number of at least 0.001",
 };
 
 /* Last path segment of the rule if it is a direct child of `pattern`, else
@@ -250,12 +251,12 @@
 }
 
 static bool
-is_decimal(const char *text)
+is_decimal(const char *text, double min)
 {
 	char *end;
 	double value = g_ascii_strtod(text, &end);
 
-	return end != text && *end == '\0' && value >= 0 && value < 1e12;
+	return end != text && *end == '\0' && value >= min && value < 1e12;
 }
 
 static bool
@@ -273,7 +274,9 @@
 	case CFG_URL:
 		return is_url(text);
 	case CFG_DECIMAL:
-		return is_decimal(text);
+		return is_decimal(text, 0);
+	case CFG_POSITIVE:
+		return is_decimal(text, 0.001);
 	}
 	return false;
 }
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -430,6 +430,7 @@
 	CFG_ADDRESS, /* "ip:port" */
 	CFG_URL, /* "http://..." */
 	CFG_DECIMAL, /* a number such as 0.19; read by cfg_num */
+	CFG_POSITIVE, /* the same, and not near zero */
 };
 
 struct cfg_rule {
@@ -483,7 +484,7 @@
     G_GNUC_PRINTF(2, 3);
 int64_t cfg_int(const struct cfg *cfg, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
-/* Value of a CFG_STRING of the form CFG_DECIMAL. */
+/* Value of a CFG_STRING of the form CFG_DECIMAL or CFG_POSITIVE. */
 double cfg_num(const struct cfg *cfg, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
 bool cfg_bool(const struct cfg *cfg, const char *format, ...)
--- a/tests/common/test_cfg_schema.c
+++ b/tests/common/test_cfg_schema.c
@@ -224,6 +224,42 @@
 	g_free(page);
 }
 
+/* Guards against a sidecar that ends itself, as the bandwidth of its link is the
+ * divisor of each transfer's time. */
+static void
+test_link_has_bandwidth(void **state)
+{
+	static const char *const refused[] = { "0", "0.0", "1e-9", "0.0009",
+		"-1", "nan" };
+	static const char format[] =
+	    "node: {id: a, domain: z, region: r, "
+	    "key: 63757272616e746368757465746573747065657273}\n"
+	    "store: {address: 127.0.0.1:80}\n"
+	    "listen: {metrics: 127.0.0.1:81, peers: 127.0.0.1:82}\n"
+	    "limits: {link_mbit: %s}\n";
+	struct err err = { 0 };
+	struct cfg *cfg;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(refused); i++) {
+		text = g_strdup_printf(format, refused[i]);
+		cfg =
+		    cfg_parse("f", text, strlen(text), &cfg_serve_schema, &err);
+		assert_null(cfg);
+		if (strstr(err.message, "at least 0.001") == NULL)
+			fail_msg("%s: %s", refused[i], err.message);
+		g_free(text);
+	}
+	text = g_strdup_printf(format, "7.6");
+	err = (struct err){ 0 };
+	cfg = cfg_parse("f", text, strlen(text), &cfg_serve_schema, &err);
+	assert_string_equal(err.message, "");
+	assert_true(cfg_num(cfg, "limits.link_mbit") > 7.5);
+	cfg_free(cfg);
+	g_free(text);
+}
+
 int
 main(void)
 {
@@ -233,6 +269,7 @@
 		cmocka_unit_test(test_branch_without_root),
 		cmocka_unit_test(test_fallbacks_are_allowed),
 		cmocka_unit_test(test_page_is_current),
+		cmocka_unit_test(test_link_has_bandwidth),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
