http: Bound the keep-alive time that a target announces

Seen by callers: nothing; a connection that is not reused, as the number overflows when it is converted to microseconds, which is undefined.

Change: times are cut off at an hour, above the idle time of the pool.

Test: test_longest_keep_alive; before, the connection was closed after the first answer.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -13,6 +13,7 @@
  * that its target announced. If a request and the target's close cross, it is
  * unknown whether the target executed the request. */
 #define KEEP_ALIVE_PERCENT 60
+#define KEEP_ALIVE_MAX_S 3600 /* longer times are not told apart */
 
 /* Interim responses and late ones to earlier requests are discarded, up to this
  * number of bytes in a call: a faulty target may send them without end. */
@@ -194,7 +195,8 @@
 	timeout = memmem(h->value.p, h->value.n, "timeout=", 8);
 	if (timeout == NULL)
 		return;
-	seconds = g_ascii_strtoll(timeout + 8, NULL, 10);
+	seconds = CLAMP(
+	    g_ascii_strtoll(timeout + 8, NULL, 10), 0, KEEP_ALIVE_MAX_S);
 	l->keep_alive_us = MIN(
 	    conf->idle_us, seconds * G_USEC_PER_SEC * KEEP_ALIVE_PERCENT / 100);
 }
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -142,6 +142,25 @@
 	close(fd);
 }
 
+/* Guards against an overflow in the keep-alive time that a target announces. */
+static void
+test_longest_keep_alive(void **state)
+{
+	int fd;
+
+	start();
+	fd = accept_connection();
+	raw_send(fd, OK "Keep-Alive: timeout=9223372036854775807\r\n\r\nok");
+	run_until(&finished);
+	start();
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, OK "Keep-Alive: timeout=-9223372036854775808\r\n\r\nok");
+	run_until(&finished);
+	assert_int_equal(dones, 2);
+	assert_int_equal(hpool_opened(pool), 1);
+	close(fd);
+}
+
 /* Bytes after a response or on an idle connection belong to no request: the
  * connection is closed. */
 static void
@@ -268,6 +287,7 @@
 	const struct CMUnitTest tests[] = {
 		T(test_connection_is_reused),
 		T(test_keep_alive_limits_reuse),
+		T(test_longest_keep_alive),
 		T(test_stray_bytes),
 		T(test_skipped_response),
 		T(test_failure_reasons),
