--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -195,8 +195,8 @@
 	timeout = memmem(h->value.p, h->value.n, "timeout=", 8);
 	if (timeout == NULL)
 		return;
-	seconds = CLAMP(
-	    g_ascii_strtoll(timeout + 8, NULL, 10), 0, KEEP_ALIVE_MAX_S);
+	seconds =
+	    CLAMP(g_ascii_strtoll(timeout + 8, NULL, 10), 0, KEEP_ALIVE_MAX_S);
 	l->keep_alive_us = MIN(
 	    conf->idle_us, seconds * G_USEC_PER_SEC * KEEP_ALIVE_PERCENT / 100);
 }
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -170,7 +170,8 @@
  * waits for the next one. */
 void hcall_skip(struct hcall *c);
 /* From `head` or `body`: the rest of the body is of no use. Fails the call once
- * more than `rest` further bytes of it have arrived. */
+ * more than `rest` further bytes of it have arrived, and closes the connection
+ * after it in any case. */
 void hcall_limit_rest(struct hcall *c, size_t rest);
 /* Closes the connection after this call instead of reusing it. */
 void hcall_no_reuse(struct hcall *c);
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -135,8 +135,7 @@
 	struct ctr *cut_before_answer, *cut_midway;
 	struct ctr *dropped; /* callers' connections closed with bytes left */
 	struct ctr *blocked[FPR_KINDS], *recalled;
-	struct ctr
-	    *excessive; /* numbers of callers above their largest value */
+	struct ctr *excessive; /* numbers of callers that were cut off */
 	struct ctr *choices; /* scans over all targets of a service */
 	struct hist wait, first_event, gap, total;
 };
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -21,7 +21,7 @@
 #define SLACK_USED 0.9
 /* Descriptors reserved for files and for calls to targets. */
 #define DESCRIPTORS_RESERVED 1200
-/* Share of the memory that request bodies may take. */
+/* Shares of the memory that request bodies and buffered answers may take. */
 #define BODIES_SHARE 0.25
 #define ANSWERS_SHARE 0.125
 
