--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -16,7 +16,8 @@
 # and gateways are paused and reloaded in series; from seed 1100 on, there are
 # more processes; from seed 1200 on, all engines fail most requests, from a time
 # on or for seconds at a time, and gateways are killed, stopped and paused in
-# series as well.
+# series as well; from seed 1400 on, engines fail as before 1200, lists of digests
+# are corrupted, and engines, the origin and the store answer without end.
 # Requests that a gateway ended without an answer are broken
 # (tests/fleet/ends.c), as is a window with more retries of all gateways than
 # their budget (tests/fleet/budget.c). The last line begins with `soak: kept` or `soak: BROKEN`;
@@ -240,7 +241,12 @@
 	rate=120
 fi
 parts=$((SEED >= 800 ? 2 : 0))
-if [ "$SEED" -ge 1200 ]; then
+if [ "$SEED" -ge 1400 ]; then
+	draw_more 4
+	more="$more --bad-sizes $((drawn * 3)) --endless-gap-ms 1100 --endless-for-ms 500"
+	draw_more 4
+	more="$more --bad-digests $drawn"
+elif [ "$SEED" -ge 1200 ]; then
 	draw_more 2
 	# From when a whole window has passed, or for seconds at a time.
 	more="$more --fail-permille 900 --fail-from 11 --failures $drawn"
