vers, stage: Keep each version until its successor is due

Cause: gateways and sidecars kept four announced versions and dropped the oldest for a fifth, due or not.

Change: versions are kept in a growing array and dropped once their successor is due, except the last two. test_only_the_last_deadlines_are_retained stated the fault (the first of eighteen deadlines is that of the fifteenth); its replacement asks for each of the eighteen.

Why it works: after a successor is due, nothing that the dropped version forbids is allowed; before that, nothing is dropped.

Tests: serve-vers, stage-stage.

--- a/lib/serve/vers.h
+++ b/lib/serve/vers.h
@@ -9,20 +9,6 @@
 
 #include "serve/records.h"
 
-/* Announced versions of a model before their deadlines. */
-#define VERS_PENDING_MAX 4
-
-struct vers_model {
-	char model[SV_ID_MAX];
-	struct {
-		int64_t version;
-		int64_t announced_us;
-		/* Announced before this process started, at an unknown time. */
-		bool estimated;
-	} announced[VERS_PENDING_MAX]; /* oldest first */
-	unsigned int nannounced;
-};
-
 struct vers;
 /*
  * `grace_us`: from the announcement of a version to its deadline; 0: no
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -20,6 +20,7 @@
 /* Most chunks of a version announced this long before the next are in
  * transfer when the next one is announced. */
 #define OLDER_LEAD_US 1000000
+#define DEADLINES_INITIAL 4 /* initial capacity */
 /* Time between engines where there is no deadline. */
 #define SWITCH_INTERVAL_US 1000000
 
@@ -114,20 +115,37 @@
 /* Deadlines                                                           */
 /* ------------------------------------------------------------------ */
 
+static void
+drop_passed(struct stg_deadlines *d, int64_t now_us)
+{
+	while (d->n > 2 && d->at[1].deadline_us <= now_us) {
+		d->n--;
+		memmove(&d->at[0], &d->at[1], d->n * sizeof(d->at[0]));
+	}
+}
+
 void
-stg_deadlines_add(struct stg_deadlines *d, int64_t version, int64_t deadline_us)
+stg_deadlines_add(struct stg_deadlines *d, int64_t version, int64_t deadline_us,
+    int64_t now_us)
 {
 	if (deadline_us == 0 ||
 	    (d->n > 0 && d->at[d->n - 1].version >= version))
 		return;
-	if (d->n == STG_DEADLINES_MAX) {
-		memmove(&d->at[0], &d->at[1],
-		    (STG_DEADLINES_MAX - 1) * sizeof(d->at[0]));
-		d->n--;
+	if (d->n == d->size) {
+		d->size = MAX(DEADLINES_INITIAL, 2 * d->size);
+		d->at = g_renew(struct stg_deadline, d->at, d->size);
 	}
 	d->at[d->n].version = version;
 	d->at[d->n].deadline_us = deadline_us;
 	d->n++;
+	drop_passed(d, now_us);
+}
+
+void
+stg_deadlines_clear(struct stg_deadlines *d)
+{
+	g_free(d->at);
+	*d = (struct stg_deadlines){ 0 };
 }
 
 int64_t
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -82,20 +82,21 @@
 
 enum stg_step stg_next(const struct stg_state *s, int64_t now_us);
 
-/* Several versions may be announced before the first deadline. */
-#define STG_DEADLINES_MAX 4
-
 /* Announced versions and their deadlines: the time from which no request may
- * begin on anything older. */
+ * begin on anything older. Zero is empty; stg_deadlines_clear frees. */
+struct stg_deadline {
+	int64_t version, deadline_us;
+};
 struct stg_deadlines {
-	struct {
-		int64_t version, deadline_us;
-	} at[STG_DEADLINES_MAX]; /* oldest first */
-	unsigned int n;
+	struct stg_deadline *at; /* oldest first */
+	unsigned int n, size;
 };
 
-void stg_deadlines_add(
-    struct stg_deadlines *d, int64_t version, int64_t deadline_us);
+/* Forgets versions whose successor has passed its deadline, except the last
+ * two. */
+void stg_deadlines_add(struct stg_deadlines *d, int64_t version,
+    int64_t deadline_us, int64_t now_us);
+void stg_deadlines_clear(struct stg_deadlines *d);
 /* Time from which `loaded` may not serve; 0: none is known. */
 int64_t stg_deadlines_expiry(const struct stg_deadlines *d, int64_t loaded);
 /* The version announced before `version`, and its deadline; 0: not known. */
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -123,8 +123,8 @@
 	if (desired->deadline_ms > 0)
 		announced.deadline_us = announced.announced_us +
 		    (int64_t)desired->deadline_ms * 1000;
-	stg_deadlines_add(
-	    &k->deadlines, announced.version, announced.deadline_us);
+	stg_deadlines_add(&k->deadlines, announced.version,
+	    announced.deadline_us, keeper_now(k));
 	keeper_want(k, &announced);
 }
 
@@ -163,7 +163,7 @@
 		return;
 	g_strlcpy(k->model, model, sizeof(k->model));
 	keeper_drop_all(k);
-	k->deadlines.n = 0;
+	stg_deadlines_clear(&k->deadlines);
 	roster_free(k->roster);
 	k->roster = roster_new();
 	g_array_set_size(k->peers, 0);
--- a/tests/serve/test_vers.c
+++ b/tests/serve/test_vers.c
@@ -189,6 +189,54 @@
 	vers_free(v);
 }
 
+/* Guards against requests that begin on withdrawn weights: the first of many
+ * versions named within the grace time was forgotten for a later one. */
+static void
+test_many_versions_before_the_first_deadline(void **state)
+{
+	struct vers *v = vers_new(8 * SECOND, 0);
+	struct sv_version announced = { .model = "m" };
+	int64_t at_us, n;
+
+	for (n = 2; n < 42; n++) {
+		announced.version = n;
+		assert_true(
+		    vers_announced(v, &announced, false, n * SECOND / 8));
+	}
+	assert_int_equal(vers_deadline_us(v, "m", 1), 8 * SECOND + SECOND / 4);
+	for (n = 2; n < 42; n++) {
+		at_us = 8 * SECOND + n * SECOND / 8;
+		assert_int_equal(
+		    vers_min(v, "m", at_us - 1), n == 2 ? 0 : n - 1);
+		assert_int_equal(vers_min(v, "m", at_us), n);
+		assert_int_equal(vers_deadline_us(v, "m", n - 1), at_us);
+	}
+	/* Of those that have passed, the last one is enough. */
+	announced.version = 42;
+	assert_true(vers_announced(v, &announced, false, 100 * SECOND));
+	assert_int_equal(vers_min(v, "m", 100 * SECOND), 41);
+	assert_true(vers_deadline_us(v, "m", 1) <= 100 * SECOND);
+	assert_int_equal(vers_deadline_us(v, "m", 41), 108 * SECOND);
+	vers_free(v);
+}
+
+/* A sidecar tells of versions in between, in any number. */
+static void
+test_many_older_versions_are_inserted(void **state)
+{
+	struct vers *v = vers_new(8 * SECOND, 0);
+	struct sv_version announced = { .model = "m", .version = 20 };
+	int64_t n;
+
+	assert_true(vers_announced(v, &announced, false, 20 * SECOND));
+	for (n = 19; n > 1; n--)
+		assert_true(vers_reported(v, "m", n, n * SECOND));
+	for (n = 2; n < 20; n++)
+		assert_int_equal(
+		    vers_deadline_us(v, "m", n - 1), (n + 8) * SECOND);
+	vers_free(v);
+}
+
 int
 main(void)
 {
@@ -200,6 +248,8 @@
 		cmocka_unit_test(test_sidecars_know_announcement_times),
 		cmocka_unit_test(test_gateway_starts_between_two_deadlines),
 		cmocka_unit_test(test_deadlines_during_a_store_outage),
+		cmocka_unit_test(test_many_versions_before_the_first_deadline),
+		cmocka_unit_test(test_many_older_versions_are_inserted),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/stage/test_stage.c
+++ b/tests/stage/test_stage.c
@@ -187,10 +187,10 @@
 	struct stg_schedule s = { .announced_us = 24 * SECOND, .n = 20 };
 	int64_t last_of_first;
 
-	stg_deadlines_add(&deadlines, 2, 30 * SECOND);
-	stg_deadlines_add(&deadlines, 3, 34 * SECOND);
+	stg_deadlines_add(&deadlines, 2, 30 * SECOND, 0);
+	stg_deadlines_add(&deadlines, 3, 34 * SECOND, 0);
 	/* A repeated announcement has no effect. */
-	stg_deadlines_add(&deadlines, 3, 99 * SECOND);
+	stg_deadlines_add(&deadlines, 3, 99 * SECOND, 0);
 	s.deadline_us = stg_deadlines_expiry(&deadlines, 1);
 	s.others_us = stg_deadlines_of(&deadlines, 1);
 	assert_int_equal(s.deadline_us, 30 * SECOND);
@@ -205,19 +205,35 @@
 	s.rank = 19;
 	assert_true(stg_switch_us(&s) < 33.5 * SECOND);
 	assert_int_equal(stg_deadlines_expiry(&deadlines, 3), 0);
+	stg_deadlines_clear(&deadlines);
 }
 
+/* Guards against an engine that serves withdrawn weights: the deadline of the
+ * first of many versions was forgotten for a later one. */
 static void
-test_only_the_last_deadlines_are_retained(void **state)
+test_deadlines_are_retained_until_they_pass(void **state)
 {
 	struct stg_deadlines deadlines = { 0 };
 	int64_t v;
 
 	for (v = 2; v < 20; v++)
-		stg_deadlines_add(&deadlines, v, v * SECOND);
-	assert_int_equal(stg_deadlines_expiry(&deadlines, 1),
-	    (20 - STG_DEADLINES_MAX) * SECOND);
-	assert_int_equal(stg_deadlines_expiry(&deadlines, 18), 19 * SECOND);
+		stg_deadlines_add(&deadlines, v, v * SECOND, SECOND);
+	for (v = 1; v < 19; v++)
+		assert_int_equal(
+		    stg_deadlines_expiry(&deadlines, v), (v + 1) * SECOND);
+	assert_int_equal(deadlines.n, 18);
+	/* Versions 2 to 10 have passed: the last of these says so for all. */
+	stg_deadlines_add(&deadlines, 20, 20 * SECOND, 10 * SECOND);
+	assert_int_equal(deadlines.n, 11);
+	assert_int_equal(stg_deadlines_expiry(&deadlines, 1), 10 * SECOND);
+	for (v = 9; v < 20; v++)
+		assert_int_equal(
+		    stg_deadlines_expiry(&deadlines, v), (v + 1) * SECOND);
+	/* The last two stay. */
+	stg_deadlines_add(&deadlines, 21, 21 * SECOND, 99 * SECOND);
+	assert_int_equal(deadlines.n, 2);
+	assert_int_equal(stg_deadlines_expiry(&deadlines, 19), 20 * SECOND);
+	stg_deadlines_clear(&deadlines);
 }
 
 /* A cancel that is on its way meets the queue of the last second, so a report
@@ -266,11 +282,12 @@
 	int64_t deadline_us = 0;
 
 	assert_int_equal(stg_deadlines_before(&deadlines, 5, &deadline_us), 0);
-	stg_deadlines_add(&deadlines, 3, 7 * SECOND);
-	stg_deadlines_add(&deadlines, 5, 9 * SECOND);
+	stg_deadlines_add(&deadlines, 3, 7 * SECOND, 0);
+	stg_deadlines_add(&deadlines, 5, 9 * SECOND, 0);
 	assert_int_equal(stg_deadlines_before(&deadlines, 3, &deadline_us), 0);
 	assert_int_equal(stg_deadlines_before(&deadlines, 5, &deadline_us), 3);
 	assert_int_equal(deadline_us, 7 * SECOND);
+	stg_deadlines_clear(&deadlines);
 }
 
 /*
@@ -401,7 +418,7 @@
 		cmocka_unit_test(test_longest_inbound_wait_is_held),
 		cmocka_unit_test(
 		    test_engines_with_later_deadlines_switch_later),
-		cmocka_unit_test(test_only_the_last_deadlines_are_retained),
+		cmocka_unit_test(test_deadlines_are_retained_until_they_pass),
 		cmocka_unit_test(test_digest_readers),
 		cmocka_unit_test(test_version_announced_before),
 		cmocka_unit_test(test_versions_announced_together),
