store, tgt: Prefer the newer of two records of one address

Cause: of two records with one address the one read last dropped the other's target. A listing has the order of names, so the stale record was read last for one pair of ids in two, and its removal brought nothing back, as a cache reports a record again only if it changes.

Change: listings are handled in the order of revisions; a displaced record is remembered and gets the address back when the later one is removed or found missing first.

Why it works: the living engine wrote its record after the last change of the stale one, so it comes last; where a page boundary is between them, the stale one's removal restores it.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -48,6 +48,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	s->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	s->displaced =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	TAILQ_INIT(&s->kept);
 	return s;
 }
@@ -57,6 +59,7 @@
 {
 	g_hash_table_unref(s->by_id);
 	g_hash_table_unref(s->by_address);
+	g_hash_table_unref(s->displaced);
 	g_hash_table_unref(s->services);
 	g_hash_table_unref(s->regions);
 	tgt_notice_free(s);
@@ -164,6 +167,31 @@
 	    !tgt_side_is_alive(t, now_us);
 }
 
+static void
+displace(struct tgt_set *s, struct tgt *t)
+{
+	struct sv_target *record = g_new(struct sv_target, 1);
+
+	*record = t->record;
+	g_hash_table_replace(s->displaced, record->id, record);
+	drop(s, t);
+}
+
+/* A record whose address was taken over, or NULL. */
+static struct sv_target *
+find_displaced(struct tgt_set *s, const char *address)
+{
+	GHashTableIter iter;
+	gpointer record;
+
+	g_hash_table_iter_init(&iter, s->displaced);
+	while (g_hash_table_iter_next(&iter, NULL, &record)) {
+		if (strcmp(((struct sv_target *)record)->address, address) == 0)
+			return record;
+	}
+	return NULL;
+}
+
 /* Assigns an address to its new target and drops the one that had it before.
  * A record of a service that is not in the settings does not describe a
  * valid target and takes over no address. */
@@ -176,7 +204,7 @@
 	if (previous != NULL && previous != t) {
 		if (previous->service->configured && !t->service->configured)
 			return;
-		drop(s, previous);
+		displace(s, previous);
 	}
 	g_hash_table_insert(s->by_address, t->record.address, t);
 }
@@ -219,6 +247,7 @@
 	struct tgt *t = g_hash_table_lookup(s->by_id, record->id);
 	int64_t start_ms;
 
+	g_hash_table_remove(s->displaced, record->id);
 	if (t != NULL &&
 	    (strcmp(t->record.service, record->service) != 0 ||
 		strcmp(t->record.address, record->address) != 0 ||
@@ -245,19 +274,34 @@
 	return t;
 }
 
-void
+/* Drops a target; one whose address it had taken over gets it back. */
+static struct tgt *
+drop_and_restore(struct tgt_set *s, struct tgt *t, int64_t now_us)
+{
+	const struct sv_target *displaced;
+	struct sv_target record;
+
+	displaced = find_displaced(s, t->record.address);
+	if (displaced != NULL)
+		record = *displaced;
+	drop(s, t);
+	return displaced == NULL ? NULL : tgt_put(s, &record, now_us);
+}
+
+struct tgt *
 tgt_removed(struct tgt_set *s, const char *id, bool expired, int64_t now_us)
 {
 	struct tgt *t = g_hash_table_lookup(s->by_id, id);
 
+	g_hash_table_remove(s->displaced, id);
 	if (t == NULL)
-		return;
+		return NULL;
 	if (expired && !t->leaving) {
 		t->drop_us = now_us + EXPIRED_RETAIN_US;
-		return;
+		return NULL;
 	}
 	t->removed_us = now_us;
-	drop(s, t);
+	return drop_and_restore(s, t, now_us);
 }
 
 void
@@ -287,7 +331,7 @@
 	for (at = all; at != NULL; at = at->next) {
 		t = at->data;
 		if (t->drop_us != 0 && t->drop_us <= now_us)
-			drop(s, t);
+			(void)drop_and_restore(s, t, now_us);
 	}
 	g_list_free(all);
 }
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -154,8 +154,9 @@
     struct tgt_set *s, const struct sv_target *record, int64_t now_us);
 /* `expired`: found missing after an interruption of the updates. The target
  * may only be late to publish its record again, so it is retained for a
- * moment. */
-void tgt_removed(
+ * moment. Returns the target that gets the address back, or NULL: its record
+ * was not removed, and the removed one had taken over its address. */
+struct tgt *tgt_removed(
     struct tgt_set *s, const char *id, bool expired, int64_t now_us);
 /* The store was restored from an older copy: records that come now may be older
  * than those before. They undo no planned stop, and a target that was removed
--- a/lib/serve/tgt_internal.h
+++ b/lib/serve/tgt_internal.h
@@ -13,6 +13,9 @@
 	GHashTable *services; /* name -> struct tgt_service */
 	GHashTable *by_id;
 	GHashTable *by_address;
+	/* Records whose address a later one took over: id -> struct sv_target.
+	 * One of them gets it back if the later record is removed first. */
+	GHashTable *displaced;
 	TAILQ_HEAD(tgt_kept_list, tgt_kept) kept; /* see tgt_notice.c */
 	unsigned int nkept;
 	int64_t restored_us; /* the store, from an older copy; 0: never */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -274,18 +274,31 @@
 	g_ptr_array_unref(removed);
 }
 
+static gint
+by_revision(gconstpointer a, gconstpointer b)
+{
+	const struct store_item *x = a, *y = b;
+
+	return (x->revision > y->revision) - (x->revision < y->revision);
+}
+
+/* Handles a listing, which has the order of names, in the order of changes as a
+ * watch reports them: of two records of one thing the newer one comes last. */
 static void
 handle_items(struct store_cache *c, struct store_page *page)
 {
+	guint i, n = page->items->len;
 	struct store_item *item;
-	guint i;
 
-	for (i = 0; i < page->items->len; i++) {
+	if (n > 0 && page->more) {
+		item = &g_array_index(page->items, struct store_item, n - 1);
+		g_free(c->after);
+		c->after = g_strdup(item->name);
+	}
+	if (c->state == CACHE_LIST)
+		g_array_sort(page->items, by_revision);
+	for (i = 0; i < n; i++) {
 		item = &g_array_index(page->items, struct store_item, i);
-		if (i + 1 == page->items->len && page->more) {
-			g_free(c->after);
-			c->after = g_strdup(item->name);
-		}
 		handle_item(c, item);
 		g_free(item->name);
 	}
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -141,10 +141,16 @@
 target_removed(const char *name, bool expired, void *ctx)
 {
 	struct gateway *g = ctx;
+	const struct tgt *restored;
 
 	evt(EVT_TARGET_REMOVED, "target=%s how=%s", name,
 	    expired ? "missing_after_silence" : "told");
-	tgt_removed(g->set, name, expired, evl_now_us(g->st.loop));
+	restored = tgt_removed(g->set, name, expired, evl_now_us(g->st.loop));
+	if (restored != NULL) {
+		evt(EVT_TARGET, "target=%s address=%s state=restored",
+		    restored->record.id, restored->record.address);
+		gateway_desired_new_target(g);
+	}
 }
 
 static void
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -507,12 +507,57 @@
 	assert_ptr_equal(choose(later, true, &why), t);
 }
 
+/* Guards against a target that is never used again: the stale record of its
+ * start before has the same address and is read after its own. */
+static void
+test_stale_record_of_an_address(void **state)
+{
+	struct tgt *restored;
+	enum tgt_reason why;
+
+	put("new", "1.1.1.1:1", "near");
+	put("stale", "1.1.1.1:1", "near");
+	assert_null(tgt_find(set, "new"));
+	restored = tgt_removed(set, "stale", false, SECOND);
+	assert_non_null(restored);
+	assert_ptr_equal(restored, tgt_find(set, "new"));
+	assert_ptr_equal(restored, tgt_by_address(set, "1.1.1.1:1"));
+	assert_int_equal(tgt_service(set, "s")->ntargets, 1);
+	assert_ptr_equal(choose(2 * SECOND, true, &why), restored);
+	/* The same when the stale one is found missing. */
+	put("stale", "1.1.1.1:1", "near");
+	assert_null(tgt_removed(set, "stale", true, 3 * SECOND));
+	tgt_sweep(set, 10 * SECOND);
+	assert_non_null(tgt_find(set, "new"));
+	assert_null(tgt_find(set, "stale"));
+}
+
+/* Guards against a target that was removed and comes back. */
+static void
+test_removed_record_is_not_restored(void **state)
+{
+	put("old", "1.1.1.1:1", "near");
+	put("new", "1.1.1.1:1", "near");
+	assert_null(tgt_removed(set, "old", false, SECOND));
+	assert_null(tgt_removed(set, "new", false, 2 * SECOND));
+	assert_int_equal(tgt_service(set, "s")->ntargets, 0);
+	/* Nor one that has moved to another address meanwhile. */
+	put("old", "1.1.1.1:1", "near");
+	put("new", "1.1.1.1:1", "near");
+	put("old", "1.1.1.1:2", "near");
+	assert_null(tgt_removed(set, "new", false, 2 * SECOND));
+	assert_null(tgt_by_address(set, "1.1.1.1:1"));
+	assert_int_equal(tgt_service(set, "s")->ntargets, 1);
+}
+
 int
 main(void)
 {
 #define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		T(test_estimate),
+		T(test_stale_record_of_an_address),
+		T(test_removed_record_is_not_restored),
 		T(test_free_slots_are_shared),
 		T(test_single_slot_is_drawn_for),
 		T(test_local_target_first),
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -229,6 +229,19 @@
 	answer_in("", part, status, body);
 }
 
+/* Guards against a stale record that replaces the newer one of the same thing
+ * because its name comes later. */
+static void
+test_listing_in_order_of_changes(void **state)
+{
+	answer("after=", 200, "at 9 more\na 7\nb 3\nc 5\n");
+	answer("after=c", 200, "at 9\nd 4\ne 2\n");
+	assert_string_equal(events->str, "+b +c +a +e +d | ");
+	/* Events have the order in which they occurred. */
+	answer("watch=9", 200, "at 12\na 7 -\nf 11\nb 10\n");
+	assert_string_equal(events->str, "+b +c +a +e +d | -a +f +b ");
+}
+
 static void
 test_pages_then_events(void **state)
 {
@@ -556,6 +569,7 @@
 {
 #define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
+		T(test_listing_in_order_of_changes),
 		T(test_pages_then_events),
 		T(test_changes_are_batched),
 		T(test_history_gone),
