keeper: Count the age of a check from its begin

Cause: the read-back counted as done at its end for all chunks, the first of which was read as early as it began.

Change: its begin is its time, as for the search after a start. It is valid for 1.5 s, which with the second that an order may take stays below the three seconds that are allowed (0.7 s after the end before).

Why it works: no chunk was read before the begin of the pass in which all were valid.

Evidence and test: system-late_check, three reads answered 1.2 s late while the first chunk turns corrupt. With the programs of unwhole=1 and the chunk is not found; now it is found, written again and unwhole=0.

--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -45,7 +45,7 @@
 	bool scanned; /* the staging area was searched for its chunks */
 	bool complete; /* all chunks are stored and verified */
 	bool staged; /* all chunks are in the staging area, as far as known */
-	/* All chunks were read back and valid; 0: not yet. */
+	/* Begin of the read-back in which all chunks were valid; 0: none. */
 	int64_t checked_us;
 	int64_t ordered_us; /* an order was accepted; 0: none */
 	int64_t refused_us; /* the last order was refused; 0: no */
@@ -57,9 +57,10 @@
 	int64_t switch_us;
 };
 
-/* A corrupt chunk must be detected within three seconds: chunks that were
- * verified longer ago than this are verified again. */
-#define STG_CHECK_VALID_US 700000
+/* A corrupt chunk must be detected within three seconds, one of which the order
+ * may take: if the first chunk was verified longer ago than this, all are
+ * verified again. */
+#define STG_CHECK_VALID_US 1500000
 /* Time from a refused order to the next. */
 #define STG_ORDER_BACKOFF_US 400000
 /* An accepted order without an effect for this long is given again. The
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -77,7 +77,7 @@
 	bool *chunk_staged; /* one a chunk: it is in the staging area */
 	bool scanned; /* the staging area was searched for its chunks */
 	bool staged; /* all chunks are in the staging area, as far as known */
-	/* All chunks were read back and valid; 0: not yet. */
+	/* Begin of the read-back in which all chunks were valid; 0: none. */
 	int64_t checked_us;
 };
 
@@ -141,7 +141,7 @@
 	struct keeper_copy *call_copy; /* the version of the call */
 	uint64_t call_chunk; /* index of the chunk of the call */
 	uint64_t bad_chunks; /* found corrupt or missing in this pass */
-	int64_t scan_us; /* start of the last search of the staging area */
+	int64_t pass_us; /* begin of the last pass over the staging area */
 	int64_t backoff_until_us; /* after a failed call */
 	/* The last status report. */
 	struct keeper_status reported;
--- a/programs/side/keeper_stage.c
+++ b/programs/side/keeper_stage.c
@@ -140,13 +140,14 @@
 		    c->version, k->bad_chunks);
 		c->staged = false;
 	} else
-		c->checked_us = keeper_now(k);
+		c->checked_us = k->pass_us;
 	keeper_step(k);
 }
 
 void
 keeper_check(struct keeper_copy *c)
 {
+	c->keeper->pass_us = keeper_now(c->keeper);
 	c->keeper->call_chunk = 0;
 	c->keeper->bad_chunks = 0;
 	check_next(c);
@@ -199,7 +200,7 @@
 	 * After a restart engines have no weights, and a second read of all
 	 * chunks would keep each engine out of service for 0.07 s more. */
 	if (k->bad_chunks == 0)
-		c->checked_us = k->scan_us;
+		c->checked_us = k->pass_us;
 	evt(EVT_WEIGHTS,
 	    "step=look version=%" G_GINT64_FORMAT " found=%" G_GUINT64_FORMAT
 	    " of=%" G_GUINT64_FORMAT,
@@ -211,7 +212,7 @@
 void
 keeper_scan(struct keeper_copy *c)
 {
-	c->keeper->scan_us = keeper_now(c->keeper);
+	c->keeper->pass_us = keeper_now(c->keeper);
 	c->keeper->call_chunk = 0;
 	c->keeper->bad_chunks = 0;
 	scan_next(c);
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -9,6 +9,7 @@
 #define QUEUE 8
 #define PLAIN_US 10000
 #define LOAD_US 200000
+#define LATE_READ_US 1200000 /* within the time of a sidecar's call */
 #define DOWN_US 1500000 /* from termination to restart */
 #define LEAVE_US 5000000 /* from the announcement of a stop to the restart */
 #define SHED_US 6000000
@@ -49,6 +50,13 @@
 	bool draining; /* as its record says */
 	struct evl_timer leave, shed;
 	int64_t silent_until_us; /* its runs write nothing until then */
+	/* A read of its staging area that is answered late. */
+	struct {
+		struct hreq *r; /* NULL: none */
+		uint64_t chunk;
+		struct evl_timer timer;
+	} late;
+	unsigned int late_reads;
 };
 
 struct fleet_run {
@@ -379,6 +387,41 @@
 	return at == NULL ? FLEET_CHUNKS : (uint64_t)atoll(at + 10);
 }
 
+static bool staged_is_complete(const struct fleet_engine *e, int64_t version);
+
+static void
+on_late_read(struct evl_timer *t)
+{
+	struct fleet_engine *e =
+	    CONTAINER_OF(t, struct fleet_engine, late.timer);
+	struct hreq *r = e->late.r;
+
+	e->late.r = NULL;
+	hreq_answer(r, 200, "", e->staged[e->late.chunk], FLEET_CHUNK_BYTES);
+}
+
+/* Reads of the second and the following chunks of a version that is complete are
+ * answered late, as often as set; the first chunk, read before, turns corrupt. */
+static bool
+answers_late(struct fleet_engine *e, struct hreq *r, uint64_t i)
+{
+	if (e->i != 0 || i == 0 || e->f->version < 2 || e->late.r != NULL ||
+	    e->late_reads >= (unsigned int)e->f->late_reads ||
+	    (e->late_reads == 0 && !staged_is_complete(e, e->f->version)))
+		return false;
+	if (e->late_reads++ == 0) {
+		e->staged[0][0] ^= 1;
+		e->corrupted[0].at_us = evl_now_us(e->f->loop);
+		e->corrupted[0].offset = 0;
+	}
+	e->late.r = r;
+	e->late.chunk = i;
+	e->late.timer.fire = on_late_read;
+	evl_timer_set(
+	    e->f->loop, &e->late.timer, evl_now_us(e->f->loop) + LATE_READ_US);
+	return true;
+}
+
 static void
 handle_staging(
     struct fleet_engine *e, struct hreq *r, const char *target, bool put)
@@ -399,7 +442,7 @@
 		hreq_answer(r, 200, "", "", 0);
 	} else if (e->staged[i] == NULL) {
 		hreq_answer(r, 404, "", "", 0);
-	} else {
+	} else if (!answers_late(e, r, i)) {
 		hreq_answer(r, 200, "", e->staged[i], FLEET_CHUNK_BYTES);
 	}
 }
@@ -551,7 +594,12 @@
 on_disconnected(struct hreq *r, void *ctx)
 {
 	struct fleet_run *run = hreq_ctx(r);
+	struct fleet_engine *e = ctx;
 
+	if (r == e->late.r) {
+		e->late.r = NULL;
+		evl_timer_stop(e->f->loop, &e->late.timer);
+	}
 	if (run == NULL)
 		return;
 	note_cancelled(run);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -146,6 +146,7 @@
 	int64_t previous_version;
 	/* Origin. */
 	struct hserver *origin;
+	int late_reads; /* of the first engine's staging area */
 	unsigned int manifests; /* lists of digests that it sent */
 	/* One in so many answers is broken off, and all framings are used; 0:
 	 * none is, and answers have a length or chunks. */
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -581,6 +581,10 @@
 		    "Answers without end:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_manifest_options(), 0,
 		    "Lists of digests:", NULL },
+		{ "late-reads", 0, POPT_ARG_INT, &f.late_reads, 0,
+		    "reads of the first engine's staging area that are "
+		    "answered late, while a chunk turns corrupt",
+		    "N" },
 		{ "late", 0, POPT_ARG_INT, &late, 0,
 		    "one in so many kept connections is reused late; 0: none",
 		    "N" },
