--- a/lib/stage/digests.h
+++ b/lib/stage/digests.h
@@ -2,7 +2,7 @@
 #define STAGE_DIGESTS_H
 
 /*
- * dgs: what a sidecar believes of a version's list of digests. The origin may
+ * dgs: whether a version's list of digests can be right. The origin may
  * send a corrupted list, so its sizes are compared with those that operators
  * set, and its digests are in doubt until the chunks match them. Pure.
  */
--- a/lib/weights/misfit.c
+++ b/lib/weights/mismatch.c
@@ -1,16 +1,16 @@
 /* Chunks whose copies contradict the list. */
 
-#include "weights/misfit.h"
+#include "weights/mismatch.h"
 #include "weights/version.h"
 
-struct misfits {
-	GHashTable *chunks; /* index (in the value) -> struct wts_misfit */
+struct mismatches {
+	GHashTable *chunks; /* index (in the value) -> struct wts_mismatch */
 };
 
-struct misfits *
-misfits_new(void)
+struct mismatches *
+mismatches_new(void)
 {
-	struct misfits *m = g_new0(struct misfits, 1);
+	struct mismatches *m = g_new0(struct mismatches, 1);
 
 	m->chunks =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -18,19 +18,19 @@
 }
 
 void
-misfits_free(struct misfits *m)
+mismatches_free(struct mismatches *m)
 {
 	g_hash_table_unref(m->chunks);
 	g_free(m);
 }
 
 void
-misfits_add(struct misfits *m, uint64_t index, const struct digest *got)
+mismatches_add(struct mismatches *m, uint64_t index, const struct digest *got)
 {
-	struct wts_misfit *chunk = g_hash_table_lookup(m->chunks, &index);
+	struct wts_mismatch *chunk = g_hash_table_lookup(m->chunks, &index);
 
 	if (chunk == NULL) {
-		chunk = g_new0(struct wts_misfit, 1);
+		chunk = g_new0(struct wts_mismatch, 1);
 		chunk->index = index;
 		g_hash_table_insert(m->chunks, &chunk->index, chunk);
 	}
@@ -41,22 +41,22 @@
 }
 
 void
-misfits_remove(struct misfits *m, uint64_t index)
+mismatches_remove(struct mismatches *m, uint64_t index)
 {
 	g_hash_table_remove(m->chunks, &index);
 }
 
 bool
-misfits_worst(const struct misfits *m, struct wts_misfit *out)
+mismatches_worst(const struct mismatches *m, struct wts_mismatch *out)
 {
-	const struct wts_misfit *worst = NULL, *chunk;
+	const struct wts_mismatch *worst = NULL, *chunk;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, m->chunks);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		chunk = value;
-		if (chunk->copies >= WTS_MISFIT_COPIES &&
+		if (chunk->copies >= WTS_MISMATCH_COPIES &&
 		    (worst == NULL || chunk->copies > worst->copies))
 			worst = chunk;
 	}
@@ -66,16 +66,16 @@
 }
 
 bool
-misfits_match(const struct misfits *m, GBytes *list)
+mismatches_explained(const struct mismatches *m, GBytes *list)
 {
-	const struct wts_misfit *chunk;
+	const struct wts_mismatch *chunk;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, m->chunks);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		chunk = value;
-		if (chunk->copies >= WTS_MISFIT_COPIES &&
+		if (chunk->copies >= WTS_MISMATCH_COPIES &&
 		    !digest_equal(&chunk->digest,
 			version_chunk_digest(list, chunk->index)))
 			return false;
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -146,17 +146,17 @@
     struct wts *wts, const struct digest *root, uint64_t index, GBytes *bytes);
 /* A missing chunk of which the origin sent the same bytes repeatedly, although
  * they do not match the list. */
-#define WTS_MISFIT_COPIES 2
-struct wts_misfit {
+#define WTS_MISMATCH_COPIES 2
+struct wts_mismatch {
 	uint64_t index;
 	struct digest digest; /* of these bytes */
 	unsigned int copies;
 };
 /* The chunk with the most such copies. False if there is none. */
-bool wts_worst_misfit(
-    struct wts *wts, const struct digest *root, struct wts_misfit *out);
+bool wts_worst_mismatch(
+    struct wts *wts, const struct digest *root, struct wts_mismatch *out);
 /* Whether another list of the same length has the digests of all such copies. */
-bool wts_matches_misfits(
+bool wts_explains_mismatches(
     struct wts *wts, const struct digest *root, GBytes *list);
 /* The chunk list once it is known and verified, or else NULL. Borrowed. */
 GBytes *wts_known_list(struct wts *wts, const struct digest *root);
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -242,22 +242,23 @@
 }
 
 bool
-wts_worst_misfit(
-    struct wts *wts, const struct digest *root, struct wts_misfit *out)
+wts_worst_mismatch(
+    struct wts *wts, const struct digest *root, struct wts_mismatch *out)
 {
 	struct xfer *x = wts_find(wts, root);
 
-	return x != NULL && misfits_worst(x->misfits, out);
+	return x != NULL && mismatches_worst(x->mismatches, out);
 }
 
 bool
-wts_matches_misfits(struct wts *wts, const struct digest *root, GBytes *list)
+wts_explains_mismatches(
+    struct wts *wts, const struct digest *root, GBytes *list)
 {
 	struct xfer *x = wts_find(wts, root);
 
 	return x != NULL &&
 	    g_bytes_get_size(list) == version_list_len(&x->want.version) &&
-	    misfits_match(x->misfits, list);
+	    mismatches_explained(x->mismatches, list);
 }
 
 void
--- a/lib/weights/xfer.c
+++ b/lib/weights/xfer.c
@@ -106,7 +106,7 @@
 	struct xfer *x = ctx;
 
 	pick_complete(x->pick, index);
-	misfits_remove(x->misfits, index);
+	mismatches_remove(x->mismatches, index);
 	peers_queue_gained(x, index);
 	/* The chunk may have been stored by another version's transfer. */
 	xfer_pump_soon(x);
@@ -202,7 +202,7 @@
 	TAILQ_INIT(&x->peers);
 	TAILQ_INIT(&x->reads);
 	x->members = g_ptr_array_new_with_free_func(free_member);
-	x->misfits = misfits_new();
+	x->mismatches = mismatches_new();
 	x->list_pick = new_pick(x, 1, version_list_len(v));
 	x->pick = new_pick(x, wts_chunk_count(v), v->chunk_bytes);
 	timer_init(&x->pump_timer, wts->clock, on_pump, x);
@@ -229,7 +229,7 @@
 	if (x->notify_idle != 0)
 		g_source_remove(x->notify_idle);
 	g_clear_pointer(&x->list, g_bytes_unref);
-	misfits_free(x->misfits);
+	mismatches_free(x->mismatches);
 	g_ptr_array_unref(x->members);
 	g_free(x);
 }
@@ -419,7 +419,7 @@
 		pick_failed(xfer_pick_of(x, index), xfer_pick_index(index),
 		    from, PICK_CORRUPT, clk_now_us(x->wts->clock));
 		if (peer == NULL && !list)
-			misfits_add(x->misfits, index, got);
+			mismatches_add(x->mismatches, index, got);
 		return false;
 	}
 	if (!list) {
--- a/lib/weights/xfer.h
+++ b/lib/weights/xfer.h
@@ -9,7 +9,7 @@
 
 #include "weights/hold.h"
 #include "weights/link.h"
-#include "weights/misfit.h"
+#include "weights/mismatch.h"
 #include "weights/pick.h"
 #include "weights/proto.h"
 #include "weights/timer.h"
@@ -103,7 +103,7 @@
 	struct hold_version *stored;
 	struct pick *list_pick; /* treats the list as a rollout of one chunk */
 	struct pick *pick;
-	struct misfits *misfits;
+	struct mismatches *mismatches;
 	GPtrArray *members; /* struct member, sorted by score */
 	TAILQ_HEAD(peer_list, peer) peers;
 	TAILQ_HEAD(read_list, read) reads;
--- a/programs/side/keeper_digests.c
+++ b/programs/side/keeper_digests.c
@@ -72,7 +72,7 @@
 /* A list was read again because copies of a chunk contradict the one in use. It
  * replaces that one if it has the digests of these copies. */
 static bool
-judge_list(struct keeper_copy *c, const struct digest *root, GBytes *list)
+compare_list(struct keeper_copy *c, const struct digest *root, GBytes *list)
 {
 	char before[ROOT_TEXT];
 
@@ -84,7 +84,7 @@
 		c->origin_root = true;
 		return true;
 	}
-	if (!wts_matches_misfits(c->keeper->wts, &c->wts.root, list)) {
+	if (!wts_explains_mismatches(c->keeper->wts, &c->wts.root, list)) {
 		evt(EVT_WEIGHTS,
 		    "step=manifest version=%" G_GINT64_FORMAT
 		    " outcome=refused why=digest root=%s",
@@ -112,7 +112,7 @@
 	if (c->list == NULL)
 		taken = use_list(c, &root, list);
 	else
-		taken = judge_list(c, &root, list);
+		taken = compare_list(c, &root, list);
 	g_bytes_unref(list);
 	return taken;
 }
@@ -299,7 +299,7 @@
 }
 
 static bool
-others_know_better(const struct keeper_copy *c)
+others_disagree(const struct keeper_copy *c)
 {
 	return dgs_follows_others(&(struct dgs_roots){
 	    .own = c->wts.root,
@@ -309,7 +309,7 @@
 }
 
 static void
-read_again(struct keeper_copy *c, const struct wts_misfit *misfit)
+read_again(struct keeper_copy *c, const struct wts_mismatch *mismatch)
 {
 	char root[ROOT_TEXT];
 
@@ -321,7 +321,7 @@
 	    "step=manifest version=%" G_GINT64_FORMAT
 	    " outcome=doubted root=%s chunk=%" G_GUINT64_FORMAT
 	    " copies=%u reads=%u",
-	    c->version, root_text(c, root), misfit->index, misfit->copies,
+	    c->version, root_text(c, root), mismatch->index, mismatch->copies,
 	    c->rereads);
 	fetch_manifest(c);
 }
@@ -330,11 +330,11 @@
 keeper_check_digests(struct keeper_copy *c)
 {
 	struct keeper *k = c->keeper;
-	struct wts_misfit misfit = { 0 };
+	struct wts_mismatch mismatch = { 0 };
 
 	if (!c->has_root || c->complete)
 		return;
-	if (others_know_better(c)) {
+	if (others_disagree(c)) {
 		follow_others(c);
 		return;
 	}
@@ -343,10 +343,10 @@
 	if (dgs_is_reread(
 		&(struct dgs_doubt){
 		    .contradicted =
-			wts_worst_misfit(k->wts, &c->wts.root, &misfit),
+			wts_worst_mismatch(k->wts, &c->wts.root, &mismatch),
 		    .rereads = c->rereads,
 		    .reread_us = c->reread_us,
 		},
 		keeper_now(k)))
-		read_again(c, &misfit);
+		read_again(c, &mismatch);
 }
--- a/tests/stage/test_digests.c
+++ b/tests/stage/test_digests.c
@@ -1,4 +1,4 @@
-/* What a sidecar believes of a list of digests. */
+/* Checks of a list of digests. */
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/weights/test_misfit.c
+++ b/tests/weights/test_mismatch.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 
 #include "nodes.h"
-#include "weights/misfit.h"
+#include "weights/mismatch.h"
 
 static const struct digest one = { { 1 } }, two = { { 2 } };
 
@@ -14,39 +14,39 @@
 static void
 test_different_copies_are_no_contradiction(void **state)
 {
-	struct misfits *m = misfits_new();
-	struct wts_misfit worst;
+	struct mismatches *m = mismatches_new();
+	struct wts_mismatch worst;
 
-	misfits_add(m, 7, &one);
-	misfits_add(m, 7, &two);
-	misfits_add(m, 7, &one);
-	misfits_add(m, 8, &one);
-	assert_false(misfits_worst(m, &worst));
-	misfits_free(m);
+	mismatches_add(m, 7, &one);
+	mismatches_add(m, 7, &two);
+	mismatches_add(m, 7, &one);
+	mismatches_add(m, 8, &one);
+	assert_false(mismatches_worst(m, &worst));
+	mismatches_free(m);
 }
 
 /* Guards against two corrupt digests whose chunks are read in turn. */
 static void
 test_chunks_are_counted_separately(void **state)
 {
-	struct misfits *m = misfits_new();
-	struct wts_misfit worst;
+	struct mismatches *m = mismatches_new();
+	struct wts_mismatch worst;
 
-	misfits_add(m, 7, &one);
-	misfits_add(m, 8, &two);
-	misfits_add(m, 7, &one);
-	assert_true(misfits_worst(m, &worst));
+	mismatches_add(m, 7, &one);
+	mismatches_add(m, 8, &two);
+	mismatches_add(m, 7, &one);
+	assert_true(mismatches_worst(m, &worst));
 	assert_int_equal(worst.index, 7);
 	assert_int_equal(worst.copies, 2);
-	misfits_add(m, 8, &two);
-	misfits_add(m, 8, &two);
-	assert_true(misfits_worst(m, &worst));
+	mismatches_add(m, 8, &two);
+	mismatches_add(m, 8, &two);
+	assert_true(mismatches_worst(m, &worst));
 	assert_int_equal(worst.index, 8);
 	assert_int_equal(worst.copies, 3);
-	misfits_remove(m, 8);
-	assert_true(misfits_worst(m, &worst));
+	mismatches_remove(m, 8);
+	assert_true(mismatches_worst(m, &worst));
 	assert_int_equal(worst.index, 7);
-	misfits_free(m);
+	mismatches_free(m);
 }
 
 /* Guards against a corrupt list that is replaced by another corrupt one. */
@@ -55,25 +55,25 @@
 {
 	struct digest digests[3] = { { { 0 } }, one, one };
 	GBytes *list = g_bytes_new_static(digests, sizeof(digests));
-	struct misfits *m = misfits_new();
+	struct mismatches *m = mismatches_new();
 
-	misfits_add(m, 0, &two); /* a single copy decides nothing */
-	misfits_add(m, 1, &one);
-	misfits_add(m, 1, &one);
-	assert_true(misfits_match(m, list));
-	misfits_add(m, 2, &two);
-	misfits_add(m, 2, &two);
-	assert_false(misfits_match(m, list));
+	mismatches_add(m, 0, &two); /* a single copy decides nothing */
+	mismatches_add(m, 1, &one);
+	mismatches_add(m, 1, &one);
+	assert_true(mismatches_explained(m, list));
+	mismatches_add(m, 2, &two);
+	mismatches_add(m, 2, &two);
+	assert_false(mismatches_explained(m, list));
 	g_bytes_unref(list);
-	misfits_free(m);
+	mismatches_free(m);
 }
 
 static bool
-has_misfit(const struct nodes *s, const struct model *m)
+has_mismatch(const struct nodes *s, const struct model *m)
 {
-	struct wts_misfit worst;
+	struct wts_mismatch worst;
 
-	return wts_worst_misfit(s->node[0].wts, &m->version.root, &worst);
+	return wts_worst_mismatch(s->node[0].wts, &m->version.root, &worst);
 }
 
 /* Guards against a transfer that reads a chunk again and again, and does not
@@ -82,7 +82,7 @@
 test_transfer_reports_a_corrupt_digest(void **state)
 {
 	struct nodes s = { .rate = 4 << 20, .memory = 1 << 20 };
-	struct wts_misfit worst;
+	struct wts_mismatch worst;
 	struct model m;
 	struct digest sound;
 	GBytes *corrupt;
@@ -97,13 +97,13 @@
 	s.origin.nmodels = 1;
 	nodes_start(&s, 1);
 	nodes_want_all(&s, &m, 1);
-	nodes_run_until(&s, has_misfit, &m);
-	assert_true(wts_worst_misfit(s.node[0].wts, &m.version.root, &worst));
+	nodes_run_until(&s, has_mismatch, &m);
+	assert_true(wts_worst_mismatch(s.node[0].wts, &m.version.root, &worst));
 	assert_int_equal(worst.index, 3);
 	assert_true(digest_equal(&worst.digest, &sound));
 	corrupt = g_bytes_new(m.list->data, m.list->len);
 	assert_false(
-	    wts_matches_misfits(s.node[0].wts, &m.version.root, corrupt));
+	    wts_explains_mismatches(s.node[0].wts, &m.version.root, corrupt));
 	g_bytes_unref(corrupt);
 	nodes_stop(&s);
 	model_free(&m);
