weights: Replace no list that chunks no longer contradict

Seen by callers: nothing; by reading. A list is read again while copies of a chunk contradict the one in use. If the chunk arrives before the answer, the copies were the corrupt ones and the list is right, but with nothing left to explain any other list counted as an explanation and, corrupted itself, would have replaced the verified one until chunks contradicted it in turn.

Change: a list explains mismatches only if there are any.

Test: test_list_must_match_all_copies, the last step of which was true before.

--- a/lib/weights/mismatch.c
+++ b/lib/weights/mismatch.c
@@ -69,16 +69,19 @@
 mismatches_explained(const struct mismatches *m, GBytes *list)
 {
 	const struct wts_mismatch *chunk;
+	bool any = false;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, m->chunks);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		chunk = value;
-		if (chunk->copies >= WTS_MISMATCH_COPIES &&
-		    !digest_equal(&chunk->digest,
+		if (chunk->copies < WTS_MISMATCH_COPIES)
+			continue;
+		if (!digest_equal(&chunk->digest,
 			version_chunk_digest(list, chunk->index)))
 			return false;
+		any = true;
 	}
-	return true;
+	return any;
 }
--- a/lib/weights/mismatch.h
+++ b/lib/weights/mismatch.h
@@ -20,7 +20,8 @@
 void mismatches_remove(struct mismatches *m, uint64_t index);
 /* The chunk with the most equal copies, of those with WTS_MISMATCH_COPIES. */
 bool mismatches_worst(const struct mismatches *m, struct wts_mismatch *out);
-/* Whether `list` has the digest of each chunk with so many equal copies. */
+/* Whether there are chunks with so many equal copies, and `list` has the digest
+ * of each. */
 bool mismatches_explained(const struct mismatches *m, GBytes *list);
 
 #endif
--- a/lib/weights/weights.h
+++ b/lib/weights/weights.h
@@ -155,7 +155,8 @@
 /* The chunk with the most such copies. False if there is none. */
 bool wts_worst_mismatch(
     struct wts *wts, const struct digest *root, struct wts_mismatch *out);
-/* Whether another list of the same length has the digests of all such copies. */
+/* Whether there are such chunks, and another list of the same length has the
+ * digests of their copies. */
 bool wts_explains_mismatches(
     struct wts *wts, const struct digest *root, GBytes *list);
 /* The chunk list once it is known and verified, or else NULL. Borrowed. */
--- a/tests/weights/test_mismatch.c
+++ b/tests/weights/test_mismatch.c
@@ -58,12 +58,17 @@
 	struct mismatches *m = mismatches_new();
 
 	mismatches_add(m, 0, &two); /* a single copy decides nothing */
+	assert_false(mismatches_explained(m, list));
 	mismatches_add(m, 1, &one);
 	mismatches_add(m, 1, &one);
 	assert_true(mismatches_explained(m, list));
 	mismatches_add(m, 2, &two);
 	mismatches_add(m, 2, &two);
 	assert_false(mismatches_explained(m, list));
+	/* The chunks have arrived meanwhile: the list in use is right. */
+	mismatches_remove(m, 1);
+	mismatches_remove(m, 2);
+	assert_false(mismatches_explained(m, list));
 	g_bytes_unref(list);
 	mismatches_free(m);
 }
