--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -26,7 +26,7 @@
 BUILD=$1
 SEED=$2
 SECONDS_TO_PLAY=${3:-20}
-NET=$((SEED % 250 + 1)) # allows runs of several seeds at once
+NET=${NET:-$((SEED % 250 + 1))} # allows runs of several seeds at once
 . tools/fleet.sh
 
 # Pseudo-random numbers 0..N-1, one a call; each run of a seed draws the same
