--- a/tools/demo_platform.sh
+++ b/tools/demo_platform.sh
@@ -8,7 +8,7 @@
 . tools/fleet.sh
 fleet_begin "$BUILD/stage-demo-platform" 8 2
 "$BUILD/tests/fleet/fleet" --engines 8 --empty 2 --gateways "$gateways" \
-    --rate 80 --broken 10 --http10 8 --seconds "${SECONDS_TO_PLAY:-12}" --bump 3 --seed 1 >"$STAGE/fleet.out"
+    --net "$NET" --rate 80 --broken 10 --http10 8 --seconds "${SECONDS_TO_PLAY:-12}" --bump 3 --seed 1 >"$STAGE/fleet.out"
 status=$?
 fleet_end || status=1
 loaded=$(grep -h 'ev=weights step=done version=2' "$STAGE"/keeper-*.log | wc -l)
