--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -13,7 +13,7 @@
  * that its target announced. If a request and the target's close cross, it is
  * unknown whether the target executed the request. */
 #define KEEP_ALIVE_PERCENT 60
-#define KEEP_ALIVE_MAX_S 3600 /* longer times are not told apart */
+#define KEEP_ALIVE_MAX_S 3600 /* far above any idle time-out */
 
 /* Interim responses and late ones to earlier requests are discarded, up to this
  * number of bytes in a call: a faulty target may send them without end. */
@@ -228,15 +228,12 @@
 	l->parse.no_body = l->call->no_body;
 	l->call->skip_response = false;
 	l->call->response_begun = false;
-	l->call->discarded += l->call->current;
-	l->call->current = 0;
 }
 
 static bool
 is_too_long(const struct hcall *c)
 {
-	return c->too_long ||
-	    (c->skip_response && c->discarded + c->current > DISCARD_MAX);
+	return c->too_long || (c->skip_response && c->received > DISCARD_MAX);
 }
 
 static void
@@ -262,7 +259,7 @@
 			l->call->response_begun = true;
 		result = hparse_feed(&l->parse, data + used, len - used, &n);
 		used += n;
-		l->call->current += n;
+		l->call->received += n;
 		if (result == HPARSE_HEAD)
 			on_head(l);
 		if (l->call->cancelled) {
--- a/lib/http/client_internal.h
+++ b/lib/http/client_internal.h
@@ -55,8 +55,7 @@
 	bool cancelled; /* by the owner, from within a callback */
 	bool paused;
 	uint64_t body_max, body_bytes; /* of the current response */
-	/* Bytes of interim and discarded responses, and of the current one. */
-	size_t discarded, current;
+	size_t received; /* bytes of all responses, discarded ones included */
 	bool too_long; /* a limit was exceeded */
 };
 
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -312,12 +312,11 @@
 		return;
 	}
 	hbuf_add(&a->answer, data, len);
-	if (is_stream(a))
+	if (is_stream(a)) {
 		relay_events(a);
+		fwd_note_progress(a);
+	}
 	count_buffered(a);
-	if (!is_stream(a))
-		return;
-	fwd_note_progress(a);
 }
 
 size_t
--- a/programs/side/keeper_digests.c
+++ b/programs/side/keeper_digests.c
@@ -53,6 +53,20 @@
 		keeper_set_peers(c);
 }
 
+/* The list in use is about to be replaced. */
+static void
+note_replaced(struct keeper_copy *c, const char *why)
+{
+	char root[ROOT_TEXT];
+
+	evt(EVT_WEIGHTS,
+	    "step=manifest version=%" G_GINT64_FORMAT
+	    " outcome=replaced why=%s root=%s",
+	    c->version, why, root_text(c, root));
+	count(c, "digests_replaced");
+	c->rejected_root = c->wts.root;
+}
+
 /* Starts or replaces the transfer. False if its sizes are out of bounds. */
 static bool
 use_list(struct keeper_copy *c, const struct digest *root, GBytes *list)
@@ -74,13 +88,13 @@
 static bool
 compare_list(struct keeper_copy *c, const struct digest *root, GBytes *list)
 {
-	char before[ROOT_TEXT];
+	char root_hex[ROOT_TEXT];
 
 	if (digest_equal(root, &c->wts.root)) {
 		evt(EVT_WEIGHTS,
 		    "step=manifest version=%" G_GINT64_FORMAT
 		    " outcome=confirmed root=%s",
-		    c->version, root_text(c, before));
+		    c->version, root_text(c, root_hex));
 		c->origin_root = true;
 		return true;
 	}
@@ -88,15 +102,10 @@
 		evt(EVT_WEIGHTS,
 		    "step=manifest version=%" G_GINT64_FORMAT
 		    " outcome=refused why=digest root=%s",
-		    c->version, root_text(c, before));
+		    c->version, root_text(c, root_hex));
 		return false;
 	}
-	evt(EVT_WEIGHTS,
-	    "step=manifest version=%" G_GINT64_FORMAT
-	    " outcome=replaced why=digest root=%s",
-	    c->version, root_text(c, before));
-	count(c, "digests_replaced");
-	c->rejected_root = c->wts.root;
+	note_replaced(c, "digest");
 	return use_list(c, root, list);
 }
 
@@ -283,14 +292,8 @@
 follow_others(struct keeper_copy *c)
 {
 	struct digest agreed = c->reported_root;
-	char before[ROOT_TEXT];
 
-	evt(EVT_WEIGHTS,
-	    "step=manifest version=%" G_GINT64_FORMAT
-	    " outcome=replaced why=others_agree root=%s",
-	    c->version, root_text(c, before));
-	count(c, "digests_replaced");
-	c->rejected_root = c->wts.root;
+	note_replaced(c, "others_agree");
 	keeper_stop_copy(c);
 	keeper_begin_transfer(c, &agreed);
 	keeper_set_peers(c);
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -28,8 +28,7 @@
 }
 
 /* Requests that an engine runs while it answers no report, or without end, may
- * still be answered, and none of them has
- * terminated it. */
+ * still be answered, and none of them has terminated it. */
 static bool
 is_only_silent(const struct keeper *k, const struct hfetch_answer *a)
 {
