--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -387,7 +387,44 @@
 	return at == NULL ? FLEET_CHUNKS : (uint64_t)atoll(at + 10);
 }
 
-static bool staged_is_complete(const struct fleet_engine *e, int64_t version);
+/* Whether the chunk is the expected one, but for a corruption that came too late
+ * to be noticed before the order. */
+static bool
+staged_is_valid(
+    const struct fleet_engine *e, uint64_t i, const uint8_t *expected)
+{
+	int64_t at_us = e->corrupted[i].at_us;
+	uint8_t chunk[FLEET_CHUNK_BYTES];
+
+	if (e->staged[i] == NULL)
+		return false;
+	memcpy(chunk, e->staged[i], sizeof(chunk));
+	if (at_us != 0 && evl_now_us(e->f->loop) - at_us < UNNOTICED_US)
+		chunk[e->corrupted[i].offset] ^= 1;
+	return memcmp(expected, chunk, sizeof(chunk)) == 0;
+}
+
+static bool
+staged_is_complete(const struct fleet_engine *e, int64_t version)
+{
+	uint8_t expected[FLEET_CHUNK_BYTES];
+	uint64_t i;
+
+	for (i = 0; i < FLEET_CHUNKS; i++) {
+		fleet_chunk(version, i, expected);
+		if (!staged_is_valid(e, i, expected))
+			return false;
+	}
+	return true;
+}
+
+static void
+corrupt_staged(struct fleet_engine *e, uint64_t chunk, size_t offset)
+{
+	e->staged[chunk][offset] ^= 1;
+	e->corrupted[chunk].at_us = evl_now_us(e->f->loop);
+	e->corrupted[chunk].offset = offset;
+}
 
 static void
 on_late_read(struct evl_timer *t)
@@ -409,11 +446,8 @@
 	    e->late_reads >= (unsigned int)e->f->late_reads ||
 	    (e->late_reads == 0 && !staged_is_complete(e, e->f->version)))
 		return false;
-	if (e->late_reads++ == 0) {
-		e->staged[0][0] ^= 1;
-		e->corrupted[0].at_us = evl_now_us(e->f->loop);
-		e->corrupted[0].offset = 0;
-	}
+	if (e->late_reads++ == 0)
+		corrupt_staged(e, 0, 0);
 	e->late.r = r;
 	e->late.chunk = i;
 	e->late.timer.fire = on_late_read;
@@ -447,37 +481,6 @@
 	}
 }
 
-/* Whether the chunk is the expected one, but for a corruption that came too late
- * to be noticed before the order. */
-static bool
-staged_is_valid(
-    const struct fleet_engine *e, uint64_t i, const uint8_t *expected)
-{
-	int64_t at_us = e->corrupted[i].at_us;
-	uint8_t chunk[FLEET_CHUNK_BYTES];
-
-	if (e->staged[i] == NULL)
-		return false;
-	memcpy(chunk, e->staged[i], sizeof(chunk));
-	if (at_us != 0 && evl_now_us(e->f->loop) - at_us < UNNOTICED_US)
-		chunk[e->corrupted[i].offset] ^= 1;
-	return memcmp(expected, chunk, sizeof(chunk)) == 0;
-}
-
-static bool
-staged_is_complete(const struct fleet_engine *e, int64_t version)
-{
-	uint8_t expected[FLEET_CHUNK_BYTES];
-	uint64_t i;
-
-	for (i = 0; i < FLEET_CHUNKS; i++) {
-		fleet_chunk(version, i, expected);
-		if (!staged_is_valid(e, i, expected))
-			return false;
-	}
-	return true;
-}
-
 static void
 on_loaded(struct evl_timer *timer)
 {
@@ -827,14 +830,10 @@
 {
 	struct fleet_engine *e = f->engine[i];
 	uint64_t chunk = rng_below(&f->rng, FLEET_CHUNKS);
-	size_t offset;
 
-	if (e->staged[chunk] == NULL)
-		return;
-	offset = (size_t)rng_below(&f->rng, FLEET_CHUNK_BYTES);
-	e->staged[chunk][offset] ^= 1;
-	e->corrupted[chunk].at_us = evl_now_us(f->loop);
-	e->corrupted[chunk].offset = offset;
+	if (e->staged[chunk] != NULL)
+		corrupt_staged(
+		    e, chunk, (size_t)rng_below(&f->rng, FLEET_CHUNK_BYTES));
 }
 
 /* ------------------------------------------------------------------ */
@@ -853,7 +852,7 @@
 	uint8_t chunk[FLEET_CHUNK_BYTES];
 
 	if (g_str_has_prefix(target, "/-/manifest/")) {
-		fleet_manifest_answer(f, r, version);
+		fleet_manifest_answer(r, version);
 	} else if (i < FLEET_CHUNKS) {
 		fleet_chunk(version, i, chunk);
 		if (rng_below(&f->rng, 20) == 0)
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -142,12 +142,11 @@
 	/* Engines. */
 	struct fleet_engine *engine[FLEET_ENGINES_MAX];
 	size_t nengines;
+	int late_reads; /* of the first engine's staging area */
 	int64_t version, announced_us; /* newest, and when it was announced */
 	int64_t previous_version;
 	/* Origin. */
 	struct hserver *origin;
-	int late_reads; /* of the first engine's staging area */
-	unsigned int manifests; /* lists of digests that it sent */
 	/* One in so many answers is broken off, and all framings are used; 0:
 	 * none is, and answers have a length or chunks. */
 	int broken_one_in;
@@ -221,7 +220,7 @@
 
 /* manifest.c: the origin's lists of digests */
 struct poptOption *fleet_manifest_options(void);
-void fleet_manifest_answer(struct fleet *f, struct hreq *r, int64_t version);
+void fleet_manifest_answer(struct hreq *r, int64_t version);
 
 /* The engine announces its stop in all its answers, and in its record unless
  * `silent`; it is replaced by another LEAVE_US (engine.c) later. */
--- a/tests/fleet/manifest.c
+++ b/tests/fleet/manifest.c
@@ -50,25 +50,24 @@
 }
 
 void
-fleet_manifest_answer(struct fleet *f, struct hreq *r, int64_t version)
+fleet_manifest_answer(struct hreq *r, int64_t version)
 {
 	static int64_t last_version;
-	static unsigned int of_version;
-	int n = (int)f->manifests++;
+	static int sent, of_version;
 	GString *out = g_string_new(NULL);
 	size_t digests;
 
 	g_string_printf(out,
 	    "{\"model\":\"" FLEET_MODEL "\",\"version\":%" G_GINT64_FORMAT
 	    ",\"chunkBytes\":%d,\"layers\":4,\"digests\":[",
-	    version, FLEET_CHUNK_BYTES + (n < bad_sizes ? 1000 : 0));
+	    version, FLEET_CHUNK_BYTES + (sent++ < bad_sizes ? 1000 : 0));
 	digests = out->len;
 	add_digests(out, version);
 	if (version != last_version)
 		of_version = 0;
 	last_version = version;
-	if ((int)of_version++ < bad_digests)
-		corrupt_digest(out->str + digests, of_version);
+	if (of_version++ < bad_digests)
+		corrupt_digest(out->str + digests, (unsigned int)of_version);
 	g_string_append(out, "]}");
 	hreq_answer(
 	    r, 200, "Content-Type: application/json\r\n", out->str, out->len);
--- a/tests/http/loop.h
+++ b/tests/http/loop.h
@@ -67,6 +67,34 @@
 	return ntohs(at.sin_port);
 }
 
+/* Listens on a free port of loopback, of which it stores the address. */
+static inline int
+raw_listen(char address[32])
+{
+	struct sockaddr_in at;
+	int fd;
+
+	g_snprintf(address, 32, "127.0.0.1:%u", free_port());
+	assert_true(sock_parse(address, &at));
+	fd = sock_listen(&at, 8);
+	assert_true(fd >= 0);
+	return fd;
+}
+
+/* Waits for the next connection. */
+static inline int
+raw_accept(int listener)
+{
+	int fd = -1, i;
+
+	for (i = 0; i < ITERATIONS_MAX && fd < 0; i++) {
+		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+		run_ms(1);
+	}
+	assert_true(fd >= 0);
+	return fd;
+}
+
 static inline int
 raw_dial(const char *address)
 {
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -49,12 +49,7 @@
 static int
 set_up(void **state)
 {
-	struct sockaddr_in at;
-
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
-	assert_true(sock_parse(address, &at));
-	listener = sock_listen(&at, 4);
-	assert_true(listener >= 0);
+	listener = raw_listen(address);
 	loop = evl_new(clk_system());
 	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
 	    .idle_max = 2,
@@ -89,19 +84,6 @@
 		.ops = &ops });
 }
 
-static int
-accept_connection(void)
-{
-	int fd = -1, i;
-
-	for (i = 0; i < 1000 && fd < 0; i++) {
-		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
-		run_ms(1);
-	}
-	assert_true(fd >= 0);
-	return fd;
-}
-
 #define OK "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
 
 static void
@@ -110,7 +92,7 @@
 	int fd;
 
 	start();
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	raw_send(fd, OK "\r\nok");
 	run_until(&finished);
 	start();
@@ -130,12 +112,12 @@
 	int fd;
 
 	start();
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	raw_send(fd, OK "Keep-Alive: timeout=0\r\n\r\nok");
 	run_until(&finished);
 	close(fd);
 	start();
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	raw_send(fd, OK "Connection: close\r\n\r\nok");
 	run_until(&finished);
 	assert_int_equal(hpool_opened(pool), 2);
@@ -149,7 +131,7 @@
 	int fd;
 
 	start();
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	raw_send(fd, OK "Keep-Alive: timeout=9223372036854775807\r\n\r\nok");
 	run_until(&finished);
 	start();
@@ -169,19 +151,19 @@
 	int fd;
 
 	start();
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	raw_send(fd, OK "\r\nok" OK "\r\nno");
 	run_until(&finished);
 	start();
 	close(fd);
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	raw_send(fd, OK "\r\nok");
 	run_until(&finished);
 	raw_send(fd, OK "\r\nno");
 	run_ms(20);
 	start();
 	close(fd);
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	raw_send(fd, OK "\r\nok");
 	run_until(&finished);
 	assert_int_equal(dones, 3);
@@ -196,7 +178,7 @@
 
 	skip_first = true;
 	start();
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	raw_send(fd, OK "\r\nno");
 	run_ms(5);
 	assert_false(finished);
@@ -214,7 +196,7 @@
 	int fd;
 
 	start();
-	fd = accept_connection();
+	fd = raw_accept(listener);
 	g_free(raw_read(fd, "\r\n\r\n"));
 	raw_send(fd, bytes);
 	run_ms(5);
@@ -269,7 +251,7 @@
 {
 	struct hcall *c = start();
 	char byte;
-	int fd = accept_connection(), i;
+	int fd = raw_accept(listener), i;
 
 	g_free(raw_read(fd, "\r\n\r\n"));
 	hcall_cancel(c);
--- a/tests/http/test_fetch.c
+++ b/tests/http/test_fetch.c
@@ -25,12 +25,7 @@
 static int
 set_up(void **state)
 {
-	struct sockaddr_in at;
-
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
-	assert_true(sock_parse(address, &at));
-	listener = sock_listen(&at, 4);
-	assert_true(listener >= 0);
+	listener = raw_listen(address);
 	loop = evl_new(clk_system());
 	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
 	    .idle_max = 2,
@@ -53,7 +48,7 @@
 static int
 start(void)
 {
-	int fd = -1, i;
+	int fd;
 
 	finished = false;
 	hfetch_start(loop, pool,
@@ -63,11 +58,7 @@
 		.timeout_us = (int64_t)3600 * G_USEC_PER_SEC,
 		.answer_max = ANSWER_MAX,
 		.done = on_answer });
-	for (i = 0; i < 1000 && fd < 0; i++) {
-		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
-		run_ms(1);
-	}
-	assert_true(fd >= 0);
+	fd = raw_accept(listener);
 	g_free(raw_read(fd, "\r\n\r\n"));
 	return fd;
 }
--- a/tests/serve/world.h
+++ b/tests/serve/world.h
@@ -62,7 +62,6 @@
 
 /* A target: a listening socket; the test writes its answers. */
 struct target {
-	unsigned int port;
 	char address[32];
 	char id[8];
 	int listener;
@@ -99,14 +98,8 @@
 static inline void
 target_open(struct target *t, size_t i)
 {
-	struct sockaddr_in at;
-
-	t->port = free_port();
-	g_snprintf(t->address, sizeof(t->address), "127.0.0.1:%u", t->port);
+	t->listener = raw_listen(t->address);
 	g_snprintf(t->id, sizeof(t->id), "i%zu", i);
-	assert_true(sock_parse(t->address, &at));
-	t->listener = sock_listen(&at, 8);
-	assert_true(t->listener >= 0);
 	t->fd = -1;
 }
 
--- a/tests/store/test_endless.c
+++ b/tests/store/test_endless.c
@@ -76,12 +76,8 @@
 static int
 next_call(void)
 {
-	int fd = -1;
+	int fd = raw_accept(listener);
 
-	while (fd < 0) {
-		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
-		run_ms(1);
-	}
 	g_free(raw_read(fd, "\r\n\r\n"));
 	return fd;
 }
@@ -90,12 +86,7 @@
 open_all(void)
 {
 	static char address[32];
-	struct sockaddr_in at;
-
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
-	assert_true(sock_parse(address, &at));
-	listener = sock_listen(&at, 4);
-	assert_true(listener >= 0);
+	listener = raw_listen(address);
 	loop = evl_new(clk_system());
 	counters = ctr_set_new();
 	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
