tests: Let a stream begin before its tokens are counted

Cause: the test's own. A stream in the background opens its files later than the check reads them when the machine is busy; the check then found the tokens and the id of the stream before, and cancelled that one. The new stream was never cancelled and ended complete.

Change: the files of the stream before are removed first. What is asked of the cancelled stream is unchanged. slow_caller.sh already empties its file; the other tests in the background write to files of their own.

--- a/tests/system/answer_end.sh
+++ b/tests/system/answer_end.sh
@@ -53,10 +53,11 @@
 engine_faults '{"unframed":0,"step_ms":200}'
 
 # A cancelled stream ends in order, between two events.
+rm "$STAGE/stream" "$STAGE/head" # those of the stream before
 stream &
 stream_pid=$!
 begun() {
-	[ "$(tokens)" -ge 2 ]
+	[ -f "$STAGE/stream" ] && [ "$(tokens)" -ge 2 ]
 }
 eventually "tokens have reached the caller" begun
 id=$(sed -n 's/^X-Request-Id: \([^\r]*\).*/\1/ip' "$STAGE/head" | tr -d '\r')
