platform: Await the rest of a target's response after a hold-up

Cause: the deadline of a call waited once for 50 ms after a hold-up of the process, although a response larger than the socket's buffer goes on only when the process reads again.

Change: clk_catch_up() with the bytes of the response. The stall limit needs no change, as any byte restarts it.

Measured: test_rest_after_a_hold_up fails before (DEADLINE), passes after; the 20 tests of platform-target pass.

--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -31,7 +31,8 @@
 	guint deadline_timer, stall_timer, idle;
 	unsigned int stall_ms;
 	int64_t last_byte_us, deadline_us;
-	bool deadline_was_late, stall_was_late; /* see is_late() */
+	struct clk_catch_up catch_up; /* of deadline_timer */
+	bool stall_was_late; /* see stall_is_late() */
 	bool busy; /* an operation or a callback is running */
 	bool paused;
 	bool abandoned; /* no more callbacks; freed on completion */
@@ -279,25 +280,14 @@
 	}
 }
 
-/* Whether the timer that was due at `due_us` has to wait until the input that
- * arrived before is read. It waits only once, so that a process that is held up
- * often ends its calls, too. */
-static bool
-is_late(const struct target_call *call, int64_t due_us, bool *was_late)
-{
-	if (*was_late || !clk_is_late(call->plat->clock, due_us))
-		return false;
-	*was_late = true;
-	return true;
-}
-
 static gboolean
 on_deadline(gpointer data)
 {
 	struct target_call *call = data;
 
 	call->deadline_timer = 0;
-	if (is_late(call, call->deadline_us, &call->deadline_was_late)) {
+	if (clk_catch_up(&call->catch_up, clk_now_us(call->plat->clock),
+		call->deadline_us, call->received)) {
 		call->deadline_timer =
 		    g_timeout_add(CLK_READ_MS, on_deadline, call);
 		return G_SOURCE_REMOVE;
@@ -306,6 +296,18 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* Whether the stall timer that was due at `due_us` has to wait until the input
+ * that arrived before is read. It waits only once, so that a process that is
+ * held up often ends its calls, too. */
+static bool
+stall_is_late(struct target_call *call, int64_t due_us)
+{
+	if (call->stall_was_late || !clk_is_late(call->plat->clock, due_us))
+		return false;
+	call->stall_was_late = true;
+	return true;
+}
+
 static gboolean on_stall(gpointer data);
 
 /* Starts the timer for the stall limit. It is restarted only when it fires, not
@@ -334,8 +336,8 @@
 		start_stall_timer(call);
 		return G_SOURCE_REMOVE;
 	}
-	if (is_late(call, call->last_byte_us + call->stall_ms * (int64_t)1000,
-		&call->stall_was_late)) {
+	if (stall_is_late(
+		call, call->last_byte_us + call->stall_ms * (int64_t)1000)) {
 		call->stall_timer = g_timeout_add(CLK_READ_MS, on_stall, call);
 		return G_SOURCE_REMOVE;
 	}
--- a/tests/platform/test_target.c
+++ b/tests/platform/test_target.c
@@ -496,6 +496,35 @@
 	}
 }
 
+static gboolean
+send_rest(gpointer data)
+{
+	struct fixture *f = data;
+
+	peer_text(
+	    g_ptr_array_index(f->server.peers, f->server.peers->len - 1), "ne");
+	return G_SOURCE_REMOVE;
+}
+
+/* Guards against a deadline that ends the exchange while the rest of a response
+ * arrives, which the target could not send while the process was held up. */
+static void
+test_rest_after_a_hold_up(void **state)
+{
+	struct fixture *f = *state;
+
+	start(
+	    f, (struct target_request){ .path = "/hang", .deadline_ms = 100 });
+	run_for(10);
+	peer_text(g_ptr_array_index(f->server.peers, f->server.peers->len - 1),
+	    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\no");
+	g_usleep(500 * 1000);
+	g_timeout_add(3 * CLK_READ_MS, send_rest, f);
+	run_until(&f->ended);
+	assert_result(f, ERR_NONE, VERDICT_RAN);
+	assert_string_equal(f->data->str, "one");
+}
+
 /* The process was held up, but nothing has arrived: the time limits hold. */
 static void
 test_timers_without_input(void **state)
@@ -636,6 +665,7 @@
 		SERVED(test_deadline_before_a_connection),
 		SERVED(test_stall),
 		SERVED(test_input_before_timers),
+		SERVED(test_rest_after_a_hold_up),
 		SERVED(test_timers_without_input),
 		SERVED(test_pause_is_not_a_stall),
 		SERVED(test_cancel_closes_the_connection),
