fwd: Await the rest of an answer after a hold-up

Cause: the timeout of a request fired as soon as what was in the sockets had been read. The rest of an answer that is larger than a socket's buffer comes after that, so an answer that its target had made in time was replaced by 504.

Change: while an answer that is relayed whole arrives, a late timeout waits with clk_catch_up(). Streams and requests without an answer end as before.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -160,6 +160,13 @@
 {
 	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, deadline);
 
+	if (fwd_is_answering(r) &&
+	    clk_catch_up(&r->catch_up, fwd_now(r), r->deadline_us,
+		(uint64_t)r->heard_us)) {
+		evl_timer_set(
+		    r->fwd->conf.loop, timer, fwd_now(r) + CLK_READ_MS * 1000);
+		return;
+	}
 	if (r->flow.begun)
 		fwd_abort(r, "timeout");
 	else if (r->flow.attempts == 0)
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -146,6 +146,18 @@
 	return !a->not_run && !a->unusable && a->status < 500 && !is_stream(a);
 }
 
+bool
+fwd_is_answering(const struct fwd_req *r)
+{
+	const struct fwd_attempt *a;
+
+	TAILQ_FOREACH (a, &r->attempts, link) {
+		if (a->is_matched && is_plain_answer(a))
+			return true;
+	}
+	return false;
+}
+
 void
 fwd_read_head(struct fwd_attempt *a, const struct hmsg *m)
 {
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -66,6 +66,7 @@
 	bool is_client_retry; /* inferred from the caller's deadline header */
 	int priority;
 	struct evl_timer deadline;
+	struct clk_catch_up catch_up; /* of `deadline` */
 	struct evl_timer wait_timer; /* for a slot */
 	bool queued; /* in fwd_service.waiting */
 	bool queued_as_hedge; /* while silent targets have it */
@@ -221,6 +222,8 @@
 void fwd_drop_answer(struct fwd_attempt *a); /* frees its buffered bytes */
 /* Whether an answer whose message has ended is complete. */
 bool fwd_answer_is_complete(const struct fwd_attempt *a);
+/* Whether the answer that is to be relayed whole has begun to arrive. */
+bool fwd_is_answering(const struct fwd_req *r);
 void fwd_answer_complete(struct fwd_attempt *a);
 const char *fwd_framing_name(const struct fwd_attempt *a); /* "-": no answer */
 /* Bytes of an incomplete event: received and not relayed. */
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -240,6 +240,39 @@
 	assert_true(target_is_disconnected(t));
 }
 
+/* Guards against a timeout that ends an answer whose rest arrives, which the
+ * target could not send while this process was held up. */
+static void
+test_rest_of_an_answer_after_a_hold_up(void **state)
+{
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 150));
+	fd = send_get();
+	t = target_next();
+	raw_send(t->fd, GOOD "Content-Length: 2\r\n\r\no");
+	g_usleep(500 * 1000);
+	run_ms(3 * CLK_READ_MS);
+	raw_send(t->fd, "k");
+	expect_answer(fd, "\r\n\r\nok");
+}
+
+/* The rest never arrives: the timeout holds. */
+static void
+test_timeout_within_an_answer(void **state)
+{
+	struct target *t;
+	int fd;
+
+	world_open(1, make_config(SV_UNSAFE, 1, 150));
+	fd = send_get();
+	t = target_next();
+	raw_send(t->fd, GOOD "Content-Length: 2\r\n\r\no");
+	g_usleep(500 * 1000);
+	expect_answer(fd, "504 ");
+}
+
 /* Guards against ending callers' connections without a byte when the process
  * exits: the one whose request was not sent learns that it did not run. */
 static void
@@ -1316,6 +1349,8 @@
 		T(test_refused_by_all),
 		T(test_reset_is_retried_if_repeatable),
 		T(test_timeout),
+		T(test_rest_of_an_answer_after_a_hold_up),
+		T(test_timeout_within_an_answer),
 		T(test_process_exits),
 		T(test_caller_disconnects),
 		T(test_stream_is_resumed_elsewhere),
