suspect, fwd: Block a request again as its probe is sent

Cause: a blocked request has one probe when its time is over.

Change: sending a probe blocks the identity again for as long. A complete answer clears it, as before; any other end leaves it blocked. A probe that has not run, was recalled, or was cut off by a planned stop is void and may be repeated. While a probe is in flight, others are told to come back after it, as before.

Costs: an innocent request or part whose probe fails at its target waits for the next probe (10 to 20 s at the least evidence).

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -326,6 +326,14 @@
 	}
 }
 
+/* The target did not run it, or was told in time not to. */
+static bool
+is_no_probe(enum flow_end end)
+{
+	return end == FLOW_REFUSED || end == FLOW_UNREACHABLE ||
+	    end == FLOW_RECALLED;
+}
+
 static void seek_second_target(struct fwd_req *r);
 
 static void
@@ -335,6 +343,8 @@
 
 	note_outcome(a, end);
 	count_run(a, end);
+	if (is_no_probe(end))
+		fwd_void_probe(r);
 	update_flow(r);
 	if (is_only_attempt(a)) {
 		fwd_dequeue(r);
@@ -724,6 +734,7 @@
 	a = attempt_new(r, target);
 	count_limited(a);
 	tgt_sent(target, a->sent_us);
+	fwd_note_sent(r);
 	/* Ask now, so that the next request finds a permit. */
 	tgt_ask_permit(r->fwd->conf.targets, target, a->sent_us);
 	tgt_prefill(target, r->prompt, true);
--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -42,12 +42,16 @@
 {
 	struct sus *s = r->fwd->suspects;
 
-	if (sus_judge(s, fingerprint, fwd_now(r), until_us) == SUS_BLOCKED)
+	bool is_blocked =
+	    sus_judge(s, fingerprint, fwd_now(r), until_us) == SUS_BLOCKED;
+
+	/* Only one request at a time is sent as a probe, which may clear it. */
+	if (sus_was_blocked(s, fingerprint) &&
+	    is_other_in_flight(r, fingerprint)) {
+		*until_us = fwd_now(r) + PROBE_US;
 		return true;
-	/* Only one request at a time is sent as a probe. */
-	*until_us = fwd_now(r) + PROBE_US;
-	return sus_was_blocked(s, fingerprint) &&
-	    is_other_in_flight(r, fingerprint);
+	}
+	return is_blocked;
 }
 
 bool
@@ -72,6 +76,32 @@
 	return r->blocked_by != 0;
 }
 
+static void
+each_identity(
+    struct fwd_req *r, void (*note)(struct sus *s, uint64_t fp, int64_t now_us))
+{
+	uint64_t identities[FWD_IDENTITIES_MAX];
+	size_t n, i;
+
+	if (sus_is_empty(r->fwd->suspects))
+		return;
+	n = fwd_identities(r, identities);
+	for (i = 0; i < n; i++)
+		note(r->fwd->suspects, identities[i], fwd_now(r));
+}
+
+void
+fwd_note_sent(struct fwd_req *r)
+{
+	each_identity(r, sus_sent);
+}
+
+void
+fwd_void_probe(struct fwd_req *r)
+{
+	each_identity(r, sus_void_probe);
+}
+
 /* A target that shuts down (announced, or removed from the store) or that loads
  * weights closes its connections itself. That is no evidence against a
  * request. */
@@ -107,7 +137,11 @@
 	size_t n, i;
 
 	ctr_add(a->has_begun ? f->cut_midway : f->cut_before_answer, 1);
-	if (is_planned_cut(a->target) || has_common_cause(a))
+	if (is_planned_cut(a->target)) {
+		fwd_void_probe(r);
+		return;
+	}
+	if (has_common_cause(a))
 		return;
 	r->cut_us = fwd_now(r);
 	n = fwd_identities(r, identities);
@@ -181,11 +215,9 @@
 	return false;
 }
 
-static void
-recall(struct fwd_req *r, uint64_t blocked_by, int64_t until_us)
+void
+fwd_end_blocked(struct fwd_req *r, int64_t until_us)
 {
-	r->blocked_by = blocked_by;
-	ctr_add(r->fwd->recalled, 1);
 	if (r->flow.begun)
 		fwd_abort(r, "held");
 	else if (r->flow.may_have_run || !TAILQ_EMPTY(&r->attempts))
@@ -207,8 +239,11 @@
 		return;
 	for (r = TAILQ_FIRST(&f->open); r != NULL; r = next) {
 		next = TAILQ_NEXT(r, open);
-		if (!is_answering(r) && fwd_has_identity(r, fingerprint))
-			recall(r, fingerprint, until_us);
+		if (is_answering(r) || !fwd_has_identity(r, fingerprint))
+			continue;
+		r->blocked_by = fingerprint;
+		ctr_add(f->recalled, 1);
+		fwd_end_blocked(r, until_us);
 	}
 }
 
--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -73,6 +73,7 @@
 	unsigned int nterminations;
 	int64_t last_us; /* latest termination */
 	int64_t blocked_until_us; /* 0: never blocked */
+	int64_t before_probe_us; /* blocked_until_us before the last probe */
 };
 
 /* The latest complete answer of a request with the identity. */
@@ -505,7 +506,7 @@
 		was_confirmed |= sp->terminations[i].confirmed;
 		remove_termination(sp, i);
 	}
-	sp->blocked_until_us = 0;
+	sp->blocked_until_us = sp->before_probe_us = 0;
 	block_if_confirmed(s, sp);
 	if (sp->nterminations == 0)
 		g_hash_table_remove(s->suspects, &fingerprint);
@@ -695,6 +696,34 @@
 	return sp != NULL && sp->blocked_until_us != 0;
 }
 
+void
+sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us)
+{
+	struct suspect *sp = find(s, fingerprint);
+	unsigned int weight;
+
+	if (sp == NULL || sp->blocked_until_us == 0)
+		return;
+	weight = confirmed_weight(s, sp);
+	if (weight < policy_of(fingerprint)->block_weight)
+		return;
+	sp->before_probe_us = sp->blocked_until_us;
+	sp->blocked_until_us =
+	    MAX(sp->blocked_until_us, now_us + block_span_us(s, sp, weight));
+}
+
+void
+sus_void_probe(struct sus *s, uint64_t fingerprint, int64_t now_us)
+{
+	struct suspect *sp = find(s, fingerprint);
+
+	if (sp == NULL || sp->before_probe_us == 0)
+		return;
+	sp->blocked_until_us = sp->before_probe_us;
+	sp->before_probe_us = 0;
+	block_if_confirmed(s, sp);
+}
+
 static void
 append_terminations(const struct suspect *sp, GArray *out)
 {
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -23,8 +23,9 @@
  * identity while a blocked one with more evidence explains it, unless there are
  * so many that chance is ruled out.
  *
- * A blocked identity is probed again later, by each gateway at a different time;
- * each further termination blocks it for longer. Does no I/O: targets are hashes
+ * A blocked identity is probed again later, by each gateway at a different time.
+ * A complete answer to the probe clears it, any other end leaves it blocked for
+ * as long again, and each further termination for longer. Does no I/O: targets are hashes
  * of instance ids.
  */
 
@@ -101,6 +102,12 @@
     struct sus *s, uint64_t fingerprint, int64_t now_us, int64_t *until_us);
 /* Whether it is blocked, or was and may be probed now. */
 bool sus_was_blocked(const struct sus *s, uint64_t fingerprint);
+/* A request with the identity is sent. If it was blocked, it is blocked again
+ * for as long: unless a complete answer clears it, the probe was its only one. */
+void sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us);
+/* The request that was sent last proves nothing, as it has not run or was cut
+ * off by a planned stop: it does not count as a probe. */
+void sus_void_probe(struct sus *s, uint64_t fingerprint, int64_t now_us);
 /* Append the confirmed terminations of one identity, or of all for which
  * sus_was_blocked() is true. */
 void sus_terminations_of(
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -1004,27 +1004,36 @@
 
 /* Reports, as another process, `n` terminations under an identity. */
 static void
-report_terminations_of(uint64_t fingerprint, uint64_t n)
+report_terminations_at(uint64_t fingerprint, uint64_t n, int64_t at_us)
 {
 	struct sus_termination termination = { .fingerprint = fingerprint,
-		.weight = SUS_UNANSWERED };
+		.weight = SUS_UNANSWERED,
+		.at_us = at_us };
 
 	for (termination.target = 1; termination.target <= n;
-	     termination.target++) {
-		termination.at_us = now_us();
+	     termination.target++)
 		fwd_report_termination(w.fwd, &termination);
-	}
 }
 
-/* The same under the request for /x/1. */
+static void
+report_terminations_of(uint64_t fingerprint, uint64_t n)
+{
+	report_terminations_at(fingerprint, n, now_us());
+}
+
+/* The request for /x/1. */
+static uint64_t
+first_content(void)
+{
+	return fpr_of(&(struct fpr_content){ .host = "a.example",
+	    .target = { "/x/1", 4 },
+	    .workspace = "team" });
+}
+
 static void
 report_terminations(uint64_t n)
 {
-	report_terminations_of(
-	    fpr_of(&(struct fpr_content){ .host = "a.example",
-		.target = { "/x/1", 4 },
-		.workspace = "team" }),
-	    n);
+	report_terminations_of(first_content(), n);
 }
 
 static uint64_t
@@ -1178,6 +1187,77 @@
 	expect_answer(fd, "0\r\n\r\n");
 }
 
+#define FAILURE                                            \
+	"HTTP/1.1 500 Failed\r\nT-Id: q1\r\nT-Seal: s\r\n" \
+	"Content-Length: 0\r\n\r\n"
+
+/* The request for /x/1 was blocked for a time that is over. */
+static void
+open_for_a_probe(size_t ntargets)
+{
+	world_open(ntargets, make_config(SV_STREAM, 2, 3000));
+	report_terminations_at(first_content(), 2, now_us() - 21000000);
+}
+
+/* Answers the next request on the kept connection. */
+static void
+answer_on_idle(struct target *t)
+{
+	char *request = raw_read(t->fd, "\r\n\r\n");
+
+	assert_non_null(request);
+	g_free(request);
+	raw_send(t->fd, STREAM EVENT("1") "0\r\n\r\n");
+}
+
+/* Guards against copies that follow a probe which its target fails: neither the
+ * gateway nor the caller may send it once more before the next probe. */
+static void
+test_failed_probe_is_the_only_one(void **state)
+{
+	char *answer;
+	struct target *t;
+	int fd;
+
+	open_for_a_probe(3);
+	fd = send_path("/x/1");
+	t = target_next();
+	/* While it runs, others are told to come back soon. */
+	expect_answer(send_path("/x/1"), "Retry-After: 1");
+	raw_send(t->fd, FAILURE);
+	expect_answer(fd, "500 ");
+	fd = send_path("/x/1");
+	answer = raw_read(fd, "\r\n\r\n");
+	assert_non_null(strstr(answer, "503 "));
+	assert_in_range(
+	    atoi(strstr(answer, "Retry-After: ") + strlen("Retry-After: ")), 9,
+	    20);
+	g_free(answer);
+	close(fd);
+	assert_false(target_is_called());
+}
+
+/* A probe that did not run is sent to another target, and clears the request
+ * there. */
+static void
+test_refused_probe_is_repeated(void **state)
+{
+	struct target *t;
+	int fd;
+
+	open_for_a_probe(2);
+	fd = send_path("/x/1");
+	raw_send(target_next()->fd,
+	    "HTTP/1.1 503 Full\r\nT-Id: q1\r\nT-Not-Run: 1\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	t = target_next();
+	raw_send(t->fd, STREAM EVENT("1") "0\r\n\r\n");
+	expect_answer(fd, "0\r\n\r\n");
+	fd = send_path("/x/1");
+	answer_on_idle(t);
+	expect_answer(fd, "0\r\n\r\n");
+}
+
 /* Guards against copies that are in flight elsewhere when the request is
  * blocked. */
 static void
@@ -1382,6 +1462,8 @@
 		T(test_answered_part_is_not_blocked),
 		T(test_rejection_does_not_clear),
 		T(test_blocked_after_two_terminations),
+		T(test_failed_probe_is_the_only_one),
+		T(test_refused_probe_is_repeated),
 		T(test_copies_in_flight_are_recalled),
 		T(test_complete_answer_unblocks),
 		T(test_end_of_connection_does_not_unblock),
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -203,6 +203,37 @@
 	}
 }
 
+/* Guards against probes that end without telling anything, as their targets fail
+ * them: the identity stays blocked until a complete answer clears it. */
+static void
+test_probe_without_an_answer(void **state)
+{
+	int64_t now_us = T0, until_us;
+	int i;
+
+	report(s, 7, 1, SUS_UNANSWERED, now_us);
+	sus_sent(s, 7, now_us); /* not blocked yet */
+	assert_int_equal(judge(7, now_us), SUS_SUSPECT);
+	report(s, 7, 2, SUS_UNANSWERED, now_us);
+	for (i = 0; i < 5; i++) {
+		now_us = blocked_until(s, 7, now_us);
+		sus_sweep(s, now_us, NULL);
+		assert_int_equal(judge(7, now_us), SUS_SUSPECT);
+		sus_sent(s, 7, now_us);
+		until_us = blocked_until(s, 7, now_us);
+		assert_in_range((until_us - now_us) / S, 10, 20);
+	}
+	sus_void_probe(s, 7, now_us); /* it did not run */
+	assert_int_equal(judge(7, now_us), SUS_SUSPECT);
+	sus_sent(s, 7, now_us);
+	report(s, 7, 3, SUS_UNANSWERED, now_us); /* another one's probe */
+	sus_void_probe(s, 7, now_us);
+	assert_true(blocked_until(s, 7, now_us) - now_us >= 300 * S);
+	sus_sent(s, 7, now_us + 600 * S);
+	sus_answered(s, 7, now_us + 600 * S);
+	assert_int_equal(judge(7, now_us + 600 * S), SUS_NONE);
+}
+
 /* Guards against all gateways probing a request at the same time. */
 static void
 test_gateways_probe_at_different_times(void **state)
@@ -520,6 +551,7 @@
 		TEST(test_reports_of_one_termination_count_once),
 		TEST(test_complete_answer_clears),
 		TEST(test_each_termination_blocks_for_longer),
+		TEST(test_probe_without_an_answer),
 		TEST(test_gateways_probe_at_different_times),
 		TEST(test_blocked_requests_are_not_evicted),
 		TEST(test_published_terminations_block_elsewhere),
