fwd: Send no queued copy beside a probe

Seen: no report; found while the probes were changed.

Cause: whether a request is blocked was asked when it arrives, not when it gets a slot. Copies that waited for a slot when the probe was sent were sent, too.

Change: a queued request that is blocked when its slot is free ends as a recalled one does: refused if it has not run, with the time to come back.

--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -309,6 +309,8 @@
 static void
 send_chosen(struct fwd_req *r, struct tgt *target)
 {
+	int64_t until_us;
+
 	if (hreq_has_left(r->caller))
 		return;
 	fwd_dequeue(r);
@@ -316,6 +318,11 @@
 		fwd_hedge_later(r);
 		return;
 	}
+	/* Another one with its identity was sent while it was queued. */
+	if (!is_hedge(r) && fwd_is_blocked(r, &until_us)) {
+		fwd_end_blocked(r, until_us);
+		return;
+	}
 	evl_timer_stop(r->fwd->conf.loop, &r->wait_timer);
 	if (!is_hedge(r))
 		hist_add(&r->fwd->wait, fwd_now(r) - r->started_us);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -1258,6 +1258,31 @@
 	expect_answer(fd, "0\r\n\r\n");
 }
 
+/* Guards against copies that wait for a slot while a probe is sent. */
+static void
+test_queued_copy_of_a_probe(void **state)
+{
+	int busy[3], at[3], fd, copy, i;
+
+	open_for_a_probe(1);
+	for (i = 0; i < 3; i++) { /* two slots and one beyond */
+		busy[i] = send_path("/x/2");
+		at[i] = target_next()->fd;
+	}
+	fd = send_path("/x/1");
+	copy = send_path("/x/1");
+	assert_int_equal(fwd_waiting(w.fwd), 2);
+	for (i = 0; i < 2; i++)
+		raw_send(at[i], STREAM EVENT("1") "0\r\n\r\n");
+	expect_answer(copy, "Retry-After: 1");
+	for (i = 0; i < 3; i++)
+		close(busy[i]);
+	close(fd);
+	run_ms(10);
+	close(at[0]);
+	close(at[1]);
+}
+
 /* Guards against copies that are in flight elsewhere when the request is
  * blocked. */
 static void
@@ -1464,6 +1489,7 @@
 		T(test_blocked_after_two_terminations),
 		T(test_failed_probe_is_the_only_one),
 		T(test_refused_probe_is_repeated),
+		T(test_queued_copy_of_a_probe),
 		T(test_copies_in_flight_are_recalled),
 		T(test_complete_answer_unblocks),
 		T(test_end_of_connection_does_not_unblock),
