cli: End calls whose answer has no end

Cause: operators' commands read an answer with libsoup to its end, into memory; their timeout is of a silence, so interim answers and bodies without end never ended the command.

Change: at most a hundred interim responses and 8 MB of an answer; beyond that the call fails and the next entry is tried, as after a broken connection. The other parts of a head are bounded by libsoup.

Only the commands change; gateway and sidecar do not use this file.

--- a/programs/entry/cli_http.c
+++ b/programs/entry/cli_http.c
@@ -7,6 +7,9 @@
 #include "entry/cli.h"
 
 #define CALL_TIMEOUT_S 10
+#define ANSWER_MAX (8u << 20) /* bytes */
+#define INTERIM_MAX 100 /* responses before the final one */
+#define READ_BYTES (64u << 10)
 /* An edit conflicts if another operator writes between its read and write. */
 #define EDIT_ATTEMPTS 5
 #define POLL_MS 200
@@ -29,6 +32,68 @@
 	return good;
 }
 
+/* A call to one gateway. */
+struct cli_exchange {
+	GCancellable *cancel;
+	unsigned int interim; /* responses before the final one */
+};
+
+static void
+on_interim(SoupMessage *message, gpointer data)
+{
+	struct cli_exchange *x = data;
+
+	if (++x->interim > INTERIM_MAX)
+		g_cancellable_cancel(x->cancel);
+}
+
+/* Returns NULL if the answer has an error or more than ANSWER_MAX bytes. */
+static GBytes *
+read_answer(GInputStream *stream, GCancellable *cancel, GError **error)
+{
+	GByteArray *answer = g_byte_array_new();
+	guint8 *slice = g_malloc(READ_BYTES);
+	gssize n;
+
+	while ((n = g_input_stream_read(
+		    stream, slice, READ_BYTES, cancel, error)) > 0) {
+		if (answer->len + (gsize)n > ANSWER_MAX) {
+			g_set_error(error, G_IO_ERROR, G_IO_ERROR_FAILED,
+			    "the answer is too long");
+			n = -1;
+			break;
+		}
+		g_byte_array_append(answer, slice, (guint)n);
+	}
+	g_free(slice);
+	if (n == 0)
+		return g_byte_array_free_to_bytes(answer);
+	/* Otherwise closing the stream reads the rest of the answer. */
+	g_cancellable_cancel(cancel);
+	g_byte_array_unref(answer);
+	return NULL;
+}
+
+static GBytes *
+exchange(SoupSession *session, SoupMessage *message, GError **error)
+{
+	struct cli_exchange x = { .cancel = g_cancellable_new() };
+	GInputStream *stream;
+	GBytes *answer = NULL;
+	gulong signal = g_signal_connect(
+	    message, "got-informational", G_CALLBACK(on_interim), &x);
+
+	stream = soup_session_send(session, message, x.cancel, error);
+	if (stream != NULL) {
+		answer = read_answer(stream, x.cancel, error);
+		g_input_stream_close(stream, x.cancel, NULL);
+		g_object_unref(stream);
+	}
+	g_signal_handler_disconnect(message, signal);
+	g_object_unref(x.cancel);
+	return answer;
+}
+
 static bool
 try_entry(const struct cli *cli, SoupSession *session, const char *base,
     const char *method, const char *path, const char *body,
@@ -55,7 +120,7 @@
 		    message, "application/json", sent);
 		g_bytes_unref(sent);
 	}
-	answer = soup_session_send_and_read(session, message, NULL, &error);
+	answer = exchange(session, message, &error);
 	if (answer == NULL) {
 		err_set(err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN, "%s: %s",
 		    base, error->message);
