entry: Block a request again as its probe is sent

Cause: as at the gateway: a blocked request that is sent again after its time, and neither ends its engine nor is answered (a deadline that passes, an answer that breaks off), left nothing that holds back the next copy.

Change: sus_sent() when an attempt is sent, sus_void_probe() when it did not run. While a probe is in flight, others are told to come back after it.

--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -139,6 +139,8 @@
 void suspects_open(struct entry *entry);
 /* Whether the request must not be sent now; `err` then says until when. */
 bool suspects_block(struct request *r, struct err *err);
+void suspects_note_sent(struct request *r); /* see sus_sent() */
+void suspects_void_probe(struct request *r); /* see sus_void_probe() */
 /* The attempt was cut off by its target, which had a complete answer or not. */
 void suspects_note_cut(struct request *r);
 void suspects_note_answered(struct request *r);
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -189,6 +189,7 @@
 	r->responded = false;
 	r->answering = false;
 	rt_target_sent(target, r->sent_us);
+	suspects_note_sent(r);
 	rt_fleet_prefix_sent(r->entry->fleet, target, r->prefix, r->sent_us);
 	g_hash_table_insert(r->sidecar->streams, &r->stream, r);
 	if (r->att.facts.attempts > 1) {
@@ -321,7 +322,9 @@
 	if (r->sidecar == NULL || !r->sidecar->open)
 		return;
 	if (err_is(err)) {
-		if (err->code == ERR_UNAVAILABLE &&
+		if (err->verdict == VERDICT_NOT_RUN)
+			suspects_void_probe(r);
+		else if (err->code == ERR_UNAVAILABLE &&
 		    err->verdict == VERDICT_MAY_HAVE_RUN)
 			suspects_note_cut(r);
 	} else if (r->head.status >= 200 && r->head.status < 300)
--- a/programs/entry/suspects.c
+++ b/programs/entry/suspects.c
@@ -148,11 +148,12 @@
 static bool
 is_identity_blocked(struct request *r, uint64_t fingerprint, int64_t *until_us)
 {
-	int64_t identity_until_us = now_us() + PROBE_US;
+	int64_t identity_until_us;
 
-	if (sus_judge(r->entry->suspects, fingerprint, now_us(),
-		&identity_until_us) != SUS_BLOCKED &&
-	    !is_being_probed(r, fingerprint))
+	if (is_being_probed(r, fingerprint))
+		identity_until_us = now_us() + PROBE_US;
+	else if (sus_judge(r->entry->suspects, fingerprint, now_us(),
+		     &identity_until_us) != SUS_BLOCKED)
 		return false;
 	*until_us = MAX(*until_us, identity_until_us);
 	return true;
@@ -180,6 +181,32 @@
 	return true;
 }
 
+static void
+each_identity(struct request *r,
+    void (*note)(struct sus *s, uint64_t fingerprint, int64_t now_us))
+{
+	struct sus *s = r->entry->suspects;
+	size_t i;
+
+	if (r->model[0] == '\0' || sus_is_empty(s))
+		return;
+	note(s, content_of(r), now_us());
+	for (i = 0; i < r->nparts; i++)
+		note(s, r->parts[i], now_us());
+}
+
+void
+suspects_note_sent(struct request *r)
+{
+	each_identity(r, sus_sent);
+}
+
+void
+suspects_void_probe(struct request *r)
+{
+	each_identity(r, sus_void_probe);
+}
+
 /* Requests that are in flight may not have begun to run: recalled in time, they
  * terminate no further engines. */
 static void
--- a/tests/system/poison.sh
+++ b/tests/system/poison.sh
@@ -19,6 +19,7 @@
 ask() { # ENTRY SHARED OWN [STREAM]: prints the HTTP status
 	curl -s -m 30 -o "$STAGE/answer" -D "$STAGE/head" -w '%{http_code}' \
 	    -H "Authorization: Bearer $caller_token" \
+	    ${deadline_ms:+-H "X-Deadline-Ms: $deadline_ms"} \
 	    -d "{\"model\":\"cedar/care\",\"max_tokens\":8,\"stream\":${4:-false},\"messages\":[{\"role\":\"system\",\"content\":\"guide\"},{\"role\":\"system\",\"content\":\"$2\"},{\"role\":\"user\",\"content\":\"$3\"}]}" \
 	    "$1/v1/chat/completions"
 }
@@ -58,4 +59,22 @@
 check "other requests are answered here" answered "$entry_1" calm four
 check "and there" answered "$entry_2" calm five
 
+# The first request may be sent again after a time. The engines end under no
+# request any more, but are too slow to answer: that tells nothing of it.
+for url in $(echo "$engines" | tr ',' ' '); do
+	curl -s -o /dev/null -d '{"crash_on":"none","step_ms":400}' "$url/admin/faults"
+done
+deadline_ms=1500
+is_sent() {
+	[ "$(ask "$entry_1" calm "boom 1")" = 504 ]
+}
+is_held() {
+	[ "$(ask "$entry_1" calm "boom 1")" = 503 ] &&
+	    grep -q "engines terminated under" "$STAGE/answer"
+}
+eventually "a request that was refused is sent again" is_sent
+for n in 1 2 3; do
+	check "copy $n after it is refused" is_held
+done
+
 finish
