--- a/lib/common/clock.c
+++ b/lib/common/clock.c
@@ -4,6 +4,7 @@
 
 /* Timers of a loop that is not held up fire within 2 ms. */
 #define LATE_US (5 * 1000)
+/* Longest pause in the input, and longest wait, after a late timer. */
 #define QUIET_MAX_US G_USEC_PER_SEC
 #define CATCH_UP_MAX_US (2 * G_USEC_PER_SEC)
 
@@ -54,7 +55,8 @@
 	return clk_now_us(clock) - due_us >= LATE_US;
 }
 
-/* The sender may have been held up as long as this process. */
+/* The sender may have been held up for as long as this process, so pauses of that
+ * length do not end the wait. */
 bool
 clk_catch_up(
     struct clk_catch_up *c, int64_t now_us, int64_t due_us, uint64_t received)
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -328,7 +328,7 @@
 
 /* The target did not run it, or was told in time not to. */
 static bool
-is_no_probe(enum flow_end end)
+voids_probe(enum flow_end end)
 {
 	return end == FLOW_REFUSED || end == FLOW_UNREACHABLE ||
 	    end == FLOW_RECALLED;
@@ -343,7 +343,7 @@
 
 	note_outcome(a, end);
 	count_run(a, end);
-	if (is_no_probe(end))
+	if (voids_probe(end))
 		fwd_void_probe(r);
 	update_flow(r);
 	if (is_only_attempt(a)) {
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -232,7 +232,8 @@
 /* fwd_suspect.c: requests under which targets terminated */
 /* Whether it must not be sent before `*until_us`. Sets `blocked_by`. */
 bool fwd_is_blocked(struct fwd_req *r, int64_t *until_us);
-/* Ends it with what it may have run; not before `until_us` it may come back. */
+/* Ends a blocked request. If it did not run, its caller may return at
+ * `until_us`. */
 void fwd_end_blocked(struct fwd_req *r, int64_t until_us);
 void fwd_note_sent(struct fwd_req *r); /* see sus_sent() */
 void fwd_void_probe(struct fwd_req *r); /* see sus_void_probe() */
--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -41,7 +41,6 @@
     const struct fwd_req *r, uint64_t fingerprint, int64_t *until_us)
 {
 	struct sus *s = r->fwd->suspects;
-
 	bool is_blocked =
 	    sus_judge(s, fingerprint, fwd_now(r), until_us) == SUS_BLOCKED;
 
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -25,8 +25,8 @@
  *
  * A blocked identity is probed again later, by each gateway at a different time.
  * A complete answer to the probe clears it, any other end leaves it blocked for
- * as long again, and each further termination for longer. Does no I/O: targets are hashes
- * of instance ids.
+ * as long again, and each further termination for longer. Does no I/O: targets
+ * are hashes of instance ids.
  */
 
 #include <glib.h>
@@ -102,11 +102,11 @@
     struct sus *s, uint64_t fingerprint, int64_t now_us, int64_t *until_us);
 /* Whether it is blocked, or was and may be probed now. */
 bool sus_was_blocked(const struct sus *s, uint64_t fingerprint);
-/* A request with the identity is sent. If it was blocked, it is blocked again
- * for as long: unless a complete answer clears it, the probe was its only one. */
+/* A request with the identity is sent. If it had been blocked, this is its probe,
+ * and it is blocked again for as long: only a complete answer clears it. */
 void sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us);
-/* The request that was sent last proves nothing, as it has not run or was cut
- * off by a planned stop: it does not count as a probe. */
+/* The probe was no test, as it did not run or a planned stop cut it off: the next
+ * request may be sent. */
 void sus_void_probe(struct sus *s, uint64_t fingerprint, int64_t now_us);
 /* Append the confirmed terminations of one identity, or of all for which
  * sus_was_blocked() is true. */
--- a/programs/entry/cli_http.c
+++ b/programs/entry/cli_http.c
@@ -89,6 +89,11 @@
 		g_input_stream_close(stream, x.cancel, NULL);
 		g_object_unref(stream);
 	}
+	if (answer == NULL && x.interim > INTERIM_MAX) {
+		g_clear_error(error);
+		g_set_error(error, G_IO_ERROR, G_IO_ERROR_FAILED,
+		    "interim responses without end");
+	}
 	g_signal_handler_disconnect(message, signal);
 	g_object_unref(x.cancel);
 	return answer;
