tests: As many requests in held_up as a gateway may start at once

Cause: the test's own. With the third gateway that it has now, a gateway's share of the slots is 11 of 32 and grows only by borrowing, so some of 24 requests waited for admission while the gateway stood still.

Change: ten requests, each with an answer of 240000 bytes in place of 24 with 100000: the same bytes for the connections to carry. Still, all must be answered.

--- a/tests/system/held_up.sh
+++ b/tests/system/held_up.sh
@@ -15,7 +15,7 @@
 	    grep -o '"reachable":true' | wc -l)" -eq 4 ]
 }
 
-REQUESTS=24 # fewer than the slots, so that none waits in a queue
+REQUESTS=10 # fewer than the slots of one of three gateways, so that none waits
 ask_all() { # ENTRY DEADLINE-MS
 	rm -f "$STAGE"/status-* "$STAGE"/answer-*
 	asking=
@@ -52,7 +52,7 @@
 }
 
 # The answers arrive while the gateway stands still, and its deadlines pass.
-faults '{"delay_ms":1000,"answer_bytes":100000}'
+faults '{"delay_ms":1000,"answer_bytes":240000}'
 ask_all "$entry_1" 2000
 eventually "all requests run" running "$entry_1"
 hold_up "$entry_pid_1" 2.2
