tests: Hold processes up only when the services have the requests

Cause: the test's own. It stopped the processes when the gateway had ten open requests. One that the sidecar had not yet sent to its service reaches it after the hold-up, so its answer did not come in time, and the refusal is right.

Evidence: a trial with the sidecars stopped before the requests were sent counts ten open requests as well, and all ten get this message.

Change: the processes are stopped when the services have logged the runs of all requests. The checks are unchanged, and what they take for granted now holds.

--- a/tests/system/held_up.sh
+++ b/tests/system/held_up.sh
@@ -47,14 +47,15 @@
 		curl -s -o /dev/null -d "$1" "$url/admin/faults"
 	done
 }
-running() { # ENTRY
-	[ "$(counter "$1" entry_open_requests)" -eq $REQUESTS ]
+# Requests are at their services, not only at the gateway or a sidecar.
+running() { # RUNS: of all steps so far
+	[ "$(curl -s "$service_1/admin/log" "$service_2/admin/log" | grep -o '"path"' | wc -l)" -eq "$1" ]
 }
 
 # The answers arrive while the gateway stands still, and its deadlines pass.
 faults '{"delay_ms":1000,"answer_bytes":240000}'
 ask_all "$entry_1" 2000
-eventually "all requests run" running "$entry_1"
+eventually "all requests run" running $REQUESTS
 hold_up "$entry_pid_1" 2.2
 show
 check "answers that arrived in time are delivered" test "$(with_status 200)" -eq $REQUESTS
@@ -64,7 +65,7 @@
 # answers' time would refuse requests.
 eventually "the third gateway knows all targets" knows_targets "$entry_3"
 ask_all "$entry_3" 2000
-eventually "all requests run" running "$entry_3"
+eventually "all requests run" running $((2 * REQUESTS))
 kill -STOP "$entry_pid_3" "$side_pid_1" "$side_pid_2"
 sleep 2.6
 kill -CONT "$entry_pid_3"
@@ -78,7 +79,7 @@
 # No answer arrives in time: the deadline holds.
 faults '{"delay_ms":20000}'
 ask_all "$entry_2" 1500
-eventually "all requests run" running "$entry_2"
+eventually "all requests run" running $((3 * REQUESTS))
 from=$(date +%s)
 hold_up "$entry_pid_2" 1.8
 show
