--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -326,7 +326,8 @@
 	}
 }
 
-/* The target did not run it, or was told in time not to. */
+/* The target did not run it: it refused it, was not reached, or the request was
+ * cancelled before it began. */
 static bool
 voids_probe(enum flow_end end)
 {
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -309,6 +309,7 @@
 static void
 send_chosen(struct fwd_req *r, struct tgt *target)
 {
+	bool has_waited = r->queued;
 	int64_t until_us;
 
 	if (hreq_has_left(r->caller))
@@ -318,8 +319,8 @@
 		fwd_hedge_later(r);
 		return;
 	}
-	/* Another one with its identity was sent while it was queued. */
-	if (!is_hedge(r) && fwd_is_blocked(r, &until_us)) {
+	/* Another one with its identity may have been sent meanwhile. */
+	if (has_waited && !is_hedge(r) && fwd_is_blocked(r, &until_us)) {
 		fwd_end_blocked(r, until_us);
 		return;
 	}
--- a/tests/platform/test_target.c
+++ b/tests/platform/test_target.c
@@ -451,14 +451,21 @@
 	assert_int_equal(f->server.hangups, 2);
 }
 
+/* Sends bytes on the last connection. */
+static void
+send_last(struct fixture *f, const char *text)
+{
+	peer_text(
+	    g_ptr_array_index(f->server.peers, f->server.peers->len - 1), text);
+}
+
 /* Answers the hanging request of the last connection, or the rest of its
  * stream, while the process is held up for longer than the time limit. */
 static void
 arrive_during_hold_up(struct fixture *f, const char *text)
 {
 	run_for(10);
-	peer_text(
-	    g_ptr_array_index(f->server.peers, f->server.peers->len - 1), text);
+	send_last(f, text);
 	g_usleep(150 * 1000);
 	run_until(&f->ended);
 }
@@ -499,10 +506,7 @@
 static gboolean
 send_rest(gpointer data)
 {
-	struct fixture *f = data;
-
-	peer_text(
-	    g_ptr_array_index(f->server.peers, f->server.peers->len - 1), "ne");
+	send_last(data, "ne");
 	return G_SOURCE_REMOVE;
 }
 
@@ -516,8 +520,7 @@
 	start(
 	    f, (struct target_request){ .path = "/hang", .deadline_ms = 100 });
 	run_for(10);
-	peer_text(g_ptr_array_index(f->server.peers, f->server.peers->len - 1),
-	    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\no");
+	send_last(f, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\no");
 	g_usleep(500 * 1000);
 	g_timeout_add(3 * CLK_READ_MS, send_rest, f);
 	run_until(&f->ended);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -240,19 +240,29 @@
 	assert_true(target_is_disconnected(t));
 }
 
-/* Guards against a timeout that ends an answer whose rest arrives, which the
- * target could not send while this process was held up. */
-static void
-test_rest_of_an_answer_after_a_hold_up(void **state)
+/* A target sends the first half of its answer, and the process is held up beyond
+ * the timeout. */
+static struct target *
+hold_up_within_an_answer(int *fd)
 {
 	struct target *t;
-	int fd;
 
 	world_open(1, make_config(SV_UNSAFE, 1, 150));
-	fd = send_get();
+	*fd = send_get();
 	t = target_next();
 	raw_send(t->fd, GOOD "Content-Length: 2\r\n\r\no");
 	g_usleep(500 * 1000);
+	return t;
+}
+
+/* Guards against a timeout that ends an answer whose rest arrives, which the
+ * target could not send while this process was held up. */
+static void
+test_rest_of_an_answer_after_a_hold_up(void **state)
+{
+	int fd;
+	struct target *t = hold_up_within_an_answer(&fd);
+
 	run_ms(3 * CLK_READ_MS);
 	raw_send(t->fd, "k");
 	expect_answer(fd, "\r\n\r\nok");
@@ -262,14 +272,9 @@
 static void
 test_timeout_within_an_answer(void **state)
 {
-	struct target *t;
 	int fd;
 
-	world_open(1, make_config(SV_UNSAFE, 1, 150));
-	fd = send_get();
-	t = target_next();
-	raw_send(t->fd, GOOD "Content-Length: 2\r\n\r\no");
-	g_usleep(500 * 1000);
+	hold_up_within_an_answer(&fd);
 	expect_answer(fd, "504 ");
 }
 
@@ -1154,12 +1159,28 @@
 	expect_answer(send_path("/x/1"), "503 ");
 }
 
+/* The request for /x/1 is refused, and its caller may return after the block. */
+static void
+expect_blocked_until_next_probe(void)
+{
+	int fd = send_path("/x/1");
+	char *answer = raw_read(fd, "\r\n\r\n");
+
+	assert_non_null(strstr(answer, "503 "));
+	assert_in_range(
+	    atoi(strstr(answer, "Retry-After: ") + strlen("Retry-After: ")), 9,
+	    20);
+	g_free(answer);
+	close(fd);
+	assert_false(target_is_called());
+}
+
 /* Guards against a request that terminates one target after the other: it is
  * not sent a third time, and is refused at once when the caller retries. */
 static void
 test_blocked_after_two_terminations(void **state)
 {
-	char *request, *answer;
+	char *request;
 	struct target *t;
 	int fd;
 
@@ -1170,16 +1191,7 @@
 	t = terminate_under_request();
 	expect_answer(fd, "502 ");
 	fwd_target_terminated(w.fwd, tgt_find(w.set, t->id));
-	fd = send_path("/x/1");
-	answer = raw_read(fd, "\r\n\r\n");
-	assert_non_null(strstr(answer, "503 "));
-	/* Not before its next probe. */
-	assert_in_range(
-	    atoi(strstr(answer, "Retry-After: ") + strlen("Retry-After: ")), 9,
-	    20);
-	g_free(answer);
-	close(fd);
-	assert_false(target_is_called());
+	expect_blocked_until_next_probe();
 	fd = send_path("/x/2"); /* another request */
 	t = target_get(&request);
 	g_free(request);
@@ -1215,7 +1227,6 @@
 static void
 test_failed_probe_is_the_only_one(void **state)
 {
-	char *answer;
 	struct target *t;
 	int fd;
 
@@ -1226,15 +1237,7 @@
 	expect_answer(send_path("/x/1"), "Retry-After: 1");
 	raw_send(t->fd, FAILURE);
 	expect_answer(fd, "500 ");
-	fd = send_path("/x/1");
-	answer = raw_read(fd, "\r\n\r\n");
-	assert_non_null(strstr(answer, "503 "));
-	assert_in_range(
-	    atoi(strstr(answer, "Retry-After: ") + strlen("Retry-After: ")), 9,
-	    20);
-	g_free(answer);
-	close(fd);
-	assert_false(target_is_called());
+	expect_blocked_until_next_probe();
 }
 
 /* A probe that did not run is sent to another target, and clears the request
@@ -1328,7 +1331,6 @@
 static void
 test_complete_answer_unblocks(void **state)
 {
-	char *request;
 	int fd;
 	struct target *t = answer_and_block(&fd, STREAM EVENT("1"));
 
@@ -1336,10 +1338,7 @@
 	raw_send(t->fd, EVENT("2") "0\r\n\r\n");
 	expect_answer(fd, "0\r\n\r\n");
 	fd = send_path("/x/1");
-	request = raw_read(t->fd, "\r\n\r\n"); /* on the idle connection */
-	assert_non_null(request);
-	g_free(request);
-	raw_send(t->fd, STREAM EVENT("1") "0\r\n\r\n");
+	answer_on_idle(t);
 	expect_answer(fd, "0\r\n\r\n");
 }
 
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -203,8 +203,8 @@
 	}
 }
 
-/* Guards against probes that end without telling anything, as their targets fail
- * them: the identity stays blocked until a complete answer clears it. */
+/* Guards against further copies after a probe whose end is no evidence, as its
+ * target fails it: the identity stays blocked until a complete answer clears it. */
 static void
 test_probe_without_an_answer(void **state)
 {
--- a/tests/system/poison.sh
+++ b/tests/system/poison.sh
@@ -60,7 +60,7 @@
 check "and there" answered "$entry_2" calm five
 
 # The first request may be sent again after a time. The engines end under no
-# request any more, but are too slow to answer: that tells nothing of it.
+# request any more, but are too slow to answer, which is no evidence.
 for url in $(echo "$engines" | tr ',' ' '); do
 	curl -s -o /dev/null -d '{"crash_on":"none","step_ms":400}' "$url/admin/faults"
 done
