fwd: Tell the name of one question from that of another

Cause: read again as a whole. fwd_is_answering() stood beside is_answering() of fwd_suspect.c and asks something else: not whether an event was relayed, but whether an answer that is relayed whole has begun to arrive.

Change: fwd_is_receiving_whole(). No behaviour changes.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -160,7 +160,7 @@
 {
 	struct fwd_req *r = CONTAINER_OF(timer, struct fwd_req, deadline);
 
-	if (fwd_is_answering(r) &&
+	if (fwd_is_receiving_whole(r) &&
 	    clk_catch_up(&r->catch_up, fwd_now(r), r->deadline_us,
 		(uint64_t)r->heard_us)) {
 		evl_timer_set(
--- a/lib/serve/fwd_answer.c
+++ b/lib/serve/fwd_answer.c
@@ -147,7 +147,7 @@
 }
 
 bool
-fwd_is_answering(const struct fwd_req *r)
+fwd_is_receiving_whole(const struct fwd_req *r)
 {
 	const struct fwd_attempt *a;
 
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -223,7 +223,7 @@
 /* Whether an answer whose message has ended is complete. */
 bool fwd_answer_is_complete(const struct fwd_attempt *a);
 /* Whether the answer that is to be relayed whole has begun to arrive. */
-bool fwd_is_answering(const struct fwd_req *r);
+bool fwd_is_receiving_whole(const struct fwd_req *r);
 void fwd_answer_complete(struct fwd_attempt *a);
 const char *fwd_framing_name(const struct fwd_attempt *a); /* "-": no answer */
 /* Bytes of an incomplete event: received and not relayed. */
