keeper: Log the engine's sequence of orders, valid checks and lost orders

An order without an answer was a single line; whether the engine began it later, which order a load belongs to, and how long the read-back before it took were not logged.

Change: the sequence that an engine reports is read and logged with its state and with each order; a check in which all chunks are valid has a line with its duration; an order says whether its answer timed out. No decision changes.

--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -134,6 +134,7 @@
 struct sv_report {
 	char model[SV_ID_MAX]; /* "" when none is loaded */
 	int64_t version; /* 0 when none is completely loaded */
+	int64_t sequence; /* orders begun since its start; -1: not reported */
 	int64_t start_ms; /* its start, Unix time; 0: not known */
 	bool busy; /* an order is in progress */
 	unsigned int running, waiting;
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -106,11 +106,12 @@
 		note_restart(k);
 
 	if (!k->up || k->silent || loaded != k->loaded ||
-	    r->busy != k->engine.busy)
+	    r->busy != k->engine.busy || r->sequence != k->engine.sequence)
 		evt(EVT_ENGINE,
 		    "state=up version=%" G_GINT64_FORMAT
-		    " before=%" G_GINT64_FORMAT " busy=%d running=%u",
-		    loaded, k->loaded, r->busy, r->running);
+		    " before=%" G_GINT64_FORMAT
+		    " busy=%d running=%u seq=%" G_GINT64_FORMAT,
+		    loaded, k->loaded, r->busy, r->running, r->sequence);
 	/* The engine has carried out the order, or has restarted. */
 	if (loaded != k->loaded && !r->busy) {
 		k->ordered_us = 0;
--- a/programs/side/keeper_stage.c
+++ b/programs/side/keeper_stage.c
@@ -139,8 +139,13 @@
 		    " outcome=spoilt pieces=%" G_GUINT64_FORMAT,
 		    c->version, k->bad_chunks);
 		c->staged = false;
-	} else
+	} else {
 		c->checked_us = k->pass_us;
+		evt(EVT_WEIGHTS,
+		    "step=check version=%" G_GINT64_FORMAT
+		    " outcome=valid ms=%" G_GINT64_FORMAT,
+		    c->version, (keeper_now(k) - k->pass_us) / 1000);
+	}
 	keeper_step(k);
 }
 
@@ -258,10 +263,12 @@
 	evt(EVT_ORDER,
 	    "model=%s version=%" G_GINT64_FORMAT
 	    " status=%u outcome=%s age_ms=%" G_GINT64_FORMAT
-	    " running=%u checked_ms=%" G_GINT64_FORMAT,
+	    " running=%u checked_ms=%" G_GINT64_FORMAT
+	    " timed_out=%d seq=%" G_GINT64_FORMAT,
 	    k->model, c->version, a->status, outcome,
 	    (keeper_now(k) - c->announced_us) / 1000, k->engine.running,
-	    (keeper_now(k) - c->checked_us) / 1000);
+	    (keeper_now(k) - c->checked_us) / 1000, a->timed_out,
+	    k->engine.sequence);
 	if (accepted)
 		k->ordered_us = keeper_now(k);
 	else
