tests: An engine that carries out an order which its sidecar gave up

What callers saw: events made with a chunk that had been corrupt for longer than three seconds when the engine loaded it.

Change: the stand-in's first engine can stand still as an order, a read or a write of its staging area reaches it, and carry out what it received when it goes on, also for connections that were closed meanwhile (tests/fleet/held.c).

--- /dev/null
+++ b/tests/fleet/held.c
@@ -0,0 +1,154 @@
+/* The first engine stands still as its sidecar gives it an order to load, or reads
+ * its staging area back, and carries everything out when it goes on, whether the
+ * sidecar still waits or not. A staged chunk turns corrupt meanwhile. */
+
+#include <popt.h>
+#include <stdio.h>
+
+#include "fleet.h"
+
+#define ORDER_BEGIN "POST /-/order"
+/* The second chunk: the first one has been read. */
+#define READ_BEGIN "GET /-/stage-get/" FLEET_MODEL "?itemCount=1 "
+#define WRITE_BEGIN "PUT /-/stage-put/"
+#define LATE_US 100000 /* after it goes on: what it received is carried out */
+
+static int order_ms, orders = 1, read_ms, write_ms, corrupt_ms = 20;
+static int corrupted = 1, bump_ms;
+static struct fleet *fleet; /* of the timers */
+static struct evl_timer release, corrupt, bump;
+static int held_orders;
+static bool held_read, held_write;
+static int64_t held_until_us;
+
+struct poptOption *
+fleet_held_options(void)
+{
+	static struct poptOption options[] = {
+		{ "hold-order-ms", 0, POPT_ARG_INT, &order_ms, 0,
+		    "how long it stands still as an order reaches it; 0: not",
+		    "N" },
+		{ "hold-orders", 0, POPT_ARG_INT, &orders, 0,
+		    "number of such orders", "N" },
+		{ "hold-read-ms", 0, POPT_ARG_INT, &read_ms, 0,
+		    "the same before that, once, as the second chunk of a newer "
+		    "version is read back",
+		    "N" },
+		{ "hold-write-ms", 0, POPT_ARG_INT, &write_ms, 0,
+		    "the same, once, as a chunk of a newer version is written",
+		    "N" },
+		{ "hold-corrupt-ms", 0, POPT_ARG_INT, &corrupt_ms, 0,
+		    "from then to the corruption of a chunk", "N" },
+		{ "hold-corrupted", 0, POPT_ARG_INT, &corrupted, 0,
+		    "0 or 1: whether one turns corrupt", "N" },
+		{ "hold-bump-ms", 0, POPT_ARG_INT, &bump_ms, 0,
+		    "from the first held order to the announcement of another "
+		    "version; 0: none",
+		    "N" },
+		POPT_TABLEEND
+	};
+
+	return options;
+}
+
+static void
+on_release(struct evl_timer *t)
+{
+	fleet_engine_expect_late(fleet, 0, evl_now_us(fleet->loop) + LATE_US);
+	fleet_proxy_set(fleet->proxy[1], PROXY_PASS);
+}
+
+/* Once: a second flip of the same bit would repair the chunk. */
+static void
+on_corrupt(struct evl_timer *t)
+{
+	static bool done;
+
+	if (!done)
+		fleet_engine_corrupt(fleet, 0, 0);
+	done = true;
+}
+
+static void
+on_bump(struct evl_timer *t)
+{
+	fleet_operator_announce_version(fleet);
+}
+
+static void
+hold(int ms)
+{
+	int64_t now_us = evl_now_us(fleet->loop);
+
+	held_until_us = now_us + (int64_t)ms * 1000;
+	fleet_proxy_set(fleet->proxy[1], PROXY_HELD);
+	evl_timer_set(fleet->loop, &release, held_until_us);
+	if (corrupted)
+		evl_timer_set(
+		    fleet->loop, &corrupt, now_us + (int64_t)corrupt_ms * 1000);
+	printf("held for %d ms\n", ms);
+	fflush(stdout);
+}
+
+static bool
+may_hold(void)
+{
+	return !fleet->stopping && fleet->version >= 2 &&
+	    evl_now_us(fleet->loop) >= held_until_us;
+}
+
+static void
+on_order(void *ctx)
+{
+	if (order_ms <= 0 || held_orders >= orders || !may_hold())
+		return;
+	if (held_orders++ == 0 && bump_ms > 0)
+		evl_timer_set(fleet->loop, &bump,
+		    evl_now_us(fleet->loop) + (int64_t)bump_ms * 1000);
+	hold(order_ms);
+}
+
+static void
+on_read(void *ctx)
+{
+	if (read_ms <= 0 || held_read || !may_hold())
+		return;
+	held_read = true;
+	hold(read_ms);
+}
+
+static void
+on_write(void *ctx)
+{
+	if (write_ms <= 0 || held_write || !may_hold())
+		return;
+	held_write = true;
+	hold(write_ms);
+}
+
+static const struct fleet_proxy_watch watches[] = {
+	{ .begin = ORDER_BEGIN, .seen = on_order },
+	{ .begin = READ_BEGIN, .seen = on_read },
+	{ .begin = WRITE_BEGIN, .seen = on_write },
+	{ .begin = NULL },
+};
+
+void
+fleet_held_start(struct fleet *f)
+{
+	fleet = f;
+	release.fire = on_release;
+	corrupt.fire = on_corrupt;
+	bump.fire = on_bump;
+	if (order_ms > 0 || read_ms > 0 || write_ms > 0)
+		fleet_proxy_watch_requests(f->proxy[1], watches);
+}
+
+void
+fleet_held_print(const struct fleet *f)
+{
+	if (order_ms > 0 || read_ms > 0 || write_ms > 0)
+		printf("held orders %d, loads of a corrupt chunk by them %u, "
+		       "events made with one %u\n",
+		    held_orders, f->tally.late_loads, f->tally.unsound_events);
+}
