adapter: Read the loaded layers beside the models

What callers would see: refusals (421) of engines that hold a part of their model.

Cause: engines report the layers that they hold beside the list of models, as one object; the reader looked for a list within the model, found none, and took any engine with a model for a complete one. Nothing has ordered parts so far, so no caller met it. The stand-in reported what the reader expected.

The stand-in reports as the platform does.

New tests: adapter-records test_layers_beside_models, serve-tgt test_part_of_the_layers_is_no_version; both groups pass.

--- a/lib/serve/records.c
+++ b/lib/serve/records.c
@@ -17,6 +17,12 @@
 	g_free(r->prefix);
 }
 
+bool
+sv_layers_complete(const struct sv_layers *l, unsigned int n)
+{
+	return l->from == 0 && (l->to == 0 || l->to >= n);
+}
+
 void
 sv_config_free(struct sv_config *c)
 {
--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -107,6 +107,14 @@
 #define SV_SILENCE_MAX_US 2000000
 #define SV_ADDRESS_MAX 24 /* fits "ip:port" */
 
+/* Loaded layers [from, to) of a model. */
+struct sv_layers {
+	unsigned int from, to; /* to: 0: not reported, taken for all */
+};
+
+/* Whether these are all `n` layers; n: 0: not known. */
+bool sv_layers_complete(const struct sv_layers *l, unsigned int n);
+
 /* A target's own record in the store, under its instance id. */
 struct sv_target {
 	char id[SV_ID_MAX];
@@ -121,7 +129,8 @@
 	bool leaving; /* announced a planned stop */
 	bool has_models; /* it reports models at all */
 	char model[SV_ID_MAX]; /* "" when none is loaded */
-	int64_t model_version; /* 0 when none is completely loaded */
+	int64_t model_version; /* 0: none, or several */
+	struct sv_layers layers; /* of the model */
 };
 
 /* New weights, announced by an operator. */
@@ -133,7 +142,8 @@
 /* An engine's answer to a status request. */
 struct sv_report {
 	char model[SV_ID_MAX]; /* "" when none is loaded */
-	int64_t version; /* 0 when none is completely loaded */
+	int64_t version; /* 0: none, or several */
+	struct sv_layers layers; /* of the model */
 	int64_t sequence; /* orders begun since its start; -1: not reported */
 	int64_t start_ms; /* its start, Unix time; 0: not known */
 	bool busy; /* an order is in progress */
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -72,6 +72,7 @@
 	struct slice origin_domain;
 	uint64_t chunks, chunk_bytes;
 	uint64_t slots; /* of an engine */
+	uint64_t layers; /* of the model; 0: not known */
 	/* 1: requests that an engine cuts continue elsewhere. */
 	uint64_t may_cut;
 	uint64_t store_down; /* 1: the store does not answer this gateway */
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -241,6 +241,15 @@
 	    tgt_side_is_alive(t, now_us);
 }
 
+static int64_t
+complete_version(
+    const struct tgt_service *service, const struct sv_target *record)
+{
+	return sv_layers_complete(&record->layers, service->engine.layers)
+	    ? record->model_version
+	    : 0;
+}
+
 struct tgt *
 tgt_put(struct tgt_set *s, const struct sv_target *record, int64_t now_us)
 {
@@ -269,7 +278,7 @@
 	/* A live sidecar's report is newer. */
 	if (!tgt_side_is_alive(t, now_us)) {
 		g_strlcpy(t->model, record->model, sizeof(t->model));
-		t->version = record->model_version;
+		t->version = complete_version(t->service, record);
 	}
 	return t;
 }
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -221,6 +221,7 @@
 	desired->chunks = e->chunks;
 	desired->chunk_bytes = e->chunk_bytes;
 	desired->slots = e->slots;
+	desired->layers = e->layers;
 	desired->store_down = g->store_down;
 	desired->may_cut =
 	    sv_config_may_cut(rtab_config(fwd_routes(g->fwd)), service->name);
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -110,6 +110,7 @@
 	int64_t roster_request_us; /* the last request for it */
 	GArray *peers; /* struct keeper_peer, from the roster */
 	unsigned int slots; /* of the engine */
+	unsigned int layers; /* of the model; 0: not known */
 	bool may_cut; /* requests that the engine cuts continue elsewhere */
 	/* The newest wanted version; and the one before it, while that is not
 	 * loaded and may be complete earlier, or NULL. */
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -98,8 +98,9 @@
 static void
 note_report(struct keeper *k, const struct sv_report *r)
 {
-	bool same_model = strcmp(r->model, k->model) == 0;
-	int64_t loaded = same_model ? r->version : 0;
+	bool is_usable = strcmp(r->model, k->model) == 0 &&
+	    sv_layers_complete(&r->layers, k->layers);
+	int64_t loaded = is_usable ? r->version : 0;
 
 	if (k->had_engine && k->engine.start_ms != 0 && r->start_ms != 0 &&
 	    k->engine.start_ms != r->start_ms)
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -182,6 +182,7 @@
 	g_strlcpy(k->origin_region, keeper_region(k, domain),
 	    sizeof(k->origin_region));
 	k->slots = (unsigned int)desired->slots;
+	k->layers = (unsigned int)desired->layers;
 	k->may_cut = desired->may_cut != 0;
 	take_model(k, desired);
 	request_roster(k, from, desired,
--- a/tests/adapter/test_records.c
+++ b/tests/adapter/test_records.c
@@ -149,6 +149,38 @@
 	assert_int_equal(version_of(""), 0);
 }
 
+static bool
+is_complete(const char *layers, unsigned int n)
+{
+	char *text = g_strdup_printf(
+	    "{\"models\":[{\"name\":\"m\",\"version\":3}],\"layers\":%s}",
+	    layers);
+	struct sv_report report;
+	struct err err = { 0 };
+
+	assert_true(adapter_report_read(text, strlen(text), &report, &err));
+	g_free(text);
+	return report.version == 3 && sv_layers_complete(&report.layers, n);
+}
+
+/* Guards against requests to an engine that holds a part of its model: the layers
+ * stand beside the models and were not read. */
+static void
+test_layers_beside_models(void **state)
+{
+	assert_true(is_complete("{\"from\":0,\"to\":16,\"version\":3}", 16));
+	assert_true(is_complete("{\"from\":0,\"to\":16,\"version\":3}", 0));
+	assert_false(is_complete("{\"from\":8,\"to\":16,\"version\":3}", 16));
+	assert_false(is_complete("{\"from\":8,\"to\":16,\"version\":3}", 0));
+	assert_false(is_complete("{\"from\":0,\"to\":8,\"version\":3}", 16));
+	assert_false(is_complete("{\"from\":0,\"to\":16,\"version\":2}", 16));
+	assert_false(is_complete("{\"from\":0,\"to\":0,\"version\":3}", 16));
+	assert_false(is_complete("{\"from\":-1,\"to\":16}", 16));
+	assert_false(is_complete("{\"from\":0,\"to\":4294967312}", 16));
+	assert_false(is_complete("null", 16));
+	assert_false(is_complete("7", 16));
+}
+
 static void
 test_manifest(void **state)
 {
@@ -297,6 +329,7 @@
 		cmocka_unit_test(test_config),
 		cmocka_unit_test(test_events),
 		cmocka_unit_test(test_only_complete_models_count),
+		cmocka_unit_test(test_layers_beside_models),
 		cmocka_unit_test(test_manifest),
 		cmocka_unit_test(test_hostile_pages),
 		cmocka_unit_test(test_truncated_bodies),
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -94,15 +94,16 @@
 static void
 append_models(const struct fleet_engine *e, GString *out)
 {
-	g_string_append(out, "\"models\":[");
-	if (e->version > 0)
-		g_string_append_printf(out,
-		    "{\"name\":\"" FLEET_MODEL
-		    "\",\"version\":%" G_GINT64_FORMAT
-		    ",\"adapters\":[],\"layers\":[{\"from\":0,\"to\":4,"
-		    "\"version\":%" G_GINT64_FORMAT "}]}",
-		    e->version, e->version);
-	g_string_append(out, "]");
+	if (e->version == 0) {
+		g_string_append(out, "\"models\":[],\"layers\":null");
+		return;
+	}
+	g_string_append_printf(out,
+	    "\"models\":[{\"name\":\"" FLEET_MODEL
+	    "\",\"version\":%" G_GINT64_FORMAT ",\"adapters\":[]}],"
+	    "\"layers\":{\"from\":0,\"to\":%d,\"version\":%" G_GINT64_FORMAT
+	    "}",
+	    e->version, FLEET_LAYERS, e->version);
 }
 
 void
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -20,6 +20,7 @@
 #define FLEET_POISONS_MAX 8
 #define FLEET_CHUNKS 16
 #define FLEET_CHUNK_BYTES 8192
+#define FLEET_LAYERS 4
 #define FLEET_MODEL "m0"
 #define FLEET_LLM "llm"
 #define FLEET_PLAIN "plain"
--- a/tests/fleet/manifest.c
+++ b/tests/fleet/manifest.c
@@ -59,8 +59,9 @@
 
 	g_string_printf(out,
 	    "{\"model\":\"" FLEET_MODEL "\",\"version\":%" G_GINT64_FORMAT
-	    ",\"chunkBytes\":%d,\"layers\":4,\"digests\":[",
-	    version, FLEET_CHUNK_BYTES + (sent++ < bad_sizes ? 1000 : 0));
+	    ",\"chunkBytes\":%d,\"layers\":%d,\"digests\":[",
+	    version, FLEET_CHUNK_BYTES + (sent++ < bad_sizes ? 1000 : 0),
+	    FLEET_LAYERS);
 	digests = out->len;
 	add_digests(out, version);
 	if (version != last_version)
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -276,6 +276,30 @@
 	tgt_unref(previous);
 }
 
+/* Guards against requests to an engine that holds a part of the layers. */
+static void
+test_part_of_the_layers_is_no_version(void **state)
+{
+	struct sv_target record = { .id = "a",
+		.service = "s",
+		.address = "1.1.1.1:1",
+		.domain = "near",
+		.slots = 4,
+		.has_models = true,
+		.model = "m",
+		.model_version = 3,
+		.layers = { 0, 8 } };
+	struct tgt *t = tgt_put(set, &record, 0);
+
+	assert_int_equal(t->version, 3); /* their number is not known */
+	t->service->engine.layers = 16;
+	assert_int_equal(tgt_put(set, &record, 0)->version, 0);
+	record.layers = (struct sv_layers){ 0, 16 };
+	assert_int_equal(tgt_put(set, &record, 0)->version, 3);
+	record.layers = (struct sv_layers){ 8, 16 };
+	assert_int_equal(tgt_put(set, &record, 0)->version, 0);
+}
+
 /* Publishes the record of target "a", with its start time. */
 static struct tgt *
 put_started(int64_t start_ms, int64_t version, int64_t now_us)
@@ -567,6 +591,7 @@
 		T(test_cut_by_a_planned_load),
 		T(test_expired_targets),
 		T(test_address_reused),
+		T(test_part_of_the_layers_is_no_version),
 		T(test_restarted_target_is_a_new_one),
 		T(test_source_of_a_new_start),
 		T(test_unknown_service_takes_no_address),
