keeper: Prove what an engine has loaded before it gets requests

What callers saw: events made with a chunk that had been corrupt for longer than three seconds when the engine loaded it.

Cause: the second that a sidecar waits for the answer to an order was taken for a bound on when the order takes effect. An engine that stands still carries it out when it goes on, with the staging area as it is by then; the engine's next report named the version, and that was taken for a proof.

Change: lib/stage/proof decides which weights are proved: those of an order that was answered while its check was still valid, or read back after it without a corrupt chunk (one recovers only by a write, after which a read-back proves nothing). Each order states the engine's sequence as its precondition, so of orders in doubt at most one takes effect, and a sequence that rises without an accepted order shows it. Until then gateways hear of no version; a record in the store does not replace that; while an order is in doubt requests state the version they expect. Weights that cannot be proved are loaded again: half of the layers are given up, the other half is loaded in their place, then all. An order or a write that is cancelled with its version counts as in doubt.

Why it holds: nothing rests on the time in which an order takes effect any more, only on the sequence that the engine reports and on answers that were read in time.

--- a/lib/serve/records.h
+++ b/lib/serve/records.h
@@ -139,6 +139,18 @@
 	int64_t version;
 };
 
+/* An order to load the staged chunks of a version. */
+struct sv_load {
+	const char *model;
+	int64_t version;
+	struct sv_layers layers; /* to: 0: all */
+	/* Orders that the engine must have begun, or it refuses; -1: any. */
+	int64_t sequence;
+	/* The engine aborts its running requests; otherwise it finishes them
+	 * before it loads. */
+	bool preempt;
+};
+
 /* An engine's answer to a status request. */
 struct sv_report {
 	char model[SV_ID_MAX]; /* "" when none is loaded */
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -63,6 +63,7 @@
 	MSG_FIELD(struct side_report, inbound_ms, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_report, silent, MSG_U64, 1),
 	MSG_FIELD(struct side_report, sharers, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_report, uncertain, MSG_U64, 1),
 };
 const struct msg_desc side_report_desc =
     MSG_DESC(SIDE_REPORT, "load", struct side_report, status_fields);
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -140,6 +140,9 @@
 	/* 1: the engine leaves reports unanswered, for less than
 	 * SV_SILENCE_MAX_US; `engine` and the load are as of the last one. */
 	uint64_t silent;
+	/* 1: the engine may hold weights without a proof, now or as soon as an
+	 * order takes effect. */
+	uint64_t uncertain;
 	/* Gateways that share the slack of the retry budget, also those that
 	 * have gone lately; 0: the sidecar does not count them. */
 	uint64_t sharers;
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -45,6 +45,9 @@
 	int64_t up_us;
 	bool side_down; /* the sidecar cannot reach it, or it loads weights */
 	bool terminated; /* with `side_down`: its process has terminated */
+	/* Its sidecar reported last that it may hold weights which were not
+	 * loaded from valid chunks. */
+	bool uncertain;
 	/* Loaded; from the store or the sidecar, whichever is newer. */
 	char model[SV_ID_MAX];
 	int64_t version;
--- a/lib/stage/stage.c
+++ b/lib/stage/stage.c
@@ -35,6 +35,7 @@
 	[STG_CHECK] = "check",
 	[STG_ORDER] = "order",
 	[STG_LOADING] = "loading",
+	[STG_PROVE] = "prove",
 	[STG_DONE] = "done",
 };
 
@@ -98,6 +99,8 @@
 {
 	if (s->wanted == 0 || !s->up)
 		return STG_IDLE;
+	if (s->unproved)
+		return s->manifest ? STG_PROVE : STG_MANIFEST;
 	if (s->loaded >= s->wanted)
 		return next_loaded(s);
 	if (!s->manifest)
--- a/lib/stage/stage.h
+++ b/lib/stage/stage.h
@@ -25,6 +25,9 @@
 	STG_CHECK, /* read back and verify all chunks */
 	STG_ORDER, /* order the engine to load */
 	STG_LOADING, /* the order is in progress */
+	/* Read back all chunks of what the engine loaded by an order that may
+	 * have come late. */
+	STG_PROVE,
 	STG_DONE, /* the engine has loaded the wanted version */
 	STG_STEPS,
 };
@@ -37,7 +40,9 @@
 	int64_t wanted; /* version; 0: none */
 	/* The engine, as of its last answer. */
 	bool up;
-	int64_t loaded; /* version; 0: none */
+	int64_t loaded; /* version, complete and proved; 0: none */
+	bool unproved; /* it holds the wanted version, and a read-back may
+			* prove it */
 	bool busy; /* carries out an order */
 	unsigned int running; /* requests */
 	/* The wanted version on this host. */
@@ -57,9 +62,9 @@
 	int64_t switch_us;
 };
 
-/* A corrupt chunk must be detected within three seconds, one of which the order
- * may take: if the first chunk was verified longer ago than this, all are
- * verified again. */
+/* If the first chunk was verified longer ago than this, all are verified again
+ * before the order. An order that is answered too late for its check leaves the
+ * engine with weights that must be proved (proof.h). */
 #define STG_CHECK_VALID_US 1500000
 /* Time from a refused order to the next. */
 #define STG_ORDER_BACKOFF_US 400000
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -17,6 +17,7 @@
 #include "serve/roster.h"
 #include "serve/side.h"
 #include "shared/station.h"
+#include "stage/proof.h"
 #include "stage/stage.h"
 #include "weights/weights.h"
 
@@ -92,6 +93,14 @@
 	bool limit_known;
 	double limit; /* the engine's rate limit */
 	bool silent; /* the engine leaves reports unanswered */
+	bool uncertain; /* it may hold weights without a proof */
+};
+
+/* What a call to the engine does. */
+enum keeper_call {
+	KEEPER_READ, /* reads a chunk of the staging area */
+	KEEPER_WRITE, /* writes one */
+	KEEPER_ORDER,
 };
 
 struct keeper {
@@ -127,22 +136,28 @@
 	/* The engine. */
 	struct hfetch *report;
 	struct sv_report engine;
+	int64_t report_requested_us;
 	unsigned int report_failures; /* in a row */
+	unsigned int reports_unanswered; /* the same, without any answer */
 	bool had_engine; /* it answered at least once */
 	int64_t answered_us; /* its last report */
 	bool up;
 	bool silent; /* it leaves reports unanswered, and may go on */
-	int64_t loaded; /* version of the weights; 0: none */
+	struct prf proof; /* of the weights that it holds */
+	struct prf proof_logged; /* as last logged */
+	int64_t loaded; /* version, complete and proved; 0: none */
 	int64_t ordered_us; /* an order was accepted; 0: none in progress */
 	int64_t refused_us; /* the last order was refused; 0: no */
 	int64_t drain_us; /* gateways were asked to send nothing; 0: no */
 	enum stg_step step; /* as last logged */
 	/* The call to the engine on which the step waits. */
 	struct hfetch *call;
+	enum keeper_call call_kind;
 	struct keeper_copy *call_copy; /* the version of the call */
 	uint64_t call_chunk; /* index of the chunk of the call */
 	uint64_t bad_chunks; /* found corrupt or missing in this pass */
 	int64_t pass_us; /* begin of the last pass over the staging area */
+	bool proving; /* the pass is to prove what the engine has loaded */
 	int64_t backoff_until_us; /* after a failed call */
 	/* The last status report. */
 	struct keeper_status reported;
@@ -197,12 +212,17 @@
 /* keeper_engine.c: the engine's reports, and the next step */
 void keeper_poll_engine(struct keeper *k);
 void keeper_step(struct keeper *k); /* carries out the next step */
+/* What is known of the engine's weights has changed: notes what is usable. */
+void keeper_proof_changed(struct keeper *k);
 
 /* keeper_stage.c: the engine's staging area, and orders */
 void keeper_scan(struct keeper_copy *c);
 void keeper_put(struct keeper_copy *c);
 void keeper_check(struct keeper_copy *c);
+void keeper_prove(struct keeper_copy *c); /* what the engine has loaded */
 void keeper_order(struct keeper_copy *c);
+/* Gives up the call in progress, which may still take effect. */
+void keeper_abandon_call(struct keeper *k);
 /* Asks gateways to send the engine no new requests, or to send them again. */
 void keeper_drain(struct keeper *k);
 void keeper_undrain(struct keeper *k, const char *why);
--- a/programs/side/keeper_copy.c
+++ b/programs/side/keeper_copy.c
@@ -7,10 +7,8 @@
 {
 	struct keeper *k = c->keeper;
 
-	if (k->call_copy == c && k->call != NULL) {
-		hfetch_cancel(k->call);
-		k->call = NULL;
-	}
+	if (k->call_copy == c && k->call != NULL)
+		keeper_abandon_call(k);
 	if (c->manifest != NULL)
 		hfetch_cancel(c->manifest);
 	c->manifest = NULL;
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -42,6 +42,7 @@
 	bool was_silent = k->silent;
 
 	k->report_failures++;
+	k->reports_unanswered = a->timed_out ? k->reports_unanswered + 1 : 0;
 	if (k->report_failures < REPORT_FAILURES || !k->up)
 		return;
 	k->silent = is_only_silent(k, a);
@@ -86,39 +87,94 @@
 	k->ordered_us = 0;
 	k->refused_us = 0;
 	k->drain_us = 0;
-	k->loaded = 0;
 	permits_reset(&k->permits);
 	if (k->call != NULL)
 		hfetch_cancel(k->call);
 	k->call = NULL;
+	prf_restarted(&k->proof);
 	invalidate_staged(k->newest);
 	invalidate_staged(k->older);
 }
 
+/* What the engine holds of the model. */
+static struct prf_weights
+held_weights(const struct keeper *k, const struct sv_report *r)
+{
+	struct prf_weights held = { r->version, r->layers.from, r->layers.to };
+
+	if (strcmp(r->model, k->model) != 0 || r->version == 0)
+		return (struct prf_weights){ 0 };
+	if (held.to == 0)
+		held.to = k->layers == 0 ? UINT_MAX : k->layers;
+	return held;
+}
+
+static void
+log_proof(struct keeper *k)
+{
+	const struct prf *now = &k->proof, *before = &k->proof_logged;
+	const char *outcome = "none";
+
+	if (now->unproved == before->unproved &&
+	    now->refuted == before->refuted &&
+	    now->in_doubt == before->in_doubt)
+		return;
+	if (!now->unproved)
+		outcome = now->in_doubt ? "order_in_doubt" : "proved";
+	else if (now->refuted)
+		outcome = "refuted";
+	evt(EVT_WEIGHTS,
+	    "step=proof version=%" G_GINT64_FORMAT
+	    " outcome=%s seq=%" G_GINT64_FORMAT,
+	    now->held.version, outcome, now->sequence);
+	k->proof_logged = *now;
+}
+
+void
+keeper_proof_changed(struct keeper *k)
+{
+	k->loaded = prf_usable(&k->proof, k->layers);
+	log_proof(k);
+}
+
+static bool
+holds_same(const struct sv_report *a, const struct sv_report *b)
+{
+	return a->version == b->version && a->layers.from == b->layers.from &&
+	    a->layers.to == b->layers.to && strcmp(a->model, b->model) == 0;
+}
+
 static void
 note_report(struct keeper *k, const struct sv_report *r)
 {
-	bool is_usable = strcmp(r->model, k->model) == 0 &&
-	    sv_layers_complete(&r->layers, k->layers);
-	int64_t loaded = is_usable ? r->version : 0;
+	int64_t before = k->loaded;
 
 	if (k->had_engine && k->engine.start_ms != 0 && r->start_ms != 0 &&
 	    k->engine.start_ms != r->start_ms)
 		note_restart(k);
-
-	if (!k->up || k->silent || loaded != k->loaded ||
+	prf_reported(&k->proof,
+	    &(struct prf_report){ .held = held_weights(k, r),
+		.sequence = r->sequence,
+		.busy = r->busy,
+		.requested_us = k->report_requested_us,
+		.was_silent = k->reports_unanswered >= REPORT_FAILURES });
+	keeper_proof_changed(k);
+
+	if (!k->up || k->silent || k->loaded != before ||
 	    r->busy != k->engine.busy || r->sequence != k->engine.sequence)
 		evt(EVT_ENGINE,
 		    "state=up version=%" G_GINT64_FORMAT
 		    " before=%" G_GINT64_FORMAT
 		    " busy=%d running=%u seq=%" G_GINT64_FORMAT,
-		    loaded, k->loaded, r->busy, r->running, r->sequence);
+		    k->loaded, before, r->busy, r->running, r->sequence);
 	/* The engine has carried out the order, or has restarted. */
-	if (loaded != k->loaded && !r->busy) {
+	if (!r->busy &&
+	    (!holds_same(r, &k->engine) || prf_has_loaded(&k->proof))) {
 		k->ordered_us = 0;
 		k->drain_us = 0;
 	}
 	k->report_failures = 0;
+	k->reports_unanswered = 0;
 	/* A drain that began before a silence has drained nothing. */
 	if (k->silent)
 		k->drain_us = 0;
@@ -127,7 +183,6 @@
 	k->had_engine = true;
 	k->engine = *r;
 	k->up = true;
-	k->loaded = loaded;
 }
 
 static void
@@ -152,6 +207,7 @@
 {
 	if (k->report != NULL || !keeper_has_gateways(k))
 		return;
+	k->report_requested_us = keeper_now(k);
 	k->report = hfetch_start(k->st.loop, k->st.pool,
 	    &(struct hfetch_conf){
 		.address = cfg_str(k->st.cfg, "engine.address"),
@@ -203,6 +259,8 @@
 		.wanted = c->version,
 		.up = k->up && !k->silent,
 		.loaded = k->loaded,
+		.unproved = prf_needs_read_back(&k->proof) &&
+		    k->proof.held.version == c->version,
 		.busy = k->engine.busy,
 		.running = k->engine.running + k->engine.waiting,
 		.manifest = c->list != NULL,
@@ -268,6 +326,9 @@
 	if (k->older != NULL &&
 	    (k->newest->complete || k->loaded >= k->newest->version))
 		keeper_drop_older(k);
+	if (k->older != NULL && prf_needs_read_back(&k->proof) &&
+	    k->proof.held.version == k->older->version)
+		return k->older;
 	if (newest_waits(k) || older_satisfies(k, stg_prefers_older))
 		return k->older;
 	return k->newest;
@@ -305,6 +366,9 @@
 	case STG_CHECK:
 		keeper_check(c);
 		break;
+	case STG_PROVE:
+		keeper_prove(c);
+		break;
 	case STG_ORDER:
 		keeper_order(c);
 		break;
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -143,7 +143,8 @@
 {
 	if (!k->up)
 		return SIDE_ENGINE_DOWN;
-	if (k->engine.busy || k->ordered_us != 0 || k->drain_us != 0)
+	if (k->engine.busy || k->ordered_us != 0 || k->drain_us != 0 ||
+	    k->proof.unproved)
 		return SIDE_ENGINE_LOADING;
 	return SIDE_ENGINE_UP;
 }
@@ -183,6 +184,7 @@
 		.limit_known = k->permits.known,
 		.limit = k->permits.limit,
 		.silent = k->silent,
+		.uncertain = prf_is_uncertain(&k->proof),
 	};
 }
 
@@ -194,7 +196,8 @@
 	return a->engine != b->engine || a->loaded != b->loaded ||
 	    a->wanted != b->wanted || !digest_equal(&a->root, &b->root) ||
 	    a->slow_link != b->slow_link || a->limit_known != b->limit_known ||
-	    a->limit != b->limit || a->silent != b->silent;
+	    a->limit != b->limit || a->silent != b->silent ||
+	    a->uncertain != b->uncertain;
 }
 
 /* Whether `a` has a changed load since `b`. */
@@ -286,6 +289,7 @@
 		.limit_known = status->limit_known,
 		.limit_milli = rate_to_milli(status->limit),
 		.silent = status->silent,
+		.uncertain = status->uncertain,
 		.sharers = acct_copies_sharers(&k->accounts, keeper_now(k)),
 	};
 	for (i = 0; i < k->gateways->len; i++)
--- a/programs/side/keeper_stage.c
+++ b/programs/side/keeper_stage.c
@@ -19,7 +19,8 @@
 }
 
 static void
-call_engine(struct keeper_copy *c, const struct hfetch_conf *what)
+call_engine(struct keeper_copy *c, enum keeper_call kind,
+    const struct hfetch_conf *what)
 {
 	struct keeper *k = c->keeper;
 	struct hfetch_conf conf = *what;
@@ -27,9 +28,21 @@
 	conf.address = cfg_str(k->st.cfg, "engine.address");
 	conf.ctx = c;
 	k->call_copy = c;
+	k->call_kind = kind;
 	k->call = hfetch_start(k->st.loop, k->st.pool, &conf);
 }
 
+void
+keeper_abandon_call(struct keeper *k)
+{
+	hfetch_cancel(k->call);
+	k->call = NULL;
+	if (k->call_kind == KEEPER_WRITE)
+		prf_write_in_doubt(&k->proof);
+	if (k->call_kind == KEEPER_ORDER)
+		prf_order_answered(&k->proof, PRF_UNKNOWN, keeper_now(k));
+}
+
 static void
 call_for_chunk(struct keeper_copy *c, bool put, hfetch_cb *done)
 {
@@ -40,7 +53,7 @@
 	gsize len = 0;
 	const void *body = bytes == NULL ? NULL : g_bytes_get_data(bytes, &len);
 
-	call_engine(c,
+	call_engine(c, put ? KEEPER_WRITE : KEEPER_READ,
 	    &(struct hfetch_conf){ .method = put ? "PUT" : "GET",
 		.path = path,
 		.type = put ? "application/octet-stream" : NULL,
@@ -63,6 +76,8 @@
 	struct keeper *k = c->keeper;
 
 	k->call = NULL;
+	if (a->status == 0 && a->sent)
+		prf_write_in_doubt(&k->proof);
 	if (a->status < 200 || a->status >= 300) {
 		back_off(k, "put", a);
 		return;
@@ -84,6 +99,7 @@
 		return;
 	}
 	c->keeper->call_chunk = i;
+	prf_write_sent(&c->keeper->proof);
 	call_for_chunk(c, true, on_put);
 }
 
@@ -146,18 +162,36 @@
 		    " outcome=valid ms=%" G_GINT64_FORMAT,
 		    c->version, (keeper_now(k) - k->pass_us) / 1000);
 	}
+	if (k->proving) {
+		prf_read_back_ended(&k->proof, k->bad_chunks == 0);
+		keeper_proof_changed(k);
+	}
 	keeper_step(k);
 }
 
-void
-keeper_check(struct keeper_copy *c)
+static void
+begin_check(struct keeper_copy *c, bool proving)
 {
 	c->keeper->pass_us = keeper_now(c->keeper);
 	c->keeper->call_chunk = 0;
 	c->keeper->bad_chunks = 0;
+	c->keeper->proving = proving;
 	check_next(c);
 }
 
+void
+keeper_check(struct keeper_copy *c)
+{
+	begin_check(c, false);
+}
+
+void
+keeper_prove(struct keeper_copy *c)
+{
+	prf_read_back_begun(&c->keeper->proof);
+	begin_check(c, true);
+}
+
 /* ------------------------------------------------------------------ */
 /* Search for chunks that are staged already                           */
 /* ------------------------------------------------------------------ */
@@ -254,12 +288,18 @@
 	struct keeper *k = c->keeper;
 	bool accepted = a->status == 200 || a->status == 202;
 	const char *outcome = "refused";
+	enum prf_outcome proof = PRF_NOT_BEGUN;
 
 	k->call = NULL;
 	if (accepted)
 		outcome = "accepted";
 	else if (a->status == 0 && a->sent)
 		outcome = "unknown"; /* the next reports show it */
+	if (a->status == 202)
+		proof = PRF_BEGUN;
+	else if (a->status == 0 && a->sent)
+		proof = PRF_UNKNOWN;
+	prf_order_answered(&k->proof, proof, keeper_now(k));
 	evt(EVT_ORDER,
 	    "model=%s version=%" G_GINT64_FORMAT
 	    " status=%u outcome=%s age_ms=%" G_GINT64_FORMAT
@@ -274,16 +314,30 @@
 	else
 		k->refused_us = keeper_now(k);
 	c->checked_us = 0;
+	keeper_proof_changed(k);
 	keeper_poll_engine(k);
 }
 
 void
 keeper_order(struct keeper_copy *c)
 {
-	char *body = adapter_order_load(
-	    c->keeper->model, c->version, c->keeper->may_cut);
-
-	call_engine(c,
+	struct keeper *k = c->keeper;
+	struct prf_order order = {
+		.weights = prf_next(&k->proof, c->version, k->layers),
+		.checked_us = c->checked_us,
+	};
+	struct sv_load load = { .model = k->model,
+		.version = c->version,
+		.sequence = prf_order_sent(&k->proof, &order),
+		/* Answers from weights without a proof may be wrong. */
+		.preempt = k->may_cut || k->proof.unproved };
+	char *body;
+
+	if (order.weights.from > 0 || order.weights.to < k->layers)
+		load.layers =
+		    (struct sv_layers){ order.weights.from, order.weights.to };
+	body = adapter_order_load(&load);
+	call_engine(c, KEEPER_ORDER,
 	    &(struct hfetch_conf){ .method = "POST",
 		.path = adapter_order_path,
 		.type = "application/json",
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -163,6 +163,7 @@
 		return;
 	g_strlcpy(k->model, model, sizeof(k->model));
 	keeper_drop_all(k);
+	k->proof = (struct prf){ 0 };
 	stg_deadlines_clear(&k->deadlines);
 	roster_free(k->roster);
 	k->roster = roster_new();
--- a/tests/adapter/test_calls.c
+++ b/tests/adapter/test_calls.c
@@ -102,6 +102,32 @@
 	return read;
 }
 
+static void
+expect_order(const struct sv_load *load, const char *expected)
+{
+	char *body = adapter_order_load(load);
+
+	assert_string_equal(body, expected);
+	g_free(body);
+}
+
+static void
+test_orders_to_load(void **state)
+{
+	struct sv_load load = { .model = "m", .version = 2, .sequence = -1 };
+
+	expect_order(&load,
+	    "{\"operation\":\"start\",\"model\":\"m\",\"version\":2,"
+	    "\"switchMode\":\"queue\"}");
+	load.preempt = true;
+	load.sequence = 0;
+	load.layers = (struct sv_layers){ 8, 16 };
+	expect_order(&load,
+	    "{\"operation\":\"start\",\"model\":\"m\",\"version\":2,"
+	    "\"switchMode\":\"preempt\",\"from\":8,\"to\":16,"
+	    "\"precondition\":0}");
+}
+
 /* Guards against corrupted lists of digests that are read as valid ones. */
 static void
 test_corrupted_manifests_are_refused(void **state)
@@ -151,6 +177,7 @@
 		cmocka_unit_test(test_malformed_parts),
 		cmocka_unit_test(test_leading_zeros_are_dropped),
 		cmocka_unit_test(test_long_lists_are_cut_off),
+		cmocka_unit_test(test_orders_to_load),
 		cmocka_unit_test(test_corrupted_manifests_are_refused),
 	};
 
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -32,7 +32,9 @@
 	bool llm;
 	struct hserver *server;
 	int64_t version; /* loaded; 0: none */
+	unsigned int from, to; /* the layers of it */
 	int64_t loading; /* version being loaded; 0: none */
+	unsigned int loading_from, loading_to;
 	struct evl_timer load;
 	uint8_t *staged[FLEET_CHUNKS];
 	unsigned int sequence;
@@ -58,9 +60,9 @@
 	} late;
 	unsigned int late_reads;
 	int64_t late_until_us; /* orders until then were held up */
-	/* It has loaded, or is loading, a chunk that was corrupt for longer
-	 * than UNNOTICED_US. */
-	bool unsound, loads_unsound;
+	/* Layers that were loaded, or are being loaded, with a chunk that was
+	 * corrupt for longer than UNNOTICED_US. */
+	bool unsound[FLEET_LAYERS], loads_unsound[FLEET_LAYERS];
 };
 
 struct fleet_run {
@@ -101,9 +103,9 @@
 	g_string_append_printf(out,
 	    "\"models\":[{\"name\":\"" FLEET_MODEL
 	    "\",\"version\":%" G_GINT64_FORMAT ",\"adapters\":[]}],"
-	    "\"layers\":{\"from\":0,\"to\":%d,\"version\":%" G_GINT64_FORMAT
+	    "\"layers\":{\"from\":%u,\"to\":%u,\"version\":%" G_GINT64_FORMAT
 	    "}",
-	    e->version, FLEET_LAYERS, e->version);
+	    e->version, e->from, e->to, e->version);
 }
 
 void
@@ -203,6 +205,18 @@
 	return true;
 }
 
+static bool
+is_unsound(const struct fleet_engine *e)
+{
+	unsigned int l;
+
+	for (l = e->from; l < e->to; l++) {
+		if (e->unsound[l])
+			return true;
+	}
+	return false;
+}
+
 static void
 on_event(struct evl_timer *timer)
 {
@@ -214,7 +228,7 @@
 		return;
 	if (!hreq_begun(r))
 		begin_answer(run);
-	if (run->e->unsound)
+	if (is_unsound(run->e))
 		f->tally.unsound_events++;
 	if (fleet_answer_next_event(&run->answer, r)) {
 		evl_timer_set(
@@ -347,6 +361,19 @@
 	    evl_now_us(e->f->loop) + (e->llm ? fleet_event_us() : PLAIN_US));
 }
 
+/* It holds a part of the model, or another version than the request expects. */
+static bool
+has_other_weights(const struct fleet_engine *e, struct hreq *r)
+{
+	char expect[24];
+
+	header(r, "X-Expect-Version", expect, sizeof(expect));
+	if (!e->llm || e->version == 0)
+		return false;
+	return e->from != 0 || e->to != FLEET_LAYERS ||
+	    (expect[0] != '\0' && atoll(expect) != e->version);
+}
+
 static void
 handle_request(struct fleet_engine *e, struct hreq *r)
 {
@@ -362,7 +389,7 @@
 	wrong_engine = expect[0] != '\0' && strcmp(expect, e->id) != 0;
 	fleet_notice_arrived(
 	    e->f, &e->notice, e->f->proxy[e->i + 1], id, wrong_engine);
-	if (wrong_engine) {
+	if (wrong_engine || has_other_weights(e, r)) {
 		refuse(e, r, 421);
 		return;
 	}
@@ -411,13 +438,16 @@
 	return memcmp(expected, chunk, sizeof(chunk)) == 0;
 }
 
+#define LAYER_CHUNKS (FLEET_CHUNKS / FLEET_LAYERS)
+
 static bool
-staged_is_complete(const struct fleet_engine *e, int64_t version)
+layer_is_complete(
+    const struct fleet_engine *e, int64_t version, unsigned int layer)
 {
 	uint8_t expected[FLEET_CHUNK_BYTES];
 	uint64_t i;
 
-	for (i = 0; i < FLEET_CHUNKS; i++) {
+	for (i = layer * LAYER_CHUNKS; i < (layer + 1) * LAYER_CHUNKS; i++) {
 		fleet_chunk(version, i, expected);
 		if (!staged_is_valid(e, i, expected))
 			return false;
@@ -425,6 +455,18 @@
 	return true;
 }
 
+static bool
+staged_is_complete(const struct fleet_engine *e, int64_t version)
+{
+	unsigned int l;
+
+	for (l = 0; l < FLEET_LAYERS; l++) {
+		if (!layer_is_complete(e, version, l))
+			return false;
+	}
+	return true;
+}
+
 static void
 corrupt_staged(struct fleet_engine *e, uint64_t chunk, size_t offset)
 {
@@ -488,6 +530,17 @@
 	}
 }
 
+static void
+finish_load(struct fleet_engine *e)
+{
+	e->version = e->loading;
+	e->from = e->loading_from;
+	e->to = e->loading_to;
+	memcpy(e->unsound, e->loads_unsound, sizeof(e->unsound));
+	e->loading = 0;
+	fleet_engine_publish(e->f, e->i);
+}
+
 static void
 on_loaded(struct evl_timer *timer)
 {
@@ -498,10 +551,7 @@
 		    e->f->loop, timer, evl_now_us(e->f->loop) + LOAD_US / 4);
 		return;
 	}
-	e->version = e->loading;
-	e->unsound = e->loads_unsound;
-	e->loading = 0;
-	fleet_engine_publish(e->f, e->i);
+	finish_load(e);
 }
 
 /* Aborts all runs, on a preempting order or a crash; gateways resume the
@@ -533,33 +583,102 @@
 	    version, late ? " late" : "");
 }
 
+/* A number of the order, or `fallback` if it is not stated. */
+static int64_t
+order_number(const char *order, const char *field, int64_t fallback)
+{
+	char *name = g_strdup_printf("\"%s\":", field);
+	const char *at = strstr(order, name);
+	int64_t value = at == NULL ? fallback : atoll(at + strlen(name));
+
+	g_free(name);
+	return value;
+}
+
+struct fleet_order {
+	int64_t version;
+	unsigned int from, to;
+	bool preempts;
+};
+
+/* Whether the layer stays as it is: those of the same version do. */
+static bool
+keeps_layer(const struct fleet_engine *e, const struct fleet_order *o,
+    unsigned int layer)
+{
+	return e->version == o->version && layer >= e->from && layer < e->to &&
+	    MAX(e->from, o->from) < MIN(e->to, o->to);
+}
+
+/* Loads the staged chunks as they are now. False: nothing is to be loaded, some
+ * layers are given up. */
+static bool
+begin_load(struct fleet_engine *e, const struct fleet_order *o)
+{
+	bool loads = false, unsound = false;
+	unsigned int l;
+
+	e->loading = o->version;
+	e->loading_from = o->from;
+	e->loading_to = o->to;
+	for (l = 0; l < FLEET_LAYERS; l++) {
+		e->loads_unsound[l] = e->unsound[l];
+		if (l < o->from || l >= o->to || keeps_layer(e, o, l))
+			continue;
+		loads = true;
+		e->loads_unsound[l] = !layer_is_complete(e, o->version, l);
+		unsound = unsound || e->loads_unsound[l];
+	}
+	if (unsound)
+		note_unsound_load(e, o->version);
+	return loads;
+}
+
+/* 202, or the status of an order that begins nothing. */
+static unsigned int
+order_status(
+    const struct fleet_engine *e, const struct fleet_order *o, int64_t sequence)
+{
+	if (sequence != e->sequence)
+		return 409;
+	if (o->version == e->loading ||
+	    (o->version == e->version && e->loading == 0 &&
+		o->from == e->from && o->to == e->to))
+		return 200;
+	if (o->version <= 0 || o->from >= o->to || o->to > FLEET_LAYERS ||
+	    e->loading != 0)
+		return 409;
+	return 202;
+}
+
 static void
 handle_order(struct fleet_engine *e, struct hreq *r)
 {
 	size_t len;
 	const char *body = hreq_body(r, &len);
 	char *text = g_strndup(body == NULL ? "" : body, len);
-	const char *at = strstr(text, "\"version\":");
-	int64_t version = at == NULL ? 0 : atoll(at + 10);
-	bool cuts = strstr(text, "\"preempt\"") != NULL;
+	struct fleet_order o = {
+		.version = order_number(text, "version", 0),
+		.from = (unsigned int)order_number(text, "from", 0),
+		.to = (unsigned int)order_number(text, "to", FLEET_LAYERS),
+		.preempts = strstr(text, "\"preempt\"") != NULL,
+	};
+	unsigned int status = order_status(
+	    e, &o, order_number(text, "precondition", e->sequence));
 
 	g_free(text);
-	if (version == e->version || version == e->loading) {
-		hreq_answer(r, 200, "", "", 0);
+	if (status != 202) {
+		hreq_answer(r, status, "", "", 0);
 		return;
 	}
-	if (version <= 0 || e->loading != 0) {
-		hreq_answer(r, 409, "", "", 0);
-		return;
-	}
-	e->loads_unsound = !staged_is_complete(e, version);
-	if (e->loads_unsound)
-		note_unsound_load(e, version);
 	e->sequence++;
-	e->loading = version;
-	e->load.fire = on_loaded;
-	evl_timer_set(e->f->loop, &e->load, evl_now_us(e->f->loop) + LOAD_US);
-	if (cuts)
+	if (begin_load(e, &o)) {
+		e->load.fire = on_loaded;
+		evl_timer_set(
+		    e->f->loop, &e->load, evl_now_us(e->f->loop) + LOAD_US);
+	} else
+		finish_load(e);
+	if (o.preempts)
 		cut_runs(e);
 	hreq_answer(r, 202, "", "", 0);
 }
@@ -691,6 +810,7 @@
 		fleet_chunk(1, c, e->staged[c]);
 	}
 	e->version = llm && !empty ? 1 : 0;
+	e->to = FLEET_LAYERS;
 	f->engine[i] = e;
 	return start_server(e, err);
 }
@@ -710,7 +830,7 @@
 	evl_timer_stop(f->loop, &e->load);
 	e->loading = 0;
 	e->version = 0;
-	e->unsound = false;
+	memset(e->unsound, 0, sizeof(e->unsound));
 	e->sequence = 0;
 	if (!keeps_id) {
 		fleet_store_remove(f, "servers", e->id);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -736,6 +736,32 @@
 	expect_answer(fd, "id: 3");
 }
 
+/*
+ * Guards against answers from corrupt weights: an order to load that was given up
+ * may take effect at any time, after which the engine must refuse the request.
+ */
+static void
+test_version_is_expected_while_an_order_is_in_doubt(void **state)
+{
+	char *request;
+	bool uncertain;
+
+	for (uncertain = false;; uncertain = true) {
+		world_open(1, make_config(SV_STREAM, 1, 3000));
+		target_announce(&w.target[0], false, 1);
+		tgt_find(w.set, "i0")->uncertain = uncertain;
+		close(send_model_request());
+		(void)target_get(&request);
+		assert_int_equal(
+		    strstr(request, "T-Expect-Version: 1\r\n") != NULL,
+		    uncertain);
+		g_free(request);
+		if (uncertain)
+			break;
+		world_close();
+	}
+}
+
 /*
  * The deadline of version 2 is in 0.7 s. A request that is not repeatable
  * cannot be recalled from an engine's queue, in which waits of 1.1 s were
@@ -1471,6 +1497,7 @@
 		T(test_callers_that_always_set_less_time),
 		T(test_leaving_targets_and_targets_without_model),
 		T(test_queued_request_is_recalled_before_its_weights_expire),
+		T(test_version_is_expected_while_an_order_is_in_doubt),
 		T(test_begun_request_stays_when_its_weights_expire),
 		T(test_which_requests_may_use_older_weights),
 		T(test_no_older_weights_behind_a_slow_link),
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -371,6 +371,21 @@
 	tgt_unref(restarted);
 }
 
+/* Guards against requests to an engine that loaded corrupt chunks, as its record
+ * names the version and its sidecar has stopped reporting. */
+static void
+test_record_proves_no_weights(void **state)
+{
+	struct tgt *t = put_started(1000, 0, 0);
+
+	t->uncertain = true;
+	assert_ptr_equal(put_started(1000, 3, 9 * SECOND), t);
+	assert_int_equal(t->version, 0);
+	t->uncertain = false;
+	assert_ptr_equal(put_started(1000, 3, 9 * SECOND), t);
+	assert_int_equal(t->version, 3);
+}
+
 /* A record of an unknown service has the address of a valid target. */
 static void
 test_unknown_service_takes_no_address(void **state)
@@ -594,6 +609,7 @@
 		T(test_part_of_the_layers_is_no_version),
 		T(test_restarted_target_is_a_new_one),
 		T(test_source_of_a_new_start),
+		T(test_record_proves_no_weights),
 		T(test_unknown_service_takes_no_address),
 		T(test_only_loaded_versions),
 		T(test_silent_target_is_avoided),
--- a/tests/stage/test_stage.c
+++ b/tests/stage/test_stage.c
@@ -63,6 +63,24 @@
 	    stg_next(&s, SECOND + STG_CHECK_VALID_US + 1), STG_CHECK);
 }
 
+/* Guards against an engine that stays out of service after an order that may have
+ * come late, though its weights can be proved. */
+static void
+test_unproved_weights_are_read_back(void **state)
+{
+	struct stg_state s = serving();
+
+	s.loaded = 0;
+	s.unproved = true;
+	assert_int_equal(stg_next(&s, SECOND), STG_PROVE);
+	s.complete = s.staged = false;
+	assert_int_equal(stg_next(&s, SECOND), STG_PROVE);
+	s.manifest = false;
+	assert_int_equal(stg_next(&s, SECOND), STG_MANIFEST);
+	s.up = false;
+	assert_int_equal(stg_next(&s, SECOND), STG_IDLE);
+}
+
 static void
 test_serving_engine_waits_for_its_switch_time(void **state)
 {
@@ -408,6 +426,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_empty_engine_loads_at_once),
 		cmocka_unit_test(test_old_check_is_repeated),
+		cmocka_unit_test(test_unproved_weights_are_read_back),
 		cmocka_unit_test(test_serving_engine_waits_for_its_switch_time),
 		cmocka_unit_test(
 		    test_engine_drains_before_its_requests_are_cut),
