clock: Count the time for which the host is suspended

A check of chunks, a lease and a deadline from before the suspension look as young after it as before, so a sidecar may order a load by a check that is seconds too old, and a holder of a lease may act after another one has taken it.

Change: the clock that is passed in reads CLOCK_BOOTTIME, by which a suspension looks like a stop of the process, which is handled and tested. The event loop translates to GLib's clock, which goes on without that time.

--- a/lib/common/clock.c
+++ b/lib/common/clock.c
@@ -1,5 +1,7 @@
 /* Implementations of the clock interface: system clock and fake clock. */
 
+#include <time.h>
+
 #include "common/common.h"
 
 /* Timers of a loop that is not held up fire within 2 ms. */
@@ -8,10 +10,14 @@
 #define QUIET_MAX_US G_USEC_PER_SEC
 #define CATCH_UP_MAX_US (2 * G_USEC_PER_SEC)
 
+/* CLOCK_MONOTONIC stands still while the host is suspended. */
 static int64_t
 system_monotonic(void *ctx)
 {
-	return g_get_monotonic_time();
+	struct timespec now;
+
+	(void)clock_gettime(CLOCK_BOOTTIME, &now);
+	return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
 }
 
 static int64_t
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -85,7 +85,8 @@
 
 /*
  * The clock is a parameter so that tests and trace replay can control time.
- * Deadlines and leases use only the monotonic time; wall-clock time is for
+ * Deadlines, leases and the ages of checks use only the monotonic time, which
+ * also counts the time for which the host was suspended; wall-clock time is for
  * timestamps that people read.
  */
 struct clk {
--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -34,6 +34,14 @@
 
 static struct evl_timer *heap_at(const struct evl *e, size_t i);
 
+/* GLib's clock stands still while the host is suspended, and differs from the
+ * loop's by all such times. */
+static int64_t
+glib_time_us(const struct evl *e, int64_t at_us)
+{
+	return g_get_monotonic_time() + MAX(0, at_us - clk_now_us(e->clock));
+}
+
 /* Sets the time at which GLib dispatches the source next: immediately for work
  * that was deferred between two wake-ups, else at the earliest timer. */
 static void
@@ -46,7 +54,7 @@
 	if (!TAILQ_EMPTY(&e->tasks))
 		at_us = 0;
 	else if (e->heap->len > 0)
-		at_us = heap_at(e, 0)->at_us;
+		at_us = glib_time_us(e, heap_at(e, 0)->at_us);
 	g_source_set_ready_time(&e->source, at_us);
 }
 
--- /dev/null
+++ b/tests/http/test_evl.c
@@ -0,0 +1,54 @@
+/* Timers of the event loop. */
+
+#include <sys/syscall.h>
+#include <time.h>
+
+#include "loop.h"
+
+#define SUSPENDED_S 500
+#define TIMER_US 20000
+#define WAIT_MS 300
+
+/* Replaces the C library's function on a host that was suspended before, which
+ * only CLOCK_BOOTTIME counts. */
+int
+clock_gettime(clockid_t id, struct timespec *out)
+{
+	int status = (int)syscall(SYS_clock_gettime, id, out);
+
+	if (status == 0 && id == CLOCK_BOOTTIME)
+		out->tv_sec += SUSPENDED_S;
+	return status;
+}
+
+static bool has_fired;
+
+static void
+on_fire(struct evl_timer *t)
+{
+	has_fired = true;
+}
+
+/* Guards against timers that are late by all the time for which the host was
+ * suspended. */
+static void
+test_timer_after_a_suspension(void **state)
+{
+	struct evl *loop = evl_new(clk_system());
+	struct evl_timer timer = { .fire = on_fire };
+
+	evl_timer_set(loop, &timer, evl_now_us(loop) + TIMER_US);
+	run_ms(WAIT_MS);
+	assert_true(has_fired);
+	evl_free(loop);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_timer_after_a_suspension),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
