--- a/programs/side/keeper.c
+++ b/programs/side/keeper.c
@@ -64,9 +64,10 @@
 	    "keeper_wanted_version %" G_GINT64_FORMAT
 	    "\nkeeper_loaded_version %" G_GINT64_FORMAT
 	    "\nkeeper_chunks_held %" G_GUINT64_FORMAT
-	    "\nkeeper_step %d\nkeeper_engine_up %d\nkeeper_gateways %u\nkeeper_engine_limit %.3f\n",
+	    "\nkeeper_step %d\nkeeper_engine_up %d\nkeeper_unproved %d\nkeeper_gateways %u\nkeeper_engine_limit %.3f\n",
 	    k->newest == NULL ? 0 : k->newest->version, k->loaded, p.have,
-	    k->step, k->up, k->gateways->len, k->permits.limit);
+	    k->step, k->up, k->proof.unproved, k->gateways->len,
+	    k->permits.limit);
 }
 
 static bool
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -123,6 +123,7 @@
 		outcome = now->in_doubt ? "order_in_doubt" : "proved";
 	else if (now->refuted)
 		outcome = "refuted";
+	ctr_add(ctr_get(k->st.counters, "proof_changes"), 1);
 	evt(EVT_WEIGHTS,
 	    "step=proof version=%" G_GINT64_FORMAT
 	    " outcome=%s seq=%" G_GINT64_FORMAT,
