gateway: Let no entry of a target choose the version to load

What callers saw: after one entry of another writer in the list of engines, no engine loads an announced version any more; after the version's deadline, engines are refused for good.

Cause: the desired version was the newest of those announced and those that any target's record claims. One entry with `models` at version 2^62 made every gateway ask all sidecars for it, and sidecars ignore what is older than the newest version that they were told of. They also pass it on as an announcement.

Change: the desired version is the newest announced one. What is loaded counts only while the gateway has not read the announcements and no sidecar has reported any, and then only what a live sidecar reports, never a record.

Why it holds: an entry has no path to the desired version left; each announced version still reaches a gateway without the store through sidecars' reports.

The unit tests in tests/serve cover both halves of the rule.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -371,6 +371,20 @@
 	return g_hash_table_lookup(s->by_address, address);
 }
 
+int64_t
+tgt_newest_loaded(const struct tgt_service *service, int64_t now_us)
+{
+	const struct tgt *t;
+	int64_t newest = 0;
+
+	TAILQ_FOREACH (t, &service->targets, link) {
+		if (tgt_side_is_alive(t, now_us) &&
+		    strcmp(t->model, service->engine.model) == 0)
+			newest = MAX(newest, t->version);
+	}
+	return newest;
+}
+
 /* ------------------------------------------------------------------ */
 /* Load                                                                */
 /* ------------------------------------------------------------------ */
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -171,6 +171,9 @@
 unsigned int tgt_limited(struct tgt_set *s);
 struct tgt *tgt_find(struct tgt_set *s, const char *id);
 struct tgt *tgt_by_address(struct tgt_set *s, const char *address);
+/* Newest version of the service's model that live sidecars report as loaded;
+ * 0: none. */
+int64_t tgt_newest_loaded(const struct tgt_service *service, int64_t now_us);
 
 struct tgt *tgt_ref(struct tgt *t);
 void tgt_unref(struct tgt *t);
--- a/lib/serve/vers.c
+++ b/lib/serve/vers.c
@@ -217,6 +217,16 @@
 	    : at(m, m->announced->len - 1)->version;
 }
 
+int64_t
+vers_desired(const struct vers *v, const char *model, bool read, int64_t loaded)
+{
+	int64_t newest = vers_newest(v, model);
+
+	if (newest == 0 && !read)
+		newest = loaded;
+	return MAX(newest, VERS_FIRST);
+}
+
 int64_t
 vers_pending(const struct vers *v, const char *model, int64_t now_us,
     int64_t *announced_us)
--- a/lib/serve/vers.h
+++ b/lib/serve/vers.h
@@ -46,6 +46,15 @@
 int64_t vers_deadline_us(
     const struct vers *v, const char *model, int64_t loaded);
 int64_t vers_newest(const struct vers *v, const char *model);
+/* First version of weights; targets may have it without an announcement. */
+#define VERS_FIRST 1
+/*
+ * The version that targets are to load: the newest announced one. Only a process
+ * that has not read the announcements yet (`read`) relies on `loaded`, the
+ * newest version that sidecars report as loaded.
+ */
+int64_t vers_desired(
+    const struct vers *v, const char *model, bool read, int64_t loaded);
 /* The version announced before the newest, until its deadline; 0: none. */
 int64_t vers_pending(const struct vers *v, const char *model, int64_t now_us,
     int64_t *announced_us);
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -69,8 +69,6 @@
 /* Root digest of a version on which enough sidecars agree; none otherwise. */
 struct digest gateway_agreed_root(
     const struct tgt_service *service, int64_t version);
-/* First version of weights; engines may have it without an announcement. */
-#define GATEWAY_FIRST_VERSION 1
 /* Sidecars that must read the same digests from the origin before others adopt
  * them without reading: a single answer may be corrupted in transit. */
 #define GATEWAY_ROOT_VOTES 2
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -102,7 +102,7 @@
 {
 	int64_t announced_us = evl_now_us(g->st.loop) - (int64_t)age_ms * 1000;
 
-	if (version <= GATEWAY_FIRST_VERSION)
+	if (version <= VERS_FIRST)
 		return;
 	if (vers_reported(g->announced, model, (int64_t)version, announced_us))
 		evt(EVT_VERSION,
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -125,18 +125,17 @@
 	return NULL;
 }
 
-/* The newest version that was announced or that an engine has loaded. */
+/*
+ * Entries of targets do not count: another writer of the store can claim any
+ * version there. Sidecars ignore versions older than the newest that they were
+ * told of, so they would ignore the announced ones from then on.
+ */
 static int64_t
 desired_version(struct gateway *g, const struct tgt_service *service)
 {
-	int64_t version = vers_newest(g->announced, service->engine.model);
-	const struct tgt *t;
-
-	TAILQ_FOREACH (t, &service->targets, link) {
-		if (strcmp(t->model, service->engine.model) == 0)
-			version = MAX(version, t->version);
-	}
-	return MAX(version, GATEWAY_FIRST_VERSION);
+	return vers_desired(g->announced, service->engine.model,
+	    store_cache_synced(g->versions),
+	    tgt_newest_loaded(service, evl_now_us(g->st.loop)));
 }
 
 /* The root on which enough sidecars agree; none otherwise. */
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -419,6 +419,10 @@
 void fleet_endless_start(struct fleet *f);
 void fleet_endless_print(const struct fleet *f);
 
+/* odd.c: entries of the list of engines that another writer wrote. */
+struct poptOption *fleet_odd_options(void);
+void fleet_odd_start(struct fleet *f);
+
 /* crowd.c: callers that use all their kept connections at once. */
 void fleet_crowds_start(struct fleet *f);
 
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -457,6 +457,7 @@
 	fleet_crowds_start(&f);
 	fleet_endless_start(&f);
 	fleet_held_start(&f);
+	fleet_odd_start(&f);
 	f.schedule.fire = on_schedule;
 	evl_timer_set(f.loop, &f.schedule, begun_us);
 	if (poison > 0)
@@ -586,6 +587,8 @@
 		    "Lists of digests:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_held_options(), 0,
 		    "Orders that come late:", NULL },
+		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_odd_options(), 0,
+		    "Entries of other writers:", NULL },
 		{ "late-reads", 0, POPT_ARG_INT, &f.late_reads, 0,
 		    "reads of the first engine's staging area that are "
 		    "answered late, while a chunk turns corrupt",
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -589,6 +589,29 @@
 	assert_int_equal(tgt_service(set, "s")->ntargets, 1);
 }
 
+/* Guards against a record of another writer that claims a version: only what a
+ * sidecar reports as loaded counts. */
+static void
+test_loaded_versions_are_reported(void **state)
+{
+	struct sv_target record = { .id = "claim",
+		.service = "s",
+		.address = "1.1.1.1:9",
+		.domain = "near",
+		.slots = 4,
+		.has_models = true,
+		.model_version = INT64_MAX / 2 };
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+
+	tgt_put(set, &record, SECOND);
+	t->version = 3;
+	assert_int_equal(tgt_newest_loaded(tgt_service(set, "s"), SECOND), 0);
+	tgt_side_reported(t, 1, SECOND);
+	assert_int_equal(tgt_newest_loaded(tgt_service(set, "s"), SECOND), 3);
+	assert_int_equal(
+	    tgt_newest_loaded(tgt_service(set, "s"), 60 * SECOND), 0);
+}
+
 int
 main(void)
 {
@@ -618,6 +641,7 @@
 		T(test_silent_target_is_unreachable),
 		T(test_target_is_silent_to_its_sidecar),
 		T(test_abandoned_probe),
+		T(test_loaded_versions_are_reported),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/serve/test_vers.c
+++ b/tests/serve/test_vers.c
@@ -237,6 +237,26 @@
 	vers_free(v);
 }
 
+/* Guards against sidecars that are told to load a version that nobody announced,
+ * as a target claims to have it: they ignore older versions from then on. */
+static void
+test_only_announced_versions_are_desired(void **state)
+{
+	struct vers *v = vers_new(8 * SECOND, 0);
+	struct sv_version announced = { .model = "m", .version = 2 };
+	int64_t claimed = INT64_MAX / 2;
+
+	assert_int_equal(vers_desired(v, "m", true, 0), VERS_FIRST);
+	assert_int_equal(vers_desired(v, "m", true, claimed), VERS_FIRST);
+	/* A gateway that cannot read the announcements. */
+	assert_int_equal(vers_desired(v, "m", false, 0), VERS_FIRST);
+	assert_int_equal(vers_desired(v, "m", false, 3), 3);
+	assert_true(vers_announced(v, &announced, false, SECOND));
+	assert_int_equal(vers_desired(v, "m", false, claimed), 2);
+	assert_int_equal(vers_desired(v, "m", true, claimed), 2);
+	vers_free(v);
+}
+
 int
 main(void)
 {
@@ -250,6 +270,7 @@
 		cmocka_unit_test(test_deadlines_during_a_store_outage),
 		cmocka_unit_test(test_many_versions_before_the_first_deadline),
 		cmocka_unit_test(test_many_older_versions_are_inserted),
+		cmocka_unit_test(test_only_announced_versions_are_desired),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
