--- a/tests/adapter/test_foreign.c
+++ b/tests/adapter/test_foreign.c
@@ -120,6 +120,13 @@
 		"{" GOOD ",\"slots\":99999999}",
 		"{" GOOD ",\"slots\":true}",
 		"{" GOOD ",\"slots\":[16]}",
+		"{" GOOD ",\"slots\":18446744073709551632}",
+		"{" GOOD ",\"slots\":-99999999999999999999}",
+		"{" GOOD ",\"slots\":1e400}",
+		"{" GOOD ",\"sequence\":-99999999999999999999}",
+		"{" GOOD ",\"sequence\":1.7e308}",
+		"{" GOOD ",\"born\":-99999999999999999999}",
+		"{" GOOD ",\"born\":-1}",
 		"{" GOOD ",\"service\":7}",
 		"{" GOOD ",\"service\":\"\"}",
 		"{" GOOD ",\"zone\":{}}",
@@ -133,6 +140,12 @@
 		"{" GOOD ",\"state\":1}",
 		"{" GOOD ",\"address\":\"1.2.3.4\"}",
 		"{" GOOD ",\"address\":\"1.2.3.4:0\"}",
+		"{" GOOD ",\"address\":\"1.2.3.4:-1\"}",
+		"{" GOOD ",\"address\":\"1.2.3.4:65536\"}",
+		"{" GOOD ",\"address\":\"1.2.3.4:70000\"}",
+		"{" GOOD ",\"address\":\"1.2.3.4:18446744073709551617\"}",
+		"{" GOOD ",\"address\":\"1.2.3.400:80\"}",
+		"{" GOOD ",\"address\":80}",
 		"{" GOOD ",\"address\":\"1.2.3.4:80x\"}",
 		"{" GOOD ",\"address\":\"example.org:80\"}",
 		"{" GOOD ",\"address\":\"1.2.3.4.5.6.7.8.9.10.11:80\"}",
@@ -144,6 +157,55 @@
 	assert_int_equal(counts.good, 3);
 }
 
+/*
+ * Guards against an entry whose version of the weights is out of range: 2^64 + 1
+ * was read as -1, and -10^20 as 1, and the entry counted as a ready target.
+ */
+static void
+test_versions_of_weights_out_of_range(void **state)
+{
+	static const char *const versions[] = { "18446744073709551617",
+		"9223372036854775808", "-99999999999999999999", "-1", "1e400",
+		"1.7e308", "-1e400", "2.5", "\"2\"", "true", "[2]" };
+	struct counts counts;
+	char *spec;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(versions); i++) {
+		spec = g_strdup_printf("{" GOOD ",\"models\":[{\"name\":\"m\","
+				       "\"version\":%s}]}",
+		    versions[i]);
+		assert_rejected(
+		    &adapter_targets, GOOD, (const char *const[]){ spec }, 1);
+		g_free(spec);
+	}
+	read_between(&adapter_targets, GOOD,
+	    "{" GOOD ",\"models\":[{\"name\":\"m\","
+	    "\"version\":9223372036854775807}]}",
+	    &counts);
+	assert_int_equal(counts.good, 3);
+}
+
+/* Guards against an engine that gets no requests for a field that has no part
+ * in any decision. */
+static void
+test_field_that_is_not_read(void **state)
+{
+	static const char *const values[] = { "1e400", "1.7e308",
+		"18446744073709551617", "-99999999999999999999", "\"x\"",
+		"{}" };
+	struct counts counts;
+	char *spec;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(values); i++) {
+		spec = g_strdup_printf("{" GOOD ",\"coldMs\":%s}", values[i]);
+		read_between(&adapter_targets, GOOD, spec, &counts);
+		assert_int_equal(counts.good, 3);
+		g_free(spec);
+	}
+}
+
 static void
 test_invalid_versions(void **state)
 {
@@ -153,7 +215,12 @@
 		"{\"model\":\"m\",\"version\":\"3\"}",
 		"{\"model\":\"m\",\"version\":3.5}",
 		"{\"model\":\"m\",\"version\":0}",
-		"{\"model\":\"m\",\"version\":-1}" };
+		"{\"model\":\"m\",\"version\":-1}",
+		"{\"model\":\"m\",\"version\":9223372036854775808}",
+		"{\"model\":\"m\",\"version\":18446744073709551618}",
+		"{\"model\":\"m\",\"version\":-99999999999999999999}",
+		"{\"model\":\"m\",\"version\":1e400}",
+		"{\"model\":\"m\",\"version\":1.7e308}" };
 
 	assert_rejected(&adapter_versions, good, specs, G_N_ELEMENTS(specs));
 }
@@ -224,6 +291,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_invalid_targets),
+		cmocka_unit_test(test_versions_of_weights_out_of_range),
+		cmocka_unit_test(test_field_that_is_not_read),
 		cmocka_unit_test(test_invalid_versions),
 		cmocka_unit_test(test_unreadable_entries),
 		cmocka_unit_test(test_corrupt_pages),
--- a/tests/adapter/test_records.c
+++ b/tests/adapter/test_records.c
@@ -147,6 +147,8 @@
 	assert_int_equal(
 	    version_of("{\"name\":\"m\",\"version\":3,\"layers\":[]}"), 0);
 	assert_int_equal(version_of(""), 0);
+	assert_int_equal(version_of("{\"name\":\"m\",\"version\":null}"), 0);
+	assert_int_equal(version_of("{\"name\":\"m\"}"), 0);
 }
 
 static bool
