adapter: Keep odd numbers of an engine's report from its gateways

What callers saw: none of the gateways hears of an engine any more, neither of its weights nor of its load nor that it is down, while its report holds one number out of range.

Cause: `running` -1 became 2^32 - 1, `pace` 1e400 or negative an arbitrary integer, a version -1 became 2^64 - 1. The sidecar sent them on, and gateways refuse a message with a number out of range as a whole.

Change: a number out of range counts as not reported, as if the field were absent: 0 requests, no known slowdown, sequence -1, no version. The rest of the report holds, so the engine stays in service.

Why it holds: each number that the sidecar passes on is now below the bound of its message, whatever the engine says.

--- a/tests/adapter/test_records.c
+++ b/tests/adapter/test_records.c
@@ -183,6 +183,70 @@
 	assert_false(is_complete("7", 16));
 }
 
+static struct sv_report
+report_with(const char *fields)
+{
+	struct sv_report report;
+	struct err err = { 0 };
+	char *text = g_strdup_printf("{\"models\":[{\"name\":\"m\","
+				     "\"version\":3}],\"running\":3,"
+				     "\"waiting\":1,\"pace\":1.5,"
+				     "\"sequence\":2,\"born\":7,"
+				     "\"kvUsed\":4,\"kvTotal\":5,%s}",
+	    fields);
+
+	assert_true(adapter_report_read(text, strlen(text), &report, &err));
+	g_free(text);
+	return report;
+}
+
+/*
+ * Guards against an engine that its gateways no longer hear of: a field of its
+ * report that is out of range was passed on as it was, and gateways refused the
+ * sidecar's reports as a whole. The other fields hold.
+ */
+static void
+test_report_fields_out_of_range(void **state)
+{
+	static const char *const numbers[] = { "-1", "18446744073709551617",
+		"-99999999999999999999", "9223372036854775807", "1e400",
+		"-1e400", "1.7e308", "\"7\"", "[7]", "null" };
+	struct sv_report r;
+	char *fields;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		fields = g_strdup_printf("\"running\":%s,\"waiting\":%s,"
+					 "\"pace\":%s,\"kvUsed\":%s,"
+					 "\"kvTotal\":%s",
+		    numbers[i], numbers[i], numbers[i], numbers[i], numbers[i]);
+		r = report_with(fields);
+		g_free(fields);
+		assert_int_equal(r.running, 0);
+		assert_int_equal(r.waiting, 0);
+		assert_true(r.slowdown == 0);
+		assert_true(r.memory_used <= INT64_MAX);
+		assert_true(r.memory_total <= INT64_MAX);
+		assert_int_equal(r.version, 3);
+		assert_int_equal(r.sequence, 2);
+		assert_int_equal(r.start_ms, 7);
+	}
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		if (strcmp(numbers[i], "9223372036854775807") == 0)
+			continue;
+		fields = g_strdup_printf(
+		    "\"sequence\":%s,\"born\":%s", numbers[i], numbers[i]);
+		r = report_with(fields);
+		g_free(fields);
+		assert_int_equal(r.sequence, -1);
+		assert_int_equal(r.start_ms, 0);
+		assert_int_equal(r.running, 3);
+	}
+	assert_int_equal(version_of("{\"name\":\"m\",\"version\":-1}"), 0);
+	assert_int_equal(
+	    version_of("{\"name\":\"m\",\"version\":18446744073709551617}"), 0);
+}
+
 static void
 test_manifest(void **state)
 {
@@ -332,6 +396,7 @@
 		cmocka_unit_test(test_events),
 		cmocka_unit_test(test_only_complete_models_count),
 		cmocka_unit_test(test_layers_beside_models),
+		cmocka_unit_test(test_report_fields_out_of_range),
 		cmocka_unit_test(test_manifest),
 		cmocka_unit_test(test_hostile_pages),
 		cmocka_unit_test(test_truncated_bodies),
--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -691,9 +691,10 @@
 	append_models(e, out);
 	g_string_append_printf(out,
 	    ",\"busy\":%s,\"born\":%" G_GINT64_FORMAT
-	    ",\"sequence\":%u,\"waiting\":%u,\"running\":%u}",
+	    ",\"sequence\":%u,\"waiting\":%u,\"running\":%u%s}",
 	    e->loading != 0 ? "true" : "false", e->started_ms, e->sequence,
-	    e->nruns > SLOTS ? e->nruns - SLOTS : 0, MIN(e->nruns, SLOTS));
+	    e->nruns > SLOTS ? e->nruns - SLOTS : 0, MIN(e->nruns, SLOTS),
+	    fleet_odd_report(e->i));
 	hreq_answer(
 	    r, 200, "Content-Type: application/json\r\n", out->str, out->len);
 	g_string_free(out, TRUE);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -422,6 +422,8 @@
 /* odd.c: entries of the list of engines that another writer wrote. */
 struct poptOption *fleet_odd_options(void);
 void fleet_odd_start(struct fleet *f);
+/* Fields that an engine's report ends with instead of its own; "": none. */
+const char *fleet_odd_report(size_t engine);
 
 /* crowd.c: callers that use all their kept connections at once. */
 void fleet_crowds_start(struct fleet *f);
