--- a/tests/fleet/odd.c
+++ b/tests/fleet/odd.c
@@ -1,6 +1,7 @@
 /* Entries of the list of engines that another writer of the store wrote. */
 
 #include <popt.h>
+#include <string.h>
 
 #include "fleet.h"
 
@@ -9,9 +10,13 @@
 /* A version that nobody announced, and that a count of 64 bits holds. */
 #define UNKNOWN_VERSION "4611686018427387904"
 
-static int claim_s, report_s;
+#define DEPTH 60000 /* of nested settings */
+#define ODD_VERSION 1000 /* of the first ones, above the valid ones' */
+#define SETTINGS_GAP_US 600000 /* time for gateways to apply them */
+
+static int claim_s, report_s, settings_s;
 static int64_t odd_reports_us; /* from then on; 0: never */
-static struct evl_timer claim;
+static struct evl_timer claim, settings;
 static struct fleet *fleet; /* of the timers */
 
 struct poptOption *
@@ -26,6 +31,10 @@
 		    "seconds to reports of the first engine with numbers out "
 		    "of range; 0: none",
 		    "N" },
+		{ "odd-settings", 0, POPT_ARG_INT, &settings_s, 0,
+		    "seconds to settings that cannot be read, one after the "
+		    "other; 0: none",
+		    "N" },
 		POPT_TABLEEND
 	};
 
@@ -43,6 +52,50 @@
 	    "\"version\":" UNKNOWN_VERSION "}]}");
 }
 
+/* Nested so deep that a parser which calls itself for each level overflows. */
+static char *
+nested_routes(void)
+{
+	char *open = g_strnfill(DEPTH, '['), *close = g_strnfill(DEPTH, ']');
+	char *text = g_strdup_printf("\"routes\":%s%s", open, close);
+
+	g_free(open);
+	g_free(close);
+	return text;
+}
+
+/* Overwrites the settings with a newer version that differs from those in force
+ * in one part. */
+static void
+on_settings(struct evl_timer *t)
+{
+	static const char *const parts[] = {
+		"\"limits\":{\"maxHeaderBytes\":-1,\"idleTimeoutMs\":1e400}",
+		"\"routes\":{}",
+		"\"services\":[{\"name\":\"" FLEET_LLM "\",\"engine\":{"
+		"\"slots\":8,\"chunks\":-1,\"chunkBytes\":8192,"
+		"\"models\":[{\"name\":\"" FLEET_MODEL "\"}]}}]",
+		"\"tenants\":[7]",
+		NULL, /* nested */
+		"\"routes\":[{\"host\":\"a.example\",\"pathPrefix\":\"/\","
+		"\"timeoutMs\":-99999999999999999999,\"maxAttempts\":4294967296,"
+		"\"service\":\"" FLEET_LLM "\"}]",
+	};
+	static unsigned int n;
+	const char *part = parts[n % G_N_ELEMENTS(parts)];
+	char *nested = part == NULL ? nested_routes() : NULL;
+	char *spec = g_strdup_printf("%.*s,\"version\":%u,%s}",
+	    (int)strlen(fleet->config_spec) - 1, fleet->config_spec,
+	    ODD_VERSION + n, part == NULL ? nested : part);
+
+	fleet_store_put(fleet, "config", "main", spec);
+	g_free(spec);
+	g_free(nested);
+	if (++n < G_N_ELEMENTS(parts))
+		evl_timer_set(
+		    fleet->loop, t, evl_now_us(fleet->loop) + SETTINGS_GAP_US);
+}
+
 const char *
 fleet_odd_report(size_t engine)
 {
@@ -61,6 +114,10 @@
 	claim.fire = on_claim;
 	if (report_s > 0)
 		odd_reports_us = now_us + (int64_t)report_s * G_USEC_PER_SEC;
+	settings.fire = on_settings;
+	if (settings_s > 0)
+		evl_timer_set(f->loop, &settings,
+		    now_us + (int64_t)settings_s * G_USEC_PER_SEC);
 	if (claim_s > 0)
 		evl_timer_set(f->loop, &claim,
 		    now_us + (int64_t)claim_s * G_USEC_PER_SEC);
