roster: Refuse pages that do not fit the roster's count

What callers saw: nothing yet; the test shows a sidecar that stays without some of its peers, so that their weights come later or from the origin.

Cause: a roster was complete as soon as each of its pages had come, whatever number of peers these held. One that lacked peers replaced the whole one under its identity, and the sidecar never asked again. A page that claimed another number of pages for the same roster stood in the way of the sound ones.

Change: a page counts only if the number of pages follows from the roster's count and it holds exactly its share of the peers.

Why it holds: the pages of a complete roster now add up to its count. A domain index out of range still leaves the domain unknown (test_domain_out_of_range).

Measured: test_page_that_does_not_fit in serve-roster failed before with a page that lacks one peer and passes after, with five kinds of pages.

--- a/lib/serve/roster.c
+++ b/lib/serve/roster.c
@@ -121,10 +121,16 @@
 /* Division into pages                                                 */
 /* ------------------------------------------------------------------ */
 
+static unsigned int
+pages_of(uint64_t npeers)
+{
+	return (unsigned int)((npeers + SIDE_PAGE_PEERS - 1) / SIDE_PAGE_PEERS);
+}
+
 unsigned int
 roster_pages(const struct roster *r)
 {
-	return (r->peers->len + SIDE_PAGE_PEERS - 1) / SIDE_PAGE_PEERS;
+	return pages_of(r->peers->len);
 }
 
 /* Index of `domain` among a page's names; appends it if there is room. */
@@ -254,6 +260,19 @@
 	reassembly_clear(in);
 }
 
+/* Whether the page is one of a roster of that many peers, and holds its share of
+ * them. */
+static bool
+is_consistent(const struct side_roster_page *page)
+{
+	uint64_t from = page->page * SIDE_PAGE_PEERS;
+
+	return page->pages == pages_of(page->count) &&
+	    page->page < page->pages &&
+	    page->peers.len ==
+	    MIN(page->count - from, SIDE_PAGE_PEERS) * SIDE_PEER_BYTES;
+}
+
 bool
 roster_add_page(struct roster *r, const struct side_roster_page *page)
 {
@@ -261,7 +280,7 @@
 		page->digest, page->count };
 	struct reassembly *in = &r->reassembly;
 
-	if (page->page >= page->pages || !roster_is_newer(&id, &r->id))
+	if (!is_consistent(page) || !roster_is_newer(&id, &r->id))
 		return false;
 	if (in->pages == NULL || !is_same(&in->id, &id) ||
 	    in->pages->len != page->pages) {
--- a/tests/serve/test_roster.c
+++ b/tests/serve/test_roster.c
@@ -216,6 +216,107 @@
 	roster_free(to);
 }
 
+/* Passes on a page of `from` after `change` altered it. */
+static bool
+pass_changed(const struct roster *from, unsigned int index,
+    void (*change)(struct side_roster_page *page), struct roster *to)
+{
+	GByteArray *bytes = g_byte_array_new();
+	struct side_roster_page page;
+	bool done;
+
+	roster_page(from, index, bytes, &page);
+	change(&page);
+	done = roster_add_page(to, &page);
+	g_byte_array_unref(bytes);
+	return done;
+}
+
+static void
+drop_a_peer(struct side_roster_page *page)
+{
+	page->peers.len -= SIDE_PEER_BYTES;
+}
+
+static void
+cut_a_peer(struct side_roster_page *page)
+{
+	page->peers.len--;
+}
+
+static void
+count_more(struct side_roster_page *page)
+{
+	page->count += 1000;
+}
+
+static void
+claim_more_pages(struct side_roster_page *page)
+{
+	page->pages = 1000;
+}
+
+static void
+claim_fewer_pages(struct side_roster_page *page)
+{
+	page->pages = 1;
+	page->page = 0;
+}
+
+/*
+ * Guards against a roster of another number of peers than it says: it would
+ * replace the whole one and count as newer than it, so that sidecars never ask
+ * for the missing peers.
+ */
+static void
+test_page_that_does_not_fit(void **state)
+{
+	static void (*const changes[])(
+	    struct side_roster_page *) = { drop_a_peer, cut_a_peer, count_more,
+		claim_more_pages, claim_fewer_pages };
+	struct roster *from = roster_at(130, 7);
+	struct roster *to;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(changes); i++) {
+		to = roster_new();
+		assert_false(pass_changed(from, 0, changes[i], to));
+		assert_false(pass_changed(from, 1, changes[i], to));
+		assert_int_equal(roster_peers(to)->len, 0);
+		/* Nor does it stand in the way of the sound pages. */
+		assert_false(pass_page(from, 0, to));
+		assert_true(pass_page(from, 1, to));
+		assert_same(from, to);
+		roster_free(to);
+	}
+	roster_free(from);
+}
+
+static void
+drop_domains(struct side_roster_page *page)
+{
+	page->domains.len = 0;
+}
+
+/* A domain that is not among the page's names is not known; the peer counts. */
+static void
+test_domain_out_of_range(void **state)
+{
+	struct roster *from = roster_at(30, 7);
+	struct roster *to = roster_new();
+	const GArray *peers;
+	guint i;
+
+	assert_true(pass_changed(from, 0, drop_domains, to));
+	peers = roster_peers(to);
+	assert_int_equal(peers->len, 30);
+	for (i = 0; i < peers->len; i++)
+		assert_string_equal(
+		    g_array_index(peers, struct roster_peer, i).domain, "");
+	roster_free(from);
+	roster_free(to);
+}
+
 int
 main(void)
 {
@@ -226,6 +327,8 @@
 		cmocka_unit_test(test_roster_of_a_newer_history),
 		cmocka_unit_test(test_roster_grows_at_one_revision),
 		cmocka_unit_test(test_malformed_page),
+		cmocka_unit_test(test_page_that_does_not_fit),
+		cmocka_unit_test(test_domain_out_of_range),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
