side: Bound the times in messages so that none overflows

What callers saw: nothing yet; the test shows a message that sidecars take and whose deadline lies in the past, so that their engines would count as expired.

Cause: ages and deadlines were accepted up to the largest number of milliseconds that an int64_t holds in microseconds. Added to the present time, such a deadline overflows, and so does an account's age with the time that it was known before.

Change: times in messages are at most a thousand years.

Why it holds: present time, age and deadline each stay below a hundredth of the range, and no more than three of them are added up.

Measured: test_longest_times in serve-side failed before at age_ms of the desired state; nine fields of four messages pass after.

--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -9,6 +9,8 @@
 #define STRING_MAX 63
 #define COUNT_MAX (1u << 20)
 #define LIMIT_MILLI_MAX UINT32_MAX
+/* A thousand years: above any age, and sums of some fit in microseconds. */
+#define TIME_MAX_MS (UINT64_C(1000) * 365 * 24 * 3600 * 1000)
 #define PAGES_MAX 1000 /* of a roster: 120,000 sidecars */
 
 static const struct msg_field desired_fields[] = {
@@ -16,10 +18,10 @@
 	MSG_FIELD(struct side_desired, start, MSG_U64, 0),
 	MSG_FIELD(struct side_desired, model, MSG_STR, STRING_MAX),
 	MSG_FIELD(struct side_desired, version, MSG_U64, INT64_MAX),
-	MSG_FIELD(struct side_desired, age_ms, MSG_U64, INT64_MAX / 1000),
-	MSG_FIELD(struct side_desired, deadline_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_desired, age_ms, MSG_U64, TIME_MAX_MS),
+	MSG_FIELD(struct side_desired, deadline_ms, MSG_U64, TIME_MAX_MS),
 	MSG_FIELD(struct side_desired, older, MSG_U64, INT64_MAX),
-	MSG_FIELD(struct side_desired, older_age_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_desired, older_age_ms, MSG_U64, TIME_MAX_MS),
 	MSG_FIELD(struct side_desired, older_root, MSG_DIGEST, 0),
 	MSG_FIELD(struct side_desired, root, MSG_DIGEST, 0),
 	MSG_FIELD(struct side_desired, origin, MSG_STR, STRING_MAX),
@@ -48,14 +50,14 @@
 	MSG_FIELD(struct side_report, version, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_report, slowdown_permille, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_report, wanted, MSG_U64, INT64_MAX),
-	MSG_FIELD(struct side_report, wanted_age_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_report, wanted_age_ms, MSG_U64, TIME_MAX_MS),
 	MSG_FIELD(struct side_report, root, MSG_BIN, DIGEST_BYTES),
 	MSG_FIELD(struct side_report, gateways, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_report, without_store, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_report, local_gateways, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_report, seq, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_report, older, MSG_U64, INT64_MAX),
-	MSG_FIELD(struct side_report, older_age_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_report, older_age_ms, MSG_U64, TIME_MAX_MS),
 	MSG_FIELD(struct side_report, remote_gateway, MSG_STR, STRING_MAX),
 	MSG_FIELD(struct side_report, limit_known, MSG_U64, 1),
 	MSG_FIELD(struct side_report, limit_milli, MSG_U64, LIMIT_MILLI_MAX),
@@ -100,7 +102,7 @@
 	MSG_FIELD(struct side_rate, address, MSG_STR, STRING_MAX),
 	MSG_FIELD(struct side_rate, limit_milli, MSG_U64, LIMIT_MILLI_MAX),
 	MSG_FIELD(struct side_rate, direct, MSG_U64, 1),
-	MSG_FIELD(struct side_rate, age_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_rate, age_ms, MSG_U64, TIME_MAX_MS),
 	MSG_FIELD(struct side_rate, want_permit, MSG_U64, 1),
 };
 const struct msg_desc side_rate_desc =
@@ -123,11 +125,11 @@
 	MSG_FIELD(struct side_account, start, MSG_U64, 0),
 	MSG_FIELD(struct side_account, seq, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_account, sharers, MSG_U64, COUNT_MAX),
-	MSG_FIELD(struct side_account, window_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_account, window_ms, MSG_U64, TIME_MAX_MS),
 	MSG_FIELD(
 	    struct side_account, entries, MSG_BIN, SIDE_ACCOUNT_ENTRIES_MAX),
-	MSG_FIELD(struct side_account, known_ms, MSG_U64, INT64_MAX / 1000),
-	MSG_FIELD(struct side_account, age_ms, MSG_U64, INT64_MAX / 1000),
+	MSG_FIELD(struct side_account, known_ms, MSG_U64, TIME_MAX_MS),
+	MSG_FIELD(struct side_account, age_ms, MSG_U64, TIME_MAX_MS),
 	MSG_FIELD(struct side_account, current, MSG_U64, 1),
 };
 const struct msg_desc side_account_desc =
--- a/tests/serve/test_side.c
+++ b/tests/serve/test_side.c
@@ -108,6 +108,66 @@
 	g_byte_array_unref(entries);
 }
 
+/* Whether a message with all 64-bit fields at zero but the one at `offset` is
+ * read. */
+static bool
+is_read_with(const struct msg_desc *desc, size_t offset, uint64_t value)
+{
+	GByteArray *wire = g_byte_array_new();
+	void *message = g_malloc0(desc->size), *read = g_malloc0(desc->size);
+	struct msg m = { 0 };
+	bool is_read;
+
+	memcpy((char *)message + offset, &value, sizeof(value));
+	msg_pack(wire, 0, desc, message);
+	assert_true(msg_open(&m, wire->data, wire->len, NULL));
+	is_read = msg_read(&m, desc, read, NULL);
+	msg_close(&m);
+	g_byte_array_unref(wire);
+	g_free(message);
+	g_free(read);
+	return is_read;
+}
+
+/*
+ * Guards against times that overflow: a deadline of 292,000 years after the
+ * announcement lay in the past as a sum, so that engines counted as expired.
+ */
+static void
+test_longest_times(void **state)
+{
+	static const uint64_t year_ms = UINT64_C(365) * 24 * 3600 * 1000;
+	static const struct {
+		const struct msg_desc *desc;
+		size_t offset;
+	} times[] = {
+		{ &side_desired_desc, offsetof(struct side_desired, age_ms) },
+		{ &side_desired_desc,
+		    offsetof(struct side_desired, deadline_ms) },
+		{ &side_desired_desc,
+		    offsetof(struct side_desired, older_age_ms) },
+		{ &side_report_desc,
+		    offsetof(struct side_report, wanted_age_ms) },
+		{ &side_report_desc,
+		    offsetof(struct side_report, older_age_ms) },
+		{ &side_rate_desc, offsetof(struct side_rate, age_ms) },
+		{ &side_account_desc,
+		    offsetof(struct side_account, window_ms) },
+		{ &side_account_desc, offsetof(struct side_account, known_ms) },
+		{ &side_account_desc, offsetof(struct side_account, age_ms) },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(times); i++) {
+		assert_true(
+		    is_read_with(times[i].desc, times[i].offset, year_ms));
+		if (is_read_with(
+			times[i].desc, times[i].offset, INT64_MAX / 1000) ||
+		    is_read_with(times[i].desc, times[i].offset, UINT64_MAX))
+			fail_msg("read a time out of range, %zu", i);
+	}
+}
+
 int
 main(void)
 {
@@ -115,6 +175,7 @@
 		cmocka_unit_test(test_termination_is_passed_on),
 		cmocka_unit_test(test_long_time_in_flight),
 		cmocka_unit_test(test_accounts),
+		cmocka_unit_test(test_longest_times),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
