entry, agree, route: Refuse JSON that is nested too deep to be parsed

What callers saw: one request with a body of 900,000 `[` ends the entry process, and with it all of its requests; retried, it ends the others as well. A value of a role's or a claims' object in the object API does the same to each process that reads it, again after each start.

Cause: the JSON parser calls itself for each level and overflows the stack. Only answers of the own interface's services were bounded; the texts of values within these answers, callers' and operators' bodies, members' time lines and what the command reads were not.

--- a/lib/agree/lse_value.c
+++ b/lib/agree/lse_value.c
@@ -1,8 +1,10 @@
 /* Encodes and parses the JSON value of a lease object. */
 
 #include <json-glib/json-glib.h>
+#include <string.h>
 
 #include "agree/lse_internal.h"
+#include "common/nest.h"
 
 char *
 lse_value_format(const struct lse_value *value)
@@ -69,7 +71,8 @@
 	bool ok = false;
 
 	*out = (struct lse_value){ 0 };
-	if (json_parser_load_from_data(parser, text, -1, NULL)) {
+	if (nest_within(text, strlen(text), NEST_MAX) &&
+	    json_parser_load_from_data(parser, text, -1, NULL)) {
 		root = json_parser_get_root(parser);
 		ok = root != NULL && JSON_NODE_HOLDS_OBJECT(root) &&
 		    read_object(json_node_get_object(root), out);
--- a/lib/platform/reply.c
+++ b/lib/platform/reply.c
@@ -2,37 +2,10 @@
 
 #include <string.h>
 
+#include "common/nest.h"
 #include "platform/platform_internal.h"
 
-/* The parser recurses for each level, so that without a limit a long run of
- * `[` overflows the stack and crashes the process. Valid responses have three
- * levels. */
-#define DEPTH_MAX 32
-
-static bool
-depth_ok(const char *text, size_t len)
-{
-	unsigned int depth = 0;
-	bool in_string = false;
-	size_t i;
-
-	for (i = 0; i < len; i++) {
-		if (in_string) {
-			if (text[i] == '\\')
-				i++;
-			else if (text[i] == '"')
-				in_string = false;
-		} else if (text[i] == '"') {
-			in_string = true;
-		} else if (text[i] == '[' || text[i] == '{') {
-			if (++depth > DEPTH_MAX)
-				return false;
-		} else if ((text[i] == ']' || text[i] == '}') && depth > 0) {
-			depth--;
-		}
-	}
-	return true;
-}
+#define DEPTH_MAX 32 /* valid responses have three levels */
 
 bool
 reply_malformed(struct err *err)
@@ -49,7 +22,7 @@
 	JsonNode *root = NULL;
 
 	reply->parser = json_parser_new();
-	if (text != NULL && depth_ok(text, len) &&
+	if (text != NULL && nest_within(text, len, DEPTH_MAX) &&
 	    g_utf8_validate(text, (gssize)len, NULL) &&
 	    json_parser_load_from_data(reply->parser, text, (gssize)len, NULL))
 		root = json_parser_get_root(reply->parser);
--- a/lib/route/claim_record.c
+++ b/lib/route/claim_record.c
@@ -3,6 +3,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "common/nest.h"
 #include "route/claim_internal.h"
 
 static const char *const state_names[CLM_STATES] = {
@@ -257,7 +258,8 @@
 	JsonObject *o = NULL;
 	bool valid = false;
 
-	if (json_parser_load_from_data(parser, text, -1, NULL) &&
+	if (nest_within(text, strlen(text), NEST_MAX) &&
+	    json_parser_load_from_data(parser, text, -1, NULL) &&
 	    json_parser_get_root(parser) != NULL &&
 	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
 		o = json_node_get_object(json_parser_get_root(parser));
--- a/programs/entry/timeline.c
+++ b/programs/entry/timeline.c
@@ -6,6 +6,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "common/nest.h"
 #include "entry/entry.h"
 
 /* Members that have not answered after this time are listed as such. */
@@ -124,7 +125,8 @@
 	JsonArray *events;
 	guint i;
 
-	if (json_parser_load_from_data(parser, json, len, NULL) &&
+	if (nest_within(json, (size_t)len, NEST_MAX) &&
+	    json_parser_load_from_data(parser, json, len, NULL) &&
 	    JSON_NODE_HOLDS_ARRAY(json_parser_get_root(parser))) {
 		events = json_node_get_array(json_parser_get_root(parser));
 		for (i = 0; i < json_array_get_length(events); i++) {
@@ -217,7 +219,7 @@
 	all->events = json_array_new();
 	TAILQ_INIT(&all->queries);
 	soup_server_message_pause(message);
-	add_events(all, local, -1);
+	add_events(all, local, (gssize)strlen(local));
 	g_free(local);
 	all->timer = g_timeout_add(COLLECT_MS, on_timeout, all);
 	agr_each_member(entry->proc.agr, query_member, all);
--- a/tests/agree/test_lse.c
+++ b/tests/agree/test_lse.c
@@ -539,6 +539,23 @@
 	}
 }
 
+#define DEPTH 500000 /* overflows the stack of a parser that recurses */
+
+/* Guards against a process that ends when it reads a role's object, which another
+ * writer of the object API has written. */
+static void
+test_deeply_nested_value(void **state)
+{
+	char *deep = g_strnfill(DEPTH, '[');
+	char *text = g_strdup_printf("{\"holder\":%s", deep);
+	struct lse_value value;
+
+	assert_false(lse_value_parse(text, &value));
+	assert_false(lse_value_parse(deep, &value));
+	g_free(text);
+	g_free(deep);
+}
+
 int
 main(void)
 {
@@ -554,6 +571,7 @@
 		cmocka_unit_test(test_resumed_candidate_reads_first),
 		cmocka_unit_test(test_api_outage_expires_lease_and_recovers),
 		cmocka_unit_test(test_never_two_holders),
+		cmocka_unit_test(test_deeply_nested_value),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/route/test_claim.c
+++ b/tests/route/test_claim.c
@@ -515,6 +515,27 @@
 	sim_free(&sim);
 }
 
+#define DEPTH 500000 /* overflows the stack of a parser that recurses */
+
+/* Guards against a process that ends when it reads a bucket. */
+static void
+test_deeply_nested_object(void **state)
+{
+	char *deep = g_strnfill(DEPTH, '[');
+	struct request t;
+	struct sim sim;
+
+	sim_init(&sim);
+	sim.value = g_strdup_printf("{\"owner\":\"\",\"claims\":%s", deep);
+	sim.version = 3;
+	request_claim(&sim, 0, &t, "k", "e1/1", "b");
+	run_for(&sim, 100);
+	assert_int_equal(t.result, CLM_DOWN);
+	assert_int_equal(sim.version, 3);
+	sim_free(&sim);
+	g_free(deep);
+}
+
 #define MANY 4000
 
 /* A full bucket refuses new claims and retains all existing ones. */
@@ -591,6 +612,7 @@
 		cmocka_unit_test(test_prune),
 		cmocka_unit_test(test_release),
 		cmocka_unit_test(test_invalid_object),
+		cmocka_unit_test(test_deeply_nested_object),
 		cmocka_unit_test(test_full),
 		cmocka_unit_test(test_write_limit),
 	};
--- a/tests/system/bad_input.sh
+++ b/tests/system/bad_input.sh
@@ -42,6 +42,16 @@
 check "malformed heads are counted" counter_is_positive "$entry_1" caller_malformed
 check "malformed JSON" refused 400 -H "$auth" -d '{"model":' "$chat_url"
 check "JSON that is not an object" refused 400 -H "$auth" -d '[1]' "$chat_url"
+# A parser that calls itself for each level would overflow the stack.
+{
+	printf '{"model":"cedar/care","messages":'
+	head -c 900000 /dev/zero | tr '\0' '['
+} >"$STAGE/nested"
+check "JSON nested too deep" refused 400 -H "$auth" -H "Expect:" \
+    --data-binary "@$STAGE/nested" "$chat_url"
+check "settings: JSON nested too deep" refused 400 -H "Expect:" \
+    -H "Authorization: Bearer $root_token" -X PUT --data-binary "@$STAGE/nested" \
+    "$entry_1/v1/settings/cedar"
 check "model without a workspace" refused 400 -H "$auth" -d '{"model":"care"}' "$chat_url"
 check "model of a wrong type" refused 400 -H "$auth" -d '{"model":7}' "$chat_url"
 check "unknown workspace" refused 404 -H "$auth" -d '{"model":"nobody/care"}' "$chat_url"
