tests: Odd numbers, addresses and nesting in the settings document

No fault was found: 13 numbers, 15 addresses and 9 URLs out of range or of another type are refused with the document, and 60,000 levels of four kinds end at the limit of depth. The tests keep it so.

--- a/tests/common/test_cfg_fuzz.c
+++ b/tests/common/test_cfg_fuzz.c
@@ -172,11 +172,84 @@
 	assert_in_range(accepted, ROUNDS / 20, ROUNDS - ROUNDS / 20);
 }
 
+static struct cfg *
+parse_text(const char *text)
+{
+	struct err err = { 0 };
+
+	return cfg_parse("f", text, strlen(text), &schema, &err);
+}
+
+static bool
+accepts(const char *path, const char *value)
+{
+	char *text = g_strdup_printf(path, value);
+	struct cfg *cfg = parse_text(text);
+	bool accepted = cfg != NULL;
+
+	cfg_free(cfg);
+	g_free(text);
+	return accepted;
+}
+
+/* Guards against a number or an address that is read as another one: settings
+ * with an odd value are refused, and those in force stay. */
+static void
+test_odd_values(void **state)
+{
+	static const char *const numbers[] = { "9223372036854775808",
+		"18446744073709551617", "-99999999999999999999", "1e400", "1e5",
+		"1.5", "0x10", "''", "' 7'", "[7]", "{}", "~", "true" };
+	static const char *const addresses[] = { "127.0.0.1:-1",
+		"127.0.0.1:70000", "127.0.0.1:65536",
+		"127.0.0.1:18446744073709551617", "127.0.0.1:", "127.0.0.1",
+		":80", "127.0.0.400:80", "127.0.0.1:80x", "127.0.0.1: 80",
+		"127.0.0.1:+80", "example.org:80", "80", "[]", "{}" };
+	static const char *const urls[] = { "http://h:-1", "http://h:70000",
+		"http://h:18446744073709551617", "http://:80", "http://",
+		"h:80", "https://h:80", "7", "[]" };
+	size_t i;
+
+	assert_true(accepts("a: {n: %s}\n", "9223372036854775807"));
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		if (accepts("a: {n: %s}\n", numbers[i]))
+			fail_msg("accepted the number %s", numbers[i]);
+	}
+	for (i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		if (accepts("m: {x: {at: %s}}\n", addresses[i]) ||
+		    accepts("m: {x: {at: '%s'}}\n", addresses[i]))
+			fail_msg("accepted the address %s", addresses[i]);
+	}
+	for (i = 0; i < G_N_ELEMENTS(urls); i++) {
+		if (accepts("m: {x: {url: '%s'}}\n", urls[i]))
+			fail_msg("accepted the URL %s", urls[i]);
+	}
+}
+
+/* Guards against a stack that overflows. */
+static void
+test_deeply_nested(void **state)
+{
+	static const char *const kinds[] = { "[", "{a: ", "- ", "? " };
+	GString *text;
+	size_t i, n;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		text = g_string_new("a: {id: name}\nl:\n  ");
+		for (n = 0; n < 60000; n++)
+			g_string_append(text, kinds[i]);
+		assert_null(parse_text(text->str));
+		g_string_free(text, TRUE);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_mutated_documents),
+		cmocka_unit_test(test_odd_values),
+		cmocka_unit_test(test_deeply_nested),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
