platform: Take no head that breaks off for an answer that ends by its close

What callers saw: a 200 with an empty body, framed as whole, from a plain service of the own interface whose target broke off in the head of its answer.

Cause: libsoup takes a head whose connection ends between two lines for a whole one. Without its length it reads as one of an answer that ends by its close, and a sidecar takes such answers of plain services, and event streams, as complete.

Change: an answer with neither a length nor chunks is complete at an orderly close only if it has a body.

Why it holds: nothing follows a head that broke off, so its body is empty. An answer that is empty and ends by its close cannot be told from it; it now counts as truncated (may have run).

Measured: platform-cut sends each beginning of five heads, with a close and a reset, on new and kept connections. Before: "length, 17 bytes, reset 0, kept 0: RAN" with an empty body in test_no_beginning_ends_by_close; now it passes. Where the close may not end an answer, no beginning was taken for one before either.

--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -185,8 +185,9 @@
  * stream. */
 void target_call_pause(struct target_call *call, bool paused);
 /* From `head`: a response with neither a length nor chunked encoding counts as
- * complete when its connection is closed in order, and not as truncated. For
- * bodies that are checked otherwise, or whose end nothing else can tell. */
+ * complete when its connection is closed in order, and not as truncated, unless
+ * its body is empty. For bodies that are checked otherwise, or whose end nothing
+ * else can tell. */
 void target_call_may_end_by_close(struct target_call *call);
 /* Ends the exchange; `ended` is not called. */
 void target_call_cancel(struct target_call *call);
--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -197,7 +197,9 @@
  * A response with neither a length nor chunked encoding looks the same whether
  * or not the target terminated before its end, unless its connection was reset.
  * In addition, libsoup treats a response shorter than its Content-Length as
- * complete if the target announced that it closes the connection.
+ * complete if the target announced that it closes the connection, and a head
+ * that was truncated between two lines as complete: it has no length then, and
+ * its body is empty.
  */
 static bool
 is_complete(const struct target_call *call)
@@ -218,7 +220,7 @@
 		return call->received ==
 		    (uint64_t)soup_message_headers_get_content_length(headers);
 	case SOUP_ENCODING_EOF:
-		return call->may_end_by_close;
+		return call->may_end_by_close && call->received > 0;
 	default:
 		return false;
 	}
--- /dev/null
+++ b/tests/platform/test_cut.c
@@ -0,0 +1,195 @@
+/* Answers that break off, to the clients of the own interface. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "../http/cut.h"
+#include "platform/platform_internal.h"
+#include "server.h"
+
+struct fixture {
+	struct server server;
+	struct ctr_set *counters;
+	struct plat *plat;
+	const struct cut *kind;
+	size_t len; /* of the beginning that is sent */
+	bool reset;
+	bool kept; /* on a connection that has served a request */
+	bool first; /* the next request opens its connection */
+	bool may_end_by_close;
+	struct target_call *call;
+	struct err err;
+	bool ended;
+};
+
+static int
+set_up(void **state)
+{
+	static struct fixture f;
+
+	f = (struct fixture){ .counters = ctr_set_new() };
+	f.plat = plat_new(clk_system(), f.counters, NULL);
+	*state = &f;
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	plat_free(f->plat);
+	run_for(10);
+	server_stop(&f->server);
+	ctr_set_free(f->counters);
+	return 0;
+}
+
+static gboolean
+end_answer(gpointer data)
+{
+	struct peer *peer = data;
+	struct fixture *f = peer->server->ctx;
+
+	if (f->reset)
+		peer_reset(peer);
+	else
+		peer_close(peer);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+serve(struct peer *peer, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	if (f->first) {
+		f->first = false;
+		peer_answer(peer, 200, "", "{}");
+		return;
+	}
+	peer_raw(peer, f->kind->text, f->len);
+	if (f->reset) /* must not overtake the bytes before it */
+		g_timeout_add(1, end_answer, peer);
+	else
+		end_answer(peer);
+}
+
+static void
+on_head(unsigned int status, SoupMessageHeaders *headers, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	if (f->may_end_by_close)
+		target_call_may_end_by_close(f->call);
+}
+
+static void
+on_data(const uint8_t *bytes, size_t len, void *ctx)
+{
+}
+
+static void
+on_ended(const struct err *err, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	f->ended = true;
+	f->err = *err;
+}
+
+static const struct target_ops ops = {
+	.head = on_head,
+	.data = on_data,
+	.ended = on_ended,
+};
+
+static void
+exchange(struct fixture *f)
+{
+	f->ended = false;
+	f->call = target_call_start(f->plat,
+	    &(struct target_request){ .base = f->server.base,
+		.method = "POST",
+		.path = "/",
+		.deadline_ms = 5000 },
+	    &ops, f);
+	run_until(&f->ended);
+}
+
+static bool
+has_refusal(const struct fixture *f)
+{
+	return g_strstr_len(
+		   f->kind->text, (gssize)f->len, "X-Not-Run: 1\r\n") != NULL;
+}
+
+static void
+cut_each(struct fixture *f, const struct cut *kind)
+{
+	enum verdict verdict;
+
+	f->kind = kind;
+	for (f->len = 0; f->len < cut_max(kind); f->len++) {
+		f->first = f->kept;
+		if (f->kept) {
+			exchange(f);
+			assert_false(err_is(&f->err));
+		}
+		exchange(f);
+		/* A reset can overtake the line that refuses. */
+		verdict = f->err.verdict;
+		if (!err_is(&f->err) || verdict == VERDICT_RAN ||
+		    (verdict == VERDICT_NOT_RUN && !has_refusal(f)))
+			fail_msg("%s, %zu bytes, reset %d, kept %d: %s %s",
+			    kind->name, f->len, f->reset, f->kept,
+			    verdict_name(verdict), f->err.message);
+	}
+}
+
+static void
+cut_all(struct fixture *f, const struct cut *kinds, size_t n)
+{
+	unsigned int way;
+	size_t i;
+
+	server_start(&f->server, serve, f);
+	for (way = 0; way < 4; way++) {
+		f->reset = (way & 1) != 0;
+		f->kept = (way & 2) != 0;
+		for (i = 0; i < n; i++)
+			cut_each(f, &kinds[i]);
+	}
+}
+
+/* Guards against an answer that broke off and is taken for a whole one. */
+static void
+test_no_beginning_is_an_answer(void **state)
+{
+	cut_all(*state, cut_kinds, CUT_KINDS);
+}
+
+/* Guards against a head that broke off between two lines and is taken for one
+ * of an answer without a length, whose body is empty then. */
+static void
+test_no_beginning_ends_by_close(void **state)
+{
+	struct fixture *f = *state;
+
+	f->may_end_by_close = true;
+	cut_all(f, cut_kinds, CUT_KINDS);
+}
+
+int
+main(void)
+{
+#define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		T(test_no_beginning_is_an_answer),
+		T(test_no_beginning_ends_by_close),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
