platform: Take no head that breaks off for an answer without a body

What callers saw: 204, or 200 with length 0, as whole and run, where the target had closed in the middle of the head; its remaining lines were missing.

Cause: libsoup takes a head whose connection ends between two lines for a whole one, and the status or a length of 0 said that no body follows.

Change: such an answer is complete if its connection is still open after it, or if the target announced the close (Connection: close, HTTP/1.0), as for the last chunk of a chunked answer.

Why it holds: after a head that broke off the connection is at its end. What stays open is a target that announces the close, then breaks off later in the head.

Measured: platform-cut test_no_beginning_is_an_answer_without_body. Before: "no content, 25 bytes, reset 0, kept 0: RAN"; now each beginning fails as may have run, and the whole answers are still complete.

--- a/lib/platform/target.c
+++ b/lib/platform/target.c
@@ -193,6 +193,34 @@
 	return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+static bool
+has_no_body(const struct target_call *call)
+{
+	unsigned int status = soup_message_get_status(call->message);
+
+	return soup_message_get_method(call->message) == SOUP_METHOD_HEAD ||
+	    status == SOUP_STATUS_NO_CONTENT ||
+	    status == SOUP_STATUS_NOT_MODIFIED;
+}
+
+/*
+ * Whether a head that no body follows is complete. libsoup treats one that was
+ * truncated between two lines as complete, and has read the end of the
+ * connection then. A target that announced the close cannot be distinguished
+ * from one that terminated after it.
+ */
+static bool
+head_is_complete(const struct target_call *call)
+{
+	SoupMessageHeaders *headers =
+	    soup_message_get_response_headers(call->message);
+
+	return soup_message_get_http_version(call->message) == SOUP_HTTP_1_0 ||
+	    soup_message_headers_header_contains(
+		headers, "Connection", "close") ||
+	    is_connection_open(plat_socket(call->pool, call->message));
+}
+
 /*
  * A response with neither a length nor chunked encoding looks the same whether
  * or not the target terminated before its end, unless its connection was reset.
@@ -206,19 +234,19 @@
 {
 	SoupMessageHeaders *headers =
 	    soup_message_get_response_headers(call->message);
-	unsigned int status = soup_message_get_status(call->message);
+	uint64_t length;
 
-	if (soup_message_get_method(call->message) == SOUP_METHOD_HEAD ||
-	    status == SOUP_STATUS_NO_CONTENT ||
-	    status == SOUP_STATUS_NOT_MODIFIED)
-		return true;
+	if (has_no_body(call))
+		return head_is_complete(call);
 	switch (soup_message_headers_get_encoding(headers)) {
 	case SOUP_ENCODING_CHUNKED:
 		return is_connection_open(
 		    plat_socket(call->pool, call->message));
 	case SOUP_ENCODING_CONTENT_LENGTH:
-		return call->received ==
+		length =
 		    (uint64_t)soup_message_headers_get_content_length(headers);
+		return call->received == length &&
+		    (length > 0 || head_is_complete(call));
 	case SOUP_ENCODING_EOF:
 		return call->may_end_by_close && call->received > 0;
 	default:
--- a/tests/http/cut.h
+++ b/tests/http/cut.h
@@ -33,7 +33,15 @@
 	    "Retry-After: 30\r\nContent-Length: 2\r\n\r\n{}" },
 };
 
+/* Their heads are all of them. */
+static const struct cut cut_empty_kinds[] = {
+	{ "no content", "HTTP/1.1 204 No Content\r\nX-A: b\r\nX-C: d\r\n\r\n" },
+	{ "length 0",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n" },
+};
+
 #define CUT_KINDS (sizeof(cut_kinds) / sizeof(cut_kinds[0]))
+#define CUT_EMPTY_KINDS (sizeof(cut_empty_kinds) / sizeof(cut_empty_kinds[0]))
 
 /* The lengths to try: all but those with which the answer is complete. */
 static inline size_t
--- a/tests/platform/test_cut.c
+++ b/tests/platform/test_cut.c
@@ -18,6 +18,7 @@
 	bool reset;
 	bool kept; /* on a connection that has served a request */
 	bool first; /* the next request opens its connection */
+	bool whole; /* the connection is kept open */
 	bool may_end_by_close;
 	struct target_call *call;
 	struct err err;
@@ -71,6 +72,8 @@
 		return;
 	}
 	peer_raw(peer, f->kind->text, f->len);
+	if (f->whole)
+		return;
 	if (f->reset) /* must not overtake the bytes before it */
 		g_timeout_add(1, end_answer, peer);
 	else
@@ -182,6 +185,24 @@
 	cut_all(f, cut_kinds, CUT_KINDS);
 }
 
+/* Guards against a head that broke off and is taken for a whole one, as no body
+ * follows it. */
+static void
+test_no_beginning_is_an_answer_without_body(void **state)
+{
+	struct fixture *f = *state;
+	size_t i;
+
+	cut_all(f, cut_empty_kinds, CUT_EMPTY_KINDS);
+	f->whole = true;
+	for (i = 0; i < CUT_EMPTY_KINDS; i++) {
+		f->kind = &cut_empty_kinds[i];
+		f->len = strlen(f->kind->text);
+		exchange(f);
+		assert_false(err_is(&f->err));
+	}
+}
+
 int
 main(void)
 {
@@ -189,6 +210,7 @@
 	const struct CMUnitTest tests[] = {
 		T(test_no_beginning_is_an_answer),
 		T(test_no_beginning_ends_by_close),
+		T(test_no_beginning_is_an_answer_without_body),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
