http: Refuse transfer codings that are not decoded here

What callers would see: a 200 whose body is compressed by a transfer coding that no header names, or ends wherever the target's connection ends, as its "Transfer-Encoding" had no value or an unknown one.

Cause: the parser looked for a final "chunked" only. Other codings were read until the close, and "gzip, chunked" without its chunks; the header is not passed on.

Change: a head whose Transfer-Encoding is anything but "chunked" is malformed, in answers (the attempt fails as may have run) and in requests (400).

Why it holds: what is read as chunked is all that is decoded. "identity", which RFC 9112 no longer has, is refused as well.

--- a/lib/http/parse.c
+++ b/lib/http/parse.c
@@ -305,6 +305,16 @@
 	return true;
 }
 
+/* "chunked" is the only transfer coding that is decoded here. The header is not
+ * passed on, so the body of another one would arrive without its coding. */
+static bool
+coding_is_known(const struct hmsg *m)
+{
+	const struct hheader *h = hmsg_find(m, "Transfer-Encoding");
+
+	return h == NULL || hslice_is(trim(h->value), "chunked");
+}
+
 static bool
 head_is_unambiguous(const struct hparse *p)
 {
@@ -314,6 +324,8 @@
 		return false;
 	if (is_repeated(&p->msg, "Transfer-Encoding"))
 		return false;
+	if (!coding_is_known(&p->msg))
+		return false;
 	return (p->parser.flags & F_CHUNKED) == 0 ||
 	    hmsg_find(&p->msg, "Content-Length") == NULL;
 }
--- a/tests/http/test_cut.c
+++ b/tests/http/test_cut.c
@@ -130,6 +130,31 @@
 	cut_all(cut_empty_kinds, CUT_EMPTY_KINDS);
 }
 
+/* Guards against a length without a value or an unknown encoding: the answer
+ * would end wherever its connection does, and be passed on with another
+ * encoding than its caller is told. */
+static void
+test_framing_without_a_value(void **state)
+{
+	static const char *const heads[] = { "Content-Length:",
+		"Content-Length: ", "Transfer-Encoding:", "Transfer-Encoding: ",
+		"Transfer-Encoding: chunke", "Transfer-Encoding: chunked, x",
+		"Transfer-Encoding: gzip, chunked" };
+	size_t i;
+	int fd;
+
+	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
+		fd = take_call(false);
+		raw_send(fd, "HTTP/1.1 200 OK\r\n");
+		raw_send(fd, heads[i]);
+		raw_send(fd, "\r\n\r\nbody");
+		close(fd);
+		run_until(&finished);
+		if (last.status != 0)
+			fail_msg("%s: status %u", heads[i], last.status);
+	}
+}
+
 /* ------------------------------------------------------------------ */
 /* Requests                                                            */
 /* ------------------------------------------------------------------ */
@@ -255,6 +280,7 @@
 #define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		T(test_no_beginning_is_an_answer),
+		T(test_framing_without_a_value),
 		T(test_no_beginning_is_a_request),
 	};
 
