entry: Pass on no request that breaks off

What callers would see: an attempt of a request that was never sent whole, without some of its headers or a part of its body.

Cause: libsoup's server takes a head whose connection ends between two lines, and a chunked body that ends between two chunks, for whole ones and calls the handler. The request was cancelled once the loop saw the closed connection, after its begin.

Change: a gateway's handlers of the own interface are added by http_add_handler(), which refuses a request (400, NOT_RUN) whose connection is at its end.

Why it holds: libsoup takes a part for the whole only once it has read that end, and it stays readable. A caller who closes only the sending side after a whole request is refused as well; such a caller counted as gone before, too.

Measured: programs-http sends each beginning of three requests, on new and kept connections.

--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -523,7 +523,7 @@
 {
 	soup_server_add_early_handler(
 	    entry->http, path, check_length, entry, NULL);
-	soup_server_add_handler(entry->http, path, handler, entry, NULL);
+	http_add_handler(entry->http, path, handler, entry);
 }
 
 void
--- a/programs/shared/http.c
+++ b/programs/shared/http.c
@@ -6,14 +6,20 @@
 
 #include "shared/http.h"
 
-static gboolean
-on_readable(GSocket *socket, GIOCondition cond, gpointer data)
+static bool
+is_at_end(GSocket *socket)
 {
 	char byte;
 	ssize_t n =
 	    recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
-	if (n == 0 || (n < 0 && errno != EAGAIN))
+	return n == 0 || (n < 0 && errno != EAGAIN);
+}
+
+static gboolean
+on_readable(GSocket *socket, GIOCondition cond, gpointer data)
+{
+	if (is_at_end(socket))
 		g_socket_close(socket, NULL);
 	return G_SOURCE_REMOVE; /* attached again after the next request */
 }
@@ -79,6 +85,42 @@
 	    server, "request-finished", G_CALLBACK(on_finished), malformed);
 }
 
+struct http_handler {
+	SoupServerCallback call;
+	gpointer data;
+};
+
+static void
+on_request(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct http_handler *handler = data;
+	GSocket *socket = soup_server_message_get_socket(message);
+	SoupMessageHeaders *headers;
+
+	if (socket != NULL && !g_socket_is_closed(socket) &&
+	    !is_at_end(socket)) {
+		handler->call(server, message, path, query, handler->data);
+		return;
+	}
+	headers = soup_server_message_get_response_headers(message);
+	soup_message_headers_replace(headers, "X-Verdict", "NOT_RUN");
+	soup_message_headers_replace(headers, "Connection", "close");
+	http_answer_text(message, SOUP_STATUS_BAD_REQUEST, "text/plain",
+	    "the connection was closed in the request\n");
+}
+
+void
+http_add_handler(SoupServer *server, const char *path,
+    SoupServerCallback handler, gpointer data)
+{
+	struct http_handler *h = g_new0(struct http_handler, 1);
+
+	h->call = handler;
+	h->data = data;
+	soup_server_add_handler(server, path, on_request, h, g_free);
+}
+
 static void
 on_read(SoupServer *server, SoupServerMessage *message, gpointer data)
 {
--- a/programs/shared/http.h
+++ b/programs/shared/http.h
@@ -21,6 +21,15 @@
  */
 void http_count_malformed(SoupServer *server, struct ctr *malformed);
 
+/*
+ * Adds a handler for the requests of a path that arrived whole. libsoup takes a
+ * head that broke off between two lines, and a body that broke off between two
+ * chunks, for whole ones. A request whose client has closed its connection or
+ * its sending side is refused (400, NOT_RUN): it cannot be told from these.
+ */
+void http_add_handler(SoupServer *server, const char *path,
+    SoupServerCallback handler, gpointer data);
+
 /* The requests of a server; read by its owner. */
 struct http_requests {
 	unsigned int read; /* completely, since the start */
