tgt: Let a new record wait for the word of the target's sidecar

What callers would see: answers from corrupt chunks, by a gateway that has just learned of the engine.

Cause, found by review: a record names the version that is loaded, and not from which chunks; what the sidecar had said of it ended with the target. A record that expires while its engine stands still, and is published again after a late load, was believed until the next report of the sidecar, as in a gateway that starts.

Change: where sidecars load the weights, a target gets no requests until its sidecar has reported, or has not within two seconds.

Measured: serve-tgt test_new_record_waits_for_its_sidecar fails before (chosen by its record at once).

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -266,6 +266,7 @@
 	}
 	if (t == NULL) {
 		t = add(s, record);
+		t->known_us = now_us;
 		tgt_notice_restore(s, t, now_us);
 	}
 	start_ms = MAX(t->record.start_ms, record->start_ms);
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -24,6 +24,7 @@
 	bool local; /* in this gateway's region */
 	/* A planned stop was announced, or the sidecar reported it. */
 	bool leaving;
+	int64_t known_us; /* since when */
 	/* Time at which to drop it, as it is missing from the store; 0: no. */
 	int64_t drop_us;
 	/* Load: this gateway's requests in flight now; and `reported` of all
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -105,6 +105,18 @@
 	    criteria->versions, criteria->model, begin_us + t->inbound_us);
 }
 
+/* For so long a target's sidecar is expected to report once the target is known. */
+#define RECORD_WAIT_US 2000000
+
+/* The record tells which version is loaded, and not whether from valid chunks: the
+ * sidecar does, or counts as gone. */
+static bool
+knows_weights(const struct tgt *t, int64_t now_us)
+{
+	return t->side_report_us != 0 || t->service->engine.chunks == 0 ||
+	    now_us - t->known_us >= RECORD_WAIT_US;
+}
+
 static bool
 has_weights(
     const struct tgt *t, const struct tgt_criteria *criteria, int64_t now_us)
@@ -113,6 +125,8 @@
 
 	if (criteria->model == NULL || !t->record.has_models)
 		return true;
+	if (!knows_weights(t, now_us))
+		return false;
 	if (t->up_us != 0 && now_us - t->up_us < TGT_FRESH_US)
 		least = MAX(least, criteria->version_fresh);
 	if (!t->local)
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -386,6 +386,27 @@
 	assert_int_equal(t->version, 3);
 }
 
+/* Guards against the same where the record expired while the engine stood still,
+ * and is published again. */
+static void
+test_new_record_waits_for_its_sidecar(void **state)
+{
+	struct tgt_criteria criteria = { .model = "m" };
+	struct tgt *t = put_started(1000, 3, SECOND);
+	enum tgt_reason why;
+
+	assert_ptr_equal(
+	    tgt_choose(set, t->service, &criteria, SECOND, &why), t);
+	t->service->engine.chunks = 64; /* sidecars load the weights */
+	assert_null(tgt_choose(set, t->service, &criteria, 2 * SECOND, &why));
+	tgt_side_reported(t, 1, 2 * SECOND);
+	assert_ptr_equal(
+	    tgt_choose(set, t->service, &criteria, 2 * SECOND, &why), t);
+	t->side_report_us = 0;
+	assert_ptr_equal(
+	    tgt_choose(set, t->service, &criteria, 3 * SECOND, &why), t);
+}
+
 /* A record of an unknown service has the address of a valid target. */
 static void
 test_unknown_service_takes_no_address(void **state)
@@ -633,6 +654,7 @@
 		T(test_restarted_target_is_a_new_one),
 		T(test_source_of_a_new_start),
 		T(test_record_proves_no_weights),
+		T(test_new_record_waits_for_its_sidecar),
 		T(test_unknown_service_takes_no_address),
 		T(test_only_loaded_versions),
 		T(test_silent_target_is_avoided),
