gateway: Drop a sidecar's report that a newer one has overtaken

What callers would see: requests at an engine that loads weights or whose weights are without a proof.

Cause, found by review: status reports have numbers, and only relayed ones were compared by them. An older datagram that came after a newer one opened the target again until the next report.

Change: a direct report with a number that is not above that of the last direct one is dropped within 0.1 s of it; a sidecar that starts again counts anew, and takes longer to start.

Measured: serve-tgt test_outdated_reports; the function is new.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -529,20 +529,39 @@
 	t->slowdown = permille == 0 ? 1 : (double)permille / 1000.0;
 }
 
-void
-tgt_side_reported(struct tgt *t, uint32_t seq, int64_t now_us)
+/* Datagrams overtake each other by less than this, and a sidecar takes longer to
+ * start again. */
+#define REORDER_US 100000
+
+bool
+tgt_side_is_outdated(const struct tgt *t, uint32_t seq, int64_t now_us)
+{
+	return t->direct_us != 0 && now_us - t->direct_us < REORDER_US &&
+	    !side_seq_after(seq, t->direct_seq);
+}
+
+static void
+note_side_report(struct tgt *t, uint32_t seq, int64_t now_us)
 {
 	t->side_report_us = now_us;
 	t->service->side_report_us = now_us;
 	t->side_seq = seq;
 }
 
+void
+tgt_side_reported(struct tgt *t, uint32_t seq, int64_t now_us)
+{
+	t->direct_seq = seq;
+	t->direct_us = now_us;
+	note_side_report(t, seq, now_us);
+}
+
 bool
 tgt_relayed(struct tgt *t, const struct side_relayed *report, int64_t now_us)
 {
 	if (t->side_report_us == 0 || !side_seq_after(report->seq, t->side_seq))
 		return false;
-	tgt_side_reported(t, report->seq, now_us);
+	note_side_report(t, report->seq, now_us);
 	tgt_set_slowdown(t, report->slowdown_permille);
 	t->slow_link = report->slow_link;
 	t->inbound_us = (int64_t)report->inbound_ms * 1000;
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -38,6 +38,9 @@
 	uint64_t prefill_tokens;
 	int64_t side_report_us; /* last report of its sidecar; 0: none */
 	uint32_t side_seq; /* of that report */
+	/* The last report that came directly from the sidecar. */
+	uint32_t direct_seq;
+	int64_t direct_us; /* 0: none */
 	/* Its sidecar was sent this gateway's address. */
 	bool gateway_announced;
 	/* Gateways in its region, as its sidecar reported; 0: not known. */
@@ -227,6 +230,9 @@
 /* Step time in thousandths of the configured one, as reported by the
  * sidecar; 0: not known. */
 void tgt_set_slowdown(struct tgt *t, uint64_t permille);
+/* Whether a report that came directly from the sidecar was sent before the last
+ * one. A sidecar that starts again counts anew. */
+bool tgt_side_is_outdated(const struct tgt *t, uint32_t seq, int64_t now_us);
 /* A report came directly from the sidecar; `seq` is its sequence number. */
 void tgt_side_reported(struct tgt *t, uint32_t seq, int64_t now_us);
 /*
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -140,7 +140,7 @@
 
 	slice_copy(report->address, address, sizeof(address));
 	t = tgt_by_address(g->set, address);
-	if (t == NULL)
+	if (t == NULL || tgt_side_is_outdated(t, (uint32_t)report->seq, now_us))
 		return;
 	t = gateway_target_replaced(
 	    g, t, tgt_side_started(g->set, t, (int64_t)report->start_ms));
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -407,6 +407,25 @@
 	    tgt_choose(set, t->service, &criteria, 3 * SECOND, &why), t);
 }
 
+/* Guards against requests to an engine that loads, as an older report of its
+ * sidecar came after the newer one. */
+static void
+test_outdated_reports(void **state)
+{
+	struct tgt *t = put("a", "1.1.1.1:1", "near");
+
+	assert_false(tgt_side_is_outdated(t, 7, SECOND));
+	tgt_side_reported(t, 7, SECOND);
+	assert_true(tgt_side_is_outdated(t, 6, SECOND + 1000));
+	assert_true(tgt_side_is_outdated(t, 7, SECOND + 1000));
+	assert_false(tgt_side_is_outdated(t, 8, SECOND + 1000));
+	/* The sidecar has started again. */
+	assert_false(tgt_side_is_outdated(t, 1, 2 * SECOND));
+	/* What gateways relay is no report of the state. */
+	t->side_seq = 9;
+	assert_false(tgt_side_is_outdated(t, 8, SECOND + 1000));
+}
+
 /* A record of an unknown service has the address of a valid target. */
 static void
 test_unknown_service_takes_no_address(void **state)
@@ -655,6 +674,7 @@
 		T(test_source_of_a_new_start),
 		T(test_record_proves_no_weights),
 		T(test_new_record_waits_for_its_sidecar),
+		T(test_outdated_reports),
 		T(test_unknown_service_takes_no_address),
 		T(test_only_loaded_versions),
 		T(test_silent_target_is_avoided),
