tests: Frames between hosts that break off at each byte

A relay passes the first n bytes of a connection, its handshake included, for each n: the receiver handles the whole frames only and ends as closed by the peer. No fault was found.

--- a/tests/common/test_conn.c
+++ b/tests/common/test_conn.c
@@ -281,6 +281,125 @@
 		    dial_endless(&endless_kinds[i]), 1, (1 << 20) - 1);
 }
 
+/* Passes bytes on between a client and a server. */
+struct relay {
+	int listener, client, server;
+	char address[32];
+	size_t passed, max; /* of the client's bytes */
+};
+
+static int
+relay_socket(struct sockaddr_in *at)
+{
+	at->sin_family = AF_INET;
+	at->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+}
+
+static void
+relay_listen(struct relay *r)
+{
+	struct sockaddr_in at = { 0 };
+	socklen_t len = sizeof(at);
+
+	r->listener = relay_socket(&at);
+	assert_int_equal(bind(r->listener, (struct sockaddr *)&at, len), 0);
+	assert_int_equal(listen(r->listener, 1), 0);
+	assert_int_equal(
+	    getsockname(r->listener, (struct sockaddr *)&at, &len), 0);
+	g_snprintf(
+	    r->address, sizeof(r->address), "127.0.0.1:%u", ntohs(at.sin_port));
+}
+
+static void
+relay_connect(struct relay *r, unsigned int port)
+{
+	struct sockaddr_in at = { .sin_port = htons((uint16_t)port) };
+
+	r->client = accept(r->listener, NULL, NULL);
+	r->server = relay_socket(&at);
+	assert_int_equal(
+	    connect(r->server, (struct sockaddr *)&at, sizeof(at)), 0);
+}
+
+static size_t
+relay_pass(int from, int to, size_t max)
+{
+	uint8_t buffer[4096];
+	ssize_t n = recv(from, buffer, MIN(max, sizeof(buffer)), MSG_DONTWAIT);
+
+	if (n <= 0)
+		return 0;
+	assert_int_equal(send(to, buffer, (size_t)n, MSG_NOSIGNAL), n);
+	return (size_t)n;
+}
+
+#define NOTES 3
+
+/* Sends notes of which the server gets the first bytes; returns how many notes
+ * it handles. */
+static int
+send_cut(size_t max, size_t *passed)
+{
+	struct relay r = { .max = max };
+	struct end server, client;
+	struct note note = { .text = slice_str("hello") };
+	struct conn_server *s;
+	char address[32];
+	int messages;
+
+	init_end(&server, "server", shared_key);
+	init_end(&client, "client", shared_key);
+	s = listen_at(&server, address);
+	relay_listen(&r);
+	conn_dial(&client.node, r.address, &ops, &client);
+	relay_connect(&r, conn_server_port(s));
+	while (r.passed < r.max && server.messages < NOTES) {
+		g_main_context_iteration(NULL, FALSE);
+		while (client.opened && note.number < NOTES) {
+			note.number++;
+			conn_send(client.conn, &note_desc, &note);
+		}
+		r.passed += relay_pass(r.client, r.server, r.max - r.passed);
+		relay_pass(r.server, r.client, G_MAXSIZE);
+	}
+	close(r.server);
+	close(r.client);
+	close(r.listener);
+	run_until(&client.closed);
+	if (server.opened)
+		run_until(&server.closed);
+	while (g_main_context_iteration(NULL, FALSE))
+		;
+	assert_int_equal(server.last_number, (uint64_t)server.messages);
+	assert_true(!server.opened || server.why.code == ERR_UNAVAILABLE);
+	*passed = r.passed;
+	messages = server.messages;
+	conn_server_free(s);
+	close_end(&server);
+	close_end(&client);
+	return messages;
+}
+
+/* Guards against a frame that broke off, in its length or its data, and is
+ * handled. */
+static void
+test_cut_frames_are_not_handled(void **state)
+{
+	size_t total, passed, i;
+	int messages, before = 0;
+
+	assert_int_equal(send_cut(G_MAXSIZE, &total), NOTES);
+	for (i = 1; i < total; i++) {
+		messages = send_cut(i, &passed);
+		assert_int_equal(passed, i);
+		assert_in_range(messages, before, before + 1);
+		assert_true(messages < NOTES);
+		before = messages;
+	}
+	assert_int_equal(before, NOTES - 1);
+}
+
 static void
 test_codec_checks_bounds(void **state)
 {
@@ -384,6 +503,7 @@
 		cmocka_unit_test(test_wrong_key_is_refused),
 		cmocka_unit_test(test_bad_frames_are_counted),
 		cmocka_unit_test(test_peer_without_end_is_dropped),
+		cmocka_unit_test(test_cut_frames_are_not_handled),
 		cmocka_unit_test(test_codec_checks_bounds),
 		cmocka_unit_test(test_codec_refuses_claimed_sizes),
 		cmocka_unit_test(test_datagrams),
