--- a/tests/standin/service.c
+++ b/tests/standin/service.c
@@ -32,6 +32,7 @@
 	int64_t delay_ms, drop_before_run, drop_after_run, refuse;
 	int64_t answer_bytes; /* padding added to each answer */
 	int64_t unframed; /* answers with neither a length nor chunks */
+	int64_t cut_head; /* answers that end after their first line */
 };
 
 /* ------------------------------------------------------------------ */
@@ -123,6 +124,16 @@
 	reply_json(msg, 200, b);
 }
 
+static void
+cut_head(SoupServerMessage *msg)
+{
+	static const char line[] = "HTTP/1.1 200 OK\r\n";
+
+	g_socket_send(soup_server_message_get_socket(msg), line, strlen(line),
+	    NULL, NULL);
+	hang_up(msg);
+}
+
 static void
 on_any(SoupServer *server, SoupServerMessage *msg, const char *path,
     GHashTable *query, void *ctx)
@@ -144,7 +155,9 @@
 		soup_message_body_complete(
 		    soup_server_message_get_response_body(msg));
 	}
-	if (consume_fault(&s->drop_after_run))
+	if (consume_fault(&s->cut_head))
+		cut_head(msg);
+	else if (consume_fault(&s->drop_after_run))
 		hang_up(msg);
 	else if (s->delay_ms > 0)
 		delay_answer(s, msg);
@@ -169,6 +182,7 @@
 	member_int_into(body, "refuse", &s->refuse);
 	member_int_into(body, "answer_bytes", &s->answer_bytes);
 	member_int_into(body, "unframed", &s->unframed);
+	member_int_into(body, "cut_head", &s->cut_head);
 	json_object_unref(body);
 	reply_json(msg, 200, json_begin());
 }
--- a/tests/system/answer_end.sh
+++ b/tests/system/answer_end.sh
@@ -80,4 +80,15 @@
 	check "$method: in one attempt" grep -qi '^X-Attempts: 1' "$STAGE/head"
 done
 
+# An answer that breaks off in its head, which libsoup reads as an empty one.
+for url in "$service_1" "$service_2"; do
+	curl -s -o /dev/null -d '{"unframed":0,"cut_head":1}' "$url/admin/faults"
+done
+status=$(curl -s -m 30 -o "$STAGE/answer" -D "$STAGE/head" -w '%{http_code}' \
+    -H "Authorization: Bearer $caller_token" -X POST -d x \
+    "$entry_1/services/cedar/book/cut")
+check "a head that breaks off is no answer" test "$status" -ge 500
+check "its verdict is MAY_HAVE_RUN" \
+    grep -qi '^X-Verdict: MAY_HAVE_RUN' "$STAGE/head"
+
 finish
