hosts: Leave out a malformed entry instead of the whole list

What callers saw: nothing directly. A process of the own interface that is cut off from all members finds none again through the list of hosts, as long as the list holds one odd entry.

Cause: one entry without an address, or of another type, made the whole answer count as malformed.

Change: such an entry is left out; an answer without a list, or whose entries are all malformed, is still an error. An address that cannot be reached was already harmless: it is only probed, and the next call draws another.

--- a/lib/platform/hosts.c
+++ b/lib/platform/hosts.c
@@ -25,25 +25,31 @@
 	return true;
 }
 
+/* Other writers can add entries to the list: one that is malformed is left out.
+ * NULL if there is no list, or none of its entries is a host. */
 static struct hosts_entry *
 parse_hosts(JsonObject *json, guint *n)
 {
-	JsonArray *array = reply_objects(json, "hosts");
+	JsonNode *list = json_object_get_member(json, "hosts");
 	struct hosts_entry *hosts;
-	guint i;
+	JsonArray *array;
+	JsonNode *item;
+	guint i, total;
 
-	if (array == NULL)
+	if (list == NULL || !JSON_NODE_HOLDS_ARRAY(list))
 		return NULL;
-	*n = json_array_get_length(array);
-	hosts = g_new0(struct hosts_entry, *n + 1);
-	for (i = 0; i < *n; i++) {
-		JsonObject *item = json_array_get_object_element(array, i);
-
-		if (!parse_host(item, &hosts[i])) {
-			g_free(hosts);
-			return NULL;
-		}
+	array = json_node_get_array(list);
+	total = json_array_get_length(array);
+	hosts = g_new0(struct hosts_entry, total + 1);
+	*n = 0;
+	for (i = 0; i < total; i++) {
+		item = json_array_get_element(array, i);
+		if (JSON_NODE_HOLDS_OBJECT(item) &&
+		    parse_host(json_node_get_object(item), &hosts[*n]))
+			(*n)++;
 	}
+	if (*n == 0 && total > 0)
+		g_clear_pointer(&hosts, g_free);
 	return hosts;
 }
 
--- a/tests/platform/test_engine.c
+++ b/tests/platform/test_engine.c
@@ -344,6 +344,35 @@
 	assert_result(f, ERR_UNAVAILABLE, VERDICT_RAN);
 }
 
+/* Guards against a list that is refused for one entry that another writer made:
+ * a process that is cut off finds no member then. */
+static void
+test_odd_host(void **state)
+{
+	static const char *const odd[] = { "{}", "7", "null", "[]", "\"h\"",
+		"{\"host\":7,\"address\":\"a\",\"domain\":\"d\","
+		"\"state\":\"live\"}",
+		"{\"host\":\"h\",\"address\":{},\"domain\":\"d\","
+		"\"state\":\"live\"}",
+		"{\"host\":\"h\",\"address\":\"a\",\"domain\":\"d\","
+		"\"state\":1e400}" };
+	struct fixture *f = *state;
+	char *body;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		body = g_strdup_printf(
+		    "{\"hosts\":[%s,{\"host\":\"h1\",\"address\":\"a\","
+		    "\"domain\":\"d\",\"state\":\"live\"},%s]}",
+		    odd[i], odd[i]);
+		f->text[0] = '\0';
+		get_hosts(f, 200, body);
+		g_free(body);
+		assert_result(f, ERR_NONE, 0);
+		assert_string_equal(f->text, "h1+ ");
+	}
+}
+
 /* ------------------------------------------------------------------ */
 /* Origin                                                              */
 /* ------------------------------------------------------------------ */
@@ -445,6 +474,7 @@
 		SERVED(test_report_and_cancel),
 		SERVED(test_cache_events),
 		SERVED(test_hosts),
+		SERVED(test_odd_host),
 		SERVED(test_origin_read),
 		SERVED(test_origin_wrong_range),
 		SERVED(test_origin_stall_and_cancel),
