platform, agree: Refuse numbers that would be read as other ones

What callers saw: nothing yet. The tests show an engine's report and a role's lease with -10^20, read as 1, and a lease of 292,000 years, after which nobody takes the role over.

Cause: the JSON parser wraps integers that an int64_t does not hold around, and any number from 0 on counted as a lease.

Change: nest becomes jtext, with a second check of the text for integers that do not fit, which answers of the own interface and leases must pass. A lease lasts a minute at most, as in the settings, and its fencing number leaves room for the following ones. A lease that cannot be read already counts as one that must expire first.

Measured: test_numbers_out_of_range in agree-lse and test_report_numbers_out_of_range in platform-engine failed before and pass after.

--- a/lib/agree/lse_value.c
+++ b/lib/agree/lse_value.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "agree/lse_internal.h"
-#include "common/nest.h"
+#include "common/jtext.h"
 
 char *
 lse_value_format(const struct lse_value *value)
@@ -32,14 +32,18 @@
 	return text;
 }
 
+#define LEASE_MAX_MS 60000 /* as in the settings */
+/* The next holder's number is one higher and must be readable, too. */
+#define FENCE_MAX (INT64_MAX / 2)
+
 static bool
-read_number(JsonObject *o, const char *name, uint64_t *out)
+read_number(JsonObject *o, const char *name, int64_t max, uint64_t *out)
 {
 	JsonNode *node = json_object_get_member(o, name);
 
 	if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
 	    json_node_get_value_type(node) != G_TYPE_INT64 ||
-	    json_node_get_int(node) < 0)
+	    json_node_get_int(node) < 0 || json_node_get_int(node) > max)
 		return false;
 	*out = (uint64_t)json_node_get_int(node);
 	return true;
@@ -58,9 +62,9 @@
 	    json_node_get_boolean(handed_over);
 	return g_strlcpy(out->holder, json_node_get_string(holder),
 		   sizeof(out->holder)) < sizeof(out->holder) &&
-	    read_number(o, "life", &out->incarnation) &&
-	    read_number(o, "fence", &out->fence) &&
-	    read_number(o, "lease_ms", &out->lease_ms);
+	    read_number(o, "life", INT64_MAX, &out->incarnation) &&
+	    read_number(o, "fence", FENCE_MAX, &out->fence) &&
+	    read_number(o, "lease_ms", LEASE_MAX_MS, &out->lease_ms);
 }
 
 bool
@@ -71,7 +75,8 @@
 	bool ok = false;
 
 	*out = (struct lse_value){ 0 };
-	if (nest_within(text, strlen(text), NEST_MAX) &&
+	if (jtext_nests_within(text, strlen(text), JTEXT_DEPTH_MAX) &&
+	    jtext_ints_fit(text, strlen(text)) &&
 	    json_parser_load_from_data(parser, text, -1, NULL)) {
 		root = json_parser_get_root(parser);
 		ok = root != NULL && JSON_NODE_HOLDS_OBJECT(root) &&
--- a/lib/platform/reply.c
+++ b/lib/platform/reply.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "common/nest.h"
+#include "common/jtext.h"
 #include "platform/platform_internal.h"
 
 #define DEPTH_MAX 32 /* valid responses have three levels */
@@ -22,7 +22,8 @@
 	JsonNode *root = NULL;
 
 	reply->parser = json_parser_new();
-	if (text != NULL && nest_within(text, len, DEPTH_MAX) &&
+	if (text != NULL && jtext_nests_within(text, len, DEPTH_MAX) &&
+	    jtext_ints_fit(text, len) &&
 	    g_utf8_validate(text, (gssize)len, NULL) &&
 	    json_parser_load_from_data(reply->parser, text, (gssize)len, NULL))
 		root = json_parser_get_root(reply->parser);
--- a/lib/route/claim_record.c
+++ b/lib/route/claim_record.c
@@ -3,7 +3,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-#include "common/nest.h"
+#include "common/jtext.h"
 #include "route/claim_internal.h"
 
 static const char *const state_names[CLM_STATES] = {
@@ -258,7 +258,7 @@
 	JsonObject *o = NULL;
 	bool valid = false;
 
-	if (nest_within(text, strlen(text), NEST_MAX) &&
+	if (jtext_nests_within(text, strlen(text), JTEXT_DEPTH_MAX) &&
 	    json_parser_load_from_data(parser, text, -1, NULL) &&
 	    json_parser_get_root(parser) != NULL &&
 	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -3,7 +3,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-#include "common/nest.h"
+#include "common/jtext.h"
 #include "entry/entry.h"
 #include "shared/http.h"
 
@@ -271,7 +271,7 @@
 	JsonObject *o = NULL;
 	const char *name = NULL, *slash;
 
-	if (len > 0 && nest_within(text, len, NEST_MAX) &&
+	if (len > 0 && jtext_nests_within(text, len, JTEXT_DEPTH_MAX) &&
 	    json_parser_load_from_data(parser, text, (gssize)len, NULL))
 		root = json_parser_get_root(parser);
 	if (root != NULL && JSON_NODE_HOLDS_OBJECT(root))
--- a/programs/entry/cli_http.c
+++ b/programs/entry/cli_http.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "common/nest.h"
+#include "common/jtext.h"
 #include "entry/cli.h"
 
 #define CALL_TIMEOUT_S 10
@@ -25,7 +25,7 @@
 	JsonParser *parser = json_parser_new();
 	gsize len;
 	const char *text = g_bytes_get_data(bytes, &len);
-	bool good = len > 0 && nest_within(text, len, NEST_MAX) &&
+	bool good = len > 0 && jtext_nests_within(text, len, JTEXT_DEPTH_MAX) &&
 	    json_parser_load_from_data(parser, text, (gssize)len, NULL);
 
 	*out = good ? json_parser_steal_root(parser) : NULL;
--- a/programs/entry/ops.c
+++ b/programs/entry/ops.c
@@ -3,7 +3,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-#include "common/nest.h"
+#include "common/jtext.h"
 #include "entry/entry.h"
 
 #define SETTINGS_PREFIX "/v1/settings/"
@@ -147,7 +147,7 @@
 	const char *text = g_bytes_get_data(bytes, &len);
 	JsonObject *o = NULL;
 
-	if (len > 0 && nest_within(text, len, NEST_MAX) &&
+	if (len > 0 && jtext_nests_within(text, len, JTEXT_DEPTH_MAX) &&
 	    json_parser_load_from_data(parser, text, (gssize)len, NULL) &&
 	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
 		o = json_node_get_object(json_parser_get_root(parser));
--- a/programs/entry/timeline.c
+++ b/programs/entry/timeline.c
@@ -6,7 +6,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-#include "common/nest.h"
+#include "common/jtext.h"
 #include "entry/entry.h"
 
 /* Members that have not answered after this time are listed as such. */
@@ -125,7 +125,7 @@
 	JsonArray *events;
 	guint i;
 
-	if (nest_within(json, (size_t)len, NEST_MAX) &&
+	if (jtext_nests_within(json, (size_t)len, JTEXT_DEPTH_MAX) &&
 	    json_parser_load_from_data(parser, json, len, NULL) &&
 	    JSON_NODE_HOLDS_ARRAY(json_parser_get_root(parser))) {
 		events = json_node_get_array(json_parser_get_root(parser));
--- a/tests/agree/test_lse.c
+++ b/tests/agree/test_lse.c
@@ -556,6 +556,42 @@
 	g_free(deep);
 }
 
+static bool
+is_lease(const char *life, const char *fence, const char *lease_ms)
+{
+	char *text = g_strdup_printf("{\"holder\":\"a\",\"life\":%s,"
+				     "\"fence\":%s,\"lease_ms\":%s,"
+				     "\"handed_over\":false}",
+	    life, fence, lease_ms);
+	struct lse_value value;
+	bool valid = lse_value_parse(text, &value);
+
+	g_free(text);
+	return valid;
+}
+
+/* Guards against a role that nobody takes over: a lease of another writer that
+ * lasts for ever, or whose end overflows. */
+static void
+test_numbers_out_of_range(void **state)
+{
+	static const char *const odd[] = { "-1", "9223372036854775808",
+		"18446744073709551617", "-99999999999999999999", "1e400", "1.5",
+		"\"7\"", "[7]", "null" };
+	size_t i;
+
+	assert_true(is_lease("1", "1", "6000"));
+	assert_true(is_lease("9223372036854775807", "9", "60000"));
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		if (is_lease(odd[i], "1", "6000") ||
+		    is_lease("1", odd[i], "6000") || is_lease("1", "1", odd[i]))
+			fail_msg("read %s", odd[i]);
+	}
+	assert_false(is_lease("1", "1", "9223372036854775807"));
+	assert_false(is_lease("1", "1", "9223372036854775"));
+	assert_false(is_lease("1", "9223372036854775807", "6000"));
+}
+
 int
 main(void)
 {
@@ -572,6 +608,7 @@
 		cmocka_unit_test(test_api_outage_expires_lease_and_recovers),
 		cmocka_unit_test(test_never_two_holders),
 		cmocka_unit_test(test_deeply_nested_value),
+		cmocka_unit_test(test_numbers_out_of_range),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/common/test_nest.c
+++ b/tests/common/test_jtext.c
@@ -1,4 +1,4 @@
-/* Depth of JSON documents. */
+/* Checks of JSON text. */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -6,12 +6,12 @@
 #include <cmocka.h>
 #include <string.h>
 
-#include "common/nest.h"
+#include "common/jtext.h"
 
 static bool
 is_within(const char *text, unsigned int max)
 {
-	return nest_within(text, strlen(text), max);
+	return jtext_nests_within(text, strlen(text), max);
 }
 
 static void
@@ -39,12 +39,34 @@
 	assert_true(is_within("[\"\\", 1));
 }
 
+static bool
+fits(const char *text)
+{
+	return jtext_ints_fit(text, strlen(text));
+}
+
+/* Guards against an integer that is read as another one. */
+static void
+test_integers(void **state)
+{
+	assert_true(fits(""));
+	assert_true(fits("[9223372036854775807,-9223372036854775808,1e400]"));
+	assert_true(fits("{\"a\":1.00000000000000000000000000001}"));
+	assert_true(
+	    fits("[\"99999999999999999999\",\"\\\"99999999999999999999\"]"));
+	assert_false(fits("9223372036854775808"));
+	assert_false(fits("{\"a\":[1,-9223372036854775809]}"));
+	assert_false(fits("{\"a\":-99999999999999999999}"));
+	assert_false(fits("[\"\\\\\",18446744073709551617]"));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_levels),
 		cmocka_unit_test(test_strings),
+		cmocka_unit_test(test_integers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/platform/test_engine.c
+++ b/tests/platform/test_engine.c
@@ -260,6 +260,31 @@
 	assert_string_equal(f->sent, "{\"request_id\":\"r\\\"1\"}");
 }
 
+/* Guards against a report of an engine that is read as another one: the parser
+ * wraps integers that do not fit around. */
+static void
+test_report_numbers_out_of_range(void **state)
+{
+	static const char *const odd[] = { "-1", "4294967296",
+		"18446744073709551617", "-99999999999999999999", "1e400", "1.5",
+		"\"1\"", "[1]", "null" };
+	struct fixture *f = *state;
+	char *body;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		body =
+		    g_strdup_printf("{\"running\":%s,\"waiting\":2,\"slots\":3,"
+				    "\"cache_tokens\":5,\"step_ms\":4}",
+			odd[i]);
+		set_response(f, 200, body);
+		engine_report(f->plat, f->server.base, 5000, on_report, f);
+		run_until(&f->done);
+		assert_result(f, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN);
+		g_free(body);
+	}
+}
+
 static void
 on_cache(uint64_t next, const struct engine_cache_event *events, size_t n,
     const struct err *err, void *ctx)
@@ -472,6 +497,7 @@
 		SERVED(test_load_errors),
 		SERVED(test_loaded),
 		SERVED(test_report_and_cancel),
+		SERVED(test_report_numbers_out_of_range),
 		SERVED(test_cache_events),
 		SERVED(test_hosts),
 		SERVED(test_odd_host),
