log: Give warnings of a daemon lines of their own

What operators saw: the reason why an entry is refused stands at the beginning of another line, and that line's event is missing for whatever reads the log line by line, `currantchute explain` for one.

Cause: warnings and events of a daemon shared one log4c category, so that warnings went through the appender of the events, which adds no line feed.

Change: events have a category of their own; warnings go to standard error with a date, as in the other programs. An object of the store that cannot be read is an event now (`store_entry`), so that many odd entries are bounded like other lines and a slow reader holds nothing up; its name is cleaned, as others choose it.

Measured: test_warning_is_a_line in common-evt failed before and passes after.

--- a/lib/common/evt.c
+++ b/lib/common/evt.c
@@ -86,7 +86,7 @@
 };
 
 void
-evt_open(const struct clk *clock, const char *program, const char *node)
+evt_open(const struct clk *clock, const char *node)
 {
 	log4c_appender_t *appender;
 	log4c_layout_t *layout;
@@ -108,7 +108,9 @@
 	layout = log4c_layout_get("lines");
 	log4c_layout_set_type(layout, &layout_type);
 	log4c_appender_set_layout(appender, layout);
-	state.category = log4c_category_get(program);
+	/* Not the category of the program's warnings (log_open), which go to
+	 * standard error and have no line feed of their own. */
+	state.category = log4c_category_get("lines");
 	log4c_category_set_priority(state.category, LOG4C_PRIORITY_INFO);
 	log4c_category_set_additivity(state.category, 0);
 	log4c_category_set_appender(state.category, appender);
--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -25,6 +25,8 @@
 	X(EVT_STORE_BACK, "store_back", EVT_STATE, "the store responds again")   \
 	X(EVT_STORE_STALE, "store_stale", EVT_STATE,                             \
 	    "an answer of the store was older than what is known")               \
+	X(EVT_STORE_ENTRY, "store_entry", EVT_STATE,                             \
+	    "an object of the store cannot be read, and counts for nothing")     \
 	X(EVT_STORE_HISTORY, "store_history", EVT_STATE,                         \
 	    "the store was restored from an older copy; it is listed again")     \
 	X(EVT_CONFIG, "config", EVT_STATE,                                       \
@@ -93,7 +95,7 @@
 const char *evt_name(enum evt_name n);
 
 /* Opens standard output for log lines of `node`; to be called once. */
-void evt_open(const struct clk *clock, const char *program, const char *node);
+void evt_open(const struct clk *clock, const char *node);
 void evt_close(void);
 /* `format` produces the pairs after `ev`; values contain no blanks. */
 void evt(enum evt_name n, const char *format, ...) G_GNUC_PRINTF(2, 3);
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -35,6 +35,7 @@
  * stalled finds that all its calls have timed out at once, and the next ones
  * are answered. */
 #define DOWN_FAILURES 2
+#define NAME_CHARACTERS G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-._:/"
 #define BODY_MAX (8u << 20) /* a page is about 1 MB */
 
 struct store {
@@ -209,8 +210,13 @@
 handle_unreadable(struct store_cache *c, struct cached_object *k,
     const struct store_item *item)
 {
+	/* Another writer may have chosen the name. */
+	char *name = g_strcanon(g_strdup(item->name), NAME_CHARACTERS, '_');
+
 	ctr_add(c->store->unreadable, 1);
-	log_warn("store: %s/%s: %s", c->kind->name, item->name, item->why);
+	evt(EVT_STORE_ENTRY, "kind=%s name=%s why=%s", c->kind->name, name,
+	    item->why);
+	g_free(name);
 	report_removed(c, k, item->name, false);
 }
 
--- a/programs/shared/station.c
+++ b/programs/shared/station.c
@@ -178,7 +178,7 @@
 {
 	signal(SIGPIPE, SIG_IGN);
 	log_open(program);
-	evt_open(clk_system(), program, cfg_str(s->cfg, "node.id"));
+	evt_open(clk_system(), cfg_str(s->cfg, "node.id"));
 	s->main = g_main_loop_new(NULL, FALSE);
 	s->loop = evl_new(clk_system());
 	s->pool = hpool_new(&(struct hpool_conf){ .loop = s->loop,
--- a/tests/common/test_evt.c
+++ b/tests/common/test_evt.c
@@ -29,7 +29,8 @@
 	assert_true(dup2(fds[1], STDOUT_FILENO) >= 0);
 	close(fds[1]);
 	clk_fake_init(&fake, 1000000);
-	evt_open(&fake.clock, "test", "node-1");
+	log_open("test"); /* as programs do: one name for both */
+	evt_open(&fake.clock, "node-1");
 	return 0;
 }
 
@@ -82,6 +83,23 @@
 	g_string_free(out, TRUE);
 }
 
+/* Guards against a warning that the next line is appended to, so that readers of
+ * the lines miss an event. */
+static void
+test_warning_is_a_line(void **state)
+{
+	GString *out;
+	const char *event;
+
+	log_warn("store: %s", "odd");
+	evt(EVT_START, "program=x");
+	out = read_all();
+	event = strstr(out->str, "t=1.000 node=node-1 ev=start");
+	assert_non_null(event);
+	assert_true(event == out->str || event[-1] == '\n');
+	g_string_free(out, TRUE);
+}
+
 /*
  * A burst of failures: the lines stay within their class's rate limit, other
  * classes are not affected, and the number of dropped lines is logged before
@@ -127,6 +145,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_format),
+		cmocka_unit_test(test_warning_is_a_line),
 		cmocka_unit_test(test_rate_limit),
 		cmocka_unit_test(test_full_pipe),
 	};
