tests: An entry that turns odd while its engine serves

No fault was found in what becomes of the engine and of requests. The previous entry no longer counts at once, so gateways send the engine no new requests; those that run end as before. When its own entry is there again, it is used, and loads the next version.

--- a/tests/fleet/odd.c
+++ b/tests/fleet/odd.c
@@ -12,11 +12,12 @@
 
 #define DEPTH 60000 /* of nested settings */
 #define ODD_VERSION 1000 /* of the first ones, above the valid ones' */
+#define OWN_GAP_US 700000
 #define SETTINGS_GAP_US 600000 /* time for gateways to apply them */
 
-static int claim_s, report_s, settings_s;
+static int claim_s, report_s, settings_s, own_s;
 static int64_t odd_reports_us; /* from then on; 0: never */
-static struct evl_timer claim, settings;
+static struct evl_timer claim, settings, own;
 static struct fleet *fleet; /* of the timers */
 
 struct poptOption *
@@ -35,6 +36,10 @@
 		    "seconds to settings that cannot be read, one after the "
 		    "other; 0: none",
 		    "N" },
+		{ "odd-own", 0, POPT_ARG_INT, &own_s, 0,
+		    "seconds to entries of the first engine that cannot be "
+		    "read, until it writes its own again; 0: none",
+		    "N" },
 		POPT_TABLEEND
 	};
 
@@ -96,6 +101,38 @@
 		    fleet->loop, t, evl_now_us(fleet->loop) + SETTINGS_GAP_US);
 }
 
+/* Overwrites the first engine's entry, and lets it write its own at last. */
+static void
+on_own(struct evl_timer *t)
+{
+#define ENTRY(slots, port, version)                                          \
+	"{\"service\":\"" FLEET_LLM "\",\"address\":\"127.0.0.1:" port "\"," \
+	"\"zone\":\"z0\",\"version\":\"v1\",\"slots\":" slots ","            \
+	"\"state\":\"ready\",\"sequence\":1,\"models\":[{\"name\":"          \
+	"\"" FLEET_MODEL "\",\"version\":" version "}]}"
+	static const char *const specs[] = { "null", ENTRY("8", "70000", "1"),
+		ENTRY("8", "9", "18446744073709551617"),
+		ENTRY("-99999999999999999999", "9", "1"), NULL /* nested */ };
+#undef ENTRY
+	static unsigned int n;
+	const char *id = fleet_engine_id(fleet, 0);
+	char *nested;
+
+	if (n == G_N_ELEMENTS(specs)) {
+		fleet_engine_publish(fleet, 0);
+		return;
+	}
+	if (specs[n] == NULL) {
+		nested = g_strnfill(DEPTH, '[');
+		memset(nested + DEPTH / 2, ']', DEPTH / 2);
+		fleet_store_put(fleet, "servers", id, nested);
+		g_free(nested);
+	} else
+		fleet_store_put(fleet, "servers", id, specs[n]);
+	n++;
+	evl_timer_set(fleet->loop, t, evl_now_us(fleet->loop) + OWN_GAP_US);
+}
+
 const char *
 fleet_odd_report(size_t engine)
 {
@@ -114,6 +151,10 @@
 	claim.fire = on_claim;
 	if (report_s > 0)
 		odd_reports_us = now_us + (int64_t)report_s * G_USEC_PER_SEC;
+	own.fire = on_own;
+	if (own_s > 0)
+		evl_timer_set(
+		    f->loop, &own, now_us + (int64_t)own_s * G_USEC_PER_SEC);
 	settings.fire = on_settings;
 	if (settings_s > 0)
 		evl_timer_set(f->loop, &settings,
