--- a/programs/entry/cli_http.c
+++ b/programs/entry/cli_http.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "common/nest.h"
+#include "common/jtext.h"
 #include "entry/cli.h"
 
 #define CALL_TIMEOUT_S 10
@@ -28,7 +28,7 @@
 	gsize len;
 	const char *text = g_bytes_get_data(bytes, &len);
 
-	if (len > 0 && nest_within(text, len, NEST_MAX) &&
+	if (len > 0 && jtext_nests_within(text, len, JTEXT_DEPTH_MAX) &&
 	    json_parser_load_from_data(parser, text, (gssize)len, NULL) &&
 	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
 		root = json_parser_steal_root(parser);
