keeper: Report an order as uncertain from before it is sent

What callers saw: events made with a chunk that had been corrupt for longer than three seconds, after the engine's sidecar had ended.

Cause: gateways heard of an order in doubt only once the sidecar had waited a second for its answer. If the sidecar ends before, nobody can tell how the order went; gateways go by the engine's record in the store, and it names the version.

Change: an order is uncertain from when it is sent to when it is answered, and the status report that says so leaves before the order does. Gateways keep to what the sidecar last called proved, and state that version in their requests.

Why it holds: what a gateway was told before the order left does not rest on the process that sent it. A status report that is lost with the process is not covered: it is repeated after 250 ms at most, if the sidecar still runs.

--- a/lib/stage/proof.c
+++ b/lib/stage/proof.c
@@ -229,7 +229,7 @@
 bool
 prf_is_uncertain(const struct prf *p)
 {
-	return p->unproved || p->ahead || p->in_doubt;
+	return p->unproved || p->ahead || p->in_doubt || p->in_flight;
 }
 
 bool
--- a/programs/side/keeper_stage.c
+++ b/programs/side/keeper_stage.c
@@ -336,6 +336,8 @@
 	if (order.weights.from > 0 || order.weights.to < k->layers)
 		load.layers =
 		    (struct sv_layers){ order.weights.from, order.weights.to };
+	/* If this process ends before the answer, gateways know of the order. */
+	keeper_send_status(k);
 	body = adapter_order_load(&load);
 	call_engine(c, KEEPER_ORDER,
 	    &(struct hfetch_conf){ .method = "POST",
--- a/tests/stage/test_proof.c
+++ b/tests/stage/test_proof.c
@@ -81,6 +81,19 @@
 	assert_true(prf_has_loaded(&p));
 }
 
+/* Guards against requests by the engine's record where the sidecar ends before its
+ * order is answered: gateways heard of no doubt. */
+static void
+test_order_in_flight_is_uncertain(void **state)
+{
+	assert_false(prf_is_uncertain(&p));
+	order(2);
+	assert_true(prf_is_uncertain(&p));
+	assert_int_equal(prf_usable(&p, LAYERS), 1);
+	answer(PRF_BEGUN, SECOND);
+	assert_false(prf_is_uncertain(&p));
+}
+
 /* Guards against tokens from a chunk that turned corrupt after its check: the
  * order was answered too late for it. */
 static void
@@ -356,6 +369,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		T(test_order_in_time_proves),
+		T(test_order_in_flight_is_uncertain),
 		T(test_late_answer_does_not_prove),
 		T(test_order_that_was_given_up),
 		T(test_second_order_settles_the_first),
--- a/tests/system/late_order.sh
+++ b/tests/system/late_order.sh
@@ -15,6 +15,34 @@
 	fleet_check --engines 2 --empty 0 --rate 30 --bump 2 --seed "${SEED:-1}" "$@" || failed=1
 }
 
+held() {
+	grep -q '^held for' "$STAGE/fleet.out" 2>/dev/null
+}
+
+# Ends the first sidecar as the engine stands still with its order.
+end_sidecar() { # end_sidecar START-AGAIN-AFTER-S (0: never)
+	tries=0
+	until held || [ $tries -ge 200 ]; do # 10 s
+		sleep 0.05
+		tries=$((tries + 1))
+	done
+	kill -KILL "$(cat "$STAGE/keeper-0.pid")"
+	[ "$1" = 0 ] && return
+	sleep "$1"
+	fleet_start keeper-0
+	wait
+}
+
+# There is one engine, so that gateways have no better choice.
+play_without_sidecar() { # play_without_sidecar FOLDER START-AGAIN-AFTER-S OPTIONS...
+	fleet_begin "$BUILD/$1" 1 2
+	end_sidecar "$2" &
+	ending=$!
+	shift 2
+	fleet_check --engines 1 --empty 0 --rate 30 --bump 2 --seed "${SEED:-1}" "$@" || failed=1
+	wait $ending
+}
+
 loaded() { # loaded VERSION: the engine serves with it in the end
 	grep -q "ev=weights step=done version=$1 " "$STAGE/keeper-0.log" || {
 		echo "keeper-0 is without version $1"
@@ -37,4 +65,7 @@
 loaded 3
 play stage-late-order-older --seconds 10 --hold-order-ms 3500 --hold-bump-ms 1500
 loaded 3
+# The sidecar ends before its order is answered, and gateways go by the engine's
+# record in the store.
+play_without_sidecar stage-late-order-ended 0 --seconds 9 --hold-order-ms 3500
 exit $failed
