keeper: Learn from gateways what the process before this one doubted

What callers saw: events made with a chunk that had been corrupt for longer than three seconds, after the engine's sidecar had ended and started again.

Cause: a sidecar that starts takes what its engine holds for proved unless the engine is busy or was silent. An engine that went on and loaded while no sidecar ran is neither, and the order that it carried out was in doubt when the process before ended.

Change: gateways remember the sidecar's last status. To one that was uncertain the desired state says so, with the version that was proved. A process that has just started states that in its reports, for 1.5 s (gateways of remote regions send every second) or until it has a doubt of its own; gateways keep the doubt for so long. A doubt about a version that is not the proved one has it loaded again; a read-back would prove nothing, as the process before may have written chunks since the load.

Why it holds: the doubt is reported before the order leaves, so a gateway that is in touch has it. Without a doubt nothing changes: chunks that turned corrupt long after a sound load take no engine out of service when all sidecars start again. Not covered: all gateways start again while the sidecar is away, or all lost that one status report.

--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -35,6 +35,8 @@
 	MSG_FIELD(struct side_desired, roster_history, MSG_U64, INT64_MAX),
 	MSG_FIELD(struct side_desired, wants_account, MSG_U64, 1),
 	MSG_FIELD(struct side_desired, layers, MSG_U64, COUNT_MAX),
+	MSG_FIELD(struct side_desired, doubted, MSG_U64, 1),
+	MSG_FIELD(struct side_desired, proved, MSG_U64, INT64_MAX),
 };
 const struct msg_desc side_desired_desc =
     MSG_DESC(SIDE_DESIRED, "view", struct side_desired, desired_fields);
@@ -64,6 +66,7 @@
 	MSG_FIELD(struct side_report, silent, MSG_U64, 1),
 	MSG_FIELD(struct side_report, sharers, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_report, uncertain, MSG_U64, 1),
+	MSG_FIELD(struct side_report, starting, MSG_U64, 1),
 };
 const struct msg_desc side_report_desc =
     MSG_DESC(SIDE_REPORT, "load", struct side_report, status_fields);
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -82,6 +82,10 @@
 	/* 1: send this process the retry account of the gateway's previous
 	 * process. */
 	uint64_t wants_account;
+	/* 1: the sidecar's last report stated `uncertain`, and `proved` as the
+	 * loaded version. A process that starts learns so of the one before. */
+	uint64_t doubted;
+	uint64_t proved;
 };
 
 /* A sidecar requests the roster of its model. */
@@ -143,6 +147,9 @@
 	/* 1: the engine may hold weights without a proof, now or as soon as an
 	 * order takes effect. */
 	uint64_t uncertain;
+	/* 1: the sidecar has just started. What the process before it reported
+	 * as uncertain remains so, as it may not have learned of it yet. */
+	uint64_t starting;
 	/* Gateways that share the slack of the retry budget, also those that
 	 * have gone lately; 0: the sidecar does not count them. */
 	uint64_t sharers;
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -522,6 +522,18 @@
 	t->side_seq = seq;
 }
 
+void
+tgt_side_version(struct tgt *t, const struct side_report *report)
+{
+	/* The doubt of a process that ended is for the next one to settle. */
+	if (report->starting && t->uncertain)
+		return;
+	t->uncertain = report->uncertain != 0;
+	g_strlcpy(t->model, report->version > 0 ? t->service->engine.model : "",
+	    sizeof(t->model));
+	t->version = (int64_t)report->version;
+}
+
 bool
 tgt_relayed(struct tgt *t, const struct side_relayed *report, int64_t now_us)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -225,6 +225,8 @@
 void tgt_set_slowdown(struct tgt *t, uint64_t permille);
 /* A report came directly from the sidecar; `seq` is its sequence number. */
 void tgt_side_reported(struct tgt *t, uint32_t seq, int64_t now_us);
+/* What the target has loaded, and whether it is proved. */
+void tgt_side_version(struct tgt *t, const struct side_report *report);
 /*
  * A load report of the sidecar was relayed by a gateway of the target's region.
  * Ignored (false) unless newer than the last known report, as a gateway that
--- a/lib/stage/proof.c
+++ b/lib/stage/proof.c
@@ -43,6 +43,19 @@
 	p->proved = (struct prf_weights){ 0 };
 }
 
+/* What the process before this one doubted: weights that it knew to be proved
+ * stay so until an order of its own takes effect. */
+static void
+apply_doubt(struct prf *p, const struct prf_weights *held, bool busy)
+{
+	if (!busy && (is_empty(held) || held->version == p->doubt_proved)) {
+		p->in_doubt = true;
+		return;
+	}
+	note_unproved(p);
+	p->refuted = true;
+}
+
 /* What the first report shows was loaded by orders of an earlier process. It is
  * taken for proved unless one of them may just have taken effect late. */
 static void
@@ -53,6 +66,19 @@
 	p->proved = r->held;
 	if (r->busy || r->was_silent)
 		note_unproved(p);
+	if (p->doubted)
+		apply_doubt(p, &r->held, r->busy);
+}
+
+void
+prf_doubted(struct prf *p, int64_t proved)
+{
+	if (p->doubted)
+		return;
+	p->doubted = true;
+	p->doubt_proved = proved;
+	if (p->known)
+		apply_doubt(p, &p->held, p->busy);
 }
 
 /* Whether the report is from before the answer to the last order. */
--- a/lib/stage/proof.h
+++ b/lib/stage/proof.h
@@ -60,6 +60,10 @@
 	struct prf_weights held; /* as last reported */
 	struct prf_weights proved; /* of these, or those that are loaded now */
 	bool busy;
+	/* The sidecar's process before this one ended in doubt; it knew this
+	 * version to be proved. */
+	bool doubted;
+	int64_t doubt_proved;
 	struct prf_order order; /* the last one */
 	int64_t order_sequence; /* that it expects */
 	int64_t answered_us; /* when it was answered; 0: never */
@@ -73,6 +77,13 @@
 
 void prf_reported(struct prf *p, const struct prf_report *report);
 void prf_restarted(struct prf *p); /* the engine; its next report follows */
+/*
+ * The process before this one ended while an order of its own was in doubt or the
+ * weights were, except those of `proved` (0: none). It may have written chunks
+ * since the engine loaded them, so a read-back proves nothing. Only the first
+ * call counts.
+ */
+void prf_doubted(struct prf *p, int64_t proved);
 /* Sequence that the order must state, or PRF_NO_SEQUENCE. */
 int64_t prf_order_sent(struct prf *p, const struct prf_order *order);
 void prf_order_answered(
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -84,13 +84,10 @@
 		    report->running);
 	tgt_set_side_down(t, down, now_us);
 	note_silence(g, t, report->silent != 0);
-	t->uncertain = report->uncertain != 0;
 	t->terminated = report->engine == SIDE_ENGINE_DOWN;
 	if (t->terminated && !was_terminated)
 		fwd_target_terminated(g->fwd, t);
-	g_strlcpy(t->model, report->version > 0 ? t->service->engine.model : "",
-	    sizeof(t->model));
-	t->version = (int64_t)report->version;
+	tgt_side_version(t, report);
 	tgt_set_slowdown(t, report->slowdown_permille);
 }
 
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -238,9 +238,22 @@
 	bool local, remote;
 };
 
+/* The same state for a sidecar that last reported a doubt. */
+static void
+send_doubted(struct gateway *g, const struct tgt *t, const char *to,
+    const struct side_desired *desired)
+{
+	struct side_desired own = *desired;
+
+	own.doubted = 1;
+	own.proved = (uint64_t)t->version;
+	dgram_send(g->peers, to, &side_desired_desc, &own);
+}
+
 static void
 send_desired(struct gateway *g, struct tgt_service *service,
-    const struct recipients *recipients, const GByteArray *packed)
+    const struct recipients *recipients, const struct side_desired *desired,
+    const GByteArray *packed)
 {
 	unsigned int port = peers_port(g);
 	struct sockaddr_in at;
@@ -254,7 +267,11 @@
 		if (!sidecar_address(t, port, &at))
 			continue;
 		sock_format(&at, to, sizeof(to));
-		dgram_send_packed(g->peers, to, &side_desired_desc, packed);
+		if (t->uncertain)
+			send_doubted(g, t, to, desired);
+		else
+			dgram_send_packed(
+			    g->peers, to, &side_desired_desc, packed);
 		t->gateway_announced = true;
 	}
 }
@@ -274,7 +291,7 @@
 		ctr_add(ctr_get(g->st.counters, "views_too_large"), 1);
 		return;
 	}
-	send_desired(g, service, recipients, packed);
+	send_desired(g, service, recipients, &desired, packed);
 	g_byte_array_unref(packed);
 }
 
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -143,6 +143,9 @@
 	int64_t answered_us; /* its last report */
 	bool up;
 	bool silent; /* it leaves reports unanswered, and may go on */
+	/* The gateways have told by then what the process before this one
+	 * doubted; 0: none has sent anything. */
+	int64_t settled_us;
 	struct prf proof; /* of the weights that it holds */
 	struct prf proof_logged; /* as last logged */
 	int64_t loaded; /* version, complete and proved; 0: none */
@@ -230,6 +233,8 @@
 /* keeper_views.c: the gateways' desired state, and the roster */
 void keeper_take_desired(
     struct keeper *k, const char *from, const struct side_desired *desired);
+/* Some gateways may still tell what the process before this one doubted. */
+bool keeper_is_starting(const struct keeper *k);
 void keeper_take_page(struct keeper *k, const struct side_roster_page *page);
 
 /* keeper_rate.c: rate limits, and permits for gateways */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -290,6 +290,7 @@
 		.limit_milli = rate_to_milli(status->limit),
 		.silent = status->silent,
 		.uncertain = status->uncertain,
+		.starting = keeper_is_starting(k),
 		.sharers = acct_copies_sharers(&k->accounts, keeper_now(k)),
 	};
 	for (i = 0; i < k->gateways->len; i++)
@@ -362,6 +363,9 @@
 	status = current_status(k);
 	if (status.slow_link != k->reported.slow_link)
 		evt(EVT_WEIGHTS, "step=link slow=%d", status.slow_link);
+	/* From now on gateways mean a doubt of this process. */
+	if (status.uncertain && keeper_is_starting(k))
+		k->settled_us = keeper_now(k);
 	plan = plan_reports(k, &status);
 	k->report_seq++;
 	fill_report(k, &status, &report);
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -18,6 +18,8 @@
  * regions.
  */
 #define ROSTER_REMOTE_US 600000
+/* Gateways of remote regions send their desired state every second. */
+#define SETTLE_US 1500000
 
 /* ------------------------------------------------------------------ */
 /* Roster                                                              */
@@ -109,6 +111,12 @@
 /* Desired state                                                       */
 /* ------------------------------------------------------------------ */
 
+bool
+keeper_is_starting(const struct keeper *k)
+{
+	return k->settled_us == 0 || keeper_now(k) < k->settled_us;
+}
+
 static void
 add_wanted(struct keeper *k, const struct side_desired *desired,
     uint64_t version, uint64_t age_ms)
@@ -171,6 +179,18 @@
 	k->roster_request_us = 0;
 }
 
+/* Gateways know what the process before this one doubted. */
+static void
+take_doubt(struct keeper *k, const struct side_desired *desired)
+{
+	if (k->settled_us == 0)
+		k->settled_us = keeper_now(k) + SETTLE_US;
+	if (!desired->doubted || !keeper_is_starting(k))
+		return;
+	prf_doubted(&k->proof, (int64_t)desired->proved);
+	keeper_proof_changed(k);
+}
+
 void
 keeper_take_desired(
     struct keeper *k, const char *from, const struct side_desired *desired)
@@ -186,6 +206,7 @@
 	k->layers = (unsigned int)desired->layers;
 	k->may_cut = desired->may_cut != 0;
 	take_model(k, desired);
+	take_doubt(k, desired);
 	request_roster(k, from, desired,
 	    strcmp(region, cfg_str(k->st.cfg, "node.region")) == 0);
 	take_version(k, desired);
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -386,6 +386,29 @@
 	assert_int_equal(t->version, 3);
 }
 
+/* Guards against requests to an engine that loaded corrupt chunks: its sidecar has
+ * started again and does not know yet that an order was in doubt. */
+static void
+test_starting_sidecar_settles_no_doubt(void **state)
+{
+	struct tgt *t = put_started(1000, 1, 0);
+	struct side_report r = { .version = 1, .uncertain = 1 };
+
+	tgt_side_version(t, &r);
+	assert_true(t->uncertain);
+	r = (struct side_report){ .version = 2, .starting = 1 };
+	tgt_side_version(t, &r);
+	assert_true(t->uncertain);
+	assert_int_equal(t->version, 1);
+	r.starting = 0;
+	tgt_side_version(t, &r);
+	assert_false(t->uncertain);
+	assert_int_equal(t->version, 2);
+	r = (struct side_report){ .version = 3, .starting = 1 };
+	tgt_side_version(t, &r);
+	assert_int_equal(t->version, 3);
+}
+
 /* A record of an unknown service has the address of a valid target. */
 static void
 test_unknown_service_takes_no_address(void **state)
@@ -610,6 +633,7 @@
 		T(test_restarted_target_is_a_new_one),
 		T(test_source_of_a_new_start),
 		T(test_record_proves_no_weights),
+		T(test_starting_sidecar_settles_no_doubt),
 		T(test_unknown_service_takes_no_address),
 		T(test_only_loaded_versions),
 		T(test_silent_target_is_avoided),
--- a/tests/stage/test_proof.c
+++ b/tests/stage/test_proof.c
@@ -317,6 +317,50 @@
 	assert_int_equal(prf_usable(&p, LAYERS), 0);
 }
 
+/* Guards against tokens from a chunk that turned corrupt before an order took
+ * effect whose sidecar ended: the next process finds the engine idle. */
+static void
+test_doubt_of_the_process_before(void **state)
+{
+	bool told_first;
+
+	for (told_first = false;; told_first = true) {
+		p = (struct prf){ 0 };
+		if (told_first)
+			prf_doubted(&p, 1);
+		report(1, 2, false);
+		if (!told_first)
+			prf_doubted(&p, 1);
+		assert_int_equal(prf_usable(&p, LAYERS), 0);
+		assert_true(prf_is_uncertain(&p));
+		/* Chunks may have been written since. */
+		assert_false(prf_needs_read_back(&p));
+		if (told_first)
+			break;
+	}
+}
+
+/* The order has not taken effect yet: what was proved before stays in use. */
+static void
+test_doubt_about_the_next_order(void **state)
+{
+	p = (struct prf){ 0 };
+	prf_doubted(&p, 1);
+	report(0, 1, false);
+	assert_int_equal(prf_usable(&p, LAYERS), 1);
+	assert_true(prf_is_uncertain(&p));
+	report(1, 2, false);
+	assert_int_equal(prf_usable(&p, LAYERS), 0);
+	p = (struct prf){ 0 };
+	prf_doubted(&p, 0);
+	report(0, 0, false); /* nothing is loaded */
+	order(2);
+	answer(PRF_BEGUN, 1000);
+	report(1, 2, false);
+	assert_int_equal(prf_usable(&p, LAYERS), 2);
+	assert_false(prf_is_uncertain(&p));
+}
+
 /* An order takes effect while a read-back runs: it proves nothing. */
 static void
 test_order_during_a_read_back(void **state)
@@ -382,6 +426,8 @@
 		T(test_report_before_a_lost_answer),
 		T(test_restarted_engine),
 		T(test_start_beside_a_loading_or_silent_engine),
+		T(test_doubt_of_the_process_before),
+		T(test_doubt_about_the_next_order),
 		T(test_order_during_a_read_back),
 		T(test_engine_without_a_sequence),
 		T(test_number_of_layers_is_not_known),
--- a/tests/system/late_order.sh
+++ b/tests/system/late_order.sh
@@ -33,13 +33,13 @@
 	wait
 }
 
-# There is one engine, so that gateways have no better choice.
-play_without_sidecar() { # play_without_sidecar FOLDER START-AGAIN-AFTER-S OPTIONS...
-	fleet_begin "$BUILD/$1" 1 2
-	end_sidecar "$2" &
+play_without_sidecar() { # play_without_sidecar FOLDER ENGINES START-AGAIN-AFTER-S OPTIONS...
+	fleet_begin "$BUILD/$1" "$2" 2
+	end_sidecar "$3" &
 	ending=$!
-	shift 2
-	fleet_check --engines 1 --empty 0 --rate 30 --bump 2 --seed "${SEED:-1}" "$@" || failed=1
+	engines=$2
+	shift 3
+	fleet_check --engines "$engines" --empty 0 --rate 30 --bump 2 --seed "${SEED:-1}" "$@" || failed=1
 	wait $ending
 }
 
@@ -66,6 +66,9 @@
 play stage-late-order-older --seconds 10 --hold-order-ms 3500 --hold-bump-ms 1500
 loaded 3
 # The sidecar ends before its order is answered, and gateways go by the engine's
-# record in the store.
-play_without_sidecar stage-late-order-ended 0 --seconds 9 --hold-order-ms 3500
+# record in the store: there is no other engine.
+play_without_sidecar stage-late-order-ended 1 0 --seconds 9 --hold-order-ms 3500
+# It starts again after the engine has loaded, and finds it idle.
+play_without_sidecar stage-late-order-again 2 4 --seconds 10 --hold-order-ms 3500
+loaded 2
 exit $failed
