tests: Late writes, restarts and several corrupt chunks at a held engine

The stand-in can hold a single write until an order for the next version arrives, end the engine's process while an order or a write is held (with the same start time or another), announce a version after a held write, and corrupt another chunk at each hold.

--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -773,6 +773,8 @@
 static void
 set_started(struct fleet_engine *e)
 {
+	if (e->f->keeps_start && e->started_ms != 0)
+		return;
 	e->started_ms = g_get_real_time() / 1000;
 }
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -148,6 +148,7 @@
 	struct fleet_engine *engine[FLEET_ENGINES_MAX];
 	size_t nengines;
 	int late_reads; /* of the first engine's staging area */
+	bool keeps_start; /* engines that restart report the same start time */
 	int64_t version, announced_us; /* newest, and when it was announced */
 	int64_t previous_version;
 	/* Origin. */
@@ -464,6 +465,10 @@
 /* `watches` is borrowed and ends with one without `begin`. */
 void fleet_proxy_watch_requests(
     struct fleet_proxy *proxy, const struct fleet_proxy_watch *watches);
+/* From a watch: the request that it sees arrives at this time, also if its caller
+ * leaves before; 0: when all that are held are released. Others pass. */
+void fleet_proxy_hold_request(struct fleet_proxy *proxy, int64_t until_us);
+void fleet_proxy_release_requests(struct fleet_proxy *proxy);
 void fleet_proxy_reset(struct fleet_proxy *proxy); /* all its connections */
 /* Last time at which it held back or reset traffic; 0: never. */
 int64_t fleet_proxy_disturbed_us(const struct fleet_proxy *proxy);
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -31,6 +31,8 @@
 	struct fleet_conn caller, target;
 	bool target_ended; /* in order; its bytes are still to be delivered */
 	bool caller_ended; /* the same, while the target is held */
+	bool held; /* its request is, and arrives later */
+	struct evl_timer release;
 	struct endless_sender endless; /* with a kind: answers the caller */
 };
 
@@ -44,6 +46,7 @@
 	unsigned int endless_kind; /* of the next answer without end */
 	size_t endless_most; /* bytes of the longest one */
 	const struct fleet_proxy_watch *watches; /* NULL: none */
+	struct fleet_pipe *noted; /* the request that a watch sees now */
 	LIST_HEAD(fleet_pipes, fleet_pipe) pipes;
 };
 
@@ -61,6 +64,7 @@
 			    &now, sizeof(now));
 		evl_unwatch(p->proxy->f->loop, &conns[i]->fd);
 		evl_timer_stop(p->proxy->f->loop, &conns[i]->delay);
+		evl_timer_stop(p->proxy->f->loop, &p->release);
 		close(conns[i]->fd.fd);
 		hbuf_free(&conns[i]->out);
 	}
@@ -73,6 +77,8 @@
 {
 	enum proxy_mode mode = c->pipe->proxy->mode;
 
+	if (c->pipe->held && c == &c->pipe->target)
+		return true;
 	if (mode == PROXY_STALL || mode == PROXY_HELD)
 		return true;
 	return (mode == PROXY_STALL_RESPONSES || mode == PROXY_SILENT) &&
@@ -125,7 +131,7 @@
 {
 	struct fleet_pipe *p = c->pipe;
 
-	if (c == &p->caller && p->proxy->mode == PROXY_HELD) {
+	if (c == &p->caller && (p->held || p->proxy->mode == PROXY_HELD)) {
 		p->caller_ended = true;
 		evl_unwatch(p->proxy->f->loop, &p->caller.fd);
 		return;
@@ -160,15 +166,17 @@
 
 /* Tells the watches of a request whose head begins these bytes. */
 static void
-note_request(const struct fleet_proxy *proxy, const uint8_t *data, size_t len)
+note_request(struct fleet_pipe *p, const uint8_t *data, size_t len)
 {
-	const struct fleet_proxy_watch *w = proxy->watches;
+	const struct fleet_proxy_watch *w = p->proxy->watches;
 
+	p->proxy->noted = p;
 	for (; w != NULL && w->begin != NULL; w++) {
 		if (len >= strlen(w->begin) &&
 		    memcmp(data, w->begin, strlen(w->begin)) == 0)
 			w->seen(w->ctx);
 	}
+	p->proxy->noted = NULL;
 }
 
 static void
@@ -192,7 +200,8 @@
 	n = recv(c->fd.fd, buffer, sizeof(buffer), 0);
 	if (n < 0 && errno == EAGAIN)
 		return;
-	if (n < 0 && c == &p->caller && p->proxy->mode == PROXY_HELD)
+	if (n < 0 && c == &p->caller &&
+	    (p->held || p->proxy->mode == PROXY_HELD))
 		n = 0;
 	if (n < 0 || hbuf_left(&other->out) + (size_t)n > BUFFERED_MAX) {
 		pipe_close(p, true);
@@ -213,7 +222,7 @@
 	}
 	hbuf_add(&other->out, buffer, (size_t)n);
 	if (c == &p->caller)
-		note_request(p->proxy, buffer, (size_t)n);
+		note_request(p, buffer, (size_t)n);
 	if (p->proxy->mode == PROXY_DELAY) {
 		other->delay.fire = on_delay;
 		evl_timer_set(
@@ -313,6 +322,38 @@
 	}
 }
 
+static void
+on_release(struct evl_timer *t)
+{
+	struct fleet_pipe *p = CONTAINER_OF(t, struct fleet_pipe, release);
+
+	p->held = false;
+	flush(&p->target);
+}
+
+void
+fleet_proxy_hold_request(struct fleet_proxy *proxy, int64_t until_us)
+{
+	struct fleet_pipe *p = proxy->noted;
+
+	p->held = true;
+	p->release.fire = on_release;
+	if (until_us != 0)
+		evl_timer_set(proxy->f->loop, &p->release, until_us);
+}
+
+void
+fleet_proxy_release_requests(struct fleet_proxy *proxy)
+{
+	struct fleet_pipe *p;
+
+	LIST_FOREACH (p, &proxy->pipes, link) {
+		if (p->held)
+			evl_timer_set(proxy->f->loop, &p->release,
+			    evl_now_us(proxy->f->loop));
+	}
+}
+
 void
 fleet_proxy_reset(struct fleet_proxy *proxy)
 {
