proof: Load again also where the number of layers is not known; names

What callers would see: an engine that stays out of service after a load that could not be proved, until the next version.

Cause, found by review: with fewer than two known layers the order was for what the engine holds, which is in effect already; the answer ended the wait for a load, so check and order followed each other at the rate of reports.

Change: without a number from the settings that of the held layers is used; only an order that has begun can have loaded anything. An order that is given up with its version has a line. unprovable, which was refuted, says what it means.

--- a/lib/serve/fwd_head.c
+++ b/lib/serve/fwd_head.c
@@ -91,7 +91,7 @@
 	append_field(
 	    out, d, SV_F_URGENCY, "%d", CLAMP(r->priority, 0, URGENCY_MAX));
 	least = vers_min(r->fwd->conf.versions, r->model, fwd_now(r));
-	/* Refuses requests that arrive after an order in doubt took effect. */
+	/* An engine refuses the request once an order in doubt took effect. */
 	if ((least > 0 || target->uncertain) && target->version > 0)
 		append_field(out, d, SV_F_EXPECT_VERSION, "%" G_GINT64_FORMAT,
 		    target->version);
--- a/lib/stage/proof.c
+++ b/lib/stage/proof.c
@@ -37,7 +37,7 @@
 note_unproved(struct prf *p)
 {
 	p->unproved = true;
-	p->refuted = p->rewritten || p->write_in_doubt;
+	p->unprovable = p->rewritten || p->write_in_doubt;
 	p->in_doubt = false;
 	p->reading = false;
 	p->proved = (struct prf_weights){ 0 };
@@ -53,7 +53,7 @@
 		return;
 	}
 	note_unproved(p);
-	p->refuted = true;
+	p->unprovable = true;
 }
 
 /* What the first report shows was loaded by orders of an earlier process. It is
@@ -123,7 +123,7 @@
 	p->held = r->held;
 	p->busy = r->busy;
 	if (is_empty(&r->held) && !r->busy)
-		p->unproved = p->refuted = false;
+		p->unproved = p->unprovable = false;
 }
 
 void
@@ -148,7 +148,7 @@
 	if (!p->reading)
 		return;
 	p->reading = false;
-	p->refuted = !valid;
+	p->unprovable = !valid;
 	if (!valid)
 		return;
 	p->unproved = false;
@@ -159,7 +159,7 @@
 prf_write_sent(struct prf *p)
 {
 	p->rewritten = true;
-	p->refuted = p->unproved;
+	p->unprovable = p->unproved;
 }
 
 void
@@ -212,13 +212,13 @@
 		p->sequence = p->order_sequence + 1;
 	p->busy = true;
 	if (kept)
-		p->refuted = true;
+		p->unprovable = true;
 	if (kept || !was_in_time(p, now_us))
 		return;
 	/* A late write may have replaced a chunk after the check; what it
 	 * spoilt stays so until the next write. */
 	p->unproved = p->write_in_doubt;
-	p->refuted = false;
+	p->unprovable = false;
 	if (!p->unproved)
 		p->proved = p->order.weights;
 }
@@ -229,6 +229,7 @@
 	bool ahead = p->ahead;
 
 	p->answered_us = now_us;
+	p->has_begun = outcome == PRF_BEGUN;
 	p->in_flight = p->ahead = false;
 	if (outcome == PRF_BEGUN) {
 		note_begun(p, now_us);
@@ -266,24 +267,26 @@
 bool
 prf_has_loaded(const struct prf *p)
 {
-	return !p->busy && p->held.version != 0 &&
+	return p->has_begun && !p->busy && p->held.version != 0 &&
 	    same_weights(&p->held, &p->order.weights);
 }
 
 bool
 prf_needs_read_back(const struct prf *p)
 {
-	return p->unproved && !p->refuted && !p->busy && !is_empty(&p->held);
+	return p->unproved && !p->unprovable && !p->busy && !is_empty(&p->held);
 }
 
 struct prf_weights
 prf_next(const struct prf *p, int64_t version, unsigned int layers)
 {
-	struct prf_weights all = { version, 0, layers > 0 ? layers : UINT_MAX };
-	struct prf_weights lower = { version, 0, layers / 2 };
-	struct prf_weights upper = { version, layers / 2, layers };
+	unsigned int n = layers > 0 ? layers : p->held.to;
+	struct prf_weights all = { version, 0, n > 0 ? n : UINT_MAX };
+	struct prf_weights lower = { version, 0, n / 2 };
+	struct prf_weights upper = { version, n / 2, n };
 
-	if (layers < 2 || p->held.version != version || is_empty(&p->held))
+	if (n < 2 || n == UINT_MAX || p->held.version != version ||
+	    is_empty(&p->held))
 		return all;
 	if (!p->unproved && contains(&p->proved, &p->held))
 		return all;
--- a/lib/stage/proof.h
+++ b/lib/stage/proof.h
@@ -50,17 +50,19 @@
 struct prf {
 	bool known; /* a report was read */
 	bool unproved; /* something was loaded without a proof */
-	bool refuted; /* and no read-back can prove it */
+	bool unprovable; /* and no read-back can prove it */
 	bool in_doubt; /* an order may still take effect */
 	bool in_flight; /* an order was sent and is not answered yet */
-	bool ahead; /* but a report shows that it has begun */
+	bool ahead; /* a report shows that the order in flight has begun */
+	bool has_begun; /* the last order, by its answer */
 	bool reading; /* a read-back is in progress */
 	/* A chunk was written since the last order without a doubt. */
 	bool rewritten;
 	bool write_in_doubt; /* a write may still take effect */
 	int64_t sequence; /* as last known */
 	struct prf_weights held; /* as last reported */
-	struct prf_weights proved; /* of these, or those that are loaded now */
+	/* Of these; or of the last order, until the engine reports them. */
+	struct prf_weights proved;
 	bool busy;
 	/* The sidecar's process before this one ended in doubt; it knew this
 	 * version to be proved. */
@@ -106,7 +108,7 @@
 /* Whether the engine may hold, now or as soon as an order takes effect, weights
  * without a proof. */
 bool prf_is_uncertain(const struct prf *p);
-/* Whether a read-back can prove the held weights. */
+/* Whether the held weights need a read-back, which can prove them. */
 bool prf_needs_read_back(const struct prf *p);
 /*
  * What to order next towards a complete load of `version`. An engine that holds
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -116,13 +116,13 @@
 	const char *outcome = "none";
 
 	if (now->unproved == before->unproved &&
-	    now->refuted == before->refuted &&
+	    now->unprovable == before->unprovable &&
 	    now->in_doubt == before->in_doubt)
 		return;
 	if (!now->unproved)
 		outcome = now->in_doubt ? "order_in_doubt" : "proved";
-	else if (now->refuted)
-		outcome = "refuted";
+	else if (now->unprovable)
+		outcome = "unprovable";
 	ctr_add(ctr_get(k->st.counters, "proof_changes"), 1);
 	evt(EVT_WEIGHTS,
 	    "step=proof version=%" G_GINT64_FORMAT
--- a/programs/side/keeper_stage.c
+++ b/programs/side/keeper_stage.c
@@ -39,8 +39,14 @@
 	k->call = NULL;
 	if (k->call_kind == KEEPER_WRITE)
 		prf_write_in_doubt(&k->proof);
-	if (k->call_kind == KEEPER_ORDER)
-		prf_order_answered(&k->proof, PRF_UNKNOWN, keeper_now(k));
+	if (k->call_kind != KEEPER_ORDER)
+		return;
+	evt(EVT_ORDER,
+	    "model=%s version=%" G_GINT64_FORMAT
+	    " status=0 outcome=unknown timed_out=0 seq=%" G_GINT64_FORMAT,
+	    k->model, k->call_copy->version, k->engine.sequence);
+	prf_order_answered(&k->proof, PRF_UNKNOWN, keeper_now(k));
+	keeper_proof_changed(k);
 }
 
 static void
@@ -288,7 +294,7 @@
 	struct keeper *k = c->keeper;
 	bool accepted = a->status == 200 || a->status == 202;
 	const char *outcome = "refused";
-	enum prf_outcome proof = PRF_NOT_BEGUN;
+	enum prf_outcome begun = PRF_NOT_BEGUN;
 
 	k->call = NULL;
 	if (accepted)
@@ -296,10 +302,10 @@
 	else if (a->status == 0 && a->sent)
 		outcome = "unknown"; /* the next reports show it */
 	if (a->status == 202)
-		proof = PRF_BEGUN;
+		begun = PRF_BEGUN;
 	else if (a->status == 0 && a->sent)
-		proof = PRF_UNKNOWN;
-	prf_order_answered(&k->proof, proof, keeper_now(k));
+		begun = PRF_UNKNOWN;
+	prf_order_answered(&k->proof, begun, keeper_now(k));
 	evt(EVT_ORDER,
 	    "model=%s version=%" G_GINT64_FORMAT
 	    " status=%u outcome=%s age_ms=%" G_GINT64_FORMAT
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -172,6 +172,8 @@
 	g_strlcpy(k->model, model, sizeof(k->model));
 	keeper_drop_all(k);
 	k->proof = (struct prf){ 0 };
+	k->layers = 0;
+	keeper_proof_changed(k);
 	stg_deadlines_clear(&k->deadlines);
 	roster_free(k->roster);
 	k->roster = roster_new();
@@ -203,9 +205,10 @@
 	g_strlcpy(k->origin_region, keeper_region(k, domain),
 	    sizeof(k->origin_region));
 	k->slots = (unsigned int)desired->slots;
-	k->layers = (unsigned int)desired->layers;
 	k->may_cut = desired->may_cut != 0;
 	take_model(k, desired);
+	if (desired->layers != 0)
+		k->layers = (unsigned int)desired->layers;
 	take_doubt(k, desired);
 	request_roster(k, from, desired,
 	    strcmp(region, cfg_str(k->st.cfg, "node.region")) == 0);
--- a/tests/stage/test_proof.c
+++ b/tests/stage/test_proof.c
@@ -247,6 +247,31 @@
 	assert_int_equal(prf_usable(&p, LAYERS), 2);
 }
 
+/* Guards against the same where the settings do not state the number of layers. */
+static void
+test_unknown_number_of_layers_is_that_of_the_held(void **state)
+{
+	struct prf_weights next;
+
+	order(2);
+	answer(PRF_UNKNOWN, SECOND);
+	report(1, 2, false);
+	read_back(false);
+	next = prf_next(&p, 2, 0);
+	assert_int_equal(next.from, LAYERS / 2);
+	assert_int_equal(next.to, LAYERS);
+}
+
+/* Guards against one order after the other, each of which is in effect already. */
+static void
+test_order_in_effect_has_loaded_nothing(void **state)
+{
+	order(1);
+	answer(PRF_NOT_BEGUN, 1000);
+	report(0, 1, false);
+	assert_false(prf_has_loaded(&p));
+}
+
 /* The same while orders are answered late: it ends once they are in time. */
 static void
 test_late_orders_while_loading_again(void **state)
@@ -442,6 +467,8 @@
 		T(test_write_in_doubt_proves_nothing),
 		T(test_write_in_doubt_after_the_check),
 		T(test_refuted_weights_are_loaded_again),
+		T(test_unknown_number_of_layers_is_that_of_the_held),
+		T(test_order_in_effect_has_loaded_nothing),
 		T(test_late_orders_while_loading_again),
 		T(test_reports_around_an_answer),
 		T(test_report_before_a_lost_answer),
