keeper: Read chunks back after a load while a write is in doubt

What callers saw: events made with a chunk of an older version.

Cause: the write of a chunk that was given up with its version may arrive at any time, also between the check of the next version and the engine's answer to the order. That answer, in time, was taken for a proof.

Change: while a write is in doubt, an order that was answered in time begins a load without a proof, and a read-back after it decides. The engine counts as busy from the answer on, so that no read-back begins before its load has ended.

Why it holds: what the late write spoilt stays so until the next write, and none is sent between the order and the read-back.

--- a/lib/stage/proof.c
+++ b/lib/stage/proof.c
@@ -210,12 +210,17 @@
 	note_unproved(p);
 	if (p->order_sequence != PRF_NO_SEQUENCE)
 		p->sequence = p->order_sequence + 1;
+	p->busy = true;
 	if (kept)
 		p->refuted = true;
 	if (kept || !was_in_time(p, now_us))
 		return;
-	p->unproved = p->refuted = false;
-	p->proved = p->order.weights;
+	/* A late write may have replaced a chunk after the check; what it
+	 * spoilt stays so until the next write. */
+	p->unproved = p->write_in_doubt;
+	p->refuted = false;
+	if (!p->unproved)
+		p->proved = p->order.weights;
 }
 
 void
--- a/lib/stage/proof.h
+++ b/lib/stage/proof.h
@@ -9,9 +9,11 @@
  * it has begun, and reports this sequence. Weights are proved if the last order
  * that changed them was answered while the check before it was still valid, or
  * if a read-back after it found all chunks valid: corrupt chunks recover only if
- * they are written again, so these were valid when they were loaded. Without a
- * proof the engine must get no requests. Each order states the sequence that it expects,
- * so of those that are in doubt at most one takes effect. Pure.
+ * they are written again, so these were valid when they were loaded. While a
+ * write is in doubt only the read-back counts: a chunk of another version may
+ * arrive between the check and the load. Without a proof the engine must get no
+ * requests. Each order states the sequence that it expects, so of those that are
+ * in doubt at most one takes effect. Pure.
  */
 
 #include "common/common.h"
