keeper: Keep in mind chunks written before an order that was refused

What callers saw: events made with a chunk that had been corrupt for longer than three seconds, after the engine's sidecar had started again.

Cause: the order of the process before took effect just as the new process wrote the corrupt chunk again, checked and ordered. The engine refused that order (409), as its sequence had risen. The new process had forgotten its own write as it sent the order, so it took the read-back after the load for a proof.

Change: a refused order leaves the writes before it in mind.

Why it holds: writes before an order are before its load only if this order begins.

--- a/lib/stage/proof.c
+++ b/lib/stage/proof.c
@@ -178,6 +178,7 @@
 	p->order = *order;
 	p->order_sequence = p->sequence;
 	p->in_flight = true;
+	p->rewritten_before = p->rewritten;
 	if (!p->unproved && !p->in_doubt)
 		p->rewritten = false;
 	return p->sequence;
@@ -236,6 +237,9 @@
 	}
 	if (outcome == PRF_UNKNOWN)
 		p->in_doubt = true;
+	/* Another order may have begun, before the last writes. */
+	else if (p->rewritten_before)
+		p->rewritten = true;
 	if (!ahead)
 		return;
 	note_unproved(p);
--- a/lib/stage/proof.h
+++ b/lib/stage/proof.h
@@ -57,6 +57,7 @@
 	bool reading; /* a read-back is in progress */
 	/* A chunk was written since the last order without a doubt. */
 	bool rewritten;
+	bool rewritten_before; /* the same, as the last order was sent */
 	bool write_in_doubt; /* a write may still take effect */
 	int64_t sequence; /* as last known */
 	struct prf_weights held; /* as last reported */
--- a/tests/stage/test_proof.c
+++ b/tests/stage/test_proof.c
@@ -171,6 +171,24 @@
 	assert_int_equal(prf_usable(&p, LAYERS), 0);
 }
 
+/* Guards against a load that a read-back proves although its corrupt chunk was
+ * written again: an order of the sidecar's earlier process takes effect, and the
+ * engine refuses that of the next one. */
+static void
+test_order_refused_for_another(void **state)
+{
+	prf_write_sent(&p);
+	order(2);
+	report(1, 0, true);
+	answer(PRF_NOT_BEGUN, 1000);
+	report(1, 2, false);
+	assert_int_equal(prf_usable(&p, LAYERS), 0);
+	assert_false(prf_needs_read_back(&p));
+	order(2);
+	answer(PRF_NOT_BEGUN, 1000);
+	assert_int_equal(prf_usable(&p, LAYERS), 0);
+}
+
 static void
 test_write_in_doubt_proves_nothing(void **state)
 {
@@ -439,6 +457,7 @@
 		T(test_second_order_settles_the_first),
 		T(test_refused_order_leaves_the_first_in_doubt),
 		T(test_repaired_chunks_prove_nothing),
+		T(test_order_refused_for_another),
 		T(test_write_in_doubt_proves_nothing),
 		T(test_write_in_doubt_after_the_check),
 		T(test_refuted_weights_are_loaded_again),
