soak: Count a process as disturbed until it has started again

Cause, traced from their logs: the gateway was being killed and started again by the script itself.

Change: the time from the signal to the start is one disturbance. Nothing else is excused.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -53,6 +53,14 @@
 	esac
 }
 
+# The same for the whole time since BEGUN, in which a process ended and started
+# again: on a busy machine that takes longer than a second.
+note_restarted() { # note_restarted NAME BEGUN
+	case $1 in
+	gateway-*) echo "${1#gateway-} $2 $(date +%s.%N | awk -v begun="$2" '{ print $1 - begun }') ended" >>"$STAGE/disturbed" ;;
+	esac
+}
+
 # For awk: reads the table of disturbances, and tells whether the gateway was
 # disturbed between two times.
 DISTURBED='NR == FNR { n++; gateway[n] = $1 - 1; from[n] = $2; to[n] = $2 + $3 + 1; next }
@@ -99,6 +107,7 @@
 }
 
 restart() { # restart NAME SIGNAL
+	begun=$(date +%s.%N)
 	note_disturbed "$1" "$([ "$2" = TERM ] && echo 5 || echo 0)"
 	pid=$(cat "$STAGE/$1.pid")
 	kill -CONT "$pid" 2>/dev/null
@@ -115,7 +124,7 @@
 	*) echo "soak: $1 ended with $code" | tee -a "$STAGE/crashes" ;;
 	esac
 	fleet_start "$1"
-	note_disturbed "$1" 0
+	note_restarted "$1" "$begun"
 }
 
 # A process that has exited without a signal from this script has crashed.
@@ -180,6 +189,7 @@
 restart_together() { # restart_together SIGNAL NAME...
 	signal=$1
 	shift
+	begun=$(date +%s.%N)
 	for name; do
 		pid=$(cat "$STAGE/$name.pid")
 		note_disturbed "$name" "$([ "$signal" = TERM ] && echo 5 || echo 0)"
@@ -195,7 +205,7 @@
 		*) echo "soak: $name ended with $code" | tee -a "$STAGE/crashes" ;;
 		esac
 		fleet_start "$name"
-		note_disturbed "$name" 0
+		note_restarted "$name" "$begun"
 	done
 }
 
