tests: Name of a test, and the options of the stand-in

Read again as a newcomer: refuted is not a state any more; the head of the stand-in did not mention the options of two of its files. No check changes; stage-proof passes.

--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -13,6 +13,7 @@
  *         --settings-gap-ms N --idle-ms N --other-idle-ms N --many-routes N
  *         --late N --crowd N --ends-judged 0|1
  *         --fail-from SECONDS --fail-permille N --failures 0|1
+ *         and those of held.c (--hold-*) and odd.c (--odd-*); see --help
  *
  * Silences are of sound engines, which go on where they were. Settings change
  * the idle limit and add routes by the hundred; callers reuse kept connections
--- a/tests/stage/test_proof.c
+++ b/tests/stage/test_proof.c
@@ -247,7 +247,7 @@
 /* Guards against an engine that stays out of service: it takes an order for the
  * layers that it holds for one that is in effect. */
 static void
-test_refuted_weights_are_loaded_again(void **state)
+test_unprovable_weights_are_loaded_again(void **state)
 {
 	order(2);
 	answer(PRF_UNKNOWN, SECOND);
@@ -485,7 +485,7 @@
 		T(test_order_refused_for_another),
 		T(test_write_in_doubt_proves_nothing),
 		T(test_write_in_doubt_after_the_check),
-		T(test_refuted_weights_are_loaded_again),
+		T(test_unprovable_weights_are_loaded_again),
 		T(test_unknown_number_of_layers_is_that_of_the_held),
 		T(test_order_in_effect_has_loaded_nothing),
 		T(test_late_orders_while_loading_again),
