tests: Make every gateway need the engine whose entry was odd

Cause: the test's own. Gateways prefer engines of their region while these have free slots (tgt_choose.c). Gateway 2 has one there, so that the first engine, of the other region, gets none of its 68 or so requests but by chance; in one of these runs it had sent it one before its entry turned odd, too. The gateway had the engine among its targets again (ev=target at 793.785, revision 11).

Change: once the first engine has written its own entry again, those of the others are overwritten for 1.5 s. Both gateways must use it then, or refuse every request of that time. The checks stay as they are: each gateway removes the engine and sends it requests afterwards, none fails, all three load the next version.

--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -818,6 +818,12 @@
 	return start_server(e, err);
 }
 
+bool
+fleet_engine_is_llm(const struct fleet *f, size_t i)
+{
+	return f->engine[i]->llm;
+}
+
 const char *
 fleet_engine_id(const struct fleet *f, size_t i)
 {
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -212,6 +212,8 @@
 void fleet_engine_publish(struct fleet *f, size_t i); /* writes its record */
 /* The id of the engine's record in the store. */
 const char *fleet_engine_id(const struct fleet *f, size_t i);
+/* Otherwise it is a plain target. */
+bool fleet_engine_is_llm(const struct fleet *f, size_t i);
 /* Restarts the engine at once with nothing loaded, under its id or another. */
 void fleet_engine_crash(struct fleet *f, size_t i, bool keeps_id);
 /* Terminates the engine's process: all connections are reset, and its address
--- a/tests/fleet/odd.c
+++ b/tests/fleet/odd.c
@@ -13,6 +13,7 @@
 #define DEPTH 60000 /* of nested settings */
 #define ODD_VERSION 1000 /* of the first ones, above the valid ones' */
 #define OWN_GAP_US 700000
+#define ONLY_ENGINE_US 1500000
 #define SETTINGS_GAP_US 600000 /* time for gateways to apply them */
 
 static int claim_s, report_s, settings_s, own_s;
@@ -101,9 +102,10 @@
 		    fleet->loop, t, evl_now_us(fleet->loop) + SETTINGS_GAP_US);
 }
 
-/* Overwrites the first engine's entry, and lets it write its own at last. */
-static void
-on_own(struct evl_timer *t)
+/* Overwrites the first engine's entry with the `n`th odd one; false if there are
+ * no more. */
+static bool
+put_odd_own(unsigned int n)
 {
 #define ENTRY(slots, port, version)                                          \
 	"{\"service\":\"" FLEET_LLM "\",\"address\":\"127.0.0.1:" port "\"," \
@@ -114,14 +116,11 @@
 		ENTRY("8", "9", "18446744073709551617"),
 		ENTRY("-99999999999999999999", "9", "1"), NULL /* nested */ };
 #undef ENTRY
-	static unsigned int n;
 	const char *id = fleet_engine_id(fleet, 0);
 	char *nested;
 
-	if (n == G_N_ELEMENTS(specs)) {
-		fleet_engine_publish(fleet, 0);
-		return;
-	}
+	if (n >= G_N_ELEMENTS(specs))
+		return false;
 	if (specs[n] == NULL) {
 		nested = g_strnfill(DEPTH, '[');
 		memset(nested + DEPTH / 2, ']', DEPTH / 2);
@@ -129,8 +128,44 @@
 		g_free(nested);
 	} else
 		fleet_store_put(fleet, "servers", id, specs[n]);
-	n++;
-	evl_timer_set(fleet->loop, t, evl_now_us(fleet->loop) + OWN_GAP_US);
+	return true;
+}
+
+/* Removes the entries of all engines but the first, or publishes them again. */
+static void
+publish_others(bool publish)
+{
+	size_t i;
+
+	for (i = 1; i < fleet->nengines && fleet_engine_is_llm(fleet, i); i++) {
+		if (publish)
+			fleet_engine_publish(fleet, i);
+		else
+			fleet_store_put(fleet, "servers",
+			    fleet_engine_id(fleet, i), "null");
+	}
+}
+
+/* The first engine writes its own entry again; the others' are removed for a
+ * while, so that every gateway needs the first. */
+static void
+on_own(struct evl_timer *t)
+{
+	static unsigned int n;
+	static bool others_removed;
+	int64_t wait_us = OWN_GAP_US;
+
+	if (others_removed) {
+		publish_others(true);
+		return;
+	}
+	if (!put_odd_own(n++)) {
+		fleet_engine_publish(fleet, 0);
+		publish_others(false);
+		others_removed = true;
+		wait_us = ONLY_ENGINE_US;
+	}
+	evl_timer_set(fleet->loop, t, evl_now_us(fleet->loop) + wait_us);
 }
 
 const char *
