check: Print the output of a failed script

Now the last 20 lines of the test's output are printed, after what cmocka says failed. Tried on a log with a failed script and a failed cmocka test among passed ones; each gives its own lines only.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -37,6 +37,15 @@
 	fi
 }
 
+# Prints the last lines of a failed test's output, which ctest puts after the
+# test's result, and cmocka's lines on what failed.
+print_output() { # print_output NAME LOG
+	awk -v name="$1" '/^ *[0-9]+\/[0-9]+ Test +#/ { on = index($0, ": " name " ") > 0 }
+	    / Start +[0-9]+: / { on = 0 }
+	    on' "$2" >out/failed.log
+	{ grep -E '\[  (FAILED|ERROR)' out/failed.log; tail -n 20 out/failed.log; } | cut -c 1-400
+}
+
 tests() { # tests LABEL BUILD-FOLDER
 	ctest --test-dir "$2" -j 4 --output-on-failure --timeout 240 \
 	    >"out/$1.log" 2>&1
@@ -52,8 +61,7 @@
 		case $line in
 		*" Passed "*) count "$1-$name" 0 ;;
 		*)
-			grep -E "^($name|[0-9]+: )|\[  (FAILED|ERROR)" "out/$1.log" |
-			    head -n 40
+			print_output "$name" "out/$1.log"
 			count "$1-$name" 1
 			;;
 		esac
