--- a/lib/common/clock.c
+++ b/lib/common/clock.c
@@ -10,7 +10,7 @@
 #define QUIET_MAX_US G_USEC_PER_SEC
 #define CATCH_UP_MAX_US (2 * G_USEC_PER_SEC)
 
-/* CLOCK_MONOTONIC stands still while the host is suspended. */
+/* CLOCK_MONOTONIC does not advance while the host is suspended. */
 static int64_t
 system_monotonic(void *ctx)
 {
--- a/lib/common/jtext.h
+++ b/lib/common/jtext.h
@@ -3,7 +3,7 @@
 
 /*
  * jtext: checks the text of a JSON document before it is parsed, for what the
- * parser cannot tell or does not survive. The document may be malformed.
+ * parser does not report or does not survive. The document may be malformed.
  */
 
 #include <stdbool.h>
--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -34,8 +34,8 @@
 
 static struct evl_timer *heap_at(const struct evl *e, size_t i);
 
-/* GLib's clock stands still while the host is suspended, and differs from the
- * loop's by all such times. */
+/* GLib's clock does not advance while the host is suspended, so it differs from
+ * the loop's by the sum of such times. */
 static int64_t
 glib_time_us(const struct evl *e, int64_t at_us)
 {
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -276,8 +276,8 @@
 	/* The target itself knows better than a record, which may have been
 	 * written earlier. */
 	t->leaving = record->leaving || t->announced_leaving;
-	/* A live sidecar's report is newer, and the record does not tell from
-	 * which chunks the version was loaded. */
+	/* A live sidecar's report is newer, and the record does not state
+	 * from which chunks the version was loaded. */
 	if (!tgt_side_is_alive(t, now_us) && !t->uncertain) {
 		g_strlcpy(t->model, record->model, sizeof(t->model));
 		t->version = complete_version(t->service, record);
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -108,8 +108,8 @@
 /* For so long a target's sidecar is expected to report once the target is known. */
 #define RECORD_WAIT_US 2000000
 
-/* The record tells which version is loaded, and not whether from valid chunks: the
- * sidecar does, or counts as gone. */
+/* The record states which version is loaded. Whether its chunks were valid, only
+ * the sidecar reports; one that does not report in time counts as gone. */
 static bool
 knows_weights(const struct tgt *t, int64_t now_us)
 {
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -127,8 +127,8 @@
 
 /*
  * Entries of targets do not count: another writer of the store can claim any
- * version there. Sidecars ignore versions older than the newest that they were
- * told of, so they would ignore the announced ones from then on.
+ * version there. Sidecars ignore versions older than the newest that they have
+ * received, so they would ignore the announced ones from then on.
  */
 static int64_t
 desired_version(struct gateway *g, const struct tgt_service *service)
--- a/programs/shared/http.h
+++ b/programs/shared/http.h
@@ -25,7 +25,7 @@
  * Adds a handler for the requests of a path that arrived whole. libsoup takes a
  * head that broke off between two lines, and a body that broke off between two
  * chunks, for whole ones. A request whose client has closed its connection or
- * its sending side is refused (400, NOT_RUN): it cannot be told from these.
+ * its sending side is refused (400, NOT_RUN), as it looks like one of these.
  */
 void http_add_handler(SoupServer *server, const char *path,
     SoupServerCallback handler, gpointer data);
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -143,7 +143,7 @@
 	int64_t answered_us; /* its last report */
 	bool up;
 	bool silent; /* it leaves reports unanswered, and may go on */
-	/* The gateways have told by then what the process before this one
+	/* By then all gateways have reported what the previous process
 	 * doubted; 0: none has sent anything. */
 	int64_t settled_us;
 	struct prf proof; /* of the weights that it holds */
@@ -233,7 +233,7 @@
 /* keeper_views.c: the gateways' desired state, and the roster */
 void keeper_take_desired(
     struct keeper *k, const char *from, const struct side_desired *desired);
-/* Some gateways may still tell what the process before this one doubted. */
+/* Some gateways may still report what the previous process doubted. */
 bool keeper_is_starting(const struct keeper *k);
 void keeper_take_page(struct keeper *k, const struct side_roster_page *page);
 
