gateway: Keep the doubt about an engine's weights while its record is gone

What callers saw: answers made with a corrupt layer, until the next version. An engine stands still with an order, its sidecar ends, and the silence lasts until the engine's record expires. When it goes on it carries the order out and writes its record again.

Cause: the gateways had been sent that the weights are uncertain, and dropped that together with the record (drop() in tgt.c). So the new record was believed, and a sidecar that starts again was sent no doubt. The same silence that delays the order also expires the record, so all gateways lost it at once; the postmortem had named only restarts of all gateways.

Change: the uncertainty and the version before it are kept as announcements of a stop are, for the same start of the engine, and apply when it is listed again. A restarted engine has lost the order, and drops them. The dropped target itself has no doubt any more, so that a request that still refers to it cannot renew one that is settled.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -132,6 +132,7 @@
 drop(struct tgt_set *s, struct tgt *t)
 {
 	tgt_notice_keep(s, t);
+	t->uncertain = false; /* its next record has the doubt */
 	TAILQ_REMOVE(&t->service->targets, t, link);
 	t->service->ntargets--;
 	g_hash_table_remove(s->by_id, t->record.id);
--- a/lib/serve/tgt_internal.h
+++ b/lib/serve/tgt_internal.h
@@ -36,8 +36,8 @@
 	return (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
 }
 
-/* Announcements of a target that is dropped, and its removal, are kept and apply
- * again when the same start of it is added again. */
+/* Announcements of a target that is dropped, its removal, and the uncertainty of
+ * its weights are kept and apply again when the same start of it is added again. */
 void tgt_notice_keep(struct tgt_set *s, const struct tgt *t);
 void tgt_notice_restore(struct tgt_set *s, struct tgt *t, int64_t now_us);
 /* The store was restored: what records said holds as announced. */
--- a/lib/serve/tgt_notice.c
+++ b/lib/serve/tgt_notice.c
@@ -1,5 +1,6 @@
-/* What targets announced about themselves, and their removal. It holds for one
- * start of a target, also while the store does not list it for a moment. */
+/* What targets announced about themselves, their removal, and that their weights
+ * are uncertain. It holds for one start of a target, also while the store does not
+ * list it for a moment. */
 
 #include <string.h>
 
@@ -19,6 +20,10 @@
 	bool recorded_leaving; /* as its last record said */
 	int64_t retry_after_us;
 	int64_t removed_us;
+	bool uncertain;
+	/* While uncertain: what it served, as its sidecar reported. */
+	char model[SV_ID_MAX];
+	int64_t version;
 };
 
 static struct tgt_kept *
@@ -43,17 +48,34 @@
 	g_free(k);
 }
 
+/* The doubt of `t`, or else the one that is kept for it. */
+static void
+keep_doubt(struct tgt_kept *k, const struct tgt *t, const struct tgt_kept *kept)
+{
+	if (t->uncertain) {
+		k->uncertain = true;
+		g_strlcpy(k->model, t->model, sizeof(k->model));
+		k->version = t->version;
+	} else if (kept != NULL && kept->start_ms == t->record.start_ms) {
+		k->uncertain = kept->uncertain;
+		g_strlcpy(k->model, kept->model, sizeof(k->model));
+		k->version = kept->version;
+	}
+}
+
 void
 tgt_notice_keep(struct tgt_set *s, const struct tgt *t)
 {
 	struct tgt_kept *k;
 
-	if (!t->leaving && t->retry_after_us == 0 && t->removed_us == 0)
+	if (!t->leaving && t->retry_after_us == 0 && t->removed_us == 0 &&
+	    !t->uncertain)
 		return;
+	k = g_new0(struct tgt_kept, 1);
+	keep_doubt(k, t, find(s, t->record.id));
 	tgt_notice_discard(s, t->record.id);
 	if (s->nkept == KEPT_MAX)
 		discard(s, TAILQ_FIRST(&s->kept));
-	k = g_new0(struct tgt_kept, 1);
 	g_strlcpy(k->id, t->record.id, sizeof(k->id));
 	k->start_ms = t->record.start_ms;
 	k->leaving = t->announced_leaving;
@@ -72,6 +94,16 @@
 	    now_us < s->restored_us + RESTORED_SETTLE_US;
 }
 
+static void
+restore_doubt(struct tgt *t, const struct tgt_kept *k)
+{
+	if (!k->uncertain)
+		return;
+	t->uncertain = true;
+	g_strlcpy(t->model, k->model, sizeof(t->model));
+	t->version = k->version;
+}
+
 void
 tgt_notice_restore(struct tgt_set *s, struct tgt *t, int64_t now_us)
 {
@@ -86,6 +118,7 @@
 		if (may_be_gone(s, k, now_us))
 			t->retry_after_us = MAX(t->retry_after_us,
 			    s->restored_us + RESTORED_SETTLE_US);
+		restore_doubt(t, k);
 		t->record.start_ms = k->start_ms;
 	}
 	discard(s, k);
--- a/tests/fleet/held.c
+++ b/tests/fleet/held.c
@@ -16,8 +16,9 @@
 
 static int order_ms, orders = 1, read_ms, write_ms, corrupt_ms = 20;
 static int write_late, corrupted = 1, bump_ms, crash_ms, same_start;
+static int expire_ms;
 static struct fleet *fleet; /* of the timers */
-static struct evl_timer release, corrupt, bump, restart;
+static struct evl_timer release, corrupt, bump, restart, expire;
 static int held_orders;
 static bool held_read, held_write;
 static int64_t held_until_us;
@@ -53,6 +54,10 @@
 		    "N" },
 		{ "hold-crash-ms", 0, POPT_ARG_INT, &crash_ms, 0,
 		    "from the same to a restart of the engine; 0: none", "N" },
+		{ "hold-expire-ms", 0, POPT_ARG_INT, &expire_ms, 0,
+		    "from the same until its record expires, which it writes "
+		    "again when it has loaded; 0: it does not expire",
+		    "N" },
 		{ "hold-same-start", 0, POPT_ARG_INT, &same_start, 0,
 		    "0 or 1: the engine then reports the start time of before",
 		    "N" },
@@ -95,6 +100,12 @@
 	fleet_engine_crash(fleet, 0, true);
 }
 
+static void
+on_expire(struct evl_timer *t)
+{
+	fleet_store_remove(fleet, "servers", fleet_engine_id(fleet, 0));
+}
+
 /* What follows the first order or write that is held. */
 static void
 schedule_changes(void)
@@ -108,6 +119,9 @@
 	if (!done && crash_ms > 0)
 		evl_timer_set(
 		    fleet->loop, &restart, now_us + (int64_t)crash_ms * 1000);
+	if (!done && expire_ms > 0)
+		evl_timer_set(
+		    fleet->loop, &expire, now_us + (int64_t)expire_ms * 1000);
 	done = true;
 }
 
@@ -214,6 +228,7 @@
 	corrupt.fire = on_corrupt;
 	bump.fire = on_bump;
 	restart.fire = on_crash;
+	expire.fire = on_expire;
 	if (is_used())
 		fleet_proxy_watch_requests(f->proxy[1], watches);
 }
--- a/tests/serve/test_tgt.c
+++ b/tests/serve/test_tgt.c
@@ -449,6 +449,65 @@
 	assert_int_equal(t->version, 3);
 }
 
+/* Guards against the same where the record expires while the engine stands still
+ * and its sidecar has ended: the doubt must outlast the record. */
+static void
+test_doubt_outlasts_the_record(void **state)
+{
+	struct side_report r = { .version = 1, .uncertain = 1 };
+	struct tgt *t = put_started(1000, 1, 0);
+
+	g_strlcpy(
+	    t->service->engine.model, "m", sizeof(t->service->engine.model));
+	tgt_side_reported(t, 1, 0);
+	tgt_side_version(t, &r);
+	assert_true(t->uncertain);
+	assert_null(tgt_removed(set, "a", false, 4 * SECOND));
+	t = put_started(1000, 2, 5 * SECOND);
+	assert_true(t->uncertain);
+	assert_int_equal(t->version, 1);
+	assert_string_equal(t->model, "m");
+}
+
+/* Guards against an engine that stays out of service: a request to the target
+ * as it was listed before must not renew a doubt that is settled since. */
+static void
+test_settled_doubt_is_not_renewed(void **state)
+{
+	struct side_report r = { .version = 1, .uncertain = 1 };
+	struct tgt *previous = tgt_ref(put_started(1000, 1, 0)), *t;
+
+	tgt_side_reported(previous, 1, 0);
+	tgt_side_version(previous, &r);
+	assert_null(tgt_removed(set, "a", false, SECOND));
+	/* It stays kept beside what an answer announces. */
+	assert_true(tgt_asked_retry_after(set, previous, 2 * SECOND, SECOND));
+	t = put_started(1000, 2, 2 * SECOND);
+	assert_true(t->uncertain);
+	r = (struct side_report){ .version = 2 };
+	tgt_side_version(t, &r);
+	assert_true(tgt_announced_leaving(set, previous, 3 * SECOND));
+	assert_true(t->leaving);
+	assert_false(t->uncertain);
+	assert_int_equal(t->version, 2);
+	tgt_unref(previous);
+}
+
+/* Guards against an engine that stays out of service after its restart: its order
+ * is lost with it, and the doubt with the order. */
+static void
+test_doubt_ends_with_the_engine(void **state)
+{
+	struct side_report r = { .version = 1, .uncertain = 1 };
+	struct tgt *t = put_started(1000, 1, 0);
+
+	tgt_side_reported(t, 1, 0);
+	tgt_side_version(t, &r);
+	assert_null(tgt_removed(set, "a", false, 4 * SECOND));
+	t = put_started(2000, 0, 5 * SECOND);
+	assert_false(t->uncertain);
+}
+
 /* A record of an unknown service has the address of a valid target. */
 static void
 test_unknown_service_takes_no_address(void **state)
@@ -699,6 +758,9 @@
 		T(test_new_record_waits_for_its_sidecar),
 		T(test_outdated_reports),
 		T(test_starting_sidecar_settles_no_doubt),
+		T(test_doubt_outlasts_the_record),
+		T(test_settled_doubt_is_not_renewed),
+		T(test_doubt_ends_with_the_engine),
 		T(test_unknown_service_takes_no_address),
 		T(test_only_loaded_versions),
 		T(test_silent_target_is_avoided),
--- a/tests/system/late_order.sh
+++ b/tests/system/late_order.sh
@@ -71,4 +71,8 @@
 # It starts again after the engine has loaded, and finds it idle.
 play_without_sidecar stage-late-order-again 2 4 --seconds 10 --hold-order-ms 3500
 loaded 2
+# The engine's record expires meanwhile, and every gateway learns of it again.
+play_without_sidecar stage-late-order-expired 2 0 --seconds 10 --hold-order-ms 3500 --hold-expire-ms 3000
+play_without_sidecar stage-late-order-listed 2 4 --seconds 10 --hold-order-ms 3500 --hold-expire-ms 3000
+loaded 2
 exit $failed
