sidecar: Load an engine again by layers where the settings do not state them

What operators saw: an engine that stays out of service until the next version, and orders to load without end. Its weights could not be proved after an order in doubt, and the settings do not state the number of layers.

Cause: the number was taken from what the engine holds at the moment. Once the lower half is given up, that number is right, but the order for the lower half was sent without its layers (keeper_order compared with the settings' number, 0), so as one for the whole version: the upper half stayed without a proof, and all began again. Had the order named the half, half of a model would have counted as all of it.

Change: the proof remembers the most layers that the engine has held of the version. These say which order is partial, and when the held layers are complete.

--- a/lib/stage/proof.c
+++ b/lib/stage/proof.c
@@ -107,6 +107,17 @@
 	    (r->busy || !same_weights(&r->held, &p->held));
 }
 
+static void
+note_layers(struct prf *p)
+{
+	if (is_empty(&p->held) || p->held.to == UINT_MAX)
+		return;
+	if (p->held.version != p->most_version)
+		p->most = 0;
+	p->most_version = p->held.version;
+	p->most = MAX(p->most, p->held.to);
+}
+
 void
 prf_reported(struct prf *p, const struct prf_report *r)
 {
@@ -122,6 +133,7 @@
 	p->sequence = r->sequence;
 	p->held = r->held;
 	p->busy = r->busy;
+	note_layers(p);
 	if (is_empty(&r->held) && !r->busy)
 		p->unproved = p->unprovable = false;
 }
@@ -251,13 +263,23 @@
 /* Queries                                                             */
 /* ------------------------------------------------------------------ */
 
+unsigned int
+prf_layers(const struct prf *p, int64_t version, unsigned int layers)
+{
+	if (layers > 0)
+		return layers;
+	return p->most_version == version ? p->most : 0;
+}
+
 int64_t
 prf_usable(const struct prf *p, unsigned int layers)
 {
+	unsigned int n = prf_layers(p, p->held.version, layers);
+
 	if (p->unproved || p->ahead || is_empty(&p->held) ||
 	    !contains(&p->proved, &p->held))
 		return 0;
-	if (p->held.from != 0 || (layers != 0 && p->held.to < layers))
+	if (p->held.from != 0 || p->held.to < n)
 		return 0;
 	return p->held.version;
 }
@@ -284,7 +306,8 @@
 struct prf_weights
 prf_next(const struct prf *p, int64_t version, unsigned int layers)
 {
-	unsigned int n = layers > 0 ? layers : p->held.to;
+	unsigned int known = prf_layers(p, version, layers);
+	unsigned int n = known > 0 ? known : p->held.to;
 	struct prf_weights all = { version, 0, n > 0 ? n : UINT_MAX };
 	struct prf_weights lower = { version, 0, n / 2 };
 	struct prf_weights upper = { version, n / 2, n };
--- a/lib/stage/proof.h
+++ b/lib/stage/proof.h
@@ -62,6 +62,9 @@
 	bool write_in_doubt; /* a write may still take effect */
 	int64_t sequence; /* as last known */
 	struct prf_weights held; /* as last reported */
+	/* Layers of the version held last, at most; 0: not known. */
+	int64_t most_version;
+	unsigned int most;
 	/* Of these; or of the last order, until the engine reports them. */
 	struct prf_weights proved;
 	bool busy;
@@ -101,6 +104,10 @@
 void prf_write_sent(struct prf *p);
 void prf_write_in_doubt(struct prf *p);
 
+/* Number of layers of the version: `layers`, that of the model, or if it is 0 the
+ * most that the engine has held of the version; 0: not known. */
+unsigned int prf_layers(
+    const struct prf *p, int64_t version, unsigned int layers);
 /* Version of the held weights if they are complete and proved; 0 otherwise.
  * `layers` is the number of layers of the model; 0: not known. */
 int64_t prf_usable(const struct prf *p, unsigned int layers);
--- a/programs/side/keeper_stage.c
+++ b/programs/side/keeper_stage.c
@@ -339,7 +339,8 @@
 		.preempt = k->may_cut || k->proof.unproved };
 	char *body;
 
-	if (order.weights.from > 0 || order.weights.to < k->layers)
+	if (order.weights.from > 0 ||
+	    order.weights.to < prf_layers(&k->proof, c->version, k->layers))
 		load.layers =
 		    (struct sv_layers){ order.weights.from, order.weights.to };
 	/* If this process ends before the answer, gateways know of the order. */
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -394,6 +394,8 @@
 
 /* held.c: an engine that stands still as its sidecar gives it an order. */
 struct poptOption *fleet_held_options(void);
+/* The settings' number of layers, or nothing. */
+const char *fleet_held_layers(void);
 void fleet_held_start(struct fleet *f);
 void fleet_held_print(const struct fleet *f);
 
--- a/tests/fleet/held.c
+++ b/tests/fleet/held.c
@@ -16,7 +16,7 @@
 
 static int order_ms, orders = 1, read_ms, write_ms, corrupt_ms = 20;
 static int write_late, corrupted = 1, bump_ms, crash_ms, same_start;
-static int expire_ms;
+static int expire_ms, no_layers;
 static struct fleet *fleet; /* of the timers */
 static struct evl_timer release, corrupt, bump, restart, expire;
 static int held_orders;
@@ -58,6 +58,9 @@
 		    "from the same until its record expires, which it writes "
 		    "again when it has loaded; 0: it does not expire",
 		    "N" },
+		{ "hold-no-layers", 0, POPT_ARG_INT, &no_layers, 0,
+		    "0 or 1: the settings do not state the number of layers",
+		    "N" },
 		{ "hold-same-start", 0, POPT_ARG_INT, &same_start, 0,
 		    "0 or 1: the engine then reports the start time of before",
 		    "N" },
@@ -220,6 +223,12 @@
 	return order_ms > 0 || read_ms > 0 || write_ms > 0 || write_late;
 }
 
+const char *
+fleet_held_layers(void)
+{
+	return no_layers ? "" : "\"layers\":4,";
+}
+
 void
 fleet_held_start(struct fleet *f)
 {
--- a/tests/fleet/operator.c
+++ b/tests/fleet/operator.c
@@ -49,7 +49,7 @@
 	    "],\"services\":[{\"name\":\"" FLEET_LLM
 	    "\",\"maxConnections\":200,\"engine\":{\"slots\":8,"
 	    "\"models\":[{\"name\":\"" FLEET_MODEL
-	    "\",\"warmS\":0.2}],\"layers\":4,\"chunks\":%d,"
+	    "\",\"warmS\":0.2}],%s\"chunks\":%d,"
 	    "\"chunkBytes\":%d}},{\"name\":\"" FLEET_PLAIN
 	    "\",\"maxConnections\":200},{\"name\":\"origin\","
 	    "\"origin\":\"127.0.%d.8:8000\",\"zone\":\"z0\"}],"
@@ -58,8 +58,8 @@
 	    "\"tenants\":[{\"name\":\"team%s\",\"apiKeys\":[\"" FLEET_KEY
 	    "\"]},{\"name\":\"guest\",\"apiKeys\":[\"" FLEET_POISON_KEY
 	    "\"]}]}",
-	    FLEET_CHUNKS, FLEET_CHUNK_BYTES, f->net, fleet_settings_idle_ms(),
-	    number);
+	    fleet_held_layers(), FLEET_CHUNKS, FLEET_CHUNK_BYTES, f->net,
+	    fleet_settings_idle_ms(), number);
 	fleet_store_put(f, "config", "main", s->str);
 	g_free(f->config_spec);
 	f->config_spec = g_string_free(s, FALSE);
--- a/tests/stage/test_proof.c
+++ b/tests/stage/test_proof.c
@@ -280,6 +280,38 @@
 	assert_int_equal(next.to, LAYERS);
 }
 
+/* Guards against loading without end, or half of a model that serves, where the
+ * settings do not state the number of layers: once a half is given up, only what
+ * was held before tells it. */
+static void
+test_unknown_number_of_layers_while_loading_again(void **state)
+{
+	const unsigned int half = LAYERS / 2;
+	const struct prf_weights steps[] = { { 2, half, LAYERS },
+		{ 2, 0, half }, { 2, 0, LAYERS } };
+	struct prf_order o;
+	unsigned int i;
+
+	order(2);
+	answer(PRF_UNKNOWN, SECOND);
+	report(1, 2, false);
+	read_back(false);
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		assert_int_equal(prf_usable(&p, 0), 0);
+		o = (struct prf_order){ .weights = prf_next(&p, 2, 0),
+			.checked_us = now_us };
+		assert_int_equal(o.weights.from, steps[i].from);
+		assert_int_equal(o.weights.to, steps[i].to);
+		assert_int_equal(prf_layers(&p, 2, 0), LAYERS);
+		prf_order_sent(&p, &o);
+		answer(PRF_BEGUN, 1000);
+		report_at(now_us + 1, 2 + (int64_t)i, (struct prf_weights){ 0 },
+		    true);
+		report_at(now_us + 2, 2 + (int64_t)i, steps[i], false);
+	}
+	assert_int_equal(prf_usable(&p, 0), 2);
+}
+
 /* Guards against one order after the other, each of which is in effect already. */
 static void
 test_order_in_effect_has_loaded_nothing(void **state)
@@ -487,6 +519,7 @@
 		T(test_write_in_doubt_after_the_check),
 		T(test_unprovable_weights_are_loaded_again),
 		T(test_unknown_number_of_layers_is_that_of_the_held),
+		T(test_unknown_number_of_layers_while_loading_again),
 		T(test_order_in_effect_has_loaded_nothing),
 		T(test_late_orders_while_loading_again),
 		T(test_reports_around_an_answer),
--- a/tests/system/late_order.sh
+++ b/tests/system/late_order.sh
@@ -59,6 +59,9 @@
 # Nothing turns corrupt: the engine serves with what it has loaded.
 play stage-late-order-valid --seconds 9 --hold-order-ms 3500 --hold-corrupted 0
 loaded 2
+# The settings do not state how many layers the model has.
+play stage-late-order-layers --seconds 9 --hold-order-ms 3500 --hold-no-layers 1
+loaded 2
 # The next version is announced before or after the sidecar gives the order up,
 # and its chunks replace the others in the staging area.
 play stage-late-order-next --seconds 10 --hold-order-ms 3500 --hold-bump-ms 300
