gateway: Use an engine again once it reports another version than it refused

What callers saw: 503 (no_target), for as long as no further version is announced. A sidecar ends while its order is in doubt; its gateways keep to the version before and state it. The engine, which has carried the order out, answers 421. A new sidecar then loads again and reports the new version, proved.

Cause: 421 excludes the target until its record changes, as another instance may have taken the address. The engine's record may have named the new version before, so it need not change again. Stating a version while an order is in doubt, which is new, made this refusal likely; found by a review.

Change: the gateway notes the version it knew as it was refused, and a report of its sidecar that names another one ends the exclusion. A report without a version does not, and targets without weights keep to their record.

Measured: serve-fwd, test_refused_version_ends_with_the_next_report failed before, passes now.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -277,6 +277,7 @@
 	/* The target itself knows better than a record, which may have been
 	 * written earlier. */
 	t->leaving = record->leaving || t->announced_leaving;
+	t->refused_version = 0;
 	/* A live sidecar's report is newer, and the record does not state
 	 * from which chunks the version was loaded. */
 	if (!tgt_side_is_alive(t, now_us) && !t->uncertain) {
@@ -567,6 +568,11 @@
 	g_strlcpy(t->model, report->version > 0 ? t->service->engine.model : "",
 	    sizeof(t->model));
 	t->version = (int64_t)report->version;
+	if (t->refused_version == 0 || t->version == 0 ||
+	    t->version == t->refused_version)
+		return;
+	t->leaving = t->record.leaving || t->announced_leaving;
+	t->refused_version = 0;
 }
 
 bool
@@ -603,4 +609,5 @@
 tgt_wrong_instance(struct tgt *t)
 {
 	t->leaving = true;
+	t->refused_version = t->version;
 }
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -55,6 +55,9 @@
 	/* Loaded; from the store or the sidecar, whichever is newer. */
 	char model[SV_ID_MAX];
 	int64_t version;
+	/* Loaded, as known when it answered as another instance or with another
+	 * version than was stated; 0: it did not. */
+	int64_t refused_version;
 	/* Root digest that its sidecar read for `root_version`. */
 	struct digest root;
 	int64_t root_version;
@@ -258,7 +261,8 @@
     const struct tgt *out[], size_t most);
 /* Whether any target has a live sidecar. */
 bool tgt_has_sides(struct tgt_set *s, int64_t now_us);
-/* Another instance answers at its address. */
+/* Another instance answers at its address, or it has loaded another version: it
+ * gets no requests until its record changes, or its sidecar reports another version. */
 void tgt_wrong_instance(struct tgt *t);
 
 /* Whether requests, and messages that cancel them, may be delayed on the way
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -762,6 +762,44 @@
 	}
 }
 
+/*
+ * Guards against an engine that stays out of service: it refused a request for the
+ * version that it had before, and its record, which names the new one already,
+ * does not change again.
+ */
+static void
+test_refused_version_ends_with_the_next_report(void **state)
+{
+	struct side_report r = { .version = 1, .uncertain = 1 };
+	struct tgt *t;
+	struct target *engine;
+	char *request;
+	int fd;
+
+	world_open(1, make_config(SV_STREAM, 1, 3000));
+	target_announce(&w.target[0], false, 1);
+	t = tgt_find(w.set, "i0");
+	g_strlcpy(
+	    t->service->engine.model, MODEL, sizeof(t->service->engine.model));
+	tgt_side_reported(t, 1, now_us());
+	tgt_side_version(t, &r);
+	target_announce(&w.target[0], false, 2);
+	fd = send_model_request();
+	engine = target_get(&request);
+	assert_non_null(strstr(request, "T-Expect-Version: 1\r\n"));
+	g_free(request);
+	raw_send(engine->fd,
+	    "HTTP/1.1 421 Other\r\nT-Instance: i0\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	run_ms(50);
+	close(fd);
+	r = (struct side_report){ .version = 2 };
+	tgt_side_reported(t, 2, now_us());
+	tgt_side_version(t, &r);
+	assert_int_equal(t->version, 2);
+	assert_false(t->leaving);
+}
+
 /*
  * The deadline of version 2 is in 0.7 s. A request that is not repeatable
  * cannot be recalled from an engine's queue, in which waits of 1.1 s were
@@ -1498,6 +1536,7 @@
 		T(test_leaving_targets_and_targets_without_model),
 		T(test_queued_request_is_recalled_before_its_weights_expire),
 		T(test_version_is_expected_while_an_order_is_in_doubt),
+		T(test_refused_version_ends_with_the_next_report),
 		T(test_begun_request_stays_when_its_weights_expire),
 		T(test_which_requests_may_use_older_weights),
 		T(test_no_older_weights_behind_a_slow_link),
