--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -561,12 +561,9 @@
 void
 tgt_side_version(struct tgt *t, const struct side_report *report)
 {
-	/* The doubt of a process that ended is for the next one to settle. A
-	 * gateway that does not know the target yet may lack one that others
-	 * have. */
-	if (report->starting && (t->uncertain || !t->weights_known))
+	/* The doubt of a process that ended is for the next one to settle. */
+	if (report->starting && t->uncertain)
 		return;
-	t->weights_known = true;
 	t->uncertain = report->uncertain != 0;
 	g_strlcpy(t->model, report->version > 0 ? t->service->engine.model : "",
 	    sizeof(t->model));
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -52,9 +52,6 @@
 	/* Its sidecar reported last that it may hold weights which were not
 	 * loaded from valid chunks. */
 	bool uncertain;
-	/* A sidecar reported which weights are proved, after it could learn of
-	 * what gateways remember of the process before it. */
-	bool weights_known;
 	/* Loaded; from the store or the sidecar, whichever is newer. */
 	char model[SV_ID_MAX];
 	int64_t version;
--- a/lib/serve/tgt_choose.c
+++ b/lib/serve/tgt_choose.c
@@ -113,7 +113,7 @@
 static bool
 knows_weights(const struct tgt *t, int64_t now_us)
 {
-	return t->weights_known || t->service->engine.chunks == 0 ||
+	return t->side_report_us != 0 || t->service->engine.chunks == 0 ||
 	    now_us - t->known_us >= RECORD_WAIT_US;
 }
 
