tests: Leave time to cancel a stream before it ends

Cause: the test's own race. The script waits for two tokens and then cancels the stream at both engines; the engine writes the other six within 1.2 s. The stream that the caller got has all eight tokens and [DONE] (kept in the stage folder), so the engine was done before the cancel arrived: every process of the script was slow.

Change: 500 ms a token in place of 200, so 3 s in place of 1.2 s. The checks are the same: the caller sees an error, no [DONE], no part of an event.

--- a/tests/system/answer_end.sh
+++ b/tests/system/answer_end.sh
@@ -50,7 +50,7 @@
 check "with all tokens" test "$(tokens)" -eq 8
 check "and whole lines" lines_are_whole
 check "and no error" test "$(grep -c '^event: error' "$STAGE/stream")" -eq 0
-engine_faults '{"unframed":0,"step_ms":200}'
+engine_faults '{"unframed":0,"step_ms":500}'
 
 # A cancelled stream ends in order, between two events.
 rm "$STAGE/stream" "$STAGE/head" # those of the stream before
