--- a/tests/system/late_order_gateway.sh
+++ b/tests/system/late_order_gateway.sh
@@ -9,21 +9,9 @@
 
 failed=0
 
-held() {
-	grep -q '^held for' "$STAGE/fleet.out" 2>/dev/null
-}
-
-await_hold() {
-	tries=0
-	until held || [ $tries -ge 200 ]; do # 10 s
-		sleep 0.05
-		tries=$((tries + 1))
-	done
-}
-
 # The gateway starts again as the engine goes on, just before the sidecar does.
 end_sidecar_and_gateway() {
-	await_hold
+	fleet_await_hold
 	kill -KILL "$(cat "$STAGE/keeper-0.pid")" "$(cat "$STAGE/gateway-1.pid")"
 	sleep 3.7
 	fleet_start gateway-1
@@ -37,8 +25,5 @@
 ending=$!
 fleet_check --engines 2 --empty 0 --rate 30 --bump 2 --seed "${SEED:-1}" --seconds 10 --hold-order-ms 3500 || failed=1
 wait $ending
-grep -q 'ev=weights step=done version=2 ' "$STAGE/keeper-0.log" || {
-	echo "keeper-0 is without version 2"
-	failed=1
-}
+fleet_loaded 2 || failed=1
 exit $failed
--- a/tests/system/late_order_restarts.sh
+++ b/tests/system/late_order_restarts.sh
@@ -9,21 +9,9 @@
 
 failed=0
 
-held() {
-	grep -q '^held for' "$STAGE/fleet.out" 2>/dev/null
-}
-
-await_hold() {
-	tries=0
-	until held || [ $tries -ge 200 ]; do # 10 s
-		sleep 0.05
-		tries=$((tries + 1))
-	done
-}
-
 # Ends the first sidecar as the engine stands still with its order.
 end_sidecar() { # end_sidecar START-AGAIN-AFTER-S (0: never)
-	await_hold
+	fleet_await_hold
 	kill -KILL "$(cat "$STAGE/keeper-0.pid")"
 	[ "$1" = 0 ] && return
 	sleep "$1"
@@ -41,21 +29,14 @@
 	wait $ending
 }
 
-loaded() { # loaded VERSION: the engine serves with it in the end
-	grep -q "ev=weights step=done version=$1 " "$STAGE/keeper-0.log" || {
-		echo "keeper-0 is without version $1"
-		failed=1
-	}
-}
-
 # The sidecar ends before its order is answered, and gateways go by the engine's
 # record in the store: there is no other engine.
 play_without_sidecar stage-late-order-ended 1 0 --seconds 9 --hold-order-ms 3500
 # It starts again after the engine has loaded, and finds it idle.
 play_without_sidecar stage-late-order-again 2 4 --seconds 10 --hold-order-ms 3500
-loaded 2
+fleet_loaded 2 || failed=1
 # The engine's record expires meanwhile, and every gateway learns of it again.
 play_without_sidecar stage-late-order-expired 2 0 --seconds 10 --hold-order-ms 3500 --hold-expire-ms 3000
 play_without_sidecar stage-late-order-listed 2 4 --seconds 10 --hold-order-ms 3500 --hold-expire-ms 3000
-loaded 2
+fleet_loaded 2 || failed=1
 exit $failed
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -70,3 +70,19 @@
 	tail -n 2 "$STAGE/fleet.out"
 	return $status
 }
+
+# Waits, 10 s at most, until the fleet's first engine stands still (tests/fleet/held.c).
+fleet_await_hold() {
+	tries=0
+	until grep -q '^held for' "$STAGE/fleet.out" 2>/dev/null || [ $tries -ge 200 ]; do
+		sleep 0.05
+		tries=$((tries + 1))
+	done
+}
+
+# Whether the first engine has served with the version.
+fleet_loaded() { # fleet_loaded VERSION
+	grep -q "ev=weights step=done version=$1 " "$STAGE/keeper-0.log" && return
+	echo "keeper-0 is without version $1"
+	return 1
+}
