gateway: Wait for starting sidecars only where a doubt may be remembered

What callers saw: answers made with a corrupt layer for up to a second, through one gateway. An engine stands still with an order; its sidecar and one of the gateways end and start again as it goes on.

Cause: a starting sidecar reports the version that it finds; the doubt about it reaches it only with the desired state of the other gateways, within 0.4 to 1 s. A gateway that has started itself remembers none and believed the first report.

Change: a gateway waits for a starting sidecar only at targets that it learned of in its first three seconds, as it would remember later doubts itself; the sidecar settles after 0.5 s instead of 1.5 s unless it hears of a process that did not start with the others; it reports at once that it has settled. The line ev=side gives the version that the gateway goes by.

--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -39,6 +39,7 @@
 	MSG_FIELD(struct side_desired, layers, MSG_U64, COUNT_MAX),
 	MSG_FIELD(struct side_desired, doubted, MSG_U64, 1),
 	MSG_FIELD(struct side_desired, proved, MSG_U64, INT64_MAX),
+	MSG_FIELD(struct side_desired, may_remember, MSG_U64, 1),
 };
 const struct msg_desc side_desired_desc =
     MSG_DESC(SIDE_DESIRED, "view", struct side_desired, desired_fields);
--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -86,6 +86,9 @@
 	 * loaded version. A process that starts learns so of the one before. */
 	uint64_t doubted;
 	uint64_t proved;
+	/* 1: this gateway, or a process that it heard, was there before all others
+	 * started again, and may remember a doubt. */
+	uint64_t may_remember;
 };
 
 /* A sidecar requests the roster of its model. */
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -14,6 +14,8 @@
 #define BACKOFF_MAX_US 4000000
 /* Weight of one answer in the moving average of failures. */
 #define ERROR_WEIGHT 0.1
+/* What a set learns of in this time existed before it. */
+#define LEARN_US 3000000
 /* ------------------------------------------------------------------ */
 /* Set and services                                                    */
 /* ------------------------------------------------------------------ */
@@ -219,6 +221,7 @@
 	t->service = tgt_service(s, record->service);
 	t->local = is_local(s, record->domain);
 	t->slowdown = 1;
+	t->weights_known = s->learned;
 	TAILQ_INSERT_TAIL(&t->service->targets, t, link);
 	t->service->ntargets++;
 	g_hash_table_insert(s->by_id, t->record.id, t);
@@ -251,12 +254,21 @@
 	    : 0;
 }
 
+static void
+note_learning(struct tgt_set *s, int64_t now_us)
+{
+	if (s->learn_until_us == 0)
+		s->learn_until_us = now_us + LEARN_US;
+	s->learned = now_us >= s->learn_until_us;
+}
+
 struct tgt *
 tgt_put(struct tgt_set *s, const struct sv_target *record, int64_t now_us)
 {
 	struct tgt *t = g_hash_table_lookup(s->by_id, record->id);
 	int64_t start_ms;
 
+	note_learning(s, now_us);
 	g_hash_table_remove(s->displaced, record->id);
 	if (t != NULL &&
 	    (strcmp(t->record.service, record->service) != 0 ||
@@ -561,13 +573,21 @@
 void
 tgt_side_version(struct tgt *t, const struct side_report *report)
 {
+	uint64_t version = report->version;
+
 	/* The doubt of a process that ended is for the next one to settle. */
 	if (report->starting && t->uncertain)
 		return;
+	/* Other gateways may have such a doubt. */
+	if (report->starting && !t->weights_known)
+		version = 0;
+	t->weights_known = t->weights_known || !report->starting;
+	t->service->side_settled =
+	    t->service->side_settled || !report->starting;
 	t->uncertain = report->uncertain != 0;
-	g_strlcpy(t->model, report->version > 0 ? t->service->engine.model : "",
+	g_strlcpy(t->model, version > 0 ? t->service->engine.model : "",
 	    sizeof(t->model));
-	t->version = (int64_t)report->version;
+	t->version = (int64_t)version;
 	if (t->refused_version == 0 || t->version == 0 ||
 	    t->version == t->refused_version)
 		return;
@@ -575,6 +595,14 @@
 	t->refused_version = 0;
 }
 
+bool
+tgt_has_predecessors(
+    const struct tgt_set *s, const struct tgt_service *service, int64_t now_us)
+{
+	return service->side_settled ||
+	    (s->learn_until_us != 0 && now_us >= s->learn_until_us);
+}
+
 bool
 tgt_relayed(struct tgt *t, const struct side_relayed *report, int64_t now_us)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -52,6 +52,9 @@
 	/* Its sidecar reported last that it may hold weights which were not
 	 * loaded from valid chunks. */
 	bool uncertain;
+	/* Doubts that other gateways had about its weights are known here: it is
+	 * newer than this set, or its sidecar reported after it had been told. */
+	bool weights_known;
 	/* Loaded; from the store or the sidecar, whichever is newer. */
 	char model[SV_ID_MAX];
 	int64_t version;
@@ -110,6 +113,7 @@
 	unsigned int ntargets;
 	/* Last report of any of their sidecars; 0: none. */
 	int64_t side_report_us;
+	bool side_settled; /* one reported that it is not starting */
 	/* From the settings; 0 slots: as published by each target. */
 	bool configured; /* the settings contain this service */
 	bool has_engine;
@@ -240,6 +244,10 @@
 void tgt_side_reported(struct tgt *t, uint32_t seq, int64_t now_us);
 /* What the target has loaded, and whether it is proved. */
 void tgt_side_version(struct tgt *t, const struct side_report *report);
+/* Whether processes are known that did not start together with this one, so that
+ * they may remember doubts. */
+bool tgt_has_predecessors(
+    const struct tgt_set *s, const struct tgt_service *service, int64_t now_us);
 /*
  * A load report of the sidecar was relayed by a gateway of the target's region.
  * Ignored (false) unless newer than the last known report, as a gateway that
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -73,21 +73,26 @@
 	int64_t now_us = evl_now_us(g->st.loop);
 	bool down = report->engine != SIDE_ENGINE_UP;
 	bool was_terminated = t->terminated;
+	bool had_settled = t->service->side_settled;
+	int64_t version = t->version;
 
+	tgt_side_version(t, report);
+	/* Sidecars that are starting wait longer then. */
+	if (!had_settled && t->service->side_settled)
+		gateway_desired_changed(g);
 	if (down != t->side_down ||
 	    (report->silent != 0) != (t->side_silent_us != 0) ||
-	    (int64_t)report->version != t->version)
+	    version != t->version)
 		evt(EVT_SIDE,
-		    "target=%s engine=%s version=%" G_GUINT64_FORMAT
+		    "target=%s engine=%s version=%" G_GINT64_FORMAT
 		    " running=%" G_GUINT64_FORMAT,
-		    t->record.id, engine_name(report), report->version,
+		    t->record.id, engine_name(report), t->version,
 		    report->running);
 	tgt_set_side_down(t, down, now_us);
 	note_silence(g, t, report->silent != 0);
 	t->terminated = report->engine == SIDE_ENGINE_DOWN;
 	if (t->terminated && !was_terminated)
 		fwd_target_terminated(g->fwd, t);
-	tgt_side_version(t, report);
 	tgt_set_slowdown(t, report->slowdown_permille);
 }
 
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -229,6 +229,7 @@
 	desired->roster_count = roster.count;
 	desired->roster_history = (uint64_t)roster.history;
 	desired->wants_account = gateway_account_is_wanted(g);
+	desired->may_remember = tgt_has_predecessors(g->set, service, now_us);
 }
 
 /* Regions whose sidecars are sent the desired state now, in addition to
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -94,6 +94,7 @@
 	double limit; /* the engine's rate limit */
 	bool silent; /* the engine leaves reports unanswered */
 	bool uncertain; /* it may hold weights without a proof */
+	bool starting; /* a doubt of the process before may not be known yet */
 };
 
 /* What a call to the engine does. */
@@ -146,6 +147,7 @@
 	/* By then all gateways have reported what the previous process
 	 * doubted; 0: none has sent anything. */
 	int64_t settled_us;
+	int64_t desired_us; /* the first one came */
 	struct prf proof; /* of the weights that it holds */
 	struct prf proof_logged; /* as last logged */
 	int64_t loaded; /* version, complete and proved; 0: none */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -185,6 +185,7 @@
 		.limit = k->permits.limit,
 		.silent = k->silent,
 		.uncertain = prf_is_uncertain(&k->proof),
+		.starting = keeper_is_starting(k),
 	};
 }
 
@@ -197,7 +198,7 @@
 	    a->wanted != b->wanted || !digest_equal(&a->root, &b->root) ||
 	    a->slow_link != b->slow_link || a->limit_known != b->limit_known ||
 	    a->limit != b->limit || a->silent != b->silent ||
-	    a->uncertain != b->uncertain;
+	    a->uncertain != b->uncertain || a->starting != b->starting;
 }
 
 /* Whether `a` has a changed load since `b`. */
@@ -290,7 +291,7 @@
 		.limit_milli = rate_to_milli(status->limit),
 		.silent = status->silent,
 		.uncertain = status->uncertain,
-		.starting = keeper_is_starting(k),
+		.starting = status->starting,
 		.sharers = acct_copies_sharers(&k->accounts, keeper_now(k)),
 	};
 	for (i = 0; i < k->gateways->len; i++)
@@ -364,8 +365,10 @@
 	if (status.slow_link != k->reported.slow_link)
 		evt(EVT_WEIGHTS, "step=link slow=%d", status.slow_link);
 	/* From now on gateways mean a doubt of this process. */
-	if (status.uncertain && keeper_is_starting(k))
+	if (status.uncertain && status.starting) {
 		k->settled_us = keeper_now(k);
+		status.starting = false;
+	}
 	plan = plan_reports(k, &status);
 	k->report_seq++;
 	fill_report(k, &status, &report);
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -18,8 +18,12 @@
  * regions.
  */
 #define ROSTER_REMOTE_US 600000
-/* Gateways of remote regions send their desired state every second. */
+/* By then all gateways have sent a desired state: those of remote regions send it
+ * every second. */
 #define SETTLE_US 1500000
+/* By then those of the local region have, and the others if all processes have
+ * started together, so that none remembers anything. */
+#define SETTLE_ALONE_US 500000
 
 /* ------------------------------------------------------------------ */
 /* Roster                                                              */
@@ -185,8 +189,12 @@
 static void
 take_doubt(struct keeper *k, const struct side_desired *desired)
 {
-	if (k->settled_us == 0)
-		k->settled_us = keeper_now(k) + SETTLE_US;
+	if (k->settled_us == 0) {
+		k->desired_us = keeper_now(k);
+		k->settled_us = k->desired_us + SETTLE_ALONE_US;
+	}
+	if (desired->may_remember && keeper_is_starting(k))
+		k->settled_us = k->desired_us + SETTLE_US;
 	if (!desired->doubted || !keeper_is_starting(k))
 		return;
 	prf_doubted(&k->proof, (int64_t)desired->proved);
--- a/tests/serve/test_starting.c
+++ b/tests/serve/test_starting.c
@@ -11,7 +11,7 @@
 #define SECOND 1000000
 
 static struct tgt *
-put_model(struct tgt_set *set)
+put_model_at(struct tgt_set *set, int64_t now_us)
 {
 	struct sv_target record = { .slots = 4,
 		.has_models = true,
@@ -24,13 +24,19 @@
 	g_strlcpy(record.address, "1.1.1.1:1", sizeof(record.address));
 	g_strlcpy(record.domain, "near", sizeof(record.domain));
 	g_strlcpy(record.model, "m", sizeof(record.model));
-	t = tgt_put(set, &record, SECOND);
+	t = tgt_put(set, &record, now_us);
 	t->service->engine.chunks = 64;
 	g_strlcpy(
 	    t->service->engine.model, "m", sizeof(t->service->engine.model));
 	return t;
 }
 
+static struct tgt *
+put_model(struct tgt_set *set)
+{
+	return put_model_at(set, SECOND);
+}
+
 /* Guards against requests to an engine that loaded corrupt chunks, through a gateway
  * that has started as late as the engine's sidecar: the others may not have sent the
  * sidecar yet that an order was in doubt. */
@@ -54,11 +60,80 @@
 	tgt_set_free(set);
 }
 
+/* Guards against the same once the sidecar has not reported for two seconds since the
+ * gateway learned of its target. */
+static void
+test_late_starting_sidecar_proves_no_weights(void **state)
+{
+	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
+	struct tgt_set *set = tgt_set_new("here", &policy);
+	struct tgt_criteria criteria = { .model = "m" };
+	struct side_report r = { .version = 2, .starting = 1 };
+	struct tgt *t = put_model(set);
+	enum tgt_reason why;
+
+	tgt_side_version(t, &r);
+	tgt_side_reported(t, 1, 4 * SECOND);
+	assert_null(tgt_choose(set, t->service, &criteria, 4 * SECOND, &why));
+	tgt_set_free(set);
+}
+
+/* Guards against engines without requests for seconds after only their sidecars have
+ * started again, at a gateway that would remember a doubt. */
+static void
+test_starting_sidecar_at_a_gateway_that_knows(void **state)
+{
+	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
+	struct tgt_set *set = tgt_set_new("here", &policy);
+	struct tgt_criteria criteria = { .model = "m" };
+	struct side_report r = { .version = 2 };
+	struct tgt *t = put_model(set);
+	enum tgt_reason why;
+
+	tgt_side_version(t, &r);
+	tgt_side_reported(t, 1, SECOND);
+	r.starting = 1;
+	tgt_side_version(t, &r);
+	tgt_side_reported(t, 1, 3 * SECOND);
+	assert_ptr_equal(
+	    tgt_choose(set, t->service, &criteria, 3 * SECOND, &why), t);
+	/* Its record was not renewed meanwhile. */
+	assert_null(tgt_removed(set, "a", false, 9 * SECOND));
+	t = put_model_at(set, 9 * SECOND);
+	tgt_side_version(t, &r);
+	tgt_side_reported(t, 1, 9 * SECOND);
+	assert_ptr_equal(
+	    tgt_choose(set, t->service, &criteria, 9 * SECOND, &why), t);
+	tgt_set_free(set);
+}
+
+/* Guards against the same once all sidecars have started again: those that hear only
+ * of processes as young as they are wait for less. */
+static void
+test_predecessors(void **state)
+{
+	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
+	struct tgt_set *set = tgt_set_new("here", &policy);
+	struct side_report r = { .version = 2, .starting = 1 };
+	struct tgt *t = put_model(set);
+
+	tgt_side_version(t, &r);
+	assert_false(tgt_has_predecessors(set, t->service, 2 * SECOND));
+	assert_true(tgt_has_predecessors(set, t->service, 9 * SECOND));
+	r.starting = 0;
+	tgt_side_version(t, &r);
+	assert_true(tgt_has_predecessors(set, t->service, 2 * SECOND));
+	tgt_set_free(set);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_starting_sidecar_proves_no_weights),
+		cmocka_unit_test(test_late_starting_sidecar_proves_no_weights),
+		cmocka_unit_test(test_starting_sidecar_at_a_gateway_that_knows),
+		cmocka_unit_test(test_predecessors),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
