serve: Share the probe of a blocked request with all processes

Cause: the block that begins with a probe was known to its own process alone. Each gateway, and each start of one, has a probe of its own; with six gateways and engines that fail most requests, none of which ends the engine or clears the request, that is six and more in a few seconds. Class: a state that all share, changed at one.

Change: a gateway publishes its probe like a termination, with the weight SUS_PROBE; it blocks the identity for as long again at all gateways, and keepers tell it to processes that start later. A probe that is void (it did not run) stays so for its own gateway. The own interface does the same. Each probe has a line (ev=suspect outcome=probed). During a change of software an older process counts a probe as a termination, so that it holds the identity for longer.

serve-suspect: test_probe_blocks_elsewhere does not build before.

--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -76,8 +76,8 @@
 }
 
 static void
-each_identity(
-    struct fwd_req *r, void (*note)(struct sus *s, uint64_t fp, int64_t now_us))
+each_identity(struct fwd_req *r,
+    void (*note)(struct fwd *f, uint64_t fingerprint, int64_t now_us))
 {
 	uint64_t identities[FWD_IDENTITIES_MAX];
 	size_t n, i;
@@ -86,19 +86,39 @@
 		return;
 	n = fwd_identities(r, identities);
 	for (i = 0; i < n; i++)
-		note(r->fwd->suspects, identities[i], fwd_now(r));
+		note(r->fwd, identities[i], fwd_now(r));
+}
+
+static void
+note_identity_sent(struct fwd *f, uint64_t fingerprint, int64_t now_us)
+{
+	struct sus_termination probe = {
+		.fingerprint = fingerprint, .weight = SUS_PROBE, .at_us = now_us
+	};
+
+	if (!sus_sent(f->suspects, fingerprint, now_us))
+		return;
+	evt(EVT_SUSPECT, "%s=%016" G_GINT64_MODIFIER "x outcome=probed",
+	    fpr_kind_name(fingerprint), fingerprint);
+	publish(f, &probe, 1);
+}
+
+static void
+void_identity_probe(struct fwd *f, uint64_t fingerprint, int64_t now_us)
+{
+	sus_void_probe(f->suspects, fingerprint, now_us);
 }
 
 void
 fwd_note_sent(struct fwd_req *r)
 {
-	each_identity(r, sus_sent);
+	each_identity(r, note_identity_sent);
 }
 
 void
 fwd_void_probe(struct fwd_req *r)
 {
-	each_identity(r, sus_void_probe);
+	each_identity(r, void_identity_probe);
 }
 
 /* A target that shuts down (announced, or removed from the store) or that loads
--- a/lib/serve/side.c
+++ b/lib/serve/side.c
@@ -279,7 +279,7 @@
 	out->fingerprint = GUINT64_FROM_BE(wire.fingerprint);
 	out->target = GUINT64_FROM_BE(wire.target);
 	out->at_us = now_us - (int64_t)ntohl(wire.age_ms) * 1000;
-	out->weight = MIN(wire.evidence & WEIGHT_MASK, SUS_UNANSWERED);
+	out->weight = wire.evidence & WEIGHT_MASK;
 	out->in_flight_us =
 	    (int64_t)(wire.evidence >> WEIGHT_BITS) * IN_FLIGHT_STEP_US;
 }
--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -73,7 +73,9 @@
 	unsigned int nterminations;
 	int64_t last_us; /* latest termination */
 	int64_t blocked_until_us; /* 0: never blocked */
-	int64_t before_probe_us; /* blocked_until_us before the last probe */
+	int64_t
+	    before_probe_us; /* blocked_until_us before the last probe here */
+	int64_t probed_us; /* last probe of any process; 0: none */
 };
 
 /* The latest complete answer of a request with the identity. */
@@ -506,7 +508,7 @@
 		was_confirmed |= sp->terminations[i].confirmed;
 		remove_termination(sp, i);
 	}
-	sp->blocked_until_us = sp->before_probe_us = 0;
+	sp->blocked_until_us = sp->before_probe_us = sp->probed_us = 0;
 	block_if_confirmed(s, sp);
 	if (sp->nterminations == 0)
 		g_hash_table_remove(s->suspects, &fingerprint);
@@ -563,6 +565,32 @@
 	return true;
 }
 
+/* A probe blocks for as long again. Returns whether it was not known. */
+static bool
+note_probe(struct sus *s, struct suspect *sp, int64_t at_us)
+{
+	unsigned int weight = confirmed_weight(s, sp);
+
+	if (weight < policy_of(sp->fingerprint)->block_weight)
+		return false;
+	if (sp->probed_us != 0 && at_us - sp->probed_us < SAME_END_US)
+		return false;
+	sp->probed_us = at_us;
+	sp->before_probe_us = 0;
+	sp->blocked_until_us =
+	    MAX(sp->blocked_until_us, at_us + block_span_us(s, sp, weight));
+	return true;
+}
+
+static enum sus_news
+report_probe(struct sus *s, const struct sus_termination *probe)
+{
+	struct suspect *sp = find(s, probe->fingerprint);
+
+	return sp != NULL && note_probe(s, sp, probe->at_us) ? SUS_NEW
+							     : SUS_KNOWN;
+}
+
 enum sus_news
 sus_report(
     struct sus *s, const struct sus_termination *termination, int64_t now_us)
@@ -570,6 +598,8 @@
 	uint64_t fingerprint = termination->fingerprint;
 	bool is_new;
 
+	if (termination->weight == SUS_PROBE)
+		return report_probe(s, termination);
 	if (termination->weight == SUS_CLEARED)
 		is_new = sus_answered(s, fingerprint, termination->at_us);
 	else if (is_refuted(s, termination))
@@ -696,20 +726,22 @@
 	return sp != NULL && sp->blocked_until_us != 0;
 }
 
-void
+bool
 sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us)
 {
 	struct suspect *sp = find(s, fingerprint);
 	unsigned int weight;
 
 	if (sp == NULL || sp->blocked_until_us == 0)
-		return;
+		return false;
 	weight = confirmed_weight(s, sp);
 	if (weight < policy_of(fingerprint)->block_weight)
-		return;
+		return false;
+	sp->probed_us = now_us;
 	sp->before_probe_us = sp->blocked_until_us;
 	sp->blocked_until_us =
 	    MAX(sp->blocked_until_us, now_us + block_span_us(s, sp, weight));
+	return true;
 }
 
 void
@@ -739,6 +771,12 @@
 		termination.in_flight_us = in_flight_us(&sp->terminations[i]);
 		g_array_append_val(out, termination);
 	}
+	if (sp->probed_us == 0)
+		return;
+	termination = (struct sus_termination){ .fingerprint = sp->fingerprint,
+		.weight = SUS_PROBE,
+		.at_us = sp->probed_us };
+	g_array_append_val(out, termination);
 }
 
 void
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -23,10 +23,12 @@
  * identity while a blocked one with more evidence explains it, unless there are
  * so many that chance is ruled out.
  *
- * A blocked identity is probed again later, by each gateway at a different time.
- * A complete answer to the probe clears it, any other end leaves it blocked for
- * as long again, and each further termination for longer. Does no I/O: targets
- * are hashes of instance ids.
+ * A blocked identity is probed again later. Each gateway does so at a different
+ * time, and the first one publishes its probe, as that blocks the identity for as
+ * long again everywhere, also at processes that start later. A complete answer to
+ * the probe clears it, any other end leaves it blocked, and each further
+ * termination blocks it for longer. Does no I/O: targets are hashes of instance
+ * ids.
  */
 
 #include <glib.h>
@@ -42,6 +44,8 @@
 	SUS_CLEARED = 0, /* no termination: a complete answer */
 	SUS_ANSWERING = 1, /* its answer had begun, so it did run there */
 	SUS_UNANSWERED = 2, /* no answer had begun: it may be the cause */
+	SUS_PROBE =
+	    3, /* no termination: a blocked identity is sent as a probe */
 };
 
 /* An identity was in flight at a target when the target terminated. */
@@ -82,7 +86,7 @@
  * `confirmed` (of struct sus_termination); the caller publishes them. */
 void sus_target_terminated(
     struct sus *s, uint64_t target, int64_t now_us, GArray *confirmed);
-/* Adds a termination, or a complete answer, reported by another process. */
+/* Adds a termination, a complete answer or a probe reported by another process. */
 enum sus_news sus_report(
     struct sus *s, const struct sus_termination *termination, int64_t now_us);
 /* The latest complete answer, as a termination of weight SUS_CLEARED. */
@@ -103,13 +107,14 @@
 /* Whether it is blocked, or was and may be probed now. */
 bool sus_was_blocked(const struct sus *s, uint64_t fingerprint);
 /* A request with the identity is sent. If it had been blocked, this is its probe,
- * and it is blocked again for as long: only a complete answer clears it. */
-void sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us);
+ * and it is blocked again for as long: only a complete answer clears it. Returns
+ * true if so; the caller must publish this, as a termination of weight SUS_PROBE. */
+bool sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us);
 /* The probe was no test, as it did not run or a planned stop cut it off: the next
- * request may be sent. */
+ * request may be sent here. */
 void sus_void_probe(struct sus *s, uint64_t fingerprint, int64_t now_us);
 /* Append the confirmed terminations of one identity, or of all for which
- * sus_was_blocked() is true. */
+ * sus_was_blocked() is true, and the last probe of each. */
 void sus_terminations_of(
     const struct sus *s, uint64_t fingerprint, GArray *out);
 void sus_blocked_terminations(const struct sus *s, GArray *out);
--- a/programs/entry/suspects.c
+++ b/programs/entry/suspects.c
@@ -182,29 +182,45 @@
 }
 
 static void
-each_identity(struct request *r,
-    void (*note)(struct sus *s, uint64_t fingerprint, int64_t now_us))
+each_identity(
+    struct request *r, void (*note)(struct entry *entry, uint64_t fingerprint))
 {
-	struct sus *s = r->entry->suspects;
 	size_t i;
 
-	if (r->model[0] == '\0' || sus_is_empty(s))
+	if (r->model[0] == '\0' || sus_is_empty(r->entry->suspects))
 		return;
-	note(s, content_of(r), now_us());
+	note(r->entry, content_of(r));
 	for (i = 0; i < r->nparts; i++)
-		note(s, r->parts[i], now_us());
+		note(r->entry, r->parts[i]);
+}
+
+static void
+note_identity_sent(struct entry *entry, uint64_t fingerprint)
+{
+	struct sus_termination probe = { .fingerprint = fingerprint,
+		.weight = SUS_PROBE,
+		.at_us = now_us() };
+
+	if (sus_sent(entry->suspects, fingerprint, probe.at_us))
+		send_terminations(entry, &probe, 1, NULL);
+}
+
+static void
+void_identity_probe(struct entry *entry, uint64_t fingerprint)
+{
+	sus_void_probe(entry->suspects, fingerprint, now_us());
 }
 
 void
 suspects_note_sent(struct request *r)
 {
-	each_identity(r, sus_sent);
+	each_identity(r, note_identity_sent);
 }
 
 void
 suspects_void_probe(struct request *r)
 {
-	each_identity(r, sus_void_probe);
+	each_identity(r, void_identity_probe);
 }
 
 /* Requests that are in flight may not have begun to run: recalled in time, they
--- a/tests/serve/test_side.c
+++ b/tests/serve/test_side.c
@@ -32,7 +32,7 @@
 test_termination_is_passed_on(void **state)
 {
 	static const unsigned int weights[] = { SUS_CLEARED, SUS_ANSWERING,
-		SUS_UNANSWERED };
+		SUS_UNANSWERED, SUS_PROBE };
 	struct sus_termination in = { .fingerprint = UINT64_MAX - 1,
 		.target = 7,
 		.at_us = NOW_US - 1500000,
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -234,6 +234,45 @@
 	assert_int_equal(judge(7, now_us + 600 * S), SUS_NONE);
 }
 
+/* Guards against a copy to a failing target from each gateway, and from each process
+ * that starts later: one probe blocks the identity for all of them. */
+static void
+test_probe_blocks_elsewhere(void **state)
+{
+	GArray *known =
+	    g_array_new(FALSE, FALSE, sizeof(struct sus_termination));
+	struct sus *other = sus_new(2), *late = sus_new(3);
+	int64_t probed_us;
+	guint i;
+
+	assert_false(report(other, 7, 0, SUS_PROBE, T0)); /* not blocked */
+	for (i = 1; i <= 2; i++) {
+		report(s, 7, i, SUS_UNANSWERED, T0);
+		report(other, 7, i, SUS_UNANSWERED, T0);
+	}
+	probed_us = MAX(blocked_until(s, 7, T0), blocked_until(other, 7, T0));
+	assert_true(sus_sent(s, 7, probed_us));
+	assert_true(report(other, 7, 0, SUS_PROBE, probed_us));
+	assert_false(report(other, 7, 0, SUS_PROBE, probed_us + 50 * MS));
+	assert_in_range(
+	    (blocked_until(other, 7, probed_us) - probed_us) / S, 10, 20);
+	sus_blocked_terminations(other, known);
+	assert_int_equal(known->len, 3);
+	for (i = 0; i < known->len; i++)
+		sus_report(late,
+		    &g_array_index(known, struct sus_termination, i),
+		    probed_us + S);
+	assert_in_range(
+	    (blocked_until(late, 7, probed_us + S) - probed_us) / S, 10, 20);
+	/* Its own report coming back does not undo that the probe is void. */
+	sus_void_probe(s, 7, probed_us);
+	assert_false(report(s, 7, 0, SUS_PROBE, probed_us + 50 * MS));
+	assert_int_equal(judge(7, probed_us), SUS_SUSPECT);
+	sus_free(other);
+	sus_free(late);
+	g_array_unref(known);
+}
+
 /* Guards against all gateways probing a request at the same time. */
 static void
 test_gateways_probe_at_different_times(void **state)
@@ -552,6 +591,7 @@
 		TEST(test_complete_answer_clears),
 		TEST(test_each_termination_blocks_for_longer),
 		TEST(test_probe_without_an_answer),
+		TEST(test_probe_blocks_elsewhere),
 		TEST(test_gateways_probe_at_different_times),
 		TEST(test_blocked_requests_are_not_evicted),
 		TEST(test_published_terminations_block_elsewhere),
