serve: Let a probe go on beside that of another gateway

What callers would see: a blocked request that is sent as a probe is ended with 502, as another gateway has sent one as well. Its answer would have cleared the request for all.

Cause: what another process reports of a blocked request recalls the copies in flight; since probes are reported, too, a probe did.

Change: a probe recalls nothing, in gateways and in entries of the own interface.

serve-fwd: test_probe_beside_another_is_answered failed before (its connection was closed); test_probe_of_another_gateway holds the report of a probe itself.

--- a/lib/serve/fwd_suspect.c
+++ b/lib/serve/fwd_suspect.c
@@ -320,7 +320,9 @@
 		break;
 	case SUS_NEW:
 		note_blocked(f, fingerprint, was_known);
-		recall_all(f, fingerprint);
+		/* A probe in flight here may still be answered. */
+		if (termination->weight != SUS_PROBE)
+			recall_all(f, fingerprint);
 		break;
 	case SUS_REFUTED:
 		refutation = sus_refutation(f->suspects, fingerprint);
--- a/programs/entry/suspects.c
+++ b/programs/entry/suspects.c
@@ -350,7 +350,9 @@
 		break;
 	case SUS_NEW:
 		note_blocked(entry, fingerprint, was_blocked);
-		recall_all(entry, fingerprint);
+		/* A probe in flight here may still be answered. */
+		if (termination->weight != SUS_PROBE)
+			recall_all(entry, fingerprint);
 		break;
 	case SUS_REFUTED:
 		refutation = sus_refutation(entry->suspects, fingerprint);
--- a/tests/serve/test_fwd.c
+++ b/tests/serve/test_fwd.c
@@ -1304,6 +1304,44 @@
 	expect_blocked_until_next_probe();
 }
 
+static void
+report_probe_at(int64_t at_us)
+{
+	struct sus_termination probe = { .fingerprint = first_content(),
+		.weight = SUS_PROBE,
+		.at_us = at_us };
+
+	fwd_report_termination(w.fwd, &probe);
+}
+
+/* Guards against a probe of each gateway. */
+static void
+test_probe_of_another_gateway(void **state)
+{
+	open_for_a_probe(2);
+	report_probe_at(now_us());
+	expect_blocked_until_next_probe();
+}
+
+/* Guards against a probe that is ended, as another gateway sends one as well: its
+ * answer clears the request. */
+static void
+test_probe_beside_another_is_answered(void **state)
+{
+	struct target *t;
+	int fd;
+
+	open_for_a_probe(2);
+	fd = send_path("/x/1");
+	t = target_next();
+	report_probe_at(now_us() + 3000000);
+	raw_send(t->fd, STREAM EVENT("1") "0\r\n\r\n");
+	expect_answer(fd, "0\r\n\r\n");
+	fd = send_path("/x/1");
+	answer_on_idle(t);
+	expect_answer(fd, "0\r\n\r\n");
+}
+
 /* A probe that did not run is sent to another target, and clears the request
  * there. */
 static void
@@ -1553,6 +1591,8 @@
 		T(test_rejection_does_not_clear),
 		T(test_blocked_after_two_terminations),
 		T(test_failed_probe_is_the_only_one),
+		T(test_probe_of_another_gateway),
+		T(test_probe_beside_another_is_answered),
 		T(test_refused_probe_is_repeated),
 		T(test_queued_copy_of_a_probe),
 		T(test_copies_in_flight_are_recalled),
