serve: Draw the time of a block again after each probe

What callers saw: a blocked request or part of prompts stayed blocked at all gateways without end, although most of them could have had it answered.

Cause: the span of a block is a fixed draw of each gateway, and a probe blocks at all gateways. The gateway with the shortest span is the first one each time; if its probes fail (its targets fail, its callers give up), no other gateway ever sends one. Before probes were shared the others sent their own.

Change: the span after a probe is drawn by the probe's time as well. A gateway whose probes fail is the first one in 1 of N turns.

serve-suspect: test_failing_gateway_probes_in_turn failed before.

--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -272,16 +272,18 @@
 }
 
 /* Differs between gateways, so that they probe at different times: requests
- * that reach several gateways at once would otherwise all be sent. */
+ * that reach several gateways at once would otherwise all be sent. Drawn again
+ * after each probe (at `probed_us`; 0: none), so that a gateway whose probes fail
+ * is not always the first. */
 static int64_t
-block_span_us(
-    const struct sus *s, const struct suspect *sp, unsigned int weight)
+block_span_us(const struct sus *s, const struct suspect *sp,
+    unsigned int weight, int64_t probed_us)
 {
 	const struct policy *policy = policy_of(sp->fingerprint);
 	size_t step = MIN(
 	    (weight - policy->block_weight) / SUS_UNANSWERED, BLOCK_STEPS - 1);
-	uint64_t bits =
-	    hash64(s->seed, &sp->fingerprint, sizeof(sp->fingerprint));
+	uint64_t key[] = { sp->fingerprint, (uint64_t)probed_us };
+	uint64_t bits = hash64(s->seed, key, sizeof(key));
 	double fraction = (double)(bits >> 11) / (double)(UINT64_C(1) << 53);
 
 	return (int64_t)((double)policy->block_us[step] * (1 + fraction));
@@ -294,7 +296,7 @@
 
 	if (weight >= policy_of(sp->fingerprint)->block_weight)
 		sp->blocked_until_us = MAX(sp->blocked_until_us,
-		    sp->last_us + block_span_us(s, sp, weight));
+		    sp->last_us + block_span_us(s, sp, weight, 0));
 }
 
 /* ------------------------------------------------------------------ */
@@ -577,8 +579,8 @@
 		return false;
 	sp->probed_us = at_us;
 	sp->before_probe_us = 0;
-	sp->blocked_until_us =
-	    MAX(sp->blocked_until_us, at_us + block_span_us(s, sp, weight));
+	sp->blocked_until_us = MAX(
+	    sp->blocked_until_us, at_us + block_span_us(s, sp, weight, at_us));
 	return true;
 }
 
@@ -739,8 +741,8 @@
 		return false;
 	sp->probed_us = now_us;
 	sp->before_probe_us = sp->blocked_until_us;
-	sp->blocked_until_us =
-	    MAX(sp->blocked_until_us, now_us + block_span_us(s, sp, weight));
+	sp->blocked_until_us = MAX(sp->blocked_until_us,
+	    now_us + block_span_us(s, sp, weight, now_us));
 	return true;
 }
 
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -273,6 +273,76 @@
 	g_array_unref(known);
 }
 
+#define GATEWAYS 5
+
+static void
+report_to_all(
+    struct sus **gateways, uint64_t target, unsigned int weight, int64_t at_us)
+{
+	size_t i;
+
+	for (i = 0; i < GATEWAYS; i++)
+		report(gateways[i], 7, target, weight, at_us);
+}
+
+/* Opens gateways that have blocked identity 7. Returns the one that may probe it
+ * first. */
+static size_t
+open_gateways(struct sus **gateways, uint64_t seed)
+{
+	size_t i, first = 0;
+
+	for (i = 0; i < GATEWAYS; i++)
+		gateways[i] = sus_new(seed + i);
+	report_to_all(gateways, 1, SUS_UNANSWERED, T0);
+	report_to_all(gateways, 2, SUS_UNANSWERED, T0);
+	for (i = 1; i < GATEWAYS; i++) {
+		if (blocked_until(gateways[i], 7, T0) <
+		    blocked_until(gateways[first], 7, T0))
+			first = i;
+	}
+	return first;
+}
+
+/* Time until the identity is answered, which callers send to each gateway all the
+ * time: the first one to probe gets no answers, the others do. */
+static int64_t
+until_answered(uint64_t seed, bool runs)
+{
+	struct sus *gateways[GATEWAYS];
+	size_t cut_off = open_gateways(gateways, seed), i;
+	int64_t now_us, until_us;
+	bool answered = false;
+
+	for (now_us = T0; !answered && now_us < T0 + 1000 * S;
+	     now_us += 10 * MS) {
+		for (i = 0; i < GATEWAYS && !answered; i++) {
+			if (sus_judge(gateways[i], 7, now_us, &until_us) ==
+			    SUS_BLOCKED)
+				continue;
+			if (sus_sent(gateways[i], 7, now_us))
+				report_to_all(gateways, 0, SUS_PROBE, now_us);
+			if (i == cut_off && !runs)
+				sus_void_probe(gateways[i], 7, now_us);
+			answered = i != cut_off;
+		}
+	}
+	for (i = 0; i < GATEWAYS; i++)
+		sus_free(gateways[i]);
+	return now_us - T0;
+}
+
+/* Guards against a gateway whose probes all fail, and which is always the first to
+ * send one: the others could clear the identity. */
+static void
+test_failing_gateway_probes_in_turn(void **state)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed < 50; seed++)
+		assert_true(until_answered(seed * GATEWAYS, true) < 100 * S);
+}
+
 /* Guards against all gateways probing a request at the same time. */
 static void
 test_gateways_probe_at_different_times(void **state)
@@ -592,6 +662,7 @@
 		TEST(test_each_termination_blocks_for_longer),
 		TEST(test_probe_without_an_answer),
 		TEST(test_probe_blocks_elsewhere),
+		TEST(test_failing_gateway_probes_in_turn),
 		TEST(test_gateways_probe_at_different_times),
 		TEST(test_blocked_requests_are_not_evicted),
 		TEST(test_published_terminations_block_elsewhere),
