serve: Publish a probe that does not run only once

What callers saw: a blocked request or part stayed blocked at all gateways for as long as one gateway reached no engine, but did reach keepers.

Cause: a probe is published before it is known whether it runs. If it does not, it is void for its own gateway, which sends the next request, and publishes that one, too. Each blocks the identity at the others for as long again.

Change: a gateway publishes no further probe while its last one still blocks the others. After that its turn is drawn again. A probe that runs after a void one is told as the void one, so another gateway may send its own up to one span earlier than before.

serve-suspect: test_void_probes_block_once failed before.

--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -76,6 +76,8 @@
 	int64_t
 	    before_probe_us; /* blocked_until_us before the last probe here */
 	int64_t probed_us; /* last probe of any process; 0: none */
+	/* Until when the last probe published here blocks it elsewhere. */
+	int64_t published_until_us;
 };
 
 /* The latest complete answer of a request with the identity. */
@@ -511,6 +513,7 @@
 		remove_termination(sp, i);
 	}
 	sp->blocked_until_us = sp->before_probe_us = sp->probed_us = 0;
+	sp->published_until_us = 0;
 	block_if_confirmed(s, sp);
 	if (sp->nterminations == 0)
 		g_hash_table_remove(s->suspects, &fingerprint);
@@ -739,10 +742,15 @@
 	weight = confirmed_weight(s, sp);
 	if (weight < policy_of(fingerprint)->block_weight)
 		return false;
-	sp->probed_us = now_us;
 	sp->before_probe_us = sp->blocked_until_us;
 	sp->blocked_until_us = MAX(sp->blocked_until_us,
 	    now_us + block_span_us(s, sp, weight, now_us));
+	/* The one before was void: published each time, they would block it
+	 * elsewhere for as long as this process reaches no target. */
+	if (now_us < sp->published_until_us)
+		return false;
+	sp->probed_us = now_us;
+	sp->published_until_us = sp->blocked_until_us;
 	return true;
 }
 
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -108,7 +108,8 @@
 bool sus_was_blocked(const struct sus *s, uint64_t fingerprint);
 /* A request with the identity is sent. If it had been blocked, this is its probe,
  * and it is blocked again for as long: only a complete answer clears it. Returns
- * true if so; the caller must publish this, as a termination of weight SUS_PROBE. */
+ * true if the caller must publish this, as a termination of weight SUS_PROBE: the
+ * last one that it published no longer blocks the others. */
 bool sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us);
 /* The probe was no test, as it did not run or a planned stop cut it off: the next
  * request may be sent here. */
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -343,6 +343,17 @@
 		assert_true(until_answered(seed * GATEWAYS, true) < 100 * S);
 }
 
+/* Guards against a gateway that reaches no target, whose probes do not run: it must
+ * not block the identity at the others again and again. */
+static void
+test_void_probes_block_once(void **state)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed < 50; seed++)
+		assert_true(until_answered(seed * GATEWAYS, false) < 100 * S);
+}
+
 /* Guards against all gateways probing a request at the same time. */
 static void
 test_gateways_probe_at_different_times(void **state)
@@ -663,6 +674,7 @@
 		TEST(test_probe_without_an_answer),
 		TEST(test_probe_blocks_elsewhere),
 		TEST(test_failing_gateway_probes_in_turn),
+		TEST(test_void_probes_block_once),
 		TEST(test_gateways_probe_at_different_times),
 		TEST(test_blocked_requests_are_not_evicted),
 		TEST(test_published_terminations_block_elsewhere),
