serve: Count no request as a probe that another identity explains

What callers would see: a request that is served, as a blocked part explains the engines that ended under it, is blocked at all gateways at the moment when the part is cleared.

Cause: each send of an identity that has had a block counted as its probe, also where the identity was not blocked as another explains its terminations. Each send blocked it for as long again, without effect while the explanation lasted; now it is also published, at each send.

Change: only an identity with evidence of its own is probed.

serve-suspect: test_explained_request_is_no_probe failed before (the send was to be published, and the request is blocked after the part is cleared); passes now, with all of serve-suspect and serve-fwd.

--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -740,7 +740,9 @@
 	if (sp == NULL || sp->blocked_until_us == 0)
 		return false;
 	weight = confirmed_weight(s, sp);
-	if (weight < policy_of(fingerprint)->block_weight)
+	/* Explained by another identity, it is sent as any request is. */
+	if (weight < policy_of(fingerprint)->block_weight ||
+	    !is_evident(s, sp, is_confirmed, is_unexplained, now_us))
 		return false;
 	sp->before_probe_us = sp->blocked_until_us;
 	sp->blocked_until_us = MAX(sp->blocked_until_us,
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -76,6 +76,23 @@
 	return until_us;
 }
 
+static uint64_t
+part(const char *id)
+{
+	return fpr_of_part(slice_str(id));
+}
+
+/* Reports terminations under the part, one second apart. */
+static void
+report_part(const char *id, uint64_t n, int64_t from_us)
+{
+	uint64_t i;
+
+	for (i = 0; i < n; i++)
+		report(s, part(id), 1 + i, SUS_UNANSWERED,
+		    from_us + (int64_t)i * S);
+}
+
 /* Guards against a request that terminates one target after the other. */
 static void
 test_blocked_after_two_terminations_without_answer(void **state)
@@ -273,6 +290,20 @@
 	g_array_unref(known);
 }
 
+/* Guards against blocking an innocent request, which is sent as a poison part
+ * explains its terminations, once that part is gone. */
+static void
+test_explained_request_is_no_probe(void **state)
+{
+	report_part("p", 3, T0);
+	report(s, 7, 1, SUS_UNANSWERED, T0);
+	report(s, 7, 2, SUS_UNANSWERED, T0 + S);
+	assert_int_equal(judge(7, T0 + 30 * S), SUS_SUSPECT);
+	assert_false(sus_sent(s, 7, T0 + 30 * S));
+	sus_answered(s, part("p"), T0 + 31 * S);
+	assert_int_equal(judge(7, T0 + 31 * S), SUS_SUSPECT);
+}
+
 #define GATEWAYS 5
 
 static void
@@ -422,23 +453,6 @@
 /* Parts of prompts                                                    */
 /* ------------------------------------------------------------------ */
 
-static uint64_t
-part(const char *id)
-{
-	return fpr_of_part(slice_str(id));
-}
-
-/* Reports terminations under the part, one second apart. */
-static void
-report_part(const char *id, uint64_t n, int64_t from_us)
-{
-	uint64_t i;
-
-	for (i = 0; i < n; i++)
-		report(s, part(id), 1 + i, SUS_UNANSWERED,
-		    from_us + (int64_t)i * S);
-}
-
 /* Guards against blocking a part as soon as a request: many more callers share
  * it. */
 static void
@@ -673,6 +687,7 @@
 		TEST(test_each_termination_blocks_for_longer),
 		TEST(test_probe_without_an_answer),
 		TEST(test_probe_blocks_elsewhere),
+		TEST(test_explained_request_is_no_probe),
 		TEST(test_failing_gateway_probes_in_turn),
 		TEST(test_void_probes_block_once),
 		TEST(test_gateways_probe_at_different_times),
