serve: Refute late reports of a request whose probe was answered

What callers saw: a request that a probe has cleared is blocked again at all gateways for 10 s and more.

Cause: a gateway that repeats what it has blocked while the answer is being told (or that was not told of it) makes keepers block the request again. Answers are remembered for parts only. This used to be without effect, as the block of the terminations was over; now the report ends with the probe, which blocks for as long again.

serve-suspect: test_report_beside_an_answered_probe failed before (blocked); passes now, with all of serve-suspect and serve-fwd.

--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -176,12 +176,15 @@
 	}
 }
 
+/* Without a time of trust, an answer speaks only against reports of what it has
+ * cleared. */
 static void
 note_answer(struct sus *s, uint64_t fingerprint, int64_t at_us)
 {
 	struct answer *answer = find_answer(s, fingerprint);
 
-	if (policy_of(fingerprint)->trust_us == 0)
+	if (policy_of(fingerprint)->trust_us == 0 &&
+	    !sus_was_blocked(s, fingerprint))
 		return;
 	if (answer == NULL && g_hash_table_size(s->answers) >= ANSWERS_MAX)
 		drop_old_answers(s, at_us);
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -290,6 +290,28 @@
 	g_array_unref(known);
 }
 
+/* Guards against blocking a request again by a report that was on its way when its
+ * probe was answered. */
+static void
+test_report_beside_an_answered_probe(void **state)
+{
+	GArray *late =
+	    g_array_new(FALSE, FALSE, sizeof(struct sus_termination));
+	int64_t probed_us = T0 + 30 * S;
+	guint i;
+
+	report(s, 7, 1, SUS_UNANSWERED, T0);
+	report(s, 7, 2, SUS_UNANSWERED, T0);
+	report(s, 7, 0, SUS_PROBE, probed_us);
+	sus_blocked_terminations(s, late);
+	assert_true(report(s, 7, 0, SUS_CLEARED, probed_us + S));
+	for (i = 0; i < late->len; i++)
+		sus_report(s, &g_array_index(late, struct sus_termination, i),
+		    probed_us + S + 10 * MS);
+	assert_int_not_equal(judge(7, probed_us + 2 * S), SUS_BLOCKED);
+	g_array_unref(late);
+}
+
 /* Guards against blocking an innocent request, which is sent as a poison part
  * explains its terminations, once that part is gone. */
 static void
@@ -687,6 +709,7 @@
 		TEST(test_each_termination_blocks_for_longer),
 		TEST(test_probe_without_an_answer),
 		TEST(test_probe_blocks_elsewhere),
+		TEST(test_report_beside_an_answered_probe),
 		TEST(test_explained_request_is_no_probe),
 		TEST(test_failing_gateway_probes_in_turn),
 		TEST(test_void_probes_block_once),
