serve: Ignore terminations that name no target

What callers would see: during a change of software, a request or part that was blocked by chance is blocked at all gateways for 300 s, 1 h and 24 h in turn, while its probes fail.

Cause: a process of older software takes a probe for a termination of weight 2 without a target, and repeats it as such every 5 s. Processes of this software count it as evidence; each probe adds to it.

Change: a termination without a target is no evidence. Older processes still count it themselves.

serve-suspect: test_termination_without_target_is_none failed before (blocked).

--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -608,6 +608,9 @@
 
 	if (termination->weight == SUS_PROBE)
 		return report_probe(s, termination);
+	/* Older software passes a probe on as a termination. */
+	if (termination->weight != SUS_CLEARED && termination->target == 0)
+		return SUS_KNOWN;
 	if (termination->weight == SUS_CLEARED)
 		is_new = sus_answered(s, fingerprint, termination->at_us);
 	else if (is_refuted(s, termination))
--- a/tests/serve/test_suspect.c
+++ b/tests/serve/test_suspect.c
@@ -290,6 +290,16 @@
 	g_array_unref(known);
 }
 
+/* Guards against probes that count as evidence: a process of older software passes
+ * them on as terminations, which then have no target. */
+static void
+test_termination_without_target_is_none(void **state)
+{
+	report(s, 7, 1, SUS_UNANSWERED, T0);
+	assert_false(report(s, 7, 0, SUS_UNANSWERED, T0 + 5 * S));
+	assert_int_equal(judge(7, T0 + 5 * S), SUS_SUSPECT);
+}
+
 /* Guards against blocking a request again by a report that was on its way when its
  * probe was answered. */
 static void
@@ -709,6 +719,7 @@
 		TEST(test_each_termination_blocks_for_longer),
 		TEST(test_probe_without_an_answer),
 		TEST(test_probe_blocks_elsewhere),
+		TEST(test_termination_without_target_is_none),
 		TEST(test_report_beside_an_answered_probe),
 		TEST(test_explained_request_is_no_probe),
 		TEST(test_failing_gateway_probes_in_turn),
