--- a/lib/serve/side.h
+++ b/lib/serve/side.h
@@ -86,8 +86,8 @@
 	 * loaded version. A process that starts learns so of the one before. */
 	uint64_t doubted;
 	uint64_t proved;
-	/* 1: this gateway, or a process that it heard, was there before all others
-	 * started again, and may remember a doubt. */
+	/* 1: this gateway, or a sidecar that reported to it, has run for some time
+	 * and may remember a doubt. */
 	uint64_t may_remember;
 };
 
@@ -193,7 +193,8 @@
 	struct slice entries;
 };
 
-/* Requests that were in flight at targets that terminated, or were cleared. */
+/* Requests that were in flight at targets that terminated, or were cleared or
+ * probed. */
 struct side_terminations {
 	struct slice entries;
 };
--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -73,8 +73,8 @@
 	unsigned int nterminations;
 	int64_t last_us; /* latest termination */
 	int64_t blocked_until_us; /* 0: never blocked */
-	int64_t
-	    before_probe_us; /* blocked_until_us before the last probe here */
+	/* blocked_until_us before the last probe here; 0: no such probe. */
+	int64_t before_probe_us;
 	int64_t probed_us; /* last probe of any process; 0: none */
 	/* Until when the last probe published here blocks it elsewhere. */
 	int64_t published_until_us;
--- a/lib/serve/suspect.h
+++ b/lib/serve/suspect.h
@@ -44,14 +44,15 @@
 	SUS_CLEARED = 0, /* no termination: a complete answer */
 	SUS_ANSWERING = 1, /* its answer had begun, so it did run there */
 	SUS_UNANSWERED = 2, /* no answer had begun: it may be the cause */
-	SUS_PROBE =
-	    3, /* no termination: a blocked identity is sent as a probe */
+	/* No termination: a blocked identity is sent as a probe. */
+	SUS_PROBE = 3,
 };
 
-/* An identity was in flight at a target when the target terminated. */
+/* An identity was in flight at a target when the target terminated; or, by its
+ * weight, it was answered or probed. */
 struct sus_termination {
 	uint64_t fingerprint; /* see fingerprint.h */
-	uint64_t target; /* hash of its instance id */
+	uint64_t target; /* hash of its instance id; 0: no termination */
 	unsigned int weight; /* enum sus_weight */
 	int64_t at_us;
 	int64_t in_flight_us; /* since it was sent there; 0: not known */
@@ -112,7 +113,7 @@
  * last one that it published no longer blocks the others. */
 bool sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us);
 /* The probe was no test, as it did not run or a planned stop cut it off: the next
- * request may be sent here. */
+ * request may be sent here. Elsewhere the identity stays blocked. */
 void sus_void_probe(struct sus *s, uint64_t fingerprint, int64_t now_us);
 /* Append the confirmed terminations of one identity, or of all for which
  * sus_was_blocked() is true, and the last probe of each. */
--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -14,8 +14,9 @@
 #define BACKOFF_MAX_US 4000000
 /* Weight of one answer in the moving average of failures. */
 #define ERROR_WEIGHT 0.1
-/* What a set learns of in this time existed before it. */
+/* Targets added to a new set within this time existed before it. */
 #define LEARN_US 3000000
+
 /* ------------------------------------------------------------------ */
 /* Set and services                                                    */
 /* ------------------------------------------------------------------ */
--- a/programs/entry/gateway_ends.c
+++ b/programs/entry/gateway_ends.c
@@ -1,6 +1,7 @@
 /*
- * Terminations of targets and the requests that were in flight there: exchanged
- * with the sidecars that count them for all gateways.
+ * Terminations of targets and the requests that were in flight there, answers that
+ * clear these, and probes: exchanged with the sidecars that count them for all
+ * gateways.
  */
 
 #include "entry/gateway.h"
--- a/programs/entry/suspects.c
+++ b/programs/entry/suspects.c
@@ -1,8 +1,8 @@
 /*
  * Requests under which engines terminated, by serve/suspect.h. A gateway counts
  * the engines that its own requests were cut off by, and sends each termination
- * to all other gateways. Plain services are not observed, so their terminations
- * are not known and do not count.
+ * and probe to all other gateways. Plain services are not observed, so their
+ * terminations are not known and do not count.
  */
 
 #include <string.h>
--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -147,7 +147,7 @@
 	/* By then all gateways have reported what the previous process
 	 * doubted; 0: none has sent anything. */
 	int64_t settled_us;
-	int64_t desired_us; /* the first one came */
+	int64_t desired_us; /* arrival of the first desired state */
 	struct prf proof; /* of the weights that it holds */
 	struct prf proof_logged; /* as last logged */
 	int64_t loaded; /* version, complete and proved; 0: none */
--- a/programs/side/keeper_ends.c
+++ b/programs/side/keeper_ends.c
@@ -1,6 +1,6 @@
 /*
  * Requests that were in flight at targets that terminated. Each gateway reports
- * those that it sent; the keeper counts them over all gateways.
+ * those that it sent, and its probes; the keeper counts them over all gateways.
  */
 
 #include "serve/fingerprint.h"
@@ -84,7 +84,7 @@
 	g_array_unref(terminations);
 }
 
-/* The identity has a termination that was not known. */
+/* The identity has a termination or a probe that was not known. */
 static void
 note_termination(struct keeper *k, uint64_t fingerprint, bool was_blocked)
 {
