suspect: One piece for the block that a probe begins

It was written twice, for an own probe and for a reported one. No change of behaviour: serve-suspect and serve-fwd pass.

--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -304,6 +304,20 @@
 		    sp->last_us + block_span_us(s, sp, weight, 0));
 }
 
+/* A probe blocks for as long again as the terminations. Returns false without
+ * enough of them. */
+static bool
+block_by_probe(const struct sus *s, struct suspect *sp, int64_t probed_us)
+{
+	unsigned int weight = confirmed_weight(s, sp);
+
+	if (weight < policy_of(sp->fingerprint)->block_weight)
+		return false;
+	sp->blocked_until_us = MAX(sp->blocked_until_us,
+	    probed_us + block_span_us(s, sp, weight, probed_us));
+	return true;
+}
+
 /* ------------------------------------------------------------------ */
 /* Suspects                                                            */
 /* ------------------------------------------------------------------ */
@@ -573,30 +587,19 @@
 	return true;
 }
 
-/* A probe blocks for as long again. Returns whether it was not known. */
-static bool
-note_probe(struct sus *s, struct suspect *sp, int64_t at_us)
-{
-	unsigned int weight = confirmed_weight(s, sp);
-
-	if (weight < policy_of(sp->fingerprint)->block_weight)
-		return false;
-	if (sp->probed_us != 0 && at_us - sp->probed_us < SAME_END_US)
-		return false;
-	sp->probed_us = at_us;
-	sp->before_probe_us = 0;
-	sp->blocked_until_us = MAX(
-	    sp->blocked_until_us, at_us + block_span_us(s, sp, weight, at_us));
-	return true;
-}
-
 static enum sus_news
 report_probe(struct sus *s, const struct sus_termination *probe)
 {
 	struct suspect *sp = find(s, probe->fingerprint);
 
-	return sp != NULL && note_probe(s, sp, probe->at_us) ? SUS_NEW
-							     : SUS_KNOWN;
+	if (sp == NULL ||
+	    (sp->probed_us != 0 &&
+		probe->at_us - sp->probed_us < SAME_END_US) ||
+	    !block_by_probe(s, sp, probe->at_us))
+		return SUS_KNOWN;
+	sp->probed_us = probe->at_us;
+	sp->before_probe_us = 0;
+	return SUS_NEW;
 }
 
 enum sus_news
@@ -741,18 +744,16 @@
 sus_sent(struct sus *s, uint64_t fingerprint, int64_t now_us)
 {
 	struct suspect *sp = find(s, fingerprint);
-	unsigned int weight;
+	int64_t before_us;
 
 	if (sp == NULL || sp->blocked_until_us == 0)
 		return false;
-	weight = confirmed_weight(s, sp);
+	before_us = sp->blocked_until_us;
 	/* Explained by another identity, it is sent as any request is. */
-	if (weight < policy_of(fingerprint)->block_weight ||
-	    !is_evident(s, sp, is_confirmed, is_unexplained, now_us))
+	if (!is_evident(s, sp, is_confirmed, is_unexplained, now_us) ||
+	    !block_by_probe(s, sp, now_us))
 		return false;
-	sp->before_probe_us = sp->blocked_until_us;
-	sp->blocked_until_us = MAX(sp->blocked_until_us,
-	    now_us + block_span_us(s, sp, weight, now_us));
+	sp->before_probe_us = before_us;
 	/* The one before was void: published each time, they would block it
 	 * elsewhere for as long as this process reaches no target. */
 	if (now_us < sp->published_until_us)
