gateway: Wait for a starting sidecar at targets that were listed late

What callers saw: answers made with a corrupt layer for up to a second, through one gateway. An engine stands still with an order for longer than its record lasts; one gateway starts while the record is away, and over three seconds later the engine goes on and is listed again as its sidecar starts.

Cause: what a gateway learned of later than three seconds after its first target was taken for newer than the gateway, so that it would remember a doubt. But the other gateways keep the doubt of a target that is not listed, and this one never heard it.

Change: only a report of a settled sidecar tells that the doubts are known. An engine that is new holds nothing, and the order for its first weights ends the start of its sidecar, so nothing waits for longer there.

The test that a gateway believes a starting sidecar of a target that was listed anew asked for this fault: it is replaced by one that asks for no requests while the sidecar is starting, and for requests with its first report after it has settled. That a gateway believes a starting sidecar that it heard before stays as it was.

--- a/lib/serve/tgt.c
+++ b/lib/serve/tgt.c
@@ -222,7 +222,6 @@
 	t->service = tgt_service(s, record->service);
 	t->local = is_local(s, record->domain);
 	t->slowdown = 1;
-	t->weights_known = s->learned;
 	TAILQ_INSERT_TAIL(&t->service->targets, t, link);
 	t->service->ntargets++;
 	g_hash_table_insert(s->by_id, t->record.id, t);
@@ -260,7 +259,6 @@
 {
 	if (s->learn_until_us == 0)
 		s->learn_until_us = now_us + LEARN_US;
-	s->learned = now_us >= s->learn_until_us;
 }
 
 struct tgt *
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -52,8 +52,10 @@
 	/* Its sidecar reported last that it may hold weights which were not
 	 * loaded from valid chunks. */
 	bool uncertain;
-	/* Doubts that other gateways had about its weights are known here: it is
-	 * newer than this set, or its sidecar reported after it had been told. */
+	/* Doubts that other gateways had about its weights are known here: its
+	 * sidecar reported after it had been told. Its age does not tell: a record
+	 * may have been away as this set began. An engine that is new holds nothing,
+	 * and the order for its first weights ends the start of its sidecar. */
 	bool weights_known;
 	/* Loaded; from the store or the sidecar, whichever is newer. */
 	char model[SV_ID_MAX];
--- a/lib/serve/tgt_internal.h
+++ b/lib/serve/tgt_internal.h
@@ -19,10 +19,9 @@
 	TAILQ_HEAD(tgt_kept_list, tgt_kept) kept; /* see tgt_notice.c */
 	unsigned int nkept;
 	int64_t restored_us; /* the store, from an older copy; 0: never */
-	/* By then the set has all targets that existed before it, and `learned` is
-	 * set with the next one; 0: no target was added yet. */
+	/* By then the set has the targets that were listed before it; 0: none was
+	 * added yet. */
 	int64_t learn_until_us;
-	bool learned;
 };
 
 /* A sidecar reports several times a second. One that sent no report for this
--- a/tests/serve/test_starting.c
+++ b/tests/serve/test_starting.c
@@ -97,11 +97,31 @@
 	tgt_side_reported(t, 1, 3 * SECOND);
 	assert_ptr_equal(
 	    tgt_choose(set, t->service, &criteria, 3 * SECOND, &why), t);
-	/* Its record was not renewed meanwhile. */
-	assert_null(tgt_removed(set, "a", false, 9 * SECOND));
+	tgt_set_free(set);
+}
+
+/* Guards against requests to an engine that loaded corrupt chunks, through a gateway
+ * that started while the engine's record was away: it learns of the engine late, and
+ * together with its sidecar. */
+static void
+test_starting_sidecar_of_a_late_record(void **state)
+{
+	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
+	struct tgt_set *set = tgt_set_new("here", &policy);
+	struct tgt_criteria criteria = { .model = "m" };
+	struct side_report r = { .version = 2, .starting = 1 };
+	struct tgt *t = put_model(set);
+	enum tgt_reason why;
+
+	assert_null(tgt_removed(set, "a", false, 2 * SECOND));
 	t = put_model_at(set, 9 * SECOND);
 	tgt_side_version(t, &r);
 	tgt_side_reported(t, 1, 9 * SECOND);
+	assert_null(tgt_choose(set, t->service, &criteria, 9 * SECOND, &why));
+	/* It has been told of the doubts, and of none. */
+	r.starting = 0;
+	tgt_side_version(t, &r);
+	tgt_side_reported(t, 2, 9 * SECOND);
 	assert_ptr_equal(
 	    tgt_choose(set, t->service, &criteria, 9 * SECOND, &why), t);
 	tgt_set_free(set);
@@ -133,6 +153,7 @@
 		cmocka_unit_test(test_starting_sidecar_proves_no_weights),
 		cmocka_unit_test(test_late_starting_sidecar_proves_no_weights),
 		cmocka_unit_test(test_starting_sidecar_at_a_gateway_that_knows),
+		cmocka_unit_test(test_starting_sidecar_of_a_late_record),
 		cmocka_unit_test(test_predecessors),
 	};
 
