side: Heed the doubt of a gateway that is heard late

What callers saw: answers made with a corrupt layer until the next version. An engine stands still with an order; its sidecar, all others and a gateway end and start again as it goes on, and the gateway that remembers the order is held up for a second then.

Cause: a sidecar heeded what gateways remember of its process before only until it had settled, since half a second after the first message. A doubt that came later was ignored, and the report that answered it made the gateway forget it.

Change: the doubt counts until gateways were sent a doubt of this process. A gateway that still means the process before the last one costs one load more than needed.

--- a/programs/side/keeper.h
+++ b/programs/side/keeper.h
@@ -148,6 +148,7 @@
 	 * doubted; 0: none has sent anything. */
 	int64_t settled_us;
 	int64_t desired_us; /* arrival of the first desired state */
+	bool has_doubted; /* gateways were sent a doubt of this process */
 	struct prf proof; /* of the weights that it holds */
 	struct prf proof_logged; /* as last logged */
 	int64_t loaded; /* version, complete and proved; 0: none */
--- a/programs/side/keeper_gateways.c
+++ b/programs/side/keeper_gateways.c
@@ -365,6 +365,7 @@
 	if (status.slow_link != k->reported.slow_link)
 		evt(EVT_WEIGHTS, "step=link slow=%d", status.slow_link);
 	/* From now on gateways mean a doubt of this process. */
+	k->has_doubted = k->has_doubted || status.uncertain;
 	if (status.uncertain && status.starting) {
 		k->settled_us = keeper_now(k);
 		status.starting = false;
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -185,7 +185,9 @@
 	k->roster_request_us = 0;
 }
 
-/* Gateways know what the process before this one doubted. */
+/* Gateways know what the process before this one doubted, until they hear of a doubt
+ * of this one. A gateway that was held up may say so only after the others were
+ * heard. */
 static void
 take_doubt(struct keeper *k, const struct side_desired *desired)
 {
@@ -195,7 +197,7 @@
 	}
 	if (desired->may_remember && keeper_is_starting(k))
 		k->settled_us = k->desired_us + SETTLE_US;
-	if (!desired->doubted || !keeper_is_starting(k))
+	if (!desired->doubted || k->has_doubted)
 		return;
 	prf_doubted(&k->proof, (int64_t)desired->proved);
 	keeper_proof_changed(k);
