--- a/tests/serve/test_starting.c
+++ b/tests/serve/test_starting.c
@@ -6,36 +6,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
-#include "serve/tgt.h"
-
-#define SECOND 1000000
-
-static struct tgt *
-put_model_at(struct tgt_set *set, int64_t now_us)
-{
-	struct sv_target record = { .slots = 4,
-		.has_models = true,
-		.start_ms = 1000,
-		.model_version = 2 };
-	struct tgt *t;
-
-	g_strlcpy(record.id, "a", sizeof(record.id));
-	g_strlcpy(record.service, "s", sizeof(record.service));
-	g_strlcpy(record.address, "1.1.1.1:1", sizeof(record.address));
-	g_strlcpy(record.domain, "near", sizeof(record.domain));
-	g_strlcpy(record.model, "m", sizeof(record.model));
-	t = tgt_put(set, &record, now_us);
-	t->service->engine.chunks = 64;
-	g_strlcpy(
-	    t->service->engine.model, "m", sizeof(t->service->engine.model));
-	return t;
-}
-
-static struct tgt *
-put_model(struct tgt_set *set)
-{
-	return put_model_at(set, SECOND);
-}
+#include "one_model.h"
 
 /* Guards against requests to an engine that loaded corrupt chunks, through a gateway
  * that has started as late as the engine's sidecar: the others may not have sent the
--- a/tests/system/late_order_heard_late.sh
+++ b/tests/system/late_order_heard_late.sh
@@ -9,6 +9,10 @@
 
 failed=0
 
+# HELD=0: the gateway that has started is not held up, and may believe the sidecar
+# until it hears of the doubt (KNOWN-RED.txt).
+HELD=${HELD:-1}
+
 # Both sidecars and the other gateway start again as the engine goes on. That gateway
 # sends them their desired state, and is held up as well from before they settle until
 # they know of the doubt.
@@ -23,7 +27,7 @@
 	fleet_start keeper-0
 	fleet_start keeper-1
 	sleep 0.4
-	kill -STOP "$(cat "$STAGE/gateway-1.pid")"
+	[ "$HELD" = 0 ] || kill -STOP "$(cat "$STAGE/gateway-1.pid")"
 	sleep 0.55
 	kill -CONT "$(cat "$STAGE/gateway-2.pid")"
 	sleep 0.5
