serve, side, tests: State what a late message means; one set-up of the tests of starting sidecars

Cause: three comments told of doubts and trust without naming whose message or process they mean, and test_missed and test_starting each set up a set, a report and a choice by hand. Change: the comments are reworded; open_set, report and choose stand in one_model.h.

--- a/lib/serve/suspect.c
+++ b/lib/serve/suspect.c
@@ -176,8 +176,8 @@
 	}
 }
 
-/* Without a time of trust, an answer speaks only against reports of what it has
- * cleared. */
+/* The answer of an identity without `trust_us` is kept only if it was blocked: it
+ * refutes late reports of the terminations before. */
 static void
 note_answer(struct sus *s, uint64_t fingerprint, int64_t at_us)
 {
--- a/lib/serve/tgt.h
+++ b/lib/serve/tgt.h
@@ -52,10 +52,9 @@
 	/* Its sidecar reported last that it may hold weights which were not
 	 * loaded from valid chunks. */
 	bool uncertain;
-	/* Doubts that other gateways had about its weights are known here: its
-	 * sidecar reported after it had been told. Its age does not tell: a record
-	 * may have been away as this set began. An engine that is new holds nothing,
-	 * and the order for its first weights ends the start of its sidecar. */
+	/* Its sidecar has reported after it received the doubts that any gateway had
+	 * about its weights. A target that is new to this set may still have such a
+	 * doubt, as its record may have been missing when the set was created. */
 	bool weights_known;
 	/* Loaded; from the store or the sidecar, whichever is newer. */
 	char model[SV_ID_MAX];
--- a/programs/side/keeper_views.c
+++ b/programs/side/keeper_views.c
@@ -185,9 +185,9 @@
 	k->roster_request_us = 0;
 }
 
-/* Gateways know what the process before this one doubted, until they hear of a doubt
- * of this one. A gateway that was held up may say so only after the others were
- * heard. */
+/* Until gateways are sent a doubt of this process, `doubted` is about the process
+ * before it. The message of a gateway that was stalled may arrive after this process
+ * has settled. */
 static void
 take_doubt(struct keeper *k, const struct side_desired *desired)
 {
--- a/tests/serve/one_model.h
+++ b/tests/serve/one_model.h
@@ -37,4 +37,30 @@
 	return put_model_at(set, SECOND);
 }
 
+static inline struct tgt_set *
+open_set(void)
+{
+	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
+
+	return tgt_set_new("here", &policy);
+}
+
+/* The sidecar reports. */
+static inline void
+report(struct tgt *t, const struct side_report *r, uint32_t seq, int64_t now_us)
+{
+	tgt_side_version(t, r);
+	tgt_side_reported(t, seq, now_us);
+}
+
+/* The engine that a request for the model is sent to now, or NULL. */
+static inline struct tgt *
+choose(struct tgt_set *set, struct tgt *t, int64_t now_us)
+{
+	const struct tgt_criteria criteria = { .model = "m" };
+	enum tgt_reason why;
+
+	return tgt_choose(set, t->service, &criteria, now_us, &why);
+}
+
 #endif
--- a/tests/serve/test_missed.c
+++ b/tests/serve/test_missed.c
@@ -8,7 +8,6 @@
 
 #include "one_model.h"
 
-static const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
 static struct tgt_set *set;
 
 /* An engine whose sidecar has reported version 1, and nothing since. */
@@ -16,16 +15,12 @@
 put_reported(void)
 {
 	struct side_report r = { .version = 1 };
-	struct tgt_criteria criteria = { .model = "m" };
-	enum tgt_reason why;
 	struct tgt *t;
 
-	set = tgt_set_new("here", &policy);
+	set = open_set();
 	t = put_model(set);
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 9, SECOND);
-	assert_ptr_equal(
-	    tgt_choose(set, t->service, &criteria, SECOND, &why), t);
+	report(t, &r, 9, SECOND);
+	assert_ptr_equal(choose(set, t, SECOND), t);
 	return t;
 }
 
@@ -34,19 +29,14 @@
 static void
 test_starting_sidecar_after_missed_reports(void **state)
 {
-	struct tgt_criteria criteria = { .model = "m" };
 	struct side_report r = { .version = 2, .starting = 1 };
 	struct tgt *t = put_reported();
-	enum tgt_reason why;
 
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 1, 9 * SECOND);
-	assert_null(tgt_choose(set, t->service, &criteria, 9 * SECOND, &why));
+	report(t, &r, 1, 9 * SECOND);
+	assert_null(choose(set, t, 9 * SECOND));
 	r.starting = 0;
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 2, 9 * SECOND);
-	assert_ptr_equal(
-	    tgt_choose(set, t->service, &criteria, 9 * SECOND, &why), t);
+	report(t, &r, 2, 9 * SECOND);
+	assert_ptr_equal(choose(set, t, 9 * SECOND), t);
 	tgt_set_free(set);
 }
 
@@ -54,12 +44,10 @@
 static void
 test_record_after_missed_reports(void **state)
 {
-	struct tgt_criteria criteria = { .model = "m" };
 	struct tgt *t = put_reported();
-	enum tgt_reason why;
 
 	t = put_model_at(set, 9 * SECOND);
-	assert_null(tgt_choose(set, t->service, &criteria, 9 * SECOND, &why));
+	assert_null(choose(set, t, 9 * SECOND));
 	tgt_set_free(set);
 }
 
--- a/tests/serve/test_starting.c
+++ b/tests/serve/test_starting.c
@@ -14,20 +14,15 @@
 static void
 test_starting_sidecar_proves_no_weights(void **state)
 {
-	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
-	struct tgt_set *set = tgt_set_new("here", &policy);
-	struct tgt_criteria criteria = { .model = "m" };
+	struct tgt_set *set = open_set();
 	struct side_report r = { .version = 2, .starting = 1 };
 	struct tgt *t = put_model(set);
-	enum tgt_reason why;
 
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 1, SECOND);
-	assert_null(tgt_choose(set, t->service, &criteria, SECOND, &why));
+	report(t, &r, 1, SECOND);
+	assert_null(choose(set, t, SECOND));
 	r.starting = 0;
 	tgt_side_version(t, &r);
-	assert_ptr_equal(
-	    tgt_choose(set, t->service, &criteria, 3 * SECOND, &why), t);
+	assert_ptr_equal(choose(set, t, 3 * SECOND), t);
 	tgt_set_free(set);
 }
 
@@ -36,16 +31,12 @@
 static void
 test_late_starting_sidecar_proves_no_weights(void **state)
 {
-	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
-	struct tgt_set *set = tgt_set_new("here", &policy);
-	struct tgt_criteria criteria = { .model = "m" };
+	struct tgt_set *set = open_set();
 	struct side_report r = { .version = 2, .starting = 1 };
 	struct tgt *t = put_model(set);
-	enum tgt_reason why;
 
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 1, 4 * SECOND);
-	assert_null(tgt_choose(set, t->service, &criteria, 4 * SECOND, &why));
+	report(t, &r, 1, 4 * SECOND);
+	assert_null(choose(set, t, 4 * SECOND));
 	tgt_set_free(set);
 }
 
@@ -54,20 +45,14 @@
 static void
 test_starting_sidecar_at_a_gateway_that_knows(void **state)
 {
-	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
-	struct tgt_set *set = tgt_set_new("here", &policy);
-	struct tgt_criteria criteria = { .model = "m" };
+	struct tgt_set *set = open_set();
 	struct side_report r = { .version = 2 };
 	struct tgt *t = put_model(set);
-	enum tgt_reason why;
 
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 1, SECOND);
+	report(t, &r, 1, SECOND);
 	r.starting = 1;
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 1, 3 * SECOND);
-	assert_ptr_equal(
-	    tgt_choose(set, t->service, &criteria, 3 * SECOND, &why), t);
+	report(t, &r, 1, 3 * SECOND);
+	assert_ptr_equal(choose(set, t, 3 * SECOND), t);
 	tgt_set_free(set);
 }
 
@@ -77,24 +62,18 @@
 static void
 test_starting_sidecar_of_a_late_record(void **state)
 {
-	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
-	struct tgt_set *set = tgt_set_new("here", &policy);
-	struct tgt_criteria criteria = { .model = "m" };
+	struct tgt_set *set = open_set();
 	struct side_report r = { .version = 2, .starting = 1 };
 	struct tgt *t = put_model(set);
-	enum tgt_reason why;
 
 	assert_null(tgt_removed(set, "a", false, 2 * SECOND));
 	t = put_model_at(set, 9 * SECOND);
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 1, 9 * SECOND);
-	assert_null(tgt_choose(set, t->service, &criteria, 9 * SECOND, &why));
+	report(t, &r, 1, 9 * SECOND);
+	assert_null(choose(set, t, 9 * SECOND));
 	/* It has been told of the doubts, and of none. */
 	r.starting = 0;
-	tgt_side_version(t, &r);
-	tgt_side_reported(t, 2, 9 * SECOND);
-	assert_ptr_equal(
-	    tgt_choose(set, t->service, &criteria, 9 * SECOND, &why), t);
+	report(t, &r, 2, 9 * SECOND);
+	assert_ptr_equal(choose(set, t, 9 * SECOND), t);
 	tgt_set_free(set);
 }
 
@@ -103,8 +82,7 @@
 static void
 test_predecessors(void **state)
 {
-	const struct tgt_policy policy = { .beyond_slots = 1, .gateways = 3 };
-	struct tgt_set *set = tgt_set_new("here", &policy);
+	struct tgt_set *set = open_set();
 	struct side_report r = { .version = 2, .starting = 1 };
 	struct tgt *t = put_model(set);
 
