store, gateway: Log what an answer of the store carried, and how old a kind is

Cause: no line or counter told how long a call to the store had been open, how many changes its answer carried and how many of them were of no use, so a replay of history, a dead watch and calls that are given up looked alike. Change: the event store_read, age_ms and call_ms on store_lost and store_back, counters store_bytes, store_items and store_items_superseded, two ages.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -25,6 +25,8 @@
 	X(EVT_STORE_BACK, "store_back", EVT_STATE, "the store responds again")   \
 	X(EVT_STORE_STALE, "store_stale", EVT_STATE,                             \
 	    "an answer of the store was older than what is known")               \
+	X(EVT_STORE_READ, "store_read", EVT_STATE,                               \
+	    "an answer of the store had values that later ones in it replace")   \
 	X(EVT_STORE_ENTRY, "store_entry", EVT_STATE,                             \
 	    "an object of the store cannot be read, and counts for nothing")     \
 	X(EVT_STORE_HISTORY, "store_history", EVT_STATE,                         \
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -35,6 +35,8 @@
  * stalled finds that all its calls have timed out at once, and the next ones
  * are answered. */
 #define DOWN_FAILURES 2
+/* An answer with this many values that a later one in it replaces is logged. */
+#define SUPERSEDED_LOGGED 4
 #define NAME_CHARACTERS G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-._:/"
 #define BODY_MAX (8u << 20) /* a page is about 1 MB */
 
@@ -45,6 +47,7 @@
 	LIST_HEAD(caches, store_cache) caches;
 	int64_t history; /* newest known number; 0: not known */
 	struct ctr *calls, *failed, *unreadable;
+	struct ctr *bytes, *items, *superseded; /* of answers */
 };
 
 enum store_cache_state {
@@ -56,6 +59,7 @@
 struct cached_object {
 	int64_t revision;
 	unsigned int listing; /* the last listing that contained it */
+	unsigned int page; /* the last answer that contained it */
 	bool reported; /* its value was readable and was reported */
 };
 
@@ -70,11 +74,14 @@
 	struct evl_timer timer;
 	GHashTable *known; /* name -> struct cached_object */
 	unsigned int listing;
+	unsigned int page; /* answers read so far */
+	unsigned int superseded; /* values that the same answer replaced */
 	char *after; /* last name of the pages received so far */
 	int64_t list_revision; /* revision of the first page */
 	int64_t revision;
 	int64_t created_us;
 	int64_t answered_us;
+	int64_t called_us; /* begin of the last call */
 	int64_t batch_delay_us;
 	int64_t backoff_us;
 	unsigned int failures; /* consecutive */
@@ -177,13 +184,14 @@
 handle_success(struct store_cache *c)
 {
 	struct store_cache *other;
+	bool was_down = c->down;
 
+	set_link(c, true, "answered");
 	c->answered_us = now_us(c);
 	c->backoff_us = 0;
 	c->failures = 0;
-	if (!c->down)
+	if (!was_down)
 		return;
-	set_link(c, true, "answered");
 	LIST_FOREACH (other, &c->store->caches, link) {
 		if (other->state == CACHE_BACKOFF)
 			evl_timer_set(
@@ -247,6 +255,9 @@
 		k = g_new0(struct cached_object, 1);
 		g_hash_table_insert(c->known, g_strdup(item->name), k);
 	}
+	if (k->page == c->page)
+		c->superseded++;
+	k->page = c->page;
 	k->revision = item->revision;
 	k->listing = c->listing;
 	if (item->value == NULL) {
@@ -303,6 +314,8 @@
 	}
 	if (c->state == CACHE_LIST)
 		g_array_sort(page->items, by_revision);
+	c->page++;
+	c->superseded = 0;
 	for (i = 0; i < n; i++) {
 		item = &g_array_index(page->items, struct store_item, i);
 		handle_item(c, item);
@@ -472,17 +485,33 @@
 /* Calls                                                               */
 /* ------------------------------------------------------------------ */
 
+static void
+count_items(struct store_cache *c, size_t len, guint items)
+{
+	ctr_add(c->store->bytes, len);
+	ctr_add(c->store->items, items);
+	ctr_add(c->store->superseded, c->superseded);
+	if (c->superseded >= SUPERSEDED_LOGGED)
+		evt(EVT_STORE_READ,
+		    "kind=%s items=%u superseded=%u bytes=%zu ms=%" G_GINT64_FORMAT,
+		    c->kind->name, items, c->superseded, len,
+		    (now_us(c) - c->called_us) / 1000);
+}
+
 static void
 read_answer(struct store_cache *c, const struct hfetch_answer *a)
 {
 	struct store_page page = { 0 };
 	struct err err = { 0 };
+	guint items;
 
 	page.items = g_array_new(FALSE, FALSE, sizeof(struct store_item));
 	if (c->store->conf.dialect->read_page(
-		c->kind, a->body, a->len, &page, &err))
+		c->kind, a->body, a->len, &page, &err)) {
+		items = page.items->len;
 		handle_page(c, &page);
-	else {
+		count_items(c, a->len, items);
+	} else {
 		drop_items(c, &page);
 		log_warn("store: malformed answer about %s: %s", c->kind->name,
 		    err.message);
@@ -538,6 +567,7 @@
 		path = conf->dialect->watch_path(c->kind, c->revision, wait_ms);
 	else
 		path = conf->dialect->list_path(c->kind, c->after);
+	c->called_us = now_us(c);
 	c->call = hfetch_start(conf->loop, conf->pool,
 	    &(struct hfetch_conf){ .address = c->store->address,
 		.method = "GET",
@@ -581,6 +611,9 @@
 	s->calls = ctr_get(conf->counters, "store_calls");
 	s->failed = ctr_get(conf->counters, "store_calls_failed");
 	s->unreadable = ctr_get(conf->counters, "store_entries_unreadable");
+	s->bytes = ctr_get(conf->counters, "store_bytes");
+	s->items = ctr_get(conf->counters, "store_items");
+	s->superseded = ctr_get(conf->counters, "store_items_superseded");
 	return s;
 }
 
@@ -648,6 +681,12 @@
 	return c->answered_us;
 }
 
+int64_t
+store_cache_called_us(const struct store_cache *c)
+{
+	return c->called_us;
+}
+
 int64_t
 store_cache_revision(const struct store_cache *c)
 {
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -96,7 +96,8 @@
 	void (*restored)(void *ctx);
 	/* A list is complete. May be NULL. */
 	void (*synced)(void *ctx);
-	/* The store stopped answering, or answers again. May be NULL. */
+	/* The store stopped answering, or answers again; the times of the cache
+	 * are those of the last answer before. May be NULL. */
 	void (*link)(bool up, const char *why, void *ctx);
 };
 
@@ -114,6 +115,8 @@
 bool store_cache_synced(const struct store_cache *c);
 /* Time of the store's last answer about this kind; 0: none yet. */
 int64_t store_cache_answered_us(const struct store_cache *c);
+/* Begin of the last call about this kind, answered or not. */
+int64_t store_cache_called_us(const struct store_cache *c);
 int64_t store_cache_revision(const struct store_cache *c);
 
 #endif
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -29,10 +29,24 @@
 /* Updates from the store                                              */
 /* ------------------------------------------------------------------ */
 
+/* Time since `at_us` in milliseconds; -1: never. */
+static int64_t
+age_ms(int64_t now_us, int64_t at_us)
+{
+	return at_us == 0 ? -1 : (now_us - at_us) / 1000;
+}
+
 static void
-on_link(struct gateway *g, const char *kind, bool up, const char *why)
+on_link(struct gateway *g, const char *kind, const struct store_cache *cache,
+    bool up, const char *why)
 {
-	evt(up ? EVT_STORE_BACK : EVT_STORE_LOST, "kind=%s why=%s", kind, why);
+	int64_t now_us = evl_now_us(g->st.loop);
+
+	evt(up ? EVT_STORE_BACK : EVT_STORE_LOST,
+	    "kind=%s why=%s age_ms=%" G_GINT64_FORMAT
+	    " call_ms=%" G_GINT64_FORMAT,
+	    kind, why, age_ms(now_us, store_cache_answered_us(cache)),
+	    age_ms(now_us, store_cache_called_us(cache)));
 }
 
 static void
@@ -81,7 +95,9 @@
 static void
 config_link(bool up, const char *why, void *ctx)
 {
-	on_link(ctx, "config", up, why);
+	struct gateway *g = ctx;
+
+	on_link(g, "config", g->config, up, why);
 }
 
 static const struct store_cache_ops config_ops = {
@@ -164,7 +180,9 @@
 static void
 targets_link_changed(bool up, const char *why, void *ctx)
 {
-	on_link(ctx, "targets", up, why);
+	struct gateway *g = ctx;
+
+	on_link(g, "targets", g->targets, up, why);
 }
 
 static const struct store_cache_ops target_ops = {
@@ -198,7 +216,9 @@
 static void
 versions_link_changed(bool up, const char *why, void *ctx)
 {
-	on_link(ctx, "versions", up, why);
+	struct gateway *g = ctx;
+
+	on_link(g, "versions", g->versions, up, why);
 }
 
 static const struct store_cache_ops version_ops = {
@@ -446,13 +466,17 @@
 	    "gateway_ready %d\nconfig_version %" G_GINT64_FORMAT
 	    "\nconfig_heard_age_ms %" G_GINT64_FORMAT
 	    "\ntargets_heard_age_ms %" G_GINT64_FORMAT
+	    "\nversions_heard_age_ms %" G_GINT64_FORMAT
+	    "\nconfig_call_age_ms %" G_GINT64_FORMAT
 	    "\ncaller_connections %u\ntargets_limited %u\n",
 	    g->is_ready,
 	    fwd_routes(g->fwd) == NULL
 		? 0
 		: rtab_config(fwd_routes(g->fwd))->version,
-	    (now_us - store_cache_answered_us(g->config)) / 1000,
-	    (now_us - store_cache_answered_us(g->targets)) / 1000,
+	    age_ms(now_us, store_cache_answered_us(g->config)),
+	    age_ms(now_us, store_cache_answered_us(g->targets)),
+	    age_ms(now_us, store_cache_answered_us(g->versions)),
+	    age_ms(now_us, store_cache_called_us(g->config)),
 	    hserver_connections(g->callers), tgt_limited(g->set));
 }
 
