tests, KNOWN-RED: A gateway that replays the changes of an outage

What callers see: after an outage of the store, or of the way to it, requests are refused or handled as settings say that were replaced seconds before. Cause: a cache that was away watches from its last revision, and the store sends all changes since, the oldest first, 500 or 1 MB an answer. The stand-in has absences of the store, renames in series and pages of changes of 1 MB, as the users' store has; it judges by the time at which each name was taken instead of the last one only. Kinds say whether only the newest value of an object counts; nothing reads it yet.

--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -33,6 +33,9 @@
 	const char *name; /* in paths */
 	/* Default of store_cache_set_batch_delay. */
 	int64_t batch_delay_us;
+	/* Only the newest value of an object counts, and a list has not much
+	 * more than a few changes do. */
+	bool newest_only;
 	/* Decodes one object; `node` is the dialect's. NULL if it is
 	 * invalid. */
 	void *(*decode)(const char *name, void *node, struct err *err);
--- /dev/null
+++ b/tests/fleet/away.c
@@ -0,0 +1,79 @@
+/*
+ * A store that is away for a while, again and again, in one of several ways,
+ * while the settings change. What gateways then use is judged as ever
+ * (notice.c).
+ */
+
+#include <popt.h>
+#include <string.h>
+
+#include "fleet.h"
+
+static int first_ms = 4000, for_ms, gap_ms;
+static char *how;
+
+static struct poptOption options[] = {
+	{ "away-first-ms", 0, POPT_ARG_INT, &first_ms, 0,
+	    "begin of the first absence of the store, in traffic", "N" },
+	{ "away-for-ms", 0, POPT_ARG_INT, &for_ms, 0,
+	    "how long an absence lasts; 0: there is none", "N" },
+	{ "away-gap-ms", 0, POPT_ARG_INT, &gap_ms, 0,
+	    "from the end of one to the begin of the next; 0: one only", "N" },
+	{ "away-how", 0, POPT_ARG_STRING, &how, 0,
+	    "'lose': what is sent meanwhile, and all that follows on its "
+	    "connection, is lost (the default); 'refuse': calls get 503",
+	    "HOW" },
+	POPT_TABLEEND
+};
+
+static struct evl_timer begin, end;
+static struct fleet *fleet; /* of the timers */
+
+struct poptOption *
+fleet_away_options(void)
+{
+	return options;
+}
+
+static bool
+refuses(void)
+{
+	return how != NULL && strcmp(how, "refuse") == 0;
+}
+
+static void
+on_end(struct evl_timer *t)
+{
+	struct fleet *f = fleet;
+	int64_t now_us = evl_now_us(f->loop);
+
+	fleet_proxy_set(f->proxy[0], PROXY_PASS);
+	f->store_refuses = false;
+	f->store_disturbed_us = now_us;
+	if (gap_ms > 0)
+		evl_timer_set(f->loop, &begin, now_us + (int64_t)gap_ms * 1000);
+}
+
+static void
+on_begin(struct evl_timer *t)
+{
+	struct fleet *f = fleet;
+
+	if (refuses())
+		f->store_refuses = true;
+	else
+		fleet_proxy_set(f->proxy[0], PROXY_LOSE);
+	evl_timer_set(
+	    f->loop, &end, evl_now_us(f->loop) + (int64_t)for_ms * 1000);
+}
+
+void
+fleet_away_start(struct fleet *f)
+{
+	fleet = f;
+	begin.fire = on_begin;
+	end.fire = on_end;
+	if (for_ms > 0)
+		evl_timer_set(f->loop, &begin,
+		    evl_now_us(f->loop) + (int64_t)first_ms * 1000);
+}
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -138,9 +138,9 @@
 	/* Settings: the next version, and the last one as it was written. */
 	int64_t config_version;
 	char *config_spec;
-	/* Number of the workspace's name, and its last change. */
+	/* Number of the workspace's name, and when the store took each. */
 	unsigned int generation;
-	int64_t renamed_us;
+	GArray *renamed_us; /* int64_t; the first one is of generation 1 */
 	/* What engines saw of each gateway, and when they first did. */
 	unsigned int seen_generation[FLEET_GATEWAYS_MAX];
 	int64_t seen_us[FLEET_GATEWAYS_MAX];
@@ -407,6 +407,10 @@
 /* The lowest idle limit that a gateway may have in force. */
 int64_t fleet_settings_safe_idle_us(void);
 
+/* away.c: a store that is away, again and again. */
+struct poptOption *fleet_away_options(void);
+void fleet_away_start(struct fleet *f);
+
 /* budget.c: engines that fail, and the budget for retries. */
 struct poptOption *fleet_budget_options(void);
 void fleet_budget_open(struct fleet *f, uint64_t seed);
@@ -458,6 +462,8 @@
 	/* Buffers bytes in both directions for an engine that stands still, and
 	 * forwards requests also when their callers have left: no fault. */
 	PROXY_HELD,
+	/* Loses bytes, and all that follow on the same connection. */
+	PROXY_LOSE,
 };
 /* `seen` is called as a request whose head begins so has arrived, before it is
  * forwarded. */
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -13,7 +13,8 @@
  *         --settings-gap-ms N --idle-ms N --other-idle-ms N --many-routes N
  *         --late N --crowd N --ends-judged 0|1
  *         --fail-from SECONDS --fail-permille N --failures 0|1
- *         and those of held.c (--hold-*) and odd.c (--odd-*); see --help
+ *         and those of held.c (--hold-*), odd.c (--odd-*) and away.c (--away-*),
+ *         --rename-gap-ms and --always-routes of settings.c; see --help
  *
  * Silences are of sound engines, which go on where they were. Settings change
  * the idle limit and add routes by the hundred; callers reuse kept connections
@@ -457,6 +458,7 @@
 	fleet_silences_start(&f, (uint64_t)seed + 6);
 	fleet_crowds_start(&f);
 	fleet_endless_start(&f);
+	fleet_away_start(&f);
 	fleet_held_start(&f);
 	fleet_odd_start(&f);
 	f.schedule.fire = on_schedule;
@@ -588,6 +590,8 @@
 		    "Lists of digests:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_held_options(), 0,
 		    "Orders that come late:", NULL },
+		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_away_options(), 0,
+		    "Absences of the store:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_odd_options(), 0,
 		    "Entries of other writers:", NULL },
 		{ "late-reads", 0, POPT_ARG_INT, &f.late_reads, 0,
--- a/tests/fleet/notice.c
+++ b/tests/fleet/notice.c
@@ -45,6 +45,17 @@
 	    now_us - disturbed_us > STORE_STABLE_US;
 }
 
+/* The same for a request at its acceptance. */
+static bool
+was_known(const struct fleet *f, int64_t acked_us, int64_t sent_us)
+{
+	int64_t disturbed_us =
+	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
+
+	return !f->store_refuses && sent_us - acked_us > ACK_REACTION_US &&
+	    sent_us - disturbed_us > STORE_STABLE_US;
+}
+
 /* Whether gateways had heard of what was acknowledged before the last drill. */
 static bool
 was_heard_before_drill(const struct fleet *f, int64_t acked_us)
@@ -59,16 +70,17 @@
 {
 	size_t gateway = fleet_gateway_of(id);
 	const int64_t *sent_us = g_hash_table_lookup(f->sent, id);
-	int64_t age_us;
+	int64_t next_us; /* the store took the generation after this one */
 
 	/* A request is handled by the settings at its acceptance, also when a
 	 * queue or a second target delays it; others are not recorded. */
 	if (sent_us == NULL)
 		return;
-	age_us = *sent_us - f->renamed_us;
-	if (generation < f->generation && age_us > ACK_REACTION_US &&
-	    is_known_by_now(f, f->renamed_us))
-		report(f, id, f->renamed_us, "was handled by older settings");
+	if (generation < f->generation) {
+		next_us = g_array_index(f->renamed_us, int64_t, generation);
+		if (was_known(f, next_us, *sent_us))
+			report(f, id, next_us, "was handled by older settings");
+	}
 	if (generation > f->seen_generation[gateway]) {
 		f->seen_generation[gateway] = generation;
 		f->seen_us[gateway] = evl_now_us(f->loop);
--- a/tests/fleet/operator.c
+++ b/tests/fleet/operator.c
@@ -68,8 +68,10 @@
 void
 fleet_operator_rename_workspace(struct fleet *f)
 {
+	int64_t now_us = evl_now_us(f->loop);
+
 	f->generation++;
-	f->renamed_us = evl_now_us(f->loop);
+	g_array_append_val(f->renamed_us, now_us);
 	fleet_operator_put_config(f);
 }
 
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -1,5 +1,5 @@
-/* A loopback proxy that delays or stalls traffic, stalls responses only, and
- * resets connections; answers in place of its target, without end; or holds its
+/* A loopback proxy that delays or stalls traffic, stalls responses only, loses
+ * it and everything after it on the same connection, and resets connections; answers in place of its target, without end; or holds its
  * target as one that stands still: what arrives meanwhile is carried out when it
  * goes on, also for callers that have closed their connections. */
 
@@ -32,6 +32,7 @@
 	bool target_ended; /* in order; its bytes are still to be delivered */
 	bool caller_ended; /* the same, while the target is held */
 	bool held; /* its request is, and arrives later */
+	bool lost; /* bytes of it were: it stays open, and silent for good */
 	struct evl_timer release;
 	struct endless_sender endless; /* with a kind: answers the caller */
 };
@@ -200,6 +201,14 @@
 	n = recv(c->fd.fd, buffer, sizeof(buffer), 0);
 	if (n < 0 && errno == EAGAIN)
 		return;
+	if (n > 0 && p->proxy->mode == PROXY_LOSE)
+		p->lost = true;
+	if (p->lost && n > 0)
+		return;
+	if (p->lost && c == &p->target) {
+		evl_unwatch(f->loop, &p->target.fd);
+		return;
+	}
 	if (n < 0 && c == &p->caller &&
 	    (p->held || p->proxy->mode == PROXY_HELD))
 		n = 0;
--- a/tests/fleet/settings.c
+++ b/tests/fleet/settings.c
@@ -10,12 +10,14 @@
 #include "fleet.h"
 
 #define FIRST_US 2000000 /* after the begin of traffic */
+#define FIRST_RENAME_US 1000000
 #define CHECK_US 100000
 #define REACTION_US 2000000 /* until gateways have heard of a change */
 #define RECONNECT_US 1000000 /* until they ask again after a disturbance */
 #define MANY_ROUTES_ONE_IN 3
 
 static int gap_ms, idle_ms = 15000, other_idle_ms, many_routes;
+static int rename_gap_ms, always_routes;
 
 static struct poptOption options[] = {
 	{ "settings-gap-ms", 0, POPT_ARG_INT, &gap_ms, 0,
@@ -26,10 +28,14 @@
 	    "another one, which takes turns with the first; 0: none", "N" },
 	{ "many-routes", 0, POPT_ARG_INT, &many_routes, 0,
 	    "routes that one in three changes adds, until the next one", "N" },
+	{ "rename-gap-ms", 0, POPT_ARG_INT, &rename_gap_ms, 0,
+	    "time between two renames of the workspace; 0: none", "N" },
+	{ "always-routes", 0, POPT_ARG_INT, &always_routes, 0,
+	    "routes that the settings always have beside those in use", "N" },
 	POPT_TABLEEND
 };
 
-static struct evl_timer next_change, check;
+static struct evl_timer next_change, next_rename, check;
 static struct fleet *fleet; /* of the timers */
 static struct rng rng;
 static int safe_ms; /* lowest limit that a gateway may have in force */
@@ -51,7 +57,7 @@
 unsigned int
 fleet_settings_more_routes(void)
 {
-	return more_routes;
+	return more_routes + (unsigned int)always_routes;
 }
 
 int64_t
@@ -115,6 +121,18 @@
 	evl_timer_set(f->loop, t, evl_now_us(f->loop) + (int64_t)gap_ms * 1000);
 }
 
+static void
+on_next_rename(struct evl_timer *t)
+{
+	struct fleet *f = fleet;
+
+	if (f->stopping)
+		return;
+	fleet_operator_rename_workspace(f);
+	evl_timer_set(
+	    f->loop, t, evl_now_us(f->loop) + (int64_t)rename_gap_ms * 1000);
+}
+
 void
 fleet_settings_start(struct fleet *f, uint64_t seed)
 {
@@ -126,6 +144,9 @@
 	next_change.fire = on_next_change;
 	if (gap_ms > 0)
 		evl_timer_set(f->loop, &next_change, now_us + FIRST_US);
+	next_rename.fire = on_next_rename;
+	if (rename_gap_ms > 0)
+		evl_timer_set(f->loop, &next_rename, now_us + FIRST_RENAME_US);
 	check.fire = on_check;
 	if (other_idle_ms > 0)
 		evl_timer_set(f->loop, &check, now_us + CHECK_US);
--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -7,6 +7,9 @@
 #include "fleet.h"
 
 #define PAGE 50 /* objects per response, so that clients must page */
+/* Changes per response, at most so many or one of more than the bytes. */
+#define CHANGES_MAX 500
+#define CHANGES_BYTES (1u << 20)
 
 struct fleet_object {
 	char *kind, *name, *spec;
@@ -59,11 +62,12 @@
 /* Watches                                                             */
 /* ------------------------------------------------------------------ */
 
-/* Events of a kind after `since`; NULL when there are none. */
+/* Events of a kind after `since`, the oldest first; NULL when there are none. */
 static GString *
 events_since(struct fleet *f, const char *kind, int64_t since)
 {
 	GString *out = g_string_new("{\"events\":[");
+	int64_t at = f->revision;
 	unsigned int n = 0;
 	guint i;
 
@@ -72,14 +76,17 @@
 
 		if (e->revision <= since || strcmp(e->kind, kind) != 0)
 			continue;
+		if (n >= CHANGES_MAX || out->len >= CHANGES_BYTES) {
+			at = e->revision - 1;
+			break;
+		}
 		g_string_append_printf(out,
 		    "%s{\"removed\":%s,\"object\":", n++ > 0 ? "," : "",
 		    e->removed ? "true" : "false");
 		append_object(out, e->name, e->revision, e->spec);
 		g_string_append_c(out, '}');
 	}
-	g_string_append_printf(
-	    out, "],\"at\":%" G_GINT64_FORMAT "}", f->revision);
+	g_string_append_printf(out, "],\"at\":%" G_GINT64_FORMAT "}", at);
 	if (n > 0)
 		return out;
 	g_string_free(out, TRUE);
@@ -476,6 +483,7 @@
 	f->objects =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, object_free);
 	f->history = g_ptr_array_new_with_free_func(event_free);
+	f->renamed_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	f->era = 1;
 	LIST_INIT(&f->watches);
 	f->store = hserver_new(&(struct hserver_conf){ .loop = f->loop,
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -11,9 +11,9 @@
 		echo "store: {address: 127.0.$NET.9:8007}"
 		echo "domains: {z0: z0, z1: z1}"
 		echo "limits: {link_mbit: 40}"
-		# stable_ms at its minimum, so that deadlines are enforced from
-		# the start.
-		echo "bounds: {version_ms: 8000, stable_ms: 1000, grace_s: 4, retry_ratio: 0.2, retry_slack: 40}"
+		# stable_ms at its minimum, unless a script sets it, so that
+		# deadlines are enforced from the start.
+		echo "bounds: {version_ms: 8000, stable_ms: ${STABLE_MS:-1000}, grace_s: 4, retry_ratio: 0.2, retry_slack: 40}"
 	} >"$1"
 	file=$1
 	shift 4
