store: List the settings after an outage instead of replaying their changes

Cause: a cache that was away watched from its last revision. The store answers with all changes since, the oldest first, each with the whole settings, some 1 MB an answer. Each answer was received, parsed and put into force change by change, which held the loop up, and was followed by a batch delay: the time until the newest settings grew with the length of the outage, the rate of changes and their size. Change: a kind of which only the newest value counts is listed after a failed call. One answer then has the newest, however long the outage was. What does not change: targets and versions are watched from their last revision; their changes are small, and a removal by an event is no expiry.

--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -581,17 +581,23 @@
 	g_free(path);
 }
 
+/* Whether the cache watches from its last revision after a backoff. The store
+ * would send all changes since then, the oldest first. */
+static bool
+continues_watch(const struct store_cache *c)
+{
+	return c->watching && !c->kind->newest_only;
+}
+
 static void
 on_timer(struct evl_timer *t)
 {
 	struct store_cache *c = CONTAINER_OF(t, struct store_cache, timer);
 
-	/* After a backoff: continues to watch from the last revision, unless
-	 * a listing failed. */
-	if (c->watching)
-		c->state = CACHE_WATCH;
-	else
+	if (c->state == CACHE_BACKOFF && !continues_watch(c))
 		begin_list(c);
+	else
+		c->state = CACHE_WATCH;
 	next_call(c);
 }
 
