store, platform: List the settings where an answer replays changes, and decode the newest only

What callers see: a gateway that stood still for 9 s, or that reads more slowly than the settings change, acts by old settings for 3 s after it goes on, and its loop is held up for 0.7 s at each answer. Cause: the same replay as after an outage, without a failed call: the watch that was open has been answered, and the next ones bring all changes, the oldest first; each of them is decoded and put into force. Change: an answer with four or more values that a later one in it replaces shows that the cache is behind; the next call is a list. Values that are replaced are not decoded. Evidence: store-behind, test_process_that_was_held_up_lists (51 answers before, 3 now) and adapter-records, test_replaced_settings_are_not_decoded, fail before. The other direction, test_single_changes_are_watched.

--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -35,8 +35,9 @@
  * stalled finds that all its calls have timed out at once, and the next ones
  * are answered. */
 #define DOWN_FAILURES 2
-/* An answer with this many values that a later one in it replaces is logged. */
-#define SUPERSEDED_LOGGED 4
+/* An answer with this many values that a later one in it replaces is a replay of
+ * history: the cache is behind. */
+#define SUPERSEDED_BEHIND 4
 #define NAME_CHARACTERS G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-._:/"
 #define BODY_MAX (8u << 20) /* a page is about 1 MB */
 
@@ -233,6 +234,10 @@
 {
 	struct cached_object *k = g_hash_table_lookup(c->known, item->name);
 
+	if (item->replaced) {
+		c->superseded++;
+		return;
+	}
 	if (k != NULL && item->revision < k->revision) {
 		/* An update older than one in another answer. */
 		if (item->value != NULL)
@@ -348,9 +353,9 @@
 	g_clear_pointer(&c->after, g_free);
 }
 
-/* Starts the next watch after the batch delay. */
+/* Starts the next call after the batch delay. */
 static void
-schedule_watch(struct store_cache *c)
+schedule_call(struct store_cache *c)
 {
 	if (c->batch_delay_us == 0)
 		next_call(c);
@@ -386,7 +391,9 @@
 	handle_items(c, page);
 	if (c->state == CACHE_WATCH) {
 		c->revision = page->revision;
-		schedule_watch(c);
+		if (c->kind->newest_only && c->superseded >= SUPERSEDED_BEHIND)
+			begin_list(c);
+		schedule_call(c);
 		return;
 	}
 	if (c->list_revision == 0)
@@ -403,7 +410,7 @@
 	c->state = CACHE_WATCH;
 	if (c->ops.synced != NULL)
 		c->ops.synced(c->ctx);
-	schedule_watch(c);
+	schedule_call(c);
 }
 
 /* ------------------------------------------------------------------ */
@@ -491,7 +498,7 @@
 	ctr_add(c->store->bytes, len);
 	ctr_add(c->store->items, items);
 	ctr_add(c->store->superseded, c->superseded);
-	if (c->superseded >= SUPERSEDED_LOGGED)
+	if (c->superseded >= SUPERSEDED_BEHIND)
 		evt(EVT_STORE_READ,
 		    "kind=%s items=%u superseded=%u bytes=%zu ms=%" G_GINT64_FORMAT,
 		    c->kind->name, items, c->superseded, len,
@@ -594,10 +601,10 @@
 {
 	struct store_cache *c = CONTAINER_OF(t, struct store_cache, timer);
 
-	if (c->state == CACHE_BACKOFF && !continues_watch(c))
-		begin_list(c);
-	else
+	if (c->state == CACHE_BACKOFF && continues_watch(c))
 		c->state = CACHE_WATCH;
+	else if (c->state == CACHE_BACKOFF)
+		begin_list(c);
 	next_call(c);
 }
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -25,6 +25,9 @@
 	char *name;
 	int64_t revision;
 	bool removed;
+	/* A later item of the page has a newer value of this object, of a kind
+	 * of which only that counts: this one is not decoded. */
+	bool replaced;
 	void *value; /* decoded spec; NULL if removed or unreadable */
 	char why[96]; /* why it is unreadable */
 };
--- a/tests/adapter/test_records.c
+++ b/tests/adapter/test_records.c
@@ -313,6 +313,32 @@
 	g_array_unref(page.items);
 }
 
+/* Guards against each of many changes of the settings being decoded, although one
+ * answer has them all and only the newest counts. */
+static void
+test_replaced_settings_are_not_decoded(void **state)
+{
+#define SETTINGS(version)                                                    \
+	"{\"object\":{\"metadata\":{\"name\":\"main\",\"revision\":" version \
+	"},\"spec\":{\"version\":" version                                   \
+	",\"routes\":[],\"services\":[],\"tenants\":[],\"limits\":{}}}}"
+	static const char text[] = "{\"events\":[" SETTINGS(
+	    "7") ",{}," SETTINGS("8") "," SETTINGS("9") "],\"at\":9}";
+	const struct sv_config *config;
+	struct store_page page = { 0 };
+
+	read_into(&adapter_config, text, &page);
+	assert_int_equal(page.items->len, 3);
+	assert_true(item(&page, 0)->replaced && item(&page, 1)->replaced);
+	assert_null(item(&page, 0)->value);
+	assert_null(item(&page, 1)->value);
+	assert_false(item(&page, 2)->replaced);
+	config = item(&page, 2)->value;
+	assert_non_null(config);
+	assert_int_equal(config->version, 9);
+	free_page(&adapter_config, &page);
+}
+
 static bool
 page_is_read(const char *text, size_t len)
 {
@@ -392,6 +418,7 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_replaced_settings_are_not_decoded),
 		cmocka_unit_test(test_config),
 		cmocka_unit_test(test_events),
 		cmocka_unit_test(test_only_complete_models_count),
--- a/tests/store/test_behind.c
+++ b/tests/store/test_behind.c
@@ -19,7 +19,9 @@
 static int64_t newest; /* revision and value of the object */
 static int64_t known; /* of the cache */
 static bool store_is_away;
-static unsigned int answers; /* calls answered since the store's return */
+static unsigned int lists; /* answered */
+static unsigned int values; /* that the cache reported */
+static unsigned int answers; /* calls answered since the changes */
 
 static char *
 list_path(const struct store_kind *kind, const char *after)
@@ -47,7 +49,9 @@
 	for (; value <= out->revision; value++) {
 		item.name = g_strdup("main");
 		item.revision = value;
-		item.value = g_memdup2(&value, sizeof(value));
+		item.replaced = value < out->revision;
+		if (!item.replaced)
+			item.value = g_memdup2(&value, sizeof(value));
 		g_array_append_vals(out->items, &item, 1);
 	}
 	/* cppcheck-suppress memleak ; the page has the items now */
@@ -87,6 +91,13 @@
 		watch = r;
 }
 
+static void
+answer_list(struct hreq *r)
+{
+	lists++;
+	answer_values(r, newest, newest);
+}
+
 static void
 on_request(struct hreq *r, void *ctx)
 {
@@ -98,7 +109,7 @@
 	else if (since != NULL)
 		answer_watch(r, strtoll(since + 1, NULL, 10));
 	else
-		answer_values(r, newest, newest);
+		answer_list(r);
 	g_free(target);
 }
 
@@ -130,6 +141,7 @@
 on_put(const char *name, void *value, void *ctx)
 {
 	known = *(int64_t *)value;
+	values++;
 	g_free(value);
 }
 
@@ -154,6 +166,7 @@
 	known = 0;
 	store_is_away = false;
 	watch = NULL;
+	lists = 0;
 	loop = evl_new(clk_system());
 	counters = ctr_set_new();
 	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
@@ -217,28 +230,73 @@
 	store_is_away = false;
 }
 
+static void
+run_until_newest(void)
+{
+	int i;
+
+	for (i = 0; i < 10000 && known < newest; i++)
+		run_ms(1);
+	assert_int_equal(known, newest);
+}
+
 /* Guards against a cache that replays the changes of an outage, the oldest first:
  * its value stays old for longer, the longer the outage was. */
 static void
 test_first_answer_after_an_outage_has_the_newest(void **state)
 {
-	int i;
-
 	store_cache_new(store, &kind, &ops, NULL);
 	run_until_watching();
 	be_away(500);
-	for (i = 0; i < 10000 && known < newest; i++)
-		run_ms(1);
-	assert_int_equal(known, newest);
+	run_until_newest();
 	assert_int_equal(answers, 1);
 }
 
+/* Guards against the same replay without an outage, where the process stood still
+ * or reads more slowly than the object changes: one answer shows that it is
+ * behind, the next one has the newest. */
+static void
+test_process_that_was_held_up_lists(void **state)
+{
+	store_cache_new(store, &kind, &ops, NULL);
+	run_until_watching();
+	newest++;
+	answers = 0;
+	values = 0;
+	answer_values(watch, newest, newest);
+	newest += 500;
+	run_until_newest();
+	assert_int_equal(answers, 3);
+	/* Of ten values in an answer only the newest is put into force. */
+	assert_int_equal(values, 3);
+}
+
+/* The other direction: changes that come one by one are not listed. */
+static void
+test_single_changes_are_watched(void **state)
+{
+	int i;
+
+	store_cache_new(store, &kind, &ops, NULL);
+	for (i = 0; i < 5; i++) {
+		run_until_watching();
+		newest++;
+		answer_values(watch, newest, newest);
+		watch = NULL;
+		run_until_newest();
+	}
+	run_until_watching();
+	assert_int_equal(lists, 1);
+}
+
 int
 main(void)
 {
 #define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		T(test_first_answer_after_an_outage_has_the_newest),
+		T(test_process_that_was_held_up_lists),
+		T(test_single_changes_are_watched),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
