store, gateway: Notice a lost answer about the settings within their bound

What callers see: the store is silent for 0.15 s, and 3 s later a gateway still refuses or handles requests as the settings of before say. Cause: a lost answer of a watch can't be told from no change. The watch waited 2.2 s and 0.6 s more until it was given up, then a backoff, then the next call: by sum 3.0 s, which is the bound itself (stable_ms), and 3.4 s with the answer that had to come before and the batch delay. Change: the time of a watch follows from the bound of its kind. For the settings that is the new setting bounds.config_ms (2 s), less timeout, backoff, the next call and 0.3 s for a busy process: 0.9 s. By sum: 0.9 + 0.6 + 0.15 s = 1.65 s. Evidence: store-silence, test_short_silences (40 clients in all phases: none knew after 2.0 s, all do after 1.51 to 1.64 s) and system-settings_after_silence (364 requests handled by older settings before, none now) fail before. Price: a watch of the settings each 1.05 s instead of each 2.35 s while nothing changes; targets and versions as before.

--- a/lib/common/cfg_schema_serve.c
+++ b/lib/common/cfg_schema_serve.c
@@ -71,6 +71,8 @@
 	    .unit = "Mbit/s",
 	    .about = "Bandwidth of the host's link, in each direction." },
 	MAP_RULE("bounds", false, "Bounds that the deployment guarantees."),
+	INT_RULE("bounds.config_ms", 1000, HOUR_MS, "2000", "ms",
+	    "Time within which changed settings of the operators must be in force, also when an answer of the store was lost."),
 	INT_RULE("bounds.drain_ms", 0, HOUR_MS, "2000", "ms",
 	    "Time after which a leaving target receives no more requests."),
 	NUMBER_RULE("bounds.grace_s", "8", "s",
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -10,10 +10,13 @@
  * A connection can stall for good while the socket's keepalive probes are still
  * answered: updates then stop without an error, and settings become stale
  * unnoticed. Only a missing answer at its deadline shows it. A watch waits at
- * most for the stall timeout, less this time for its answer and the next call;
- * each watch is paid for as one call, so shorter ones cost more.
+ * most for the time within which changes must be known, less this time for its
+ * timeout, the backoff and the next call; each watch is paid for as one call, so
+ * shorter ones cost more.
  */
 #define WATCH_ANSWER_US 800000
+/* The part of an explicit bound that is left to a busy process or link. */
+#define CHANGE_BOUND_MARGIN_US 300000
 #define WATCH_WAIT_MIN_US 500000
 /*
  * The store answers within milliseconds, or some hundred when it is slow. A
@@ -84,6 +87,7 @@
 	int64_t answered_us;
 	int64_t called_us; /* begin of the last call */
 	int64_t batch_delay_us;
+	int64_t change_bound_us;
 	int64_t backoff_us;
 	unsigned int failures; /* consecutive */
 	bool synced;
@@ -559,6 +563,10 @@
 
 	if (c->down)
 		return PROBE_WAIT_MS;
+	if (c->change_bound_us != 0)
+		wait_us = MIN(wait_us,
+		    c->change_bound_us - WATCH_ANSWER_US -
+			CHANGE_BOUND_MARGIN_US);
 	return MAX(wait_us, WATCH_WAIT_MIN_US) / 1000;
 }
 
@@ -682,6 +690,12 @@
 	c->batch_delay_us = batch_delay_us;
 }
 
+void
+store_cache_set_change_bound(struct store_cache *c, int64_t bound_us)
+{
+	c->change_bound_us = bound_us;
+}
+
 bool
 store_cache_synced(const struct store_cache *c)
 {
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -437,10 +437,13 @@
 #define TARGETS_BATCH_SHARE 0.2
 
 static void
-apply_batch_delay(struct gateway *g)
+apply_store_bounds(struct gateway *g)
 {
 	int64_t drain_us = cfg_int(g->st.cfg, "bounds.drain_ms") * 1000;
 
+	store_cache_set_change_bound(
+	    g->config, cfg_int(g->st.cfg, "bounds.config_ms") * 1000);
+
 	store_cache_set_batch_delay(
 	    g->targets, (int64_t)((double)drain_us * TARGETS_BATCH_SHARE));
 }
@@ -451,7 +454,7 @@
 	struct gateway *g = ctx;
 
 	apply_settings(g);
-	apply_batch_delay(g);
+	apply_store_bounds(g);
 	store_set_address(g->store, cfg_str(g->st.cfg, "store.address"));
 }
 
@@ -538,7 +541,7 @@
 	    store_cache_new(g->store, &adapter_targets, &target_ops, g);
 	g->versions =
 	    store_cache_new(g->store, &adapter_versions, &version_ops, g);
-	apply_batch_delay(g);
+	apply_store_bounds(g);
 }
 
 static bool
--- a/tests/fleet/away.c
+++ b/tests/fleet/away.c
@@ -9,7 +9,7 @@
 
 #include "fleet.h"
 
-static int first_ms = 4000, for_ms, gap_ms;
+static int first_ms = 4000, for_ms, gap_ms, stable_ms = 3000;
 static char *how;
 
 static struct poptOption options[] = {
@@ -19,6 +19,9 @@
 	    "how long an absence lasts; 0: there is none", "N" },
 	{ "away-gap-ms", 0, POPT_ARG_INT, &gap_ms, 0,
 	    "from the end of one to the begin of the next; 0: one only", "N" },
+	{ "away-stable-ms", 0, POPT_ARG_INT, &stable_ms, 0,
+	    "time after an absence from which the settings in use are judged",
+	    "N" },
 	{ "away-how", 0, POPT_ARG_STRING, &how, 0,
 	    "'lose': what is sent meanwhile, and all that follows on its "
 	    "connection, is lost (the default); 'refuse': calls get 503",
@@ -35,6 +38,12 @@
 	return options;
 }
 
+int64_t
+fleet_away_stable_us(void)
+{
+	return (int64_t)stable_ms * 1000;
+}
+
 static bool
 refuses(void)
 {
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -410,6 +410,8 @@
 /* away.c: a store that is away, again and again. */
 struct poptOption *fleet_away_options(void);
 void fleet_away_start(struct fleet *f);
+/* Time after an absence from which the settings in use are judged. */
+int64_t fleet_away_stable_us(void);
 
 /* budget.c: engines that fail, and the budget for retries. */
 struct poptOption *fleet_budget_options(void);
--- a/tests/fleet/notice.c
+++ b/tests/fleet/notice.c
@@ -53,7 +53,7 @@
 	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
 
 	return !f->store_refuses && sent_us - acked_us > ACK_REACTION_US &&
-	    sent_us - disturbed_us > STORE_STABLE_US;
+	    sent_us - disturbed_us > fleet_away_stable_us();
 }
 
 /* Whether gateways had heard of what was acknowledged before the last drill. */
