store: Probe with a short timeout beside a long one

What callers see: after a silence of the store of 15 s, settings are old for up to 2.9 s more at one gateway in four. Cause: after failures the timeout of a call doubles, up to 2.5 s, for a store that is slow. A call that was lost just before the store's return hides the return for that time: 0.1 + 2.5 s, a backoff of 0.4 s, then the list. One cache probes for all, the others ask each 2 s, with timeouts that have doubled as well. Change: once the first cache without an answer waits for longer than the shortest timeout, the second one probes beside it with that. By sum: 0.6 + 0.4 s and the list. The settings are the second cache, as a list is answered at once.

--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -22,7 +22,9 @@
  * The store answers within milliseconds, or some hundred when it is slow. A
  * call that it accepted while it was stalled hangs for good, and the time until
  * the call is given up is time without settings after the store's return. This
- * many failures double the timeout, for a store that is slower still.
+ * many failures double the timeout, for a store that is slower still. The time
+ * until a return is noticed stays below a short timeout and a backoff, as a second
+ * cache probes with these then.
  */
 #define CALL_TIMEOUT_ATTEMPTS 3
 #define CALL_TIMEOUT_US 600000
@@ -30,7 +32,7 @@
 /* Watches that probe whether the store is up again do not wait for changes. */
 #define PROBE_WAIT_MS 100
 /* Calls to a store that does not answer cost as much as others: only one
- * cache retries soon, and its first answer wakes the others. */
+ * or two caches retry soon, and their first answer wakes the others. */
 #define BACKOFF_FIRST_US 150000
 #define BACKOFF_MAX_US 400000
 #define BACKOFF_FOLLOWER_US 2000000
@@ -93,6 +95,7 @@
 	bool synced;
 	bool watching; /* `revision` is valid to watch from */
 	bool down;
+	bool unanswered; /* the last call was, in its time */
 	bool stale; /* the last answer was older than what is known */
 };
 
@@ -141,23 +144,44 @@
 	return failures < DOWN_FAILURES ? 0 : answered_us;
 }
 
-/* Whether this cache is the one, among those without an answer, that probes
- * the store for all. */
+/* The cache without an answer after `c`, or the first one of the store. */
+static const struct store_cache *
+next_down(const struct store *s, const struct store_cache *c)
+{
+	c = c == NULL ? LIST_FIRST(&s->caches) : LIST_NEXT(c, link);
+	while (c != NULL && !c->down)
+		c = LIST_NEXT(c, link);
+	return c;
+}
+
+/*
+ * Whether this cache, the second one without an answer, probes the store beside
+ * the first one. It does once that waits for longer, as for a slow store, and
+ * keeps to the shortest timeout: a call that the store took just before it
+ * returned would otherwise hide the return for the longer one.
+ */
 static bool
-is_prober(const struct store_cache *c)
+is_second_prober(const struct store_cache *c)
 {
-	const struct store_cache *other;
+	const struct store_cache *first = next_down(c->store, NULL);
 
-	LIST_FOREACH (other, &c->store->caches, link) {
-		if (other->down)
-			return other == c;
-	}
-	return true;
+	return first != NULL && first != c && first->unanswered &&
+	    first->failures >= CALL_TIMEOUT_ATTEMPTS &&
+	    next_down(c->store, first) == c;
+}
+
+/* Whether this cache, among those without an answer, probes for all. */
+static bool
+is_prober(const struct store_cache *c)
+{
+	return next_down(c->store, NULL) == c || is_second_prober(c);
 }
 
 static int64_t
 call_timeout_us(const struct store_cache *c)
 {
+	if (is_second_prober(c))
+		return CALL_TIMEOUT_US;
 	return MIN((int64_t)CALL_TIMEOUT_US
 		<< MIN(c->failures / CALL_TIMEOUT_ATTEMPTS, 8),
 	    CALL_TIMEOUT_MAX_US);
@@ -540,6 +564,7 @@
 	c->call = NULL;
 	if (a->status != 0 && !note_history(c, a))
 		return;
+	c->unanswered = a->status == 0 && a->timed_out;
 	/* Pooled connections may have stalled as well. */
 	if (a->status == 0)
 		hpool_remove_address(c->store->conf.pool, c->store->address);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -536,9 +536,9 @@
 
 	random_bytes(&conf.seed, sizeof(conf.seed));
 	g->store = store_new(&conf);
-	g->config = store_cache_new(g->store, &adapter_config, &config_ops, g);
 	g->targets =
 	    store_cache_new(g->store, &adapter_targets, &target_ops, g);
+	g->config = store_cache_new(g->store, &adapter_config, &config_ops, g);
 	g->versions =
 	    store_cache_new(g->store, &adapter_versions, &version_ops, g);
 	apply_store_bounds(g);
--- a/tests/store/test_silence.c
+++ b/tests/store/test_silence.c
@@ -333,12 +333,22 @@
 	}
 }
 
+/* Guards against a call that was lost just before the store's return, and is
+ * waited for as long as for a slow store. */
+static void
+test_long_silence(void **state)
+{
+	be_silent(15000);
+	assert_known_in_time(newest);
+}
+
 int
 main(void)
 {
 #define T(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		T(test_short_silences),
+		T(test_long_silence),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
