store: Repeat the calls that may have been lost with another one

What callers see: after a silence of the store, targets that left or versions that were named are known up to 1.2 s later than the settings. Cause: each cache finds out by itself that its answer was lost, though one that has found its own call lost, and then got an answer, knows that calls of that time may be dead; the others waited on dead connections until their watches were over. Change: when a call was found lost and the next one is answered, watches of other caches that began before the loss was noticed are ended and asked again, at most one call a kind for each loss. Evidence: store-store, test_lost_call_repeats_those_of_its_time fails before (no new call within 50 ms).

--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -96,6 +96,8 @@
 	bool watching; /* `revision` is valid to watch from */
 	bool down;
 	bool unanswered; /* the last call was, in its time */
+	int64_t
+	    lost_us; /* when that was noticed; 0: since the last answer, none */
 	bool stale; /* the last answer was older than what is known */
 };
 
@@ -208,23 +210,57 @@
 	    c->store->conf.loop, &c->timer, now_us(c) + c->backoff_us - jitter);
 }
 
-/* One cache got an answer: those in backoff retry at once. */
+static void
+begin_list(struct store_cache *c)
+{
+	c->state = CACHE_LIST;
+	c->watching = false;
+	c->listing++;
+	c->list_revision = 0;
+	g_clear_pointer(&c->after, g_free);
+}
+
+/* A watch that began before another cache's call was found lost may be lost as
+ * well: that can't be told from no change. */
+static bool
+may_be_lost(const struct store_cache *c, int64_t lost_us)
+{
+	return c->state == CACHE_WATCH && c->call != NULL &&
+	    c->called_us < lost_us;
+}
+
+/* Ends the call and makes the next one. */
+static void
+repeat_call(struct store_cache *c)
+{
+	hfetch_cancel(c->call);
+	if (c->kind->newest_only)
+		begin_list(c);
+	next_call(c);
+}
+
+/* One cache got an answer: those in backoff retry at once, and so do those whose
+ * calls may have been lost with its own. */
 static void
 handle_success(struct store_cache *c)
 {
 	struct store_cache *other;
+	int64_t lost_us = c->lost_us;
 	bool was_down = c->down;
 
 	set_link(c, true, "answered");
 	c->answered_us = now_us(c);
 	c->backoff_us = 0;
 	c->failures = 0;
+	c->lost_us = 0;
 	if (!was_down)
 		return;
 	LIST_FOREACH (other, &c->store->caches, link) {
 		if (other->state == CACHE_BACKOFF)
 			evl_timer_set(
 			    c->store->conf.loop, &other->timer, now_us(c));
+		else if (other != c && may_be_lost(other, lost_us))
+			repeat_call(other);
 	}
 }
 
@@ -371,16 +407,6 @@
 	}
 }
 
-static void
-begin_list(struct store_cache *c)
-{
-	c->state = CACHE_LIST;
-	c->watching = false;
-	c->listing++;
-	c->list_revision = 0;
-	g_clear_pointer(&c->after, g_free);
-}
-
 /* Starts the next call after the batch delay. */
 static void
 schedule_call(struct store_cache *c)
@@ -565,6 +591,8 @@
 	if (a->status != 0 && !note_history(c, a))
 		return;
 	c->unanswered = a->status == 0 && a->timed_out;
+	if (c->unanswered)
+		c->lost_us = now_us(c);
 	/* Pooled connections may have stalled as well. */
 	if (a->status == 0)
 		hpool_remove_address(c->store->conf.pool, c->store->address);
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -492,14 +492,19 @@
 	assert_string_equal(events->str, "+a | +a | +b ");
 }
 
-static struct hreq *call_of[2]; /* of the kinds "kind" and "second" */
+/* Of the kinds "kind" and "second": the call that waits, and the number. */
+static struct hreq *call_of[2];
+static unsigned int calls_of[2];
 
 static void
 on_call_of(struct hreq *r, void *ctx)
 {
 	struct hslice target = hreq_msg(r)->target;
 
-	call_of[memmem(target.p, target.n, "second", 6) != NULL] = r;
+	int which = memmem(target.p, target.n, "second", 6) != NULL;
+
+	call_of[which] = r;
+	calls_of[which]++;
 }
 
 static void
@@ -564,6 +569,47 @@
 	hserver_free(server_of_both);
 }
 
+/* Guards against a watch that waits its time out on a dead connection, although
+ * the call of another cache, made at that time, has been found lost. */
+static void
+test_lost_call_repeats_those_of_its_time(void **state)
+{
+	static const struct store_kind second = { .name = "second",
+		.free = g_free };
+	static const struct hserver_ops by_kind = { .request = on_call_of,
+		.disconnected = on_call_gone,
+		.drained = on_drained,
+		.refused = on_refused };
+	char address[32];
+	struct hserver *server_of_both;
+	struct store *both;
+
+	memset(call_of, 0, sizeof(call_of));
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
+	server_of_both = open_server(address, &by_kind);
+	both = open_store(address);
+	(void)store_cache_new(both, &kind, &cache_ops, NULL);
+	(void)store_cache_new(both, &second, &cache_ops, NULL);
+	answer_of(0, "1", "after=", "at 5\na 3\n");
+	answer_of(1, "1", "after=", "at 5\nz 4\n");
+	run_ms(500);
+	answer_of(1, "1", "watch=5", "at 5\n");
+	run_ms(100);
+	/* Both watches wait now; that of the first cache is given up first. */
+	memset(calls_of, 0, sizeof(calls_of));
+	while (calls_of[0] == 0)
+		run_ms(1);
+	assert_int_equal(calls_of[1], 0);
+	answer_of(0, "1", "watch=5", "at 6\nb 6\n");
+	run_ms(50);
+	assert_int_equal(calls_of[1], 1);
+	answer_of(1, "1", "watch=5", "at 7\ny 7\n");
+	assert_non_null(strstr(events->str, "+y"));
+	store_free(both);
+	run_ms(2);
+	hserver_free(server_of_both);
+}
+
 int
 main(void)
 {
@@ -585,6 +631,7 @@
 		T(test_answer_of_an_older_history),
 		T(test_restored_twice),
 		T(test_all_caches_begin_the_new_history),
+		T(test_lost_call_repeats_those_of_its_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
