http, store: Do not give an answer up while it arrives

What callers see: where settings are large and the link to the store is thin, a gateway that has to list them stays without new ones for seconds. Cause: the time-out of a call counted until its last byte. 0.6 s after its begin a list that was still arriving was given up and asked for again, with the same end, until failures had doubled the time-out. Change: while bytes arrive the call goes on, until none came for 0.6 s, and for 10 s at the most in all; before the first byte, and where nothing arrives, as before. Evidence: store-cut, test_slow_list_is_read (10 bytes in 1.4 s) fails before. The other direction, test_stalled_list_is_given_up: an answer that stops or never ends is given up.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -10,6 +10,7 @@
 	struct evl *loop;
 	struct hcall *call;
 	struct evl_timer timer;
+	int64_t arrival_timeout_us, arrival_end_us; /* 0: none */
 	unsigned int status;
 	struct hbuf body;
 	const char *header_name; /* NULL: none is asked for */
@@ -27,12 +28,23 @@
 	g_free(f);
 }
 
+static void
+put_off_timeout(struct hfetch *f)
+{
+	int64_t at_us =
+	    MIN(evl_now_us(f->loop) + f->arrival_timeout_us, f->arrival_end_us);
+
+	if (at_us > f->timer.at_us)
+		evl_timer_set(f->loop, &f->timer, at_us);
+}
+
 static void
 on_head(struct hcall *c, const struct hmsg *m, void *ctx)
 {
 	struct hfetch *f = ctx;
 	const struct hheader *h = NULL;
 
+	put_off_timeout(f);
 	f->status = m->status;
 	if (f->header_name != NULL)
 		h = hmsg_find(m, f->header_name);
@@ -47,6 +59,7 @@
 {
 	struct hfetch *f = ctx;
 
+	put_off_timeout(f);
 	hbuf_add(&f->body, data, len);
 }
 
@@ -113,6 +126,9 @@
 		g_string_append(head, "Connection: close\r\n");
 	g_string_append(head, "\r\n");
 	f->loop = loop;
+	f->arrival_timeout_us = conf->arrival_timeout_us;
+	if (conf->arrival_max_us != 0)
+		f->arrival_end_us = evl_now_us(loop) + conf->arrival_max_us;
 	f->header_name = conf->header;
 	f->done = conf->done;
 	f->ctx = conf->ctx;
--- a/lib/http/fetch.h
+++ b/lib/http/fetch.h
@@ -30,6 +30,10 @@
 	const void *body;
 	size_t body_len;
 	int64_t timeout_us;
+	/* While the response arrives, the call ends this long after the last
+	 * bytes, but not before its time-out, and at the latest after
+	 * `arrival_max_us` in all; 0: at its time-out. */
+	int64_t arrival_timeout_us, arrival_max_us;
 	const char *header; /* of the response, for the answer; NULL: none */
 	size_t answer_max; /* bytes of the body; a longer one is a failure */
 	/* Close the connection after the call, for targets that accept few. */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -29,6 +29,9 @@
 #define CALL_TIMEOUT_ATTEMPTS 3
 #define CALL_TIMEOUT_US 600000
 #define CALL_TIMEOUT_MAX_US 2500000
+/* Answers that arrive may take longer: settings of 1 MB over a thin link. */
+#define ARRIVAL_TIMEOUT_US CALL_TIMEOUT_US
+#define ARRIVAL_MAX_US 10000000
 /* Watches that probe whether the store is up again do not wait for changes. */
 #define PROBE_WAIT_MS 100
 /* Calls to a store that does not answer cost as much as others: only one
@@ -641,6 +644,8 @@
 		.method = "GET",
 		.path = path,
 		.timeout_us = wait_ms * 1000 + call_timeout_us(c),
+		.arrival_timeout_us = ARRIVAL_TIMEOUT_US,
+		.arrival_max_us = ARRIVAL_MAX_US,
 		.header = conf->dialect->history_header,
 		.answer_max = BODY_MAX,
 		.done = on_answer,
--- a/tests/store/test_cut.c
+++ b/tests/store/test_cut.c
@@ -212,6 +212,49 @@
 	assert_int_equal(objects, 0);
 }
 
+/* Guards against a list that is given up while it arrives, as it takes longer than
+ * an answer may take to begin: each further call would read as much in vain. */
+static void
+test_slow_list_is_read(void **state)
+{
+	int fd = raw_accept(listener), i;
+
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, HEAD("10"));
+	raw_send(fd, "+");
+	for (i = 0; i < 9; i++) {
+		run_ms(150);
+		raw_send(fd, " ");
+	}
+	run_until(&synced);
+	assert_false(down);
+	assert_int_equal(objects, 1);
+	close(fd);
+}
+
+/* The other direction: one that stops arriving is given up, and so is one that
+ * arrives without ever being complete. */
+static void
+test_stalled_list_is_given_up(void **state)
+{
+	int fd = raw_accept(listener), i;
+
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, HEAD("10"));
+	raw_send(fd, "+");
+	run_until(&down);
+	close(fd);
+	down = false;
+	fd = raw_accept(listener);
+	g_free(raw_read(fd, "\r\n\r\n"));
+	raw_send(fd, HEAD("1000"));
+	for (i = 0; i < 200 && send(fd, " ", 1, MSG_NOSIGNAL) == 1; i++)
+		run_ms(100);
+	assert_true(i < 200);
+	assert_false(synced);
+	close(fd);
+}
+
 int
 main(void)
 {
@@ -219,6 +262,8 @@
 	const struct CMUnitTest tests[] = {
 		T(test_watch_breaks_off),
 		T(test_list_breaks_off),
+		T(test_slow_list_is_read),
+		T(test_stalled_list_is_given_up),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
