platform: Notice a lost poll of the own interface within the bound of its settings

What operators see: a change of the settings of the own interface is in force 26 s after it was accepted, where the object API was silent for a moment as it was made; 14 s are the bound. Cause: the same as for the settings on the users' platform: a lost answer can't be told from no change, and a poll was held for 20 s, with 5 s more until it was given up. There are three watchers or more, but a silence of the API loses the polls of all. Change: polls are held for 5 s and given up after 4 s more. By sum: 9 s, a backoff of half a second, some 2 s until all processes have the change. Evidence: by reading; platform-obj_watch, test_lost_poll_is_repeated_in_time (no change within 11 s) fails before. Price: a poll each 5 s instead of each 20 s at each of the few watchers.

--- a/lib/platform/obj_watch.c
+++ b/lib/platform/obj_watch.c
@@ -15,11 +15,12 @@
 
 #include "platform/platform_internal.h"
 
-/* How long the API holds an idle poll. The time is long because each poll
- * counts as a call; a restart of the API shows as a closed connection. */
-#define POLL_WAIT_MS 20000
+/* How long the API holds an idle poll: each poll counts as a call. A lost one is
+ * noticed only after this and the time below, a good part of the 14 s within which
+ * changes must be in force. */
+#define POLL_WAIT_MS 5000
 /* Time allowed for the response after the hold time of a poll has ended. */
-#define POLL_GRACE_MS 5000
+#define POLL_GRACE_MS 4000
 #define RELIST_DEADLINE_MS 10000
 /* Minimum time between the starts of two polls. Without it, a busy prefix or
  * an API that does not hold polls would be polled as fast as it responds. */
--- a/tests/platform/test_obj_watch.c
+++ b/tests/platform/test_obj_watch.c
@@ -83,6 +83,33 @@
 	assert_int_equal(api->polls, 2);
 }
 
+/* Changes must be in force everywhere within 14 s; 2 s of that are for their way
+ * from a watcher to all processes, and 1 s for a busy one. */
+#define LOSS_NOTICED_MAX_MS 11000
+
+/* Guards against a poll on a dead connection that is waited for until its long
+ * hold time is over: a change that was lost with it is in force too late. */
+static void
+test_lost_poll_is_repeated_in_time(void **state)
+{
+	struct api *api = *state;
+	struct obj_watch *watch;
+	int64_t end_us;
+
+	store(api, "teams/a", "op", "1");
+	watch = obj_watch_start(api->obj, "teams/", 0, &watch_ops, api);
+	await_change(api);
+	await_poll(api);
+	/* Neither this poll nor the change is ever answered. */
+	store(api, "teams/b", "op", "1");
+	api->changed = false;
+	end_us = g_get_monotonic_time() + LOSS_NOTICED_MAX_MS * 1000;
+	while (!api->changed && g_get_monotonic_time() < end_us)
+		run_for(10);
+	obj_watch_stop(watch);
+	assert_true(api->changed);
+}
+
 /*
  * The API is down for a while. The owner gets one call of `lost` and one of
  * `recovered`, and then the changes made during the outage.
@@ -224,6 +251,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		SERVED(test_watch),
+		SERVED(test_lost_poll_is_repeated_in_time),
 		SERVED(test_watch_through_an_outage),
 		SERVED(test_watch_after_a_restart_of_the_api),
 		SERVED(test_polls_are_spaced),
