--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -17,7 +17,9 @@
 # more processes; from seed 1200 on, all engines fail most requests, from a time
 # on or for seconds at a time, and gateways are killed, stopped and paused in
 # series as well; from seed 1400 on, engines fail as before 1200, lists of digests
-# are corrupted, and engines, the origin and the store answer without end.
+# are corrupted, and engines, the origin and the store answer without end; from
+# seed 2000 on, large settings change several times a second beside silences of the
+# store that lose what it sends, or longer times in which it refuses all calls.
 # Requests that a gateway ended without an answer are broken
 # (tests/fleet/ends.c), as is a window with more retries of all gateways than
 # their budget (tests/fleet/budget.c). The last line begins with `soak: kept` or `soak: BROKEN`;
@@ -264,6 +266,18 @@
 	parts=0
 	rate=40 # so little that the slack is most of the retry budget
 fi
+if [ "$SEED" -ge 2000 ]; then
+	draw_more 400
+	more="$more --rename-gap-ms $((100 + drawn)) --always-routes $drawn"
+	draw_more 4
+	if [ "$drawn" -eq 0 ]; then
+		draw_more 8000
+		more="$more --away-how refuse --away-for-ms $((2000 + drawn)) --away-gap-ms 6000"
+	else
+		draw_more 350
+		more="$more --away-for-ms $((100 + drawn)) --away-gap-ms $((3500 + drawn * 3))"
+	fi
+fi
 fleet_begin "$BUILD/stage-soak-$SEED" $n_engines $n_gateways
 # Of no gateway: awk tells the files below apart by a line in the first one.
 echo "0 0 0 ended" >"$STAGE/disturbed"
