store: Count the replaced values of an answer that is read only

Cause: of an answer that was dropped as stale, the count of the one before was added again, and the time in store_read was that of the next call where a kind has no batch delay; found on reading the diff. Change: both are taken as the answer is read; comments of two members.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -28,6 +28,7 @@
 	g_free(f);
 }
 
+/* Bytes of the response have arrived. */
 static void
 put_off_timeout(struct hfetch *f)
 {
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -84,7 +84,7 @@
 	GHashTable *known; /* name -> struct cached_object */
 	unsigned int listing;
 	unsigned int page; /* answers read so far */
-	unsigned int superseded; /* values that the same answer replaced */
+	unsigned int superseded; /* values that the last answer replaced */
 	char *after; /* last name of the pages received so far */
 	int64_t list_revision; /* revision of the first page */
 	int64_t revision;
@@ -98,9 +98,10 @@
 	bool synced;
 	bool watching; /* `revision` is valid to watch from */
 	bool down;
-	bool unanswered; /* the last call was, in its time */
-	int64_t
-	    lost_us; /* when that was noticed; 0: since the last answer, none */
+	/* The last call got no answer in its time, and when a call was last
+	 * given up for that; 0: none since the last answer. */
+	bool unanswered;
+	int64_t lost_us;
 	bool stale; /* the last answer was older than what is known */
 };
 
@@ -386,8 +387,6 @@
 	}
 	if (c->state == CACHE_LIST)
 		g_array_sort(page->items, by_revision);
-	c->page++;
-	c->superseded = 0;
 	for (i = 0; i < n; i++) {
 		item = &g_array_index(page->items, struct store_item, i);
 		handle_item(c, item);
@@ -549,8 +548,9 @@
 /* Calls                                                               */
 /* ------------------------------------------------------------------ */
 
+/* `ms`: since the begin of the call. */
 static void
-count_items(struct store_cache *c, size_t len, guint items)
+count_items(struct store_cache *c, size_t len, guint items, int64_t ms)
 {
 	ctr_add(c->store->bytes, len);
 	ctr_add(c->store->items, items);
@@ -558,8 +558,7 @@
 	if (c->superseded >= SUPERSEDED_BEHIND)
 		evt(EVT_STORE_READ,
 		    "kind=%s items=%u superseded=%u bytes=%zu ms=%" G_GINT64_FORMAT,
-		    c->kind->name, items, c->superseded, len,
-		    (now_us(c) - c->called_us) / 1000);
+		    c->kind->name, items, c->superseded, len, ms);
 }
 
 static void
@@ -567,14 +566,17 @@
 {
 	struct store_page page = { 0 };
 	struct err err = { 0 };
+	int64_t ms = (now_us(c) - c->called_us) / 1000;
 	guint items;
 
+	c->page++;
+	c->superseded = 0;
 	page.items = g_array_new(FALSE, FALSE, sizeof(struct store_item));
 	if (c->store->conf.dialect->read_page(
 		c->kind, a->body, a->len, &page, &err)) {
 		items = page.items->len;
 		handle_page(c, &page);
-		count_items(c, a->len, items);
+		count_items(c, a->len, items, ms);
 	} else {
 		drop_items(c, &page);
 		log_warn("store: malformed answer about %s: %s", c->kind->name,
