tests, KNOWN-RED: Count a store that refuses as disturbed when a drill begins

Cause: the test. A drill brings the store back from an older copy, and what a gateway heard before it must be heeded if the store had been stable for 3 s. The stand-in noted a refusing store as disturbed when the refusal ended only, so a drill that began within one counted the store as stable. Trace: targets were answered last at 296.573, 503 from 296.874 on, the record changed at 297.381, the drill at about 298.9, the first answer after it at 299.061; no gateway can have known. Nothing else is judged differently: a store that did not refuse as the drill began is treated as before.

--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -268,6 +268,8 @@
 {
 	int64_t now_us = evl_now_us(f->loop);
 
+	if (f->store_refuses)
+		f->store_disturbed_us = now_us;
 	f->era++;
 	f->drill_us = now_us;
 	f->before_drill_us =
