--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -225,7 +225,7 @@
 }
 
 /* A watch that began before another cache's call was found lost may be lost as
- * well: that can't be told from no change. */
+ * well: without an answer it looks like one of a kind that does not change. */
 static bool
 may_be_lost(const struct store_cache *c, int64_t lost_us)
 {
@@ -656,12 +656,15 @@
 	g_free(path);
 }
 
-/* Whether the cache watches from its last revision after a backoff. The store
- * would send all changes since then, the oldest first. */
-static bool
-continues_watch(const struct store_cache *c)
+/* After a backoff: watches from the last revision, unless a listing failed, or
+ * only the newest values count: a watch gets all changes since, the oldest first. */
+static void
+end_backoff(struct store_cache *c)
 {
-	return c->watching && !c->kind->newest_only;
+	if (c->watching && !c->kind->newest_only)
+		c->state = CACHE_WATCH;
+	else
+		begin_list(c);
 }
 
 static void
@@ -669,10 +672,8 @@
 {
 	struct store_cache *c = CONTAINER_OF(t, struct store_cache, timer);
 
-	if (c->state == CACHE_BACKOFF && continues_watch(c))
-		c->state = CACHE_WATCH;
-	else if (c->state == CACHE_BACKOFF)
-		begin_list(c);
+	if (c->state == CACHE_BACKOFF)
+		end_backoff(c);
 	next_call(c);
 }
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -118,7 +118,7 @@
  */
 void store_cache_set_batch_delay(struct store_cache *c, int64_t batch_delay_us);
 /* Time within which a change must be known, also when the answer with it was
- * lost; default: the store's stall timeout. */
+ * lost; without one, or if that is less, the store's stall timeout is. */
 void store_cache_set_change_bound(struct store_cache *c, int64_t bound_us);
 /* Has been complete once. */
 bool store_cache_synced(const struct store_cache *c);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -431,8 +431,8 @@
  * that leaves must get no more requests. An engine's record changes whenever it
  * starts, loads a version or stops: among hundreds of engines there is always
  * one that does, and each gateway would call the store again as soon as the
- * last call returns. The rest of the time leaves room for twice 0.6 s, a lost
- * answer and the next one.
+ * last call returns. The rest of the time is for the call. A lost answer is
+ * noticed within the store's stall timeout, in which the bound does not apply.
  */
 #define TARGETS_BATCH_SHARE 0.2
 
@@ -443,7 +443,6 @@
 
 	store_cache_set_change_bound(
 	    g->config, cfg_int(g->st.cfg, "bounds.config_ms") * 1000);
-
 	store_cache_set_batch_delay(
 	    g->targets, (int64_t)((double)drain_us * TARGETS_BATCH_SHARE));
 }
