tests: One set-up of the store's client, and one judgement of what gateways must know

Cause, found on reading the whole change: test_behind, test_silence and test_store each set up a server, its empty callbacks and a pool; three tests of two caches did so by hand; notice.c had two copies of one judgement. Change: tests/store/bed.h, open_two and close_two, must_be_known. No assertion, bound or time is changed.

--- a/tests/fleet/notice.c
+++ b/tests/fleet/notice.c
@@ -32,28 +32,23 @@
 		f->tally.unheeded++;
 }
 
-/* Whether gateways must know by now what the store acknowledged at `acked_us`:
- * it has been stable for so long. */
+/* Whether gateways must know at `at_us` what the store acknowledged at `acked_us`:
+ * it has been stable for `stable_us`. */
 static bool
-is_known_by_now(const struct fleet *f, int64_t acked_us)
+must_be_known(
+    const struct fleet *f, int64_t acked_us, int64_t at_us, int64_t stable_us)
 {
-	int64_t now_us = evl_now_us(f->loop);
 	int64_t disturbed_us =
 	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
 
-	return !f->store_refuses && now_us - acked_us > ACK_REACTION_US &&
-	    now_us - disturbed_us > STORE_STABLE_US;
+	return !f->store_refuses && at_us - acked_us > ACK_REACTION_US &&
+	    at_us - disturbed_us > stable_us;
 }
 
-/* The same for a request at its acceptance. */
 static bool
-was_known(const struct fleet *f, int64_t acked_us, int64_t sent_us)
+is_known_by_now(const struct fleet *f, int64_t acked_us)
 {
-	int64_t disturbed_us =
-	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
-
-	return !f->store_refuses && sent_us - acked_us > ACK_REACTION_US &&
-	    sent_us - disturbed_us > fleet_away_stable_us();
+	return must_be_known(f, acked_us, evl_now_us(f->loop), STORE_STABLE_US);
 }
 
 /* Whether gateways had heard of what was acknowledged before the last drill. */
@@ -78,7 +73,7 @@
 		return;
 	if (generation < f->generation) {
 		next_us = g_array_index(f->renamed_us, int64_t, generation);
-		if (was_known(f, next_us, *sent_us))
+		if (must_be_known(f, next_us, *sent_us, fleet_away_stable_us()))
 			report(f, id, next_us, "was handled by older settings");
 	}
 	if (generation > f->seen_generation[gateway]) {
--- a/tests/fleet/proxy.c
+++ b/tests/fleet/proxy.c
@@ -1,7 +1,8 @@
 /* A loopback proxy that delays or stalls traffic, stalls responses only, loses
- * it and everything after it on the same connection, and resets connections; answers in place of its target, without end; or holds its
- * target as one that stands still: what arrives meanwhile is carried out when it
- * goes on, also for callers that have closed their connections. */
+ * it and everything after it on the same connection, and resets connections;
+ * answers in place of its target, without end; or holds its target as one that
+ * stands still: what arrives meanwhile is carried out when it goes on, also for
+ * callers that have closed their connections. */
 
 #include <errno.h>
 #include <string.h>
--- a/tests/store/test_behind.c
+++ b/tests/store/test_behind.c
@@ -1,7 +1,7 @@
 /* Caches that have missed changes: the store has one object of the kind, the
  * value of which changes often, and sends a bounded number of changes a call. */
 
-#include "../http/loop.h"
+#include "bed.h"
 
 #include <stdlib.h>
 
@@ -120,21 +120,11 @@
 		watch = NULL;
 }
 
-static void
-on_drained(struct hreq *r, void *ctx)
-{
-}
-
-static void
-on_refused(unsigned int status, void *ctx)
-{
-}
-
 static const struct hserver_ops server_ops = {
 	.request = on_request,
 	.disconnected = on_disconnected,
-	.drained = on_drained,
-	.refused = on_refused,
+	.drained = bed_ignore_drained,
+	.refused = bed_ignore_refused,
 };
 
 static void
@@ -159,9 +149,7 @@
 set_up(void **state)
 {
 	char address[32];
-	struct err err = { 0 };
 
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
 	newest = 1;
 	known = 0;
 	store_is_away = false;
@@ -169,19 +157,8 @@
 	lists = 0;
 	loop = evl_new(clk_system());
 	counters = ctr_set_new();
-	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
-	    .idle_max = 4,
-	    .connect_us = 200000,
-	    .idle_us = 5000000,
-	    .head_bytes = 4096 });
-	server = hserver_new(&(struct hserver_conf){ .loop = loop,
-				 .address = address,
-				 .limits = &limits,
-				 .connections_max = 10,
-				 .bodies_max = 10000,
-				 .ops = &server_ops },
-	    &err);
-	assert_non_null(server);
+	pool = bed_pool(loop, 200000, 5000000);
+	server = bed_server(loop, address, &limits, 10, &server_ops);
 	store = store_new(&(struct store_conf){ .loop = loop,
 	    .pool = pool,
 	    .address = address,
--- a/tests/store/test_silence.c
+++ b/tests/store/test_silence.c
@@ -4,7 +4,7 @@
  * phases of their calls occur. The settings change before, during and after.
  */
 
-#include "../http/loop.h"
+#include "bed.h"
 
 #include <stdlib.h>
 
@@ -17,9 +17,6 @@
 #define STALL_TIMEOUT_US 3000000
 #define CHANGE_BOUND_US 2000000
 
-static const char *const names[] = { "config", "servers", "versions" };
-#define KINDS G_N_ELEMENTS(names)
-
 struct waiting {
 	LIST_ENTRY(waiting) link;
 	struct hreq *r;
@@ -176,21 +173,11 @@
 		waiting_free(hreq_ctx(r));
 }
 
-static void
-on_drained(struct hreq *r, void *ctx)
-{
-}
-
-static void
-on_refused(unsigned int status, void *ctx)
-{
-}
-
 static const struct hserver_ops server_ops = {
 	.request = on_request,
 	.disconnected = on_disconnected,
-	.drained = on_drained,
-	.refused = on_refused,
+	.drained = bed_ignore_drained,
+	.refused = bed_ignore_refused,
 };
 
 static void
@@ -212,7 +199,7 @@
 	.removed = on_removed,
 };
 
-static const struct store_kind kinds[KINDS] = {
+static const struct store_kind kinds[] = {
 	{ .name = "config",
 	    .newest_only = true,
 	    .batch_delay_us = 150000,
@@ -226,11 +213,7 @@
 {
 	struct store_cache *config;
 
-	c->pool = hpool_new(&(struct hpool_conf){ .loop = loop,
-	    .idle_max = 4,
-	    .connect_us = 700000,
-	    .idle_us = 60000000,
-	    .head_bytes = 4096 });
+	c->pool = bed_pool(loop, 700000, 60000000);
 	c->store = store_new(&(struct store_conf){ .loop = loop,
 	    .pool = c->pool,
 	    .address = address,
@@ -247,21 +230,12 @@
 static int
 set_up(void **state)
 {
-	struct err err = { 0 };
 	size_t i;
 
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
 	loop = evl_new(clk_system());
 	counters = ctr_set_new();
 	LIST_INIT(&watches);
-	server = hserver_new(&(struct hserver_conf){ .loop = loop,
-				 .address = address,
-				 .limits = &limits,
-				 .connections_max = 3000,
-				 .bodies_max = 10000,
-				 .ops = &server_ops },
-	    &err);
-	assert_non_null(server);
+	server = bed_server(loop, address, &limits, 3000, &server_ops);
 	is_silent = false;
 	newest = 1;
 	calls = 0;
@@ -320,7 +294,7 @@
 }
 
 /* Guards against a lost answer that is noticed only when the time of a long watch
- * is over: it can't be told from no change. */
+ * is over, as it looks like one to a watch without changes. */
 static void
 test_short_silences(void **state)
 {
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -1,6 +1,6 @@
 /* A cache of the store: paging, watching, lost history, stalled connections. */
 
-#include "../http/loop.h"
+#include "bed.h"
 
 #include "store/store.h"
 
@@ -89,21 +89,11 @@
 	call = NULL;
 }
 
-static void
-on_drained(struct hreq *r, void *ctx)
-{
-}
-
-static void
-on_refused(unsigned int status, void *ctx)
-{
-}
-
 static const struct hserver_ops ops = {
 	.request = on_request,
 	.disconnected = on_disconnected,
-	.drained = on_drained,
-	.refused = on_refused,
+	.drained = bed_ignore_drained,
+	.refused = bed_ignore_refused,
 };
 
 static void
@@ -139,22 +129,6 @@
 	.link = on_link,
 };
 
-static struct hserver *
-open_server(const char *address, const struct hserver_ops *how)
-{
-	struct err err = { 0 };
-	struct hserver *s = hserver_new(&(struct hserver_conf){ .loop = loop,
-					    .address = address,
-					    .limits = &limits,
-					    .connections_max = 10,
-					    .bodies_max = 10000,
-					    .ops = how },
-	    &err);
-
-	assert_non_null(s);
-	return s;
-}
-
 static struct store *
 open_store(const char *address)
 {
@@ -172,15 +146,10 @@
 {
 	static char address[32];
 
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
 	loop = evl_new(clk_system());
 	counters = ctr_set_new();
-	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
-	    .idle_max = 4,
-	    .connect_us = 200000,
-	    .idle_us = 5000000,
-	    .head_bytes = 4096 });
-	server = open_server(address, &ops);
+	pool = bed_pool(loop, 200000, 5000000);
+	server = bed_server(loop, address, &limits, 10, &ops);
 	store = open_store(address);
 	events = g_string_new(NULL);
 	called = false;
@@ -375,6 +344,36 @@
 	assert_string_equal(events->str, "down up +a | ");
 }
 
+/* A second store and its server, with caches of the kinds "kind" and "second". */
+struct two_caches {
+	struct hserver *server;
+	struct store *store;
+};
+
+static const struct store_kind second = { .name = "second", .free = g_free };
+
+static struct two_caches
+open_two(const struct hserver_ops *how, const struct store_kind *first,
+    const struct store_kind *next)
+{
+	struct two_caches two;
+	char address[32];
+
+	two.server = bed_server(loop, address, &limits, 10, how);
+	two.store = open_store(address);
+	(void)store_cache_new(two.store, first, &cache_ops, NULL);
+	(void)store_cache_new(two.store, next, &cache_ops, NULL);
+	return two;
+}
+
+static void
+close_two(struct two_caches *two)
+{
+	store_free(two->store);
+	run_ms(2);
+	hserver_free(two->server);
+}
+
 /* With two caches two calls wait at once; the server distinguishes them. */
 static unsigned int asked_of[2];
 static unsigned int answer_with;
@@ -394,22 +393,14 @@
 static void
 test_one_cache_retries_for_all(void **state)
 {
-	static const struct store_kind second = { .name = "second",
-		.free = g_free };
 	static const struct hserver_ops either = { .request = on_either,
 		.disconnected = on_disconnected,
-		.drained = on_drained,
-		.refused = on_refused };
-	char address[32];
-	struct hserver *two;
-	struct store *both;
+		.drained = bed_ignore_drained,
+		.refused = bed_ignore_refused };
+	struct two_caches two;
 
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
-	two = open_server(address, &either);
-	both = open_store(address);
 	answer_with = 503;
-	(void)store_cache_new(both, &second, &cache_ops, NULL);
-	(void)store_cache_new(both, &kind, &cache_ops, NULL);
+	two = open_two(&either, &second, &kind);
 	run_ms(1500);
 	assert_true(asked_of[0] + asked_of[1] >= 4);
 	assert_in_range(MIN(asked_of[0], asked_of[1]), 1, 2);
@@ -417,9 +408,7 @@
 	run_ms(600);
 	assert_non_null(strstr(events->str, "up"));
 	assert_non_null(strstr(strstr(events->str, "up") + 2, "up"));
-	store_free(both);
-	run_ms(2);
-	hserver_free(two);
+	close_two(&two);
 }
 
 /* ------------------------------------------------------------------ */
@@ -500,7 +489,6 @@
 on_call_of(struct hreq *r, void *ctx)
 {
 	struct hslice target = hreq_msg(r)->target;
-
 	int which = memmem(target.p, target.n, "second", 6) != NULL;
 
 	call_of[which] = r;
@@ -535,27 +523,22 @@
 	run_ms(5);
 }
 
+static const struct hserver_ops by_kind = {
+	.request = on_call_of,
+	.disconnected = on_call_gone,
+	.drained = bed_ignore_drained,
+	.refused = bed_ignore_refused,
+};
+
 /* The answer to one cache's call makes the others list again at once: their own
  * watches may wait for a long time, from revisions that no longer exist. */
 static void
 test_all_caches_begin_the_new_history(void **state)
 {
-	static const struct store_kind second = { .name = "second",
-		.free = g_free };
-	static const struct hserver_ops by_kind = { .request = on_call_of,
-		.disconnected = on_call_gone,
-		.drained = on_drained,
-		.refused = on_refused };
-	char address[32];
-	struct hserver *server_of_both;
-	struct store *both;
+	struct two_caches two;
 
 	memset(call_of, 0, sizeof(call_of));
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
-	server_of_both = open_server(address, &by_kind);
-	both = open_store(address);
-	(void)store_cache_new(both, &kind, &cache_ops, NULL);
-	(void)store_cache_new(both, &second, &cache_ops, NULL);
+	two = open_two(&by_kind, &kind, &second);
 	answer_of(0, "1", "after=", "at 50\na 30\n");
 	answer_of(1, "1", "after=", "at 50\nz 40\n");
 	answer_of(0, "2", "watch=50", "at 51\nb 51\n");
@@ -563,10 +546,8 @@
 	answer_of(0, "2", "after=", "at 20\na 9\n");
 	answer_of(1, "2", "watch=20", "at 21\n");
 	assert_string_equal(events->str, "+a | +z | +z | +a | ");
-	assert_int_equal(store_history(both), 2);
-	store_free(both);
-	run_ms(2);
-	hserver_free(server_of_both);
+	assert_int_equal(store_history(two.store), 2);
+	close_two(&two);
 }
 
 /* Guards against a watch that waits its time out on a dead connection, although
@@ -574,22 +555,10 @@
 static void
 test_lost_call_repeats_those_of_its_time(void **state)
 {
-	static const struct store_kind second = { .name = "second",
-		.free = g_free };
-	static const struct hserver_ops by_kind = { .request = on_call_of,
-		.disconnected = on_call_gone,
-		.drained = on_drained,
-		.refused = on_refused };
-	char address[32];
-	struct hserver *server_of_both;
-	struct store *both;
+	struct two_caches two;
 
 	memset(call_of, 0, sizeof(call_of));
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u", free_port());
-	server_of_both = open_server(address, &by_kind);
-	both = open_store(address);
-	(void)store_cache_new(both, &kind, &cache_ops, NULL);
-	(void)store_cache_new(both, &second, &cache_ops, NULL);
+	two = open_two(&by_kind, &kind, &second);
 	answer_of(0, "1", "after=", "at 5\na 3\n");
 	answer_of(1, "1", "after=", "at 5\nz 4\n");
 	run_ms(500);
@@ -605,9 +574,7 @@
 	assert_int_equal(calls_of[1], 1);
 	answer_of(1, "1", "watch=5", "at 7\ny 7\n");
 	assert_non_null(strstr(events->str, "+y"));
-	store_free(both);
-	run_ms(2);
-	hserver_free(server_of_both);
+	close_two(&two);
 }
 
 int
