entry, route: No second attempt at a target whose silence is about to be found

Cause: when all services fall silent, the first notice of a stall marks its own target, and the requests that stall there are sent to the others, which have been silent as long but whose notices arrive some milliseconds later. With the budget used up, a request at a service that was dead 3 s later got no second attempt.

Change: a target that owes a response for as long as the stall limit counts as silent for such attempts. A second attempt prefers a target that is not.

--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -67,18 +67,22 @@
 		now_us - target->silent_since_us < RT_SILENT_MAX_US);
 }
 
+/* Whether the target is as silent as the first one, found so or not yet. */
 static bool
-is_found_silent(const struct rt_target *target, int64_t now_us)
+is_silent(const struct rt_target *target, int64_t limit_us, int64_t now_us)
 {
-	return target->found_silent_us != 0 &&
-	    now_us - target->found_silent_us < RT_SILENT_MAX_US / 2;
+	return (target->found_silent_us != 0 &&
+		   now_us - target->found_silent_us < RT_SILENT_MAX_US / 2) ||
+	    (target->unanswered > 0 &&
+		now_us - target->unanswered_since_us >= limit_us);
 }
 
 static bool
 is_usable(const struct rt_target *target, const struct rt_criteria *criteria,
     int64_t now_us)
 {
-	if (criteria->no_silent && is_found_silent(target, now_us))
+	if (criteria->silent_limit_us > 0 &&
+	    is_silent(target, criteria->silent_limit_us, now_us))
 		return false;
 	return target->reachable && target->accepting &&
 	    (target->backoff_until_us <= now_us ||
@@ -276,7 +280,7 @@
 	struct rt_criteria with_silent = *criteria;
 	struct rt_target *target = choose(fleet, criteria, now_us, rng);
 
-	if (target != NULL || criteria->no_silent)
+	if (target != NULL || criteria->silent_limit_us > 0)
 		return target;
 	with_silent.silent = true;
 	return choose(fleet, &with_silent, now_us, rng);
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -110,9 +110,11 @@
 	const struct rt_target *const *tried; /* not to be chosen again */
 	size_t ntried;
 	bool silent; /* include targets that are avoided as silent */
-	/* For an attempt beside one at a silent target: exclude those found
-	 * silent in the last RT_SILENT_MAX_US / 2, also after the backoff. */
-	bool no_silent;
+	/* For an attempt beside one that has been silent for this long: exclude
+	 * targets that owe a response for as long, and those found silent in
+	 * the last RT_SILENT_MAX_US / 2, also after the backoff. 0: no such
+	 * attempt. */
+	int64_t silent_limit_us;
 };
 
 /*
--- a/programs/entry/request.c
+++ b/programs/entry/request.c
@@ -96,10 +96,17 @@
 	    g_idle_add_full(G_PRIORITY_DEFAULT, step_later, r, NULL);
 }
 
+static int64_t
+stall_us(const struct request *r)
+{
+	return (int64_t)r->stall_ms * 1000;
+}
+
 /* Returns NULL when there is no target; `backoff_ends_us` is then when the
  * first target in backoff may be used again, or 0 when none is in backoff. */
 static struct rt_target *
-choose_target(struct request *r, bool no_silent, int64_t *backoff_ends_us)
+choose_target(
+    struct request *r, int64_t silent_limit_us, int64_t *backoff_ends_us)
 {
 	const struct rt_workspace *workspace =
 	    entry_workspace(r->entry, r->workspace);
@@ -118,7 +125,7 @@
 		.prefix = r->prefix,
 		.tried = r->tried,
 		.ntried = r->att.facts.attempts,
-		.no_silent = no_silent,
+		.silent_limit_us = silent_limit_us,
 	};
 	int64_t now_us = clk_now_us(clk_system());
 	struct rt_target *target;
@@ -169,13 +176,16 @@
 {
 	struct request *r = ctx;
 	int64_t backoff_ends_us;
-	struct rt_target *target;
+	struct rt_target *target = NULL;
 
 	if (suspects_block(r, &r->last_err)) {
 		refuse_later(r);
 		return;
 	}
-	target = choose_target(r, false, &backoff_ends_us);
+	if (parked_any(r))
+		target = choose_target(r, stall_us(r), &backoff_ends_us);
+	if (target == NULL)
+		target = choose_target(r, 0, &backoff_ends_us);
 	if (target == NULL) {
 		set_no_target(r, backoff_ends_us);
 		refuse_later(r);
@@ -341,7 +351,7 @@
 	return r->att.facts.attempts < r->att.facts.max_attempts &&
 	    request_remaining_ms(r) >= MIN_ATTEMPT_MS &&
 	    gatekeeper_may_retry(r->entry, r->workspace) &&
-	    choose_target(r, true, &backoff_ends_us) != NULL;
+	    choose_target(r, stall_us(r), &backoff_ends_us) != NULL;
 }
 
 /* Ends the request's attempts, all of them silent for too long. */
--- a/tests/route/test_choose.c
+++ b/tests/route/test_choose.c
@@ -333,13 +333,13 @@
 	assert_always(&f, 1);
 	end(&f, 1, ERR_DEADLINE);
 	assert_true(choose(&f) >= 0);
-	f.criteria.no_silent = true;
+	f.criteria.silent_limit_us = 300 * MS;
 	f.now_us += 900 * MS;
 	assert_int_equal(choose(&f), -1);
 	f.now_us += 200 * MS;
 	assert_true(choose(&f) >= 0);
 	f.now_us -= 1100 * MS;
-	f.criteria.no_silent = false;
+	f.criteria.silent_limit_us = 0;
 	/* A failure is no silence. */
 	end(&f, 1, ERR_NONE);
 	end(&f, 1, ERR_UNAVAILABLE);
@@ -352,6 +352,29 @@
 	rt_fleet_free(f.fleet);
 }
 
+/* Guards against a retry budget that is used up while all targets are silent:
+ * no request is tried again at a target whose silence is about to be found. */
+static void
+test_silence_not_found_yet(void **state)
+{
+	struct fixture f;
+
+	setup(&f, 2);
+	rt_target_sent(&f.target[0], f.now_us);
+	rt_target_sent(&f.target[1], f.now_us);
+	f.now_us += 250 * MS;
+	rt_target_silent(&f.target[0], f.now_us);
+	f.criteria.silent_limit_us = 250 * MS;
+	assert_int_equal(choose(&f), -1);
+	/* It has answered, or is younger. */
+	rt_target_responded(&f.target[1], true, 0, f.now_us);
+	assert_always(&f, 1);
+	rt_target_sent(&f.target[1], f.now_us);
+	f.now_us += 249 * MS;
+	assert_always(&f, 1);
+	rt_fleet_free(f.fleet);
+}
+
 /* A target that is silent for long is dead: it gets no request in a backoff,
  * also if requests that were sent later have the shorter silences. */
 static void
@@ -610,6 +633,7 @@
 		cmocka_unit_test(test_backoff),
 		cmocka_unit_test(test_retry_after),
 		cmocka_unit_test(test_silent_targets),
+		cmocka_unit_test(test_silence_not_found_yet),
 		cmocka_unit_test(test_dead_targets),
 		cmocka_unit_test(test_idle_is_not_silent),
 		cmocka_unit_test(test_stalled),
