tests: Wait for the longest backoff before the last part of silent_services

Seen once of 26 runs at a load of 15 on 5 cores: "requests elsewhere are answered" failed, as all 30 requests were refused at once (NOT_RUN, no target).

Cause, by the trace: the part before leaves all services dead for 2 s. Each stall that is found extends their backoff (100, 200, 400, 800 ms, 2 s at most); the requests are given up at 2.0 s, while the backoff found at 1.25 s lasts until 2.05 s. Beside load they ended after that, which began a backoff of 1.6 s, and the test went on after 1 s. Refusing requests while all targets are in backoff after 2 s of silence is what lib/route/fleet.h states.

--- a/tests/system/silent_services.sh
+++ b/tests/system/silent_services.sh
@@ -68,8 +68,9 @@
 check "within the limit on silences" test "$(slowest_ms none)" -lt 5000
 
 # Requests with attempts at several silent services end by their callers, their
-# deadlines and the end of a sidecar.
-sleep 1
+# deadlines and the end of a sidecar. The services were dead: a backoff after
+# that lasts 2 s at most.
+sleep 2.5
 all_services STOP
 get_some left 10
 for n in $(seq 10); do
