--- a/tools/check.sh
+++ b/tools/check.sh
@@ -38,12 +38,12 @@
 }
 
 # Prints the last lines of a failed test's output, which ctest puts after the
-# test's result, and cmocka's lines on what failed.
+# test's result, and the lines of cmocka and of scripts on what failed.
 print_output() { # print_output NAME LOG
 	awk -v name="$1" '/^ *[0-9]+\/[0-9]+ Test +#/ { on = index($0, ": " name " ") > 0 }
 	    / Start +[0-9]+: / { on = 0 }
 	    on' "$2" >out/failed.log
-	{ grep -E '\[  (FAILED|ERROR)' out/failed.log; tail -n 20 out/failed.log; } | cut -c 1-400
+	{ grep -E '\[  (FAILED|ERROR)|^FAILED: ' out/failed.log; tail -n 20 out/failed.log; } | cut -c 1-400
 }
 
 tests() { # tests LABEL BUILD-FOLDER
