tests: One answer to when the stand-in's store was last disturbed

Three places worked out the last disturbance of the store (its refusals and its proxy), two of them with a check of their own whether it refuses now, and a drill had an extra case for a refusal that had not ended. Three others ended a refusal in the same two lines.

Change: fleet_store_disturbed_us() is now while the store refuses; the extra case and the two checks follow from it, as a time that is now is never a bound ago. fleet_store_end_refusal() ends a refusal. Bounds and judgements are as before.

--- a/tests/fleet/away.c
+++ b/tests/fleet/away.c
@@ -57,8 +57,7 @@
 	int64_t now_us = evl_now_us(f->loop);
 
 	fleet_proxy_set(f->proxy[0], PROXY_PASS);
-	f->store_refuses = false;
-	f->store_disturbed_us = now_us;
+	fleet_store_end_refusal(f);
 	if (gap_ms > 0)
 		evl_timer_set(f->loop, &begin, now_us + (int64_t)gap_ms * 1000);
 }
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -134,7 +134,7 @@
 	struct evl_timer drill_end;
 	/* Begin of the last drill, and the disturbance before it; 0: none. */
 	int64_t drill_us, before_drill_us;
-	int64_t store_disturbed_us; /* last time that it did not answer */
+	int64_t store_disturbed_us; /* end of the last refusal */
 	/* Settings: the next version, and the last one as it was written. */
 	int64_t config_version;
 	char *config_spec;
@@ -195,6 +195,9 @@
 /* The store refuses all calls for `away_us` and comes back from a copy that is
  * `age_us` old. */
 void fleet_store_drill(struct fleet *f, int64_t age_us, int64_t away_us);
+void fleet_store_end_refusal(struct fleet *f);
+/* Last time that gateways could not rely on its answers. */
+int64_t fleet_store_disturbed_us(const struct fleet *f);
 /* Removes the records of engines that no longer exist. */
 void fleet_store_remove_unknown(struct fleet *f);
 
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -79,8 +79,7 @@
 static void
 on_store_restore(struct evl_timer *t)
 {
-	f.store_refuses = false;
-	f.store_disturbed_us = evl_now_us(f.loop);
+	fleet_store_end_refusal(&f);
 }
 
 /* Writes that nobody repeats after a drill: the store's revision then stays
--- a/tests/fleet/notice.c
+++ b/tests/fleet/notice.c
@@ -38,11 +38,8 @@
 must_be_known(
     const struct fleet *f, int64_t acked_us, int64_t at_us, int64_t stable_us)
 {
-	int64_t disturbed_us =
-	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
-
-	return !f->store_refuses && at_us - acked_us > ACK_REACTION_US &&
-	    at_us - disturbed_us > stable_us;
+	return at_us - acked_us > ACK_REACTION_US &&
+	    at_us - fleet_store_disturbed_us(f) > stable_us;
 }
 
 static bool
--- a/tests/fleet/settings.c
+++ b/tests/fleet/settings.c
@@ -84,10 +84,8 @@
 	int64_t now_us = evl_now_us(f->loop), from_us;
 
 	note_drill(f);
-	from_us =
-	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
-	from_us = MAX(changed_us, from_us + RECONNECT_US);
-	if (!f->store_refuses && now_us - from_us > REACTION_US)
+	from_us = MAX(changed_us, fleet_store_disturbed_us(f) + RECONNECT_US);
+	if (now_us - from_us > REACTION_US)
 		safe_ms = idle_ms;
 	evl_timer_set(f->loop, t, now_us + CHECK_US);
 }
--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -254,28 +254,37 @@
 	f->history_from = MIN(f->history_from, f->revision);
 }
 
-static void
-on_drill_end(struct evl_timer *t)
+void
+fleet_store_end_refusal(struct fleet *f)
 {
-	struct fleet *f = CONTAINER_OF(t, struct fleet, drill_end);
-
 	f->store_refuses = false;
 	f->store_disturbed_us = evl_now_us(f->loop);
 }
 
+int64_t
+fleet_store_disturbed_us(const struct fleet *f)
+{
+	if (f->store_refuses)
+		return evl_now_us(f->loop);
+	return MAX(
+	    f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
+}
+
+static void
+on_drill_end(struct evl_timer *t)
+{
+	fleet_store_end_refusal(CONTAINER_OF(t, struct fleet, drill_end));
+}
+
 void
 fleet_store_drill(struct fleet *f, int64_t age_us, int64_t away_us)
 {
 	int64_t now_us = evl_now_us(f->loop);
 
-	if (f->store_refuses)
-		f->store_disturbed_us = now_us;
 	f->era++;
 	f->drill_us = now_us;
-	f->before_drill_us =
-	    MAX(f->store_disturbed_us, fleet_proxy_disturbed_us(f->proxy[0]));
+	f->before_drill_us = fleet_store_disturbed_us(f);
 	f->store_refuses = true;
-	f->store_disturbed_us = now_us;
 	abort_watches(f);
 	restore_copy(f, now_us - age_us);
 	g_printerr("drill: back from a copy %" G_GINT64_FORMAT
