--- a/tests/store/bed.h
+++ b/tests/store/bed.h
@@ -16,6 +16,11 @@
 {
 }
 
+static inline void
+bed_ignore_removed(const char *name, bool expired, void *ctx)
+{
+}
+
 /* Listens on a free port, of which it stores the address. `limits` is borrowed. */
 static inline struct hserver *
 bed_server(struct evl *loop, char address[32], struct hlimits *limits,
--- a/tests/store/test_behind.c
+++ b/tests/store/test_behind.c
@@ -135,14 +135,9 @@
 	g_free(value);
 }
 
-static void
-on_removed(const char *name, bool expired, void *ctx)
-{
-}
-
 static const struct store_cache_ops ops = {
 	.put = on_put,
-	.removed = on_removed,
+	.removed = bed_ignore_removed,
 };
 
 static int
--- a/tests/store/test_cut.c
+++ b/tests/store/test_cut.c
@@ -1,6 +1,6 @@
 /* A store whose answers break off. */
 
-#include "../http/loop.h"
+#include "bed.h"
 
 #include "store/store.h"
 
@@ -114,11 +114,7 @@
 	listener = raw_listen(address);
 	loop = evl_new(clk_system());
 	counters = ctr_set_new();
-	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
-	    .idle_max = 4,
-	    .connect_us = 200000,
-	    .idle_us = 5000000,
-	    .head_bytes = 4096 });
+	pool = bed_pool(loop, 200000, 5000000);
 	store = store_new(&(struct store_conf){ .loop = loop,
 	    .pool = pool,
 	    .address = address,
--- a/tests/store/test_endless.c
+++ b/tests/store/test_endless.c
@@ -1,6 +1,6 @@
 /* A store whose answers have no end. */
 
-#include "../http/loop.h"
+#include "bed.h"
 
 #include "../http/endless.h"
 #include "store/store.h"
@@ -49,11 +49,6 @@
 	g_free(value);
 }
 
-static void
-on_removed(const char *name, bool expired, void *ctx)
-{
-}
-
 static void
 on_synced(void *ctx)
 {
@@ -68,7 +63,7 @@
 
 static const struct store_cache_ops ops = {
 	.put = on_put,
-	.removed = on_removed,
+	.removed = bed_ignore_removed,
 	.synced = on_synced,
 	.link = on_link,
 };
@@ -89,11 +84,7 @@
 	listener = raw_listen(address);
 	loop = evl_new(clk_system());
 	counters = ctr_set_new();
-	pool = hpool_new(&(struct hpool_conf){ .loop = loop,
-	    .idle_max = 4,
-	    .connect_us = 200000,
-	    .idle_us = 5000000,
-	    .head_bytes = 4096 });
+	pool = bed_pool(loop, 200000, 5000000);
 	store = store_new(&(struct store_conf){ .loop = loop,
 	    .pool = pool,
 	    .address = address,
