route: One answer to how long a target has owed response data

Both ask unanswered_us() now; a target that owes nothing gives 0, which no limit reaches, as the limits are positive.

--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -41,6 +41,14 @@
 	return false;
 }
 
+/* For how long it has owed response data; 0: it does not. */
+static int64_t
+unanswered_us(const struct rt_target *target, int64_t now_us)
+{
+	return target->unanswered == 0 ? 0
+				       : now_us - target->unanswered_since_us;
+}
+
 /*
  * Requests without response data occupy slots of a stalled target, and more
  * would join them until their deadlines expire. No request is sent to it until
@@ -54,8 +62,7 @@
 	    STALL_FACTOR * est_time_high(first, first->updated_us) +
 	    STALL_MIN_US;
 
-	return target->unanswered > 0 && first->known &&
-	    now_us - target->unanswered_since_us > timeout_us;
+	return first->known && unanswered_us(target, now_us) > timeout_us;
 }
 
 /* Whether a target that is avoided as silent may be chosen. */
@@ -73,8 +80,7 @@
 {
 	return (target->found_silent_us != 0 &&
 		   now_us - target->found_silent_us < RT_SILENT_MAX_US / 2) ||
-	    (target->unanswered > 0 &&
-		now_us - target->unanswered_since_us >= limit_us);
+	    unanswered_us(target, now_us) >= limit_us;
 }
 
 static bool
