--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -535,6 +535,7 @@
 
 	random_bytes(&conf.seed, sizeof(conf.seed));
 	g->store = store_new(&conf);
+	/* After an outage the second cache finds the store back first. */
 	g->targets =
 	    store_cache_new(g->store, &adapter_targets, &target_ops, g);
 	g->config = store_cache_new(g->store, &adapter_config, &config_ops, g);
