--- a/tests/adapter/test_calls.c
+++ b/tests/adapter/test_calls.c
@@ -169,6 +169,47 @@
 	assert_int_equal(chunk_bytes, 72768);
 }
 
+/* Names that another writer chose, with characters that have a meaning in a path,
+ * a query or a document. */
+static const char *const odd_names[] = { "a&b", "a+b", "a#b", "a%b", "a%41b",
+	"a b", "a=b", "a/b?c", "a\"b\\c", "a\r\nb", "\303\244", "" };
+
+/* Frees the path, which must consist of `before`, the escaped name and `after`. */
+static void
+expect_escaped(
+    char *path, const char *before, const char *name, const char *after)
+{
+	char *middle, *decoded;
+	size_t end;
+
+	assert_true(g_str_has_prefix(path, before));
+	assert_true(g_str_has_suffix(path, after));
+	end = strlen(path) - strlen(after);
+	middle = g_strndup(path + strlen(before), end - strlen(before));
+	if (strspn(middle,
+		"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+		"0123456789-._~%") != strlen(middle))
+		fail_msg("not escaped: %s", path);
+	decoded = g_uri_unescape_string(middle, NULL);
+	assert_string_equal(decoded, name);
+	g_free(decoded);
+	g_free(middle);
+	g_free(path);
+}
+
+/* Guards against an entry whose name changes the query of the next page, so that
+ * the list is never read to its end. */
+static void
+test_names_in_list_paths(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd_names); i++)
+		expect_escaped(
+		    adapter_store.list_path(&adapter_targets, odd_names[i]),
+		    "/-/objects/servers?after=", odd_names[i], "");
+}
+
 int
 main(void)
 {
@@ -179,6 +220,7 @@
 		cmocka_unit_test(test_long_lists_are_cut_off),
 		cmocka_unit_test(test_orders_to_load),
 		cmocka_unit_test(test_corrupted_manifests_are_refused),
+		cmocka_unit_test(test_names_in_list_paths),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -190,6 +190,8 @@
 bool fleet_store_open(struct fleet *f, const char *address, struct err *err);
 void fleet_store_put(
     struct fleet *f, const char *kind, const char *name, const char *spec);
+/* An object of this name is told without one. */
+#define FLEET_UNNAMED "zz-unnamed"
 void fleet_store_remove(struct fleet *f, const char *kind, const char *name);
 void fleet_store_discard_history(struct fleet *f);
 /* The store refuses all calls for `away_us` and comes back from a copy that is
@@ -436,6 +438,7 @@
 /* odd.c: entries of the list of engines that another writer wrote. */
 struct poptOption *fleet_odd_options(void);
 void fleet_odd_start(struct fleet *f);
+unsigned int fleet_odd_page(void); /* objects on one page of a list */
 /* Fields that an engine's report ends with instead of its own; "": none. */
 const char *fleet_odd_report(size_t engine);
 
--- a/tests/fleet/odd.c
+++ b/tests/fleet/odd.c
@@ -17,6 +17,8 @@
 #define SETTINGS_GAP_US 600000 /* time for gateways to apply them */
 
 static int claim_s, report_s, settings_s, own_s;
+static int page = 50; /* so that clients must page */
+static int odd_names;
 static int64_t odd_reports_us; /* from then on; 0: never */
 static struct evl_timer claim, settings, own;
 static struct fleet *fleet; /* of the timers */
@@ -37,6 +39,12 @@
 		    "seconds to settings that cannot be read, one after the "
 		    "other; 0: none",
 		    "N" },
+		{ "odd-names", 0, POPT_ARG_INT, &odd_names, 0,
+		    "1: entries with odd names in the list of engines; 2: one "
+		    "without a name",
+		    "N" },
+		{ "page", 0, POPT_ARG_INT, &page, 0,
+		    "objects on one page of a list", "N" },
 		{ "odd-own", 0, POPT_ARG_INT, &own_s, 0,
 		    "seconds to entries of the first engine that cannot be "
 		    "read, until it writes its own again; 0: none",
@@ -47,15 +55,45 @@
 	return options;
 }
 
+/* An entry of a ready engine that loaded the version. */
+#define READY_ENTRY(version)                                           \
+	"{\"service\":\"" FLEET_LLM "\",\"address\":\"" UNUSED_ADDRESS \
+	"\",\"zone\":\"z0\",\"version\":\"v1\",\"slots\":8,"           \
+	"\"state\":\"ready\",\"coldMs\":0,\"sequence\":1,"             \
+	"\"models\":[{\"name\":\"" FLEET_MODEL "\",\"version\":" version "}]}"
+
 static void
 on_claim(struct evl_timer *t)
 {
-	fleet_store_put(fleet, "servers", "claim",
-	    "{\"service\":\"" FLEET_LLM "\",\"address\":\"" UNUSED_ADDRESS "\","
-	    "\"zone\":\"z0\",\"version\":\"v1\",\"slots\":8,"
-	    "\"state\":\"ready\",\"coldMs\":0,\"sequence\":1,"
-	    "\"models\":[{\"name\":\"" FLEET_MODEL "\","
-	    "\"version\":" UNKNOWN_VERSION "}]}");
+	fleet_store_put(
+	    fleet, "servers", "claim", READY_ENTRY(UNKNOWN_VERSION));
+}
+
+/* Names that mean something in a path, a query, a header or a log line. */
+static void
+put_odd_names(void)
+{
+	static const char *const names[] = { "a&b", "a+b", "a#b", "a%b",
+		"a%41b", "a b", "a=b&hasMore=x", "a/b?c", "a\"b\\", "\303\244",
+		"a\nt=1 node=x ev=done service=llm address=1.2.3.4:5" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		fleet_store_put(fleet, "servers", names[i], READY_ENTRY("1"));
+}
+
+/* With an entry after it, so that its page is not the last one. */
+static void
+put_unnamed(void)
+{
+	fleet_store_put(fleet, "servers", FLEET_UNNAMED, "null");
+	fleet_store_put(fleet, "servers", FLEET_UNNAMED "-next", "null");
+}
+
+unsigned int
+fleet_odd_page(void)
+{
+	return (unsigned int)page;
 }
 
 /* Nested so deep that a parser which calls itself for each level overflows. */
@@ -183,6 +221,10 @@
 	int64_t now_us = evl_now_us(f->loop);
 
 	fleet = f;
+	if (odd_names == 1)
+		put_odd_names();
+	else if (odd_names == 2)
+		put_unnamed();
 	claim.fire = on_claim;
 	if (report_s > 0)
 		odd_reports_us = now_us + (int64_t)report_s * G_USEC_PER_SEC;
--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -6,7 +6,6 @@
 
 #include "fleet.h"
 
-#define PAGE 50 /* objects per response, so that clients must page */
 /* Changes per response, at most so many or one of more than the bytes. */
 #define CHANGES_MAX 500
 #define CHANGES_BYTES (1u << 20)
@@ -32,15 +31,36 @@
 	struct evl_timer timer;
 };
 
+/* Appends the member of an object's name. */
+static void
+append_name(GString *out, const char *name)
+{
+	const char *at;
+
+	if (strcmp(name, FLEET_UNNAMED) == 0)
+		return;
+	g_string_append(out, "\"name\":\"");
+	for (at = name; *at != '\0'; at++) {
+		if (*at == '"' || *at == '\\' || g_ascii_iscntrl(*at))
+			g_string_append_printf(
+			    out, "\\u%04x", (unsigned char)*at);
+		else
+			g_string_append_c(out, *at);
+	}
+	g_string_append(out, "\",");
+}
+
 static void
 append_object(
     GString *out, const char *name, int64_t revision, const char *spec)
 {
+	g_string_append(out, "{\"metadata\":{");
+	append_name(out, name);
 	g_string_append_printf(out,
-	    "{\"metadata\":{\"name\":\"%s\",\"revision\":%" G_GINT64_FORMAT
+	    "\"revision\":%" G_GINT64_FORMAT
 	    ",\"created\":1,\"finalizers\":[],\"deleting\":false},"
 	    "\"spec\":%s,\"status\":null}",
-	    name, revision, spec);
+	    revision, spec);
 }
 
 static void
@@ -321,6 +341,35 @@
 /* Calls                                                               */
 /* ------------------------------------------------------------------ */
 
+/* Whether all characters may stand in the path and query of a request. */
+static bool
+is_valid_target(const char *target)
+{
+	const char *at;
+
+	for (at = target; *at != '\0'; at++) {
+		if (*at == '%' &&
+		    (!g_ascii_isxdigit(at[1]) || !g_ascii_isxdigit(at[2])))
+			return false;
+		if (!g_ascii_isalnum(*at) &&
+		    strchr("%-._~!$&'()*+,;=:@/?", *at) == NULL)
+			return false;
+	}
+	return true;
+}
+
+/* Decodes a value of a query, in which a blank may be written as '+'. */
+static char *
+decode_value(const char *text, size_t len)
+{
+	char *value = g_strndup(text, len), *decoded;
+
+	g_strdelimit(value, "+", ' ');
+	decoded = g_uri_unescape_string(value, NULL);
+	g_free(value);
+	return decoded;
+}
+
 static char *
 query(const char *target, const char *name)
 {
@@ -332,7 +381,7 @@
 		at++;
 		if (g_str_has_prefix(at, key)) {
 			at += strlen(key);
-			value = g_strndup(at, strcspn(at, "&"));
+			value = decode_value(at, strcspn(at, "&"));
 			break;
 		}
 		at = strchr(at, '&');
@@ -364,7 +413,7 @@
 		if (strcmp(o->kind, kind) != 0 ||
 		    (after != NULL && strcmp(o->name, after) <= 0))
 			continue;
-		more = n == PAGE;
+		more = n == fleet_odd_page();
 		if (more)
 			break;
 		if (n++ > 0)
@@ -414,6 +463,11 @@
 	char *kind, *watch, *wait, *after;
 
 	hreq_set_ctx(r, NULL);
+	if (!is_valid_target(target)) {
+		answer(f, r, 400, NULL);
+		g_free(target);
+		return;
+	}
 	if (f->store_refuses) {
 		answer(f, r, 503, NULL);
 		g_free(target);
