store: End a list whose pages bring no further object

Callers saw: no gateway was ready after a restart of all processes while an entry without a name stood alone on a page of the list of engines. Each process read the same page again and again, a call as soon as the last one returned, without a log line.

Cause: a page with `hasMore` always led to the next call. Without a name to go on after, or with a store that does not go on, that was for ever, and what the pages had brought was never in force.

Change: a page that brings no object that its listing had not contained before ends the list. What was read is used and changes are watched from the list's revision; nothing counts as removed, as it may stand on pages that cannot be reached. The list is tried again every five seconds, and `store_list` says so. A list that brings no object at all does not make a gateway ready.

Entries behind the nameless one are known once they change.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -29,6 +29,8 @@
 	    "an answer of the store had values that later ones in it replace")   \
 	X(EVT_STORE_ENTRY, "store_entry", EVT_STATE,                             \
 	    "an object of the store cannot be read, and counts for nothing")     \
+	X(EVT_STORE_LIST, "store_list", EVT_STATE,                               \
+	    "a list of the store leads to no end, or could be read again")       \
 	X(EVT_STORE_HISTORY, "store_history", EVT_STATE,                         \
 	    "the store was restored from an older copy; it is listed again")     \
 	X(EVT_CONFIG, "config", EVT_STATE,                                       \
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -46,6 +46,8 @@
 /* An answer with this many values that a later one in it replaces is a replay of
  * history: the cache is behind. */
 #define SUPERSEDED_BEHIND 4
+/* A list that cannot be read to its end is tried again after this time. */
+#define LIST_AGAIN_US 5000000
 #define NAME_CHARACTERS G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-._:/"
 #define BODY_MAX (8u << 20) /* a page is about 1 MB */
 
@@ -85,6 +87,8 @@
 	unsigned int listing;
 	unsigned int page; /* answers read so far */
 	unsigned int superseded; /* values that the last answer replaced */
+	/* Objects of the last answer that no page of its listing had before. */
+	unsigned int newly_listed;
 	char *after; /* last name of the pages received so far */
 	int64_t list_revision; /* revision of the first page */
 	int64_t revision;
@@ -96,6 +100,8 @@
 	int64_t backoff_us;
 	unsigned int failures; /* consecutive */
 	bool synced;
+	bool partial; /* the last list was not read to its end */
+	int64_t list_again_us; /* with `partial` */
 	bool watching; /* `revision` is valid to watch from */
 	bool down;
 	/* The last call got no answer in its time, and when a call was last
@@ -297,6 +303,13 @@
 	report_removed(c, k, item->name, false);
 }
 
+static void
+set_listed(struct store_cache *c, struct cached_object *k)
+{
+	c->newly_listed += k->listing != c->listing;
+	k->listing = c->listing;
+}
+
 static void
 handle_item(struct store_cache *c, struct store_item *item)
 {
@@ -319,7 +332,7 @@
 		return;
 	}
 	if (k != NULL && item->revision == k->revision) {
-		k->listing = c->listing;
+		set_listed(c, k);
 		if (item->value != NULL)
 			c->kind->free(item->value);
 		return;
@@ -332,7 +345,7 @@
 		c->superseded++;
 	k->page = c->page;
 	k->revision = item->revision;
-	k->listing = c->listing;
+	set_listed(c, k);
 	if (item->value == NULL) {
 		handle_unreadable(c, k, item);
 		return;
@@ -431,6 +444,57 @@
 	c->stale = true;
 }
 
+static void
+set_partial(struct store_cache *c, bool partial)
+{
+	if (partial != c->partial)
+		evt(EVT_STORE_LIST, "kind=%s outcome=%s objects=%u",
+		    c->kind->name, partial ? "partial" : "complete",
+		    g_hash_table_size(c->known));
+	c->partial = partial;
+	c->list_again_us = now_us(c) + LIST_AGAIN_US;
+}
+
+/* Changes made while the pages were read are in the watch's events. */
+static void
+begin_watch(struct store_cache *c)
+{
+	c->revision = c->list_revision;
+	c->watching = true;
+	c->state = CACHE_WATCH;
+}
+
+static void
+handle_complete_list(struct store_cache *c)
+{
+	begin_watch(c);
+	set_partial(c, false);
+	remove_unlisted(c);
+	c->synced = true;
+	if (c->ops.synced != NULL)
+		c->ops.synced(c->ctx);
+}
+
+/*
+ * A page that brings no further object leads nowhere: it ended with an object
+ * without a name, or the store does not continue after the last name. What was
+ * read is used, and nothing counts as removed.
+ */
+static void
+handle_partial_list(struct store_cache *c)
+{
+	begin_watch(c);
+	set_partial(c, true);
+}
+
+static bool
+must_list_again(const struct store_cache *c)
+{
+	if (c->partial && now_us(c) >= c->list_again_us)
+		return true;
+	return c->kind->newest_only && c->superseded >= SUPERSEDED_BEHIND;
+}
+
 static void
 handle_page(struct store_cache *c, struct store_page *page)
 {
@@ -447,25 +511,21 @@
 	handle_items(c, page);
 	if (c->state == CACHE_WATCH) {
 		c->revision = page->revision;
-		if (c->kind->newest_only && c->superseded >= SUPERSEDED_BEHIND)
+		if (must_list_again(c))
 			begin_list(c);
 		schedule_call(c);
 		return;
 	}
 	if (c->list_revision == 0)
 		c->list_revision = page->revision;
-	if (page->more) {
+	if (page->more && c->newly_listed > 0) {
 		next_call(c);
 		return;
 	}
-	/* Changes made while the pages were read are in the watch's events. */
-	c->revision = c->list_revision;
-	remove_unlisted(c);
-	c->synced = true;
-	c->watching = true;
-	c->state = CACHE_WATCH;
-	if (c->ops.synced != NULL)
-		c->ops.synced(c->ctx);
+	if (page->more)
+		handle_partial_list(c);
+	else
+		handle_complete_list(c);
 	schedule_call(c);
 }
 
@@ -571,6 +631,7 @@
 
 	c->page++;
 	c->superseded = 0;
+	c->newly_listed = 0;
 	page.items = g_array_new(FALSE, FALSE, sizeof(struct store_item));
 	if (c->store->conf.dialect->read_page(
 		c->kind, a->body, a->len, &page, &err)) {
@@ -760,7 +821,7 @@
 bool
 store_cache_synced(const struct store_cache *c)
 {
-	return c->synced;
+	return c->synced || (c->partial && g_hash_table_size(c->known) > 0);
 }
 
 int64_t
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -5,7 +5,8 @@
  * store: the client of the deployment's object store. A cache holds the objects
  * of one kind as the store has them: it lists them page by page, then watches
  * from the revision of the list, lists again when the history from there on is
- * gone, and retains its last state while the store is down. It only reads: no
+ * gone, and retains its last state while the store is down. A list whose pages
+ * lead nowhere is used as far as it was read, and tried again. It only reads: no
  * state of these processes has to outlive them.
  *
  * Revisions are comparable within one history only. A store that is restored
@@ -120,7 +121,8 @@
 /* Time within which a change must be known, also when the answer with it was
  * lost; without one, or if that is less, the store's stall timeout is. */
 void store_cache_set_change_bound(struct store_cache *c, int64_t bound_us);
-/* Has been complete once. */
+/* Has been complete once, or holds what could be read of a list that leads to no
+ * end. */
 bool store_cache_synced(const struct store_cache *c);
 /* Time of the store's last answer about this kind; 0: none yet. */
 int64_t store_cache_answered_us(const struct store_cache *c);
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -170,6 +170,15 @@
 	return 0;
 }
 
+/* Whether the call that waits is for a path with `part`. */
+static bool
+is_asked(const char *part)
+{
+	struct hslice target = hreq_msg(call)->target;
+
+	return memmem(target.p, target.n, part, strlen(part)) != NULL;
+}
+
 /* Waits for the cache's next call, whose path must contain `part`, and
  * answers it as a store of that history; "": without the header. */
 static void
@@ -182,7 +191,7 @@
 	run_until(&called);
 	called = false;
 	target = hreq_msg(call)->target;
-	if (memmem(target.p, target.n, part, strlen(part)) == NULL)
+	if (!is_asked(part))
 		fail_msg(
 		    "wanted %s, asked %.*s", part, (int)target.n, target.p);
 	if (history[0] != '\0')
@@ -411,6 +420,62 @@
 	close_two(&two);
 }
 
+/*
+ * Guards against a list that is read for ever: a page ends with an entry without a
+ * name, or the store does not continue after a name, and each further page is one
+ * that was read before. What was read is used, nothing counts as removed, and the
+ * changes after it are watched.
+ */
+static void
+test_list_without_progress(void **state)
+{
+	answer("after=", 200, "at 5\na 3\nb 4\n");
+	answer("watch=5", 410, "");
+	answer("after=", 200, "at 9 more\na 3\nc 6\n");
+	answer("after=c", 200, "at 9 more\nd 7\n");
+	answer("after=d", 200, "at 9 more\na 3\nc 6\n");
+	assert_string_equal(events->str, "+a +b | +c +d ");
+	answer("watch=9", 200, "at 10\ne 10\n");
+	answer("watch=10", 200, "at 11\na 11 -\n");
+	assert_string_equal(events->str, "+a +b | +c +d +e -a ");
+}
+
+/* The list is read again after a while, and then in full. */
+static void
+test_list_is_completed_later(void **state)
+{
+	int64_t at_us = clk_now_us(clk_system());
+
+	answer("after=", 200, "at 5 more\na 3\n");
+	answer("after=a", 200, "at 5 more\n");
+	assert_string_equal(events->str, "+a ");
+	for (run_until(&called); is_asked("watch=5"); run_until(&called)) {
+		if (clk_now_us(clk_system()) - at_us > 20 * G_USEC_PER_SEC)
+			fail_msg("the list is not read again");
+		run_ms(200);
+		answer("watch=5", 200, "at 5\n");
+	}
+	assert_true(clk_now_us(clk_system()) - at_us > 2 * G_USEC_PER_SEC);
+	answer("after=", 200, "at 5 more\na 3\n");
+	answer("after=a", 200, "at 6\nb 6\n");
+	assert_string_equal(events->str, "+a +b | ");
+	answer("watch=5", 410, "");
+	answer("after=", 200, "at 7\nb 6\n");
+	assert_string_equal(events->str, "+a +b | ?a | ");
+}
+
+/* Guards against a gateway that counts as ready without any target, as the first
+ * page of its list already leads nowhere. */
+static void
+test_list_that_brings_nothing(void **state)
+{
+	answer("after=", 200, "at 5 more\n");
+	assert_false(store_cache_synced(cache));
+	answer("watch=5", 200, "at 6\na 6\n");
+	assert_true(store_cache_synced(cache));
+	assert_string_equal(events->str, "+a ");
+}
+
 /* ------------------------------------------------------------------ */
 /* Histories                                                           */
 /* ------------------------------------------------------------------ */
@@ -599,6 +664,9 @@
 		T(test_restored_twice),
 		T(test_all_caches_begin_the_new_history),
 		T(test_lost_call_repeats_those_of_its_time),
+		T(test_list_without_progress),
+		T(test_list_is_completed_later),
+		T(test_list_that_brings_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/system/odd_names.sh
+++ b/tests/system/odd_names.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Guards against one entry in the list of engines that ends the service once all
-# processes start again: with an odd name, on a page of its own, it must not keep
-# gateways from being ready.
+# processes start again: with an odd name, or none, on a page of its own, it must not
+# keep gateways from being ready.
 set -u
 BUILD=$1
 NET=${NET:-246}
@@ -36,4 +36,5 @@
 }
 
 play stage-odd-names --odd-names 1
+play stage-odd-unnamed --odd-names 2
 exit $failed
