--- a/tests/adapter/test_foreign.c
+++ b/tests/adapter/test_foreign.c
@@ -157,6 +157,69 @@
 	assert_int_equal(counts.good, 3);
 }
 
+/* Whether an entry of a ready engine is read as a target under this name, which is
+ * JSON text. */
+static bool
+name_is_read(const char *name)
+{
+	char *text = g_strdup_printf(
+	    "{\"items\":[{\"metadata\":{\"name\":\"%s\",\"revision\":1},"
+	    "\"spec\":{" GOOD "}}],\"hasMore\":false,\"at\":9}",
+	    name);
+	struct counts counts;
+
+	assert_true(read_page(&adapter_targets, text, strlen(text), &counts));
+	g_free(text);
+	return counts.good == 1;
+}
+
+/*
+ * Guards against an entry of another writer that counts as an engine: its name is
+ * sent in a header and stands in log lines, and no engine has such an id.
+ */
+static void
+test_names_that_are_no_ids(void **state)
+{
+	static const char *const odd[] = { "", "a b", "a&b", "a+b", "a#b",
+		"a%b", "a%41b", "a=b", "a\\nX-Tenant: b", "a\\r\\nb", "a\\tb",
+		"a\\u0001b", "a\\u007fb", "a\\\"b", "a\\\\b", "\303\244", "a,b",
+		"a;b" };
+	static const char *const ids[] = { "i-7f3a91c2", "0", "10.1.2.3:8001",
+		"engine_4.north~2", "north/engine-4" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		if (name_is_read(odd[i]))
+			fail_msg("read as an engine: '%s'", odd[i]);
+	}
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		assert_true(name_is_read(ids[i]));
+}
+
+/* Guards against text of an entry or of the settings that adds lines to a header or
+ * to a log. */
+static void
+test_control_characters(void **state)
+{
+	static const char *const targets[] = {
+		"{" GOOD ",\"service\":\"x\\ny\"}",
+		"{" GOOD ",\"zone\":\"z\\u007f\"}",
+	};
+	static const char version[] = "\"model\":\"m\",\"version\":2";
+	static const char *const versions[] = {
+		"{\"model\":\"m\\nt=1 ev=version\",\"version\":2}",
+	};
+	static const char config[] = "\"version\":3";
+	static const char *const configs[] = {
+		"{\"version\":3,\"tenants\":[{\"name\":\"a\\r\\nX: b\"}]}",
+		"{\"version\":3,\"services\":[{\"name\":\"a\\nb\"}]}",
+	};
+
+	assert_rejected(&adapter_targets, GOOD, targets, 2);
+	assert_rejected(&adapter_versions, version, versions, 1);
+	assert_rejected(&adapter_config, config, configs, 2);
+}
+
 /*
  * Guards against an entry whose version of the weights is out of range: 2^64 + 1
  * was read as -1, and -10^20 as 1, and the entry counted as a ready target.
@@ -291,6 +354,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_invalid_targets),
+		cmocka_unit_test(test_names_that_are_no_ids),
+		cmocka_unit_test(test_control_characters),
 		cmocka_unit_test(test_versions_of_weights_out_of_range),
 		cmocka_unit_test(test_field_that_is_not_read),
 		cmocka_unit_test(test_invalid_versions),
