evt: Write control characters of values as '?'

Engineers on call saw events that no process had logged: an entry of another writer whose name held a line feed and "t=1 node=x ev=done ..." put lines of its own into the gateways' logs, one for each line that names the target.

Cause: values from outside were written as they came.

Change: evt() replaces control characters after formatting, for all events.

A blank in a value still looks like the end of its pair.

--- a/lib/common/evt.c
+++ b/lib/common/evt.c
@@ -157,6 +157,16 @@
 	    state.node, names[n].name, pairs);
 }
 
+/* Values from outside may hold line feeds, and sequences that terminals act on. */
+static void
+mask_controls(char *text)
+{
+	for (; *text != '\0'; text++) {
+		if (g_ascii_iscntrl(*text))
+			*text = '?';
+	}
+}
+
 void
 evt(enum evt_name n, const char *format, ...)
 {
@@ -170,6 +180,7 @@
 	va_start(args, format);
 	g_vsnprintf(pairs, sizeof(pairs), format, args);
 	va_end(args);
+	mask_controls(pairs);
 	if (state.dropped != state.reported_dropped) {
 		dropped = state.dropped - state.reported_dropped;
 		state.reported_dropped = state.dropped;
--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -101,7 +101,8 @@
 /* Opens standard output for log lines of `node`; to be called once. */
 void evt_open(const struct clk *clock, const char *node);
 void evt_close(void);
-/* `format` produces the pairs after `ev`; values contain no blanks. */
+/* `format` produces the pairs after `ev`; values contain no blanks. Control
+ * characters are written as '?'. */
 void evt(enum evt_name n, const char *format, ...) G_GNUC_PRINTF(2, 3);
 int64_t evt_dropped(void); /* lines dropped so far */
 int64_t evt_written(void);
--- a/tests/common/test_evt.c
+++ b/tests/common/test_evt.c
@@ -100,6 +100,21 @@
 	g_string_free(out, TRUE);
 }
 
+/* Guards against a value from outside that is read as an event of its own. */
+static void
+test_value_adds_no_line(void **state)
+{
+	GString *out;
+
+	evt(EVT_TARGET, "target=%s state=ready",
+	    "a\nt=1 node=x ev=done\r\033[2J\177");
+	out = read_all();
+	assert_int_equal(count_lines(out, "\nt=1 node=x"), 0);
+	assert_non_null(strstr(out->str,
+	    "ev=target target=a?t=1 node=x ev=done??[2J? state=ready\n"));
+	g_string_free(out, TRUE);
+}
+
 /*
  * A burst of failures: the lines stay within their class's rate limit, other
  * classes are not affected, and the number of dropped lines is logged before
@@ -146,6 +161,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_format),
 		cmocka_unit_test(test_warning_is_a_line),
+		cmocka_unit_test(test_value_adds_no_line),
 		cmocka_unit_test(test_rate_limit),
 		cmocka_unit_test(test_full_pipe),
 	};
--- a/tests/system/odd_names.sh
+++ b/tests/system/odd_names.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Guards against one entry in the list of engines that ends the service once all
 # processes start again: with an odd name, or none, on a page of its own, it must not
-# keep gateways from being ready.
+# keep gateways from being ready, nor add lines to their logs.
 set -u
 BUILD=$1
 NET=${NET:-246}
@@ -33,6 +33,10 @@
 		echo "$(basename "$log" .log) is not ready after the restart"
 		failed=1
 	done
+	if grep -h '^t=1 node=x' "$STAGE"/*.log; then
+		echo "a name was read as a line of the log"
+		failed=1
+	fi
 }
 
 play stage-odd-names --odd-names 1
