--- a/tests/adapter/test_calls.c
+++ b/tests/adapter/test_calls.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <json-glib/json-glib.h>
 #include <string.h>
 
 #include "platform/adapter.h"
@@ -210,6 +211,51 @@
 		    "/-/objects/servers?after=", odd_names[i], "");
 }
 
+/* The same for the names of models, which versions and engines' reports bring. */
+static void
+test_names_in_paths_of_weights(void **state)
+{
+	const char *name;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd_names); i++) {
+		name = odd_names[i];
+		expect_escaped(adapter_stage_path(name, 3, true),
+		    "/-/stage-put/", name, "?itemCount=3");
+		expect_escaped(adapter_stage_path(name, 3, false),
+		    "/-/stage-get/", name, "?itemCount=3");
+		expect_escaped(adapter_manifest_path(name, 2), "/-/manifest/",
+		    name, "?version=2");
+		expect_escaped(adapter_chunk_path(name, 2, 5), "/-/piece/",
+		    name, "?itemCount=5&version=2");
+	}
+}
+
+/* Guards against a model whose name adds members to an order. */
+static void
+test_names_in_orders(void **state)
+{
+	struct sv_load load = { .version = 2, .sequence = -1 };
+	JsonParser *parser;
+	JsonObject *order;
+	char *body;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd_names); i++) {
+		load.model = odd_names[i];
+		body = adapter_order_load(&load);
+		parser = json_parser_new();
+		assert_true(json_parser_load_from_data(parser, body, -1, NULL));
+		order = json_node_get_object(json_parser_get_root(parser));
+		assert_string_equal(
+		    json_object_get_string_member(order, "model"),
+		    odd_names[i]);
+		assert_int_equal(json_object_get_size(order), 4);
+		g_object_unref(parser);
+		g_free(body);
+	}
+}
+
 int
 main(void)
 {
@@ -221,6 +267,8 @@
 		cmocka_unit_test(test_orders_to_load),
 		cmocka_unit_test(test_corrupted_manifests_are_refused),
 		cmocka_unit_test(test_names_in_list_paths),
+		cmocka_unit_test(test_names_in_paths_of_weights),
+		cmocka_unit_test(test_names_in_orders),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
