http: Remember a reset that is met in writing the request

Callers saw: a part of an answer as a whole one. A target answered a long upload at once, with a 200 that had no length, and reset the connection while the upload was still being written.

Cause: send() reports the reset and clears the socket's error. The rest of the request was dropped, the part of the answer was read, and the next recv() returned 0 as after an orderly close, which ends an answer without a length.

Change: the connection remembers the reset; the end of its input is no end of an answer then. An answer whose length or last chunk has arrived is whole, as before. All clients of lib/http pass here: gateways, reports, orders, the store, the origin.

By reading: frames between hosts have lengths, and a server ends a connection whose write fails.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -145,8 +145,10 @@
 			break;
 		if (n < 0) {
 			/* A response may be readable: a target can refuse a
-			 * request before it has read a long body. */
+			 * request before it has read a long body. The socket
+			 * reports the error once only. */
 			l->no_reuse = true;
+			l->reset = true;
 			hbuf_free(&l->out);
 			break;
 		}
@@ -299,6 +301,10 @@
 	struct hcall *c = l->call;
 
 	l->no_reuse = true;
+	if (l->reset) {
+		link_lost(l, HCALL_RESET);
+		return;
+	}
 	if (c != NULL && c->response_begun && !c->skip_response &&
 	    hparse_eof(&l->parse)) {
 		if (c->cancelled)
--- a/lib/http/client_internal.h
+++ b/lib/http/client_internal.h
@@ -26,6 +26,7 @@
 	int64_t keep_alive_us; /* how long it may stay idle */
 	bool no_reuse; /* close after the call */
 	bool reused; /* it served an earlier call */
+	bool reset; /* found in writing; reading ends as after a close */
 };
 
 /* An address and the connections to it. */
--- a/tests/http/test_cut.c
+++ b/tests/http/test_cut.c
@@ -3,6 +3,7 @@
 #include "loop.h"
 
 #include "cut.h"
+#include "early.h"
 #include "http/fetch.h"
 
 #define ANSWER_MAX 65536
@@ -155,6 +156,62 @@
 	}
 }
 
+/* The status of the answer to a long request that a peer answers so; 0: none. */
+static unsigned int
+early_status(const char *answer)
+{
+	struct early_peer peer = { .listener = listener, .answer = answer };
+	GThread *thread = g_thread_new("peer", early_serve, &peer);
+	char *body = g_malloc0(EARLY_REQUEST_BYTES);
+
+	finished = false;
+	hfetch_start(loop, pool,
+	    &(struct hfetch_conf){ .address = address,
+		.method = "POST",
+		.path = "/",
+		.body = body,
+		.body_len = EARLY_REQUEST_BYTES,
+		.timeout_us = (int64_t)3600 * G_USEC_PER_SEC,
+		.answer_max = ANSWER_MAX,
+		.done = on_answer });
+	run_until(&finished);
+	g_thread_join(thread);
+	g_free(body);
+	return last.status;
+}
+
+#define EARLY_ROUNDS 50
+
+/* Guards against a reset that is met in writing the request and forgotten: the end
+ * of the connection would count as the end of an answer without a length. */
+static void
+test_reset_while_the_request_is_written(void **state)
+{
+	unsigned int i;
+
+	for (i = 0; i < EARLY_ROUNDS; i++)
+		assert_int_equal(
+		    early_status("HTTP/1.1 200 OK\r\n\r\nten bytes."), 0);
+	for (i = 0; i < EARLY_ROUNDS; i++)
+		assert_int_equal(early_status("HTTP/1.1 200 OK\r\n"
+					      "Content-Length: 20\r\n\r\n"
+					      "ten bytes."),
+		    0);
+}
+
+/* The other direction: an early answer that is whole before the reset counts. */
+static void
+test_early_answer_that_is_whole(void **state)
+{
+	unsigned int i;
+
+	for (i = 0; i < EARLY_ROUNDS; i++)
+		assert_int_equal(early_status("HTTP/1.1 413 Too Large\r\n"
+					      "Content-Length: 10\r\n\r\n"
+					      "ten bytes."),
+		    413);
+}
+
 /* ------------------------------------------------------------------ */
 /* Requests                                                            */
 /* ------------------------------------------------------------------ */
@@ -281,6 +338,8 @@
 	const struct CMUnitTest tests[] = {
 		T(test_no_beginning_is_an_answer),
 		T(test_framing_without_a_value),
+		T(test_reset_while_the_request_is_written),
+		T(test_early_answer_that_is_whole),
 		T(test_no_beginning_is_a_request),
 	};
 
