--- a/tests/http/early.h
+++ b/tests/http/early.h
@@ -8,6 +8,7 @@
  */
 
 #include <glib.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -21,6 +22,22 @@
 	const char *answer;
 };
 
+/* Listens on a free port of loopback; its URL is stored in `base`. */
+static inline int
+early_listen(char base[40])
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	g_assert(bind(fd, (struct sockaddr *)&at, len) == 0);
+	g_assert(listen(fd, 8) == 0);
+	g_assert(getsockname(fd, (struct sockaddr *)&at, &len) == 0);
+	g_snprintf(base, 40, "http://127.0.0.1:%u", ntohs(at.sin_port));
+	return fd;
+}
+
 /* Takes one connection; runs in its thread. */
 static inline gpointer
 early_serve(gpointer data)
--- a/tests/platform/test_cut.c
+++ b/tests/platform/test_cut.c
@@ -6,6 +6,7 @@
 #include <cmocka.h>
 
 #include "../http/cut.h"
+#include "../http/early.h"
 #include "platform/platform_internal.h"
 #include "server.h"
 
@@ -203,6 +204,44 @@
 	}
 }
 
+#define EARLY_ROUNDS 20
+
+/* Guards against a part of an answer that counts as whole: its target resets the
+ * connection while a long request is being written. */
+static void
+test_reset_while_the_request_is_written(void **state)
+{
+	struct fixture *f = *state;
+	struct early_peer peer = { .answer =
+				       "HTTP/1.1 200 OK\r\n\r\nten bytes." };
+	GBytes *body = g_bytes_new_take(
+	    g_malloc0(EARLY_REQUEST_BYTES), EARLY_REQUEST_BYTES);
+	char base[40];
+	GThread *thread;
+	unsigned int i;
+
+	f->may_end_by_close = true;
+	server_start(&f->server, serve, f); /* for tear_down */
+	peer.listener = early_listen(base);
+	for (i = 0; i < EARLY_ROUNDS; i++) {
+		thread = g_thread_new("peer", early_serve, &peer);
+		f->ended = false;
+		f->call = target_call_start(f->plat,
+		    &(struct target_request){ .base = base,
+			.method = "POST",
+			.path = "/",
+			.body = body,
+			.deadline_ms = 5000 },
+		    &ops, f);
+		run_until(&f->ended);
+		g_thread_join(thread);
+		assert_true(err_is(&f->err));
+		assert_int_equal(f->err.verdict, VERDICT_MAY_HAVE_RUN);
+	}
+	close(peer.listener);
+	g_bytes_unref(body);
+}
+
 int
 main(void)
 {
@@ -211,6 +250,7 @@
 		T(test_no_beginning_is_an_answer),
 		T(test_no_beginning_ends_by_close),
 		T(test_no_beginning_is_an_answer_without_body),
+		T(test_reset_while_the_request_is_written),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
