http: Refuse status lines that are none, and bodies that a status excludes

Seen on other systems: an answer with status 000 reached a client. Here such a status counted as an interim answer: the call waited for the next head until its time was over, though it was known at once that no answer comes. As answers counted, and were passed on: 600, 999, 0200 (read as 200), a reason with a control character, a 204 with a length; a 101 was skipped and what follows it taken for the answer.

Cause: http-parser takes any number for a status and any bytes for a reason, and parse_head() asked nothing further.

Change: a status has three digits from 100 to 599 and is not 101, as no upgrade is asked for; the reason has no control characters; a 204 or interim answer announces no body. Otherwise the call fails as malformed at once, and the request goes on as after any broken answer: another target if it may run again, else 502. HTTP/1.7 stays an answer, as RFC 9112 asks.

--- a/lib/http/parse.c
+++ b/lib/http/parse.c
@@ -305,6 +305,43 @@
 	return true;
 }
 
+/*
+ * The library accepts any number as a status, and any reason. A status below 100
+ * would count as an interim response, after which another one is awaited. No
+ * upgrade is ever asked for, so nothing is known of what follows a 101.
+ */
+static bool
+status_line_is_valid(const struct hbuf *head)
+{
+	const char *line = (const char *)head->data;
+	const char *end = memchr(line, '\r', head->len), *at;
+
+	if (end - line < (ptrdiff_t)strlen("HTTP/1.1 200") || line[8] != ' ' ||
+	    line[9] < '1' || line[9] > '5' || !g_ascii_isdigit(line[10]) ||
+	    !g_ascii_isdigit(line[11]) || memcmp(line + 9, "101", 3) == 0)
+		return false;
+	at = line + 12;
+	if (at < end && *at != ' ')
+		return false;
+	while (at < end && (*at == '\t' || !g_ascii_iscntrl(*at)))
+		at++;
+	return at == end;
+}
+
+/* Whether a response that cannot have a body announces one. */
+static bool
+has_excluded_body(const struct hparse *p)
+{
+	const struct hheader *length;
+
+	if (p->type != HTTP_RESPONSE ||
+	    (p->msg.status != 204 && p->msg.status >= 200))
+		return false;
+	length = hmsg_find(&p->msg, "Content-Length");
+	return hmsg_find(&p->msg, "Transfer-Encoding") != NULL ||
+	    (length != NULL && !hslice_is(trim(length->value), "0"));
+}
+
 /* "chunked" is the only transfer coding that is decoded here. The header is not
  * passed on, so the body of another one would arrive without its coding. */
 static bool
@@ -324,7 +361,7 @@
 		return false;
 	if (is_repeated(&p->msg, "Transfer-Encoding"))
 		return false;
-	if (!coding_is_known(&p->msg))
+	if (!coding_is_known(&p->msg) || has_excluded_body(p))
 		return false;
 	return (p->parser.flags & F_CHUNKED) == 0 ||
 	    hmsg_find(&p->msg, "Content-Length") == NULL;
@@ -337,6 +374,8 @@
 
 	if (!lines_are_valid(p->head.data, p->head.len))
 		return HPARSE_BAD;
+	if (p->type == HTTP_RESPONSE && !status_line_is_valid(&p->head))
+		return HPARSE_BAD;
 	/* An empty body completes the message within this call. HPARSE_DONE is
 	 * left to the next call, so that the owner sees the head first. */
 	n = http_parser_execute(
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -2,6 +2,8 @@
 
 #include "loop.h"
 
+#include "odd_heads.h"
+
 static struct evl *loop;
 static struct hpool *pool;
 static char address[32];
@@ -230,6 +232,51 @@
 	assert_int_equal(failures_sent, 4); /* nothing was sent this time */
 }
 
+/* Guards against a head of a faulty target that counts as that of an answer, or
+ * whose call waits for another one on a connection that stays open. */
+static void
+test_odd_heads(void **state)
+{
+	size_t i;
+	int fd;
+
+	for (i = 0; i < ODD_HEADS; i++) {
+		fd = start_answered(odd_heads[i]);
+		if (!finished || dones > 0 || heads > 0 ||
+		    last_failure != HCALL_MALFORMED)
+			fail_msg("%s: finished %d, answers %u, heads %u",
+			    odd_heads[i], finished, dones, heads);
+		close(fd);
+	}
+}
+
+/* The other direction: heads that look odd and are valid. */
+static void
+test_unusual_heads(void **state)
+{
+	static const char *const valid[] = {
+		"HTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 \r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 204 No\tContent \303\244\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" OK "\r\nok",
+		"HTTP/1.1 199 Odd\r\nX: y\r\n\r\n" OK "\r\nok",
+		OK "X-!#$%&'*+-.^_`|~9: \"\303\244\"\r\n\r\nok",
+	};
+	unsigned int i;
+	int fd;
+
+	for (i = 0; i < G_N_ELEMENTS(valid); i++) {
+		fd = start_answered(valid[i]);
+		run_until(&finished);
+		if (dones != i + 1)
+			fail_msg("%s", valid[i]);
+		close(fd);
+		run_ms(5); /* it is not reused */
+	}
+}
+
 /* Guards against reusing a connection whose end delimited a response, and
  * against a reset that passes for that end. */
 static void
@@ -273,6 +320,8 @@
 		T(test_stray_bytes),
 		T(test_skipped_response),
 		T(test_failure_reasons),
+		T(test_odd_heads),
+		T(test_unusual_heads),
 		T(test_response_until_close),
 		T(test_cancel),
 	};
--- a/tests/serve/test_cut.c
+++ b/tests/serve/test_cut.c
@@ -3,6 +3,7 @@
 #include "world.h"
 
 #include "../http/cut.h"
+#include "../http/odd_heads.h"
 #include "../http/raw_answer.h"
 
 #define BODY "{\"a\":123456}"
@@ -152,12 +153,40 @@
 	}
 }
 
+/* Guards against a head that is none and reaches callers, or leaves them waiting
+ * for another one until their time is over. */
+static void
+test_odd_heads_are_not_passed_on(void **state)
+{
+	struct raw_answer a;
+	struct target *t;
+	int64_t sent_us;
+	size_t i;
+	int fd;
+
+	for (i = 0; i < ODD_HEADS; i++) {
+		world_open(1, make_config(SV_UNSAFE, 2, 3000));
+		fd = send_call();
+		t = target_next();
+		sent_us = now_us();
+		raw_send(t->fd, odd_heads[i]);
+		read_answer(fd, &a);
+		if (a.status != 502 || !a.complete || a.body->len > 0 ||
+		    now_us() - sent_us > 2 * G_USEC_PER_SEC)
+			fail_msg("%s: status %u, %s", odd_heads[i], a.status,
+			    a.body->str);
+		raw_answer_clear(&a);
+		world_close();
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_beginning_is_passed_on),
 		cmocka_unit_test(test_another_target_answers),
+		cmocka_unit_test(test_odd_heads_are_not_passed_on),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
