http: Await no body of a 304 that states the length of what it stands for

Callers saw: no answer until their time was over, where a target answered 304 with a Content-Length, as RFC 9110 allows. Found beside the odd heads.

Cause: http-parser awaits the body that the length announces, unless it is told that there is none; only answers to HEAD told it so.

Change: all messages that our framing knows to have no body are complete with their head.

Evidence: http-client (test_unusual_heads) failed before: the call did not end.

--- a/lib/http/parse.c
+++ b/lib/http/parse.c
@@ -188,7 +188,7 @@
 	/* Protocol upgrades are not supported: parse the bytes that follow as
 	 * the next HTTP message. */
 	hp->upgrade = 0;
-	return p->no_body ? 1 : 0;
+	return p->msg.framing == HFRAMING_NO_BODY ? 1 : 0;
 }
 
 static int
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -260,6 +260,9 @@
 		"HTTP/1.1 200 \r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 204 No\tContent \303\244\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\n" OK "\r\nok",
 		"HTTP/1.1 199 Odd\r\nX: y\r\n\r\n" OK "\r\nok",
 		OK "X-!#$%&'*+-.^_`|~9: \"\303\244\"\r\n\r\nok",
