gateway: Refuse requests that would begin late in a planned stop

Callers saw: requests sent on connections from before the stop, whose last byte came late in the grace, were passed on and cut when the process exited, with a part of their answer or a 502, also those that may not be repeated.

Cause: from 2.6 s on new connections and idle ones were closed, but a request that was being read then was passed on whenever it was complete.

Change: from that moment no request begins at the gateway. One that no target has run is refused with 503, a Retry-After of 0 and the close of its connection, as other gateways take it at once: when it is complete, when it waits for a slot, and when its target refused it. What is in flight goes on, also at a second target where the alternative is a failure or a broken stream. A request that is still being read is not refused before its end: a caller that writes all of it first would lose the answer.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -124,6 +124,16 @@
 	refuse(r, why, (double)MAX(0, until_us - fwd_now(r)) / G_USEC_PER_SEC);
 }
 
+bool
+fwd_refuse_late(struct fwd_req *r)
+{
+	if (!r->fwd->begins_none || r->flow.begun || r->flow.may_have_run)
+		return false;
+	/* Other gateways take it at once. */
+	fwd_refuse_until(r, "stopping", fwd_now(r));
+	return true;
+}
+
 void
 fwd_fail(struct fwd_req *r, unsigned int status, const char *why)
 {
@@ -365,6 +375,8 @@
 	if (!authorise(f, caller, route, &workspace))
 		return;
 	r = req_new(f, caller, route, workspace);
+	if (fwd_refuse_late(r))
+		return;
 	fwd_note_client_retry(r);
 	spend_request(&r->service->budget, &f->conf.budget, fwd_now(r));
 	if (fwd_is_blocked(r, &until_us))
@@ -489,6 +501,21 @@
 	return &f->conf.budget;
 }
 
+void
+fwd_stop_beginning(struct fwd *f)
+{
+	struct fwd_req *r, *next;
+
+	if (f->begins_none)
+		return;
+	f->begins_none = true;
+	for (r = TAILQ_FIRST(&f->open); r != NULL; r = next) {
+		next = TAILQ_NEXT(r, open);
+		if (TAILQ_EMPTY(&r->attempts))
+			(void)fwd_refuse_late(r);
+	}
+}
+
 void
 fwd_end_all(struct fwd *f)
 {
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -303,6 +303,8 @@
 {
 	struct fwd_req *r = a->req;
 
+	if (fwd_refuse_late(r))
+		return;
 	switch (flow_next(&r->flow, end, may_spend, r)) {
 	case FLOW_RETRY:
 	case FLOW_RESUME:
--- a/lib/serve/stop.c
+++ b/lib/serve/stop.c
@@ -6,8 +6,8 @@
  * The load balancer needs two health checks, one second apart, to stop sending
  * callers here; new connections are accepted until LISTEN_US after the request
  * to stop. A request that arrives later could not complete within the grace
- * period, so from then on connections are rejected unread, which lets callers
- * go elsewhere.
+ * period. So from then on connections are rejected unread, which lets callers
+ * go elsewhere, and a request that was being read is refused once it is complete.
  */
 #define LISTEN_US 2600000
 /* Requests still running this long before the end of the grace period are cut
--- a/lib/serve/stop.h
+++ b/lib/serve/stop.h
@@ -8,7 +8,9 @@
 
 enum stop_step {
 	STOP_SERVE, /* serve requests, but close connections after the answer */
-	STOP_REJECT, /* no new connections; requests in flight continue */
+	/* No new connections, and no request begins; those in flight
+	 * continue. */
+	STOP_REJECT,
 	STOP_EXIT, /* the process may exit */
 };
 
