stop: End within a grace period that is shorter than the listening phase

By reading, beside the requests that came late: with a grace of 2.6 s or less the process still took requests when it was killed, and callers got neither answer nor refusal.

Cause: the listening phase was asked before the end of the grace period.

Change: the end goes first.

Evidence: serve-stop (test_short_grace) failed before.

--- a/lib/serve/stop.c
+++ b/lib/serve/stop.c
@@ -19,10 +19,10 @@
 {
 	int64_t since_us = now_us - s->since_us;
 
-	if (since_us < LISTEN_US)
-		return STOP_SERVE;
 	if (since_us >= s->grace_us - MARGIN_US)
 		return STOP_EXIT;
+	if (since_us < LISTEN_US)
+		return STOP_SERVE;
 	/* The last bytes of a finished answer may not have been sent yet; they
 	 * would be lost if the process exited. The connection stays open until
 	 * the caller has received them. */
--- a/tests/serve/test_stop.c
+++ b/tests/serve/test_stop.c
@@ -32,11 +32,26 @@
 	assert_int_equal(stop_next(&s, 9 * SECOND), STOP_EXIT);
 }
 
+/* Guards against a process that is killed while it still takes requests, as its
+ * grace period ends before it would stop listening. */
+static void
+test_short_grace(void **state)
+{
+	struct stop_state s = { .since_us = SECOND,
+		.grace_us = 2 * SECOND,
+		.active = 1,
+		.connections = 1 };
+
+	assert_int_equal(stop_next(&s, 2 * SECOND), STOP_SERVE);
+	assert_int_equal(stop_next(&s, 3 * SECOND), STOP_EXIT);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_stop_waits_for_the_last_bytes),
+		cmocka_unit_test(test_short_grace),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
