entry: Refuse requests that come late in the own interface's planned stop

Callers of the own interface saw the same as those of the gateways: while open requests hold a stopping entry up, it takes further ones, and those taken shortly before the 60 s of the wait are over are cut with it.

Change: half of the wait is for requests; what comes later gets 503, not run, with a Retry-After. A stopping sidecar takes no requests at all, as before (system-leaving).

Evidence: system-stop_busy, a request 32 s after the signal: answered before by an entry that goes on for as long as requests come, refused now.

--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -14,6 +14,9 @@
 #define LISTEN_BACKLOG 4096
 #define STOP_CHECK_MS 50
 #define STOP_TIMEOUT_MS 60000 /* limit on the wait for open streams */
+/* Requests that come later in a planned stop are refused: what was taken then could
+ * be cut when the wait ends. */
+#define STOP_BEGIN_MS 30000
 /* The callers' load balancer polls /healthz. It gets this long to see
  * "draining" before requests are refused, so that a planned stop refuses
  * none. */
@@ -304,6 +307,7 @@
 	bool quiet;
 
 	stop.waited_ms += STOP_CHECK_MS;
+	entry->begins_none = stop.waited_ms >= STOP_BEGIN_MS;
 	quiet = is_quiet(entry, &stop);
 	if (stop.waited_ms < STOP_NOTICE_MS ||
 	    (!quiet && stop.waited_ms < STOP_TIMEOUT_MS))
--- a/tests/system/odd_names.sh
+++ b/tests/system/odd_names.sh
@@ -4,7 +4,7 @@
 # keep gateways from being ready, nor add lines to their logs.
 set -u
 BUILD=$1
-NET=${NET:-246}
+NET=${NET:-242}
 . tools/fleet.sh
 
 failed=0
--- a/tests/system/stop_late.sh
+++ b/tests/system/stop_late.sh
@@ -4,7 +4,7 @@
 # none: they must be refused, and not run. Those that come early are answered.
 set -u
 BUILD=$1
-NET=${NET:-245}
+NET=${NET:-243}
 . tools/fleet.sh
 
 EARLY_S=0.5
