platform, agree: One odd object beside the settings leaves the others readable

Callers of the own interface saw no gateway ready after a restart of all processes, and no change of the settings in force meanwhile, while an object of another writer without an operation id stood under the settings' prefix.

Cause: a list or poll with one object that cannot be read was malformed as a whole, and so was a start at which one object could not be read.

Change: what cannot be read is left out of lists and polls and counted (obj_unreadable); an object that is read alone and malformed is an error of its own (INVALID), which a list of all and the start pass over.

Evidence: platform-obj_watch (test_watch_beside_an_odd_object) and agree-agr (test_odd_object_at_start: not ready) failed before. An object of a lease or a claim that is malformed fails its call, as before.

--- a/lib/platform/obj.c
+++ b/lib/platform/obj.c
@@ -23,6 +23,7 @@
 	obj->retries = plat_counter(plat, "obj_retries");
 	obj->settled_writes = plat_counter(plat, "obj_settled_writes");
 	obj->errors = plat_counter(plat, "obj_errors");
+	obj->unreadable = plat_counter(plat, "obj_unreadable");
 	return obj;
 }
 
@@ -155,7 +156,8 @@
 	struct read_call copy = *read;
 
 	if (!obj_parse(json, read->key, &object)) {
-		reply_malformed(err);
+		err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		    "the object is malformed");
 		return;
 	}
 	object.key = copy.key;
@@ -166,27 +168,36 @@
 }
 
 static bool
-parse_list(
-    JsonObject *json, uint64_t *revision, struct obj_object **objects, guint *n)
+parse_listed(JsonObject *json, struct obj_object *out)
 {
-	JsonArray *array = reply_objects(json, "objects");
-	guint i;
+	return reply_str(json, "key", &out->key) &&
+	    reply_u64(json, "version", &out->version);
+}
+
+struct obj_object *
+obj_parse_list(const struct obj *obj, JsonObject *json,
+    bool (*parse)(JsonObject *json, struct obj_object *out), uint64_t *revision,
+    guint *n)
+{
+	JsonArray *array = reply_list(json, "objects");
+	guint i, total;
+	struct obj_object *objects;
+	JsonNode *item;
 
 	if (array == NULL || !reply_u64(json, "revision", revision))
-		return false;
-	*n = json_array_get_length(array);
-	*objects = g_new0(struct obj_object, *n + 1);
-	for (i = 0; i < *n; i++) {
-		JsonObject *item = json_array_get_object_element(array, i);
-		struct obj_object *object = &(*objects)[i];
-
-		if (!reply_str(item, "key", &object->key) ||
-		    !reply_u64(item, "version", &object->version)) {
-			g_free(*objects);
-			return false;
-		}
+		return NULL;
+	total = json_array_get_length(array);
+	objects = g_new0(struct obj_object, total + 1);
+	*n = 0;
+	for (i = 0; i < total; i++) {
+		item = json_array_get_element(array, i);
+		if (JSON_NODE_HOLDS_OBJECT(item) &&
+		    parse(json_node_get_object(item), &objects[*n]))
+			(*n)++;
+		else
+			ctr_add(obj->unreadable, 1);
 	}
-	return true;
+	return objects;
 }
 
 static void
@@ -197,7 +208,9 @@
 	uint64_t revision;
 	guint n;
 
-	if (!parse_list(json, &revision, &objects, &n)) {
+	objects =
+	    obj_parse_list(read->call.obj, json, parse_listed, &revision, &n);
+	if (objects == NULL) {
 		err_set(
 		    err, ERR_UNAVAILABLE, VERDICT_NOT_RUN, "malformed list");
 		return;
--- a/lib/platform/obj_watch.c
+++ b/lib/platform/obj_watch.c
@@ -171,7 +171,9 @@
 	watch->pending--;
 	if (check_stopped(watch))
 		return;
-	if (err != NULL && err->code != ERR_NOT_FOUND) {
+	/* One that is gone or malformed is left out, as the others hold. */
+	if (err != NULL && err->code != ERR_NOT_FOUND &&
+	    err->code != ERR_INVALID) {
 		watch_failed(watch, err);
 		return;
 	}
@@ -231,26 +233,10 @@
 /* Polls                                                               */
 /* ------------------------------------------------------------------ */
 
-static struct obj_object *
-parse_changes(JsonObject *json, uint64_t *revision, guint *n)
+static bool
+parse_change(JsonObject *json, struct obj_object *out)
 {
-	JsonArray *array = reply_objects(json, "objects");
-	struct obj_object *objects;
-	guint i;
-
-	if (array == NULL || !reply_u64(json, "revision", revision))
-		return NULL;
-	*n = json_array_get_length(array);
-	objects = g_new0(struct obj_object, *n + 1);
-	for (i = 0; i < *n; i++) {
-		JsonObject *item = json_array_get_object_element(array, i);
-
-		if (!obj_parse(item, NULL, &objects[i])) {
-			g_free(objects);
-			return NULL;
-		}
-	}
-	return objects;
+	return obj_parse(json, NULL, out);
 }
 
 static void
@@ -261,7 +247,7 @@
 	struct err err;
 	guint n;
 
-	objects = parse_changes(json, &revision, &n);
+	objects = obj_parse_list(watch->obj, json, parse_change, &revision, &n);
 	if (objects == NULL) {
 		reply_malformed(&err);
 		watch_failed(watch, &err);
--- a/lib/platform/platform_internal.h
+++ b/lib/platform/platform_internal.h
@@ -120,6 +120,8 @@
 bool reply_str(JsonObject *object, const char *name, const char **out);
 bool reply_bool(JsonObject *object, const char *name, bool *out);
 bool reply_digest(JsonObject *object, const char *name, struct digest *out);
+/* NULL if the member is missing or is not a list. */
+JsonArray *reply_list(JsonObject *object, const char *name);
 /* NULL if the member is missing or is not a list of objects only. */
 JsonArray *reply_objects(JsonObject *object, const char *name);
 /* Serializes the builder's document; takes ownership of the builder. */
@@ -215,6 +217,7 @@
 	unsigned int watches; /* running; must be none at obj_free */
 	struct ctr *reads, *writes, *refused_writes, *watch_calls, *retries,
 	    *settled_writes, *errors;
+	struct ctr *unreadable; /* objects of lists and polls */
 };
 
 /* Common part of gets, lists and puts, and the first member of each: the entry
@@ -239,5 +242,13 @@
 /* Reads an object from a response; `out` borrows from `json`. With a NULL `key`
  * the key is read from `json` too. */
 bool obj_parse(JsonObject *json, const char *key, struct obj_object *out);
+/*
+ * Reads the objects of a list or a poll; NULL if the response holds none. Other
+ * writers can add objects: what `parse` cannot read is left out and counted, as
+ * the others hold. The objects borrow from `json`; release with g_free().
+ */
+struct obj_object *obj_parse_list(const struct obj *obj, JsonObject *json,
+    bool (*parse)(JsonObject *json, struct obj_object *out), uint64_t *revision,
+    guint *n);
 
 #endif
--- a/lib/platform/reply.c
+++ b/lib/platform/reply.c
@@ -110,15 +110,23 @@
 }
 
 JsonArray *
-reply_objects(JsonObject *object, const char *name)
+reply_list(JsonObject *object, const char *name)
 {
 	JsonNode *node = json_object_get_member(object, name);
-	JsonArray *array;
+
+	return node != NULL && JSON_NODE_HOLDS_ARRAY(node)
+	    ? json_node_get_array(node)
+	    : NULL;
+}
+
+JsonArray *
+reply_objects(JsonObject *object, const char *name)
+{
+	JsonArray *array = reply_list(object, name);
 	guint i;
 
-	if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node))
+	if (array == NULL)
 		return NULL;
-	array = json_node_get_array(node);
 	for (i = 0; i < json_array_get_length(array); i++) {
 		if (!JSON_NODE_HOLDS_OBJECT(json_array_get_element(array, i)))
 			return NULL;
--- a/tests/agree/objects.h
+++ b/tests/agree/objects.h
@@ -47,7 +47,8 @@
 {
 	g_string_append_printf(out,
 	    "{\"key\":\"%s\",\"version\":%" G_GUINT64_FORMAT, key, s->version);
-	if (with_value) {
+	/* Objects of other writers have no operation id. */
+	if (with_value && s->op != NULL) {
 		g_string_append(out, ",\"op\":");
 		add_string(out, s->op);
 		g_string_append(out, ",\"value\":");
--- a/tests/agree/test_agr.c
+++ b/tests/agree/test_agr.c
@@ -327,6 +327,19 @@
 	run_until_holds(konya_everywhere, 3);
 }
 
+/* Guards against an object of another writer beside the settings that keeps all
+ * processes from being ready when they start again. */
+static void
+test_odd_object_at_start(void **state)
+{
+	store(&api, "settings/odd", NULL, "7");
+	start_node(0, MEM_GATEWAY);
+	start_node(1, MEM_SIDECAR);
+	run_until_holds(all_ready, 2);
+	set_konya(0, 100, 0);
+	run_until_holds(konya_everywhere, 1);
+}
+
 /*
  * The API is unavailable when a node starts. With peers that have the settings
  * the node becomes ready. Without them it must not: it would know no workspace.
@@ -453,6 +466,8 @@
 		    test_change_becomes_active_everywhere, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 		    test_invalid_branch_is_refused, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+		    test_odd_object_at_start, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 		    test_api_down_at_start, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
--- a/tests/platform/api.h
+++ b/tests/platform/api.h
@@ -24,6 +24,7 @@
 	const char *other_writer; /* operation id of a write after a lost one */
 	bool oversized_polls; /* respond to polls with more than the limit */
 	bool never_hold_polls; /* respond to polls at once */
+	const char *odd_key; /* this object has no operation id */
 	struct peer *held_poll; /* an idle poll */
 	unsigned int puts, gets, polls;
 	char last_poll[200];
@@ -101,10 +102,13 @@
 }
 
 static inline void
-respond_object(struct peer *peer, unsigned int status, const struct stored *s)
+respond_object(struct peer *peer, const struct api *api, unsigned int status,
+    const struct stored *s)
 {
 	if (s == NULL)
 		respond_json(peer, 404, "{}");
+	else if (g_strcmp0(s->key, api->odd_key) == 0)
+		respond_json(peer, status, "{\"version\":-1}");
 	else
 		respond_json(peer, status,
 		    "{\"key\":\"%s\",\"version\":%u,\"op\":\"%s\","
@@ -126,11 +130,13 @@
 			continue;
 		g_string_append_printf(text, "%s{\"key\":\"%s\",\"version\":%u",
 		    text->len > 0 ? "," : "", s->key, (unsigned int)s->version);
-		if (with_values)
+		if (with_values && g_strcmp0(s->key, api->odd_key) != 0)
 			g_string_append_printf(text,
 			    ",\"op\":\"%s\",\"value\":\"%s\"", s->op, s->value);
 		g_string_append(text, "}");
 	}
+	if (api->odd_key != NULL)
+		g_string_append(text, text->len > 0 ? ",7,{}" : "7,{}");
 	respond_json(peer, 200, "{\"revision\":%u,\"objects\":[%s]}",
 	    (unsigned int)api->revision, text->str);
 	g_string_free(text, TRUE);
@@ -151,7 +157,7 @@
 	api->puts++;
 	if (reply_u64(reply.json, "if_version", &if_version) &&
 	    if_version != version) {
-		respond_object(peer, 409, s);
+		respond_object(peer, api, 409, s);
 	} else {
 		s = store(api, key, op, value);
 		if (api->lose_responses > 0) {
@@ -248,7 +254,8 @@
 		serve_poll(peer, api);
 	} else if (get) {
 		api->gets++;
-		respond_object(peer, 200, stored_find(api, peer->path + 12));
+		respond_object(
+		    peer, api, 200, stored_find(api, peer->path + 12));
 	} else {
 		serve_put(peer, api, peer->path + 12);
 	}
--- a/tests/platform/test_obj_watch.c
+++ b/tests/platform/test_obj_watch.c
@@ -246,6 +246,33 @@
 
 #define SERVED(test) cmocka_unit_test_setup_teardown(test, setup, teardown)
 
+/* Guards against one object of another writer that ends the watch of a prefix, in
+ * a poll and when the prefix is listed again. */
+static void
+test_watch_beside_an_odd_object(void **state)
+{
+	struct api *api = *state;
+	struct obj_watch *watch;
+
+	api->odd_key = "teams/odd";
+	store(api, "teams/a", "op", "1");
+	store(api, "teams/odd", "op", "1");
+	store(api, "teams/b", "op", "1");
+	watch = obj_watch_start(api->obj, "teams/", 0, &watch_ops, api);
+	await_change(api);
+	assert_string_equal(api->changes->str, "teams/a=1@3 teams/b=1@3 ");
+	/* The API restarts with a lower revision: all is read again. */
+	await_poll(api);
+	api->revision = 1;
+	g_string_truncate(api->changes, 0);
+	respond_changes(api->held_poll, api, 3, true);
+	await_change(api);
+	await_change(api);
+	assert_string_equal(api->changes->str, "teams/a=1@1 teams/b=1@1 ");
+	assert_int_equal(api->lost, 0);
+	obj_watch_stop(watch);
+}
+
 int
 main(void)
 {
@@ -256,6 +283,7 @@
 		SERVED(test_watch_after_a_restart_of_the_api),
 		SERVED(test_polls_are_spaced),
 		SERVED(test_watch_with_oversized_changes),
+		SERVED(test_watch_beside_an_odd_object),
 		SERVED(test_watch_stopped_in_callback),
 	};
 
