serve, entry: Name draining as such

No change of behaviour: fwd_drain(), fwd_refuse_if_draining() and the entry's `refusing` say in the field's word what fwd_stop_beginning(), fwd_refuse_late() and `begins_none` meant; serve-stopping becomes serve-drain. serve-drain and serve-fwd pass.

--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -125,9 +125,9 @@
 }
 
 bool
-fwd_refuse_late(struct fwd_req *r)
+fwd_refuse_if_draining(struct fwd_req *r)
 {
-	if (!r->fwd->begins_none || r->flow.begun || r->flow.may_have_run)
+	if (!r->fwd->draining || r->flow.begun || r->flow.may_have_run)
 		return false;
 	/* Other gateways take it at once. */
 	fwd_refuse_until(r, "stopping", fwd_now(r));
@@ -375,7 +375,7 @@
 	if (!authorise(f, caller, route, &workspace))
 		return;
 	r = req_new(f, caller, route, workspace);
-	if (fwd_refuse_late(r))
+	if (fwd_refuse_if_draining(r))
 		return;
 	fwd_note_client_retry(r);
 	spend_request(&r->service->budget, &f->conf.budget, fwd_now(r));
@@ -502,17 +502,17 @@
 }
 
 void
-fwd_stop_beginning(struct fwd *f)
+fwd_drain(struct fwd *f)
 {
 	struct fwd_req *r, *next;
 
-	if (f->begins_none)
+	if (f->draining)
 		return;
-	f->begins_none = true;
+	f->draining = true;
 	for (r = TAILQ_FIRST(&f->open); r != NULL; r = next) {
 		next = TAILQ_NEXT(r, open);
 		if (TAILQ_EMPTY(&r->attempts))
-			(void)fwd_refuse_late(r);
+			(void)fwd_refuse_if_draining(r);
 	}
 }
 
--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -69,10 +69,10 @@
 void fwd_blocked_terminations(const struct fwd *f, GArray *out);
 /* Drops expired suspects; to be called periodically. */
 void fwd_sweep(struct fwd *f);
-/* No request begins from now on, as its answer may not be complete when the
- * process must exit: those that no target has run are refused, queued ones at
- * once. Those in flight go on, also at other targets. */
-void fwd_stop_beginning(struct fwd *f);
+/* The process will exit soon: from now on requests that no target has run are
+ * refused, queued ones at once, as their answers may not be complete by then.
+ * Those in flight go on, also at other targets. */
+void fwd_drain(struct fwd *f);
 /* Ends all requests, as the process is about to exit. Callers whose answer has
  * not begun are told whether their request may have run. */
 void fwd_end_all(struct fwd *f);
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -303,7 +303,7 @@
 {
 	struct fwd_req *r = a->req;
 
-	if (fwd_refuse_late(r))
+	if (fwd_refuse_if_draining(r))
 		return;
 	switch (flow_next(&r->flow, end, may_spend, r)) {
 	case FLOW_RETRY:
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -126,7 +126,7 @@
 	struct rng rng;
 	TAILQ_HEAD(fwd_open_list, fwd_req) open;
 	unsigned int active, waiting;
-	bool begins_none; /* see fwd_stop_beginning() */
+	bool draining; /* see fwd_drain() */
 	size_t buffered; /* bytes of all answers in memory */
 	struct sus *suspects;
 	struct ctr *done, *refused, *failed, *disconnected, *retries, *resumes,
@@ -149,9 +149,9 @@
 void fwd_refuse(struct fwd_req *r, const char *why); /* 503: it did not run */
 /* The same, with a Retry-After that ends at `until_us`. */
 void fwd_refuse_until(struct fwd_req *r, const char *why, int64_t until_us);
-/* Refuses it if it has not begun and no request begins any more; returns whether
- * it did. To be called without an attempt in flight. */
-bool fwd_refuse_late(struct fwd_req *r);
+/* Refuses a request that no target has run while the forwarder drains; returns
+ * whether it did. To be called without an attempt in flight. */
+bool fwd_refuse_if_draining(struct fwd_req *r);
 void fwd_fail(struct fwd_req *r, unsigned int status, const char *why);
 void fwd_abort(struct fwd_req *r, const char *why); /* close mid-answer */
 void fwd_finish(struct fwd_req *r); /* frees it, but not the hreq */
--- a/programs/entry/caller.c
+++ b/programs/entry/caller.c
@@ -159,9 +159,9 @@
 {
 	const struct rt_workspace *workspace = entry_workspace(entry, name);
 
-	if (!entry_is_ready(entry) || entry->begins_none) {
+	if (!entry_is_ready(entry) || entry->refusing) {
 		err_set(err, ERR_UNAVAILABLE, VERDICT_NOT_RUN, "%s",
-		    entry->begins_none
+		    entry->refusing
 			? "this gateway is about to exit"
 			: "this gateway has no active settings yet");
 		err->retry_after_ms = NOT_READY_RETRY_MS;
--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -81,7 +81,7 @@
 	GHashTable *leaders; /* workspace name -> struct rollout_leader */
 	guint leader_idle;
 	bool leaving; /* a planned stop is under way */
-	bool begins_none; /* late in it: no request begins any more */
+	bool refusing; /* late in it: new requests are refused */
 	bool draining; /* the settings drain this process */
 	guint stop_timer;
 };
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -337,7 +337,7 @@
 	if (step == STOP_SERVE)
 		return;
 	hserver_stop_listening(g->callers);
-	fwd_stop_beginning(g->fwd);
+	fwd_drain(g->fwd);
 	if (step != STOP_EXIT)
 		return;
 	evt(EVT_STOP,
--- a/programs/entry/serve.c
+++ b/programs/entry/serve.c
@@ -307,7 +307,7 @@
 	bool quiet;
 
 	stop.waited_ms += STOP_CHECK_MS;
-	entry->begins_none = stop.waited_ms >= STOP_BEGIN_MS;
+	entry->refusing = stop.waited_ms >= STOP_BEGIN_MS;
 	quiet = is_quiet(entry, &stop);
 	if (stop.waited_ms < STOP_NOTICE_MS ||
 	    (!quiet && stop.waited_ms < STOP_TIMEOUT_MS))
--- a/tests/serve/test_stopping.c
+++ b/tests/serve/test_drain.c
@@ -1,4 +1,4 @@
-/* Requests at a gateway that is about to exit. */
+/* Requests at a gateway that drains before it exits. */
 
 #include "world.h"
 
@@ -26,7 +26,7 @@
 	    "T-Key: Bearer secret\r\nContent-Length: 4\r\n\r\nbo");
 	run_ms(20);
 	hserver_stop_listening(w.server);
-	fwd_stop_beginning(w.fwd);
+	fwd_drain(w.fwd);
 	raw_send(fd, "dy");
 	answer = raw_read(fd, NULL);
 	assert_true(g_str_has_prefix(answer, "HTTP/1.1 503 "));
@@ -53,7 +53,7 @@
 		first[i] = send_get();
 	queued = send_get();
 	assert_int_equal(fwd_waiting(w.fwd), 1);
-	fwd_stop_beginning(w.fwd);
+	fwd_drain(w.fwd);
 	expect_answer(queued, REFUSAL);
 	assert_int_equal(fwd_active(w.fwd), 3);
 	/* Those in flight are answered. */
@@ -76,7 +76,7 @@
 	world_open(2, make_config(SV_UNSAFE, 2, 3000));
 	fd = send_get();
 	t = target_next();
-	fwd_stop_beginning(w.fwd);
+	fwd_drain(w.fwd);
 	raw_send(t->fd,
 	    "HTTP/1.1 503 Busy\r\nT-Id: q1\r\nT-Not-Run: 1\r\n"
 	    "Content-Length: 0\r\n\r\n");
@@ -94,7 +94,7 @@
 	world_open(2, make_config(SV_SAFE, 2, 3000));
 	fd = send_get();
 	t = target_next();
-	fwd_stop_beginning(w.fwd);
+	fwd_drain(w.fwd);
 	raw_reset(t->fd);
 	t->fd = -1;
 	raw_send(target_next()->fd, ANSWER);
@@ -113,7 +113,7 @@
 	t = target_next();
 	raw_send(t->fd, STREAM EVENT("1"));
 	run_ms(20);
-	fwd_stop_beginning(w.fwd);
+	fwd_drain(w.fwd);
 	raw_reset(t->fd);
 	t->fd = -1;
 	raw_send(target_next()->fd, STREAM EVENT("2") "0\r\n\r\n");
