tests/platform: Heads that arrive in pieces

The check of heads counts the bytes that libsoup says it received. One that arrives byte by byte, on new and kept connections, is valid: platform-cut (test_heads_in_pieces) passes.

--- a/tests/platform/test_cut.c
+++ b/tests/platform/test_cut.c
@@ -17,6 +17,7 @@
 	struct plat *plat;
 	const struct cut *kind;
 	size_t len; /* of the beginning that is sent */
+	size_t sent; /* of it, where it is sent in pieces */
 	bool reset;
 	bool kept; /* on a connection that has served a request */
 	bool first; /* the next request opens its connection */
@@ -272,6 +273,47 @@
 	assert_int_equal(bad, 0);
 }
 
+/* Sends the next byte of the answer. */
+static gboolean
+send_byte(gpointer data)
+{
+	struct peer *peer = data;
+	struct fixture *f = peer->server->ctx;
+
+	if (!peer->open || f->sent == f->len)
+		return G_SOURCE_REMOVE;
+	peer_raw(peer, f->kind->text + f->sent++, 1);
+	return G_SOURCE_CONTINUE;
+}
+
+static void
+serve_in_pieces(struct peer *peer, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	f->sent = 0;
+	g_timeout_add(1, send_byte, peer);
+}
+
+/* Guards against a valid head that counts as odd as it arrives in pieces. */
+static void
+test_heads_in_pieces(void **state)
+{
+	struct fixture *f = *state;
+	size_t i;
+
+	server_start(&f->server, serve_in_pieces, f);
+	for (i = 0; i < CUT_KINDS; i++) {
+		if (cut_kinds[i].ends_by_close)
+			continue;
+		f->kind = &cut_kinds[i];
+		f->len = strlen(f->kind->text);
+		exchange(f);
+		if (err_is(&f->err) && f->err.verdict != VERDICT_NOT_RUN)
+			fail_msg("%s: %s", f->kind->name, f->err.message);
+	}
+}
+
 /* The other direction: heads that look odd and are valid. */
 static void
 test_unusual_heads(void **state)
@@ -316,6 +358,7 @@
 		T(test_no_beginning_is_an_answer_without_body),
 		T(test_reset_while_the_request_is_written),
 		T(test_odd_heads),
+		T(test_heads_in_pieces),
 		T(test_unusual_heads),
 	};
 
