tests: Wait for the longest backoff before the last stream of answer_end

Cause, by reading: the two streams before break off, and where they were at different engines both are in backoff, for some 0.2 s. On a fast machine the next request comes within that time, and refusing it then is what the gateway is to do.

--- a/tests/system/answer_end.sh
+++ b/tests/system/answer_end.sh
@@ -44,6 +44,8 @@
 	check "three tokens came before" test "$(tokens)" -eq 3
 	engine_faults '{"break_in_event":0,"unframed":0}'
 done
+# Each of the two engines may be in backoff, for 2 s at most.
+sleep 2
 engine_faults '{"unframed":2}'
 stream
 check "a stream without framing is complete" has_done
