platform: A malformed object has an error code of its own

A malformed object is CORRUPT now, and only that is passed over.

platform-obj_watch (test_object_that_is_refused_once) states that a refused object is read again.

--- a/lib/agree/agr_settings.c
+++ b/lib/agree/agr_settings.c
@@ -220,7 +220,7 @@
 		name = branch_name(object->key);
 		agr_offer_branch(
 		    agr, name, object->version, object->value, "api");
-	} else if (err->code != ERR_NOT_FOUND && err->code != ERR_INVALID) {
+	} else if (err->code != ERR_NOT_FOUND && err->code != ERR_CORRUPT) {
 		agr->read_failed = true;
 	}
 	finish_reading(agr);
--- a/lib/common/common.h
+++ b/lib/common/common.h
@@ -48,7 +48,7 @@
 	ERR_UNAVAILABLE, /* the peer is down or unreachable */
 	ERR_CANCELLED,
 	ERR_STALE_FENCE, /* the order has an outdated fencing number */
-	ERR_CORRUPT, /* data does not match its digest */
+	ERR_CORRUPT, /* data that cannot be what it should be */
 	ERR_LEAVING, /* the target is draining */
 	ERR_WRONG_VERSION, /* the requested version is not loaded */
 	ERR_IN_DOUBT, /* a request with an idempotency key, outcome unknown */
--- a/lib/platform/obj.c
+++ b/lib/platform/obj.c
@@ -156,7 +156,7 @@
 	struct read_call copy = *read;
 
 	if (!obj_parse(json, read->key, &object)) {
-		err_set(err, ERR_INVALID, VERDICT_NOT_RUN,
+		err_set(err, ERR_CORRUPT, VERDICT_NOT_RUN,
 		    "the object is malformed");
 		return;
 	}
--- a/lib/platform/obj_watch.c
+++ b/lib/platform/obj_watch.c
@@ -173,7 +173,7 @@
 		return;
 	/* One that is gone or malformed is left out, as the others hold. */
 	if (err != NULL && err->code != ERR_NOT_FOUND &&
-	    err->code != ERR_INVALID) {
+	    err->code != ERR_CORRUPT) {
 		watch_failed(watch, err);
 		return;
 	}
--- a/tests/platform/api.h
+++ b/tests/platform/api.h
@@ -25,6 +25,7 @@
 	bool oversized_polls; /* respond to polls with more than the limit */
 	bool never_hold_polls; /* respond to polls at once */
 	const char *odd_key; /* this object has no operation id */
+	unsigned int early_gets; /* respond with 425 */
 	struct peer *held_poll; /* an idle poll */
 	unsigned int puts, gets, polls;
 	char last_poll[200];
@@ -254,6 +255,10 @@
 		serve_poll(peer, api);
 	} else if (get) {
 		api->gets++;
+		if (take_fault(&api->early_gets)) {
+			respond_json(peer, 425, "{}");
+			return;
+		}
 		respond_object(
 		    peer, api, 200, stored_find(api, peer->path + 12));
 	} else {
--- a/tests/platform/test_obj_watch.c
+++ b/tests/platform/test_obj_watch.c
@@ -273,6 +273,28 @@
 	obj_watch_stop(watch);
 }
 
+/* The other direction: an object that could not be read for a while is no odd one,
+ * and is read again. */
+static void
+test_object_that_is_refused_once(void **state)
+{
+	struct api *api = *state;
+	struct obj_watch *watch;
+
+	store(api, "teams/a", "op", "1");
+	watch = obj_watch_start(api->obj, "teams/", 0, &watch_ops, api);
+	await_change(api);
+	await_poll(api);
+	api->revision = 0;
+	api->early_gets = 1;
+	g_string_truncate(api->changes, 0);
+	respond_changes(api->held_poll, api, 1, true);
+	await_change(api);
+	assert_string_equal(api->changes->str, "teams/a=1@0 ");
+	assert_int_equal(api->lost, 1);
+	obj_watch_stop(watch);
+}
+
 int
 main(void)
 {
@@ -284,6 +306,7 @@
 		SERVED(test_polls_are_spaced),
 		SERVED(test_watch_with_oversized_changes),
 		SERVED(test_watch_beside_an_odd_object),
+		SERVED(test_object_that_is_refused_once),
 		SERVED(test_watch_stopped_in_callback),
 	};
 
