gateway: Log recalls with deadline and margin, and short hold-ups

A recall logged neither the deadline that it was to keep nor when the connection was closed, so that a gateway which had not run in between could not be told from a cancel that was long on its way. The loop's lateness was measured by one timer from 150 ms on; a process that gets its share of the CPU as an allowance is stopped for less, and often within a pass over the descriptors, where no timer is late.

- recall: deadline, time left after the close by a fresh reading of the clock, margin and its parts, lateness of the timer and of the loop
- held_up: from 40 ms on, work within a pass included; loop_late_seconds counts
- the last line of a request names the version that its target had

No logic changes. http-evl has both kinds of hold-up.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -69,6 +69,8 @@
 	    "the caller disconnected before the response")                       \
 	X(EVT_RETRY, "retry", EVT_FAILURE,                                       \
 	    "a request is sent to another target")                               \
+	X(EVT_RECALL, "recall", EVT_FAILURE,                                     \
+	    "a request was cancelled at a target whose weights become too old")  \
 	X(EVT_BUDGET, "budget", EVT_FAILURE,                                     \
 	    "the retry budget was charged with an attempt, or denied one")       \
 	X(EVT_SHARERS, "sharers", EVT_STATE,                                     \
--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -13,6 +13,7 @@
 #define ROUNDS_US 50000
 /* Size of one read. Connections with more input are read in turn. */
 #define SCRATCH_BYTES (16u << 10)
+#define LATE_HOLD_US 1000000
 
 struct evl {
 	GSource source; /* first member: GLib allocates the struct */
@@ -20,6 +21,7 @@
 	int epoll;
 	int64_t now_us; /* valid during a wake-up */
 	bool in_wakeup;
+	struct evl_late late;
 	struct epoll_event batch[BATCH];
 	int batch_len, batch_at;
 	unsigned int nwatched; /* descriptors */
@@ -183,6 +185,17 @@
 	}
 }
 
+static void
+note_late(struct evl *e, int64_t due_us)
+{
+	int64_t now_us = clk_now_us(e->clock);
+	int64_t late_us = now_us - due_us;
+
+	if (late_us < e->late.us && now_us - e->late.at_us <= LATE_HOLD_US)
+		return;
+	e->late = (struct evl_late){ .us = late_us, .at_us = now_us };
+}
+
 /* Returns the number of descriptors that were ready, BATCH at most. */
 static int
 dispatch_batch(struct evl *e)
@@ -200,6 +213,7 @@
 			fd->ready(fd, e->batch[e->batch_at - 1].events);
 	}
 	e->batch_len = 0;
+	note_late(e, e->now_us);
 	return n;
 }
 
@@ -283,11 +297,14 @@
 dispatch(GSource *source, GSourceFunc callback, gpointer data)
 {
 	struct evl *e = (struct evl *)source;
+	int64_t due_us;
 
 	e->in_wakeup = true;
 	dispatch_events(e);
+	due_us = timer_is_due(e) ? heap_at(e, 0)->at_us : e->now_us;
 	fire_timers(e);
 	run_tasks(e);
+	note_late(e, due_us);
 	e->in_wakeup = false;
 	set_ready_time(e);
 	return G_SOURCE_CONTINUE;
@@ -328,6 +345,21 @@
 	return e->in_wakeup ? e->now_us : clk_now_us(e->clock);
 }
 
+int64_t
+evl_clock_us(const struct evl *e)
+{
+	return clk_now_us(e->clock);
+}
+
+struct evl_late
+evl_late(const struct evl *e)
+{
+	struct evl_late none = { 0 };
+
+	return clk_now_us(e->clock) - e->late.at_us > LATE_HOLD_US ? none
+								   : e->late;
+}
+
 uint8_t *
 evl_scratch(struct evl *e, size_t *size_out)
 {
--- a/lib/http/evl.h
+++ b/lib/http/evl.h
@@ -50,6 +50,19 @@
 
 /* Monotonic time, read once per pass over the descriptors. */
 int64_t evl_now_us(const struct evl *e);
+/* The same, read now: later by what the pass has done so far, and by the time for
+ * which the process did not run meanwhile. */
+int64_t evl_clock_us(const struct evl *e);
+
+/* How late the loop ran: the longest time of the last second, from when a timer
+ * was due, or from the reading of evl_now_us(), to the end of the work that was
+ * done then. */
+struct evl_late {
+	int64_t us;
+	int64_t at_us; /* when it was measured; 0: not yet */
+};
+
+struct evl_late evl_late(const struct evl *e);
 
 /* Adds `fd` with `events`, or changes its events. */
 void evl_watch(struct evl *e, struct evl_fd *fd, uint32_t events);
--- a/lib/serve/fwd.c
+++ b/lib/serve/fwd.c
@@ -47,7 +47,8 @@
 	    " first_ms=%" G_GINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT
 	    " back=%d"
 	    " framing=%s end=%s rest=%zu silent_ms=%" G_GINT64_FORMAT
-	    " target=%s content=%016" G_GINT64_MODIFIER
+	    " target=%s version=%" G_GINT64_FORMAT
+	    " content=%016" G_GINT64_MODIFIER
 	    "x parts=%s by=%s denied=%d config=%" G_GINT64_FORMAT,
 	    r->id, r->route->name, r->service->targets->name, status, why,
 	    r->flow.attempts, r->flow.runs, r->events,
@@ -59,8 +60,9 @@
 	    a == NULL ? r->last_framing : fwd_framing_name(a),
 	    a == NULL ? r->last_end : a->end,
 	    a == NULL ? r->last_rest : fwd_event_rest(a), fwd_silent_ms(r),
-	    a == NULL ? r->last_target : a->target->record.id, r->content,
-	    parts, blocked_by, r->is_denied, rtab_config(r->routes)->version);
+	    a == NULL ? r->last_target : a->target->record.id,
+	    a == NULL ? r->last_version : a->sent_version, r->content, parts,
+	    blocked_by, r->is_denied, rtab_config(r->routes)->version);
 }
 
 void
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -75,6 +75,7 @@
 	struct fwd_req *r = a->req;
 
 	g_strlcpy(r->last_target, a->target->record.id, sizeof(r->last_target));
+	r->last_version = a->sent_version;
 	r->last_end = a->end;
 	r->last_framing = fwd_framing_name(a);
 	r->last_rest = fwd_event_rest(a);
@@ -566,6 +567,27 @@
 	    MAX(a->target->version, a->sent_version));
 }
 
+/* To be called after the cancel: `closed_ms` is the time that it had. */
+static void
+log_recall(const struct fwd_attempt *a, int64_t end_us)
+{
+	const struct evl *loop = a->req->fwd->conf.loop;
+	const struct tgt *t = a->target;
+	int64_t now_us = fwd_now(a->req), at_us = a->begin_timer.at_us;
+
+	evt(EVT_RECALL,
+	    "req=%s target=%s version=%" G_GINT64_FORMAT
+	    " deadline_ms=%" G_GINT64_FORMAT " closed_ms=%" G_GINT64_FORMAT
+	    " margin_ms=%" G_GINT64_FORMAT " inbound_ms=%" G_GINT64_FORMAT
+	    " slow=%d local=%d timer_late_ms=%" G_GINT64_FORMAT
+	    " loop_late_ms=%" G_GINT64_FORMAT " sent_ms=%" G_GINT64_FORMAT,
+	    a->req->id, t->record.id, a->sent_version, (end_us - now_us) / 1000,
+	    (end_us - evl_clock_us(loop)) / 1000, recall_margin_us(a) / 1000,
+	    t->inbound_us / 1000, tgt_path_is_slow(t, now_us), t->local,
+	    (now_us - at_us) / 1000, evl_late(loop).us / 1000,
+	    (now_us - a->sent_us) / 1000);
+}
+
 /* Recalls the request if a cancel sent later may arrive too late, or sets the
  * timer to the next look. */
 static void
@@ -578,6 +600,7 @@
 		return;
 	if (now_us >= recall_us) {
 		cancel_call(a);
+		log_recall(a, end_us);
 		attempt_ended(a, FLOW_RECALLED);
 		return;
 	}
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -76,6 +76,7 @@
 	struct fwd_attempt *failure;
 	/* The last attempt that ended, for the log. */
 	char last_target[SV_ID_MAX];
+	int64_t last_version; /* of its weights when it was sent; 0: not sent */
 	const char *last_end;
 	const char *last_framing;
 	size_t last_rest;
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -9,8 +9,9 @@
 #include "shared/proc.h"
 
 #define TICK_US 100000
-/* A tick that is later than this is logged. */
-#define HELD_UP_US 150000
+/* Longer times for which the process did not run are logged. Shorter than the
+ * part of a CPU period that a small share leaves out. */
+#define HELD_UP_US 40000
 /*
  * Fractions of the retry budget that are used. A process applies the ratio to the
  * requests of the last window at the time of the retry, and of bursts fewer may
@@ -362,11 +363,15 @@
 
 /* What is late here looks like silence of targets and of callers. */
 static void
-log_held_up(const struct gateway *g, int64_t late_us)
+log_held_up(struct gateway *g)
 {
-	if (late_us >= HELD_UP_US)
-		evt(EVT_HELD_UP, "ms=%" G_GINT64_FORMAT " active=%u",
-		    late_us / 1000, fwd_active(g->fwd));
+	struct evl_late late = evl_late(g->st.loop);
+
+	if (late.us < HELD_UP_US || late.at_us == g->held_up_us)
+		return;
+	g->held_up_us = late.at_us;
+	evt(EVT_HELD_UP, "ms=%" G_GINT64_FORMAT " active=%u", late.us / 1000,
+	    fwd_active(g->fwd));
 }
 
 static void
@@ -375,7 +380,8 @@
 	struct gateway *g = CONTAINER_OF(timer, struct gateway, tick);
 	int64_t now_us = evl_now_us(g->st.loop);
 
-	log_held_up(g, now_us - timer->at_us);
+	hist_add(&g->late, evl_late(g->st.loop).us);
+	log_held_up(g);
 	tgt_sweep(g->set, now_us);
 	fwd_sweep(g->fwd);
 	send_store_state(g);
@@ -465,6 +471,7 @@
 	int64_t now_us = evl_now_us(g->st.loop);
 
 	fwd_print(g->fwd, out);
+	hist_print(&g->late, "loop_late_seconds", out);
 	g_string_append_printf(out,
 	    "gateway_ready %d\nconfig_version %" G_GINT64_FORMAT
 	    "\nconfig_heard_age_ms %" G_GINT64_FORMAT
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -11,6 +11,7 @@
 #include "common/evt.h"
 #include "serve/acct.h"
 #include "serve/fwd.h"
+#include "serve/hist.h"
 #include "serve/roster.h"
 #include "shared/station.h"
 
@@ -39,6 +40,8 @@
 	uint64_t seed; /* random; differs between gateways */
 	bool is_ready;
 	bool callers_full; /* as last logged */
+	int64_t held_up_us; /* end of the last hold-up that was logged */
+	struct hist late; /* how late the loop ran */
 	int64_t stopping_us; /* start of the planned stop; 0: none */
 	/* Gateways that share the targets, as sidecars report. */
 	unsigned int gateways;
--- a/tests/http/test_evl.c
+++ b/tests/http/test_evl.c
@@ -8,6 +8,7 @@
 #define SUSPENDED_S 500
 #define TIMER_US 20000
 #define WAIT_MS 300
+#define WORK_US 60000
 
 /* Replaces the C library's function on a host that was suspended before, which
  * only CLOCK_BOOTTIME counts. */
@@ -43,11 +44,54 @@
 	evl_free(loop);
 }
 
+static void
+on_long_work(struct evl_timer *t)
+{
+	usleep(WORK_US);
+	has_fired = true;
+}
+
+/* Guards against a process that was stopped within a pass and counts as one that
+ * ran on time, as its timers fired when they were due. */
+static void
+test_stop_within_a_pass_counts_as_late(void **state)
+{
+	struct evl *loop = evl_new(clk_system());
+	struct evl_timer timer = { .fire = on_long_work };
+
+	has_fired = false;
+	run_ms(5);
+	assert_true(evl_late(loop).us < WORK_US);
+	evl_timer_set(loop, &timer, evl_now_us(loop));
+	while (!has_fired)
+		run_ms(1);
+	assert_true(evl_late(loop).us >= WORK_US);
+	evl_free(loop);
+}
+
+/* The same for a process that is stopped between two passes. */
+static void
+test_stop_between_passes_counts_as_late(void **state)
+{
+	struct evl *loop = evl_new(clk_system());
+	struct evl_timer timer = { .fire = on_fire };
+
+	has_fired = false;
+	evl_timer_set(loop, &timer, evl_now_us(loop));
+	usleep(WORK_US);
+	while (!has_fired)
+		run_ms(1);
+	assert_true(evl_late(loop).us >= WORK_US);
+	evl_free(loop);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_timer_after_a_suspension),
+		cmocka_unit_test(test_stop_within_a_pass_counts_as_late),
+		cmocka_unit_test(test_stop_between_passes_counts_as_late),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
