evl: A timer that is set to a past time does not count as a hold-up

loop_late_seconds and held_up showed 0.2 to 0.6 s on gateways whose timers fired within 5 ms: the first look at a recall is set to a second before the deadline, which may have passed. Lateness begins when the timer is due, or when it is set if that is later.

http-evl (test_timer_set_to_the_past_is_not_late) failed before.

--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -127,6 +127,7 @@
 {
 	evl_timer_stop(e, t);
 	t->at_us = at_us;
+	t->due_us = MAX(at_us, evl_now_us(e));
 	g_ptr_array_add(e->heap, t);
 	t->slot = e->heap->len;
 	heap_up(e, e->heap->len - 1);
@@ -301,7 +302,7 @@
 
 	e->in_wakeup = true;
 	dispatch_events(e);
-	due_us = timer_is_due(e) ? heap_at(e, 0)->at_us : e->now_us;
+	due_us = timer_is_due(e) ? heap_at(e, 0)->due_us : e->now_us;
 	fire_timers(e);
 	run_tasks(e);
 	note_late(e, due_us);
--- a/lib/http/evl.h
+++ b/lib/http/evl.h
@@ -32,6 +32,7 @@
 /* A timer. Zero-initialized, it is not set. */
 struct evl_timer {
 	int64_t at_us;
+	int64_t due_us; /* the same, or when it was set if that is later */
 	size_t slot; /* index in the heap plus one; 0: not set */
 	void (*fire)(struct evl_timer *timer);
 };
--- a/tests/http/test_evl.c
+++ b/tests/http/test_evl.c
@@ -85,6 +85,23 @@
 	evl_free(loop);
 }
 
+/* Guards against a timer that is set to a time that has passed, and makes the
+ * process look late by that. */
+static void
+test_timer_set_to_the_past_is_not_late(void **state)
+{
+	struct evl *loop = evl_new(clk_system());
+	struct evl_timer timer = { .fire = on_fire };
+
+	has_fired = false;
+	run_ms(5);
+	evl_timer_set(loop, &timer, evl_now_us(loop) - G_USEC_PER_SEC);
+	while (!has_fired)
+		run_ms(1);
+	assert_true(evl_late(loop).us < G_USEC_PER_SEC);
+	evl_free(loop);
+}
+
 int
 main(void)
 {
@@ -92,6 +109,7 @@
 		cmocka_unit_test(test_timer_after_a_suspension),
 		cmocka_unit_test(test_stop_within_a_pass_counts_as_late),
 		cmocka_unit_test(test_stop_between_passes_counts_as_late),
+		cmocka_unit_test(test_timer_set_to_the_past_is_not_late),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
