--- /dev/null
+++ b/tests/serve/test_late.c
@@ -0,0 +1,91 @@
+/* Recalls by a gateway that does not run all the time. */
+
+#include "world.h"
+
+#define GRACE_US (2 * G_USEC_PER_SEC)
+#define LEFT_US 900000 /* until the weights are withdrawn */
+#define HELD_UP_US 150000
+#define FIRST_HELD_UP_US 100000 /* after the request was sent */
+
+/* A request that waits at an engine whose weights are withdrawn in LEFT_US. */
+struct waiting {
+	struct target *at;
+	int caller;
+	int64_t sent_us, deadline_us;
+};
+
+static struct waiting
+send_to_old_engine(void)
+{
+	struct sv_config *config = make_config(SV_STREAM, 2, 3000);
+	struct sv_version announced = { .model = MODEL, .version = 2 };
+	struct waiting wait = { 0 };
+	char *request;
+
+	config->routes[0].objective_us = G_USEC_PER_SEC;
+	world_open(1, config);
+	target_announce(&w.target[0], false, 1);
+	wait.sent_us = now_us();
+	wait.deadline_us = wait.sent_us + LEFT_US;
+	vers_announced(
+	    w.versions, &announced, false, wait.deadline_us - GRACE_US);
+	wait.caller =
+	    send_request("GET", "/x/1", "T-Deadline: 3000\r\nT-Model: m\r\n");
+	wait.at = target_get(&request);
+	g_free(request);
+	return wait;
+}
+
+static void
+on_hold_up(struct evl_timer *t)
+{
+	usleep(HELD_UP_US);
+}
+
+static bool
+is_closed(const struct waiting *wait)
+{
+	char byte;
+
+	return recv(wait->at->fd, &byte, 1, MSG_DONTWAIT) == 0;
+}
+
+static void
+run_until_us(int64_t at_us)
+{
+	while (now_us() < at_us)
+		run_ms(1);
+}
+
+/*
+ * Guards against a request that begins on withdrawn weights since its gateway does
+ * not run when it is to be recalled: the process is held up for longer than a
+ * cancel is given, each second or so, as by settings that it reads on a small share
+ * of a CPU.
+ */
+static void
+test_recalled_before_the_gateway_is_held_up_again(void **state)
+{
+	struct waiting wait = send_to_old_engine();
+	struct evl_timer hold_up = { .fire = on_hold_up };
+
+	evl_timer_set(w.loop, &hold_up, wait.sent_us + FIRST_HELD_UP_US);
+	run_until_us(wait.deadline_us - HELD_UP_US + 20000);
+	if (!is_closed(&wait))
+		usleep(HELD_UP_US);
+	assert_true(target_is_disconnected(wait.at));
+	assert_true(now_us() < wait.deadline_us);
+	close(wait.caller);
+	world_close();
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+		    test_recalled_before_the_gateway_is_held_up_again),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
