serve: Recall a request earlier by as much as the process runs late

Callers saw 502 for streams that had begun on withdrawn weights 2 ms after the deadline, and an engine that ran them.

Cause: the margin of a recall is the time that a cancel takes to its target. It left out the time for which the gateway does not run when the recall is due. On a small share of a CPU that is 0.05 to 0.3 s whenever settings are read, and the close was then sent after the deadline.

The loop's lateness of the last five seconds is added to the margin, and to the lead time before a deadline from which no request goes to older weights; otherwise requests would be sent only to be recalled. A suspension counts with a second at most.

--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -13,7 +13,8 @@
 #define ROUNDS_US 50000
 /* Size of one read. Connections with more input are read in turn. */
 #define SCRATCH_BYTES (16u << 10)
-#define LATE_HOLD_US 1000000
+/* What holds the process up comes again within seconds, as load does. */
+#define LATE_HOLD_US 5000000
 
 struct evl {
 	GSource source; /* first member: GLib allocates the struct */
--- a/lib/http/evl.h
+++ b/lib/http/evl.h
@@ -55,7 +55,7 @@
  * which the process did not run meanwhile. */
 int64_t evl_clock_us(const struct evl *e);
 
-/* How late the loop ran: the longest time of the last second, from when a timer
+/* How late the loop ran: the longest time of the last five seconds, from when a timer
  * was due, or from the reading of evl_now_us(), to the end of the work that was
  * done then. */
 struct evl_late {
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -40,6 +40,8 @@
 #define RECALL_REMOTE_US 400000
 /* The same over a slow link, where a cancel takes up to one second. */
 #define RECALL_SLOW_US 980000
+/* A process that was suspended for longer is not expected to be again. */
+#define LATE_MAX_US 1000000
 /* Time before the end of the weights from which the margin is looked at again,
  * and how often: more chunks may be on their way to the target's host now. */
 #define RECALL_CHECK_US 1000000
@@ -545,17 +547,29 @@
 /* Recall                                                              */
 /* ------------------------------------------------------------------ */
 
+int64_t
+fwd_late_us(const struct fwd *f)
+{
+	return MIN(evl_late(f->conf.loop).us, LATE_MAX_US);
+}
+
 /* Time that a cancel takes to arrive at the target, at most. */
 static int64_t
-recall_margin_us(const struct fwd_attempt *a)
+cancel_us(const struct fwd_attempt *a)
 {
 	const struct tgt *t = a->target;
-	int64_t margin_us =
+	int64_t way_us =
 	    t->inbound_us + (t->local ? RECALL_LOCAL_US : RECALL_REMOTE_US);
 
 	if (tgt_path_is_slow(t, fwd_now(a->req)))
-		margin_us = MAX(margin_us, RECALL_SLOW_US);
-	return margin_us;
+		way_us = MAX(way_us, RECALL_SLOW_US);
+	return way_us;
+}
+
+static int64_t
+recall_margin_us(const struct fwd_attempt *a)
+{
+	return fwd_late_us(a->req->fwd) + cancel_us(a);
 }
 
 /* Time from which the target may not begin the request; 0: none is known. */
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -199,6 +199,8 @@
 void fwd_send(struct fwd_req *r, struct tgt *target);
 /* Whether it may be recalled from a target that has not begun it. */
 bool fwd_may_recall(const struct fwd_req *r);
+/* Time by which this process may be late to do what is due, as it was before. */
+int64_t fwd_late_us(const struct fwd *f);
 /* Whether one more attempt may begin while others are in flight. */
 bool fwd_may_hedge(struct fwd_req *r);
 /* Looks again for another target once the stall timeout has passed anew. */
--- a/lib/serve/fwd_wait.c
+++ b/lib/serve/fwd_wait.c
@@ -216,10 +216,12 @@
 {
 	struct fwd *f = r->fwd;
 	bool may_queue = !fwd_may_recall(r);
+	/* The request may leave this process late, or be recalled earlier. */
+	int64_t sent_us = fwd_now(r) + fwd_late_us(f);
 	int64_t begin_us =
-	    fwd_now(r) + (may_queue ? LEAD_QUEUE_US : LEAD_RECALL_US);
+	    sent_us + (may_queue ? LEAD_QUEUE_US : LEAD_RECALL_US);
 	int64_t behind_chunks_us =
-	    fwd_now(r) + (may_queue ? LEAD_QUEUE_US : LEAD_BEGIN_US);
+	    sent_us + (may_queue ? LEAD_QUEUE_US : LEAD_BEGIN_US);
 	int64_t fresh_us = begin_us + (may_queue ? LEAD_FRESH_US : 0);
 
 	return (struct tgt_criteria){
@@ -229,7 +231,7 @@
 		.version_remote = vers_min(
 		    f->conf.versions, r->model, begin_us + LEAD_REMOTE_US),
 		.version_slow = vers_min(
-		    f->conf.versions, r->model, fwd_now(r) + LEAD_SLOW_US),
+		    f->conf.versions, r->model, sent_us + LEAD_SLOW_US),
 		.versions = f->conf.versions,
 		.begin_us = behind_chunks_us,
 		.begin_remote_us = behind_chunks_us + LEAD_REMOTE_US,
