serve, store: Recall what falls due while a long answer is read, before it is

Callers saw 502 for streams that had begun on withdrawn weights.

Cause: a gateway on a small share of a CPU reads settings for 0.05 to 0.3 s in one callback, and input comes before timers. What it had to recall in that time was recalled after it. The loop's lateness of the last seconds does not show it when settings change more rarely than that.

The store's client announces the reading of an answer of 4 KB or more with the time that it takes by the pace of the answers before, and the gateway first cancels every request whose recall falls due until then. All cancels that are due are sent before the first of these requests looks for another target, as that takes time for each of hundreds of targets.

serve-late (test_recalled_before_long_work_begins) and store-store (test_long_read_is_announced) fail with the announcement or the recall left out.

--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -67,6 +67,9 @@
     struct fwd *f, const struct sus_termination *termination);
 /* Appends the terminations of all blocked requests, grouped by fingerprint. */
 void fwd_blocked_terminations(const struct fwd *f, GArray *out);
+/* The process will be busy for `us`: what would have to be recalled from its target
+ * in this time is cancelled now. */
+void fwd_expect_hold_up(struct fwd *f, int64_t us);
 /* Drops expired suspects; to be called periodically. */
 void fwd_sweep(struct fwd *f);
 /* The process will exit soon: from now on requests that no target has run are
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -581,25 +581,71 @@
 	    MAX(a->target->version, a->sent_version));
 }
 
-/* To be called after the cancel: `closed_ms` is the time that it had. */
 static void
-log_recall(const struct fwd_attempt *a, int64_t end_us)
+log_recall(const struct fwd_attempt *a)
 {
 	const struct evl *loop = a->req->fwd->conf.loop;
 	const struct tgt *t = a->target;
-	int64_t now_us = fwd_now(a->req), at_us = a->begin_timer.at_us;
+	int64_t end_us = weights_end_us(a), now_us = fwd_now(a->req);
 
 	evt(EVT_RECALL,
 	    "req=%s target=%s version=%" G_GINT64_FORMAT
 	    " deadline_ms=%" G_GINT64_FORMAT " closed_ms=%" G_GINT64_FORMAT
 	    " margin_ms=%" G_GINT64_FORMAT " inbound_ms=%" G_GINT64_FORMAT
-	    " slow=%d local=%d timer_late_ms=%" G_GINT64_FORMAT
-	    " loop_late_ms=%" G_GINT64_FORMAT " sent_ms=%" G_GINT64_FORMAT,
+	    " slow=%d local=%d loop_late_ms=%" G_GINT64_FORMAT
+	    " sent_ms=%" G_GINT64_FORMAT,
 	    a->req->id, t->record.id, a->sent_version, (end_us - now_us) / 1000,
-	    (end_us - evl_clock_us(loop)) / 1000, recall_margin_us(a) / 1000,
+	    (end_us - a->closed_us) / 1000, recall_margin_us(a) / 1000,
 	    t->inbound_us / 1000, tgt_path_is_slow(t, now_us), t->local,
-	    (now_us - at_us) / 1000, evl_late(loop).us / 1000,
-	    (now_us - a->sent_us) / 1000);
+	    evl_late(loop).us / 1000, (now_us - a->sent_us) / 1000);
+}
+
+static bool
+may_be_recalled(const struct fwd_attempt *a)
+{
+	/* The head of the answer has arrived when the target has begun. */
+	return a->begin_timer.fire != NULL && a->call != NULL && a->status == 0;
+}
+
+/* Time at which the request is to be recalled; 0: it stays. */
+static int64_t
+recall_us(const struct fwd_attempt *a)
+{
+	int64_t end_us = weights_end_us(a);
+
+	return end_us == 0 ? 0 : end_us - recall_margin_us(a);
+}
+
+static void
+cancel_for_recall(struct fwd_attempt *a)
+{
+	cancel_call(a);
+	a->closed_us = evl_clock_us(loop_of(a));
+	evl_timer_stop(loop_of(a), &a->stall_timer);
+	evl_timer_set(loop_of(a), &a->begin_timer, fwd_now(a->req));
+}
+
+/* Cancels all requests whose recall is due by then. Only after the last of them
+ * is decided where they go, as the search takes time, too. */
+static void
+cancel_due(struct fwd *f, int64_t until_us)
+{
+	struct fwd_attempt *a;
+	struct fwd_req *r;
+
+	TAILQ_FOREACH (r, &f->open, open) {
+		TAILQ_FOREACH (a, &r->attempts, link) {
+			if (may_be_recalled(a) && recall_us(a) != 0 &&
+			    recall_us(a) <= until_us)
+				cancel_for_recall(a);
+		}
+	}
+}
+
+void
+fwd_expect_hold_up(struct fwd *f, int64_t us)
+{
+	cancel_due(f, evl_now_us(f->conf.loop) + us);
 }
 
 /* Recalls the request if a cancel sent later may arrive too late, or sets the
@@ -607,20 +653,17 @@
 static void
 check_recall(struct fwd_attempt *a)
 {
-	int64_t end_us = weights_end_us(a), now_us = fwd_now(a->req);
-	int64_t recall_us = end_us - recall_margin_us(a);
+	int64_t at_us = recall_us(a), now_us = fwd_now(a->req);
 
-	if (end_us == 0)
+	if (at_us == 0)
 		return;
-	if (now_us >= recall_us) {
-		cancel_call(a);
-		log_recall(a, end_us);
-		attempt_ended(a, FLOW_RECALLED);
+	if (now_us >= at_us) {
+		cancel_due(a->req->fwd, now_us);
 		return;
 	}
 	evl_timer_set(loop_of(a), &a->begin_timer,
-	    MIN(recall_us,
-		MAX(end_us - RECALL_CHECK_US,
+	    MIN(at_us,
+		MAX(weights_end_us(a) - RECALL_CHECK_US,
 		    now_us + RECALL_CHECK_INTERVAL_US)));
 }
 
@@ -630,8 +673,10 @@
 	struct fwd_attempt *a =
 	    CONTAINER_OF(timer, struct fwd_attempt, begin_timer);
 
-	/* The head of the answer has arrived, so the target has begun. */
-	if (a->call != NULL && a->status == 0)
+	if (a->closed_us != 0) {
+		log_recall(a);
+		attempt_ended(a, FLOW_RECALLED);
+	} else if (may_be_recalled(a))
 		check_recall(a);
 }
 
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -27,6 +27,7 @@
 	bool silent; /* for too long, and counted in flow_state.runs */
 	struct evl_timer stall_timer; /* for the target's next event */
 	struct evl_timer begin_timer; /* the answer must have begun by then */
+	int64_t closed_us; /* cancelled to be recalled; 0: it was not */
 	/* Its answer. */
 	unsigned int status;
 	bool is_matched; /* the answer's head belongs to this request */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -59,6 +59,8 @@
 	int64_t history; /* newest known number; 0: not known */
 	struct ctr *calls, *failed, *unreadable;
 	struct ctr *bytes, *items, *superseded; /* of answers */
+	/* Slowest pace of reading an answer, with what follows from it. */
+	double read_us_per_byte;
 };
 
 enum store_cache_state {
@@ -621,8 +623,30 @@
 		    c->kind->name, items, c->superseded, len, ms);
 }
 
+/* Shorter answers take no time worth announcing, and show no pace. */
+#define READ_LONG_BYTES 4096
+/* What is left of the pace after a faster answer: a process on a share of a CPU
+ * reads slowly now and then. */
+#define READ_PACE_KEPT 0.9
+
 static void
-read_answer(struct store_cache *c, const struct hfetch_answer *a)
+announce_read(const struct store *s, size_t len)
+{
+	if (s->conf.before_read != NULL && len >= READ_LONG_BYTES)
+		s->conf.before_read(
+		    (int64_t)(s->read_us_per_byte * (double)len), s->conf.ctx);
+}
+
+static void
+note_read(struct store *s, size_t len, int64_t us)
+{
+	if (len >= READ_LONG_BYTES)
+		s->read_us_per_byte = MAX((double)us / (double)len,
+		    s->read_us_per_byte * READ_PACE_KEPT);
+}
+
+static void
+read_page(struct store_cache *c, const struct hfetch_answer *a)
 {
 	struct store_page page = { 0 };
 	struct err err = { 0 };
@@ -647,6 +671,18 @@
 	g_array_unref(page.items);
 }
 
+static void
+read_answer(struct store_cache *c, const struct hfetch_answer *a)
+{
+	struct store *s = c->store;
+	int64_t begun_us;
+
+	announce_read(s, a->len);
+	begun_us = evl_clock_us(s->conf.loop);
+	read_page(c, a);
+	note_read(s, a->len, evl_clock_us(s->conf.loop) - begun_us);
+}
+
 static void
 on_answer(const struct hfetch_answer *a, void *ctx)
 {
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -74,6 +74,10 @@
 	uint64_t seed; /* of the jitter of retries */
 	/* Time within which a stalled connection is to be detected. */
 	int64_t stall_timeout_us;
+	/* An answer will be read now, which takes some `us` by the pace of
+	 * earlier ones. NULL: nobody needs to know. */
+	void (*before_read)(int64_t us, void *ctx);
+	void *ctx;
 };
 
 struct store *store_new(const struct store_conf *conf);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -528,6 +528,14 @@
 	apply_settings(g);
 }
 
+static void
+on_store_read(int64_t us, void *ctx)
+{
+	struct gateway *g = ctx;
+
+	fwd_expect_hold_up(g->fwd, us);
+}
+
 static void
 open_store(struct gateway *g)
 {
@@ -539,6 +547,8 @@
 		.counters = g->st.counters,
 		.stall_timeout_us =
 		    cfg_int(g->st.cfg, "bounds.stable_ms") * 1000,
+		.before_read = on_store_read,
+		.ctx = g,
 	};
 
 	random_bytes(&conf.seed, sizeof(conf.seed));
--- a/tests/serve/test_late.c
+++ b/tests/serve/test_late.c
@@ -79,12 +79,36 @@
 	world_close();
 }
 
+/*
+ * Guards against a request that begins on withdrawn weights since its gateway reads
+ * settings when it is to be recalled, for the first time in a while. What is not
+ * due by the end of that work is left where it is.
+ */
+static void
+test_recalled_before_long_work_begins(void **state)
+{
+	struct waiting wait = send_to_old_engine();
+
+	run_until_us(wait.deadline_us - 3 * HELD_UP_US);
+	fwd_expect_hold_up(w.fwd, HELD_UP_US);
+	run_ms(5);
+	assert_false(is_closed(&wait));
+	run_until_us(wait.deadline_us - HELD_UP_US + 20000);
+	fwd_expect_hold_up(w.fwd, HELD_UP_US);
+	usleep(HELD_UP_US / 2);
+	assert_true(is_closed(&wait));
+	assert_true(now_us() < wait.deadline_us);
+	expect_answer(wait.caller, "502 ");
+	world_close();
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 		    test_recalled_before_the_gateway_is_held_up_again),
+		cmocka_unit_test(test_recalled_before_long_work_begins),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -65,6 +65,7 @@
 
 static const struct store_kind kind = { .name = "kind", .free = g_free };
 
+static char server_address[32];
 static struct evl *loop;
 static struct hpool *pool;
 static struct hserver *server;
@@ -144,13 +145,11 @@
 static int
 set_up(void **state)
 {
-	static char address[32];
-
 	loop = evl_new(clk_system());
 	counters = ctr_set_new();
 	pool = bed_pool(loop, 200000, 5000000);
-	server = bed_server(loop, address, &limits, 10, &ops);
-	store = open_store(address);
+	server = bed_server(loop, server_address, &limits, 10, &ops);
+	store = open_store(server_address);
 	events = g_string_new(NULL);
 	called = false;
 	cache = store_cache_new(store, &kind, &cache_ops, NULL);
@@ -235,6 +234,62 @@
 	assert_string_equal(events->str, "+a +b +c | +a -b +d ");
 }
 
+static int64_t announced_us;
+
+static void
+on_before_read(int64_t us, void *ctx)
+{
+	announced_us = us;
+}
+
+#define SLOW_READ_US 40000
+
+static bool
+read_page_slowly(const struct store_kind *k, const void *body, size_t len,
+    struct store_page *out, struct err *err)
+{
+	usleep(SLOW_READ_US);
+	return read_page(k, body, len, out, err);
+}
+
+/* Guards against work that holds the process up and that nobody expects: reading
+ * a long answer is announced with the time that the one before it took. */
+static void
+test_long_read_is_announced(void **state)
+{
+	static const struct store_dialect slow = {
+		.list_path = list_path,
+		.history_header = "T-History",
+		.watch_path = watch_path,
+		.read_page = read_page_slowly,
+	};
+	char *long_body = g_strnfill(8000, '\n');
+	char *body = g_strdup_printf("at 9\na 7\n%s", long_body);
+
+	store_free(store);
+	run_ms(2);
+	called = false;
+	store = store_new(&(struct store_conf){ .loop = loop,
+	    .pool = pool,
+	    .address = server_address,
+	    .dialect = &slow,
+	    .counters = counters,
+	    .seed = 1,
+	    .stall_timeout_us = 1200000,
+	    .before_read = on_before_read });
+	cache = store_cache_new(store, &kind, &cache_ops, NULL);
+	announced_us = -1;
+	answer("after=", 200, body);
+	assert_int_equal(announced_us, 0); /* no pace is known yet */
+	answer("watch=9", 200, body);
+	assert_true(announced_us >= SLOW_READ_US);
+	announced_us = -1;
+	answer("watch=9", 200, "at 9\n");
+	assert_int_equal(announced_us, -1);
+	g_free(body);
+	g_free(long_body);
+}
+
 /* With hundreds of targets some record changes all the time. A watch begins
  * only after the batch delay, so that changes close together cost one call. */
 static void
@@ -649,6 +704,7 @@
 	const struct CMUnitTest tests[] = {
 		T(test_listing_in_order_of_changes),
 		T(test_pages_then_events),
+		T(test_long_read_is_announced),
 		T(test_changes_are_batched),
 		T(test_history_gone),
 		T(test_refused_calls),
