gateway: Recall before the share of a CPU may be used up

Callers saw 502 for streams that had begun on withdrawn weights.

Cause: a platform that gives a process its share of a CPU as an allowance stops it for the rest of each 100 ms when that is used up: 82 ms at 0.18 cores, where a cancel was given 80. The users' record fits it: 83 ms from the reading of the clock to the close, on a gateway of 0.18 cores, on a way of 1 ms.

The deployment's settings name the share (limits.cpu_share, default 1); what it leaves out of a period is the least time by which the gateway counts as late.

serve-late (test_recalled_before_the_share_of_a_cpu_is_used_up) fails in ten of ten runs with the setter left empty.

--- a/lib/common/cfg_schema_serve.c
+++ b/lib/common/cfg_schema_serve.c
@@ -70,6 +70,13 @@
 	    .fallback = "1000",
 	    .unit = "Mbit/s",
 	    .about = "Bandwidth of the host's link, in each direction." },
+	{ .path = "limits.cpu_share",
+	    .type = CFG_STRING,
+	    .form = CFG_POSITIVE,
+	    .fallback = "1",
+	    .unit = "cores",
+	    .about =
+		"CPU time that the process gets; below one core it may be stopped for the rest of each period of 100 ms." },
 	MAP_RULE("bounds", false, "Bounds that the deployment guarantees."),
 	INT_RULE("bounds.config_ms", 1000, HOUR_MS, "2000", "ms",
 	    "Time within which changed settings of the operators must be in force, also when an answer of the store was lost."),
--- a/lib/serve/fwd.h
+++ b/lib/serve/fwd.h
@@ -67,6 +67,9 @@
     struct fwd *f, const struct sus_termination *termination);
 /* Appends the terminations of all blocked requests, grouped by fingerprint. */
 void fwd_blocked_terminations(const struct fwd *f, GArray *out);
+/* Longest time for which the platform stops the process, as its share of a CPU is
+ * used up. */
+void fwd_set_pause(struct fwd *f, int64_t us);
 /* The process will be busy for `us`: what would have to be recalled from its target
  * in this time is cancelled now. */
 void fwd_expect_hold_up(struct fwd *f, int64_t us);
--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -550,7 +550,13 @@
 int64_t
 fwd_late_us(const struct fwd *f)
 {
-	return MIN(evl_late(f->conf.loop).us, LATE_MAX_US);
+	return MAX(f->pause_us, MIN(evl_late(f->conf.loop).us, LATE_MAX_US));
+}
+
+void
+fwd_set_pause(struct fwd *f, int64_t us)
+{
+	f->pause_us = us;
 }
 
 /* Time that a cancel takes to arrive at the target, at most. */
--- a/lib/serve/fwd_internal.h
+++ b/lib/serve/fwd_internal.h
@@ -129,6 +129,7 @@
 	TAILQ_HEAD(fwd_open_list, fwd_req) open;
 	unsigned int active, waiting;
 	bool draining; /* see fwd_drain() */
+	int64_t pause_us; /* see fwd_set_pause() */
 	size_t buffered; /* bytes of all answers in memory */
 	struct sus *suspects;
 	struct ctr *done, *refused, *failed, *disconnected, *retries, *resumes,
@@ -200,7 +201,8 @@
 void fwd_send(struct fwd_req *r, struct tgt *target);
 /* Whether it may be recalled from a target that has not begun it. */
 bool fwd_may_recall(const struct fwd_req *r);
-/* Time by which this process may be late to do what is due, as it was before. */
+/* Time by which this process may be late to do what is due: as it was before, or as
+ * its share of a CPU allows. */
 int64_t fwd_late_us(const struct fwd *f);
 /* Whether one more attempt may begin while others are in flight. */
 bool fwd_may_hedge(struct fwd_req *r);
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -9,6 +9,9 @@
 #include "shared/proc.h"
 
 #define TICK_US 100000
+/* Period in which a process gets its share of a CPU, at once if it needs it; the
+ * default of the kernel's bandwidth control. */
+#define CPU_PERIOD_US 100000
 /* Longer times for which the process did not run are logged. Shorter than the
  * part of a CPU period that a small share leaves out. */
 #define HELD_UP_US 40000
@@ -410,6 +413,14 @@
 /* Settings                                                            */
 /* ------------------------------------------------------------------ */
 
+static int64_t
+pause_us(const struct cfg *cfg)
+{
+	double share = cfg_num(cfg, "limits.cpu_share");
+
+	return share >= 1 ? 0 : (int64_t)((1 - share) * CPU_PERIOD_US);
+}
+
 static void
 apply_settings(struct gateway *g)
 {
@@ -424,6 +435,7 @@
 	policy->prefill_max_us = cfg_int(cfg, "policy.read_ms") * 1000;
 	policy->gateways = g->gateways;
 	policy->seed = g->seed;
+	fwd_set_pause(g->fwd, pause_us(cfg));
 	budget->ratio = RATIO_USED * cfg_num(cfg, "bounds.retry_ratio");
 	budget->slack = SLACK_USED * cfg_num(cfg, "bounds.retry_slack");
 	budget->window_us =
--- a/tests/serve/test_late.c
+++ b/tests/serve/test_late.c
@@ -102,6 +102,28 @@
 	world_close();
 }
 
+#define CPU_PAUSE_US 95000
+
+/*
+ * Guards against a request that begins on withdrawn weights since the share of a
+ * CPU that its gateway gets is used up when it is to be recalled: the process is
+ * stopped for the rest of the period, for the first time in a while.
+ */
+static void
+test_recalled_before_the_share_of_a_cpu_is_used_up(void **state)
+{
+	struct waiting wait = send_to_old_engine();
+
+	fwd_set_pause(w.fwd, CPU_PAUSE_US);
+	run_until_us(wait.deadline_us - CPU_PAUSE_US + 5000);
+	if (!is_closed(&wait))
+		usleep(CPU_PAUSE_US);
+	assert_true(target_is_disconnected(wait.at));
+	assert_true(now_us() < wait.deadline_us);
+	close(wait.caller);
+	world_close();
+}
+
 int
 main(void)
 {
@@ -109,6 +131,8 @@
 		cmocka_unit_test(
 		    test_recalled_before_the_gateway_is_held_up_again),
 		cmocka_unit_test(test_recalled_before_long_work_begins),
+		cmocka_unit_test(
+		    test_recalled_before_the_share_of_a_cpu_is_used_up),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
