weights: A link is slow before the first chunk has crossed it

Callers saw 502 for streams that had begun up to a second after their weights were withdrawn, at hosts with 0.4 of 7.3 Mbit/s: the request itself was on its way for 1.1 to 1.8 s, and was recalled 0.3 to 0.6 s before the deadline.

Cause: the rate at which chunks arrive was taken from complete ones only. With 5 % of the link a chunk took up to six seconds, so the host reported a free link and a queue of 0.15 s all the while (slow=0 inbound_ms=160). Class: what has not been answered yet does not count as late.

Open requests to peers bound the rate as well, by the age of the last one: a single peer that is slow or silent holds up its own request only.

weights-pick (test_slow_link_shows_before_a_chunk_arrives) fails without it.

--- a/lib/weights/pick.c
+++ b/lib/weights/pick.c
@@ -377,14 +377,49 @@
 	return p->rate_fraction < SLOW_LINK_FRACTION;
 }
 
+/* The last request that was sent to a peer and is open, or NULL. */
+static const struct pick_fetch *
+last_request(const struct pick *p)
+{
+	const struct pick_fetch *fetch, *last = NULL;
+
+	TAILQ_FOREACH (fetch, &p->fetches, link) {
+		if (fetch->peer != NULL)
+			last = fetch;
+	}
+	return last;
+}
+
+/* Received fraction of the download budget. What arrives too slowly for any chunk
+ * to be complete shows in the requests that are open: by the age of the last one,
+ * as a single peer may be slow itself. */
+static double
+received_fraction(const struct pick *p, int64_t now_us)
+{
+	const struct pick_fetch *fetch = last_request(p);
+	double bytes = (double)p->open_requests * (double)p->conf.chunk_bytes;
+	double open_s;
+
+	if (fetch == NULL)
+		return p->rate_fraction;
+	open_s = (double)MAX(1, now_us - fetch->start_us) / SECOND_US;
+	return MIN(p->rate_fraction, bytes / open_s / (double)p->conf.rate);
+}
+
+bool
+pick_arrives_slowly(const struct pick *p, int64_t now_us)
+{
+	return received_fraction(p, now_us) < SLOW_LINK_FRACTION;
+}
+
 int64_t
-pick_inbound_us(const struct pick *p)
+pick_inbound_us(const struct pick *p, int64_t now_us)
 {
 	double bytes = (double)(p->open_requests + p->open_reads) *
 	    (double)p->conf.chunk_bytes;
+	double fraction = MAX(received_fraction(p, now_us), RATE_FRACTION_MIN);
 
-	return (int64_t)(bytes * SECOND_US /
-	    ((double)p->conf.rate * MAX(p->rate_fraction, RATE_FRACTION_MIN)));
+	return (int64_t)(bytes * SECOND_US / ((double)p->conf.rate * fraction));
 }
 
 uint64_t
--- a/lib/weights/wts.c
+++ b/lib/weights/wts.c
@@ -300,7 +300,8 @@
 	const struct xfer *x;
 
 	TAILQ_FOREACH (x, &wts->xfers, link) {
-		if (x->phase != WTS_COMPLETE && pick_is_link_slow(x->pick))
+		if (x->phase != WTS_COMPLETE &&
+		    pick_arrives_slowly(x->pick, clk_now_us(wts->clock)))
 			return true;
 	}
 	return false;
@@ -313,7 +314,7 @@
 	int64_t sum_us = 0;
 
 	TAILQ_FOREACH (x, &wts->xfers, link)
-		sum_us += pick_inbound_us(x->pick);
+		sum_us += pick_inbound_us(x->pick, clk_now_us(wts->clock));
 	return sum_us;
 }
 
--- a/tests/weights/test_pick.c
+++ b/tests/weights/test_pick.c
@@ -485,23 +485,76 @@
 	struct pick *p = new_pick(not_reader());
 	struct pick_peer a = { 0 }, b = { 0 };
 
-	assert_int_equal(pick_inbound_us(p), 0);
+	assert_int_equal(pick_inbound_us(p, 0), 0);
 	pick_add_peer(p, &a, true);
 	pick_add_peer(p, &b, true);
 	add_all_chunks(p, &a);
 	add_all_chunks(p, &b);
 	(void)start_all(p, 0);
 	assert_int_equal(p->open_requests, PICK_REQUESTS_MAX);
-	assert_in_range(pick_inbound_us(p), PICK_REQUESTS_MAX * 10000 - 1,
+	assert_in_range(pick_inbound_us(p, 0), PICK_REQUESTS_MAX * 10000 - 1,
 	    PICK_REQUESTS_MAX * 10000 + 1);
 	p->rate_fraction = 0.5;
-	assert_in_range(pick_inbound_us(p), PICK_REQUESTS_MAX * 20000 - 1,
+	assert_in_range(pick_inbound_us(p, 0), PICK_REQUESTS_MAX * 20000 - 1,
 	    PICK_REQUESTS_MAX * 20000 + 1);
 	pick_remove_peer(p, &a, 0);
 	pick_remove_peer(p, &b, 0);
 	pick_free(p);
 }
 
+/* Guards against a link that counts as fast, and as free of queues, for as long as
+ * it is too slow for one chunk to arrive. */
+static void
+test_slow_link_shows_before_a_chunk_arrives(void **state)
+{
+	struct pick *p = new_pick(not_reader());
+	struct pick_peer a = { 0 }, b = { 0 };
+
+	pick_add_peer(p, &a, true);
+	pick_add_peer(p, &b, true);
+	add_all_chunks(p, &a);
+	add_all_chunks(p, &b);
+	(void)start_all(p, 0);
+	assert_false(pick_arrives_slowly(p, PICK_REQUESTS_MAX * 10000));
+	assert_true(pick_arrives_slowly(p, PICK_REQUESTS_MAX * 40000));
+	assert_true(pick_inbound_us(p, 1000000) >= 1000000);
+	pick_remove_peer(p, &a, 0);
+	pick_remove_peer(p, &b, 0);
+	assert_false(pick_arrives_slowly(p, 1000000));
+	pick_free(p);
+}
+
+/* Guards against the same for one peer that sends nothing, while another one's
+ * chunks arrive. */
+static void
+test_one_silent_peer_is_no_slow_link(void **state)
+{
+	struct pick *p = new_pick(not_reader());
+	struct pick_peer silent = { 0 }, quick = { 0 };
+	struct pick_fetch *fetch;
+	int64_t now_us;
+
+	pick_add_peer(p, &silent, true);
+	pick_add_peer(p, &quick, true);
+	add_all_chunks(p, &silent);
+	add_all_chunks(p, &quick);
+	for (now_us = 0; now_us < 500000; now_us += 10000) {
+		(void)start_all(p, now_us);
+		TAILQ_FOREACH (fetch, &p->fetches, link) {
+			if (fetch->peer == &quick)
+				break;
+		}
+		if (fetch == NULL)
+			break;
+		assert_false(pick_arrives_slowly(p, now_us + 10000));
+		pick_received(p, fetch->index, now_us + 10000);
+	}
+	assert_true(now_us > 0);
+	pick_remove_peer(p, &silent, 0);
+	pick_remove_peer(p, &quick, 0);
+	pick_free(p);
+}
+
 /* Near the end several peers have the last chunk. It is requested from only one
  * peer, and from another after the first has sent nothing for the stall
  * timeout. */
@@ -649,6 +702,8 @@
 		cmocka_unit_test(test_next_rank_reads_after_claim_timeout),
 		cmocka_unit_test(test_takeover_from_slow_reader),
 		cmocka_unit_test(test_inbound_wait_behind_requests),
+		cmocka_unit_test(test_slow_link_shows_before_a_chunk_arrives),
+		cmocka_unit_test(test_one_silent_peer_is_no_slow_link),
 		cmocka_unit_test(test_late_claim_resets_claim_timeout),
 		cmocka_unit_test(test_same_domain_then_idle_then_rarest),
 		cmocka_unit_test(test_no_duplicate_before_stall_timeout),
