cli: An answer with a status above 599 is no answer

An operator's command printed 'refused with status 600' and ended as refused where a faulty gateway or something in its place had answered so: a write may have been carried out, and the next gateway was not asked.

Cause: libsoup accepts any three digits as a status. It refuses 000 itself and awaits another head after 099, so these were no answers before.

programs-cli_http (test_no_status_is_no_answer) failed before for 600 and 999.

--- a/programs/entry/cli_http.c
+++ b/programs/entry/cli_http.c
@@ -10,6 +10,7 @@
 #define CALL_TIMEOUT_S 10
 #define ANSWER_MAX (8u << 20) /* bytes */
 #define INTERIM_MAX 100 /* responses before the final one */
+#define STATUS_MAX 599
 #define READ_BYTES (64u << 10)
 /* An edit conflicts if another operator writes between its read and write. */
 #define EDIT_ATTEMPTS 5
@@ -137,14 +138,17 @@
 		g_bytes_unref(answer);
 	}
 	/* libsoup takes a head that broke off between two lines for a whole
-	 * one with an empty body. */
-	answered =
-	    answer != NULL && (*status != SOUP_STATUS_OK || *out != NULL);
+	 * one with an empty body, and any three digits for a status. */
+	answered = answer != NULL && *status >= 200 && *status <= STATUS_MAX &&
+	    (*status != SOUP_STATUS_OK || *out != NULL);
+	if (!answered && *out != NULL) {
+		json_node_unref(*out);
+		*out = NULL;
+	}
 	if (!answered)
 		err_set(err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN, "%s: %s",
 		    base,
-		    error != NULL ? error->message
-				  : "the answer is not a JSON object");
+		    error != NULL ? error->message : "the answer is malformed");
 	g_clear_error(&error);
 	g_object_unref(message);
 	return answered;
--- a/tests/programs/test_cli_http.c
+++ b/tests/programs/test_cli_http.c
@@ -150,12 +150,55 @@
 	g_free(cli.entry);
 }
 
+/* Guards against a command that reports an answer without a status as a refusal,
+ * although the gateway may have carried it out. */
+static void
+test_no_status_is_no_answer(void **state)
+{
+	static const char *const statuses[] = { "000", "099", "600", "999" };
+	struct cut_gateway g = { 0 };
+	struct cli cli = { .token = (char *)"t" };
+	struct cut kind = { 0 };
+	unsigned int status, bad = 0;
+	struct err err;
+	JsonNode *out;
+	size_t i;
+
+	cli.entry = gateway_open(&g.at);
+	g.kind = &kind;
+	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		char *text = g_strdup_printf(
+		    "HTTP/1.1 %s Odd\r\nContent-Length: 12\r\n\r\n"
+		    "{\"a\":123456}",
+		    statuses[i]);
+
+		kind.text = text;
+		g.len = strlen(text);
+		err = (struct err){ 0 };
+		g.thread = g_thread_new("gateway", answer_in_part, &g);
+		if (cli_call(
+			&cli, "POST", "/v1/x", NULL, &status, &out, &err) ||
+		    out != NULL || err.verdict != VERDICT_MAY_HAVE_RUN) {
+			print_message("%s: status %u\n", statuses[i], status);
+			bad++;
+		}
+		g_thread_join(g.thread);
+		if (out != NULL)
+			json_node_unref(out);
+		g_free(text);
+	}
+	assert_int_equal(bad, 0);
+	close(g.at.listener);
+	g_free(cli.entry);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_endless_answers_end_the_call),
 		cmocka_unit_test(test_no_beginning_is_an_answer),
+		cmocka_unit_test(test_no_status_is_no_answer),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
