tests/fleet: A run that begins after the deadline of its weights counts as stale

The stand-in looked at the deadline when a request arrived, and answers it up to an event later. A request that arrived in time and was recalled too late did not count.

--- a/tests/fleet/engine.c
+++ b/tests/fleet/engine.c
@@ -162,11 +162,23 @@
 	return g_string_free(head, FALSE);
 }
 
+static bool
+is_withdrawn(const struct fleet *f, int64_t version)
+{
+	return version < f->version &&
+	    evl_now_us(f->loop) - f->announced_us > FLEET_VERSION_MS * 1000;
+}
+
+/* A request that has waited begins with its first event. */
 static void
 begin_answer(struct fleet_run *run)
 {
 	char *head = response_head(run);
+	struct fleet *f = run->e->f;
 
+	if (run->e->llm && is_withdrawn(f, run->version) &&
+	    run->begun_us - f->announced_us <= FLEET_VERSION_MS * 1000)
+		f->tally.stale++;
 	fleet_answer_begin_stream(&run->answer, run->r, head);
 	g_free(head);
 }
@@ -309,10 +321,8 @@
 	else
 		fleet_settings_used(
 		    f, (unsigned int)atoi(workspace + strlen("team")), id);
-	if (e->llm && e->version < f->previous_version)
-		f->tally.stale++;
-	if (e->llm && e->version < f->version &&
-	    evl_now_us(f->loop) - f->announced_us > FLEET_VERSION_MS * 1000)
+	if (e->llm &&
+	    (e->version < f->previous_version || is_withdrawn(f, e->version)))
 		f->tally.stale++;
 }
 
