store: Each kind of object has its own pace of reading

What reading an answer takes was remembered for all kinds together, and forgotten by a tenth with each answer: after ten answers with targets, a gateway expected a third of the time that settings take, and what had to be recalled meanwhile was late.

--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -59,8 +59,6 @@
 	int64_t history; /* newest known number; 0: not known */
 	struct ctr *calls, *failed, *unreadable;
 	struct ctr *bytes, *items, *superseded; /* of answers */
-	/* Slowest pace of reading an answer, with what follows from it. */
-	double read_us_per_byte;
 };
 
 enum store_cache_state {
@@ -78,6 +76,8 @@
 
 struct store_cache {
 	LIST_ENTRY(store_cache) link;
+	/* Slowest pace of reading an answer, with what follows from it. */
+	double read_us_per_byte;
 	struct store *store;
 	const struct store_kind *kind;
 	struct store_cache_ops ops;
@@ -630,19 +630,21 @@
 #define READ_PACE_KEPT 0.9
 
 static void
-announce_read(const struct store *s, size_t len)
+announce_read(const struct store_cache *c, size_t len)
 {
+	const struct store *s = c->store;
+
 	if (s->conf.before_read != NULL && len >= READ_LONG_BYTES)
 		s->conf.before_read(
-		    (int64_t)(s->read_us_per_byte * (double)len), s->conf.ctx);
+		    (int64_t)(c->read_us_per_byte * (double)len), s->conf.ctx);
 }
 
 static void
-note_read(struct store *s, size_t len, int64_t us)
+note_read(struct store_cache *c, size_t len, int64_t us)
 {
 	if (len >= READ_LONG_BYTES)
-		s->read_us_per_byte = MAX((double)us / (double)len,
-		    s->read_us_per_byte * READ_PACE_KEPT);
+		c->read_us_per_byte = MAX((double)us / (double)len,
+		    c->read_us_per_byte * READ_PACE_KEPT);
 }
 
 static void
@@ -674,13 +676,13 @@
 static void
 read_answer(struct store_cache *c, const struct hfetch_answer *a)
 {
-	struct store *s = c->store;
+	const struct evl *loop = c->store->conf.loop;
 	int64_t begun_us;
 
-	announce_read(s, a->len);
-	begun_us = evl_clock_us(s->conf.loop);
+	announce_read(c, a->len);
+	begun_us = evl_clock_us(loop);
 	read_page(c, a);
-	note_read(s, a->len, evl_clock_us(s->conf.loop) - begun_us);
+	note_read(c, a->len, evl_clock_us(loop) - begun_us);
 }
 
 static void
