evl: A hold-up counts for five seconds after a longer one, too

Found by a review. Only the longest hold-up was remembered, and what came less than five seconds after it was forgotten with it: after 0.3 and 0.2 s the process counted as punctual 0.6 s after the latter. Two windows of five seconds are kept now.

evl_late_us() adds what the current pass has taken, evl_heard_us() tells since when input may have waited.

http-evl (test_hold_up_counts_after_a_longer_one) asks for both.

--- a/lib/http/evl.c
+++ b/lib/http/evl.c
@@ -13,7 +13,7 @@
 #define ROUNDS_US 50000
 /* Size of one read. Connections with more input are read in turn. */
 #define SCRATCH_BYTES (16u << 10)
-/* What holds the process up comes again within seconds, as load does. */
+/* Time for which a hold-up counts, at least; twice that at most. */
 #define LATE_HOLD_US 5000000
 
 struct evl {
@@ -22,7 +22,9 @@
 	int epoll;
 	int64_t now_us; /* valid during a wake-up */
 	bool in_wakeup;
-	struct evl_late late;
+	/* The longest of this window of LATE_HOLD_US, and of the one before. */
+	struct evl_late late[2];
+	int64_t window_us; /* begin of this window */
 	struct epoll_event batch[BATCH];
 	int batch_len, batch_at;
 	unsigned int nwatched; /* descriptors */
@@ -191,11 +193,18 @@
 note_late(struct evl *e, int64_t due_us)
 {
 	int64_t now_us = clk_now_us(e->clock);
-	int64_t late_us = now_us - due_us;
-
-	if (late_us < e->late.us && now_us - e->late.at_us <= LATE_HOLD_US)
-		return;
-	e->late = (struct evl_late){ .us = late_us, .at_us = now_us };
+	struct evl_late late = { .us = now_us - due_us, .at_us = now_us };
+	static const struct evl_late none;
+
+	if (now_us - e->window_us > LATE_HOLD_US) {
+		e->late[1] = now_us - e->window_us > 2 * LATE_HOLD_US
+		    ? none
+		    : e->late[0];
+		e->late[0] = none;
+		e->window_us = now_us;
+	}
+	if (late.us > e->late[0].us)
+		e->late[0] = late;
 }
 
 /* Returns the number of descriptors that were ready, BATCH at most. */
@@ -356,10 +365,28 @@
 struct evl_late
 evl_late(const struct evl *e)
 {
-	struct evl_late none = { 0 };
+	int64_t age_us = clk_now_us(e->clock) - e->window_us;
+	struct evl_late late = { 0 };
+
+	if (age_us <= 2 * LATE_HOLD_US)
+		late = e->late[0];
+	if (age_us <= LATE_HOLD_US && e->late[1].us > late.us)
+		late = e->late[1];
+	return late;
+}
 
-	return clk_now_us(e->clock) - e->late.at_us > LATE_HOLD_US ? none
-								   : e->late;
+int64_t
+evl_late_us(const struct evl *e)
+{
+	int64_t pass_us = clk_now_us(e->clock) - evl_now_us(e);
+
+	return MAX(evl_late(e).us, pass_us);
+}
+
+int64_t
+evl_heard_us(const struct evl *e)
+{
+	return evl_now_us(e) - evl_late(e).us;
 }
 
 uint8_t *
--- a/lib/http/evl.h
+++ b/lib/http/evl.h
@@ -55,15 +55,20 @@
  * which the process did not run meanwhile. */
 int64_t evl_clock_us(const struct evl *e);
 
-/* How late the loop ran: the longest time of the last five seconds, from when a timer
- * was due, or from the reading of evl_now_us(), to the end of the work that was
- * done then. */
+/* How late the loop ran: the longest time of the last five seconds or more, from
+ * when a timer was due, or from the reading of evl_now_us(), to the end of the
+ * work that was done then. */
 struct evl_late {
 	int64_t us;
 	int64_t at_us; /* when it was measured; 0: not yet */
 };
 
 struct evl_late evl_late(const struct evl *e);
+/* The same in microseconds, with what the current pass has taken so far. */
+int64_t evl_late_us(const struct evl *e);
+/* Time at which input that is handled now may have arrived, at the earliest: it
+ * waits while the process does not run. */
+int64_t evl_heard_us(const struct evl *e);
 
 /* Adds `fd` with `events`, or changes its events. */
 void evl_watch(struct evl *e, struct evl_fd *fd, uint32_t events);
--- a/tests/http/test_evl.c
+++ b/tests/http/test_evl.c
@@ -102,6 +102,50 @@
 	evl_free(loop);
 }
 
+static struct clk_fake fake;
+
+static void
+on_fake_work(struct evl_timer *t)
+{
+	clk_fake_advance_ms(&fake, t->at_us % G_USEC_PER_SEC == 0 ? 300 : 200);
+	has_fired = true;
+}
+
+static void
+work_at(struct evl *loop, int64_t at_us)
+{
+	struct evl_timer timer = { .fire = on_fake_work };
+
+	fake.now_us = at_us;
+	has_fired = false;
+	evl_timer_set(loop, &timer, at_us);
+	while (!has_fired)
+		run_ms(1);
+}
+
+/* Guards against a hold-up that is forgotten at once, as a longer one before it
+ * no longer counts; and against input that is taken for as new as its handling. */
+static void
+test_hold_up_counts_after_a_longer_one(void **state)
+{
+	int64_t begun_us = 100 * G_USEC_PER_SEC;
+	struct evl *loop;
+
+	clk_fake_init(&fake, begun_us);
+	loop = evl_new(&fake.clock);
+	work_at(loop, begun_us);
+	assert_int_equal(evl_late(loop).us, 300000);
+	work_at(loop, begun_us + 4900000);
+	fake.now_us = begun_us + 5500000;
+	assert_true(evl_late(loop).us >= 200000);
+	assert_true(evl_heard_us(loop) <= fake.now_us - 200000);
+	fake.now_us = begun_us + 9000000;
+	assert_true(evl_late(loop).us >= 200000);
+	fake.now_us = begun_us + 30000000;
+	assert_int_equal(evl_late(loop).us, 0);
+	evl_free(loop);
+}
+
 int
 main(void)
 {
@@ -110,6 +154,7 @@
 		cmocka_unit_test(test_stop_within_a_pass_counts_as_late),
 		cmocka_unit_test(test_stop_between_passes_counts_as_late),
 		cmocka_unit_test(test_timer_set_to_the_past_is_not_late),
+		cmocka_unit_test(test_hold_up_counts_after_a_longer_one),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
