gateway: A version was announced when its message may have arrived

Found by a review. A version that waited behind settings counted as announced when it was handled, 0.05 to 0.3 s after it had arrived on a small share of a CPU, and the deadline of the weights before it was that much later. The hold-ups of the last seconds are subtracted, also for versions that sidecars report.

http-evl asks for the time; that the gateway uses it is by reading.

--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -204,7 +204,7 @@
 
 	if (vers_announced(g->announced, v,
 		g->versions == NULL || !store_cache_synced(g->versions),
-		evl_now_us(g->st.loop)))
+		evl_heard_us(g->st.loop)))
 		evt(EVT_VERSION, "model=%s version=%" G_GINT64_FORMAT, v->model,
 		    v->version);
 	g_free(v);
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -102,7 +102,8 @@
 note_announced(
     struct gateway *g, const char *model, uint64_t version, uint64_t age_ms)
 {
-	int64_t announced_us = evl_now_us(g->st.loop) - (int64_t)age_ms * 1000;
+	int64_t announced_us =
+	    evl_heard_us(g->st.loop) - (int64_t)age_ms * 1000;
 
 	if (version <= VERS_FIRST)
 		return;
