--- a/lib/weights/pick.h
+++ b/lib/weights/pick.h
@@ -228,7 +228,8 @@
 int64_t pick_chunk_us(const struct pick *p);
 /* The path to this host is much slower than the download budget. */
 bool pick_is_link_slow(const struct pick *p);
-/* The same as of now: also while not even one chunk has arrived. */
+/* Chunks arrive much more slowly than that now: by the open requests as well, also
+ * while not even one chunk is complete. */
 bool pick_arrives_slowly(const struct pick *p, int64_t now_us);
 /* Time that the chunks requested and not yet received take on this host's link,
  * at most: other inbound traffic waits that long behind them. */
