serve: Reckon the time of a recall in one place

Cause: check_recall() and recall_us() computed the same time, and cancel_due() did it twice for each attempt, each time with the loop's lateness read from the clock.

Change: recall_us() is the only place, and says INT64_MAX for a request that stays, so that one comparison is enough. A comment of gateway.h follows what is counted.

Same behaviour.

--- a/lib/serve/fwd_call.c
+++ b/lib/serve/fwd_call.c
@@ -617,13 +617,13 @@
 	return a->begin_timer.fire != NULL && a->call != NULL && a->status == 0;
 }
 
-/* Time at which the request is to be recalled; 0: it stays. */
+/* Time at which the request is to be recalled; INT64_MAX: it stays. */
 static int64_t
 recall_us(const struct fwd_attempt *a)
 {
 	int64_t end_us = weights_end_us(a);
 
-	return end_us == 0 ? 0 : end_us - recall_margin_us(a);
+	return end_us == 0 ? INT64_MAX : end_us - recall_margin_us(a);
 }
 
 static void
@@ -645,8 +645,7 @@
 
 	TAILQ_FOREACH (r, &f->open, open) {
 		TAILQ_FOREACH (a, &r->attempts, link) {
-			if (may_be_recalled(a) && recall_us(a) != 0 &&
-			    recall_us(a) <= until_us)
+			if (may_be_recalled(a) && recall_us(a) <= until_us)
 				cancel_for_recall(a);
 		}
 	}
@@ -664,7 +663,7 @@
 check_recall(struct fwd_attempt *a)
 {
 	int64_t end_us = weights_end_us(a), now_us = fwd_now(a->req);
-	int64_t next_us, at_us = end_us - recall_margin_us(a);
+	int64_t next_us, at_us = recall_us(a);
 
 	if (end_us == 0)
 		return;
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -40,7 +40,7 @@
 	uint64_t seed; /* random; differs between gateways */
 	bool is_ready;
 	bool callers_full; /* as last logged */
-	int64_t held_up_us; /* end of the last hold-up that was logged */
+	int64_t held_up_us; /* end of the last hold-up that was counted */
 	struct hist late; /* how late the loop ran */
 	int64_t stopping_us; /* start of the planned stop; 0: none */
 	/* Gateways that share the targets, as sidecars report. */
