cli: Read the body of an answer only after its status

Cause: an answer without a valid status was parsed, and the document was freed again further down.

Change: the status is looked at first, so there is nothing to free.

Same behaviour.

--- a/programs/entry/cli_http.c
+++ b/programs/entry/cli_http.c
@@ -113,7 +113,7 @@
 	SoupMessage *message = soup_message_new(method, url);
 	GError *error = NULL;
 	GBytes *answer = NULL, *sent;
-	bool answered;
+	bool is_final, answered;
 	char *bearer;
 
 	g_free(url);
@@ -132,19 +132,14 @@
 		g_bytes_unref(sent);
 	}
 	answer = exchange(session, message, &error);
-	if (answer != NULL) {
-		*status = soup_message_get_status(message);
-		*out = read_object(answer);
-		g_bytes_unref(answer);
-	}
 	/* libsoup takes a head that broke off between two lines for a whole
 	 * one with an empty body, and any three digits for a status. */
-	answered = answer != NULL && *status >= 200 && *status <= STATUS_MAX &&
-	    (*status != SOUP_STATUS_OK || *out != NULL);
-	if (!answered && *out != NULL) {
-		json_node_unref(*out);
-		*out = NULL;
-	}
+	*status = soup_message_get_status(message);
+	is_final = answer != NULL && *status >= 200 && *status <= STATUS_MAX;
+	if (is_final)
+		*out = read_object(answer);
+	g_bytes_unref(answer);
+	answered = is_final && (*status != SOUP_STATUS_OK || *out != NULL);
 	if (!answered)
 		err_set(err, ERR_UNAVAILABLE, VERDICT_MAY_HAVE_RUN, "%s: %s",
 		    base,
