tests: Set-up of serve-late and store-store is written once

Cause: test_late.c had the steps to send a request and to expect its recall several times, and test_store.c opened a store a second way beside open_store().

Change: send_waiting(), expect_recalled() and open_store_as(). The assertions, times and bounds are the same.

--- a/tests/serve/test_late.c
+++ b/tests/serve/test_late.c
@@ -14,21 +14,23 @@
 	int64_t sent_us, deadline_us;
 };
 
-static struct waiting
-send_to_old_engine_for(int64_t left_us)
+static void
+open_old_engine(void)
 {
 	struct sv_config *config = make_config(SV_STREAM, 2, 3000);
-	struct sv_version announced = { .model = MODEL, .version = 2 };
-	struct waiting wait = { 0 };
-	char *request;
 
 	config->routes[0].objective_us = G_USEC_PER_SEC;
 	world_open(1, config);
 	target_announce(&w.target[0], false, 1);
+}
+
+static struct waiting
+send_waiting(int64_t deadline_us)
+{
+	struct waiting wait = { .deadline_us = deadline_us };
+	char *request;
+
 	wait.sent_us = now_us();
-	wait.deadline_us = wait.sent_us + left_us;
-	vers_announced(
-	    w.versions, &announced, false, wait.deadline_us - GRACE_US);
 	wait.caller =
 	    send_request("GET", "/x/1", "T-Deadline: 3000\r\nT-Model: m\r\n");
 	wait.at = target_get(&request);
@@ -36,6 +38,18 @@
 	return wait;
 }
 
+static struct waiting
+send_to_old_engine_for(int64_t left_us)
+{
+	struct sv_version announced = { .model = MODEL, .version = 2 };
+	int64_t deadline_us;
+
+	open_old_engine();
+	deadline_us = now_us() + left_us;
+	vers_announced(w.versions, &announced, false, deadline_us - GRACE_US);
+	return send_waiting(deadline_us);
+}
+
 static struct waiting
 send_to_old_engine(void)
 {
@@ -63,6 +77,16 @@
 		run_ms(1);
 }
 
+/* The request must have been recalled when so much time is left. */
+static void
+expect_recalled(const struct waiting *wait, int64_t left_us)
+{
+	run_until_us(wait->deadline_us - left_us);
+	assert_true(is_closed(wait));
+	close(wait->caller);
+	world_close();
+}
+
 /*
  * Guards against a request that begins on withdrawn weights since its gateway does
  * not run when it is to be recalled: the process is held up for longer than a
@@ -76,10 +100,7 @@
 	struct evl_timer hold_up = { .fire = on_hold_up };
 
 	evl_timer_set(w.loop, &hold_up, wait.sent_us + FIRST_HELD_UP_US);
-	run_until_us(wait.deadline_us - HELD_UP_US + 20000);
-	assert_true(is_closed(&wait));
-	close(wait.caller);
-	world_close();
+	expect_recalled(&wait, HELD_UP_US - 20000);
 }
 
 /*
@@ -120,10 +141,7 @@
 	struct waiting wait = send_to_old_engine();
 
 	fwd_set_pause(w.fwd, CPU_PAUSE_US);
-	run_until_us(wait.deadline_us - CPU_PAUSE_US + 5000);
-	assert_true(is_closed(&wait));
-	close(wait.caller);
-	world_close();
+	expect_recalled(&wait, CPU_PAUSE_US - 5000);
 }
 
 /* Guards against a request that begins on withdrawn weights since its gateway heard
@@ -131,24 +149,14 @@
 static void
 test_recalled_when_the_version_is_heard_of_later(void **state)
 {
-	struct sv_config *config = make_config(SV_STREAM, 2, 3000);
-	struct waiting wait = { 0 };
-	char *request;
+	struct waiting wait;
 
-	config->routes[0].objective_us = G_USEC_PER_SEC;
-	world_open(1, config);
-	target_announce(&w.target[0], false, 1);
-	wait.caller =
-	    send_request("GET", "/x/1", "T-Deadline: 3000\r\nT-Model: m\r\n");
-	wait.at = target_get(&request);
-	g_free(request);
+	open_old_engine();
+	wait = send_waiting(0);
 	wait.deadline_us = now_us() + 3 * HELD_UP_US;
 	(void)vers_reported(w.versions, MODEL, 2, wait.deadline_us - GRACE_US);
 	fwd_versions_changed(w.fwd);
-	run_until_us(wait.deadline_us - 20000);
-	assert_true(is_closed(&wait));
-	close(wait.caller);
-	world_close();
+	expect_recalled(&wait, 20000);
 }
 
 #define LONG_LEFT_US 1900000
@@ -163,10 +171,7 @@
 
 	tgt_find(w.set, "i0")->slow_link = true;
 	fwd_set_pause(w.fwd, LATE_US);
-	run_until_us(wait.deadline_us - 1300000);
-	assert_true(is_closed(&wait));
-	close(wait.caller);
-	world_close();
+	expect_recalled(&wait, 1300000);
 }
 
 int
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -131,15 +131,23 @@
 };
 
 static struct store *
-open_store(const char *address)
+open_store_as(const char *address, const struct store_dialect *d,
+    void (*before_read)(int64_t us, void *ctx))
 {
 	return store_new(&(struct store_conf){ .loop = loop,
 	    .pool = pool,
 	    .address = address,
-	    .dialect = &dialect,
+	    .dialect = d,
 	    .counters = counters,
 	    .seed = 1,
-	    .stall_timeout_us = 1200000 });
+	    .stall_timeout_us = 1200000,
+	    .before_read = before_read });
+}
+
+static struct store *
+open_store(const char *address)
+{
+	return open_store_as(address, &dialect, NULL);
 }
 
 static int
@@ -257,26 +265,16 @@
 static void
 test_long_read_is_announced(void **state)
 {
-	static const struct store_dialect slow = {
-		.list_path = list_path,
-		.history_header = "T-History",
-		.watch_path = watch_path,
-		.read_page = read_page_slowly,
-	};
+	static struct store_dialect slow; /* outlives the test */
 	char *long_body = g_strnfill(8000, '\n');
 	char *body = g_strdup_printf("at 9\na 7\n%s", long_body);
 
+	slow = dialect;
+	slow.read_page = read_page_slowly;
 	store_free(store);
 	run_ms(2);
 	called = false;
-	store = store_new(&(struct store_conf){ .loop = loop,
-	    .pool = pool,
-	    .address = server_address,
-	    .dialect = &slow,
-	    .counters = counters,
-	    .seed = 1,
-	    .stall_timeout_us = 1200000,
-	    .before_read = on_before_read });
+	store = open_store_as(server_address, &slow, on_before_read);
 	cache = store_cache_new(store, &kind, &cache_ops, NULL);
 	announced_us = -1;
 	answer("after=", 200, body);
