gateway: log outages of the store and the deadlines they put off

The logs of a gateway whose watches had been cut off said `store_lost why=closed` for each kind. They did not say whether the call was a watch that waited or one that the store had to answer at once, whether the process counted the store as down, nor that the deadline of a version was put off, by how much, and on whose report.

`store_lost` and `store_back` have the wait of the call, `store_down` says that no call of the process is answered, `deadline` says by how much deadlines are put off and which keeper reported that no gateway is answered. `store_down` and `deadlines_put_off_ms` are on the metrics page. What gateways do about outages moves to gateway_outage.c as it was.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -23,6 +23,8 @@
 	X(EVT_STORE_LOST, "store_lost", EVT_STATE,                               \
 	    "the store stopped responding for one kind of object")               \
 	X(EVT_STORE_BACK, "store_back", EVT_STATE, "the store responds again")   \
+	X(EVT_STORE_DOWN, "store_down", EVT_STATE,                               \
+	    "the store answers no call of this process, or does again")          \
 	X(EVT_STORE_STALE, "store_stale", EVT_STATE,                             \
 	    "an answer of the store was older than what is known")               \
 	X(EVT_STORE_READ, "store_read", EVT_STATE,                               \
@@ -47,6 +49,8 @@
 	X(EVT_NOTICE, "notice", EVT_STATE,                                       \
 	    "a target announced in an answer that it stops, or when to retry")   \
 	X(EVT_VERSION, "version", EVT_STATE, "a new version was announced")      \
+	X(EVT_DEADLINE, "deadline", EVT_STATE,                                   \
+	    "an outage of the store puts deadlines of versions off, or ended")   \
 	X(EVT_READY, "ready", EVT_STATE, "readiness changed")                    \
 	X(EVT_CALLERS, "callers", EVT_STATE,                                     \
 	    "the limit of caller connections was reached, or no longer is")      \
--- a/lib/serve/vers.c
+++ b/lib/serve/vers.c
@@ -155,12 +155,13 @@
 	return vers_announced(v, &announced, false, announced_us);
 }
 
-void
+int64_t
 vers_extend(struct vers *v, int64_t from_us, int64_t until_us)
 {
 	GHashTableIter iter;
 	gpointer model;
 	struct vers_model *m;
+	int64_t longest_us = 0;
 	guint i;
 
 	g_hash_table_iter_init(&iter, v->models);
@@ -170,10 +171,13 @@
 			if (at(m, i)->estimated ||
 			    at(m, i)->announced_us + v->grace_us <= from_us)
 				continue;
+			longest_us =
+			    MAX(longest_us, until_us - at(m, i)->announced_us);
 			at(m, i)->announced_us =
 			    MAX(at(m, i)->announced_us, until_us);
 		}
 	}
+	return longest_us;
 }
 
 int64_t
--- a/lib/serve/vers.h
+++ b/lib/serve/vers.h
@@ -38,8 +38,10 @@
  * store was down for all. The time until a deadline must run without such an
  * interruption: a version whose deadline was after `from_us` gets its full
  * grace time from `until_us`. Versions of unknown age keep their deadlines.
+ * Returns the longest time in microseconds by which a deadline was put off; 0:
+ * none was.
  */
-void vers_extend(struct vers *v, int64_t from_us, int64_t until_us);
+int64_t vers_extend(struct vers *v, int64_t from_us, int64_t until_us);
 /* Minimum version for a request that begins at `at_us`; 0: any. */
 int64_t vers_min(const struct vers *v, const char *model, int64_t at_us);
 /* Time from which no request may begin on `loaded`; 0: none is known. */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -97,6 +97,7 @@
 	int64_t created_us;
 	int64_t answered_us;
 	int64_t called_us; /* begin of the last call */
+	int64_t wait_ms; /* that the store was to hold it; 0: none */
 	int64_t batch_delay_us;
 	int64_t change_bound_us;
 	int64_t backoff_us;
@@ -732,11 +733,12 @@
 {
 	const struct store_conf *conf = &c->store->conf;
 	bool watch = c->state == CACHE_WATCH;
-	int64_t wait_ms = watch ? watch_wait_ms(c) : 0;
 	char *path;
 
+	c->wait_ms = watch ? watch_wait_ms(c) : 0;
 	if (watch)
-		path = conf->dialect->watch_path(c->kind, c->revision, wait_ms);
+		path =
+		    conf->dialect->watch_path(c->kind, c->revision, c->wait_ms);
 	else
 		path = conf->dialect->list_path(c->kind, c->after);
 	c->called_us = now_us(c);
@@ -744,7 +746,7 @@
 	    &(struct hfetch_conf){ .address = c->store->address,
 		.method = "GET",
 		.path = path,
-		.timeout_us = wait_ms * 1000 + call_timeout_us(c),
+		.timeout_us = c->wait_ms * 1000 + call_timeout_us(c),
 		.arrival_timeout_us = ARRIVAL_TIMEOUT_US,
 		.arrival_max_us = ARRIVAL_MAX_US,
 		.header = conf->dialect->history_header,
@@ -874,6 +876,12 @@
 	return c->called_us;
 }
 
+int64_t
+store_cache_wait_ms(const struct store_cache *c)
+{
+	return c->wait_ms;
+}
+
 int64_t
 store_cache_revision(const struct store_cache *c)
 {
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -132,6 +132,8 @@
 int64_t store_cache_answered_us(const struct store_cache *c);
 /* Begin of the last call about this kind, answered or not. */
 int64_t store_cache_called_us(const struct store_cache *c);
+/* How long the store was to hold that call without an answer; 0: not at all. */
+int64_t store_cache_wait_ms(const struct store_cache *c);
 int64_t store_cache_revision(const struct store_cache *c);
 
 #endif
--- a/programs/entry/gateway.c
+++ b/programs/entry/gateway.c
@@ -48,9 +48,10 @@
 
 	evt(up ? EVT_STORE_BACK : EVT_STORE_LOST,
 	    "kind=%s why=%s age_ms=%" G_GINT64_FORMAT
-	    " call_ms=%" G_GINT64_FORMAT,
+	    " call_ms=%" G_GINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT,
 	    kind, why, age_ms(now_us, store_cache_answered_us(cache)),
-	    age_ms(now_us, store_cache_called_us(cache)));
+	    age_ms(now_us, store_cache_called_us(cache)),
+	    store_cache_wait_ms(cache));
 }
 
 static void
@@ -287,41 +288,6 @@
 /* Time                                                                */
 /* ------------------------------------------------------------------ */
 
-/* Validity of a sidecar's report that the store answers no gateway: sidecars
- * are notified at once and report to their region's gateways every 0.25 s. */
-#define ALL_DOWN_VALID_US 1000000
-
-/* Sidecars count the gateways that the store does not answer. */
-static void
-send_store_state(struct gateway *g)
-{
-	bool down = store_down_since_us(g->store) != 0;
-
-	if (down == g->store_down)
-		return;
-	g->store_down = down;
-	gateway_desired_changed(g);
-}
-
-/*
- * While the store answers none of the gateways, no operator can announce, halt
- * or replace a version, and the time until a version's deadline does not run.
- * Otherwise all gateways would stop using engines whose next weights arrive
- * late, and would refuse callers, for a deadline that does not apply: in
- * outages of 8 s during the transfer of a version, two thirds of the callers
- * between 6 and 8 s. One gateway's state is not enough: a broken link between
- * it and the store is no outage.
- */
-static void
-extend_deadlines(struct gateway *g, int64_t now_us)
-{
-	int64_t down_since_us = store_down_since_us(g->store);
-
-	if (down_since_us != 0 && g->all_down_us != 0 &&
-	    now_us - g->all_down_us < ALL_DOWN_VALID_US)
-		vers_extend(g->announced, down_since_us, now_us);
-}
-
 static int64_t
 grace_us(const struct gateway *g)
 {
@@ -389,8 +355,7 @@
 	note_held_up(g);
 	tgt_sweep(g->set, now_us);
 	fwd_sweep(g->fwd);
-	send_store_state(g);
-	extend_deadlines(g, now_us);
+	gateway_outage_update(g);
 	check_ready(g);
 	log_callers(g);
 	gateway_account_update(g);
@@ -492,6 +457,7 @@
 	    "\ntargets_heard_age_ms %" G_GINT64_FORMAT
 	    "\nversions_heard_age_ms %" G_GINT64_FORMAT
 	    "\nconfig_call_age_ms %" G_GINT64_FORMAT
+	    "\nstore_down %d\ndeadlines_put_off_ms %" G_GINT64_FORMAT
 	    "\ncaller_connections %u\ntargets_limited %u\n",
 	    g->is_ready,
 	    fwd_routes(g->fwd) == NULL
@@ -500,8 +466,9 @@
 	    age_ms(now_us, store_cache_answered_us(g->config)),
 	    age_ms(now_us, store_cache_answered_us(g->targets)),
 	    age_ms(now_us, store_cache_answered_us(g->versions)),
-	    age_ms(now_us, store_cache_called_us(g->config)),
-	    hserver_connections(g->callers), tgt_limited(g->set));
+	    age_ms(now_us, store_cache_called_us(g->config)), g->outage.down,
+	    g->outage.total_us / 1000, hserver_connections(g->callers),
+	    tgt_limited(g->set));
 }
 
 /* ------------------------------------------------------------------ */
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -15,6 +15,20 @@
 #include "serve/roster.h"
 #include "shared/station.h"
 
+/* What this process and the sidecars say of an outage of the store. */
+struct gateway_outage {
+	bool down; /* the store answers no call; as last sent to the sidecars */
+	int64_t down_us; /* when that was noticed */
+	/* Last report of a sidecar that no gateway has a working connection to
+	 * the store, the address of its target, and its number of gateways. */
+	int64_t all_down_us;
+	char all_down_from[SV_ADDRESS_MAX];
+	unsigned int all_down_gateways;
+	/* By how much deadlines of versions were put off in this outage, and in
+	 * all of them. */
+	int64_t put_off_us, total_us;
+};
+
 struct gateway {
 	struct daemon st;
 	struct store *store;
@@ -30,7 +44,7 @@
 	/* Last time the desired state was sent to the sidecars of the local and
 	 * of the remote regions. */
 	int64_t desired_local_us, desired_remote_us;
-	bool store_down; /* as last sent to the sidecars */
+	struct gateway_outage outage;
 	/* The desired state must be sent to all sidecars at the end of this
 	 * wake-up. */
 	bool desired_changed;
@@ -46,9 +60,6 @@
 	/* Gateways that share the targets, as sidecars report. */
 	unsigned int gateways;
 	unsigned int local_gateways; /* of these, in this region */
-	/* Last report of a sidecar that no gateway has a working connection to
-	 * the store. */
-	int64_t all_down_us;
 	/* The retry accounts, which outlive the process. */
 	struct acct acct;
 	enum acct_state acct_state; /* as last logged */
@@ -113,6 +124,13 @@
 bool gateway_account_is_wanted(const struct gateway *g);
 void gateway_account_changed(void *ctx); /* ctx: struct gateway */
 
+/* gateway_outage.c: outages of the store, and deadlines that they put off */
+/* Tells the sidecars whether the store is down, and puts deadlines off while it
+ * is for all gateways. */
+void gateway_outage_update(struct gateway *g);
+void gateway_outage_reported(
+    struct gateway *g, const struct side_report *report);
+
 /* gateway.c */
 /* `now` has replaced `before` (NULL: it is new). Pooled connections to the
  * previous start of a target are dead, and answers on them match no request. */
--- a/programs/entry/gateway_peers.c
+++ b/programs/entry/gateway_peers.c
@@ -133,9 +133,6 @@
 	note_announced(g, model, report->older, report->older_age_ms);
 }
 
-/* A single gateway without the store may itself be cut off from it. */
-#define ALL_DOWN_MIN_GATEWAYS 2
-
 static void
 take_report(struct gateway *g, const struct side_report *report)
 {
@@ -163,9 +160,7 @@
 		g->local_gateways = (unsigned int)report->local_gateways;
 		gateway_relay_add_gateway(g, report);
 	}
-	if (report->gateways >= ALL_DOWN_MIN_GATEWAYS &&
-	    report->without_store == report->gateways)
-		g->all_down_us = now_us;
+	gateway_outage_reported(g, report);
 	note_announcements(g, t->service, report);
 	if (note_root(t, report) && completes_votes(g, t))
 		gateway_desired_changed(g);
--- a/programs/entry/gateway_views.c
+++ b/programs/entry/gateway_views.c
@@ -221,7 +221,7 @@
 	desired->chunk_bytes = e->chunk_bytes;
 	desired->slots = e->slots;
 	desired->layers = e->layers;
-	desired->store_down = g->store_down;
+	desired->store_down = g->outage.down;
 	desired->may_cut =
 	    sv_config_may_cut(rtab_config(fwd_routes(g->fwd)), service->name);
 	desired->roster_revision = (uint64_t)roster.revision;
