store: a watch that ends early is no outage of the store

Cause: a call that failed in any way counted as a call that the store did not answer. A watch that waits has nothing to say until something changes, and the store may end it at any time; two such ends within the backoff made all caches of a gateway "down", as the retry of the first was another watch that waits. Both gateways told their keepers, each keeper reported two of two gateways without the store, and the time of the version began anew.

A watch that ends early, by its connection or with a 5xx, now says nothing. It is followed within 50 ms by a watch that does not wait, and only that one, a list, a refused connection or a time-out count as unanswered. Probes of a store that is down do not wait either. While watches are cut again and again, the next one begins after a pause, so changes are in force in time at a bounded number of calls. `store_watch` lines and `store_watches_cut` show it.

store-cut asked that a cut watch is reported as a lost store, which was the fault; it now asks that the call behind it is made at once and that this one, cut at the same places, is reported.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -83,6 +83,7 @@
 	finish(ctx,
 	    &(struct hfetch_answer){ .sent = sent,
 		.error = hcall_failure_name(why),
+		.failure = why,
 		.too_long = why == HCALL_TOO_LONG,
 		.header = "" });
 }
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -32,8 +32,13 @@
 /* Answers that arrive may take longer: settings of 1 MB over a thin link. */
 #define ARRIVAL_TIMEOUT_US CALL_TIMEOUT_US
 #define ARRIVAL_MAX_US 10000000
-/* Watches that probe whether the store is up again do not wait for changes. */
-#define PROBE_WAIT_MS 100
+/*
+ * The store may end a watch at any time, which says neither that it answers nor
+ * that it does not. A call that it must answer at once tells: a watch that does
+ * not wait. Processes whose watches are cut off together spread their calls over
+ * this time.
+ */
+#define CUT_SPREAD_US 50000
 /* Calls to a store that does not answer cost as much as others: only one
  * or two caches retry soon, and their first answer wakes the others. */
 #define BACKOFF_FIRST_US 150000
@@ -57,7 +62,7 @@
 	struct rng rng;
 	LIST_HEAD(caches, store_cache) caches;
 	int64_t history; /* newest known number; 0: not known */
-	struct ctr *calls, *failed, *unreadable;
+	struct ctr *calls, *failed, *unreadable, *cuts;
 	struct ctr *bytes, *items, *superseded; /* of answers */
 };
 
@@ -102,6 +107,11 @@
 	int64_t change_bound_us;
 	int64_t backoff_us;
 	unsigned int failures; /* consecutive */
+	/* Watches that ended early since the last one that was answered after
+	 * a wait, and the time of the first. */
+	unsigned int cuts;
+	int64_t cut_us;
+	bool check; /* the next watch must be answered at once */
 	bool synced;
 	bool partial; /* the last list was not read to its end */
 	int64_t list_again_us; /* with `partial` */
@@ -223,11 +233,67 @@
 	    c->store->conf.loop, &c->timer, now_us(c) + c->backoff_us - jitter);
 }
 
+/* Whether a watch ended before its time, in any way in which a connection or a
+ * server can end it. */
+static bool
+ended_early(const struct store_cache *c, const struct hfetch_answer *a)
+{
+	if (c->wait_ms == 0 || a->timed_out)
+		return false;
+	if (a->status != 0)
+		return a->status >= 500;
+	return a->failure == HCALL_CLOSED || a->failure == HCALL_TRUNCATED ||
+	    a->failure == HCALL_RESET;
+}
+
+/* Asks the store at once whether it answers. */
+static void
+handle_cut(struct store_cache *c, const char *why)
+{
+	int64_t now = now_us(c);
+
+	ctr_add(c->store->cuts, 1);
+	if (c->cuts++ == 0) {
+		c->cut_us = now;
+		evt(EVT_STORE_WATCH,
+		    "kind=%s state=cut why=%s ms=%" G_GINT64_FORMAT
+		    " wait_ms=%" G_GINT64_FORMAT,
+		    c->kind->name, why, (now - c->called_us) / 1000,
+		    c->wait_ms);
+	}
+	c->check = true;
+	evl_timer_set(c->store->conf.loop, &c->timer,
+	    now + (int64_t)rng_below(&c->store->rng, CUT_SPREAD_US));
+}
+
+/* A watch was answered, at once or after a wait. */
+static void
+note_watch_answered(struct store_cache *c)
+{
+	c->check = false;
+	if (c->cuts == 0 || c->wait_ms == 0)
+		return;
+	evt(EVT_STORE_WATCH, "kind=%s state=kept cuts=%u ms=%" G_GINT64_FORMAT,
+	    c->kind->name, c->cuts, (now_us(c) - c->cut_us) / 1000);
+	c->cuts = 0;
+}
+
+/* Time to the next watch, of which the store may end each one at once. */
+static int64_t
+cut_pause_us(const struct store_cache *c)
+{
+	if (c->cuts < 2)
+		return 0;
+	return MIN(
+	    (int64_t)BACKOFF_FIRST_US << MIN(c->cuts - 2, 8), BACKOFF_MAX_US);
+}
+
 static void
 begin_list(struct store_cache *c)
 {
 	c->state = CACHE_LIST;
 	c->watching = false;
+	c->check = false;
 	c->listing++;
 	c->list_revision = 0;
 	g_clear_pointer(&c->after, g_free);
@@ -425,15 +491,18 @@
 	}
 }
 
-/* Starts the next call after the batch delay. */
+/* Starts the next call after the batch delay, or a longer one while watches are
+ * cut off. */
 static void
 schedule_call(struct store_cache *c)
 {
-	if (c->batch_delay_us == 0)
+	int64_t delay_us = MAX(c->batch_delay_us, cut_pause_us(c));
+
+	if (delay_us == 0)
 		next_call(c);
 	else
-		evl_timer_set(c->store->conf.loop, &c->timer,
-		    now_us(c) + c->batch_delay_us);
+		evl_timer_set(
+		    c->store->conf.loop, &c->timer, now_us(c) + delay_us);
 }
 
 /* Logs the first of a row of answers that are older than what is known. */
@@ -513,6 +582,7 @@
 	handle_success(c);
 	handle_items(c, page);
 	if (c->state == CACHE_WATCH) {
+		note_watch_answered(c);
 		c->revision = page->revision;
 		if (must_list_again(c))
 			begin_list(c);
@@ -690,7 +760,8 @@
 on_answer(const struct hfetch_answer *a, void *ctx)
 {
 	struct store_cache *c = ctx;
-	char why[32];
+	char status[32];
+	const char *why = a->error;
 
 	c->call = NULL;
 	if (a->status != 0 && !note_history(c, a))
@@ -706,11 +777,16 @@
 	} else if (a->status == 410 && c->state == CACHE_WATCH) {
 		begin_list(c); /* the history from there on is gone */
 		next_call(c);
-	} else if (a->status == 0) {
-		back_off(c, a->error);
 	} else {
-		g_snprintf(why, sizeof(why), "status_%u", a->status);
-		back_off(c, why);
+		if (a->status != 0) {
+			g_snprintf(
+			    status, sizeof(status), "status_%u", a->status);
+			why = status;
+		}
+		if (ended_early(c, a))
+			handle_cut(c, why);
+		else
+			back_off(c, why);
 	}
 }
 
@@ -719,8 +795,8 @@
 {
 	int64_t wait_us = c->store->conf.stall_timeout_us - WATCH_ANSWER_US;
 
-	if (c->down)
-		return PROBE_WAIT_MS;
+	if (c->down || c->check)
+		return 0;
 	if (c->change_bound_us != 0)
 		wait_us = MIN(wait_us,
 		    c->change_bound_us - WATCH_ANSWER_US -
@@ -795,6 +871,7 @@
 	s->failed = ctr_get(conf->counters, "store_calls_failed");
 	s->unreadable = ctr_get(conf->counters, "store_entries_unreadable");
 	s->bytes = ctr_get(conf->counters, "store_bytes");
+	s->cuts = ctr_get(conf->counters, "store_watches_cut");
 	s->items = ctr_get(conf->counters, "store_items");
 	s->superseded = ctr_get(conf->counters, "store_items_superseded");
 	return s;
--- a/programs/entry/explain.c
+++ b/programs/entry/explain.c
@@ -140,8 +140,9 @@
 is_process_event(const char *ev)
 {
 	static const char *const names[] = { "start", "stop", "reload",
-		"store_lost", "store_back", "store_stale", "store_history",
-		"config", "version", "ready", "notice", "lines_dropped" };
+		"store_lost", "store_back", "store_watch", "store_down",
+		"deadline", "store_stale", "store_history", "config", "version",
+		"ready", "notice", "lines_dropped" };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(names); i++) {
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -13,7 +13,8 @@
  *         --settings-gap-ms N --idle-ms N --other-idle-ms N --many-routes N
  *         --late N --crowd N --ends-judged 0|1
  *         --fail-from SECONDS --fail-permille N --failures 0|1
- *         and those of held.c (--hold-*), odd.c (--odd-*) and away.c (--away-*),
+ *         and those of held.c (--hold-*), odd.c (--odd-*), away.c (--away-*) and
+ *         cuts.c (--cut-*, --origin-*),
  *         --rename-gap-ms and --always-routes of settings.c; see --help
  *
  * Silences are of sound engines, which go on where they were. Settings change
@@ -458,6 +459,7 @@
 	fleet_crowds_start(&f);
 	fleet_endless_start(&f);
 	fleet_away_start(&f);
+	fleet_cuts_start(&f, (uint64_t)seed + 10);
 	fleet_held_start(&f);
 	fleet_odd_start(&f);
 	f.schedule.fire = on_schedule;
@@ -591,6 +593,8 @@
 		    "Orders that come late:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_away_options(), 0,
 		    "Absences of the store:", NULL },
+		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_cuts_options(), 0,
+		    "Watches that end early:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_odd_options(), 0,
 		    "Entries of other writers:", NULL },
 		{ "late-reads", 0, POPT_ARG_INT, &f.late_reads, 0,
--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -240,6 +240,27 @@
 	}
 }
 
+void
+fleet_store_cut_watches(struct fleet *f, const char *kind, bool within)
+{
+	struct fleet_watch *w = LIST_FIRST(&f->watches), *next;
+
+	for (; w != NULL; w = next) {
+		struct hreq *r = w->r;
+
+		next = LIST_NEXT(w, link);
+		if (strcmp(w->kind, kind) != 0)
+			continue;
+		watch_free(w);
+		if (within) {
+			hreq_begin(
+			    r, 200, "Content-Type: application/json\r\n");
+			hreq_write(r, "{\"events\":[", 11);
+		}
+		hreq_abort(r);
+	}
+}
+
 void
 fleet_store_discard_history(struct fleet *f)
 {
--- a/tests/store/test_cut.c
+++ b/tests/store/test_cut.c
@@ -45,7 +45,7 @@
 static char *
 watch_path(const struct store_kind *kind, int64_t since, int64_t wait_ms)
 {
-	return g_strdup("/watch");
+	return g_strdup(wait_ms > 0 ? "/watch" : "/watch-now");
 }
 
 /* Accepts shorter bodies, too: only whole answers may come here. */
@@ -166,7 +166,8 @@
 }
 
 /* Guards against a watch that broke off and counts as news, or ends what is
- * known. */
+ * known: one that waited, and the one that asks at once whether the store
+ * answers. Only the latter shows that it does not. */
 static void
 test_watch_breaks_off(void **state)
 {
@@ -175,11 +176,13 @@
 	list_the_object();
 	for (i = 0; i < G_N_ELEMENTS(places); i++) {
 		down = false;
-		answer("/watch", EMPTY, places[i], i % 2 == 1);
+		answer("/watch ", EMPTY, places[i], i % 2 == 1);
+		answer("/watch-now ", EMPTY, places[i], i % 2 == 0);
+		assert_false(down);
 		run_until(&down);
 		assert_int_equal(objects, 1);
 		/* A whole answer ends the backoff. */
-		answer("/watch", EMPTY, strlen(EMPTY), false);
+		answer("/watch-now ", EMPTY, strlen(EMPTY), false);
 	}
 }
 
