store: an answer of no use is no outage of the store

An answer with 429 or another 4xx, of an older revision or history, or one that cannot be read counted as a call that the store did not answer. A limit on calls that meets all gateways together, 2,000 a second at the users' deployments, would have put the deadlines of versions off for as long as it lasts, and requests would begin on withdrawn weights.

The store counts as down only by calls that it had to answer and did not. When a call is repeated and what is logged stay as they were.

--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -44,10 +44,10 @@
 #define BACKOFF_FIRST_US 150000
 #define BACKOFF_MAX_US 400000
 #define BACKOFF_FOLLOWER_US 2000000
-/* Consecutive failures from which the store counts as down. A process that
+/* Consecutive answers missing from which the store counts as down. A process that
  * stalled finds that all its calls have timed out at once, and the next ones
  * are answered. */
-#define DOWN_FAILURES 2
+#define DOWN_MISSING 2
 /* An answer with this many values that a later one in it replaces is a replay of
  * history: the cache is behind. */
 #define SUPERSEDED_BEHIND 4
@@ -107,6 +107,8 @@
 	int64_t change_bound_us;
 	int64_t backoff_us;
 	unsigned int failures; /* consecutive */
+	/* Consecutive calls that the store had to answer and did not. */
+	unsigned int missing;
 	/* Watches that ended early since the last one that was answered after
 	 * a wait, and the time of the first. */
 	unsigned int cuts;
@@ -157,16 +159,16 @@
 {
 	const struct store_cache *c;
 	int64_t answered_us = 0;
-	unsigned int failures = 0;
+	unsigned int missing = 0;
 
 	LIST_FOREACH (c, &s->caches, link) {
-		if (!c->down)
+		if (c->missing == 0)
 			return 0;
 		answered_us =
 		    MAX(answered_us, MAX(c->answered_us, c->created_us));
-		failures = MAX(failures, c->failures);
+		missing = MAX(missing, c->missing);
 	}
-	return failures < DOWN_FAILURES ? 0 : answered_us;
+	return missing < DOWN_MISSING ? 0 : answered_us;
 }
 
 /* The cache without an answer after `c`, or the first one of the store. */
@@ -212,13 +214,15 @@
 	    CALL_TIMEOUT_MAX_US);
 }
 
+/* `answered`: the store did answer, but nothing that is of use here. */
 static void
-back_off(struct store_cache *c, const char *why)
+back_off(struct store_cache *c, const char *why, bool answered)
 {
 	int64_t jitter;
 
 	ctr_add(c->store->failed, 1);
 	c->failures++;
+	c->missing = answered ? 0 : c->missing + 1;
 	set_link(c, false, why);
 	if (!is_prober(c))
 		c->backoff_us = BACKOFF_FOLLOWER_US;
@@ -246,6 +250,17 @@
 	    a->failure == HCALL_RESET;
 }
 
+/* Whether there was an answer, if not a useful one: a limit on calls or a page that
+ * cannot be read are no outage. */
+static bool
+is_answer(const struct hfetch_answer *a)
+{
+	if (a->status != 0)
+		return a->status < 500;
+	return !a->timed_out &&
+	    (a->failure == HCALL_MALFORMED || a->failure == HCALL_TOO_LONG);
+}
+
 /* Asks the store at once whether it answers. */
 static void
 handle_cut(struct store_cache *c, const char *why)
@@ -331,6 +346,7 @@
 	c->answered_us = now_us(c);
 	c->backoff_us = 0;
 	c->failures = 0;
+	c->missing = 0;
 	c->lost_us = 0;
 	if (!was_down)
 		return;
@@ -575,7 +591,7 @@
 		log_stale(c, "revision", page->revision, c->revision);
 		drop_items(c, page);
 		begin_list(c);
-		back_off(c, "stale answer");
+		back_off(c, "stale answer", true);
 		return;
 	}
 	c->stale = false;
@@ -651,7 +667,7 @@
 		return true;
 	if (history < before) {
 		log_stale(c, "history", history, before);
-		back_off(c, "answer of an older history");
+		back_off(c, "answer of an older history", true);
 		return false;
 	}
 	c->store->history = history;
@@ -739,7 +755,7 @@
 		drop_items(c, &page);
 		log_warn("store: malformed answer about %s: %s", c->kind->name,
 		    err.message);
-		back_off(c, "unreadable answer");
+		back_off(c, "unreadable answer", true);
 	}
 	g_array_unref(page.items);
 }
@@ -786,7 +802,7 @@
 		if (ended_early(c, a))
 			handle_cut(c, why);
 		else
-			back_off(c, why);
+			back_off(c, why, is_answer(a));
 	}
 }
 
--- a/tests/store/test_watch_cut.c
+++ b/tests/store/test_watch_cut.c
@@ -41,6 +41,10 @@
 	MODE_BUSY, /* 503 */
 	MODE_RESET, /* each connection ends instead of an answer */
 	MODE_REFUSE, /* nothing listens */
+	MODE_LIMIT, /* 429 */
+	MODE_UNREADABLE, /* 200, but no page */
+	MODE_OLD, /* a revision before the known one */
+	MODE_INVALID, /* 400 */
 };
 
 enum form {
@@ -220,6 +224,18 @@
 	case MODE_RESET:
 		hreq_abort(r);
 		return true;
+	case MODE_LIMIT:
+		hreq_answer(r, 429, "", "", 0);
+		return true;
+	case MODE_UNREADABLE:
+		hreq_answer(r, 200, "", "{", 1);
+		return true;
+	case MODE_OLD:
+		hreq_answer(r, 200, "", "1.", 2);
+		return true;
+	case MODE_INVALID:
+		hreq_answer(r, 400, "", "", 0);
+		return true;
 	default:
 		return false;
 	}
@@ -555,6 +571,27 @@
 	}
 }
 
+/* Guards against a store that answers, but not with what was asked for, and counts
+ * as one that does not answer: a limit on calls, pages that cannot be read. */
+static void
+test_useless_answers_are_no_outage(void **state)
+{
+	static const enum mode modes[] = { MODE_LIMIT, MODE_UNREADABLE,
+		MODE_OLD, MODE_INVALID };
+	unsigned int i;
+
+	run_ms(1000);
+	for (i = 0; i < CLIENTS; i++)
+		clients[i].mode = modes[i % G_N_ELEMENTS(modes)];
+	run_and_look_ms(6000);
+	for (i = 0; i < CLIENTS; i++) {
+		clients[i].mode = MODE_ANSWER;
+		write_change(&clients[i], (int)(i % KINDS));
+	}
+	run_and_look_ms(3000);
+	assert_no_outage();
+}
+
 /* ------------------------------------------------------------------ */
 /* Outages                                                             */
 /* ------------------------------------------------------------------ */
@@ -662,6 +699,7 @@
 	const struct CMUnitTest tests[] = {
 		T(test_cut_watches_are_no_outage),
 		T(test_every_watch_is_cut),
+		T(test_useless_answers_are_no_outage),
 		T(test_outage_is_noticed),
 		T(test_outage_after_cuts),
 	};
