store: an outage counts from the first answer that is missing

An outage counted from the last answer of the store, up to 2.2 s before it began, as a watch that waits is silent for that long while the store is up. A deadline of a version that passed in between was put off afterwards: older weights that gateways had withdrawn in a stable stretch served again, also after the store's return.

It counts from the time at which the first missing answer was due, and from no time before the last answer. A deadline that passed before that stays passed.

--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -99,7 +99,6 @@
 	char *after; /* last name of the pages received so far */
 	int64_t list_revision; /* revision of the first page */
 	int64_t revision;
-	int64_t created_us;
 	int64_t answered_us;
 	int64_t called_us; /* begin of the last call */
 	int64_t wait_ms; /* that the store was to hold it; 0: none */
@@ -109,6 +108,7 @@
 	unsigned int failures; /* consecutive */
 	/* Consecutive calls that the store had to answer and did not. */
 	unsigned int missing;
+	int64_t missing_us; /* when the first of them was due */
 	/* Watches that ended early since the last one that was answered after
 	 * a wait, and the time of the first. */
 	unsigned int cuts;
@@ -158,17 +158,17 @@
 store_down_since_us(const struct store *s)
 {
 	const struct store_cache *c;
-	int64_t answered_us = 0;
+	int64_t answered_us = 0, due_us = INT64_MAX;
 	unsigned int missing = 0;
 
 	LIST_FOREACH (c, &s->caches, link) {
 		if (c->missing == 0)
 			return 0;
-		answered_us =
-		    MAX(answered_us, MAX(c->answered_us, c->created_us));
+		answered_us = MAX(answered_us, c->answered_us);
+		due_us = MIN(due_us, c->missing_us);
 		missing = MAX(missing, c->missing);
 	}
-	return missing < DOWN_MISSING ? 0 : answered_us;
+	return missing < DOWN_MISSING ? 0 : MAX(due_us, answered_us);
 }
 
 /* The cache without an answer after `c`, or the first one of the store. */
@@ -222,7 +222,11 @@
 
 	ctr_add(c->store->failed, 1);
 	c->failures++;
-	c->missing = answered ? 0 : c->missing + 1;
+	if (answered)
+		c->missing = 0;
+	else if (c->missing++ == 0)
+		c->missing_us = c->unanswered ? c->called_us + c->wait_ms * 1000
+					      : now_us(c);
 	set_link(c, false, why);
 	if (!is_prober(c))
 		c->backoff_us = BACKOFF_FOLLOWER_US;
@@ -929,7 +933,6 @@
 	c->ops = *ops;
 	c->ctx = ctx;
 	c->timer.fire = on_timer;
-	c->created_us = now_us(c);
 	c->batch_delay_us = kind->batch_delay_us;
 	c->known =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -85,9 +85,9 @@
 void store_set_address(struct store *s, const char *address);
 /* Number of the store's newest known history; 0: not known. */
 int64_t store_history(const struct store *s);
-/* Time of the last answer, or of the creation of the caches if there was
- * none, while the store answers no call and more than one call has failed;
- * 0: the store answers. */
+/* Time from which the store is known to answer no call, once more than one answer
+ * is missing; 0: it answers. Before that time it may have answered, also if nothing
+ * was heard of it. */
 int64_t store_down_since_us(const struct store *s);
 
 /* ------------------------------------------------------------------ */
--- a/tests/store/test_watch_cut.c
+++ b/tests/store/test_watch_cut.c
@@ -21,6 +21,8 @@
 /* Silence shows at the time by which a stalled connection is to be detected; one
  * more call must go unanswered after that. */
 #define SILENCE_BOUND_US (STALL_TIMEOUT_US + NOTICE_BOUND_US)
+/* A call may be on its way for this long. */
+#define ON_THE_WAY_US 100000
 /* Calls of one cache within a second that cut watches may cost. */
 #define CALLS_PER_S 10
 #define HEAD_CLOSE "Connection: close\r\n"
@@ -628,7 +630,8 @@
 /*
  * The other direction: an outage that begins as it cuts all watches is noticed at
  * once, a silent one as soon as watches go unanswered, and counts without a break
- * until the store returns.
+ * until the store returns. Guards against one that counts from the last answer on:
+ * a deadline that passed after it, while the store was up, would be put off.
  */
 static void
 test_outage_is_noticed(void **state)
@@ -651,6 +654,8 @@
 		assert_int_equal(c->outages, 1);
 		assert_true(c->down_us != 0);
 		assert_true(c->down_us - begun_us < bound_us);
+		assert_true(
+		    store_down_since_us(c->store) >= begun_us - ON_THE_WAY_US);
 		end_outage(c);
 	}
 	run_and_look_ms(NOTICE_BOUND_US / 1000);
