store: a kind that cannot be read holds up no other

While the answers about one kind could not be read, another kind that lost a single answer waited for 1.5 to 2 s before its next call, as all failed calls counted as failures of the same store: only the first failing cache retried soon, and its first answer, which never came, would have woken the other.

Only failures that all kinds share, a missing answer and a limit on calls, leave the retries to one cache.

store-watch_cut, 24 clients with versions that cannot be read and one lost answer about the settings: 24 learn the next settings later than 2 s after their acknowledgement before, none after.

--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -118,7 +118,10 @@
 	bool partial; /* the last list was not read to its end */
 	int64_t list_again_us; /* with `partial` */
 	bool watching; /* `revision` is valid to watch from */
-	bool down;
+	bool down; /* as its owner was told */
+	/* The last call failed for a reason that all kinds share: the store does
+	 * not answer, or takes no more calls. */
+	bool common;
 	/* The last call got no answer in its time, and when a call was last
 	 * given up for that; 0: none since the last answer. */
 	bool unanswered;
@@ -171,12 +174,12 @@
 	return missing < DOWN_MISSING ? 0 : MAX(due_us, answered_us);
 }
 
-/* The cache without an answer after `c`, or the first one of the store. */
+/* The cache after `c`, or the first one of the store, that fails like the others. */
 static const struct store_cache *
-next_down(const struct store *s, const struct store_cache *c)
+next_failing(const struct store *s, const struct store_cache *c)
 {
 	c = c == NULL ? LIST_FIRST(&s->caches) : LIST_NEXT(c, link);
-	while (c != NULL && !c->down)
+	while (c != NULL && !c->common)
 		c = LIST_NEXT(c, link);
 	return c;
 }
@@ -190,18 +193,18 @@
 static bool
 is_second_prober(const struct store_cache *c)
 {
-	const struct store_cache *first = next_down(c->store, NULL);
+	const struct store_cache *first = next_failing(c->store, NULL);
 
 	return first != NULL && first != c && first->unanswered &&
 	    first->failures >= CALL_TIMEOUT_ATTEMPTS &&
-	    next_down(c->store, first) == c;
+	    next_failing(c->store, first) == c;
 }
 
-/* Whether this cache, among those without an answer, probes for all. */
+/* Whether this cache, among those that fail alike, probes for all. */
 static bool
 is_prober(const struct store_cache *c)
 {
-	return next_down(c->store, NULL) == c || is_second_prober(c);
+	return next_failing(c->store, NULL) == c || is_second_prober(c);
 }
 
 static int64_t
@@ -214,21 +217,28 @@
 	    CALL_TIMEOUT_MAX_US);
 }
 
-/* `answered`: the store did answer, but nothing that is of use here. */
+/* Why a call brought nothing. */
+enum call_failure {
+	CALL_MISSING, /* the store had to answer and did not */
+	CALL_LIMITED, /* it takes no more calls */
+	CALL_USELESS, /* it answered, with nothing of use for this kind */
+};
+
 static void
-back_off(struct store_cache *c, const char *why, bool answered)
+back_off(struct store_cache *c, const char *why, enum call_failure failure)
 {
 	int64_t jitter;
 
 	ctr_add(c->store->failed, 1);
 	c->failures++;
-	if (answered)
+	if (failure != CALL_MISSING)
 		c->missing = 0;
 	else if (c->missing++ == 0)
 		c->missing_us = c->unanswered ? c->called_us + c->wait_ms * 1000
 					      : now_us(c);
+	c->common = failure != CALL_USELESS;
 	set_link(c, false, why);
-	if (!is_prober(c))
+	if (c->common && !is_prober(c))
 		c->backoff_us = BACKOFF_FOLLOWER_US;
 	else if (c->backoff_us == 0)
 		c->backoff_us = BACKOFF_FIRST_US;
@@ -254,15 +264,17 @@
 	    a->failure == HCALL_RESET;
 }
 
-/* Whether there was an answer, if not a useful one: a limit on calls or a page that
- * cannot be read are no outage. */
-static bool
-is_answer(const struct hfetch_answer *a)
+static enum call_failure
+failure_of(const struct hfetch_answer *a)
 {
+	if (a->status == 429)
+		return CALL_LIMITED;
 	if (a->status != 0)
-		return a->status < 500;
-	return !a->timed_out &&
-	    (a->failure == HCALL_MALFORMED || a->failure == HCALL_TOO_LONG);
+		return a->status < 500 ? CALL_USELESS : CALL_MISSING;
+	if (!a->timed_out &&
+	    (a->failure == HCALL_MALFORMED || a->failure == HCALL_TOO_LONG))
+		return CALL_USELESS;
+	return CALL_MISSING;
 }
 
 /* Asks the store at once whether it answers. */
@@ -351,6 +363,7 @@
 	c->backoff_us = 0;
 	c->failures = 0;
 	c->missing = 0;
+	c->common = false;
 	c->lost_us = 0;
 	if (!was_down)
 		return;
@@ -595,7 +608,7 @@
 		log_stale(c, "revision", page->revision, c->revision);
 		drop_items(c, page);
 		begin_list(c);
-		back_off(c, "stale answer", true);
+		back_off(c, "stale answer", CALL_USELESS);
 		return;
 	}
 	c->stale = false;
@@ -671,7 +684,7 @@
 		return true;
 	if (history < before) {
 		log_stale(c, "history", history, before);
-		back_off(c, "answer of an older history", true);
+		back_off(c, "answer of an older history", CALL_USELESS);
 		return false;
 	}
 	c->store->history = history;
@@ -759,7 +772,7 @@
 		drop_items(c, &page);
 		log_warn("store: malformed answer about %s: %s", c->kind->name,
 		    err.message);
-		back_off(c, "unreadable answer", true);
+		back_off(c, "unreadable answer", CALL_USELESS);
 	}
 	g_array_unref(page.items);
 }
@@ -806,7 +819,7 @@
 		if (ended_early(c, a))
 			handle_cut(c, why);
 		else
-			back_off(c, why, is_answer(a));
+			back_off(c, why, failure_of(a));
 	}
 }
 
--- a/tests/store/test_watch_cut.c
+++ b/tests/store/test_watch_cut.c
@@ -11,7 +11,12 @@
 #include "store/store.h"
 
 #define CLIENTS 24
-#define KINDS 3
+enum {
+	KIND_SERVERS,
+	KIND_CONFIG,
+	KIND_VERSIONS,
+	KINDS
+};
 /* The bounds of the users' deployments. */
 #define STALL_TIMEOUT_US 3000000
 #define CHANGE_BOUND_US 2000000
@@ -73,6 +78,7 @@
 	struct store *store;
 	char address[32];
 	enum mode mode;
+	bool unreadable; /* versions are */
 	LIST_HEAD(, watch) watches;
 	struct rng rng;
 	int64_t revision;
@@ -261,6 +267,10 @@
 	hreq_set_ctx(r, NULL);
 	if (refuse(c, r))
 		return;
+	if (c->unreadable && kind == KIND_VERSIONS) {
+		hreq_answer(r, 200, "", "{", 1);
+		return;
+	}
 	if (c->mode == MODE_SILENT ||
 	    (wait_us > 0 && c->changed[kind] <= since))
 		begin_watch(c, r, kind, since, wait_us);
@@ -594,6 +604,32 @@
 	assert_no_outage();
 }
 
+/* Guards against a kind that cannot be read and makes the others wait for it: after
+ * one lost answer they retried as rarely as beside a store that is down. */
+static void
+test_unreadable_kind_holds_up_no_other(void **state)
+{
+	struct client *c;
+	struct watch *w, *next;
+	unsigned int i;
+
+	run_ms(1500);
+	for (i = 0; i < CLIENTS; i++)
+		clients[i].unreadable = true;
+	run_and_look_ms(3000);
+	for (i = 0; i < CLIENTS; i++) {
+		c = &clients[i];
+		for (w = LIST_FIRST(&c->watches); w != NULL; w = next) {
+			next = LIST_NEXT(w, link);
+			if (w->kind == KIND_CONFIG)
+				(void)watch_take(w);
+		}
+		write_change(c, KIND_CONFIG);
+	}
+	run_and_look_ms(3000);
+	assert_no_outage();
+}
+
 /* ------------------------------------------------------------------ */
 /* Outages                                                             */
 /* ------------------------------------------------------------------ */
@@ -705,6 +741,7 @@
 		T(test_cut_watches_are_no_outage),
 		T(test_every_watch_is_cut),
 		T(test_useless_answers_are_no_outage),
+		T(test_unreadable_kind_holds_up_no_other),
 		T(test_outage_is_noticed),
 		T(test_outage_after_cuts),
 	};
