tests: settings beside cut watches, and soaks with them

system-watch_cuts plays gateways whose store ends every watch soon while the settings change three times a second: all requests are judged by settings that must be known by then. Soaks from seed 2300 on cut watches again and again.

--- a/tests/system/watch_cuts.sh
+++ b/tests/system/watch_cuts.sh
@@ -2,7 +2,8 @@
 # Guards against cut watches that gateways take for an outage of the store: the
 # time of a named version then begins anew, and requests begin on withdrawn
 # weights. The origin is away until after the due time. In the other direction, the
-# store really is away at the due time, and callers go on being served.
+# store really is away at the due time, and callers go on being served. In the last
+# play every watch is cut soon, and settings must be known in time all the same.
 set -u
 BUILD=$1
 FIRST_NET=${NET:-230}
@@ -26,9 +27,10 @@
 	    --cut-first-ms $((1500 + $1 * 370)) --cut-gap-ms $((100 + $1 * 130))
 }
 
-play_outage() { # play_outage HOW
-	play "$1" $((FIRST_NET + 8)) --seed 1 \
-	    --away-first-ms 4000 --away-for-ms 7000 --away-how "$1"
+# The fleet counts as stale what begins after the due time, which an outage puts
+# off: its verdict does not hold here.
+play_outage() { # play_outage HOW NET
+	play "$1" "$2" --seed 1 --away-first-ms 4000 --away-for-ms 7000 --away-how "$1" >/dev/null || true
 }
 
 # Lines of the gateways from one time of a play to another, in seconds.
@@ -56,10 +58,17 @@
 		failed=1
 	fi
 done
-# The fleet counts as stale what begins after the due time, which an outage puts
-# off: its verdict does not hold here.
+
+play_outage lose $((FIRST_NET + 8)) &
+pids=$!
+play_outage refuse $((FIRST_NET + 9)) &
+pids="$pids $!"
+play renames $((FIRST_NET + 10)) --seed 1 --rename-gap-ms 300 \
+    --cut-first-ms 500 --cut-gap-ms 60 || failed=1
+for pid in $pids; do
+	wait "$pid"
+done
 for how in lose refuse; do
-	play_outage $how >/dev/null || true
 	put_off=$(lines $how 0 $TRAFFIC_S 'ev=deadline state=put_off' | wc -l)
 	if [ "$put_off" -ne 2 ]; then
 		echo "$how: $put_off of 2 gateways put the deadline off"
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -19,7 +19,8 @@
 # series as well; from seed 1400 on, engines fail as before 1200, lists of digests
 # are corrupted, and engines, the origin and the store answer without end; from
 # seed 2000 on, large settings change several times a second beside silences of the
-# store that lose what it sends, or longer times in which it refuses all calls.
+# store that lose what it sends, or longer times in which it refuses all calls; from
+# seed 2300 on, the store cuts watches again and again.
 # Requests that a gateway ended without an answer are broken
 # (tests/fleet/ends.c), as is a window with more retries of all gateways than
 # their budget (tests/fleet/budget.c). The last line begins with `soak: kept` or `soak: BROKEN`;
@@ -278,6 +279,10 @@
 		more="$more --away-for-ms $((100 + drawn)) --away-gap-ms $((3500 + drawn * 3))"
 	fi
 fi
+if [ "$SEED" -ge 2300 ]; then
+	draw_more 1500
+	more="$more --cut-gap-ms $((50 + drawn))"
+fi
 fleet_begin "$BUILD/stage-soak-$SEED" $n_engines $n_gateways
 # Of no gateway: awk tells the files below apart by a line in the first one.
 echo "0 0 0 ended" >"$STAGE/disturbed"
