--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -174,7 +174,8 @@
 	return missing < DOWN_MISSING ? 0 : MAX(due_us, answered_us);
 }
 
-/* The cache after `c`, or the first one of the store, that fails like the others. */
+/* The cache after `c`, or the first one of the store, whose last call failed for a
+ * reason that all kinds share. */
 static const struct store_cache *
 next_failing(const struct store *s, const struct store_cache *c)
 {
@@ -200,7 +201,7 @@
 	    next_failing(c->store, first) == c;
 }
 
-/* Whether this cache, among those that fail alike, probes for all. */
+/* Whether this cache, among those, probes for all. */
 static bool
 is_prober(const struct store_cache *c)
 {
