tests: no connection is ended within the callback of its request

Beside that, an option of the fleet that no script used and a header that hreq_answer() does not take are gone.

--- a/tests/fleet/cuts.c
+++ b/tests/fleet/cuts.c
@@ -5,15 +5,13 @@
 
 #include "fleet.h"
 
-static int first_ms = 3000, gap_ms, cuts, origin_first_ms = 1000, origin_for_ms;
+static int first_ms = 3000, gap_ms, origin_first_ms = 1000, origin_for_ms;
 
 static struct poptOption options[] = {
 	{ "cut-first-ms", 0, POPT_ARG_INT, &first_ms, 0,
 	    "begin of the series of cut watches, in traffic", "N" },
 	{ "cut-gap-ms", 0, POPT_ARG_INT, &gap_ms, 0,
 	    "longest time between two cuts; 0: there are none", "N" },
-	{ "cuts", 0, POPT_ARG_INT, &cuts, 0, "number of cuts; 0: until the end",
-	    "N" },
 	{ "origin-first-ms", 0, POPT_ARG_INT, &origin_first_ms, 0,
 	    "begin of the origin's absence, in traffic", "N" },
 	{ "origin-for-ms", 0, POPT_ARG_INT, &origin_for_ms, 0,
@@ -26,7 +24,6 @@
 static struct evl_timer next_cut, origin_begin, origin_end;
 static struct fleet *fleet; /* of the timers */
 static struct rng rng;
-static int cuts_left;
 
 struct poptOption *
 fleet_cuts_options(void)
@@ -34,7 +31,7 @@
 	return options;
 }
 
-/* All kinds, any of them first, at one moment or as the next timers fire. */
+/* Ends the watches of all kinds, any of them first. */
 static void
 on_next_cut(struct evl_timer *t)
 {
@@ -48,10 +45,9 @@
 		fleet_store_cut_watches(f,
 		    kinds[(first + i) % G_N_ELEMENTS(kinds)],
 		    rng_below(&rng, 3) == 0);
-	if (cuts == 0 || --cuts_left > 0)
-		evl_timer_set(f->loop, t,
-		    evl_now_us(f->loop) +
-			(int64_t)rng_below(&rng, (uint64_t)gap_ms * 1000));
+	evl_timer_set(f->loop, t,
+	    evl_now_us(f->loop) +
+		(int64_t)rng_below(&rng, (uint64_t)gap_ms * 1000));
 }
 
 static void
@@ -74,7 +70,6 @@
 
 	fleet = f;
 	rng_seed(&rng, seed);
-	cuts_left = cuts;
 	next_cut.fire = on_next_cut;
 	if (gap_ms > 0)
 		evl_timer_set(
--- a/tests/store/test_watch_cut.c
+++ b/tests/store/test_watch_cut.c
@@ -30,7 +30,6 @@
 #define ON_THE_WAY_US 100000
 /* Calls of one cache within a second that cut watches may cost. */
 #define CALLS_PER_S 10
-#define HEAD_CLOSE "Connection: close\r\n"
 
 static const struct store_kind kinds[KINDS] = {
 	{ .name = "servers", .batch_delay_us = 400000, .free = g_free },
@@ -194,6 +193,29 @@
 	return r;
 }
 
+static void
+end_early(struct watch *w, enum form form)
+{
+	struct client *c = w->client;
+	int kind = w->kind;
+	struct hreq *r = watch_take(w);
+	char body[64];
+
+	switch (form) {
+	case FORM_CLOSED:
+		hreq_abort(r);
+		break;
+	case FORM_IN_BODY:
+		page_text(c, kind, 0, body);
+		hreq_begin(r, 200, "");
+		hreq_write(r, body, strlen(body) - 1);
+		hreq_abort(r);
+		break;
+	default:
+		hreq_answer(r, 503, "", "", 0);
+	}
+}
+
 static void
 on_wait_end(struct evl_timer *t)
 {
@@ -202,7 +224,10 @@
 	int kind = w->kind;
 	int64_t since = w->since;
 
-	answer(c, watch_take(w), kind, since);
+	if (c->mode == MODE_RESET)
+		end_early(w, FORM_CLOSED);
+	else
+		answer(c, watch_take(w), kind, since);
 }
 
 static void
@@ -229,9 +254,6 @@
 	case MODE_BUSY:
 		hreq_answer(r, 503, "", "", 0);
 		return true;
-	case MODE_RESET:
-		hreq_abort(r);
-		return true;
 	case MODE_LIMIT:
 		hreq_answer(r, 429, "", "", 0);
 		return true;
@@ -271,7 +293,10 @@
 		hreq_answer(r, 200, "", "{", 1);
 		return;
 	}
-	if (c->mode == MODE_SILENT ||
+	/* A connection is not ended within the callback of its request. */
+	if (c->mode == MODE_RESET)
+		begin_watch(c, r, kind, since, 0);
+	else if (c->mode == MODE_SILENT ||
 	    (wait_us > 0 && c->changed[kind] <= since))
 		begin_watch(c, r, kind, since, wait_us);
 	else
@@ -292,29 +317,6 @@
 	.refused = bed_ignore_refused,
 };
 
-static void
-end_early(struct watch *w, enum form form)
-{
-	struct client *c = w->client;
-	int kind = w->kind;
-	struct hreq *r = watch_take(w);
-	char body[64];
-
-	switch (form) {
-	case FORM_CLOSED:
-		hreq_abort(r);
-		break;
-	case FORM_IN_BODY:
-		page_text(c, kind, 0, body);
-		hreq_begin(r, 200, "");
-		hreq_write(r, body, strlen(body) - 1);
-		hreq_abort(r);
-		break;
-	default:
-		hreq_answer(r, 503, HEAD_CLOSE, "", 0);
-	}
-}
-
 static void
 cut(struct client *c, int kind, enum form form)
 {
