store: one place says what a call without a result shows

ended_early() and failure_of() each looked at the same answer, and the caller put their results together; hfetch_answer had both `too_long` and a failure that says the same.

failure_of() tells all four cases, a cut watch among them, from the answer and the wait of the call. `too_long` is gone, its two readers ask for HCALL_TOO_LONG; the assertion of http-fetch on it asks for the same fact. Comments that read as figures of speech are reworded, one of them on the page of log lines.

--- a/lib/common/evt.h
+++ b/lib/common/evt.h
@@ -24,7 +24,7 @@
 	    "the store stopped responding for one kind of object")               \
 	X(EVT_STORE_BACK, "store_back", EVT_STATE, "the store responds again")   \
 	X(EVT_STORE_WATCH, "store_watch", EVT_STATE,                             \
-	    "the store ended a watch early, or one took its time again")         \
+	    "the store ended a watch early, or answered a later one")            \
 	X(EVT_STORE_DOWN, "store_down", EVT_STATE,                               \
 	    "the store answers no call of this process, or does again")          \
 	X(EVT_STORE_STALE, "store_stale", EVT_STATE,                             \
--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -84,7 +84,6 @@
 	    &(struct hfetch_answer){ .sent = sent,
 		.error = hcall_failure_name(why),
 		.failure = why,
-		.too_long = why == HCALL_TOO_LONG,
 		.header = "" });
 }
 
--- a/lib/http/fetch.h
+++ b/lib/http/fetch.h
@@ -13,8 +13,6 @@
 	const char *error; /* with status 0: the cause */
 	bool timed_out; /* with status 0: there was no sign of a failure */
 	enum hcall_failure failure; /* with status 0, if it did not time out */
-	/* With status 0: more bytes arrived than a response may have. */
-	bool too_long;
 	const void *body;
 	size_t len;
 	/* Value of the header asked for; "" if it is missing or too long. */
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -33,10 +33,10 @@
 #define ARRIVAL_TIMEOUT_US CALL_TIMEOUT_US
 #define ARRIVAL_MAX_US 10000000
 /*
- * The store may end a watch at any time, which says neither that it answers nor
- * that it does not. A call that it must answer at once tells: a watch that does
- * not wait. Processes whose watches are cut off together spread their calls over
- * this time.
+ * The store may end a watch at any time, so an early end does not show whether it
+ * answers other calls. A watch without a wait shows it, as it must be answered at
+ * once. Processes whose watches were cut off together spread these calls over this
+ * time.
  */
 #define CUT_SPREAD_US 50000
 /* Calls to a store that does not answer cost as much as others: only one
@@ -118,7 +118,7 @@
 	bool partial; /* the last list was not read to its end */
 	int64_t list_again_us; /* with `partial` */
 	bool watching; /* `revision` is valid to watch from */
-	bool down; /* as its owner was told */
+	bool down; /* as last reported by the `link` operation */
 	/* The last call failed for a reason that all kinds share: the store does
 	 * not answer, or takes no more calls. */
 	bool common;
@@ -218,13 +218,32 @@
 	    CALL_TIMEOUT_MAX_US);
 }
 
-/* Why a call brought nothing. */
+/* What a call without a result shows. */
 enum call_failure {
+	CALL_CUT, /* nothing: a watch ended before its time */
 	CALL_MISSING, /* the store had to answer and did not */
-	CALL_LIMITED, /* it takes no more calls */
-	CALL_USELESS, /* it answered, with nothing of use for this kind */
+	CALL_LIMITED, /* the store takes no more calls */
+	CALL_USELESS, /* the store answered, with nothing of use for this kind */
 };
 
+/* `wait_ms`: how long the store was to hold the call without an answer. */
+static enum call_failure
+failure_of(const struct hfetch_answer *a, int64_t wait_ms)
+{
+	if (a->status == 429)
+		return CALL_LIMITED;
+	if (a->status != 0 && a->status < 500)
+		return CALL_USELESS;
+	if (a->status == 0 && a->timed_out)
+		return CALL_MISSING;
+	if (a->status == 0 && a->failure == HCALL_UNREACHABLE)
+		return CALL_MISSING;
+	if (a->status == 0 &&
+	    (a->failure == HCALL_MALFORMED || a->failure == HCALL_TOO_LONG))
+		return CALL_USELESS;
+	return wait_ms > 0 ? CALL_CUT : CALL_MISSING;
+}
+
 static void
 back_off(struct store_cache *c, const char *why, enum call_failure failure)
 {
@@ -252,32 +271,6 @@
 	    c->store->conf.loop, &c->timer, now_us(c) + c->backoff_us - jitter);
 }
 
-/* Whether a watch ended before its time, in any way in which a connection or a
- * server can end it. */
-static bool
-ended_early(const struct store_cache *c, const struct hfetch_answer *a)
-{
-	if (c->wait_ms == 0 || a->timed_out)
-		return false;
-	if (a->status != 0)
-		return a->status >= 500;
-	return a->failure == HCALL_CLOSED || a->failure == HCALL_TRUNCATED ||
-	    a->failure == HCALL_RESET;
-}
-
-static enum call_failure
-failure_of(const struct hfetch_answer *a)
-{
-	if (a->status == 429)
-		return CALL_LIMITED;
-	if (a->status != 0)
-		return a->status < 500 ? CALL_USELESS : CALL_MISSING;
-	if (!a->timed_out &&
-	    (a->failure == HCALL_MALFORMED || a->failure == HCALL_TOO_LONG))
-		return CALL_USELESS;
-	return CALL_MISSING;
-}
-
 /* Asks the store at once whether it answers. */
 static void
 handle_cut(struct store_cache *c, const char *why)
@@ -794,6 +787,7 @@
 on_answer(const struct hfetch_answer *a, void *ctx)
 {
 	struct store_cache *c = ctx;
+	enum call_failure failure;
 	char status[32];
 	const char *why = a->error;
 
@@ -817,10 +811,11 @@
 			    status, sizeof(status), "status_%u", a->status);
 			why = status;
 		}
-		if (ended_early(c, a))
+		failure = failure_of(a, c->wait_ms);
+		if (failure == CALL_CUT)
 			handle_cut(c, why);
 		else
-			back_off(c, why, failure_of(a));
+			back_off(c, why, failure);
 	}
 }
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -85,9 +85,9 @@
 void store_set_address(struct store *s, const char *address);
 /* Number of the store's newest known history; 0: not known. */
 int64_t store_history(const struct store *s);
-/* Time from which the store is known to answer no call, once more than one answer
- * is missing; 0: it answers. Before that time it may have answered, also if nothing
- * was heard of it. */
+/* Time from which the store is known to answer no call: the first missing answer
+ * was due then, and no answer has arrived since. 0: the store answers, or only one
+ * answer is missing. */
 int64_t store_down_since_us(const struct store *s);
 
 /* ------------------------------------------------------------------ */
--- a/programs/entry/gateway.h
+++ b/programs/entry/gateway.h
@@ -15,7 +15,7 @@
 #include "serve/roster.h"
 #include "shared/station.h"
 
-/* What this process and the sidecars say of an outage of the store. */
+/* State of an outage of the store, as this process and the sidecars see it. */
 struct gateway_outage {
 	bool down; /* the store answers no call; as last sent to the sidecars */
 	int64_t down_us; /* when that was noticed */
@@ -125,8 +125,8 @@
 void gateway_account_changed(void *ctx); /* ctx: struct gateway */
 
 /* gateway_outage.c: outages of the store, and deadlines that they put off */
-/* Tells the sidecars whether the store is down, and puts deadlines off while it
- * is for all gateways. */
+/* Sends the sidecars a change of the store's state, and extends deadlines while the
+ * store is down for all gateways. */
 void gateway_outage_update(struct gateway *g);
 void gateway_outage_reported(
     struct gateway *g, const struct side_report *report);
--- a/programs/entry/gateway_outage.c
+++ b/programs/entry/gateway_outage.c
@@ -1,5 +1,5 @@
-/* Outages of the store: what sidecars are told, and the deadlines of versions
- * that an outage for all gateways puts off. */
+/* Outages of the store: the state sent to sidecars, and the deadlines of versions
+ * that are extended while the store is down for all gateways. */
 
 #include "entry/gateway.h"
 
--- a/programs/side/keeper_engine.c
+++ b/programs/side/keeper_engine.c
@@ -32,7 +32,7 @@
 static bool
 is_only_silent(const struct keeper *k, const struct hfetch_answer *a)
 {
-	return (a->timed_out || a->too_long) &&
+	return (a->timed_out || a->failure == HCALL_TOO_LONG) &&
 	    keeper_now(k) - k->answered_us < SV_SILENCE_MAX_US;
 }
 
--- a/tests/http/test_fetch.c
+++ b/tests/http/test_fetch.c
@@ -111,7 +111,7 @@
 	raw_send(fd, "a");
 	run_until(&finished);
 	assert_int_equal(last.status, 0);
-	assert_true(last.too_long);
+	assert_int_equal(last.failure, HCALL_TOO_LONG);
 	close(fd);
 	g_free(head);
 	g_free(body);
