tests/fleet: one loop that cuts watches, absences in one file

fleet_store_cut_watches() repeated abort_watches() for one kind; it takes all kinds now, and the drills and the discarded history call it. The absence of the origin stood in cuts.c, which is about watches; it is in away.c beside the store's.

--- a/tests/fleet/away.c
+++ b/tests/fleet/away.c
@@ -1,7 +1,7 @@
 /*
  * A store that is away for a while, again and again, in one of several ways,
  * while the settings change. What gateways then use is judged as ever
- * (notice.c).
+ * (notice.c). And an origin of weights that is away once.
  */
 
 #include <popt.h>
@@ -10,6 +10,7 @@
 #include "fleet.h"
 
 static int first_ms = 4000, for_ms, gap_ms, stable_ms = 3000;
+static int origin_first_ms = 1000, origin_for_ms;
 static char *how;
 
 static struct poptOption options[] = {
@@ -26,10 +27,14 @@
 	    "'lose': what is sent meanwhile, and all that follows on its "
 	    "connection, is lost (the default); 'refuse': calls get 503",
 	    "HOW" },
+	{ "origin-first-ms", 0, POPT_ARG_INT, &origin_first_ms, 0,
+	    "begin of the origin's absence, in traffic", "N" },
+	{ "origin-for-ms", 0, POPT_ARG_INT, &origin_for_ms, 0,
+	    "how long it lasts; 0: there is none", "N" },
 	POPT_TABLEEND
 };
 
-static struct evl_timer begin, end;
+static struct evl_timer begin, end, origin_begin, origin_end;
 static struct fleet *fleet; /* of the timers */
 
 struct poptOption *
@@ -75,13 +80,34 @@
 	    f->loop, &end, evl_now_us(f->loop) + (int64_t)for_ms * 1000);
 }
 
+static void
+on_origin_end(struct evl_timer *t)
+{
+	fleet_proxy_set(fleet->origin_proxy, PROXY_PASS);
+}
+
+static void
+on_origin_begin(struct evl_timer *t)
+{
+	fleet_proxy_set(fleet->origin_proxy, PROXY_STALL);
+	evl_timer_set(fleet->loop, &origin_end,
+	    evl_now_us(fleet->loop) + (int64_t)origin_for_ms * 1000);
+}
+
 void
 fleet_away_start(struct fleet *f)
 {
+	int64_t now_us = evl_now_us(f->loop);
+
 	fleet = f;
 	begin.fire = on_begin;
 	end.fire = on_end;
 	if (for_ms > 0)
-		evl_timer_set(f->loop, &begin,
-		    evl_now_us(f->loop) + (int64_t)first_ms * 1000);
+		evl_timer_set(
+		    f->loop, &begin, now_us + (int64_t)first_ms * 1000);
+	origin_begin.fire = on_origin_begin;
+	origin_end.fire = on_origin_end;
+	if (origin_for_ms > 0)
+		evl_timer_set(f->loop, &origin_begin,
+		    now_us + (int64_t)origin_first_ms * 1000);
 }
--- a/tests/fleet/cuts.c
+++ b/tests/fleet/cuts.c
@@ -1,27 +1,22 @@
-/* A store that ends watches early while it answers all other calls, which is no
- * fault, and an origin of weights that is away for a while. */
+/* A store that ends watches early while it answers all other calls: no fault. */
 
 #include <popt.h>
 
 #include "fleet.h"
 
-static int first_ms = 3000, gap_ms, origin_first_ms = 1000, origin_for_ms;
+static int first_ms = 3000, gap_ms;
 
 static struct poptOption options[] = {
 	{ "cut-first-ms", 0, POPT_ARG_INT, &first_ms, 0,
 	    "begin of the series of cut watches, in traffic", "N" },
 	{ "cut-gap-ms", 0, POPT_ARG_INT, &gap_ms, 0,
 	    "longest time between two cuts; 0: there are none", "N" },
-	{ "origin-first-ms", 0, POPT_ARG_INT, &origin_first_ms, 0,
-	    "begin of the origin's absence, in traffic", "N" },
-	{ "origin-for-ms", 0, POPT_ARG_INT, &origin_for_ms, 0,
-	    "how long it lasts; 0: there is none", "N" },
 	POPT_TABLEEND
 };
 
 static const char *const kinds[] = { "servers", "config", "versions" };
 
-static struct evl_timer next_cut, origin_begin, origin_end;
+static struct evl_timer next_cut;
 static struct fleet *fleet; /* of the timers */
 static struct rng rng;
 
@@ -50,35 +45,13 @@
 		(int64_t)rng_below(&rng, (uint64_t)gap_ms * 1000));
 }
 
-static void
-on_origin_begin(struct evl_timer *t)
-{
-	fleet_proxy_set(fleet->origin_proxy, PROXY_STALL);
-}
-
-static void
-on_origin_end(struct evl_timer *t)
-{
-	fleet_proxy_set(fleet->origin_proxy, PROXY_PASS);
-}
-
 void
 fleet_cuts_start(struct fleet *f, uint64_t seed)
 {
-	int64_t now_us = evl_now_us(f->loop);
-	int64_t away_us = now_us + (int64_t)origin_first_ms * 1000;
-
 	fleet = f;
 	rng_seed(&rng, seed);
 	next_cut.fire = on_next_cut;
 	if (gap_ms > 0)
-		evl_timer_set(
-		    f->loop, &next_cut, now_us + (int64_t)first_ms * 1000);
-	origin_begin.fire = on_origin_begin;
-	origin_end.fire = on_origin_end;
-	if (origin_for_ms <= 0)
-		return;
-	evl_timer_set(f->loop, &origin_begin, away_us);
-	evl_timer_set(
-	    f->loop, &origin_end, away_us + (int64_t)origin_for_ms * 1000);
+		evl_timer_set(f->loop, &next_cut,
+		    evl_now_us(f->loop) + (int64_t)first_ms * 1000);
 }
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -194,8 +194,8 @@
 #define FLEET_UNNAMED "zz-unnamed"
 void fleet_store_remove(struct fleet *f, const char *kind, const char *name);
 void fleet_store_discard_history(struct fleet *f);
-/* Ends the watches of this kind that wait, before any byte of an answer or
- * `within` one. */
+/* Ends the watches of this kind that wait (NULL: of all kinds), before any byte of
+ * an answer or `within` one. */
 void fleet_store_cut_watches(struct fleet *f, const char *kind, bool within);
 /* The store refuses all calls for `away_us` and comes back from a copy that is
  * `age_us` old. */
@@ -415,11 +415,11 @@
 /* The lowest idle limit that a gateway may have in force. */
 int64_t fleet_settings_safe_idle_us(void);
 
-/* cuts.c: watches that end early, and the origin's absence */
+/* cuts.c: watches that end early */
 struct poptOption *fleet_cuts_options(void);
 void fleet_cuts_start(struct fleet *f, uint64_t seed);
 
-/* away.c: a store that is away, again and again. */
+/* away.c: a store that is away, again and again, and an origin that is once */
 struct poptOption *fleet_away_options(void);
 void fleet_away_start(struct fleet *f);
 /* Time after an absence from which the settings in use are judged. */
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -13,8 +13,8 @@
  *         --settings-gap-ms N --idle-ms N --other-idle-ms N --many-routes N
  *         --late N --crowd N --ends-judged 0|1
  *         --fail-from SECONDS --fail-permille N --failures 0|1
- *         and those of held.c (--hold-*), odd.c (--odd-*), away.c (--away-*) and
- *         cuts.c (--cut-*, --origin-*),
+ *         and those of held.c (--hold-*), odd.c (--odd-*), away.c (--away-*,
+ *         --origin-*) and cuts.c (--cut-*),
  *         --rename-gap-ms and --always-routes of settings.c; see --help
  *
  * Silences are of sound engines, which go on where they were. Settings change
@@ -592,7 +592,7 @@
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_held_options(), 0,
 		    "Orders that come late:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_away_options(), 0,
-		    "Absences of the store:", NULL },
+		    "Absences of the store and the origin:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_cuts_options(), 0,
 		    "Watches that end early:", NULL },
 		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, fleet_odd_options(), 0,
--- a/tests/fleet/store.c
+++ b/tests/fleet/store.c
@@ -227,19 +227,6 @@
 		append_event(f, kind, name, "null", true);
 }
 
-static void
-abort_watches(struct fleet *f)
-{
-	struct fleet_watch *w;
-
-	while ((w = LIST_FIRST(&f->watches)) != NULL) {
-		struct hreq *r = w->r;
-
-		watch_free(w);
-		hreq_abort(r);
-	}
-}
-
 void
 fleet_store_cut_watches(struct fleet *f, const char *kind, bool within)
 {
@@ -249,7 +236,7 @@
 		struct hreq *r = w->r;
 
 		next = LIST_NEXT(w, link);
-		if (strcmp(w->kind, kind) != 0)
+		if (kind != NULL && strcmp(w->kind, kind) != 0)
 			continue;
 		watch_free(w);
 		if (within) {
@@ -265,7 +252,7 @@
 fleet_store_discard_history(struct fleet *f)
 {
 	f->history_from = f->revision;
-	abort_watches(f);
+	fleet_store_cut_watches(f, NULL, false);
 }
 
 /* ------------------------------------------------------------------ */
@@ -326,7 +313,7 @@
 	f->drill_us = now_us;
 	f->before_drill_us = fleet_store_disturbed_us(f);
 	f->store_refuses = true;
-	abort_watches(f);
+	fleet_store_cut_watches(f, NULL, false);
 	restore_copy(f, now_us - age_us);
 	g_printerr("drill: back from a copy %" G_GINT64_FORMAT
 		   " ms old, revision %" G_GINT64_FORMAT "\n",
