tests/store: the users' kinds, their paths and calls stand in bed.h

store-watch_cut wrote again what store-silence had: the bounds, the three kinds, the paths of lists and watches, how a call is read from them, and the object that a page encloses. It also opened its servers beside bed_server(), which takes no address and no context. Both use bed.h now, with bed_server_at() below bed_server().

The assertions, bounds, kinds, order of caches and draws are as before.

--- a/tests/store/test_silence.c
+++ b/tests/store/test_silence.c
@@ -8,14 +8,9 @@
 
 #include <stdlib.h>
 
-#include "store/store.h"
-
 #define CLIENTS 40
 #define CLIENT_GAP_MS 55 /* between the starts of two clients */
 #define CHANGE_GAP_US 150000
-/* The bounds of the users' deployments. */
-#define STALL_TIMEOUT_US 3000000
-#define CHANGE_BOUND_US 2000000
 
 struct waiting {
 	LIST_ENTRY(waiting) link;
@@ -43,43 +38,23 @@
 static struct client clients[CLIENTS];
 static unsigned int calls;
 
-static char *
-list_path(const struct store_kind *kind, const char *after)
-{
-	return g_strdup_printf("/%s", kind->name);
-}
-
-static char *
-watch_path(const struct store_kind *kind, int64_t since, int64_t wait_ms)
-{
-	return g_strdup_printf("/%s?watch=%" G_GINT64_FORMAT
-			       "&wait=%" G_GINT64_FORMAT,
-	    kind->name, since, wait_ms);
-}
-
 /* The body has the version of the settings and says whether one is enclosed. */
 static bool
 read_page(const struct store_kind *kind, const void *body, size_t len,
     struct store_page *out, struct err *err)
 {
 	char *text = g_strndup(body, len), *end;
-	struct store_item item = { 0 };
 
 	out->revision = strtoll(text, &end, 10);
-	if (*end == '+') {
-		item.name = g_strdup("main");
-		item.revision = out->revision;
-		item.value = g_memdup2(&out->revision, sizeof(out->revision));
-		g_array_append_vals(out->items, &item, 1);
-	}
+	if (*end == '+')
+		bed_add_object(out, out->revision);
 	g_free(text);
-	/* cppcheck-suppress memleak ; the page has the item now */
 	return true;
 }
 
 static const struct store_dialect dialect = {
-	.list_path = list_path,
-	.watch_path = watch_path,
+	.list_path = bed_list_path,
+	.watch_path = bed_watch_path,
 	.read_page = read_page,
 };
 
@@ -139,18 +114,15 @@
 static void
 on_request(struct hreq *r, void *ctx)
 {
-	char *target = hslice_dup(hreq_msg(r)->target);
-	bool is_config = g_str_has_prefix(target, "/config");
-	const char *since = strstr(target, "watch=");
-	const char *wait = strstr(target, "wait=");
+	struct bed_call call = bed_call_of(r);
+	bool is_config = call.kind == BED_CONFIG;
 	struct waiting *w;
 
 	calls++;
 	hreq_set_ctx(r, NULL);
 	if (!is_silent &&
-	    (since == NULL || (is_config && atoll(since + 6) < newest))) {
+	    (!call.is_watch || (is_config && call.since < newest))) {
 		answer(r, is_config);
-		g_free(target);
 		return;
 	}
 	w = g_new0(struct waiting, 1);
@@ -161,9 +133,7 @@
 	hreq_set_ctx(r, w);
 	LIST_INSERT_HEAD(&watches, w, link);
 	if (!is_silent)
-		evl_timer_set(
-		    loop, &w->end, evl_now_us(loop) + atoll(wait + 5) * 1000);
-	g_free(target);
+		evl_timer_set(loop, &w->end, evl_now_us(loop) + call.wait_us);
 }
 
 static void
@@ -194,15 +164,6 @@
 	.removed = bed_ignore_removed,
 };
 
-static const struct store_kind kinds[] = {
-	{ .name = "config",
-	    .newest_only = true,
-	    .batch_delay_us = 150000,
-	    .free = g_free },
-	{ .name = "servers", .batch_delay_us = 400000, .free = g_free },
-	{ .name = "versions", .batch_delay_us = 100000, .free = g_free },
-};
-
 static void
 start_client(struct client *c, uint64_t seed)
 {
@@ -215,11 +176,13 @@
 	    .dialect = &dialect,
 	    .counters = counters,
 	    .seed = seed,
-	    .stall_timeout_us = STALL_TIMEOUT_US });
-	(void)store_cache_new(c->store, &kinds[1], &cache_ops, c);
-	config = store_cache_new(c->store, &kinds[0], &cache_ops, c);
-	store_cache_set_change_bound(config, CHANGE_BOUND_US);
-	(void)store_cache_new(c->store, &kinds[2], &cache_ops, c);
+	    .stall_timeout_us = BED_STALL_TIMEOUT_US });
+	(void)store_cache_new(c->store, &bed_kinds[BED_SERVERS], &cache_ops, c);
+	config =
+	    store_cache_new(c->store, &bed_kinds[BED_CONFIG], &cache_ops, c);
+	store_cache_set_change_bound(config, BED_CHANGE_BOUND_US);
+	(void)store_cache_new(
+	    c->store, &bed_kinds[BED_VERSIONS], &cache_ops, c);
 }
 
 static int
@@ -277,7 +240,7 @@
 	int64_t end_us = clk_now_us(clk_system()), us = 0;
 	size_t i, n = 0;
 
-	while (us < CHANGE_BOUND_US && n < CLIENTS) {
+	while (us < BED_CHANGE_BOUND_US && n < CLIENTS) {
 		run_ms(2);
 		us = clk_now_us(clk_system()) - end_us;
 		for (i = 0, n = 0; i < CLIENTS; i++)
--- a/tests/store/test_watch_cut.c
+++ b/tests/store/test_watch_cut.c
@@ -8,38 +8,18 @@
 
 #include <stdlib.h>
 
-#include "store/store.h"
-
 #define CLIENTS 24
-enum {
-	KIND_SERVERS,
-	KIND_CONFIG,
-	KIND_VERSIONS,
-	KINDS
-};
-/* The bounds of the users' deployments. */
-#define STALL_TIMEOUT_US 3000000
-#define CHANGE_BOUND_US 2000000
 /* From the moment at which all connections fail until the store counts as down,
  * and from its return until all changes are known. */
 #define NOTICE_BOUND_US 1000000
 /* Silence shows at the time by which a stalled connection is to be detected; one
  * more call must go unanswered after that. */
-#define SILENCE_BOUND_US (STALL_TIMEOUT_US + NOTICE_BOUND_US)
+#define SILENCE_BOUND_US (BED_STALL_TIMEOUT_US + NOTICE_BOUND_US)
 /* A call may be on its way for this long. */
 #define ON_THE_WAY_US 100000
 /* Calls of one cache within a second that cut watches may cost. */
 #define CALLS_PER_S 10
 
-static const struct store_kind kinds[KINDS] = {
-	{ .name = "servers", .batch_delay_us = 400000, .free = g_free },
-	{ .name = "config",
-	    .newest_only = true,
-	    .batch_delay_us = 150000,
-	    .free = g_free },
-	{ .name = "versions", .batch_delay_us = 100000, .free = g_free },
-};
-
 /* What the store does with each call. */
 enum mode {
 	MODE_ANSWER,
@@ -81,10 +61,10 @@
 	LIST_HEAD(, watch) watches;
 	struct rng rng;
 	int64_t revision;
-	int64_t changed[KINDS]; /* revision of the newest value */
-	int64_t known[KINDS]; /* the same, as its cache knows it */
-	int64_t due_us[KINDS]; /* by when it must; 0: it does */
-	unsigned int calls[KINDS];
+	int64_t changed[BED_KINDS]; /* revision of the newest value */
+	int64_t known[BED_KINDS]; /* the same, as its cache knows it */
+	int64_t due_us[BED_KINDS]; /* by when it must; 0: it does */
+	unsigned int calls[BED_KINDS];
 	struct evl_timer cut, change;
 	unsigned int cuts_left;
 	bool regular; /* cuts take all kinds, always this long apart */
@@ -99,20 +79,6 @@
 static struct hlimits limits = { 8192, 8192, 60000000, 60000000 };
 static struct client clients[CLIENTS];
 
-static char *
-list_path(const struct store_kind *kind, const char *after)
-{
-	return g_strdup_printf("/%s", kind->name);
-}
-
-static char *
-watch_path(const struct store_kind *kind, int64_t since, int64_t wait_ms)
-{
-	return g_strdup_printf("/%s?watch=%" G_GINT64_FORMAT
-			       "&wait=%" G_GINT64_FORMAT,
-	    kind->name, since, wait_ms);
-}
-
 /* The body is "REVISION" or "REVISION VALUE", with an end that shows that it is
  * whole. */
 static bool
@@ -120,7 +86,6 @@
     struct store_page *out, struct err *err)
 {
 	char *text = g_strndup(body, len), *end;
-	struct store_item item = { 0 };
 
 	if (!g_str_has_suffix(text, ".")) {
 		g_free(text);
@@ -128,20 +93,15 @@
 		    err, ERR_INVALID, VERDICT_MAY_HAVE_RUN, "no page");
 	}
 	out->revision = strtoll(text, &end, 10);
-	if (*end == ' ') {
-		item.name = g_strdup("main");
-		item.revision = strtoll(end, NULL, 10);
-		item.value = g_memdup2(&item.revision, sizeof(item.revision));
-		g_array_append_vals(out->items, &item, 1);
-	}
+	if (*end == ' ')
+		bed_add_object(out, strtoll(end, NULL, 10));
 	g_free(text);
-	/* cppcheck-suppress memleak ; the page has the item now */
 	return true;
 }
 
 static const struct store_dialect dialect = {
-	.list_path = list_path,
-	.watch_path = watch_path,
+	.list_path = bed_list_path,
+	.watch_path = bed_watch_path,
 	.read_page = read_page,
 };
 
@@ -231,13 +191,14 @@
 }
 
 static void
-begin_watch(
-    struct client *c, struct hreq *r, int kind, int64_t since, int64_t wait_us)
+begin_watch(struct client *c, struct hreq *r, const struct bed_call *call,
+    int64_t wait_us)
 {
 	struct watch *w = g_new0(struct watch, 1);
 
-	*w =
-	    (struct watch){ .client = c, .r = r, .kind = kind, .since = since };
+	*w = (struct watch){
+		.client = c, .r = r, .kind = call->kind, .since = call->since
+	};
 	w->end.fire = on_wait_end;
 	hreq_set_ctx(r, w);
 	LIST_INSERT_HEAD(&c->watches, w, link);
@@ -275,32 +236,24 @@
 on_request(struct hreq *r, void *ctx)
 {
 	struct client *c = ctx;
-	char *target = hslice_dup(hreq_msg(r)->target);
-	const char *watch = strstr(target, "watch=");
-	const char *wait = strstr(target, "wait=");
-	int64_t since = watch == NULL ? 0 : atoll(watch + 6);
-	int64_t wait_us = wait == NULL ? 0 : atoll(wait + 5) * 1000;
-	int kind = 0;
-
-	while (!g_str_has_prefix(target + 1, kinds[kind].name))
-		kind++;
-	g_free(target);
-	c->calls[kind]++;
+	struct bed_call call = bed_call_of(r);
+
+	c->calls[call.kind]++;
 	hreq_set_ctx(r, NULL);
 	if (refuse(c, r))
 		return;
-	if (c->unreadable && kind == KIND_VERSIONS) {
+	if (c->unreadable && call.kind == BED_VERSIONS) {
 		hreq_answer(r, 200, "", "{", 1);
 		return;
 	}
 	/* A connection is not ended within the callback of its request. */
 	if (c->mode == MODE_RESET)
-		begin_watch(c, r, kind, since, 0);
+		begin_watch(c, r, &call, 0);
 	else if (c->mode == MODE_SILENT ||
-	    (wait_us > 0 && c->changed[kind] <= since))
-		begin_watch(c, r, kind, since, wait_us);
+	    (call.wait_us > 0 && c->changed[call.kind] <= call.since))
+		begin_watch(c, r, &call, call.wait_us);
 	else
-		answer(c, r, kind, since);
+		answer(c, r, call.kind, call.since);
 }
 
 static void
@@ -336,7 +289,7 @@
 
 	c->changed[kind] = ++c->revision;
 	if (c->due_us[kind] == 0)
-		c->due_us[kind] = evl_now_us(loop) + CHANGE_BOUND_US;
+		c->due_us[kind] = evl_now_us(loop) + BED_CHANGE_BOUND_US;
 	for (; w != NULL && c->mode == MODE_ANSWER; w = next) {
 		next = LIST_NEXT(w, link);
 		if (w->kind == kind)
@@ -355,12 +308,14 @@
 on_cut(struct evl_timer *t)
 {
 	struct client *c = CONTAINER_OF(t, struct client, cut);
-	int i, first = (int)rng_below(&c->rng, KINDS);
+	int i, first = (int)rng_below(&c->rng, BED_KINDS);
 	bool all = c->regular || rng_below(&c->rng, 3) > 0;
 
-	for (i = 0; i < KINDS; i++) {
+	for (i = 0; i < BED_KINDS; i++) {
 		if (all || rng_below(&c->rng, 2) > 0)
-			cut(c, c->regular ? KINDS - 1 - i : (first + i) % KINDS,
+			cut(c,
+			    c->regular ? BED_KINDS - 1 - i
+				       : (first + i) % BED_KINDS,
 			    c->regular ? FORM_CLOSED
 				       : (enum form)rng_below(&c->rng, FORMS));
 	}
@@ -377,8 +332,8 @@
 	c->cuts_left = n;
 	c->cut_gap_us = gap_us;
 	c->cut.fire = on_cut;
-	evl_timer_set(
-	    loop, &c->cut, evl_now_us(loop) + draw_us(c, STALL_TIMEOUT_US / 2));
+	evl_timer_set(loop, &c->cut,
+	    evl_now_us(loop) + draw_us(c, BED_STALL_TIMEOUT_US / 2));
 }
 
 static void
@@ -386,7 +341,7 @@
 {
 	struct client *c = CONTAINER_OF(t, struct client, change);
 
-	write_change(c, (int)rng_below(&c->rng, KINDS));
+	write_change(c, (int)rng_below(&c->rng, BED_KINDS));
 	evl_timer_set(loop, t, evl_now_us(loop) + 20000 + draw_us(c, 1000000));
 }
 
@@ -411,17 +366,8 @@
 static void
 open_server(struct client *c)
 {
-	struct err err = { 0 };
-
-	c->server = hserver_new(&(struct hserver_conf){ .loop = loop,
-				    .address = c->address,
-				    .limits = &limits,
-				    .connections_max = 30,
-				    .bodies_max = 10000,
-				    .ops = &server_ops,
-				    .ctx = c },
-	    &err);
-	assert_non_null(c->server);
+	c->server =
+	    bed_server_at(loop, c->address, &limits, 30, &server_ops, c);
 }
 
 static void
@@ -442,13 +388,14 @@
 	    .dialect = &dialect,
 	    .counters = counters,
 	    .seed = seed,
-	    .stall_timeout_us = STALL_TIMEOUT_US });
-	for (i = 0; i < KINDS; i++) {
+	    .stall_timeout_us = BED_STALL_TIMEOUT_US });
+	for (i = 0; i < BED_KINDS; i++) {
 		c->changed[i] = c->revision;
 		cache = store_cache_new(
-		    c->store, &kinds[i], &cache_ops, &c->known[i]);
-		if (kinds[i].newest_only)
-			store_cache_set_change_bound(cache, CHANGE_BOUND_US);
+		    c->store, &bed_kinds[i], &cache_ops, &c->known[i]);
+		if (bed_kinds[i].newest_only)
+			store_cache_set_change_bound(
+			    cache, BED_CHANGE_BOUND_US);
 	}
 	c->change.fire = on_change;
 }
@@ -500,7 +447,7 @@
 		c->down_us = now_us;
 	} else if (!down)
 		c->down_us = 0;
-	for (i = 0; i < KINDS; i++) {
+	for (i = 0; i < BED_KINDS; i++) {
 		if (c->due_us[i] == 0)
 			continue;
 		c->late_us = MAX(c->late_us, now_us - c->due_us[i]);
@@ -579,7 +526,7 @@
 	run_and_look_ms(6000);
 	assert_no_outage();
 	for (i = 0; i < CLIENTS; i++) {
-		for (kind = 0; kind < KINDS; kind++)
+		for (kind = 0; kind < BED_KINDS; kind++)
 			assert_in_range(
 			    clients[i].calls[kind], 1, 6 * CALLS_PER_S);
 	}
@@ -600,7 +547,7 @@
 	run_and_look_ms(6000);
 	for (i = 0; i < CLIENTS; i++) {
 		clients[i].mode = MODE_ANSWER;
-		write_change(&clients[i], (int)(i % KINDS));
+		write_change(&clients[i], (int)(i % BED_KINDS));
 	}
 	run_and_look_ms(3000);
 	assert_no_outage();
@@ -623,10 +570,10 @@
 		c = &clients[i];
 		for (w = LIST_FIRST(&c->watches); w != NULL; w = next) {
 			next = LIST_NEXT(w, link);
-			if (w->kind == KIND_CONFIG)
+			if (w->kind == BED_CONFIG)
 				(void)watch_take(w);
 		}
-		write_change(c, KIND_CONFIG);
+		write_change(c, BED_CONFIG);
 	}
 	run_and_look_ms(3000);
 	assert_no_outage();
@@ -662,7 +609,7 @@
 	c->mode = MODE_ANSWER;
 	if (c->server == NULL)
 		open_server(c);
-	write_change(c, (int)rng_below(&c->rng, KINDS));
+	write_change(c, (int)rng_below(&c->rng, BED_KINDS));
 }
 
 /*
