tests/store: regular and random cuts apart

on_cut() asked three times within its loops and calls whether its cuts are regular. Two functions say what either kind cuts, and on_cut() asks once. Kinds, forms and gaps are as before; store-watch_cut passes.

--- a/tests/store/test_watch_cut.c
+++ b/tests/store/test_watch_cut.c
@@ -303,27 +303,44 @@
 
 #define REGULAR_GAP_US 170000
 
-/* Cuts all kinds in any order, or only some of them. */
+/* The watches of all kinds, before any byte of an answer. */
 static void
-on_cut(struct evl_timer *t)
+cut_all(struct client *c)
+{
+	int i;
+
+	for (i = BED_KINDS - 1; i >= 0; i--)
+		cut(c, i, FORM_CLOSED);
+}
+
+/* The watches of all kinds or some, any of them first, in any form. */
+static void
+cut_at_random(struct client *c)
 {
-	struct client *c = CONTAINER_OF(t, struct client, cut);
 	int i, first = (int)rng_below(&c->rng, BED_KINDS);
-	bool all = c->regular || rng_below(&c->rng, 3) > 0;
+	bool all = rng_below(&c->rng, 3) > 0;
 
 	for (i = 0; i < BED_KINDS; i++) {
 		if (all || rng_below(&c->rng, 2) > 0)
-			cut(c,
-			    c->regular ? BED_KINDS - 1 - i
-				       : (first + i) % BED_KINDS,
-			    c->regular ? FORM_CLOSED
-				       : (enum form)rng_below(&c->rng, FORMS));
+			cut(c, (first + i) % BED_KINDS,
+			    (enum form)rng_below(&c->rng, FORMS));
+	}
+}
+
+static void
+on_cut(struct evl_timer *t)
+{
+	struct client *c = CONTAINER_OF(t, struct client, cut);
+	int64_t gap_us = REGULAR_GAP_US;
+
+	if (c->regular) {
+		cut_all(c);
+	} else {
+		cut_at_random(c);
+		gap_us = draw_us(c, c->cut_gap_us);
 	}
 	if (--c->cuts_left > 0)
-		evl_timer_set(loop, t,
-		    evl_now_us(loop) +
-			(c->regular ? REGULAR_GAP_US
-				    : draw_us(c, c->cut_gap_us)));
+		evl_timer_set(loop, t, evl_now_us(loop) + gap_us);
 }
 
 static void
