tests/store: an absence lasts until a call has been refused

store-behind let the store be away for 50 ms after it cut the watch. The cache now asks within 50 ms whether the store answers; a call at the end of that time, or a test that is held up, would have met a store that is back already, and the test would have played no absence. It now waits until a call has been refused, and says so if none is.

--- a/tests/store/test_behind.c
+++ b/tests/store/test_behind.c
@@ -19,6 +19,7 @@
 static int64_t newest; /* revision and value of the object */
 static int64_t known; /* of the cache */
 static bool store_is_away;
+static unsigned int refused; /* calls while the store was away */
 static unsigned int lists; /* answered */
 static unsigned int values; /* that the cache reported */
 static unsigned int answers; /* calls answered since the changes */
@@ -104,9 +105,10 @@
 	char *target = hslice_dup(hreq_msg(r)->target);
 	const char *since = strchr(target, '=');
 
-	if (store_is_away)
+	if (store_is_away) {
+		refused++;
 		hreq_answer(r, 503, "", "", 0);
-	else if (since != NULL)
+	} else if (since != NULL)
 		answer_watch(r, strtoll(since + 1, NULL, 10));
 	else
 		answer_list(r);
@@ -192,11 +194,15 @@
 be_away(int64_t changes)
 {
 	struct hreq *r = watch;
+	int i;
 
 	store_is_away = true;
 	watch = NULL;
+	refused = 0;
 	hreq_abort(r);
-	run_ms(50);
+	for (i = 0; i < 10000 && refused == 0; i++)
+		run_ms(1);
+	assert_true(refused > 0);
 	newest += changes;
 	answers = 0;
 	store_is_away = false;
